--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, written to docs/platform-protocols.md."""
--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, load generator, baselines, scale run, reports and plots."""
--- /dev/null
+++ b/notcharch/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface."""
--- /dev/null
+++ b/notcharch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/notcharch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Builds, starts, drains and stops a daemon."""
--- /dev/null
+++ b/notcharch/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engine stewards: queues, grants, load, cached prefixes, release, drain."""
--- /dev/null
+++ b/notcharch/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered, typed log events."""
--- /dev/null
+++ b/notcharch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface; it decides nothing."""
--- /dev/null
+++ b/notcharch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""SWIM membership of the daemons of one region."""
--- /dev/null
+++ b/notcharch/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: order of calls, history, budgets, at-most-once records."""
--- /dev/null
+++ b/notcharch/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy: queue order, engine choice, refusal, retention. No I/O, no clock."""
--- /dev/null
+++ b/notcharch/services/__init__.py
@@ -0,0 +1,1 @@
+"""Service limits over all daemons, as leased allotments."""
--- /dev/null
+++ b/notcharch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings from a file and flags."""
--- /dev/null
+++ b/notcharch/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: rows, checks, publication, merging, and its replica."""
--- /dev/null
+++ b/notcharch/values/__init__.py
@@ -0,0 +1,1 @@
+"""Value types shared by every layer: identifiers, chat messages, usage, members."""
--- /dev/null
+++ b/notcharch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons, their codec, and the connections that carry them."""
--- /dev/null
+++ b/notcharch/wire/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between daemons, a module for each subsystem."""
