Add the replicated state of programs

A program's order of calls, history, budget and at-most-once records must survive the loss of a daemon, so they are one deterministic component of a partition's state machine: commands in, typed results out, no clock, no table and no randomness inside.

--- /dev/null
+++ b/notcharch/programs/admission.py
@@ -0,0 +1,156 @@
+"""Admission: the order of a program's calls, and the reservation of their budget."""
+
+import msgspec
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.programs import refusals
+from notcharch.programs.budget import prompt_bound
+from notcharch.programs.commands import (
+    AdmitAttempt,
+    AttemptAdmitted,
+    AttemptJoined,
+    CallFinishedBefore,
+)
+from notcharch.programs.record import (
+    CallPhase,
+    OpenCall,
+    ProgramRecord,
+    call_digest,
+)
+from notcharch.programs.store import ProgramStore
+from notcharch.programs.tree import ended_problem, touch
+from notcharch.replication.interface import CommandRefused, CommandResult
+from notcharch.values.identifiers import AttemptNumber, Epoch
+
+
+def admit(store: ProgramStore, command: AdmitAttempt, epoch: Epoch) -> CommandResult:
+    """Admit an attempt at the next call, join a running one, or refuse."""
+    record = store.visible(command.program, command.tenant)
+    if record is None:
+        return refusals.not_found(command.program)
+    digest = call_digest(command.body_digest, command.repeatable)
+    known = _known_call(record, command, digest)
+    if known is not None:
+        return known
+    prompt_tokens = prompt_bound(record.context_tokens, command.messages)
+    reservation = prompt_tokens + command.max_tokens
+    problem = _refusal(store, record, command, reservation)
+    if problem is not None:
+        return CommandRefused(problem)
+    _begin_attempt(store, record, command, digest, reservation)
+    return _admitted(store, record, epoch, prompt_tokens)
+
+
+def _known_call(
+    record: ProgramRecord, command: AdmitAttempt, digest: bytes
+) -> CommandResult | None:
+    """Answer for a sequence that is early, finished or running; else None."""
+    if command.sequence > record.next_sequence:
+        return refusals.too_early(command.sequence, record.next_sequence)
+    if command.sequence <= record.finished:
+        return _finished_call(record, command, digest)
+    call = record.call
+    if call is None:
+        return None
+    if not call.running:
+        # A call that certainly never ran may be sent again with another body.
+        changed = call.may_have_run and call.digest != digest
+        return refusals.conflict(command.sequence) if changed else None
+    if call.digest != digest:
+        return refusals.conflict(command.sequence)
+    if supersedes(call, command):
+        return None
+    return AttemptJoined(call.attempt)
+
+
+def _finished_call(
+    record: ProgramRecord, command: AdmitAttempt, digest: bytes
+) -> CommandResult:
+    if command.sequence < 1:
+        message = "calls are numbered from 1"
+        return CommandRefused(Problem.of(ProblemCode.BAD_REQUEST, message))
+    if record.history.turn(command.sequence).digest != digest:
+        return refusals.conflict(command.sequence)
+    return CallFinishedBefore()
+
+
+def supersedes(call: OpenCall, command: AdmitAttempt) -> bool:
+    """Tell whether a gateway asks again because it never got its admission.
+
+    Its earlier attempt was not dispatched, and cannot be once a newer one exists.
+    """
+    return call.phase is CallPhase.ADMITTED and call.gateway == command.gateway
+
+
+def _refusal(
+    store: ProgramStore, record: ProgramRecord, command: AdmitAttempt, reservation: int
+) -> Problem | None:
+    call = record.call
+    ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
+    limits = command.limits
+    if record.ended:
+        return ended_problem(record, ran)
+    if command.max_tokens < 1:
+        return Problem.of(ProblemCode.BAD_REQUEST, "max_tokens is below 1", ran=ran)
+    if command.sequence > limits.calls_per_program:
+        message = f"the row allows {limits.calls_per_program} calls per program"
+        return Problem.of(ProblemCode.CALL_LIMIT_REACHED, message, ran=ran)
+    if command.at - record.created_at >= limits.max_age_seconds:
+        message = f"the row allows an age of {limits.max_age_seconds:g} seconds"
+        return Problem.of(ProblemCode.PROGRAM_TOO_OLD, message, ran=ran)
+    returned = call.reserved_tokens if call is not None else 0
+    free = limits.budget_tokens - store.budget_of(record).committed + returned
+    if reservation > free:
+        message = (
+            f"the call may use {reservation} tokens, and {max(free, 0)} are left"
+            f" of the budget of {limits.budget_tokens}"
+        )
+        return Problem.of(ProblemCode.BUDGET_EXHAUSTED, message, ran=ran)
+    return None
+
+
+def _begin_attempt(
+    store: ProgramStore,
+    record: ProgramRecord,
+    command: AdmitAttempt,
+    digest: bytes,
+    reservation: int,
+) -> None:
+    budget = store.budget_of(record)
+    budget.limit = command.limits.budget_tokens
+    before = record.call
+    if before is not None:
+        budget.give_back(before.reserved_tokens)
+    budget.reserve(reservation)
+    record.call = OpenCall(
+        sequence=command.sequence,
+        digest=digest,
+        repeatable=command.repeatable,
+        messages=msgspec.json.encode(command.messages),
+        attempt=AttemptNumber(1 if before is None else before.attempt + 1),
+        phase=CallPhase.ADMITTED,
+        gateway=command.gateway,
+        reserved_tokens=reservation,
+        phase_at=command.at,
+        may_have_run=before is not None and before.may_have_run,
+    )
+    if record.started_at is None:
+        record.started_at = command.at
+    touch(store, record, command.at)
+    store.note_running(record)
+
+
+def _admitted(
+    store: ProgramStore, record: ProgramRecord, epoch: Epoch, prompt_tokens: int
+) -> AttemptAdmitted:
+    call = record.call
+    return AttemptAdmitted(
+        attempt=call.attempt if call is not None else AttemptNumber(1),
+        epoch=epoch,
+        service=record.service,
+        message_count=record.history.message_count,
+        prompt_tokens=prompt_tokens,
+        attained_tokens=store.budget_of(record).settled,
+        started_at=record.started_at or record.created_at,
+        prefix=record.prefix,
+    )
--- /dev/null
+++ b/notcharch/programs/attempts.py
@@ -0,0 +1,231 @@
+"""Dispatch and outcome of attempts: at most once, history and settlement."""
+
+import msgspec
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.programs import refusals
+from notcharch.programs.budget import (
+    MESSAGE_OVERHEAD_TOKENS,
+    UnresolvedCharge,
+    context_after,
+)
+from notcharch.programs.commands import (
+    AbandonAttempt,
+    AttemptFinished,
+    AttemptSuperseded,
+    DispatchAccepted,
+    FinishAttempt,
+    RecordDispatch,
+)
+from notcharch.programs.history import EncodedTurn, Turn
+from notcharch.programs.record import CallPhase, OpenCall, ProgramRecord
+from notcharch.programs.store import ProgramStore
+from notcharch.programs.tree import ended_problem, release_engines, touch
+from notcharch.replication.interface import CommandRefused, CommandResult
+from notcharch.values.chat import Answer, ChatMessage, PrefixLocation
+from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch
+
+NO_MESSAGES = b"[]"
+
+
+def dispatch(
+    store: ProgramStore, command: RecordDispatch, epoch: Epoch
+) -> CommandResult:
+    """Record the engine of the newest attempt, before anything is sent to it."""
+    record = store.records.get(command.program)
+    if record is None:
+        return refusals.not_found(command.program)
+    call = _newest_attempt(record, command)
+    if call is None or not call.running:
+        return CommandRefused(refusals.superseded(command.sequence, Ran.NO))
+    if call.engine == command.engine:
+        return DispatchAccepted(epoch)
+    if record.ended:
+        return CommandRefused(ended_problem(record, Ran.NO))
+    call.phase = CallPhase.DISPATCHED
+    call.phase_at = command.at
+    call.engine = command.engine
+    if command.engine not in record.engines:
+        record.engines = (*record.engines, command.engine)
+    store.drop_duty(record.program, command.engine)
+    return DispatchAccepted(epoch)
+
+
+def _newest_attempt(
+    record: ProgramRecord, command: RecordDispatch | FinishAttempt | AbandonAttempt
+) -> OpenCall | None:
+    call = record.call
+    if call is None or call.sequence != command.sequence:
+        return None
+    return call if call.attempt == command.attempt else None
+
+
+def finish(store: ProgramStore, command: FinishAttempt) -> CommandResult:
+    """Store the outcome of the newest attempt and settle its budget."""
+    record = store.records.get(command.program)
+    if record is None:
+        return CommandRefused(
+            Problem.of(
+                ProblemCode.NOT_FOUND,
+                f"there is no program {command.program}",
+                ran=Ran.UNKNOWN,
+            )
+        )
+    if (command.answer is None) == (command.problem is None):
+        message = "an outcome is either an answer or a problem"
+        return _refused(ProblemCode.BAD_REQUEST, message)
+    call = _newest_attempt(record, command)
+    if call is None:
+        return _late_outcome(store, record, command)
+    if command.problem is not None:
+        return _finish_with_problem(store, record, call, command.problem, command.at)
+    if command.answer is not None and call.engine is not None:
+        return _finish_with_answer(store, record, call, command.answer, command.at)
+    return _refused(ProblemCode.BAD_REQUEST, "the attempt was never dispatched")
+
+
+def _refused(code: ProblemCode, message: str) -> CommandRefused:
+    return CommandRefused(Problem.of(code, message, ran=Ran.UNKNOWN))
+
+
+def _finish_with_answer(
+    store: ProgramStore,
+    record: ProgramRecord,
+    call: OpenCall,
+    answer: Answer,
+    at: float,
+) -> CommandResult:
+    budget = store.budget_of(record)
+    if call.running:
+        budget.settle(call.reserved_tokens, answer.usage)
+    elif not _resolve_charge(store, record, call.sequence, call.attempt, answer):
+        ran = Ran.UNKNOWN
+        return AttemptSuperseded(refusals.superseded(call.sequence, ran))
+    # A held charge: it was given up, and nothing was admitted in its place.
+    messages = msgspec.Raw(call.messages)
+    turn = EncodedTurn(call.digest, call.attempt, messages, answer, None)
+    _close_call(store, record, turn, _message_count(call.messages) + 1)
+    record.context_tokens = context_after(answer)
+    if call.engine is not None:
+        record.prefix = PrefixLocation(call.engine, answer.usage.total_tokens)
+    _after_outcome(store, record, at)
+    return AttemptFinished(None)
+
+
+def _resolve_charge(
+    store: ProgramStore,
+    record: ProgramRecord,
+    sequence: CallSequence,
+    attempt: AttemptNumber,
+    answer: Answer | None,
+) -> bool:
+    """Correct the charge of an attempt that was given up; no answer: it never ran."""
+    used = 0 if answer is None else answer.usage.total_tokens
+    budget = store.budget_of(record)
+    return budget.resolve(record.program, sequence, attempt, used)
+
+
+def _message_count(messages: bytes) -> int:
+    return len(msgspec.json.decode(messages, type=tuple[ChatMessage, ...]))
+
+
+def _finish_with_problem(
+    store: ProgramStore,
+    record: ProgramRecord,
+    call: OpenCall,
+    problem: Problem,
+    at: float,
+) -> CommandResult:
+    if not call.running:
+        if problem.ran is Ran.NO:
+            _resolve_charge(store, record, call.sequence, call.attempt, None)
+        return AttemptFinished(call.failure)
+    budget = store.budget_of(record)
+    certainly_not = problem.ran is Ran.NO or call.phase is CallPhase.ADMITTED
+    if certainly_not:
+        budget.give_back(call.reserved_tokens)
+    else:
+        call.may_have_run = True
+        charge = UnresolvedCharge(
+            record.program, call.sequence, call.attempt, call.reserved_tokens
+        )
+        budget.hold(charge)
+    call.reserved_tokens = 0
+    stored = _stored_problem(call, problem, certainly_not)
+    call.phase = CallPhase.FAILED
+    call.phase_at = at
+    call.failure = stored
+    if not certainly_not and not call.repeatable:
+        messages = msgspec.Raw(NO_MESSAGES)
+        turn = EncodedTurn(call.digest, call.attempt, messages, None, stored)
+        _close_call(store, record, turn, 0)
+    _after_outcome(store, record, at)
+    return AttemptFinished(stored)
+
+
+def _stored_problem(call: OpenCall, problem: Problem, certainly_not: bool) -> Problem:
+    """Say of the whole call, not only of this attempt, whether it ran."""
+    if certainly_not:
+        ran = Ran.UNKNOWN if call.may_have_run else Ran.NO
+        return msgspec.structs.replace(problem, ran=ran)
+    if call.repeatable:
+        return problem
+    if problem.ran is Ran.YES:
+        return msgspec.structs.replace(problem, retry_after=None)
+    return refusals.outcome_unknown(call.sequence, problem.message)
+
+
+def abandon(store: ProgramStore, command: AbandonAttempt) -> CommandResult:
+    """Give up the newest attempt, whose gateway will not finish it."""
+    record = store.records.get(command.program)
+    call = None if record is None else _newest_attempt(record, command)
+    if record is None or call is None or not call.running:
+        return CommandRefused(refusals.superseded(command.sequence, Ran.UNKNOWN))
+    ran = Ran.NO if call.phase is CallPhase.ADMITTED else Ran.UNKNOWN
+    problem = Problem.of(
+        ProblemCode.UNAVAILABLE,
+        command.reason,
+        ran=ran,
+        retry_after=refusals.RETRY_SECONDS,
+    )
+    return _finish_with_problem(store, record, call, problem, command.at)
+
+
+def _close_call(
+    store: ProgramStore, record: ProgramRecord, turn: EncodedTurn, message_count: int
+) -> None:
+    record.history.append(turn, message_count)
+    record.finished += 1
+    record.call = None
+    store.note_running(record)
+
+
+def _after_outcome(store: ProgramStore, record: ProgramRecord, at: float) -> None:
+    store.note_running(record)
+    touch(store, record, at)
+    smallest_call = record.context_tokens + MESSAGE_OVERHEAD_TOKENS + 1
+    if record.ended or store.budget_of(record).unspent < smallest_call:
+        # An exhausted program keeps its history, not the engines' memory.
+        release_engines(store, record)
+
+
+def _late_outcome(
+    store: ProgramStore, record: ProgramRecord, command: FinishAttempt
+) -> CommandResult:
+    """Settle the budget of an old attempt; its answer comes too late to be kept."""
+    problem = command.problem
+    if problem is None or problem.ran is Ran.NO:
+        _resolve_charge(
+            store, record, command.sequence, command.attempt, command.answer
+        )
+    if 1 <= command.sequence <= record.finished:
+        turn = record.history.turn(command.sequence)
+        if _is_stored(turn, command):
+            return AttemptFinished(turn.problem)
+    return AttemptSuperseded(refusals.superseded(command.sequence, Ran.UNKNOWN))
+
+
+def _is_stored(turn: Turn, command: FinishAttempt) -> bool:
+    if command.answer is not None:
+        return turn.answer == command.answer
+    return turn.problem is not None and turn.attempt == command.attempt
--- /dev/null
+++ b/notcharch/programs/record.py
@@ -0,0 +1,121 @@
+"""The record of one program in the replicated state."""
+
+import enum
+import hashlib
+
+import msgspec
+
+from notcharch.errors import Problem
+from notcharch.programs.budget import TreeBudget
+from notcharch.programs.history import History
+from notcharch.values.chat import PrefixLocation
+from notcharch.values.identifiers import (
+    AttemptNumber,
+    CallSequence,
+    EngineName,
+    Member,
+    ProgramId,
+    ServiceName,
+    TenantName,
+)
+
+DIGEST_BYTES = 16
+
+
+class CallPhase(enum.Enum):
+    """Where the newest attempt at the program's open call is."""
+
+    ADMITTED = "admitted"
+    """It has its reservation; certainly nothing ran."""
+
+    DISPATCHED = "dispatched"
+    """The intent to run it on an engine is recorded; it may have run."""
+
+    FAILED = "failed"
+    """It is over without an answer, and the call may be tried again."""
+
+
+class EndReason(enum.Enum):
+    """Why a program ended."""
+
+    REQUESTED = "requested"
+    IDLE = "idle"
+    AGE = "age"
+    PARENT = "parent"
+
+
+class OpenCall(msgspec.Struct, array_like=True):
+    """The one call of a program that is admitted and has no final outcome.
+
+    `messages` is the JSON of the new messages. `may_have_run` tells whether any
+    attempt so far may have reached an engine.
+    """
+
+    sequence: CallSequence
+    digest: bytes
+    repeatable: bool
+    messages: bytes
+    attempt: AttemptNumber
+    phase: CallPhase
+    gateway: Member
+    reserved_tokens: int
+    phase_at: float
+    engine: EngineName | None = None
+    may_have_run: bool = False
+    failure: Problem | None = None
+
+    @property
+    def running(self) -> bool:
+        """Tell whether a gateway may be driving the newest attempt."""
+        return self.phase is not CallPhase.FAILED
+
+
+class ProgramRecord(msgspec.Struct, array_like=True):
+    """One program. `budget` is there at the root of a tree only.
+
+    `context_tokens` bounds the history's tokens in a prompt. `engines` may hold
+    memory of the program. `finished` counts calls with a final outcome.
+    """
+
+    program: ProgramId
+    service: ServiceName
+    tenant: TenantName
+    parent: ProgramId | None
+    root: ProgramId
+    created_at: float
+    active_at: float
+    started_at: float | None = None
+    ended_at: float | None = None
+    end_reason: EndReason | None = None
+    finished: int = 0
+    context_tokens: int = 0
+    prefix: PrefixLocation | None = None
+    engines: tuple[EngineName, ...] = ()
+    children: tuple[ProgramId, ...] = ()
+    call: OpenCall | None = None
+    budget: TreeBudget | None = None
+    tree_size: int = 1
+    history: History = msgspec.field(default_factory=History)
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the program accepts no more calls."""
+        return self.ended_at is not None
+
+    @property
+    def next_sequence(self) -> CallSequence:
+        """Give the sequence of the call that may be admitted."""
+        return CallSequence(self.finished + 1)
+
+    @property
+    def running_call(self) -> OpenCall | None:
+        """Give the open call while an attempt at it may be running."""
+        if self.call is not None and self.call.running:
+            return self.call
+        return None
+
+
+def call_digest(body_digest: str, repeatable: bool) -> bytes:
+    """Give the short digest by which a repeat of a call is recognised."""
+    text = f"{int(repeatable)}{body_digest}"
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/notcharch/programs/state.py
@@ -0,0 +1,90 @@
+"""The replicated component of programs: a pure function of its commands.
+
+It has no clock, no randomness and no table of its own; see docs/design/programs.md.
+"""
+
+from collections.abc import Iterator
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.programs import admission, attempts, tree
+from notcharch.programs.commands import (
+    COMMANDS,
+    AbandonAttempt,
+    AdmitAttempt,
+    BeginProgram,
+    CommandDone,
+    ConfirmReleases,
+    ExpirePrograms,
+    FinishAttempt,
+    ReadBarrier,
+    RecordDispatch,
+    ReleaseDuty,
+    StopProgram,
+)
+from notcharch.programs.record import ProgramRecord
+from notcharch.programs.store import ProgramStore
+from notcharch.replication.interface import Command, CommandRefused, CommandResult
+from notcharch.values.identifiers import Epoch, ProgramId
+
+
+class ProgramsState:
+    """The programs of one partition; a `StateMachine` for `COMMANDS`."""
+
+    COMMANDS: tuple[type[Command], ...] = COMMANDS
+
+    def __init__(self) -> None:
+        """Begin without programs."""
+        self._store = ProgramStore()
+
+    def apply(self, command: Command, epoch: Epoch) -> CommandResult:
+        """Apply one committed command."""
+        store = self._store
+        match command:
+            case BeginProgram():
+                return tree.begin(store, command)
+            case AdmitAttempt():
+                return admission.admit(store, command, epoch)
+            case RecordDispatch():
+                return attempts.dispatch(store, command, epoch)
+            case FinishAttempt():
+                return attempts.finish(store, command)
+            case AbandonAttempt():
+                return attempts.abandon(store, command)
+            case StopProgram():
+                return tree.stop(store, command)
+            case ExpirePrograms():
+                return tree.expire(store, command)
+            case ConfirmReleases():
+                return tree.confirm(store, command)
+            case ReadBarrier():
+                return CommandDone()
+        message = f"programs do not apply {type(command).__name__}"
+        return CommandRefused(Problem.of(ProblemCode.INTERNAL, message, ran=Ran.NO))
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state; equal states give equal bytes."""
+        return self._store.snapshot()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state; ValueError for an unknown format."""
+        self._store.restore(snapshot)
+
+    def record(self, program: ProgramId) -> ProgramRecord | None:
+        """Give a program's record, to be read only."""
+        return self._store.records.get(program)
+
+    def root_of(self, record: ProgramRecord) -> ProgramRecord:
+        """Give the record of the root of a program's tree."""
+        return self._store.records[record.root]
+
+    def programs(self) -> tuple[ProgramId, ...]:
+        """Give the ids of all remembered programs."""
+        return tuple(self._store.records)
+
+    def running_programs(self) -> tuple[ProgramId, ...]:
+        """Give the programs with a running attempt."""
+        return tuple(self._store.running)
+
+    def duties(self) -> Iterator[ReleaseDuty]:
+        """Give the releases that are not confirmed."""
+        return self._store.all_duties()
--- /dev/null
+++ b/notcharch/programs/store.py
@@ -0,0 +1,115 @@
+"""The records of one partition's programs, with the indexes that follow from them."""
+
+import sys
+from collections.abc import Iterator
+
+import msgspec
+
+from notcharch.programs.budget import TreeBudget
+from notcharch.programs.commands import ReleaseDuty
+from notcharch.programs.record import ProgramRecord
+from notcharch.values.identifiers import (
+    EngineName,
+    ProgramId,
+    ServiceName,
+    TenantName,
+)
+
+SNAPSHOT_FORMAT = 1
+
+
+class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The whole state, sorted, so that equal states give equal bytes."""
+
+    format: int
+    records: list[ProgramRecord]
+    duties: list[ReleaseDuty]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(StoreSnapshot)
+
+
+class ProgramStore:
+    """Records by id, release duties, and the programs with a running attempt."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.records: dict[ProgramId, ProgramRecord] = {}
+        self.duties: dict[ProgramId, set[EngineName]] = {}
+        self.running: set[ProgramId] = set()
+
+    def visible(self, program: ProgramId, tenant: TenantName) -> ProgramRecord | None:
+        """Give a program's record if it belongs to the tenant."""
+        record = self.records.get(program)
+        if record is None or record.tenant != tenant:
+            return None
+        return record
+
+    def add(self, record: ProgramRecord) -> None:
+        """Add a new record."""
+        _share_names(record)
+        self.records[record.program] = record
+
+    def budget_of(self, record: ProgramRecord) -> TreeBudget:
+        """Give the budget of the program's tree; a root outlives its tree."""
+        budget = self.records[record.root].budget
+        if budget is None:
+            message = f"{record.root} is not the root of {record.program}"
+            raise LookupError(message)
+        return budget
+
+    def add_duty(self, program: ProgramId, engine: EngineName) -> None:
+        """Owe a release of the program's memory on an engine."""
+        self.duties.setdefault(program, set()).add(engine)
+
+    def drop_duty(self, program: ProgramId, engine: EngineName) -> None:
+        """Owe a release no longer; harmless when it is not owed."""
+        engines = self.duties.get(program)
+        if engines is None:
+            return
+        engines.discard(engine)
+        if not engines:
+            del self.duties[program]
+
+    def all_duties(self) -> Iterator[ReleaseDuty]:
+        """Give every release that is owed."""
+        for program, engines in self.duties.items():
+            for engine in engines:
+                yield ReleaseDuty(program, engine)
+
+    def note_running(self, record: ProgramRecord) -> None:
+        """Bring the index of running attempts up to date with a record."""
+        if record.running_call is None:
+            self.running.discard(record.program)
+        else:
+            self.running.add(record.program)
+
+    def snapshot(self) -> bytes:
+        """Encode records and duties in sorted order."""
+        records = [self.records[program] for program in sorted(self.records)]
+        whole = StoreSnapshot(SNAPSHOT_FORMAT, records, sorted(self.all_duties()))
+        return _encoder.encode(whole)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace everything by a snapshot's content."""
+        whole = _decoder.decode(snapshot)
+        if whole.format != SNAPSHOT_FORMAT:
+            message = f"unknown snapshot format {whole.format}"
+            raise ValueError(message)
+        self.records = {}
+        for record in whole.records:
+            self.add(record)
+        self.duties = {}
+        for duty in whole.duties:
+            self.add_duty(duty.program, duty.engine)
+        self.running = {
+            record.program for record in whole.records if record.running_call
+        }
+
+
+def _share_names(record: ProgramRecord) -> None:
+    # Thousands of records name the same few services, tenants and engines.
+    record.service = ServiceName(sys.intern(record.service))
+    record.tenant = TenantName(sys.intern(record.tenant))
+    record.engines = tuple(EngineName(sys.intern(name)) for name in record.engines)
