Clients of the outside systems, and the command line's entry point

Plain JSON goes through treq; an engine's stream goes through Twisted's agent and body protocol only and is relayed as bytes, cut at the boundaries of events, resumed by the number of the last whole event when it breaks, and decoded in batches for the history.

Weighed: counting events per token for the offset; their `id:` lines give it when it is needed, at no cost per token.

--- /dev/null
+++ b/notcharch/cli/main.py
@@ -0,0 +1,113 @@
+"""The entry point of the command line.
+
+Commands are the built-in ones and those of the entry-point group
+`notcharch.commands`. No command ends with a traceback: an unexpected exception
+prints one line and gives exit status 70, and its traceback goes to the log.
+"""
+
+import argparse
+import importlib.metadata
+import sys
+import traceback
+from collections.abc import Iterator, Sequence
+
+import eliot
+
+from notcharch.cli.builtin import BUILT_IN_COMMANDS
+from notcharch.cli.command import CommandSpec
+from notcharch.cli.exit_codes import BAD_USAGE, INTERNAL_ERROR, INTERRUPTED
+from notcharch.events.cli import CommandFailed, CommandNotLoaded
+from notcharch.events.event import emit
+
+ENTRY_POINT_GROUP = "notcharch.commands"
+STANDARD_ERROR = "-"
+EPILOG = """examples:
+  notcharch config check /etc/notcharch.toml
+  notcharch COMMAND --help
+
+exit statuses:
+  0 done; 1 refused or failed; 2 bad usage or findings;
+  3 the system cannot be reached; 70 a fault of the program itself
+"""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command that `argv` names; gives the exit status."""
+    parser = build_parser(tuple(load_commands()))
+    arguments = parser.parse_args(argv)
+    if arguments.log is not None and not _log_to(arguments.log):
+        return BAD_USAGE
+    try:
+        return int(arguments.run(arguments))
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except Exception as error:
+        return _report_fault(arguments.command, error)
+
+
+def build_parser(commands: Sequence[CommandSpec]) -> argparse.ArgumentParser:
+    """Build the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="notcharch",
+        description="A scheduler for agent programs, between callers and engines.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--log", metavar="FILE", help="write the log here; - is standard error"
+    )
+    names = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for command in commands:
+        command_parser = names.add_parser(
+            command.name,
+            help=command.summary,
+            description=command.summary,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        command.configure(command_parser)
+        command_parser.set_defaults(run=command.run)
+    return parser
+
+
+def load_commands() -> Iterator[CommandSpec]:
+    """Give the built-in commands, then those of other packages.
+
+    A command of another package that cannot be loaded is left out with a line on
+    standard error, so that it does not take the others with it.
+    """
+    for reference in BUILT_IN_COMMANDS:
+        entry_point = importlib.metadata.EntryPoint(
+            name=reference, value=reference, group=ENTRY_POINT_GROUP
+        )
+        yield entry_point.load()
+    for entry_point in importlib.metadata.entry_points(group=ENTRY_POINT_GROUP):
+        try:
+            yield entry_point.load()
+        except Exception as error:
+            emit(CommandNotLoaded(entry_point.value, traceback.format_exc()))
+            sys.stderr.write(
+                f"notcharch: command {entry_point.name} cannot be loaded: {error}\n"
+            )
+
+
+def _log_to(place: str) -> bool:
+    if place == STANDARD_ERROR:
+        eliot.to_file(sys.stderr)
+        return True
+    try:
+        eliot.to_file(open(place, "a", encoding="utf-8"))  # noqa: SIM115 - until exit
+    except OSError as error:
+        sys.stderr.write(f"notcharch: --log {place}: {error.strerror}\n")
+        return False
+    return True
+
+
+def _report_fault(command: str, error: Exception) -> int:
+    emit(CommandFailed(command, str(error), traceback.format_exc()))
+    summary = f"{type(error).__name__}: {error}".splitlines()[0]
+    sys.stderr.write(f"notcharch {command}: internal error: {summary}\n")
+    return INTERNAL_ERROR
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notcharch/cli/settings_options.py
@@ -0,0 +1,90 @@
+"""Options that give a settings file and flags over it, for every command that needs them.
+
+A flag is `--set section.key=value`; the value is read as TOML, and as plain text
+where it is not TOML.
+"""
+
+import argparse
+import sys
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+
+from result import Err, Result
+
+from notcharch.errors import Finding
+from notcharch.settings.load import load_settings
+from notcharch.settings.schema import Settings
+
+NO_FILE = "(no settings file)"
+
+
+def add_settings_options(parser: argparse.ArgumentParser) -> None:
+    """Add the settings file and `--set`."""
+    parser.add_argument(
+        "settings_file",
+        nargs="?",
+        type=Path,
+        metavar="FILE",
+        help="settings file (TOML); without it every key has its default",
+    )
+    parser.add_argument(
+        "--set",
+        dest="overrides",
+        action="append",
+        default=[],
+        metavar="SECTION.KEY=VALUE",
+        help="set one key over the file; may be repeated",
+    )
+
+
+def settings_of(
+    arguments: argparse.Namespace,
+) -> Result[Settings, tuple[Finding, ...]]:
+    """Read the settings that the arguments name, or give every finding."""
+    findings: list[Finding] = []
+    text = _read_file(arguments.settings_file, findings)
+    overrides = _read_overrides(arguments.overrides, findings)
+    source = str(arguments.settings_file or NO_FILE)
+    settings = load_settings(text, source, overrides)
+    if isinstance(settings, Err):
+        findings.extend(settings.err_value)
+    if findings:
+        return Err(tuple(findings))
+    return settings
+
+
+def print_findings(findings: Iterable[Finding]) -> None:
+    """Print findings on standard error, one line each."""
+    for finding in findings:
+        sys.stderr.write(f"{finding.place}: {finding.message}\n")
+
+
+def _read_file(path: Path | None, findings: list[Finding]) -> str:
+    if path is None:
+        return ""
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        findings.append(Finding(str(path), error.strerror or "cannot be read"))
+    except UnicodeDecodeError:
+        findings.append(Finding(str(path), "is not UTF-8 text"))
+    return ""
+
+
+def _read_overrides(texts: list[str], findings: list[Finding]) -> dict[str, object]:
+    overrides: dict[str, object] = {}
+    for text in texts:
+        place, separator, value = text.partition("=")
+        if not separator or "." not in place:
+            findings.append(Finding(f"--set {text}", "must be SECTION.KEY=VALUE"))
+            continue
+        overrides[place] = _read_value(value)
+    return overrides
+
+
+def _read_value(text: str) -> object:
+    try:
+        return tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
--- /dev/null
+++ b/notcharch/platform/answer_collector.py
@@ -0,0 +1,158 @@
+"""Collects a stream's events and decodes the answer from them, many at a time.
+
+Tokens are relayed as bytes. What the history needs (the content, the usage and how
+the answer ended) is decoded in batches, which costs a small part of decoding each
+token as it comes and bounds what is held undecoded.
+"""
+
+import msgspec
+from result import Err, Ok, Result
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.platform.failures import ErrorBody
+from notcharch.platform.ports import StreamEnd
+from notcharch.platform.server_sent_events import LAST_EVENT, last_event_number
+from notcharch.platform.tool_calls import ToolCallDelta, ToolCallMerger
+from notcharch.values.chat import FinishReason, TokenUsage
+
+BATCH_BYTES = 16 * 1024
+"""Undecoded events held for one stream, bytes."""
+
+_DATA_OBJECT = b"data: {"
+_DATA_PREFIX_LENGTH = len(b"data: ")
+
+
+class PromptDetails(msgspec.Struct, frozen=True):
+    """The part of the prompt that came from the cache."""
+
+    cached_tokens: int = 0
+
+
+class ChunkUsage(msgspec.Struct, frozen=True):
+    """The usage of the last chunk, as OpenAI shapes it."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    prompt_tokens_details: PromptDetails | None = None
+
+
+class ChunkDelta(msgspec.Struct, frozen=True):
+    """What one chunk adds to the answer."""
+
+    content: str | None = None
+    tool_calls: tuple[ToolCallDelta, ...] = ()
+
+
+class ChunkChoice(msgspec.Struct, frozen=True):
+    """The only choice of a chunk."""
+
+    delta: ChunkDelta = ChunkDelta()
+    finish_reason: FinishReason | None = None
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """One chunk of the stream; only what is read of it."""
+
+    choices: tuple[ChunkChoice, ...] = ()
+    usage: ChunkUsage | None = None
+    error: ErrorBody | None = None
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(Chunk)
+
+
+class AnswerCollector:
+    """Holds the events of one stream in order and gives the answer at its end."""
+
+    def __init__(self) -> None:
+        """Begin before the first event."""
+        self._pending: list[bytes] = []
+        self._pending_bytes = 0
+        self._decoded_number = -1
+        self._contents: list[str] = []
+        self._tool_calls = ToolCallMerger()
+        self._finish_reason: FinishReason | None = None
+        self._usage: ChunkUsage | None = None
+        self._error: str | None = None
+        self.is_done = False
+
+    def add(self, events: bytes) -> None:
+        """Take whole events as they came."""
+        self._pending.append(events)
+        self._pending_bytes += len(events)
+        if self._pending_bytes >= BATCH_BYTES:
+            self._decode()
+
+    def next_number(self) -> int:
+        """Give the number of the first event that is not there yet."""
+        self._decode()
+        return self._decoded_number + 1
+
+    def is_over(self) -> bool:
+        """Tell whether nothing is missing: an error, the last event or the whole answer."""
+        self._decode()
+        is_whole = self._finish_reason is not None and self._usage is not None
+        return self.is_done or is_whole or self._error is not None
+
+    def result(self) -> Result[StreamEnd, Problem]:
+        """Give the whole answer, or what is wrong with it."""
+        self._decode()
+        if self._error is not None:
+            return Err(_engine_failed(self._error))
+        if self._finish_reason is None or self._usage is None:
+            return Err(_engine_failed("the stream ended without usage"))
+        return Ok(
+            StreamEnd(
+                "".join(self._contents),
+                self._tool_calls.merged(),
+                self._finish_reason,
+                _usage_of(self._usage),
+            )
+        )
+
+    def _decode(self) -> None:
+        if not self._pending:
+            return
+        events = b"".join(self._pending)
+        self._pending.clear()
+        self._pending_bytes = 0
+        number = last_event_number(events)
+        if number is not None:
+            self._decoded_number = number
+        self.is_done = self.is_done or events.endswith(LAST_EVENT)
+        payload = b"\n".join(
+            line[_DATA_PREFIX_LENGTH:]
+            for line in events.split(b"\n")
+            if line.startswith(_DATA_OBJECT)
+        )
+        try:
+            chunks = _CHUNK_DECODER.decode_lines(payload)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self._error = self._error or f"unreadable chunk: {error}"
+            return
+        for chunk in chunks:
+            self._take(chunk)
+
+    def _take(self, chunk: Chunk) -> None:
+        for choice in chunk.choices:
+            if choice.delta.content:
+                self._contents.append(choice.delta.content)
+            if choice.delta.tool_calls:
+                self._tool_calls.add(choice.delta.tool_calls)
+            if choice.finish_reason is not None:
+                self._finish_reason = choice.finish_reason
+        if chunk.usage is not None:
+            self._usage = chunk.usage
+        if chunk.error is not None:
+            self._error = f"{chunk.error.code}: {chunk.error.message}"
+
+
+def _usage_of(usage: ChunkUsage) -> TokenUsage:
+    details = usage.prompt_tokens_details or PromptDetails()
+    return TokenUsage(
+        usage.prompt_tokens, usage.completion_tokens, details.cached_tokens
+    )
+
+
+def _engine_failed(message: str) -> Problem:
+    return Problem.of(ProblemCode.ENGINE_FAILED, message, ran=Ran.YES)
--- /dev/null
+++ b/notcharch/platform/json_http.py
@@ -0,0 +1,142 @@
+"""One JSON request over HTTP, with a time-out and an honest account of a failure.
+
+Every client module but the engine's token stream uses this. The agent decides on
+connections (see `notcharch.platform.connections`); time comes from the clock given.
+"""
+
+import functools
+from collections.abc import Hashable
+from typing import Any, TypeVar, cast
+
+import attrs
+import msgspec
+from result import Err, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgent
+
+from notcharch.errors import Problem, ProblemCode
+from notcharch.platform.body_reader import read_whole_body
+from notcharch.platform.failures import (
+    problem_of_failure,
+    problem_of_garbled_reply,
+    problem_of_reply,
+)
+
+ReplyT = TypeVar("ReplyT")
+
+GET = "GET"
+POST = "POST"
+DELETE = "DELETE"
+JSON_HEADERS = Headers(
+    {"content-type": ["application/json"], "accept": ["application/json"]}
+)
+
+
+@attrs.frozen
+class HttpReply:
+    """A whole reply: its status and its body."""
+
+    status: int
+    body: bytes
+
+
+class JsonHttp:
+    """Sends JSON requests to one kind of outside system.
+
+    `failure_code` is the code of a failure that has no better one, and
+    `system` names the outside system in messages.
+    """
+
+    def __init__(
+        self,
+        agent: IAgent,
+        clock: IReactorTime,
+        timeout_seconds: float,
+        system: str,
+        failure_code: ProblemCode,
+    ) -> None:
+        """Keep the agent and the clock; nothing is sent yet."""
+        self._http = HTTPClient(agent)
+        self._clock = clock
+        self._timeout_seconds = timeout_seconds
+        self._system = system
+        self._failure_code = failure_code
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        reply_type: type[ReplyT],
+        body: object = None,
+        extra_seconds: float = 0.0,
+    ) -> Result[ReplyT, Problem]:
+        """Send `body` as JSON and decode the reply as `reply_type`.
+
+        `extra_seconds` lengthens the time-out, for a request that waits by design.
+        """
+        timed_out = _Flag()
+        exchange = Deferred.fromCoroutine(self._exchange(method, url, body))
+        timer = self._clock.callLater(
+            self._timeout_seconds + extra_seconds, _cancel, exchange, timed_out
+        )
+        try:
+            reply = await exchange
+        except Exception as error:
+            return Err(self._failure(error, timed_out.is_set, url))
+        finally:
+            if timer.active():
+                timer.cancel()
+        return self._read(reply, reply_type, url)
+
+    async def _exchange(self, method: str, url: str, body: object) -> HttpReply:
+        data = None if body is None else msgspec.json.encode(body)
+        response = await self._http.request(
+            method,
+            url,
+            headers=JSON_HEADERS,
+            data=data,
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        return HttpReply(response.code, await read_whole_body(response))
+
+    def _failure(self, error: Exception, timed_out: bool, url: str) -> Problem:
+        code = ProblemCode.TIMED_OUT if timed_out else self._failure_code
+        return problem_of_failure(error, code, f"{self._system} at {url}")
+
+    def _read(
+        self, reply: HttpReply, reply_type: type[ReplyT], url: str
+    ) -> Result[ReplyT, Problem]:
+        where = f"{self._system} at {url}"
+        if not 200 <= reply.status < 300:
+            return Err(
+                problem_of_reply(reply.status, reply.body, self._failure_code, where)
+            )
+        try:
+            return Ok(_decode(reply_type, reply.body))
+        except msgspec.DecodeError as error:
+            return Err(problem_of_garbled_reply(error, self._failure_code, where))
+
+
+class _Flag:
+    """Says afterwards why a Deferred was cancelled."""
+
+    is_set = False
+
+
+def _cancel(exchange: "Deferred[HttpReply]", timed_out: _Flag) -> None:
+    timed_out.is_set = True
+    exchange.cancel()
+
+
+@functools.cache
+def _decoder(reply_type: Any) -> "msgspec.json.Decoder[Any]":
+    return msgspec.json.Decoder(reply_type)
+
+
+def _decode(reply_type: type[ReplyT], body: bytes) -> ReplyT:
+    decoded: ReplyT = _decoder(cast(Hashable, reply_type)).decode(body)
+    return decoded
