--- /dev/null
+++ b/notcharch/engines/claims.py
@@ -0,0 +1,117 @@
+"""The replicated record of which process stewards which engine, with epochs.
+
+A component of a partition's state machine. An engine's epoch grows with every
+change of its steward. It is never lower than the partition's own epoch times
+`CLAIMS_PER_EPOCH`, so it grows even if the partition was rebuilt without the
+latest claims.
+"""
+
+from typing import ClassVar
+
+import msgspec
+
+from notcharch.errors import Problem, ProblemCode
+from notcharch.replication.interface import Command, CommandRefused, CommandResult
+from notcharch.values.identifiers import EngineName, Epoch, Member
+
+CLAIMS_PER_EPOCH = 1 << 20
+"""More claims of one engine than can happen in one epoch of its partition."""
+
+
+class ClaimEngine(Command, frozen=True):
+    """Make `member` the engine's steward. Result: `ClaimInForce`."""
+
+    engine: EngineName
+    member: Member
+
+
+class DrainClaimedEngine(Command, frozen=True):
+    """Record whether operators want the engine drained. Result: `ClaimInForce`."""
+
+    engine: EngineName
+    drain: bool
+
+
+class ClaimInForce(CommandResult, frozen=True):
+    """The claim after the command; `member` is None before the first claim."""
+
+    engine: EngineName
+    member: Member | None
+    epoch: Epoch
+    drained: bool
+
+
+CLAIM_COMMANDS: tuple[type[Command], ...] = (
+    ClaimEngine,
+    DrainClaimedEngine,
+)
+
+
+class StewardClaimsState:
+    """The claims of one partition's engines. Pure and deterministic."""
+
+    COMMANDS: ClassVar[tuple[type[Command], ...]] = CLAIM_COMMANDS
+
+    def __init__(self) -> None:
+        """Start without claims."""
+        self._claims: dict[EngineName, ClaimInForce] = {}
+        self._greatest = Epoch(0)
+
+    def claim(self, engine: EngineName) -> ClaimInForce | None:
+        """Give the claim in force, or None."""
+        return self._claims.get(engine)
+
+    def apply(self, command: Command, epoch: Epoch) -> CommandResult:
+        """Apply one committed command."""
+        match command:
+            case ClaimEngine():
+                return self._claim(command, epoch)
+            case DrainClaimedEngine():
+                return self._drain(command)
+        return CommandRefused(
+            Problem.of(ProblemCode.INTERNAL, "not a command of steward claims")
+        )
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        claims = tuple(self._claims[engine] for engine in sorted(self._claims))
+        return msgspec.json.encode(_Snapshot(claims, self._greatest))
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+        decoded = msgspec.json.decode(snapshot, type=_Snapshot)
+        self._claims = {claim.engine: claim for claim in decoded.claims}
+        self._greatest = decoded.greatest
+
+    def _claim(self, command: ClaimEngine, epoch: Epoch) -> ClaimInForce:
+        old = self._claims.get(command.engine)
+        if old is not None and old.member == command.member:
+            return old
+        claim = ClaimInForce(
+            command.engine,
+            command.member,
+            self._next_epoch(epoch),
+            old.drained if old else False,
+        )
+        self._claims[command.engine] = claim
+        return claim
+
+    def _drain(self, command: DrainClaimedEngine) -> ClaimInForce:
+        old = self._claims.get(command.engine)
+        if old is None:
+            old = ClaimInForce(command.engine, None, Epoch(0), False)
+        claim = msgspec.structs.replace(old, drained=command.drain)
+        self._claims[command.engine] = claim
+        return claim
+
+    def _next_epoch(self, epoch: Epoch) -> Epoch:
+        """Give an epoch above all earlier ones of the partition's engines."""
+        self._greatest = Epoch(max(self._greatest + 1, epoch * CLAIMS_PER_EPOCH))
+        return self._greatest
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    """The encoded state."""
+
+    claims: tuple[ClaimInForce, ...]
+    greatest: Epoch
--- /dev/null
+++ b/notcharch/engines/claims_service.py
@@ -0,0 +1,91 @@
+"""Answers claims of stewardship by replicating them in the engine's partition."""
+
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.engines.claims import (
+    ClaimEngine,
+    ClaimInForce,
+    DrainClaimedEngine,
+    StewardClaimsState,
+)
+from notcharch.errors import Problem, ProblemCode
+from notcharch.errors.problem import ProblemError
+from notcharch.placement.partitions import partition_of_engine
+from notcharch.replication.interface import Command, CommandRefused, PartitionReplicas
+from notcharch.values.identifiers import EngineName, Member, PartitionNumber
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.stewardship import (
+    ClaimStewardship,
+    ReadStewardship,
+    RecordDrain,
+    StewardshipClaimed,
+)
+from notcharch.wire.peers import PeerNetwork
+
+
+class ClaimsService:
+    """Handles `ClaimStewardship` and `RecordDrain` at a partition's leader."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        replicas: PartitionReplicas,
+        partition_count: int,
+        clock: IReactorTime,
+        claims_of: Callable[[PartitionNumber], StewardClaimsState | None],
+    ) -> None:
+        """Register the handlers; `claims_of` gives a local partition's component."""
+        self._replicas = replicas
+        self._partition_count = partition_count
+        self._clock = clock
+        self._claims_of = claims_of
+        network.on_request(ClaimStewardship, self._on_claim)
+        network.on_request(ReadStewardship, self._on_read)
+        network.on_request(RecordDrain, self._on_drain)
+
+    async def _on_claim(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, ClaimStewardship)
+        command = ClaimEngine(self._clock.seconds(), message.engine, message.member)
+        return await self._record(message.engine, command)
+
+    async def _on_read(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, ReadStewardship)
+        partition = partition_of_engine(message.engine, self._partition_count)
+        claims = self._claims_of(partition)
+        if claims is None or self._replicas.leader_epoch(partition) is None:
+            raise ProblemError(
+                Problem.of(ProblemCode.NOT_LEADER, "another daemon leads the partition")
+            )
+        claim = claims.claim(message.engine)
+        if claim is None:
+            raise ProblemError(
+                Problem.of(ProblemCode.NOT_FOUND, "nobody claimed the engine yet")
+            )
+        return _reply(claim)
+
+    async def _on_drain(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, RecordDrain)
+        command = DrainClaimedEngine(
+            self._clock.seconds(), message.engine, message.drain
+        )
+        return await self._record(message.engine, command)
+
+    async def _record(self, engine: EngineName, command: Command) -> StewardshipClaimed:
+        partition = partition_of_engine(engine, self._partition_count)
+        outcome = await self._replicas.propose(partition, command)
+        if outcome.is_err():
+            raise ProblemError(outcome.unwrap_err())
+        result = outcome.unwrap()
+        if isinstance(result, CommandRefused):
+            raise ProblemError(result.problem)
+        if not isinstance(result, ClaimInForce):
+            raise ProblemError(
+                Problem.of(ProblemCode.INTERNAL, "the partition answered no claim")
+            )
+        return _reply(result)
+
+
+def _reply(claim: ClaimInForce) -> StewardshipClaimed:
+    return StewardshipClaimed(claim.engine, claim.member, claim.epoch, claim.drained)
