--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -36,8 +36,10 @@
         """Give every live member, this one included, sorted by name."""
 
     def is_certainly_dead(self, member: Member) -> bool:
-        """Tell whether the process is surely gone: a newer incarnation was seen,
-        or the machine list says that its machine is gone.
+        """Tell whether the process is surely gone.
+
+        That is so when a newer incarnation was seen, or when the machine list says
+        that its machine is gone.
         """
 
     def on_change(self, listener: Callable[[], None]) -> None:
