Serve calls of programs at their leader

The handlers only read committed state and propose commands; a request whose sequence is early waits within a bound of time and number, then is refused with a time to come back. NOT_FOUND is said after a committed barrier: a deposed leader may lack a program that a newer one created.

FinishRecorded carries the problem as it was stored, since `ran` must speak for all attempts at a call and not only for the last one. Settings get a section for programs.

--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -1,5 +1,7 @@
 """Admission: the order of a program's calls, and the reservation of their budget."""
 
+from typing import Protocol
+
 import msgspec
 
 from notcharch.errors import Problem, ProblemCode, Ran
@@ -20,7 +22,19 @@
 from notcharch.programs.store import ProgramStore
 from notcharch.programs.tree import ended_problem, touch
 from notcharch.replication.interface import CommandRefused, CommandResult
-from notcharch.values.identifiers import AttemptNumber, Epoch
+from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch, Member
+
+
+class CallRequest(Protocol):
+    """What the command and the gateway's message have in common."""
+
+    @property
+    def sequence(self) -> CallSequence:
+        """Which call of the program it is."""
+
+    @property
+    def gateway(self) -> Member:
+        """Who asks."""
 
 
 def admit(store: ProgramStore, command: AdmitAttempt, epoch: Epoch) -> CommandResult:
@@ -29,7 +43,7 @@
     if record is None:
         return refusals.not_found(command.program)
     digest = call_digest(command.body_digest, command.repeatable)
-    known = _known_call(record, command, digest)
+    known = known_call(record, command, digest)
     if known is not None:
         return known
     prompt_tokens = prompt_bound(record.context_tokens, command.messages)
@@ -41,11 +55,16 @@
     return _admitted(store, record, epoch, prompt_tokens)
 
 
-def _known_call(
-    record: ProgramRecord, command: AdmitAttempt, digest: bytes
+def known_call(
+    record: ProgramRecord, command: CallRequest, digest: bytes
 ) -> CommandResult | None:
-    """Answer for a sequence that is early, finished or running; else None."""
+    """Answer for a sequence that is early, finished or running; else None.
+
+    It reads the record only, so that a leader may ask it before proposing.
+    """
     if command.sequence > record.next_sequence:
+        if record.ended:
+            return CommandRefused(ended_problem(record, Ran.NO))
         return refusals.too_early(command.sequence, record.next_sequence)
     if command.sequence <= record.finished:
         return _finished_call(record, command, digest)
@@ -64,7 +83,7 @@
 
 
 def _finished_call(
-    record: ProgramRecord, command: AdmitAttempt, digest: bytes
+    record: ProgramRecord, command: CallRequest, digest: bytes
 ) -> CommandResult:
     if command.sequence < 1:
         message = "calls are numbered from 1"
@@ -74,7 +93,7 @@
     return CallFinishedBefore()
 
 
-def supersedes(call: OpenCall, command: AdmitAttempt) -> bool:
+def supersedes(call: OpenCall, command: CallRequest) -> bool:
     """Tell whether a gateway asks again because it never got its admission.
 
     Its earlier attempt was not dispatched, and cannot be once a newer one exists.
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -96,7 +96,9 @@
     at: float,
 ) -> CommandResult:
     budget = store.budget_of(record)
+    overrun_tokens = 0
     if call.running:
+        overrun_tokens = max(0, answer.usage.total_tokens - call.reserved_tokens)
         budget.settle(call.reserved_tokens, answer.usage)
     elif not _resolve_charge(store, record, call.sequence, call.attempt, answer):
         ran = Ran.UNKNOWN
@@ -109,7 +111,7 @@
     if call.engine is not None:
         record.prefix = PrefixLocation(call.engine, answer.usage.total_tokens)
     _after_outcome(store, record, at)
-    return AttemptFinished(None)
+    return AttemptFinished(None, overrun_tokens)
 
 
 def _resolve_charge(
--- /dev/null
+++ b/notcharch/programs/call_handlers.py
@@ -0,0 +1,220 @@
+"""Handlers of one call's life: admission, waiting, dispatch and outcome."""
+
+from collections.abc import Callable
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.errors.problem import ProblemError
+from notcharch.events.event import emit
+from notcharch.events.programs import (
+    LateOutcomeRefused,
+    OutcomeLost,
+    UsageAboveBound,
+)
+from notcharch.programs import refusals
+from notcharch.programs.admission import known_call
+from notcharch.programs.changes import ProgramChanges
+from notcharch.programs.commands import (
+    AdmissionLimits,
+    AdmitAttempt,
+    AttemptAdmitted,
+    AttemptFinished,
+    AttemptJoined,
+    AttemptSuperseded,
+    CallFinishedBefore,
+    DispatchAccepted,
+    FinishAttempt,
+    RecordDispatch,
+)
+from notcharch.programs.led_programs import LedPrograms
+from notcharch.programs.record import ProgramRecord, call_digest
+from notcharch.programs.replies import admitted_reply, finished_reply, outcome_reply
+from notcharch.replication.interface import CommandRefused, CommandResult
+from notcharch.table.interface import ServiceRow, TableView
+from notcharch.values.identifiers import Member, ServiceName
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.programs import (
+    AdmitCall,
+    AwaitAnswer,
+    CallInProgress,
+    DispatchCall,
+    DispatchRecorded,
+    FinishCall,
+    FinishRecorded,
+)
+from notcharch.wire.peers import PeerNetwork
+
+EARLY_CALLS_PER_PROGRAM = 16
+"""Requests that may wait for one program before an early call is refused."""
+
+LONGEST_ANSWER_WAIT_SECONDS = 300.0
+PAUSED_RETRY_SECONDS = 5.0
+UNKNOWN_CALL_RETRY_SECONDS = 1.0
+
+
+class CallHandlers:
+    """Answers `AdmitCall`, `AwaitAnswer`, `DispatchCall` and `FinishCall`."""
+
+    def __init__(
+        self,
+        led: LedPrograms,
+        changes: ProgramChanges,
+        table: TableView,
+        now: Callable[[], float],
+        early_wait_seconds: float,
+    ) -> None:
+        """Take what the handlers read and where they propose."""
+        self._led = led
+        self._changes = changes
+        self._table = table
+        self._now = now
+        self._early_wait_seconds = early_wait_seconds
+
+    def register(self, network: PeerNetwork) -> None:
+        """Register the handlers."""
+        network.on_request(AdmitCall, self._on_admit)
+        network.on_request(AwaitAnswer, self._on_await)
+        network.on_request(DispatchCall, self._on_dispatch)
+        network.on_request(FinishCall, self._on_finish)
+
+    async def _on_admit(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, AdmitCall)
+        record = await self._record_when_due(message)
+        digest = call_digest(message.body_digest, message.repeatable)
+        known = known_call(record, message, digest)
+        if known is None:
+            command = self._admit_command(record, message)
+            known = await self._led.propose(message.program, command)
+            record = await self._led.visible(message.program, message.tenant)
+        return _admission_reply(record, message, known)
+
+    async def _record_when_due(self, message: AdmitCall) -> ProgramRecord:
+        """Give the record once the call is not early any more, or refuse it."""
+        record = await self._led.visible(message.program, message.tenant)
+        deadline = self._now() + self._early_wait_seconds
+        while message.sequence > record.next_sequence and not record.ended:
+            seconds = deadline - self._now()
+            waiting = self._changes.waiting_for(message.program)
+            if seconds <= 0 or self._changes.full or waiting > EARLY_CALLS_PER_PROGRAM:
+                refusal = refusals.too_early(message.sequence, record.next_sequence)
+                raise ProblemError(refusal.problem)
+            await self._changes.wait(message.program, seconds)
+            record = await self._led.visible(message.program, message.tenant)
+        return record
+
+    def _admit_command(self, record: ProgramRecord, message: AdmitCall) -> AdmitAttempt:
+        row = self._open_row(record, record.service)
+        root = self._led.state_of(record.program).root_of(record)
+        root_row = self._open_row(record, root.service)
+        limits = AdmissionLimits(
+            root_row.budget_tokens, row.calls_per_program, row.max_age_seconds
+        )
+        return AdmitAttempt(
+            at=self._now(),
+            program=message.program,
+            tenant=message.tenant,
+            sequence=message.sequence,
+            body_digest=message.body_digest,
+            messages=message.messages,
+            max_tokens=message.max_tokens,
+            repeatable=message.repeatable,
+            gateway=message.gateway,
+            limits=limits,
+        )
+
+    def _open_row(self, record: ProgramRecord, service: ServiceName) -> ServiceRow:
+        call = record.call
+        ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
+        row = self._table.row(service)
+        if row is None:
+            message = f"the table has no row {service}"
+            raise ProblemError(Problem.of(ProblemCode.NOT_FOUND, message, ran=ran))
+        if row.paused:
+            raise ProblemError(
+                Problem.of(
+                    ProblemCode.SERVICE_PAUSED,
+                    f"{service} is paused",
+                    ran=ran,
+                    retry_after=PAUSED_RETRY_SECONDS,
+                )
+            )
+        return row
+
+    async def _on_await(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, AwaitAnswer)
+        wait_seconds = min(message.wait_seconds, LONGEST_ANSWER_WAIT_SECONDS)
+        deadline = self._now() + wait_seconds
+        while True:
+            record = await self._led.visible(message.program, message.tenant)
+            reply = outcome_reply(record, message.sequence)
+            if reply is not None:
+                return reply
+            call = record.running_call
+            if call is None or call.sequence != message.sequence:
+                raise ProblemError(_no_such_call(message))
+            seconds = deadline - self._now()
+            if seconds <= 0 or self._changes.full:
+                return CallInProgress(message.sequence, call.attempt)
+            await self._changes.wait(message.program, seconds)
+
+    async def _on_dispatch(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, DispatchCall)
+        command = RecordDispatch(
+            self._now(),
+            message.program,
+            message.sequence,
+            message.attempt,
+            message.engine,
+        )
+        result = await self._led.propose(message.program, command)
+        assert isinstance(result, DispatchAccepted)
+        return DispatchRecorded(result.epoch)
+
+    async def _on_finish(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, FinishCall)
+        command = FinishAttempt(
+            self._now(),
+            message.program,
+            message.sequence,
+            message.attempt,
+            message.answer,
+            message.problem,
+        )
+        result = await self._led.propose(message.program, command)
+        self._changes.notify(message.program)
+        if isinstance(result, AttemptSuperseded):
+            emit(LateOutcomeRefused(message.program, message.sequence, message.attempt))
+            raise ProblemError(result.problem)
+        assert isinstance(result, AttemptFinished)
+        _report_outcome(message, result)
+        return FinishRecorded(result.problem)
+
+
+def _report_outcome(message: FinishCall, result: AttemptFinished) -> None:
+    if result.overrun_tokens > 0:
+        emit(UsageAboveBound(message.program, message.sequence, result.overrun_tokens))
+    problem = result.problem
+    if problem is not None and problem.is_code(ProblemCode.OUTCOME_UNKNOWN):
+        emit(OutcomeLost(message.program, message.sequence))
+
+
+def _admission_reply(
+    record: ProgramRecord, message: AdmitCall, result: CommandResult
+) -> Message:
+    match result:
+        case AttemptAdmitted():
+            return admitted_reply(message, record, result)
+        case AttemptJoined(attempt):
+            return CallInProgress(message.sequence, attempt)
+        case CallFinishedBefore():
+            return finished_reply(record, message.sequence)
+        case CommandRefused(problem):
+            raise ProblemError(problem)
+    raise TypeError(type(result).__name__)
+
+
+def _no_such_call(message: AwaitAnswer) -> Problem:
+    return Problem.of(
+        ProblemCode.NOT_FOUND,
+        f"call {message.sequence} of {message.program} was not admitted",
+        retry_after=UNKNOWN_CALL_RETRY_SECONDS,
+    )
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -180,9 +180,14 @@
 
 
 class AttemptFinished(CommandResult, frozen=True):
-    """The outcome is stored; `problem` is how it was stored when it is a failure."""
+    """The outcome is stored; `problem` is how it was stored when it is a failure.
+
+    `overrun_tokens` is by how much the reported usage passed the reservation, which
+    only an engine that counts otherwise than agreed can cause.
+    """
 
     problem: Problem | None
+    overrun_tokens: int = 0
 
 
 class AttemptSuperseded(CommandResult, frozen=True):
--- /dev/null
+++ b/notcharch/programs/led_programs.py
@@ -0,0 +1,106 @@
+"""Reads and proposals on the partitions that this daemon leads.
+
+Every refusal is raised as `ProblemError`, which the network turns into a reply.
+"""
+
+from collections.abc import Callable
+
+from notcharch.errors import Problem, ProblemCode
+from notcharch.errors.problem import ProblemError
+from notcharch.placement.partitions import partition_of_program
+from notcharch.programs import refusals
+from notcharch.programs.commands import ReadBarrier
+from notcharch.programs.record import ProgramRecord
+from notcharch.programs.state import ProgramsState
+from notcharch.replication.interface import (
+    Command,
+    CommandRefused,
+    CommandResult,
+    PartitionReplicas,
+)
+from notcharch.values.identifiers import PartitionNumber, ProgramId, TenantName
+
+ProgramsOf = Callable[[PartitionNumber], ProgramsState | None]
+"""Gives the programs component of a partition that is replicated here."""
+
+
+class LedPrograms:
+    """The programs of the led partitions, by their ids."""
+
+    def __init__(
+        self,
+        replicas: PartitionReplicas,
+        programs_of: ProgramsOf,
+        now: Callable[[], float],
+    ) -> None:
+        """Read through `programs_of`, change through `replicas`."""
+        self._replicas = replicas
+        self._programs_of = programs_of
+        self._now = now
+
+    def partition_of(self, program: ProgramId) -> PartitionNumber:
+        """Give the partition of a program id; NOT_FOUND if it is none."""
+        partition = partition_of_program(program)
+        if partition is None:
+            raise ProblemError(refusals.not_found(program).problem)
+        return partition
+
+    def state_of(self, program: ProgramId) -> ProgramsState:
+        """Give the state that holds a program; NOT_LEADER if it is not led here."""
+        partition = self.partition_of(program)
+        state = self.led_state(partition)
+        if state is None:
+            message = f"this daemon does not lead partition {partition}"
+            raise ProblemError(Problem.of(ProblemCode.NOT_LEADER, message))
+        return state
+
+    def led_state(self, partition: PartitionNumber) -> ProgramsState | None:
+        """Give a partition's programs if this daemon leads it."""
+        if self._replicas.leader_epoch(partition) is None:
+            return None
+        return self._programs_of(partition)
+
+    def led_states(self) -> tuple[tuple[PartitionNumber, ProgramsState], ...]:
+        """Give all led partitions with their programs."""
+        found = []
+        for partition in self._replicas.led_partitions():
+            state = self.led_state(partition)
+            if state is not None:
+                found.append((partition, state))
+        return tuple(found)
+
+    async def visible(
+        self, program: ProgramId, tenant: TenantName | None
+    ) -> ProgramRecord:
+        """Give the record of a tenant's program (None: of anybody's).
+
+        NOT_FOUND is said only after a commit proved that this daemon still leads:
+        a deposed leader may lack a program that a newer one has created.
+        """
+        record = self.state_of(program).record(program)
+        if record is None:
+            await self.confirm_current(self.partition_of(program))
+            record = self.state_of(program).record(program)
+        if record is None or tenant not in {None, record.tenant}:
+            raise ProblemError(refusals.not_found(program).problem)
+        return record
+
+    async def confirm_current(self, partition: PartitionNumber) -> None:
+        """Prove by a commit that the reads after it are current."""
+        await self.propose_to(partition, ReadBarrier(self._now()))
+
+    async def propose(self, program: ProgramId, command: Command) -> CommandResult:
+        """Replicate a command in a program's partition; refusals are raised."""
+        return await self.propose_to(self.partition_of(program), command)
+
+    async def propose_to(
+        self, partition: PartitionNumber, command: Command
+    ) -> CommandResult:
+        """Replicate a command in a partition; refusals are raised."""
+        outcome = await self._replicas.propose(partition, command)
+        if outcome.is_err():
+            raise ProblemError(outcome.unwrap_err())
+        result = outcome.unwrap()
+        if isinstance(result, CommandRefused):
+            raise ProblemError(result.problem)
+        return result
--- /dev/null
+++ b/notcharch/programs/replies.py
@@ -0,0 +1,75 @@
+"""The replies to gateways, made from records and command results."""
+
+from notcharch.programs.commands import AttemptAdmitted
+from notcharch.programs.record import ProgramRecord
+from notcharch.programs.state import ProgramsState
+from notcharch.values.identifiers import CallSequence
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.programs import (
+    AdmitCall,
+    CallAdmitted,
+    CallAnswered,
+    CallFailed,
+    ProgramDescription,
+)
+
+
+def admitted_reply(
+    message: AdmitCall, record: ProgramRecord, admitted: AttemptAdmitted
+) -> CallAdmitted:
+    """Give a gateway everything it needs to run an attempt."""
+    return CallAdmitted(
+        program=message.program,
+        sequence=message.sequence,
+        attempt=admitted.attempt,
+        epoch=admitted.epoch,
+        service=admitted.service,
+        history=record.history.messages(0, admitted.message_count),
+        prompt_tokens=admitted.prompt_tokens,
+        attained_tokens=admitted.attained_tokens,
+        started_at=admitted.started_at,
+        prefix=admitted.prefix,
+    )
+
+
+def outcome_reply(record: ProgramRecord, sequence: CallSequence) -> Message | None:
+    """Give a call's outcome, or None while it has none.
+
+    The failure of an attempt is an outcome for those who wait: they may repeat
+    the call.
+    """
+    if 1 <= sequence <= record.finished:
+        return finished_reply(record, sequence)
+    call = record.call
+    if call is not None and call.sequence == sequence and call.failure is not None:
+        return CallFailed(sequence, call.failure)
+    return None
+
+
+def finished_reply(record: ProgramRecord, sequence: CallSequence) -> Message:
+    """Give the final outcome of a finished call."""
+    turn = record.history.turn(sequence)
+    if turn.answer is not None:
+        return CallAnswered(sequence, turn.answer)
+    if turn.problem is not None:
+        return CallFailed(sequence, turn.problem)
+    message = f"call {sequence} of {record.program} has no outcome"
+    raise LookupError(message)
+
+
+def description(state: ProgramsState, record: ProgramRecord) -> ProgramDescription:
+    """Describe a program; the budget figures are those of its whole tree."""
+    budget = state.budget_of(record)
+    return ProgramDescription(
+        program=record.program,
+        service=record.service,
+        tenant=record.tenant,
+        parent=record.parent,
+        ended=record.ended,
+        next_sequence=record.next_sequence,
+        message_count=record.history.message_count,
+        budget_tokens=budget.limit,
+        reserved_tokens=budget.reserved + budget.unresolved,
+        spent_tokens=budget.settled,
+        started_at=record.started_at or record.created_at,
+    )
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -7,6 +7,7 @@
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.programs import admission, attempts, tree
+from notcharch.programs.budget import TreeBudget
 from notcharch.programs.commands import (
     COMMANDS,
     AbandonAttempt,
@@ -77,6 +78,10 @@
         """Give the record of the root of a program's tree."""
         return self._store.records[record.root]
 
+    def budget_of(self, record: ProgramRecord) -> TreeBudget:
+        """Give the budget of a program's tree, to be read only."""
+        return self._store.budget_of(record)
+
     def programs(self) -> tuple[ProgramId, ...]:
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -118,6 +118,30 @@
     ] = 60.0
 
 
+class ProgramsSection(Section, frozen=True, kw_only=True):
+    """Leaders of programs: waiting calls, lost gateways, ended programs."""
+
+    early_wait_seconds: Annotated[
+        float,
+        Meta(gt=0, le=60, description="longest wait of a call that came too early"),
+    ] = 2.0
+    gateway_dead_seconds: Annotated[
+        float,
+        Meta(gt=0, le=3600, description="a gateway missing for so long lost its calls"),
+    ] = 15.0
+    attempt_seconds: Annotated[
+        float, Meta(gt=0, le=86_400, description="longest run of one attempt, seconds")
+    ] = 3600.0
+    sweep_seconds: Annotated[
+        float,
+        Meta(gt=0, le=60, description="time between looks at lost calls and releases"),
+    ] = 1.0
+    retention_seconds: Annotated[
+        float,
+        Meta(gt=0, le=86_400, description="answers of an ended program are kept for"),
+    ] = 600.0
+
+
 class EnginesSection(Section, frozen=True, kw_only=True):
     """Stewards of engines."""
 
@@ -182,6 +206,7 @@
     membership: MembershipSection = MembershipSection()
     replication: ReplicationSection = ReplicationSection()
     gateway: GatewaySection = GatewaySection()
+    programs: ProgramsSection = ProgramsSection()
     engines: EnginesSection = EnginesSection()
     services: ServicesSection = ServicesSection()
     table: TableSection = TableSection()
--- a/notcharch/wire/messages/programs.py
+++ b/notcharch/wire/messages/programs.py
@@ -144,7 +144,13 @@
 
 
 class FinishRecorded(Message, frozen=True):
-    """The outcome is held by a majority."""
+    """The outcome is held by a majority.
+
+    `problem` is a failure as it was stored, to be given to the caller in place of
+    the gateway's own: its `ran` speaks for all attempts at the call.
+    """
+
+    problem: Problem | None = None
 
 
 class EndProgram(Message, frozen=True):
@@ -220,6 +226,10 @@
 
 
 class ProgramsNotLive(Message, frozen=True):
-    """The programs of the question whose engine memory must be released."""
+    """The programs of the question whose engine memory must be released.
+
+    `epoch` is the answering leader's: the fence with which they are released.
+    """
 
     programs: tuple[ProgramId, ...]
+    epoch: Epoch = Epoch(0)
