Add the models of the outside systems and their in-process ports

Tests, simulations and hollow daemons need engines, a log, a machine list and a weight store without sockets, on a clock that they advance themselves.

A per-token timer was ruled out: a plan covers all equal steps of the batch until a sequence finishes or a prefill ends, so the cost is per change of the batch and the times are those of single steps.

--- /dev/null
+++ b/emulator/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The engine model: batching, prefix cache, streams, orders; no sockets."""
--- /dev/null
+++ b/emulator/engine/model.py
@@ -0,0 +1,397 @@
+"""One engine on a clock: it accepts requests, steps its batch and keeps its cache."""
+
+from collections import deque
+from random import Random
+
+from result import Err, Ok, Result
+from twisted.internet.interfaces import IReactorTime
+
+from emulator.engine.answers import plan_answer, prompt_tokens
+from emulator.engine.batch import Batch, BatchChange
+from emulator.engine.cache_events import CacheEventLog
+from emulator.engine.counters import EngineCounters, FillHistory
+from emulator.engine.load_report import LaggingLoad
+from emulator.engine.orders import EngineOrders
+from emulator.engine.prefix_cache import (
+    PrefixCache,
+    extended_chain,
+    prefix_chain,
+)
+from emulator.engine.rates import EngineRates
+from emulator.engine.refusals import EngineRefusal, RefusalCode
+from emulator.engine.runs import EngineRun, RunListener, RunState, RunStatus
+from emulator.engine.stepper import Stepper
+from emulator.engine.transfers import CacheTransfers
+from notcharch.platform.ports import (
+    CachedProgram,
+    CacheEventKind,
+    CacheEvents,
+    EngineLoad,
+    EngineRequest,
+    MachineKind,
+    MachineState,
+)
+from notcharch.values.chat import ChatMessage
+from notcharch.values.identifiers import (
+    EngineName,
+    Epoch,
+    PoolName,
+    ProgramId,
+    RequestId,
+)
+
+DRAINING_RETRY_SECONDS = 1.0
+
+
+class EngineModel:
+    """A model engine, or an application engine when its rates have no blocks.
+
+    Everything that it refuses has had no effect.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        name: EngineName,
+        rates: EngineRates,
+        random: Random,
+        *,
+        kind: MachineKind = MachineKind.MODEL_ENGINE,
+        pools: tuple[PoolName, ...] = (),
+        fills: FillHistory | None = None,
+        steps_per_report: int | None = None,
+    ) -> None:
+        """Begin idle, with an empty cache.
+
+        No `pools` means that any model is served. Engines that share `fills` count
+        a prefix filled again on another of them as refilled. `steps_per_report` is
+        how many steps may pass between reports to readers: 1 for each; None for the
+        first token and the end only, which is exact in time and fast to simulate.
+        """
+        self.clock = clock
+        self.name = name
+        self.rates = rates
+        self.kind = kind
+        self.state = MachineState.LIVE
+        self.counters = EngineCounters()
+        self.side_effects: dict[RequestId, ProgramId] = {}
+        fills = fills or FillHistory()
+        self.events = CacheEventLog(
+            rates.cache_event_delay_seconds, rates.cache_event_loss, random
+        )
+        self.cache = PrefixCache(
+            rates.total_blocks,
+            rates.block_tokens,
+            self.counters,
+            fills,
+            self._on_cache_event,
+        )
+        self.batch = Batch(rates, self.counters, self._take_memory)
+        self.orders = EngineOrders(clock, rates, pools)
+        self.transfers = CacheTransfers(clock, rates, self.cache, self.counters)
+        self.lagging_load = LaggingLoad(rates.load_refresh_seconds, self._measure_load)
+        self._stepper = Stepper(clock, self.batch, steps_per_report, self._on_change)
+        self._reports_each_plan = steps_per_report is not None
+        self._fills = fills
+        self._left_at: float | None = None
+        self._runs: dict[RequestId, EngineRun] = {}
+        self._used_ids: set[RequestId] = set()
+        self._ended: deque[EngineRun] = deque()
+        self._epochs: dict[ProgramId, Epoch] = {}
+        self._order_count = 0
+
+    @property
+    def has_cache(self) -> bool:
+        """Whether the engine keeps prefixes."""
+        return self.rates.total_blocks > 0
+
+    # Requests
+
+    def submit(self, request: EngineRequest) -> Result[EngineRun, EngineRefusal]:
+        """Accept a request, or refuse it without any effect."""
+        now = self.clock.seconds()
+        self.lagging_load.before_change(now)
+        self._forget_old_runs(now)
+        refusal = self._refusal_of(request)
+        if refusal is not None:
+            return Err(refusal)
+        run = self._accepted(request, now)
+        self.batch.waiting.add(run)
+        if self.batch.running < self.rates.slots:
+            self._stepper.batch_changed()
+        return Ok(run)
+
+    def find(self, request_id: RequestId) -> EngineRun | None:
+        """Give a run whose stream can still be read."""
+        self._forget_old_runs(self.clock.seconds())
+        return self._runs.get(request_id)
+
+    def status(self, request_id: RequestId) -> RunStatus:
+        """Say how far a request is."""
+        run = self.find(request_id)
+        return run.status if run else RunStatus(RunState.UNKNOWN, 0)
+
+    def cancel(self, request_id: RequestId) -> RunStatus:
+        """Cancel a request; an ended one stays as it is."""
+        run = self.find(request_id)
+        if run is None:
+            return RunStatus(RunState.UNKNOWN, 0)
+        if not run.ended:
+            self._cancel(run)
+        return run.status
+
+    def attach(self, run: EngineRun, listener: RunListener) -> None:
+        """Add a reader of a run's stream."""
+        if run.abandonment is not None:
+            run.abandonment.cancel()
+            run.abandonment = None
+        run.listeners.append(listener)
+
+    def detach(self, run: EngineRun, listener: RunListener) -> None:
+        """Take away a reader; without any, the run is cancelled after a while."""
+        if listener in run.listeners:
+            run.listeners.remove(listener)
+        if not run.listeners and not run.ended and run.abandonment is None:
+            run.abandonment = self.clock.callLater(
+                self.rates.resume_seconds, self._abandon, run
+            )
+
+    def break_streams(self) -> None:
+        """Cut the connections of all readers, as a network fault does."""
+        for run in tuple(self._runs.values()):
+            for listener in tuple(run.listeners):
+                self.detach(run, listener)
+                listener.run_broken(run)
+
+    # Reports and cache
+
+    def load(self) -> EngineLoad:
+        """Give the lagging load report."""
+        return self.lagging_load.read(self.clock.seconds())
+
+    def cache_events(self, after: int, limit: int) -> CacheEvents:
+        """Give the cache events that have come out so far."""
+        return self.events.read(self.clock.seconds(), after, limit)
+
+    def cached_programs(self) -> tuple[CachedProgram, ...]:
+        """Give the truth of what is held."""
+        return self.cache.programs()
+
+    def release(self, program: ProgramId, epoch: Epoch) -> Result[int, EngineRefusal]:
+        """Free a program's memory; gives the blocks freed now."""
+        self.lagging_load.before_change(self.clock.seconds())
+        stale = self.check_epoch(program, epoch)
+        if stale is not None:
+            return Err(stale)
+        return Ok(self.cache.release(program))
+
+    def check_epoch(self, program: ProgramId, epoch: Epoch) -> EngineRefusal | None:
+        """Refuse an epoch below one seen for the program, or note it."""
+        seen = self._epochs.get(program, epoch)
+        if epoch < seen:
+            self.counters.refused_stale_epoch += 1
+            return EngineRefusal(
+                RefusalCode.STALE_EPOCH, f"epoch {epoch} is below {seen}"
+            )
+        self._epochs[program] = epoch
+        return None
+
+    # Life
+
+    def restart(self) -> None:
+        """Forget everything: requests, cache, epochs, events."""
+        runs = tuple(self._runs.values())
+        self._stepper.drop()
+        self.batch.clear()
+        self.cache.lose_everything()
+        self.events.forget()
+        self._runs.clear()
+        self._used_ids.clear()
+        self._ended.clear()
+        self._epochs.clear()
+        self.orders.forget()
+        self.transfers.forget()
+        for run in runs:
+            self._lose(run)
+
+    def leave(self) -> None:
+        """Announce that the engine goes; it still accepts, and counts that."""
+        self.lagging_load.before_change(self.clock.seconds())
+        self.state = MachineState.LEAVING
+        self._left_at = self.clock.seconds()
+
+    def come_back(self) -> None:
+        """Take the announcement back."""
+        self.lagging_load.before_change(self.clock.seconds())
+        self.state = MachineState.LIVE
+        self._left_at = None
+
+    def set_slowdown(self, factor: float) -> None:
+        """Make each further step last so many times as long."""
+        self.batch.slowdown = factor
+        self._stepper.batch_changed()
+
+    def stall(self, stalled: bool) -> None:
+        """Stop all progress, or go on."""
+        self._stepper.stall(stalled)
+
+    # Inside
+
+    def _refusal_of(self, request: EngineRequest) -> EngineRefusal | None:
+        if not request.messages:
+            return EngineRefusal(RefusalCode.BAD_REQUEST, "messages are missing")
+        if self.orders.pools and request.pool not in self.orders.pools:
+            return EngineRefusal(RefusalCode.UNKNOWN_MODEL, f"{request.pool} not here")
+        if self.has_cache and not self._fits(request):
+            return EngineRefusal(RefusalCode.CONTEXT_TOO_LONG, "prompt is too long")
+        if request.request_id in self._used_ids:
+            self.counters.refused_duplicate += 1
+            return EngineRefusal(RefusalCode.DUPLICATE_REQUEST, "known request_id")
+        if self.orders.drained:
+            return EngineRefusal(
+                RefusalCode.DRAINING, "engine is drained", DRAINING_RETRY_SECONDS
+            )
+        return self.check_epoch(request.program, request.epoch)
+
+    def _fits(self, request: EngineRequest) -> bool:
+        needed = prompt_tokens(request.messages) + max(1, request.max_tokens)
+        return self.cache.fits(needed)
+
+    def _accepted(self, request: EngineRequest, now: float) -> EngineRun:
+        chain = prefix_chain(request.messages)
+        self._order_count += 1
+        run = EngineRun(
+            request,
+            plan_answer(request.messages, request.max_tokens),
+            self._order_count,
+            chain,
+            chain[-1].tokens,
+            now,
+        )
+        self._runs[request.request_id] = run
+        self._used_ids.add(request.request_id)
+        self._count_accepted(request, now)
+        return run
+
+    def _count_accepted(self, request: EngineRequest, now: float) -> None:
+        self.counters.requests_accepted += 1
+        if self.kind is MachineKind.APPLICATION_ENGINE:
+            self.counters.side_effects += 1
+            self.side_effects[request.request_id] = request.program
+        if self._left_at is not None:
+            self.counters.requests_accepted_leaving += 1
+            self.counters.last_accepted_leaving_seconds = now - self._left_at
+
+    def _take_memory(self, run: EngineRun) -> bool:
+        if self.has_cache:
+            hold = self.cache.acquire(run.request.program, run.chain, run.answer.tokens)
+            if hold is None:
+                return False
+            run.hold = hold
+            run.cached_tokens = hold.cached
+            self.counters.tokens_cached += hold.cached
+        run.prefill_left = run.prompt_tokens - run.cached_tokens
+        run.started_at = self.clock.seconds()
+        return True
+
+    def _give_memory_back(self, run: EngineRun) -> None:
+        if run.hold is None:
+            return
+        answer = ChatMessage("assistant", run.answer.content)
+        complete = run.state is RunState.FINISHED
+        chain = extended_chain(run.chain, answer) if complete else run.chain
+        filled = run.filled_tokens()
+        self.counters.tokens_refilled += self._fills.refilled(
+            run.request.program, run.cached_tokens, min(filled, run.prompt_tokens)
+        )
+        self.cache.settle(run.hold, filled, chain)
+        run.hold = None
+
+    def _on_change(self, change: BatchChange) -> None:
+        now = self.clock.seconds()
+        self.lagging_load.before_change(now)
+        for run in change.first_tokens:
+            run.first_token_at = now
+        for run in change.finished:
+            self._finish(run, now)
+        self._stepper.begin()
+        self._report(change)
+
+    def _report(self, change: BatchChange) -> None:
+        progressed = change.first_tokens
+        if self._reports_each_plan:
+            progressed = self.batch.decoding_runs()
+            for run in progressed:
+                run.tokens = self.batch.tokens_of(run)
+        for run in (*progressed, *change.finished):
+            run.tell_listeners()
+
+    def _finish(self, run: EngineRun, now: float) -> None:
+        run.state = RunState.FINISHED
+        self.counters.requests_finished += 1
+        self._end(run, now)
+
+    def _cancel(self, run: EngineRun) -> None:
+        now = self.clock.seconds()
+        self.lagging_load.before_change(now)
+        self._stepper.batch_changed()
+        self.batch.remove(run)
+        run.state = RunState.CANCELLED
+        self.counters.requests_cancelled += 1
+        self._end(run, now)
+        run.tell_listeners()
+
+    def _end(self, run: EngineRun, now: float) -> None:
+        run.ended_at = now
+        self._stop_abandonment(run)
+        self._give_memory_back(run)
+        self._ended.append(run)
+
+    def _lose(self, run: EngineRun) -> None:
+        self._stop_abandonment(run)
+        if not run.ended:
+            run.state = RunState.CANCELLED
+            self.counters.requests_lost += 1
+        listeners, run.listeners = run.listeners, []
+        for listener in listeners:
+            listener.run_broken(run)
+
+    def _abandon(self, run: EngineRun) -> None:
+        run.abandonment = None
+        if not run.ended:
+            self._cancel(run)
+
+    def _stop_abandonment(self, run: EngineRun) -> None:
+        if run.abandonment is not None:
+            run.abandonment.cancel()
+            run.abandonment = None
+
+    def _forget_old_runs(self, now: float) -> None:
+        """Drop ended streams that nobody resumed; their ids stay known."""
+        while self._ended:
+            run = self._ended[0]
+            if (run.ended_at or now) + self.rates.resume_seconds > now:
+                return
+            self._ended.popleft()
+            self._runs.pop(run.request.request_id, None)
+
+    def _on_cache_event(
+        self, kind: CacheEventKind, program: ProgramId, tokens: int
+    ) -> None:
+        self.events.add(self.clock.seconds(), kind, program, tokens)
+
+    def _measure_load(self, sequence: int, measured_at: float) -> EngineLoad:
+        step = self.rates.step_time(max(1, self.batch.running), 0)
+        return EngineLoad(
+            sequence,
+            measured_at,
+            self.batch.running,
+            len(self.batch.waiting),
+            self.rates.slots,
+            self.cache.free_blocks,
+            self.cache.total_blocks,
+            self.rates.block_tokens,
+            self.rates.prefill_tokens_per_second / self.batch.slowdown,
+            step * self.batch.slowdown,
+            MachineState.LEAVING if self.orders.drained else self.state,
+        )
--- /dev/null
+++ b/emulator/engine/stepper.py
@@ -0,0 +1,82 @@
+"""Runs a batch's plans on a clock, with one timer for each plan."""
+
+from collections.abc import Callable
+
+import attrs
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from emulator.engine.batch import Batch, BatchChange, StepPlan
+
+
+class Stepper:
+    """Turns plans into time; `on_change` hears what each finished plan did."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        batch: Batch,
+        longest_plan: int | None,
+        on_change: Callable[[BatchChange], None],
+    ) -> None:
+        """Begin idle; a plan covers at most `longest_plan` steps."""
+        self._clock = clock
+        self._batch = batch
+        self._longest_plan = longest_plan
+        self._on_change = on_change
+        self._plan: StepPlan | None = None
+        self._plan_start = 0.0
+        self._timer: IDelayedCall | None = None
+        self._stalled = False
+
+    def batch_changed(self) -> None:
+        """Let a change take effect after the present step, or at once when idle."""
+        plan = self._plan
+        if plan is None:
+            self.begin()
+            return
+        passed = (self._clock.seconds() - self._plan_start) / plan.step_seconds
+        done = min(int(passed), plan.steps - 1)
+        if done:
+            self._batch.apply(plan, done)
+            self._plan_start += done * plan.step_seconds
+        self._plan = attrs.evolve(plan, steps=1)
+        self._arm_timer(self._plan)
+
+    def begin(self) -> None:
+        """Admit what fits and run the next plan, unless there is nothing to do."""
+        if self._stalled or self._plan is not None:
+            return
+        self._batch.admit()
+        self._plan = self._batch.plan(self._longest_plan)
+        if self._plan is not None:
+            self._plan_start = self._clock.seconds()
+            self._arm_timer(self._plan)
+
+    def stall(self, stalled: bool) -> None:
+        """Stop after the present step, or go on."""
+        if stalled and self._plan is not None:
+            self.batch_changed()
+        self._stalled = stalled
+        self.begin()
+
+    def drop(self) -> None:
+        """Forget the present plan, as a restart does."""
+        self._plan = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _arm_timer(self, plan: StepPlan) -> None:
+        end = self._plan_start + plan.steps * plan.step_seconds
+        wait = max(0.0, end - self._clock.seconds())
+        if self._timer is None:
+            self._timer = self._clock.callLater(wait, self._plan_ended)
+        else:
+            self._timer.reset(wait)
+
+    def _plan_ended(self) -> None:
+        self._timer = None
+        plan = self._plan
+        self._plan = None
+        if plan is not None:
+            self._on_change(self._batch.apply(plan, plan.steps))
--- /dev/null
+++ b/tests/unit/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of the stand-ins."""
