--- /dev/null
+++ b/notcharch/admin/routes.py
@@ -0,0 +1,171 @@
+"""Routes of the operators' interface: authentication, bodies, answers, problems.
+
+A handler gets an `AdminRequest` and gives a typed answer or a problem; it never
+sees the HTTP request.
+"""
+
+import re
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeVar
+
+import attrs
+import eliot
+import msgspec
+from klein import Klein
+from result import Err, Ok, Result
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
+from twisted.web.iweb import IRequest
+from twisted.web.resource import IResource
+from werkzeug.exceptions import HTTPException, MethodNotAllowed
+
+from notcharch.admin.authentication import Operator, OperatorKeys, Role
+from notcharch.errors import Finding, Problem, ProblemCode, Ran
+from notcharch.errors.problem import ProblemError
+from notcharch.events.admin import (
+    AdminRequestFailed,
+    OperatorChanged,
+    OperatorRefused,
+)
+from notcharch.events.event import emit
+from notcharch.wire.http_problem import start_problem
+
+JSON_CONTENT_TYPE = "application/json"
+MOST_BODY_BYTES = 32 * 1024 * 1024
+READING_METHOD = "GET"
+_VALIDATION_PLACE = re.compile(r"^(?P<message>.*?)(?: - at `(?P<place>.*)`)?$", re.S)
+
+Body = TypeVar("Body", bound=msgspec.Struct)
+
+
+@attrs.frozen
+class AdminRequest:
+    """A request by an operator who has the route's role."""
+
+    operator: Operator
+    arguments: Mapping[str, str]
+    """The variable parts of the path."""
+
+    query: Mapping[str, str]
+    body: bytes
+
+    def read_body(self, body_type: type[Body]) -> Result[Body, Problem]:
+        """Decode the JSON body."""
+        try:
+            return Ok(msgspec.json.decode(self.body, type=body_type))
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+            return Err(_body_problem(str(error)))
+
+    def number(
+        self, name: str, default: float, least: float, most: float
+    ) -> Result[float, Problem]:
+        """Read a number of the query, from `least` to `most`."""
+        text = self.query.get(name)
+        if text is None:
+            return Ok(default)
+        try:
+            value = float(text)
+        except ValueError:
+            value = float("nan")
+        if least <= value <= most:
+            return Ok(value)
+        finding = Finding(name, f"must be a number from {least:g} to {most:g}")
+        return Err(bad_request("a query parameter is wrong", finding))
+
+
+Handler = Callable[[AdminRequest], Awaitable[Result[msgspec.Struct, Problem]]]
+
+
+class Routes:
+    """The routes of one daemon's operators' interface."""
+
+    def __init__(self, keys: OperatorKeys) -> None:
+        """Take the keys that every route asks for."""
+        self._keys = keys
+        self._app = Klein()
+        self._app.handle_errors(HTTPException)(_unroutable)
+
+    def add(self, method: str, path: str, role: Role, handler: Handler) -> None:
+        """Add a route; `path` may have variable parts, `<name>`."""
+
+        async def answer(request: IRequest, **arguments: str) -> bytes:
+            return await self._answer(request, arguments, role, handler)
+
+        endpoint = f"{method} {path}"
+        self._app.route(path, methods=[method], endpoint=endpoint)(answer)
+
+    def resource(self) -> IResource:
+        """Give the resource to mount at `/admin/v1`."""
+        resource: IResource = self._app.resource()
+        return resource
+
+    async def _answer(
+        self,
+        request: IRequest,
+        arguments: Mapping[str, str],
+        role: Role,
+        handler: Handler,
+    ) -> bytes:
+        path = request.path.decode(errors="replace")
+        method = request.method.decode(errors="replace")
+        operator = self._keys.authenticate(request.getHeader("authorization"), role)
+        if isinstance(operator, Err):
+            emit(OperatorRefused(path, "", operator.err_value.code))
+            return start_problem(request, operator.err_value)
+        result = await _handle(request, arguments, operator.ok_value, handler)
+        if method != READING_METHOD:
+            outcome = "done" if isinstance(result, Ok) else result.err_value.code
+            emit(OperatorChanged(operator.ok_value.name, method, path, outcome))
+        if isinstance(result, Err):
+            return start_problem(request, result.err_value)
+        request.setHeader("content-type", JSON_CONTENT_TYPE)
+        return msgspec.json.encode(result.ok_value)
+
+
+def _unroutable(request: IRequest, failure: Failure) -> bytes:
+    """Answer a path or method that no route has."""
+    code = ProblemCode.NOT_FOUND
+    if isinstance(failure.value, MethodNotAllowed):
+        code = ProblemCode.METHOD_NOT_ALLOWED
+    message = "there is no such page or method in the operators' interface"
+    return start_problem(request, Problem.of(code, message))
+
+
+def bad_request(message: str, *findings: Finding) -> Problem:
+    """Give a problem of the request itself."""
+    return Problem.of(ProblemCode.BAD_REQUEST, message, findings=findings)
+
+
+async def _handle(
+    request: IRequest,
+    arguments: Mapping[str, str],
+    operator: Operator,
+    handler: Handler,
+) -> Result[msgspec.Struct, Problem]:
+    body = request.content.read(MOST_BODY_BYTES + 1) if request.content else b""
+    if len(body) > MOST_BODY_BYTES:
+        message = f"the body has more than {MOST_BODY_BYTES} bytes"
+        return Err(Problem.of(ProblemCode.BODY_TOO_LARGE, message))
+    query = {
+        name.decode(errors="replace"): values[-1].decode(errors="replace")
+        for name, values in request.args.items()
+    }
+    try:
+        return await handler(AdminRequest(operator, arguments, query, body))
+    except CancelledError:
+        raise
+    except ProblemError as error:
+        return Err(error.problem)
+    except Exception:
+        eliot.write_traceback()
+        emit(AdminRequestFailed(request.method.decode(), request.path.decode()))
+        message = "a fault of the program; its log has the details"
+        return Err(Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN))
+
+
+def _body_problem(text: str) -> Problem:
+    match = _VALIDATION_PLACE.match(text)
+    if match is None or match["place"] is None:
+        return bad_request("the body cannot be read", Finding("body", text))
+    place = match["place"].removeprefix("$").removeprefix(".") or "body"
+    return bad_request("the body cannot be read", Finding(place, match["message"]))
--- /dev/null
+++ b/notcharch/table/draft.py
@@ -0,0 +1,193 @@
+"""What an operator asks to publish, before it becomes edits of a known base.
+
+A draft is a whole table or a list of changes. Its raw cells are checked here and
+every finding is reported, with its row and cell.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from notcharch.errors import Finding
+from notcharch.table.edits import (
+    AnyEdit,
+    SetCell,
+    SetKey,
+    SetRow,
+    TableContents,
+    difference,
+)
+from notcharch.table.interface import ServiceRow, TenantKey
+from notcharch.table.schema import (
+    KEY_CELL,
+    cell_place,
+    check_key,
+    check_table,
+    key_place,
+    read_cell,
+    read_row,
+    row_place,
+)
+from notcharch.values.identifiers import ServiceName, TenantName
+
+RawRow = dict[str, Any]
+"""A row's cells as they came: JSON, TOML or CSV values by cell name."""
+
+
+class Change(msgspec.Struct, frozen=True, tag=True, tag_field="change"):
+    """One change that an operator asks for."""
+
+
+class ChangeCell(Change, frozen=True, tag="set_cell"):
+    """Give a cell a new value."""
+
+    service: ServiceName
+    cell: str
+    value: Any
+
+
+class InsertRow(Change, frozen=True, tag="add_row"):
+    """Add a row; cells that are left out take their default."""
+
+    row: RawRow
+
+
+class DeleteRow(Change, frozen=True, tag="remove_row"):
+    """Remove a service's row."""
+
+    service: ServiceName
+
+
+class ChangeKey(Change, frozen=True, tag="set_key"):
+    """Give a caller's key to a tenant, or revoke it with None."""
+
+    key_sha256: str
+    tenant: TenantName | None
+
+
+AnyChange = ChangeCell | InsertRow | DeleteRow | ChangeKey
+Findings = tuple[Finding, ...]
+
+
+class ChangesDraft(msgspec.Struct, frozen=True):
+    """Changes to the base version."""
+
+    changes: tuple[AnyChange, ...]
+
+
+class WholeDraft(msgspec.Struct, frozen=True):
+    """A whole table that replaces the base version."""
+
+    rows: tuple[RawRow, ...]
+    keys: tuple[TenantKey, ...]
+
+
+Draft = ChangesDraft | WholeDraft
+
+
+def draft_edits(
+    draft: Draft, base: TableContents
+) -> Result[tuple[AnyEdit, ...], Findings]:
+    """Check a draft and give the edits that it makes to its base."""
+    if isinstance(draft, WholeDraft):
+        return read_whole(draft).map(lambda wanted: difference(base, wanted))
+    return _edits_of_changes(draft, base)
+
+
+def read_whole(draft: WholeDraft) -> Result[TableContents, Findings]:
+    """Check a whole table's raw rows and keys."""
+    rows: list[ServiceRow] = []
+    findings: list[Finding] = []
+    for index, raw in enumerate(draft.rows):
+        match read_row(raw, _place_of(raw, index)):
+            case Ok(row):
+                rows.append(row)
+            case Err(found):
+                findings.extend(found)
+    findings.extend(check_table(rows, draft.keys))
+    if findings:
+        return Err(tuple(findings))
+    return Ok(TableContents.of(rows, draft.keys))
+
+
+def _place_of(raw: Mapping[str, object], index: int) -> str:
+    service = raw.get(KEY_CELL)
+    return row_place(service) if isinstance(service, str) else f"rows[{index}]"
+
+
+def _edits_of_changes(
+    draft: ChangesDraft, base: TableContents
+) -> Result[tuple[AnyEdit, ...], Findings]:
+    edits: list[AnyEdit] = []
+    findings: list[Finding] = []
+    places: set[str] = set()
+    for change in draft.changes:
+        place, result = _edit_of(change, base)
+        if place in places:
+            findings.append(Finding(place, "is changed twice"))
+        places.add(place)
+        match result:
+            case Ok(edit):
+                edits.append(edit)
+            case Err(found):
+                findings.extend(found)
+    return Err(tuple(findings)) if findings else Ok(tuple(edits))
+
+
+def _edit_of(
+    change: AnyChange, base: TableContents
+) -> tuple[str, Result[AnyEdit, Findings]]:
+    match change:
+        case ChangeCell():
+            place = cell_place(change.service, change.cell)
+            return place, _edit_of_cell(change, place, base)
+        case InsertRow():
+            place = _place_of(change.row, 0)
+            return place, _edit_of_new_row(change, place, base)
+        case DeleteRow():
+            place = row_place(change.service)
+            row = base.rows.get(change.service)
+            if row is None:
+                return place, Err((Finding(place, "there is no such row"),))
+            return place, Ok(SetRow(change.service, row, None))
+        case ChangeKey():
+            place = key_place(change.key_sha256)
+            return place, _edit_of_key(change, base)
+
+
+def _edit_of_cell(
+    change: ChangeCell, place: str, base: TableContents
+) -> Result[AnyEdit, Findings]:
+    row = base.rows.get(change.service)
+    if row is None:
+        return Err((Finding(row_place(change.service), "there is no such row"),))
+    if change.cell == KEY_CELL:
+        return Err((Finding(place, "names the row and cannot be edited"),))
+    value = read_cell(change.cell, change.value, place)
+    if isinstance(value, Err):
+        return Err((value.err_value,))
+    before = getattr(row, change.cell)
+    return Ok(SetCell(change.service, change.cell, before, value.ok_value))
+
+
+def _edit_of_new_row(
+    change: InsertRow, place: str, base: TableContents
+) -> Result[AnyEdit, Findings]:
+    read = read_row(change.row, place)
+    if isinstance(read, Err):
+        return Err(read.err_value)
+    row = read.ok_value
+    if row.service in base.rows:
+        return Err((Finding(place, "is there already"),))
+    return Ok(SetRow(row.service, None, row))
+
+
+def _edit_of_key(change: ChangeKey, base: TableContents) -> Result[AnyEdit, Findings]:
+    if change.tenant is not None:
+        findings = check_key(TenantKey(change.tenant, change.key_sha256))
+        if findings:
+            return Err(findings)
+    before = base.keys.get(change.key_sha256)
+    return Ok(SetKey(change.key_sha256, before, change.tenant))
--- /dev/null
+++ b/notcharch/table/edits.py
@@ -0,0 +1,117 @@
+"""Edits: the difference between two tables, cell by cell, with both values.
+
+An edit holds the value it started from (`before`) and the value it sets (`after`).
+So it can be merged without the base table, shown to people, and undone.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import attrs
+import msgspec
+
+from notcharch.table.interface import ServiceRow, Table, TenantKey
+from notcharch.table.schema import CELL_NAMES, KEY_CELL, CellValue
+from notcharch.values.identifiers import ServiceName, TableVersion, TenantName
+
+
+class Edit(msgspec.Struct, frozen=True, tag=True):
+    """A change of one place of the table."""
+
+
+class SetCell(Edit, frozen=True):
+    """Change one cell of a row."""
+
+    service: ServiceName
+    cell: str
+    before: CellValue
+    after: CellValue
+
+
+class SetRow(Edit, frozen=True):
+    """Add a row (`before` is None) or remove one (`after` is None)."""
+
+    service: ServiceName
+    before: ServiceRow | None
+    after: ServiceRow | None
+
+
+class SetKey(Edit, frozen=True):
+    """Add, change or remove the tenant of a caller's key."""
+
+    key_sha256: str
+    before: TenantName | None
+    after: TenantName | None
+
+
+AnyEdit = SetCell | SetRow | SetKey
+
+
+@attrs.frozen
+class TableContents:
+    """Rows by service and tenants by key digest, without a version."""
+
+    rows: Mapping[ServiceName, ServiceRow]
+    keys: Mapping[str, TenantName]
+
+    @classmethod
+    def of(
+        cls, rows: Iterable[ServiceRow], keys: Iterable[TenantKey]
+    ) -> "TableContents":
+        """Index rows and keys that hold no place twice."""
+        return cls(
+            {row.service: row for row in rows},
+            {key.key_sha256: key.tenant for key in keys},
+        )
+
+    def table(self, version: TableVersion) -> Table:
+        """Give the sorted table of a version."""
+        rows = tuple(self.rows[service] for service in sorted(self.rows))
+        keys = tuple(
+            TenantKey(self.keys[digest], digest) for digest in sorted(self.keys)
+        )
+        return Table(version, rows, keys)
+
+
+EMPTY_CONTENTS = TableContents({}, {})
+
+
+def inverse(edit: AnyEdit) -> AnyEdit:
+    """Give the edit that undoes an applied one."""
+    return msgspec.structs.replace(edit, before=edit.after, after=edit.before)
+
+
+def weight(edit: AnyEdit) -> int:
+    """Give the number of cells that an edit holds, for bounds of memory."""
+    return len(CELL_NAMES) if isinstance(edit, SetRow) else 1
+
+
+def difference(base: TableContents, target: TableContents) -> tuple[AnyEdit, ...]:
+    """Give the edits that turn `base` into `target`, in a fixed order."""
+    return (*_row_differences(base, target), *_key_differences(base, target))
+
+
+def _row_differences(base: TableContents, target: TableContents) -> Iterator[AnyEdit]:
+    for service in sorted(base.rows.keys() | target.rows.keys()):
+        before = base.rows.get(service)
+        after = target.rows.get(service)
+        if before is None or after is None:
+            yield SetRow(service, before, after)
+        elif before != after:
+            yield from cell_differences(before, after)
+
+
+def cell_differences(before: ServiceRow, after: ServiceRow) -> Iterator[SetCell]:
+    """Give the edits of the cells in which two rows of one service differ."""
+    for cell in CELL_NAMES:
+        old: CellValue = getattr(before, cell)
+        new: CellValue = getattr(after, cell)
+        if cell != KEY_CELL and old != new:
+            yield SetCell(before.service, cell, old, new)
+
+
+def _key_differences(base: TableContents, target: TableContents) -> Iterator[AnyEdit]:
+    for digest in sorted(base.keys.keys() | target.keys.keys()):
+        before = base.keys.get(digest)
+        after = target.keys.get(digest)
+        if before != after:
+            yield SetKey(digest, before, after)
--- /dev/null
+++ b/notcharch/table/replica_service.py
@@ -0,0 +1,293 @@
+"""This daemon's replica of the table: what is in force, and how it learns of more.
+
+Two sources feed one replay state: the log's stream (`LogFollower`) and, when a
+member announces a newer version, that member. Both move the state forward by log
+offset only, so the version in force never goes back.
+"""
+
+import hashlib
+from collections.abc import Callable
+from random import Random
+
+import eliot
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.errors import ProblemCode
+from notcharch.events.event import emit
+from notcharch.events.table import (
+    TableContentRefused,
+    TableFetchFailed,
+    TableInForce,
+    TablePublicationRefused,
+    TableRecordSkipped,
+)
+from notcharch.platform.ports import LogPort, StoredRecord
+from notcharch.table.interface import ServiceRow, Table, TableSource
+from notcharch.table.log_follower import LogFollower, report_failure
+from notcharch.table.replay import (
+    HistoryEntry,
+    Replayed,
+    ReplayState,
+    SkipReason,
+    apply_entries,
+    decode_state,
+    replay,
+)
+from notcharch.table.state_waiters import Condition, StateWaiters
+from notcharch.values.identifiers import (
+    LogOffset,
+    Member,
+    ServiceName,
+    TableVersion,
+    TenantName,
+)
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.table import FetchTable, TableEntries, TableSnapshot
+from notcharch.wire.peers import PeerNetwork
+
+FETCH_SECONDS = 5.0
+"""Limit of one request to a peer."""
+
+_history_decoder = msgspec.json.Decoder(HistoryEntry)
+
+
+class TableReplica:
+    """The `TableView` of a daemon, and the source of its publisher.
+
+    `set_digest` tells membership the version in force, to be gossiped;
+    membership calls `on_digest` with what other members gossip.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        log: LogPort,
+        network: PeerNetwork,
+        random: Random,
+        set_digest: Callable[[int], None],
+        fetch_delay_seconds: float = 1.0,
+    ) -> None:
+        """Register the handler of peers' requests; nothing runs before `start`.
+
+        A fetch from a peer waits a random part of `fetch_delay_seconds`, in which
+        the log usually brings the same publication for less.
+        """
+        self._clock = clock
+        self._network = network
+        self._random = random
+        self._set_digest = set_digest
+        self._fetch_delay_seconds = fetch_delay_seconds
+        self._state = ReplayState()
+        self._in_force = self._state
+        self._in_force_since = clock.seconds()
+        self._source = TableSource.NONE
+        self._table: Table | None = None
+        self._snapshot: TableSnapshot | None = None
+        self._listeners: list[Callable[[], None]] = []
+        self._waiters = StateWaiters(clock)
+        self._fetching: Deferred[None] | None = None
+        self._follower = LogFollower(clock, log, random, self)
+        network.on_request(FetchTable, self._answer_fetch)
+
+    def start(self) -> None:
+        """Begin to follow the log."""
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Stop following; the version in force stays readable."""
+        self._follower.stop()
+        if self._fetching is not None:
+            self._fetching.cancel()
+
+    @property
+    def version(self) -> TableVersion:
+        """The version in force; it never goes back."""
+        return self._in_force.version
+
+    @property
+    def source(self) -> TableSource:
+        """From where the version in force was learnt."""
+        return self._source
+
+    @property
+    def in_force_seconds(self) -> float:
+        """How long the version has been in force here."""
+        return self._clock.seconds() - self._in_force_since
+
+    @property
+    def log_age_seconds(self) -> float | None:
+        """How long ago the log was last read to its end; None if never."""
+        return self._follower.age_seconds
+
+    @property
+    def state(self) -> ReplayState:
+        """The judged prefix of the log; at start it may be ahead of the force."""
+        return self._state
+
+    def row(self, service: ServiceName) -> ServiceRow | None:
+        """Give a service's row."""
+        return self._in_force.contents.rows.get(service)
+
+    def rows(self) -> tuple[ServiceRow, ...]:
+        """Give all rows, sorted by service."""
+        return self.table().rows
+
+    def table(self) -> Table:
+        """Give the whole table in force."""
+        if self._table is None:
+            self._table = self._in_force.contents.table(self._in_force.version)
+        return self._table
+
+    def tenant_of_key(self, key: str) -> TenantName | None:
+        """Give the tenant that a caller's key text belongs to."""
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return self._in_force.contents.keys.get(digest)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after a newer version came into force."""
+        self._listeners.append(listener)
+
+    async def wait_for(self, condition: Condition, seconds: float) -> bool:
+        """Wait until the judged state meets a condition; False when it does not."""
+        return await self._waiters.wait(self._state, condition, seconds)
+
+    def on_digest(self, member: Member, version: int) -> None:
+        """Learn that a member has a version in force; fetch it if it is newer."""
+        if version <= self.version or self._fetching is not None:
+            return
+        if version <= self._state.version:
+            # Judged already, and in force elsewhere: no need to reach the log's end.
+            self._put_in_force(self._state, TableSource.PEER)
+            return
+        if member.daemon == self._network.own_member.daemon:
+            return
+        self._fetching = Deferred.fromCoroutine(self._fetch(member, version))
+        self._fetching.addErrback(report_failure)
+        self._fetching.addCallback(self._fetch_ended)
+
+    def take_records(
+        self, records: tuple[StoredRecord, ...], *, put_in_force: bool
+    ) -> None:
+        """Judge records read from the log; those already judged are passed over."""
+        state = self._state
+        for record in records:
+            if record.offset != state.next_offset:
+                continue
+            replayed = replay(state, record)
+            state = replayed.state
+            _report(record, replayed)
+        self._move_to(state, TableSource.LOG, put_in_force=put_in_force)
+
+    def take_state(self, state: ReplayState, source: TableSource) -> None:
+        """Take over a later state; an older one changes nothing."""
+        is_later = state.next_offset > self._state.next_offset
+        if is_later and state.version >= self._state.version:
+            self._move_to(state, source, put_in_force=source is TableSource.PEER)
+
+    def _move_to(
+        self, state: ReplayState, source: TableSource, *, put_in_force: bool
+    ) -> None:
+        if state is not self._state:
+            self._state = state
+            self._snapshot = None
+        if put_in_force and state.version > self._in_force.version:
+            self._put_in_force(state, source)
+        self._waiters.state_changed(state)
+
+    def _put_in_force(self, state: ReplayState, source: TableSource) -> None:
+        self._in_force = state
+        self._in_force_since = self._clock.seconds()
+        self._source = source
+        self._table = None
+        emit(TableInForce(state.version, len(state.contents.rows), source.value))
+        self._set_digest(state.version)
+        for listener in self._listeners:
+            try:
+                listener()
+            except Exception:
+                eliot.write_traceback()
+
+    async def _answer_fetch(self, _sender: Member, message: Message) -> Message:
+        assert isinstance(message, FetchTable)
+        state = self._state
+        if message.have < state.horizon:
+            return self._encoded_snapshot()
+        entries = tuple(
+            msgspec.Raw(msgspec.json.encode(entry))
+            for entry in state.history
+            if entry.offset >= message.have
+        )
+        return TableEntries(state.next_offset, entries)
+
+    def _encoded_snapshot(self) -> TableSnapshot:
+        if self._snapshot is None:
+            encoded = msgspec.Raw(self._state.encode())
+            self._snapshot = TableSnapshot(self._state.next_offset, encoded)
+        return self._snapshot
+
+    async def _fetch(self, member: Member, announced: int) -> None:
+        delay = self._random.random() * self._fetch_delay_seconds
+        await deferLater(self._clock, delay)
+        if announced <= self.version:
+            return
+        have = self._state.next_offset
+        reply = await self._network.request(
+            member.daemon, FetchTable(have), FETCH_SECONDS
+        )
+        if isinstance(reply, Err):
+            problem = reply.err_value
+            emit(TableFetchFailed(member.daemon, announced, problem.code))
+            return
+        self._take_reply(member, have, announced, reply.ok_value)
+
+    def _take_reply(
+        self, member: Member, have: LogOffset, announced: int, reply: Message
+    ) -> None:
+        state, detail = None, ""
+        if isinstance(reply, TableEntries):
+            state, detail = _state_of_entries(self._state, have, reply)
+        elif isinstance(reply, TableSnapshot):
+            decoded = decode_state(reply.state)
+            state, detail = decoded.ok(), decoded.err() or ""
+        else:
+            detail = f"unexpected {type(reply).__name__}"
+        if state is None:
+            emit(TableContentRefused(member.daemon, detail))
+        else:
+            self.take_state(state, TableSource.PEER)
+        if announced > self.version:
+            code = ProblemCode.NOT_FOUND.slug
+            emit(TableFetchFailed(member.daemon, announced, code))
+
+    def _fetch_ended(self, _result: None) -> None:
+        self._fetching = None
+
+
+def _state_of_entries(
+    state: ReplayState, have: LogOffset, reply: TableEntries
+) -> tuple[ReplayState | None, str]:
+    if state.next_offset < have:
+        return None, "the state went back"
+    try:
+        entries = [_history_decoder.decode(raw) for raw in reply.entries]
+    except (msgspec.DecodeError, UnicodeError) as error:
+        return None, str(error)
+    return apply_entries(state, entries, reply.next_offset), ""
+
+
+def _report(record: StoredRecord, replayed: Replayed) -> None:
+    entry = replayed.entry
+    if replayed.skipped in (SkipReason.BAD, SkipReason.REPEATED):
+        reason = replayed.skipped.value
+        emit(TableRecordSkipped(record.offset, record.id, reason, replayed.detail))
+    elif entry is not None and not entry.is_in_force:
+        emit(
+            TablePublicationRefused(
+                entry.offset, entry.id, entry.author, entry.verdict.value
+            )
+        )
--- /dev/null
+++ b/tests/stateful/table/faulty_log.py
@@ -0,0 +1,125 @@
+"""A log in memory whose ports fail to order; each daemon has a port of its own."""
+
+import enum
+
+import attrs
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.platform.ports import LogPage, LogRecord, StoredRecord
+from notcharch.values.identifiers import LogOffset
+
+
+class AppendFault(enum.Enum):
+    """What happens to the next append of a port."""
+
+    REFUSED = "refused"
+    ANSWER_LOST = "answer lost"
+    LATE = "answer lost, effect late"
+    NEVER = "answer lost, no effect"
+    TWICE = "taken twice"
+
+
+LATE_SECONDS = 7.0
+ANSWER_SECONDS = 0.002
+
+
+@attrs.define(eq=False)
+class _Reader:
+    offset: LogOffset
+    limit: int
+    answer: "Deferred[Result[LogPage, Problem]]"
+
+
+class LogStore:
+    """The stream that all ports share."""
+
+    def __init__(self, clock: IReactorTime) -> None:
+        self.clock = clock
+        self.records: list[StoredRecord] = []
+        self._readers: list[_Reader] = []
+
+    def append(self, records: tuple[LogRecord, ...]) -> LogOffset:
+        first = LogOffset(len(self.records))
+        for record in records:
+            offset = LogOffset(len(self.records))
+            self.records.append(StoredRecord(offset, record.id, record.data))
+        readers, self._readers = self._readers, []
+        for reader in readers:
+            if not reader.answer.called:
+                reader.answer.callback(Ok(self.page(reader.offset, reader.limit)))
+        return first
+
+    def page(self, offset: LogOffset, limit: int) -> LogPage:
+        found = tuple(self.records[offset : offset + limit])
+        end = LogOffset(len(self.records))
+        return LogPage(found, LogOffset(offset + len(found)), end)
+
+    def read(
+        self, offset: LogOffset, limit: int, wait_seconds: float
+    ) -> "Deferred[Result[LogPage, Problem]]":
+        page = self.page(offset, limit)
+        if page.records or wait_seconds <= 0:
+            return succeed(Ok(page))
+        reader = _Reader(offset, limit, Deferred())
+        self._readers.append(reader)
+        self.clock.callLater(wait_seconds, self._give_up, reader)
+        return reader.answer
+
+    def _give_up(self, reader: _Reader) -> None:
+        if reader in self._readers:
+            self._readers.remove(reader)
+            reader.answer.callback(Ok(self.page(reader.offset, reader.limit)))
+
+
+class FaultyLogPort:
+    """One daemon's `LogPort`; `is_down` and `append_faults` are set by tests."""
+
+    def __init__(self, store: LogStore, clock: IReactorTime) -> None:
+        self.store = store
+        self.clock = clock
+        self.is_down = False
+        self.append_faults: list[AppendFault] = []
+        self.appends = 0
+
+    def append(
+        self, stream: str, records: tuple[LogRecord, ...]
+    ) -> "Deferred[Result[LogOffset, Problem]]":
+        assert stream == "table"
+        self.appends += 1
+        fault = self.append_faults.pop(0) if self.append_faults else None
+        if self.is_down or fault is AppendFault.REFUSED:
+            return self._later(Err(_problem(Ran.NO)))
+        if fault is AppendFault.LATE:
+            self.store.clock.callLater(LATE_SECONDS, self.store.append, records)
+        elif fault is not AppendFault.NEVER:
+            first = self.store.append(records)
+        if fault is AppendFault.TWICE:
+            self.store.append(records)
+        if fault in (AppendFault.LATE, AppendFault.NEVER, AppendFault.ANSWER_LOST):
+            return self._later(Err(_problem(Ran.UNKNOWN)))
+        return self._later(Ok(first))
+
+    def read(
+        self, stream: str, offset: LogOffset, limit: int, wait_seconds: float = 0.0
+    ) -> "Deferred[Result[LogPage, Problem]]":
+        assert stream == "table"
+        if self.is_down:
+            return self._later(Err(_problem(Ran.NO)))
+        page = self.store.read(offset, limit, wait_seconds)
+        return page.addCallback(self._cut)
+
+    def _cut(self, page: "Result[LogPage, Problem]") -> "Result[LogPage, Problem]":
+        return Err(_problem(Ran.UNKNOWN)) if self.is_down else page
+
+    def _later(self, answer):
+        later = Deferred()
+        call = self.clock.callLater(ANSWER_SECONDS, lambda: later.callback(answer))
+        del call
+        return later
+
+
+def _problem(ran: Ran) -> Problem:
+    return Problem.of(ProblemCode.UNAVAILABLE, "the log is down", ran=ran)
--- /dev/null
+++ b/tests/stateful/table/region.py
@@ -0,0 +1,117 @@
+"""A region of table replicas over the memory transport, with gossiped digests."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from notcharch.table.publisher import TablePublisher
+from notcharch.table.replica_service import TableReplica
+from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
+from notcharch.wire.memory import MemoryFabric
+from notcharch.wire.memory_time import run_for
+from tests.stateful.table.faulty_log import FaultyLogPort, LogStore
+
+GOSSIP_SECONDS = 1.0
+
+
+class ReplicaProcess:
+    """One process of a daemon: its replica, publisher and port to the log."""
+
+    def __init__(
+        self,
+        region: "Region",
+        name: DaemonName,
+        incarnation: int,
+        log_is_down: bool = False,
+    ) -> None:
+        member = Member(name, Incarnation(incarnation))
+        self.daemon = region.fabric.join(member, ZoneName("zone1"))
+        self.clock = self.daemon.clock
+        self.digest = 0
+        self.versions: list[int] = []
+        self.port = FaultyLogPort(region.store, self.clock)
+        self.port.is_down = log_is_down
+        self.replica = region.replica_type(
+            clock=self.clock,
+            log=self.port,
+            network=self.daemon.network,
+            random=Random(f"{name}/{incarnation}"),
+            set_digest=self._set_digest,
+        )
+        self.publisher = region.publisher_type(
+            clock=self.clock, log=self.port, replica=self.replica
+        )
+        self.replica.on_change(lambda: self.versions.append(self.replica.version))
+        self.replica.start()
+
+    def _set_digest(self, version: int) -> None:
+        self.digest = version
+
+
+class Region:
+    """Daemons `d0` … on one clock and one log."""
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        replica_type: type[TableReplica] = TableReplica,
+        publisher_type: type[TablePublisher] = TablePublisher,
+    ) -> None:
+        self.clock = Clock()
+        self.random = Random(seed)
+        self.replica_type = replica_type
+        self.publisher_type = publisher_type
+        self.fabric = MemoryFabric(self.clock, Random(seed), encode=True)
+        self.store = LogStore(self.clock)
+        self.names = [DaemonName(f"d{index}") for index in range(count)]
+        self.processes = {name: ReplicaProcess(self, name, 1) for name in self.names}
+        self.clock.callLater(GOSSIP_SECONDS, self._gossip)
+
+    def process(self, index: int) -> ReplicaProcess:
+        return self.processes[self.names[index]]
+
+    def restart(self, index: int, log_is_down: bool = False) -> ReplicaProcess:
+        """Replace a process by an empty one."""
+        name = self.names[index]
+        incarnation = self.processes[name].daemon.member.incarnation
+        process = ReplicaProcess(self, name, incarnation + 1, log_is_down)
+        self.processes[name] = process
+        return process
+
+    def run(self, seconds: float) -> None:
+        run_for(self.clock, seconds)
+
+    def result_of(self, coroutine, seconds: float = 60.0):
+        """Run a coroutine to its end, at most for `seconds`."""
+        results = []
+        Deferred.fromCoroutine(coroutine).addBoth(results.append)
+        self.run_until(lambda: bool(results), seconds)
+        assert results, f"no result within {seconds} s"
+        if hasattr(results[0], "raiseException"):
+            results[0].raiseException()
+        return results[0]
+
+    def run_until(self, condition: Callable[[], bool], seconds: float) -> bool:
+        end = self.clock.seconds() + seconds
+        while not condition() and self.clock.seconds() < end:
+            self.run(0.05)
+        return condition()
+
+    def versions(self) -> set[int]:
+        return {process.replica.version for process in self.processes.values()}
+
+    def _gossip(self) -> None:
+        for name, process in self.processes.items():
+            other = self.random.choice([peer for peer in self.names if peer != name])
+            self._send_digest(process, other)
+        self.clock.callLater(GOSSIP_SECONDS, self._gossip)
+
+    def _send_digest(self, process: ReplicaProcess, other: DaemonName) -> None:
+        member, digest = process.daemon.member, process.digest
+        self.fabric.transmit(
+            (member.daemon, other),
+            lambda: self.processes[other].replica.on_digest(member, digest),
+        )
