--- a/notcharch/engines/grants.py
+++ b/notcharch/engines/grants.py
@@ -31,6 +31,10 @@
         self._by_id[grant.grant] = grant
         self._by_call[grant.call.key] = grant.grant
 
+    def get(self, identifier: GrantId) -> Grant | None:
+        """Give a grant, if it is out."""
+        return self._by_id.get(identifier)
+
     def of_call(self, key: CallKey) -> Grant | None:
         """Give the grant of an attempt, if it is out."""
         identifier = self._by_call.get(key)
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -103,6 +103,10 @@
         """How many grants are out."""
         return len(self._grants)
 
+    def grant(self, identifier: GrantId) -> Grant | None:
+        """Give a grant that is out."""
+        return self._grants.get(identifier)
+
     def accepting(self, now: float) -> bool:
         """Tell whether the engine may get new work."""
         stopped = self.leaving or self.draining or self.load.leaving
@@ -177,7 +181,8 @@
         return self._empty_if_closed(now) + self.grant_ready(now)
 
     def free_gateway(self, gateway: Member, now: float) -> Answers:
-        """Forget everything of a gateway process that died."""
+        """Free everything of a gateway process that died."""
+        answers: list[CallAnswer] = []
         keys = [
             key
             for key, pending in self._pending.items()
@@ -186,10 +191,12 @@
         for key in keys:
             self._queue.cancel(key)
             del self._pending[key]
+            answers.append(CallAnswer(key, _refused(_withdrawn_problem())))
         for grant in self._grants.of_gateway(gateway):
             self._grants.remove(grant.grant)
+            self._breaker.abandoned()
         self.load.set_granted(len(self._grants), now)
-        return self.grant_ready(now)
+        return tuple(answers) + self.grant_ready(now)
 
     def learn_load(self, report: EngineLoad, now: float) -> Answers:
         """Take a load report in."""
--- /dev/null
+++ b/notcharch/scheduling/engine_chooser.py
@@ -0,0 +1,158 @@
+"""The choice of an engine for one call, step by step as answers come in. Pure.
+
+The holder of the program's prefix is asked first. When it defers, or there is
+none, two sampled engines are asked for quotes and the cheapest known one is
+asked for a grant, with the runner-up's cost as the limit of its wait.
+"""
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from notcharch.scheduling.engine_choice import (
+    ChoicePolicy,
+    EngineOption,
+    choose_engine,
+    defer_above_seconds,
+    sample_engines,
+)
+from notcharch.values.identifiers import EngineName
+
+GREATEST_ASKS = 5
+"""Grants asked for before the last one is waited for without a limit."""
+
+GREATEST_STEPS = 16
+"""Questions of both kinds for one call before it is answered with a problem."""
+
+NO_LIMIT_SECONDS = 1e9
+"""Stands for no limit; infinity has no form in JSON."""
+
+DEFER_SLACK_SECONDS = 0.25
+"""How much worse than the quote a wait may be before the call goes elsewhere."""
+
+
+class AskForGrant(msgspec.Struct, frozen=True):
+    """Queue at this engine unless the wait exceeds `defer_above_seconds`."""
+
+    engine: EngineName
+    defer_above_seconds: float
+
+
+class AskForQuotes(msgspec.Struct, frozen=True):
+    """Ask these engines what the call would wait."""
+
+    engines: tuple[EngineName, ...]
+
+
+class NoEngineLeft(msgspec.Struct, frozen=True):
+    """Every engine was unusable; `retry_after` is the least that one named."""
+
+    retry_after: float | None
+
+
+ChoiceStep = AskForGrant | AskForQuotes | NoEngineLeft
+
+
+class EngineChooser:
+    """What is known of the engines for one call."""
+
+    def __init__(
+        self,
+        *,
+        prompt_tokens: int,
+        cached_tokens: int,
+        holder: EngineName | None,
+        prefill_tokens_per_second: float,
+        policy: ChoicePolicy,
+        chance: random.Random,
+    ) -> None:
+        """Begin with a prefix's holder, if there is one, and no quotes."""
+        self._prompt_tokens = prompt_tokens
+        self._cached_tokens = cached_tokens
+        self._holder = holder
+        self._prefill_rate = prefill_tokens_per_second
+        self._policy = policy
+        self._chance = chance
+        self._options: dict[EngineName, EngineOption] = {}
+        self._unusable: set[EngineName] = set()
+        self._overloaded: set[EngineName] = set()
+        self._retry_after: float | None = None
+        self._holder_first = holder is not None
+        self._sample_due = True
+        self._asks = 0
+        self._steps = 0
+
+    def next_step(self, engines: Sequence[EngineName]) -> ChoiceStep:
+        """Give what to do next, of the engines that may get new work now."""
+        usable = [engine for engine in engines if self._may_ask(engine)]
+        self._steps += 1
+        if not usable or self._steps > GREATEST_STEPS:
+            return NoEngineLeft(self._retry_after)
+        if self._holder_first:
+            self._holder_first = False
+            if self._holder in usable:
+                return self._ask(self._holder, self._holder_limit())
+        unknown = [engine for engine in usable if engine not in self._options]
+        if unknown and self._sample_due:
+            self._sample_due = False
+            return AskForQuotes(sample_engines(unknown, self._chance))
+        return self._ask_cheapest(usable)
+
+    def learn_quote(self, option: EngineOption) -> None:
+        """Take a quote in."""
+        self._options[option.engine] = option
+        self._prefill_rate = option.prefill_tokens_per_second
+
+    def learn_deferred(self, engine: EngineName, expected_wait: float) -> None:
+        """Take in that an engine's wait was above the limit."""
+        known = self._options.get(engine)
+        if known is None:
+            cached = self._cached_tokens if engine == self._holder else 0
+            known = EngineOption(engine, expected_wait, self._prefill_rate, cached)
+        self._options[engine] = msgspec.structs.replace(
+            known, expected_wait_seconds=expected_wait
+        )
+        self._sample_due = True
+
+    def learn_overloaded(self, engine: EngineName, retry_after: float | None) -> None:
+        """Take in that the call would wait longer there than it may."""
+        self._overloaded.add(engine)
+        self._sample_due = True
+        if retry_after is not None:
+            least = self._retry_after if self._retry_after is not None else retry_after
+            self._retry_after = min(least, retry_after)
+
+    def learn_unusable(self, engine: EngineName) -> None:
+        """Take in that the engine or its steward cannot be used now."""
+        self._unusable.add(engine)
+        self._sample_due = True
+
+    def forget_unusable(self) -> None:
+        """Give engines another chance, after a pause; overloaded ones not."""
+        self._unusable.clear()
+        self._options.clear()
+        self._sample_due = True
+
+    def _may_ask(self, engine: EngineName) -> bool:
+        return engine not in self._unusable and engine not in self._overloaded
+
+    def _holder_limit(self) -> float:
+        return defer_above_seconds(
+            self._cached_tokens, self._prefill_rate, self._policy
+        )
+
+    def _ask(self, engine: EngineName, limit: float) -> AskForGrant:
+        self._asks += 1
+        if self._asks >= GREATEST_ASKS:
+            limit = NO_LIMIT_SECONDS
+        return AskForGrant(engine, min(limit, NO_LIMIT_SECONDS))
+
+    def _ask_cheapest(self, usable: Sequence[EngineName]) -> ChoiceStep:
+        known = [self._options[engine] for engine in usable if engine in self._options]
+        choice = choose_engine(known, self._prompt_tokens, self._holder, self._policy)
+        if choice is None:
+            return NoEngineLeft(self._retry_after)
+        spare = choice.runner_up_seconds - choice.cost_seconds
+        quoted = self._options[choice.engine].expected_wait_seconds
+        return self._ask(choice.engine, quoted + spare + DEFER_SLACK_SECONDS)
