Give up lost attempts, end idle programs and release their memory

Three things happen without a request: an attempt whose gateway is gone is given up, a program that is idle or too old is ended, and the engines of an ended program are asked to free its memory until they confirm. All three are read from the replicated state, so a new leader goes on with them.

A release duty has a number: a late confirmation of an earlier release must not confirm a newer one for the same program and engine. An engine counts as gone only after it was missing from the directory for a while, since the directory lags behind an engine that already serves.

--- /dev/null
+++ b/notcharch/programs/attempt_watch.py
@@ -0,0 +1,70 @@
+"""Decides which running attempts are given up. Pure: time is an argument.
+
+An attempt is given up when its gateway's process is certainly gone, when the
+gateway was missing from the membership for long, or when it took longer than any
+honest gateway lets it take. Giving up is safe while the gateway still lives: its
+later dispatch is refused, and its later outcome is not stored.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from notcharch.programs.record import CallPhase, OpenCall
+from notcharch.values.identifiers import Member
+
+WAITS_BEFORE_DISPATCH = 2
+"""A call waits at most so many times the row's `max_wait_seconds` before its
+dispatch: once for a concurrency slot and once in an engine's queue."""
+
+DISPATCH_SLACK_SECONDS = 30.0
+
+
+class WatchLimits(msgspec.Struct, frozen=True):
+    """How long an attempt may go on, seconds."""
+
+    gateway_dead_seconds: float
+    attempt_seconds: float
+
+
+class AttemptWatch:
+    """Remembers since when gateways are missing, and judges attempts by it."""
+
+    def __init__(self, limits: WatchLimits) -> None:
+        """Take the limits."""
+        self._limits = limits
+        self._missing_since: dict[Member, float] = {}
+
+    def observe(self, gateways: set[Member], live: set[Member], now: float) -> None:
+        """Note which of the gateways of running attempts are missing at `now`."""
+        missing = gateways - live
+        self._missing_since = {
+            member: self._missing_since.get(member, now) for member in missing
+        }
+
+    def reason_to_abandon(
+        self, call: OpenCall, max_wait_seconds: float, *, dead: bool, now: float
+    ) -> str | None:
+        """Say why an attempt is given up, or None to let it go on.
+
+        `max_wait_seconds` is the cell of the program's row; `dead` tells whether
+        the gateway's process is certainly gone.
+        """
+        if dead:
+            return f"the gateway {call.gateway.daemon} was lost"
+        since = self._missing_since.get(call.gateway)
+        if since is not None and now - since >= self._limits.gateway_dead_seconds:
+            return f"the gateway {call.gateway.daemon} is missing"
+        if now - call.phase_at >= self._longest(call, max_wait_seconds):
+            return f"the attempt took too long after it was {call.phase.value}"
+        return None
+
+    def _longest(self, call: OpenCall, max_wait_seconds: float) -> float:
+        if call.phase is CallPhase.ADMITTED:
+            return WAITS_BEFORE_DISPATCH * max_wait_seconds + DISPATCH_SLACK_SECONDS
+        return self._limits.attempt_seconds
+
+
+def gateways_of(calls: Iterable[OpenCall]) -> set[Member]:
+    """Give the gateways that drive the calls."""
+    return {call.gateway for call in calls}
--- a/notcharch/programs/changes.py
+++ b/notcharch/programs/changes.py
@@ -1,5 +1,7 @@
 """Waiting, bounded in number and time, for a program's state to change."""
 
+from collections.abc import Iterable
+
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
@@ -8,6 +10,8 @@
 MAX_WAITERS = 20_000
 """Requests that may wait in one daemon at once."""
 
+LONGEST_SLEEP_SECONDS = 5.0
+
 
 class ProgramChanges:
     """Wakes those who wait for a program; they then look at the state again."""
@@ -32,11 +36,16 @@
         return tuple(self._waiters)
 
     async def wait(self, program: ProgramId, seconds: float) -> None:
-        """Return after the program's next change, or after `seconds`."""
+        """Return after the program's next change, or after `seconds`.
+
+        It returns after `LONGEST_SLEEP_SECONDS` in any case: a command whose
+        outcome was not learnt may take effect without a notice.
+        """
+        pause = min(seconds, LONGEST_SLEEP_SECONDS)
         woken: Deferred[None] = Deferred()
         self._waiters.setdefault(program, set()).add(woken)
         self._count += 1
-        timeout = self._clock.callLater(seconds, self._wake, program, woken)
+        timeout = self._clock.callLater(pause, self._wake, program, woken)
         try:
             await woken
         finally:
@@ -49,6 +58,11 @@
         for woken in tuple(self._waiters.get(program, ())):
             self._wake(program, woken)
 
+    def notify_all(self, programs: Iterable[ProgramId]) -> None:
+        """Wake everybody who waits for one of the programs."""
+        for program in programs:
+            self.notify(program)
+
     def _wake(self, program: ProgramId, woken: "Deferred[None]") -> None:
         self._drop(program, woken)
         if not woken.called:
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -35,10 +35,15 @@
 
 
 class ReleaseDuty(msgspec.Struct, frozen=True, order=True):
-    """An engine that may hold memory of a program, until it confirms that not."""
+    """An engine that may hold memory of a program, until it confirms that not.
+
+    `number` grows with each duty of the partition, so that a late confirmation of
+    an earlier one cannot confirm a newer one for the same program and engine.
+    """
 
     program: ProgramId
     engine: EngineName
+    number: int
 
 
 class ExpiryCheck(msgspec.Struct, frozen=True):
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -6,17 +6,23 @@
 """
 
 from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
 
+from notcharch.events.event import emit
+from notcharch.events.programs import SweepFailed
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.placement.partitions import partition_of_program
+from notcharch.programs.attempt_watch import AttemptWatch, WatchLimits
 from notcharch.programs.call_handlers import CallHandlers
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.led_programs import LedPrograms, ProgramsOf
 from notcharch.programs.program_handlers import ProgramHandlers
+from notcharch.programs.release_service import ReleaseService
+from notcharch.programs.upkeep_service import UpkeepService
 from notcharch.replication.interface import PartitionReplicas
 from notcharch.settings.schema import ProgramsSection
 from notcharch.table.interface import TableView
-from notcharch.values.identifiers import Epoch, PartitionNumber, ProgramId
+from notcharch.values.identifiers import Epoch, PartitionNumber
 from notcharch.wire.peers import PeerNetwork
 
 
@@ -41,25 +47,44 @@
         `programs_of` gives the `ProgramsState` of a partition replicated here, or
         None. `clock` gives seconds since 1970.
         """
-        self._changes = ProgramChanges(clock)
         now = clock.seconds
-        self._led = LedPrograms(replicas, programs_of, now)
-        calls = CallHandlers(
-            self._led, self._changes, table, now, settings.early_wait_seconds
+        self._changes = ProgramChanges(clock)
+        led = LedPrograms(replicas, programs_of, now)
+        early_seconds = settings.early_wait_seconds
+        CallHandlers(led, self._changes, table, now, early_seconds).register(network)
+        ProgramHandlers(led, self._changes, table, now).register(network)
+        limits = WatchLimits(settings.gateway_dead_seconds, settings.attempt_seconds)
+        self._upkeep = UpkeepService(
+            led=led,
+            changes=self._changes,
+            table=table,
+            membership=membership,
+            watch=AttemptWatch(limits),
+            retention_seconds=settings.retention_seconds,
+            now=now,
         )
-        calls.register(network)
-        programs = ProgramHandlers(self._led, self._changes, table, now, self._on_ended)
-        programs.register(network)
+        self._releases = ReleaseService(led, replicas, router, directory, now)
+        self._sweep_seconds = settings.sweep_seconds
+        self._loop = LoopingCall(self._step)
+        self._loop.clock = clock
         replicas.on_leadership(self._on_leadership)
 
     def start(self) -> None:
         """Begin the periodic work."""
+        self._loop.start(self._sweep_seconds, now=False)
 
     def stop(self) -> None:
         """End the periodic work."""
+        if self._loop.running:
+            self._loop.stop()
 
-    def _on_ended(self, program: ProgramId) -> None:
-        pass
+    def _step(self) -> None:
+        for step in (self._upkeep.step, self._releases.step):
+            try:
+                step()
+            except Exception as error:
+                # A defect in one step must not end the periodic work.
+                emit(SweepFailed(repr(error)))
 
     def _on_leadership(self, partition: PartitionNumber, epoch: Epoch | None) -> None:
         if epoch is not None:
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -42,14 +42,12 @@
         changes: ProgramChanges,
         table: TableView,
         now: Callable[[], float],
-        on_ended: Callable[[ProgramId], None],
     ) -> None:
-        """Call `on_ended` after a program's end was committed."""
+        """Take what the handlers read and where they propose."""
         self._led = led
         self._changes = changes
         self._table = table
         self._now = now
-        self._on_ended = on_ended
 
     def register(self, network: PeerNetwork) -> None:
         """Register the handlers."""
@@ -97,8 +95,8 @@
         assert isinstance(message, EndProgram)
         command = StopProgram(self._now(), message.program, message.tenant)
         await self._led.propose(message.program, command)
-        self._changes.notify(message.program)
-        self._on_ended(message.program)
+        state = self._led.state_of(message.program)
+        self._changes.notify_all(state.tree_below(message.program))
         return ProgramEnded()
 
     async def _on_history(self, sender: Member, message: Message) -> Message:
--- /dev/null
+++ b/notcharch/programs/release_plan.py
@@ -0,0 +1,91 @@
+"""Decides when the release of an engine's memory is asked again. Pure.
+
+What is owed is replicated state; the plan only remembers, in the leader's memory,
+what was asked when. A new leader begins with an empty plan and asks at once.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from notcharch.programs.commands import ReleaseDuty
+
+FIRST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 30.0
+MAX_IN_FLIGHT = 64
+"""Releases that one daemon asks for at once."""
+
+ENGINE_GONE_SECONDS = 30.0
+"""An engine missing from the directory for so long is gone with its memory. The
+directory lags: an engine may serve before this daemon has read of it."""
+
+
+class ReleaseProgress(msgspec.Struct):
+    """What the leader did for one duty so far; times are in seconds."""
+
+    tries: int = 0
+    asking: bool = False
+    next_at: float = 0.0
+    engine_missing_since: float | None = None
+
+
+class ReleasePlan:
+    """The progress of all duties of the led partitions."""
+
+    def __init__(self) -> None:
+        """Begin with nothing asked."""
+        self._progress: dict[ReleaseDuty, ReleaseProgress] = {}
+        self._in_flight = 0
+
+    def retain(self, owed: Iterable[ReleaseDuty]) -> None:
+        """Forget the progress of what is not owed any more, unless it is asked now."""
+        still = set(owed)
+        self._progress = {
+            duty: progress
+            for duty, progress in self._progress.items()
+            if duty in still or progress.asking
+        }
+
+    def due(self, owed: Iterable[ReleaseDuty], now: float) -> list[ReleaseDuty]:
+        """Give the duties to ask for now, and note them as being asked."""
+        chosen: list[ReleaseDuty] = []
+        for duty in owed:
+            if self._in_flight >= MAX_IN_FLIGHT:
+                break
+            progress = self._progress.setdefault(duty, ReleaseProgress())
+            if progress.asking or now < progress.next_at:
+                continue
+            progress.asking = True
+            progress.tries += 1
+            self._in_flight += 1
+            chosen.append(duty)
+        return chosen
+
+    def answered(self, duty: ReleaseDuty, *, confirmed: bool, now: float) -> int:
+        """Note the reply to a request; gives how often it was asked for."""
+        progress = self._progress.setdefault(duty, ReleaseProgress())
+        if progress.asking:
+            progress.asking = False
+            self._in_flight -= 1
+        if not confirmed:
+            wait = FIRST_RETRY_SECONDS * 2.0 ** (progress.tries - 1)
+            progress.next_at = now + min(wait, LONGEST_RETRY_SECONDS)
+        return progress.tries
+
+    def gone(
+        self,
+        owed: Iterable[ReleaseDuty],
+        known: Callable[[ReleaseDuty], bool],
+        now: float,
+    ) -> list[ReleaseDuty]:
+        """Give the duties whose engine has been missing for long."""
+        found: list[ReleaseDuty] = []
+        for duty in owed:
+            progress = self._progress.setdefault(duty, ReleaseProgress())
+            if known(duty):
+                progress.engine_missing_since = None
+            elif progress.engine_missing_since is None:
+                progress.engine_missing_since = now
+            elif now - progress.engine_missing_since >= ENGINE_GONE_SECONDS:
+                found.append(duty)
+        return found
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -82,6 +82,15 @@
         """Give the budget of a program's tree, to be read only."""
         return self._store.budget_of(record)
 
+    def tree_below(self, program: ProgramId) -> Iterator[ProgramId]:
+        """Give a program, if it is known, and everything below it in its tree."""
+        pending = [program]
+        while pending:
+            record = self._store.records.get(pending.pop())
+            if record is not None:
+                yield record.program
+                pending.extend(record.children)
+
     def programs(self) -> tuple[ProgramId, ...]:
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
@@ -90,6 +99,10 @@
         """Give the programs with a running attempt."""
         return tuple(self._store.running)
 
+    def owes_release(self, program: ProgramId) -> bool:
+        """Tell whether an engine has yet to confirm a program's release."""
+        return program in self._store.duties
+
     def duties(self) -> Iterator[ReleaseDuty]:
         """Give the releases that are not confirmed."""
         return self._store.all_duties()
--- a/notcharch/programs/store.py
+++ b/notcharch/programs/store.py
@@ -24,6 +24,7 @@
     format: int
     records: list[ProgramRecord]
     duties: list[ReleaseDuty]
+    next_duty: int
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -36,7 +37,8 @@
     def __init__(self) -> None:
         """Begin empty."""
         self.records: dict[ProgramId, ProgramRecord] = {}
-        self.duties: dict[ProgramId, set[EngineName]] = {}
+        self.duties: dict[ProgramId, dict[EngineName, int]] = {}
+        self.next_duty = 1
         self.running: set[ProgramId] = set()
 
     def visible(self, program: ProgramId, tenant: TenantName) -> ProgramRecord | None:
@@ -60,23 +62,29 @@
         return budget
 
     def add_duty(self, program: ProgramId, engine: EngineName) -> None:
-        """Owe a release of the program's memory on an engine."""
-        self.duties.setdefault(program, set()).add(engine)
+        """Owe a release of the program's memory on an engine, as a new duty."""
+        self.duties.setdefault(program, {})[engine] = self.next_duty
+        self.next_duty += 1
 
     def drop_duty(self, program: ProgramId, engine: EngineName) -> None:
         """Owe a release no longer; harmless when it is not owed."""
         engines = self.duties.get(program)
         if engines is None:
             return
-        engines.discard(engine)
+        engines.pop(engine, None)
         if not engines:
             del self.duties[program]
 
+    def confirm_duty(self, duty: ReleaseDuty) -> None:
+        """Drop exactly this duty, not a newer one for the same engine."""
+        if self.duties.get(duty.program, {}).get(duty.engine) == duty.number:
+            self.drop_duty(duty.program, duty.engine)
+
     def all_duties(self) -> Iterator[ReleaseDuty]:
         """Give every release that is owed."""
         for program, engines in self.duties.items():
-            for engine in engines:
-                yield ReleaseDuty(program, engine)
+            for engine, number in engines.items():
+                yield ReleaseDuty(program, engine, number)
 
     def note_running(self, record: ProgramRecord) -> None:
         """Bring the index of running attempts up to date with a record."""
@@ -88,7 +96,8 @@
     def snapshot(self) -> bytes:
         """Encode records and duties in sorted order."""
         records = [self.records[program] for program in sorted(self.records)]
-        whole = StoreSnapshot(SNAPSHOT_FORMAT, records, sorted(self.all_duties()))
+        duties = sorted(self.all_duties())
+        whole = StoreSnapshot(SNAPSHOT_FORMAT, records, duties, self.next_duty)
         return _encoder.encode(whole)
 
     def restore(self, snapshot: bytes) -> None:
@@ -102,7 +111,8 @@
             self.add(record)
         self.duties = {}
         for duty in whole.duties:
-            self.add_duty(duty.program, duty.engine)
+            self.duties.setdefault(duty.program, {})[duty.engine] = duty.number
+        self.next_duty = whole.next_duty
         self.running = {
             record.program for record in whole.records if record.running_call
         }
--- a/notcharch/programs/tree.py
+++ b/notcharch/programs/tree.py
@@ -154,7 +154,7 @@
 def confirm(store: ProgramStore, command: ConfirmReleases) -> CommandResult:
     """Drop confirmed duties."""
     for duty in command.duties:
-        store.drop_duty(duty.program, duty.engine)
+        store.confirm_duty(duty)
     return CommandDone()
 
 
