--- /dev/null
+++ b/notcharch/admin/order_routes.py
@@ -0,0 +1,161 @@
+"""What operators order: drains, pauses of services, the end of a program."""
+
+import msgspec
+from result import Err, Result
+
+from notcharch.admin.authentication import Role
+from notcharch.admin.routes import AdminRequest, Routes, bad_request
+from notcharch.admin.scatter import expect
+from notcharch.admin.table_routes import TableRoutes
+from notcharch.errors import Finding, Problem, ProblemCode
+from notcharch.placement.interface import Router
+from notcharch.placement.partitions import partition_of_program
+from notcharch.table.draft import ChangeCell, ChangesDraft
+from notcharch.table.interface import TableView
+from notcharch.table.publisher import PublishRequest
+from notcharch.values.identifiers import (
+    DaemonName,
+    EngineName,
+    ProgramId,
+    ServiceName,
+)
+from notcharch.wire.messages.administration import DrainDaemon, DrainStarted
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.engines import Acknowledged, DrainEngine
+from notcharch.wire.messages.programs import (
+    DescribeProgram,
+    EndProgram,
+    ProgramDescription,
+    ProgramEnded,
+)
+from notcharch.wire.peers import PeerNetwork
+
+ORDER_SECONDS = 10.0
+PAUSED_CELL = "paused"
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A daemon or an engine; `drain: false` takes the order back."""
+
+    daemon: DaemonName | None = None
+    engine: EngineName | None = None
+    drain: bool = True
+
+
+class DrainAnswer(msgspec.Struct, frozen=True):
+    """The order was taken; `running_calls` are still to end (of a daemon)."""
+
+    name: str
+    draining: bool
+    running_calls: int | None
+
+
+class ProgramEndedAnswer(msgspec.Struct, frozen=True):
+    """The program is ended, and its children with it."""
+
+    program: ProgramId
+
+
+class OrderRoutes:
+    """The routes that change something other than the table."""
+
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        router: Router,
+        table: TableView,
+        table_routes: TableRoutes,
+    ) -> None:
+        """Take the ways to daemons, stewards and partitions, and the table's."""
+        self._network = network
+        self._router = router
+        self._table = table
+        self._table_routes = table_routes
+
+    def add_to(self, routes: Routes) -> None:
+        """Add all routes."""
+        routes.add("POST", "/drain", Role.ADMINISTRATOR, self._drain)
+        routes.add("POST", "/services/<service>/pause", Role.EDITOR, self._pause)
+        routes.add("POST", "/services/<service>/resume", Role.EDITOR, self._resume)
+        routes.add("GET", "/programs/<program>", Role.VIEWER, self._program)
+        routes.add("DELETE", "/programs/<program>", Role.ADMINISTRATOR, self._end)
+
+    async def _drain(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
+        read = request.read_body(DrainBody)
+        if isinstance(read, Err):
+            return read
+        body = read.ok_value
+        if body.daemon is not None and body.engine is None:
+            return await self._drain_daemon(body.daemon, body.drain)
+        if body.engine is not None and body.daemon is None:
+            return await self._drain_engine(body.engine, body.drain)
+        finding = Finding("body", "needs either daemon or engine")
+        return Err(bad_request("the body cannot be read", finding))
+
+    async def _drain_daemon(
+        self, daemon: DaemonName, drain: bool
+    ) -> Result[msgspec.Struct, Problem]:
+        reply = await self._network.request(daemon, DrainDaemon(drain), ORDER_SECONDS)
+        started = reply.and_then(lambda message: expect(message, DrainStarted))
+        return started.map(
+            lambda message: DrainAnswer(daemon, drain, message.running_calls)
+        )
+
+    async def _drain_engine(
+        self, engine: EngineName, drain: bool
+    ) -> Result[msgspec.Struct, Problem]:
+        order = DrainEngine(engine, drain)
+        reply = await self._router.to_steward(engine, order, ORDER_SECONDS)
+        taken = reply.and_then(lambda message: expect(message, Acknowledged))
+        return taken.map(lambda _: DrainAnswer(engine, drain, None))
+
+    async def _pause(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
+        return await self._set_paused(request, paused=True)
+
+    async def _resume(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
+        return await self._set_paused(request, paused=False)
+
+    async def _set_paused(
+        self, request: AdminRequest, *, paused: bool
+    ) -> Result[msgspec.Struct, Problem]:
+        service = ServiceName(request.arguments["service"])
+        if self._table.row(service) is None:
+            message = f"there is no service {service}"
+            return Err(Problem.of(ProblemCode.NOT_FOUND, message))
+        change = ChangeCell(service, PAUSED_CELL, paused)
+        publication = PublishRequest(
+            draft=ChangesDraft((change,)),
+            base_version=self._table.version,
+            author=request.operator.name,
+            note="pause" if paused else "resume",
+        )
+        return await self._table_routes.publish(request, publication)
+
+    async def _program(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
+        return await self._describe(ProgramId(request.arguments["program"]))
+
+    async def _end(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
+        program = ProgramId(request.arguments["program"])
+        described = await self._describe(program)
+        if isinstance(described, Err):
+            return described
+        order = EndProgram(program, described.ok_value.tenant)
+        reply = await self._to_leader(program, order)
+        ended = reply.and_then(lambda message: expect(message, ProgramEnded))
+        return ended.map(lambda _: ProgramEndedAnswer(program))
+
+    async def _describe(
+        self, program: ProgramId
+    ) -> Result[ProgramDescription, Problem]:
+        reply = await self._to_leader(program, DescribeProgram(program, None))
+        return reply.and_then(lambda message: expect(message, ProgramDescription))
+
+    async def _to_leader(
+        self, program: ProgramId, message: Message
+    ) -> Result[Message, Problem]:
+        partition = partition_of_program(program)
+        if partition is None:
+            detail = f"{program} is not a program's id"
+            return Err(Problem.of(ProblemCode.NOT_FOUND, detail))
+        return await self._router.to_partition(partition, message, ORDER_SECONDS)
--- a/notcharch/admin/resource.py
+++ b/notcharch/admin/resource.py
@@ -5,10 +5,12 @@
 
 from notcharch.admin.authentication import OperatorKeys
 from notcharch.admin.in_force import InForceWait
+from notcharch.admin.order_routes import OrderRoutes
+from notcharch.admin.region_routes import RegionRoutes
 from notcharch.admin.routes import Routes
 from notcharch.admin.scatter import Scatter
 from notcharch.admin.table_routes import TableRoutes
-from notcharch.placement.interface import MembershipView
+from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.settings.schema import OperatorKey
 from notcharch.table.publisher import TablePublisher
 from notcharch.table.replica_service import TableReplica
@@ -24,6 +26,8 @@
         clock: IReactorTime,
         network: PeerNetwork,
         membership: MembershipView,
+        router: Router,
+        engines: EngineDirectory,
         replica: TableReplica,
         publisher: TablePublisher,
         operator_keys: tuple[OperatorKey, ...],
@@ -33,7 +37,13 @@
         scatter = Scatter(clock=clock, network=network, membership=membership)
         wait = InForceWait(clock=clock, scatter=scatter)
         table = TableRoutes(replica=replica, publisher=publisher, wait=wait)
+        region = RegionRoutes(scatter=scatter, table=replica, engines=engines)
+        orders = OrderRoutes(
+            network=network, router=router, table=replica, table_routes=table
+        )
         table.add_to(self._routes)
+        region.add_to(self._routes)
+        orders.add_to(self._routes)
 
     def resource(self) -> IResource:
         """Give the resource to mount."""
--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -22,7 +22,7 @@
     TablePublisher,
     unknown_version,
 )
-from notcharch.table.replay import HistoryEntry
+from notcharch.table.replay import HistoryEntry, Verdict
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import RecordId, TableVersion
 
@@ -82,12 +82,30 @@
     id: RecordId | None = None
 
 
+class HistoryItem(msgspec.Struct, frozen=True):
+    """A publication; `version` is null for one that is not in force.
+
+    `findings` are the conflicts or broken rules of a refused one; `at` is seconds
+    since 1970.
+    """
+
+    version: TableVersion | None
+    id: RecordId
+    author: str
+    at: float
+    base_version: TableVersion
+    verdict: Verdict
+    edits: tuple[AnyEdit, ...]
+    findings: tuple[Finding, ...]
+    note: str
+
+
 class HistoryAnswer(msgspec.Struct, frozen=True):
     """Publications, newest first; older ones than `horizon` are forgotten."""
 
     version: TableVersion
     horizon: TableVersion
-    entries: tuple[HistoryEntry, ...]
+    entries: tuple[HistoryItem, ...]
 
 
 class TableRoutes:
@@ -172,7 +190,8 @@
             return limit
         state = self._replica.state
         newest = state.history[-int(limit.ok_value) :]
-        return Ok(HistoryAnswer(state.version, state.horizon, newest[::-1]))
+        items = tuple(_history_item(entry) for entry in reversed(newest))
+        return Ok(HistoryAnswer(state.version, state.horizon, items))
 
     async def _rollback(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
         read = request.read_body(RollbackBody)
@@ -209,6 +228,20 @@
         return request.number("seconds", IN_FORCE_SECONDS, 0.1, MOST_SECONDS)
 
 
+def _history_item(entry: HistoryEntry) -> HistoryItem:
+    return HistoryItem(
+        version=entry.version if entry.is_in_force else None,
+        id=entry.id,
+        author=entry.author,
+        at=entry.at,
+        base_version=entry.base_version,
+        verdict=entry.verdict,
+        edits=entry.edits,
+        findings=entry.findings,
+        note=entry.note,
+    )
+
+
 def _draft_of(body: PublishBody) -> Result[tuple[PublishBody, Draft], Problem]:
     """Take either the changes or the whole table out of a body."""
     if body.changes is not None and body.rows is None and body.keys is None:
--- a/notcharch/table/schema.py
+++ b/notcharch/table/schema.py
@@ -26,7 +26,8 @@
 MOST_KEYS = 50_000
 MOST_TOKENS = 10**12
 MOST_SECONDS = 10 * 365 * 86_400.0
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}")
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+POOL_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 _CELL_TYPES: Mapping[str, Any] = {
@@ -57,13 +58,16 @@
     return lambda value: math.isfinite(value) and least <= value <= most
 
 
-_NAME_MESSAGE = (
-    "must be 1 to 128 letters, digits or . _ / : - (a letter or digit first)"
-)
+def _is_pool(value: str) -> bool:
+    return POOL_PATTERN.fullmatch(value) is not None
+
+
+_NAME_MESSAGE = "must be 1 to 128 letters, digits, . _ - (a letter or digit first)"
+_POOL_MESSAGE = "must be 1 to 128 letters, digits, . _ - / : (a letter or digit first)"
 _CELL_RULES = (
     CellRule("service", _is_name, _NAME_MESSAGE),
     CellRule("tenant", _is_name, _NAME_MESSAGE),
-    CellRule("pool", _is_name, _NAME_MESSAGE),
+    CellRule("pool", _is_pool, _POOL_MESSAGE),
     CellRule("share", lambda value: value > 0, "must be above 0"),
     CellRule("share", lambda value: not value > 1e9, "must be at most 1000000000"),
     CellRule("priority", _is_between(0, 9), "must be from 0 to 9"),
--- a/tests/stateful/table/test_publication_faults.py
+++ b/tests/stateful/table/test_publication_faults.py
@@ -18,8 +18,8 @@
     return PublishRequest(draft, base, "olga", id=record)
 
 
-def set_cell(cell, value, base, author="olga", service="guide", record=None):
-    draft = ChangesDraft((ChangeCell(service, cell, value),))
+def set_cell(cell, value, base, author="olga", record=None):
+    draft = ChangesDraft((ChangeCell("guide", cell, value),))
     return PublishRequest(draft, base, author, id=record)
 
 
--- /dev/null
+++ b/tests/unit/admin/admin_client.py
@@ -0,0 +1,146 @@
+"""A region of replicas with the operators' interface, driven over HTTP in memory."""
+
+import hashlib
+import json
+
+import attrs
+from result import Err, Ok
+from treq.testing import StubTreq
+from twisted.internet.defer import Deferred, succeed
+from twisted.web.resource import Resource
+
+from notcharch.admin.daemon_handlers import DaemonActivity, DaemonHandlers
+from notcharch.admin.resource import AdminResource
+from notcharch.errors import Problem, ProblemCode
+from notcharch.placement.interface import LiveMember
+from notcharch.settings.schema import OperatorKey
+from notcharch.values.identifiers import ZoneName
+from notcharch.wire.messages.administration import PartitionDescription
+from tests.stateful.table.region import Region
+
+ROLES = ("viewer", "editor", "administrator")
+KEYS = tuple(
+    OperatorKey(f"op-{role}", hashlib.sha256(role.encode()).hexdigest(), role)
+    for role in ROLES
+)
+
+
+class FakeMembership:
+    """All daemons of the region are believed alive."""
+
+    def __init__(self, region):
+        self._region = region
+
+    def live_members(self):
+        return tuple(
+            LiveMember(process.daemon.member, ZoneName("zone1"), "", False)
+            for process in self._region.processes.values()
+        )
+
+
+class FakeRouter:
+    """Answers from a table of message types; remembers what was sent."""
+
+    def __init__(self):
+        self.replies = {}
+        self.sent = []
+
+    def to_partition(self, partition, message, timeout_seconds):
+        return self._answer(message)
+
+    def to_steward(self, engine, message, timeout_seconds):
+        return self._answer(message)
+
+    def _answer(self, message):
+        self.sent.append(message)
+        reply = self.replies.get(type(message))
+        if reply is None:
+            missing = Problem.of(ProblemCode.NOT_FOUND, "unknown")
+            return succeed(Err(missing))
+        return succeed(Ok(reply))
+
+
+class FakeDirectory:
+    """The engines of the machine list."""
+
+    def __init__(self):
+        self.machines = ()
+
+    def all_engines(self):
+        return self.machines
+
+
+@attrs.frozen
+class Answer:
+    status: int
+    body: dict
+    headers: object
+
+
+class AdminRegion:
+    """`count` replicas; requests go to the first daemon's interface."""
+
+    def __init__(self, count=3):
+        self.region = Region(count)
+        self.router = FakeRouter()
+        self.directory = FakeDirectory()
+        self.drained = []
+        for process in self.region.processes.values():
+            self._add_handlers(process)
+        first = self.region.process(0)
+        admin = AdminResource(
+            clock=first.clock,
+            network=first.daemon.network,
+            membership=FakeMembership(self.region),
+            router=self.router,
+            engines=self.directory,
+            replica=first.replica,
+            publisher=first.publisher,
+            operator_keys=KEYS,
+        )
+        root, mount = Resource(), Resource()
+        root.putChild(b"admin", mount)
+        mount.putChild(b"v1", admin.resource())
+        self._client = StubTreq(root)
+        self.region.run(1.0)
+
+    def _add_handlers(self, process):
+        name = process.daemon.member.daemon
+        DaemonHandlers(
+            clock=process.clock,
+            network=process.daemon.network,
+            zone=ZoneName("zone1"),
+            replica=process.replica,
+            activity=lambda: DaemonActivity("live", 2),
+            partitions=lambda: (
+                PartitionDescription(0, name == "d0", 1, 9, 8, 100, 3, 1, 50, 2),
+            ),
+            drain=lambda drain: self.drained.append((name, drain)),
+        )
+
+    def ask(self, method, path, body=None, role="administrator", key=None):
+        headers = {"authorization": f"Bearer {key or role}"} if key or role else {}
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        requesting = self._client.request(
+            method,
+            "http://127.0.0.1/admin/v1" + path,
+            headers=headers,
+            data=data if body is not None else None,
+        )
+        answers = []
+        requesting.addCallback(self._read).addBoth(answers.append)
+        for _ in range(4000):
+            self._client.flush()
+            if answers:
+                break
+            self.region.run(0.05)
+        assert answers, "no answer"
+        if hasattr(answers[0], "raiseException"):
+            answers[0].raiseException()
+        return answers[0]
+
+    def _read(self, response) -> Deferred:
+        reading = self._client.content(response)
+        return reading.addCallback(
+            lambda data: Answer(response.code, json.loads(data), response.headers)
+        )
