Add leased allotments of services' concurrency

Cause: a service's concurrency holds over all daemons, also while one of them is paused, cut off or replaced.

Weighed: counting at the limiter for each call (a round trip and a commit per call) against leases; a lease that shrinks at the limiter while its holder still believes the old size would be given out twice, so each request carries a promise (`held`) that bounds the holder until it has the reply, and a number that makes late duplicates harmless.

A new leader's clock restarts all leases. Slots of a lapsed lease are kept for the longest call (new setting `services.longest_call_seconds`).

--- /dev/null
+++ b/notcharch/services/limiter_service.py
@@ -0,0 +1,197 @@
+"""Answers requests for allotments at the leader of a service's partition."""
+
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.errors import Problem, ProblemCode
+from notcharch.errors.problem import ProblemError
+from notcharch.placement.interface import MembershipView
+from notcharch.placement.partitions import partition_of_service
+from notcharch.replication.interface import (
+    Command,
+    CommandRefused,
+    CommandResult,
+    PartitionReplicas,
+)
+from notcharch.services.allotments import (
+    AllotmentsState,
+    DropHolder,
+    RequestSlots,
+    SlotsRecorded,
+)
+from notcharch.settings.schema import ServicesSection
+from notcharch.table.interface import ServiceRow, TableView
+from notcharch.values.identifiers import Member, PartitionNumber, ServiceName
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.services import (
+    AllotmentDescription,
+    AllotmentGranted,
+    AllotmentListing,
+    ListAllotments,
+    RequestAllotment,
+    YieldSlots,
+)
+from notcharch.wire.peers import PeerNetwork
+
+ENGINE_RESUME_SECONDS = 15.0
+"""Streams of a dead gateway have ended on the engines after this time."""
+
+YIELD_SECONDS = 0.5
+"""Least time between two notices to the holders of one service."""
+
+NO_TABLE_RETRY_SECONDS = 1.0
+
+
+class LimiterService:
+    """Handles `RequestAllotment` and `ListAllotments`.
+
+    `monotonic` gives seconds of a clock that is never set: leases must not end
+    early because an operator or a time server moved the wall clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        replicas: PartitionReplicas,
+        allotments_of: Callable[[PartitionNumber], AllotmentsState | None],
+        table: TableView,
+        membership: MembershipView,
+        clock: IReactorTime,
+        monotonic: Callable[[], float],
+        settings: ServicesSection,
+        partition_count: int,
+    ) -> None:
+        """Register the handlers."""
+        self._network = network
+        self._replicas = replicas
+        self._allotments_of = allotments_of
+        self._table = table
+        self._membership = membership
+        self._monotonic = monotonic
+        self._wall_offset = clock.seconds() - monotonic()
+        self._settings = settings
+        self._partition_count = partition_count
+        self._dead_since: dict[Member, float] = {}
+        self._yield_asked_at: dict[ServiceName, float] = {}
+        network.on_request(RequestAllotment, self._on_request)
+        network.on_request(ListAllotments, self._on_list)
+
+    async def _on_request(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, RequestAllotment)
+        row = self._row(message.service)
+        partition = partition_of_service(message.service, self._partition_count)
+        await self._drop_dead(partition, message.service)
+        command = self._command(message, row)
+        recorded = await self._propose(partition, command)
+        if not isinstance(recorded, SlotsRecorded):
+            raise ProblemError(
+                Problem.of(ProblemCode.INTERNAL, "the partition answered no slots")
+            )
+        if recorded.contended:
+            self._ask_to_yield(partition, message, row)
+        return AllotmentGranted(
+            message.service, recorded.number, recorded.slots, recorded.lease_seconds
+        )
+
+    def _row(self, service: ServiceName) -> ServiceRow:
+        row = self._table.row(service)
+        if row is not None:
+            return row
+        if self._table.version == 0:
+            raise ProblemError(
+                Problem.of(
+                    ProblemCode.UNAVAILABLE,
+                    "the limiter has no table yet",
+                    retry_after=NO_TABLE_RETRY_SECONDS,
+                )
+            )
+        raise ProblemError(
+            Problem.of(ProblemCode.NOT_FOUND, f"the table has no service {service}")
+        )
+
+    def _command(self, request: RequestAllotment, row: ServiceRow) -> RequestSlots:
+        lease = self._settings.lease_seconds
+        drift = self._settings.clock_drift
+        longest_lease = lease * (1 + drift) / (1 - drift)
+        longest_call = self._settings.longest_call_seconds * (1 + drift)
+        return RequestSlots(
+            at=self._at(),
+            service=request.service,
+            holder=request.holder,
+            number=request.number,
+            wanted=max(0, request.wanted),
+            held=max(0, request.held),
+            concurrency=0 if row.paused else row.concurrency,
+            lease_seconds=lease,
+            keep_seconds=longest_lease + longest_call,
+        )
+
+    def _at(self) -> float:
+        """Give seconds since 1970 as of the start, moved on by the steady clock."""
+        return self._wall_offset + self._monotonic()
+
+    async def _propose(
+        self, partition: PartitionNumber, command: Command
+    ) -> CommandResult:
+        outcome = await self._replicas.propose(partition, command)
+        if outcome.is_err():
+            raise ProblemError(outcome.unwrap_err())
+        result = outcome.unwrap()
+        if isinstance(result, CommandRefused):
+            raise ProblemError(result.problem)
+        return result
+
+    async def _drop_dead(
+        self, partition: PartitionNumber, service: ServiceName
+    ) -> None:
+        """Free the slots of processes that died long enough ago."""
+        state = self._allotments_of(partition)
+        if state is None:
+            return
+        now = self._monotonic()
+        for lease in state.leases(service):
+            if not self._membership.is_certainly_dead(lease.holder):
+                self._dead_since.pop(lease.holder, None)
+                continue
+            since = self._dead_since.setdefault(lease.holder, now)
+            if now - since >= ENGINE_RESUME_SECONDS:
+                await self._propose(
+                    partition, DropHolder(self._at(), service, lease.holder)
+                )
+
+    def _ask_to_yield(
+        self, partition: PartitionNumber, request: RequestAllotment, row: ServiceRow
+    ) -> None:
+        """Tell holders above their share that somebody waits."""
+        state = self._allotments_of(partition)
+        now = self._monotonic()
+        asked_at = self._yield_asked_at.get(request.service)
+        if state is None or (asked_at is not None and now - asked_at < YIELD_SECONDS):
+            return
+        self._yield_asked_at[request.service] = now
+        for holder in state.holders_above_share(request.service, row.concurrency):
+            if holder != request.holder:
+                self._network.notify(holder.daemon, YieldSlots(request.service))
+
+    async def _on_list(self, sender: Member, message: Message) -> Message:
+        descriptions: list[AllotmentDescription] = []
+        for partition in self._replicas.led_partitions():
+            state = self._allotments_of(partition)
+            if state is not None:
+                descriptions.extend(self._describe(state))
+        return AllotmentListing(tuple(descriptions))
+
+    def _describe(self, state: AllotmentsState) -> list[AllotmentDescription]:
+        now = self._at()
+        return [
+            AllotmentDescription(
+                service,
+                lease.holder,
+                lease.counted,
+                max(0.0, lease.lapses_at - now),
+            )
+            for service in state.services()
+            for lease in state.leases(service)
+        ]
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -169,6 +169,14 @@
     clock_drift: Annotated[
         float, Meta(ge=0, le=0.5, description="greatest clock drift, as a fraction")
     ] = 0.05
+    longest_call_seconds: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=3600,
+            description="slots of a lapsed lease are kept so long for running calls",
+        ),
+    ] = 120.0
 
 
 class TableSection(Section, frozen=True, kw_only=True):
--- a/notcharch/wire/messages/services.py
+++ b/notcharch/wire/messages/services.py
@@ -9,26 +9,41 @@
 
 
 class RequestAllotment(Message, frozen=True):
-    """Ask for (or renew) concurrency slots; `wanted` replaces earlier asks.
+    """Ask for (or renew, or return) concurrency slots.
 
-    `in_use` slots cannot be taken back by the reply. Reply:
-    `AllotmentGranted` or `Refusal` (CONCURRENCY_EXHAUSTED with retry_after).
+    `wanted` is what the holder could use now and replaces earlier asks.
+    `held` is a promise: until it has the reply, the holder uses no more slots
+    than that, so only slots above it can go to others. `number` grows with
+    each request of the process; a lower one than seen is ignored. Reply:
+    `AllotmentGranted` or `Refusal`.
     """
 
     service: ServiceName
     holder: Member
+    number: int
     wanted: int
-    in_use: int
+    held: int
 
 
 class AllotmentGranted(Message, frozen=True):
-    """The holder's whole allotment, valid from when it SENT the request."""
+    """The holder's whole allotment, valid from when it SENT the request.
+
+    `slots` may be 0 or less than `held`: then nothing new starts until enough
+    of the running calls have ended.
+    """
 
     service: ServiceName
+    number: int
     slots: int
     lease_seconds: float
 
 
+class YieldSlots(Message, frozen=True):
+    """A notice to a holder that others wait: renew now, with the true demand."""
+
+    service: ServiceName
+
+
 class ListAllotments(Message, frozen=True):
     """Ask a daemon for the allotments of the services it limits."""
 
