--- /dev/null
+++ b/notcharch/placement/router.py
@@ -0,0 +1,90 @@
+"""Finds the daemon that is responsible, by assignment and what was learnt before."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import TypeVar
+
+from result import Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.errors import Problem
+from notcharch.placement.assignment import Assignment
+from notcharch.placement.search import Search
+from notcharch.values.identifiers import DaemonName, EngineName, PartitionNumber
+from notcharch.wire.messages.base import Message
+from notcharch.wire.peers import PeerNetwork
+
+Key = TypeVar("Key", PartitionNumber, EngineName)
+
+
+class PlacementRouter:
+    """The `Router` of one daemon."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        assignment: Assignment,
+        clock: IReactorTime,
+        random: Random,
+    ) -> None:
+        """Use `assignment` for first targets and `clock` for delays and deadlines."""
+        self._network = network
+        self._assignment = assignment
+        self._clock = clock
+        self._random = random
+        self._leaders: dict[PartitionNumber, DaemonName] = {}
+        self._stewards: dict[EngineName, DaemonName] = {}
+
+    def to_partition(
+        self, partition: PartitionNumber, message: Message, timeout_seconds: float
+    ) -> "Deferred[Result[Message, Problem]]":
+        """Send to the partition's leader, following NOT_LEADER hints."""
+
+        def targets() -> list[DaemonName]:
+            replicas = self._assignment.replicas_of(partition)
+            return _first_then(self._leaders.get(partition), replicas)
+
+        def learn(daemon: DaemonName | None) -> None:
+            _learn(self._leaders, partition, daemon)
+
+        search = Search(self._network, self._clock, self._random, targets, learn)
+        return Deferred.fromCoroutine(search.run(message, timeout_seconds))
+
+    def to_steward(
+        self, engine: EngineName, message: Message, timeout_seconds: float
+    ) -> "Deferred[Result[Message, Problem]]":
+        """Send to the engine's steward, following NOT_STEWARD hints."""
+
+        def targets() -> list[DaemonName]:
+            steward = self._assignment.steward_of(engine)
+            assigned = () if steward is None else (steward,)
+            return _first_then(self._stewards.get(engine), assigned)
+
+        def learn(daemon: DaemonName | None) -> None:
+            _learn(self._stewards, engine, daemon)
+
+        search = Search(self._network, self._clock, self._random, targets, learn)
+        return Deferred.fromCoroutine(search.run(message, timeout_seconds))
+
+    def steward_of(self, engine: EngineName) -> DaemonName | None:
+        """Give the daemon that should steward the engine."""
+        return self._assignment.steward_of(engine)
+
+    def replicas_of(self, partition: PartitionNumber) -> tuple[DaemonName, ...]:
+        """Give the daemons that should replicate the partition."""
+        return self._assignment.replicas_of(partition)
+
+
+def _first_then(
+    learnt: DaemonName | None, assigned: Iterable[DaemonName]
+) -> list[DaemonName]:
+    others = [daemon for daemon in assigned if daemon != learnt]
+    return others if learnt is None else [learnt, *others]
+
+
+def _learn(learnt: dict[Key, DaemonName], key: Key, daemon: DaemonName | None) -> None:
+    if daemon is None:
+        learnt.pop(key, None)
+    else:
+        learnt[key] = daemon
