--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -1,6 +1,7 @@
 """One engine on a clock: it accepts requests, steps its batch and keeps its cache."""
 
 from collections import deque
+from collections.abc import Callable
 from random import Random
 
 from result import Err, Ok, Result
@@ -87,7 +88,11 @@
             self._on_cache_event,
         )
         self.batch = Batch(rates, self.counters, self._take_memory)
+        self.on_change: Callable[[], None] = _nothing
+        """Called when the state or the pools that the machine list shows change."""
+
         self.orders = EngineOrders(clock, rates, pools)
+        self.orders.on_change = self._state_changed
         self.transfers = CacheTransfers(clock, rates, self.cache, self.counters)
         self.lagging_load = LaggingLoad(rates.load_refresh_seconds, self._measure_load)
         self._stepper = Stepper(clock, self.batch, steps_per_report, self._on_change)
@@ -209,22 +214,24 @@
         self._used_ids.clear()
         self._ended.clear()
         self._epochs.clear()
-        self.orders.forget()
         self.transfers.forget()
         for run in runs:
             self._lose(run)
+        self.orders.forget()
 
     def leave(self) -> None:
         """Announce that the engine goes; it still accepts, and counts that."""
         self.lagging_load.before_change(self.clock.seconds())
         self.state = MachineState.LEAVING
         self._left_at = self.clock.seconds()
+        self.on_change()
 
     def come_back(self) -> None:
         """Take the announcement back."""
         self.lagging_load.before_change(self.clock.seconds())
         self.state = MachineState.LIVE
         self._left_at = None
+        self.on_change()
 
     def set_slowdown(self, factor: float) -> None:
         """Make each further step last so many times as long."""
@@ -375,6 +382,9 @@
             self._ended.popleft()
             self._runs.pop(run.request.request_id, None)
 
+    def _state_changed(self) -> None:
+        self.on_change()
+
     def _on_cache_event(
         self, kind: CacheEventKind, program: ProgramId, tokens: int
     ) -> None:
@@ -395,3 +405,7 @@
             step * self.batch.slowdown,
             MachineState.LEAVING if self.orders.drained else self.state,
         )
+
+
+def _nothing() -> None:
+    """Hear no change."""
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,6 +1,7 @@
 """Faults to order: what they are, and how a target's exchanges suffer from them."""
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -87,10 +88,17 @@
     def __init__(self, clock: IReactorTime) -> None:
         """Begin without faults."""
         self._clock = clock
-        self.clear()
+        self.on_down: Callable[[], None] = _nothing
+        """Called when `down` is ordered or cleared; it ends in time by itself."""
+
+        self._forget()
 
     def clear(self) -> None:
         """End all faults."""
+        self._forget()
+        self.on_down()
+
+    def _forget(self) -> None:
         self.slow_seconds = 0.0
         self._down_until = 0.0
         self._hangs_until = 0.0
@@ -101,6 +109,7 @@
         """Begin one of `TRANSPORT_FAULTS`."""
         if fault is FaultKind.DOWN:
             self._down_until = self._end_of(argument)
+            self.on_down()
         elif fault is FaultKind.HANG:
             self._hangs_until = self._end_of(argument)
         elif fault is FaultKind.SLOW:
@@ -143,6 +152,10 @@
         return FOREVER if seconds is None else self._clock.seconds() + seconds
 
 
+def _nothing() -> None:
+    """Hear nothing."""
+
+
 def _count(argument: float | None) -> int:
     return 1 if argument is None else int(argument)
 
--- a/notcharch/settings/load.py
+++ b/notcharch/settings/load.py
@@ -70,8 +70,18 @@
     place: str,
     findings: list[Finding],
 ) -> Section:
+    return section_type(**read_keys(section_type, values, place, findings))
+
+
+def read_keys(
+    section_type: type[msgspec.Struct],
+    values: Mapping[str, object],
+    place: str,
+    findings: list[Finding],
+) -> dict[str, Any]:
+    """Check each key against a struct's field; gives those without a finding."""
     fields = {field.name: field for field in msgspec.structs.fields(section_type)}
-    read: dict[str, object] = {}
+    read: dict[str, Any] = {}
     for key, value in values.items():
         if key not in fields:
             findings.append(Finding(f"{place}.{key}", "unknown key"))
@@ -80,4 +90,4 @@
             read[key] = msgspec.convert(value, fields[key].type)
         except msgspec.ValidationError as error:
             findings.append(Finding(f"{place}.{key}", str(error)))
-    return section_type(**read)
+    return read
