--- a/notcharch/platform/engine_stream.py
+++ b/notcharch/platform/engine_stream.py
@@ -194,7 +194,7 @@
             return events
         self._exchange.abort()
         self._problem = self._failed("events are missing", Ran.YES)
-        self._take(self._machine.refused())
+        self._take(self._machine.given_up())
         return b""
 
     # Silence.
@@ -208,7 +208,10 @@
     def _check_silence(self) -> None:
         was_silent = not (self._has_heard or self._is_paused or self._timer)
         self._watch_silence()
-        if was_silent:
+        if was_silent and self._collector.is_over():
+            self._exchange.abort()
+            self._end()
+        elif was_silent:
             Deferred.fromCoroutine(self._ask_for_state(self._exchange))
 
     async def _ask_for_state(self, exchange: HttpStream) -> None:
--- a/notcharch/platform/http_stream.py
+++ b/notcharch/platform/http_stream.py
@@ -69,6 +69,7 @@
         self._handlers = handlers
         self._request: Deferred[IResponse] | None = None
         self._body: _BodyProtocol | None = None
+        self._held_response: IResponse | None = None
         self._is_over = False
         self._is_paused = False
         self.was_sent = True
@@ -89,7 +90,9 @@
     def resume(self) -> None:
         """Read again."""
         self._is_paused = False
-        if self._body is not None:
+        if self._held_response is not None:
+            self._deliver(self._held_response)
+        elif self._body is not None:
             self._body.resume()
 
     def abort(self) -> None:
@@ -97,21 +100,28 @@
         if self._is_over:
             return
         self._is_over = True
-        if self._body is not None:
+        if self._held_response is not None:
+            self._deliver(self._held_response)
+        elif self._body is not None:
             self._body.close()
         elif self._request is not None:
             self._request.cancel()
 
     def _on_head(self, response: IResponse) -> None:
-        body = _BodyProtocol(self, response.code)
-        self._body = body
         if not self._is_over and response.code == STATUS_OK:
             self._handlers.on_accepted()
-        response.deliverBody(body)
+        if self._is_paused and not self._is_over:
+            # Twisted reads no more of a body that nobody takes.
+            self._held_response = response
+        else:
+            self._deliver(response)
+
+    def _deliver(self, response: IResponse) -> None:
+        self._held_response = None
+        self._body = _BodyProtocol(self, response.code)
+        response.deliverBody(self._body)
         if self._is_over:
-            body.close()
-        elif self._is_paused:
-            body.pause()
+            self._body.close()
 
     def _on_failure(self, failure: Failure) -> None:
         if isinstance(failure.value, NOT_SENT):
--- a/notcharch/platform/stream_life_cycle.py
+++ b/notcharch/platform/stream_life_cycle.py
@@ -25,7 +25,7 @@
     """Give the problem at hand as the result."""
 
     CANCEL = "cancel"
-    """Tell the engine to cancel, and give the result at once."""
+    """Tell the engine to cancel, and give the problem at hand at once."""
 
 
 class StreamInputs(Protocol):
@@ -47,7 +47,7 @@
         """Record that the whole answer is there."""
 
     def given_up(self) -> Step:
-        """Record that all tries are used."""
+        """Record that it may run on but its answer cannot be had whole."""
 
     def cancelled(self) -> Step:
         """Record that the stream is no longer wanted."""
@@ -76,7 +76,7 @@
         state.upon(StreamInputs.accepted).loop().returns(Step.NONE)
     for state in (opening, streaming, waiting, resuming):
         state.upon(StreamInputs.refused).to(over).returns(Step.FAIL)
-        state.upon(StreamInputs.given_up).to(over).returns(Step.FAIL)
+        state.upon(StreamInputs.given_up).to(over).returns(Step.CANCEL)
         state.upon(StreamInputs.ended).to(over).returns(Step.SUCCEED)
         state.upon(StreamInputs.cancelled).to(over).returns(Step.CANCEL)
     for late_input in (
