Replicate partitions on three daemons and elect by membership

A partition must survive the loss of any one daemon, and idle partitions must cost nothing. A pure core (replica, follower, candidate, leader, reconfiguration) takes messages, time and beliefs about the daemons and gives typed effects; the host and service carry them out over PeerNetwork.

Weighed: per-partition heartbeats (1024 partitions would spend the control budget on nothing) against elections driven by the membership; the latter was taken. Notices with one round in flight per replica were taken over requests, because the answers of all partitions then share one frame as well.

--- /dev/null
+++ b/notcharch/replication/leader.py
@@ -0,0 +1,326 @@
+"""What a replica does while it leads: replicate, commit, tell, transfer state."""
+
+from notcharch.replication.commit import committed_index
+from notcharch.replication.configuration import majority_of
+from notcharch.replication.effects import LeadershipChanged
+from notcharch.replication.progress import Progress
+from notcharch.replication.replica import Replica, Timer
+from notcharch.replication.role import Role
+from notcharch.replication.transfer import Snapshot, SnapshotSender
+from notcharch.values.identifiers import Member
+from notcharch.wire.messages.replication import (
+    Append,
+    AppendReply,
+    Configuration,
+    Entry,
+    Retire,
+    SnapshotReply,
+)
+
+ROUND_BYTES = 256 * 1024
+COMMIT_NOTICE_SECONDS = 0.1
+"""How long followers may wait to learn of a commit when nothing else follows."""
+
+UNCOMMITTED_BYTES = 8 * 1024 * 1024
+LOG_BYTES = 8 * 1024 * 1024
+"""Beyond this the log is not kept for members that are believed dead."""
+
+DISCARD_ENTRIES = 16
+
+
+class Leader:
+    """The part of a replica that leads; it is idle while another one does."""
+
+    def __init__(self, replica: Replica) -> None:
+        """Work on a replica's state."""
+        self._replica = replica
+        self.peers: dict[Member, Progress] = {}
+        self.departing: set[Member] = set()
+        """Removed members that have not yet answered that they know it."""
+        self._first_index = 0
+        self._round = 0
+        self._confirm_round = 0
+        self._heard: set[Member] = set()
+        self._snapshot: Snapshot | None = None
+        self._uncommitted_bytes = 0
+        self.keep_archive_backlog = True
+
+    @property
+    def has_committed_own_entry(self) -> bool:
+        """Tell whether an entry of this epoch is committed."""
+        return self._replica.commit_index >= self._first_index
+
+    def begin(self, now: float, configuration: Configuration | None) -> None:
+        """Lead from now on; `configuration` is set by a claim, else it stays."""
+        replica = self._replica
+        replica.role.moves.win()
+        replica.leader = replica.own
+        replica.timers.pop(Timer.STAND, None)
+        self.peers = {}
+        self.departing = set()
+        self._snapshot = None
+        self._uncommitted_bytes = self._command_bytes(
+            replica.commit_index, replica.log.last_index
+        )
+        replica.log.append(Entry(replica.epoch, configuration=configuration))
+        self._first_index = replica.log.last_index
+        self._match_peers()
+        self._expect_confirmation()
+        self.flush(now)
+
+    def _match_peers(self) -> None:
+        """Keep a progress for exactly the members, the departing and the joiner."""
+        replica = self._replica
+        for member in replica.log.configuration.members:
+            if member != replica.own and member not in self.peers:
+                self.add_peer(member)
+
+    def add_peer(self, member: Member) -> None:
+        """Begin to replicate to a member or joiner."""
+        self.departing.discard(member)
+        self.peers[member] = Progress(self._replica.log.last_index, self._round + 1)
+
+    def drop_peer(self, member: Member) -> None:
+        """Stop replicating to a process."""
+        self.peers.pop(member, None)
+        self.departing.discard(member)
+
+    def append(self, entry: Entry) -> int:
+        """Add an entry to the log; `flush` sends it."""
+        log = self._replica.log
+        log.append(entry)
+        self._uncommitted_bytes += command_bytes(entry)
+        self._match_peers()
+        return log.last_index
+
+    def is_overloaded(self) -> bool:
+        """Tell whether too much is waiting for a majority."""
+        return self._uncommitted_bytes > UNCOMMITTED_BYTES
+
+    def flush(self, now: float) -> None:
+        """Send what each replica lacks, commit, and plan the commit notice."""
+        for member in tuple(self.peers):
+            self._replicate(member, now)
+        self._commit(now)
+
+    def _replicate(self, member: Member, now: float) -> None:
+        replica = self._replica
+        progress = self.peers[member]
+        if progress.is_in_flight or member not in replica.picture.alive:
+            return
+        if member in self.departing:
+            self._send_retire(member, progress, now)
+        elif progress.snapshot or progress.next_index <= replica.log.base_index:
+            self._send_chunk(member, progress, now)
+        elif progress.next_index <= replica.log.last_index or progress.must_be_heard:
+            self._send_append(member, progress, now)
+
+    def _send_append(self, member: Member, progress: Progress, now: float) -> None:
+        replica = self._replica
+        log = replica.log
+        previous_index = progress.next_index - 1
+        previous_epoch = log.epoch_at(previous_index)
+        assert previous_epoch is not None  # next_index is behind the log's base
+        self._round += 1
+        message = Append(
+            replica.partition,
+            replica.epoch,
+            self._round,
+            previous_index,
+            previous_epoch,
+            replica.commit_index,
+            log.base_index,
+            replica.archived,
+            log.entries_from(progress.next_index, ROUND_BYTES),
+        )
+        progress.told_commit_index = replica.commit_index
+        progress.sent(self._round, now)
+        replica.send(member, message)
+
+    def _send_chunk(self, member: Member, progress: Progress, now: float) -> None:
+        replica = self._replica
+        if progress.snapshot is None:
+            progress.snapshot = SnapshotSender(self._current_snapshot())
+        self._round += 1
+        progress.sent(self._round, now)
+        chunk = progress.snapshot.chunk(replica.partition, replica.epoch, self._round)
+        replica.send(member, chunk)
+
+    def _current_snapshot(self) -> Snapshot:
+        """Give a snapshot behind which the log still follows."""
+        snapshot = self._snapshot
+        if snapshot is None or snapshot.index < self._replica.log.base_index:
+            snapshot = self._replica.take_snapshot()
+            self._snapshot = snapshot
+        return snapshot
+
+    def _send_retire(self, member: Member, progress: Progress, now: float) -> None:
+        replica = self._replica
+        configuration = replica.log.configuration_at(replica.commit_index)
+        self._round += 1
+        progress.sent(self._round, now)
+        retire = Retire(replica.partition, replica.epoch, self._round, configuration)
+        replica.send(member, retire)
+
+    def on_append_reply(self, sender: Member, reply: AppendReply, now: float) -> None:
+        """Note what a replica holds, commit, and go on."""
+        progress = self._progress_of(sender, reply)
+        if progress is None:
+            return
+        is_awaited = progress.answered(reply.round_number)
+        if sender in self.departing:
+            self.drop_peer(sender)
+            return
+        self._hear(sender, reply.round_number)
+        if reply.accepted:
+            progress.accepted(reply.index)
+        elif is_awaited and reply.needs_snapshot:
+            progress.snapshot = SnapshotSender(self._current_snapshot())
+        elif is_awaited:
+            progress.refused(reply.index)
+        self._commit(now)
+        self._replicate(sender, now)
+
+    def _progress_of(
+        self, sender: Member, reply: AppendReply | SnapshotReply
+    ) -> Progress | None:
+        """Give the progress to which an answer applies, if it still does."""
+        replica = self._replica
+        if reply.epoch > replica.epoch:
+            replica.adopt_epoch(reply.epoch)
+            return None
+        if not replica.is_leading or reply.epoch < replica.epoch:
+            return None
+        progress = self.peers.get(sender)
+        if progress is None or not progress.counts(reply.round_number):
+            return None
+        return progress
+
+    def on_snapshot_reply(
+        self, sender: Member, reply: SnapshotReply, now: float
+    ) -> None:
+        """Send the next chunk, or go on with the log."""
+        progress = self._progress_of(sender, reply)
+        if progress is None or not progress.answered(reply.round_number):
+            return
+        sending = progress.snapshot
+        if sending is None or reply.index != sending.snapshot.index:
+            return
+        sending.received = reply.received
+        if reply.received >= len(sending.snapshot.data):
+            progress.snapshot = None
+            progress.accepted(reply.index)
+            self._release_snapshot()
+        self._replicate(sender, now)
+
+    def _release_snapshot(self) -> None:
+        if all(progress.snapshot is None for progress in self.peers.values()):
+            self._snapshot = None
+
+    def _commit(self, now: float) -> None:
+        replica = self._replica
+        index = committed_index(
+            replica.log, self._held(), replica.epoch, replica.commit_index
+        )
+        if index > replica.commit_index:
+            self._uncommitted_bytes -= self._command_bytes(replica.commit_index, index)
+            replica.commit_through(index)
+            replica.timers.setdefault(Timer.COMMIT_NOTICE, now + COMMIT_NOTICE_SECONDS)
+            self._discard()
+        self._confirm()
+
+    def _command_bytes(self, after: int, through: int) -> int:
+        log = self._replica.log
+        positions = range(after + 1, through + 1)
+        return sum(command_bytes(log.entry_at(position)) for position in positions)
+
+    def _held(self) -> list[int]:
+        """Give what each member of the configuration holds."""
+        replica = self._replica
+        held: list[int] = []
+        for member in replica.log.configuration.members:
+            if member == replica.own:
+                held.append(replica.log.last_index)
+            else:
+                held.append(self.peers[member].match_index)
+        return held
+
+    def _discard(self) -> None:
+        """Forget entries that are applied, archived and held by all members."""
+        replica = self._replica
+        floor = replica.applied_index
+        if self.keep_archive_backlog:
+            floor = min(floor, replica.archived.index)
+        for member, progress in self.peers.items():
+            if member in self.departing:
+                continue
+            is_waited_for = member in replica.picture.alive
+            if is_waited_for or replica.log.size_bytes < LOG_BYTES:
+                floor = min(floor, self._needed_from(progress))
+        if floor >= replica.log.base_index + DISCARD_ENTRIES:
+            replica.log.discard_through(floor)
+
+    def _needed_from(self, progress: Progress) -> int:
+        if progress.snapshot is not None:
+            return progress.snapshot.snapshot.index
+        return progress.match_index
+
+    def _expect_confirmation(self) -> None:
+        self._confirm_round = self._round + 1
+        self._heard = {self._replica.own}
+
+    def _hear(self, sender: Member, round_number: int) -> None:
+        if round_number >= self._confirm_round:
+            self._heard.add(sender)
+
+    def _confirm(self) -> None:
+        """Serve the state once it is whole and a majority still follows."""
+        replica = self._replica
+        if replica.role.role is not Role.UNCONFIRMED or not self._is_confirmed():
+            return
+        replica.role.moves.confirm()
+        replica.effects.append(LeadershipChanged(replica.epoch))
+
+    def _is_confirmed(self) -> bool:
+        configuration = self._replica.log.configuration
+        heard = self._heard.intersection(configuration.members)
+        return self.has_committed_own_entry and len(heard) >= majority_of(configuration)
+
+    def doubt(self, now: float) -> None:
+        """After a pause, ask a majority before serving the state again."""
+        replica = self._replica
+        if replica.role.role is Role.LEADER:
+            replica.effects.append(LeadershipChanged(None))
+        replica.role.moves.doubt()
+        self._expect_confirmation()
+        for progress in self.peers.values():
+            progress.ask_again()
+        self.flush(now)
+
+    def on_tick(self, now: float) -> None:
+        """Repeat rounds that had no answer in time."""
+        for member, progress in tuple(self.peers.items()):
+            if progress.resend_at is not None and progress.resend_at <= now:
+                progress.unanswered()
+                self._replicate(member, now)
+
+    def tell_commit_index(self, now: float) -> None:
+        """Let the followers apply what is committed, if nothing else told them."""
+        commit_index = self._replica.commit_index
+        for member, progress in self.peers.items():
+            if progress.told_commit_index < commit_index and self._is_even(progress):
+                progress.must_be_heard = True
+                self._replicate(member, now)
+
+    def _is_even(self, progress: Progress) -> bool:
+        return progress.snapshot is None and not progress.is_in_flight
+
+    def next_resend(self) -> float | None:
+        """Give the time of the next repetition."""
+        times = [p.resend_at for p in self.peers.values() if p.resend_at is not None]
+        return min(times, default=None)
+
+
+def command_bytes(entry: Entry) -> int:
+    """Give the length of an entry's command, in bytes."""
+    return len(memoryview(entry.command))
--- /dev/null
+++ b/notcharch/replication/reconfiguration.py
@@ -0,0 +1,143 @@
+"""The leader's steps from the present configuration to the one it should be."""
+
+from notcharch.replication.configuration import (
+    ChangeKind,
+    ConfigurationChange,
+    majority_of,
+    next_change,
+    with_member,
+    without_member,
+)
+from notcharch.replication.leader import Leader
+from notcharch.replication.replica import Replica, Timer
+from notcharch.values.identifiers import Member
+from notcharch.wire.messages.replication import Configuration, Entry, TakeOver
+
+SETTLE_SECONDS = 10.0
+"""How long the targets must be the same before members move to follow them."""
+
+SETTLE_JITTER_SECONDS = 5.0
+TRANSFER_SECONDS = 1.0
+"""How long proposals wait for a transfer of leadership before it is given up."""
+
+
+class Reconfiguration:
+    """Replaces members one by one, and moves leadership, while this member leads."""
+
+    def __init__(self, replica: Replica, leader: Leader, replica_count: int) -> None:
+        """Work on a replica's state; `replica_count` members are wanted."""
+        self._replica = replica
+        self._leader = leader
+        self._replica_count = replica_count
+        self._joiner: Member | None = None
+        self._settled_at = 0.0
+        self.heir: Member | None = None
+        """The member that leadership is being transferred to."""
+
+    def begin(self, now: float) -> None:
+        """Start afresh as the leader."""
+        self._joiner = None
+        self.heir = None
+        self.targets_changed(now)
+
+    def targets_changed(self, now: float) -> None:
+        """Wait a while before members that still work are moved."""
+        jitter = self._replica.random.random() * SETTLE_JITTER_SECONDS
+        self._settled_at = now + SETTLE_SECONDS + jitter
+
+    def advance(self, now: float) -> None:
+        """Take the next step if the last one is done."""
+        if not self._is_ready():
+            return
+        is_settled = now >= self._settled_at
+        replica = self._replica
+        change = next_change(
+            replica.log.configuration,
+            replica.picture,
+            replica.own,
+            self._replica_count,
+            is_settled,
+        )
+        if not is_settled:
+            replica.timers[Timer.RECONFIGURE] = self._settled_at
+        self._follow(change, now)
+
+    def _is_ready(self) -> bool:
+        replica = self._replica
+        return (
+            replica.is_leading
+            and self.heir is None
+            and self._leader.has_committed_own_entry
+            and replica.log.configuration_index <= replica.commit_index
+        )
+
+    def _follow(self, change: ConfigurationChange | None, now: float) -> None:
+        wanted = None
+        if change is not None and change.kind is ChangeKind.ADD:
+            wanted = change.member
+        self._set_joiner(wanted, now)
+        if change is None:
+            return
+        if change.kind is ChangeKind.ADD:
+            self._add_when_even(change.member, now)
+        elif change.kind is ChangeKind.REMOVE:
+            self._remove(change.member, now)
+        else:
+            self.transfer(change.member, now)
+
+    def _set_joiner(self, joiner: Member | None, now: float) -> None:
+        if joiner == self._joiner:
+            return
+        former = self._joiner
+        self._joiner = joiner
+        if former and former not in self._replica.log.configuration.members:
+            self._leader.drop_peer(former)
+        if joiner is not None:
+            self._leader.add_peer(joiner)
+            self._leader.flush(now)
+
+    def _add_when_even(self, joiner: Member, now: float) -> None:
+        """Add a joiner that holds everything that is committed."""
+        replica = self._replica
+        if self._leader.peers[joiner].match_index < replica.commit_index:
+            return
+        self._change(with_member(replica.log.configuration, joiner), now)
+
+    def _remove(self, member: Member, now: float) -> None:
+        configuration = without_member(self._replica.log.configuration, member)
+        live = self._replica.picture.alive.intersection(configuration.members)
+        if len(live) < majority_of(configuration):
+            return
+        self._leader.departing.add(member)
+        self._change(configuration, now)
+
+    def _change(self, configuration: Configuration, now: float) -> None:
+        self._leader.append(Entry(self._replica.epoch, configuration=configuration))
+        self._leader.flush(now)
+
+    def configuration_committed(self) -> None:
+        """Forget processes that are gone; the others are told to retire."""
+        for member in tuple(self._leader.departing):
+            if member not in self._replica.picture.alive:
+                self._leader.drop_peer(member)
+
+    def transfer(self, heir: Member, now: float) -> None:
+        """Let another member lead once it holds everything."""
+        self.heir = heir
+        self._replica.timers[Timer.TRANSFER] = now + TRANSFER_SECONDS
+        self.ask_heir()
+
+    def ask_heir(self) -> None:
+        """Ask the heir to stand when its log is whole."""
+        replica = self._replica
+        if self.heir is None or not replica.is_leading:
+            return
+        progress = self._leader.peers.get(self.heir)
+        if progress is None or progress.match_index < replica.log.last_index:
+            return
+        replica.send(self.heir, TakeOver(replica.partition, replica.epoch))
+
+    def give_up_transfer(self, now: float) -> None:
+        """Lead on, because the heir did not take over in time."""
+        self.heir = None
+        self.targets_changed(now)
--- /dev/null
+++ b/notcharch/replication/recovery.py
@@ -0,0 +1,328 @@
+"""Finds, founds and rebuilds groups that have no leader."""
+
+from collections.abc import Iterable
+
+from result import Err, Ok
+from twisted.internet.defer import (
+    Deferred,
+    DeferredList,
+    DeferredSemaphore,
+    ensureDeferred,
+)
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.events.event import emit
+from notcharch.events.replication import (
+    CommittedCommandsInDoubt,
+    GroupClaimed,
+    GroupSuperseded,
+)
+from notcharch.placement.interface import MembershipView
+from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
+from notcharch.replication.arbitration import Claim, Evidence, Superseded, Wait, decide
+from notcharch.replication.archive_reader import read_archive, read_on
+from notcharch.replication.archive_records import (
+    ClaimRecord,
+    claim_id,
+    encode_record,
+    stream_of,
+)
+from notcharch.replication.archive_replay import ArchiveReplay
+from notcharch.replication.epochs import first_epoch_of
+from notcharch.replication.group import ReplicaGroup
+from notcharch.replication.host import GroupHost
+from notcharch.replication.pictures import Pictures
+from notcharch.values.identifiers import Member, PartitionNumber, RegionName
+from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.replication import (
+    DescribeGroups,
+    GroupDescription,
+    GroupDescriptions,
+    Holding,
+)
+from notcharch.wire.peers import PeerNetwork
+
+ASK_SECONDS = 0.5
+RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 8.0
+PARALLEL_STREAMS = 32
+STUCK_ROUNDS = 4
+"""After so many election rounds without a leader, all daemons are asked."""
+
+Descriptions = dict[PartitionNumber, dict[Member, GroupDescription]]
+
+
+class Recovery:
+    """Watches partitions without a leader and does what `arbitration` decides."""
+
+    def __init__(
+        self,
+        *,
+        host: GroupHost,
+        network: PeerNetwork,
+        membership: MembershipView,
+        pictures: Pictures,
+        log: LogPort,
+        clock: IReactorTime,
+        region: RegionName,
+    ) -> None:
+        """Begin with nothing under way."""
+        self._host = host
+        self._network = network
+        self._own = network.own_member
+        self._membership = membership
+        self._pictures = pictures
+        self._log = log
+        self._clock = clock
+        self._region = region
+        self._streams = DeferredSemaphore(PARALLEL_STREAMS)
+        self._since: dict[PartitionNumber, float] = {}
+        self._claiming: set[PartitionNumber] = set()
+        self._is_running = False
+        self._next_at = 0.0
+        self._retry_seconds = RETRY_SECONDS
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """Begin nothing more."""
+        self._is_stopped = True
+
+    def hurry(self, delay: float) -> None:
+        """Look again soon, because something changed."""
+        self._retry_seconds = RETRY_SECONDS
+        self._next_at = self._clock.seconds() + delay
+
+    async def describe(self, _sender: Member, message: Message) -> Message:
+        """Answer `DescribeGroups`."""
+        assert isinstance(message, DescribeGroups)
+        described = [self._describe(partition) for partition in message.partitions]
+        return GroupDescriptions(
+            tuple(d for d in described if d.holding is not Holding.NOTHING)
+        )
+
+    def _describe(self, partition: PartitionNumber) -> GroupDescription:
+        if partition in self._claiming:
+            return GroupDescription(partition, Holding.CLAIMING)
+        group = self._host.group(partition)
+        if group is None:
+            return GroupDescription(partition, Holding.NOTHING)
+        return group.describe()
+
+    def look(self) -> None:
+        """Begin a round of recovery if it is due and any partition needs it."""
+        now = self._clock.seconds()
+        if self._is_running or self._is_stopped or now < self._next_at:
+            return
+        orphans = self._orphans(now)
+        if not orphans:
+            return
+        self._is_running = True
+        self._next_at = now + self._retry_seconds
+        self._retry_seconds = min(self._retry_seconds * 2, LONGEST_RETRY_SECONDS)
+        ensureDeferred(self._recover(orphans)).addBoth(self._finished)
+
+    def _finished(self, _result: object) -> None:
+        self._is_running = False
+
+    def _orphans(self, now: float) -> list[PartitionNumber]:
+        """Give the partitions that need help, forgetting the settled ones."""
+        orphans: list[PartitionNumber] = []
+        for partition in sorted(self._host.unsettled):
+            if self._is_settled(partition):
+                self._host.unsettled.discard(partition)
+                self._since.pop(partition, None)
+                continue
+            self._since.setdefault(partition, now)
+            if self._needs_help(partition) and partition not in self._claiming:
+                orphans.append(partition)
+        return orphans
+
+    def _is_settled(self, partition: PartitionNumber) -> bool:
+        group = self._host.group(partition)
+        is_target = self._own in self._pictures.targets_of(partition)
+        if group is None or not group.holds_state:
+            return not is_target
+        return group.is_leading or group.replica.believes_leader_alive()
+
+    def _needs_help(self, partition: PartitionNumber) -> bool:
+        group = self._host.group(partition)
+        if group is None or not group.holds_state:
+            return True
+        return group.failed_rounds >= STUCK_ROUNDS or not group.may_have_majority
+
+    async def _recover(self, partitions: list[PartitionNumber]) -> None:
+        others = self._pictures.others_alive
+        answers = await self._ask(others, partitions)
+        await DeferredList(
+            [
+                self._streams.run(self._settle_one, partition, others, answers)
+                for partition in partitions
+            ]
+        )
+
+    async def _ask(
+        self, others: Iterable[Member], partitions: list[PartitionNumber]
+    ) -> dict[Member, GroupDescriptions]:
+        question = DescribeGroups(tuple(partitions))
+        asked = sorted(others)
+        replies = await DeferredList(
+            [
+                self._network.request(member.daemon, question, ASK_SECONDS)
+                for member in asked
+            ]
+        )
+        answers: dict[Member, GroupDescriptions] = {}
+        for member, (_, reply) in zip(asked, replies, strict=True):
+            if isinstance(reply, Ok) and isinstance(reply.ok_value, GroupDescriptions):
+                answers[member] = reply.ok_value
+        return answers
+
+    def _settle_one(
+        self,
+        partition: PartitionNumber,
+        others: frozenset[Member],
+        answers: dict[Member, GroupDescriptions],
+    ) -> "Deferred[None]":
+        descriptions = {
+            member: _description_in(reply, partition)
+            for member, reply in answers.items()
+        }
+        descriptions[self._own] = self._describe(partition)
+        unanswered = others - descriptions.keys()
+        return ensureDeferred(self._settle(partition, descriptions, unanswered))
+
+    async def _settle(
+        self,
+        partition: PartitionNumber,
+        descriptions: dict[Member, GroupDescription],
+        unanswered: frozenset[Member],
+    ) -> None:
+        """Decide without the log service if possible, else with it."""
+        decision = decide(self._evidence(partition, descriptions, unanswered, None))
+        if isinstance(decision, Superseded):
+            self._drop(partition, decision)
+            return
+        if not isinstance(decision, Wait) or not decision.needs_archive:
+            return
+        archive = await read_archive(self._log, stream_of(self._region, partition))
+        if isinstance(archive, Err) or self._is_stopped:
+            return
+        # Meanwhile a leader may have been heard of.
+        descriptions[self._own] = self._describe(partition)
+        evidence = self._evidence(partition, descriptions, unanswered, archive.ok_value)
+        decision = decide(evidence)
+        if isinstance(decision, Claim) and partition not in self._claiming:
+            await self._claim(partition, decision, archive.ok_value)
+
+    def _evidence(
+        self,
+        partition: PartitionNumber,
+        descriptions: dict[Member, GroupDescription],
+        unanswered: frozenset[Member],
+        archive: ArchiveReplay | None,
+    ) -> Evidence:
+        now = self._clock.seconds()
+        return Evidence(
+            self._own,
+            descriptions,
+            unanswered,
+            archive,
+            self._pictures.targets_of(partition),
+            self._membership.is_certainly_dead,
+            self._pictures.is_region_majority(),
+            now - self._since.get(partition, now),
+        )
+
+    def _drop(self, partition: PartitionNumber, decision: Superseded) -> None:
+        group = self._host.group(partition)
+        if group is None:
+            return
+        emit(GroupSuperseded(partition, group.replica.epoch))
+        self._host.carry_out(
+            group, group.superseded(decision.configuration, self._clock.seconds())
+        )
+
+    async def _claim(
+        self, partition: PartitionNumber, claim: Claim, archive: ArchiveReplay
+    ) -> None:
+        """Claim until a claim of the generation is in the stream; lead if it is ours.
+
+        A claim whose answer was lost may still take effect, so that it is not
+        given up before the stream tells who won.
+        """
+        self._claiming.add(partition)
+        try:
+            record = self._record(partition, claim, archive)
+            while not self._is_stopped and archive.generation < claim.generation:
+                await self._append_claim(partition, record, archive)
+            if archive.claim == record:
+                self._lead(partition, record, archive)
+        finally:
+            self._claiming.discard(partition)
+
+    def _record(
+        self, partition: PartitionNumber, claim: Claim, archive: ArchiveReplay
+    ) -> ClaimRecord:
+        log = self._host.group_for(partition).replica.log
+        return ClaimRecord(
+            first_epoch_of(claim.generation),
+            archive.snapshot_offset,
+            self._own,
+            claim.configuration,
+            log.last_index,
+            log.last_epoch,
+        )
+
+    async def _append_claim(
+        self, partition: PartitionNumber, record: ClaimRecord, archive: ArchiveReplay
+    ) -> None:
+        stream = stream_of(self._region, partition)
+        data = encode_record(record)
+        appended = await self._log.append(stream, (LogRecord(claim_id(record), data),))
+        if isinstance(appended, Ok) and appended.ok_value == archive.next_offset:
+            archive.take(StoredRecord(appended.ok_value, claim_id(record), data))
+            return
+        read = await read_on(self._log, stream, archive)
+        if isinstance(read, Err):
+            await deferLater(self._clock, RETRY_SECONDS)
+
+    def _lead(
+        self, partition: PartitionNumber, record: ClaimRecord, archive: ArchiveReplay
+    ) -> None:
+        group = self._host.group_for(partition)
+        emit(GroupClaimed(partition, record.epoch, record.configuration.members))
+        from_archive = group.is_behind(archive)
+        effects = group.claim(
+            record.epoch, record.configuration, archive, self._clock.seconds()
+        )
+        if archive.generation > 1:
+            self._tell_doubt(group, record, from_archive)
+        self._host.carry_out(group, effects)
+        self._host.look_again(partition)
+
+    def _tell_doubt(
+        self, group: ReplicaGroup, record: ClaimRecord, from_archive: bool
+    ) -> None:
+        replica = group.replica
+        # The last entry is the one that began this epoch.
+        index = replica.log.last_index - 1
+        event = CommittedCommandsInDoubt(
+            replica.partition,
+            record.epoch,
+            index,
+            replica.log.epoch_at(index) or record.last_epoch,
+            replica.applier.last_command_at,
+            from_archive,
+        )
+        self._host.note_doubt(event)
+        emit(event)
+
+
+def _description_in(
+    reply: GroupDescriptions, partition: PartitionNumber
+) -> GroupDescription:
+    for description in reply.groups:
+        if description.partition == partition:
+            return description
+    return GroupDescription(partition, Holding.NOTHING)
--- /dev/null
+++ b/tests/unit/replication/test_service.py
@@ -0,0 +1,67 @@
+"""The replica groups of daemons over the memory transport."""
+
+import pytest
+from result import Ok
+
+from notcharch.errors import ProblemCode
+from tests.unit.replication.counting import Noted
+from tests.unit.replication.region import Region
+
+PARTITIONS = range(4)
+
+
+@pytest.mark.parametrize("daemons", [1, 2, 3, 5])
+def test_a_fresh_region_leads_every_partition_soon(daemons):
+    region = Region(daemons)
+    region.run(1.0)
+    assert all(region.leader_of(partition) for partition in PARTITIONS)
+
+
+def test_a_command_is_applied_on_a_majority_before_it_is_answered():
+    region = Region()
+    region.run(1.0)
+    results = region.propose(0, "first")
+    region.run(0.02)
+    assert results == [Ok(Noted(1))]
+    region.run(1.0)
+    for daemon in region.services:
+        assert region.texts(daemon, 0) == ["first"]
+
+
+def test_another_daemon_names_the_leader():
+    region = Region()
+    region.run(1.0)
+    leader = region.leader_of(0)
+    other = next(name for name in region.services if name != leader)
+    [result] = region.propose(0, "x", by=other)
+    assert result.err_value.is_code(ProblemCode.NOT_LEADER)
+    assert result.err_value.hint == leader
+
+
+def test_a_dead_leader_is_replaced_and_nothing_is_lost():
+    region = Region()
+    region.run(1.0)
+    results = region.propose(0, "first")
+    region.run(0.02)
+    assert results
+    region.crash(region.leader_of(0))
+    region.run(1.0)
+    leader = region.leader_of(0)
+    assert leader is not None
+    assert region.texts(leader, 0) == ["first"]
+    results = region.propose(0, "second")
+    region.run(0.1)
+    assert results == [Ok(Noted(2))]
+
+
+def test_restarts_one_after_another_keep_everything():
+    region = Region()
+    region.run(1.0)
+    region.propose(0, "first")
+    region.run(0.1)
+    for _ in range(2):
+        for number in range(3):
+            region.start(f"daemon-{number}", zone=f"zone-{number}")
+            region.run(2.0)
+    for daemon in region.services:
+        assert region.texts(daemon, 0) == ["first"]
