Add the connections between daemons over TCP

Requests between daemons need one kept connection for each pair and an honest word about whether a failed request may have run.

Frames wait in a bounded queue while the transport is full; what was never written is refused with `ran: no` and never written later. Two daemons that dial each other at once choose the same connection and retire the other when nothing is open on it. Failed dials back off with jitter, meanwhile requests are refused at once.

--- a/notcharch/wire/handlers.py
+++ b/notcharch/wire/handlers.py
@@ -1,6 +1,7 @@
 """The handlers of a daemon's messages, and what becomes of their exceptions."""
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
 from notcharch.errors import Problem, ProblemCode, Ran
@@ -9,6 +10,7 @@
 from notcharch.events.wire import HandlerFailed, MessageNotUnderstood
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message, Refusal
+from notcharch.wire.open_requests import OpenRequest, reply_of
 from notcharch.wire.peers import NoticeHandler, RequestHandler
 
 
@@ -74,3 +76,23 @@
 def _log_failure(sender: Member, message: Message, failure: Failure) -> None:
     name = type(message).__name__
     emit(HandlerFailed(sender.daemon, name, failure.getTraceback()))
+
+
+def answer_own(
+    clock: IReactorTime,
+    handlers: HandlerTable,
+    own: Member,
+    request: OpenRequest,
+    message: Message,
+) -> None:
+    """Answer a daemon's request to itself, in a later turn like a peer's."""
+
+    def settle(reply: Message) -> None:
+        request.settle(reply_of(reply))
+
+    def answer() -> None:
+        if not request.is_settled:
+            request.written = True
+            handlers.answer(own, message).addCallback(settle)
+
+    clock.callLater(0, answer)
--- /dev/null
+++ b/notcharch/wire/link.py
@@ -0,0 +1,260 @@
+"""The way to one peer: its address, its connections and what waits for it."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
+
+from notcharch.errors import ProblemCode
+from notcharch.events.event import emit
+from notcharch.events.wire import (
+    NoticeDropped,
+    PeerConnected,
+    PeerConnectionLost,
+    PeerDialFailed,
+)
+from notcharch.values.identifiers import DaemonName, Incarnation, Member
+from notcharch.wire.connection import PeerConnection
+from notcharch.wire.dial_state import DialActions, new_dial_state
+from notcharch.wire.limits import ConnectionLimits
+from notcharch.wire.open_requests import (
+    RETRY_AFTER_SECONDS,
+    OpenRequest,
+    OpenRequests,
+    Reply,
+)
+from notcharch.wire.outgoing import OutgoingFrame, OutgoingQueue
+
+Dial = Callable[[DaemonName, str], "Deferred[Any]"]
+"""Connects to a peer at `host:port`; fires with the unshaken `PeerConnection`.
+
+It raises ValueError for a text that is no address."""
+
+
+class PeerLink(DialActions):
+    """Sends over the preferred connection; dials when there is none."""
+
+    def __init__(
+        self,
+        own: DaemonName,
+        peer: DaemonName,
+        clock: IReactorTime,
+        *,
+        random: Random,
+        limits: ConnectionLimits,
+        dial: Dial,
+    ) -> None:
+        """Begin without an address or connection."""
+        self._own = own
+        self._peer = peer
+        self._clock = clock
+        self._random = random
+        self._limits = limits
+        self._dial = dial
+        self._address: str | None = None
+        self._incarnation: Incarnation | None = None
+        self._connections: list[PeerConnection] = []
+        self._current: PeerConnection | None = None
+        self._dialing: Deferred[None] | None = None
+        self._handshaking: PeerConnection | None = None
+        self._is_closed = False
+        self._dial_failure = ""
+        self._failures = 0
+        self._delay: IDelayedCall | None = None
+        self._waiting = OutgoingQueue(limits.buffer_bytes)
+        self._open = OpenRequests(clock)
+        self._state = new_dial_state(self)
+
+    def set_address(self, address: str) -> None:
+        """Learn or change the peer's `host:port`."""
+        if address != self._address:
+            self._address = address
+            self._state.change_address()
+
+    def open(self, description: str, timeout_seconds: float) -> OpenRequest:
+        """Begin a request; `send` its frame next."""
+        return self._open.open(description, timeout_seconds)
+
+    def send_request(self, request: OpenRequest, frame: bytes) -> None:
+        """Send a request's frame, or fail the request unwritten."""
+        outgoing = OutgoingFrame(frame, request, is_bound_to_connection=False)
+        if self._cannot_dial():
+            request.fail_unavailable("no address is known")
+        elif not self._put(outgoing):
+            request.fail_unavailable("too much waits for the peer")
+
+    def send_notice(self, name: str, frame: bytes) -> None:
+        """Send a notice's frame, or drop it."""
+        outgoing = OutgoingFrame(frame, is_bound_to_connection=False)
+        if self._cannot_dial() or not self._put(outgoing):
+            emit(NoticeDropped(self._peer, name))
+
+    def reply(self, request_id: int, reply: Reply) -> None:
+        """Settle a request with its reply."""
+        self._open.reply(request_id, reply)
+
+    def accepts(self, incarnation: Incarnation) -> bool:
+        """Tell whether no later process of the peer was met."""
+        return self._incarnation is None or incarnation >= self._incarnation
+
+    def established(self, connection: PeerConnection, member: Member) -> None:
+        """Take a connection that passed its handshake."""
+        if connection is self._handshaking:
+            self._handshaking = None
+        if self._incarnation not in (None, member.incarnation):
+            self._drop_connections("the peer has restarted")
+        self._incarnation = member.incarnation
+        dialed = connection.dialed_peer is not None
+        emit(PeerConnected(self._peer, member.incarnation, dialed))
+        self._failures = 0
+        self._connections.append(connection)
+        self._prefer(connection)
+        self._state.establish()
+
+    def closed(self, connection: PeerConnection, reason: str) -> None:
+        """Take the end of a connection, established or not."""
+        if connection is self._handshaking:
+            self._handshaking = None
+            self._fail_dial(reason)
+            return
+        if connection not in self._connections:
+            return
+        self._connections.remove(connection)
+        self._fail_awaited(connection, reason)
+        if connection is not self._current:
+            return
+        self._current = self._connections[-1] if self._connections else None
+        for frame in connection.take_unwritten():
+            self._waiting.put(frame)
+        if self._current is None:
+            self._state.lose()
+        else:
+            self.flush()
+
+    def close(self, reason: str) -> None:
+        """Drop the peer: fail all that is open and close its connections."""
+        self._is_closed = True
+        self.cancel_delay()
+        if self._dialing is not None:
+            self._dialing.cancel()
+        if self._handshaking is not None:
+            self._handshaking.abort(reason)
+        self._drop_connections(reason)
+        for request in self._open.all():
+            request.fail_unavailable(reason)
+
+    def dial(self) -> None:
+        """Begin to connect (an action of the dial state)."""
+        if self._address is None:
+            self._clock.callLater(0, self._fail_dial, "no address is known")
+            return
+        try:
+            dialing = self._dial(self._peer, self._address)
+        except ValueError as error:
+            self._clock.callLater(0, self._fail_dial, str(error))
+            return
+        self._dialing = dialing
+        dialing.addCallbacks(self._dialed, self._dial_failed)
+
+    def fail_waiting(self) -> None:
+        """Fail what waits; none of it was written (an action of the dial state)."""
+        reason = f"cannot be connected: {self._dial_failure}"
+        while (frame := self._waiting.pop()) is not None:
+            if frame.request is not None:
+                frame.request.fail_unavailable(reason, self._retry_after())
+
+    def begin_delay(self) -> None:
+        """Wait before dialling again (an action of the dial state)."""
+        longest = self._limits.first_delay_seconds * 2 ** min(self._failures, 16)
+        delay = min(longest, self._limits.max_delay_seconds)
+        delay *= self._random.uniform(0.5, 1.0)
+        self._failures += 1
+        self._delay = self._clock.callLater(delay, self._state.end_delay)
+
+    def cancel_delay(self) -> None:
+        """Drop the running delay (an action of the dial state)."""
+        if self._delay is not None and self._delay.active():
+            self._delay.cancel()
+
+    def flush(self) -> None:
+        """Send what waits (an action of the dial state)."""
+        while self._current is not None:
+            frame = self._waiting.pop()
+            if frame is None:
+                return
+            if not self._current.send(frame):
+                _refuse_frame(frame)
+
+    def check_alive(self) -> None:
+        """Check every connection; called each `silence_seconds`."""
+        for connection in tuple(self._connections):
+            connection.check_alive()
+
+    def _cannot_dial(self) -> bool:
+        return self._address is None and self._current is None
+
+    def _put(self, frame: OutgoingFrame) -> bool:
+        if self._current is not None:
+            return self._current.send(frame)
+        is_put = self._waiting.put(frame)
+        self._state.want()
+        return is_put
+
+    def _retry_after(self) -> float:
+        if self._delay is None or not self._delay.active():
+            return RETRY_AFTER_SECONDS
+        return max(0.0, self._delay.getTime() - self._clock.seconds())
+
+    def _dialed(self, connection: PeerConnection) -> None:
+        self._dialing = None
+        self._handshaking = connection
+
+    def _dial_failed(self, failure: Failure) -> None:
+        self._dialing = None
+        self._fail_dial(failure.getErrorMessage())
+
+    def _fail_dial(self, reason: str) -> None:
+        if self._is_closed:
+            return
+        self._dial_failure = reason
+        self._state.fail()
+        delay = self._retry_after()
+        emit(PeerDialFailed(self._peer, self._address or "", reason, delay))
+
+    def _prefer(self, connection: PeerConnection) -> None:
+        previous = self._current
+        if previous is None or previous.is_retiring:
+            self._current = connection
+            return
+        # Both sides choose alike when each dialled the other at once.
+        dialed = connection.dialed_peer is not None
+        previous_dialed = previous.dialed_peer is not None
+        by_lower_name = dialed == (self._own < self._peer)
+        if dialed == previous_dialed or by_lower_name:
+            self._current = connection
+            previous.retire()
+        else:
+            connection.retire()
+
+    def _drop_connections(self, reason: str) -> None:
+        connections, self._connections = self._connections, []
+        self._current = None
+        for connection in connections:
+            self._fail_awaited(connection, reason)
+            for frame in connection.take_unwritten():
+                self._waiting.put(frame)
+            connection.abort(reason)
+
+    def _fail_awaited(self, connection: PeerConnection, reason: str) -> None:
+        awaited = tuple(connection.awaited.values())
+        emit(PeerConnectionLost(self._peer, reason, len(awaited)))
+        for request in awaited:
+            request.fail(ProblemCode.UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+
+
+def _refuse_frame(frame: OutgoingFrame) -> None:
+    if frame.request is not None:
+        frame.request.fail_unavailable("too much waits for the peer")
--- a/notcharch/wire/memory_network.py
+++ b/notcharch/wire/memory_network.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
-from notcharch.errors import Problem, ProblemCode
+from notcharch.errors import Problem
 from notcharch.values.identifiers import DaemonName, Member, ZoneName
 from notcharch.wire.codec import (
     Envelope,
@@ -16,7 +16,7 @@
     RequestEnvelope,
 )
 from notcharch.wire.datagrams import DatagramListener
-from notcharch.wire.handlers import HandlerTable
+from notcharch.wire.handlers import HandlerTable, answer_own
 from notcharch.wire.memory_time import MemberClock
 from notcharch.wire.messages.base import Message
 from notcharch.wire.open_requests import OpenRequest, OpenRequests, reply_of
@@ -28,8 +28,6 @@
 DIAL_FAILURE_SECONDS = 3.0
 """A link cut for so long has lost its connection: requests fail unwritten."""
 
-RETRY_AFTER_SECONDS = 0.5
-
 
 class MemoryPeerNetwork:
     """The `PeerNetwork` of one daemon on the fabric."""
@@ -55,8 +53,8 @@
         name = f"{type(message).__name__} to {destination}"
         request = open_requests.open(name, timeout_seconds)
         if destination == self.own_member.daemon:
-            request.written = True
-            self._daemon.clock.callLater(0, self._answer_own, request, message)
+            clock, own = self._daemon.clock, self.own_member
+            answer_own(clock, self._handlers, own, request, message)
         elif self._can_write(destination):
             self._send_request(request, destination, message)
         else:
@@ -106,7 +104,7 @@
 
     def _fail_open(self, destination: DaemonName, reason: str) -> None:
         for request in self._open_to(destination).all():
-            request.fail(ProblemCode.UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+            request.fail_unavailable(reason)
 
     def _can_write(self, destination: DaemonName) -> bool:
         if destination in self._forgotten or not self._fabric.is_running(destination):
@@ -115,10 +113,6 @@
         cut = self._fabric.plan.cut_seconds(link, self._daemon.clock.seconds())
         return cut is None or cut < DIAL_FAILURE_SECONDS
 
-    def _answer_own(self, request: OpenRequest, message: Message) -> None:
-        answering = self._handlers.answer(self.own_member, message)
-        answering.addCallback(lambda reply: request.settle(reply_of(reply)))
-
     def _send_request(
         self, request: OpenRequest, destination: DaemonName, message: Message
     ) -> None:
@@ -203,7 +197,7 @@
 
 def _fail_unwritten(request: OpenRequest) -> None:
     reason = "the peer cannot be reached"
-    request.fail(ProblemCode.UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+    request.fail_unavailable(reason)
 
 
 class MemoryDatagramPort:
--- a/notcharch/wire/open_requests.py
+++ b/notcharch/wire/open_requests.py
@@ -11,6 +11,9 @@
 
 Reply = Result[Message, Problem]
 
+RETRY_AFTER_SECONDS = 0.5
+"""When a caller may ask again after a peer did not answer."""
+
 
 class OpenRequest:
     """One request; `written` tells whether the peer may have received it."""
@@ -25,6 +28,11 @@
         self._settled = False
         self._on_settled: list[Callable[[], None]] = []
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the reply or a problem was given."""
+        return self._settled
+
     def on_settled(self, listener: Callable[[], None]) -> None:
         """Call `listener` once, before the reply is given."""
         self._on_settled.append(listener)
@@ -42,6 +50,12 @@
         text = f"{self.description}: {reason}"
         self.settle(Err(Problem.of(code, text, ran=ran, retry_after=retry_after)))
 
+    def fail_unavailable(
+        self, reason: str, retry_after: float = RETRY_AFTER_SECONDS
+    ) -> None:
+        """Give UNAVAILABLE; see `fail`."""
+        self.fail(ProblemCode.UNAVAILABLE, reason, retry_after)
+
     def time_out(self) -> None:
         """Give the time-out's problem."""
         code = ProblemCode.TIMED_OUT if self.written else ProblemCode.UNAVAILABLE
@@ -58,10 +72,6 @@
         self._close()
 
 
-RETRY_AFTER_SECONDS = 0.5
-"""When a caller may ask again after a peer did not answer."""
-
-
 class OpenRequests:
     """The open requests to one peer or of one daemon, by id."""
 
--- /dev/null
+++ b/notcharch/wire/outgoing.py
@@ -0,0 +1,60 @@
+"""Frames that wait to be written to a peer, in order and within a bound."""
+
+from collections import deque
+
+import msgspec
+
+from notcharch.wire.open_requests import OpenRequest
+
+
+class OutgoingFrame(msgspec.Struct, frozen=True):
+    """An encoded envelope; `request` is set for a request alone."""
+
+    frame: bytes
+    request: OpenRequest | None = None
+    is_bound_to_connection: bool = True
+    """A reply has no meaning on another connection; a request or notice has."""
+
+    @property
+    def is_wanted(self) -> bool:
+        """Tell whether it still should be written: a settled request must not be."""
+        return self.request is None or not self.request.is_settled
+
+
+class OutgoingQueue:
+    """A queue of frames bounded by their bytes; one frame always fits."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """Begin empty."""
+        self._max_bytes = max_bytes
+        self._frames: deque[OutgoingFrame] = deque()
+        self.size = 0
+        """The bytes of all waiting frames."""
+
+    def __len__(self) -> int:
+        """Count the waiting frames."""
+        return len(self._frames)
+
+    def put(self, frame: OutgoingFrame) -> bool:
+        """Add a frame; False, and nothing is added, when the bound is passed."""
+        size = len(frame.frame)
+        if self._frames and self.size + size > self._max_bytes:
+            self._drop_unwanted()
+            if self._frames and self.size + size > self._max_bytes:
+                return False
+        self._frames.append(frame)
+        self.size += size
+        return True
+
+    def pop(self) -> OutgoingFrame | None:
+        """Remove and give the next frame that is still wanted, or None."""
+        while self._frames:
+            frame = self._frames.popleft()
+            self.size -= len(frame.frame)
+            if frame.is_wanted:
+                return frame
+        return None
+
+    def _drop_unwanted(self) -> None:
+        self._frames = deque(frame for frame in self._frames if frame.is_wanted)
+        self.size = sum(len(frame.frame) for frame in self._frames)
