Add the callers' gateway: programs, calls, streams, late answers

Callers had no way in. The gateway now serves programs and calls over HTTP: a pure machine decides what the next step of a call is, a run performs it, and a relay carries the engine's bytes to the caller without decoding them.

Weighed: taking the concurrency slot before the admission. The service of a program is known only after the admission, and a repeat of an answered call needs no slot, so the order is admission, slot, grant; nobody waits for an earlier one while holding a later one. The end of a stream is held back until a majority has stored the answer.

--- /dev/null
+++ b/notcharch/gateway/call_tools.py
@@ -0,0 +1,69 @@
+"""What a call's run needs from the rest of the daemon."""
+
+from collections.abc import Awaitable
+from typing import Protocol
+
+import attrs
+from result import Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.errors import Problem
+from notcharch.gateway.leader_client import LeaderClient
+from notcharch.gateway.metrics import GatewayMetrics
+from notcharch.platform.ports import EnginePort
+from notcharch.scheduling.retry import RetryBudget
+from notcharch.table.interface import ServiceRow, TableView
+from notcharch.values.chat import TokenUsage
+from notcharch.values.identifiers import Member, ServiceName
+from notcharch.wire.messages.engines import CallGranted
+from notcharch.wire.messages.programs import CallAdmitted
+
+
+class Slot(Protocol):
+    """One unit of a service's concurrency."""
+
+    def release(self) -> None:
+        """Give it back; harmless when repeated."""
+
+
+class SlotSource(Protocol):
+    """Gives slots of this daemon's allotments; see `notcharch.services`."""
+
+    def acquire(
+        self, service: ServiceName, priority: int, give_up_seconds: float
+    ) -> Awaitable[Result[Slot, Problem]]:
+        """Wait for a slot, the more urgent first; a refusal says when to return."""
+
+
+class Placer(Protocol):
+    """Finds an engine for an admitted call; see `notcharch.engines.dispatcher`."""
+
+    def place(
+        self,
+        admitted: CallAdmitted,
+        row: ServiceRow,
+        max_tokens: int,
+        give_up_seconds: float | None = None,
+    ) -> Awaitable[Result[CallGranted, Problem]]:
+        """Give a grant on some engine, or OVERLOADED or NO_ENGINE at once."""
+
+    def give_back(
+        self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
+    ) -> "Deferred[None]":
+        """Give a grant back when its stream ended."""
+
+
+@attrs.frozen(kw_only=True)
+class CallTools:
+    """The collaborators of every run of one gateway."""
+
+    leader: LeaderClient
+    slots: SlotSource
+    placer: Placer
+    engines: EnginePort
+    table: TableView
+    clock: IReactorTime
+    own_member: Member
+    metrics: GatewayMetrics
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
--- /dev/null
+++ b/notcharch/gateway/http_errors.py
@@ -0,0 +1,114 @@
+"""Every error of the HTTP interface as a problem; no page of a library's own."""
+
+from typing import Any
+
+from klein import Klein
+from klein.resource import KleinResource
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
+from twisted.web.iweb import IRequest
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+from werkzeug.exceptions import HTTPException, MethodNotAllowed
+
+from notcharch.errors import Finding, Problem, ProblemCode, Ran
+from notcharch.errors.problem import ProblemError
+from notcharch.events.event import emit
+from notcharch.events.gateway import RequestFailed
+from notcharch.gateway.leader_client import for_caller
+from notcharch.wire.http_problem import start_problem
+
+
+def add_error_handlers(app: Klein) -> None:
+    """Render every failure of the app's handlers as a problem."""
+
+    @app.handle_errors(ProblemError)
+    def on_problem(self: Any, request: IRequest, failure: Failure) -> bytes:
+        assert isinstance(failure.value, ProblemError)
+        return render_problem(request, for_caller(failure.value.problem))
+
+    @app.handle_errors(MethodNotAllowed)
+    def on_method(self: Any, request: IRequest, failure: Failure) -> bytes:
+        assert isinstance(failure.value, MethodNotAllowed)
+        allowed = ", ".join(sorted(failure.value.valid_methods or ()))
+        request.setHeader(b"allow", allowed.encode())
+        message = f"the methods of this path are {allowed}"
+        problem = Problem.of(ProblemCode.METHOD_NOT_ALLOWED, message)
+        return render_problem(request, problem)
+
+    @app.handle_errors(HTTPException)
+    def on_unknown_path(self: Any, request: IRequest, failure: Failure) -> bytes:
+        return render_problem(request, unknown_path(request))
+
+    @app.handle_errors(CancelledError)
+    def on_cancelled(self: Any, request: IRequest, failure: Failure) -> bytes:
+        """Give nothing: the caller has gone, and nobody reads a response."""
+        return b""
+
+    @app.handle_errors(Exception)
+    def on_error(self: Any, request: IRequest, failure: Failure) -> bytes:
+        return render_problem(request, internal_error(request, failure.value))
+
+
+class GatewayLeaf(Resource):
+    """Guards a klein resource against paths and headers that klein cannot read."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, inner: KleinResource) -> None:
+        """Serve `inner`."""
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._inner = inner
+
+    def render(self, request: IRequest) -> bytes | int:
+        """Serve the request, or refuse what is not text."""
+        finding = _unreadable_part(request)
+        if finding is not None:
+            problem = Problem.of(
+                ProblemCode.BAD_REQUEST,
+                "the request line cannot be read",
+                findings=(finding,),
+            )
+            return render_problem(request, problem)
+        rendered = self._inner.render(request)
+        return rendered if isinstance(rendered, bytes) else NOT_DONE_YET
+
+
+def render_problem(request: IRequest, problem: Problem) -> bytes:
+    """Set status, headers and length of a problem's response; gives its body."""
+    body = start_problem(request, problem)
+    request.setHeader(b"content-length", b"%d" % len(body))
+    return body
+
+
+def unknown_path(request: IRequest) -> Problem:
+    """Give the problem of a path that does not exist."""
+    path = request.path.decode("utf-8", "replace")
+    return Problem.of(ProblemCode.NOT_FOUND, f"there is no path {path[:200]}")
+
+
+def internal_error(request: IRequest, error: BaseException | None) -> Problem:
+    """Report an error of this program, and give what the caller may know."""
+    emit(
+        RequestFailed(
+            request.method.decode("ascii", "replace"),
+            request.path.decode("utf-8", "replace"),
+            repr(error),
+        )
+    )
+    message = "an internal error; it has been logged"
+    return Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN)
+
+
+def _unreadable_part(request: IRequest) -> Finding | None:
+    parts = (
+        ("path", request.path),
+        ("method", request.method),
+        ("header.Host", request.getRequestHostname()),
+    )
+    for place, part in parts:
+        try:
+            part.decode("utf-8").encode("idna" if place == "header.Host" else "utf-8")
+        except UnicodeError:
+            return Finding(place, "is not valid text")
+    return None
--- /dev/null
+++ b/notcharch/gateway/http_site.py
@@ -0,0 +1,164 @@
+"""The daemon's HTTP server: limits on headers, bodies and idle connections.
+
+Bodies are kept in memory (daemons have no disk) and counted while they are read.
+Whatever is refused here is answered with a problem, too, and the connection is
+closed once the caller has had a moment to read it.
+"""
+
+from io import BytesIO
+from typing import Any
+
+from twisted.internet.interfaces import IAddress, IReactorTime
+from twisted.web.http import HTTPChannel
+from twisted.web.resource import IResource
+from twisted.web.server import Request, Site
+
+from notcharch.errors import Finding, Problem, ProblemCode
+from notcharch.events.event import emit
+from notcharch.events.gateway import BadRequestRefused
+from notcharch.settings.schema import GatewaySection
+from notcharch.wire.http_problem import problem_body, problem_headers
+
+LINGER_SECONDS = 2.0
+"""A refused caller may go on sending for so long; its bytes are dropped."""
+
+MOST_HEADERS = 100
+
+
+class LimitedRequest(Request):
+    """A request whose body is bounded while it is read."""
+
+    channel: "LimitedChannel"
+    content: BytesIO
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a body that is announced to be too large."""
+        self.content = BytesIO()
+        limit = self.channel.section.body_bytes
+        if length is not None and length > limit:
+            self.channel.refuse(_body_too_large(limit))
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body, up to the limit."""
+        if self.channel.is_refused:
+            return
+        limit = self.channel.section.body_bytes
+        if self.content.tell() + len(data) > limit:
+            self.channel.refuse(_body_too_large(limit))
+            return
+        self.content.write(data)
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Serve the request, unless it was refused while it was read."""
+        if not self.channel.is_refused:
+            super().requestReceived(  # type: ignore[no-untyped-call]
+                command, path, version
+            )
+
+
+class LimitedChannel(HTTPChannel):
+    """One caller's connection."""
+
+    transport: Any
+    maxHeaders = MOST_HEADERS  # noqa: N815
+    section: GatewaySection
+    is_refused = False
+
+    def refuse(self, problem: Problem) -> None:
+        """Answer with a problem, drop what still comes, and close."""
+        if self.is_refused:
+            return
+        self.is_refused = True
+        emit(BadRequestRefused(str(self.transport.getPeer()), problem.message))
+        self.dataReceived = _drop  # type: ignore[method-assign]
+        self.clearLineBuffer()  # type: ignore[no-untyped-call]
+        self.transport.write(_raw_response(problem))
+        self.transport.unregisterProducer()
+        lose_write = getattr(self.transport, "loseWriteConnection", None)
+        if lose_write is None:
+            self.transport.loseConnection()
+            return
+        lose_write()
+        self.setTimeout(None)  # type: ignore[no-untyped-call]
+        self._abortingCall = self.callLater(  # type: ignore[no-untyped-call]
+            LINGER_SECONDS, self.forceAbortClient
+        )
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        is_too_large = self._receivedHeaderSize > self.totalHeadersSize
+        message = (
+            f"is larger than {self.totalHeadersSize} bytes"
+            if is_too_large
+            else f"is not valid HTTP/1.1, or has more than {MOST_HEADERS} fields"
+        )
+        self.refuse(
+            Problem.of(
+                ProblemCode.BAD_REQUEST,
+                "the request cannot be read",
+                findings=(Finding("header", message),),
+            )
+        )
+
+
+class LimitedSite(Site):
+    """Serves a tree of resources within the limits of the settings."""
+
+    def __init__(
+        self, root: IResource, section: GatewaySection, clock: IReactorTime
+    ) -> None:
+        """Close idle connections by `clock`."""
+        super().__init__(  # type: ignore[no-untyped-call]
+            root,
+            requestFactory=LimitedRequest,
+            timeout=section.idle_seconds,
+            reactor=clock,
+        )
+        self._section = section
+        self.displayTracebacks = False
+
+    def buildProtocol(  # type: ignore[override]  # noqa: N802
+        self, addr: IAddress | None
+    ) -> HTTPChannel:
+        """Build the channel of a connection."""
+        channel = LimitedChannel()  # type: ignore[no-untyped-call]
+        self._set_up(channel)
+        return channel
+
+    def _set_up(self, channel: Any) -> None:
+        channel.section = self._section
+        channel.totalHeadersSize = self._section.header_bytes
+        channel.MAX_LENGTH = self._section.header_bytes
+        channel.requestFactory = self.requestFactory
+        channel.site = self
+        channel.factory = self
+        channel.timeOut = self.timeOut
+        channel.callLater = self.reactor.callLater
+
+    def log(self, request: Any) -> None:
+        """Write no access log: events and metrics tell what matters."""
+
+
+def _drop(data: bytes) -> None:
+    """Take bytes of a refused request."""
+
+
+def _body_too_large(limit: int) -> Problem:
+    return Problem.of(
+        ProblemCode.BODY_TOO_LARGE,
+        "the body is too large",
+        findings=(Finding("body", f"is larger than {limit} bytes"),),
+    )
+
+
+def _raw_response(problem: Problem) -> bytes:
+    body = problem_body(problem)
+    headers = (
+        *problem_headers(problem),
+        (b"content-length", b"%d" % len(body)),
+        (b"connection", b"close"),
+    )
+    lines = [b"HTTP/1.1 %d Refused" % problem.http_status]
+    lines += [name + b": " + value for name, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/notcharch/gateway/leader_client.py
@@ -0,0 +1,147 @@
+"""Typed requests to the leaders of programs' partitions.
+
+Every request may be repeated, so one whose outcome is not known is sent again a
+few times with growing delays before its problem is given.
+"""
+
+import random
+from typing import TypeVar
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.placement.interface import Router
+from notcharch.placement.partitions import partition_of_program
+from notcharch.scheduling.retry import RetryPolicy
+from notcharch.values.identifiers import PartitionNumber, ProgramId
+from notcharch.wire.messages.base import Message
+
+REQUEST_SECONDS = 5.0
+"""Wait for one reply."""
+
+UNKNOWN_PROGRAM = "there is no such program"
+RETRY_AFTER_SECONDS = 1.0
+
+MessageT = TypeVar("MessageT", bound=Message)
+
+
+class LeaderClient:
+    """Asks leaders through the router; knows which partitions there are."""
+
+    def __init__(
+        self,
+        router: Router,
+        clock: IReactorTime,
+        chance: random.Random,
+        *,
+        region: str,
+        partition_count: int,
+    ) -> None:
+        """Send through `router`; a program id must be of `region`."""
+        self._router = router
+        self._clock = clock
+        self._chance = chance
+        self._region = region
+        self._partition_count = partition_count
+        self._policy = RetryPolicy()
+
+    def partition_of(self, program: ProgramId) -> Result[PartitionNumber, Problem]:
+        """Give the partition of a program; NOT_FOUND when it cannot exist here."""
+        partition = partition_of_program(program)
+        is_of_region = program.rsplit("-", 2)[0] == self._region
+        if partition is None or not is_of_region:
+            return Err(not_found())
+        if not 0 <= partition < self._partition_count:
+            return Err(not_found())
+        return Ok(partition)
+
+    async def ask(
+        self,
+        program: ProgramId,
+        message: Message,
+        *,
+        tries: int = 1,
+        timeout_seconds: float = REQUEST_SECONDS,
+    ) -> Result[Message, Problem]:
+        """Send a request to the program's leader; repeats one without an outcome."""
+        partition = self.partition_of(program)
+        if isinstance(partition, Err):
+            return Err(partition.err_value)
+        failures = 0
+        while True:
+            reply = await self._router.to_partition(
+                partition.ok_value, message, timeout_seconds
+            )
+            if isinstance(reply, Ok) or not is_transient(reply.err_value):
+                return reply
+            failures += 1
+            if failures >= tries:
+                return reply
+            await self.pause(failures)
+
+    def pause(self, failures: int) -> "Deferred[None]":
+        """Wait before the next try, longer after more failures."""
+        delay = self._policy.delay_seconds(failures, self._chance)
+        return deferLater(self._clock, delay, lambda: None)
+
+
+def is_transient(problem: Problem) -> bool:
+    """Tell whether the same request may have another outcome a moment later."""
+    return any(
+        problem.is_code(code)
+        for code in (
+            ProblemCode.UNAVAILABLE,
+            ProblemCode.TIMED_OUT,
+            ProblemCode.NOT_LEADER,
+        )
+    )
+
+
+def not_found() -> Problem:
+    """Give the problem of a program that does not exist for this caller."""
+    return Problem.of(ProblemCode.NOT_FOUND, UNKNOWN_PROGRAM)
+
+
+def expect(
+    reply: Result[Message, Problem], expected: type[MessageT]
+) -> Result[MessageT, Problem]:
+    """Narrow a reply to the type that the request is answered with."""
+    if isinstance(reply, Err):
+        return Err(reply.err_value)
+    if isinstance(reply.ok_value, expected):
+        return Ok(reply.ok_value)
+    return Err(unexpected(reply.ok_value))
+
+
+def unexpected(message: Message) -> Problem:
+    """Give the problem of a reply that does not belong to the request."""
+    return Problem.of(
+        ProblemCode.INTERNAL,
+        f"unexpected reply {type(message).__name__}",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def for_caller(problem: Problem) -> Problem:
+    """Turn problems between daemons into what a caller can use."""
+    is_internal = any(
+        problem.is_code(code)
+        for code in (
+            ProblemCode.NOT_LEADER,
+            ProblemCode.NOT_STEWARD,
+            ProblemCode.STALE_EPOCH,
+            ProblemCode.TIMED_OUT,
+            ProblemCode.UNAVAILABLE,
+        )
+    )
+    if not is_internal:
+        return problem
+    return Problem.of(
+        ProblemCode.UNAVAILABLE,
+        problem.message,
+        ran=problem.ran,
+        retry_after=problem.retry_after or RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/notcharch/gateway/resource.py
@@ -0,0 +1,237 @@
+"""The callers' HTTP interface; the daemon mounts it at `/v1`.
+
+The resource parses, asks and renders. Who runs what and when is decided below it.
+"""
+
+import random
+from typing import TypeVar
+
+from klein import Klein
+from prometheus_client import CollectorRegistry
+from result import Err, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.iweb import IRequest
+from twisted.web.resource import Resource
+from twisted.web.server import Request
+
+from notcharch.errors import Finding, Problem, ProblemCode
+from notcharch.errors.problem import ProblemError
+from notcharch.events.event import emit
+from notcharch.events.gateway import GatewayDrained, GatewayDraining
+from notcharch.gateway.authentication import tenant_of
+from notcharch.gateway.call_requests import CallRequests
+from notcharch.gateway.call_runs import CallRuns
+from notcharch.gateway.call_tools import CallTools, Placer, SlotSource
+from notcharch.gateway.http_errors import GatewayLeaf, add_error_handlers
+from notcharch.gateway.leader_client import LeaderClient
+from notcharch.gateway.metrics import GatewayMetrics
+from notcharch.gateway.program_requests import ProgramRequests
+from notcharch.gateway.program_services import ProgramServices
+from notcharch.gateway.responses import (
+    EndedBody,
+    ProgramBody,
+    history_body,
+    json_response,
+    program_state,
+)
+from notcharch.gateway.validation import (
+    BodyLimits,
+    CallBody,
+    bad_request,
+    read_call,
+    read_new_program,
+    read_query_integer,
+    read_sequence,
+)
+from notcharch.placement.interface import Router
+from notcharch.platform.ports import EnginePort
+from notcharch.settings.schema import GatewaySection
+from notcharch.table.interface import TableView
+from notcharch.values.identifiers import (
+    CallSequence,
+    Member,
+    ProgramId,
+    RegionName,
+    TenantName,
+)
+
+DRAIN_RETRY_SECONDS = 1.0
+LONGEST_IDEMPOTENCY_KEY = 255
+HISTORY_LIMITS = (1, 1000)
+HISTORY_DEFAULT = 100
+MOST_START = 2**53 - 1
+
+
+class Gateway:
+    """The callers' interface of one daemon."""
+
+    app = Klein()
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        slots: SlotSource,
+        placer: Placer,
+        engines: EnginePort,
+        table: TableView,
+        clock: IReactorTime,
+        chance: random.Random,
+        own_member: Member,
+        region: RegionName,
+        partition_count: int,
+        section: GatewaySection,
+        registry: CollectorRegistry,
+    ) -> None:
+        """Take the collaborators; `resource()` is what is mounted.
+
+        `placer` is the `engines.dispatcher.Dispatcher`, `slots` the holder of
+        `services`; `clock` gives seconds since 1970.
+        """
+        leader = LeaderClient(
+            router, clock, chance, region=region, partition_count=partition_count
+        )
+        services = ProgramServices(leader)
+        tools = CallTools(
+            leader=leader,
+            slots=slots,
+            placer=placer,
+            engines=engines,
+            table=table,
+            clock=clock,
+            own_member=own_member,
+            metrics=GatewayMetrics(registry),
+        )
+        self._table = table
+        self._limits = BodyLimits(section.messages_per_call)
+        self._runs = CallRuns(tools)
+        self._programs = ProgramRequests(
+            leader, services, chance, region=region, partition_count=partition_count
+        )
+        self._calls = CallRequests(tools, self._runs, services, section)
+        self._is_draining = False
+
+    def resource(self) -> Resource:
+        """Give the resource to mount."""
+        return GatewayLeaf(self.app.resource())
+
+    @property
+    def running_calls(self) -> int:
+        """Count the calls under way."""
+        return len(self._runs)
+
+    def drain(self) -> "Deferred[None]":
+        """Refuse new calls from now on; fires when the running ones have ended."""
+        self._is_draining = True
+        emit(GatewayDraining(len(self._runs)))
+        idle = self._runs.when_idle()
+        idle.addCallback(lambda _: emit(GatewayDrained()))
+        return idle
+
+    @app.route("/programs", methods=["POST"])
+    async def create_program(self, request: IRequest) -> bytes:
+        """Begin a program."""
+        tenant = self._tenant(request)
+        self._refuse_while_draining()
+        key = _idempotency_key(request)
+        new = _value(read_new_program(_body(request)))
+        program = _value(await self._programs.create(tenant, new, key))
+        request.setHeader(b"location", b"/v1/programs/" + program.encode())
+        return json_response(
+            request, 201, ProgramBody(program, new.service, new.parent)
+        )
+
+    @app.route("/programs/<program>", methods=["GET"])
+    async def read_program(self, request: IRequest, program: str) -> bytes:
+        """Read a program's state."""
+        tenant = self._tenant(request)
+        found = _value(await self._programs.describe(tenant, ProgramId(program)))
+        return json_response(request, 200, program_state(found))
+
+    @app.route("/programs/<program>", methods=["DELETE"])
+    async def end_program(self, request: IRequest, program: str) -> bytes:
+        """End a program and its children."""
+        tenant = self._tenant(request)
+        name = ProgramId(program)
+        _value(await self._programs.end(tenant, name))
+        return json_response(request, 200, EndedBody(name, ended=True))
+
+    @app.route("/programs/<program>/history", methods=["GET"])
+    async def read_history(self, request: IRequest, program: str) -> bytes:
+        """Read a page of history."""
+        tenant = self._tenant(request)
+        findings: list[Finding] = []
+        start = read_query_integer(request.args, "start", (0, MOST_START), 0, findings)
+        limit = read_query_integer(
+            request.args, "limit", HISTORY_LIMITS, HISTORY_DEFAULT, findings
+        )
+        if findings:
+            raise ProblemError(bad_request(findings))
+        name = ProgramId(program)
+        page = _value(await self._programs.history(tenant, name, start, limit))
+        return json_response(request, 200, history_body(name, page))
+
+    @app.route("/programs/<program>/calls", methods=["POST"])
+    async def run_call(self, request: Request, program: str) -> bytes | None:
+        """Run a call, or join the one that is running."""
+        tenant = self._tenant(request)
+        self._refuse_while_draining()
+        body = self._call_body(request)
+        if body.sequence is None:
+            finding = Finding("sequence", "is missing")
+            raise ProblemError(bad_request([finding]))
+        return await self._calls.run(
+            request, tenant, ProgramId(program), body.sequence, body
+        )
+
+    @app.route("/programs/<program>/calls/<sequence>", methods=["GET"])
+    async def read_call_answer(
+        self, request: IRequest, program: str, sequence: str
+    ) -> bytes:
+        """Give a call's answer, waiting for it a bounded time."""
+        tenant = self._tenant(request)
+        number: CallSequence = _value(read_sequence(sequence, "path.sequence"))
+        return await self._calls.answer(request, tenant, ProgramId(program), number)
+
+    def _tenant(self, request: IRequest) -> TenantName:
+        return _value(tenant_of(request, self._table))
+
+    def _call_body(self, request: IRequest) -> CallBody:
+        return _value(read_call(_body(request), self._limits))
+
+    def _refuse_while_draining(self) -> None:
+        if self._is_draining:
+            raise ProblemError(
+                Problem.of(
+                    ProblemCode.DRAINING,
+                    "this daemon is stopping; ask another one",
+                    retry_after=DRAIN_RETRY_SECONDS,
+                )
+            )
+
+
+add_error_handlers(Gateway.app)
+
+Value = TypeVar("Value")
+
+
+def _body(request: IRequest) -> bytes:
+    content: bytes = request.content.read()
+    return content
+
+
+def _value(result: Result[Value, Problem]) -> Value:
+    if isinstance(result, Err):
+        raise ProblemError(result.err_value)
+    return result.ok_value
+
+
+def _idempotency_key(request: IRequest) -> str | None:
+    key = request.getHeader("idempotency-key")
+    if key is None:
+        return None
+    if not 1 <= len(key) <= LONGEST_IDEMPOTENCY_KEY:
+        message = f"must have 1 to {LONGEST_IDEMPOTENCY_KEY} characters"
+        raise ProblemError(bad_request([Finding("header.Idempotency-Key", message)]))
+    return str(key)
--- /dev/null
+++ b/notcharch/gateway/stream_relay.py
@@ -0,0 +1,196 @@
+"""Carries an engine's stream to one caller, as bytes.
+
+The path of a token is `StreamRelay.on_bytes`: one search and one write to the
+connection. Nothing is decoded, logged or deferred for each token.
+
+The end of the stream (the chunk with `finish_reason`, what follows it, and
+`[DONE]`) is held back until a majority has stored the answer, so a caller that
+has seen the end can rely on the history.
+"""
+
+import re
+from typing import Protocol
+
+from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
+from twisted.web.server import Request
+from zope.interface import implementer
+
+from notcharch.errors import Problem
+from notcharch.gateway.openai import error_event
+from notcharch.platform.ports import EngineStream
+
+EVENT_END = b"\n\n"
+CONTENT_TYPE = b"text/event-stream"
+
+HELD_BACK = re.compile(rb'"finish_reason"\s*:\s*"|"error"\s*:|data: \[DONE\]')
+"""The beginning of the end. A quotation mark inside a JSON text is escaped, so
+no content of a message can look like these."""
+
+
+class StreamSink(Protocol):
+    """Takes the bytes of the attempts of one call."""
+
+    def on_bytes(self, data: bytes) -> None:
+        """Take whole server-sent events."""
+
+    def attach(self, stream: EngineStream) -> None:
+        """Learn the stream to pause while the caller reads slowly."""
+
+    def detach(self) -> None:
+        """Forget the stream, which has ended."""
+
+    def stream_lost(self, problem: Problem) -> None:
+        """Learn that the attempt is lost; what follows is a new answer."""
+
+
+@implementer(IPushProducer)
+class StreamRelay:
+    """The `StreamSink` of one HTTP request."""
+
+    def __init__(
+        self, request: Request, clock: IReactorTime, stall_seconds: float
+    ) -> None:
+        """Write to `request`; a reader that stalls for `stall_seconds` is cut off."""
+        self._request = request
+        self._clock = clock
+        self._stall_seconds = stall_seconds
+        self._stall_timer: IDelayedCall | None = None
+        self._stream: EngineStream | None = None
+        self._held: list[bytes] | None = None
+        self._is_paused = False
+        self._is_closed = False
+        self.has_begun = False
+        self.relayed_events = 0
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether nothing more can be written to the caller."""
+        return self._is_closed
+
+    @property
+    def holds_end(self) -> bool:
+        """Tell whether the end of the engine's own stream is held back."""
+        return self._held is not None
+
+    def on_bytes(self, data: bytes) -> None:
+        """Pass events on, up to the one that begins the end."""
+        if self._is_closed:
+            return
+        if self._held is not None:
+            self._held.append(data)
+            return
+        match = HELD_BACK.search(data)
+        if match is None:
+            self._write(data)
+            return
+        start = data.rfind(EVENT_END, 0, match.start())
+        start = 0 if start < 0 else start + len(EVENT_END)
+        if start:
+            self._write(data[:start])
+        self._held = [data[start:]]
+
+    def attach(self, stream: EngineStream) -> None:
+        """Pause and resume this stream from now on."""
+        self._stream = stream
+        if self._is_paused and not self._is_closed:
+            stream.pause()
+
+    def detach(self) -> None:
+        """Forget the stream."""
+        self._stream = None
+
+    def stream_lost(self, problem: Problem) -> None:
+        """Tell the caller that its stream broke, unless it has seen nothing yet.
+
+        Two different answers are never spliced: the caller fetches the one that
+        is stored.
+        """
+        self._held = None
+        self._stream = None
+        if self.has_begun and not self._is_closed:
+            self._write(error_event(problem))
+            self.finish()
+
+    def release_end(self) -> None:
+        """Write the end that was held back; the answer is stored."""
+        if self._is_closed or self._held is None:
+            return
+        data = b"".join(self._held)
+        self._held = None
+        self._write(data)
+
+    def write(self, data: bytes) -> None:
+        """Write events of this system's own."""
+        if not self._is_closed:
+            self._write(data)
+
+    def finish(self) -> None:
+        """End the response."""
+        if self._is_closed:
+            return
+        self._close()
+        if self.has_begun:
+            self._request.unregisterProducer()
+        self._request.finish()
+
+    def caller_gone(self) -> None:
+        """Stop writing; the run goes on at full speed for whoever asks later."""
+        if not self._is_closed:
+            self._close()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the engine: the caller reads more slowly."""
+        if self._is_closed or self._is_paused:
+            return
+        self._is_paused = True
+        self._stall_timer = self._clock.callLater(self._stall_seconds, self._cut_off)
+        if self._stream is not None:
+            self._stream.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read from the engine again."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        self._cancel_timer()
+        if self._stream is not None:
+            self._stream.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Learn that the connection is lost."""
+        self.caller_gone()
+
+    def _write(self, data: bytes) -> None:
+        if not self.has_begun:
+            self._begin()
+        self.relayed_events += 1
+        if self._request.chunked:
+            self._request.channel.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._request.write(data)
+
+    def _begin(self) -> None:
+        self.has_begun = True
+        self._request.setHeader(b"content-type", CONTENT_TYPE)
+        self._request.setHeader(b"cache-control", b"no-store")
+        self._request.registerProducer(self, True)
+        self._request.write(b"")
+
+    def _close(self) -> None:
+        self._is_closed = True
+        self._held = None
+        self._cancel_timer()
+        if self._is_paused and self._stream is not None:
+            self._stream.resume()
+        self._is_paused = False
+        self._stream = None
+
+    def _cancel_timer(self) -> None:
+        if self._stall_timer is not None and self._stall_timer.active():
+            self._stall_timer.cancel()
+        self._stall_timer = None
+
+    def _cut_off(self) -> None:
+        self._stall_timer = None
+        self._close()
+        self._request.channel.forceAbortClient()
--- /dev/null
+++ b/notcharch/gateway/validation.py
@@ -0,0 +1,245 @@
+"""Reads request bodies; collects every finding instead of stopping at the first.
+
+Nothing here touches the network: bytes come in, a typed request or a problem
+with all its findings comes out.
+"""
+
+import hashlib
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from notcharch.errors import Finding, Problem, ProblemCode
+from notcharch.gateway.message_reading import read_messages
+from notcharch.values.chat import ChatMessage
+from notcharch.values.identifiers import CallSequence, ProgramId, ServiceName
+
+MOST_ANSWER_TOKENS = 2**31 - 1
+MOST_SEQUENCE = 2**53 - 1
+LONGEST_NAME = 200
+
+PROGRAM_FIELDS = frozenset({"service", "parent"})
+CALL_FIELDS = frozenset(
+    {
+        "messages",
+        "max_tokens",
+        "max_completion_tokens",
+        "stream",
+        "stream_options",
+        "sequence",
+        "repeatable",
+        "model",
+        "n",
+    }
+)
+IGNORED_FIELDS = frozenset({"user", "metadata", "store", "service_tier"})
+"""OpenAI fields that have no influence on the answer."""
+
+
+class NewProgram(msgspec.Struct, frozen=True):
+    """The body that begins a program."""
+
+    service: ServiceName
+    parent: ProgramId | None
+
+
+class CallBody(msgspec.Struct, frozen=True):
+    """A checked chat-completions body.
+
+    `sequence` is None when the body names none; `max_tokens` is None when the
+    row's bound applies. `digest` recognises a repeat of the same call.
+    """
+
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int | None
+    stream: bool
+    sequence: CallSequence | None
+    repeatable: bool
+    model: str | None
+
+    @property
+    def digest(self) -> str:
+        """Give the hex SHA-256 of everything that influences the answer."""
+        return body_digest(self.messages, self.max_tokens, self.repeatable)
+
+
+class BodyLimits(msgspec.Struct, frozen=True):
+    """What a call's body may hold at most; a count of messages."""
+
+    messages: int
+
+
+def body_digest(
+    messages: tuple[ChatMessage, ...], max_tokens: int | None, repeatable: bool
+) -> str:
+    """Give the digest by which the leader recognises a repeated call."""
+    encoded = msgspec.json.encode((messages, max_tokens, repeatable))
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def read_new_program(body: bytes) -> Result[NewProgram, Problem]:
+    """Read the body of `POST /v1/programs`."""
+    findings: list[Finding] = []
+    fields = _read_object(body, findings)
+    reader = FieldReader(fields, findings)
+    reader.refuse_unknown(PROGRAM_FIELDS)
+    service = reader.text("service")
+    parent = reader.text("parent")
+    if service is None and fields is not None and "service" not in fields:
+        findings.append(Finding("service", "is missing"))
+    if findings:
+        return Err(bad_request(findings))
+    return Ok(
+        NewProgram(
+            service=ServiceName(service or ""),
+            parent=None if parent is None else ProgramId(parent),
+        )
+    )
+
+
+def read_call(body: bytes, limits: BodyLimits) -> Result[CallBody, Problem]:
+    """Read a chat-completions body with notcharch's own fields."""
+    findings: list[Finding] = []
+    fields = _read_object(body, findings)
+    if fields is None:
+        return Err(bad_request(findings))
+    reader = FieldReader(fields, findings)
+    reader.refuse_unknown(CALL_FIELDS | IGNORED_FIELDS)
+    messages = read_messages(fields.get("messages"), limits.messages, findings)
+    sequence = reader.integer("sequence", 1, MOST_SEQUENCE)
+    max_tokens = _read_max_tokens(reader, findings)
+    reader.integer("n", 1, 1)
+    call = CallBody(
+        messages=messages,
+        max_tokens=max_tokens,
+        stream=reader.boolean("stream", default=False),
+        sequence=None if sequence is None else CallSequence(sequence),
+        repeatable=reader.boolean("repeatable", default=True),
+        model=reader.text("model"),
+    )
+    if findings:
+        return Err(bad_request(findings))
+    return Ok(call)
+
+
+def read_sequence(text: str, place: str) -> Result[CallSequence, Problem]:
+    """Read a call's number out of a path or header."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= 16
+    if not is_number or not 1 <= int(text) <= MOST_SEQUENCE:
+        finding = Finding(place, f"must be a whole number from 1, not {text[:40]!r}")
+        return Err(bad_request([finding]))
+    return Ok(CallSequence(int(text)))
+
+
+def read_query_integer(
+    args: Mapping[bytes, list[bytes]],
+    name: str,
+    bounds: tuple[int, int],
+    default: int,
+    findings: list[Finding],
+) -> int:
+    """Read an integer out of the query, within its bounds."""
+    values = args.get(name.encode())
+    if not values:
+        return default
+    text = values[-1].decode("ascii", "replace")
+    low, high = bounds
+    is_number = text.isascii() and text.isdigit() and len(text) <= 16
+    if not is_number or not low <= int(text) <= high:
+        message = f"must be a whole number from {low} to {high}"
+        findings.append(Finding(f"query.{name}", message))
+        return default
+    return int(text)
+
+
+def bad_request(findings: list[Finding]) -> Problem:
+    """Give the problem that reports all findings together."""
+    return Problem.of(
+        ProblemCode.BAD_REQUEST,
+        f"the request has {len(findings)} finding(s)",
+        findings=tuple(findings),
+    )
+
+
+Value = TypeVar("Value")
+
+
+class FieldReader:
+    """Reads fields of a JSON object; adds a finding for each that is wrong."""
+
+    def __init__(
+        self, fields: Mapping[str, object] | None, findings: list[Finding]
+    ) -> None:
+        """Read from `fields`; an absent or null field gives its default."""
+        self._fields = fields or {}
+        self._findings = findings
+
+    def refuse_unknown(self, known: frozenset[str]) -> None:
+        """Add a finding for each field that is neither known nor null."""
+        for name, value in self._fields.items():
+            if name not in known and value is not None:
+                self._findings.append(Finding(name[:80], "is not supported"))
+
+    def integer(self, name: str, low: int, high: int) -> int | None:
+        """Read an integer from `low` to `high`; None when absent."""
+
+        def check(value: object) -> int | None:
+            if isinstance(value, bool) or not isinstance(value, int):
+                return None
+            return value if low <= value <= high else None
+
+        return self._read(name, check, f"must be a whole number from {low} to {high}")
+
+    def boolean(self, name: str, *, default: bool) -> bool:
+        """Read true or false."""
+
+        def check(value: object) -> bool | None:
+            return value if isinstance(value, bool) else None
+
+        value = self._read(name, check, "must be true or false")
+        return default if value is None else value
+
+    def text(self, name: str) -> str | None:
+        """Read a name of 1 to `LONGEST_NAME` characters; None when absent."""
+
+        def check(value: object) -> str | None:
+            is_name = isinstance(value, str) and 1 <= len(value) <= LONGEST_NAME
+            return value if is_name and isinstance(value, str) else None
+
+        return self._read(
+            name, check, f"must be a text of 1 to {LONGEST_NAME} characters"
+        )
+
+    def _read(
+        self, name: str, check: Callable[[object], Value | None], message: str
+    ) -> Value | None:
+        raw = self._fields.get(name)
+        if raw is None:
+            return None
+        value = check(raw)
+        if value is None:
+            self._findings.append(Finding(name, message))
+        return value
+
+
+def _read_object(body: bytes, findings: list[Finding]) -> dict[str, object] | None:
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        findings.append(Finding("body", f"is not JSON in UTF-8: {error}"))
+        return None
+    if not isinstance(value, dict):
+        findings.append(Finding("body", "must be a JSON object"))
+        return None
+    return value
+
+
+def _read_max_tokens(reader: FieldReader, findings: list[Finding]) -> int | None:
+    old = reader.integer("max_tokens", 1, MOST_ANSWER_TOKENS)
+    new = reader.integer("max_completion_tokens", 1, MOST_ANSWER_TOKENS)
+    if old is not None and new is not None and old != new:
+        message = "differs from max_completion_tokens"
+        findings.append(Finding("max_tokens", message))
+    return old if new is None else new
