--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -51,7 +51,10 @@
 
 
 class PublishBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """`changes`, or a whole table as `rows` and `keys`, edited from a version."""
+    """`changes`, or a whole table as `rows`, edited from a version.
+
+    Without `keys` the callers' keys stay as they are.
+    """
 
     base_version: TableVersion
     changes: tuple[AnyChange, ...] | None = None
@@ -246,7 +249,7 @@
     """Take either the changes or the whole table out of a body."""
     if body.changes is not None and body.rows is None and body.keys is None:
         return Ok((body, ChangesDraft(body.changes)))
-    if body.changes is None and body.rows is not None and body.keys is not None:
+    if body.changes is None and body.rows is not None:
         return Ok((body, WholeDraft(body.rows, body.keys)))
-    finding = Finding("body", "needs either changes, or both rows and keys")
+    finding = Finding("body", "needs either changes or rows")
     return Err(bad_request("the body cannot be read", finding))
--- /dev/null
+++ b/notcharch/cli/table_actions.py
@@ -0,0 +1,330 @@
+"""The actions of `notcharch table`, each an exit status out of arguments."""
+
+import argparse
+import secrets
+import sys
+from pathlib import Path
+
+import attrs
+from result import Err, Ok, Result
+
+from notcharch.admin.in_force import InForceReport
+from notcharch.admin.table_routes import (
+    CheckAnswer,
+    HistoryAnswer,
+    PublishAnswer,
+    PublishBody,
+    RollbackBody,
+    TableAnswer,
+)
+from notcharch.cli.admin_client import AdminClient, print_problem
+from notcharch.cli.columns import print_columns, print_json
+from notcharch.cli.exit_codes import DONE, FAILED
+from notcharch.errors import Finding, Problem, ProblemCode, Ran
+from notcharch.table.document import (
+    DocumentFormat,
+    TableDocument,
+    cell_text,
+    read_document,
+    write_document,
+)
+from notcharch.table.draft import ChangeCell
+from notcharch.table.edits import AnyEdit, SetCell, SetKey, SetRow
+from notcharch.table.interface import ServiceRow, Table
+from notcharch.table.schema import (
+    CELL_NAMES,
+    cell_place,
+    key_place,
+    read_cell,
+    row_place,
+)
+from notcharch.values.identifiers import RecordId, ServiceName, TableVersion
+
+TABLE_PATH = "/table"
+PUBLISH_PATH = "/table/publish"
+IN_FORCE_QUERY = "?wait=in_force"
+PUBLISH_ATTEMPTS = 4
+RETRY_SECONDS = 1.0
+ABSENT = "-"
+
+
+async def show(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Print a version as a document, as columns, or as JSON."""
+    query = "" if arguments.version is None else f"?version={arguments.version}"
+    read = await client.get(TABLE_PATH + query, TableAnswer)
+    if isinstance(read, Err):
+        return print_problem(read.err_value)
+    answer = read.ok_value
+    if arguments.json:
+        print_json(answer)
+    elif arguments.format is not None:
+        table = Table(answer.version, answer.rows, answer.keys)
+        document_format = DocumentFormat(f".{arguments.format}")
+        sys.stdout.write(write_document(table, document_format))
+    else:
+        _print_table(answer)
+    return DONE
+
+
+async def check(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Print all findings of a document, and what it would change."""
+    body = await _body_of(client, arguments)
+    if isinstance(body, Err):
+        return print_problem(body.err_value)
+    checked = await client.post("/table/check", body.ok_value, CheckAnswer)
+    if isinstance(checked, Err):
+        return print_problem(checked.err_value)
+    if arguments.json:
+        print_json(checked.ok_value)
+        return DONE
+    count = len(checked.ok_value.edits)
+    version = checked.ok_value.version
+    sys.stdout.write(f"no findings; {count} changes to version {version}\n")
+    return DONE
+
+
+async def diff(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Print what a document would change in the table in force."""
+    body = await _body_of(client, arguments)
+    if isinstance(body, Err):
+        return print_problem(body.err_value)
+    checked = await client.post("/table/check", body.ok_value, CheckAnswer)
+    if isinstance(checked, Err):
+        return print_problem(checked.err_value)
+    if arguments.json:
+        print_json(checked.ok_value)
+        return DONE
+    _print_edits(checked.ok_value.edits)
+    return DONE
+
+
+async def publish(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Publish a document."""
+    body = await _body_of(client, arguments)
+    if isinstance(body, Err):
+        return print_problem(body.err_value)
+    return await _publish(client, arguments, body.ok_value)
+
+
+async def edit(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Publish one cell, edited from the version in force now."""
+    place = cell_place(arguments.service, arguments.cell)
+    value = read_cell(arguments.cell, arguments.value, place, from_text=True)
+    if isinstance(value, Err):
+        return print_problem(_unreadable(value.err_value))
+    read = await client.get(TABLE_PATH, TableAnswer)
+    if isinstance(read, Err):
+        return print_problem(read.err_value)
+    service = ServiceName(arguments.service)
+    change = ChangeCell(service, arguments.cell, value.ok_value)
+    body = PublishBody(
+        base_version=read.ok_value.version,
+        changes=(change,),
+        id=_new_id(),
+        note=arguments.note,
+    )
+    return await _publish(client, arguments, body)
+
+
+async def history(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Print the newest publications."""
+    path = f"/table/history?limit={arguments.limit}"
+    read = await client.get(path, HistoryAnswer)
+    if isinstance(read, Err):
+        return print_problem(read.err_value)
+    answer = read.ok_value
+    if arguments.json:
+        print_json(answer)
+        return DONE
+    print_columns(
+        ("VERSION", "AUTHOR", "VERDICT", "BASE", "CHANGES", "NOTE"),
+        (
+            (
+                item.version,
+                item.author,
+                item.verdict.value,
+                item.base_version,
+                len(item.edits),
+                item.note,
+            )
+            for item in answer.entries
+        ),
+    )
+    return DONE
+
+
+async def rollback(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Publish the contents of an older version."""
+    body = RollbackBody(TableVersion(arguments.version), _new_id())
+    query = IN_FORCE_QUERY if arguments.wait else ""
+    path = "/table/rollback" + query
+    return _report(arguments, await _post_repeatedly(client, path, body))
+
+
+def document_of(path: Path) -> Result[TableDocument, Problem]:
+    """Read a table document from a file whose suffix names its format."""
+    try:
+        document_format = DocumentFormat(path.suffix.lower())
+    except ValueError:
+        return Err(_unreadable(Finding(str(path), "must end in .toml or .csv")))
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        return Err(_unreadable(Finding(str(path), str(error))))
+    read = read_document(text, document_format)
+    return read.map_err(lambda findings: _unreadable(*findings))
+
+
+async def _body_of(
+    client: AdminClient, arguments: argparse.Namespace
+) -> Result[PublishBody, Problem]:
+    """Read the document and find its base version.
+
+    Without one in the flags or the document it is 0, the base of a first table;
+    the server refuses that when there is a table already.
+    """
+    read = document_of(arguments.file)
+    if isinstance(read, Err):
+        return read
+    document = read.ok_value
+    base = arguments.base if arguments.base is not None else document.base_version
+    if base is None:
+        base = await _first_base(client)
+        if isinstance(base, Err):
+            return base
+        base = base.ok_value
+    return Ok(
+        PublishBody(
+            base_version=TableVersion(base),
+            rows=document.draft.rows,
+            keys=document.draft.keys,
+            id=_new_id(),
+            note=getattr(arguments, "note", ""),
+        )
+    )
+
+
+async def _first_base(client: AdminClient) -> Result[TableVersion, Problem]:
+    """Give 0 while there is no table; a later document must name its base."""
+    current = await client.get(TABLE_PATH, TableAnswer)
+    if isinstance(current, Err):
+        return current
+    version = current.ok_value.version
+    if version == 0:
+        return Ok(version)
+    message = f"names no version; the one in force is {version} (see --base)"
+    return Err(_unreadable(Finding("version", message)))
+
+
+async def _publish(
+    client: AdminClient, arguments: argparse.Namespace, body: PublishBody
+) -> int:
+    query = IN_FORCE_QUERY if arguments.wait else ""
+    published = await _post_repeatedly(client, PUBLISH_PATH + query, body)
+    return _report(arguments, published)
+
+
+async def _post_repeatedly(
+    client: AdminClient, path: str, body: PublishBody | RollbackBody
+) -> Result[PublishAnswer, Problem]:
+    """Send a publication again while its verdict is unknown; its id stays."""
+    attempt = 1
+    while True:
+        answer = await client.post(path, body, PublishAnswer)
+        if isinstance(answer, Ok) or attempt == PUBLISH_ATTEMPTS:
+            return answer
+        problem = answer.err_value
+        if problem.ran is not Ran.UNKNOWN:
+            return answer
+        attempt += 1
+        await client.pause(problem.retry_after or RETRY_SECONDS)
+
+
+def _report(
+    arguments: argparse.Namespace, published: Result[PublishAnswer, Problem]
+) -> int:
+    if isinstance(published, Err):
+        return print_problem(published.err_value)
+    answer = published.ok_value
+    is_missing = answer.in_force is not None and not answer.in_force.in_force
+    status = FAILED if is_missing else DONE
+    if arguments.json:
+        print_json(answer)
+        return status
+    publication = answer.publication
+    if publication.unchanged:
+        sys.stdout.write(f"unchanged; version {publication.version} says so already\n")
+    else:
+        merged = ", merged with others' changes" if publication.merged else ""
+        sys.stdout.write(f"published version {publication.version}{merged}\n")
+        _print_edits(publication.edits)
+    if answer.in_force is not None:
+        _print_report(answer.in_force)
+    return status
+
+
+def _print_report(report: InForceReport) -> None:
+    missing = len(report.behind) + len(report.unreached)
+    sys.stdout.write(
+        f"in force at {report.daemons - missing} of {report.daemons} daemons "
+        f"after {report.waited_seconds:.1f} s\n"
+    )
+    for name in report.behind:
+        sys.stdout.write(f"  {name}: has an older version\n")
+    for unreached in report.unreached:
+        sys.stdout.write(f"  {unreached.daemon}: {unreached.problem}\n")
+
+
+def _print_table(answer: TableAnswer) -> None:
+    age = answer.log_age_seconds
+    freshness = "never" if age is None else f"{age:.1f} s ago"
+    sys.stdout.write(
+        f"version {answer.version}, from {answer.source}; log read {freshness}; "
+        f"{len(answer.keys)} callers' keys\n"
+    )
+    header = [name.upper() for name in CELL_NAMES]
+    print_columns(header, map(_cells, answer.rows))
+
+
+def _cells(row: ServiceRow) -> list[str]:
+    return [cell_text(getattr(row, name)) for name in CELL_NAMES]
+
+
+def _print_edits(edits: tuple[AnyEdit, ...]) -> None:
+    for change in map(_described, edits):
+        sys.stdout.write(f"  {change.place}: {change.before} -> {change.after}\n")
+
+
+@attrs.frozen
+class _Described:
+    place: str
+    before: str
+    after: str
+
+
+def _described(edit: AnyEdit) -> _Described:
+    match edit:
+        case SetCell():
+            place = cell_place(edit.service, edit.cell)
+            return _Described(place, cell_text(edit.before), cell_text(edit.after))
+        case SetRow():
+            place = row_place(edit.service)
+            return _Described(place, _row_text(edit.before), _row_text(edit.after))
+        case SetKey():
+            place = key_place(edit.key_sha256)
+            return _Described(place, edit.before or ABSENT, edit.after or ABSENT)
+
+
+def _row_text(row: ServiceRow | None) -> str:
+    if row is None:
+        return ABSENT
+    return " ".join(f"{name}={cell_text(getattr(row, name))}" for name in CELL_NAMES)
+
+
+def _unreadable(*findings: Finding) -> Problem:
+    message = "the table breaks its rules or cannot be read"
+    return Problem.of(ProblemCode.BAD_REQUEST, message, findings=findings)
+
+
+def _new_id() -> RecordId:
+    return RecordId(secrets.token_hex(16))
--- /dev/null
+++ b/notcharch/cli/table_command.py
@@ -0,0 +1,92 @@
+"""`notcharch table`: read, check, edit, compare and publish the table."""
+
+import argparse
+from pathlib import Path
+
+from notcharch.cli import table_actions
+from notcharch.cli.admin_client import Command, add_server_options, run_command
+from notcharch.cli.command import CommandSpec
+
+ACTIONS: dict[str, Command] = {
+    "show": table_actions.show,
+    "check": table_actions.check,
+    "edit": table_actions.edit,
+    "diff": table_actions.diff,
+    "publish": table_actions.publish,
+    "history": table_actions.history,
+    "rollback": table_actions.rollback,
+}
+EXAMPLES = """examples:
+  notcharch table show --format toml > table.toml
+  notcharch table check table.toml
+  notcharch table publish table.toml --wait
+  notcharch table edit riddle-guide share 2.5 --wait
+  notcharch table rollback 118
+
+A document names the version it was read at. Publishing it merges with what others
+published since; a cell that they set to something else is a conflict, and nothing
+is published.
+"""
+
+
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Add the actions and their arguments."""
+    parser.epilog = EXAMPLES
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    show = _action(actions, "show", "print a version of the table")
+    show.add_argument("--version", type=int, help="an older one (default: in force)")
+    show.add_argument(
+        "--format", choices=("toml", "csv"), help="print a document to edit"
+    )
+    check = _action(actions, "check", "print every finding in a document")
+    diff = _action(actions, "diff", "print what a document would change")
+    publish = _action(actions, "publish", "publish a document")
+    for action in (check, diff, publish):
+        _add_document(action)
+    edit = _action(actions, "edit", "publish one cell")
+    edit.add_argument("service")
+    edit.add_argument("cell")
+    edit.add_argument("value")
+    history = _action(actions, "history", "print the newest publications")
+    history.add_argument("--limit", type=int, default=20, metavar="COUNT")
+    rollback = _action(actions, "rollback", "publish an older version's contents")
+    rollback.add_argument("version", type=int)
+    for action in (publish, edit):
+        action.add_argument("--note", default="", help="kept in the history")
+    for action in (publish, edit, rollback):
+        action.add_argument(
+            "--wait",
+            action="store_true",
+            help="until all live daemons have it in force; status 1 if they have not",
+        )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run the action."""
+    return run_command(ACTIONS[arguments.action], arguments)
+
+
+def _action(
+    actions: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    name: str,
+    summary: str,
+) -> argparse.ArgumentParser:
+    action = actions.add_parser(name, help=summary, description=summary)
+    add_server_options(action)
+    return action
+
+
+def _add_document(action: argparse.ArgumentParser) -> None:
+    action.add_argument("file", type=Path, help="document, .toml or .csv")
+    action.add_argument(
+        "--base", type=int, metavar="VERSION", help="over the document's version"
+    )
+
+
+COMMAND = CommandSpec(
+    name="table",
+    summary="read, check, edit and publish the table",
+    configure=configure,
+    run=run,
+)
+COMMANDS = (COMMAND,)
--- a/notcharch/table/draft.py
+++ b/notcharch/table/draft.py
@@ -12,6 +12,7 @@
 
 from notcharch.errors import Finding
 from notcharch.table.edits import (
+    EMPTY_CONTENTS,
     AnyEdit,
     SetCell,
     SetKey,
@@ -78,10 +79,10 @@
 
 
 class WholeDraft(msgspec.Struct, frozen=True):
-    """A whole table that replaces the base version."""
+    """A whole table that replaces the base version; None keeps the base's keys."""
 
     rows: tuple[RawRow, ...]
-    keys: tuple[TenantKey, ...]
+    keys: tuple[TenantKey, ...] | None
 
 
 Draft = ChangesDraft | WholeDraft
@@ -92,11 +93,14 @@
 ) -> Result[tuple[AnyEdit, ...], Findings]:
     """Check a draft and give the edits that it makes to its base."""
     if isinstance(draft, WholeDraft):
-        return read_whole(draft).map(lambda wanted: difference(base, wanted))
+        wanted = read_whole(draft, base)
+        return wanted.map(lambda contents: difference(base, contents))
     return _edits_of_changes(draft, base)
 
 
-def read_whole(draft: WholeDraft) -> Result[TableContents, Findings]:
+def read_whole(
+    draft: WholeDraft, base: TableContents = EMPTY_CONTENTS
+) -> Result[TableContents, Findings]:
     """Check a whole table's raw rows and keys."""
     rows: list[ServiceRow] = []
     findings: list[Finding] = []
@@ -106,9 +110,11 @@
                 rows.append(row)
             case Err(found):
                 findings.extend(found)
-    findings.extend(check_table(rows, draft.keys))
+    findings.extend(check_table(rows, draft.keys or ()))
     if findings:
         return Err(tuple(findings))
+    if draft.keys is None:
+        return Ok(TableContents(TableContents.of(rows, ()).rows, base.keys))
     return Ok(TableContents.of(rows, draft.keys))
 
 
--- a/notcharch/table/publisher.py
+++ b/notcharch/table/publisher.py
@@ -182,7 +182,12 @@
         base = self._replica.state.contents_at(base_version)
         if base is None:
             return Err(_refused_base(base_version))
-        return draft_edits(draft, base).map_err(_invalid)
+        edits = draft_edits(draft, base).map_err(_invalid)
+        if isinstance(edits, Err):
+            return edits
+        # What breaks a rule on its own base is refused whatever others publish.
+        findings = merge(base, edits.ok_value).findings
+        return Err(_invalid(findings)) if findings else edits
 
     def _early_answer(
         self, request: PublishRequest, edits: tuple[AnyEdit, ...]
--- a/notcharch/table/schema.py
+++ b/notcharch/table/schema.py
@@ -100,12 +100,19 @@
     return f"keys[{digest[:12]}]"
 
 
-def read_cell(cell: str, value: object, place: str) -> Result[CellValue, Finding]:
-    """Convert a raw value to the cell's type, without judging its range."""
+def read_cell(
+    cell: str, value: object, place: str, *, from_text: bool = False
+) -> Result[CellValue, Finding]:
+    """Convert a raw value to the cell's type, without judging its range.
+
+    With `from_text`, numbers and booleans may be given as text.
+    """
     if cell not in _CELL_TYPES:
         return Err(Finding(place, "unknown cell"))
     try:
-        converted: CellValue = msgspec.convert(value, _CELL_TYPES[cell])
+        converted: CellValue = msgspec.convert(
+            value, _CELL_TYPES[cell], strict=not from_text
+        )
     except msgspec.ValidationError as error:
         return Err(Finding(place, _lower_first(str(error))))
     return Ok(converted)
--- a/notcharch/values/identifiers.py
+++ b/notcharch/values/identifiers.py
@@ -49,7 +49,7 @@
 
 LogOffset = NewType("LogOffset", int)
 TableVersion = NewType("TableVersion", int)
-"""The log offset of the accepted publication; 0 before the first one."""
+"""The log offset of the accepted publication plus 1; 0 before the first one."""
 
 Incarnation = NewType("Incarnation", int)
 """The start of a daemon process, milliseconds since 1970; grows with each start."""
--- a/tests/unit/admin/admin_client.py
+++ b/tests/unit/admin/admin_client.py
@@ -100,8 +100,9 @@
         )
         root, mount = Resource(), Resource()
         root.putChild(b"admin", mount)
-        mount.putChild(b"v1", admin.resource())
-        self._client = StubTreq(root)
+        self.resource = admin.resource()
+        mount.putChild(b"v1", self.resource)
+        self.client = StubTreq(root)
         self.region.run(1.0)
 
     def _add_handlers(self, process):
@@ -121,26 +122,30 @@
     def ask(self, method, path, body=None, role="administrator", key=None):
         headers = {"authorization": f"Bearer {key or role}"} if key or role else {}
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        requesting = self._client.request(
+        requesting = self.client.request(
             method,
             "http://127.0.0.1/admin/v1" + path,
             headers=headers,
             data=data if body is not None else None,
         )
-        answers = []
-        requesting.addCallback(self._read).addBoth(answers.append)
+        return self.result_of(requesting.addCallback(self._read))
+
+    def result_of(self, waiting):
+        """Carry bytes and time until a Deferred has fired."""
+        results = []
+        waiting.addBoth(results.append)
         for _ in range(4000):
-            self._client.flush()
-            if answers:
+            self.client.flush()
+            if results:
                 break
             self.region.run(0.05)
-        assert answers, "no answer"
-        if hasattr(answers[0], "raiseException"):
-            answers[0].raiseException()
-        return answers[0]
+        assert results, "no result"
+        if hasattr(results[0], "raiseException"):
+            results[0].raiseException()
+        return results[0]
 
     def _read(self, response) -> Deferred:
-        reading = self._client.content(response)
+        reading = self.client.content(response)
         return reading.addCallback(
             lambda data: Answer(response.code, json.loads(data), response.headers)
         )
