Ask why an engine stream ended early instead of resuming it blindly

A run that was cancelled by others ends its stream regularly and without a last event. Resuming it cost every try, seconds, before the caller got its final answer; the state is asked first now.

--- a/notcharch/platform/engine_requests.py
+++ b/notcharch/platform/engine_requests.py
@@ -17,6 +17,8 @@
 
 QUEUED = "queued"
 RUNNING = "running"
+CANCELLED = "cancelled"
+UNKNOWN = "unknown"
 
 
 class RunState(msgspec.Struct, frozen=True):
@@ -30,6 +32,11 @@
         """Tell whether more events will come."""
         return self.state in (QUEUED, RUNNING)
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the rest of its events will never come."""
+        return self.state in (CANCELLED, UNKNOWN)
+
 
 class EngineRequests:
     """Asks for the state of requests and cancels them."""
--- a/notcharch/platform/engine_stream.py
+++ b/notcharch/platform/engine_stream.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import attrs
-from result import Err, Result
+from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.web.iweb import IAgent
@@ -140,9 +140,19 @@
             assert error is not None
             self._problem = problem_of_failure(error, ProblemCode.ENGINE_FAILED, where)
             self._take(self._machine.refused())
+        elif error is None:
+            Deferred.fromCoroutine(self._ask_why_it_ended())
         else:
-            cause = "the stream was cut" if error is None else type(error).__name__
-            self._break(cause)
+            self._break(type(error).__name__)
+
+    async def _ask_why_it_ended(self) -> None:
+        """Tell a run that was cancelled from a stream that ended too early."""
+        run = await self._tools.requests.state(self._address, self._request.request_id)
+        if isinstance(run, Ok) and run.ok_value.is_lost:
+            self._problem = self._failed(f"it is {run.ok_value.state}", self._ran())
+            self._take(self._machine.refused())
+        else:
+            self._break("the stream ended too early")
 
     # Breaks and resumption.
 
@@ -216,7 +226,12 @@
 
     async def _ask_for_state(self, exchange: HttpStream) -> None:
         run = await self._tools.requests.state(self._address, self._request.request_id)
-        if exchange is not self._exchange or self._has_heard or self.finished.called:
+        if (
+            exchange is not self._exchange
+            or exchange.is_over
+            or self._has_heard
+            or self.finished.called
+        ):
             return
         if isinstance(run, Err):
             self._on_silence(run.err_value.message)
--- a/notcharch/platform/http_stream.py
+++ b/notcharch/platform/http_stream.py
@@ -70,8 +70,10 @@
         self._request: Deferred[IResponse] | None = None
         self._body: _BodyProtocol | None = None
         self._held_response: IResponse | None = None
-        self._is_over = False
         self._is_paused = False
+        self.is_over = False
+        """True when no handler is called any more."""
+
         self.was_sent = True
         """False once it is certain that the request was not sent."""
 
@@ -97,9 +99,9 @@
 
     def abort(self) -> None:
         """Close the connection; no handler is called from now on."""
-        if self._is_over:
+        if self.is_over:
             return
-        self._is_over = True
+        self.is_over = True
         if self._held_response is not None:
             self._deliver(self._held_response)
         elif self._body is not None:
@@ -108,9 +110,9 @@
             self._request.cancel()
 
     def _on_head(self, response: IResponse) -> None:
-        if not self._is_over and response.code == STATUS_OK:
+        if not self.is_over and response.code == STATUS_OK:
             self._handlers.on_accepted()
-        if self._is_paused and not self._is_over:
+        if self._is_paused and not self.is_over:
             # Twisted reads no more of a body that nobody takes.
             self._held_response = response
         else:
@@ -120,26 +122,26 @@
         self._held_response = None
         self._body = _BodyProtocol(self, response.code)
         response.deliverBody(self._body)
-        if self._is_over:
+        if self.is_over:
             self._body.close()
 
     def _on_failure(self, failure: Failure) -> None:
         if isinstance(failure.value, NOT_SENT):
             self.was_sent = False
-        if not self._is_over:
-            self._is_over = True
+        if not self.is_over:
+            self.is_over = True
             self._handlers.on_lost(failure.value)
 
     def data_received(self, data: bytes) -> None:
         """Take a piece of the body of an accepted request."""
-        if not self._is_over:
+        if not self.is_over:
             self._handlers.on_data(data)
 
     def body_ended(self, status: int, body: bytes, reason: Failure) -> None:
         """Take the end of the body."""
-        if self._is_over:
+        if self.is_over:
             return
-        self._is_over = True
+        self.is_over = True
         is_regular = reason.check(ResponseDone) is not None
         if status == STATUS_OK:
             self._handlers.on_lost(None if is_regular else reason.value)
--- a/tests/contract/test_engine_stream.py
+++ b/tests/contract/test_engine_stream.py
@@ -97,6 +97,7 @@
     name: str
     script: tuple[Action, ...]
     offsets: tuple[int, ...]
+    is_asked: bool = False
 
 
 def cut(size: int) -> bytes:
@@ -104,6 +105,8 @@
 
 
 FIRST = len(token(0))
+RUNNING = Reply(200, b'{"state":"running","events":6}')
+CANCELLED_ELSEWHERE = Reply(200, b'{"state":"cancelled","events":1}')
 BREAKS = (
     Break("nothing came", (Reset(b""), Reply(200, WHOLE)), (0,)),
     Break("answer lost after effect", (Reset(), Reply(200, WHOLE)), (0,)),
@@ -112,8 +115,9 @@
     Break("at a boundary", (Reset(cut(2 * FIRST)), Reply(200, events(6, 2))), (2,)),
     Break(
         "regular end too early",
-        (Reply(200, cut(FIRST)), Reply(200, events(6, 1))),
+        (Reply(200, cut(FIRST)), RUNNING, Reply(200, events(6, 1))),
         (1,),
+        is_asked=True,
     ),
     Break("before [DONE]", (Reset(cut(len(WHOLE) - 3)),), ()),
     Break("after [DONE]", (Reset(WHOLE),), ()),
@@ -138,7 +142,8 @@
         assert await scene.open().finished == Ok(GOOD_END)
         assert scene.bytes_seen == WHOLE
         assert all(piece.endswith(b"\n\n") for piece in scene.seen)
-        assert scene.requests() == [POSTED, *map(resumed, case.offsets)]
+        asked = [ASKED] if case.is_asked else []
+        assert scene.requests() == [POSTED, *asked, *map(resumed, case.offsets)]
         await scene.close()
 
     spin(scenario())
@@ -180,6 +185,13 @@
         "proxy's error", (Reply(502, b"<html>"),), FAILED, Ran.UNKNOWN, retry_after=1.0
     ),
     Failure("never arrived or forgotten", (Reset(), GONE), FAILED, Ran.UNKNOWN),
+    Failure(
+        "cancelled by others",
+        (Reply(200, token(0)), CANCELLED_ELSEWHERE),
+        FAILED,
+        Ran.YES,
+        token(0),
+    ),
     Failure("restarted", (Reset(token(0)), GONE), FAILED, Ran.YES, token(0)),
     Failure("garbled chunk", (Reply(200, GARBLED),), FAILED, Ran.YES, GARBLED),
     Failure(
