--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -18,7 +18,12 @@
     CommandResult,
     PartitionReplicas,
 )
-from notcharch.values.identifiers import PartitionNumber, ProgramId, TenantName
+from notcharch.values.identifiers import (
+    Epoch,
+    PartitionNumber,
+    ProgramId,
+    TenantName,
+)
 
 ProgramsOf = Callable[[PartitionNumber], ProgramsState | None]
 """Gives the programs component of a partition that is replicated here."""
@@ -60,6 +65,14 @@
             return None
         return self._programs_of(partition)
 
+    def epoch_of(self, partition: PartitionNumber) -> Epoch:
+        """Give the epoch in which this daemon leads; NOT_LEADER if it does not."""
+        epoch = self._replicas.leader_epoch(partition)
+        if epoch is None:
+            message = f"this daemon does not lead partition {partition}"
+            raise ProblemError(Problem.of(ProblemCode.NOT_LEADER, message))
+        return epoch
+
     def led_states(self) -> tuple[tuple[PartitionNumber, ProgramsState], ...]:
         """Give all led partitions with their programs."""
         found = []
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -10,7 +10,7 @@
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.replies import description
 from notcharch.table.interface import ServiceRow, TableView
-from notcharch.values.identifiers import Member, ProgramId
+from notcharch.values.identifiers import Epoch, Member, ProgramId
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.programs import (
     CheckProgramsLive,
@@ -131,10 +131,13 @@
         not_live = [
             program for program in message.programs if not self._is_live(program)
         ]
-        for partition in sorted({self._led.partition_of(name) for name in not_live}):
+        partitions = sorted({self._led.partition_of(name) for name in not_live})
+        for partition in partitions:
             await self._led.confirm_current(partition)
+        epochs = [self._led.epoch_of(partition) for partition in partitions]
         return ProgramsNotLive(
-            tuple(program for program in not_live if not self._is_live(program))
+            tuple(program for program in not_live if not self._is_live(program)),
+            min(epochs, default=Epoch(0)),
         )
 
     def _is_live(self, program: ProgramId) -> bool:
