Archive committed commands, rebuild lost groups, hand over on a planned stop

Memory alone cannot outlive the loss of a majority. A group is rebuilt only when nobody who holds part of it can be elected any more, from the best survivor or the archive.

A record's answer may be lost: the writer reads on from where it knows the stream and lets the replay rules say what took effect, so that no record needs to be looked for by id.

Retire was at first sent before the removal was committed; a removed replica is now told only after that, and one that was not told asks by itself.

--- a/notcharch/events/replication.py
+++ b/notcharch/events/replication.py
@@ -80,3 +80,53 @@
     number: ClassVar[int] = 307
     partition: PartitionNumber
     epoch: Epoch
+
+
+class ArchiveDelayed(Event, frozen=True):
+    """The log service fails; calls go on and the backlog waits in memory."""
+
+    number: ClassVar[int] = 308
+    reason: str
+    backlog_bytes: int
+
+
+class ArchiveResumed(Event, frozen=True):
+    """The log service works again after so many seconds."""
+
+    number: ClassVar[int] = 309
+    seconds: float
+    backlog_bytes: int
+
+
+class ArchiveBacklogDropped(Event, frozen=True):
+    """The backlog reached its bound, so a partition's commands were dropped from it.
+
+    The replicas still hold the state; a snapshot is archived when the log
+    service works again.
+    """
+
+    number: ClassVar[int] = 310
+    partition: PartitionNumber
+    dropped_bytes: int
+
+
+class GroupRebuiltElsewhere(Event, frozen=True):
+    """Another daemon rebuilt the group that this one led, while it was cut off.
+
+    `lost_entries` entries behind `archived_index` were committed here and are
+    in no archive: what was acknowledged by them cannot be promised any more.
+    """
+
+    number: ClassVar[int] = 311
+    partition: PartitionNumber
+    epoch: Epoch
+    archived_index: int
+    lost_entries: int
+
+
+class ReplicationTaskFailed(Event, frozen=True):
+    """A background task raised an exception: a defect of the program."""
+
+    number: ClassVar[int] = 312
+    task: str
+    reason: str
--- a/notcharch/replication/archive_replay.py
+++ b/notcharch/replication/archive_replay.py
@@ -11,7 +11,7 @@
     decode_record,
 )
 from notcharch.replication.epochs import generation_of
-from notcharch.values.identifiers import Epoch, LogOffset, RecordId
+from notcharch.values.identifiers import Epoch, LogOffset
 from notcharch.wire.messages.replication import (
     ArchivePosition,
     Configuration,
@@ -35,8 +35,13 @@
         self._head = first
         self._parts: dict[int, bytes] = {}
 
-    def add(self, record: SnapshotRecord) -> ArchivedSnapshot | None:
-        self._parts[record.part] = record.data
+    def has(self, part: int) -> bool:
+        return part in self._parts
+
+    def add(
+        self, record: SnapshotRecord, keeps_content: bool
+    ) -> ArchivedSnapshot | None:
+        self._parts[record.part] = record.data if keeps_content else b""
         if len(self._parts) < record.parts:
             return None
         data = b"".join(self._parts[part] for part in range(record.parts))
@@ -61,11 +66,12 @@
         self.claim: ClaimRecord | None = None
         self.snapshot: ArchivedSnapshot | None = None
         self.next_offset = LogOffset(0)
-        self.ids: set[RecordId] = set()
         self.last_index = 0
         self.last_epoch = Epoch(0)
         self.configuration: Configuration | None = None
         self._is_begun = False
+        self._keeps_content = True
+        self._former_snapshot_offset = LogOffset(0)
         self._entries: dict[int, Entry] = {}
         self._parts: dict[tuple[Epoch, int], _SnapshotParts] = {}
 
@@ -73,8 +79,13 @@
     def resumed(
         cls, position: ArchivePosition, index_epoch: Epoch, generation: int
     ) -> "ArchiveReplay":
-        """Go on behind a position that was reached before."""
+        """Go on behind a position that was reached before, to know the position only.
+
+        Entries and the data of snapshots are not kept.
+        """
         replay = cls()
+        replay._keeps_content = False
+        replay._former_snapshot_offset = position.snapshot_offset
         replay.generation = generation
         replay.next_offset = position.offset
         replay.last_index = position.index
@@ -89,13 +100,22 @@
     @property
     def snapshot_offset(self) -> LogOffset:
         """Where a replay may begin."""
-        return LogOffset(0) if self.snapshot is None else self.snapshot.offset
+        if self.snapshot is None:
+            return self._former_snapshot_offset
+        return self.snapshot.offset
 
     @property
     def position(self) -> ArchivePosition:
         """How far the stream was read, and what it holds."""
         return ArchivePosition(self.last_index, self.next_offset, self.snapshot_offset)
 
+    def has_part(self, record: SnapshotRecord) -> bool:
+        """Tell whether a part of a snapshot is in the stream and counts."""
+        if self.snapshot is not None and self.snapshot.index >= record.index:
+            return True
+        parts = self._parts.get((record.epoch, record.index))
+        return parts is not None and parts.has(record.part)
+
     def entries(self) -> tuple[Entry, ...]:
         """Give the entries after the snapshot, in order."""
         first = 1 if self.snapshot is None else self.snapshot.index + 1
@@ -106,7 +126,6 @@
     def take(self, stored: StoredRecord) -> None:
         """Take the next record."""
         self.next_offset = LogOffset(stored.offset + 1)
-        self.ids.add(stored.id)
         record = decode_record(stored.data)
         if record is None:
             return
@@ -146,7 +165,7 @@
     def _take_part(self, record: SnapshotRecord, offset: LogOffset) -> None:
         identity = (record.epoch, record.index)
         parts = self._parts.setdefault(identity, _SnapshotParts(record, offset))
-        snapshot = parts.add(record)
+        snapshot = parts.add(record, self._keeps_content)
         if snapshot is None:
             return
         del self._parts[identity]
@@ -158,6 +177,8 @@
         self.snapshot = snapshot
         for index in [index for index in self._entries if index <= snapshot.index]:
             del self._entries[index]
+        for identity in [key for key in self._parts if key[1] <= snapshot.index]:
+            del self._parts[identity]
         if snapshot.index >= self.last_index:
             self.last_index = snapshot.index
             self.last_epoch = snapshot.epoch
@@ -170,3 +191,5 @@
             self.last_epoch = entry.epoch
             if entry.configuration is not None:
                 self.configuration = entry.configuration
+            if not self._keeps_content:
+                del self._entries[self.last_index]
--- a/notcharch/replication/configuration.py
+++ b/notcharch/replication/configuration.py
@@ -64,13 +64,31 @@
     `settled` says that the targets have not changed for a while: only then are
     members moved that are neither leaving nor certainly dead.
     """
+    if own in picture.leaving:
+        heir = _heir(configuration, picture, own)
+        if heir is not None:
+            return ConfigurationChange(ChangeKind.TRANSFER, heir)
     removal = _certain_removal(configuration, picture, own)
     if removal is not None:
         return ConfigurationChange(ChangeKind.REMOVE, removal)
     addition = _addition(configuration, picture, replica_count, settled)
     if addition is not None:
         return ConfigurationChange(ChangeKind.ADD, addition)
-    return _reduction(configuration, picture, own, replica_count)
+    reduction = _reduction(configuration, picture, own, replica_count)
+    if reduction is not None:
+        return reduction
+    return _placement_of_leader(configuration, picture, own) if settled else None
+
+
+def _placement_of_leader(
+    configuration: Configuration, picture: Picture, own: Member
+) -> ConfigurationChange | None:
+    """Let the first target lead, so that leadership is spread like the replicas."""
+    if not picture.targets or picture.targets[0] == own:
+        return None
+    if picture.targets[0] not in configuration.members:
+        return None
+    return ConfigurationChange(ChangeKind.TRANSFER, picture.targets[0])
 
 
 def _certain_removal(
--- a/notcharch/replication/group.py
+++ b/notcharch/replication/group.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from notcharch.replication.applier import Applier
+from notcharch.replication.archive_plan import is_archive_due
 from notcharch.replication.archive_replay import ArchiveReplay
 from notcharch.replication.candidate import Candidate
 from notcharch.replication.configuration import can_have_majority
@@ -25,6 +26,7 @@
     AnyGroupMessage,
     Append,
     AppendReply,
+    ArchivePosition,
     Configuration,
     Entry,
     GroupDescription,
@@ -58,7 +60,6 @@
         self._follower = Follower(self._replica)
         self._candidate = Candidate(self._replica)
         self._leader = Leader(self._replica)
-        self._leader.keep_archive_backlog = False
         self._reconfiguration = Reconfiguration(
             self._replica, self._leader, replica_count
         )
@@ -117,11 +118,18 @@
             replica.epoch,
             replica.log.last_index,
             replica.log.last_epoch,
-            replica.log.configuration,
+            self._known_configuration(),
             replica.leader,
             self.confirmed_epoch is not None,
         )
 
+    def _known_configuration(self) -> Configuration:
+        """Give the committed configuration of a leader, else the newest one."""
+        log = self._replica.log
+        if self.confirmed_epoch is not None:
+            return log.configuration_at(self._replica.commit_index)
+        return log.configuration
+
     def _holding(self) -> Holding:
         if self._replica.is_hollow:
             return Holding.RETIRED
@@ -241,7 +249,7 @@
             case Timer.STAND:
                 self._candidate.on_timer(now)
             case Timer.COMMIT_NOTICE:
-                self._leader.tell_commit_index(now)
+                self._leader.tell_indexes(now)
             case Timer.TRANSFER:
                 self._reconfiguration.give_up_transfer(now)
             case Timer.RECONFIGURE:
@@ -271,10 +279,29 @@
 
     def superseded(self, configuration: Configuration, now: float) -> list[Effect]:
         """Drop the state: a later configuration, without this member, goes on."""
-        if not self.is_leading:
-            self._replica.retire(configuration)
+        self._replica.step_down()
+        self._replica.retire(configuration)
+        return self._drain(now)
+
+    def archived(self, position: ArchivePosition, now: float) -> list[Effect]:
+        """Note, as the leader, how far the log service has the commands."""
+        if self.is_leading:
+            self._leader.archived(position, now)
         return self._drain(now)
 
+    @property
+    def backlog_bytes(self) -> int:
+        """The size of the commands kept, as the leader, until they are archived."""
+        replica = self._replica
+        if not self._leader.keeps_archive_backlog or not is_archive_due(replica):
+            return 0
+        return replica.log.size_bytes
+
+    def drop_archive_backlog(self) -> None:
+        """Keep nothing for the archive, as the leader, until a snapshot is in it."""
+        if self.is_leading:
+            self._leader.drop_archive_backlog()
+
     def woke(self, now: float) -> list[Effect]:
         """Make sure of leadership before serving, after a pause of the process."""
         if self.is_leading:
@@ -289,13 +316,12 @@
         if self._candidate.outcome(now):
             self._begin_leading(now, None)
         if replica.is_leading:
+            if any(isinstance(e, ConfigurationCommitted) for e in replica.effects):
+                self._reconfiguration.configuration_committed(now)
             self._reconfiguration.advance(now)
             self._reconfiguration.ask_heir()
         else:
             self._candidate.arm(now)
         effects = replica.effects
         replica.effects = []
-        for effect in effects:
-            if isinstance(effect, ConfigurationCommitted) and replica.is_leading:
-                self._reconfiguration.configuration_committed()
         return effects
--- a/notcharch/replication/host.py
+++ b/notcharch/replication/host.py
@@ -10,6 +10,7 @@
     CommandFailed,
     CommittedCommandsInDoubt,
     GroupChanged,
+    GroupRebuiltElsewhere,
     LeadershipLost,
     LeadershipTaken,
     ListenerFailed,
@@ -80,6 +81,7 @@
         self._is_tick_scheduled = False
         self._is_stopped = False
         self.doubts: dict[PartitionNumber, CommittedCommandsInDoubt] = {}
+        self.losses: dict[PartitionNumber, GroupRebuiltElsewhere] = {}
         self.unsettled: set[PartitionNumber] = set()
         """Partitions that may need help to get a leader."""
 
@@ -91,6 +93,10 @@
         """Keep, for the status, what a rebuilt group cannot promise."""
         self.doubts[event.partition] = event
 
+    def note_loss(self, event: GroupRebuiltElsewhere) -> None:
+        """Keep, for the status, what was lost with a group that was replaced."""
+        self.losses[event.partition] = event
+
     def stop(self) -> None:
         """Take no more input."""
         self._is_stopped = True
--- a/notcharch/replication/leader.py
+++ b/notcharch/replication/leader.py
@@ -11,6 +11,7 @@
 from notcharch.wire.messages.replication import (
     Append,
     AppendReply,
+    ArchivePosition,
     Configuration,
     Entry,
     Retire,
@@ -26,6 +27,7 @@
 """Beyond this the log is not kept for members that are believed dead."""
 
 DISCARD_ENTRIES = 16
+NEARLY_ENTRIES = 256
 
 
 class Leader:
@@ -43,7 +45,8 @@
         self._heard: set[Member] = set()
         self._snapshot: Snapshot | None = None
         self._uncommitted_bytes = 0
-        self.keep_archive_backlog = True
+        self.keeps_archive_backlog = True
+        """Whether entries stay until they are archived; else a snapshot is due."""
 
     @property
     def has_committed_own_entry(self) -> bool:
@@ -85,6 +88,14 @@
         self.peers.pop(member, None)
         self.departing.discard(member)
 
+    def dismiss(self, member: Member) -> None:
+        """Tell a process that a committed configuration has it no more."""
+        if member not in self._replica.picture.alive:
+            self.drop_peer(member)
+        elif member not in self.departing:
+            self.departing.add(member)
+            self.peers[member].ask_again()
+
     def append(self, entry: Entry) -> int:
         """Add an entry to the log; `flush` sends it."""
         log = self._replica.log
@@ -97,6 +108,13 @@
         """Tell whether too much is waiting for a majority."""
         return self._uncommitted_bytes > UNCOMMITTED_BYTES
 
+    def is_nearly_even(self, member: Member) -> bool:
+        """Tell whether a member lacks so little that it may soon lead."""
+        progress = self.peers.get(member)
+        if progress is None or progress.snapshot is not None:
+            return False
+        return self._replica.log.last_index - progress.match_index <= NEARLY_ENTRIES
+
     def flush(self, now: float) -> None:
         """Send what each replica lacks, commit, and plan the commit notice."""
         for member in tuple(self.peers):
@@ -134,6 +152,7 @@
             log.entries_from(progress.next_index, ROUND_BYTES),
         )
         progress.told_commit_index = replica.commit_index
+        progress.told_discard_index = log.base_index
         progress.sent(self._round, now)
         replica.send(member, message)
 
@@ -169,7 +188,8 @@
             return
         is_awaited = progress.answered(reply.round_number)
         if sender in self.departing:
-            self.drop_peer(sender)
+            if is_awaited:
+                self.drop_peer(sender)
             return
         self._hear(sender, reply.round_number)
         if reply.accepted:
@@ -245,11 +265,25 @@
                 held.append(self.peers[member].match_index)
         return held
 
+    def archived(self, position: ArchivePosition, now: float) -> None:
+        """Note how far the log service has the entries."""
+        replica = self._replica
+        replica.archived = position
+        if position.index >= replica.log.base_index:
+            self.keeps_archive_backlog = True
+        self._discard()
+        replica.timers.setdefault(Timer.COMMIT_NOTICE, now + COMMIT_NOTICE_SECONDS)
+
+    def drop_archive_backlog(self) -> None:
+        """Forget entries that are not archived; a snapshot will take their place."""
+        self.keeps_archive_backlog = False
+        self._discard()
+
     def _discard(self) -> None:
         """Forget entries that are applied, archived and held by all members."""
         replica = self._replica
         floor = replica.applied_index
-        if self.keep_archive_backlog:
+        if self.keeps_archive_backlog:
             floor = min(floor, replica.archived.index)
         for member, progress in self.peers.items():
             if member in self.departing:
@@ -304,11 +338,15 @@
                 progress.unanswered()
                 self._replicate(member, now)
 
-    def tell_commit_index(self, now: float) -> None:
-        """Let the followers apply what is committed, if nothing else told them."""
-        commit_index = self._replica.commit_index
+    def tell_indexes(self, now: float) -> None:
+        """Let followers apply and discard, if nothing else told them they may."""
+        replica = self._replica
         for member, progress in self.peers.items():
-            if progress.told_commit_index < commit_index and self._is_even(progress):
+            is_told = (
+                progress.told_commit_index >= replica.commit_index
+                and progress.told_discard_index >= replica.log.base_index
+            )
+            if not is_told and self._is_even(progress):
                 progress.must_be_heard = True
                 self._replicate(member, now)
 
--- a/notcharch/replication/pictures.py
+++ b/notcharch/replication/pictures.py
@@ -44,6 +44,10 @@
         """Every other live member."""
         return self._alive - {self._own}
 
+    def has_other_staying(self) -> bool:
+        """Tell whether another live member is not leaving."""
+        return bool(self.others_alive - self._leaving)
+
     def of(self, partition: PartitionNumber, configuration: Configuration) -> Picture:
         """Give the picture for a partition with the configuration."""
         is_dead = self._membership.is_certainly_dead
--- a/notcharch/replication/progress.py
+++ b/notcharch/replication/progress.py
@@ -24,6 +24,7 @@
         self.match_index = 0
         self.next_index = next_index
         self.told_commit_index = 0
+        self.told_discard_index = 0
         self.resend_at: float | None = None
         self.snapshot: SnapshotSender | None = None
         self.must_be_heard = True
--- a/notcharch/replication/reconfiguration.py
+++ b/notcharch/replication/reconfiguration.py
@@ -33,6 +33,7 @@
         self._settled_at = 0.0
         self.heir: Member | None = None
         """The member that leadership is being transferred to."""
+        self._is_heir_asked = False
 
     def begin(self, now: float) -> None:
         """Start afresh as the leader."""
@@ -108,34 +109,42 @@
         live = self._replica.picture.alive.intersection(configuration.members)
         if len(live) < majority_of(configuration):
             return
-        self._leader.departing.add(member)
         self._change(configuration, now)
 
     def _change(self, configuration: Configuration, now: float) -> None:
         self._leader.append(Entry(self._replica.epoch, configuration=configuration))
         self._leader.flush(now)
 
-    def configuration_committed(self) -> None:
-        """Forget processes that are gone; the others are told to retire."""
-        for member in tuple(self._leader.departing):
-            if member not in self._replica.picture.alive:
-                self._leader.drop_peer(member)
+    def configuration_committed(self, now: float) -> None:
+        """Tell removed processes to retire, now that it is certain."""
+        members = self._replica.log.configuration.members
+        for peer in tuple(self._leader.peers):
+            if peer not in members and peer != self._joiner:
+                self._leader.dismiss(peer)
+        self._leader.flush(now)
 
     def transfer(self, heir: Member, now: float) -> None:
-        """Let another member lead once it holds everything."""
+        """Let another member lead; proposals wait until it does."""
+        if not self._leader.is_nearly_even(heir):
+            # What it lacks is on the way, or it does not answer; look again later.
+            self._replica.timers[Timer.RECONFIGURE] = now + TRANSFER_SECONDS
+            return
         self.heir = heir
+        self._is_heir_asked = False
         self._replica.timers[Timer.TRANSFER] = now + TRANSFER_SECONDS
-        self.ask_heir()
 
     def ask_heir(self) -> None:
-        """Ask the heir to stand when its log is whole."""
+        """Ask the heir to stand when it holds all and no proposal is pending."""
         replica = self._replica
-        if self.heir is None or not replica.is_leading:
+        if self.heir is None or self._is_heir_asked or not replica.is_leading:
             return
+        last_index = replica.log.last_index
         progress = self._leader.peers.get(self.heir)
-        if progress is None or progress.match_index < replica.log.last_index:
+        if progress is None or progress.match_index < last_index:
             return
-        replica.send(self.heir, TakeOver(replica.partition, replica.epoch))
+        if replica.commit_index == last_index:
+            self._is_heir_asked = True
+            replica.send(self.heir, TakeOver(replica.partition, replica.epoch))
 
     def give_up_transfer(self, now: float) -> None:
         """Lead on, because the heir did not take over in time."""
--- a/notcharch/replication/recovery.py
+++ b/notcharch/replication/recovery.py
@@ -1,7 +1,5 @@
 """Finds, founds and rebuilds groups that have no leader."""
 
-from collections.abc import Iterable
-
 from result import Err, Ok
 from twisted.internet.defer import (
     Deferred,
@@ -11,12 +9,14 @@
 )
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
 from notcharch.events.replication import (
     CommittedCommandsInDoubt,
     GroupClaimed,
     GroupSuperseded,
+    ReplicationTaskFailed,
 )
 from notcharch.placement.interface import MembershipView
 from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
@@ -122,8 +122,10 @@
         self._retry_seconds = min(self._retry_seconds * 2, LONGEST_RETRY_SECONDS)
         ensureDeferred(self._recover(orphans)).addBoth(self._finished)
 
-    def _finished(self, _result: object) -> None:
+    def _finished(self, result: object) -> None:
         self._is_running = False
+        if isinstance(result, Failure):
+            emit(ReplicationTaskFailed("recovery", result.getErrorMessage()))
 
     def _orphans(self, now: float) -> list[PartitionNumber]:
         """Give the partitions that need help, forgetting the settled ones."""
@@ -143,53 +145,66 @@
         is_target = self._own in self._pictures.targets_of(partition)
         if group is None or not group.holds_state:
             return not is_target
-        return group.is_leading or group.replica.believes_leader_alive()
+        if group.is_leading:
+            return True
+        return is_target and group.replica.believes_leader_alive()
 
     def _needs_help(self, partition: PartitionNumber) -> bool:
         group = self._host.group(partition)
         if group is None or not group.holds_state:
             return True
+        if group.replica.believes_leader_alive():
+            return True  # as a member that should not be one; it may be none
         return group.failed_rounds >= STUCK_ROUNDS or not group.may_have_majority
 
     async def _recover(self, partitions: list[PartitionNumber]) -> None:
-        others = self._pictures.others_alive
-        answers = await self._ask(others, partitions)
+        answers = await self._ask(partitions)
         await DeferredList(
             [
-                self._streams.run(self._settle_one, partition, others, answers)
+                self._streams.run(self._settle_one, partition, answers[partition])
                 for partition in partitions
             ]
         )
 
-    async def _ask(
-        self, others: Iterable[Member], partitions: list[PartitionNumber]
-    ) -> dict[Member, GroupDescriptions]:
-        question = DescribeGroups(tuple(partitions))
-        asked = sorted(others)
+    def _audience(self, partition: PartitionNumber) -> frozenset[Member]:
+        """Give whom to ask: everybody, unless there is a leader who knows best."""
+        others = self._pictures.others_alive
+        group = self._host.group(partition)
+        if group is None or not group.replica.believes_leader_alive():
+            return others
+        targets = self._pictures.targets_of(partition)
+        return others & {group.replica.leader, *targets}
+
+    async def _ask(self, partitions: list[PartitionNumber]) -> Descriptions:
+        """Ask each daemon about all partitions that concern it, in one request."""
+        questions: dict[Member, list[PartitionNumber]] = {}
+        for partition in partitions:
+            for member in self._audience(partition):
+                questions.setdefault(member, []).append(partition)
+        asked = sorted(questions)
         replies = await DeferredList(
             [
-                self._network.request(member.daemon, question, ASK_SECONDS)
+                self._network.request(
+                    member.daemon, DescribeGroups(tuple(questions[member])), ASK_SECONDS
+                )
                 for member in asked
             ]
         )
-        answers: dict[Member, GroupDescriptions] = {}
+        descriptions: Descriptions = {partition: {} for partition in partitions}
         for member, (_, reply) in zip(asked, replies, strict=True):
             if isinstance(reply, Ok) and isinstance(reply.ok_value, GroupDescriptions):
-                answers[member] = reply.ok_value
-        return answers
+                for partition in questions[member]:
+                    description = _description_in(reply.ok_value, partition)
+                    descriptions[partition][member] = description
+        return descriptions
 
     def _settle_one(
         self,
         partition: PartitionNumber,
-        others: frozenset[Member],
-        answers: dict[Member, GroupDescriptions],
+        answers: dict[Member, GroupDescription],
     ) -> "Deferred[None]":
-        descriptions = {
-            member: _description_in(reply, partition)
-            for member, reply in answers.items()
-        }
-        descriptions[self._own] = self._describe(partition)
-        unanswered = others - descriptions.keys()
+        unanswered = self._audience(partition) - answers.keys()
+        descriptions = answers | {self._own: self._describe(partition)}
         return ensureDeferred(self._settle(partition, descriptions, unanswered))
 
     async def _settle(
--- a/notcharch/replication/service.py
+++ b/notcharch/replication/service.py
@@ -11,7 +11,9 @@
 from notcharch.placement.interface import MembershipView
 from notcharch.platform.ports import LogPort
 from notcharch.replication.applier import CommandCodec
+from notcharch.replication.archiver import Archiver
 from notcharch.replication.group import ReplicaGroup
+from notcharch.replication.hand_over import HandOver, HandOverReport
 from notcharch.replication.host import (
     GroupHost,
     LeadershipListener,
@@ -21,6 +23,7 @@
 from notcharch.replication.pending import RETRY_SECONDS, PendingProposals
 from notcharch.replication.pictures import Pictures, ReplicasOf
 from notcharch.replication.recovery import Recovery
+from notcharch.replication.status import ReplicationStatus, status_of
 from notcharch.settings.schema import ReplicationSection
 from notcharch.values.identifiers import Epoch, PartitionNumber, RegionName
 from notcharch.wire.messages.replication import DescribeGroups, ReplicationNotice
@@ -86,6 +89,15 @@
             clock=clock,
             region=region,
         )
+        self._archiver = Archiver(
+            host=self._host,
+            log=log,
+            clock=clock,
+            region=region,
+            archive_seconds=settings.archive_seconds,
+            backlog_bytes=settings.archive_backlog_bytes,
+        )
+        self._hand_over: HandOver | None = None
         self._beat = LoopingCall(self._on_beat)
         self._beat.clock = clock
         self._last_beat = 0.0
@@ -104,9 +116,26 @@
         """Stop at once; see `hand_over` for a planned stop."""
         self._host.stop()
         self._recovery.stop()
+        self._archiver.stop()
         if self._beat.running:
             self._beat.stop()
 
+    def hand_over(self, timeout_seconds: float) -> "Deferred[HandOverReport]":
+        """Lead nothing, then be a member of nothing; fires with what was left.
+
+        The membership must have announced that this daemon leaves, else the
+        other daemons keep it as a replica and only leadership moves.
+        """
+        deadline = self._clock.seconds() + timeout_seconds
+        self._pictures.is_own_leaving = True
+        self._hand_over = HandOver(self._host, self._pictures, self._archiver, deadline)
+        self._on_membership()
+        return self._hand_over.done
+
+    def status(self) -> ReplicationStatus:
+        """Give the state of replication on this daemon."""
+        return status_of(self._host, self._archiver, self._clock.seconds())
+
     def _on_membership(self) -> None:
         # Placement listens too, and must have noticed before it is asked.
         if not self._is_refresh_scheduled:
@@ -126,6 +155,9 @@
         self._notice_pause(now)
         self._pending.expire(now)
         self._recovery.look()
+        self._archiver.look()
+        if self._hand_over is not None and self._hand_over.look(now):
+            self._hand_over = None
 
     def _notice_pause(self, now: float) -> None:
         was_paused = now - self._last_beat > PAUSE_SECONDS
--- a/notcharch/wire/messages/replication.py
+++ b/notcharch/wire/messages/replication.py
@@ -182,8 +182,8 @@
 class GroupDescription(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a daemon holds of one partition; `leader` is whom it follows.
 
-    `configuration` is the newest it knows. `leading` says that it leads with a
-    majority behind it.
+    `leading` says that it leads with a majority behind it. `configuration` is
+    then the committed one, else the newest that it knows.
     """
 
     partition: PartitionNumber
--- a/tests/unit/replication/region.py
+++ b/tests/unit/replication/region.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 from result import Result
 from twisted.internet.task import Clock
 
@@ -57,6 +58,8 @@
         self.views: dict[DaemonName, ScriptedView] = {}
         self.services: dict[DaemonName, ReplicationService] = {}
         self.incarnation = 0
+        self.started: list[Member] = []
+        self.dead: set[Member] = set()
         for number in range(daemons):
             self.start(f"daemon-{number}", zone=f"zone-{number % 3}")
 
@@ -68,14 +71,14 @@
         process = self.fabric.join(member, ZoneName(zone))
         view = ScriptedView()
         entry = LiveMember(member, ZoneName(zone), process.address, False)
+        self.dead |= {m for m in self.started if m.daemon == daemon}
+        self.started.append(member)
         for other in self.views.values():
-            former = other.live.get(daemon)
-            if former is not None:
-                other.dead.add(former.member)
+            other.dead |= self.dead
             other.live[daemon] = entry
         for other in self.views.values():
             view.live |= other.live
-            view.dead |= other.dead
+        view.dead |= self.dead
         view.live[daemon] = entry
         self.views[daemon] = view
         assignment = Assignment(view, self.settings.replica_count)
@@ -102,12 +105,25 @@
         self.fabric.crash(daemon)
         del self.services[daemon]
         del self.views[daemon]
+        if certainly:
+            self.dead |= {m for m in self.started if m.daemon == daemon}
+        for view in self.views.values():
+            view.live.pop(daemon, None)
+            view.dead |= self.dead
+            view.changed()
+
+    def leave(self, name: str) -> None:
+        """Let everybody know that a daemon is leaving."""
+        daemon = DaemonName(name)
         for view in self.views.values():
-            entry = view.live.pop(daemon, None)
-            if entry is not None and certainly:
-                view.dead.add(entry.member)
+            view.live[daemon] = msgspec.structs.replace(view.live[daemon], leaving=True)
             view.changed()
 
+    def stop_all(self) -> None:
+        """End every process at once."""
+        for name in tuple(self.services):
+            self.crash(name)
+
     def leader_of(self, partition: int) -> DaemonName | None:
         """Give the only daemon that leads a partition."""
         number = PartitionNumber(partition)
