--- a/notcharch/placement/machine_list_follower.py
+++ b/notcharch/placement/machine_list_follower.py
@@ -1,13 +1,15 @@
 """Follows the platform's machine list, and gives its changes to listeners.
 
 A poll starts each `poll_seconds` also while earlier ones await their answers, so
-that one lost answer does not make the list older; answers may come in any order.
-A list that is down or silent changes nothing.
+that lost answers do not make the list older; answers may come in any order. A
+list that is down or silent changes nothing.
 """
 
 from collections.abc import Callable
+from typing import Any
 
 from result import Err, Result
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
@@ -18,7 +20,12 @@
 from notcharch.platform.ports import MachineChanges, MachineListPort
 from notcharch.values.identifiers import RegionName
 
-MAX_OPEN_POLLS = 3
+MAX_OPEN_POLLS = 4
+"""Beyond it the second oldest poll is given up for a new one. The oldest stays, so
+that a slow list is followed as well as one that lost answers."""
+
+Outcome = Any
+"""A result, or a failure of the port."""
 
 MachineListener = Callable[[MachineChanges], None]
 
@@ -38,7 +45,7 @@
         self._region = region
         self._poll_seconds = poll_seconds
         self._version: int | None = None
-        self._open_polls = 0
+        self._open_polls: list[Deferred[Result[MachineChanges, Problem]]] = []
         self._failing = False
         self._listeners: list[MachineListener] = []
         self._loop = LoopingCall(self._poll)
@@ -63,19 +70,22 @@
             self._loop.stop()
 
     def _poll(self) -> None:
-        if self._open_polls >= MAX_OPEN_POLLS:
-            return
-        self._open_polls += 1
+        if len(self._open_polls) >= MAX_OPEN_POLLS:
+            self._open_polls[1].cancel()
         after = self._version
         answered = self._port.changes(self._region, after)
+        self._open_polls.append(answered)
+        answered.addBoth(self._close, answered)
         answered.addCallbacks(self._take, self._fail, callbackArgs=(after,))
 
+    def _close(self, outcome: Outcome, poll: "Deferred[Outcome]") -> Outcome:
+        self._open_polls.remove(poll)
+        return outcome
+
     def _fail(self, failure: Failure) -> None:
-        self._open_polls -= 1
-        self._note_failure(failure.getErrorMessage())
+        self._note_failure(repr(failure.value))
 
     def _take(self, answer: Result[MachineChanges, Problem], after: int | None) -> None:
-        self._open_polls -= 1
         if not self._loop.running:
             return
         if isinstance(answer, Err):
--- /dev/null
+++ b/tests/unit/placement/test_router.py
@@ -0,0 +1,168 @@
+"""The router, against scripted daemons."""
+
+from random import Random
+
+import pytest
+from result import Err, Ok
+from twisted.internet.task import Clock
+
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.placement.assignment import Assignment
+from notcharch.placement.router import PlacementRouter
+from notcharch.values.identifiers import EngineName, PartitionNumber
+from notcharch.wire.memory_time import run_for
+from notcharch.wire.messages.engines import Acknowledged, ListEngines
+from tests.unit.placement.fakes import FakeNetwork, FakeView, live
+
+PARTITION = PartitionNumber(5)
+ENGINE = EngineName("engine-1")
+MEMBERS = [live("a", "x"), live("b", "y"), live("c", "z")]
+DONE = Ok(Acknowledged())
+
+
+def refused(code: ProblemCode, ran: Ran = Ran.NO, hint: str | None = None):
+    return Err(Problem.of(code, "no", ran=ran, hint=hint))
+
+
+class Routing:
+    """A router whose daemons answer by `answers`: name to reply or function."""
+
+    def __init__(self, answers, members=MEMBERS) -> None:
+        self.clock = Clock()
+        self.answers = answers
+        self.network = FakeNetwork(self._answer, self.clock)
+        self.view = FakeView(members)
+        assignment = Assignment(self.view, 3)
+        self.router = PlacementRouter(self.network, assignment, self.clock, Random(3))
+
+    def _answer(self, destination, message):
+        del message
+        answer = self.answers[destination]
+        return answer() if callable(answer) else answer
+
+    def ask(self, timeout: float = 10.0):
+        """Give the reply and the seconds that it took."""
+        return self.wait(self.router.to_partition(PARTITION, ListEngines(), timeout))
+
+    def wait(self, asked):
+        replies = []
+        asked.addCallback(lambda reply: replies.append((reply, self.clock.seconds())))
+        start = self.clock.seconds()
+        run_for(self.clock, 30.0)
+        ((reply, end),) = replies
+        return reply, end - start
+
+
+NOT_LEADER = refused(ProblemCode.NOT_LEADER)
+
+
+def test_the_hint_is_followed_and_remembered():
+    hinted = refused(ProblemCode.NOT_LEADER, hint="elsewhere")
+    routing = Routing({"a": hinted, "b": hinted, "c": hinted, "elsewhere": DONE})
+    reply, _ = routing.ask()
+    assert reply == DONE
+    assert len(routing.network.asked) == 2
+    routing.network.asked.clear()
+    routing.ask()
+    assert routing.network.asked == ["elsewhere"]
+
+
+def test_without_hints_every_replica_is_asked_once_a_round():
+    routing = Routing({"a": NOT_LEADER, "b": NOT_LEADER, "c": NOT_LEADER})
+    first = routing.router.replicas_of(PARTITION)
+    reply, seconds = routing.ask(timeout=1.0)
+    assert tuple(routing.network.asked[:3]) == first
+    assert reply.err_value.is_code(ProblemCode.NOT_LEADER)
+    assert reply.err_value.ran is Ran.NO
+    assert reply.err_value.retry_after is not None
+    assert seconds <= 1.0
+
+
+def test_a_forgotten_leader_is_found_again():
+    leader = ["a"]
+
+    def answer(name):
+        return lambda: DONE if leader[0] == name else NOT_LEADER
+
+    routing = Routing({name: answer(name) for name in "abc"})
+    for name in "abcab":
+        leader[0] = name
+        assert routing.ask()[0] == DONE
+    assert set(routing.network.asked) == {"a", "b", "c"}
+
+
+def test_daemons_that_name_each_other_do_not_make_a_loop():
+    circle = {
+        name: refused(ProblemCode.NOT_LEADER, hint=hint)
+        for name, hint in (("a", "b"), ("b", "c"), ("c", "a"))
+    }
+    routing = Routing(circle)
+    reply, seconds = routing.ask(timeout=3.0)
+    assert reply.err_value.is_code(ProblemCode.NOT_LEADER)
+    assert seconds <= 3.0
+    assert len(routing.network.asked) < 60
+
+
+@pytest.mark.parametrize(
+    "final",
+    [
+        refused(ProblemCode.BUDGET_EXHAUSTED),
+        refused(ProblemCode.OVERLOADED),
+        refused(ProblemCode.BAD_REQUEST),
+        refused(ProblemCode.INTERNAL, Ran.UNKNOWN),
+        refused(ProblemCode.TIMED_OUT, Ran.UNKNOWN),
+        refused(ProblemCode.UNAVAILABLE, Ran.UNKNOWN),
+        refused(ProblemCode.NOT_LEADER, Ran.UNKNOWN),
+    ],
+)
+def test_a_final_answer_is_given_at_once_and_nothing_is_asked_again(final):
+    routing = Routing({"a": final, "b": final, "c": final})
+    reply, seconds = routing.ask(timeout=25.0)
+    assert reply == final
+    assert seconds < 0.01
+    assert len(routing.network.asked) == 1
+
+
+@pytest.mark.parametrize("code", [ProblemCode.UNAVAILABLE, ProblemCode.DRAINING])
+def test_an_unreachable_or_draining_daemon_is_passed_over(code):
+    routing = Routing({})
+    first, *others = routing.router.replicas_of(PARTITION)
+    routing.answers = {first: refused(code), **dict.fromkeys(others, DONE)}
+    reply, seconds = routing.ask()
+    assert reply == DONE
+    assert seconds < 0.05
+
+
+def test_a_try_never_outlives_the_deadline():
+    routing = Routing(dict.fromkeys("abc", NOT_LEADER))
+    routing.ask(timeout=2.0)
+    assert max(routing.network.time_outs) <= 2.0
+    assert routing.network.time_outs == sorted(routing.network.time_outs, reverse=True)
+
+
+def test_without_time_for_another_try_the_answer_is_not_held_back():
+    routing = Routing(dict.fromkeys("abc", NOT_LEADER))
+    _, seconds = routing.ask(timeout=0.02)
+    assert seconds < 0.01
+
+
+def test_nobody_is_known():
+    routing = Routing({}, members=[])
+    reply, seconds = routing.ask(timeout=1.0)
+    assert reply.err_value.is_code(ProblemCode.UNAVAILABLE)
+    assert reply.err_value.ran is Ran.NO
+    assert seconds <= 1.0
+
+
+def test_stewards_follow_hints_and_the_view():
+    routing = Routing({})
+    steward = routing.router.steward_of(ENGINE)
+    others = {m.member.daemon for m in MEMBERS} - {steward}
+    actual = sorted(others)[0]
+    hinted = refused(ProblemCode.NOT_STEWARD, hint=actual)
+    routing.answers = {steward: hinted, actual: DONE}
+    reply, _ = routing.wait(routing.router.to_steward(ENGINE, ListEngines(), 5.0))
+    assert reply == DONE
+    assert routing.network.asked == [steward, actual]
+    routing.view.change(m for m in MEMBERS if m.member.daemon != steward)
+    assert routing.router.steward_of(ENGINE) in others
