Wire every role into a daemon, with drain and the daemon command

Cause: the roles were built beside each other and need one place that wires them.

Change: DaemonCore builds all roles over typed ports and opens no socket, so the same wiring serves processes, one-process use and tests on a virtual clock. A machine holds the life of a daemon; Drain lets calls end and then hands the partitions over.

Weighed: a drain that only closes the listener would leave its partitions without a leader until failure detection; handing over before the stop avoids that.

Not measured yet.

--- a/notcharch/cli/builtin.py
+++ b/notcharch/cli/builtin.py
@@ -6,6 +6,7 @@
 BUILT_IN_COMMANDS: tuple[str, ...] = (
     "notcharch.cli.version_command:COMMAND",
     "notcharch.cli.config_command:COMMAND",
+    "notcharch.cli.daemon_command:COMMAND",
     "notcharch.cli.table_command:COMMAND",
     "notcharch.cli.operations_command:STATUS",
     "notcharch.cli.operations_command:SERVICES",
--- a/notcharch/cli/config_command.py
+++ b/notcharch/cli/config_command.py
@@ -9,7 +9,7 @@
 from notcharch.cli.command import CommandSpec
 from notcharch.cli.exit_codes import BAD_USAGE, DONE
 from notcharch.cli.settings_options import (
-    add_settings_options,
+    add_settings_argument,
     print_findings,
     settings_of,
 )
@@ -31,7 +31,7 @@
         (SHOW, "print the settings in force, defaults and flags included"),
     ):
         action = actions.add_parser(name, help=summary, description=summary)
-        add_settings_options(action)
+        add_settings_argument(action)
 
 
 def run(arguments: argparse.Namespace) -> int:
--- a/notcharch/cli/settings_options.py
+++ b/notcharch/cli/settings_options.py
@@ -19,15 +19,26 @@
 NO_FILE = "(no settings file)"
 
 
-def add_settings_options(parser: argparse.ArgumentParser) -> None:
-    """Add the settings file and `--set`."""
+FILE_HELP = "settings file (TOML); without it every key has its default"
+
+
+def add_settings_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the settings file as an argument, and `--set`."""
+    parser.add_argument(
+        "settings_file", nargs="?", type=Path, metavar="FILE", help=FILE_HELP
+    )
+    _add_overrides(parser)
+
+
+def add_settings_option(parser: argparse.ArgumentParser) -> None:
+    """Add the settings file as `--config`, and `--set`."""
     parser.add_argument(
-        "settings_file",
-        nargs="?",
-        type=Path,
-        metavar="FILE",
-        help="settings file (TOML); without it every key has its default",
+        "--config", dest="settings_file", type=Path, metavar="FILE", help=FILE_HELP
     )
+    _add_overrides(parser)
+
+
+def _add_overrides(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--set",
         dest="overrides",
--- /dev/null
+++ b/notcharch/daemon/core.py
@@ -0,0 +1,220 @@
+"""Wires every role of a daemon over its ports; opens no socket itself.
+
+The same core runs in a daemon process, in one process with others, and in tests
+on a virtual clock with a memory transport.
+"""
+
+from prometheus_client import CollectorRegistry
+
+from notcharch.daemon.ports import DaemonPorts
+from notcharch.daemon.state_access import (
+    COMMAND_TYPES,
+    StateAccess,
+    new_partition_state,
+)
+from notcharch.engines.claims_service import ClaimsService
+from notcharch.engines.dispatcher import Dispatcher
+from notcharch.engines.steward_service import StewardService
+from notcharch.gateway.resource import Gateway
+from notcharch.membership.service import MembershipService
+from notcharch.membership.swim import Swim
+from notcharch.placement.assignment import Assignment
+from notcharch.placement.engine_directory import MachineEngineDirectory
+from notcharch.placement.machine_list_follower import MachineListFollower
+from notcharch.placement.router import PlacementRouter
+from notcharch.programs.leader_service import ProgramLeaderService
+from notcharch.replication.service import ReplicationService
+from notcharch.services.holder_service import HolderService
+from notcharch.services.limiter_service import LimiterService
+from notcharch.settings.schema import Settings
+from notcharch.table.publisher import TablePublisher
+from notcharch.table.replica_service import TableReplica
+from notcharch.values.identifiers import Member, RegionName, ZoneName
+from notcharch.wire.messages.membership import MemberRecord
+
+TABLE_DIGEST = "table"
+"""The key under which membership carries the table's version."""
+
+
+class DaemonCore:
+    """Every role of one daemon. Construction registers handlers, `start` runs them."""
+
+    def __init__(
+        self, settings: Settings, ports: DaemonPorts, registry: CollectorRegistry
+    ) -> None:
+        """Build the roles from the lowest up; each uses only what is above it."""
+        self.settings = settings
+        self.ports = ports
+        self.region = RegionName(settings.daemon.region)
+        self._build_placement()
+        self._build_table()
+        self._build_partitions()
+        self._build_engines()
+        self._build_services()
+        self.gateway = self._build_gateway(registry)
+
+    @property
+    def own_member(self) -> Member:
+        """This process."""
+        return self.ports.network.own_member
+
+    def start(self) -> None:
+        """Begin every role's periodic work."""
+        self.machine_list.start()
+        self.membership.start()
+        self.replicas.start()
+        self.table.start()
+        self.programs.start()
+        self.stewards.start()
+        self.slots.start()
+
+    def stop(self) -> None:
+        """End every role's periodic work, the reverse of `start`."""
+        self.slots.stop()
+        self.stewards.stop()
+        self.programs.stop()
+        self.table.stop()
+        self.replicas.stop()
+        self.membership.stop()
+        self.machine_list.stop()
+
+    def _build_placement(self) -> None:
+        settings, ports = self.settings, self.ports
+        record = MemberRecord(
+            self.own_member, ZoneName(settings.daemon.zone), ports.peer_address
+        )
+        swim = Swim(self.region, record, settings.membership, ports.chance)
+        self.membership = MembershipService(
+            swim, ports.clock, ports.datagrams, ports.network
+        )
+        self.assignment = Assignment(
+            self.membership, settings.replication.replica_count
+        )
+        self.router = PlacementRouter(
+            ports.network, self.assignment, ports.clock, ports.chance
+        )
+        self.directory = MachineEngineDirectory()
+        self.machine_list = MachineListFollower(
+            ports.clock,
+            ports.machine_list,
+            self.region,
+            settings.platform.machine_list_poll_seconds,
+        )
+        self.machine_list.on_changes(self.membership.apply_machines)
+        self.machine_list.on_changes(self.directory.apply)
+
+    def _build_table(self) -> None:
+        ports = self.ports
+        self.table = TableReplica(
+            clock=ports.clock,
+            log=ports.log,
+            network=ports.network,
+            random=ports.chance,
+            set_digest=self._carry_table_version,
+        )
+        self.membership.on_digest(self._hear_digest)
+        self.publisher = TablePublisher(
+            clock=ports.clock, log=ports.log, replica=self.table
+        )
+
+    def _carry_table_version(self, version: int) -> None:
+        self.membership.set_digest(TABLE_DIGEST, version)
+
+    def _hear_digest(self, member: Member, key: str, value: int) -> None:
+        if key == TABLE_DIGEST:
+            self.table.on_digest(member, value)
+
+    def _build_partitions(self) -> None:
+        settings, ports = self.settings, self.ports
+        self.replicas = ReplicationService(
+            network=ports.network,
+            membership=self.membership,
+            replicas_of=self.assignment.replicas_of,
+            log=ports.log,
+            clock=ports.clock,
+            random_source=ports.chance,
+            region=self.region,
+            settings=settings.replication,
+            state_machine_factory=new_partition_state,
+            command_types=COMMAND_TYPES,
+        )
+        self.state_access = StateAccess(self.replicas)
+        self.programs = ProgramLeaderService(
+            network=ports.network,
+            replicas=self.replicas,
+            programs_of=self.state_access.programs,
+            table=self.table,
+            membership=self.membership,
+            router=self.router,
+            directory=self.directory,
+            clock=ports.clock,
+            settings=settings.programs,
+        )
+
+    def _build_engines(self) -> None:
+        settings, ports = self.settings, self.ports
+        partition_count = settings.replication.partition_count
+        self.claims = ClaimsService(
+            network=ports.network,
+            replicas=self.replicas,
+            partition_count=partition_count,
+            clock=ports.clock,
+            claims_of=self.state_access.claims,
+        )
+        self.stewards = StewardService(
+            network=ports.network,
+            router=self.router,
+            directory=self.directory,
+            membership=self.membership,
+            engine_port=ports.engines,
+            clock=ports.clock,
+            chance=ports.chance,
+            settings=settings.engines,
+            partition_count=partition_count,
+        )
+        self.dispatcher = Dispatcher(
+            router=self.router,
+            directory=self.directory,
+            own_member=self.own_member,
+            clock=ports.clock,
+            chance=ports.chance,
+        )
+
+    def _build_services(self) -> None:
+        settings, ports = self.settings, self.ports
+        partition_count = settings.replication.partition_count
+        self.limiter = LimiterService(
+            network=ports.network,
+            replicas=self.replicas,
+            allotments_of=self.state_access.allotments,
+            table=self.table,
+            membership=self.membership,
+            clock=ports.clock,
+            monotonic=ports.clock.seconds,
+            settings=settings.services,
+            partition_count=partition_count,
+        )
+        self.slots = HolderService(
+            network=ports.network,
+            router=self.router,
+            clock=ports.clock,
+            monotonic=ports.clock.seconds,
+            partition_count=partition_count,
+        )
+
+    def _build_gateway(self, registry: CollectorRegistry) -> Gateway:
+        settings, ports = self.settings, self.ports
+        return Gateway(
+            router=self.router,
+            slots=self.slots,
+            placer=self.dispatcher,
+            engines=ports.engines,
+            table=self.table,
+            clock=ports.clock,
+            chance=ports.chance,
+            own_member=self.own_member,
+            region=self.region,
+            partition_count=settings.replication.partition_count,
+            section=settings.gateway,
+            registry=registry,
+        )
--- /dev/null
+++ b/notcharch/daemon/drain.py
@@ -0,0 +1,76 @@
+"""The planned stop: nothing new, let calls end, hand over, and only then stop."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.daemon.core import DaemonCore
+from notcharch.daemon.life import LifeInputs, LifeState
+from notcharch.events.daemon import DaemonDraining, DaemonStopped, DrainTimedOut
+from notcharch.events.event import emit
+
+HAND_OVER_SECONDS = 20.0
+"""Longest wait for other daemons to take over this one's partitions."""
+
+
+class Drain:
+    """Drains one daemon, by an operator's order or on the way to its stop."""
+
+    def __init__(self, core: DaemonCore, life: LifeInputs, clock: IReactorTime) -> None:
+        """Do nothing yet."""
+        self._core = core
+        self._life = life
+        self._clock = clock
+        self._idle: Deferred[None] | None = None
+
+    def begin(self) -> None:
+        """Refuse new calls and tell the other daemons; running calls go on."""
+        if self._life.look() is LifeState.DRAINING:
+            return
+        self._life.begin_drain()
+        core = self._core
+        emit(DaemonDraining(core.own_member.daemon, core.gateway.running_calls))
+        core.membership.announce_leaving()
+        self._idle = core.gateway.drain()
+
+    def cancel(self) -> None:
+        """Take new calls again."""
+        if self._life.look() is not LifeState.DRAINING:
+            return
+        self._life.cancel_drain()
+        self._core.membership.announce_staying()
+        self._core.gateway.resume()
+
+    async def run(self) -> None:
+        """Drain whole, in the order: calls, partitions."""
+        started_at = self._clock.seconds()
+        self.begin()
+        assert self._idle is not None
+        longest = self._core.settings.daemon.drain_seconds
+        if not await _within(self._idle, longest, self._clock):
+            running = self._core.gateway.running_calls
+            emit(DrainTimedOut(self._core.own_member.daemon, running))
+        await self._core.replicas.hand_over(HAND_OVER_SECONDS)
+        self._life.finish()
+        seconds = self._clock.seconds() - started_at
+        emit(DaemonStopped(self._core.own_member.daemon, seconds))
+
+
+async def _within(
+    awaited: "Deferred[Any]", seconds: float, clock: IReactorTime
+) -> bool:
+    """Wait for a Deferred at most so long; tell whether it fired. Never cancels it."""
+    first: Deferred[bool] = Deferred()
+
+    def settle(_: Any, fired: bool) -> Any:
+        if not first.called:
+            first.callback(fired)
+        return _
+
+    timer = clock.callLater(seconds, settle, None, False)
+    awaited.addBoth(settle, True)
+    fired = await first
+    if timer.active():
+        timer.cancel()
+    return fired
--- a/notcharch/daemon/partition_state.py
+++ b/notcharch/daemon/partition_state.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator, Sequence
-from typing import Protocol, TypeVar
+from typing import ClassVar, Protocol, TypeVar
 
 from notcharch.replication.interface import Command, CommandResult
 from notcharch.values.identifiers import Epoch
@@ -16,7 +16,7 @@
 class Component(Protocol):
     """One part of a partition's state; see `StateMachine`."""
 
-    COMMANDS: tuple[type[Command], ...]
+    COMMANDS: ClassVar[tuple[type[Command], ...]]
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
         """Apply one committed command; deterministic."""
--- a/notcharch/membership/knowledge.py
+++ b/notcharch/membership/knowledge.py
@@ -94,10 +94,10 @@
         """Give suspected members their whole time again, after a stall."""
         self._suspicions.restart(now)
 
-    def set_leaving(self, now: float) -> None:
-        """Spread that this process is going to leave."""
-        if not self._own.leaving:
-            changed = msgspec.structs.replace(self._own, leaving=True)
+    def set_leaving(self, leaving: bool, now: float) -> None:
+        """Spread that this process is going to leave, or stays after all."""
+        if self._own.leaving is not leaving:
+            changed = msgspec.structs.replace(self._own, leaving=leaving)
             self._contradict(changed, self._own.refutations, now)
 
     def set_left(self) -> None:
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -86,7 +86,12 @@
 
     def announce_leaving(self) -> None:
         """Tell the others that this daemon is going to stop: give it nothing new."""
-        self._swim.knowledge.set_leaving(self._clock.seconds())
+        self._swim.knowledge.set_leaving(True, self._clock.seconds())
+        self._note_change()
+
+    def announce_staying(self) -> None:
+        """Take back `announce_leaving`."""
+        self._swim.knowledge.set_leaving(False, self._clock.seconds())
         self._note_change()
 
     def apply_machines(self, changes: MachineChanges) -> None:
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Iterator
 
+from typing import ClassVar
+
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.programs import admission, attempts, tree
 from notcharch.programs.budget import TreeBudget
@@ -31,7 +33,7 @@
 class ProgramsState:
     """The programs of one partition; a `StateMachine` for `COMMANDS`."""
 
-    COMMANDS: tuple[type[Command], ...] = COMMANDS
+    COMMANDS: ClassVar[tuple[type[Command], ...]] = COMMANDS
 
     def __init__(self) -> None:
         """Begin without programs."""
@@ -91,6 +93,11 @@
                 yield record.program
                 pending.extend(record.children)
 
+    def reserved_tokens(self) -> int:
+        """Give the tokens that running calls of all programs hold."""
+        budgets = (record.budget for record in self._store.records.values())
+        return sum(budget.reserved for budget in budgets if budget is not None)
+
     def programs(self) -> tuple[ProgramId, ...]:
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
--- a/notcharch/services/allotments.py
+++ b/notcharch/services/allotments.py
@@ -100,6 +100,10 @@
         leases = self._leases.get(service, {})
         return tuple(leases[holder] for holder in sorted(leases))
 
+    def lease_count(self) -> int:
+        """Count the leases of all services."""
+        return sum(len(leases) for leases in self._leases.values())
+
     def holders_above_share(self, service: ServiceName, slots: int) -> list[Member]:
         """Give the holders that count more slots than their fair target."""
         leases = self._leases.get(service, {})
