--- /dev/null
+++ b/tests/unit/engines/test_call_placement.py
@@ -0,0 +1,106 @@
+"""Placing calls: a dispatcher, two stewards, the memory transport."""
+
+from notcharch.errors import ProblemCode, Ran
+from notcharch.platform.ports import MachineState
+from tests.unit.engines.calls import admitted, place
+from tests.unit.engines.region import Region
+
+
+def result_of(deferred):
+    assert deferred.called, "no answer yet"
+    return deferred.result
+
+
+def granted_engine(region, node, call, **options):
+    placing = place(node, call, **options)
+    region.run(0.5)
+    return result_of(placing).unwrap().engine
+
+
+def test_a_new_call_is_granted_on_an_engine_of_the_pool():
+    region = Region()
+    assert granted_engine(region, region.nodes["d2"], admitted()) in {"e1", "e2"}
+
+
+def test_the_holder_of_the_prefix_is_asked_first():
+    region = Region()
+    for number in range(2):
+        call = admitted(f"r1-0-{number}", sequence=2, holder="e2", held=5000)
+        assert granted_engine(region, region.nodes["d1"], call) == "e2"
+
+
+def test_a_full_holder_is_left_when_refilling_is_cheaper():
+    region = Region()
+    node = region.nodes["d1"]
+    for number in range(2):
+        granted_engine(region, node, admitted(f"r1-0-{number}", 2, "e2", 5000))
+    # A wait of a second at e2 against 0.01 s of refilling ten tokens at e1.
+    assert granted_engine(region, node, admitted("r1-0-9", 2, "e2", 10)) == "e1"
+
+
+def test_a_full_holder_is_waited_for_when_refilling_costs_more():
+    region = Region()
+    node = region.nodes["d1"]
+    first = place(node, admitted("r1-0-0", 2, "e2", 5000, 100_000))
+    second = place(node, admitted("r1-0-1", 2, "e2", 5000, 100_000))
+    region.run(0.5)
+    third = place(node, admitted("r1-0-2", 2, "e2", 99_000, 100_000))
+    region.run(0.5)
+    assert not third.called
+    assert result_of(second).unwrap().engine == "e2"
+    node.dispatcher.give_back(result_of(first).unwrap(), None, engine_failed=False)
+    region.run(0.5)
+    assert result_of(third).unwrap().engine == "e2"
+
+
+def test_a_call_is_refused_at_once_when_the_wait_is_too_long():
+    region = Region(engines=1, slots=1)
+    node = region.nodes["d1"]
+    place(node, admitted("r1-0-0"))
+    region.run(0.5)
+    refused = place(node, admitted("r1-0-1"), give_up_seconds=1.0)
+    region.run(0.1)
+    problem = result_of(refused).unwrap_err()
+    assert problem.is_code(ProblemCode.OVERLOADED)
+    assert problem.retry_after == 1.0
+    assert problem.ran == Ran.NO
+
+
+def test_a_leaving_engine_gets_no_new_grant_and_its_queue_goes_elsewhere():
+    region = Region(engines=2, slots=1)
+    node = region.nodes["d1"]
+    first = place(node, admitted("r1-0-0", 2, "e2", 90_000, 90_000))
+    region.run(0.5)
+    waiting = place(node, admitted("r1-0-1", 2, "e2", 90_000, 90_000))
+    region.run(0.5)
+    assert not waiting.called
+    region.set_machine("e2", MachineState.LEAVING)
+    region.run(0.5)
+    assert result_of(waiting).unwrap().engine == "e1"
+    assert result_of(first).unwrap().engine == "e2"
+
+
+def test_cancelling_withdraws_a_queued_call():
+    region = Region(engines=1, slots=1)
+    node = region.nodes["d2"]
+    first = place(node, admitted("r1-0-0"))
+    region.run(0.5)
+    gone = place(node, admitted("r1-0-1"))
+    gone.addErrback(lambda failure: "cancelled")
+    region.run(0.5)
+    gone.cancel()
+    region.run(0.5)
+    assert region.keeper("e1").state.queued == 0
+    node.dispatcher.give_back(result_of(first).unwrap(), None, engine_failed=False)
+    region.run(0.5)
+    assert region.keeper("e1").state.granted == 0
+
+
+def test_without_engines_the_answer_comes_soon_and_says_when_to_come_back():
+    region = Region(engines=1)
+    region.set_machine("e1", MachineState.LEAVING)
+    refused = place(region.nodes["d2"])
+    region.run(1.0)
+    problem = result_of(refused).unwrap_err()
+    assert problem.is_code(ProblemCode.NO_ENGINE)
+    assert problem.retry_after is not None
