Serve ordinary OpenAI clients, and drain the gateway

A client that resends its whole conversation could not use a program. The known part is now compared with the history and stripped; a conversation that ends where an earlier call was answered is recognised as a repeat. A call without a program becomes a program of its own.

Weighed: deriving the number of a repeated call from the count of user turns. Clients may send several user messages in one call, so the position of the answer in the history decides instead. Unrepeatable calls must name their sequence (or an idempotency key), since a retry could not be recognised.

Draining waits for runs and for open responses.

--- /dev/null
+++ b/notcharch/gateway/call_order.py
@@ -0,0 +1,28 @@
+"""What a caller asks for: one call of a program."""
+
+import attrs
+
+from notcharch.values.chat import ChatMessage
+from notcharch.values.identifiers import CallSequence, ProgramId, TenantName
+
+
+@attrs.frozen
+class CallName:
+    """Names a call of a tenant's program."""
+
+    tenant: TenantName
+    program: ProgramId
+    sequence: CallSequence
+
+
+@attrs.frozen(kw_only=True)
+class CallOrder:
+    """One call; `messages` are only the new ones, `max_tokens` is bounded."""
+
+    program: ProgramId
+    tenant: TenantName
+    sequence: CallSequence
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int
+    repeatable: bool
+    digest: str
--- a/notcharch/gateway/call_outcome.py
+++ b/notcharch/gateway/call_outcome.py
@@ -38,11 +38,21 @@
 
 def may_repeat(problem: Problem, *, repeatable: bool, attempts: int) -> bool:
     """Tell whether a call whose stream was lost may be tried again."""
-    if attempts >= MOST_ATTEMPTS:
+    if attempts >= MOST_ATTEMPTS or problem.is_code(ProblemCode.BAD_REQUEST):
         return False
     return repeatable or problem.ran is Ran.NO
 
 
+def is_fault_of_engine(problem: Problem) -> bool:
+    """Tell whether a failure counts against the engine.
+
+    A stale epoch, a full engine and a request that it cannot take do not.
+    """
+    return problem.is_code(ProblemCode.ENGINE_FAILED) or problem.is_code(
+        ProblemCode.UNAVAILABLE
+    )
+
+
 def problem_of_lost_stream(problem: Problem, *, repeatable: bool) -> Problem:
     """Give what the caller learns when a lost call is not tried again."""
     if repeatable or problem.ran is Ran.NO:
--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -1,12 +1,16 @@
 """Requests about calls: run or join one, and fetch a late answer."""
 
+from collections.abc import Callable
+
 from result import Err, Ok
 from twisted.python.failure import Failure
 from twisted.web.iweb import IRequest
 from twisted.web.server import Request
 
 from notcharch.errors.problem import ProblemError
-from notcharch.gateway.call_run import CallOrder
+from notcharch.events.event import emit
+from notcharch.events.gateway import CallerStalled
+from notcharch.gateway.call_order import CallName, CallOrder
 from notcharch.gateway.call_runs import CallRuns, Outcome, RunningCall
 from notcharch.gateway.call_tools import CallTools
 from notcharch.gateway.leader_client import for_caller
@@ -26,11 +30,16 @@
 from notcharch.gateway.stream_relay import StreamRelay
 from notcharch.gateway.validation import CallBody
 from notcharch.settings.schema import GatewaySection
-from notcharch.values.identifiers import CallSequence, ProgramId, TenantName
+from notcharch.values.chat import Answer
+from notcharch.values.identifiers import ProgramId
 from notcharch.wire.messages.programs import AwaitAnswer, CallAnswered, CallFailed
 
 PENDING_RETRY_SECONDS = 1.0
 NETWORK_MARGIN_SECONDS = 2.0
+WAIT_SECONDS = 5.0
+"""Length of one wait at the leader, so that a stop of this daemon is noticed."""
+
+AWAIT_TRIES = 2
 
 
 class CallRequests:
@@ -48,50 +57,81 @@
         self._runs = runs
         self._services = services
         self._section = section
+        self._stops_waiting = False
 
     async def run(
         self,
         request: Request,
-        tenant: TenantName,
-        program: ProgramId,
-        sequence: CallSequence,
+        call: CallName,
         body: CallBody,
+        on_outcome: Callable[[Outcome], None] | None = None,
     ) -> bytes | None:
-        """Run a call or join it; None when the response is already written."""
-        source = await self._source(tenant, program, sequence)
-        order = self._order(tenant, source, body)
-        name_call(request, program, sequence)
-        relay = self._relay(request) if body.stream else None
+        """Run a call or join it; None when the response is already written.
+
+        `on_outcome` is called at the end of the run, even if the caller is gone.
+        """
+        source = await self._source(call)
+        order = self._order(call, source, body)
+        name_call(request, call.program, call.sequence)
+        relay = self._relay(request, call.program) if body.stream else None
         running = self._join_or_start(order, relay)
+        if on_outcome is not None:
+            running.outcome().addCallback(on_outcome)
         outcome = await running.outcome()
-        if relay is None:
-            return _whole_response(request, source, outcome)
-        _end_of_stream(relay, source, outcome)
-        return None
+        return _respond(request, relay, source, outcome)
 
-    async def answer(
-        self,
-        request: IRequest,
-        tenant: TenantName,
-        program: ProgramId,
-        sequence: CallSequence,
-    ) -> bytes:
+    async def answer(self, request: IRequest, call: CallName) -> bytes:
         """Give the answer of a call; 202 when it is not there after a while."""
-        source = await self._source(tenant, program, sequence)
-        name_call(request, program, sequence)
-        wait_seconds = self._section.answer_wait_seconds
-        message = AwaitAnswer(program, tenant, sequence, wait_seconds)
+        source = await self._source(call)
+        name_call(request, call.program, call.sequence)
+        give_up_at = self._tools.clock.seconds() + self._section.answer_wait_seconds
+        while True:
+            left = give_up_at - self._tools.clock.seconds()
+            wait_seconds = 0.0 if self._stops_waiting else min(left, WAIT_SECONDS)
+            outcome = await self._await(call, max(0.0, wait_seconds))
+            if outcome is not None:
+                return _whole_response(request, source, outcome)
+            if self._stops_waiting or self._tools.clock.seconds() >= give_up_at:
+                return _pending_response(request, call)
+
+    async def stored_answer(self, call: CallName) -> Answer | None:
+        """Give the answer of a finished call, None if it has none."""
+        outcome = await self._await(call, 0.0)
+        return outcome.ok_value if isinstance(outcome, Ok) else None
+
+    async def give(
+        self,
+        request: Request,
+        call: CallName,
+        body: CallBody,
+        answer: Answer,
+    ) -> bytes | None:
+        """Give a stored answer in the form that the caller asked for."""
+        source = await self._source(call)
+        name_call(request, call.program, call.sequence)
+        relay = self._relay(request, call.program) if body.stream else None
+        return _respond(request, relay, source, Ok(answer))
+
+    def stop_waiting(self) -> None:
+        """Answer those who wait for late answers soon: the daemon is stopping."""
+        self._stops_waiting = True
+
+    async def _await(self, call: CallName, wait_seconds: float) -> Outcome | None:
+        message = AwaitAnswer(call.program, call.tenant, call.sequence, wait_seconds)
         reply = await self._tools.leader.ask(
-            program, message, timeout_seconds=wait_seconds + NETWORK_MARGIN_SECONDS
+            call.program,
+            message,
+            tries=AWAIT_TRIES,
+            timeout_seconds=wait_seconds + NETWORK_MARGIN_SECONDS,
         )
         if isinstance(reply, Err):
             raise ProblemError(for_caller(reply.err_value))
         match reply.ok_value:
             case CallAnswered(_, answer):
-                return _whole_response(request, source, Ok(answer))
+                return Ok(answer)
             case CallFailed(_, problem):
-                raise ProblemError(problem)
-        return _pending_response(request, program, sequence)
+                return Err(problem)
+        return None
 
     def _join_or_start(
         self, order: CallOrder, relay: StreamRelay | None
@@ -103,8 +143,14 @@
             raise ProblemError(joined.err_value)
         return joined.ok_value
 
-    def _relay(self, request: Request) -> StreamRelay:
-        relay = StreamRelay(request, self._tools.clock, self._section.idle_seconds)
+    def _relay(self, request: Request, program: ProgramId) -> StreamRelay:
+        seconds = self._section.idle_seconds
+
+        def stalled() -> None:
+            self._tools.metrics.stalled_callers.inc()
+            emit(CallerStalled(program, seconds))
+
+        relay = StreamRelay(request, self._tools.clock, seconds, stalled)
 
         def gone(failure: Failure) -> None:
             relay.caller_gone()
@@ -112,25 +158,21 @@
         request.notifyFinish().addErrback(gone)
         return relay
 
-    async def _source(
-        self, tenant: TenantName, program: ProgramId, sequence: CallSequence
-    ) -> AnswerSource:
-        service = await self._services.service_of(tenant, program)
+    async def _source(self, call: CallName) -> AnswerSource:
+        service = await self._services.service_of(call.tenant, call.program)
         if isinstance(service, Err):
             raise ProblemError(for_caller(service.err_value))
         now = int(self._tools.clock.seconds())
-        return AnswerSource(program, sequence, service.ok_value, now)
+        return AnswerSource(call.program, call.sequence, service.ok_value, now)
 
-    def _order(
-        self, tenant: TenantName, source: AnswerSource, body: CallBody
-    ) -> CallOrder:
+    def _order(self, call: CallName, source: AnswerSource, body: CallBody) -> CallOrder:
         row = self._tools.table.row(source.service)
         bound = 1 if row is None else row.max_answer_tokens
         asked = bound if body.max_tokens is None else body.max_tokens
         return CallOrder(
-            program=source.program,
-            tenant=tenant,
-            sequence=source.sequence,
+            program=call.program,
+            tenant=call.tenant,
+            sequence=call.sequence,
             messages=body.messages,
             max_tokens=min(asked, bound),
             repeatable=body.repeatable,
@@ -138,6 +180,18 @@
         )
 
 
+def _respond(
+    request: Request,
+    relay: StreamRelay | None,
+    source: AnswerSource,
+    outcome: Outcome,
+) -> bytes | None:
+    if relay is None:
+        return _whole_response(request, source, outcome)
+    _end_of_stream(relay, source, outcome)
+    return None
+
+
 def _whole_response(request: IRequest, source: AnswerSource, outcome: Outcome) -> bytes:
     if isinstance(outcome, Err):
         raise ProblemError(outcome.err_value)
@@ -158,9 +212,7 @@
     relay.finish()
 
 
-def _pending_response(
-    request: IRequest, program: ProgramId, sequence: CallSequence
-) -> bytes:
+def _pending_response(request: IRequest, call: CallName) -> bytes:
     request.setHeader(b"retry-after", b"%d" % PENDING_RETRY_SECONDS)
-    body = PendingBody(program, sequence, "running", PENDING_RETRY_SECONDS)
+    body = PendingBody(call.program, call.sequence, "running", PENDING_RETRY_SECONDS)
     return json_response(request, 202, body)
--- a/notcharch/gateway/call_runs.py
+++ b/notcharch/gateway/call_runs.py
@@ -8,7 +8,8 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
 from notcharch.events.gateway import CallEnded, CallRunFailed
-from notcharch.gateway.call_run import CallOrder, CallRun
+from notcharch.gateway.call_order import CallOrder
+from notcharch.gateway.call_run import CallRun
 from notcharch.gateway.call_tools import CallTools
 from notcharch.gateway.leader_client import not_found
 from notcharch.gateway.outcome_delivery import OutcomeDelivery
--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -23,6 +23,9 @@
 class Slot(Protocol):
     """One unit of a service's concurrency."""
 
+    def may_start(self) -> bool:
+        """Tell whether its lease still holds; asked just before a run."""
+
     def release(self) -> None:
         """Give it back; harmless when repeated."""
 
--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -1,14 +1,15 @@
 """Every error of the HTTP interface as a problem; no page of a library's own."""
 
-from typing import Any
+from typing import Any, TypeVar
 
 from klein import Klein
 from klein.resource import KleinResource
-from twisted.internet.defer import CancelledError
+from result import Err, Result
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.python.failure import Failure
 from twisted.web.iweb import IRequest
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
+from twisted.web.server import NOT_DONE_YET, Request
 from werkzeug.exceptions import HTTPException, MethodNotAllowed
 
 from notcharch.errors import Finding, Problem, ProblemCode, Ran
@@ -16,6 +17,7 @@
 from notcharch.events.event import emit
 from notcharch.events.gateway import RequestFailed
 from notcharch.gateway.leader_client import for_caller
+from notcharch.gateway.metrics import GatewayMetrics
 from notcharch.wire.http_problem import start_problem
 
 
@@ -50,18 +52,52 @@
         return render_problem(request, internal_error(request, failure.value))
 
 
+class OpenRequests:
+    """Counts the requests that have no whole response yet."""
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        """Count responses in `metrics`, too."""
+        self._metrics = metrics
+        self._open = 0
+        self._waiters: list[Deferred[None]] = []
+
+    def add(self, request: Request) -> None:
+        """Count a request until its response is written or its caller is gone."""
+        self._open += 1
+        request.notifyFinish().addBoth(self._ended, request)
+
+    def when_none(self) -> "Deferred[None]":
+        """Give a Deferred that fires when no request is open."""
+        if not self._open:
+            return succeed(None)
+        waiter: Deferred[None] = Deferred(self._waiters.remove)
+        self._waiters.append(waiter)
+        return waiter
+
+    def _ended(self, outcome: object, request: Request) -> None:
+        self._open -= 1
+        self._metrics.requests.labels(str(request.code)).inc()
+        if self._open:
+            return
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+
 class GatewayLeaf(Resource):
     """Guards a klein resource against paths and headers that klein cannot read."""
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, inner: KleinResource) -> None:
+    def __init__(self, inner: KleinResource, open_requests: OpenRequests) -> None:
         """Serve `inner`."""
         super().__init__()  # type: ignore[no-untyped-call]
         self._inner = inner
+        self._open_requests = open_requests
 
-    def render(self, request: IRequest) -> bytes | int:
+    def render(self, request: Request) -> bytes | int:
         """Serve the request, or refuse what is not text."""
+        self._open_requests.add(request)
         finding = _unreadable_part(request)
         if finding is not None:
             problem = Problem.of(
@@ -74,6 +110,35 @@
         return rendered if isinstance(rendered, bytes) else NOT_DONE_YET
 
 
+class ProblemRoot(Resource):
+    """The root of the daemon's HTTP tree: an unknown path is a problem."""
+
+    def __init__(self) -> None:
+        """Begin without children."""
+        super().__init__()  # type: ignore[no-untyped-call]
+
+    def getChild(self, path: bytes, request: Request) -> Resource:  # noqa: N802
+        """Give the resource of a path that no child has."""
+        return _UnknownPath()  # type: ignore[no-untyped-call]
+
+
+class _UnknownPath(Resource):
+    isLeaf = True  # noqa: N815
+
+    def render(self, request: Request) -> bytes:
+        return render_problem(request, unknown_path(request))
+
+
+Value = TypeVar("Value")
+
+
+def value_of(result: Result[Value, Problem]) -> Value:
+    """Give the value; raises the problem of an Err, which ends the request."""
+    if isinstance(result, Err):
+        raise ProblemError(result.err_value)
+    return result.ok_value
+
+
 def render_problem(request: IRequest, problem: Problem) -> bytes:
     """Set status, headers and length of a problem's response; gives its body."""
     body = start_problem(request, problem)
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -4,11 +4,9 @@
 """
 
 import random
-from typing import TypeVar
 
 from klein import Klein
 from prometheus_client import CollectorRegistry
-from result import Err, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.iweb import IRequest
@@ -20,15 +18,24 @@
 from notcharch.events.event import emit
 from notcharch.events.gateway import GatewayDrained, GatewayDraining
 from notcharch.gateway.authentication import tenant_of
+from notcharch.gateway.call_order import CallName
 from notcharch.gateway.call_requests import CallRequests
 from notcharch.gateway.call_runs import CallRuns
 from notcharch.gateway.call_tools import CallTools, Placer, SlotSource
-from notcharch.gateway.http_errors import GatewayLeaf, add_error_handlers
+from notcharch.gateway.http_errors import (
+    GatewayLeaf,
+    OpenRequests,
+    add_error_handlers,
+    value_of,
+)
 from notcharch.gateway.leader_client import LeaderClient
 from notcharch.gateway.metrics import GatewayMetrics
+from notcharch.gateway.openai_requests import OpenAiRequests
 from notcharch.gateway.program_requests import ProgramRequests
 from notcharch.gateway.program_services import ProgramServices
 from notcharch.gateway.responses import (
+    PROGRAM_HEADER,
+    SEQUENCE_HEADER,
     EndedBody,
     ProgramBody,
     history_body,
@@ -36,7 +43,6 @@
     program_state,
 )
 from notcharch.gateway.validation import (
-    BodyLimits,
     CallBody,
     bad_request,
     read_call,
@@ -60,6 +66,9 @@
 LONGEST_IDEMPOTENCY_KEY = 255
 HISTORY_LIMITS = (1, 1000)
 HISTORY_DEFAULT = 100
+MOST_CONVERSATION_MESSAGES = 100_000
+"""The body's size is the real bound of a conversation that is sent whole."""
+
 MOST_START = 2**53 - 1
 
 
@@ -104,17 +113,21 @@
             metrics=GatewayMetrics(registry),
         )
         self._table = table
-        self._limits = BodyLimits(section.messages_per_call)
+        self._most_messages = section.messages_per_call
         self._runs = CallRuns(tools)
         self._programs = ProgramRequests(
             leader, services, chance, region=region, partition_count=partition_count
         )
         self._calls = CallRequests(tools, self._runs, services, section)
+        self._openai = OpenAiRequests(
+            self._programs, self._calls, section.messages_per_call
+        )
+        self._open_requests = OpenRequests(tools.metrics)
         self._is_draining = False
 
     def resource(self) -> Resource:
         """Give the resource to mount."""
-        return GatewayLeaf(self.app.resource())
+        return GatewayLeaf(self.app.resource(), self._open_requests)
 
     @property
     def running_calls(self) -> int:
@@ -124,10 +137,18 @@
     def drain(self) -> "Deferred[None]":
         """Refuse new calls from now on; fires when the running ones have ended."""
         self._is_draining = True
+        self._calls.stop_waiting()
         emit(GatewayDraining(len(self._runs)))
-        idle = self._runs.when_idle()
-        idle.addCallback(lambda _: emit(GatewayDrained()))
-        return idle
+        return Deferred.fromCoroutine(self._wait_until_idle())
+
+    async def _wait_until_idle(self) -> None:
+        await self._runs.when_idle()
+        await self._open_requests.when_none()
+        emit(GatewayDrained())
+
+    def resume(self) -> None:
+        """Take new calls again after a drain that was taken back."""
+        self._is_draining = False
 
     @app.route("/programs", methods=["POST"])
     async def create_program(self, request: IRequest) -> bytes:
@@ -135,8 +156,8 @@
         tenant = self._tenant(request)
         self._refuse_while_draining()
         key = _idempotency_key(request)
-        new = _value(read_new_program(_body(request)))
-        program = _value(await self._programs.create(tenant, new, key))
+        new = value_of(read_new_program(_body(request)))
+        program = value_of(await self._programs.create(tenant, new, key))
         request.setHeader(b"location", b"/v1/programs/" + program.encode())
         return json_response(
             request, 201, ProgramBody(program, new.service, new.parent)
@@ -146,7 +167,7 @@
     async def read_program(self, request: IRequest, program: str) -> bytes:
         """Read a program's state."""
         tenant = self._tenant(request)
-        found = _value(await self._programs.describe(tenant, ProgramId(program)))
+        found = value_of(await self._programs.describe(tenant, ProgramId(program)))
         return json_response(request, 200, program_state(found))
 
     @app.route("/programs/<program>", methods=["DELETE"])
@@ -154,7 +175,7 @@
         """End a program and its children."""
         tenant = self._tenant(request)
         name = ProgramId(program)
-        _value(await self._programs.end(tenant, name))
+        value_of(await self._programs.end(tenant, name))
         return json_response(request, 200, EndedBody(name, ended=True))
 
     @app.route("/programs/<program>/history", methods=["GET"])
@@ -169,7 +190,7 @@
         if findings:
             raise ProblemError(bad_request(findings))
         name = ProgramId(program)
-        page = _value(await self._programs.history(tenant, name, start, limit))
+        page = value_of(await self._programs.history(tenant, name, start, limit))
         return json_response(request, 200, history_body(name, page))
 
     @app.route("/programs/<program>/calls", methods=["POST"])
@@ -177,13 +198,12 @@
         """Run a call, or join the one that is running."""
         tenant = self._tenant(request)
         self._refuse_while_draining()
-        body = self._call_body(request)
+        body = self._call_body(request, self._most_messages)
         if body.sequence is None:
             finding = Finding("sequence", "is missing")
             raise ProblemError(bad_request([finding]))
-        return await self._calls.run(
-            request, tenant, ProgramId(program), body.sequence, body
-        )
+        call = CallName(tenant, ProgramId(program), body.sequence)
+        return await self._calls.run(request, call, body)
 
     @app.route("/programs/<program>/calls/<sequence>", methods=["GET"])
     async def read_call_answer(
@@ -191,14 +211,33 @@
     ) -> bytes:
         """Give a call's answer, waiting for it a bounded time."""
         tenant = self._tenant(request)
-        number: CallSequence = _value(read_sequence(sequence, "path.sequence"))
-        return await self._calls.answer(request, tenant, ProgramId(program), number)
+        number: CallSequence = value_of(read_sequence(sequence, "path.sequence"))
+        call = CallName(tenant, ProgramId(program), number)
+        return await self._calls.answer(request, call)
+
+    @app.route("/chat/completions", methods=["POST"])
+    async def complete_chat(self, request: Request) -> bytes | None:
+        """Run a call of an ordinary OpenAI client."""
+        tenant = self._tenant(request)
+        self._refuse_while_draining()
+        body = self._call_body(request, MOST_CONVERSATION_MESSAGES)
+        sequence = _sequence_header(request) or body.sequence
+        if body.sequence not in (None, sequence):
+            message = "differs from the header X-Notcharch-Sequence"
+            raise ProblemError(bad_request([Finding("sequence", message)]))
+        program = request.getHeader(PROGRAM_HEADER)
+        if program is None:
+            key = _idempotency_key(request)
+            return await self._openai.run_alone(request, tenant, body, key)
+        return await self._openai.run_conversation(
+            request, tenant, ProgramId(str(program)), sequence, body
+        )
 
     def _tenant(self, request: IRequest) -> TenantName:
-        return _value(tenant_of(request, self._table))
+        return value_of(tenant_of(request, self._table))
 
-    def _call_body(self, request: IRequest) -> CallBody:
-        return _value(read_call(_body(request), self._limits))
+    def _call_body(self, request: IRequest, most_messages: int) -> CallBody:
+        return value_of(read_call(_body(request), most_messages))
 
     def _refuse_while_draining(self) -> None:
         if self._is_draining:
@@ -213,18 +252,17 @@
 
 add_error_handlers(Gateway.app)
 
-Value = TypeVar("Value")
-
 
 def _body(request: IRequest) -> bytes:
     content: bytes = request.content.read()
     return content
 
 
-def _value(result: Result[Value, Problem]) -> Value:
-    if isinstance(result, Err):
-        raise ProblemError(result.err_value)
-    return result.ok_value
+def _sequence_header(request: IRequest) -> CallSequence | None:
+    text = request.getHeader(SEQUENCE_HEADER)
+    if text is None:
+        return None
+    return value_of(read_sequence(str(text), "header.X-Notcharch-Sequence"))
 
 
 def _idempotency_key(request: IRequest) -> str | None:
--- a/notcharch/gateway/stream_relay.py
+++ b/notcharch/gateway/stream_relay.py
@@ -9,7 +9,8 @@
 """
 
 import re
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
 from twisted.web.server import Request
@@ -22,9 +23,13 @@
 EVENT_END = b"\n\n"
 CONTENT_TYPE = b"text/event-stream"
 
-HELD_BACK = re.compile(rb'"finish_reason"\s*:\s*"|"error"\s*:|data: \[DONE\]')
+PLAIN_EVENT_END = b'"finish_reason":null}]}\n\n'
+"""How a piece ends whose last event is not the end of an answer."""
+
+LAST_EVENT = b"data: [DONE]\n\n"
+END_BEGINS = re.compile(rb'"(?:finish_reason"\s*:\s*"|error"\s*:)')
 """The beginning of the end. A quotation mark inside a JSON text is escaped, so
-no content of a message can look like these."""
+no content of a message can look like this."""
 
 
 class StreamSink(Protocol):
@@ -48,9 +53,18 @@
     """The `StreamSink` of one HTTP request."""
 
     def __init__(
-        self, request: Request, clock: IReactorTime, stall_seconds: float
+        self,
+        request: Request,
+        clock: IReactorTime,
+        stall_seconds: float,
+        on_stalled: Callable[[], None],
     ) -> None:
-        """Write to `request`; a reader that stalls for `stall_seconds` is cut off."""
+        """Write to `request`.
+
+        A caller that takes nothing for `stall_seconds` is cut off, after a call
+        of `on_stalled`.
+        """
+        self._on_stalled = on_stalled
         self._request = request
         self._clock = clock
         self._stall_seconds = stall_seconds
@@ -59,8 +73,9 @@
         self._held: list[bytes] | None = None
         self._is_paused = False
         self._is_closed = False
+        self._send: Callable[[bytes], None] | None = None
+        """Writes to the connection; None while nothing may be passed on."""
         self.has_begun = False
-        self.relayed_events = 0
 
     @property
     def is_closed(self) -> bool:
@@ -74,20 +89,24 @@
 
     def on_bytes(self, data: bytes) -> None:
         """Pass events on, up to the one that begins the end."""
+        if self._send is not None and data.endswith(PLAIN_EVENT_END):
+            self._send(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        """Take the first events, the end, and whatever looks unusual."""
         if self._is_closed:
             return
         if self._held is not None:
             self._held.append(data)
             return
-        match = HELD_BACK.search(data)
-        if match is None:
-            self._write(data)
-            return
-        start = data.rfind(EVENT_END, 0, match.start())
-        start = 0 if start < 0 else start + len(EVENT_END)
-        if start:
+        start = _start_of_end(data)
+        if start > 0:
             self._write(data[:start])
-        self._held = [data[start:]]
+        if start < len(data):
+            self._held = [data[start:]]
+            self._send = None
 
     def attach(self, stream: EngineStream) -> None:
         """Pause and resume this stream from now on."""
@@ -107,6 +126,7 @@
         """
         self._held = None
         self._stream = None
+        self._send = None
         if self.has_begun and not self._is_closed:
             self._write(error_event(problem))
             self.finish()
@@ -163,11 +183,7 @@
     def _write(self, data: bytes) -> None:
         if not self.has_begun:
             self._begin()
-        self.relayed_events += 1
-        if self._request.chunked:
-            self._request.channel.write(b"%x\r\n%b\r\n" % (len(data), data))
-        else:
-            self._request.write(data)
+        self._request.write(data)
 
     def _begin(self) -> None:
         self.has_begun = True
@@ -175,9 +191,14 @@
         self._request.setHeader(b"cache-control", b"no-store")
         self._request.registerProducer(self, True)
         self._request.write(b"")
+        if self._request.chunked:
+            # Framed by hand: two calls less for each token.
+            transport: Any = self._request.channel.transport
+            self._send = transport.write
 
     def _close(self) -> None:
         self._is_closed = True
+        self._send = None
         self._held = None
         self._cancel_timer()
         if self._is_paused and self._stream is not None:
@@ -193,4 +214,16 @@
     def _cut_off(self) -> None:
         self._stall_timer = None
         self._close()
+        self._on_stalled()
         self._request.channel.forceAbortClient()
+
+
+def _start_of_end(data: bytes) -> int:
+    """Give where the event that begins the end starts; the length if none does."""
+    match = END_BEGINS.search(data)
+    if match is not None:
+        before = data.rfind(EVENT_END, 0, match.start())
+        return 0 if before < 0 else before + len(EVENT_END)
+    if data.endswith(LAST_EVENT):
+        return len(data) - len(LAST_EVENT)
+    return len(data)
--- a/notcharch/gateway/validation.py
+++ b/notcharch/gateway/validation.py
@@ -65,12 +65,6 @@
         return body_digest(self.messages, self.max_tokens, self.repeatable)
 
 
-class BodyLimits(msgspec.Struct, frozen=True):
-    """What a call's body may hold at most; a count of messages."""
-
-    messages: int
-
-
 def body_digest(
     messages: tuple[ChatMessage, ...], max_tokens: int | None, repeatable: bool
 ) -> str:
@@ -99,7 +93,7 @@
     )
 
 
-def read_call(body: bytes, limits: BodyLimits) -> Result[CallBody, Problem]:
+def read_call(body: bytes, most_messages: int) -> Result[CallBody, Problem]:
     """Read a chat-completions body with notcharch's own fields."""
     findings: list[Finding] = []
     fields = _read_object(body, findings)
@@ -107,7 +101,7 @@
         return Err(bad_request(findings))
     reader = FieldReader(fields, findings)
     reader.refuse_unknown(CALL_FIELDS | IGNORED_FIELDS)
-    messages = read_messages(fields.get("messages"), limits.messages, findings)
+    messages = read_messages(fields.get("messages"), most_messages, findings)
     sequence = reader.integer("sequence", 1, MOST_SEQUENCE)
     max_tokens = _read_max_tokens(reader, findings)
     reader.integer("n", 1, 1)
