--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -116,6 +116,10 @@
         """Answer those who wait for late answers soon: the daemon is stopping."""
         self._stops_waiting = True
 
+    def wait_again(self) -> None:
+        """Wait for late answers as before: the daemon goes on."""
+        self._stops_waiting = False
+
     async def _await(self, call: CallName, wait_seconds: float) -> Outcome | None:
         message = AwaitAnswer(call.program, call.tenant, call.sequence, wait_seconds)
         reply = await self._tools.leader.ask(
--- a/notcharch/gateway/call_runs.py
+++ b/notcharch/gateway/call_runs.py
@@ -61,7 +61,6 @@
         self._tools = tools
         self._delivery = OutcomeDelivery(tools.leader, tools.clock)
         self._running: dict[CallKey, RunningCall] = {}
-        self._idle_waiters: list[Deferred[None]] = []
 
     def __len__(self) -> int:
         """Count the runs under way."""
@@ -102,7 +101,6 @@
             metrics.running.dec()
             self._record(order, outcome, self._tools.clock.seconds() - started_at)
             running.end(outcome)
-            self._tell_when_idle()
 
         run = CallRun(order, self._tools, self._delivery, sink)
         finished = Deferred.fromCoroutine(run.run())
@@ -114,20 +112,12 @@
         finished.addCallback(ended)
         return running
 
-    def when_idle(self) -> "Deferred[None]":
-        """Give a Deferred that fires when no run is under way."""
-        if not self._running:
-            return succeed(None)
-        waiter: Deferred[None] = Deferred(self._idle_waiters.remove)
-        self._idle_waiters.append(waiter)
-        return waiter
-
-    def _tell_when_idle(self) -> None:
-        if self._running:
-            return
-        waiters, self._idle_waiters = self._idle_waiters, []
-        for waiter in waiters:
-            waiter.callback(None)
+    async def when_idle(self) -> None:
+        """Return when no run is under way and no outcome is to be delivered."""
+        while self._running:
+            running = next(iter(self._running.values()))
+            await running.outcome()
+        await self._delivery.when_none()
 
     def _record(self, order: CallOrder, outcome: Outcome, seconds: float) -> None:
         metrics = self._tools.metrics
--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -110,25 +110,6 @@
         return rendered if isinstance(rendered, bytes) else NOT_DONE_YET
 
 
-class ProblemRoot(Resource):
-    """The root of the daemon's HTTP tree: an unknown path is a problem."""
-
-    def __init__(self) -> None:
-        """Begin without children."""
-        super().__init__()  # type: ignore[no-untyped-call]
-
-    def getChild(self, path: bytes, request: Request) -> Resource:  # noqa: N802
-        """Give the resource of a path that no child has."""
-        return _UnknownPath()  # type: ignore[no-untyped-call]
-
-
-class _UnknownPath(Resource):
-    isLeaf = True  # noqa: N815
-
-    def render(self, request: Request) -> bytes:
-        return render_problem(request, unknown_path(request))
-
-
 Value = TypeVar("Value")
 
 
--- a/notcharch/gateway/outcome_delivery.py
+++ b/notcharch/gateway/outcome_delivery.py
@@ -5,7 +5,7 @@
 """
 
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.errors import Problem, ProblemCode, Ran
@@ -25,8 +25,16 @@
         """Deliver through `leader`."""
         self._leader = leader
         self._clock = clock
-        self.pending = 0
-        """Deliveries under way, also those that nobody waits for."""
+        self._pending = 0
+        self._waiters: list[Deferred[None]] = []
+
+    def when_none(self) -> "Deferred[None]":
+        """Fire when no delivery is under way, also none that goes on unwaited."""
+        if not self._pending:
+            return succeed(None)
+        waiter: Deferred[None] = Deferred(self._waiters.remove)
+        self._waiters.append(waiter)
+        return waiter
 
     def deliver(
         self, outcome: FinishCall, wait_seconds: float
@@ -47,7 +55,7 @@
         return waiting
 
     async def _deliver(self, outcome: FinishCall) -> Result[FinishRecorded, Problem]:
-        self.pending += 1
+        self._pending += 1
         deadline = self._clock.seconds() + DELIVERY_SECONDS
         failures = 0
         try:
@@ -60,7 +68,15 @@
                     return Err(reply.err_value)
                 await self._leader.pause(failures)
         finally:
-            self.pending -= 1
+            self._ended()
+
+    def _ended(self) -> None:
+        self._pending -= 1
+        if self._pending:
+            return
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
 
 
 def _not_stored() -> Problem:
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -149,6 +149,7 @@
     def resume(self) -> None:
         """Take new calls again after a drain that was taken back."""
         self._is_draining = False
+        self._calls.wait_again()
 
     @app.route("/programs", methods=["POST"])
     async def create_program(self, request: IRequest) -> bytes:
