Run a whole region on virtual time in one process

Cause: stateful tests, scheduling experiments and hollow daemons all need the real core without sockets, and should not each build it.

--- /dev/null
+++ b/experiments/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""A whole region on virtual time: real daemon cores over memory transports."""
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -129,6 +129,16 @@
         """Give the resource to mount."""
         return GatewayLeaf(self.app.resource(), self._open_requests)
 
+    @property
+    def runs(self) -> CallRuns:
+        """The calls under way, for callers in the same process."""
+        return self._runs
+
+    @property
+    def programs(self) -> ProgramRequests:
+        """The requests about programs, for callers in the same process."""
+        return self._programs
+
     @property
     def running_calls(self) -> int:
         """Count the calls under way."""
