Fence stewards' orders, refuse hopeless calls early, test engines' faults

Cause: a steward that was superseded, an engine that leaves, hangs or restarts, and a gateway that died must not hold slots, calls or memory.

Grant and order ids carry the life of the steward, since a claim repeated by the same process keeps its epoch.

Change: claims in a module of their own, orders that need a claim confirmed lately, loads read with a time-out, queued calls refused as soon as their wait is known to be too long, and the tests of these faults.

--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -7,17 +7,20 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from result import Result
+from result import Err, Result
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.engines.cache_keeper import CacheKeeper
+from notcharch.engines.claim_keeper import ClaimKeeper, ClaimSurroundings
+from notcharch.engines.orders import EngineOrders
 from notcharch.engines.periodic import PeriodicTask
 from notcharch.engines.queue_keeper import QueueKeeper
+from notcharch.engines.refusals import not_steward
 from notcharch.engines.steward_state import StewardState
-from notcharch.engines.stewardship import Stewardship, StewardshipPhase
+from notcharch.engines.stewardship import StewardshipPhase
 from notcharch.errors import Problem, ProblemCode
 from notcharch.events.engines import (
-    ClaimFailed,
     EngineClosed,
     EngineOpened,
     GatewayFreed,
@@ -26,34 +29,30 @@
 )
 from notcharch.events.event import emit
 from notcharch.placement.interface import MembershipView, Router
-from notcharch.placement.partitions import partition_of_engine
-from notcharch.platform.ports import EnginePort, Machine, MachineState
+from notcharch.platform.ports import EnginePort, Machine, MachineState, OrderKind
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy
 from notcharch.settings.schema import EnginesSection
 from notcharch.values.identifiers import EngineName, Epoch, Member, ProgramId
-from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.engines import (
     EngineDescription,
     EngineQuote,
     GrantReturned,
 )
 from notcharch.wire.messages.stewardship import (
-    ClaimStewardship,
-    ReadStewardship,
     StewardshipClaimed,
 )
 
 CLAIM_SECONDS = 1.0
 """Time between tries of a claim that could not be recorded."""
 
-CLAIM_CHECK_SECONDS = 10.0
-"""Time between looks whether the claim is still in force."""
-
-REQUEST_SECONDS = 5.0
 GATEWAY_GRACE_SECONDS = 10.0
 """A gateway out of the membership for so long is taken for dead."""
 
+LOAD_SECONDS = 1.5
+"""An engine that takes longer to report its load counts as not answering."""
+
+INSTANCE_BITS = 48
 DEFAULT_PREFILL_TOKENS_PER_SECOND = 4000.0
 
 
@@ -71,6 +70,16 @@
     order_policy: OrderPolicy = OrderPolicy()
     breaker_policy: BreakerPolicy = BreakerPolicy()
 
+    def claims(self) -> ClaimSurroundings:
+        """Give the part that claims need."""
+        return ClaimSurroundings(
+            self.router,
+            self.membership,
+            self.clock,
+            self.partition_count,
+            self.own_member,
+        )
+
 
 class EngineKeeper:
     """The stewardship of one engine by this daemon."""
@@ -81,15 +90,18 @@
         self._clock = surroundings.clock
         self.machine = machine
         self.engine = EngineName(machine.name)
+        instance = f"{surroundings.chance.getrandbits(INSTANCE_BITS):x}"
         self.state = StewardState(
             engine=self.engine,
+            instance=instance,
             address=machine.address,
             slots=machine.slots,
             queue_limit=surroundings.settings.queue_limit,
             order_policy=surroundings.order_policy,
             breaker_policy=surroundings.breaker_policy,
         )
-        self.stewardship = Stewardship(surroundings.own_member)
+        self.claims = ClaimKeeper(self.engine, surroundings.claims(), self._on_claim)
+        self.stewardship = self.claims.stewardship
         self.queue = QueueKeeper(self.state, surroundings.clock)
         self.cache = CacheKeeper(
             engine=self.engine,
@@ -100,8 +112,16 @@
             chance=surroundings.chance,
             settings=surroundings.settings,
         )
+        self.orders = EngineOrders(
+            engine=self.engine,
+            stewardship=self.stewardship,
+            port=surroundings.engine_port,
+            clock=surroundings.clock,
+            instance=instance,
+            on_fenced=self.claims.look_now,
+        )
+        self._drain_ordered = False
         self._missing_since: dict[Member, float] = {}
-        self._claim_due_at = 0.0
         self._was_accepting = True
         self._load_task = self._periodic(
             "load", self._read_load, surroundings.settings.load_poll_seconds
@@ -111,6 +131,7 @@
     def start(self) -> None:
         """Begin to claim, to poll and to release."""
         self.stewardship.assign(True)
+        self._set_epoch()
         self.learn_machine(self.machine)
         self._claim_task.start()
         self._load_task.start()
@@ -167,7 +188,7 @@
             expected_wait_seconds=self.state.expected_wait(self.state.queued),
             prefill_tokens_per_second=rate or DEFAULT_PREFILL_TOKENS_PER_SECOND,
             cached_tokens=cached,
-            accepting=self.state.accepting(now) and self.state.epoch is not None,
+            accepting=self.state.accepting(now),
         )
 
     def describe(self) -> EngineDescription:
@@ -212,6 +233,19 @@
         """Take in what operators want."""
         self._close_or_open(self.state.leaving, draining)
 
+    async def order_drain(self, drain: bool) -> Result[None, Problem]:
+        """Order the engine itself to refuse (or take) new work."""
+        kind = OrderKind.DRAIN if drain else OrderKind.UNDRAIN
+        outcome = await self.orders.give(self.state.address, kind, "")
+        if outcome.is_ok():
+            self._drain_ordered = drain
+        return outcome
+
+    async def _order_drain_if_due(self) -> None:
+        """Order a drain once the last grant is back: it cuts nothing off then."""
+        if self.state.draining and not self._drain_ordered and not self.state.granted:
+            await self.order_drain(True)
+
     def _state_name(self, now: float) -> str:
         if self.state.leaving or self.state.load.leaving:
             return "leaving"
@@ -241,7 +275,12 @@
 
     async def _read_load(self) -> None:
         port = self._around.engine_port
-        outcome = await port.load(self.state.address)
+        reading = port.load(self.state.address)
+        reading.addTimeout(LOAD_SECONDS, self._clock)
+        try:
+            outcome = await reading
+        except DeferredTimeoutError as error:
+            outcome = Err(Problem.of(ProblemCode.TIMED_OUT, str(error)))
         now = self._clock.seconds()
         waiting = self.state.queued
         if outcome.is_ok():
@@ -252,60 +291,23 @@
         self.check_gateways()
 
     async def _claim(self) -> None:
-        now = self._clock.seconds()
-        phase = self.stewardship.phase
-        if phase == StewardshipPhase.CLAIMING:
-            await self._ask(ClaimStewardship(self.engine, self._around.own_member), now)
-        elif now >= self._claim_due_at:
-            await self._ask(ReadStewardship(self.engine), now)
-            self._reclaim_if_alone()
-
-    async def _ask(self, message: Message, now: float) -> None:
-        partition = partition_of_engine(self.engine, self._around.partition_count)
-        router = self._around.router
-        outcome: Result[Message, Problem] = await router.to_partition(
-            partition, message, REQUEST_SECONDS
-        )
-        if outcome.is_err():
-            problem = outcome.unwrap_err()
-            emit(ClaimFailed(self.engine, problem.code, problem.message))
-            return
-        claim = outcome.unwrap()
-        if not isinstance(claim, StewardshipClaimed):
-            return
-        self._claim_due_at = now + CLAIM_CHECK_SECONDS
-        self.stewardship.learn_claim(claim.member, claim.epoch, now)
+        await self.claims.step()
+        await self._order_drain_if_due()
+
+    def _on_claim(self, claim: StewardshipClaimed) -> None:
         self._set_epoch()
         self.set_draining(claim.drained)
 
     def _set_epoch(self) -> None:
         """Grant only while the claim is held; else send waiting calls on."""
-        epoch = self.stewardship.epoch
-        if epoch is not None and self.state.epoch is None:
+        epoch, before = self.stewardship.epoch, self.state.epoch
+        self.state.set_epoch(epoch, self._clock.seconds())
+        if epoch is not None and epoch != before:
             emit(StewardshipBegun(self.engine, epoch))
-        self.state.epoch = epoch
         refusal = self.refusal()
         if refusal is not None:
             self.queue.answer(self.state.hand_over(refusal))
-            emit(StewardshipEnded(self.engine, refusal.code))
+            if before is not None:
+                emit(StewardshipEnded(self.engine, refusal.code))
         else:
             self.queue.answer(self.state.grant_ready(self._clock.seconds()))
-
-    def _reclaim_if_alone(self) -> None:
-        """Claim again when hashing still names this daemon and the other is gone."""
-        other = self.stewardship.superseded_by
-        if self.stewardship.phase != StewardshipPhase.SUPERSEDED or other is None:
-            return
-        members = self._around.membership.live_members()
-        if all(live.member != other for live in members):
-            self.stewardship.reclaim()
-
-
-def not_steward(engine: EngineName, hint: str | None) -> Problem:
-    """Say that another daemon stewards the engine."""
-    return Problem.of(
-        ProblemCode.NOT_STEWARD,
-        f"this daemon does not steward engine {engine}",
-        hint=hint,
-        retry_after=1.0,
-    )
--- a/notcharch/engines/engine_load.py
+++ b/notcharch/engines/engine_load.py
@@ -15,7 +15,7 @@
 
 REPORT_LAG_SECONDS = 5.0
 RUNS_KEPT_SECONDS = 60.0
-FAILED_READS_TO_DOUBT = 3
+FAILED_READS_TO_DOUBT = 2
 DEFAULT_HOLD_SECONDS = 2.0
 
 
--- /dev/null
+++ b/notcharch/engines/orders.py
@@ -0,0 +1,62 @@
+"""Fenced orders of a steward to its engine."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.engines.stewardship import Stewardship
+from notcharch.errors import Problem, ProblemCode
+from notcharch.events.engines import OrderFenced
+from notcharch.events.event import emit
+from notcharch.platform.ports import EngineOrder, EnginePort, OrderKind
+from notcharch.values.identifiers import EngineName, RequestId
+
+CONFIRMED_SECONDS = 25.0
+"""An order needs a claim that a majority confirmed within this time."""
+
+
+class EngineOrders:
+    """Sends orders with the epoch of a claim that was confirmed lately."""
+
+    def __init__(
+        self,
+        *,
+        engine: EngineName,
+        stewardship: Stewardship,
+        port: EnginePort,
+        clock: IReactorTime,
+        instance: str,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        """Call `on_fenced` when the engine has seen a later steward.
+
+        `instance` makes the ids of orders unique among all stewards' lives.
+        """
+        self._engine = engine
+        self._stewardship = stewardship
+        self._port = port
+        self._clock = clock
+        self._instance = instance
+        self._on_fenced = on_fenced
+        self._order_number = 0
+
+    async def give(
+        self, address: str, kind: OrderKind, argument: str
+    ) -> Result[None, Problem]:
+        """Give one order; UNAVAILABLE without a confirmed claim, or STALE_EPOCH."""
+        now = self._clock.seconds()
+        epoch = self._stewardship.epoch
+        confirmed = self._stewardship.confirmed_within(CONFIRMED_SECONDS, now)
+        if epoch is None or not confirmed:
+            message = f"the claim on engine {self._engine} is not confirmed now"
+            return Err(Problem.of(ProblemCode.UNAVAILABLE, message, retry_after=1.0))
+        self._order_number += 1
+        order_id = RequestId(f"{epoch}/{self._instance}/{self._order_number}")
+        order = EngineOrder(order_id, epoch, kind, argument)
+        outcome = await self._port.order(address, order)
+        fenced = ProblemCode.STALE_EPOCH
+        if outcome.is_err() and outcome.unwrap_err().is_code(fenced):
+            emit(OrderFenced(self._engine, epoch))
+            self._on_fenced()
+        return outcome
--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -5,12 +5,9 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.engines.engine_keeper import (
-    EngineKeeper,
-    KeeperSurroundings,
-    not_steward,
-)
+from notcharch.engines.engine_keeper import EngineKeeper, KeeperSurroundings
 from notcharch.engines.periodic import PeriodicTask
+from notcharch.engines.refusals import not_steward
 from notcharch.engines.releases import Release
 from notcharch.errors.problem import ProblemError
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
@@ -145,14 +142,18 @@
 
     async def _on_cancel(self, sender: Member, message: Message) -> Message:
         request = _expect(message, CancelQueued)
-        keeper = self._keeper(request.engine)
         key = CallKey(request.program, request.sequence, request.attempt)
-        keeper.withdraw(key)
+        if request.engine in self._keepers:
+            self._keepers[request.engine].withdraw(key)
+        self._keeper(request.engine)
         return Acknowledged()
 
     async def _on_returned(self, sender: Member, message: Message) -> Message:
         request = _expect(message, GrantReturned)
-        self._keeper(request.engine).take_back(request)
+        keeper = self._keepers.get(request.engine)
+        if keeper is None or keeper.state.grant(request.grant) is None:
+            keeper = self._keeper(request.engine)
+        keeper.take_back(request)
         return Acknowledged()
 
     async def _on_quote(self, sender: Member, message: Message) -> Message:
@@ -179,6 +180,10 @@
             raise ProblemError(outcome.unwrap_err())
         if isinstance(outcome.unwrap(), StewardshipClaimed):
             keeper.set_draining(request.drain)
+        if not request.drain:
+            ordered = await keeper.order_drain(False)
+            if ordered.is_err():
+                raise ProblemError(ordered.unwrap_err())
         return Acknowledged()
 
     async def _on_list(self, sender: Member, message: Message) -> Message:
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -4,22 +4,17 @@
 beside it holds the requests open and sends the answers.
 """
 
-import heapq
-
 import msgspec
 
+from notcharch.engines import refusals
 from notcharch.engines.engine_load import KnownLoad
 from notcharch.engines.grants import Grant, GrantTable
-from notcharch.errors import Problem, ProblemCode
+from notcharch.engines.waiting_calls import WaitingCall, WaitingCalls
+from notcharch.errors import Problem
 from notcharch.platform.ports import EngineLoad
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
 from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
-from notcharch.scheduling.fair_queue import FairQueue
-from notcharch.scheduling.waits import (
-    SHORTEST_RETRY_SECONDS,
-    expected_wait_seconds,
-    retry_after_seconds,
-)
+from notcharch.scheduling.waits import expected_wait_seconds, retry_after_seconds
 from notcharch.values.chat import TokenUsage
 from notcharch.values.identifiers import EngineName, Epoch, GrantId, Member
 from notcharch.wire.messages.base import Message, Refusal
@@ -29,6 +24,12 @@
 WITHDRAWN_MEMORY_SECONDS = 120.0
 """How long a withdrawal is remembered, in case its call arrives after it."""
 
+CLAIM_SECONDS = 2.0
+"""What a claim usually takes at most; added to waits while there is none."""
+
+UNCLAIMED_SECONDS = 5.0
+"""Without a claim for so long, waiting calls are sent elsewhere."""
+
 LOST_GRANT_SECONDS = 30.0
 """A grant this old that no report of the time can account for was lost."""
 
@@ -43,20 +44,6 @@
 Answers = tuple[CallAnswer, ...]
 
 
-class _Pending(msgspec.Struct, frozen=True):
-    """A waiting call's request, and when it is given up."""
-
-    request: EnqueueCall
-    give_up_at: float
-
-
-class _Deadline(msgspec.Struct, frozen=True, order=True):
-    """When a waiting call is given up."""
-
-    at: float
-    key: CallKey
-
-
 def key_of(request: EnqueueCall) -> CallKey:
     """Give the key under which a request is queued."""
     return CallKey(request.program, request.sequence, request.attempt)
@@ -69,34 +56,51 @@
         self,
         *,
         engine: EngineName,
+        instance: str,
         address: str,
         slots: int,
         queue_limit: int,
         order_policy: OrderPolicy,
         breaker_policy: BreakerPolicy,
     ) -> None:
-        """Begin without a claim: calls queue, and none is granted."""
+        """Begin without a claim: calls queue, and none is granted.
+
+        `instance` makes the ids of grants unique among all stewards' lives.
+        """
         self.engine = engine
+        self._instance = instance
         self.address = address
-        self.epoch: Epoch | None = None
+        self._epoch: Epoch | None = None
+        self._unclaimed_since: float | None = None
         self.load = KnownLoad(slots)
         self.leaving = False
         """Whether the machine list says that the engine is leaving or gone."""
         self.draining = False
         """Whether operators drain the engine."""
         self._queue_limit = queue_limit
-        self._queue = FairQueue(order_policy)
-        self._pending: dict[CallKey, _Pending] = {}
-        self._deadlines: list[_Deadline] = []
+        self._waiting = WaitingCalls(order_policy)
         self._grants = GrantTable()
         self._grant_number = 0
         self._withdrawn: dict[CallKey, float] = {}
         self._breaker = CircuitBreaker(breaker_policy)
 
+    @property
+    def epoch(self) -> Epoch | None:
+        """The epoch of the claim under which grants are given, if there is one."""
+        return self._epoch
+
+    def set_epoch(self, epoch: Epoch | None, now: float) -> None:
+        """Take in the claim, or that there is none (any more)."""
+        if epoch is not None:
+            self._unclaimed_since = None
+        elif self._unclaimed_since is None:
+            self._unclaimed_since = now
+        self._epoch = epoch
+
     @property
     def queued(self) -> int:
         """How many calls wait."""
-        return len(self._queue)
+        return len(self._waiting)
 
     @property
     def granted(self) -> int:
@@ -110,16 +114,22 @@
     def accepting(self, now: float) -> bool:
         """Tell whether the engine may get new work."""
         stopped = self.leaving or self.draining or self.load.leaving
-        return not stopped and self.load.reachable and self._breaker.permits(now)
+        since = self._unclaimed_since
+        unclaimed = since is not None and now - since > UNCLAIMED_SECONDS
+        return (
+            not (stopped or unclaimed)
+            and self.load.reachable
+            and self._breaker.permits(now)
+        )
 
     def expected_wait(self, calls_ahead: float) -> float:
         """Give the expected seconds until a grant behind so many calls."""
-        return expected_wait_seconds(self.load.slot_load(), calls_ahead)
+        wait = expected_wait_seconds(self.load.slot_load(), calls_ahead)
+        return wait if self._epoch is not None else wait + CLAIM_SECONDS
 
     def gateways(self) -> frozenset[Member]:
         """Give every process that waits here or holds a grant."""
-        waiting = frozenset(p.request.gateway for p in self._pending.values())
-        return waiting | self._grants.gateways()
+        return self._waiting.gateways() | self._grants.gateways()
 
     def enqueue(self, request: EnqueueCall, now: float) -> Answers:
         """Queue a call, or answer it at once. A repeat joins the earlier request."""
@@ -127,33 +137,30 @@
         grant = self._grants.of_call(key)
         if grant is not None:
             return (CallAnswer(key, self._granted_reply(grant)),)
-        if key in self._queue:
+        if key in self._waiting:
             return ()
         refusal = self._refusal_of(request, key, now)
         if refusal is not None:
             return (CallAnswer(key, refusal),)
-        give_up_at = now + request.give_up_seconds
-        self._pending[key] = _Pending(request, give_up_at)
-        self._queue.enqueue(self._queued_call(request, key, now))
-        heapq.heappush(self._deadlines, _Deadline(give_up_at, key))
+        call = self._queued_call(request, key, now)
+        self._waiting.add(WaitingCall(call, request, now + request.give_up_seconds))
         return self.grant_ready(now)
 
     def grant_ready(self, now: float) -> Answers:
         """Grant as many waiting calls as there are free slots."""
         answers: list[CallAnswer] = []
         while self._may_grant(now):
-            call = self._queue.grant()
-            if call is None:
+            waiting = self._waiting.grant()
+            if waiting is None:
                 break
-            answers.append(CallAnswer(call.key, self._grant(call, now)))
+            answers.append(CallAnswer(waiting.call.key, self._grant(waiting, now)))
         return tuple(answers)
 
     def withdraw(self, key: CallKey, now: float) -> Answers:
         """Forget a call whose caller is gone, waiting, granted or still to come."""
         self._withdrawn[key] = now
-        if self._queue.cancel(key) is not None:
-            del self._pending[key]
-            return (CallAnswer(key, _refused(_withdrawn_problem())),)
+        if self._waiting.remove(key):
+            return (CallAnswer(key, Refusal(refusals.withdrawn())),)
         grant = self._grants.of_call(key)
         if grant is None:
             return ()
@@ -173,7 +180,7 @@
         self.load.learn_hold(now - grant.granted_at)
         if usage is not None:
             used = usage.total_tokens - usage.cached_tokens
-            self._queue.settle(grant.call, used)
+            self._waiting.settle(grant.call, used)
         if succeeded:
             self._breaker.succeeded()
         else:
@@ -182,27 +189,19 @@
 
     def free_gateway(self, gateway: Member, now: float) -> Answers:
         """Free everything of a gateway process that died."""
-        answers: list[CallAnswer] = []
-        keys = [
-            key
-            for key, pending in self._pending.items()
-            if pending.request.gateway == gateway
-        ]
-        for key in keys:
-            self._queue.cancel(key)
-            del self._pending[key]
-            answers.append(CallAnswer(key, _refused(_withdrawn_problem())))
+        keys = self._waiting.remove_of(gateway)
         for grant in self._grants.of_gateway(gateway):
             self._grants.remove(grant.grant)
             self._breaker.abandoned()
         self.load.set_granted(len(self._grants), now)
-        return tuple(answers) + self.grant_ready(now)
+        return _refuse_all(keys, refusals.withdrawn()) + self.grant_ready(now)
 
     def learn_load(self, report: EngineLoad, now: float) -> Answers:
         """Take a load report in."""
         self.load.learn_report(report, now)
         self._free_lost_grants(now)
-        return self._empty_if_closed(now) + self.grant_ready(now)
+        answers = self._empty_if_closed(now) + self.grant_ready(now)
+        return answers + self._refuse_hopeless(now)
 
     def load_failed(self, now: float) -> Answers:
         """Note that the engine did not answer a read of its load."""
@@ -217,47 +216,34 @@
 
     def hand_over(self, problem: Problem) -> Answers:
         """Answer every waiting call with a problem, such as NOT_STEWARD."""
-        keys = tuple(self._pending)
-        for key in keys:
-            self._queue.cancel(key)
-        self._pending.clear()
-        self._deadlines.clear()
-        return tuple(CallAnswer(key, _refused(problem)) for key in keys)
+        return _refuse_all(self._waiting.remove_all(), problem)
 
     def next_deadline(self) -> float | None:
         """Give the time of the next call to be given up, if any waits."""
-        while self._deadlines:
-            first = self._deadlines[0]
-            pending = self._pending.get(first.key)
-            if pending is not None and pending.give_up_at == first.at:
-                return first.at
-            heapq.heappop(self._deadlines)
-        return None
+        return self._waiting.next_deadline()
 
     def give_up(self, now: float) -> Answers:
         """Refuse the calls whose time in the queue is over."""
-        answers: list[CallAnswer] = []
-        while (at := self.next_deadline()) is not None and at <= now:
-            deadline = heapq.heappop(self._deadlines)
-            answers.append(self._refuse_waiting(deadline.key))
         self._forget_withdrawals(now)
-        return tuple(answers)
+        return self._refuse_overloaded(self._waiting.remove_expired(now))
 
     def _refusal_of(
         self, request: EnqueueCall, key: CallKey, now: float
     ) -> Message | None:
         if key in self._withdrawn:
-            return _refused(_withdrawn_problem())
+            return Refusal(refusals.withdrawn())
         if not self.accepting(now):
-            return _refused(self._closed_problem())
+            return Refusal(refusals.engine_closed(self.engine))
         call = self._queued_call(request, key, now)
-        wait = self.expected_wait(self._queue.calls_ahead(call))
+        wait = self.expected_wait(self._waiting.calls_ahead(call))
         if wait > request.defer_above_seconds:
             return CallDeferred(wait)
-        if len(self._queue) >= self._queue_limit:
-            return _refused(_overloaded(max(wait, SHORTEST_RETRY_SECONDS)))
+        if len(self._waiting) >= self._queue_limit:
+            return Refusal(refusals.overloaded(wait))
         retry_after = retry_after_seconds(wait, request.give_up_seconds)
-        return None if retry_after is None else _refused(_overloaded(retry_after))
+        return (
+            None if retry_after is None else Refusal(refusals.overloaded(retry_after))
+        )
 
     def _queued_call(
         self, request: EnqueueCall, key: CallKey, now: float
@@ -275,15 +261,16 @@
         )
 
     def _may_grant(self, now: float) -> bool:
-        if self.epoch is None or not self._queue or self.load.free_slots == 0:
+        if self.epoch is None or not self._waiting or self.load.free_slots == 0:
             return False
         return self.accepting(now)
 
-    def _grant(self, call: QueuedCall, now: float) -> CallGranted:
-        request = self._pending.pop(call.key).request
+    def _grant(self, waiting: WaitingCall, now: float) -> CallGranted:
         self._grant_number += 1
-        identifier = GrantId(f"{self.engine}/{self.epoch}/{self._grant_number}")
-        grant = Grant(identifier, call, request.gateway, now)
+        identifier = GrantId(
+            f"{self.engine}/{self.epoch}/{self._instance}/{self._grant_number}"
+        )
+        grant = Grant(identifier, waiting.call, waiting.request.gateway, now)
         self._grants.add(grant)
         self._breaker.started()
         self.load.set_granted(len(self._grants), now)
@@ -293,24 +280,24 @@
         epoch = self.epoch if self.epoch is not None else Epoch(0)
         return CallGranted(grant.grant, self.engine, self.address, epoch)
 
-    def _refuse_waiting(self, key: CallKey) -> CallAnswer:
-        self._queue.cancel(key)
-        del self._pending[key]
-        wait = self.expected_wait(len(self._queue))
-        return CallAnswer(key, _refused(_overloaded(max(wait, SHORTEST_RETRY_SECONDS))))
+    def _refuse_overloaded(self, keys: tuple[CallKey, ...]) -> Answers:
+        if not keys:
+            return ()
+        wait = self.expected_wait(len(self._waiting))
+        return _refuse_all(keys, refusals.overloaded(wait))
+
+    def _refuse_hopeless(self, now: float) -> Answers:
+        """Refuse at once what is now known not to be granted in time."""
+        keys = self._waiting.hopeless(self.expected_wait, now)
+        for key in keys:
+            self._waiting.remove(key)
+        return self._refuse_overloaded(keys)
 
     def _empty_if_closed(self, now: float) -> Answers:
         """Answer the queue at once when the engine takes no work any more."""
-        if not self._pending or self.accepting(now):
+        if not self._waiting or self.accepting(now):
             return ()
-        return self.hand_over(self._closed_problem())
-
-    def _closed_problem(self) -> Problem:
-        return Problem.of(
-            ProblemCode.NO_ENGINE,
-            f"engine {self.engine} takes no new work now",
-            retry_after=SHORTEST_RETRY_SECONDS,
-        )
+        return self.hand_over(refusals.engine_closed(self.engine))
 
     def _free_lost_grants(self, now: float) -> None:
         """Free grants that the engine's reports cannot account for."""
@@ -335,17 +322,5 @@
             del self._withdrawn[key]
 
 
-def _refused(problem: Problem) -> Refusal:
-    return Refusal(problem)
-
-
-def _overloaded(retry_after: float) -> Problem:
-    return Problem.of(
-        ProblemCode.OVERLOADED,
-        "the engine's queue is longer than the call may wait",
-        retry_after=retry_after,
-    )
-
-
-def _withdrawn_problem() -> Problem:
-    return Problem.of(ProblemCode.TIMED_OUT, "the call was withdrawn by its gateway")
+def _refuse_all(keys: tuple[CallKey, ...], problem: Problem) -> Answers:
+    return tuple(CallAnswer(key, Refusal(problem)) for key in keys)
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -45,6 +45,7 @@
         self.events: list[CacheEvent] = []
         self.sequence = 0
         self.down = False
+        self.hangs = False
         self.orders = []
         self.lost_answers = 0
 
@@ -82,6 +83,8 @@
     def _answer(self, name, address, answer):
         self.asked.append((name, address))
         engine = self.engines.get(address)
+        if engine is not None and engine.hangs:
+            return Deferred()
         if engine is None or engine.down:
             problem = Problem.of(ProblemCode.ENGINE_FAILED, "down")
             return deferLater(self.clock, 0.01, lambda: Err(problem))
