Refuse every kind of bad request with all its findings

A table of bad input showed five faults: a header line longer than the limit closed the connection without a word, a path that is not UTF-8 gave klein's own text, the program and sequence headers were read as the text of Python bytes, assistant messages were taken in later calls, and a header that is not UTF-8 would have raised. All are answered with a problem now.

--- a/notcharch/gateway/authentication.py
+++ b/notcharch/gateway/authentication.py
@@ -4,6 +4,7 @@
 from twisted.web.iweb import IRequest
 
 from notcharch.errors import Problem, ProblemCode
+from notcharch.gateway.request_parts import header_text
 from notcharch.table.interface import TableView
 from notcharch.values.identifiers import TenantName
 
@@ -31,7 +32,7 @@
 
 
 def _bearer_key(request: IRequest) -> str | None:
-    header: str | None = request.getHeader("authorization")
+    header = header_text(request, b"authorization")
     if not header:
         return None
     scheme, _, key = header.partition(" ")
--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -148,7 +148,7 @@
 
 def _unreadable_part(request: IRequest) -> Finding | None:
     parts = (
-        ("path", request.path),
+        ("path", b"/".join(request.prepath + request.postpath)),
         ("method", request.method),
         ("header.Host", request.getRequestHostname()),
     )
--- a/notcharch/gateway/http_site.py
+++ b/notcharch/gateway/http_site.py
@@ -86,6 +86,11 @@
             LINGER_SECONDS, self.forceAbortClient
         )
 
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a header line that is longer than all headers may be."""
+        self._receivedHeaderSize += len(line)
+        self._respondToBadRequestAndDisconnect()
+
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         is_too_large = self._receivedHeaderSize > self.totalHeadersSize
         message = (
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -33,6 +33,7 @@
 from notcharch.gateway.openai_requests import OpenAiRequests
 from notcharch.gateway.program_requests import ProgramRequests
 from notcharch.gateway.program_services import ProgramServices
+from notcharch.gateway.request_parts import body_bytes, header_text
 from notcharch.gateway.responses import (
     PROGRAM_HEADER,
     SEQUENCE_HEADER,
@@ -45,6 +46,7 @@
 from notcharch.gateway.validation import (
     CallBody,
     bad_request,
+    findings_of_numbered_call,
     read_call,
     read_new_program,
     read_query_integer,
@@ -167,7 +169,7 @@
         tenant = self._tenant(request)
         self._refuse_while_draining()
         key = _idempotency_key(request)
-        new = value_of(read_new_program(_body(request)))
+        new = value_of(read_new_program(body_bytes(request)))
         program = value_of(await self._programs.create(tenant, new, key))
         request.setHeader(b"location", b"/v1/programs/" + program.encode())
         return json_response(
@@ -210,9 +212,9 @@
         tenant = self._tenant(request)
         self._refuse_while_draining()
         body = self._call_body(request, self._most_messages)
-        if body.sequence is None:
-            finding = Finding("sequence", "is missing")
-            raise ProblemError(bad_request([finding]))
+        findings = findings_of_numbered_call(body)
+        if findings or body.sequence is None:
+            raise ProblemError(bad_request(findings))
         call = CallName(tenant, ProgramId(program), body.sequence)
         return await self._calls.run(request, call, body)
 
@@ -236,19 +238,19 @@
         if body.sequence not in (None, sequence):
             message = "differs from the header X-Notcharch-Sequence"
             raise ProblemError(bad_request([Finding("sequence", message)]))
-        program = request.getHeader(PROGRAM_HEADER)
+        program = header_text(request, PROGRAM_HEADER)
         if program is None:
             key = _idempotency_key(request)
             return await self._openai.run_alone(request, tenant, body, key)
         return await self._openai.run_conversation(
-            request, tenant, ProgramId(str(program)), sequence, body
+            request, tenant, ProgramId(program), sequence, body
         )
 
     def _tenant(self, request: IRequest) -> TenantName:
         return value_of(tenant_of(request, self._table))
 
     def _call_body(self, request: IRequest, most_messages: int) -> CallBody:
-        return value_of(read_call(_body(request), most_messages))
+        return value_of(read_call(body_bytes(request), most_messages))
 
     def _refuse_while_draining(self) -> None:
         if self._is_draining:
@@ -264,23 +266,18 @@
 add_error_handlers(Gateway.app)
 
 
-def _body(request: IRequest) -> bytes:
-    content: bytes = request.content.read()
-    return content
-
-
 def _sequence_header(request: IRequest) -> CallSequence | None:
-    text = request.getHeader(SEQUENCE_HEADER)
+    text = header_text(request, SEQUENCE_HEADER)
     if text is None:
         return None
-    return value_of(read_sequence(str(text), "header.X-Notcharch-Sequence"))
+    return value_of(read_sequence(text, "header.X-Notcharch-Sequence"))
 
 
 def _idempotency_key(request: IRequest) -> str | None:
-    key = request.getHeader("idempotency-key")
+    key = header_text(request, b"idempotency-key")
     if key is None:
         return None
     if not 1 <= len(key) <= LONGEST_IDEMPOTENCY_KEY:
         message = f"must have 1 to {LONGEST_IDEMPOTENCY_KEY} characters"
         raise ProblemError(bad_request([Finding("header.Idempotency-Key", message)]))
-    return str(key)
+    return key
--- a/notcharch/gateway/validation.py
+++ b/notcharch/gateway/validation.py
@@ -118,6 +118,23 @@
     return Ok(call)
 
 
+def findings_of_numbered_call(body: CallBody) -> list[Finding]:
+    """Check what only a call with a number of its own must hold to.
+
+    Answers come from the system: a caller may bring some along only at the
+    beginning, as examples.
+    """
+    if body.sequence is None:
+        return [Finding("sequence", "is missing")]
+    if body.sequence == 1:
+        return []
+    return [
+        Finding(f"messages[{index}].role", "may be assistant in the first call only")
+        for index, message in enumerate(body.messages)
+        if message.role == "assistant"
+    ]
+
+
 def read_sequence(text: str, place: str) -> Result[CallSequence, Problem]:
     """Read a call's number out of a path or header."""
     is_number = text.isascii() and text.isdigit() and len(text) <= 16
