--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -1,5 +1,6 @@
 """Every error of the HTTP interface as a problem; no page of a library's own."""
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 from klein import Klein
@@ -89,15 +90,24 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, inner: KleinResource, open_requests: OpenRequests) -> None:
-        """Serve `inner`."""
+    def __init__(
+        self,
+        inner: KleinResource,
+        open_requests: OpenRequests,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        """Serve `inner`; while draining, every response closes its connection."""
         super().__init__()  # type: ignore[no-untyped-call]
         self._inner = inner
         self._open_requests = open_requests
+        self._is_draining = is_draining
 
     def render(self, request: Request) -> bytes | int:
         """Serve the request, or refuse what is not text."""
         self._open_requests.add(request)
+        if self._is_draining():
+            request.setHeader(b"connection", b"close")
+            request.channel.persistent = False
         finding = _unreadable_part(request)
         if finding is not None:
             problem = Problem.of(
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -129,7 +129,9 @@
 
     def resource(self) -> Resource:
         """Give the resource to mount."""
-        return GatewayLeaf(self.app.resource(), self._open_requests)
+        return GatewayLeaf(
+            self.app.resource(), self._open_requests, lambda: self._is_draining
+        )
 
     @property
     def runs(self) -> CallRuns:
