Mend and prove the engine model: own blocks, restart, exact aggregation

A program whose prompt diverged from its cached prefix waited for ever when its own old blocks were needed for the new prompt: the check before taking memory left them out, though they are cut first. A restart left lost runs with their claim on blocks and dropped the steps of the present plan from the counters.

A virtual clock runs each call at its own time, which Twisted's Clock does not; the next plan begins where the last one ended, also when its timer is late.

--- a/emulator/engine/counters.py
+++ b/emulator/engine/counters.py
@@ -52,7 +52,8 @@
 class FillHistory:
     """How far each program's prompt was ever filled, over all engines that share it.
 
-    Programs only append, so one number for each is enough.
+    Programs only append, so one number for each is enough. It is kept when memory is
+    released, since a program may go on elsewhere.
     """
 
     def __init__(self) -> None:
@@ -67,7 +68,3 @@
         """Record that a program's tokens up to `end` were filled."""
         if end > self._filled.get(program, 0):
             self._filled[program] = end
-
-    def forget(self, program: ProgramId) -> None:
-        """Drop an ended program."""
-        self._filled.pop(program, None)
--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -1,25 +1,22 @@
 """One engine on a clock: it accepts requests, steps its batch and keeps its cache."""
 
-from collections import deque
 from collections.abc import Callable
 from random import Random
 
 from result import Err, Ok, Result
 from twisted.internet.interfaces import IReactorTime
 
-from emulator.engine.answers import plan_answer, prompt_tokens
+from emulator.engine.answers import plan_answer
 from emulator.engine.batch import Batch, BatchChange
 from emulator.engine.cache_events import CacheEventLog
 from emulator.engine.counters import EngineCounters, FillHistory
 from emulator.engine.load_report import LaggingLoad
 from emulator.engine.orders import EngineOrders
-from emulator.engine.prefix_cache import (
-    PrefixCache,
-    extended_chain,
-    prefix_chain,
-)
+from emulator.engine.prefix_cache import PrefixCache, PrefixChain, prefix_chain
 from emulator.engine.rates import EngineRates
 from emulator.engine.refusals import EngineRefusal, RefusalCode
+from emulator.engine.run_memory import RunMemory
+from emulator.engine.run_registry import ProgramEpochs, RunRegistry
 from emulator.engine.runs import EngineRun, RunListener, RunState, RunStatus
 from emulator.engine.stepper import Stepper
 from emulator.engine.transfers import CacheTransfers
@@ -32,7 +29,6 @@
     MachineKind,
     MachineState,
 )
-from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import (
     EngineName,
     Epoch,
@@ -87,7 +83,8 @@
             fills,
             self._on_cache_event,
         )
-        self.batch = Batch(rates, self.counters, self._take_memory)
+        self._memory = RunMemory(self.cache, fills, self.counters)
+        self.batch = Batch(rates, self.counters, self._memory.take)
         self.on_change: Callable[[], None] = _nothing
         """Called when the state or the pools that the machine list shows change."""
 
@@ -97,30 +94,22 @@
         self.lagging_load = LaggingLoad(rates.load_refresh_seconds, self._measure_load)
         self._stepper = Stepper(clock, self.batch, steps_per_report, self._on_change)
         self._reports_each_plan = steps_per_report is not None
-        self._fills = fills
         self._left_at: float | None = None
-        self._runs: dict[RequestId, EngineRun] = {}
-        self._used_ids: set[RequestId] = set()
-        self._ended: deque[EngineRun] = deque()
-        self._epochs: dict[ProgramId, Epoch] = {}
+        self._runs = RunRegistry(rates.resume_seconds)
+        self._epochs = ProgramEpochs()
         self._order_count = 0
 
-    @property
-    def has_cache(self) -> bool:
-        """Whether the engine keeps prefixes."""
-        return self.rates.total_blocks > 0
-
     # Requests
 
     def submit(self, request: EngineRequest) -> Result[EngineRun, EngineRefusal]:
         """Accept a request, or refuse it without any effect."""
         now = self.clock.seconds()
         self.lagging_load.before_change(now)
-        self._forget_old_runs(now)
-        refusal = self._refusal_of(request)
+        chain = prefix_chain(request.messages)
+        refusal = self._refusal_of(request, chain)
         if refusal is not None:
             return Err(refusal)
-        run = self._accepted(request, now)
+        run = self._accepted(request, chain, now)
         self.batch.waiting.add(run)
         if self.batch.running < self.rates.slots:
             self._stepper.batch_changed()
@@ -128,8 +117,7 @@
 
     def find(self, request_id: RequestId) -> EngineRun | None:
         """Give a run whose stream can still be read."""
-        self._forget_old_runs(self.clock.seconds())
-        return self._runs.get(request_id)
+        return self._runs.find(request_id, self.clock.seconds())
 
     def status(self, request_id: RequestId) -> RunStatus:
         """Say how far a request is."""
@@ -163,7 +151,7 @@
 
     def break_streams(self) -> None:
         """Cut the connections of all readers, as a network fault does."""
-        for run in tuple(self._runs.values()):
+        for run in self._runs.all():
             for listener in tuple(run.listeners):
                 self.detach(run, listener)
                 listener.run_broken(run)
@@ -185,34 +173,22 @@
     def release(self, program: ProgramId, epoch: Epoch) -> Result[int, EngineRefusal]:
         """Free a program's memory; gives the blocks freed now."""
         self.lagging_load.before_change(self.clock.seconds())
-        stale = self.check_epoch(program, epoch)
+        stale = self._check_epoch(program, epoch)
         if stale is not None:
             return Err(stale)
         return Ok(self.cache.release(program))
 
-    def check_epoch(self, program: ProgramId, epoch: Epoch) -> EngineRefusal | None:
-        """Refuse an epoch below one seen for the program, or note it."""
-        seen = self._epochs.get(program, epoch)
-        if epoch < seen:
-            self.counters.refused_stale_epoch += 1
-            return EngineRefusal(
-                RefusalCode.STALE_EPOCH, f"epoch {epoch} is below {seen}"
-            )
-        self._epochs[program] = epoch
-        return None
-
     # Life
 
     def restart(self) -> None:
         """Forget everything: requests, cache, epochs, events."""
-        runs = tuple(self._runs.values())
+        runs = self._runs.all()
+        self._stepper.batch_changed()
         self._stepper.drop()
         self.batch.clear()
         self.cache.lose_everything()
         self.events.forget()
         self._runs.clear()
-        self._used_ids.clear()
-        self._ended.clear()
         self._epochs.clear()
         self.transfers.forget()
         for run in runs:
@@ -244,28 +220,33 @@
 
     # Inside
 
-    def _refusal_of(self, request: EngineRequest) -> EngineRefusal | None:
-        if not request.messages:
+    def _refusal_of(
+        self, request: EngineRequest, chain: PrefixChain
+    ) -> EngineRefusal | None:
+        if not chain:
             return EngineRefusal(RefusalCode.BAD_REQUEST, "messages are missing")
         if self.orders.pools and request.pool not in self.orders.pools:
             return EngineRefusal(RefusalCode.UNKNOWN_MODEL, f"{request.pool} not here")
-        if self.has_cache and not self._fits(request):
+        if not self._memory.fits(chain[-1].tokens, request.max_tokens):
             return EngineRefusal(RefusalCode.CONTEXT_TOO_LONG, "prompt is too long")
-        if request.request_id in self._used_ids:
+        if self._runs.knows(request.request_id):
             self.counters.refused_duplicate += 1
             return EngineRefusal(RefusalCode.DUPLICATE_REQUEST, "known request_id")
         if self.orders.drained:
             return EngineRefusal(
                 RefusalCode.DRAINING, "engine is drained", DRAINING_RETRY_SECONDS
             )
-        return self.check_epoch(request.program, request.epoch)
+        return self._check_epoch(request.program, request.epoch)
 
-    def _fits(self, request: EngineRequest) -> bool:
-        needed = prompt_tokens(request.messages) + max(1, request.max_tokens)
-        return self.cache.fits(needed)
+    def _check_epoch(self, program: ProgramId, epoch: Epoch) -> EngineRefusal | None:
+        stale = self._epochs.check(program, epoch)
+        if stale is not None:
+            self.counters.refused_stale_epoch += 1
+        return stale
 
-    def _accepted(self, request: EngineRequest, now: float) -> EngineRun:
-        chain = prefix_chain(request.messages)
+    def _accepted(
+        self, request: EngineRequest, chain: PrefixChain, now: float
+    ) -> EngineRun:
         self._order_count += 1
         run = EngineRun(
             request,
@@ -275,8 +256,7 @@
             chain[-1].tokens,
             now,
         )
-        self._runs[request.request_id] = run
-        self._used_ids.add(request.request_id)
+        self._runs.add(run)
         self._count_accepted(request, now)
         return run
 
@@ -287,41 +267,17 @@
             self.side_effects[request.request_id] = request.program
         if self._left_at is not None:
             self.counters.requests_accepted_leaving += 1
-            self.counters.last_accepted_leaving_seconds = now - self._left_at
-
-    def _take_memory(self, run: EngineRun) -> bool:
-        if self.has_cache:
-            hold = self.cache.acquire(run.request.program, run.chain, run.answer.tokens)
-            if hold is None:
-                return False
-            run.hold = hold
-            run.cached_tokens = hold.cached
-            self.counters.tokens_cached += hold.cached
-        run.prefill_left = run.prompt_tokens - run.cached_tokens
-        run.started_at = self.clock.seconds()
-        return True
-
-    def _give_memory_back(self, run: EngineRun) -> None:
-        if run.hold is None:
-            return
-        answer = ChatMessage("assistant", run.answer.content)
-        complete = run.state is RunState.FINISHED
-        chain = extended_chain(run.chain, answer) if complete else run.chain
-        filled = run.filled_tokens()
-        self.counters.tokens_refilled += self._fills.refilled(
-            run.request.program, run.cached_tokens, min(filled, run.prompt_tokens)
-        )
-        self.cache.settle(run.hold, filled, chain)
-        run.hold = None
+            self.counters.last_accepted_leaving_seconds = max(
+                self.counters.last_accepted_leaving_seconds, now - self._left_at
+            )
 
-    def _on_change(self, change: BatchChange) -> None:
-        now = self.clock.seconds()
+    def _on_change(self, change: BatchChange, now: float) -> None:
         self.lagging_load.before_change(now)
         for run in change.first_tokens:
             run.first_token_at = now
         for run in change.finished:
             self._finish(run, now)
-        self._stepper.begin()
+        self._stepper.begin(now)
         self._report(change)
 
     def _report(self, change: BatchChange) -> None:
@@ -351,13 +307,14 @@
     def _end(self, run: EngineRun, now: float) -> None:
         run.ended_at = now
         self._stop_abandonment(run)
-        self._give_memory_back(run)
-        self._ended.append(run)
+        self._memory.give_back(run)
+        self._runs.ended(run, now)
 
     def _lose(self, run: EngineRun) -> None:
         self._stop_abandonment(run)
         if not run.ended:
             run.state = RunState.CANCELLED
+            run.hold = None
             self.counters.requests_lost += 1
         listeners, run.listeners = run.listeners, []
         for listener in listeners:
@@ -373,15 +330,6 @@
             run.abandonment.cancel()
             run.abandonment = None
 
-    def _forget_old_runs(self, now: float) -> None:
-        """Drop ended streams that nobody resumed; their ids stay known."""
-        while self._ended:
-            run = self._ended[0]
-            if (run.ended_at or now) + self.rates.resume_seconds > now:
-                return
-            self._ended.popleft()
-            self._runs.pop(run.request.request_id, None)
-
     def _state_changed(self) -> None:
         self.on_change()
 
--- a/emulator/engine/prefix_cache.py
+++ b/emulator/engine/prefix_cache.py
@@ -137,9 +137,7 @@
         blocks = self._blocks_of(prompt_tokens + answer_tokens)
         if prefix.pinned:
             return self._acquire_private(program, cached, blocks)
-        kept = min(prefix.blocks, self._blocks_of(cached))
-        available = self.free_blocks + self._evictable_blocks - prefix.blocks
-        if available + kept < blocks:
+        if self.free_blocks + self._evictable_blocks < blocks:
             return None
         self._pin(prefix)
         self._cut(prefix, cached)
@@ -151,8 +149,7 @@
     def settle(self, hold: CacheHold, filled: int, chain: PrefixChain) -> None:
         """End a hold: `filled` tokens from the start of `chain` are in the cache."""
         prefix = hold.prefix
-        if not prefix.drop_when_unpinned:
-            self._fills.note(prefix.program, filled)
+        self._fills.note(prefix.program, filled)
         if hold.private:
             self._counters.tokens_evicted_unused += max(0, filled - hold.cached)
             self.free_blocks += prefix.blocks
@@ -168,7 +165,6 @@
 
     def release(self, program: ProgramId) -> int:
         """Free a program's blocks, those of a running request when it ends."""
-        self._fills.forget(program)
         prefix = self._prefixes.get(program)
         if prefix is None:
             return 0
--- a/emulator/engine/runs.py
+++ b/emulator/engine/runs.py
@@ -60,7 +60,6 @@
     first_step: int | None = None
     """The batch's step that gave the first token."""
 
-    started_at: float | None = None
     first_token_at: float | None = None
     ended_at: float | None = None
     listeners: list[RunListener] = attrs.field(factory=list)
--- a/emulator/engine/stepper.py
+++ b/emulator/engine/stepper.py
@@ -1,4 +1,8 @@
-"""Runs a batch's plans on a clock, with one timer for each plan."""
+"""Runs a batch's plans on a clock, with one timer for each plan.
+
+An engine stands for a machine of its own: when this process is late with a timer,
+the next plan still begins where the last one ended.
+"""
 
 from collections.abc import Callable
 
@@ -16,9 +20,12 @@
         clock: IReactorTime,
         batch: Batch,
         longest_plan: int | None,
-        on_change: Callable[[BatchChange], None],
+        on_change: Callable[[BatchChange, float], None],
     ) -> None:
-        """Begin idle; a plan covers at most `longest_plan` steps."""
+        """Begin idle; a plan covers at most `longest_plan` steps.
+
+        `on_change` gets what a plan did and when it ended, and calls `begin`.
+        """
         self._clock = clock
         self._batch = batch
         self._longest_plan = longest_plan
@@ -32,7 +39,7 @@
         """Let a change take effect after the present step, or at once when idle."""
         plan = self._plan
         if plan is None:
-            self.begin()
+            self.begin(self._clock.seconds())
             return
         passed = (self._clock.seconds() - self._plan_start) / plan.step_seconds
         done = min(int(passed), plan.steps - 1)
@@ -42,14 +49,14 @@
         self._plan = attrs.evolve(plan, steps=1)
         self._arm_timer(self._plan)
 
-    def begin(self) -> None:
-        """Admit what fits and run the next plan, unless there is nothing to do."""
+    def begin(self, at: float) -> None:
+        """Admit what fits and run the next plan from a time on, if there is one."""
         if self._stalled or self._plan is not None:
             return
         self._batch.admit()
         self._plan = self._batch.plan(self._longest_plan)
         if self._plan is not None:
-            self._plan_start = self._clock.seconds()
+            self._plan_start = at
             self._arm_timer(self._plan)
 
     def stall(self, stalled: bool) -> None:
@@ -57,7 +64,7 @@
         if stalled and self._plan is not None:
             self.batch_changed()
         self._stalled = stalled
-        self.begin()
+        self.begin(self._clock.seconds())
 
     def drop(self) -> None:
         """Forget the present plan, as a restart does."""
@@ -67,8 +74,7 @@
             self._timer = None
 
     def _arm_timer(self, plan: StepPlan) -> None:
-        end = self._plan_start + plan.steps * plan.step_seconds
-        wait = max(0.0, end - self._clock.seconds())
+        wait = max(0.0, self._end_of(plan) - self._clock.seconds())
         if self._timer is None:
             self._timer = self._clock.callLater(wait, self._plan_ended)
         else:
@@ -79,4 +85,8 @@
         plan = self._plan
         self._plan = None
         if plan is not None:
-            self._on_change(self._batch.apply(plan, plan.steps))
+            change = self._batch.apply(plan, plan.steps)
+            self._on_change(change, self._end_of(plan))
+
+    def _end_of(self, plan: StepPlan) -> float:
+        return self._plan_start + plan.steps * plan.step_seconds
--- a/emulator/memory_exchange.py
+++ b/emulator/memory_exchange.py
@@ -99,7 +99,7 @@
 
     def _timed_out(self) -> Problem:
         return Problem.of(
-            self._code,
+            ProblemCode.TIMED_OUT,
             f"{self._where}: no answer",
             ran=Ran.UNKNOWN,
             retry_after=RETRY_AFTER_SECONDS,
@@ -107,8 +107,9 @@
 
     def _refused(self, verdict: Verdict) -> Problem:
         retry_after = self._faults.down_seconds or RETRY_AFTER_SECONDS
+        code = self._code if verdict is Verdict.DOWN else ProblemCode.UNAVAILABLE
         return Problem.of(
-            self._code,
+            code,
             f"{self._where}: {verdict.value}",
             ran=Ran.NO,
             retry_after=retry_after,
--- a/emulator/memory_stream.py
+++ b/emulator/memory_stream.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from emulator.engine.host import EngineHost
-from emulator.engine.refusals import EngineRefusal
+from emulator.engine.refusals import EngineRefusal, RefusalCode
 from emulator.engine.runs import EngineRun, RunState
 from emulator.engine.stream_events import render_events
 from emulator.faults import Verdict
@@ -90,9 +90,13 @@
             return
         host = self._find_host()
         verdict = host.transport.before_effect() if host else Verdict.DOWN
-        if host is None or verdict in (Verdict.DOWN, Verdict.REFUSE):
+        if host is None or verdict is Verdict.DOWN:
             self._after_latency(self._fail, verdict.value, Ran.NO)
             return
+        if verdict is Verdict.REFUSE:
+            refusal = EngineRefusal(RefusalCode.UNAVAILABLE, verdict.value, 1.0)
+            self._after_latency(self._refuse, refusal)
+            return
         self._maybe_accepted = True
         if verdict is Verdict.HANG:
             self._resume_later()
--- a/tests/unit/emulator/builders.py
+++ b/tests/unit/emulator/builders.py
@@ -2,7 +2,8 @@
 
 from random import Random
 
-from twisted.internet.task import Clock
+from msgspec.structs import replace
+from twisted.internet.interfaces import IReactorTime
 
 from emulator.engine.model import EngineModel
 from emulator.engine.rates import EngineRates
@@ -38,13 +39,11 @@
 )
 
 
-def engine(clock: Clock, rates: EngineRates = RATES, **options) -> EngineModel:
+def engine(clock: IReactorTime, rates: EngineRates = RATES, **options) -> EngineModel:
     return EngineModel(clock, EngineName("e1"), rates, Random(1), **options)
 
 
-def application_engine(clock: Clock) -> EngineModel:
-    from msgspec.structs import replace
-
+def application_engine(clock: IReactorTime) -> EngineModel:
     rates = replace(RATES, total_blocks=0)
     return engine(clock, rates, kind=MachineKind.APPLICATION_ENGINE)
 
@@ -72,8 +71,3 @@
 def answer_marker(tokens: int) -> str:
     """Give a user message of 10 tokens (4 of overhead) that orders the answer's length."""
     return f"[answer-tokens:{tokens}]".ljust(24)
-
-
-def run_for(clock: Clock, seconds: float, step: float = 0.05) -> None:
-    for _ in range(round(seconds / step)):
-        clock.advance(step)
--- a/tests/unit/emulator/test_memory_ports.py
+++ b/tests/unit/emulator/test_memory_ports.py
@@ -2,7 +2,6 @@
 
 import pytest
 from result import Err, Ok
-from twisted.internet.task import Clock
 
 from emulator.engine.answers import expected_answer
 from emulator.engine.host import EngineHost
@@ -17,6 +16,7 @@
 from emulator.services.log_store import LogStore
 from emulator.services.machine_registry import MachineRegistry
 from emulator.services.weight_store import WeightStore
+from emulator.virtual_clock import VirtualClock
 from notcharch.errors import ProblemCode, Ran
 from notcharch.platform.answer_collector import AnswerCollector
 from notcharch.platform.ports import LogRecord, Machine, MachineKind, MachineState
@@ -29,7 +29,7 @@
     RegionName,
     ZoneName,
 )
-from tests.unit.emulator.builders import answer_marker, engine, request, run_for
+from tests.unit.emulator.builders import answer_marker, engine, request
 
 ADDRESS = "127.0.0.1:1"
 
@@ -38,7 +38,7 @@
     """One engine behind a memory port, and what came through its one stream."""
 
     def __init__(self, latency_seconds=0.0, **options):
-        self.clock = Clock()
+        self.clock = VirtualClock()
         self.host = EngineHost(engine(self.clock, **options))
         way = MemoryWay(self.clock, latency_seconds)
         self.port = MemoryEnginePort(way, {ADDRESS: self.host})
@@ -56,7 +56,7 @@
     setting = Setting(steps_per_report=steps_per_report)
     call = request("r1", "first", answer_marker(7))
     setting.open(call)
-    run_for(setting.clock, 5)
+    setting.clock.advance(5)
     (result,) = setting.results
     assert result.ok_value.content == expected_answer(call.messages, 100)
     assert setting.collector.result() == result
@@ -86,10 +86,10 @@
     if at == 0.0:
         setting.host.order_fault(fault, argument)
     setting.open(call)
-    run_for(setting.clock, 0.5)
+    setting.clock.advance(0.5)
     if at:
         setting.host.order_fault(fault, argument)
-    run_for(setting.clock, 30)
+    setting.clock.advance(30)
     (result,) = setting.results
     if failure is None:
         assert result.ok_value.content == expected_answer(call.messages, 100)
@@ -103,9 +103,9 @@
     setting = Setting(steps_per_report=1)
     call = request("r1", answer_marker(10))
     stream = setting.open(call)
-    run_for(setting.clock, 0.5)
+    setting.clock.advance(0.5)
     stream.pause()
-    run_for(setting.clock, 5)
+    setting.clock.advance(5)
     assert setting.results == []
     stream.resume()
     assert setting.results[0] == setting.collector.result()
@@ -115,7 +115,7 @@
 def test_a_cancelled_stream_stops_on_the_engine():
     setting = Setting(steps_per_report=1)
     stream = setting.open(request("r1", answer_marker(50)))
-    run_for(setting.clock, 1)
+    setting.clock.advance(1)
     stream.cancel()
     assert setting.results[0].err_value.ran is Ran.YES
     assert setting.host.model.counters.requests_cancelled == 1
@@ -162,7 +162,7 @@
 
 @pytest.mark.parametrize(("fault", "argument", "ran", "seconds", "stored"), LOG_FAULTS)
 def test_an_append_under_a_fault(fault, argument, ran, seconds, stored):
-    clock = Clock()
+    clock = VirtualClock()
     port = MemoryLogPort(MemoryWay(clock), LogStore(clock))
     port.faults.order_fault(fault, argument)
     replies = []
@@ -179,7 +179,7 @@
 
 
 def test_a_read_waits_for_the_first_record():
-    clock = Clock()
+    clock = VirtualClock()
     port = MemoryLogPort(MemoryWay(clock), LogStore(clock))
     pages = []
     port.read("table", LogOffset(0), 10, 5.0).addCallback(pages.append)
@@ -199,7 +199,7 @@
 
 
 def test_the_machine_list_lags_and_gives_changes():
-    clock = Clock()
+    clock = VirtualClock()
     registry = MachineRegistry(clock, 3.0)
     port = MemoryMachineListPort(MemoryWay(clock), registry)
     seen = []
@@ -228,7 +228,7 @@
 
 
 def test_the_weight_store_limits_its_rate():
-    clock = Clock()
+    clock = VirtualClock()
     port = MemoryWeightStorePort(MemoryWay(clock), WeightStore(clock, 10.0, 20.0))
     replies = []
     for _ in range(2):
