--- a/emulator/memory.py
+++ b/emulator/memory.py
@@ -1,7 +1,8 @@
 """In-process ports over the models, with the same faults as the HTTP stand-ins.
 
 A reply comes after `latency_seconds` each way, or at once (without a clock call)
-when that is 0 and no fault slows it. A lost answer shows as a time-out.
+when that is 0 and no fault slows it. A lost answer shows as a lost
+connection.
 """
 
 from collections.abc import Callable
@@ -58,8 +59,7 @@
     ) -> EngineStream:
         """Open a stream on a model."""
         return MemoryEngineStream(
-            self._way.clock,
-            self._way.latency_seconds,
+            self._way,
             lambda: self._engines.get(address),
             request,
             on_bytes,
--- a/emulator/memory_exchange.py
+++ b/emulator/memory_exchange.py
@@ -23,11 +23,17 @@
 
 @attrs.frozen
 class MemoryWay:
-    """How exchanges travel: seconds one way, and the client's time-out in seconds."""
+    """How exchanges travel: seconds one way, and the client's time-out in seconds.
+
+    Without `renders_tokens`, a stream gives one comment line of server-sent events
+    for each piece of progress in place of its tokens, which is faster to simulate;
+    its result is the same.
+    """
 
     clock: IReactorTime
     latency_seconds: float = 0.0
     timeout_seconds: float = 10.0
+    renders_tokens: bool = True
 
 
 class MemoryExchange:
@@ -79,8 +85,12 @@
         reply: "Deferred[Result[Value, Problem]]",
         timeout: float,
     ) -> None:
-        late = self._faults.slow_seconds >= timeout
-        if late or (isinstance(result, Ok) and self._faults.loses_answer()):
+        if isinstance(result, Ok) and self._faults.loses_answer():
+            self._after(
+                self._way.latency_seconds, reply.callback, Err(self._answer_lost())
+            )
+            return
+        if self._faults.slow_seconds >= timeout:
             self._after(timeout, reply.callback, Err(self._timed_out()))
             return
         wait = self._way.latency_seconds + self._faults.slow_seconds
@@ -105,6 +115,14 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
+    def _answer_lost(self) -> Problem:
+        return Problem.of(
+            self._code,
+            f"{self._where}: connection lost",
+            ran=Ran.UNKNOWN,
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
     def _refused(self, verdict: Verdict) -> Problem:
         retry_after = self._faults.down_seconds or RETRY_AFTER_SECONDS
         code = self._code if verdict is Verdict.DOWN else ProblemCode.UNAVAILABLE
--- a/emulator/memory_stream.py
+++ b/emulator/memory_stream.py
@@ -4,36 +4,35 @@
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 
 from emulator.engine.host import EngineHost
 from emulator.engine.refusals import EngineRefusal, RefusalCode
 from emulator.engine.runs import EngineRun, RunState
 from emulator.engine.stream_events import render_events
 from emulator.faults import Verdict
-from emulator.memory_exchange import problem_of_refusal
+from emulator.memory_exchange import MemoryWay, problem_of_refusal
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.platform.ports import EngineRequest, StreamEnd
 
 RESUME_DELAYS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.0, 2.0)
 """Seconds before each try to resume without progress, as in the HTTP client."""
 
+PROGRESS_COMMENT = b": progress\n\n"
+
 
 class MemoryEngineStream:
     """`EngineStream` and `RunListener` of one run."""
 
     def __init__(
         self,
-        clock: IReactorTime,
-        latency_seconds: float,
+        way: MemoryWay,
         find_host: Callable[[], EngineHost | None],
         request: EngineRequest,
         on_bytes: Callable[[bytes], None],
     ) -> None:
-        """Open at once; what comes back comes `latency_seconds` later."""
+        """Open at once; what comes back comes one latency later."""
         self.finished: Deferred[Result[StreamEnd, Problem]] = Deferred()
-        self._clock = clock
-        self._latency_seconds = latency_seconds
+        self._way = way
         self._find_host = find_host
         self._request = request
         self._on_bytes = on_bytes
@@ -70,7 +69,7 @@
         if self._is_paused or self.finished.called:
             return
         if run.events > self._next_event:
-            rendered = render_events(run, self._next_event, run.events)
+            rendered = self._render(run)
             self._next_event = run.events
             self._tries = 0
             self._after_latency(self._deliver, rendered)
@@ -125,7 +124,7 @@
             return
         delay = RESUME_DELAYS[self._tries]
         self._tries += 1
-        self._clock.callLater(delay, self._resume_now)
+        self._way.clock.callLater(delay, self._resume_now)
 
     def _resume_now(self) -> None:
         if self.finished.called:
@@ -140,6 +139,11 @@
             return
         self._read(host, run)
 
+    def _render(self, run: EngineRun) -> bytes:
+        if self._way.renders_tokens:
+            return render_events(run, self._next_event, run.events)
+        return PROGRESS_COMMENT
+
     def _deliver(self, rendered: bytes) -> None:
         if not self.finished.called:
             self._on_bytes(rendered)
@@ -175,7 +179,7 @@
         self.finished.callback(Err(problem))
 
     def _after_latency(self, call: Callable[..., object], *arguments: object) -> None:
-        if self._latency_seconds > 0:
-            self._clock.callLater(self._latency_seconds, call, *arguments)
+        if self._way.latency_seconds > 0:
+            self._way.clock.callLater(self._way.latency_seconds, call, *arguments)
         else:
             call(*arguments)
