--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -94,7 +94,7 @@
         while message.sequence > record.next_sequence and not record.ended:
             seconds = deadline - self._now()
             waiting = self._changes.waiting_for(message.program)
-            if seconds <= 0 or self._changes.full or waiting > EARLY_CALLS_PER_PROGRAM:
+            if seconds <= 0 or self._changes.full or waiting >= EARLY_CALLS_PER_PROGRAM:
                 refusal = refusals.too_early(message.sequence, record.next_sequence)
                 raise ProblemError(refusal.problem)
             await self._changes.wait(message.program, seconds)
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterator
-
 from typing import ClassVar
 
 from notcharch.errors import Problem, ProblemCode, Ran
