Let messages with tool calls pass between daemons

Cause: a field of type "raw JSON or null" can be written by msgspec but not read: every message or command that carried tool calls was refused with "Expected null, got array".

Weighed: tool calls as a text of JSON inside JSON (readable, but each client's body would have to be converted) against UNSET for "none", which keeps them raw everywhere. UNSET was chosen; the gateway's four places that compared with None follow.

The dispatch of an engine that this attempt was dispatched to before changes nothing any more: a delayed repeat would have moved the prefix's location.

--- a/notcharch/gateway/call_outcome.py
+++ b/notcharch/gateway/call_outcome.py
@@ -16,7 +16,8 @@
     """Give the answer that is stored for a complete stream."""
     is_empty = not end.content and end.tool_calls is not None
     content = None if is_empty else end.content
-    message = ChatMessage("assistant", content, tool_calls=end.tool_calls)
+    tool_calls = msgspec.UNSET if end.tool_calls is None else end.tool_calls
+    message = ChatMessage("assistant", content, tool_calls=tool_calls)
     return Answer(message, end.usage, end.finish_reason)
 
 
--- a/notcharch/gateway/conversation.py
+++ b/notcharch/gateway/conversation.py
@@ -75,5 +75,5 @@
     return Ok(NewMessages(sent[known:]))
 
 
-def _decoded(raw: msgspec.Raw | None) -> object:
-    return None if raw is None else msgspec.json.decode(raw)
+def _decoded(raw: msgspec.Raw | msgspec.UnsetType) -> object:
+    return None if isinstance(raw, msgspec.UnsetType) else msgspec.json.decode(raw)
--- a/notcharch/gateway/message_reading.py
+++ b/notcharch/gateway/message_reading.py
@@ -46,7 +46,7 @@
     )
     if role == "tool" and value.get("tool_call_id") is None:
         findings.append(Finding(f"{place}.tool_call_id", "is missing"))
-    if value.get("content") is None and tool_calls is None:
+    if value.get("content") is None and tool_calls is msgspec.UNSET:
         findings.append(Finding(f"{place}.content", "is missing"))
     if len(findings) > found_before:
         return None
@@ -106,15 +106,15 @@
 
 def _read_tool_calls(
     value: object, role: str, place: str, findings: list[Finding]
-) -> msgspec.Raw | None:
+) -> msgspec.Raw | msgspec.UnsetType:
     if value is None or value == []:
-        return None
+        return msgspec.UNSET
     is_list = isinstance(value, list) and all(isinstance(item, dict) for item in value)
     if not is_list:
         findings.append(Finding(f"{place}.tool_calls", "must be a list of objects"))
-        return None
+        return msgspec.UNSET
     if role not in ("assistant", ""):
         message = f"do not belong to a message of role {role}"
         findings.append(Finding(f"{place}.tool_calls", message))
-        return None
+        return msgspec.UNSET
     return msgspec.Raw(msgspec.json.encode(value))
--- a/notcharch/gateway/openai.py
+++ b/notcharch/gateway/openai.py
@@ -98,7 +98,7 @@
     message = CompletionMessage(
         answer.message.role,
         answer.message.content,
-        answer.message.tool_calls or msgspec.UNSET,
+        answer.message.tool_calls,
     )
     choice = CompletionChoice(0, message, answer.finish_reason.value)
     return msgspec.json.encode(
@@ -143,9 +143,7 @@
 
 
 def _delta_of(message: ChatMessage) -> CompletionMessage:
-    return CompletionMessage(
-        message.role, message.content, message.tool_calls or msgspec.UNSET
-    )
+    return CompletionMessage(message.role, message.content, message.tool_calls)
 
 
 def _chunk(
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -38,13 +38,14 @@
     call = _newest_attempt(record, command)
     if call is None or not call.running:
         return CommandRefused(refusals.superseded(command.sequence, Ran.NO))
-    if call.engine == command.engine:
+    if command.engine in call.engines:
+        # A repeat, perhaps one that was delayed: the newest engine stays.
         return DispatchAccepted(epoch)
     if record.ended:
         return CommandRefused(ended_problem(record, Ran.NO))
     call.phase = CallPhase.DISPATCHED
     call.phase_at = command.at
-    call.engine = command.engine
+    call.engines = (*call.engines, command.engine)
     if command.engine not in record.engines:
         record.engines = (*record.engines, command.engine)
     store.drop_duty(record.program, command.engine)
@@ -79,7 +80,7 @@
         return _late_outcome(store, record, command)
     if command.problem is not None:
         return _finish_with_problem(store, record, call, command.problem, command.at)
-    if command.answer is not None and call.engine is not None:
+    if command.answer is not None and call.engines:
         return _finish_with_answer(store, record, call, command.answer, command.at)
     return _refused(ProblemCode.BAD_REQUEST, "the attempt was never dispatched")
 
@@ -108,8 +109,7 @@
     turn = EncodedTurn(call.digest, call.attempt, messages, answer, None)
     _close_call(store, record, turn, _message_count(call.messages) + 1)
     record.context_tokens = context_after(answer)
-    if call.engine is not None:
-        record.prefix = PrefixLocation(call.engine, answer.usage.total_tokens)
+    record.prefix = PrefixLocation(call.engines[-1], answer.usage.total_tokens)
     _after_outcome(store, record, at)
     return AttemptFinished(None, overrun_tokens)
 
@@ -172,7 +172,7 @@
         return msgspec.structs.replace(problem, ran=ran)
     if call.repeatable:
         return problem
-    if problem.ran is Ran.YES:
+    if problem.ran is Ran.YES or problem.is_code(ProblemCode.OUTCOME_UNKNOWN):
         return msgspec.structs.replace(problem, retry_after=None)
     return refusals.outcome_unknown(call.sequence, problem.message)
 
--- a/notcharch/programs/budget.py
+++ b/notcharch/programs/budget.py
@@ -98,7 +98,7 @@
     """Bound the tokens of one message in a prompt by its bytes."""
     texts = (message.role, message.content, message.name, message.tool_call_id)
     size = sum(len(text.encode()) for text in texts[1:] if text is not None)
-    if message.tool_calls is not None:
+    if not isinstance(message.tool_calls, msgspec.UnsetType):
         size += len(bytes(message.tool_calls))
     return size + MESSAGE_OVERHEAD_TOKENS
 
--- a/notcharch/programs/record.py
+++ b/notcharch/programs/record.py
@@ -47,8 +47,9 @@
 class OpenCall(msgspec.Struct, array_like=True):
     """The one call of a program that is admitted and has no final outcome.
 
-    `messages` is the JSON of the new messages. `may_have_run` tells whether any
-    attempt so far may have reached an engine.
+    `messages` is the JSON of the new messages. `engines` are those that the newest
+    attempt was dispatched to, the last one being where it runs. `may_have_run`
+    tells whether any attempt so far may have reached an engine.
     """
 
     sequence: CallSequence
@@ -60,7 +61,7 @@
     gateway: Member
     reserved_tokens: int
     phase_at: float
-    engine: EngineName | None = None
+    engines: tuple[EngineName, ...] = ()
     may_have_run: bool = False
     failure: Problem | None = None
 
--- a/notcharch/values/chat.py
+++ b/notcharch/values/chat.py
@@ -10,14 +10,15 @@
 class ChatMessage(msgspec.Struct, frozen=True, omit_defaults=True):
     """One message of a program's history.
 
-    `tool_calls` is kept as raw JSON: the system stores it and never reads it.
+    `tool_calls` is kept as raw JSON: the system stores it and never reads it. It is
+    UNSET when there are none (msgspec cannot read a union of raw JSON and null).
     """
 
     role: str
     content: str | None = None
     name: str | None = None
     tool_call_id: str | None = None
-    tool_calls: msgspec.Raw | None = None
+    tool_calls: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class TokenUsage(msgspec.Struct, frozen=True):
--- a/tests/stateful/programs/breaks.py
+++ b/tests/stateful/programs/breaks.py
@@ -94,7 +94,7 @@
 def dispatch_an_abandoned_attempt(state, command, epoch):
     call = state.records[command.program].call
     if call is not None and call.attempt == command.attempt:
-        call.phase = CallPhase.DISPATCHED if call.engine else CallPhase.ADMITTED
+        call.phase = CallPhase.DISPATCHED if call.engines else CallPhase.ADMITTED
     return original_dispatch(state, command, epoch)
 
 
--- a/tests/unit/programs/test_faults.py
+++ b/tests/unit/programs/test_faults.py
@@ -151,6 +151,15 @@
     assert leader.send(admit()) == CallInProgress(1, 2)
 
 
+def test_a_delayed_dispatch_of_an_earlier_engine_changes_nothing():
+    leader = running()
+    leader.send(DispatchCall(PROGRAM, 1, 1, "engine-2"))
+    assert leader.send(DispatchCall(PROGRAM, 1, 1, "engine-1")) == DispatchRecorded(1)
+    leader.send(FinishCall(PROGRAM, 1, 1, answer()))
+    assert leader.send(admit(2, "b")).prefix.engine == "engine-2"
+    assert leader.state.record(PROGRAM).engines == ("engine-1", "engine-2")
+
+
 REQUESTS = {
     "create": CreateProgram(PROGRAM, "guide", "tenant-1"),
     "admit": admit(),
