--- /dev/null
+++ b/tests/stateful/engines/queue_oracle.py
@@ -0,0 +1,66 @@
+"""A plain O(n) statement of the queue order, to compare `FairQueue` with."""
+
+from fractions import Fraction
+
+from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+
+
+class QueueOracle:
+    """Every rule as a scan over all waiting calls."""
+
+    def __init__(self, policy: OrderPolicy) -> None:
+        self.policy = policy
+        self.calls: list[QueuedCall] = []
+        self.virtual_times: dict[str, Fraction] = {}
+        self.rows: dict[str, tuple[float, int]] = {}
+        self.virtual_time = Fraction(0)
+
+    def enqueue(self, call: QueuedCall) -> None:
+        self.cancel(call.key)
+        if not self.of_service(call.service):
+            own = self.virtual_times.get(call.service, Fraction(0))
+            self.virtual_times[call.service] = max(own, self.virtual_time)
+        self.rows[call.service] = (call.share, call.priority)
+        self.calls.append(call)
+
+    def cancel(self, key: CallKey) -> None:
+        self.calls = [call for call in self.calls if call.key != key]
+
+    def settle(self, call: QueuedCall, used_tokens: int) -> None:
+        share = Fraction(self.rows[call.service][0])
+        difference = Fraction(used_tokens - call.cost_tokens) / share
+        self.virtual_times[call.service] += difference
+
+    def of_service(self, service: str) -> list[QueuedCall]:
+        return [call for call in self.calls if call.service == service]
+
+    def grant(self) -> QueuedCall | None:
+        if not self.calls:
+            return None
+        service = self.next_service()
+        chosen = min(
+            self.of_service(service),
+            key=lambda call: (
+                call.enqueued_at
+                + self.policy.delay_seconds(call.attained_tokens, call.begun),
+                self.calls.index(call),
+            ),
+        )
+        self.calls.remove(chosen)
+        own = self.virtual_times[service]
+        self.virtual_time = max(self.virtual_time, own)
+        share = Fraction(self.rows[service][0])
+        self.virtual_times[service] = own + Fraction(chosen.cost_tokens) / share
+        return chosen
+
+    def next_service(self) -> str:
+        waiting = sorted({call.service for call in self.calls})
+        times = self.virtual_times
+        least = min(times[service] for service in waiting)
+        for priority in sorted({self.rows[service][1] for service in waiting}):
+            level = [s for s in waiting if self.rows[s][1] == priority]
+            head = min(level, key=lambda service: (times[service], service))
+            ahead = (times[head] - least) * Fraction(self.rows[head][0])
+            if ahead <= self.policy.lead_tokens:
+                return head
+        raise AssertionError("the service that is furthest behind is always allowed")
