Expire no program while the table is not read yet

A daemon that leads before its first table has no cells; with the defaults of a row it would have ended programs whose row allows more. Nothing expires until a table is in force, and calls are refused with a time to come back, as they are when a row is missing: the leader's table may lag behind the gateway's.

--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -28,9 +28,10 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord, call_digest
 from notcharch.programs.replies import admitted_reply, finished_reply, outcome_reply
+from notcharch.programs.rows import open_row
 from notcharch.replication.interface import CommandRefused, CommandResult
-from notcharch.table.interface import ServiceRow, TableView
-from notcharch.values.identifiers import Member, ServiceName
+from notcharch.table.interface import TableView
+from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.programs import (
     AdmitCall,
@@ -47,7 +48,6 @@
 """Requests that may wait for one program before an early call is refused."""
 
 LONGEST_ANSWER_WAIT_SECONDS = 300.0
-PAUSED_RETRY_SECONDS = 5.0
 UNKNOWN_CALL_RETRY_SECONDS = 1.0
 
 
@@ -102,9 +102,11 @@
         return record
 
     def _admit_command(self, record: ProgramRecord, message: AdmitCall) -> AdmitAttempt:
-        row = self._open_row(record, record.service)
+        call = record.call
+        ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
+        row = open_row(self._table, record.service, ran)
         root = self._led.state_of(record.program).root_of(record)
-        root_row = self._open_row(record, root.service)
+        root_row = open_row(self._table, root.service, ran)
         limits = AdmissionLimits(
             root_row.budget_tokens, row.calls_per_program, row.max_age_seconds
         )
@@ -121,24 +123,6 @@
             limits=limits,
         )
 
-    def _open_row(self, record: ProgramRecord, service: ServiceName) -> ServiceRow:
-        call = record.call
-        ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
-        row = self._table.row(service)
-        if row is None:
-            message = f"the table has no row {service}"
-            raise ProblemError(Problem.of(ProblemCode.NOT_FOUND, message, ran=ran))
-        if row.paused:
-            raise ProblemError(
-                Problem.of(
-                    ProblemCode.SERVICE_PAUSED,
-                    f"{service} is paused",
-                    ran=ran,
-                    retry_after=PAUSED_RETRY_SECONDS,
-                )
-            )
-        return row
-
     async def _on_await(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, AwaitAnswer)
         wait_seconds = min(message.wait_seconds, LONGEST_ANSWER_WAIT_SECONDS)
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from notcharch.errors import Problem, ProblemCode
+from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.errors.problem import ProblemError
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.commands import BeginProgram, StopProgram
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.replies import description
+from notcharch.programs.rows import open_row
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.identifiers import Epoch, Member, ProgramId
 from notcharch.wire.messages.base import Message
@@ -30,7 +31,6 @@
 
 HISTORY_PAGE_MESSAGES = 1000
 LISTING_PROGRAMS = 1000
-PAUSED_RETRY_SECONDS = 5.0
 
 
 class ProgramHandlers:
@@ -77,18 +77,10 @@
         return ProgramCreated(message.program)
 
     def _row_of(self, message: CreateProgram) -> ServiceRow:
-        row = self._table.row(message.service)
-        if row is None or row.tenant != message.tenant:
+        row = open_row(self._table, message.service, Ran.NO)
+        if row.tenant != message.tenant:
             text = f"there is no service {message.service}"
             raise ProblemError(Problem.of(ProblemCode.NOT_FOUND, text))
-        if row.paused:
-            raise ProblemError(
-                Problem.of(
-                    ProblemCode.SERVICE_PAUSED,
-                    f"{message.service} is paused",
-                    retry_after=PAUSED_RETRY_SECONDS,
-                )
-            )
         return row
 
     async def _on_end(self, sender: Member, message: Message) -> Message:
--- a/notcharch/programs/release_service.py
+++ b/notcharch/programs/release_service.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from result import Result
-from twisted.internet.defer import Deferred
 
 from notcharch.errors import Problem
 from notcharch.errors.problem import ProblemError
@@ -11,6 +10,7 @@
 from notcharch.events.programs import ReleaseDelayed
 from notcharch.placement.interface import EngineDirectory, Router
 from notcharch.placement.partitions import partition_of_program
+from notcharch.programs.background import run_in_background
 from notcharch.programs.commands import ConfirmReleases, ReleaseDuty
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.release_plan import ReleasePlan
@@ -102,7 +102,7 @@
         for partition in tuple(self._confirmed):
             if partition not in self._committing:
                 self._committing[partition] = self._confirmed.pop(partition)
-                Deferred.fromCoroutine(self._commit(partition))
+                run_in_background(self._commit(partition))
 
     async def _commit(self, partition: PartitionNumber) -> None:
         duties = tuple(sorted(self._committing[partition]))
--- a/notcharch/programs/upkeep_service.py
+++ b/notcharch/programs/upkeep_service.py
@@ -7,13 +7,12 @@
 
 from collections.abc import Callable, Iterator
 
-from twisted.internet.defer import Deferred
-
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.programs import AttemptAbandoned, OutcomeLost, ProgramsSwept
 from notcharch.placement.interface import MembershipView
 from notcharch.programs.attempt_watch import AttemptWatch, gateways_of
+from notcharch.programs.background import run_in_background
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.commands import (
     AbandonAttempt,
@@ -68,7 +67,9 @@
     def step(self) -> None:
         """Give up lost attempts, and check the next programs for their end."""
         self._abandon_lost_attempts()
-        self._sweep()
+        if self._table.version > 0:
+            # Without a table, no row's cells are known yet.
+            self._sweep()
 
     def _abandon_lost_attempts(self) -> None:
         running = list(self._running_calls())
@@ -89,7 +90,7 @@
             )
             if reason is not None:
                 self._abandoning.add(record.program)
-                Deferred.fromCoroutine(self._abandon(record, call, reason))
+                run_in_background(self._abandon(record, call, reason))
 
     def _is_dead(self, gateway: Member) -> bool:
         return self._membership.is_certainly_dead(gateway)
@@ -142,7 +143,7 @@
         for partition, due in checks.items():
             if partition not in self._sweeping:
                 self._sweeping.add(partition)
-                Deferred.fromCoroutine(self._expire(partition, tuple(due)))
+                run_in_background(self._expire(partition, tuple(due)))
 
     def _positions(self) -> list[tuple[PartitionNumber, ProgramId]]:
         return [
--- a/tests/unit/programs/fakes.py
+++ b/tests/unit/programs/fakes.py
@@ -103,6 +103,7 @@
     """Rows that a test may change."""
 
     def __init__(self):
+        self.version = 1
         row = ServiceRow("guide", "tenant-1", "pool-1", budget_tokens=10_000)
         other = ServiceRow("other", "tenant-2", "pool-1")
         self.by_service = {"guide": row, "other": other}
--- a/tests/unit/programs/test_limits.py
+++ b/tests/unit/programs/test_limits.py
@@ -121,6 +121,20 @@
     assert leader.send(ListPrograms(10)).programs == ()
 
 
+def test_without_a_table_nothing_expires_and_calls_come_back():
+    leader = started(created())
+    leader.table.version, rows = 0, leader.table.by_service
+    leader.table.by_service = {}
+    leader.clock.advance(100_000)
+    leader.pass_seconds(5)
+    problem = leader.send(admit())
+    assert (code_of(problem), problem.retry_after) == ("unavailable", 1.0)
+    leader.table.version, leader.table.by_service = 1, rows
+    set_cells(leader, max_age_seconds=200_000.0, idle_seconds=200_000.0)
+    leader.pass_seconds(5)
+    assert isinstance(leader.send(admit()), CallAdmitted)
+
+
 def test_an_exhausted_program_keeps_its_history_and_no_memory():
     leader = started(created())
     set_cells(leader, budget_tokens=63)
