--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -24,6 +24,10 @@
 from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch, Member
 
 
+BUDGET_RETRY_SECONDS = 5.0
+"""When to repeat a call that other running calls of its tree left no budget for."""
+
+
 class CallRequest(Protocol):
     """What the command and the gateway's message have in common."""
 
@@ -116,15 +120,30 @@
     if command.at - record.created_at >= limits.max_age_seconds:
         message = f"the row allows an age of {limits.max_age_seconds:g} seconds"
         return Problem.of(ProblemCode.PROGRAM_TOO_OLD, message, ran=ran)
+    return _budget_refusal(store, record, limits.budget_tokens, reservation, ran)
+
+
+def _budget_refusal(
+    store: ProgramStore, record: ProgramRecord, limit: int, reservation: int, ran: Ran
+) -> Problem | None:
+    budget = store.budget_of(record)
+    call = record.call
     returned = call.reserved_tokens if call is not None else 0
-    free = limits.budget_tokens - store.budget_of(record).committed + returned
-    if reservation > free:
-        message = (
-            f"the call may use {reservation} tokens, and {max(free, 0)} are left"
-            f" of the budget of {limits.budget_tokens}"
-        )
-        return Problem.of(ProblemCode.BUDGET_EXHAUSTED, message, ran=ran)
-    return None
+    free = limit - budget.committed + returned
+    if reservation <= free:
+        return None
+    message = (
+        f"the call may use {reservation} tokens, and {max(free, 0)} are left"
+        f" of the budget of {limit}"
+    )
+    # Other calls of the tree may give back a part of what they hold.
+    may_fit_soon = reservation <= free + budget.reserved - returned
+    return Problem.of(
+        ProblemCode.BUDGET_EXHAUSTED,
+        message,
+        ran=ran,
+        retry_after=BUDGET_RETRY_SECONDS if may_fit_soon else None,
+    )
 
 
 def _begin_attempt(
--- a/tests/unit/programs/test_limits.py
+++ b/tests/unit/programs/test_limits.py
@@ -77,7 +77,10 @@
     set_cells(leader, budget_tokens=100)
     leader.send(CreateProgram(CHILD, "guide", "tenant-1", PROGRAM))
     assert isinstance(leader.send(admit(program=CHILD)), CallAdmitted)
-    assert code_of(leader.send(admit())) == "budget_exhausted"
+    for max_tokens, retry_after in ((50, 5.0), (88, None)):
+        problem = leader.send(admit(max_tokens=max_tokens))
+        assert code_of(problem) == "budget_exhausted"
+        assert problem.retry_after == retry_after
     waiting = leader.begin(AwaitAnswer(CHILD, "tenant-1", 1, 60.0))
     leader.send(EndProgram(PROGRAM, "tenant-1"))
     assert code_of(waiting[0].problem) == "program_ended"
