--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -23,7 +23,6 @@
 from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch, Member
 
-
 BUDGET_RETRY_SECONDS = 5.0
 """When to repeat a call that other running calls of its tree left no budget for."""
 
