--- a/emulator/command.py
+++ b/emulator/command.py
@@ -70,6 +70,10 @@
 
 async def _serve(reactor: Any, settings: EmulatorSettings) -> None:
     stopped: Deferred[None] = Deferred()
+    # Before the reactor runs, a signal would not be handled.
+    is_running: Deferred[None] = Deferred()
+    reactor.callWhenRunning(is_running.callback, None)
+    await is_running
     typed_reactor: ListenerReactor = reactor
     running = await start_emulator(typed_reactor, settings)
     reactor.addSystemEventTrigger("before", "shutdown", running.stop)
--- a/emulator/engine/runs.py
+++ b/emulator/engine/runs.py
@@ -62,6 +62,9 @@
 
     first_token_at: float | None = None
     ended_at: float | None = None
+    event_head: str = ""
+    """The start of each chunk of the stream, once it was written."""
+
     listeners: list[RunListener] = attrs.field(factory=list)
     abandonment: IDelayedCall | None = None
     """Cancels the run when no reader returns in time."""
--- a/emulator/engine/stream_events.py
+++ b/emulator/engine/stream_events.py
@@ -38,7 +38,9 @@
 
 def render_events(run: EngineRun, start: int, stop: int) -> bytes:
     """Give events `start` … `stop` - 1, with the closing line after the last one."""
-    head = _head(run)
+    if not run.event_head:
+        run.event_head = _head(run)
+    head = run.event_head
     tokens = min(stop, run.answer.tokens)
     content = run.answer.content
     parts = [
