Tell the truth about repeated publications; add the table's state machine

The state machine found four verdicts that were "not run" and could be belied by an earlier request of the same id: a base not yet known here, a log that refuses this attempt, an early conflict, and a base that is too old only because the first record of the id was forgotten. Refusals of a request that may repeat an earlier one now say `ran: unknown`, unless the log itself holds the verdict. A client that knows its id to be fresh says `first_attempt`; the commands do.

A rollback is now a draft like the others, with a base version, so that a repeated one is the same publication. The pages' size was bound when the module was loaded, so tests with small pages had not tested them; it is read at each use.

One failure on the way was the oracle's: it judged each edit of a record by itself.

--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -12,6 +12,7 @@
     ChangesDraft,
     Draft,
     RawRow,
+    RollbackDraft,
     WholeDraft,
 )
 from notcharch.table.edits import AnyEdit
@@ -53,7 +54,9 @@
 class PublishBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`changes`, or a whole table as `rows`, edited from a version.
 
-    Without `keys` the callers' keys stay as they are.
+    Without `keys` the callers' keys stay as they are. With an `id`, the request
+    may be sent again after an unknown outcome; `first_attempt` says that this id
+    was not sent before, so that a refusal can be certain.
     """
 
     base_version: TableVersion
@@ -61,6 +64,7 @@
     rows: tuple[RawRow, ...] | None = None
     keys: tuple[TenantKey, ...] | None = None
     id: RecordId | None = None
+    first_attempt: bool = False
     note: str = ""
 
 
@@ -79,10 +83,16 @@
 
 
 class RollbackBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The version whose contents are to be published anew."""
+    """The version whose contents are to be published anew.
+
+    `base_version` is the version in force that the operator saw, by default the
+    one in force here; what others publish after it is merged or a conflict.
+    """
 
     version: TableVersion
+    base_version: TableVersion | None = None
     id: RecordId | None = None
+    first_attempt: bool = False
 
 
 class HistoryItem(msgspec.Struct, frozen=True):
@@ -138,7 +148,13 @@
         if isinstance(seconds, Err):
             return seconds
         published = await self._publisher.publish(publication, PUBLISH_SECONDS)
-        return await self._published(published, seconds.ok_value)
+        if isinstance(published, Err):
+            return published
+        result = published.ok_value
+        report = None
+        if seconds.ok_value > 0:
+            report = await self._wait.wait(result.version, seconds.ok_value)
+        return Ok(PublishAnswer(result, report))
 
     async def _read(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
         in_force = self._replica.version
@@ -184,6 +200,7 @@
             author=request.operator.name,
             note=body.note,
             id=body.id,
+            first_attempt=body.first_attempt,
         )
         return await self.publish(request, publication)
 
@@ -198,27 +215,19 @@
 
     async def _rollback(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
         read = request.read_body(RollbackBody)
-        seconds = self._wait_seconds(request)
         if isinstance(read, Err):
             return read
-        if isinstance(seconds, Err):
-            return seconds
         body = read.ok_value
-        published = await self._publisher.rollback(
-            body.version, request.operator.name, body.id, PUBLISH_SECONDS
+        base = body.base_version
+        publication = PublishRequest(
+            draft=RollbackDraft(body.version),
+            base_version=self._replica.state.version if base is None else base,
+            author=request.operator.name,
+            note=f"rollback to {body.version}",
+            id=body.id,
+            first_attempt=body.first_attempt,
         )
-        return await self._published(published, seconds.ok_value)
-
-    async def _published(
-        self, published: Result[PublicationResult, Problem], seconds: float
-    ) -> Result[msgspec.Struct, Problem]:
-        if isinstance(published, Err):
-            return published
-        publication = published.ok_value
-        report = None
-        if seconds > 0:
-            report = await self._wait.wait(publication.version, seconds)
-        return Ok(PublishAnswer(publication, report))
+        return await self.publish(request, publication)
 
     def _wait_seconds(self, request: AdminRequest) -> Result[float, Problem]:
         """Give the longest wait for all daemons; 0 when none was asked for."""
--- a/notcharch/cli/table_actions.py
+++ b/notcharch/cli/table_actions.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import attrs
+import msgspec
 from result import Err, Ok, Result
 
 from notcharch.admin.in_force import InForceReport
@@ -121,6 +122,7 @@
         base_version=read.ok_value.version,
         changes=(change,),
         id=_new_id(),
+        first_attempt=True,
         note=arguments.note,
     )
     return await _publish(client, arguments, body)
@@ -155,7 +157,15 @@
 
 async def rollback(client: AdminClient, arguments: argparse.Namespace) -> int:
     """Publish the contents of an older version."""
-    body = RollbackBody(TableVersion(arguments.version), _new_id())
+    read = await client.get(TABLE_PATH, TableAnswer)
+    if isinstance(read, Err):
+        return print_problem(read.err_value)
+    body = RollbackBody(
+        version=TableVersion(arguments.version),
+        base_version=read.ok_value.version,
+        id=_new_id(),
+        first_attempt=True,
+    )
     query = IN_FORCE_QUERY if arguments.wait else ""
     path = "/table/rollback" + query
     return _report(arguments, await _post_repeatedly(client, path, body))
@@ -199,6 +209,7 @@
             rows=document.draft.rows,
             keys=document.draft.keys,
             id=_new_id(),
+            first_attempt=True,
             note=getattr(arguments, "note", ""),
         )
     )
@@ -237,6 +248,7 @@
         if problem.ran is not Ran.UNKNOWN:
             return answer
         attempt += 1
+        body = msgspec.structs.replace(body, first_attempt=False)
         await client.pause(problem.retry_after or RETRY_SECONDS)
 
 
--- a/notcharch/table/draft.py
+++ b/notcharch/table/draft.py
@@ -31,7 +31,7 @@
     read_row,
     row_place,
 )
-from notcharch.values.identifiers import ServiceName, TenantName
+from notcharch.values.identifiers import ServiceName, TableVersion, TenantName
 
 RawRow = dict[str, Any]
 """A row's cells as they came: JSON, TOML or CSV values by cell name."""
@@ -85,11 +85,17 @@
     keys: tuple[TenantKey, ...] | None
 
 
-Draft = ChangesDraft | WholeDraft
+class RollbackDraft(msgspec.Struct, frozen=True):
+    """The contents of an older version, which replace the base version."""
+
+    target: TableVersion
+
+
+Draft = ChangesDraft | WholeDraft | RollbackDraft
 
 
 def draft_edits(
-    draft: Draft, base: TableContents
+    draft: ChangesDraft | WholeDraft, base: TableContents
 ) -> Result[tuple[AnyEdit, ...], Findings]:
     """Check a draft and give the edits that it makes to its base."""
     if isinstance(draft, WholeDraft):
--- a/notcharch/table/log_follower.py
+++ b/notcharch/table/log_follower.py
@@ -109,7 +109,8 @@
     async def _follow(self) -> bool:
         """Read and feed one page; False when that failed."""
         wait_seconds = POLL_SECONDS if self._is_caught_up() else 0.0
-        read = await self._read(self._taker.state.next_offset, wait_seconds)
+        next_offset = self._taker.state.next_offset
+        read = await self._read(next_offset, wait_seconds, PAGE_RECORDS)
         try:
             return isinstance(read, Ok) and self._take_page(read.ok_value)
         except Exception:
@@ -119,7 +120,7 @@
 
     async def _start_from_checkpoint(self) -> bool:
         """Take the newest checkpoint, if any; False when the log cannot be read."""
-        read = await self._read(LogOffset(0), 0.0, limit=1)
+        read = await self._read(LogOffset(0), 0.0, 1)
         if isinstance(read, Err):
             return False
         end = read.ok_value.end_offset
@@ -141,7 +142,7 @@
         newest: ReplayState | None = None
         offset = start
         while offset < end:
-            read = await self._read(offset, 0.0)
+            read = await self._read(offset, 0.0, PAGE_RECORDS)
             if isinstance(read, Err):
                 return read
             page = read.ok_value
@@ -174,7 +175,7 @@
         return bool(page.records) or first_unread >= page.end_offset
 
     async def _read(
-        self, offset: LogOffset, wait_seconds: float, limit: int = PAGE_RECORDS
+        self, offset: LogOffset, wait_seconds: float, limit: int
     ) -> Result[LogPage, Problem]:
         reading = self._log.read(STREAM, offset, limit, wait_seconds)
         reading.addTimeout(wait_seconds + READ_SECONDS, self._clock)
--- a/notcharch/table/publisher.py
+++ b/notcharch/table/publisher.py
@@ -23,8 +23,8 @@
     TablePublished,
 )
 from notcharch.platform.ports import LogPort, LogRecord
-from notcharch.table.draft import Draft, WholeDraft, draft_edits
-from notcharch.table.edits import AnyEdit
+from notcharch.table.draft import Draft, RollbackDraft, draft_edits
+from notcharch.table.edits import AnyEdit, difference
 from notcharch.table.log_follower import CHECKPOINT_RECORDS, report_failure
 from notcharch.table.merge import merge
 from notcharch.table.publication import (
@@ -70,7 +70,9 @@
 class PublishRequest:
     """What to publish: a draft edited from `base_version`, by `author`.
 
-    `id` makes a repeated request recognisable; a fresh one is drawn for None.
+    `id` makes a repeated request recognisable; a fresh one is drawn for None. A
+    request with an id may repeat one whose record is in the log or still on its
+    way there, unless `first_attempt` says that it does not.
     """
 
     draft: Draft
@@ -78,6 +80,13 @@
     author: str
     note: str = ""
     id: RecordId | None = None
+    first_attempt: bool = False
+
+    @property
+    def doubt(self) -> Ran:
+        """What may be said of a refusal that an earlier request could belie."""
+        is_first = self.first_attempt or self.id is None
+        return Ran.NO if is_first else Ran.UNKNOWN
 
 
 class TablePublisher:
@@ -96,7 +105,7 @@
         self, draft: Draft, base_version: TableVersion
     ) -> Result[tuple[AnyEdit, ...], Problem]:
         """Tell what a publication would change, without publishing it."""
-        based = await self._edits(draft, base_version)
+        based = await self._edits(PublishRequest(draft, base_version, author=""))
         if isinstance(based, Err):
             return based
         outcome = merge(self._replica.state.contents, based.ok_value)
@@ -110,15 +119,16 @@
         """Publish within `seconds`.
 
         Errors: BAD_REQUEST with findings; TABLE_CONFLICT with each cell and its
-        values, or for a base that is too old; UNAVAILABLE with `ran: no` when
-        nothing was appended, `ran: unknown` when the verdict could not be read
-        (asking again with the same id gives it).
+        values, or for a base that is too old; NOT_FOUND for a rollback to a
+        forgotten version; UNAVAILABLE. `ran: no` says that the publication is not
+        in force and will not be; with `ran: unknown` asking again with the same id
+        gives the verdict.
         """
         if request.id is not None:
             known = self._replica.state.entry(request.id)
             if known is not None:
                 return _result(known)
-        based = await self._edits(request.draft, request.base_version)
+        based = await self._edits(request)
         if isinstance(based, Err):
             return based
         edits = based.ok_value
@@ -134,54 +144,33 @@
             edits=edits,
             note=request.note,
         )
-        text = encode_record(publication)
-        judged = await self._append_until_judged(LogRecord(record, text), seconds)
+        log_record = LogRecord(record, encode_record(publication))
+        judged = await self._append_until_judged(log_record, request.doubt, seconds)
         if isinstance(judged, Err):
             return judged
         self._write_checkpoint_when_due()
         return _result(judged.ok_value)
 
-    async def rollback(
-        self,
-        target: TableVersion,
-        author: str,
-        record: RecordId | None,
-        seconds: float,
-    ) -> Result[PublicationResult, Problem]:
-        """Publish the contents of an older version as a new version."""
-        state = self._replica.state
-        contents = state.contents_at(target)
-        if contents is None:
-            return Err(unknown_version(target, state))
-        table = contents.table(target)
-        rows = tuple(msgspec.structs.asdict(row) for row in table.rows)
-        request = PublishRequest(
-            draft=WholeDraft(rows, table.keys),
-            base_version=state.version,
-            author=author,
-            note=f"rollback to {target}",
-            id=record,
-        )
-        return await self.publish(request, seconds)
-
     async def _edits(
-        self, draft: Draft, base_version: TableVersion
+        self, request: PublishRequest
     ) -> Result[tuple[AnyEdit, ...], Problem]:
         """Check the draft against its base version, once this replica has it."""
+        base_version = request.base_version
         has_base = await self._replica.wait_for(
             lambda state: state.version >= base_version, BASE_SECONDS
         )
         if not has_base:
-            return Err(
-                Problem.of(
-                    ProblemCode.UNAVAILABLE,
-                    f"base version {base_version} is not known here yet",
-                    retry_after=RETRY_AFTER_SECONDS,
-                )
-            )
-        base = self._replica.state.contents_at(base_version)
+            return Err(_unknown_base(base_version, request.doubt))
+        state = self._replica.state
+        base = state.contents_at(base_version)
         if base is None:
-            return Err(_refused_base(base_version))
+            return Err(_refused_base(base_version, request.doubt))
+        draft = request.draft
+        if isinstance(draft, RollbackDraft):
+            target = state.contents_at(draft.target)
+            if target is None:
+                return Err(unknown_version(draft.target, state, request.doubt))
+            return Ok(difference(base, target))
         edits = draft_edits(draft, base).map_err(_invalid)
         if isinstance(edits, Err):
             return edits
@@ -194,26 +183,24 @@
     ) -> Result[PublicationResult, Problem] | None:
         """Answer without an append, where that is certain to be the truth.
 
-        With an id of the operator's, an earlier request may have appended the
-        record already, without its verdict being known yet: then only the log
+        When an earlier request may have appended the record already, only the log
         decides, unless there is nothing to publish at all.
         """
         state = self._replica.state
         outcome = merge(state.contents, edits)
-        may_be_appended = request.id is not None
+        is_certain = request.doubt is Ran.NO
         is_unchanged = outcome.is_clean and not outcome.applied
-        if not edits or (is_unchanged and not may_be_appended):
+        if not edits or (is_unchanged and is_certain):
             record = request.id or RecordId("")
             return Ok(PublicationResult(record, state.version, False, True, ()))
-        if outcome.is_clean or may_be_appended:
+        if outcome.is_clean or not is_certain:
             return None
         return Err(_refusal(outcome.conflicts, outcome.findings))
 
     async def _append_until_judged(
-        self, record: LogRecord, seconds: float
+        self, record: LogRecord, ran: Ran, seconds: float
     ) -> Result[HistoryEntry, Problem]:
         deadline = self._clock.seconds() + seconds
-        ran = Ran.NO
         attempt = 0
         while True:
             attempt += 1
@@ -292,12 +279,15 @@
         self._writing_checkpoint = None
 
 
-def unknown_version(version: TableVersion, state: ReplayState) -> Problem:
+def unknown_version(
+    version: TableVersion, state: ReplayState, ran: Ran = Ran.NO
+) -> Problem:
     """Say that a version is not remembered here."""
     return Problem.of(
         ProblemCode.NOT_FOUND,
         f"version {version} is not kept; the oldest is {state.horizon}, "
         f"the newest {state.version}",
+        ran=ran,
     )
 
 
@@ -312,7 +302,8 @@
     if entry.verdict is Verdict.INVALID:
         return Err(_invalid(entry.findings))
     if entry.verdict is Verdict.BASE_TOO_OLD:
-        return Err(_refused_base(entry.base_version))
+        # An earlier record of this id may be so old that it was forgotten.
+        return Err(_refused_base(entry.base_version, Ran.UNKNOWN))
     return Err(_refusal(entry.findings, ()))
 
 
@@ -332,10 +323,20 @@
     )
 
 
-def _refused_base(base_version: TableVersion) -> Problem:
+def _unknown_base(base_version: TableVersion, ran: Ran) -> Problem:
+    return Problem.of(
+        ProblemCode.UNAVAILABLE,
+        f"base version {base_version} is not known here yet",
+        ran=ran,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
+def _refused_base(base_version: TableVersion, ran: Ran) -> Problem:
     return Problem.of(
         ProblemCode.TABLE_CONFLICT,
         f"base version {base_version} is too old to merge from; read the table again",
+        ran=ran,
     )
 
 
--- a/tests/stateful/table/faulty_log.py
+++ b/tests/stateful/table/faulty_log.py
@@ -108,17 +108,27 @@
         assert stream == "table"
         if self.is_down:
             return self._later(Err(_problem(Ran.NO)))
+        answer = Deferred()
         page = self.store.read(offset, limit, wait_seconds)
-        return page.addCallback(self._cut)
+        page.addCallback(lambda found: self._answer(answer, self._cut(found)))
+        return answer
 
     def _cut(self, page: "Result[LogPage, Problem]") -> "Result[LogPage, Problem]":
         return Err(_problem(Ran.UNKNOWN)) if self.is_down else page
 
-    def _later(self, answer):
-        later = Deferred()
-        call = self.clock.callLater(ANSWER_SECONDS, lambda: later.callback(answer))
-        del call
-        return later
+    def _later(self, result):
+        answer = Deferred()
+        self._answer(answer, result)
+        return answer
+
+    def _answer(self, answer, result):
+        """Answer in the daemon's own time, unless it has stopped waiting."""
+
+        def fire():
+            if not answer.called:
+                answer.callback(result)
+
+        self.clock.callLater(ANSWER_SECONDS, fire)
 
 
 def _problem(ran: Ran) -> Problem:
--- /dev/null
+++ b/tests/stateful/table/oracle.py
@@ -0,0 +1,116 @@
+"""A second, plain reading of the log: what every replica must end up with.
+
+It works on the records' JSON, cell by cell, and shares no code with the package.
+"""
+
+import json
+
+import attrs
+
+ROW_DEFAULTS = {
+    "share": 1.0,
+    "priority": 5,
+    "budget_tokens": 1_000_000,
+    "concurrency": 16,
+    "calls_per_program": 1000,
+    "max_answer_tokens": 1024,
+    "idle_seconds": 3600.0,
+    "max_age_seconds": 86400.0,
+    "max_wait_seconds": 60.0,
+    "paused": False,
+}
+
+
+class RefusedError(Exception):
+    """The record changes nothing."""
+
+
+@attrs.define
+class Oracle:
+    """Reads records in order; `remembered` ids are kept of the last `memory`."""
+
+    memory: int
+    rows: dict = attrs.Factory(dict)
+    version: int = 0
+    tables: dict = attrs.Factory(lambda: {0: {}})
+    """The rows of every accepted version."""
+
+    verdicts: dict = attrs.Factory(dict)
+    """By author (unique for each wish of the tests): the version made, or None."""
+
+    remembered: list = attrs.Factory(list)
+    horizon: int = 0
+    read: int = 0
+
+    def follow(self, records):
+        for record in records[self.read :]:
+            self._take(record)
+        self.read = len(records)
+
+    def _take(self, record):
+        body = self._publication(record)
+        if body is None or record.id in [known for _, known in self.remembered]:
+            return
+        self.remembered.append((record.offset, record.id))
+        try:
+            if body["base_version"] < self.horizon:
+                raise RefusedError
+            rows = {name: dict(row) for name, row in self.rows.items()}
+            for edit in body["edits"]:
+                apply_edit(rows, edit)
+            check_rows(rows)
+        except RefusedError:
+            self.verdicts.setdefault(body["author"], None)
+        else:
+            self._accept(record.offset + 1, rows, body["author"])
+        while len(self.remembered) > self.memory:
+            self.horizon = self.remembered.pop(0)[0] + 1
+
+    def _accept(self, version, rows, author):
+        assert self.verdicts.get(author) is None, f"{author} is in force twice"
+        self.verdicts[author] = version
+        self.rows, self.version = rows, version
+        self.tables[version] = rows
+
+    def _publication(self, record):
+        try:
+            body = json.loads(record.data)
+        except ValueError:
+            return None
+        if not isinstance(body, dict) or "edits" not in body:
+            return None
+        return body if body["base_version"] <= record.offset else None
+
+
+def apply_edit(rows, edit):
+    service, before, after = edit["service"], edit["before"], edit["after"]
+    if edit["type"] == "SetRow":
+        apply_row(rows, service, full(before), full(after))
+    else:
+        if service not in rows:
+            raise RefusedError
+        present = rows[service][edit["cell"]]
+        if present not in (before, after):
+            raise RefusedError
+        rows[service][edit["cell"]] = after
+
+
+def check_rows(rows):
+    """Refuse a whole record whose outcome breaks a rule; its steps may."""
+    for row in rows.values():
+        if row["max_answer_tokens"] > row["budget_tokens"]:
+            raise RefusedError
+
+
+def apply_row(rows, service, before, after):
+    present = rows.get(service)
+    if present not in (before, after):
+        raise RefusedError
+    if after is None:
+        rows.pop(service, None)
+    else:
+        rows[service] = after
+
+
+def full(row):
+    return None if row is None else {**ROW_DEFAULTS, **row}
--- a/tests/stateful/table/region.py
+++ b/tests/stateful/table/region.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+import attrs
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -16,6 +17,14 @@
 GOSSIP_SECONDS = 1.0
 
 
+@attrs.frozen
+class Change:
+    """A version that came into force, and where it was learnt."""
+
+    version: int
+    source: str
+
+
 class ReplicaProcess:
     """One process of a daemon: its replica, publisher and port to the log."""
 
@@ -30,7 +39,8 @@
         self.daemon = region.fabric.join(member, ZoneName("zone1"))
         self.clock = self.daemon.clock
         self.digest = 0
-        self.versions: list[int] = []
+        self.records_at_start = len(region.store.records)
+        self.changes: list[Change] = []
         self.port = FaultyLogPort(region.store, self.clock)
         self.port.is_down = log_is_down
         self.replica = region.replica_type(
@@ -43,9 +53,13 @@
         self.publisher = region.publisher_type(
             clock=self.clock, log=self.port, replica=self.replica
         )
-        self.replica.on_change(lambda: self.versions.append(self.replica.version))
+        self.replica.on_change(self._note_change)
         self.replica.start()
 
+    def _note_change(self) -> None:
+        source = self.replica.source.value
+        self.changes.append(Change(self.replica.version, source))
+
     def _set_digest(self, version: int) -> None:
         self.digest = version
 
