--- a/emulator/engine/answers.py
+++ b/emulator/engine/answers.py
@@ -20,6 +20,24 @@
 """14 to 414 tokens, 214 on average: letter-scale 7.5 M tokens over 35,000 requests."""
 
 ANSWER_TOKENS_MARKER = re.compile(r"\[answer-tokens:(\d+)\]")
+TOOL_CALL_MARKER = re.compile(r"\[tool-call:([A-Za-z0-9_-]+)\]")
+TOOL_CALL_TYPE = "function"
+NO_ARGUMENTS = "{}"
+
+
+class ToolFunction(msgspec.Struct, frozen=True):
+    """The function that a tool call names, its arguments as JSON text."""
+
+    name: str
+    arguments: str
+
+
+class ToolCall(msgspec.Struct, frozen=True):
+    """A tool call, in OpenAI's shape."""
+
+    id: str
+    type: str
+    function: ToolFunction
 
 
 class PlannedAnswer(msgspec.Struct, frozen=True):
@@ -28,6 +46,7 @@
     content: str
     tokens: int
     finish_reason: FinishReason
+    tool_call: ToolCall | None = None
 
 
 def message_tokens(message: ChatMessage) -> int:
@@ -45,22 +64,31 @@
 
 
 def prompt_digest(messages: Sequence[ChatMessage]) -> str:
-    """Digest roles and contents of all messages, in order, as 16 hex characters."""
+    """Digest all messages in order, as 16 hex characters.
+
+    It covers roles, contents, tool calls (whatever their spacing) and their ids.
+    """
     digest = hashlib.blake2b(digest_size=DIGEST_CHARACTERS // 2)
     for message in messages:
         content = (message.content or "").encode()
         digest.update(f"{message.role}:{len(content)}:".encode())
         digest.update(content)
+        digest.update(_tool_part(message))
     return digest.hexdigest()
 
 
 def plan_answer(messages: Sequence[ChatMessage], max_tokens: int) -> PlannedAnswer:
     """Plan the answer to a prompt; never more than `max_tokens` (at least 1)."""
     digest = prompt_digest(messages)
-    wanted = _marked_tokens(messages) or _hashed_tokens(digest)
+    question = _last_question(messages)
+    wanted = _marked_tokens(question) or _hashed_tokens(digest)
     tokens = min(wanted, max(1, max_tokens))
-    reason = FinishReason.STOP if tokens == wanted else FinishReason.LENGTH
-    return PlannedAnswer(_content(digest, tokens), tokens, reason)
+    content = _content(digest, tokens)
+    if tokens < wanted:
+        return PlannedAnswer(content, tokens, FinishReason.LENGTH)
+    tool_call = _marked_tool_call(question, digest)
+    reason = FinishReason.TOOL_CALLS if tool_call else FinishReason.STOP
+    return PlannedAnswer(content, tokens, reason, tool_call)
 
 
 def expected_answer(messages: Sequence[ChatMessage], max_tokens: int) -> str:
@@ -68,17 +96,37 @@
 
     It starts with `prompt_digest(messages)` (cut off below 4 tokens). Its length in
     tokens is that of a marker `[answer-tokens:37]` in the last user message, else
-    drawn from the digest; never more than `max_tokens`.
+    drawn from the digest; never more than `max_tokens`. A marker `[tool-call:hint]`
+    there adds a call of the tool `hint` to the answer, unless it is cut short.
     """
     return plan_answer(messages, max_tokens).content
 
 
-def _marked_tokens(messages: Sequence[ChatMessage]) -> int | None:
+def _last_question(messages: Sequence[ChatMessage]) -> str:
     for message in reversed(messages):
         if message.role == "user":
-            found = ANSWER_TOKENS_MARKER.search(message.content or "")
-            return max(1, int(found.group(1))) if found else None
-    return None
+            return message.content or ""
+    return ""
+
+
+def _marked_tokens(question: str) -> int | None:
+    found = ANSWER_TOKENS_MARKER.search(question)
+    return max(1, int(found.group(1))) if found else None
+
+
+def _marked_tool_call(question: str, digest: str) -> ToolCall | None:
+    found = TOOL_CALL_MARKER.search(question)
+    if found is None:
+        return None
+    function = ToolFunction(found.group(1), NO_ARGUMENTS)
+    return ToolCall(f"call-{digest}", TOOL_CALL_TYPE, function)
+
+
+def _tool_part(message: ChatMessage) -> bytes:
+    calls = msgspec.json.decode(message.tool_calls) if message.tool_calls else None
+    if calls is None and message.tool_call_id is None:
+        return b""
+    return msgspec.json.encode((message.tool_call_id, calls), order="sorted")
 
 
 def _hashed_tokens(digest: str) -> int:
--- a/emulator/engine/stream_events.py
+++ b/emulator/engine/stream_events.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from emulator.engine.answers import BYTES_PER_TOKEN
+from emulator.engine.answers import BYTES_PER_TOKEN, ToolFunction
 from emulator.engine.runs import EngineRun, RunState
 from notcharch.values.identifiers import PoolName, RequestId
 
@@ -36,6 +36,19 @@
     prompt_tokens_details: _PromptDetails
 
 
+class _ToolCallDelta(msgspec.Struct, frozen=True):
+    index: int
+    id: str
+    type: str
+    function: ToolFunction
+
+
+class _ToolDelta(msgspec.Struct, frozen=True):
+    """The last chunk's addition to an answer that calls a tool."""
+
+    tool_calls: tuple[_ToolCallDelta, ...]
+
+
 def render_events(run: EngineRun, start: int, stop: int) -> bytes:
     """Give events `start` … `stop` - 1, with the closing line after the last one."""
     if not run.event_head:
@@ -80,7 +93,15 @@
     ).decode()
     text = (
         f"id: {run.answer.tokens}\ndata: {head}"
-        f'{{"index":0,"delta":{{}},"finish_reason":"{run.answer.finish_reason.value}"}}],'
+        f'{{"index":0,"delta":{_last_delta(run)},"finish_reason":"{run.answer.finish_reason.value}"}}],'
         f'"usage":{usage_json}}}\n\n'
     )
     return text.encode() + DONE_EVENT
+
+
+def _last_delta(run: EngineRun) -> str:
+    call = run.answer.tool_call
+    if call is None:
+        return "{}"
+    delta = _ToolDelta((_ToolCallDelta(0, call.id, call.type, call.function),))
+    return msgspec.json.encode(delta).decode()
--- a/emulator/memory_stream.py
+++ b/emulator/memory_stream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
@@ -152,7 +153,10 @@
         if self.finished.called:
             return
         answer = run.answer
-        end = StreamEnd(answer.content, None, answer.finish_reason, run.usage)
+        calls = None
+        if answer.tool_call is not None:
+            calls = msgspec.Raw(msgspec.json.encode([answer.tool_call]))
+        end = StreamEnd(answer.content, calls, answer.finish_reason, run.usage)
         self.finished.callback(Ok(end))
 
     def _ran(self) -> Ran:
--- a/tests/unit/emulator/test_memory_ports.py
+++ b/tests/unit/emulator/test_memory_ports.py
@@ -1,5 +1,6 @@
 """The in-process ports, with their faults."""
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -20,6 +21,7 @@
 from notcharch.errors import ProblemCode, Ran
 from notcharch.platform.answer_collector import AnswerCollector
 from notcharch.platform.ports import LogRecord, Machine, MachineKind, MachineState
+from notcharch.values.chat import ChatMessage, FinishReason
 from notcharch.values.identifiers import (
     EngineName,
     Epoch,
@@ -64,6 +66,24 @@
     assert result.ok_value.usage.completion_tokens == 7
 
 
+def test_a_tool_call_ends_the_stream_and_its_loss_changes_the_next_answer():
+    setting = Setting()
+    call = request("r1", "[tool-call:hint] [answer-tokens:2]")
+    setting.open(call)
+    setting.clock.advance(5)
+    (result,) = setting.results
+    assert result == setting.collector.result()
+    assert result.ok_value.finish_reason is FinishReason.TOOL_CALLS
+    calls = result.ok_value.tool_calls
+    assert msgspec.json.decode(calls)[0]["function"]["name"] == "hint"
+    spaced = msgspec.Raw(msgspec.json.format(bytes(calls), indent=2))
+    answers = [
+        expected_answer([ChatMessage("assistant", "a", tool_calls=kept)], 9)
+        for kept in (calls, spaced, msgspec.UNSET)
+    ]
+    assert answers[0] == answers[1] != answers[2]
+
+
 def test_a_stream_without_tokens_has_the_same_result():
     setting = Setting(renders_tokens=False)
     call = request("r1", answer_marker(7))
--- a/tests/unit/emulator/test_settings.py
+++ b/tests/unit/emulator/test_settings.py
@@ -1,9 +1,12 @@
 """Settings: all findings together, and a source for each rate."""
 
+from pathlib import Path
+
 import pytest
 from result import Err
 
 from emulator.engine.rates import EngineRates
+from emulator.faults import FaultKind
 from emulator.settings import (
     ENGINE_KINDS,
     GeneralSection,
@@ -69,3 +72,10 @@
     settings = load_emulator_settings("[model_engine]\nslots = 3", "f").unwrap()
     assert settings.model_engine.slots == 3
     assert settings.model_engine.block_tokens == 64
+
+
+def test_the_page_explains_every_fault():
+    page = Path(__file__).parents[3] / "docs" / "emulator.md"
+    rows = [line for line in page.read_text().splitlines() if line.startswith("| `")]
+    explained = [row.split("`")[1] for row in rows]
+    assert explained == [fault.value for fault in FaultKind]
