Forget an engine's run also when it ended at time zero

A run cancelled at time 0 of a virtual clock counted as not ended and kept all later ones from being dropped. Its new test failed before. The time of the end is now kept beside the run.

--- a/emulator/engine/run_registry.py
+++ b/emulator/engine/run_registry.py
@@ -15,7 +15,7 @@
         self._resume_seconds = resume_seconds
         self._runs: dict[RequestId, EngineRun] = {}
         self._used_ids: set[RequestId] = set()
-        self._ended: deque[EngineRun] = deque()
+        self._ended: deque[tuple[EngineRun, float]] = deque()
 
     def knows(self, request_id: RequestId) -> bool:
         """Tell whether an id was ever accepted."""
@@ -33,7 +33,7 @@
 
     def ended(self, run: EngineRun, now: float) -> None:
         """Keep an ended run for those who resume it."""
-        self._ended.append(run)
+        self._ended.append((run, now))
         self._drop_old(now)
 
     def all(self) -> tuple[EngineRun, ...]:
@@ -48,8 +48,8 @@
 
     def _drop_old(self, now: float) -> None:
         while self._ended:
-            run = self._ended[0]
-            if (run.ended_at or now) + self._resume_seconds > now:
+            run, ended_at = self._ended[0]
+            if ended_at + self._resume_seconds > now:
                 return
             self._ended.popleft()
             self._runs.pop(run.request.request_id, None)
--- a/tests/unit/emulator/test_engine_model.py
+++ b/tests/unit/emulator/test_engine_model.py
@@ -159,6 +159,15 @@
     assert refusal.code is RefusalCode.DUPLICATE_REQUEST
 
 
+def test_a_run_that_ended_at_time_zero_is_dropped_like_others():
+    clock = VirtualClock()
+    model = engine(clock)
+    submit(model, "r1")
+    model.cancel(RequestId("r1"))
+    clock.advance(10.1)
+    assert model.find(RequestId("r1")) is None
+
+
 def test_a_stream_without_a_reader_is_cancelled_after_a_while():
     clock = VirtualClock()
     model = engine(clock)
