Keep the table's newest version when the log loses records

A test in which the log forgot everything left a restarted daemon without a table for good: it had judged as many offsets as its peer, so the peer's version was no "later" state. A newer version of offsets that were judged already can only come from a log that lost records; the newer version now counts, and an event says so.

A peer is asked without delay while the log cannot be read.

`table.digest_seconds` was read by nobody: membership carries the version on every datagram. It is now `table.fetch_delay_seconds`, and is used. The problems of a publication moved to a module of their own.

--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -21,8 +21,8 @@
     PublicationResult,
     PublishRequest,
     TablePublisher,
-    unknown_version,
 )
+from notcharch.table.refusals import unknown_version
 from notcharch.table.replay import HistoryEntry, Verdict
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import RecordId, TableVersion
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -111,6 +111,7 @@
             network=ports.network,
             random=ports.chance,
             set_digest=self._carry_table_version,
+            fetch_delay_seconds=self.settings.table.fetch_delay_seconds,
         )
         self.membership.on_digest(self._hear_digest)
         self.publisher = TablePublisher(
--- a/notcharch/events/table.py
+++ b/notcharch/events/table.py
@@ -92,3 +92,13 @@
     number: ClassVar[int] = 709
     next_offset: int
     size_bytes: int
+
+
+class TableHistoryReplaced(Event, frozen=True):
+    """The log lost records: a peer's newer version of the same offsets was taken."""
+
+    number: ClassVar[int] = 710
+    version: int
+    next_offset: int
+    peers_version: int
+    peers_next_offset: int
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -182,8 +182,13 @@
 class TableSection(Section, frozen=True, kw_only=True):
     """The table's replica."""
 
-    digest_seconds: Annotated[
-        float, Meta(gt=0, le=60, description="time between digests to a peer, seconds")
+    fetch_delay_seconds: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=60,
+            description="longest wait for the log before a peer is asked, seconds",
+        ),
     ] = 1.0
 
 
--- a/notcharch/table/log_follower.py
+++ b/notcharch/table/log_follower.py
@@ -87,6 +87,11 @@
             return None
         return self._clock.seconds() - self._read_at
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the last read failed."""
+        return self._retry_seconds > 0
+
     def start(self) -> None:
         """Begin to follow."""
         if self._running is None:
--- a/notcharch/table/publisher.py
+++ b/notcharch/table/publisher.py
@@ -15,7 +15,7 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.errors import Finding, Problem, ProblemCode, Ran
+from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
 from notcharch.events.table import (
     TableAppendRepeated,
@@ -34,6 +34,14 @@
     PublishedEdits,
     encode_record,
 )
+from notcharch.table.refusals import (
+    invalid,
+    refusal,
+    refused_base,
+    unfinished,
+    unknown_base,
+    unknown_version,
+)
 from notcharch.table.replay import HistoryEntry, ReplayState, Verdict
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import LogOffset, RecordId, TableVersion
@@ -48,7 +56,6 @@
 BASE_SECONDS = 5.0
 """How long to wait until this replica has the base version."""
 
-RETRY_AFTER_SECONDS = 5.0
 ID_BYTES = 16
 
 
@@ -110,7 +117,7 @@
             return based
         outcome = merge(self._replica.state.contents, based.ok_value)
         if not outcome.is_clean:
-            return Err(_refusal(outcome.conflicts, outcome.findings))
+            return Err(refusal(outcome.conflicts, outcome.findings))
         return Ok(outcome.applied)
 
     async def publish(
@@ -160,23 +167,23 @@
             lambda state: state.version >= base_version, BASE_SECONDS
         )
         if not has_base:
-            return Err(_unknown_base(base_version, request.doubt))
+            return Err(unknown_base(base_version, request.doubt))
         state = self._replica.state
         base = state.contents_at(base_version)
         if base is None:
-            return Err(_refused_base(base_version, request.doubt))
+            return Err(refused_base(base_version, request.doubt))
         draft = request.draft
         if isinstance(draft, RollbackDraft):
             target = state.contents_at(draft.target)
             if target is None:
                 return Err(unknown_version(draft.target, state, request.doubt))
             return Ok(difference(base, target))
-        edits = draft_edits(draft, base).map_err(_invalid)
+        edits = draft_edits(draft, base).map_err(invalid)
         if isinstance(edits, Err):
             return edits
         # What breaks a rule on its own base is refused whatever others publish.
         findings = merge(base, edits.ok_value).findings
-        return Err(_invalid(findings)) if findings else edits
+        return Err(invalid(findings)) if findings else edits
 
     def _early_answer(
         self, request: PublishRequest, edits: tuple[AnyEdit, ...]
@@ -195,7 +202,7 @@
             return Ok(PublicationResult(record, state.version, False, True, ()))
         if outcome.is_clean or not is_certain:
             return None
-        return Err(_refusal(outcome.conflicts, outcome.findings))
+        return Err(refusal(outcome.conflicts, outcome.findings))
 
     async def _append_until_judged(
         self, record: LogRecord, ran: Ran, seconds: float
@@ -216,7 +223,7 @@
             if entry is not None:
                 return Ok(entry)
             if self._clock.seconds() >= deadline:
-                return Err(_unfinished(record.id, ran, problem.message))
+                return Err(unfinished(record.id, ran, problem.message))
             emit(TableAppendRepeated(record.id, attempt, problem.code))
 
     async def _verdict_at(
@@ -231,7 +238,7 @@
         if entry is not None:
             return Ok(entry)
         detail = f"appended at offset {offset}, its verdict is not read yet"
-        return Err(_unfinished(record, Ran.UNKNOWN, detail))
+        return Err(unfinished(record, Ran.UNKNOWN, detail))
 
     async def _append(
         self, record: LogRecord, seconds: float = APPEND_SECONDS
@@ -279,18 +286,6 @@
         self._writing_checkpoint = None
 
 
-def unknown_version(
-    version: TableVersion, state: ReplayState, ran: Ran = Ran.NO
-) -> Problem:
-    """Say that a version is not remembered here."""
-    return Problem.of(
-        ProblemCode.NOT_FOUND,
-        f"version {version} is not kept; the oldest is {state.horizon}, "
-        f"the newest {state.version}",
-        ran=ran,
-    )
-
-
 def _result(entry: HistoryEntry) -> Result[PublicationResult, Problem]:
     if entry.is_in_force:
         emit(TablePublished(entry.id, entry.author, entry.verdict.value, entry.version))
@@ -300,57 +295,8 @@
         )
     emit(TablePublished(entry.id, entry.author, entry.verdict.value, 0))
     if entry.verdict is Verdict.INVALID:
-        return Err(_invalid(entry.findings))
+        return Err(invalid(entry.findings))
     if entry.verdict is Verdict.BASE_TOO_OLD:
         # An earlier record of this id may be so old that it was forgotten.
-        return Err(_refused_base(entry.base_version, Ran.UNKNOWN))
-    return Err(_refusal(entry.findings, ()))
-
-
-def _refusal(conflicts: tuple[Finding, ...], findings: tuple[Finding, ...]) -> Problem:
-    if not conflicts:
-        return _invalid(findings)
-    return Problem.of(
-        ProblemCode.TABLE_CONFLICT,
-        "others have published other values since the base version",
-        findings=conflicts,
-    )
-
-
-def _invalid(findings: tuple[Finding, ...]) -> Problem:
-    return Problem.of(
-        ProblemCode.BAD_REQUEST, "the table breaks its rules", findings=findings
-    )
-
-
-def _unknown_base(base_version: TableVersion, ran: Ran) -> Problem:
-    return Problem.of(
-        ProblemCode.UNAVAILABLE,
-        f"base version {base_version} is not known here yet",
-        ran=ran,
-        retry_after=RETRY_AFTER_SECONDS,
-    )
-
-
-def _refused_base(base_version: TableVersion, ran: Ran) -> Problem:
-    return Problem.of(
-        ProblemCode.TABLE_CONFLICT,
-        f"base version {base_version} is too old to merge from; read the table again",
-        ran=ran,
-    )
-
-
-def _unfinished(record: RecordId, ran: Ran, detail: str) -> Problem:
-    if ran is Ran.NO:
-        message = f"the log cannot be written, nothing was published: {detail}"
-        findings: tuple[Finding, ...] = ()
-    else:
-        message = f"the verdict is not known yet; ask again with this id: {detail}"
-        findings = (Finding("id", record),)
-    return Problem.of(
-        ProblemCode.UNAVAILABLE,
-        message,
-        ran=ran,
-        findings=findings,
-        retry_after=RETRY_AFTER_SECONDS,
-    )
+        return Err(refused_base(entry.base_version, Ran.UNKNOWN))
+    return Err(refusal(entry.findings, ()))
--- a/notcharch/table/replica_service.py
+++ b/notcharch/table/replica_service.py
@@ -21,6 +21,7 @@
 from notcharch.events.table import (
     TableContentRefused,
     TableFetchFailed,
+    TableHistoryReplaced,
     TableInForce,
     TablePublicationRefused,
     TableRecordSkipped,
@@ -52,6 +53,9 @@
 FETCH_SECONDS = 5.0
 """Limit of one request to a peer."""
 
+WHOLE_STATE = LogOffset(-1)
+"""Asks a peer for a snapshot, after its entries did not bring what it announced."""
+
 _history_decoder = msgspec.json.Decoder(HistoryEntry)
 
 
@@ -75,7 +79,8 @@
         """Register the handler of peers' requests; nothing runs before `start`.
 
         A fetch from a peer waits a random part of `fetch_delay_seconds`, in which
-        the log usually brings the same publication for less.
+        the log usually brings the same publication for less; while the log cannot
+        be read it does not wait.
         """
         self._clock = clock
         self._network = network
@@ -88,6 +93,7 @@
         self._source = TableSource.NONE
         self._table: Table | None = None
         self._snapshot: TableSnapshot | None = None
+        self._needs_snapshot = False
         self._listeners: list[Callable[[], None]] = []
         self._waiters = StateWaiters(clock)
         self._fetching: Deferred[None] | None = None
@@ -184,9 +190,21 @@
         self._move_to(state, TableSource.LOG, put_in_force=put_in_force)
 
     def take_state(self, state: ReplayState, source: TableSource) -> None:
-        """Take over a later state; an older one changes nothing."""
-        is_later = state.next_offset > self._state.next_offset
-        if is_later and state.version >= self._state.version:
+        """Take over a later state; an older one changes nothing.
+
+        A newer version of offsets that are judged already is possible only when the
+        log lost records; then the newer version counts, so that none is taken back.
+        """
+        own = self._state
+        is_later = state.next_offset > own.next_offset
+        is_newer = state.version > own.version
+        if is_newer and not is_later:
+            emit(
+                TableHistoryReplaced(
+                    own.version, own.next_offset, state.version, state.next_offset
+                )
+            )
+        if is_newer or (is_later and state.version == own.version):
             self._move_to(state, source, put_in_force=source is TableSource.PEER)
 
     def _move_to(
@@ -231,11 +249,12 @@
         return self._snapshot
 
     async def _fetch(self, member: Member, announced: int) -> None:
-        delay = self._random.random() * self._fetch_delay_seconds
-        await deferLater(self._clock, delay)
+        if not self._follower.is_failing:
+            delay = self._random.random() * self._fetch_delay_seconds
+            await deferLater(self._clock, delay)
         if announced <= self.version:
             return
-        have = self._state.next_offset
+        have = WHOLE_STATE if self._needs_snapshot else self._state.next_offset
         reply = await self._network.request(
             member.daemon, FetchTable(have), FETCH_SECONDS
         )
@@ -260,7 +279,8 @@
             emit(TableContentRefused(member.daemon, detail))
         else:
             self.take_state(state, TableSource.PEER)
-        if announced > self.version:
+        self._needs_snapshot = announced > self.version
+        if self._needs_snapshot:
             code = ProblemCode.NOT_FOUND.slug
             emit(TableFetchFailed(member.daemon, announced, code))
 
--- a/notcharch/wire/messages/table.py
+++ b/notcharch/wire/messages/table.py
@@ -13,7 +13,7 @@
 class FetchTable(Message, frozen=True):
     """Ask a peer for what it applied from `have`, the asker's next log offset.
 
-    Reply: `TableEntries` when the peer remembers everything from there,
+    -1 asks for everything. Reply: `TableEntries` when the peer remembers everything from there,
     `TableSnapshot` otherwise, or `Refusal`.
     """
 
--- a/tests/stateful/table/faulty_log.py
+++ b/tests/stateful/table/faulty_log.py
@@ -75,20 +75,24 @@
 
 
 class FaultyLogPort:
-    """One daemon's `LogPort`; `is_down` and `append_faults` are set by tests."""
+    """One daemon's `LogPort`; its faults are set by tests.
+
+    A log that is down refuses at once; a silent one never answers.
+    """
 
     def __init__(self, store: LogStore, clock: IReactorTime) -> None:
         self.store = store
         self.clock = clock
         self.is_down = False
+        self.is_silent = False
         self.append_faults: list[AppendFault] = []
-        self.appends = 0
 
     def append(
         self, stream: str, records: tuple[LogRecord, ...]
     ) -> "Deferred[Result[LogOffset, Problem]]":
         assert stream == "table"
-        self.appends += 1
+        if self.is_silent:
+            return Deferred()
         fault = self.append_faults.pop(0) if self.append_faults else None
         if self.is_down or fault is AppendFault.REFUSED:
             return self._later(Err(_problem(Ran.NO)))
@@ -106,6 +110,8 @@
         self, stream: str, offset: LogOffset, limit: int, wait_seconds: float = 0.0
     ) -> "Deferred[Result[LogPage, Problem]]":
         assert stream == "table"
+        if self.is_silent:
+            return Deferred()
         if self.is_down:
             return self._later(Err(_problem(Ran.NO)))
         answer = Deferred()
--- a/tests/stateful/table/region.py
+++ b/tests/stateful/table/region.py
@@ -118,14 +118,21 @@
         return {process.replica.version for process in self.processes.values()}
 
     def _gossip(self) -> None:
-        for name, process in self.processes.items():
+        """Probe a random peer, as membership does: both datagrams carry digests."""
+        for name in self.names:
             other = self.random.choice([peer for peer in self.names if peer != name])
-            self._send_digest(process, other)
+            self._send_digest(name, other, answer=True)
         self.clock.callLater(GOSSIP_SECONDS, self._gossip)
 
-    def _send_digest(self, process: ReplicaProcess, other: DaemonName) -> None:
+    def _send_digest(
+        self, name: DaemonName, other: DaemonName, *, answer: bool
+    ) -> None:
+        process = self.processes[name]
         member, digest = process.daemon.member, process.digest
-        self.fabric.transmit(
-            (member.daemon, other),
-            lambda: self.processes[other].replica.on_digest(member, digest),
-        )
+
+        def arrive() -> None:
+            self.processes[other].replica.on_digest(member, digest)
+            if answer:
+                self._send_digest(other, name, answer=False)
+
+        self.fabric.transmit((name, other), arrive)
--- a/tests/stateful/table/table_breaks.py
+++ b/tests/stateful/table/table_breaks.py
@@ -65,12 +65,12 @@
 
 
 def a_lost_answer_is_called_not_published(monkeypatch):
-    unfinished = publisher._unfinished
+    unfinished = publisher.unfinished
 
     def certain(record, ran, detail):
         return unfinished(record, Ran.NO, detail)
 
-    monkeypatch.setattr(publisher, "_unfinished", certain)
+    monkeypatch.setattr(publisher, "unfinished", certain)
 
 
 def a_fresh_id_for_each_append(monkeypatch):
--- a/tests/stateful/table/test_publication_faults.py
+++ b/tests/stateful/table/test_publication_faults.py
@@ -122,3 +122,53 @@
     again = published(region, 1, add_row(record=RecordId("mine")))
     assert first == again
     assert len(region.store.records) == 1
+
+
+def test_one_daemon_that_reads_the_log_carries_a_publication_to_all():
+    region = Region(40)
+    region.run(1.0)
+    base = published(region, 0, add_row()).ok_value.version
+    region.run(2.0)
+    for index in range(1, 40):
+        region.process(index).port.is_down = True
+    region.run(12.0)
+    version = published(region, 0, set_cell("share", 2.0, base)).ok_value.version
+    region.run(16.0)
+    assert region.versions() == {version}
+    sent = {name for (_, name), count in region.fabric.traffic.items() if count.bytes}
+    assert "TableSnapshot" not in sent, "one cell must not travel as a whole table"
+
+
+def test_a_silent_log_gives_an_unknown_outcome_that_can_be_asked_for_again():
+    region = Region(2)
+    region.run(1.0)
+    port = region.process(0).port
+    port.is_silent = True
+    unknown = published(region, 0, add_row(record=RecordId("mine")))
+    assert unknown.err_value.ran is Ran.UNKNOWN
+    port.is_silent = False
+    assert published(region, 0, add_row(record=RecordId("mine"))).is_ok()
+
+
+def test_a_silent_log_leaves_the_version_to_the_peers():
+    region = Region(2)
+    region.run(1.0)
+    region.process(1).port.is_silent = True
+    region.run(30.0)
+    version = published(region, 0, add_row()).ok_value.version
+    region.run(16.0)
+    assert region.process(1).replica.version == version
+
+
+def test_a_log_that_lost_its_records_takes_nothing_back():
+    region = Region(2)
+    region.run(1.0)
+    version = published(region, 0, add_row()).ok_value.version
+    region.run(2.0)
+    region.store.records.clear()
+    answer = published(region, 0, set_cell("share", 2.0, version))
+    assert answer.err_value.ran is Ran.UNKNOWN
+    region.restart(1)
+    region.run(20.0)
+    assert region.versions() == {version}
+    assert region.process(1).replica.row("guide").share == 1.0
