--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -85,7 +85,7 @@
         self.service = service
         self._next_request_number = next_request_number
         self._limit = 0
-        """How many calls may run under the lease."""
+        """How many calls may run under the lease; never above the last promise."""
         self._lease_until = 0.0
         self._renew_at = 0.0
         self._running = 0
@@ -197,10 +197,7 @@
         return tuple(given)
 
     def _may_start(self, now: float) -> bool:
-        limit = self._limit
-        if self._outstanding is not None:
-            limit = min(limit, self._outstanding.held)
-        return self.lease_valid(now) and self._running < limit
+        return self.lease_valid(now) and self._running < self._limit
 
     def _request_if_due(self, now: float) -> Effects:
         if self._outstanding is not None or now < self._ask_at:
