--- /dev/null
+++ b/tests/unit/services/region.py
@@ -0,0 +1,114 @@
+"""Holder and limiter services of a few daemons on the memory transport."""
+
+import random
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from notcharch.placement.partitions import partition_of_service
+from notcharch.services.allotments import AllotmentsState
+from notcharch.services.holder_service import HolderService
+from notcharch.services.limiter_service import LimiterService
+from notcharch.settings.schema import ServicesSection
+from notcharch.table.interface import ServiceRow
+from notcharch.values.identifiers import DaemonName, Member, ServiceName
+from notcharch.wire.memory import MemoryFabric
+from notcharch.wire.memory_time import run_for
+from tests.unit.engines.region import PARTITIONS, DirectRouter, SimplePartitions, View
+
+SERVICE = ServiceName("guide")
+
+
+class SimpleTable:
+    """`TableView` with one row that the test changes."""
+
+    def __init__(self, concurrency: int) -> None:
+        self.version = 1
+        self.only_row = ServiceRow(SERVICE, "t", "model", concurrency=concurrency)
+
+    def row(self, service):
+        return self.only_row if service == self.only_row.service else None
+
+    def set(self, **cells) -> None:
+        self.only_row = msgspec.structs.replace(self.only_row, **cells)
+
+
+class Node:
+    """One daemon's holder and limiter."""
+
+    def __init__(self, region: "ServiceRegion", name: str) -> None:
+        self.member = Member(DaemonName(name), 1)
+        daemon = region.fabric.join(self.member, "zone1")
+        self.clock, self.network = daemon.clock, daemon.network
+        self.view = View()
+        self.limiter = LimiterService(
+            network=self.network,
+            replicas=region.partitions.view(self.member.daemon),
+            allotments_of=region.partitions.states.get,
+            table=region.table,
+            membership=self.view,
+            clock=self.clock,
+            monotonic=self.clock.seconds,
+            settings=ServicesSection(),
+            partition_count=PARTITIONS,
+        )
+        self.holder = HolderService(
+            network=self.network,
+            router=DirectRouter(self.network, region),
+            clock=self.clock,
+            monotonic=self.clock.seconds,
+            partition_count=PARTITIONS,
+        )
+        self.holder.start()
+        self.slots = []
+
+    def acquire(self, count=1, give_up_seconds=30.0, service=SERVICE):
+        """Ask for slots; those that come are kept in `slots`."""
+        asked = []
+        for _ in range(count):
+            coroutine = self.holder.acquire(service, 5, give_up_seconds)
+            asking = Deferred.fromCoroutine(coroutine)
+            asking.addCallback(self._keep)
+            asked.append(asking)
+        return asked
+
+    def _keep(self, result):
+        if result.is_ok():
+            self.slots.append(result.unwrap())
+        return result
+
+    def release(self, count=None):
+        released = self.slots[:count]
+        del self.slots[:count]
+        for slot in released:
+            slot.release()
+
+
+class ServiceRegion:
+    """Daemons d1 …; d1 limits every service."""
+
+    def __init__(self, daemons: int = 3, concurrency: int = 6) -> None:
+        self.clock = Clock()
+        self.fabric = MemoryFabric(self.clock, random.Random(5), encode=True)
+        self.partitions = SimplePartitions(AllotmentsState)
+        self.partitions.leader = DaemonName("d1")
+        self.table = SimpleTable(concurrency)
+        names = [f"d{number + 1}" for number in range(daemons)]
+        self.nodes = {name: Node(self, name) for name in names}
+        for node in self.nodes.values():
+            node.view.members = [other.member for other in self.nodes.values()]
+
+    def run(self, seconds: float) -> None:
+        run_for(self.clock, seconds)
+
+    def running(self) -> int:
+        return sum(len(node.slots) for node in self.nodes.values())
+
+    def counted(self) -> int:
+        """Give how many slots the limiter counts."""
+        state = self.partitions.states[partition_of_service(SERVICE, PARTITIONS)]
+        return sum(lease.counted for lease in state.leases(SERVICE))
+
+    def messages(self) -> int:
+        return sum(traffic.messages for traffic in self.fabric.traffic.values())
