--- a/notcharch/membership/datagrams.py
+++ b/notcharch/membership/datagrams.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from notcharch.values.identifiers import DaemonName, RegionName
+from notcharch.wire.codec import DECODING_ERRORS
 from notcharch.wire.messages.membership import MemberRecord
 
 
@@ -70,5 +71,5 @@
     """Decode a datagram; the Err says why it cannot be read."""
     try:
         return Ok(_decoder.decode(payload))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         return Err(str(error))
--- a/notcharch/membership/swim.py
+++ b/notcharch/membership/swim.py
@@ -73,6 +73,7 @@
         self._probe: Probe | None = None
         self._probe_number = 0
         self._probe_target: MemberRecord | None = None
+        self._now = 0.0
         self._periods = 0
         self._next_period_at = 0.0
         self._direct_deadline: float | None = None
@@ -110,6 +111,7 @@
 
     def run(self, now: float) -> list[Effect]:
         """Do what is due."""
+        self._now = now
         self._note_stall(now)
         self._effects += self.knowledge.bury_overdue(now)
         if self._direct_deadline is not None and self._direct_deadline <= now:
@@ -117,7 +119,7 @@
             if self._probe is not None:
                 self._probe.time_out()
         if self._next_period_at <= now:
-            self._end_probe(now)
+            self._end_probe()
             self._begin_period(now)
         return self._take_effects()
 
@@ -191,21 +193,21 @@
         if target is None:
             return
         self._probe_target = living[target]
-        actions = ProbeActions(self._ask_relays, lambda: self._suspect_target(now))
+        actions = ProbeActions(self._ask_relays, self._suspect_target)
         self._probe = new_probe(actions)
         self._direct_deadline = now + self._settings.probe_timeout_seconds
         self._probe_number = self._send_probe(target, living[target].address)
 
-    def _end_probe(self, now: float) -> None:
+    def _end_probe(self) -> None:
         if self._probe is not None:
             self._probe.end_period()
         self._probe = None
         self._direct_deadline = None
 
-    def _suspect_target(self, now: float) -> None:
+    def _suspect_target(self) -> None:
         if self._probe_target is not None:
             daemon = self._probe_target.member.daemon
-            self._effects += self.knowledge.suspect(daemon, now)
+            self._effects += self.knowledge.suspect(daemon, self._now)
 
     def _ask_relays(self) -> None:
         target = self._probe_target
--- a/notcharch/wire/codec.py
+++ b/notcharch/wire/codec.py
@@ -27,6 +27,10 @@
 """The largest frame; a history of 850,000 tokens is about 4 MB."""
 
 
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What a decoder raises for bytes of a peer, deeply nested ones included."""
+
+
 class Envelope(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
     """The base of everything that a connection carries."""
 
@@ -125,14 +129,14 @@
         """Decode an envelope, leaving its message raw."""
         try:
             return Ok(self._envelopes.decode(frame))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             return Err(_bad_message(f"not an envelope: {error}"))
 
     def decode_message(self, raw: msgspec.Raw) -> Result[Message, Problem]:
         """Decode a message; an unknown type is an Err with `ran: no`."""
         try:
             message: Message = self._messages.decode(raw)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             return Err(_bad_message(f"not a known message: {error}"))
         return Ok(message)
 
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -2,39 +2,38 @@
 
 import pytest
 
+from experiments.membership_region import MembershipRegion, daemon_name
 from notcharch.platform.ports import MachineState
 from notcharch.values.identifiers import ZoneName
 from notcharch.wire.memory_faults import LinkFaults
-from tests.unit.membership.region import Region, daemon_name
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 20])
 def test_all_find_one_another(count: int):
-    region = Region(count, encode=True)
+    region = MembershipRegion(count, encode=True)
     region.run(10)
-    assert region.converged()
+    assert region.differing() == []
 
 
 def test_crashed_member_is_detected_and_its_restart_is_a_new_member():
-    region = Region(9)
+    region = MembershipRegion(9)
     region.run(10)
     victim = daemon_name(4)
     old = region.fabric.daemon(victim).member
     region.crash(victim)
     region.run(15)
-    assert region.converged()
+    assert region.differing() == []
     watcher = region.services[daemon_name(0)]
     assert not watcher.is_certainly_dead(old)
     region.restart(victim)
-    region.publish()
     region.run(10)
-    assert region.converged()
+    assert region.differing() == []
     assert watcher.is_certainly_dead(old)
     assert not watcher.is_certainly_dead(region.fabric.daemon(victim).member)
 
 
 def test_cut_zone_is_dropped_and_returns_without_a_restart():
-    region = Region(9)
+    region = MembershipRegion(9)
     region.run(10)
     cut = region.fabric.names_in(ZoneName("zone-a"))
     rest = [name for name in region.services if name not in cut]
@@ -44,31 +43,98 @@
     assert region.view(cut[0]) == set(cut)
     region.fabric.heal()
     region.run(30)
-    assert region.converged()
+    assert region.differing() == []
 
 
 def test_loss_kills_nobody():
-    region = Region(12)
+    region = MembershipRegion(12)
     region.run(10)
     faults = LinkFaults(loss=0.1, duplication=0.1, reorder=0.2, delay_max=0.05)
     region.fabric.plan.set_default(faults)
     for _ in range(60):
         region.run(1)
-        assert region.converged()
+        assert region.differing() == []
 
 
 def test_gone_machine_is_certainly_dead_once_it_answers_no_more():
-    region = Region(6)
+    region = MembershipRegion(6)
     region.run(10)
     victim = daemon_name(2)
     member = region.fabric.daemon(victim).member
     watcher = region.services[daemon_name(0)]
-    gone = region.machine(victim, MachineState.GONE)
-    region.publish(gone)
+    region.list_machine(victim, MachineState.GONE)
     region.run(10)
     assert not watcher.is_certainly_dead(member)
-    assert region.converged()
+    assert region.differing() == []
     region.crash(victim)
     region.run(15)
     assert watcher.is_certainly_dead(member)
-    assert region.converged()
+    assert region.differing() == []
+
+
+def test_a_planned_stop_is_known_at_once_and_certain():
+    region = MembershipRegion(9)
+    region.run(10)
+    leaver = daemon_name(3)
+    member = region.fabric.daemon(leaver).member
+    watcher = region.services[daemon_name(0)]
+    region.services[leaver].announce_leaving()
+    region.run(5)
+    leaving = {e.member.daemon for e in watcher.live_members() if e.leaving}
+    assert leaving == {leaver}
+    region.services[leaver].stop()
+    region.crash(leaver)
+    region.run(3)
+    assert region.differing() == []
+    assert watcher.is_certainly_dead(member)
+
+
+def test_the_list_marks_leaving_members_and_takes_it_back():
+    region = MembershipRegion(3)
+    region.run(5)
+    watcher = region.services[daemon_name(0)]
+    told = []
+    watcher.on_change(lambda: told.append(watcher.live_members()))
+    region.list_machine(daemon_name(1), MachineState.LEAVING)
+    assert [entry.leaving for entry in told[-1]] == [False, True, False]
+    region.list_machine(daemon_name(1), MachineState.LIVE)
+    assert [entry.leaving for entry in told[-1]] == [False, False, False]
+    assert len(told) == 2
+
+
+def test_digests_reach_every_member():
+    region = MembershipRegion(20)
+    region.run(10)
+    heard = {name: {} for name in region.services}
+    for name, service in region.services.items():
+        service.on_digest(
+            lambda member, key, value, name=name: heard[name].update(
+                {(member.daemon, key): value}
+            )
+        )
+    region.services[daemon_name(7)].set_digest("table", 42)
+    region.run(45)
+    for name in set(region.services) - {daemon_name(7)}:
+        assert heard[name] == {(daemon_name(7), "table"): 42}
+
+
+def test_garbage_on_the_port_harms_nothing():
+    region = MembershipRegion(3)
+    region.run(5)
+    stranger = region.fabric.daemon(daemon_name(2))
+    for payload in (b"", b"garbage", b'["probe",[],1]', b"\x00" * 2000):
+        stranger.datagrams.send(region.fabric.daemon(daemon_name(0)).address, payload)
+    region.run(5)
+    assert region.differing() == []
+
+
+def test_a_process_whose_clock_went_back_learns_that_it_is_outdated():
+    region = MembershipRegion(3)
+    region.run(5)
+    region.crash(daemon_name(1))
+    region._incarnations -= 1000
+    outdated = region.restart(daemon_name(1))
+    told = []
+    outdated.on_superseded(lambda: told.append(True))
+    region.run(10)
+    assert told == [True]
--- a/tests/unit/wire/test_codec.py
+++ b/tests/unit/wire/test_codec.py
@@ -63,7 +63,17 @@
 
 @pytest.mark.parametrize(
     "frame",
-    [b"", b"{}", b"[]", b'["other",1]', b'["request","x",{}]', b'["hello"]', b"\xff["],
+    [
+        b"",
+        b"{}",
+        b"[]",
+        b'["other",1]',
+        b'["request","x",{}]',
+        b'["hello"]',
+        b"\xff[",
+        b'["request",1,' + b"[" * 100_000,
+        b"[" * 100_000,
+    ],
 )
 def test_bad_envelopes_are_findings_not_exceptions(frame):
     assert default_codec().decode(frame).err_value.is_code(ProblemCode.BAD_REQUEST)
@@ -71,7 +81,15 @@
 
 @pytest.mark.parametrize(
     "raw",
-    [b"{}", b'{"type":"OfTheFuture"}', b'{"type":"AdmitCall"}', b"1", b'{"type":1}'],
+    [
+        b"{}",
+        b'{"type":"OfTheFuture"}',
+        b'{"type":"AdmitCall"}',
+        b"1",
+        b'{"type":1}',
+        b"[" * 100_000,
+        b'{"type":"Refusal","problem":' + b"[" * 100_000,
+    ],
 )
 def test_unknown_messages_are_refused_unrun(raw):
     problem = default_codec().decode_message(msgspec.Raw(raw)).err_value
