Move prefixes between engines when that is the cheapest

Cause: a program whose engine is busy either waited or computed its prefix again; engines can export and import it.

Weighed: leaving the copy at the source (it would be wasted memory until it is evicted) against releasing it once the import succeeded; the latter. A move that fails or hangs costs only time, and lowers the rate that later choices expect.

--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -14,6 +14,7 @@
 )
 from notcharch.engines.claims_service import ClaimsService
 from notcharch.engines.dispatcher import Dispatcher
+from notcharch.engines.prefix_mover import PrefixMover
 from notcharch.engines.steward_service import StewardService
 from notcharch.gateway.resource import Gateway
 from notcharch.membership.service import MembershipService
@@ -173,12 +174,19 @@
             settings=settings.engines,
             partition_count=partition_count,
         )
+        mover = PrefixMover(
+            self.directory,
+            ports.engines,
+            ports.clock,
+            settings.engines.move_tokens_per_second,
+        )
         self.dispatcher = Dispatcher(
             router=self.router,
             directory=self.directory,
             own_member=self.own_member,
             clock=ports.clock,
             chance=ports.chance,
+            mover=mover,
         )
 
     def _build_services(self) -> None:
--- a/notcharch/engines/dispatcher.py
+++ b/notcharch/engines/dispatcher.py
@@ -11,6 +11,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.engines.prefix_mover import PrefixMover
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.engines import CallPlacementFailed, GrantReturnFailed
 from notcharch.events.event import emit
@@ -72,14 +73,16 @@
         clock: IReactorTime,
         chance: random.Random,
         policy: ChoicePolicy | None = None,
+        mover: PrefixMover | None = None,
     ) -> None:
-        """Take what is used; nothing is started."""
+        """Take what is used; without a `mover` prefixes are never moved."""
         self._router = router
         self._directory = directory
         self._own_member = own_member
         self._clock = clock
         self._chance = chance
         self._policy = policy or ChoicePolicy()
+        self._mover = mover
         self._retry = RetryPolicy()
         self._budget = RetryBudget()
         self._prefill_rates: dict[PoolName, float] = {}
@@ -167,6 +170,15 @@
         ]
         return await gatherResults(questions, consumeErrors=True)
 
+    async def move_prefix(self, admitted: CallAdmitted, target: EngineName) -> None:
+        """Move the call's prefix to another engine, if that works."""
+        prefix = admitted.prefix
+        if self._mover is None or prefix is None:
+            return
+        await self._mover.move(
+            admitted.program, admitted.epoch, prefix.tokens, prefix.engine, target
+        )
+
     def learn_rate(self, pool: PoolName, prefill_tokens_per_second: float) -> None:
         """Remember how fast a pool's engines compute prompts."""
         self._prefill_rates[pool] = prefill_tokens_per_second
@@ -175,12 +187,14 @@
         self._budget.tried()
         prefix = call.admitted.prefix
         default = self._policy.default_prefill_tokens_per_second
+        move_rate = self._mover.tokens_per_second if self._mover else 0.0
+        policy = msgspec.structs.replace(self._policy, move_tokens_per_second=move_rate)
         return EngineChooser(
             prompt_tokens=call.admitted.prompt_tokens,
             cached_tokens=prefix.tokens if prefix else 0,
             holder=prefix.engine if prefix else None,
             prefill_tokens_per_second=self._prefill_rates.get(call.row.pool, default),
-            policy=self._policy,
+            policy=policy,
             chance=self._chance,
         )
 
@@ -205,6 +219,7 @@
                 case AskForGrant():
                     granted = await self._ask(step)
                     if granted is not None:
+                        await self._move(step, granted)
                         return Ok(granted)
                 case AskForQuotes():
                     await self._quote(step.engines)
@@ -212,6 +227,15 @@
                     if not await self._pause(step):
                         return Err(_final_problem(step))
 
+    async def _move(self, step: AskForGrant, granted: CallGranted) -> None:
+        if not step.move_prefix:
+            return
+        try:
+            await self._dispatcher.move_prefix(self._call.admitted, granted.engine)
+        except CancelledError:
+            self._dispatcher.give_back(granted, None, engine_failed=False)
+            raise
+
     async def _ask(self, step: AskForGrant) -> CallGranted | None:
         left = max(0.0, self._give_up_at - self._dispatcher.seconds())
         request = self._enqueue_request(step, left)
@@ -285,6 +309,7 @@
         admitted, row = self._call.admitted, self._call.row
         prefix = admitted.prefix
         held = prefix is not None and prefix.engine == step.engine
+        held = held or step.move_prefix
         return EnqueueCall(
             engine=step.engine,
             program=admitted.program,
--- a/notcharch/events/engines.py
+++ b/notcharch/events/engines.py
@@ -111,3 +111,24 @@
     number: ClassVar[int] = 512
     engine: str
     message: str
+
+
+class PrefixMoved(Event, frozen=True):
+    """A program's cached prefix was moved between engines; tokens and seconds."""
+
+    number: ClassVar[int] = 513
+    program: str
+    source: str
+    target: str
+    tokens: int
+    seconds: float
+
+
+class PrefixNotMoved(Event, frozen=True):
+    """A prefix could not be moved; the target engine computes it again."""
+
+    number: ClassVar[int] = 514
+    program: str
+    source: str
+    target: str
+    seconds: float
--- a/notcharch/scheduling/engine_choice.py
+++ b/notcharch/scheduling/engine_choice.py
@@ -81,12 +81,18 @@
 
 def choose_engine(
     options: Sequence[EngineOption],
+    *,
     prompt_tokens: int,
     holder: EngineName | None,
+    held_tokens: int,
     policy: ChoicePolicy,
 ) -> EngineChoice | None:
-    """Choose the cheapest option; on equal cost the earlier one. None if none."""
-    held = max((o.cached_tokens for o in options if o.engine == holder), default=0)
+    """Choose the cheapest option; on equal cost the earlier one. None if none.
+
+    `held_tokens` is what `holder` holds of the prompt, whether or not it is among
+    the options.
+    """
+    held = held_tokens if holder is not None else 0
     priced = [_price(option, prompt_tokens, holder, held, policy) for option in options]
     if not priced:
         return None
--- a/notcharch/scheduling/engine_chooser.py
+++ b/notcharch/scheduling/engine_chooser.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from notcharch.scheduling.engine_choice import (
+    ChoiceKind,
     ChoicePolicy,
     EngineOption,
     choose_engine,
@@ -37,6 +38,8 @@
 
     engine: EngineName
     defer_above_seconds: float
+    move_prefix: bool = False
+    """Whether the prefix is to be moved there from its holder first."""
 
 
 class AskForQuotes(msgspec.Struct, frozen=True):
@@ -142,17 +145,27 @@
             self._cached_tokens, self._prefill_rate, self._policy
         )
 
-    def _ask(self, engine: EngineName, limit: float) -> AskForGrant:
+    def _ask(
+        self, engine: EngineName, limit: float, kind: ChoiceKind = ChoiceKind.STAY
+    ) -> AskForGrant:
         self._asks += 1
         if self._asks >= GREATEST_ASKS:
             limit = NO_LIMIT_SECONDS
-        return AskForGrant(engine, min(limit, NO_LIMIT_SECONDS))
+        move = kind is ChoiceKind.MOVE
+        return AskForGrant(engine, min(limit, NO_LIMIT_SECONDS), move)
 
     def _ask_cheapest(self, usable: Sequence[EngineName]) -> ChoiceStep:
         known = [self._options[engine] for engine in usable if engine in self._options]
-        choice = choose_engine(known, self._prompt_tokens, self._holder, self._policy)
+        choice = choose_engine(
+            known,
+            prompt_tokens=self._prompt_tokens,
+            holder=self._holder,
+            held_tokens=self._cached_tokens,
+            policy=self._policy,
+        )
         if choice is None:
             return NoEngineLeft(self._retry_after)
         spare = choice.runner_up_seconds - choice.cost_seconds
         quoted = self._options[choice.engine].expected_wait_seconds
-        return self._ask(choice.engine, quoted + spare + DEFER_SLACK_SECONDS)
+        limit = quoted + spare + DEFER_SLACK_SECONDS
+        return self._ask(choice.engine, limit, choice.kind)
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -158,6 +158,13 @@
     queue_limit: Annotated[
         int, Meta(ge=1, description="longest queue of an engine, calls")
     ] = 1000
+    move_tokens_per_second: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="expected rate of moving a prefix between engines; 0 for never",
+        ),
+    ] = 100_000.0
 
 
 class ServicesSection(Section, frozen=True, kw_only=True):
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -10,6 +10,7 @@
 from notcharch.engines.claims import StewardClaimsState
 from notcharch.engines.claims_service import ClaimsService
 from notcharch.engines.dispatcher import Dispatcher
+from notcharch.engines.prefix_mover import PrefixMover
 from notcharch.engines.steward_service import StewardService
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.placement.interface import LiveMember
@@ -19,6 +20,7 @@
     CacheEventKind,
     CacheEvents,
     EngineLoad,
+    ExportedCache,
     Machine,
     MachineKind,
     MachineState,
@@ -119,6 +121,22 @@
 
         return self._answer("release", address, free)
 
+    def export_cache(self, address, program):
+        def copy(engine):
+            tokens = engine.held.get(program, 0)
+            if not tokens:
+                return Err(Problem.of(ProblemCode.NOT_FOUND, "nothing held"))
+            return Ok(ExportedCache(f"{program}/{tokens}", tokens))
+
+        return self._answer("export", address, copy)
+
+    def import_cache(self, address, program, source, handle):
+        def store(engine):
+            engine.held[program] = int(handle.split("/")[1])
+            return Ok(engine.held[program])
+
+        return self._answer("import", address, store)
+
     def order(self, address, order):
         def take(engine):
             if order.epoch < max((o.epoch for o in engine.orders), default=0):
@@ -269,6 +287,7 @@
             own_member=self.member,
             clock=self.clock,
             chance=random.Random(2),
+            mover=PrefixMover(self.view, region.port, self.clock, region.move_rate),
         )
         self.network.on_request(CheckProgramsLive, region.answer_live)
 
@@ -276,8 +295,15 @@
 class Region:
     """Daemons d1 …, engines e1 …; d1 leads everything and stewards e1 first."""
 
-    def __init__(self, daemons: int = 2, engines: int = 2, slots: int = 2) -> None:
+    def __init__(
+        self,
+        daemons: int = 2,
+        engines: int = 2,
+        slots: int = 2,
+        move_rate: float = 0.0,
+    ) -> None:
         self.clock = Clock()
+        self.move_rate = move_rate
         self.fabric = MemoryFabric(self.clock, random.Random(3), encode=True)
         self.port = SimpleEnginePort(self.clock)
         self.partitions = SimplePartitions(StewardClaimsState)
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -1,5 +1,7 @@
 """Placing calls: a dispatcher, two stewards, the memory transport."""
 
+import pytest
+
 from notcharch.errors import ProblemCode, Ran
 from notcharch.platform.ports import MachineState
 from tests.unit.engines.calls import admitted, place
@@ -104,3 +106,74 @@
     problem = result_of(refused).unwrap_err()
     assert problem.is_code(ProblemCode.NO_ENGINE)
     assert problem.retry_after is not None
+
+
+def region_with_a_full_holder(**options):
+    """Two engines; the one that holds 90,000 tokens of the program is busy."""
+    region = Region(engines=2, slots=1, **options)
+    node = region.nodes["d1"]
+    granted_engine(region, node, admitted("r1-0-0", 2, "e2", 90_000, 90_000))
+    region.engine("e2").store("r1-0-1", 90_000)
+    keeper = region.keeper("e2")
+    keeper.state.load.learn_hold(500.0)
+    return region
+
+
+MOVES = {
+    "a move costs less than waiting and refilling": (100_000.0, False, "e1", 90_000),
+    "without a mover the prefix is computed again": (0.0, False, "e1", None),
+    "a failed move still gives the grant": (100_000.0, True, "e1", None),
+}
+
+
+@pytest.mark.parametrize(
+    ("rate", "broken", "engine", "tokens"), MOVES.values(), ids=MOVES.keys()
+)
+def test_prefixes_move_when_that_is_the_cheapest(rate, broken, engine, tokens):
+    region = region_with_a_full_holder(move_rate=rate)
+    if broken:
+        region.engine("e2").held.clear()
+    call = admitted("r1-0-1", 2, "e2", 90_000, 90_000)
+    placing = place(region.nodes["d1"], call, give_up_seconds=1000.0)
+    region.run(1.0)
+    assert result_of(placing).unwrap().engine == engine
+    assert region.engine("e1").held.get("r1-0-1") == tokens
+    if tokens:
+        assert "r1-0-1" not in region.engine("e2").held
+
+
+def test_a_move_that_hangs_is_left_after_a_while():
+    region = region_with_a_full_holder(move_rate=100_000.0)
+    region.engine("e2").hangs = True
+    call = admitted("r1-0-1", 2, "e2", 90_000, 90_000)
+    placing = place(region.nodes["d1"], call, give_up_seconds=1000.0)
+    region.run(1.0)
+    assert not placing.called
+    region.run(3.0)
+    assert result_of(placing).unwrap().engine == "e1"
+    assert region.nodes["d1"].dispatcher._mover.tokens_per_second < 100_000.0
+
+
+def test_cancelling_during_a_move_gives_the_grant_back():
+    region = region_with_a_full_holder(move_rate=100_000.0)
+    region.engine("e2").hangs = True
+    call = admitted("r1-0-1", 2, "e2", 90_000, 90_000)
+    gone = place(region.nodes["d1"], call, give_up_seconds=1000.0)
+    gone.addErrback(lambda failure: "cancelled")
+    region.run(1.0)
+    assert region.keeper("e1").state.granted == 1
+    gone.cancel()
+    region.run(1.0)
+    assert region.keeper("e1").state.granted == 0
+
+
+def test_a_lost_grant_reply_is_withdrawn():
+    region = Region(daemons=2, engines=1, slots=1)
+    placing = place(region.nodes["d2"], give_up_seconds=1.0)
+    region.run(0.001)
+    region.fabric.cut(["d1"], ["d2"], one_way=True)
+    region.run(4.0)
+    region.fabric.heal()
+    region.run(8.0)
+    assert result_of(placing).unwrap_err().ran == Ran.NO
+    assert region.keeper("e1").state.granted == 0
