--- a/notcharch/cli/admin_client.py
+++ b/notcharch/cli/admin_client.py
@@ -1,6 +1,7 @@
 """Blocking requests of commands to the operators' interface of any daemon."""
 
 import argparse
+import contextlib
 import os
 import sys
 from collections.abc import Awaitable, Callable
@@ -20,13 +21,10 @@
 from twisted.internet.task import deferLater, react
 from twisted.web.client import ResponseFailed
 
-from notcharch.cli.exit_codes import BAD_USAGE, FAILED, UNREACHABLE
+from notcharch.cli.exit_codes import BAD_USAGE, FAILED, INTERRUPTED, UNREACHABLE
 from notcharch.cli.settings_options import print_findings
 from notcharch.errors import Problem, ProblemCode, Ran
 
-SERVER_VARIABLE = "NOTCHARCH_SERVER"
-KEY_VARIABLE = "NOTCHARCH_OPERATOR_KEY"
-DEFAULT_SERVER = "http://127.0.0.1:8080"
 API_PATH = "/admin/v1"
 REQUEST_SECONDS = 60.0
 
@@ -112,40 +110,35 @@
 Command = Callable[[AdminClient, argparse.Namespace], Awaitable[int]]
 
 
-def add_server_options(parser: argparse.ArgumentParser) -> None:
-    """Add `--server`, `--key` and `--json`."""
-    parser.add_argument(
-        "--server",
-        metavar="URL",
-        default=os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER),
-        help=f"any daemon; or {SERVER_VARIABLE} (default: {DEFAULT_SERVER})",
-    )
-    parser.add_argument(
-        "--key",
-        default=os.environ.get(KEY_VARIABLE, ""),
-        help=f"an operator's key; or {KEY_VARIABLE}",
-    )
-    parser.add_argument("--json", action="store_true", help="print the answer as JSON")
-
-
 def run_command(command: Command, arguments: argparse.Namespace) -> int:
     """Run a command under the reactor until it has its exit status."""
     statuses: list[int] = []
+    faults: list[Exception] = []
 
     def main(reactor: IReactorTime) -> "Deferred[None]":
         client = AdminClient(arguments.server, arguments.key, treq, reactor)
 
         async def run() -> None:
-            statuses.append(await command(client, arguments))
+            try:
+                statuses.append(await command(client, arguments))
+            except Exception as error:
+                faults.append(error)
 
         return Deferred.fromCoroutine(run())
 
-    try:
+    with contextlib.suppress(SystemExit):
         react(main)
-    except SystemExit:
-        if not statuses:
-            raise
-    return statuses[0]
+    if faults and isinstance(faults[0], BrokenPipeError):
+        return _close_output()
+    if faults:
+        raise faults[0]
+    return statuses[0] if statuses else INTERRUPTED
+
+
+def _close_output() -> int:
+    """Write nothing more to a reader that has gone, not even at the exit."""
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    return FAILED
 
 
 def print_problem(problem: Problem) -> int:
--- a/notcharch/cli/table_command.py
+++ b/notcharch/cli/table_command.py
@@ -3,19 +3,10 @@
 import argparse
 from pathlib import Path
 
-from notcharch.cli import table_actions
-from notcharch.cli.admin_client import Command, add_server_options, run_command
 from notcharch.cli.command import CommandSpec
+from notcharch.cli.server_options import add_server_options, run_action
 
-ACTIONS: dict[str, Command] = {
-    "show": table_actions.show,
-    "check": table_actions.check,
-    "edit": table_actions.edit,
-    "diff": table_actions.diff,
-    "publish": table_actions.publish,
-    "history": table_actions.history,
-    "rollback": table_actions.rollback,
-}
+ACTIONS_MODULE = "notcharch.cli.table_actions"
 EXAMPLES = """examples:
   notcharch table show --format toml > table.toml
   notcharch table check table.toml
@@ -62,8 +53,8 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Run the action."""
-    return run_command(ACTIONS[arguments.action], arguments)
+    """Run the action, a function of the module with the same name."""
+    return run_action(ACTIONS_MODULE, arguments.action, arguments)
 
 
 def _action(
--- a/tests/unit/admin/test_commands.py
+++ b/tests/unit/admin/test_commands.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
 
-from notcharch.cli import operations_command, table_command
+from notcharch.cli import admin_client, operations_command, table_command
 from notcharch.cli.admin_client import AdminClient
 from notcharch.cli.command import CommandSpec
 from notcharch.wire.messages.engines import Acknowledged, DrainEngine
@@ -35,8 +35,7 @@
         self.admin = AdminRegion()
         self.faults = []
         self.key = "administrator"
-        for module in (table_command, operations_command):
-            monkeypatch.setattr(module, "run_command", self._run_command)
+        monkeypatch.setattr(admin_client, "run_command", self._run_command)
 
     def run(self, line):
         name, *rest = line.split()
@@ -135,6 +134,7 @@
         ("table show --version 99", 1, "version 99 is not kept"),
         ("table rollback 99", 1, "version 99 is not kept"),
         ("pause other", 1, "there is no service other"),
+        ("pause x?y&z=1", 1, "there is no service x?y&z=1"),
         ("drain engine e9", 1, "unknown"),
     ],
 )
