--- /dev/null
+++ b/experiments/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling policies that the experiments compare, by name."""
--- /dev/null
+++ b/experiments/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Programs, engines and a scheduling policy on virtual time, with measurements."""
