--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -192,6 +192,7 @@
         self.request = request
         self.finished = Deferred()
         self.paused = False
+        self.has_begun = False
         self._on_bytes = on_bytes
         self._number = 0
         self._texts = []
@@ -206,6 +207,7 @@
         raise AssertionError("a run is never cancelled for its caller")
 
     def token(self, text):
+        self.has_begun = True
         self._texts.append(text)
         self._event({"content": text}, None)
 
--- a/tests/unit/gateway/test_call_faults.py
+++ b/tests/unit/gateway/test_call_faults.py
@@ -1,8 +1,10 @@
 """What callers get when something fails, and what is left behind: nothing."""
 
+import msgspec
 import pytest
 
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.gateway.call_outcome import worse_of
 from notcharch.wire.messages.programs import (
     AdmitCall,
     AwaitAnswer,
@@ -324,3 +326,30 @@
     engines = [m.engine for m in harness.router.sent if isinstance(m, DispatchCall)]
     assert engines == ["engine-1", "engine-1", "engine-2"]
     assert len(harness.engines.streams) == 2
+
+
+def test_a_repeat_joins_while_the_first_request_is_still_being_dispatched(harness):
+    program = harness.program()
+    held = HeldReply()
+    harness.router.faults[DispatchCall] = [held]
+    first, second = harness.call(program), harness.call(program)
+    assert harness.router.count(AdmitCall) == 1
+    held.release()
+    harness.stream.answer("one")
+    assert first.response().json == second.response().json
+
+
+WORSE = [
+    (None, Ran.NO, Ran.NO),
+    (Ran.NO, Ran.YES, Ran.YES),
+    (Ran.UNKNOWN, Ran.NO, Ran.UNKNOWN),
+    (Ran.YES, Ran.UNKNOWN, Ran.YES),
+    (Ran.YES, Ran.NO, Ran.YES),
+]
+
+
+@pytest.mark.parametrize(("earlier", "ran", "said"), WORSE)
+def test_ran_covers_every_attempt(earlier, ran, said):
+    before = None if earlier is None else engine_failed(earlier)
+    problem = worse_of(before, msgspec.structs.replace(overloaded(), ran=ran))
+    assert problem == msgspec.structs.replace(overloaded(), ran=said)
