--- a/notcharch/cli/main.py
+++ b/notcharch/cli/main.py
@@ -16,6 +16,7 @@
 from notcharch.cli.builtin import BUILT_IN_COMMANDS
 from notcharch.cli.command import CommandSpec
 from notcharch.cli.exit_codes import BAD_USAGE, INTERNAL_ERROR, INTERRUPTED
+from notcharch.cli.reactor import install_reactor
 from notcharch.events.cli import CommandFailed, CommandNotLoaded
 from notcharch.events.event import emit
 
@@ -33,6 +34,8 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command that `argv` names; gives the exit status."""
+    # Before any command is loaded: libraries install a reactor when imported.
+    install_reactor()
     parser = build_parser(tuple(load_commands()))
     arguments = parser.parse_args(argv)
     if arguments.log is not None and not _log_to(arguments.log):
--- a/notcharch/gateway/stream_relay.py
+++ b/notcharch/gateway/stream_relay.py
@@ -10,7 +10,7 @@
 
 import re
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
 from twisted.web.server import Request
@@ -18,6 +18,7 @@
 
 from notcharch.errors import Problem
 from notcharch.gateway.openai import error_event
+from notcharch.platform.eager_writer import eager_write
 from notcharch.platform.ports import EngineStream
 
 EVENT_END = b"\n\n"
@@ -193,8 +194,7 @@
         self._request.write(b"")
         if self._request.chunked:
             # Framed by hand: two calls less for each token.
-            transport: Any = self._request.channel.transport
-            self._send = transport.write
+            self._send = eager_write(self._request.channel.transport)
 
     def _close(self) -> None:
         self._is_closed = True
--- a/notcharch/platform/answer_collector.py
+++ b/notcharch/platform/answer_collector.py
@@ -5,6 +5,8 @@
 token as it comes and bounds what is held undecoded.
 """
 
+import re
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -18,17 +20,16 @@
 BATCH_BYTES = 16 * 1024
 """Undecoded events held for one stream, bytes."""
 
-_DATA_OBJECT = b"data: {"
-_DATA_PREFIX_LENGTH = len(b"data: ")
+_DATA = re.compile(rb"^data: (\{.*)$", re.MULTILINE)
 
 
-class PromptDetails(msgspec.Struct, frozen=True):
+class PromptDetails(msgspec.Struct, frozen=True, gc=False):
     """The part of the prompt that came from the cache."""
 
     cached_tokens: int = 0
 
 
-class ChunkUsage(msgspec.Struct, frozen=True):
+class ChunkUsage(msgspec.Struct, frozen=True, gc=False):
     """The usage of the last chunk, as OpenAI shapes it."""
 
     prompt_tokens: int
@@ -36,21 +37,21 @@
     prompt_tokens_details: PromptDetails | None = None
 
 
-class ChunkDelta(msgspec.Struct, frozen=True):
+class ChunkDelta(msgspec.Struct, frozen=True, gc=False):
     """What one chunk adds to the answer."""
 
     content: str | None = None
     tool_calls: tuple[ToolCallDelta, ...] = ()
 
 
-class ChunkChoice(msgspec.Struct, frozen=True):
+class ChunkChoice(msgspec.Struct, frozen=True, gc=False):
     """The only choice of a chunk."""
 
     delta: ChunkDelta = ChunkDelta()
     finish_reason: FinishReason | None = None
 
 
-class Chunk(msgspec.Struct, frozen=True):
+class Chunk(msgspec.Struct, frozen=True, gc=False):
     """One chunk of the stream; only what is read of it."""
 
     choices: tuple[ChunkChoice, ...] = ()
@@ -120,13 +121,8 @@
         if number is not None:
             self._decoded_number = number
         self.is_done = self.is_done or events.endswith(LAST_EVENT)
-        payload = b"\n".join(
-            line[_DATA_PREFIX_LENGTH:]
-            for line in events.split(b"\n")
-            if line.startswith(_DATA_OBJECT)
-        )
         try:
-            chunks = _CHUNK_DECODER.decode_lines(payload)
+            chunks = _CHUNK_DECODER.decode_lines(b"\n".join(_DATA.findall(events)))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self._error = self._error or f"unreadable chunk: {error}"
             return
--- a/notcharch/platform/http_stream.py
+++ b/notcharch/platform/http_stream.py
@@ -16,6 +16,7 @@
 from twisted.web.iweb import IAgent, IBodyProducer, IResponse
 from zope.interface import implementer
 
+from notcharch.platform.chunk_shortcut import ChunkShortcut
 from notcharch.platform.failures import NOT_SENT
 
 STATUS_OK = 200
@@ -158,14 +159,18 @@
         self._owner = owner
         self._status = status
         self._error_body: list[bytes] = []
-        if status == STATUS_OK:
-            # Twisted calls dataReceived of the instance: one call less per token.
-            self.dataReceived = owner.data_received  # type: ignore[method-assign]
+        self._shortcut = ChunkShortcut(owner.data_received)
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if self._status == STATUS_OK:
+            self.dataReceived = self._owner.data_received  # type: ignore[method-assign]
+            self._shortcut.take(self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._error_body.append(data)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self._shortcut.leave()
         self._owner.body_ended(self._status, b"".join(self._error_body), reason)
 
     def pause(self) -> None:
--- a/notcharch/platform/server_sent_events.py
+++ b/notcharch/platform/server_sent_events.py
@@ -8,6 +8,7 @@
 
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]\n\n"
+_LATER_ID = b"\nid: "
 _ID_LINE = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
 
 
@@ -42,8 +43,10 @@
 
 def last_event_number(events: bytes) -> int | None:
     """Give the number of the last event that has one."""
-    numbers = _ID_LINE.findall(events)
-    return int(numbers[-1]) if numbers else None
+    start = events.rfind(_LATER_ID)
+    if start < 0:
+        return first_event_number(events)
+    return first_event_number(events[start + 1 :])
 
 
 def events_from(events: bytes, number: int) -> bytes:
--- /dev/null
+++ b/tests/unit/platform/test_server_sent_events.py
@@ -0,0 +1,55 @@
+"""Events are cut whole wherever the bytes are cut."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from notcharch.platform.server_sent_events import (
+    EventSplitter,
+    events_from,
+    first_event_number,
+    last_event_number,
+)
+from tests.contract.stream_text import events
+
+WHOLE = events(4)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.integers(0, len(WHOLE)), max_size=8))
+def test_any_cut_gives_whole_events_as_soon_as_they_are_there(places):
+    splitter = EventSplitter()
+    given_out = b""
+    cuts = [0, *sorted(places), len(WHOLE)]
+    for start, end in itertools.pairwise(cuts):
+        piece = splitter.feed(WHOLE[start:end])
+        assert piece == b"" or piece.endswith(b"\n\n")
+        given_out += piece
+        whole_events = WHOLE[:end].rfind(b"\n\n")
+        assert len(given_out) == (whole_events + 2 if whole_events >= 0 else 0)
+    assert given_out == WHOLE
+
+
+NUMBERS = (
+    pytest.param(b"", None, None, id="nothing"),
+    pytest.param(b"data: [DONE]\n\n", None, None, id="no number"),
+    pytest.param(b"id: 7\ndata: {}\n\n", 7, 7, id="one"),
+    pytest.param(b"data: {}\nid: 7\n\n", 7, 7, id="number after the data"),
+    pytest.param(b"id: 7\ndata: 1\n\nid: 8\ndata: 1\n\n", 7, 8, id="two"),
+    pytest.param(
+        b'id: 7\ndata: "\\nid: 9"\n\n: comment\n\n', 7, 7, id="text like a number"
+    ),
+)
+
+
+@pytest.mark.parametrize(("text", "first", "last"), NUMBERS)
+def test_numbers_of_events(text, first, last):
+    assert first_event_number(text) == first
+    assert last_event_number(text) == last
+
+
+@pytest.mark.parametrize("number", range(6))
+def test_events_before_a_number_are_dropped(number):
+    assert events_from(events(4), number) == events(4, number)
