Do not place a repeated call on the engine that has just lost it

The second attempt could land on the same engine until its circuit breaker opened. The dispatcher now takes the engines to avoid, and uses them only when there is no other.

--- a/notcharch/engines/dispatcher.py
+++ b/notcharch/engines/dispatcher.py
@@ -53,13 +53,17 @@
 
 
 class PlacedCall(msgspec.Struct, frozen=True):
-    """One call to place. `give_up_seconds` bounds the wait for a grant."""
+    """One call to place. `give_up_seconds` bounds the wait for a grant.
+
+    Engines in `avoid` have just failed this call.
+    """
 
     admitted: CallAdmitted
     row: ServiceRow
     max_tokens: int
     gateway: Member
     give_up_seconds: float
+    avoid: frozenset[EngineName] = frozenset()
 
 
 class Dispatcher:
@@ -96,16 +100,19 @@
         row: ServiceRow,
         max_tokens: int,
         give_up_seconds: float | None = None,
+        avoid: frozenset[EngineName] = frozenset(),
     ) -> Result[CallGranted, Problem]:
         """Give a grant on some engine, or a problem with when to come back.
 
         The wait is bounded by `give_up_seconds` (default: the row's
-        `max_wait_seconds`). Cancelling the Deferred around this coroutine
+        `max_wait_seconds`). Engines in `avoid` are used only if there is no other. Cancelling the Deferred around this coroutine
         withdraws the call. Problems: OVERLOADED, NO_ENGINE.
         """
         if give_up_seconds is None:
             give_up_seconds = row.max_wait_seconds
-        call = PlacedCall(admitted, row, max_tokens, self._own_member, give_up_seconds)
+        call = PlacedCall(
+            admitted, row, max_tokens, self._own_member, give_up_seconds, avoid
+        )
         placement = _Placement(self, call, self._new_chooser(call))
         outcome = await placement.run()
         if outcome.is_err():
@@ -221,7 +228,8 @@
 
     async def run(self) -> Result[CallGranted, Problem]:
         while True:
-            engines = self._dispatcher.engines_of(self._call.row.pool)
+            pool = self._dispatcher.engines_of(self._call.row.pool)
+            engines = pool.without(self._call.avoid)
             step = self._chooser.next_step(engines)
             match step:
                 case AskForGrant():
--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -15,7 +15,7 @@
 from notcharch.scheduling.retry import RetryBudget
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.chat import TokenUsage
-from notcharch.values.identifiers import Member, ServiceName
+from notcharch.values.identifiers import EngineName, Member, ServiceName
 from notcharch.wire.messages.engines import CallGranted
 from notcharch.wire.messages.programs import CallAdmitted
 
@@ -48,6 +48,7 @@
         row: ServiceRow,
         max_tokens: int,
         give_up_seconds: float | None = None,
+        avoid: frozenset[EngineName] = frozenset(),
     ) -> Awaitable[Result[CallGranted, Problem]]:
         """Give a grant on some engine, or OVERLOADED or NO_ENGINE at once."""
 
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -84,7 +84,7 @@
         early = self._dispatch_early(admitted)
         left = max(0.0, self._give_up_at - self._tools.clock.seconds())
         granted = await self._tools.placer.place(
-            admitted, row, self._order.max_tokens, left
+            admitted, row, self._order.max_tokens, left, avoid
         )
         if isinstance(granted, Err):
             return Err(granted.err_value)
--- a/notcharch/scheduling/engine_pool.py
+++ b/notcharch/scheduling/engine_pool.py
@@ -23,6 +23,11 @@
     def __len__(self) -> int:
         return len(self._names)
 
+    def without(self, avoided: frozenset[EngineName]) -> "EnginePool":
+        """Give the other engines; all of them when there are no others."""
+        others = tuple(name for name in self._names if name not in avoided)
+        return EnginePool(others) if avoided and others else self
+
     def sample(
         self,
         count: int,
--- a/tests/unit/engines/calls.py
+++ b/tests/unit/engines/calls.py
@@ -32,10 +32,10 @@
     )
 
 
-def place(node, call=None, give_up_seconds=60.0, **cells):
+def place(node, call=None, give_up_seconds=60.0, avoid=frozenset(), **cells):
     """Begin placing a call; gives the Deferred of its Result."""
     coroutine = node.dispatcher.place(
-        call or admitted(), row(**cells), 50, give_up_seconds
+        call or admitted(), row(**cells), 50, give_up_seconds, avoid
     )
     return Deferred.fromCoroutine(coroutine)
 
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -177,3 +177,15 @@
     region.run(8.0)
     assert result_of(placing).unwrap_err().ran == Ran.NO
     assert region.keeper("e1").state.granted == 0
+
+
+def test_an_engine_that_failed_the_call_is_avoided_while_there_is_another():
+    region = Region()
+    node = region.nodes["d1"]
+    for number in range(4):
+        call = admitted(f"r1-0-{number}", 2, "e2", 5000)
+        avoid = frozenset({"e2"})
+        assert granted_engine(region, node, call, avoid=avoid) == "e1"
+        region.run(60)
+    call = admitted("r1-0-9", 2, "e2", 5000)
+    assert granted_engine(region, node, call, avoid=frozenset({"e1", "e2"})) == "e2"
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -168,9 +168,13 @@
         self.open_grants = {}
         self.returned = []
         self.placed = []
+        self.avoided = []
 
-    async def place(self, admitted, row, max_tokens, give_up_seconds=None):
+    async def place(
+        self, admitted, row, max_tokens, give_up_seconds=None, avoid=frozenset()
+    ):
         self.placed.append(admitted)
+        self.avoided.append(avoid)
         if self.problem is not None:
             return Err(self.problem)
         name = f"engine-{len(self.placed)}"
--- a/tests/unit/gateway/test_call_faults.py
+++ b/tests/unit/gateway/test_call_faults.py
@@ -150,6 +150,7 @@
     names = [stream.request.request_id for stream in harness.engines.streams]
     assert names == [f"{program}/1/1", f"{program}/1/2"]
     assert [failed for _, _, failed in harness.placer.returned] == [True, False]
+    assert harness.placer.avoided == [frozenset(), {"engine-1"}]
     check_nothing_is_held(harness)
 
 
