Pass sampling parameters and tools on to the engine

An ordinary OpenAI client that sent a temperature or its tools was refused, and dropping them would have given another answer than was asked for. They are checked for their type, belong to the digest of the call, and are passed on as they are. What an engine writes into the prompt (tools, response format) is bounded by its bytes in the reservation, so a budget still holds.

Weighed: counting it into max_tokens of the admission. The leader's prompt bound would have been too low for the choice of an engine, so the admission carries the bound of its own.

--- a/notcharch/gateway/call_order.py
+++ b/notcharch/gateway/call_order.py
@@ -24,5 +24,6 @@
     sequence: CallSequence
     messages: tuple[ChatMessage, ...]
     max_tokens: int
+    parameters: bytes
     repeatable: bool
     digest: str
--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -179,6 +179,7 @@
             sequence=call.sequence,
             messages=body.messages,
             max_tokens=min(asked, bound),
+            parameters=body.parameters,
             repeatable=body.repeatable,
             digest=body.digest,
         )
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -171,6 +171,7 @@
             priority=row.priority,
             messages=admitted.history + self._order.messages,
             max_tokens=self._order.max_tokens,
+            parameters=self._order.parameters,
         )
 
     def _row(self) -> ServiceRow | None:
--- a/notcharch/gateway/validation.py
+++ b/notcharch/gateway/validation.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from notcharch.errors import Finding, Problem, ProblemCode
+from notcharch.gateway.call_parameters import PARAMETERS, read_parameters
 from notcharch.gateway.message_reading import read_messages
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import CallSequence, ProgramId, ServiceName
@@ -54,6 +55,7 @@
 
     messages: tuple[ChatMessage, ...]
     max_tokens: int | None
+    parameters: bytes
     stream: bool
     sequence: CallSequence | None
     repeatable: bool
@@ -62,14 +64,19 @@
     @property
     def digest(self) -> str:
         """Give the hex SHA-256 of everything that influences the answer."""
-        return body_digest(self.messages, self.max_tokens, self.repeatable)
+        return body_digest(
+            self.messages, self.max_tokens, self.repeatable, self.parameters
+        )
 
 
 def body_digest(
-    messages: tuple[ChatMessage, ...], max_tokens: int | None, repeatable: bool
+    messages: tuple[ChatMessage, ...],
+    max_tokens: int | None,
+    repeatable: bool,
+    parameters: bytes,
 ) -> str:
     """Give the digest by which the leader recognises a repeated call."""
-    encoded = msgspec.json.encode((messages, max_tokens, repeatable))
+    encoded = msgspec.json.encode((messages, max_tokens, repeatable, parameters))
     return hashlib.sha256(encoded).hexdigest()
 
 
@@ -100,7 +107,7 @@
     if fields is None:
         return Err(bad_request(findings))
     reader = FieldReader(fields, findings)
-    reader.refuse_unknown(CALL_FIELDS | IGNORED_FIELDS)
+    reader.refuse_unknown(CALL_FIELDS | IGNORED_FIELDS | PARAMETERS.keys())
     messages = read_messages(fields.get("messages"), most_messages, findings)
     sequence = reader.integer("sequence", 1, MOST_SEQUENCE)
     max_tokens = _read_max_tokens(reader, findings)
@@ -108,6 +115,7 @@
     call = CallBody(
         messages=messages,
         max_tokens=max_tokens,
+        parameters=read_parameters(fields, findings),
         stream=reader.boolean("stream", default=False),
         sequence=None if sequence is None else CallSequence(sequence),
         repeatable=reader.boolean("repeatable", default=True),
--- a/notcharch/platform/engine_client.py
+++ b/notcharch/platform/engine_client.py
@@ -132,7 +132,7 @@
         backoff = Backoff(RESUME_POLICY, self._random)
         stream = ResumingEngineStream(self._tools, backoff, address, request, on_bytes)
         url = f"http://{address}/v1/chat/completions".encode("ascii")
-        stream.start(url, msgspec.json.encode(body))
+        stream.start(url, _with_parameters(body, request.parameters))
         return stream
 
     def load(self, address: str) -> "Deferred[Result[EngineLoad, Problem]]":
@@ -217,3 +217,10 @@
         if isinstance(reply, Err):
             return reply
         return Ok(None)
+
+
+def _with_parameters(body: CompletionBody, parameters: bytes) -> bytes:
+    """Give a body's JSON with the fields of another JSON object after its own."""
+    encoded = msgspec.json.encode(body)
+    further = parameters[1:-1]
+    return encoded[:-1] + b"," + further + b"}" if further else encoded
--- a/notcharch/platform/ports.py
+++ b/notcharch/platform/ports.py
@@ -111,7 +111,11 @@
 
 
 class EngineRequest(msgspec.Struct, frozen=True):
-    """One run of a call on an engine; see docs/platform-protocols.md."""
+    """One run of a call on an engine; see docs/platform-protocols.md.
+
+    `parameters` is a JSON object of OpenAI's further parameters (temperature,
+    tools, …), which are passed on as they are.
+    """
 
     request_id: RequestId
     pool: PoolName
@@ -120,6 +124,7 @@
     priority: int
     messages: tuple[ChatMessage, ...]
     max_tokens: int
+    parameters: bytes = b"{}"
 
 
 class StreamEnd(msgspec.Struct, frozen=True):
--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -49,6 +49,7 @@
     if known is not None:
         return known
     prompt_tokens = prompt_bound(record.context_tokens, command.messages)
+    prompt_tokens += command.parameter_tokens
     reservation = prompt_tokens + command.max_tokens
     problem = _refusal(store, record, command, reservation)
     if problem is not None:
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -121,6 +121,7 @@
             repeatable=message.repeatable,
             gateway=message.gateway,
             limits=limits,
+            parameter_tokens=message.parameter_tokens,
         )
 
     async def _on_await(self, sender: Member, message: Message) -> Message:
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -76,6 +76,7 @@
     repeatable: bool
     gateway: Member
     limits: AdmissionLimits
+    parameter_tokens: int = 0
 
 
 class RecordDispatch(Command, frozen=True):
--- a/notcharch/wire/messages/programs.py
+++ b/notcharch/wire/messages/programs.py
@@ -44,8 +44,9 @@
     """Ask to run one call of a program.
 
     `body_digest` recognises a repeat of the same call; `messages` are only the
-    new ones; `max_tokens` bounds the answer. Reply: `CallAdmitted`,
-    `CallInProgress`, `CallAnswered` or `Refusal`.
+    new ones; `max_tokens` bounds the answer. `parameter_tokens` bounds what the
+    call's parameters (its tools, for example) add to the prompt. Reply:
+    `CallAdmitted`, `CallInProgress`, `CallAnswered` or `Refusal`.
     """
 
     program: ProgramId
@@ -56,6 +57,7 @@
     max_tokens: int
     repeatable: bool
     gateway: Member
+    parameter_tokens: int = 0
 
 
 class CallAdmitted(Message, frozen=True):
--- a/tests/contract/test_engine_stream.py
+++ b/tests/contract/test_engine_stream.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import attrs
+import msgspec
 import pytest
 from result import Ok
 from twisted.internet import reactor
@@ -42,9 +43,9 @@
         )
         self.seen: list[bytes] = []
 
-    def open(self, address: str | None = None):
+    def open(self, address: str | None = None, request: EngineRequest = REQUEST):
         address = address or self.server.address
-        return self.client.open_stream(address, REQUEST, self.seen.append)
+        return self.client.open_stream(address, request, self.seen.append)
 
     @property
     def bytes_seen(self) -> bytes:
@@ -90,6 +91,21 @@
     spin(scenario())
 
 
+def test_parameters_are_passed_on_beside_the_fences():
+    async def scenario():
+        scene = Scene(Reply(200, WHOLE))
+        parameters = b'{"temperature":0.5,"tools":[{"type":"function"}]}'
+        request = msgspec.structs.replace(REQUEST, parameters=parameters)
+        assert await scene.open(request=request).finished == Ok(GOOD_END)
+        body = json.loads(scene.server.received[0].body)
+        assert body["temperature"] == 0.5
+        assert body["tools"] == [{"type": "function"}]
+        assert (body["request_id"], body["epoch"]) == ("r/1", 3)
+        await scene.close()
+
+    spin(scenario())
+
+
 @attrs.frozen
 class Break:
     """Faults after which the answer is whole all the same."""
--- a/tests/unit/gateway/test_bad_requests.py
+++ b/tests/unit/gateway/test_bad_requests.py
@@ -67,6 +67,16 @@
     ({"sequence": 1, "messages": [HELLO], "n": 2}, ["n"]),
     ({"sequence": 1, "messages": [HELLO], "model": ""}, ["model"]),
     ({"sequence": 1, "messages": [HELLO], "logprobs": True}, ["logprobs"]),
+    (
+        {
+            "sequence": 1,
+            "messages": [HELLO],
+            "temperature": "hot",
+            "stop": [1],
+            "tools": {},
+        },
+        ["temperature", "stop", "tools"],
+    ),
     (
         {"sequence": -1, "messages": [{"role": "robot"}, HELLO], "stream": 1},
         ["messages[0].role", "messages[0].content", "sequence", "stream"],
--- a/tests/unit/gateway/test_call_path.py
+++ b/tests/unit/gateway/test_call_path.py
@@ -1,5 +1,7 @@
 """The whole path of programs and calls over HTTP, against a real leader."""
 
+import json
+
 import pytest
 
 from notcharch.wire.messages.programs import AdmitCall, DispatchCall, FinishCall
@@ -139,3 +141,16 @@
         response = harness.ask(method, path, key="key-2")
         assert (response.status, response.json["code"]) == (404, "not_found")
     assert harness.router.count(AdmitCall) == 0
+
+
+def test_parameters_reach_the_engine_and_cost_budget(harness):
+    program = harness.program()
+    tools = [{"type": "function", "function": {"name": "look_up"}}]
+    harness.call(program, temperature=0.5, tools=tools, stop=None)
+    parameters = json.loads(harness.stream.request.parameters)
+    assert parameters == {"temperature": 0.5, "tools": tools}
+    reserved = harness.ask("GET", f"/v1/programs/{program}").json["reserved_tokens"]
+    bound = len(json.dumps(tools, separators=(",", ":"))) + 8
+    assert reserved == len("hello") + 8 + bound + 1024
+    other = harness.call(program, temperature=0.6, tools=tools).response()
+    assert other.json["code"] == "sequence_conflict"
