Make leases cheap: sums instead of scans, longer leases, a notice on a new cell

Cause: a renewal looked at every holder, 281 µs with 75 holders and 1,829 µs with 600, and was sent every 5 s: 56 bytes/s for each held service, of 2 KB/s for all control.

Weighed: renewing without a commit (a deposed leader could then extend a lease that its successor ends); one message for all services of a limiter (saves the framing only). Chosen: sums of counted and wanted slots and a heap of expiries, with the fair division only when the service is contended; leases of 30 s, renewed after 18 s. A crash costs no more by that, since slots of a lapsed lease wait for the longest call anyway. So that a changed cell need not wait for a renewal, the limiter tells the holders.

--- a/notcharch/services/allotments.py
+++ b/notcharch/services/allotments.py
@@ -12,7 +12,7 @@
 
 from notcharch.errors import Problem, ProblemCode
 from notcharch.replication.interface import Command, CommandRefused, CommandResult
-from notcharch.services.shares import Demand, fair_targets
+from notcharch.services.service_leases import Lease, ServiceLeases
 from notcharch.values.identifiers import Epoch, Member, ServiceName
 
 
@@ -53,33 +53,6 @@
 ALLOTMENT_COMMANDS: tuple[type[Command], ...] = (RequestSlots, DropHolder)
 
 
-class Lease(msgspec.Struct, frozen=True):
-    """One holder's lease. `counted` slots must not be given to others.
-
-    `slots` is what the holder was told last. Times are the leader's clock.
-    """
-
-    holder: Member
-    number: int
-    wanted: int
-    slots: int
-    counted: int
-    favoured: int
-    lease_seconds: float
-    keep_seconds: float
-    renewed_at: float
-
-    @property
-    def lapses_at(self) -> float:
-        """When the holder, by this clock, starts no new calls any more."""
-        return self.renewed_at + self.lease_seconds
-
-    @property
-    def free_at(self) -> float:
-        """When the slots are free if nothing more is heard."""
-        return self.renewed_at + self.keep_seconds
-
-
 class AllotmentsState:
     """The leases of one partition's services. Pure and deterministic."""
 
@@ -87,28 +60,25 @@
 
     def __init__(self) -> None:
         """Start without leases."""
-        self._leases: dict[ServiceName, dict[Member, Lease]] = {}
+        self._services: dict[ServiceName, ServiceLeases] = {}
         self._epoch = Epoch(0)
         self._now = 0.0
 
     def services(self) -> tuple[ServiceName, ...]:
         """Give the services with leases."""
-        return tuple(sorted(self._leases))
+        return tuple(sorted(self._services))
 
     def leases(self, service: ServiceName) -> tuple[Lease, ...]:
         """Give a service's leases, sorted by holder."""
-        leases = self._leases.get(service, {})
-        return tuple(leases[holder] for holder in sorted(leases))
+        leases = self._services.get(service)
+        return leases.all() if leases is not None else ()
 
-    def lease_count(self) -> int:
-        """Count the leases of all services."""
-        return sum(len(leases) for leases in self._leases.values())
-
-    def holders_above_share(self, service: ServiceName, slots: int) -> list[Member]:
-        """Give the holders that count more slots than their fair target."""
-        leases = self._leases.get(service, {})
-        targets = fair_targets(slots, _demands(leases, self._now))
-        return [h for h in sorted(leases) if leases[h].counted > targets[h]]
+    def holders_above_share(
+        self, service: ServiceName, slots: int
+    ) -> tuple[Member, ...]:
+        """Give the holders that count more slots than their fair part."""
+        leases = self._services.get(service)
+        return tuple(leases.above_share(slots, self._now)) if leases else ()
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
         """Apply one committed command."""
@@ -126,17 +96,19 @@
     def snapshot(self) -> bytes:
         """Encode the whole state."""
         services = tuple(
-            _ServiceLeases(service, self.leases(service)) for service in self.services()
+            _LeasesOfService(service, self.leases(service))
+            for service in self.services()
         )
         return msgspec.json.encode(_Snapshot(services, self._epoch, self._now))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state."""
         decoded = msgspec.json.decode(snapshot, type=_Snapshot)
-        self._leases = {
-            entry.service: {lease.holder: lease for lease in entry.leases}
-            for entry in decoded.services
-        }
+        self._services = {}
+        for entry in decoded.services:
+            leases = self._services[entry.service] = ServiceLeases()
+            for lease in entry.leases:
+                leases.put(lease)
         self._epoch = decoded.epoch
         self._now = decoded.now
 
@@ -147,18 +119,17 @@
             return
         self._epoch = epoch
         self._now = at
-        for leases in self._leases.values():
-            for holder, lease in leases.items():
-                leases[holder] = msgspec.structs.replace(lease, renewed_at=at)
+        for leases in self._services.values():
+            leases.restart(at)
 
     def _request(self, command: RequestSlots) -> CommandResult:
-        self._free_lapsed(command.service)
-        leases = self._leases.setdefault(command.service, {})
+        leases = self._services.setdefault(command.service, ServiceLeases())
+        leases.free_lapsed(self._now)
         known = leases.get(command.holder)
         if known is not None and command.number <= known.number:
             return self._repeated(command, known)
         lease = self._new_lease(command, known, leases)
-        leases[command.holder] = lease
+        leases.put(lease)
         if lease.wanted == 0 and lease.counted == 0:
             self._drop(command.service, command.holder)
         contended = lease.slots < min(lease.wanted, command.concurrency)
@@ -173,22 +144,17 @@
         return CommandRefused(problem)
 
     def _new_lease(
-        self,
-        command: RequestSlots,
-        known: Lease | None,
-        leases: dict[Member, Lease],
+        self, command: RequestSlots, known: Lease | None, leases: ServiceLeases
     ) -> Lease:
-        others = {h: lease for h, lease in leases.items() if h != command.holder}
-        favoured = self._favoured(known, others)
-        demands = _demands(others, self._now)
-        demands[command.holder] = Demand(command.wanted, favoured)
-        target = fair_targets(command.concurrency, demands)[command.holder]
-        free = command.concurrency - sum(lease.counted for lease in others.values())
+        holder, wanted, limit = command.holder, command.wanted, command.concurrency
+        favoured = leases.fewest_favours() if known is None else known.favoured
+        target = leases.target(holder, wanted, favoured, limit, self._now)
+        free = limit - leases.counted_of_others(holder)
         slots = max(0, min(target, free))
         return Lease(
-            holder=command.holder,
+            holder=holder,
             number=command.number,
-            wanted=command.wanted,
+            wanted=wanted,
             slots=slots,
             counted=max(slots, command.held),
             favoured=favoured + (1 if slots > 0 else 0),
@@ -197,33 +163,16 @@
             renewed_at=self._now,
         )
 
-    def _favoured(self, known: Lease | None, others: dict[Member, Lease]) -> int:
-        """Give a holder's turns so far; a newcomer starts with the fewest of all."""
-        if known is not None:
-            return known.favoured
-        return min((lease.favoured for lease in others.values()), default=0)
-
-    def _free_lapsed(self, service: ServiceName) -> None:
-        for lease in self.leases(service):
-            if lease.free_at <= self._now:
-                self._drop(service, lease.holder)
-
     def _drop(self, service: ServiceName, holder: Member) -> None:
-        leases = self._leases.get(service, {})
-        leases.pop(holder, None)
+        leases = self._services.get(service)
+        if leases is None:
+            return
+        leases.drop(holder)
         if not leases:
-            self._leases.pop(service, None)
-
-
-def _demands(leases: dict[Member, Lease], now: float) -> dict[Member, Demand]:
-    """Give what holders want; those whose lease has lapsed want nothing."""
-    return {
-        holder: Demand(lease.wanted if lease.lapses_at > now else 0, lease.favoured)
-        for holder, lease in leases.items()
-    }
+            del self._services[service]
 
 
-class _ServiceLeases(msgspec.Struct, frozen=True):
+class _LeasesOfService(msgspec.Struct, frozen=True):
     """One service's leases."""
 
     service: ServiceName
@@ -233,6 +182,6 @@
 class _Snapshot(msgspec.Struct, frozen=True):
     """The encoded state."""
 
-    services: tuple[_ServiceLeases, ...]
+    services: tuple[_LeasesOfService, ...]
     epoch: Epoch
     now: float
--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -20,8 +20,8 @@
 from notcharch.services.demand import PeakDemand
 from notcharch.values.identifiers import ServiceName
 
-RENEW_FRACTION = 0.5
-"""A lease is renewed when this part of it has passed."""
+RENEW_FRACTION = 0.6
+"""A lease is renewed when this part of it has passed: the rest is for retries."""
 
 RETRY_SECONDS = 0.5
 """Time between requests while the limiter fails or gives too little."""
--- a/notcharch/services/limiter_service.py
+++ b/notcharch/services/limiter_service.py
@@ -75,8 +75,10 @@
         self._partition_count = partition_count
         self._dead_since: dict[Member, float] = {}
         self._yield_asked_at: dict[ServiceName, float] = {}
+        self._limits: dict[ServiceName, int] = {}
         network.on_request(RequestAllotment, self._on_request)
         network.on_request(ListAllotments, self._on_list)
+        table.on_change(self._on_table_change)
 
     async def _on_request(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, RequestAllotment)
@@ -115,6 +117,7 @@
         lease = self._settings.lease_seconds
         drift = self._settings.clock_drift
         longest_lease = lease * (1 + drift) / (1 - drift)
+        self._limits[request.service] = _limit(row)
         longest_call = self._settings.longest_call_seconds * (1 + drift)
         return RequestSlots(
             at=self._at(),
@@ -123,7 +126,7 @@
             number=request.number,
             wanted=max(0, request.wanted),
             held=max(0, request.held),
-            concurrency=0 if row.paused else row.concurrency,
+            concurrency=_limit(row),
             lease_seconds=lease,
             keep_seconds=longest_lease + longest_call,
         )
@@ -171,10 +174,22 @@
         if state is None or (asked_at is not None and now - asked_at < YIELD_SECONDS):
             return
         self._yield_asked_at[request.service] = now
-        for holder in state.holders_above_share(request.service, row.concurrency):
+        for holder in state.holders_above_share(request.service, _limit(row)):
             if holder != request.holder:
                 self._network.notify(holder.daemon, YieldSlots(request.service))
 
+    def _on_table_change(self) -> None:
+        """Let holders renew at once when the cell of their service has changed."""
+        for partition in self._replicas.led_partitions():
+            state = self._allotments_of(partition)
+            for service in state.services() if state is not None else ():
+                row = self._table.row(service)
+                limit = _limit(row) if row is not None else 0
+                if state is not None and self._limits.get(service) != limit:
+                    self._limits[service] = limit
+                    for lease in state.leases(service):
+                        self._network.notify(lease.holder.daemon, YieldSlots(service))
+
     async def _on_list(self, sender: Member, message: Message) -> Message:
         descriptions: list[AllotmentDescription] = []
         for partition in self._replicas.led_partitions():
@@ -195,3 +210,8 @@
             for service in state.services()
             for lease in state.leases(service)
         ]
+
+
+def _limit(row: ServiceRow) -> int:
+    """Give how many calls of a service may run at once."""
+    return 0 if row.paused else row.concurrency
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -172,7 +172,7 @@
 
     lease_seconds: Annotated[
         float, Meta(gt=0, le=600, description="length of a lease, seconds")
-    ] = 10.0
+    ] = 30.0
     clock_drift: Annotated[
         float, Meta(ge=0, le=0.5, description="greatest clock drift, as a fraction")
     ] = 0.05
--- a/tests/unit/services/region.py
+++ b/tests/unit/services/region.py
@@ -25,13 +25,19 @@
 
     def __init__(self, concurrency: int) -> None:
         self.version = 1
+        self.listeners = []
         self.only_row = ServiceRow(SERVICE, "t", "model", concurrency=concurrency)
 
     def row(self, service):
         return self.only_row if service == self.only_row.service else None
 
+    def on_change(self, listener):
+        self.listeners.append(listener)
+
     def set(self, **cells) -> None:
         self.only_row = msgspec.structs.replace(self.only_row, **cells)
+        for listener in self.listeners:
+            listener()
 
 
 class Node:
