--- a/notcharch/gateway/openai.py
+++ b/notcharch/gateway/openai.py
@@ -143,7 +143,17 @@
 
 
 def _delta_of(message: ChatMessage) -> CompletionMessage:
-    return CompletionMessage(message.role, message.content, message.tool_calls)
+    calls = message.tool_calls
+    if calls is not msgspec.UNSET:
+        calls = _numbered(calls)
+    return CompletionMessage(message.role, message.content, calls)
+
+
+def _numbered(tool_calls: msgspec.Raw) -> msgspec.Raw:
+    """Give each tool call its index, which a chunk has and an answer has not."""
+    calls = msgspec.json.decode(tool_calls, type=list[dict[str, msgspec.Raw]])
+    numbered = [{"index": index, **call} for index, call in enumerate(calls)]
+    return msgspec.Raw(msgspec.json.encode(numbered))
 
 
 def _chunk(
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 from prometheus_client import CollectorRegistry
 from result import Err, Ok
 from twisted.internet.defer import Deferred, succeed
@@ -223,6 +224,12 @@
         usage = TokenUsage(10, len(self._texts), 4)
         self.finished.callback(Ok(StreamEnd(content, None, FinishReason.STOP, usage)))
 
+    def end_with_tool_calls(self, tool_calls):
+        raw = msgspec.Raw(json.dumps(tool_calls).encode())
+        usage = TokenUsage(10, 3)
+        end = StreamEnd("", raw, FinishReason.TOOL_CALLS, usage)
+        self.finished.callback(Ok(end))
+
     def answer(self, *texts):
         for text in texts:
             self.token(text)
--- a/tests/unit/gateway/test_call_path.py
+++ b/tests/unit/gateway/test_call_path.py
@@ -154,3 +154,31 @@
     assert reserved == len("hello") + 8 + bound + 1024
     other = harness.call(program, temperature=0.6, tools=tools).response()
     assert other.json["code"] == "sequence_conflict"
+
+
+def test_tool_calls_in_both_shapes_and_in_the_next_prompt(harness):
+    program = harness.program()
+    function = {"name": "look_up", "arguments": "{}"}
+    calls = [{"id": str(n), "type": "function", "function": function} for n in (1, 2)]
+    whole = harness.call(program)
+    harness.stream.end_with_tool_calls(calls)
+    choice = whole.response().json["choices"][0]
+    assert choice["finish_reason"] == "tool_calls"
+    message = {"role": "assistant", "content": None, "tool_calls": calls}
+    assert choice["message"] == message
+    streamed = harness.call(program, stream=True).response()
+    delta = json.loads(streamed.events[0])["choices"][0]["delta"]
+    assert delta["tool_calls"] == [
+        {"index": index, **call} for index, call in enumerate(calls)
+    ]
+    results = [
+        {"role": "tool", "content": "found", "tool_call_id": call["id"]}
+        for call in calls
+    ]
+    path = f"/v1/programs/{program}/calls"
+    harness.begin("POST", path, {"messages": results, "sequence": 2})
+    prompt = harness.stream.request.messages
+    assert [m.role for m in prompt] == ["user", "assistant", "tool", "tool"]
+    assert json.loads(bytes(prompt[1].tool_calls)) == calls
+    history = harness.ask("GET", f"/v1/programs/{program}/history")
+    assert history.json["messages"][1]["tool_calls"] == calls
