--- a/notcharch/scheduling/breaker.py
+++ b/notcharch/scheduling/breaker.py
@@ -90,19 +90,25 @@
 
 
 class CircuitBreaker:
-    """Counts failures and keeps the times around the machine."""
+    """Counts failures and keeps the times around the machine.
+
+    While the breaker is closed the machine is not asked: this is on every call's way.
+    """
 
     def __init__(self, policy: BreakerPolicy) -> None:
         """Start closed."""
         self._policy = policy
         self._core = _Core()
         self._life = _machine(self._core)
+        self._closed = True
         self._failures = 0
         self._pause_seconds = policy.first_pause_seconds
         self._open_until = 0.0
 
     def permits(self, now: float) -> bool:
         """Tell whether something may be tried now; changes nothing but the time."""
+        if self._closed:
+            return True
         if now >= self._open_until:
             self._life.pause_over()
         return self._life.permits()
@@ -113,15 +119,16 @@
 
     def started(self) -> None:
         """Note that a permitted try began; half-open permits only one."""
-        if self._life.probing():
+        if not self._closed and self._life.probing():
             self._core.probe_running = True
 
     def succeeded(self) -> None:
         """Note a success."""
         self._failures = 0
-        if self._life.probing():
+        if not self._closed and self._life.probing():
             self._core.probe_running = False
             self._life.probe_succeeded()
+            self._closed = True
             self._pause_seconds = self._policy.first_pause_seconds
 
     def failed(self, now: float) -> None:
@@ -136,6 +143,7 @@
             self._open_until = now + self._pause_seconds
         elif self._failures >= self._policy.failures_to_open:
             self._failures = 0
+            self._closed = False
             self._life.trip()
             self._open_until = now + self._pause_seconds
 
--- a/notcharch/services/holder_service.py
+++ b/notcharch/services/holder_service.py
@@ -28,7 +28,7 @@
 from notcharch.wire.peers import PeerNetwork
 
 REQUEST_SECONDS = 2.0
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.2
 
 
 class Slot:
