--- a/tests/stateful/engines/queue_oracle.py
+++ b/tests/stateful/engines/queue_oracle.py
@@ -34,12 +34,13 @@
     def of_service(self, service: str) -> list[QueuedCall]:
         return [call for call in self.calls if call.service == service]
 
-    def grant(self) -> QueuedCall | None:
-        if not self.calls:
+    def grant(self, room: bool = True) -> QueuedCall | None:
+        eligible = [call for call in self.calls if room or not call.needs_room]
+        if not eligible:
             return None
-        service = self.next_service()
+        service = self.next_service(eligible)
         chosen = min(
-            self.of_service(service),
+            (call for call in eligible if call.service == service),
             key=lambda call: (
                 call.enqueued_at
                 + self.policy.delay_seconds(call.attained_tokens, call.begun),
@@ -53,8 +54,8 @@
         self.virtual_times[service] = own + Fraction(chosen.cost_tokens) / share
         return chosen
 
-    def next_service(self) -> str:
-        waiting = sorted({call.service for call in self.calls})
+    def next_service(self, eligible: list[QueuedCall]) -> str:
+        waiting = sorted({call.service for call in eligible})
         times = self.virtual_times
         least = min(times[service] for service in waiting)
         for priority in sorted({self.rows[service][1] for service in waiting}):
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -44,8 +44,9 @@
         begun=st.booleans(),
         cost=st.sampled_from([1, 64, 1024, 4096]),
         changed=st.booleans(),
+        large=st.booleans(),
     )
-    def enqueue(self, service, attained, begun, cost, changed):
+    def enqueue(self, service, attained, begun, cost, changed, large):  # noqa: PLR0917
         self.number += 1
         call = QueuedCall(
             key=CallKey(f"p{self.number}", 1, 1),
@@ -56,6 +57,7 @@
             begun=begun,
             cost_tokens=cost,
             enqueued_at=self.now,
+            needs_room=large,
         )
         self.known.append(call)
         self.queue.enqueue(call)
@@ -75,10 +77,10 @@
         self.queue.enqueue(call)
         self.oracle.enqueue(call)
 
-    @rule()
-    def grant(self):
-        expected = self.oracle.grant()
-        assert self.queue.grant() == expected
+    @rule(room=st.booleans())
+    def grant(self, room):
+        expected = self.oracle.grant(room)
+        assert self.queue.grant(room=room) == expected
         if expected is not None:
             self.granted.append(expected)
 
@@ -121,8 +123,12 @@
     monkeypatch.setattr(
         FairQueue,
         "_next_lane",
-        lambda self: min(
-            (lane for lane in self._lanes.values() if lane.places),
+        lambda self, room: min(
+            (
+                lane
+                for lane in self._lanes.values()
+                if (lane.places if room else lane.ready)
+            ),
             key=lambda lane: (lane.virtual_time, lane.service),
             default=None,
         ),
@@ -130,10 +136,9 @@
 
 
 def let_priority_win_always(monkeypatch):
-    def first_level(self):
-        if not self._levels:
-            return None
-        return self._lanes[self._levels[min(self._levels)][0].service]
+    def first_level(self, room):
+        firsts = [self._first(self._levels[p], room) for p in sorted(self._levels)]
+        return next((lane for lane in firsts if lane is not None), None)
 
     monkeypatch.setattr(FairQueue, "_next_lane", first_level)
 
@@ -199,6 +204,21 @@
     monkeypatch.setattr(FairQueue, "cancel", lambda self, key: None)
 
 
+def grant_without_room(monkeypatch):
+    original = FairQueue.grant
+    monkeypatch.setattr(FairQueue, "grant", lambda self, room=True: original(self))
+
+
+def let_who_needs_room_block_its_service(monkeypatch):
+    original = FairQueue._first
+
+    def first(self, level, room):
+        lane = original(self, level, True)
+        return lane if lane is not None and (room or lane.ready) else None
+
+    monkeypatch.setattr(FairQueue, "_first", first)
+
+
 BREAKS = [
     forget_priority,
     let_priority_win_always,
@@ -208,6 +228,8 @@
     keep_credit_while_idle,
     never_settle,
     lose_a_cancel,
+    grant_without_room,
+    let_who_needs_room_block_its_service,
 ]
 
 
