Let new programs wait for free memory on a busy engine

Cause: at 95% of the capacity the stewards let new programs in until every block was in use. Each new history then displaced one that came back and was computed again, which made everything slower, so that more programs were under way at once and displaced more: the same collapse as with a plain balancer.

Change: a call that begins a program needs room, a fifth of the engine's memory free by its report less what was granted since, once a quarter of its slots is in use. The queue passes such calls over and keeps their places. Services whose prompts are small on average need no room. The oracle and its breaks know the rule.

--- a/experiments/policies/notcharch_policy.py
+++ b/experiments/policies/notcharch_policy.py
@@ -13,7 +13,11 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from emulator.engine.host import EngineHost
+from emulator.memory import MemoryEnginePort
+from emulator.memory_exchange import MemoryWay
 from experiments.policies.in_process_stewards import (
+    HOP_SECONDS,
     InProcessRouter,
     RoomDirectory,
     Steward,
@@ -23,7 +27,9 @@
 from experiments.simulation.engine_room import EPOCH, EngineRoom
 from experiments.simulation.workload import ServiceSection
 from notcharch.engines.dispatcher import Dispatcher
+from notcharch.engines.prefix_mover import PrefixMover
 from notcharch.scheduling.waits import SHORTEST_RETRY_SECONDS
+from notcharch.settings.schema import EnginesSection
 from notcharch.table.interface import ServiceRow
 from notcharch.values.chat import PrefixLocation
 from notcharch.values.identifiers import (
@@ -67,13 +73,15 @@
         self._stewards = {
             name: Steward(room, name, variant.order) for name in room.models
         }
+        directory = RoomDirectory(room)
         self._dispatcher = Dispatcher(
             router=InProcessRouter(room, self._stewards),
-            directory=RoomDirectory(room),
+            directory=directory,
             own_member=GATEWAY,
             clock=room.clock,
             chance=Random(f"{seed}/dispatcher"),
             policy=variant.choice,
+            mover=_mover(room, directory) if variant.moves else None,
         )
         self._slots = {
             service.name: _Slots(service.concurrency)
@@ -228,3 +236,10 @@
         for engine in self._room.engines_of(state.service.pool):
             self._room.models[engine].release(state.program, EPOCH)
             self._stewards[engine].cache.set_tokens(state.program, 0)
+
+
+def _mover(room: EngineRoom, directory: RoomDirectory) -> PrefixMover:
+    way = MemoryWay(room.clock, HOP_SECONDS, renders_tokens=False)
+    hosts = {str(name): EngineHost(model) for name, model in room.models.items()}
+    rate = EnginesSection().move_tokens_per_second
+    return PrefixMover(directory, MemoryEnginePort(way, hosts), room.clock, rate)
--- a/experiments/policies/variant.py
+++ b/experiments/policies/variant.py
@@ -18,6 +18,7 @@
     locality: bool = True
     early_refusal: bool = True
     release_at_end: bool = True
+    moves: bool = True
 
 
 SHIPPED = NotcharchVariant()
@@ -33,8 +34,10 @@
     "no-attained-service": _order(level_seconds=0.0),
     "no-priority": NotcharchVariant(priority=False),
     "no-locality": NotcharchVariant(locality=False),
+    "no-moves": NotcharchVariant(moves=False),
     "no-early-refusal": NotcharchVariant(early_refusal=False),
     "no-begun-first": _order(new_program_seconds=0.0),
+    "no-memory-room": _order(free_memory_part=0.0),
     "no-ageing": _order(
         level_seconds=EFFECTIVELY_FOREVER_SECONDS,
         new_program_seconds=100 * EFFECTIVELY_FOREVER_SECONDS,
--- a/experiments/simulation/workload.py
+++ b/experiments/simulation/workload.py
@@ -90,6 +90,10 @@
     flood_begin: Seconds = 0.0
     flood_seconds: Seconds = 0.0
 
+    def is_well_behaved(self) -> bool:
+        """Tell whether its programs neither flood nor loop."""
+        return self.flood_factor == 1.0 and not self.endless_programs
+
 
 class DepartureSection(Section, frozen=True, kw_only=True):
     """`[[departures]]`: an engine leaves, is gone later and then comes back."""
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -53,7 +53,6 @@
 """An engine that takes longer to report its load counts as not answering."""
 
 INSTANCE_BITS = 48
-DEFAULT_PREFILL_TOKENS_PER_SECOND = 4000.0
 
 
 class KeeperSurroundings(msgspec.Struct, frozen=True):
@@ -181,12 +180,11 @@
     def quote(self, program: ProgramId, prompt_tokens: int) -> EngineQuote:
         """Give what a call would wait here."""
         now = self._clock.seconds()
-        rate = self.state.load.prefill_tokens_per_second
         cached = min(self.cache.tokens(program), prompt_tokens)
         return EngineQuote(
             engine=self.engine,
             expected_wait_seconds=self.state.expected_wait(self.state.queued),
-            prefill_tokens_per_second=rate or DEFAULT_PREFILL_TOKENS_PER_SECOND,
+            prefill_tokens_per_second=self.state.load.prefill_rate,
             cached_tokens=cached,
             accepting=self.state.accepting(now),
         )
--- a/notcharch/engines/engine_load.py
+++ b/notcharch/engines/engine_load.py
@@ -17,6 +17,7 @@
 RUNS_KEPT_SECONDS = 60.0
 FAILED_READS_TO_DOUBT = 2
 DEFAULT_HOLD_SECONDS = 2.0
+DEFAULT_PREFILL_TOKENS_PER_SECOND = 4000.0
 
 
 class _GrantCount(msgspec.Struct, frozen=True):
@@ -85,6 +86,11 @@
         """The engine's own figure; None before the first report."""
         return self._report.prefill_tokens_per_second if self._report else None
 
+    @property
+    def prefill_rate(self) -> float:
+        """The same in tokens per second, with a default before the first report."""
+        return self.prefill_tokens_per_second or DEFAULT_PREFILL_TOKENS_PER_SECOND
+
     def slot_load(self) -> SlotLoad:
         """Give the load as expected waits are computed from it."""
         busy = self._granted + self._foreign
@@ -94,11 +100,11 @@
         """Give the age of the report as read; infinite before the first."""
         return now - self._report_at if self._report_at is not None else float("inf")
 
-    def learn_report(self, report: EngineLoad, now: float) -> None:
-        """Take a report in; one that is older than the known one is ignored."""
+    def learn_report(self, report: EngineLoad, now: float) -> bool:
+        """Take a report in; False for one that is older than the known one."""
         self._failed_reads = 0
         if not self._is_news(report):
-            return
+            return False
         self._report = report
         self._report_at = now
         self._forget_old_counts(now)
@@ -108,6 +114,7 @@
         self._runs.append(_RunCount(now, reported))
         while len(self._runs) > 1 and self._runs[1].read_at <= now - RUNS_KEPT_SECONDS:
             self._runs.popleft()
+        return True
 
     def most_running_since(self, since: float) -> int | None:
         """Give the most runs of any report read since then.
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -14,6 +14,7 @@
 from notcharch.platform.ports import EngineLoad
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
 from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+from notcharch.scheduling.memory_room import MemoryRoom
 from notcharch.scheduling.waits import expected_wait_seconds, retry_after_seconds
 from notcharch.values.chat import TokenUsage
 from notcharch.values.identifiers import EngineName, Epoch, GrantId, Member
@@ -79,6 +80,7 @@
         """Whether operators drain the engine."""
         self._queue_limit = queue_limit
         self._waiting = WaitingCalls(order_policy)
+        self._room = MemoryRoom(order_policy)
         self._grants = GrantTable()
         self._grant_number = 0
         self._withdrawn: dict[CallKey, float] = {}
@@ -150,7 +152,8 @@
         """Grant as many waiting calls as there are free slots."""
         answers: list[CallAnswer] = []
         while self._may_grant(now):
-            waiting = self._waiting.grant()
+            busy_part = len(self._grants) / self.load.slots
+            waiting = self._waiting.grant(room=self._room.admits_new(busy_part))
             if waiting is None:
                 break
             answers.append(CallAnswer(waiting.call.key, self._grant(waiting, now)))
@@ -198,7 +201,8 @@
 
     def learn_load(self, report: EngineLoad, now: float) -> Answers:
         """Take a load report in."""
-        self.load.learn_report(report, now)
+        if self.load.learn_report(report, now):
+            self._room.learn_report(report)
         self._free_lost_grants(now)
         answers = self._empty_if_closed(now) + self.grant_ready(now)
         return answers + self._refuse_hopeless(now)
@@ -248,7 +252,7 @@
     def _queued_call(
         self, request: EnqueueCall, key: CallKey, now: float
     ) -> QueuedCall:
-        uncached = max(0, request.prompt_tokens - request.cached_tokens)
+        uncached = _uncached_tokens(request)
         return QueuedCall(
             key=key,
             service=request.service,
@@ -258,6 +262,7 @@
             begun=request.begun,
             cost_tokens=uncached + request.max_tokens,
             enqueued_at=now,
+            needs_room=not request.begun and not self._room.is_small(request.service),
         )
 
     def _may_grant(self, now: float) -> bool:
@@ -273,6 +278,9 @@
         grant = Grant(identifier, waiting.call, waiting.request.gateway, now)
         self._grants.add(grant)
         self._breaker.started()
+        request = waiting.request
+        uncached = _uncached_tokens(request)
+        self._room.note_grant(request.service, request.prompt_tokens, uncached)
         self.load.set_granted(len(self._grants), now)
         return self._granted_reply(grant)
 
@@ -324,3 +332,7 @@
 
 def _refuse_all(keys: tuple[CallKey, ...], problem: Problem) -> Answers:
     return tuple(CallAnswer(key, Refusal(problem)) for key in keys)
+
+
+def _uncached_tokens(request: EnqueueCall) -> int:
+    return max(0, request.prompt_tokens - request.cached_tokens)
--- a/notcharch/engines/waiting_calls.py
+++ b/notcharch/engines/waiting_calls.py
@@ -71,9 +71,12 @@
         """Take the calls of one process out."""
         return self._remove(lambda waiting: waiting.request.gateway == gateway)
 
-    def grant(self) -> WaitingCall | None:
-        """Take out the call that goes next, and charge its service."""
-        call = self._queue.grant()
+    def grant(self, *, room: bool) -> WaitingCall | None:
+        """Take out the call that goes next, and charge its service.
+
+        Without `room`, none that needs it.
+        """
+        call = self._queue.grant(room=room)
         return None if call is None else self._calls.pop(call.key)
 
     def settle(self, call: QueuedCall, used_tokens: int) -> None:
--- a/notcharch/scheduling/calls.py
+++ b/notcharch/scheduling/calls.py
@@ -24,7 +24,8 @@
     """A call that waits. Tokens are counts, `enqueued_at` is in seconds.
 
     `cost_tokens` is charged to the service's share when the call is granted:
-    the uncached part of the prompt and the expected answer.
+    the uncached part of the prompt and the expected answer. A call that
+    `needs_room` begins a program whose history needs free memory.
     """
 
     key: CallKey
@@ -35,6 +36,7 @@
     begun: bool
     cost_tokens: int
     enqueued_at: float
+    needs_room: bool = False
 
 
 class OrderPolicy(msgspec.Struct, frozen=True):
@@ -56,6 +58,16 @@
     lead_tokens: int = 20_000
     """How far a service of higher priority may run ahead of its share."""
 
+    free_memory_part: float = 0.2
+    """New programs begin on a busy engine only while so much of it is free."""
+
+    room_busy_part: float = 0.25
+    """An engine with a smaller part of its slots in use is not busy."""
+
+    small_program_part: float = 1 / 64
+    """Programs of a service whose prompts are of at most this part of the memory
+    on average need no room."""
+
     def delay_seconds(self, attained_tokens: int, begun: bool) -> float:
         """Give how much later than it came a call is placed."""
         level = math.log2(1 + attained_tokens / self.level_tokens)
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -6,7 +6,8 @@
 `OrderPolicy.lead_tokens`, no further, so priority decides who waits and share
 decides who gets how much. Within a lane: `OrderPolicy.delay_seconds`.
 
-Every operation takes O(log n) of the calls and of the services that wait.
+Every operation takes O(log n) of the calls and of the services that wait; a grant
+without room looks at each service that has nothing else waiting.
 """
 
 import msgspec
@@ -47,6 +48,19 @@
         self.share = 1.0
         self.priority = 0
         self.places: SortedList[_Place] = SortedList()
+        self.ready: SortedList[_Place] = SortedList()
+        """The places of calls that go without room, too."""
+
+    def add(self, place: _Place, *, needs_room: bool) -> None:
+        """Add a call's place."""
+        self.places.add(place)
+        if not needs_room:
+            self.ready.add(place)
+
+    def remove(self, place: _Place) -> None:
+        """Take a call's place out."""
+        self.places.remove(place)
+        self.ready.discard(place)
 
     @property
     def place(self) -> _LanePlace:
@@ -89,7 +103,7 @@
         lane.share = call.share
         lane.priority = call.priority
         place = self._place_of(call)
-        lane.places.add(place)
+        lane.add(place, needs_room=call.needs_room)
         self._waiting[call.key] = _Waiting(call, place)
         self._list(lane)
 
@@ -100,17 +114,21 @@
             return None
         lane = self._lanes[waiting.call.service]
         self._unlist(lane)
-        lane.places.remove(waiting.place)
+        lane.remove(waiting.place)
         self._list(lane)
         return waiting.call
 
-    def grant(self) -> QueuedCall | None:
-        """Take out the next call and charge its cost; None when empty."""
-        lane = self._next_lane()
+    def grant(self, *, room: bool = True) -> QueuedCall | None:
+        """Take out the next call and charge its cost; None when there is none.
+
+        Without `room`, calls that need it are passed over and keep their places.
+        """
+        lane = self._next_lane(room)
         if lane is None:
             return None
         self._unlist(lane)
-        place = lane.places.pop(0)
+        place = lane.places[0] if room else lane.ready[0]
+        lane.remove(place)
         call = self._waiting.pop(place.key).call
         self._virtual_time = max(self._virtual_time, lane.virtual_time)
         lane.virtual_time += call.cost_tokens / lane.share
@@ -151,11 +169,9 @@
         delay = self._policy.delay_seconds(call.attained_tokens, call.begun)
         return _Place(call.enqueued_at + delay, self._arrivals, call.key)
 
-    def _next_lane(self) -> _Lane | None:
-        heads = [
-            self._lanes[self._levels[priority][0].service]
-            for priority in sorted(self._levels)
-        ]
+    def _next_lane(self, room: bool) -> _Lane | None:
+        firsts = (self._first(self._levels[p], room) for p in sorted(self._levels))
+        heads = [lane for lane in firsts if lane is not None]
         if not heads:
             return None
         least = min(head.virtual_time for head in heads)
@@ -164,6 +180,11 @@
                 return head
         return None
 
+    def _first(self, level: "SortedList[_LanePlace]", room: bool) -> _Lane | None:
+        """Give the level's lane that is furthest behind and has a call to grant."""
+        lanes = (self._lanes[place.service] for place in level)
+        return next((lane for lane in lanes if room or lane.ready), None)
+
     def _list(self, lane: _Lane) -> None:
         if lane.places:
             level = self._levels.setdefault(lane.priority, SortedList())
--- /dev/null
+++ b/notcharch/scheduling/memory_room.py
@@ -0,0 +1,52 @@
+"""Whether an engine has room for the history of one more program. Pure.
+
+A program that has begun comes back for its history. When every block is in use, a
+new program's history displaces one that will be computed again, which takes engine
+time from everyone, so that more programs are under way at once and displace more:
+past that point an engine does less the more it is given. So on a busy engine without
+free blocks, new programs wait until others end, and begun ones go on.
+"""
+
+from notcharch.platform.ports import EngineLoad
+from notcharch.scheduling.calls import OrderPolicy
+from notcharch.values.identifiers import ServiceName
+
+MEAN_WEIGHT = 0.05
+
+
+class MemoryRoom:
+    """The free memory of one engine, in tokens."""
+
+    def __init__(self, policy: OrderPolicy) -> None:
+        """Know nothing: there is room until a report says otherwise."""
+        self._policy = policy
+        self._total = 0
+        self._free = 0
+        self._mean_prompts: dict[ServiceName, float] = {}
+
+    def learn_report(self, report: EngineLoad) -> None:
+        """Take in the free blocks; blocks of paused programs are not free."""
+        self._total = report.total_blocks * report.block_tokens
+        self._free = report.free_blocks * report.block_tokens
+
+    def note_grant(
+        self, service: ServiceName, prompt_tokens: int, uncached_tokens: int
+    ) -> None:
+        """Take off what a granted call will fill, and learn its service's prompts."""
+        self._free -= uncached_tokens
+        mean = self._mean_prompts.get(service, prompt_tokens)
+        self._mean_prompts[service] = mean + MEAN_WEIGHT * (prompt_tokens - mean)
+
+    def is_small(self, service: ServiceName) -> bool:
+        """Tell whether a service's programs displace nothing that matters.
+
+        A program's shape is unknown, but its service's prompts so far are not.
+        """
+        mean = self._mean_prompts.get(service, 0.0)
+        return mean <= self._total * self._policy.small_program_part
+
+    def admits_new(self, busy_part: float) -> bool:
+        """Tell whether a new program may begin while so much of it is busy."""
+        if self._total == 0 or busy_part < self._policy.room_busy_part:
+            return True
+        return self._free >= self._total * self._policy.free_memory_part
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -110,6 +110,9 @@
         assert ahead == list(range(len(self.oracle.calls)))
 
     def teardown(self):
+        while (expected := self.oracle.grant(room=False)) is not None:
+            assert self.queue.grant(room=False) == expected
+        assert self.queue.grant(room=False) is None
         while self.oracle.calls:
             assert self.queue.grant() == self.oracle.grant()
         assert self.queue.grant() is None
--- /dev/null
+++ b/tests/unit/scheduling/test_memory_room.py
@@ -0,0 +1,75 @@
+"""When an engine has room for a new program's history."""
+
+import pytest
+
+from notcharch.platform.ports import EngineLoad, MachineState
+from notcharch.scheduling.calls import OrderPolicy
+from notcharch.scheduling.memory_room import MemoryRoom
+from notcharch.values.identifiers import ServiceName
+
+POLICY = OrderPolicy(
+    free_memory_part=0.2, room_busy_part=0.25, small_program_part=1 / 64
+)
+CHAIN = ServiceName("chain")
+
+
+def report(free_blocks: int, total_blocks: int = 1000) -> EngineLoad:
+    return EngineLoad(
+        sequence=1,
+        measured_at=0.0,
+        running=8,
+        waiting=0,
+        slots=16,
+        free_blocks=free_blocks,
+        total_blocks=total_blocks,
+        block_tokens=64,
+        prefill_tokens_per_second=6000.0,
+        decode_seconds_per_token=0.03,
+        state=MachineState.LIVE,
+    )
+
+
+def room(free_blocks: int, total_blocks: int = 1000) -> MemoryRoom:
+    built = MemoryRoom(POLICY)
+    built.learn_report(report(free_blocks, total_blocks))
+    return built
+
+
+@pytest.mark.parametrize(
+    ("free_blocks", "busy_part", "admitted"),
+    [
+        (200, 1.0, True),
+        (199, 1.0, False),
+        (0, 0.25, False),
+        (0, 0.24, True),
+        (1000, 1.0, True),
+    ],
+)
+def test_a_busy_engine_needs_free_memory(free_blocks, busy_part, admitted):
+    assert room(free_blocks).admits_new(busy_part) is admitted
+
+
+def test_an_engine_that_is_unknown_or_has_no_cache_has_room():
+    assert MemoryRoom(POLICY).admits_new(1.0)
+    assert room(0, total_blocks=0).admits_new(1.0)
+
+
+def test_grants_since_the_report_take_memory_until_the_next_report():
+    limited = room(210)
+    limited.note_grant(CHAIN, 6000, 640)
+    assert limited.admits_new(1.0)
+    limited.note_grant(CHAIN, 6000, 1)
+    assert not limited.admits_new(1.0)
+    limited.learn_report(report(210))
+    assert limited.admits_new(1.0)
+
+
+def test_a_service_is_small_by_its_prompts_so_far():
+    limited = room(0)
+    assert limited.is_small(CHAIN)
+    limited.note_grant(CHAIN, 1000, 1000)
+    assert limited.is_small(CHAIN)
+    for _ in range(3):
+        limited.note_grant(CHAIN, 8000, 100)
+    assert not limited.is_small(CHAIN)
+    assert limited.is_small(ServiceName("question"))
