Run faults on separate processes under load

The stateful tests prove the protocols over memory transports. What sockets, signals and a process that is stopped in the middle of its work do was not tried by anything that a user can repeat.

--- a/experiments/child_process.py
+++ b/experiments/child_process.py
@@ -45,10 +45,16 @@
         """Ask the process to end; after a while it is ended at once."""
         if self._has_ended or self.transport is None:
             return succeed(None)
-        self._signal("TERM")
+        self.signal("TERM")
         self._cancel_timer()
-        self._timer = self._reactor.callLater(STOP_SECONDS, self._signal, "KILL")
-        return self._ended
+        self._timer = self._reactor.callLater(STOP_SECONDS, self.signal, "KILL")
+        return self.when_ended()
+
+    def when_ended(self) -> "Deferred[None]":
+        """Give a Deferred that fires when the process has ended."""
+        waiter: Deferred[None] = Deferred()
+        self._ended.addCallback(_pass_on, waiter)
+        return waiter
 
     def outReceived(self, data: bytes) -> None:  # noqa: N802
         """Wait for the first line."""
@@ -75,7 +81,8 @@
         self._timer = None
         self._ready.errback(ChildError(f"{self.name} printed no ready line"))
 
-    def _signal(self, name: str) -> None:
+    def signal(self, name: str) -> None:
+        """Send a signal, `KILL` for example; nothing happens after the end."""
         if self.transport is None:
             return
         try:
@@ -90,3 +97,7 @@
 
     def _last_lines(self) -> str:
         return self._log_path.read_text(errors="replace")[-500:]
+
+
+def _pass_on(ended: None, waiter: "Deferred[None]") -> None:
+    waiter.callback(None)
--- /dev/null
+++ b/experiments/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults on separate processes over real sockets, checked against the truth."""
