--- a/tests/unit/gateway/test_bad_requests.py
+++ b/tests/unit/gateway/test_bad_requests.py
@@ -9,6 +9,8 @@
 HELLO = {"role": "user", "content": "hello"}
 PROGRAMS = "/v1/programs"
 COMPLETIONS = "/v1/chat/completions"
+HEAD_FIELDS = {"type", "title", "status", "code", "message"}
+PROBLEM_FIELDS = HEAD_FIELDS | {"findings", "retry_after", "ran"}
 
 
 @pytest.fixture
@@ -20,22 +22,22 @@
     assert response.headers["content-type"] == "application/problem+json"
     body = response.json
     assert (response.status, body["status"], body["code"]) == (status, status, code)
-    assert set(body) == {
-        "type",
-        "title",
-        "status",
-        "code",
-        "message",
-        "findings",
-        "retry_after",
-        "ran",
-    }
+    assert set(body) == PROBLEM_FIELDS
     assert body["ran"] == "no"
     if places is not None:
         assert [finding["place"] for finding in body["findings"]] == places
         assert all(finding["message"] for finding in body["findings"])
 
 
+def call(*messages, **fields):
+    return {"sequence": 1, "messages": messages or [HELLO], **fields}
+
+
+def said(role="user", **fields):
+    return {"role": role, "content": "x", **fields}
+
+
+TOOL_CALL = {"tool_calls": [{}]}
 CALL_FINDINGS = [
     (b"", ["body"]),
     (b"{", ["body"]),
@@ -44,70 +46,32 @@
     (b'{"messages": [{"role": "user", "content": "\\ud800"}]}', ["body"]),
     (b"[" * 4000, ["body"]),
     ({"sequence": 1}, ["messages"]),
-    ({"sequence": 1, "messages": []}, ["messages"]),
-    ({"sequence": 1, "messages": [HELLO] * 4}, ["messages"]),
-    ({"sequence": 1, "messages": [1]}, ["messages[0]"]),
+    (call(messages=[]), ["messages"]),
+    (call(messages=[HELLO] * 4), ["messages"]),
+    (call(1), ["messages[0]"]),
     ({"messages": [HELLO]}, ["sequence"]),
-    ({"sequence": 0, "messages": [HELLO]}, ["sequence"]),
-    ({"sequence": True, "messages": [HELLO]}, ["sequence"]),
-    ({"sequence": 1.0, "messages": [HELLO]}, ["sequence"]),
-    ({"sequence": 1, "messages": [HELLO], "max_tokens": -1}, ["max_tokens"]),
-    ({"sequence": 1, "messages": [HELLO], "max_tokens": 10**30}, ["max_tokens"]),
+    (call(sequence=0), ["sequence"]),
+    (call(sequence=True), ["sequence"]),
+    (call(sequence=1.0), ["sequence"]),
+    (call(max_tokens=-1), ["max_tokens"]),
+    (call(max_tokens=10**30), ["max_tokens"]),
+    (call(max_tokens=1, max_completion_tokens=2), ["max_tokens"]),
+    (call(stream="yes"), ["stream"]),
+    (call(repeatable=1), ["repeatable"]),
+    (call(n=2), ["n"]),
+    (call(model=""), ["model"]),
+    (call(logprobs=True), ["logprobs"]),
+    (call(temperature="hot", stop=[1], tools={}), ["temperature", "stop", "tools"]),
     (
-        {
-            "sequence": 1,
-            "messages": [HELLO],
-            "max_tokens": 1,
-            "max_completion_tokens": 2,
-        },
-        ["max_tokens"],
-    ),
-    ({"sequence": 1, "messages": [HELLO], "stream": "yes"}, ["stream"]),
-    ({"sequence": 1, "messages": [HELLO], "repeatable": 1}, ["repeatable"]),
-    ({"sequence": 1, "messages": [HELLO], "n": 2}, ["n"]),
-    ({"sequence": 1, "messages": [HELLO], "model": ""}, ["model"]),
-    ({"sequence": 1, "messages": [HELLO], "logprobs": True}, ["logprobs"]),
-    (
-        {
-            "sequence": 1,
-            "messages": [HELLO],
-            "temperature": "hot",
-            "stop": [1],
-            "tools": {},
-        },
-        ["temperature", "stop", "tools"],
-    ),
-    (
-        {"sequence": -1, "messages": [{"role": "robot"}, HELLO], "stream": 1},
+        call({"role": "robot"}, HELLO, sequence=-1, stream=1),
         ["messages[0].role", "messages[0].content", "sequence", "stream"],
     ),
-    (
-        {"sequence": 1, "messages": [{"role": "user", "content": 5}]},
-        ["messages[0].content"],
-    ),
-    (
-        {
-            "sequence": 1,
-            "messages": [{"role": "user", "content": [{"type": "image_url"}]}],
-        },
-        ["messages[0].content[0]"],
-    ),
-    (
-        {"sequence": 1, "messages": [{"role": "tool", "content": "x"}]},
-        ["messages[0].tool_call_id"],
-    ),
-    (
-        {"sequence": 1, "messages": [{**HELLO, "tool_calls": [{}]}]},
-        ["messages[0].tool_calls"],
-    ),
-    (
-        {"sequence": 1, "messages": [{**HELLO, "name": 7, "audio": {"id": 1}}]},
-        ["messages[0].audio", "messages[0].name"],
-    ),
-    (
-        {"sequence": 2, "messages": [{"role": "assistant", "content": "x"}]},
-        ["messages[0].role"],
-    ),
+    (call(said(content=5)), ["messages[0].content"]),
+    (call(said(content=[{"type": "image_url"}])), ["messages[0].content[0]"]),
+    (call(said("tool")), ["messages[0].tool_call_id"]),
+    (call(said(**TOOL_CALL)), ["messages[0].tool_calls"]),
+    (call(said(name=7, audio={"id": 1})), ["messages[0].audio", "messages[0].name"]),
+    (call(said("assistant"), sequence=2), ["messages[0].role"]),
 ]
 
 
@@ -134,25 +98,16 @@
     check_problem(response, 400, "bad_request", places)
 
 
+GUIDE = {"messages": [HELLO], "model": "guide"}
+SEQUENCE = "X-Notcharch-Sequence"
 COMPLETION_FINDINGS = [
     ({"messages": [HELLO]}, [], ["model"]),
-    ({"messages": [HELLO], "model": "guide", "sequence": 2}, [], ["sequence"]),
-    (
-        {"messages": [HELLO], "model": "guide", "repeatable": False},
-        [],
-        ["header.Idempotency-Key"],
-    ),
-    (
-        {"messages": [HELLO]},
-        [("X-Notcharch-Sequence", "0")],
-        ["header.X-Notcharch-Sequence"],
-    ),
-    (
-        {"messages": [HELLO], "sequence": 1},
-        [("X-Notcharch-Sequence", "2")],
-        ["sequence"],
-    ),
-    ({"messages": [HELLO] * 4, "model": "guide"}, [], ["messages"]),
+    ({**GUIDE, "sequence": 2}, [], ["sequence"]),
+    ({**GUIDE, "repeatable": False}, [], ["header.Idempotency-Key"]),
+    (GUIDE, [(SEQUENCE, "0")], [f"header.{SEQUENCE}"]),
+    ({**GUIDE, "sequence": 1}, [(SEQUENCE, "2")], ["sequence"]),
+    ({**GUIDE, "messages": [HELLO] * 4}, [], ["messages"]),
+    (GUIDE, [("Idempotency-Key", "k" * 256)], ["header.Idempotency-Key"]),
 ]
 
 
--- a/tests/unit/gateway/test_call_path.py
+++ b/tests/unit/gateway/test_call_path.py
@@ -5,7 +5,7 @@
 import pytest
 
 from notcharch.wire.messages.programs import AdmitCall, DispatchCall, FinishCall
-from tests.unit.gateway.harness import GatewayHarness
+from tests.unit.gateway.harness import GatewayHarness, HeldReply
 
 
 @pytest.fixture
@@ -47,8 +47,6 @@
 
 
 def test_a_stream_ends_only_after_the_commit(harness):
-    from tests.unit.gateway.harness import HeldReply
-
     program = harness.program()
     caller = harness.call(program, stream=True)
     harness.stream.token("gate")
@@ -67,8 +65,6 @@
 
 
 def test_the_dispatch_is_committed_before_the_stream_opens(harness):
-    from tests.unit.gateway.harness import HeldReply
-
     held = HeldReply()
     harness.router.faults[DispatchCall] = [held]
     harness.call(harness.program())
--- a/tests/unit/gateway/test_stream_relay.py
+++ b/tests/unit/gateway/test_stream_relay.py
@@ -3,10 +3,12 @@
 import json
 
 import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.gateway.stream_relay import StreamRelay
-from tests.unit.gateway.harness import GatewayHarness
+from tests.unit.gateway.harness import FakeStream, GatewayHarness
 
 TOKEN = (
     b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n'
@@ -34,16 +36,8 @@
 ]
 
 
-class FakeTransport:
-    def __init__(self):
-        self.written = b""
-
-    def write(self, data):
-        self.written += data
-
-
 class FakeRequest:
-    """The part of a twisted request that the relay uses."""
+    """The part of a twisted request, its channel and transport that is used."""
 
     chunked = False
 
@@ -53,10 +47,10 @@
         self.is_finished = False
         self.was_aborted = False
         self.channel = self
-        self.transport = FakeTransport()
+        self.transport = StringTransport()
 
     def setHeader(self, name, value):  # noqa: N802
-        pass
+        assert not self.body
 
     def registerProducer(self, producer, streaming):  # noqa: N802
         self.producer = producer
@@ -74,26 +68,15 @@
         self.was_aborted = True
 
 
-class FakeStream:
-    def __init__(self):
-        self.is_paused = False
-
-    def pause(self):
-        self.is_paused = True
-
-    def resume(self):
-        self.is_paused = False
-
-
 class RelayHarness:
     def __init__(self):
-        self.clock = GatewayHarness().clock
+        self.clock = Clock()
         self.request = FakeRequest()
         self.stalls = []
         self.relay = StreamRelay(
             self.request, self.clock, 30.0, lambda: self.stalls.append(1)
         )
-        self.stream = FakeStream()
+        self.stream = FakeStream("", None, self.relay.on_bytes)
         self.relay.attach(self.stream)
 
 
@@ -114,7 +97,7 @@
     harness.request.chunked = True
     for piece in [ONE, *pieces]:
         harness.relay.on_bytes(piece)
-    framed = harness.request.transport.written
+    framed = harness.request.transport.value()
     sent = harness.request.body + b"".join(_chunks(framed))
     assert sorted(sent.split(b"\n\n")) == sorted((ONE + passed_on).split(b"\n\n"))
 
@@ -132,10 +115,10 @@
     assert harness.request.producer is harness.relay
     harness.relay.pauseProducing()
     harness.relay.pauseProducing()
-    assert harness.stream.is_paused
+    assert harness.stream.paused
     harness.clock.advance(29)
     harness.relay.resumeProducing()
-    assert not harness.stream.is_paused
+    assert not harness.stream.paused
     harness.clock.advance(100)
     assert not harness.request.was_aborted
 
@@ -146,7 +129,7 @@
     harness.relay.pauseProducing()
     harness.clock.advance(31)
     assert (harness.request.was_aborted, harness.stalls) == (True, [1])
-    assert not harness.stream.is_paused
+    assert not harness.stream.paused
     harness.relay.on_bytes(TWO)
     harness.relay.release_end()
     harness.relay.finish()
@@ -158,11 +141,11 @@
     harness.relay.on_bytes(ONE)
     harness.relay.pauseProducing()
     harness.relay.detach()
-    later = FakeStream()
+    later = FakeStream("", None, harness.relay.on_bytes)
     harness.relay.attach(later)
-    assert later.is_paused
+    assert later.paused
     harness.relay.caller_gone()
-    assert not later.is_paused
+    assert not later.paused
     assert not harness.clock.getDelayedCalls()
 
 
