Replace a connection that only the other side has lost

When a link was cut and only one of two daemons noticed it, the other kept its dead connection as the preferred one and retired every new one: the rule that settles simultaneous dials was applied to connections of any age. It now holds only for connections established within the time that two dials can overlap; later ones replace the earlier. Requests move off a retired connection, and a retired connection that stays silent is closed.

A longer handshake that tells which connections are held was weighed; the time window needs no more state and costs at worst one reconnect.

--- a/notcharch/wire/connection.py
+++ b/notcharch/wire/connection.py
@@ -38,6 +38,9 @@
     def established(self, connection: "PeerConnection") -> None:
         """Take a connection that passed its handshake."""
 
+    def retired(self, connection: "PeerConnection") -> None:
+        """Note that the peer wants no more requests on a connection."""
+
     def closed(self, connection: "PeerConnection", reason: str) -> None:
         """Take the end of a connection, established or not."""
 
@@ -81,6 +84,7 @@
         self.answering = 0
         """Requests received here that have no reply yet."""
 
+        self.established_at = 0.0
         self.is_closed = False
         self._owner = owner
         self._own = own
@@ -117,11 +121,7 @@
 
     def take_unwritten(self) -> list[OutgoingFrame]:
         """Remove what was never written and may go another way."""
-        frames = []
-        while (frame := self._queue.pop()) is not None:
-            if not frame.is_bound_to_connection:
-                frames.append(frame)
-        return frames
+        return self._queue.take_unbound()
 
     def retire(self) -> None:
         """Start no more requests here; close when both sides have finished."""
@@ -145,8 +145,12 @@
             self.transport.abortConnection()
 
     def check_alive(self) -> None:
-        """Ping or close a silent connection; called each `silence_seconds`."""
-        if self._heard or (self.peer is not None and not self.awaited):
+        """Ping or close a silent connection; called each `silence_seconds`.
+
+        One on which nothing is awaited may be silent, unless it is to be closed.
+        """
+        nothing_expected = not self.awaited and not self.is_retiring
+        if self._heard or (self.peer is not None and nothing_expected):
             self._heard = False
             self._pinged = False
         elif self.peer is None or self._pinged:
@@ -201,7 +205,8 @@
         while not self._paused and not self.is_closed:
             frame = self._queue.pop()
             if frame is None:
-                break
+                self.close_if_finished()
+                return
             if frame.request is not None:
                 self._await_reply(frame.request)
             self.sendString(frame.frame)  # type: ignore[no-untyped-call]
@@ -226,6 +231,7 @@
             self._send_control(Pong())
         elif isinstance(envelope, Goodbye):
             self._goodbye_received = True
+            self._owner.retired(self)
             self.retire()
             self.close_if_finished()
 
--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -178,6 +178,12 @@
             link = self._link(connection.peer.daemon)
             link.established(connection, connection.peer)
 
+    def retired(self, connection: PeerConnection) -> None:
+        """Tell the link of a connection that the peer will close it."""
+        link = self._links.get(connection.peer.daemon) if connection.peer else None
+        if link is not None:
+            link.retired(connection)
+
     def closed(self, connection: PeerConnection, reason: str) -> None:
         """Tell the link of a connection that it ended."""
         self._unshaken.discard(connection)
--- a/notcharch/wire/link.py
+++ b/notcharch/wire/link.py
@@ -34,6 +34,11 @@
 It raises ValueError for a text that is no address."""
 
 
+DIALS_OVERLAP = 2
+"""Times the time-out of connecting and of the handshake: how far apart two
+connections may be established whose dials had begun at once."""
+
+
 class PeerLink(DialActions):
     """Sends over the preferred connection; dials when there is none."""
 
@@ -48,7 +53,7 @@
         dial: Dial,
     ) -> None:
         """Begin without an address or connection."""
-        self._own = own
+        self._is_lower = own < peer
         self._peer = peer
         self._clock = clock
         self._random = random
@@ -110,6 +115,7 @@
         dialed = connection.dialed_peer is not None
         emit(PeerConnected(self._peer, member.incarnation, dialed))
         self._failures = 0
+        connection.established_at = self._clock.seconds()
         self._connections.append(connection)
         self._prefer(connection)
         self._state.establish()
@@ -124,15 +130,11 @@
             return
         self._connections.remove(connection)
         self._fail_awaited(connection, reason)
-        if connection is not self._current:
-            return
-        self._current = self._connections[-1] if self._connections else None
-        for frame in connection.take_unwritten():
-            self._waiting.put(frame)
-        if self._current is None:
-            self._state.lose()
-        else:
-            self.flush()
+        self._leave(connection)
+
+    def retired(self, connection: PeerConnection) -> None:
+        """Start no more requests on a connection that the peer will close."""
+        self._leave(connection)
 
     def close(self, reason: str) -> None:
         """Drop the peer: fail all that is open and close its connections."""
@@ -226,26 +228,56 @@
 
     def _prefer(self, connection: PeerConnection) -> None:
         previous = self._current
-        if previous is None or previous.is_retiring:
-            self._current = connection
+        self._current = connection
+        if previous is None:
             return
-        # Both sides choose alike when each dialled the other at once.
-        dialed = connection.dialed_peer is not None
-        previous_dialed = previous.dialed_peer is not None
-        by_lower_name = dialed == (self._own < self._peer)
-        if dialed == previous_dialed or by_lower_name:
-            self._current = connection
+        if self._is_kept_beside(previous, connection):
+            self._current = previous
+            connection.retire()
+        else:
+            self._take_back(previous)
             previous.retire()
+
+    def _is_kept_beside(self, previous: PeerConnection, new: PeerConnection) -> bool:
+        """Tell whether the peers dialled each other at once and `previous` stays.
+
+        Both sides choose alike: the connection that the lower name dialled. But a
+        peer that dials long after `previous` was made has lost that one.
+        """
+        age = self._clock.seconds() - previous.established_at
+        overlap = DIALS_OVERLAP * self._limits.connect_seconds
+        if previous.is_retiring or age > overlap:
+            return False
+        dialed = new.dialed_peer is not None
+        previous_dialed = previous.dialed_peer is not None
+        return dialed != previous_dialed and previous_dialed == self._is_lower
+
+    def _leave(self, connection: PeerConnection) -> None:
+        if connection is not self._current:
+            return
+        usable = [
+            other
+            for other in self._connections
+            if other is not connection and not other.is_retiring
+        ]
+        self._current = usable[-1] if usable else None
+        self._take_back(connection)
+        if self._current is None:
+            self._state.lose()
         else:
-            connection.retire()
+            self.flush()
+
+    def _take_back(self, connection: PeerConnection) -> None:
+        for frame in connection.take_unwritten():
+            if not self._waiting.put(frame):
+                _refuse_frame(frame)
 
     def _drop_connections(self, reason: str) -> None:
         connections, self._connections = self._connections, []
         self._current = None
         for connection in connections:
             self._fail_awaited(connection, reason)
-            for frame in connection.take_unwritten():
-                self._waiting.put(frame)
+            self._take_back(connection)
             connection.abort(reason)
 
     def _fail_awaited(self, connection: PeerConnection, reason: str) -> None:
--- a/notcharch/wire/outgoing.py
+++ b/notcharch/wire/outgoing.py
@@ -1,6 +1,7 @@
 """Frames that wait to be written to a peer, in order and within a bound."""
 
 from collections import deque
+from collections.abc import Iterable
 
 import msgspec
 
@@ -55,6 +56,19 @@
                 return frame
         return None
 
+    def take_unbound(self) -> list[OutgoingFrame]:
+        """Remove and give the wanted frames that may go on another connection."""
+        unbound = [
+            frame
+            for frame in self._frames
+            if frame.is_wanted and not frame.is_bound_to_connection
+        ]
+        self._keep(frame for frame in self._frames if frame.is_bound_to_connection)
+        return unbound
+
     def _drop_unwanted(self) -> None:
-        self._frames = deque(frame for frame in self._frames if frame.is_wanted)
+        self._keep(frame for frame in self._frames if frame.is_wanted)
+
+    def _keep(self, frames: Iterable[OutgoingFrame]) -> None:
+        self._frames = deque(frames)
         self.size = sum(len(frame.frame) for frame in self._frames)
--- a/tests/unit/wire/loopback.py
+++ b/tests/unit/wire/loopback.py
@@ -45,6 +45,34 @@
         del self.reactor.listeners[self.number]
 
 
+class LoopbackConnector:
+    """A dial that is under way."""
+
+    def __init__(self, reactor: "LoopbackReactor", port: int, factory) -> None:
+        self.reactor = reactor
+        self.port = port
+        self.factory = factory
+        self.call = None
+
+    def getDestination(self):  # noqa: N802
+        return LoopbackAddress(self.port)
+
+    def stopConnecting(self):  # noqa: N802
+        if self.call.active():
+            self.call.cancel()
+
+    def connect(self):
+        listener = self.reactor.listeners.get(self.port)
+        if listener is None:
+            self.fail()
+            return
+        client = self.factory.buildProtocol(None)
+        self.reactor.join(listener.buildProtocol(None), client)
+
+    def fail(self):
+        self.factory.clientConnectionFailed(self, Failure(ConnectionRefusedError()))
+
+
 class LoopbackReactor:
     """Connects by port number; `stopped` connections carry nothing."""
 
@@ -64,16 +92,15 @@
 
     def connectTCP(self, host, port, factory, timeout, bindAddress):  # noqa: N802, N803
         self.dials.append(self.clock.seconds())
+        connector = LoopbackConnector(self, port, factory)
+        factory.startedConnecting(connector)
         if self.black_hole:
-            return
-        self.clock.callLater(0, self._connect, port, factory)
+            connector.call = self.clock.callLater(timeout, connector.fail)
+        else:
+            connector.call = self.clock.callLater(0, connector.connect)
 
-    def _connect(self, port, factory):
-        listener = self.listeners.get(port)
-        if listener is None:
-            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
-            return
-        server, client = listener.buildProtocol(None), factory.buildProtocol(None)
+    def join(self, server, client):
+        """Connect two protocols."""
         server_io = LoopbackTransport(server, True)
         client_io = LoopbackTransport(client, False)
         self.pumps.append(IOPump(client, server, client_io, server_io, False))
--- a/tests/unit/wire/test_connections.py
+++ b/tests/unit/wire/test_connections.py
@@ -59,6 +59,7 @@
     world.run(1)
     assert value_of(long) == Ok(Acknowledged())
     assert len(world.reactor.open_connections()) == 1
+    assert len(world.reactor.pumps) == 2
 
 
 def test_failed_dials_back_off_and_requests_fail_meanwhile():
@@ -119,6 +120,46 @@
     assert value_of(again) == Ok(Acknowledged())
 
 
+@pytest.mark.parametrize("idle_first", [True, False])
+def test_a_peer_that_lost_the_connection_alone_may_replace_it(idle_first):
+    world = TcpWorld()
+    networks = list(two(world))
+    names = [ALPHA, BETA]
+    if idle_first:
+        networks.reverse()
+        names.reverse()
+    asked = networks[0].request(names[1], DRAIN, 5.0)
+    world.run(10)
+    assert value_of(asked) == Ok(Acknowledged())
+    # The second side notices the cut, the first has nothing to notice it by.
+    world.stall(BETA)
+    lost = networks[1].request(names[0], DRAIN, 600.0)
+    world.run(4 * DEFAULT_LIMITS.silence_seconds)
+    assert outcome(lost) == ("unavailable", Ran.UNKNOWN)
+    for network, peer in (
+        (networks[1], names[0]),
+        (networks[0], names[1]),
+    ):
+        again = network.request(peer, DRAIN, 5.0)
+        world.run(4 * DEFAULT_LIMITS.silence_seconds)
+        assert value_of(again) == Ok(Acknowledged())
+    assert len(world.reactor.pumps) == 2
+    assert len(world.reactor.open_connections()) == 1
+
+
+def test_a_restart_behind_a_cut_fails_old_requests_as_soon_as_it_is_seen():
+    world = TcpWorld()
+    alpha, beta = two(world)
+    beta.on_request(ListEngines, lambda sender, message: Deferred())
+    asked = alpha.request(BETA, ListEngines(), 600.0)
+    world.run(1)
+    world.stall(BETA)
+    restarted = world.start(BETA, incarnation=2)
+    restarted.request(ALPHA, DRAIN, 5.0)
+    world.run(0.2)
+    assert outcome(asked) == ("unavailable", Ran.UNKNOWN)
+
+
 def test_a_long_request_on_a_healthy_connection_is_not_cut_off():
     world = TcpWorld()
     alpha, beta = two(world)
