Name the leader in every refusal of a follower

Calls waited 17 s, stewards could not confirm their claims ("another daemon leads the partition" every 5 s) and a planned stop took 14.6 s, waiting for such a call.

Cause: hashing names the daemon that came back at once, but its group moves only after the region was settled for 10 to 15 s. A leader that hashing no longer names is then found by hints only. `propose` gave one; reading a program's state, its epoch and a steward's claim gave none, and a refusal without a hint made the router forget the leader that it had learnt.

Ruled out: a stuck log (nothing was proposed, no election took place), the machine's load (other partitions answered within milliseconds). Asking all live daemons instead was weighed: at the target size that is 600 requests; a member of the group is always among the three that hashing names.

`PartitionReplicas` gets `leader_hint`, and the three refusals carry it.

--- a/notcharch/engines/claims_service.py
+++ b/notcharch/engines/claims_service.py
@@ -56,7 +56,11 @@
         claims = self._claims_of(partition)
         if claims is None or self._replicas.leader_epoch(partition) is None:
             raise ProblemError(
-                Problem.of(ProblemCode.NOT_LEADER, "another daemon leads the partition")
+                Problem.of(
+                    ProblemCode.NOT_LEADER,
+                    "another daemon leads the partition",
+                    hint=self._replicas.leader_hint(partition),
+                )
             )
         claim = claims.claim(message.engine)
         if claim is None:
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -55,8 +55,7 @@
         partition = self.partition_of(program)
         state = self.led_state(partition)
         if state is None:
-            message = f"this daemon does not lead partition {partition}"
-            raise ProblemError(Problem.of(ProblemCode.NOT_LEADER, message))
+            raise ProblemError(self._not_leader(partition))
         return state
 
     def led_state(self, partition: PartitionNumber) -> ProgramsState | None:
@@ -69,10 +68,17 @@
         """Give the epoch in which this daemon leads; NOT_LEADER if it does not."""
         epoch = self._replicas.leader_epoch(partition)
         if epoch is None:
-            message = f"this daemon does not lead partition {partition}"
-            raise ProblemError(Problem.of(ProblemCode.NOT_LEADER, message))
+            raise ProblemError(self._not_leader(partition))
         return epoch
 
+    def _not_leader(self, partition: PartitionNumber) -> Problem:
+        """Name the leader: hashing need not name it yet after a change."""
+        return Problem.of(
+            ProblemCode.NOT_LEADER,
+            f"this daemon does not lead partition {partition}",
+            hint=self._replicas.leader_hint(partition),
+        )
+
     def led_states(self) -> tuple[tuple[PartitionNumber, ProgramsState], ...]:
         """Give all led partitions with their programs."""
         found = []
--- a/notcharch/replication/interface.py
+++ b/notcharch/replication/interface.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from notcharch.errors import Problem
-from notcharch.values.identifiers import Epoch, PartitionNumber
+from notcharch.values.identifiers import DaemonName, Epoch, PartitionNumber
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -57,6 +57,9 @@
     def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
         """Give the epoch in which this daemon leads the partition, or None."""
 
+    def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
+        """Give the daemon that seems to lead the partition; None if unknown."""
+
     def state(self, partition: PartitionNumber) -> StateMachine | None:
         """Give the applied state of a partition replicated here, or None."""
 
--- a/notcharch/replication/service.py
+++ b/notcharch/replication/service.py
@@ -12,7 +12,6 @@
 from notcharch.platform.ports import LogPort
 from notcharch.replication.applier import CommandCodec
 from notcharch.replication.archiver import Archiver
-from notcharch.replication.group import ReplicaGroup
 from notcharch.replication.hand_over import HandOver, HandOverReport
 from notcharch.replication.host import (
     GroupHost,
@@ -25,7 +24,7 @@
 from notcharch.replication.recovery import Recovery
 from notcharch.replication.status import ReplicationStatus, status_of
 from notcharch.settings.schema import ReplicationSection
-from notcharch.values.identifiers import Epoch, PartitionNumber, RegionName
+from notcharch.values.identifiers import DaemonName, Epoch, PartitionNumber, RegionName
 from notcharch.wire.messages.replication import DescribeGroups, ReplicationNotice
 from notcharch.wire.peers import PeerNetwork
 
@@ -175,6 +174,12 @@
         self._notice_pause(self._clock.seconds())
         return self._host.leader_epoch(partition)
 
+    def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
+        """Give the daemon that seems to lead the partition; None if unknown."""
+        group = self._host.group(partition)
+        hint = None if group is None else group.leader_hint
+        return None if hint is None else hint.daemon
+
     def state(self, partition: PartitionNumber) -> StateMachine | None:
         """Give the applied state of a partition replicated here, or None."""
         group = self._host.group(partition)
@@ -192,18 +197,16 @@
         """Replicate a command; see `PartitionReplicas.propose`."""
         group = self._host.group(partition)
         if group is None or not group.accepts_proposals:
-            return succeed(Err(self._refusal(partition, group)))
+            return succeed(Err(self._refusal(partition)))
         index = group.propose(self._codec.encode(command))
         self._host.flush_later(partition)
         return self._pending.add(
             partition, group.replica.epoch, index, self._clock.seconds()
         )
 
-    def _refusal(
-        self, partition: PartitionNumber, group: ReplicaGroup | None
-    ) -> Problem:
-        hint = None if group is None else group.leader_hint
-        if hint == self._network.own_member:
+    def _refusal(self, partition: PartitionNumber) -> Problem:
+        hint = self.leader_hint(partition)
+        if hint == self._network.own_member.daemon:
             return Problem.of(
                 ProblemCode.UNAVAILABLE,
                 f"partition {partition}: too much waits for a majority",
@@ -213,5 +216,5 @@
             ProblemCode.NOT_LEADER,
             f"this daemon does not lead partition {partition}",
             retry_after=RETRY_SECONDS,
-            hint=None if hint is None else hint.daemon,
+            hint=hint,
         )
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -173,6 +173,9 @@
     def leader_epoch(self, partition):
         return self._partitions.epoch if self._leads() else None
 
+    def leader_hint(self, partition):
+        return self._partitions.leader
+
     def state(self, partition):
         return self._partitions.states[partition]
 
--- a/tests/unit/programs/fakes.py
+++ b/tests/unit/programs/fakes.py
@@ -67,6 +67,9 @@
     def leader_epoch(self, partition):
         return self.epoch if partition == PARTITION else None
 
+    def leader_hint(self, partition):
+        return None
+
     def programs_of(self, partition):
         return self.states.get(partition)
 
