--- a/experiments/child_process.py
+++ b/experiments/child_process.py
@@ -1,5 +1,6 @@
 """A child process of an experiment: its ready line, its log, its end by id."""
 
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -86,7 +87,7 @@
         if self.transport is None:
             return
         try:
-            self.transport.signalProcess(name)
+            self.transport.signalProcess(signal.Signals[f"SIG{name}"].value)
         except ProcessExitedAlready:
             return
 
