--- a/experiments/lease_cost.py
+++ b/experiments/lease_cost.py
@@ -30,7 +30,7 @@
 )
 from notcharch.wire.messages.services import AllotmentGranted, RequestAllotment
 
-SERVICE = ServiceName("companion-of-studio-27")
+SERVICE = ServiceName("chat-27")
 HOLDERS = (1, 75, 600)
 ROUNDS = 5
 RENEWALS = 2_000
--- a/experiments/workloads.py
+++ b/experiments/workloads.py
@@ -22,14 +22,14 @@
 
 MOST_ANSWER_TOKENS = 512
 BYTES_PER_TOKEN = 4
-FILLER = "the shift notes say that channel seven drifted and was set again; "
+FILLER = "the notes say that value seven has changed and was set again; "
 
 
 class Kind(Enum):
     """The kinds of programs; the value is the service that runs them."""
 
-    CHAIN = "reconcile"
-    CHAT = "companion"
+    CHAIN = "chain"
+    CHAT = "chat"
 
 
 @attrs.frozen
@@ -72,7 +72,7 @@
 
 
 def draw_chain(chance: random.Random, name: str, depth: int = 0) -> ProgramShape:
-    """Draw a reconciliation: a long first prompt, then tool results."""
+    """Draw a chain: a long first prompt, then tool results."""
     turns: list[Turn] = []
     for number in range(chance.randint(3, 6)):
         children: tuple[ProgramShape, ...] = ()
--- a/notcharch/cli/table_command.py
+++ b/notcharch/cli/table_command.py
@@ -11,7 +11,7 @@
   notcharch table show --format toml > table.toml
   notcharch table check table.toml
   notcharch table publish table.toml --wait
-  notcharch table edit riddle-guide share 2.5 --wait
+  notcharch table edit assistant share 2.5 --wait
   notcharch table rollback 118
 
 A document names the version it was read at. Publishing it merges with what others
--- a/tests/stateful/region/machine.py
+++ b/tests/stateful/region/machine.py
@@ -50,17 +50,22 @@
 LIMIT_OF_ROW = {row["service"]: row.get("budget_tokens", 10**6) for row in ROWS}
 
 any_number = st.integers(0, 10_000)
-ENGINE_FAULTS = (
-    (FaultKind.RESTART, 2.0),
-    (FaultKind.BREAK_STREAMS, None),
-    (FaultKind.LEAVE, None),
-    (FaultKind.DOWN, 5.0),
-    (FaultKind.EVENT_LOSS, 0.5),
-)
-LOG_FAULTS = (
-    (FaultKind.DOWN, None),
-    (FaultKind.ANSWER_LOST, 3.0),
-    (FaultKind.SLOW, 2.0),
+PAUSE, CRASH, SILENT_CRASH = "pause", "crash", "silent crash"
+DAEMON_FAULTS = (PAUSE, CRASH, SILENT_CRASH)
+ENGINE, LOG = "engine", "log"
+CUT, ONE_WAY_CUT, LOSSY_LINKS = "cut", "one-way cut", "lossy links"
+CUTS = (CUT, ONE_WAY_CUT)
+OTHER_FAULTS = (
+    *CUTS,
+    LOSSY_LINKS,
+    (ENGINE, FaultKind.RESTART, 2.0),
+    (ENGINE, FaultKind.BREAK_STREAMS, None),
+    (ENGINE, FaultKind.LEAVE, None),
+    (ENGINE, FaultKind.DOWN, 5.0),
+    (ENGINE, FaultKind.EVENT_LOSS, 0.5),
+    (LOG, FaultKind.DOWN, None),
+    (LOG, FaultKind.ANSWER_LOST, 3.0),
+    (LOG, FaultKind.SLOW, 2.0),
 )
 
 
@@ -180,7 +185,7 @@
         known.is_ended = True
         self.caller.end(self._core(number), known.program)
 
-    @rule(seconds=st.sampled_from((0.3, 1.0, 3.0, 10.0)))
+    @rule(seconds=st.sampled_from((0.3, 1.0, 3.0, 10.0, 35.0)))
     def pass_time(self, seconds):
         self.region.advance(seconds)
 
@@ -189,70 +194,56 @@
     def _may_lose(self):
         now = self.region.clock.seconds()
         is_settled = now - self.last_loss >= SETTLE_SECONDS
-        return self.daemon_fault is None and self.other_fault != "cut" and is_settled
+        return self.daemon_fault is None and self.other_fault not in CUTS and is_settled
 
     @precondition(lambda self: self._may_lose())
-    @rule(number=any_number, silent=st.booleans())
-    def crash(self, number, silent):
+    @rule(number=any_number, kind=st.sampled_from(DAEMON_FAULTS))
+    def disturb_daemon(self, number, kind):
         name = self.region.names[number % len(self.region.names)]
-        self.region.crash(name, silent=silent)
-        self.daemon_fault = ("crash", name)
-        self.faults.append("crash")
-
-    @precondition(lambda self: self._may_lose())
-    @rule(number=any_number)
-    def pause(self, number):
-        name = self.region.names[number % len(self.region.names)]
-        self.region.fabric.pause(name)
-        self.daemon_fault = ("pause", name)
-        self.faults.append("pause")
+        if kind == PAUSE:
+            self.region.fabric.pause(name)
+        else:
+            self.region.crash(name, silent=kind == SILENT_CRASH)
+        self.daemon_fault = (kind, name)
+        self.faults.append(kind)
 
     @precondition(lambda self: self.daemon_fault is not None)
     @rule()
     def repair_daemon(self):
         kind, name = self.daemon_fault
-        if kind == "crash":
-            self.region.start(name)
-        else:
+        if kind == PAUSE:
             self.region.fabric.resume(name)
+        else:
+            self.region.start(name)
         self.daemon_fault = None
         self.last_loss = self.region.clock.seconds()
 
     # Faults of links and of the platform.
 
     @precondition(lambda self: self.other_fault is None)
-    @rule(zone=st.sampled_from(("zone1", "zone2", "zone3")), one_way=st.booleans())
-    def cut_zone(self, zone, one_way):
-        fabric = self.region.fabric
-        inside = fabric.names_in(zone)
-        outside = [name for name in self.region.names if name not in inside]
-        fabric.cut(inside, outside, one_way=one_way)
-        self.other_fault = "cut"
-        self.faults.append("cut one way" if one_way else "cut")
-
-    @precondition(lambda self: self.other_fault is None)
-    @rule()
-    def make_links_lossy(self):
-        faults = LinkFaults(loss=0.1, duplication=0.1, reorder=0.1, delay_max=0.05)
-        self.region.fabric.plan.set_default(faults)
-        self.other_fault = "lossy"
-        self.faults.append("lossy links")
+    @rule(number=any_number, fault=st.sampled_from(OTHER_FAULTS))
+    def disturb_other(self, number, fault):
+        self.faults.append(fault)
+        self.other_fault = fault
+        if fault in CUTS:
+            self._cut_zone(f"zone{number % 3 + 1}", one_way=fault == ONE_WAY_CUT)
+        elif fault == LOSSY_LINKS:
+            lossy = LinkFaults(loss=0.1, duplication=0.1, reorder=0.1, delay_max=0.05)
+            self.region.fabric.plan.set_default(lossy)
+        else:
+            target, kind, argument = fault
+            name = self._engine_name(number) if target == ENGINE else target
+            self.region.models.faults.order(Fault(name, kind, argument))
 
-    @precondition(lambda self: self.other_fault is None)
-    @rule(fault=st.sampled_from(LOG_FAULTS))
-    def disturb_log(self, fault):
-        self.region.models.faults.order(Fault("log", *fault))
-        self.other_fault = "log"
-        self.faults.append(f"log {fault[0].value}")
+    def _cut_zone(self, zone, *, one_way):
+        inside = self.region.fabric.names_in(zone)
+        outside = [name for name in self.region.names if name not in inside]
+        self.region.fabric.cut(inside, outside, one_way=one_way)
 
-    @precondition(lambda self: self.other_fault is None)
-    @rule(fault=st.sampled_from(ENGINE_FAULTS), number=any_number)
-    def disturb_engine(self, fault, number):
-        names = sorted(host.model.name for host in self.region.models.engines.values())
-        target = names[number % len(names)]
-        self.region.models.faults.order(Fault(target, *fault))
-        self.other_fault = "engine"
-        self.faults.append(f"engine {fault[0].value}")
+    def _engine_name(self, number):
+        hosts = self.region.models.engines.values()
+        names = sorted(host.model.name for host in hosts)
+        return names[number % len(names)]
 
     @precondition(lambda self: self.other_fault is not None)
     @rule()
