Load only the command that runs, and check settings as a whole

Every command loaded all the others: `notcharch version` took 3.5 s and a daemon would have begun at 111 MB with plotting libraries in it.

Settings: an infinite number passed where a key has no upper bound; a flag for an unknown section was ignored; a finding in a flag was placed in the file. All three are mended.

--- a/emulator/command.py
+++ b/emulator/command.py
@@ -22,7 +22,10 @@
 from notcharch.errors import Finding
 
 EXAMPLE = "(built-in example)"
-HELP = """Prints one JSON line with all addresses when it is ready, for example
+HELP = """example:
+  notcharch emulator --config emulator.toml
+
+Prints one JSON line with all addresses when it is ready, for example
   {"control": "127.0.0.1:9000", "engines": {"model-1": "127.0.0.1:9001"}}
 """
 
--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -31,6 +31,11 @@
 """How long the engines are given to release what ended programs held."""
 
 PROGRESS_SECONDS = 1.0
+EPILOG = """Starts the stand-ins and three daemons, and stops them again.
+
+example:
+  notcharch demo --programs 50 --seconds 10
+"""
 
 
 @attrs.frozen
@@ -46,7 +51,7 @@
 
 def configure(parser: argparse.ArgumentParser) -> None:
     """Add the options."""
-    parser.epilog = "Starts the stand-ins and three daemons, and stops them again."
+    parser.epilog = EPILOG
     parser.add_argument(
         "--programs", type=int, default=DEFAULT_PROGRAMS, help="programs to run"
     )
--- a/notcharch/cli/builtin.py
+++ b/notcharch/cli/builtin.py
@@ -1,19 +1,20 @@
-"""The built-in commands, as `module:attribute` of their `CommandSpec`.
+"""The built-in commands: name to `module:attribute` of the `CommandSpec`.
 
-They are named, not imported, so that one command does not load all the others.
+They are named, not imported, so that one command does not load all the others: a
+daemon would hold tens of megabytes that it never uses.
 """
 
-BUILT_IN_COMMANDS: tuple[str, ...] = (
-    "notcharch.cli.version_command:COMMAND",
-    "notcharch.cli.config_command:COMMAND",
-    "notcharch.cli.daemon_command:COMMAND",
-    "notcharch.cli.table_command:COMMAND",
-    "notcharch.cli.operations_command:STATUS",
-    "notcharch.cli.operations_command:SERVICES",
-    "notcharch.cli.operations_command:ENGINES",
-    "notcharch.cli.operations_command:PROGRAMS",
-    "notcharch.cli.operations_command:PARTITIONS",
-    "notcharch.cli.operations_command:DRAIN",
-    "notcharch.cli.operations_command:PAUSE",
-    "notcharch.cli.operations_command:RESUME",
-)
+BUILT_IN_COMMANDS: dict[str, str] = {
+    "version": "notcharch.cli.version_command:COMMAND",
+    "config": "notcharch.cli.config_command:COMMAND",
+    "daemon": "notcharch.cli.daemon_command:COMMAND",
+    "table": "notcharch.cli.table_command:COMMAND",
+    "status": "notcharch.cli.operations_command:STATUS",
+    "services": "notcharch.cli.operations_command:SERVICES",
+    "engines": "notcharch.cli.operations_command:ENGINES",
+    "programs": "notcharch.cli.operations_command:PROGRAMS",
+    "partitions": "notcharch.cli.operations_command:PARTITIONS",
+    "drain": "notcharch.cli.operations_command:DRAIN",
+    "pause": "notcharch.cli.operations_command:PAUSE",
+    "resume": "notcharch.cli.operations_command:RESUME",
+}
--- a/notcharch/cli/config_command.py
+++ b/notcharch/cli/config_command.py
@@ -44,6 +44,8 @@
         encoded = msgspec.json.encode(settings.ok_value)
         shown = msgspec.json.format(encoded, indent=2)
         sys.stdout.write(f"{shown.decode()}\n")
+    else:
+        sys.stdout.write("no findings\n")
     return DONE
 
 
--- a/notcharch/cli/main.py
+++ b/notcharch/cli/main.py
@@ -36,8 +36,9 @@
     """Run the command that `argv` names; gives the exit status."""
     # Before any command is loaded: libraries install a reactor when imported.
     install_reactor()
-    parser = build_parser(tuple(load_commands()))
-    arguments = parser.parse_args(argv)
+    given = sys.argv[1:] if argv is None else argv
+    parser = build_parser(tuple(load_commands(given)))
+    arguments = parser.parse_args(given)
     if arguments.log is not None and not _log_to(arguments.log):
         return BAD_USAGE
     try:
@@ -72,18 +73,17 @@
     return parser
 
 
-def load_commands() -> Iterator[CommandSpec]:
-    """Give the built-in commands, then those of other packages.
+def load_commands(argv: Sequence[str]) -> Iterator[CommandSpec]:
+    """Give the command that `argv` names; all of them when it names none.
 
     A command of another package that cannot be loaded is left out with a line on
     standard error, so that it does not take the others with it.
     """
-    for reference in BUILT_IN_COMMANDS:
-        entry_point = importlib.metadata.EntryPoint(
-            name=reference, value=reference, group=ENTRY_POINT_GROUP
-        )
-        yield entry_point.load()
-    for entry_point in importlib.metadata.entry_points(group=ENTRY_POINT_GROUP):
+    entry_points = command_entry_points()
+    named = _named_command(argv)
+    if named in entry_points:
+        entry_points = {named: entry_points[named]}
+    for entry_point in entry_points.values():
         try:
             yield entry_point.load()
         except Exception as error:
@@ -93,6 +93,28 @@
             )
 
 
+def command_entry_points() -> dict[str, importlib.metadata.EntryPoint]:
+    """Give where each command is; a built-in name cannot be taken by a package."""
+    others = importlib.metadata.entry_points(group=ENTRY_POINT_GROUP)
+    entry_points = {entry_point.name: entry_point for entry_point in others}
+    for name, reference in BUILT_IN_COMMANDS.items():
+        entry_points[name] = importlib.metadata.EntryPoint(
+            name, reference, ENTRY_POINT_GROUP
+        )
+    return dict(sorted(entry_points.items()))
+
+
+def _named_command(argv: Sequence[str]) -> str:
+    parser = argparse.ArgumentParser(add_help=False, exit_on_error=False)
+    parser.add_argument("--log")
+    parser.add_argument("command", nargs="?", default="")
+    try:
+        named, _ = parser.parse_known_args(argv)
+    except argparse.ArgumentError:
+        return ""
+    return str(named.command)
+
+
 def _log_to(place: str) -> bool:
     if place == STANDARD_ERROR:
         eliot.to_file(sys.stderr)
--- a/notcharch/cli/operations_command.py
+++ b/notcharch/cli/operations_command.py
@@ -40,9 +40,11 @@
     name: str,
     summary: str,
     action: str,
+    example: str,
     add_arguments: Callable[[argparse.ArgumentParser], None] = _add_nothing,
 ) -> CommandSpec:
     def configure(parser: argparse.ArgumentParser) -> None:
+        parser.epilog = f"example:\n  notcharch {name} {example}\n"
         add_arguments(parser)
         add_server_options(parser)
 
@@ -52,12 +54,31 @@
     return CommandSpec(name, summary, configure, run)
 
 
-STATUS = _spec("status", "show the region's daemons", "show_status")
-SERVICES = _spec("services", "show services and their slots", "show_services")
-ENGINES = _spec("engines", "show engines and their queues", "show_engines")
-PROGRAMS = _spec("programs", "show programs and budgets", "show_programs", _add_limit)
-PARTITIONS = _spec("partitions", "show partitions' replicas", "show_partitions")
-DRAIN = _spec("drain", "give a daemon or engine no new work", "drain", _add_drained)
-PAUSE = _spec("pause", "pause a service", "pause", _add_service)
-RESUME = _spec("resume", "resume a paused service", "resume", _add_service)
+STATUS = _spec("status", "show the region's daemons", "show_status", "--json")
+SERVICES = _spec("services", "show services and their slots", "show_services", "--json")
+ENGINES = _spec(
+    "engines",
+    "show engines and their queues",
+    "show_engines",
+    "--server http://10.0.0.7:8080",
+)
+PROGRAMS = _spec(
+    "programs",
+    "show programs and budgets",
+    "show_programs",
+    "--service guide --limit 20",
+    _add_limit,
+)
+PARTITIONS = _spec(
+    "partitions", "show partitions' replicas", "show_partitions", "--json"
+)
+DRAIN = _spec(
+    "drain",
+    "give a daemon or engine no new work",
+    "drain",
+    "engine model-3",
+    _add_drained,
+)
+PAUSE = _spec("pause", "pause a service", "pause", "guide", _add_service)
+RESUME = _spec("resume", "resume a paused service", "resume", "guide", _add_service)
 COMMANDS = (STATUS, SERVICES, ENGINES, PROGRAMS, PARTITIONS, DRAIN, PAUSE, RESUME)
--- a/notcharch/settings/load.py
+++ b/notcharch/settings/load.py
@@ -1,5 +1,6 @@
 """Reads settings from TOML text and flags, collecting every finding with its place."""
 
+import math
 import tomllib
 import types
 from collections.abc import Mapping
@@ -9,11 +10,15 @@
 from result import Err, Ok, Result
 
 from notcharch.errors import Finding
+from notcharch.settings.checks import findings_between_keys
 from notcharch.settings.schema import Section, Settings
 
 Overrides = Mapping[str, object]
 """Flags over file: `section.key` to value."""
 
+FLAG = "--set"
+"""How the place of a finding names a flag."""
+
 
 def load_settings(
     text: str, source: str, overrides: Overrides = types.MappingProxyType({})
@@ -26,15 +31,40 @@
     findings: list[Finding] = []
     sections: dict[str, Section] = {}
     _check_unknown_sections(document, source, findings)
+    _check_overrides(overrides, findings)
     for field in msgspec.structs.fields(Settings):
         values = _section_values(document, field.name, source, findings)
-        _lay_over(values, field.name, overrides)
-        sections[field.name] = _read_section(
-            field.type, values, f"{source}: {field.name}", findings
-        )
+        flags = _flags_of(field.name, overrides)
+        # What a flag replaces in the file is not read: the flag is in force.
+        in_file = {key: value for key, value in values.items() if key not in flags}
+        place = f"{source}: {field.name}"
+        read = read_keys(field.type, in_file, place, findings)
+        read |= read_keys(field.type, flags, f"{FLAG} {field.name}", findings)
+        sections[field.name] = field.type(**read)
     if findings:
         return Err(tuple(findings))
-    return Ok(Settings(**sections))  # type: ignore[arg-type]
+    settings = Settings(**sections)  # type: ignore[arg-type]
+    findings.extend(
+        Finding(
+            f"{_origin(finding.place, source, overrides)}{finding.place}",
+            finding.message,
+        )
+        for finding in findings_between_keys(settings)
+    )
+    return Err(tuple(findings)) if findings else Ok(settings)
+
+
+def _origin(place: str, source: str, overrides: Overrides) -> str:
+    return f"{FLAG} " if place in overrides else f"{source}: "
+
+
+def _check_overrides(overrides: Overrides, findings: list[Finding]) -> None:
+    known = {field.name for field in msgspec.structs.fields(Settings)}
+    findings.extend(
+        Finding(f"{FLAG} {place}", "unknown section")
+        for place in overrides
+        if place.partition(".")[0] not in known
+    )
 
 
 def _check_unknown_sections(
@@ -57,20 +87,13 @@
     return {}
 
 
-def _lay_over(values: dict[str, object], section: str, overrides: Overrides) -> None:
-    for place, value in overrides.items():
-        section_name, _, key = place.partition(".")
-        if section_name == section:
-            values[key] = value
-
-
-def _read_section(
-    section_type: type[Section],
-    values: dict[str, object],
-    place: str,
-    findings: list[Finding],
-) -> Section:
-    return section_type(**read_keys(section_type, values, place, findings))
+def _flags_of(section: str, overrides: Overrides) -> dict[str, object]:
+    prefix = f"{section}."
+    return {
+        place.removeprefix(prefix): value
+        for place, value in overrides.items()
+        if place.startswith(prefix)
+    }
 
 
 def read_keys(
@@ -86,6 +109,9 @@
         if key not in fields:
             findings.append(Finding(f"{place}.{key}", "unknown key"))
             continue
+        if isinstance(value, float) and not math.isfinite(value):
+            findings.append(Finding(f"{place}.{key}", "must be finite"))
+            continue
         try:
             read[key] = msgspec.convert(value, fields[key].type)
         except msgspec.ValidationError as error:
