--- a/tests/unit/placement/test_rendezvous.py
+++ b/tests/unit/placement/test_rendezvous.py
@@ -70,3 +70,31 @@
     view.change([])
     assert assignment.steward_of("engine-1") is None
     assert assignment.replicas_of(1) == ()
+
+
+@st.composite
+def views(draw):
+    """Let daemons come, go, leave, return and change their zones."""
+    return [
+        [
+            live(f"daemon-{n}", f"zone-{draw(st.integers(0, 3))}", draw(st.booleans()))
+            if draw(st.integers(0, 5)) == 0
+            else live(f"daemon-{n}", f"zone-{n % 4}")
+            for n in range(12)
+            if draw(st.integers(0, 3))
+        ]
+        for _ in range(draw(st.integers(2, 6)))
+    ]
+
+
+@settings(derandomize=True, deadline=None)
+@given(views(), st.integers(1, 4))
+def test_choices_kept_over_changes_are_those_of_a_fresh_assignment(views, replicas):
+    view = FakeView(views[0])
+    assignment = Assignment(view, replicas)
+    for present in views:
+        view.change(present)
+        fresh = Assignment(view, replicas)
+        for n in range(20):
+            assert assignment.replicas_of(n) == fresh.replicas_of(n)
+            assert assignment.steward_of(f"e{n}") == fresh.steward_of(f"e{n}")
