--- a/tests/stateful/engines/queue_oracle.py
+++ b/tests/stateful/engines/queue_oracle.py
@@ -2,7 +2,7 @@
 
 from fractions import Fraction
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 
 
 class QueueOracle:
@@ -34,8 +34,14 @@
     def of_service(self, service: str) -> list[QueuedCall]:
         return [call for call in self.calls if call.service == service]
 
-    def grant(self, room: bool = True) -> QueuedCall | None:
-        eligible = [call for call in self.calls if room or not call.needs_room]
+    def has_room(self, call: QueuedCall, room: Room) -> bool:
+        if not call.needs_room or room is Room.FOR_ALL:
+            return True
+        behind = self.virtual_times[call.service] < self.virtual_time
+        return behind and room is Room.FOR_SERVICES_BEHIND
+
+    def grant(self, room: Room = Room.FOR_ALL) -> QueuedCall | None:
+        eligible = [call for call in self.calls if self.has_room(call, room)]
         if not eligible:
             return None
         service = self.next_service(eligible)
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 from notcharch.scheduling.fair_queue import FairQueue, _Lane
 from tests.stateful.engines.queue_oracle import QueueOracle
 
@@ -77,10 +77,10 @@
         self.queue.enqueue(call)
         self.oracle.enqueue(call)
 
-    @rule(room=st.booleans())
+    @rule(room=st.sampled_from(Room))
     def grant(self, room):
         expected = self.oracle.grant(room)
-        assert self.queue.grant(room=room) == expected
+        assert self.queue.grant(room) == expected
         if expected is not None:
             self.granted.append(expected)
 
@@ -110,9 +110,10 @@
         assert ahead == list(range(len(self.oracle.calls)))
 
     def teardown(self):
-        while (expected := self.oracle.grant(room=False)) is not None:
-            assert self.queue.grant(room=False) == expected
-        assert self.queue.grant(room=False) is None
+        for room in (Room.FOR_NONE, Room.FOR_SERVICES_BEHIND):
+            while (expected := self.oracle.grant(room)) is not None:
+                assert self.queue.grant(room) == expected
+            assert self.queue.grant(room) is None
         while self.oracle.calls:
             assert self.queue.grant() == self.oracle.grant()
         assert self.queue.grant() is None
@@ -127,11 +128,7 @@
         FairQueue,
         "_next_lane",
         lambda self, room: min(
-            (
-                lane
-                for lane in self._lanes.values()
-                if (lane.places if room else lane.ready)
-            ),
+            (lane for lane in self._lanes.values() if self._places_of(lane, room)),
             key=lambda lane: (lane.virtual_time, lane.service),
             default=None,
         ),
@@ -209,15 +206,25 @@
 
 def grant_without_room(monkeypatch):
     original = FairQueue.grant
-    monkeypatch.setattr(FairQueue, "grant", lambda self, room=True: original(self))
+    monkeypatch.setattr(FairQueue, "grant", lambda self, room=None: original(self))
+
+
+def give_services_ahead_room(monkeypatch):
+    original = FairQueue._places_of
+
+    def places(self, lane, room):
+        behind = room is Room.FOR_SERVICES_BEHIND
+        return original(self, lane, Room.FOR_ALL if behind else room)
+
+    monkeypatch.setattr(FairQueue, "_places_of", places)
 
 
 def let_who_needs_room_block_its_service(monkeypatch):
     original = FairQueue._first
 
     def first(self, level, room):
-        lane = original(self, level, True)
-        return lane if lane is not None and (room or lane.ready) else None
+        lane = original(self, level, Room.FOR_ALL)
+        return lane if lane is not None and self._places_of(lane, room) else None
 
     monkeypatch.setattr(FairQueue, "_first", first)
 
@@ -232,6 +239,7 @@
     never_settle,
     lose_a_cancel,
     grant_without_room,
+    give_services_ahead_room,
     let_who_needs_room_block_its_service,
 ]
 
