--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -113,7 +113,8 @@
     await deferLater(reactor, RELEASE_SECONDS)
     snapshot = await system.snapshot()
     _print(report_text(result, client.counters, snapshot, seconds))
-    return result.programs_failed == 0 and result.wrong_answers == 0
+    all_done = result.programs_done == result.programs_begun > 0
+    return all_done and result.wrong_answers == 0
 
 
 async def _play(
--- a/experiments/demo_system.py
+++ b/experiments/demo_system.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from treq.client import HTTPClient
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 from twisted.internet.task import deferLater
 from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
@@ -70,7 +70,11 @@
         self._control = msgspec.json.decode(line, type=EmulatorReady).control
         self._report(f"stand-ins listen at {self._control}")
         starts = [Deferred.fromCoroutine(self._start_daemon(zone)) for zone in ZONES]
-        self.addresses = tuple(await gatherResults(starts))
+        try:
+            started = await gatherResults(starts, consumeErrors=True)
+        except FirstError as error:
+            raise ChildError(error.subFailure.getErrorMessage()) from error
+        self.addresses = tuple(started)
         self._report(f"daemons listen at {', '.join(self.addresses)}")
         await self._publish()
 
