Let a fresh daemon take engines only once it knows its region

Cause: a process that has just started knows only itself, so hashing named it for every engine. It claimed them, met the members one by one within 0.2 s and gave all up again. Each superseded steward waited RECLAIM_SECONDS (3 s) and a step before it claimed anew.

Weighed: to shorten RECLAIM_SECONDS, which only makes two daemons with differing views claim in turn faster; to wait a fixed time after the start, which is too long alone and too short on a slow network. Now the membership says whether the view is more than a beginner's: after an exchange with a member, at once if no other daemon is listed, or after 5 s without any answer. Engines that are kept already stay.

--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -173,6 +173,7 @@
             chance=ports.chance,
             settings=settings.engines,
             partition_count=partition_count,
+            knows_region=self.membership.knows_region,
         )
         mover = PrefixMover(
             self.directory,
--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -1,6 +1,7 @@
 """The steward role of a daemon: which engines are its own, and their requests."""
 
 import random
+from collections.abc import Callable
 from typing import TypeVar
 
 from twisted.internet.interfaces import IReactorTime
@@ -53,8 +54,14 @@
         chance: random.Random,
         settings: EnginesSection,
         partition_count: int,
+        knows_region: Callable[[], bool],
     ) -> None:
-        """Register the handlers; `start` begins to steward."""
+        """Register the handlers; `start` begins to steward.
+
+        No engine is taken over while `knows_region` says no: a fresh process that
+        knows only itself would name itself for all of them.
+        """
+        self._knows_region = knows_region
         self._own_member = network.own_member
         self._router = router
         self._directory = directory
@@ -96,6 +103,10 @@
         for engine in tuple(self._keepers):
             self._give_up(engine)
 
+    def keeps(self, engine: EngineName) -> bool:
+        """Tell whether this daemon acts as the engine's steward."""
+        return engine in self._keepers
+
     def refresh(self) -> None:
         """Take over engines that are now this daemon's, give up the others."""
         if not self._running:
@@ -108,7 +119,7 @@
             keeper = self._keepers.get(engine)
             if keeper is not None:
                 keeper.learn_machine(machine)
-            elif self._is_own(engine):
+            elif self._knows_region() and self._is_own(engine):
                 keeper = self._keepers[engine] = EngineKeeper(
                     machine, self._surroundings
                 )
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -113,6 +113,10 @@
             self._live = tuple(sorted(members, key=lambda live: live.member))
         return self._live
 
+    def knows_region(self) -> bool:
+        """Tell whether the view is more than what a fresh process begins with."""
+        return self._swim.knows_region(self._clock.seconds())
+
     def is_certainly_dead(self, member: Member) -> bool:
         """Tell whether the process is surely gone.
 
--- a/notcharch/membership/swim.py
+++ b/notcharch/membership/swim.py
@@ -46,6 +46,10 @@
 
 JOIN_RETRY_SECONDS = 0.5
 
+ALONE_SECONDS = 5.0
+"""A process without any answer for so long after its start acts as if alone."""
+
+
 DigestKey = tuple[DaemonName, str]
 
 
@@ -77,18 +81,22 @@
         self._periods = 0
         self._next_period_at = 0.0
         self._direct_deadline: float | None = None
+        self._has_list = False
         self._joined = False
+        self._started_at = 0.0
         self._exchanged_at = float("-inf")
         self._effects: list[Effect] = []
 
     def start(self, now: float) -> None:
         """Begin the first period after a random part of one."""
+        self._started_at = now
         self._next_period_at = (
             now + self._random.random() * self._settings.probe_seconds
         )
 
     def set_seeds(self, seeds: Mapping[DaemonName, str]) -> None:
         """Replace the listed daemons and their addresses."""
+        self._has_list = True
         self._seeds = {
             daemon: address
             for daemon, address in seeds.items()
@@ -149,6 +157,16 @@
         self._merge(records, now)
         return self._take_effects()
 
+    def knows_region(self, now: float) -> bool:
+        """Tell whether the view is more than what a fresh process begins with.
+
+        It is after an exchange with another member. A process is alone when no
+        other daemon is listed, or when nobody answers it.
+        """
+        is_only_one = self._has_list and not self._seeds
+        is_unanswered = now - self._started_at >= ALONE_SECONDS
+        return self._joined or is_only_one or is_unanswered
+
     def finish_exchange(self) -> None:
         """Note that the records of another member were taken in."""
         self._joined = True
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -268,6 +268,7 @@
         self.network = self.daemon.network
         self.clock = self.daemon.clock
         self.view = View()
+        self.knows_region = True
         self.router = DirectRouter(self.network, region)
         replicas = region.partitions.view(self.member.daemon)
         ClaimsService(
@@ -283,6 +284,7 @@
             chance=random.Random(1),
             settings=EnginesSection(),
             partition_count=PARTITIONS,
+            knows_region=lambda: self.knows_region,
         )
         self.dispatcher = Dispatcher(
             router=self.router,
