Measure an engine's load before a plan's end takes effect

The stand-in's load report is measured at fixed times without a timer: the state before the next change is what was measured. The end of a plan was applied first, so that an engine that reports only the end of a run told the state after it for a time before it.

A command that is named and cannot be loaded now ends with status 70 instead of the usage of an empty list of commands.

--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -92,7 +92,13 @@
         self.orders.on_change = self._state_changed
         self.transfers = CacheTransfers(clock, rates, self.cache, self.counters)
         self.lagging_load = LaggingLoad(rates.load_refresh_seconds, self._measure_load)
-        self._stepper = Stepper(clock, self.batch, steps_per_report, self._on_change)
+        self._stepper = Stepper(
+            clock,
+            self.batch,
+            steps_per_report,
+            self.lagging_load.before_change,
+            self._on_change,
+        )
         self._reports_each_plan = steps_per_report is not None
         self._left_at: float | None = None
         self._runs = RunRegistry(rates.resume_seconds)
@@ -272,7 +278,6 @@
             )
 
     def _on_change(self, change: BatchChange, now: float) -> None:
-        self.lagging_load.before_change(now)
         for run in change.first_tokens:
             run.first_token_at = now
         for run in change.finished:
--- a/emulator/engine/stepper.py
+++ b/emulator/engine/stepper.py
@@ -20,15 +20,18 @@
         clock: IReactorTime,
         batch: Batch,
         longest_plan: int | None,
+        before_change: Callable[[float], None],
         on_change: Callable[[BatchChange, float], None],
     ) -> None:
         """Begin idle; a plan covers at most `longest_plan` steps.
 
-        `on_change` gets what a plan did and when it ended, and calls `begin`.
+        `before_change` hears when a plan ends, before it has any effect; `on_change`
+        gets what it did and when it ended, and calls `begin`.
         """
         self._clock = clock
         self._batch = batch
         self._longest_plan = longest_plan
+        self._before_change = before_change
         self._on_change = on_change
         self._plan: StepPlan | None = None
         self._plan_start = 0.0
@@ -85,8 +88,10 @@
         plan = self._plan
         self._plan = None
         if plan is not None:
+            end = self._end_of(plan)
+            self._before_change(end)
             change = self._batch.apply(plan, plan.steps)
-            self._on_change(change, self._end_of(plan))
+            self._on_change(change, end)
 
     def _end_of(self, plan: StepPlan) -> float:
         return self._plan_start + plan.steps * plan.step_seconds
--- a/notcharch/cli/main.py
+++ b/notcharch/cli/main.py
@@ -37,7 +37,10 @@
     # Before any command is loaded: libraries install a reactor when imported.
     install_reactor()
     given = sys.argv[1:] if argv is None else argv
-    parser = build_parser(tuple(load_commands(given)))
+    commands = tuple(load_commands(given))
+    if not commands:
+        return INTERNAL_ERROR
+    parser = build_parser(commands)
     arguments = parser.parse_args(given)
     if arguments.log is not None and not _log_to(arguments.log):
         return BAD_USAGE
--- a/tests/unit/cli/test_main.py
+++ b/tests/unit/cli/test_main.py
@@ -115,6 +115,14 @@
     assert [entry["event_number"] for entry in logged] == [1201]
 
 
+def test_named_command_that_cannot_be_loaded_is_a_fault(monkeypatch, capsys):
+    monkeypatch.setattr(
+        importlib.metadata, "entry_points", lambda group: [BrokenEntryPoint()]
+    )
+    assert status_of("broken") == 70
+    assert capsys.readouterr().err.count("\n") == 1
+
+
 def commands_of(parser: argparse.ArgumentParser):
     """Give a parser's subparsers by name."""
     for action in parser._actions:
