Answer requests until the last connection of a planned stop

The daemon had ended its calls and handed over, and closed everything in one turn; a request that came on a connection which was kept open, or that was just accepted, was cut off with it.

A stop now ends its listening first, answers for one more second whatever comes on open connections (new calls with `draining`, reads as ever), waits for responses under way, at most 5 s, and then closes. Weighed: to close idle connections when the drain begins, which has the same race at another moment. A request that is sent in the very moment in which an idle connection closes can still be lost on its way, as with every HTTP server; a second of answers that say `connection: close` leaves few such connections.

Price: a planned stop takes a second longer. Without the last second a test fails.

--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -1,15 +1,28 @@
-"""The planned stop: nothing new, let calls end, hand over, and only then stop."""
+"""The planned stop: nothing new, let calls end, hand over, and only then stop.
 
+Connections that callers keep open may bring requests until the very end. So the
+daemon first stops listening, answers for a last while whatever still comes, and
+closes only when no response is under way.
+"""
+
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
 
 from notcharch.daemon.core import DaemonCore
 from notcharch.daemon.life import LifeInputs, LifeState
 from notcharch.events.daemon import DaemonDraining, DaemonStopped, DrainTimedOut
 from notcharch.events.event import emit
 
+LAST_REQUESTS_SECONDS = 1.0
+"""Time between the last new connection and the end, for requests under way."""
+
+LAST_ANSWERS_SECONDS = 5.0
+"""Longest wait for responses to requests that came in the last while."""
+
 HAND_OVER_SECONDS = 20.0
 """Longest wait for other daemons to take over this one's partitions."""
 
@@ -17,8 +30,15 @@
 class Drain:
     """Drains one daemon, by an operator's order or on the way to its stop."""
 
-    def __init__(self, core: DaemonCore, life: LifeInputs, clock: IReactorTime) -> None:
-        """Do nothing yet."""
+    def __init__(
+        self,
+        core: DaemonCore,
+        life: LifeInputs,
+        clock: IReactorTime,
+        stop_listening: Callable[[], "Deferred[None]"],
+    ) -> None:
+        """Do nothing yet; `stop_listening` is for callers' new connections."""
+        self._stop_listening = stop_listening
         self._core = core
         self._life = life
         self._clock = clock
@@ -43,18 +63,22 @@
         self._core.gateway.resume()
 
     async def run(self) -> None:
-        """Drain whole, in the order: calls, partitions."""
+        """Drain whole, in the order: calls, partitions, connections."""
+        core = self._core
         started_at = self._clock.seconds()
         self.begin()
         assert self._idle is not None
-        longest = self._core.settings.daemon.drain_seconds
+        longest = core.settings.daemon.drain_seconds
         if not await _within(self._idle, longest, self._clock):
-            running = self._core.gateway.running_calls
-            emit(DrainTimedOut(self._core.own_member.daemon, running))
-        await self._core.replicas.hand_over(HAND_OVER_SECONDS)
+            running = core.gateway.running_calls
+            emit(DrainTimedOut(core.own_member.daemon, running))
+        await core.replicas.hand_over(HAND_OVER_SECONDS)
+        await self._stop_listening()
+        await deferLater(self._clock, LAST_REQUESTS_SECONDS)
+        await _within(core.gateway.when_idle(), LAST_ANSWERS_SECONDS, self._clock)
         self._life.finish()
         seconds = self._clock.seconds() - started_at
-        emit(DaemonStopped(self._core.own_member.daemon, seconds))
+        emit(DaemonStopped(core.own_member.daemon, seconds))
 
 
 async def _within(
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 from prometheus_client import CollectorRegistry
-from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 
@@ -92,7 +92,7 @@
         )
         self.core = core
         core.membership.on_superseded(self._on_superseded)
-        self._drain = Drain(core, self._life, self._clock)
+        self._drain = Drain(core, self._life, self._clock, self._stop_listening)
         http_address = self._serve_http(core)
         core.start()
         self._check_ready()
@@ -247,6 +247,11 @@
             )
         )
 
+    def _stop_listening(self) -> "Deferred[None]":
+        """Take no new connections of callers; those that are open stay."""
+        port = None if self._sockets is None else self._sockets.http_port
+        return succeed(None) if port is None else maybeDeferred(port.stopListening)
+
     def _close(self) -> "Deferred[Any]":
         if self.core is not None:
             self.core.stop()
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -153,12 +153,15 @@
         self._is_draining = True
         self._calls.stop_waiting()
         emit(GatewayDraining(len(self._runs)))
+        return self.when_idle().addCallback(lambda _: emit(GatewayDrained()))
+
+    def when_idle(self) -> "Deferred[None]":
+        """Fire when no call runs and no response is under way."""
         return Deferred.fromCoroutine(self._wait_until_idle())
 
     async def _wait_until_idle(self) -> None:
         await self._runs.when_idle()
         await self._open_requests.when_none()
-        emit(GatewayDrained())
 
     def resume(self) -> None:
         """Take new calls again after a drain that was taken back."""
--- /dev/null
+++ b/tests/unit/faults/test_planned_stop.py
@@ -0,0 +1,106 @@
+"""The last moments of a planned stop: requests that are still on their way.
+
+A connection that was kept open may bring a request until it is closed. It is
+answered as long as possible: first nobody new can connect, then a last while
+passes, then what is still being answered ends.
+"""
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from notcharch.daemon.drain import (
+    LAST_ANSWERS_SECONDS,
+    LAST_REQUESTS_SECONDS,
+    Drain,
+)
+from notcharch.daemon.life import LifeCore, LifeState, new_life
+from notcharch.settings.schema import DaemonSection
+from notcharch.values.identifiers import Member
+
+
+class FakeCore:
+    """Everything that a drain asks of a daemon, with a note of the order."""
+
+    def __init__(self):
+        self.steps = []
+        self.gateway = self
+        self.membership = self
+        self.replicas = self
+        self.settings = self
+        self.daemon = DaemonSection(name="daemon-1")
+        self.own_member = Member("daemon-1", 1)
+        self.running_calls = 0
+        self.answering = succeed(None)
+
+    def announce_leaving(self):
+        self.steps.append("announce")
+
+    def drain(self):
+        self.steps.append("refuse calls")
+        return succeed(None)
+
+    def when_idle(self):
+        self.steps.append("await answers")
+        return self.answering
+
+    def hand_over(self, seconds):
+        self.steps.append("hand over")
+        return succeed(None)
+
+    def stop_listening(self):
+        self.steps.append("stop listening")
+        return succeed(None)
+
+
+@pytest.fixture
+def core():
+    return FakeCore()
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def life():
+    life = new_life(LifeCore())
+    life.become_ready()
+    return life
+
+
+def begin(core, life, clock):
+    drain = Drain(core, life, clock, core.stop_listening)
+    return Deferred.fromCoroutine(drain.run())
+
+
+def test_connections_are_served_for_a_while_after_nobody_new_can_connect(
+    core, life, clock
+):
+    stopped = begin(core, life, clock)
+    assert core.steps == ["announce", "refuse calls", "hand over", "stop listening"]
+    clock.advance(LAST_REQUESTS_SECONDS / 2)
+    assert not stopped.called
+    assert life.look() is LifeState.DRAINING
+    clock.advance(LAST_REQUESTS_SECONDS / 2)
+    assert core.steps[-1] == "await answers"
+    assert stopped.called
+    assert life.look() is LifeState.STOPPED
+
+
+def test_what_is_still_being_answered_is_waited_for(core, life, clock):
+    core.answering = Deferred()
+    stopped = begin(core, life, clock)
+    clock.advance(LAST_REQUESTS_SECONDS)
+    assert not stopped.called
+    core.answering.callback(None)
+    assert stopped.called
+
+
+def test_a_request_that_never_ends_does_not_keep_the_daemon(core, life, clock):
+    core.answering = Deferred()
+    stopped = begin(core, life, clock)
+    clock.advance(LAST_REQUESTS_SECONDS)
+    clock.advance(LAST_ANSWERS_SECONDS)
+    assert stopped.called
