Give services behind their share room for new programs first

Cause: with the room for new programs, those of a service that was under its share waited as long as those of the service that held the memory: in the chats the summaries, at 66% of their share, waited 65 s for a first token (p95); in the faults the long chains had 89%.

Ruled out by measurement: letting the free part fall to nothing within 30 s of waiting (long chains: 4.8 M tokens filled twice for 0.5 M); telling new calls the expected wait for room, so that they ask further engines (2.1 M for 0.5 M: more programs came in at once); 5% for services behind (3.5 M: the long chains are nearly always behind).

Change: 30% of the memory must be free for a new program, and 15% if its service has had less than its share of the engine.

--- a/experiments/policies/variant.py
+++ b/experiments/policies/variant.py
@@ -37,7 +37,7 @@
     "no-moves": NotcharchVariant(moves=False),
     "no-early-refusal": NotcharchVariant(early_refusal=False),
     "no-begun-first": _order(new_program_seconds=0.0),
-    "no-memory-room": _order(free_memory_part=0.0),
+    "no-memory-room": _order(free_memory_part=0.0, free_memory_part_behind=0.0),
     "no-ageing": _order(
         level_seconds=EFFECTIVELY_FOREVER_SECONDS,
         new_program_seconds=100 * EFFECTIVELY_FOREVER_SECONDS,
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -153,7 +153,7 @@
         answers: list[CallAnswer] = []
         while self._may_grant(now):
             busy_part = len(self._grants) / self.load.slots
-            waiting = self._waiting.grant(room=self._room.admits_new(busy_part))
+            waiting = self._waiting.grant(self._room.for_new(busy_part))
             if waiting is None:
                 break
             answers.append(CallAnswer(waiting.call.key, self._grant(waiting, now)))
--- a/notcharch/scheduling/calls.py
+++ b/notcharch/scheduling/calls.py
@@ -1,5 +1,6 @@
 """The calls that an engine's queue orders, and the weights of that order."""
 
+import enum
 import math
 
 import msgspec
@@ -20,6 +21,16 @@
     attempt: AttemptNumber
 
 
+class Room(enum.Enum):
+    """For which calls that need room there is some."""
+
+    FOR_ALL = "all"
+    FOR_SERVICES_BEHIND = "services behind"
+    """Only for services that have had less than their share."""
+
+    FOR_NONE = "none"
+
+
 class QueuedCall(msgspec.Struct, frozen=True):
     """A call that waits. Tokens are counts, `enqueued_at` is in seconds.
 
@@ -58,9 +69,12 @@
     lead_tokens: int = 20_000
     """How far a service of higher priority may run ahead of its share."""
 
-    free_memory_part: float = 0.2
+    free_memory_part: float = 0.3
     """New programs begin on a busy engine only while so much of it is free."""
 
+    free_memory_part_behind: float = 0.15
+    """The same for services that have had less than their share."""
+
     room_busy_part: float = 0.25
     """An engine with a smaller part of its slots in use is not busy."""
 
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -13,7 +13,7 @@
 import msgspec
 from sortedcontainers import SortedList
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 from notcharch.values.identifiers import ServiceName
 
 
@@ -118,16 +118,16 @@
         self._list(lane)
         return waiting.call
 
-    def grant(self, *, room: bool = True) -> QueuedCall | None:
+    def grant(self, room: Room = Room.FOR_ALL) -> QueuedCall | None:
         """Take out the next call and charge its cost; None when there is none.
 
-        Without `room`, calls that need it are passed over and keep their places.
+        Calls that need room and have none are passed over and keep their places.
         """
         lane = self._next_lane(room)
         if lane is None:
             return None
         self._unlist(lane)
-        place = lane.places[0] if room else lane.ready[0]
+        place = self._places_of(lane, room)[0]
         lane.remove(place)
         call = self._waiting.pop(place.key).call
         self._virtual_time = max(self._virtual_time, lane.virtual_time)
@@ -169,7 +169,14 @@
         delay = self._policy.delay_seconds(call.attained_tokens, call.begun)
         return _Place(call.enqueued_at + delay, self._arrivals, call.key)
 
-    def _next_lane(self, room: bool) -> _Lane | None:
+    def _places_of(self, lane: _Lane, room: Room) -> "SortedList[_Place]":
+        """Give the places of a lane that may be granted now."""
+        if room is Room.FOR_SERVICES_BEHIND:
+            behind = lane.virtual_time < self._virtual_time
+            return lane.places if behind else lane.ready
+        return lane.places if room is Room.FOR_ALL else lane.ready
+
+    def _next_lane(self, room: Room) -> _Lane | None:
         firsts = (self._first(self._levels[p], room) for p in sorted(self._levels))
         heads = [lane for lane in firsts if lane is not None]
         if not heads:
@@ -180,10 +187,10 @@
                 return head
         return None
 
-    def _first(self, level: "SortedList[_LanePlace]", room: bool) -> _Lane | None:
+    def _first(self, level: "SortedList[_LanePlace]", room: Room) -> _Lane | None:
         """Give the level's lane that is furthest behind and has a call to grant."""
         lanes = (self._lanes[place.service] for place in level)
-        return next((lane for lane in lanes if room or lane.ready), None)
+        return next((lane for lane in lanes if self._places_of(lane, room)), None)
 
     def _list(self, lane: _Lane) -> None:
         if lane.places:
--- a/notcharch/scheduling/memory_room.py
+++ b/notcharch/scheduling/memory_room.py
@@ -8,7 +8,7 @@
 """
 
 from notcharch.platform.ports import EngineLoad
-from notcharch.scheduling.calls import OrderPolicy
+from notcharch.scheduling.calls import OrderPolicy, Room
 from notcharch.values.identifiers import ServiceName
 
 MEAN_WEIGHT = 0.05
@@ -45,8 +45,12 @@
         mean = self._mean_prompts.get(service, 0.0)
         return mean <= self._total * self._policy.small_program_part
 
-    def admits_new(self, busy_part: float) -> bool:
-        """Tell whether a new program may begin while so much of it is busy."""
+    def for_new(self, busy_part: float) -> Room:
+        """Tell which new programs may begin while so much of the engine is busy."""
         if self._total == 0 or busy_part < self._policy.room_busy_part:
-            return True
-        return self._free >= self._total * self._policy.free_memory_part
+            return Room.FOR_ALL
+        if self._free >= self._total * self._policy.free_memory_part:
+            return Room.FOR_ALL
+        if self._free >= self._total * self._policy.free_memory_part_behind:
+            return Room.FOR_SERVICES_BEHIND
+        return Room.FOR_NONE
--- a/tests/unit/scheduling/test_memory_room.py
+++ b/tests/unit/scheduling/test_memory_room.py
@@ -3,12 +3,15 @@
 import pytest
 
 from notcharch.platform.ports import EngineLoad, MachineState
-from notcharch.scheduling.calls import OrderPolicy
+from notcharch.scheduling.calls import OrderPolicy, Room
 from notcharch.scheduling.memory_room import MemoryRoom
 from notcharch.values.identifiers import ServiceName
 
 POLICY = OrderPolicy(
-    free_memory_part=0.2, room_busy_part=0.25, small_program_part=1 / 64
+    free_memory_part=0.2,
+    free_memory_part_behind=0.1,
+    room_busy_part=0.25,
+    small_program_part=1 / 64,
 )
 CHAIN = ServiceName("chain")
 
@@ -36,32 +39,34 @@
 
 
 @pytest.mark.parametrize(
-    ("free_blocks", "busy_part", "admitted"),
+    ("free_blocks", "busy_part", "expected"),
     [
-        (200, 1.0, True),
-        (199, 1.0, False),
-        (0, 0.25, False),
-        (0, 0.24, True),
-        (1000, 1.0, True),
+        (200, 1.0, Room.FOR_ALL),
+        (199, 1.0, Room.FOR_SERVICES_BEHIND),
+        (100, 1.0, Room.FOR_SERVICES_BEHIND),
+        (99, 1.0, Room.FOR_NONE),
+        (0, 0.25, Room.FOR_NONE),
+        (0, 0.24, Room.FOR_ALL),
+        (1000, 1.0, Room.FOR_ALL),
     ],
 )
-def test_a_busy_engine_needs_free_memory(free_blocks, busy_part, admitted):
-    assert room(free_blocks).admits_new(busy_part) is admitted
+def test_a_busy_engine_needs_free_memory(free_blocks, busy_part, expected):
+    assert room(free_blocks).for_new(busy_part) is expected
 
 
 def test_an_engine_that_is_unknown_or_has_no_cache_has_room():
-    assert MemoryRoom(POLICY).admits_new(1.0)
-    assert room(0, total_blocks=0).admits_new(1.0)
+    assert MemoryRoom(POLICY).for_new(1.0) is Room.FOR_ALL
+    assert room(0, total_blocks=0).for_new(1.0) is Room.FOR_ALL
 
 
 def test_grants_since_the_report_take_memory_until_the_next_report():
     limited = room(210)
     limited.note_grant(CHAIN, 6000, 640)
-    assert limited.admits_new(1.0)
+    assert limited.for_new(1.0) is Room.FOR_ALL
     limited.note_grant(CHAIN, 6000, 1)
-    assert not limited.admits_new(1.0)
+    assert limited.for_new(1.0) is not Room.FOR_ALL
     limited.learn_report(report(210))
-    assert limited.admits_new(1.0)
+    assert limited.for_new(1.0) is Room.FOR_ALL
 
 
 def test_a_service_is_small_by_its_prompts_so_far():
