--- a/notcharch/platform/body_reader.py
+++ b/notcharch/platform/body_reader.py
@@ -7,14 +7,29 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
+LONGEST_BODY_BYTES = 32 * 1024 * 1024
+"""Longer than any reply that is asked for; a fault, and not to be kept."""
+
+
+class OverlongBodyError(Exception):
+    """A reply is longer than `LONGEST_BODY_BYTES`."""
+
 
 class _WholeBody(Protocol):
     def __init__(self) -> None:
         self.whole: Deferred[bytes] = Deferred(self._close)
         self._parts: list[bytes] = []
+        self._size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.whole.called:
+            return
         self._parts.append(data)
+        self._size += len(data)
+        if self._size > LONGEST_BODY_BYTES:
+            self._parts.clear()
+            self._close(self.whole)
+            self.whole.errback(OverlongBodyError())
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         if self.whole.called:
--- a/notcharch/platform/engine_stream.py
+++ b/notcharch/platform/engine_stream.py
@@ -119,6 +119,8 @@
         if events:
             self._collector.add(events)
             self._on_bytes(events)
+        elif self._splitter.is_overlong:
+            self._give_up("an event is too long")
 
     def _on_refused(self, status: int, body: bytes) -> None:
         where = f"engine at {self._address}"
@@ -168,8 +170,7 @@
         emit(EngineStreamBroken(self._address, self._request.request_id, number, cause))
         delay = self._backoff.next_delay()
         if delay is None:
-            self._problem = self._failed(f"given up after: {cause}", self._ran())
-            self._take(self._machine.given_up())
+            self._give_up(f"given up after: {cause}")
         else:
             self._timer = self._tools.clock.callLater(delay, self._retry)
 
@@ -202,10 +203,13 @@
         self._is_position_checked = True
         if first == self._expected_number:
             return events
+        self._give_up("events are missing")
+        return b""
+
+    def _give_up(self, cause: str) -> None:
         self._exchange.abort()
-        self._problem = self._failed("events are missing", Ran.YES)
+        self._problem = self._failed(cause, self._ran())
         self._take(self._machine.given_up())
-        return b""
 
     # Silence.
 
--- a/notcharch/platform/server_sent_events.py
+++ b/notcharch/platform/server_sent_events.py
@@ -12,6 +12,9 @@
 _ID_LINE = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
 
 
+LONGEST_EVENT_BYTES = 1024 * 1024
+
+
 class EventSplitter:
     """Gives whole events; keeps back the beginning of one that is cut off."""
 
@@ -19,6 +22,11 @@
         """Begin at the boundary of an event."""
         self._rest = b""
 
+    @property
+    def is_overlong(self) -> bool:
+        """Tell whether the event that is cut off is longer than any may be."""
+        return len(self._rest) > LONGEST_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Give the whole events that are complete with `data`, as one piece."""
         if self._rest:
--- a/tests/contract/test_engine_stream.py
+++ b/tests/contract/test_engine_stream.py
@@ -10,6 +10,7 @@
 from twisted.internet import reactor
 
 from notcharch.errors import ProblemCode, Ran
+from notcharch.platform import server_sent_events
 from notcharch.platform.connections import Connections
 from notcharch.platform.engine_client import RESUME_POLICY, EngineClient
 from notcharch.platform.ports import EngineRequest, StreamEnd
@@ -245,6 +246,24 @@
     spin(scenario())
 
 
+def test_endless_event_is_cut_off_and_its_run_cancelled(monkeypatch):
+    monkeypatch.setattr(server_sent_events, "LONGEST_EVENT_BYTES", 1000)
+
+    async def scenario():
+        scene = Scene(Silence(token(0)), DELETED)
+        stream = scene.open()
+        await turn_until(lambda: scene.bytes_seen == token(0))
+        scene.server.write(b"data: " + b"x" * 1000)
+        problem = (await stream.finished).err_value
+        assert problem.ran is Ran.YES
+        assert scene.bytes_seen == token(0)
+        await scene.server.has_lost_caller()
+        await turn_until(lambda: not scene.clock.getDelayedCalls())
+        await scene.close()
+
+    spin(scenario())
+
+
 def test_refused_connection_did_not_run():
     async def scenario():
         scene = Scene()
--- a/tests/contract/test_json_clients.py
+++ b/tests/contract/test_json_clients.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock
 
 from notcharch.errors import ProblemCode, Ran
+from notcharch.platform import body_reader
 from notcharch.platform.connections import Connections
 from notcharch.platform.engine_client import EngineClient
 from notcharch.platform.log_client import LogClient
@@ -395,6 +396,20 @@
     spin(scenario())
 
 
+def test_endless_answer_is_cut_off(monkeypatch):
+    monkeypatch.setattr(body_reader, "LONGEST_BODY_BYTES", 1000)
+
+    async def scenario():
+        server = ScriptedServer(Silence(b"x" * 1001))
+        clients = Clients(server.address)
+        problem = (await clients.log.read("table", 0, 1)).err_value
+        assert problem.ran is Ran.UNKNOWN
+        await server.has_lost_caller()
+        await finish(server, clients)
+
+    spin(scenario())
+
+
 def test_connection_is_kept_and_one_that_broke_is_not():
     async def scenario():
         good = Reply(200, b'{"pull":"p"}')
