--- a/notcharch/daemon/partition_descriptions.py
+++ b/notcharch/daemon/partition_descriptions.py
@@ -3,6 +3,7 @@
 from notcharch.daemon.state_access import StateAccess
 from notcharch.replication.service import ReplicationService
 from notcharch.replication.status import PartitionStatus
+from notcharch.services.allotments import AllotmentsState
 from notcharch.wire.messages.administration import PartitionDescription
 
 
@@ -26,5 +27,9 @@
         programs=0 if programs is None else len(programs.programs()),
         queued_calls=0 if programs is None else len(programs.running_programs()),
         reserved_tokens=0 if programs is None else programs.reserved_tokens(),
-        leases=0 if allotments is None else allotments.lease_count(),
+        leases=0 if allotments is None else _lease_count(allotments),
     )
+
+
+def _lease_count(allotments: AllotmentsState) -> int:
+    return sum(len(allotments.leases(name)) for name in allotments.services())
