Claim a partition though another member's log is as good

Cause, read from the running daemons: the leader was adding a fourth member when the other two died. Both survivors held the same log (epoch, index 37). The former leader saw two best logs, took the first in its list, the other's, and waited for that member's claim. That member still believed the former leader alive and claimed nothing.

Ruled out: the log service (it was up, other partitions were claimed within a second), the pause of a third daemon (it lasted 9 s).

Now a holder claims when no log is better than its own. If two claim, the stream decides, as it does between any claims.

--- a/notcharch/replication/arbitration.py
+++ b/notcharch/replication/arbitration.py
@@ -185,11 +185,14 @@
     claim: Claim,
 ) -> Decision:
     """Let the member with the best log claim; in turn if the archive is best."""
-    best = max(holders, key=lambda member: position_of(holders[member]), default=None)
+    best = max(map(position_of, holders.values()), default=None)
     archived = Position(archive.last_epoch, archive.last_index)
-    if best is None or position_of(holders[best]) < archived:
+    if best is None or best < archived:
         return _in_turn(evidence, claim)
-    if best == evidence.own:
+    own = holders.get(evidence.own)
+    if own is not None and position_of(own) == best:
+        # Another log may be as good, but its holder need not know that there is
+        # no leader. If both claim, the log service decides.
         return claim
     return Wait(WaitReason.ANOTHER_CLAIMS)
 
