Tell the heir of a partition who else is leaving

Cause: that a daemon leaves spreads by gossip, up to a second. Until then each leaving leader took another one for staying and handed the partition to it, which did the same.

Weighed: an heir that leaves refuses, which stops the partition's proposals for the second after which a transfer is given up; a broadcast of the leaving, which makes the time shorter but not zero. Now the request to take over names the members that its sender knows to leave, and the heir believes it for 10 s beside the membership. Each hop adds one, so a partition moves at most once per member.

--- a/notcharch/replication/group.py
+++ b/notcharch/replication/group.py
@@ -215,6 +215,7 @@
     def _on_take_over(self, sender: Member, message: TakeOver, now: float) -> None:
         replica = self._replica
         if message.epoch == replica.epoch and replica.leader == sender:
+            self._reconfiguration.hear_leaving(message.leaving, now)
             self._candidate.take_over(now)
 
     def _on_retire(self, sender: Member, message: Retire) -> None:
@@ -319,7 +320,7 @@
             if any(isinstance(e, ConfigurationCommitted) for e in replica.effects):
                 self._reconfiguration.configuration_committed(now)
             self._reconfiguration.advance(now)
-            self._reconfiguration.ask_heir()
+            self._reconfiguration.ask_heir(now)
         else:
             self._candidate.arm(now)
         effects = replica.effects
--- a/notcharch/replication/reconfiguration.py
+++ b/notcharch/replication/reconfiguration.py
@@ -1,5 +1,7 @@
 """The leader's steps from the present configuration to the one it should be."""
 
+import msgspec
+
 from notcharch.replication.configuration import (
     ChangeKind,
     ConfigurationChange,
@@ -9,6 +11,7 @@
     without_member,
 )
 from notcharch.replication.leader import Leader
+from notcharch.replication.picture import Picture
 from notcharch.replication.replica import Replica, Timer
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.replication import Configuration, Entry, TakeOver
@@ -17,6 +20,9 @@
 """How long the targets must be the same before members move to follow them."""
 
 SETTLE_JITTER_SECONDS = 5.0
+LEAVING_WORD_SECONDS = 10.0
+"""How long former leaders' word that a member leaves counts beside the membership."""
+
 TRANSFER_SECONDS = 1.0
 """How long proposals wait for a transfer of leadership before it is given up."""
 
@@ -34,6 +40,23 @@
         self.heir: Member | None = None
         """The member that leadership is being transferred to."""
         self._is_heir_asked = False
+        self._leaving_until: dict[Member, float] = {}
+
+    def hear_leaving(self, members: tuple[Member, ...], now: float) -> None:
+        """Take in a former leader's word of who is about to stop.
+
+        Word by gossip may come seconds later. Members that all leave would else
+        hand a partition to one another until then, many times a second.
+        """
+        until = now + LEAVING_WORD_SECONDS
+        self._leaving_until |= dict.fromkeys(members, until)
+        self._leaving_until.pop(self._replica.own, None)
+
+    def _picture(self, now: float) -> Picture:
+        """Give the region with the members that former leaders said are leaving."""
+        said = {member for member, until in self._leaving_until.items() if now < until}
+        picture = self._replica.picture
+        return msgspec.structs.replace(picture, leaving=picture.leaving | said)
 
     def begin(self, now: float) -> None:
         """Start afresh as the leader."""
@@ -54,7 +77,7 @@
         replica = self._replica
         change = next_change(
             replica.log.configuration,
-            replica.picture,
+            self._picture(now),
             replica.own,
             self._replica_count,
             is_settled,
@@ -133,7 +156,7 @@
         self._is_heir_asked = False
         self._replica.timers[Timer.TRANSFER] = now + TRANSFER_SECONDS
 
-    def ask_heir(self) -> None:
+    def ask_heir(self, now: float) -> None:
         """Ask the heir to stand when it holds all and no proposal is pending."""
         replica = self._replica
         if self.heir is None or self._is_heir_asked or not replica.is_leading:
@@ -144,7 +167,10 @@
             return
         if replica.commit_index == last_index:
             self._is_heir_asked = True
-            replica.send(self.heir, TakeOver(replica.partition, replica.epoch))
+            leaving = self._picture(now).leaving
+            members = replica.log.configuration.members
+            said = tuple(member for member in members if member in leaving)
+            replica.send(self.heir, TakeOver(replica.partition, replica.epoch, said))
 
     def give_up_transfer(self, now: float) -> None:
         """Lead on, because the heir did not take over in time."""
--- a/notcharch/wire/messages/replication.py
+++ b/notcharch/wire/messages/replication.py
@@ -107,7 +107,13 @@
 
 
 class TakeOver(GroupMessage, frozen=True, array_like=True, tag="T"):
-    """The leader asks an up-to-date member to start an election at once."""
+    """The leader asks an up-to-date member to start an election at once.
+
+    `leaving` holds the members of the group that are about to stop, as far as the
+    leader knows: the heir may know of fewer, and must not hand on to one of them.
+    """
+
+    leaving: tuple[Member, ...] = ()
 
 
 class SnapshotChunk(GroupMessage, frozen=True, array_like=True, tag="S"):
