Say nothing certain of a call whose program could not be read

`ran: "no"` of a call has to hold for every request about it, since callers ask another daemon after one that broke off. A gateway that does not know a program's service asks its leader first. When the leader could not be reached, the caller read `ran: "no"`, although an earlier request may have run the call through another daemon. The same of `GET` for an answer, where the call may well have run.

The rule that admission already followed moves to the leader client and is used in all three places. A refusal of the leader itself, such as `not_found`, stays certain.

--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -13,7 +13,7 @@
 from notcharch.gateway.call_order import CallName, CallOrder
 from notcharch.gateway.call_runs import CallRuns, Outcome, RunningCall
 from notcharch.gateway.call_tools import CallTools
-from notcharch.gateway.leader_client import for_caller
+from notcharch.gateway.leader_client import for_caller, of_the_whole_call
 from notcharch.gateway.openai import (
     AnswerSource,
     completion_body,
@@ -129,7 +129,7 @@
             timeout_seconds=wait_seconds + NETWORK_MARGIN_SECONDS,
         )
         if isinstance(reply, Err):
-            raise ProblemError(for_caller(reply.err_value))
+            raise ProblemError(for_caller(of_the_whole_call(reply.err_value)))
         match reply.ok_value:
             case CallAnswered(_, answer):
                 return Ok(answer)
@@ -165,7 +165,7 @@
     async def _source(self, call: CallName) -> AnswerSource:
         service = await self._services.service_of(call.tenant, call.program)
         if isinstance(service, Err):
-            raise ProblemError(for_caller(service.err_value))
+            raise ProblemError(for_caller(of_the_whole_call(service.err_value)))
         now = int(self._tools.clock.seconds())
         return AnswerSource(call.program, call.sequence, service.ok_value, now)
 
--- a/notcharch/gateway/call_run.py
+++ b/notcharch/gateway/call_run.py
@@ -4,7 +4,6 @@
 wait for the same outcome.
 """
 
-import msgspec
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
@@ -31,7 +30,11 @@
 )
 from notcharch.gateway.call_tools import CallTools
 from notcharch.gateway.engine_attempt import EngineAttempt
-from notcharch.gateway.leader_client import for_caller, is_transient, unexpected
+from notcharch.gateway.leader_client import (
+    for_caller,
+    of_the_whole_call,
+    unexpected,
+)
 from notcharch.gateway.outcome_delivery import OutcomeDelivery
 from notcharch.gateway.stream_relay import StreamSink
 from notcharch.values.chat import Answer
@@ -137,7 +140,7 @@
             timeout_seconds=ADMISSION_SECONDS,
         )
         if isinstance(reply, Err):
-            return self._life.refused(_of_the_whole_call(reply.err_value))
+            return self._life.refused(of_the_whole_call(reply.err_value))
         match reply.ok_value:
             case CallAdmitted() as admitted:
                 self._attempt = EngineAttempt(order, admitted, self._tools, self._sink)
@@ -255,14 +258,3 @@
         if self._attempt is None:
             raise RuntimeError("the call is not admitted")
         return self._attempt
-
-
-def _of_the_whole_call(problem: Problem) -> Problem:
-    """Say `ran` of the call, not of this request alone.
-
-    Another gateway may have run the same call for an earlier request, and only
-    the leader knows. Where it could not be asked, nothing is certain.
-    """
-    if not is_transient(problem):
-        return problem
-    return msgspec.structs.replace(problem, ran=Ran.UNKNOWN)
--- a/notcharch/gateway/leader_client.py
+++ b/notcharch/gateway/leader_client.py
@@ -7,6 +7,7 @@
 import random
 from typing import TypeVar
 
+import msgspec
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -100,6 +101,17 @@
     )
 
 
+def of_the_whole_call(problem: Problem) -> Problem:
+    """Say `ran` of the call, not of this request alone.
+
+    Another gateway may have run the same call for an earlier request, and only
+    the leader knows. Where it could not be asked, nothing is certain.
+    """
+    if not is_transient(problem):
+        return problem
+    return msgspec.structs.replace(problem, ran=Ran.UNKNOWN)
+
+
 def not_found() -> Problem:
     """Give the problem of a program that does not exist for this caller."""
     return Problem.of(ProblemCode.NOT_FOUND, UNKNOWN_PROGRAM)
