--- a/experiments/faults/caller.py
+++ b/experiments/faults/caller.py
@@ -115,8 +115,12 @@
         asked = Asked(
             "POST", "/v1/programs", {"service": service}, {"Idempotency-Key": [key]}
         )
-        reply = msgspec.json.decode(await self._ask(asked), type=ProgramReply)
-        return reply.program
+        begun_at = self._reactor.seconds()
+        data, tries = await self._ask_counting(asked)
+        if tries == 1:
+            seconds = self._reactor.seconds() - begun_at
+            self._facts.calm_create_seconds.append(seconds)
+        return msgspec.json.decode(data, type=ProgramReply).program
 
     async def call(
         self,
--- a/experiments/faults/checks.py
+++ b/experiments/faults/checks.py
@@ -9,6 +9,8 @@
 from experiments.faults.facts import CallerFacts, CallName, CutCause
 
 MOST_FINDINGS_SHOWN = 20
+LEAVING_SECONDS = 5.0
+"""A leaving engine gets no new work after so long: the list's lag and two polls."""
 
 
 class Check(msgspec.Struct, frozen=True):
@@ -48,6 +50,7 @@
         _check('calls that ran after `ran: "no"`', ran_after_all),
         _check("programs over their budget", overspent(facts, attempts, budget_tokens)),
         _check("engines with memory of ended programs", holders(snapshot)),
+        _check("engines with new work though long leaving", late_work(snapshot)),
         _check("programs that ended by a failure", facts.failures),
         _check("requests cut by planned stops", planned),
         _check("requests cut without a fault", unexplained),
@@ -82,6 +85,15 @@
     ]
 
 
+def late_work(snapshot: EmulatorSnapshot) -> list[str]:
+    """Give the engines that accepted requests too long after they began to leave."""
+    return [
+        f"{engine.name}: {engine.counters.last_accepted_leaving_seconds:.1f} s"
+        for engine in snapshot.engines
+        if engine.counters.last_accepted_leaving_seconds > LEAVING_SECONDS
+    ]
+
+
 def _check(name: str, found: Sequence[object]) -> Check:
     return Check(name, len(found), tuple(map(str, found[:MOST_FINDINGS_SHOWN])))
 
--- a/experiments/faults/facts.py
+++ b/experiments/faults/facts.py
@@ -69,5 +69,8 @@
     calm_call_seconds: list[float] = attrs.field(factory=list)
     """Calls that were answered at the first try."""
 
+    calm_create_seconds: list[float] = attrs.field(factory=list)
+    """Programs that were created at the first try: HTTP and one commit."""
+
     disturbed_wait_seconds: dict[str, float] = attrs.field(factory=dict)
     """For each program with a failed try, its longest wait for one answer."""
--- a/experiments/faults/report.py
+++ b/experiments/faults/report.py
@@ -32,6 +32,9 @@
     calm_call_seconds: tuple[float, ...]
     """p50, p95, p99 of calls that were answered at the first try."""
 
+    calm_create_seconds: tuple[float, ...]
+    """p50, p95, p99 of creating a program at the first try: HTTP and one commit."""
+
     disturbed_programs: int
     longest_wait_p50: float
     longest_wait_max: float
@@ -53,9 +56,8 @@
     return ordered[len(ordered) // 2] if ordered else 0.0
 
 
-def calm_percentiles(facts: CallerFacts) -> tuple[float, ...]:
-    """Give p50, p95 and p99 of undisturbed calls; empty for none."""
-    seconds = facts.calm_call_seconds
+def calm_percentiles(seconds: Sequence[float]) -> tuple[float, ...]:
+    """Give p50, p95 and p99 of undisturbed requests; empty for none."""
     return percentiles(seconds) if seconds else ()
 
 
@@ -66,6 +68,7 @@
 
 def report_text(report: FaultReport) -> str:
     """Give the report for a reader."""
+    create = ", ".join(f"{value * 1000:.0f}" for value in report.calm_create_seconds)
     calm = ", ".join(f"{value:.2f}" for value in report.calm_call_seconds)
     stops = ", ".join(f"{value:.1f}" for value in report.planned_stop_seconds)
     lines = [
@@ -74,6 +77,7 @@
         f"programs        {report.programs_done} of {report.programs_begun} done,"
         f" {report.calls_answered} calls answered",
         f"calls           {report.calm_calls} undisturbed, p50/p95/p99 {calm} s",
+        f"commits         p50/p95/p99 {create} ms to create a program (HTTP, 1 commit)",
         f"longest wait    p50 {report.longest_wait_p50:.1f} s,"
         f" max {report.longest_wait_max:.1f} s, of {report.disturbed_programs}"
         " disturbed programs",
--- a/tests/unit/faults/test_planned_stop.py
+++ b/tests/unit/faults/test_planned_stop.py
@@ -12,6 +12,7 @@
 from notcharch.daemon.drain import (
     LAST_ANSWERS_SECONDS,
     LAST_REQUESTS_SECONDS,
+    STEWARD_SECONDS,
     Drain,
 )
 from notcharch.daemon.life import LifeCore, LifeState, new_life
@@ -27,11 +28,13 @@
         self.gateway = self
         self.membership = self
         self.replicas = self
+        self.stewards = self
         self.settings = self
         self.daemon = DaemonSection(name="daemon-1")
         self.own_member = Member("daemon-1", 1)
         self.running_calls = 0
         self.answering = succeed(None)
+        self.handing_over = succeed(None)
 
     def announce_leaving(self):
         self.steps.append("announce")
@@ -44,8 +47,12 @@
         self.steps.append("await answers")
         return self.answering
 
+    def when_handed_over(self):
+        self.steps.append("hand over engines")
+        return self.handing_over
+
     def hand_over(self, seconds):
-        self.steps.append("hand over")
+        self.steps.append("hand over partitions")
         return succeed(None)
 
     def stop_listening(self):
@@ -79,7 +86,13 @@
     core, life, clock
 ):
     stopped = begin(core, life, clock)
-    assert core.steps == ["announce", "refuse calls", "hand over", "stop listening"]
+    assert core.steps == [
+        "announce",
+        "refuse calls",
+        "hand over engines",
+        "hand over partitions",
+        "stop listening",
+    ]
     clock.advance(LAST_REQUESTS_SECONDS / 2)
     assert not stopped.called
     assert life.look() is LifeState.DRAINING
@@ -98,6 +111,15 @@
     assert stopped.called
 
 
+def test_engines_that_nobody_claims_do_not_keep_the_daemon(core, life, clock):
+    core.handing_over = Deferred()
+    stopped = begin(core, life, clock)
+    assert core.steps[-1] == "hand over engines"
+    clock.advance(STEWARD_SECONDS)
+    clock.advance(LAST_REQUESTS_SECONDS)
+    assert stopped.called
+
+
 def test_a_request_that_never_ends_does_not_keep_the_daemon(core, life, clock):
     core.answering = Deferred()
     stopped = begin(core, life, clock)
