Take `ran: "yes"` of an unrepeatable call as its outcome, and check it

That is the truth, and nothing that the system could do better: the call may not run again. The caller now goes on with its next call, as after `outcome_unknown`. It is no weaker: a new check compares each such statement with what the engines accepted.

--- a/experiments/faults/checks.py
+++ b/experiments/faults/checks.py
@@ -41,6 +41,7 @@
     attempts = attempts_of(snapshot)
     doubled = [name for name in facts.unrepeatable if attempts[name] > 1]
     ran_after_all = [name for name in facts.not_run if attempts[name]]
+    never_ran = [name for name in facts.lost_answers if not attempts[name]]
     planned = [text for text in facts.cut_details if _is_planned(text)]
     unexplained = [text for text in facts.cut_details if _is_unexplained(text)]
     return (
@@ -48,6 +49,7 @@
         _check("lost or mixed histories", facts.wrong_histories),
         _check("unrepeatable calls that ran twice", doubled),
         _check('calls that ran after `ran: "no"`', ran_after_all),
+        _check('calls that never ran despite `ran: "yes"`', never_ran),
         _check("programs over their budget", overspent(facts, attempts, budget_tokens)),
         _check("engines with memory of ended programs", holders(snapshot)),
         _check("engines with new work though long leaving", late_work(snapshot)),
--- a/experiments/faults/facts.py
+++ b/experiments/faults/facts.py
@@ -46,6 +46,9 @@
     unknown_outcomes: list[CallName] = attrs.field(factory=list)
     """Unrepeatable calls that may have run."""
 
+    lost_answers: list[CallName] = attrs.field(factory=list)
+    """Unrepeatable calls that were said to have run, whose answer is lost."""
+
     not_run: list[CallName] = attrs.field(factory=list)
     """Calls that were said not to have run, and were not asked again."""
 
--- a/experiments/faults/programs.py
+++ b/experiments/faults/programs.py
@@ -184,6 +184,9 @@
         if kind is Kind.WRITE and problem.code == "outcome_unknown":
             self._facts.unknown_outcomes.append(name)
             return True
+        if kind is Kind.WRITE and problem.ran == "yes":
+            self._facts.lost_answers.append(name)
+            return True
         if kind is Kind.SMALL and problem.code == "budget_exhausted":
             self._facts.budgets_exhausted += 1
             return False
--- a/experiments/faults/report.py
+++ b/experiments/faults/report.py
@@ -20,6 +20,7 @@
     programs_done: int
     calls_answered: int
     unknown_outcomes: int
+    lost_answers: int
     not_run: int
     budgets_exhausted: int
     cuts: dict[str, int]
@@ -87,6 +88,7 @@
         f"refusals        {_counts(report.refusals)}",
         f"broken streams  {_counts(report.broken_streams)}",
         f"final refusals  {report.unknown_outcomes} outcome unknown,"
+        f" {report.lost_answers} ran and lost their answers,"
         f" {report.not_run} not run, {report.budgets_exhausted} budgets exhausted",
         f"planned stops   {stops or 'none'} s",
         f"release         {report.release_seconds:.1f} s after the last end",
--- a/experiments/faults/run.py
+++ b/experiments/faults/run.py
@@ -124,6 +124,7 @@
         programs_done=facts.programs_done,
         calls_answered=facts.calls_answered,
         unknown_outcomes=len(facts.unknown_outcomes),
+        lost_answers=len(facts.lost_answers),
         not_run=len(facts.not_run),
         budgets_exhausted=facts.budgets_exhausted,
         cuts=cuts_of(facts),
--- a/tests/unit/faults/test_checks.py
+++ b/tests/unit/faults/test_checks.py
@@ -47,6 +47,11 @@
     ({"wrong_histories": ["x"]}, {}, "lost or mixed histories"),
     ({"unrepeatable": {NAME}}, {"effects": TWICE}, "unrepeatable calls that ran twice"),
     ({"not_run": [NAME]}, {"effects": ONCE}, 'calls that ran after `ran: "no"`'),
+    (
+        {"lost_answers": [NAME]},
+        {"effects": ("region1-1-a/1/1",)},
+        'calls that never ran despite `ran: "yes"`',
+    ),
     (
         {"spending": [SpentCall(NAME, 51)]},
         {"effects": TWICE},
@@ -77,6 +82,7 @@
     facts = CallerFacts(
         unrepeatable={NAME},
         unknown_outcomes=[NAME],
+        lost_answers=[NAME],
         spending=[SpentCall(NAME, BUDGET)],
         cut_details=["kill: d", "pause: d"],
     )
