Let a steward serve its engine until the next one has claimed it

On an orderly change of stewardship the old steward refused calls as soon as its own view named another, and the new one began when its view followed: with its next look, after gossip, or 3 s after it had been superseded by a daemon with an older view.

Weighed: a release record by the old steward before the new claim. It needs one commit more and always leaves a gap of two commits. Now the claim itself moves the engine: the old steward offers it to the daemon that hashing names (StewardshipOffered, with every refresh), and serves on; the new one claims at once, also when it has been superseded, and tells the former holder, which the claim's record names (StewardshipTaken); only then the old one sends its queue on. A lost notice is made up for by a look at the claim each second. A drain waits for this up to 5 s, before partitions are handed over. A new steward waits (RECLAIM_SECONDS) only when nobody offers, that is when the old one is gone.

The test of a superseded steward that does not know it now loses the notice; without that it learns at once.

--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -23,6 +23,9 @@
 LAST_ANSWERS_SECONDS = 5.0
 """Longest wait for responses to requests that came in the last while."""
 
+STEWARD_SECONDS = 5.0
+"""Longest wait for other daemons to claim the engines that this one stewards."""
+
 HAND_OVER_SECONDS = 20.0
 """Longest wait for other daemons to take over this one's partitions."""
 
@@ -63,7 +66,7 @@
         self._core.gateway.resume()
 
     async def run(self) -> None:
-        """Drain whole, in the order: calls, partitions, connections."""
+        """Drain whole, in the order: calls, engines, partitions, connections."""
         core = self._core
         started_at = self._clock.seconds()
         self.begin()
@@ -72,6 +75,8 @@
         if not await _within(self._idle, longest, self._clock):
             running = core.gateway.running_calls
             emit(DrainTimedOut(core.own_member.daemon, running))
+        handed_over = core.stewards.when_handed_over()
+        await _within(handed_over, STEWARD_SECONDS, self._clock)
         await core.replicas.hand_over(HAND_OVER_SECONDS)
         await self._stop_listening()
         await deferLater(self._clock, LAST_REQUESTS_SECONDS)
--- a/notcharch/engines/claim_keeper.py
+++ b/notcharch/engines/claim_keeper.py
@@ -18,7 +18,9 @@
     ClaimStewardship,
     ReadStewardship,
     StewardshipClaimed,
+    StewardshipTaken,
 )
+from notcharch.wire.peers import PeerNetwork
 
 CLAIM_CHECK_SECONDS = 10.0
 """Time between looks whether the claim is still in force."""
@@ -37,6 +39,7 @@
     clock: IReactorTime
     partition_count: int
     own_member: Member
+    network: PeerNetwork
 
 
 class ClaimKeeper:
@@ -84,10 +87,21 @@
             return
         claim = outcome.unwrap()
         if isinstance(claim, StewardshipClaimed):
+            self._tell_former(claim)
             self._look_at = asked_at + CLAIM_CHECK_SECONDS
             self.stewardship.learn_claim(claim.member, claim.epoch, asked_at)
             self._on_claim(claim)
 
+    def _tell_former(self, claim: StewardshipClaimed) -> None:
+        """Tell the former steward of a claim of this process: it serves until then."""
+        own = self._around.own_member
+        is_new = self.stewardship.phase == StewardshipPhase.CLAIMING
+        if not is_new or claim.member != own or claim.former in (None, own):
+            return
+        assert claim.former is not None
+        taken = StewardshipTaken(self._engine, own, claim.epoch)
+        self._around.network.notify(claim.former.daemon, taken)
+
     def _reclaim_if_due(self, now: float) -> None:
         """Claim again when hashing goes on naming this daemon.
 
--- a/notcharch/engines/claims.py
+++ b/notcharch/engines/claims.py
@@ -33,12 +33,16 @@
 
 
 class ClaimInForce(CommandResult, frozen=True):
-    """The claim after the command; `member` is None before the first claim."""
+    """The claim after the command; `member` is None before the first claim.
+
+    `former` is the process from which `member` took the engine.
+    """
 
     engine: EngineName
     member: Member | None
     epoch: Epoch
     drained: bool
+    former: Member | None = None
 
 
 CLAIM_COMMANDS: tuple[type[Command], ...] = (
@@ -92,6 +96,7 @@
             command.member,
             self._next_epoch(epoch),
             old.drained if old else False,
+            old.member if old else None,
         )
         self._claims[command.engine] = claim
         return claim
--- a/notcharch/engines/claims_service.py
+++ b/notcharch/engines/claims_service.py
@@ -92,4 +92,6 @@
 
 
 def _reply(claim: ClaimInForce) -> StewardshipClaimed:
-    return StewardshipClaimed(claim.engine, claim.member, claim.epoch, claim.drained)
+    return StewardshipClaimed(
+        claim.engine, claim.member, claim.epoch, claim.drained, claim.former
+    )
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -33,7 +33,13 @@
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy
 from notcharch.settings.schema import EnginesSection
-from notcharch.values.identifiers import EngineName, Epoch, Member, ProgramId
+from notcharch.values.identifiers import (
+    DaemonName,
+    EngineName,
+    Epoch,
+    Member,
+    ProgramId,
+)
 from notcharch.wire.messages.engines import (
     EngineDescription,
     EngineQuote,
@@ -41,7 +47,10 @@
 )
 from notcharch.wire.messages.stewardship import (
     StewardshipClaimed,
+    StewardshipOffered,
+    StewardshipTaken,
 )
+from notcharch.wire.peers import PeerNetwork
 
 CLAIM_SECONDS = 1.0
 """Time between tries of a claim that could not be recorded."""
@@ -66,6 +75,7 @@
     settings: EnginesSection
     partition_count: int
     own_member: Member
+    network: PeerNetwork
     order_policy: OrderPolicy = OrderPolicy()
     breaker_policy: BreakerPolicy = BreakerPolicy()
 
@@ -77,6 +87,7 @@
             self.clock,
             self.partition_count,
             self.own_member,
+            self.network,
         )
 
 
@@ -138,6 +149,7 @@
 
     def stop(self, problem: Problem) -> None:
         """End the stewardship; waiting calls get `problem`."""
+        is_ended = self.stewardship.phase == StewardshipPhase.SUPERSEDED
         self.stewardship.assign(False)
         self._set_epoch()
         self._claim_task.stop()
@@ -145,7 +157,31 @@
         self.cache.stop()
         self.queue.answer(self.state.hand_over(problem))
         self.queue.stop()
-        emit(StewardshipEnded(self.engine, problem.code))
+        if not is_ended:
+            emit(StewardshipEnded(self.engine, problem.code))
+
+    def offer(self, successor: DaemonName) -> bool:
+        """Ask the daemon that hashing names now to claim the engine.
+
+        Tells whether this one serves on until then: only if it has the claim.
+        """
+        if self.stewardship.phase != StewardshipPhase.HOLDING:
+            return False
+        self._around.network.notify(successor, StewardshipOffered(self.engine))
+        self.claims.look_now()
+        return True
+
+    def take_offer(self) -> None:
+        """Claim the engine now: who held it offers it to this daemon."""
+        if self.stewardship.phase == StewardshipPhase.SUPERSEDED:
+            self.stewardship.reclaim()
+        self._claim_task.hurry()
+
+    def learn_taken(self, taken: StewardshipTaken) -> None:
+        """Take in that another process has claimed the engine."""
+        now = self._clock.seconds()
+        self.stewardship.learn_claim(taken.member, taken.epoch, now)
+        self._set_epoch()
 
     def learn_machine(self, machine: Machine) -> None:
         """Take in the machine list's entry of the engine."""
--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.engines.engine_keeper import EngineKeeper, KeeperSurroundings
@@ -30,7 +31,12 @@
     QuoteEngine,
     ReleasePrefix,
 )
-from notcharch.wire.messages.stewardship import RecordDrain, StewardshipClaimed
+from notcharch.wire.messages.stewardship import (
+    RecordDrain,
+    StewardshipClaimed,
+    StewardshipOffered,
+    StewardshipTaken,
+)
 from notcharch.wire.peers import PeerNetwork
 
 REFRESH_SECONDS = 1.0
@@ -76,11 +82,14 @@
             settings,
             partition_count,
             network.own_member,
+            network,
         )
         self._refresh_task = PeriodicTask(
             "stewarded engines", self._refresh_async, REFRESH_SECONDS, clock
         )
         self._running = False
+        self._offered: set[EngineName] = set()
+        self._handed_over: list[Deferred[None]] = []
         directory.on_change(self.refresh)
         membership.on_change(self.refresh)
         network.on_request(EnqueueCall, self._on_enqueue)
@@ -90,6 +99,8 @@
         network.on_request(ReleasePrefix, self._on_release)
         network.on_request(DrainEngine, self._on_drain)
         network.on_request(ListEngines, self._on_list)
+        network.on_notice(StewardshipOffered, self._on_offered)
+        network.on_notice(StewardshipTaken, self._on_taken)
 
     def start(self) -> None:
         """Begin to steward."""
@@ -107,14 +118,26 @@
         """Tell whether this daemon acts as the engine's steward."""
         return engine in self._keepers
 
+    def when_handed_over(self) -> "Deferred[None]":
+        """Give a Deferred that fires when no engine waits for its next steward."""
+        waiter: Deferred[None] = Deferred()
+        self._handed_over.append(waiter)
+        self._note_handed_over()
+        return waiter
+
     def refresh(self) -> None:
-        """Take over engines that are now this daemon's, give up the others."""
+        """Take over engines that are now this daemon's, hand over the others."""
         if not self._running:
             return
         machines = {EngineName(m.name): m for m in self._directory.all_engines()}
         for engine in tuple(self._keepers):
-            if engine not in machines or not self._is_own(engine):
+            if engine not in machines:
                 self._give_up(engine)
+            elif self._is_own(engine):
+                self._offered.discard(engine)
+            else:
+                self._hand_over(engine)
+        self._note_handed_over()
         for engine, machine in machines.items():
             keeper = self._keepers.get(engine)
             if keeper is not None:
@@ -131,7 +154,23 @@
     def _is_own(self, engine: EngineName) -> bool:
         return self._router.steward_of(engine) == self._own_member.daemon
 
+    def _hand_over(self, engine: EngineName) -> None:
+        """Serve an engine until the daemon that hashing names has claimed it."""
+        successor = self._router.steward_of(engine)
+        if successor is not None and self._keepers[engine].offer(successor):
+            self._offered.add(engine)
+        else:
+            self._give_up(engine)
+
+    def _note_handed_over(self) -> None:
+        if self._offered:
+            return
+        waiters, self._handed_over = self._handed_over, []
+        for waiter in waiters:
+            waiter.callback(None)
+
     def _give_up(self, engine: EngineName) -> None:
+        self._offered.discard(engine)
         keeper = self._keepers.pop(engine)
         keeper.stop(not_steward(engine, self._router.steward_of(engine)))
 
@@ -147,6 +186,20 @@
             raise ProblemError(refusal)
         return keeper
 
+    def _on_offered(self, sender: Member, message: Message) -> None:
+        offered = _expect(message, StewardshipOffered)
+        if not self._running or not self._is_own(offered.engine):
+            return
+        self.refresh()
+        if offered.engine in self._keepers:
+            self._keepers[offered.engine].take_offer()
+
+    def _on_taken(self, sender: Member, message: Message) -> None:
+        taken = _expect(message, StewardshipTaken)
+        if self._running and taken.engine in self._keepers:
+            self._keepers[taken.engine].learn_taken(taken)
+            self.refresh()
+
     async def _on_enqueue(self, sender: Member, message: Message) -> Message:
         request = _expect(message, EnqueueCall)
         return await self._keeper(request.engine).queue.enqueue(request)
--- a/notcharch/wire/messages/stewardship.py
+++ b/notcharch/wire/messages/stewardship.py
@@ -34,9 +34,30 @@
 
 
 class StewardshipClaimed(Message, frozen=True):
-    """The claim in force: whoever has seen `epoch` refuses a lower one."""
+    """The claim in force: whoever has seen `epoch` refuses a lower one.
+
+    `former` held the claim before `member` did.
+    """
 
     engine: EngineName
     member: Member | None
     epoch: Epoch
     drained: bool
+    former: Member | None = None
+
+
+class StewardshipOffered(Message, frozen=True):
+    """Notice of a steward whom hashing names no more to the one whom it names now.
+
+    The sender serves the engine until the receiver has claimed it.
+    """
+
+    engine: EngineName
+
+
+class StewardshipTaken(Message, frozen=True):
+    """Notice to the former steward that `member` has claimed the engine."""
+
+    engine: EngineName
+    member: Member
+    epoch: Epoch
--- a/tests/unit/engines/test_stewardship.py
+++ b/tests/unit/engines/test_stewardship.py
@@ -79,6 +79,7 @@
     region = Region(daemons=3, engines=1)
     region.believed[DaemonName("d1")] = {E1: DaemonName("d1")}
     old = region.nodes["d1"].stewards._keepers[E1]
+    old.learn_taken = lambda taken: None  # the notice of the new claim is lost
     move(region, "d2")
     region.nodes["d2"].stewards._keepers[E1].order_drain(True).send(None)
     assert [order.order for order in region.engine("e1").orders] == [OrderKind.DRAIN]
