--- a/tests/stateful/region/oracle.py
+++ b/tests/stateful/region/oracle.py
@@ -1,7 +1,7 @@
 """What must hold of one program, from what its caller was told and engines did."""
 
 from emulator.engine.answers import expected_answer
-from notcharch.errors import Ran
+from notcharch.errors import ProblemCode, Ran
 
 MAX_TOKENS = 24
 
@@ -55,6 +55,10 @@
     key = (known.program, call.sequence)
     if outcome.is_err():
         problem = outcome.err_value
+        require(
+            not problem.is_code(ProblemCode.NOT_FOUND),
+            f"{key} of a program that was created: {problem.message}",
+        )
         if problem.ran is Ran.NO and not call.repeatable:
             runs = accepted.get(key, [])
             require(
