Measure regions of hollow daemons, commits, polls and the table

The page on capacity needs slopes that were measured here. `notcharch experiment scale` runs whole daemon cores on the memory fabric, a region in a process: start, table changes with the log up and down, control bytes idle and under two loads, the loss of a rack and of a zone. `experiments.capacity` holds the measurements that were missing (a commit, a poll over HTTP, the table, an answer through the gateway), records what a command printed as a committed file, and fits lines to its columns.

Weighed: one process for 600 daemons (no: 75 take minutes and regions are cells, so that eight processes of 75 show the same); stand-in daemons instead of whole cores (would measure the stand-in).

--- /dev/null
+++ b/experiments/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The capacity page: slopes measured here, carried to the size to design for."""
--- a/experiments/command.py
+++ b/experiments/command.py
@@ -9,7 +9,7 @@
 
 from notcharch.cli.command import CommandSpec
 
-SUBCOMMANDS: tuple[str, ...] = ("run", "compare", "plot", "relay", "faults")
+SUBCOMMANDS: tuple[str, ...] = ("run", "compare", "plot", "relay", "scale", "faults")
 """Names of subcommands; `relay` is `experiments.relay_command`."""
 
 EXAMPLES = """examples:
