Believe no daemon alone because the machine list has no other yet

All daemons had started within a second, before the list named any of them; each took itself for the only one and claimed all engines. The stewards that won the hashing found out at their next look at the claim, 10 s later, that another one had claimed last, and claimed anew after RECLAIM_SECONDS.

A process now is alone only after 5 s without any answer. Price: the first daemon of a region, or a single one, grants nothing for its first 5 s. The new test failed before.

--- a/notcharch/membership/swim.py
+++ b/notcharch/membership/swim.py
@@ -81,7 +81,6 @@
         self._periods = 0
         self._next_period_at = 0.0
         self._direct_deadline: float | None = None
-        self._has_list = False
         self._joined = False
         self._started_at = 0.0
         self._exchanged_at = float("-inf")
@@ -96,7 +95,6 @@
 
     def set_seeds(self, seeds: Mapping[DaemonName, str]) -> None:
         """Replace the listed daemons and their addresses."""
-        self._has_list = True
         self._seeds = {
             daemon: address
             for daemon, address in seeds.items()
@@ -160,12 +158,11 @@
     def knows_region(self, now: float) -> bool:
         """Tell whether the view is more than what a fresh process begins with.
 
-        It is after an exchange with another member. A process is alone when no
-        other daemon is listed, or when nobody answers it.
+        It is after an exchange with another member. A process that nobody answers
+        is alone, whatever the machine list says: the list may lag, and the others
+        may just be starting as well.
         """
-        is_only_one = self._has_list and not self._seeds
-        is_unanswered = now - self._started_at >= ALONE_SECONDS
-        return self._joined or is_only_one or is_unanswered
+        return self._joined or now - self._started_at >= ALONE_SECONDS
 
     def finish_exchange(self) -> None:
         """Note that the records of another member were taken in."""
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -27,6 +27,12 @@
     assert len(fresh.live_members()) == 6
 
 
+def test_a_daemon_that_is_not_listed_beside_others_yet_does_not_feel_alone():
+    region = MembershipRegion(1)
+    region.run(1)
+    assert not region.services[daemon_name(0)].knows_region()
+
+
 @pytest.mark.parametrize("count", [1, 2])
 def test_a_daemon_that_is_alone_knows_it_in_the_end(count):
     region = MembershipRegion(count)
