Give an engine back when its claim was recorded too late

In `notcharch demo` (40 programs over 20 s) 8 of 9 engines still had no steward from 10.0 to 14.2 or 15.2 s. A daemon that had just started claimed them, met the members and gave them up while the claims were on the way. These were recorded; the stewards that hashing names learnt of it only with their look each 10 s, and waited RECLAIM_SECONDS and a step more.

Weighed: to withdraw the claim on giving up, which may overtake the claim. Now the answer to a claim of an engine that was given up meanwhile makes the claimant offer the engine to the daemon that hashing names. An offer makes its receiver look at the claim and take it over at once, also if it believed to hold it.

The tests of handovers: a table of which daemon learns of the move last, mistaken claims, late claims, lost notices.

--- a/notcharch/engines/claim_keeper.py
+++ b/notcharch/engines/claim_keeper.py
@@ -18,6 +18,7 @@
     ClaimStewardship,
     ReadStewardship,
     StewardshipClaimed,
+    StewardshipOffered,
     StewardshipTaken,
 )
 from notcharch.wire.peers import PeerNetwork
@@ -58,13 +59,26 @@
         self._on_claim = on_claim
         self._look_at = 0.0
         self._superseded_at: float | None = None
+        self._is_offered = False
 
     def look_now(self) -> None:
         """Look at the claim at the next step: it may have been superseded."""
         self._look_at = 0.0
 
+    def accept_offer(self) -> None:
+        """Look at the claim at the next step, and take it over if it is another's."""
+        self._is_offered = True
+        self.look_now()
+
     async def step(self) -> None:
         """Claim if there is none, else look at it when that is due."""
+        is_offered, self._is_offered = self._is_offered, False
+        await self._claim_or_look()
+        if is_offered and self.stewardship.phase == StewardshipPhase.SUPERSEDED:
+            self.stewardship.reclaim()
+            await self._claim_or_look()
+
+    async def _claim_or_look(self) -> None:
         now = self._around.clock.seconds()
         if self.stewardship.phase == StewardshipPhase.CLAIMING:
             await self._ask(ClaimStewardship(self._engine, self._around.own_member))
@@ -88,6 +102,7 @@
         claim = outcome.unwrap()
         if isinstance(claim, StewardshipClaimed):
             self._tell_former(claim)
+            self._offer_late(claim)
             self._look_at = asked_at + CLAIM_CHECK_SECONDS
             self.stewardship.learn_claim(claim.member, claim.epoch, asked_at)
             self._on_claim(claim)
@@ -102,6 +117,17 @@
         taken = StewardshipTaken(self._engine, own, claim.epoch)
         self._around.network.notify(claim.former.daemon, taken)
 
+    def _offer_late(self, claim: StewardshipClaimed) -> None:
+        """Offer the engine if it was given up while its claim was on the way."""
+        is_given_up = self.stewardship.phase == StewardshipPhase.UNASSIGNED
+        successor = self._around.router.steward_of(self._engine)
+        own = self._around.own_member
+        if not is_given_up or claim.member != own:
+            return
+        if successor is not None and successor != own.daemon:
+            offer = StewardshipOffered(self._engine)
+            self._around.network.notify(successor, offer)
+
     def _reclaim_if_due(self, now: float) -> None:
         """Claim again when hashing goes on naming this daemon.
 
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -173,8 +173,7 @@
 
     def take_offer(self) -> None:
         """Claim the engine now: who held it offers it to this daemon."""
-        if self.stewardship.phase == StewardshipPhase.SUPERSEDED:
-            self.stewardship.reclaim()
+        self.claims.accept_offer()
         self._claim_task.hurry()
 
     def learn_taken(self, taken: StewardshipTaken) -> None:
--- /dev/null
+++ b/tests/unit/engines/test_stewardship_handover.py
@@ -0,0 +1,99 @@
+"""Orderly changes of a steward: somebody grants at every moment."""
+
+import pytest
+
+from notcharch.placement.partitions import partition_of_engine
+from notcharch.values.identifiers import DaemonName, EngineName
+from notcharch.wire.messages.stewardship import StewardshipOffered, StewardshipTaken
+from tests.unit.engines.calls import admitted, place
+from tests.unit.engines.region import PARTITIONS, Region
+
+E1 = EngineName("e1")
+LONGEST_GRANT_SECONDS = 0.1
+
+
+def lag(region, node, believed):
+    """Let one daemon go on believing that another one should steward e1."""
+    region.believed[DaemonName(node)] = {E1: DaemonName(believed)}
+
+
+def tell_views(region):
+    """Let every daemon notice what it believes."""
+    for node in region.nodes.values():
+        node.view.changed()
+
+
+def granting(region):
+    """Give the daemon that holds the recorded claim on e1 and knows it."""
+    partition = partition_of_engine(E1, PARTITIONS)
+    claim = region.partitions.states[partition].claim(E1)
+    keeper = region.nodes[claim.member.daemon].stewards._keepers[E1]
+    assert keeper.state.epoch == claim.epoch
+    return claim.member.daemon
+
+
+def place_often(region, seconds):
+    """Place a call at each tenth of a second; gives how long each waited."""
+    waits = []
+    node = region.nodes["d3"]
+    for number in range(int(seconds * 10)):
+        began = region.clock.seconds()
+        placed = place(node, admitted(f"r1-0-{number:x}"))
+
+        def granted(result, began=began):
+            waits.append(region.clock.seconds() - began)
+            node.dispatcher.give_back(result.unwrap(), None, engine_failed=False)
+
+        placed.addCallback(granted)
+        region.run(0.1)
+    return waits
+
+
+@pytest.mark.parametrize("lagging", [None, "d1", "d2", "d3"])
+def test_an_engine_moves_without_a_pause_whoever_learns_it_last(lagging):
+    region = Region(daemons=3, engines=1)
+    region.stewards[E1] = DaemonName("d2")
+    if lagging is not None:
+        lag(region, lagging, "d1")
+    tell_views(region)
+    waits = place_often(region, 3.0)
+    region.believed.clear()
+    tell_views(region)
+    waits += place_often(region, 3.0)
+    assert len(waits) == 60
+    assert max(waits) <= LONGEST_GRANT_SECONDS
+    assert region.nodes["d2"].stewards.keeps(E1)
+    assert not region.nodes["d1"].stewards.keeps(E1)
+
+
+def test_a_steward_that_was_superseded_by_mistake_resumes_when_it_is_offered():
+    region = Region(daemons=3, engines=1)
+    lag(region, "d2", "d2")
+    region.run(2.0)  # d2 claims; d1 is superseded
+    region.believed.clear()
+    region.nodes["d2"].stewards.refresh()
+    region.run(0.1)
+    assert granting(region) == "d1"
+    assert not region.nodes["d2"].stewards.keeps(E1)
+
+
+def test_a_claim_that_is_recorded_after_the_engine_was_given_up_is_offered_back():
+    region = Region(daemons=3, engines=1)
+    lag(region, "d2", "d2")
+    region.nodes["d2"].stewards.refresh()  # the claim is on its way
+    region.believed.clear()
+    region.nodes["d2"].stewards.refresh()
+    assert not region.nodes["d2"].stewards.keeps(E1)
+    region.run(0.1)
+    assert granting(region) == "d1"
+
+
+@pytest.mark.parametrize("lost", [StewardshipOffered, StewardshipTaken])
+def test_lost_notices_only_delay_the_move(lost):
+    region = Region(daemons=3, engines=1)
+    for node in region.nodes.values():
+        node.network.on_notice(lost, lambda sender, message: None)
+    region.stewards[E1] = DaemonName("d2")
+    region.run(4.0)
+    assert region.nodes["d2"].stewards.keeps(E1)
+    assert not region.nodes["d1"].stewards.keeps(E1)
