--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -16,6 +16,8 @@
 from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 from notcharch.values.identifiers import ServiceName
 
+LEAST_LANES_TO_CLEAN = 32
+
 
 class _Place(msgspec.Struct, frozen=True, order=True):
     """Where a call stands in its lane; `arrival` breaks ties."""
@@ -79,6 +81,7 @@
         self._lanes: dict[ServiceName, _Lane] = {}
         self._levels: dict[int, SortedList[_LanePlace]] = {}
         self._share_sum = 0.0
+        self._lanes_to_clean = LEAST_LANES_TO_CLEAN
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -164,6 +167,11 @@
         by_share = (same_service + 1) * other_share / call.share
         return same_service + min(by_share, of_others)
 
+    def count_for_room(self) -> int:
+        """Count the waiting calls that need room."""
+        lanes = self._lanes.values()
+        return sum(len(lane.places) - len(lane.ready) for lane in lanes)
+
     def _place_of(self, call: QueuedCall) -> _Place:
         self._arrivals += 1
         delay = self._policy.delay_seconds(call.attained_tokens, call.begun)
@@ -177,11 +185,14 @@
         return lane.places if room is Room.FOR_ALL else lane.ready
 
     def _next_lane(self, room: Room) -> _Lane | None:
-        firsts = (self._first(self._levels[p], room) for p in sorted(self._levels))
-        heads = [lane for lane in firsts if lane is not None]
+        heads: list[_Lane] = []
+        for priority in sorted(self._levels):
+            first = self._first(self._levels[priority], room)
+            if first is not None:
+                heads.append(first)
         if not heads:
             return None
-        least = min(head.virtual_time for head in heads)
+        least = min([head.virtual_time for head in heads])
         for head in heads:
             if (head.virtual_time - least) * head.share <= self._policy.lead_tokens:
                 return head
@@ -189,6 +200,8 @@
 
     def _first(self, level: "SortedList[_LanePlace]", room: Room) -> _Lane | None:
         """Give the level's lane that is furthest behind and has a call to grant."""
+        if room is Room.FOR_ALL:
+            return self._lanes[level[0].service]
         lanes = (self._lanes[place.service] for place in level)
         return next((lane for lane in lanes if self._places_of(lane, room)), None)
 
@@ -210,11 +223,15 @@
             self._share_sum = 0.0
 
     def _forget_idle_lanes(self) -> None:
-        """Drop lanes that would start again at the queue's virtual time anyway."""
-        if len(self._lanes) <= 2 * sum(map(len, self._levels.values())) + 16:
+        """Drop lanes that would start again at the queue's virtual time anyway.
+
+        Looked for only when the lanes have doubled, so that it costs O(1) a grant.
+        """
+        if len(self._lanes) < self._lanes_to_clean:
             return
         self._lanes = {
             service: lane
             for service, lane in self._lanes.items()
             if lane.places or lane.virtual_time > self._virtual_time
         }
+        self._lanes_to_clean = max(2 * len(self._lanes), LEAST_LANES_TO_CLEAN)
