--- a/notcharch/engines/dispatcher.py
+++ b/notcharch/engines/dispatcher.py
@@ -6,23 +6,19 @@
 import random
 
 import msgspec
-from result import Err, Ok, Result
-from twisted.internet.defer import CancelledError, Deferred, gatherResults
+from result import Result
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.engines.call_placement import CallPlacement, PlacedCall
 from notcharch.engines.prefix_mover import PrefixMover
-from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.errors import Problem
 from notcharch.events.engines import CallPlacementFailed, GrantReturnFailed
 from notcharch.events.event import emit
 from notcharch.placement.interface import EngineDirectory, Router
-from notcharch.scheduling.engine_choice import ChoicePolicy, EngineOption
-from notcharch.scheduling.engine_chooser import (
-    AskForGrant,
-    AskForQuotes,
-    EngineChooser,
-    NoEngineLeft,
-)
+from notcharch.scheduling.engine_choice import ChoicePolicy
+from notcharch.scheduling.engine_chooser import EngineChooser
 from notcharch.scheduling.engine_pool import EnginePool
 from notcharch.scheduling.retry import RetryBudget, RetryPolicy
 from notcharch.table.interface import ServiceRow
@@ -30,40 +26,15 @@
 from notcharch.values.identifiers import EngineName, Member, PoolName
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.engines import (
-    CallDeferred,
     CallGranted,
-    CancelQueued,
-    EngineQuote,
-    EnqueueCall,
     GrantReturned,
     QuoteEngine,
 )
 from notcharch.wire.messages.programs import CallAdmitted
 
 QUOTE_SECONDS = 2.0
-NETWORK_MARGIN_SECONDS = 2.0
-"""A steward answers within the give-up time; this much later it is not coming."""
-
 RETURN_TRIES = 10
 RETURN_SECONDS = 5.0
-GREATEST_PAUSES = 3
-"""How often a call waits a moment for engines to become usable again."""
-
-NO_ENGINE_RETRY_SECONDS = 2.0
-
-
-class PlacedCall(msgspec.Struct, frozen=True):
-    """One call to place. `give_up_seconds` bounds the wait for a grant.
-
-    Engines in `avoid` have just failed this call.
-    """
-
-    admitted: CallAdmitted
-    row: ServiceRow
-    max_tokens: int
-    gateway: Member
-    give_up_seconds: float
-    avoid: frozenset[EngineName] = frozenset()
 
 
 class Dispatcher:
@@ -113,7 +84,7 @@
         call = PlacedCall(
             admitted, row, max_tokens, self._own_member, give_up_seconds, avoid
         )
-        placement = _Placement(self, call, self._new_chooser(call))
+        placement = CallPlacement(self, call, self._new_chooser(call))
         outcome = await placement.run()
         if outcome.is_err():
             code = outcome.unwrap_err().code
@@ -212,148 +183,3 @@
             policy=policy,
             chance=self._chance,
         )
-
-
-class _Placement:
-    """The placing of one call: carries out what its chooser says."""
-
-    def __init__(
-        self, dispatcher: Dispatcher, call: PlacedCall, chooser: EngineChooser
-    ) -> None:
-        self._dispatcher = dispatcher
-        self._call = call
-        self._chooser = chooser
-        self._give_up_at = dispatcher.seconds() + call.give_up_seconds
-        self._pauses = 0
-
-    async def run(self) -> Result[CallGranted, Problem]:
-        while True:
-            pool = self._dispatcher.engines_of(self._call.row.pool)
-            engines = pool.without(self._call.avoid)
-            step = self._chooser.next_step(engines)
-            match step:
-                case AskForGrant():
-                    granted = await self._ask(step)
-                    if granted is not None:
-                        await self._move(step, granted)
-                        return Ok(granted)
-                case AskForQuotes():
-                    await self._quote(step.engines)
-                case NoEngineLeft():
-                    if not await self._pause(step):
-                        return Err(_final_problem(step))
-
-    async def _move(self, step: AskForGrant, granted: CallGranted) -> None:
-        if not step.move_prefix:
-            return
-        try:
-            await self._dispatcher.move_prefix(self._call.admitted, granted.engine)
-        except CancelledError:
-            self._dispatcher.give_back(granted, None, engine_failed=False)
-            raise
-
-    async def _ask(self, step: AskForGrant) -> CallGranted | None:
-        left = max(0.0, self._give_up_at - self._dispatcher.seconds())
-        request = self._enqueue_request(step, left)
-        try:
-            outcome = await self._dispatcher.ask_steward(
-                step.engine, request, left + NETWORK_MARGIN_SECONDS
-            )
-        except CancelledError:
-            self._withdraw(step.engine)
-            raise
-        if outcome.is_ok():
-            return self._learn_reply(step.engine, outcome.unwrap())
-        self._learn_problem(step.engine, outcome.unwrap_err())
-        return None
-
-    def _learn_reply(self, engine: EngineName, reply: Message) -> CallGranted | None:
-        match reply:
-            case CallGranted():
-                return reply
-            case CallDeferred():
-                self._chooser.learn_deferred(engine, reply.expected_wait_seconds)
-            case _:
-                self._chooser.learn_unusable(engine)
-        return None
-
-    def _learn_problem(self, engine: EngineName, problem: Problem) -> None:
-        if problem.is_code(ProblemCode.OVERLOADED):
-            self._chooser.learn_overloaded(engine, problem.retry_after)
-            return
-        self._chooser.learn_unusable(engine)
-        if problem.ran != Ran.NO:
-            self._withdraw(engine)
-
-    def _withdraw(self, engine: EngineName) -> None:
-        """Make sure that a grant whose reply was lost is not kept."""
-        admitted = self._call.admitted
-        message = CancelQueued(
-            engine, admitted.program, admitted.sequence, admitted.attempt
-        )
-        Deferred.fromCoroutine(self._dispatcher.deliver(engine, message))
-
-    async def _quote(self, engines: tuple[EngineName, ...]) -> None:
-        answers = await self._dispatcher.quotes(self._call, engines)
-        for engine, answer in zip(engines, answers, strict=True):
-            quote = answer.unwrap_or(None)
-            if not isinstance(quote, EngineQuote) or not quote.accepting:
-                self._chooser.learn_unusable(engine)
-                continue
-            rate = quote.prefill_tokens_per_second
-            self._dispatcher.learn_rate(self._call.row.pool, rate)
-            self._chooser.learn_quote(
-                EngineOption(
-                    engine, quote.expected_wait_seconds, rate, quote.cached_tokens
-                )
-            )
-
-    async def _pause(self, step: NoEngineLeft) -> bool:
-        """Wait a moment if engines may become usable; False to give up now."""
-        if step.retry_after is not None or self._pauses >= GREATEST_PAUSES:
-            return False
-        if self._dispatcher.seconds() >= self._give_up_at:
-            return False
-        if not self._dispatcher.may_retry():
-            return False
-        self._pauses += 1
-        await self._dispatcher.pause(self._pauses + 1)
-        self._chooser.forget_unusable()
-        return True
-
-    def _enqueue_request(self, step: AskForGrant, left: float) -> EnqueueCall:
-        admitted, row = self._call.admitted, self._call.row
-        prefix = admitted.prefix
-        held = prefix is not None and prefix.engine == step.engine
-        held = held or step.move_prefix
-        return EnqueueCall(
-            engine=step.engine,
-            program=admitted.program,
-            sequence=admitted.sequence,
-            attempt=admitted.attempt,
-            service=admitted.service,
-            gateway=self._call.gateway,
-            share=row.share,
-            priority=row.priority,
-            attained_tokens=admitted.attained_tokens,
-            prompt_tokens=admitted.prompt_tokens,
-            cached_tokens=prefix.tokens if prefix is not None and held else 0,
-            max_tokens=self._call.max_tokens,
-            defer_above_seconds=step.defer_above_seconds,
-            give_up_seconds=left,
-            begun=admitted.sequence > 1,
-        )
-
-
-def _final_problem(step: NoEngineLeft) -> Problem:
-    if step.retry_after is not None:
-        return Problem.of(
-            ProblemCode.OVERLOADED,
-            "every engine's queue is longer than the call may wait",
-            retry_after=step.retry_after,
-        )
-    return Problem.of(
-        ProblemCode.NO_ENGINE,
-        "no engine of the pool takes new work now",
-        retry_after=NO_ENGINE_RETRY_SECONDS,
-    )
--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -98,6 +98,7 @@
         """Whether the limiter's last reply gave less than was wanted."""
         self._ask_at = 0.0
         self._failures = 0
+        self._lapse_told = False
         self._demand = PeakDemand()
         self._hold = MeanHold()
 
@@ -116,6 +117,13 @@
         """Tell whether a call may start under the lease."""
         return now < self._lease_until
 
+    def lapse_is_news(self, now: float) -> bool:
+        """Tell once that the lease lapsed while calls ran under it."""
+        lapsed = self._running > 0 and not self.lease_valid(now)
+        news = lapsed and not self._lapse_told
+        self._lapse_told = lapsed
+        return news
+
     def acquire(
         self, ticket: int, priority: int, give_up_at: float, now: float
     ) -> Effects:
--- a/notcharch/services/holder_service.py
+++ b/notcharch/services/holder_service.py
@@ -9,6 +9,8 @@
 from twisted.internet.task import LoopingCall
 
 from notcharch.errors import Problem, ProblemCode
+from notcharch.events.event import emit
+from notcharch.events.services import AllotmentRequestFailed, LeaseLapsed
 from notcharch.placement.interface import Router
 from notcharch.placement.partitions import partition_of_service
 from notcharch.services.holder import (
@@ -154,7 +156,9 @@
                 reply.number, reply.slots, reply.lease_seconds, now
             )
         else:
-            effects = holder.request_failed(effect.number, _problem_of(outcome), now)
+            problem = _problem_of(outcome)
+            emit(AllotmentRequestFailed(holder.service, problem.code, problem.message))
+            effects = holder.request_failed(effect.number, problem, now)
         self.carry_out(holder, effects)
 
     def _on_yield(self, sender: Member, message: Message) -> None:
@@ -167,6 +171,8 @@
         now = self.seconds()
         for service, holder in tuple(self._holders.items()):
             self.carry_out(holder, holder.tick(now))
+            if holder.lapse_is_news(now):
+                emit(LeaseLapsed(service, holder.running))
             if holder.idle:
                 del self._holders[service]
 
--- a/notcharch/services/limiter_service.py
+++ b/notcharch/services/limiter_service.py
@@ -6,6 +6,8 @@
 
 from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
+from notcharch.events.event import emit
+from notcharch.events.services import HolderDropped, SlotsContended
 from notcharch.placement.interface import MembershipView
 from notcharch.placement.partitions import partition_of_service
 from notcharch.replication.interface import (
@@ -160,8 +162,13 @@
                 continue
             since = self._dead_since.setdefault(lease.holder, now)
             if now - since >= ENGINE_RESUME_SECONDS:
-                await self._propose(
-                    partition, DropHolder(self._at(), service, lease.holder)
+                command = DropHolder(self._at(), service, lease.holder)
+                await self._propose(partition, command)
+                holder = lease.holder
+                emit(
+                    HolderDropped(
+                        service, holder.daemon, holder.incarnation, lease.counted
+                    )
                 )
 
     def _ask_to_yield(
@@ -174,9 +181,11 @@
         if state is None or (asked_at is not None and now - asked_at < YIELD_SECONDS):
             return
         self._yield_asked_at[request.service] = now
-        for holder in state.holders_above_share(request.service, _limit(row)):
-            if holder != request.holder:
-                self._network.notify(holder.daemon, YieldSlots(request.service))
+        above = state.holders_above_share(request.service, _limit(row))
+        others = [holder for holder in above if holder != request.holder]
+        for holder in others:
+            self._network.notify(holder.daemon, YieldSlots(request.service))
+        emit(SlotsContended(request.service, len(others)))
 
     def _on_table_change(self) -> None:
         """Let holders renew at once when the cell of their service has changed."""
