Tell the caller of a broken stream what the call's outcome is

Cause: when a stream broke after its first bytes, the relay wrote the engine's own problem. What the call's outcome is was only worked out after that: for a repeatable call the time to come back, for an unrepeatable one `outcome_unknown`.

Now it is worked out first, told, and also stored with an attempt that is repeated, so that another gateway that waits for the call hears of the time to come back, too.

--- a/notcharch/gateway/call_run.py
+++ b/notcharch/gateway/call_run.py
@@ -195,17 +195,16 @@
 
     def _stream_lost(self, problem: Problem) -> Step:
         repeatable = self._order.repeatable
+        told = problem_of_lost_stream(problem, repeatable=repeatable)
         if self._sink is not None:
-            self._sink.stream_lost(problem)
+            self._sink.stream_lost(told)
         is_eligible = may_repeat(
             problem, repeatable=repeatable, attempts=self._core.attempts
         )
         if is_eligible and self._tools.retry_budget.take_retry():
             self._tools.metrics.repeated_attempts.inc()
-            return self._life.stream_lost_for_now(problem)
-        return self._life.stream_lost(
-            problem_of_lost_stream(problem, repeatable=repeatable)
-        )
+            return self._life.stream_lost_for_now(told)
+        return self._life.stream_lost(told)
 
     async def _commit_answer(self, answer: Answer) -> Step:
         result = await self._deliver(ANSWER_COMMIT_SECONDS, answer=answer)
