Page long idle histories out to the log service

Cause: a replica held every history whole. 8,000 records of 20 turns take 120 MB of the 128 MB that a daemon may use, and one of 470 turns takes 1.37 MB.

Change: above programs.history_bytes a leader appends the oldest turns of the programs that were idle for longest to history-<region>-<partition>, and after the append was answered proposes PageOut. Each replica compares the digest with its own turns, drops them and keeps a reference with a stub per turn (digest of the body, attempt, digest of the answer), which is all that commands ask of a finished call.

Weighed: the bound counts led histories only, since only a leader can page; a daemon holds three times as much, so the default is 24 MiB rather than 64. The digest is that of the plain turns: two builds of zlib compress otherwise. An append without an answer is written again, not looked for: a second copy is harmless.

--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -149,7 +149,9 @@
             membership=self.membership,
             router=self.router,
             directory=self.directory,
+            log=ports.log,
             clock=ports.clock,
+            region=self.region,
             settings=settings.programs,
         )
 
--- a/notcharch/events/programs.py
+++ b/notcharch/events/programs.py
@@ -7,6 +7,7 @@
     AttemptNumber,
     CallSequence,
     EngineName,
+    LogOffset,
     PartitionNumber,
     ProgramId,
 )
@@ -72,3 +73,43 @@
 
     number: ClassVar[int] = 406
     reason: str
+
+
+class HistoriesPagedOut(Event, frozen=True):
+    """Turns of idle programs left the memory; the log service has them."""
+
+    number: ClassVar[int] = 407
+    partition: PartitionNumber
+    pages: int
+    plain_bytes: int
+
+
+class PageOutDelayed(Event, frozen=True):
+    """Histories are above their bound, and nothing can leave the memory now."""
+
+    number: ClassVar[int] = 408
+    held_bytes: int
+    bound_bytes: int
+
+
+class PagesUnreadable(Event, frozen=True):
+    """Pages cannot be read; calls of programs that need them are refused."""
+
+    number: ClassVar[int] = 409
+    reason: str
+
+
+class PagesReadable(Event, frozen=True):
+    """Pages can be read again."""
+
+    number: ClassVar[int] = 410
+
+
+class PageDamaged(Event, frozen=True):
+    """The log service gives another content than was written; it was not used."""
+
+    number: ClassVar[int] = 411
+    partition: PartitionNumber
+    program: ProgramId
+    offset: LogOffset
+    reason: str
--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -91,7 +91,7 @@
     if command.sequence < 1:
         message = "calls are numbered from 1"
         return CommandRefused(Problem.of(ProblemCode.BAD_REQUEST, message))
-    if record.history.turn(command.sequence).digest != digest:
+    if record.history.stub(command.sequence).digest != digest:
         return refusals.conflict(command.sequence)
     return CallFinishedBefore()
 
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -17,6 +17,7 @@
     FinishAttempt,
     RecordDispatch,
 )
+from notcharch.programs.pages import TurnStub
 from notcharch.programs.record import CallPhase, OpenCall, ProgramRecord
 from notcharch.programs.store import ProgramStore
 from notcharch.programs.tree import ended_problem, release_engines, touch
@@ -24,7 +25,6 @@
     NO_MESSAGES,
     EncodedTurn,
     StoredAnswer,
-    Turn,
     count_messages,
 )
 from notcharch.replication.interface import CommandRefused, CommandResult
@@ -222,13 +222,13 @@
             store, record, command.sequence, command.attempt, command.answer
         )
     if 1 <= command.sequence <= record.finished:
-        turn = record.history.turn(command.sequence)
-        if _is_stored(turn, command):
-            return AttemptFinished(turn.problem)
+        stub = record.history.stub(command.sequence)
+        if _is_stored(stub, command):
+            return AttemptFinished(stub.problem)
     return AttemptSuperseded(refusals.superseded(command.sequence, Ran.UNKNOWN))
 
 
-def _is_stored(turn: Turn, command: FinishAttempt) -> bool:
+def _is_stored(stub: TurnStub, command: FinishAttempt) -> bool:
     if command.answer is not None:
-        return turn.answer == command.answer
-    return turn.problem is not None and turn.attempt == command.attempt
+        return stub.is_answer(command.answer)
+    return stub.problem is not None and stub.attempt == command.attempt
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.programs import (
@@ -25,13 +25,14 @@
     FinishAttempt,
     RecordDispatch,
 )
+from notcharch.programs.history_reader import HistoryReader
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord, call_digest
-from notcharch.programs.replies import admitted_reply, finished_reply, outcome_reply
+from notcharch.programs.replies import admitted_reply, failure_reply, finished_reply
 from notcharch.programs.rows import open_row
 from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.table.interface import TableView
-from notcharch.values.identifiers import Member
+from notcharch.values.identifiers import CallSequence, Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.programs import (
     AdmitCall,
@@ -59,6 +60,8 @@
         led: LedPrograms,
         changes: ProgramChanges,
         table: TableView,
+        histories: HistoryReader,
+        *,
         now: Callable[[], float],
         early_wait_seconds: float,
     ) -> None:
@@ -66,6 +69,7 @@
         self._led = led
         self._changes = changes
         self._table = table
+        self._histories = histories
         self._now = now
         self._early_wait_seconds = early_wait_seconds
 
@@ -82,10 +86,34 @@
         digest = call_digest(message.body_digest, message.repeatable)
         known = known_call(record, message, digest)
         if known is None:
+            # A call whose history cannot be had is refused before it is admitted.
+            pages = await self._histories.fetch_all(record)
             command = self._admit_command(record, message)
             known = await self._led.propose(message.program, command)
             record = await self._led.visible(message.program, message.tenant)
-        return _admission_reply(record, message, known)
+            if isinstance(known, AttemptAdmitted):
+                count = known.message_count
+                history = await self._histories.messages(record, 0, count, pages)
+                return admitted_reply(message, history, known)
+        return await self._known_reply(record, message, known)
+
+    async def _known_reply(
+        self, record: ProgramRecord, message: AdmitCall, result: CommandResult
+    ) -> Message:
+        match result:
+            case AttemptJoined(attempt):
+                return CallInProgress(message.sequence, attempt)
+            case CallFinishedBefore():
+                return await self._finished_reply(record, message.sequence)
+            case CommandRefused(problem):
+                raise ProblemError(problem)
+        raise TypeError(type(result).__name__)
+
+    async def _finished_reply(
+        self, record: ProgramRecord, sequence: CallSequence
+    ) -> Message:
+        turn = await self._histories.turn(record, sequence)
+        return finished_reply(sequence, turn)
 
     async def _record_when_due(self, message: AdmitCall) -> ProgramRecord:
         """Give the record once the call is not early any more, or refuse it."""
@@ -102,8 +130,7 @@
         return record
 
     def _admit_command(self, record: ProgramRecord, message: AdmitCall) -> AdmitAttempt:
-        call = record.call
-        ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
+        ran = record.ran_so_far
         row = open_row(self._table, record.service, ran)
         root = self._led.state_of(record.program).root_of(record)
         root_row = open_row(self._table, root.service, ran)
@@ -130,7 +157,9 @@
         deadline = self._now() + wait_seconds
         while True:
             record = await self._led.visible(message.program, message.tenant)
-            reply = outcome_reply(record, message.sequence)
+            if 1 <= message.sequence <= record.finished:
+                return await self._finished_reply(record, message.sequence)
+            reply = failure_reply(record, message.sequence)
             if reply is not None:
                 return reply
             call = record.running_call
@@ -182,21 +211,6 @@
         emit(OutcomeLost(message.program, message.sequence))
 
 
-def _admission_reply(
-    record: ProgramRecord, message: AdmitCall, result: CommandResult
-) -> Message:
-    match result:
-        case AttemptAdmitted():
-            return admitted_reply(message, record, result)
-        case AttemptJoined(attempt):
-            return CallInProgress(message.sequence, attempt)
-        case CallFinishedBefore():
-            return finished_reply(record, message.sequence)
-        case CommandRefused(problem):
-            raise ProblemError(problem)
-    raise TypeError(type(result).__name__)
-
-
 def _no_such_call(message: AwaitAnswer) -> Problem:
     return Problem.of(
         ProblemCode.NOT_FOUND,
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -15,6 +15,7 @@
     CallSequence,
     EngineName,
     Epoch,
+    LogOffset,
     Member,
     ProgramId,
     ServiceName,
@@ -131,6 +132,26 @@
     duties: tuple[ReleaseDuty, ...]
 
 
+class WrittenPage(msgspec.Struct, frozen=True):
+    """Turns of a program, from turn `first_turn` (0-based) on, that the log has.
+
+    `offset` is that of their record in the partition's stream of histories;
+    `digest` is that of the turns' plain bytes.
+    """
+
+    program: ProgramId
+    first_turn: int
+    turn_count: int
+    offset: LogOffset
+    digest: bytes
+
+
+class PageOut(Command, frozen=True):
+    """Drop turns that the log service surely has, and keep references to them."""
+
+    pages: tuple[WrittenPage, ...]
+
+
 class ReadBarrier(Command, frozen=True):
     """Change nothing; its commit proves that the reads after it are current."""
 
@@ -144,6 +165,7 @@
     StopProgram,
     ExpirePrograms,
     ConfirmReleases,
+    PageOut,
     ReadBarrier,
 )
 """Every command that `ProgramsState` applies."""
@@ -207,3 +229,9 @@
 
     ended: int
     forgotten: int
+
+
+class PagesDropped(CommandResult, frozen=True):
+    """How many of the pages were dropped; the others did not fit any more."""
+
+    count: int
--- /dev/null
+++ b/notcharch/programs/history_reader.py
@@ -0,0 +1,92 @@
+"""Reads histories at the leader, wherever their turns lie.
+
+A read takes place at one moment, when everything it needs is here: meanwhile more
+turns may have been paged out, which are then fetched, too.
+"""
+
+import msgspec
+from twisted.internet.defer import Deferred, FirstError, gatherResults
+
+from notcharch.errors import Ran
+from notcharch.errors.problem import ProblemError
+from notcharch.programs.led_programs import LedPrograms
+from notcharch.programs.page_log import PageLog
+from notcharch.programs.pages import PageReference
+from notcharch.programs.record import ProgramRecord
+from notcharch.programs.turns import Turn
+from notcharch.values.chat import ChatMessage
+from notcharch.values.identifiers import CallSequence
+
+
+class HistoryReader:
+    """Messages and turns of led programs; ProblemError when a page cannot be had."""
+
+    def __init__(self, led: LedPrograms, pages: PageLog) -> None:
+        """Read the pages through `pages`."""
+        self._led = led
+        self._pages = pages
+
+    async def fetch_all(self, record: ProgramRecord) -> dict[bytes, bytes]:
+        """Give all pages of a history, by digest, for `messages`."""
+        held: dict[bytes, bytes] = {}
+        await self._fetch(record, record.history.pages, held, record.ran_so_far)
+        return held
+
+    async def messages(
+        self,
+        record: ProgramRecord,
+        start: int,
+        limit: int,
+        held: dict[bytes, bytes] | None = None,
+    ) -> tuple[ChatMessage, ...]:
+        """Give up to `limit` messages from message `start` (0-based) on.
+
+        `held` are pages that were fetched before.
+        """
+        held = {} if held is None else held
+        while True:
+            needed = record.history.pages_of_messages(start, limit)
+            if all(page.digest in held for page in needed):
+                return record.history.messages(start, limit, held)
+            await self._fetch(record, needed, held, record.ran_so_far)
+
+    async def turn(self, record: ProgramRecord, sequence: CallSequence) -> Turn:
+        """Give the turn of a finished call; a refusal says how far the call ran."""
+        held: dict[bytes, bytes] = {}
+        while True:
+            page = record.history.page_of_turn(sequence)
+            if page is None or page.digest in held:
+                return record.history.turn(sequence, held)
+            problem = record.history.stub(sequence).problem
+            ran = Ran.YES if problem is None else problem.ran
+            await self._fetch(record, (page,), held, ran)
+
+    async def _fetch(
+        self,
+        record: ProgramRecord,
+        pages: tuple[PageReference, ...],
+        held: dict[bytes, bytes],
+        ran: Ran,
+    ) -> None:
+        """Read the pages that `held` lacks, all at once, into it."""
+        missing = [page for page in pages if page.digest not in held]
+        reads = [Deferred.fromCoroutine(self._read(record, page)) for page in missing]
+        try:
+            found = await gatherResults(reads, consumeErrors=True)
+        except FirstError as error:
+            raise _refusal(error, ran) from error
+        held.update(
+            (page.digest, plain) for page, plain in zip(missing, found, strict=True)
+        )
+
+    async def _read(self, record: ProgramRecord, page: PageReference) -> bytes:
+        partition = self._led.partition_of(record.program)
+        return await self._pages.read(partition, record.program, page)
+
+
+def _refusal(error: FirstError, ran: Ran) -> BaseException:
+    """Say in a refusal whether the call that needs the page has run."""
+    cause = error.subFailure.value
+    if not isinstance(cause, ProblemError):
+        return error
+    return ProblemError(msgspec.structs.replace(cause.problem, ran=ran))
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -1,7 +1,7 @@
 """The service of a daemon for the partitions of programs that it leads.
 
 It registers the handlers on the network and drives, once a second, what no request
-drives: lost gateways, idle and old programs, and the release of engine memory. All
+drives: lost gateways, idle and old programs, the release of engine memory, and paging. All
 of that is read from the replicated state, so that a new leader goes on with it.
 """
 
@@ -12,17 +12,21 @@
 from notcharch.events.programs import SweepFailed
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.placement.partitions import partition_of_program
+from notcharch.platform.ports import LogPort
 from notcharch.programs.attempt_watch import AttemptWatch, WatchLimits
 from notcharch.programs.call_handlers import CallHandlers
 from notcharch.programs.changes import ProgramChanges
+from notcharch.programs.history_reader import HistoryReader
 from notcharch.programs.led_programs import LedPrograms, ProgramsOf
+from notcharch.programs.page_log import PageLog
+from notcharch.programs.paging_service import PagingService
 from notcharch.programs.program_handlers import ProgramHandlers
 from notcharch.programs.release_service import ReleaseService
 from notcharch.programs.upkeep_service import UpkeepService
 from notcharch.replication.interface import PartitionReplicas
 from notcharch.settings.schema import ProgramsSection
 from notcharch.table.interface import TableView
-from notcharch.values.identifiers import Epoch, PartitionNumber
+from notcharch.values.identifiers import Epoch, PartitionNumber, RegionName
 from notcharch.wire.peers import PeerNetwork
 
 
@@ -39,7 +43,9 @@
         membership: MembershipView,
         router: Router,
         directory: EngineDirectory,
+        log: LogPort,
         clock: IReactorTime,
+        region: RegionName,
         settings: ProgramsSection,
     ) -> None:
         """Register the handlers; `start` begins the periodic work.
@@ -50,9 +56,18 @@
         now = clock.seconds
         self._changes = ProgramChanges(clock)
         led = LedPrograms(replicas, programs_of, now)
-        early_seconds = settings.early_wait_seconds
-        CallHandlers(led, self._changes, table, now, early_seconds).register(network)
-        ProgramHandlers(led, self._changes, table, now).register(network)
+        pages = PageLog(log, clock, region)
+        histories = HistoryReader(led, pages)
+        calls = CallHandlers(
+            led,
+            self._changes,
+            table,
+            histories,
+            now=now,
+            early_wait_seconds=settings.early_wait_seconds,
+        )
+        calls.register(network)
+        ProgramHandlers(led, self._changes, table, histories, now).register(network)
         limits = WatchLimits(settings.gateway_dead_seconds, settings.attempt_seconds)
         self._upkeep = UpkeepService(
             led=led,
@@ -64,6 +79,7 @@
             now=now,
         )
         self._releases = ReleaseService(led, replicas, router, directory, now)
+        self._paging = PagingService(led, pages, now, settings.history_bytes)
         self._sweep_seconds = settings.sweep_seconds
         self._loop = LoopingCall(self._step)
         self._loop.clock = clock
@@ -79,7 +95,7 @@
             self._loop.stop()
 
     def _step(self) -> None:
-        for step in (self._upkeep.step, self._releases.step):
+        for step in (self._upkeep.step, self._releases.step, self._paging.step):
             try:
                 step()
             except Exception as error:
--- /dev/null
+++ b/notcharch/programs/paging_service.py
@@ -0,0 +1,102 @@
+"""Brings the histories of the led partitions below their bound.
+
+Nothing leaves the memory before the log service surely has it: an append without an
+answer is not sure, and its pages are written again later.
+"""
+
+from collections.abc import Callable
+
+from notcharch.errors.problem import ProblemError
+from notcharch.events.event import emit
+from notcharch.events.programs import HistoriesPagedOut, PageOutDelayed
+from notcharch.programs.background import run_in_background
+from notcharch.programs.commands import PageOut, PagesDropped
+from notcharch.programs.led_programs import LedPrograms
+from notcharch.programs.page_log import PageLog
+from notcharch.programs.paging_plan import DraftedPage, plan_page_out
+from notcharch.programs.record import ProgramRecord
+from notcharch.values.identifiers import LogOffset, PartitionNumber
+
+LOOK_SECONDS = 5.0
+"""How often all histories are counted while they are below the bound."""
+
+PARTITIONS_AT_ONCE = 8
+DELAY_REPORT_SECONDS = 60.0
+
+
+class PagingService:
+    """Writes pages of idle programs and drops them, while there is too much."""
+
+    def __init__(
+        self,
+        led: LedPrograms,
+        pages: PageLog,
+        now: Callable[[], float],
+        bound_bytes: int,
+    ) -> None:
+        """Take where histories are read, written and dropped."""
+        self._led = led
+        self._pages = pages
+        self._now = now
+        self._bound_bytes = bound_bytes
+        self._busy: set[PartitionNumber] = set()
+        self._next_look = 0.0
+        self._next_report = 0.0
+
+    def step(self) -> None:
+        """Count the histories if it is time, and page out what is too much."""
+        now = self._now()
+        if now < self._next_look:
+            return
+        self._next_look = now + LOOK_SECONDS
+        plan = plan_page_out(self._led.led_states(), self._bound_bytes)
+        if plan.held_bytes > self._bound_bytes:
+            self._next_look = now
+        for partition, records in plan.programs.items():
+            if len(self._busy) >= PARTITIONS_AT_ONCE:
+                return
+            if partition not in self._busy:
+                self._busy.add(partition)
+                run_in_background(self._page_out(partition, records, plan.held_bytes))
+
+    async def _page_out(
+        self,
+        partition: PartitionNumber,
+        records: list[ProgramRecord],
+        held_bytes: int,
+    ) -> None:
+        try:
+            drafts = [DraftedPage.of(record) for record in records]
+            written = tuple(draft.log_record() for draft in drafts)
+            offset = await self._pages.append(partition, written)
+            if offset is None:
+                self._report_delay(held_bytes)
+            else:
+                await self._drop(partition, drafts, offset)
+        except ProblemError:
+            # Not led any more, or not committed: the new leader looks itself.
+            return
+        finally:
+            self._busy.discard(partition)
+
+    def _report_delay(self, held_bytes: int) -> None:
+        now = self._now()
+        self._next_look = now + LOOK_SECONDS
+        if now >= self._next_report:
+            self._next_report = now + DELAY_REPORT_SECONDS
+            emit(PageOutDelayed(held_bytes, self._bound_bytes))
+
+    async def _drop(
+        self, partition: PartitionNumber, drafts: list[DraftedPage], first: LogOffset
+    ) -> None:
+        pages = tuple(
+            draft.written_at(LogOffset(first + index))
+            for index, draft in enumerate(drafts)
+        )
+        for draft in drafts:
+            # A call that is being admitted finds its page here.
+            self._pages.keep(draft.digest, draft.draft.plain)
+        result = await self._led.propose_to(partition, PageOut(self._now(), pages))
+        if isinstance(result, PagesDropped):
+            size = sum(len(draft.draft.plain) for draft in drafts)
+            emit(HistoriesPagedOut(partition, result.count, size))
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -6,6 +6,7 @@
 from notcharch.errors.problem import ProblemError
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.commands import BeginProgram, StopProgram
+from notcharch.programs.history_reader import HistoryReader
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.replies import description
@@ -41,12 +42,14 @@
         led: LedPrograms,
         changes: ProgramChanges,
         table: TableView,
+        histories: HistoryReader,
         now: Callable[[], float],
     ) -> None:
         """Take what the handlers read and where they propose."""
         self._led = led
         self._changes = changes
         self._table = table
+        self._histories = histories
         self._now = now
 
     def register(self, network: PeerNetwork) -> None:
@@ -96,7 +99,7 @@
         record = await self._led.visible(message.program, message.tenant)
         start = max(0, message.start)
         limit = min(max(0, message.limit), HISTORY_PAGE_MESSAGES)
-        page = record.history.messages(start, limit)
+        page = await self._histories.messages(record, start, limit)
         return HistoryPage(page, start, record.history.message_count)
 
     async def _on_describe(self, sender: Member, message: Message) -> Message:
--- a/notcharch/programs/record.py
+++ b/notcharch/programs/record.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from notcharch.errors import Problem
+from notcharch.errors import Problem, Ran
 from notcharch.programs.budget import TreeBudget
 from notcharch.programs.history import History
 from notcharch.values.chat import PrefixLocation
@@ -115,6 +115,13 @@
             return self.call
         return None
 
+    @property
+    def ran_so_far(self) -> Ran:
+        """Tell whether an attempt at the open call may have run."""
+        if self.call is not None and self.call.may_have_run:
+            return Ran.UNKNOWN
+        return Ran.NO
+
 
 def call_digest(body_digest: str, repeatable: bool) -> bytes:
     """Give the short digest by which a repeat of a call is recognised."""
--- a/notcharch/programs/replies.py
+++ b/notcharch/programs/replies.py
@@ -3,6 +3,8 @@
 from notcharch.programs.commands import AttemptAdmitted
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.state import ProgramsState
+from notcharch.programs.turns import Turn
+from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import CallSequence
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.programs import (
@@ -15,7 +17,7 @@
 
 
 def admitted_reply(
-    message: AdmitCall, record: ProgramRecord, admitted: AttemptAdmitted
+    message: AdmitCall, history: tuple[ChatMessage, ...], admitted: AttemptAdmitted
 ) -> CallAdmitted:
     """Give a gateway everything it needs to run an attempt."""
     return CallAdmitted(
@@ -24,7 +26,7 @@
         attempt=admitted.attempt,
         epoch=admitted.epoch,
         service=admitted.service,
-        history=record.history.messages(0, admitted.message_count),
+        history=history,
         prompt_tokens=admitted.prompt_tokens,
         attained_tokens=admitted.attained_tokens,
         started_at=admitted.started_at,
@@ -32,29 +34,25 @@
     )
 
 
-def outcome_reply(record: ProgramRecord, sequence: CallSequence) -> Message | None:
-    """Give a call's outcome, or None while it has none.
+def failure_reply(record: ProgramRecord, sequence: CallSequence) -> CallFailed | None:
+    """Give the failure of the newest attempt at the open call, if it is over.
 
-    The failure of an attempt is an outcome for those who wait: they may repeat
-    the call.
+    It is an outcome for those who wait: they may repeat the call.
     """
-    if 1 <= sequence <= record.finished:
-        return finished_reply(record, sequence)
     call = record.call
     if call is not None and call.sequence == sequence and call.failure is not None:
         return CallFailed(sequence, call.failure)
     return None
 
 
-def finished_reply(record: ProgramRecord, sequence: CallSequence) -> Message:
+def finished_reply(sequence: CallSequence, turn: Turn) -> Message:
     """Give the final outcome of a finished call."""
-    turn = record.history.turn(sequence)
     answer = turn.answer
     if answer is not None:
         return CallAnswered(sequence, answer)
     if turn.problem is not None:
         return CallFailed(sequence, turn.problem)
-    message = f"call {sequence} of {record.program} has no outcome"
+    message = f"call {sequence} has no outcome"
     raise LookupError(message)
 
 
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.programs import admission, attempts, tree
+from notcharch.programs import admission, attempts, paging, tree
 from notcharch.programs.budget import TreeBudget
 from notcharch.programs.commands import (
     COMMANDS,
@@ -18,6 +18,7 @@
     ConfirmReleases,
     ExpirePrograms,
     FinishAttempt,
+    PageOut,
     ReadBarrier,
     RecordDispatch,
     ReleaseDuty,
@@ -40,10 +41,24 @@
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
         """Apply one committed command."""
-        store = self._store
         match command:
             case BeginProgram():
-                return tree.begin(store, command)
+                return tree.begin(self._store, command)
+            case StopProgram():
+                return tree.stop(self._store, command)
+            case ExpirePrograms():
+                return tree.expire(self._store, command)
+            case ConfirmReleases():
+                return tree.confirm(self._store, command)
+            case PageOut():
+                return paging.page_out(self._store, command)
+            case ReadBarrier():
+                return CommandDone()
+        return self._apply_to_call(command, epoch)
+
+    def _apply_to_call(self, command: Command, epoch: Epoch) -> CommandResult:
+        store = self._store
+        match command:
             case AdmitAttempt():
                 return admission.admit(store, command, epoch)
             case RecordDispatch():
@@ -52,14 +67,6 @@
                 return attempts.finish(store, command)
             case AbandonAttempt():
                 return attempts.abandon(store, command)
-            case StopProgram():
-                return tree.stop(store, command)
-            case ExpirePrograms():
-                return tree.expire(store, command)
-            case ConfirmReleases():
-                return tree.confirm(store, command)
-            case ReadBarrier():
-                return CommandDone()
         message = f"programs do not apply {type(command).__name__}"
         return CommandRefused(Problem.of(ProblemCode.INTERNAL, message, ran=Ran.NO))
 
@@ -101,6 +108,10 @@
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
 
+    def records(self) -> Iterator[ProgramRecord]:
+        """Give the records of all remembered programs, to be read only."""
+        return iter(self._store.records.values())
+
     def running_programs(self) -> tuple[ProgramId, ...]:
         """Give the programs with a running attempt."""
         return tuple(self._store.running)
--- a/notcharch/programs/store.py
+++ b/notcharch/programs/store.py
@@ -16,6 +16,10 @@
 )
 
 SNAPSHOT_FORMAT = 1
+PAGED_SNAPSHOT_FORMAT = 2
+"""The format once a page was dropped: a daemon that knows no pages refuses it."""
+
+KNOWN_FORMATS = (SNAPSHOT_FORMAT, PAGED_SNAPSHOT_FORMAT)
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -97,13 +101,15 @@
         """Encode records and duties in sorted order."""
         records = [self.records[program] for program in sorted(self.records)]
         duties = sorted(self.all_duties())
-        whole = StoreSnapshot(SNAPSHOT_FORMAT, records, duties, self.next_duty)
+        is_paged = any(record.history.pages for record in records)
+        number = PAGED_SNAPSHOT_FORMAT if is_paged else SNAPSHOT_FORMAT
+        whole = StoreSnapshot(number, records, duties, self.next_duty)
         return _encoder.encode(whole)
 
     def restore(self, snapshot: bytes) -> None:
         """Replace everything by a snapshot's content."""
         whole = _decoder.decode(snapshot)
-        if whole.format != SNAPSHOT_FORMAT:
+        if whole.format not in KNOWN_FORMATS:
             message = f"unknown snapshot format {whole.format}"
             raise ValueError(message)
         self.records = {}
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -140,6 +140,10 @@
         float,
         Meta(gt=0, le=86_400, description="answers of an ended program are kept for"),
     ] = 600.0
+    history_bytes: Annotated[
+        int,
+        Meta(ge=0, description="led histories above this go to the log service"),
+    ] = 24 * 1024 * 1024
 
 
 class EnginesSection(Section, frozen=True, kw_only=True):
--- a/tests/stateful/programs/breaks.py
+++ b/tests/stateful/programs/breaks.py
@@ -6,7 +6,16 @@
 import msgspec
 
 from notcharch.errors import Ran
-from notcharch.programs import admission, attempts, budget, store, tree, turns
+from notcharch.programs import (
+    admission,
+    attempts,
+    budget,
+    history,
+    pages,
+    store,
+    tree,
+    turns,
+)
 from notcharch.programs.record import CallPhase
 
 PACKAGE = "notcharch.programs."
@@ -188,6 +197,30 @@
 
 original_restore = store.ProgramStore.restore
 
+
+class AnyDigest(bytes):
+    """Equal to every digest."""
+
+    def __ne__(self, other):
+        return False
+
+
+def any_digest(plain):
+    return AnyDigest()
+
+
+def page_without_count(plain, first_turn, offset, digest):
+    page = original_page_of(plain, first_turn, offset, digest)
+    return msgspec.structs.replace(page, message_count=page.message_count - 1)
+
+
+original_page_of = history.page_of
+
+
+def stub_without_digest(turn):
+    return pages.TurnStub(b"", turn.attempt, None, turn.problem)
+
+
 LATE_CONFIRMATION = (PACKAGE + "store.ProgramStore.confirm_duty", confirm_any_number)
 
 # These lie deep: they are looked for among the steps that matter for them.
@@ -265,6 +298,15 @@
     "a sealed chunk is lost": [
         (PACKAGE + "history.History._seal_tail", seal_drops_a_turn)
     ],
+    "turns are dropped for a page of other turns": [
+        (PACKAGE + "history.page_digest", any_digest)
+    ],
+    "a page miscounts its messages": [
+        (PACKAGE + "history.page_of", page_without_count)
+    ],
+    "a page forgets the bodies of its calls": [
+        (PACKAGE + "pages.TurnStub.of", stub_without_digest)
+    ],
     "children outlive their parent": [(PACKAGE + "tree._end_tree", end_keeps_children)],
     "an end keeps an admitted call": [
         (PACKAGE + "tree._end_one", end_keeps_admitted_call)
--- a/tests/stateful/programs/machine.py
+++ b/tests/stateful/programs/machine.py
@@ -12,6 +12,7 @@
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.programs import commands as c
+from notcharch.programs.pages import decode_page, encode_page, page_digest
 from notcharch.programs.state import ProgramsState
 from notcharch.replication.interface import CommandRefused
 from notcharch.values.chat import Answer, ChatMessage, FinishReason, TokenUsage
@@ -26,6 +27,7 @@
 RECENT_ATTEMPTS = 4
 ATTEMPTS_BEFORE_ENDS = 3
 LONG_AGO = 1e6
+SMALL_PAGE_BYTES = 900
 
 # Mostly the first program and the newest attempt, so that rules meet there.
 numbers = st.sampled_from((0, 0, 0, 0, 1, 2, 3))
@@ -43,6 +45,7 @@
         self.epoch = 1
         self.at = 0.0
         self.asked = []
+        self.log = []
         self.answer_count = 0
 
     def apply(self, command):
@@ -362,6 +365,29 @@
         self.ask_releases()
         self.apply(c.ConfirmReleases(self.tick(), tuple(self.state.duties())))
 
+    @rule(number=numbers, stale=st.sampled_from((False, False, True)))
+    def page_out(self, number, stale):
+        """Write the oldest turns to the log; `stale` drops other ones than written."""
+        record = self.state.record(self.program(number).name)
+        draft = record.history.draft_page(SMALL_PAGE_BYTES)
+        if not draft.turn_count:
+            return
+        plain = draft.plain[:-1] if stale else draft.plain
+        self.log.append(encode_page(record.program, 0, 0, plain))
+        page = c.WrittenPage(
+            record.program, draft.first_turn, draft.turn_count, len(self.log) - 1,
+            page_digest(plain),
+        )  # fmt: skip
+        dropped = self.apply(c.PageOut(self.tick(), (page, page)))
+        assert dropped == c.PagesDropped(0 if stale else 1)
+
+    def pages_of(self, record):
+        """Read every page back, as a leader does."""
+        return {
+            page.digest: decode_page(self.log[page.offset], page)
+            for page in record.history.pages
+        }
+
     @rule()
     def change_leader(self):
         successor = ProgramsState()
@@ -379,11 +405,13 @@
             record = self.state.record(program.name)
             assert record.ended == program.ended
             assert record.next_sequence == program.next_sequence
-            assert record.history.messages(0, 1000) == tuple(program.history)
+            pages = self.pages_of(record)
+            assert record.history.messages(0, 1000, pages) == tuple(program.history)
+            assert record.history.message_count == len(program.history)
             budget = self.state.budget_of(record)
             assert budget.committed == self.oracle.tree_charge(program.name)
             for sequence, outcome in enumerate(program.outcomes, 1):
-                turn = record.history.turn(sequence)
+                turn = record.history.turn(sequence, pages)
                 assert outcome in {turn.answer, turn.problem}
 
     @invariant()
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -25,6 +25,7 @@
 from tests.unit.programs.fakes import (
     START,
     FakeDirectory,
+    FakeLog,
     FakeMembership,
     FakeNetwork,
     FakeRouter,
@@ -77,7 +78,9 @@
             membership=FakeMembership(),
             router=FakeRouter(),
             directory=FakeDirectory(),
+            log=FakeLog(),
             clock=self.clock,
+            region="region1",
             settings=ProgramsSection(),
         )
 
--- a/tests/unit/programs/fakes.py
+++ b/tests/unit/programs/fakes.py
@@ -9,7 +9,14 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.errors.problem import ProblemError
 from notcharch.placement.interface import LiveMember
-from notcharch.platform.ports import Machine, MachineKind, MachineState
+from notcharch.platform.ports import (
+    LogPage,
+    LogRecord,
+    Machine,
+    MachineKind,
+    MachineState,
+    StoredRecord,
+)
 from notcharch.programs.leader_service import ProgramLeaderService
 from notcharch.programs.state import ProgramsState
 from notcharch.replication.interface import Command, CommandResult
@@ -159,6 +166,46 @@
         return tuple(_machine(name) for name in sorted(self.names))
 
 
+class FakeLog:
+    """Streams in memory; `fault` is the next requests' fault.
+
+    `down` refuses, `hangs` never answers, `lost` appends without an answer.
+    """
+
+    def __init__(self):
+        self.streams: dict[str, list[LogRecord]] = {}
+        self.fault = ""
+        self.reads = 0
+        self.hanging = []
+
+    def append(self, stream, records):
+        if self.fault == "down":
+            return succeed(Err(Problem.of(ProblemCode.UNAVAILABLE, "log is down")))
+        kept = self.streams.setdefault(stream, [])
+        first = len(kept)
+        kept.extend(records)
+        if self.fault == "lost":
+            lost = Problem.of(ProblemCode.UNAVAILABLE, "lost", ran=Ran.UNKNOWN)
+            return succeed(Err(lost))
+        return succeed(Ok(first))
+
+    def read(self, stream, offset, limit, wait_seconds=0.0):
+        self.reads += 1
+        if self.fault == "down":
+            return succeed(Err(Problem.of(ProblemCode.UNAVAILABLE, "log is down")))
+        kept = self.streams.get(stream, [])
+        found = kept[offset : offset + limit]
+        stored = tuple(
+            StoredRecord(offset + index, record.id, record.data)
+            for index, record in enumerate(found)
+        )
+        page = Ok(LogPage(stored, offset + len(found), len(kept)))
+        if self.fault == "hangs":
+            self.hanging.append((Deferred(), page))
+            return self.hanging[-1][0]
+        return succeed(page)
+
+
 def _machine(name):
     return Machine(
         name,
@@ -182,6 +229,7 @@
         self.membership = FakeMembership()
         self.router = FakeRouter()
         self.directory = FakeDirectory()
+        self.log = FakeLog()
         self.service = ProgramLeaderService(
             network=self.network,
             replicas=self.replicas,
@@ -190,7 +238,9 @@
             membership=self.membership,
             router=self.router,
             directory=self.directory,
+            log=self.log,
             clock=self.clock,
+            region="region1",
             settings=ProgramsSection(**settings),
         )
 
