Bury a member only by one's own suspicion, after asking it directly

After a short cut the two sides of a region spread their claims of the other's death among that other's own members, which then held one another dead.

The claim that a living member is dead now only makes it suspected; a suspected member is asked directly three times before it is buried; a member that is held dead here and alive elsewhere is asked to refute; and a direct probe is sent again together with the relays. A view that for three seconds agreed with no other is exchanged whole without waiting for a quiet time.

Weighed: a suspicion that grows with the number of members, which delays every true death, and probes over TCP, which a stopped process's kernel half answers.

--- a/notcharch/membership/knowledge.py
+++ b/notcharch/membership/knowledge.py
@@ -10,7 +10,7 @@
 )
 from notcharch.membership.gossip import GossipQueue
 from notcharch.membership.members import MemberTable
-from notcharch.membership.records import hash_of, supersedes
+from notcharch.membership.records import hash_of, is_living, supersedes
 from notcharch.membership.suspicions import Suspicions
 from notcharch.values.identifiers import DaemonName
 from notcharch.wire.messages.membership import MemberRecord, MemberStatus
@@ -56,10 +56,22 @@
         return self._gossip.take(count, len(self._table.living()) + 1)
 
     def merge(self, record: MemberRecord, now: float) -> list[Effect]:
-        """Take in a claim about any daemon, this one included."""
+        """Take in a claim about any daemon, this one included.
+
+        The claim that a living member is dead only makes it suspected here: each
+        process buries by its own suspicion alone, after asking the member itself.
+        """
         if record.member.daemon == self._own.member.daemon:
             return self._merge_own(record, now)
         before = self._table.get(record.member.daemon)
+        is_held_alive = before is not None and is_living(before)
+        if is_held_alive and record.status is MemberStatus.DEAD:
+            record = _with_status(record, MemberStatus.SUSPECT)
+        return self._take(before, record, now)
+
+    def _take(
+        self, before: MemberRecord | None, record: MemberRecord, now: float
+    ) -> list[Effect]:
         view = self._table.view
         if not self._table.merge(record, now):
             return []
@@ -82,13 +94,31 @@
         for member in self._suspicions.due(now):
             record = self._table.get(member.daemon)
             if record is not None and record.status is MemberStatus.SUSPECT:
-                effects += self.merge(_with_status(record, MemberStatus.DEAD), now)
+                dead = _with_status(record, MemberStatus.DEAD)
+                effects += self._take(record, dead, now)
         self._table.drop_old_dead(now)
         return effects
 
-    def next_deadline(self) -> float | None:
-        """Give when `bury_overdue` has something to do, or None."""
-        return self._suspicions.next_deadline()
+    def suspects_to_ask(self, now: float) -> list[MemberRecord]:
+        """Give the suspected members that must be asked themselves now."""
+        members = self._suspicions.to_ask(now)
+        records = [self._table.get(member.daemon) for member in members]
+        return [record for record in records if record is not None]
+
+    def next_suspicion_time(self) -> float | None:
+        """Give when suspicions need something done, or None."""
+        return self._suspicions.next_time()
+
+    def is_contested(self, record: MemberRecord) -> bool:
+        """Tell whether a claim says alive of a process that is held dead here."""
+        known = self._table.get(record.member.daemon)
+        return (
+            known is not None
+            and known.status is MemberStatus.DEAD
+            and known.member == record.member
+            and is_living(record)
+            and not supersedes(record, known)
+        )
 
     def restart_suspicions(self, now: float) -> None:
         """Give suspected members their whole time again, after a stall."""
--- a/notcharch/membership/swim.py
+++ b/notcharch/membership/swim.py
@@ -19,18 +19,19 @@
     RelayDatagram,
 )
 from notcharch.membership.effects import (
-    DigestHeard,
     Effect,
     ExchangeWith,
     SendDatagram,
     Stalled,
 )
 from notcharch.membership.headers import HeaderWriter
+from notcharch.membership.heard_digests import HeardDigests
 from notcharch.membership.knowledge import Knowledge
 from notcharch.membership.probe import Probe, ProbeActions, new_probe
 from notcharch.membership.probe_order import ProbeOrder
 from notcharch.membership.records import is_living
 from notcharch.membership.relays import Relay, Relays
+from notcharch.membership.view_comparison import ViewComparison
 from notcharch.settings.schema import MembershipSection
 from notcharch.values.identifiers import DaemonName, Member, RegionName
 from notcharch.wire.messages.membership import MemberRecord
@@ -41,18 +42,13 @@
 RECONNECT_PERIODS = 5
 """Of so many periods, one probes a listed daemon that is not known alive."""
 
-EXCHANGE_QUIET_SECONDS = 5.0
-"""Views that differ though nothing changed for so long are exchanged whole."""
-
-JOIN_RETRY_SECONDS = 0.5
+CONTEST_SECONDS = 5.0
+"""A member that is held dead here and alive elsewhere is asked so often at most."""
 
 ALONE_SECONDS = 5.0
 """A process without any answer for so long after its start acts as if alone."""
 
 
-DigestKey = tuple[DaemonName, str]
-
-
 class Swim:
     """Probing, acknowledging and spreading; see the module's text."""
 
@@ -72,7 +68,9 @@
         self._order = ProbeOrder(random)
         self._relays = Relays()
         self._seeds: dict[DaemonName, str] = {}
-        self._heard: dict[DigestKey, tuple[Member, int]] = {}
+        self._digests = HeardDigests()
+        self._comparison = ViewComparison()
+        self._contested_at: dict[DaemonName, float] = {}
         self._numbers = itertools.count(1)
         self._probe: Probe | None = None
         self._probe_number = 0
@@ -81,9 +79,7 @@
         self._periods = 0
         self._next_period_at = 0.0
         self._direct_deadline: float | None = None
-        self._joined = False
         self._started_at = 0.0
-        self._exchanged_at = float("-inf")
         self._effects: list[Effect] = []
 
     def start(self, now: float) -> None:
@@ -110,9 +106,9 @@
         times = [self._next_period_at]
         if self._direct_deadline is not None:
             times.append(self._direct_deadline)
-        death = self.knowledge.next_deadline()
-        if death is not None:
-            times.append(death)
+        suspicion = self.knowledge.next_suspicion_time()
+        if suspicion is not None:
+            times.append(suspicion)
         return min(times)
 
     def run(self, now: float) -> list[Effect]:
@@ -120,6 +116,8 @@
         self._now = now
         self._note_stall(now)
         self._effects += self.knowledge.bury_overdue(now)
+        for record in self.knowledge.suspects_to_ask(now):
+            self._send_probe(record.member.daemon, record.address)
         if self._direct_deadline is not None and self._direct_deadline <= now:
             self._direct_deadline = None
             if self._probe is not None:
@@ -146,7 +144,8 @@
         else:
             self._take_relay_ack(datagram)
         if self._is_current(header.sender.member):
-            self._hear_digests(header)
+            sender = header.sender.member
+            self._effects += self._digests.hear(sender, header.digests)
             self._compare_views(header, now)
         return self._take_effects()
 
@@ -162,11 +161,11 @@
         is alone, whatever the machine list says: the list may lag, and the others
         may just be starting as well.
         """
-        return self._joined or now - self._started_at >= ALONE_SECONDS
+        return self._comparison.has_exchanged or now - self._started_at >= ALONE_SECONDS
 
     def finish_exchange(self) -> None:
         """Note that the records of another member were taken in."""
-        self._joined = True
+        self._comparison.finish_exchange()
 
     def suspect(self, daemon: DaemonName, now: float) -> list[Effect]:
         """Suspect a member on word from outside; it may refute."""
@@ -185,10 +184,19 @@
         """Take in claims; their effects are given by the call that runs."""
         for record in records:
             is_new = self.knowledge.record_of(record.member.daemon) is None
+            if self.knowledge.is_contested(record):
+                self._contest(record, now)
             self._effects += self.knowledge.merge(record, now)
             if is_new and self.knowledge.record_of(record.member.daemon) is not None:
                 self._order.add(record.member.daemon)
 
+    def _contest(self, record: MemberRecord, now: float) -> None:
+        """Ask a member that is held dead here and alive elsewhere to refute it."""
+        daemon = record.member.daemon
+        if now - self._contested_at.get(daemon, float("-inf")) >= CONTEST_SECONDS:
+            self._contested_at[daemon] = now
+            self._send_probe(daemon, record.address)
+
     def _note_stall(self, now: float) -> None:
         late = now - self.next_due()
         if late < self._settings.probe_seconds:
@@ -228,6 +236,7 @@
         target = self._probe_target
         if target is None:
             return
+        self._send_again(target)
         others = [
             record
             for record in self.knowledge.living_others()
@@ -241,6 +250,10 @@
             )
             self._send(relay.address, datagram)
 
+    def _send_again(self, target: MemberRecord) -> None:
+        header = self._headers.write(target.member.daemon)
+        self._send(target.address, ProbeDatagram(header, self._probe_number))
+
     def _probe_seeds(self) -> None:
         living = {r.member.daemon for r in self.knowledge.living_others()}
         absent = sorted(set(self._seeds) - living)
@@ -279,24 +292,9 @@
         known = self.knowledge.record_of(member.daemon)
         return known is not None and known.member == member and is_living(known)
 
-    def _hear_digests(self, header: Header) -> None:
-        sender = header.sender.member
-        for digest in header.digests:
-            heard = (sender, digest.value)
-            if self._heard.get((sender.daemon, digest.key)) != heard:
-                self._heard[(sender.daemon, digest.key)] = heard
-                self._effects.append(DigestHeard(sender, digest.key, digest.value))
-
     def _compare_views(self, header: Header, now: float) -> None:
-        if header.view == self.knowledge.view:
-            return
-        if self._joined:
-            quiet = min(now - self.knowledge.view_changed_at, now - self._exchanged_at)
-            is_due = quiet >= EXCHANGE_QUIET_SECONDS
-        else:
-            is_due = now - self._exchanged_at >= JOIN_RETRY_SECONDS
-        if is_due:
-            self._exchanged_at = now
+        own, changed_at = self.knowledge.view, self.knowledge.view_changed_at
+        if self._comparison.is_exchange_due(own, header.view, changed_at, now):
             self._effects.append(ExchangeWith(header.sender.member.daemon))
 
     def _send_probe(self, daemon: DaemonName, address: str) -> int:
