--- a/notcharch/replication/arbitration.py
+++ b/notcharch/replication/arbitration.py
@@ -11,7 +11,8 @@
 
 from notcharch.replication.archive_replay import ArchiveReplay
 from notcharch.replication.configuration import can_have_majority, majority_of
-from notcharch.values.identifiers import Epoch, Member
+from notcharch.replication.log import Position
+from notcharch.values.identifiers import Member
 from notcharch.wire.messages.replication import (
     Configuration,
     GroupDescription,
@@ -22,13 +23,6 @@
 """How much longer each further replica waits before it claims."""
 
 
-class Position(msgspec.Struct, frozen=True, order=True):
-    """The last entry of a log; the greater one is more up to date."""
-
-    epoch: Epoch
-    index: int
-
-
 class Evidence(msgspec.Struct, frozen=True):
     """What is known of a partition whose leader is missing.
 
--- a/notcharch/replication/candidate.py
+++ b/notcharch/replication/candidate.py
@@ -137,7 +137,10 @@
         replica = self._replica
         if replica.is_stale(request.epoch):
             return False
-        if self._keeps_leader(sender, request):
+        if sender == replica.leader and request.epoch > replica.epoch:
+            # It leads no more, or it would not ask; another one may.
+            replica.leader = None
+        if self._keeps_leader(request):
             return False
         log = replica.log
         up_to_date = is_up_to_date(request, log.last_epoch, log.last_index)
@@ -151,10 +154,10 @@
         replica.timers[Timer.STAND] = now + self._round_seconds()
         return True
 
-    def _keeps_leader(self, sender: Member, request: VoteRequest) -> bool:
+    def _keeps_leader(self, request: VoteRequest) -> bool:
         """Tell whether a leader that seems alive must not be disturbed."""
         replica = self._replica
-        if request.transfer or replica.leader == sender:
+        if request.transfer:
             return False
         return replica.is_leading or replica.believes_leader_alive()
 
--- a/notcharch/replication/log.py
+++ b/notcharch/replication/log.py
@@ -9,6 +9,13 @@
 ENTRY_OVERHEAD_BYTES = 32
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """The last entry of a log; the greater one is more up to date."""
+
+    epoch: Epoch
+    index: int
+
+
 class PlacedConfiguration(msgspec.Struct, frozen=True):
     """A configuration and the index of the entry that set it."""
 
--- a/notcharch/replication/recovery.py
+++ b/notcharch/replication/recovery.py
@@ -1,5 +1,7 @@
 """Finds, founds and rebuilds groups that have no leader."""
 
+from collections.abc import Callable
+
 from result import Err, Ok
 from twisted.internet.defer import (
     Deferred,
@@ -20,7 +22,14 @@
 )
 from notcharch.placement.interface import MembershipView
 from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
-from notcharch.replication.arbitration import Claim, Evidence, Superseded, Wait, decide
+from notcharch.replication.arbitration import (
+    Claim,
+    Decision,
+    Evidence,
+    Superseded,
+    Wait,
+    decide,
+)
 from notcharch.replication.archive_reader import read_archive, read_on
 from notcharch.replication.archive_records import (
     ClaimRecord,
@@ -66,8 +75,14 @@
         log: LogPort,
         clock: IReactorTime,
         region: RegionName,
+        knows_region: Callable[[], bool],
     ) -> None:
-        """Begin with nothing under way."""
+        """Begin with nothing under way.
+
+        Nothing is founded or rebuilt while `knows_region` says no: a fresh process
+        that knows only itself is the first replica of everything by its own view.
+        """
+        self._knows_region = knows_region
         self._host = host
         self._network = network
         self._own = network.own_member
@@ -114,6 +129,8 @@
         now = self._clock.seconds()
         if self._is_running or self._is_stopped or now < self._next_at:
             return
+        if not self._knows_region():
+            return
         orphans = self._orphans(now)
         if not orphans:
             return
@@ -227,9 +244,24 @@
         descriptions[self._own] = self._describe(partition)
         evidence = self._evidence(partition, descriptions, unanswered, archive.ok_value)
         decision = decide(evidence)
+        if isinstance(decision, Claim) and archive.ok_value.generation > 0:
+            decision = await self._decide_again(partition, archive.ok_value)
         if isinstance(decision, Claim) and partition not in self._claiming:
             await self._claim(partition, decision, archive.ok_value)
 
+    async def _decide_again(
+        self, partition: PartitionNumber, archive: ArchiveReplay
+    ) -> Decision:
+        """Decide on a rebuilding by what peers say after the archive was read.
+
+        The archive may tell of a group that was founded after they were asked:
+        then they said that they hold nothing of it, and hold it now.
+        """
+        answers = (await self._ask([partition]))[partition]
+        unanswered = self._audience(partition) - answers.keys()
+        descriptions = answers | {self._own: self._describe(partition)}
+        return decide(self._evidence(partition, descriptions, unanswered, archive))
+
     def _evidence(
         self,
         partition: PartitionNumber,
--- a/notcharch/replication/replica.py
+++ b/notcharch/replication/replica.py
@@ -15,7 +15,7 @@
     Retired,
     Send,
 )
-from notcharch.replication.log import NO_CONFIGURATION, CommandLog
+from notcharch.replication.log import NO_CONFIGURATION, CommandLog, Position
 from notcharch.replication.picture import Picture
 from notcharch.replication.role import LEADING, RoleHolder
 from notcharch.replication.transfer import Snapshot
@@ -72,6 +72,11 @@
         """Tell whether this member leads, confirmed or not."""
         return self.role.role in LEADING
 
+    @property
+    def position(self) -> Position:
+        """The last entry of the log."""
+        return Position(self.log.last_epoch, self.log.last_index)
+
     def send(self, destination: Member, message: AnyGroupMessage) -> None:
         """Ask for a message to be sent."""
         self.effects.append(Send(destination, message))
--- a/notcharch/replication/service.py
+++ b/notcharch/replication/service.py
@@ -1,6 +1,7 @@
 """The partitions of which this daemon is a replica; implements `PartitionReplicas`."""
 
 import random
+from collections.abc import Callable
 
 from result import Err, Result
 from twisted.internet.defer import Deferred, succeed
@@ -55,12 +56,14 @@
         settings: ReplicationSection,
         state_machine_factory: StateMachineFactory,
         command_types: tuple[type[Command], ...],
+        knows_region: Callable[[], bool],
     ) -> None:
         """Wire the parts; nothing happens before `start`.
 
         `replicas_of` gives the daemons of a partition, the first leader first.
         `state_machine_factory` makes an empty state. Every command that is
-        proposed has one of `command_types`.
+        proposed has one of `command_types`. No group is founded or rebuilt
+        while `knows_region` says no.
         """
         self._network = network
         self._membership = membership
@@ -87,6 +90,7 @@
             log=log,
             clock=clock,
             region=region,
+            knows_region=knows_region,
         )
         self._archiver = Archiver(
             host=self._host,
--- a/tests/unit/replication/region.py
+++ b/tests/unit/replication/region.py
@@ -60,6 +60,8 @@
         self.incarnation = 0
         self.started: list[Member] = []
         self.dead: set[Member] = set()
+        self.newcomers: set[str] = set()
+        """Daemons that do not know the region yet."""
         for number in range(daemons):
             self.start(f"daemon-{number}", zone=f"zone-{number % 3}")
 
@@ -93,6 +95,7 @@
             settings=self.settings,
             state_machine_factory=lambda _partition: Notes(),
             command_types=(Note,),
+            knows_region=lambda: name not in self.newcomers,
         )
         self.services[daemon] = service
         service.start()
--- a/tests/unit/replication/test_service.py
+++ b/tests/unit/replication/test_service.py
@@ -65,3 +65,20 @@
             region.run(2.0)
     for daemon in region.services:
         assert region.texts(daemon, 0) == ["first"]
+
+
+def test_a_daemon_that_knows_only_itself_founds_nothing():
+    region = Region(0)
+    region.newcomers = {"daemon-0", "daemon-1", "daemon-2"}
+    region.start("daemon-0", zone="zone-0")
+    region.run(3.0)
+    assert region.leader_of(0) is None
+    region.start("daemon-1", zone="zone-1")
+    region.start("daemon-2", zone="zone-2")
+    taken = []
+    for service in region.services.values():
+        service.on_leadership(lambda _, epoch: taken.append(epoch))
+    region.newcomers.clear()
+    region.run(30.0)
+    assert all(region.leader_of(partition) for partition in PARTITIONS)
+    assert len(taken) == len(PARTITIONS)  # founded by who should lead; nothing moves
