Give calls of a vanished gateway up sooner, and count over a change of leader

Found by `experiment faults` (a daemon killed and kept away for 26 s): a caller that asked again elsewhere at once waited 33 s for a repeatable call.

A leader counted the 15 s of `gateway_dead_seconds` from its own first look at the call, so each change of leadership, of which a death brings two, began them anew. And a repeatable call waited as long as an unrepeatable one, for which too early a judgement costs the answer.

Every daemon now notes when a member vanishes, whether or not it leads anything of it. Calls that may run again, which are repeatable ones and those that were not dispatched yet, are given up 2 s after their gateway vanished. It is safe as before: a later dispatch is refused; a late answer is taken if nothing was admitted in its place. Price: one answer worked out in vain when the gateway was cut off and lives. Unrepeatable calls keep the 15 s. Members are forgotten after four times that.

Weighed: no wait at all after the membership's verdict; two seconds spare the attempts when a daemon was only slow to refute its suspicion.

--- a/notcharch/programs/attempt_watch.py
+++ b/notcharch/programs/attempt_watch.py
@@ -1,8 +1,8 @@
 """Decides which running attempts are given up. Pure: time is an argument.
 
 An attempt is given up when its gateway's process is certainly gone, when the
-gateway was missing from the membership for long, or when it took longer than any
-honest gateway lets it take. Giving up is safe while the gateway still lives: its
+gateway was missing from the membership for long (for a while, if the call may run
+again), or when it took longer than any honest gateway lets it take. Giving up is safe while the gateway still lives: its
 later dispatch is refused, and its later outcome is not stored.
 """
 
@@ -18,6 +18,12 @@
 dispatch: once for a concurrency slot and once in an engine's queue."""
 
 DISPATCH_SLACK_SECONDS = 30.0
+REPEATABLE_SECONDS = 2.0
+"""A missing gateway loses a call that may run again after so long: if the gateway
+lives, one answer is worked out in vain."""
+
+FORGET_FACTOR = 4.0
+"""So many times `gateway_dead_seconds` after it vanished, a member is forgotten."""
 
 
 class WatchLimits(msgspec.Struct, frozen=True):
@@ -34,13 +40,30 @@
         """Take the limits."""
         self._limits = limits
         self._missing_since: dict[Member, float] = {}
+        self._live: set[Member] = set()
 
     def observe(self, gateways: set[Member], live: set[Member], now: float) -> None:
-        """Note which of the gateways of running attempts are missing at `now`."""
-        missing = gateways - live
-        self._missing_since = {
-            member: self._missing_since.get(member, now) for member in missing
+        """Note which members are missing at `now`.
+
+        Those that vanish are noted even if they drive no attempt of partitions led
+        here: this daemon may become the leader of some, and then counts from when
+        it missed the gateway itself.
+        """
+        forget_before = now - FORGET_FACTOR * self._limits.gateway_dead_seconds
+        kept = {
+            member: since
+            for member, since in self._missing_since.items()
+            if member not in live and (member in gateways or since > forget_before)
         }
+        for member in (gateways | self._live) - live:
+            kept.setdefault(member, now)
+        self._missing_since = kept
+        self._live = set(live)
+
+    @property
+    def missing_count(self) -> int:
+        """Count the members that are remembered as missing."""
+        return len(self._missing_since)
 
     def reason_to_abandon(
         self, call: OpenCall, max_wait_seconds: float, *, dead: bool, now: float
@@ -53,12 +76,17 @@
         if dead:
             return f"the gateway {call.gateway.daemon} was lost"
         since = self._missing_since.get(call.gateway)
-        if since is not None and now - since >= self._limits.gateway_dead_seconds:
+        if since is not None and now - since >= self._longest_absence(call):
             return f"the gateway {call.gateway.daemon} is missing"
         if now - call.phase_at >= self._longest(call, max_wait_seconds):
             return f"the attempt took too long after it was {call.phase.value}"
         return None
 
+    def _longest_absence(self, call: OpenCall) -> float:
+        may_run_again = call.repeatable or call.phase is CallPhase.ADMITTED
+        longest = self._limits.gateway_dead_seconds
+        return min(longest, REPEATABLE_SECONDS) if may_run_again else longest
+
     def _longest(self, call: OpenCall, max_wait_seconds: float) -> float:
         if call.phase is CallPhase.ADMITTED:
             return WAITS_BEFORE_DISPATCH * max_wait_seconds + DISPATCH_SLACK_SECONDS
