Kill a daemon for longer, and count time-outs as such

A new step keeps a killed daemon away for 26 s, so that calls of a lost gateway are given up by time. A try that the caller timed out while it awaited the response was counted as a cut without a fault; the client wraps the time-out.

--- a/experiments/faults/caller.py
+++ b/experiments/faults/caller.py
@@ -211,9 +211,11 @@
             self._facts.unreachable += 1
             return _lost("nobody listens")
         except (CancelledError, TimeoutError):
-            self._facts.timed_out += 1
-            return _lost("timed out")
+            return self._timed_out()
         except Exception as error:
+            if self._reactor.seconds() - begun_at >= TRY_SECONDS:
+                # The time-out cut the connection while a response was awaited.
+                return self._timed_out()
             # Whatever else breaks a connection: the call may have run or not.
             self._note_cut(daemon, begun_at, asked, repr(error))
             return _lost(type(error).__name__)
@@ -223,6 +225,10 @@
             return TryEnd(data)
         return self._stream_end(daemon, begun_at, asked, data)
 
+    def _timed_out(self) -> TryEnd:
+        self._facts.timed_out += 1
+        return _lost("timed out")
+
     def _stream_end(
         self, daemon: str, begun_at: float, asked: Asked, data: bytes
     ) -> TryEnd:
--- a/experiments/faults/schedule.py
+++ b/experiments/faults/schedule.py
@@ -12,6 +12,9 @@
 from experiments.faults.region import FaultRegion, RunningDaemon
 
 KILLED_SECONDS = 3.0
+LONG_KILLED_SECONDS = 26.0
+"""Longer than it takes to give up the calls of a gateway that stays away."""
+
 PAUSED_SECONDS = 9.0
 """Longer than the probe's interval and suspicion together, 5 s by default."""
 
@@ -24,6 +27,7 @@
 STREAM_BREAKS = 4
 STEP_NAMES = (
     "kill",
+    "kill_for_long",
     "pause",
     "rolling_restart",
     "log_down",
@@ -87,10 +91,15 @@
     async def _kill(self) -> None:
         await self._kill_and_restart(self._any_daemon())
 
-    async def _kill_and_restart(self, name: str) -> None:
+    async def _kill_for_long(self) -> None:
+        await self._kill_and_restart(self._any_daemon(), LONG_KILLED_SECONDS)
+
+    async def _kill_and_restart(
+        self, name: str, seconds: float = KILLED_SECONDS
+    ) -> None:
         self._report(f"          kill {name}")
         await self._region.kill(name)
-        await deferLater(self._reactor, KILLED_SECONDS)
+        await deferLater(self._reactor, seconds)
         await self._region.start_daemon(name)
 
     async def _two_kills(self) -> None:
