Doubt the next call of every program after a group was rebuilt

Cause: a group that lost its majority goes on from survivors and archive and reports CommittedCommandsInDoubt, but programs did not know. An unrepeatable call whose dispatch was among the lost commands was admitted and run again, and a gateway that still drove a lost attempt could act for a new one of the same number.

Change: the first command applied in a new generation, which its epoch tells, marks every program. Running attempts are given up as ones that may have run and stay charged; the next unrepeatable call, and those up to a call that a caller repeats too early, are answered once with outcome_unknown; no refusal says `ran: no` of them. Attempts of a generation have numbers of their own. A new leader commits a barrier first and answers nothing before it.

Weighed: a command of its own (a leader could forget it, or another could come first); doubting call n+1 only (a caller that goes back runs a later one twice); doubting a fixed number of calls (answers outcome_unknown for calls that are surely new).

Besides: calls whose pages cannot be read are refused with history_unavailable rather than unavailable, which gateways repeat and then cannot say `ran: no` of.

--- a/notcharch/errors/problem.py
+++ b/notcharch/errors/problem.py
@@ -57,6 +57,9 @@
     UNAVAILABLE = ("unavailable", 503)
     """A majority of replicas, or a peer, cannot be reached."""
 
+    HISTORY_UNAVAILABLE = ("history_unavailable", 503)
+    """A part of the program's history lies in the log service, which fails."""
+
     TIMED_OUT = ("timed_out", 504)
     DRAINING = ("draining", 503)
     INTERNAL = ("internal", 500)
--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -3,13 +3,14 @@
 from typing import Protocol
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.programs import refusals
+from notcharch.programs import in_doubt, refusals
 from notcharch.programs.budget import prompt_bound
 from notcharch.programs.commands import (
     AdmitAttempt,
     AttemptAdmitted,
     AttemptJoined,
     CallFinishedBefore,
+    CallLostInDoubt,
 )
 from notcharch.programs.record import (
     CallPhase,
@@ -44,10 +45,14 @@
     record = store.visible(command.program, command.tenant)
     if record is None:
         return refusals.not_found(command.program)
+    in_doubt.note_asked(record, command.sequence)
     digest = call_digest(command.body_digest, command.repeatable)
     known = known_call(record, command, digest)
     if known is not None:
         return known
+    if record.in_doubt and not command.repeatable:
+        in_doubt.close_unrepeatable(store, record, digest, command.at)
+        return CallLostInDoubt()
     prompt_tokens = prompt_bound(record.context_tokens, command.messages)
     prompt_tokens += command.parameter_tokens
     reservation = prompt_tokens + command.max_tokens
@@ -107,8 +112,7 @@
 def _refusal(
     store: ProgramStore, record: ProgramRecord, command: AdmitAttempt, reservation: int
 ) -> Problem | None:
-    call = record.call
-    ran = Ran.UNKNOWN if call is not None and call.may_have_run else Ran.NO
+    ran = record.ran_so_far
     limits = command.limits
     if record.ended:
         return ended_problem(record, ran)
@@ -156,6 +160,7 @@
     budget = store.budget_of(record)
     budget.limit = command.limits.budget_tokens
     before = record.call
+    number = 1 if before is None else before.attempt + 1
     if before is not None:
         budget.give_back(before.reserved_tokens)
     budget.reserve(reservation)
@@ -164,12 +169,12 @@
         digest=digest,
         repeatable=command.repeatable,
         messages=encode_messages(command.messages),
-        attempt=AttemptNumber(1 if before is None else before.attempt + 1),
+        attempt=AttemptNumber(max(number, store.first_attempt)),
         phase=CallPhase.ADMITTED,
         gateway=command.gateway,
         reserved_tokens=reservation,
         phase_at=command.at,
-        may_have_run=before is not None and before.may_have_run,
+        may_have_run=record.ran_so_far is not Ran.NO,
     )
     if record.started_at is None:
         record.started_at = command.at
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -83,7 +83,7 @@
     if call is None:
         return _late_outcome(store, record, command)
     if command.problem is not None:
-        return _finish_with_problem(store, record, call, command.problem, command.at)
+        return finish_with_problem(store, record, call, command.problem, command.at)
     if command.answer is not None and call.engines:
         return _finish_with_answer(store, record, call, command.answer, command.at)
     return _refused(ProblemCode.BAD_REQUEST, "the attempt was never dispatched")
@@ -112,7 +112,7 @@
     messages = msgspec.Raw(call.messages)
     outcome = StoredAnswer.of(answer)
     turn = EncodedTurn(call.digest, call.attempt, messages, outcome, None)
-    _close_call(store, record, turn, count_messages(call.messages) + 1)
+    close_call(store, record, turn, count_messages(call.messages) + 1)
     record.context_tokens = context_after(answer)
     record.prefix = PrefixLocation(call.engines[-1], answer.usage.total_tokens)
     _after_outcome(store, record, at)
@@ -132,13 +132,14 @@
     return budget.resolve(record.program, sequence, attempt, used)
 
 
-def _finish_with_problem(
+def finish_with_problem(
     store: ProgramStore,
     record: ProgramRecord,
     call: OpenCall,
     problem: Problem,
     at: float,
 ) -> CommandResult:
+    """End the newest attempt without an answer."""
     if not call.running:
         if problem.ran is Ran.NO:
             _resolve_charge(store, record, call.sequence, call.attempt, None)
@@ -161,7 +162,7 @@
     if not certainly_not and not call.repeatable:
         messages = msgspec.Raw(NO_MESSAGES)
         turn = EncodedTurn(call.digest, call.attempt, messages, None, stored)
-        _close_call(store, record, turn, 0)
+        close_call(store, record, turn, 0)
     _after_outcome(store, record, at)
     return AttemptFinished(stored)
 
@@ -191,12 +192,13 @@
         ran=ran,
         retry_after=refusals.RETRY_SECONDS,
     )
-    return _finish_with_problem(store, record, call, problem, command.at)
+    return finish_with_problem(store, record, call, problem, command.at)
 
 
-def _close_call(
+def close_call(
     store: ProgramStore, record: ProgramRecord, turn: EncodedTurn, message_count: int
 ) -> None:
+    """Give the open call its final outcome."""
     record.history.append(turn, message_count)
     record.finished += 1
     record.call = None
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -21,6 +21,7 @@
     AttemptJoined,
     AttemptSuperseded,
     CallFinishedBefore,
+    CallLostInDoubt,
     DispatchAccepted,
     FinishAttempt,
     RecordDispatch,
@@ -103,6 +104,9 @@
         match result:
             case AttemptJoined(attempt):
                 return CallInProgress(message.sequence, attempt)
+            case CallLostInDoubt():
+                emit(OutcomeLost(message.program, message.sequence))
+                return await self._finished_reply(record, message.sequence)
             case CallFinishedBefore():
                 return await self._finished_reply(record, message.sequence)
             case CommandRefused(problem):
@@ -120,6 +124,11 @@
         record = await self._led.visible(message.program, message.tenant)
         deadline = self._now() + self._early_wait_seconds
         while message.sequence > record.next_sequence and not record.ended:
+            if record.in_doubt and message.sequence > record.doubtful:
+                # Refused at once; the state learns of the calls that may be lost.
+                await self._led.propose(
+                    message.program, self._admit_command(record, message)
+                )
             seconds = deadline - self._now()
             waiting = self._changes.waiting_for(message.program)
             if seconds <= 0 or self._changes.full or waiting >= EARLY_CALLS_PER_PROGRAM:
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -201,6 +201,13 @@
     """The same call has its final outcome, which can be read from the state."""
 
 
+class CallLostInDoubt(CommandResult, frozen=True):
+    """An unrepeatable call that may have run before the group was rebuilt.
+
+    It is finished with `OUTCOME_UNKNOWN`, which can be read from the state.
+    """
+
+
 class DispatchAccepted(CommandResult, frozen=True):
     """The intent is recorded; the stream is opened under this epoch."""
 
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -12,6 +12,7 @@
 from notcharch.programs.commands import ReadBarrier
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.state import ProgramsState
+from notcharch.replication.epochs import generation_of
 from notcharch.replication.interface import (
     Command,
     CommandRefused,
@@ -94,16 +95,22 @@
         """Give the record of a tenant's program (None: of anybody's).
 
         NOT_FOUND is said only after a commit proved that this daemon still leads:
-        a deposed leader may lack a program that a newer one has created.
+        a deposed leader may lack a program that a newer one has created. Nothing is
+        said of a rebuilt group before its programs are marked in doubt.
         """
-        record = self.state_of(program).record(program)
-        if record is None:
+        state = self.state_of(program)
+        record = state.record(program)
+        if record is None or self._is_unmarked(self.partition_of(program), state):
             await self.confirm_current(self.partition_of(program))
             record = self.state_of(program).record(program)
         if record is None or tenant not in {None, record.tenant}:
             raise ProblemError(refusals.not_found(program).problem)
         return record
 
+    def _is_unmarked(self, partition: PartitionNumber, state: ProgramsState) -> bool:
+        """Tell whether a rebuilt group has yet to mark its programs in doubt."""
+        return generation_of(self.epoch_of(partition)) > state.generation
+
     async def confirm_current(self, partition: PartitionNumber) -> None:
         """Prove by a commit that the reads after it are current."""
         await self.propose_to(partition, ReadBarrier(self._now()))
--- a/notcharch/programs/page_log.py
+++ b/notcharch/programs/page_log.py
@@ -189,4 +189,4 @@
 def _unreadable(reason: str) -> Problem:
     """Refuse at once: the history cannot be had now, and nothing was run for it."""
     text = f"a part of the history lies in the log service: {reason}"
-    return Problem.of(ProblemCode.UNAVAILABLE, text, retry_after=RETRY_SECONDS)
+    return Problem.of(ProblemCode.HISTORY_UNAVAILABLE, text, retry_after=RETRY_SECONDS)
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.programs import admission, attempts, paging, tree
+from notcharch.programs import admission, attempts, in_doubt, paging, tree
 from notcharch.programs.budget import TreeBudget
 from notcharch.programs.commands import (
     COMMANDS,
@@ -26,6 +26,7 @@
 )
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.store import ProgramStore
+from notcharch.replication.epochs import generation_of
 from notcharch.replication.interface import Command, CommandRefused, CommandResult
 from notcharch.values.identifiers import Epoch, ProgramId
 
@@ -40,7 +41,13 @@
         self._store = ProgramStore()
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
-        """Apply one committed command."""
+        """Apply one committed command.
+
+        The first one of a rebuilt group, known by its epoch, marks all in doubt.
+        """
+        generation = generation_of(epoch)
+        if generation > self._store.generation:
+            in_doubt.mark_all(self._store, generation, command.at)
         match command:
             case BeginProgram():
                 return tree.begin(self._store, command)
@@ -104,6 +111,11 @@
         budgets = (record.budget for record in self._store.records.values())
         return sum(budget.reserved for budget in budgets if budget is not None)
 
+    @property
+    def generation(self) -> int:
+        """Give the newest generation of the group that was applied, from 1 on."""
+        return self._store.generation
+
     def programs(self) -> tuple[ProgramId, ...]:
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
--- a/tests/stateful/programs/breaks.py
+++ b/tests/stateful/programs/breaks.py
@@ -23,8 +23,8 @@
 original_known = admission.known_call
 original_refusal = admission._refusal
 original_dispatch = attempts.dispatch
-original_finish_problem = attempts._finish_with_problem
-original_close = attempts._close_call
+original_finish_problem = attempts.finish_with_problem
+original_close = attempts.close_call
 original_end_tree = tree._end_tree
 original_release_engines = tree.release_engines
 
@@ -284,7 +284,7 @@
         (PACKAGE + "attempts.dispatch", dispatch_an_abandoned_attempt)
     ],
     "an unrepeatable call is tried again": [
-        (PACKAGE + "attempts._finish_with_problem", retry_unrepeatable)
+        (PACKAGE + "attempts.finish_with_problem", retry_unrepeatable)
     ],
     "ran: no is said of everything": [
         (PACKAGE + "attempts._stored_problem", always_says_no)
@@ -293,7 +293,7 @@
         (PACKAGE + "attempts._stored_problem", no_of_the_last_attempt_only)
     ],
     "the history lacks the new messages": [
-        (PACKAGE + "attempts._close_call", forgets_messages)
+        (PACKAGE + "attempts.close_call", forgets_messages)
     ],
     "a sealed chunk is lost": [
         (PACKAGE + "history.History._seal_tail", seal_drops_a_turn)
--- a/tests/unit/programs/test_paging.py
+++ b/tests/unit/programs/test_paging.py
@@ -124,13 +124,13 @@
     replies = leader.begin(admit(TURNS + 1, "next"))
     leader.pass_seconds(0 if fault == "down" else 2)
     refused = replies[0]
-    assert code_of(refused) == "unavailable"
+    assert code_of(refused) == "history_unavailable"
     assert (refused.ran, refused.retry_after) == (Ran.NO, 2.0)
     assert leader.state.record(PROGRAM).call is None
     # It is known to be down: the next one is refused without a question.
     reads = leader.log.reads
     repeat = leader.send(call(1))
-    assert (code_of(repeat), repeat.ran) == ("unavailable", Ran.YES)
+    assert (code_of(repeat), repeat.ran) == ("history_unavailable", Ran.YES)
     assert leader.log.reads == reads
     assert isinstance(leader.send(admit(8, "b", program=OTHER_PROGRAM)), CallAdmitted)
     leader.log.fault = ""
