Place a call elsewhere when nobody stewards an engine now

Found by restarting each daemon in turn under load on virtual time: after a rejoin the gateway of a daemon that had not heard of the fresh one yet followed hints to it in vain, up to 0.62 s, and the longest call took 0.80 s instead of 0.21 s.

Weighed: to send the newcomer's address with the hint, which mends only this case. Now questions of calls that can go to other engines (EnqueueCall, QuoteEngine) look for a steward for 0.15 s after the first round in vain; others, such as the return of a grant, as long as before. When every engine only lacks a steward, the call waits with growing pauses until its time is over, as it did in the search, and takes no retries out of the budget.

--- a/notcharch/engines/call_placement.py
+++ b/notcharch/engines/call_placement.py
@@ -33,7 +33,17 @@
 """A steward answers within the give-up time; this much later it is not coming."""
 
 GREATEST_PAUSES = 3
-"""How often a call waits a moment for engines to become usable again."""
+"""How often a call waits a moment for engines to become usable again.
+
+While an engine only lacks a steward, it waits on: one comes within seconds.
+"""
+
+MISSING_CODES = (
+    ProblemCode.NOT_STEWARD,
+    ProblemCode.UNAVAILABLE,
+    ProblemCode.DRAINING,
+)
+"""Nobody stewards the engine now, as far as this daemon can find out."""
 
 NO_ENGINE_RETRY_SECONDS = 2.0
 
@@ -64,6 +74,7 @@
         self._chooser = chooser
         self._give_up_at = dispatcher.seconds() + call.give_up_seconds
         self._pauses = 0
+        self._lacks_steward = False
 
     async def run(self) -> Result[CallGranted, Problem]:
         """Give the grant, or a problem with `ran: no`."""
@@ -121,10 +132,15 @@
         if problem.is_code(ProblemCode.OVERLOADED):
             self._chooser.learn_overloaded(engine, problem.retry_after)
             return
-        self._chooser.learn_unusable(engine)
+        self._learn_unusable(engine, problem)
         if problem.ran != Ran.NO:
             self._withdraw(engine)
 
+    def _learn_unusable(self, engine: EngineName, problem: Problem) -> None:
+        is_missing = any(problem.is_code(code) for code in MISSING_CODES)
+        self._lacks_steward = self._lacks_steward or is_missing
+        self._chooser.learn_unusable(engine)
+
     def _withdraw(self, engine: EngineName) -> None:
         """Make sure that a grant whose reply was lost is not kept."""
         admitted = self._call.admitted
@@ -136,7 +152,10 @@
     async def _quote(self, engines: tuple[EngineName, ...]) -> None:
         answers = await self._dispatcher.quotes(self._call, engines)
         for engine, answer in zip(engines, answers, strict=True):
-            quote = answer.unwrap_or(None)
+            if answer.is_err():
+                self._learn_unusable(engine, answer.unwrap_err())
+                continue
+            quote = answer.unwrap()
             if not isinstance(quote, EngineQuote) or not quote.accepting:
                 self._chooser.learn_unusable(engine)
                 continue
@@ -150,17 +169,21 @@
 
     async def _pause(self, step: NoEngineLeft) -> bool:
         """Wait a moment if engines may become usable; False to give up now."""
-        if step.retry_after is not None or self._pauses >= GREATEST_PAUSES:
+        if step.retry_after is not None:
             return False
         if self._dispatcher.seconds() >= self._give_up_at:
             return False
-        if not self._dispatcher.may_retry():
+        if not self._lacks_steward and not self._may_pause():
             return False
         self._pauses += 1
-        await self._dispatcher.pause(self._pauses + 1)
+        self._lacks_steward = False
+        await self._dispatcher.pause(min(self._pauses, GREATEST_PAUSES) + 1)
         self._chooser.forget_unusable()
         return True
 
+    def _may_pause(self) -> bool:
+        return self._pauses < GREATEST_PAUSES and self._dispatcher.may_retry()
+
     def _enqueue_request(self, step: AskForGrant, left: float) -> EnqueueCall:
         admitted, row = self._call.admitted, self._call.row
         prefix = admitted.prefix
--- a/notcharch/placement/router.py
+++ b/notcharch/placement/router.py
@@ -13,8 +13,13 @@
 from notcharch.placement.search import Search
 from notcharch.values.identifiers import DaemonName, EngineName, PartitionNumber
 from notcharch.wire.messages.base import Message
+from notcharch.wire.messages.engines import EnqueueCall, QuoteEngine
 from notcharch.wire.peers import PeerNetwork
 
+CHOOSING_MESSAGES = (EnqueueCall, QuoteEngine)
+CHOOSING_PATIENCE_SECONDS = 0.15
+"""How long a call looks for an engine's steward: there are other engines."""
+
 Key = TypeVar("Key", PartitionNumber, EngineName)
 
 
@@ -64,7 +69,16 @@
         def learn(daemon: DaemonName | None) -> None:
             _learn(self._stewards, engine, daemon)
 
-        search = Search(self._network, self._clock, self._random, targets, learn)
+        is_choosing = isinstance(message, CHOOSING_MESSAGES)
+        patience = CHOOSING_PATIENCE_SECONDS if is_choosing else None
+        search = Search(
+            self._network,
+            self._clock,
+            self._random,
+            targets,
+            learn,
+            patience_seconds=patience,
+        )
         return Deferred.fromCoroutine(search.run(message, timeout_seconds))
 
     def steward_of(self, engine: EngineName) -> DaemonName | None:
--- a/notcharch/placement/search.py
+++ b/notcharch/placement/search.py
@@ -49,8 +49,15 @@
         random: Random,
         targets: Callable[[], list[DaemonName]],
         learn: Callable[[DaemonName | None], None],
+        *,
+        patience_seconds: float | None = None,
     ) -> None:
-        """`targets` gives the daemons to try; `learn` takes where to begin next."""
+        """`targets` gives the daemons to try; `learn` takes where to begin next.
+
+        With `patience_seconds` the search ends that long after its first round in
+        which nobody was responsible, however much time the request has.
+        """
+        self._patience_seconds = patience_seconds
         self._network = network
         self._clock = clock
         self._random = random
@@ -61,12 +68,18 @@
         """Try until a final reply, or until no further try fits in the time."""
         deadline = self._clock.seconds() + timeout_seconds
         limit = FIRST_DELAY_SECONDS
+        patient_until: float | None = None
         while True:
             reply = await self._round(message, deadline)
             if isinstance(reply, Ok) or not is_redirecting(reply.err_value):
                 return reply
+            now = self._clock.seconds()
             delay = limit * self._random.uniform(0.5, 1.0)
             limit = min(limit * 2, MAX_DELAY_SECONDS)
+            if patient_until is None and self._patience_seconds is not None:
+                patient_until = now + self._patience_seconds
+            if patient_until is not None and now + delay > patient_until:
+                return Err(_final(reply.err_value))
             if self._left(deadline) - delay < SHORTEST_TRY_SECONDS:
                 return Err(_final(reply.err_value))
             await deferLater(self._clock, delay)
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -8,10 +8,10 @@
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.placement.assignment import Assignment
-from notcharch.placement.router import PlacementRouter
-from notcharch.values.identifiers import EngineName, PartitionNumber
+from notcharch.placement.router import CHOOSING_PATIENCE_SECONDS, PlacementRouter
+from notcharch.values.identifiers import EngineName, PartitionNumber, ProgramId
 from notcharch.wire.memory_time import run_for
-from notcharch.wire.messages.engines import Acknowledged, ListEngines
+from notcharch.wire.messages.engines import Acknowledged, ListEngines, QuoteEngine
 from tests.unit.placement.fakes import FakeNetwork, FakeView, live
 
 PARTITION = PartitionNumber(5)
@@ -166,3 +166,16 @@
     assert routing.network.asked == [steward, actual]
     routing.view.change(m for m in MEMBERS if m.member.daemon != steward)
     assert routing.router.steward_of(ENGINE) in others
+
+
+@pytest.mark.parametrize("code", [ProblemCode.NOT_STEWARD, ProblemCode.UNAVAILABLE])
+def test_a_call_that_may_go_to_another_engine_does_not_look_long_for_a_steward(code):
+    routing = Routing({name: refused(code) for name in "abc"})
+    question = QuoteEngine(ENGINE, ProgramId("r1-0-aa"), 10)
+    reply, seconds = routing.wait(routing.router.to_steward(ENGINE, question, 10.0))
+    assert reply.err_value.is_code(code)
+    assert reply.err_value.retry_after is not None
+    assert len(routing.network.asked) > 1
+    assert seconds <= CHOOSING_PATIENCE_SECONDS + 0.1
+    other = routing.router.to_steward(ENGINE, ListEngines(), 10.0)
+    assert routing.wait(other)[1] > 9.0
