--- a/experiments/capacity/figures.py
+++ b/experiments/capacity/figures.py
@@ -90,11 +90,13 @@
         size, kept["membership"], kept["polls"], kept["table"], claim_bytes
     )
     total = sum(item.bytes_per_second for item in items)
+    core = sum(item.core_percent for item in items)
     return {
+        "control_core_holds": "yes" if core <= size.control_core_percent else "**no**",
         "control": background_table(items, size),
         "control_times": f"{total / size.control_bytes_per_second:.1f}",
         "poll_seconds": f"{poll_seconds_that_fit(items, size):.1f}",
-        "control_core": f"{sum(item.core_percent for item in items):.2f}",
+        "control_core": f"{core:.2f}",
     }
 
 
--- a/experiments/capacity/poll_cost.py
+++ b/experiments/capacity/poll_cost.py
@@ -2,9 +2,9 @@
 
     python -m experiments.capacity.poll_cost
 
-A stand-in engine and services listen on 127.0.0.1; each poll passes a relay that
-counts the bytes of both directions, HTTP headers included, TCP's not. Processor time
-is that of the whole process: client, relay and stand-in together, an upper bound.
+A stand-in engine and services listen on 127.0.0.1, in a process of their own. The
+processor time is that of this process, the client's alone. The bytes are counted in a
+second round, by a relay: both directions, HTTP headers included, TCP's not.
 """
 
 import argparse
@@ -19,8 +19,8 @@
 from twisted.protocols import portforward
 from twisted.python.failure import Failure
 
-from emulator.settings import example_settings, load_emulator_settings
-from emulator.system import start_emulator
+from emulator.system import EmulatorAddresses
+from experiments.relay_children import child_server
 from notcharch.platform.connections import Connections
 from notcharch.platform.engine_client import EngineClient
 from notcharch.platform.log_client import LogClient
@@ -30,6 +30,7 @@
 from notcharch.values.identifiers import LogOffset, RegionName
 
 POLLS = 200
+REGION = RegionName("region1")
 EVENTS = 1000
 CONNECT_SECONDS = 5.0
 LIST_LAG_SECONDS = 2.5
@@ -94,55 +95,67 @@
     core_microseconds: float
 
 
-async def measure_all(reactor: Any) -> list[PollCost]:
+class Clients:
+    """A daemon's clients of one engine and of the services."""
+
+    def __init__(self, reactor: Any, engine: str, services: str) -> None:
+        """Talk to two addresses."""
+        section = PlatformSection(log=services, machine_list=services)
+        agent = Connections(reactor, CONNECT_SECONDS).agent
+        self.engine_address = engine
+        self.engine = EngineClient(agent, reactor, Random(1), section)
+        self.log = LogClient(agent, reactor, section)
+        self.machines = MachineListClient(agent, reactor, section)
+
+    def polls(self, known: int) -> dict[str, Callable[[], Any]]:
+        """Give every poll; `known` is the present version of the machine list."""
+        engine, at = self.engine, self.engine_address
+        return {
+            "engine load": lambda: engine.load(at),
+            "engine cache events": lambda: engine.cache_events(at, 0, EVENTS),
+            "machine list": lambda: self.machines.changes(REGION, known),
+            "log read": lambda: self.log.read(STREAM, LogOffset(0), 1, 0.0),
+        }
+
+
+async def measure_all(reactor: Any, stand_ins: EmulatorAddresses) -> list[PollCost]:
     """Measure every poll of an idle platform."""
-    settings = load_emulator_settings(example_settings(), "example").unwrap()
-    emulator = await start_emulator(reactor, settings)
-    engine_address = next(iter(emulator.addresses.engines.values()))
-    engine, services = (
-        CountingFactory(address)
-        for address in (engine_address, emulator.addresses.control)
-    )
-    engine_at, services_at = (
-        f"127.0.0.1:{reactor.listenTCP(0, one, interface='127.0.0.1').getHost().port}"
-        for one in (engine, services)
-    )
-    section = PlatformSection(log=services_at, machine_list=services_at)
-    agent = Connections(reactor, CONNECT_SECONDS).agent
-    client = EngineClient(agent, reactor, Random(1), section)
-    log = LogClient(agent, reactor, section)
-    machines = MachineListClient(agent, reactor, section)
-    region = RegionName(settings.emulator.region)
+    engine_at = next(iter(stand_ins.engines.values()))
+    direct = Clients(reactor, engine_at, stand_ins.control)
     await deferLater(reactor, LIST_LAG_SECONDS)
-    known = (await machines.changes(region, None)).unwrap().version
-    return [
-        await _measure("engine load", engine, lambda: client.load(engine_at)),
-        await _measure(
-            "engine cache events",
-            engine,
-            lambda: client.cache_events(engine_at, 0, EVENTS),
-        ),
-        await _measure(
-            "machine list", services, lambda: machines.changes(region, known)
-        ),
-        await _measure(
-            "log read", services, lambda: log.read(STREAM, LogOffset(0), 1, 0.0)
-        ),
-    ]
-
-
-async def _measure(
-    poll: str, factory: CountingFactory, ask: Callable[[], Any]
-) -> PollCost:
-    (await ask()).unwrap()
-    counted = factory.counted = Counted()
-    began = time.process_time()
-    for _ in range(POLLS):
+    known = (await direct.machines.changes(REGION, None)).unwrap().version
+    relays = [CountingFactory(at) for at in (engine_at, stand_ins.control)]
+    counted = Clients(reactor, *(_listen(reactor, relay) for relay in relays))
+    costs = []
+    for name, ask in direct.polls(known).items():
+        await _repeat(ask, 1)
+        began = time.process_time()
+        await _repeat(ask, POLLS)
+        used = time.process_time() - began
+        sent, received = await _bytes(counted.polls(known)[name], relays)
+        costs.append(PollCost(name, sent, received, 1e6 * used / POLLS))
+    return costs
+
+
+async def _bytes(
+    ask: Callable[[], Any], relays: list[CountingFactory]
+) -> tuple[float, float]:
+    await _repeat(ask, 1)
+    for relay in relays:
+        relay.counted = Counted()
+    await _repeat(ask, POLLS)
+    sent = sum(relay.counted.sent for relay in relays)
+    return sent / POLLS, sum(relay.counted.received for relay in relays) / POLLS
+
+
+async def _repeat(ask: Callable[[], Any], times: int) -> None:
+    for _ in range(times):
         (await ask()).unwrap()
-    used = time.process_time() - began
-    return PollCost(
-        poll, counted.sent / POLLS, counted.received / POLLS, 1e6 * used / POLLS
-    )
+
+
+def _listen(reactor: Any, relay: CountingFactory) -> str:
+    port = reactor.listenTCP(0, relay, interface="127.0.0.1")
+    return f"127.0.0.1:{port.getHost().port}"
 
 
 def main() -> int:
@@ -154,13 +167,15 @@
     costs: list[PollCost] = []
     failures: list[Failure] = []
 
-    def begin() -> None:
-        measuring = Deferred.fromCoroutine(measure_all(reactor))
+    def begin(stand_ins: EmulatorAddresses) -> None:
+        measuring = Deferred.fromCoroutine(measure_all(reactor, stand_ins))
         measuring.addCallbacks(costs.extend, failures.append)
         measuring.addBoth(lambda _: reactor.stop())
 
-    reactor.callWhenRunning(begin)
-    reactor.run()
+    with child_server("notcharch.cli.main", "emulator") as child:
+        stand_ins = msgspec.json.decode(child.address, type=EmulatorAddresses)
+        reactor.callWhenRunning(begin, stand_ins)
+        reactor.run()
     for failure in failures:
         failure.raiseException()
     print("| poll | sent bytes | received bytes | core µs |\n|---|---|---|---|")
--- a/experiments/capacity/slopes.py
+++ b/experiments/capacity/slopes.py
@@ -1,7 +1,7 @@
 """The table of slopes: every measured line with its points and its fit."""
 
 from experiments.capacity.measurement import Measurement
-from experiments.capacity.tables import Points, slope_row
+from experiments.capacity.tables import Points, call_phases, slope_row
 from experiments.scale_figures import RegionFigures
 from experiments.scale_report import table
 
@@ -37,7 +37,7 @@
 def _scale_rows(region: RegionFigures) -> list[list[object]]:
     calls = [
         round(phase.calls_answered / phase.seconds / region.daemons, 3)
-        for phase in region.phases
+        for phase in call_phases(region)
     ]
     where = f"{region.daemons} daemons, over calls/s of a daemon"
 
@@ -45,7 +45,7 @@
         points: Points = list(zip(calls, values, strict=True))
         return slope_row(f"{name}, {where}", "scale", points, unit)
 
-    phases = region.phases
+    phases = call_phases(region)
     return [
         row("messages/s sent", [p.messages for p in phases], "messages a call"),
         row("B/s sent", [p.bytes for p in phases], "B a call"),
--- a/experiments/capacity/tables.py
+++ b/experiments/capacity/tables.py
@@ -3,9 +3,10 @@
 from experiments.capacity.background import BackgroundItem
 from experiments.capacity.letter import DesignSize
 from experiments.capacity.measurement import Fit, Measurement, fit
-from experiments.scale_figures import RegionFigures
+from experiments.scale_figures import PhaseFigures, RegionFigures
 from experiments.scale_report import table
 
+CHANGES = "changes"
 Points = list[tuple[float, float]]
 
 
@@ -83,13 +84,17 @@
     return table(heading, rows)
 
 
+def call_phases(region: RegionFigures) -> list[PhaseFigures]:
+    """Give the phases that differ in their calls alone."""
+    return [phase for phase in region.phases if phase.name != CHANGES]
+
+
 def call_fits(region: RegionFigures) -> tuple[Fit, Fit, Fit]:
     """Fit messages, bytes and core % of a daemon to the calls that it answered."""
-    calls = [
-        phase.calls_answered / phase.seconds / region.daemons for phase in region.phases
-    ]
+    phases = call_phases(region)
+    calls = [phase.calls_answered / phase.seconds / region.daemons for phase in phases]
     return (
-        fit(list(zip(calls, (p.messages for p in region.phases), strict=True))),
-        fit(list(zip(calls, (p.bytes for p in region.phases), strict=True))),
-        fit(list(zip(calls, (p.core_percent for p in region.phases), strict=True))),
+        fit(list(zip(calls, (p.messages for p in phases), strict=True))),
+        fit(list(zip(calls, (p.bytes for p in phases), strict=True))),
+        fit(list(zip(calls, (p.core_percent for p in phases), strict=True))),
     )
