--- a/experiments/faults/region.py
+++ b/experiments/faults/region.py
@@ -12,7 +12,7 @@
 import attrs
 import msgspec
 from treq.client import HTTPClient
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 from twisted.internet.task import deferLater
 from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
@@ -98,7 +98,10 @@
         for name, zone in names:
             self.daemons[name] = RunningDaemon(name, zone, self._child(name))
         starts = [Deferred.fromCoroutine(self.start_daemon(name)) for name, _ in names]
-        await gatherResults(starts, consumeErrors=True)
+        try:
+            await gatherResults(starts, consumeErrors=True)
+        except FirstError as error:
+            raise ChildError(error.subFailure.getErrorMessage()) from error
         for daemon in self.daemons.values():
             await self._list_machine(daemon)
         await self._publish()
