Check `ran: "no"` of repeatable calls, too

The oracle looked only at unrepeatable calls. Now no call that was said not to have run may have been accepted by an engine before.

--- a/tests/stateful/region/oracle.py
+++ b/tests/stateful/region/oracle.py
@@ -59,7 +59,7 @@
             not problem.is_code(ProblemCode.NOT_FOUND),
             f"{key} of a program that was created: {problem.message}",
         )
-        if problem.ran is Ran.NO and not call.repeatable:
+        if problem.ran is Ran.NO:
             runs = accepted.get(key, [])
             require(
                 not runs,
