Check `ran: "no"` of calls that a budget refused, too

A repeatable call may have run in an attempt that was lost before the budget refused the next one. The experiment now compares these refusals with what the engines accepted, as it did those of unrepeatable calls.

--- a/experiments/faults/programs.py
+++ b/experiments/faults/programs.py
@@ -189,6 +189,8 @@
             return True
         if kind is Kind.SMALL and problem.code == "budget_exhausted":
             self._facts.budgets_exhausted += 1
+            if problem.ran == "no":
+                self._facts.not_run.append(name)
             return False
         if kind is Kind.WRITE and problem.ran == "no":
             self._facts.not_run.append(name)
