Show lost and paged programs in a whole virtual region

Cause: the doubt after a rebuilt group and paging were tested at the leader's service only, where epochs and the log service are doubles.

Change: three replicas are restarted at once, with calls that no archive has: none runs twice. A history that is wholly paged out is read whole after the same restart.

--- /dev/null
+++ b/tests/stateful/programs/test_programs_in_region.py
@@ -0,0 +1,112 @@
+"""Programs in a whole virtual region: lost with their group, and paged out."""
+
+from contextlib import contextmanager
+from unittest.mock import patch
+
+import pytest
+
+from experiments.virtual.caller import DirectCaller
+from notcharch.placement.partitions import partition_of_program
+from notcharch.settings.schema import ProgramsSection, ReplicationSection, Settings
+from notcharch.values.chat import ChatMessage
+from notcharch.wire.messages.programs import ReadHistory
+from tests.stateful.region.world import PARTITIONS, TENANT, RecordedRegion
+
+ARCHIVE_SECONDS = 30.0
+LONGEST_SECONDS = 60.0
+TURNS = 4
+CHILDREN = 6
+"""An engine refuses what it ran itself, so some calls must meet another engine."""
+
+
+class Caller:
+    """A program and its children; every call goes to the first running daemon."""
+
+    def __init__(self, service):
+        self.region = RecordedRegion(1)
+        self.caller = DirectCaller(TENANT)
+        self.service = service
+        self.program = self.create(None)
+
+    def create(self, parent):
+        core = self.region.running_cores()[0]
+        created = self.caller.create(core, self.service, parent)
+        return self.region.wait_for(created, LONGEST_SECONDS).unwrap()
+
+    def call(self, program, sequence, *, repeatable=False):
+        messages = (ChatMessage("user", f"call {sequence}"),)
+        core = self.region.running_cores()[0]
+        answered = self.caller.call(
+            core, program, sequence, messages, max_tokens=8, repeatable=repeatable
+        )
+        return self.region.wait_for(answered, LONGEST_SECONDS)
+
+    def runs_of(self, program, sequence):
+        return len(self.region.accepted.get((program, sequence), ()))
+
+    def restart_replicas(self):
+        """Lose what the replicas of the program's partition have in memory."""
+        partition = partition_of_program(self.program)
+        replicas = self.region.running_cores()[0].assignment.replicas_of(partition)
+        for daemon in replicas:
+            self.region.crash(daemon)
+        for daemon in replicas:
+            self.region.start(daemon)
+        self.region.advance(30.0)
+
+
+@contextmanager
+def region_settings(**sections):
+    """Give every daemon of a region other sections of settings."""
+    with patch("tests.stateful.region.world.Settings") as settings:
+        settings.side_effect = lambda **given: Settings(**{**given, **sections})
+        yield
+
+
+def test_calls_that_their_group_forgot_are_not_run_again():
+    replication = ReplicationSection(
+        partition_count=PARTITIONS, archive_seconds=ARCHIVE_SECONDS
+    )
+    with region_settings(replication=replication):
+        caller = Caller("act")
+    programs = [caller.create(caller.program) for _ in range(CHILDREN)]
+    assert all(caller.call(program, 1).is_ok() for program in programs)
+    caller.region.advance(ARCHIVE_SECONDS + 1)
+    assert all(caller.call(program, 2).is_ok() for program in programs)
+    caller.restart_replicas()
+    answers = [caller.call(program, 2) for program in programs]
+    assert [caller.runs_of(program, 2) for program in programs] == [1] * CHILDREN
+    assert {answer.err_value.code for answer in answers} == {"outcome_unknown"}
+    assert all(caller.call(program, 3).is_ok() for program in programs)
+
+
+@pytest.fixture
+def everything_is_paged_out():
+    with (
+        region_settings(programs=ProgramsSection(history_bytes=0)),
+        patch("notcharch.programs.paging_plan.SMALLEST_PAGE_BYTES", 1),
+        patch("notcharch.programs.page_log.CACHE_BYTES", 0),
+    ):
+        yield
+
+
+@pytest.mark.usefixtures("everything_is_paged_out")
+def test_paged_histories_outlive_the_memory_of_all_replicas():
+    caller = Caller("chat")
+    for sequence in range(1, TURNS + 1):
+        assert caller.call(caller.program, sequence, repeatable=True).is_ok()
+        caller.region.advance(10.0)
+    caller.restart_replicas()
+    core = caller.region.running_cores()[0]
+    partition = partition_of_program(caller.program)
+    read = ReadHistory(caller.program, TENANT, 0, 100)
+    asked = core.router.to_partition(partition, read, LONGEST_SECONDS)
+    page = caller.region.wait_for(asked, LONGEST_SECONDS).unwrap()
+    texts = [message.content for message in page.messages[::2]]
+    assert texts == [f"call {sequence}" for sequence in range(1, TURNS + 1)]
+    paged = [
+        core.state_access.programs(partition).record(caller.program).history.paged_turns
+        for core in caller.region.running_cores()
+        if core.state_access.programs(partition) is not None
+    ]
+    assert paged == [TURNS] * 3
