Quote less busy engines, and engines with free memory, as better

An engine with a free slot quoted no wait, so that two sampled engines were equal whether one slot or all but one were busy, and whether its memory was full.

Change: a quote adds half a mean hold for a full engine, less for a less busy one, and a whole one while there is no room for new programs; histories then move there less, too. The waste saved pays for more fairness: 8% of the memory must be free for services behind their share instead of 15%.

--- a/experiments/policies/in_process_stewards.py
+++ b/experiments/policies/in_process_stewards.py
@@ -101,7 +101,7 @@
         held = self.cache.tokens(message.program)
         return EngineQuote(
             engine=self.engine,
-            expected_wait_seconds=self.state.expected_wait(self.state.queued),
+            expected_wait_seconds=self.state.quoted_wait(),
             prefill_tokens_per_second=self.state.load.prefill_rate,
             cached_tokens=min(held, message.prompt_tokens),
             accepting=self.state.accepting(now),
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -218,7 +218,7 @@
         cached = min(self.cache.tokens(program), prompt_tokens)
         return EngineQuote(
             engine=self.engine,
-            expected_wait_seconds=self.state.expected_wait(self.state.queued),
+            expected_wait_seconds=self.state.quoted_wait(),
             prefill_tokens_per_second=self.state.load.prefill_rate,
             cached_tokens=cached,
             accepting=self.state.accepting(now),
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -13,7 +13,7 @@
 from notcharch.errors import Problem
 from notcharch.platform.ports import EngineLoad
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
+from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 from notcharch.scheduling.memory_room import MemoryRoom
 from notcharch.scheduling.waits import expected_wait_seconds, retry_after_seconds
 from notcharch.values.chat import TokenUsage
@@ -129,6 +129,18 @@
         wait = expected_wait_seconds(self.load.slot_load(), calls_ahead)
         return wait if self._epoch is not None else wait + CLAIM_SECONDS
 
+    def quoted_wait(self) -> float:
+        """Give the expected seconds until a grant, with what a full engine costs.
+
+        Among engines that would grant at once, the least busy one is the best, and
+        one that is short of memory is a bad place for any history.
+        """
+        busy_part = len(self._grants) / self.load.slots
+        cost = busy_part * self.load.mean_hold_seconds / 2
+        if self._room.for_new(busy_part) is not Room.FOR_ALL:
+            cost += self.load.mean_hold_seconds
+        return self.expected_wait(len(self._waiting)) + cost
+
     def gateways(self) -> frozenset[Member]:
         """Give every process that waits here or holds a grant."""
         return self._waiting.gateways() | self._grants.gateways()
--- a/notcharch/scheduling/calls.py
+++ b/notcharch/scheduling/calls.py
@@ -72,7 +72,7 @@
     free_memory_part: float = 0.3
     """New programs begin on a busy engine only while so much of it is free."""
 
-    free_memory_part_behind: float = 0.15
+    free_memory_part_behind: float = 0.08
     """The same for services that have had less than their share."""
 
     room_busy_part: float = 0.25
