Take an engine with the first call once the region is known

A fresh daemon may learn its region between two looks at its engines, which are a second apart. Its own gateway then asked it in vain for every engine that hashing gave it, until the search's patience (0.15 s) was over, for up to three engines in turn. Now a request for an engine that it may take makes it look at once.

With the default limit of 16 slots a fresh daemon still waits up to 1.6 s for slots that others hold: not of stewards, and not touched here. The new test failed before.

--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -154,6 +154,10 @@
     def _is_own(self, engine: EngineName) -> bool:
         return self._router.steward_of(engine) == self._own_member.daemon
 
+    def _may_take(self, engine: EngineName) -> bool:
+        is_listed = self._directory.engine(engine) is not None
+        return is_listed and self._knows_region() and self._is_own(engine)
+
     def _hand_over(self, engine: EngineName) -> None:
         """Serve an engine until the daemon that hashing names has claimed it."""
         successor = self._router.steward_of(engine)
@@ -176,6 +180,8 @@
 
     def _keeper(self, engine: EngineName) -> EngineKeeper:
         """Give the engine's keeper, or refuse with a hint to the steward."""
+        if engine not in self._keepers and self._may_take(engine):
+            self.refresh()  # the region may have become known since the last look
         keeper = self._keepers.get(engine)
         if keeper is None:
             steward = self._router.steward_of(engine)
--- a/tests/unit/engines/test_stewardship_handover.py
+++ b/tests/unit/engines/test_stewardship_handover.py
@@ -97,3 +97,17 @@
     region.run(4.0)
     assert region.nodes["d2"].stewards.keeps(E1)
     assert not region.nodes["d1"].stewards.keeps(E1)
+
+
+def test_a_call_makes_a_daemon_take_its_engine_once_it_knows_the_region():
+    region = Region(daemons=3, engines=1)
+    fresh = region.nodes["d2"]
+    fresh.knows_region = False
+    region.stewards[E1] = DaemonName("d2")
+    tell_views(region)
+    region.run(0.1)
+    fresh.knows_region = True  # the next look is not due yet
+    placed = place(fresh)
+    region.run(LONGEST_GRANT_SECONDS)
+    assert placed.result.is_ok()
+    assert fresh.stewards.keeps(E1)
