Add the capacity page, its check, and the scale run's figures

docs/CAPACITY.md carries each role to the size to design for, from files that were measured here, and `make check` compares it with them.

Not run: all eight regions, hollow daemons beside real ones over sockets. The load begins more programs than ordered at some intervals; slopes use the calls answered.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(PYTHON) tools/check_layers.py
 	$(PYTHON) -m notcharch.events.catalogue --check docs/events.md
 	$(PYTHON) -m notcharch.settings.example --check docs/notcharch.example.toml
+	$(PYTHON) -m experiments.capacity.page --check
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
--- a/experiments/capacity/background.py
+++ b/experiments/capacity/background.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from experiments.capacity.letter import DesignSize
+from experiments.capacity.design_size import DesignSize
 from experiments.capacity.measurement import Measurement
 from notcharch.engines.claim_keeper import CLAIM_CHECK_SECONDS
 from notcharch.settings.schema import EnginesSection, PlatformSection
--- a/experiments/capacity/figures.py
+++ b/experiments/capacity/figures.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
-from experiments.capacity.background import background, poll_seconds_that_fit
-from experiments.capacity.letter import DesignSize
+from experiments.capacity.background import (
+    DAY_SECONDS,
+    background,
+    poll_seconds_that_fit,
+)
+from experiments.capacity.design_size import DesignSize
 from experiments.capacity.measurement import Measurement, fit, load
 from experiments.capacity.slopes import slope_table
 from experiments.capacity.tables import background_table, call_fits, memory_table
@@ -37,29 +41,51 @@
     """Read the measurements and work everything out."""
     size = DesignSize()
     kept = {name: load(name, directory) for name in NAMES}
-    scale = load_scale(directory)
+    scale = load_scale(directory, "scale")
+    more = load_scale(directory, "scale_regions")
+    regions = (*scale.regions, *more.regions)
     return {
-        "machine": machine_table([*kept.values()], scale),
+        "machine": machine_table([*kept.values()], (scale, more)),
         "slopes": slope_table(kept, scale.regions[-1]),
         **_control(size, kept, scale.regions[-1]),
         **_memory(size, kept),
+        **_day(size, scale.regions[-1]),
         **_data_plane(size, kept, scale.regions[-1]),
         "scale_command": scale.command,
         "scale_seconds": f"{scale.real_seconds:.0f}",
-        "convergence": convergence_table(scale.regions),
-        "losses": loss_table(scale.regions),
-        "phases": phase_table(scale.regions),
+        "table_worst": worst_table_seconds(regions),
+        "busiest_times": busiest_times(scale.regions[-1]),
+        "more_command": more.command,
+        "more_seconds": f"{more.real_seconds:.0f}",
+        "more_regions": f"{len(more.regions)}",
+        "convergence": convergence_table(regions),
+        "losses": loss_table(regions),
+        "phases": phase_table(regions),
         "messages": message_table(scale.regions),
     }
 
 
-def load_scale(directory: Path) -> ScaleResults:
-    """Read the committed scale run; its last region is the largest."""
-    encoded = (directory / "scale.json").read_bytes()
+def load_scale(directory: Path, name: str) -> ScaleResults:
+    """Read a committed scale run; its last region is the largest."""
+    encoded = (directory / f"{name}.json").read_bytes()
     return msgspec.json.decode(encoded, type=ScaleResults)
 
 
-def machine_table(kept: list[Measurement], scale: ScaleResults) -> str:
+def worst_table_seconds(regions: tuple[RegionFigures, ...]) -> str:
+    """Give the longest time of a table change; "no" when one never came."""
+    times = [(one.table_seconds, one.table_log_down_seconds) for one in regions]
+    flat = [time for pair in times for time in pair]
+    known = [time for time in flat if time is not None]
+    return f"{max(known):.2f}" if len(known) == len(flat) else "no"
+
+
+def busiest_times(region: RegionFigures) -> str:
+    """Give how many times the mean the busiest daemon sent under the last load."""
+    phase = region.phases[-1]
+    return f"{phase.busiest_daemon_bytes / phase.bytes:.1f}"
+
+
+def machine_table(kept: list[Measurement], runs: tuple[ScaleResults, ...]) -> str:
     """Write on what each file was measured."""
     rows: list[list[object]] = [
         [
@@ -71,11 +97,18 @@
         ]
         for one in kept
     ]
-    around = scale.surroundings
-    load_most = max(around.load_before, around.load_after)
-    rows.append(
-        ["scale", f"`{scale.command}`", around.cores, around.python, f"{load_most:.0f}"]
-    )
+    for run in runs:
+        around = run.surroundings
+        load_most = max(around.load_before, around.load_after)
+        rows.append(
+            [
+                "scale",
+                f"`{run.command}`",
+                around.cores,
+                around.python,
+                f"{load_most:.0f}",
+            ]
+        )
     return table(("file", "command", "cores", "Python", "load"), rows)
 
 
@@ -91,12 +124,29 @@
     )
     total = sum(item.bytes_per_second for item in items)
     core = sum(item.core_percent for item in items)
+    bound = core + idle.core_percent
     return {
-        "control_core_holds": "yes" if core <= size.control_core_percent else "**no**",
+        "control_core_holds": "yes" if bound <= size.control_core_percent else "**no**",
         "control": background_table(items, size),
         "control_times": f"{total / size.control_bytes_per_second:.1f}",
         "poll_seconds": f"{poll_seconds_that_fit(items, size):.1f}",
         "control_core": f"{core:.2f}",
+        "control_core_bound": f"{bound:.2f}",
+    }
+
+
+def _day(size: DesignSize, region: RegionFigures) -> dict[str, str]:
+    """Give the cost of a day's failures and restarts, each as dear as a rack's."""
+    changes = (size.failures_per_day + size.restarts_per_day) / size.regions
+    rack = region.losses[0]
+    core = changes * rack.core_seconds_per_daemon
+    sent = changes * rack.bytes_per_daemon
+    return {
+        "day_changes": f"{changes:.0f}",
+        "day_core_seconds": f"{core:.1f}",
+        "day_megabytes": f"{sent / MEGABYTE:.1f}",
+        "day_core_percent": f"{100 * core / DAY_SECONDS:.4f}",
+        "day_bytes_second": f"{sent / DAY_SECONDS:.0f}",
     }
 
 
--- a/experiments/capacity/tables.py
+++ b/experiments/capacity/tables.py
@@ -1,7 +1,7 @@
 """The tables of the capacity page, from the measurements."""
 
 from experiments.capacity.background import BackgroundItem
-from experiments.capacity.letter import DesignSize
+from experiments.capacity.design_size import DesignSize
 from experiments.capacity.measurement import Fit, Measurement, fit
 from experiments.scale_figures import PhaseFigures, RegionFigures
 from experiments.scale_report import table
@@ -51,7 +51,7 @@
             "",
             f"{size.control_bytes_per_second:.0f}",
             f"{size.control_core_percent}",
-            "letter",
+            "plan",
         ]
     )
     return table(
--- a/experiments/scale.py
+++ b/experiments/scale.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
 
 from experiments.capacity.process_cost import resident_bytes
 from experiments.scale_figures import (
@@ -23,9 +24,14 @@
 )
 from experiments.scale_load import ScaleLoad
 from experiments.scale_region import ScaleRegion, ScaleSize, tenant_rows
-from notcharch.table.draft import WholeDraft
+from notcharch.table.draft import ChangeCell, ChangesDraft, Draft, WholeDraft
 from notcharch.table.publisher import PublishRequest
-from notcharch.values.identifiers import DaemonName, TableVersion, ZoneName
+from notcharch.values.identifiers import (
+    DaemonName,
+    ServiceName,
+    TableVersion,
+    ZoneName,
+)
 
 RACK_DAEMONS = 4
 START_LIMIT_SECONDS = 60.0
@@ -33,6 +39,13 @@
 LOSS_LIMIT_SECONDS = 60.0
 SETTLE_SECONDS = 20.0
 IDLE_SECONDS = 30.0
+QUIET_SECONDS = 40.0
+"""After which no news of a publication is spread any more."""
+
+CHANGE_SECONDS = 15.0
+"""Between two changes of the table: 86,400 / 5,700 is 15.2."""
+
+CHANGES = 4
 LOG_CUT_SECONDS = 60.0
 """Longer than a read waits at the log, so that none is left from before."""
 
@@ -69,8 +82,9 @@
         spread = self._publish(TableVersion(0), 1.0)
         outage = self._publish_into_outage()
         self._step(f"table {spread}, log down {outage}")
-        region.advance(SETTLE_SECONDS)
-        phases = [self._phase("idle", IDLE_SECONDS, 0.0)]
+        region.advance(QUIET_SECONDS)
+        phases = [self._phase("idle", IDLE_SECONDS, 0.0), self._changes_phase()]
+        region.advance(QUIET_SECONDS)
         phases += [self._phase("load", LOAD_SECONDS, rate) for rate in LOADS]
         region.advance(SETTLE_SECONDS)
         losses = self._losses()
@@ -112,13 +126,12 @@
 
     def _publish(self, base: TableVersion, share: float) -> float | None:
         """Publish a whole table; gives the seconds until all daemons have it."""
-        self._begin_publishing(base, share)
+        self._begin_publishing(base, _whole(share))
         return self.region.seconds_until(
             lambda: self._least_version() > base, TABLE_LIMIT_SECONDS
         )
 
-    def _begin_publishing(self, base: TableVersion, share: float) -> None:
-        draft = WholeDraft(rows=tenant_rows(share=share), keys=None)
+    def _begin_publishing(self, base: TableVersion, draft: Draft) -> None:
         request = PublishRequest(draft, base, "scale run")
         publisher = self.region.running_cores()[0].publisher
         Deferred.fromCoroutine(publisher.publish(request, TABLE_LIMIT_SECONDS))
@@ -135,7 +148,7 @@
         before = self._least_version()
         region.cut_log_of_others()
         region.advance(LOG_CUT_SECONDS)
-        self._begin_publishing(before, 2.0)
+        self._begin_publishing(before, _whole(2.0))
         first = region.running_cores()[0]
         region.run_until(lambda: first.table.version > before, TABLE_LIMIT_SECONDS)
         region.cut_log()
@@ -145,6 +158,21 @@
         region.heal_log()
         return passed
 
+    def _changes_phase(self) -> PhaseFigures:
+        """Measure while a cell of the table is changed again and again."""
+        loop = LoopingCall(self._change_cell)
+        loop.clock = self.region.clock
+        loop.start(CHANGE_SECONDS)
+        self.region.advance(CHANGE_SECONDS)
+        figures = self._phase("changes", CHANGES * CHANGE_SECONDS, 0.0)
+        loop.stop()
+        return figures
+
+    def _change_cell(self) -> None:
+        version = self._least_version()
+        change = ChangeCell(ServiceName("service-1"), "concurrency", 1000 + version)
+        self._begin_publishing(version, ChangesDraft((change,)))
+
     def _phase(self, name: str, seconds: float, rate: float) -> PhaseFigures:
         region, daemons = self.region, self._size.daemons
         load = ScaleLoad(region, rate * daemons) if rate else None
@@ -229,6 +257,10 @@
         return figures
 
 
+def _whole(share: float) -> WholeDraft:
+    return WholeDraft(rows=tenant_rows(share=share), keys=None)
+
+
 def _report(line: str) -> None:
     sys.stderr.write(f"{line}\n")
     sys.stderr.flush()
--- a/experiments/scale_report.py
+++ b/experiments/scale_report.py
@@ -9,8 +9,6 @@
     ScaleResults,
 )
 
-BACKGROUND = "idle"
-
 
 def report(results: ScaleResults) -> str:
     """Write every table of a run."""
@@ -92,6 +90,7 @@
     heading = (
         "daemons",
         "seed",
+        "phase",
         "calls/s",
         "answered",
         "failed",
@@ -110,6 +109,7 @@
 
 def _phase(phase: PhaseFigures) -> list[object]:
     return [
+        phase.name,
         phase.calls_per_daemon_second,
         phase.calls_answered,
         phase.calls_failed,
@@ -125,6 +125,7 @@
     *_, last = regions
     rows = [
         [
+            phase.name,
             phase.calls_per_daemon_second,
             rate.name,
             f"{rate.messages:.2f}",
@@ -133,7 +134,7 @@
         for phase in last.phases
         for rate in phase.rates
     ]
-    return table(("calls/s", "message", "messages/s", "B/s"), rows)
+    return table(("phase", "calls/s", "message", "messages/s", "B/s"), rows)
 
 
 def seconds(value: float | None) -> str:
--- a/tests/unit/capacity/test_measurement.py
+++ b/tests/unit/capacity/test_measurement.py
@@ -1,14 +1,17 @@
 """Reading printed tables, fitting lines, and the page that is made of them."""
 
+import sys
+
 import msgspec
 import pytest
 
+from experiments.capacity import page
 from experiments.capacity.background import (
     BackgroundItem,
     background,
     poll_seconds_that_fit,
 )
-from experiments.capacity.letter import DesignSize
+from experiments.capacity.design_size import DesignSize
 from experiments.capacity.measurement import (
     Measurement,
     TextTable,
@@ -127,3 +130,17 @@
     *_, fits, too_much = memory_table(programs, size, 64e6).splitlines()
     assert fits.endswith("| 124.0 | yes |")
     assert too_much.endswith("| 134.0 | **no** |")
+
+
+def test_the_check_sees_a_stale_page(tmp_path, monkeypatch):
+    monkeypatch.setattr(page, "PAGE", tmp_path / "CAPACITY.md")
+    check = ["page", "--check"]
+    monkeypatch.setattr(sys, "argv", check)
+    assert page.main() == 1
+    monkeypatch.setattr(sys, "argv", check[:1])
+    assert page.main() == 0
+    monkeypatch.setattr(sys, "argv", check)
+    assert page.main() == 0
+    text = page.PAGE.read_text(encoding="utf-8")
+    page.PAGE.write_text(text.replace("1", "2", 1), encoding="utf-8")
+    assert page.main() == 1
