Propose from request handlers in one place

Cause: three services held the same lines that turn a failed or refused proposal into a raised problem, and two table commands the same request for a check. Behaviour is the same; the unit tests of programs, services, engines, cli, table and admin passed.

--- a/notcharch/cli/table_actions.py
+++ b/notcharch/cli/table_actions.py
@@ -69,10 +69,7 @@
 
 async def check(client: AdminClient, arguments: argparse.Namespace) -> int:
     """Print all findings of a document, and what it would change."""
-    body = await _body_of(client, arguments)
-    if isinstance(body, Err):
-        return print_problem(body.err_value)
-    checked = await client.post("/table/check", body.ok_value, CheckAnswer)
+    checked = await _checked(client, arguments)
     if isinstance(checked, Err):
         return print_problem(checked.err_value)
     if arguments.json:
@@ -84,12 +81,18 @@
     return DONE
 
 
-async def diff(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print what a document would change in the table in force."""
+async def _checked(
+    client: AdminClient, arguments: argparse.Namespace
+) -> Result[CheckAnswer, Problem]:
     body = await _body_of(client, arguments)
     if isinstance(body, Err):
-        return print_problem(body.err_value)
-    checked = await client.post("/table/check", body.ok_value, CheckAnswer)
+        return Err(body.err_value)
+    return await client.post("/table/check", body.ok_value, CheckAnswer)
+
+
+async def diff(client: AdminClient, arguments: argparse.Namespace) -> int:
+    """Print what a document would change in the table in force."""
+    checked = await _checked(client, arguments)
     if isinstance(checked, Err):
         return print_problem(checked.err_value)
     if arguments.json:
--- a/notcharch/engines/claims_service.py
+++ b/notcharch/engines/claims_service.py
@@ -13,7 +13,8 @@
 from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
 from notcharch.placement.partitions import partition_of_engine
-from notcharch.replication.interface import Command, CommandRefused, PartitionReplicas
+from notcharch.replication.interface import Command, PartitionReplicas
+from notcharch.replication.proposals import propose_or_raise
 from notcharch.values.identifiers import EngineName, Member, PartitionNumber
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.stewardship import (
@@ -78,12 +79,7 @@
 
     async def _record(self, engine: EngineName, command: Command) -> StewardshipClaimed:
         partition = partition_of_engine(engine, self._partition_count)
-        outcome = await self._replicas.propose(partition, command)
-        if outcome.is_err():
-            raise ProblemError(outcome.unwrap_err())
-        result = outcome.unwrap()
-        if isinstance(result, CommandRefused):
-            raise ProblemError(result.problem)
+        result = await propose_or_raise(self._replicas, partition, command)
         if not isinstance(result, ClaimInForce):
             raise ProblemError(
                 Problem.of(ProblemCode.INTERNAL, "the partition answered no claim")
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -15,10 +15,10 @@
 from notcharch.replication.epochs import generation_of
 from notcharch.replication.interface import (
     Command,
-    CommandRefused,
     CommandResult,
     PartitionReplicas,
 )
+from notcharch.replication.proposals import propose_or_raise
 from notcharch.values.identifiers import (
     Epoch,
     PartitionNumber,
@@ -123,10 +123,4 @@
         self, partition: PartitionNumber, command: Command
     ) -> CommandResult:
         """Replicate a command in a partition; refusals are raised."""
-        outcome = await self._replicas.propose(partition, command)
-        if outcome.is_err():
-            raise ProblemError(outcome.unwrap_err())
-        result = outcome.unwrap()
-        if isinstance(result, CommandRefused):
-            raise ProblemError(result.problem)
-        return result
+        return await propose_or_raise(self._replicas, partition, command)
--- a/notcharch/services/limiter_service.py
+++ b/notcharch/services/limiter_service.py
@@ -11,11 +11,9 @@
 from notcharch.placement.interface import MembershipView
 from notcharch.placement.partitions import partition_of_service
 from notcharch.replication.interface import (
-    Command,
-    CommandRefused,
-    CommandResult,
     PartitionReplicas,
 )
+from notcharch.replication.proposals import propose_or_raise
 from notcharch.services.allotments import (
     AllotmentsState,
     DropHolder,
@@ -88,7 +86,7 @@
         partition = partition_of_service(message.service, self._partition_count)
         await self._drop_dead(partition, message.service)
         command = self._command(message, row)
-        recorded = await self._propose(partition, command)
+        recorded = await propose_or_raise(self._replicas, partition, command)
         if not isinstance(recorded, SlotsRecorded):
             raise ProblemError(
                 Problem.of(ProblemCode.INTERNAL, "the partition answered no slots")
@@ -137,17 +135,6 @@
         """Give seconds since 1970 as of the start, moved on by the steady clock."""
         return self._wall_offset + self._monotonic()
 
-    async def _propose(
-        self, partition: PartitionNumber, command: Command
-    ) -> CommandResult:
-        outcome = await self._replicas.propose(partition, command)
-        if outcome.is_err():
-            raise ProblemError(outcome.unwrap_err())
-        result = outcome.unwrap()
-        if isinstance(result, CommandRefused):
-            raise ProblemError(result.problem)
-        return result
-
     async def _drop_dead(
         self, partition: PartitionNumber, service: ServiceName
     ) -> None:
@@ -163,7 +150,7 @@
             since = self._dead_since.setdefault(lease.holder, now)
             if now - since >= ENGINE_RESUME_SECONDS:
                 command = DropHolder(self._at(), service, lease.holder)
-                await self._propose(partition, command)
+                await propose_or_raise(self._replicas, partition, command)
                 holder = lease.holder
                 emit(
                     HolderDropped(
