--- a/emulator/engine/answers.py
+++ b/emulator/engine/answers.py
@@ -96,8 +96,8 @@
 
     It starts with `prompt_digest(messages)` (cut off below 4 tokens). Its length in
     tokens is that of a marker `[answer-tokens:37]` in the last user message, else
-    drawn from the digest; never more than `max_tokens`. A marker `[tool-call:hint]`
-    there adds a call of the tool `hint` to the answer, unless it is cut short.
+    drawn from the digest; never more than `max_tokens`. A marker `[tool-call:search]`
+    there adds a call of the tool `search` to the answer, unless it is cut short.
     """
     return plan_answer(messages, max_tokens).content
 
