Take an equal view for knowing the region, as after an exchange

In a second run of `notcharch demo` one daemon joined 0.9 s after the others, and knew its region only 5 s after its start: its view was equal to that of every member that it heard, so it never asked for an exchange, and nobody's question to it counts.

Weighed: to count being asked, which also ends the quick questions of a process that knows little yet (the new test then fails for five daemons). Two equal hashes say that both know the same members.

The new test fails for two daemons without the change.

--- a/notcharch/membership/view_comparison.py
+++ b/notcharch/membership/view_comparison.py
@@ -32,6 +32,8 @@
         `changed_at` is when this process's own view last changed.
         """
         if other == own:
+            # Both know the same members, as after an exchange.
+            self.has_exchanged = True
             self._differs_since = None
             return False
         if self._differs_since is None:
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -63,3 +63,10 @@
     region.nodes["d1"].knows_region = False
     region.run(3.0)
     assert region.nodes["d1"].stewards.keeps(ENGINE)
+
+
+@pytest.mark.parametrize("count", [2, 3, 5])
+def test_daemons_that_start_together_know_their_region_soon(count):
+    region = MembershipRegion(count)
+    region.run(ALONE_SECONDS / 2)
+    assert all(service.knows_region() for service in region.services.values())
