--- a/experiments/capacity/figures.py
+++ b/experiments/capacity/figures.py
@@ -43,9 +43,10 @@
     kept = {name: load(name, directory) for name in NAMES}
     scale = load_scale(directory, "scale")
     more = load_scale(directory, "scale_regions")
+    dense = load_scale(directory, "scale_partitions")
     regions = (*scale.regions, *more.regions)
     return {
-        "machine": machine_table([*kept.values()], (scale, more)),
+        "machine": machine_table([*kept.values()], (scale, more, dense)),
         "slopes": slope_table(kept, scale.regions[-1]),
         **_control(size, kept, scale.regions[-1]),
         **_memory(size, kept),
@@ -53,6 +54,7 @@
         **_data_plane(size, kept, scale.regions[-1]),
         "scale_command": scale.command,
         "scale_seconds": f"{scale.real_seconds:.0f}",
+        **_partitions(dense, scale),
         "table_worst": worst_table_seconds(regions),
         "busiest_times": busiest_times(scale.regions[-1]),
         "more_command": more.command,
@@ -150,6 +152,24 @@
     }
 
 
+def _partitions(dense: ScaleResults, sparse: ScaleResults) -> dict[str, str]:
+    """Compare regions of as many daemons with more and with fewer partitions."""
+    many = dense.regions[-1]
+    (few,) = (one for one in sparse.regions if one.daemons == many.daemons)
+    return {
+        "dense_command": dense.command,
+        "dense_daemons": f"{many.daemons}",
+        "dense_partitions": f"{many.partitions}",
+        "dense_idle": f"{many.phases[0].bytes:.0f}",
+        "dense_core": f"{many.phases[0].core_percent:.2f}",
+        "dense_times": busiest_times(many),
+        "sparse_partitions": f"{few.partitions}",
+        "sparse_idle": f"{few.phases[0].bytes:.0f}",
+        "sparse_core": f"{few.phases[0].core_percent:.2f}",
+        "sparse_times": busiest_times(few),
+    }
+
+
 def _memory(size: DesignSize, kept: dict[str, Measurement]) -> dict[str, str]:
     base = kept["process"].figure("process with all modules") * MEGABYTE
     programs = kept["programs"]
