Let operators race in the region machine, and check its tables

Cause: tables were proved by a machine of their own, not under the faults of whole daemons. Change: up to three operators set one cell at once, at any daemons; no daemon's version may go back, all daemons agree after repair, and an accepted publication is in force.

--- a/tests/stateful/region/long_run.py
+++ b/tests/stateful/region/long_run.py
@@ -31,6 +31,8 @@
             TRIED[_kind_of(request.outcome)] += 1
         for fault in self.faults:
             TRIED[f"fault {fault}"] += 1
+        TRIED["publications accepted"] += len(self.published)
+        TRIED["publications tried"] += self.next_share - 1
 
 
 def _kind_of(outcome):
--- a/tests/stateful/region/machine.py
+++ b/tests/stateful/region/machine.py
@@ -2,7 +2,7 @@
 
 Faults: crash (loud or silent) and restart, pause and stale wake, cut of a zone, lossy
 and duplicating links, log down, log answers lost, engine restart, broken streams,
-a leaving engine. Two may hold at once: one of a daemon and one of anything else.
+a leaving engine. Operators race for one cell. Two faults may hold at once: one of a daemon and one of anything else.
 """
 
 from hypothesis import strategies as st
@@ -13,10 +13,13 @@
     precondition,
     rule,
 )
+from twisted.internet.defer import Deferred
 
 from emulator.faults import Fault, FaultKind
 from experiments.virtual.caller import DirectCaller
 from notcharch.placement.partitions import partition_of_program
+from notcharch.table.draft import ChangeCell, ChangesDraft
+from notcharch.table.publisher import PublishRequest
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import ServiceName, TenantName
 from notcharch.wire.memory_faults import LinkFaults
@@ -45,6 +48,7 @@
 REPAIR_SECONDS = 60.0
 ANSWER_SECONDS = 240.0
 ASK_TRIES = 10
+PUBLISH_SECONDS = 10.0
 MOST_PROGRAMS = 12
 RELEASE_SECONDS = 60.0
 LIMIT_OF_ROW = {row["service"]: row.get("budget_tokens", 10**6) for row in ROWS}
@@ -79,6 +83,9 @@
         self.requests = []
         self.faults = []
         self.violations = []
+        self.next_share = 1
+        self.published = {}
+        self.versions = {}
         self.daemon_fault = None
         self.other_fault = None
         self.last_loss = 0.0
@@ -185,6 +192,38 @@
         known.is_ended = True
         self.caller.end(self._core(number), known.program)
 
+    # Operators.
+
+    @rule(numbers=st.lists(any_number, min_size=1, max_size=3))
+    def operators_race(self, numbers):
+        """Let operators edit the same cell at several daemons at once."""
+        for number in numbers:
+            core = self._core(number)
+            self.next_share += 1
+            edit = ChangeCell("narrow", "share", float(self.next_share))
+            request = PublishRequest(
+                ChangesDraft((edit,)), core.table.version, f"operator {number}"
+            )
+            published = Deferred.fromCoroutine(
+                core.publisher.publish(request, PUBLISH_SECONDS)
+            )
+            published.addCallback(self._published, edit.value)
+        self.region.advance(0.3)
+
+    def _published(self, result, share):
+        if result.is_ok() and not result.ok_value.unchanged:
+            self.published[result.ok_value.version] = share
+
+    @invariant()
+    def no_table_goes_back(self):
+        for core in self.region.running_cores() if hasattr(self, "region") else ():
+            before = self.versions.get(core.own_member, 0)
+            require(
+                core.table.version >= before,
+                f"the table of {core.own_member} went back from {before}",
+            )
+            self.versions[core.own_member] = core.table.version
+
     @rule(seconds=st.sampled_from((0.3, 1.0, 3.0, 10.0, 35.0)))
     def pass_time(self, seconds):
         self.region.advance(seconds)
@@ -268,6 +307,7 @@
             self.repair_other()
         self.region.advance(REPAIR_SECONDS)
         self._check_everyone_was_told()
+        self._check_tables()
         self._finish_pending_calls()
         self.no_caller_was_told_wrong()
         for call in self.calls:
@@ -279,6 +319,17 @@
                 self._check_history(known)
         self._check_release()
 
+    def _check_tables(self):
+        tables = [core.table for core in self.region.running_cores()]
+        require(len({table.version for table in tables}) == 1, "tables differ")
+        if not self.published:
+            return
+        newest = max(self.published)
+        require(tables[0].version >= newest, f"publication {newest} is not in force")
+        if tables[0].version == newest:
+            share = tables[0].row("narrow").share
+            require(share == self.published[newest], f"share is {share} at {newest}")
+
     def _open_requests(self):
         """Give the requests without an answer whose gateway still runs."""
         running = self.region.running_cores()
