Wait for unseen survivors, and know the deaths of a learnt configuration

Runs of whole daemons (network and log service faults, crash, restart, pause, cuts, false suspicion) found four faults: - a member that learnt its configuration after the deaths in it took the dead for living: its group was neither elected nor rebuilt (example 1027). The picture of the region is now taken again whenever the configuration changes; - a commit notice due while a round was in flight was never sent, so an idle follower stayed one entry behind (1280); - a blank member counted as lost though it has a vote, so a group was rebuilt beside one that could still elect (1019); - a group was rebuilt from the archive while a survivor with more was only suspected (1108). A claim now waits 30 s for members that may live. Weighed: waiting without end keeps more but stops a partition for as long as a zone is cut off; what is not archived after 30 s is the backlog of a failing log.

GroupSuperseded now says what may be lost.

--- a/notcharch/events/replication.py
+++ b/notcharch/events/replication.py
@@ -75,11 +75,17 @@
 
 
 class GroupSuperseded(Event, frozen=True):
-    """This daemon dropped its state of a group that had gone on without it."""
+    """This daemon dropped its state of a group that had gone on without it.
+
+    If the group was rebuilt meanwhile, entries behind `archived_index` that were
+    committed here may be lost.
+    """
 
     number: ClassVar[int] = 307
     partition: PartitionNumber
     epoch: Epoch
+    archived_index: int
+    committed_index: int
 
 
 class ArchiveDelayed(Event, frozen=True):
--- a/notcharch/replication/arbitration.py
+++ b/notcharch/replication/arbitration.py
@@ -42,6 +42,14 @@
     waited_seconds: float
 
 
+UNSEEN_SECONDS = 30.0
+"""How long a claim waits for members that may live but are not seen.
+
+Such a member cannot be elected, but it may hold commands that no other one and
+no archive holds.
+"""
+
+
 class WaitReason(enum.Enum):
     """Why nothing is claimed now."""
 
@@ -52,6 +60,7 @@
     LOG_UNREADABLE = "log_unreadable"
     MINORITY_OF_REGION = "minority_of_region"
     MEMBERS_NOT_CERTAINLY_DEAD = "members_not_certainly_dead"
+    UNSEEN_HOLDER = "unseen_holder"
     ANOTHER_CLAIMS = "another_claims"
 
 
@@ -149,6 +158,8 @@
         return Wait(WaitReason.MINORITY_OF_REGION)
     if _may_archived_group_live(evidence, archive):
         return Wait(WaitReason.MEMBERS_NOT_CERTAINLY_DEAD)
+    if _may_unseen_hold_more(evidence, holders, archive):
+        return Wait(WaitReason.UNSEEN_HOLDER)
     claim = Claim(archive.generation + 1, Configuration(1, (evidence.own,)))
     return _by_best(evidence, holders, archive, claim)
 
@@ -159,17 +170,40 @@
     return _in_turn(evidence, claim)
 
 
+def _unseen(configuration: Configuration, evidence: Evidence) -> list[Member]:
+    """Give the members that may live, but neither answered nor were asked."""
+    return [
+        member
+        for member in configuration.members
+        if member not in evidence.descriptions and not evidence.is_dead(member)
+    ]
+
+
 def _may_archived_group_live(evidence: Evidence, archive: ArchiveReplay) -> bool:
-    """Tell whether the group that the archive tells of may have a majority."""
+    """Tell whether the group that the archive tells of may elect an unseen member.
+
+    A member that answered with nothing is no candidate, but it has a vote.
+    """
     configuration = archive.configuration
-    if configuration is None:
+    if configuration is None or not _unseen(configuration, evidence):
         return False
-    lost = frozenset(
-        member
-        for member in configuration.members
-        if evidence.is_dead(member) or member in evidence.descriptions
+    dead = frozenset(filter(evidence.is_dead, configuration.members))
+    return can_have_majority(configuration, dead)
+
+
+def _may_unseen_hold_more(
+    evidence: Evidence, holders: dict[Member, GroupDescription], archive: ArchiveReplay
+) -> bool:
+    """Tell whether to wait for members that may come back with more than is here."""
+    if evidence.waited_seconds >= UNSEEN_SECONDS:
+        return False
+    known = [description.configuration for description in holders.values()]
+    known.append(archive.configuration)
+    return any(
+        _unseen(configuration, evidence)
+        for configuration in known
+        if configuration is not None
     )
-    return can_have_majority(configuration, lost)
 
 
 def _by_best(
--- a/notcharch/replication/host.py
+++ b/notcharch/replication/host.py
@@ -35,6 +35,7 @@
 from notcharch.wire.messages.replication import (
     AnyGroupMessage,
     Append,
+    Configuration,
     ReplicationNotice,
     SnapshotChunk,
     VoteRequest,
@@ -78,6 +79,8 @@
         self._waiting: set[PartitionNumber] = set()
         self._announced: dict[PartitionNumber, Epoch] = {}
         self._listeners: list[LeadershipListener] = []
+        self._looked_at: dict[PartitionNumber, Configuration] = {}
+        """The configuration for which each group got its last picture."""
         self._is_tick_scheduled = False
         self._is_stopped = False
         self.doubts: dict[PartitionNumber, CommittedCommandsInDoubt] = {}
@@ -133,6 +136,7 @@
     def _look(self, group: ReplicaGroup) -> list[Effect]:
         """Give a group its picture of the region."""
         replica = group.replica
+        self._looked_at[replica.partition] = replica.log.configuration
         picture = self._pictures.of(replica.partition, replica.log.configuration)
         return group.membership_changed(picture, self._clock.seconds())
 
@@ -156,6 +160,9 @@
         partition = group.replica.partition
         for effect in effects:
             self._do(group, partition, effect)
+        if group.replica.log.configuration is not self._looked_at[partition]:
+            # The picture says which members of a configuration are dead.
+            self._clock.callLater(0, self.look_again, partition)
         if group.next_deadline() is None:
             self._waiting.discard(partition)
         else:
@@ -186,8 +193,6 @@
         partition = group.replica.partition
         if group.is_leading:
             emit(GroupChanged(partition, configuration.version, configuration.members))
-        # The picture says which members of the new configuration are dead.
-        self._clock.callLater(0, self.look_again, partition)
 
     def look_again(self, partition: PartitionNumber) -> None:
         """Give a group a fresh picture of the region."""
--- a/notcharch/replication/leader.py
+++ b/notcharch/replication/leader.py
@@ -132,6 +132,16 @@
             self._send_chunk(member, progress, now)
         elif progress.next_index <= replica.log.last_index or progress.must_be_heard:
             self._send_append(member, progress, now)
+        elif not self._is_told(progress):
+            replica.timers.setdefault(Timer.COMMIT_NOTICE, now + COMMIT_NOTICE_SECONDS)
+
+    def _is_told(self, progress: Progress) -> bool:
+        """Tell whether a replica knows what is committed and may be discarded."""
+        replica = self._replica
+        return (
+            progress.told_commit_index >= replica.commit_index
+            and progress.told_discard_index >= replica.log.base_index
+        )
 
     def _send_append(self, member: Member, progress: Progress, now: float) -> None:
         replica = self._replica
@@ -340,13 +350,8 @@
 
     def tell_indexes(self, now: float) -> None:
         """Let followers apply and discard, if nothing else told them they may."""
-        replica = self._replica
         for member, progress in self.peers.items():
-            is_told = (
-                progress.told_commit_index >= replica.commit_index
-                and progress.told_discard_index >= replica.log.base_index
-            )
-            if not is_told and self._is_even(progress):
+            if not self._is_told(progress) and self._is_even(progress):
                 progress.must_be_heard = True
                 self._replicate(member, now)
 
--- a/notcharch/replication/recovery.py
+++ b/notcharch/replication/recovery.py
@@ -285,7 +285,11 @@
         group = self._host.group(partition)
         if group is None:
             return
-        emit(GroupSuperseded(partition, group.replica.epoch))
+        replica = group.replica
+        event = GroupSuperseded(
+            partition, replica.epoch, replica.archived.index, replica.commit_index
+        )
+        emit(event)
         self._host.carry_out(
             group, group.superseded(decision.configuration, self._clock.seconds())
         )
--- a/tests/unit/replication/region.py
+++ b/tests/unit/replication/region.py
@@ -8,6 +8,7 @@
 
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.interface import LiveMember
+from notcharch.replication.replica import Replica
 from notcharch.replication.service import ReplicationService
 from notcharch.settings.schema import ReplicationSection
 from notcharch.values.identifiers import (
@@ -166,6 +167,15 @@
             leader = self.leaders.setdefault((partition, epoch), daemon)
             assert leader == daemon, f"{leader} and {daemon} led in epoch {epoch}"
 
+    def replicas_of(self, partition: int) -> dict[Member, Replica | None]:
+        """Give what each running process holds of a partition."""
+        held = {}
+        for service in self.services.values():
+            group = service._host.group(PartitionNumber(partition))
+            has_state = group is not None and group.holds_state
+            held[service._network.own_member] = group.replica if has_state else None
+        return held
+
     def run(self, seconds: float) -> None:
         run_for(self.clock, seconds)
 
