Tell followers the commit index until they say so, and forget the dead in time

Change: what was told counts once acknowledged (Told); the dead are forgotten when they are certainly dead; proposals that wait are answered when a daemon stops; the members are compared only when an input may have changed them; confirmation has its own module.

--- a/notcharch/membership/machine_states.py
+++ b/notcharch/membership/machine_states.py
@@ -20,11 +20,13 @@
     def __init__(self) -> None:
         """Begin empty."""
         self._machines: dict[DaemonName, Machine] = {}
+        self._is_read = False
 
     def apply(self, changes: MachineChanges) -> None:
         """Take in changes of the list; a full one replaces everything."""
         if changes.full:
             self._machines.clear()
+            self._is_read = True
         for machine in changes.machines:
             if machine.kind is MachineKind.DAEMON:
                 self._machines[DaemonName(machine.name)] = machine
@@ -49,6 +51,13 @@
         """Tell whether the machine that a process ran on is listed as gone."""
         return self._state_of(record) is MachineState.GONE
 
+    def has_no_more(self, daemon: DaemonName) -> bool:
+        """Tell whether the whole list was read and has no such live machine."""
+        machine = self._machines.get(daemon)
+        if machine is None:
+            return self._is_read
+        return machine.state is MachineState.GONE
+
     def is_leaving(self, record: MemberRecord) -> bool:
         """Tell whether the machine that a process runs on is listed as leaving."""
         return self._state_of(record) is MachineState.LEAVING
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -122,14 +122,16 @@
 
         It is when a newer process of the daemon was seen, when it said itself
         that it stops, or when it answers no probe and the machine list says that
-        its machine is gone.
+        its machine is gone. Of a daemon that nobody in the region knows any more
+        (all have restarted since), the machine list alone tells.
         """
         own = self._swim.knowledge.own
         record = self._swim.knowledge.record_of(member.daemon)
         if member.daemon == own.member.daemon:
             record = own
         if record is None:
-            return False
+            is_unknown = self.knows_region()
+            return is_unknown and self._machines.has_no_more(member.daemon)
         if record.member.incarnation != member.incarnation:
             return record.member.incarnation > member.incarnation
         if record.status is MemberStatus.DEAD:
--- a/notcharch/replication/group.py
+++ b/notcharch/replication/group.py
@@ -89,7 +89,7 @@
     @property
     def leader_hint(self) -> Member | None:
         """The member that should be asked instead of this one."""
-        if self._reconfiguration.heir is not None:
+        if self.is_leading and self._reconfiguration.heir is not None:
             return self._reconfiguration.heir
         return self._replica.leader
 
@@ -254,7 +254,7 @@
             case Timer.TRANSFER:
                 self._reconfiguration.give_up_transfer(now)
             case Timer.RECONFIGURE:
-                pass  # looked at after every input
+                self._reconfiguration.look()
 
     def next_deadline(self) -> float | None:
         """Give the time at which `tick` has something to do; None when idle."""
@@ -275,6 +275,7 @@
         if self.is_leading:
             if have_targets_changed:
                 self._reconfiguration.targets_changed(now)
+            self._reconfiguration.look()
             self._leader.flush(now)
         return self._drain(now)
 
--- a/notcharch/replication/leader.py
+++ b/notcharch/replication/leader.py
@@ -1,9 +1,10 @@
 """What a replica does while it leads: replicate, commit, tell, transfer state."""
 
 from notcharch.replication.commit import committed_index
-from notcharch.replication.configuration import majority_of
+from notcharch.replication.confirmation import Confirmation
 from notcharch.replication.effects import LeadershipChanged
-from notcharch.replication.progress import Progress
+from notcharch.replication.log import command_bytes
+from notcharch.replication.progress import Progress, Told
 from notcharch.replication.replica import Replica, Timer
 from notcharch.replication.role import Role
 from notcharch.replication.transfer import Snapshot, SnapshotSender
@@ -26,6 +27,9 @@
 LOG_BYTES = 8 * 1024 * 1024
 """Beyond this the log is not kept for members that are believed dead."""
 
+LOG_BYTES_FOR_LIVE = 32 * 1024 * 1024
+"""Beyond this it is not kept for live ones either; they get a snapshot."""
+
 DISCARD_ENTRIES = 16
 NEARLY_ENTRIES = 256
 
@@ -41,8 +45,7 @@
         """Removed members that have not yet answered that they know it."""
         self._first_index = 0
         self._round = 0
-        self._confirm_round = 0
-        self._heard: set[Member] = set()
+        self._confirmation = Confirmation(replica.own, 1)
         self._snapshot: Snapshot | None = None
         self._uncommitted_bytes = 0
         self.keeps_archive_backlog = True
@@ -62,13 +65,13 @@
         self.peers = {}
         self.departing = set()
         self._snapshot = None
-        self._uncommitted_bytes = self._command_bytes(
+        self._uncommitted_bytes = replica.log.command_bytes(
             replica.commit_index, replica.log.last_index
         )
         replica.log.append(Entry(replica.epoch, configuration=configuration))
         self._first_index = replica.log.last_index
         self._match_peers()
-        self._expect_confirmation()
+        self._confirmation = Confirmation(replica.own, self._round + 1)
         self.flush(now)
 
     def _match_peers(self) -> None:
@@ -139,8 +142,8 @@
         """Tell whether a replica knows what is committed and may be discarded."""
         replica = self._replica
         return (
-            progress.told_commit_index >= replica.commit_index
-            and progress.told_discard_index >= replica.log.base_index
+            progress.told.commit_index >= replica.commit_index
+            and progress.told.discard_index >= replica.log.base_index
         )
 
     def _send_append(self, member: Member, progress: Progress, now: float) -> None:
@@ -161,8 +164,7 @@
             replica.archived,
             log.entries_from(progress.next_index, ROUND_BYTES),
         )
-        progress.told_commit_index = replica.commit_index
-        progress.told_discard_index = log.base_index
+        progress.telling = Told(replica.commit_index, log.base_index)
         progress.sent(self._round, now)
         replica.send(member, message)
 
@@ -201,7 +203,9 @@
             if is_awaited:
                 self.drop_peer(sender)
             return
-        self._hear(sender, reply.round_number)
+        self._confirmation.hear(sender, reply.round_number)
+        if is_awaited and reply.accepted:
+            progress.told = progress.telling
         if reply.accepted:
             progress.accepted(reply.index)
         elif is_awaited and reply.needs_snapshot:
@@ -253,17 +257,14 @@
             replica.log, self._held(), replica.epoch, replica.commit_index
         )
         if index > replica.commit_index:
-            self._uncommitted_bytes -= self._command_bytes(replica.commit_index, index)
+            self._uncommitted_bytes -= replica.log.command_bytes(
+                replica.commit_index, index
+            )
             replica.commit_through(index)
             replica.timers.setdefault(Timer.COMMIT_NOTICE, now + COMMIT_NOTICE_SECONDS)
             self._discard()
         self._confirm()
 
-    def _command_bytes(self, after: int, through: int) -> int:
-        log = self._replica.log
-        positions = range(after + 1, through + 1)
-        return sum(command_bytes(log.entry_at(position)) for position in positions)
-
     def _held(self) -> list[int]:
         """Give what each member of the configuration holds."""
         replica = self._replica
@@ -298,8 +299,9 @@
         for member, progress in self.peers.items():
             if member in self.departing:
                 continue
-            is_waited_for = member in replica.picture.alive
-            if is_waited_for or replica.log.size_bytes < LOG_BYTES:
+            is_alive = member in replica.picture.alive
+            limit = LOG_BYTES_FOR_LIVE if is_alive else LOG_BYTES
+            if replica.log.size_bytes < limit:
                 floor = min(floor, self._needed_from(progress))
         if floor >= replica.log.base_index + DISCARD_ENTRIES:
             replica.log.discard_through(floor)
@@ -309,34 +311,24 @@
             return progress.snapshot.snapshot.index
         return progress.match_index
 
-    def _expect_confirmation(self) -> None:
-        self._confirm_round = self._round + 1
-        self._heard = {self._replica.own}
-
-    def _hear(self, sender: Member, round_number: int) -> None:
-        if round_number >= self._confirm_round:
-            self._heard.add(sender)
-
     def _confirm(self) -> None:
         """Serve the state once it is whole and a majority still follows."""
         replica = self._replica
-        if replica.role.role is not Role.UNCONFIRMED or not self._is_confirmed():
+        if replica.role.role is not Role.UNCONFIRMED:
+            return
+        is_followed = self._confirmation.is_whole(replica.log.configuration)
+        if not is_followed or not self.has_committed_own_entry:
             return
         replica.role.moves.confirm()
         replica.effects.append(LeadershipChanged(replica.epoch))
 
-    def _is_confirmed(self) -> bool:
-        configuration = self._replica.log.configuration
-        heard = self._heard.intersection(configuration.members)
-        return self.has_committed_own_entry and len(heard) >= majority_of(configuration)
-
     def doubt(self, now: float) -> None:
         """After a pause, ask a majority before serving the state again."""
         replica = self._replica
         if replica.role.role is Role.LEADER:
             replica.effects.append(LeadershipChanged(None))
         replica.role.moves.doubt()
-        self._expect_confirmation()
+        self._confirmation = Confirmation(replica.own, self._round + 1)
         for progress in self.peers.values():
             progress.ask_again()
         self.flush(now)
@@ -362,8 +354,3 @@
         """Give the time of the next repetition."""
         times = [p.resend_at for p in self.peers.values() if p.resend_at is not None]
         return min(times, default=None)
-
-
-def command_bytes(entry: Entry) -> int:
-    """Give the length of an entry's command, in bytes."""
-    return len(memoryview(entry.command))
--- a/notcharch/replication/log.py
+++ b/notcharch/replication/log.py
@@ -88,6 +88,11 @@
             chosen.append(entry)
         return tuple(chosen)
 
+    def command_bytes(self, after: int, through: int) -> int:
+        """Give the length of the commands after one index up to another, in bytes."""
+        positions = range(after + 1, through + 1)
+        return sum(command_bytes(self.entry_at(position)) for position in positions)
+
     def append(self, entry: Entry) -> None:
         """Add an entry at the end."""
         self._entries.append(entry)
@@ -127,4 +132,9 @@
 
 def entry_bytes(entry: Entry) -> int:
     """Estimate the memory of an entry, in bytes."""
-    return len(memoryview(entry.command)) + ENTRY_OVERHEAD_BYTES
+    return command_bytes(entry) + ENTRY_OVERHEAD_BYTES
+
+
+def command_bytes(entry: Entry) -> int:
+    """Give the length of an entry's command, in bytes."""
+    return len(memoryview(entry.command))
--- a/notcharch/replication/pending.py
+++ b/notcharch/replication/pending.py
@@ -54,6 +54,11 @@
         for place in lost:
             self._give_up(place, "leadership was lost before a majority answered")
 
+    def stop(self) -> None:
+        """Answer all: the daemon stops before it learns their outcome."""
+        for place in tuple(self._waiting):
+            self._give_up(place, "this daemon stops")
+
     def expire(self, now: float) -> None:
         """Answer those that waited too long."""
         while self._deadlines and self._deadlines[0][0] <= now:
--- a/notcharch/replication/pictures.py
+++ b/notcharch/replication/pictures.py
@@ -38,6 +38,12 @@
             leaving.add(self._own)
         self._leaving = frozenset(leaving)
         self._ever_seen |= self._alive
+        self._forget_dead()
+
+    def _forget_dead(self) -> None:
+        is_dead = self._membership.is_certainly_dead
+        missing = self._ever_seen - self._alive
+        self._ever_seen -= {member for member in missing if is_dead(member)}
 
     @property
     def others_alive(self) -> frozenset[Member]:
@@ -69,6 +75,5 @@
         The smaller side of a cut must not rebuild groups: their members may be
         on the other side, unknown to this one.
         """
-        dead = {m for m in self._ever_seen if self._membership.is_certainly_dead(m)}
-        self._ever_seen -= dead
+        self._forget_dead()
         return len(self._alive) * 2 > len(self._ever_seen)
--- a/notcharch/replication/progress.py
+++ b/notcharch/replication/progress.py
@@ -1,11 +1,20 @@
 """What a leader knows about one other replica."""
 
+import msgspec
+
 from notcharch.replication.transfer import SnapshotSender
 
 RESEND_SECONDS = 0.25
 LONGEST_RESEND_SECONDS = 8.0
 
 
+class Told(msgspec.Struct, frozen=True):
+    """Up to where a replica may apply, and may discard, its log."""
+
+    commit_index: int
+    discard_index: int
+
+
 class Progress:
     """How far a replica holds the leader's log, and what is on the way to it.
 
@@ -23,8 +32,10 @@
         self._round = 0
         self.match_index = 0
         self.next_index = next_index
-        self.told_commit_index = 0
-        self.told_discard_index = 0
+        self.told = Told(0, 0)
+        """What the replica has acknowledged to know."""
+        self.telling = Told(0, 0)
+        """What the round in flight says."""
         self.resend_at: float | None = None
         self.snapshot: SnapshotSender | None = None
         self.must_be_heard = True
--- a/notcharch/replication/reconfiguration.py
+++ b/notcharch/replication/reconfiguration.py
@@ -40,6 +40,8 @@
         self.heir: Member | None = None
         """The member that leadership is being transferred to."""
         self._is_heir_asked = False
+        self._is_due = False
+        """Whether the members may differ from what they should be."""
         self._leaving_until: dict[Member, float] = {}
 
     def hear_leaving(self, members: tuple[Member, ...], now: float) -> None:
@@ -51,11 +53,16 @@
         until = now + LEAVING_WORD_SECONDS
         self._leaving_until |= dict.fromkeys(members, until)
         self._leaving_until.pop(self._replica.own, None)
+        self._is_due = True
 
     def _picture(self, now: float) -> Picture:
         """Give the region with the members that former leaders said are leaving."""
-        said = {member for member, until in self._leaving_until.items() if now < until}
         picture = self._replica.picture
+        if not self._leaving_until:
+            return picture
+        for member in [m for m, until in self._leaving_until.items() if until <= now]:
+            del self._leaving_until[member]
+        said = frozenset(self._leaving_until)
         return msgspec.structs.replace(picture, leaving=picture.leaving | said)
 
     def begin(self, now: float) -> None:
@@ -68,10 +75,15 @@
         """Wait a while before members that still work are moved."""
         jitter = self._replica.random.random() * SETTLE_JITTER_SECONDS
         self._settled_at = now + SETTLE_SECONDS + jitter
+        self._is_due = True
+
+    def look(self) -> None:
+        """Compare the members with what they should be, after the next input."""
+        self._is_due = True
 
     def advance(self, now: float) -> None:
         """Take the next step if the last one is done."""
-        if not self._is_ready():
+        if not self._is_due or not self._is_ready():
             return
         is_settled = now >= self._settled_at
         replica = self._replica
@@ -82,10 +94,17 @@
             self._replica_count,
             is_settled,
         )
+        self._is_due = change is not None
         if not is_settled:
-            replica.timers[Timer.RECONFIGURE] = self._settled_at
+            self._look_at(self._settled_at)
+        if self._leaving_until:
+            self._look_at(min(self._leaving_until.values()))
         self._follow(change, now)
 
+    def _look_at(self, time: float) -> None:
+        timers = self._replica.timers
+        timers[Timer.RECONFIGURE] = min(time, timers.get(Timer.RECONFIGURE, time))
+
     def _is_ready(self) -> bool:
         replica = self._replica
         return (
@@ -140,6 +159,7 @@
 
     def configuration_committed(self, now: float) -> None:
         """Tell removed processes to retire, now that it is certain."""
+        self._is_due = True
         members = self._replica.log.configuration.members
         for peer in tuple(self._leader.peers):
             if peer not in members and peer != self._joiner:
@@ -150,7 +170,7 @@
         """Let another member lead; proposals wait until it does."""
         if not self._leader.is_nearly_even(heir):
             # What it lacks is on the way, or it does not answer; look again later.
-            self._replica.timers[Timer.RECONFIGURE] = now + TRANSFER_SECONDS
+            self._look_at(now + TRANSFER_SECONDS)
             return
         self.heir = heir
         self._is_heir_asked = False
--- a/notcharch/replication/recovery.py
+++ b/notcharch/replication/recovery.py
@@ -10,18 +10,15 @@
     ensureDeferred,
 )
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
 from notcharch.events.replication import (
-    CommittedCommandsInDoubt,
-    GroupClaimed,
     GroupSuperseded,
     ReplicationTaskFailed,
 )
 from notcharch.placement.interface import MembershipView
-from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
+from notcharch.platform.ports import LogPort
 from notcharch.replication.arbitration import (
     Claim,
     Decision,
@@ -30,16 +27,12 @@
     Wait,
     decide,
 )
-from notcharch.replication.archive_reader import read_archive, read_on
+from notcharch.replication.archive_reader import read_archive
 from notcharch.replication.archive_records import (
-    ClaimRecord,
-    claim_id,
-    encode_record,
     stream_of,
 )
 from notcharch.replication.archive_replay import ArchiveReplay
-from notcharch.replication.epochs import first_epoch_of
-from notcharch.replication.group import ReplicaGroup
+from notcharch.replication.claims import Claims
 from notcharch.replication.host import GroupHost
 from notcharch.replication.pictures import Pictures
 from notcharch.values.identifiers import Member, PartitionNumber, RegionName
@@ -93,7 +86,7 @@
         self._region = region
         self._streams = DeferredSemaphore(PARALLEL_STREAMS)
         self._since: dict[PartitionNumber, float] = {}
-        self._claiming: set[PartitionNumber] = set()
+        self._claims = Claims(host, log, clock, region, network.own_member)
         self._is_running = False
         self._next_at = 0.0
         self._retry_seconds = RETRY_SECONDS
@@ -102,6 +95,7 @@
     def stop(self) -> None:
         """Begin nothing more."""
         self._is_stopped = True
+        self._claims.stop()
 
     def hurry(self, delay: float) -> None:
         """Look again soon, because something changed."""
@@ -117,7 +111,7 @@
         )
 
     def _describe(self, partition: PartitionNumber) -> GroupDescription:
-        if partition in self._claiming:
+        if self._claims.is_under_way(partition):
             return GroupDescription(partition, Holding.CLAIMING)
         group = self._host.group(partition)
         if group is None:
@@ -153,7 +147,7 @@
                 self._since.pop(partition, None)
                 continue
             self._since.setdefault(partition, now)
-            if self._needs_help(partition) and partition not in self._claiming:
+            if self._needs_help(partition) and not self._claims.is_under_way(partition):
                 orphans.append(partition)
         return orphans
 
@@ -246,8 +240,8 @@
         decision = decide(evidence)
         if isinstance(decision, Claim) and archive.ok_value.generation > 0:
             decision = await self._decide_again(partition, archive.ok_value)
-        if isinstance(decision, Claim) and partition not in self._claiming:
-            await self._claim(partition, decision, archive.ok_value)
+        if isinstance(decision, Claim) and not self._claims.is_under_way(partition):
+            await self._claims.claim(partition, decision, archive.ok_value)
 
     async def _decide_again(
         self, partition: PartitionNumber, archive: ArchiveReplay
@@ -294,81 +288,6 @@
             group, group.superseded(decision.configuration, self._clock.seconds())
         )
 
-    async def _claim(
-        self, partition: PartitionNumber, claim: Claim, archive: ArchiveReplay
-    ) -> None:
-        """Claim until a claim of the generation is in the stream; lead if it is ours.
-
-        A claim whose answer was lost may still take effect, so that it is not
-        given up before the stream tells who won.
-        """
-        self._claiming.add(partition)
-        try:
-            record = self._record(partition, claim, archive)
-            while not self._is_stopped and archive.generation < claim.generation:
-                await self._append_claim(partition, record, archive)
-            if archive.claim == record:
-                self._lead(partition, record, archive)
-        finally:
-            self._claiming.discard(partition)
-
-    def _record(
-        self, partition: PartitionNumber, claim: Claim, archive: ArchiveReplay
-    ) -> ClaimRecord:
-        log = self._host.group_for(partition).replica.log
-        return ClaimRecord(
-            first_epoch_of(claim.generation),
-            archive.snapshot_offset,
-            self._own,
-            claim.configuration,
-            log.last_index,
-            log.last_epoch,
-        )
-
-    async def _append_claim(
-        self, partition: PartitionNumber, record: ClaimRecord, archive: ArchiveReplay
-    ) -> None:
-        stream = stream_of(self._region, partition)
-        data = encode_record(record)
-        appended = await self._log.append(stream, (LogRecord(claim_id(record), data),))
-        if isinstance(appended, Ok) and appended.ok_value == archive.next_offset:
-            archive.take(StoredRecord(appended.ok_value, claim_id(record), data))
-            return
-        read = await read_on(self._log, stream, archive)
-        if isinstance(read, Err):
-            await deferLater(self._clock, RETRY_SECONDS)
-
-    def _lead(
-        self, partition: PartitionNumber, record: ClaimRecord, archive: ArchiveReplay
-    ) -> None:
-        group = self._host.group_for(partition)
-        emit(GroupClaimed(partition, record.epoch, record.configuration.members))
-        from_archive = group.is_behind(archive)
-        effects = group.claim(
-            record.epoch, record.configuration, archive, self._clock.seconds()
-        )
-        if archive.generation > 1:
-            self._tell_doubt(group, record, from_archive)
-        self._host.carry_out(group, effects)
-        self._host.look_again(partition)
-
-    def _tell_doubt(
-        self, group: ReplicaGroup, record: ClaimRecord, from_archive: bool
-    ) -> None:
-        replica = group.replica
-        # The last entry is the one that began this epoch.
-        index = replica.log.last_index - 1
-        event = CommittedCommandsInDoubt(
-            replica.partition,
-            record.epoch,
-            index,
-            replica.log.epoch_at(index) or record.last_epoch,
-            replica.applier.last_command_at,
-            from_archive,
-        )
-        self._host.note_doubt(event)
-        emit(event)
-
 
 def _description_in(
     reply: GroupDescriptions, partition: PartitionNumber
--- a/notcharch/replication/replica.py
+++ b/notcharch/replication/replica.py
@@ -17,7 +17,7 @@
 )
 from notcharch.replication.log import NO_CONFIGURATION, CommandLog, Position
 from notcharch.replication.picture import Picture
-from notcharch.replication.role import LEADING, RoleHolder
+from notcharch.replication.role import RoleHolder
 from notcharch.replication.transfer import Snapshot
 from notcharch.values.identifiers import Epoch, Member, PartitionNumber
 from notcharch.wire.messages.replication import (
@@ -70,7 +70,7 @@
     @property
     def is_leading(self) -> bool:
         """Tell whether this member leads, confirmed or not."""
-        return self.role.role in LEADING
+        return self.role.is_leading
 
     @property
     def position(self) -> Position:
--- a/notcharch/replication/role.py
+++ b/notcharch/replication/role.py
@@ -47,6 +47,8 @@
     def __init__(self) -> None:
         """Begin as a follower."""
         self.role = Role.FOLLOWER
+        self.is_leading = False
+        """Whether this member leads, confirmed or not."""
         self.moves: RoleMachine = _FACTORY(self)
 
 
@@ -81,6 +83,7 @@
 def _recorder(role: Role) -> Callable[[RoleMachine, RoleHolder], None]:
     def record(_machine: RoleMachine, holder: RoleHolder) -> None:
         holder.role = role
+        holder.is_leading = role in LEADING
 
     return record
 
--- a/notcharch/replication/service.py
+++ b/notcharch/replication/service.py
@@ -104,6 +104,7 @@
         self._beat = LoopingCall(self._on_beat)
         self._beat.clock = clock
         self._last_beat = 0.0
+        self._is_stopped = False
         self._is_refresh_scheduled = False
 
     def start(self) -> None:
@@ -120,6 +121,8 @@
         self._host.stop()
         self._recovery.stop()
         self._archiver.stop()
+        self._is_stopped = True
+        self._pending.stop()
         if self._beat.running:
             self._beat.stop()
 
@@ -200,7 +203,7 @@
     ) -> "Deferred[Result[CommandResult, Problem]]":
         """Replicate a command; see `PartitionReplicas.propose`."""
         group = self._host.group(partition)
-        if group is None or not group.accepts_proposals:
+        if group is None or not group.accepts_proposals or self._is_stopped:
             return succeed(Err(self._refusal(partition)))
         index = group.propose(self._codec.encode(command))
         self._host.flush_later(partition)
@@ -210,6 +213,8 @@
 
     def _refusal(self, partition: PartitionNumber) -> Problem:
         hint = self.leader_hint(partition)
+        if self._is_stopped:
+            hint = None
         if hint == self._network.own_member.daemon:
             return Problem.of(
                 ProblemCode.UNAVAILABLE,
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -156,3 +156,36 @@
     outdated.on_superseded(lambda: told.append(True))
     region.run(10)
     assert told == [True]
+
+
+def test_a_daemon_that_no_running_process_ever_knew_is_dead_if_it_is_not_listed():
+    """All have restarted, and a machine of before is gone for good."""
+    region = MembershipRegion(6)
+    region.run(10)
+    gone = daemon_name(5)
+    member = region.fabric.daemon(gone).member
+    region.list_machine(gone, MachineState.GONE)
+    for number in range(6):
+        region.crash(daemon_name(number))
+    for number in range(5):
+        region.restart(daemon_name(number))
+    watcher = region.services[daemon_name(0)]
+    assert not watcher.is_certainly_dead(member)
+    region.run(10)
+    assert watcher.knows_region()
+    assert watcher.is_certainly_dead(member)
+
+
+def test_a_daemon_that_is_only_unknown_is_not_certainly_dead():
+    region = MembershipRegion(6)
+    region.run(10)
+    absent = daemon_name(5)
+    member = region.fabric.daemon(absent).member
+    for number in range(6):
+        region.crash(daemon_name(number))
+    for number in range(5):
+        region.restart(daemon_name(number))
+    region.run(10)
+    watcher = region.services[daemon_name(0)]
+    assert watcher.knows_region()
+    assert not watcher.is_certainly_dead(member)
--- a/tests/unit/replication/test_service.py
+++ b/tests/unit/replication/test_service.py
@@ -3,7 +3,8 @@
 import pytest
 from result import Ok
 
-from notcharch.errors import ProblemCode
+from notcharch.errors import ProblemCode, Ran
+from notcharch.replication.interface import CommandRefused
 from tests.unit.replication.counting import Noted
 from tests.unit.replication.region import Region
 
@@ -82,3 +83,41 @@
     region.run(30.0)
     assert all(region.leader_of(partition) for partition in PARTITIONS)
     assert len(taken) == len(PARTITIONS)  # founded by who should lead; nothing moves
+
+
+def test_a_stop_answers_what_was_proposed_and_refuses_the_rest():
+    region = Region()
+    region.run(1.0)
+    leader = region.leader_of(0)
+    pending = region.propose(0, "first")
+    region.services[leader].stop()
+    [answer] = pending
+    assert answer.err_value.is_code(ProblemCode.UNAVAILABLE)
+    assert answer.err_value.ran is Ran.UNKNOWN
+    [answer] = region.propose(0, "second", by=leader)
+    assert answer.err_value.is_code(ProblemCode.NOT_LEADER)
+    assert answer.err_value.ran is Ran.NO
+
+
+def test_a_majority_that_does_not_answer_in_time_leaves_the_outcome_unknown():
+    region = Region()
+    region.run(1.0)
+    leader = region.leader_of(0)
+    others = [name for name in region.services if name != leader]
+    region.fabric.cut([leader], others)
+    pending = region.propose(0, "first")
+    region.run(6.0)
+    [answer] = pending
+    assert answer.err_value.is_code(ProblemCode.UNAVAILABLE)
+    assert answer.err_value.ran is Ran.UNKNOWN
+
+
+def test_a_defect_in_a_command_refuses_it_and_the_group_goes_on():
+    region = Region()
+    region.run(1.0)
+    results = region.propose(0, "raise")
+    region.run(0.1)
+    assert isinstance(results[0].ok_value, CommandRefused)
+    results = region.propose(0, "next")
+    region.run(0.1)
+    assert results == [Ok(Noted(1))]
