--- a/emulator/engine/cache_events.py
+++ b/emulator/engine/cache_events.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from notcharch.platform.ports import CacheEvent, CacheEventKind, CacheEvents
+from notcharch.clients.ports import CacheEvent, CacheEventKind, CacheEvents
 from notcharch.values.identifiers import ProgramId
 
 KEPT_EVENTS = 20_000
--- a/emulator/engine/load_report.py
+++ b/emulator/engine/load_report.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable
 
-from notcharch.platform.ports import EngineLoad
+from notcharch.clients.ports import EngineLoad
 
 Measure = Callable[[int, float], EngineLoad]
 
--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -20,7 +20,7 @@
 from emulator.engine.runs import EngineRun, RunListener, RunState, RunStatus
 from emulator.engine.stepper import Stepper
 from emulator.engine.transfers import CacheTransfers
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEventKind,
     CacheEvents,
--- a/emulator/engine/orders.py
+++ b/emulator/engine/orders.py
@@ -7,7 +7,7 @@
 
 from emulator.engine.rates import EngineRates
 from emulator.engine.refusals import EngineRefusal, RefusalCode
-from notcharch.platform.ports import EngineOrder, OrderKind
+from notcharch.clients.ports import EngineOrder, OrderKind
 from notcharch.values.identifiers import Epoch, PoolName, RequestId
 
 
--- a/emulator/engine/prefix_cache.py
+++ b/emulator/engine/prefix_cache.py
@@ -12,7 +12,7 @@
 
 from emulator.engine.answers import message_tokens
 from emulator.engine.counters import EngineCounters, FillHistory
-from notcharch.platform.ports import CachedProgram, CacheEventKind
+from notcharch.clients.ports import CachedProgram, CacheEventKind
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import ProgramId
 
--- a/emulator/engine/runs.py
+++ b/emulator/engine/runs.py
@@ -9,7 +9,7 @@
 
 from emulator.engine.answers import PlannedAnswer
 from emulator.engine.prefix_cache import CacheHold, PrefixChain
-from notcharch.platform.ports import EngineRequest
+from notcharch.clients.ports import EngineRequest
 from notcharch.values.chat import TokenUsage
 
 
--- a/emulator/engine/transfers.py
+++ b/emulator/engine/transfers.py
@@ -9,7 +9,7 @@
 from emulator.engine.prefix_cache import PrefixCache, PrefixChain
 from emulator.engine.rates import EngineRates
 from emulator.engine.refusals import EngineRefusal, RefusalCode
-from notcharch.platform.ports import ExportedCache
+from notcharch.clients.ports import ExportedCache
 from notcharch.values.identifiers import ProgramId
 
 
--- a/emulator/http/control_server.py
+++ b/emulator/http/control_server.py
@@ -12,7 +12,7 @@
 from emulator.faults import Fault
 from emulator.http.exchange import Reply, json_reply, read_body, refusal_reply
 from emulator.models import RegionModels
-from notcharch.platform.ports import Machine
+from notcharch.clients.ports import Machine
 from notcharch.values.identifiers import EngineName, PoolName, ProgramId, RequestId
 
 
--- a/emulator/http/engine_server.py
+++ b/emulator/http/engine_server.py
@@ -19,7 +19,7 @@
     refusal_reply,
 )
 from emulator.http.stream_writer import StreamWriter
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvents,
     EngineLoad,
--- a/emulator/http/service_server.py
+++ b/emulator/http/service_server.py
@@ -16,7 +16,7 @@
     text_argument,
 )
 from emulator.models import RegionModels
-from notcharch.platform.ports import LogPage, LogRecord, MachineChanges
+from notcharch.clients.ports import LogPage, LogRecord, MachineChanges
 from notcharch.values.identifiers import (
     EngineName,
     LogOffset,
--- a/emulator/local.py
+++ b/emulator/local.py
@@ -17,10 +17,10 @@
     default_rates,
 )
 from emulator.system import RunningEmulator, start_emulator
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.daemon.life import LifeState
 from notcharch.daemon.process import DaemonAddresses, DaemonProcess
 from notcharch.errors.problem import ProblemError
-from notcharch.platform.ports import Machine, MachineKind, MachineState
 from notcharch.settings.schema import (
     DaemonSection,
     OperatorKey,
--- a/emulator/memory.py
+++ b/emulator/memory.py
@@ -19,8 +19,7 @@
 from emulator.services.log_store import LogStore
 from emulator.services.machine_registry import MachineRegistry
 from emulator.services.weight_store import WeightStore
-from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvents,
     EngineLoad,
@@ -32,6 +31,7 @@
     LogRecord,
     MachineChanges,
 )
+from notcharch.errors import Problem, ProblemCode
 from notcharch.values.identifiers import (
     EngineName,
     Epoch,
--- a/emulator/memory_exchange.py
+++ b/emulator/memory_exchange.py
@@ -11,8 +11,8 @@
 
 from emulator.engine.refusals import EngineRefusal
 from emulator.faults import TransportFaults, Verdict
+from notcharch.clients.failures import ErrorBody, ErrorReply, problem_of_reply
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.failures import ErrorBody, ErrorReply, problem_of_reply
 
 Value = TypeVar("Value")
 Outcome = Result[Value, EngineRefusal] | Deferred[Result[Value, EngineRefusal]]
--- a/emulator/memory_stream.py
+++ b/emulator/memory_stream.py
@@ -12,8 +12,8 @@
 from emulator.engine.stream_events import render_events
 from emulator.faults import Verdict
 from emulator.memory_exchange import MemoryWay, problem_of_refusal
+from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.ports import EngineRequest, StreamEnd
 
 RESUME_DELAYS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.0, 2.0)
 """Seconds before each try to resume without progress, as in the HTTP client."""
--- a/emulator/models.py
+++ b/emulator/models.py
@@ -21,7 +21,7 @@
 from emulator.services.tools import ToolService
 from emulator.services.weight_store import WeightStore
 from emulator.settings import EmulatorSettings, EngineSection
-from notcharch.platform.ports import Machine
+from notcharch.clients.ports import Machine
 from notcharch.values.identifiers import EngineName, PoolName, RegionName, ZoneName
 
 LOG = "log"
--- a/emulator/services/log_store.py
+++ b/emulator/services/log_store.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from notcharch.platform.ports import LogPage, LogRecord, StoredRecord
+from notcharch.clients.ports import LogPage, LogRecord, StoredRecord
 from notcharch.values.identifiers import LogOffset
 
 
--- a/emulator/services/machine_registry.py
+++ b/emulator/services/machine_registry.py
@@ -6,7 +6,7 @@
 import attrs
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.platform.ports import Machine, MachineChanges
+from notcharch.clients.ports import Machine, MachineChanges
 from notcharch.values.identifiers import RegionName
 
 KEPT_CHANGES = 10_000
--- a/emulator/settings.py
+++ b/emulator/settings.py
@@ -13,8 +13,8 @@
 from result import Err, Ok, Result
 
 from emulator.engine.rates import EngineRates
+from notcharch.clients.ports import MachineKind
 from notcharch.errors import Finding
-from notcharch.platform.ports import MachineKind
 from notcharch.settings.load import read_keys
 from notcharch.settings.schema import Section
 
--- a/emulator/simulation_speed.py
+++ b/emulator/simulation_speed.py
@@ -18,8 +18,8 @@
 from emulator.models import RegionModels, with_engines
 from emulator.settings import EngineSection, load_emulator_settings
 from emulator.virtual_clock import VirtualClock
+from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import Problem
-from notcharch.platform.ports import EngineRequest, StreamEnd
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import Epoch, PoolName, ProgramId, RequestId
 
--- a/emulator/system.py
+++ b/emulator/system.py
@@ -15,7 +15,7 @@
 from emulator.http.service_server import ServiceServer
 from emulator.models import RegionModels
 from emulator.settings import EmulatorSettings, EngineSection
-from notcharch.platform.ports import Machine, MachineState
+from notcharch.clients.ports import Machine, MachineState
 from notcharch.values.identifiers import EngineName
 
 
--- a/experiments/capacity/poll_cost.py
+++ b/experiments/capacity/poll_cost.py
@@ -21,10 +21,10 @@
 
 from emulator.system import EmulatorAddresses
 from experiments.relay_children import child_server
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import EngineClient
-from notcharch.platform.log_client import LogClient
-from notcharch.platform.machine_list_client import MachineListClient
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.log_client import LogClient
+from notcharch.clients.machine_list_client import MachineListClient
 from notcharch.settings.schema import PlatformSection
 from notcharch.table.publication import STREAM
 from notcharch.values.identifiers import LogOffset, RegionName
--- a/experiments/capacity/table_cost.py
+++ b/experiments/capacity/table_cost.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from notcharch.platform.ports import StoredRecord
+from notcharch.clients.ports import StoredRecord
 from notcharch.table.edits import SetCell
 from notcharch.table.interface import ServiceRow, TenantKey
 from notcharch.table.publication import (
--- a/experiments/demo_system.py
+++ b/experiments/demo_system.py
@@ -15,7 +15,7 @@
 from emulator.http.control_server import EmulatorSnapshot
 from experiments.child_process import ChildError, ChildProcess
 from experiments.workloads import Kind
-from notcharch.platform.ports import Machine, MachineKind, MachineState
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.table.interface import ServiceRow, TenantKey
 from notcharch.values.identifiers import (
     PoolName,
--- a/experiments/faults/region.py
+++ b/experiments/faults/region.py
@@ -23,7 +23,7 @@
 from experiments.demo_system import DaemonReady, EmulatorReady
 from experiments.faults.facts import CutCause
 from experiments.faults.programs import rows
-from notcharch.platform.ports import Machine, MachineKind, MachineState
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.table.interface import TenantKey
 from notcharch.values.identifiers import RegionName, TenantName, ZoneName
 
--- a/experiments/membership_cost.py
+++ b/experiments/membership_cost.py
@@ -31,14 +31,14 @@
     MembershipRegion,
     daemon_name,
 )
-from notcharch.membership.service import MembershipService
-from notcharch.membership.swim import Swim
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     Machine,
     MachineChanges,
     MachineKind,
     MachineState,
 )
+from notcharch.membership.service import MembershipService
+from notcharch.membership.swim import Swim
 from notcharch.settings.schema import MembershipSection
 from notcharch.values.identifiers import Incarnation, Member
 from notcharch.wire.codec import default_codec
--- a/experiments/membership_region.py
+++ b/experiments/membership_region.py
@@ -7,14 +7,14 @@
 
 from twisted.internet.task import Clock
 
-from notcharch.membership.service import MembershipService
-from notcharch.membership.swim import Swim
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     Machine,
     MachineChanges,
     MachineKind,
     MachineState,
 )
+from notcharch.membership.service import MembershipService
+from notcharch.membership.swim import Swim
 from notcharch.settings.schema import MembershipSection
 from notcharch.values.identifiers import (
     DaemonName,
--- a/experiments/page_cost.py
+++ b/experiments/page_cost.py
@@ -19,10 +19,10 @@
 from emulator.settings import load_emulator_settings
 from emulator.system import start_emulator
 from experiments.program_cost import EPOCH, Case, Driver
+from notcharch.clients.connections import Connections
+from notcharch.clients.log_client import LogClient
+from notcharch.clients.ports import LogPage, LogPort, LogRecord
 from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.connections import Connections
-from notcharch.platform.log_client import LogClient
-from notcharch.platform.ports import LogPage, LogPort, LogRecord
 from notcharch.programs.commands import PageOut, PagesDropped
 from notcharch.programs.history import History
 from notcharch.programs.page_log import PageLog
--- a/experiments/policies/in_process_stewards.py
+++ b/experiments/policies/in_process_stewards.py
@@ -9,12 +9,12 @@
 from twisted.internet.defer import Deferred
 
 from experiments.simulation.engine_room import EPOCH, EngineRoom
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.engines.cache_map import CacheMap
 from notcharch.engines.queue_keeper import QueueKeeper
 from notcharch.engines.steward_state import StewardState
 from notcharch.errors import Problem, ProblemCode
 from notcharch.placement.interface import EngineDirectory, Router
-from notcharch.platform.ports import Machine, MachineKind, MachineState
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy
 from notcharch.settings.schema import EnginesSection
--- a/experiments/queue_cost.py
+++ b/experiments/queue_cost.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
+from notcharch.clients.ports import EngineLoad, MachineState
 from notcharch.engines.steward_state import StewardState
 from notcharch.engines.waiting_calls import WaitingCall, WaitingCalls
-from notcharch.platform.ports import EngineLoad, MachineState
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall
 from notcharch.scheduling.engine_choice import ChoicePolicy, EngineOption
--- a/experiments/relay_ways.py
+++ b/experiments/relay_ways.py
@@ -17,10 +17,10 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.server import Request, Site
 
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.ports import EngineRequest
 from notcharch.gateway.stream_relay import StreamRelay
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import EngineClient
-from notcharch.platform.ports import EngineRequest
 from notcharch.settings.schema import PlatformSection
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import Epoch, PoolName, ProgramId, RequestId
--- a/experiments/scale_region.py
+++ b/experiments/scale_region.py
@@ -26,9 +26,9 @@
     RegionPlan,
     VirtualRegion,
 )
+from notcharch.clients.ports import MachineKind
 from notcharch.daemon.core import DaemonCore
 from notcharch.daemon.ports import DaemonPorts
-from notcharch.platform.ports import MachineKind
 from notcharch.settings.schema import ReplicationSection, Settings
 from notcharch.values.identifiers import (
     DaemonName,
--- a/experiments/simulation/engine_room.py
+++ b/experiments/simulation/engine_room.py
@@ -19,7 +19,7 @@
     DepartureSection,
     Workload,
 )
-from notcharch.platform.ports import EngineRequest, MachineKind, MachineState
+from notcharch.clients.ports import EngineRequest, MachineKind, MachineState
 from notcharch.values.identifiers import EngineName, Epoch, PoolName, RequestId
 
 LIST_LAG_SECONDS = 1.0
--- a/experiments/simulation/workload.py
+++ b/experiments/simulation/workload.py
@@ -14,8 +14,8 @@
 
 from emulator.engine.rates import EngineRates
 from emulator.settings import default_rates
+from notcharch.clients.ports import MachineKind
 from notcharch.errors import Finding
-from notcharch.platform.ports import MachineKind
 from notcharch.settings.load import read_keys
 from notcharch.settings.schema import Section
 
--- a/experiments/virtual/region.py
+++ b/experiments/virtual/region.py
@@ -20,10 +20,10 @@
 from emulator.models import RegionModels
 from emulator.settings import EmulatorSettings
 from emulator.virtual_clock import VirtualClock
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.daemon.core import DaemonCore
 from notcharch.daemon.ports import DaemonPorts
 from notcharch.errors.problem import ProblemError
-from notcharch.platform.ports import Machine, MachineKind, MachineState
 from notcharch.settings.schema import Settings
 from notcharch.table.draft import WholeDraft
 from notcharch.table.publisher import PublishRequest
--- /dev/null
+++ b/notcharch/calls/call_life.py
@@ -0,0 +1,336 @@
+"""The life of one call: admission, choice of an engine, attempts, relay, end."""
+
+import enum
+
+import msgspec
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from notcharch.calls.engine_sender import EngineSender, Sending
+from notcharch.calls.engines import EnginePool
+from notcharch.calls.event_stream import EventCutter
+from notcharch.calls.interface import (
+    BUDGET_SPENT,
+    MAY_HAVE_RUN,
+    NO_ENGINE,
+    TIMED_OUT,
+    Admission,
+    Engine,
+    EngineDialect,
+    OpaqueCall,
+    Refusal,
+    Route,
+    Ticket,
+)
+from notcharch.calls.reply import Reply
+from notcharch.http.client import AnswerFailure
+from notcharch.http.messages import ResponseHead
+
+LEAST_SECONDS = 0.02
+"""With less time left a call isn't sent any more."""
+MOST_SENDS = 4
+"""A call is offered to so many engines, counting those that refused it."""
+CLIENT_ERRORS = 400
+SERVER_ERRORS = 500
+
+__all__ = ["BUDGET_SPENT", "CallLife", "CallServices"]
+
+
+class CallServices(msgspec.Struct, frozen=True):
+    """What the life of a call works with."""
+
+    clock: IReactorTime
+    pool: EnginePool
+    sender: EngineSender
+    dialect: EngineDialect
+    admission: Admission
+
+
+class Phase(enum.Enum):
+    """How far a call is."""
+
+    ADMISSION = "admission"
+    AT_ENGINE = "at engine"
+    SETTLING = "settling"
+    OVER = "over"
+
+
+class CallLife:
+    """One call on its way; hears its admission, its attempts and its caller."""
+
+    def __init__(
+        self,
+        services: CallServices,
+        call: OpaqueCall,
+        route: Route,
+        service: str,
+        reply: Reply,
+    ) -> None:
+        """Take a call that has a route."""
+        self._services = services
+        self.call = call
+        self._route = route
+        self._service = service
+        self._reply = reply
+        self._phase = Phase.ADMISSION
+        self._body = call.body
+        self._ticket: Ticket | None = None
+        self._timer: IDelayedCall | None = None
+        self._engine: Engine | None = None
+        self._sending: Sending | None = None
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._head: ResponseHead | None = None
+        self._pieces: list[bytes] = []
+        self._cutter = EventCutter()
+        self._is_relaying = False
+        self._is_first_attempt_whole = True
+        wait = route.timeout_seconds
+        if call.wait_seconds is not None:
+            wait = min(wait, call.wait_seconds)
+        self._deadline = call.arrived + wait
+
+    def start(self) -> None:
+        """Ask for admission."""
+        clock = self._services.clock
+        left = max(self._deadline - clock.seconds(), 0.0)
+        self._timer = clock.callLater(left, self._expire)
+        self._reply.on_gone(self._caller_left)
+        self._services.admission.ask(self.call, self._route, self)
+
+    # Admission
+
+    def admitted(self, ticket: Ticket, body: bytes) -> None:
+        """Go on to an engine."""
+        if self._phase is Phase.OVER:
+            ticket.never_ran()
+            return
+        self._ticket = ticket
+        self._body = body
+        self._phase = Phase.AT_ENGINE
+        self._dispatch()
+
+    def refused(self, refusal: Refusal) -> None:
+        """End with an answer of our own."""
+        if self._phase is not Phase.OVER:
+            self._refuse(refusal)
+
+    # Attempts
+
+    def _home_key(self) -> str:
+        call = self.call
+        if call.program:
+            return call.program if self._route.is_stream else ""
+        return call.affinity if self._route.is_sticky else ""
+
+    def _dispatch(self) -> None:
+        left = self._deadline - self._services.clock.seconds()
+        if left < LEAST_SECONDS:
+            self._refuse(TIMED_OUT if self._runs else NO_ENGINE)
+            return
+        engine = self._services.pool.choose(
+            self._service, self._home_key(), self._tried
+        )
+        if engine is None or len(self._tried) >= MOST_SENDS:
+            self._give_up()
+            return
+        self._tried.add(engine.id)
+        self._engine = engine
+        self._head = None
+        self._pieces = []
+        request = self._services.dialect.request(self.call, engine, int(left * 1000))
+        self._services.pool.began(engine.id)
+        self._sending = self._services.sender.send(engine, request, self._body, self)
+
+    def _give_up(self) -> None:
+        """No engine is left to try."""
+        if self._is_relaying:
+            self._break_off()
+        elif self._runs:
+            self._refuse(MAY_HAVE_RUN)
+        else:
+            self._refuse(NO_ENGINE)
+
+    def _leave_engine(self) -> None:
+        if self._engine is not None:
+            self._services.pool.ended(self._engine.id)
+        self._engine = None
+        self._sending = None
+
+    def unreachable(self) -> None:
+        """Try another engine: nothing was sent."""
+        assert self._engine is not None
+        self._services.pool.failed(self._engine.id)
+        self._leave_engine()
+        self._dispatch()
+
+    def is_answer(self, head: ResponseHead) -> bool:
+        """Tell whether an answer is to this call."""
+        return self._services.dialect.is_answer_to(self.call, head)
+
+    def head_came(self, head: ResponseHead) -> None:
+        """Begin to relay a stream that succeeds; keep other answers until whole."""
+        self._head = head
+        dialect = self._services.dialect
+        if head.status >= CLIENT_ERRORS or not self._route.is_stream:
+            return
+        if self._is_relaying or not dialect.is_genuine(head):
+            return
+        self._is_relaying = True
+        self._reply.begin(head)
+
+    def data_came(self, data: bytes) -> None:
+        """Relay whole events, or keep the bytes."""
+        assert self._head is not None
+        if not self._is_relaying or self._head.status >= CLIENT_ERRORS:
+            self._pieces.append(data)
+            return
+        whole = self._cutter.take(data)
+        if whole:
+            self._reply.write(whole)
+
+    def ended(self) -> None:
+        """Hear that the answer is whole."""
+        head = self._head
+        assert head is not None
+        sending = self._sending
+        engine = self._engine
+        if sending is not None and engine is not None:
+            self._services.sender.keep(engine.id, sending)
+        dialect = self._services.dialect
+        if dialect.was_not_run(head):
+            self._engine_refused()
+            return
+        self._runs += 1
+        self._leave_engine()
+        if head.status < CLIENT_ERRORS and not dialect.is_genuine(head):
+            self._failed_run()
+            return
+        if self._is_relaying:
+            if head.status >= CLIENT_ERRORS:
+                self._failed_run()
+                return
+            self._settle_stream()
+            return
+        if head.status >= SERVER_ERRORS and self._may_run_again():
+            self._dispatch()
+            return
+        self._finish_answer(head)
+
+    def _engine_refused(self) -> None:
+        assert self._engine is not None
+        self._services.pool.was_full(self._engine.id)
+        self._leave_engine()
+        self._dispatch()
+
+    def failed(self, failure: AnswerFailure) -> None:
+        """Hear that the answer broke off; the call may have run."""
+        assert self._engine is not None
+        if failure is not AnswerFailure.GARBLED:
+            self._services.pool.failed(self._engine.id)
+        self._runs += 1
+        self._leave_engine()
+        self._failed_run()
+
+    def _may_run_again(self) -> bool:
+        route = self._route
+        is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
+        return is_safe and self._runs < route.most_engines
+
+    def _failed_run(self) -> None:
+        if not self._may_run_again():
+            self._give_up()
+            return
+        if self._is_relaying:
+            self._resume_after_last_event()
+        self._dispatch()
+
+    def _resume_after_last_event(self) -> None:
+        self._cutter.drop_rest()
+        if self._cutter.last_id is not None:
+            self.call.last_event_id = self._cutter.last_id
+
+    # The end
+
+    def _settle_stream(self) -> None:
+        """Make the outcome durable, then show the end."""
+        rest = self._cutter.rest()
+        self._phase = Phase.SETTLING
+        assert self._ticket is not None
+        self._ticket.completed(rest, self._cutter.events, self)
+
+    def durable(self) -> None:
+        """Show the end of the stream."""
+        if self._phase is not Phase.SETTLING:
+            return
+        rest = self._cutter.rest()
+        if rest:
+            self._reply.write(rest)
+        self._over()
+        self._reply.finish()
+
+    def lost(self) -> None:
+        """Break the stream off: its outcome could not be made durable."""
+        if self._phase is Phase.SETTLING:
+            self._over()
+            self._reply.abort()
+
+    def _finish_answer(self, head: ResponseHead) -> None:
+        body = b"".join(self._pieces)
+        ticket = self._ticket
+        self._over()
+        if ticket is not None:
+            ticket.broke_off(0)
+        self._reply.whole(head, body)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """End without an engine's answer."""
+        if self._is_relaying:
+            self._break_off()
+            return
+        self._tell_ticket()
+        self._over()
+        self._reply.refuse(refusal)
+
+    def _break_off(self) -> None:
+        self._tell_ticket()
+        self._over()
+        self._reply.abort()
+
+    def _tell_ticket(self) -> None:
+        """Say what is known of the runs of a call that has no whole answer."""
+        if self._ticket is None or self._phase is Phase.SETTLING:
+            return
+        if self._runs or self._sending is not None:
+            self._ticket.broke_off(self._cutter.events)
+        else:
+            self._ticket.never_ran()
+
+    def _abandon_engine(self) -> None:
+        sending = self._sending
+        if sending is not None:
+            sending.abandon()
+        self._leave_engine()
+
+    def _over(self) -> None:
+        self._phase = Phase.OVER
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._abandon_engine()
+
+    def _expire(self) -> None:
+        """Say at once that the time of the call is over."""
+        if self._phase is Phase.OVER:
+            return
+        if self._phase is Phase.ADMISSION:
+            self._refuse(NO_ENGINE)
+        elif self._phase is Phase.SETTLING:
+            self.lost()
+        else:
+            self._refuse(TIMED_OUT)
+
+    def _caller_left(self) -> None:
+        """Stop the engine's work for a caller who is gone."""
+        if self._phase is Phase.OVER:
+            return
+        self._tell_ticket()
+        self._over()
--- /dev/null
+++ b/notcharch/calls/engine_sender.py
@@ -0,0 +1,134 @@
+"""Sends calls over kept connections to engines."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from notcharch.calls.interface import Engine
+from notcharch.http.client import AnswerFailure, AnswerListener, ClientConnection
+from notcharch.http.messages import RequestHead
+from notcharch.http.reactor import TimedReactor
+from notcharch.http.sockets import detect_silence
+
+CONNECT_SECONDS = 0.5
+UNTOLD_KEEP_SECONDS = 4.0
+"""So long an idle connection is used if the engine doesn't say how long it keeps it."""
+KEEP_MARGIN_SECONDS = 1.0
+MOST_IDLE = 8
+
+
+class SendListener(AnswerListener, Protocol):
+    """What hears a request's answer, or that it could not be sent."""
+
+    def unreachable(self) -> None:
+        """Hear that no connection was made: the request was not sent."""
+
+
+class IdleConnection:
+    """A connection that waits for its next request."""
+
+    def __init__(self, connection: ClientConnection, until: float) -> None:
+        """Keep it until the given clock seconds."""
+        self.connection = connection
+        self.until = until
+
+
+class Sending:
+    """One request on its way to an engine."""
+
+    def __init__(self) -> None:
+        """Begin without a connection."""
+        self.connection: ClientConnection | None = None
+        self.is_abandoned = False
+
+    def abandon(self) -> None:
+        """Give it up: the engine sees its connection cut."""
+        self.is_abandoned = True
+        if self.connection is not None:
+            self.connection.abandon()
+
+
+class EngineSender:
+    """Connections to engines, kept for more requests."""
+
+    def __init__(self, reactor: TimedReactor, own_address: str) -> None:
+        """Connect from a machine's own address."""
+        self._reactor = reactor
+        self._bind = (own_address, 0) if own_address else None
+        self._idle: dict[str, deque[IdleConnection]] = {}
+        self._factory = Factory.forProtocol(ClientConnection)
+        self._factory.noisy = False
+
+    def send(
+        self, engine: Engine, head: RequestHead, body: bytes, listener: SendListener
+    ) -> Sending:
+        """Send a request; `listener` hears its answer."""
+        sending = Sending()
+        kept = self._take_idle(engine.id)
+        if kept is not None:
+            sending.connection = kept
+            kept.send(head, body, listener)
+            return sending
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, engine.host, engine.port, CONNECT_SECONDS, self._bind
+        )
+
+        def connected(connection: ClientConnection) -> None:
+            if sending.is_abandoned:
+                connection.abandon()
+                return
+            detect_silence(connection.transport)
+            sending.connection = connection
+            connection.send(head, body, listener)
+
+        def failed(_failure: Failure) -> None:
+            if not sending.is_abandoned:
+                listener.unreachable()
+
+        connecting = endpoint.connect(self._factory)
+        connecting.addCallbacks(connected, failed)
+        return sending
+
+    def _take_idle(self, engine_id: str) -> ClientConnection | None:
+        idle = self._idle.get(engine_id)
+        now = self._reactor.seconds()
+        while idle:
+            kept = idle.pop()
+            if kept.connection.is_reusable and now < kept.until:
+                return kept.connection
+            kept.connection.close()
+        return None
+
+    def keep(self, engine_id: str, sending: Sending) -> None:
+        """Keep the connection of an answered request for the next one."""
+        connection = sending.connection
+        if connection is None or not connection.is_reusable:
+            return
+        told = connection.keep_alive_seconds
+        seconds = UNTOLD_KEEP_SECONDS
+        if told is not None:
+            seconds = max(told - KEEP_MARGIN_SECONDS, told / 2)
+        idle = self._idle.setdefault(engine_id, deque())
+        idle.append(IdleConnection(connection, self._reactor.seconds() + seconds))
+        if len(idle) > MOST_IDLE:
+            idle.popleft().connection.close()
+
+    def forget(self, engine_id: str) -> None:
+        """Close the idle connections to an engine that is gone."""
+        for kept in self._idle.pop(engine_id, ()):
+            kept.connection.close()
+
+    def when_idle(self, check: Callable[[], None]) -> None:
+        """Close connections that rested too long, then call `check`."""
+        now = self._reactor.seconds()
+        for idle in self._idle.values():
+            while idle and (idle[0].until <= now or not idle[0].connection.is_reusable):
+                idle.popleft().connection.close()
+        check()
+
+
+__all__ = ["AnswerFailure", "EngineSender", "SendListener", "Sending"]
--- /dev/null
+++ b/notcharch/calls/engines.py
@@ -0,0 +1,131 @@
+"""The engines that calls can be sent to, and the choice among them."""
+
+from collections.abc import Collection, Iterable
+from random import Random
+
+import xxhash
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.calls.interface import Engine
+
+SUSPECT_SECONDS = 1.0
+"""So long an engine that failed is passed over while others serve."""
+
+REFUSAL_SECONDS = 0.25
+"""So long an engine that was full is passed over while others serve."""
+
+HOME_SLACK_CALLS = 3
+"""A home engine is kept until it has so many more of our calls than the least busy."""
+
+
+class EngineState:
+    """What this daemon knows of one engine from its own calls."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Begin with no calls."""
+        self.engine = engine
+        self.in_flight = 0
+        self.avoid_until = 0.0
+        """Clock seconds; passed over before, while others serve."""
+
+
+class EnginePool:
+    """The engines of all services, with our own calls to each."""
+
+    def __init__(self, clock: IReactorTime, zone: str, random: Random) -> None:
+        """Begin with no engines."""
+        self._clock = clock
+        self._zone = zone
+        self._random = random
+        self._states: dict[str, EngineState] = {}
+        self._by_service: dict[str, list[EngineState]] = {}
+
+    def replace(self, engines: Iterable[Engine]) -> list[str]:
+        """Take a new list of engines; give the ids of those that are gone."""
+        states: dict[str, EngineState] = {}
+        by_service: dict[str, list[EngineState]] = {}
+        for engine in engines:
+            state = self._states.get(engine.id) or EngineState(engine)
+            state.engine = engine
+            states[engine.id] = state
+            if not engine.is_leaving:
+                by_service.setdefault(engine.service, []).append(state)
+        gone = [id for id in self._states if id not in states]
+        self._states = states
+        self._by_service = by_service
+        return gone
+
+    def choose(
+        self, service: str, home_key: str, tried: Collection[str]
+    ) -> Engine | None:
+        """Give the engine for a call; None if no untried one takes work.
+
+        `home_key` names what the calls share whose prefix an engine may keep; all
+        daemons give one key the same home.
+        """
+        now = self._clock.seconds()
+        states = [
+            state
+            for state in self._by_service.get(service, ())
+            if state.engine.id not in tried
+        ]
+        if not states:
+            return None
+        sound = [state for state in states if state.avoid_until <= now] or states
+        if home_key:
+            return self._home(sound, home_key).engine
+        return self._least_busy(sound).engine
+
+    def _home(self, states: list[EngineState], key: str) -> EngineState:
+        """Prefer the engines in the order of their hashes with the key."""
+        least = min(state.in_flight / state.engine.slots for state in states)
+        ranked = sorted(
+            states,
+            key=lambda state: xxhash.xxh64_intdigest(
+                f"{state.engine.id}|{key}".encode()
+            ),
+        )
+        for state in ranked:
+            allowed = least * state.engine.slots + HOME_SLACK_CALLS
+            if state.in_flight <= allowed:
+                return state
+        return ranked[0]
+
+    def _least_busy(self, states: list[EngineState]) -> EngineState:
+        return min(
+            states,
+            key=lambda state: (
+                state.in_flight / state.engine.slots,
+                state.engine.zone != self._zone,
+                self._random.random(),
+            ),
+        )
+
+    def has_service(self, service: str) -> bool:
+        """Tell whether any engine of a service takes work."""
+        return bool(self._by_service.get(service))
+
+    def began(self, engine_id: str) -> None:
+        """Count a call that is sent to an engine."""
+        state = self._states.get(engine_id)
+        if state is not None:
+            state.in_flight += 1
+
+    def ended(self, engine_id: str) -> None:
+        """Count a call that is over."""
+        state = self._states.get(engine_id)
+        if state is not None and state.in_flight > 0:
+            state.in_flight -= 1
+
+    def failed(self, engine_id: str) -> None:
+        """Pass over an engine for a while that could not be spoken to."""
+        self._avoid(engine_id, SUSPECT_SECONDS)
+
+    def was_full(self, engine_id: str) -> None:
+        """Pass over an engine for a moment that took no more."""
+        self._avoid(engine_id, REFUSAL_SECONDS)
+
+    def _avoid(self, engine_id: str, seconds: float) -> None:
+        state = self._states.get(engine_id)
+        if state is not None:
+            state.avoid_until = self._clock.seconds() + seconds
--- /dev/null
+++ b/notcharch/calls/open_admission.py
@@ -0,0 +1,33 @@
+"""Admission of calls that need no account: everything is let in."""
+
+from notcharch.calls.interface import (
+    AdmissionListener,
+    Completion,
+    OpaqueCall,
+    Route,
+)
+
+
+class NoAccount:
+    """The ticket of a call that nobody accounts for."""
+
+    def never_ran(self) -> None:
+        """Nothing to give back."""
+
+    def broke_off(self, events: int) -> None:
+        """Nothing to charge."""
+
+    def completed(self, output: bytes, events: int, then: Completion) -> None:
+        """Show the end at once."""
+        then.durable()
+
+
+NO_ACCOUNT = NoAccount()
+
+
+class OpenAdmission:
+    """Lets every call in with its own body."""
+
+    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+        """Admit the call."""
+        answer.admitted(NO_ACCOUNT, call.body)
--- /dev/null
+++ b/notcharch/calls/routing.py
@@ -0,0 +1,63 @@
+"""Finds the route and the service of a call in the table in force."""
+
+import msgspec
+import xxhash
+
+from notcharch.calls.interface import OpaqueCall, Route, Service
+from notcharch.http.server import ServerLimits
+
+HASH_RANGE = float(1 << 64)
+
+
+class RouteTable(msgspec.Struct, frozen=True):
+    """One version of the routes, services and limits, complete."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: ServerLimits
+
+
+class Router:
+    """The routes of one table version, indexed by host."""
+
+    def __init__(self, table: RouteTable) -> None:
+        """Index the routes; the longest prefix comes first."""
+        self.table = table
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in table.routes:
+            self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Give the route with the longest prefix of the path, if any."""
+        name = host.lower()
+        routes = self._by_host.get(name) or self._by_host.get(name.partition(":")[0])
+        if routes is None:
+            return None
+        end = len(path)
+        while end > 0:
+            cut = path.rfind("/", 0, end)
+            if cut < 0:
+                return None
+            route = routes.get(path[: cut + 1])
+            if route is not None:
+                return route
+            end = cut
+        return None
+
+
+def service_of(route: Route, call: OpaqueCall) -> str:
+    """Give the service whose share of a route's calls holds this one.
+
+    Calls of one program, or about one object, stay with one service.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    key = call.program or call.affinity or call.id
+    point = xxhash.xxh64_intdigest(f"{route.name}|{key}".encode()) / HASH_RANGE
+    point *= sum(share.weight for share in route.shares)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
--- a/notcharch/platform/answer_collector.py
+++ b/notcharch/clients/answer_collector.py
@@ -10,11 +10,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from notcharch.clients.failures import ErrorBody
+from notcharch.clients.ports import StreamEnd
+from notcharch.clients.server_sent_events import LAST_EVENT, last_event_number
+from notcharch.clients.tool_calls import ToolCallDelta, ToolCallMerger
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.failures import ErrorBody
-from notcharch.platform.ports import StreamEnd
-from notcharch.platform.server_sent_events import LAST_EVENT, last_event_number
-from notcharch.platform.tool_calls import ToolCallDelta, ToolCallMerger
 from notcharch.values.chat import FinishReason, TokenUsage
 
 BATCH_BYTES = 16 * 1024
--- a/notcharch/platform/engine_client.py
+++ b/notcharch/clients/engine_client.py
@@ -9,12 +9,11 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.iweb import IAgent
 
-from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.backoff import Backoff, BackoffPolicy
-from notcharch.platform.engine_requests import EngineRequests
-from notcharch.platform.engine_stream import ResumingEngineStream, StreamTools
-from notcharch.platform.json_http import GET, POST, JsonHttp
-from notcharch.platform.ports import (
+from notcharch.clients.backoff import Backoff, BackoffPolicy
+from notcharch.clients.engine_requests import EngineRequests
+from notcharch.clients.engine_stream import ResumingEngineStream, StreamTools
+from notcharch.clients.json_http import GET, POST, JsonHttp
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvents,
     EngineLoad,
@@ -23,6 +22,7 @@
     EngineStream,
     ExportedCache,
 )
+from notcharch.errors import Problem, ProblemCode
 from notcharch.settings.schema import PlatformSection
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import Epoch, PoolName, ProgramId, RequestId
--- a/notcharch/platform/engine_requests.py
+++ b/notcharch/clients/engine_requests.py
@@ -8,11 +8,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.backoff import Backoff
+from notcharch.clients.json_http import DELETE, GET, JsonHttp
 from notcharch.errors import Problem
+from notcharch.events.clients import EngineCancelFailed
 from notcharch.events.event import emit
-from notcharch.events.platform import EngineCancelFailed
-from notcharch.platform.backoff import Backoff
-from notcharch.platform.json_http import DELETE, GET, JsonHttp
 from notcharch.values.identifiers import RequestId
 
 QUEUED = "queued"
--- a/notcharch/platform/engine_stream.py
+++ b/notcharch/clients/engine_stream.py
@@ -13,26 +13,26 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.web.iweb import IAgent
 
-from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.events.event import emit
-from notcharch.events.platform import EngineStreamBroken, EngineStreamFailed
-from notcharch.platform.answer_collector import AnswerCollector
-from notcharch.platform.backoff import Backoff
-from notcharch.platform.engine_requests import EngineRequests, RunState
-from notcharch.platform.failures import (
+from notcharch.clients.answer_collector import AnswerCollector
+from notcharch.clients.backoff import Backoff
+from notcharch.clients.engine_requests import EngineRequests, RunState
+from notcharch.clients.failures import (
     STATUS_NOT_FOUND,
     problem_of_failure,
     problem_of_reply,
 )
-from notcharch.platform.http_stream import ExchangeHandlers, HttpStream
-from notcharch.platform.ports import EngineRequest, StreamEnd
-from notcharch.platform.server_sent_events import (
+from notcharch.clients.http_stream import ExchangeHandlers, HttpStream
+from notcharch.clients.ports import EngineRequest, StreamEnd
+from notcharch.clients.server_sent_events import (
     LAST_EVENT,
     EventSplitter,
     events_from,
     first_event_number,
 )
-from notcharch.platform.stream_life_cycle import Step, StreamCore, new_stream_machine
+from notcharch.clients.stream_life_cycle import Step, StreamCore, new_stream_machine
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.events.clients import EngineStreamBroken, EngineStreamFailed
+from notcharch.events.event import emit
 
 
 @attrs.frozen
--- a/notcharch/platform/http_stream.py
+++ b/notcharch/clients/http_stream.py
@@ -16,8 +16,8 @@
 from twisted.web.iweb import IAgent, IBodyProducer, IResponse
 from zope.interface import implementer
 
-from notcharch.platform.chunk_shortcut import ChunkShortcut
-from notcharch.platform.failures import NOT_SENT
+from notcharch.clients.chunk_shortcut import ChunkShortcut
+from notcharch.clients.failures import NOT_SENT
 
 STATUS_OK = 200
 _JSON_HEADERS = Headers({b"content-type": [b"application/json"]})
--- a/notcharch/platform/json_http.py
+++ b/notcharch/clients/json_http.py
@@ -1,7 +1,7 @@
 """One JSON request over HTTP, with a time-out and an honest account of a failure.
 
 Every client module but the engine's token stream uses this. The agent decides on
-connections (see `notcharch.platform.connections`); time comes from the clock given.
+connections (see `notcharch.clients.connections`); time comes from the clock given.
 """
 
 import functools
@@ -17,13 +17,13 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgent
 
-from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.body_reader import read_whole_body
-from notcharch.platform.failures import (
+from notcharch.clients.body_reader import read_whole_body
+from notcharch.clients.failures import (
     problem_of_failure,
     problem_of_garbled_reply,
     problem_of_reply,
 )
+from notcharch.errors import Problem, ProblemCode
 
 ReplyT = TypeVar("ReplyT")
 
--- a/notcharch/platform/machine_list_client.py
+++ b/notcharch/clients/machine_list_client.py
@@ -7,9 +7,9 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.iweb import IAgent
 
+from notcharch.clients.json_http import GET, JsonHttp
+from notcharch.clients.ports import MachineChanges
 from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.json_http import GET, JsonHttp
-from notcharch.platform.ports import MachineChanges
 from notcharch.settings.schema import PlatformSection
 from notcharch.values.identifiers import RegionName
 
--- a/notcharch/platform/weight_store_client.py
+++ b/notcharch/clients/weight_store_client.py
@@ -8,8 +8,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.iweb import IAgent
 
+from notcharch.clients.json_http import GET, POST, JsonHttp
 from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.json_http import GET, POST, JsonHttp
 from notcharch.settings.schema import PlatformSection
 from notcharch.values.identifiers import EngineName, RequestId
 
--- a/notcharch/daemon/ports.py
+++ b/notcharch/daemon/ports.py
@@ -9,7 +9,7 @@
 import attrs
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.platform.ports import EnginePort, LogPort, MachineListPort
+from notcharch.clients.ports import EnginePort, LogPort, MachineListPort
 from notcharch.wire.datagrams import DatagramPort
 from notcharch.wire.peers import PeerNetwork
 
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -13,6 +13,10 @@
 from notcharch.admin.daemon_handlers import DaemonActivity, DaemonHandlers
 from notcharch.admin.metrics import MetricsResource, TableCollector
 from notcharch.admin.resource import AdminResource
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.log_client import LogClient
+from notcharch.clients.machine_list_client import MachineListClient
 from notcharch.daemon.clock import SteadyClock
 from notcharch.daemon.core import DaemonCore
 from notcharch.daemon.drain import Drain
@@ -23,10 +27,6 @@
 from notcharch.events.daemon import DaemonStarted, DaemonSuperseded
 from notcharch.events.event import emit
 from notcharch.gateway.http_site import LimitedSite
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import EngineClient
-from notcharch.platform.log_client import LogClient
-from notcharch.platform.machine_list_client import MachineListClient
 from notcharch.settings.schema import Settings
 from notcharch.values.identifiers import (
     DaemonName,
--- a/notcharch/engines/cache_keeper.py
+++ b/notcharch/engines/cache_keeper.py
@@ -6,6 +6,7 @@
 from result import Result
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EnginePort
 from notcharch.engines.cache_map import CacheMap
 from notcharch.engines.periodic import PeriodicTask
 from notcharch.engines.releases import PendingReleases, Release
@@ -14,7 +15,6 @@
 from notcharch.events.event import emit
 from notcharch.placement.interface import Router
 from notcharch.placement.partitions import partition_of_program
-from notcharch.platform.ports import EnginePort
 from notcharch.scheduling.retry import RetryPolicy
 from notcharch.settings.schema import EnginesSection
 from notcharch.values.identifiers import EngineName, PartitionNumber, ProgramId
--- a/notcharch/engines/cache_map.py
+++ b/notcharch/engines/cache_map.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from notcharch.platform.ports import CachedProgram, CacheEvents
+from notcharch.clients.ports import CachedProgram, CacheEvents
 from notcharch.values.identifiers import ProgramId
 
 
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_keeper.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EnginePort, Machine, MachineState, OrderKind
 from notcharch.engines.cache_keeper import CacheKeeper
 from notcharch.engines.claim_keeper import ClaimKeeper, ClaimSurroundings
 from notcharch.engines.orders import EngineOrders
@@ -29,7 +30,6 @@
 )
 from notcharch.events.event import emit
 from notcharch.placement.interface import MembershipView, Router
-from notcharch.platform.ports import EnginePort, Machine, MachineState, OrderKind
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy
 from notcharch.settings.schema import EnginesSection
--- a/notcharch/engines/engine_load.py
+++ b/notcharch/engines/engine_load.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from notcharch.platform.ports import EngineLoad, MachineState
+from notcharch.clients.ports import EngineLoad, MachineState
 from notcharch.scheduling.waits import MeanHold, SlotLoad
 
 REPORT_LAG_SECONDS = 5.0
--- a/notcharch/engines/orders.py
+++ b/notcharch/engines/orders.py
@@ -5,11 +5,11 @@
 from result import Err, Result
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EngineOrder, EnginePort, OrderKind
 from notcharch.engines.stewardship import Stewardship
 from notcharch.errors import Problem, ProblemCode
 from notcharch.events.engines import OrderFenced
 from notcharch.events.event import emit
-from notcharch.platform.ports import EngineOrder, EnginePort, OrderKind
 from notcharch.values.identifiers import EngineName, RequestId
 
 CONFIRMED_SECONDS = 25.0
--- a/notcharch/engines/prefix_mover.py
+++ b/notcharch/engines/prefix_mover.py
@@ -10,11 +10,11 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EnginePort
 from notcharch.errors import Problem
 from notcharch.events.engines import PrefixMoved, PrefixNotMoved
 from notcharch.events.event import emit
 from notcharch.placement.interface import EngineDirectory
-from notcharch.platform.ports import EnginePort
 from notcharch.values.identifiers import EngineName, Epoch, ProgramId
 
 PATIENCE = 2.0
--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EnginePort
 from notcharch.engines.engine_keeper import EngineKeeper, KeeperSurroundings
 from notcharch.engines.periodic import PeriodicTask
 from notcharch.engines.refusals import not_steward
@@ -14,7 +15,6 @@
 from notcharch.errors.problem import ProblemError
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.placement.partitions import partition_of_engine
-from notcharch.platform.ports import EnginePort
 from notcharch.scheduling.calls import CallKey
 from notcharch.settings.schema import EnginesSection
 from notcharch.values.identifiers import EngineName, Member
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
+from notcharch.clients.ports import EngineLoad
 from notcharch.engines import refusals
 from notcharch.engines.engine_load import KnownLoad
 from notcharch.engines.grants import Grant, GrantTable
 from notcharch.engines.waiting_calls import WaitingCall, WaitingCalls
 from notcharch.errors import Problem
-from notcharch.platform.ports import EngineLoad
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
 from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
 from notcharch.scheduling.memory_room import MemoryRoom
--- a/notcharch/gateway/call_life.py
+++ b/notcharch/gateway/call_life.py
@@ -11,6 +11,7 @@
 import attrs
 from automat import TypeMachineBuilder, pep614
 
+from notcharch.clients.ports import StreamEnd
 from notcharch.errors import Problem
 from notcharch.gateway.call_outcome import answer_of, not_run, worse_of
 from notcharch.gateway.call_steps import (
@@ -25,7 +26,6 @@
     Step,
     TakeSlot,
 )
-from notcharch.platform.ports import StreamEnd
 from notcharch.values.chat import Answer
 from notcharch.values.identifiers import EngineName
 
--- a/notcharch/gateway/call_outcome.py
+++ b/notcharch/gateway/call_outcome.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from notcharch.clients.ports import StreamEnd
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.ports import StreamEnd
 from notcharch.values.chat import Answer, ChatMessage
 
 MOST_ATTEMPTS = 3
--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -8,10 +8,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import EnginePort
 from notcharch.errors import Problem
 from notcharch.gateway.leader_client import LeaderClient
 from notcharch.gateway.metrics import GatewayMetrics
-from notcharch.platform.ports import EnginePort
 from notcharch.scheduling.retry import RetryBudget
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.chat import TokenUsage
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -9,13 +9,13 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
+from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.gateway.call_order import CallOrder
 from notcharch.gateway.call_outcome import is_fault_of_engine
 from notcharch.gateway.call_tools import CallTools, Slot
 from notcharch.gateway.leader_client import expect
 from notcharch.gateway.stream_relay import StreamSink
-from notcharch.platform.ports import EngineRequest, StreamEnd
 from notcharch.table.interface import ServiceRow
 from notcharch.values.chat import TokenUsage
 from notcharch.values.identifiers import EngineName, Epoch, RequestId
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -13,6 +13,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
+from notcharch.clients.ports import EnginePort
 from notcharch.errors import Finding, Problem, ProblemCode, Ran
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
@@ -53,7 +54,6 @@
     read_sequence,
 )
 from notcharch.placement.interface import Router
-from notcharch.platform.ports import EnginePort
 from notcharch.settings.schema import GatewaySection
 from notcharch.table.interface import TableView
 from notcharch.values.identifiers import (
--- a/notcharch/gateway/stream_relay.py
+++ b/notcharch/gateway/stream_relay.py
@@ -16,10 +16,10 @@
 from twisted.web.server import Request
 from zope.interface import implementer
 
+from notcharch.clients.eager_writer import eager_write
+from notcharch.clients.ports import EngineStream
 from notcharch.errors import Problem
 from notcharch.gateway.openai import error_event
-from notcharch.platform.eager_writer import eager_write
-from notcharch.platform.ports import EngineStream
 
 EVENT_END = b"\n\n"
 CONTENT_TYPE = b"text/event-stream"
--- /dev/null
+++ b/notcharch/http/requester.py
@@ -0,0 +1,156 @@
+"""Whole requests to one server over kept connections, each with a time limit."""
+
+from collections import deque
+from enum import Enum
+
+import msgspec
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IDelayedCall
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.messages import RequestHead, ResponseHead
+from notcharch.http.reactor import TimedReactor
+from notcharch.http.sockets import detect_silence
+
+CONNECT_SECONDS = 1.0
+IDLE_SECONDS = 10.0
+
+
+class WholeAnswer(msgspec.Struct, frozen=True):
+    """A response that came whole."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class NoAnswer(Enum):
+    """Why there is no answer."""
+
+    NOT_SENT = "not sent"
+    SENT = "sent, and no whole answer came"
+
+
+Outcome = Result[WholeAnswer, NoAnswer]
+
+
+class PendingRequest:
+    """One request on its way."""
+
+    def __init__(self, requester: "Requester", head: RequestHead, body: bytes) -> None:
+        """Keep what is to be sent."""
+        self._requester = requester
+        self.head = head
+        self.body = body
+        self.result: Deferred[Outcome] = Deferred()
+        self.connection: ClientConnection | None = None
+        self.timer: IDelayedCall | None = None
+        self._response: ResponseHead | None = None
+        self._pieces: list[bytes] = []
+        self.is_over = False
+
+    def is_answer(self, head: ResponseHead) -> bool:
+        """Each answer is to the request under way."""
+        return True
+
+    def head_came(self, head: ResponseHead) -> None:
+        """Keep the head."""
+        self._response = head
+
+    def data_came(self, data: bytes) -> None:
+        """Keep a piece."""
+        self._pieces.append(data)
+
+    def ended(self) -> None:
+        """Give the whole answer."""
+        assert self._response is not None
+        if self.connection is not None:
+            self._requester.keep(self.connection)
+        self.over(Ok(WholeAnswer(self._response, b"".join(self._pieces))))
+
+    def failed(self, failure: AnswerFailure) -> None:
+        """Say that it was sent and not answered."""
+        self.over(Err(NoAnswer.SENT))
+
+    def expire(self) -> None:
+        """Give the request up: its connection says nothing any more."""
+        if self.connection is not None:
+            self.connection.abandon()
+            self.over(Err(NoAnswer.SENT))
+        else:
+            self.over(Err(NoAnswer.NOT_SENT))
+
+    def over(self, outcome: Outcome) -> None:
+        """Give the outcome, once."""
+        if self.is_over:
+            return
+        self.is_over = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.result.callback(outcome)
+
+
+class Requester:
+    """Sends whole requests to one server."""
+
+    def __init__(
+        self, reactor: TimedReactor, host: str, port: int, own_address: str = ""
+    ) -> None:
+        """Connect when needed, from a machine's own address."""
+        self._reactor = reactor
+        bind = (own_address, 0) if own_address else None
+        self._endpoint = TCP4ClientEndpoint(reactor, host, port, CONNECT_SECONDS, bind)
+        self._host = f"{host}:{port}".encode()
+        self._factory = Factory.forProtocol(ClientConnection)
+        self._factory.noisy = False
+        self._idle: deque[tuple[ClientConnection, float]] = deque()
+
+    def request(
+        self, method: bytes, target: bytes, body: bytes, seconds: float
+    ) -> "Deferred[Outcome]":
+        """Send a request; the result is there after `seconds` at the latest."""
+        pending = PendingRequest(
+            self, RequestHead(method, target, [(b"Host", self._host)]), body
+        )
+        pending.timer = self._reactor.callLater(seconds, pending.expire)
+        kept = self._take_idle()
+        if kept is not None:
+            self._send(kept, pending)
+        else:
+            connecting = self._endpoint.connect(self._factory)
+            connecting.addCallbacks(
+                self._connected, self._refused, (pending,), {}, (pending,), {}
+            )
+        return pending.result
+
+    def _take_idle(self) -> ClientConnection | None:
+        now = self._reactor.seconds()
+        while self._idle:
+            connection, until = self._idle.pop()
+            if connection.is_reusable and now < until:
+                return connection
+            connection.close()
+        return None
+
+    def _connected(self, connection: ClientConnection, pending: PendingRequest) -> None:
+        detect_silence(connection.transport)
+        if pending.is_over:
+            self.keep(connection)
+        else:
+            self._send(connection, pending)
+
+    def _refused(self, _failure: Failure, pending: PendingRequest) -> None:
+        pending.over(Err(NoAnswer.NOT_SENT))
+
+    def _send(self, connection: ClientConnection, pending: PendingRequest) -> None:
+        pending.connection = connection
+        connection.send(pending.head, pending.body, pending)
+
+    def keep(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request."""
+        if connection.is_reusable:
+            until = self._reactor.seconds() + IDLE_SECONDS
+            self._idle.append((connection, until))
--- /dev/null
+++ b/notcharch/http/server.py
@@ -0,0 +1,316 @@
+"""The server side of one HTTP/1.1 connection: requests in turn, answers in order."""
+
+from collections.abc import Callable
+from typing import Protocol as Interface
+
+import h11
+import msgspec
+from twisted.internet.interfaces import IDelayedCall, IReactorTime, ITCPTransport
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from notcharch.http.messages import Headers, RequestHead
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """What a client may send, and how long it may take or rest."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class RequestHandler(Interface):
+    """What answers requests."""
+
+    def limits(self) -> ServerLimits:
+        """Give the limits in force."""
+
+    def is_closing(self) -> bool:
+        """Tell whether answers should end their connections."""
+
+    def handle(self, exchange: "Exchange") -> None:
+        """Take a request that was read whole."""
+
+    def count(self, change: int) -> None:
+        """Hear that a request was begun (1) or answered (-1)."""
+
+
+class Exchange:
+    """One request that was read whole, and its answer."""
+
+    def __init__(self, connection: "ServerConnection", head: RequestHead) -> None:
+        """Keep the head; the body follows."""
+        self._connection = connection
+        self.head = head
+        self.body = b""
+        self.arrived = 0.0
+        """Clock seconds at which the head was read."""
+        self.on_gone: Callable[[], None] | None = None
+        """Called once if the client leaves before the answer's end."""
+        self.is_started = False
+        self.is_over = False
+
+    def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        if self.is_over:
+            return
+        length = (b"content-length", str(len(body)).encode())
+        self.start(status, [*headers, length])
+        if body:
+            self.write(body)
+        self.finish()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head; without a length among `headers` the body goes in chunks."""
+        if self.is_over:
+            return
+        self.is_started = True
+        self._connection.send_head(status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if not self.is_over:
+            self._connection.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the body; the connection may serve again."""
+        if not self.is_over:
+            self._connection.end_exchange()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it can't look whole."""
+        if not self.is_over:
+            self.is_over = True
+            self._connection.abort()
+
+
+class ServerConnection(Protocol):
+    """A client's connection."""
+
+    transport: ITCPTransport
+
+    def __init__(self, handler: RequestHandler, clock: IReactorTime) -> None:
+        """Wait for the first request."""
+        self._handler = handler
+        self._clock = clock
+        self._limits = handler.limits()
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        self._exchange: Exchange | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_answering = False
+        self._is_gone = False
+        self._timer: IDelayedCall | None = None
+        self._rests_since = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        """Send small answers at once and watch for idleness."""
+        self.transport.setTcpNoDelay(True)
+        self._rests_since = self._clock.seconds()
+        self._watch(self._limits.idle_seconds)
+
+    def _watch(self, seconds: float) -> None:
+        self._timer = self._clock.callLater(seconds, self._look)
+
+    def _look(self) -> None:
+        """Close a connection that rested, or sent a head, for too long."""
+        self._timer = None
+        if self._is_gone:
+            return
+        if self._exchange is not None:
+            self._watch(self._limits.idle_seconds)
+            return
+        is_partial = bool(self._http.trailing_data[0])
+        limits = self._limits
+        allowed = limits.header_seconds if is_partial else limits.idle_seconds
+        left = self._rests_since + allowed - self._clock.seconds()
+        if left > 0:
+            self._watch(left)
+            return
+        self.transport.loseConnection()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._exchange is None and not self._http.trailing_data[0]
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which nothing is under way."""
+        if not self._is_gone and self.is_idle:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Take bytes of requests."""
+        if self._exchange is None and not self._http.trailing_data[0]:
+            self._rests_since = self._clock.seconds()
+            if self._timer is not None and self._timer.active():
+                self._timer.reset(
+                    min(self._limits.header_seconds, self._limits.idle_seconds)
+                )
+        self._http.receive_data(data)
+        self._pump()
+
+    def _pump(self) -> None:
+        """Read events until a request is whole or bytes are missing."""
+        while not self._is_answering and not self._is_gone:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self.send(go_on)
+                return
+            if isinstance(event, h11.ConnectionClosed | type):
+                return
+            self._take(event)
+
+    def _take(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self._begin(event)
+        elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._limits.body_bytes:
+                self._refuse(413)
+                return
+            self._body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete()
+
+    def _begin(self, event: h11.Request) -> None:
+        headers = event.headers.raw_items()
+        head = RequestHead(event.method, event.target, headers)
+        self._exchange = Exchange(self, head)
+        self._exchange.arrived = self._clock.seconds()
+        self._body = []
+        self._body_bytes = 0
+        self._handler.count(1)
+
+    def _complete(self) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            return
+        exchange.body = b"".join(self._body)
+        self._body = []
+        self._is_answering = True
+        self._handler.handle(exchange)
+
+    def _refuse(self, status: int) -> None:
+        """Answer what can't be read, and close."""
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.abort()
+            return
+        self.send_head(status, [(b"content-length", b"0"), (b"connection", b"close")])
+        self.send(h11.EndOfMessage())
+        self._forget_exchange()
+        self._is_answering = True
+        self.transport.loseConnection()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self._handler.is_closing():
+            headers = [*headers, (b"connection", b"close")]
+        self.send(h11.Response(status_code=status, headers=headers))
+
+    def send(self, event: h11.Event) -> None:
+        """Send a part of an answer."""
+        if self._is_gone:
+            return
+        data = self._http.send(event)
+        if data:
+            self.transport.write(data)
+
+    def end_exchange(self) -> None:
+        """End an answer; read the next request or close."""
+        self.send(h11.EndOfMessage())
+        if self._exchange is not None:
+            self._exchange.is_over = True
+        self._forget_exchange()
+        self._is_answering = False
+        if self._is_gone:
+            return
+        if self._http.our_state is h11.MUST_CLOSE:
+            self._is_answering = True
+            self.transport.loseConnection()
+            return
+        self._limits = self._handler.limits()
+        self._rests_since = self._clock.seconds()
+        self._http.start_next_cycle()
+        # A handler that answers at once must not recurse for each request that waits.
+        if self._http.trailing_data[0]:
+            self._clock.callLater(0, self._pump)
+
+    def _forget_exchange(self) -> None:
+        if self._exchange is not None:
+            self._exchange = None
+            self._handler.count(-1)
+
+    def abort(self) -> None:
+        """Cut the connection, so that no answer on it looks whole."""
+        self._forget_exchange()
+        self._is_answering = True
+        if not self._is_gone:
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell the request under way that its client left."""
+        self._is_gone = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        exchange = self._exchange
+        self._forget_exchange()
+        if exchange is None or exchange.is_over:
+            return
+        exchange.is_over = True
+        if exchange.on_gone is not None:
+            exchange.on_gone()
+
+
+class ServerFactory(Factory):
+    """Makes a connection object for each client, and knows those that are open."""
+
+    noisy = False
+
+    def __init__(self, handler: RequestHandler, clock: IReactorTime) -> None:
+        """Serve requests by a handler."""
+        self._handler = handler
+        self._clock = clock
+        self._open: set[ServerConnection] = set()
+
+    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
+        """Make the object of a new connection."""
+        connection = TrackedConnection(self._handler, self._clock, self._open)
+        self._open.add(connection)
+        return connection
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in tuple(self._open):
+            connection.close_if_idle()
+
+
+class TrackedConnection(ServerConnection):
+    """A connection that its factory counts until it is lost."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        clock: IReactorTime,
+        open_connections: set[ServerConnection],
+    ) -> None:
+        """Belong to a set while open."""
+        super().__init__(handler, clock)
+        self._open_connections = open_connections
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Leave the set."""
+        self._open_connections.discard(self)
+        super().connectionLost(reason)
--- /dev/null
+++ b/notcharch/http/sockets.py
@@ -0,0 +1,20 @@
+"""Socket options that find out silent peers."""
+
+import socket
+from typing import Any
+
+UNACKED_MILLISECONDS = 2000
+"""A connection ends if sent bytes aren't acknowledged for so long."""
+PROBE_AFTER_SECONDS = 1
+PROBE_EACH_SECONDS = 1
+PROBES = 2
+
+
+def detect_silence(transport: Any) -> None:
+    """End a TCP connection within some seconds of its peer's machine going dark."""
+    handle = transport.getHandle()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EACH_SECONDS)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MILLISECONDS)
--- /dev/null
+++ b/notcharch/journal/keyed_follower.py
@@ -0,0 +1,153 @@
+"""Follows a keyed topic: a picture of all keys, then each change."""
+
+from collections.abc import Callable, Generator
+from random import Random
+from typing import Any
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.journal.interface import (
+    KeyedRecord,
+    LogFault,
+    LogProblem,
+    LogService,
+    Records,
+)
+
+RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 0.8
+RETRY_GROWTH = 1.6
+
+
+class Pace(msgspec.Struct, frozen=True):
+    """How often a topic is asked for."""
+
+    wait_seconds: float
+    """So long the service may hold a read until there is a record."""
+    pause_seconds: float
+    """Between two reads."""
+
+
+class KeyedFollower:
+    """Keeps the newest value of each key of a keyed topic."""
+
+    def __init__(
+        self,
+        service: LogService,
+        clock: IReactorTime,
+        random: Random,
+        topic: str,
+        *,
+        pace: Pace,
+        changed: Callable[[dict[str, bytes]], None],
+    ) -> None:
+        """Call `changed` with all keys after each change."""
+        self._service = service
+        self._clock = clock
+        self._topic = topic
+        self._pace = pace
+        self._random = random
+        self._changed = changed
+        self._values: dict[str, bytes] = {}
+        self._offset = -1
+        """Where the next read begins; negative before a picture."""
+        self._is_running = False
+        self._retry_seconds = RETRY_SECONDS
+        self.heard_at: float | None = None
+        """Clock seconds of the last answer."""
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._is_running = True
+        self._follow()
+
+    def stop(self) -> None:
+        """Stop after the read under way."""
+        self._is_running = False
+
+    @inlineCallbacks
+    def _follow(self) -> Generator["Deferred[Any]", Any, None]:
+        while self._is_running:
+            problem = yield self._step()
+            if problem is None:
+                self.heard_at = self._clock.seconds()
+                self._retry_seconds = RETRY_SECONDS
+                yield self._sleep(self._pace.pause_seconds)
+            elif problem.fault is LogFault.GONE:
+                self._offset = -1
+            else:
+                yield self._sleep(self._retry_seconds * (0.5 + self._random.random()))
+                longer = self._retry_seconds * RETRY_GROWTH
+                self._retry_seconds = min(longer, LONGEST_RETRY_SECONDS)
+
+    def _sleep(self, seconds: float) -> "Deferred[None]":
+        return deferLater(self._clock, seconds, lambda: None)
+
+    @inlineCallbacks
+    def _step(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        if self._offset < 0:
+            problem: LogProblem | None = yield self._take_picture()
+        else:
+            problem = yield self._take_changes()
+        return problem
+
+    @inlineCallbacks
+    def _take_picture(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        """Read all keys. Changes meanwhile are read again after the first page's end."""
+        items: list[KeyedRecord] = []
+        after = ""
+        end = -1
+        while True:
+            answer = yield self._service.newest(self._topic, 0, after)
+            if isinstance(answer, Err):
+                problem: LogProblem = answer.err_value
+                return problem
+            page = answer.ok_value
+            items.extend(page.items)
+            end = page.end if end < 0 else end
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        self._values = {item.key: item.value for item in items}
+        self._offset = end
+        self._changed(self._values)
+        return None
+
+    @inlineCallbacks
+    def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        answer: Result[Records, LogProblem] = yield self._service.read(
+            self._topic, 0, self._offset, self._pace.wait_seconds
+        )
+        if isinstance(answer, Err):
+            return answer.err_value
+        found = answer.ok_value
+        if not found.records:
+            return None
+        for record in found.records:
+            self._apply(record)
+        self._offset = found.first + len(found.records)
+        self._changed(self._values)
+        return None
+
+    def _apply(self, record: bytes) -> None:
+        key, value = split_keyed(record)
+        if value:
+            self._values[key] = value
+        else:
+            self._values.pop(key, None)
+
+
+def split_keyed(record: bytes) -> tuple[str, bytes]:
+    """Give the key and the value of a keyed record (length of the key in a byte)."""
+    end = 1 + record[0]
+    return record[1:end].decode(), record[end:]
+
+
+def join_keyed(key: str, value: bytes) -> bytes:
+    """Give the record of a key and its value; no value drops the key."""
+    name = key.encode()
+    return bytes((len(name),)) + name + value
--- a/notcharch/membership/machine_states.py
+++ b/notcharch/membership/machine_states.py
@@ -4,7 +4,7 @@
 Whether a daemon lives is decided by probes.
 """
 
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     Machine,
     MachineChanges,
     MachineKind,
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -9,6 +9,7 @@
 from result import Err, Result
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from notcharch.clients.ports import MachineChanges
 from notcharch.errors import Problem
 from notcharch.events.event import emit
 from notcharch.events.membership import DatagramNotUnderstood, MembersExchanged
@@ -26,7 +27,6 @@
 from notcharch.membership.records import is_living
 from notcharch.membership.swim import Swim
 from notcharch.placement.interface import LiveMember
-from notcharch.platform.ports import MachineChanges
 from notcharch.values.identifiers import DaemonName, Member
 from notcharch.wire.datagrams import DatagramPort
 from notcharch.wire.messages.base import Message
--- a/notcharch/placement/engine_directory.py
+++ b/notcharch/placement/engine_directory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     Machine,
     MachineChanges,
     MachineKind,
--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -7,8 +7,8 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
+from notcharch.clients.ports import Machine
 from notcharch.errors import Problem
-from notcharch.platform.ports import Machine
 from notcharch.values.identifiers import (
     DaemonName,
     EngineName,
--- a/notcharch/placement/machine_list_follower.py
+++ b/notcharch/placement/machine_list_follower.py
@@ -14,10 +14,10 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from notcharch.clients.ports import MachineChanges, MachineListPort
 from notcharch.errors import Problem
 from notcharch.events.event import emit
 from notcharch.events.membership import MachineListLost, MachineListRestored
-from notcharch.platform.ports import MachineChanges, MachineListPort
 from notcharch.values.identifiers import RegionName
 
 MAX_OPEN_POLLS = 4
--- /dev/null
+++ b/notcharch/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Runs a daemon on the platform: `python3 -m notcharch.platform`."""
+
+import sys
+
+from notcharch.platform.process import main
+
+sys.exit(main())
--- /dev/null
+++ b/notcharch/platform/configuration.py
@@ -0,0 +1,143 @@
+"""The operator's configuration and the engines' entries, as the product's types."""
+
+import msgspec
+
+from notcharch.calls.interface import Engine, Route, Service, ServiceShare
+from notcharch.calls.routing import RouteTable
+from notcharch.http.server import ServerLimits
+
+REPEATABLE = "idempotent"
+STREAM = "streaming"
+DRAINING = "draining"
+
+
+class SplitEntry(msgspec.Struct):
+    """One part of a split route."""
+
+    service: str
+    weight: float
+
+
+class RouteEntry(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = "non_idempotent"
+    timeout_ms: float = 30000
+    target_latency_ms: float = 1000
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[SplitEntry] = []
+    retry_attempts: int = 1
+    retains_transcripts: bool = False
+    retention_s: float = 60.0
+    sticky_sessions: bool = False
+    resumable: bool = False
+
+
+class EngineEntry(msgspec.Struct):
+    """What all engines of a service are."""
+
+    tokens_per_event: int = 1
+
+
+class ServiceEntry(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    connection_limit: int = 100
+    engine: EngineEntry | None = None
+
+
+class LimitsEntry(msgspec.Struct):
+    """What clients may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class ConfigurationEntry(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[RouteEntry]
+    services: list[ServiceEntry]
+    limits: LimitsEntry
+
+
+class ServerEntry(msgspec.Struct):
+    """An engine's own entry in the store."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+CONFIGURATION = msgspec.json.Decoder(ConfigurationEntry)
+SERVER = msgspec.json.Decoder(ServerEntry)
+
+
+def route_of(entry: RouteEntry) -> Route:
+    """Translate a route."""
+    shares = tuple(
+        ServiceShare(part.service, part.weight) for part in entry.traffic_split
+    )
+    is_stream = entry.kind == STREAM
+    return Route(
+        name=entry.name,
+        host=entry.host,
+        path_prefix=entry.path_prefix,
+        shares=shares or (ServiceShare(entry.service, 1.0),),
+        is_repeatable=entry.kind == REPEATABLE or (is_stream and entry.resumable),
+        is_stream=is_stream,
+        is_resumable=entry.resumable,
+        is_sticky=entry.sticky_sessions,
+        most_engines=entry.retry_attempts,
+        timeout_seconds=entry.timeout_ms / 1000,
+        objective_seconds=entry.target_latency_ms / 1000,
+        priority=entry.priority,
+        keeps_turns=entry.retains_transcripts,
+        keep_seconds=entry.retention_s,
+    )
+
+
+def table_of(value: bytes) -> RouteTable:
+    """Translate the configuration; `msgspec.ValidationError` if it can't be read."""
+    entry = CONFIGURATION.decode(value)
+    services = {
+        service.name: Service(
+            service.name,
+            service.connection_limit,
+            service.engine.tokens_per_event if service.engine else 1,
+        )
+        for service in entry.services
+    }
+    limits = ServerLimits(
+        entry.limits.max_header_bytes,
+        entry.limits.max_body_bytes,
+        entry.limits.header_timeout_ms / 1000,
+        entry.limits.idle_timeout_ms / 1000,
+    )
+    routes = tuple(route_of(route) for route in entry.routes)
+    return RouteTable(entry.version, routes, services, limits)
+
+
+def engine_of(id: str, value: bytes) -> Engine:
+    """Translate an engine's entry; `msgspec.ValidationError` if it can't be read."""
+    entry = SERVER.decode(value)
+    host, _, port = entry.address.rpartition(":")
+    return Engine(
+        id=id,
+        service=entry.service,
+        host=host,
+        port=int(port),
+        zone=entry.zone,
+        slots=max(entry.slots, 1),
+        is_leaving=entry.state == DRAINING,
+    )
--- /dev/null
+++ b/notcharch/platform/headers.py
@@ -0,0 +1,110 @@
+"""The platform's headers: callers' requests into typed calls, calls to engines."""
+
+from notcharch.calls.interface import Engine, OpaqueCall
+from notcharch.http.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    end_to_end,
+    header_value,
+)
+
+REQUEST_ID = b"x-notcharch-request-id"
+DEADLINE = b"x-notcharch-deadline-ms"
+EXPECT_ENGINE = b"x-notcharch-expect-instance"
+NOT_RUN = b"x-notcharch-not-executed"
+SEAL = b"x-notcharch-response-seal"
+PROGRAM = b"x-notcharch-program-id"
+SESSION = b"x-notcharch-session-id"
+FINISH = b"x-notcharch-finish-ms"
+BUDGET = b"x-notcharch-token-budget"
+USAGE = b"x-notcharch-token-usage"
+PREVIOUS_TURN = b"x-notcharch-previous-turn"
+URGENCY = b"x-notcharch-request-urgency"
+LAST_EVENT_ID = b"last-event-id"
+AFFINITY_COOKIE = "X-Notcharch-Affinity-Key"
+
+MISDIRECTED = 421
+SET_HERE = (DEADLINE, EXPECT_ENGINE, LAST_EVENT_ID, URGENCY)
+"""Headers that are written anew for an engine."""
+
+
+def read_call(head: RequestHead, body: bytes, arrived: float) -> OpaqueCall | None:
+    """Give the typed call of a request; None if a header can't be read."""
+    values = {key.lower(): value for key, value in head.headers}
+    try:
+        return OpaqueCall(
+            id=values.get(REQUEST_ID, b"").decode("ascii"),
+            head=head,
+            body=body,
+            arrived=arrived,
+            wait_seconds=_seconds(values.get(DEADLINE)),
+            program=values.get(PROGRAM, b"").decode("ascii"),
+            session=values.get(SESSION, b"").decode("ascii"),
+            affinity=_affinity(values.get(b"cookie", b"").decode("latin-1")),
+            most_tokens=_most_tokens(values.get(USAGE)),
+            budget_tokens=_integer(values.get(BUDGET)),
+            previous_turn=values.get(PREVIOUS_TURN, b"").decode("ascii"),
+            last_event_id=values.get(LAST_EVENT_ID),
+            program_seconds_left=_seconds(values.get(FINISH)),
+        )
+    except ValueError:
+        return None
+
+
+def _integer(value: bytes | None) -> int | None:
+    return None if value is None else int(value)
+
+
+def _seconds(milliseconds: bytes | None) -> float | None:
+    return None if milliseconds is None else float(milliseconds) / 1000
+
+
+def _most_tokens(usage: bytes | None) -> int:
+    return int(usage.split(b",")[1]) if usage else 0
+
+
+def _affinity(cookies: str) -> str:
+    for cookie in cookies.split(";"):
+        name, _, value = cookie.strip().partition("=")
+        if name == AFFINITY_COOKIE:
+            return value
+    return ""
+
+
+class PlatformEngines:
+    """How the platform's engines are spoken to."""
+
+    def request(
+        self, call: OpaqueCall, engine: Engine, milliseconds_left: int
+    ) -> RequestHead:
+        """Give the head that an engine gets."""
+        headers = end_to_end(call.head.headers, SET_HERE)
+        headers.append((b"X-Notcharch-Deadline-Ms", str(milliseconds_left).encode()))
+        headers.append((b"X-Notcharch-Expect-Instance", engine.id.encode()))
+        if call.last_event_id is not None:
+            headers.append((b"Last-Event-Id", call.last_event_id))
+        return RequestHead(call.head.method, call.head.target, headers)
+
+    def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
+        """Tell whether an answer carries the call's id, or none."""
+        id = head.get(REQUEST_ID)
+        return id is None or id == call.id.encode()
+
+    def was_not_run(self, head: ResponseHead) -> bool:
+        """Tell whether an engine says that it did not run the call."""
+        return head.status == MISDIRECTED or head.get(NOT_RUN) is not None
+
+    def is_genuine(self, head: ResponseHead) -> bool:
+        """Tell whether an answer is an engine's own and names its request."""
+        is_plain = head.get(b"content-encoding") is None
+        return is_plain and head.get(SEAL) is not None and _has_id(head)
+
+
+def _has_id(head: ResponseHead) -> bool:
+    return header_value(head.headers, REQUEST_ID) is not None
+
+
+def answer_headers(head: ResponseHead) -> Headers:
+    """Give the headers of an engine's answer that a caller gets."""
+    return end_to_end(head.headers)
--- /dev/null
+++ b/notcharch/platform/ingress.py
@@ -0,0 +1,106 @@
+"""The callers' side: requests into calls, answers and refusals into responses."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from notcharch.calls.call_life import CallLife, CallServices
+from notcharch.calls.interface import (
+    MALFORMED,
+    NO_ROUTE,
+    NOT_READY,
+    Refusal,
+)
+from notcharch.calls.routing import Router, service_of
+from notcharch.http.messages import Headers, ResponseHead
+from notcharch.http.server import JSON_TYPE, Exchange, ServerLimits
+from notcharch.platform.headers import REQUEST_ID, answer_headers, read_call
+
+
+class ExchangeReply:
+    """A call's answer, written to the caller's connection."""
+
+    def __init__(self, exchange: Exchange, call_id: bytes) -> None:
+        """Answer one exchange."""
+        self._exchange = exchange
+        self._id = call_id
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """Call back if the caller leaves before the end."""
+        self._exchange.on_gone = callback
+
+    def begin(self, head: ResponseHead) -> None:
+        """Pass on the head of a stream, in chunks."""
+        self._exchange.start(head.status, answer_headers(head))
+
+    def write(self, data: bytes) -> None:
+        """Pass on events."""
+        self._exchange.write(data)
+
+    def finish(self) -> None:
+        """End the stream."""
+        self._exchange.finish()
+
+    def whole(self, head: ResponseHead, body: bytes) -> None:
+        """Pass on an engine's whole answer."""
+        self._exchange.answer(head.status, answer_headers(head), body)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Give an answer of our own."""
+        headers: Headers = [JSON_TYPE]
+        if self._id:
+            headers.append((b"X-Notcharch-Request-Id", self._id))
+        if refusal.retry_after_seconds is not None:
+            seconds = f"{refusal.retry_after_seconds:.3f}"
+            headers.append((b"Retry-After", seconds.encode()))
+        body = msgspec.json.encode({"error": refusal.reason})
+        self._exchange.answer(refusal.status, headers, body)
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._exchange.abort()
+
+
+class Ingress:
+    """Takes callers' requests into the product's call path."""
+
+    def __init__(self, services: CallServices) -> None:
+        """Begin without routes."""
+        self._services = services
+        self.router: Router | None = None
+        self.in_flight = 0
+        self.is_draining = False
+
+    def limits(self) -> ServerLimits:
+        """Give the limits in force."""
+        return ServerLimits() if self.router is None else self.router.table.limits
+
+    def is_closing(self) -> bool:
+        """Tell whether answers should end their connections."""
+        return self.is_draining
+
+    def count(self, change: int) -> None:
+        """Count requests under way."""
+        self.in_flight += change
+
+    def handle(self, exchange: Exchange) -> None:
+        """Begin the life of a call."""
+        head = exchange.head
+        id = head.get(REQUEST_ID) or b""
+        reply = ExchangeReply(exchange, id)
+        router = self.router
+        if router is None:
+            reply.refuse(NOT_READY)
+            return
+        host = (head.get(b"host") or b"").decode("latin-1")
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        route = router.find(host, path)
+        if route is None:
+            reply.refuse(NO_ROUTE)
+            return
+        call = read_call(head, exchange.body, exchange.arrived)
+        if call is None:
+            reply.refuse(MALFORMED)
+            return
+        service = service_of(route, call)
+        CallLife(self._services, call, route, service, reply).start()
--- /dev/null
+++ b/notcharch/platform/settings.py
@@ -0,0 +1,129 @@
+"""Reads the platform's settings file into typed settings."""
+
+import os
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+FILE_VARIABLE = "NOTCHARCH_NODE_FILE"
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class StoreSettings(msgspec.Struct, frozen=True):
+    """Where the store is and what it takes."""
+
+    address: Address
+    writes_per_second: float
+    reads_per_second: float
+    partitions: int
+    record_bytes: int
+    call_bytes: int
+    retention_seconds: float
+    least_lease_seconds: float
+
+
+class ProcessSettings(msgspec.Struct, frozen=True):
+    """The settings of this process."""
+
+    machine: str
+    host: str
+    zone: str
+    front: Address
+    readiness: Address
+    peer_ports: tuple[int, int]
+    store: StoreSettings
+    grace_seconds: float
+    drain_seconds: float
+    metrics: Address | None = None
+
+
+class Fields:
+    """Lines of the form a.b=value, and what was found wrong with them."""
+
+    def __init__(self, text: str) -> None:
+        """Read the lines."""
+        self.values: dict[str, str] = {}
+        self.findings: list[str] = []
+        for line in text.splitlines():
+            key, has_value, value = line.partition("=")
+            if has_value:
+                self.values[key.strip()] = value.strip()
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """Give a value as it is."""
+        value = self.values.get(key) or default
+        if value is None:
+            self.findings.append(f"{key}: missing")
+            return ""
+        return value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        """Give a value as a number."""
+        value = self.text(key, None if default is None else str(default))
+        try:
+            return float(value)
+        except ValueError:
+            self.findings.append(f"{key}: {value!r} is not a number")
+            return 0.0
+
+    def address(self, key: str) -> Address:
+        """Give a value of the form HOST:PORT."""
+        value = self.text(key)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit():
+            self.findings.append(f"{key}: {value!r} is not HOST:PORT")
+            return Address("", 0)
+        return Address(host, int(port))
+
+    def range(self, key: str) -> tuple[int, int]:
+        """Give a value of the form FIRST,LAST."""
+        first, _, last = self.text(key).partition(",")
+        if not first.isdigit() or not last.isdigit():
+            self.findings.append(f"{key}: not FIRST,LAST")
+            return (0, 0)
+        return (int(first), int(last))
+
+
+def read_settings(text: str) -> Result[ProcessSettings, list[str]]:
+    """Give the settings of a file's text, or everything that is wrong with it."""
+    fields = Fields(text)
+    store = StoreSettings(
+        address=fields.address("platform.address"),
+        writes_per_second=fields.number("platform.writes_per_s", 800),
+        reads_per_second=fields.number("platform.reads_per_s", 2000),
+        partitions=int(fields.number("platform.parts", 1)),
+        record_bytes=int(fields.number("platform.record_bytes", 262144)),
+        call_bytes=int(fields.number("platform.call_bytes", 2097152)),
+        retention_seconds=fields.number("platform.retention_s", 300),
+        least_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
+    )
+    settings = ProcessSettings(
+        machine=fields.text("node_name"),
+        host=fields.text("ip_address"),
+        zone=fields.text("zone"),
+        front=fields.address("listen_addresses.front"),
+        readiness=fields.address("listen_addresses.readiness"),
+        peer_ports=fields.range("internal_port_range"),
+        store=store,
+        grace_seconds=fields.number("bounds.grace_period_s", 8),
+        drain_seconds=fields.number("bounds.drain_ms", 2000) / 1000,
+    )
+    return Err(fields.findings) if fields.findings else Ok(settings)
+
+
+def load_settings() -> Result[ProcessSettings, list[str]]:
+    """Read the file that the environment names."""
+    path = os.environ.get(FILE_VARIABLE)
+    if not path:
+        return Err([f"{FILE_VARIABLE}: not set"])
+    try:
+        return read_settings(Path(path).read_text())
+    except OSError as error:
+        return Err([f"{path}: {error.strerror}"])
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -8,12 +8,12 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from notcharch.clients.ports import LogPort
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.programs import ProgramsInDoubt, SweepFailed
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.placement.partitions import partition_of_program
-from notcharch.platform.ports import LogPort
 from notcharch.programs.attempt_watch import AttemptWatch, WatchLimits
 from notcharch.programs.background import run_in_background
 from notcharch.programs.call_handlers import CallHandlers
--- a/notcharch/programs/page_log.py
+++ b/notcharch/programs/page_log.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import LogPage, LogPort, LogRecord
 from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
@@ -20,7 +21,6 @@
     PagesReadable,
     PagesUnreadable,
 )
-from notcharch.platform.ports import LogPage, LogPort, LogRecord
 from notcharch.programs.background import run_in_background
 from notcharch.programs.pages import (
     DamagedPageError,
--- a/notcharch/programs/paging_plan.py
+++ b/notcharch/programs/paging_plan.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from notcharch.platform.ports import LogRecord
+from notcharch.clients.ports import LogRecord
 from notcharch.programs.commands import WrittenPage
 from notcharch.programs.history import PageDraft
 from notcharch.programs.pages import encode_page, page_digest, page_record_id
--- a/notcharch/replication/archive_plan.py
+++ b/notcharch/replication/archive_plan.py
@@ -1,6 +1,6 @@
 """Which record of a partition is to be archived next. Pure."""
 
-from notcharch.platform.ports import LogRecord
+from notcharch.clients.ports import LogRecord
 from notcharch.replication.archive_records import (
     BatchRecord,
     SnapshotRecord,
--- a/notcharch/replication/archive_reader.py
+++ b/notcharch/replication/archive_reader.py
@@ -2,8 +2,8 @@
 
 from result import Err, Ok, Result
 
+from notcharch.clients.ports import LogPage, LogPort
 from notcharch.errors import Problem
-from notcharch.platform.ports import LogPage, LogPort
 from notcharch.replication.archive_records import (
     ArchiveRecord,
     decode_record,
--- a/notcharch/replication/archive_replay.py
+++ b/notcharch/replication/archive_replay.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from notcharch.platform.ports import StoredRecord
+from notcharch.clients.ports import StoredRecord
 from notcharch.replication.archive_records import (
     AnyArchiveRecord,
     BatchRecord,
--- a/notcharch/replication/archiver.py
+++ b/notcharch/replication/archiver.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
+from notcharch.clients.ports import LogPort, LogRecord, StoredRecord
 from notcharch.errors import Problem
 from notcharch.events.event import emit
 from notcharch.events.replication import (
@@ -15,7 +16,6 @@
     GroupRebuiltElsewhere,
     ReplicationTaskFailed,
 )
-from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
 from notcharch.replication.archive_plan import ArchivePlan, is_archive_due
 from notcharch.replication.archive_reader import read_on
 from notcharch.replication.archive_records import stream_of
--- a/notcharch/replication/claims.py
+++ b/notcharch/replication/claims.py
@@ -4,9 +4,9 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.clients.ports import LogPort, LogRecord, StoredRecord
 from notcharch.events.event import emit
 from notcharch.events.replication import CommittedCommandsInDoubt, GroupClaimed
-from notcharch.platform.ports import LogPort, LogRecord, StoredRecord
 from notcharch.replication.arbitration import Claim
 from notcharch.replication.archive_reader import read_on
 from notcharch.replication.archive_records import (
--- a/notcharch/replication/recovery.py
+++ b/notcharch/replication/recovery.py
@@ -12,13 +12,13 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
+from notcharch.clients.ports import LogPort
 from notcharch.events.event import emit
 from notcharch.events.replication import (
     GroupSuperseded,
     ReplicationTaskFailed,
 )
 from notcharch.placement.interface import MembershipView
-from notcharch.platform.ports import LogPort
 from notcharch.replication.arbitration import (
     Claim,
     Decision,
--- a/notcharch/replication/service.py
+++ b/notcharch/replication/service.py
@@ -8,9 +8,9 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from notcharch.clients.ports import LogPort
 from notcharch.errors import Problem, ProblemCode
 from notcharch.placement.interface import MembershipView
-from notcharch.platform.ports import LogPort
 from notcharch.replication.applier import CommandCodec
 from notcharch.replication.archiver import Archiver
 from notcharch.replication.hand_over import HandOver, HandOverReport
--- a/notcharch/scheduling/memory_room.py
+++ b/notcharch/scheduling/memory_room.py
@@ -7,7 +7,7 @@
 free blocks, new programs wait until others end, and begun ones go on.
 """
 
-from notcharch.platform.ports import EngineLoad
+from notcharch.clients.ports import EngineLoad
 from notcharch.scheduling.calls import OrderPolicy, Room
 from notcharch.values.identifiers import ServiceName
 
--- a/notcharch/table/log_follower.py
+++ b/notcharch/table/log_follower.py
@@ -18,6 +18,7 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
+from notcharch.clients.ports import LogPage, LogPort, StoredRecord
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
 from notcharch.events.table import (
@@ -25,7 +26,6 @@
     TableLogUnreadable,
     TableLogWentBack,
 )
-from notcharch.platform.ports import LogPage, LogPort, StoredRecord
 from notcharch.table.interface import TableSource
 from notcharch.table.publication import STREAM, Checkpoint, decode_record
 from notcharch.table.replay import ReplayState, decode_state
--- a/notcharch/table/publisher.py
+++ b/notcharch/table/publisher.py
@@ -15,6 +15,7 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import LogPort, LogRecord
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
 from notcharch.events.table import (
@@ -22,7 +23,6 @@
     TableCheckpointWritten,
     TablePublished,
 )
-from notcharch.platform.ports import LogPort, LogRecord
 from notcharch.table.draft import Draft, RollbackDraft, draft_edits
 from notcharch.table.edits import AnyEdit, difference
 from notcharch.table.log_follower import CHECKPOINT_RECORDS, report_failure
--- a/notcharch/table/replay.py
+++ b/notcharch/table/replay.py
@@ -19,8 +19,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from notcharch.clients.ports import StoredRecord
 from notcharch.errors import Finding
-from notcharch.platform.ports import StoredRecord
 from notcharch.table.edits import (
     EMPTY_CONTENTS,
     AnyEdit,
--- a/notcharch/table/replica_service.py
+++ b/notcharch/table/replica_service.py
@@ -16,6 +16,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.clients.ports import LogPort, StoredRecord
 from notcharch.errors import ProblemCode
 from notcharch.events.event import emit
 from notcharch.events.table import (
@@ -26,7 +27,6 @@
     TablePublicationRefused,
     TableRecordSkipped,
 )
-from notcharch.platform.ports import LogPort, StoredRecord
 from notcharch.table.interface import ServiceRow, Table, TableSource
 from notcharch.table.log_follower import LogFollower, report_failure
 from notcharch.table.replay import (
--- a/tests/contract/test_engine_stream.py
+++ b/tests/contract/test_engine_stream.py
@@ -9,11 +9,11 @@
 from result import Ok
 from twisted.internet import reactor
 
+from notcharch.clients import server_sent_events
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import RESUME_POLICY, EngineClient
+from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import ProblemCode, Ran
-from notcharch.platform import server_sent_events
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import RESUME_POLICY, EngineClient
-from notcharch.platform.ports import EngineRequest, StreamEnd
 from notcharch.settings.schema import PlatformSection
 from notcharch.values.chat import ChatMessage, FinishReason, TokenUsage
 from tests.contract.patient_clock import PatientClock
--- a/tests/contract/test_json_clients.py
+++ b/tests/contract/test_json_clients.py
@@ -10,13 +10,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from notcharch.errors import ProblemCode, Ran
-from notcharch.platform import body_reader
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import EngineClient
-from notcharch.platform.log_client import LogClient
-from notcharch.platform.machine_list_client import MachineListClient
-from notcharch.platform.ports import (
+from notcharch.clients import body_reader
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.log_client import LogClient
+from notcharch.clients.machine_list_client import MachineListClient
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvent,
     CacheEventKind,
@@ -33,7 +32,8 @@
     OrderKind,
     StoredRecord,
 )
-from notcharch.platform.weight_store_client import WeightStoreClient
+from notcharch.clients.weight_store_client import WeightStoreClient
+from notcharch.errors import ProblemCode, Ran
 from notcharch.settings.schema import PlatformSection
 from tests.contract.scripted_server import Action, Reply, Reset, ScriptedServer, Silence
 from tests.contract.spin import spin
--- a/tests/contract/test_ports.py
+++ b/tests/contract/test_ports.py
@@ -9,8 +9,7 @@
 
 from emulator.engine.answers import expected_answer, prompt_tokens
 from emulator.faults import FaultKind
-from notcharch.errors import ProblemCode, Ran
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEventKind,
     EngineOrder,
@@ -19,6 +18,7 @@
     MachineState,
     OrderKind,
 )
+from notcharch.errors import ProblemCode, Ran
 from notcharch.values.chat import ChatMessage, FinishReason
 from tests.contract.spin import spin
 from tests.contract.worlds import HttpWorld, MemoryWorld, World
--- a/tests/contract/worlds.py
+++ b/tests/contract/worlds.py
@@ -15,11 +15,11 @@
 from emulator.settings import EmulatorSettings, load_emulator_settings
 from emulator.system import start_emulator
 from emulator.virtual_clock import VirtualClock
-from notcharch.platform.connections import Connections
-from notcharch.platform.engine_client import EngineClient
-from notcharch.platform.log_client import LogClient
-from notcharch.platform.machine_list_client import MachineListClient
-from notcharch.platform.weight_store_client import WeightStoreClient
+from notcharch.clients.connections import Connections
+from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.log_client import LogClient
+from notcharch.clients.machine_list_client import MachineListClient
+from notcharch.clients.weight_store_client import WeightStoreClient
 from notcharch.settings.schema import PlatformSection
 from tests.contract.patient_clock import SplitClock
 from tests.contract.spin import turn
--- a/tests/stateful/engines/test_steward_state.py
+++ b/tests/stateful/engines/test_steward_state.py
@@ -11,11 +11,11 @@
     run_state_machine_as_test,
 )
 
+from notcharch.clients.ports import EngineLoad, MachineState
 from notcharch.engines.grants import GrantTable
 from notcharch.engines.steward_state import StewardState, key_of
 from notcharch.engines.waiting_calls import WaitingCalls
 from notcharch.errors import Problem, ProblemCode
-from notcharch.platform.ports import EngineLoad, MachineState
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import CallKey, OrderPolicy
 from notcharch.values.chat import TokenUsage
--- a/tests/stateful/region/world.py
+++ b/tests/stateful/region/world.py
@@ -7,7 +7,7 @@
     default_rates,
 )
 from experiments.virtual.region import RegionPlan, VirtualRegion
-from notcharch.platform.ports import MachineKind
+from notcharch.clients.ports import MachineKind
 from notcharch.settings.schema import ReplicationSection, Settings
 from notcharch.table.draft import WholeDraft
 
--- a/tests/stateful/table/faulty_log.py
+++ b/tests/stateful/table/faulty_log.py
@@ -7,8 +7,8 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.clients.ports import LogPage, LogRecord, StoredRecord
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.ports import LogPage, LogRecord, StoredRecord
 from notcharch.values.identifiers import LogOffset
 
 
--- a/tests/stateful/table/test_table_machine.py
+++ b/tests/stateful/table/test_table_machine.py
@@ -16,8 +16,8 @@
 from result import Ok
 from twisted.internet.defer import Deferred
 
+from notcharch.clients.ports import LogRecord
 from notcharch.errors import Ran
-from notcharch.platform.ports import LogRecord
 from notcharch.table import log_follower, publisher, replay
 from notcharch.table.draft import (
     ChangeCell,
--- a/tests/stateful/test_membership.py
+++ b/tests/stateful/test_membership.py
@@ -11,7 +11,7 @@
 )
 
 from experiments.membership_region import ZONES, MembershipRegion, daemon_name
-from notcharch.platform.ports import MachineState
+from notcharch.clients.ports import MachineState
 from notcharch.wire.memory_faults import LinkFaults
 
 COUNT = 6
--- a/tests/unit/admin/test_region_routes.py
+++ b/tests/unit/admin/test_region_routes.py
@@ -4,7 +4,7 @@
 from prometheus_client import CollectorRegistry
 
 from notcharch.admin.metrics import MetricsResource, TableCollector
-from notcharch.platform.ports import Machine, MachineKind, MachineState
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.engines import (
     Acknowledged,
--- a/tests/unit/platform/test_answer_collector.py
+++ b/tests/unit/clients/test_answer_collector.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from notcharch.clients.answer_collector import BATCH_BYTES, AnswerCollector
 from notcharch.errors import Ran
-from notcharch.platform.answer_collector import BATCH_BYTES, AnswerCollector
 from notcharch.values.chat import FinishReason, TokenUsage
 from tests.contract.stream_text import DONE, content, event, events, last
 
--- a/tests/unit/platform/test_backoff.py
+++ b/tests/unit/clients/test_backoff.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from notcharch.platform.backoff import Backoff, BackoffPolicy
+from notcharch.clients.backoff import Backoff, BackoffPolicy
 
 POLICY = BackoffPolicy(first_seconds=0.1, longest_seconds=0.5, tries=5)
 
--- a/tests/unit/platform/test_chunk_shortcut.py
+++ b/tests/unit/clients/test_chunk_shortcut.py
@@ -8,7 +8,7 @@
 from twisted.web._newclient import HTTP11ClientProtocol, Request
 from twisted.web.http_headers import Headers
 
-from notcharch.platform.http_stream import ExchangeHandlers, HttpStream
+from notcharch.clients.http_stream import ExchangeHandlers, HttpStream
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 CONTENTS = (b"id: 0\n\n", b"x" * 20, b"\r\n0\r\n\r\n", b"A")
--- a/tests/unit/platform/test_eager_writer.py
+++ b/tests/unit/clients/test_eager_writer.py
@@ -5,7 +5,7 @@
 from twisted.internet.tcp import Connection
 from twisted.internet.testing import StringTransport
 
-from notcharch.platform.eager_writer import eager_write
+from notcharch.clients.eager_writer import eager_write
 
 
 class Socket:
--- a/tests/unit/platform/test_server_sent_events.py
+++ b/tests/unit/clients/test_server_sent_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from notcharch.platform.server_sent_events import (
+from notcharch.clients.server_sent_events import (
     EventSplitter,
     events_from,
     first_event_number,
--- a/tests/unit/platform/test_stream_life_cycle.py
+++ b/tests/unit/clients/test_stream_life_cycle.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from notcharch.platform.stream_life_cycle import Step, StreamCore, new_stream_machine
+from notcharch.clients.stream_life_cycle import Step, StreamCore, new_stream_machine
 
 INPUTS = ("accepted", "refused", "broke", "retry_due", "ended", "given_up", "cancelled")
 RESULTS = {Step.SUCCEED, Step.FAIL, Step.CANCEL}
--- a/tests/unit/emulator/builders.py
+++ b/tests/unit/emulator/builders.py
@@ -7,7 +7,7 @@
 
 from emulator.engine.model import EngineModel
 from emulator.engine.rates import EngineRates
-from notcharch.platform.ports import EngineRequest, MachineKind
+from notcharch.clients.ports import EngineRequest, MachineKind
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import (
     EngineName,
--- a/tests/unit/emulator/test_engine_model.py
+++ b/tests/unit/emulator/test_engine_model.py
@@ -9,7 +9,7 @@
 from emulator.engine.runs import RunState
 from emulator.engine.stream_events import render_events
 from emulator.virtual_clock import VirtualClock
-from notcharch.platform.ports import EngineOrder, MachineState, OrderKind
+from notcharch.clients.ports import EngineOrder, MachineState, OrderKind
 from notcharch.values.chat import ChatMessage, FinishReason
 from notcharch.values.identifiers import Epoch, PoolName, ProgramId, RequestId
 from tests.unit.emulator.builders import (
--- a/tests/unit/emulator/test_http.py
+++ b/tests/unit/emulator/test_http.py
@@ -19,8 +19,8 @@
 from emulator.settings import load_emulator_settings
 from emulator.system import start_emulator
 from emulator.virtual_clock import VirtualClock
-from notcharch.platform.answer_collector import AnswerCollector
-from notcharch.platform.connections import Connections
+from notcharch.clients.answer_collector import AnswerCollector
+from notcharch.clients.connections import Connections
 from notcharch.values.identifiers import RegionName
 from tests.contract.spin import HANG_SECONDS, spin
 from tests.unit.emulator.builders import answer_marker, engine, request
--- a/tests/unit/emulator/test_memory_ports.py
+++ b/tests/unit/emulator/test_memory_ports.py
@@ -18,9 +18,9 @@
 from emulator.services.machine_registry import MachineRegistry
 from emulator.services.weight_store import WeightStore
 from emulator.virtual_clock import VirtualClock
+from notcharch.clients.answer_collector import AnswerCollector
+from notcharch.clients.ports import LogRecord, Machine, MachineKind, MachineState
 from notcharch.errors import ProblemCode, Ran
-from notcharch.platform.answer_collector import AnswerCollector
-from notcharch.platform.ports import LogRecord, Machine, MachineKind, MachineState
 from notcharch.values.chat import ChatMessage, FinishReason
 from notcharch.values.identifiers import (
     EngineName,
--- a/tests/unit/emulator/test_prefix_cache.py
+++ b/tests/unit/emulator/test_prefix_cache.py
@@ -4,7 +4,7 @@
 
 from emulator.engine.counters import EngineCounters, FillHistory
 from emulator.engine.prefix_cache import PrefixCache, prefix_chain
-from notcharch.platform.ports import CacheEventKind
+from notcharch.clients.ports import CacheEventKind
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import ProgramId
 
--- a/tests/unit/emulator/test_settings.py
+++ b/tests/unit/emulator/test_settings.py
@@ -15,7 +15,7 @@
     load_emulator_settings,
     sourced_rates,
 )
-from notcharch.platform.ports import MachineKind
+from notcharch.clients.ports import MachineKind
 
 
 def test_the_example_is_clean_and_has_the_defaults():
--- a/tests/unit/emulator/test_step_aggregation.py
+++ b/tests/unit/emulator/test_step_aggregation.py
@@ -12,7 +12,7 @@
 from pytest import approx
 
 from emulator.virtual_clock import VirtualClock
-from notcharch.platform.ports import EngineRequest
+from notcharch.clients.ports import EngineRequest
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import Epoch, ProgramId, RequestId
 from tests.unit.emulator.builders import POOL, RATES, engine
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -7,14 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock, deferLater
 
-from notcharch.engines.claims import StewardClaimsState
-from notcharch.engines.claims_service import ClaimsService
-from notcharch.engines.dispatcher import Dispatcher
-from notcharch.engines.prefix_mover import PrefixMover
-from notcharch.engines.steward_service import StewardService
-from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.placement.interface import LiveMember
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvent,
     CacheEventKind,
@@ -25,6 +18,13 @@
     MachineKind,
     MachineState,
 )
+from notcharch.engines.claims import StewardClaimsState
+from notcharch.engines.claims_service import ClaimsService
+from notcharch.engines.dispatcher import Dispatcher
+from notcharch.engines.prefix_mover import PrefixMover
+from notcharch.engines.steward_service import StewardService
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.placement.interface import LiveMember
 from notcharch.settings.schema import EnginesSection
 from notcharch.values.identifiers import DaemonName, EngineName, Epoch, Member, PoolName
 from notcharch.wire.memory import MemoryFabric
--- a/tests/unit/engines/test_cache_release.py
+++ b/tests/unit/engines/test_cache_release.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from notcharch.engines.cache_map import CacheMap
-from notcharch.engines.releases import PendingReleases, Release
-from notcharch.errors import ProblemCode
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     CachedProgram,
     CacheEvent,
     CacheEventKind,
     CacheEvents,
 )
+from notcharch.engines.cache_map import CacheMap
+from notcharch.engines.releases import PendingReleases, Release
+from notcharch.errors import ProblemCode
 from notcharch.scheduling.retry import RetryPolicy
 from notcharch.values.identifiers import DaemonName, EngineName
 from notcharch.wire.messages.engines import PrefixReleased, QuoteEngine, ReleasePrefix
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from notcharch.clients.ports import MachineState
 from notcharch.errors import ProblemCode, Ran
-from notcharch.platform.ports import MachineState
 from tests.unit.engines.calls import admitted, place
 from tests.unit.engines.region import Region
 
--- a/tests/unit/engines/test_engine_faults.py
+++ b/tests/unit/engines/test_engine_faults.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from notcharch.clients.ports import MachineState
 from notcharch.errors import ProblemCode
-from notcharch.platform.ports import MachineState
 from notcharch.values.identifiers import DaemonName, EngineName, Member
 from notcharch.wire.messages.engines import CancelQueued, GrantReturned
 from tests.unit.engines.calls import admitted, enqueue, place
--- a/tests/unit/engines/test_quoted_wait.py
+++ b/tests/unit/engines/test_quoted_wait.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from notcharch.clients.ports import EngineLoad, MachineState
 from notcharch.engines.steward_state import StewardState
-from notcharch.platform.ports import EngineLoad, MachineState
 from notcharch.scheduling.breaker import BreakerPolicy
 from notcharch.scheduling.calls import OrderPolicy
 from notcharch.values.identifiers import EngineName, Epoch
--- a/tests/unit/engines/test_stewardship.py
+++ b/tests/unit/engines/test_stewardship.py
@@ -1,7 +1,7 @@
 """Claims, epochs and fencing of stewards, under lost majorities and split views."""
 
+from notcharch.clients.ports import OrderKind
 from notcharch.errors import ProblemCode
-from notcharch.platform.ports import OrderKind
 from notcharch.values.identifiers import DaemonName, EngineName, Member
 from notcharch.wire.messages.engines import DrainEngine, ListEngines
 from tests.unit.engines.calls import admitted, enqueue, place
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -13,9 +13,9 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.resource import Resource
 
+from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.gateway.http_site import LimitedSite
 from notcharch.gateway.resource import Gateway
-from notcharch.platform.ports import EngineRequest, StreamEnd
 from notcharch.programs.leader_service import ProgramLeaderService
 from notcharch.programs.state import ProgramsState
 from notcharch.settings.schema import GatewaySection, ProgramsSection
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -3,7 +3,7 @@
 import pytest
 
 from experiments.membership_region import ZONES, MembershipRegion, daemon_name
-from notcharch.platform.ports import MachineState
+from notcharch.clients.ports import MachineState
 from notcharch.values.identifiers import ZoneName
 from notcharch.wire.memory_faults import LinkFaults
 
--- a/tests/unit/placement/fakes.py
+++ b/tests/unit/placement/fakes.py
@@ -2,8 +2,8 @@
 
 from twisted.internet.defer import Deferred
 
+from notcharch.clients.ports import Machine, MachineKind, MachineState
 from notcharch.placement.interface import LiveMember
-from notcharch.platform.ports import Machine, MachineKind, MachineState
 from notcharch.values.identifiers import (
     DaemonName,
     Incarnation,
--- a/tests/unit/placement/test_machine_list.py
+++ b/tests/unit/placement/test_machine_list.py
@@ -3,13 +3,13 @@
 from result import Err, Ok
 from twisted.internet.task import Clock
 
+from notcharch.clients.ports import MachineChanges, MachineKind, MachineState
 from notcharch.errors import Problem, ProblemCode
 from notcharch.placement.engine_directory import MachineEngineDirectory
 from notcharch.placement.machine_list_follower import (
     MAX_OPEN_POLLS,
     MachineListFollower,
 )
-from notcharch.platform.ports import MachineChanges, MachineKind, MachineState
 from tests.unit.placement.fakes import REGION, FakeMachineList, engine
 
 DOWN = Err(Problem.of(ProblemCode.UNAVAILABLE, "down"))
--- a/tests/unit/programs/fakes.py
+++ b/tests/unit/programs/fakes.py
@@ -6,10 +6,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
-from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.errors.problem import ProblemError
-from notcharch.placement.interface import LiveMember
-from notcharch.platform.ports import (
+from notcharch.clients.ports import (
     LogPage,
     LogRecord,
     Machine,
@@ -17,6 +14,9 @@
     MachineState,
     StoredRecord,
 )
+from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.errors.problem import ProblemError
+from notcharch.placement.interface import LiveMember
 from notcharch.programs.leader_service import ProgramLeaderService
 from notcharch.programs.state import ProgramsState
 from notcharch.replication.interface import Command, CommandResult
--- a/tests/unit/programs/test_paging.py
+++ b/tests/unit/programs/test_paging.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
+from notcharch.clients.ports import LogRecord
 from notcharch.errors import Ran
-from notcharch.platform.ports import LogRecord
 from notcharch.programs.page_log import PageLog
 from notcharch.wire.messages.programs import (
     AwaitAnswer,
--- a/tests/unit/replication/memory_log.py
+++ b/tests/unit/replication/memory_log.py
@@ -3,8 +3,8 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
+from notcharch.clients.ports import LogPage, LogRecord, StoredRecord
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.platform.ports import LogPage, LogRecord, StoredRecord
 from notcharch.values.identifiers import LogOffset
 
 DELAY_SECONDS = 0.003
--- a/tests/unit/scheduling/test_memory_room.py
+++ b/tests/unit/scheduling/test_memory_room.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from notcharch.platform.ports import EngineLoad, MachineState
+from notcharch.clients.ports import EngineLoad, MachineState
 from notcharch.scheduling.calls import OrderPolicy, Room
 from notcharch.scheduling.memory_room import MemoryRoom
 from notcharch.values.identifiers import ServiceName
--- a/tests/unit/table/test_replay.py
+++ b/tests/unit/table/test_replay.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from notcharch.platform.ports import StoredRecord
+from notcharch.clients.ports import StoredRecord
 from notcharch.table import replay as replay_module
 from notcharch.table.edits import SetCell, SetRow
 from notcharch.table.interface import ServiceRow
