Keep budgets and turns with partition owners on the store's log

Change: a program's partition has one owner, dealt by the store's group and fenced by its epoch; bounds of budgets and kept turns are journalled before they take effect; gateways ask the owner by the product's own peer protocol and cache turns. Ruled out: every daemon reading every partition (work grows with the square); one append a turn (a bound of two calls ahead makes it one in two to four).

--- /dev/null
+++ b/notcharch/accounts/directory.py
@@ -0,0 +1,105 @@
+"""Who owns which partition, as the log service last said."""
+
+from collections.abc import Generator
+from typing import Any
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.accounts.owner_names import OwnerName, read_owner
+from notcharch.journal.interface import LogProblem, LogService, Ownership
+from notcharch.values.identifiers import DaemonName
+from notcharch.wire.peers import PeerNetwork
+
+REFRESH_SECONDS = 1.0
+DOUBT_SECONDS = 0.1
+"""In doubt the log service is asked again, at most this often."""
+
+
+class OwnerDirectory:
+    """A view of the owners that is refreshed each second, and sooner in doubt."""
+
+    def __init__(
+        self, service: LogService, clock: IReactorTime, network: PeerNetwork, group: str
+    ) -> None:
+        """Begin without a view."""
+        self._service = service
+        self._clock = clock
+        self._network = network
+        self._group = group
+        self._owners: dict[int, OwnerName] = {}
+        self._incarnations: dict[DaemonName, int] = {}
+        self._asked_at = -REFRESH_SECONDS
+        self._is_asking = False
+        self._is_running = False
+
+    def start(self) -> None:
+        """Begin to refresh."""
+        self._is_running = True
+        self._keep_fresh()
+
+    def stop(self) -> None:
+        """Refresh no more."""
+        self._is_running = False
+
+    def owner(self, partition: int) -> OwnerName | None:
+        """Give a partition's owner, as far as it is known."""
+        return self._owners.get(partition)
+
+    def doubt(self) -> None:
+        """Ask again soon: an owner didn't answer as one."""
+        since = self._clock.seconds() - self._asked_at
+        if not self._is_asking and since >= DOUBT_SECONDS:
+            self._refresh()
+
+    @inlineCallbacks
+    def _keep_fresh(self) -> Generator["Deferred[Any]", Any, None]:
+        while self._is_running:
+            if not self._is_asking:
+                yield self._refresh()
+            pause = REFRESH_SECONDS if self._owners else DOUBT_SECONDS
+            yield deferLater(self._clock, pause, lambda: None)
+
+    @inlineCallbacks
+    def _refresh(self) -> Generator["Deferred[Any]", Any, None]:
+        self._is_asking = True
+        self._asked_at = self._clock.seconds()
+        answer: Result[tuple[Ownership, ...], LogProblem] = yield self._service.owners(
+            self._group
+        )
+        self._is_asking = False
+        if not isinstance(answer, Err):
+            self._take(answer.ok_value)
+
+    def _take(self, rows: tuple[Ownership, ...]) -> None:
+        owners: dict[int, OwnerName] = {}
+        for row in rows:
+            owner = read_owner(row.member)
+            if owner is not None:
+                owners[row.partition] = owner
+        if owners:
+            self._owners = owners
+        for owner in set(owners.values()):
+            self._learn(owner)
+
+    def _learn(self, owner: OwnerName) -> None:
+        """Tell the network where an owner is.
+
+        A process that began after its clock was set back has a lower incarnation
+        than the one before it; what is known of that one must not keep it out.
+        """
+        known = self._incarnations.get(owner.daemon)
+        if known is not None and owner.incarnation < known:
+            self._network.forget(owner.daemon)
+        self._incarnations[owner.daemon] = owner.incarnation
+        self._network.set_address(owner.daemon, owner.address)
+
+
+class Partitioning(msgspec.Struct, frozen=True):
+    """How programs are spread over partitions."""
+
+    topic: str
+    partitions: int
--- /dev/null
+++ b/notcharch/accounts/ledger.py
@@ -0,0 +1,163 @@
+"""The accounts of one partition: a pure state that an owner keeps.
+
+Of each program the ledger knows a *bound*: so many tokens are journalled as generated.
+Calls are admitted within it from memory; it is raised, in the journal first, when it
+doesn't suffice. Whoever takes the partition over counts the whole bound as used, so
+whatever the former owner admitted within it is paid for already.
+"""
+
+import enum
+
+import msgspec
+
+from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept
+from notcharch.accounts.turns import Transcript, Turn, TurnStore
+
+AHEAD_CALLS = 2
+"""A bound is raised for so many calls at once."""
+
+FORGOTTEN_RESERVATION_SECONDS = 12.0
+"""A call that nobody settled in this time is charged at its most."""
+
+
+class Verdict(enum.Enum):
+    """What a ledger says of a call."""
+
+    ADMITTED = "admitted"
+    NEEDS_BOUND = "needs a higher bound"
+    SPENT = "spent"
+
+
+class Reservation(msgspec.Struct):
+    """A call under way."""
+
+    tokens: int
+    since: float
+    """Clock seconds."""
+
+
+class Program:
+    """The account of one program."""
+
+    def __init__(self) -> None:
+        """Begin with nothing used."""
+        self.bound = 0
+        """Tokens journalled as generated."""
+        self.used = 0
+        self.reserved: dict[str, Reservation] = {}
+        self.touched = 0.0
+        self.turns = TurnStore()
+
+    @property
+    def committed(self) -> int:
+        """Tokens that are used, or that calls under way may use."""
+        return self.used + sum(held.tokens for held in self.reserved.values())
+
+
+class Ledger:
+    """The programs of one partition."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._programs: dict[str, Program] = {}
+
+    def program(self, name: str, now: float) -> Program:
+        """Give a program's account, which is begun if it is new."""
+        program = self._programs.get(name)
+        if program is None:
+            program = self._programs[name] = Program()
+        program.touched = now
+        return program
+
+    def __len__(self) -> int:
+        """Give the number of programs."""
+        return len(self._programs)
+
+    # What the journal says
+
+    def replay(self, record: AnyRecord, now: float) -> None:
+        """Take a record of an earlier owner, or of this one before its restart."""
+        program = self.program(record.program, now)
+        if isinstance(record, BoundRaised):
+            program.bound = max(program.bound, record.bound_tokens)
+            program.used = program.bound
+        else:
+            self._keep(program, record)
+
+    def _keep(self, program: Program, record: TurnKept) -> None:
+        turn = Turn(record.previous, record.input, record.output)
+        program.turns.add(record.turn, turn)
+
+    # Budgets
+
+    def admit(
+        self, name: str, call: str, most: int, budget: int | None, now: float
+    ) -> Verdict:
+        """Reserve a call's tokens within the durable bound.
+
+        Nothing is reserved for NEEDS_BOUND: raise the bound and ask again.
+        """
+        program = self.program(name, now)
+        if call in program.reserved:
+            return Verdict.ADMITTED
+        self._charge_forgotten(program, now)
+        after = program.committed + most
+        if budget is not None and after > budget:
+            return Verdict.SPENT
+        if budget is not None and after > program.bound:
+            return Verdict.NEEDS_BOUND
+        program.reserved[call] = Reservation(most, now)
+        return Verdict.ADMITTED
+
+    def _charge_forgotten(self, program: Program, now: float) -> None:
+        for call, held in tuple(program.reserved.items()):
+            if now - held.since > FORGOTTEN_RESERVATION_SECONDS:
+                del program.reserved[call]
+                program.used += held.tokens
+
+    def raised_bound(
+        self, name: str, most: int, budget: int, now: float
+    ) -> BoundRaised:
+        """Give the record of a bound that lets a call in, and some after it."""
+        needed = self.program(name, now).committed + most
+        ahead = needed + (AHEAD_CALLS - 1) * most
+        return BoundRaised(name, max(needed, min(ahead, budget)))
+
+    def bound_is_durable(self, record: BoundRaised, now: float) -> None:
+        """Hear that a raised bound is in the journal."""
+        program = self.program(record.program, now)
+        program.bound = max(program.bound, record.bound_tokens)
+
+    def settle(self, name: str, call: str, tokens: int, now: float) -> None:
+        """End a call that generated so many tokens for its caller."""
+        program = self._programs.get(name)
+        if program is None or program.reserved.pop(call, None) is None:
+            return
+        program.touched = now
+        program.used += tokens
+
+    # Kept turns
+
+    def has_turn(self, name: str, turn: str) -> bool:
+        """Tell whether a turn is kept."""
+        program = self._programs.get(name)
+        return program is not None and turn in program.turns
+
+    def keep(self, record: TurnKept, now: float) -> None:
+        """Keep a turn that is in the journal."""
+        self._keep(self.program(record.program, now), record)
+
+    def transcript(self, name: str, turn: str, known: str) -> Transcript | None:
+        """Give the chain up to a turn, from after `known` if that is part of it.
+
+        None if the turn, or one before it, is not kept.
+        """
+        program = self._programs.get(name)
+        turns = program.turns if program is not None else TurnStore()
+        return turns.transcript(turn, known)
+
+    def forget_before(self, limit: float) -> None:
+        """Forget programs that nobody asked for since some clock seconds."""
+        for name, program in tuple(self._programs.items()):
+            if program.touched < limit and not program.reserved:
+                del self._programs[name]
--- /dev/null
+++ b/notcharch/accounts/messages.py
@@ -0,0 +1,81 @@
+"""What daemons ask the owner of a program's partition."""
+
+from notcharch.wire.codec import MessageCodec
+from notcharch.wire.messages.base import Message, Refusal
+
+
+class AdmitTurn(Message, frozen=True):
+    """Ask to run a call of a program. Reply: `TurnAdmitted` or `TurnRefused`."""
+
+    partition: int
+    program: str
+    call: str
+    most_tokens: int
+    budget_tokens: int | None
+    keep_seconds: float
+    previous: str = ""
+    """The turn that it goes on from; its chain is asked for."""
+    known: str = ""
+    """The newest turn of the program whose chain the asker has."""
+
+
+class TurnAdmitted(Message, frozen=True):
+    """The call may run."""
+
+    after: str = ""
+    """`text` follows the chain of this turn, which the asker has."""
+    text: bytes = b""
+    """Inputs and outputs of the turns before the call, oldest first."""
+
+
+class TurnRefused(Message, frozen=True):
+    """The call must not run, and never will by this request."""
+
+    is_spent: bool
+    """True: the budget is spent; false: there is certainly no such turn."""
+
+
+class SettleCall(Message, frozen=True):
+    """Tell how many tokens a call generated for its caller."""
+
+    partition: int
+    program: str
+    call: str
+    tokens: int
+
+
+class KeepTurn(Message, frozen=True):
+    """Keep a turn that ended whole. Reply: `TurnIsKept`, when it is durable."""
+
+    partition: int
+    program: str
+    call: str
+    previous: str
+    input: bytes
+    output: bytes
+    tokens: int
+
+
+class TurnIsKept(Message, frozen=True):
+    """The turn is in the journal."""
+
+
+class NotOwner(Message, frozen=True):
+    """This daemon doesn't own the partition (yet, or any more): ask again."""
+
+
+ACCOUNT_MESSAGES: tuple[type[Message], ...] = (
+    AdmitTurn,
+    TurnAdmitted,
+    TurnRefused,
+    SettleCall,
+    KeepTurn,
+    TurnIsKept,
+    NotOwner,
+    Refusal,
+)
+
+
+def account_codec() -> MessageCodec:
+    """Give the codec of the messages about accounts."""
+    return MessageCodec(ACCOUNT_MESSAGES)
--- /dev/null
+++ b/notcharch/accounts/owned_partitions.py
@@ -0,0 +1,105 @@
+"""The partitions that this daemon was dealt, and the answers that it gives for them."""
+
+from random import Random
+from typing import cast
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+
+from notcharch.accounts.messages import AdmitTurn, KeepTurn, SettleCall
+from notcharch.accounts.partition import NOT_OWNER, OwnedPartition, PartitionPlace
+from notcharch.journal.interface import LogService, Membership
+from notcharch.values.identifiers import Member
+from notcharch.wire.messages.base import Message
+from notcharch.wire.peers import PeerNetwork
+
+EPOCHS_OF_A_GENERATION = 1 << 16
+FORGET_SECONDS = 120.0
+"""Programs that nobody asked for in this time are forgotten."""
+FORGET_EACH_SECONDS = 10.0
+
+
+class OwnedPartitions:
+    """Takes partitions over and gives them up as the group deals them."""
+
+    def __init__(
+        self,
+        service: LogService,
+        clock: IReactorTime,
+        random: Random,
+        topic: str,
+        network: PeerNetwork,
+    ) -> None:
+        """Answer peers through `network`."""
+        self._service = service
+        self._clock = clock
+        self._random = random
+        self._topic = topic
+        self._owned: dict[int, OwnedPartition] = {}
+        self._claims = 0
+        self._forgetting = LoopingCall(self._forget)
+        self._forgetting.clock = clock
+        network.on_request(AdmitTurn, self._admit)
+        network.on_request(KeepTurn, self._keep)
+        network.on_notice(SettleCall, self._settle)
+
+    def start(self) -> None:
+        """Begin to forget what is old."""
+        self._forgetting.start(FORGET_EACH_SECONDS, now=False)
+
+    def dealt(self, membership: Membership) -> None:
+        """Take over what is new, give up what is gone."""
+        mine = frozenset(membership.partitions)
+        for partition in tuple(self._owned):
+            if partition not in mine:
+                self._owned.pop(partition).close()
+        for partition in sorted(mine - self._owned.keys()):
+            self._take_over(partition, membership.generation)
+
+    def _take_over(self, partition: int, generation: int) -> None:
+        self._claims = (self._claims + 1) % EPOCHS_OF_A_GENERATION
+        epoch = generation * EPOCHS_OF_A_GENERATION + self._claims
+        place = PartitionPlace(self._topic, partition, epoch)
+        owned = OwnedPartition(
+            self._service, self._clock, self._random, place, lost=self._lost
+        )
+        self._owned[partition] = owned
+        owned.take_over()
+
+    def _lost(self, owned: OwnedPartition) -> None:
+        """Forget a partition that somebody else writes; the group deals anew."""
+        partition = owned.place.partition
+        if self._owned.get(partition) is owned:
+            del self._owned[partition]
+
+    def give_up_all(self) -> None:
+        """Stop owning anything."""
+        if self._forgetting.running:
+            self._forgetting.stop()
+        for partition in tuple(self._owned):
+            self._owned.pop(partition).close()
+
+    def _forget(self) -> None:
+        limit = self._clock.seconds() - FORGET_SECONDS
+        for owned in self._owned.values():
+            owned.forget_before(limit)
+
+    async def _admit(self, sender: Member, message: Message) -> Message:
+        ask = cast(AdmitTurn, message)
+        owned = self._owned.get(ask.partition)
+        if owned is None:
+            return NOT_OWNER
+        return await owned.admit(ask)
+
+    async def _keep(self, sender: Member, message: Message) -> Message:
+        ask = cast(KeepTurn, message)
+        owned = self._owned.get(ask.partition)
+        if owned is None:
+            return NOT_OWNER
+        return await owned.keep(ask)
+
+    def _settle(self, sender: Member, message: Message) -> None:
+        told = cast(SettleCall, message)
+        owned = self._owned.get(told.partition)
+        if owned is not None:
+            owned.settle(told)
--- /dev/null
+++ b/notcharch/accounts/partition.py
@@ -0,0 +1,237 @@
+"""One partition as its owner keeps it: claimed, replayed, served until it is lost."""
+
+from collections.abc import Callable, Generator
+from random import Random
+from typing import Any
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.accounts.ledger import Ledger, Verdict
+from notcharch.accounts.messages import (
+    AdmitTurn,
+    KeepTurn,
+    NotOwner,
+    SettleCall,
+    TurnAdmitted,
+    TurnIsKept,
+    TurnRefused,
+)
+from notcharch.accounts.records import TurnKept, decode, encode
+from notcharch.accounts.turns import Transcript
+from notcharch.journal.interface import LogFault, LogProblem, LogService, Records
+from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.wire.messages.base import Message
+
+READ_RETRY_SECONDS = 0.08
+NOT_OWNER = NotOwner()
+
+
+class PartitionPlace(msgspec.Struct, frozen=True):
+    """Which partition, and under which epoch."""
+
+    topic: str
+    partition: int
+    epoch: int
+
+
+class OwnedPartition:
+    """A partition that this daemon owns, or is taking over."""
+
+    def __init__(
+        self,
+        service: LogService,
+        clock: IReactorTime,
+        random: Random,
+        place: PartitionPlace,
+        *,
+        lost: Callable[["OwnedPartition"], None],
+    ) -> None:
+        """Prepare to take a partition over."""
+        self._service = service
+        self._clock = clock
+        self.place = place
+        self._lost = lost
+        self._ledger = Ledger()
+        self._writer = PartitionWriter(
+            service,
+            clock,
+            random,
+            place.topic,
+            partition=place.partition,
+            epoch=place.epoch,
+            lost=self._was_lost,
+        )
+        self.is_serving = False
+        self._read_to = 0
+        """Offset up to which the ledger holds the journal."""
+        self._waiting: list[Deferred[None]] = []
+        self._raising: dict[str, list[Deferred[bool]]] = {}
+        """Calls that wait for the bound of their program, which is being written."""
+
+    @inlineCallbacks
+    def take_over(self) -> Generator["Deferred[Any]", Any, None]:
+        """Fence the former owner and read what it wrote."""
+        is_claimed = yield self._writer.claim()
+        if not is_claimed:
+            return
+        is_read = yield self._replay_to(self._writer.end)
+        if is_read and self._writer.is_open:
+            self.is_serving = True
+            self._wake()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
+
+    @inlineCallbacks
+    def _replay_to(self, end: int) -> Generator["Deferred[Any]", Any, bool]:
+        while self._read_to < end and self._writer.is_open:
+            answer: Result[Records, LogProblem] = yield self._service.read(
+                self.place.topic, self.place.partition, self._read_to
+            )
+            if isinstance(answer, Err):
+                yield self._after_read_problem(answer.err_value)
+                continue
+            found = answer.ok_value
+            now = self._clock.seconds()
+            for data in found.records:
+                record = decode(data)
+                if record is not None:
+                    self._ledger.replay(record, now)
+            self._read_to = found.first + len(found.records)
+            if not found.records and found.end <= self._read_to:
+                break
+        return self._writer.is_open
+
+    @inlineCallbacks
+    def _after_read_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
+        if problem.fault is LogFault.GONE and problem.offset > self._read_to:
+            self._read_to = problem.offset
+            return
+        yield deferLater(self._clock, READ_RETRY_SECONDS, lambda: None)
+
+    def _was_lost(self) -> None:
+        self.is_serving = False
+        self._wake()
+        self._lost(self)
+
+    def close(self) -> None:
+        """Give the partition up."""
+        self.is_serving = False
+        self._writer.close()
+        self._wake()
+
+    @inlineCallbacks
+    def _until_serving(self) -> Generator["Deferred[Any]", Any, bool]:
+        if not self.is_serving and self._writer.is_open:
+            waiting: Deferred[None] = Deferred()
+            self._waiting.append(waiting)
+            yield waiting
+        return self.is_serving
+
+    # What other daemons ask
+
+    @inlineCallbacks
+    def admit(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Admit a call of a program, or refuse it."""
+        if not (yield self._until_serving()):
+            return NOT_OWNER
+        transcript: Transcript | None = Transcript("", b"")
+        if ask.previous:
+            transcript = self._ledger.transcript(ask.program, ask.previous, ask.known)
+            if transcript is None:
+                refusal: Message = yield self._refuse_unknown_turn()
+                return refusal
+        verdict = self._verdict(ask)
+        while verdict is Verdict.NEEDS_BOUND:
+            is_raised = yield self._raise_bound(ask)
+            if not is_raised:
+                return NOT_OWNER
+            verdict = self._verdict(ask)
+        if verdict is Verdict.SPENT:
+            return TurnRefused(is_spent=True)
+        assert transcript is not None
+        return TurnAdmitted(transcript.after, transcript.text)
+
+    def _verdict(self, ask: AdmitTurn) -> Verdict:
+        return self._ledger.admit(
+            ask.program,
+            ask.call,
+            ask.most_tokens,
+            ask.budget_tokens,
+            self._clock.seconds(),
+        )
+
+    @inlineCallbacks
+    def _raise_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
+        """Write a higher bound, or wait for the one on its way."""
+        raising = self._raising.get(ask.program)
+        if raising is not None:
+            waiting: Deferred[bool] = Deferred()
+            raising.append(waiting)
+            is_done: bool = yield waiting
+            return is_done
+        self._raising[ask.program] = []
+        is_done = yield self._write_bound(ask)
+        for other in self._raising.pop(ask.program):
+            other.callback(is_done)
+        return is_done
+
+    @inlineCallbacks
+    def _write_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
+        assert ask.budget_tokens is not None
+        record = self._ledger.raised_bound(
+            ask.program, ask.most_tokens, ask.budget_tokens, self._clock.seconds()
+        )
+        outcome = yield self._write(encode(record))
+        if outcome is not Outcome.DURABLE:
+            return False
+        self._ledger.bound_is_durable(record, self._clock.seconds())
+        return True
+
+    def _write(self, data: bytes) -> "Deferred[Outcome]":
+        done: Deferred[Outcome] = Deferred()
+        self._writer.write(data, done.callback)
+        return done
+
+    @inlineCallbacks
+    def _refuse_unknown_turn(self) -> Generator["Deferred[Any]", Any, Message]:
+        """Say that there is no such turn, once it is certain that nobody wrote it.
+
+        Our own claim still being the newest proves it: an append of nothing.
+        """
+        outcome = yield self._writer.confirm()
+        if outcome is Outcome.DURABLE:
+            return TurnRefused(is_spent=False)
+        return NOT_OWNER
+
+    def settle(self, told: SettleCall) -> None:
+        """Take the tokens of a call that ended."""
+        now = self._clock.seconds()
+        self._ledger.settle(told.program, told.call, told.tokens, now)
+
+    @inlineCallbacks
+    def keep(self, ask: KeepTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Make a turn durable."""
+        if not (yield self._until_serving()):
+            return NOT_OWNER
+        if not self._ledger.has_turn(ask.program, ask.call):
+            record = TurnKept(
+                ask.program, ask.call, ask.previous, ask.input, ask.output
+            )
+            outcome = yield self._write(encode(record))
+            if outcome is not Outcome.DURABLE:
+                return NOT_OWNER
+            self._ledger.keep(record, self._clock.seconds())
+        now = self._clock.seconds()
+        self._ledger.settle(ask.program, ask.call, ask.tokens, now)
+        return TurnIsKept()
+
+    def forget_before(self, limit: float) -> None:
+        """Forget programs that nobody asked for since some clock seconds."""
+        self._ledger.forget_before(limit)
--- /dev/null
+++ b/notcharch/accounts/records.py
@@ -0,0 +1,48 @@
+"""What is written to the journal of a partition of programs."""
+
+import msgspec
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
+    """The base of the journal's records."""
+
+
+class BoundRaised(Record, frozen=True, tag="bound"):
+    """A program's calls may generate so many tokens in all.
+
+    Written before they may; whoever reads it counts them all as generated.
+    """
+
+    program: str
+    bound_tokens: int
+
+
+class TurnKept(Record, frozen=True, tag="turn"):
+    """A turn ended whole; written before its caller sees the end."""
+
+    program: str
+    turn: str
+    previous: str
+    """The turn that it goes on from; empty for the first."""
+    input: bytes
+    output: bytes
+    """The data of each of its events, each followed by a line feed."""
+
+
+AnyRecord = BoundRaised | TurnKept
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(AnyRecord)
+
+
+def encode(record: AnyRecord) -> bytes:
+    """Write a record."""
+    return _ENCODER.encode(record)
+
+
+def decode(data: bytes) -> AnyRecord | None:
+    """Read a record; None if it is of a kind not known here."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -83,7 +83,8 @@
         self._pieces: list[bytes] = []
         self._cutter = EventCutter()
         self._is_relaying = False
-        self._is_first_attempt_whole = True
+        self._output: list[bytes] = []
+        """The stream so far, if the turn is to be kept."""
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
             wait = min(wait, call.wait_seconds)
@@ -99,6 +100,16 @@
 
     # Admission
 
+    @property
+    def wants_admission(self) -> bool:
+        """Whether the caller is still there and waits."""
+        return self._phase is Phase.ADMISSION
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller waits for the end."""
+        return self._phase is Phase.SETTLING
+
     def admitted(self, ticket: Ticket, body: bytes) -> None:
         """Go on to an engine."""
         if self._phase is Phase.OVER:
@@ -186,6 +197,8 @@
             return
         whole = self._cutter.take(data)
         if whole:
+            if self._route.keeps_turns:
+                self._output.append(whole)
             self._reply.write(whole)
 
     def ended(self) -> None:
@@ -253,10 +266,10 @@
 
     def _settle_stream(self) -> None:
         """Make the outcome durable, then show the end."""
-        rest = self._cutter.rest()
         self._phase = Phase.SETTLING
         assert self._ticket is not None
-        self._ticket.completed(rest, self._cutter.events, self)
+        output = b"".join(self._output) + self._cutter.rest()
+        self._ticket.completed(output, self._cutter.events, self)
 
     def durable(self) -> None:
         """Show the end of the stream."""
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -77,6 +77,7 @@
     """Tokens that this call may generate."""
     budget_tokens: int | None = None
     """Tokens that all calls of the program together may generate."""
+    tokens_per_event: int = 1
     previous_turn: str = ""
     last_event_id: bytes | None = None
     program_seconds_left: float | None = None
@@ -114,6 +115,10 @@
 class AdmissionListener(Protocol):
     """Hears the outcome of an admission."""
 
+    @property
+    def wants_admission(self) -> bool:
+        """Whether the caller is still there and waits."""
+
     def admitted(self, ticket: "Ticket", body: bytes) -> None:
         """Go on with a body; `ticket` hears what came of the call."""
 
@@ -137,6 +142,10 @@
 class Completion(Protocol):
     """Hears when the outcome of a call is durable."""
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether anybody waits for the outcome."""
+
     def durable(self) -> None:
         """Hear that the end may be shown to the caller."""
 
--- /dev/null
+++ b/notcharch/journal/writer.py
@@ -0,0 +1,152 @@
+"""Appends to one partition under an epoch: in batches, in order, each once."""
+
+from collections import deque
+from collections.abc import Callable, Generator
+from enum import Enum
+from random import Random
+from typing import Any
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from notcharch.journal.interface import (
+    Appended,
+    LogFault,
+    LogProblem,
+    LogService,
+    Producer,
+)
+
+BATCH_BYTES = 256 * 1024
+RETRY_SECONDS = 0.05
+LONGEST_RETRY_SECONDS = 0.6
+RETRY_GROWTH = 2.0
+LOST_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
+"""After these, somebody else writes the partition."""
+
+
+class Outcome(Enum):
+    """What became of an entry."""
+
+    DURABLE = "durable"
+    LOST = "lost"
+    """The partition is not ours any more; the entry may or may not be kept."""
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A record, and who hears that it is durable."""
+
+    record: bytes
+    done: Callable[[Outcome], None]
+
+
+class PartitionWriter:
+    """The one writer of a partition, until a higher epoch fences it."""
+
+    def __init__(
+        self,
+        service: LogService,
+        clock: IReactorTime,
+        random: Random,
+        topic: str,
+        *,
+        partition: int,
+        epoch: int,
+        lost: Callable[[], None],
+    ) -> None:
+        """Write under an epoch; `lost` is called once when it is fenced."""
+        self._service = service
+        self._clock = clock
+        self._random = random
+        self._topic = topic
+        self._partition = partition
+        self._epoch = epoch
+        self._lost = lost
+        self._sequence = 0
+        self._queue: deque[Entry] = deque()
+        self._is_writing = False
+        self.is_open = True
+        self.end = 0
+        """The end of the partition as of our last append."""
+
+    @inlineCallbacks
+    def claim(self) -> Generator["Deferred[Any]", Any, bool]:
+        """Fence former writers; False if a higher epoch was there first."""
+        is_claimed = yield self._append(())
+        return bool(is_claimed)
+
+    def write(self, record: bytes, done: Callable[[Outcome], None]) -> None:
+        """Append a record; `done` is called with its outcome."""
+        if not self.is_open:
+            done(Outcome.LOST)
+            return
+        self._queue.append(Entry(record, done))
+        if not self._is_writing:
+            self._write()
+
+    def confirm(self) -> "Deferred[Outcome]":
+        """Find out whether this is still the newest writer."""
+        done: Deferred[Outcome] = Deferred()
+        if not self.is_open:
+            done.callback(Outcome.LOST)
+            return done
+        self._queue.append(Entry(b"", done.callback))
+        if not self._is_writing:
+            self._write()
+        return done
+
+    @inlineCallbacks
+    def _write(self) -> Generator["Deferred[Any]", Any, None]:
+        """Write what waits, one batch after another."""
+        self._is_writing = True
+        while self._queue and self.is_open:
+            batch = self._next_batch()
+            records = tuple(entry.record for entry in batch if entry.record)
+            is_done = yield self._append(records)
+            outcome = Outcome.DURABLE if is_done else Outcome.LOST
+            for entry in batch:
+                entry.done(outcome)
+        self._is_writing = False
+
+    def _next_batch(self) -> list[Entry]:
+        batch: list[Entry] = []
+        size = 0
+        while self._queue and size < BATCH_BYTES:
+            entry = self._queue.popleft()
+            size += len(entry.record)
+            batch.append(entry)
+        return batch
+
+    @inlineCallbacks
+    def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, bool]:
+        """Append until there is an answer: one sequence number is written once."""
+        self._sequence += 1
+        producer = Producer(self._topic, self._epoch, self._sequence)
+        delay = RETRY_SECONDS
+        while self.is_open:
+            answer: Result[Appended, LogProblem] = yield self._service.append(
+                self._topic, self._partition, records, producer
+            )
+            if not isinstance(answer, Err):
+                self.end = answer.ok_value.end
+                return True
+            if answer.err_value.fault in LOST_FAULTS:
+                self.close()
+                self._lost()
+                return False
+            yield deferLater(
+                self._clock, delay * (0.5 + self._random.random()), lambda: None
+            )
+            delay = min(delay * RETRY_GROWTH, LONGEST_RETRY_SECONDS)
+        return False
+
+    def close(self) -> None:
+        """Write no more; whoever waits hears that the partition is lost."""
+        self.is_open = False
+        waiting = tuple(self._queue)
+        self._queue.clear()
+        for entry in waiting:
+            entry.done(Outcome.LOST)
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -103,4 +103,7 @@
             reply.refuse(MALFORMED)
             return
         service = service_of(route, call)
+        known = router.table.services.get(service)
+        if known is not None:
+            call.tokens_per_event = known.tokens_per_event
         CallLife(self._services, call, route, service, reply).start()
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -10,10 +10,10 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
+from notcharch.accounts.service import AccountSettings, AccountsService
 from notcharch.calls.call_life import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
-from notcharch.calls.open_admission import OpenAdmission
 from notcharch.calls.routing import Router
 from notcharch.http.requester import Requester
 from notcharch.http.server import Exchange, ServerFactory, ServerLimits
@@ -72,6 +72,18 @@
         self._store = PlatformStore(
             Requester(reactor, store.host, store.port, settings.host)
         )
+        self._accounts = AccountsService(
+            AccountSettings(
+                daemon=settings.machine,
+                host=settings.host,
+                port=settings.peer_ports[0],
+                partitions=settings.store.partitions,
+                least_lease_seconds=settings.store.least_lease_seconds,
+            ),
+            self._store,
+            reactor,
+            random,
+        )
         self._pool = EnginePool(reactor, settings.zone, random)
         self._sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
@@ -80,7 +92,7 @@
                 pool=self._pool,
                 sender=self._sender,
                 dialect=PlatformEngines(),
-                admission=OpenAdmission(),
+                admission=self._accounts.admission,
             )
         )
         self._factory = ServerFactory(self._ingress, reactor)
@@ -117,6 +129,7 @@
         self._listen(settings.front.host, settings.front.port, self._factory)
         readiness = ServerFactory(Readiness(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
+        self._accounts.start()
         for follower in self._followers:
             follower.start()
 
@@ -151,6 +164,7 @@
         now = self._reactor.seconds()
         self._stop_at = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
         self._ingress.is_draining = True
+        self._accounts.leave()
         self._reactor.callLater(KEEP_LISTENING_SECONDS, self._try_stop)
 
     def _try_stop(self) -> None:
