Refer askers to the owner, and pass over earlier answers for good

Cause: a daemon with a stale view asked a wrong owner again and again while the store was silent; a kept connection gave up after an answer to an earlier request, because an empty rest was taken for the end of the connection. Change: a daemon that isn't the owner names who is, and a new generation of the group refreshes the view; only a rest that exists is read on. The emulator has a log service with fenced appends, groups and faults, on which the accounts are tested.

--- /dev/null
+++ b/emulator/services/log_groups.py
@@ -0,0 +1,113 @@
+"""The groups of the stand-in's log service: leases, and partitions dealt evenly."""
+
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.journal.interface import Membership, Ownership
+
+
+class Group(msgspec.Struct):
+    """One group."""
+
+    topic: str = ""
+    generation: int = 0
+    leases: dict[str, float] = {}
+    """When each member is given up, in clock seconds."""
+    holders: dict[int, str] = {}
+    heard: dict[str, int] = {}
+    """The generation that each member heard last."""
+
+
+class Groups:
+    """All groups."""
+
+    def __init__(self, clock: IReactorTime, partitions: int) -> None:
+        """Deal out so many partitions."""
+        self._clock = clock
+        self._partitions = partitions
+        self._groups: dict[str, Group] = {}
+
+    def _group(self, name: str) -> Group:
+        group = self._groups.setdefault(name, Group())
+        now = self._clock.seconds()
+        lapsed = [member for member, until in group.leases.items() if until <= now]
+        for member in lapsed:
+            self._remove(group, member)
+        return group
+
+    def join(self, name: str, member: str, topic: str, seconds: float) -> Membership:
+        """Take a member in, or renew its lease."""
+        group = self._group(name)
+        group.topic = topic
+        is_new = member not in group.leases
+        group.leases[member] = self._clock.seconds() + seconds
+        if is_new:
+            self._deal(group)
+        group.heard[member] = group.generation
+        return Membership(group.generation, self._held(group, member))
+
+    def _held(self, group: Group, member: str) -> tuple[int, ...]:
+        """Give what a member holds: not what its former holder may not know of."""
+        return tuple(
+            partition
+            for partition, holder in sorted(group.holders.items())
+            if holder == member
+        )
+
+    def leave(self, name: str, member: str) -> None:
+        """Let a member go at once."""
+        self._remove(self._group(name), member)
+
+    def _remove(self, group: Group, member: str) -> None:
+        if group.leases.pop(member, None) is not None:
+            group.heard.pop(member, None)
+            self._deal(group)
+
+    def _deal(self, group: Group) -> None:
+        """Deal evenly, moving as little as can be."""
+        group.generation += 1
+        members = sorted(group.leases)
+        group.holders = {
+            partition: holder
+            for partition, holder in group.holders.items()
+            if holder in group.leases
+        }
+        if not members:
+            return
+        for partition in range(self._partitions):
+            if partition not in group.holders:
+                group.holders[partition] = self._least(group, members)
+        self._even_out(group, members)
+
+    def _load(self, group: Group, member: str) -> int:
+        return sum(1 for holder in group.holders.values() if holder == member)
+
+    def _least(self, group: Group, members: list[str]) -> str:
+        return min(members, key=lambda member: self._load(group, member))
+
+    def _even_out(self, group: Group, members: list[str]) -> None:
+        while True:
+            least = self._least(group, members)
+            most = max(members, key=lambda member: self._load(group, member))
+            if self._load(group, most) - self._load(group, least) <= 1:
+                return
+            moved = next(p for p, holder in group.holders.items() if holder == most)
+            group.holders[moved] = least
+
+    def owners(self, name: str) -> tuple[Ownership, ...]:
+        """Tell who each partition is dealt to."""
+        group = self._group(name)
+        return tuple(
+            Ownership(group.topic, partition, holder)
+            for partition, holder in sorted(group.holders.items())
+        )
+
+    def rebalance(self, name: str) -> None:
+        """Deal all partitions anew."""
+        group = self._group(name)
+        members = sorted(group.leases)
+        group.generation += 1
+        group.holders = {
+            partition: members[(partition + group.generation) % len(members)]
+            for partition in range(self._partitions)
+        }
--- /dev/null
+++ b/emulator/services/partitioned_log.py
@@ -0,0 +1,247 @@
+"""A stand-in of a platform's log service: fenced appends, keyed topics, groups.
+
+It implements the port `notcharch.journal.interface.LogService` in memory on a clock,
+with the faults of a real one: refusals, lost answers (the call was done, or is done
+late), outages, history that is dropped, partitions that are dealt anew.
+"""
+
+import enum
+from collections.abc import Callable
+from random import Random
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from emulator.services.log_groups import Groups
+from notcharch.journal.interface import (
+    Appended,
+    KeyedRecord,
+    LogFault,
+    LogProblem,
+    Membership,
+    NewestPage,
+    Ownership,
+    Producer,
+    Records,
+)
+from notcharch.journal.keyed_follower import split_keyed
+
+Value = TypeVar("Value")
+
+ANSWER_SECONDS = 0.004
+LOST_SECONDS = 1.5
+"""A caller takes an answer for lost after this time."""
+LATE_SECONDS = 3.0
+REMEMBERED_ANSWERS = 5
+PAGE_ITEMS = 500
+
+
+class Trouble(enum.Enum):
+    """What happens to the next calls."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    """503: nothing is done."""
+    LOSE_ANSWER = "lose answer"
+    """Done, and not answered."""
+    LOSE_CALL = "lose call"
+    """Not done, and not answered."""
+    DONE_LATE = "done late"
+    """Not answered; done some seconds later."""
+
+
+class Partition:
+    """The records of one partition, and who may write it."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.first = 0
+        self.records: list[bytes] = []
+        self.epoch = -1
+        self.sequence = 0
+        self.answers: dict[int, Appended] = {}
+
+    @property
+    def end(self) -> int:
+        """Give the offset after the last record."""
+        return self.first + len(self.records)
+
+    def append(
+        self, records: tuple[bytes, ...], producer: Producer | None
+    ) -> Result[Appended, LogProblem]:
+        """Append, if the producer may."""
+        if producer is not None:
+            refusal = self._check(producer)
+            if refusal is not None:
+                return refusal
+        answer = Appended(self.end, self.end + len(records))
+        self.records.extend(records)
+        if producer is not None:
+            self.epoch = producer.epoch
+            self.sequence = producer.sequence
+            self.answers[producer.sequence] = answer
+            self.answers.pop(producer.sequence - REMEMBERED_ANSWERS, None)
+        return Ok(answer)
+
+    def _check(self, producer: Producer) -> Result[Appended, LogProblem] | None:
+        if producer.epoch < self.epoch:
+            return Err(LogProblem(LogFault.FENCED))
+        if producer.epoch > self.epoch:
+            self.answers = {}
+            return None
+        if producer.sequence in self.answers:
+            return Ok(self.answers[producer.sequence])
+        if producer.sequence != self.sequence + 1:
+            return Err(LogProblem(LogFault.OUT_OF_ORDER))
+        return None
+
+    def drop_before(self, offset: int) -> None:
+        """Forget the oldest records."""
+        dropped = max(0, min(offset, self.end) - self.first)
+        self.records = self.records[dropped:]
+        self.first += dropped
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """A read that waits for a record."""
+
+    place: tuple[str, int]
+    wake: Callable[[], None]
+
+
+class PartitionedLog:
+    """The log service, in memory."""
+
+    def __init__(self, clock: IReactorTime, random: Random, partitions: int) -> None:
+        """Begin with empty topics of so many partitions."""
+        self._clock = clock
+        self._random = random
+        self._partitions: dict[tuple[str, int], Partition] = {}
+        self._waiting: list[Waiting] = []
+        self.groups = Groups(clock, partitions)
+        self.trouble = Trouble.NONE
+        self.calls = 0
+
+    def partition(self, topic: str, number: int) -> Partition:
+        """Give a partition, which is made at its first use."""
+        return self._partitions.setdefault((topic, number), Partition())
+
+    def _answer(
+        self, act: Callable[[], Result[Value, LogProblem]]
+    ) -> "Deferred[Result[Value, LogProblem]]":
+        """Do a call as the trouble of the moment has it."""
+        self.calls += 1
+        answered: Deferred[Result[Value, LogProblem]] = Deferred()
+        later = self._clock.callLater
+        trouble = self.trouble
+        if trouble is Trouble.NONE:
+            later(ANSWER_SECONDS, lambda: answered.callback(act()))
+        elif trouble is Trouble.REFUSE:
+            refusal: Result[Value, LogProblem] = Err(LogProblem(LogFault.NOT_DONE))
+            later(ANSWER_SECONDS, answered.callback, refusal)
+        else:
+            unknown: Result[Value, LogProblem] = Err(LogProblem(LogFault.UNKNOWN))
+            later(LOST_SECONDS, answered.callback, unknown)
+            if trouble is Trouble.LOSE_ANSWER:
+                later(ANSWER_SECONDS, act)
+            elif trouble is Trouble.DONE_LATE:
+                later(LATE_SECONDS, act)
+        return answered
+
+    def append(
+        self,
+        topic: str,
+        partition: int,
+        records: tuple[bytes, ...],
+        producer: Producer | None = None,
+    ) -> "Deferred[Result[Appended, LogProblem]]":
+        """Append records, all or none."""
+
+        def act() -> Result[Appended, LogProblem]:
+            answer = self.partition(topic, partition).append(records, producer)
+            self._wake((topic, partition))
+            return answer
+
+        return self._answer(act)
+
+    def _wake(self, place: tuple[str, int]) -> None:
+        woken = [waiting for waiting in self._waiting if waiting.place == place]
+        self._waiting = [waiting for waiting in self._waiting if waiting not in woken]
+        for waiting in woken:
+            waiting.wake()
+
+    def read(
+        self, topic: str, partition: int, offset: int, wait_seconds: float = 0.0
+    ) -> "Deferred[Result[Records, LogProblem]]":
+        """Read records from an offset, waiting for the first if need be."""
+
+        def act() -> Result[Records, LogProblem]:
+            found = self.partition(topic, partition)
+            if offset < found.first:
+                return Err(LogProblem(LogFault.GONE, found.first))
+            records = tuple(found.records[offset - found.first :])
+            return Ok(Records(offset, records, found.end))
+
+        if not wait_seconds or self.partition(topic, partition).end > offset:
+            return self._answer(act)
+        answered: Deferred[Result[Records, LogProblem]] = Deferred()
+
+        def wake() -> None:
+            if timer.active():
+                timer.cancel()
+            self._answer(act).chainDeferred(answered)
+
+        waiting = Waiting((topic, partition), wake)
+        self._waiting.append(waiting)
+
+        def expire() -> None:
+            self._waiting.remove(waiting)
+            self._answer(act).chainDeferred(answered)
+
+        timer = self._clock.callLater(wait_seconds, expire)
+        return answered
+
+    def newest(
+        self, topic: str, partition: int, after: str = ""
+    ) -> "Deferred[Result[NewestPage, LogProblem]]":
+        """Read a page of the newest value of each key."""
+
+        def act() -> Result[NewestPage, LogProblem]:
+            found = self.partition(topic, partition)
+            newest: dict[str, KeyedRecord] = {}
+            for place, record in enumerate(found.records, start=found.first):
+                key, value = split_keyed(record)
+                newest[key] = KeyedRecord(key, value, place)
+            items = [item for key, item in sorted(newest.items()) if key > after]
+            items = [item for item in items if item.value]
+            page = tuple(items[:PAGE_ITEMS])
+            return Ok(NewestPage(page, len(items) > PAGE_ITEMS, found.end))
+
+        return self._answer(act)
+
+    def join(
+        self, group: str, member: str, topic: str, lease_seconds: float, generation: int
+    ) -> "Deferred[Result[Membership, LogProblem]]":
+        """Join a group, or stay in it."""
+        return self._answer(
+            lambda: Ok(self.groups.join(group, member, topic, lease_seconds))
+        )
+
+    def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
+        """Leave a group."""
+
+
+        def act() -> Result[None, LogProblem]:
+            self.groups.leave(group, member)
+            return Ok(None)
+
+        return self._answer(act)
+
+    def owners(
+        self, group: str
+    ) -> "Deferred[Result[tuple[Ownership, ...], LogProblem]]":
+        """Tell who each partition is dealt to."""
+        return self._answer(lambda: Ok(self.groups.owners(group)))
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -14,6 +14,7 @@
 from notcharch.accounts.messages import (
     AdmitTurn,
     KeepTurn,
+    NotOwner,
     SettleCall,
     TurnAdmitted,
     TurnIsKept,
@@ -130,10 +131,13 @@
         return asking.addCallback(self._look)
 
     def _look(self, reply: Reply) -> Reply | None:
-        """Ask for newer owners if this one didn't answer as one."""
-        decided = (TurnAdmitted, TurnRefused, TurnIsKept)
-        if isinstance(reply, Err) or not isinstance(reply.ok_value, decided):
-            self._services.directory.doubt()
+        """Look for another owner if this one didn't answer as one."""
+        directory = self._services.directory
+        if isinstance(reply, Err):
+            directory.doubt()
+        elif isinstance(reply.ok_value, NotOwner):
+            directory.doubt()
+            directory.hinted(self._partition, reply.ok_value.owner)
         return reply
 
     def admit_message(self) -> AdmitTurn:
--- a/notcharch/accounts/directory.py
+++ b/notcharch/accounts/directory.py
@@ -17,6 +17,8 @@
 REFRESH_SECONDS = 1.0
 DOUBT_SECONDS = 0.1
 """In doubt the log service is asked again, at most this often."""
+UNANSWERED_SECONDS = 0.4
+"""A question that has no answer after this time doesn't keep from asking again."""
 
 
 class OwnerDirectory:
@@ -34,6 +36,7 @@
         self._incarnations: dict[DaemonName, int] = {}
         self._asked_at = -REFRESH_SECONDS
         self._is_asking = False
+        self._generation = 0
         self._is_running = False
 
     def start(self) -> None:
@@ -52,9 +55,23 @@
     def doubt(self) -> None:
         """Ask again soon: an owner didn't answer as one."""
         since = self._clock.seconds() - self._asked_at
-        if not self._is_asking and since >= DOUBT_SECONDS:
+        pause = UNANSWERED_SECONDS if self._is_asking else DOUBT_SECONDS
+        if since >= pause:
             self._refresh()
 
+    def hinted(self, partition: int, member: str) -> None:
+        """Take a peer's word for who owns a partition, until the next refresh."""
+        owner = read_owner(member)
+        if owner is not None:
+            self._owners[partition] = owner
+            self._learn(owner)
+
+    def dealt(self, generation: int) -> None:
+        """Hear the group's generation: a new one means other owners."""
+        if generation != self._generation:
+            self._generation = generation
+            self.doubt()
+
     @inlineCallbacks
     def _keep_fresh(self) -> Generator["Deferred[Any]", Any, None]:
         while self._is_running:
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -63,6 +63,9 @@
 class NotOwner(Message, frozen=True):
     """This daemon doesn't own the partition (yet, or any more): ask again."""
 
+    owner: str = ""
+    """The text of the member that owns it as far as is known here."""
+
 
 ACCOUNT_MESSAGES: tuple[type[Message], ...] = (
     AdmitTurn,
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -6,8 +6,9 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
-from notcharch.accounts.messages import AdmitTurn, KeepTurn, SettleCall
-from notcharch.accounts.partition import NOT_OWNER, OwnedPartition, PartitionPlace
+from notcharch.accounts.directory import OwnerDirectory
+from notcharch.accounts.messages import AdmitTurn, KeepTurn, NotOwner, SettleCall
+from notcharch.accounts.partition import OwnedPartition, PartitionPlace
 from notcharch.journal.interface import LogService, Membership
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message
@@ -29,12 +30,16 @@
         random: Random,
         topic: str,
         network: PeerNetwork,
+        *,
+        directory: OwnerDirectory,
     ) -> None:
-        """Answer peers through `network`."""
+        """Answer peers through `network`; refer those that ask wrongly."""
+        self._directory = directory
         self._service = service
         self._clock = clock
         self._random = random
         self._topic = topic
+        self._own = network.own_member.daemon
         self._owned: dict[int, OwnedPartition] = {}
         self._claims = 0
         self._forgetting = LoopingCall(self._forget)
@@ -49,6 +54,7 @@
 
     def dealt(self, membership: Membership) -> None:
         """Take over what is new, give up what is gone."""
+        self._directory.dealt(membership.generation)
         mine = frozenset(membership.partitions)
         for partition in tuple(self._owned):
             if partition not in mine:
@@ -84,18 +90,23 @@
         for owned in self._owned.values():
             owned.forget_before(limit)
 
+    def _referral(self, partition: int) -> NotOwner:
+        owner = self._directory.owner(partition)
+        is_other = owner is not None and owner.daemon != self._own
+        return NotOwner(owner.text() if owner is not None and is_other else "")
+
     async def _admit(self, sender: Member, message: Message) -> Message:
         ask = cast(AdmitTurn, message)
         owned = self._owned.get(ask.partition)
         if owned is None:
-            return NOT_OWNER
+            return self._referral(ask.partition)
         return await owned.admit(ask)
 
     async def _keep(self, sender: Member, message: Message) -> Message:
         ask = cast(KeepTurn, message)
         owned = self._owned.get(ask.partition)
         if owned is None:
-            return NOT_OWNER
+            return self._referral(ask.partition)
         return await owned.keep(ask)
 
     def _settle(self, sender: Member, message: Message) -> None:
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -1,9 +1,9 @@
 """Wires the accounts of programs: group, owned partitions, directory, admission."""
 
-import time
 from random import Random
 
 import msgspec
+from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.admission import AccountAdmission, AccountServices
 from notcharch.accounts.directory import OwnerDirectory, Partitioning
@@ -13,19 +13,14 @@
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.group import GroupMember, GroupName
 from notcharch.journal.interface import LogService
-from notcharch.values.identifiers import (
-    DaemonName,
-    Incarnation,
-    Member,
-    RegionName,
-)
+from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
+from notcharch.wire.peers import PeerNetwork
 
 TOPIC = "accounts"
 GROUP = "account-owners"
 REGION = RegionName("accounts")
-MILLISECONDS = 1000
 LIMITS = ConnectionLimits(
     connect_seconds=0.5,
     first_delay_seconds=0.03,
@@ -37,9 +32,8 @@
 class AccountSettings(msgspec.Struct, frozen=True):
     """Where this daemon listens for peers, and how programs are spread."""
 
-    daemon: str
-    host: str
-    port: int
+    address: str
+    """`host:port` at which peers reach this daemon."""
     partitions: int
     least_lease_seconds: float
 
@@ -51,41 +45,31 @@
         self,
         settings: AccountSettings,
         service: LogService,
-        reactor: TimedReactor,
+        clock: IReactorTime,
+        network: PeerNetwork,
         random: Random,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`."""
-        self._settings = settings
-        incarnation = int(time.time() * MILLISECONDS)
-        daemon = DaemonName(settings.daemon)
-        self._network = TcpPeerNetwork(
-            reactor,
-            reactor,
-            own=Member(daemon, Incarnation(incarnation)),
-            region=REGION,
-            codec=account_codec(),
-            random=random,
-            limits=LIMITS,
+        self._directory = OwnerDirectory(service, clock, network, GROUP)
+        self._owned = OwnedPartitions(
+            service, clock, random, TOPIC, network, directory=self._directory
         )
-        self._owned = OwnedPartitions(service, reactor, random, TOPIC, self._network)
-        self._directory = OwnerDirectory(service, reactor, self._network, GROUP)
-        address = f"{settings.host}:{settings.port}"
+        own = network.own_member
         self._group = GroupMember(
             service,
-            reactor,
+            clock,
             GroupName(GROUP, TOPIC),
-            OwnerName(daemon, address, incarnation).text(),
+            OwnerName(own.daemon, settings.address, own.incarnation).text(),
             least_lease_seconds=settings.least_lease_seconds,
             dealt=self._owned.dealt,
         )
         partitioning = Partitioning(TOPIC, settings.partitions)
         self.admission = AccountAdmission(
-            AccountServices(reactor, self._network, self._directory, partitioning)
+            AccountServices(clock, network, self._directory, partitioning)
         )
 
     def start(self) -> None:
-        """Listen for peers, join the group and follow the owners."""
-        self._network.listen(self._settings.host, self._settings.port)
+        """Join the group and follow the owners."""
         self._owned.start()
         self._group.start()
         self._directory.start()
@@ -94,3 +78,18 @@
         """Own nothing any more; go on as a client of the owners."""
         self._group.leave()
         self._owned.give_up_all()
+
+
+def account_network(
+    reactor: TimedReactor, own: Member, random: Random
+) -> TcpPeerNetwork:
+    """Give the network between the daemons that keep accounts."""
+    return TcpPeerNetwork(
+        reactor,
+        reactor,
+        own=own,
+        region=REGION,
+        codec=account_codec(),
+        random=random,
+        limits=LIMITS,
+    )
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -148,7 +148,8 @@
             self._fail(AnswerFailure.CLOSED)
             return
         self._http = _awaiting_answer(self._request)
-        self._http.receive_data(rest)
+        if rest:  # nothing would mean the end of the connection
+            self._http.receive_data(rest)
         self._is_surplus = False
 
     def _end(self, listener: AnswerListener) -> None:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -10,7 +10,11 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
-from notcharch.accounts.service import AccountSettings, AccountsService
+from notcharch.accounts.service import (
+    AccountSettings,
+    AccountsService,
+    account_network,
+)
 from notcharch.calls.call_life import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
@@ -23,6 +27,7 @@
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
+from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -37,6 +42,11 @@
 UNREADABLE_SETTINGS = 2
 
 
+def new_incarnation() -> Incarnation:
+    """Give a number that is higher for each later process of a machine."""
+    return Incarnation(int(time.time() * 1000))
+
+
 class Readiness:
     """Answers whether this daemon takes new connections."""
 
@@ -72,16 +82,17 @@
         self._store = PlatformStore(
             Requester(reactor, store.host, store.port, settings.host)
         )
+        own = Member(DaemonName(settings.machine), new_incarnation())
+        self._network = account_network(reactor, own, random)
         self._accounts = AccountsService(
             AccountSettings(
-                daemon=settings.machine,
-                host=settings.host,
-                port=settings.peer_ports[0],
+                address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
                 least_lease_seconds=settings.store.least_lease_seconds,
             ),
             self._store,
             reactor,
+            self._network,
             random,
         )
         self._pool = EnginePool(reactor, settings.zone, random)
@@ -129,6 +140,7 @@
         self._listen(settings.front.host, settings.front.port, self._factory)
         readiness = ServerFactory(Readiness(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
+        self._network.listen(settings.host, settings.peer_ports[0])
         self._accounts.start()
         for follower in self._followers:
             follower.start()
--- /dev/null
+++ b/tests/unit/accounts/test_accounts.py
@@ -0,0 +1,205 @@
+"""Accounts of programs over daemons that crash and a log service that fails."""
+
+import pytest
+
+from emulator.services.partitioned_log import Trouble
+from notcharch.calls.interface import BUDGET_SPENT, STATE_UNSURE, UNKNOWN_TURN
+from tests.unit.accounts.world import EVENT_TOKENS, World
+
+EVENT = b"id: 1\ndata: hello\n\n"
+
+
+def spend(world: World, program: str, budget: int, most: int, at=lambda turn: 0):
+    """Run turns that generate all they may until the program is refused."""
+    spent = 0
+    for turn in range(40):
+        call = world.call(program, budget=budget, most=most)
+        listener = world.decided(call, at(turn))
+        if listener.refusal is not None:
+            return spent, listener.refusal
+        listener.ticket.broke_off(most // EVENT_TOKENS)
+        spent += most
+    raise AssertionError("never refused")
+
+
+def test_a_budget_holds_over_all_daemons():
+    world = World()
+    spent, refusal = spend(world, "p", 1000, 100, at=lambda turn: turn % 3)
+    assert refusal == BUDGET_SPENT
+    assert spent == 1000
+
+
+def test_calls_under_way_count_at_their_most():
+    world = World()
+    listeners = [world.decided(world.call(budget=250, most=100)) for _ in range(3)]
+    assert [listener.refusal for listener in listeners] == [None, None, BUDGET_SPENT]
+
+
+def test_a_call_that_never_ran_costs_nothing():
+    world = World()
+    for _ in range(5):
+        listener = world.decided(world.call(budget=100, most=100))
+        assert listener.refusal is None
+        listener.ticket.never_ran()
+        world.run(0.1)
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_a_successor_counts_what_the_owner_had_let_in(silent):
+    world = World()
+    for _ in range(8):
+        listener = world.decided(world.call(budget=1000, most=100), at=0)
+        assert listener.refusal is None
+        listener.ticket.broke_off(10)
+    for name in world.names:
+        world.crash(name, silent=silent)
+    for name in world.names:
+        world.start(name)
+    world.run(3.0)
+    spent, refusal = spend(world, "p", 1000, 100)
+    assert refusal == BUDGET_SPENT
+    assert 800 + spent <= 1000
+
+
+def test_an_owner_that_sleeps_through_its_lease_cannot_give_a_budget_twice():
+    world = World()
+    spent, _ = spend(world, "p", 400, 100, at=lambda turn: 1)
+    for name in world.names[:2]:
+        world.fabric.pause(name)
+    world.run(3.0)
+    for name in world.names[:2]:
+        world.fabric.resume(name)
+    world.run(1.0)
+    more, refusal = spend(world, "p", 400, 100, at=lambda turn: turn % 3)
+    assert refusal == BUDGET_SPENT
+    assert spent + more <= 400
+
+
+def test_nothing_is_let_in_that_is_not_in_the_journal():
+    world = World()
+    world.log.trouble = Trouble.REFUSE
+    listener = world.decided(world.call())
+    assert listener.refusal == STATE_UNSURE
+    assert world.clock.seconds() < 3.0
+
+
+def test_a_bound_on_its_way_lets_all_calls_in_that_wait_for_it():
+    world = World()
+    listeners = [world.ask(world.call(budget=1000, most=100)) for _ in range(6)]
+    world.run(0.5)
+    assert all(listener.ticket is not None for listener in listeners)
+
+
+def test_an_append_whose_answer_is_lost_is_written_once():
+    world = World()
+    world.log.trouble = Trouble.LOSE_ANSWER
+    listener = world.ask(world.call(wait_seconds=20.0), keeps_turns=True)
+    world.run(0.3)
+    world.log.trouble = Trouble.NONE
+    world.run(3.0)
+    assert listener.is_decided
+    records = [
+        record
+        for partition in range(3)
+        for record in world.log.partition("accounts", partition).records
+    ]
+    assert len(records) == 1
+
+
+def test_a_kept_chain_is_rebuilt_at_any_daemon():
+    world = World()
+    previous, expected = "", b""
+    for turn in range(6):
+        text = f"input {turn};".encode()
+        call = world.call(previous=previous, body=text)
+        listener = world.kept(call, EVENT * (turn + 1), at=turn % 3)
+        assert listener.is_durable
+        assert listener.body == expected + text
+        expected += text + b"hello\n" * (turn + 1)
+        previous = call.id
+
+
+def test_a_branch_goes_on_from_an_earlier_turn():
+    world = World()
+    first = world.call(body=b"a")
+    world.kept(first, EVENT)
+    second = world.call(previous=first.id, body=b"b")
+    world.kept(second, EVENT)
+    branch = world.kept(world.call(previous=first.id, body=b"c"), EVENT, at=1)
+    assert branch.body == b"a" + b"hello\n" + b"c"
+
+
+def test_kept_turns_outlive_all_daemons():
+    world = World()
+    first = world.call(body=b"a")
+    world.kept(first, EVENT)
+    for name in world.names:
+        world.crash(name)
+    for name in world.names:
+        world.start(name)
+    world.run(3.0)
+    again = world.decided(world.call(previous=first.id, body=b"b"), keeps_turns=True)
+    assert again.body == b"a" + b"hello\n" + b"b"
+
+
+def test_an_unknown_turn_is_refused_only_when_that_is_certain():
+    world = World()
+    sure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    assert sure.refusal == UNKNOWN_TURN
+    world.log.trouble = Trouble.LOSE_CALL
+    unsure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    assert unsure.refusal == STATE_UNSURE
+
+
+def test_a_sleeper_does_not_deny_a_turn_that_its_successor_kept():
+    world = World()
+    call = world.call(body=b"a")
+    owner_names = list(world.names)
+    world.fabric.pause(owner_names[0])
+    world.run(3.0)
+    world.kept(call, EVENT, at=1)
+    world.fabric.resume(owner_names[0])
+    after = world.ask(world.call(previous=call.id, body=b"b"), at=0, keeps_turns=True)
+    world.run(2.0)
+    assert after.refusal != UNKNOWN_TURN
+    assert after.body == b"a" + b"hello\n" + b"b"
+
+
+def test_the_end_of_a_kept_turn_waits_for_the_journal():
+    world = World()
+    listener = world.decided(world.call(), keeps_turns=True)
+    world.log.trouble = Trouble.REFUSE
+    listener.ticket.completed(EVENT, 1, listener)
+    world.run(1.0)
+    assert not listener.is_durable
+    world.log.trouble = Trouble.NONE
+    world.run(1.5)
+    assert listener.is_durable
+
+
+def test_a_planned_stop_hands_partitions_over_without_a_wait():
+    world = World()
+    call = world.call(body=b"a")
+    world.kept(call, EVENT)
+    world.services[world.names[0]].leave()
+    world.run(0.6)
+    started = world.clock.seconds()
+    after = world.decided(
+        world.call(previous=call.id, body=b"b"), at=1, keeps_turns=True
+    )
+    assert after.body == b"a" + b"hello\n" + b"b"
+    assert world.clock.seconds() - started < 0.5
+
+
+def test_calls_without_a_budget_are_let_in_at_once():
+    world = World()
+    listener = world.ask(world.call(budget=None))
+    assert listener.ticket is not None
+
+
+def test_a_lapsed_group_is_dealt_anew():
+    world = World()
+    world.log.groups.rebalance("account-owners")
+    world.run(1.0)
+    spent, refusal = spend(world, "p", 300, 100, at=lambda turn: turn % 3)
+    assert (spent, refusal) == (300, BUDGET_SPENT)
--- /dev/null
+++ b/tests/unit/accounts/world.py
@@ -0,0 +1,153 @@
+"""Some daemons that keep accounts, on one virtual clock with one log service."""
+
+from random import Random
+
+from twisted.internet.task import Clock
+
+from emulator.services.partitioned_log import PartitionedLog
+from notcharch.accounts.messages import account_codec
+from notcharch.accounts.service import AccountSettings, AccountsService
+from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
+from notcharch.http.messages import RequestHead
+from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
+from notcharch.wire.memory import MemoryFabric
+
+PARTITIONS = 3
+STEP_SECONDS = 0.01
+EVENT_TOKENS = 10
+
+
+def route(*, keeps_turns: bool = False) -> Route:
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/p/",
+        shares=(ServiceShare("s", 1.0),),
+        is_repeatable=False,
+        is_stream=True,
+        keeps_turns=keeps_turns,
+    )
+
+
+class Listener:
+    """What a caller's side hears of one call."""
+
+    def __init__(self) -> None:
+        self.ticket = None
+        self.body = None
+        self.refusal: Refusal | None = None
+        self.is_durable = False
+        self.wants_admission = True
+        self.is_awaited = True
+
+    @property
+    def is_decided(self) -> bool:
+        return self.ticket is not None or self.refusal is not None
+
+    def admitted(self, ticket, body) -> None:
+        self.ticket = ticket
+        self.body = body
+
+    def refused(self, refusal) -> None:
+        self.refusal = refusal
+
+    def durable(self) -> None:
+        self.is_durable = True
+
+    def lost(self) -> None:
+        raise AssertionError("nobody says so here")
+
+
+class World:
+    """Daemons that start, crash and come back."""
+
+    def __init__(self, daemons: int = 3, seed: int = 1) -> None:
+        self.clock = Clock()
+        self.random = Random(seed)
+        self.log = PartitionedLog(self.clock, self.random, PARTITIONS)
+        self.fabric = MemoryFabric(
+            self.clock, Random(seed), encode=True, codec=account_codec()
+        )
+        self.names = [DaemonName(f"d{number}") for number in range(daemons)]
+        self.services: dict[DaemonName, AccountsService] = {}
+        self.incarnations = dict.fromkeys(self.names, 0)
+        self._calls = 0
+        for name in self.names:
+            self.start(name)
+        self.run(1.0)
+
+    def start(self, name: DaemonName) -> None:
+        self.incarnations[name] += 1
+        member = Member(name, Incarnation(self.incarnations[name]))
+        daemon = self.fabric.join(member, ZoneName("z"))
+        service = AccountsService(
+            AccountSettings(f"{name}:1", PARTITIONS, 1.0),
+            self.log,
+            daemon.clock,
+            daemon.network,
+            Random(self.incarnations[name]),
+        )
+        self.services[name] = service
+        service.start()
+
+    def crash(self, name: DaemonName, *, silent: bool = False) -> None:
+        self.fabric.crash(name, silent=silent)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+
+    def call(
+        self,
+        program: str = "p",
+        *,
+        budget: int | None = 1000,
+        most: int = 100,
+        previous: str = "",
+        body: bytes = b"in",
+        wait_seconds: float = 3.0,
+    ) -> OpaqueCall:
+        self._calls += 1
+        return OpaqueCall(
+            id=f"c{self._calls}",
+            head=RequestHead(b"POST", b"/p/", []),
+            body=body,
+            arrived=self.clock.seconds(),
+            wait_seconds=wait_seconds,
+            program=program,
+            most_tokens=most,
+            budget_tokens=budget,
+            tokens_per_event=EVENT_TOKENS,
+            previous_turn=previous,
+        )
+
+    def ask(
+        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+    ) -> Listener:
+        """Ask for admission at a daemon; the answer comes as time passes."""
+        listener = Listener()
+        admission = self.services[self.names[at]].admission
+        admission.ask(call, route(keeps_turns=keeps_turns), listener)
+        return listener
+
+    def decided(
+        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+    ) -> Listener:
+        """Ask, and let time pass until there is an answer."""
+        listener = self.ask(call, at, keeps_turns=keeps_turns)
+        for _ in range(400):
+            if listener.is_decided:
+                break
+            self.run(STEP_SECONDS)
+        return listener
+
+    def kept(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
+        """Run a kept turn to its end."""
+        listener = self.decided(call, at, keeps_turns=True)
+        assert listener.ticket is not None, listener.refusal
+        listener.ticket.completed(output, output.count(b"\n\n"), listener)
+        for _ in range(300):
+            if listener.is_durable:
+                break
+            self.run(STEP_SECONDS)
+        return listener
--- /dev/null
+++ b/tests/unit/http/pipe.py
@@ -0,0 +1,116 @@
+"""Transports in memory for the HTTP connections."""
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from notcharch.http.client import ClientConnection
+from notcharch.http.server import ServerConnection, ServerLimits
+
+
+class TcpTransport(StringTransport):
+    """A transport that keeps what is written, and how it was closed."""
+
+    is_aborted = False
+
+    def setTcpNoDelay(self, enabled) -> None:  # noqa: N802
+        self.no_delay = enabled
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.is_aborted = True
+
+    @property
+    def is_closed(self) -> bool:
+        return self.is_aborted or self.disconnecting
+
+
+class Handler:
+    """Keeps the requests that a server connection hands over."""
+
+    def __init__(self) -> None:
+        self.exchanges = []
+        self.under_way = 0
+        self.closing = False
+        self.server_limits = ServerLimits(
+            header_bytes=400, body_bytes=100, header_seconds=2.0, idle_seconds=10.0
+        )
+
+    def limits(self):
+        return self.server_limits
+
+    def is_closing(self):
+        return self.closing
+
+    def count(self, change):
+        self.under_way += change
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+
+
+class ServerSide:
+    """A server connection with a client's bytes."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.handler = Handler()
+        self.connection = ServerConnection(self.handler, self.clock)
+        self.transport = TcpTransport()
+        self.connection.makeConnection(self.transport)
+
+    def send(self, data: bytes) -> None:
+        self.connection.dataReceived(data)
+
+    def take(self) -> bytes:
+        written = self.transport.value()
+        self.transport.clear()
+        return written
+
+    def client_leaves(self) -> None:
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+
+class Listener:
+    """Hears one answer."""
+
+    def __init__(self, name: bytes = b"1") -> None:
+        self.name = name
+        self.head = None
+        self.data = b""
+        self.is_whole = False
+        self.failure = None
+
+    def is_answer(self, head):
+        id = head.get(b"id")
+        return id is None or id == self.name
+
+    def head_came(self, head):
+        self.head = head
+
+    def data_came(self, data):
+        self.data += data
+
+    def ended(self):
+        self.is_whole = True
+
+    def failed(self, failure):
+        self.failure = failure
+
+
+class ClientSide:
+    """A client connection with a server's bytes."""
+
+    def __init__(self) -> None:
+        self.connection = ClientConnection()
+        self.transport = TcpTransport()
+        self.connection.makeConnection(self.transport)
+
+    def answer(self, data: bytes) -> None:
+        self.connection.dataReceived(data)
+
+    def closed(self) -> None:
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+    def reset(self) -> None:
+        self.connection.connectionLost(Failure(ConnectionLost()))
--- /dev/null
+++ b/tests/unit/http/test_client.py
@@ -0,0 +1,135 @@
+"""Answers of servers that are whole, cut, garbled, late or somebody else's."""
+
+import pytest
+
+from notcharch.http.client import AnswerFailure
+from notcharch.http.messages import RequestHead
+from tests.unit.http.pipe import ClientSide, Listener
+
+HEAD = RequestHead(b"POST", b"/x", [(b"Host", b"h")])
+OK = b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r\nhi"
+OTHER = b"HTTP/1.1 200 OK\r\nid: 0\r\nContent-Length: 3\r\n\r\nold"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhi"
+
+
+def sent(body: bytes = b"b"):
+    side = ClientSide()
+    listener = Listener()
+    side.connection.send(HEAD, body, listener)
+    return side, listener
+
+
+def test_a_request_goes_out_with_its_length():
+    side, _ = sent(b"body")
+    written = side.transport.value()
+    assert written.startswith(b"POST /x HTTP/1.1\r\n")
+    assert b"content-length: 4" in written.lower()
+    assert written.endswith(b"\r\n\r\nbody")
+
+
+@pytest.mark.parametrize("answer", [OK, CHUNKED])
+def test_a_whole_answer_leaves_the_connection_for_more(answer):
+    side, listener = sent()
+    side.answer(answer)
+    assert (listener.data, listener.is_whole) == (b"hi", True)
+    assert side.connection.is_reusable
+
+
+def test_an_answer_without_a_length_is_whole_at_a_clean_close():
+    side, listener = sent()
+    side.answer(UNFRAMED)
+    assert not listener.is_whole
+    side.closed()
+    assert listener.is_whole
+
+
+def test_an_answer_without_a_length_is_not_whole_after_a_reset():
+    side, listener = sent()
+    side.answer(UNFRAMED)
+    side.reset()
+    assert not listener.is_whole
+    assert listener.failure is AnswerFailure.RESET
+
+
+@pytest.mark.parametrize("answer", [OK, CHUNKED])
+@pytest.mark.parametrize("is_clean", [True, False])
+def test_a_cut_answer_is_never_whole(answer, is_clean):
+    for end in range(len(answer)):
+        side, listener = sent()
+        side.answer(answer[:end])
+        (side.closed if is_clean else side.reset)()
+        assert not listener.is_whole
+        assert listener.failure is not None
+
+
+def test_bytes_that_are_no_answer_are_told_as_such():
+    side, listener = sent()
+    side.answer(b"\x00\x01rubbish\r\n\r\n")
+    assert listener.failure is AnswerFailure.GARBLED
+    assert not side.connection.is_reusable
+
+
+def test_an_answer_to_an_earlier_request_is_passed_over():
+    side, listener = sent()
+    side.answer(OTHER)
+    assert listener.head is None
+    side.answer(OK)
+    assert (listener.data, listener.is_whole) == (b"hi", True)
+
+
+def test_an_earlier_answer_in_one_piece_with_ours_is_passed_over():
+    side, listener = sent(b"")
+    side.answer(OTHER + OK)
+    assert (listener.data, listener.is_whole) == (b"hi", True)
+
+
+def test_answers_of_others_do_not_go_on_for_ever():
+    side, listener = sent()
+    for _ in range(5):
+        side.answer(OTHER)
+    assert listener.failure is AnswerFailure.GARBLED
+
+
+def test_surplus_bytes_end_the_connection():
+    side, listener = sent()
+    side.answer(OK + b"more")
+    assert listener.is_whole
+    assert not side.connection.is_reusable
+
+
+def test_bytes_that_nobody_asked_for_end_the_connection():
+    side, _ = sent()
+    side.answer(OK)
+    side.answer(OTHER)
+    assert not side.connection.is_reusable
+    assert side.transport.is_closed
+
+
+def test_a_server_that_closes_is_not_used_again():
+    side, listener = sent()
+    closing = OK.replace(b"id: 1", b"id: 1\r\nConnection: close")
+    side.answer(closing)
+    assert listener.is_whole
+    assert not side.connection.is_reusable
+
+
+def test_how_long_a_server_keeps_connections_is_read():
+    side, _ = sent()
+    side.answer(OK.replace(b"id: 1", b"id: 1\r\nKeep-Alive: timeout=7, max=3"))
+    assert side.connection.keep_alive_seconds == 7.0
+
+
+def test_an_abandoned_request_hears_nothing_more():
+    side, listener = sent()
+    side.connection.abandon()
+    assert side.transport.is_aborted
+    side.answer(OK)
+    assert listener.head is None
+
+
+def test_an_early_answer_does_not_cut_the_body_off():
+    side, listener = sent(b"x" * 100_000)
+    side.answer(OK)
+    assert listener.is_whole
+    assert side.transport.value().endswith(b"x" * 100_000)
