Find the turns of other programs before denying them

Change: when the program's own partition has no such turn, all partitions are asked; a chain that is found is copied to the program's partition; 404 only when all owners said for certain that they don't keep it. What the asker claims to have must be known to the owner too. Ruled out: partitions by turn (a chain would cross many).

--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -233,7 +233,6 @@
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
         """Leave a group."""
 
-
         def act() -> Result[None, LogProblem]:
             self.groups.leave(group, member)
             return Ok(None)
--- /dev/null
+++ b/notcharch/accounts/account.py
@@ -0,0 +1,125 @@
+"""One call's part of its program's account: its question, and its ticket."""
+
+from collections.abc import Generator
+from typing import Any
+
+import xxhash
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from notcharch.accounts.messages import (
+    AdmitTurn,
+    KeepTurn,
+    SettleCall,
+    TurnAdmitted,
+    TurnIsKept,
+)
+from notcharch.accounts.owner_requests import OwnerRequests
+from notcharch.accounts.turns import Turn, TurnCache
+from notcharch.calls.event_stream import data_lines
+from notcharch.calls.interface import Completion, OpaqueCall, Route
+
+KEEP_AGAIN_SECONDS = 0.06
+
+
+class Account:
+    """What one call asks and tells the owner of its program's account."""
+
+    def __init__(
+        self, owners: OwnerRequests, cache: TurnCache, call: OpaqueCall, route: Route
+    ) -> None:
+        """Find the partition of the call's program."""
+        self._owners = owners
+        self._cache = cache
+        self.call = call
+        self._route = route
+        digest = xxhash.xxh64_intdigest(call.program.encode())
+        self.partition = digest % owners.partitioning.partitions
+        self._is_over = False
+
+    # The question
+
+    def admit_message(self) -> AdmitTurn:
+        """Give the question whether the call may run."""
+        call = self.call
+        return AdmitTurn(
+            self.partition,
+            call.program,
+            call.id,
+            call.most_tokens,
+            call.budget_tokens,
+            self._route.keep_seconds,
+            previous=call.previous_turn if self._route.keeps_turns else "",
+            known=self._known_turn(),
+        )
+
+    def _known_turn(self) -> str:
+        call = self.call
+        if not call.previous_turn:
+            return ""
+        if self._cache.transcript(call.previous_turn) is not None:
+            return call.previous_turn
+        return self._cache.newest(call.program)
+
+    def whole_body(self, answer: TurnAdmitted) -> bytes | None:
+        """Give the body with the turns before it; None if a turn is missing here."""
+        call = self.call
+        if not self._route.keeps_turns or not call.previous_turn:
+            return call.body
+        if answer.text:
+            known = Turn(answer.after, answer.text, b"")
+            self._cache.remember(call.program, call.previous_turn, known)
+        chain = self._cache.transcript(call.previous_turn)
+        return None if chain is None else chain.text + call.body
+
+    # The ticket
+
+    def never_ran(self) -> None:
+        """Give the reserved tokens back."""
+        self._settle(0)
+
+    def broke_off(self, events: int) -> None:
+        """Charge what the caller was given."""
+        self._settle(events)
+
+    def _settle(self, events: int) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        call = self.call
+        tokens = events * call.tokens_per_event
+        told = SettleCall(self.partition, call.program, call.id, tokens)
+        self._owners.tell(self.partition, told)
+
+    def completed(self, output: bytes, events: int, then: Completion) -> None:
+        """Charge the call; keep the turn if the route does, before its end is shown."""
+        if not self._route.keeps_turns:
+            self._settle(events)
+            then.durable()
+            return
+        self._is_over = True
+        self._keep(output, events, then)
+
+    @inlineCallbacks
+    def _keep(
+        self, output: bytes, events: int, then: Completion
+    ) -> Generator["Deferred[Any]", Any, None]:
+        call = self.call
+        data = data_lines(output)
+        message = KeepTurn(
+            self.partition,
+            call.program,
+            call.id,
+            call.previous_turn,
+            call.body,
+            data,
+            events * call.tokens_per_event,
+        )
+        while then.is_awaited:
+            answer = yield self._owners.ask(self.partition, message)
+            if isinstance(answer, TurnIsKept):
+                turn = Turn(call.previous_turn, call.body, data)
+                self._cache.remember(call.program, call.id, turn)
+                then.durable()
+                return
+            yield deferLater(self._owners.clock, KEEP_AGAIN_SECONDS, lambda: None)
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept
-from notcharch.accounts.turns import Transcript, Turn, TurnStore
+from notcharch.accounts.turns import Turn, TurnStore
 
 AHEAD_CALLS = 2
 """A bound is raised for so many calls at once."""
@@ -46,7 +46,6 @@
         self.used = 0
         self.reserved: dict[str, Reservation] = {}
         self.touched = 0.0
-        self.turns = TurnStore()
 
     @property
     def committed(self) -> int:
@@ -60,6 +59,8 @@
     def __init__(self) -> None:
         """Begin empty."""
         self._programs: dict[str, Program] = {}
+        self.turns = TurnStore()
+        """The kept turns of all programs: a later program may go on from one."""
 
     def program(self, name: str, now: float) -> Program:
         """Give a program's account, which is begun if it is new."""
@@ -77,16 +78,12 @@
 
     def replay(self, record: AnyRecord, now: float) -> None:
         """Take a record of an earlier owner, or of this one before its restart."""
-        program = self.program(record.program, now)
-        if isinstance(record, BoundRaised):
+        if isinstance(record, TurnKept):
+            self.keep(record)
+        else:
+            program = self.program(record.program, now)
             program.bound = max(program.bound, record.bound_tokens)
             program.used = program.bound
-        else:
-            self._keep(program, record)
-
-    def _keep(self, program: Program, record: TurnKept) -> None:
-        turn = Turn(record.previous, record.input, record.output)
-        program.turns.add(record.turn, turn)
 
     # Budgets
 
@@ -136,25 +133,10 @@
         program.touched = now
         program.used += tokens
 
-    # Kept turns
-
-    def has_turn(self, name: str, turn: str) -> bool:
-        """Tell whether a turn is kept."""
-        program = self._programs.get(name)
-        return program is not None and turn in program.turns
-
-    def keep(self, record: TurnKept, now: float) -> None:
+    def keep(self, record: TurnKept) -> None:
         """Keep a turn that is in the journal."""
-        self._keep(self.program(record.program, now), record)
-
-    def transcript(self, name: str, turn: str, known: str) -> Transcript | None:
-        """Give the chain up to a turn, from after `known` if that is part of it.
-
-        None if the turn, or one before it, is not kept.
-        """
-        program = self._programs.get(name)
-        turns = program.turns if program is not None else TurnStore()
-        return turns.transcript(turn, known)
+        turn = Turn(record.previous, record.input, record.output)
+        self.turns.add(record.turn, turn)
 
     def forget_before(self, limit: float) -> None:
         """Forget programs that nobody asked for since some clock seconds."""
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -32,7 +32,25 @@
     """The call must not run, and never will by this request."""
 
     is_spent: bool
-    """True: the budget is spent; false: there is certainly no such turn."""
+    """True: the budget is spent; false: the turn is certainly not kept here."""
+
+
+class FindTurn(Message, frozen=True):
+    """Ask for a turn of any program. Reply: `TurnFound`, `TurnMissing`."""
+
+    partition: int
+    turn: str
+
+
+class TurnFound(Message, frozen=True):
+    """The turn is kept here."""
+
+    text: bytes
+    """Its whole chain: inputs and outputs, oldest first."""
+
+
+class TurnMissing(Message, frozen=True):
+    """The turn is certainly not kept in this partition."""
 
 
 class SettleCall(Message, frozen=True):
@@ -72,6 +90,9 @@
     TurnAdmitted,
     TurnRefused,
     SettleCall,
+    FindTurn,
+    TurnFound,
+    TurnMissing,
     KeepTurn,
     TurnIsKept,
     NotOwner,
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -7,7 +7,13 @@
 from twisted.internet.task import LoopingCall
 
 from notcharch.accounts.directory import OwnerDirectory
-from notcharch.accounts.messages import AdmitTurn, KeepTurn, NotOwner, SettleCall
+from notcharch.accounts.messages import (
+    AdmitTurn,
+    FindTurn,
+    KeepTurn,
+    NotOwner,
+    SettleCall,
+)
 from notcharch.accounts.partition import OwnedPartition, PartitionPlace
 from notcharch.journal.interface import LogService, Membership
 from notcharch.values.identifiers import Member
@@ -46,6 +52,7 @@
         self._forgetting.clock = clock
         network.on_request(AdmitTurn, self._admit)
         network.on_request(KeepTurn, self._keep)
+        network.on_request(FindTurn, self._find)
         network.on_notice(SettleCall, self._settle)
 
     def start(self) -> None:
@@ -109,6 +116,13 @@
             return self._referral(ask.partition)
         return await owned.keep(ask)
 
+    async def _find(self, sender: Member, message: Message) -> Message:
+        ask = cast(FindTurn, message)
+        owned = self._owned.get(ask.partition)
+        if owned is None:
+            return self._referral(ask.partition)
+        return await owned.find(ask)
+
     def _settle(self, sender: Member, message: Message) -> None:
         told = cast(SettleCall, message)
         owned = self._owned.get(told.partition)
--- /dev/null
+++ b/notcharch/accounts/owner_requests.py
@@ -0,0 +1,54 @@
+"""Requests to the owners of partitions, as far as they are known."""
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.accounts.directory import OwnerDirectory, Partitioning
+from notcharch.accounts.messages import NotOwner
+from notcharch.errors import Problem
+from notcharch.wire.messages.base import Message
+from notcharch.wire.peers import PeerNetwork
+
+ASK_SECONDS = 0.5
+"""An owner that doesn't answer in this time is asked again, or its successor is."""
+
+Reply = Result[Message, Problem]
+
+
+class OwnerRequests(msgspec.Struct, frozen=True):
+    """Asks owners, and learns from answers who they are."""
+
+    clock: IReactorTime
+    network: PeerNetwork
+    directory: OwnerDirectory
+    partitioning: Partitioning
+
+    def ask(self, partition: int, message: Message) -> "Deferred[Message | None]":
+        """Send a request to a partition's owner; None if it didn't answer as one."""
+        owner = self.directory.owner(partition)
+        if owner is None:
+            self.directory.doubt()
+            nobody: Deferred[Message | None] = Deferred()
+            nobody.callback(None)
+            return nobody
+        asking = self.network.request(owner.daemon, message, ASK_SECONDS)
+        return asking.addCallback(self._look, partition)
+
+    def _look(self, reply: Reply, partition: int) -> Message | None:
+        if isinstance(reply, Err):
+            self.directory.doubt()
+            return None
+        message = reply.ok_value
+        if isinstance(message, NotOwner):
+            self.directory.doubt()
+            self.directory.hinted(partition, message.owner)
+            return None
+        return message
+
+    def tell(self, partition: int, message: Message) -> None:
+        """Send a notice to a partition's owner, if one is known."""
+        owner = self.directory.owner(partition)
+        if owner is not None:
+            self.network.notify(owner.daemon, message)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -13,11 +13,14 @@
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.messages import (
     AdmitTurn,
+    FindTurn,
     KeepTurn,
     NotOwner,
     SettleCall,
     TurnAdmitted,
+    TurnFound,
     TurnIsKept,
+    TurnMissing,
     TurnRefused,
 )
 from notcharch.accounts.records import TurnKept, decode, encode
@@ -143,10 +146,10 @@
             return NOT_OWNER
         transcript: Transcript | None = Transcript("", b"")
         if ask.previous:
-            transcript = self._ledger.transcript(ask.program, ask.previous, ask.known)
+            transcript = self._ledger.turns.transcript(ask.previous, ask.known)
             if transcript is None:
-                refusal: Message = yield self._refuse_unknown_turn()
-                return refusal
+                is_certain = yield self._is_still_owner()
+                return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
         verdict = self._verdict(ask)
         while verdict is Verdict.NEEDS_BOUND:
             is_raised = yield self._raise_bound(ask)
@@ -200,15 +203,24 @@
         return done
 
     @inlineCallbacks
-    def _refuse_unknown_turn(self) -> Generator["Deferred[Any]", Any, Message]:
-        """Say that there is no such turn, once it is certain that nobody wrote it.
+    def _is_still_owner(self) -> Generator["Deferred[Any]", Any, bool]:
+        """Make sure that nobody else wrote what is not known here.
 
         Our own claim still being the newest proves it: an append of nothing.
         """
         outcome = yield self._writer.confirm()
-        if outcome is Outcome.DURABLE:
-            return TurnRefused(is_spent=False)
-        return NOT_OWNER
+        return outcome is Outcome.DURABLE
+
+    @inlineCallbacks
+    def find(self, ask: FindTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Look for a turn, of whichever program."""
+        if not (yield self._until_serving()):
+            return NOT_OWNER
+        found = self._ledger.turns.transcript(ask.turn)
+        if found is not None:
+            return TurnFound(found.text)
+        is_certain = yield self._is_still_owner()
+        return TurnMissing() if is_certain else NOT_OWNER
 
     def settle(self, told: SettleCall) -> None:
         """Take the tokens of a call that ended."""
@@ -220,14 +232,14 @@
         """Make a turn durable."""
         if not (yield self._until_serving()):
             return NOT_OWNER
-        if not self._ledger.has_turn(ask.program, ask.call):
+        if ask.call not in self._ledger.turns:
             record = TurnKept(
                 ask.program, ask.call, ask.previous, ask.input, ask.output
             )
             outcome = yield self._write(encode(record))
             if outcome is not Outcome.DURABLE:
                 return NOT_OWNER
-            self._ledger.keep(record, self._clock.seconds())
+            self._ledger.keep(record)
         now = self._clock.seconds()
         self._ledger.settle(ask.program, ask.call, ask.tokens, now)
         return TurnIsKept()
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -5,11 +5,12 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.accounts.admission import AccountAdmission, AccountServices
+from notcharch.accounts.admission import AccountAdmission
 from notcharch.accounts.directory import OwnerDirectory, Partitioning
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.owned_partitions import OwnedPartitions
 from notcharch.accounts.owner_names import OwnerName
+from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.group import GroupMember, GroupName
 from notcharch.journal.interface import LogService
@@ -65,7 +66,7 @@
         )
         partitioning = Partitioning(TOPIC, settings.partitions)
         self.admission = AccountAdmission(
-            AccountServices(clock, network, self._directory, partitioning)
+            OwnerRequests(clock, network, self._directory, partitioning)
         )
 
     def start(self) -> None:
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -61,6 +61,8 @@
             parts.append(turn.output)
             parts.append(turn.input)
             name = turn.previous
+        if name and name not in self:
+            return None  # what the asker has is not part of what is kept here
         return Transcript(name, b"".join(reversed(parts)))
 
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -203,3 +203,29 @@
     world.run(1.0)
     spent, refusal = spend(world, "p", 300, 100, at=lambda turn: turn % 3)
     assert (spent, refusal) == (300, BUDGET_SPENT)
+
+
+def test_a_new_program_goes_on_from_a_turn_of_another():
+    world = World()
+    first = world.call("one", body=b"a")
+    world.kept(first, EVENT)
+    second = world.call("one", previous=first.id, body=b"b")
+    world.kept(second, EVENT)
+    for program in ("two", "three", "four"):
+        call = world.call(program, previous=second.id, body=b"c")
+        listener = world.kept(call, EVENT, at=2)
+        assert listener.body == b"ahello\nbhello\nc"
+        after = world.call(program, previous=call.id, body=b"d")
+        assert world.kept(after, EVENT, at=1).body == b"ahello\nbhello\nchello\nd"
+
+
+def test_a_turn_is_not_denied_while_one_owner_is_missing():
+    world = World()
+    first = world.call("one", body=b"a")
+    world.kept(first, EVENT)
+    world.fabric.pause(world.names[0])
+    world.run(0.2)
+    for program in ("two", "three", "four", "five"):
+        call = world.call(program, previous=first.id, body=b"c")
+        listener = world.decided(call, at=1, keeps_turns=True)
+        assert listener.refusal != UNKNOWN_TURN
