--- /dev/null
+++ b/notcharch/events/calls.py
@@ -0,0 +1,94 @@
+"""Events of opaque calls: 2200 to 2299."""
+
+from typing import ClassVar
+
+from notcharch.events.event import Event
+
+
+class CallServed(Event, frozen=True):
+    """A caller got an engine's whole answer."""
+
+    number: ClassVar[int] = 2200
+    is_routine: ClassVar[bool] = True
+    request: str
+    program: str
+    session: str
+    route: str
+    engine: str
+    status: int
+    engines_tried: int
+    events: int
+    seconds: float
+    """Since the request's head was read."""
+    admission_seconds: float
+
+
+class CallRefused(Event, frozen=True):
+    """A caller got an answer of our own, or none: why, and what was known."""
+
+    number: ClassVar[int] = 2201
+    request: str
+    program: str
+    session: str
+    route: str
+    phase: str
+    status: int
+    reason: str
+    retry_after_seconds: float | None
+    engines_tried: int
+    runs: int
+    """So many engines may have run it."""
+    engines_known: int
+    seconds: float
+    seconds_left: float
+
+
+class CallSentAgain(Event, frozen=True):
+    """An engine did not serve a call; another one is looked for."""
+
+    number: ClassVar[int] = 2202
+    request: str
+    program: str
+    engine: str
+    cause: str
+    runs: int
+    events: int
+    seconds_left: float
+
+
+class CallBrokenOff(Event, frozen=True):
+    """A stream was cut after it had begun."""
+
+    number: ClassVar[int] = 2203
+    request: str
+    program: str
+    session: str
+    phase: str
+    cause: str
+    engines_tried: int
+    runs: int
+    events: int
+    seconds: float
+    seconds_left: float
+
+
+class CallerLeft(Event, frozen=True):
+    """A caller closed its connection before the answer's end."""
+
+    number: ClassVar[int] = 2204
+    request: str
+    program: str
+    phase: str
+    engine: str
+    events: int
+    seconds: float
+
+
+class RequestWithoutRoute(Event, frozen=True):
+    """No route of the table in force serves a request, or there is no table."""
+
+    number: ClassVar[int] = 2205
+    request: str
+    host: str
+    path: str
+    table_version: int
--- a/notcharch/events/event.py
+++ b/notcharch/events/event.py
@@ -18,6 +18,8 @@
     """
 
     number: ClassVar[int] = 0
+    is_routine: ClassVar[bool] = False
+    """Whether its lines may be left out when there are many."""
 
 
 def emit(event: Event) -> None:
--- /dev/null
+++ b/notcharch/events/process.py
@@ -0,0 +1,95 @@
+"""Events of a process and of what it depends on: 2400 to 2499."""
+
+from typing import ClassVar
+
+from notcharch.events.event import Event
+
+
+class ProcessStarted(Event, frozen=True):
+    """The process listens."""
+
+    number: ClassVar[int] = 2400
+    machine: str
+    zone: str
+    front: str
+    peers: str
+    store: str
+
+
+class SettingsRead(Event, frozen=True):
+    """The settings file was read again."""
+
+    number: ClassVar[int] = 2401
+    machine: str
+    findings: list[str]
+    is_changed: bool
+
+
+class ProcessStopping(Event, frozen=True):
+    """The process was told to stop: new callers go elsewhere soon."""
+
+    number: ClassVar[int] = 2402
+    machine: str
+    under_way: int
+
+
+class ProcessStopped(Event, frozen=True):
+    """The process ends."""
+
+    number: ClassVar[int] = 2403
+    machine: str
+    under_way: int
+    drain_seconds: float
+
+
+class TableInForce(Event, frozen=True):
+    """A newer table decides from now on."""
+
+    number: ClassVar[int] = 2404
+    version: int
+    former_version: int
+    routes: int
+
+
+class EnginesChanged(Event, frozen=True):
+    """The list of engines has other engines, or other states of them."""
+
+    number: ClassVar[int] = 2405
+    engines: int
+    leaving: int
+    added: list[str]
+    gone: list[str]
+    seconds_since_last: float
+
+
+class DependencyLost(Event, frozen=True):
+    """Something that this process needs doesn't answer."""
+
+    number: ClassVar[int] = 2406
+    dependency: str
+    fault: str
+
+
+class DependencyRegained(Event, frozen=True):
+    """It answers again."""
+
+    number: ClassVar[int] = 2407
+    dependency: str
+    seconds: float
+
+
+class LinesDropped(Event, frozen=True):
+    """Log lines were not written: the reader is slow, or there were too many."""
+
+    number: ClassVar[int] = 2408
+    routine: int
+    others: int
+
+
+class ReadinessChanged(Event, frozen=True):
+    """The process takes new callers, or no more."""
+
+    number: ClassVar[int] = 2409
+    machine: str
+    is_ready: bool
+    cause: str
--- /dev/null
+++ b/tests/unit/calls/test_call_life.py
@@ -0,0 +1,258 @@
+"""What becomes of a call, for each thing that its engines and its caller may do."""
+
+import pytest
+
+from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
+from notcharch.http.client import AnswerFailure
+from tests.unit.calls.world import World
+
+ONE = b"id: 1\ndata: a\n\n"
+TWO = b"id: 2\ndata: b\n\n"
+FAILURES = tuple(AnswerFailure)
+
+
+def test_a_whole_answer_is_passed_on():
+    world = World()
+    world.sent[0].answer(200, b"done")
+    assert (world.reply.end, world.reply.data) == ("whole", b"done")
+    assert world.in_flight == 0
+
+
+def test_a_failure_of_the_engine_is_its_own():
+    world = World()
+    world.sent[0].answer(500, b"sorry")
+    assert world.reply.head.status == 500
+
+
+def test_a_refused_call_goes_to_other_engines_and_then_back():
+    world = World()
+    for place in range(3):
+        world.sent[place].refuse()
+    assert len({sent.engine.id for sent in world.sent}) == 3
+    assert world.reply.refusal == NO_ENGINE
+    assert world.reply.refusal.retry_after_seconds is not None
+
+
+def test_an_unreachable_engine_costs_no_run():
+    world = World()
+    world.sent[0].listener.unreachable()
+    world.sent[1].answer(200, b"done")
+    assert world.reply.end == "whole"
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_a_call_that_may_have_run_is_not_sent_again(failure):
+    world = World(most_engines=3)
+    world.sent[0].listener.failed(failure)
+    assert len(world.sent) == 1
+    assert world.reply.refusal == MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_a_repeatable_call_runs_on_as_many_engines_as_its_route_allows(failure):
+    world = World(is_repeatable=True, most_engines=2)
+    world.sent[0].listener.failed(failure)
+    world.sent[1].listener.failed(failure)
+    assert len(world.sent) == 2
+    assert world.reply.refusal == MAY_HAVE_RUN
+
+
+def test_a_success_that_nobody_vouches_for_is_none():
+    world = World()
+    world.sent[0].answer(200, b"forged", seal=False)
+    assert world.reply.refusal == MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(("wait", "timeout"), [(1.0, 3.0), (3.0, 1.0)])
+def test_the_shorter_time_counts(wait, timeout):
+    world = World(wait_seconds=wait, timeout_seconds=timeout)
+    assert world.sent[0].header(b"left") == b"1000"
+    world.clock.advance(1.01)
+    assert world.reply.refusal == TIMED_OUT
+    assert world.sent[0].is_abandoned
+    assert world.in_flight == 0
+
+
+def test_a_later_engine_gets_what_is_left():
+    world = World()
+    world.clock.advance(0.5)
+    world.sent[0].refuse()
+    assert world.sent[1].header(b"left") == b"1500"
+
+
+def test_the_engine_of_a_caller_who_left_is_cut_off():
+    world = World()
+    world.reply.gone()
+    assert world.sent[0].is_abandoned
+    assert world.reply.end == ""
+
+
+def stream(**changes) -> World:
+    return World(is_stream=True, **changes)
+
+
+def test_events_are_passed_on_as_they_become_whole():
+    world = stream()
+    world.sent[0].begin()
+    for byte in ONE[:-1]:
+        world.sent[0].listener.data_came(bytes((byte,)))
+    assert world.reply.data == b""
+    world.sent[0].listener.data_came(ONE[-1:] + TWO)
+    assert world.reply.data == ONE + TWO
+    world.sent[0].listener.ended()
+    assert world.reply.end == "finished"
+
+
+def test_a_broken_stream_does_not_look_whole():
+    world = stream()
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE + TWO[:5])
+    world.sent[0].listener.failed(AnswerFailure.CLOSED)
+    assert (world.reply.end, world.reply.data) == ("aborted", ONE)
+
+
+def test_a_resumable_stream_goes_on_after_its_last_whole_event():
+    world = stream(is_resumable=True, most_engines=2)
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE + TWO[:5])
+    world.sent[0].listener.failed(AnswerFailure.RESET)
+    assert world.sent[1].header(b"after") == b"1"
+    assert world.sent[1].engine.id != world.sent[0].engine.id
+    world.sent[1].begin()
+    world.sent[1].listener.data_came(TWO)
+    world.sent[1].listener.ended()
+    assert (world.reply.end, world.reply.data) == ("finished", ONE + TWO)
+    assert world.reply.head.get(b"seal") == world.sent[0].engine.id.encode()
+
+
+def test_a_stream_that_cannot_be_resumed_is_not():
+    world = stream(is_resumable=False, most_engines=2)
+    world.sent[0].begin()
+    world.sent[0].listener.failed(AnswerFailure.RESET)
+    assert len(world.sent) == 1
+    assert world.reply.end == "aborted"
+
+
+def test_a_resumed_run_that_fails_does_not_spoil_the_stream():
+    world = stream(is_resumable=True, most_engines=2)
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE)
+    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[1].answer(500, b"an error page")
+    assert (world.reply.end, world.reply.data) == ("aborted", ONE)
+
+
+def test_a_stream_without_a_seal_never_begins():
+    world = stream()
+    world.sent[0].begin(seal=False)
+    world.sent[0].listener.data_came(ONE)
+    world.sent[0].listener.ended()
+    assert world.reply.refusal == MAY_HAVE_RUN
+    assert world.reply.data == b""
+
+
+class HoldingAdmission:
+    """Admits when told, with a ticket that keeps what it hears."""
+
+    def __init__(self) -> None:
+        self.heard: list[str] = []
+        self.then = None
+        self.listener = None
+
+    def ask(self, call, route, answer):
+        self.listener = answer
+
+    def admit(self):
+        self.listener.admitted(self, b"whole body")
+
+    def never_ran(self):
+        self.heard.append("never ran")
+
+    def broke_off(self, events):
+        self.heard.append(f"broke off after {events}")
+
+    def completed(self, output, events, then):
+        self.heard.append(f"completed {output!r} {events}")
+        self.then = then
+
+
+def held(**changes):
+    admission = HoldingAdmission()
+    return stream(admission=admission, keeps_turns=True, **changes), admission
+
+
+def test_an_admitted_call_runs_with_the_body_of_its_admission():
+    world, admission = held()
+    assert world.sent == []
+    admission.admit()
+    assert world.sent[0].body == b"whole body"
+
+
+def test_the_end_waits_until_it_is_durable():
+    world, admission = held()
+    admission.admit()
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE + TWO)
+    world.sent[0].listener.ended()
+    assert admission.heard == [f"completed {ONE + TWO!r} 2"]
+    assert (world.reply.end, world.reply.data) == ("", ONE + TWO)
+    admission.then.durable()
+    assert world.reply.end == "finished"
+
+
+def test_an_end_that_is_not_durable_in_time_is_not_shown():
+    world, admission = held()
+    admission.admit()
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE)
+    world.sent[0].listener.ended()
+    world.clock.advance(2.1)
+    assert world.reply.end == "aborted"
+    admission.then.durable()
+    assert world.reply.end == "aborted"
+
+
+@pytest.mark.parametrize(
+    ("act", "expected"),
+    [
+        (lambda sent: sent.listener.failed(AnswerFailure.RESET), "broke off after 0"),
+        (lambda sent: sent.answer(500), "broke off after 0"),
+    ],
+)
+def test_what_was_given_is_charged(act, expected):
+    world, admission = held()
+    admission.admit()
+    act(world.sent[0])
+    assert admission.heard == [expected]
+
+
+def test_what_never_ran_is_not_charged():
+    world, admission = held(engines=("a",))
+    admission.admit()
+    world.sent[0].refuse()
+    assert admission.heard == ["never ran"]
+
+
+def test_a_caller_who_leaves_midway_is_charged_for_what_it_got():
+    world, admission = held()
+    admission.admit()
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE + TWO)
+    world.reply.gone()
+    assert admission.heard == ["broke off after 2"]
+
+
+def test_an_admission_that_comes_too_late_is_given_back():
+    world, admission = held()
+    world.clock.advance(2.1)
+    assert world.reply.refusal == NO_ENGINE
+    admission.admit()
+    assert admission.heard == ["never ran"]
+    assert world.sent == []
+
+
+def test_a_caller_who_left_is_not_waited_for():
+    world, admission = held()
+    assert admission.listener.wants_admission
+    world.reply.gone()
+    assert not admission.listener.wants_admission
