--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -14,10 +14,13 @@
     TurnAdmitted,
     TurnIsKept,
 )
+from notcharch.accounts.metrics import UNANSWERED
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.turns import Turn, TurnCache
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import Completion, OpaqueCall, Route
+from notcharch.events.accounts import OwnerUnanswered, TurnAdopted, TurnDenied
+from notcharch.events.event import emit
 
 KEEP_AGAIN_SECONDS = 0.06
 
@@ -72,6 +75,33 @@
         chain = self._cache.transcript(call.previous_turn)
         return None if chain is None else chain.text + call.body
 
+    # The log
+
+    def log_unanswered(self, question: str) -> None:
+        """Tell that no owner decided yet."""
+        UNANSWERED.inc()
+        directory = self._owners.directory
+        owner = directory.owner(self.partition)
+        emit(
+            OwnerUnanswered(
+                request=self.call.id,
+                program=self.call.program,
+                partition=self.partition,
+                owner=owner.text() if owner is not None else "",
+                view_age_seconds=round(directory.age_seconds, 3),
+                waited_seconds=round(
+                    self._owners.clock.seconds() - self.call.arrived, 3
+                ),
+                question=question,
+            )
+        )
+
+    def log_adoption(self, *, is_found: bool) -> None:
+        """Tell what came of a search for a turn in all partitions."""
+        call = self.call
+        event = TurnAdopted if is_found else TurnDenied
+        emit(event(call.id, call.program, call.previous_turn))
+
     # The ticket
 
     def never_ran(self) -> None:
@@ -115,6 +145,7 @@
             data,
             events * call.tokens_per_event,
         )
+        is_told = False
         while then.is_awaited:
             answer = yield self._owners.ask(self.partition, message)
             if isinstance(answer, TurnIsKept):
@@ -122,4 +153,7 @@
                 self._cache.remember(call.program, call.id, turn)
                 then.durable()
                 return
+            if not is_told:
+                self.log_unanswered("keeping a turn")
+                is_told = True
             yield deferLater(self._owners.clock, KEEP_AGAIN_SECONDS, lambda: None)
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -52,6 +52,7 @@
         """Ask until an owner decides, the caller leaves, or too much time passed."""
         clock = self._owners.clock
         until = account.call.arrived + hold_seconds(account.call)
+        is_told = False
         while answer.wants_admission:
             decision = yield self._ask_once(account)
             if isinstance(decision, Refusal):
@@ -60,6 +61,9 @@
             if decision is not None:
                 answer.admitted(account, decision)
                 return
+            if not is_told:
+                account.log_unanswered("admission")
+                is_told = True
             if clock.seconds() >= until:
                 break
             yield deferLater(clock, AGAIN_SECONDS, lambda: None)
@@ -79,6 +83,8 @@
         if answer.is_spent:
             return BUDGET_SPENT
         adoption = yield adopt(self._owners, account)
+        if adoption is not Adoption.UNSURE:
+            account.log_adoption(is_found=adoption is Adoption.ADOPTED)
         return UNKNOWN_TURN if adoption is Adoption.NO_SUCH_TURN else None
 
 
--- a/notcharch/accounts/directory.py
+++ b/notcharch/accounts/directory.py
@@ -9,7 +9,10 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.accounts.metrics import OWNERS_AGE_SECONDS
 from notcharch.accounts.owner_names import OwnerName, read_owner
+from notcharch.events.accounts import OwnersChanged
+from notcharch.events.event import emit
 from notcharch.journal.interface import LogProblem, LogService, Ownership
 from notcharch.values.identifiers import DaemonName
 from notcharch.wire.peers import PeerNetwork
@@ -33,7 +36,9 @@
         self._network = network
         self._group = group
         self._owners: dict[int, OwnerName] = {}
+        OWNERS_AGE_SECONDS.set_function(lambda: self.age_seconds)
         self._incarnations: dict[DaemonName, int] = {}
+        self._changed_at = self._heard_at = clock.seconds()
         self._asked_at = -REFRESH_SECONDS
         self._is_asking = False
         self._generation = 0
@@ -89,6 +94,7 @@
         )
         self._is_asking = False
         if not isinstance(answer, Err):
+            self._heard_at = self._clock.seconds()
             self._take(answer.ok_value)
 
     def _take(self, rows: tuple[Ownership, ...]) -> None:
@@ -97,11 +103,25 @@
             owner = read_owner(row.member)
             if owner is not None:
                 owners[row.partition] = owner
-        if owners:
+        if owners and owners != self._owners:
+            self._log_change(owners)
             self._owners = owners
         for owner in set(owners.values()):
             self._learn(owner)
 
+    def _log_change(self, owners: dict[int, OwnerName]) -> None:
+        now = self._clock.seconds()
+        names = {
+            str(number): str(owner.daemon) for number, owner in sorted(owners.items())
+        }
+        emit(OwnersChanged(names, round(now - self._changed_at, 3)))
+        self._changed_at = now
+
+    @property
+    def age_seconds(self) -> float:
+        """Give how old the view is."""
+        return self._clock.seconds() - self._heard_at
+
     def _learn(self, owner: OwnerName) -> None:
         """Tell the network where an owner is.
 
--- /dev/null
+++ b/notcharch/accounts/metrics.py
@@ -0,0 +1,18 @@
+"""Counters, gauges and histograms of programs' accounts."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+OWNED_PARTITIONS = Gauge(
+    "notcharch_account_partitions", "Partitions that this daemon serves"
+)
+TAKEOVER_SECONDS = Histogram(
+    "notcharch_account_takeover_seconds",
+    "From a partition being dealt to it being served",
+    buckets=(0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0),
+)
+UNANSWERED = Counter(
+    "notcharch_account_unanswered", "Questions that no owner decided at once"
+)
+OWNERS_AGE_SECONDS = Gauge(
+    "notcharch_account_owners_age_seconds", "Age of the view of the owners"
+)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -23,12 +23,21 @@
     TurnMissing,
     TurnRefused,
 )
+from notcharch.accounts.metrics import OWNED_PARTITIONS, TAKEOVER_SECONDS
 from notcharch.accounts.records import TurnKept, decode, encode
 from notcharch.accounts.turns import Transcript
+from notcharch.events.accounts import (
+    BudgetRefused,
+    PartitionGivenUp,
+    PartitionTakenOver,
+)
+from notcharch.events.event import emit
 from notcharch.journal.interface import LogFault, LogProblem, LogService, Records
 from notcharch.journal.writer import Outcome, PartitionWriter
 from notcharch.wire.messages.base import Message
 
+FENCED = "a higher epoch writes it"
+DEALT_AWAY = "dealt to another daemon"
 READ_RETRY_SECONDS = 0.08
 NOT_OWNER = NotOwner()
 
@@ -69,6 +78,8 @@
             lost=self._was_lost,
         )
         self.is_serving = False
+        self._began = clock.seconds()
+        self._records = 0
         self._read_to = 0
         """Offset up to which the ledger holds the journal."""
         self._waiting: list[Deferred[None]] = []
@@ -84,8 +95,28 @@
         is_read = yield self._replay_to(self._writer.end)
         if is_read and self._writer.is_open:
             self.is_serving = True
+            self._log_taken_over()
             self._wake()
 
+    def _log_taken_over(self) -> None:
+        OWNED_PARTITIONS.inc()
+        TAKEOVER_SECONDS.observe(self._clock.seconds() - self._began)
+        emit(
+            PartitionTakenOver(
+                partition=self.place.partition,
+                epoch=self.place.epoch,
+                records=self._records,
+                programs=len(self._ledger),
+                seconds=round(self._clock.seconds() - self._began, 4),
+            )
+        )
+
+    def _log_given_up(self, cause: str) -> None:
+        if self.is_serving:
+            OWNED_PARTITIONS.dec()
+        self.is_serving = False
+        emit(PartitionGivenUp(self.place.partition, self.place.epoch, cause))
+
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
@@ -106,6 +137,7 @@
                 record = decode(data)
                 if record is not None:
                     self._ledger.replay(record, now)
+            self._records += len(found.records)
             self._read_to = found.first + len(found.records)
             if not found.records and found.end <= self._read_to:
                 break
@@ -119,13 +151,13 @@
         yield deferLater(self._clock, READ_RETRY_SECONDS, lambda: None)
 
     def _was_lost(self) -> None:
-        self.is_serving = False
+        self._log_given_up(FENCED)
         self._wake()
         self._lost(self)
 
     def close(self) -> None:
         """Give the partition up."""
-        self.is_serving = False
+        self._log_given_up(DEALT_AWAY)
         self._writer.close()
         self._wake()
 
@@ -157,10 +189,26 @@
                 return NOT_OWNER
             verdict = self._verdict(ask)
         if verdict is Verdict.SPENT:
+            self._log_spent(ask)
             return TurnRefused(is_spent=True)
         assert transcript is not None
         return TurnAdmitted(transcript.after, transcript.text)
 
+    def _log_spent(self, ask: AdmitTurn) -> None:
+        program = self._ledger.program(ask.program, self._clock.seconds())
+        emit(
+            BudgetRefused(
+                request=ask.call,
+                program=ask.program,
+                partition=self.place.partition,
+                epoch=self.place.epoch,
+                budget_tokens=ask.budget_tokens or 0,
+                used_tokens=program.used,
+                under_way_tokens=program.committed - program.used,
+                most_tokens=ask.most_tokens,
+            )
+        )
+
     def _verdict(self, ask: AdmitTurn) -> Verdict:
         return self._ledger.admit(
             ask.program,
--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -5,11 +5,11 @@
 import msgspec
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_sender import EngineSender, Sending
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.event_stream import EventCutter
 from notcharch.calls.interface import (
-    BUDGET_SPENT,
     MAY_HAVE_RUN,
     NO_ENGINE,
     TIMED_OUT,
@@ -32,7 +32,11 @@
 CLIENT_ERRORS = 400
 SERVER_ERRORS = 500
 
-__all__ = ["BUDGET_SPENT", "CallLife", "CallServices"]
+UNREACHABLE = "unreachable"
+NOT_RUN = "not run"
+NOT_GENUINE = "a success without a seal"
+SERVER_ERROR = "an error of the engine"
+NOT_DURABLE = "the end was not durable in time"
 
 
 class CallServices(msgspec.Struct, frozen=True):
@@ -78,17 +82,19 @@
         self._engine: Engine | None = None
         self._sending: Sending | None = None
         self._tried: set[str] = set()
-        self._runs = 0
         self._head: ResponseHead | None = None
         self._pieces: list[bytes] = []
         self._cutter = EventCutter()
         self._is_relaying = False
+        self._cause = ""
+        """Why the last engine did not serve the call."""
         self._output: list[bytes] = []
         """The stream so far, if the turn is to be kept."""
+        self._log = CallLog(services.clock, call, route)
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
             wait = min(wait, call.wait_seconds)
-        self._deadline = call.arrived + wait
+        self._deadline = self._log.deadline = call.arrived + wait
 
     def start(self) -> None:
         """Ask for admission."""
@@ -118,6 +124,7 @@
         self._ticket = ticket
         self._body = body
         self._phase = Phase.AT_ENGINE
+        self._log.admitted()
         self._dispatch()
 
     def refused(self, refusal: Refusal) -> None:
@@ -136,7 +143,7 @@
     def _dispatch(self) -> None:
         left = self._deadline - self._services.clock.seconds()
         if left < LEAST_SECONDS:
-            self._refuse(TIMED_OUT if self._runs else NO_ENGINE)
+            self._refuse(TIMED_OUT if self._log.runs else NO_ENGINE)
             return
         engine = self._services.pool.choose(
             self._service, self._home_key(), self._tried
@@ -145,6 +152,7 @@
             self._give_up()
             return
         self._tried.add(engine.id)
+        self._log.engines.append(engine.id)
         self._engine = engine
         self._head = None
         self._pieces = []
@@ -152,11 +160,16 @@
         self._services.pool.began(engine.id)
         self._sending = self._services.sender.send(engine, request, self._body, self)
 
+    def _send_again(self, cause: str) -> None:
+        self._cause = cause
+        self._log.sent_again(cause)
+        self._dispatch()
+
     def _give_up(self) -> None:
         """No engine is left to try."""
         if self._is_relaying:
-            self._break_off()
-        elif self._runs:
+            self._break_off(self._cause)
+        elif self._log.runs:
             self._refuse(MAY_HAVE_RUN)
         else:
             self._refuse(NO_ENGINE)
@@ -172,7 +185,7 @@
         assert self._engine is not None
         self._services.pool.failed(self._engine.id)
         self._leave_engine()
-        self._dispatch()
+        self._send_again(UNREACHABLE)
 
     def is_answer(self, head: ResponseHead) -> bool:
         """Tell whether an answer is to this call."""
@@ -197,6 +210,7 @@
             return
         whole = self._cutter.take(data)
         if whole:
+            self._log.gave(self._cutter.events)
             if self._route.keeps_turns:
                 self._output.append(whole)
             self._reply.write(whole)
@@ -204,58 +218,57 @@
     def ended(self) -> None:
         """Hear that the answer is whole."""
         head = self._head
-        assert head is not None
-        sending = self._sending
         engine = self._engine
-        if sending is not None and engine is not None:
-            self._services.sender.keep(engine.id, sending)
-        dialect = self._services.dialect
-        if dialect.was_not_run(head):
-            self._engine_refused()
+        sending = self._sending
+        assert head is not None
+        assert engine is not None
+        assert sending is not None
+        self._services.sender.keep(engine.id, sending)
+        if self._services.dialect.was_not_run(head):
+            self._services.pool.was_full(engine.id)
+            self._leave_engine()
+            self._send_again(f"{NOT_RUN}: {head.status}")
             return
-        self._runs += 1
+        self._log.runs += 1
         self._leave_engine()
-        if head.status < CLIENT_ERRORS and not dialect.is_genuine(head):
-            self._failed_run()
-            return
-        if self._is_relaying:
-            if head.status >= CLIENT_ERRORS:
-                self._failed_run()
-                return
+        self._judge(head)
+
+    def _judge(self, head: ResponseHead) -> None:
+        """Decide what becomes of a whole answer."""
+        is_success = head.status < CLIENT_ERRORS
+        if is_success and not self._services.dialect.is_genuine(head):
+            self._failed_run(NOT_GENUINE)
+        elif self._is_relaying and is_success:
             self._settle_stream()
-            return
-        if head.status >= SERVER_ERRORS and self._may_run_again():
-            self._dispatch()
-            return
-        self._finish_answer(head)
-
-    def _engine_refused(self) -> None:
-        assert self._engine is not None
-        self._services.pool.was_full(self._engine.id)
-        self._leave_engine()
-        self._dispatch()
+        elif self._is_relaying:
+            self._failed_run(f"{SERVER_ERROR}: {head.status}")
+        elif head.status >= SERVER_ERRORS and self._may_run_again():
+            self._send_again(f"{SERVER_ERROR}: {head.status}")
+        else:
+            self._finish_answer(head)
 
     def failed(self, failure: AnswerFailure) -> None:
         """Hear that the answer broke off; the call may have run."""
         assert self._engine is not None
         if failure is not AnswerFailure.GARBLED:
             self._services.pool.failed(self._engine.id)
-        self._runs += 1
+        self._log.runs += 1
         self._leave_engine()
-        self._failed_run()
+        self._failed_run(failure.value)
 
     def _may_run_again(self) -> bool:
         route = self._route
         is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
-        return is_safe and self._runs < route.most_engines
+        return is_safe and self._log.runs < route.most_engines
 
-    def _failed_run(self) -> None:
+    def _failed_run(self, cause: str) -> None:
         if not self._may_run_again():
+            self._cause = cause
             self._give_up()
             return
         if self._is_relaying:
             self._resume_after_last_event()
-        self._dispatch()
+        self._send_again(cause)
 
     def _resume_after_last_event(self) -> None:
         self._cutter.drop_rest()
@@ -279,33 +292,40 @@
         if rest:
             self._reply.write(rest)
         self._over()
+        self._log.served(self._status)
         self._reply.finish()
 
+    @property
+    def _status(self) -> int:
+        return self._head.status if self._head is not None else 0
+
     def lost(self) -> None:
         """Break the stream off: its outcome could not be made durable."""
         if self._phase is Phase.SETTLING:
-            self._over()
-            self._reply.abort()
+            self._break_off(NOT_DURABLE)
 
     def _finish_answer(self, head: ResponseHead) -> None:
         body = b"".join(self._pieces)
-        ticket = self._ticket
+        if self._ticket is not None:
+            self._ticket.broke_off(0)
         self._over()
-        if ticket is not None:
-            ticket.broke_off(0)
+        self._log.served(head.status)
         self._reply.whole(head, body)
 
     def _refuse(self, refusal: Refusal) -> None:
         """End without an engine's answer."""
         if self._is_relaying:
-            self._break_off()
+            self._break_off(refusal.reason)
             return
         self._tell_ticket()
+        known = self._services.pool.count(self._service)
+        self._log.refused(refusal, self._phase.value, known)
         self._over()
         self._reply.refuse(refusal)
 
-    def _break_off(self) -> None:
+    def _break_off(self, cause: str) -> None:
         self._tell_ticket()
+        self._log.broken_off(self._phase.value, cause)
         self._over()
         self._reply.abort()
 
@@ -313,32 +333,26 @@
         """Say what is known of the runs of a call that has no whole answer."""
         if self._ticket is None or self._phase is Phase.SETTLING:
             return
-        if self._runs or self._sending is not None:
+        if self._log.runs or self._sending is not None:
             self._ticket.broke_off(self._cutter.events)
         else:
             self._ticket.never_ran()
 
-    def _abandon_engine(self) -> None:
-        sending = self._sending
-        if sending is not None:
-            sending.abandon()
-        self._leave_engine()
-
     def _over(self) -> None:
         self._phase = Phase.OVER
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        self._abandon_engine()
+        if self._sending is not None:
+            self._sending.abandon()
+        self._leave_engine()
 
     def _expire(self) -> None:
         """Say at once that the time of the call is over."""
-        if self._phase is Phase.OVER:
-            return
         if self._phase is Phase.ADMISSION:
             self._refuse(NO_ENGINE)
         elif self._phase is Phase.SETTLING:
             self.lost()
-        else:
+        elif self._phase is Phase.AT_ENGINE:
             self._refuse(TIMED_OUT)
 
     def _caller_left(self) -> None:
@@ -346,4 +360,5 @@
         if self._phase is Phase.OVER:
             return
         self._tell_ticket()
+        self._log.caller_left(self._phase.value)
         self._over()
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -101,9 +101,9 @@
             ),
         )
 
-    def has_service(self, service: str) -> bool:
-        """Tell whether any engine of a service takes work."""
-        return bool(self._by_service.get(service))
+    def count(self, service: str) -> int:
+        """Give how many engines of a service take work."""
+        return len(self._by_service.get(service, ()))
 
     def began(self, engine_id: str) -> None:
         """Count a call that is sent to an engine."""
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -101,12 +101,24 @@
     ) -> None:
         """Connect when needed, from a machine's own address."""
         self._reactor = reactor
-        bind = (own_address, 0) if own_address else None
-        self._endpoint = TCP4ClientEndpoint(reactor, host, port, CONNECT_SECONDS, bind)
-        self._host = f"{host}:{port}".encode()
+        self._idle: deque[tuple[ClientConnection, float]] = deque()
+        self._bind = (own_address, 0) if own_address else None
+        self._address = ("", 0)
+        self.set_address(host, port)
         self._factory = Factory.forProtocol(ClientConnection)
         self._factory.noisy = False
-        self._idle: deque[tuple[ClientConnection, float]] = deque()
+
+    def set_address(self, host: str, port: int) -> None:
+        """Speak to a server at this address from now on."""
+        if (host, port) == self._address:
+            return
+        self._address = (host, port)
+        self._endpoint = TCP4ClientEndpoint(
+            self._reactor, host, port, CONNECT_SECONDS, self._bind
+        )
+        self._host = f"{host}:{port}".encode()
+        while self._idle:
+            self._idle.pop()[0].close()
 
     def request(
         self, method: bytes, target: bytes, body: bytes, seconds: float
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -10,6 +10,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.events.event import emit
+from notcharch.events.process import DependencyLost, DependencyRegained
 from notcharch.journal.interface import (
     KeyedRecord,
     LogFault,
@@ -57,6 +59,7 @@
         """Where the next read begins; negative before a picture."""
         self._is_running = False
         self._retry_seconds = RETRY_SECONDS
+        self._lost_at: float | None = None
         self.heard_at: float | None = None
         """Clock seconds of the last answer."""
 
@@ -73,6 +76,7 @@
     def _follow(self) -> Generator["Deferred[Any]", Any, None]:
         while self._is_running:
             problem = yield self._step()
+            self._note(problem)
             if problem is None:
                 self.heard_at = self._clock.seconds()
                 self._retry_seconds = RETRY_SECONDS
@@ -84,6 +88,18 @@
                 longer = self._retry_seconds * RETRY_GROWTH
                 self._retry_seconds = min(longer, LONGEST_RETRY_SECONDS)
 
+    def _note(self, problem: LogProblem | None) -> None:
+        """Tell once that the topic can't be read, and once that it can again."""
+        now = self._clock.seconds()
+        if problem is None:
+            if self._lost_at is not None:
+                seconds = round(now - self._lost_at, 3)
+                emit(DependencyRegained(self._topic, seconds))
+            self._lost_at = None
+        elif self._lost_at is None and problem.fault is not LogFault.GONE:
+            self._lost_at = now
+            emit(DependencyLost(self._topic, problem.fault.value))
+
     def _sleep(self, seconds: float) -> "Deferred[None]":
         return deferLater(self._clock, seconds, lambda: None)
 
--- /dev/null
+++ b/notcharch/journal/metrics.py
@@ -0,0 +1,11 @@
+"""Counters and histograms of the journal."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+APPENDS = Counter("notcharch_journal_appends", "Answers to appends", ["outcome"])
+APPEND_SECONDS = Histogram(
+    "notcharch_journal_append_seconds",
+    "From an append's first try to its answer",
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0),
+)
+BACKLOG = Gauge("notcharch_journal_backlog", "Records that wait to be appended")
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -19,6 +19,7 @@
     LogService,
     Producer,
 )
+from notcharch.journal.metrics import APPEND_SECONDS, APPENDS, BACKLOG
 
 BATCH_BYTES = 256 * 1024
 RETRY_SECONDS = 0.05
@@ -84,6 +85,7 @@
             done(Outcome.LOST)
             return
         self._queue.append(Entry(record, done))
+        BACKLOG.inc()
         if not self._is_writing:
             self._write()
 
@@ -94,6 +96,7 @@
             done.callback(Outcome.LOST)
             return done
         self._queue.append(Entry(b"", done.callback))
+        BACKLOG.inc()
         if not self._is_writing:
             self._write()
         return done
@@ -116,6 +119,7 @@
         size = 0
         while self._queue and size < BATCH_BYTES:
             entry = self._queue.popleft()
+            BACKLOG.dec()
             size += len(entry.record)
             batch.append(entry)
         return batch
@@ -126,13 +130,17 @@
         self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
         delay = RETRY_SECONDS
+        began = self._clock.seconds()
         while self.is_open:
             answer: Result[Appended, LogProblem] = yield self._service.append(
                 self._topic, self._partition, records, producer
             )
             if not isinstance(answer, Err):
+                APPENDS.labels("done").inc()
+                APPEND_SECONDS.observe(self._clock.seconds() - began)
                 self.end = answer.ok_value.end
                 return True
+            APPENDS.labels(answer.err_value.fault.value).inc()
             if answer.err_value.fault in LOST_FAULTS:
                 self.close()
                 self._lost()
@@ -148,5 +156,6 @@
         self.is_open = False
         waiting = tuple(self._queue)
         self._queue.clear()
+        BACKLOG.dec(len(waiting))
         for entry in waiting:
             entry.done(Outcome.LOST)
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -12,6 +12,8 @@
     Refusal,
 )
 from notcharch.calls.routing import Router, service_of
+from notcharch.events.calls import RequestWithoutRoute
+from notcharch.events.event import emit
 from notcharch.http.messages import Headers, ResponseHead
 from notcharch.http.server import JSON_TYPE, Exchange, ServerLimits
 from notcharch.platform.headers import REQUEST_ID, answer_headers, read_call
@@ -96,6 +98,11 @@
         path = head.target.partition(b"?")[0].decode("latin-1")
         route = router.find(host, path)
         if route is None:
+            emit(
+                RequestWithoutRoute(
+                    id.decode("latin-1"), host, path, router.table.version
+                )
+            )
             reply.refuse(NO_ROUTE)
             return
         call = read_call(head, exchange.body, exchange.arrived)
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,14 +1,18 @@
 """The daemon on the platform: wires the product's parts and runs them."""
 
+import argparse
+import os
 import signal
 import sys
 import time
 from random import Random
 from typing import Any
 
+import eliot
 from result import Err
 from twisted.internet import reactor as default_reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.task import LoopingCall
 
 from notcharch.accounts.service import (
     AccountSettings,
@@ -18,70 +22,57 @@
 from notcharch.calls.call_life import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
-from notcharch.calls.routing import Router
+from notcharch.events.calls import CallServed
+from notcharch.events.event import emit
+from notcharch.events.output import LogOutput
+from notcharch.events.process import (
+    LinesDropped,
+    ProcessStarted,
+    ProcessStopped,
+    ProcessStopping,
+    ReadinessChanged,
+    SettingsRead,
+)
 from notcharch.http.requester import Requester
-from notcharch.http.server import Exchange, ServerFactory, ServerLimits
-from notcharch.journal.keyed_follower import KeyedFollower, Pace
-from notcharch.platform.configuration import engine_of, table_of
+from notcharch.http.server import ServerFactory
 from notcharch.platform.headers import PlatformEngines
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
+from notcharch.platform.tables import PlatformTables
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
-CONFIGURATION_TOPIC = "keyed.op"
-CONFIGURATION_KEY = "config"
-ENGINES_TOPIC = "keyed.servers"
-CONFIGURATION_PACE = Pace(wait_seconds=1.0, pause_seconds=0.05)
-ENGINES_PACE = Pace(wait_seconds=1.0, pause_seconds=0.4)
-
 KEEP_LISTENING_SECONDS = 2.6
 """After SIGTERM new connections come until the platform has seen that we leave."""
 STOP_CHECK_SECONDS = 0.1
 STOP_MARGIN_SECONDS = 0.7
 UNREADABLE_SETTINGS = 2
+BACKLOG = 512
+MILLISECONDS = 1000
+STANDARD_OUTPUT = 1
+TICK_SECONDS = 1.0
 
 
 def new_incarnation() -> Incarnation:
     """Give a number that is higher for each later process of a machine."""
-    return Incarnation(int(time.time() * 1000))
-
-
-class Readiness:
-    """Answers whether this daemon takes new connections."""
-
-    def __init__(self, process: "Process") -> None:
-        """Ask a process."""
-        self._process = process
-
-    def limits(self) -> ServerLimits:
-        """Give small limits."""
-        return ServerLimits()
-
-    def is_closing(self) -> bool:
-        """Keep connections."""
-        return False
-
-    def count(self, change: int) -> None:
-        """Count nothing."""
-
-    def handle(self, exchange: Exchange) -> None:
-        """Say 200 when ready, else 503."""
-        exchange.answer(200 if self._process.is_ready else 503, [])
+    return Incarnation(int(time.time() * MILLISECONDS))
 
 
 class Process:
     """One daemon on the platform."""
 
-    def __init__(self, settings: ProcessSettings, reactor: Any) -> None:
-        """Wire the parts."""
+    def __init__(
+        self, settings: ProcessSettings, reactor: Any, metrics_port: int | None
+    ) -> None:
+        """Wire the parts; figures are shown at `metrics_port`, if any."""
         self._settings = settings
+        self._metrics_port = metrics_port
         self._reactor = reactor
         random = Random()
         store = settings.store.address
-        self._store = PlatformStore(
-            Requester(reactor, store.host, store.port, settings.host)
-        )
+        self._requester = Requester(reactor, store.host, store.port, settings.host)
+        platform_store = PlatformStore(self._requester)
         own = Member(DaemonName(settings.machine), new_incarnation())
         self._network = account_network(reactor, own, random)
         self._accounts = AccountsService(
@@ -90,63 +81,65 @@
                 partitions=settings.store.partitions,
                 least_lease_seconds=settings.store.least_lease_seconds,
             ),
-            self._store,
+            platform_store,
             reactor,
             self._network,
             random,
         )
-        self._pool = EnginePool(reactor, settings.zone, random)
-        self._sender = EngineSender(reactor, settings.host)
+        pool = EnginePool(reactor, settings.zone, random)
+        sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
             CallServices(
                 clock=reactor,
-                pool=self._pool,
-                sender=self._sender,
+                pool=pool,
+                sender=sender,
                 dialect=PlatformEngines(),
                 admission=self._accounts.admission,
             )
         )
         self._factory = ServerFactory(self._ingress, reactor)
-        self._has_engines = False
-        self._stop_at: float | None = None
-        self._followers = (
-            KeyedFollower(
-                self._store,
-                reactor,
-                random,
-                CONFIGURATION_TOPIC,
-                pace=CONFIGURATION_PACE,
-                changed=self._configuration_changed,
-            ),
-            KeyedFollower(
-                self._store,
-                reactor,
-                random,
-                ENGINES_TOPIC,
-                pace=ENGINES_PACE,
-                changed=self._engines_changed,
-            ),
+        self._tables = PlatformTables(
+            platform_store, reactor, random, self._ingress, pool, sender=sender
+        )
+        self._output = LogOutput(
+            STANDARD_OUTPUT, reactor, frozenset((CallServed.number,))
         )
+        self._ticks = LoopingCall(self._tick)
+        self._was_ready = False
+        self._stopping_since: float | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        is_equipped = self._ingress.router is not None and self._has_engines
-        return is_equipped and self._stop_at is None
+        return self._tables.are_known and self._stopping_since is None
 
     def start(self) -> None:
         """Listen and follow the store."""
         settings = self._settings
+        os.set_blocking(STANDARD_OUTPUT, False)
+        eliot.add_destinations(self._output)
         self._listen(settings.front.host, settings.front.port, self._factory)
-        readiness = ServerFactory(Readiness(self), self._reactor)
+        readiness = ServerFactory(ReadinessHandler(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
+        if self._metrics_port is not None:
+            metrics = ServerFactory(MetricsHandler(), self._reactor)
+            self._listen(settings.host, self._metrics_port, metrics)
         self._network.listen(settings.host, settings.peer_ports[0])
         self._accounts.start()
-        for follower in self._followers:
-            follower.start()
+        self._tables.start()
+        self._ticks.start(TICK_SECONDS, now=False)
+        emit(
+            ProcessStarted(
+                settings.machine,
+                settings.zone,
+                settings.front.text(),
+                f"{settings.host}:{settings.peer_ports[0]}",
+                settings.store.address.text(),
+            )
+        )
 
     def _listen(self, host: str, port: int, factory: ServerFactory) -> None:
-        endpoint = TCP4ServerEndpoint(self._reactor, port, 512, host)
+        endpoint = TCP4ServerEndpoint(self._reactor, port, BACKLOG, host)
         listening = endpoint.listen(factory)
         listening.addErrback(self._cannot_listen)
 
@@ -154,59 +147,85 @@
         sys.stderr.write(f"cannot listen: {failure.getErrorMessage()}\n")
         self._reactor.stop()
 
-    def _configuration_changed(self, values: dict[str, bytes]) -> None:
-        value = values.get(CONFIGURATION_KEY)
-        if value is None:
+    def _tick(self) -> None:
+        """Tell what changed of our readiness, and which lines were left out."""
+        if self.is_ready != self._was_ready:
+            self._was_ready = self.is_ready
+            cause = "the tables are known" if self.is_ready else "stopping"
+            emit(ReadinessChanged(self._settings.machine, self.is_ready, cause))
+        routine, others = self._output.take_dropped()
+        if routine or others:
+            emit(LinesDropped(routine, others))
+
+    def settings_signalled(self) -> None:
+        """Read the settings again; the store's address may be another one."""
+        loaded = load_settings()
+        if isinstance(loaded, Err):
+            findings = loaded.err_value
+            emit(SettingsRead(self._settings.machine, findings, is_changed=False))
             return
-        table = table_of(value)
-        current = self._ingress.router
-        if current is None or table.version > current.table.version:
-            self._ingress.router = Router(table)
-
-    def _engines_changed(self, values: dict[str, bytes]) -> None:
-        engines = [engine_of(id, value) for id, value in values.items()]
-        for gone in self._pool.replace(engines):
-            self._sender.forget(gone)
-        self._has_engines = True
+        settings = loaded.ok_value
+        is_changed = settings != self._settings
+        emit(SettingsRead(settings.machine, [], is_changed))
+        self._settings = settings
+        address = settings.store.address
+        self._requester.set_address(address.host, address.port)
 
     def stop_signalled(self) -> None:
         """Drain: take no new connections soon, finish what is under way, end."""
-        if self._stop_at is not None:
+        if self._stopping_since is not None:
             return
-        now = self._reactor.seconds()
-        self._stop_at = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        self._stopping_since = self._reactor.seconds()
+        emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
         self._ingress.is_draining = True
         self._accounts.leave()
         self._reactor.callLater(KEEP_LISTENING_SECONDS, self._try_stop)
 
     def _try_stop(self) -> None:
-        assert self._stop_at is not None
+        assert self._stopping_since is not None
         self._factory.close_idle()
-        is_late = self._reactor.seconds() >= self._stop_at
-        if self._ingress.in_flight == 0 or is_late:
-            self._reactor.stop()
+        passed = self._reactor.seconds() - self._stopping_since
+        is_late = passed >= self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        under_way = self._ingress.in_flight
+        if under_way and not is_late:
+            self._reactor.callLater(STOP_CHECK_SECONDS, self._try_stop)
             return
-        self._reactor.callLater(STOP_CHECK_SECONDS, self._try_stop)
+        emit(ProcessStopped(self._settings.machine, under_way, round(passed, 3)))
+        self._output.flush()
+        self._reactor.stop()
+
+
+def read_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="notcharch.platform", description=__doc__)
+    parser.add_argument("--metrics-port", type=int, help="show figures at this port")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings file and end"
+    )
+    return parser.parse_args(arguments)
 
 
 def main() -> int:
     """Run a daemon until it is told to stop."""
+    arguments = read_arguments()
     loaded = load_settings()
     if isinstance(loaded, Err):
         for finding in loaded.err_value:
             sys.stderr.write(f"{finding}\n")
         return UNREADABLE_SETTINGS
+    if arguments.check:
+        return 0
     reactor: Any = default_reactor
     # Twisted's own clock is the time of day, which may jump.
     reactor.seconds = time.monotonic
-    process = Process(loaded.ok_value, reactor)
+    process = Process(loaded.ok_value, reactor, arguments.metrics_port)
 
-    def on_stop(*_: Any) -> None:
-        reactor.callFromThread(process.stop_signalled)
+    def later(act: Any) -> Any:
+        return lambda *_: reactor.callFromThread(act)
 
     def running() -> None:
-        signal.signal(signal.SIGTERM, on_stop)
-        signal.signal(signal.SIGHUP, lambda *_: None)
+        signal.signal(signal.SIGTERM, later(process.stop_signalled))
+        signal.signal(signal.SIGHUP, later(process.settings_signalled))
 
     reactor.callWhenRunning(process.start)
     reactor.callWhenRunning(running)
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -15,6 +15,10 @@
     host: str
     port: int
 
+    def text(self) -> str:
+        """Give `host:port`."""
+        return f"{self.host}:{self.port}"
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Where the store is and what it takes."""
@@ -30,7 +34,7 @@
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
-    """The settings of this process."""
+    """The settings of this process; times in seconds."""
 
     machine: str
     host: str
@@ -41,7 +45,6 @@
     store: StoreSettings
     grace_seconds: float
     drain_seconds: float
-    metrics: Address | None = None
 
 
 class Fields:
--- /dev/null
+++ b/notcharch/platform/tables.py
@@ -0,0 +1,117 @@
+"""Follows the operator's configuration and the engines' entries in the store."""
+
+from random import Random
+
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+
+from notcharch.calls.engine_sender import EngineSender
+from notcharch.calls.engines import EnginePool
+from notcharch.calls.interface import Engine
+from notcharch.calls.routing import Router
+from notcharch.events.event import emit
+from notcharch.events.process import DependencyLost, EnginesChanged, TableInForce
+from notcharch.journal.keyed_follower import KeyedFollower, Pace
+from notcharch.platform.configuration import engine_of, table_of
+from notcharch.platform.ingress import Ingress
+from notcharch.platform.store import PlatformStore
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+ENGINES_TOPIC = "keyed.servers"
+CONFIGURATION_PACE = Pace(wait_seconds=1.0, pause_seconds=0.05)
+ENGINES_PACE = Pace(wait_seconds=1.0, pause_seconds=0.4)
+
+
+class PlatformTables:
+    """Puts each newer table in force, and keeps the list of engines."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        clock: IReactorTime,
+        random: Random,
+        ingress: Ingress,
+        pool: EnginePool,
+        *,
+        sender: EngineSender,
+    ) -> None:
+        """Begin without a table and engines."""
+        self._clock = clock
+        self._ingress = ingress
+        self._pool = pool
+        self._sender = sender
+        self._engines: dict[str, Engine] = {}
+        self._engines_at = clock.seconds()
+        self._has_engines = False
+        self._followers = (
+            KeyedFollower(
+                store,
+                clock,
+                random,
+                CONFIGURATION_TOPIC,
+                pace=CONFIGURATION_PACE,
+                changed=self._configuration_changed,
+            ),
+            KeyedFollower(
+                store,
+                clock,
+                random,
+                ENGINES_TOPIC,
+                pace=ENGINES_PACE,
+                changed=self._engines_changed,
+            ),
+        )
+
+    @property
+    def are_known(self) -> bool:
+        """Whether there is a table and a list of engines."""
+        return self._ingress.router is not None and self._has_engines
+
+    def start(self) -> None:
+        """Begin to follow."""
+        for follower in self._followers:
+            follower.start()
+
+    def _configuration_changed(self, values: dict[str, bytes]) -> None:
+        value = values.get(CONFIGURATION_KEY)
+        if value is None:
+            return
+        try:
+            table = table_of(value)
+        except msgspec.DecodeError as error:
+            emit(DependencyLost(CONFIGURATION_TOPIC, f"unreadable: {error}"))
+            return
+        current = self._ingress.router
+        former = current.table.version if current is not None else -1
+        if table.version > former:
+            self._ingress.router = Router(table)
+            emit(TableInForce(table.version, former, len(table.routes)))
+
+    def _engines_changed(self, values: dict[str, bytes]) -> None:
+        engines: dict[str, Engine] = {}
+        for id, value in values.items():
+            try:
+                engines[id] = engine_of(id, value)
+            except (msgspec.DecodeError, ValueError) as error:
+                emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"unreadable: {error}"))
+        gone = self._pool.replace(engines.values())
+        for engine_id in gone:
+            self._sender.forget(engine_id)
+        self._has_engines = True
+        if engines != self._engines:
+            self._log_engines(engines, gone)
+        self._engines = engines
+
+    def _log_engines(self, engines: dict[str, Engine], gone: list[str]) -> None:
+        now = self._clock.seconds()
+        emit(
+            EnginesChanged(
+                engines=len(engines),
+                leaving=sum(engine.is_leaving for engine in engines.values()),
+                added=sorted(engines.keys() - self._engines.keys()),
+                gone=sorted(gone),
+                seconds_since_last=round(now - self._engines_at, 3),
+            )
+        )
+        self._engines_at = now
--- /dev/null
+++ b/tests/unit/platform/test_configuration.py
@@ -0,0 +1,95 @@
+"""The operator's configuration and engines' entries as the product's types."""
+
+import msgspec
+import pytest
+
+from notcharch.calls.interface import ServiceShare
+from notcharch.platform.configuration import engine_of, table_of
+
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "path_prefix": "/p/",
+    "kind": "streaming",
+    "timeout_ms": 3000,
+    "target_latency_ms": 200,
+    "priority": 1,
+    "service": "s",
+    "retry_attempts": 2,
+    "retains_transcripts": True,
+    "retention_s": 60.0,
+    "sticky_sessions": True,
+    "resumable": False,
+    "target_gap_ms": 300,
+}
+SERVICE = {
+    "name": "s",
+    "health_path": "/health",
+    "connection_limit": 160,
+    "engine": {"slots": 12, "tokens_per_event": 25, "models": [{"name": "m"}]},
+}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 4194304,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def table(**changes):
+    entry = {"version": 7, "routes": [ROUTE | changes], "services": [SERVICE]}
+    return table_of(msgspec.json.encode(entry | {"limits": LIMITS}))
+
+
+def test_a_route_is_translated():
+    route = table().routes[0]
+    assert route.shares == (ServiceShare("s", 1.0),)
+    assert (route.is_stream, route.is_repeatable, route.keeps_turns) == (1, 0, 1)
+    assert (route.timeout_seconds, route.most_engines) == (3.0, 2)
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        ("idempotent", False, True),
+        ("non_idempotent", False, False),
+        ("streaming", False, False),
+        ("streaming", True, True),
+        ("something new", False, False),
+    ],
+)
+def test_what_may_be_repeated_is_told_by_the_kind(kind, resumable, repeatable):
+    route = table(kind=kind, resumable=resumable).routes[0]
+    assert route.is_repeatable is repeatable
+
+
+def test_a_split_is_translated():
+    split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    route = table(traffic_split=split, service="").routes[0]
+    assert route.shares == (ServiceShare("s", 90), ServiceShare("t", 10))
+
+
+def test_services_and_limits_are_translated():
+    translated = table()
+    assert translated.version == 7
+    assert translated.services["s"].tokens_per_event == 25
+    assert translated.limits.idle_seconds == 15.0
+
+
+def test_an_engine_is_translated():
+    entry = {
+        "service": "s",
+        "address": "10.128.0.9:8080",
+        "zone": "z",
+        "slots": 12,
+        "state": "draining",
+        "call_sequence": 4,
+    }
+    engine = engine_of("i-1", msgspec.json.encode(entry))
+    assert (engine.id, engine.host, engine.port) == ("i-1", "10.128.0.9", 8080)
+    assert (engine.slots, engine.is_leaving) == (12, True)
+
+
+def test_what_cannot_be_read_is_an_error():
+    with pytest.raises(msgspec.DecodeError):
+        table_of(b'{"version": "x"}')
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,39 @@
+"""The platform's settings file, whole and broken."""
+
+from notcharch.platform.settings import Address, read_settings
+
+TEXT = """
+node_name=front-hall-a-1
+ip_address=10.1.0.38
+zone=hall-a
+listen_addresses.front=10.1.0.38:8149
+listen_addresses.readiness=10.1.0.38:8141
+internal_port_range=7380,7395
+platform.address=10.200.1.7:8142
+platform.parts=12
+platform.ttl_min_ms=1000
+bounds.grace_period_s=8
+something.unknown=1,2,3
+"""
+
+
+def test_settings_are_read():
+    settings = read_settings(TEXT).ok_value
+    assert settings.machine == "front-hall-a-1"
+    assert settings.front == Address("10.1.0.38", 8149)
+    assert settings.peer_ports == (7380, 7395)
+    assert settings.store.partitions == 12
+    assert settings.store.least_lease_seconds == 1.0
+    assert settings.grace_seconds == 8.0
+
+
+def test_all_findings_are_told_together():
+    broken = TEXT.replace("10.1.0.38:8149", "nowhere").replace("platform.parts=12", "")
+    broken = broken.replace("bounds.grace_period_s=8", "bounds.grace_period_s=soon")
+    broken = broken.replace("zone=hall-a", "")
+    findings = read_settings(broken).err_value
+    assert [finding.partition(":")[0] for finding in findings] == [
+        "zone",
+        "listen_addresses.front",
+        "bounds.grace_period_s",
+    ]
--- /dev/null
+++ b/tests/unit/platform/test_store.py
@@ -0,0 +1,117 @@
+"""The platform's store as the product's log service, answer by answer."""
+
+import pytest
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from notcharch.http.messages import ResponseHead
+from notcharch.http.requester import NoAnswer, WholeAnswer
+from notcharch.journal.interface import (
+    Appended,
+    LogFault,
+    Membership,
+    Ownership,
+    Producer,
+    Records,
+)
+from notcharch.platform.store import PlatformStore, pack, unpack
+
+
+class Requester:
+    """Answers each request with what it was given."""
+
+    def __init__(self, outcome) -> None:
+        self.outcome = outcome
+        self.method = self.target = self.body = b""
+        self.seconds = 0.0
+
+    def request(self, method, target, body, seconds):
+        self.method, self.target, self.body = method, target, body
+        self.seconds = seconds
+        answered = Deferred()
+        answered.callback(self.outcome)
+        return answered
+
+
+def answered(status: int, body: bytes = b"{}"):
+    return Requester(Ok(WholeAnswer(ResponseHead(status, []), body)))
+
+
+def result_of(deferred):
+    found = []
+    deferred.addCallback(found.append)
+    return found[0]
+
+
+def append(requester):
+    store = PlatformStore(requester)
+    return result_of(store.append("t", 3, (b"ab", b"c"), Producer("w", 7, 12)))
+
+
+def test_records_keep_their_bounds():
+    records = (b"ab", b"", b"c" * 300)
+    assert unpack(pack(records)) == records
+    assert pack((b"ab", b"c")) == b"\0\0\0\2ab\0\0\0\1c"
+
+
+def test_an_append_is_put_as_the_pages_say():
+    requester = answered(200, b'{"offset": 840, "end": 842}')
+    assert append(requester) == Ok(Appended(840, 842))
+    assert requester.method == b"POST"
+    assert requester.target == (
+        b"/log-append?topic=t&part=3&producer=w&epoch=7&call_sequence=12"
+    )
+    assert requester.body == pack((b"ab", b"c"))
+
+
+@pytest.mark.parametrize(
+    ("requester", "fault"),
+    [
+        (answered(409, b'{"why": "fenced"}'), LogFault.FENCED),
+        (answered(409, b'{"why": "seq", "call_sequence": 4}'), LogFault.OUT_OF_ORDER),
+        (answered(412, b'{"end": 9}'), LogFault.MOVED_ON),
+        (answered(429), LogFault.NOT_DONE),
+        (answered(503), LogFault.NOT_DONE),
+        (answered(507), LogFault.FULL),
+        (answered(400), LogFault.REJECTED),
+        (answered(200, b"no json"), LogFault.REJECTED),
+        (Requester(Err(NoAnswer.SENT)), LogFault.UNKNOWN),
+        (Requester(Err(NoAnswer.NOT_SENT)), LogFault.NOT_DONE),
+    ],
+)
+def test_each_refusal_has_its_fault(requester, fault):
+    assert append(requester).err_value.fault is fault
+
+
+def test_records_are_read():
+    body = (842).to_bytes(8, "big") + (0).to_bytes(8, "big") + pack((b"ab", b"c"))
+    requester = answered(200, body)
+    found = result_of(PlatformStore(requester).read("t", 3, 840, 20.0))
+    assert found == Ok(Records(840, (b"ab", b"c"), 842))
+    assert requester.target.endswith(b"source=840&wait_ms=20000")
+    assert requester.seconds > 20.0
+
+
+def test_records_that_are_gone_name_the_first():
+    requester = answered(410, b'{"first": 12}')
+    problem = result_of(PlatformStore(requester).read("t", 0, 3)).err_value
+    assert (problem.fault, problem.offset) == (LogFault.GONE, 12)
+
+
+def test_the_newest_of_each_key_is_read():
+    body = (
+        b'{"items":[{"private_key":"config","value":"aGk=","offset":4}],'
+        b'"more":false,"end":6}'
+    )
+    page = result_of(PlatformStore(answered(200, body)).newest("keyed.op", 0)).ok_value
+    assert (page.items[0].key, page.items[0].value) == ("config", b"hi")
+    assert (page.has_more, page.end) == (False, 6)
+
+
+def test_a_group_is_joined_and_its_owners_are_told():
+    body = b'{"generation":7,"ttl_ms":3000,"parts":[["work",3,840],["work",5,0]]}'
+    joined = PlatformStore(answered(200, body)).join("g", "m", "work", 1.2, 6)
+    assert result_of(joined) == Ok(Membership(7, (3, 5)))
+    rows = b'{"parts":[["work",3,"m",840]]}'
+    owners = PlatformStore(answered(200, rows)).owners("g")
+    assert result_of(owners) == Ok((Ownership("work", 3, "m"),))
