Make sure of being the only writer by a read, not by an empty append

Ruled out: two members that hold one partition (the takeovers of partition 5 are all of one daemon in one generation). Change: certainty comes from a read at our own end; claims don't count in the sequence; the emulator's log has the same rule.

--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -61,7 +61,8 @@
         self.first = 0
         self.records: list[bytes] = []
         self.epoch = -1
-        self.sequence = 0
+        self.sequence: int | None = None
+        """The last of the epoch; None before its first record."""
         self.answers: dict[int, Appended] = {}
 
     @property
@@ -81,6 +82,7 @@
         self.records.extend(records)
         if producer is not None:
             self.epoch = producer.epoch
+        if producer is not None and records:
             self.sequence = producer.sequence
             self.answers[producer.sequence] = answer
             self.answers.pop(producer.sequence - REMEMBERED_ANSWERS, None)
@@ -91,10 +93,11 @@
             return Err(LogProblem(LogFault.FENCED))
         if producer.epoch > self.epoch:
             self.answers = {}
+            self.sequence = None
             return None
         if producer.sequence in self.answers:
             return Ok(self.answers[producer.sequence])
-        if producer.sequence != self.sequence + 1:
+        if self.sequence is not None and producer.sequence != self.sequence + 1:
             return Err(LogProblem(LogFault.OUT_OF_ORDER))
         return None
 
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -18,6 +18,7 @@
     LogProblem,
     LogService,
     Producer,
+    Records,
 )
 from notcharch.journal.metrics import APPEND_SECONDS, APPENDS, BACKLOG
 
@@ -41,6 +42,7 @@
     """A record, and who hears that it is durable."""
 
     record: bytes
+    """Nothing asks whether this is still the only writer."""
     done: Callable[[Outcome], None]
 
 
@@ -108,12 +110,41 @@
         while self._queue and self.is_open:
             batch = self._next_batch()
             records = tuple(entry.record for entry in batch if entry.record)
-            is_done = yield self._append(records)
+            if records:
+                is_done = yield self._append(records)
+            else:
+                is_done = yield self._is_alone()
             outcome = Outcome.DURABLE if is_done else Outcome.LOST
             for entry in batch:
                 entry.done(outcome)
         self._is_writing = False
 
+    @inlineCallbacks
+    def _is_alone(self) -> Generator[Any, Any, bool]:
+        """Read on from our own end: a record there is another writer's.
+
+        An append of nothing would not do: it doesn't count in the sequence.
+        """
+        while self.is_open:
+            answer: Result[Records, LogProblem] = yield self._service.read(
+                self._topic, self._partition, self.end
+            )
+            if not isinstance(answer, Err):
+                if answer.ok_value.end <= self.end:
+                    return True
+                self._give_up()
+                return False
+            yield self._pause(RETRY_SECONDS)
+        return False
+
+    def _give_up(self) -> None:
+        self.close()
+        self._lost()
+
+    def _pause(self, seconds: float) -> "Deferred[None]":
+        jitter = 0.5 + self._random.random()
+        return deferLater(self._clock, seconds * jitter, lambda: None)
+
     def _next_batch(self) -> list[Entry]:
         batch: list[Entry] = []
         size = 0
@@ -127,7 +158,8 @@
     @inlineCallbacks
     def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, bool]:
         """Append until there is an answer: one sequence number is written once."""
-        self._sequence += 1
+        if records:
+            self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
         delay = RETRY_SECONDS
         began = self._clock.seconds()
@@ -142,12 +174,9 @@
                 return True
             APPENDS.labels(answer.err_value.fault.value).inc()
             if answer.err_value.fault in LOST_FAULTS:
-                self.close()
-                self._lost()
+                self._give_up()
                 return False
-            yield deferLater(
-                self._clock, delay * (0.5 + self._random.random()), lambda: None
-            )
+            yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH, LONGEST_RETRY_SECONDS)
         return False
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -229,3 +229,19 @@
         call = world.call(program, previous=first.id, body=b"c")
         listener = world.decided(call, at=1, keeps_turns=True)
         assert listener.refusal != UNKNOWN_TURN
+
+
+def epochs(world):
+    return [world.log.partition("accounts", number).epoch for number in range(3)]
+
+
+def test_asking_for_turns_that_nobody_keeps_disturbs_no_owner():
+    world = World()
+    claims = epochs(world)
+    for number in range(5):
+        world.decided(world.call(previous=f"nobody {number}"), keeps_turns=True)
+        assert world.kept(world.call(body=b"a"), EVENT).is_durable
+    world.run(1.0)
+    assert epochs(world) == claims
+    spent, _ = spend(world, "q", 600, 100)
+    assert spent == 600
