Hand accounts over at planned moves, and let a doubted program finish

Change: an owner that gives a partition up in order writes each account (used, calls under way) and heartbeats at once; a program whose use is an upper bound only may use the one call that the rule leaves; others keep their budget to the token.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -10,7 +10,12 @@
 
 import msgspec
 
-from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept
+from notcharch.accounts.records import (
+    AccountHandedOver,
+    AnyRecord,
+    BoundRaised,
+    TurnKept,
+)
 from notcharch.accounts.turns import Turn, TurnStore
 
 AHEAD_CALLS = 2
@@ -44,6 +49,8 @@
         self.bound = 0
         """Tokens journalled as generated."""
         self.used = 0
+        self.is_doubted = False
+        """Whether `used` counts tokens that may not have been generated."""
         self.reserved: dict[str, Reservation] = {}
         self.touched = 0.0
 
@@ -80,11 +87,36 @@
         """Take a record of an earlier owner, or of this one before its restart."""
         if isinstance(record, TurnKept):
             self.keep(record)
+        elif isinstance(record, AccountHandedOver):
+            self._take_account(record, now)
         else:
             program = self.program(record.program, now)
+            program.is_doubted = True
+            program.reserved.clear()
             program.bound = max(program.bound, record.bound_tokens)
             program.used = program.bound
 
+    def _take_account(self, record: AccountHandedOver, now: float) -> None:
+        program = self.program(record.program, now)
+        program.used = record.used_tokens
+        program.is_doubted = False
+        program.reserved = {
+            call: Reservation(most, now) for call, most in record.under_way.items()
+        }
+        program.bound = program.committed
+
+    def accounts(self) -> list[AccountHandedOver]:
+        """Give what a successor needs to go on without doubt."""
+        return [
+            AccountHandedOver(
+                name,
+                program.used,
+                {call: held.tokens for call, held in program.reserved.items()},
+            )
+            for name, program in self._programs.items()
+            if not program.is_doubted and program.bound
+        ]
+
     # Budgets
 
     def admit(
@@ -98,14 +130,25 @@
         if call in program.reserved:
             return Verdict.ADMITTED
         self._charge_forgotten(program, now)
-        after = program.committed + most
-        if budget is not None and after > budget:
-            return Verdict.SPENT
-        if budget is not None and after > program.bound:
-            return Verdict.NEEDS_BOUND
+        if budget is not None:
+            verdict = self._within(program, most, budget)
+            if verdict is not Verdict.ADMITTED:
+                return verdict
         program.reserved[call] = Reservation(most, now)
         return Verdict.ADMITTED
 
+    def _within(self, program: Program, most: int, budget: int) -> Verdict:
+        """Compare a call with its program's budget, then with its durable bound.
+
+        A budget may be exceeded by one call at most. That is left to programs of
+        which more is counted as used than may have been.
+        """
+        allowed = budget + most if program.is_doubted else budget
+        after = program.committed + most
+        if after > allowed:
+            return Verdict.SPENT
+        return Verdict.NEEDS_BOUND if after > program.bound else Verdict.ADMITTED
+
     def _charge_forgotten(self, program: Program, now: float) -> None:
         for call, held in tuple(program.reserved.items()):
             if now - held.since > FORGOTTEN_RESERVATION_SECONDS:
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -1,8 +1,10 @@
 """The partitions that this daemon was dealt, and the answers that it gives for them."""
 
+from collections.abc import Callable
 from random import Random
-from typing import cast
+from typing import Any, cast
 
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -38,9 +40,11 @@
         network: PeerNetwork,
         *,
         directory: OwnerDirectory,
+        heartbeat: Callable[[], None],
     ) -> None:
         """Answer peers through `network`; refer those that ask wrongly."""
         self._directory = directory
+        self._heartbeat = heartbeat
         self._service = service
         self._clock = clock
         self._random = random
@@ -65,10 +69,14 @@
         mine = frozenset(membership.partitions)
         for partition in tuple(self._owned):
             if partition not in mine:
-                self._owned.pop(partition).close()
+                self._owned.pop(partition).hand_over().addBoth(self._handed_over)
         for partition in sorted(mine - self._owned.keys()):
             self._take_over(partition, membership.generation)
 
+    def _handed_over(self, _: object) -> None:
+        """Heartbeat at once: the group passes on what we no longer hold."""
+        self._heartbeat()
+
     def _take_over(self, partition: int, generation: int) -> None:
         self._claims = (self._claims + 1) % EPOCHS_OF_A_GENERATION
         epoch = generation * EPOCHS_OF_A_GENERATION + self._claims
@@ -85,12 +93,12 @@
         if self._owned.get(partition) is owned:
             del self._owned[partition]
 
-    def give_up_all(self) -> None:
-        """Stop owning anything."""
+    def give_up_all(self) -> "Deferred[Any]":
+        """Stop owning anything; fires when all accounts are handed over."""
         if self._forgetting.running:
             self._forgetting.stop()
-        for partition in tuple(self._owned):
-            self._owned.pop(partition).close()
+        owned, self._owned = self._owned, {}
+        return gatherResults([partition.hand_over() for partition in owned.values()])
 
     def _forget(self) -> None:
         limit = self._clock.seconds() - FORGET_SECONDS
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from result import Err, Result
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
@@ -155,6 +155,18 @@
         self._wake()
         self._lost(self)
 
+    @inlineCallbacks
+    def hand_over(self) -> Generator["Deferred[Any]", Any, None]:
+        """Write what is known of all accounts, then give the partition up."""
+        if self.is_serving:
+            self.is_serving = False
+            OWNED_PARTITIONS.dec()
+            written = [
+                self._write(encode(account)) for account in self._ledger.accounts()
+            ]
+            yield gatherResults(written)
+        self.close()
+
     def close(self) -> None:
         """Give the partition up."""
         self._log_given_up(DEALT_AWAY)
@@ -185,8 +197,8 @@
         verdict = self._verdict(ask)
         while verdict is Verdict.NEEDS_BOUND:
             is_raised = yield self._raise_bound(ask)
-            if not is_raised:
-                return NOT_OWNER
+            if not is_raised or not self.is_serving:
+                return NOT_OWNER  # what is reserved now, no successor would know
             verdict = self._verdict(ask)
         if verdict is Verdict.SPENT:
             self._log_spent(ask)
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -29,7 +29,16 @@
     """The data of each of its events, each followed by a line feed."""
 
 
-AnyRecord = BoundRaised | TurnKept
+class AccountHandedOver(Record, frozen=True, tag="account"):
+    """What an owner knew of a program when it gave the partition up in order."""
+
+    program: str
+    used_tokens: int
+    under_way: dict[str, int]
+    """The most of each call that still runs."""
+
+
+AnyRecord = BoundRaised | TurnKept | AccountHandedOver
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(AnyRecord)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -53,7 +53,13 @@
         """Wire the parts; nothing is spoken before `start`."""
         self._directory = OwnerDirectory(service, clock, network, GROUP)
         self._owned = OwnedPartitions(
-            service, clock, random, TOPIC, network, directory=self._directory
+            service,
+            clock,
+            random,
+            TOPIC,
+            network,
+            directory=self._directory,
+            heartbeat=self._heartbeat,
         )
         own = network.own_member
         self._group = GroupMember(
@@ -69,6 +75,9 @@
             OwnerRequests(clock, network, self._directory, partitioning)
         )
 
+    def _heartbeat(self) -> None:
+        self._group.heartbeat()
+
     def start(self) -> None:
         """Join the group and follow the owners."""
         self._owned.start()
@@ -77,8 +86,8 @@
 
     def leave(self) -> None:
         """Own nothing any more; go on as a client of the owners."""
-        self._group.leave()
-        self._owned.give_up_all()
+        self._group.stop()
+        self._owned.give_up_all().addBoth(lambda _: self._group.leave())
 
 
 def account_network(
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -6,8 +6,7 @@
 import msgspec
 from result import Err, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
-from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from notcharch.journal.interface import LogProblem, LogService, Membership
 
@@ -44,28 +43,47 @@
         self._dealt = dealt
         self._generation = 0
         self._is_member = False
+        self._is_joining = False
+        self._next: IDelayedCall | None = None
 
     def start(self) -> None:
         """Join, and stay."""
         self._is_member = True
-        self._stay()
+        self.heartbeat()
+
+    def heartbeat(self) -> None:
+        """Join now, not at the next time."""
+        if self._next is not None and self._next.active():
+            self._next.cancel()
+        if self._is_member and not self._is_joining:
+            self._join()
 
     @inlineCallbacks
-    def _stay(self) -> Generator["Deferred[Any]", Any, None]:
-        while self._is_member:
-            answer: Result[Membership, LogProblem] = yield self._service.join(
-                self._name.group,
-                self._member,
-                self._name.topic,
-                self._lease_seconds,
-                self._generation,
-            )
-            if self._is_member and not isinstance(answer, Err):
-                self._generation = answer.ok_value.generation
-                self._dealt(answer.ok_value)
-            yield deferLater(self._clock, HEARTBEAT_SECONDS, lambda: None)
+    def _join(self) -> Generator["Deferred[Any]", Any, None]:
+        self._is_joining = True
+        answer: Result[Membership, LogProblem] = yield self._service.join(
+            self._name.group,
+            self._member,
+            self._name.topic,
+            self._lease_seconds,
+            self._generation,
+        )
+        self._is_joining = False
+        if not self._is_member:
+            return
+        if not isinstance(answer, Err):
+            self._generation = answer.ok_value.generation
+            self._dealt(answer.ok_value)
+        if self._next is None or not self._next.active():
+            self._next = self._clock.callLater(HEARTBEAT_SECONDS, self.heartbeat)
+
+    def stop(self) -> None:
+        """Send no more heartbeats."""
+        self._is_member = False
+        if self._next is not None and self._next.active():
+            self._next.cancel()
 
     def leave(self) -> None:
         """Give all partitions up at once."""
-        self._is_member = False
+        self.stop()
         self._service.leave(self._name.group, self._member)
