Let a restarted daemon go on with its partitions, and test accounts at random

Cause: a killed owner's partitions waited for its lease (1.2 s) although the process was back sooner; a partition that moved waited for the next heartbeat. Change: the member's text is the daemon's, not the process's; epochs come from the generation and a number that rises over restarts; after a change of the group five heartbeats follow quickly. A peer whose incarnation fell (its clock was set back) is let in when no connection to the former is left. A state machine of callers, daemons and a failing log; five deliberate breaks, each caught.

--- a/notcharch/accounts/directory.py
+++ b/notcharch/accounts/directory.py
@@ -14,7 +14,6 @@
 from notcharch.events.accounts import OwnersChanged
 from notcharch.events.event import emit
 from notcharch.journal.interface import LogProblem, LogService, Ownership
-from notcharch.values.identifiers import DaemonName
 from notcharch.wire.peers import PeerNetwork
 
 REFRESH_SECONDS = 1.0
@@ -37,7 +36,6 @@
         self._group = group
         self._owners: dict[int, OwnerName] = {}
         OWNERS_AGE_SECONDS.set_function(lambda: self.age_seconds)
-        self._incarnations: dict[DaemonName, int] = {}
         self._changed_at = self._heard_at = clock.seconds()
         self._asked_at = -REFRESH_SECONDS
         self._is_asking = False
@@ -123,15 +121,7 @@
         return self._clock.seconds() - self._heard_at
 
     def _learn(self, owner: OwnerName) -> None:
-        """Tell the network where an owner is.
-
-        A process that began after its clock was set back has a lower incarnation
-        than the one before it; what is known of that one must not keep it out.
-        """
-        known = self._incarnations.get(owner.daemon)
-        if known is not None and owner.incarnation < known:
-            self._network.forget(owner.daemon)
-        self._incarnations[owner.daemon] = owner.incarnation
+        """Tell the network where an owner is."""
         self._network.set_address(owner.daemon, owner.address)
 
 
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -22,7 +22,14 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-EPOCHS_OF_A_GENERATION = 1 << 16
+CLAIM_BITS = 32
+"""An epoch is the group's generation, then a number of the claim within it.
+
+A restarted process may claim again in the generation of the one before it. Its first
+number comes from its incarnation, which the clock usually makes higher; where it is
+not, the claim is fenced and the next one jumps.
+"""
+FENCED_JUMP = 1 << 20
 FORGET_SECONDS = 120.0
 """Programs that nobody asked for in this time are forgotten."""
 FORGET_EACH_SECONDS = 10.0
@@ -51,7 +58,7 @@
         self._topic = topic
         self._own = network.own_member.daemon
         self._owned: dict[int, OwnedPartition] = {}
-        self._claims = 0
+        self._claims: int = network.own_member.incarnation
         self._forgetting = LoopingCall(self._forget)
         self._forgetting.clock = clock
         network.on_request(AdmitTurn, self._admit)
@@ -78,8 +85,8 @@
         self._heartbeat()
 
     def _take_over(self, partition: int, generation: int) -> None:
-        self._claims = (self._claims + 1) % EPOCHS_OF_A_GENERATION
-        epoch = generation * EPOCHS_OF_A_GENERATION + self._claims
+        self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
+        epoch = (generation << CLAIM_BITS) + self._claims
         place = PartitionPlace(self._topic, partition, epoch)
         owned = OwnedPartition(
             self._service, self._clock, self._random, place, lost=self._lost
@@ -89,6 +96,7 @@
 
     def _lost(self, owned: OwnedPartition) -> None:
         """Forget a partition that somebody else writes; the group deals anew."""
+        self._claims += FENCED_JUMP
         partition = owned.place.partition
         if self._owned.get(partition) is owned:
             del self._owned[partition]
--- a/notcharch/accounts/owner_names.py
+++ b/notcharch/accounts/owner_names.py
@@ -1,29 +1,29 @@
-"""The text by which a daemon is a member of the owners' group."""
+"""The text by which a daemon is a member of the owners' group.
+
+A restarted process has the text of the one before it, so it goes on with that one's
+partitions without waiting for a lease to run out.
+"""
 
 import msgspec
 
 from notcharch.values.identifiers import DaemonName
 
 SEPARATOR = "|"
-PARTS = 3
 
 
 class OwnerName(msgspec.Struct, frozen=True):
-    """A process that may own partitions, and where it listens for peers."""
+    """A daemon that may own partitions, and where it listens for peers."""
 
     daemon: DaemonName
     address: str
     """`host:port`."""
-    incarnation: int
 
     def text(self) -> str:
         """Give the member's text."""
-        return SEPARATOR.join((self.daemon, self.address, str(self.incarnation)))
+        return f"{self.daemon}{SEPARATOR}{self.address}"
 
 
 def read_owner(text: str) -> OwnerName | None:
     """Read a member's text; None if it is not one of ours."""
-    parts = text.split(SEPARATOR)
-    if len(parts) != PARTS or not parts[2].isdigit():
-        return None
-    return OwnerName(DaemonName(parts[0]), parts[1], int(parts[2]))
+    daemon, separator, address = text.partition(SEPARATOR)
+    return OwnerName(DaemonName(daemon), address) if separator else None
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -27,6 +27,7 @@
     first_delay_seconds=0.03,
     max_delay_seconds=0.4,
     silence_seconds=0.8,
+    is_incarnation_rising=False,
 )
 
 
@@ -66,7 +67,7 @@
             service,
             clock,
             GroupName(GROUP, TOPIC),
-            OwnerName(own.daemon, settings.address, own.incarnation).text(),
+            OwnerName(own.daemon, settings.address).text(),
             least_lease_seconds=settings.least_lease_seconds,
             dealt=self._owned.dealt,
         )
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -11,6 +11,9 @@
 from notcharch.journal.interface import LogProblem, LogService, Membership
 
 HEARTBEAT_SECONDS = 0.35
+QUICK_SECONDS = 0.1
+QUICK_HEARTBEATS = 5
+"""So many heartbeats follow quickly when the group has changed: more may be dealt."""
 LEASE_SECONDS = 1.2
 
 
@@ -44,6 +47,7 @@
         self._generation = 0
         self._is_member = False
         self._is_joining = False
+        self._quick_left = 0
         self._next: IDelayedCall | None = None
 
     def start(self) -> None:
@@ -72,10 +76,21 @@
         if not self._is_member:
             return
         if not isinstance(answer, Err):
-            self._generation = answer.ok_value.generation
-            self._dealt(answer.ok_value)
+            self._take(answer.ok_value)
         if self._next is None or not self._next.active():
-            self._next = self._clock.callLater(HEARTBEAT_SECONDS, self.heartbeat)
+            self._next = self._clock.callLater(self._pause(), self.heartbeat)
+
+    def _take(self, membership: Membership) -> None:
+        if membership.generation != self._generation:
+            self._quick_left = QUICK_HEARTBEATS
+        self._generation = membership.generation
+        self._dealt(membership)
+
+    def _pause(self) -> float:
+        if self._quick_left <= 0:
+            return HEARTBEAT_SECONDS
+        self._quick_left -= 1
+        return QUICK_SECONDS
 
     def stop(self) -> None:
         """Send no more heartbeats."""
--- a/notcharch/wire/limits.py
+++ b/notcharch/wire/limits.py
@@ -23,5 +23,9 @@
     open_answers: int = 20_000
     """Requests of one connection that may be under way here."""
 
+    is_incarnation_rising: bool = True
+    """Whether a later process of a peer surely has a higher incarnation. Where it may
+    not, a lower one is let in when no connection to the other is left."""
+
 
 DEFAULT_LIMITS = ConnectionLimits()
--- a/notcharch/wire/link.py
+++ b/notcharch/wire/link.py
@@ -103,7 +103,9 @@
 
     def accepts(self, incarnation: Incarnation) -> bool:
         """Tell whether no later process of the peer was met."""
-        return self._incarnation is None or incarnation >= self._incarnation
+        if self._incarnation is None or incarnation >= self._incarnation:
+            return True
+        return not self._limits.is_incarnation_rising and not self._connections
 
     def established(self, connection: PeerConnection, member: Member) -> None:
         """Take a connection that passed its handshake."""
--- /dev/null
+++ b/tests/stateful/accounts/machine.py
@@ -0,0 +1,164 @@
+"""Programs over daemons that crash, sleep, leave and return, on a failing log service.
+
+The oracle is small: what callers were given, and what they were told is kept.
+"""
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, rule
+
+from emulator.services.partitioned_log import Trouble
+from notcharch.calls.event_stream import data_lines
+from notcharch.calls.interface import UNKNOWN_TURN
+from tests.unit.accounts.world import EVENT_TOKENS, World
+
+PROGRAMS = ("p", "q")
+BUDGET = 500
+MOST = 100
+DAEMONS = 3
+
+
+class Running(msgspec.Struct):
+    """A call that was admitted, or waits to be."""
+
+    call: object
+    listener: object
+    expected_body: bytes
+    previous_known: bool
+
+
+class AccountsMachine(RuleBasedStateMachine):
+    """Callers, daemons and the log service."""
+
+    calls = Bundle("calls")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(DAEMONS)
+        self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
+        self.kept: dict[str, bytes] = {}
+        self.down: set[int] = set()
+        self.asleep: set[int] = set()
+
+    @rule(
+        target=calls,
+        program=st.sampled_from(PROGRAMS),
+        daemon=st.integers(0, DAEMONS - 1),
+        goes_on=st.booleans(),
+        pick=st.integers(0, 50),
+    )
+    def ask(self, program, daemon, goes_on, pick):
+        previous, text = "", b""
+        if goes_on and self.kept:
+            previous = sorted(self.kept)[pick % len(self.kept)]
+            text = self.kept[previous]
+        call = self.world.call(
+            program, budget=BUDGET, most=MOST, previous=previous, body=b"in;"
+        )
+        listener = self.world.ask(call, daemon, keeps_turns=True)
+        return Running(call, listener, text + b"in;", bool(previous))
+
+    @rule(running=consumes(calls), events=st.integers(1, MOST // EVENT_TOKENS))
+    def end_whole(self, running, events):
+        """Let the engine's answer come whole; its end is shown once durable."""
+        self.check(running)
+        listener = running.listener
+        if listener.ticket is None:
+            return
+        self.given[running.call.program] += events * EVENT_TOKENS
+        output = b"data: out\n\n" * events
+        listener.ticket.completed(output, events, listener)
+        self.world.run(0.3)
+        if listener.is_durable:
+            text = running.expected_body + data_lines(output)
+            self.kept[running.call.id] = text
+        listener.is_awaited = False
+
+    @rule(running=consumes(calls), events=st.integers(0, MOST // EVENT_TOKENS))
+    def break_off(self, running, events):
+        self.check(running)
+        if running.listener.ticket is None:
+            running.listener.wants_admission = False
+            return
+        self.given[running.call.program] += events * EVENT_TOKENS
+        running.listener.ticket.broke_off(events)
+
+    @rule(running=consumes(calls))
+    def lose_silently(self, running):
+        """Let the gateway die with a call under way, after giving all it may."""
+        self.check(running)
+        if running.listener.ticket is not None:
+            self.given[running.call.program] += MOST
+        running.listener.wants_admission = False
+
+    def check(self, running):
+        listener = running.listener
+        if listener.ticket is not None:
+            assert listener.body == running.expected_body
+        if running.previous_known:
+            assert listener.refusal != UNKNOWN_TURN
+
+    @rule(daemon=st.integers(0, DAEMONS - 1), silent=st.booleans())
+    def crash(self, daemon, silent):
+        if daemon not in self.down:
+            self.wake(daemon)
+            self.world.crash(self.world.names[daemon], silent=silent)
+            self.down.add(daemon)
+
+    @rule(daemon=st.integers(0, DAEMONS - 1))
+    def start(self, daemon):
+        if daemon in self.down:
+            self.world.start(self.world.names[daemon])
+            self.down.discard(daemon)
+
+    @rule(daemon=st.integers(0, DAEMONS - 1))
+    def leave_and_return(self, daemon):
+        if daemon not in self.down | self.asleep:
+            name = self.world.names[daemon]
+            self.world.services[name].leave()
+            self.world.run(0.5)
+            self.world.crash(name)
+            self.world.start(name)
+
+    @rule(daemon=st.integers(0, DAEMONS - 1))
+    def sleep(self, daemon):
+        if daemon not in self.down | self.asleep:
+            self.world.fabric.pause(self.world.names[daemon])
+            self.asleep.add(daemon)
+
+    @rule(daemon=st.integers(0, DAEMONS - 1))
+    def wake(self, daemon):
+        if daemon in self.asleep:
+            self.world.fabric.resume(self.world.names[daemon])
+            self.asleep.discard(daemon)
+
+    @rule(trouble=st.sampled_from(list(Trouble)))
+    def trouble(self, trouble):
+        self.world.log.trouble = trouble
+
+    @rule()
+    def deal_anew(self):
+        if self.world.log.groups.owners("account-owners"):
+            self.world.log.groups.rebalance("account-owners")
+
+    @rule(seconds=st.sampled_from([0.02, 0.1, 0.4, 1.5, 4.0]))
+    def wait(self, seconds):
+        self.world.run(seconds)
+
+    @rule()
+    def all_is_well_again(self):
+        """Once everything works, a kept turn is found and a call is decided."""
+        self.world.log.trouble = Trouble.NONE
+        for daemon in range(DAEMONS):
+            self.wake(daemon)
+            self.start(daemon)
+        self.world.run(8.0)
+        for turn in sorted(self.kept)[-2:]:
+            call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
+            listener = self.world.decided(call, keeps_turns=True)
+            assert listener.body == self.kept[turn] + b"x"
+            listener.ticket.never_ran()
+
+    def teardown(self):
+        for program, given in self.given.items():
+            assert given <= BUDGET + MOST, f"{program} was given {given}"
--- /dev/null
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -0,0 +1,88 @@
+"""Random lives of programs' accounts; the same ones at each run."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+from twisted.internet.defer import succeed
+
+from notcharch.accounts.account import Account
+from notcharch.accounts.ledger import Ledger, Verdict
+from notcharch.accounts.partition import OwnedPartition
+from notcharch.journal.writer import Outcome, PartitionWriter
+from tests.stateful.accounts.machine import AccountsMachine
+from tests.unit.accounts import test_accounts as scenarios
+
+SETTINGS = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_budgets_and_kept_turns_hold():
+    run_state_machine_as_test(AccountsMachine, settings=SETTINGS)
+
+
+def bounds_are_not_written(monkeypatch):
+    def write(self, record, done):
+        done(Outcome.DURABLE)
+
+    monkeypatch.setattr(PartitionWriter, "write", write)
+
+
+def unknown_turns_are_denied_in_doubt(monkeypatch):
+    monkeypatch.setattr(OwnedPartition, "_is_still_owner", lambda _: succeed(True))
+
+
+def a_successor_counts_nothing(monkeypatch):
+    original = Ledger.replay
+
+    def replay(self, record, now):
+        original(self, record, now)
+        for program in self._programs.values():
+            program.used = 0
+
+    monkeypatch.setattr(Ledger, "replay", replay)
+
+
+def budgets_are_not_compared(monkeypatch):
+    monkeypatch.setattr(Ledger, "_within", lambda *_: Verdict.ADMITTED)
+
+
+def turns_are_shown_before_they_are_written(monkeypatch):
+    def keep(self, output, events, then):
+        then.durable()
+
+    monkeypatch.setattr(Account, "_keep", keep)
+
+
+BREAKS = [
+    (
+        bounds_are_not_written,
+        scenarios.test_nothing_is_let_in_that_is_not_in_the_journal,
+    ),
+    (
+        a_successor_counts_nothing,
+        lambda: scenarios.test_a_successor_counts_what_the_owner_had_let_in(
+            silent=False
+        ),
+    ),
+    (budgets_are_not_compared, scenarios.test_a_budget_holds_over_all_daemons),
+    (
+        unknown_turns_are_denied_in_doubt,
+        scenarios.test_an_unknown_turn_is_refused_only_when_that_is_certain,
+    ),
+    (
+        turns_are_shown_before_they_are_written,
+        scenarios.test_the_end_of_a_kept_turn_waits_for_the_journal,
+    ),
+]
+
+
+@pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
+def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
+    break_it(monkeypatch)
+    with pytest.raises(AssertionError):
+        scenario()
