Explain a failed request by the logs of all daemons

Change: notcharch explain REQUEST_ID LOGFILE..., also for logs with a collector's time and machine before each line; it says what is missing where a line was dropped.

--- a/notcharch/cli/builtin.py
+++ b/notcharch/cli/builtin.py
@@ -16,5 +16,6 @@
     "partitions": "notcharch.cli.operations_command:PARTITIONS",
     "drain": "notcharch.cli.operations_command:DRAIN",
     "pause": "notcharch.cli.operations_command:PAUSE",
+    "explain": "notcharch.cli.explain_command:COMMAND",
     "resume": "notcharch.cli.operations_command:RESUME",
 }
--- /dev/null
+++ b/notcharch/explain/explanation.py
@@ -0,0 +1,226 @@
+"""The cause of a request's end, as far as the lines tell it."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from notcharch.events.accounts import (
+    BudgetRefused,
+    OwnerUnanswered,
+    PartitionGivenUp,
+    PartitionTakenOver,
+    TurnAdopted,
+    TurnDenied,
+)
+from notcharch.events.calls import (
+    CallBrokenOff,
+    CallerLeft,
+    CallRefused,
+    CallSentAgain,
+    CallServed,
+    RequestWithoutRoute,
+)
+from notcharch.events.process import (
+    DependencyLost,
+    DependencyRegained,
+    EnginesChanged,
+    LinesDropped,
+    ProcessStarted,
+    ProcessStopped,
+    ProcessStopping,
+)
+from notcharch.explain.log_lines import LogLine
+
+AROUND_SECONDS = 4.0
+"""Lines of dependencies and owners this long before a request are looked at."""
+
+END_EVENTS = (
+    CallServed.number,
+    CallRefused.number,
+    CallBrokenOff.number,
+    CallerLeft.number,
+    RequestWithoutRoute.number,
+)
+CONTEXT_EVENTS = (
+    DependencyLost.number,
+    DependencyRegained.number,
+    EnginesChanged.number,
+    ProcessStarted.number,
+    ProcessStopping.number,
+    ProcessStopped.number,
+    PartitionTakenOver.number,
+    PartitionGivenUp.number,
+    LinesDropped.number,
+)
+SPENT = 402
+NOT_FOUND = 404
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """What the lines say of one request."""
+
+    request: str
+    lines: tuple[LogLine, ...]
+    """The request's own, in order."""
+    context: tuple[LogLine, ...]
+    """Those that tell what its daemon and its owner went through."""
+    cause: str
+    is_explained: bool
+    """Whether the cause is told by a line, not guessed."""
+
+
+def explain(request: str, lines: Sequence[LogLine]) -> Explanation:
+    """Find a request's lines, what happened around them, and the cause."""
+    own = tuple(line for line in lines if line.text("request") == request)
+    if not own:
+        return Explanation(request, (), (), _without_lines(lines), False)
+    context = _context(own, lines)
+    cause, is_explained = _cause(own, context)
+    return Explanation(request, own, context, cause, is_explained)
+
+
+def _without_lines(lines: Sequence[LogLine]) -> str:
+    is_dropped = any(line.number == LinesDropped.number for line in lines)
+    if is_dropped:
+        return "no line names it; lines were left out on some daemon (event 2408)"
+    return "no line names it: no daemon read it whole, or its daemon was killed"
+
+
+def _context(own: Sequence[LogLine], lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
+    begin = own[0].at - AROUND_SECONDS
+    end = own[-1].at
+    machines = {line.machine for line in own}
+    machines |= {line.text("owner").partition("|")[0] for line in own}
+    partitions = {
+        line.text("partition") for line in own if line.number == OwnerUnanswered.number
+    }
+    found = []
+    for line in lines:
+        if line.number not in CONTEXT_EVENTS or not begin <= line.at <= end:
+            continue
+        if line.machine in machines or line.text("partition") in partitions - {""}:
+            found.append(line)
+    return tuple(found)
+
+
+def _cause(own: Sequence[LogLine], context: Sequence[LogLine]) -> tuple[str, bool]:
+    ends = [line for line in own if line.number in END_EVENTS]
+    if not ends:
+        return "its end was not logged: its daemon ended or lines were dropped", False
+    end = ends[-1]
+    told = {
+        CallServed.number: _served,
+        CallRefused.number: _refused,
+        CallBrokenOff.number: _broken_off,
+        CallerLeft.number: _left,
+        RequestWithoutRoute.number: _without_route,
+    }[end.number]
+    return told(end, own, context), True
+
+
+def _served(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    return (
+        f"served by {end.text('engine')} with {end.text('status')} "
+        f"after {end.text('seconds')} s, {end.text('admission_seconds')} s of them "
+        "before its admission"
+    )
+
+
+def _without_route(
+    end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
+) -> str:
+    return (
+        f"table {end.text('table_version')} has no route for "
+        f"{end.text('host')}{end.text('path')}"
+    )
+
+
+def _refused(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    status = int(end.fields.get("status", 0))
+    if status == SPENT:
+        return _spent(own)
+    if status == NOT_FOUND:
+        return _denied(own)
+    if end.text("phase") == "admission":
+        return _unadmitted(end, own, context)
+    return f"{end.text('reason')}; {_attempts(end, own)}{_troubles(context)}"
+
+
+def _spent(own: Sequence[LogLine]) -> str:
+    for line in own:
+        if line.number == BudgetRefused.number:
+            return (
+                f"the budget of {line.text('budget_tokens')} tokens: "
+                f"{line.text('used_tokens')} used, {line.text('under_way_tokens')} "
+                f"under way, and this call may need {line.text('most_tokens')}"
+            )
+    return "the owner of the program's account said that the budget is spent"
+
+
+def _denied(own: Sequence[LogLine]) -> str:
+    for line in own:
+        if line.number in (TurnDenied.number, TurnAdopted.number):
+            return f"no partition keeps the turn {line.text('turn')}"
+    return "it has no route, or names a turn that nobody keeps"
+
+
+def _unadmitted(
+    end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
+) -> str:
+    asked = [line for line in own if line.number == OwnerUnanswered.number]
+    if not asked:
+        return f"not admitted within {end.text('seconds')} s{_troubles(context)}"
+    line = asked[0]
+    owner = line.text("owner").partition("|")[0] or "nobody known"
+    return (
+        f"the owner of partition {line.text('partition')} ({owner}) did not decide "
+        f"within {end.text('seconds')} s{_troubles(context)}"
+    )
+
+
+def _attempts(end: LogLine, own: Sequence[LogLine]) -> str:
+    again = [line for line in own if line.number == CallSentAgain.number]
+    causes = ", ".join(f"{line.text('engine')}: {line.text('cause')}" for line in again)
+    tried = end.text("engines_tried")
+    known = end.text("engines_known")
+    text = f"{tried} engines tried of {known} known"
+    return f"{text} ({causes})" if causes else text
+
+
+def _broken_off(
+    end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
+) -> str:
+    return (
+        f"cut after {end.text('events')} events while {end.text('phase')}: "
+        f"{end.text('cause')}{_troubles(context)}"
+    )
+
+
+def _left(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    return (
+        f"the caller left after {end.text('seconds')} s while {end.text('phase')}"
+        f"{_troubles(context)}"
+    )
+
+
+def _troubles(context: Sequence[LogLine]) -> str:
+    """Name what its daemon or its owner lost, gave up or began meanwhile."""
+    told: list[str] = []
+    for line in context:
+        if line.number == DependencyLost.number:
+            told.append(
+                f"{line.machine} could not reach {line.text('dependency')} "
+                f"({line.text('fault')})"
+            )
+        elif line.number == PartitionGivenUp.number:
+            told.append(
+                f"{line.machine} gave up partition {line.text('partition')} "
+                f"({line.text('cause')})"
+            )
+        elif line.number == PartitionTakenOver.number:
+            told.append(f"{line.machine} took over partition {line.text('partition')}")
+        elif line.number in (ProcessStarted.number, ProcessStopping.number):
+            verb = "started" if line.number == ProcessStarted.number else "was stopping"
+            told.append(f"{line.machine} {verb}")
+    unique = list(dict.fromkeys(told))
+    return "; before it: " + "; ".join(unique) if unique else ""
--- /dev/null
+++ b/tests/unit/explain/test_explanation.py
@@ -0,0 +1,145 @@
+"""Causes told from log lines, and what is said when a line is missing."""
+
+import msgspec
+import pytest
+
+from notcharch.cli.main import main
+from notcharch.events.accounts import (
+    BudgetRefused,
+    OwnerUnanswered,
+    PartitionGivenUp,
+    TurnDenied,
+)
+from notcharch.events.calls import (
+    CallBrokenOff,
+    CallerLeft,
+    CallRefused,
+    CallSentAgain,
+    CallServed,
+    RequestWithoutRoute,
+)
+from notcharch.events.process import DependencyLost, LinesDropped
+from notcharch.explain.explanation import explain
+from notcharch.explain.log_lines import read_lines
+
+
+def line(at: float, machine: str, event) -> str:
+    fields = msgspec.to_builtins(event) | {
+        "event_number": event.number,
+        "message_type": f"notcharch:{type(event).__name__}",
+        "timestamp": 1000.0 + at,
+    }
+    return f"  {at:.4f} {machine} {msgspec.json.encode(fields).decode()}\n"
+
+
+def refused(phase="admission", status=503, reason="not known", tried=0):
+    return CallRefused(
+        "r", "p", "s", "route", phase, status, reason, 0.2, tried, 0, 3, 1.35, 1.65
+    )
+
+
+def cause(*lines: str):
+    return explain("r", list(read_lines(lines)))
+
+
+UNANSWERED = OwnerUnanswered("r", "p", 5, "b|1.2.3.4:5", 0.1, 0.5, "admission")
+
+CASES = [
+    (
+        [
+            line(0.5, "b", PartitionGivenUp(5, 7, "fenced")),
+            line(1.0, "a", UNANSWERED),
+            line(2.0, "a", refused()),
+        ],
+        "the owner of partition 5 (b) did not decide within 1.35 s; "
+        "before it: b gave up partition 5 (fenced)",
+    ),
+    (
+        [
+            line(1.0, "b", BudgetRefused("r", "p", 5, 7, 1725, 575, 1150, 575)),
+            line(1.1, "a", refused(status=402)),
+        ],
+        "the budget of 1725 tokens: 575 used, 1150 under way, and this call may "
+        "need 575",
+    ),
+    (
+        [
+            line(1.0, "a", TurnDenied("r", "p", "t9")),
+            line(1.1, "a", refused(status=404)),
+        ],
+        "no partition keeps the turn t9",
+    ),
+    (
+        [
+            line(1.0, "a", CallSentAgain("r", "p", "i-1", "not run: 503", 0, 0, 2.0)),
+            line(1.1, "a", refused("at engine", 503, "no engine can take it", 1)),
+        ],
+        "no engine can take it; 1 engines tried of 3 known (i-1: not run: 503)",
+    ),
+    (
+        [
+            line(0.1, "a", DependencyLost("keyed.op", "no answer")),
+            line(
+                1.1,
+                "a",
+                CallBrokenOff(
+                    "r", "p", "s", "settling", "not durable", 1, 1, 4, 3.0, 0.0
+                ),
+            ),
+        ],
+        "cut after 4 events while settling: not durable; before it: a could not "
+        "reach keyed.op (no answer)",
+    ),
+    (
+        [line(1.0, "a", CallerLeft("r", "p", "at engine", "i-1", 0, 3.0))],
+        "the caller left after 3.0 s while at engine",
+    ),
+    (
+        [line(1.0, "a", RequestWithoutRoute("r", "h", "/x/", 7))],
+        "table 7 has no route for h/x/",
+    ),
+    (
+        [line(1.0, "a", CallServed("r", "p", "s", "x", "i-1", 200, 1, 3, 0.5, 0.01))],
+        "served by i-1 with 200 after 0.5 s, 0.01 s of them before its admission",
+    ),
+]
+
+
+@pytest.mark.parametrize(("lines", "expected"), CASES)
+def test_a_cause_is_told_from_lines(lines, expected):
+    explanation = cause(*lines)
+    assert explanation.is_explained
+    assert explanation.cause == expected
+
+
+@pytest.mark.parametrize(
+    ("lines", "part"),
+    [
+        ([], "no daemon read it whole"),
+        ([line(1.0, "a", LinesDropped(3, 0))], "lines were left out"),
+        ([line(1.0, "a", UNANSWERED)], "its end was not logged"),
+    ],
+)
+def test_what_is_missing_is_said(lines, part):
+    explanation = cause(*lines)
+    assert not explanation.is_explained
+    assert part in explanation.cause
+
+
+def test_other_text_is_passed_over():
+    found = list(read_lines(["hello", "{not json}", '{"a": 1}', "", CASES[6][0][0]]))
+    assert [(entry.machine, entry.number) for entry in found] == [("a", 2205)]
+
+
+def test_the_command_prints_causes_and_tells_what_is_not_explained(tmp_path, capsys):
+    log = tmp_path / "day.log"
+    log.write_text("".join(CASES[0][0]))
+    assert main(["explain", "r", str(log)]) == 0
+    assert "OwnerUnanswered" in capsys.readouterr().out
+    assert main(["explain", "--brief", "r,unknown", str(log)]) == 1
+    printed = capsys.readouterr().out.splitlines()
+    assert [text.split(":")[1].strip() for text in printed] == [
+        "explained",
+        "NOT EXPLAINED",
+    ]
+    assert main(["explain", "r", str(tmp_path / "missing")]) == 2
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -25,6 +25,7 @@
     ("http",),
     ("wire",),
     ("settings",),
+    ("explain",),
     ("events",),
     ("errors",),
     ("values",),
