Keep engines for a moment when all vanish, and prefer homes in the own zone

Change: engines that left or vanished stay a last resort for 1.2 s (of the 2 s that the rule gives) when most of a service's have; a program's home is looked for in the caller's zone first, the other engines follow when it is busy. Ruled out: the engines themselves (calls that were on the way went on).

--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -14,6 +14,13 @@
 REFUSAL_SECONDS = 0.25
 """So long an engine that was full is passed over while others serve."""
 
+LEAVING_SECONDS = 1.2
+"""So long an engine that leaves, or is not listed any more, is still a last resort.
+
+It serves for longer. After an outage of the store, engines that live are missing from
+the list until their next heartbeats.
+"""
+
 HOME_SLACK_CALLS = 3
 """A home engine is kept until it has so many more of our calls than the least busy."""
 
@@ -25,6 +32,8 @@
         """Begin with no calls."""
         self.engine = engine
         self.in_flight = 0
+        self.left_at: float | None = None
+        """Clock seconds at which it was first seen to leave, or was not listed."""
         self.avoid_until = 0.0
         """Clock seconds; passed over before, while others serve."""
 
@@ -41,19 +50,32 @@
         self._by_service: dict[str, list[EngineState]] = {}
 
     def replace(self, engines: Iterable[Engine]) -> list[str]:
-        """Take a new list of engines; give the ids of those that are gone."""
+        """Take a new list of engines; give the ids of those that are forgotten."""
+        now = self._clock.seconds()
+        listed = {engine.id: engine for engine in engines}
         states: dict[str, EngineState] = {}
-        by_service: dict[str, list[EngineState]] = {}
-        for engine in engines:
-            state = self._states.get(engine.id) or EngineState(engine)
+        for id, engine in listed.items():
+            state = states[id] = self._states.get(id) or EngineState(engine)
             state.engine = engine
-            states[engine.id] = state
             if not engine.is_leaving:
-                by_service.setdefault(engine.service, []).append(state)
-        gone = [id for id in self._states if id not in states]
+                state.left_at = None
+            elif state.left_at is None:
+                state.left_at = now
+        for id, state in self._states.items():
+            if id not in listed and self._is_last_resort(state, now):
+                states[id] = state
+        forgotten = [id for id in self._states if id not in states]
         self._states = states
-        self._by_service = by_service
-        return gone
+        self._by_service = {}
+        for state in states.values():
+            self._by_service.setdefault(state.engine.service, []).append(state)
+        return forgotten
+
+    def _is_last_resort(self, state: EngineState, now: float) -> bool:
+        """Note when an engine vanished; tell whether that is only a moment ago."""
+        if state.left_at is None:
+            state.left_at = now
+        return now - state.left_at < LEAVING_SECONDS
 
     def choose(
         self, service: str, home_key: str, tried: Collection[str]
@@ -61,12 +83,12 @@
         """Give the engine for a call; None if no untried one takes work.
 
         `home_key` names what the calls share whose prefix an engine may keep; all
-        daemons give one key the same home.
+        daemons of a zone give one key the same home, in their own zone if they can.
         """
         now = self._clock.seconds()
         states = [
             state
-            for state in self._by_service.get(service, ())
+            for state in self._candidates(service, now)
             if state.engine.id not in tried
         ]
         if not states:
@@ -76,13 +98,26 @@
             return self._home(sound, home_key).engine
         return self._least_busy(sound).engine
 
+    def _candidates(self, service: str, now: float) -> list[EngineState]:
+        """Give the engines that stay; if most have just left, those as well."""
+        states = self._by_service.get(service, [])
+        staying = [state for state in states if state.left_at is None]
+        if 2 * len(staying) > len(states):
+            return staying
+        return staying + [
+            state
+            for state in states
+            if state.left_at is not None and now - state.left_at < LEAVING_SECONDS
+        ]
+
     def _home(self, states: list[EngineState], key: str) -> EngineState:
         """Prefer the engines in the order of their hashes with the key."""
         least = min(state.in_flight / state.engine.slots for state in states)
         ranked = sorted(
             states,
-            key=lambda state: xxhash.xxh64_intdigest(
-                f"{state.engine.id}|{key}".encode()
+            key=lambda state: (
+                state.engine.zone != self._zone,
+                xxhash.xxh64_intdigest(f"{state.engine.id}|{key}".encode()),
             ),
         )
         for state in ranked:
@@ -103,7 +138,7 @@
 
     def count(self, service: str) -> int:
         """Give how many engines of a service take work."""
-        return len(self._by_service.get(service, ()))
+        return len(self._candidates(service, self._clock.seconds()))
 
     def began(self, engine_id: str) -> None:
         """Count a call that is sent to an engine."""
