Outlive the log's retention, and survive faults of our own in the loops

Cause: the log drops records after retention_s (300 s), while a program or a chain of turns may go on for longer; owners never forgot turns; an exception in a callback would have ended the following of a topic, or the heartbeats, for good; the last answer's bytes could be cut by the stop right after it. Change: records carry their time, owners write anew what still counts at half of the retention and forget what nobody may ask for; a fault of the program is logged and the following begins anew; a stop waits for two checks with nothing under way. Measured: by tests; the one of the retention fails without the rewriting.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -16,7 +16,7 @@
     BoundRaised,
     TurnKept,
 )
-from notcharch.accounts.turns import Turn, TurnStore
+from notcharch.accounts.turns import KeptTurns, Turn
 
 AHEAD_CALLS = 2
 """A bound is raised for so many calls at once."""
@@ -53,6 +53,8 @@
         """Whether `used` counts tokens that may not have been generated."""
         self.reserved: dict[str, Reservation] = {}
         self.touched = 0.0
+        self.written_at = 0
+        """When its newest record was written, seconds since 1970."""
 
     @property
     def committed(self) -> int:
@@ -66,7 +68,7 @@
     def __init__(self) -> None:
         """Begin empty."""
         self._programs: dict[str, Program] = {}
-        self.turns = TurnStore()
+        self.turns = KeptTurns()
         """The kept turns of all programs: a later program may go on from one."""
 
     def program(self, name: str, now: float) -> Program:
@@ -86,7 +88,7 @@
     def replay(self, record: AnyRecord, now: float) -> None:
         """Take a record of an earlier owner, or of this one before its restart."""
         if isinstance(record, TurnKept):
-            self.keep(record)
+            self.keep(record, now)
         elif isinstance(record, AccountHandedOver):
             self._take_account(record, now)
         else:
@@ -95,6 +97,7 @@
             program.reserved.clear()
             program.bound = max(program.bound, record.bound_tokens)
             program.used = program.bound
+            program.written_at = record.written_at
 
     def _take_account(self, record: AccountHandedOver, now: float) -> None:
         program = self.program(record.program, now)
@@ -104,14 +107,16 @@
             call: Reservation(most, now) for call, most in record.under_way.items()
         }
         program.bound = program.committed
+        program.written_at = record.written_at
 
-    def accounts(self) -> list[AccountHandedOver]:
+    def accounts(self, written_at: int) -> list[AccountHandedOver]:
         """Give what a successor needs to go on without doubt."""
         return [
             AccountHandedOver(
                 name,
                 program.used,
                 {call: held.tokens for call, held in program.reserved.items()},
+                written_at,
             )
             for name, program in self._programs.items()
             if not program.is_doubted and program.bound
@@ -156,17 +161,20 @@
                 program.used += held.tokens
 
     def raised_bound(
-        self, name: str, most: int, budget: int, now: float
+        self, name: str, most: int, budget: int, now: float, *, written_at: int
     ) -> BoundRaised:
         """Give the record of a bound that lets a call in, and some after it."""
         needed = self.program(name, now).committed + most
         ahead = needed + (AHEAD_CALLS - 1) * most
-        return BoundRaised(name, max(needed, min(ahead, budget)))
+        return BoundRaised(name, max(needed, min(ahead, budget)), written_at)
 
-    def bound_is_durable(self, record: BoundRaised, now: float) -> None:
-        """Hear that a raised bound is in the journal."""
-        program = self.program(record.program, now)
+    def bound_is_durable(self, record: BoundRaised) -> None:
+        """Hear that a bound is in the journal."""
+        program = self._programs.get(record.program)
+        if program is None:
+            return
         program.bound = max(program.bound, record.bound_tokens)
+        program.written_at = record.written_at
 
     def settle(self, name: str, call: str, tokens: int, now: float) -> None:
         """End a call that generated so many tokens for its caller."""
@@ -176,13 +184,33 @@
         program.touched = now
         program.used += tokens
 
-    def keep(self, record: TurnKept) -> None:
+    def keep(self, record: TurnKept, now: float) -> None:
         """Keep a turn that is in the journal."""
         turn = Turn(record.previous, record.input, record.output)
-        self.turns.add(record.turn, turn)
+        self.turns.keep(record.turn, turn, record.written_at, now)
+
+    # Age
+
+    def aging(self, limit: int, written_at: int) -> list[AnyRecord]:
+        """Give anew the records older than `limit`: the log will drop them."""
+        records: list[AnyRecord] = [
+            BoundRaised(name, program.bound, written_at)
+            for name, program in self._programs.items()
+            if program.bound and program.written_at < limit
+        ]
+        for name in self.turns.written_before(limit):
+            turn = self.turns.get(name)
+            if turn is not None:
+                records.append(
+                    TurnKept(
+                        "", name, turn.previous, turn.input, turn.output, written_at
+                    )
+                )
+        return records
 
     def forget_before(self, limit: float) -> None:
-        """Forget programs that nobody asked for since some clock seconds."""
+        """Forget programs and turns that nobody used since some clock seconds."""
+        self.turns.forget_before(limit)
         for name, program in tuple(self._programs.items()):
             if program.touched < limit and not program.reserved:
                 del self._programs[name]
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -1,5 +1,6 @@
 """The partitions that this daemon was dealt, and the answers that it gives for them."""
 
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, cast
@@ -30,9 +31,7 @@
 not, the claim is fenced and the next one jumps.
 """
 FENCED_JUMP = 1 << 20
-FORGET_SECONDS = 120.0
-"""Programs that nobody asked for in this time are forgotten."""
-FORGET_EACH_SECONDS = 10.0
+TIDY_EACH_SECONDS = 10.0
 
 
 class OwnedPartitions:
@@ -48,10 +47,13 @@
         *,
         directory: OwnerDirectory,
         heartbeat: Callable[[], None],
+        retention_seconds: float,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Answer peers through `network`; refer those that ask wrongly."""
         self._directory = directory
         self._heartbeat = heartbeat
+        self._wall = wall
         self._service = service
         self._clock = clock
         self._random = random
@@ -59,16 +61,17 @@
         self._own = network.own_member.daemon
         self._owned: dict[int, OwnedPartition] = {}
         self._claims: int = network.own_member.incarnation
-        self._forgetting = LoopingCall(self._forget)
-        self._forgetting.clock = clock
+        self._retention_seconds = retention_seconds
+        self._tidying = LoopingCall(self._tidy)
+        self._tidying.clock = clock
         network.on_request(AdmitTurn, self._admit)
         network.on_request(KeepTurn, self._keep)
         network.on_request(FindTurn, self._find)
         network.on_notice(SettleCall, self._settle)
 
     def start(self) -> None:
-        """Begin to forget what is old."""
-        self._forgetting.start(FORGET_EACH_SECONDS, now=False)
+        """Begin to forget what is old, and to write anew what still counts."""
+        self._tidying.start(TIDY_EACH_SECONDS, now=False)
 
     def dealt(self, membership: Membership) -> None:
         """Take over what is new, give up what is gone."""
@@ -89,7 +92,12 @@
         epoch = (generation << CLAIM_BITS) + self._claims
         place = PartitionPlace(self._topic, partition, epoch)
         owned = OwnedPartition(
-            self._service, self._clock, self._random, place, lost=self._lost
+            self._service,
+            self._clock,
+            self._random,
+            place,
+            lost=self._lost,
+            wall=self._wall,
         )
         self._owned[partition] = owned
         owned.take_over()
@@ -103,15 +111,14 @@
 
     def give_up_all(self) -> "Deferred[Any]":
         """Stop owning anything; fires when all accounts are handed over."""
-        if self._forgetting.running:
-            self._forgetting.stop()
+        if self._tidying.running:
+            self._tidying.stop()
         owned, self._owned = self._owned, {}
         return gatherResults([partition.hand_over() for partition in owned.values()])
 
-    def _forget(self) -> None:
-        limit = self._clock.seconds() - FORGET_SECONDS
+    def _tidy(self) -> None:
         for owned in self._owned.values():
-            owned.forget_before(limit)
+            owned.tidy(self._retention_seconds)
 
     def _referral(self, partition: int) -> NotOwner:
         owner = self._directory.owner(partition)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -1,5 +1,6 @@
 """One partition as its owner keeps it: claimed, replayed, served until it is lost."""
 
+import time
 from collections.abc import Callable, Generator
 from random import Random
 from typing import Any
@@ -24,7 +25,7 @@
     TurnRefused,
 )
 from notcharch.accounts.metrics import OWNED_PARTITIONS, TAKEOVER_SECONDS
-from notcharch.accounts.records import TurnKept, decode, encode
+from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept, decode, encode
 from notcharch.accounts.turns import Transcript
 from notcharch.events.accounts import (
     BudgetRefused,
@@ -38,6 +39,7 @@
 
 FENCED = "a higher epoch writes it"
 DEALT_AWAY = "dealt to another daemon"
+DEFAULT_KEEP_SECONDS = 60.0
 READ_RETRY_SECONDS = 0.08
 NOT_OWNER = NotOwner()
 
@@ -61,12 +63,14 @@
         place: PartitionPlace,
         *,
         lost: Callable[["OwnedPartition"], None],
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
         self._service = service
         self._clock = clock
         self.place = place
         self._lost = lost
+        self._wall = wall
         self._ledger = Ledger()
         self._writer = PartitionWriter(
             service,
@@ -78,6 +82,8 @@
             lost=self._was_lost,
         )
         self.is_serving = False
+        self._keep_seconds = DEFAULT_KEEP_SECONDS
+        """The longest time that a route keeps turns and budgets."""
         self._began = clock.seconds()
         self._records = 0
         self._read_to = 0
@@ -98,6 +104,10 @@
             self._log_taken_over()
             self._wake()
 
+    def _wall_seconds(self) -> int:
+        """Give seconds since 1970, by a clock that may be some seconds off."""
+        return int(self._wall())
+
     def _log_taken_over(self) -> None:
         OWNED_PARTITIONS.inc()
         TAKEOVER_SECONDS.observe(self._clock.seconds() - self._began)
@@ -162,7 +172,8 @@
             self.is_serving = False
             OWNED_PARTITIONS.dec()
             written = [
-                self._write(encode(account)) for account in self._ledger.accounts()
+                self._write(encode(account))
+                for account in self._ledger.accounts(self._wall_seconds())
             ]
             yield gatherResults(written)
         self.close()
@@ -186,11 +197,13 @@
     @inlineCallbacks
     def admit(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, Message]:
         """Admit a call of a program, or refuse it."""
+        self._keep_seconds = max(self._keep_seconds, ask.keep_seconds)
         if not (yield self._until_serving()):
             return NOT_OWNER
         transcript: Transcript | None = Transcript("", b"")
         if ask.previous:
             transcript = self._ledger.turns.transcript(ask.previous, ask.known)
+            self._ledger.turns.use(ask.previous, self._clock.seconds())
             if transcript is None:
                 is_certain = yield self._is_still_owner()
                 return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
@@ -249,12 +262,16 @@
     def _write_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
         assert ask.budget_tokens is not None
         record = self._ledger.raised_bound(
-            ask.program, ask.most_tokens, ask.budget_tokens, self._clock.seconds()
+            ask.program,
+            ask.most_tokens,
+            ask.budget_tokens,
+            self._clock.seconds(),
+            written_at=self._wall_seconds(),
         )
         outcome = yield self._write(encode(record))
         if outcome is not Outcome.DURABLE:
             return False
-        self._ledger.bound_is_durable(record, self._clock.seconds())
+        self._ledger.bound_is_durable(record)
         return True
 
     def _write(self, data: bytes) -> "Deferred[Outcome]":
@@ -277,6 +294,7 @@
         if not (yield self._until_serving()):
             return NOT_OWNER
         found = self._ledger.turns.transcript(ask.turn)
+        self._ledger.turns.use(ask.turn, self._clock.seconds())
         if found is not None:
             return TurnFound(found.text)
         is_certain = yield self._is_still_owner()
@@ -294,16 +312,34 @@
             return NOT_OWNER
         if ask.call not in self._ledger.turns:
             record = TurnKept(
-                ask.program, ask.call, ask.previous, ask.input, ask.output
+                ask.program,
+                ask.call,
+                ask.previous,
+                ask.input,
+                ask.output,
+                self._wall_seconds(),
             )
             outcome = yield self._write(encode(record))
             if outcome is not Outcome.DURABLE:
                 return NOT_OWNER
-            self._ledger.keep(record)
+            self._ledger.keep(record, self._clock.seconds())
         now = self._clock.seconds()
         self._ledger.settle(ask.program, ask.call, ask.tokens, now)
         return TurnIsKept()
 
-    def forget_before(self, limit: float) -> None:
-        """Forget programs that nobody asked for since some clock seconds."""
-        self._ledger.forget_before(limit)
+    def tidy(self, retention_seconds: float) -> None:
+        """Forget what nobody may ask for; write anew what the log would drop."""
+        if not self.is_serving:
+            return
+        self._ledger.forget_before(self._clock.seconds() - 2 * self._keep_seconds)
+        wall = self._wall_seconds()
+        for record in self._ledger.aging(int(wall - retention_seconds / 2), wall):
+            self._write(encode(record)).addCallback(self._written_anew, record)
+
+    def _written_anew(self, outcome: Outcome, record: AnyRecord) -> None:
+        if outcome is not Outcome.DURABLE:
+            return
+        if isinstance(record, BoundRaised):
+            self._ledger.bound_is_durable(record)
+        elif isinstance(record, TurnKept) and record.turn in self._ledger.turns:
+            self._ledger.turns.written_anew(record.turn, record.written_at)
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -15,6 +15,8 @@
 
     program: str
     bound_tokens: int
+    written_at: int = 0
+    """Seconds since 1970, roughly: the log drops records by their age."""
 
 
 class TurnKept(Record, frozen=True, tag="turn"):
@@ -27,6 +29,7 @@
     input: bytes
     output: bytes
     """The data of each of its events, each followed by a line feed."""
+    written_at: int = 0
 
 
 class AccountHandedOver(Record, frozen=True, tag="account"):
@@ -36,6 +39,7 @@
     used_tokens: int
     under_way: dict[str, int]
     """The most of each call that still runs."""
+    written_at: int = 0
 
 
 AnyRecord = BoundRaised | TurnKept | AccountHandedOver
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -1,5 +1,7 @@
 """Wires the accounts of programs: group, owned partitions, directory, admission."""
 
+import time
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -38,6 +40,8 @@
     """`host:port` at which peers reach this daemon."""
     partitions: int
     least_lease_seconds: float
+    retention_seconds: float
+    """So long the log service keeps records."""
 
 
 class AccountsService:
@@ -50,6 +54,8 @@
         clock: IReactorTime,
         network: PeerNetwork,
         random: Random,
+        *,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`."""
         self._directory = OwnerDirectory(service, clock, network, GROUP)
@@ -61,6 +67,8 @@
             network,
             directory=self._directory,
             heartbeat=self._heartbeat,
+            retention_seconds=settings.retention_seconds,
+            wall=wall,
         )
         own = network.own_member
         self._group = GroupMember(
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -66,6 +66,43 @@
         return Transcript(name, b"".join(reversed(parts)))
 
 
+class KeptTurns(TurnStore):
+    """Turns with the times at which they were used, and written to the journal."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        super().__init__()
+        self._used_at: dict[str, float] = {}
+        self._written_at: dict[str, int] = {}
+
+    def keep(self, name: str, turn: Turn, written_at: int, now: float) -> None:
+        """Keep a turn that is in the journal; its chain counts as used."""
+        self.add(name, turn)
+        self._written_at[name] = written_at
+        self.use(name, now)
+
+    def use(self, last: str, now: float) -> None:
+        """Note that a chain is used: it is kept as long as its last turn."""
+        name = last
+        while name in self._turns and self._used_at.get(name) != now:
+            self._used_at[name] = now
+            name = self._turns[name].previous
+
+    def forget_before(self, limit: float) -> None:
+        """Forget turns that were not used since some clock seconds."""
+        old = [name for name, used in self._used_at.items() if used < limit]
+        for name in old:
+            del self._turns[name], self._used_at[name], self._written_at[name]
+
+    def written_anew(self, name: str, written_at: int) -> None:
+        """Note a newer record of a turn."""
+        self._written_at[name] = written_at
+
+    def written_before(self, limit: int) -> list[str]:
+        """Give the turns whose record is older than some seconds since 1970."""
+        return [name for name, at in self._written_at.items() if at < limit]
+
+
 class TurnCache(TurnStore):
     """The turns used last, up to a size; and the newest turn of each program."""
 
--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -86,6 +86,14 @@
     others: int
 
 
+class FollowingFailed(Event, frozen=True):
+    """A fault of the program while it took changes; it begins anew."""
+
+    number: ClassVar[int] = 2410
+    topic: str
+    traceback: str
+
+
 class ReadinessChanged(Event, frozen=True):
     """The process takes new callers, or no more."""
 
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -75,18 +75,18 @@
         self._is_joining = False
         if not self._is_member:
             return
-        if not isinstance(answer, Err):
-            self._take(answer.ok_value)
+        # Before anything else, so that no fault keeps the next heartbeat away.
         if self._next is None or not self._next.active():
-            self._next = self._clock.callLater(self._pause(), self.heartbeat)
-
-    def _take(self, membership: Membership) -> None:
-        if membership.generation != self._generation:
-            self._quick_left = QUICK_HEARTBEATS
-        self._generation = membership.generation
-        self._dealt(membership)
+            self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
+        if not isinstance(answer, Err):
+            self._dealt(answer.ok_value)
 
-    def _pause(self) -> float:
+    def _pause(self, answer: Result[Membership, LogProblem]) -> float:
+        """Give the time to the next heartbeat; note the group's generation."""
+        if not isinstance(answer, Err):
+            if answer.ok_value.generation != self._generation:
+                self._quick_left = QUICK_HEARTBEATS
+            self._generation = answer.ok_value.generation
         if self._quick_left <= 0:
             return HEARTBEAT_SECONDS
         self._quick_left -= 1
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -9,9 +9,10 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
-from notcharch.events.process import DependencyLost, DependencyRegained
+from notcharch.events.process import DependencyLost, DependencyRegained, FollowingFailed
 from notcharch.journal.interface import (
     KeyedRecord,
     LogFault,
@@ -66,7 +67,13 @@
     def start(self) -> None:
         """Begin to follow."""
         self._is_running = True
-        self._follow()
+        self._follow().addErrback(self._failed)
+
+    def _failed(self, failure: Failure) -> None:
+        """Begin anew after a fault of this program: never stop following."""
+        emit(FollowingFailed(self._topic, failure.getTraceback()))
+        self._offset = -1
+        self._clock.callLater(LONGEST_RETRY_SECONDS, self.start)
 
     def stop(self) -> None:
         """Stop after the read under way."""
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -46,6 +46,8 @@
 KEEP_LISTENING_SECONDS = 2.6
 """After SIGTERM new connections come until the platform has seen that we leave."""
 STOP_CHECK_SECONDS = 0.1
+IDLE_CHECKS = 2
+"""So often in a row nothing must be under way."""
 STOP_MARGIN_SECONDS = 0.7
 UNREADABLE_SETTINGS = 2
 BACKLOG = 512
@@ -80,6 +82,7 @@
                 address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
                 least_lease_seconds=settings.store.least_lease_seconds,
+                retention_seconds=settings.store.retention_seconds,
             ),
             platform_store,
             reactor,
@@ -106,6 +109,7 @@
         )
         self._ticks = LoopingCall(self._tick)
         self._was_ready = False
+        self._idle_checks = 0
         self._stopping_since: float | None = None
 
     @property
@@ -187,7 +191,9 @@
         passed = self._reactor.seconds() - self._stopping_since
         is_late = passed >= self._settings.grace_seconds - STOP_MARGIN_SECONDS
         under_way = self._ingress.in_flight
-        if under_way and not is_late:
+        self._idle_checks = 0 if under_way else self._idle_checks + 1
+        # The last answer's bytes leave after the request has been counted as ended.
+        if self._idle_checks < IDLE_CHECKS and not is_late:
             self._reactor.callLater(STOP_CHECK_SECONDS, self._try_stop)
             return
         emit(ProcessStopped(self._settings.machine, under_way, round(passed, 3)))
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -275,3 +275,47 @@
     assert again.refusal is None
     third = world.decided(world.call(budget=150, most=100))
     assert third.refusal == BUDGET_SPENT
+
+
+def test_what_still_counts_outlives_the_retention_of_the_log():
+    """A program of many minutes: the log drops its oldest records meanwhile."""
+    world = World()
+    previous, expected = "", b""
+    for turn in range(9):
+        call = world.call(budget=1000, previous=previous, body=f"{turn};".encode())
+        assert world.kept(call, EVENT).is_durable
+        expected += call.body + b"hello\n"
+        previous = call.id
+        ends = [world.log.partition("accounts", number).end for number in range(3)]
+        for _ in range(5):
+            world.run(10.0)
+        world.ends = [*getattr(world, "ends", []), ends]
+        if turn >= 6:  # what was written 300 seconds ago is gone
+            for number in range(3):
+                dropped = world.ends[turn - 6][number]
+                world.log.partition("accounts", number).drop_before(dropped)
+    for name in world.names:
+        world.crash(name)
+    for name in world.names:
+        world.start(name)
+    world.run(3.0)
+    after = world.decided(
+        world.call(budget=1000, previous=previous, body=b"x"), keeps_turns=True
+    )
+    assert after.body == expected + b"x"
+
+
+def test_what_nobody_may_ask_for_is_forgotten():
+    world = World()
+    call = world.call(body=b"a")
+    world.kept(call, EVENT)
+    for _ in range(20):
+        world.run(10.0)
+    owned = [
+        partition
+        for service in world.services.values()
+        for partition in service._owned._owned.values()
+    ]
+    assert len(owned) == 3
+    assert all(call.id not in partition._ledger.turns for partition in owned)
+    assert all(len(partition._ledger) == 0 for partition in owned)
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -13,6 +13,7 @@
 from notcharch.wire.memory import MemoryFabric
 
 PARTITIONS = 3
+RETENTION_SECONDS = 300.0
 STEP_SECONDS = 0.02
 EVENT_TOKENS = 10
 
@@ -81,11 +82,12 @@
         member = Member(name, Incarnation(self.incarnations[name]))
         daemon = self.fabric.join(member, ZoneName("z"))
         service = AccountsService(
-            AccountSettings(f"{name}:1", PARTITIONS, 1.0),
+            AccountSettings(f"{name}:1", PARTITIONS, 1.0, RETENTION_SECONDS),
             self.log,
             daemon.clock,
             daemon.network,
             Random(self.incarnations[name]),
+            wall=lambda: self.clock.seconds() + 1e9,
         )
         self.services[name] = service
         service.start()
--- /dev/null
+++ b/tests/unit/journal/test_followers.py
@@ -0,0 +1,276 @@
+"""Following a keyed topic, staying in a group and writing a partition, under faults."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from emulator.services.partitioned_log import PartitionedLog, Trouble
+from notcharch.journal.group import LEASE_SECONDS, GroupMember, GroupName
+from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
+from notcharch.journal.writer import Outcome, PartitionWriter
+
+TOPIC = "keyed.things"
+PACE = Pace(wait_seconds=1.0, pause_seconds=0.1)
+
+
+class Following:
+    """A follower, and what it was told."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 2)
+        self.told: list[dict[str, bytes]] = []
+        self.fault = False
+        self.follower = KeyedFollower(
+            self.log, self.clock, Random(1), TOPIC, pace=PACE, changed=self.changed
+        )
+
+    def changed(self, values):
+        if self.fault:
+            raise ValueError("a fault of the program")
+        self.told.append(dict(values))
+
+    def put(self, key: str, value: bytes) -> None:
+        self.log.append(TOPIC, 0, (join_keyed(key, value),))
+        self.run(0.01)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+
+def started(*keys: str) -> Following:
+    world = Following()
+    for key in keys:
+        world.put(key, b"1")
+    world.follower.start()
+    world.run(0.2)
+    return world
+
+
+def test_a_picture_then_each_change():
+    world = started("a", "b")
+    assert world.told[-1] == {"a": b"1", "b": b"1"}
+    world.put("a", b"2")
+    world.put("c", b"3")
+    world.put("b", b"")
+    world.run(0.5)
+    assert world.told[-1] == {"a": b"2", "c": b"3"}
+
+
+def test_a_change_is_heard_soon_after_a_rest():
+    world = started("a")
+    world.run(10.0)
+    world.put("a", b"2")
+    world.run(0.2)
+    assert world.told[-1] == {"a": b"2"}
+
+
+@pytest.mark.parametrize("trouble", [t for t in Trouble if t is not Trouble.NONE])
+def test_what_changed_during_an_outage_is_heard_after_it(trouble):
+    world = started("a")
+    world.log.trouble = trouble
+    world.run(5.0)
+    assert world.told[-1] == {"a": b"1"}
+    world.log.trouble = Trouble.NONE
+    world.put("a", b"2")
+    world.run(3.0)
+    assert world.told[-1] == {"a": b"2"}
+
+
+def test_a_history_that_was_dropped_is_made_up_by_a_new_picture():
+    world = started("a")
+    world.log.trouble = Trouble.REFUSE
+    world.run(1.0)
+    world.log.trouble = Trouble.NONE
+    partition = world.log.partition(TOPIC, 0)
+    partition.records.extend([join_keyed("a", b"2"), join_keyed("a", b"3")])
+    partition.drop_before(2)
+    world.run(3.0)
+    assert world.told[-1] == {"a": b"3"}
+
+
+def test_more_keys_than_a_page_holds():
+    world = Following()
+    keys = [f"k{number:04}" for number in range(1200)]
+    records = tuple(join_keyed(key, b"1") for key in keys)
+    world.log.append(TOPIC, 0, records)
+    world.run(0.1)
+    world.follower.start()
+    world.run(1.0)
+    assert sorted(world.told[-1]) == keys
+
+
+def test_a_fault_of_the_program_does_not_end_the_following():
+    world = started("a")
+    world.fault = True
+    world.put("a", b"2")
+    world.run(0.5)
+    world.fault = False
+    world.run(3.0)
+    assert world.told[-1] == {"a": b"2"}
+
+
+class Group:
+    """Members of a group."""
+
+    def __init__(self, *names: str) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 4)
+        self.held: dict[str, tuple[int, ...]] = {}
+        self.fault = ""
+        self.members = {name: self.member(name) for name in names}
+        for member in self.members.values():
+            member.start()
+        self.run(1.0)
+
+    def member(self, name: str) -> GroupMember:
+        def dealt(membership):
+            if self.fault == name:
+                raise ValueError("a fault of the program")
+            self.held[name] = membership.partitions
+
+        return GroupMember(
+            self.log,
+            self.clock,
+            GroupName("g", "t"),
+            name,
+            least_lease_seconds=1.0,
+            dealt=dealt,
+        )
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+
+def test_partitions_are_dealt_evenly_and_whole():
+    world = Group("a", "b")
+    assert sorted(world.held["a"] + world.held["b"]) == [0, 1, 2, 3]
+    assert len(world.held["a"]) == 2
+
+
+def test_a_member_that_leaves_is_replaced_at_the_next_heartbeats():
+    world = Group("a", "b")
+    world.members["a"].leave()
+    world.run(0.45)
+    assert world.held["b"] == (0, 1, 2, 3)
+
+
+def test_a_silent_member_is_replaced_after_its_lease():
+    world = Group("a", "b")
+    world.members["a"].stop()
+    world.run(LEASE_SECONDS - 0.4)
+    assert len(world.held["b"]) == 2
+    world.run(0.9)
+    assert world.held["b"] == (0, 1, 2, 3)
+
+
+def test_a_fault_of_the_program_does_not_end_the_heartbeats():
+    world = Group("a", "b")
+    world.fault = "a"
+    world.run(3.0)
+    world.fault = ""
+    world.run(0.5)
+    assert len(world.held["a"]) == 2
+    assert len(world.held["b"]) == 2
+
+
+class Writing:
+    """A writer of partition 0, and the outcomes of its records."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 1)
+        self.outcomes: list[Outcome] = []
+        self.lost: list[int] = []
+
+    def writer(self, epoch: int) -> PartitionWriter:
+        return PartitionWriter(
+            self.log,
+            self.clock,
+            Random(1),
+            "t",
+            partition=0,
+            epoch=epoch,
+            lost=lambda: self.lost.append(epoch),
+        )
+
+    def claimed(self, epoch: int) -> PartitionWriter:
+        writer = self.writer(epoch)
+        writer.claim()
+        self.run(0.1)
+        return writer
+
+    def write(self, writer, *records: bytes) -> None:
+        for record in records:
+            writer.write(record, self.outcomes.append)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+    @property
+    def records(self) -> list[bytes]:
+        return self.log.partition("t", 0).records
+
+
+def test_records_that_wait_go_in_one_append():
+    world = Writing()
+    writer = world.claimed(1)
+    calls = world.log.calls
+    world.write(writer, b"a", b"b", b"c", b"d")
+    world.run(0.1)
+    assert world.records == [b"a", b"b", b"c", b"d"]
+    assert world.outcomes == [Outcome.DURABLE] * 4
+    assert world.log.calls - calls == 2
+
+
+@pytest.mark.parametrize("trouble", [t for t in Trouble if t is not Trouble.NONE])
+def test_each_record_is_written_once_whatever_happens(trouble):
+    world = Writing()
+    writer = world.claimed(1)
+    world.write(writer, b"a")
+    world.run(0.1)
+    world.log.trouble = trouble
+    world.write(writer, b"b", b"c")
+    world.run(4.0)
+    world.log.trouble = Trouble.NONE
+    world.write(writer, b"d")
+    world.run(6.0)
+    assert world.records == [b"a", b"b", b"c", b"d"]
+    assert world.outcomes == [Outcome.DURABLE] * 4
+
+
+def test_a_fenced_writer_hears_it_once_and_writes_no_more():
+    world = Writing()
+    former = world.claimed(1)
+    world.claimed(2)
+    world.write(former, b"a", b"b")
+    world.run(0.1)
+    world.write(former, b"c")
+    assert world.outcomes == [Outcome.LOST] * 3
+    assert (world.records, world.lost) == ([], [1])
+
+
+def test_a_lower_epoch_cannot_claim():
+    world = Writing()
+    world.claimed(2)
+    assert not world.claimed(1).is_open
+
+
+def test_a_writer_knows_whether_it_is_alone():
+    world = Writing()
+    former = world.claimed(1)
+    world.write(former, b"a")
+    world.run(0.1)
+    former.confirm().addCallback(world.outcomes.append)
+    world.run(0.1)
+    assert world.outcomes == [Outcome.DURABLE, Outcome.DURABLE]
+    successor = world.claimed(2)
+    world.write(successor, b"b")
+    world.run(0.1)
+    former.confirm().addCallback(world.outcomes.append)
+    world.run(0.1)
+    assert world.outcomes[-1] is Outcome.LOST
