Raise bounds by a third of the budget, and ask less for owners

Ruled out: a second log for a partition (a takeover would need both); calls that are not journalled (a crash would forget them).

--- a/notcharch/accounts/directory.py
+++ b/notcharch/accounts/directory.py
@@ -1,6 +1,7 @@
 """Who owns which partition, as the log service last said."""
 
 from collections.abc import Generator
+from random import Random
 from typing import Any
 
 import msgspec
@@ -16,7 +17,10 @@
 from notcharch.journal.interface import LogProblem, LogService, Ownership
 from notcharch.wire.peers import PeerNetwork
 
-REFRESH_SECONDS = 1.0
+REFRESH_SECONDS = 4.0
+"""Without doubt the view is refreshed this often: heartbeats tell of changes."""
+SPREAD_SECONDS = 0.5
+"""After a change not all daemons ask at the same moment."""
 DOUBT_SECONDS = 0.1
 """In doubt the log service is asked again, at most this often."""
 UNANSWERED_SECONDS = 0.4
@@ -24,12 +28,18 @@
 
 
 class OwnerDirectory:
-    """A view of the owners that is refreshed each second, and sooner in doubt."""
+    """A view of the owners that is refreshed now and then, and at once in doubt."""
 
     def __init__(
-        self, service: LogService, clock: IReactorTime, network: PeerNetwork, group: str
+        self,
+        service: LogService,
+        clock: IReactorTime,
+        random: Random,
+        network: PeerNetwork,
+        group: str,
     ) -> None:
         """Begin without a view."""
+        self._random = random
         self._service = service
         self._clock = clock
         self._network = network
@@ -73,7 +83,8 @@
         """Hear the group's generation: a new one means other owners."""
         if generation != self._generation:
             self._generation = generation
-            self.doubt()
+            pause = self._random.random() * SPREAD_SECONDS
+            self._clock.callLater(pause, self.doubt)
 
     @inlineCallbacks
     def _keep_fresh(self) -> Generator["Deferred[Any]", Any, None]:
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -21,6 +21,13 @@
 AHEAD_CALLS = 2
 """A bound is raised for so many calls at once."""
 
+AHEAD_SHARE = 3
+"""Or for one part in so many of the budget, if that is more.
+
+Programs of many calls use a quarter of their budgets, so they can bear that a crash
+charges this much, and go on for long while the log can't be written.
+"""
+
 FORGOTTEN_RESERVATION_SECONDS = 12.0
 """A call that nobody settled in this time is charged at its most."""
 
@@ -165,8 +172,8 @@
     ) -> BoundRaised:
         """Give the record of a bound that lets a call in, and some after it."""
         needed = self.program(name, now).committed + most
-        ahead = needed + (AHEAD_CALLS - 1) * most
-        return BoundRaised(name, max(needed, min(ahead, budget)), written_at)
+        ahead = max(AHEAD_CALLS * most, budget // AHEAD_SHARE) - most
+        return BoundRaised(name, max(needed, min(needed + ahead, budget)), written_at)
 
     def bound_is_durable(self, record: BoundRaised) -> None:
         """Hear that a bound is in the journal."""
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -58,7 +58,7 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`."""
-        self._directory = OwnerDirectory(service, clock, network, GROUP)
+        self._directory = OwnerDirectory(service, clock, random, network, GROUP)
         self._owned = OwnedPartitions(
             service,
             clock,
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -111,20 +111,20 @@
         ]
 
     def _home(self, states: list[EngineState], key: str) -> EngineState:
-        """Prefer the engines in the order of their hashes with the key."""
+        """Prefer the first of the engines' hashes with the key that isn't too busy."""
         least = min(state.in_flight / state.engine.slots for state in states)
-        ranked = sorted(
-            states,
-            key=lambda state: (
-                state.engine.zone != self._zone,
-                xxhash.xxh64_intdigest(f"{state.engine.id}|{key}".encode()),
+        free = [
+            state
+            for state in states
+            if state.in_flight <= least * state.engine.slots + HOME_SLACK_CALLS
+        ]
+        near = [state for state in free if state.engine.zone == self._zone]
+        return min(
+            near or free,
+            key=lambda state: xxhash.xxh64_intdigest(
+                f"{state.engine.id}|{key}".encode()
             ),
         )
-        for state in ranked:
-            allowed = least * state.engine.slots + HOME_SLACK_CALLS
-            if state.in_flight <= allowed:
-                return state
-        return ranked[0]
 
     def _least_busy(self, states: list[EngineState]) -> EngineState:
         return min(
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -319,3 +319,16 @@
     assert len(owned) == 3
     assert all(call.id not in partition._ledger.turns for partition in owned)
     assert all(len(partition._ledger) == 0 for partition in owned)
+
+
+def test_a_long_program_goes_on_while_the_log_cannot_be_written():
+    world = World()
+    first = world.decided(world.call(budget=6000, most=100))
+    first.ticket.broke_off(3)
+    world.run(0.1)
+    world.log.trouble = Trouble.REFUSE
+    for _ in range(15):
+        listener = world.decided(world.call(budget=6000, most=100))
+        assert listener.refusal is None
+        listener.ticket.broke_off(10)
+        world.run(0.1)
--- /dev/null
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -0,0 +1,172 @@
+"""Each decision of a call, an account and a process leaves its line."""
+
+from random import Random
+
+import msgspec
+from twisted.internet.task import Clock
+
+from emulator.services.partitioned_log import PartitionedLog, Trouble
+from notcharch.events import accounts, calls, process
+from notcharch.http.client import AnswerFailure
+from notcharch.http.messages import RequestHead
+from notcharch.journal.keyed_follower import join_keyed
+from notcharch.platform.ingress import Ingress
+from notcharch.platform.tables import PlatformTables
+from tests.unit.accounts.world import World as AccountsWorld
+from tests.unit.calls.world import World as CallWorld
+from tests.unit.events.capture import captured, of
+from tests.unit.platform.test_configuration import LIMITS, ROUTE, SERVICE
+
+
+def test_the_ends_of_calls():
+    with captured() as messages:
+        CallWorld().sent[0].answer(200, b"done")
+        refused = CallWorld(engines=())
+        broken = CallWorld(is_stream=True)
+        broken.sent[0].begin()
+        broken.sent[0].listener.failed(AnswerFailure.RESET)
+        CallWorld().reply.gone()
+        again = CallWorld()
+        again.sent[0].refuse()
+    assert refused.reply.end == "refused"
+    served = of(messages, calls.CallServed)[0]
+    assert (served["request"], served["program"], served["status"]) == ("1", "p", 200)
+    assert of(messages, calls.CallRefused)[0]["reason"] == "no engine can take it"
+    assert of(messages, calls.CallBrokenOff)[0]["cause"] == "connection reset"
+    assert of(messages, calls.CallerLeft)[0]["phase"] == "at engine"
+    assert of(messages, calls.CallSentAgain)[0]["cause"] == "not run: 503"
+
+
+def test_what_owners_decide():
+    with captured() as messages:
+        world = AccountsWorld()
+        for _ in range(2):
+            world.decided(world.call(budget=100, most=100))
+        world.decided(world.call(previous="nobody"), keeps_turns=True)
+        first = world.call("one", body=b"a")
+        world.kept(first, b"data: x\n\n")
+        for program in ("two", "three", "four", "five"):
+            world.kept(world.call(program, previous=first.id), b"data: x\n\n")
+        world.services[world.names[0]].leave()
+        world.log.trouble = Trouble.REFUSE
+        world.decided(world.call("new"))
+    assert of(messages, accounts.PartitionTakenOver)
+    assert of(messages, accounts.PartitionGivenUp)
+    assert of(messages, accounts.OwnersChanged)
+    spent = of(messages, accounts.BudgetRefused)[0]
+    assert (spent["budget_tokens"], spent["under_way_tokens"]) == (100, 100)
+    assert of(messages, accounts.TurnDenied)[0]["turn"] == "nobody"
+    assert of(messages, accounts.TurnAdopted)
+    assert of(messages, accounts.OwnerUnanswered)[0]["question"] == "admission"
+
+
+class Engines:
+    """Takes the place of the pool and of the sender."""
+
+    def __init__(self) -> None:
+        self.listed = []
+        self.forgotten = []
+
+    def replace(self, engines):
+        self.listed = list(engines)
+        return []
+
+    def forget(self, engine_id):
+        self.forgotten.append(engine_id)
+
+
+class Exchange:
+    """A request that keeps its answer."""
+
+    def __init__(self, host: bytes, path: bytes) -> None:
+        headers = [(b"Host", host), (b"X-Notcharch-Request-Id", b"r1")]
+        self.head = RequestHead(b"GET", path, headers)
+        self.body = b""
+        self.arrived = 0.0
+        self.status = 0
+        self.headers = []
+
+    def answer(self, status, headers, body=b""):
+        self.status = status
+        self.headers = headers
+
+
+class Tables:
+    """An ingress whose tables follow a log."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 1)
+        self.ingress = Ingress(None)
+        self.engines = Engines()
+        self.tables = PlatformTables(
+            self.log,
+            self.clock,
+            Random(1),
+            self.ingress,
+            self.engines,
+            sender=self.engines,
+        )
+        self.tables.start()
+
+    def configure(self, version: int, path: str = "/p/") -> None:
+        route = ROUTE | {"path_prefix": path}
+        entry = {"version": version, "routes": [route], "services": [SERVICE]}
+        value = msgspec.json.encode(entry | {"limits": LIMITS})
+        self.put("keyed.op", "config", value)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        self.log.append(topic, 0, (join_keyed(key, value),))
+        self.run(1.5)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+    def status(self, path: bytes) -> int:
+        exchange = Exchange(b"h.example", path)
+        self.ingress.handle(exchange)
+        return exchange.status
+
+
+ENGINE = msgspec.json.encode({"service": "s", "address": "1.2.3.4:5", "state": "ready"})
+
+
+def test_tables_and_engines():
+    with captured() as messages:
+        world = Tables()
+        assert world.status(b"/p/x") == 503
+        world.configure(7)
+        world.put("keyed.servers", "i-1", ENGINE)
+        assert world.tables.are_known
+        assert world.status(b"/other/x") == 404
+        world.put("keyed.servers", "i-2", b"{broken")
+        world.log.trouble = Trouble.REFUSE
+        world.run(3.0)
+        world.log.trouble = Trouble.NONE
+        world.run(3.0)
+    assert of(messages, process.TableInForce)[0]["version"] == 7
+    assert of(messages, process.EnginesChanged)[0]["added"] == ["i-1"]
+    assert of(messages, calls.RequestWithoutRoute)[0]["path"] == "/other/x"
+    lost = {message["dependency"] for message in of(messages, process.DependencyLost)}
+    assert lost == {"keyed.servers/i-2", "keyed.op", "keyed.servers"}
+    assert len(of(messages, process.DependencyRegained)) == 2
+
+
+def test_a_table_never_goes_back():
+    world = Tables()
+    world.configure(7, "/new/")
+    world.configure(5, "/old/")
+    assert world.ingress.router.table.version == 7
+    world.put("keyed.op", "config", b"{broken")
+    assert world.ingress.router.table.version == 7
+    world.configure(9, "/newest/")
+    assert world.ingress.router.find("h.example", "/newest/x") is not None
+    assert world.ingress.router.find("h.example", "/new/x") is None
+
+
+def test_engines_that_cannot_be_read_do_not_hide_others():
+    world = Tables()
+    world.put("keyed.servers", "i-1", ENGINE)
+    world.put("keyed.servers", "i-2", b"{broken")
+    assert [engine.id for engine in world.engines.listed] == ["i-1"]
