Spread programs over four topics, and relay only what its engine vouches for

And a resumed run whose answer had no seal would have reached the caller as part of the first (found by reading). Change: a group deals out several topics; programs are spread over the partitions of all four (48 on the present platform). A turn of another program is searched for in memory first, and with certainty only if nobody has it. Each run is relayed only if its own head is genuine. Ruled out: more than four topics (a region of 300 has owners enough, searches grow).

--- a/emulator/services/log_groups.py
+++ b/emulator/services/log_groups.py
@@ -3,17 +3,22 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.journal.interface import Membership, Ownership
+from notcharch.journal.interface import (
+    GroupName,
+    LogPartition,
+    Membership,
+    Ownership,
+)
 
 
 class Group(msgspec.Struct):
     """One group."""
 
-    topic: str = ""
+    topics: tuple[str, ...] = ()
     generation: int = 0
     leases: dict[str, float] = {}
     """When each member is given up, in clock seconds."""
-    holders: dict[int, str] = {}
+    holders: dict[LogPartition, str] = {}
     heard: dict[str, int] = {}
     """The generation that each member heard last."""
 
@@ -22,7 +27,7 @@
     """All groups."""
 
     def __init__(self, clock: IReactorTime, partitions: int) -> None:
-        """Deal out so many partitions."""
+        """Deal out so many partitions of each topic."""
         self._clock = clock
         self._partitions = partitions
         self._groups: dict[str, Group] = {}
@@ -35,10 +40,10 @@
             self._remove(group, member)
         return group
 
-    def join(self, name: str, member: str, topic: str, seconds: float) -> Membership:
+    def join(self, name: GroupName, member: str, seconds: float) -> Membership:
         """Take a member in, or renew its lease."""
-        group = self._group(name)
-        group.topic = topic
+        group = self._group(name.group)
+        group.topics = name.topics
         is_new = member not in group.leases
         group.leases[member] = self._clock.seconds() + seconds
         if is_new:
@@ -46,7 +51,7 @@
         group.heard[member] = group.generation
         return Membership(group.generation, self._held(group, member))
 
-    def _held(self, group: Group, member: str) -> tuple[int, ...]:
+    def _held(self, group: Group, member: str) -> tuple[LogPartition, ...]:
         """Give what a member holds: not what its former holder may not know of."""
         return tuple(
             partition
@@ -74,11 +79,18 @@
         }
         if not members:
             return
-        for partition in range(self._partitions):
+        for partition in self._all(group):
             if partition not in group.holders:
                 group.holders[partition] = self._least(group, members)
         self._even_out(group, members)
 
+    def _all(self, group: Group) -> list[LogPartition]:
+        return [
+            LogPartition(topic, number)
+            for topic in group.topics
+            for number in range(self._partitions)
+        ]
+
     def _load(self, group: Group, member: str) -> int:
         return sum(1 for holder in group.holders.values() if holder == member)
 
@@ -98,7 +110,7 @@
         """Tell who each partition is dealt to."""
         group = self._group(name)
         return tuple(
-            Ownership(group.topic, partition, holder)
+            Ownership(partition, holder)
             for partition, holder in sorted(group.holders.items())
         )
 
@@ -108,6 +120,6 @@
         members = sorted(group.leases)
         group.generation += 1
         group.holders = {
-            partition: members[(partition + group.generation) % len(members)]
-            for partition in range(self._partitions)
+            partition: members[(place + group.generation) % len(members)]
+            for place, partition in enumerate(self._all(group))
         }
--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -18,6 +18,7 @@
 from emulator.services.log_groups import Groups
 from notcharch.journal.interface import (
     Appended,
+    GroupName,
     KeyedRecord,
     LogFault,
     LogProblem,
@@ -226,12 +227,14 @@
         return self._answer(act)
 
     def join(
-        self, group: str, member: str, topic: str, lease_seconds: float, generation: int
+        self,
+        group: GroupName,
+        member: str,
+        lease_seconds: float,
+        generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
         """Join a group, or stay in it."""
-        return self._answer(
-            lambda: Ok(self.groups.join(group, member, topic, lease_seconds))
-        )
+        return self._answer(lambda: Ok(self.groups.join(group, member, lease_seconds)))
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
         """Leave a group."""
--- a/experiments/accounts_scale.py
+++ b/experiments/accounts_scale.py
@@ -30,6 +30,7 @@
 SETTLE_SECONDS = 4.0
 STEADY_SECONDS = 6.0
 AFTER_SECONDS = 6.0
+PARTITIONS_OF_A_TOPIC = 12
 TURNS_A_SECOND = 8.0
 """Turns that each daemon serves: the present use of the larger site."""
 TURN_SECONDS = 0.3
@@ -129,7 +130,7 @@
         """Start all daemons."""
         self.clock = Clock()
         self.random = Random(seed)
-        self.log = PartitionedLog(self.clock, Random(seed), partitions)
+        self.log = PartitionedLog(self.clock, Random(seed), PARTITIONS_OF_A_TOPIC)
         self.fabric = MemoryFabric(
             self.clock, Random(seed), encode=True, codec=account_codec()
         )
@@ -154,7 +155,13 @@
             daemon = self.fabric.join(member, ZoneName("z"))
             log: LogService = CountingLog(self.log, self.counts)
             service = AccountsService(
-                AccountSettings(f"{name}:1", self.partitions, 1.0, 300.0),
+                AccountSettings(
+                    f"{name}:1",
+                    PARTITIONS_OF_A_TOPIC,
+                    1.0,
+                    300.0,
+                    topics=self.partitions // PARTITIONS_OF_A_TOPIC,
+                ),
                 log,
                 daemon.clock,
                 daemon.network,
@@ -317,7 +324,7 @@
     """Measure the sizes asked for and print them."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--daemons", default="1,11,60,300")
-    parser.add_argument("--partitions", type=int, default=12)
+    parser.add_argument("--partitions", type=int, default=48)
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
     for text in arguments.daemons.split(","):
--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -3,7 +3,6 @@
 from collections.abc import Generator
 from typing import Any
 
-import xxhash
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -36,8 +35,7 @@
         self._cache = cache
         self.call = call
         self._route = route
-        digest = xxhash.xxh64_intdigest(call.program.encode())
-        self.partition = digest % owners.partitioning.partitions
+        self.partition = owners.partitioning.of_program(call.program)
         self._is_over = False
 
     # The question
--- a/notcharch/accounts/directory.py
+++ b/notcharch/accounts/directory.py
@@ -4,7 +4,6 @@
 from random import Random
 from typing import Any
 
-import msgspec
 from result import Err, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
@@ -12,6 +11,7 @@
 
 from notcharch.accounts.metrics import OWNERS_AGE_SECONDS
 from notcharch.accounts.owner_names import OwnerName, read_owner
+from notcharch.accounts.partitioning import Partitioning
 from notcharch.events.accounts import OwnersChanged
 from notcharch.events.event import emit
 from notcharch.journal.interface import LogProblem, LogService, Ownership
@@ -37,9 +37,12 @@
         random: Random,
         network: PeerNetwork,
         group: str,
+        *,
+        partitioning: Partitioning,
     ) -> None:
         """Begin without a view."""
         self._random = random
+        self._partitioning = partitioning
         self._service = service
         self._clock = clock
         self._network = network
@@ -111,7 +114,9 @@
         for row in rows:
             owner = read_owner(row.member)
             if owner is not None:
-                owners[row.partition] = owner
+                number = self._partitioning.number(row.partition)
+                if number is not None:
+                    owners[number] = owner
         if owners and owners != self._owners:
             self._log_change(owners)
             self._owners = owners
@@ -134,10 +139,3 @@
     def _learn(self, owner: OwnerName) -> None:
         """Tell the network where an owner is."""
         self._network.set_address(owner.daemon, owner.address)
-
-
-class Partitioning(msgspec.Struct, frozen=True):
-    """How programs are spread over partitions."""
-
-    topic: str
-    partitions: int
--- a/notcharch/accounts/foreign_turns.py
+++ b/notcharch/accounts/foreign_turns.py
@@ -36,20 +36,38 @@
 def adopt(
     owners: OwnerRequests, account: Account
 ) -> Generator["Deferred[Any]", Any, Adoption]:
-    """Search all other partitions for the turn that a call goes on from."""
+    """Search all other partitions for the turn that a call goes on from.
+
+    Owners are asked for what they have first; only when nobody has the turn are they
+    asked to make sure, which costs each a read of the log.
+    """
+    for must_be_certain in (False, True):
+        answers = yield _ask_all(owners, account, must_be_certain=must_be_certain)
+        for answer in answers:
+            if isinstance(answer, TurnFound):
+                copied = yield owners.ask(account.partition, _copy(account, answer))
+                is_kept = isinstance(copied, TurnIsKept)
+                return Adoption.ADOPTED if is_kept else Adoption.UNSURE
+        if not all(isinstance(answer, TurnMissing) for answer in answers):
+            return Adoption.UNSURE
+    return Adoption.NO_SUCH_TURN
+
+
+def _ask_all(
+    owners: OwnerRequests, account: Account, *, must_be_certain: bool
+) -> "Deferred[list[Any]]":
     turn = account.call.previous_turn
-    partitions = range(owners.partitioning.partitions)
-    others = [number for number in partitions if number != account.partition]
-    asking = [owners.ask(number, FindTurn(number, turn)) for number in others]
-    answers = yield gatherResults(asking)
-    for answer in answers:
-        if isinstance(answer, TurnFound):
-            copied = yield owners.ask(account.partition, _copy(account, answer))
-            is_kept = isinstance(copied, TurnIsKept)
-            return Adoption.ADOPTED if is_kept else Adoption.UNSURE
-    if all(isinstance(answer, TurnMissing) for answer in answers):
-        return Adoption.NO_SUCH_TURN
-    return Adoption.UNSURE
+    others = [
+        number
+        for number in range(owners.partitioning.count)
+        if number != account.partition
+    ]
+    return gatherResults(
+        [
+            owners.ask(number, FindTurn(number, turn, must_be_certain))
+            for number in others
+        ]
+    )
 
 
 def _copy(account: Account, found: TurnFound) -> KeepTurn:
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -44,6 +44,8 @@
     """Ask for a turn of any program. Reply: `TurnFound`, `TurnMissing`."""
 
     turn: str
+    must_be_certain: bool
+    """Whether the owner has to make sure that nobody else wrote the turn."""
 
 
 class TurnFound(Message, frozen=True):
@@ -54,7 +56,7 @@
 
 
 class TurnMissing(Message, frozen=True):
-    """The turn is certainly not kept in this partition."""
+    """The turn is not kept in this partition, for certain if that was asked for."""
 
 
 class SettleCall(PartitionMessage, frozen=True):
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -19,6 +19,7 @@
     SettleCall,
 )
 from notcharch.accounts.partition import OwnedPartition, PartitionPlace
+from notcharch.accounts.partitioning import Partitioning
 from notcharch.journal.interface import LogService, Membership
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message
@@ -46,7 +47,7 @@
         service: LogService,
         clock: IReactorTime,
         random: Random,
-        topic: str,
+        partitioning: Partitioning,
         network: PeerNetwork,
         *,
         directory: OwnerDirectory,
@@ -61,7 +62,7 @@
         self._service = service
         self._clock = clock
         self._random = random
-        self._topic = topic
+        self._partitioning = partitioning
         self._own = network.own_member.daemon
         self._owned: dict[int, OwnedPartition] = {}
         self._claims: int = network.own_member.incarnation
@@ -81,7 +82,8 @@
     def dealt(self, membership: Membership) -> None:
         """Take over what is new, give up what is gone."""
         self._directory.dealt(membership.generation)
-        mine = frozenset(membership.partitions)
+        numbers = map(self._partitioning.number, membership.partitions)
+        mine = {number for number in numbers if number is not None}
         for partition in tuple(self._owned):
             if partition not in mine:
                 self._owned.pop(partition).hand_over().addBoth(self._handed_over)
@@ -95,7 +97,8 @@
     def _take_over(self, partition: int, generation: int) -> None:
         self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
         epoch = (generation << CLAIM_BITS) + self._claims
-        place = PartitionPlace(self._topic, partition, epoch)
+        log = self._partitioning.place(partition)
+        place = PartitionPlace(partition, log, epoch)
         owned = OwnedPartition(
             self._service,
             self._clock,
@@ -110,7 +113,7 @@
     def _lost(self, owned: OwnedPartition) -> None:
         """Forget a partition that somebody else writes; the group deals anew."""
         self._claims += FENCED_JUMP
-        partition = owned.place.partition
+        partition = owned.place.number
         if self._owned.get(partition) is owned:
             del self._owned[partition]
 
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -5,8 +5,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.accounts.directory import OwnerDirectory, Partitioning
+from notcharch.accounts.directory import OwnerDirectory
 from notcharch.accounts.messages import NotOwner
+from notcharch.accounts.partitioning import Partitioning
 from notcharch.errors import Problem
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -33,7 +33,13 @@
     PartitionTakenOver,
 )
 from notcharch.events.event import emit
-from notcharch.journal.interface import LogFault, LogProblem, LogService, Records
+from notcharch.journal.interface import (
+    LogFault,
+    LogPartition,
+    LogProblem,
+    LogService,
+    Records,
+)
 from notcharch.journal.writer import Outcome, PartitionWriter
 from notcharch.wire.messages.base import Message
 
@@ -47,8 +53,9 @@
 class PartitionPlace(msgspec.Struct, frozen=True):
     """Which partition, and under which epoch."""
 
-    topic: str
-    partition: int
+    number: int
+    """Among the partitions of all topics."""
+    log: LogPartition
     epoch: int
 
 
@@ -76,8 +83,7 @@
             service,
             clock,
             random,
-            place.topic,
-            partition=place.partition,
+            place.log,
             epoch=place.epoch,
             lost=self._was_lost,
         )
@@ -113,7 +119,7 @@
         TAKEOVER_SECONDS.observe(self._clock.seconds() - self._began)
         emit(
             PartitionTakenOver(
-                partition=self.place.partition,
+                partition=self.place.number,
                 epoch=self.place.epoch,
                 records=self._records,
                 programs=len(self._ledger),
@@ -125,7 +131,7 @@
         if self.is_serving:
             OWNED_PARTITIONS.dec()
         self.is_serving = False
-        emit(PartitionGivenUp(self.place.partition, self.place.epoch, cause))
+        emit(PartitionGivenUp(self.place.number, self.place.epoch, cause))
 
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
@@ -136,7 +142,7 @@
     def _replay_to(self, end: int) -> Generator["Deferred[Any]", Any, bool]:
         while self._read_to < end and self._writer.is_open:
             answer: Result[Records, LogProblem] = yield self._service.read(
-                self.place.topic, self.place.partition, self._read_to
+                self.place.log.topic, self.place.log.number, self._read_to
             )
             if isinstance(answer, Err):
                 yield self._after_read_problem(answer.err_value)
@@ -225,7 +231,7 @@
             BudgetRefused(
                 request=ask.call,
                 program=ask.program,
-                partition=self.place.partition,
+                partition=self.place.number,
                 epoch=self.place.epoch,
                 budget_tokens=ask.budget_tokens or 0,
                 used_tokens=program.used,
@@ -297,6 +303,8 @@
         self._ledger.turns.use(ask.turn, self._clock.seconds())
         if found is not None:
             return TurnFound(found.text)
+        if not ask.must_be_certain:
+            return TurnMissing()
         is_certain = yield self._is_still_owner()
         return TurnMissing() if is_certain else NOT_OWNER
 
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -8,20 +8,25 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.admission import AccountAdmission
-from notcharch.accounts.directory import OwnerDirectory, Partitioning
+from notcharch.accounts.directory import OwnerDirectory
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.owned_partitions import OwnedPartitions
 from notcharch.accounts.owner_names import OwnerName
 from notcharch.accounts.owner_requests import OwnerRequests
+from notcharch.accounts.partitioning import spread_over
 from notcharch.http.reactor import TimedReactor
-from notcharch.journal.group import GroupMember, GroupName
-from notcharch.journal.interface import LogService
+from notcharch.journal.group import GroupMember
+from notcharch.journal.interface import GroupName, LogService
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
 from notcharch.wire.peers import PeerNetwork
 
 TOPIC = "accounts"
+TOPICS = 4
+"""A topic of the present platform has 12 partitions. With four, the owners of a region
+of some hundred daemons are many enough, and a small region pays nothing for it.
+"""
 GROUP = "account-owners"
 REGION = RegionName("accounts")
 LIMITS = ConnectionLimits(
@@ -39,9 +44,11 @@
     address: str
     """`host:port` at which peers reach this daemon."""
     partitions: int
+    """Of each topic."""
     least_lease_seconds: float
     retention_seconds: float
     """So long the log service keeps records."""
+    topics: int = TOPICS
 
 
 class AccountsService:
@@ -58,12 +65,15 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`."""
-        self._directory = OwnerDirectory(service, clock, random, network, GROUP)
+        partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
+        self._directory = OwnerDirectory(
+            service, clock, random, network, GROUP, partitioning=partitioning
+        )
         self._owned = OwnedPartitions(
             service,
             clock,
             random,
-            TOPIC,
+            partitioning,
             network,
             directory=self._directory,
             heartbeat=self._heartbeat,
@@ -74,12 +84,11 @@
         self._group = GroupMember(
             service,
             clock,
-            GroupName(GROUP, TOPIC),
+            GroupName(GROUP, partitioning.topics),
             OwnerName(own.daemon, settings.address).text(),
             least_lease_seconds=settings.least_lease_seconds,
             dealt=self._owned.dealt,
         )
-        partitioning = Partitioning(TOPIC, settings.partitions)
         self.admission = AccountAdmission(
             OwnerRequests(clock, network, self._directory, partitioning)
         )
--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -86,6 +86,9 @@
         self._pieces: list[bytes] = []
         self._cutter = EventCutter()
         self._is_relaying = False
+        """Whether the caller has the head of a stream."""
+        self._relays_this_run = False
+        """Whether the present run's events go to the caller."""
         self._cause = ""
         """Why the last engine did not serve the call."""
         self._output: list[bytes] = []
@@ -156,6 +159,7 @@
         self._engine = engine
         self._head = None
         self._pieces = []
+        self._relays_this_run = False
         request = self._services.dialect.request(self.call, engine, int(left * 1000))
         self._services.pool.began(engine.id)
         self._sending = self._services.sender.send(engine, request, self._body, self)
@@ -197,15 +201,17 @@
         dialect = self._services.dialect
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
             return
-        if self._is_relaying or not dialect.is_genuine(head):
+        if not dialect.is_genuine(head):
             return
-        self._is_relaying = True
-        self._reply.begin(head)
+        self._relays_this_run = True
+        if not self._is_relaying:
+            self._is_relaying = True
+            self._reply.begin(head)
 
     def data_came(self, data: bytes) -> None:
         """Relay whole events, or keep the bytes."""
         assert self._head is not None
-        if not self._is_relaying or self._head.status >= CLIENT_ERRORS:
+        if not self._relays_this_run:
             self._pieces.append(data)
             return
         whole = self._cutter.take(data)
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
-import msgspec
 from result import Err, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from notcharch.journal.interface import LogProblem, LogService, Membership
+from notcharch.journal.interface import GroupName, LogProblem, LogService, Membership
 
 HEARTBEAT_SECONDS = 0.35
 QUICK_SECONDS = 0.1
@@ -17,13 +16,6 @@
 LEASE_SECONDS = 1.2
 
 
-class GroupName(msgspec.Struct, frozen=True):
-    """A group and the topic whose partitions it deals out."""
-
-    group: str
-    topic: str
-
-
 class GroupMember:
     """Stays in a group by heartbeats, and tells which partitions it was dealt."""
 
@@ -66,11 +58,7 @@
     def _join(self) -> Generator["Deferred[Any]", Any, None]:
         self._is_joining = True
         answer: Result[Membership, LogProblem] = yield self._service.join(
-            self._name.group,
-            self._member,
-            self._name.topic,
-            self._lease_seconds,
-            self._generation,
+            self._name, self._member, self._lease_seconds, self._generation
         )
         self._is_joining = False
         if not self._is_member:
--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -78,19 +78,32 @@
     end: int
 
 
+class LogPartition(msgspec.Struct, frozen=True, order=True):
+    """One partition of a topic."""
+
+    topic: str
+    number: int
+
+
 class Ownership(msgspec.Struct, frozen=True):
     """Who a partition is dealt to."""
 
-    topic: str
-    partition: int
+    partition: LogPartition
     member: str
 
 
+class GroupName(msgspec.Struct, frozen=True):
+    """A group and the topics whose partitions it deals out."""
+
+    group: str
+    topics: tuple[str, ...]
+
+
 class Membership(msgspec.Struct, frozen=True):
     """A member's part of a group."""
 
     generation: int
-    partitions: tuple[int, ...]
+    partitions: tuple[LogPartition, ...]
 
 
 class LogService(Protocol):
@@ -116,7 +129,11 @@
         """Read a page of the newest value of each key."""
 
     def join(
-        self, group: str, member: str, topic: str, lease_seconds: float, generation: int
+        self,
+        group: "GroupName",
+        member: str,
+        lease_seconds: float,
+        generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
         """Join a group, or stay in it."""
 
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -15,6 +15,7 @@
 from notcharch.journal.interface import (
     Appended,
     LogFault,
+    LogPartition,
     LogProblem,
     LogService,
     Producer,
@@ -54,9 +55,8 @@
         service: LogService,
         clock: IReactorTime,
         random: Random,
-        topic: str,
+        place: LogPartition,
         *,
-        partition: int,
         epoch: int,
         lost: Callable[[], None],
     ) -> None:
@@ -64,8 +64,8 @@
         self._service = service
         self._clock = clock
         self._random = random
-        self._topic = topic
-        self._partition = partition
+        self._topic = place.topic
+        self._partition = place.number
         self._epoch = epoch
         self._lost = lost
         self._sequence = 0
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -11,8 +11,10 @@
 from notcharch.http.requester import NoAnswer, Outcome, Requester, WholeAnswer
 from notcharch.journal.interface import (
     Appended,
+    GroupName,
     KeyedRecord,
     LogFault,
+    LogPartition,
     LogProblem,
     Membership,
     NewestPage,
@@ -203,14 +205,18 @@
         return self._call(b"GET", "/log-newest", query, b"", translate=read)
 
     def join(
-        self, group: str, member: str, topic: str, lease_seconds: float, generation: int
+        self,
+        group: GroupName,
+        member: str,
+        lease_seconds: float,
+        generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
         """Join a group, or stay in it."""
         body = msgspec.json.encode(
             {
-                "group": group,
+                "group": group.group,
                 "member": member,
-                "topics": [topic],
+                "topics": group.topics,
                 "ttl_ms": int(lease_seconds * 1000),
                 "generation": generation,
             }
@@ -218,7 +224,8 @@
 
         def read(data: bytes) -> Membership:
             said = msgspec.json.decode(data, type=JoinAnswer)
-            return Membership(said.generation, tuple(row[1] for row in said.parts))
+            dealt = tuple(LogPartition(row[0], row[1]) for row in said.parts)
+            return Membership(said.generation, dealt)
 
         return self._call(b"POST", "/log-join", {}, body, translate=read)
 
@@ -234,6 +241,8 @@
 
         def read(data: bytes) -> tuple[Ownership, ...]:
             said = msgspec.json.decode(data, type=OwnersAnswer)
-            return tuple(Ownership(row[0], row[1], row[2]) for row in said.parts)
+            return tuple(
+                Ownership(LogPartition(row[0], row[1]), row[2]) for row in said.parts
+            )
 
         return self._call(b"GET", "/log-owners", {"group": group}, b"", translate=read)
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -98,11 +98,7 @@
     world.log.trouble = Trouble.NONE
     world.run(3.0)
     assert listener.is_decided
-    records = [
-        record
-        for partition in range(3)
-        for record in world.log.partition("accounts", partition).records
-    ]
+    records = [record for partition in world.partitions for record in partition.records]
     assert len(records) == 1
 
 
@@ -232,7 +228,7 @@
 
 
 def epochs(world):
-    return [world.log.partition("accounts", number).epoch for number in range(3)]
+    return [partition.epoch for partition in world.partitions]
 
 
 def test_asking_for_turns_that_nobody_keeps_disturbs_no_owner():
@@ -286,14 +282,15 @@
         assert world.kept(call, EVENT).is_durable
         expected += call.body + b"hello\n"
         previous = call.id
-        ends = [world.log.partition("accounts", number).end for number in range(3)]
+        ends = [partition.end for partition in world.partitions]
         for _ in range(5):
             world.run(10.0)
         world.ends = [*getattr(world, "ends", []), ends]
         if turn >= 6:  # what was written 300 seconds ago is gone
-            for number in range(3):
-                dropped = world.ends[turn - 6][number]
-                world.log.partition("accounts", number).drop_before(dropped)
+            for partition, end in zip(
+                world.partitions, world.ends[turn - 6], strict=True
+            ):
+                partition.drop_before(end)
     for name in world.names:
         world.crash(name)
     for name in world.names:
@@ -316,7 +313,7 @@
         for service in world.services.values()
         for partition in service._owned._owned.values()
     ]
-    assert len(owned) == 3
+    assert len(owned) == 4
     assert all(call.id not in partition._ledger.turns for partition in owned)
     assert all(len(partition._ledger) == 0 for partition in owned)
 
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -12,7 +12,8 @@
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 from notcharch.wire.memory import MemoryFabric
 
-PARTITIONS = 3
+LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
+"""The partitions of accounts: two topics of two."""
 RETENTION_SECONDS = 300.0
 STEP_SECONDS = 0.02
 EVENT_TOKENS = 10
@@ -65,7 +66,7 @@
     def __init__(self, daemons: int = 3, seed: int = 1) -> None:
         self.clock = Clock()
         self.random = Random(seed)
-        self.log = PartitionedLog(self.clock, self.random, PARTITIONS)
+        self.log = PartitionedLog(self.clock, self.random, 2)
         self.fabric = MemoryFabric(
             self.clock, Random(seed), encode=True, codec=account_codec()
         )
@@ -77,12 +78,17 @@
             self.start(name)
         self.run(1.0)
 
+    @property
+    def partitions(self):
+        """Give the log's partitions of accounts."""
+        return [self.log.partition(topic, part) for topic, part in LOGS]
+
     def start(self, name: DaemonName) -> None:
         self.incarnations[name] += 1
         member = Member(name, Incarnation(self.incarnations[name]))
         daemon = self.fabric.join(member, ZoneName("z"))
         service = AccountsService(
-            AccountSettings(f"{name}:1", PARTITIONS, 1.0, RETENTION_SECONDS),
+            AccountSettings(f"{name}:1", 2, 1.0, RETENTION_SECONDS, topics=2),
             self.log,
             daemon.clock,
             daemon.network,
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -142,6 +142,17 @@
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
 
+def test_a_resumed_run_without_a_seal_does_not_reach_the_caller():
+    world = stream(is_resumable=True, most_engines=2)
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE)
+    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[1].begin(seal=False)
+    world.sent[1].listener.data_came(TWO)
+    world.sent[1].listener.ended()
+    assert (world.reply.end, world.reply.data) == ("aborted", ONE)
+
+
 def test_a_stream_without_a_seal_never_begins():
     world = stream()
     world.sent[0].begin(seal=False)
--- a/tests/unit/events/capture.py
+++ b/tests/unit/events/capture.py
@@ -4,6 +4,9 @@
 
 import eliot
 
+# eliot gives what was written before its first destination to that one.
+eliot.add_destinations(lambda _: None)
+
 
 @contextmanager
 def captured():
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -6,7 +6,8 @@
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import PartitionedLog, Trouble
-from notcharch.journal.group import LEASE_SECONDS, GroupMember, GroupName
+from notcharch.journal.group import LEASE_SECONDS, GroupMember
+from notcharch.journal.interface import GroupName, LogPartition
 from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
 from notcharch.journal.writer import Outcome, PartitionWriter
 
@@ -112,13 +113,16 @@
     assert world.told[-1] == {"a": b"2"}
 
 
+ALL = ["t0", "t1", "u0", "u1"]
+
+
 class Group:
     """Members of a group."""
 
     def __init__(self, *names: str) -> None:
         self.clock = Clock()
-        self.log = PartitionedLog(self.clock, Random(1), 4)
-        self.held: dict[str, tuple[int, ...]] = {}
+        self.log = PartitionedLog(self.clock, Random(1), 2)
+        self.held: dict[str, tuple[str, ...]] = {}
         self.fault = ""
         self.members = {name: self.member(name) for name in names}
         for member in self.members.values():
@@ -129,12 +133,14 @@
         def dealt(membership):
             if self.fault == name:
                 raise ValueError("a fault of the program")
-            self.held[name] = membership.partitions
+            self.held[name] = tuple(
+                f"{place.topic}{place.number}" for place in membership.partitions
+            )
 
         return GroupMember(
             self.log,
             self.clock,
-            GroupName("g", "t"),
+            GroupName("g", ("t", "u")),
             name,
             least_lease_seconds=1.0,
             dealt=dealt,
@@ -147,7 +153,7 @@
 
 def test_partitions_are_dealt_evenly_and_whole():
     world = Group("a", "b")
-    assert sorted(world.held["a"] + world.held["b"]) == [0, 1, 2, 3]
+    assert sorted(world.held["a"] + world.held["b"]) == ALL
     assert len(world.held["a"]) == 2
 
 
@@ -155,7 +161,7 @@
     world = Group("a", "b")
     world.members["a"].leave()
     world.run(0.45)
-    assert world.held["b"] == (0, 1, 2, 3)
+    assert sorted(world.held["b"]) == ALL
 
 
 def test_a_silent_member_is_replaced_after_its_lease():
@@ -164,7 +170,7 @@
     world.run(LEASE_SECONDS - 0.4)
     assert len(world.held["b"]) == 2
     world.run(0.9)
-    assert world.held["b"] == (0, 1, 2, 3)
+    assert sorted(world.held["b"]) == ALL
 
 
 def test_a_fault_of_the_program_does_not_end_the_heartbeats():
@@ -191,8 +197,7 @@
             self.log,
             self.clock,
             Random(1),
-            "t",
-            partition=0,
+            LogPartition("t", 0),
             epoch=epoch,
             lost=lambda: self.lost.append(epoch),
         )
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -8,7 +8,9 @@
 from notcharch.http.requester import NoAnswer, WholeAnswer
 from notcharch.journal.interface import (
     Appended,
+    GroupName,
     LogFault,
+    LogPartition,
     Membership,
     Ownership,
     Producer,
@@ -109,9 +111,13 @@
 
 
 def test_a_group_is_joined_and_its_owners_are_told():
-    body = b'{"generation":7,"ttl_ms":3000,"parts":[["work",3,840],["work",5,0]]}'
-    joined = PlatformStore(answered(200, body)).join("g", "m", "work", 1.2, 6)
-    assert result_of(joined) == Ok(Membership(7, (3, 5)))
+    body = b'{"generation":7,"ttl_ms":3000,"parts":[["work",3,840],["rest",5,0]]}'
+    joined = PlatformStore(answered(200, body)).join(
+        GroupName("g", ("work", "rest")), "m", 1.2, 6
+    )
+    assert result_of(joined) == Ok(
+        Membership(7, (LogPartition("work", 3), LogPartition("rest", 5)))
+    )
     rows = b'{"parts":[["work",3,"m",840]]}'
     owners = PlatformStore(answered(200, rows)).owners("g")
-    assert result_of(owners) == Ok((Ownership("work", 3, "m"),))
+    assert result_of(owners) == Ok((Ownership(LogPartition("work", 3), "m"),))
