Send a program's calls where its prefix is, as its owner knows

Change: the owner of a program's account remembers the engine that ran it last and tells it with each admission; a known home is left only when it has more than eight of our calls beyond the least busy engine, and the next home is remembered.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -37,6 +37,9 @@
         self._route = route
         self.partition = owners.partitioning.of_program(call.program)
         self._is_over = False
+        self._engine = ""
+        self.home = ""
+        """The engine at which the program ran last, as its owner said."""
 
     # The question
 
@@ -64,6 +67,7 @@
 
     def whole_body(self, answer: TurnAdmitted) -> bytes | None:
         """Give the body with the turns before it; None if a turn is missing here."""
+        self.home = answer.home
         call = self.call
         if not self._route.keeps_turns or not call.previous_turn:
             return call.body
@@ -102,6 +106,10 @@
 
     # The ticket
 
+    def runs_at(self, engine_id: str) -> None:
+        """Remember which engine has the prefix."""
+        self._engine = engine_id
+
     def never_ran(self) -> None:
         """Give the reserved tokens back."""
         self._settle(0)
@@ -116,7 +124,7 @@
         self._is_over = True
         call = self.call
         tokens = events * call.tokens_per_event
-        told = SettleCall(self.partition, call.program, call.id, tokens)
+        told = SettleCall(self.partition, call.program, call.id, tokens, self._engine)
         self._owners.tell(self.partition, told)
 
     def completed(self, output: bytes, events: int, then: Completion) -> None:
@@ -142,6 +150,7 @@
             call.body,
             data,
             events * call.tokens_per_event,
+            self._engine,
         )
         is_told = False
         while then.is_awaited:
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -60,6 +60,8 @@
         """Whether `used` counts tokens that may not have been generated."""
         self.reserved: dict[str, Reservation] = {}
         self.touched = 0.0
+        self.home = ""
+        """The engine at which it ran last; lost with its owner, which costs little."""
         self.written_at = 0
         """When its newest record was written, seconds since 1970."""
 
@@ -113,6 +115,7 @@
         program.reserved = {
             call: Reservation(most, now) for call, most in record.under_way.items()
         }
+        program.home = record.home
         program.bound = program.committed
         program.written_at = record.written_at
 
@@ -124,6 +127,7 @@
                 program.used,
                 {call: held.tokens for call, held in program.reserved.items()},
                 written_at,
+                program.home,
             )
             for name, program in self._programs.items()
             if not program.is_doubted and program.bound
@@ -183,10 +187,15 @@
         program.bound = max(program.bound, record.bound_tokens)
         program.written_at = record.written_at
 
-    def settle(self, name: str, call: str, tokens: int, now: float) -> None:
-        """End a call that generated so many tokens for its caller."""
+    def settle(
+        self, name: str, call: str, tokens: int, now: float, *, engine: str
+    ) -> None:
+        """End a call that generated so many tokens for its caller at an engine."""
         program = self._programs.get(name)
-        if program is None or program.reserved.pop(call, None) is None:
+        if program is None:
+            return
+        program.home = engine or program.home
+        if program.reserved.pop(call, None) is None:
             return
         program.touched = now
         program.used += tokens
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -27,6 +27,8 @@
 class TurnAdmitted(Message, frozen=True):
     """The call may run."""
 
+    home: str = ""
+    """The engine at which the program ran last."""
     after: str = ""
     """`text` follows the chain of this turn, which the asker has."""
     text: bytes = b""
@@ -65,6 +67,8 @@
     program: str
     call: str
     tokens: int
+    engine: str = ""
+    """Where it ran, if it did."""
 
 
 class KeepTurn(PartitionMessage, frozen=True):
@@ -76,6 +80,7 @@
     input: bytes
     output: bytes
     tokens: int
+    engine: str = ""
 
 
 class TurnIsKept(Message, frozen=True):
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -223,7 +223,8 @@
             self._log_spent(ask)
             return TurnRefused(is_spent=True)
         assert transcript is not None
-        return TurnAdmitted(transcript.after, transcript.text)
+        home = self._ledger.program(ask.program, self._clock.seconds()).home
+        return TurnAdmitted(home, transcript.after, transcript.text)
 
     def _log_spent(self, ask: AdmitTurn) -> None:
         program = self._ledger.program(ask.program, self._clock.seconds())
@@ -311,7 +312,9 @@
     def settle(self, told: SettleCall) -> None:
         """Take the tokens of a call that ended."""
         now = self._clock.seconds()
-        self._ledger.settle(told.program, told.call, told.tokens, now)
+        self._ledger.settle(
+            told.program, told.call, told.tokens, now, engine=told.engine
+        )
 
     @inlineCallbacks
     def keep(self, ask: KeepTurn) -> Generator["Deferred[Any]", Any, Message]:
@@ -332,7 +335,7 @@
                 return NOT_OWNER
             self._ledger.keep(record, self._clock.seconds())
         now = self._clock.seconds()
-        self._ledger.settle(ask.program, ask.call, ask.tokens, now)
+        self._ledger.settle(ask.program, ask.call, ask.tokens, now, engine=ask.engine)
         return TurnIsKept()
 
     def tidy(self, retention_seconds: float) -> None:
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -40,6 +40,8 @@
     under_way: dict[str, int]
     """The most of each call that still runs."""
     written_at: int = 0
+    home: str = ""
+    """The engine at which it ran last."""
 
 
 AnyRecord = BoundRaised | TurnKept | AccountHandedOver
--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -143,13 +143,17 @@
             return call.program if self._route.is_stream else ""
         return call.affinity if self._route.is_sticky else ""
 
+    @property
+    def _kept_home(self) -> str:
+        return self._ticket.home if self._ticket is not None else ""
+
     def _dispatch(self) -> None:
         left = self._deadline - self._services.clock.seconds()
         if left < LEAST_SECONDS:
             self._refuse(TIMED_OUT if self._log.runs else NO_ENGINE)
             return
         engine = self._services.pool.choose(
-            self._service, self._home_key(), self._tried
+            self._service, self._home_key(), self._tried, self._kept_home
         )
         if engine is None or len(self._tried) >= MOST_SENDS:
             self._give_up()
@@ -204,6 +208,8 @@
         if not dialect.is_genuine(head):
             return
         self._relays_this_run = True
+        if self._ticket is not None and self._engine is not None:
+            self._ticket.runs_at(self._engine.id)
         if not self._is_relaying:
             self._is_relaying = True
             self._reply.begin(head)
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -25,6 +25,11 @@
 """A home engine is kept until it has so many more of our calls than the least busy."""
 
 
+KEPT_HOME_SLACK_CALLS = 8
+"""The engine that has a program's prefix is left only when it is this much busier: to
+read a long prefix anew costs more than some waiting."""
+
+
 class EngineState:
     """What this daemon knows of one engine from its own calls."""
 
@@ -78,12 +83,13 @@
         return now - state.left_at < LEAVING_SECONDS
 
     def choose(
-        self, service: str, home_key: str, tried: Collection[str]
+        self, service: str, home_key: str, tried: Collection[str], home: str = ""
     ) -> Engine | None:
         """Give the engine for a call; None if no untried one takes work.
 
         `home_key` names what the calls share whose prefix an engine may keep; all
         daemons of a zone give one key the same home, in their own zone if they can.
+        `home` is the engine that has the prefix already, if one is known to.
         """
         now = self._clock.seconds()
         states = [
@@ -94,6 +100,11 @@
         if not states:
             return None
         sound = [state for state in states if state.avoid_until <= now] or states
+        least = min(state.in_flight / state.engine.slots for state in sound)
+        for state in sound:
+            allowed = least * state.engine.slots + KEPT_HOME_SLACK_CALLS
+            if state.engine.id == home and state.in_flight <= allowed:
+                return state.engine
         if home_key:
             return self._home(sound, home_key).engine
         return self._least_busy(sound).engine
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -129,6 +129,13 @@
 class Ticket(Protocol):
     """An admitted call's account."""
 
+    @property
+    def home(self) -> str:
+        """The engine that has the program's prefix, as far as is known; or nothing."""
+
+    def runs_at(self, engine_id: str) -> None:
+        """Hear which engine runs the call."""
+
     def never_ran(self) -> None:
         """Hear that no engine ran the call."""
 
--- a/notcharch/calls/open_admission.py
+++ b/notcharch/calls/open_admission.py
@@ -11,6 +11,11 @@
 class NoAccount:
     """The ticket of a call that nobody accounts for."""
 
+    home = ""
+
+    def runs_at(self, engine_id: str) -> None:
+        """Remember nothing."""
+
     def never_ran(self) -> None:
         """Nothing to give back."""
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -329,3 +329,17 @@
         assert listener.refusal is None
         listener.ticket.broke_off(10)
         world.run(0.1)
+
+
+def test_an_owner_knows_where_a_program_ran_last():
+    world = World()
+    first = world.decided(world.call(), at=0)
+    assert first.ticket.home == ""
+    first.ticket.runs_at("i-7")
+    first.ticket.broke_off(1)
+    world.run(0.1)
+    assert world.decided(world.call(), at=1).ticket.home == "i-7"
+    for name in world.names[:2]:
+        world.services[name].leave()
+    world.run(1.0)
+    assert world.decided(world.call(), at=2).ticket.home == "i-7"
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -169,6 +169,11 @@
         self.heard: list[str] = []
         self.then = None
         self.listener = None
+        self.home = ""
+        self.engines: list[str] = []
+
+    def runs_at(self, engine_id):
+        self.engines.append(engine_id)
 
     def ask(self, call, route, answer):
         self.listener = answer
@@ -267,3 +272,23 @@
     assert admission.listener.wants_admission
     world.reply.gone()
     assert not admission.listener.wants_admission
+
+
+def test_a_program_goes_where_its_prefix_is():
+    for home in "abc":
+        world, admission = held()
+        admission.home = home
+        admission.admit()
+        assert world.sent[0].engine.id == home
+        world.sent[0].begin()
+        assert admission.engines == [home]
+
+
+def test_a_program_whose_home_refuses_it_has_another():
+    world, admission = held()
+    admission.home = "b"
+    admission.admit()
+    world.sent[0].refuse()
+    world.sent[1].begin()
+    assert admission.engines == [world.sent[1].engine.id]
+    assert admission.engines != ["b"]
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -6,7 +6,12 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.calls.engines import HOME_SLACK_CALLS, LEAVING_SECONDS, EnginePool
+from notcharch.calls.engines import (
+    HOME_SLACK_CALLS,
+    KEPT_HOME_SLACK_CALLS,
+    LEAVING_SECONDS,
+    EnginePool,
+)
 from notcharch.calls.event_stream import EventCutter, data_lines
 from notcharch.calls.interface import Engine, OpaqueCall, Route, ServiceShare
 from notcharch.calls.routing import Router, RouteTable, service_of
@@ -72,6 +77,17 @@
         assert homes.pop().zone == zone
 
 
+def test_a_kept_home_is_left_only_when_it_is_much_busier():
+    made = pool(engine("near"), engine("far", zone="y"))
+    for _ in range(KEPT_HOME_SLACK_CALLS):
+        made.began("far")
+    assert made.choose(SERVICE, "program", (), "far").id == "far"
+    made.began("far")
+    assert made.choose(SERVICE, "program", (), "far").id == "near"
+    assert made.choose(SERVICE, "program", ("far",), "far").id == "near"
+    assert made.choose(SERVICE, "program", (), "gone").id == "near"
+
+
 def test_a_zone_without_engines_uses_those_of_others():
     made = pool(engine("a", zone="x"), engine("b", zone="y"), zone="z")
     assert made.choose(SERVICE, "program", ()) is not None
