--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -290,7 +290,7 @@
     def _is_still_owner(self) -> Generator["Deferred[Any]", Any, bool]:
         """Make sure that nobody else wrote what is not known here.
 
-        Our own claim still being the newest proves it: an append of nothing.
+        A read at our own end of the log proves it, or an append under our epoch.
         """
         outcome = yield self._writer.confirm()
         return outcome is Outcome.DURABLE
