Take the bounds of leaving and stopping from the settings

Cause: a site may give less than 2 s for a leaving engine or 8 s for a stop; both were constants fitted to the present sites. Change: engines that left are a last resort for the drain bound less one second; new connections are taken after SIGTERM for at most 0.45 of the grace period. On the present sites both are what they were (1.0 s, 2.6 s). Measured: tests.

--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -46,8 +46,15 @@
 class EnginePool:
     """The engines of all services, with our own calls to each."""
 
-    def __init__(self, clock: IReactorTime, zone: str, random: Random) -> None:
-        """Begin with no engines."""
+    def __init__(
+        self,
+        clock: IReactorTime,
+        zone: str,
+        random: Random,
+        leaving_seconds: float = LEAVING_SECONDS,
+    ) -> None:
+        """Begin with no engines; those that leave are a last resort for a while."""
+        self._leaving_seconds = leaving_seconds
         self._clock = clock
         self._zone = zone
         self._random = random
@@ -80,7 +87,7 @@
         """Note when an engine vanished; tell whether that is only a moment ago."""
         if state.left_at is None:
             state.left_at = now
-        return now - state.left_at < LEAVING_SECONDS
+        return now - state.left_at < self._leaving_seconds
 
     def choose(
         self, service: str, home_key: str, tried: Collection[str], home: str = ""
@@ -118,7 +125,7 @@
         return staying + [
             state
             for state in states
-            if state.left_at is not None and now - state.left_at < LEAVING_SECONDS
+            if state.left_at is not None and now - state.left_at < self._leaving_seconds
         ]
 
     def _home(self, states: list[EngineState], key: str) -> EngineState:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -45,6 +45,10 @@
 
 KEEP_LISTENING_SECONDS = 2.6
 """After SIGTERM new connections come until the platform has seen that we leave."""
+KEEP_LISTENING_SHARE = 0.45
+"""... but for no more than so much of the time that a stop may take."""
+LEARNING_SECONDS = 1.0
+"""Until a daemon has certainly read that an engine leaves."""
 STOP_CHECK_SECONDS = 0.1
 IDLE_CHECKS = 2
 """So often in a row nothing must be under way."""
@@ -89,7 +93,8 @@
             self._network,
             random,
         )
-        pool = EnginePool(reactor, settings.zone, random)
+        leaving = max(settings.drain_seconds - LEARNING_SECONDS, 0.0)
+        pool = EnginePool(reactor, settings.zone, random, leaving)
         sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
             CallServices(
@@ -183,7 +188,8 @@
         emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
         self._ingress.is_draining = True
         self._accounts.leave()
-        self._reactor.callLater(KEEP_LISTENING_SECONDS, self._try_stop)
+        most = self._settings.grace_seconds * KEEP_LISTENING_SHARE
+        self._reactor.callLater(min(KEEP_LISTENING_SECONDS, most), self._try_stop)
 
     def _try_stop(self) -> None:
         assert self._stopping_since is not None
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -173,6 +173,12 @@
     assert made.choose(SERVICE, "p", ()) is None
 
 
+def test_engines_that_leave_get_nothing_where_leaving_is_quick():
+    made = EnginePool(Clock(), "z", Random(1), leaving_seconds=0.0)
+    made.replace([leaving("a")])
+    assert made.choose(SERVICE, "p", ()) is None
+
+
 def test_an_engine_that_is_listed_again_stays():
     clock = Clock()
     made = EnginePool(clock, "z", Random(1))
