Take no new connections once the others know that we stop

When fewer than half of a zone's daemons are ready the platform uses all of them, so callers kept coming and it was never idle. Ruled out: a slow request (it had come 0.15 s before the end).

--- /dev/null
+++ b/notcharch/http/drain.py
@@ -0,0 +1,68 @@
+"""The planned stop of a server: what is under way ends, nothing new begins for long."""
+
+from typing import Protocol
+
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+
+CHECK_SECONDS = 0.1
+IDLE_CHECKS = 2
+"""So often in a row nothing must be under way: the last answer's bytes leave after the
+request has been counted as ended."""
+
+
+class Drained(Protocol):
+    """What is stopped."""
+
+    def under_way(self) -> int:
+        """Give how many requests are being read or answered."""
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+
+    def stopped(self, under_way: int, seconds: float) -> None:
+        """Hear that the drain is over, with so many requests cut."""
+
+
+class DrainTimes(msgspec.Struct, frozen=True):
+    """Seconds after the stop was asked for."""
+
+    accept: float
+    """New connections come until the callers' side has seen that we leave."""
+    most: float
+    """Then what still runs is cut."""
+
+
+class Drain:
+    """One planned stop."""
+
+    def __init__(self, clock: IReactorTime, server: Drained, times: DrainTimes) -> None:
+        """Prepare; `begin` starts it."""
+        self._clock = clock
+        self._server = server
+        self._times = times
+        self._began = 0.0
+        self._idle_checks = 0
+
+    def begin(self) -> None:
+        """Go on accepting for a while, then finish."""
+        self._began = self._clock.seconds()
+        self._clock.callLater(self._times.accept, self._accepted_enough)
+
+    def _accepted_enough(self) -> None:
+        # Callers may keep coming as long as we listen, when too few others are ready.
+        self._server.stop_accepting()
+        self._check()
+
+    def _check(self) -> None:
+        self._server.close_idle()
+        passed = self._clock.seconds() - self._began
+        under_way = self._server.under_way()
+        self._idle_checks = 0 if under_way else self._idle_checks + 1
+        if self._idle_checks < IDLE_CHECKS and passed < self._times.most:
+            self._clock.callLater(CHECK_SECONDS, self._check)
+            return
+        self._server.stopped(under_way, passed)
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -12,6 +12,7 @@
 from result import Err
 from twisted.internet import reactor as default_reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
 
 from notcharch.accounts.service import (
@@ -33,6 +34,7 @@
     ReadinessChanged,
     SettingsRead,
 )
+from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
 from notcharch.platform.headers import PlatformEngines
@@ -49,9 +51,6 @@
 """... but for no more than so much of the time that a stop may take."""
 LEARNING_SECONDS = 1.0
 """Until a daemon has certainly read that an engine leaves."""
-STOP_CHECK_SECONDS = 0.1
-IDLE_CHECKS = 2
-"""So often in a row nothing must be under way."""
 STOP_MARGIN_SECONDS = 0.7
 UNREADABLE_SETTINGS = 2
 BACKLOG = 512
@@ -114,20 +113,21 @@
         )
         self._ticks = LoopingCall(self._tick)
         self._was_ready = False
-        self._idle_checks = 0
-        self._stopping_since: float | None = None
+        self._is_stopping = False
+        self._front_port: IListeningPort | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        return self._tables.are_known and self._stopping_since is None
+        return self._tables.are_known and not self._is_stopping
 
     def start(self) -> None:
         """Listen and follow the store."""
         settings = self._settings
         os.set_blocking(STANDARD_OUTPUT, False)
         eliot.add_destinations(self._output)
-        self._listen(settings.front.host, settings.front.port, self._factory)
+        front = settings.front
+        self._listen(front.host, front.port, self._factory).addCallback(self._listens)
         readiness = ServerFactory(ReadinessHandler(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
         if self._metrics_port is not None:
@@ -147,10 +147,13 @@
             )
         )
 
-    def _listen(self, host: str, port: int, factory: ServerFactory) -> None:
+    def _listens(self, port: IListeningPort | None) -> None:
+        self._front_port = port
+
+    def _listen(self, host: str, port: int, factory: ServerFactory) -> Any:
         endpoint = TCP4ServerEndpoint(self._reactor, port, BACKLOG, host)
         listening = endpoint.listen(factory)
-        listening.addErrback(self._cannot_listen)
+        return listening.addErrback(self._cannot_listen)
 
     def _cannot_listen(self, failure: Any) -> None:
         sys.stderr.write(f"cannot listen: {failure.getErrorMessage()}\n")
@@ -182,27 +185,37 @@
 
     def stop_signalled(self) -> None:
         """Drain: take no new connections soon, finish what is under way, end."""
-        if self._stopping_since is not None:
+        if self._is_stopping:
             return
-        self._stopping_since = self._reactor.seconds()
+        self._is_stopping = True
         emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
         self._ingress.is_draining = True
         self._accounts.leave()
-        most = self._settings.grace_seconds * KEEP_LISTENING_SHARE
-        self._reactor.callLater(min(KEEP_LISTENING_SECONDS, most), self._try_stop)
+        grace = self._settings.grace_seconds
+        times = DrainTimes(
+            accept=min(KEEP_LISTENING_SECONDS, grace * KEEP_LISTENING_SHARE),
+            most=grace - STOP_MARGIN_SECONDS,
+        )
+        Drain(self._reactor, self, times).begin()
+
+    # What the drain asks for
+
+    def under_way(self) -> int:
+        """Give how many requests are being read or answered."""
+        return self._ingress.in_flight
 
-    def _try_stop(self) -> None:
-        assert self._stopping_since is not None
+    def stop_accepting(self) -> None:
+        """Close the callers' port."""
+        if self._front_port is not None:
+            self._front_port.stopListening()
+
+    def close_idle(self) -> None:
+        """Close callers' connections on which nothing is under way."""
         self._factory.close_idle()
-        passed = self._reactor.seconds() - self._stopping_since
-        is_late = passed >= self._settings.grace_seconds - STOP_MARGIN_SECONDS
-        under_way = self._ingress.in_flight
-        self._idle_checks = 0 if under_way else self._idle_checks + 1
-        # The last answer's bytes leave after the request has been counted as ended.
-        if self._idle_checks < IDLE_CHECKS and not is_late:
-            self._reactor.callLater(STOP_CHECK_SECONDS, self._try_stop)
-            return
-        emit(ProcessStopped(self._settings.machine, under_way, round(passed, 3)))
+
+    def stopped(self, under_way: int, seconds: float) -> None:
+        """End the process."""
+        emit(ProcessStopped(self._settings.machine, under_way, round(seconds, 3)))
         self._output.flush()
         self._reactor.stop()
 
