Take partitions over by one piece, and try a failed takeover again

Cause: what takes a dealt partition over (claim under an epoch, replay, give up) stood in the accounts only, and the product's own programs are to use it, too. A takeover that raises is logged (2500) and tried again at the next heartbeat.

--- a/notcharch/accounts/metrics.py
+++ b/notcharch/accounts/metrics.py
@@ -13,6 +13,3 @@
 UNANSWERED = Counter(
     "notcharch_account_unanswered", "Questions that no owner decided at once"
 )
-OWNERS_AGE_SECONDS = Gauge(
-    "notcharch_account_owners_age_seconds", "Age of the view of the owners"
-)
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -5,10 +5,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.accounts.directory import OwnerDirectory
 from notcharch.accounts.messages import NotOwner
-from notcharch.accounts.partitioning import Partitioning
 from notcharch.errors import Problem
+from notcharch.journal.owner_directory import OwnerDirectory
+from notcharch.journal.partitioning import Partitioning
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -5,11 +5,8 @@
 from random import Random
 from typing import Any
 
-import msgspec
-from result import Err, Result
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
 
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.messages import (
@@ -33,32 +30,17 @@
     PartitionTakenOver,
 )
 from notcharch.events.event import emit
-from notcharch.journal.interface import (
-    LogFault,
-    LogPartition,
-    LogProblem,
-    LogService,
-    Records,
-)
-from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.journal.interface import LogService
+from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
+from notcharch.journal.writer import Outcome
 from notcharch.wire.messages.base import Message
 
 FENCED = "a higher epoch writes it"
 DEALT_AWAY = "dealt to another daemon"
 DEFAULT_KEEP_SECONDS = 60.0
-READ_RETRY_SECONDS = 0.08
 NOT_OWNER = NotOwner()
 
 
-class PartitionPlace(msgspec.Struct, frozen=True):
-    """Which partition, and under which epoch."""
-
-    number: int
-    """Among the partitions of all topics."""
-    log: LogPartition
-    epoch: int
-
-
 class OwnedPartition:
     """A partition that this daemon owns, or is taking over."""
 
@@ -73,27 +55,19 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
-        self._service = service
         self._clock = clock
         self.place = place
         self._lost = lost
         self._wall = wall
         self._ledger = Ledger()
-        self._writer = PartitionWriter(
-            service,
-            clock,
-            random,
-            place.log,
-            epoch=place.epoch,
-            lost=self._was_lost,
+        self._journal = PartitionJournal(
+            service, clock, random, place, target=self, lost=self._was_lost
         )
+        self._writer = self._journal.writer
         self.is_serving = False
         self._keep_seconds = DEFAULT_KEEP_SECONDS
         """The longest time that a route keeps turns and budgets."""
         self._began = clock.seconds()
-        self._records = 0
-        self._read_to = 0
-        """Offset up to which the ledger holds the journal."""
         self._waiting: list[Deferred[None]] = []
         self._raising: dict[str, list[Deferred[bool]]] = {}
         """Calls that wait for the bound of their program, which is being written."""
@@ -101,11 +75,8 @@
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
         """Fence the former owner and read what it wrote."""
-        is_claimed = yield self._writer.claim()
-        if not is_claimed:
-            return
-        is_read = yield self._replay_to(self._writer.end)
-        if is_read and self._writer.is_open:
+        is_read = yield self._journal.take_over()
+        if is_read:
             self.is_serving = True
             self._log_taken_over()
             self._wake()
@@ -121,7 +92,7 @@
             PartitionTakenOver(
                 partition=self.place.number,
                 epoch=self.place.epoch,
-                records=self._records,
+                records=self._journal.records,
                 programs=len(self._ledger),
                 seconds=round(self._clock.seconds() - self._began, 4),
             )
@@ -138,33 +109,16 @@
         for deferred in waiting:
             deferred.callback(None)
 
-    @inlineCallbacks
-    def _replay_to(self, end: int) -> Generator["Deferred[Any]", Any, bool]:
-        while self._read_to < end and self._writer.is_open:
-            answer: Result[Records, LogProblem] = yield self._service.read(
-                self.place.log.topic, self.place.log.number, self._read_to
-            )
-            if isinstance(answer, Err):
-                yield self._after_read_problem(answer.err_value)
-                continue
-            found = answer.ok_value
-            now = self._clock.seconds()
-            for data in found.records:
-                record = decode(data)
-                if record is not None:
-                    self._ledger.replay(record, now)
-            self._records += len(found.records)
-            self._read_to = found.first + len(found.records)
-            if not found.records and found.end <= self._read_to:
-                break
-        return self._writer.is_open
+    # What the journal replays
 
-    @inlineCallbacks
-    def _after_read_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
-        if problem.fault is LogFault.GONE and problem.offset > self._read_to:
-            self._read_to = problem.offset
-            return
-        yield deferLater(self._clock, READ_RETRY_SECONDS, lambda: None)
+    def skipped_to(self, offset: int) -> None:
+        """Go on without what is too old to count."""
+
+    def replayed(self, offset: int, record: bytes) -> None:
+        """Take a record of an earlier owner."""
+        known = decode(record)
+        if known is not None:
+            self._ledger.replay(known, self._clock.seconds())
 
     def _was_lost(self) -> None:
         self._log_given_up(FENCED)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -8,15 +8,15 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.admission import AccountAdmission
-from notcharch.accounts.directory import OwnerDirectory
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.owned_partitions import OwnedPartitions
-from notcharch.accounts.owner_names import OwnerName
 from notcharch.accounts.owner_requests import OwnerRequests
-from notcharch.accounts.partitioning import spread_over
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.group import GroupMember
 from notcharch.journal.interface import GroupName, LogService
+from notcharch.journal.owner_directory import OwnerDirectory
+from notcharch.journal.owner_names import OwnerName
+from notcharch.journal.partitioning import spread_over
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
--- a/notcharch/events/accounts.py
+++ b/notcharch/events/accounts.py
@@ -25,15 +25,6 @@
     cause: str
 
 
-class OwnersChanged(Event, frozen=True):
-    """Another view of who owns the partitions is in force."""
-
-    number: ClassVar[int] = 2302
-    owners: dict[str, str]
-    """Daemon by partition."""
-    seconds_since_last: float
-
-
 class BudgetRefused(Event, frozen=True):
     """An owner refused a call: the program's budget is spent."""
 
--- a/notcharch/journal/metrics.py
+++ b/notcharch/journal/metrics.py
@@ -9,3 +9,6 @@
     buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0),
 )
 BACKLOG = Gauge("notcharch_journal_backlog", "Records that wait to be appended")
+OWNERS_AGE_SECONDS = Gauge(
+    "notcharch_journal_owners_age_seconds", "Age of the view of the owners"
+)
--- a/notcharch/accounts/directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -9,12 +9,12 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
-from notcharch.accounts.metrics import OWNERS_AGE_SECONDS
-from notcharch.accounts.owner_names import OwnerName, read_owner
-from notcharch.accounts.partitioning import Partitioning
-from notcharch.events.accounts import OwnersChanged
 from notcharch.events.event import emit
+from notcharch.events.journal import OwnersChanged
 from notcharch.journal.interface import LogProblem, LogService, Ownership
+from notcharch.journal.metrics import OWNERS_AGE_SECONDS
+from notcharch.journal.owner_names import OwnerName, read_owner
+from notcharch.journal.partitioning import Partitioning
 from notcharch.wire.peers import PeerNetwork
 
 REFRESH_SECONDS = 4.0
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -3,8 +3,11 @@
 import pytest
 
 from emulator.services.partitioned_log import Trouble
+from notcharch.accounts.ledger import Ledger
 from notcharch.calls.interface import BUDGET_SPENT, STATE_UNSURE, UNKNOWN_TURN
+from notcharch.events import journal
 from tests.unit.accounts.world import EVENT_TOKENS, World
+from tests.unit.events.capture import captured, of
 
 EVENT = b"id: 1\ndata: hello\n\n"
 
@@ -311,7 +314,7 @@
     owned = [
         partition
         for service in world.services.values()
-        for partition in service._owned._owned.values()
+        for partition in service._owned._dealt.all()
     ]
     assert len(owned) == 4
     assert all(call.id not in partition._ledger.turns for partition in owned)
@@ -343,3 +346,26 @@
         world.services[name].leave()
     world.run(1.0)
     assert world.decided(world.call(), at=2).ticket.home == "i-7"
+
+
+def test_a_fault_of_the_program_in_a_takeover_does_not_end_it(monkeypatch):
+    original = Ledger.replay
+    faults = []
+
+    def replay(self, record, now):
+        if not faults:
+            faults.append(record)
+            raise ValueError("a defect")
+        original(self, record, now)
+
+    world = World()
+    assert world.decided(world.call()).ticket is not None
+    monkeypatch.setattr(Ledger, "replay", replay)
+    for name in world.names:
+        world.crash(name)
+        world.start(name)
+    with captured() as messages:
+        world.run(2.0)
+    assert faults
+    assert of(messages, journal.TakeoverFailed)
+    assert world.decided(world.call()).ticket is not None
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import PartitionedLog, Trouble
-from notcharch.events import accounts, calls, process
+from notcharch.events import accounts, calls, journal, process
 from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import RequestHead
 from notcharch.journal.keyed_follower import join_keyed
@@ -52,7 +52,7 @@
         world.decided(world.call("new"))
     assert of(messages, accounts.PartitionTakenOver)
     assert of(messages, accounts.PartitionGivenUp)
-    assert of(messages, accounts.OwnersChanged)
+    assert of(messages, journal.OwnersChanged)
     spent = of(messages, accounts.BudgetRefused)[0]
     assert (spent["budget_tokens"], spent["under_way_tokens"]) == (100, 100)
     assert of(messages, accounts.TurnDenied)[0]["turn"] == "nobody"
