--- a/emulator/models.py
+++ b/emulator/models.py
@@ -16,8 +16,10 @@
     MemoryWeightStorePort,
 )
 from emulator.memory_exchange import MemoryWay
+from emulator.memory_journal import MemoryJournal
 from emulator.services.log_store import LogStore
 from emulator.services.machine_registry import MachineRegistry
+from emulator.services.partitioned_log import PartitionedLog
 from emulator.services.tools import ToolService
 from emulator.services.weight_store import WeightStore
 from emulator.settings import EmulatorSettings, EngineSection
@@ -28,6 +30,7 @@
 MACHINE_LIST = "machine_list"
 WEIGHT_STORE = "weight_store"
 TOOLS = "tools"
+PARTITIONS_OF_A_TOPIC = 16
 
 
 class MachineListFaults(ServiceFaults):
@@ -71,6 +74,9 @@
         self.fills = FillHistory()
         self.faults = FaultBoard()
         self.log = LogStore(clock)
+        self.journal = PartitionedLog(
+            clock, Random(general.seed), PARTITIONS_OF_A_TOPIC
+        )
         self.machines = MachineRegistry(clock, general.machine_list_lag_seconds)
         self.weights = WeightStore(
             clock, general.seconds_between_pulls, general.pull_seconds
@@ -134,6 +140,10 @@
         """Give a port to the log service."""
         return MemoryLogPort(way, self.log, self.log_faults)
 
+    def journal_port(self, way: MemoryWay) -> MemoryJournal:
+        """Give a port to the log service's partitions and groups."""
+        return MemoryJournal(way, self.journal, self.log_faults)
+
     def machine_list_port(self, way: MemoryWay) -> MemoryMachineListPort:
         """Give a port to the machine list."""
         return MemoryMachineListPort(way, self.machines, self.machine_list_faults)
--- a/emulator/services/log_groups.py
+++ b/emulator/services/log_groups.py
@@ -11,6 +11,14 @@
 )
 
 
+class Release(msgspec.Struct, frozen=True):
+    """A partition that its former holder may not know to have lost."""
+
+    former: str
+    generation: int
+    """It is free once the former holder has joined with this generation."""
+
+
 class Group(msgspec.Struct):
     """One group."""
 
@@ -19,8 +27,8 @@
     leases: dict[str, float] = {}
     """When each member is given up, in clock seconds."""
     holders: dict[LogPartition, str] = {}
-    heard: dict[str, int] = {}
-    """The generation that each member heard last."""
+    releases: dict[LogPartition, Release] = {}
+    """Partitions that their new holders are not told of yet."""
 
 
 class Groups:
@@ -40,15 +48,21 @@
             self._remove(group, member)
         return group
 
-    def join(self, name: GroupName, member: str, seconds: float) -> Membership:
-        """Take a member in, or renew its lease."""
+    def join(
+        self, name: GroupName, member: str, seconds: float, generation: int
+    ) -> Membership:
+        """Take a member in, or renew its lease; it heard of `generation` last."""
         group = self._group(name.group)
         group.topics = name.topics
         is_new = member not in group.leases
         group.leases[member] = self._clock.seconds() + seconds
         if is_new:
             self._deal(group)
-        group.heard[member] = group.generation
+        group.releases = {
+            partition: release
+            for partition, release in group.releases.items()
+            if release.former != member or release.generation > generation
+        }
         return Membership(group.generation, self._held(group, member))
 
     def _held(self, group: Group, member: str) -> tuple[LogPartition, ...]:
@@ -56,7 +70,7 @@
         return tuple(
             partition
             for partition, holder in sorted(group.holders.items())
-            if holder == member
+            if holder == member and partition not in group.releases
         )
 
     def leave(self, name: str, member: str) -> None:
@@ -65,7 +79,11 @@
 
     def _remove(self, group: Group, member: str) -> None:
         if group.leases.pop(member, None) is not None:
-            group.heard.pop(member, None)
+            group.releases = {
+                partition: release
+                for partition, release in group.releases.items()
+                if release.former != member
+            }
             self._deal(group)
 
     def _deal(self, group: Group) -> None:
@@ -104,7 +122,15 @@
             if self._load(group, most) - self._load(group, least) <= 1:
                 return
             moved = next(p for p, holder in group.holders.items() if holder == most)
-            group.holders[moved] = least
+            self._move(group, moved, least)
+
+    def _move(self, group: Group, partition: LogPartition, member: str) -> None:
+        """Deal a partition to another member, once its holder knows."""
+        release = group.releases.pop(partition, None)
+        former = group.holders[partition] if release is None else release.former
+        group.holders[partition] = member
+        if former != member:
+            group.releases[partition] = Release(former, group.generation)
 
     def owners(self, name: str) -> tuple[Ownership, ...]:
         """Tell who each partition is dealt to."""
@@ -119,7 +145,9 @@
         group = self._group(name)
         members = sorted(group.leases)
         group.generation += 1
-        group.holders = {
-            partition: members[(place + group.generation) % len(members)]
-            for place, partition in enumerate(self._all(group))
-        }
+        for place, partition in enumerate(self._all(group)):
+            member = members[(place + group.generation) % len(members)]
+            if partition in group.holders:
+                self._move(group, partition, member)
+            else:
+                group.holders[partition] = member
--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -208,6 +208,17 @@
         timer = self._clock.callLater(wait_seconds, expire)
         return answered
 
+    def trim(
+        self, topic: str, partition: int, before: int
+    ) -> "Deferred[Result[None, LogProblem]]":
+        """Drop the records that lie before an offset."""
+
+        def act() -> Result[None, LogProblem]:
+            self.partition(topic, partition).drop_before(before)
+            return Ok(None)
+
+        return self._answer(act)
+
     def newest(
         self, topic: str, partition: int, after: str = ""
     ) -> "Deferred[Result[NewestPage, LogProblem]]":
@@ -234,7 +245,9 @@
         generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
         """Join a group, or stay in it."""
-        return self._answer(lambda: Ok(self.groups.join(group, member, lease_seconds)))
+        return self._answer(
+            lambda: Ok(self.groups.join(group, member, lease_seconds, generation))
+        )
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
         """Leave a group."""
--- a/emulator/system.py
+++ b/emulator/system.py
@@ -11,6 +11,7 @@
 from emulator.faults import FaultBoard
 from emulator.http.control_server import ControlServer
 from emulator.http.engine_server import EngineServer
+from emulator.http.journal_server import JournalServer
 from emulator.http.listener import HttpListener, ListenerReactor
 from emulator.http.service_server import ServiceServer
 from emulator.models import RegionModels
@@ -107,21 +108,29 @@
 
 
 def _service_root(models: RegionModels) -> IResource:
-    """Put the two sets of routes on one address."""
-    services = ServiceServer(models).app.resource()
-    control = ControlServer(models).app.resource()
-    return _ByFirstSegment(control, services)
+    """Put the sets of routes on one address."""
+    return _ByPrefix(
+        {
+            (b"control",): ControlServer(models).app.resource(),
+            (b"v1", b"journal"): JournalServer(models).app.resource(),
+            (): ServiceServer(models).app.resource(),
+        }
+    )
 
 
-class _ByFirstSegment(Resource):
-    """`/control/…` goes to one resource, the rest to the other, with the whole path."""
+class _ByPrefix(Resource):
+    """Gives a request to the resource of the first prefix of its path that fits."""
 
-    def __init__(self, control: IResource, services: IResource) -> None:
+    def __init__(self, resources: dict[tuple[bytes, ...], IResource]) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
-        self._control = control
-        self._services = services
+        self._resources = resources
 
     def getChild(self, path: bytes, request: Any) -> IResource:  # noqa: N802 - Twisted's name
         """Choose, and give the segment back to the path."""
         request.postpath.insert(0, request.prepath.pop())
-        return self._control if path == b"control" else self._services
+        whole = tuple(request.postpath)
+        return next(
+            resource
+            for prefix, resource in self._resources.items()
+            if whole[: len(prefix)] == prefix
+        )
--- a/experiments/capacity/figures.py
+++ b/experiments/capacity/figures.py
@@ -29,7 +29,7 @@
     "programs",
     "queue",
     "relay",
-    "replication",
+    "commits",
     "table",
 )
 CLAIM_MESSAGES = ("ReadStewardship", "StewardshipClaimed")
@@ -189,8 +189,8 @@
     size: DesignSize, kept: dict[str, Measurement], region: RegionFigures
 ) -> dict[str, str]:
     relay = fit(kept["relay"].points("tokens", "core µs"))
-    commit = kept["replication"]
-    commit_bytes = fit(commit.points("commits/s", "notice B/s"))
+    commit = kept["commits"]
+    commit_bytes = fit(commit.points("commits/s", "journal B/s"))
     commit_core = fit(commit.points("commits/s", "core ms/s"))
     messages, wire, core = call_fits(region)
     token_core = relay.slope * size.daemon_tokens / MICROSECONDS
--- a/experiments/capacity/record.py
+++ b/experiments/capacity/record.py
@@ -23,7 +23,7 @@
     "queue": "python -m experiments.queue_cost",
     "relay": "python -m experiments.capacity.relay_cost",
     "polls": "python -m experiments.capacity.poll_cost",
-    "replication": "python -m experiments.capacity.replication_cost",
+    "commits": "python -m experiments.capacity.commit_cost",
     "table": "python -m experiments.capacity.table_cost",
     "process": "python -m experiments.capacity.process_cost",
 }
--- a/experiments/capacity/tables.py
+++ b/experiments/capacity/tables.py
@@ -60,7 +60,7 @@
 
 
 def memory_table(programs: Measurement, size: DesignSize, base: float) -> str:
-    """Write the memory of a daemon's replicas by the mean history of programs."""
+    """Write the memory of a daemon's programs by the mean history of programs."""
     rows = []
     for turns, held in programs.points("turns", "held bytes"):
         all_held = held * size.daemon_programs
@@ -77,7 +77,7 @@
     heading = (
         "mean turns",
         "bytes a program",
-        "MB of replicas a daemon",
+        "MB of programs a daemon",
         "with the process, MB",
         "within 128 MB",
     )
--- a/experiments/program_cost.py
+++ b/experiments/program_cost.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from notcharch.partitions.interface import Command, CommandResult
 from notcharch.placement.partitions import new_program_id
 from notcharch.programs.commands import (
     AdmissionLimits,
@@ -22,7 +23,6 @@
     RecordDispatch,
 )
 from notcharch.programs.state import ProgramsState
-from notcharch.replication.interface import Command, CommandResult
 from notcharch.values.chat import Answer, ChatMessage, FinishReason, TokenUsage
 from notcharch.values.identifiers import (
     AttemptNumber,
--- a/experiments/virtual/region.py
+++ b/experiments/virtual/region.py
@@ -179,6 +179,7 @@
             peer_address=place.address,
             engines=self.models.engine_port(way),
             log=self.models.log_port(way),
+            journal=self.models.journal_port(way),
             machine_list=self.models.machine_list_port(way),
         )
 
--- a/notcharch/admin/region_routes.py
+++ b/notcharch/admin/region_routes.py
@@ -106,18 +106,18 @@
     truncated: bool
 
 
-class PartitionReplica(msgspec.Struct, frozen=True):
-    """One replica of a partition, and the daemon that holds it."""
+class LedPartitionEntry(msgspec.Struct, frozen=True):
+    """A partition, and the daemon that leads it."""
 
     daemon: DaemonName
-    replica: PartitionDescription
+    description: PartitionDescription
 
 
 class PartitionsAnswer(msgspec.Struct, frozen=True):
-    """Every replica of every partition, by partition."""
+    """Every partition that is led, by its number."""
 
     survey: Survey
-    replicas: tuple[PartitionReplica, ...]
+    partitions: tuple[LedPartitionEntry, ...]
 
 
 class RegionRoutes:
@@ -200,13 +200,13 @@
     ) -> Result[msgspec.Struct, Problem]:
         question = DescribeDaemon(partitions=True)
         gathered = await self._scatter.ask_all(question, DaemonDescription)
-        replicas = [
-            PartitionReplica(daemon, replica)
+        entries = [
+            LedPartitionEntry(daemon, description)
             for daemon, reply in gathered.replies.items()
-            for replica in reply.partitions
+            for description in reply.partitions
         ]
-        replicas.sort(key=lambda item: (item.replica.partition, item.daemon))
-        return Ok(PartitionsAnswer(_survey(gathered), tuple(replicas)))
+        entries.sort(key=lambda item: (item.description.partition, item.daemon))
+        return Ok(PartitionsAnswer(_survey(gathered), tuple(entries)))
 
 
 def _survey(gathered: Gathered[Reply]) -> Survey:
--- a/notcharch/cli/operations_actions.py
+++ b/notcharch/cli/operations_actions.py
@@ -171,11 +171,10 @@
         (
             "PARTITION",
             "DAEMON",
-            "LEADS",
             "EPOCH",
             "APPLIED",
-            "ARCHIVED",
-            "BACKLOG B",
+            "SNAPSHOT",
+            "WAITING",
             "PROGRAMS",
             "QUEUED",
             "RESERVED",
@@ -183,19 +182,18 @@
         ),
         (
             (
-                item.replica.partition,
+                item.description.partition,
                 item.daemon,
-                item.replica.is_leader,
-                item.replica.epoch,
-                item.replica.applied,
-                item.replica.archived,
-                item.replica.archive_backlog_bytes,
-                item.replica.programs,
-                item.replica.queued_calls,
-                item.replica.reserved_tokens,
-                item.replica.leases,
+                item.description.epoch,
+                item.description.applied,
+                item.description.snapshot,
+                item.description.waiting,
+                item.description.programs,
+                item.description.queued_calls,
+                item.description.reserved_tokens,
+                item.description.leases,
             )
-            for item in answer.replicas
+            for item in answer.partitions
         ),
     )
     _print_survey(answer.survey)
--- a/notcharch/cli/operations_command.py
+++ b/notcharch/cli/operations_command.py
@@ -70,7 +70,7 @@
     _add_limit,
 )
 PARTITIONS = _spec(
-    "partitions", "show partitions' replicas", "show_partitions", "--json"
+    "partitions", "show who leads which partition", "show_partitions", "--json"
 )
 DRAIN = _spec(
     "drain",
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -17,14 +17,21 @@
 from notcharch.engines.prefix_mover import PrefixMover
 from notcharch.engines.steward_service import StewardService
 from notcharch.gateway.resource import Gateway
+from notcharch.journal.owner_directory import OwnerDirectory
+from notcharch.journal.partitioning import spread_to
 from notcharch.membership.service import MembershipService
 from notcharch.membership.swim import Swim
+from notcharch.partitions.service import (
+    GROUP,
+    TOPIC,
+    PartitionService,
+    partition_tools,
+)
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.engine_directory import MachineEngineDirectory
 from notcharch.placement.machine_list_follower import MachineListFollower
 from notcharch.placement.router import PlacementRouter
 from notcharch.programs.leader_service import ProgramLeaderService
-from notcharch.replication.service import ReplicationService
 from notcharch.services.holder_service import HolderService
 from notcharch.services.limiter_service import LimiterService
 from notcharch.settings.schema import Settings
@@ -70,7 +77,7 @@
         """Begin every role's periodic work."""
         self.machine_list.start()
         self.membership.start()
-        self.replicas.start()
+        self.partitions.start()
         self.table.start()
         self.programs.start()
         self.stewards.start()
@@ -82,7 +89,7 @@
         self.stewards.stop()
         self.programs.stop()
         self.table.stop()
-        self.replicas.stop()
+        self.partitions.stop()
         self.membership.stop()
         self.machine_list.stop()
 
@@ -95,11 +102,21 @@
         self.membership = MembershipService(
             swim, ports.clock, ports.datagrams, ports.network
         )
-        self.assignment = Assignment(
-            self.membership, settings.replication.replica_count
+        self.assignment = Assignment(self.membership)
+        section = settings.partitions
+        self.partitioning = spread_to(
+            TOPIC, section.partition_count, section.topic_partitions
+        )
+        self.owners = OwnerDirectory(
+            ports.journal,
+            ports.clock,
+            ports.chance,
+            ports.network,
+            GROUP,
+            partitioning=self.partitioning,
         )
         self.router = PlacementRouter(
-            ports.network, self.assignment, ports.clock, ports.chance
+            ports.network, self.assignment, self.owners, ports.clock, ports.chance
         )
         self.directory = MachineEngineDirectory()
         self.machine_list = MachineListFollower(
@@ -135,23 +152,25 @@
 
     def _build_partitions(self) -> None:
         settings, ports = self.settings, self.ports
-        self.replicas = ReplicationService(
-            network=ports.network,
-            membership=self.membership,
-            replicas_of=self.assignment.replicas_of,
-            log=ports.log,
-            clock=ports.clock,
-            random_source=ports.chance,
-            region=self.region,
-            settings=settings.replication,
-            state_machine_factory=new_partition_state,
-            command_types=COMMAND_TYPES,
-            knows_region=self.membership.knows_region,
+        self.partitions = PartitionService(
+            own=self.own_member,
+            peer_address=ports.peer_address,
+            partitioning=self.partitioning,
+            directory=self.owners,
+            lease_seconds=settings.partitions.lease_seconds,
+            tools=partition_tools(
+                ports.journal,
+                ports.clock,
+                ports.chance,
+                settings.partitions,
+                command_types=COMMAND_TYPES,
+                new_state=new_partition_state,
+            ),
         )
-        self.state_access = StateAccess(self.replicas)
+        self.state_access = StateAccess(self.partitions)
         self.programs = ProgramLeaderService(
             network=ports.network,
-            replicas=self.replicas,
+            partitions=self.partitions,
             programs_of=self.state_access.programs,
             table=self.table,
             membership=self.membership,
@@ -165,10 +184,10 @@
 
     def _build_engines(self) -> None:
         settings, ports = self.settings, self.ports
-        partition_count = settings.replication.partition_count
+        partition_count = settings.partitions.partition_count
         self.claims = ClaimsService(
             network=ports.network,
-            replicas=self.replicas,
+            partitions=self.partitions,
             partition_count=partition_count,
             clock=ports.clock,
             claims_of=self.state_access.claims,
@@ -202,10 +221,10 @@
 
     def _build_services(self) -> None:
         settings, ports = self.settings, self.ports
-        partition_count = settings.replication.partition_count
+        partition_count = settings.partitions.partition_count
         self.limiter = LimiterService(
             network=ports.network,
-            replicas=self.replicas,
+            partitions=self.partitions,
             allotments_of=self.state_access.allotments,
             table=self.table,
             membership=self.membership,
@@ -234,7 +253,7 @@
             chance=ports.chance,
             own_member=self.own_member,
             region=self.region,
-            partition_count=settings.replication.partition_count,
+            partition_count=settings.partitions.partition_count,
             section=settings.gateway,
             registry=registry,
         )
--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -27,7 +27,7 @@
 """Longest wait for other daemons to claim the engines that this one stewards."""
 
 HAND_OVER_SECONDS = 20.0
-"""Longest wait for other daemons to take over this one's partitions."""
+"""Longest wait for this daemon's partitions to be written and given up."""
 
 
 class Drain:
@@ -77,7 +77,7 @@
             emit(DrainTimedOut(core.own_member.daemon, running))
         handed_over = core.stewards.when_handed_over()
         await _within(handed_over, STEWARD_SECONDS, self._clock)
-        await core.replicas.hand_over(HAND_OVER_SECONDS)
+        await _within(core.partitions.hand_over(), HAND_OVER_SECONDS, self._clock)
         await self._stop_listening()
         await deferLater(self._clock, LAST_REQUESTS_SECONDS)
         await _within(core.gateway.when_idle(), LAST_ANSWERS_SECONDS, self._clock)
--- a/notcharch/daemon/partition_state.py
+++ b/notcharch/daemon/partition_state.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Sequence
 from typing import ClassVar, Protocol, TypeVar
 
-from notcharch.replication.interface import Command, CommandResult
+from notcharch.partitions.interface import Command, CommandResult
 from notcharch.values.identifiers import Epoch
 
 ComponentT = TypeVar("ComponentT")
--- a/notcharch/daemon/ports.py
+++ b/notcharch/daemon/ports.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.clients.ports import EnginePort, LogPort, MachineListPort
+from notcharch.journal.interface import LogService
 from notcharch.wire.datagrams import DatagramPort
 from notcharch.wire.peers import PeerNetwork
 
@@ -29,4 +30,5 @@
     peer_address: str
     engines: EnginePort
     log: LogPort
+    journal: LogService
     machine_list: MachineListPort
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -15,6 +15,7 @@
 from notcharch.admin.resource import AdminResource
 from notcharch.clients.connections import Connections
 from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.journal_client import JournalClient
 from notcharch.clients.log_client import LogClient
 from notcharch.clients.machine_list_client import MachineListClient
 from notcharch.daemon.clock import SteadyClock
@@ -170,6 +171,7 @@
             peer_address=peer_address,
             engines=EngineClient(agent, self._clock, chance, platform),
             log=LogClient(agent, self._clock, platform),
+            journal=JournalClient(agent, self._clock, platform),
             machine_list=MachineListClient(agent, self._clock, platform),
         )
 
@@ -209,7 +211,7 @@
             activity=lambda: DaemonActivity(
                 self.state().value, core.gateway.running_calls
             ),
-            partitions=lambda: describe_partitions(core.replicas, core.state_access),
+            partitions=lambda: describe_partitions(core.partitions, core.state_access),
             drain=self._on_operator_drain,
         )
 
--- a/notcharch/daemon/state_access.py
+++ b/notcharch/daemon/state_access.py
@@ -1,11 +1,11 @@
-"""Finds the components of a replicated partition for the services that read them."""
+"""Finds the components of a led partition for the services that read them."""
 
 from typing import TypeVar
 
 from notcharch.daemon.partition_state import Component, PartitionState
 from notcharch.engines.claims import StewardClaimsState
+from notcharch.partitions.interface import Command, PartitionHost
 from notcharch.programs.state import ProgramsState
-from notcharch.replication.interface import Command, PartitionReplicas
 from notcharch.services.allotments import AllotmentsState
 from notcharch.values.identifiers import PartitionNumber
 
@@ -25,11 +25,11 @@
 
 
 class StateAccess:
-    """Typed access to the partitions that are replicated here."""
+    """Typed access to the partitions that are led here."""
 
-    def __init__(self, replicas: PartitionReplicas) -> None:
-        """Read through `replicas`."""
-        self._replicas = replicas
+    def __init__(self, partitions: PartitionHost) -> None:
+        """Read through `partitions`."""
+        self._partitions = partitions
 
     def programs(self, partition: PartitionNumber) -> ProgramsState | None:
         """Give a partition's programs, or None when it is not here."""
@@ -46,7 +46,7 @@
     def _component(
         self, partition: PartitionNumber, kind: type[ComponentT]
     ) -> ComponentT | None:
-        state = self._replicas.state(partition)
+        state = self._partitions.state(partition)
         if not isinstance(state, PartitionState):
             return None
         return state.component(kind)
--- a/notcharch/engines/claims.py
+++ b/notcharch/engines/claims.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from notcharch.errors import Problem, ProblemCode
-from notcharch.replication.interface import Command, CommandRefused, CommandResult
+from notcharch.partitions.interface import Command, CommandRefused, CommandResult
 from notcharch.values.identifiers import EngineName, Epoch, Member
 
 CLAIMS_PER_EPOCH = 1 << 20
--- a/notcharch/engines/claims_service.py
+++ b/notcharch/engines/claims_service.py
@@ -12,9 +12,9 @@
 )
 from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
+from notcharch.partitions.interface import Command, PartitionHost
+from notcharch.partitions.proposals import propose_or_raise
 from notcharch.placement.partitions import partition_of_engine
-from notcharch.replication.interface import Command, PartitionReplicas
-from notcharch.replication.proposals import propose_or_raise
 from notcharch.values.identifiers import EngineName, Member, PartitionNumber
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.stewardship import (
@@ -32,13 +32,13 @@
     def __init__(
         self,
         network: PeerNetwork,
-        replicas: PartitionReplicas,
+        partitions: PartitionHost,
         partition_count: int,
         clock: IReactorTime,
         claims_of: Callable[[PartitionNumber], StewardClaimsState | None],
     ) -> None:
         """Register the handlers; `claims_of` gives a local partition's component."""
-        self._replicas = replicas
+        self._partitions = partitions
         self._partition_count = partition_count
         self._clock = clock
         self._claims_of = claims_of
@@ -55,12 +55,12 @@
         assert isinstance(message, ReadStewardship)
         partition = partition_of_engine(message.engine, self._partition_count)
         claims = self._claims_of(partition)
-        if claims is None or self._replicas.leader_epoch(partition) is None:
+        if claims is None or self._partitions.leader_epoch(partition) is None:
             raise ProblemError(
                 Problem.of(
                     ProblemCode.NOT_LEADER,
                     "another daemon leads the partition",
-                    hint=self._replicas.leader_hint(partition),
+                    hint=self._partitions.leader_hint(partition),
                 )
             )
         claim = claims.claim(message.engine)
@@ -79,7 +79,7 @@
 
     async def _record(self, engine: EngineName, command: Command) -> StewardshipClaimed:
         partition = partition_of_engine(engine, self._partition_count)
-        result = await propose_or_raise(self._replicas, partition, command)
+        result = await propose_or_raise(self._partitions, partition, command)
         if not isinstance(result, ClaimInForce):
             raise ProblemError(
                 Problem.of(ProblemCode.INTERNAL, "the partition answered no claim")
--- a/notcharch/events/programs.py
+++ b/notcharch/events/programs.py
@@ -7,7 +7,6 @@
     AttemptNumber,
     CallSequence,
     EngineName,
-    Epoch,
     LogOffset,
     PartitionNumber,
     ProgramId,
@@ -114,17 +113,3 @@
     program: ProgramId
     offset: LogOffset
     reason: str
-
-
-class ProgramsInDoubt(Event, frozen=True):
-    """A group was rebuilt; of these programs the newest commands may be lost.
-
-    What was running is given up, and an unrepeatable next call is answered with
-    outcome_unknown.
-    """
-
-    number: ClassVar[int] = 412
-    partition: PartitionNumber
-    epoch: Epoch
-    programs: int
-    running: int
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -7,7 +7,13 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from notcharch.journal.interface import GroupName, LogProblem, LogService, Membership
+from notcharch.journal.interface import (
+    GroupName,
+    LogFault,
+    LogProblem,
+    LogService,
+    Membership,
+)
 
 HEARTBEAT_SECONDS = 0.35
 QUICK_SECONDS = 0.1
@@ -39,6 +45,8 @@
         self._generation = 0
         self._is_member = False
         self._is_joining = False
+        self._confirmed_at: float | None = None
+        """When the last heartbeat that was answered was sent."""
         self._quick_left = 0
         self._next: IDelayedCall | None = None
 
@@ -47,6 +55,13 @@
         self._is_member = True
         self.heartbeat()
 
+    @property
+    def is_lease_valid(self) -> bool:
+        """Whether nobody else can have been dealt what was dealt to this member."""
+        if self._confirmed_at is None:
+            return False
+        return self._clock.seconds() - self._confirmed_at < self._lease_seconds
+
     def heartbeat(self) -> None:
         """Join now, not at the next time."""
         if self._next is not None and self._next.active():
@@ -57,6 +72,7 @@
     @inlineCallbacks
     def _join(self) -> Generator["Deferred[Any]", Any, None]:
         self._is_joining = True
+        sent_at = self._clock.seconds()
         answer: Result[Membership, LogProblem] = yield self._service.join(
             self._name, self._member, self._lease_seconds, self._generation
         )
@@ -67,14 +83,20 @@
         if self._next is None or not self._next.active():
             self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
         if not isinstance(answer, Err):
+            self._confirmed_at = sent_at
             self._dealt(answer.ok_value)
 
     def _pause(self, answer: Result[Membership, LogProblem]) -> float:
-        """Give the time to the next heartbeat; note the group's generation."""
-        if not isinstance(answer, Err):
-            if answer.ok_value.generation != self._generation:
-                self._quick_left = QUICK_HEARTBEATS
-            self._generation = answer.ok_value.generation
+        """Give the time to the next heartbeat; note the group's generation.
+
+        One whose answer was lost has spent much of the lease already.
+        """
+        if isinstance(answer, Err):
+            is_lost = answer.err_value.fault is LogFault.UNKNOWN
+            return QUICK_SECONDS if is_lost else HEARTBEAT_SECONDS
+        if answer.ok_value.generation != self._generation:
+            self._quick_left = QUICK_HEARTBEATS
+        self._generation = answer.ok_value.generation
         if self._quick_left <= 0:
             return HEARTBEAT_SECONDS
         self._quick_left -= 1
--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -123,6 +123,11 @@
     ) -> "Deferred[Result[Records, LogProblem]]":
         """Read records from an offset, waiting for the first if need be."""
 
+    def trim(
+        self, topic: str, partition: int, before: int
+    ) -> "Deferred[Result[None, LogProblem]]":
+        """Drop the records that lie before an offset."""
+
     def newest(
         self, topic: str, partition: int, after: str = ""
     ) -> "Deferred[Result[NewestPage, LogProblem]]":
--- a/notcharch/journal/partitioning.py
+++ b/notcharch/journal/partitioning.py
@@ -15,11 +15,8 @@
 
     topics: tuple[str, ...]
     partitions_of_a_topic: int
-
-    @property
-    def count(self) -> int:
-        """Give how many partitions there are."""
-        return len(self.topics) * self.partitions_of_a_topic
+    count: int
+    """How many partitions are in use; the last topic may have more."""
 
     def of_program(self, program: str) -> int:
         """Give the number of a program's partition."""
@@ -34,12 +31,18 @@
         """Give the number of a partition; None if it is not one of these."""
         if place.topic not in self.topics:
             return None
-        return (
-            self.topics.index(place.topic) * self.partitions_of_a_topic + place.number
-        )
+        before = self.topics.index(place.topic) * self.partitions_of_a_topic
+        number = before + place.number
+        return number if number < self.count else None
 
 
 def spread_over(topic: str, topics: int, partitions_of_a_topic: int) -> Partitioning:
-    """Give the partitioning over topics that are numbered from 0."""
+    """Give the partitioning over all partitions of so many topics."""
+    return spread_to(topic, topics * partitions_of_a_topic, partitions_of_a_topic)
+
+
+def spread_to(topic: str, count: int, partitions_of_a_topic: int) -> Partitioning:
+    """Give the partitioning into so many partitions, over as many topics as it needs."""
+    topics = -(-count // partitions_of_a_topic)
     names = tuple(f"{topic}-{number}" for number in range(topics))
-    return Partitioning(names, partitions_of_a_topic)
+    return Partitioning(names, partitions_of_a_topic, count)
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -37,6 +37,8 @@
     DURABLE = "durable"
     LOST = "lost"
     """The partition is not ours any more; the entry may or may not be kept."""
+    NOT_WRITTEN = "not written"
+    """The partition is not ours any more; the entry certainly isn't kept."""
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -71,6 +73,7 @@
         self._sequence = 0
         self._queue: deque[Entry] = deque()
         self._is_writing = False
+        self._idle_waiters: list[Deferred[None]] = []
         self.is_open = True
         self.end = 0
         """The end of the partition as of our last append."""
@@ -78,13 +81,13 @@
     @inlineCallbacks
     def claim(self) -> Generator["Deferred[Any]", Any, bool]:
         """Fence former writers; False if a higher epoch was there first."""
-        is_claimed = yield self._append(())
-        return bool(is_claimed)
+        outcome = yield self._append(())
+        return outcome is Outcome.DURABLE
 
     def write(self, record: bytes, done: Callable[[Outcome], None]) -> None:
         """Append a record; `done` is called with its outcome."""
         if not self.is_open:
-            done(Outcome.LOST)
+            done(Outcome.NOT_WRITTEN)
             return
         self._queue.append(Entry(record, done))
         BACKLOG.inc()
@@ -105,13 +108,27 @@
             batch = self._next_batch()
             records = tuple(entry.record for entry in batch if entry.record)
             if records:
-                is_done = yield self._append(records)
+                outcome = yield self._append(records)
             else:
-                is_done = yield self._is_alone()
-            outcome = Outcome.DURABLE if is_done else Outcome.LOST
+                is_alone = yield self._is_alone()
+                outcome = Outcome.DURABLE if is_alone else Outcome.LOST
             for entry in batch:
                 entry.done(outcome)
         self._is_writing = False
+        self._tell_idle()
+
+    def when_idle(self) -> "Deferred[None]":
+        """Give a Deferred that fires when nothing waits to be written."""
+        waiting: Deferred[None] = Deferred()
+        self._idle_waiters.append(waiting)
+        if not self._is_writing:
+            self._tell_idle()
+        return waiting
+
+    def _tell_idle(self) -> None:
+        waiters, self._idle_waiters = self._idle_waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
 
     @inlineCallbacks
     def _is_alone(self) -> Generator[Any, Any, bool]:
@@ -150,13 +167,14 @@
         return batch
 
     @inlineCallbacks
-    def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, bool]:
+    def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, Outcome]:
         """Append until there is an answer: one sequence number is written once."""
         if records:
             self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
         delay = RETRY_SECONDS
         began = self._clock.seconds()
+        may_be_written = False
         while self.is_open:
             answer: Result[Appended, LogProblem] = yield self._service.append(
                 self._topic, self._partition, records, producer
@@ -165,14 +183,16 @@
                 APPENDS.labels("done").inc()
                 APPEND_SECONDS.observe(self._clock.seconds() - began)
                 self.end = answer.ok_value.end
-                return True
-            APPENDS.labels(answer.err_value.fault.value).inc()
-            if answer.err_value.fault in LOST_FAULTS:
+                return Outcome.DURABLE
+            fault = answer.err_value.fault
+            APPENDS.labels(fault.value).inc()
+            may_be_written = may_be_written or fault is LogFault.UNKNOWN
+            if fault in LOST_FAULTS:
                 self._give_up()
-                return False
+                break
             yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH, LONGEST_RETRY_SECONDS)
-        return False
+        return Outcome.LOST if may_be_written else Outcome.NOT_WRITTEN
 
     def close(self) -> None:
         """Write no more; whoever waits hears that the partition is lost."""
@@ -181,4 +201,4 @@
         self._queue.clear()
         BACKLOG.dec(len(waiting))
         for entry in waiting:
-            entry.done(Outcome.LOST)
+            entry.done(Outcome.NOT_WRITTEN)
--- /dev/null
+++ b/notcharch/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Partitions of the region's state: deterministic machines on journals."""
--- a/notcharch/replication/interface.py
+++ b/notcharch/partitions/interface.py
@@ -1,7 +1,8 @@
-"""What the rest of the system sees of replication.
+"""What the rest of the system sees of the partitions of the region's state.
 
-A partition is a deterministic `StateMachine` on three daemons in three zones.
-Commands are applied in one order on all of them, after a majority holds them.
+A partition is a deterministic `StateMachine`. Its commands are a journal in the log
+service; the daemon that owns the journal leads the partition and applies each command
+after it is durable. Whoever takes the journal over replays it.
 """
 
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
-    """A change of a partition's state, as it is replicated and archived.
+    """A change of a partition's state, as it is journalled.
 
     `at` is the leader's clock, seconds since 1970, when it proposed the
     command: state machines have no clock of their own.
@@ -26,7 +27,7 @@
 
 
 class CommandResult(msgspec.Struct, frozen=True, tag=True):
-    """What applying a command gave; the same on every replica."""
+    """What applying a command gave; the same at each replay."""
 
 
 class CommandRefused(CommandResult, frozen=True):
@@ -36,23 +37,26 @@
 
 
 class StateMachine(Protocol):
-    """The replicated state of one partition. Pure: no I/O, no clock."""
+    """The state of one partition. Pure: no I/O, no clock."""
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
-        """Apply one committed command; deterministic."""
+        """Apply one durable command; deterministic."""
 
     def snapshot(self) -> bytes:
-        """Encode the whole state, for a replacement replica or the archive."""
+        """Encode the whole state, for the journal."""
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state."""
 
 
-class PartitionReplicas(Protocol):
-    """The partitions of which this daemon is a replica."""
+LeadershipListener = Callable[[PartitionNumber, Epoch | None], None]
+
+
+class PartitionHost(Protocol):
+    """The partitions that this daemon leads."""
 
     def led_partitions(self) -> tuple[PartitionNumber, ...]:
-        """Give the partitions that this daemon leads now, as far as it knows."""
+        """Give the partitions that this daemon certainly leads now."""
 
     def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
         """Give the epoch in which this daemon leads the partition, or None."""
@@ -61,18 +65,16 @@
         """Give the daemon that seems to lead the partition; None if unknown."""
 
     def state(self, partition: PartitionNumber) -> StateMachine | None:
-        """Give the applied state of a partition replicated here, or None."""
+        """Give the applied state of a partition that is led here, or None."""
 
     def propose(
         self, partition: PartitionNumber, command: Command
     ) -> "Deferred[Result[CommandResult, Problem]]":
-        """Replicate a command; fires after a majority holds it and it is applied.
+        """Journal a command; fires after it is durable and applied.
 
         Errors: NOT_LEADER (`ran: no`, with a hint), UNAVAILABLE (`ran: unknown`)
         when the outcome was not learnt in time. `CommandRefused` is an Ok value.
         """
 
-    def on_leadership(
-        self, listener: Callable[[PartitionNumber, Epoch | None], None]
-    ) -> None:
+    def on_leadership(self, listener: LeadershipListener) -> None:
         """Call `listener` when this daemon begins (epoch) or ends (None) leading."""
--- a/notcharch/replication/proposals.py
+++ b/notcharch/partitions/proposals.py
@@ -1,20 +1,20 @@
 """Proposes a command and raises what refuses it, for the handlers of requests."""
 
 from notcharch.errors.problem import ProblemError
-from notcharch.replication.interface import (
+from notcharch.partitions.interface import (
     Command,
     CommandRefused,
     CommandResult,
-    PartitionReplicas,
+    PartitionHost,
 )
 from notcharch.values.identifiers import PartitionNumber
 
 
 async def propose_or_raise(
-    replicas: PartitionReplicas, partition: PartitionNumber, command: Command
+    partitions: PartitionHost, partition: PartitionNumber, command: Command
 ) -> CommandResult:
     """Replicate a command; raises ProblemError when it failed or was refused."""
-    outcome = await replicas.propose(partition, command)
+    outcome = await partitions.propose(partition, command)
     if outcome.is_err():
         raise ProblemError(outcome.unwrap_err())
     result = outcome.unwrap()
--- /dev/null
+++ b/notcharch/partitions/service.py
@@ -0,0 +1,215 @@
+"""The partitions that this daemon leads; implements `PartitionHost`."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+from result import Err, Result
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+
+from notcharch.errors import Problem, ProblemCode
+from notcharch.events.event import emit
+from notcharch.events.partitions import ListenerFailed
+from notcharch.journal.dealt_partitions import DealtPartitions
+from notcharch.journal.group import GroupMember
+from notcharch.journal.interface import GroupName, LogService
+from notcharch.journal.owner_directory import OwnerDirectory
+from notcharch.journal.owner_names import OwnerName
+from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partitioning import Partitioning
+from notcharch.partitions.interface import (
+    Command,
+    CommandResult,
+    LeadershipListener,
+    StateMachine,
+)
+from notcharch.partitions.led_partition import (
+    RETRY_SECONDS,
+    LedPartition,
+    PartitionTools,
+    ProposalResult,
+)
+from notcharch.partitions.records import CommandCodec
+from notcharch.settings.schema import PartitionsSection
+from notcharch.values.identifiers import DaemonName, Epoch, Member, PartitionNumber
+
+TOPIC = "partitions"
+GROUP = "partition-leaders"
+TIDY_SECONDS = 5.0
+
+
+class PartitionStatus(msgspec.Struct, frozen=True):
+    """A led partition; positions count records of its journal."""
+
+    partition: PartitionNumber
+    epoch: Epoch
+    end: int
+    snapshot_covers_to: int
+    waiting: int
+    """Commands that are not durable yet."""
+
+
+class PartitionService:
+    """Leads the partitions that the log service's group deals to this daemon."""
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        peer_address: str,
+        partitioning: Partitioning,
+        directory: OwnerDirectory,
+        lease_seconds: float,
+        tools: PartitionTools,
+    ) -> None:
+        """Wire the parts; nothing is spoken before `start`."""
+        self._tools = tools
+        self._directory = directory
+        self._is_stopped = False
+        self._listeners: list[LeadershipListener] = []
+        self._dealt: DealtPartitions[LedPartition] = DealtPartitions(
+            own,
+            partitioning,
+            directory,
+            heartbeat=self._heartbeat,
+            make=self._make,
+        )
+        self._group = GroupMember(
+            tools.service,
+            tools.clock,
+            GroupName(GROUP, partitioning.topics),
+            OwnerName(own.daemon, peer_address).text(),
+            least_lease_seconds=lease_seconds,
+            dealt=self._dealt.dealt,
+        )
+        self._tidying = LoopingCall(self._tidy)
+        self._tidying.clock = tools.clock
+
+    def _make(self, place: PartitionPlace) -> LedPartition:
+        return LedPartition(
+            self._tools, place, lost=self._dealt.lost, leads=self._leads
+        )
+
+    def _heartbeat(self) -> None:
+        self._group.heartbeat()
+
+    def start(self) -> None:
+        """Join the group, and follow who leads what."""
+        self._tidying.start(TIDY_SECONDS, now=False)
+        self._directory.start()
+        self._group.start()
+
+    def stop(self) -> None:
+        """Stop at once; see `hand_over` for a planned stop."""
+        self._is_stopped = True
+        if self._tidying.running:
+            self._tidying.stop()
+        self._group.stop()
+        self._directory.stop()
+        for partition in self._dealt.all():
+            partition.close()
+
+    def hand_over(self) -> "Deferred[None]":
+        """Lead nothing any more; fires when the group has been told."""
+        self._group.stop()
+        handed_over = self._dealt.give_up_all()
+        return handed_over.addBoth(lambda _: self._group.leave())
+
+    def _tidy(self) -> None:
+        for partition in self._dealt.all():
+            partition.tidy()
+
+    # Who leads
+
+    def led_partitions(self) -> tuple[PartitionNumber, ...]:
+        """Give the partitions that this daemon certainly leads now."""
+        if not self._group.is_lease_valid:
+            return ()
+        return tuple(p.number for p in self._dealt.all() if p.is_leading)
+
+    def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
+        """Give the epoch in which this daemon leads the partition, or None."""
+        led = self._led(partition)
+        return None if led is None else led.epoch
+
+    def _led(self, partition: PartitionNumber) -> LedPartition | None:
+        """Give a partition that nobody else can lead now, since our lease is valid."""
+        led = self._dealt.get(partition)
+        if led is None or not led.is_leading or not self._group.is_lease_valid:
+            return None
+        return led
+
+    def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
+        """Give the other daemon that seems to lead the partition, if any."""
+        owner = self._dealt.other_owner(partition)
+        return None if owner is None else owner.daemon
+
+    def state(self, partition: PartitionNumber) -> StateMachine | None:
+        """Give the applied state of a partition that is led here, or None."""
+        led = self._led(partition)
+        return None if led is None else led.state
+
+    def status(self) -> tuple[PartitionStatus, ...]:
+        """Describe the partitions that are led here."""
+        return tuple(
+            PartitionStatus(
+                led.number, led.epoch, led.end, led.snapshot_covers_to, led.waiting
+            )
+            for led in self._dealt.all()
+            if led.is_leading
+        )
+
+    def on_leadership(self, listener: LeadershipListener) -> None:
+        """Call `listener` when this daemon begins (epoch) or ends (None) leading."""
+        self._listeners.append(listener)
+
+    def _leads(self, led: LedPartition, is_leading: bool) -> None:
+        epoch = led.epoch if is_leading else None
+        for listener in self._listeners:
+            try:
+                listener(led.number, epoch)
+            except Exception as error:
+                emit(ListenerFailed(led.number, repr(error)))
+
+    # Commands
+
+    def propose(
+        self, partition: PartitionNumber, command: Command
+    ) -> "Deferred[Result[CommandResult, Problem]]":
+        """Journal a command; see `PartitionHost.propose`."""
+        led = self._dealt.get(partition)
+        if led is None or not led.is_leading or self._is_stopped:
+            return succeed(self._not_leader(partition))
+        return led.propose(command)
+
+    def _not_leader(self, partition: PartitionNumber) -> ProposalResult:
+        problem = Problem.of(
+            ProblemCode.NOT_LEADER,
+            f"this daemon does not lead partition {partition}",
+            retry_after=RETRY_SECONDS,
+            hint=self.leader_hint(partition),
+        )
+        return Err(problem)
+
+
+def partition_tools(
+    service: LogService,
+    clock: IReactorTime,
+    random: Random,
+    settings: PartitionsSection,
+    *,
+    command_types: tuple[type[Command], ...],
+    new_state: Callable[[PartitionNumber], StateMachine],
+) -> PartitionTools:
+    """Gather what every partition of a daemon works with."""
+    return PartitionTools(
+        service=service,
+        clock=clock,
+        random=random,
+        codec=CommandCodec(command_types),
+        new_state=new_state,
+        commit_seconds=settings.commit_seconds,
+        snapshot_seconds=settings.snapshot_seconds,
+    )
--- a/notcharch/placement/assignment.py
+++ b/notcharch/placement/assignment.py
@@ -1,46 +1,39 @@
-"""The present assignment of partitions and engines to daemons, from membership.
+"""The present assignment of engines to daemons, from membership.
 
-Leaving daemons get nothing while there are enough others; what they hold moves away.
+Leaving daemons get nothing while there are others; what they hold moves away.
 
-Results are kept while the membership changes around them. A member that was not
-chosen for a key can go without moving it, and one that comes can only displace who
-was chosen, so that the choice among the chosen and the newcomers is the choice among
-all (see `spread_over_zones`). Only keys of lost members are ranked anew.
+Choices are kept while the membership changes around them. A member that was not
+chosen for an engine can go without moving it, and one that comes can only displace
+the chosen one, so that the winner among the chosen and the newcomers is the winner
+among all. Only engines of lost members are ranked anew.
 """
 
 from notcharch.placement.interface import LiveMember, MembershipView
-from notcharch.placement.rendezvous import spread_over_zones
-from notcharch.values.identifiers import DaemonName, EngineName, PartitionNumber
+from notcharch.placement.rendezvous import winner
+from notcharch.values.identifiers import DaemonName, EngineName
 
 
 class Assignment:
-    """Replicas of partitions and stewards of engines by rendezvous hashing."""
+    """Stewards of engines by rendezvous hashing."""
 
-    def __init__(self, view: MembershipView, replica_count: int) -> None:
+    def __init__(self, view: MembershipView) -> None:
         """Follow the changes of `view`."""
         self._view = view
-        self._replica_count = replica_count
-        self._chosen: dict[str, tuple[DaemonName, ...]] = {}
+        self._chosen: dict[EngineName, DaemonName] = {}
         self._staying: dict[DaemonName, LiveMember] = {}
         self._leaving: list[LiveMember] = []
         self._read()
         view.on_change(self._follow)
 
-    def replicas_of(self, partition: PartitionNumber) -> tuple[DaemonName, ...]:
-        """Give the daemons of a partition, best first; zones differ if possible."""
-        return self._choose(f"partition/{partition}", self._replica_count)
-
     def steward_of(self, engine: EngineName) -> DaemonName | None:
         """Give the daemon of an engine; None when no daemon is known."""
-        chosen = self._choose(f"engine/{engine}", 1)
-        return chosen[0] if chosen else None
-
-    def _choose(self, key: str, count: int) -> tuple[DaemonName, ...]:
-        chosen = self._chosen.get(key)
-        if chosen is None:
-            chosen = spread_over_zones(key, self._staying.values(), count)
-            chosen += spread_over_zones(key, self._leaving, count - len(chosen))
-            self._chosen[key] = chosen
+        chosen = self._chosen.get(engine)
+        if chosen is not None:
+            return chosen
+        candidates = list(self._staying.values()) or self._leaving
+        chosen = winner(_key(engine), candidates)
+        if chosen is not None:
+            self._chosen[engine] = chosen
         return chosen
 
     def _read(self) -> None:
@@ -53,22 +46,18 @@
         """Keep each choice that the change cannot move; adjust or drop the others."""
         before = self._staying
         self._read()
-        if min(len(before), len(self._staying)) < self._replica_count:
+        if not before or not self._staying:
             self._chosen.clear()  # leaving members are among the chosen
             return
-        lost = {name for name in before if not self._is_kept(before[name])}
         come = [self._staying[name] for name in self._staying.keys() - before.keys()]
-        moved = [self._staying[name] for name in lost & self._staying.keys()]
-        come += moved
-        for key, chosen in tuple(self._chosen.items()):
-            if not lost.isdisjoint(chosen):
-                del self._chosen[key]
-            elif come:
-                candidates = [self._staying[name] for name in chosen]
-                candidates += come
-                self._chosen[key] = spread_over_zones(key, candidates, len(chosen))
+        for engine, chosen in tuple(self._chosen.items()):
+            holder = self._staying.get(chosen)
+            best = None if holder is None else winner(_key(engine), [holder, *come])
+            if best is None:
+                del self._chosen[engine]
+            else:
+                self._chosen[engine] = best
+
 
-    def _is_kept(self, member: LiveMember) -> bool:
-        """Tell whether a member still stays, in the same zone."""
-        present = self._staying.get(member.member.daemon)
-        return present is not None and present.zone == member.zone
+def _key(engine: EngineName) -> str:
+    return f"engine/{engine}"
--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -9,6 +9,7 @@
 
 from notcharch.clients.ports import Machine
 from notcharch.errors import Problem
+from notcharch.journal.owner_names import OwnerName
 from notcharch.values.identifiers import (
     DaemonName,
     EngineName,
@@ -62,6 +63,16 @@
         """Call `listener` after the directory changed."""
 
 
+class PartitionOwners(Protocol):
+    """Who leads which partition, as the log service last said."""
+
+    def owner(self, partition: int) -> OwnerName | None:
+        """Give a partition's owner, as far as it is known."""
+
+    def doubt(self) -> None:
+        """Ask again soon: an owner didn't answer as one."""
+
+
 class Router(Protocol):
     """Finds the daemon that is responsible, and retries while `ran` stays `no`."""
 
@@ -77,6 +88,3 @@
 
     def steward_of(self, engine: EngineName) -> DaemonName | None:
         """Give the daemon that should steward the engine, by rendezvous hashing."""
-
-    def replicas_of(self, partition: PartitionNumber) -> tuple[DaemonName, ...]:
-        """Give the partition's three daemons, by rendezvous hashing over zones."""
--- a/notcharch/placement/rendezvous.py
+++ b/notcharch/placement/rendezvous.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from notcharch.placement.interface import LiveMember
-from notcharch.values.identifiers import DaemonName, ZoneName
+from notcharch.values.identifiers import DaemonName
 
 
 def score(key: str, daemon: DaemonName) -> int:
@@ -17,34 +17,7 @@
     return xxhash.xxh64_intdigest(f"{key}\x00{daemon}".encode())
 
 
-def ranked(key: str, members: Iterable[LiveMember]) -> list[LiveMember]:
-    """Give the members by falling score for a key."""
-    return sorted(members, key=lambda member: _rank(key, member), reverse=True)
-
-
-def spread_over_zones(
-    key: str, members: Iterable[LiveMember], count: int
-) -> tuple[DaemonName, ...]:
-    """Choose `count` daemons, in as many zones as there are, best first.
-
-    With fewer zones than `count`, zones are used again only after each has been
-    used once. Fewer members than `count` give all of them.
-    """
-    candidates = ranked(key, members)
-    chosen: list[LiveMember] = []
-    while candidates and len(chosen) < count:
-        round_zones: set[ZoneName] = set()
-        left: list[LiveMember] = []
-        for member in candidates:
-            if member.zone in round_zones or len(chosen) == count:
-                left.append(member)
-                continue
-            round_zones.add(member.zone)
-            chosen.append(member)
-        candidates = left
-    return tuple(member.member.daemon for member in chosen)
-
-
-def _rank(key: str, member: LiveMember) -> tuple[int, DaemonName]:
-    daemon = member.member.daemon
-    return score(key, daemon), daemon
+def winner(key: str, members: Iterable[LiveMember]) -> DaemonName | None:
+    """Give the daemon with the highest score for a key; None without members."""
+    daemons = [member.member.daemon for member in members]
+    return max(daemons, key=lambda name: (score(key, name), name), default=None)
--- a/notcharch/placement/router.py
+++ b/notcharch/placement/router.py
@@ -10,6 +10,7 @@
 
 from notcharch.errors import Problem
 from notcharch.placement.assignment import Assignment
+from notcharch.placement.interface import PartitionOwners
 from notcharch.placement.search import Search
 from notcharch.values.identifiers import DaemonName, EngineName, PartitionNumber
 from notcharch.wire.messages.base import Message
@@ -30,12 +31,14 @@
         self,
         network: PeerNetwork,
         assignment: Assignment,
+        owners: PartitionOwners,
         clock: IReactorTime,
         random: Random,
     ) -> None:
-        """Use `assignment` for first targets and `clock` for delays and deadlines."""
+        """Look for leaders by `owners` first, and for stewards by `assignment`."""
         self._network = network
         self._assignment = assignment
+        self._owners = owners
         self._clock = clock
         self._random = random
         self._leaders: dict[PartitionNumber, DaemonName] = {}
@@ -47,10 +50,15 @@
         """Send to the partition's leader, following NOT_LEADER hints."""
 
         def targets() -> list[DaemonName]:
-            replicas = self._assignment.replicas_of(partition)
-            return _first_then(self._leaders.get(partition), replicas)
+            owner = self._owners.owner(partition)
+            if owner is None:
+                self._owners.doubt()
+            known = () if owner is None else (owner.daemon,)
+            return _first_then(self._leaders.get(partition), known)
 
         def learn(daemon: DaemonName | None) -> None:
+            if daemon is None:
+                self._owners.doubt()
             _learn(self._leaders, partition, daemon)
 
         search = Search(self._network, self._clock, self._random, targets, learn)
@@ -85,10 +93,6 @@
         """Give the daemon that should steward the engine."""
         return self._assignment.steward_of(engine)
 
-    def replicas_of(self, partition: PartitionNumber) -> tuple[DaemonName, ...]:
-        """Give the daemons that should replicate the partition."""
-        return self._assignment.replicas_of(partition)
-
 
 def _first_then(
     learnt: DaemonName | None, assigned: Iterable[DaemonName]
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -77,7 +77,7 @@
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
-        platform_store = PlatformStore(self._requester)
+        platform_store = PlatformStore(self._requester, reactor)
         own = Member(DaemonName(settings.machine), new_incarnation())
         self._network = account_network(reactor, own, random)
         self._accounts = AccountsService(
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -7,7 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
 
+from notcharch.http.patience import Patience
 from notcharch.http.requester import NoAnswer, Outcome, Requester, WholeAnswer
 from notcharch.journal.interface import (
     Appended,
@@ -29,6 +31,10 @@
 OFFSET_BYTES = 8
 CALL_SECONDS = 1.5
 """An answer that takes longer is taken for lost."""
+LEAST_APPEND_SECONDS = 0.7
+"""An append may be repeated under its number, so a lost answer is given up sooner."""
+LEAST_JOIN_SECONDS = 0.45
+"""A heartbeat is repeated twice before a lease of the least length runs out."""
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -117,9 +123,12 @@
 class PlatformStore:
     """Calls to the platform's store."""
 
-    def __init__(self, requester: Requester) -> None:
+    def __init__(self, requester: Requester, clock: IReactorTime) -> None:
         """Speak to the store by a requester."""
         self._requester = requester
+        self._clock = clock
+        self._appends = Patience(LEAST_APPEND_SECONDS, CALL_SECONDS)
+        self._joins = Patience(LEAST_JOIN_SECONDS, CALL_SECONDS)
 
     def _call(
         self,
@@ -130,15 +139,22 @@
         *,
         translate: Callable[[bytes], Translated],
         seconds: float = CALL_SECONDS,
+        patience: Patience | None = None,
     ) -> "Deferred[Result[Translated, LogProblem]]":
         target = f"{path}?{urlencode(query)}" if query else path
-        sent = self._requester.request(method, target.encode(), body, seconds)
+        began = self._clock.seconds()
+        wait = seconds if patience is None else patience.seconds
+        sent = self._requester.request(method, target.encode(), body, wait)
 
         def read(outcome: Outcome) -> Result[Translated, LogProblem]:
             if isinstance(outcome, Err):
                 is_unsent = outcome.err_value is NoAnswer.NOT_SENT
+                if patience is not None and not is_unsent:
+                    patience.lost()
                 fault = LogFault.NOT_DONE if is_unsent else LogFault.UNKNOWN
                 return Err(LogProblem(fault))
+            if patience is not None:
+                patience.answered(self._clock.seconds() - began)
             answer = outcome.ok_value
             if answer.head.status != OK:
                 return Err(problem_of(answer))
@@ -167,7 +183,14 @@
             said = msgspec.json.decode(body, type=AppendAnswer)
             return Appended(said.offset, said.end)
 
-        return self._call(b"POST", "/log-append", query, pack(records), translate=read)
+        return self._call(
+            b"POST",
+            "/log-append",
+            query,
+            pack(records),
+            translate=read,
+            patience=self._appends,
+        )
 
     def read(
         self, topic: str, partition: int, offset: int, wait_seconds: float = 0.0
@@ -186,6 +209,13 @@
             b"GET", "/log-read", query, b"", translate=read, seconds=seconds
         )
 
+    def trim(
+        self, topic: str, partition: int, before: int
+    ) -> "Deferred[Result[None, LogProblem]]":
+        """Drop the records that lie before an offset."""
+        query = {"topic": topic, "part": partition, "before": before}
+        return self._call(b"POST", "/log-trim", query, b"", translate=lambda _: None)
+
     def newest(
         self, topic: str, partition: int, after: str = ""
     ) -> "Deferred[Result[NewestPage, LogProblem]]":
@@ -227,7 +257,9 @@
             dealt = tuple(LogPartition(row[0], row[1]) for row in said.parts)
             return Membership(said.generation, dealt)
 
-        return self._call(b"POST", "/log-join", {}, body, translate=read)
+        return self._call(
+            b"POST", "/log-join", {}, body, translate=read, patience=self._joins
+        )
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
         """Leave a group."""
--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -3,14 +3,14 @@
 from typing import Protocol
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.programs import in_doubt, refusals
+from notcharch.partitions.interface import CommandRefused, CommandResult
+from notcharch.programs import refusals
 from notcharch.programs.budget import prompt_bound
 from notcharch.programs.commands import (
     AdmitAttempt,
     AttemptAdmitted,
     AttemptJoined,
     CallFinishedBefore,
-    CallLostInDoubt,
 )
 from notcharch.programs.record import (
     CallPhase,
@@ -21,7 +21,6 @@
 from notcharch.programs.store import ProgramStore
 from notcharch.programs.tree import ended_problem, touch
 from notcharch.programs.turns import encode_messages
-from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch, Member
 
 BUDGET_RETRY_SECONDS = 5.0
@@ -45,14 +44,10 @@
     record = store.visible(command.program, command.tenant)
     if record is None:
         return refusals.not_found(command.program)
-    in_doubt.note_asked(record, command.sequence)
     digest = call_digest(command.body_digest, command.repeatable)
     known = known_call(record, command, digest)
     if known is not None:
         return known
-    if record.in_doubt and not command.repeatable:
-        in_doubt.close_unrepeatable(store, record, digest, command.at)
-        return CallLostInDoubt()
     prompt_tokens = prompt_bound(record.context_tokens, command.messages)
     prompt_tokens += command.parameter_tokens
     reservation = prompt_tokens + command.max_tokens
@@ -169,7 +164,7 @@
         digest=digest,
         repeatable=command.repeatable,
         messages=encode_messages(command.messages),
-        attempt=AttemptNumber(max(number, store.first_attempt)),
+        attempt=AttemptNumber(number),
         phase=CallPhase.ADMITTED,
         gateway=command.gateway,
         reserved_tokens=reservation,
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.partitions.interface import CommandRefused, CommandResult
 from notcharch.programs import refusals
 from notcharch.programs.budget import (
     MESSAGE_OVERHEAD_TOKENS,
@@ -27,7 +28,6 @@
     StoredAnswer,
     count_messages,
 )
-from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.values.chat import Answer, PrefixLocation
 from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch
 
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -10,6 +10,7 @@
     OutcomeLost,
     UsageAboveBound,
 )
+from notcharch.partitions.interface import CommandRefused, CommandResult
 from notcharch.programs import refusals
 from notcharch.programs.admission import known_call
 from notcharch.programs.changes import ProgramChanges
@@ -21,7 +22,6 @@
     AttemptJoined,
     AttemptSuperseded,
     CallFinishedBefore,
-    CallLostInDoubt,
     DispatchAccepted,
     FinishAttempt,
     RecordDispatch,
@@ -31,7 +31,6 @@
 from notcharch.programs.record import ProgramRecord, call_digest
 from notcharch.programs.replies import admitted_reply, failure_reply, finished_reply
 from notcharch.programs.rows import open_row
-from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.table.interface import TableView
 from notcharch.values.identifiers import CallSequence, Member
 from notcharch.wire.messages.base import Message
@@ -104,9 +103,6 @@
         match result:
             case AttemptJoined(attempt):
                 return CallInProgress(message.sequence, attempt)
-            case CallLostInDoubt():
-                emit(OutcomeLost(message.program, message.sequence))
-                return await self._finished_reply(record, message.sequence)
             case CallFinishedBefore():
                 return await self._finished_reply(record, message.sequence)
             case CommandRefused(problem):
@@ -124,11 +120,6 @@
         record = await self._led.visible(message.program, message.tenant)
         deadline = self._now() + self._early_wait_seconds
         while message.sequence > record.next_sequence and not record.ended:
-            if record.in_doubt and message.sequence > record.doubtful:
-                # Refused at once; the state learns of the calls that may be lost.
-                await self._led.propose(
-                    message.program, self._admit_command(record, message)
-                )
             seconds = deadline - self._now()
             waiting = self._changes.waiting_for(message.program)
             if seconds <= 0 or self._changes.full or waiting >= EARLY_CALLS_PER_PROGRAM:
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from notcharch.errors import Problem
-from notcharch.replication.interface import Command, CommandResult
+from notcharch.partitions.interface import Command, CommandResult
 from notcharch.values.chat import Answer, ChatMessage, PrefixLocation
 from notcharch.values.identifiers import (
     AttemptNumber,
@@ -201,13 +201,6 @@
     """The same call has its final outcome, which can be read from the state."""
 
 
-class CallLostInDoubt(CommandResult, frozen=True):
-    """An unrepeatable call that may have run before the group was rebuilt.
-
-    It is finished with `OUTCOME_UNKNOWN`, which can be read from the state.
-    """
-
-
 class DispatchAccepted(CommandResult, frozen=True):
     """The intent is recorded; the stream is opened under this epoch."""
 
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -9,13 +9,12 @@
 from twisted.internet.task import LoopingCall
 
 from notcharch.clients.ports import LogPort
-from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
-from notcharch.events.programs import ProgramsInDoubt, SweepFailed
+from notcharch.events.programs import SweepFailed
+from notcharch.partitions.interface import PartitionHost
 from notcharch.placement.interface import EngineDirectory, MembershipView, Router
 from notcharch.placement.partitions import partition_of_program
 from notcharch.programs.attempt_watch import AttemptWatch, WatchLimits
-from notcharch.programs.background import run_in_background
 from notcharch.programs.call_handlers import CallHandlers
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.history_reader import HistoryReader
@@ -25,11 +24,9 @@
 from notcharch.programs.program_handlers import ProgramHandlers
 from notcharch.programs.release_service import ReleaseService
 from notcharch.programs.upkeep_service import UpkeepService
-from notcharch.replication.epochs import generation_of
-from notcharch.replication.interface import PartitionReplicas
 from notcharch.settings.schema import ProgramsSection
 from notcharch.table.interface import TableView
-from notcharch.values.identifiers import Epoch, PartitionNumber, ProgramId, RegionName
+from notcharch.values.identifiers import Epoch, PartitionNumber, RegionName
 from notcharch.wire.peers import PeerNetwork
 
 
@@ -40,7 +37,7 @@
         self,
         *,
         network: PeerNetwork,
-        replicas: PartitionReplicas,
+        partitions: PartitionHost,
         programs_of: ProgramsOf,
         table: TableView,
         membership: MembershipView,
@@ -58,7 +55,7 @@
         """
         now = clock.seconds
         self._changes = ProgramChanges(clock)
-        led = LedPrograms(replicas, programs_of, now)
+        led = LedPrograms(partitions, programs_of, now)
         self._led = led
         pages = PageLog(log, clock, region)
         histories = HistoryReader(led, pages)
@@ -82,12 +79,12 @@
             retention_seconds=settings.retention_seconds,
             now=now,
         )
-        self._releases = ReleaseService(led, replicas, router, directory, now)
+        self._releases = ReleaseService(led, partitions, router, directory, now)
         self._paging = PagingService(led, pages, now, settings.history_bytes)
         self._sweep_seconds = settings.sweep_seconds
         self._loop = LoopingCall(self._step)
         self._loop.clock = clock
-        replicas.on_leadership(self._on_leadership)
+        partitions.on_leadership(self._on_leadership)
 
     def start(self) -> None:
         """Begin the periodic work."""
@@ -108,28 +105,8 @@
 
     def _on_leadership(self, partition: PartitionNumber, epoch: Epoch | None) -> None:
         if epoch is not None:
-            self._begin_generation(partition, epoch)
             return
         for program in self._changes.programs():
             if partition_of_program(program) == partition:
                 # They look again, and are told to ask the new leader.
                 self._changes.notify(program)
-
-    def _begin_generation(self, partition: PartitionNumber, epoch: Epoch) -> None:
-        state = self._led.led_state(partition)
-        if state is None or generation_of(epoch) <= state.generation:
-            return
-        programs, running = state.programs(), state.running_programs()
-        emit(ProgramsInDoubt(partition, epoch, len(programs), len(running)))
-        run_in_background(self._mark_in_doubt(partition, running))
-
-    async def _mark_in_doubt(
-        self, partition: PartitionNumber, running: tuple[ProgramId, ...]
-    ) -> None:
-        """Commit the first command of the group, which marks programs in doubt."""
-        try:
-            await self._led.confirm_current(partition)
-        except ProblemError:
-            # Whatever is committed first marks them as well.
-            return
-        self._changes.notify_all(running)
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -7,18 +7,17 @@
 
 from notcharch.errors import Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
+from notcharch.partitions.interface import (
+    Command,
+    CommandResult,
+    PartitionHost,
+)
+from notcharch.partitions.proposals import propose_or_raise
 from notcharch.placement.partitions import partition_of_program
 from notcharch.programs import refusals
 from notcharch.programs.commands import ReadBarrier
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.state import ProgramsState
-from notcharch.replication.epochs import generation_of
-from notcharch.replication.interface import (
-    Command,
-    CommandResult,
-    PartitionReplicas,
-)
-from notcharch.replication.proposals import propose_or_raise
 from notcharch.values.identifiers import (
     Epoch,
     PartitionNumber,
@@ -35,12 +34,12 @@
 
     def __init__(
         self,
-        replicas: PartitionReplicas,
+        partitions: PartitionHost,
         programs_of: ProgramsOf,
         now: Callable[[], float],
     ) -> None:
-        """Read through `programs_of`, change through `replicas`."""
-        self._replicas = replicas
+        """Read through `programs_of`, change through `partitions`."""
+        self._partitions = partitions
         self._programs_of = programs_of
         self._now = now
 
@@ -61,13 +60,13 @@
 
     def led_state(self, partition: PartitionNumber) -> ProgramsState | None:
         """Give a partition's programs if this daemon leads it."""
-        if self._replicas.leader_epoch(partition) is None:
+        if self._partitions.leader_epoch(partition) is None:
             return None
         return self._programs_of(partition)
 
     def epoch_of(self, partition: PartitionNumber) -> Epoch:
         """Give the epoch in which this daemon leads; NOT_LEADER if it does not."""
-        epoch = self._replicas.leader_epoch(partition)
+        epoch = self._partitions.leader_epoch(partition)
         if epoch is None:
             raise ProblemError(self._not_leader(partition))
         return epoch
@@ -77,13 +76,13 @@
         return Problem.of(
             ProblemCode.NOT_LEADER,
             f"this daemon does not lead partition {partition}",
-            hint=self._replicas.leader_hint(partition),
+            hint=self._partitions.leader_hint(partition),
         )
 
     def led_states(self) -> tuple[tuple[PartitionNumber, ProgramsState], ...]:
         """Give all led partitions with their programs."""
         found = []
-        for partition in self._replicas.led_partitions():
+        for partition in self._partitions.led_partitions():
             state = self.led_state(partition)
             if state is not None:
                 found.append((partition, state))
@@ -95,22 +94,17 @@
         """Give the record of a tenant's program (None: of anybody's).
 
         NOT_FOUND is said only after a commit proved that this daemon still leads:
-        a deposed leader may lack a program that a newer one has created. Nothing is
-        said of a rebuilt group before its programs are marked in doubt.
+        a deposed leader may lack a program that a newer one has created.
         """
         state = self.state_of(program)
         record = state.record(program)
-        if record is None or self._is_unmarked(self.partition_of(program), state):
+        if record is None:
             await self.confirm_current(self.partition_of(program))
             record = self.state_of(program).record(program)
         if record is None or tenant not in {None, record.tenant}:
             raise ProblemError(refusals.not_found(program).problem)
         return record
 
-    def _is_unmarked(self, partition: PartitionNumber, state: ProgramsState) -> bool:
-        """Tell whether a rebuilt group has yet to mark its programs in doubt."""
-        return generation_of(self.epoch_of(partition)) > state.generation
-
     async def confirm_current(self, partition: PartitionNumber) -> None:
         """Prove by a commit that the reads after it are current."""
         await self.propose_to(partition, ReadBarrier(self._now()))
@@ -123,4 +117,4 @@
         self, partition: PartitionNumber, command: Command
     ) -> CommandResult:
         """Replicate a command in a partition; refusals are raised."""
-        return await propose_or_raise(self._replicas, partition, command)
+        return await propose_or_raise(self._partitions, partition, command)
--- a/notcharch/programs/paging.py
+++ b/notcharch/programs/paging.py
@@ -1,8 +1,8 @@
 """Applies `PageOut`: turns leave the memory once the log service has them."""
 
+from notcharch.partitions.interface import CommandResult
 from notcharch.programs.commands import PageOut, PagesDropped
 from notcharch.programs.store import ProgramStore
-from notcharch.replication.interface import CommandResult
 
 
 def page_out(store: ProgramStore, command: PageOut) -> CommandResult:
--- a/notcharch/programs/record.py
+++ b/notcharch/programs/record.py
@@ -75,8 +75,7 @@
     """One program. `budget` is there at the root of a tree only.
 
     `context_tokens` bounds the history's tokens in a prompt. `engines` may hold
-    memory of the program. `finished` counts calls with a final outcome. `doubtful`
-    is the last sequence whose attempts may have been lost (see `in_doubt`).
+    memory of the program. `finished` counts calls with a final outcome.
     """
 
     program: ProgramId
@@ -98,7 +97,6 @@
     budget: TreeBudget | None = None
     tree_size: int = 1
     history: History = msgspec.field(default_factory=History)
-    doubtful: int = 0
 
     @property
     def ended(self) -> bool:
@@ -117,17 +115,12 @@
             return self.call
         return None
 
-    @property
-    def in_doubt(self) -> bool:
-        """Tell whether attempts at the next call may have run and been lost."""
-        return self.next_sequence <= self.doubtful
-
     @property
     def ran_so_far(self) -> Ran:
         """Tell whether an attempt at the next call may have run."""
         call = self.call
         may_have_run = call is not None and call.may_have_run
-        return Ran.UNKNOWN if may_have_run or self.in_doubt else Ran.NO
+        return Ran.UNKNOWN if may_have_run else Ran.NO
 
 
 def call_digest(body_digest: str, repeatable: bool) -> bytes:
--- a/notcharch/programs/refusals.py
+++ b/notcharch/programs/refusals.py
@@ -1,7 +1,7 @@
 """The problems with which commands of programs are refused."""
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.replication.interface import CommandRefused
+from notcharch.partitions.interface import CommandRefused
 from notcharch.values.identifiers import CallSequence, ProgramId
 
 RETRY_SECONDS = 0.5
--- a/notcharch/programs/release_service.py
+++ b/notcharch/programs/release_service.py
@@ -8,13 +8,13 @@
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.programs import ReleaseDelayed
+from notcharch.partitions.interface import PartitionHost
 from notcharch.placement.interface import EngineDirectory, Router
 from notcharch.placement.partitions import partition_of_program
 from notcharch.programs.background import run_in_background
 from notcharch.programs.commands import ConfirmReleases, ReleaseDuty
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.release_plan import ReleasePlan
-from notcharch.replication.interface import PartitionReplicas
 from notcharch.values.identifiers import Epoch, PartitionNumber
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.engines import PrefixReleased, ReleasePrefix
@@ -30,14 +30,14 @@
     def __init__(
         self,
         led: LedPrograms,
-        replicas: PartitionReplicas,
+        partitions: PartitionHost,
         router: Router,
         directory: EngineDirectory,
         now: Callable[[], float],
     ) -> None:
         """Begin with nothing asked."""
         self._led = led
-        self._replicas = replicas
+        self._partitions = partitions
         self._router = router
         self._directory = directory
         self._now = now
@@ -82,7 +82,7 @@
 
     def _epoch_of(self, duty: ReleaseDuty) -> Epoch | None:
         partition = partition_of_program(duty.program)
-        return None if partition is None else self._replicas.leader_epoch(partition)
+        return None if partition is None else self._partitions.leader_epoch(partition)
 
     def _on_reply(self, reply: Result[Message, Problem], duty: ReleaseDuty) -> None:
         confirmed = reply.is_ok() and isinstance(reply.unwrap(), PrefixReleased)
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -1,4 +1,4 @@
-"""The replicated component of programs: a pure function of its commands.
+"""The component of programs in a partition: a pure function of its commands.
 
 It has no clock, no randomness and no table of its own; see docs/design/programs.md.
 """
@@ -7,7 +7,8 @@
 from typing import ClassVar
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.programs import admission, attempts, in_doubt, paging, tree
+from notcharch.partitions.interface import Command, CommandRefused, CommandResult
+from notcharch.programs import admission, attempts, paging, tree
 from notcharch.programs.budget import TreeBudget
 from notcharch.programs.commands import (
     COMMANDS,
@@ -26,8 +27,6 @@
 )
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.store import ProgramStore
-from notcharch.replication.epochs import generation_of
-from notcharch.replication.interface import Command, CommandRefused, CommandResult
 from notcharch.values.identifiers import Epoch, ProgramId
 
 
@@ -41,13 +40,7 @@
         self._store = ProgramStore()
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
-        """Apply one committed command.
-
-        The first one of a rebuilt group, known by its epoch, marks all in doubt.
-        """
-        generation = generation_of(epoch)
-        if generation > self._store.generation:
-            in_doubt.mark_all(self._store, generation, command.at)
+        """Apply one durable command."""
         match command:
             case BeginProgram():
                 return tree.begin(self._store, command)
@@ -111,11 +104,6 @@
         budgets = (record.budget for record in self._store.records.values())
         return sum(budget.reserved for budget in budgets if budget is not None)
 
-    @property
-    def generation(self) -> int:
-        """Give the newest generation of the group that was applied, from 1 on."""
-        return self._store.generation
-
     def programs(self) -> tuple[ProgramId, ...]:
         """Give the ids of all remembered programs."""
         return tuple(self._store.records)
--- a/notcharch/programs/store.py
+++ b/notcharch/programs/store.py
@@ -9,7 +9,6 @@
 from notcharch.programs.commands import ReleaseDuty
 from notcharch.programs.record import ProgramRecord
 from notcharch.values.identifiers import (
-    AttemptNumber,
     EngineName,
     ProgramId,
     ServiceName,
@@ -18,14 +17,10 @@
 
 SNAPSHOT_FORMAT = 1
 SECOND_FORMAT = 2
-"""The format with pages or a rebuilt group: a daemon that knows neither refuses it."""
+"""The format with pages: a daemon that does not know them refuses it."""
 
 KNOWN_FORMATS = (SNAPSHOT_FORMAT, SECOND_FORMAT)
 
-ATTEMPTS_PER_GENERATION = 1_000_000
-"""Attempts are numbered apart in each generation of the group: an attempt that was
-lost when the group was rebuilt must not be taken for a new one."""
-
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The whole state, sorted, so that equal states give equal bytes."""
@@ -34,7 +29,6 @@
     records: list[ProgramRecord]
     duties: list[ReleaseDuty]
     next_duty: int
-    generation: int = 1
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -50,12 +44,6 @@
         self.duties: dict[ProgramId, dict[EngineName, int]] = {}
         self.next_duty = 1
         self.running: set[ProgramId] = set()
-        self.generation = 1
-
-    @property
-    def first_attempt(self) -> AttemptNumber:
-        """Give the lowest number of an attempt of this generation."""
-        return AttemptNumber(1 + (self.generation - 1) * ATTEMPTS_PER_GENERATION)
 
     def visible(self, program: ProgramId, tenant: TenantName) -> ProgramRecord | None:
         """Give a program's record if it belongs to the tenant."""
@@ -113,13 +101,12 @@
         """Encode records and duties in sorted order."""
         records = [self.records[program] for program in sorted(self.records)]
         duties = sorted(self.all_duties())
-        is_second = self.generation > 1 or any(r.history.pages for r in records)
+        is_second = any(r.history.pages for r in records)
         whole = StoreSnapshot(
             SECOND_FORMAT if is_second else SNAPSHOT_FORMAT,
             records,
             duties,
             self.next_duty,
-            self.generation,
         )
         return _encoder.encode(whole)
 
@@ -136,7 +123,6 @@
         for duty in whole.duties:
             self.duties.setdefault(duty.program, {})[duty.engine] = duty.number
         self.next_duty = whole.next_duty
-        self.generation = whole.generation
         self.running = {
             record.program for record in whole.records if record.running_call
         }
--- a/notcharch/programs/tree.py
+++ b/notcharch/programs/tree.py
@@ -1,6 +1,7 @@
 """Creating programs and ending whole trees of them."""
 
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.partitions.interface import CommandRefused, CommandResult
 from notcharch.programs import refusals
 from notcharch.programs.budget import TreeBudget
 from notcharch.programs.commands import (
@@ -14,7 +15,6 @@
 )
 from notcharch.programs.record import CallPhase, EndReason, ProgramRecord
 from notcharch.programs.store import ProgramStore
-from notcharch.replication.interface import CommandRefused, CommandResult
 from notcharch.values.identifiers import ProgramId
 
 MAX_TREE_PROGRAMS = 1000
--- a/notcharch/services/allotments.py
+++ b/notcharch/services/allotments.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from notcharch.errors import Problem, ProblemCode
-from notcharch.replication.interface import Command, CommandRefused, CommandResult
+from notcharch.partitions.interface import Command, CommandRefused, CommandResult
 from notcharch.services.service_leases import Lease, ServiceLeases
 from notcharch.values.identifiers import Epoch, Member, ServiceName
 
--- a/notcharch/services/limiter_service.py
+++ b/notcharch/services/limiter_service.py
@@ -8,12 +8,12 @@
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.services import HolderDropped, SlotsContended
+from notcharch.partitions.interface import (
+    PartitionHost,
+)
+from notcharch.partitions.proposals import propose_or_raise
 from notcharch.placement.interface import MembershipView
 from notcharch.placement.partitions import partition_of_service
-from notcharch.replication.interface import (
-    PartitionReplicas,
-)
-from notcharch.replication.proposals import propose_or_raise
 from notcharch.services.allotments import (
     AllotmentsState,
     DropHolder,
@@ -54,7 +54,7 @@
         self,
         *,
         network: PeerNetwork,
-        replicas: PartitionReplicas,
+        partitions: PartitionHost,
         allotments_of: Callable[[PartitionNumber], AllotmentsState | None],
         table: TableView,
         membership: MembershipView,
@@ -65,7 +65,7 @@
     ) -> None:
         """Register the handlers."""
         self._network = network
-        self._replicas = replicas
+        self._partitions = partitions
         self._allotments_of = allotments_of
         self._table = table
         self._membership = membership
@@ -86,7 +86,7 @@
         partition = partition_of_service(message.service, self._partition_count)
         await self._drop_dead(partition, message.service)
         command = self._command(message, row)
-        recorded = await propose_or_raise(self._replicas, partition, command)
+        recorded = await propose_or_raise(self._partitions, partition, command)
         if not isinstance(recorded, SlotsRecorded):
             raise ProblemError(
                 Problem.of(ProblemCode.INTERNAL, "the partition answered no slots")
@@ -150,7 +150,7 @@
             since = self._dead_since.setdefault(lease.holder, now)
             if now - since >= ENGINE_RESUME_SECONDS:
                 command = DropHolder(self._at(), service, lease.holder)
-                await propose_or_raise(self._replicas, partition, command)
+                await propose_or_raise(self._partitions, partition, command)
                 holder = lease.holder
                 emit(
                     HolderDropped(
@@ -176,7 +176,7 @@
 
     def _on_table_change(self) -> None:
         """Let holders renew at once when the cell of their service has changed."""
-        for partition in self._replicas.led_partitions():
+        for partition in self._partitions.led_partitions():
             state = self._allotments_of(partition)
             for service in state.services() if state is not None else ():
                 row = self._table.row(service)
@@ -188,7 +188,7 @@
 
     async def _on_list(self, sender: Member, message: Message) -> Message:
         descriptions: list[AllotmentDescription] = []
-        for partition in self._replicas.led_partitions():
+        for partition in self._partitions.led_partitions():
             state = self._allotments_of(partition)
             if state is not None:
                 descriptions.extend(self._describe(state))
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -77,25 +77,32 @@
     ] = 4.0
 
 
-class ReplicationSection(Section, frozen=True, kw_only=True):
-    """Replica groups and their archive."""
+class PartitionsSection(Section, frozen=True, kw_only=True):
+    """Partitions of the region's state, journalled in the log service."""
 
     partition_count: Annotated[
         int,
         Meta(ge=1, le=65_536, description="partitions of the region; never changed"),
     ] = 64
-    replica_count: Annotated[
-        int, Meta(ge=1, le=7, description="replicas of a partition")
-    ] = 3
+    topic_partitions: Annotated[
+        int,
+        Meta(ge=1, le=1024, description="partitions of a topic of the log service"),
+    ] = 16
+    lease_seconds: Annotated[
+        float,
+        Meta(gt=0, le=60, description="a silent leader is replaced after, seconds"),
+    ] = 3.0
     commit_seconds: Annotated[
-        float, Meta(gt=0, le=60, description="longest wait for a majority, seconds")
+        float, Meta(gt=0, le=60, description="longest wait for the log, seconds")
     ] = 5.0
-    archive_seconds: Annotated[
-        float, Meta(gt=0, le=600, description="time between archive batches, seconds")
-    ] = 1.0
-    archive_backlog_bytes: Annotated[
-        int, Meta(ge=1024, description="bound of the unarchived backlog, bytes")
-    ] = 64 * 1024 * 1024
+    snapshot_seconds: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=86_400,
+            description="greatest age of a snapshot; the log keeps records for longer",
+        ),
+    ] = 100.0
 
 
 class GatewaySection(Section, frozen=True, kw_only=True):
@@ -228,7 +235,7 @@
     daemon: DaemonSection = DaemonSection()
     platform: PlatformSection = PlatformSection()
     membership: MembershipSection = MembershipSection()
-    replication: ReplicationSection = ReplicationSection()
+    partitions: PartitionsSection = PartitionsSection()
     gateway: GatewaySection = GatewaySection()
     programs: ProgramsSection = ProgramsSection()
     engines: EnginesSection = EnginesSection()
--- a/notcharch/wire/messages/administration.py
+++ b/notcharch/wire/messages/administration.py
@@ -15,26 +15,25 @@
 class DescribeDaemon(Message, frozen=True):
     """Ask a daemon about itself. Reply: `DaemonDescription`.
 
-    With `partitions` it lists those that it replicates, too.
+    With `partitions` it lists those that it leads, too.
     """
 
     partitions: bool = False
 
 
 class PartitionDescription(msgspec.Struct, frozen=True):
-    """A replica of a partition, as its daemon sees it.
+    """A partition, as the daemon that leads it sees it.
 
-    `is_leader` and `epoch` are the daemon's own belief. `applied` and `archived`
-    are positions of commands; the backlog is what waits for the log, in bytes.
+    `applied` and `snapshot` are positions in its journal: the end of what is applied,
+    and how far the newest snapshot reaches. `waiting` commands are not durable yet.
     `reserved_tokens` are budgets that running calls hold.
     """
 
     partition: PartitionNumber
-    is_leader: bool
     epoch: Epoch
     applied: int
-    archived: int
-    archive_backlog_bytes: int
+    snapshot: int
+    waiting: int
     programs: int
     queued_calls: int
     reserved_tokens: int
--- a/tests/stateful/engines/test_claims.py
+++ b/tests/stateful/engines/test_claims.py
@@ -14,7 +14,7 @@
     DrainClaimedEngine,
     StewardClaimsState,
 )
-from notcharch.replication.interface import Command, CommandRefused
+from notcharch.partitions.interface import Command, CommandRefused
 from notcharch.values.identifiers import Epoch, Member
 
 RUN = settings(max_examples=100, deadline=None, derandomize=True)
--- /dev/null
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -0,0 +1,184 @@
+"""Random lives of partitions, the same ones at each run; and breaks that they catch."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+from twisted.internet.defer import succeed
+
+from notcharch.journal.group import GroupMember
+from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.partitions.led_partition import LedPartition
+from notcharch.partitions.replay import Replay
+from tests.stateful.partitions.machine import PartitionsMachine
+from tests.unit.partitions import test_partitions as scenarios
+
+SETTINGS = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+WITHOUT_SHRINKING = settings(
+    SETTINGS, phases=(Phase.generate,), report_multiple_bugs=False
+)
+"""Enough to see that a break is caught."""
+
+
+def test_what_was_acknowledged_stays():
+    run_state_machine_as_test(PartitionsMachine, settings=SETTINGS)
+
+
+def commands_are_answered_before_they_are_written(monkeypatch):
+    original = PartitionWriter.write
+
+    def write(self, record, done):
+        done(Outcome.DURABLE)
+        original(self, record, lambda _: None)
+
+    monkeypatch.setattr(PartitionWriter, "write", write)
+
+
+def an_append_without_an_answer_gets_another_number(monkeypatch):
+    original = PartitionWriter._append
+
+    def append(self, records):
+        append_as = self._service.append
+
+        def append_as_nobody(topic, partition, records, _producer):
+            return append_as(topic, partition, records, None)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(self._service, "append", append_as_nobody)
+            return original(self, records)
+
+    monkeypatch.setattr(PartitionWriter, "_append", append)
+
+
+def a_lost_outcome_is_called_not_written(monkeypatch):
+    original = LedPartition._written
+
+    def written(self, proposal, outcome):
+        is_lost = outcome is Outcome.LOST
+        original(self, proposal, Outcome.NOT_WRITTEN if is_lost else outcome)
+
+    monkeypatch.setattr(LedPartition, "_written", written)
+    monkeypatch.setattr(
+        LedPartition,
+        "_expire",
+        lambda self, proposal: written(self, proposal, Outcome.LOST),
+    )
+
+
+def a_leader_believes_itself_without_a_lease(monkeypatch):
+    monkeypatch.setattr(GroupMember, "is_lease_valid", property(lambda _: True))
+
+
+def a_snapshot_claims_what_is_on_its_way(monkeypatch):
+    original = LedPartition._write_snapshot
+    end = LedPartition.end
+
+    def write_snapshot(self):
+        ahead = property(lambda partition: end.fget(partition) + partition.waiting)
+        with monkeypatch.context() as patch:
+            patch.setattr(LedPartition, "end", ahead)
+            original(self)
+
+    monkeypatch.setattr(LedPartition, "_write_snapshot", write_snapshot)
+
+
+def a_snapshot_is_believed_though_records_are_missing(monkeypatch):
+    original = Replay.skipped_to
+
+    def skipped_to(self, offset):
+        original(self, offset)
+        self._first = 0
+
+    monkeypatch.setattr(Replay, "skipped_to", skipped_to)
+
+
+def a_lost_beginning_is_not_noticed(monkeypatch):
+    monkeypatch.setattr(Replay, "skipped_to", lambda self, offset: None)
+
+
+def parts_of_a_torn_snapshot_are_kept(monkeypatch):
+    original = Replay._take_part
+
+    def take_part(self, part):
+        self.is_whole = False
+        self._first = 0
+        original(self, part)
+        if not self.is_whole:
+            self.state.restore(part.data)
+            self.is_whole = True
+
+    monkeypatch.setattr(Replay, "_take_part", take_part)
+
+
+def a_planned_stop_does_not_wait_for_the_journal(monkeypatch):
+    def hand_over(self):
+        self.close()
+        return succeed(None)
+
+    monkeypatch.setattr(LedPartition, "hand_over", hand_over)
+
+
+BREAKS = [
+    (
+        commands_are_answered_before_they_are_written,
+        scenarios.test_a_command_is_in_the_journal_before_it_is_answered,
+    ),
+    (
+        an_append_without_an_answer_gets_another_number,
+        lambda: scenarios.test_appends_without_an_answer_are_written_once(
+            scenarios.Trouble.LOSE_ANSWER
+        ),
+    ),
+    (
+        a_lost_outcome_is_called_not_written,
+        scenarios.test_a_log_that_does_not_answer_in_time_leaves_the_outcome_unknown,
+    ),
+    (
+        a_leader_believes_itself_without_a_lease,
+        scenarios.test_a_leader_that_wakes_up_says_nothing_old_and_writes_nothing,
+    ),
+    (
+        a_snapshot_claims_what_is_on_its_way,
+        scenarios.test_commands_on_their_way_while_a_snapshot_is_taken_are_not_lost,
+    ),
+    (
+        a_snapshot_is_believed_though_records_are_missing,
+        scenarios.test_a_snapshot_that_lacks_records_is_not_believed,
+    ),
+    (
+        a_lost_beginning_is_not_noticed,
+        scenarios.test_a_journal_that_lost_its_beginning_is_not_led,
+    ),
+    (parts_of_a_torn_snapshot_are_kept, scenarios.test_a_torn_snapshot_is_passed_over),
+    (
+        a_planned_stop_does_not_wait_for_the_journal,
+        scenarios.test_a_planned_stop_hands_over_without_waiting_for_a_lease,
+    ),
+]
+
+
+@pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
+def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
+    break_it(monkeypatch)
+    with pytest.raises(AssertionError):
+        scenario()
+
+
+MACHINE_BREAKS = (
+    commands_are_answered_before_they_are_written,
+    a_snapshot_claims_what_is_on_its_way,
+)
+
+
+@pytest.mark.parametrize("break_it", MACHINE_BREAKS)
+def test_the_machine_catches_breaks_by_itself(break_it, monkeypatch):
+    break_it(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        run_state_machine_as_test(PartitionsMachine, settings=WITHOUT_SHRINKING)
--- a/tests/stateful/programs/machine.py
+++ b/tests/stateful/programs/machine.py
@@ -11,10 +11,10 @@
 )
 
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.partitions.interface import CommandRefused
 from notcharch.programs import commands as c
 from notcharch.programs.pages import decode_page, encode_page, page_digest
 from notcharch.programs.state import ProgramsState
-from notcharch.replication.interface import CommandRefused
 from notcharch.values.chat import Answer, ChatMessage, FinishReason, TokenUsage
 from notcharch.values.identifiers import Member
 from tests.stateful.programs.oracle import Attempt, Oracle, Program, engine_tokens
--- a/tests/stateful/services/lease_world.py
+++ b/tests/stateful/services/lease_world.py
@@ -5,7 +5,7 @@
 import attrs
 
 from notcharch.errors import Problem, ProblemCode
-from notcharch.replication.interface import CommandRefused
+from notcharch.partitions.interface import CommandRefused
 from notcharch.services.allotments import AllotmentsState, DropHolder, RequestSlots
 from notcharch.services.holder import (
     AllotmentHolder,
--- a/tests/unit/replication/counting.py
+++ b/tests/unit/partitions/counting.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from notcharch.replication.interface import Command, CommandResult
+from notcharch.partitions.interface import Command, CommandResult
 from notcharch.values.identifiers import Epoch
 
 
--- /dev/null
+++ b/tests/unit/partitions/world.py
@@ -0,0 +1,153 @@
+"""A region of daemons with partitions only, over the memory transport."""
+
+from random import Random
+
+from result import Ok
+from twisted.internet.task import Clock
+
+from emulator.faults import ServiceFaults
+from emulator.memory_exchange import MemoryWay
+from emulator.memory_journal import MemoryJournal
+from emulator.services.partitioned_log import PartitionedLog
+from notcharch.journal.owner_directory import OwnerDirectory
+from notcharch.journal.partitioning import spread_over
+from notcharch.partitions.records import SnapshotPart, decode_record
+from notcharch.partitions.service import (
+    GROUP,
+    TOPIC,
+    PartitionService,
+    partition_tools,
+)
+from notcharch.settings.schema import PartitionsSection
+from notcharch.values.identifiers import (
+    DaemonName,
+    Incarnation,
+    Member,
+    PartitionNumber,
+    ZoneName,
+)
+from notcharch.wire.memory import MemoryFabric
+from notcharch.wire.memory_time import run_for
+from tests.unit.partitions.counting import Note, Notes
+
+PARTITIONS = 4
+TOPIC_PARTITIONS = 2
+LATENCY_SECONDS = 0.0005
+TIMEOUT_SECONDS = 1.5
+START_SECONDS = 1_000_000.0
+
+
+class World:
+    """Daemons that start, crash, sleep and leave, and their log service."""
+
+    def __init__(self, daemons: int = 3, seed: int = 1, **settings) -> None:
+        self.clock = Clock()
+        self.clock.advance(START_SECONDS)
+        self.log = PartitionedLog(self.clock, Random(seed), TOPIC_PARTITIONS)
+        self.faults = ServiceFaults(self.clock)
+        self.fabric = MemoryFabric(self.clock, Random(seed))
+        self.settings = PartitionsSection(**{"partition_count": PARTITIONS} | settings)
+        self.partitioning = spread_over(TOPIC, 2, TOPIC_PARTITIONS)
+        self.services: dict[DaemonName, PartitionService] = {}
+        self.names = [DaemonName(f"d{number}") for number in range(daemons)]
+        self.starts = 0
+        self.epochs: dict[tuple[int, int], DaemonName] = {}
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: DaemonName) -> None:
+        """Start a daemon's process, perhaps again."""
+        self.starts += 1
+        member = Member(name, Incarnation(self.starts))
+        place = self.fabric.join(member, ZoneName("z"))
+        way = MemoryWay(place.clock, LATENCY_SECONDS, TIMEOUT_SECONDS)
+        journal = MemoryJournal(way, self.log, self.faults)
+        random = Random(self.starts)
+        service = PartitionService(
+            own=member,
+            peer_address=place.address,
+            partitioning=self.partitioning,
+            directory=OwnerDirectory(
+                journal,
+                place.clock,
+                random,
+                place.network,
+                GROUP,
+                partitioning=self.partitioning,
+            ),
+            lease_seconds=self.settings.lease_seconds,
+            tools=partition_tools(
+                journal,
+                place.clock,
+                random,
+                self.settings,
+                command_types=(Note,),
+                new_state=lambda _: Notes(),
+            ),
+        )
+        service.on_leadership(lambda p, epoch: self._led(name, p, epoch))
+        self.services[name] = service
+        service.start()
+
+    def _led(self, name: DaemonName, partition: int, epoch: int | None) -> None:
+        if epoch is not None:
+            leader = self.epochs.setdefault((partition, epoch), name)
+            assert leader == name, f"{leader} and {name} led in epoch {epoch}"
+
+    def crash(self, name: DaemonName, *, silent: bool = False) -> None:
+        self.fabric.crash(name, silent=silent)
+
+    def run(self, seconds: float) -> None:
+        run_for(self.clock, seconds)
+
+    def leaders(self, partition: int) -> list[DaemonName]:
+        """Give the daemons that say they lead a partition, sleeping ones left out."""
+        return [
+            name
+            for name, service in self.services.items()
+            if self.fabric.is_running(name)
+            and service.leader_epoch(PartitionNumber(partition)) is not None
+        ]
+
+    def leader(self, partition: int) -> DaemonName:
+        leaders = self.leaders(partition)
+        assert len(leaders) == 1, leaders
+        return leaders[0]
+
+    def propose(self, partition: int, text: str, by: DaemonName | None = None):
+        """Propose; gives the list in which the result appears."""
+        service = self.services[by or self.leader(partition)]
+        results = []
+        command = Note(self.clock.seconds(), text)
+        service.propose(PartitionNumber(partition), command).addCallback(results.append)
+        return results
+
+    def commit(self, partition: int, *texts: str) -> None:
+        """Propose one after the other; each must be done."""
+        for text in texts:
+            results = self.propose(partition, text)
+            self.run(0.1)
+            assert isinstance(results[0], Ok), results
+
+    def texts(self, partition: int, by: DaemonName | None = None) -> list[str]:
+        service = self.services[by or self.leader(partition)]
+        return list(service.state(PartitionNumber(partition)).texts)
+
+    def journal(self, partition: int):
+        """Give the log's partition that holds a partition's journal."""
+        place = self.partitioning.place(partition)
+        return self.log.partition(place.topic, place.number)
+
+    def drop_what_a_snapshot_holds(self, partition: int) -> int:
+        """Drop every record that the newest whole snapshot makes needless."""
+        found = self.journal(partition)
+        covered = 0
+        parts = 0
+        for data in found.records:
+            record = decode_record(data)
+            is_part = isinstance(record, SnapshotPart) and record.number in (0, parts)
+            parts = record.number + 1 if is_part else 0
+            if is_part and parts == record.count:
+                covered = record.covers_to
+        found.drop_before(covered)
+        return covered
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -15,7 +15,7 @@
     ("daemon",),
     ("gateway", "admin"),
     ("programs", "engines", "services", "table"),
-    ("replication",),
+    ("partitions",),
     ("membership", "placement"),
     ("scheduling",),
     ("clients",),
