Soak the real programs as processes, with faults from outside

Change: deploy/soak (the platform's dialect may be known there): the daemons are processes; store, engines and callers live in the soak's process behind sockets and loopback proxies. Faults: kill, pause, stop and start, reload; links delayed, silenced, cut one way, refused, reset; a store that refuses or loses calls or answers, or deals anew; engines that shed, lose answers, break events, fail, crash, leave; configurations. Test: unit/soak/test_oracle: each check passes right outcomes and sees a broken one.

--- /dev/null
+++ b/deploy/soak/callers.py
@@ -0,0 +1,235 @@
+"""Callers: programs of turns and tool calls, which retry as clients do."""
+
+from collections.abc import Generator
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.internet.task import deferLater
+
+from deploy.soak.daemons import SoakDaemon
+from deploy.soak.oracle import OK, Asked, Oracle
+from deploy.soak.settings import (
+    BUDGET_TOKENS,
+    CALL_SECONDS,
+    HOST,
+    HOST_NAME,
+    KEPT_PATH,
+    MOST_TOKENS,
+    PLAIN_PATH,
+    SAFE_PATH,
+    WRITE_PATH,
+)
+from notcharch.calls.event_stream import EventCutter, data_lines
+from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.messages import Headers, RequestHead, ResponseHead
+
+CONNECT_SECONDS = 1.0
+TRIES = 3
+RETRY_SECONDS = 0.15
+PAUSE_SECONDS = 0.1
+REQUEST_ID = b"x-notcharch-request-id"
+COMING_BACK = (429, 503)
+GIVEN_UP = (400, 402, 404)
+
+
+class Answer:
+    """Hears one answer for the oracle; an `AnswerListener`."""
+
+    def __init__(self, reactor: Any, asked: Asked) -> None:
+        """Wait for an answer."""
+        self._reactor = reactor
+        self._asked = asked
+        self._cutter = EventCutter()
+        self.retry_after = RETRY_SECONDS
+        self.done: Deferred[None] = Deferred()
+
+    def is_answer(self, head: ResponseHead) -> bool:
+        """Take every answer: one of another request is a finding."""
+        return True
+
+    def head_came(self, head: ResponseHead) -> None:
+        """Note the status and whose answer it is."""
+        self._asked.status = head.status
+        self._asked.answered_id = (head.get(REQUEST_ID) or b"").decode()
+        told = head.get(b"retry-after")
+        if told is not None:
+            self.retry_after = float(told)
+
+    def data_came(self, data: bytes) -> None:
+        """Note events or the body."""
+        if not self._asked.is_stream or self._asked.status != OK:
+            self._asked.body += data
+            return
+        whole = self._cutter.take(data)
+        for line in data_lines(whole).splitlines():
+            self._asked.events.append(line)
+
+    def ended(self) -> None:
+        """Note that the answer is whole."""
+        self._asked.is_whole = True
+        self._over()
+
+    def failed(self, failure: AnswerFailure) -> None:
+        """Note that the answer broke off."""
+        self._over()
+
+    def give_up(self, connection: ClientConnection) -> None:
+        """Leave: nothing came in time."""
+        connection.abandon()
+        self._over()
+
+    def _over(self) -> None:
+        if not self.done.called:
+            self._asked.ended_at = self._reactor.seconds()
+            self.done.callback(None)
+
+
+class Callers:
+    """Keeps so many programs under way."""
+
+    def __init__(
+        self, reactor: Any, random: Random, oracle: Oracle, daemons: list[SoakDaemon]
+    ) -> None:
+        """Ask daemons at random."""
+        self._reactor = reactor
+        self._random = random
+        self._oracle = oracle
+        self._daemons = daemons
+        self._numbers = 0
+        self.is_running = True
+        self.under_way = 0
+
+    def start(self, programs: int) -> None:
+        """Begin programs; another one follows each that ends."""
+        for _ in range(programs):
+            self._run_programs()
+
+    @inlineCallbacks
+    def _run_programs(self) -> Generator["Deferred[Any]", Any, None]:
+        self.under_way += 1
+        while self.is_running:
+            yield self._program()
+        self.under_way -= 1
+
+    @inlineCallbacks
+    def _program(self) -> Generator["Deferred[Any]", Any, None]:
+        """Run some turns with tool calls between them."""
+        program = f"p{self._new_number()}"
+        is_kept = self._random.random() < 0.5
+        previous, chain = "", b""
+        for _ in range(self._random.randint(2, 6)):
+            new_input = f"{program} says {self._random.random()}\n".encode()
+            turn: Asked | None = yield self._turn(
+                program, new_input, previous, chain, is_kept=is_kept
+            )
+            if turn is None or not self.is_running:
+                return
+            if is_kept:
+                previous = turn.id
+                chain += new_input + b"".join(event + b"\n" for event in turn.events)
+            yield self._wait(self._random.random() * PAUSE_SECONDS)
+            yield self._tool(program)
+
+    @inlineCallbacks
+    def _turn(
+        self,
+        program: str,
+        new_input: bytes,
+        previous: str,
+        chain: bytes,
+        *,
+        is_kept: bool,
+    ) -> Generator["Deferred[Any]", Any, Asked | None]:
+        """Run a turn; one that failed is sent again from its start."""
+        for _ in range(TRIES):
+            asked = Asked(
+                id=f"t{self._new_number()}",
+                path=f"{KEPT_PATH if is_kept else PLAIN_PATH}x",
+                expected_body=chain + new_input,
+                may_repeat=not is_kept,
+                is_stream=True,
+                program=program,
+                previous=previous,
+            )
+            headers = [
+                (b"X-Notcharch-Program-Id", program.encode()),
+                (b"X-Notcharch-Session-Id", program.encode()),
+                (b"X-Notcharch-Token-Budget", str(BUDGET_TOKENS).encode()),
+                (b"X-Notcharch-Token-Usage", f"100,{MOST_TOKENS}".encode()),
+            ]
+            if previous:
+                headers.append((b"X-Notcharch-Previous-Turn", previous.encode()))
+            yield self._send(asked, new_input, headers)
+            if asked.is_whole and asked.status == OK:
+                return asked
+            if asked.status in GIVEN_UP:
+                return None
+        return None
+
+    @inlineCallbacks
+    def _tool(self, program: str) -> Generator["Deferred[Any]", Any, None]:
+        """Call a tool once; a promise that it didn't run allows another try."""
+        is_safe = self._random.random() < 0.5
+        for _ in range(TRIES):
+            body = f"{program} {self._random.random()}".encode()
+            asked = Asked(
+                id=f"c{self._new_number()}",
+                path=f"{SAFE_PATH if is_safe else WRITE_PATH}x",
+                expected_body=body,
+                may_repeat=is_safe,
+                is_stream=False,
+            )
+            headers = [(b"X-Notcharch-Program-Id", program.encode())]
+            yield self._send(asked, body, headers)
+            if asked.status not in COMING_BACK:
+                return
+
+    @inlineCallbacks
+    def _send(
+        self, asked: Asked, body: bytes, headers: Headers
+    ) -> Generator["Deferred[Any]", Any, None]:
+        daemon = self._random.choice(self._daemons)
+        asked.daemon = daemon.name
+        asked.at = self._reactor.seconds()
+        self._oracle.asked[asked.id] = asked
+        answer = Answer(self._reactor, asked)
+        factory = Factory.forProtocol(ClientConnection)
+        factory.noisy = False
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, HOST, daemon.front, CONNECT_SECONDS
+        )
+        try:
+            connection: ClientConnection = yield endpoint.connect(factory)
+        except Exception:
+            asked.ended_at = self._reactor.seconds()
+            yield self._wait(RETRY_SECONDS)
+            return
+        asked.is_connected = True
+        head = RequestHead(
+            b"POST",
+            asked.path.encode(),
+            [
+                (b"Host", HOST_NAME.encode()),
+                (b"X-Notcharch-Request-Id", asked.id.encode()),
+                (b"X-Notcharch-Deadline-Ms", str(int(CALL_SECONDS * 1000)).encode()),
+                *headers,
+            ],
+        )
+        timer = self._reactor.callLater(CALL_SECONDS + 0.5, answer.give_up, connection)
+        connection.send(head, body, answer)
+        yield answer.done
+        if timer.active():
+            timer.cancel()
+        connection.close()
+        if asked.status in COMING_BACK:
+            yield self._wait(answer.retry_after)
+
+    def _new_number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def _wait(self, seconds: float) -> "Deferred[None]":
+        return deferLater(self._reactor, seconds, lambda: None)
--- /dev/null
+++ b/deploy/soak/command.py
@@ -0,0 +1,189 @@
+"""Runs one soak: faults for a while, calm, then the verdict."""
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+from random import Random, SystemRandom
+from typing import Any
+
+import msgspec
+from twisted.internet import reactor as default_reactor
+
+from deploy.soak.callers import Callers
+from deploy.soak.configuration import Operator
+from deploy.soak.daemons import SoakDaemon
+from deploy.soak.engine_server import SoakEngine
+from deploy.soak.faults import Faults, FaultTargets
+from deploy.soak.link_proxy import LinkProxy
+from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
+from deploy.soak.store_server import StoreServer
+from notcharch.http.server import ServerFactory
+
+START_SECONDS = 4.0
+LEAST_PAUSE_SECONDS = 0.3
+MOST_PAUSE_SECONDS = 2.5
+WATCH_SECONDS = 0.1
+RECOVERED_SHARE = 0.9
+"""Of the requests in the second half of the calm."""
+LAST_ANSWERS_SECONDS = 5.0
+DONE, BROKEN = 0, 1
+
+
+class SoakReport(msgspec.Struct, frozen=True):
+    """What a soak saw."""
+
+    seed: int
+    requests: int
+    served: int
+    runs: int
+    faults: int
+    calm_served: int
+    calm_requests: int
+    own_ends: int
+    violations: list[Violation]
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether every promise held and the system recovered."""
+        share = self.calm_served / max(self.calm_requests, 1)
+        return not self.violations and not self.own_ends and share >= RECOVERED_SHARE
+
+
+class Soak:
+    """One soak in a folder of its own."""
+
+    def __init__(self, reactor: Any, size: SoakSize, seed: int, folder: Path) -> None:
+        """Build everything; nothing is asked before `start`."""
+        self._reactor = reactor
+        self._size = size
+        self._seed = seed
+        self._random = Random(seed)
+        self.oracle = Oracle()
+        store = StoreServer(reactor, Random(seed), PARTITIONS)
+        port = reactor.listenTCP(0, ServerFactory(store, reactor), interface=HOST)
+        self._operator = Operator(store)
+        self._daemons = [
+            SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port))
+            for n in range(size.daemons)
+        ]
+        services = [MODELS] * size.engines + [TOOLS] * size.tools
+        engines = [
+            SoakEngine(reactor, self._random, self.oracle, store, service, number=n)
+            for n, service in enumerate(services)
+        ]
+        self._callers = Callers(reactor, Random(seed + 1), self.oracle, self._daemons)
+        self.faults = Faults(
+            FaultTargets(
+                reactor,
+                self._random,
+                self._daemons,
+                engines,
+                store,
+                self._operator.publish,
+                size.is_planned_only,
+            )
+        )
+        self._ends_at = 0.0
+        self._calm_at = 0.0
+
+    def start(self) -> None:
+        """Start the daemons, then callers and faults."""
+        for daemon in self._daemons:
+            daemon.start()
+        self._reactor.callLater(START_SECONDS, self._begin)
+
+    def _begin(self) -> None:
+        self._ends_at = self._reactor.seconds() + self._size.seconds
+        self._callers.start(self._size.programs)
+        self._watch()
+        self._next_fault()
+
+    def _watch(self) -> None:
+        """Start again what ended by itself, as the platform does."""
+        for daemon in self._daemons:
+            if daemon.notice_own_end():
+                daemon.start()
+        if self._callers.is_running:
+            self._reactor.callLater(WATCH_SECONDS, self._watch)
+
+    def _next_fault(self) -> None:
+        if self._reactor.seconds() >= self._ends_at:
+            self.faults.end()
+            self._reactor.callLater(self._size.calm_seconds / 2, self._recovered)
+            return
+        self.faults.strike()
+        pause = self._random.uniform(LEAST_PAUSE_SECONDS, MOST_PAUSE_SECONDS)
+        self._reactor.callLater(pause, self._next_fault)
+
+    def _recovered(self) -> None:
+        self._calm_at = self._reactor.seconds()
+        self._reactor.callLater(self._size.calm_seconds / 2, self._finish)
+
+    def _finish(self) -> None:
+        self._callers.is_running = False
+        self._reactor.callLater(LAST_ANSWERS_SECONDS, self._reactor.stop)
+
+    def stop(self) -> None:
+        """End the daemons that were started here."""
+        for daemon in self._daemons:
+            daemon.kill()
+
+    def _cut(self) -> list[Violation]:
+        return self.oracle.cut() if self._size.is_planned_only else []
+
+    def report(self) -> SoakReport:
+        """Judge everything that was seen."""
+        served, asked = self.oracle.served_since(self._calm_at)
+        all_served, _ = self.oracle.served_since(0.0)
+        return SoakReport(
+            seed=self._seed,
+            requests=len(self.oracle.asked),
+            served=all_served,
+            runs=sum(len(runs) for runs in self.oracle.runs.values()),
+            faults=len(self.faults.steps),
+            calm_served=served,
+            calm_requests=asked,
+            own_ends=sum(daemon.own_ends for daemon in self._daemons),
+            violations=self.oracle.violations() + self._cut(),
+        )
+
+
+def read_arguments(arguments: list[str] | None) -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="deploy.soak", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0, help="of faults")
+    parser.add_argument("--seed", type=int, help="drawn when absent")
+    parser.add_argument(
+        "--planned", action="store_true", help="only planned work, which cuts nothing"
+    )
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--keep", type=Path, help="folder for the logs")
+    return parser.parse_args(arguments)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one soak; 0 if every promise held."""
+    options = read_arguments(arguments)
+    seed = SystemRandom().randrange(10**6) if options.seed is None else options.seed
+    size = SoakSize(
+        daemons=options.daemons,
+        seconds=options.seconds,
+        is_planned_only=options.planned,
+    )
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = options.keep or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        reactor: Any = default_reactor
+        soak = Soak(reactor, size, seed, folder)
+        reactor.callWhenRunning(soak.start)
+        try:
+            reactor.run()
+        finally:
+            soak.stop()
+        report = soak.report()
+    sys.stdout.write(msgspec.json.format(msgspec.json.encode(report)).decode() + "\n")
+    if not report.is_clean:
+        sys.stdout.write("\n".join(soak.faults.steps) + "\n")
+    return DONE if report.is_clean else BROKEN
--- /dev/null
+++ b/deploy/soak/configuration.py
@@ -0,0 +1,72 @@
+"""The operator's configuration of a soak, version after version."""
+
+from typing import Any
+
+import msgspec
+
+from deploy.soak.settings import (
+    CALL_SECONDS,
+    HOST_NAME,
+    KEPT_PATH,
+    MODELS,
+    PLAIN_PATH,
+    RETENTION_SECONDS,
+    SAFE_PATH,
+    TOKENS_PER_EVENT,
+    TOOLS,
+    WRITE_PATH,
+)
+from deploy.soak.store_server import StoreServer
+
+TOPIC = "keyed.op"
+KEY = "config"
+MILLISECONDS = 1000
+
+
+def configuration(version: int) -> bytes:
+    """Give a version of the whole configuration."""
+    routes = [
+        _route("plain", PLAIN_PATH, "streaming", MODELS, resumable=True),
+        _route("kept", KEPT_PATH, "streaming", MODELS, retains_transcripts=True),
+        _route("safe", SAFE_PATH, "idempotent", TOOLS),
+        _route("write", WRITE_PATH, "non_idempotent", TOOLS),
+    ]
+    services = [
+        {"name": MODELS, "engine": {"tokens_per_event": TOKENS_PER_EVENT}},
+        {"name": TOOLS},
+    ]
+    whole = {"version": version, "routes": routes, "services": services, "limits": {}}
+    return msgspec.json.encode(whole)
+
+
+def _route(
+    name: str, path: str, kind: str, service: str, **more: bool
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "path_prefix": path,
+        "kind": kind,
+        "timeout_ms": CALL_SECONDS * MILLISECONDS,
+        "target_latency_ms": 200,
+        "service": service,
+        "retry_attempts": 2,
+        "retention_s": RETENTION_SECONDS,
+        "sticky_sessions": kind == "streaming",
+        **more,
+    }
+
+
+class Operator:
+    """Writes versions that rise in uneven steps."""
+
+    def __init__(self, store: StoreServer) -> None:
+        """Write the first one."""
+        self._store = store
+        self._version = 1
+        self.publish()
+
+    def publish(self) -> None:
+        """Write another version."""
+        self._version += 1 + self._version % 3
+        self._store.write_key(TOPIC, KEY, configuration(self._version))
--- /dev/null
+++ b/deploy/soak/daemons.py
@@ -0,0 +1,128 @@
+"""The daemons as processes: settings files, logs, signals."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from deploy.soak.link_proxy import LinkProxy
+from deploy.soak.settings import (
+    DRAIN_SECONDS,
+    GRACE_SECONDS,
+    HOST,
+    PARTITIONS,
+    RETENTION_SECONDS,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+MODULE = "notcharch.platform"
+MILLISECONDS = 1000
+
+
+def free_ports(count: int) -> list[int]:
+    """Give ports that nobody listens at now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((HOST, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+class SoakDaemon:
+    """One daemon, and its way to the store."""
+
+    def __init__(self, name: str, folder: Path, store: LinkProxy) -> None:
+        """Write its settings file; nothing runs yet."""
+        self.name = name
+        self.store = store
+        self.front, self._readiness, self._peers = free_ports(3)
+        self._settings = folder / f"{name}.conf"
+        self._log = folder / f"{name}.log"
+        self._settings.write_text(self._text())
+        self._process: subprocess.Popen[bytes] | None = None
+        self.is_stopped = False
+        """Whether it was paused by a signal."""
+        self.is_stopping = False
+        """Whether it was told to stop."""
+        self.own_ends = 0
+        """How often it ended by itself."""
+
+    def _text(self) -> str:
+        fields = {
+            "node_name": self.name,
+            "ip_address": HOST,
+            "zone": "zone-a",
+            "listen_addresses.front": f"{HOST}:{self.front}",
+            "listen_addresses.readiness": f"{HOST}:{self._readiness}",
+            "internal_port_range": f"{self._peers},{self._peers}",
+            "platform.address": f"{HOST}:{self.store.port}",
+            "platform.parts": PARTITIONS,
+            "platform.retention_s": RETENTION_SECONDS * 5,
+            "bounds.grace_period_s": GRACE_SECONDS,
+            "bounds.drain_ms": int(DRAIN_SECONDS * MILLISECONDS),
+        }
+        return "".join(f"{key}={value}\n" for key, value in fields.items())
+
+    def start(self) -> None:
+        """Start the process, if it doesn't run."""
+        if self.is_running:
+            return
+        environment = os.environ | {"NOTCHARCH_NODE_FILE": str(self._settings)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", MODULE],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_stopped = self.is_stopping = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives, paused or not."""
+        return self._process is not None and self._process.poll() is None
+
+    def notice_own_end(self) -> bool:
+        """Tell whether the process ended without being told to."""
+        process = self._process
+        if process is None or process.poll() is None or self.is_stopping:
+            return False
+        self.own_ends += 1
+        return True
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.is_stopping = True
+        self._signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def terminate(self) -> None:
+        """Tell it to stop."""
+        self.is_stopping = True
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Let it stand still."""
+        self.is_stopped = True
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self.is_stopped = False
+        self._signal(signal.SIGCONT)
+
+    def reload(self) -> None:
+        """Tell it that its settings changed."""
+        self._signal(signal.SIGHUP)
--- /dev/null
+++ b/deploy/soak/engine_server.py
@@ -0,0 +1,259 @@
+"""Engines in this process: each counts its runs for the oracle and obeys its faults."""
+
+import enum
+from random import Random
+from typing import Any
+
+import msgspec
+from twisted.internet.interfaces import IDelayedCall, IListeningPort
+
+from deploy.soak.link_proxy import LinkProxy
+from deploy.soak.oracle import Oracle, Run, answer_of, event_of
+from deploy.soak.settings import HOST, MOST_EVENTS, PLAIN_PATH
+from deploy.soak.store_server import StoreServer
+from notcharch.http.messages import Headers
+from notcharch.http.server import Exchange, ServerFactory, ServerLimits
+
+SERVERS_TOPIC = "keyed.servers"
+EVENT_SECONDS = 0.02
+WORK_SECONDS = 0.03
+HEARTBEAT_SECONDS = 1.2
+SLOTS = 16
+CHUNKED: Headers = [(b"transfer-encoding", b"chunked")]
+
+
+class EngineFault(enum.Enum):
+    """What an engine does wrong."""
+
+    NONE = "none"
+    SHED = "shed"
+    """Refuses every other request before it runs."""
+    LOSE_ANSWERS = "lose answers"
+    """Runs requests, and cuts some connections before the answer."""
+    BREAK_EVENTS = "break events"
+    """Cuts some streams in the middle of an event."""
+    ERRORS = "errors"
+    """Runs some requests and answers 500."""
+
+
+FAULT_SHARE = 0.3
+
+
+class EngineEntry(msgspec.Struct, frozen=True):
+    """An engine's entry in the store."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    call_sequence: int
+
+
+class SoakEngine:
+    """One engine: its port, its incarnation, its faults; a `RequestHandler`."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        random: Random,
+        oracle: Oracle,
+        store: StoreServer,
+        service: str,
+        *,
+        number: int,
+    ) -> None:
+        """Listen, behind a proxy, and be listed in the store."""
+        self._reactor = reactor
+        self._random = random
+        self._oracle = oracle
+        self._store = store
+        self._service = service
+        self._number = number
+        self._incarnation = 0
+        self._beats = 0
+        self.fault = EngineFault.NONE
+        self._is_leaving = False
+        self._is_down = False
+        self._open: set[Running] = set()
+        factory = ServerFactory(self, reactor)
+        self._listening: IListeningPort = reactor.listenTCP(0, factory, interface=HOST)
+        self.link = LinkProxy(reactor, self._listening.getHost().port)
+        self._beat: IDelayedCall | None = None
+        self._heartbeat()
+
+    @property
+    def id(self) -> str:
+        """The id of the present incarnation."""
+        return f"i-{self._service}-{self._number}-{self._incarnation}"
+
+    # The store's list
+
+    def _heartbeat(self) -> None:
+        if not self._is_down:
+            self._beats += 1
+            state = "draining" if self._is_leaving else "ready"
+            entry = EngineEntry(
+                self._service,
+                f"{HOST}:{self.link.port}",
+                "zone-a",
+                SLOTS,
+                state,
+                self._beats,
+            )
+            value = msgspec.json.encode(entry)
+            self._store.write_key(SERVERS_TOPIC, self.id, value)
+        self._beat = self._reactor.callLater(HEARTBEAT_SECONDS, self._heartbeat)
+
+    def leave(self) -> None:
+        """Say that this engine leaves; it goes on serving."""
+        self._is_leaving = True
+        if self._beat is not None and self._beat.active():
+            self._beat.reset(0)
+
+    def crash(self) -> None:
+        """End everything that runs; be another incarnation later."""
+        self._is_down = True
+        self._store.write_key(SERVERS_TOPIC, self.id, b"")
+        for running in tuple(self._open):
+            running.cut()
+        self.link.reset_all()
+
+    def start_again(self) -> None:
+        """Begin another incarnation."""
+        if not (self._is_down or self._is_leaving):
+            return
+        self._store.write_key(SERVERS_TOPIC, self.id, b"")
+        self._incarnation += 1
+        self._is_down = self._is_leaving = False
+        if self._beat is not None and self._beat.active():
+            self._beat.reset(0)
+
+    # Requests
+
+    def limits(self) -> ServerLimits:
+        """Give the usual limits."""
+        return ServerLimits()
+
+    def is_closing(self) -> bool:
+        """Keep connections."""
+        return False
+
+    def count(self, change: int) -> None:
+        """Count nothing."""
+
+    def handle(self, exchange: Exchange) -> None:
+        """Refuse a request, or run it."""
+        head = exchange.head
+        expected = (head.get(b"x-notcharch-expect-instance") or b"").decode()
+        if self._is_down:
+            exchange.abort()
+            return
+        if expected and expected != self.id:
+            exchange.answer(421, [(b"X-Notcharch-Instance-Id", self.id.encode())])
+            return
+        if self.fault is EngineFault.SHED and self._is_struck():
+            exchange.answer(503, [(b"X-Notcharch-Not-Executed", b"1")])
+            return
+        Running(self, exchange).start()
+
+    def _is_struck(self) -> bool:
+        return self._random.random() < FAULT_SHARE
+
+    def is_struck_by(self, fault: EngineFault) -> bool:
+        """Tell whether a request suffers from a fault."""
+        return self.fault is fault and self._is_struck()
+
+    def began(self, running: "Running", run: Run) -> None:
+        """Count a run."""
+        self._open.add(running)
+        self._oracle.runs[running.request].append(run)
+
+    def ended(self, running: "Running") -> None:
+        """Forget a run."""
+        self._open.discard(running)
+
+    def later(self, seconds: float, call: Any) -> IDelayedCall:
+        """Call later."""
+        delayed: IDelayedCall = self._reactor.callLater(seconds, call)
+        return delayed
+
+    def length_of(self, request: str) -> int:
+        """Give how many events a stream has; each engine gives as many."""
+        length = self._oracle.lengths.get(request)
+        if length is None:
+            length = self._oracle.lengths[request] = self._random.randint(
+                3, MOST_EVENTS
+            )
+        return length
+
+
+class Running:
+    """One request that an engine runs."""
+
+    def __init__(self, engine: SoakEngine, exchange: Exchange) -> None:
+        """Read what the run needs."""
+        self._engine = engine
+        self._exchange = exchange
+        head = exchange.head
+        self.request = (head.get(b"x-notcharch-request-id") or b"").decode()
+        self._path = head.target.decode()
+        after = head.get(b"last-event-id")
+        self._next = 0 if after is None else int(after) + 1
+        self._timer: IDelayedCall | None = None
+        exchange.on_gone = self._gone
+
+    def start(self) -> None:
+        """Run it."""
+        run = Run(self._engine.id, self._path, self._exchange.body, self._next - 1)
+        self._engine.began(self, run)
+        self._timer = self._engine.later(WORK_SECONDS, self._answer)
+
+    @property
+    def _headers(self) -> Headers:
+        return [
+            (b"X-Notcharch-Request-Id", self.request.encode()),
+            (b"X-Notcharch-Response-Seal", b"seal-" + self.request.encode()),
+        ]
+
+    def _answer(self) -> None:
+        engine = self._engine
+        if engine.is_struck_by(EngineFault.LOSE_ANSWERS):
+            self.cut()
+        elif engine.is_struck_by(EngineFault.ERRORS):
+            engine.ended(self)
+            self._exchange.answer(500, self._headers, b"error")
+        elif self._path.startswith((PLAIN_PATH, "/kept/")):
+            headers = [*self._headers, (b"content-type", b"text/event-stream")]
+            self._exchange.start(200, headers)
+            self._event()
+        else:
+            engine.ended(self)
+            body = answer_of(self.request, self._exchange.body)
+            self._exchange.answer(200, self._headers, body)
+
+    def _event(self) -> None:
+        engine = self._engine
+        if self._next >= engine.length_of(self.request):
+            engine.ended(self)
+            self._exchange.finish()
+            return
+        data = event_of(self.request, self._next)
+        event = b"id: %d\ndata: %b\n\n" % (self._next, data)
+        if engine.is_struck_by(EngineFault.BREAK_EVENTS):
+            self._exchange.write(event[: len(event) // 2])
+            self._timer = engine.later(0.0, self.cut)
+            return
+        self._exchange.write(event)
+        self._next += 1
+        self._timer = engine.later(EVENT_SECONDS, self._event)
+
+    def cut(self) -> None:
+        """Break the answer off."""
+        self._gone()
+        self._exchange.abort()
+
+    def _gone(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._engine.ended(self)
--- /dev/null
+++ b/deploy/soak/faults.py
@@ -0,0 +1,217 @@
+"""The faults of a soak: each is begun, and ended some seconds later."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from deploy.soak.daemons import SoakDaemon
+from deploy.soak.engine_server import EngineFault, SoakEngine
+from deploy.soak.link_proxy import LinkFault, LinkProxy
+from deploy.soak.store_server import StoreServer
+from emulator.services.partitioned_log import Trouble
+from notcharch.accounts.service import GROUP
+
+RESTART_SECONDS = 0.5
+STORE_TROUBLES = (Trouble.REFUSE, Trouble.LOSE_ANSWER, Trouble.LOSE_CALL)
+LINK_FAULTS = (
+    LinkFault.DELAY,
+    LinkFault.SILENT,
+    LinkFault.SILENT_BACK,
+    LinkFault.REFUSE,
+)
+ENGINE_FAULTS = (
+    EngineFault.SHED,
+    EngineFault.LOSE_ANSWERS,
+    EngineFault.BREAK_EVENTS,
+    EngineFault.ERRORS,
+)
+
+
+class FaultTargets(msgspec.Struct, frozen=True):
+    """What can be struck."""
+
+    reactor: Any
+    random: Random
+    daemons: list[SoakDaemon]
+    engines: list[SoakEngine]
+    store: StoreServer
+    publish: Callable[[], None]
+    """Write another version of the configuration."""
+    is_planned_only: bool = False
+
+
+class Faults:
+    """Begins random faults; several may be under way at once."""
+
+    def __init__(self, targets: FaultTargets) -> None:
+        """Strike these."""
+        self._targets = targets
+        self._random = targets.random
+        self.steps: list[str] = []
+        """What was done, in order, each with its seconds."""
+        self._began = targets.reactor.seconds()
+        planned = (
+            self._stop_and_start,
+            self._reload,
+            self._replace_engine,
+            self._configure,
+        )
+        unplanned = (
+            self._kill_some,
+            self._kill_most,
+            self._pause,
+            self._break_store_link,
+            self._trouble_the_store,
+            self._deal_anew,
+            self._break_engine_link,
+            self._spoil_engine,
+            self._crash_engine,
+        )
+        is_planned = targets.is_planned_only
+        self._kinds: tuple[Callable[[], str], ...] = (
+            planned if is_planned else planned + unplanned
+        )
+
+    def strike(self) -> None:
+        """Begin one fault."""
+        kind = self._random.choice(self._kinds)
+        seconds = self._targets.reactor.seconds() - self._began
+        self.steps.append(f"{seconds:6.2f} {kind()}")
+
+    def _later(self, least: float, most: float, call: Callable[[], None]) -> float:
+        seconds = self._random.uniform(least, most)
+        self._targets.reactor.callLater(seconds, call)
+        return seconds
+
+    # Daemons
+
+    def _some(self, share: float) -> list[SoakDaemon]:
+        count = max(1, round(share * len(self._targets.daemons)))
+        return self._random.sample(self._targets.daemons, count)
+
+    def _kill(self, struck: list[SoakDaemon]) -> str:
+        for daemon in struck:
+            daemon.kill()
+            self._later(RESTART_SECONDS, 2.0, daemon.start)
+        return "kill " + " ".join(daemon.name for daemon in struck)
+
+    def _kill_some(self) -> str:
+        return self._kill(self._some(0.25))
+
+    def _kill_most(self) -> str:
+        return self._kill(self._some(self._random.choice((0.5, 0.75, 1.0))))
+
+    def _pause(self) -> str:
+        [daemon] = self._some(0.0)
+        daemon.pause()
+        seconds = self._later(0.3, 4.0, daemon.resume)
+        return f"pause {daemon.name} for {seconds:.2f} s"
+
+    def _stop_and_start(self) -> str:
+        [daemon] = self._some(0.0)
+        if daemon.is_stopping:
+            return f"{daemon.name} is stopping already"
+        daemon.terminate()
+        self._await_end(daemon)
+        return f"stop {daemon.name}"
+
+    def _await_end(self, daemon: SoakDaemon) -> None:
+        if daemon.is_running:
+            self._later(0.2, 0.2, lambda: self._await_end(daemon))
+        else:
+            daemon.start()
+
+    def _reload(self) -> str:
+        [daemon] = self._some(0.0)
+        daemon.reload()
+        return f"reload {daemon.name}"
+
+    # Links and the store
+
+    def _break(self, link: LinkProxy, name: str) -> str:
+        link.fault = self._random.choice(LINK_FAULTS)
+        if self._random.random() < 0.3:
+            link.reset_all()
+        seconds = self._later(0.5, 4.0, lambda: _mend(link))
+        return f"{name}: {link.fault.value} for {seconds:.2f} s"
+
+    def _break_store_link(self) -> str:
+        [daemon] = self._some(0.0)
+        return self._break(daemon.store, f"{daemon.name} to the store")
+
+    def _trouble_the_store(self) -> str:
+        log = self._targets.store.log
+        log.trouble = self._random.choice(STORE_TROUBLES)
+
+        def end() -> None:
+            log.trouble = Trouble.NONE
+
+        seconds = self._later(0.3, 3.0, end)
+        return f"store: {log.trouble.value} for {seconds:.2f} s"
+
+    def _deal_anew(self) -> str:
+        groups = self._targets.store.log.groups
+        if groups.owners(GROUP):
+            groups.rebalance(GROUP)
+        return "store deals all partitions anew"
+
+    # Engines
+
+    def _engine(self) -> SoakEngine:
+        return self._random.choice(self._targets.engines)
+
+    def _break_engine_link(self) -> str:
+        engine = self._engine()
+        return self._break(engine.link, f"link of {engine.id}")
+
+    def _spoil_engine(self) -> str:
+        engine = self._engine()
+        engine.fault = self._random.choice(ENGINE_FAULTS)
+
+        def end() -> None:
+            engine.fault = EngineFault.NONE
+
+        seconds = self._later(0.5, 4.0, end)
+        return f"{engine.id}: {engine.fault.value} for {seconds:.2f} s"
+
+    def _crash_engine(self) -> str:
+        engine = self._engine()
+        engine.crash()
+        self._later(0.5, 3.0, engine.start_again)
+        return f"crash {engine.id}"
+
+    def _replace_engine(self) -> str:
+        engine = self._engine()
+        engine.leave()
+        self._later(3.0, 4.0, engine.start_again)
+        return f"{engine.id} leaves"
+
+    def _configure(self) -> str:
+        self._targets.publish()
+        return "another version of the configuration"
+
+    def end(self) -> None:
+        """End everything that was begun."""
+        targets = self._targets
+        targets.store.log.trouble = Trouble.NONE
+        for engine in targets.engines:
+            engine.fault = EngineFault.NONE
+            engine.link.fault = LinkFault.NONE
+            engine.start_again()
+        for daemon in targets.daemons:
+            daemon.store.fault = LinkFault.NONE
+            daemon.resume()
+            self._await_start(daemon)
+
+    def _await_start(self, daemon: SoakDaemon) -> None:
+        if daemon.is_stopping:
+            self._await_end(daemon)
+        else:
+            daemon.start()
+
+
+def _mend(link: LinkProxy) -> None:
+    link.fault = LinkFault.NONE
+    link.reset_all()
--- /dev/null
+++ b/deploy/soak/oracle.py
@@ -0,0 +1,151 @@
+"""What callers and engines saw, and which promises that breaks."""
+
+import hashlib
+from collections import defaultdict
+
+import msgspec
+
+from deploy.soak.settings import BUDGET_TOKENS, MOST_TOKENS, TOKENS_PER_EVENT
+
+REFUSALS = (402, 404, 408, 421, 429, 503)
+"""Answers that promise that the request has not run and never will."""
+OK = 200
+
+
+class Asked(msgspec.Struct):
+    """One request of a caller."""
+
+    id: str
+    path: str
+    expected_body: bytes
+    """What an engine is to get."""
+    may_repeat: bool
+    """Whether it may run more than once."""
+    is_stream: bool
+    program: str = ""
+    previous: str = ""
+    at: float = 0.0
+    daemon: str = ""
+    is_connected: bool = False
+    """Whether a daemon took the connection."""
+    status: int = 0
+    """0 without an answer."""
+    events: list[bytes] = []
+    body: bytes = b""
+    is_whole: bool = False
+    answered_id: str = ""
+    ended_at: float = 0.0
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One run of a request at an engine."""
+
+    engine: str
+    path: str
+    body: bytes
+    after_event: int
+    """-1 if it began at the beginning."""
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A promise that was broken."""
+
+    rule: str
+    request: str
+    what: str
+
+
+def event_of(request: str, number: int) -> bytes:
+    """Give the data of an event of an engine's stream."""
+    return f"{request}:{number}".encode()
+
+
+def answer_of(request: str, body: bytes) -> bytes:
+    """Give the body of an engine's answer to a request without a stream."""
+    return hashlib.sha256(request.encode() + body).hexdigest().encode()
+
+
+class Oracle:
+    """Collects what was seen; says at the end what was wrong."""
+
+    def __init__(self) -> None:
+        """Begin with nothing seen."""
+        self.asked: dict[str, Asked] = {}
+        self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.lengths: dict[str, int] = {}
+        """How many events the engines give of a stream."""
+
+    def violations(self) -> list[Violation]:
+        """Compare everything that was seen with every promise."""
+        found: list[Violation] = []
+        for request, runs in self.runs.items():
+            found += self._judge_runs(request, runs)
+        for asked in self.asked.values():
+            found += self._judge_answer(asked)
+        return found + self._judge_budgets()
+
+    def _judge_runs(self, request: str, runs: list[Run]) -> list[Violation]:
+        asked = self.asked.get(request)
+        if asked is None:
+            return [Violation("UNASKED", request, "no caller sent it")]
+        found = []
+        if any(
+            (run.path, run.body) != (asked.path, asked.expected_body) for run in runs
+        ):
+            found.append(Violation("UNASKED", request, "path or body was changed"))
+        if len(runs) > 1 and not asked.may_repeat:
+            found.append(Violation("TWICE", request, f"{len(runs)} runs"))
+        if asked.status in REFUSALS:
+            found.append(Violation("REFUSED", request, f"{asked.status}, yet it ran"))
+        return found
+
+    def _judge_answer(self, asked: Asked) -> list[Violation]:
+        found = []
+        if asked.answered_id not in ("", asked.id):
+            found.append(Violation("MIXED", asked.id, f"answer to {asked.answered_id}"))
+        if asked.is_stream:
+            found += self._judge_stream(asked)
+        elif asked.is_whole and asked.status == OK:
+            found += self._judge_body(asked)
+        if asked.previous and asked.status == 404:
+            found.append(Violation("LOST", asked.id, f"{asked.previous} is unknown"))
+        return found
+
+    def _judge_body(self, asked: Asked) -> list[Violation]:
+        if asked.body == answer_of(asked.id, asked.expected_body):
+            return []
+        return [Violation("MIXED", asked.id, "another body")]
+
+    def _judge_stream(self, asked: Asked) -> list[Violation]:
+        expected = [event_of(asked.id, n) for n in range(len(asked.events))]
+        if asked.events != expected:
+            return [Violation("ORDER", asked.id, f"events {asked.events[:3]}")]
+        is_success = asked.is_whole and asked.status == OK
+        if is_success and len(asked.events) != self.lengths.get(asked.id):
+            return [Violation("ORDER", asked.id, f"whole after {len(asked.events)}")]
+        return []
+
+    def _judge_budgets(self) -> list[Violation]:
+        spent: dict[str, int] = defaultdict(int)
+        for asked in self.asked.values():
+            spent[asked.program] += TOKENS_PER_EVENT * len(asked.events)
+        allowed = BUDGET_TOKENS + MOST_TOKENS
+        return [
+            Violation("BUDGET", program, f"{tokens} of {BUDGET_TOKENS} tokens")
+            for program, tokens in spent.items()
+            if program and tokens > allowed
+        ]
+
+    def cut(self) -> list[Violation]:
+        """Give the requests that a daemon took and did not answer whole."""
+        return [
+            Violation("LOST", asked.id, f"cut at {asked.daemon}")
+            for asked in self.asked.values()
+            if asked.is_connected and asked.ended_at and not asked.is_whole
+        ]
+
+    def served_since(self, at: float) -> tuple[int, int]:
+        """Give how many requests were answered by engines, and asked, since a time."""
+        asked = [a for a in self.asked.values() if a.at >= at and a.ended_at]
+        served = [a for a in asked if a.is_whole and a.status in (OK, 402)]
+        return len(served), len(asked)
--- /dev/null
+++ b/tests/unit/soak/test_oracle.py
@@ -0,0 +1,113 @@
+"""Each check of the soak's oracle passes a right outcome and sees a broken one."""
+
+import pytest
+
+from deploy.soak.oracle import Asked, Oracle, Run, answer_of, event_of
+from deploy.soak.settings import BUDGET_TOKENS, TOKENS_PER_EVENT
+
+BODY = b"said"
+
+
+def tool(**changes) -> Asked:
+    whole = {"status": 200, "body": answer_of("r", BODY), "is_whole": True}
+    return Asked("r", "/write/x", BODY, False, False, **(whole | changes))
+
+
+def turn(events=3, **changes) -> Asked:
+    given = [event_of("r", number) for number in range(events)]
+    whole = {"status": 200, "events": given, "is_whole": True, "program": "p"}
+    return Asked("r", "/kept/x", BODY, False, True, **(whole | changes))
+
+
+def run(**changes) -> Run:
+    fields = {"engine": "i", "path": "/write/x", "body": BODY, "after_event": -1}
+    return Run(**(fields | changes))
+
+
+def judged(asked: Asked, *runs: Run, length: int = 3) -> list[str]:
+    oracle = Oracle()
+    oracle.asked[asked.id] = asked
+    oracle.lengths[asked.id] = length
+    if runs:
+        oracle.runs["r"] = list(runs)
+    return [violation.rule for violation in oracle.violations()]
+
+
+KEPT_RUN = run(path="/kept/x")
+
+
+@pytest.mark.parametrize(
+    ("asked", "runs"),
+    [
+        (tool(), [run()]),
+        (tool(status=503, body=b""), []),
+        (tool(status=0, body=b"", is_whole=False), [run()]),
+        (turn(), [KEPT_RUN]),
+        (turn(events=2, is_whole=False), [KEPT_RUN]),
+    ],
+)
+def test_right_outcomes_pass(asked, runs):
+    assert judged(asked, *runs) == []
+
+
+@pytest.mark.parametrize(
+    ("asked", "runs", "rule"),
+    [
+        (tool(), [run(), run()], "TWICE"),
+        (tool(status=503, body=b""), [run()], "REFUSED"),
+        (tool(status=429, body=b""), [run()], "REFUSED"),
+        (tool(body=b"other"), [run()], "MIXED"),
+        (tool(answered_id="q"), [run()], "MIXED"),
+        (tool(), [run(body=b"changed")], "UNASKED"),
+        (tool(), [run(path="/other/x")], "UNASKED"),
+        (turn(events=2), [KEPT_RUN], "ORDER"),
+        (turn(status=404, events=0, previous="t"), [], "LOST"),
+    ],
+)
+def test_broken_promises_are_seen(asked, runs, rule):
+    assert rule in judged(asked, *runs)
+
+
+def test_a_run_that_nobody_asked_for_is_seen():
+    oracle = Oracle()
+    oracle.runs["x"] = [run()]
+    assert [violation.rule for violation in oracle.violations()] == ["UNASKED"]
+
+
+@pytest.mark.parametrize("numbers", [(0, 2), (0, 0, 1), (1, 2)])
+def test_events_that_lack_or_repeat_are_seen(numbers):
+    asked = turn(events=0, is_whole=False)
+    asked.events = [event_of("r", number) for number in numbers]
+    assert "ORDER" in judged(asked, KEPT_RUN)
+
+
+@pytest.mark.parametrize(("extra", "rules"), [(0, []), (1, ["BUDGET"])])
+def test_a_budget_may_be_exceeded_by_one_turn_at_most(extra, rules):
+    oracle = Oracle()
+    events = BUDGET_TOKENS // TOKENS_PER_EVENT
+    for name, count in (("a", events), ("b", 12 + extra)):
+        asked = turn(events=0, is_whole=False)
+        asked.id = name
+        asked.events = [event_of(name, number) for number in range(count)]
+        oracle.asked[name] = asked
+    assert [violation.rule for violation in oracle.violations()] == rules
+
+
+def test_requests_that_were_taken_and_cut_are_told():
+    oracle = Oracle()
+    for name, is_connected, is_whole in (
+        ("cut", True, False),
+        ("whole", True, True),
+        ("not taken", False, False),
+    ):
+        oracle.asked[name] = Asked(
+            name,
+            "/write/x",
+            BODY,
+            False,
+            False,
+            is_connected=is_connected,
+            is_whole=is_whole,
+            ended_at=1.0,
+        )
+    assert [violation.request for violation in oracle.cut()] == ["cut"]
