--- /dev/null
+++ b/emulator/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The network between daemons in one process: links, faults, stalling clocks."""
--- a/notcharch/wire/memory.py
+++ b/emulator/peers/fabric.py
@@ -10,11 +10,11 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from emulator.peers.faults import FaultPlan, Link
+from emulator.peers.network import MemoryDaemon
+from emulator.peers.time import EventQueue
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 from notcharch.wire.codec import MessageCodec, default_codec
-from notcharch.wire.memory_faults import FaultPlan, Link
-from notcharch.wire.memory_network import MemoryDaemon
-from notcharch.wire.memory_time import EventQueue
 
 DATAGRAM = "datagram"
 """The name under which datagrams are counted."""
--- a/notcharch/wire/memory_network.py
+++ b/emulator/peers/network.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
+from emulator.peers.time import MemberClock
 from notcharch.errors import Problem
 from notcharch.values.identifiers import DaemonName, Member, ZoneName
 from notcharch.wire.codec import (
@@ -17,13 +18,12 @@
 )
 from notcharch.wire.datagrams import DatagramListener
 from notcharch.wire.handlers import HandlerTable, answer_own
-from notcharch.wire.memory_time import MemberClock
 from notcharch.wire.messages.base import Message
 from notcharch.wire.open_requests import OpenRequest, OpenRequests, reply_of
 from notcharch.wire.peers import NoticeHandler, RequestHandler
 
 if TYPE_CHECKING:
-    from notcharch.wire.memory import MemoryFabric
+    from emulator.peers.fabric import MemoryFabric
 
 DIAL_FAILURE_SECONDS = 3.0
 """A link cut for so long has lost its connection: requests fail unwritten."""
--- a/experiments/accounts_scale.py
+++ b/experiments/accounts_scale.py
@@ -17,6 +17,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.service import AccountSettings, AccountsService
@@ -24,7 +25,6 @@
 from notcharch.http.messages import RequestHead
 from notcharch.journal.interface import LogService
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from notcharch.wire.memory import MemoryFabric
 
 STEP_SECONDS = 0.01
 SETTLE_SECONDS = 4.0
--- a/experiments/membership_cost.py
+++ b/experiments/membership_cost.py
@@ -24,6 +24,7 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
+from emulator.peers.fabric import DATAGRAM
 from experiments.membership_region import (
     FIRST_INCARNATION,
     REGION,
@@ -44,7 +45,6 @@
 from notcharch.wire.codec import default_codec
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.datagrams import UdpDatagramPort
-from notcharch.wire.memory import DATAGRAM
 from notcharch.wire.messages.membership import MemberRecord
 
 UDP_HEADER_BYTES = 28
--- a/experiments/membership_detection.py
+++ b/experiments/membership_detection.py
@@ -14,9 +14,9 @@
 import sys
 from collections.abc import Callable
 
+from emulator.peers.faults import LinkFaults
 from experiments.membership_region import ZONES, MembershipRegion
 from notcharch.values.identifiers import DaemonName
-from notcharch.wire.memory_faults import LinkFaults
 
 STEP_SECONDS = 0.05
 LONGEST_SECONDS = 300.0
--- a/experiments/membership_region.py
+++ b/experiments/membership_region.py
@@ -7,6 +7,8 @@
 
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from notcharch.clients.ports import (
     Machine,
     MachineChanges,
@@ -23,8 +25,6 @@
     RegionName,
     ZoneName,
 )
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from notcharch.wire.messages.membership import MemberRecord
 
 REGION = RegionName("region1")
--- a/experiments/scale_region.py
+++ b/experiments/scale_region.py
@@ -15,6 +15,7 @@
 from emulator.memory import MemoryLogPort
 from emulator.memory_exchange import MemoryWay
 from emulator.memory_journal import MemoryJournal
+from emulator.peers.network import MemoryDaemon
 from emulator.settings import (
     EmulatorSettings,
     EngineSection,
@@ -38,7 +39,6 @@
     RegionName,
     ZoneName,
 )
-from notcharch.wire.memory_network import MemoryDaemon
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.engines import EngineListing, ListEngines
 
--- a/experiments/virtual/region.py
+++ b/experiments/virtual/region.py
@@ -18,6 +18,8 @@
 
 from emulator.memory_exchange import MemoryWay
 from emulator.models import RegionModels
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.network import MemoryDaemon
 from emulator.settings import EmulatorSettings
 from emulator.virtual_clock import VirtualClock
 from notcharch.clients.ports import Machine, MachineKind, MachineState
@@ -35,8 +37,6 @@
     TableVersion,
     ZoneName,
 )
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_network import MemoryDaemon
 
 START_SECONDS = 1_000_000.0
 """Virtual time at the start; far from 0 so that ages stay positive."""
--- a/notcharch/wire/peers.py
+++ b/notcharch/wire/peers.py
@@ -1,7 +1,7 @@
 """What a module sees of the network between daemons.
 
 `PeerNetwork` has three implementations: TCP connections (`wire/connections.py`),
-the memory transport of tests and hollow daemons (`wire/memory.py`), and none other.
+the memory transport of tests and hollow daemons (`emulator/peers`), and none other.
 A request to the daemon itself is delivered without the network.
 """
 
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -5,17 +5,17 @@
 
 import msgspec
 from hypothesis import strategies as st
-from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, rule
+from hypothesis.stateful import Bundle, consumes, rule
 
-from emulator.services.partitioned_log import Trouble
+from notcharch.accounts.service import GROUP
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import UNKNOWN_TURN
+from tests.stateful.daemon_fates import DAEMONS, DaemonFates, daemons
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
 PROGRAMS = ("p", "q")
 BUDGET = 500
 MOST = 100
-DAEMONS = 3
 
 
 class Running(msgspec.Struct):
@@ -27,23 +27,22 @@
     previous_known: bool
 
 
-class AccountsMachine(RuleBasedStateMachine):
+class AccountsMachine(DaemonFates):
     """Callers, daemons and the log service."""
 
     calls = Bundle("calls")
+    group = GROUP
 
     def __init__(self) -> None:
         super().__init__()
         self.world = World(DAEMONS)
         self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
         self.kept: dict[str, bytes] = {}
-        self.down: set[int] = set()
-        self.asleep: set[int] = set()
 
     @rule(
         target=calls,
         program=st.sampled_from(PROGRAMS),
-        daemon=st.integers(0, DAEMONS - 1),
+        daemon=daemons,
         goes_on=st.booleans(),
         pick=st.integers(0, 50),
     )
@@ -98,48 +97,8 @@
         if running.previous_known:
             assert listener.refusal != UNKNOWN_TURN
 
-    @rule(daemon=st.integers(0, DAEMONS - 1), silent=st.booleans())
-    def crash(self, daemon, silent):
-        if daemon not in self.down:
-            self.wake(daemon)
-            self.world.crash(self.world.names[daemon], silent=silent)
-            self.down.add(daemon)
-
-    @rule(daemon=st.integers(0, DAEMONS - 1))
-    def start(self, daemon):
-        if daemon in self.down:
-            self.world.start(self.world.names[daemon])
-            self.down.discard(daemon)
-
-    @rule(daemon=st.integers(0, DAEMONS - 1))
-    def leave_and_return(self, daemon):
-        if daemon not in self.down | self.asleep:
-            name = self.world.names[daemon]
-            self.world.services[name].leave()
-            self.world.run(0.5)
-            self.world.crash(name)
-            self.world.start(name)
-
-    @rule(daemon=st.integers(0, DAEMONS - 1))
-    def sleep(self, daemon):
-        if daemon not in self.down | self.asleep:
-            self.world.fabric.pause(self.world.names[daemon])
-            self.asleep.add(daemon)
-
-    @rule(daemon=st.integers(0, DAEMONS - 1))
-    def wake(self, daemon):
-        if daemon in self.asleep:
-            self.world.fabric.resume(self.world.names[daemon])
-            self.asleep.discard(daemon)
-
-    @rule(trouble=st.sampled_from(list(Trouble)))
-    def trouble(self, trouble):
-        self.world.log.trouble = trouble
-
-    @rule()
-    def deal_anew(self):
-        if self.world.log.groups.owners("account-owners"):
-            self.world.log.groups.rebalance("account-owners")
+    def leave(self, name):
+        self.world.services[name].leave()
 
     @rule(seconds=st.sampled_from([0.02, 0.1, 0.4, 1.5, 4.0]))
     def wait(self, seconds):
@@ -148,10 +107,7 @@
     @rule()
     def all_is_well_again(self):
         """Once everything works, a kept turn is found and a call is decided."""
-        self.world.log.trouble = Trouble.NONE
-        for daemon in range(DAEMONS):
-            self.wake(daemon)
-            self.start(daemon)
+        self.heal()
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
--- a/tests/stateful/partitions/machine.py
+++ b/tests/stateful/partitions/machine.py
@@ -7,24 +7,24 @@
 """
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import invariant, rule
 from result import Ok
 
 from emulator.faults import FaultKind
-from emulator.services.partitioned_log import Trouble
 from notcharch.errors import Ran
 from notcharch.partitions.service import GROUP
+from tests.stateful.daemon_fates import DAEMONS, DaemonFates, daemons
 from tests.unit.partitions.world import PARTITIONS, World
 
-DAEMONS = 3
 SNAPSHOT_SECONDS = 8.0
-daemons = st.integers(0, DAEMONS - 1)
 partitions = st.integers(0, PARTITIONS - 1)
 
 
-class PartitionsMachine(RuleBasedStateMachine):
+class PartitionsMachine(DaemonFates):
     """Proposers, daemons and the log service."""
 
+    group = GROUP
+
     def __init__(self) -> None:
         super().__init__()
         self.world = World(DAEMONS, snapshot_seconds=SNAPSHOT_SECONDS)
@@ -32,8 +32,6 @@
         self.answers: list[tuple[int, str, list]] = []
         self.of_crashed: set[str] = set()
         """Texts whose proposers died, so that nobody answers them."""
-        self.down: set[int] = set()
-        self.asleep: set[int] = set()
         self.texts = 0
 
     @rule(partition=partitions, daemon=daemons, count=st.integers(1, 3))
@@ -53,58 +51,25 @@
             if name in self.world.leaders(partition):
                 self.propose(partition, number, 2)
 
-    @rule(daemon=daemons, silent=st.booleans())
-    def crash(self, daemon, silent):
-        if daemon not in self.down:
-            self.wake(daemon)
-            self.forget_waiting()
-            self.world.crash(self.world.names[daemon], silent=silent)
-            self.down.add(daemon)
-
-    def forget_waiting(self):
+    @rule(partition=partitions)
+    def snapshot_while_commands_are_under_way(self, partition):
+        self.propose_at_the_leader(partition)
+        for name in self.world.leaders(partition):
+            led = self.world.services[name]._dealt.get(partition)
+            if led.end and not led._is_snapshotting:
+                led._write_snapshot()
+        self.propose_at_the_leader(partition)
+
+    def leave(self, name):
+        self.world.services[name].hand_over()
+
+    def before_a_crash(self):
         self.of_crashed |= {text for _, text, answers in self.answers if not answers}
 
-    @rule(daemon=daemons)
-    def start(self, daemon):
-        if daemon in self.down:
-            self.world.start(self.world.names[daemon])
-            self.down.discard(daemon)
-
-    @rule(daemon=daemons)
-    def leave_and_return(self, daemon):
-        if daemon not in self.down | self.asleep:
-            name = self.world.names[daemon]
-            self.world.services[name].hand_over()
-            self.world.run(0.5)
-            self.forget_waiting()
-            self.world.crash(name)
-            self.world.start(name)
-
-    @rule(daemon=daemons)
-    def sleep(self, daemon):
-        if daemon not in self.down | self.asleep:
-            self.world.fabric.pause(self.world.names[daemon])
-            self.asleep.add(daemon)
-
-    @rule(daemon=daemons)
-    def wake(self, daemon):
-        if daemon in self.asleep:
-            self.world.fabric.resume(self.world.names[daemon])
-            self.asleep.discard(daemon)
-
-    @rule(trouble=st.sampled_from(list(Trouble)))
-    def trouble(self, trouble):
-        self.world.log.trouble = trouble
-
     @rule(kind=st.sampled_from([FaultKind.DOWN, FaultKind.HANG, FaultKind.ANSWER_LOST]))
     def break_the_way_to_the_log(self, kind):
         self.world.faults.order_fault(kind, 2.0)
 
-    @rule()
-    def deal_anew(self):
-        if self.world.log.groups.owners(GROUP):
-            self.world.log.groups.rebalance(GROUP)
-
     @rule(partition=partitions)
     def drop_what_a_snapshot_holds(self, partition):
         self.world.drop_what_a_snapshot_holds(partition)
@@ -116,11 +81,8 @@
     @rule()
     def all_is_well_again(self):
         """Once everything works, each partition has a leader that knows everything."""
-        self.world.log.trouble = Trouble.NONE
         self.world.faults.clear_faults()
-        for daemon in range(DAEMONS):
-            self.wake(daemon)
-            self.start(daemon)
+        self.heal()
         self.world.run(10.0)
         for partition in range(PARTITIONS):
             assert len(self.world.leaders(partition)) == 1
--- a/tests/stateful/region/machine.py
+++ b/tests/stateful/region/machine.py
@@ -16,13 +16,13 @@
 from twisted.internet.defer import Deferred
 
 from emulator.faults import Fault, FaultKind
+from emulator.peers.faults import LinkFaults
 from experiments.virtual.caller import DirectCaller
 from notcharch.placement.partitions import partition_of_program
 from notcharch.table.draft import ChangeCell, ChangesDraft
 from notcharch.table.publisher import PublishRequest
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import ServiceName, TenantName
-from notcharch.wire.memory_faults import LinkFaults
 from notcharch.wire.messages.programs import ReadHistory
 from tests.stateful.region.oracle import (
     MAX_TOKENS,
--- a/tests/stateful/table/region.py
+++ b/tests/stateful/table/region.py
@@ -7,11 +7,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from notcharch.table.publisher import TablePublisher
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from tests.stateful.table.faulty_log import FaultyLogPort, LogStore
 
 GOSSIP_SECONDS = 1.0
--- a/tests/stateful/test_membership.py
+++ b/tests/stateful/test_membership.py
@@ -10,9 +10,9 @@
     rule,
 )
 
+from emulator.peers.faults import LinkFaults
 from experiments.membership_region import ZONES, MembershipRegion, daemon_name
 from notcharch.clients.ports import MachineState
-from notcharch.wire.memory_faults import LinkFaults
 
 COUNT = 6
 NAMES = [daemon_name(index) for index in range(COUNT)]
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -4,13 +4,13 @@
 
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.service import AccountSettings, AccountsService
 from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
 from notcharch.http.messages import RequestHead
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from notcharch.wire.memory import MemoryFabric
 
 LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
 """The partitions of accounts: two topics of two."""
--- a/tests/unit/wire/test_memory.py
+++ b/tests/unit/emulator/test_peers.py
@@ -7,6 +7,10 @@
 from twisted.internet.error import AlreadyCalled
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import DATAGRAM, MemoryFabric
+from emulator.peers.faults import LinkFaults
+from emulator.peers.network import DIAL_FAILURE_SECONDS
+from emulator.peers.time import EventQueue, MemberClock, run_for
 from notcharch.errors import Ran
 from notcharch.values.identifiers import (
     DaemonName,
@@ -15,10 +19,6 @@
     Member,
     ZoneName,
 )
-from notcharch.wire.memory import DATAGRAM, MemoryFabric
-from notcharch.wire.memory_faults import LinkFaults
-from notcharch.wire.memory_network import DIAL_FAILURE_SECONDS
-from notcharch.wire.memory_time import EventQueue, MemberClock, run_for
 from notcharch.wire.messages.engines import Acknowledged, DrainEngine
 from tests.unit.wire.worlds import ALPHA, BETA, GAMMA, has_fired, value_of
 
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -7,6 +7,8 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock, deferLater
 
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from notcharch.clients.ports import (
     CachedProgram,
     CacheEvent,
@@ -27,8 +29,6 @@
 from notcharch.placement.interface import LiveMember
 from notcharch.settings.schema import EnginesSection
 from notcharch.values.identifiers import DaemonName, EngineName, Epoch, Member, PoolName
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from notcharch.wire.messages.programs import CheckProgramsLive, ProgramsNotLive
 
 POOL = PoolName("model")
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from emulator.peers.faults import LinkFaults
 from experiments.membership_region import ZONES, MembershipRegion, daemon_name
 from notcharch.clients.ports import MachineState
 from notcharch.values.identifiers import ZoneName
-from notcharch.wire.memory_faults import LinkFaults
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 20])
--- a/tests/unit/partitions/world.py
+++ b/tests/unit/partitions/world.py
@@ -8,6 +8,8 @@
 from emulator.faults import ServiceFaults
 from emulator.memory_exchange import MemoryWay
 from emulator.memory_journal import MemoryJournal
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partitioning import spread_over
@@ -26,8 +28,6 @@
     PartitionNumber,
     ZoneName,
 )
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from tests.unit.partitions.counting import Note, Notes
 
 PARTITIONS = 4
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -6,12 +6,12 @@
 from result import Err, Ok
 from twisted.internet.task import Clock
 
+from emulator.peers.time import run_for
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.journal.owner_names import OwnerName
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.router import CHOOSING_PATIENCE_SECONDS, PlacementRouter
 from notcharch.values.identifiers import EngineName, PartitionNumber, ProgramId
-from notcharch.wire.memory_time import run_for
 from notcharch.wire.messages.engines import Acknowledged, ListEngines, QuoteEngine
 from tests.unit.placement.fakes import FakeNetwork, FakeView, live
 
--- a/tests/unit/services/region.py
+++ b/tests/unit/services/region.py
@@ -6,6 +6,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from notcharch.placement.partitions import partition_of_service
 from notcharch.services.allotments import AllotmentsState
 from notcharch.services.holder_service import HolderService
@@ -13,8 +15,6 @@
 from notcharch.settings.schema import ServicesSection
 from notcharch.table.interface import ServiceRow
 from notcharch.values.identifiers import DaemonName, Member, ServiceName
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from tests.unit.engines.region import PARTITIONS, DirectRouter, SimplePartitions, View
 
 SERVICE = ServiceName("guide")
--- a/tests/unit/wire/worlds.py
+++ b/tests/unit/wire/worlds.py
@@ -4,6 +4,8 @@
 
 from twisted.internet.task import Clock
 
+from emulator.peers.fabric import MemoryFabric
+from emulator.peers.time import run_for
 from notcharch.values.identifiers import (
     DaemonName,
     Incarnation,
@@ -14,8 +16,6 @@
 from notcharch.wire.codec import default_codec
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import DEFAULT_LIMITS, ConnectionLimits
-from notcharch.wire.memory import MemoryFabric
-from notcharch.wire.memory_time import run_for
 from tests.unit.wire.loopback import LoopbackReactor
 
 REGION = RegionName("region1")
