Begin with the first page of engines, and read the others slowly

Each daemon reads the whole list of engines at its start, some 250 B an engine: daemons times engines, against 80 MB/s that all reads share. Up to 500 engines nothing changes. Entries are translated once for each value, not at each change of any.

--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -13,11 +13,13 @@
 
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, DependencyRegained, FollowingFailed
+from notcharch.journal.growing_picture import GrowingPicture
 from notcharch.journal.interface import (
     KeyedRecord,
     LogFault,
     LogProblem,
     LogService,
+    NewestPage,
     Records,
 )
 
@@ -33,6 +35,12 @@
     """So long the service may hold a read until there is a record."""
     pause_seconds: float
     """Between two reads."""
+    page_pause_seconds: float = 0.0
+    """Between two pages of a picture, on average; with 0 they are read at once.
+
+    Where very many daemons start together, whole pictures of a large topic would take
+    all that the service can give; the first page is enough to begin with.
+    """
 
 
 class KeyedFollower:
@@ -55,7 +63,9 @@
         self._pace = pace
         self._random = random
         self._changed = changed
-        self._values: dict[str, bytes] = {}
+        self._picture = GrowingPicture({})
+        self._first_page_end = -1
+        self._next_page_at = 0.0
         self._offset = -1
         """Where the next read begins; negative before a picture."""
         self._is_running = False
@@ -109,32 +119,48 @@
 
     @inlineCallbacks
     def _step(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        problem: LogProblem | None
         if self._offset < 0:
-            problem: LogProblem | None = yield self._take_picture()
-        else:
-            problem = yield self._take_changes()
+            problem = yield self._begin_picture()
+            return problem
+        problem = yield self._take_changes()
+        is_page_due = self._clock.seconds() >= self._next_page_at
+        if problem is None and is_page_due and not self._picture.is_whole:
+            problem = yield self._take_page()
+            self._changed(self._picture.values)
         return problem
 
     @inlineCallbacks
-    def _take_picture(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        """Read all keys. Changes meanwhile are read again after the first page's end."""
-        items: list[KeyedRecord] = []
-        after = ""
-        end = -1
-        while True:
-            answer = yield self._service.newest(self._topic, 0, after)
-            if isinstance(answer, Err):
-                problem: LogProblem = answer.err_value
+    def _begin_picture(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        """Read all keys, or the first page if the others may come later.
+
+        Changes meanwhile are read again after the first page's end.
+        """
+        self._picture = GrowingPicture(self._picture.values)
+        self._first_page_end = -1
+        while not self._picture.is_whole:
+            problem: LogProblem | None = yield self._take_page()
+            if problem is not None:
                 return problem
-            page = answer.ok_value
-            items.extend(page.items)
-            end = page.end if end < 0 else end
-            if not page.has_more or not page.items:
+            if self._pace.page_pause_seconds:
                 break
-            after = page.items[-1].key
-        self._values = {item.key: item.value for item in items}
-        self._offset = end
-        self._changed(self._values)
+        self._offset = self._first_page_end
+        self._changed(self._picture.values)
+        return None
+
+    @inlineCallbacks
+    def _take_page(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        answer: Result[NewestPage, LogProblem] = yield self._service.newest(
+            self._topic, 0, self._picture.after
+        )
+        if isinstance(answer, Err):
+            return answer.err_value
+        page = answer.ok_value
+        self._picture.take_page(page)
+        if self._first_page_end < 0:
+            self._first_page_end = page.end
+        pause = self._pace.page_pause_seconds * (0.5 + self._random.random())
+        self._next_page_at = self._clock.seconds() + pause
         return None
 
     @inlineCallbacks
@@ -147,19 +173,14 @@
         found = answer.ok_value
         if not found.records:
             return None
-        for record in found.records:
-            self._apply(record)
+        self._picture.take_changes(
+            KeyedRecord(*split_keyed(record), offset)
+            for offset, record in enumerate(found.records, start=found.first)
+        )
         self._offset = found.first + len(found.records)
-        self._changed(self._values)
+        self._changed(self._picture.values)
         return None
 
-    def _apply(self, record: bytes) -> None:
-        key, value = split_keyed(record)
-        if value:
-            self._values[key] = value
-        else:
-            self._values.pop(key, None)
-
 
 def split_keyed(record: bytes) -> tuple[str, bytes]:
     """Give the key and the value of a keyed record (length of the key in a byte)."""
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -20,7 +20,15 @@
 CONFIGURATION_KEY = "config"
 ENGINES_TOPIC = "keyed.servers"
 CONFIGURATION_PACE = Pace(wait_seconds=1.0, pause_seconds=0.05)
-ENGINES_PACE = Pace(wait_seconds=1.0, pause_seconds=0.4)
+ENGINES_PACE = Pace(wait_seconds=1.0, pause_seconds=0.4, page_pause_seconds=3.0)
+
+
+class ReadEntry(msgspec.Struct, frozen=True):
+    """An engine's entry as it was written, and translated."""
+
+    value: bytes
+    engine: Engine | None
+    """None if it can't be read."""
 
 
 class PlatformTables:
@@ -42,6 +50,7 @@
         self._pool = pool
         self._sender = sender
         self._engines: dict[str, Engine] = {}
+        self._entries: dict[str, ReadEntry] = {}
         self._engines_at = clock.seconds()
         self._has_engines = False
         self._followers = (
@@ -89,12 +98,11 @@
             emit(TableInForce(table.version, former, len(table.routes)))
 
     def _engines_changed(self, values: dict[str, bytes]) -> None:
-        engines: dict[str, Engine] = {}
-        for id, value in values.items():
-            try:
-                engines[id] = engine_of(id, value)
-            except (msgspec.DecodeError, ValueError) as error:
-                emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"unreadable: {error}"))
+        read = {id: self._read(id, value) for id, value in values.items()}
+        self._entries = read
+        engines = {
+            id: entry.engine for id, entry in read.items() if entry.engine is not None
+        }
         gone = self._pool.replace(engines.values())
         for engine_id in gone:
             self._sender.forget(engine_id)
@@ -103,6 +111,17 @@
             self._log_engines(engines, gone)
         self._engines = engines
 
+    def _read(self, id: str, value: bytes) -> "ReadEntry":
+        """Translate an entry, unless it is the one that was read before."""
+        known = self._entries.get(id)
+        if known is not None and known.value == value:
+            return known
+        try:
+            return ReadEntry(value, engine_of(id, value))
+        except (msgspec.DecodeError, ValueError) as error:
+            emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"unreadable: {error}"))
+            return ReadEntry(value, None)
+
     def _log_engines(self, engines: dict[str, Engine], gone: list[str]) -> None:
         now = self._clock.seconds()
         emit(
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -170,3 +170,14 @@
     world.put("keyed.servers", "i-1", ENGINE)
     world.put("keyed.servers", "i-2", b"{broken")
     assert [engine.id for engine in world.engines.listed] == ["i-1"]
+
+
+def test_an_entry_that_cannot_be_read_is_told_once_for_each_value():
+    world = Tables()
+    with captured() as messages:
+        world.put("keyed.servers", "i-2", b"{broken")
+        world.put("keyed.servers", "i-1", ENGINE)
+        world.put("keyed.servers", "i-2", b"{broken anew")
+    assert [engine.id for engine in world.engines.listed] == ["i-1"]
+    lost = of(messages, process.DependencyLost)
+    assert [message["dependency"] for message in lost] == ["keyed.servers/i-2"] * 2
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -28,13 +28,13 @@
 class Following:
     """A follower, and what it was told."""
 
-    def __init__(self) -> None:
+    def __init__(self, pace: Pace = PACE) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
         self.told: list[dict[str, bytes]] = []
         self.fault = False
         self.follower = KeyedFollower(
-            self.log, self.clock, Random(1), TOPIC, pace=PACE, changed=self.changed
+            self.log, self.clock, Random(1), TOPIC, pace=pace, changed=self.changed
         )
 
     def changed(self, values):
@@ -102,6 +102,59 @@
     assert world.told[-1] == {"a": b"3"}
 
 
+SLOW_PAGES = Pace(wait_seconds=0.2, pause_seconds=0.1, page_pause_seconds=2.0)
+MANY = [f"k{number:04}" for number in range(1200)]
+
+
+def slowly_started() -> Following:
+    """Follow 1,200 keys page by page, with the first page read."""
+    world = Following(SLOW_PAGES)
+    world.log.append(TOPIC, 0, tuple(join_keyed(key, b"1") for key in MANY))
+    world.run(0.1)
+    world.follower.start()
+    world.run(0.1)
+    return world
+
+
+def test_a_large_topic_is_told_page_by_page():
+    world = slowly_started()
+    assert sorted(world.told[-1]) == MANY[:500]
+    world.run(9.0)
+    assert sorted(world.told[-1]) == MANY
+
+
+@pytest.mark.parametrize("key", [MANY[0], MANY[700], MANY[1199]])
+@pytest.mark.parametrize("value", [b"2", b""])
+def test_changes_between_two_pages_are_not_undone_by_a_page(key, value):
+    world = slowly_started()
+    world.put(key, value)
+    world.run(0.6)
+    assert world.told[-1].get(key, b"") == value
+    world.run(9.0)
+    assert world.told[-1].get(key, b"") == value
+    assert len(world.told[-1]) == (1200 if value else 1199)
+
+
+def test_a_new_picture_keeps_what_was_known_until_it_is_whole():
+    world = slowly_started()
+    world.run(9.0)
+    world.follower._offset = -1
+    before = len(world.told)
+    world.run(9.0)
+    assert len(world.told) > before
+    assert all(sorted(told) == MANY for told in world.told[before:])
+
+
+def test_keys_that_went_before_a_new_picture_are_forgotten_with_its_last_page():
+    world = slowly_started()
+    world.run(9.0)
+    partition = world.log.partition(TOPIC, 0)
+    partition.records[:] = [r for r in partition.records if r[1:6] != b"k0007"]
+    world.follower._offset = -1
+    world.run(9.0)
+    assert sorted(world.told[-1]) == [key for key in MANY if key != "k0007"]
+
+
 def test_more_keys_than_a_page_holds():
     world = Following()
     keys = [f"k{number:04}" for number in range(1200)]
