--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -85,10 +85,19 @@
 
 
 class RequestWithoutRoute(Event, frozen=True):
-    """No route of the table in force serves a request, or there is no table."""
+    """No route of the table in force serves a request, or there is no table (-1)."""
 
     number: ClassVar[int] = 2205
     request: str
     host: str
     path: str
     table_version: int
+
+
+class RequestMalformed(Event, frozen=True):
+    """A header of a request can't be read; it was refused with 400."""
+
+    number: ClassVar[int] = 2206
+    request: str
+    host: str
+    path: str
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -18,6 +18,7 @@
     CallRefused,
     CallSentAgain,
     CallServed,
+    RequestMalformed,
     RequestWithoutRoute,
 )
 from notcharch.events.process import (
@@ -40,6 +41,7 @@
     CallBrokenOff.number,
     CallerLeft.number,
     RequestWithoutRoute.number,
+    RequestMalformed.number,
 )
 CONTEXT_EVENTS = (
     DependencyLost.number,
@@ -114,6 +116,7 @@
         CallBrokenOff.number: _broken_off,
         CallerLeft.number: _left,
         RequestWithoutRoute.number: _without_route,
+        RequestMalformed.number: _malformed,
     }[end.number]
     return told(end, own, context), True
 
@@ -129,10 +132,14 @@
 def _without_route(
     end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
 ) -> str:
-    return (
-        f"table {end.text('table_version')} has no route for "
-        f"{end.text('host')}{end.text('path')}"
-    )
+    version = int(end.fields.get("table_version", 0))
+    if version < 0:
+        return f"the daemon knew no table yet{_troubles(context)}"
+    return f"table {version} has no route for {end.text('host')}{end.text('path')}"
+
+
+def _malformed(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    return f"a header can't be read, for {end.text('host')}{end.text('path')}"
 
 
 def _refused(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -12,12 +12,15 @@
     Refusal,
 )
 from notcharch.calls.routing import Router, service_of
-from notcharch.events.calls import RequestWithoutRoute
+from notcharch.events.calls import RequestMalformed, RequestWithoutRoute
 from notcharch.events.event import emit
 from notcharch.http.messages import Headers, ResponseHead
 from notcharch.http.server import JSON_TYPE, Exchange, ServerLimits
 from notcharch.platform.headers import REQUEST_ID, answer_headers, read_call
 
+NO_TABLE = -1
+"""Told as the version while no table is known."""
+
 
 class ExchangeReply:
     """A call's answer, written to the caller's connection."""
@@ -90,23 +93,22 @@
         head = exchange.head
         id = head.get(REQUEST_ID) or b""
         reply = ExchangeReply(exchange, id)
+        name = id.decode("latin-1")
+        host = (head.get(b"host") or b"").decode("latin-1")
+        path = head.target.partition(b"?")[0].decode("latin-1")
         router = self.router
         if router is None:
+            emit(RequestWithoutRoute(name, host, path, NO_TABLE))
             reply.refuse(NOT_READY)
             return
-        host = (head.get(b"host") or b"").decode("latin-1")
-        path = head.target.partition(b"?")[0].decode("latin-1")
         route = router.find(host, path)
         if route is None:
-            emit(
-                RequestWithoutRoute(
-                    id.decode("latin-1"), host, path, router.table.version
-                )
-            )
+            emit(RequestWithoutRoute(name, host, path, router.table.version))
             reply.refuse(NO_ROUTE)
             return
         call = read_call(head, exchange.body, exchange.arrived)
         if call is None:
+            emit(RequestMalformed(name, host, path))
             reply.refuse(MALFORMED)
             return
         service = service_of(route, call)
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -136,6 +136,7 @@
     with captured() as messages:
         world = Tables()
         assert world.status(b"/p/x") == 503
+        assert of(messages, calls.RequestWithoutRoute)[0]["table_version"] == -1
         world.configure(7)
         world.put("keyed.servers", "i-1", ENGINE)
         assert world.tables.are_known
@@ -147,7 +148,7 @@
         world.run(3.0)
     assert of(messages, process.TableInForce)[0]["version"] == 7
     assert of(messages, process.EnginesChanged)[0]["added"] == ["i-1"]
-    assert of(messages, calls.RequestWithoutRoute)[0]["path"] == "/other/x"
+    assert of(messages, calls.RequestWithoutRoute)[1]["path"] == "/other/x"
     lost = {message["dependency"] for message in of(messages, process.DependencyLost)}
     assert lost == {"keyed.servers/i-2", "keyed.op", "keyed.servers"}
     assert len(of(messages, process.DependencyRegained)) == 2
@@ -181,3 +182,14 @@
     assert [engine.id for engine in world.engines.listed] == ["i-1"]
     lost = of(messages, process.DependencyLost)
     assert [message["dependency"] for message in lost] == ["keyed.servers/i-2"] * 2
+
+
+def test_a_request_whose_headers_cannot_be_read_is_told():
+    world = Tables()
+    world.configure(7)
+    exchange = Exchange(b"h.example", b"/p/x")
+    exchange.head.headers.append((b"X-Notcharch-Deadline-Ms", b"soon"))
+    with captured() as messages:
+        world.ingress.handle(exchange)
+    assert exchange.status == 400
+    assert of(messages, calls.RequestMalformed)[0]["request"] == "r1"
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -16,6 +16,7 @@
     CallRefused,
     CallSentAgain,
     CallServed,
+    RequestMalformed,
     RequestWithoutRoute,
 )
 from notcharch.events.process import DependencyLost, LinesDropped
@@ -102,6 +103,17 @@
         [line(1.0, "a", CallServed("r", "p", "s", "x", "i-1", 200, 1, 3, 0.5, 0.01))],
         "served by i-1 with 200 after 0.5 s, 0.01 s of them before its admission",
     ),
+    (
+        [
+            line(0.5, "a", DependencyLost("keyed.op", "unknown")),
+            line(1.0, "a", RequestWithoutRoute("r", "h", "/p/x", -1)),
+        ],
+        "the daemon knew no table yet; before it: a could not reach keyed.op (unknown)",
+    ),
+    (
+        [line(1.0, "a", RequestMalformed("r", "h", "/p/x"))],
+        "a header can't be read, for h/p/x",
+    ),
 ]
 
 
