--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -101,3 +101,11 @@
     machine: str
     is_ready: bool
     cause: str
+
+
+class ProcessPaused(Event, frozen=True):
+    """This process did not run for a while: what it read meanwhile is that old."""
+
+    number: ClassVar[int] = 2411
+    machine: str
+    seconds: float
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -26,12 +26,15 @@
     DependencyRegained,
     EnginesChanged,
     LinesDropped,
+    ProcessPaused,
     ProcessStarted,
     ProcessStopped,
     ProcessStopping,
 )
 from notcharch.explain.log_lines import LogLine
 
+PAUSE_TOLD_SECONDS = 1.5
+"""A pause is told so much after its end at the latest."""
 AROUND_SECONDS = 4.0
 """Lines of dependencies and owners this long before a request are looked at."""
 
@@ -53,6 +56,7 @@
     PartitionTakenOver.number,
     PartitionGivenUp.number,
     LinesDropped.number,
+    ProcessPaused.number,
 )
 SPENT = 402
 NOT_FOUND = 404
@@ -98,7 +102,8 @@
     }
     found = []
     for line in lines:
-        if line.number not in CONTEXT_EVENTS or not begin <= line.at <= end:
+        late = PAUSE_TOLD_SECONDS if line.number == ProcessPaused.number else 0.0
+        if line.number not in CONTEXT_EVENTS or not begin <= line.at <= end + late:
             continue
         if line.machine in machines or line.text("partition") in partitions - {""}:
             found.append(line)
@@ -226,6 +231,8 @@
             )
         elif line.number == PartitionTakenOver.number:
             told.append(f"{line.machine} took over partition {line.text('partition')}")
+        elif line.number == ProcessPaused.number:
+            told.append(f"{line.machine} stood still for {line.text('seconds')} s")
         elif line.number in (ProcessStarted.number, ProcessStopping.number):
             verb = "started" if line.number == ProcessStarted.number else "was stopping"
             told.append(f"{line.machine} {verb}")
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -26,6 +26,7 @@
 from notcharch.events.calls import CallServed
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
+from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
     LinesDropped,
     ProcessStarted,
@@ -112,6 +113,7 @@
             STANDARD_OUTPUT, reactor, frozenset((CallServed.number,))
         )
         self._ticks = LoopingCall(self._tick)
+        self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
         self._was_ready = False
         self._is_stopping = False
         self._front_port: IListeningPort | None = None
@@ -160,7 +162,8 @@
         self._reactor.stop()
 
     def _tick(self) -> None:
-        """Tell what changed of our readiness, and which lines were left out."""
+        """Tell of pauses, of our readiness, and which lines were left out."""
+        self._pauses.tick()
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
             cause = "the tables are known" if self.is_ready else "stopping"
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -19,7 +19,7 @@
     RequestMalformed,
     RequestWithoutRoute,
 )
-from notcharch.events.process import DependencyLost, LinesDropped
+from notcharch.events.process import DependencyLost, LinesDropped, ProcessPaused
 from notcharch.explain.explanation import explain
 from notcharch.explain.log_lines import read_lines
 
@@ -114,6 +114,14 @@
         [line(1.0, "a", RequestMalformed("r", "h", "/p/x"))],
         "a header can't be read, for h/p/x",
     ),
+    (
+        [
+            line(1.0, "a", CallerLeft("r", "p", "admission", "", 0, 0.002)),
+            line(1.4, "a", ProcessPaused("a", 0.9)),
+        ],
+        "the caller left after 0.002 s while admission; "
+        "before it: a stood still for 0.9 s",
+    ),
 ]
 
 
