--- a/tests/contract/worlds.py
+++ b/tests/contract/worlds.py
@@ -17,6 +17,7 @@
 from emulator.virtual_clock import VirtualClock
 from notcharch.clients.connections import Connections
 from notcharch.clients.engine_client import EngineClient
+from notcharch.clients.journal_client import LONGEST_SECONDS, JournalClient
 from notcharch.clients.log_client import LogClient
 from notcharch.clients.machine_list_client import MachineListClient
 from notcharch.clients.weight_store_client import WeightStoreClient
@@ -100,6 +101,8 @@
         agent = self._connections.agent
         self.engine = EngineClient(agent, self._clock, Random(1), settings)
         self.log = LogClient(agent, self._clock, settings)
+        self._journal_clock = SplitClock(LONGEST_SECONDS)
+        self.journal = JournalClient(agent, self._journal_clock, settings)
         self.machines = MachineListClient(agent, self._clock, settings)
         self.weights = WeightStoreClient(agent, self._clock, settings)
 
@@ -130,6 +133,7 @@
         await arrived
         faults.before_effect = decide
         self._clock.advance(TIMEOUT_SECONDS)
+        self._journal_clock.advance(TIMEOUT_SECONDS)
         return await result
 
     async def close(self) -> None:
@@ -149,6 +153,7 @@
         way = MemoryWay(self._clock, 0.001, TIMEOUT_SECONDS)
         self.engine = self.models.engine_port(way)
         self.log = self.models.log_port(way)
+        self.journal = self.models.journal_port(way)
         self.machines = self.models.machine_list_port(way)
         self.weights = self.models.weight_store_port(way)
 
