--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -1,6 +1,6 @@
 """Callers: programs of turns and tool calls, which retry as clients do."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from random import Random
 from typing import Any
 
@@ -91,13 +91,17 @@
     """Keeps so many programs under way."""
 
     def __init__(
-        self, reactor: Any, random: Random, oracle: Oracle, daemons: list[SoakDaemon]
+        self,
+        reactor: Any,
+        random: Random,
+        oracle: Oracle,
+        ready: Callable[[], list[SoakDaemon]],
     ) -> None:
-        """Ask daemons at random."""
+        """Ask daemons at random of those that are `ready`."""
         self._reactor = reactor
         self._random = random
         self._oracle = oracle
-        self._daemons = daemons
+        self._ready = ready
         self._numbers = 0
         self.is_running = True
         self.under_way = 0
@@ -191,7 +195,7 @@
     def _send(
         self, asked: Asked, body: bytes, headers: Headers
     ) -> Generator["Deferred[Any]", Any, None]:
-        daemon = self._random.choice(self._daemons)
+        daemon = self._random.choice(self._ready())
         asked.daemon = daemon.name
         asked.at = self._reactor.seconds()
         self._oracle.asked[asked.id] = asked
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -17,6 +17,7 @@
 from deploy.soak.faults import Faults, FaultTargets
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.readiness import Readiness
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
 from notcharch.http.server import ServerFactory
@@ -73,7 +74,10 @@
             SoakEngine(reactor, self._random, self.oracle, store, service, number=n)
             for n, service in enumerate(services)
         ]
-        self._callers = Callers(reactor, Random(seed + 1), self.oracle, self._daemons)
+        self._readiness = Readiness(reactor, self._daemons)
+        self._callers = Callers(
+            reactor, Random(seed + 1), self.oracle, self._readiness.ready
+        )
         self.faults = Faults(
             FaultTargets(
                 reactor,
@@ -96,6 +100,7 @@
 
     def _begin(self) -> None:
         self._ends_at = self._reactor.seconds() + self._size.seconds
+        self._readiness.start()
         self._callers.start(self._size.programs)
         self._watch()
         self._next_fault()
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -40,7 +40,7 @@
         """Write its settings file; nothing runs yet."""
         self.name = name
         self.store = store
-        self.front, self._readiness, self._peers = free_ports(3)
+        self.front, self.readiness, self._peers = free_ports(3)
         self._settings = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._settings.write_text(self._text())
@@ -58,7 +58,7 @@
             "ip_address": HOST,
             "zone": "zone-a",
             "listen_addresses.front": f"{HOST}:{self.front}",
-            "listen_addresses.readiness": f"{HOST}:{self._readiness}",
+            "listen_addresses.readiness": f"{HOST}:{self.readiness}",
             "internal_port_range": f"{self._peers},{self._peers}",
             "platform.address": f"{HOST}:{self.store.port}",
             "platform.parts": PARTITIONS,
