--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -20,8 +20,6 @@
 QUICK_HEARTBEATS = 5
 """So many heartbeats follow quickly when the group has changed: more may be dealt."""
 LEASE_SECONDS = 1.2
-HEARTBEATS_A_LEASE = 4
-"""With a longer lease heartbeats are as much rarer."""
 
 
 class GroupMember:
@@ -43,9 +41,6 @@
         self._name = name
         self._member = member
         self._lease_seconds = max(LEASE_SECONDS, least_lease_seconds)
-        self._heartbeat_seconds = max(
-            HEARTBEAT_SECONDS, self._lease_seconds / HEARTBEATS_A_LEASE
-        )
         self._dealt = dealt
         self._generation = 0
         self._is_member = False
@@ -98,12 +93,12 @@
         """
         if isinstance(answer, Err):
             is_lost = answer.err_value.fault is LogFault.UNKNOWN
-            return QUICK_SECONDS if is_lost else self._heartbeat_seconds
+            return QUICK_SECONDS if is_lost else HEARTBEAT_SECONDS
         if answer.ok_value.generation != self._generation:
             self._quick_left = QUICK_HEARTBEATS
         self._generation = answer.ok_value.generation
         if self._quick_left <= 0:
-            return self._heartbeat_seconds
+            return HEARTBEAT_SECONDS
         self._quick_left -= 1
         return QUICK_SECONDS
 
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -182,10 +182,9 @@
 class Group:
     """Members of a group."""
 
-    def __init__(self, *names: str, least_lease_seconds: float = 1.0) -> None:
+    def __init__(self, *names: str) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
-        self.least_lease_seconds = least_lease_seconds
         self.held: dict[str, tuple[str, ...]] = {}
         self.fault = ""
         self.members = {name: self.member(name) for name in names}
@@ -206,7 +205,7 @@
             self.clock,
             GroupName("g", ("t", "u")),
             name,
-            least_lease_seconds=self.least_lease_seconds,
+            least_lease_seconds=1.0,
             dealt=dealt,
         )
 
@@ -233,17 +232,6 @@
     assert world.clock.seconds() - lost == pytest.approx(waited + seconds, abs=0.03)
 
 
-@pytest.mark.parametrize(
-    ("lease", "heartbeats"), [(1.0, 8.0 / HEARTBEAT_SECONDS), (4.0, 8.0)]
-)
-def test_a_longer_lease_needs_fewer_heartbeats(lease, heartbeats):
-    world = Group("a", least_lease_seconds=lease)
-    world.run(2.0)
-    before = world.log.calls
-    world.run(8.0)
-    assert world.log.calls - before == pytest.approx(heartbeats, abs=1.5)
-
-
 def test_partitions_are_dealt_evenly_and_whole():
     world = Group("a", "b")
     assert sorted(world.held["a"] + world.held["b"]) == ALL
