--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -86,10 +86,13 @@
 
 
 def _without_lines(lines: Sequence[LogLine]) -> str:
-    is_dropped = any(line.number == LinesDropped.number for line in lines)
-    if is_dropped:
-        return "no line names it; lines were left out on some daemon (event 2408)"
-    return "no line names it: no daemon read it whole, or its daemon was killed"
+    reasons = [
+        "no daemon read it whole",
+        "its daemon was killed before it wrote its lines",
+    ]
+    if any(line.number == LinesDropped.number for line in lines):
+        reasons.append("lines were left out on some daemon (event 2408)")
+    return "no line names it: " + ", or ".join(reasons)
 
 
 def _context(own: Sequence[LogLine], lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
