--- a/notcharch/engines/orders.py
+++ b/notcharch/engines/orders.py
@@ -13,7 +13,7 @@
 from notcharch.values.identifiers import EngineName, RequestId
 
 CONFIRMED_SECONDS = 25.0
-"""An order needs a claim that a majority confirmed within this time."""
+"""An order needs a claim that its journal confirmed within this time."""
 
 
 class EngineOrders:
--- a/notcharch/engines/stewardship.py
+++ b/notcharch/engines/stewardship.py
@@ -112,7 +112,7 @@
         return self._epoch if self.phase == StewardshipPhase.HOLDING else None
 
     def confirmed_within(self, seconds: float, now: float) -> bool:
-        """Tell whether a majority confirmed the claim lately: orders need that."""
+        """Tell whether the journal confirmed the claim lately: orders need that."""
         if self.phase != StewardshipPhase.HOLDING or self._confirmed_at is None:
             return False
         return now - self._confirmed_at <= seconds
--- a/notcharch/errors/problem.py
+++ b/notcharch/errors/problem.py
@@ -55,7 +55,7 @@
     """Internal: the sender's epoch is older than one already seen."""
 
     UNAVAILABLE = ("unavailable", 503)
-    """A majority of replicas, or a peer, cannot be reached."""
+    """The log service, or a peer, cannot be reached."""
 
     HISTORY_UNAVAILABLE = ("history_unavailable", 503)
     """A part of the program's history lies in the log service, which fails."""
--- a/notcharch/gateway/call_life.py
+++ b/notcharch/gateway/call_life.py
@@ -55,7 +55,7 @@
         """Note that no slot was free in time."""
 
     def placed(self, engine: EngineName) -> Step:
-        """Note that the engine is granted and a majority knows of the dispatch."""
+        """Note that the engine is granted and the dispatch is in the journal."""
 
     def placing_refused(self, problem: Problem) -> Step:
         """Note that no engine was granted, or the dispatch could not be recorded."""
@@ -70,10 +70,10 @@
         """Note that the stream is lost and the call is repeated."""
 
     def committed(self) -> Step:
-        """Note that a majority knows how the attempt ended."""
+        """Note that the end of the attempt is in the journal."""
 
     def commit_failed(self, problem: Problem) -> Step:
-        """Note that no majority could be reached in time to store the end."""
+        """Note that the end could not be journalled in time."""
 
     def superseded(self) -> Step:
         """Note that the leader had given this attempt up before."""
--- a/notcharch/gateway/call_run.py
+++ b/notcharch/gateway/call_run.py
@@ -86,7 +86,7 @@
         self._started_at = tools.clock.seconds()
 
     async def run(self) -> Result[Answer, Problem]:
-        """Give the answer, stored by a majority, or the problem for the caller."""
+        """Give the answer, once it is in the journal, or the problem for the caller."""
         step = self._life.begin()
         try:
             while True:
--- a/notcharch/gateway/call_steps.py
+++ b/notcharch/gateway/call_steps.py
@@ -34,7 +34,7 @@
 
 
 class CommitAnswer(Step, frozen=True):
-    """Have the answer stored by a majority before the caller sees the end."""
+    """Have the answer journalled before the caller sees the end."""
 
     answer: Answer
 
--- a/notcharch/gateway/outcome_delivery.py
+++ b/notcharch/gateway/outcome_delivery.py
@@ -82,7 +82,7 @@
 def _not_stored() -> Problem:
     return Problem.of(
         ProblemCode.UNAVAILABLE,
-        "no majority of the program's replicas could be reached in time",
+        "the program's journal could not be written in time",
         ran=Ran.YES,
         retry_after=RETRY_AFTER_SECONDS,
     )
--- a/notcharch/gateway/stream_relay.py
+++ b/notcharch/gateway/stream_relay.py
@@ -4,7 +4,7 @@
 connection. Nothing is decoded, logged or deferred for each token.
 
 The end of the stream (the chunk with `finish_reason`, what follows it, and
-`[DONE]`) is held back until a majority has stored the answer, so a caller that
+`[DONE]`) is held back until the answer is in the journal, so a caller that
 has seen the end can rely on the history.
 """
 
--- a/notcharch/wire/messages/programs.py
+++ b/notcharch/wire/messages/programs.py
@@ -2,8 +2,8 @@
 
 The life of one call: `AdmitCall` reserves budget and fixes the sequence,
 `DispatchCall` records the engine before anything is sent to it, `FinishCall`
-stores the answer and settles the budget. Each reply is sent only after a
-majority of the partition's replicas hold the change.
+stores the answer and settles the budget. Each reply is sent only after the
+change is in the journal of the partition.
 """
 
 from notcharch.errors import Problem
@@ -35,7 +35,7 @@
 
 
 class ProgramCreated(Message, frozen=True):
-    """The program exists on a majority of its replicas."""
+    """The program is in the journal."""
 
     program: ProgramId
 
@@ -125,7 +125,7 @@
 
 
 class DispatchRecorded(Message, frozen=True):
-    """A majority knows of the dispatch; the stream may be opened with `epoch`."""
+    """The dispatch is in the journal; the stream may be opened with `epoch`."""
 
     epoch: Epoch
 
@@ -146,7 +146,7 @@
 
 
 class FinishRecorded(Message, frozen=True):
-    """The outcome is held by a majority.
+    """The outcome is in the journal.
 
     `problem` is a failure as it was stored, to be given to the caller in place of
     the gateway's own: its `ran` speaks for all attempts at the call.
