--- /dev/null
+++ b/tests/unit/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lies beside the deploy file."""
