Let programs begin by an allowance that their partition's owner journalled before

Cause: a program's first call waited for an append of its bound; while the store took none it was refused.

Ruled out: letting one call in without a record (a budget may be exceeded by one call, but a successor spends that slack as well); a second log (an order between two logs).

A successor counts what its predecessors allowed for each program that it doesn't know, and may allow more up to two thirds in all. An allowance ends after 120 s unless renewed, so that an owner that was cut off doesn't use it for ever; a planned move withdraws it after the accounts are written.

Test first: tests/unit/accounts (programs begin while the log takes nothing; two and three successors in a row; planned moves; the end of the doubt), three deliberate breaks.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -3,7 +3,8 @@
 Of each program the ledger knows a *bound*: so many tokens are journalled as generated.
 Calls are admitted within it from memory; it is raised, in the journal first, when it
 doesn't suffice. Whoever takes the partition over counts the whole bound as used, so
-whatever the former owner admitted within it is paid for already.
+whatever the former owner admitted within it is paid for already. A program that the
+journal doesn't know begins within the partition's starting allowance.
 """
 
 import enum
@@ -12,10 +13,12 @@
 
 from notcharch.accounts.records import (
     AccountHandedOver,
+    AllowanceGiven,
     AnyRecord,
     BoundRaised,
     TurnKept,
 )
+from notcharch.accounts.starting_allowance import StartingAllowance, share_of
 from notcharch.accounts.turns import KeptTurns, Turn
 
 AHEAD_CALLS = 2
@@ -28,6 +31,8 @@
 charges this much, and go on for long while the log can't be written.
 """
 
+DEFAULT_KEEP_SECONDS = 60.0
+
 FORGOTTEN_RESERVATION_SECONDS = 12.0
 """A call that nobody settled in this time is charged at its most."""
 
@@ -55,6 +60,10 @@
         """Begin with nothing used."""
         self.bound = 0
         """Tokens journalled as generated."""
+        self.allowed = 0
+        """Tokens that a successor counts without a record of this program."""
+        self.has_begun = False
+        """Whether the journal, or the starting allowance, was looked at for it."""
         self.used = 0
         self.is_doubted = False
         """Whether `used` counts tokens that may not have been generated."""
@@ -79,6 +88,9 @@
         self._programs: dict[str, Program] = {}
         self.turns = KeptTurns()
         """The kept turns of all programs: a later program may go on from one."""
+        self.allowance = StartingAllowance()
+        self.keep_seconds = DEFAULT_KEEP_SECONDS
+        """The longest time that a route keeps turns and budgets."""
 
     def program(self, name: str, now: float) -> Program:
         """Give a program's account, which is begun if it is new."""
@@ -100,16 +112,23 @@
             self.keep(record, now)
         elif isinstance(record, AccountHandedOver):
             self._take_account(record, now)
+        elif isinstance(record, AllowanceGiven):
+            self.allowance.replay(record)
         else:
-            program = self.program(record.program, now)
-            program.is_doubted = True
-            program.reserved.clear()
-            program.bound = max(program.bound, record.bound_tokens)
-            program.used = program.bound
-            program.written_at = record.written_at
+            self._take_bound(record, now)
+
+    def _take_bound(self, record: BoundRaised, now: float) -> None:
+        program = self.program(record.program, now)
+        program.has_begun = True
+        program.is_doubted = True
+        program.reserved.clear()
+        program.bound = max(program.bound, record.bound_tokens)
+        program.used = program.bound
+        program.written_at = record.written_at
 
     def _take_account(self, record: AccountHandedOver, now: float) -> None:
         program = self.program(record.program, now)
+        program.has_begun = True
         program.used = record.used_tokens
         program.is_doubted = False
         program.reserved = {
@@ -119,19 +138,29 @@
         program.bound = program.committed
         program.written_at = record.written_at
 
-    def accounts(self, written_at: int) -> list[AccountHandedOver]:
-        """Give what a successor needs to go on without doubt."""
-        return [
-            AccountHandedOver(
-                name,
-                program.used,
-                {call: held.tokens for call, held in program.reserved.items()},
-                written_at,
-                program.home,
-            )
-            for name, program in self._programs.items()
-            if not program.is_doubted and program.bound
-        ]
+    def accounts(self, written_at: int) -> list[AnyRecord]:
+        """Give what a successor needs to go on without doubt.
+
+        Last comes the end of the starting allowance: who used it has a record by then.
+        """
+        records: list[AnyRecord] = []
+        for name, program in self._programs.items():
+            if program.is_doubted and program.allowed > program.bound:
+                records.append(BoundRaised(name, program.allowed, written_at))
+            elif not program.is_doubted and (program.bound or program.allowed):
+                records.append(self._account(name, program, written_at))
+        withdrawn = self.allowance.withdrawn()
+        if withdrawn is not None:
+            records.append(withdrawn)
+        return records
+
+    def _account(
+        self, name: str, program: Program, written_at: int
+    ) -> AccountHandedOver:
+        under_way = {call: held.tokens for call, held in program.reserved.items()}
+        return AccountHandedOver(
+            name, program.used, under_way, written_at, program.home
+        )
 
     # Budgets
 
@@ -147,13 +176,24 @@
             return Verdict.ADMITTED
         self._charge_forgotten(program, now)
         if budget is not None:
-            verdict = self._within(program, most, budget)
+            self._begin(program, budget, now)
+            verdict = self._within(program, most, budget, now)
             if verdict is not Verdict.ADMITTED:
                 return verdict
         program.reserved[call] = Reservation(most, now)
         return Verdict.ADMITTED
 
-    def _within(self, program: Program, most: int, budget: int) -> Verdict:
+    def _begin(self, program: Program, budget: int, now: float) -> None:
+        """Count what a program without a record may have used before; allow it more."""
+        if program.has_begun:
+            return
+        program.has_begun = True
+        former = self.allowance.former_permille(now, self.keep_seconds)
+        program.used += share_of(budget, former)
+        program.is_doubted = former > 0
+        program.allowed = share_of(budget, self.allowance.permille)
+
+    def _within(self, program: Program, most: int, budget: int, now: float) -> Verdict:
         """Compare a call with its program's budget, then with its durable bound.
 
         A budget may be exceeded by one call at most. That is left to programs of
@@ -163,7 +203,9 @@
         after = program.committed + most
         if after > allowed:
             return Verdict.SPENT
-        return Verdict.NEEDS_BOUND if after > program.bound else Verdict.ADMITTED
+        allowed = program.allowed if self.allowance.is_in_force(now) else 0
+        bound = max(program.bound, allowed)
+        return Verdict.NEEDS_BOUND if after > bound else Verdict.ADMITTED
 
     def _charge_forgotten(self, program: Program, now: float) -> None:
         for call, held in tuple(program.reserved.items()):
@@ -175,9 +217,11 @@
         self, name: str, most: int, budget: int, now: float, *, written_at: int
     ) -> BoundRaised:
         """Give the record of a bound that lets a call in, and some after it."""
-        needed = self.program(name, now).committed + most
+        program = self.program(name, now)
+        needed = program.committed + most
         ahead = max(AHEAD_CALLS * most, budget // AHEAD_SHARE) - most
-        return BoundRaised(name, max(needed, min(needed + ahead, budget)), written_at)
+        bound = max(needed, min(needed + ahead, budget), program.allowed)
+        return BoundRaised(name, bound, written_at)
 
     def bound_is_durable(self, record: BoundRaised) -> None:
         """Hear that a bound is in the journal."""
@@ -224,8 +268,9 @@
                 )
         return records
 
-    def forget_before(self, limit: float) -> None:
-        """Forget programs and turns that nobody used since some clock seconds."""
+    def forget_old(self, now: float) -> None:
+        """Forget programs and turns that nobody may ask for any more."""
+        limit = now - 2 * self.keep_seconds
         self.turns.forget_before(limit)
         for name, program in tuple(self._programs.items()):
             if program.touched < limit and not program.reserved:
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -37,7 +37,6 @@
 
 FENCED = "a higher epoch writes it"
 DEALT_AWAY = "dealt to another daemon"
-DEFAULT_KEEP_SECONDS = 60.0
 NOT_OWNER = NotOwner()
 
 
@@ -65,8 +64,6 @@
         )
         self._writer = self._journal.writer
         self.is_serving = False
-        self._keep_seconds = DEFAULT_KEEP_SECONDS
-        """The longest time that a route keeps turns and budgets."""
         self._began = clock.seconds()
         self._waiting: list[Deferred[None]] = []
         self._raising: dict[str, list[Deferred[bool]]] = {}
@@ -78,8 +75,25 @@
         is_read = yield self._journal.take_over()
         if is_read:
             self.is_serving = True
+            wall = self._wall_seconds()
+            self._ledger.allowance.taken_over(self._clock.seconds(), wall)
             self._log_taken_over()
             self._wake()
+            yield self._renew_allowance()
+
+    @inlineCallbacks
+    def _renew_allowance(self) -> Generator["Deferred[Any]", Any, None]:
+        """Journal that programs may begin without a record; from then on they do."""
+        asked_at = self._clock.seconds()
+        allowance = self._ledger.allowance
+        record = allowance.record(
+            asked_at, self._wall_seconds(), self._ledger.keep_seconds
+        )
+        if record is None:
+            return
+        outcome = yield self._write(encode(record))
+        if outcome is Outcome.DURABLE:
+            allowance.given(record, asked_at)
 
     def _wall_seconds(self) -> int:
         """Give seconds since 1970, by a clock that may be some seconds off."""
@@ -157,7 +171,8 @@
     @inlineCallbacks
     def admit(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, Message]:
         """Admit a call of a program, or refuse it."""
-        self._keep_seconds = max(self._keep_seconds, ask.keep_seconds)
+        ledger = self._ledger
+        ledger.keep_seconds = max(ledger.keep_seconds, ask.keep_seconds)
         if not (yield self._until_serving()):
             return NOT_OWNER
         transcript: Transcript | None = Transcript("", b"")
@@ -296,7 +311,10 @@
         """Forget what nobody may ask for; write anew what the log would drop."""
         if not self.is_serving:
             return
-        self._ledger.forget_before(self._clock.seconds() - 2 * self._keep_seconds)
+        now = self._clock.seconds()
+        self._ledger.forget_old(now)
+        if self._ledger.allowance.is_due(now):
+            self._renew_allowance()
         wall = self._wall_seconds()
         for record in self._ledger.aging(int(wall - retention_seconds / 2), wall):
             self._write(encode(record)).addCallback(self._written_anew, record)
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -44,7 +44,18 @@
     """The engine at which it ran last."""
 
 
-AnyRecord = BoundRaised | TurnKept | AccountHandedOver
+class AllowanceGiven(Record, frozen=True, tag="allowance"):
+    """Programs without a record may use so much of their budgets; the last one counts.
+
+    Written before the first of them begins; see `starting_allowance`.
+    """
+
+    permille: int
+    """Thousandths of a budget, with what earlier owners allowed."""
+    written_at: int = 0
+
+
+AnyRecord = BoundRaised | TurnKept | AccountHandedOver | AllowanceGiven
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(AnyRecord)
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -5,9 +5,15 @@
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
+from notcharch.accounts import starting_allowance
 from notcharch.accounts.account import Account
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.partition import OwnedPartition
+from notcharch.accounts.starting_allowance import (
+    STEP_PERMILLE,
+    FormerAllowance,
+    StartingAllowance,
+)
 from notcharch.journal.writer import Outcome, PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
 from tests.unit.accounts import test_accounts as scenarios
@@ -47,6 +53,23 @@
     monkeypatch.setattr(Ledger, "replay", replay)
 
 
+def a_successor_ignores_allowances(monkeypatch):
+    monkeypatch.setattr(StartingAllowance, "former_permille", lambda *_: 0)
+
+
+def allowances_add_up_without_end(monkeypatch):
+    monkeypatch.setattr(starting_allowance, "MOST_PERMILLE", 5000)
+    monkeypatch.setattr(StartingAllowance, "replay", count_only_the_last_step)
+
+
+def count_only_the_last_step(self, record):
+    self._former = FormerAllowance(STEP_PERMILLE, record.written_at)
+
+
+def an_allowance_never_ends(monkeypatch):
+    monkeypatch.setattr(StartingAllowance, "is_in_force", lambda *_: True)
+
+
 def budgets_are_not_compared(monkeypatch):
     monkeypatch.setattr(Ledger, "_within", lambda *_: Verdict.ADMITTED)
 
@@ -69,6 +92,26 @@
             silent=False
         ),
     ),
+    (
+        a_successor_ignores_allowances,
+        lambda: (
+            scenarios.test_successors_count_what_programs_may_have_used_without_a_record(
+                successors=2
+            )
+        ),
+    ),
+    (
+        allowances_add_up_without_end,
+        lambda: (
+            scenarios.test_successors_count_what_programs_may_have_used_without_a_record(
+                successors=3
+            )
+        ),
+    ),
+    (
+        an_allowance_never_ends,
+        scenarios.test_an_owner_that_is_cut_from_the_log_stops_letting_programs_begin,
+    ),
     (budgets_are_not_compared, scenarios.test_a_budget_holds_over_all_daemons),
     (
         unknown_turns_are_denied_in_doubt,
