Learn the owners of partitions from peers while the store turns a daemon away

Cause: a daemon that the store refuses, or that is cut off from it, keeps its last view of the owners. When an owner changed meanwhile (its lease ran out, or it was this daemon's own), calls were put to the former one until they were refused.

Change: OwnerDirectory asks one random peer for its view, at most ten times a second, when in doubt while the store fails or is late, and takes a view that is newer than its own. One question at a time, of the size of the partitions: it doesn't grow with the daemons.

Test first: tests/unit/accounts (a refused gateway; a refused owner's own callers); the state machine refuses daemons singly.

--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -1,5 +1,6 @@
 """What daemons ask the owner of a program's partition."""
 
+from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.wire.codec import MessageCodec
 from notcharch.wire.messages.base import Message, Refusal
 
@@ -105,6 +106,8 @@
     KeepTurn,
     TurnIsKept,
     NotOwner,
+    AskOwners,
+    OwnersSeen,
     Refusal,
 )
 
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -67,7 +67,13 @@
         """Wire the parts; nothing is spoken before `start`."""
         partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
         self._directory = OwnerDirectory(
-            service, clock, random, network, GROUP, partitioning=partitioning
+            service,
+            clock,
+            random,
+            network,
+            GROUP,
+            partitioning=partitioning,
+            asks_peers=True,
         )
         self._owned = OwnedPartitions(
             service,
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -1,20 +1,24 @@
-"""Who owns which partition, as the log service last said."""
+"""Who owns which partition, as the log service last said, to us or to a peer."""
 
 from collections.abc import Generator
 from random import Random
 from typing import Any
 
-from result import Err, Result
+from result import Err, Ok, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
+from notcharch.errors import Problem
 from notcharch.events.event import emit
 from notcharch.events.journal import OwnersChanged
 from notcharch.journal.interface import LogProblem, LogService, Ownership
 from notcharch.journal.metrics import OWNERS_AGE_SECONDS
+from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.journal.owner_names import OwnerName, read_owner
 from notcharch.journal.partitioning import Partitioning
+from notcharch.values.identifiers import Member
+from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
 REFRESH_SECONDS = 4.0
@@ -25,6 +29,12 @@
 """In doubt the log service is asked again, at most this often."""
 UNANSWERED_SECONDS = 0.4
 """A question that has no answer after this time doesn't keep from asking again."""
+LATE_SECONDS = 0.15
+"""When the log service takes so long for an answer, a peer is asked as well."""
+PEER_SECONDS = 0.3
+"""A peer that doesn't answer in this time is given up."""
+
+Reply = Result[Message, Problem]
 
 
 class OwnerDirectory:
@@ -39,8 +49,13 @@
         group: str,
         *,
         partitioning: Partitioning,
+        asks_peers: bool = False,
     ) -> None:
-        """Begin without a view."""
+        """Begin without a view.
+
+        `asks_peers`: while the log service turns this daemon away, peers that it
+        serves are asked what they know. Their network has to know the messages.
+        """
         self._random = random
         self._partitioning = partitioning
         self._service = service
@@ -54,6 +69,12 @@
         self._is_asking = False
         self._generation = 0
         self._is_running = False
+        self._has_failed = False
+        """Whether the log service's last answer was a fault."""
+        self._asks_peers = asks_peers
+        self._is_asking_peer = False
+        if asks_peers:
+            network.on_request(AskOwners, self._tell_peer)
 
     def start(self) -> None:
         """Begin to refresh."""
@@ -71,6 +92,8 @@
     def doubt(self) -> None:
         """Ask again soon: an owner didn't answer as one."""
         since = self._clock.seconds() - self._asked_at
+        if self._has_failed or (self._is_asking and since >= LATE_SECONDS):
+            self._ask_peer()
         pause = UNANSWERED_SECONDS if self._is_asking else DOUBT_SECONDS
         if since >= pause:
             self._refresh()
@@ -105,11 +128,12 @@
             self._group
         )
         self._is_asking = False
+        self._has_failed = isinstance(answer, Err)
         if not isinstance(answer, Err):
             self._heard_at = self._clock.seconds()
-            self._take(answer.ok_value)
+            self._take(self._read(answer.ok_value))
 
-    def _take(self, rows: tuple[Ownership, ...]) -> None:
+    def _read(self, rows: tuple[Ownership, ...]) -> dict[int, OwnerName]:
         owners: dict[int, OwnerName] = {}
         for row in rows:
             owner = read_owner(row.member)
@@ -117,6 +141,41 @@
                 number = self._partitioning.number(row.partition)
                 if number is not None:
                     owners[number] = owner
+        return owners
+
+    # Peers
+
+    def _ask_peer(self) -> None:
+        """Ask one peer, of those that own something, what it knows."""
+        own = self._network.own_member.daemon
+        peers = sorted({owner.daemon for owner in self._owners.values()} - {own})
+        if not self._asks_peers or self._is_asking_peer or not peers:
+            return
+        self._is_asking_peer = True
+        peer = self._random.choice(peers)
+        asking = self._network.request(peer, AskOwners(), PEER_SECONDS)
+        asking.addCallback(self._peer_answered)
+
+    def _peer_answered(self, reply: Reply) -> None:
+        """Take a view that is newer than our own."""
+        self._clock.callLater(DOUBT_SECONDS, self._may_ask_peer)
+        if not isinstance(reply, Ok) or not isinstance(reply.ok_value, OwnersSeen):
+            return
+        seen = reply.ok_value
+        if seen.age_seconds >= self.age_seconds:
+            return
+        self._heard_at = self._clock.seconds() - seen.age_seconds
+        owners = {number: read_owner(text) for number, text in seen.owners.items()}
+        self._take({number: owner for number, owner in owners.items() if owner})
+
+    def _may_ask_peer(self) -> None:
+        self._is_asking_peer = False
+
+    async def _tell_peer(self, sender: Member, message: Message) -> Message:
+        owners = {number: owner.text() for number, owner in self._owners.items()}
+        return OwnersSeen(self.age_seconds, owners)
+
+    def _take(self, owners: dict[int, OwnerName]) -> None:
         if owners and owners != self._owners:
             self._log_change(owners)
             self._owners = owners
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -104,10 +104,16 @@
     def wait(self, seconds):
         self.world.run(seconds)
 
+    @rule(daemon=daemons, is_refused=st.booleans())
+    def refuse(self, daemon, is_refused):
+        self.world.refuse(self.world.names[daemon], is_refused=is_refused)
+
     @rule()
     def all_is_well_again(self):
         """Once everything works, a kept turn is found and a call is decided."""
         self.heal()
+        for name in self.world.names:
+            self.world.refuse(name, is_refused=False)
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -469,3 +469,28 @@
     assert faults
     assert of(messages, journal.TakeoverFailed)
     assert world.decided(world.call()).ticket is not None
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_a_daemon_that_the_log_refuses_learns_of_a_new_owner_from_its_peers(silent):
+    world = World()
+    refused, lost = world.names[0], world.names[1]
+    program = world.program_of(lost)
+    assert world.decided(world.call(program)).refusal is None
+    world.refuse(refused)
+    world.crash(lost, silent=silent)
+    world.run(2.0)
+    assert world.owner(program) == world.names[2]
+    listener = world.decided(world.call(program, wait_seconds=1.0), at=0)
+    assert listener.refusal is None
+
+
+def test_an_owner_that_the_log_refuses_is_succeeded_also_for_its_own_callers():
+    world = World()
+    refused = world.names[0]
+    program = world.program_of(refused)
+    world.refuse(refused)
+    world.run(2.0)
+    assert world.owner(program) != refused
+    call = world.call(program, budget=1000, most=600)  # more than it may let in
+    assert world.decided(call, at=0).refusal is None
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -7,13 +7,22 @@
 from emulator.peers.fabric import MemoryFabric
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.accounts.messages import account_codec
-from notcharch.accounts.service import AccountSettings, AccountsService
+from notcharch.accounts.service import (
+    GROUP,
+    TOPIC,
+    AccountSettings,
+    AccountsService,
+)
 from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
 from notcharch.http.messages import RequestHead
+from notcharch.journal.owner_names import read_owner
+from notcharch.journal.partitioning import spread_over
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
+from tests.unit.accounts.log_of_one import LogOfOne
 
 LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
 """The partitions of accounts: two topics of two."""
+TOPICS, PARTITIONS = 2, 2
 RETENTION_SECONDS = 300.0
 STEP_SECONDS = 0.02
 EVENT_TOKENS = 10
@@ -66,12 +75,14 @@
     def __init__(self, daemons: int = 3, seed: int = 1) -> None:
         self.clock = Clock()
         self.random = Random(seed)
-        self.log = PartitionedLog(self.clock, self.random, 2)
+        self.log = PartitionedLog(self.clock, self.random, PARTITIONS)
+        self.partitioning = spread_over(TOPIC, TOPICS, PARTITIONS)
         self.fabric = MemoryFabric(
             self.clock, Random(seed), encode=True, codec=account_codec()
         )
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.services: dict[DaemonName, AccountsService] = {}
+        self.logs = {name: LogOfOne(self.log, self.clock) for name in self.names}
         self.incarnations = dict.fromkeys(self.names, 0)
         self._calls = 0
         for name in self.names:
@@ -88,8 +99,10 @@
         member = Member(name, Incarnation(self.incarnations[name]))
         daemon = self.fabric.join(member, ZoneName("z"))
         service = AccountsService(
-            AccountSettings(f"{name}:1", 2, 1.0, RETENTION_SECONDS, topics=2),
-            self.log,
+            AccountSettings(
+                f"{name}:1", PARTITIONS, 1.0, RETENTION_SECONDS, topics=TOPICS
+            ),
+            self.logs[name],
             daemon.clock,
             daemon.network,
             Random(self.incarnations[name]),
@@ -98,6 +111,22 @@
         self.services[name] = service
         service.start()
 
+    def refuse(self, name: DaemonName, *, is_refused: bool = True) -> None:
+        """Let the log service turn a daemon away."""
+        self.logs[name].is_refused = is_refused
+
+    def owner(self, program: str) -> DaemonName:
+        """Give the daemon that the group deals a program's partition to."""
+        place = self.partitioning.place(self.partitioning.of_program(program))
+        owners = self.log.groups.owners(GROUP)
+        member = next(row.member for row in owners if row.partition == place)
+        return read_owner(member).daemon
+
+    def program_of(self, name: DaemonName) -> str:
+        """Give a program whose partition a daemon owns."""
+        names = (f"p{number}" for number in range(100))
+        return next(program for program in names if self.owner(program) == name)
+
     def crash(self, name: DaemonName, *, silent: bool = False) -> None:
         self.fabric.crash(name, silent=silent)
 
