Repeat appends sooner, and at once when the store is back

Cause: an append whose answer was lost was repeated after 0.7 s, although its number makes a repetition harmless; writers backed off up to 0.9 s and waited up to 1.5 s for answers that can't come any more, so an outage ended up to 2.4 s later than it did. Callers of kept turns asked again each 0.56 s, and each time the turn was put into the queue anew.

Change: an append waits 0.2 s at first (longer after each loss, as before), a heartbeat 0.75 s at most. The first heartbeat that is answered again ends the waits of all writers (RecoverySignal); appends sent more than 0.15 s before it are taken for lost. A bound or a turn that is being written is not written again (SharedWrites).

--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -23,6 +23,7 @@
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partition_journal import PartitionPlace
 from notcharch.journal.partitioning import Partitioning
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
@@ -47,6 +48,7 @@
         directory: OwnerDirectory,
         heartbeat: Callable[[], None],
         retention_seconds: float,
+        recovery: RecoverySignal,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Answer peers through `network`; refer those that ask wrongly."""
@@ -62,6 +64,7 @@
             make=self._make,
         )
         self._retention_seconds = retention_seconds
+        self._recovery = recovery
         self._tidying = LoopingCall(self._tidy)
         self._tidying.clock = clock
         self._network = network
@@ -85,6 +88,7 @@
             self._random,
             place,
             lost=self._dealt.lost,
+            recovery=self._recovery,
             wall=self._wall,
         )
 
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -23,6 +23,7 @@
 )
 from notcharch.accounts.metrics import OWNED_PARTITIONS, TAKEOVER_SECONDS
 from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept, decode, encode
+from notcharch.accounts.shared_writes import SharedWrites
 from notcharch.accounts.turns import Transcript
 from notcharch.events.accounts import (
     BudgetRefused,
@@ -32,6 +33,7 @@
 from notcharch.events.event import emit
 from notcharch.journal.interface import LogService
 from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import Outcome
 from notcharch.wire.messages.base import Message
 
@@ -51,6 +53,7 @@
         place: PartitionPlace,
         *,
         lost: Callable[["OwnedPartition"], None],
+        recovery: RecoverySignal,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
@@ -60,14 +63,22 @@
         self._wall = wall
         self._ledger = Ledger()
         self._journal = PartitionJournal(
-            service, clock, random, place, target=self, lost=self._was_lost
+            service,
+            clock,
+            random,
+            place,
+            target=self,
+            lost=self._was_lost,
+            recovery=recovery,
         )
         self._writer = self._journal.writer
         self.is_serving = False
         self._began = clock.seconds()
         self._waiting: list[Deferred[None]] = []
-        self._raising: dict[str, list[Deferred[bool]]] = {}
-        """Calls that wait for the bound of their program, which is being written."""
+        self._raising = SharedWrites()
+        """Bounds that are being written, by their programs."""
+        self._keeping = SharedWrites()
+        """Turns that are being written, by their ids."""
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
@@ -184,7 +195,9 @@
                 return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
         verdict = self._verdict(ask)
         while verdict is Verdict.NEEDS_BOUND:
-            is_raised = yield self._raise_bound(ask)
+            is_raised = yield self._raising.write(
+                ask.program, lambda: self._write_bound(ask)
+            )
             if not is_raised or not self.is_serving:
                 return NOT_OWNER  # what is reserved now, no successor would know
             verdict = self._verdict(ask)
@@ -219,21 +232,6 @@
             self._clock.seconds(),
         )
 
-    @inlineCallbacks
-    def _raise_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
-        """Write a higher bound, or wait for the one on its way."""
-        raising = self._raising.get(ask.program)
-        if raising is not None:
-            waiting: Deferred[bool] = Deferred()
-            raising.append(waiting)
-            is_done: bool = yield waiting
-            return is_done
-        self._raising[ask.program] = []
-        is_done = yield self._write_bound(ask)
-        for other in self._raising.pop(ask.program):
-            other.callback(is_done)
-        return is_done
-
     @inlineCallbacks
     def _write_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
         assert ask.budget_tokens is not None
@@ -291,22 +289,29 @@
         if not (yield self._until_serving()):
             return NOT_OWNER
         if ask.call not in self._ledger.turns:
-            record = TurnKept(
-                ask.program,
-                ask.call,
-                ask.previous,
-                ask.input,
-                ask.output,
-                self._wall_seconds(),
-            )
-            outcome = yield self._write(encode(record))
-            if outcome is not Outcome.DURABLE:
+            is_kept = yield self._keeping.write(ask.call, lambda: self._write_turn(ask))
+            if not is_kept:
                 return NOT_OWNER
-            self._ledger.keep(record, self._clock.seconds())
         now = self._clock.seconds()
         self._ledger.settle(ask.program, ask.call, ask.tokens, now, engine=ask.engine)
         return TurnIsKept()
 
+    @inlineCallbacks
+    def _write_turn(self, ask: KeepTurn) -> Generator["Deferred[Any]", Any, bool]:
+        record = TurnKept(
+            ask.program,
+            ask.call,
+            ask.previous,
+            ask.input,
+            ask.output,
+            self._wall_seconds(),
+        )
+        outcome = yield self._write(encode(record))
+        if outcome is not Outcome.DURABLE:
+            return False
+        self._ledger.keep(record, self._clock.seconds())
+        return True
+
     def tidy(self, retention_seconds: float) -> None:
         """Forget what nobody may ask for; write anew what the log would drop."""
         if not self.is_serving:
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -17,6 +17,7 @@
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.owner_names import OwnerName
 from notcharch.journal.partitioning import spread_over
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
@@ -75,6 +76,7 @@
             partitioning=partitioning,
             asks_peers=True,
         )
+        recovery = RecoverySignal(clock)
         self._owned = OwnedPartitions(
             service,
             clock,
@@ -84,6 +86,7 @@
             directory=self._directory,
             heartbeat=self._heartbeat,
             retention_seconds=settings.retention_seconds,
+            recovery=recovery,
             wall=wall,
         )
         own = network.own_member
@@ -94,6 +97,7 @@
             OwnerName(own.daemon, settings.address).text(),
             least_lease_seconds=settings.least_lease_seconds,
             dealt=self._owned.dealt,
+            recovered=recovery.recovered,
         )
         self.admission = AccountAdmission(
             OwnerRequests(clock, network, self._directory, partitioning)
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -34,14 +34,21 @@
         *,
         least_lease_seconds: float,
         dealt: Callable[[Membership], None],
+        recovered: Callable[[], None] = lambda: None,
     ) -> None:
-        """Call `dealt` after each heartbeat that was answered."""
+        """Call `dealt` after each heartbeat that was answered.
+
+        `recovered` is called before it when the heartbeat before had no answer.
+        """
         self._service = service
         self._clock = clock
         self._name = name
         self._member = member
         self._lease_seconds = max(LEASE_SECONDS, least_lease_seconds)
         self._dealt = dealt
+        self._recovered = recovered
+        self._has_failed = False
+        """Whether the last heartbeat was refused or not answered."""
         self._generation = 0
         self._is_member = False
         self._is_joining = False
@@ -82,8 +89,11 @@
         # Before anything else, so that no fault keeps the next heartbeat away.
         if self._next is None or not self._next.active():
             self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
+        had_failed, self._has_failed = self._has_failed, isinstance(answer, Err)
         if not isinstance(answer, Err):
             self._confirmed_at = sent_at
+            if had_failed:
+                self._recovered()
             self._dealt(answer.ok_value)
 
     def _pause(self, answer: Result[Membership, LogProblem]) -> float:
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -17,6 +17,7 @@
     LogService,
     Records,
 )
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import PartitionWriter
 
 READ_RETRY_SECONDS = 0.08
@@ -53,6 +54,7 @@
         *,
         target: ReplayTarget,
         lost: Callable[[], None],
+        recovery: RecoverySignal | None = None,
     ) -> None:
         """Prepare; `lost` is called once when a higher epoch writes."""
         self._service = service
@@ -60,7 +62,13 @@
         self._place = place.log
         self._target = target
         self.writer = PartitionWriter(
-            service, clock, random, place.log, epoch=place.epoch, lost=lost
+            service,
+            clock,
+            random,
+            place.log,
+            epoch=place.epoch,
+            lost=lost,
+            recovery=recovery,
         )
         self.records = 0
         """How many records were replayed."""
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -10,7 +10,6 @@
 from result import Err, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
 
 from notcharch.journal.interface import (
     Appended,
@@ -22,6 +21,7 @@
     Records,
 )
 from notcharch.journal.metrics import APPEND_SECONDS, APPENDS, BACKLOG
+from notcharch.journal.recovery_signal import RecoverySignal
 
 BATCH_BYTES = 256 * 1024
 RETRY_SECONDS = 0.05
@@ -61,8 +61,12 @@
         *,
         epoch: int,
         lost: Callable[[], None],
+        recovery: RecoverySignal | None = None,
     ) -> None:
-        """Write under an epoch; `lost` is called once when it is fenced."""
+        """Write under an epoch; `lost` is called once when it is fenced.
+
+        `recovery` ends waits early when the service is back.
+        """
         self._service = service
         self._clock = clock
         self._random = random
@@ -70,6 +74,7 @@
         self._partition = place.number
         self._epoch = epoch
         self._lost = lost
+        self._recovery = recovery or RecoverySignal(clock)
         self._sequence = 0
         self._queue: deque[Entry] = deque()
         self._is_writing = False
@@ -154,7 +159,7 @@
 
     def _pause(self, seconds: float) -> "Deferred[None]":
         jitter = 0.5 + self._random.random()
-        return deferLater(self._clock, seconds * jitter, lambda: None)
+        return self._recovery.pause(seconds * jitter)
 
     def _next_batch(self) -> list[Entry]:
         batch: list[Entry] = []
@@ -173,12 +178,12 @@
             self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
         delay = RETRY_SECONDS
+        recoveries = self._recovery.count
         began = self._clock.seconds()
         may_be_written = False
         while self.is_open:
-            answer: Result[Appended, LogProblem] = yield self._service.append(
-                self._topic, self._partition, records, producer
-            )
+            sent = self._service.append(self._topic, self._partition, records, producer)
+            answer: Result[Appended, LogProblem] = yield self._recovery.guard(sent)
             if not isinstance(answer, Err):
                 APPENDS.labels("done").inc()
                 APPEND_SECONDS.observe(self._clock.seconds() - began)
@@ -190,6 +195,9 @@
             if fault in LOST_FAULTS:
                 self._give_up()
                 break
+            if self._recovery.count != recoveries:
+                recoveries = self._recovery.count
+                delay = RETRY_SECONDS
             yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH, LONGEST_RETRY_SECONDS)
         return Outcome.LOST if may_be_written else Outcome.NOT_WRITTEN
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -31,10 +31,12 @@
 OFFSET_BYTES = 8
 CALL_SECONDS = 1.5
 """An answer that takes longer is taken for lost."""
-LEAST_APPEND_SECONDS = 0.7
+LEAST_APPEND_SECONDS = 0.2
 """An append may be repeated under its number, so a lost answer is given up sooner."""
 LEAST_JOIN_SECONDS = 0.45
 """A heartbeat is repeated twice before a lease of the least length runs out."""
+MOST_JOIN_SECONDS = 0.75
+"""Heartbeats find out when the store is back, so none is waited for much longer."""
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -128,7 +130,7 @@
         self._requester = requester
         self._clock = clock
         self._appends = Patience(LEAST_APPEND_SECONDS, CALL_SECONDS)
-        self._joins = Patience(LEAST_JOIN_SECONDS, CALL_SECONDS)
+        self._joins = Patience(LEAST_JOIN_SECONDS, MOST_JOIN_SECONDS)
 
     def _call(
         self,
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -4,7 +4,7 @@
 
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.ledger import DEFAULT_KEEP_SECONDS, Ledger, Verdict
-from notcharch.accounts.records import AnyRecord, BoundRaised, decode
+from notcharch.accounts.records import AnyRecord, BoundRaised, TurnKept, decode
 from notcharch.accounts.starting_allowance import (
     LIFE_SECONDS,
     RENEW_SECONDS,
@@ -494,3 +494,18 @@
     assert world.owner(program) != refused
     call = world.call(program, budget=1000, most=600)  # more than it may let in
     assert world.decided(call, at=0).refusal is None
+
+
+def test_a_turn_that_is_kept_again_while_it_is_being_written_is_written_once():
+    world = World()
+    call = world.call(wait_seconds=20.0)
+    listener = world.decided(call, keeps_turns=True)
+    world.log.trouble = Trouble.REFUSE
+    listener.ticket.completed(EVENT, 1, listener)
+    world.run(4.0)
+    assert not listener.is_durable
+    world.log.trouble = Trouble.NONE
+    world.run(2.0)
+    assert listener.is_durable
+    turns = [record for record in records_in(world) if isinstance(record, TurnKept)]
+    assert [turn.turn for turn in turns] == [call.id]
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -3,6 +3,8 @@
 from random import Random
 
 import pytest
+from result import Err, Ok
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import (
@@ -17,9 +19,15 @@
     QUICK_SECONDS,
     GroupMember,
 )
-from notcharch.journal.interface import GroupName, LogPartition
+from notcharch.journal.interface import (
+    GroupName,
+    LogFault,
+    LogPartition,
+    LogProblem,
+)
 from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
-from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.journal.recovery_signal import STALE_SECONDS, RecoverySignal
+from notcharch.journal.writer import RETRY_SECONDS, Outcome, PartitionWriter
 
 TOPIC = "keyed.things"
 PACE = Pace(wait_seconds=1.0, pause_seconds=0.1)
@@ -374,3 +382,79 @@
     assert world.follower.is_just_regained(2.0)
     world.run(3.0)
     assert not world.follower.is_just_regained(2.0)
+
+
+@pytest.mark.parametrize("trouble", [Trouble.REFUSE, Trouble.LOSE_CALL])
+def test_a_writer_goes_on_as_soon_as_the_log_service_is_back(trouble):
+    world = Writing()
+    recovery = RecoverySignal(world.clock)
+    writer = PartitionWriter(
+        world.log,
+        world.clock,
+        Random(1),
+        LogPartition("t", 0),
+        epoch=1,
+        lost=lambda: None,
+        recovery=recovery,
+    )
+    writer.claim()
+    world.run(0.1)
+    world.log.trouble = trouble
+    outcomes: list[Outcome] = []
+    writer.write(b"record", outcomes.append)
+    world.run(7.0)
+    assert outcomes == []
+    world.log.trouble = Trouble.NONE
+    recovery.recovered()
+    world.run(2 * RETRY_SECONDS)
+    assert outcomes == [Outcome.DURABLE]
+    assert world.log.partition("t", 0).records == [b"record"]
+
+
+def test_the_first_heartbeat_that_is_answered_again_tells_of_the_recovery():
+    clock = Clock()
+    log = PartitionedLog(clock, Random(1), 2)
+    recoveries: list[float] = []
+    member = GroupMember(
+        log,
+        clock,
+        GroupName("g", ("t",)),
+        "m",
+        least_lease_seconds=1.0,
+        dealt=lambda _: None,
+        recovered=lambda: recoveries.append(clock.seconds()),
+    )
+    member.start()
+    clock.pump([0.02] * 100)
+    assert recoveries == []
+    log.trouble = Trouble.REFUSE
+    clock.pump([0.02] * 100)
+    log.trouble = Trouble.NONE
+    clock.pump([0.02] * 100)
+    assert len(recoveries) == 1
+    assert recoveries[0] <= 4.0 + HEARTBEAT_SECONDS + 0.04
+
+
+def test_an_answer_that_comes_after_a_recovery_is_not_taken_twice():
+    clock = Clock()
+    recovery = RecoverySignal(clock)
+    late: Deferred = Deferred()
+    answers: list[object] = []
+    recovery.guard(late).addCallback(answers.append)
+    clock.advance(STALE_SECONDS)
+    recovery.recovered()
+    late.callback(Ok("late"))
+    recovery.recovered()
+    assert answers == [Err(LogProblem(LogFault.UNKNOWN))]
+
+
+def test_a_call_that_was_just_sent_goes_on_through_a_recovery():
+    clock = Clock()
+    recovery = RecoverySignal(clock)
+    sent: Deferred = Deferred()
+    answers: list[object] = []
+    recovery.guard(sent).addCallback(answers.append)
+    recovery.recovered()
+    assert answers == []
+    sent.callback(Ok("done"))
+    assert answers == [Ok("done")]
