Judge engines by their answers, in policies of their own under scheduling/

Cause: an engine was passed over for a second after a failed connection, and else taken at its word.

Change: scheduling/engine_health.py (pure) passes over an engine that owes answers and has been silent for twice the longest usual time, one whose events take 2.5 times the median of its service, and one that fails again for twice as long.

Test first: tests/unit/calls (passed over when silent, slow, failing again; nobody is blamed when all are).

--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -84,6 +84,8 @@
         self._tried: set[str] = set()
         self._head: ResponseHead | None = None
         self._pieces: list[bytes] = []
+        self._event_at: float | None = None
+        """When the present run's last event came, clock seconds."""
         self._cutter = EventCutter()
         self._is_relaying = False
         """Whether the caller has the head of a stream."""
@@ -163,6 +165,7 @@
         self._engine = engine
         self._head = None
         self._pieces = []
+        self._event_at = None
         self._relays_this_run = False
         request = self._services.dialect.request(self.call, engine, int(left * 1000))
         self._services.pool.began(engine.id)
@@ -190,11 +193,17 @@
 
     def unreachable(self) -> None:
         """Try another engine: nothing was sent."""
-        assert self._engine is not None
-        self._services.pool.failed(self._engine.id)
+        self._engine_failed()
         self._leave_engine()
         self._send_again(UNREACHABLE)
 
+    def _engine_failed(self) -> None:
+        """Pass the engine over; where it is silent, so are its other connections."""
+        assert self._engine is not None
+        is_silent = self._services.pool.failed(self._engine.id)
+        if is_silent:
+            self._services.sender.forget(self._engine.id)
+
     def is_answer(self, head: ResponseHead) -> bool:
         """Tell whether an answer is to this call."""
         return self._services.dialect.is_answer_to(self.call, head)
@@ -202,6 +211,8 @@
     def head_came(self, head: ResponseHead) -> None:
         """Begin to relay a stream that succeeds; keep other answers until whole."""
         self._head = head
+        if self._engine is not None:
+            self._services.pool.heard(self._engine.id)
         dialect = self._services.dialect
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
             return
@@ -222,11 +233,20 @@
             return
         whole = self._cutter.take(data)
         if whole:
+            self._note_pace()
             self._log.gave(self._cutter.events)
             if self._route.keeps_turns:
                 self._output.append(whole)
             self._reply.write(whole)
 
+    def _note_pace(self) -> None:
+        """Tell how long after the one before an event came."""
+        assert self._engine is not None
+        now = self._services.clock.seconds()
+        gap = None if self._event_at is None else now - self._event_at
+        self._event_at = now
+        self._services.pool.heard(self._engine.id, gap)
+
     def ended(self) -> None:
         """Hear that the answer is whole."""
         head = self._head
@@ -261,9 +281,8 @@
 
     def failed(self, failure: AnswerFailure) -> None:
         """Hear that the answer broke off; the call may have run."""
-        assert self._engine is not None
         if failure is not AnswerFailure.GARBLED:
-            self._services.pool.failed(self._engine.id)
+            self._engine_failed()
         self._log.runs += 1
         self._leave_engine()
         self._failed_run(failure.value)
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -13,7 +13,7 @@
 from notcharch.http.reactor import TimedReactor
 from notcharch.http.sockets import detect_silence
 
-CONNECT_SECONDS = 0.5
+CONNECT_SECONDS = 0.3
 UNTOLD_KEEP_SECONDS = 4.0
 """So long an idle connection is used if the engine doesn't say how long it keeps it."""
 KEEP_MARGIN_SECONDS = 1.0
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -1,51 +1,69 @@
-"""The engines that calls can be sent to, and the choice among them."""
+"""The engines that calls can be sent to, as they are listed and as calls saw them."""
 
 from collections.abc import Collection, Iterable
 from random import Random
 
-import xxhash
+import msgspec
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import Engine
-
-SUSPECT_SECONDS = 1.0
-"""So long an engine that failed is passed over while others serve."""
-
-REFUSAL_SECONDS = 0.25
-"""So long an engine that was full is passed over while others serve."""
+from notcharch.scheduling.engine_health import (
+    EngineHealth,
+    HealthPolicy,
+    ServiceHealth,
+)
+from notcharch.scheduling.engine_routing import (
+    CallRouting,
+    EngineRouting,
+    RoutingPolicy,
+)
 
 LEAVING_SECONDS = 1.0
 """So long an engine that leaves, or is not listed any more, is still a last resort.
 
-It serves for longer. After an outage of the store, engines that live are missing from
-the list until their next heartbeats.
+It serves for longer.
 """
-
 RETURNING_SECONDS = 2.0
 """So long an engine whose entry lapsed in an outage of the list is taken for alive."""
 
-HOME_SLACK_CALLS = 3
-"""A home engine is kept until it has so many more of our calls than the least busy."""
 
+class PoolPolicy(msgspec.Struct, frozen=True):
+    """How the engines of a pool are chosen, and for how long they are missed."""
 
-KEPT_HOME_SLACK_CALLS = 8
-"""The engine that has a program's prefix is left only when it is this much busier: to
-read a long prefix anew costs more than some waiting."""
+    leaving_seconds: float = LEAVING_SECONDS
+    returning_seconds: float = RETURNING_SECONDS
+    routing: RoutingPolicy = RoutingPolicy()
+    health: HealthPolicy = HealthPolicy()
 
 
 class EngineState:
-    """What this daemon knows of one engine from its own calls."""
+    """What this daemon knows of one engine."""
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, health: EngineHealth) -> None:
         """Begin with no calls."""
         self.engine = engine
+        self.health = health
         self.in_flight = 0
+        """Our own calls there."""
         self.left_at: float | None = None
         """Clock seconds at which it was first seen to leave, or was not listed."""
         self.lapsed_at: float | None = None
         """Clock seconds at which it was not listed any more, just after an outage."""
-        self.avoid_until = 0.0
-        """Clock seconds; passed over before, while others serve."""
+
+    @property
+    def id(self) -> str:
+        """Give the engine's name."""
+        return self.engine.id
+
+    @property
+    def zone(self) -> str:
+        """Tell where it is."""
+        return self.engine.zone
+
+    @property
+    def slots(self) -> int:
+        """Give how many calls it runs at a time."""
+        return self.engine.slots
 
 
 class EnginePool:
@@ -56,20 +74,20 @@
         clock: IReactorTime,
         zone: str,
         random: Random,
-        leaving_seconds: float = LEAVING_SECONDS,
-        returning_seconds: float = RETURNING_SECONDS,
+        policy: PoolPolicy | None = None,
     ) -> None:
         """Begin with no engines; those that leave are a last resort for a while.
 
         Those that lapsed in an outage of the list are expected back for another while.
         """
-        self._leaving_seconds = leaving_seconds
-        self._returning_seconds = returning_seconds
+        self._policy = policy or PoolPolicy()
         self._clock = clock
-        self._zone = zone
-        self._random = random
+        self._routing = EngineRouting(self._policy.routing, zone, random)
         self._states: dict[str, EngineState] = {}
         self._by_service: dict[str, list[EngineState]] = {}
+        self._services: dict[str, ServiceHealth] = {}
+
+    # The list
 
     def replace(
         self, engines: Iterable[Engine], *, is_after_outage: bool = False
@@ -80,15 +98,10 @@
         """
         now = self._clock.seconds()
         listed = {engine.id: engine for engine in engines}
-        states: dict[str, EngineState] = {}
-        for id, engine in listed.items():
-            state = states[id] = self._states.get(id) or EngineState(engine)
-            state.engine = engine
-            state.lapsed_at = None
-            if not engine.is_leaving:
-                state.left_at = None
-            elif state.left_at is None:
-                state.left_at = now
+        states = {
+            id: self._listed(self._states.get(id), engine, now)
+            for id, engine in listed.items()
+        }
         for id, state in self._states.items():
             if id not in listed and self._stays(state, now, is_after_outage):
                 states[id] = state
@@ -97,8 +110,30 @@
         self._by_service = {}
         for state in states.values():
             self._by_service.setdefault(state.engine.service, []).append(state)
+        for service, members in self._by_service.items():
+            self._service(service).begin([state.health for state in members])
         return forgotten
 
+    def _service(self, name: str) -> ServiceHealth:
+        known = self._services.get(name)
+        if known is None:
+            known = self._services[name] = ServiceHealth(self._policy.health)
+        return known
+
+    def _listed(
+        self, state: EngineState | None, engine: Engine, now: float
+    ) -> EngineState:
+        """Take an engine's entry."""
+        if state is None:
+            state = EngineState(engine, EngineHealth(self._service(engine.service)))
+        state.engine = engine
+        state.lapsed_at = None
+        if not engine.is_leaving:
+            state.left_at = None
+        elif state.left_at is None:
+            state.left_at = now
+        return state
+
     def _stays(self, state: EngineState, now: float, is_after_outage: bool) -> bool:
         """Note when an engine vanished; tell whether it may get calls all the same."""
         if is_after_outage and state.left_at is None and state.lapsed_at is None:
@@ -107,21 +142,26 @@
             return True
         if state.left_at is None:
             state.left_at = now
-        return now - state.left_at < self._leaving_seconds
+        return now - state.left_at < self._policy.leaving_seconds
 
     def _is_returning(self, state: EngineState, now: float) -> bool:
         if state.lapsed_at is None:
             return False
-        return now - state.lapsed_at < self._returning_seconds
+        return now - state.lapsed_at < self._policy.returning_seconds
+
+    def count(self, service: str) -> int:
+        """Give how many engines of a service take work."""
+        return len(self._candidates(service, self._clock.seconds()))
+
+    # The choice
 
     def choose(
         self, service: str, home_key: str, tried: Collection[str], home: str = ""
     ) -> Engine | None:
         """Give the engine for a call; None if no untried one takes work.
 
-        `home_key` names what the calls share whose prefix an engine may keep; all
-        daemons of a zone give one key the same home, in their own zone if they can.
-        `home` is the engine that has the prefix already, if one is known to.
+        `home_key` names what the calls share whose prefix an engine may keep; `home`
+        is the engine that has the prefix already, if one is known to.
         """
         now = self._clock.seconds()
         states = [
@@ -131,15 +171,11 @@
         ]
         if not states:
             return None
-        sound = [state for state in states if state.avoid_until <= now] or states
-        least = min(state.in_flight / state.engine.slots for state in sound)
-        for state in sound:
-            allowed = least * state.engine.slots + KEPT_HOME_SLACK_CALLS
-            if state.engine.id == home and state.in_flight <= allowed:
-                return state.engine
-        if home_key:
-            return self._home(sound, home_key).engine
-        return self._least_busy(sound).engine
+        slow_pace = self._service(service).slow_pace_seconds(now)
+        sound = [
+            state for state in states if not state.health.is_suspect(now, slow_pace)
+        ]
+        return self._routing.choose(sound or states, CallRouting(home_key, home)).engine
 
     def _candidates(self, service: str, now: float) -> list[EngineState]:
         """Give the engines that stay; if most have just left, those as well."""
@@ -154,60 +190,51 @@
         return staying + [
             state
             for state in states
-            if state.left_at is not None and now - state.left_at < self._leaving_seconds
+            if state.left_at is not None
+            and now - state.left_at < self._policy.leaving_seconds
         ]
 
-    def _home(self, states: list[EngineState], key: str) -> EngineState:
-        """Prefer the first of the engines' hashes with the key that isn't too busy."""
-        least = min(state.in_flight / state.engine.slots for state in states)
-        free = [
-            state
-            for state in states
-            if state.in_flight <= least * state.engine.slots + HOME_SLACK_CALLS
-        ]
-        near = [state for state in free if state.engine.zone == self._zone]
-        return min(
-            near or free,
-            key=lambda state: xxhash.xxh64_intdigest(
-                f"{state.engine.id}|{key}".encode()
-            ),
-        )
-
-    def _least_busy(self, states: list[EngineState]) -> EngineState:
-        return min(
-            states,
-            key=lambda state: (
-                state.in_flight / state.engine.slots,
-                state.engine.zone != self._zone,
-                self._random.random(),
-            ),
-        )
-
-    def count(self, service: str) -> int:
-        """Give how many engines of a service take work."""
-        return len(self._candidates(service, self._clock.seconds()))
+    # What calls saw
 
     def began(self, engine_id: str) -> None:
         """Count a call that is sent to an engine."""
         state = self._states.get(engine_id)
         if state is not None:
             state.in_flight += 1
+            state.health.sent(self._clock.seconds())
 
     def ended(self, engine_id: str) -> None:
         """Count a call that is over."""
         state = self._states.get(engine_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
+            state.health.over()
 
-    def failed(self, engine_id: str) -> None:
-        """Pass over an engine for a while that could not be spoken to."""
-        self._avoid(engine_id, SUSPECT_SECONDS)
+    def heard(self, engine_id: str, event_gap_seconds: float | None = None) -> None:
+        """Note a part of an answer, and how long after the event before it came."""
+        state = self._states.get(engine_id)
+        if state is None:
+            return
+        now = self._clock.seconds()
+        state.health.heard(now)
+        if event_gap_seconds is not None:
+            state.health.paced(event_gap_seconds, now)
+
+    def failed(self, engine_id: str) -> bool:
+        """Pass over an engine that could not be spoken to; tell whether it is silent.
+
+        Its idle connections are of no use then.
+        """
+        state = self._states.get(engine_id)
+        if state is None:
+            return False
+        now = self._clock.seconds()
+        is_silent = state.health.is_silent(now)
+        state.health.failed(now)
+        return is_silent
 
     def was_full(self, engine_id: str) -> None:
         """Pass over an engine for a moment that took no more."""
-        self._avoid(engine_id, REFUSAL_SECONDS)
-
-    def _avoid(self, engine_id: str, seconds: float) -> None:
         state = self._states.get(engine_id)
         if state is not None:
-            state.avoid_until = self._clock.seconds() + seconds
+            state.health.was_full(self._clock.seconds())
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -22,7 +22,7 @@
 )
 from notcharch.calls.call_life import CallServices
 from notcharch.calls.engine_sender import EngineSender
-from notcharch.calls.engines import RETURNING_SECONDS, EnginePool
+from notcharch.calls.engines import RETURNING_SECONDS, EnginePool, PoolPolicy
 from notcharch.events.calls import CallServed
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
@@ -101,8 +101,10 @@
             reactor,
             settings.zone,
             random,
-            leaving_seconds=leaving,
-            returning_seconds=min(returning, RETURNING_SECONDS),
+            PoolPolicy(
+                leaving_seconds=leaving,
+                returning_seconds=min(returning, RETURNING_SECONDS),
+            ),
         )
         sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
--- /dev/null
+++ b/notcharch/scheduling/engine_health.py
@@ -0,0 +1,146 @@
+"""What the answers of an engine show of its health, whatever it says itself. Pure.
+
+An engine is passed over, while others serve,
+
+- for a while after a failure, twice as long after each further one;
+- for a moment after it refused a call because it was full;
+- while it owes answers and has been silent for longer than engines of its service are;
+- while its events come much more slowly than those of its service.
+
+All times are clock seconds.
+"""
+
+from statistics import median
+
+import msgspec
+
+SUSPECT_SECONDS = 1.0
+"""So long an engine that failed is passed over; twice as long after each failure more."""
+MOST_SUSPECT_SECONDS = 4.0
+REFUSAL_SECONDS = 0.25
+"""So long an engine that was full is passed over."""
+LEAST_SILENCE_SECONDS = 0.3
+"""A shorter silence says nothing."""
+SILENCE_FACTOR = 2.0
+"""Nor does one that is shorter than this times the longest usual one."""
+SILENCE_MEMORY = 0.98
+"""The longest usual silence is forgotten by so much with each answer."""
+PACE_WEIGHT = 0.2
+"""Of the newest time between two events in an engine's mean."""
+PACE_FACTOR = 2.5
+"""An engine is slow when its events take so many times the median of its service."""
+PACE_KEEP_SECONDS = 2.0
+"""An engine that showed no event for so long may be tried again."""
+LEAST_PACED_ENGINES = 3
+"""With fewer engines whose pace is known, none is called slow."""
+
+
+class HealthPolicy(msgspec.Struct, frozen=True):
+    """What is watched."""
+
+    watches_silence: bool = True
+    watches_pace: bool = True
+
+
+class ServiceHealth:
+    """What is usual among the engines of one service."""
+
+    def __init__(self, policy: HealthPolicy) -> None:
+        """Begin without any observation."""
+        self.policy = policy
+        self._longest_silence = 0.0
+        self._engines: list[EngineHealth] = []
+
+    def begin(self, engines: "list[EngineHealth]") -> None:
+        """Compare these engines from now on."""
+        self._engines = engines
+
+    def silence_ended(self, seconds: float) -> None:
+        """Learn how long an engine that owed an answer said nothing."""
+        faded = self._longest_silence * SILENCE_MEMORY
+        self._longest_silence = max(seconds, faded + seconds * (1 - SILENCE_MEMORY))
+
+    @property
+    def most_silence_seconds(self) -> float:
+        """Give the silence beyond which an engine is suspected."""
+        return max(LEAST_SILENCE_SECONDS, SILENCE_FACTOR * self._longest_silence)
+
+    def slow_pace_seconds(self, now: float) -> float | None:
+        """Give the time between events beyond which an engine is slow, if known."""
+        paces = [
+            engine.pace_seconds for engine in self._engines if engine.has_pace(now)
+        ]
+        if len(paces) < LEAST_PACED_ENGINES:
+            return None
+        return PACE_FACTOR * median(paces)
+
+
+class EngineHealth:
+    """What own calls showed of one engine."""
+
+    def __init__(self, service: ServiceHealth) -> None:
+        """Begin sound."""
+        self._service = service
+        self._owed = 0
+        """Calls that wait for an answer, or for more of it."""
+        self._silent_since = 0.0
+        """Since when, if anything is owed."""
+        self._avoid_until = 0.0
+        self._failures = 0
+        """In a row."""
+        self.pace_seconds = 0.0
+        """The mean time between two events of a call."""
+        self._paced_at: float | None = None
+
+    def sent(self, now: float) -> None:
+        """Note that a call went there."""
+        if not self._owed:
+            self._silent_since = now
+        self._owed += 1
+
+    def heard(self, now: float) -> None:
+        """Note a part of an answer."""
+        self._service.silence_ended(now - self._silent_since)
+        self._silent_since = now
+        self._failures = 0
+
+    def paced(self, seconds: float, now: float) -> None:
+        """Note the time between two events of one call."""
+        if not self.has_pace(now):
+            self.pace_seconds = seconds
+        self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
+        self._paced_at = now
+
+    def over(self) -> None:
+        """Note that a call is over, however it ended."""
+        self._owed = max(self._owed - 1, 0)
+
+    def failed(self, now: float) -> None:
+        """Pass over an engine that could not be spoken to."""
+        seconds = min(SUSPECT_SECONDS * 2**self._failures, MOST_SUSPECT_SECONDS)
+        self._failures += 1
+        self._avoid_until = now + seconds
+
+    def was_full(self, now: float) -> None:
+        """Pass over an engine that took no more."""
+        self._avoid_until = max(self._avoid_until, now + REFUSAL_SECONDS)
+
+    def has_pace(self, now: float) -> bool:
+        """Tell whether its pace was seen lately."""
+        return self._paced_at is not None and now - self._paced_at < PACE_KEEP_SECONDS
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether it owes answers and has said nothing for too long."""
+        most = self._service.most_silence_seconds
+        return bool(self._owed) and now - self._silent_since > most
+
+    def is_suspect(self, now: float, slow_pace_seconds: float | None) -> bool:
+        """Tell whether others should be preferred."""
+        if now < self._avoid_until:
+            return True
+        policy = self._service.policy
+        if policy.watches_silence and self.is_silent(now):
+            return True
+        if slow_pace_seconds is None or not policy.watches_pace:
+            return False
+        return self.has_pace(now) and self.pace_seconds > slow_pace_seconds
--- a/notcharch/scheduling/memory_room.py
+++ b/notcharch/scheduling/memory_room.py
@@ -7,13 +7,30 @@
 free blocks, new programs wait until others end, and begun ones go on.
 """
 
-from notcharch.clients.ports import EngineLoad
+from typing import Protocol
+
 from notcharch.scheduling.calls import OrderPolicy, Room
 from notcharch.values.identifiers import ServiceName
 
 MEAN_WEIGHT = 0.05
 
 
+class MemoryReport(Protocol):
+    """What an engine says of its memory."""
+
+    @property
+    def total_blocks(self) -> int:
+        """All blocks."""
+
+    @property
+    def free_blocks(self) -> int:
+        """Those that hold nothing that is in use."""
+
+    @property
+    def block_tokens(self) -> int:
+        """Tokens in a block."""
+
+
 class MemoryRoom:
     """The free memory of one engine, in tokens."""
 
@@ -24,7 +41,7 @@
         self._free = 0
         self._mean_prompts: dict[ServiceName, float] = {}
 
-    def learn_report(self, report: EngineLoad) -> None:
+    def learn_report(self, report: MemoryReport) -> None:
         """Take in the free blocks; blocks of paused programs are not free."""
         self._total = report.total_blocks * report.block_tokens
         self._free = report.free_blocks * report.block_tokens
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -4,6 +4,7 @@
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import AnswerFailure
+from notcharch.scheduling.engine_health import LEAST_SILENCE_SECONDS
 from tests.unit.calls.world import World
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -40,6 +41,34 @@
     assert world.reply.end == "whole"
 
 
+def test_the_idle_connections_of_an_engine_that_fell_silent_are_dropped():
+    world = World()
+    silent = world.sent[0]
+    world.clock.advance(LEAST_SILENCE_SECONDS + 0.01)
+    silent.listener.failed(AnswerFailure.RESET)
+    assert world.sender.forgotten == [silent.engine.id]
+
+
+def test_those_of_an_engine_that_reset_one_connection_are_kept():
+    world = World()
+    world.clock.advance(LEAST_SILENCE_SECONDS - 0.01)
+    world.sent[0].listener.failed(AnswerFailure.RESET)
+    assert world.sender.forgotten == []
+
+
+def test_the_pace_of_a_stream_is_learned_from_its_whole_events():
+    world = World(is_stream=True)
+    sent = world.sent[0]
+    sent.begin()
+    for _ in range(3):
+        world.clock.advance(0.1)
+        sent.listener.data_came(b"id: 1\ndata: a\n\nid: 2\ndata")
+        sent.listener.data_came(b": b\n\n")
+    health = world.pool._states[sent.engine.id].health
+    assert health.has_pace(world.clock.seconds())
+    assert 0.0 < health.pace_seconds <= 0.1
+
+
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_call_that_may_have_run_is_not_sent_again(failure):
     world = World(most_engines=3)
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -7,17 +7,21 @@
 from twisted.internet.task import Clock
 
 from notcharch.calls.engines import (
-    HOME_SLACK_CALLS,
-    KEPT_HOME_SLACK_CALLS,
     LEAVING_SECONDS,
     RETURNING_SECONDS,
     EnginePool,
+    PoolPolicy,
 )
 from notcharch.calls.event_stream import EventCutter, data_lines
 from notcharch.calls.interface import Engine, OpaqueCall, Route, ServiceShare
 from notcharch.calls.routing import Router, RouteTable, service_of
 from notcharch.http.messages import RequestHead, end_to_end
 from notcharch.http.server import ServerLimits
+from notcharch.scheduling.engine_health import PACE_KEEP_SECONDS, SILENCE_FACTOR
+from notcharch.scheduling.engine_routing import (
+    HOME_SLACK_CALLS,
+    KEPT_HOME_SLACK_CALLS,
+)
 from tests.unit.calls.world import SERVICE, engine
 
 
@@ -132,6 +136,95 @@
     assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
 
 
+def test_an_engine_that_fails_again_is_passed_over_for_longer():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine("a"), engine("b")])
+    for seconds in (1.0, 2.0, 4.0, 4.0):
+        made.failed("a")
+        clock.advance(seconds - 0.01)
+        assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"b"}
+        clock.advance(0.02)
+        assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
+    made.began("a")
+    made.heard("a")
+    made.ended("a")
+    made.failed("a")
+    clock.advance(1.01)
+    assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
+
+
+def served(made: EnginePool, clock: Clock, name: str, *gaps: float) -> None:
+    """Let an engine serve a call whose events come after these pauses."""
+    made.began(name)
+    for gap in gaps:
+        clock.advance(gap)
+        made.heard(name, gap)
+    made.ended(name)
+
+
+def test_an_engine_that_is_silent_for_longer_than_usual_is_passed_over():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine("a"), engine("b")])
+    for _ in range(5):
+        served(made, clock, "a", 0.3, 0.05)
+        served(made, clock, "b", 0.3, 0.05)
+    made.began("a")
+    clock.advance(0.3 * SILENCE_FACTOR - 0.02)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+    clock.advance(0.04)
+    assert made.choose(SERVICE, "p", (), "a").id == "b"
+    made.heard("a")  # it is not silent any more
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_nobody_is_blamed_when_all_engines_are_silent():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine("a"), engine("b")])
+    made.began("a")
+    made.began("b")
+    clock.advance(5.0)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_an_engine_that_owes_nothing_is_not_silent():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine("a"), engine("b")])
+    served(made, clock, "a", 0.1)
+    clock.advance(20.0)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+    made.began("a")
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_an_engine_whose_events_come_slowly_is_passed_over_until_its_pace_is_old():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine(name) for name in "abcd"])
+    for _ in range(3):
+        for name in "bcd":
+            served(made, clock, name, 0.02, 0.02)
+        served(made, clock, "a", 0.08, 0.08)
+    assert made.choose(SERVICE, "p", (), "a").id != "a"
+    assert made.choose(SERVICE, "p", (), "b").id == "b"
+    clock.advance(PACE_KEEP_SECONDS)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_engines_that_are_slow_together_are_not_passed_over():
+    clock = Clock()
+    made = EnginePool(clock, "z", Random(1))
+    made.replace([engine(name) for name in "abcd"])
+    for name in "abcd":
+        served(made, clock, name, 0.02, 0.02)
+    for name in "abcd":
+        served(made, clock, name, *[0.1] * 8)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
 def test_a_failed_engine_is_better_than_none():
     made = pool(engine("a"))
     made.failed("a")
@@ -200,7 +293,7 @@
 
 
 def test_engines_that_leave_get_nothing_where_leaving_is_quick():
-    made = EnginePool(Clock(), "z", Random(1), leaving_seconds=0.0)
+    made = EnginePool(Clock(), "z", Random(1), PoolPolicy(leaving_seconds=0.0))
     made.replace([leaving("a")])
     assert made.choose(SERVICE, "p", ()) is None
 
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -80,6 +80,7 @@
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
+        self.forgotten: list[str] = []
 
     def send(self, engine, head, body, listener):
         sent = Sent(engine, head, body, listener)
@@ -89,6 +90,9 @@
     def keep(self, engine_id, sending):
         pass
 
+    def forget(self, engine_id):
+        self.forgotten.append(engine_id)
+
 
 class Reply:
     """What the caller saw."""
