Give up or repeat calls whose first answer is overdue

Cause: an engine that hangs half of its calls answers the others, so neither silence nor pace shows it.

An engine whose answer is overdue is passed over. Calls that may be repeated go to another engine; a stream that may run once is given up with 502 at once, so that its caller can ask anew; other calls that may run once are waited for.

What is left of hanging engines: calls of tools that must run once.

--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -21,9 +21,11 @@
     Route,
     Ticket,
 )
+from notcharch.calls.overdue import OverdueWatch
 from notcharch.calls.reply import Reply
 from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import ResponseHead
+from notcharch.scheduling.answer_waits import RouteWaits
 
 LEAST_SECONDS = 0.02
 """With less time left a call isn't sent any more."""
@@ -36,6 +38,7 @@
 NOT_RUN = "not run"
 NOT_GENUINE = "a success without a seal"
 SERVER_ERROR = "an error of the engine"
+OVERDUE = "its first answer was overdue"
 NOT_DURABLE = "the end was not durable in time"
 
 
@@ -47,6 +50,7 @@
     sender: EngineSender
     dialect: EngineDialect
     admission: Admission
+    waits: RouteWaits
 
 
 class Phase(enum.Enum):
@@ -96,6 +100,9 @@
         self._output: list[bytes] = []
         """The stream so far, if the turn is to be kept."""
         self._log = CallLog(services.clock, call, route)
+        self._overdue = OverdueWatch(
+            services.clock, services.waits, route.name, self._is_overdue
+        )
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
             wait = min(wait, call.wait_seconds)
@@ -169,6 +176,7 @@
         self._relays_this_run = False
         request = self._services.dialect.request(self.call, engine, int(left * 1000))
         self._services.pool.began(engine.id)
+        self._overdue.sent()
         self._sending = self._services.sender.send(engine, request, self._body, self)
 
     def _send_again(self, cause: str) -> None:
@@ -185,7 +193,26 @@
         else:
             self._refuse(NO_ENGINE)
 
+    def _is_overdue(self) -> None:
+        """Pass the engine over; try again where that can help and costs no second run.
+
+        A stream that may run once is given up, so that its caller can ask anew while
+        there is time. Other calls that may run once are waited for.
+        """
+        assert self._engine is not None
+        assert self._sending is not None
+        self._services.pool.failed(self._engine.id)
+        if not self._route.is_stream and not self._has_a_run_left():
+            return
+        if not self._overdue.take_retry():
+            return
+        self._sending.abandon()
+        self._log.runs += 1
+        self._leave_engine()
+        self._failed_run(OVERDUE)
+
     def _leave_engine(self) -> None:
+        self._overdue.stop()
         if self._engine is not None:
             self._services.pool.ended(self._engine.id)
         self._engine = None
@@ -215,6 +242,7 @@
             self._services.pool.heard(self._engine.id)
         dialect = self._services.dialect
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
+            self._overdue.answered()
             return
         if not dialect.is_genuine(head):
             return
@@ -242,6 +270,8 @@
     def _note_pace(self) -> None:
         """Tell how long after the one before an event came."""
         assert self._engine is not None
+        if self._event_at is None:
+            self._overdue.answered()
         now = self._services.clock.seconds()
         gap = None if self._event_at is None else now - self._event_at
         self._event_at = now
@@ -288,9 +318,17 @@
         self._failed_run(failure.value)
 
     def _may_run_again(self) -> bool:
+        """Tell whether another run is allowed, after those that may have been."""
+        return self._may_run_times(self._log.runs + 1)
+
+    def _has_a_run_left(self) -> bool:
+        """Tell whether another run is allowed while one is under way."""
+        return self._may_run_times(self._log.runs + 2)
+
+    def _may_run_times(self, runs: int) -> bool:
         route = self._route
         is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
-        return is_safe and self._log.runs < route.most_engines
+        return is_safe and runs <= route.most_engines
 
     def _failed_run(self, cause: str) -> None:
         if not self._may_run_again():
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -44,6 +44,7 @@
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables
+from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 KEEP_LISTENING_SECONDS = 2.6
@@ -114,6 +115,7 @@
                 sender=sender,
                 dialect=PlatformEngines(),
                 admission=self._accounts.admission,
+                waits=RouteWaits(WaitPolicy()),
             )
         )
         self._factory = ServerFactory(self._ingress, reactor)
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -4,8 +4,9 @@
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import AnswerFailure
+from notcharch.scheduling.answer_waits import LEAST_LIMIT_SECONDS
 from notcharch.scheduling.engine_health import LEAST_SILENCE_SECONDS
-from tests.unit.calls.world import World
+from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
 TWO = b"id: 2\ndata: b\n\n"
@@ -69,6 +70,67 @@
     assert 0.0 < health.pace_seconds <= 0.1
 
 
+OVERDUE_SECONDS = LEAST_LIMIT_SECONDS + 0.01
+
+
+def test_an_overdue_call_that_may_be_repeated_goes_to_another_engine():
+    world = World(is_repeatable=True, most_engines=2, usual_answers=50)
+    world.clock.advance(LEAST_LIMIT_SECONDS - 0.01)
+    assert len(world.sent) == 1
+    world.clock.advance(0.02)
+    first, second = world.sent
+    assert first.is_abandoned
+    assert second.engine.id != first.engine.id
+    second.answer(200, b"done")
+    assert world.reply.data == b"done"
+
+
+def test_an_overdue_call_that_has_no_run_left_is_waited_for():
+    world = World(is_repeatable=True, most_engines=1, usual_answers=50)
+    world.clock.advance(OVERDUE_SECONDS)
+    assert not world.sent[0].is_abandoned
+    world.sent[0].answer(200, b"late")
+    assert world.reply.data == b"late"
+
+
+def test_an_overdue_call_that_must_run_once_is_waited_for_and_its_engine_avoided():
+    world = World(usual_answers=50)
+    world.clock.advance(OVERDUE_SECONDS)
+    sent = world.sent[0]
+    assert not sent.is_abandoned
+    assert world.pool.choose(SERVICE, "p", (), sent.engine.id).id != sent.engine.id
+
+
+def test_an_overdue_stream_is_given_up_while_its_caller_can_ask_again():
+    world = World(is_stream=True, usual_answers=50)
+    world.clock.advance(OVERDUE_SECONDS)
+    assert world.sent[0].is_abandoned
+    assert len(world.sent) == 1
+    assert world.reply.refusal == MAY_HAVE_RUN
+
+
+def test_a_stream_that_has_begun_is_not_overdue():
+    world = World(is_stream=True, usual_answers=50)
+    world.sent[0].begin()
+    world.sent[0].listener.data_came(ONE)
+    world.clock.advance(OVERDUE_SECONDS)
+    assert not world.sent[0].is_abandoned
+
+
+def test_nothing_is_given_up_before_the_usual_wait_is_known():
+    world = World(is_stream=True)
+    world.clock.advance(1.9)
+    assert not world.sent[0].is_abandoned
+
+
+def test_overdue_calls_are_given_up_out_of_a_budget():
+    world = World(is_stream=True, usual_answers=50)
+    while world.waits.of("r").take_retry():
+        pass
+    world.clock.advance(OVERDUE_SECONDS)
+    assert not world.sent[0].is_abandoned
+
+
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_call_that_may_have_run_is_not_sent_again(failure):
     world = World(most_engines=3)
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -15,8 +15,11 @@
 )
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.http.messages import RequestHead, ResponseHead
+from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
 
 SERVICE = "s"
+USUAL_SECONDS = 0.1
+"""How long first answers took before, where there were any."""
 
 
 def engine(name: str, zone: str = "z", slots: int = 4) -> Engine:
@@ -144,6 +147,9 @@
         self.pool.replace([engine(name) for name in engines])
         self.sender = Sender()
         self.reply = Reply()
+        self.waits = RouteWaits(WaitPolicy())
+        for _ in range(changes.pop("usual_answers", 0)):
+            self.waits.of("r").answered(USUAL_SECONDS)
         self.admission = changes.pop("admission", None) or OpenAdmission()
         settings = {
             "name": "r",
@@ -169,6 +175,7 @@
             sender=self.sender,
             dialect=Dialect(),
             admission=self.admission,
+            waits=self.waits,
         )
         self.life = CallLife(services, self.call, self.route, SERVICE, self.reply)
         self.life.start()
