--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -49,6 +49,7 @@
         heartbeat: Callable[[], None],
         retention_seconds: float,
         recovery: RecoverySignal,
+        allows_starting: bool = True,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Answer peers through `network`; refer those that ask wrongly."""
@@ -65,6 +66,7 @@
         )
         self._retention_seconds = retention_seconds
         self._recovery = recovery
+        self._allows_starting = allows_starting
         self._tidying = LoopingCall(self._tidy)
         self._tidying.clock = clock
         self._network = network
@@ -89,6 +91,7 @@
             place,
             lost=self._dealt.lost,
             recovery=self._recovery,
+            allows_starting=self._allows_starting,
             wall=self._wall,
         )
 
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -54,6 +54,7 @@
         *,
         lost: Callable[["OwnedPartition"], None],
         recovery: RecoverySignal,
+        allows_starting: bool = True,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
@@ -61,6 +62,7 @@
         self.place = place
         self._lost = lost
         self._wall = wall
+        self._allows_starting = allows_starting
         self._ledger = Ledger()
         self._journal = PartitionJournal(
             service,
@@ -95,6 +97,8 @@
     @inlineCallbacks
     def _renew_allowance(self) -> Generator["Deferred[Any]", Any, None]:
         """Journal that programs may begin without a record; from then on they do."""
+        if not self._allows_starting:
+            return
         asked_at = self._clock.seconds()
         allowance = self._ledger.allowance
         record = allowance.record(
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -18,6 +18,7 @@
 from notcharch.journal.owner_names import OwnerName
 from notcharch.journal.partitioning import spread_over
 from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
@@ -50,6 +51,8 @@
     retention_seconds: float
     """So long the log service keeps records."""
     topics: int = TOPICS
+    mechanisms: frozenset[Mechanism] = ALL_MECHANISMS
+    """What is switched on."""
 
 
 class AccountsService:
@@ -74,7 +77,7 @@
             network,
             GROUP,
             partitioning=partitioning,
-            asks_peers=True,
+            asks_peers=Mechanism.PEER_VIEWS in settings.mechanisms,
         )
         recovery = RecoverySignal(clock)
         self._owned = OwnedPartitions(
@@ -87,8 +90,10 @@
             heartbeat=self._heartbeat,
             retention_seconds=settings.retention_seconds,
             recovery=recovery,
+            allows_starting=Mechanism.STARTING_ALLOWANCE in settings.mechanisms,
             wall=wall,
         )
+        has_signal = Mechanism.RECOVERY_SIGNAL in settings.mechanisms
         own = network.own_member
         self._group = GroupMember(
             service,
@@ -97,7 +102,7 @@
             OwnerName(own.daemon, settings.address).text(),
             least_lease_seconds=settings.least_lease_seconds,
             dealt=self._owned.dealt,
-            recovered=recovery.recovered,
+            recovered=recovery.recovered if has_signal else lambda: None,
         )
         self.admission = AccountAdmission(
             OwnerRequests(clock, network, self._directory, partitioning)
--- /dev/null
+++ b/notcharch/calls/policies.py
@@ -0,0 +1,43 @@
+"""The policies of the call path, by the mechanisms that are switched on."""
+
+from collections.abc import Collection
+
+from notcharch.calls.engines import RETURNING_SECONDS, PoolPolicy
+from notcharch.scheduling.answer_waits import WaitPolicy
+from notcharch.scheduling.engine_health import HealthPolicy
+from notcharch.scheduling.engine_routing import RoutingPolicy
+from notcharch.settings.mechanisms import Mechanism
+
+LEARNING_SECONDS = 1.0
+"""Until a daemon has certainly read that an engine leaves."""
+SENDING_SECONDS = 0.1
+"""Until a call that is sent has reached its engine."""
+
+
+def pool_policy(mechanisms: Collection[Mechanism], drain_seconds: float) -> PoolPolicy:
+    """Give how engines are chosen.
+
+    `drain_seconds`: an engine gets no calls so long after it was told to leave.
+    """
+    leaving = max(drain_seconds - LEARNING_SECONDS, 0.0)
+    returning = max(drain_seconds - SENDING_SECONDS, 0.0)
+    has_last_resort = Mechanism.LAST_RESORT in mechanisms
+    takes_back = Mechanism.RETURNING_ENGINES in mechanisms
+    return PoolPolicy(
+        leaving_seconds=leaving if has_last_resort else 0.0,
+        returning_seconds=min(returning, RETURNING_SECONDS) if takes_back else 0.0,
+        routing=RoutingPolicy(
+            uses_kept_homes=Mechanism.KEPT_HOMES in mechanisms,
+            hashes_homes=Mechanism.HASHED_HOMES in mechanisms,
+            prefers_zone=Mechanism.ZONES in mechanisms,
+        ),
+        health=HealthPolicy(
+            watches_silence=Mechanism.SILENCE in mechanisms,
+            watches_pace=Mechanism.PACE in mechanisms,
+        ),
+    )
+
+
+def wait_policy(mechanisms: Collection[Mechanism]) -> WaitPolicy:
+    """Give whether overdue calls are looked after."""
+    return WaitPolicy(watches_overdue=Mechanism.OVERDUE in mechanisms)
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -22,7 +22,8 @@
 )
 from notcharch.calls.call_life import CallServices
 from notcharch.calls.engine_sender import EngineSender
-from notcharch.calls.engines import RETURNING_SECONDS, EnginePool, PoolPolicy
+from notcharch.calls.engines import EnginePool
+from notcharch.calls.policies import pool_policy, wait_policy
 from notcharch.events.calls import CallServed
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
@@ -44,17 +45,18 @@
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables
-from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
+from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.settings.mechanisms import (
+    ALL_MECHANISMS,
+    Mechanism,
+    mechanisms_without,
+)
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 KEEP_LISTENING_SECONDS = 2.6
 """After SIGTERM new connections come until the platform has seen that we leave."""
 KEEP_LISTENING_SHARE = 0.45
 """... but for no more than so much of the time that a stop may take."""
-LEARNING_SECONDS = 1.0
-"""Until a daemon has certainly read that an engine leaves."""
-SENDING_SECONDS = 0.1
-"""Until a call that is sent has reached its engine."""
 STOP_MARGIN_SECONDS = 0.7
 UNREADABLE_SETTINGS = 2
 BACKLOG = 512
@@ -72,7 +74,11 @@
     """One daemon on the platform."""
 
     def __init__(
-        self, settings: ProcessSettings, reactor: Any, metrics_port: int | None
+        self,
+        settings: ProcessSettings,
+        reactor: Any,
+        metrics_port: int | None,
+        mechanisms: frozenset[Mechanism],
     ) -> None:
         """Wire the parts; figures are shown at `metrics_port`, if any."""
         self._settings = settings
@@ -90,22 +96,18 @@
                 partitions=settings.store.partitions,
                 least_lease_seconds=settings.store.least_lease_seconds,
                 retention_seconds=settings.store.retention_seconds,
+                mechanisms=mechanisms,
             ),
             platform_store,
             reactor,
             self._network,
             random,
         )
-        leaving = max(settings.drain_seconds - LEARNING_SECONDS, 0.0)
-        returning = max(settings.drain_seconds - SENDING_SECONDS, 0.0)
         pool = EnginePool(
             reactor,
             settings.zone,
             random,
-            PoolPolicy(
-                leaving_seconds=leaving,
-                returning_seconds=min(returning, RETURNING_SECONDS),
-            ),
+            pool_policy(mechanisms, settings.drain_seconds),
         )
         sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
@@ -115,7 +117,7 @@
                 sender=sender,
                 dialect=PlatformEngines(),
                 admission=self._accounts.admission,
-                waits=RouteWaits(WaitPolicy()),
+                waits=RouteWaits(wait_policy(mechanisms)),
             )
         )
         self._factory = ServerFactory(self._ingress, reactor)
@@ -243,6 +245,15 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings file and end"
     )
+    parser.add_argument(
+        "--without",
+        type=mechanisms_without,
+        default=ALL_MECHANISMS,
+        dest="mechanisms",
+        metavar="NAME,...",
+        help="mechanisms to switch off (to measure their worth): "
+        + ", ".join(mechanism.value for mechanism in Mechanism),
+    )
     return parser.parse_args(arguments)
 
 
@@ -259,7 +270,9 @@
     reactor: Any = default_reactor
     # Twisted's own clock is the time of day, which may jump.
     reactor.seconds = time.monotonic
-    process = Process(loaded.ok_value, reactor, arguments.metrics_port)
+    process = Process(
+        loaded.ok_value, reactor, arguments.metrics_port, arguments.mechanisms
+    )
 
     def later(act: Any) -> Any:
         return lambda *_: reactor.callFromThread(act)
--- a/notcharch/scheduling/engine_routing.py
+++ b/notcharch/scheduling/engine_routing.py
@@ -19,6 +19,8 @@
 
     home_slack_calls: int = HOME_SLACK_CALLS
     kept_home_slack_calls: int = KEPT_HOME_SLACK_CALLS
+    uses_kept_homes: bool = True
+    """Whether calls go where their program ran last."""
     hashes_homes: bool = True
     """Whether calls with one key go to one engine."""
     prefers_zone: bool = True
@@ -82,6 +84,8 @@
     def _kept_home(
         self, options: Sequence[Option], call: CallRouting, least: float
     ) -> Option | None:
+        if not self._policy.uses_kept_homes:
+            return None
         for option in options:
             if option.id == call.kept_home:
                 allowed = least * option.slots + self._policy.kept_home_slack_calls
--- /dev/null
+++ b/notcharch/settings/mechanisms.py
@@ -0,0 +1,42 @@
+"""The mechanisms of a daemon that can be switched off, to measure what each is worth."""
+
+import enum
+
+
+class Mechanism(enum.Enum):
+    """One mechanism, by the name that the command line has for it."""
+
+    STARTING_ALLOWANCE = "starting-allowance"
+    """Programs begin by an allowance that was journalled before."""
+    PEER_VIEWS = "peer-views"
+    """Peers are asked for the owners while the store turns a daemon away."""
+    RECOVERY_SIGNAL = "recovery-signal"
+    """Appends are repeated as soon as a heartbeat is answered again."""
+    RETURNING_ENGINES = "returning-engines"
+    """Engines that lapsed in an outage of the store are taken for alive for a while."""
+    LAST_RESORT = "last-resort"
+    """Engines that leave still get calls when most do."""
+    KEPT_HOMES = "kept-homes"
+    """Calls go where their program ran last."""
+    HASHED_HOMES = "hashed-homes"
+    """Programs that ran nowhere yet are spread by a hash, the same at all daemons."""
+    ZONES = "zones"
+    """Engines of the own zone come first."""
+    SILENCE = "silence"
+    """Engines that owe answers and say nothing are passed over."""
+    PACE = "pace"
+    """Engines whose events come slowly are passed over."""
+    OVERDUE = "overdue"
+    """Calls whose first answer is overdue are tried again or given up."""
+
+
+ALL_MECHANISMS = frozenset(Mechanism)
+
+
+def mechanisms_without(names: str) -> frozenset[Mechanism]:
+    """Give all mechanisms but those named, separated by commas.
+
+    `ValueError` tells of a name that is none.
+    """
+    off = {Mechanism(name) for name in names.split(",") if name}
+    return ALL_MECHANISMS - off
