Share suspicions about engines between daemons

Change: engines that failed or are overdue at one daemon ride on the admissions that it sends and answers in any case: four at the most, each with the seconds for which it is still suspected. That time only shrinks on the way, so what nobody sees again is forgotten everywhere. Own answers of the last second count for more; suspicion of more than a third of a service's engines is not believed. No message more than before.

Test first: tests/unit/accounts (a suspicion spreads by admissions and ends), tests/unit/calls.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -20,6 +20,7 @@
 from notcharch.calls.interface import Completion, OpaqueCall, Route
 from notcharch.events.accounts import OwnerUnanswered, TurnAdopted, TurnDenied
 from notcharch.events.event import emit
+from notcharch.scheduling.shared_suspicions import Suspicion
 
 KEEP_AGAIN_SECONDS = 0.06
 
@@ -43,8 +44,8 @@
 
     # The question
 
-    def admit_message(self) -> AdmitTurn:
-        """Give the question whether the call may run."""
+    def admit_message(self, suspicions: tuple[Suspicion, ...] = ()) -> AdmitTurn:
+        """Give the question whether the call may run; tell of suspected engines."""
         call = self.call
         return AdmitTurn(
             self.partition,
@@ -55,6 +56,7 @@
             self._route.keep_seconds,
             previous=call.previous_turn if self._route.keeps_turns else "",
             known=self._known_turn(),
+            suspicions=suspicions,
         )
 
     def _known_turn(self) -> str:
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -21,6 +21,7 @@
     Route,
 )
 from notcharch.calls.open_admission import NO_ACCOUNT
+from notcharch.scheduling.shared_suspicions import SharedSuspicions
 
 AGAIN_SECONDS = 0.06
 MOST_HOLD_SECONDS = 1.4
@@ -32,9 +33,10 @@
 class AccountAdmission:
     """Lets calls of programs in as their accounts allow, and all others."""
 
-    def __init__(self, owners: OwnerRequests) -> None:
-        """Ask the owners of partitions."""
+    def __init__(self, owners: OwnerRequests, suspicions: SharedSuspicions) -> None:
+        """Ask the owners of partitions; share with them which engines are suspected."""
         self._owners = owners
+        self._suspicions = suspicions
         self._cache = TurnCache(CACHE_BYTES)
 
     def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
@@ -75,8 +77,12 @@
         self, account: Account
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
         """Give the body to run with, a refusal, or None if nobody knows yet."""
-        answer = yield self._owners.ask(account.partition, account.admit_message())
+        clock = self._owners.clock
+        told = self._suspicions.tell(clock.seconds())
+        message = account.admit_message(told)
+        answer = yield self._owners.ask(account.partition, message)
         if isinstance(answer, TurnAdmitted):
+            self._suspicions.take(answer.suspicions, clock.seconds())
             return account.whole_body(answer)
         if not isinstance(answer, TurnRefused):
             return None
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -1,6 +1,7 @@
 """What daemons ask the owner of a program's partition."""
 
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
+from notcharch.scheduling.shared_suspicions import Suspicion
 from notcharch.wire.codec import MessageCodec
 from notcharch.wire.messages.base import Message, Refusal
 
@@ -23,6 +24,8 @@
     """The turn that it goes on from; its chain is asked for."""
     known: str = ""
     """The newest turn of the program whose chain the asker has."""
+    suspicions: tuple[Suspicion, ...] = ()
+    """Engines that the asker suspects."""
 
 
 class TurnAdmitted(Message, frozen=True):
@@ -34,6 +37,8 @@
     """`text` follows the chain of this turn, which the asker has."""
     text: bytes = b""
     """Inputs and outputs of the turns before the call, oldest first."""
+    suspicions: tuple[Suspicion, ...] = ()
+    """Engines that the owner suspects."""
 
 
 class TurnRefused(Message, frozen=True):
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -1,11 +1,12 @@
 """The partitions that this daemon was dealt, and the answers that it gives for them."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from random import Random
 from typing import Any, TypeVar, cast
 
-from twisted.internet.defer import Deferred
+import msgspec
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -16,6 +17,7 @@
     NotOwner,
     PartitionMessage,
     SettleCall,
+    TurnAdmitted,
 )
 from notcharch.accounts.partition import OwnedPartition
 from notcharch.journal.dealt_partitions import DealtPartitions
@@ -24,6 +26,7 @@
 from notcharch.journal.partition_journal import PartitionPlace
 from notcharch.journal.partitioning import Partitioning
 from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
@@ -49,6 +52,7 @@
         heartbeat: Callable[[], None],
         retention_seconds: float,
         recovery: RecoverySignal,
+        suspicions: SharedSuspicions,
         allows_starting: bool = True,
         wall: Callable[[], float] = time.time,
     ) -> None:
@@ -67,10 +71,11 @@
         self._retention_seconds = retention_seconds
         self._recovery = recovery
         self._allows_starting = allows_starting
+        self._suspicions = suspicions
         self._tidying = LoopingCall(self._tidy)
         self._tidying.clock = clock
         self._network = network
-        self._answer(AdmitTurn, OwnedPartition.admit)
+        self._answer(AdmitTurn, self._admit)
         self._answer(KeepTurn, OwnedPartition.keep)
         self._answer(FindTurn, OwnedPartition.find)
         network.on_notice(SettleCall, self._settle)
@@ -125,6 +130,18 @@
 
         self._network.on_request(kind, handle)
 
+    @inlineCallbacks
+    def _admit(
+        self, owned: OwnedPartition, ask: AdmitTurn
+    ) -> Generator["Deferred[Any]", Any, Message]:
+        """Admit a call, and share with the asker which engines are suspected."""
+        self._suspicions.take(ask.suspicions, self._clock.seconds())
+        answer: Message = yield owned.admit(ask)
+        told = self._suspicions.tell(self._clock.seconds())
+        if told and isinstance(answer, TurnAdmitted):
+            return msgspec.structs.replace(answer, suspicions=told)
+        return answer
+
     def _settle(self, sender: Member, message: Message) -> None:
         told = cast(SettleCall, message)
         owned = self._dealt.get(told.partition)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -18,6 +18,7 @@
 from notcharch.journal.owner_names import OwnerName
 from notcharch.journal.partitioning import spread_over
 from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
@@ -66,9 +67,14 @@
         network: PeerNetwork,
         random: Random,
         *,
+        suspicions: SharedSuspicions | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:
-        """Wire the parts; nothing is spoken before `start`."""
+        """Wire the parts; nothing is spoken before `start`.
+
+        `suspicions` about engines are shared with peers.
+        """
+        suspicions = suspicions or SharedSuspicions()
         partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
         self._directory = OwnerDirectory(
             service,
@@ -90,6 +96,7 @@
             heartbeat=self._heartbeat,
             retention_seconds=settings.retention_seconds,
             recovery=recovery,
+            suspicions=suspicions,
             allows_starting=Mechanism.STARTING_ALLOWANCE in settings.mechanisms,
             wall=wall,
         )
@@ -105,7 +112,7 @@
             recovered=recovery.recovered if has_signal else lambda: None,
         )
         self.admission = AccountAdmission(
-            OwnerRequests(clock, network, self._directory, partitioning)
+            OwnerRequests(clock, network, self._directory, partitioning), suspicions
         )
 
     def _heartbeat(self) -> None:
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -17,6 +17,11 @@
     EngineRouting,
     RoutingPolicy,
 )
+from notcharch.scheduling.shared_suspicions import (
+    MOST_PART,
+    OWN_ANSWER_SECONDS,
+    SharedSuspicions,
+)
 
 LEAVING_SECONDS = 1.0
 """So long an engine that leaves, or is not listed any more, is still a last resort.
@@ -75,11 +80,14 @@
         zone: str,
         random: Random,
         policy: PoolPolicy | None = None,
+        suspicions: SharedSuspicions | None = None,
     ) -> None:
         """Begin with no engines; those that leave are a last resort for a while.
 
         Those that lapsed in an outage of the list are expected back for another while.
+        `suspicions` has what peers tell of engines.
         """
+        self._suspicions = suspicions or SharedSuspicions()
         self._policy = policy or PoolPolicy()
         self._clock = clock
         self._routing = EngineRouting(self._policy.routing, zone, random)
@@ -175,7 +183,21 @@
         sound = [
             state for state in states if not state.health.is_suspect(now, slow_pace)
         ]
-        return self._routing.choose(sound or states, CallRouting(home_key, home)).engine
+        options = self._unsuspected(sound or states, now)
+        return self._routing.choose(options, CallRouting(home_key, home)).engine
+
+    def _unsuspected(self, states: list[EngineState], now: float) -> list[EngineState]:
+        """Leave out the engines that peers suspect, unless they are too many."""
+        if not self._suspicions.has_any:
+            return states
+        left = [state for state in states if not self._is_suspected(state, now)]
+        too_many = len(states) - len(left) > MOST_PART * len(states)
+        return states if too_many else left
+
+    def _is_suspected(self, state: EngineState, now: float) -> bool:
+        if state.health.was_heard(now, OWN_ANSWER_SECONDS):
+            return False
+        return self._suspicions.is_suspected(state.id, now)
 
     def _candidates(self, service: str, now: float) -> list[EngineState]:
         """Give the engines that stay; if most have just left, those as well."""
@@ -230,7 +252,7 @@
             return False
         now = self._clock.seconds()
         is_silent = state.health.is_silent(now)
-        state.health.failed(now)
+        self._suspicions.suspect(engine_id, state.health.failed(now))
         return is_silent
 
     def was_full(self, engine_id: str) -> None:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -46,6 +46,7 @@
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables
 from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import (
     ALL_MECHANISMS,
     Mechanism,
@@ -90,6 +91,9 @@
         platform_store = PlatformStore(self._requester, reactor)
         own = Member(DaemonName(settings.machine), new_incarnation())
         self._network = account_network(reactor, own, random)
+        suspicions = SharedSuspicions(
+            is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
+        )
         self._accounts = AccountsService(
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
@@ -102,12 +106,14 @@
             reactor,
             self._network,
             random,
+            suspicions=suspicions,
         )
         pool = EnginePool(
             reactor,
             settings.zone,
             random,
             pool_policy(mechanisms, settings.drain_seconds),
+            suspicions,
         )
         sender = EngineSender(reactor, settings.host)
         self._ingress = Ingress(
--- a/notcharch/scheduling/engine_health.py
+++ b/notcharch/scheduling/engine_health.py
@@ -88,6 +88,7 @@
         self._avoid_until = 0.0
         self._failures = 0
         """In a row."""
+        self._heard_at: float | None = None
         self.pace_seconds = 0.0
         """The mean time between two events of a call."""
         self._paced_at: float | None = None
@@ -102,6 +103,7 @@
         """Note a part of an answer."""
         self._service.silence_ended(now - self._silent_since)
         self._silent_since = now
+        self._heard_at = now
         self._failures = 0
 
     def paced(self, seconds: float, now: float) -> None:
@@ -115,11 +117,16 @@
         """Note that a call is over, however it ended."""
         self._owed = max(self._owed - 1, 0)
 
-    def failed(self, now: float) -> None:
-        """Pass over an engine that could not be spoken to."""
+    def failed(self, now: float) -> float:
+        """Pass over an engine that could not be spoken to; give until when."""
         seconds = min(SUSPECT_SECONDS * 2**self._failures, MOST_SUSPECT_SECONDS)
         self._failures += 1
         self._avoid_until = now + seconds
+        return self._avoid_until
+
+    def was_heard(self, now: float, within_seconds: float) -> bool:
+        """Tell whether it answered lately."""
+        return self._heard_at is not None and now - self._heard_at < within_seconds
 
     def was_full(self, now: float) -> None:
         """Pass over an engine that took no more."""
--- a/notcharch/settings/mechanisms.py
+++ b/notcharch/settings/mechanisms.py
@@ -29,6 +29,9 @@
     OVERDUE = "overdue"
     """Calls whose first answer is overdue are tried again or given up."""
 
+    SHARED_SUSPICIONS = "shared-suspicions"
+    """Daemons tell each other of engines that they suspect."""
+
 
 ALL_MECHANISMS = frozenset(Mechanism)
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -509,3 +509,23 @@
     assert listener.is_durable
     turns = [record for record in records_in(world) if isinstance(record, TurnKept)]
     assert [turn.turn for turn in turns] == [call.id]
+
+
+def test_suspicions_about_engines_ride_on_admissions():
+    world = World()
+    first, owner, third = world.names
+    program = world.program_of(owner)
+    now = world.clock.seconds()
+    world.suspicions[first].suspect("bad", now + 3.0)
+    assert world.decided(world.call(program), at=0).refusal is None
+    assert world.suspicions[owner].is_suspected("bad", world.clock.seconds())
+    assert not world.suspicions[third].is_suspected("bad", world.clock.seconds())
+    assert world.decided(world.call(program), at=2).refusal is None
+    assert world.suspicions[third].is_suspected("bad", world.clock.seconds())
+    world.run(3.0)
+    for _ in range(6):  # nobody sees it again, so it is forgotten everywhere
+        assert world.decided(world.call(program), at=2).refusal is None
+    assert not any(
+        board.is_suspected("bad", world.clock.seconds())
+        for board in world.suspicions.values()
+    )
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -17,6 +17,7 @@
 from notcharch.http.messages import RequestHead
 from notcharch.journal.owner_names import read_owner
 from notcharch.journal.partitioning import spread_over
+from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 from tests.unit.accounts.log_of_one import LogOfOne
 
@@ -82,6 +83,7 @@
         )
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.services: dict[DaemonName, AccountsService] = {}
+        self.suspicions = {name: SharedSuspicions() for name in self.names}
         self.logs = {name: LogOfOne(self.log, self.clock) for name in self.names}
         self.incarnations = dict.fromkeys(self.names, 0)
         self._calls = 0
@@ -106,6 +108,7 @@
             daemon.clock,
             daemon.network,
             Random(self.incarnations[name]),
+            suspicions=self.suspicions[name],
             wall=lambda: self.clock.seconds() + 1e9,
         )
         self.services[name] = service
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -22,6 +22,13 @@
     HOME_SLACK_CALLS,
     KEPT_HOME_SLACK_CALLS,
 )
+from notcharch.scheduling.shared_suspicions import (
+    MOST_SECONDS,
+    MOST_TOLD,
+    OWN_ANSWER_SECONDS,
+    SharedSuspicions,
+    Suspicion,
+)
 from tests.unit.calls.world import SERVICE, engine
 
 
@@ -225,6 +232,62 @@
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
+def suspecting(*names: str) -> tuple[EnginePool, Clock, SharedSuspicions]:
+    clock = Clock()
+    suspicions = SharedSuspicions()
+    made = EnginePool(clock, "z", Random(1), suspicions=suspicions)
+    made.replace([engine(name) for name in "abcdef"])
+    suspicions.take(tuple(Suspicion(name, 2.0) for name in names), clock.seconds())
+    return made, clock, suspicions
+
+
+def test_an_engine_that_a_peer_suspects_is_passed_over_as_long_as_the_peer_says():
+    made, clock, _ = suspecting("a")
+    assert made.choose(SERVICE, "p", (), "a").id != "a"
+    clock.advance(2.1)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_own_answers_count_for_more_than_what_peers_suspect():
+    made, clock, _ = suspecting("a")
+    served(made, clock, "a", 0.05)
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+    clock.advance(OWN_ANSWER_SECONDS)
+    assert made.choose(SERVICE, "p", (), "a").id != "a"
+
+
+def test_peers_that_suspect_too_many_engines_are_not_believed():
+    made, _, _ = suspecting("a", "b", "c")
+    assert made.choose(SERVICE, "p", (), "a").id == "a"
+
+
+def test_own_failures_are_told_and_what_is_told_only_gets_shorter():
+    made, clock, suspicions = suspecting()
+    made.failed("b")
+    assert suspicions.tell(clock.seconds()) == (Suspicion("b", 1.0),)
+    clock.advance(0.4)
+    assert suspicions.tell(clock.seconds()) == (Suspicion("b", 0.6),)
+    clock.advance(0.6)
+    assert suspicions.tell(clock.seconds()) == ()
+    assert not suspicions.has_any
+
+
+def test_little_is_told_and_nothing_is_believed_for_long():
+    now = 5.0
+    board = SharedSuspicions()
+    board.take(tuple(Suspicion(f"e{n}", 100.0 + n) for n in range(20)), now)
+    assert len(board.tell(now)) == MOST_TOLD
+    assert not board.is_suspected("e1", now + MOST_SECONDS)
+
+
+def test_without_sharing_nothing_is_told_or_believed():
+    board = SharedSuspicions(is_shared=False)
+    board.suspect("a", 10.0)
+    board.take((Suspicion("b", 2.0),), 0.0)
+    assert board.tell(0.0) == ()
+    assert not board.has_any
+
+
 def test_a_failed_engine_is_better_than_none():
     made = pool(engine("a"))
     made.failed("a")
