Tell of overdue first answers, and explain requests by them

Cause: a stream that was given up because its first answer was overdue ended with 502 and no line said why; only calls that were sent again named a cause.

Change: event 2207 names the engine, the wait, the limit and whether the run was given up; explain names it. Two tests of the logs had a stand-in of the engine pool without the new argument; a test of explain picked its line by a place in the list of cases.

Test first: tests/unit/explain.

--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -202,9 +202,10 @@
         assert self._engine is not None
         assert self._sending is not None
         self._services.pool.failed(self._engine.id)
-        if not self._route.is_stream and not self._has_a_run_left():
-            return
-        if not self._overdue.take_retry():
+        may_give_up = self._route.is_stream or self._has_a_run_left()
+        gives_up = may_give_up and self._overdue.take_retry()
+        self._log.overdue(self._overdue.limit_seconds, is_given_up=gives_up)
+        if not gives_up:
             return
         self._sending.abandon()
         self._log.runs += 1
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -11,6 +11,7 @@
     WHOLE_SECONDS,
 )
 from notcharch.events.calls import (
+    AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
     CallRefused,
@@ -61,6 +62,21 @@
             FIRST_EVENT_SECONDS.observe(self._seconds)
         self.events = events
 
+    def overdue(self, limit_seconds: float, *, is_given_up: bool) -> None:
+        """Tell that the present run's first answer is overdue."""
+        call = self._call
+        emit(
+            AnswerOverdue(
+                request=call.id,
+                program=call.program,
+                route=self._route.name,
+                engine=self._engine,
+                waited_seconds=self._seconds,
+                limit_seconds=round(limit_seconds, 3),
+                is_given_up=is_given_up,
+            )
+        )
+
     def served(self, status: int) -> None:
         """Tell that the caller has an engine's whole answer."""
         CALLS.labels("served", "").inc()
--- a/notcharch/calls/overdue.py
+++ b/notcharch/calls/overdue.py
@@ -23,6 +23,8 @@
         self._route = route
         self._overdue = overdue
         self._sent_at: float | None = None
+        self.limit_seconds = 0.0
+        """After so long the present run's first answer is overdue."""
         self._timer: IDelayedCall | None = None
 
     def sent(self) -> None:
@@ -31,6 +33,7 @@
         self._sent_at = self._clock.seconds()
         limit = self._waits.limit_seconds(self._route)
         if limit is not None:
+            self.limit_seconds = limit
             self._timer = self._clock.callLater(limit, self._overdue)
 
     def answered(self) -> None:
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -101,3 +101,18 @@
     request: str
     host: str
     path: str
+
+
+class AnswerOverdue(Event, frozen=True):
+    """An engine's first answer took longer than it usually does on the route."""
+
+    number: ClassVar[int] = 2207
+    request: str
+    program: str
+    route: str
+    engine: str
+    waited_seconds: float
+    limit_seconds: float
+    """After so long it counted as overdue."""
+    is_given_up: bool
+    """Whether the run was given up, not only the engine passed over."""
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -13,6 +13,7 @@
     TurnDenied,
 )
 from notcharch.events.calls import (
+    AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
     CallRefused,
@@ -194,14 +195,28 @@
 
 
 def _attempts(end: LogLine, own: Sequence[LogLine]) -> str:
-    again = [line for line in own if line.number == CallSentAgain.number]
-    causes = ", ".join(f"{line.text('engine')}: {line.text('cause')}" for line in again)
+    causes = ", ".join(_attempt_causes(own))
     tried = end.text("engines_tried")
     known = end.text("engines_known")
     text = f"{tried} engines tried of {known} known"
     return f"{text} ({causes})" if causes else text
 
 
+def _attempt_causes(own: Sequence[LogLine]) -> list[str]:
+    """Say of each engine that did not serve the call why."""
+    causes = {
+        line.text("engine"): line.text("cause")
+        for line in own
+        if line.number == CallSentAgain.number
+    }
+    for line in own:
+        if line.number == AnswerOverdue.number:
+            limit = line.text("limit_seconds")
+            overdue = f"no first answer in {limit} s, longer than usual"
+            causes.setdefault(line.text("engine"), overdue)
+    return [f"{engine}: {cause}" for engine, cause in causes.items()]
+
+
 def _broken_off(
     end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
 ) -> str:
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -67,7 +67,7 @@
         self.listed = []
         self.forgotten = []
 
-    def replace(self, engines):
+    def replace(self, engines, *, is_after_outage=False):
         self.listed = list(engines)
         return []
 
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -11,6 +11,7 @@
     TurnDenied,
 )
 from notcharch.events.calls import (
+    AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
     CallRefused,
@@ -77,6 +78,14 @@
         ],
         "no engine can take it; 1 engines tried of 3 known (i-1: not run: 503)",
     ),
+    (
+        [
+            line(0.6, "a", AnswerOverdue("r", "p", "x", "i-2", 0.6, 0.45, True)),
+            line(0.7, "a", refused("at engine", 502, "it may have run", 1)),
+        ],
+        "it may have run; 1 engines tried of 3 known (i-2: no first answer in 0.45 s, "
+        "longer than usual)",
+    ),
     (
         [
             line(0.1, "a", DependencyLost("keyed.op", "no answer")),
@@ -147,7 +156,8 @@
 
 
 def test_other_text_is_passed_over():
-    found = list(read_lines(["hello", "{not json}", '{"a": 1}', "", CASES[6][0][0]]))
+    own = line(1.0, "a", RequestWithoutRoute("r", "h", "/x/", 7))
+    found = list(read_lines(["hello", "{not json}", '{"a": 1}', "", own]))
     assert [(entry.machine, entry.number) for entry in found] == [("a", 2205)]
 
 
