Remove the scale run, the simulations and the capacity measurements of our own

Tests that went, and what keeps their promises: - unit/capacity/test_measurement (page from committed files, a stale page is seen): unit/deploy/test_pages and make check. - unit/capacity/test_scale, a table spreads between peers while one daemon has the log: stateful/table/test_publication_faults::test_a_silent_log_leaves_the_version_to_the_peers; its other tests were of the scale run itself. - unit/experiments/test_simulation, a looping program ends with its budget and its memory is freed: unit/programs/test_limits (children share the budget and the end; idle and old programs end, release and are forgotten), unit/programs/test_faults (a release is asked until it is confirmed); the rest tested the simulation and its workload files. - unit/experiments/test_comparison: tables of the simulation.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format clean
+.PHONY: demo test check format pages clean
 
 $(STAMP): requirements/requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -26,7 +26,11 @@
 	$(PYTHON) tools/check_layers.py
 	$(PYTHON) -m notcharch.events.catalogue --check docs/events.md
 	$(PYTHON) -m notcharch.settings.example --check docs/notcharch.example.toml
-	$(PYTHON) -m experiments.capacity.page --check
+	$(PYTHON) -m deploy.pages --check
+
+# Write the pages that come from the bench's journal.
+pages: $(STAMP)
+	$(PYTHON) -m deploy.pages
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/deploy/pages/__init__.py
@@ -0,0 +1,1 @@
+"""Pages that are written from the journal of the users' bench, and from nothing else."""
--- a/experiments/command.py
+++ b/experiments/command.py
@@ -9,11 +9,11 @@
 
 from notcharch.cli.command import CommandSpec
 
-SUBCOMMANDS: tuple[str, ...] = ("run", "compare", "plot", "relay", "scale", "faults")
-"""Names of subcommands; `relay` is `experiments.relay_command`."""
+SUBCOMMANDS: tuple[str, ...] = ("faults",)
+"""Names of subcommands; `faults` is `experiments.faults_command`."""
 
 EXAMPLES = """examples:
-  notcharch experiment relay
+  notcharch experiment faults
   notcharch experiment NAME --help
 """
 
--- a/experiments/comparison/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Many cells: running them, summing them up over seeds, page and plots."""
--- a/experiments/policies/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Scheduling policies that the experiments compare, by name."""
--- a/experiments/simulation/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Programs, engines and a scheduling policy on virtual time, with measurements."""
--- a/tests/stateful/programs/test_programs_in_region.py
+++ b/tests/stateful/programs/test_programs_in_region.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from experiments.virtual.caller import DirectCaller
 from notcharch.placement.partitions import partition_of_program
 from notcharch.settings.schema import ProgramsSection, Settings
 from notcharch.values.chat import ChatMessage
 from notcharch.wire.messages.programs import ReadHistory
 from tests.stateful.region.world import TENANT, RecordedRegion
+from tests.virtual_region.caller import DirectCaller
 
 LONGEST_SECONDS = 60.0
 TURNS = 4
--- a/tests/stateful/region/machine.py
+++ b/tests/stateful/region/machine.py
@@ -17,7 +17,6 @@
 
 from emulator.faults import Fault, FaultKind
 from emulator.peers.faults import LinkFaults
-from experiments.virtual.caller import DirectCaller
 from notcharch.placement.partitions import partition_of_program
 from notcharch.table.draft import ChangeCell, ChangesDraft
 from notcharch.table.publisher import PublishRequest
@@ -41,6 +40,7 @@
     TENANT,
     RecordedRegion,
 )
+from tests.virtual_region.caller import DirectCaller
 
 SETTLE_SECONDS = 30.0
 """Virtual seconds after a daemon's fault before the next one may lose memory."""
--- a/tests/stateful/region/test_rolling_restart.py
+++ b/tests/stateful/region/test_rolling_restart.py
@@ -9,12 +9,12 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
-from experiments.virtual.caller import DirectCaller
 from notcharch.daemon.drain import Drain
 from notcharch.daemon.life import LifeCore, new_life
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import ServiceName, TenantName
 from tests.stateful.region.world import PARTITIONS, TENANT, RecordedRegion
+from tests.virtual_region.caller import DirectCaller
 
 PROGRAMS = 6
 CALLS = 5
--- a/tests/stateful/region/world.py
+++ b/tests/stateful/region/world.py
@@ -6,10 +6,10 @@
     GeneralSection,
     default_rates,
 )
-from experiments.virtual.region import RegionPlan, VirtualRegion
 from notcharch.clients.ports import MachineKind
 from notcharch.settings.schema import PartitionsSection, Settings
 from notcharch.table.draft import WholeDraft
+from tests.virtual_region.region import RegionPlan, VirtualRegion
 
 TENANT = "tenant"
 MODEL, APPLICATION = "model", "application"
--- a/tests/stateful/test_membership.py
+++ b/tests/stateful/test_membership.py
@@ -11,8 +11,8 @@
 )
 
 from emulator.peers.faults import LinkFaults
-from experiments.membership_region import ZONES, MembershipRegion, daemon_name
 from notcharch.clients.ports import MachineState
+from tests.virtual_region.membership import ZONES, MembershipRegion, daemon_name
 
 COUNT = 6
 NAMES = [daemon_name(index) for index in range(COUNT)]
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from experiments.membership_region import MembershipRegion, daemon_name
 from notcharch.membership.swim import ALONE_SECONDS
 from tests.unit.engines.region import Region
+from tests.virtual_region.membership import MembershipRegion, daemon_name
 
 ENGINE = "e1"
 
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -3,9 +3,9 @@
 import pytest
 
 from emulator.peers.faults import LinkFaults
-from experiments.membership_region import ZONES, MembershipRegion, daemon_name
 from notcharch.clients.ports import MachineState
 from notcharch.values.identifiers import ZoneName
+from tests.virtual_region.membership import ZONES, MembershipRegion, daemon_name
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 20])
