--- a/deploy/troubles/play.py
+++ b/deploy/troubles/play.py
@@ -84,16 +84,21 @@
     why = f"{bench.why}: {name}, seed {play.seed}"
     days = [str(bench.program), "run", str(play.site), str(file)]
     options = ["--seed", str(play.seed), "--jobs", "1", "--why", why]
-    subprocess.run([*days, *options], check=False, capture_output=True)
-    return read_entry(play, entry_of(why))
+    said = subprocess.run(
+        [*days, *options], check=False, capture_output=True, text=True
+    )
+    entry = entry_of(why)
+    if entry is None:
+        raise LookupError(f"{BENCH_LOST}: {why}\n{said.stdout}{said.stderr}")
+    return read_entry(play, entry)
 
 
-def entry_of(why: str) -> Path:
-    """Give the newest journal entry with a text of ours."""
+def entry_of(why: str) -> Path | None:
+    """Give the newest journal entry with a text of ours, if there is one."""
     for path in sorted(JOURNAL.glob("*.json"), reverse=True):
         if msgspec.json.decode(path.read_bytes()).get("why") == why:
             return path
-    raise LookupError(f"{BENCH_LOST}: {why}")
+    return None
 
 
 def read_entry(play: Play, path: Path) -> PlayedDay:
