--- a/deploy/troubles/__main__.py
+++ b/deploy/troubles/__main__.py
@@ -4,15 +4,17 @@
 from pathlib import Path
 
 from deploy.troubles.day import all_names, trouble_day
-from deploy.troubles.play import Bench, Play, play_all
+from deploy.troubles.play import Bench, Play, PlayedDay, play_all, recorded
 from deploy.troubles.report import page, plot
 
 
 def parser() -> argparse.ArgumentParser:
     """Give the command line."""
     words = argparse.ArgumentParser(prog="python -m deploy.troubles")
-    words.add_argument("--bench", type=Path, required=True, help="the users' bench")
-    words.add_argument("--site", type=Path, action="append", required=True)
+    words.add_argument(
+        "--bench", type=Path, help="the users' bench; plays nothing if left out"
+    )
+    words.add_argument("--site", type=Path, action="append", default=[])
     words.add_argument("--days", default="", help="names, separated by commas; all")
     words.add_argument("--seeds", default="1", help="numbers, separated by commas")
     words.add_argument("--jobs", type=int, default=1, help="days at a time")
@@ -22,8 +24,17 @@
 
 
 def main() -> int:
-    """Play what the command line names."""
+    """Print the table of days that are played now, or that were with the same line."""
     words = parser().parse_args()
+    played = recorded(words.why) if words.bench is None else play(words)
+    print(page(played))
+    if words.plot is not None:
+        plot(played, words.plot)
+    return 0
+
+
+def play(words: argparse.Namespace) -> list[PlayedDay]:
+    """Play the days that the command line names."""
     names = words.days.split(",") if words.days else all_names()
     plays = [
         Play(site, trouble_day(site, name), int(seed))
@@ -31,11 +42,7 @@
         for name in names
         for seed in words.seeds.split(",")
     ]
-    played = play_all(Bench(words.bench, words.why, words.jobs), plays)
-    print(page(played))
-    if words.plot is not None:
-        plot(played, words.plot)
-    return 0
+    return play_all(Bench(words.bench, words.why, words.jobs), plays)
 
 
 if __name__ == "__main__":
--- a/deploy/troubles/play.py
+++ b/deploy/troubles/play.py
@@ -8,11 +8,15 @@
 
 import msgspec
 
-from deploy.troubles.day import TroubleDay
+from deploy.troubles.day import TroubleDay, all_names
 
 DAYS_FOLDER = Path("target/troubles")
 JOURNAL = Path("journal")
 BENCH_LOST = "no journal entry"
+DAY_NAMES = "|".join(re.escape(name) for name in all_names())
+RECORDED_WHY = re.compile(
+    rf"(?P<why>.*): (?P<site>\S+?)-(?P<day>{DAY_NAMES}), seed (?P<seed>\d+)"
+)
 
 
 class Play(msgspec.Struct, frozen=True):
@@ -101,6 +105,20 @@
     return None
 
 
+def recorded(why: str) -> list[PlayedDay]:
+    """Give the days that were played with a line for the journal, in their order."""
+    found: list[PlayedDay] = []
+    for path in sorted(JOURNAL.glob("*.json")):
+        said = str(msgspec.json.decode(path.read_bytes()).get("why"))
+        name = RECORDED_WHY.fullmatch(said)
+        if name is None or name["why"] != why:
+            continue
+        site = Path(name["site"])
+        play = Play(site, TroubleDay(name["day"], ""), int(name["seed"]))
+        found.append(read_entry(play, path))
+    return sorted(found, key=lambda day: day.play.site.stem)
+
+
 def read_entry(play: Play, path: Path) -> PlayedDay:
     """Read the figures of a day."""
     entry: dict[str, Any] = msgspec.json.decode(path.read_bytes())
--- a/tests/unit/deploy/test_troubles.py
+++ b/tests/unit/deploy/test_troubles.py
@@ -1,5 +1,6 @@
 """Days of one trouble: how they are made, and how their entries are read."""
 
+import json
 import tomllib
 from pathlib import Path
 
@@ -12,6 +13,7 @@
     PlayedDay,
     Window,
     kinds_of,
+    recorded,
     windows_of,
     worst_windows,
 )
@@ -106,3 +108,28 @@
         "| burst (broken: LOST) | 0.850 | 0.800 | 0.500 | 0.900 | 0.100 "
         "| small 0.80 (2 of 10 failed) | 8 | 1, 2 |" in text
     )
+
+
+def test_days_that_were_played_are_found_by_their_line(tmp_path, monkeypatch):
+    journal = tmp_path / "journal"
+    journal.mkdir()
+    monkeypatch.chdir(tmp_path)
+    played = {"G": 0.7, "served": 0.9, "refused": 0.0, "failed": 0.1, "rules": {}}
+    for number, why in enumerate(
+        (
+            "round: waits: a-site-store-down+daemons-herd, seed 3",
+            "round: waits: a-site-burst, seed 1",
+            "another round: a-site-burst, seed 1",
+            "round: waits",
+        )
+    ):
+        entry = {"why": why, "days": [played], "digest": DIGEST}
+        (journal / f"2026-{number}.json").write_text(json.dumps(entry))
+    found = [
+        (day.play.site.stem, day.play.day.name, day.play.seed, day.worth)
+        for day in recorded("round: waits")
+    ]
+    assert found == [
+        ("a-site", "store-down+daemons-herd", 3, 0.7),
+        ("a-site", "burst", 1, 0.7),
+    ]
