--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -34,9 +34,16 @@
     """Cuts some streams in the middle of an event."""
     ERRORS = "errors"
     """Runs some requests and answers 500."""
+    HANG = "hang"
+    """Runs some requests and says nothing more."""
+    SLOW = "slow"
+    """Takes several times as long for everything."""
+    FORGET_IDLE = "forget idle connections"
+    """Resets some connections on which another request comes, without running it."""
 
 
 FAULT_SHARE = 0.3
+SLOWNESS = 6.0
 
 
 class EngineEntry(msgspec.Struct, frozen=True):
@@ -155,6 +162,9 @@
         if self.fault is EngineFault.SHED and self._is_struck():
             exchange.answer(503, [(b"X-Notcharch-Not-Executed", b"1")])
             return
+        if self.is_struck_by(EngineFault.FORGET_IDLE):
+            exchange.abort()
+            return
         Running(self, exchange).start()
 
     def _is_struck(self) -> bool:
@@ -173,8 +183,14 @@
         """Forget a run."""
         self._open.discard(running)
 
+    def lapse(self) -> None:
+        """Lose the entry in the store, until the next heartbeat."""
+        self._store.write_key(SERVERS_TOPIC, self.id, b"")
+
     def later(self, seconds: float, call: Any) -> IDelayedCall:
-        """Call later."""
+        """Call later; later still while this engine is slow."""
+        if self.fault is EngineFault.SLOW:
+            seconds *= SLOWNESS
         delayed: IDelayedCall = self._reactor.callLater(seconds, call)
         return delayed
 
@@ -218,6 +234,8 @@
 
     def _answer(self) -> None:
         engine = self._engine
+        if engine.is_struck_by(EngineFault.HANG):
+            return
         if engine.is_struck_by(EngineFault.LOSE_ANSWERS):
             self.cut()
         elif engine.is_struck_by(EngineFault.ERRORS):
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -26,6 +26,9 @@
     EngineFault.LOSE_ANSWERS,
     EngineFault.BREAK_EVENTS,
     EngineFault.ERRORS,
+    EngineFault.HANG,
+    EngineFault.SLOW,
+    EngineFault.FORGET_IDLE,
 )
 
 
@@ -63,6 +66,8 @@
             self._kill_most,
             self._pause,
             self._break_store_link,
+            self._break_some_store_links,
+            self._let_entries_lapse,
             self._trouble_the_store,
             self._deal_anew,
             self._break_engine_link,
@@ -141,6 +146,27 @@
         [daemon] = self._some(0.0)
         return self._break(daemon.store, f"{daemon.name} to the store")
 
+    def _break_some_store_links(self) -> str:
+        """Let the store turn several daemons away while it serves the others."""
+        struck = self._some(0.4)
+        return "; ".join(
+            self._break(daemon.store, f"{daemon.name} to the store")
+            for daemon in struck
+        )
+
+    def _let_entries_lapse(self) -> str:
+        """Have an outage of the store, in which engines' entries lapse."""
+        log = self._targets.store.log
+        log.trouble = Trouble.REFUSE
+
+        def end() -> None:
+            log.trouble = Trouble.NONE
+            for engine in self._targets.engines:
+                engine.lapse()
+
+        seconds = self._later(1.0, 4.0, end)
+        return f"store: outage with lapsing entries for {seconds:.2f} s"
+
     def _trouble_the_store(self) -> str:
         log = self._targets.store.log
         log.trouble = self._random.choice(STORE_TROUBLES)
--- /dev/null
+++ b/tests/unit/soak/test_engine_faults.py
@@ -0,0 +1,84 @@
+"""What the soak's engines do wrong when they are told to."""
+
+from random import Random
+
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from deploy.soak import engine_server
+from deploy.soak.engine_server import EngineFault, SoakEngine
+from deploy.soak.oracle import Oracle
+from deploy.soak.store_server import StoreServer
+from notcharch.http.messages import RequestHead
+
+
+class Exchange:
+    """One request at an engine, and what became of it."""
+
+    body = b"said"
+
+    def __init__(self) -> None:
+        headers = [(b"x-notcharch-request-id", b"r")]
+        self.head = RequestHead(b"POST", b"/write/x", headers)
+        self.on_gone = None
+        self.status = 0
+        self.is_aborted = False
+
+    def answer(self, status, headers, body=b""):
+        self.status = status
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class World:
+    """An engine that suffers from its fault at each request."""
+
+    def __init__(self, fault: EngineFault, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(engine_server, "FAULT_SHARE", 1.1)
+        self.reactor = MemoryReactorClock()
+        self.oracle = Oracle()
+        store = StoreServer(self.reactor, Random(1), 1)
+        self.engine = SoakEngine(
+            self.reactor, Random(1), self.oracle, store, "s", number=1
+        )
+        self.engine.fault = fault
+        self.exchange = Exchange()
+        self.engine.handle(self.exchange)
+        self.reactor.pump([0.01] * 100)
+
+    @property
+    def runs(self) -> int:
+        return len(self.oracle.runs["r"])
+
+
+@pytest.mark.parametrize(
+    ("fault", "status", "is_aborted", "runs"),
+    [
+        (EngineFault.NONE, 200, False, 1),
+        (EngineFault.SHED, 503, False, 0),
+        (EngineFault.LOSE_ANSWERS, 0, True, 1),
+        (EngineFault.ERRORS, 500, False, 1),
+        (EngineFault.HANG, 0, False, 1),
+        (EngineFault.SLOW, 200, False, 1),
+        (EngineFault.FORGET_IDLE, 0, True, 0),
+    ],
+)
+def test_each_fault_is_seen_by_callers_and_counted(
+    fault, status, is_aborted, runs, monkeypatch
+):
+    world = World(fault, monkeypatch)
+    assert world.exchange.status == status
+    assert world.exchange.is_aborted is is_aborted
+    assert world.runs == runs
+
+
+def test_an_entry_that_lapsed_is_back_with_the_next_heartbeat(monkeypatch):
+    world = World(EngineFault.NONE, monkeypatch)
+    partition = world.engine._store.log.partition(engine_server.SERVERS_TOPIC, 0)
+    world.engine.lapse()
+    world.reactor.pump([0.01] * 5)
+    assert partition.records[-1].endswith(world.engine.id.encode())
+    world.reactor.advance(engine_server.HEARTBEAT_SECONDS)
+    world.reactor.pump([0.01] * 5)
+    assert b'"state":"ready"' in partition.records[-1]
