--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -2,57 +2,36 @@
 
 import enum
 
-import msgspec
-from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.internet.interfaces import IDelayedCall
 
 from notcharch.calls.call_log import CallLog
-from notcharch.calls.engine_sender import EngineSender, Sending
-from notcharch.calls.engines import EnginePool
+from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.event_stream import EventCutter
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
     TIMED_OUT,
-    Admission,
-    Engine,
-    EngineDialect,
     OpaqueCall,
     Refusal,
     Route,
     Ticket,
 )
-from notcharch.calls.overdue import OverdueWatch
 from notcharch.calls.reply import Reply
-from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import ResponseHead
-from notcharch.scheduling.answer_waits import RouteWaits
 
 LEAST_SECONDS = 0.02
 """With less time left a call isn't sent any more."""
 MOST_SENDS = 4
 """A call is offered to so many engines, counting those that refused it."""
-CLIENT_ERRORS = 400
 SERVER_ERRORS = 500
 
 UNREACHABLE = "unreachable"
 NOT_RUN = "not run"
 NOT_GENUINE = "a success without a seal"
 SERVER_ERROR = "an error of the engine"
-OVERDUE = "its first answer was overdue"
 NOT_DURABLE = "the end was not durable in time"
 
 
-class CallServices(msgspec.Struct, frozen=True):
-    """What the life of a call works with."""
-
-    clock: IReactorTime
-    pool: EnginePool
-    sender: EngineSender
-    dialect: EngineDialect
-    admission: Admission
-    waits: RouteWaits
-
-
 class Phase(enum.Enum):
     """How far a call is."""
 
@@ -83,26 +62,19 @@
         self._body = call.body
         self._ticket: Ticket | None = None
         self._timer: IDelayedCall | None = None
-        self._engine: Engine | None = None
-        self._sending: Sending | None = None
+        self._run: EngineRun | None = None
+        """The run under way."""
         self._tried: set[str] = set()
-        self._head: ResponseHead | None = None
-        self._pieces: list[bytes] = []
-        self._event_at: float | None = None
-        """When the present run's last event came, clock seconds."""
+        self._status = 0
+        """That of the last whole answer."""
         self._cutter = EventCutter()
         self._is_relaying = False
         """Whether the caller has the head of a stream."""
-        self._relays_this_run = False
-        """Whether the present run's events go to the caller."""
         self._cause = ""
         """Why the last engine did not serve the call."""
         self._output: list[bytes] = []
         """The stream so far, if the turn is to be kept."""
         self._log = CallLog(services.clock, call, route)
-        self._overdue = OverdueWatch(
-            services.clock, services.waits, route.name, self._is_overdue
-        )
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
             wait = min(wait, call.wait_seconds)
@@ -144,7 +116,7 @@
         if self._phase is not Phase.OVER:
             self._refuse(refusal)
 
-    # Attempts
+    # Runs
 
     def _home_key(self) -> str:
         call = self.call
@@ -169,15 +141,10 @@
             return
         self._tried.add(engine.id)
         self._log.engines.append(engine.id)
-        self._engine = engine
-        self._head = None
-        self._pieces = []
-        self._event_at = None
-        self._relays_this_run = False
-        request = self._services.dialect.request(self.call, engine, int(left * 1000))
-        self._services.pool.began(engine.id)
-        self._overdue.sent()
-        self._sending = self._services.sender.send(engine, request, self._body, self)
+        self._run = EngineRun(
+            self._services, self.call, self._route, engine, self, log=self._log
+        )
+        self._run.send(self._body, int(left * 1000))
 
     def _send_again(self, cause: str) -> None:
         self._cause = cause
@@ -193,111 +160,39 @@
         else:
             self._refuse(NO_ENGINE)
 
-    def _is_overdue(self) -> None:
-        """Pass the engine over; try again where that can help and costs no second run.
-
-        A stream that may run once is given up, so that its caller can ask anew while
-        there is time. Other calls that may run once are waited for.
-        """
-        assert self._engine is not None
-        assert self._sending is not None
-        self._services.pool.failed(self._engine.id)
-        may_give_up = self._route.is_stream or self._has_a_run_left()
-        gives_up = may_give_up and self._overdue.take_retry()
-        self._log.overdue(self._overdue.limit_seconds, is_given_up=gives_up)
-        if not gives_up:
-            return
-        self._sending.abandon()
-        self._log.runs += 1
-        self._leave_engine()
-        self._failed_run(OVERDUE)
-
-    def _leave_engine(self) -> None:
-        self._overdue.stop()
-        if self._engine is not None:
-            self._services.pool.ended(self._engine.id)
-        self._engine = None
-        self._sending = None
-
-    def unreachable(self) -> None:
-        """Try another engine: nothing was sent."""
-        self._engine_failed()
-        self._leave_engine()
-        self._send_again(UNREACHABLE)
-
-    def _engine_failed(self) -> None:
-        """Pass the engine over; where it is silent, so are its other connections."""
-        assert self._engine is not None
-        is_silent = self._services.pool.failed(self._engine.id)
-        if is_silent:
-            self._services.sender.forget(self._engine.id)
-
-    def is_answer(self, head: ResponseHead) -> bool:
-        """Tell whether an answer is to this call."""
-        return self._services.dialect.is_answer_to(self.call, head)
-
-    def head_came(self, head: ResponseHead) -> None:
-        """Begin to relay a stream that succeeds; keep other answers until whole."""
-        self._head = head
-        if self._engine is not None:
-            self._services.pool.heard(self._engine.id)
-        dialect = self._services.dialect
-        if head.status >= CLIENT_ERRORS or not self._route.is_stream:
-            self._overdue.answered()
-            return
-        if not dialect.is_genuine(head):
-            return
-        self._relays_this_run = True
-        if self._ticket is not None and self._engine is not None:
-            self._ticket.runs_at(self._engine.id)
+    def run_began(self, head: ResponseHead) -> None:
+        """Begin the caller's stream, unless an earlier run did."""
+        if self._ticket is not None and self._run is not None:
+            self._ticket.runs_at(self._run.engine.id)
         if not self._is_relaying:
             self._is_relaying = True
             self._reply.begin(head)
 
-    def data_came(self, data: bytes) -> None:
-        """Relay whole events, or keep the bytes."""
-        assert self._head is not None
-        if not self._relays_this_run:
-            self._pieces.append(data)
-            return
+    def run_gave(self, data: bytes) -> bool:
+        """Relay whole events; tell whether there were any."""
         whole = self._cutter.take(data)
         if whole:
-            self._note_pace()
             self._log.gave(self._cutter.events)
             if self._route.keeps_turns:
                 self._output.append(whole)
             self._reply.write(whole)
+        return bool(whole)
 
-    def _note_pace(self) -> None:
-        """Tell how long after the one before an event came."""
-        assert self._engine is not None
-        if self._event_at is None:
-            self._overdue.answered()
-        now = self._services.clock.seconds()
-        gap = None if self._event_at is None else now - self._event_at
-        self._event_at = now
-        self._services.pool.heard(self._engine.id, gap)
-
-    def ended(self) -> None:
-        """Hear that the answer is whole."""
-        head = self._head
-        engine = self._engine
-        sending = self._sending
-        assert head is not None
-        assert engine is not None
-        assert sending is not None
-        self._services.sender.keep(engine.id, sending)
-        if self._services.dialect.was_not_run(head):
-            self._services.pool.was_full(engine.id)
-            self._leave_engine()
-            self._send_again(f"{NOT_RUN}: {head.status}")
-            return
-        self._log.runs += 1
-        self._leave_engine()
-        self._judge(head)
+    def run_unreachable(self) -> None:
+        """Try another engine: nothing was sent."""
+        self._run = None
+        self._send_again(UNREACHABLE)
+
+    def run_was_refused(self, head: ResponseHead) -> None:
+        """Try another engine: this one did not run the call."""
+        self._run = None
+        self._send_again(f"{NOT_RUN}: {head.status}")
 
-    def _judge(self, head: ResponseHead) -> None:
+    def run_ended(self, head: ResponseHead, body: bytes) -> None:
         """Decide what becomes of a whole answer."""
+        self._run = None
+        self._log.runs += 1
+        self._status = head.status
         is_success = head.status < CLIENT_ERRORS
         if is_success and not self._services.dialect.is_genuine(head):
             self._failed_run(NOT_GENUINE)
@@ -308,24 +203,26 @@
         elif head.status >= SERVER_ERRORS and self._may_run_again():
             self._send_again(f"{SERVER_ERROR}: {head.status}")
         else:
-            self._finish_answer(head)
+            self._finish_answer(head, body)
 
-    def failed(self, failure: AnswerFailure) -> None:
-        """Hear that the answer broke off; the call may have run."""
-        if failure is not AnswerFailure.GARBLED:
-            self._engine_failed()
+    def run_failed(self, cause: str) -> None:
+        """Run again if the route allows it; the call may have run."""
+        self._run = None
         self._log.runs += 1
-        self._leave_engine()
-        self._failed_run(failure.value)
+        self._failed_run(cause)
+
+    def may_give_up(self) -> bool:
+        """Tell whether to give up an overdue answer.
+
+        A call with a run left is tried again. A stream that may run once is given up
+        for its caller to ask anew while there is time. Others are waited for.
+        """
+        return self._route.is_stream or self._may_run_times(self._log.runs + 2)
 
     def _may_run_again(self) -> bool:
         """Tell whether another run is allowed, after those that may have been."""
         return self._may_run_times(self._log.runs + 1)
 
-    def _has_a_run_left(self) -> bool:
-        """Tell whether another run is allowed while one is under way."""
-        return self._may_run_times(self._log.runs + 2)
-
     def _may_run_times(self, runs: int) -> bool:
         route = self._route
         is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
@@ -365,17 +262,12 @@
         self._log.served(self._status)
         self._reply.finish()
 
-    @property
-    def _status(self) -> int:
-        return self._head.status if self._head is not None else 0
-
     def lost(self) -> None:
         """Break the stream off: its outcome could not be made durable."""
         if self._phase is Phase.SETTLING:
             self._break_off(NOT_DURABLE)
 
-    def _finish_answer(self, head: ResponseHead) -> None:
-        body = b"".join(self._pieces)
+    def _finish_answer(self, head: ResponseHead, body: bytes) -> None:
         if self._ticket is not None:
             self._ticket.broke_off(0)
         self._over()
@@ -403,7 +295,7 @@
         """Say what is known of the runs of a call that has no whole answer."""
         if self._ticket is None or self._phase is Phase.SETTLING:
             return
-        if self._log.runs or self._sending is not None:
+        if self._log.runs or self._run is not None:
             self._ticket.broke_off(self._cutter.events)
         else:
             self._ticket.never_ran()
@@ -412,9 +304,9 @@
         self._phase = Phase.OVER
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        if self._sending is not None:
-            self._sending.abandon()
-        self._leave_engine()
+        if self._run is not None:
+            self._run.abandon()
+            self._run = None
 
     def _expire(self) -> None:
         """Say at once that the time of the call is over."""
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from notcharch.calls.call_life import CallLife, CallServices
+from notcharch.calls.call_life import CallLife
+from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
     MALFORMED,
     NO_ROUTE,
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -20,7 +20,7 @@
     AccountsService,
     account_network,
 )
-from notcharch.calls.call_life import CallServices
+from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.policies import pool_policy, wait_policy
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -4,7 +4,8 @@
 
 from twisted.internet.task import Clock
 
-from notcharch.calls.call_life import CallLife, CallServices
+from notcharch.calls.call_life import CallLife
+from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
     Engine,
