Hand doubted accounts over exactly, and raise their bounds by little

A program whose owner was lost is charged by its successor. Of such a program a planned move handed over its whole bound, not what it had used; and each bound was raised by a third of the budget, so that a second and third loss charged the rest.

Ruled out: unclean moves as such (takeovers of that partition were planned but for one).

Change: accounts are handed over to the token also where they count doubtful tokens (the record says so); the bound of a program that was charged once is raised for two calls.

Test first: tests/unit/accounts (a planned stop; five losses in a row), which failed.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -28,7 +28,8 @@
 """Or for one part in so many of the budget, if that is more.
 
 Programs of many calls use a quarter of their budgets, so they can bear that a crash
-charges this much, and go on for long while the log can't be written.
+charges this much, and go on for long while the log can't be written. A program that was
+charged so once has no more to spare, so its bound is raised for some calls only.
 """
 
 DEFAULT_KEEP_SECONDS = 60.0
@@ -130,7 +131,7 @@
         program = self.program(record.program, now)
         program.has_begun = True
         program.used = record.used_tokens
-        program.is_doubted = False
+        program.is_doubted = record.is_doubted
         program.reserved = {
             call: Reservation(most, now) for call, most in record.under_way.items()
         }
@@ -139,15 +140,13 @@
         program.written_at = record.written_at
 
     def accounts(self, written_at: int) -> list[AnyRecord]:
-        """Give what a successor needs to go on without doubt.
+        """Give what a successor needs to go on without further doubt.
 
         Last comes the end of the starting allowance: who used it has a record by then.
         """
         records: list[AnyRecord] = []
         for name, program in self._programs.items():
-            if program.is_doubted and program.allowed > program.bound:
-                records.append(BoundRaised(name, program.allowed, written_at))
-            elif not program.is_doubted and (program.bound or program.allowed):
+            if program.bound or program.allowed:
                 records.append(self._account(name, program, written_at))
         withdrawn = self.allowance.withdrawn()
         if withdrawn is not None:
@@ -159,7 +158,12 @@
     ) -> AccountHandedOver:
         under_way = {call: held.tokens for call, held in program.reserved.items()}
         return AccountHandedOver(
-            name, program.used, under_way, written_at, program.home
+            name,
+            program.used,
+            under_way,
+            written_at,
+            program.home,
+            program.is_doubted,
         )
 
     # Budgets
@@ -219,7 +223,8 @@
         """Give the record of a bound that lets a call in, and some after it."""
         program = self.program(name, now)
         needed = program.committed + most
-        ahead = max(AHEAD_CALLS * most, budget // AHEAD_SHARE) - most
+        share = 0 if program.is_doubted else budget // AHEAD_SHARE
+        ahead = max(AHEAD_CALLS * most, share) - most
         bound = max(needed, min(needed + ahead, budget), program.allowed)
         return BoundRaised(name, bound, written_at)
 
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -42,6 +42,8 @@
     written_at: int = 0
     home: str = ""
     """The engine at which it ran last."""
+    is_doubted: bool = False
+    """Whether `used_tokens` counts tokens that may not have been generated."""
 
 
 class AllowanceGiven(Record, frozen=True, tag="allowance"):
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -529,3 +529,42 @@
         board.is_suspected("bad", world.clock.seconds())
         for board in world.suspicions.values()
     )
+
+
+def test_a_planned_stop_hands_over_what_a_doubted_program_may_still_use():
+    world = World()
+    call = world.call(budget=1000, most=100)
+    assert world.decided(call).refusal is None
+    for name in world.names:
+        world.crash(name, silent=True)
+    for name in world.names:
+        world.start(name)
+    world.run(3.0)  # its successor counts half of the budget as used
+    listener = world.decided(world.call(budget=1000, most=100))
+    listener.ticket.broke_off(10)
+    world.run(0.1)
+    world.services[world.owner("p")].leave()
+    world.run(3.0)
+    spent, _ = spend(world, "p", 1000, 100)
+    assert spent == 1000 + 100 - 500 - 100
+
+
+def test_losing_its_owner_again_and_again_costs_a_long_program_little_more():
+    world = World()
+    budget, most = 4000, 100
+    spent = 0
+    for _ in range(5):
+        listener = world.decided(world.call(budget=budget, most=most))
+        assert listener.refusal is None
+        listener.ticket.broke_off(1)
+        spent += EVENT_TOKENS
+        world.run(0.1)
+        for name in world.names:
+            world.crash(name, silent=True)
+        for name in world.names:
+            world.start(name)
+        world.run(3.0)
+    more, refusal = spend(world, "p", budget, most)
+    assert refusal == BUDGET_SPENT
+    assert budget // 6 <= more
+    assert spent + more <= budget + most
