Let the emulator's signal test pass in a background job

Found when the tests ran in the background: the test of SIGINT waited for ever. A shell without job control lets background jobs ignore SIGINT, their children inherit that, and Twisted handles it only where Python's own handler stands (the hanging process had SIGINT in SigIgn; SIGTERM ended it). The test starts its process with the default handler; what it checks is unchanged. Run in the background it hung before and passes now.

--- a/tests/unit/emulator/test_http.py
+++ b/tests/unit/emulator/test_http.py
@@ -234,6 +234,15 @@
     assert model.counters.requests_cancelled == 1
 
 
+@pytest.fixture
+def heeded_interrupts():
+    """Undo what shells do to background jobs, whose children ignore SIGINT."""
+    former = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, former)
+
+
+@pytest.mark.usefixtures("heeded_interrupts")
 @pytest.mark.parametrize("stop", [signal.SIGTERM, signal.SIGINT])
 def test_the_command_prints_its_addresses_and_stops(stop):
     command = [sys.executable, "-m", "notcharch.cli.main", "emulator"]
