--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -207,8 +207,8 @@
         after = program.committed + most
         if after > allowed:
             return Verdict.SPENT
-        allowed = program.allowed if self.allowance.is_in_force(now) else 0
-        bound = max(program.bound, allowed)
+        starting = program.allowed if self.allowance.is_in_force(now) else 0
+        bound = max(program.bound, starting)
         return Verdict.NEEDS_BOUND if after > bound else Verdict.ADMITTED
 
     def _charge_forgotten(self, program: Program, now: float) -> None:
