--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -53,21 +53,23 @@
         self._entries: dict[str, ReadEntry] = {}
         self._engines_at = clock.seconds()
         self._has_engines = False
-        self._configurations = KeyedFollower(
-            store,
-            clock,
-            random,
-            CONFIGURATION_TOPIC,
-            pace=CONFIGURATION_PACE,
-            changed=self._configuration_changed,
-        )
-        self._entries_follower = KeyedFollower(
-            store,
-            clock,
-            random,
-            ENGINES_TOPIC,
-            pace=ENGINES_PACE,
-            changed=self._engines_changed,
+        self._followers = (
+            KeyedFollower(
+                store,
+                clock,
+                random,
+                CONFIGURATION_TOPIC,
+                pace=CONFIGURATION_PACE,
+                changed=self._configuration_changed,
+            ),
+            KeyedFollower(
+                store,
+                clock,
+                random,
+                ENGINES_TOPIC,
+                pace=ENGINES_PACE,
+                changed=self._engines_changed,
+            ),
         )
 
     @property
@@ -77,8 +79,8 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._configurations.start()
-        self._entries_follower.start()
+        for follower in self._followers:
+            follower.start()
 
     def _configuration_changed(self, values: dict[str, bytes]) -> None:
         value = values.get(CONFIGURATION_KEY)
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -70,7 +70,7 @@
 
 
 def test_an_entry_that_goes_just_after_an_outage_gets_no_calls():
-    """It may have left without a word, and others serve (tussock-rounds fresh-fc10)."""
+    """It may have left without a word, and others serve."""
     world = World()
     world.log.trouble = Trouble.REFUSE
     world.run(3.0)
