Hold reads of changes for as long as the contact time allows

Each daemon polls two topics with reads held for 1 s, and asks for the owners each 4 s: 1.9 of its 2.65 calls a second, whatever it serves.

Change: a read is held for the contact time less the 1.5 s after which an answer counts as lost, so that one lost in a disturbance is over when the bounds count again; the owners are asked for each 16 s, as heartbeats and referrals tell of changes. Reads that hang, and pauses after refused ones, end with the first heartbeat that is answered again, so lists are no later after an outage than before.

--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -171,6 +171,11 @@
 
         return self._answer(act)
 
+    def put(self, topic: str, partition: int, record: bytes) -> None:
+        """Write a record for a caller whom the trouble doesn't concern."""
+        self.partition(topic, partition).append((record,), None)
+        self._wake((topic, partition))
+
     def _wake(self, place: tuple[str, int]) -> None:
         woken = [waiting for waiting in self._waiting if waiting.place == place]
         self._waiting = [waiting for waiting in self._waiting if waiting not in woken]
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -68,11 +68,13 @@
         random: Random,
         *,
         suspicions: SharedSuspicions | None = None,
+        recovery: RecoverySignal | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`.
 
-        `suspicions` about engines are shared with peers.
+        `suspicions` about engines are shared with peers; `recovery` hears from the
+        heartbeats when the log service is back.
         """
         suspicions = suspicions or SharedSuspicions()
         partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
@@ -85,7 +87,7 @@
             partitioning=partitioning,
             asks_peers=Mechanism.PEER_VIEWS in settings.mechanisms,
         )
-        recovery = RecoverySignal(clock)
+        recovery = recovery or RecoverySignal(clock)
         self._owned = OwnedPartitions(
             service,
             clock,
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -22,6 +22,7 @@
     NewestPage,
     Records,
 )
+from notcharch.journal.recovery_signal import RecoverySignal
 
 RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.8
@@ -55,14 +56,20 @@
         *,
         pace: Pace,
         changed: Callable[[dict[str, bytes]], None],
+        recovery: RecoverySignal | None = None,
     ) -> None:
-        """Call `changed` with all keys after each change."""
+        """Call `changed` with all keys after each change.
+
+        `recovery` ends waits early when the service is back: a read that was held, or
+        lost, in an outage is repeated at once.
+        """
         self._service = service
         self._clock = clock
         self._topic = topic
         self._pace = pace
         self._random = random
         self._changed = changed
+        self._recovery = recovery or RecoverySignal(clock)
         self._picture = GrowingPicture({})
         self._first_page_end = -1
         self._next_page_at = 0.0
@@ -98,7 +105,8 @@
             elif problem.fault is LogFault.GONE:
                 self._offset = -1
             else:
-                yield self._sleep(self._retry_seconds * (0.5 + self._random.random()))
+                jitter = 0.5 + self._random.random()
+                yield self._recovery.pause(self._retry_seconds * jitter)
                 longer = self._retry_seconds * RETRY_GROWTH
                 self._retry_seconds = min(longer, LONGEST_RETRY_SECONDS)
 
@@ -165,9 +173,8 @@
 
     @inlineCallbacks
     def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        answer: Result[Records, LogProblem] = yield self._service.read(
-            self._topic, 0, self._offset, self._pace.wait_seconds
-        )
+        held = self._service.read(self._topic, 0, self._offset, self._pace.wait_seconds)
+        answer: Result[Records, LogProblem] = yield self._recovery.guard(held)
         if isinstance(answer, Err):
             return answer.err_value
         found = answer.ok_value
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -21,8 +21,10 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-REFRESH_SECONDS = 4.0
-"""Without doubt the view is refreshed this often: heartbeats tell of changes."""
+REFRESH_SECONDS = 16.0
+"""Without doubt the view is refreshed this often: heartbeats tell of changes, and a
+daemon that is asked wrongly names the owner. At hundreds of daemons this is a call less
+for each of them every few seconds."""
 SPREAD_SECONDS = 0.5
 """After a change not all daemons ask at the same moment."""
 DOUBT_SECONDS = 0.1
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -39,6 +39,7 @@
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.headers import PlatformEngines
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
@@ -94,6 +95,7 @@
         suspicions = SharedSuspicions(
             is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
         )
+        recovery = RecoverySignal(reactor)
         self._accounts = AccountsService(
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
@@ -107,6 +109,7 @@
             self._network,
             random,
             suspicions=suspicions,
+            recovery=recovery,
         )
         pool = EnginePool(
             reactor,
@@ -128,7 +131,14 @@
         )
         self._factory = ServerFactory(self._ingress, reactor)
         self._tables = PlatformTables(
-            platform_store, reactor, random, self._ingress, pool, sender=sender
+            platform_store,
+            reactor,
+            random,
+            self._ingress,
+            pool,
+            sender=sender,
+            contact_seconds=settings.contact_seconds,
+            recovery=recovery,
         )
         self._output = LogOutput(
             STANDARD_OUTPUT, reactor, frozenset((CallServed.number,))
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -45,6 +45,8 @@
     store: StoreSettings
     grace_seconds: float
     drain_seconds: float
+    contact_seconds: float
+    """So long after a disturbance a daemon has to keep all bounds again."""
 
 
 class Fields:
@@ -117,6 +119,7 @@
         store=store,
         grace_seconds=fields.number("bounds.grace_period_s", 8),
         drain_seconds=fields.number("bounds.drain_ms", 2000) / 1000,
+        contact_seconds=fields.number("bounds.contact_ms", 3000) / 1000,
     )
     return Err(fields.findings) if fields.findings else Ok(settings)
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -12,15 +12,32 @@
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, EnginesChanged, TableInForce
 from notcharch.journal.keyed_follower import KeyedFollower, Pace
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.configuration import engine_of, table_of
 from notcharch.platform.ingress import Ingress
-from notcharch.platform.store import PlatformStore
+from notcharch.platform.store import CALL_SECONDS, PlatformStore
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 ENGINES_TOPIC = "keyed.servers"
-CONFIGURATION_PACE = Pace(wait_seconds=1.0, pause_seconds=0.05)
-ENGINES_PACE = Pace(wait_seconds=1.0, pause_seconds=0.4, page_pause_seconds=3.0)
+CONFIGURATION_PAUSE_SECONDS = 0.05
+ENGINES_PAUSE_SECONDS = 0.4
+"""Between two reads of the engines' entries, so that many changes come in one read."""
+ENGINES_PAGE_PAUSE_SECONDS = 3.0
+"""Between two pages of the engines' entries."""
+LEAST_WAIT_SECONDS = 1.0
+"""A read of changes is held for so long where the contact time is very short."""
+
+
+def held_read_seconds(contact_seconds: float) -> float:
+    """Give how long the store may hold a read of changes.
+
+    A read that was lost on the way is noticed `CALL_SECONDS` after that. It must be
+    over when the daemon counts as in contact again, `contact_seconds` after a
+    disturbance: from then on changes have to be known within their bounds. Each daemon
+    holds two reads at any time, so longer ones mean fewer calls to the store.
+    """
+    return max(LEAST_WAIT_SECONDS, contact_seconds - CALL_SECONDS)
 
 
 class ReadEntry(msgspec.Struct, frozen=True):
@@ -43,8 +60,11 @@
         pool: EnginePool,
         *,
         sender: EngineSender,
+        contact_seconds: float,
+        recovery: RecoverySignal,
     ) -> None:
-        """Begin without a table and engines."""
+        """Begin without a table and engines; `recovery` tells when the store is back."""
+        wait_seconds = held_read_seconds(contact_seconds)
         self._clock = clock
         self._ingress = ingress
         self._pool = pool
@@ -59,16 +79,20 @@
                 clock,
                 random,
                 CONFIGURATION_TOPIC,
-                pace=CONFIGURATION_PACE,
+                pace=Pace(wait_seconds, CONFIGURATION_PAUSE_SECONDS),
                 changed=self._configuration_changed,
+                recovery=recovery,
             ),
             KeyedFollower(
                 store,
                 clock,
                 random,
                 ENGINES_TOPIC,
-                pace=ENGINES_PACE,
+                pace=Pace(
+                    wait_seconds, ENGINES_PAUSE_SECONDS, ENGINES_PAGE_PAUSE_SECONDS
+                ),
                 changed=self._engines_changed,
+                recovery=recovery,
             ),
         )
 
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -25,6 +25,7 @@
     LogPartition,
     LogProblem,
 )
+from notcharch.journal.keyed_follower import RETRY_SECONDS as RETRY_SECONDS_OF_READS
 from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
 from notcharch.journal.recovery_signal import STALE_SECONDS, RecoverySignal
 from notcharch.journal.writer import RETRY_SECONDS, Outcome, PartitionWriter
@@ -41,8 +42,15 @@
         self.log = PartitionedLog(self.clock, Random(1), 2)
         self.told: list[dict[str, bytes]] = []
         self.fault = False
+        self.recovery = RecoverySignal(self.clock)
         self.follower = KeyedFollower(
-            self.log, self.clock, Random(1), TOPIC, pace=pace, changed=self.changed
+            self.log,
+            self.clock,
+            Random(1),
+            TOPIC,
+            pace=pace,
+            changed=self.changed,
+            recovery=self.recovery,
         )
 
     def changed(self, values):
@@ -98,6 +106,29 @@
     assert world.told[-1] == {"a": b"2"}
 
 
+def test_a_read_that_was_lost_is_repeated_when_the_log_service_is_back():
+    """Not only when its own time is over: what changed meanwhile is heard at once."""
+    world = started("a")
+    world.log.trouble = Trouble.LOSE_CALL
+    world.run(PACE.wait_seconds + PACE.pause_seconds + 2 * STALE_SECONDS)
+    world.log.trouble = Trouble.NONE
+    world.put("a", b"2")
+    world.recovery.recovered()
+    world.run(2 * RETRY_SECONDS_OF_READS)
+    assert world.told[-1] == {"a": b"2"}
+
+
+def test_a_pause_after_refused_reads_ends_when_the_log_service_is_back():
+    world = started("a")
+    world.log.trouble = Trouble.REFUSE
+    world.run(10.0)
+    world.log.trouble = Trouble.NONE
+    world.put("a", b"2")
+    world.recovery.recovered()
+    world.run(5 * ANSWER_SECONDS)
+    assert world.told[-1] == {"a": b"2"}
+
+
 def test_a_history_that_was_dropped_is_made_up_by_a_new_picture():
     world = started("a")
     world.log.trouble = Trouble.REFUSE
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -3,18 +3,24 @@
 from random import Random
 
 import msgspec
+import pytest
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import PartitionedLog, Trouble
 from notcharch.calls.engines import LEAVING_SECONDS, EnginePool
 from notcharch.journal.keyed_follower import join_keyed
+from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.platform.store import CALL_SECONDS
 from notcharch.platform.tables import (
     CONFIGURATION_TOPIC,
     ENGINES_TOPIC,
+    LEAST_WAIT_SECONDS,
     PlatformTables,
+    held_read_seconds,
 )
 
 SERVICE = "s"
+CONTACT_SECONDS = 5.0
 
 
 class Ingress:
@@ -44,7 +50,14 @@
         for name in "abc":
             self.write(name)
         self.tables = PlatformTables(
-            self.log, self.clock, Random(1), Ingress(), self.pool, sender=self.sender
+            self.log,
+            self.clock,
+            Random(1),
+            Ingress(),
+            self.pool,
+            sender=self.sender,
+            contact_seconds=CONTACT_SECONDS,
+            recovery=RecoverySignal(self.clock),
         )
         self.tables.start()
         self.run(1.0)
@@ -60,8 +73,7 @@
         self._append(name, b"")
 
     def _append(self, name: str, value: bytes) -> None:
-        partition = self.log.partition(ENGINES_TOPIC, 0)
-        partition.append((join_keyed(name, value),), None)
+        self.log.put(ENGINES_TOPIC, 0, join_keyed(name, value))
 
     def takes_calls(self, name: str) -> bool:
         others = {"a", "b", "c"} - {name}
@@ -121,3 +133,23 @@
     world = World()
     assert not world.tables.are_known
     assert world.log.partition(CONFIGURATION_TOPIC, 0).records == []
+
+
+def test_a_daemon_at_rest_asks_the_store_seldom():
+    """Two held reads a daemon: at 200 daemons a second less means 400 calls."""
+    world = World()
+    calls = world.log.calls
+    world.run(60.0)
+    assert world.log.calls - calls <= 2 * 60.0 / (CONTACT_SECONDS - CALL_SECONDS) + 2
+
+
+@pytest.mark.parametrize("contact_seconds", [3.0, 4.0, 5.0, 20.0])
+def test_a_read_that_was_lost_is_over_when_the_daemon_is_in_contact_again(
+    contact_seconds,
+):
+    assert held_read_seconds(contact_seconds) + CALL_SECONDS <= contact_seconds
+    assert held_read_seconds(contact_seconds) >= contact_seconds / 2
+
+
+def test_with_a_short_contact_time_reads_are_still_held_for_a_while():
+    assert held_read_seconds(0.0) == LEAST_WAIT_SECONDS
