Reserve nothing for calls that were given up before their admission

An owner that waits for an append admits the call when the append is done, also if the asking daemon has given the call up and said so meanwhile: its notice found nothing to give back. The tokens stayed reserved for 12 s, and the caller's next try heard that the budget is spent, which was not true.

Ruled out: a lost notice (it arrived, before the admission) and a shorter time for forgotten reservations (calls may run that long).

Change: an owner remembers which calls of a program ended before they were admitted, and reserves nothing for them.

Shown by a test that failed before, with a deliberate break in the state machine.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -44,6 +44,8 @@
     ADMITTED = "admitted"
     NEEDS_BOUND = "needs a higher bound"
     SPENT = "spent"
+    GIVEN_UP = "given up"
+    """Its daemon has ended the call already; nobody waits for an answer."""
 
 
 class Reservation(msgspec.Struct):
@@ -69,6 +71,8 @@
         self.is_doubted = False
         """Whether `used` counts tokens that may not have been generated."""
         self.reserved: dict[str, Reservation] = {}
+        self.given_up: set[str] = set()
+        """Calls that ended before they were admitted here."""
         self.touched = 0.0
         self.home = ""
         """The engine at which it ran last; lost with its owner, which costs little."""
@@ -176,6 +180,8 @@
         Nothing is reserved for NEEDS_BOUND: raise the bound and ask again.
         """
         program = self.program(name, now)
+        if call in program.given_up:
+            return Verdict.GIVEN_UP
         if call in program.reserved:
             return Verdict.ADMITTED
         self._charge_forgotten(program, now)
@@ -240,12 +246,14 @@
     def settle(
         self, name: str, call: str, tokens: int, now: float, *, engine: str
     ) -> None:
-        """End a call that generated so many tokens for its caller at an engine."""
-        program = self._programs.get(name)
-        if program is None:
-            return
+        """End a call that generated so many tokens for its caller at an engine.
+
+        Its question may still wait here for the journal; it reserves nothing later.
+        """
+        program = self.program(name, now)
         program.home = engine or program.home
         if program.reserved.pop(call, None) is None:
+            program.given_up.add(call)
             return
         program.touched = now
         program.used += tokens
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -218,6 +218,8 @@
                 return NOT_OWNER  # what is reserved now, no successor would know
             verdict = self._verdict(ask)
         self._renew_allowance_if_due()  # not before: the call's own bound is urgent
+        if verdict is Verdict.GIVEN_UP:
+            return NOT_OWNER  # nobody waits for an answer
         if verdict is Verdict.SPENT:
             self._log_spent(ask)
             return TurnRefused(is_spent=True)
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -80,6 +80,16 @@
     monkeypatch.setattr(StartingAllowance, "is_in_force", lambda *_: True)
 
 
+def calls_that_were_given_up_are_forgotten(monkeypatch):
+    original = Ledger.admit
+
+    def admit(self, name, call, most, budget, now):
+        self.program(name, now).given_up.clear()
+        return original(self, name, call, most, budget, now)
+
+    monkeypatch.setattr(Ledger, "admit", admit)
+
+
 def budgets_are_not_compared(monkeypatch):
     monkeypatch.setattr(Ledger, "_within", lambda *_: Verdict.ADMITTED)
 
@@ -126,6 +136,10 @@
         an_allowance_never_ends,
         scenarios.test_an_owner_that_is_cut_from_the_log_stops_letting_programs_begin,
     ),
+    (
+        calls_that_were_given_up_are_forgotten,
+        scenarios.test_a_call_that_was_given_up_before_its_admission_reserves_nothing,
+    ),
     (budgets_are_not_compared, scenarios.test_a_budget_holds_over_all_daemons),
     (
         unknown_turns_are_denied_in_doubt,
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -617,3 +617,15 @@
     assert refusal == BUDGET_SPENT
     assert budget // 6 <= more
     assert spent + more <= budget + most
+
+
+def test_a_call_that_was_given_up_before_its_admission_reserves_nothing():
+    """Its caller's next try is not refused for tokens that nobody will generate."""
+    world = World()
+    world.log.trouble = Trouble.REFUSE
+    given_up = world.decided(world.call("p", budget=900, most=700, wait_seconds=0.5))
+    assert given_up.refusal == STATE_UNSURE
+    world.log.trouble = Trouble.NONE
+    world.run(3.0)
+    again = world.decided(world.call("p", budget=900, most=700))
+    assert again.refusal is None
