Split the tests of accounts by what they are about

Starting allowances and kept turns have files of their own; what several of them use is in steps.py.

--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -17,7 +17,7 @@
 )
 from notcharch.journal.writer import Outcome, PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
-from tests.unit.accounts import test_accounts as scenarios
+from tests.unit.accounts import test_accounts, test_kept_turns, test_starting_allowance
 
 SETTINGS = settings(
     max_examples=60,
@@ -104,50 +104,50 @@
 BREAKS = [
     (
         bounds_are_not_written,
-        scenarios.test_nothing_is_let_in_that_is_not_in_the_journal,
+        test_starting_allowance.test_nothing_is_let_in_that_is_not_in_the_journal,
     ),
     (
         a_successor_counts_nothing,
-        lambda: scenarios.test_a_successor_counts_what_the_owner_had_let_in(
+        lambda: test_accounts.test_a_successor_counts_what_the_owner_had_let_in(
             silent=False
         ),
     ),
     (
         a_successor_ignores_allowances,
         lambda: (
-            scenarios.test_successors_count_what_programs_may_have_used_without_a_record(
+            test_starting_allowance.test_successors_count_what_programs_may_have_used_without_a_record(
                 successors=2, budget=1200
             )
         ),
     ),
     (
         a_successor_ignores_the_first_calls_that_were_allowed,
-        scenarios.test_a_successor_counts_the_first_call_of_a_short_program,
+        test_starting_allowance.test_a_successor_counts_the_first_call_of_a_short_program,
     ),
     (
         allowances_add_up_without_end,
         lambda: (
-            scenarios.test_successors_count_what_programs_may_have_used_without_a_record(
+            test_starting_allowance.test_successors_count_what_programs_may_have_used_without_a_record(
                 successors=3, budget=1200
             )
         ),
     ),
     (
         an_allowance_never_ends,
-        scenarios.test_an_owner_that_is_cut_from_the_log_stops_letting_programs_begin,
+        test_starting_allowance.test_an_owner_that_is_cut_from_the_log_stops_letting_programs_begin,
     ),
     (
         calls_that_were_given_up_are_forgotten,
-        scenarios.test_a_call_that_was_given_up_before_its_admission_reserves_nothing,
+        test_accounts.test_a_call_that_was_given_up_before_its_admission_reserves_nothing,
     ),
-    (budgets_are_not_compared, scenarios.test_a_budget_holds_over_all_daemons),
+    (budgets_are_not_compared, test_accounts.test_a_budget_holds_over_all_daemons),
     (
         unknown_turns_are_denied_in_doubt,
-        scenarios.test_an_unknown_turn_is_refused_only_when_that_is_certain,
+        test_kept_turns.test_an_unknown_turn_is_refused_only_when_that_is_certain,
     ),
     (
         turns_are_shown_before_they_are_written,
-        scenarios.test_the_end_of_a_kept_turn_waits_for_the_journal,
+        test_kept_turns.test_the_end_of_a_kept_turn_waits_for_the_journal,
     ),
 ]
 
