--- a/deploy/pages/__main__.py
+++ b/deploy/pages/__main__.py
@@ -6,10 +6,12 @@
 
 from deploy.pages.capacity import capacity_page
 from deploy.pages.entries import read_entries
+from deploy.pages.hunts import hunts_page
 from deploy.pages.results import plot_scores, results_page
 
 RESULTS = Path("docs/results.md")
 CAPACITY = Path("docs/CAPACITY.md")
+HUNTS = Path("docs/hunts.md")
 SCORES = Path("docs/results/scores.png")
 STALE = 1
 
@@ -20,6 +22,7 @@
     return {
         RESULTS: results_page(scores),
         CAPACITY: capacity_page(scores, list(read_entries("sweep"))),
+        HUNTS: hunts_page(list(read_entries("hunt"))),
     }
 
 
@@ -32,7 +35,11 @@
 
 def stale_pages() -> list[Path]:
     """Give the pages that are not what the journal says."""
-    return [path for path, text in written_pages().items() if path.read_text() != text]
+    return [
+        path
+        for path, text in written_pages().items()
+        if not path.exists() or path.read_text() != text
+    ]
 
 
 def main() -> int:
--- a/deploy/pages/entries.py
+++ b/deploy/pages/entries.py
@@ -29,6 +29,8 @@
     failed: float = 0.0
     score: float | None = None
     rules: dict[str, object] = {}
+    gate: bool = True
+    """Whether the day passed: no rule broken, no floor missed."""
     machines: int = msgspec.field(name="balancers", default=0)
     engines: int = msgspec.field(name="servers", default=0)
     kilobytes: float | None = msgspec.field(name="kb_an_instance", default=None)
--- a/tests/unit/deploy/test_pages.py
+++ b/tests/unit/deploy/test_pages.py
@@ -5,6 +5,7 @@
 
 from deploy.pages.capacity import capacity_page
 from deploy.pages.entries import Entry, read_entries, read_sweep
+from deploy.pages.hunts import hunts_page
 from deploy.pages.results import plot_scores, results_page
 
 SWEEP = """sweep-100  99/1002  0.97  0.967
@@ -91,3 +92,17 @@
     write(tmp_path, "1", "score")
     plot_scores(list(read_entries("score", tmp_path)), tmp_path / "new" / "scores.png")
     assert (tmp_path / "new" / "scores.png").stat().st_size > 1000
+
+
+def test_a_hunt_shows_what_was_broken_and_its_worst_day(tmp_path):
+    days = [
+        day("mix --seed 7", 0.31, gate=False),
+        day("quiet-1 --seed 8", 0.9),
+        day("trouble-1 --seed 9", 0.5, rules={"LOST": 2}, gate=False),
+    ]
+    write(tmp_path, "1", "hunt", days=days)
+    write(tmp_path, "2", "hunt", site=None, days=[])
+    rows = hunts_page(list(read_entries("hunt", tmp_path))).splitlines()
+    assert rows[-1] == "| 1 (01234567) | place | 3 | 1 | 2 | 0.310, mix --seed 7 |"
+    assert sum(row.startswith("| 1 ") for row in rows) == 1
+    assert not any(row.startswith("| 2 ") for row in rows)
