--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -173,8 +173,10 @@
 
     @inlineCallbacks
     def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        held = self._service.read(self._topic, 0, self._offset, self._pace.wait_seconds)
-        answer: Result[Records, LogProblem] = yield self._recovery.guard(held)
+        # The first read after a fault isn't held: its answer shows that the topic is back.
+        wait_seconds = 0.0 if self._lost_at is not None else self._pace.wait_seconds
+        reading = self._service.read(self._topic, 0, self._offset, wait_seconds)
+        answer: Result[Records, LogProblem] = yield self._recovery.guard(reading)
         if isinstance(answer, Err):
             return answer.err_value
         found = answer.ok_value
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -10,6 +10,7 @@
 from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import RequestHead
 from notcharch.journal.keyed_follower import join_keyed
+from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.tables import PlatformTables
 from tests.unit.accounts.world import World as AccountsWorld
@@ -106,6 +107,8 @@
             self.ingress,
             self.engines,
             sender=self.engines,
+            contact_seconds=5.0,
+            recovery=RecoverySignal(self.clock),
         )
         self.tables.start()
 
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -13,6 +13,7 @@
     PartitionedLog,
     Trouble,
 )
+from notcharch.events import process
 from notcharch.journal.group import (
     HEARTBEAT_SECONDS,
     LEASE_SECONDS,
@@ -29,6 +30,7 @@
 from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
 from notcharch.journal.recovery_signal import STALE_SECONDS, RecoverySignal
 from notcharch.journal.writer import RETRY_SECONDS, Outcome, PartitionWriter
+from tests.unit.events.capture import captured, of
 
 TOPIC = "keyed.things"
 PACE = Pace(wait_seconds=1.0, pause_seconds=0.1)
@@ -118,6 +120,19 @@
     assert world.told[-1] == {"a": b"2"}
 
 
+def test_a_topic_that_is_back_is_told_of_at_once_though_nothing_changed():
+    """The first read after a fault is not held."""
+    world = started("a")
+    with captured() as messages:
+        world.log.trouble = Trouble.REFUSE
+        world.run(PACE.wait_seconds + PACE.pause_seconds + 2 * STALE_SECONDS)
+        world.log.trouble = Trouble.NONE
+        world.recovery.recovered()
+        world.run(5 * ANSWER_SECONDS)
+    assert len(of(messages, process.DependencyLost)) == 1
+    assert len(of(messages, process.DependencyRegained)) == 1
+
+
 def test_a_pause_after_refused_reads_ends_when_the_log_service_is_back():
     world = started("a")
     world.log.trouble = Trouble.REFUSE
