--- a/notcharch/journal/recovery_signal.py
+++ b/notcharch/journal/recovery_signal.py
@@ -1,6 +1,6 @@
 """Tells whoever waits for the log service that it answers again.
 
-Writers back off while their appends fail. Heartbeats go on at their own pace, so the
+Writers, and followers of keyed topics, back off while their calls fail. Heartbeats go on at their own pace, so the
 first that is answered again ends all those waits at once; and calls that were sent
 before it, and have no answer yet, are taken for lost.
 """
--- a/notcharch/settings/mechanisms.py
+++ b/notcharch/settings/mechanisms.py
@@ -11,7 +11,7 @@
     PEER_VIEWS = "peer-views"
     """Peers are asked for the owners while the store turns a daemon away."""
     RECOVERY_SIGNAL = "recovery-signal"
-    """Appends are repeated as soon as a heartbeat is answered again."""
+    """Appends, and reads of changes, are repeated as soon as a heartbeat is answered."""
     LAST_RESORT = "last-resort"
     """Engines that leave still get calls when most do."""
     KEPT_HOMES = "kept-homes"
