--- a/deploy/pages/entries.py
+++ b/deploy/pages/entries.py
@@ -1,4 +1,4 @@
-"""What the pages read of the journal's entries."""
+"""What tables and pages read of the journal's entries."""
 
 import re
 from collections.abc import Iterator
@@ -26,6 +26,7 @@
     name: str
     worth: float = msgspec.field(name="G")
     served: float = 0.0
+    refused: float = 0.0
     failed: float = 0.0
     score: float | None = None
     rules: dict[str, object] = {}
@@ -53,6 +54,9 @@
     score: float | None = None
     days: list[Day] = []
     digest: str = ""
+    """The report as the bench printed it."""
+    why: str | None = None
+    """The line that whoever played it gave."""
 
     @property
     def label(self) -> str:
@@ -60,6 +64,11 @@
         return f"{self.id} ({self.head[:ID_LETTERS]})"
 
 
+def read_entry(path: Path) -> Entry:
+    """Read the entry of a file."""
+    return msgspec.json.decode(path.read_bytes(), type=Entry)
+
+
 def read_entries(command: str, journal: Path = JOURNAL) -> Iterator[Entry]:
     """Give the finished entries of one command of the bench, the oldest first."""
     for path in sorted(journal.glob("*.json")):
--- a/deploy/troubles/play.py
+++ b/deploy/troubles/play.py
@@ -4,14 +4,13 @@
 import subprocess
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
+from deploy.pages.entries import JOURNAL, Entry, read_entry
 from deploy.troubles.day import TroubleDay, all_names
 
 DAYS_FOLDER = Path("target/troubles")
-JOURNAL = Path("journal")
 BENCH_LOST = "no journal entry"
 DAY_NAMES = "|".join(re.escape(name) for name in all_names())
 RECORDED_WHY = re.compile(
@@ -94,13 +93,13 @@
     entry = entry_of(why)
     if entry is None:
         raise LookupError(f"{BENCH_LOST}: {why}\n{said.stdout}{said.stderr}")
-    return read_entry(play, entry)
+    return played_day(play, entry)
 
 
 def entry_of(why: str) -> Path | None:
     """Give the newest journal entry with a text of ours, if there is one."""
     for path in sorted(JOURNAL.glob("*.json"), reverse=True):
-        if msgspec.json.decode(path.read_bytes()).get("why") == why:
+        if read_entry(path).why == why:
             return path
     return None
 
@@ -109,31 +108,30 @@
     """Give the days that were played with a line for the journal, in their order."""
     found: list[PlayedDay] = []
     for path in sorted(JOURNAL.glob("*.json")):
-        said = str(msgspec.json.decode(path.read_bytes()).get("why"))
-        name = RECORDED_WHY.fullmatch(said)
+        name = RECORDED_WHY.fullmatch(read_entry(path).why or "")
         if name is None or name["why"] != why:
             continue
         site = Path(name["site"])
         play = Play(site, TroubleDay(name["day"], ""), int(name["seed"]))
-        found.append(read_entry(play, path))
+        found.append(played_day(play, path))
     return sorted(found, key=lambda day: day.play.site.stem)
 
 
-def read_entry(play: Play, path: Path) -> PlayedDay:
+def played_day(play: Play, path: Path) -> PlayedDay:
     """Read the figures of a day."""
-    entry: dict[str, Any] = msgspec.json.decode(path.read_bytes())
-    day = entry["days"][0]
+    entry: Entry = read_entry(path)
+    day = entry.days[0]
     return PlayedDay(
         play=play,
         entry=path.stem,
-        worth=day["G"],
-        worst_windows=worst_windows(entry["digest"]),
-        served=day["served"],
-        refused=day["refused"],
-        failed=day["failed"],
-        rules=sorted(day["rules"]),
-        kinds=kinds_of(entry["digest"]),
-        windows=windows_of(entry["digest"]),
+        worth=day.worth,
+        worst_windows=worst_windows(entry.digest),
+        served=day.served,
+        refused=day.refused,
+        failed=day.failed,
+        rules=sorted(day.rules),
+        kinds=kinds_of(entry.digest),
+        windows=windows_of(entry.digest),
     )
 
 
--- a/tests/unit/deploy/test_troubles.py
+++ b/tests/unit/deploy/test_troubles.py
@@ -114,7 +114,8 @@
     journal = tmp_path / "journal"
     journal.mkdir()
     monkeypatch.chdir(tmp_path)
-    played = {"G": 0.7, "served": 0.9, "refused": 0.0, "failed": 0.1, "rules": {}}
+    shares = {"served": 0.9, "refused": 0.0, "failed": 0.1}
+    played = {"name": "a day", "G": 0.7, "rules": {}} | shares
     for number, why in enumerate(
         (
             "round: waits: a-site-store-down+daemons-herd, seed 3",
@@ -123,7 +124,8 @@
             "round: waits",
         )
     ):
-        entry = {"why": why, "days": [played], "digest": DIGEST}
+        what = {"id": str(number), "cmd": "run", "why": why}
+        entry = what | {"days": [played], "digest": DIGEST}
         (journal / f"2026-{number}.json").write_text(json.dumps(entry))
     found = [
         (day.play.site.stem, day.play.day.name, day.play.seed, day.worth)
