--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -1,12 +1,11 @@
 """How programs begin without a record of their own, and what successors count."""
 
+import msgspec
 import pytest
 
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.ledger import DEFAULT_KEEP_SECONDS, Ledger, Verdict
-from notcharch.accounts.records import (
-    AllowanceGiven,
-)
+from notcharch.accounts.records import AllowanceGiven, decode
 from notcharch.accounts.starting_allowance import (
     LIFE_SECONDS,
     MOST_PERMILLE,
@@ -182,3 +181,9 @@
     assert refusal == BUDGET_SPENT
     assert budget // 6 <= more
     assert spent + more <= budget + most
+
+
+def test_a_record_of_an_earlier_version_allows_no_first_call():
+    """It has the share and its time only."""
+    earlier = msgspec.msgpack.encode(["allowance", STEP_PERMILLE, 1000])
+    assert decode(earlier) == AllowanceGiven(STEP_PERMILLE, 1000, call_tokens=0)
