--- /dev/null
+++ b/tests/unit/journal/test_group.py
@@ -0,0 +1,133 @@
+"""Staying in the group that deals partitions out, under faults."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from emulator.services.partitioned_log import (
+    ANSWER_SECONDS,
+    LOST_SECONDS,
+    PartitionedLog,
+    Trouble,
+)
+from notcharch.journal.group import (
+    HEARTBEAT_SECONDS,
+    LEASE_SECONDS,
+    QUICK_SECONDS,
+    GroupMember,
+)
+from notcharch.journal.interface import (
+    GroupName,
+)
+
+ALL = ["t0", "t1", "u0", "u1"]
+
+
+class Group:
+    """Members of a group."""
+
+    def __init__(self, *names: str) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 2)
+        self.held: dict[str, tuple[str, ...]] = {}
+        self.fault = ""
+        self.members = {name: self.member(name) for name in names}
+        for member in self.members.values():
+            member.start()
+        self.run(1.0)
+
+    def member(self, name: str) -> GroupMember:
+        def dealt(membership):
+            if self.fault == name:
+                raise ValueError("a fault of the program")
+            self.held[name] = tuple(
+                f"{place.topic}{place.number}" for place in membership.partitions
+            )
+
+        return GroupMember(
+            self.log,
+            self.clock,
+            GroupName("g", ("t", "u")),
+            name,
+            least_lease_seconds=1.0,
+            dealt=dealt,
+        )
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+
+@pytest.mark.parametrize(
+    ("trouble", "seconds"),
+    [(Trouble.LOSE_CALL, QUICK_SECONDS), (Trouble.REFUSE, HEARTBEAT_SECONDS)],
+)
+def test_a_heartbeat_without_an_answer_is_soon_repeated(trouble, seconds):
+    world = Group("a")
+    world.run(2.0)
+    world.log.trouble = trouble
+    before = world.log.calls
+    while world.log.calls == before:
+        world.run(0.01)
+    lost = world.clock.seconds()
+    waited = LOST_SECONDS if trouble is Trouble.LOSE_CALL else ANSWER_SECONDS
+    while world.log.calls == before + 1:
+        world.run(0.01)
+    assert world.clock.seconds() - lost == pytest.approx(waited + seconds, abs=0.03)
+
+
+def test_partitions_are_dealt_evenly_and_whole():
+    world = Group("a", "b")
+    assert sorted(world.held["a"] + world.held["b"]) == ALL
+    assert len(world.held["a"]) == 2
+
+
+def test_a_member_that_leaves_is_replaced_at_the_next_heartbeats():
+    world = Group("a", "b")
+    world.members["a"].leave()
+    world.run(0.45)
+    assert sorted(world.held["b"]) == ALL
+
+
+def test_a_silent_member_is_replaced_after_its_lease():
+    world = Group("a", "b")
+    world.members["a"].stop()
+    world.run(LEASE_SECONDS - 0.4)
+    assert len(world.held["b"]) == 2
+    world.run(0.9)
+    assert sorted(world.held["b"]) == ALL
+
+
+def test_a_fault_of_the_program_does_not_end_the_heartbeats():
+    world = Group("a", "b")
+    world.fault = "a"
+    world.run(3.0)
+    world.fault = ""
+    world.run(0.5)
+    assert len(world.held["a"]) == 2
+    assert len(world.held["b"]) == 2
+
+
+def test_the_first_heartbeat_that_is_answered_again_tells_of_the_recovery():
+    clock = Clock()
+    log = PartitionedLog(clock, Random(1), 2)
+    recoveries: list[float] = []
+    member = GroupMember(
+        log,
+        clock,
+        GroupName("g", ("t",)),
+        "m",
+        least_lease_seconds=1.0,
+        dealt=lambda _: None,
+        recovered=lambda: recoveries.append(clock.seconds()),
+    )
+    member.start()
+    clock.pump([0.02] * 100)
+    assert recoveries == []
+    log.trouble = Trouble.REFUSE
+    clock.pump([0.02] * 100)
+    log.trouble = Trouble.NONE
+    clock.pump([0.02] * 100)
+    assert len(recoveries) == 1
+    assert recoveries[0] <= 4.0 + HEARTBEAT_SECONDS + 0.04
--- /dev/null
+++ b/tests/unit/journal/test_writer.py
@@ -0,0 +1,141 @@
+"""Writing a partition: each record once, until somebody else writes it."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from emulator.services.partitioned_log import (
+    PartitionedLog,
+    Trouble,
+)
+from notcharch.journal.interface import (
+    LogPartition,
+)
+from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.journal.writer import RETRY_SECONDS, Outcome, PartitionWriter
+
+
+class Writing:
+    """A writer of partition 0, and the outcomes of its records."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.log = PartitionedLog(self.clock, Random(1), 1)
+        self.outcomes: list[Outcome] = []
+        self.lost: list[int] = []
+
+    def writer(self, epoch: int) -> PartitionWriter:
+        return PartitionWriter(
+            self.log,
+            self.clock,
+            Random(1),
+            LogPartition("t", 0),
+            epoch=epoch,
+            lost=lambda: self.lost.append(epoch),
+        )
+
+    def claimed(self, epoch: int) -> PartitionWriter:
+        writer = self.writer(epoch)
+        writer.claim()
+        self.run(0.1)
+        return writer
+
+    def write(self, writer, *records: bytes) -> None:
+        for record in records:
+            writer.write(record, self.outcomes.append)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+    @property
+    def records(self) -> list[bytes]:
+        return self.log.partition("t", 0).records
+
+
+def test_records_that_wait_go_in_one_append():
+    world = Writing()
+    writer = world.claimed(1)
+    calls = world.log.calls
+    world.write(writer, b"a", b"b", b"c", b"d")
+    world.run(0.1)
+    assert world.records == [b"a", b"b", b"c", b"d"]
+    assert world.outcomes == [Outcome.DURABLE] * 4
+    assert world.log.calls - calls == 2
+
+
+@pytest.mark.parametrize("trouble", [t for t in Trouble if t is not Trouble.NONE])
+def test_each_record_is_written_once_whatever_happens(trouble):
+    world = Writing()
+    writer = world.claimed(1)
+    world.write(writer, b"a")
+    world.run(0.1)
+    world.log.trouble = trouble
+    world.write(writer, b"b", b"c")
+    world.run(4.0)
+    world.log.trouble = Trouble.NONE
+    world.write(writer, b"d")
+    world.run(6.0)
+    assert world.records == [b"a", b"b", b"c", b"d"]
+    assert world.outcomes == [Outcome.DURABLE] * 4
+
+
+def test_a_fenced_writer_hears_it_once_and_writes_no_more():
+    world = Writing()
+    former = world.claimed(1)
+    world.claimed(2)
+    world.write(former, b"a", b"b")
+    world.run(0.1)
+    world.write(former, b"c")
+    assert world.outcomes == [Outcome.NOT_WRITTEN] * 3
+    assert (world.records, world.lost) == ([], [1])
+
+
+def test_a_lower_epoch_cannot_claim():
+    world = Writing()
+    world.claimed(2)
+    assert not world.claimed(1).is_open
+
+
+def test_a_writer_knows_whether_it_is_alone():
+    world = Writing()
+    former = world.claimed(1)
+    world.write(former, b"a")
+    world.run(0.1)
+    former.confirm().addCallback(world.outcomes.append)
+    world.run(0.1)
+    assert world.outcomes == [Outcome.DURABLE, Outcome.DURABLE]
+    successor = world.claimed(2)
+    world.write(successor, b"b")
+    world.run(0.1)
+    former.confirm().addCallback(world.outcomes.append)
+    world.run(0.1)
+    assert world.outcomes[-1] is Outcome.LOST
+
+
+@pytest.mark.parametrize("trouble", [Trouble.REFUSE, Trouble.LOSE_CALL])
+def test_a_writer_goes_on_as_soon_as_the_log_service_is_back(trouble):
+    world = Writing()
+    recovery = RecoverySignal(world.clock)
+    writer = PartitionWriter(
+        world.log,
+        world.clock,
+        Random(1),
+        LogPartition("t", 0),
+        epoch=1,
+        lost=lambda: None,
+        recovery=recovery,
+    )
+    writer.claim()
+    world.run(0.1)
+    world.log.trouble = trouble
+    outcomes: list[Outcome] = []
+    writer.write(b"record", outcomes.append)
+    world.run(7.0)
+    assert outcomes == []
+    world.log.trouble = Trouble.NONE
+    recovery.recovered()
+    world.run(2 * RETRY_SECONDS)
+    assert outcomes == [Outcome.DURABLE]
+    assert world.log.partition("t", 0).records == [b"record"]
