Turn callers' keys into tenants, and pass on nothing that steers an engine

Cause: the platform's daemon passed a caller's headers on as they came. Engines saw keys, tenants that callers had invented, and holds and memory copies that don't exist, which they refuse with 503. A removed key still ran.

Change: tenants/ judges a request's key once, at the edge; an engine gets the tenant's name and no key. Headers that are the system's to set are dropped whatever their case or number. A header that decides about a call and comes twice is refused, as are names with control characters. Programs, calls and turns are named within their tenant, so another tenant's use of a name leaves no trace.

Ruled out: a check of keys in the life of a call (it begins after identity is known).

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -21,12 +21,16 @@
 from notcharch.events.accounts import OwnerUnanswered, TurnAdopted, TurnDenied
 from notcharch.events.event import emit
 from notcharch.scheduling.shared_suspicions import Suspicion
+from notcharch.tenants.scope import scoped_name
 
 KEEP_AGAIN_SECONDS = 0.06
 
 
 class Account:
-    """What one call asks and tells the owner of its program's account."""
+    """What one call asks and tells the owner of its program's account.
+
+    `program`, `call_id` and `previous_turn` are names within its tenant.
+    """
 
     def __init__(
         self, owners: OwnerRequests, cache: TurnCache, call: OpaqueCall, route: Route
@@ -36,7 +40,11 @@
         self._cache = cache
         self.call = call
         self._route = route
-        self.partition = owners.partitioning.of_program(call.program)
+        tenant = call.tenant_name
+        self.program = scoped_name(tenant, call.program)
+        self.call_id = scoped_name(tenant, call.id)
+        self.previous_turn = scoped_name(tenant, call.previous_turn)
+        self.partition = owners.partitioning.of_program(self.program)
         self._is_over = False
         self._engine = ""
         self.home = ""
@@ -49,35 +57,33 @@
         call = self.call
         return AdmitTurn(
             self.partition,
-            call.program,
-            call.id,
+            self.program,
+            self.call_id,
             call.most_tokens,
             call.budget_tokens,
             self._route.keep_seconds,
-            previous=call.previous_turn if self._route.keeps_turns else "",
+            previous=self.previous_turn if self._route.keeps_turns else "",
             known=self._known_turn(),
             suspicions=suspicions,
         )
 
     def _known_turn(self) -> str:
-        call = self.call
-        if not call.previous_turn:
-            return ""
-        if self._cache.transcript(call.previous_turn) is not None:
-            return call.previous_turn
-        return self._cache.newest(call.program)
+        previous = self.previous_turn
+        if not previous or self._cache.transcript(previous) is not None:
+            return previous
+        return self._cache.newest(self.program)
 
     def whole_body(self, answer: TurnAdmitted) -> bytes | None:
         """Give the body with the turns before it; None if a turn is missing here."""
         self.home = answer.home
-        call = self.call
-        if not self._route.keeps_turns or not call.previous_turn:
-            return call.body
+        body = self.call.body
+        if not self._route.keeps_turns or not self.previous_turn:
+            return body
         if answer.text:
             known = Turn(answer.after, answer.text, b"")
-            self._cache.remember(call.program, call.previous_turn, known)
-        chain = self._cache.transcript(call.previous_turn)
-        return None if chain is None else chain.text + call.body
+            self._cache.remember(self.program, self.previous_turn, known)
+        chain = self._cache.transcript(self.previous_turn)
+        return None if chain is None else chain.text + body
 
     # The log
 
@@ -126,7 +132,9 @@
         self._is_over = True
         call = self.call
         tokens = events * call.tokens_per_event
-        told = SettleCall(self.partition, call.program, call.id, tokens, self._engine)
+        told = SettleCall(
+            self.partition, self.program, self.call_id, tokens, self._engine
+        )
         self._owners.tell(self.partition, told)
 
     def completed(self, output: bytes, events: int, then: Completion) -> None:
@@ -146,9 +154,9 @@
         data = data_lines(output)
         message = KeepTurn(
             self.partition,
-            call.program,
-            call.id,
-            call.previous_turn,
+            self.program,
+            self.call_id,
+            self.previous_turn,
             call.body,
             data,
             events * call.tokens_per_event,
@@ -158,8 +166,8 @@
         while then.is_awaited:
             answer = yield self._owners.ask(self.partition, message)
             if isinstance(answer, TurnIsKept):
-                turn = Turn(call.previous_turn, call.body, data)
-                self._cache.remember(call.program, call.id, turn)
+                turn = Turn(self.previous_turn, call.body, data)
+                self._cache.remember(self.program, self.call_id, turn)
                 then.durable()
                 return
             if not is_told:
--- a/notcharch/accounts/foreign_turns.py
+++ b/notcharch/accounts/foreign_turns.py
@@ -56,7 +56,7 @@
 def _ask_all(
     owners: OwnerRequests, account: Account, *, must_be_certain: bool
 ) -> "Deferred[list[Any]]":
-    turn = account.call.previous_turn
+    turn = account.previous_turn
     others = [
         number
         for number in range(owners.partitioning.count)
@@ -71,11 +71,10 @@
 
 
 def _copy(account: Account, found: TurnFound) -> KeepTurn:
-    call = account.call
     return KeepTurn(
         account.partition,
-        call.program,
-        call.previous_turn,
+        account.program,
+        account.previous_turn,
         previous="",
         input=found.text,
         output=b"",
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from notcharch.http.messages import RequestHead, ResponseHead
+from notcharch.tenants.interface import Tenant
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
@@ -35,6 +36,8 @@
     """0 is the most urgent."""
     keeps_turns: bool = False
     """Whether a call brings only its new input and names the turn before it."""
+    is_public: bool = False
+    """Whether calls need no key, also where the table has tenants."""
     keep_seconds: float = 60.0
     """For so long a turn is kept and a program's budget remembered."""
 
@@ -81,6 +84,13 @@
     previous_turn: str = ""
     last_event_id: bytes | None = None
     program_seconds_left: float | None = None
+    tenant: Tenant | None = None
+    """Whose call it is, by its key; None where no key is needed."""
+
+    @property
+    def tenant_name(self) -> str:
+        """The name of its tenant; empty where there is none."""
+        return self.tenant.name if self.tenant is not None else ""
 
 
 class SentAnswer(Protocol):
@@ -177,4 +187,7 @@
 BUDGET_SPENT = Refusal(402, "the program's budget is spent")
 TIMED_OUT = Refusal(504, "timed out")
 MAY_HAVE_RUN = Refusal(502, "no whole answer; it may have run")
+NOT_IDENTIFIED = Refusal(401, "no valid key")
+KEYS_UNSURE = Refusal(503, "the newest keys are not known yet", 0.5)
+"""Peers and the store are asked again each 0.3 s, so most daemons know within 0.5 s."""
 MALFORMED = Refusal(400, "a header can't be read")
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -5,6 +5,7 @@
 
 from notcharch.calls.interface import OpaqueCall, Route, Service
 from notcharch.http.server import ServerLimits
+from notcharch.tenants.keys import TenantKeys
 
 HASH_RANGE = float(1 << 64)
 
@@ -16,6 +17,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ServerLimits
+    keys: TenantKeys | None = None
+    """Who holds which key; None: no tenants, and no call needs a key."""
 
 
 class Router:
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -103,6 +103,22 @@
     path: str
 
 
+class CallerNotIdentified(Event, frozen=True):
+    """A request has no valid key, or keys can't be judged now; it was refused.
+
+    The key itself is never shown.
+    """
+
+    number: ClassVar[int] = 2208
+    is_routine: ClassVar[bool] = True
+    request: str
+    host: str
+    path: str
+    cause: str
+    """One of `notcharch.tenants.identity.IdentityFault`."""
+    table_version: int
+
+
 class AnswerOverdue(Event, frozen=True):
     """An engine's first answer took longer than it usually does on the route."""
 
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -5,6 +5,8 @@
 from notcharch.calls.interface import Engine, Route, Service, ServiceShare
 from notcharch.calls.routing import RouteTable
 from notcharch.http.server import ServerLimits
+from notcharch.tenants.interface import RateLimit, Tenant
+from notcharch.tenants.keys import keys_of
 
 REPEATABLE = "idempotent"
 STREAM = "streaming"
@@ -35,6 +37,7 @@
     retention_s: float = 60.0
     sticky_sessions: bool = False
     resumable: bool = False
+    public: bool = False
 
 
 class EngineEntry(msgspec.Struct):
@@ -60,6 +63,17 @@
     idle_timeout_ms: float = 15000
 
 
+class TenantEntry(msgspec.Struct):
+    """A tenant as the operator writes it."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    """Calls a second over all daemons; 0 means no limit."""
+    burst: float = 0.0
+
+
 class ConfigurationEntry(msgspec.Struct):
     """The whole configuration."""
 
@@ -67,6 +81,7 @@
     routes: list[RouteEntry]
     services: list[ServiceEntry]
     limits: LimitsEntry
+    tenants: list[TenantEntry] | None = None
 
 
 class ServerEntry(msgspec.Struct):
@@ -104,9 +119,17 @@
         priority=entry.priority,
         keeps_turns=entry.retains_transcripts,
         keep_seconds=entry.retention_s,
+        is_public=entry.public,
     )
 
 
+def tenant_of(entry: TenantEntry) -> Tenant:
+    """Translate a tenant, without its keys."""
+    is_limited = entry.rate_per_s > 0
+    limit = RateLimit(entry.rate_per_s, entry.burst) if is_limited else None
+    return Tenant(entry.name, entry.priority, limit)
+
+
 def table_of(value: bytes) -> RouteTable:
     """Translate the configuration; `msgspec.ValidationError` if it can't be read."""
     entry = CONFIGURATION.decode(value)
@@ -125,7 +148,10 @@
         entry.limits.idle_timeout_ms / 1000,
     )
     routes = tuple(route_of(route) for route in entry.routes)
-    return RouteTable(entry.version, routes, services, limits)
+    keys = None
+    if entry.tenants is not None:
+        keys = keys_of((tenant_of(tenant), tenant.api_keys) for tenant in entry.tenants)
+    return RouteTable(entry.version, routes, services, limits, keys)
 
 
 def engine_of(id: str, value: bytes) -> Engine:
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -23,27 +23,61 @@
 LAST_EVENT_ID = b"last-event-id"
 AFFINITY_COOKIE = "X-Notcharch-Affinity-Key"
 
+KEY = b"x-api-key"
+TENANT = b"x-notcharch-tenant"
+
 MISDIRECTED = 421
-SET_HERE = (DEADLINE, EXPECT_ENGINE, LAST_EVENT_ID, URGENCY)
-"""Headers that are written anew for an engine."""
+SET_HERE = (
+    DEADLINE,
+    EXPECT_ENGINE,
+    LAST_EVENT_ID,
+    URGENCY,
+    KEY,
+    TENANT,
+    b"x-notcharch-expect-version",
+    b"x-notcharch-pin-ms",
+    b"x-notcharch-hold",
+    b"x-notcharch-kv-backup",
+    b"kv-from",
+    b"kv-fetch",
+)
+"""Headers of a caller that no engine gets: they are written anew, or not at all.
+
+They would steer an engine (its memory, order and weights) or claim a tenant, so they are
+the system's to set. An engine refuses calls whose hold or memory copy doesn't exist.
+"""
+SINGLE = (
+    REQUEST_ID,
+    DEADLINE,
+    PROGRAM,
+    SESSION,
+    FINISH,
+    BUDGET,
+    USAGE,
+    PREVIOUS_TURN,
+    LAST_EVENT_ID,
+)
+"""Headers that decide about a call, so one that comes twice can't be read."""
 
 
 def read_call(head: RequestHead, body: bytes, arrived: float) -> OpaqueCall | None:
     """Give the typed call of a request; None if a header can't be read."""
-    values = {key.lower(): value for key, value in head.headers}
+    values = _single_values(head)
+    if values is None:
+        return None
     try:
         return OpaqueCall(
-            id=values.get(REQUEST_ID, b"").decode("ascii"),
+            id=_name(values.get(REQUEST_ID, b"")),
             head=head,
             body=body,
             arrived=arrived,
             wait_seconds=_seconds(values.get(DEADLINE)),
-            program=values.get(PROGRAM, b"").decode("ascii"),
-            session=values.get(SESSION, b"").decode("ascii"),
+            program=_name(values.get(PROGRAM, b"")),
+            session=_name(values.get(SESSION, b"")),
             affinity=_affinity(values.get(b"cookie", b"").decode("latin-1")),
             most_tokens=_most_tokens(values.get(USAGE)),
             budget_tokens=_integer(values.get(BUDGET)),
-            previous_turn=values.get(PREVIOUS_TURN, b"").decode("ascii"),
+            previous_turn=_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
             program_seconds_left=_seconds(values.get(FINISH)),
         )
@@ -51,6 +85,31 @@
         return None
 
 
+def presented_keys(head: RequestHead) -> tuple[bytes, ...]:
+    """Give the values of all headers of a request that hold a key."""
+    return tuple(value for key, value in head.headers if key.lower() == KEY)
+
+
+def _single_values(head: RequestHead) -> dict[bytes, bytes] | None:
+    """Give the headers by lower-case name; None if one that decides comes twice."""
+    values: dict[bytes, bytes] = {}
+    for key, value in head.headers:
+        name = key.lower()
+        if name in values and name in SINGLE:
+            return None
+        values[name] = value
+    return values
+
+
+def _name(value: bytes) -> str:
+    """Read a name; `ValueError` if it isn't printable ASCII."""
+    name = value.decode("ascii")
+    if not name.isprintable():
+        message = "a control character in a name"
+        raise ValueError(message)
+    return name
+
+
 def _integer(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
@@ -83,6 +142,8 @@
         headers.append((b"X-Notcharch-Expect-Instance", engine.id.encode()))
         if call.last_event_id is not None:
             headers.append((b"Last-Event-Id", call.last_event_id))
+        if call.tenant is not None:
+            headers.append((b"X-Notcharch-Tenant", call.tenant.name.encode()))
         return RequestHead(call.head.method, call.head.target, headers)
 
     def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -3,21 +3,36 @@
 from collections.abc import Callable
 
 import msgspec
+from result import Err
 
 from notcharch.calls.call_life import CallLife
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
+    KEYS_UNSURE,
     MALFORMED,
     NO_ROUTE,
+    NOT_IDENTIFIED,
     NOT_READY,
+    OpaqueCall,
     Refusal,
+    Route,
+)
+from notcharch.calls.routing import Router, RouteTable, service_of
+from notcharch.events.calls import (
+    CallerNotIdentified,
+    RequestMalformed,
+    RequestWithoutRoute,
 )
-from notcharch.calls.routing import Router, service_of
-from notcharch.events.calls import RequestMalformed, RequestWithoutRoute
 from notcharch.events.event import emit
 from notcharch.http.messages import Headers, ResponseHead
 from notcharch.http.server import JSON_TYPE, Exchange, ServerLimits
-from notcharch.platform.headers import REQUEST_ID, answer_headers, read_call
+from notcharch.platform.headers import (
+    REQUEST_ID,
+    answer_headers,
+    presented_keys,
+    read_call,
+)
+from notcharch.tenants.identity import IdentityFault, identify
 
 NO_TABLE = -1
 """Told as the version while no table is known."""
@@ -102,9 +117,10 @@
             emit(RequestWithoutRoute(name, host, path, NO_TABLE))
             reply.refuse(NOT_READY)
             return
+        version = router.table.version
         route = router.find(host, path)
         if route is None:
-            emit(RequestWithoutRoute(name, host, path, router.table.version))
+            emit(RequestWithoutRoute(name, host, path, version))
             reply.refuse(NO_ROUTE)
             return
         call = read_call(head, exchange.body, exchange.arrived)
@@ -112,8 +128,26 @@
             emit(RequestMalformed(name, host, path))
             reply.refuse(MALFORMED)
             return
+        fault = self._identify(call, route, router.table)
+        if fault is not None:
+            emit(CallerNotIdentified(name, host, path, fault.value, version))
+            unsure = fault is IdentityFault.NO_FRESH_TABLE
+            reply.refuse(KEYS_UNSURE if unsure else NOT_IDENTIFIED)
+            return
         service = service_of(route, call)
         known = router.table.services.get(service)
         if known is not None:
             call.tokens_per_event = known.tokens_per_event
         CallLife(self._services, call, route, service, reply).start()
+
+    def _identify(
+        self, call: OpaqueCall, route: Route, table: RouteTable
+    ) -> IdentityFault | None:
+        """Find the tenant of a call; say why it has none where it needs one."""
+        if table.keys is None or route.is_public:
+            return None
+        identity = identify(presented_keys(call.head), table.keys, is_fresh=True)
+        if isinstance(identity, Err):
+            return identity.err_value
+        call.tenant = identity.ok_value
+        return None
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -24,7 +24,7 @@
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.policies import pool_policy, wait_policy
-from notcharch.events.calls import CallServed
+from notcharch.events.calls import CallerNotIdentified, CallServed
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
@@ -141,7 +141,9 @@
             recovery=recovery,
         )
         self._output = LogOutput(
-            STANDARD_OUTPUT, reactor, frozenset((CallServed.number,))
+            STANDARD_OUTPUT,
+            reactor,
+            frozenset((CallServed.number, CallerNotIdentified.number)),
         )
         self._ticks = LoopingCall(self._tick)
         self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -118,6 +118,8 @@
         current = self._ingress.router
         former = current.table.version if current is not None else -1
         if table.version > former:
+            if table.keys is not None and current is not None and current.table.keys:
+                table.keys.succeed(current.table.keys)
             self._ingress.router = Router(table)
             emit(TableInForce(table.version, former, len(table.routes)))
 
--- /dev/null
+++ b/notcharch/tenants/keys.py
@@ -0,0 +1,41 @@
+"""Which tenant holds which API key, in one version of the table."""
+
+from collections.abc import Iterable, Mapping
+
+from notcharch.tenants.interface import Tenant
+
+MOST_REMEMBERED = 4096
+"""So many removed keys are remembered, newest first, to tell them from unknown ones in
+the log. At 100 bytes each they take 0.4 MB at most."""
+
+
+class TenantKeys:
+    """The keys of one table version. Neither prints nor compares what it holds."""
+
+    def __init__(self, holders: Mapping[str, Tenant]) -> None:
+        """Index the tenants by their keys."""
+        self._holders = dict(holders)
+        self._removed: dict[str, None] = {}
+
+    def holder(self, key: str) -> Tenant | None:
+        """Give the tenant that holds a key, if any does."""
+        return self._holders.get(key)
+
+    def was_removed(self, key: str) -> bool:
+        """Tell whether an earlier version, seen by this process, had the key."""
+        return key in self._removed
+
+    def succeed(self, former: "TenantKeys") -> None:
+        """Remember which keys an earlier version had and this one has not."""
+        removed = [*former._removed, *former._holders]
+        kept = [key for key in removed if key not in self._holders]
+        self._removed = dict.fromkeys(kept[-MOST_REMEMBERED:])
+
+
+def keys_of(tenants: Iterable[tuple[Tenant, Iterable[str]]]) -> TenantKeys:
+    """Index tenants and their keys; the first holder of a key has it."""
+    holders: dict[str, Tenant] = {}
+    for tenant, keys in tenants:
+        for key in keys:
+            holders.setdefault(key, tenant)
+    return TenantKeys(holders)
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -27,6 +27,12 @@
     return Engine(name, SERVICE, "10.0.0.1", 80, zone, slots)
 
 
+def engine_pool(clock: Clock, names) -> EnginePool:
+    pool = EnginePool(clock, "z", Random(1))
+    pool.replace([engine(name) for name in names])
+    return pool
+
+
 class Dialect:
     """Heads with an id, a seal for genuine ones, and `not-run`."""
 
@@ -144,8 +150,7 @@
     def __init__(self, engines=("a", "b", "c"), **changes) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
-        self.pool = EnginePool(self.clock, "z", Random(1))
-        self.pool.replace([engine(name) for name in engines])
+        self.pool = engine_pool(self.clock, engines)
         self.sender = Sender()
         self.reply = Reply()
         self.waits = RouteWaits(WaitPolicy())
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -21,6 +21,7 @@
     ("accounts",),
     ("journal",),
     ("calls",),
+    ("tenants",),
     ("scheduling",),
     ("http",),
     ("wire",),
