Judge keys only by a table that was recently certainly the newest

Cause: a daemon that the store refuses, that is cut off, or that slept, goes on with the keys it knows, so keys that were taken away run for as long as the trouble lasts.

Change: TableFreshness keeps the last instant at which the table in force was certainly the newest: when a read that showed nothing newer was sent, or when a peer was asked, less the age of its own proof. Without a proof younger than the bound, keyed requests get 503 with a time to come back, never 401, and the daemon takes no new connections. Reads of the table are held for a fifth of the bound. Peers vouch for the table, and pass a newer one on, to a daemon whose reads fail (--without table-vouching for its own reads only).

--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -2,6 +2,7 @@
 
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.scheduling.shared_suspicions import Suspicion
+from notcharch.tenants.messages import AskTable, TableSeen
 from notcharch.wire.codec import MessageCodec
 from notcharch.wire.messages.base import Message, Refusal
 
@@ -113,6 +114,8 @@
     NotOwner,
     AskOwners,
     OwnersSeen,
+    AskTable,
+    TableSeen,
     Refusal,
 )
 
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -78,7 +78,7 @@
         """
         suspicions = suspicions or SharedSuspicions()
         partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
-        self._directory = OwnerDirectory(
+        self.directory = OwnerDirectory(
             service,
             clock,
             random,
@@ -94,7 +94,7 @@
             random,
             partitioning,
             network,
-            directory=self._directory,
+            directory=self.directory,
             heartbeat=self._heartbeat,
             retention_seconds=settings.retention_seconds,
             recovery=recovery,
@@ -114,7 +114,7 @@
             recovered=recovery.recovered if has_signal else lambda: None,
         )
         self.admission = AccountAdmission(
-            OwnerRequests(clock, network, self._directory, partitioning), suspicions
+            OwnerRequests(clock, network, self.directory, partitioning), suspicions
         )
 
     def _heartbeat(self) -> None:
@@ -124,7 +124,7 @@
         """Join the group and follow the owners."""
         self._owned.start()
         self._group.start()
-        self._directory.start()
+        self.directory.start()
 
     def leave(self) -> None:
         """Own nothing any more; go on as a client of the owners."""
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -117,6 +117,8 @@
     cause: str
     """One of `notcharch.tenants.identity.IdentityFault`."""
     table_version: int
+    proof_age_seconds: float | None
+    """How long ago that version was certainly the newest."""
 
 
 class AnswerOverdue(Event, frozen=True):
--- /dev/null
+++ b/notcharch/events/tenants.py
@@ -0,0 +1,25 @@
+"""Events of tenants, their keys and their limits: 2600 to 2699."""
+
+from typing import ClassVar
+
+from notcharch.events.event import Event
+
+
+class KeysUnsure(Event, frozen=True):
+    """No key can be judged any more, or keys can be judged again."""
+
+    number: ClassVar[int] = 2600
+    is_sure: bool
+    table_version: int
+    proof_age_seconds: float | None
+    """How long ago the table was certainly the newest; none if it never was."""
+
+
+class PeerVouched(Event, frozen=True):
+    """A peer told how recently the table in force was the newest one."""
+
+    number: ClassVar[int] = 2601
+    peer: str
+    table_version: int
+    proof_age_seconds: float
+    """That of the peer's proof."""
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -57,9 +57,13 @@
         pace: Pace,
         changed: Callable[[dict[str, bytes]], None],
         recovery: RecoverySignal | None = None,
+        proved: Callable[[float], None] = lambda _: None,
     ) -> None:
         """Call `changed` with all keys after each change.
 
+        `proved` is called with an instant, clock seconds, at which the keys that were
+        told last were certainly the newest.
+
         `recovery` ends waits early when the service is back: a read that was held, or
         lost, in an outage is repeated at once.
         """
@@ -69,6 +73,7 @@
         self._pace = pace
         self._random = random
         self._changed = changed
+        self._proved = proved
         self._recovery = recovery or RecoverySignal(clock)
         self._picture = GrowingPicture({})
         self._first_page_end = -1
@@ -146,6 +151,7 @@
         """
         self._picture = GrowingPicture(self._picture.values)
         self._first_page_end = -1
+        asked_at = self._clock.seconds()
         while not self._picture.is_whole:
             problem: LogProblem | None = yield self._take_page()
             if problem is not None:
@@ -154,6 +160,8 @@
                 break
         self._offset = self._first_page_end
         self._changed(self._picture.values)
+        if self._picture.is_whole:
+            self._proved(asked_at)
         return None
 
     @inlineCallbacks
@@ -175,19 +183,21 @@
     def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
         # The first read after a fault isn't held: its answer shows that the topic is back.
         wait_seconds = 0.0 if self._lost_at is not None else self._pace.wait_seconds
+        asked_at = self._clock.seconds()
         reading = self._service.read(self._topic, 0, self._offset, wait_seconds)
         answer: Result[Records, LogProblem] = yield self._recovery.guard(reading)
         if isinstance(answer, Err):
             return answer.err_value
         found = answer.ok_value
-        if not found.records:
-            return None
-        self._picture.take_changes(
-            KeyedRecord(*split_keyed(record), offset)
-            for offset, record in enumerate(found.records, start=found.first)
-        )
-        self._offset = found.first + len(found.records)
-        self._changed(self._picture.values)
+        if found.records:
+            self._picture.take_changes(
+                KeyedRecord(*split_keyed(record), offset)
+                for offset, record in enumerate(found.records, start=found.first)
+            )
+            self._offset = found.first + len(found.records)
+            self._changed(self._picture.values)
+        if self._offset >= found.end and self._picture.is_whole:
+            self._proved(asked_at)
         return None
 
 
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -17,7 +17,7 @@
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.journal.owner_names import OwnerName, read_owner
 from notcharch.journal.partitioning import Partitioning
-from notcharch.values.identifiers import Member
+from notcharch.values.identifiers import DaemonName, Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
@@ -91,6 +91,10 @@
         """Give a partition's owner, as far as it is known."""
         return self._owners.get(partition)
 
+    def peers(self) -> list[DaemonName]:
+        """Give the daemons that own something, as far as is known."""
+        return sorted({owner.daemon for owner in self._owners.values()})
+
     def doubt(self) -> None:
         """Ask again soon: an owner didn't answer as one."""
         since = self._clock.seconds() - self._asked_at
@@ -150,7 +154,7 @@
     def _ask_peer(self) -> None:
         """Ask one peer, of those that own something, what it knows."""
         own = self._network.own_member.daemon
-        peers = sorted({owner.daemon for owner in self._owners.values()} - {own})
+        peers = [peer for peer in self.peers() if peer != own]
         if not self._asks_peers or self._is_asking_peer or not peers:
             return
         self._is_asking_peer = True
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -32,6 +32,7 @@
     presented_keys,
     read_call,
 )
+from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.identity import IdentityFault, identify
 
 NO_TABLE = -1
@@ -85,9 +86,10 @@
 class Ingress:
     """Takes callers' requests into the product's call path."""
 
-    def __init__(self, services: CallServices) -> None:
-        """Begin without routes."""
+    def __init__(self, services: CallServices, freshness: TableFreshness) -> None:
+        """Begin without routes; `freshness` tells when keys may be judged."""
         self._services = services
+        self._freshness = freshness
         self.router: Router | None = None
         self.in_flight = 0
         self.is_draining = False
@@ -104,6 +106,13 @@
         """Count requests under way."""
         self.in_flight += change
 
+    def judges_keys(self, ahead_seconds: float = 0.0) -> bool:
+        """Tell whether keys can be judged now, and for some seconds more, if need be."""
+        if self.router is None or self.router.table.keys is None:
+            return True
+        now = self._services.clock.seconds()
+        return self._freshness.is_fresh(now, ahead_seconds)
+
     def handle(self, exchange: Exchange) -> None:
         """Begin the life of a call."""
         head = exchange.head
@@ -130,7 +139,8 @@
             return
         fault = self._identify(call, route, router.table)
         if fault is not None:
-            emit(CallerNotIdentified(name, host, path, fault.value, version))
+            age = self._freshness.age(self._services.clock.seconds())
+            emit(CallerNotIdentified(name, host, path, fault.value, version, age))
             unsure = fault is IdentityFault.NO_FRESH_TABLE
             reply.refuse(KEYS_UNSURE if unsure else NOT_IDENTIFIED)
             return
@@ -146,7 +156,8 @@
         """Find the tenant of a call; say why it has none where it needs one."""
         if table.keys is None or route.is_public:
             return None
-        identity = identify(presented_keys(call.head), table.keys, is_fresh=True)
+        presented = presented_keys(call.head)
+        identity = identify(presented, table.keys, is_fresh=self.judges_keys())
         if isinstance(identity, Err):
             return identity.err_value
         call.tenant = identity.ok_value
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -36,6 +36,7 @@
     ReadinessChanged,
     SettingsRead,
 )
+from notcharch.events.tenants import KeysUnsure
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
@@ -45,7 +46,7 @@
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
-from notcharch.platform.tables import PlatformTables
+from notcharch.platform.tables import PlatformTables, own_proof_seconds
 from notcharch.scheduling.answer_waits import RouteWaits
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import (
@@ -53,6 +54,8 @@
     Mechanism,
     mechanisms_without,
 )
+from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 KEEP_LISTENING_SECONDS = 2.6
@@ -63,6 +66,9 @@
 UNREADABLE_SETTINGS = 2
 BACKLOG = 512
 MILLISECONDS = 1000
+READY_SECONDS = 0.6
+"""A daemon whose proof for its keys ends sooner takes no new connections: the platform
+asks each second, and peers had three tries to renew the proof before."""
 STANDARD_OUTPUT = 1
 TICK_SECONDS = 1.0
 
@@ -84,6 +90,7 @@
     ) -> None:
         """Wire the parts; figures are shown at `metrics_port`, if any."""
         self._settings = settings
+        self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
         random = Random()
@@ -119,6 +126,7 @@
             suspicions,
         )
         sender = EngineSender(reactor, settings.host)
+        self._freshness = TableFreshness(settings.revoke_seconds)
         self._ingress = Ingress(
             CallServices(
                 clock=reactor,
@@ -127,7 +135,8 @@
                 dialect=PlatformEngines(),
                 admission=self._accounts.admission,
                 waits=RouteWaits(wait_policy(mechanisms)),
-            )
+            ),
+            self._freshness,
         )
         self._factory = ServerFactory(self._ingress, reactor)
         self._tables = PlatformTables(
@@ -139,6 +148,20 @@
             sender=sender,
             contact_seconds=settings.contact_seconds,
             recovery=recovery,
+            freshness=self._freshness,
+            revoke_seconds=settings.revoke_seconds,
+        )
+        self._vouching = TableVouching(
+            reactor,
+            random,
+            self._network,
+            self._freshness,
+            peers=self._accounts.directory.peers,
+            ask_at_age=own_proof_seconds(
+                settings.contact_seconds, settings.revoke_seconds
+            ),
+            table=lambda: self._tables.table_text,
+            take=self._tables.take_table,
         )
         self._output = LogOutput(
             STANDARD_OUTPUT,
@@ -148,13 +171,16 @@
         self._ticks = LoopingCall(self._tick)
         self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
         self._was_ready = False
+        self._was_sure = True
+        """Whether keys could be judged at the last tick."""
         self._is_stopping = False
         self._front_port: IListeningPort | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        return self._tables.are_known and not self._is_stopping
+        is_able = self._tables.are_known and self._ingress.judges_keys(READY_SECONDS)
+        return is_able and not self._is_stopping
 
     def start(self) -> None:
         """Listen and follow the store."""
@@ -171,6 +197,8 @@
         self._network.listen(settings.host, settings.peer_ports[0])
         self._accounts.start()
         self._tables.start()
+        if Mechanism.TABLE_VOUCHING in self._mechanisms:
+            self._vouching.start()
         self._ticks.start(TICK_SECONDS, now=False)
         emit(
             ProcessStarted(
@@ -199,12 +227,26 @@
         self._pauses.tick()
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
-            cause = "the tables are known" if self.is_ready else "stopping"
-            emit(ReadinessChanged(self._settings.machine, self.is_ready, cause))
+            emit(ReadinessChanged(self._settings.machine, self.is_ready, self._cause()))
+        self._tell_of_keys()
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
 
+    def _cause(self) -> str:
+        """Say why this daemon is ready, or is not."""
+        if self.is_ready:
+            return "the tables are known"
+        return "stopping" if self._is_stopping else "the newest keys are not known"
+
+    def _tell_of_keys(self) -> None:
+        """Tell once that no key can be judged any more, and once that keys can again."""
+        is_sure = self._ingress.judges_keys()
+        if is_sure != self._was_sure:
+            self._was_sure = is_sure
+            age = self._freshness.age(self._reactor.seconds())
+            emit(KeysUnsure(is_sure, self._freshness.version, age))
+
     def settings_signalled(self) -> None:
         """Read the settings again; the store's address may be another one."""
         loaded = load_settings()
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -47,6 +47,9 @@
     drain_seconds: float
     contact_seconds: float
     """So long after a disturbance a daemon has to keep all bounds again."""
+    revoke_seconds: float | None = None
+    """A removed key stops working at all daemons within this time, whatever fails; None:
+    only at daemons in contact, with the rest of the table."""
 
 
 class Fields:
@@ -96,6 +99,12 @@
         return (int(first), int(last))
 
 
+def _revoke_seconds(fields: Fields) -> float | None:
+    """Give the bound on removed keys, if there is one."""
+    is_strict = fields.text("bounds.strict_revocation", "false") == "true"
+    return fields.number("bounds.revoke_ms") / 1000 if is_strict else None
+
+
 def read_settings(text: str) -> Result[ProcessSettings, list[str]]:
     """Give the settings of a file's text, or everything that is wrong with it."""
     fields = Fields(text)
@@ -120,6 +129,7 @@
         grace_seconds=fields.number("bounds.grace_period_s", 8),
         drain_seconds=fields.number("bounds.drain_ms", 2000) / 1000,
         contact_seconds=fields.number("bounds.contact_ms", 3000) / 1000,
+        revoke_seconds=_revoke_seconds(fields),
     )
     return Err(fields.findings) if fields.findings else Ok(settings)
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -16,6 +16,7 @@
 from notcharch.platform.configuration import engine_of, table_of
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.store import CALL_SECONDS, PlatformStore
+from notcharch.tenants.freshness import TableFreshness
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -25,6 +26,12 @@
 """Between two reads of the engines' entries, so that many changes come in one read."""
 ENGINES_PAGE_PAUSE_SECONDS = 3.0
 """Between two pages of the engines' entries."""
+HELD_PARTS = 5
+"""A read of the table is held for one part in so many of the time in which a removed key
+must stop working: proofs are then two parts old at most, and three are left to bear an
+outage. Of the users' deployment that is 1 s of 5 s, one call a second and daemon."""
+READ_MARGIN_SECONDS = 0.3
+"""An answer of the store may take so long before peers are asked for their proof."""
 LEAST_WAIT_SECONDS = 1.0
 """A read of changes is held for so long where the contact time is very short."""
 
@@ -40,6 +47,23 @@
     return max(LEAST_WAIT_SECONDS, contact_seconds - CALL_SECONDS)
 
 
+def table_read_seconds(contact_seconds: float, revoke_seconds: float | None) -> float:
+    """Give how long the store may hold a read of the table.
+
+    A held read proves that the table was the newest when it was sent, and the next proof
+    comes when the next read returns. So a proof grows as old as two reads take, and must
+    then still have most of `revoke_seconds` left to bear an outage.
+    """
+    held = held_read_seconds(contact_seconds)
+    return held if revoke_seconds is None else min(held, revoke_seconds / HELD_PARTS)
+
+
+def own_proof_seconds(contact_seconds: float, revoke_seconds: float | None) -> float:
+    """Give how old a proof grows while the store answers all reads of the table."""
+    held = table_read_seconds(contact_seconds, revoke_seconds)
+    return 2 * held + CONFIGURATION_PAUSE_SECONDS + READ_MARGIN_SECONDS
+
+
 class ReadEntry(msgspec.Struct, frozen=True):
     """An engine's entry as it was written, and translated."""
 
@@ -62,9 +86,20 @@
         sender: EngineSender,
         contact_seconds: float,
         recovery: RecoverySignal,
+        freshness: TableFreshness,
+        revoke_seconds: float | None = None,
     ) -> None:
-        """Begin without a table and engines; `recovery` tells when the store is back."""
+        """Begin without a table and engines; `recovery` tells when the store is back.
+
+        `freshness` hears how recently the table was certainly the newest.
+        """
         wait_seconds = held_read_seconds(contact_seconds)
+        table_seconds = table_read_seconds(contact_seconds, revoke_seconds)
+        self._freshness = freshness
+        self._read_version = -1
+        """That of the table that the store gave last; negative if it can't be read."""
+        self.table_text = b""
+        """The table in force as the operator wrote it."""
         self._clock = clock
         self._ingress = ingress
         self._pool = pool
@@ -79,9 +114,10 @@
                 clock,
                 random,
                 CONFIGURATION_TOPIC,
-                pace=Pace(wait_seconds, CONFIGURATION_PAUSE_SECONDS),
+                pace=Pace(table_seconds, CONFIGURATION_PAUSE_SECONDS),
                 changed=self._configuration_changed,
                 recovery=recovery,
+                proved=self._configuration_proved,
             ),
             KeyedFollower(
                 store,
@@ -108,20 +144,28 @@
 
     def _configuration_changed(self, values: dict[str, bytes]) -> None:
         value = values.get(CONFIGURATION_KEY)
-        if value is None:
-            return
+        self._read_version = -1 if value is None else self.take_table(value)
+
+    def _configuration_proved(self, at: float) -> None:
+        self._freshness.prove(self._read_version, at)
+
+    def take_table(self, value: bytes) -> int:
+        """Put a table in force if it is newer; give its version, -1 if unreadable."""
         try:
             table = table_of(value)
         except msgspec.DecodeError as error:
             emit(DependencyLost(CONFIGURATION_TOPIC, f"unreadable: {error}"))
-            return
+            return -1
         current = self._ingress.router
         former = current.table.version if current is not None else -1
         if table.version > former:
             if table.keys is not None and current is not None and current.table.keys:
                 table.keys.succeed(current.table.keys)
             self._ingress.router = Router(table)
+            self.table_text = value
+            self._freshness.put_in_force(table.version)
             emit(TableInForce(table.version, former, len(table.routes)))
+        return table.version
 
     def _engines_changed(self, values: dict[str, bytes]) -> None:
         read = {id: self._read(id, value) for id, value in values.items()}
--- a/notcharch/settings/mechanisms.py
+++ b/notcharch/settings/mechanisms.py
@@ -27,6 +27,8 @@
     OVERDUE = "overdue"
     """Calls whose first answer is overdue are tried again or given up."""
 
+    TABLE_VOUCHING = "table-vouching"
+    """Peers vouch for the table while the store turns a daemon away."""
     SHARED_SUSPICIONS = "shared-suspicions"
     """Daemons tell each other of engines that they suspect."""
 
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -13,6 +13,7 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.tables import PlatformTables
+from notcharch.tenants.freshness import TableFreshness
 from tests.unit.accounts.world import World as AccountsWorld
 from tests.unit.calls.world import World as CallWorld
 from tests.unit.events.capture import captured, of
@@ -98,7 +99,8 @@
     def __init__(self) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 1)
-        self.ingress = Ingress(None)
+        freshness = TableFreshness(None)
+        self.ingress = Ingress(None, freshness)
         self.engines = Engines()
         self.tables = PlatformTables(
             self.log,
@@ -109,6 +111,7 @@
             sender=self.engines,
             contact_seconds=5.0,
             recovery=RecoverySignal(self.clock),
+            freshness=freshness,
         )
         self.tables.start()
 
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -13,6 +13,7 @@
 from notcharch.platform.headers import PlatformEngines
 from notcharch.platform.ingress import Ingress
 from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
+from notcharch.tenants.freshness import TableFreshness
 from tests.unit.calls.world import Sender, engine_pool
 from tests.unit.events.capture import captured
 
@@ -54,7 +55,7 @@
             admission=OpenAdmission(),
             waits=RouteWaits(WaitPolicy()),
         )
-        ingress = Ingress(services)
+        ingress = Ingress(services, TableFreshness(None))
         ingress.router = Router(table_of(msgspec.json.encode(TABLE | changes)))
         self.connection = ServerFactory(ingress, clock).buildProtocol(None)
         self.transport = StringTransport()
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -18,6 +18,7 @@
     PlatformTables,
     held_read_seconds,
 )
+from notcharch.tenants.freshness import TableFreshness
 
 SERVICE = "s"
 CONTACT_SECONDS = 5.0
@@ -58,6 +59,7 @@
             sender=self.sender,
             contact_seconds=CONTACT_SECONDS,
             recovery=RecoverySignal(self.clock),
+            freshness=TableFreshness(None),
         )
         self.tables.start()
         self.run(1.0)
--- /dev/null
+++ b/tests/unit/tenants/test_vouching.py
@@ -0,0 +1,135 @@
+"""Daemons that vouch for the table in force while the log service refuses some."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from emulator.peers.fabric import MemoryFabric
+from notcharch.accounts.messages import account_codec
+from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.vouching import LOOK_SECONDS, TableVouching
+from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
+
+BOUND = 5.0
+ASK_AT_AGE = 2.4
+NAMES = tuple(DaemonName(name) for name in ("asker", "served", "other"))
+
+
+class Daemon:
+    """A table and its proof at one daemon; the table's text names its version."""
+
+    def __init__(self, world: "World", name: DaemonName) -> None:
+        joined = world.fabric.join(Member(name, Incarnation(1)), ZoneName("z"))
+        self.clock = joined.clock
+        self.freshness = TableFreshness(BOUND)
+        self.vouching = TableVouching(
+            joined.clock,
+            Random(1),
+            joined.network,
+            self.freshness,
+            peers=lambda: world.peers,
+            ask_at_age=ASK_AT_AGE,
+            table=lambda: str(self.freshness.version).encode(),
+            take=self.take,
+        )
+        self.vouching.start()
+
+    def take(self, text: bytes) -> int:
+        self.freshness.put_in_force(int(text))
+        return int(text)
+
+    def reads(self, version: int, age: float = 0.0) -> None:
+        self.freshness.put_in_force(version)
+        self.freshness.prove(version, self.clock.seconds() - age)
+
+    @property
+    def is_fresh(self) -> bool:
+        return self.freshness.is_fresh(self.clock.seconds())
+
+
+class World:
+    """Some daemons; only those told to read have a proof of their own."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.peers: list[DaemonName] = list(NAMES)
+        self.fabric = MemoryFabric(
+            self.clock, Random(1), encode=True, codec=account_codec()
+        )
+        self.daemons = {name: Daemon(self, name) for name in NAMES}
+        self.asker = self.daemons[NAMES[0]]
+        self.served = self.daemons[NAMES[1]]
+
+    def run(self, seconds: float, reader: Daemon | None = None) -> None:
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            if reader is not None:
+                reader.reads(reader.freshness.version)
+
+
+def test_a_daemon_that_is_refused_goes_on_by_its_peers_word():
+    world = World()
+    world.asker.reads(3)
+    world.served.reads(3)
+    world.run(20.0, reader=world.served)
+    assert world.asker.is_fresh
+
+
+def test_alone_its_proof_runs_out():
+    world = World()
+    world.peers = [NAMES[0]]
+    world.asker.reads(3)
+    world.run(BOUND + 1.0)
+    assert not world.asker.is_fresh
+
+
+def test_a_newer_table_comes_from_a_peer_and_the_older_one_is_dropped():
+    world = World()
+    world.asker.reads(3)
+    world.served.reads(4)
+    world.run(ASK_AT_AGE + 4 * LOOK_SECONDS, reader=world.served)
+    assert world.asker.freshness.version == 4
+    assert world.asker.is_fresh
+
+
+def test_a_peer_that_is_behind_proves_nothing():
+    world = World()
+    world.asker.reads(4)
+    world.served.reads(3)
+    world.run(BOUND + 1.0, reader=world.served)
+    assert world.asker.freshness.version == 4
+    assert not world.asker.is_fresh
+
+
+def test_a_word_that_was_long_on_its_way_counts_from_the_question():
+    """A proof may not grow younger by being passed on, nor by waiting in a socket."""
+    world = World()
+    world.asker.reads(3)
+    world.served.reads(3, age=1.0)
+    world.run(20.0)
+    assert not world.asker.is_fresh
+    ages = [
+        daemon.freshness.age(world.clock.seconds()) for daemon in world.daemons.values()
+    ]
+    assert all(age is None or age >= 20.0 - 0.1 for age in ages)
+
+
+@pytest.mark.parametrize("seconds", [0.6, 3.0, 6.0])
+def test_a_daemon_that_slept_finds_its_proof_older(seconds):
+    world = World()
+    world.asker.reads(3)
+    world.fabric.pause(NAMES[0])
+    world.run(seconds)
+    world.fabric.resume(NAMES[0])
+    assert world.asker.is_fresh is (seconds < BOUND)
+
+
+def test_a_daemon_whose_reads_are_answered_keeps_its_own_proof():
+    world = World()
+    world.asker.reads(3)
+    world.served.reads(3)
+    world.served.freshness.prove(3, world.clock.seconds() + 50.0)
+    world.run(20.0, reader=world.asker)
+    assert world.asker.freshness.age(world.clock.seconds()) == pytest.approx(0.0)
