--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -16,6 +16,7 @@
     AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
+    CallerNotIdentified,
     CallRefused,
     CallSentAgain,
     CallServed,
@@ -32,6 +33,7 @@
     ProcessStopped,
     ProcessStopping,
 )
+from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.log_lines import LogLine
 
 PAUSE_TOLD_SECONDS = 1.5
@@ -46,6 +48,7 @@
     CallerLeft.number,
     RequestWithoutRoute.number,
     RequestMalformed.number,
+    CallerNotIdentified.number,
 )
 CONTEXT_EVENTS = (
     DependencyLost.number,
@@ -58,8 +61,10 @@
     PartitionGivenUp.number,
     LinesDropped.number,
     ProcessPaused.number,
+    KeysUnsure.number,
 )
 SPENT = 402
+OVER_LIMIT = 429
 NOT_FOUND = 404
 
 
@@ -126,6 +131,7 @@
         CallerLeft.number: _left,
         RequestWithoutRoute.number: _without_route,
         RequestMalformed.number: _malformed,
+        CallerNotIdentified.number: _not_identified,
     }[end.number]
     return told(end, own, context), True
 
@@ -151,10 +157,21 @@
     return f"a header can't be read, for {end.text('host')}{end.text('path')}"
 
 
+def _not_identified(
+    end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
+) -> str:
+    age = end.fields.get("proof_age_seconds")
+    known = "" if age is None else f", certainly the newest {age} s before"
+    table = f"judged by table {end.text('table_version')}{known}"
+    return f"{end.text('cause')}; {table}{_troubles(context)}"
+
+
 def _refused(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
     status = int(end.fields.get("status", 0))
     if status == SPENT:
         return _spent(own)
+    if status == OVER_LIMIT:
+        return _over_limit(own)
     if status == NOT_FOUND:
         return _denied(own)
     if end.text("phase") == "admission":
@@ -173,6 +190,20 @@
     return "the owner of the program's account said that the budget is spent"
 
 
+def _over_limit(own: Sequence[LogLine]) -> str:
+    for line in own:
+        if line.number == LimitReached.number:
+            limit = f"{line.text('calls_per_second')} a second and {line.text('burst_calls')}"
+            text = (
+                f"tenant {line.text('tenant')} has {line.text('calls_left')} calls left "
+                f"of its limit of {limit} at once"
+            )
+            begins = bool(line.fields.get("begins_program"))
+            why = "; its program would have begun and is not expected to fit"
+            return text + (why if begins else "")
+    return "over its tenant's limit, said the owner that counts it; its line is missing"
+
+
 def _denied(own: Sequence[LogLine]) -> str:
     for line in own:
         if line.number in (TurnDenied.number, TurnAdopted.number):
@@ -249,6 +280,9 @@
             )
         elif line.number == PartitionTakenOver.number:
             told.append(f"{line.machine} took over partition {line.text('partition')}")
+        elif line.number == KeysUnsure.number:
+            verb = "could judge" if line.fields.get("is_sure") else "could not judge"
+            told.append(f"{line.machine} {verb} keys")
         elif line.number == ProcessPaused.number:
             told.append(f"{line.machine} stood still for {line.text('seconds')} s")
         elif line.number in (ProcessStarted.number, ProcessStopping.number):
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -147,6 +147,7 @@
         fault = self._identify(call, route, router.table)
         if fault is not None:
             age = self._freshness.age(self._services.clock.seconds())
+            age = None if age is None else round(age, 3)
             emit(CallerNotIdentified(name, host, path, fault.value, version, age))
             unsure = fault is IdentityFault.NO_FRESH_TABLE
             reply.refuse(KEYS_UNSURE if unsure else NOT_IDENTIFIED)
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -14,6 +14,7 @@
     AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
+    CallerNotIdentified,
     CallRefused,
     CallSentAgain,
     CallServed,
@@ -21,6 +22,7 @@
     RequestWithoutRoute,
 )
 from notcharch.events.process import DependencyLost, LinesDropped, ProcessPaused
+from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.explanation import explain
 from notcharch.explain.log_lines import read_lines
 
@@ -44,6 +46,9 @@
     return explain("r", list(read_lines(lines)))
 
 
+LIMIT_REACHED = LimitReached(
+    "r", "t", "p", "route", True, 0.4, 2.0, 3.0, 1.5, 5, "alone"
+)
 UNANSWERED = OwnerUnanswered("r", "p", 5, "b|1.2.3.4:5", 0.1, 0.5, "admission")
 
 CASES = [
@@ -131,6 +136,31 @@
         "the caller left after 0.002 s while admission; "
         "before it: a stood still for 0.9 s",
     ),
+    (
+        [
+            line(
+                0.5,
+                "a",
+                KeysUnsure(is_sure=False, table_version=7, proof_age_seconds=5.2),
+            ),
+            line(1.0, "a", CallerNotIdentified("r", "h", "/x", "no", 7, 5.3)),
+        ],
+        "no; judged by table 7, certainly the newest 5.3 s before; "
+        "before it: a could not judge keys",
+    ),
+    (
+        [line(1.0, "a", CallerNotIdentified("r", "h", "/x", "unknown key", 7, None))],
+        "unknown key; judged by table 7",
+    ),
+    (
+        [line(1.0, "b", LIMIT_REACHED), line(1.1, "a", refused(status=429))],
+        "tenant t has 0.4 calls left of its limit of 2.0 a second and 3.0 at once; "
+        "its program would have begun and is not expected to fit",
+    ),
+    (
+        [line(1.1, "a", refused(status=429))],
+        "over its tenant's limit, said the owner that counts it; its line is missing",
+    ),
 ]
 
 
