Count limits by window and bucket, and let programs begin by their pace

Change: the window's limit itself is counted, the bucket fills faster by the burst in each window; a program begins only if its pace and that of the programs under way are within the rate. An owner that may not be alone gives out shares of the plain rate.

Ruled out: 0.3 of the burst in the bucket and the rest as rate (a tenant may send its burst at once; a test says so).

--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -206,7 +206,7 @@
         """Take a record of an earlier owner."""
         known = decode(record)
         if isinstance(known, LimitsHandedOver):
-            left = HandedOver(known.levels, known.decided_seconds)
+            left = HandedOver(known.uses, known.decided_seconds)
             self._limits.replay_handed_over(left)
         elif isinstance(known, LimitsTaken):
             self._limits.replay_taken()
@@ -230,7 +230,7 @@
             ]
             left = self._limits.hand_over(self._clock.seconds())
             if left is not None:
-                record = LimitsHandedOver(left.levels, left.decided_seconds)
+                record = LimitsHandedOver(left.uses, left.decided_seconds)
                 written.append(self._write(encode(record)))
             yield gatherResults(written)
         self.close()
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from notcharch.tenants.tenant_use import TenantUse
+
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
     """The base of the journal's records."""
@@ -60,9 +62,9 @@
 
 
 class LimitsHandedOver(Record, frozen=True, tag="limits"):
-    """How many calls an owner had left for each tenant when it stopped, in order."""
+    """What each tenant had used of its limit when an owner stopped, in order."""
 
-    levels: dict[str, float]
+    uses: dict[str, TenantUse]
     decided_seconds: float
     """For so long it, and those that handed over to it, had decided."""
 
--- a/notcharch/tenants/limit.py
+++ b/notcharch/tenants/limit.py
@@ -1,11 +1,12 @@
 """One tenant's calls against its rate limit, as the one owner of its limit counts them. Pure.
 
-A token bucket: it holds the burst, and a little of what the limit tolerates, and fills at
-the rate. So within any window no more calls are let in than it holds and fills in that
-time. Only the order of calls is ours to choose: a program whose first calls were let in
+A call is let in if a token bucket has a call left, and if the window before it holds fewer
+calls than the limit lets in within one. The bucket fills faster than the limit's rate, by
+the burst in each window, so what a tenant may send within a window it may send at any
+pace; the bucket keeps it from sending all of it at once. Only the order of calls is ours to choose: a program whose first calls were let in
 and whose last ones are refused has cost everything and is worth nothing. So a program
-begins only if the calls that it will ask for, and those that programs under way will still
-ask for, are expected to fit; calls of programs under way take whatever is there.
+begins only if it and the programs under way are expected to ask for no more calls a second
+than there are; calls of programs under way take whatever is there.
 """
 
 import math
@@ -15,14 +16,29 @@
 
 from notcharch.tenants.interface import RateLimit
 from notcharch.tenants.program_sizes import ProgramSize, ProgramSizes
+from notcharch.tenants.recent_calls import RecentCalls
 
 IDLE_SECONDS = 4.0
 """A program that asked for nothing for so long is over. Its pauses for tools are shorter."""
+ACTIVE_SECONDS = 2.0
+"""A program that asked for nothing for so long counts no more among those under way: most
+are over by then, and its next calls are let in first all the same."""
 LEAST_RETRY_SECONDS = 0.1
 MOST_RETRY_SECONDS = 5.0
 """When room comes later than this, it isn't known well enough to say when."""
 
 
+class Supply(NamedTuple):
+    """What the owner of a limit may give out at present."""
+
+    rate: float
+    """Calls a second."""
+    capacity: float
+    """Calls that the bucket holds at most."""
+    window_calls: float
+    """Calls that may be let in within a window."""
+
+
 class ProgramUse(msgspec.Struct):
     """A program under way."""
 
@@ -45,28 +61,22 @@
     begins: bool
     """Whether it would have begun a program."""
     level: float
-    """Calls that the bucket held."""
+    """Calls that could have been let in."""
 
 
 Verdict = Granted | OverLimit
 GRANTED = Granted()
 
 
-class Supply(NamedTuple):
-    """What the owner of a limit may give out at present."""
-
-    rate: float
-    """Calls a second."""
-    capacity: float
-    """Calls that the bucket holds at most."""
-
-
 class TenantLimit:
     """The bucket of one tenant, and its programs under way."""
 
-    def __init__(self, level: float, now: float, sizes: ProgramSizes) -> None:
-        """Begin with so many calls in the bucket."""
+    def __init__(
+        self, level: float, now: float, sizes: ProgramSizes, recent: RecentCalls
+    ) -> None:
+        """Begin with so many calls in the bucket; `recent` counts those let in."""
         self.level = level
+        self.recent = recent
         self._filled_at = now
         self._rate = math.inf
         """That of the last look."""
@@ -92,36 +102,45 @@
         self._forget_ended(now)
         use = self._programs.get(program) if program else None
         begins = bool(program) and use is None and knows_all
-        missing = self._missing(kind, supply) if begins else 0.0
-        missing = max(missing, 1.0 - self.level)
+        missing = self._missing(kind, supply, now) if begins else 0.0
+        missing = max(missing, 1.0 - self._left(supply, now))
         if missing > 0.0:
             if use is not None:
                 use.last = now
                 use.was_refused = True
-            return OverLimit(_retry_after(missing, supply), begins, self.level)
+            return OverLimit(
+                _retry_after(missing, supply), begins, self._left(supply, now)
+            )
         self.level -= 1.0
+        self.recent.add(now)
         if program:
             self._note(program, kind, now)
         return GRANTED
 
+    def _left(self, supply: Supply, now: float) -> float:
+        """Give how many calls may be let in at once."""
+        return min(self.level, supply.window_calls - self.recent.count(now))
+
     def _note(self, program: str, kind: str, now: float) -> None:
         use = self._programs.setdefault(program, ProgramUse(kind, now, now))
         use.last = now
         use.calls += 1
 
-    def _missing(self, kind: str, supply: Supply) -> float:
-        """Give how many calls too few there will be if another program begins.
+    def _missing(self, kind: str, supply: Supply, now: float) -> float:
+        """Give how many calls too few there will be while another program runs.
 
         One program alone may always begin, however large it is.
         """
-        if not self._programs:
+        active = [
+            use.kind
+            for use in self._programs.values()
+            if now - use.last < ACTIVE_SECONDS
+        ]
+        if not active:
             return 0.0
         size = self._sizes.of(kind)
-        expected = size.calls + sum(
-            max(self._sizes.of(use.kind).calls - use.calls, 0.0)
-            for use in self._programs.values()
-        )
-        return expected - (self.level + supply.rate * size.seconds)
+        pace = size.pace + sum(self._sizes.of(other).pace for other in active)
+        return (pace - supply.rate) * size.seconds - self._left(supply, now)
 
     def _forget_ended(self, now: float) -> None:
         ended = [
@@ -143,6 +162,18 @@
     return min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
 
 
-def capacity_of(limit: RateLimit, tolerated_calls: float) -> float:
-    """Give how many calls the bucket of a limit holds."""
-    return max(limit.burst, 1.0) + tolerated_calls
+def supply_of(
+    limit: RateLimit, window_seconds: float, tolerated_calls: float
+) -> Supply:
+    """Give what an owner that alone decides may give out by a limit."""
+    capacity = max(limit.burst + tolerated_calls, 1.0)
+    rate = limit.per_second + limit.burst / window_seconds
+    return Supply(rate, capacity, limit.per_second * window_seconds + capacity)
+
+
+def shared_supply_of(
+    limit: RateLimit, window_seconds: float, tolerated_calls: float, rate_share: float
+) -> Supply:
+    """Give what an owner may give out while another one may decide as well."""
+    whole = supply_of(limit, window_seconds, tolerated_calls)
+    return whole._replace(rate=limit.per_second * rate_share)
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -22,8 +22,16 @@
 import msgspec
 
 from notcharch.tenants.interface import RateLimit
-from notcharch.tenants.limit import Supply, TenantLimit, Verdict, capacity_of
+from notcharch.tenants.limit import (
+    Supply,
+    TenantLimit,
+    Verdict,
+    shared_supply_of,
+    supply_of,
+)
 from notcharch.tenants.program_sizes import ProgramSizes
+from notcharch.tenants.recent_calls import RecentCalls
+from notcharch.tenants.tenant_use import TenantUse
 
 MOST_LAPSED_SECONDS = 4.0
 """An owner that the log service doesn't confirm decides for so long. It bears short
@@ -33,10 +41,10 @@
 their limits on average, so a full bucket lasts for the four seconds."""
 LEARNING_SECONDS = 3.0
 """After a change of owner, a program that isn't known here may be under way."""
-TOLERATED_BURST_SHARE = 0.4
+TOLERATED_BURST_SHARE = 0.55
 """Of the tolerated calls, in the bucket. Small tenants live by it: one program asks for
 more calls a second than their rates."""
-TOLERATED_START_SHARE = 0.4
+TOLERATED_START_SHARE = 0.25
 """Of the tolerated calls, with which a successor begins that knows no levels."""
 TOLERATED_RATE_SHARE = 0.8
 """Of the tolerated rate, which a successor gives out beyond its half."""
@@ -70,8 +78,8 @@
 class HandedOver(msgspec.Struct, frozen=True):
     """What an owner leaves to its successor in a planned move."""
 
-    levels: dict[str, float]
-    """Calls left of each tenant that asked for any."""
+    uses: dict[str, TenantUse]
+    """Of each tenant that asked for any call."""
     decided_seconds: float
     """For so long it, and those that handed over to it, had decided."""
 
@@ -127,16 +135,24 @@
         if left is None:
             return
         self._began -= left.decided_seconds
-        for tenant, level in left.levels.items():
+        for tenant, use in left.uses.items():
             if tenant not in self._limits:
-                self._limits[tenant] = TenantLimit(level, now, self._sizes)
+                limit = self._limits[tenant] = self._new_limit(use.level, now)
+                limit.recent.take(use.recent, now)
+
+    def _new_limit(self, level: float, now: float) -> TenantLimit:
+        recent = RecentCalls(self._tolerance.window_seconds)
+        return TenantLimit(level, now, self._sizes, recent)
 
     def hand_over(self, now: float) -> HandedOver | None:
         """Give what a successor goes on from; None if there is nothing worth a record."""
         if not self._limits:
             return None
-        levels = {name: round(limit.level, 2) for name, limit in self._limits.items()}
-        return HandedOver(levels, round(now - self._began, 2))
+        uses = {
+            name: TenantUse(round(limit.level, 2), limit.recent.by_age(now))
+            for name, limit in self._limits.items()
+        }
+        return HandedOver(uses, round(now - self._began, 2))
 
     def standing(self, now: float, lapsed_seconds: float) -> Standing:
         """Tell how sure this owner may be; `lapsed_seconds` since its lease ran out."""
@@ -168,18 +184,19 @@
         bucket = self._limits.get(tenant)
         if bucket is None:
             level = self._first_level(supply, now)
-            bucket = self._limits[tenant] = TenantLimit(level, now, self._sizes)
+            bucket = self._limits[tenant] = self._new_limit(level, now)
         knows_all = now - self._began >= LEARNING_SECONDS
         return bucket.decide(program, kind, supply, now, knows_all=knows_all)
 
     def _supply(self, limit: RateLimit, standing: Standing) -> Supply:
-        share = 1.0
+        tolerance = self._tolerance
+        window, calls = tolerance.window_seconds, tolerance.burst_calls
+        if standing is Standing.ALONE:
+            return supply_of(limit, window, calls)
+        share = LAPSED_SHARE
         if standing is Standing.SUCCESSOR:
-            share = self._tolerance.successor_share
-        elif standing is Standing.LAPSED:
-            share = LAPSED_SHARE
-        capacity = capacity_of(limit, self._tolerance.burst_calls)
-        return Supply(limit.per_second * share, capacity)
+            share = tolerance.successor_share
+        return shared_supply_of(limit, window, calls, share)
 
     def _first_level(self, supply: Supply, now: float) -> float:
         """Give the level of a tenant that asks for the first time here."""
--- a/notcharch/tenants/program_sizes.py
+++ b/notcharch/tenants/program_sizes.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-WEIGHT = 0.1
-"""Of the newest program in the running mean: some twenty programs make a new mean."""
+LEAST_WEIGHT = 0.05
+"""Of the newest program in the running mean, once there are twenty; before that it is the
+plain mean, in which the first guess counts as one program."""
 
 
 class ProgramSize(msgspec.Struct, frozen=True):
@@ -12,6 +13,11 @@
     calls: float
     seconds: float
 
+    @property
+    def pace(self) -> float:
+        """Calls a second while it runs."""
+        return self.calls / self.seconds
+
 
 UNKNOWN_SIZE = ProgramSize(8.0, 4.0)
 """Taken of a kind that nobody has seen the end of: between the programs of three and of
@@ -26,6 +32,7 @@
     def __init__(self) -> None:
         """Begin without any."""
         self._sizes: dict[str, ProgramSize] = {}
+        self._seen: dict[str, int] = {}
 
     def of(self, kind: str) -> ProgramSize:
         """Give the mean size of a kind."""
@@ -34,8 +41,10 @@
     def saw(self, kind: str, size: ProgramSize) -> None:
         """Take a program that ended without having been refused anything."""
         mean = self.of(kind)
+        seen = self._seen[kind] = self._seen.get(kind, 1) + 1
+        weight = max(LEAST_WEIGHT, 1.0 / seen)
         seconds = max(size.seconds, LEAST_SECONDS)
         self._sizes[kind] = ProgramSize(
-            mean.calls + WEIGHT * (size.calls - mean.calls),
-            mean.seconds + WEIGHT * (seconds - mean.seconds),
+            mean.calls + weight * (size.calls - mean.calls),
+            mean.seconds + weight * (seconds - mean.seconds),
         )
--- /dev/null
+++ b/notcharch/tenants/recent_calls.py
@@ -0,0 +1,60 @@
+"""How many calls were let in within the last window, counted in slots. Pure."""
+
+from collections import deque
+
+import msgspec
+
+SLOTS = 20
+"""In a window. A call counts for a twentieth of a window longer than it has to, at most."""
+
+
+class Slot(msgspec.Struct):
+    """The calls of one slot of time."""
+
+    number: int
+    calls: float
+
+
+class RecentCalls:
+    """A sliding count."""
+
+    def __init__(self, window_seconds: float) -> None:
+        """Count nothing yet."""
+        self._slot_seconds = window_seconds / SLOTS
+        self._slots: deque[Slot] = deque()
+        self._calls = 0.0
+
+    def _number(self, now: float) -> int:
+        return int(now // self._slot_seconds)
+
+    def count(self, now: float) -> float:
+        """Give how many calls were let in within the window before now."""
+        oldest = self._number(now) - SLOTS
+        while self._slots and self._slots[0].number < oldest:
+            self._calls -= self._slots.popleft().calls
+        return self._calls
+
+    def add(self, now: float, calls: float = 1.0) -> None:
+        """Count calls that are let in now."""
+        number = self._number(now)
+        if not self._slots or self._slots[-1].number != number:
+            self._slots.append(Slot(number, 0.0))
+        self._slots[-1].calls += calls
+        self._calls += calls
+
+    def by_age(self, now: float) -> list[float]:
+        """Give the calls of each slot by its age, the present one first."""
+        self.count(now)
+        present = self._number(now)
+        ages = [0.0] * (SLOTS + 1)
+        for slot in self._slots:
+            ages[present - slot.number] += slot.calls
+        return ages
+
+    def take(self, ages: list[float], now: float) -> None:
+        """Go on from what another counted; time may have passed since, none is assumed."""
+        present = self._number(now)
+        for age in range(min(len(ages), SLOTS + 1) - 1, -1, -1):
+            if ages[age]:
+                self._slots.append(Slot(present - age, ages[age]))
+                self._calls += ages[age]
