Tell refused callers times to come back that grow with an outage

Calls were refused with 'come back in 0.2 s' and '0.5 s', callers used their tries up within 2.5 s, and their programs failed though the store came back in time for many of them. Callers over a limit were all told the same time and came back together.

Change: a refusal in an outage tells the time for which the outage has lasted, within what the caller honours of the time that it has left. Refused callers of one tenant are told times one after another. The answers about limits moved to a module of their own.

Ruled out: answering sooner than after the time that a takeover takes (the owner may be another one by then); a larger starting allowance after a loss (programs that begin in an outage after a loss of all daemons still need an append; after two losses more programs would be refused with 402 than are saved).

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -24,6 +24,8 @@
 from notcharch.tenants.scope import scoped_name
 
 KEEP_AGAIN_SECONDS = 0.06
+"""Before an owner is asked again to keep a turn; a takeover is over in 8 to 31 ms once the
+partition is dealt (docs/design/platform.md)."""
 
 
 class Account:
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -13,7 +13,6 @@
 from notcharch.accounts.turns import TurnCache
 from notcharch.calls.interface import (
     BUDGET_SPENT,
-    STATE_UNSURE,
     UNKNOWN_TURN,
     AdmissionListener,
     OpaqueCall,
@@ -24,10 +23,13 @@
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 
 AGAIN_SECONDS = 0.06
+"""Before an owner is asked again; a takeover is over in 8 to 31 ms once the partition is
+dealt (docs/design/platform.md)."""
 MOST_HOLD_SECONDS = 1.4
 MOST_HOLD_SHARE = 0.45
 """A call whose owner can't be found is refused after so much of its time."""
 CACHE_BYTES = 8 * 1024 * 1024
+"""Kept turns that a daemon remembers; a turn has 0.3 to 2.6 KB after its first."""
 
 
 class AccountAdmission:
@@ -70,7 +72,7 @@
                 break
             yield deferLater(clock, AGAIN_SECONDS, lambda: None)
         account.never_ran()
-        answer.refused(STATE_UNSURE)
+        answer.refused(self._owners.unsure(account.call))
 
     @inlineCallbacks
     def _ask_once(
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -33,6 +33,7 @@
 """
 
 DEFAULT_KEEP_SECONDS = 60.0
+"""Until a route has told its own: what the platform keeps a route's turns for by default."""
 
 FORGOTTEN_RESERVATION_SECONDS = 12.0
 """A call that nobody settled in this time is charged at its most."""
--- a/notcharch/accounts/limited_admission.py
+++ b/notcharch/accounts/limited_admission.py
@@ -14,7 +14,6 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.calls.interface import (
     OVER_LIMIT_REASON,
-    STATE_UNSURE,
     TOO_MANY_REQUESTS,
     Admission,
     AdmissionListener,
@@ -91,7 +90,7 @@
             if clock.seconds() >= until:
                 break
             yield deferLater(clock, AGAIN_SECONDS, lambda: None)
-        self._refuse(ticket, STATE_UNSURE)
+        self._refuse(ticket, self._owners.unsure(self._call))
 
     def _refuse(self, ticket: Ticket, refusal: Refusal) -> None:
         ticket.never_ran()
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from notcharch.accounts.limited_tenants import Limiting
 from notcharch.accounts.messages import (
     AdmitCall,
     AdmitTurn,
@@ -20,7 +21,7 @@
     SettleCall,
     TurnAdmitted,
 )
-from notcharch.accounts.partition import Limiting, OwnedPartition
+from notcharch.accounts.partition import OwnedPartition
 from notcharch.journal.dealt_partitions import DealtPartitions
 from notcharch.journal.interface import LogService, Membership
 from notcharch.journal.owner_directory import OwnerDirectory
@@ -33,6 +34,7 @@
 from notcharch.wire.peers import PeerNetwork
 
 TIDY_EACH_SECONDS = 10.0
+"""Between two looks for what is too old: a sixth of the usual time for which it is kept."""
 
 
 Asked = TypeVar("Asked", bound=PartitionMessage)
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -1,11 +1,15 @@
 """Requests to the owners of partitions, as far as they are known."""
 
+from collections.abc import Callable
+
 import msgspec
 from result import Err, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.messages import NotOwner
+from notcharch.calls.interface import STATE_UNSURE, OpaqueCall, Refusal
+from notcharch.calls.return_times import come_back_after
 from notcharch.errors import Problem
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partitioning import Partitioning
@@ -25,6 +29,8 @@
     network: PeerNetwork
     directory: OwnerDirectory
     partitioning: Partitioning
+    service_silence: Callable[[], float] = lambda: 0.0
+    """Seconds for which the log service has not answered this daemon; 0 if it does."""
 
     def ask(self, partition: int, message: Message) -> "Deferred[Message | None]":
         """Send a request to a partition's owner; None if it didn't answer as one."""
@@ -48,6 +54,11 @@
             return None
         return message
 
+    def unsure(self, call: OpaqueCall) -> Refusal:
+        """Give the refusal of a call that no owner decided in time."""
+        now = self.clock.seconds()
+        return come_back_after(STATE_UNSURE, self.service_silence(), call, now)
+
     def tell(self, partition: int, message: Message) -> None:
         """Send a notice to a partition's owner, if one is known."""
         owner = self.directory.owner(partition)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -5,19 +5,16 @@
 from random import Random
 from typing import Any
 
-import msgspec
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.ledger import Ledger, Verdict
+from notcharch.accounts.limited_tenants import NOT_OWNER, LimitedTenants, Limiting
 from notcharch.accounts.messages import (
     AdmitCall,
     AdmitTurn,
-    CallAdmitted,
-    CallOverLimit,
     FindTurn,
     KeepTurn,
-    NotOwner,
     SettleCall,
     TurnAdmitted,
     TurnFound,
@@ -29,7 +26,6 @@
 from notcharch.accounts.records import (
     AnyRecord,
     BoundRaised,
-    LimitsHandedOver,
     LimitsTaken,
     TurnKept,
     decode,
@@ -43,36 +39,14 @@
     PartitionTakenOver,
 )
 from notcharch.events.event import emit
-from notcharch.events.tenants import LimitReached
 from notcharch.journal.interface import LogService
 from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import Outcome
-from notcharch.tenants.interface import RateLimit, Tenant
-from notcharch.tenants.limit import OverLimit
-from notcharch.tenants.partition_limits import (
-    HandedOver,
-    PartitionLimits,
-    Standing,
-    Tolerance,
-)
-from notcharch.tenants.program_sizes import ProgramSizes
 from notcharch.wire.messages.base import Message
 
 FENCED = "a higher epoch writes it"
 DEALT_AWAY = "dealt to another daemon"
-NOT_OWNER = NotOwner()
-
-
-class Limiting(msgspec.Struct, frozen=True):
-    """What owners of tenants' limits work with."""
-
-    tenant: Callable[[str], Tenant | None] = lambda _: None
-    """Gives a tenant of the table in force by its name."""
-    tolerance: Tolerance = Tolerance()
-    sizes: ProgramSizes = msgspec.field(default_factory=ProgramSizes)
-    lapsed_seconds: Callable[[], float] = lambda: 0.0
-    """Seconds since this daemon's lease on its partitions ran out; 0 while it holds."""
 
 
 class OwnedPartition:
@@ -92,8 +66,7 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
-        self._limiting = limiting or Limiting()
-        self._limits = PartitionLimits(self._limiting.tolerance, self._limiting.sizes)
+        self._tenants = LimitedTenants(limiting or Limiting(), clock, place.number)
         self._clock = clock
         self.place = place
         self._lost = lost
@@ -128,11 +101,12 @@
             self.is_serving = True
             wall = self._wall_seconds()
             self._ledger.allowance.taken_over(self._clock.seconds(), wall)
-            self._limits.taken_over(self._clock.seconds())
+            limits_taken = self._tenants.taken_over()
             self._log_taken_over()
             self._wake()
             yield self._renew_allowance()
-            yield self._take_limits()
+            if limits_taken is not None:
+                yield self._take_limits(limits_taken)
 
     @inlineCallbacks
     def _renew_allowance(self) -> Generator["Deferred[Any]", Any, None]:
@@ -157,13 +131,13 @@
             allowance.given(record, asked_at)
 
     @inlineCallbacks
-    def _take_limits(self) -> Generator["Deferred[Any]", Any, None]:
-        """Journal that we go on from the levels that the former owner left."""
-        if not self._limits.are_handed_over:
-            return
-        outcome = yield self._write(encode(LimitsTaken()))
+    def _take_limits(
+        self, record: LimitsTaken
+    ) -> Generator["Deferred[Any]", Any, None]:
+        """Journal that we go on from what the former owner left of tenants' limits."""
+        outcome = yield self._write(encode(record))
         if outcome is Outcome.DURABLE:
-            self._limits.take_levels(self._clock.seconds())
+            self._tenants.take_levels()
 
     def _renew_allowance_if_due(self) -> None:
         if self._ledger.allowance.is_due(self._clock.seconds()):
@@ -205,13 +179,9 @@
     def replayed(self, offset: int, record: bytes) -> None:
         """Take a record of an earlier owner."""
         known = decode(record)
-        if isinstance(known, LimitsHandedOver):
-            left = HandedOver(known.uses, known.decided_seconds)
-            self._limits.replay_handed_over(left)
-        elif isinstance(known, LimitsTaken):
-            self._limits.replay_taken()
-        elif known is not None:
+        if known is not None:
             self._ledger.replay(known, self._clock.seconds())
+            self._tenants.replay(known)
 
     def _was_lost(self) -> None:
         self._log_given_up(FENCED)
@@ -228,10 +198,9 @@
                 self._write(encode(account))
                 for account in self._ledger.accounts(self._wall_seconds())
             ]
-            left = self._limits.hand_over(self._clock.seconds())
-            if left is not None:
-                record = LimitsHandedOver(left.uses, left.decided_seconds)
-                written.append(self._write(encode(record)))
+            limits = self._tenants.hand_over()
+            if limits is not None:
+                written.append(self._write(encode(limits)))
             yield gatherResults(written)
         self.close()
 
@@ -286,49 +255,8 @@
     @inlineCallbacks
     def admit_call(self, ask: AdmitCall) -> Generator["Deferred[Any]", Any, Message]:
         """Decide whether a tenant's limit has room for a call."""
-        if not (yield self._until_serving()):
-            return NOT_OWNER
-        tenant = self._limiting.tenant(ask.tenant)
-        if tenant is None:
-            return NOT_OWNER  # our table is older than the asker's
-        if tenant.limit is None:
-            return CallAdmitted()
-        now = self._clock.seconds()
-        lapsed_seconds = self._limiting.lapsed_seconds()
-        verdict = self._limits.decide(
-            ask.tenant,
-            tenant.limit,
-            ask.program,
-            ask.route,
-            now,
-            lapsed_seconds=lapsed_seconds,
-        )
-        if verdict is None:
-            return NOT_OWNER  # another owner may decide by now
-        if isinstance(verdict, OverLimit):
-            standing = self._limits.standing(now, lapsed_seconds)
-            self._log_over_limit(ask, tenant.limit, verdict, standing)
-            return CallOverLimit(round(verdict.retry_after_seconds, 3))
-        return CallAdmitted()
-
-    def _log_over_limit(
-        self, ask: AdmitCall, limit: RateLimit, verdict: OverLimit, standing: Standing
-    ) -> None:
-        emit(
-            LimitReached(
-                request=ask.call,
-                tenant=ask.tenant,
-                program=ask.program,
-                route=ask.route,
-                begins_program=verdict.begins,
-                calls_left=round(verdict.level, 2),
-                calls_per_second=limit.per_second,
-                burst_calls=limit.burst,
-                retry_after_seconds=round(verdict.retry_after_seconds, 3),
-                partition=self.place.number,
-                standing=standing.value,
-            )
-        )
+        is_serving = yield self._until_serving()
+        return self._tenants.decide(ask) if is_serving else NOT_OWNER
 
     def _log_spent(self, ask: AdmitTurn) -> None:
         program = self._ledger.program(ask.program, self._clock.seconds())
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -9,10 +9,10 @@
 
 from notcharch.accounts.admission import AccountAdmission
 from notcharch.accounts.limited_admission import LimitedAdmission
+from notcharch.accounts.limited_tenants import Limiting
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.owned_partitions import OwnedPartitions
 from notcharch.accounts.owner_requests import OwnerRequests
-from notcharch.accounts.partition import Limiting
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.group import GroupMember
 from notcharch.journal.interface import GroupName, LogService
@@ -125,7 +125,13 @@
             dealt=self._owned.dealt,
             recovered=recovery.recovered if has_signal else lambda: None,
         )
-        owners = OwnerRequests(clock, network, self.directory, partitioning)
+        owners = OwnerRequests(
+            clock,
+            network,
+            self.directory,
+            partitioning,
+            lambda: self._group.silent_seconds,
+        )
         accounts = AccountAdmission(owners, suspicions)
         self.admission = LimitedAdmission(accounts, owners)
 
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -17,10 +17,14 @@
 )
 
 HEARTBEAT_SECONDS = 0.35
+"""A third of the lease, so two heartbeats in a row may be lost."""
 QUICK_SECONDS = 0.1
+"""Between heartbeats while the group changes, or after one that had no answer."""
 QUICK_HEARTBEATS = 5
 """So many heartbeats follow quickly when the group has changed: more may be dealt."""
 LEASE_SECONDS = 1.2
+"""So long the partitions of a dead daemon stay unserved. The platform takes 1 s at least;
+a fifth more for a heartbeat that comes late."""
 
 
 class GroupMember:
@@ -76,6 +80,14 @@
         held = self._clock.seconds() - self._confirmed_at
         return max(held - self._lease_seconds, 0.0)
 
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds for which heartbeats have not been answered as they should; or 0."""
+        if self._confirmed_at is None:
+            return 0.0
+        held = self._clock.seconds() - self._confirmed_at
+        return max(held - 2 * HEARTBEAT_SECONDS, 0.0)
+
     def heartbeat(self) -> None:
         """Join now, not at the next time."""
         if self._next is not None and self._next.active():
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -17,6 +17,7 @@
     Refusal,
     Route,
 )
+from notcharch.calls.return_times import come_back_after
 from notcharch.calls.routing import Router, RouteTable, service_of
 from notcharch.events.calls import (
     CallerNotIdentified,
@@ -149,8 +150,7 @@
             age = self._freshness.age(self._services.clock.seconds())
             age = None if age is None else round(age, 3)
             emit(CallerNotIdentified(name, host, path, fault.value, version, age))
-            unsure = fault is IdentityFault.NO_FRESH_TABLE
-            reply.refuse(KEYS_UNSURE if unsure else NOT_IDENTIFIED)
+            reply.refuse(self._refusal(fault, call))
             return
         service = service_of(route, call)
         known = router.table.services.get(service)
@@ -158,6 +158,17 @@
             call.tokens_per_event = known.tokens_per_event
         CallLife(self._services, call, route, service, reply).start()
 
+    def _refusal(self, fault: IdentityFault, call: OpaqueCall) -> Refusal:
+        """Give the answer to a call without a tenant.
+
+        While the newest keys are not known, the outage is expected to last for as long as
+        it has lasted.
+        """
+        if fault is not IdentityFault.NO_FRESH_TABLE:
+            return NOT_IDENTIFIED
+        now = self._services.clock.seconds()
+        return come_back_after(KEYS_UNSURE, self._freshness.age(now) or 0.0, call, now)
+
     def _identify(
         self, call: OpaqueCall, route: Route, table: RouteTable
     ) -> IdentityFault | None:
--- a/notcharch/tenants/limit.py
+++ b/notcharch/tenants/limit.py
@@ -24,6 +24,7 @@
 """A program that asked for nothing for so long counts no more among those under way: most
 are over by then, and its next calls are let in first all the same."""
 LEAST_RETRY_SECONDS = 0.1
+"""Sooner than this a caller's next try would still meet the same moment."""
 MOST_RETRY_SECONDS = 5.0
 """When room comes later than this, it isn't known well enough to say when."""
 
@@ -82,6 +83,8 @@
         """That of the last look."""
         self._sizes = sizes
         self._programs: dict[str, ProgramUse] = {}
+        self._promised_to = 0.0
+        """Clock seconds up to which room is promised to refused callers."""
 
     def fill(self, supply: Supply, now: float) -> None:
         """Add what has come since the last look, at the lower of the two rates."""
@@ -108,15 +111,31 @@
             if use is not None:
                 use.last = now
                 use.was_refused = True
-            return OverLimit(
-                _retry_after(missing, supply), begins, self._left(supply, now)
-            )
+            needed = self._sizes.of(kind).calls if begins else 1.0
+            retry_after = self._retry_after(missing, needed, supply, now)
+            return OverLimit(retry_after, begins, self._left(supply, now))
         self.level -= 1.0
         self.recent.add(now)
         if program:
             self._note(program, kind, now)
         return GRANTED
 
+    def _retry_after(
+        self, missing: float, needed: float, supply: Supply, now: float
+    ) -> float:
+        """Give the time until there is room, after those that were refused before.
+
+        Callers that came back all at once would be refused again, but for the first.
+        """
+        if supply.rate <= 0.0:
+            return MOST_RETRY_SECONDS
+        room_at = now + missing / supply.rate
+        promised_at = self._promised_to + needed / supply.rate
+        seconds = max(room_at, promised_at) - now
+        seconds = min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
+        self._promised_to = now + seconds
+        return seconds
+
     def _left(self, supply: Supply, now: float) -> float:
         """Give how many calls may be let in at once."""
         return min(self.level, supply.window_calls - self.recent.count(now))
@@ -155,13 +174,6 @@
                 self._sizes.saw(use.kind, size)
 
 
-def _retry_after(missing: float, supply: Supply) -> float:
-    if supply.rate <= 0.0:
-        return MOST_RETRY_SECONDS
-    seconds = missing / supply.rate
-    return min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
-
-
 def supply_of(
     limit: RateLimit, window_seconds: float, tolerated_calls: float
 ) -> Supply:
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -5,6 +5,7 @@
     BoundRaised,
     decode,
 )
+from notcharch.calls.interface import STATE_UNSURE, Refusal
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
 EVENT = b"id: 1\ndata: hello\n\n"
@@ -45,3 +46,11 @@
 
 def epochs(world):
     return [partition.epoch for partition in world.partitions]
+
+
+def assert_unsure(refusal: Refusal | None) -> None:
+    """Check that nobody decided, and that a later time to come back is told, if any."""
+    assert refusal is not None
+    told = (refusal.status, refusal.reason)
+    assert told == (STATE_UNSURE.status, STATE_UNSURE.reason)
+    assert refusal.retry_after_seconds >= STATE_UNSURE.retry_after_seconds
--- /dev/null
+++ b/tests/unit/calls/test_return_times.py
@@ -0,0 +1,38 @@
+"""When a refused caller is told to come back."""
+
+import pytest
+
+from notcharch.calls.interface import KEYS_UNSURE, STATE_UNSURE, OpaqueCall
+from notcharch.calls.return_times import HONOURED_SHARE, come_back_after
+from notcharch.http.messages import RequestHead
+
+NOW = 100.0
+
+
+def call(wait_seconds: float | None, waited: float = 0.0) -> OpaqueCall:
+    head = RequestHead(b"POST", b"/", [])
+    return OpaqueCall("1", head, b"", NOW - waited, wait_seconds)
+
+
+@pytest.mark.parametrize(
+    ("estimate", "wait", "waited", "expected"),
+    [
+        (0.0, 3.0, 0.0, 0.2),
+        (0.5, 3.0, 0.0, 0.5),
+        (9.0, 3.0, 0.0, 3.0 * HONOURED_SHARE),
+        (9.0, 3.0, 1.5, 1.5 * HONOURED_SHARE),
+        (9.0, 3.0, 5.0, 0.2),
+        (9.0, None, 0.0, 9.0),
+    ],
+)
+def test_the_estimate_counts_within_what_the_caller_honours(
+    estimate, wait, waited, expected
+):
+    told = come_back_after(STATE_UNSURE, estimate, call(wait, waited), NOW)
+    assert told.retry_after_seconds == pytest.approx(expected)
+    assert (told.status, told.reason) == (STATE_UNSURE.status, STATE_UNSURE.reason)
+
+
+def test_no_refusal_tells_less_than_its_own_time():
+    told = come_back_after(KEYS_UNSURE, 0.01, call(3.0), NOW)
+    assert told.retry_after_seconds == KEYS_UNSURE.retry_after_seconds
--- a/tests/unit/tenants/test_limit.py
+++ b/tests/unit/tenants/test_limit.py
@@ -56,6 +56,14 @@
     assert tenant.ask() == GRANTED
 
 
+def test_refused_callers_are_told_times_one_after_another():
+    tenant = Tenant(level=0.0)
+    told = [tenant.ask().retry_after_seconds for _ in range(5)]
+    assert told == pytest.approx([0.1, 0.2, 0.3, 0.4, 0.5])
+    tenant.now = 0.35
+    assert tenant.granted(3) == 3
+
+
 @pytest.mark.parametrize(
     ("rate", "seconds"), [(1000.0, LEAST_RETRY_SECONDS), (0.01, MOST_RETRY_SECONDS)]
 )
