--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -14,10 +14,14 @@
 from notcharch.http.sockets import detect_silence
 
 CONNECT_SECONDS = 0.3
+"""A connection takes one way and back, some 3 ms between zones; a full queue of an engine
+answers only after seconds. Chosen between the two."""
 UNTOLD_KEEP_SECONDS = 4.0
 """So long an idle connection is used if the engine doesn't say how long it keeps it."""
 KEEP_MARGIN_SECONDS = 1.0
+"""An engine tells whole seconds, so its connection may close up to one sooner."""
 MOST_IDLE = 8
+"""Idle connections kept to one engine: a daemon has few calls at one engine at a time."""
 
 
 class SendListener(AnswerListener, Protocol):
--- a/notcharch/events/output.py
+++ b/notcharch/events/output.py
@@ -14,8 +14,11 @@
 ROUTINE_SHARE = 0.5
 """Routine lines may fill so much of it."""
 ROUTINE_LINES_A_SECOND = 60
+"""Lines of 370 bytes at 20 us: 22 KB and 1.2 ms a second (docs/OPERATIONS.md)."""
 FLUSH_SECONDS = 0.1
+"""Lines are written together; one waits no longer than this."""
 WRITE_BYTES = 64 * 1024
+"""Given to one write: the size of a pipe's buffer."""
 
 
 class LogOutput:
--- a/notcharch/http/drain.py
+++ b/notcharch/http/drain.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 CHECK_SECONDS = 0.1
+"""Between two looks whether anything is under way: a stop lasts seconds."""
 IDLE_CHECKS = 2
 """So often in a row nothing must be under way: the last answer's bytes leave after the
 request has been counted as ended."""
--- a/notcharch/http/patience.py
+++ b/notcharch/http/patience.py
@@ -5,7 +5,9 @@
 """
 
 TIMES_THE_LAST = 4.0
+"""An answer that takes so many times the last one is taken for lost."""
 GROWTH = 2.0
+"""Times the wait before, after each answer that was lost."""
 
 
 class Patience:
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -17,8 +17,12 @@
 from notcharch.http.sockets import detect_silence
 
 CONNECT_SECONDS = 1.0
+"""A connection that the server's machine doesn't answer for so long won't be made: its
+packets are sent again after a second."""
 IDLE_SECONDS = 10.0
+"""An idle connection is used for so long; held reads keep most of them busy."""
 MOST_IDLE = 16
+"""Idle connections kept: more than calls are under way at a time on a calm day."""
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -6,8 +6,11 @@
 UNACKED_MILLISECONDS = 2000
 """A connection ends if sent bytes aren't acknowledged for so long."""
 PROBE_AFTER_SECONDS = 1
+"""Seconds without a byte before the first probe."""
 PROBE_EACH_SECONDS = 1
+"""Seconds between two probes; the kernel takes whole ones."""
 PROBES = 2
+"""Probes without an answer that end a connection: three seconds in all."""
 
 
 def detect_silence(transport: Any) -> None:
--- a/notcharch/journal/dealt_partitions.py
+++ b/notcharch/journal/dealt_partitions.py
@@ -23,6 +23,7 @@
 not, the claim is fenced and the next one jumps.
 """
 FENCED_JUMP = 1 << 20
+"""Added to the number of claims once one was fenced: more than a process ever makes."""
 
 
 class Dealt(Protocol):
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -25,8 +25,12 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 
 RETRY_SECONDS = 0.1
+"""Before the first repetition of a read that failed. Each failed call is priced, so the
+times grow."""
 LONGEST_RETRY_SECONDS = 0.8
+"""Changes have to be known within some seconds of the end of an outage."""
 RETRY_GROWTH = 1.6
+"""Times the pause before: five repetitions until the longest."""
 
 
 class Pace(msgspec.Struct, frozen=True):
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -21,6 +21,8 @@
 from notcharch.journal.writer import PartitionWriter
 
 READ_RETRY_SECONDS = 0.08
+"""A takeover waits for its reads, so they are repeated soon: some times the answer of a
+service that is well (4 ms)."""
 
 
 class PartitionPlace(msgspec.Struct, frozen=True):
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -24,9 +24,13 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 
 BATCH_BYTES = 256 * 1024
+"""In one append: an eighth of what the platform takes in a call."""
 RETRY_SECONDS = 0.05
+"""Before the first repetition of an append: calls wait for it."""
 LONGEST_RETRY_SECONDS = 0.6
+"""Heartbeats find out sooner that the service is back and end the pause."""
 RETRY_GROWTH = 2.0
+"""Times the pause before: four repetitions until the longest."""
 LOST_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
 """After these, somebody else writes the partition."""
 
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -64,14 +64,19 @@
 KEEP_LISTENING_SHARE = 0.45
 """... but for no more than so much of the time that a stop may take."""
 STOP_MARGIN_SECONDS = 0.7
+"""Kept free at the end of the time that a stop may take, for the last lines and the exit.
+Chosen, not measured."""
 UNREADABLE_SETTINGS = 2
 BACKLOG = 512
+"""New connections that may wait to be accepted: a burst of a second at a daemon that
+serves one in some hundred callers is far below it."""
 MILLISECONDS = 1000
 READY_SECONDS = 0.6
 """A daemon whose proof for its keys ends sooner takes no new connections: the platform
 asks each second, and peers had three tries to renew the proof before."""
 STANDARD_OUTPUT = 1
 TICK_SECONDS = 1.0
+"""Between two looks at pauses and readiness; the platform asks as often."""
 
 
 def new_incarnation() -> Incarnation:
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -22,6 +22,7 @@
 CONFIGURATION_KEY = "config"
 ENGINES_TOPIC = "keyed.servers"
 CONFIGURATION_PAUSE_SECONDS = 0.05
+"""Between two reads of the table. Changes are seconds apart, so none waits for others."""
 ENGINES_PAUSE_SECONDS = 0.4
 """Between two reads of the engines' entries, so that many changes come in one read."""
 ENGINES_PAGE_PAUSE_SECONDS = 3.0
--- a/notcharch/scheduling/answer_waits.py
+++ b/notcharch/scheduling/answer_waits.py
@@ -9,14 +9,23 @@
 import msgspec
 
 MEAN_WEIGHT = 0.125
+"""Of the newest answer in the mean; with the next two, as TCP does for its round trips
+(RFC 6298)."""
 DEVIATION_WEIGHT = 0.25
+"""Of the newest deviation in the mean deviation."""
 DEVIATIONS = 4.0
+"""So many mean deviations above the mean an answer is late."""
 MARGIN = 1.5
+"""Times that: prompts differ in length, and a call given up in vain costs its run."""
 LEAST_LIMIT_SECONDS = 0.4
+"""No answer is overdue sooner: daemons and engines stand still for some 0.1 s at times."""
 LEAST_ANSWERS = 8
 """Before so many answers nothing is overdue."""
 BUDGET_PER_ANSWER = 0.2
+"""Calls that may be given up for each answer that came: one in five, so that giving up
+cannot feed an overload."""
 MOST_BUDGET = 5.0
+"""Calls that may be given up at once."""
 
 
 class WaitPolicy(msgspec.Struct, frozen=True):
--- a/notcharch/scheduling/engine_health.py
+++ b/notcharch/scheduling/engine_health.py
@@ -17,6 +17,7 @@
 SUSPECT_SECONDS = 1.0
 """So long an engine that failed is passed over; twice as long after each failure more."""
 MOST_SUSPECT_SECONDS = 4.0
+"""An engine is tried again after so long, whatever it did before."""
 REFUSAL_SECONDS = 0.25
 """So long an engine that was full is passed over."""
 LEAST_SILENCE_SECONDS = 0.3
