Give the soak tenants: keys that are exchanged, a limit, hostile headers

Change: the operator exchanges keys among the faults (the store always serves it); callers use keys in force, removed ones and one that nobody held, and claim another tenant; engines note tenant and key; the oracle judges what ran: tenant, key passed on, key gone for longer than the bound, calls of a limited tenant in each window.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -22,6 +22,7 @@
     SAFE_PATH,
     WRITE_PATH,
 )
+from deploy.soak.tenants import SoakTenant, Tenants
 from notcharch.calls.event_stream import EventCutter, data_lines
 from notcharch.http.client import AnswerFailure, ClientConnection
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
@@ -32,7 +33,7 @@
 PAUSE_SECONDS = 0.1
 REQUEST_ID = b"x-notcharch-request-id"
 COMING_BACK = (429, 503)
-GIVEN_UP = (400, 402, 404)
+GIVEN_UP = (400, 401, 402, 404)
 
 
 class Answer:
@@ -96,12 +97,15 @@
         random: Random,
         oracle: Oracle,
         ready: Callable[[], list[SoakDaemon]],
+        *,
+        tenants: Tenants,
     ) -> None:
         """Ask daemons at random of those that are `ready`."""
         self._reactor = reactor
         self._random = random
         self._oracle = oracle
         self._ready = ready
+        self._tenants = tenants
         self._numbers = 0
         self.is_running = True
         self.under_way = 0
@@ -121,13 +125,14 @@
     @inlineCallbacks
     def _program(self) -> Generator["Deferred[Any]", Any, None]:
         """Run some turns with tool calls between them."""
+        tenant = self._tenants.choose()
         program = f"p{self._new_number()}"
         is_kept = self._random.random() < 0.5
         previous, chain = "", b""
         for _ in range(self._random.randint(2, 6)):
             new_input = f"{program} says {self._random.random()}\n".encode()
             turn: Asked | None = yield self._turn(
-                program, new_input, previous, chain, is_kept=is_kept
+                tenant, program, new_input, previous, chain, is_kept=is_kept
             )
             if turn is None or not self.is_running:
                 return
@@ -135,11 +140,12 @@
                 previous = turn.id
                 chain += new_input + b"".join(event + b"\n" for event in turn.events)
             yield self._wait(self._random.random() * PAUSE_SECONDS)
-            yield self._tool(program)
+            yield self._tool(tenant, program)
 
     @inlineCallbacks
     def _turn(
         self,
+        tenant: SoakTenant,
         program: str,
         new_input: bytes,
         previous: str,
@@ -157,6 +163,7 @@
                 is_stream=True,
                 program=program,
                 previous=previous,
+                tenant=tenant.name,
             )
             headers = [
                 (b"X-Notcharch-Program-Id", program.encode()),
@@ -174,7 +181,9 @@
         return None
 
     @inlineCallbacks
-    def _tool(self, program: str) -> Generator["Deferred[Any]", Any, None]:
+    def _tool(
+        self, tenant: SoakTenant, program: str
+    ) -> Generator["Deferred[Any]", Any, None]:
         """Call a tool once; a promise that it didn't run allows another try."""
         is_safe = self._random.random() < 0.5
         for _ in range(TRIES):
@@ -185,6 +194,7 @@
                 expected_body=body,
                 may_repeat=is_safe,
                 is_stream=False,
+                tenant=tenant.name,
             )
             headers = [(b"X-Notcharch-Program-Id", program.encode())]
             yield self._send(asked, body, headers)
@@ -197,6 +207,9 @@
     ) -> Generator["Deferred[Any]", Any, None]:
         daemon = self._random.choice(self._ready())
         asked.daemon = daemon.name
+        tenant = self._tenants.named(asked.tenant)
+        assert tenant is not None
+        asked.key = self._tenants.key(tenant, self._reactor.seconds())
         asked.at = self._reactor.seconds()
         self._oracle.asked[asked.id] = asked
         answer = Answer(self._reactor, asked)
@@ -212,6 +225,7 @@
             yield self._wait(RETRY_SECONDS)
             return
         asked.is_connected = True
+        asked.sent_at = self._reactor.seconds()
         head = RequestHead(
             b"POST",
             asked.path.encode(),
@@ -219,6 +233,9 @@
                 (b"Host", HOST_NAME.encode()),
                 (b"X-Notcharch-Request-Id", asked.id.encode()),
                 (b"X-Notcharch-Deadline-Ms", str(int(CALL_SECONDS * 1000)).encode()),
+                (b"X-Api-Key", asked.key.encode()),
+                (b"X-Notcharch-Tenant", b"somebody-else"),
+                (b"X-Notcharch-Hold", b"none"),
                 *headers,
             ],
         )
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -20,6 +20,7 @@
 from deploy.soak.readiness import Readiness
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
+from deploy.soak.tenants import Tenants
 from notcharch.http.server import ServerFactory
 
 START_SECONDS = 4.0
@@ -61,10 +62,11 @@
         self._size = size
         self._seed = seed
         self._random = Random(seed)
-        self.oracle = Oracle()
+        self._tenants = Tenants(Random(seed + 2))
+        self.oracle = Oracle(self._tenants)
         store = StoreServer(reactor, Random(seed), PARTITIONS)
         port = reactor.listenTCP(0, ServerFactory(store, reactor), interface=HOST)
-        self._operator = Operator(store)
+        self._operator = Operator(store, self._tenants)
         self._daemons = [
             SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port))
             for n in range(size.daemons)
@@ -76,7 +78,11 @@
         ]
         self._readiness = Readiness(reactor, self._daemons)
         self._callers = Callers(
-            reactor, Random(seed + 1), self.oracle, self._readiness.ready
+            reactor,
+            Random(seed + 1),
+            self.oracle,
+            self._readiness.ready,
+            tenants=self._tenants,
         )
         self.faults = Faults(
             FaultTargets(
@@ -86,12 +92,19 @@
                 engines,
                 store,
                 self._operator.publish,
+                self._exchange_key,
                 size.is_planned_only,
             )
         )
         self._ends_at = 0.0
         self._calm_at = 0.0
 
+    def _exchange_key(self) -> str:
+        """Publish a change of keys; the store acknowledges it at once."""
+        name = self._tenants.exchange(self._reactor.seconds())
+        self._operator.publish()
+        return name
+
     def start(self) -> None:
         """Start the daemons, then callers and faults."""
         for daemon in self._daemons:
--- a/deploy/soak/configuration.py
+++ b/deploy/soak/configuration.py
@@ -17,13 +17,15 @@
     WRITE_PATH,
 )
 from deploy.soak.store_server import StoreServer
+from deploy.soak.tenants import Tenants
+from notcharch.journal.keyed_follower import join_keyed
 
 TOPIC = "keyed.op"
 KEY = "config"
 MILLISECONDS = 1000
 
 
-def configuration(version: int) -> bytes:
+def configuration(version: int, tenants: Tenants) -> bytes:
     """Give a version of the whole configuration."""
     routes = [
         _route("plain", PLAIN_PATH, "streaming", MODELS, resumable=True),
@@ -35,7 +37,13 @@
         {"name": MODELS, "engine": {"tokens_per_event": TOKENS_PER_EVENT}},
         {"name": TOOLS},
     ]
-    whole = {"version": version, "routes": routes, "services": services, "limits": {}}
+    whole = {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {},
+        "tenants": tenants.entries(),
+    }
     return msgspec.json.encode(whole)
 
 
@@ -58,15 +66,17 @@
 
 
 class Operator:
-    """Writes versions that rise in uneven steps."""
+    """Writes versions that rise in uneven steps; the store always serves it."""
 
-    def __init__(self, store: StoreServer) -> None:
+    def __init__(self, store: StoreServer, tenants: Tenants) -> None:
         """Write the first one."""
         self._store = store
+        self._tenants = tenants
         self._version = 1
         self.publish()
 
     def publish(self) -> None:
         """Write another version."""
         self._version += 1 + self._version % 3
-        self._store.write_key(TOPIC, KEY, configuration(self._version))
+        value = configuration(self._version, self._tenants)
+        self._store.log.put(TOPIC, 0, join_keyed(KEY, value))
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -15,6 +15,12 @@
     PARTITIONS,
     RETENTION_SECONDS,
 )
+from deploy.soak.tenants import (
+    OVER_SHARE,
+    REVOKE_SECONDS,
+    SLACK_CALLS,
+    WINDOW_SECONDS,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 MODULE = "notcharch.platform"
@@ -65,6 +71,11 @@
             "platform.retention_s": RETENTION_SECONDS * 5,
             "bounds.grace_period_s": GRACE_SECONDS,
             "bounds.drain_ms": int(DRAIN_SECONDS * MILLISECONDS),
+            "bounds.strict_revocation": "true",
+            "bounds.revoke_ms": int(REVOKE_SECONDS * MILLISECONDS),
+            "bounds.quota_window_s": WINDOW_SECONDS,
+            "bounds.quota_over": OVER_SHARE,
+            "bounds.quota_slack": SLACK_CALLS,
         }
         return "".join(f"{key}={value}\n" for key, value in fields.items())
 
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -187,6 +187,11 @@
         """Lose the entry in the store, until the next heartbeat."""
         self._store.write_key(SERVERS_TOPIC, self.id, b"")
 
+    def now(self) -> float:
+        """Give the seconds of the clock that callers use as well."""
+        seconds: float = self._reactor.seconds()
+        return seconds
+
     def later(self, seconds: float, call: Any) -> IDelayedCall:
         """Call later; later still while this engine is slow."""
         if self.fault is EngineFault.SLOW:
@@ -221,7 +226,16 @@
 
     def start(self) -> None:
         """Run it."""
-        run = Run(self._engine.id, self._path, self._exchange.body, self._next - 1)
+        head = self._exchange.head
+        run = Run(
+            self._engine.id,
+            self._path,
+            self._exchange.body,
+            self._next - 1,
+            tenant=(head.get(b"x-notcharch-tenant") or b"").decode(),
+            has_key=head.get(b"x-api-key") is not None,
+            at=self._engine.now(),
+        )
         self._engine.began(self, run)
         self._timer = self._engine.later(WORK_SECONDS, self._answer)
 
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -42,6 +42,8 @@
     store: StoreServer
     publish: Callable[[], None]
     """Write another version of the configuration."""
+    exchange_key: Callable[[], str]
+    """Take a key of a tenant away and add another; gives the tenant's name."""
     is_planned_only: bool = False
 
 
@@ -60,6 +62,7 @@
             self._reload,
             self._replace_engine,
             self._configure,
+            self._exchange_key,
         )
         unplanned = (
             self._kill_some,
@@ -218,6 +221,9 @@
         self._targets.publish()
         return "another version of the configuration"
 
+    def _exchange_key(self) -> str:
+        return f"another key for {self._targets.exchange_key()}"
+
     def end(self) -> None:
         """End everything that was begun."""
         targets = self._targets
