Show a stream's head with its first event, so that a failure before it is an answer

The rule says that silence of an engine is no reason to end an answer sooner.

Ruled out: a wrong limit (it is the mechanism's least one); the change of configuration beside it (it only makes the rule count).

Change: the head waits for the first whole event. A run that fails or is given up before it ends in 502, 504 or another run, whose head is then the one shown.

--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -70,6 +70,12 @@
         self._cutter = EventCutter()
         self._is_relaying = False
         """Whether the caller has the head of a stream."""
+        self._unshown_head: ResponseHead | None = None
+        """That of a stream that has no whole event yet.
+
+        It is shown with the first event: until then a run that fails, or is given up,
+        ends in an answer of our own and not in a cut connection.
+        """
         self._cause = ""
         """Why the last engine did not serve the call."""
         self._output: list[bytes] = []
@@ -161,10 +167,16 @@
             self._refuse(NO_ENGINE)
 
     def run_began(self, head: ResponseHead) -> None:
-        """Begin the caller's stream, unless an earlier run did."""
+        """Keep the head of the caller's stream, unless an earlier run gave it."""
         if self._ticket is not None and self._run is not None:
             self._ticket.runs_at(self._run.engine.id)
         if not self._is_relaying:
+            self._unshown_head = head
+
+    def _show_head(self) -> None:
+        """Begin the caller's stream, if it has not begun."""
+        head, self._unshown_head = self._unshown_head, None
+        if head is not None:
             self._is_relaying = True
             self._reply.begin(head)
 
@@ -172,6 +184,7 @@
         """Relay whole events; tell whether there were any."""
         whole = self._cutter.take(data)
         if whole:
+            self._show_head()
             self._log.gave(self._cutter.events)
             if self._route.keeps_turns:
                 self._output.append(whole)
@@ -196,7 +209,7 @@
         is_success = head.status < CLIENT_ERRORS
         if is_success and not self._services.dialect.is_genuine(head):
             self._failed_run(NOT_GENUINE)
-        elif self._is_relaying and is_success:
+        elif is_success and (self._is_relaying or self._unshown_head is not None):
             self._settle_stream()
         elif self._is_relaying:
             self._failed_run(f"{SERVER_ERROR}: {head.status}")
@@ -229,12 +242,12 @@
         return is_safe and runs <= route.most_engines
 
     def _failed_run(self, cause: str) -> None:
+        self._unshown_head = None
         if not self._may_run_again():
             self._cause = cause
             self._give_up()
             return
-        if self._is_relaying:
-            self._resume_after_last_event()
+        self._resume_after_last_event()
         self._send_again(cause)
 
     def _resume_after_last_event(self) -> None:
@@ -255,6 +268,7 @@
         """Show the end of the stream."""
         if self._phase is not Phase.SETTLING:
             return
+        self._show_head()
         rest = self._cutter.rest()
         if rest:
             self._reply.write(rest)
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -26,6 +26,7 @@
         refused = CallWorld(engines=())
         broken = CallWorld(is_stream=True)
         broken.sent[0].begin()
+        broken.sent[0].listener.data_came(b"id: 1\ndata: a\n\n")
         broken.sent[0].listener.failed(AnswerFailure.RESET)
         CallWorld().reply.gone()
         again = CallWorld()
