Count with what was handed over, and share the rate after a lapse; decisions out of the adapter

Cause (reading): a tenant that asked between a planned move and the record that takes its levels kept a bucket of its own, without the calls that the former owner had let in within the window; and an owner whose lease had run out and was renewed gave out the whole rate at once, though another one may have decided meanwhile. Either could exceed a limit.

Two tests, which fail without it. Who a caller is, and how the table is read for its proof, are decisions: they moved from the adapter to calls/caller_check and tenants/proof_reads.

--- a/notcharch/accounts/limited_tenants.py
+++ b/notcharch/accounts/limited_tenants.py
@@ -16,7 +16,13 @@
 from notcharch.events.tenants import LimitReached
 from notcharch.tenants.interface import RateLimit, Tenant
 from notcharch.tenants.limit import OverLimit
-from notcharch.tenants.partition_limits import HandedOver, PartitionLimits, Tolerance
+from notcharch.tenants.partition_limits import (
+    HELD_LEASE,
+    HandedOver,
+    Lease,
+    PartitionLimits,
+    Tolerance,
+)
 from notcharch.tenants.program_sizes import ProgramSizes
 from notcharch.wire.messages.base import Message
 
@@ -30,8 +36,8 @@
     """Gives a tenant of the table in force by its name."""
     tolerance: Tolerance = Tolerance()
     sizes: ProgramSizes = msgspec.field(default_factory=ProgramSizes)
-    lapsed_seconds: Callable[[], float] = lambda: 0.0
-    """Seconds since this daemon's lease on its partitions ran out; 0 while it holds."""
+    lease: Callable[[], Lease] = lambda: HELD_LEASE
+    """Gives what this daemon knows of its lease on its partitions."""
 
 
 class LimitedTenants:
@@ -85,7 +91,7 @@
             ask.program,
             ask.route,
             self._clock.seconds(),
-            lapsed_seconds=self._limiting.lapsed_seconds(),
+            lease=self._limiting.lease(),
         )
         if verdict is None:
             return NOT_OWNER  # another owner may decide by now
@@ -95,9 +101,7 @@
         return CallAdmitted()
 
     def _log(self, ask: AdmitCall, limit: RateLimit, verdict: OverLimit) -> None:
-        standing = self._limits.standing(
-            self._clock.seconds(), self._limiting.lapsed_seconds()
-        )
+        standing = self._limits.standing(self._clock.seconds(), self._limiting.lease())
         emit(
             LimitReached(
                 request=ask.call,
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -23,7 +23,7 @@
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.partition_limits import Tolerance
+from notcharch.tenants.partition_limits import Lease, Tolerance
 from notcharch.values.identifiers import Member, RegionName
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
@@ -109,7 +109,7 @@
             limiting=Limiting(
                 tenant=tenant,
                 tolerance=settings.tolerance,
-                lapsed_seconds=lambda: self._group.lapsed_seconds,
+                lease=self._lease,
             ),
             allows_starting=Mechanism.STARTING_ALLOWANCE in settings.mechanisms,
             wall=wall,
@@ -135,6 +135,9 @@
         accounts = AccountAdmission(owners, suspicions)
         self.admission = LimitedAdmission(accounts, owners)
 
+    def _lease(self) -> Lease:
+        return Lease(self._group.lapsed_seconds, self._group.held_since)
+
     def _heartbeat(self) -> None:
         self._group.heartbeat()
 
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -112,8 +112,7 @@
     number: ClassVar[int] = 2208
     is_routine: ClassVar[bool] = True
     request: str
-    host: str
-    path: str
+    route: str
     cause: str
     """One of `notcharch.tenants.identity.IdentityFault`."""
     table_version: int
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -59,6 +59,8 @@
         self._is_joining = False
         self._confirmed_at: float | None = None
         """When the last heartbeat that was answered was sent."""
+        self.held_since = -math.inf
+        """When the lease was last renewed after it had run out, clock seconds."""
         self._quick_left = 0
         self._next: IDelayedCall | None = None
 
@@ -110,6 +112,8 @@
             self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
         had_failed, self._has_failed = self._has_failed, isinstance(answer, Err)
         if not isinstance(answer, Err):
+            if self.lapsed_seconds > 0.0:
+                self.held_since = self._clock.seconds()
             self._confirmed_at = sent_at
             if had_failed:
                 self._recovered()
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -3,24 +3,18 @@
 from collections.abc import Callable
 
 import msgspec
-from result import Err
 
 from notcharch.calls.call_life import CallLife
+from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
-    KEYS_UNSURE,
     MALFORMED,
     NO_ROUTE,
-    NOT_IDENTIFIED,
     NOT_READY,
-    OpaqueCall,
     Refusal,
-    Route,
 )
-from notcharch.calls.return_times import come_back_after
-from notcharch.calls.routing import Router, RouteTable, service_of
+from notcharch.calls.routing import Router, service_of
 from notcharch.events.calls import (
-    CallerNotIdentified,
     RequestMalformed,
     RequestWithoutRoute,
 )
@@ -33,8 +27,6 @@
     presented_keys,
     read_call,
 )
-from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.identity import IdentityFault, identify
 from notcharch.tenants.interface import Tenant
 
 NO_TABLE = -1
@@ -88,10 +80,10 @@
 class Ingress:
     """Takes callers' requests into the product's call path."""
 
-    def __init__(self, services: CallServices, freshness: TableFreshness) -> None:
-        """Begin without routes; `freshness` tells when keys may be judged."""
+    def __init__(self, services: CallServices, check: CallerCheck) -> None:
+        """Begin without routes; `check` finds whose call it is."""
         self._services = services
-        self._freshness = freshness
+        self._check = check
         self.router: Router | None = None
         self.in_flight = 0
         self.is_draining = False
@@ -116,10 +108,8 @@
 
     def judges_keys(self, ahead_seconds: float = 0.0) -> bool:
         """Tell whether keys can be judged now, and for some seconds more, if need be."""
-        if self.router is None or self.router.table.keys is None:
-            return True
-        now = self._services.clock.seconds()
-        return self._freshness.is_fresh(now, ahead_seconds)
+        router = self.router
+        return router is None or self._check.is_sure(router.table, ahead_seconds)
 
     def handle(self, exchange: Exchange) -> None:
         """Begin the life of a call."""
@@ -145,39 +135,13 @@
             emit(RequestMalformed(name, host, path))
             reply.refuse(MALFORMED)
             return
-        fault = self._identify(call, route, router.table)
-        if fault is not None:
-            age = self._freshness.age(self._services.clock.seconds())
-            age = None if age is None else round(age, 3)
-            emit(CallerNotIdentified(name, host, path, fault.value, version, age))
-            reply.refuse(self._refusal(fault, call))
+        table = router.table
+        refusal = self._check.refusal(call, presented_keys(head), route, table)
+        if refusal is not None:
+            reply.refuse(refusal)
             return
         service = service_of(route, call)
         known = router.table.services.get(service)
         if known is not None:
             call.tokens_per_event = known.tokens_per_event
         CallLife(self._services, call, route, service, reply).start()
-
-    def _refusal(self, fault: IdentityFault, call: OpaqueCall) -> Refusal:
-        """Give the answer to a call without a tenant.
-
-        While the newest keys are not known, the outage is expected to last for as long as
-        it has lasted.
-        """
-        if fault is not IdentityFault.NO_FRESH_TABLE:
-            return NOT_IDENTIFIED
-        now = self._services.clock.seconds()
-        return come_back_after(KEYS_UNSURE, self._freshness.age(now) or 0.0, call, now)
-
-    def _identify(
-        self, call: OpaqueCall, route: Route, table: RouteTable
-    ) -> IdentityFault | None:
-        """Find the tenant of a call; say why it has none where it needs one."""
-        if table.keys is None or route.is_public:
-            return None
-        presented = presented_keys(call.head)
-        identity = identify(presented, table.keys, is_fresh=self.judges_keys())
-        if isinstance(identity, Err):
-            return identity.err_value
-        call.tenant = identity.ok_value
-        return None
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -20,6 +20,7 @@
     AccountsService,
     account_network,
 )
+from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
@@ -36,7 +37,7 @@
     ReadinessChanged,
     SettingsRead,
 )
-from notcharch.events.tenants import KeysUnsure, LimitReached
+from notcharch.events.tenants import LimitReached
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
@@ -46,7 +47,7 @@
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
-from notcharch.platform.tables import PlatformTables, own_proof_seconds
+from notcharch.platform.tables import PlatformTables
 from notcharch.scheduling.answer_waits import RouteWaits
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import (
@@ -135,6 +136,7 @@
         )
         sender = EngineSender(reactor, settings.host)
         self._freshness = TableFreshness(settings.revoke_seconds)
+        self._check = CallerCheck(reactor, self._freshness)
         self._ingress = Ingress(
             CallServices(
                 clock=reactor,
@@ -144,7 +146,7 @@
                 admission=self._accounts.admission,
                 waits=RouteWaits(wait_policy(mechanisms)),
             ),
-            self._freshness,
+            self._check,
         )
         self._factory = ServerFactory(self._ingress, reactor)
         self._tables = PlatformTables(
@@ -166,9 +168,7 @@
             self._network,
             self._freshness,
             peers=self._accounts.directory.peers,
-            ask_at_age=own_proof_seconds(
-                settings.contact_seconds, settings.revoke_seconds
-            ),
+            ask_at_age=self._tables.own_proof_seconds,
             table=lambda: self._tables.table_text,
             take=self._tables.take_table,
         )
@@ -181,8 +181,6 @@
         self._ticks = LoopingCall(self._tick)
         self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
         self._was_ready = False
-        self._was_sure = True
-        """Whether keys could be judged at the last tick."""
         self._is_stopping = False
         self._front_port: IListeningPort | None = None
 
@@ -241,7 +239,7 @@
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
             emit(ReadinessChanged(self._settings.machine, self.is_ready, self._cause()))
-        self._tell_of_keys()
+        self._check.tell(self._ingress.judges_keys())
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
@@ -252,14 +250,6 @@
             return "the tables are known"
         return "stopping" if self._is_stopping else "the newest keys are not known"
 
-    def _tell_of_keys(self) -> None:
-        """Tell once that no key can be judged any more, and once that keys can again."""
-        is_sure = self._ingress.judges_keys()
-        if is_sure != self._was_sure:
-            self._was_sure = is_sure
-            age = self._freshness.age(self._reactor.seconds())
-            emit(KeysUnsure(is_sure, self._freshness.version, age))
-
     def settings_signalled(self) -> None:
         """Read the settings again; the store's address may be another one."""
         loaded = load_settings()
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -18,6 +18,11 @@
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.store import CALL_SECONDS, PlatformStore
 from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.proof_reads import (
+    own_proof_seconds,
+    quick_share,
+    table_read_seconds,
+)
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -28,17 +33,6 @@
 """Between two reads of the engines' entries, so that many changes come in one read."""
 ENGINES_PAGE_PAUSE_SECONDS = 3.0
 """Between two pages of the engines' entries."""
-HELD_PARTS = 5
-"""A read of the table is held for one part in so many of the time in which a removed key
-must stop working: proofs are then two parts old at most, and three are left to bear an
-outage. Of the users' deployment that is 1 s of 5 s, one call a second and daemon."""
-QUICK_READS_A_SECOND = 5.0
-"""Of all daemons together, so many reads of the table are not held. A held read proves for
-the time when it was sent; so in an outage that strikes all, the freshest proof would be a
-second old, and daemons would stop judging keys a second sooner. Daemons pass the freshest
-proof on."""
-READ_MARGIN_SECONDS = 0.3
-"""An answer of the store may take so long before peers are asked for their proof."""
 LEAST_WAIT_SECONDS = 1.0
 """A read of changes is held for so long where the contact time is very short."""
 
@@ -54,23 +48,6 @@
     return max(LEAST_WAIT_SECONDS, contact_seconds - CALL_SECONDS)
 
 
-def table_read_seconds(contact_seconds: float, revoke_seconds: float | None) -> float:
-    """Give how long the store may hold a read of the table.
-
-    A held read proves that the table was the newest when it was sent, and the next proof
-    comes when the next read returns. So a proof grows as old as two reads take, and must
-    then still have most of `revoke_seconds` left to bear an outage.
-    """
-    held = held_read_seconds(contact_seconds)
-    return held if revoke_seconds is None else min(held, revoke_seconds / HELD_PARTS)
-
-
-def own_proof_seconds(contact_seconds: float, revoke_seconds: float | None) -> float:
-    """Give how old a proof grows while the store answers all reads of the table."""
-    held = table_read_seconds(contact_seconds, revoke_seconds)
-    return 2 * held + CONFIGURATION_PAUSE_SECONDS + READ_MARGIN_SECONDS
-
-
 class ReadEntry(msgspec.Struct, frozen=True):
     """An engine's entry as it was written, and translated."""
 
@@ -103,7 +80,11 @@
         how many daemons there are, as far as is known.
         """
         wait_seconds = held_read_seconds(contact_seconds)
-        table_seconds = table_read_seconds(contact_seconds, revoke_seconds)
+        table_seconds = table_read_seconds(wait_seconds, revoke_seconds)
+        self.own_proof_seconds = own_proof_seconds(
+            table_seconds, CONFIGURATION_PAUSE_SECONDS
+        )
+        """How old a proof grows while the store answers all reads of the table."""
         self._freshness = freshness
         self._daemons = daemons
         self._table_seconds = table_seconds
@@ -162,8 +143,7 @@
         """Give the share of our reads of the table that are not held."""
         if not self._freshness.is_required:
             return 0.0
-        reads_a_second = QUICK_READS_A_SECOND / max(self._daemons(), 1)
-        return min(1.0, reads_a_second * self._table_seconds)
+        return quick_share(self._table_seconds, self._daemons())
 
     def _configuration_proved(self, at: float) -> None:
         self._freshness.prove(self._read_version, at)
--- a/notcharch/tenants/limit.py
+++ b/notcharch/tenants/limit.py
@@ -3,14 +3,15 @@
 A call is let in if a token bucket has a call left, and if the window before it holds fewer
 calls than the limit lets in within one. The bucket fills faster than the limit's rate, by
 the burst in each window, so what a tenant may send within a window it may send at any
-pace; the bucket keeps it from sending all of it at once. Only the order of calls is ours to choose: a program whose first calls were let in
-and whose last ones are refused has cost everything and is worth nothing. So a program
-begins only if it and the programs under way are expected to ask for no more calls a second
-than there are; calls of programs under way take whatever is there.
+pace; the bucket keeps it from sending all of it at once.
+
+Only the order of calls is ours to choose. A program whose first calls were let in and whose
+last ones are refused has cost everything and is worth nothing. So a program begins only if
+it and the programs under way are expected to ask for no more calls a second than there
+are; calls of programs under way take whatever is there.
 """
 
 import math
-from typing import NamedTuple
 
 import msgspec
 
@@ -29,7 +30,7 @@
 """When room comes later than this, it isn't known well enough to say when."""
 
 
-class Supply(NamedTuple):
+class Supply(msgspec.Struct, frozen=True):
     """What the owner of a limit may give out at present."""
 
     rate: float
@@ -188,4 +189,4 @@
 ) -> Supply:
     """Give what an owner may give out while another one may decide as well."""
     whole = supply_of(limit, window_seconds, tolerated_calls)
-    return whole._replace(rate=limit.per_second * rate_share)
+    return msgspec.structs.replace(whole, rate=limit.per_second * rate_share)
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -9,15 +9,17 @@
 - Otherwise a successor begins with nearly empty buckets. A bucket that held its all lets
   in as much before, and the rate alone afterwards, as one owner would have.
 - The former owner may be alive and cut off. Once its lease has run out, which is before
-  anybody succeeds it, it gives out half of the rate, and nothing after `MOST_LAPSED_SECONDS`.
-  So long after it took over, a successor gives out the other half, and a little of what
-  the limit tolerates.
+  anybody succeeds it, it gives out half of the rate, and nothing after
+  `MOST_LAPSED_SECONDS`. So long after it took over, a successor gives out the other half,
+  and a little of what the limit tolerates. So does an owner whose lease is renewed after
+  it had run out: another one may have decided meanwhile.
 
 Two owners in a row that were cut off within that time, and a third, may give out half a
 rate more than the limit between them for the rest of it.
 """
 
 import enum
+import math
 
 import msgspec
 
@@ -75,6 +77,18 @@
         return min(1.0, 1.0 - LAPSED_SHARE + TOLERATED_RATE_SHARE * tolerated)
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """What a daemon knows of its lease on its partitions."""
+
+    lapsed_seconds: float = 0.0
+    """Since it ran out without having been renewed; 0 while it holds."""
+    held_since: float = -math.inf
+    """Clock seconds at which it was last renewed after it had run out."""
+
+
+HELD_LEASE = Lease()
+
+
 class HandedOver(msgspec.Struct, frozen=True):
     """What an owner leaves to its successor in a planned move."""
 
@@ -129,16 +143,16 @@
     def take_levels(self, now: float) -> None:
         """Go on from the levels that were handed over: their record is durable.
 
-        What was let in since we took over came from buckets of our own, which are kept.
+        What was let in since we took over counts with what the former owner let in.
         """
         left, self._handed_over = self._handed_over, None
         if left is None:
             return
         self._began -= left.decided_seconds
         for tenant, use in left.uses.items():
-            if tenant not in self._limits:
-                limit = self._limits[tenant] = self._new_limit(use.level, now)
-                limit.recent.take(use.recent, now)
+            limit = self._limits.setdefault(tenant, self._new_limit(use.level, now))
+            limit.level = min(limit.level, use.level)
+            limit.recent.take(use.recent, now)
 
     def _new_limit(self, level: float, now: float) -> TenantLimit:
         recent = RecentCalls(self._tolerance.window_seconds)
@@ -154,13 +168,13 @@
         }
         return HandedOver(uses, round(now - self._began, 2))
 
-    def standing(self, now: float, lapsed_seconds: float) -> Standing:
-        """Tell how sure this owner may be; `lapsed_seconds` since its lease ran out."""
-        if lapsed_seconds > MOST_LAPSED_SECONDS:
+    def standing(self, now: float, lease: Lease) -> Standing:
+        """Tell how sure this owner may be that it alone decides."""
+        if lease.lapsed_seconds > MOST_LAPSED_SECONDS:
             return Standing.NONE
-        if lapsed_seconds > 0.0:
+        if lease.lapsed_seconds > 0.0:
             return Standing.LAPSED
-        if now - self._began < MOST_LAPSED_SECONDS:
+        if now - max(self._began, lease.held_since) < MOST_LAPSED_SECONDS:
             return Standing.SUCCESSOR
         return Standing.ALONE
 
@@ -174,10 +188,10 @@
         kind: str,
         now: float,
         *,
-        lapsed_seconds: float,
+        lease: Lease,
     ) -> Verdict | None:
         """Let a call in, or refuse it; None if this owner must not decide."""
-        standing = self.standing(now, lapsed_seconds)
+        standing = self.standing(now, lease)
         if standing is Standing.NONE:
             return None
         supply = self._supply(limit, standing)
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -16,7 +16,6 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     PlatformTables,
-    own_proof_seconds,
 )
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.identity import identify
@@ -96,7 +95,7 @@
             joined.network,
             self.freshness,
             peers=lambda: world.names,
-            ask_at_age=own_proof_seconds(CONTACT_SECONDS, REVOKE_SECONDS),
+            ask_at_age=self.tables.own_proof_seconds,
             table=lambda: self.tables.table_text,
             take=self.tables.take_table,
         )
--- a/tests/stateful/tenants/test_limits_machine.py
+++ b/tests/stateful/tenants/test_limits_machine.py
@@ -4,7 +4,6 @@
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from notcharch.journal.group import GroupMember
 from notcharch.tenants.limit import GRANTED, TenantLimit
 from notcharch.tenants.partition_limits import PartitionLimits, Standing
 from tests.stateful.tenants.limits_machine import LimitsMachine
@@ -35,7 +34,6 @@
 
 
 def an_owner_never_doubts_itself(monkeypatch):
-    monkeypatch.setattr(GroupMember, "lapsed_seconds", property(lambda _: 0.0))
     monkeypatch.setattr(PartitionLimits, "standing", lambda *_: Standing.ALONE)
 
 
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import PartitionedLog, Trouble
+from notcharch.calls.caller_check import CallerCheck
 from notcharch.events import accounts, calls, journal, process
 from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import RequestHead
@@ -101,7 +102,7 @@
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 1)
         freshness = TableFreshness(None)
-        self.ingress = Ingress(None, freshness)
+        self.ingress = Ingress(None, CallerCheck(self.clock, freshness))
         self.engines = Engines()
         self.tables = PlatformTables(
             self.log,
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -143,13 +143,13 @@
                 "a",
                 KeysUnsure(is_sure=False, table_version=7, proof_age_seconds=5.2),
             ),
-            line(1.0, "a", CallerNotIdentified("r", "h", "/x", "no", 7, 5.3)),
+            line(1.0, "a", CallerNotIdentified("r", "route", "no", 7, 5.3)),
         ],
         "no; judged by table 7, certainly the newest 5.3 s before; "
         "before it: a could not judge keys",
     ),
     (
-        [line(1.0, "a", CallerNotIdentified("r", "h", "/x", "unknown key", 7, None))],
+        [line(1.0, "a", CallerNotIdentified("r", "route", "unknown key", 7, None))],
         "unknown key; judged by table 7",
     ),
     (
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -5,6 +5,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.calls.routing import Router
@@ -55,7 +56,7 @@
             admission=OpenAdmission(),
             waits=RouteWaits(WaitPolicy()),
         )
-        ingress = Ingress(services, TableFreshness(None))
+        ingress = Ingress(services, CallerCheck(clock, TableFreshness(None)))
         ingress.router = Router(table_of(msgspec.json.encode(TABLE | changes)))
         self.connection = ServerFactory(ingress, clock).buildProtocol(None)
         self.transport = StringTransport()
--- a/tests/unit/tenants/test_limit.py
+++ b/tests/unit/tenants/test_limit.py
@@ -147,7 +147,7 @@
     assert supply.capacity == limit.burst + 8.0
     assert supply.rate * 5.0 == pytest.approx(within - 8.0)
     half = shared_supply_of(limit, 5.0, 8.0, 0.5)
-    assert half == supply._replace(rate=limit.per_second / 2)
+    assert half == Supply(limit.per_second / 2, supply.capacity, supply.window_calls)
 
 
 def test_a_bucket_holds_one_call_at_least():
--- a/tests/unit/tenants/test_partition_limits.py
+++ b/tests/unit/tenants/test_partition_limits.py
@@ -5,8 +5,10 @@
 from notcharch.tenants.interface import RateLimit
 from notcharch.tenants.limit import GRANTED
 from notcharch.tenants.partition_limits import (
+    HELD_LEASE,
     LAPSED_SHARE,
     MOST_LAPSED_SECONDS,
+    Lease,
     PartitionLimits,
     Standing,
     Tolerance,
@@ -33,6 +35,7 @@
         self.limits.taken_over(began)
         self.limit = limit
         self.lapses_at = lapses_at
+        self.held_since = -1e9
 
     def give_all(self, now: float) -> int:
         """Give how many calls are let in when there is no end of them."""
@@ -42,10 +45,8 @@
         return calls
 
     def ask(self, now: float):
-        lapsed_seconds = max(now - self.lapses_at, 0.0)
-        return self.limits.decide(
-            "t", self.limit, "", "k", now, lapsed_seconds=lapsed_seconds
-        )
+        lease = Lease(max(now - self.lapses_at, 0.0), self.held_since)
+        return self.limits.decide("t", self.limit, "", "k", now, lease=lease)
 
 
 def most_in_a_window(given: list[tuple[float, int]]) -> int:
@@ -117,7 +118,7 @@
 def test_how_sure_an_owner_is(now, lapsed_seconds, standing):
     limits = PartitionLimits(TOLERANCE, ProgramSizes())
     limits.taken_over(10.0)
-    assert limits.standing(now, lapsed_seconds) is standing
+    assert limits.standing(now, Lease(lapsed_seconds)) is standing
 
 
 def test_an_owner_whose_lease_ran_out_long_ago_doesnt_decide():
@@ -136,7 +137,7 @@
     heir.limits.take_levels(10.0)
     assert not heir.limits.are_handed_over
     assert heir.give_all(10.0) == 0
-    assert heir.limits.standing(10.0, 0.0) is Standing.ALONE
+    assert heir.limits.standing(10.0, HELD_LEASE) is Standing.ALONE
     late = Owner(LIMITS[2], began=10.0)
     late.limits.replay_handed_over(left)
     late.limits.replay_taken()
@@ -154,3 +155,37 @@
     within = extra * MOST_LAPSED_SECONDS
     assert within < TOLERANCE.over_share * TOLERANCE.window_seconds
     assert Tolerance().successor_share == 1.0 - LAPSED_SHARE
+
+
+def test_what_was_let_in_before_the_levels_are_taken_counts_with_them():
+    """Calls come in while the record that takes the levels is on its way."""
+    limit = LIMITS[2]
+    former = Owner(limit, began=-100.0)
+    given = [(9.0 + step / 10, former.give_all(9.0 + step / 10)) for step in range(11)]
+    left = former.limits.hand_over(10.0)
+    heir = Owner(limit, began=10.0)
+    heir.limits.replay_handed_over(left)
+    given.append((10.0, heir.give_all(10.0)))
+    heir.limits.take_levels(10.1)
+    for step in range(80):
+        now = 10.1 + step * STEP_SECONDS
+        given.append((now, heir.give_all(now)))
+    assert most_in_a_window(given) <= allowed(limit)
+
+
+@pytest.mark.parametrize("limit", LIMITS)
+def test_an_owner_whose_lease_had_run_out_begins_like_a_successor(limit):
+    """While it had lapsed another owner may have decided."""
+    owner = Owner(limit, began=-100.0, lapses_at=10.0)
+    other = Owner(limit, began=10.0)
+    given: list[tuple[float, int]] = []
+    for step in range(round(30.0 / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        if now >= 13.0:
+            owner.lapses_at = 1e9
+            owner.held_since = 13.0
+        calls = owner.give_all(now)
+        if 10.0 <= now < 13.0:
+            calls += other.give_all(now)
+        given.append((now, calls))
+    assert most_in_a_window(given) <= allowed(limit)
