Decide about limits only once the levels of a planned move are taken for good

Cause (reading): an owner that took a planned move over, decided, and died before its record was durable, left a successor that began from the same levels as if nobody had decided since, and at the whole rate. Change: nothing is decided until the record is durable, some milliseconds.

--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -4,8 +4,8 @@
 let in dies with it, so its successor must not let in what would come on top of it:
 
 - In a planned move the owner hands the levels of its buckets over by the journal, and
-  stops deciding first. The successor goes on where it stopped, once a record says that the
-  levels are taken: another successor must not begin from them again.
+  stops deciding first. The successor decides nothing until a record says that the levels
+  are taken, and goes on from them: nobody else begins from them again.
 - Otherwise a successor begins with nearly empty buckets. A bucket that held its all lets
   in as much before, and the rate alone afterwards, as one owner would have.
 - The former owner may be alive and cut off. Once its lease has run out, which is before
@@ -141,17 +141,13 @@
         return self._handed_over is not None
 
     def take_levels(self, now: float) -> None:
-        """Go on from the levels that were handed over: their record is durable.
-
-        What was let in since we took over counts with what the former owner let in.
-        """
+        """Go on from the levels that were handed over: their record is durable."""
         left, self._handed_over = self._handed_over, None
         if left is None:
             return
         self._began -= left.decided_seconds
         for tenant, use in left.uses.items():
-            limit = self._limits.setdefault(tenant, self._new_limit(use.level, now))
-            limit.level = min(limit.level, use.level)
+            limit = self._limits[tenant] = self._new_limit(use.level, now)
             limit.recent.take(use.recent, now)
 
     def _new_limit(self, level: float, now: float) -> TenantLimit:
@@ -192,7 +188,7 @@
     ) -> Verdict | None:
         """Let a call in, or refuse it; None if this owner must not decide."""
         standing = self.standing(now, lease)
-        if standing is Standing.NONE:
+        if standing is Standing.NONE or self.are_handed_over:
             return None
         supply = self._supply(limit, standing)
         bucket = self._limits.get(tenant)
--- a/notcharch/tenants/recent_calls.py
+++ b/notcharch/tenants/recent_calls.py
@@ -1,6 +1,6 @@
 """How many calls were let in within the last window, counted in slots. Pure."""
 
-from collections import defaultdict, deque
+from collections import deque
 
 import msgspec
 
@@ -52,14 +52,9 @@
         return ages
 
     def take(self, ages: list[float], now: float) -> None:
-        """Count also what another counted; time may have passed since, none is assumed."""
-        self.count(now)
+        """Go on from what another counted; time may have passed since, none is assumed."""
         present = self._number(now)
-        calls: defaultdict[int, float] = defaultdict(float)
-        for slot in self._slots:
-            calls[slot.number] += slot.calls
-        for age, taken in enumerate(ages[: SLOTS + 1]):
-            if taken:
-                calls[present - age] += taken
-        self._slots = deque(Slot(number, calls[number]) for number in sorted(calls))
-        self._calls = sum(calls.values())
+        for age in range(min(len(ages), SLOTS + 1) - 1, -1, -1):
+            if ages[age]:
+                self._slots.append(Slot(present - age, ages[age]))
+                self._calls += ages[age]
