Run and break state machines in one way; refuse single daemons in one place

Tests only: the settings of the runs, the check that a deliberate break is caught, and the rule that turns one daemon away stood in three or four files. No check is changed.

--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -10,7 +10,7 @@
 from notcharch.accounts.service import GROUP
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import UNKNOWN_TURN
-from tests.stateful.daemon_fates import DAEMONS, DaemonFates, daemons
+from tests.stateful.daemon_fates import DAEMONS, RefusedDaemons, daemons
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
 MOST = 100
@@ -28,7 +28,7 @@
     previous_known: bool
 
 
-class AccountsMachine(DaemonFates):
+class AccountsMachine(RefusedDaemons):
     """Callers, daemons and the log service."""
 
     calls = Bundle("calls")
@@ -105,16 +105,10 @@
     def wait(self, seconds):
         self.world.run(seconds)
 
-    @rule(daemon=daemons, is_refused=st.booleans())
-    def refuse(self, daemon, is_refused):
-        self.world.refuse(self.world.names[daemon], is_refused=is_refused)
-
     @rule()
     def all_is_well_again(self):
         """Once everything works, a kept turn is found and a call is decided."""
         self.heal()
-        for name in self.world.names:
-            self.world.refuse(name, is_refused=False)
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -1,7 +1,6 @@
 """Random lives of programs' accounts; the same ones at each run."""
 
 import pytest
-from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
@@ -17,19 +16,12 @@
 )
 from notcharch.journal.writer import Outcome, PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
+from tests.stateful.runs import RUN, assert_caught
 from tests.unit.accounts import test_accounts, test_kept_turns, test_starting_allowance
 
-SETTINGS = settings(
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
-
 
 def test_budgets_and_kept_turns_hold():
-    run_state_machine_as_test(AccountsMachine, settings=SETTINGS)
+    run_state_machine_as_test(AccountsMachine, settings=RUN)
 
 
 def bounds_are_not_written(monkeypatch):
@@ -154,6 +146,4 @@
 
 @pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
 def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
-    break_it(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(break_it, scenario, monkeypatch)
--- a/tests/stateful/daemon_fates.py
+++ b/tests/stateful/daemon_fates.py
@@ -81,3 +81,17 @@
         for daemon in range(DAEMONS):
             self.wake(daemon)
             self.start(daemon)
+
+
+class RefusedDaemons(DaemonFates):
+    """The log service may turn single daemons away as well; the world has `refuse`."""
+
+    @rule(daemon=daemons, is_refused=st.booleans())
+    def refuse(self, daemon, is_refused):
+        self.world.refuse(self.world.names[daemon], is_refused=is_refused)
+
+    def heal(self):
+        """Let everything work again, for each daemon."""
+        super().heal()
+        for name in self.world.names:
+            self.world.refuse(name, is_refused=False)
--- a/tests/stateful/partitions/test_partitions_machine.py
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -1,7 +1,7 @@
 """Random lives of partitions, the same ones at each run; and breaks that they catch."""
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
@@ -10,25 +10,15 @@
 from notcharch.partitions.led_partition import LedPartition
 from notcharch.partitions.replay import Replay
 from tests.stateful.partitions.machine import PartitionsMachine
+from tests.stateful.runs import RUN, assert_caught
 from tests.unit.partitions import test_partitions as scenarios
 
-SETTINGS = settings(
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
-
-
-WITHOUT_SHRINKING = settings(
-    SETTINGS, phases=(Phase.generate,), report_multiple_bugs=False
-)
+WITHOUT_SHRINKING = settings(RUN, phases=(Phase.generate,), report_multiple_bugs=False)
 """Enough to see that a break is caught."""
 
 
 def test_what_was_acknowledged_stays():
-    run_state_machine_as_test(PartitionsMachine, settings=SETTINGS)
+    run_state_machine_as_test(PartitionsMachine, settings=RUN)
 
 
 def commands_are_answered_before_they_are_written(monkeypatch):
@@ -166,9 +156,7 @@
 
 @pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
 def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
-    break_it(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(break_it, scenario, monkeypatch)
 
 
 MACHINE_BREAKS = (
--- a/tests/stateful/tenants/limits_machine.py
+++ b/tests/stateful/tenants/limits_machine.py
@@ -9,7 +9,7 @@
 
 from notcharch.accounts.service import GROUP
 from notcharch.tenants.interface import RateLimit, Tenant
-from tests.stateful.daemon_fates import DAEMONS, DaemonFates, daemons
+from tests.stateful.daemon_fates import DAEMONS, RefusedDaemons, daemons
 from tests.unit.accounts.world import TOLERANCE, World
 
 LIMITS = {"large": RateLimit(30.0, 30.0), "small": RateLimit(1.0, 1.0)}
@@ -24,7 +24,7 @@
     listener: object
 
 
-class LimitsMachine(DaemonFates):
+class LimitsMachine(RefusedDaemons):
     """Callers of two tenants; each call is noted when it is let in."""
 
     group = GROUP
@@ -101,16 +101,10 @@
             self.ask(tenant, (daemon + 1) % DAEMONS, 5, 2)
             self.run(0.2)
 
-    @rule(daemon=daemons, is_refused=st.booleans())
-    def refuse(self, daemon, is_refused):
-        self.world.refuse(self.world.names[daemon], is_refused=is_refused)
-
     @rule()
     def all_is_well_again(self):
         """Once everything works, a tenant gets what its limit allows, and no more."""
         self.heal()
-        for name in self.world.names:
-            self.world.refuse(name, is_refused=False)
         self.run(10.0)
         before = len(self.let_in["large"])
         self.ask("large", 0, 30, 1)
--- a/tests/stateful/tenants/test_limits_machine.py
+++ b/tests/stateful/tenants/test_limits_machine.py
@@ -1,26 +1,18 @@
 """Random lives of tenants' limits; the same ones at each run."""
 
 import pytest
-from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from notcharch.tenants.limit import GRANTED, TenantLimit
 from notcharch.tenants.partition_limits import PartitionLimits, Standing
+from tests.stateful.runs import RUN, assert_caught
 from tests.stateful.tenants.limits_machine import LimitsMachine
 from tests.unit.accounts import test_tenant_limits
 from tests.unit.tenants import test_partition_limits
 
-SETTINGS = settings(
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
-
 
 def test_limits_hold():
-    run_state_machine_as_test(LimitsMachine, settings=SETTINGS)
+    run_state_machine_as_test(LimitsMachine, settings=RUN)
 
 
 def nothing_is_counted(monkeypatch):
@@ -62,6 +54,4 @@
 
 @pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
 def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
-    break_it(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(break_it, scenario, monkeypatch)
--- a/tests/stateful/tenants/test_revocation_machine.py
+++ b/tests/stateful/tenants/test_revocation_machine.py
@@ -4,7 +4,6 @@
 """
 
 import pytest
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 from result import Ok
@@ -13,6 +12,7 @@
 from notcharch.platform.tables import PlatformTables
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.vouching import TableVouching
+from tests.stateful.runs import RUN, assert_caught
 from tests.stateful.tenants.revocation_world import (
     CONTACT_SECONDS,
     KEYS,
@@ -23,13 +23,6 @@
 
 DAEMONS = 3
 daemons = st.integers(0, DAEMONS - 1)
-SETTINGS = settings(
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
 
 
 class RevocationMachine(RuleBasedStateMachine):
@@ -133,7 +126,7 @@
 
 
 def test_no_removed_key_works_for_longer_than_the_bound():
-    run_state_machine_as_test(RevocationMachine, settings=SETTINGS)
+    run_state_machine_as_test(RevocationMachine, settings=RUN)
 
 
 def a_refused_daemon_meets_a_revocation(seconds: float = 12.0) -> RevocationMachine:
@@ -235,6 +228,4 @@
 
 @pytest.mark.parametrize(("break_it", "scenario"), BREAKS)
 def test_each_deliberate_break_is_caught(break_it, scenario, monkeypatch):
-    break_it(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(break_it, scenario, monkeypatch)
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -24,7 +24,7 @@
 class Following:
     """A follower, and what it was told."""
 
-    def __init__(self, pace: Pace = PACE) -> None:
+    def __init__(self, pace: Pace = PACE, **more) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
         self.told: list[dict[str, bytes]] = []
@@ -38,6 +38,7 @@
             pace=pace,
             changed=self.changed,
             recovery=self.recovery,
+            **more,
         )
 
     def changed(self, values):
@@ -217,20 +218,13 @@
 
 @pytest.mark.parametrize(("share", "youngest"), [(0.0, PACE.wait_seconds), (1.0, 0.0)])
 def test_a_read_proves_for_when_it_was_sent_and_a_quick_one_for_now(share, youngest):
-    world = Following()
     proofs: list[float] = []
-    follower = KeyedFollower(
-        world.log,
-        world.clock,
-        Random(1),
-        TOPIC,
-        pace=PACE,
-        changed=world.changed,
+    world = Following(
         proved=lambda at: proofs.append(world.clock.seconds() - at),
         quick_share=lambda: share,
     )
     world.put("a", b"1")
-    follower.start()
+    world.follower.start()
     world.run(5.0)
     ages = proofs[1:]  # the first is that of the picture
     assert min(ages) == pytest.approx(youngest, abs=0.02)
@@ -238,18 +232,9 @@
 
 
 def test_a_read_that_leaves_records_behind_proves_nothing():
-    world = Following()
     proofs: list[float] = []
-    follower = KeyedFollower(
-        world.log,
-        world.clock,
-        Random(1),
-        TOPIC,
-        pace=PACE,
-        changed=world.changed,
-        proved=proofs.append,
-    )
-    follower.start()
+    world = Following(proved=proofs.append)
+    world.follower.start()
     world.run(0.1)
     original = world.log.read
 
