Rename dealt partitions to assigned ones, and the lease's times of a group member

DealtPartitions is AssignedPartitions (module assigned_partitions); dealt is on_assignment, OwnerDirectory.dealt on_generation, lost on_fenced, give_up_all release_all, make create. GroupMember: least_lease_seconds is min_lease_seconds, recovered on_recovery, held_since lease_held_since, left_seconds remaining_seconds, lapsed_seconds expired_seconds, silent_seconds unanswered_seconds, QUICK_SECONDS FAST_HEARTBEAT_SECONDS.

--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -115,22 +115,24 @@
             services.clock,
             GroupName(part.name, part.partitioning.topics),
             OwnerName(own.daemon, settings.address).text(),
-            least_lease_seconds=settings.least_lease_seconds,
-            dealt=self._owned.dealt,
-            recovered=services.recovery.recovered if has_signal else lambda: None,
+            min_lease_seconds=settings.least_lease_seconds,
+            on_assignment=self._owned.dealt,
+            on_recovery=services.recovery.recovered if has_signal else lambda: None,
         )
         self.owners = OwnerRequests(
             services.clock,
             network,
             self.directory,
             part.partitioning,
-            lambda: self._member.silent_seconds,
+            lambda: self._member.unanswered_seconds,
         )
         self.admission = AccountAdmission(self.owners, services.suspicions, elsewhere)
 
     def _lease(self) -> Lease:
         member = self._member
-        return Lease(member.lapsed_seconds, member.held_since, member.left_seconds)
+        return Lease(
+            member.expired_seconds, member.lease_held_since, member.remaining_seconds
+        )
 
     def _heartbeat(self) -> None:
         self._member.heartbeat()
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -22,7 +22,7 @@
     TurnAdmitted,
 )
 from notcharch.accounts.partition import OwnedPartition
-from notcharch.journal.dealt_partitions import DealtPartitions
+from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.interface import LogService, Membership
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partition_journal import PartitionPlace
@@ -65,12 +65,12 @@
         self._service = service
         self._clock = clock
         self._random = random
-        self._dealt: DealtPartitions[OwnedPartition] = DealtPartitions(
+        self._dealt: AssignedPartitions[OwnedPartition] = AssignedPartitions(
             network.own_member,
             partitioning,
             directory,
             heartbeat=heartbeat,
-            make=self._make,
+            create=self._make,
         )
         self._retention_seconds = retention_seconds
         self._recovery = recovery
@@ -92,7 +92,7 @@
 
     def dealt(self, membership: Membership) -> None:
         """Take over what is new, give up what is gone."""
-        self._dealt.dealt(membership)
+        self._dealt.on_assignment(membership)
 
     def _make(self, place: PartitionPlace) -> OwnedPartition:
         return OwnedPartition(
@@ -100,7 +100,7 @@
             self._clock,
             self._random,
             place,
-            lost=self._dealt.lost,
+            lost=self._dealt.on_fenced,
             recovery=self._recovery,
             allows_starting=self._allows_starting,
             limiting=self._limiting,
@@ -111,7 +111,7 @@
         """Stop owning anything; fires when all accounts are handed over."""
         if self._tidying.running:
             self._tidying.stop()
-        return self._dealt.give_up_all()
+        return self._dealt.release_all()
 
     def _tidy(self) -> None:
         for owned in self._dealt.all():
--- a/notcharch/journal/dealt_partitions.py
+++ b/notcharch/journal/assigned_partitions.py
@@ -26,7 +26,7 @@
 """Added to the number of claims once one was fenced: more than a process ever makes."""
 
 
-class Dealt(Protocol):
+class AssignedPartition(Protocol):
     """A partition as its owner keeps it."""
 
     @property
@@ -43,47 +43,47 @@
         """Give the partition up at once."""
 
 
-DealtT = TypeVar("DealtT", bound=Dealt)
+PartitionT = TypeVar("PartitionT", bound=AssignedPartition)
 
 
-class DealtPartitions(Generic[DealtT]):
+class AssignedPartitions(Generic[PartitionT]):
     """Keeps one object for each partition that is dealt to this daemon."""
 
     def __init__(
         self,
-        own: Member,
+        local_member: Member,
         partitioning: Partitioning,
         directory: OwnerDirectory,
         *,
         heartbeat: Callable[[], None],
-        make: Callable[[PartitionPlace], DealtT],
+        create: Callable[[PartitionPlace], PartitionT],
     ) -> None:
-        """`make` prepares a partition; `heartbeat` tells the group at once."""
-        self._own = own
+        """`create` prepares a partition; `heartbeat` tells the group at once."""
+        self._local_member = local_member
         self._partitioning = partitioning
         self._directory = directory
         self._heartbeat = heartbeat
-        self._make = make
-        self._held: dict[int, DealtT] = {}
-        self._claims: int = own.incarnation
+        self._create = create
+        self._partitions: dict[int, PartitionT] = {}
+        self._claims: int = local_member.incarnation
 
-    def get(self, number: int) -> DealtT | None:
+    def get(self, number: int) -> PartitionT | None:
         """Give a partition that is owned here, or being taken over."""
-        return self._held.get(number)
+        return self._partitions.get(number)
 
-    def all(self) -> tuple[DealtT, ...]:
+    def all(self) -> tuple[PartitionT, ...]:
         """Give every partition that is owned here, or being taken over."""
-        return tuple(self._held.values())
+        return tuple(self._partitions.values())
 
-    def dealt(self, membership: Membership) -> None:
+    def on_assignment(self, membership: Membership) -> None:
         """Take over what is new, give up what is gone."""
-        self._directory.dealt(membership.generation)
+        self._directory.on_generation(membership.generation)
         numbers = map(self._partitioning.number, membership.partitions)
         mine = {number for number in numbers if number is not None}
-        for number in tuple(self._held):
+        for number in tuple(self._partitions):
             if number not in mine:
-                self._held.pop(number).hand_over().addBoth(self._handed_over)
-        for number in sorted(mine - self._held.keys()):
+                self._partitions.pop(number).hand_over().addBoth(self._handed_over)
+        for number in sorted(mine - self._partitions.keys()):
             self._take_over(number, membership.generation)
 
     def _handed_over(self, _: object) -> None:
@@ -94,33 +94,33 @@
         self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
         epoch = (generation << CLAIM_BITS) + self._claims
         place = PartitionPlace(number, self._partitioning.place(number), epoch)
-        partition = self._held[number] = self._make(place)
+        partition = self._partitions[number] = self._create(place)
         partition.take_over().addErrback(self._failed, partition)
 
-    def _failed(self, failure: Failure, partition: DealtT) -> None:
+    def _failed(self, failure: Failure, partition: PartitionT) -> None:
         """Drop a partition after a fault of this program: the next heartbeat retries."""
         place = partition.place
         emit(TakeoverFailed(place.number, place.epoch, failure.getTraceback()))
         partition.close()
         self._drop(partition)
 
-    def lost(self, partition: DealtT) -> None:
+    def on_fenced(self, partition: PartitionT) -> None:
         """Forget a partition that somebody else writes; the group deals anew."""
         self._claims += FENCED_JUMP
         self._drop(partition)
 
-    def _drop(self, partition: DealtT) -> None:
+    def _drop(self, partition: PartitionT) -> None:
         number = partition.place.number
-        if self._held.get(number) is partition:
-            del self._held[number]
+        if self._partitions.get(number) is partition:
+            del self._partitions[number]
 
-    def give_up_all(self) -> "Deferred[Any]":
+    def release_all(self) -> "Deferred[Any]":
         """Stop owning anything; fires when everything is handed over."""
-        held, self._held = self._held, {}
+        held, self._partitions = self._partitions, {}
         return gatherResults([partition.hand_over() for partition in held.values()])
 
     def other_owner(self, number: int) -> OwnerName | None:
         """Give the other daemon that owns a partition, as far as is known here."""
         owner = self._directory.owner(number)
-        is_other = owner is not None and owner.daemon != self._own.daemon
+        is_other = owner is not None and owner.daemon != self._local_member.daemon
         return owner if is_other else None
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -18,9 +18,9 @@
 
 HEARTBEAT_SECONDS = 0.35
 """A third of the lease, so two heartbeats in a row may be lost."""
-QUICK_SECONDS = 0.1
+FAST_HEARTBEAT_SECONDS = 0.1
 """Between heartbeats while the group changes, or after one that had no answer."""
-QUICK_HEARTBEATS = 5
+FAST_HEARTBEATS = 5
 """So many heartbeats follow quickly when the group has changed: more may be dealt."""
 LEASE_SECONDS = 1.2
 """So long the partitions of a dead daemon stay unserved. The platform takes 1 s at least;
@@ -37,21 +37,21 @@
         name: GroupName,
         member: str,
         *,
-        least_lease_seconds: float,
-        dealt: Callable[[Membership], None],
-        recovered: Callable[[], None] = lambda: None,
+        min_lease_seconds: float,
+        on_assignment: Callable[[Membership], None],
+        on_recovery: Callable[[], None] = lambda: None,
     ) -> None:
-        """Call `dealt` after each heartbeat that was answered.
+        """Call `on_assignment` after each heartbeat that was answered.
 
-        `recovered` is called before it when the heartbeat before had no answer.
+        `on_recovery` is called before it when the heartbeat before had no answer.
         """
         self._service = service
         self._clock = clock
         self._name = name
         self._member = member
-        self._lease_seconds = max(LEASE_SECONDS, least_lease_seconds)
-        self._dealt = dealt
-        self._recovered = recovered
+        self._lease_seconds = max(LEASE_SECONDS, min_lease_seconds)
+        self._on_assignment = on_assignment
+        self._on_recovery = on_recovery
         self._has_failed = False
         """Whether the last heartbeat was refused or not answered."""
         self._generation = 0
@@ -59,9 +59,9 @@
         self._is_joining = False
         self._confirmed_at: float | None = None
         """When the last heartbeat that was answered was sent."""
-        self.held_since = -math.inf
+        self.lease_held_since = -math.inf
         """When the lease was last renewed after it had run out, clock seconds."""
-        self._quick_left = 0
+        self._fast_heartbeats_left = 0
         self._next: IDelayedCall | None = None
 
     def start(self) -> None:
@@ -77,28 +77,28 @@
         return self._clock.seconds() - self._confirmed_at < self._lease_seconds
 
     @property
-    def left_seconds(self) -> float:
+    def remaining_seconds(self) -> float:
         """Seconds until the lease runs out, if the service doesn't renew it; or 0."""
         if self._confirmed_at is None:
             return 0.0
-        held = self._clock.seconds() - self._confirmed_at
-        return max(self._lease_seconds - held, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(self._lease_seconds - elapsed, 0.0)
 
     @property
-    def lapsed_seconds(self) -> float:
+    def expired_seconds(self) -> float:
         """Seconds since the lease ran out, if the service didn't renew it; or 0."""
         if self._confirmed_at is None:
             return math.inf
-        held = self._clock.seconds() - self._confirmed_at
-        return max(held - self._lease_seconds, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(elapsed - self._lease_seconds, 0.0)
 
     @property
-    def silent_seconds(self) -> float:
+    def unanswered_seconds(self) -> float:
         """Seconds for which heartbeats have not been answered as they should; or 0."""
         if self._confirmed_at is None:
             return 0.0
-        held = self._clock.seconds() - self._confirmed_at
-        return max(held - 2 * HEARTBEAT_SECONDS, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(elapsed - 2 * HEARTBEAT_SECONDS, 0.0)
 
     def heartbeat(self) -> None:
         """Join now, not at the next time."""
@@ -122,12 +122,12 @@
             self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
         had_failed, self._has_failed = self._has_failed, isinstance(answer, Err)
         if not isinstance(answer, Err):
-            if self.lapsed_seconds > 0.0:
-                self.held_since = self._clock.seconds()
+            if self.expired_seconds > 0.0:
+                self.lease_held_since = self._clock.seconds()
             self._confirmed_at = sent_at
             if had_failed:
-                self._recovered()
-            self._dealt(answer.ok_value)
+                self._on_recovery()
+            self._on_assignment(answer.ok_value)
 
     def _pause(self, answer: Result[Membership, LogProblem]) -> float:
         """Give the time to the next heartbeat; note the group's generation.
@@ -136,14 +136,14 @@
         """
         if isinstance(answer, Err):
             is_lost = answer.err_value.fault is LogFault.UNKNOWN
-            return QUICK_SECONDS if is_lost else HEARTBEAT_SECONDS
+            return FAST_HEARTBEAT_SECONDS if is_lost else HEARTBEAT_SECONDS
         if answer.ok_value.generation != self._generation:
-            self._quick_left = QUICK_HEARTBEATS
+            self._fast_heartbeats_left = FAST_HEARTBEATS
         self._generation = answer.ok_value.generation
-        if self._quick_left <= 0:
+        if self._fast_heartbeats_left <= 0:
             return HEARTBEAT_SECONDS
-        self._quick_left -= 1
-        return QUICK_SECONDS
+        self._fast_heartbeats_left -= 1
+        return FAST_HEARTBEAT_SECONDS
 
     def stop(self) -> None:
         """Send no more heartbeats."""
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -120,7 +120,7 @@
             self._note_peers()
             self._learn(owner)
 
-    def dealt(self, generation: int) -> None:
+    def on_generation(self, generation: int) -> None:
         """Hear the group's generation: a new one means other owners."""
         if generation != self._generation:
             self._generation = generation
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -12,7 +12,7 @@
 from notcharch.errors import Problem, ProblemCode
 from notcharch.events.event import emit
 from notcharch.events.partitions import ListenerFailed
-from notcharch.journal.dealt_partitions import DealtPartitions
+from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.group import GroupMember
 from notcharch.journal.interface import GroupName, LogService
 from notcharch.journal.owner_directory import OwnerDirectory
@@ -69,27 +69,27 @@
         self._directory = directory
         self._is_stopped = False
         self._listeners: list[LeadershipListener] = []
-        self._dealt: DealtPartitions[LedPartition] = DealtPartitions(
+        self._assigned: AssignedPartitions[LedPartition] = AssignedPartitions(
             own,
             partitioning,
             directory,
             heartbeat=self._heartbeat,
-            make=self._make,
+            create=self._create,
         )
         self._group = GroupMember(
             tools.service,
             tools.clock,
             GroupName(GROUP, partitioning.topics),
             OwnerName(own.daemon, peer_address).text(),
-            least_lease_seconds=lease_seconds,
-            dealt=self._dealt.dealt,
+            min_lease_seconds=lease_seconds,
+            on_assignment=self._assigned.on_assignment,
         )
         self._tidying = LoopingCall(self._tidy)
         self._tidying.clock = tools.clock
 
-    def _make(self, place: PartitionPlace) -> LedPartition:
+    def _create(self, place: PartitionPlace) -> LedPartition:
         return LedPartition(
-            self._tools, place, lost=self._dealt.lost, leads=self._leads
+            self._tools, place, lost=self._assigned.on_fenced, leads=self._leads
         )
 
     def _heartbeat(self) -> None:
@@ -108,17 +108,17 @@
             self._tidying.stop()
         self._group.stop()
         self._directory.stop()
-        for partition in self._dealt.all():
+        for partition in self._assigned.all():
             partition.close()
 
     def hand_over(self) -> "Deferred[None]":
         """Lead nothing any more; fires when the group has been told."""
         self._group.stop()
-        handed_over = self._dealt.give_up_all()
+        handed_over = self._assigned.release_all()
         return handed_over.addBoth(lambda _: self._group.leave())
 
     def _tidy(self) -> None:
-        for partition in self._dealt.all():
+        for partition in self._assigned.all():
             partition.tidy()
 
     # Who leads
@@ -127,7 +127,7 @@
         """Give the partitions that this daemon certainly leads now."""
         if not self._group.is_lease_valid:
             return ()
-        return tuple(p.number for p in self._dealt.all() if p.is_leading)
+        return tuple(p.number for p in self._assigned.all() if p.is_leading)
 
     def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
         """Give the epoch in which this daemon leads the partition, or None."""
@@ -136,14 +136,14 @@
 
     def _led(self, partition: PartitionNumber) -> LedPartition | None:
         """Give a partition that nobody else can lead now, since our lease is valid."""
-        led = self._dealt.get(partition)
+        led = self._assigned.get(partition)
         if led is None or not led.is_leading or not self._group.is_lease_valid:
             return None
         return led
 
     def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
         """Give the other daemon that seems to lead the partition, if any."""
-        owner = self._dealt.other_owner(partition)
+        owner = self._assigned.other_owner(partition)
         return None if owner is None else owner.daemon
 
     def state(self, partition: PartitionNumber) -> StateMachine | None:
@@ -157,7 +157,7 @@
             PartitionStatus(
                 led.number, led.epoch, led.end, led.snapshot_covers_to, led.waiting
             )
-            for led in self._dealt.all()
+            for led in self._assigned.all()
             if led.is_leading
         )
 
@@ -179,7 +179,7 @@
         self, partition: PartitionNumber, command: Command
     ) -> "Deferred[Result[CommandResult, Problem]]":
         """Journal a command; see `PartitionHost.propose`."""
-        led = self._dealt.get(partition)
+        led = self._assigned.get(partition)
         if led is None or not led.is_leading or self._is_stopped:
             return succeed(self._not_leader(partition))
         return led.propose(command)
--- a/tests/stateful/partitions/machine.py
+++ b/tests/stateful/partitions/machine.py
@@ -55,7 +55,7 @@
     def snapshot_while_commands_are_under_way(self, partition):
         self.propose_at_the_leader(partition)
         for name in self.world.leaders(partition):
-            led = self.world.services[name]._dealt.get(partition)
+            led = self.world.services[name]._assigned.get(partition)
             if led.end and not led._is_snapshotting:
                 led._write_snapshot()
         self.propose_at_the_leader(partition)
--- a/tests/unit/journal/test_group.py
+++ b/tests/unit/journal/test_group.py
@@ -12,9 +12,9 @@
     Trouble,
 )
 from notcharch.journal.group import (
+    FAST_HEARTBEAT_SECONDS,
     HEARTBEAT_SECONDS,
     LEASE_SECONDS,
-    QUICK_SECONDS,
     GroupMember,
 )
 from notcharch.journal.interface import (
@@ -38,7 +38,7 @@
         self.run(1.0)
 
     def member(self, name: str) -> GroupMember:
-        def dealt(membership):
+        def on_assignment(membership):
             if self.fault == name:
                 raise ValueError("a fault of the program")
             self.held[name] = tuple(
@@ -50,8 +50,8 @@
             self.clock,
             GroupName("g", ("t", "u")),
             name,
-            least_lease_seconds=1.0,
-            dealt=dealt,
+            min_lease_seconds=1.0,
+            on_assignment=on_assignment,
         )
 
     def run(self, seconds: float) -> None:
@@ -61,7 +61,7 @@
 
 @pytest.mark.parametrize(
     ("trouble", "seconds"),
-    [(Trouble.LOSE_CALL, QUICK_SECONDS), (Trouble.REFUSE, HEARTBEAT_SECONDS)],
+    [(Trouble.LOSE_CALL, FAST_HEARTBEAT_SECONDS), (Trouble.REFUSE, HEARTBEAT_SECONDS)],
 )
 def test_a_heartbeat_without_an_answer_is_soon_repeated(trouble, seconds):
     world = Group("a")
@@ -118,9 +118,9 @@
         clock,
         GroupName("g", ("t",)),
         "m",
-        least_lease_seconds=1.0,
-        dealt=lambda _: None,
-        recovered=lambda: recoveries.append(clock.seconds()),
+        min_lease_seconds=1.0,
+        on_assignment=lambda _: None,
+        on_recovery=lambda: recoveries.append(clock.seconds()),
     )
     member.start()
     clock.pump([0.02] * 100)
--- a/tests/unit/partitions/test_partitions.py
+++ b/tests/unit/partitions/test_partitions.py
@@ -256,7 +256,7 @@
 def test_commands_on_their_way_while_a_snapshot_is_taken_are_not_lost():
     world = settled()
     world.commit(0, "a")
-    led = world.services[world.leader(0)]._dealt.get(0)
+    led = world.services[world.leader(0)]._assigned.get(0)
     results = [world.propose(0, text) for text in "bc"]
     led._write_snapshot()
     results += [world.propose(0, text) for text in "de"]
@@ -271,7 +271,7 @@
 def append(world: World, partition: int, record) -> None:
     """Write a record as the present leader would have, then lose that leader."""
     leader = world.leader(partition)
-    led = world.services[leader]._dealt.get(partition)
+    led = world.services[leader]._assigned.get(partition)
     place = led.place
     producer = Producer(place.log.topic, place.epoch, led._journal.writer._sequence + 1)
     world.journal(partition).append((encode_record(record),), producer)
