Rename PartitionPlace to PartitionAssignment, and callbacks to on_fenced and on_leading

The attribute place of a partition is assignment; the callback lost of writers, journals and led partitions is on_fenced, leads is on_leading.

--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -25,7 +25,7 @@
 from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.interface import LogService, Membership
 from notcharch.journal.owner_directory import OwnerDirectory
-from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment
 from notcharch.journal.partitioning import Partitioning
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
@@ -94,12 +94,12 @@
         """Take over what is new, give up what is gone."""
         self._dealt.on_assignment(membership)
 
-    def _make(self, place: PartitionPlace) -> OwnedPartition:
+    def _make(self, assignment: PartitionAssignment) -> OwnedPartition:
         return OwnedPartition(
             self._service,
             self._clock,
             self._random,
-            place,
+            assignment,
             lost=self._dealt.on_fenced,
             recovery=self._recovery,
             allows_starting=self._allows_starting,
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -41,7 +41,7 @@
 )
 from notcharch.events.event import emit
 from notcharch.journal.interface import LogService
-from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import Outcome
 from notcharch.wire.messages.base import Message
@@ -58,7 +58,7 @@
         service: LogService,
         clock: IReactorTime,
         random: Random,
-        place: PartitionPlace,
+        assignment: PartitionAssignment,
         *,
         lost: Callable[["OwnedPartition"], None],
         recovery: RecoverySignal,
@@ -67,9 +67,9 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare to take a partition over."""
-        self._tenants = LimitedTenants(limiting or Limiting(), clock, place.number)
+        self._tenants = LimitedTenants(limiting or Limiting(), clock, assignment.number)
         self._clock = clock
-        self.place = place
+        self.assignment = assignment
         self._lost = lost
         self._wall = wall
         self._ledger = Ledger()
@@ -77,9 +77,9 @@
             service,
             clock,
             random,
-            place,
+            assignment,
             target=self,
-            lost=self._was_lost,
+            on_fenced=self._was_lost,
             recovery=recovery,
         )
         self._writer = self._journal.writer
@@ -127,8 +127,8 @@
         TAKEOVER_SECONDS.observe(self._clock.seconds() - self._began)
         emit(
             PartitionTakenOver(
-                partition=self.place.number,
-                epoch=self.place.epoch,
+                partition=self.assignment.number,
+                epoch=self.assignment.epoch,
                 records=self._journal.records,
                 programs=len(self._ledger),
                 seconds=round(self._clock.seconds() - self._began, 4),
@@ -139,7 +139,7 @@
         if self.is_serving:
             OWNED_PARTITIONS.dec()
         self.is_serving = False
-        emit(PartitionGivenUp(self.place.number, self.place.epoch, cause))
+        emit(PartitionGivenUp(self.assignment.number, self.assignment.epoch, cause))
 
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
@@ -239,8 +239,8 @@
             BudgetRefused(
                 request=ask.call,
                 program=ask.program,
-                partition=self.place.number,
-                epoch=self.place.epoch,
+                partition=self.assignment.number,
+                epoch=self.assignment.epoch,
                 budget_tokens=ask.budget_tokens or 0,
                 used_tokens=program.used,
                 under_way_tokens=program.committed - program.used,
--- a/notcharch/journal/assigned_partitions.py
+++ b/notcharch/journal/assigned_partitions.py
@@ -11,7 +11,7 @@
 from notcharch.journal.interface import Membership
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.owner_names import OwnerName
-from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment
 from notcharch.journal.partitioning import Partitioning
 from notcharch.values.identifiers import Member
 
@@ -30,7 +30,7 @@
     """A partition as its owner keeps it."""
 
     @property
-    def place(self) -> PartitionPlace:
+    def assignment(self) -> PartitionAssignment:
         """Which partition it is, and under which epoch."""
 
     def take_over(self) -> "Deferred[Any]":
@@ -56,7 +56,7 @@
         directory: OwnerDirectory,
         *,
         heartbeat: Callable[[], None],
-        create: Callable[[PartitionPlace], PartitionT],
+        create: Callable[[PartitionAssignment], PartitionT],
     ) -> None:
         """`create` prepares a partition; `heartbeat` tells the group at once."""
         self._local_member = local_member
@@ -93,14 +93,18 @@
     def _take_over(self, number: int, generation: int) -> None:
         self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
         epoch = (generation << CLAIM_BITS) + self._claims
-        place = PartitionPlace(number, self._partitioning.place(number), epoch)
-        partition = self._partitions[number] = self._create(place)
+        assignment = PartitionAssignment(
+            number, self._partitioning.place(number), epoch
+        )
+        partition = self._partitions[number] = self._create(assignment)
         partition.take_over().addErrback(self._failed, partition)
 
     def _failed(self, failure: Failure, partition: PartitionT) -> None:
         """Drop a partition after a fault of this program: the next heartbeat retries."""
-        place = partition.place
-        emit(TakeoverFailed(place.number, place.epoch, failure.getTraceback()))
+        assignment = partition.assignment
+        emit(
+            TakeoverFailed(assignment.number, assignment.epoch, failure.getTraceback())
+        )
         partition.close()
         self._drop(partition)
 
@@ -110,7 +114,7 @@
         self._drop(partition)
 
     def _drop(self, partition: PartitionT) -> None:
-        number = partition.place.number
+        number = partition.assignment.number
         if self._partitions.get(number) is partition:
             del self._partitions[number]
 
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -25,7 +25,7 @@
 service that is well (4 ms)."""
 
 
-class PartitionPlace(msgspec.Struct, frozen=True):
+class PartitionAssignment(msgspec.Struct, frozen=True):
     """Which partition, and under which epoch."""
 
     number: int
@@ -52,24 +52,24 @@
         service: LogService,
         clock: IReactorTime,
         random: Random,
-        place: PartitionPlace,
+        assignment: PartitionAssignment,
         *,
         target: ReplayTarget,
-        lost: Callable[[], None],
+        on_fenced: Callable[[], None],
         recovery: RecoverySignal | None = None,
     ) -> None:
-        """Prepare; `lost` is called once when a higher epoch writes."""
+        """Prepare; `on_fenced` is called once when a higher epoch writes."""
         self._service = service
         self._clock = clock
-        self._place = place.log
+        self._place = assignment.log
         self._target = target
         self.writer = PartitionWriter(
             service,
             clock,
             random,
-            place.log,
-            epoch=place.epoch,
-            lost=lost,
+            assignment.log,
+            epoch=assignment.epoch,
+            on_fenced=on_fenced,
             recovery=recovery,
         )
         self.records = 0
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -64,10 +64,10 @@
         place: LogPartition,
         *,
         epoch: int,
-        lost: Callable[[], None],
+        on_fenced: Callable[[], None],
         recovery: RecoverySignal | None = None,
     ) -> None:
-        """Write under an epoch; `lost` is called once when it is fenced.
+        """Write under an epoch; `on_fenced` is called once when it is fenced.
 
         `recovery` ends waits early when the service is back.
         """
@@ -77,7 +77,7 @@
         self._topic = place.topic
         self._partition = place.number
         self._epoch = epoch
-        self._lost = lost
+        self._on_fenced = on_fenced
         self._recovery = recovery or RecoverySignal(clock)
         self._sequence = 0
         self._queue: deque[Entry] = deque()
@@ -159,7 +159,7 @@
 
     def _give_up(self) -> None:
         self.close()
-        self._lost()
+        self._on_fenced()
 
     def _pause(self, seconds: float) -> "Deferred[None]":
         jitter = 0.5 + self._random.random()
--- a/notcharch/partitions/led_partition.py
+++ b/notcharch/partitions/led_partition.py
@@ -19,7 +19,7 @@
     StateUnreadable,
 )
 from notcharch.journal.interface import LogService
-from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
 from notcharch.journal.writer import Outcome
 from notcharch.partitions.applier import apply_record
 from notcharch.partitions.interface import Command, CommandResult, StateMachine
@@ -78,26 +78,26 @@
     def __init__(
         self,
         tools: PartitionTools,
-        place: PartitionPlace,
+        assignment: PartitionAssignment,
         *,
-        lost: Callable[["LedPartition"], None],
-        leads: Callable[["LedPartition", bool], None],
+        on_fenced: Callable[["LedPartition"], None],
+        on_leading: Callable[["LedPartition", bool], None],
     ) -> None:
-        """`leads` hears when leading begins and ends; `lost`, when fenced."""
+        """`on_leading` hears when leading begins and ends; `on_fenced`, when fenced."""
         self._tools = tools
-        self.place = place
-        self._lost = lost
-        self._leads = leads
-        self.number = PartitionNumber(place.number)
-        self.epoch = Epoch(place.epoch)
+        self.assignment = assignment
+        self._on_fenced = on_fenced
+        self._on_leading = on_leading
+        self.number = PartitionNumber(assignment.number)
+        self.epoch = Epoch(assignment.epoch)
         self._replay = Replay(lambda: tools.new_state(self.number), tools.codec)
         self._journal = PartitionJournal(
             tools.service,
             tools.clock,
             tools.random,
-            place,
+            assignment,
             target=self._replay,
-            lost=self._fenced,
+            on_fenced=self._fenced,
         )
         self.is_leading = False
         self.waiting = 0
@@ -137,7 +137,7 @@
                 self.number, self.epoch, self._journal.records, round(seconds, 4)
             )
         )
-        self._leads(self, True)
+        self._on_leading(self, True)
 
     # Commands
 
@@ -217,21 +217,21 @@
         self._is_snapshotting = False
         if outcome is Outcome.DURABLE:
             self.snapshot_covers_to = covers_to
-            log = self.place.log
+            log = self.assignment.log
             self._tools.service.trim(log.topic, log.number, covers_to)
 
     # The end
 
     def _fenced(self) -> None:
         self._end_leading("a higher epoch writes it")
-        self._lost(self)
+        self._on_fenced(self)
 
     def _end_leading(self, cause: str) -> None:
         if not self.is_leading:
             return
         self.is_leading = False
         emit(LeadershipLost(self.number, self.epoch, cause))
-        self._leads(self, False)
+        self._on_leading(self, False)
 
     @inlineCallbacks
     def hand_over(self) -> Generator["Deferred[Any]", Any, None]:
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -17,7 +17,7 @@
 from notcharch.journal.interface import GroupName, LogService
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.owner_names import OwnerName
-from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment
 from notcharch.journal.partitioning import Partitioning
 from notcharch.partitions.interface import (
     Command,
@@ -87,9 +87,12 @@
         self._tidying = LoopingCall(self._tidy)
         self._tidying.clock = tools.clock
 
-    def _create(self, place: PartitionPlace) -> LedPartition:
+    def _create(self, assignment: PartitionAssignment) -> LedPartition:
         return LedPartition(
-            self._tools, place, lost=self._assigned.on_fenced, leads=self._leads
+            self._tools,
+            assignment,
+            on_fenced=self._assigned.on_fenced,
+            on_leading=self._on_leading,
         )
 
     def _heartbeat(self) -> None:
@@ -165,7 +168,7 @@
         """Call `listener` when this daemon begins (epoch) or ends (None) leading."""
         self._listeners.append(listener)
 
-    def _leads(self, led: LedPartition, is_leading: bool) -> None:
+    def _on_leading(self, led: LedPartition, is_leading: bool) -> None:
         epoch = led.epoch if is_leading else None
         for listener in self._listeners:
             try:
--- a/tests/unit/journal/test_writer.py
+++ b/tests/unit/journal/test_writer.py
@@ -32,7 +32,7 @@
             Random(1),
             LogPartition("t", 0),
             epoch=epoch,
-            lost=lambda: self.lost.append(epoch),
+            on_fenced=lambda: self.lost.append(epoch),
         )
 
     def claimed(self, epoch: int) -> PartitionWriter:
@@ -124,7 +124,7 @@
         Random(1),
         LogPartition("t", 0),
         epoch=1,
-        lost=lambda: None,
+        on_fenced=lambda: None,
         recovery=recovery,
     )
     writer.claim()
--- a/tests/unit/partitions/test_partitions.py
+++ b/tests/unit/partitions/test_partitions.py
@@ -272,8 +272,10 @@
     """Write a record as the present leader would have, then lose that leader."""
     leader = world.leader(partition)
     led = world.services[leader]._assigned.get(partition)
-    place = led.place
-    producer = Producer(place.log.topic, place.epoch, led._journal.writer._sequence + 1)
+    assignment = led.assignment
+    producer = Producer(
+        assignment.log.topic, assignment.epoch, led._journal.writer._sequence + 1
+    )
     world.journal(partition).append((encode_record(record),), producer)
     world.crash(leader)
 
