Rename Partitioning.place to log_partition, and the functions that build one

spread_over is partitioning_for_topics, spread_to partitioning_for_count, the field partitions_of_a_topic partitions_per_topic; nothing stores the struct.

--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -20,7 +20,7 @@
 from notcharch.accounts.resident_accounts import ResidentAccounts
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.interface import LogService
-from notcharch.journal.partitioning import spread_over
+from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
@@ -111,7 +111,9 @@
             tenant,
             wall,
         )
-        partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
+        partitioning = partitioning_for_topics(
+            TOPIC, settings.topics, settings.partitions
+        )
         self._anywhere = self._wire(GroupPart(GROUP, partitioning))
         self.directory = self._anywhere.directory
         self._resident = ResidentAccounts(
@@ -143,7 +145,7 @@
         """Wire the group of a region; the daemons there are its members."""
         settings = self._settings
         place = sorted(settings.regions).index(region) + 1
-        partitioning = spread_over(
+        partitioning = partitioning_for_topics(
             f"{TOPIC}-{region}",
             REGION_TOPICS,
             settings.partitions,
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -19,7 +19,7 @@
 from notcharch.engines.steward_service import StewardService
 from notcharch.gateway.resource import Gateway
 from notcharch.journal.owner_directory import OwnerDirectory
-from notcharch.journal.partitioning import spread_to
+from notcharch.journal.partitioning import partitioning_for_count
 from notcharch.membership.service import MembershipService
 from notcharch.membership.swim import Swim
 from notcharch.partitions.service import (
@@ -106,7 +106,7 @@
         )
         self.assignment = Assignment(self.membership)
         section = settings.partitions
-        self.partitioning = spread_to(
+        self.partitioning = partitioning_for_count(
             TOPIC, section.partition_count, section.topic_partitions
         )
         self.owners = OwnerDirectory(
--- a/notcharch/journal/assigned_partitions.py
+++ b/notcharch/journal/assigned_partitions.py
@@ -94,7 +94,7 @@
         self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
         epoch = (generation << CLAIM_BITS) + self._claims
         assignment = PartitionAssignment(
-            number, self._partitioning.place(number), epoch
+            number, self._partitioning.log_partition(number), epoch
         )
         partition = self._partitions[number] = self._create(assignment)
         partition.take_over().addErrback(self._failed, partition)
--- a/notcharch/journal/partitioning.py
+++ b/notcharch/journal/partitioning.py
@@ -14,7 +14,7 @@
     """
 
     topics: tuple[str, ...]
-    partitions_of_a_topic: int
+    partitions_per_topic: int
     count: int
     """How many partitions are in use; the last topic may have more."""
     first: int = 0
@@ -34,32 +34,32 @@
         digest = xxhash.xxh64_intdigest(f"tenant:{tenant}".encode())
         return self.first + digest % self.count
 
-    def place(self, number: int) -> LogPartition:
+    def log_partition(self, number: int) -> LogPartition:
         """Give where a partition is written."""
-        topic, within = divmod(number - self.first, self.partitions_of_a_topic)
+        topic, within = divmod(number - self.first, self.partitions_per_topic)
         return LogPartition(self.topics[topic], within)
 
-    def number(self, place: LogPartition) -> int | None:
+    def number(self, log_partition: LogPartition) -> int | None:
         """Give the number of a partition; None if it is not one of these."""
-        if place.topic not in self.topics:
+        if log_partition.topic not in self.topics:
             return None
-        before = self.topics.index(place.topic) * self.partitions_of_a_topic
-        number = self.first + before + place.number
+        before = self.topics.index(log_partition.topic) * self.partitions_per_topic
+        number = self.first + before + log_partition.number
         return number if number in self.numbers else None
 
 
-def spread_over(
-    topic: str, topics: int, partitions_of_a_topic: int, first: int = 0
+def partitioning_for_topics(
+    topic: str, topics: int, partitions_per_topic: int, first: int = 0
 ) -> Partitioning:
     """Give the partitioning over all partitions of so many topics."""
-    count = topics * partitions_of_a_topic
-    return spread_to(topic, count, partitions_of_a_topic, first)
+    count = topics * partitions_per_topic
+    return partitioning_for_count(topic, count, partitions_per_topic, first)
 
 
-def spread_to(
-    topic: str, count: int, partitions_of_a_topic: int, first: int = 0
+def partitioning_for_count(
+    topic: str, count: int, partitions_per_topic: int, first: int = 0
 ) -> Partitioning:
     """Give the partitioning into so many partitions, over as many topics as it needs."""
-    topics = -(-count // partitions_of_a_topic)
+    topics = -(-count // partitions_per_topic)
     names = tuple(f"{topic}-{number}" for number in range(topics))
-    return Partitioning(names, partitions_of_a_topic, count, first)
+    return Partitioning(names, partitions_per_topic, count, first)
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -16,7 +16,7 @@
 from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
 from notcharch.http.messages import RequestHead
 from notcharch.journal.owner_names import read_owner
-from notcharch.journal.partitioning import spread_over
+from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import Tenant
@@ -93,7 +93,7 @@
         self.clock = Clock()
         self.random = Random(seed)
         self.log = PartitionedLog(self.clock, self.random, PARTITIONS)
-        self.partitioning = spread_over(TOPIC, TOPICS, PARTITIONS)
+        self.partitioning = partitioning_for_topics(TOPIC, TOPICS, PARTITIONS)
         self.fabric = MemoryFabric(
             self.clock, Random(seed), encode=True, codec=account_codec()
         )
@@ -150,14 +150,14 @@
 
     def owner(self, program: str) -> DaemonName:
         """Give the daemon that the group deals a program's partition to."""
-        place = self.partitioning.place(self.partitioning.of_program(program))
+        place = self.partitioning.log_partition(self.partitioning.of_program(program))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
         return read_owner(member).daemon
 
     def limiter(self, tenant: str) -> DaemonName:
         """Give the daemon that the group deals the count of a tenant's calls to."""
-        place = self.partitioning.place(self.partitioning.of_tenant(tenant))
+        place = self.partitioning.log_partition(self.partitioning.of_tenant(tenant))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
         return read_owner(member).daemon
--- a/tests/unit/partitions/world.py
+++ b/tests/unit/partitions/world.py
@@ -12,7 +12,7 @@
 from emulator.peers.time import run_for
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.journal.owner_directory import OwnerDirectory
-from notcharch.journal.partitioning import spread_over
+from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.partitions.records import SnapshotPart, decode_record
 from notcharch.partitions.service import (
     GROUP,
@@ -47,7 +47,7 @@
         self.faults = ServiceFaults(self.clock)
         self.fabric = MemoryFabric(self.clock, Random(seed))
         self.settings = PartitionsSection(**{"partition_count": PARTITIONS} | settings)
-        self.partitioning = spread_over(TOPIC, 2, TOPIC_PARTITIONS)
+        self.partitioning = partitioning_for_topics(TOPIC, 2, TOPIC_PARTITIONS)
         self.services: dict[DaemonName, PartitionService] = {}
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.starts = 0
@@ -135,7 +135,7 @@
 
     def journal(self, partition: int):
         """Give the log's partition that holds a partition's journal."""
-        place = self.partitioning.place(partition)
+        place = self.partitioning.log_partition(partition)
         return self.log.partition(place.topic, place.number)
 
     def drop_what_a_snapshot_holds(self, partition: int) -> int:
