Rename what reports a stale view of the owners, and the owners' member ids

OwnerDirectory.doubt is suspect_stale, hinted apply_hint, asks_peers requests_peer_views; read_owner is parse_owner_name, OwnerName.text member_id.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -104,7 +104,7 @@
                 request=self.call.id,
                 program=self.call.program,
                 partition=self.partition,
-                owner=owner.text() if owner is not None else "",
+                owner=owner.member_id() if owner is not None else "",
                 view_age_seconds=round(directory.age_seconds, 3),
                 waited_seconds=round(
                     self._owners.clock.seconds() - self.call.arrived, 3
--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -87,7 +87,7 @@
             network,
             part.name,
             partitioning=part.partitioning,
-            asks_peers=Mechanism.PEER_VIEWS in mechanisms,
+            requests_peer_views=Mechanism.PEER_VIEWS in mechanisms,
         )
         self._owned = OwnedPartitions(
             services.log,
@@ -114,7 +114,7 @@
             services.log,
             services.clock,
             GroupName(part.name, part.partitioning.topics),
-            OwnerName(own.daemon, settings.address).text(),
+            OwnerName(own.daemon, settings.address).member_id(),
             min_lease_seconds=settings.least_lease_seconds,
             on_assignment=self._owned.dealt,
             on_recovery=services.recovery.recovered if has_signal else lambda: None,
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -119,7 +119,7 @@
 
     def _referral(self, partition: int) -> NotOwner:
         owner = self._dealt.other_owner(partition)
-        return NotOwner("" if owner is None else owner.text())
+        return NotOwner("" if owner is None else owner.member_id())
 
     def _answer(
         self,
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -36,7 +36,7 @@
         """Send a request to a partition's owner; None if it didn't answer as one."""
         owner = self.directory.owner(partition)
         if owner is None:
-            self.directory.doubt()
+            self.directory.suspect_stale()
             nobody: Deferred[Message | None] = Deferred()
             nobody.callback(None)
             return nobody
@@ -45,12 +45,12 @@
 
     def _look(self, reply: Reply, partition: int) -> Message | None:
         if isinstance(reply, Err):
-            self.directory.doubt()
+            self.directory.suspect_stale()
             return None
         message = reply.ok_value
         if isinstance(message, NotOwner):
-            self.directory.doubt()
-            self.directory.hinted(partition, message.owner)
+            self.directory.suspect_stale()
+            self.directory.apply_hint(partition, message.owner)
             return None
         return message
 
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -15,7 +15,7 @@
 from notcharch.journal.interface import LogProblem, LogService, Ownership
 from notcharch.journal.metrics import OWNERS_AGE_SECONDS
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
-from notcharch.journal.owner_names import OwnerName, read_owner
+from notcharch.journal.owner_names import OwnerName, parse_owner_name
 from notcharch.journal.partitioning import Partitioning
 from notcharch.values.identifiers import DaemonName, Member
 from notcharch.wire.messages.base import Message
@@ -51,11 +51,11 @@
         group: str,
         *,
         partitioning: Partitioning,
-        asks_peers: bool = False,
+        requests_peer_views: bool = False,
     ) -> None:
         """Begin without a view.
 
-        `asks_peers`: while the log service turns this daemon away, peers that it
+        `requests_peer_views`: while the log service turns this daemon away, peers that it
         serves are asked what they know. Their network has to know the messages.
         """
         self._random = random
@@ -77,9 +77,9 @@
         self._is_running = False
         self._has_failed = False
         """Whether the log service's last answer was a fault."""
-        self._asks_peers = asks_peers
+        self._requests_peer_views = requests_peer_views
         self._is_asking_peer = False
-        if asks_peers:
+        if requests_peer_views:
             network.on_request(AskOwners, self._tell_peer)
 
     def start(self) -> None:
@@ -103,7 +103,7 @@
         """Give for how long any owner has been known; 0 if none is."""
         return 0.0 if self._known_at is None else self._clock.seconds() - self._known_at
 
-    def doubt(self) -> None:
+    def suspect_stale(self) -> None:
         """Ask again soon: an owner didn't answer as one."""
         since = self._clock.seconds() - self._asked_at
         if self._has_failed or (self._is_asking and since >= LATE_SECONDS):
@@ -112,9 +112,9 @@
         if since >= pause:
             self._refresh()
 
-    def hinted(self, partition: int, member: str) -> None:
+    def apply_hint(self, partition: int, member: str) -> None:
         """Take a peer's word for who owns a partition, until the next refresh."""
-        owner = read_owner(member)
+        owner = parse_owner_name(member)
         if owner is not None:
             self._owners[partition] = owner
             self._note_peers()
@@ -125,7 +125,7 @@
         if generation != self._generation:
             self._generation = generation
             pause = self._random.random() * SPREAD_SECONDS
-            self._clock.callLater(pause, self.doubt)
+            self._clock.callLater(pause, self.suspect_stale)
 
     @inlineCallbacks
     def _keep_fresh(self) -> Generator["Deferred[Any]", Any, None]:
@@ -151,7 +151,7 @@
     def _read(self, rows: tuple[Ownership, ...]) -> dict[int, OwnerName]:
         owners: dict[int, OwnerName] = {}
         for row in rows:
-            owner = read_owner(row.member)
+            owner = parse_owner_name(row.member)
             if owner is not None:
                 number = self._partitioning.number(row.partition)
                 if number is not None:
@@ -164,7 +164,7 @@
         """Ask one peer, of those that own something, what it knows."""
         own = self._network.own_member.daemon
         peers = [peer for peer in self.peers() if peer != own]
-        if not self._asks_peers or self._is_asking_peer or not peers:
+        if not self._requests_peer_views or self._is_asking_peer or not peers:
             return
         self._is_asking_peer = True
         peer = self._random.choice(peers)
@@ -180,14 +180,16 @@
         if seen.age_seconds >= self.age_seconds:
             return
         self._heard_at = self._clock.seconds() - seen.age_seconds
-        owners = {number: read_owner(text) for number, text in seen.owners.items()}
+        owners = {
+            number: parse_owner_name(text) for number, text in seen.owners.items()
+        }
         self._take({number: owner for number, owner in owners.items() if owner})
 
     def _may_ask_peer(self) -> None:
         self._is_asking_peer = False
 
     async def _tell_peer(self, sender: Member, message: Message) -> Message:
-        owners = {number: owner.text() for number, owner in self._owners.items()}
+        owners = {number: owner.member_id() for number, owner in self._owners.items()}
         return OwnersSeen(self.age_seconds, owners)
 
     def _take(self, owners: dict[int, OwnerName]) -> None:
--- a/notcharch/journal/owner_names.py
+++ b/notcharch/journal/owner_names.py
@@ -18,12 +18,12 @@
     address: str
     """`host:port`."""
 
-    def text(self) -> str:
+    def member_id(self) -> str:
         """Give the member's text."""
         return f"{self.daemon}{SEPARATOR}{self.address}"
 
 
-def read_owner(text: str) -> OwnerName | None:
+def parse_owner_name(text: str) -> OwnerName | None:
     """Read a member's text; None if it is not one of ours."""
     daemon, separator, address = text.partition(SEPARATOR)
     return OwnerName(DaemonName(daemon), address) if separator else None
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -80,7 +80,7 @@
             tools.service,
             tools.clock,
             GroupName(GROUP, partitioning.topics),
-            OwnerName(own.daemon, peer_address).text(),
+            OwnerName(own.daemon, peer_address).member_id(),
             min_lease_seconds=lease_seconds,
             on_assignment=self._assigned.on_assignment,
         )
--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -69,7 +69,7 @@
     def owner(self, partition: int) -> OwnerName | None:
         """Give a partition's owner, as far as it is known."""
 
-    def doubt(self) -> None:
+    def suspect_stale(self) -> None:
         """Ask again soon: an owner didn't answer as one."""
 
 
--- a/notcharch/placement/router.py
+++ b/notcharch/placement/router.py
@@ -52,13 +52,13 @@
         def targets() -> list[DaemonName]:
             owner = self._owners.owner(partition)
             if owner is None:
-                self._owners.doubt()
+                self._owners.suspect_stale()
             known = () if owner is None else (owner.daemon,)
             return _first_then(self._leaders.get(partition), known)
 
         def learn(daemon: DaemonName | None) -> None:
             if daemon is None:
-                self._owners.doubt()
+                self._owners.suspect_stale()
             _learn(self._leaders, partition, daemon)
 
         search = Search(self._network, self._clock, self._random, targets, learn)
--- a/tests/unit/accounts/test_resident_accounts.py
+++ b/tests/unit/accounts/test_resident_accounts.py
@@ -7,7 +7,7 @@
 from notcharch.accounts.resident_accounts import account_region
 from notcharch.calls.eligibility import Cause
 from notcharch.calls.interface import UNKNOWN_TURN
-from notcharch.journal.owner_names import read_owner
+from notcharch.journal.owner_names import parse_owner_name
 from notcharch.values.identifiers import DaemonName
 from tests.unit.accounts.steps import EVENT, assert_unsure, spend
 from tests.unit.accounts.world import World
@@ -29,7 +29,7 @@
 def owners_of(world: World, region: str) -> set[str]:
     """Give the regions of the daemons that own a region's accounts."""
     rows = world.log.groups.owners(f"account-owners-{region}")
-    daemons = {read_owner(row.member).daemon for row in rows}
+    daemons = {parse_owner_name(row.member).daemon for row in rows}
     return {world.region_of(name) for name in daemons}
 
 
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -15,7 +15,7 @@
 )
 from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
 from notcharch.http.messages import RequestHead
-from notcharch.journal.owner_names import read_owner
+from notcharch.journal.owner_names import parse_owner_name
 from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
@@ -153,14 +153,14 @@
         place = self.partitioning.log_partition(self.partitioning.of_program(program))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
-        return read_owner(member).daemon
+        return parse_owner_name(member).daemon
 
     def limiter(self, tenant: str) -> DaemonName:
         """Give the daemon that the group deals the count of a tenant's calls to."""
         place = self.partitioning.log_partition(self.partitioning.of_tenant(tenant))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
-        return read_owner(member).daemon
+        return parse_owner_name(member).daemon
 
     def program_of(self, name: DaemonName) -> str:
         """Give a program whose partition a daemon owns."""
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -36,7 +36,7 @@
         del partition
         return None if self.name is None else OwnerName(self.name, f"{self.name}:1")
 
-    def doubt(self):
+    def suspect_stale(self):
         self.doubts += 1
 
 
