--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -33,7 +33,7 @@
 """Times the pause before: five repetitions until the longest."""
 
 
-class Pace(msgspec.Struct, frozen=True):
+class PollTiming(msgspec.Struct, frozen=True):
     """How often a topic is asked for."""
 
     wait_seconds: float
@@ -58,16 +58,16 @@
         random: Random,
         topic: str,
         *,
-        pace: Pace,
-        changed: Callable[[dict[str, bytes]], None],
+        timing: PollTiming,
+        on_change: Callable[[dict[str, bytes]], None],
         recovery: RecoverySignal | None = None,
-        proved: Callable[[float], None] = lambda _: None,
-        quick_share: Callable[[], float] = lambda: 0.0,
+        on_confirmed: Callable[[float], None] = lambda _: None,
+        immediate_share: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """Call `changed` with all keys after each change.
+        """Call `on_change` with all keys after each change.
 
-        `proved` is called with an instant, clock seconds, at which the keys that were
-        told last were certainly the newest. `quick_share` gives the share of reads that
+        `on_confirmed` is called with an instant, clock seconds, at which the keys that were
+        told last were certainly the newest. `immediate_share` gives the share of reads that
         are not held: what they prove is not as old as a held read takes.
 
         `recovery` ends waits early when the service is back: a read that was held, or
@@ -76,11 +76,11 @@
         self._service = service
         self._clock = clock
         self._topic = topic
-        self._pace = pace
+        self._timing = timing
         self._random = random
-        self._changed = changed
-        self._proved = proved
-        self._quick_share = quick_share
+        self._on_change = on_change
+        self._on_confirmed = on_confirmed
+        self._immediate_share = immediate_share
         self._recovery = recovery or RecoverySignal(clock)
         self._picture = GrowingPicture({})
         self._first_page_end = -1
@@ -118,7 +118,7 @@
             self._note(problem)
             if problem is None:
                 self._retry_seconds = RETRY_SECONDS
-                yield self._sleep(self._pace.pause_seconds)
+                yield self._sleep(self._timing.pause_seconds)
             elif problem.fault is LogFault.GONE:
                 self._offset = -1
             else:
@@ -152,7 +152,7 @@
         is_page_due = self._clock.seconds() >= self._next_page_at
         if problem is None and is_page_due and not self._picture.is_whole:
             problem = yield self._take_page()
-            self._changed(self._picture.values)
+            self._on_change(self._picture.values)
         return problem
 
     @inlineCallbacks
@@ -168,12 +168,12 @@
             problem: LogProblem | None = yield self._take_page()
             if problem is not None:
                 return problem
-            if self._pace.page_pause_seconds:
+            if self._timing.page_pause_seconds:
                 break
         self._offset = self._first_page_end
-        self._changed(self._picture.values)
+        self._on_change(self._picture.values)
         if self._picture.is_whole:
-            self._proved(asked_at)
+            self._on_confirmed(asked_at)
         return None
 
     @inlineCallbacks
@@ -187,7 +187,7 @@
         self._picture.take_page(page)
         if self._first_page_end < 0:
             self._first_page_end = page.end
-        pause = self._pace.page_pause_seconds * (0.5 + self._random.random())
+        pause = self._timing.page_pause_seconds * (0.5 + self._random.random())
         self._next_page_at = self._clock.seconds() + pause
         return None
 
@@ -195,9 +195,9 @@
     def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
         # The first read after a fault isn't held: its answer shows that the topic is back.
         is_quick = self._lost_at is not None or (
-            self._random.random() < self._quick_share()
+            self._random.random() < self._immediate_share()
         )
-        wait_seconds = 0.0 if is_quick else self._pace.wait_seconds
+        wait_seconds = 0.0 if is_quick else self._timing.wait_seconds
         asked_at = self._clock.seconds()
         reading = self._service.read(self._topic, 0, self._offset, wait_seconds)
         answer: Result[Records, LogProblem] = yield self._recovery.guard(reading)
@@ -210,9 +210,9 @@
                 for offset, record in enumerate(found.records, start=found.first)
             )
             self._offset = found.first + len(found.records)
-            self._changed(self._picture.values)
+            self._on_change(self._picture.values)
         if self._offset >= found.end and self._picture.is_whole:
-            self._proved(asked_at)
+            self._on_confirmed(asked_at)
         return None
 
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -13,7 +13,7 @@
 from notcharch.calls.routing import Router
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, TableInForce
-from notcharch.journal.keyed_follower import KeyedFollower, Pace
+from notcharch.journal.keyed_follower import KeyedFollower, PollTiming
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.configuration import (
     drained_zones_of,
@@ -113,11 +113,11 @@
             clock,
             random,
             CONFIGURATION_TOPIC,
-            pace=Pace(table_seconds, CONFIGURATION_PAUSE_SECONDS),
-            changed=self._configuration_changed,
+            timing=PollTiming(table_seconds, CONFIGURATION_PAUSE_SECONDS),
+            on_change=self._configuration_changed,
             recovery=recovery,
-            proved=self._configuration_proved,
-            quick_share=self._quick_share,
+            on_confirmed=self._configuration_proved,
+            immediate_share=self._quick_share,
         )
         self._followers = (
             self._configuration,
@@ -126,10 +126,10 @@
                 clock,
                 random,
                 ENGINES_TOPIC,
-                pace=Pace(
+                timing=PollTiming(
                     wait_seconds, ENGINES_PAUSE_SECONDS, ENGINES_PAGE_PAUSE_SECONDS
                 ),
-                changed=self._engines_changed,
+                on_change=self._engines_changed,
                 recovery=recovery,
             ),
         )
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -13,18 +13,18 @@
 )
 from notcharch.events import process
 from notcharch.journal.keyed_follower import RETRY_SECONDS as RETRY_SECONDS_OF_READS
-from notcharch.journal.keyed_follower import KeyedFollower, Pace, join_keyed
+from notcharch.journal.keyed_follower import KeyedFollower, PollTiming, join_keyed
 from notcharch.journal.recovery_signal import STALE_SECONDS, RecoverySignal
 from tests.unit.events.capture import captured, of
 
 TOPIC = "keyed.things"
-PACE = Pace(wait_seconds=1.0, pause_seconds=0.1)
+TIMING = PollTiming(wait_seconds=1.0, pause_seconds=0.1)
 
 
 class Following:
     """A follower, and what it was told."""
 
-    def __init__(self, pace: Pace = PACE, **more) -> None:
+    def __init__(self, timing: PollTiming = TIMING, **more) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
         self.told: list[dict[str, bytes]] = []
@@ -35,8 +35,8 @@
             self.clock,
             Random(1),
             TOPIC,
-            pace=pace,
-            changed=self.changed,
+            timing=timing,
+            on_change=self.changed,
             recovery=self.recovery,
             **more,
         )
@@ -98,7 +98,7 @@
     """Not only when its own time is over: what changed meanwhile is heard at once."""
     world = started("a")
     world.log.trouble = Trouble.LOSE_CALL
-    world.run(PACE.wait_seconds + PACE.pause_seconds + 2 * STALE_SECONDS)
+    world.run(TIMING.wait_seconds + TIMING.pause_seconds + 2 * STALE_SECONDS)
     world.log.trouble = Trouble.NONE
     world.put("a", b"2")
     world.recovery.recovered()
@@ -111,7 +111,7 @@
     world = started("a")
     with captured() as messages:
         world.log.trouble = Trouble.REFUSE
-        world.run(PACE.wait_seconds + PACE.pause_seconds + 2 * STALE_SECONDS)
+        world.run(TIMING.wait_seconds + TIMING.pause_seconds + 2 * STALE_SECONDS)
         world.log.trouble = Trouble.NONE
         world.recovery.recovered()
         world.run(5 * ANSWER_SECONDS)
@@ -142,13 +142,13 @@
     assert world.told[-1] == {"a": b"3"}
 
 
-SLOW_PAGES = Pace(wait_seconds=0.2, pause_seconds=0.1, page_pause_seconds=2.0)
+PAGED_TIMING = PollTiming(wait_seconds=0.2, pause_seconds=0.1, page_pause_seconds=2.0)
 MANY = [f"k{number:04}" for number in range(1200)]
 
 
 def slowly_started() -> Following:
     """Follow 1,200 keys page by page, with the first page read."""
-    world = Following(SLOW_PAGES)
+    world = Following(PAGED_TIMING)
     world.log.append(TOPIC, 0, tuple(join_keyed(key, b"1") for key in MANY))
     world.run(0.1)
     world.follower.start()
@@ -216,12 +216,14 @@
     assert world.told[-1] == {"a": b"2"}
 
 
-@pytest.mark.parametrize(("share", "youngest"), [(0.0, PACE.wait_seconds), (1.0, 0.0)])
+@pytest.mark.parametrize(
+    ("share", "youngest"), [(0.0, TIMING.wait_seconds), (1.0, 0.0)]
+)
 def test_a_read_proves_for_when_it_was_sent_and_a_quick_one_for_now(share, youngest):
     proofs: list[float] = []
     world = Following(
-        proved=lambda at: proofs.append(world.clock.seconds() - at),
-        quick_share=lambda: share,
+        on_confirmed=lambda at: proofs.append(world.clock.seconds() - at),
+        immediate_share=lambda: share,
     )
     world.put("a", b"1")
     world.follower.start()
@@ -233,7 +235,7 @@
 
 def test_a_read_that_leaves_records_behind_proves_nothing():
     proofs: list[float] = []
-    world = Following(proved=proofs.append)
+    world = Following(on_confirmed=proofs.append)
     world.follower.start()
     world.run(0.1)
     original = world.log.read
