Rename the replay target's methods, and the dependencies of partitions

skipped_to is skip_to, replayed replay_record; PartitionTools is PartitionDependencies, partition_tools partition_dependencies; the service's own member is local_member, MOST_WAITING MAX_PENDING_COMMANDS.

--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -148,10 +148,10 @@
 
     # What the journal replays
 
-    def skipped_to(self, offset: int) -> None:
+    def skip_to(self, offset: int) -> None:
         """Go on without what is too old to count."""
 
-    def replayed(self, offset: int, record: bytes) -> None:
+    def replay_record(self, offset: int, record: bytes) -> None:
         """Take a record of an earlier owner."""
         known = decode(record)
         if known is not None:
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -26,7 +26,7 @@
     GROUP,
     TOPIC,
     PartitionService,
-    partition_tools,
+    partition_dependencies,
 )
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.engine_directory import MachineEngineDirectory
@@ -163,12 +163,12 @@
     def _build_partitions(self) -> None:
         settings, ports = self.settings, self.ports
         self.partitions = PartitionService(
-            own=self.own_member,
+            local_member=self.own_member,
             peer_address=ports.peer_address,
             partitioning=self.partitioning,
             directory=self.owners,
             lease_seconds=settings.partitions.lease_seconds,
-            tools=partition_tools(
+            dependencies=partition_dependencies(
                 ports.journal,
                 ports.clock,
                 ports.chance,
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -37,10 +37,10 @@
 class ReplayTarget(Protocol):
     """What is rebuilt from the records of a journal."""
 
-    def skipped_to(self, offset: int) -> None:
+    def skip_to(self, offset: int) -> None:
         """Hear that the records before an offset are not kept any more."""
 
-    def replayed(self, offset: int, record: bytes) -> None:
+    def replay_record(self, offset: int, record: bytes) -> None:
         """Take the record at an offset."""
 
 
@@ -96,7 +96,7 @@
                 continue
             found = answer.ok_value
             for offset, record in enumerate(found.records, start=found.first):
-                self._target.replayed(offset, record)
+                self._target.replay_record(offset, record)
             self.records += len(found.records)
             self._read_to = found.first + len(found.records)
             if not found.records and found.end <= self._read_to:
@@ -106,7 +106,7 @@
     def _after_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
         if problem.fault is LogFault.GONE and problem.offset > self._read_to:
             self._read_to = problem.offset
-            self._target.skipped_to(problem.offset)
+            self._target.skip_to(problem.offset)
             return
         yield deferLater(self._clock, READ_RETRY_SECONDS, lambda: None)
 
--- a/notcharch/partitions/led_partition.py
+++ b/notcharch/partitions/led_partition.py
@@ -33,7 +33,7 @@
 from notcharch.values.identifiers import Epoch, PartitionNumber
 
 RETRY_SECONDS = 0.2
-MOST_WAITING = 10_000
+MAX_PENDING_COMMANDS = 10_000
 """More commands than this don't wait for the log."""
 SNAPSHOT_LOG_BYTES = 1024 * 1024
 """A snapshot follows after so many bytes of commands, or twice the last one's size."""
@@ -41,7 +41,7 @@
 ProposalResult = Result[CommandResult, Problem]
 
 
-class PartitionTools(msgspec.Struct, frozen=True):
+class PartitionDependencies(msgspec.Struct, frozen=True):
     """What every partition of a daemon works with."""
 
     service: LogService
@@ -77,24 +77,26 @@
 
     def __init__(
         self,
-        tools: PartitionTools,
+        dependencies: PartitionDependencies,
         assignment: PartitionAssignment,
         *,
         on_fenced: Callable[["LedPartition"], None],
         on_leading: Callable[["LedPartition", bool], None],
     ) -> None:
         """`on_leading` hears when leading begins and ends; `on_fenced`, when fenced."""
-        self._tools = tools
+        self._dependencies = dependencies
         self.assignment = assignment
         self._on_fenced = on_fenced
         self._on_leading = on_leading
         self.number = PartitionNumber(assignment.number)
         self.epoch = Epoch(assignment.epoch)
-        self._replay = Replay(lambda: tools.new_state(self.number), tools.codec)
+        self._replay = Replay(
+            lambda: dependencies.new_state(self.number), dependencies.codec
+        )
         self._journal = PartitionJournal(
-            tools.service,
-            tools.clock,
-            tools.random,
+            dependencies.service,
+            dependencies.clock,
+            dependencies.random,
             assignment,
             target=self._replay,
             on_fenced=self._fenced,
@@ -121,14 +123,14 @@
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
         """Fence the former leader and replay what it journalled."""
-        began = self._tools.clock.seconds()
+        began = self._dependencies.clock.seconds()
         is_read = yield self._journal.take_over()
         if not is_read:
             return
         if not self._replay.is_whole:
             emit(StateUnreadable(self.number, self.epoch, self.end))
             return
-        seconds = self._tools.clock.seconds() - began
+        seconds = self._dependencies.clock.seconds() - began
         self.snapshot_covers_to = self._replay.snapshot_covers_to
         self._snapshot_at = self._replay.snapshot_at
         self.is_leading = True
@@ -143,14 +145,14 @@
 
     def propose(self, command: Command) -> "Deferred[ProposalResult]":
         """Journal a command; it is applied when it is durable."""
-        encoded = self._tools.codec.encode(command)
+        encoded = self._dependencies.codec.encode(command)
         proposal = Proposal(CommandRecord(self.epoch, encoded))
-        if self.waiting >= MOST_WAITING:
+        if self.waiting >= MAX_PENDING_COMMANDS:
             proposal.decide(Err(self._unavailable("too much waits", Ran.NO)))
             return proposal.answer
         self.waiting += 1
-        proposal.timer = self._tools.clock.callLater(
-            self._tools.commit_seconds, self._expire, proposal
+        proposal.timer = self._dependencies.clock.callLater(
+            self._dependencies.commit_seconds, self._expire, proposal
         )
         data = encode_record(proposal.record)
         self._bytes_since += len(data)
@@ -166,7 +168,7 @@
         proposal.decide(Err(self._unavailable("another daemon leads it now", ran)))
 
     def _apply(self, record: CommandRecord) -> CommandResult:
-        applied = apply_record(self.state, self._tools.codec, record)
+        applied = apply_record(self.state, self._dependencies.codec, record)
         if applied.failure is not None:
             emit(CommandFailed(self.number, self.end, applied.failure))
         return applied.result
@@ -190,8 +192,8 @@
         if not self.is_leading or self._is_snapshotting or not self.end:
             return
         limit = max(SNAPSHOT_LOG_BYTES, 2 * self._snapshot_bytes)
-        age = self._tools.clock.seconds() - self._snapshot_at
-        if self._bytes_since >= limit or age >= self._tools.snapshot_seconds:
+        age = self._dependencies.clock.seconds() - self._snapshot_at
+        if self._bytes_since >= limit or age >= self._dependencies.snapshot_seconds:
             self._write_snapshot()
 
     def _write_snapshot(self) -> None:
@@ -203,7 +205,7 @@
         covers_to = self.end
         snapshot = self.state.snapshot()
         self._is_snapshotting = True
-        self._snapshot_at = self._tools.clock.seconds()
+        self._snapshot_at = self._dependencies.clock.seconds()
         self._snapshot_bytes = len(snapshot)
         self._bytes_since = 0
         *parts, last = snapshot_parts(snapshot, covers_to, self._snapshot_at)
@@ -218,7 +220,7 @@
         if outcome is Outcome.DURABLE:
             self.snapshot_covers_to = covers_to
             log = self.assignment.log
-            self._tools.service.trim(log.topic, log.number, covers_to)
+            self._dependencies.service.trim(log.topic, log.number, covers_to)
 
     # The end
 
--- a/notcharch/partitions/replay.py
+++ b/notcharch/partitions/replay.py
@@ -48,7 +48,7 @@
         self._waiting: deque[StoredCommand] = deque()
         self._parts: list[SnapshotPart] = []
 
-    def skipped_to(self, offset: int) -> None:
+    def skip_to(self, offset: int) -> None:
         """Hear that the records before an offset are not kept any more."""
         self._first = offset
         self.is_whole = False
@@ -56,7 +56,7 @@
         self._waiting.clear()
         self._parts = []
 
-    def replayed(self, offset: int, record: bytes) -> None:
+    def replay_record(self, offset: int, record: bytes) -> None:
         """Take the record at an offset."""
         known = decode_record(record)
         if isinstance(known, SnapshotPart):
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -28,7 +28,7 @@
 from notcharch.partitions.led_partition import (
     RETRY_SECONDS,
     LedPartition,
-    PartitionTools,
+    PartitionDependencies,
     ProposalResult,
 )
 from notcharch.partitions.records import CommandCodec
@@ -57,39 +57,39 @@
     def __init__(
         self,
         *,
-        own: Member,
+        local_member: Member,
         peer_address: str,
         partitioning: Partitioning,
         directory: OwnerDirectory,
         lease_seconds: float,
-        tools: PartitionTools,
+        dependencies: PartitionDependencies,
     ) -> None:
         """Wire the parts; nothing is spoken before `start`."""
-        self._tools = tools
+        self._dependencies = dependencies
         self._directory = directory
         self._is_stopped = False
         self._listeners: list[LeadershipListener] = []
         self._assigned: AssignedPartitions[LedPartition] = AssignedPartitions(
-            own,
+            local_member,
             partitioning,
             directory,
             heartbeat=self._heartbeat,
             create=self._create,
         )
         self._group = GroupMember(
-            tools.service,
-            tools.clock,
+            dependencies.service,
+            dependencies.clock,
             GroupName(GROUP, partitioning.topics),
-            OwnerName(own.daemon, peer_address).member_id(),
+            OwnerName(local_member.daemon, peer_address).member_id(),
             min_lease_seconds=lease_seconds,
             on_assignment=self._assigned.on_assignment,
         )
         self._tidying = LoopingCall(self._tidy)
-        self._tidying.clock = tools.clock
+        self._tidying.clock = dependencies.clock
 
     def _create(self, assignment: PartitionAssignment) -> LedPartition:
         return LedPartition(
-            self._tools,
+            self._dependencies,
             assignment,
             on_fenced=self._assigned.on_fenced,
             on_leading=self._on_leading,
@@ -197,7 +197,7 @@
         return Err(problem)
 
 
-def partition_tools(
+def partition_dependencies(
     service: LogService,
     clock: IReactorTime,
     random: Random,
@@ -205,9 +205,9 @@
     *,
     command_types: tuple[type[Command], ...],
     new_state: Callable[[PartitionNumber], StateMachine],
-) -> PartitionTools:
+) -> PartitionDependencies:
     """Gather what every partition of a daemon works with."""
-    return PartitionTools(
+    return PartitionDependencies(
         service=service,
         clock=clock,
         random=random,
--- a/tests/stateful/partitions/test_partitions_machine.py
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -80,17 +80,17 @@
 
 
 def a_snapshot_is_believed_though_records_are_missing(monkeypatch):
-    original = Replay.skipped_to
+    original = Replay.skip_to
 
-    def skipped_to(self, offset):
+    def skip_to(self, offset):
         original(self, offset)
         self._first = 0
 
-    monkeypatch.setattr(Replay, "skipped_to", skipped_to)
+    monkeypatch.setattr(Replay, "skip_to", skip_to)
 
 
 def a_lost_beginning_is_not_noticed(monkeypatch):
-    monkeypatch.setattr(Replay, "skipped_to", lambda self, offset: None)
+    monkeypatch.setattr(Replay, "skip_to", lambda self, offset: None)
 
 
 def parts_of_a_torn_snapshot_are_kept(monkeypatch):
--- a/tests/unit/partitions/test_partitions.py
+++ b/tests/unit/partitions/test_partitions.py
@@ -9,7 +9,7 @@
 from notcharch.events import partitions as events
 from notcharch.journal.interface import Producer
 from notcharch.partitions.interface import CommandRefused
-from notcharch.partitions.led_partition import MOST_WAITING
+from notcharch.partitions.led_partition import MAX_PENDING_COMMANDS
 from notcharch.partitions.records import SnapshotPart, encode_record, snapshot_parts
 from tests.unit.events.capture import captured, of
 from tests.unit.partitions.counting import Noted
@@ -217,7 +217,7 @@
 def test_too_much_that_waits_is_refused_before_it_is_written():
     world = settled()
     world.faults.order_fault(FaultKind.HANG, None)
-    for number in range(MOST_WAITING):
+    for number in range(MAX_PENDING_COMMANDS):
         world.propose(0, f"{number}")
     [result] = world.propose(0, "too much")
     assert result.err_value.ran is Ran.NO
--- a/tests/unit/partitions/world.py
+++ b/tests/unit/partitions/world.py
@@ -18,7 +18,7 @@
     GROUP,
     TOPIC,
     PartitionService,
-    partition_tools,
+    partition_dependencies,
 )
 from notcharch.settings.schema import PartitionsSection
 from notcharch.values.identifiers import (
@@ -64,7 +64,7 @@
         journal = MemoryJournal(way, self.log, self.faults)
         random = Random(self.starts)
         service = PartitionService(
-            own=member,
+            local_member=member,
             peer_address=place.address,
             partitioning=self.partitioning,
             directory=OwnerDirectory(
@@ -76,7 +76,7 @@
                 partitioning=self.partitioning,
             ),
             lease_seconds=self.settings.lease_seconds,
-            tools=partition_tools(
+            dependencies=partition_dependencies(
                 journal,
                 place.clock,
                 random,
