--- a/notcharch/journal/__init__.py
+++ b/notcharch/journal/__init__.py
@@ -1,1 +1,1 @@
-"""State that lasts, in partitions of a log that a platform keeps."""
+"""Durable state, journalled in partitions of the platform's log service."""
--- a/notcharch/journal/assigned_partitions.py
+++ b/notcharch/journal/assigned_partitions.py
@@ -1,4 +1,4 @@
-"""The partitions that the group deals to this daemon, taken over and given up."""
+"""The partitions that the group assigns to this daemon, taken over and released."""
 
 from collections.abc import Callable
 from typing import Any, Generic, Protocol, TypeVar
@@ -16,38 +16,38 @@
 from notcharch.values.identifiers import Member
 
 CLAIM_BITS = 32
-"""An epoch is the group's generation, then a number of the claim within it.
+"""Low bits of an epoch, which hold a claim number; the high bits are the generation.
 
-A restarted process may claim again in the generation of the one before it. Its first
-number comes from its incarnation, which the clock usually makes higher; where it is
-not, the claim is fenced and the next one jumps.
+A restarted process may claim partitions in the same generation as its predecessor. Its
+claim numbers start at its incarnation, which usually grows with the clock; if it did
+not grow, the claim is fenced and the next one skips `FENCED_JUMP` numbers.
 """
 FENCED_JUMP = 1 << 20
-"""Added to the number of claims once one was fenced: more than a process ever makes."""
+"""Added to the claim number after a fenced claim; exceeds the claims of one process."""
 
 
 class AssignedPartition(Protocol):
-    """A partition as its owner keeps it."""
+    """An assigned partition, as its owner manages it."""
 
     @property
     def assignment(self) -> PartitionAssignment:
-        """Which partition it is, and under which epoch."""
+        """The partition's number, location in the log and epoch."""
 
     def take_over(self) -> "Deferred[Any]":
-        """Fence the former owner and read what it wrote."""
+        """Fence the previous owner and replay its records."""
 
     def hand_over(self) -> "Deferred[Any]":
-        """Write what a successor needs, then give the partition up."""
+        """Write the state that the next owner needs, then release the partition."""
 
     def close(self) -> None:
-        """Give the partition up at once."""
+        """Release the partition immediately."""
 
 
 PartitionT = TypeVar("PartitionT", bound=AssignedPartition)
 
 
 class AssignedPartitions(Generic[PartitionT]):
-    """Keeps one object for each partition that is dealt to this daemon."""
+    """Keeps one object for each partition that is assigned to this daemon."""
 
     def __init__(
         self,
@@ -58,7 +58,7 @@
         heartbeat: Callable[[], None],
         create: Callable[[PartitionAssignment], PartitionT],
     ) -> None:
-        """`create` prepares a partition; `heartbeat` tells the group at once."""
+        """`create` builds a partition; `heartbeat` sends a heartbeat to the group."""
         self._local_member = local_member
         self._partitioning = partitioning
         self._directory = directory
@@ -68,26 +68,26 @@
         self._claims: int = local_member.incarnation
 
     def get(self, number: int) -> PartitionT | None:
-        """Give a partition that is owned here, or being taken over."""
+        """Return a partition that is owned or being taken over by this daemon."""
         return self._partitions.get(number)
 
     def all(self) -> tuple[PartitionT, ...]:
-        """Give every partition that is owned here, or being taken over."""
+        """Return all partitions that are owned or being taken over by this daemon."""
         return tuple(self._partitions.values())
 
     def on_assignment(self, membership: Membership) -> None:
-        """Take over what is new, give up what is gone."""
+        """Take over newly assigned partitions and release those no longer assigned."""
         self._directory.on_generation(membership.generation)
         numbers = map(self._partitioning.number, membership.partitions)
-        mine = {number for number in numbers if number is not None}
+        assigned = {number for number in numbers if number is not None}
         for number in tuple(self._partitions):
-            if number not in mine:
-                self._partitions.pop(number).hand_over().addBoth(self._handed_over)
-        for number in sorted(mine - self._partitions.keys()):
+            if number not in assigned:
+                self._partitions.pop(number).hand_over().addBoth(self._on_handed_over)
+        for number in sorted(assigned - self._partitions.keys()):
             self._take_over(number, membership.generation)
 
-    def _handed_over(self, _: object) -> None:
-        """Heartbeat at once: the group passes on what we no longer hold."""
+    def _on_handed_over(self, _: object) -> None:
+        """Send a heartbeat immediately, so that the group reassigns the partition."""
         self._heartbeat()
 
     def _take_over(self, number: int, generation: int) -> None:
@@ -97,10 +97,10 @@
             number, self._partitioning.log_partition(number), epoch
         )
         partition = self._partitions[number] = self._create(assignment)
-        partition.take_over().addErrback(self._failed, partition)
+        partition.take_over().addErrback(self._on_takeover_failed, partition)
 
-    def _failed(self, failure: Failure, partition: PartitionT) -> None:
-        """Drop a partition after a fault of this program: the next heartbeat retries."""
+    def _on_takeover_failed(self, failure: Failure, partition: PartitionT) -> None:
+        """Drop a partition after an exception; the next heartbeat retries."""
         assignment = partition.assignment
         emit(
             TakeoverFailed(assignment.number, assignment.epoch, failure.getTraceback())
@@ -109,7 +109,7 @@
         self._drop(partition)
 
     def on_fenced(self, partition: PartitionT) -> None:
-        """Forget a partition that somebody else writes; the group deals anew."""
+        """Drop a partition that a higher epoch writes; the group assigns it again."""
         self._claims += FENCED_JUMP
         self._drop(partition)
 
@@ -119,12 +119,12 @@
             del self._partitions[number]
 
     def release_all(self) -> "Deferred[Any]":
-        """Stop owning anything; fires when everything is handed over."""
-        held, self._partitions = self._partitions, {}
-        return gatherResults([partition.hand_over() for partition in held.values()])
+        """Release all partitions; fires when all are handed over."""
+        released, self._partitions = self._partitions, {}
+        return gatherResults([partition.hand_over() for partition in released.values()])
 
     def other_owner(self, number: int) -> OwnerName | None:
-        """Give the other daemon that owns a partition, as far as is known here."""
+        """Return the owner of a partition if known and not this daemon."""
         owner = self._directory.owner(number)
         is_other = owner is not None and owner.daemon != self._local_member.daemon
         return owner if is_other else None
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -1,4 +1,4 @@
-"""This daemon's membership in the group that deals partitions out."""
+"""This daemon's membership in the group that assigns partitions."""
 
 import math
 from collections.abc import Callable, Generator
@@ -17,18 +17,20 @@
 )
 
 HEARTBEAT_SECONDS = 0.35
-"""A third of the lease, so two heartbeats in a row may be lost."""
+"""Under a third of the lease, so that two consecutive heartbeats may fail."""
 FAST_HEARTBEAT_SECONDS = 0.1
-"""Between heartbeats while the group changes, or after one that had no answer."""
+"""Interval after a change of the group or a heartbeat without a response."""
 FAST_HEARTBEATS = 5
-"""So many heartbeats follow quickly when the group has changed: more may be dealt."""
+"""Number of heartbeats at the short interval after a new generation."""
 LEASE_SECONDS = 1.2
-"""So long the partitions of a dead daemon stay unserved. The platform takes 1 s at least;
-a fifth more for a heartbeat that comes late."""
+"""How long the partitions of a failed daemon stay unserved.
+
+The platform's minimum is 1 s; the rest allows for a late heartbeat.
+"""
 
 
 class GroupMember:
-    """Stays in a group by heartbeats, and tells which partitions it was dealt."""
+    """Renews a group membership by heartbeats and reports the assigned partitions."""
 
     def __init__(
         self,
@@ -41,9 +43,9 @@
         on_assignment: Callable[[Membership], None],
         on_recovery: Callable[[], None] = lambda: None,
     ) -> None:
-        """Call `on_assignment` after each heartbeat that was answered.
+        """Call `on_assignment` after each successful heartbeat.
 
-        `on_recovery` is called before it when the heartbeat before had no answer.
+        `on_recovery` is called before it if the previous heartbeat failed.
         """
         self._service = service
         self._clock = clock
@@ -53,32 +55,32 @@
         self._on_assignment = on_assignment
         self._on_recovery = on_recovery
         self._has_failed = False
-        """Whether the last heartbeat was refused or not answered."""
+        """Whether the last heartbeat was refused or timed out."""
         self._generation = 0
         self._is_member = False
         self._is_joining = False
         self._confirmed_at: float | None = None
-        """When the last heartbeat that was answered was sent."""
+        """Send time of the last successful heartbeat, in clock seconds."""
         self.lease_held_since = -math.inf
-        """When the lease was last renewed after it had run out, clock seconds."""
+        """When the lease was last acquired after an expiry, in clock seconds."""
         self._fast_heartbeats_left = 0
         self._next: IDelayedCall | None = None
 
     def start(self) -> None:
-        """Join, and stay."""
+        """Join the group and start sending heartbeats."""
         self._is_member = True
         self.heartbeat()
 
     @property
     def is_lease_valid(self) -> bool:
-        """Whether nobody else can have been dealt what was dealt to this member."""
+        """Whether no other member can own the partitions assigned to this one."""
         if self._confirmed_at is None:
             return False
         return self._clock.seconds() - self._confirmed_at < self._lease_seconds
 
     @property
     def remaining_seconds(self) -> float:
-        """Seconds until the lease runs out, if the service doesn't renew it; or 0."""
+        """Seconds until the lease expires unless renewed; 0 if it has expired."""
         if self._confirmed_at is None:
             return 0.0
         elapsed = self._clock.seconds() - self._confirmed_at
@@ -86,7 +88,7 @@
 
     @property
     def expired_seconds(self) -> float:
-        """Seconds since the lease ran out, if the service didn't renew it; or 0."""
+        """Seconds since the lease expired; 0 if it is valid, infinite if never held."""
         if self._confirmed_at is None:
             return math.inf
         elapsed = self._clock.seconds() - self._confirmed_at
@@ -94,14 +96,14 @@
 
     @property
     def unanswered_seconds(self) -> float:
-        """Seconds for which heartbeats have not been answered as they should; or 0."""
+        """Seconds by which a response to the heartbeats is overdue; 0 if none is."""
         if self._confirmed_at is None:
             return 0.0
         elapsed = self._clock.seconds() - self._confirmed_at
         return max(elapsed - 2 * HEARTBEAT_SECONDS, 0.0)
 
     def heartbeat(self) -> None:
-        """Join now, not at the next time."""
+        """Send a heartbeat now instead of at the next scheduled time."""
         if self._next is not None and self._next.active():
             self._next.cancel()
         if self._is_member and not self._is_joining:
@@ -111,47 +113,49 @@
     def _join(self) -> Generator["Deferred[Any]", Any, None]:
         self._is_joining = True
         sent_at = self._clock.seconds()
-        answer: Result[Membership, LogProblem] = yield self._service.join(
+        response: Result[Membership, LogProblem] = yield self._service.join(
             self._name, self._member, self._lease_seconds, self._generation
         )
         self._is_joining = False
         if not self._is_member:
             return
-        # Before anything else, so that no fault keeps the next heartbeat away.
+        # Schedule the next heartbeat first, so that no exception below prevents it.
         if self._next is None or not self._next.active():
-            self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
-        had_failed, self._has_failed = self._has_failed, isinstance(answer, Err)
-        if not isinstance(answer, Err):
+            self._next = self._clock.callLater(
+                self._next_delay(response), self.heartbeat
+            )
+        had_failed, self._has_failed = self._has_failed, isinstance(response, Err)
+        if not isinstance(response, Err):
             if self.expired_seconds > 0.0:
                 self.lease_held_since = self._clock.seconds()
             self._confirmed_at = sent_at
             if had_failed:
                 self._on_recovery()
-            self._on_assignment(answer.ok_value)
+            self._on_assignment(response.ok_value)
 
-    def _pause(self, answer: Result[Membership, LogProblem]) -> float:
-        """Give the time to the next heartbeat; note the group's generation.
+    def _next_delay(self, response: Result[Membership, LogProblem]) -> float:
+        """Return the delay until the next heartbeat; store the group's generation.
 
-        One whose answer was lost has spent much of the lease already.
+        A heartbeat that timed out has used up much of the lease: repeat it soon.
         """
-        if isinstance(answer, Err):
-            is_lost = answer.err_value.fault is LogFault.UNKNOWN
-            return FAST_HEARTBEAT_SECONDS if is_lost else HEARTBEAT_SECONDS
-        if answer.ok_value.generation != self._generation:
+        if isinstance(response, Err):
+            is_timed_out = response.err_value.fault is LogFault.UNKNOWN
+            return FAST_HEARTBEAT_SECONDS if is_timed_out else HEARTBEAT_SECONDS
+        if response.ok_value.generation != self._generation:
             self._fast_heartbeats_left = FAST_HEARTBEATS
-        self._generation = answer.ok_value.generation
+        self._generation = response.ok_value.generation
         if self._fast_heartbeats_left <= 0:
             return HEARTBEAT_SECONDS
         self._fast_heartbeats_left -= 1
         return FAST_HEARTBEAT_SECONDS
 
     def stop(self) -> None:
-        """Send no more heartbeats."""
+        """Stop sending heartbeats."""
         self._is_member = False
         if self._next is not None and self._next.active():
             self._next.cancel()
 
     def leave(self) -> None:
-        """Give all partitions up at once."""
+        """Leave the group, which releases all partitions immediately."""
         self.stop()
         self._service.leave(self._name.group, self._member)
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -1,4 +1,4 @@
-"""Follows a keyed topic: a picture of all keys, then each change."""
+"""Follows a keyed topic: reads a snapshot of all keys, then each change."""
 
 from collections.abc import Callable, Generator
 from random import Random
@@ -13,7 +13,6 @@
 
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, DependencyRegained, FollowingFailed
-from notcharch.journal.growing_picture import GrowingPicture
 from notcharch.journal.interface import (
     KeyedRecord,
     LogFault,
@@ -22,29 +21,28 @@
     NewestPage,
     Records,
 )
+from notcharch.journal.paged_snapshot import PagedSnapshot
 from notcharch.journal.recovery_signal import RecoverySignal
 
 RETRY_SECONDS = 0.1
-"""Before the first repetition of a read that failed. Each failed call is priced, so the
-times grow."""
-LONGEST_RETRY_SECONDS = 0.8
-"""Changes have to be known within some seconds of the end of an outage."""
-RETRY_GROWTH = 1.6
-"""Times the pause before: five repetitions until the longest."""
+"""Delay before the first retry of a failed read."""
+MAX_RETRY_SECONDS = 0.8
+"""Bounds how late changes are read after an outage."""
+RETRY_GROWTH_FACTOR = 1.6
 
 
 class PollTiming(msgspec.Struct, frozen=True):
-    """How often a topic is asked for."""
+    """How often and how long a topic is polled."""
 
     wait_seconds: float
-    """So long the service may hold a read until there is a record."""
+    """How long the service may delay a read until there is a record (long polling)."""
     pause_seconds: float
-    """Between two reads."""
+    """Pause between two reads."""
     page_pause_seconds: float = 0.0
-    """Between two pages of a picture, on average; with 0 they are read at once.
+    """Mean pause between two pages of a snapshot; 0 reads all pages at once.
 
-    Where very many daemons start together, whole pictures of a large topic would take
-    all that the service can give; the first page is enough to begin with.
+    When many daemons start together, reading a large topic at once would overload the
+    service; the first page is enough to start with.
     """
 
 
@@ -66,12 +64,12 @@
     ) -> None:
         """Call `on_change` with all keys after each change.
 
-        `on_confirmed` is called with an instant, clock seconds, at which the keys that were
-        told last were certainly the newest. `immediate_share` gives the share of reads that
-        are not held: what they prove is not as old as a held read takes.
+        `on_confirmed` is called with a time, in clock seconds, at which the reported
+        keys were up to date. `immediate_share` returns the share of reads without long
+        polling, which confirm a more recent time than a delayed read.
 
-        `recovery` ends waits early when the service is back: a read that was held, or
-        lost, in an outage is repeated at once.
+        `recovery` ends waits when the service is available again: a read that was
+        delayed or lost in an outage is repeated immediately.
         """
         self._service = service
         self._clock = clock
@@ -82,40 +80,40 @@
         self._on_confirmed = on_confirmed
         self._immediate_share = immediate_share
         self._recovery = recovery or RecoverySignal(clock)
-        self._picture = GrowingPicture({})
+        self._snapshot = PagedSnapshot({})
         self._first_page_end = -1
         self._next_page_at = 0.0
         self._offset = -1
-        """Where the next read begins; negative before a picture."""
+        """Offset of the next read; negative before the first snapshot."""
         self._is_running = False
         self._retry_seconds = RETRY_SECONDS
-        self._lost_at: float | None = None
+        self._unavailable_since: float | None = None
 
     @property
     def position(self) -> int:
-        """Give up to where the topic was read; negative before that."""
+        """Return the end of what was read; negative before the first snapshot."""
         return self._offset
 
     def start(self) -> None:
-        """Begin to follow."""
+        """Start following the topic."""
         self._is_running = True
-        self._follow().addErrback(self._failed)
+        self._follow().addErrback(self._on_failure)
 
-    def _failed(self, failure: Failure) -> None:
-        """Begin anew after a fault of this program: never stop following."""
+    def _on_failure(self, failure: Failure) -> None:
+        """Start again with a new snapshot after an unexpected exception."""
         emit(FollowingFailed(self._topic, failure.getTraceback()))
         self._offset = -1
-        self._clock.callLater(LONGEST_RETRY_SECONDS, self.start)
+        self._clock.callLater(MAX_RETRY_SECONDS, self.start)
 
     def stop(self) -> None:
-        """Stop after the read under way."""
+        """Stop after the read in flight."""
         self._is_running = False
 
     @inlineCallbacks
     def _follow(self) -> Generator["Deferred[Any]", Any, None]:
         while self._is_running:
             problem = yield self._step()
-            self._note(problem)
+            self._report_availability(problem)
             if problem is None:
                 self._retry_seconds = RETRY_SECONDS
                 yield self._sleep(self._timing.pause_seconds)
@@ -124,19 +122,19 @@
             else:
                 jitter = 0.5 + self._random.random()
                 yield self._recovery.pause(self._retry_seconds * jitter)
-                longer = self._retry_seconds * RETRY_GROWTH
-                self._retry_seconds = min(longer, LONGEST_RETRY_SECONDS)
+                next_retry = self._retry_seconds * RETRY_GROWTH_FACTOR
+                self._retry_seconds = min(next_retry, MAX_RETRY_SECONDS)
 
-    def _note(self, problem: LogProblem | None) -> None:
-        """Tell once that the topic can't be read, and once that it can again."""
+    def _report_availability(self, problem: LogProblem | None) -> None:
+        """Log once that the topic can't be read, and once that it can again."""
         now = self._clock.seconds()
         if problem is None:
-            if self._lost_at is not None:
-                seconds = round(now - self._lost_at, 3)
+            if self._unavailable_since is not None:
+                seconds = round(now - self._unavailable_since, 3)
                 emit(DependencyRegained(self._topic, seconds))
-            self._lost_at = None
-        elif self._lost_at is None and problem.fault is not LogFault.GONE:
-            self._lost_at = now
+            self._unavailable_since = None
+        elif self._unavailable_since is None and problem.fault is not LogFault.GONE:
+            self._unavailable_since = now
             emit(DependencyLost(self._topic, problem.fault.value))
 
     def _sleep(self, seconds: float) -> "Deferred[None]":
@@ -146,45 +144,45 @@
     def _step(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
         problem: LogProblem | None
         if self._offset < 0:
-            problem = yield self._begin_picture()
+            problem = yield self._begin_snapshot()
             return problem
-        problem = yield self._take_changes()
+        problem = yield self._read_changes()
         is_page_due = self._clock.seconds() >= self._next_page_at
-        if problem is None and is_page_due and not self._picture.is_whole:
-            problem = yield self._take_page()
-            self._on_change(self._picture.values)
+        if problem is None and is_page_due and not self._snapshot.is_complete:
+            problem = yield self._read_page()
+            self._on_change(self._snapshot.values)
         return problem
 
     @inlineCallbacks
-    def _begin_picture(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        """Read all keys, or the first page if the others may come later.
+    def _begin_snapshot(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        """Read all pages, or only the first one if pages are spread over time.
 
-        Changes meanwhile are read again after the first page's end.
+        Changes are then read from the end offset of the first page.
         """
-        self._picture = GrowingPicture(self._picture.values)
+        self._snapshot = PagedSnapshot(self._snapshot.values)
         self._first_page_end = -1
-        asked_at = self._clock.seconds()
-        while not self._picture.is_whole:
-            problem: LogProblem | None = yield self._take_page()
+        requested_at = self._clock.seconds()
+        while not self._snapshot.is_complete:
+            problem: LogProblem | None = yield self._read_page()
             if problem is not None:
                 return problem
             if self._timing.page_pause_seconds:
                 break
         self._offset = self._first_page_end
-        self._on_change(self._picture.values)
-        if self._picture.is_whole:
-            self._on_confirmed(asked_at)
+        self._on_change(self._snapshot.values)
+        if self._snapshot.is_complete:
+            self._on_confirmed(requested_at)
         return None
 
     @inlineCallbacks
-    def _take_page(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        answer: Result[NewestPage, LogProblem] = yield self._service.newest(
-            self._topic, 0, self._picture.after
+    def _read_page(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        response: Result[NewestPage, LogProblem] = yield self._service.newest(
+            self._topic, 0, self._snapshot.after
         )
-        if isinstance(answer, Err):
-            return answer.err_value
-        page = answer.ok_value
-        self._picture.take_page(page)
+        if isinstance(response, Err):
+            return response.err_value
+        page = response.ok_value
+        self._snapshot.add_page(page)
         if self._first_page_end < 0:
             self._first_page_end = page.end
         pause = self._timing.page_pause_seconds * (0.5 + self._random.random())
@@ -192,37 +190,37 @@
         return None
 
     @inlineCallbacks
-    def _take_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
-        # The first read after a fault isn't held: its answer shows that the topic is back.
-        is_quick = self._lost_at is not None or (
+    def _read_changes(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
+        # The first read after a fault returns at once, to detect the recovery early.
+        is_immediate = self._unavailable_since is not None or (
             self._random.random() < self._immediate_share()
         )
-        wait_seconds = 0.0 if is_quick else self._timing.wait_seconds
-        asked_at = self._clock.seconds()
+        wait_seconds = 0.0 if is_immediate else self._timing.wait_seconds
+        requested_at = self._clock.seconds()
         reading = self._service.read(self._topic, 0, self._offset, wait_seconds)
-        answer: Result[Records, LogProblem] = yield self._recovery.guard(reading)
-        if isinstance(answer, Err):
-            return answer.err_value
-        found = answer.ok_value
+        response: Result[Records, LogProblem] = yield self._recovery.guard(reading)
+        if isinstance(response, Err):
+            return response.err_value
+        found = response.ok_value
         if found.records:
-            self._picture.take_changes(
+            self._snapshot.apply_changes(
                 KeyedRecord(*split_keyed(record), offset)
                 for offset, record in enumerate(found.records, start=found.first)
             )
             self._offset = found.first + len(found.records)
-            self._on_change(self._picture.values)
-        if self._offset >= found.end and self._picture.is_whole:
-            self._on_confirmed(asked_at)
+            self._on_change(self._snapshot.values)
+        if self._offset >= found.end and self._snapshot.is_complete:
+            self._on_confirmed(requested_at)
         return None
 
 
 def split_keyed(record: bytes) -> tuple[str, bytes]:
-    """Give the key and the value of a keyed record (length of the key in a byte)."""
+    """Split a keyed record: one byte with the key's length, the key, the value."""
     end = 1 + record[0]
     return record[1:end].decode(), record[end:]
 
 
 def join_keyed(key: str, value: bytes) -> bytes:
-    """Give the record of a key and its value; no value drops the key."""
+    """Encode a keyed record; an empty value removes the key."""
     name = key.encode()
     return bytes((len(name),)) + name + value
--- a/notcharch/journal/known_daemons.py
+++ b/notcharch/journal/known_daemons.py
@@ -1,4 +1,4 @@
-"""Who else is there, as far as the owners of partitions show it."""
+"""The other daemons, as known from the owners of partitions."""
 
 from collections.abc import Sequence
 
@@ -6,17 +6,17 @@
 
 
 class KnownDaemons:
-    """The daemons that own a partition, seen from one of them."""
+    """The daemons that own a partition, as one daemon knows them."""
 
     def __init__(self, own: str, directory: OwnerDirectory) -> None:
-        """Look at a directory of owners."""
+        """Read the daemons from a directory of owners."""
         self.own = own
         self._directory = directory
 
     def members(self) -> Sequence[str]:
-        """Give the names of all owners, in order."""
+        """Return the sorted names of all owners."""
         return self._directory.peers()
 
     def known_seconds(self) -> float:
-        """Give for how long any of them has been known."""
+        """Return for how long any owner has been known, in seconds."""
         return self._directory.known_seconds()
