Reword the port to the log service, the writer and the directory of owners

Writer: LOST_FAULTS is FENCING_FAULTS, LONGEST_RETRY_SECONDS MAX_RETRY_SECONDS, RETRY_GROWTH RETRY_GROWTH_FACTOR, _give_up _close_fenced, _is_alone _is_sole_writer, _tell_idle _notify_idle. Directory: REFRESH_SECONDS is REFRESH_INTERVAL_SECONDS, SPREAD_SECONDS CHANGE_JITTER_SECONDS, DOUBT_SECONDS MIN_REFRESH_INTERVAL_SECONDS, UNANSWERED_SECONDS REQUEST_TIMEOUT_SECONDS, LATE_SECONDS PEER_REQUEST_DELAY_SECONDS, PEER_SECONDS PEER_TIMEOUT_SECONDS; asked is requested, heard received, answer response.

--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -1,4 +1,4 @@
-"""The port to a platform's log service, with fenced appends, keyed topics and groups."""
+"""Port to a platform's log service: fenced appends, keyed topics and groups."""
 
 from enum import Enum
 from typing import Protocol
@@ -9,43 +9,43 @@
 
 
 class LogFault(Enum):
-    """Why the log service did not do what was asked."""
+    """Why a request to the log service failed."""
 
     NOT_DONE = "not done"
-    """Certainly nothing was done: refused, throttled or not reached."""
+    """The request had no effect: refused, throttled or not delivered."""
     UNKNOWN = "unknown"
-    """No answer: it may have been done, or may be done later."""
+    """No response: the request may have taken effect, or may take effect later."""
     FENCED = "fenced"
-    """A higher epoch writes this partition."""
+    """A higher epoch writes the partition."""
     OUT_OF_ORDER = "out of order"
-    """The sequence number is not the one that follows."""
+    """The sequence number is not the next one."""
     MOVED_ON = "moved on"
-    """The partition does not end where the append was to begin."""
+    """The end of the partition is not the expected offset of the append."""
     GONE = "gone"
-    """The records asked for are no longer kept."""
+    """The requested records are no longer stored."""
     FULL = "full"
-    """The log service keeps as much as it may."""
+    """The log service has reached its storage limit."""
     REJECTED = "rejected"
-    """The request is not one that the service takes."""
+    """The service considers the request invalid."""
 
 
 class LogProblem(msgspec.Struct, frozen=True):
-    """A fault, with the offset that the service named, if any."""
+    """A failed request, with the offset that the service returned, if any."""
 
     fault: LogFault
     offset: int = -1
-    """First kept offset for GONE; end of the partition for MOVED_ON."""
+    """First stored offset for GONE; end of the partition for MOVED_ON."""
 
 
 class Appended(msgspec.Struct, frozen=True):
-    """Where an append went."""
+    """Offset of an append, and the end of the partition after it."""
 
     offset: int
     end: int
 
 
 class Producer(msgspec.Struct, frozen=True):
-    """The identity under which a partition is written."""
+    """Identity and sequence number of a writer, for fencing and deduplication."""
 
     name: str
     epoch: int
@@ -53,7 +53,7 @@
 
 
 class Records(msgspec.Struct, frozen=True):
-    """Records of a partition."""
+    """Consecutive records of a partition."""
 
     first: int
     """Offset of the first of `records`."""
@@ -86,28 +86,28 @@
 
 
 class Ownership(msgspec.Struct, frozen=True):
-    """Who a partition is dealt to."""
+    """The member that a partition is assigned to."""
 
     partition: LogPartition
     member: str
 
 
 class GroupName(msgspec.Struct, frozen=True):
-    """A group and the topics whose partitions it deals out."""
+    """A group, and the topics whose partitions it assigns."""
 
     group: str
     topics: tuple[str, ...]
 
 
 class Membership(msgspec.Struct, frozen=True):
-    """A member's part of a group."""
+    """The partitions that are assigned to a member in a generation of the group."""
 
     generation: int
     partitions: tuple[LogPartition, ...]
 
 
 class LogService(Protocol):
-    """The calls to a log service. All answers are `Result`s; none raises."""
+    """The operations of a log service; they return a `Result` and never raise."""
 
     def append(
         self,
@@ -116,22 +116,22 @@
         records: tuple[bytes, ...],
         producer: Producer | None = None,
     ) -> "Deferred[Result[Appended, LogProblem]]":
-        """Append records, all or none."""
+        """Append records atomically."""
 
     def read(
         self, topic: str, partition: int, offset: int, wait_seconds: float = 0.0
     ) -> "Deferred[Result[Records, LogProblem]]":
-        """Read records from an offset, waiting for the first if need be."""
+        """Read records from an offset; wait up to `wait_seconds` if there is none."""
 
     def trim(
         self, topic: str, partition: int, before: int
     ) -> "Deferred[Result[None, LogProblem]]":
-        """Drop the records that lie before an offset."""
+        """Delete the records before an offset."""
 
     def newest(
         self, topic: str, partition: int, after: str = ""
     ) -> "Deferred[Result[NewestPage, LogProblem]]":
-        """Read a page of the newest value of each key."""
+        """Read a page of the newest values of a keyed topic, after a key."""
 
     def join(
         self,
@@ -140,7 +140,7 @@
         lease_seconds: float,
         generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
-        """Join a group, or stay in it."""
+        """Join a group or renew the membership."""
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
         """Leave a group."""
@@ -148,4 +148,4 @@
     def owners(
         self, group: str
     ) -> "Deferred[Result[tuple[Ownership, ...], LogProblem]]":
-        """Tell who each partition is dealt to."""
+        """Return the member that each partition is assigned to."""
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -1,4 +1,4 @@
-"""Who owns which partition, as the log service last said, to us or to a peer."""
+"""The owners of partitions, as the log service last returned them here or to a peer."""
 
 from collections.abc import Generator
 from random import Random
@@ -21,26 +21,28 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-REFRESH_SECONDS = 16.0
-"""Without doubt the view is refreshed this often: heartbeats tell of changes, and a
-daemon that is asked wrongly names the owner. At hundreds of daemons this is a call less
-for each of them every few seconds."""
-SPREAD_SECONDS = 0.5
-"""After a change not all daemons ask at the same moment."""
-DOUBT_SECONDS = 0.1
-"""In doubt the log service is asked again, at most this often."""
-UNANSWERED_SECONDS = 0.4
-"""A question that has no answer after this time doesn't keep from asking again."""
-LATE_SECONDS = 0.15
-"""When the log service takes so long for an answer, a peer is asked as well."""
-PEER_SECONDS = 0.3
-"""A peer that doesn't answer in this time is given up."""
+REFRESH_INTERVAL_SECONDS = 16.0
+"""Interval while the view is not suspected to be stale.
+
+It may be long: heartbeats report changes, and a daemon that receives a request for
+another owner's partition replies with that owner.
+"""
+CHANGE_JITTER_SECONDS = 0.5
+"""Spreads the refreshes of all daemons after a change."""
+MIN_REFRESH_INTERVAL_SECONDS = 0.1
+"""Shortest interval between refreshes of a view that is suspected to be stale."""
+REQUEST_TIMEOUT_SECONDS = 0.4
+"""Age at which a refresh without a response no longer prevents the next one."""
+PEER_REQUEST_DELAY_SECONDS = 0.15
+"""Age of a refresh at which a peer's view is requested as well."""
+PEER_TIMEOUT_SECONDS = 0.3
+"""Timeout of a request to a peer."""
 
 Reply = Result[Message, Problem]
 
 
 class OwnerDirectory:
-    """A view of the owners that is refreshed now and then, and at once in doubt."""
+    """A view of the owners, refreshed periodically and when it may be stale."""
 
     def __init__(
         self,
@@ -53,10 +55,10 @@
         partitioning: Partitioning,
         requests_peer_views: bool = False,
     ) -> None:
-        """Begin without a view.
+        """Start with an empty view.
 
-        `requests_peer_views`: while the log service turns this daemon away, peers that it
-        serves are asked what they know. Their network has to know the messages.
+        With `requests_peer_views`, peers are asked for their view while the log service
+        fails. The network must then support the messages of `owner_messages`.
         """
         self._random = random
         self._partitioning = partitioning
@@ -66,89 +68,99 @@
         self._group = group
         self._owners: dict[int, OwnerName] = {}
         self._peers: tuple[DaemonName, ...] = ()
-        """The daemons that own something, in order."""
+        """The daemons that own a partition, sorted."""
         self._known_at: float | None = None
-        """When any owner became known first."""
+        """When the first owner became known, in clock seconds."""
         OWNERS_AGE_SECONDS.labels(group).set_function(lambda: self.age_seconds)
-        self._changed_at = self._heard_at = clock.seconds()
-        self._asked_at = -REFRESH_SECONDS
-        self._is_asking = False
+        self._changed_at = self._received_at = clock.seconds()
+        self._requested_at = -REFRESH_INTERVAL_SECONDS
+        self._is_requesting = False
         self._generation = 0
         self._is_running = False
         self._has_failed = False
-        """Whether the log service's last answer was a fault."""
+        """Whether the last request to the log service failed."""
         self._requests_peer_views = requests_peer_views
-        self._is_asking_peer = False
+        self._is_requesting_peer = False
         if requests_peer_views:
-            network.on_request(AskOwners, self._tell_peer)
+            network.on_request(AskOwners, self._reply_to_peer)
 
     def start(self) -> None:
-        """Begin to refresh."""
+        """Start refreshing."""
         self._is_running = True
-        self._keep_fresh()
+        self._refresh_periodically()
 
     def stop(self) -> None:
-        """Refresh no more."""
+        """Stop refreshing."""
         self._is_running = False
 
     def owner(self, partition: int) -> OwnerName | None:
-        """Give a partition's owner, as far as it is known."""
+        """Return a partition's owner, if known."""
         return self._owners.get(partition)
 
     def peers(self) -> tuple[DaemonName, ...]:
-        """Give the daemons that own something, in order, as far as is known."""
+        """Return the sorted daemons that are known to own a partition."""
         return self._peers
 
     def known_seconds(self) -> float:
-        """Give for how long any owner has been known; 0 if none is."""
+        """Return for how long any owner has been known, in seconds; 0 if none is."""
         return 0.0 if self._known_at is None else self._clock.seconds() - self._known_at
 
     def suspect_stale(self) -> None:
-        """Ask again soon: an owner didn't answer as one."""
-        since = self._clock.seconds() - self._asked_at
-        if self._has_failed or (self._is_asking and since >= LATE_SECONDS):
-            self._ask_peer()
-        pause = UNANSWERED_SECONDS if self._is_asking else DOUBT_SECONDS
+        """Refresh soon: an owner is unknown, unreachable or no longer the owner."""
+        since = self._clock.seconds() - self._requested_at
+        if self._has_failed or (
+            self._is_requesting and since >= PEER_REQUEST_DELAY_SECONDS
+        ):
+            self._request_peer_view()
+        pause = (
+            REQUEST_TIMEOUT_SECONDS
+            if self._is_requesting
+            else MIN_REFRESH_INTERVAL_SECONDS
+        )
         if since >= pause:
             self._refresh()
 
     def apply_hint(self, partition: int, member: str) -> None:
-        """Take a peer's word for who owns a partition, until the next refresh."""
+        """Use a peer's statement of a partition's owner until the next refresh."""
         owner = parse_owner_name(member)
         if owner is not None:
             self._owners[partition] = owner
-            self._note_peers()
-            self._learn(owner)
+            self._update_peers()
+            self._set_address(owner)
 
     def on_generation(self, generation: int) -> None:
-        """Hear the group's generation: a new one means other owners."""
+        """Refresh soon if the generation is new: the owners have changed."""
         if generation != self._generation:
             self._generation = generation
-            pause = self._random.random() * SPREAD_SECONDS
+            pause = self._random.random() * CHANGE_JITTER_SECONDS
             self._clock.callLater(pause, self.suspect_stale)
 
     @inlineCallbacks
-    def _keep_fresh(self) -> Generator["Deferred[Any]", Any, None]:
+    def _refresh_periodically(self) -> Generator["Deferred[Any]", Any, None]:
         while self._is_running:
-            if not self._is_asking:
+            if not self._is_requesting:
                 yield self._refresh()
-            pause = REFRESH_SECONDS if self._owners else DOUBT_SECONDS
+            pause = (
+                REFRESH_INTERVAL_SECONDS
+                if self._owners
+                else MIN_REFRESH_INTERVAL_SECONDS
+            )
             yield deferLater(self._clock, pause, lambda: None)
 
     @inlineCallbacks
     def _refresh(self) -> Generator["Deferred[Any]", Any, None]:
-        self._is_asking = True
-        self._asked_at = self._clock.seconds()
-        answer: Result[tuple[Ownership, ...], LogProblem] = yield self._service.owners(
-            self._group
-        )
-        self._is_asking = False
-        self._has_failed = isinstance(answer, Err)
-        if not isinstance(answer, Err):
-            self._heard_at = self._clock.seconds()
-            self._take(self._read(answer.ok_value))
-
-    def _read(self, rows: tuple[Ownership, ...]) -> dict[int, OwnerName]:
+        self._is_requesting = True
+        self._requested_at = self._clock.seconds()
+        response: Result[
+            tuple[Ownership, ...], LogProblem
+        ] = yield self._service.owners(self._group)
+        self._is_requesting = False
+        self._has_failed = isinstance(response, Err)
+        if not isinstance(response, Err):
+            self._received_at = self._clock.seconds()
+            self._update_owners(self._parse_owners(response.ok_value))
+
+    def _parse_owners(self, rows: tuple[Ownership, ...]) -> dict[int, OwnerName]:
         owners: dict[int, OwnerName] = {}
         for row in rows:
             owner = parse_owner_name(row.member)
@@ -160,47 +172,51 @@
 
     # Peers
 
-    def _ask_peer(self) -> None:
-        """Ask one peer, of those that own something, what it knows."""
-        own = self._network.own_member.daemon
-        peers = [peer for peer in self.peers() if peer != own]
-        if not self._requests_peer_views or self._is_asking_peer or not peers:
+    def _request_peer_view(self) -> None:
+        """Request the view of a random peer that owns a partition."""
+        local_daemon = self._network.own_member.daemon
+        peers = [peer for peer in self.peers() if peer != local_daemon]
+        if not self._requests_peer_views or self._is_requesting_peer or not peers:
             return
-        self._is_asking_peer = True
+        self._is_requesting_peer = True
         peer = self._random.choice(peers)
-        asking = self._network.request(peer, AskOwners(self._group), PEER_SECONDS)
-        asking.addCallback(self._peer_answered)
+        pending = self._network.request(
+            peer, AskOwners(self._group), PEER_TIMEOUT_SECONDS
+        )
+        pending.addCallback(self._on_peer_reply)
 
-    def _peer_answered(self, reply: Reply) -> None:
-        """Take a view that is newer than our own."""
-        self._clock.callLater(DOUBT_SECONDS, self._may_ask_peer)
+    def _on_peer_reply(self, reply: Reply) -> None:
+        """Use the peer's view if it is newer than the local one."""
+        self._clock.callLater(MIN_REFRESH_INTERVAL_SECONDS, self._allow_peer_request)
         if not isinstance(reply, Ok) or not isinstance(reply.ok_value, OwnersSeen):
             return
-        seen = reply.ok_value
-        if seen.age_seconds >= self.age_seconds:
+        view = reply.ok_value
+        if view.age_seconds >= self.age_seconds:
             return
-        self._heard_at = self._clock.seconds() - seen.age_seconds
+        self._received_at = self._clock.seconds() - view.age_seconds
         owners = {
-            number: parse_owner_name(text) for number, text in seen.owners.items()
+            number: parse_owner_name(text) for number, text in view.owners.items()
         }
-        self._take({number: owner for number, owner in owners.items() if owner})
+        self._update_owners(
+            {number: owner for number, owner in owners.items() if owner}
+        )
 
-    def _may_ask_peer(self) -> None:
-        self._is_asking_peer = False
+    def _allow_peer_request(self) -> None:
+        self._is_requesting_peer = False
 
-    async def _tell_peer(self, sender: Member, message: Message) -> Message:
+    async def _reply_to_peer(self, sender: Member, message: Message) -> Message:
         owners = {number: owner.member_id() for number, owner in self._owners.items()}
         return OwnersSeen(self.age_seconds, owners)
 
-    def _take(self, owners: dict[int, OwnerName]) -> None:
+    def _update_owners(self, owners: dict[int, OwnerName]) -> None:
         if owners and owners != self._owners:
             self._log_change(owners)
             self._owners = owners
-            self._note_peers()
+            self._update_peers()
         for owner in set(owners.values()):
-            self._learn(owner)
+            self._set_address(owner)
 
-    def _note_peers(self) -> None:
+    def _update_peers(self) -> None:
         self._peers = tuple(sorted({owner.daemon for owner in self._owners.values()}))
         if self._known_at is None:
             self._known_at = self._clock.seconds()
@@ -215,9 +231,9 @@
 
     @property
     def age_seconds(self) -> float:
-        """Give how old the view is."""
-        return self._clock.seconds() - self._heard_at
+        """The age of the view."""
+        return self._clock.seconds() - self._received_at
 
-    def _learn(self, owner: OwnerName) -> None:
-        """Tell the network where an owner is."""
+    def _set_address(self, owner: OwnerName) -> None:
+        """Set the owner's address in the network."""
         self._network.set_address(owner.daemon, owner.address)
--- a/notcharch/journal/owner_messages.py
+++ b/notcharch/journal/owner_messages.py
@@ -1,19 +1,19 @@
-"""What daemons ask each other about the owners of partitions."""
+"""Messages between daemons about the owners of partitions."""
 
 from notcharch.wire.messages.base import Message
 
 
 class AskOwners(Message, frozen=True):
-    """Ask for a peer's view of the owners. Reply: `OwnersSeen`."""
+    """Request a peer's view of the owners. Reply: `OwnersSeen`."""
 
     group: str = ""
-    """Whose partitions are asked for."""
+    """The group whose owners are requested."""
 
 
 class OwnersSeen(Message, frozen=True):
-    """The owners, as the log service last told the answering daemon."""
+    """The owners, as the log service last returned them to the replying daemon."""
 
     age_seconds: float
-    """How long ago it did."""
+    """Age of the view."""
     owners: dict[int, str]
-    """The text of each partition's owner."""
+    """The member id of each partition's owner."""
--- a/notcharch/journal/owner_names.py
+++ b/notcharch/journal/owner_names.py
@@ -1,7 +1,7 @@
-"""The text by which a daemon is a member of the owners' group.
+"""Member ids of daemons in the group of owners.
 
-A restarted process has the text of the one before it, so it goes on with that one's
-partitions without waiting for a lease to run out.
+A restarted process has the same member id as its predecessor, so it takes over the
+partitions without waiting for a lease to expire.
 """
 
 import msgspec
@@ -12,18 +12,18 @@
 
 
 class OwnerName(msgspec.Struct, frozen=True):
-    """A daemon that may own partitions, and where it listens for peers."""
+    """A daemon that may own partitions, and its address for peers."""
 
     daemon: DaemonName
     address: str
-    """`host:port`."""
+    """Address for peer connections, as `host:port`."""
 
     def member_id(self) -> str:
-        """Give the member's text."""
+        """Return the member id."""
         return f"{self.daemon}{SEPARATOR}{self.address}"
 
 
 def parse_owner_name(text: str) -> OwnerName | None:
-    """Read a member's text; None if it is not one of ours."""
+    """Parse a member id; None if it has another format."""
     daemon, separator, address = text.partition(SEPARATOR)
     return OwnerName(DaemonName(daemon), address) if separator else None
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -1,4 +1,4 @@
-"""The journal of one partition: fenced, read to its end, then written."""
+"""The journal of one partition: fenced, replayed to the end, then appended to."""
 
 from collections.abc import Callable, Generator
 from random import Random
@@ -21,31 +21,30 @@
 from notcharch.journal.writer import PartitionWriter
 
 READ_RETRY_SECONDS = 0.08
-"""A takeover waits for its reads, so they are repeated soon: some times the answer of a
-service that is well (4 ms)."""
+"""Delay before a failed read is retried; short, since a takeover waits for it."""
 
 
 class PartitionAssignment(msgspec.Struct, frozen=True):
-    """Which partition, and under which epoch."""
+    """An assigned partition, and the epoch of its new owner."""
 
     number: int
-    """Among the partitions of all topics."""
+    """Number among the partitions of all topics."""
     log: LogPartition
     epoch: int
 
 
 class ReplayTarget(Protocol):
-    """What is rebuilt from the records of a journal."""
+    """Receives the records of a journal during a replay."""
 
     def skip_to(self, offset: int) -> None:
-        """Hear that the records before an offset are not kept any more."""
+        """Discard the state: the records before an offset are no longer stored."""
 
     def replay_record(self, offset: int, record: bytes) -> None:
-        """Take the record at an offset."""
+        """Apply the record at an offset."""
 
 
 class PartitionJournal:
-    """Reads what earlier owners wrote, and writes on under a higher epoch."""
+    """Replays the records of earlier owners, then appends under a higher epoch."""
 
     def __init__(
         self,
@@ -58,10 +57,10 @@
         on_fenced: Callable[[], None],
         recovery: RecoverySignal | None = None,
     ) -> None:
-        """Prepare; `on_fenced` is called once when a higher epoch writes."""
+        """Build the writer; `on_fenced` is called once when a higher epoch writes."""
         self._service = service
         self._clock = clock
-        self._place = assignment.log
+        self._log_partition = assignment.log
         self._target = target
         self.writer = PartitionWriter(
             service,
@@ -73,12 +72,12 @@
             recovery=recovery,
         )
         self.records = 0
-        """How many records were replayed."""
-        self._read_to = 0
+        """Number of replayed records."""
+        self._next_offset = 0
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, bool]:
-        """Fence the former owner and replay; False if the partition was lost."""
+        """Fence the previous owner and replay; False if this owner is fenced."""
         is_claimed = yield self.writer.claim()
         if not is_claimed:
             return False
@@ -87,29 +86,29 @@
 
     @inlineCallbacks
     def _replay_to(self, end: int) -> Generator["Deferred[Any]", Any, None]:
-        while self._read_to < end and self.writer.is_open:
-            answer: Result[Records, LogProblem] = yield self._service.read(
-                self._place.topic, self._place.number, self._read_to
+        while self._next_offset < end and self.writer.is_open:
+            response: Result[Records, LogProblem] = yield self._service.read(
+                self._log_partition.topic, self._log_partition.number, self._next_offset
             )
-            if isinstance(answer, Err):
-                yield self._after_problem(answer.err_value)
+            if isinstance(response, Err):
+                yield self._handle_problem(response.err_value)
                 continue
-            found = answer.ok_value
+            found = response.ok_value
             for offset, record in enumerate(found.records, start=found.first):
                 self._target.replay_record(offset, record)
             self.records += len(found.records)
-            self._read_to = found.first + len(found.records)
-            if not found.records and found.end <= self._read_to:
+            self._next_offset = found.first + len(found.records)
+            if not found.records and found.end <= self._next_offset:
                 return
 
     @inlineCallbacks
-    def _after_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
-        if problem.fault is LogFault.GONE and problem.offset > self._read_to:
-            self._read_to = problem.offset
+    def _handle_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
+        if problem.fault is LogFault.GONE and problem.offset > self._next_offset:
+            self._next_offset = problem.offset
             self._target.skip_to(problem.offset)
             return
         yield deferLater(self._clock, READ_RETRY_SECONDS, lambda: None)
 
     def close(self) -> None:
-        """Write no more."""
+        """Stop writing."""
         self.writer.close()
--- a/notcharch/journal/recovery_signal.py
+++ b/notcharch/journal/recovery_signal.py
@@ -1,8 +1,8 @@
-"""Tells whoever waits for the log service that it answers again.
+"""Notifies waiting calls that the log service is available again.
 
-Writers, and followers of keyed topics, back off while their calls fail. Heartbeats go on at their own pace, so the
-first that is answered again ends all those waits at once; and calls that were sent
-before it, and have no answer yet, are taken for lost.
+Writers and followers of keyed topics back off while their calls fail. Heartbeats keep
+their interval, so the first one that succeeds ends all these waits. Calls that were
+sent well before it and have no response yet count as failed.
 """
 
 from typing import TypeVar
@@ -13,64 +13,64 @@
 
 from notcharch.journal.interface import LogFault, LogProblem
 
-Answer = TypeVar("Answer")
+Response = TypeVar("Response")
 
 STALE_SECONDS = 0.15
-"""A call that is younger when the service is back may still be answered."""
+"""Minimum age at which a pending call counts as failed after a recovery."""
 
 
 class RecoverySignal:
-    """Waits that end early when the log service is back."""
+    """Ends waits early when the log service is available again."""
 
     def __init__(self, clock: IReactorTime) -> None:
-        """Begin with a service that answers."""
+        """Start with an available service."""
         self._clock = clock
         self._waiting: list[Deferred[None]] = []
         self.count = 0
-        """How often the service came back."""
+        """Number of recoveries."""
 
     def recovered(self) -> None:
-        """End all waits."""
+        """End all waits: the service is available again."""
         self.count += 1
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
             deferred.callback(None)
 
     def pause(self, seconds: float) -> "Deferred[None]":
-        """Give a Deferred that fires after a time, or when the service is back."""
-        over: Deferred[None] = Deferred()
-        timer: IDelayedCall = self._clock.callLater(seconds, self._expire, over)
-        self._waiting.append(over)
+        """Return a Deferred that fires after a delay or at a recovery."""
+        wait: Deferred[None] = Deferred()
+        timer: IDelayedCall = self._clock.callLater(seconds, self._expire, wait)
+        self._waiting.append(wait)
 
         def stop_timer(_: None) -> None:
             if timer.active():
                 timer.cancel()
 
-        return over.addCallback(stop_timer)
+        return wait.addCallback(stop_timer)
 
-    def _expire(self, over: "Deferred[None]") -> None:
-        self._waiting.remove(over)
-        over.callback(None)
+    def _expire(self, wait: "Deferred[None]") -> None:
+        self._waiting.remove(wait)
+        wait.callback(None)
 
     def guard(
-        self, call: "Deferred[Result[Answer, LogProblem]]"
-    ) -> "Deferred[Result[Answer, LogProblem]]":
-        """Give a call's answer; UNKNOWN if the service came back while it was out."""
-        answered: Deferred[Result[Answer, LogProblem]] = Deferred()
+        self, call: "Deferred[Result[Response, LogProblem]]"
+    ) -> "Deferred[Result[Response, LogProblem]]":
+        """Return the call's response, or UNKNOWN if a recovery finds it stale."""
+        guarded: Deferred[Result[Response, LogProblem]] = Deferred()
         sent_at = self._clock.seconds()
-        back: Deferred[None] = Deferred()
+        recovery: Deferred[None] = Deferred()
 
-        def answer(outcome: Result[Answer, LogProblem]) -> None:
-            if back in self._waiting:
-                self._waiting.remove(back)
-            if not answered.called:
-                answered.callback(outcome)
+        def complete(outcome: Result[Response, LogProblem]) -> None:
+            if recovery in self._waiting:
+                self._waiting.remove(recovery)
+            if not guarded.called:
+                guarded.callback(outcome)
 
-        def came_back(_: None) -> None:
+        def on_recovery(_: None) -> None:
             if self._clock.seconds() - sent_at >= STALE_SECONDS:
-                answer(Err(LogProblem(LogFault.UNKNOWN)))
+                complete(Err(LogProblem(LogFault.UNKNOWN)))
 
-        call.addCallback(answer)
-        if not answered.called:
-            self._waiting.append(back.addCallback(came_back))
-        return answered
+        call.addCallback(complete)
+        if not guarded.called:
+            self._waiting.append(recovery.addCallback(on_recovery))
+        return guarded
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -1,4 +1,4 @@
-"""Appends to one partition under an epoch: in batches, in order, each once."""
+"""Appends records to a partition under an epoch: batched, in order, exactly once."""
 
 from collections import deque
 from collections.abc import Callable, Generator
@@ -24,37 +24,36 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 
 BATCH_BYTES = 256 * 1024
-"""In one append: an eighth of what the platform takes in a call."""
+"""Size at which a batch is sent; an eighth of the platform's limit per call."""
 RETRY_SECONDS = 0.05
-"""Before the first repetition of an append: calls wait for it."""
-LONGEST_RETRY_SECONDS = 0.6
-"""Heartbeats find out sooner that the service is back and end the pause."""
-RETRY_GROWTH = 2.0
-"""Times the pause before: four repetitions until the longest."""
-LOST_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
-"""After these, somebody else writes the partition."""
+"""Delay before the first retry of a failed append or read."""
+MAX_RETRY_SECONDS = 0.6
+"""Upper bound of the delay; a recovery signal ends it earlier."""
+RETRY_GROWTH_FACTOR = 2.0
+FENCING_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
+"""Faults which show that another writer owns the partition."""
 
 
 class Outcome(Enum):
-    """What became of an entry."""
+    """Outcome of writing an entry."""
 
     DURABLE = "durable"
     LOST = "lost"
-    """The partition is not ours any more; the entry may or may not be kept."""
+    """Fenced by another writer; the entry may or may not be stored."""
     NOT_WRITTEN = "not written"
-    """The partition is not ours any more; the entry certainly isn't kept."""
+    """Fenced by another writer; the entry is certainly not stored."""
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """A record, and who hears that it is durable."""
+    """A record, and the callback for its outcome."""
 
     record: bytes
-    """Nothing asks whether this is still the only writer."""
+    """Empty for an entry that only checks that this is still the sole writer."""
     done: Callable[[Outcome], None]
 
 
 class PartitionWriter:
-    """The one writer of a partition, until a higher epoch fences it."""
+    """The only writer of a partition, until a higher epoch fences it."""
 
     def __init__(
         self,
@@ -69,7 +68,7 @@
     ) -> None:
         """Write under an epoch; `on_fenced` is called once when it is fenced.
 
-        `recovery` ends waits early when the service is back.
+        `recovery` ends waits early when the service is available again.
         """
         self._service = service
         self._clock = clock
@@ -85,11 +84,11 @@
         self._idle_waiters: list[Deferred[None]] = []
         self.is_open = True
         self.end = 0
-        """The end of the partition as of our last append."""
+        """End of the partition after the last append of this writer."""
 
     @inlineCallbacks
     def claim(self) -> Generator["Deferred[Any]", Any, bool]:
-        """Fence former writers; False if a higher epoch was there first."""
+        """Fence earlier writers; False if a higher epoch has already claimed."""
         outcome = yield self._append(())
         return outcome is Outcome.DURABLE
 
@@ -104,14 +103,14 @@
             self._write()
 
     def confirm(self) -> "Deferred[Outcome]":
-        """Find out whether this is still the newest writer."""
+        """Check whether this is still the writer of the highest epoch."""
         done: Deferred[Outcome] = Deferred()
         self.write(b"", done.callback)
         return done
 
     @inlineCallbacks
     def _write(self) -> Generator["Deferred[Any]", Any, None]:
-        """Write what waits, one batch after another."""
+        """Write the queued entries in batches, one append at a time."""
         self._is_writing = True
         while self._queue and self.is_open:
             batch = self._next_batch()
@@ -119,45 +118,45 @@
             if records:
                 outcome = yield self._append(records)
             else:
-                is_alone = yield self._is_alone()
-                outcome = Outcome.DURABLE if is_alone else Outcome.LOST
+                is_sole = yield self._is_sole_writer()
+                outcome = Outcome.DURABLE if is_sole else Outcome.LOST
             for entry in batch:
                 entry.done(outcome)
         self._is_writing = False
-        self._tell_idle()
+        self._notify_idle()
 
     def when_idle(self) -> "Deferred[None]":
-        """Give a Deferred that fires when nothing waits to be written."""
+        """Return a Deferred that fires when all entries are written."""
         waiting: Deferred[None] = Deferred()
         self._idle_waiters.append(waiting)
         if not self._is_writing:
-            self._tell_idle()
+            self._notify_idle()
         return waiting
 
-    def _tell_idle(self) -> None:
+    def _notify_idle(self) -> None:
         waiters, self._idle_waiters = self._idle_waiters, []
         for waiter in waiters:
             waiter.callback(None)
 
     @inlineCallbacks
-    def _is_alone(self) -> Generator[Any, Any, bool]:
-        """Read on from our own end: a record there is another writer's.
+    def _is_sole_writer(self) -> Generator[Any, Any, bool]:
+        """Read from the end of the last append: a record there is another writer's.
 
-        An append of nothing would not do: it doesn't count in the sequence.
+        An empty append can't check this: it doesn't advance the sequence number.
         """
         while self.is_open:
-            answer: Result[Records, LogProblem] = yield self._service.read(
+            response: Result[Records, LogProblem] = yield self._service.read(
                 self._topic, self._partition, self.end
             )
-            if not isinstance(answer, Err):
-                if answer.ok_value.end <= self.end:
+            if not isinstance(response, Err):
+                if response.ok_value.end <= self.end:
                     return True
-                self._give_up()
+                self._close_fenced()
                 return False
             yield self._pause(RETRY_SECONDS)
         return False
 
-    def _give_up(self) -> None:
+    def _close_fenced(self) -> None:
         self.close()
         self._on_fenced()
 
@@ -177,7 +176,7 @@
 
     @inlineCallbacks
     def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, Outcome]:
-        """Append until there is an answer: one sequence number is written once."""
+        """Retry an append until its outcome is known; its sequence number stays."""
         if records:
             self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
@@ -187,27 +186,27 @@
         may_be_written = False
         while self.is_open:
             sent = self._service.append(self._topic, self._partition, records, producer)
-            answer: Result[Appended, LogProblem] = yield self._recovery.guard(sent)
-            if not isinstance(answer, Err):
+            response: Result[Appended, LogProblem] = yield self._recovery.guard(sent)
+            if not isinstance(response, Err):
                 APPENDS.labels("done").inc()
                 APPEND_SECONDS.observe(self._clock.seconds() - began)
-                self.end = answer.ok_value.end
+                self.end = response.ok_value.end
                 return Outcome.DURABLE
-            fault = answer.err_value.fault
+            fault = response.err_value.fault
             APPENDS.labels(fault.value).inc()
             may_be_written = may_be_written or fault is LogFault.UNKNOWN
-            if fault in LOST_FAULTS:
-                self._give_up()
+            if fault in FENCING_FAULTS:
+                self._close_fenced()
                 break
             if self._recovery.count != recoveries:
                 recoveries = self._recovery.count
                 delay = RETRY_SECONDS
             yield self._pause(delay)
-            delay = min(delay * RETRY_GROWTH, LONGEST_RETRY_SECONDS)
+            delay = min(delay * RETRY_GROWTH_FACTOR, MAX_RETRY_SECONDS)
         return Outcome.LOST if may_be_written else Outcome.NOT_WRITTEN
 
     def close(self) -> None:
-        """Write no more; whoever waits hears that the partition is lost."""
+        """Stop writing; queued entries end with NOT_WRITTEN."""
         self.is_open = False
         waiting = tuple(self._queue)
         self._queue.clear()
