--- a/notcharch/partitions/__init__.py
+++ b/notcharch/partitions/__init__.py
@@ -1,1 +1,1 @@
-"""Partitions of the region's state: deterministic machines on journals."""
+"""Partitions of the region's state: deterministic state machines with journals."""
--- a/notcharch/partitions/applier.py
+++ b/notcharch/partitions/applier.py
@@ -8,7 +8,7 @@
 
 
 class ApplyOutcome(msgspec.Struct, frozen=True):
-    """The result of a command; `failure` tells of an exception, a defect."""
+    """The result of a command; `failure` is the text of an unexpected exception."""
 
     result: CommandResult
     failure: str | None = None
@@ -19,8 +19,8 @@
 ) -> ApplyOutcome:
     """Apply one durable command.
 
-    An exception of a deterministic machine happens at each replay, too, so the
-    command counts as refused and the partition goes on.
+    State machines are deterministic, so an exception is raised again at each replay.
+    The command is refused and the partition stays in service.
     """
     try:
         command = codec.decode(record.command)
--- a/notcharch/partitions/led_partition.py
+++ b/notcharch/partitions/led_partition.py
@@ -1,4 +1,4 @@
-"""One partition as its leader keeps it: replayed, led, handed over."""
+"""A partition on its leader: takeover, proposals, snapshots and handover."""
 
 from collections.abc import Callable, Generator
 from functools import partial
@@ -34,15 +34,15 @@
 
 RETRY_SECONDS = 0.2
 MAX_PENDING_COMMANDS = 10_000
-"""More commands than this don't wait for the log."""
+"""Further commands are refused until pending ones are durable."""
 SNAPSHOT_LOG_BYTES = 1024 * 1024
-"""A snapshot follows after so many bytes of commands, or twice the last one's size."""
+"""Minimum bytes of commands before a snapshot is due by size."""
 
 ProposalResult = Result[CommandResult, Problem]
 
 
 class PartitionDependencies(msgspec.Struct, frozen=True):
-    """What every partition of a daemon works with."""
+    """The dependencies of all partitions of a daemon."""
 
     service: LogService
     clock: IReactorTime
@@ -50,30 +50,30 @@
     codec: CommandCodec
     new_state: Callable[[PartitionNumber], StateMachine]
     commit_seconds: float
-    """The longest wait for a command to be durable."""
+    """Timeout for a command to become durable."""
     snapshot_seconds: float
-    """A snapshot is never older: the log drops records by their age."""
+    """Maximum age of a snapshot; the log service deletes old records."""
 
 
 class Proposal:
-    """A command on its way into the journal."""
+    """A command that is being journalled."""
 
     def __init__(self, record: CommandRecord) -> None:
-        """Wait for its outcome."""
+        """Create a proposal without a result."""
         self.record = record
-        self.answer: Deferred[ProposalResult] = Deferred()
+        self.completion: Deferred[ProposalResult] = Deferred()
         self.timer: IDelayedCall | None = None
 
-    def decide(self, result: ProposalResult) -> None:
-        """Give the outcome, once."""
+    def resolve(self, result: ProposalResult) -> None:
+        """Complete the proposal; later calls have no effect."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        if not self.answer.called:
-            self.answer.callback(result)
+        if not self.completion.called:
+            self.completion.callback(result)
 
 
 class LedPartition:
-    """A partition whose journal this daemon owns, or is taking over."""
+    """A partition whose journal this daemon owns or is taking over."""
 
     def __init__(
         self,
@@ -83,7 +83,7 @@
         on_fenced: Callable[["LedPartition"], None],
         on_leading: Callable[["LedPartition", bool], None],
     ) -> None:
-        """`on_leading` hears when leading begins and ends; `on_fenced`, when fenced."""
+        """`on_leading` is called when leading starts or ends, `on_fenced` if fenced."""
         self._dependencies = dependencies
         self.assignment = assignment
         self._on_fenced = on_fenced
@@ -99,35 +99,35 @@
             dependencies.random,
             assignment,
             target=self._replay,
-            on_fenced=self._fenced,
+            on_fenced=self._handle_fenced,
         )
         self.is_leading = False
         self.waiting = 0
-        """Commands that are not durable yet."""
+        """Number of commands that aren't durable yet."""
         self.snapshot_covers_to = 0
         self._snapshot_at = 0.0
         self._snapshot_bytes = 0
-        self._bytes_since = 0
+        self._command_bytes = 0
         self._is_snapshotting = False
 
     @property
     def state(self) -> StateMachine:
-        """The state with all durable commands."""
+        """The state after all durable commands."""
         return self._replay.state
 
     @property
     def end(self) -> int:
-        """The end of the journal as of our last append."""
+        """The end of the journal after the last append of this leader."""
         return self._journal.writer.end
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
-        """Fence the former leader and replay what it journalled."""
+        """Fence the previous leader and replay the journal."""
         began = self._dependencies.clock.seconds()
         is_read = yield self._journal.take_over()
         if not is_read:
             return
-        if not self._replay.is_whole:
+        if not self._replay.is_complete:
             emit(StateUnreadable(self.number, self.epoch, self.end))
             return
         seconds = self._dependencies.clock.seconds() - began
@@ -144,28 +144,32 @@
     # Commands
 
     def propose(self, command: Command) -> "Deferred[ProposalResult]":
-        """Journal a command; it is applied when it is durable."""
+        """Journal a command and apply it once it is durable."""
         encoded = self._dependencies.codec.encode(command)
         proposal = Proposal(CommandRecord(self.epoch, encoded))
         if self.waiting >= MAX_PENDING_COMMANDS:
-            proposal.decide(Err(self._unavailable("too much waits", Ran.NO)))
-            return proposal.answer
+            proposal.resolve(
+                Err(self._unavailable("too many commands are pending", Ran.NO))
+            )
+            return proposal.completion
         self.waiting += 1
         proposal.timer = self._dependencies.clock.callLater(
             self._dependencies.commit_seconds, self._expire, proposal
         )
         data = encode_record(proposal.record)
-        self._bytes_since += len(data)
-        self._journal.writer.write(data, partial(self._written, proposal))
-        return proposal.answer
+        self._command_bytes += len(data)
+        self._journal.writer.write(data, partial(self._on_written, proposal))
+        return proposal.completion
 
-    def _written(self, proposal: Proposal, outcome: Outcome) -> None:
+    def _on_written(self, proposal: Proposal, outcome: Outcome) -> None:
         self.waiting -= 1
         if outcome is Outcome.DURABLE:
-            proposal.decide(Ok(self._apply(proposal.record)))
+            proposal.resolve(Ok(self._apply(proposal.record)))
             return
         ran = Ran.NO if outcome is Outcome.NOT_WRITTEN else Ran.UNKNOWN
-        proposal.decide(Err(self._unavailable("another daemon leads it now", ran)))
+        proposal.resolve(
+            Err(self._unavailable("another daemon has taken over the leadership", ran))
+        )
 
     def _apply(self, record: CommandRecord) -> CommandResult:
         applied = apply_record(self.state, self._dependencies.codec, record)
@@ -174,8 +178,10 @@
         return applied.result
 
     def _expire(self, proposal: Proposal) -> None:
-        problem = self._unavailable("the log did not answer in time", Ran.UNKNOWN)
-        proposal.decide(Err(problem))
+        problem = self._unavailable(
+            "the log service did not respond in time", Ran.UNKNOWN
+        )
+        proposal.resolve(Err(problem))
 
     def _unavailable(self, reason: str, ran: Ran) -> Problem:
         return Problem.of(
@@ -187,48 +193,48 @@
 
     # Snapshots
 
-    def tidy(self) -> None:
-        """Write a snapshot when the last one is old or much was written since."""
+    def snapshot_if_due(self) -> None:
+        """Write a snapshot if the last one is too old or too many bytes follow it."""
         if not self.is_leading or self._is_snapshotting or not self.end:
             return
         limit = max(SNAPSHOT_LOG_BYTES, 2 * self._snapshot_bytes)
         age = self._dependencies.clock.seconds() - self._snapshot_at
-        if self._bytes_since >= limit or age >= self._dependencies.snapshot_seconds:
+        if self._command_bytes >= limit or age >= self._dependencies.snapshot_seconds:
             self._write_snapshot()
 
     def _write_snapshot(self) -> None:
-        """Journal the state; then drop the records that it makes needless.
+        """Journal the state, then trim the records that the snapshot replaces.
 
-        Commands that wait to be durable come before it in the journal and are not in
-        it, so it says how far it reaches.
+        Commands that aren't durable yet precede the snapshot in the journal but aren't
+        part of it, so the snapshot stores the offset that it covers.
         """
         covers_to = self.end
         snapshot = self.state.snapshot()
         self._is_snapshotting = True
         self._snapshot_at = self._dependencies.clock.seconds()
         self._snapshot_bytes = len(snapshot)
-        self._bytes_since = 0
+        self._command_bytes = 0
         *parts, last = snapshot_parts(snapshot, covers_to, self._snapshot_at)
         for part in parts:
             self._journal.writer.write(encode_record(part), lambda _: None)
         self._journal.writer.write(
-            encode_record(last), partial(self._snapshot_written, covers_to)
+            encode_record(last), partial(self._on_snapshot_written, covers_to)
         )
 
-    def _snapshot_written(self, covers_to: int, outcome: Outcome) -> None:
+    def _on_snapshot_written(self, covers_to: int, outcome: Outcome) -> None:
         self._is_snapshotting = False
         if outcome is Outcome.DURABLE:
             self.snapshot_covers_to = covers_to
             log = self.assignment.log
             self._dependencies.service.trim(log.topic, log.number, covers_to)
 
-    # The end
+    # Leadership loss and handover
 
-    def _fenced(self) -> None:
-        self._end_leading("a higher epoch writes it")
+    def _handle_fenced(self) -> None:
+        self._stop_leading("fenced by a higher epoch")
         self._on_fenced(self)
 
-    def _end_leading(self, cause: str) -> None:
+    def _stop_leading(self, cause: str) -> None:
         if not self.is_leading:
             return
         self.is_leading = False
@@ -237,12 +243,12 @@
 
     @inlineCallbacks
     def hand_over(self) -> Generator["Deferred[Any]", Any, None]:
-        """Take no more commands; give the partition up when all are durable."""
-        self._end_leading("handed over")
+        """Stop leading; release the partition once all commands are durable."""
+        self._stop_leading("handed over")
         yield self._journal.writer.when_idle()
         self.close()
 
     def close(self) -> None:
-        """Give the partition up at once."""
-        self._end_leading("given up")
+        """Release the partition immediately."""
+        self._stop_leading("released")
         self._journal.close()
--- a/notcharch/partitions/proposals.py
+++ b/notcharch/partitions/proposals.py
@@ -1,4 +1,4 @@
-"""Proposes a command and raises what refuses it, for the handlers of requests."""
+"""Proposes commands on behalf of request handlers, with errors as exceptions."""
 
 from notcharch.errors.problem import ProblemError
 from notcharch.partitions.interface import (
@@ -13,7 +13,7 @@
 async def propose_or_raise(
     partitions: PartitionHost, partition: PartitionNumber, command: Command
 ) -> CommandResult:
-    """Replicate a command; raises ProblemError when it failed or was refused."""
+    """Propose a command; raises `ProblemError` if it fails or is refused."""
     outcome = await partitions.propose(partition, command)
     if outcome.is_err():
         raise ProblemError(outcome.unwrap_err())
--- a/notcharch/partitions/records.py
+++ b/notcharch/partitions/records.py
@@ -1,4 +1,4 @@
-"""What the journal of a partition holds: commands, and snapshots in parts."""
+"""Records of a partition's journal: commands, and snapshots split into parts."""
 
 import msgspec
 
@@ -6,31 +6,31 @@
 from notcharch.values.identifiers import Epoch
 
 PART_BYTES = 128 * 1024
-"""A log service takes records up to some size, so a snapshot is written in parts."""
+"""Size of a snapshot part; the log service limits the size of a record."""
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
-    """The base of the journal's records."""
+    """Base class of journal records."""
 
 
 class CommandRecord(Record, frozen=True, tag="command"):
-    """One command, as its leader applied it."""
+    """A command and the epoch of the leader that proposed it."""
 
     epoch: Epoch
     command: bytes
-    """JSON, tagged by its class."""
+    """JSON, tagged with the class name."""
 
 
 class SnapshotPart(Record, frozen=True, tag="snapshot"):
-    """A part of a snapshot; its parts follow one another."""
+    """A part of a snapshot; the parts of a snapshot are consecutive records."""
 
     covers_to: int
-    """The state holds the commands before this offset, and none from it on."""
+    """The snapshot includes exactly the commands before this offset."""
     number: int
-    """From 0."""
+    """Index of the part, from 0."""
     count: int
     written_at: float
-    """Seconds since 1970."""
+    """Time of the snapshot, in seconds since 1970."""
     data: bytes
 
 
@@ -41,19 +41,19 @@
 
 
 def encode_record(record: AnyRecord) -> bytes:
-    """Write a record."""
+    """Encode a record as MessagePack."""
     return _ENCODER.encode(record)
 
 
 def decode_record(data: bytes) -> AnyRecord:
-    """Read a record; raises `msgspec.DecodeError` for a kind not known here."""
+    """Decode a record; raises `msgspec.DecodeError` if its kind is unknown."""
     return _DECODER.decode(data)
 
 
 def snapshot_parts(
     snapshot: bytes, covers_to: int, written_at: float
 ) -> list[SnapshotPart]:
-    """Divide a snapshot; there is one part at least."""
+    """Split a snapshot into one or more parts."""
     starts = range(0, max(len(snapshot), 1), PART_BYTES)
     return [
         SnapshotPart(
@@ -68,19 +68,19 @@
 
 
 class CommandCodec:
-    """Encodes commands of a fixed set of types as JSON, tagged by class name."""
+    """Encodes commands of a fixed set of types as JSON, tagged with the class name."""
 
     def __init__(self, command_types: tuple[type[Command], ...]) -> None:
-        """Build the decoder of the union of the types."""
+        """Build a decoder for the union of the types."""
         self._encoder = msgspec.json.Encoder()
         self._decoder = _decoder_of(command_types)
 
     def encode(self, command: Command) -> bytes:
-        """Encode a command, as it is journalled."""
+        """Encode a command for the journal."""
         return self._encoder.encode(command)
 
     def decode(self, encoded: bytes) -> Command:
-        """Decode a command; raises msgspec.ValidationError on an unknown one."""
+        """Decode a command; raises `msgspec.ValidationError` if its type is unknown."""
         return self._decoder.decode(encoded)
 
 
--- a/notcharch/partitions/replay.py
+++ b/notcharch/partitions/replay.py
@@ -1,8 +1,8 @@
 """Rebuilds a partition's state from the records of its journal. Pure.
 
-The oldest records may be gone. Then nothing is known before the first snapshot that
-reaches back to the oldest record that is kept: commands before it wait here, and those
-that it doesn't hold are applied after it.
+The oldest records may have been trimmed. The state is then incomplete until a snapshot
+that covers all trimmed records: commands before it are buffered, and those that the
+snapshot doesn't include are applied after it.
 """
 
 from collections import deque
@@ -20,77 +20,77 @@
 )
 
 
-class StoredCommand(msgspec.Struct, frozen=True):
-    """A command that waits for a snapshot."""
+class BufferedCommand(msgspec.Struct, frozen=True):
+    """A command that is applied after the next complete snapshot."""
 
     offset: int
     record: CommandRecord
 
 
 class Replay:
-    """The state as far as the journal was read."""
+    """The state up to the replayed end of the journal."""
 
     def __init__(
         self, new_state: Callable[[], StateMachine], codec: CommandCodec
     ) -> None:
-        """Begin at the beginning, with an empty state."""
+        """Start with an empty state at offset 0."""
         self._new_state = new_state
         self._codec = codec
         self.state = new_state()
-        self.is_whole = True
-        """Whether the state holds every command so far."""
+        self.is_complete = True
+        """Whether the state includes all commands up to the replayed offset."""
         self.snapshot_covers_to = 0
-        """How far the newest complete snapshot reaches; 0 without one."""
+        """Offset covered by the latest complete snapshot; 0 without one."""
         self.snapshot_at = 0.0
-        """When it was written, seconds since 1970."""
-        self._first = 0
-        """The oldest offset that is kept."""
-        self._waiting: deque[StoredCommand] = deque()
+        """Time of that snapshot, in seconds since 1970."""
+        self._first_offset = 0
+        """Offset of the oldest stored record."""
+        self._buffered: deque[BufferedCommand] = deque()
         self._parts: list[SnapshotPart] = []
 
     def skip_to(self, offset: int) -> None:
-        """Hear that the records before an offset are not kept any more."""
-        self._first = offset
-        self.is_whole = False
+        """Discard the state: the records before an offset are no longer stored."""
+        self._first_offset = offset
+        self.is_complete = False
         self.state = self._new_state()
-        self._waiting.clear()
+        self._buffered.clear()
         self._parts = []
 
     def replay_record(self, offset: int, record: bytes) -> None:
-        """Take the record at an offset."""
-        known = decode_record(record)
-        if isinstance(known, SnapshotPart):
-            self._take_part(known)
+        """Apply the record at an offset."""
+        decoded = decode_record(record)
+        if isinstance(decoded, SnapshotPart):
+            self._add_part(decoded)
             return
         self._parts = []
-        if self.is_whole:
-            apply_record(self.state, self._codec, known)
+        if self.is_complete:
+            apply_record(self.state, self._codec, decoded)
         else:
-            self._waiting.append(StoredCommand(offset, known))
+            self._buffered.append(BufferedCommand(offset, decoded))
 
-    def _take_part(self, part: SnapshotPart) -> None:
-        """Collect parts that follow one another; a torn snapshot is dropped."""
+    def _add_part(self, part: SnapshotPart) -> None:
+        """Collect consecutive parts; an incomplete snapshot is discarded."""
         if part.number != len(self._parts):
             self._parts = []
         if part.number == len(self._parts):
             self._parts.append(part)
         if len(self._parts) == part.count:
-            self._take_snapshot(part)
+            self._load_snapshot(part)
             self._parts = []
 
-    def _take_snapshot(self, last: SnapshotPart) -> None:
+    def _load_snapshot(self, last: SnapshotPart) -> None:
         covers_to = last.covers_to
-        if not self.is_whole:
-            if covers_to < self._first:
+        if not self.is_complete:
+            if covers_to < self._first_offset:
                 return
             self.state.restore(b"".join(part.data for part in self._parts))
-            self.is_whole = True
-            self._apply_waiting(covers_to)
+            self.is_complete = True
+            self._apply_buffered(covers_to)
         self.snapshot_covers_to = covers_to
         self.snapshot_at = last.written_at
 
-    def _apply_waiting(self, covers_to: int) -> None:
-        for stored in self._waiting:
-            if stored.offset >= covers_to:
-                apply_record(self.state, self._codec, stored.record)
-        self._waiting.clear()
+    def _apply_buffered(self, covers_to: int) -> None:
+        for buffered in self._buffered:
+            if buffered.offset >= covers_to:
+                apply_record(self.state, self._codec, buffered.record)
+        self._buffered.clear()
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -37,22 +37,22 @@
 
 TOPIC = "partitions"
 GROUP = "partition-leaders"
-TIDY_SECONDS = 5.0
+SNAPSHOT_CHECK_SECONDS = 5.0
 
 
 class PartitionStatus(msgspec.Struct, frozen=True):
-    """A led partition; positions count records of its journal."""
+    """Status of a led partition; positions are offsets in its journal."""
 
     partition: PartitionNumber
     epoch: Epoch
     end: int
     snapshot_covers_to: int
     waiting: int
-    """Commands that are not durable yet."""
+    """Number of commands that aren't durable yet."""
 
 
 class PartitionService:
-    """Leads the partitions that the log service's group deals to this daemon."""
+    """Leads the partitions that the log service's group assigns to this daemon."""
 
     def __init__(
         self,
@@ -64,7 +64,7 @@
         lease_seconds: float,
         dependencies: PartitionDependencies,
     ) -> None:
-        """Wire the parts; nothing is spoken before `start`."""
+        """Create the components; no request is sent before `start`."""
         self._dependencies = dependencies
         self._directory = directory
         self._is_stopped = False
@@ -84,8 +84,8 @@
             min_lease_seconds=lease_seconds,
             on_assignment=self._assigned.on_assignment,
         )
-        self._tidying = LoopingCall(self._tidy)
-        self._tidying.clock = dependencies.clock
+        self._snapshot_check = LoopingCall(self._write_due_snapshots)
+        self._snapshot_check.clock = dependencies.clock
 
     def _create(self, assignment: PartitionAssignment) -> LedPartition:
         return LedPartition(
@@ -99,63 +99,63 @@
         self._group.heartbeat()
 
     def start(self) -> None:
-        """Join the group, and follow who leads what."""
-        self._tidying.start(TIDY_SECONDS, now=False)
+        """Join the group and follow the leaders of all partitions."""
+        self._snapshot_check.start(SNAPSHOT_CHECK_SECONDS, now=False)
         self._directory.start()
         self._group.start()
 
     def stop(self) -> None:
-        """Stop at once; see `hand_over` for a planned stop."""
+        """Stop immediately; see `hand_over` for a planned stop."""
         self._is_stopped = True
-        if self._tidying.running:
-            self._tidying.stop()
+        if self._snapshot_check.running:
+            self._snapshot_check.stop()
         self._group.stop()
         self._directory.stop()
         for partition in self._assigned.all():
             partition.close()
 
     def hand_over(self) -> "Deferred[None]":
-        """Lead nothing any more; fires when the group has been told."""
+        """Hand over all partitions; fires after the group is left."""
         self._group.stop()
         handed_over = self._assigned.release_all()
         return handed_over.addBoth(lambda _: self._group.leave())
 
-    def _tidy(self) -> None:
+    def _write_due_snapshots(self) -> None:
         for partition in self._assigned.all():
-            partition.tidy()
+            partition.snapshot_if_due()
 
-    # Who leads
+    # Leadership
 
     def led_partitions(self) -> tuple[PartitionNumber, ...]:
-        """Give the partitions that this daemon certainly leads now."""
+        """Return the partitions that this daemon leads under a valid lease."""
         if not self._group.is_lease_valid:
             return ()
         return tuple(p.number for p in self._assigned.all() if p.is_leading)
 
     def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
-        """Give the epoch in which this daemon leads the partition, or None."""
+        """Return the epoch in which this daemon leads the partition, or None."""
         led = self._led(partition)
         return None if led is None else led.epoch
 
     def _led(self, partition: PartitionNumber) -> LedPartition | None:
-        """Give a partition that nobody else can lead now, since our lease is valid."""
+        """Return a partition that this daemon leads under a valid lease, or None."""
         led = self._assigned.get(partition)
         if led is None or not led.is_leading or not self._group.is_lease_valid:
             return None
         return led
 
     def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
-        """Give the other daemon that seems to lead the partition, if any."""
+        """Return the other daemon that probably leads the partition, or None."""
         owner = self._assigned.other_owner(partition)
         return None if owner is None else owner.daemon
 
     def state(self, partition: PartitionNumber) -> StateMachine | None:
-        """Give the applied state of a partition that is led here, or None."""
+        """Return the applied state of a partition that this daemon leads, or None."""
         led = self._led(partition)
         return None if led is None else led.state
 
     def status(self) -> tuple[PartitionStatus, ...]:
-        """Describe the partitions that are led here."""
+        """Return the status of the partitions that this daemon leads."""
         return tuple(
             PartitionStatus(
                 led.number, led.epoch, led.end, led.snapshot_covers_to, led.waiting
@@ -165,7 +165,7 @@
         )
 
     def on_leadership(self, listener: LeadershipListener) -> None:
-        """Call `listener` when this daemon begins (epoch) or ends (None) leading."""
+        """Call `listener` when this daemon starts (epoch) or stops (None) leading."""
         self._listeners.append(listener)
 
     def _on_leading(self, led: LedPartition, is_leading: bool) -> None:
@@ -206,7 +206,7 @@
     command_types: tuple[type[Command], ...],
     new_state: Callable[[PartitionNumber], StateMachine],
 ) -> PartitionDependencies:
-    """Gather what every partition of a daemon works with."""
+    """Build the dependencies of a daemon's partitions from its settings."""
     return PartitionDependencies(
         service=service,
         clock=clock,
--- a/tests/stateful/partitions/test_partitions_machine.py
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -48,13 +48,13 @@
 
 
 def a_lost_outcome_is_called_not_written(monkeypatch):
-    original = LedPartition._written
+    original = LedPartition._on_written
 
     def written(self, proposal, outcome):
         is_lost = outcome is Outcome.LOST
         original(self, proposal, Outcome.NOT_WRITTEN if is_lost else outcome)
 
-    monkeypatch.setattr(LedPartition, "_written", written)
+    monkeypatch.setattr(LedPartition, "_on_written", written)
     monkeypatch.setattr(
         LedPartition,
         "_expire",
@@ -84,7 +84,7 @@
 
     def skip_to(self, offset):
         original(self, offset)
-        self._first = 0
+        self._first_offset = 0
 
     monkeypatch.setattr(Replay, "skip_to", skip_to)
 
@@ -94,17 +94,17 @@
 
 
 def parts_of_a_torn_snapshot_are_kept(monkeypatch):
-    original = Replay._take_part
+    original = Replay._add_part
 
     def take_part(self, part):
-        self.is_whole = False
-        self._first = 0
+        self.is_complete = False
+        self._first_offset = 0
         original(self, part)
-        if not self.is_whole:
+        if not self.is_complete:
             self.state.restore(part.data)
-            self.is_whole = True
+            self.is_complete = True
 
-    monkeypatch.setattr(Replay, "_take_part", take_part)
+    monkeypatch.setattr(Replay, "_add_part", take_part)
 
 
 def a_planned_stop_does_not_wait_for_the_journal(monkeypatch):
