--- a/tests/stateful/partitions/machine.py
+++ b/tests/stateful/partitions/machine.py
@@ -1,9 +1,8 @@
-"""Random lives of partitions against an oracle of what was acknowledged.
+"""Random histories of partitions, checked against the acknowledged commands.
 
-The oracle is small. Of each command it knows the answer: one that was acknowledged
-stands at the place it was told, for good; one of unknown outcome stands once at most;
-one that was refused with `ran: no` stands nowhere. Whoever says that it leads knows
-everything that was acknowledged.
+An acknowledged command keeps its position in the state. A command of unknown outcome is
+in the state at most once, one that was refused with `ran: no` never. Every leader knows
+all acknowledged commands.
 """
 
 from hypothesis import strategies as st
@@ -21,7 +20,7 @@
 
 
 class PartitionsMachine(DaemonFates):
-    """Proposers, daemons and the log service."""
+    """Proposals, daemon failures and log service faults as rules."""
 
     group = GROUP
 
@@ -29,9 +28,9 @@
         super().__init__()
         self.world = World(DAEMONS, snapshot_seconds=SNAPSHOT_SECONDS)
         self.world.run(2.0)
-        self.answers: list[tuple[int, str, list]] = []
-        self.of_crashed: set[str] = set()
-        """Texts whose proposers died, so that nobody answers them."""
+        self.results: list[tuple[int, str, list]] = []
+        self.unresolved: set[str] = set()
+        """Texts whose proposers crashed, so that they get no result."""
         self.texts = 0
 
     @rule(partition=partitions, daemon=daemons, count=st.integers(1, 3))
@@ -42,8 +41,8 @@
         for _ in range(count):
             self.texts += 1
             text = f"t{self.texts}"
-            answers = self.world.propose(partition, text, by=name)
-            self.answers.append((partition, text, answers))
+            results = self.world.propose(partition, text, by=name)
+            self.results.append((partition, text, results))
 
     @rule(partition=partitions)
     def propose_at_the_leader(self, partition):
@@ -52,7 +51,7 @@
                 self.propose(partition, number, 2)
 
     @rule(partition=partitions)
-    def snapshot_while_commands_are_under_way(self, partition):
+    def snapshot_with_commands_in_flight(self, partition):
         self.propose_at_the_leader(partition)
         for name in self.world.leaders(partition):
             led = self.world.services[name]._assigned.get(partition)
@@ -64,54 +63,58 @@
         self.world.services[name].hand_over()
 
     def before_a_crash(self):
-        self.of_crashed |= {text for _, text, answers in self.answers if not answers}
+        self.unresolved |= {text for _, text, results in self.results if not results}
 
     @rule(kind=st.sampled_from([FaultKind.DOWN, FaultKind.HANG, FaultKind.ANSWER_LOST]))
-    def break_the_way_to_the_log(self, kind):
+    def break_log_connection(self, kind):
         self.world.faults.order_fault(kind, 2.0)
 
     @rule(partition=partitions)
-    def drop_what_a_snapshot_holds(self, partition):
-        self.world.drop_what_a_snapshot_holds(partition)
+    def drop_snapshotted_records(self, partition):
+        self.world.drop_snapshotted_records(partition)
 
     @rule(seconds=st.sampled_from([0.002, 0.02, 0.1, 0.4, 1.5, 4.0, 12.0]))
     def wait(self, seconds):
         self.world.run(seconds)
 
     @rule()
-    def all_is_well_again(self):
-        """Once everything works, each partition has a leader that knows everything."""
+    def all_faults_are_cleared(self):
+        """Without faults, each partition has a leader that knows all commands."""
         self.world.faults.clear_faults()
         self.heal()
         self.world.run(10.0)
         for partition in range(PARTITIONS):
             assert len(self.world.leaders(partition)) == 1
-        self.check_answers()
+        self.check_results()
 
     @invariant()
     def leaders_know_what_was_acknowledged(self):
         for partition in range(PARTITIONS):
             for name in self.world.leaders(partition):
                 texts = self.world.texts(partition, by=name)
-                for told, text, answers in self.answers:
-                    if told == partition and answers and isinstance(answers[0], Ok):
-                        place = answers[0].ok_value.count - 1
-                        assert texts[place : place + 1] == [text]
-
-    def check_answers(self):
-        for partition, text, answers in self.answers:
+                for proposed_to, text, results in self.results:
+                    if (
+                        proposed_to == partition
+                        and results
+                        and isinstance(results[0], Ok)
+                    ):
+                        position = results[0].ok_value.count - 1
+                        assert texts[position : position + 1] == [text]
+
+    def check_results(self):
+        for partition, text, results in self.results:
             found = self.world.texts(partition).count(text)
-            if not answers:
-                assert text in self.of_crashed, f"{text} was never answered"
-                assert found <= 1, f"{text} stands {found} times"
+            if not results:
+                assert text in self.unresolved, f"{text} was never completed"
+                assert found <= 1, f"{text} is stored {found} times"
                 continue
-            if isinstance(answers[0], Ok):
-                assert found == 1, f"{text} stands {found} times"
+            if isinstance(results[0], Ok):
+                assert found == 1, f"{text} is stored {found} times"
             else:
-                assert found <= 1, f"{text} stands {found} times"
-                is_certain = answers[0].err_value.ran is Ran.NO
-                assert not (is_certain and found), f"{text} was not to be there"
+                assert found <= 1, f"{text} is stored {found} times"
+                is_certain = results[0].err_value.ran is Ran.NO
+                assert not (is_certain and found), f"{text} was refused but is stored"
 
     def teardown(self):
         if hasattr(self, "world"):
-            self.all_is_well_again()
+            self.all_faults_are_cleared()
--- a/tests/stateful/partitions/test_partitions_machine.py
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -1,4 +1,4 @@
-"""Random lives of partitions, the same ones at each run; and breaks that they catch."""
+"""Random histories of partitions with a fixed seed, and faults that they detect."""
 
 import pytest
 from hypothesis import Phase, settings
@@ -14,7 +14,7 @@
 from tests.unit.partitions import test_partitions as scenarios
 
 WITHOUT_SHRINKING = settings(RUN, phases=(Phase.generate,), report_multiple_bugs=False)
-"""Enough to see that a break is caught."""
+"""Enough to show that a deliberate fault is detected."""
 
 
 def test_what_was_acknowledged_stays():
@@ -31,28 +31,28 @@
     monkeypatch.setattr(PartitionWriter, "write", write)
 
 
-def an_append_without_an_answer_gets_another_number(monkeypatch):
+def appends_are_sent_without_a_producer(monkeypatch):
     original = PartitionWriter._append
 
     def append(self, records):
-        append_as = self._service.append
+        original_append = self._service.append
 
-        def append_as_nobody(topic, partition, records, _producer):
-            return append_as(topic, partition, records, None)
+        def append_without_producer(topic, partition, records, _producer):
+            return original_append(topic, partition, records, None)
 
         with monkeypatch.context() as patch:
-            patch.setattr(self._service, "append", append_as_nobody)
+            patch.setattr(self._service, "append", append_without_producer)
             return original(self, records)
 
     monkeypatch.setattr(PartitionWriter, "_append", append)
 
 
-def a_lost_outcome_is_called_not_written(monkeypatch):
+def an_unknown_outcome_is_reported_as_not_written(monkeypatch):
     original = LedPartition._on_written
 
     def written(self, proposal, outcome):
-        is_lost = outcome is Outcome.LOST
-        original(self, proposal, Outcome.NOT_WRITTEN if is_lost else outcome)
+        is_unknown = outcome is Outcome.LOST
+        original(self, proposal, Outcome.NOT_WRITTEN if is_unknown else outcome)
 
     monkeypatch.setattr(LedPartition, "_on_written", written)
     monkeypatch.setattr(
@@ -62,11 +62,11 @@
     )
 
 
-def a_leader_believes_itself_without_a_lease(monkeypatch):
+def a_leader_ignores_its_lease(monkeypatch):
     monkeypatch.setattr(GroupMember, "is_lease_valid", property(lambda _: True))
 
 
-def a_snapshot_claims_what_is_on_its_way(monkeypatch):
+def a_snapshot_claims_commands_in_flight(monkeypatch):
     original = LedPartition._write_snapshot
     end = LedPartition.end
 
@@ -79,7 +79,7 @@
     monkeypatch.setattr(LedPartition, "_write_snapshot", write_snapshot)
 
 
-def a_snapshot_is_believed_though_records_are_missing(monkeypatch):
+def a_snapshot_is_used_despite_missing_records(monkeypatch):
     original = Replay.skip_to
 
     def skip_to(self, offset):
@@ -89,11 +89,11 @@
     monkeypatch.setattr(Replay, "skip_to", skip_to)
 
 
-def a_lost_beginning_is_not_noticed(monkeypatch):
+def missing_first_records_are_not_detected(monkeypatch):
     monkeypatch.setattr(Replay, "skip_to", lambda self, offset: None)
 
 
-def parts_of_a_torn_snapshot_are_kept(monkeypatch):
+def parts_of_an_incomplete_snapshot_are_restored(monkeypatch):
     original = Replay._add_part
 
     def take_part(self, part):
@@ -121,32 +121,35 @@
         scenarios.test_a_command_is_in_the_journal_before_it_is_answered,
     ),
     (
-        an_append_without_an_answer_gets_another_number,
+        appends_are_sent_without_a_producer,
         lambda: scenarios.test_appends_without_an_answer_are_written_once(
             scenarios.Trouble.LOSE_ANSWER
         ),
     ),
     (
-        a_lost_outcome_is_called_not_written,
+        an_unknown_outcome_is_reported_as_not_written,
         scenarios.test_a_log_that_does_not_answer_in_time_leaves_the_outcome_unknown,
     ),
     (
-        a_leader_believes_itself_without_a_lease,
-        scenarios.test_a_leader_that_wakes_up_says_nothing_old_and_writes_nothing,
+        a_leader_ignores_its_lease,
+        scenarios.test_a_resumed_leader_serves_no_stale_state_and_writes_nothing,
     ),
     (
-        a_snapshot_claims_what_is_on_its_way,
+        a_snapshot_claims_commands_in_flight,
         scenarios.test_commands_on_their_way_while_a_snapshot_is_taken_are_not_lost,
     ),
     (
-        a_snapshot_is_believed_though_records_are_missing,
-        scenarios.test_a_snapshot_that_lacks_records_is_not_believed,
+        a_snapshot_is_used_despite_missing_records,
+        scenarios.test_a_snapshot_that_lacks_records_is_not_used,
     ),
     (
-        a_lost_beginning_is_not_noticed,
+        missing_first_records_are_not_detected,
         scenarios.test_a_journal_that_lost_its_beginning_is_not_led,
     ),
-    (parts_of_a_torn_snapshot_are_kept, scenarios.test_a_torn_snapshot_is_passed_over),
+    (
+        parts_of_an_incomplete_snapshot_are_restored,
+        scenarios.test_an_incomplete_snapshot_is_ignored,
+    ),
     (
         a_planned_stop_does_not_wait_for_the_journal,
         scenarios.test_a_planned_stop_hands_over_without_waiting_for_a_lease,
@@ -161,7 +164,7 @@
 
 MACHINE_BREAKS = (
     commands_are_answered_before_they_are_written,
-    a_snapshot_claims_what_is_on_its_way,
+    a_snapshot_claims_commands_in_flight,
 )
 
 
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -1,4 +1,4 @@
-"""Following a keyed topic through outages, lost reads and dropped history."""
+"""Following a keyed topic through outages, lost reads and trimmed records."""
 
 from random import Random
 
@@ -12,7 +12,7 @@
     Trouble,
 )
 from notcharch.events import process
-from notcharch.journal.keyed_follower import RETRY_SECONDS as RETRY_SECONDS_OF_READS
+from notcharch.journal.keyed_follower import RETRY_SECONDS as READ_RETRY_SECONDS
 from notcharch.journal.keyed_follower import KeyedFollower, PollTiming, join_keyed
 from notcharch.journal.recovery_signal import STALE_SECONDS, RecoverySignal
 from tests.unit.events.capture import captured, of
@@ -22,12 +22,12 @@
 
 
 class Following:
-    """A follower, and what it was told."""
+    """A follower and the values that it reported."""
 
     def __init__(self, timing: PollTiming = TIMING, **more) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
-        self.told: list[dict[str, bytes]] = []
+        self.received: list[dict[str, bytes]] = []
         self.fault = False
         self.recovery = RecoverySignal(self.clock)
         self.follower = KeyedFollower(
@@ -36,15 +36,15 @@
             Random(1),
             TOPIC,
             timing=timing,
-            on_change=self.changed,
+            on_change=self.on_change,
             recovery=self.recovery,
             **more,
         )
 
-    def changed(self, values):
+    def on_change(self, values):
         if self.fault:
-            raise ValueError("a fault of the program")
-        self.told.append(dict(values))
+            raise ValueError("an unexpected exception")
+        self.received.append(dict(values))
 
     def put(self, key: str, value: bytes) -> None:
         self.log.append(TOPIC, 0, (join_keyed(key, value),))
@@ -64,50 +64,50 @@
     return world
 
 
-def test_a_picture_then_each_change():
+def test_a_snapshot_then_each_change():
     world = started("a", "b")
-    assert world.told[-1] == {"a": b"1", "b": b"1"}
+    assert world.received[-1] == {"a": b"1", "b": b"1"}
     world.put("a", b"2")
     world.put("c", b"3")
     world.put("b", b"")
     world.run(0.5)
-    assert world.told[-1] == {"a": b"2", "c": b"3"}
+    assert world.received[-1] == {"a": b"2", "c": b"3"}
 
 
-def test_a_change_is_heard_soon_after_a_rest():
+def test_a_change_is_received_soon_after_an_idle_time():
     world = started("a")
     world.run(10.0)
     world.put("a", b"2")
     world.run(0.2)
-    assert world.told[-1] == {"a": b"2"}
+    assert world.received[-1] == {"a": b"2"}
 
 
 @pytest.mark.parametrize("trouble", [t for t in Trouble if t is not Trouble.NONE])
-def test_what_changed_during_an_outage_is_heard_after_it(trouble):
+def test_changes_during_an_outage_are_received_after_it(trouble):
     world = started("a")
     world.log.trouble = trouble
     world.run(5.0)
-    assert world.told[-1] == {"a": b"1"}
+    assert world.received[-1] == {"a": b"1"}
     world.log.trouble = Trouble.NONE
     world.put("a", b"2")
     world.run(3.0)
-    assert world.told[-1] == {"a": b"2"}
+    assert world.received[-1] == {"a": b"2"}
 
 
 def test_a_read_that_was_lost_is_repeated_when_the_log_service_is_back():
-    """Not only when its own time is over: what changed meanwhile is heard at once."""
+    """Changes during an outage are received before the lost read times out."""
     world = started("a")
     world.log.trouble = Trouble.LOSE_CALL
     world.run(TIMING.wait_seconds + TIMING.pause_seconds + 2 * STALE_SECONDS)
     world.log.trouble = Trouble.NONE
     world.put("a", b"2")
     world.recovery.recovered()
-    world.run(2 * RETRY_SECONDS_OF_READS)
-    assert world.told[-1] == {"a": b"2"}
+    world.run(2 * READ_RETRY_SECONDS)
+    assert world.received[-1] == {"a": b"2"}
 
 
-def test_a_topic_that_is_back_is_told_of_at_once_though_nothing_changed():
-    """The first read after a fault is not held."""
+def test_a_recovery_is_logged_immediately_without_a_change():
+    """The first read after a fault returns immediately."""
     world = started("a")
     with captured() as messages:
         world.log.trouble = Trouble.REFUSE
@@ -127,10 +127,10 @@
     world.put("a", b"2")
     world.recovery.recovered()
     world.run(5 * ANSWER_SECONDS)
-    assert world.told[-1] == {"a": b"2"}
+    assert world.received[-1] == {"a": b"2"}
 
 
-def test_a_history_that_was_dropped_is_made_up_by_a_new_picture():
+def test_a_new_snapshot_replaces_trimmed_records():
     world = started("a")
     world.log.trouble = Trouble.REFUSE
     world.run(1.0)
@@ -139,60 +139,60 @@
     partition.records.extend([join_keyed("a", b"2"), join_keyed("a", b"3")])
     partition.drop_before(2)
     world.run(3.0)
-    assert world.told[-1] == {"a": b"3"}
+    assert world.received[-1] == {"a": b"3"}
 
 
 PAGED_TIMING = PollTiming(wait_seconds=0.2, pause_seconds=0.1, page_pause_seconds=2.0)
-MANY = [f"k{number:04}" for number in range(1200)]
+MANY_KEYS = [f"k{number:04}" for number in range(1200)]
 
 
-def slowly_started() -> Following:
-    """Follow 1,200 keys page by page, with the first page read."""
+def started_with_pages() -> Following:
+    """Start following 1,200 keys page by page; the first page has been read."""
     world = Following(PAGED_TIMING)
-    world.log.append(TOPIC, 0, tuple(join_keyed(key, b"1") for key in MANY))
+    world.log.append(TOPIC, 0, tuple(join_keyed(key, b"1") for key in MANY_KEYS))
     world.run(0.1)
     world.follower.start()
     world.run(0.1)
     return world
 
 
-def test_a_large_topic_is_told_page_by_page():
-    world = slowly_started()
-    assert sorted(world.told[-1]) == MANY[:500]
+def test_a_large_topic_is_reported_page_by_page():
+    world = started_with_pages()
+    assert sorted(world.received[-1]) == MANY_KEYS[:500]
     world.run(9.0)
-    assert sorted(world.told[-1]) == MANY
+    assert sorted(world.received[-1]) == MANY_KEYS
 
 
-@pytest.mark.parametrize("key", [MANY[0], MANY[700], MANY[1199]])
+@pytest.mark.parametrize("key", [MANY_KEYS[0], MANY_KEYS[700], MANY_KEYS[1199]])
 @pytest.mark.parametrize("value", [b"2", b""])
 def test_changes_between_two_pages_are_not_undone_by_a_page(key, value):
-    world = slowly_started()
+    world = started_with_pages()
     world.put(key, value)
     world.run(0.6)
-    assert world.told[-1].get(key, b"") == value
+    assert world.received[-1].get(key, b"") == value
     world.run(9.0)
-    assert world.told[-1].get(key, b"") == value
-    assert len(world.told[-1]) == (1200 if value else 1199)
+    assert world.received[-1].get(key, b"") == value
+    assert len(world.received[-1]) == (1200 if value else 1199)
 
 
-def test_a_new_picture_keeps_what_was_known_until_it_is_whole():
-    world = slowly_started()
+def test_a_new_snapshot_keeps_known_keys_until_it_is_complete():
+    world = started_with_pages()
     world.run(9.0)
     world.follower._offset = -1
-    before = len(world.told)
+    before = len(world.received)
     world.run(9.0)
-    assert len(world.told) > before
-    assert all(sorted(told) == MANY for told in world.told[before:])
+    assert len(world.received) > before
+    assert all(sorted(values) == MANY_KEYS for values in world.received[before:])
 
 
-def test_keys_that_went_before_a_new_picture_are_forgotten_with_its_last_page():
-    world = slowly_started()
+def test_keys_missing_from_a_new_snapshot_are_removed_with_its_last_page():
+    world = started_with_pages()
     world.run(9.0)
     partition = world.log.partition(TOPIC, 0)
     partition.records[:] = [r for r in partition.records if r[1:6] != b"k0007"]
     world.follower._offset = -1
     world.run(9.0)
-    assert sorted(world.told[-1]) == [key for key in MANY if key != "k0007"]
+    assert sorted(world.received[-1]) == [key for key in MANY_KEYS if key != "k0007"]
 
 
 def test_more_keys_than_a_page_holds():
@@ -203,39 +203,39 @@
     world.run(0.1)
     world.follower.start()
     world.run(1.0)
-    assert sorted(world.told[-1]) == keys
+    assert sorted(world.received[-1]) == keys
 
 
-def test_a_fault_of_the_program_does_not_end_the_following():
+def test_an_exception_does_not_end_the_following():
     world = started("a")
     world.fault = True
     world.put("a", b"2")
     world.run(0.5)
     world.fault = False
     world.run(3.0)
-    assert world.told[-1] == {"a": b"2"}
+    assert world.received[-1] == {"a": b"2"}
 
 
 @pytest.mark.parametrize(
     ("share", "youngest"), [(0.0, TIMING.wait_seconds), (1.0, 0.0)]
 )
-def test_a_read_proves_for_when_it_was_sent_and_a_quick_one_for_now(share, youngest):
-    proofs: list[float] = []
+def test_a_read_confirms_the_time_at_which_it_was_sent(share, youngest):
+    confirmations: list[float] = []
     world = Following(
-        on_confirmed=lambda at: proofs.append(world.clock.seconds() - at),
+        on_confirmed=lambda at: confirmations.append(world.clock.seconds() - at),
         immediate_share=lambda: share,
     )
     world.put("a", b"1")
     world.follower.start()
     world.run(5.0)
-    ages = proofs[1:]  # the first is that of the picture
+    ages = confirmations[1:]  # the first is the snapshot's
     assert min(ages) == pytest.approx(youngest, abs=0.02)
     assert max(ages) <= youngest + 0.02
 
 
-def test_a_read_that_leaves_records_behind_proves_nothing():
-    proofs: list[float] = []
-    world = Following(on_confirmed=proofs.append)
+def test_a_read_before_the_end_confirms_nothing():
+    confirmations: list[float] = []
+    world = Following(on_confirmed=confirmations.append)
     world.follower.start()
     world.run(0.1)
     original = world.log.read
@@ -248,7 +248,7 @@
 
     world.log.read = read_less
     world.run(1.2)
-    count = len(proofs)
+    count = len(confirmations)
     world.put("a", b"1")
     world.run(3.0)
-    assert len(proofs) == count
+    assert len(confirmations) == count
--- a/tests/unit/journal/test_group.py
+++ b/tests/unit/journal/test_group.py
@@ -1,4 +1,4 @@
-"""Staying in the group that deals partitions out, under faults."""
+"""Membership of the group that assigns partitions, under faults."""
 
 from random import Random
 
@@ -25,12 +25,12 @@
 
 
 class Group:
-    """Members of a group."""
+    """The members of a group and their assigned partitions."""
 
     def __init__(self, *names: str) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 2)
-        self.held: dict[str, tuple[str, ...]] = {}
+        self.assigned: dict[str, tuple[str, ...]] = {}
         self.fault = ""
         self.members = {name: self.member(name) for name in names}
         for member in self.members.values():
@@ -40,9 +40,10 @@
     def member(self, name: str) -> GroupMember:
         def on_assignment(membership):
             if self.fault == name:
-                raise ValueError("a fault of the program")
-            self.held[name] = tuple(
-                f"{place.topic}{place.number}" for place in membership.partitions
+                raise ValueError("an unexpected exception")
+            self.assigned[name] = tuple(
+                f"{partition.topic}{partition.number}"
+                for partition in membership.partitions
             )
 
         return GroupMember(
@@ -70,46 +71,48 @@
     before = world.log.calls
     while world.log.calls == before:
         world.run(0.01)
-    lost = world.clock.seconds()
-    waited = LOST_SECONDS if trouble is Trouble.LOSE_CALL else ANSWER_SECONDS
+    sent_at = world.clock.seconds()
+    response_seconds = LOST_SECONDS if trouble is Trouble.LOSE_CALL else ANSWER_SECONDS
     while world.log.calls == before + 1:
         world.run(0.01)
-    assert world.clock.seconds() - lost == pytest.approx(waited + seconds, abs=0.03)
+    assert world.clock.seconds() - sent_at == pytest.approx(
+        response_seconds + seconds, abs=0.03
+    )
 
 
-def test_partitions_are_dealt_evenly_and_whole():
+def test_partitions_are_assigned_evenly_and_completely():
     world = Group("a", "b")
-    assert sorted(world.held["a"] + world.held["b"]) == ALL
-    assert len(world.held["a"]) == 2
+    assert sorted(world.assigned["a"] + world.assigned["b"]) == ALL
+    assert len(world.assigned["a"]) == 2
 
 
 def test_a_member_that_leaves_is_replaced_at_the_next_heartbeats():
     world = Group("a", "b")
     world.members["a"].leave()
     world.run(0.45)
-    assert sorted(world.held["b"]) == ALL
+    assert sorted(world.assigned["b"]) == ALL
 
 
 def test_a_silent_member_is_replaced_after_its_lease():
     world = Group("a", "b")
     world.members["a"].stop()
     world.run(LEASE_SECONDS - 0.4)
-    assert len(world.held["b"]) == 2
+    assert len(world.assigned["b"]) == 2
     world.run(0.9)
-    assert sorted(world.held["b"]) == ALL
+    assert sorted(world.assigned["b"]) == ALL
 
 
-def test_a_fault_of_the_program_does_not_end_the_heartbeats():
+def test_an_exception_does_not_end_the_heartbeats():
     world = Group("a", "b")
     world.fault = "a"
     world.run(3.0)
     world.fault = ""
     world.run(0.5)
-    assert len(world.held["a"]) == 2
-    assert len(world.held["b"]) == 2
+    assert len(world.assigned["a"]) == 2
+    assert len(world.assigned["b"]) == 2
 
 
-def test_the_first_heartbeat_that_is_answered_again_tells_of_the_recovery():
+def test_the_first_heartbeat_after_an_outage_reports_the_recovery():
     clock = Clock()
     log = PartitionedLog(clock, Random(1), 2)
     recoveries: list[float] = []
--- a/tests/unit/journal/test_partitioning.py
+++ b/tests/unit/journal/test_partitioning.py
@@ -1,4 +1,4 @@
-"""Partitions over topics, and back."""
+"""The mapping between partitions and topics."""
 
 import pytest
 
@@ -13,9 +13,11 @@
 def test_as_many_topics_as_the_partitions_need(count, topics):
     partitioning = partitioning_for_count("t", count, 16)
     assert len(partitioning.topics) == topics
-    places = [partitioning.log_partition(number) for number in range(count)]
-    assert len(set(places)) == count
-    assert [partitioning.number(place) for place in places] == list(range(count))
+    log_partitions = [partitioning.log_partition(number) for number in range(count)]
+    assert len(set(log_partitions)) == count
+    assert [
+        partitioning.number(log_partition) for log_partition in log_partitions
+    ] == list(range(count))
 
 
 def test_partitions_that_are_not_in_use_have_no_number():
@@ -25,7 +27,7 @@
     assert partitioning.number(LogPartition("other", 0)) is None
 
 
-def test_a_program_has_one_of_all_partitions():
+def test_programs_use_all_partitions():
     partitioning = partitioning_for_topics("t", 4, 12)
     found = {partitioning.of_program(f"p{number}") for number in range(2000)}
     assert found == set(range(48))
--- a/tests/unit/journal/test_writer.py
+++ b/tests/unit/journal/test_writer.py
@@ -1,4 +1,4 @@
-"""Writing a partition: each record once, until somebody else writes it."""
+"""Writing a partition: each record once, until another writer fences this one."""
 
 from random import Random
 
@@ -17,13 +17,13 @@
 
 
 class Writing:
-    """A writer of partition 0, and the outcomes of its records."""
+    """Writers of partition 0, and the outcomes of their records."""
 
     def __init__(self) -> None:
         self.clock = Clock()
         self.log = PartitionedLog(self.clock, Random(1), 1)
         self.outcomes: list[Outcome] = []
-        self.lost: list[int] = []
+        self.fenced: list[int] = []
 
     def writer(self, epoch: int) -> PartitionWriter:
         return PartitionWriter(
@@ -32,7 +32,7 @@
             Random(1),
             LogPartition("t", 0),
             epoch=epoch,
-            on_fenced=lambda: self.lost.append(epoch),
+            on_fenced=lambda: self.fenced.append(epoch),
         )
 
     def claimed(self, epoch: int) -> PartitionWriter:
@@ -81,7 +81,7 @@
     assert world.outcomes == [Outcome.DURABLE] * 4
 
 
-def test_a_fenced_writer_hears_it_once_and_writes_no_more():
+def test_a_fenced_writer_is_notified_once_and_stops_writing():
     world = Writing()
     former = world.claimed(1)
     world.claimed(2)
@@ -89,7 +89,7 @@
     world.run(0.1)
     world.write(former, b"c")
     assert world.outcomes == [Outcome.NOT_WRITTEN] * 3
-    assert (world.records, world.lost) == ([], [1])
+    assert (world.records, world.fenced) == ([], [1])
 
 
 def test_a_lower_epoch_cannot_claim():
--- a/tests/unit/partitions/counting.py
+++ b/tests/unit/partitions/notes.py
@@ -1,4 +1,4 @@
-"""A small state machine for the tests: it keeps the texts that it was given."""
+"""A small state machine for tests, which stores the texts of its commands."""
 
 import msgspec
 
--- a/tests/unit/partitions/test_partitions.py
+++ b/tests/unit/partitions/test_partitions.py
@@ -1,4 +1,4 @@
-"""Partitions over daemons that crash, sleep and leave, and a log service that fails."""
+"""Partitions with daemons that crash, pause and leave, and a failing log service."""
 
 import pytest
 from result import Ok
@@ -12,15 +12,15 @@
 from notcharch.partitions.led_partition import MAX_PENDING_COMMANDS
 from notcharch.partitions.records import SnapshotPart, encode_record, snapshot_parts
 from tests.unit.events.capture import captured, of
-from tests.unit.partitions.counting import Noted
+from tests.unit.partitions.notes import Noted
 from tests.unit.partitions.world import PARTITIONS, World
 
 ALL = range(PARTITIONS)
 TAKEOVER_SECONDS = 4.5
-"""A lease, the next heartbeat of another, and the replay."""
+"""Covers a lease, the next heartbeat of another daemon and the replay."""
 
 
-def settled(**arguments) -> World:
+def started(**arguments) -> World:
     world = World(**arguments)
     world.run(2.0)
     return world
@@ -28,12 +28,12 @@
 
 @pytest.mark.parametrize("daemons", [1, 2, 3, 5])
 def test_a_fresh_region_leads_every_partition_soon(daemons):
-    world = settled(daemons=daemons)
+    world = started(daemons=daemons)
     assert all(len(world.leaders(partition)) == 1 for partition in ALL)
 
 
 def test_a_command_is_in_the_journal_before_it_is_answered():
-    world = settled()
+    world = started()
     results = world.propose(0, "first")
     world.run(0.004)
     assert not results
@@ -45,7 +45,7 @@
 
 
 def test_commands_that_wait_together_are_applied_in_order():
-    world = settled()
+    world = started()
     results = [world.propose(0, f"{number}") for number in range(50)]
     world.run(0.1)
     assert [result for [result] in results] == [Ok(Noted(n + 1)) for n in range(50)]
@@ -53,7 +53,7 @@
 
 
 def test_another_daemon_names_the_leader():
-    world = settled()
+    world = started()
     leader = world.leader(0)
     other = next(name for name in world.names if name != leader)
     [result] = world.propose(0, "x", by=other)
@@ -64,7 +64,7 @@
 
 @pytest.mark.parametrize("silent", [False, True])
 def test_a_dead_leader_is_replaced_and_nothing_is_lost(silent):
-    world = settled()
+    world = started()
     world.commit(0, "first")
     former = world.leader(0)
     world.crash(former, silent=silent)
@@ -76,7 +76,7 @@
 
 
 def test_a_process_that_starts_again_at_once_leads_again_without_a_lease():
-    world = settled()
+    world = started()
     world.commit(0, "first")
     former = world.leader(0)
     world.crash(former)
@@ -87,7 +87,7 @@
 
 
 def test_everything_outlives_the_loss_of_all_daemons():
-    world = settled()
+    world = started()
     for partition in ALL:
         world.commit(partition, f"of {partition}", "more")
     for name in world.names:
@@ -101,7 +101,7 @@
 
 
 def test_a_stop_refuses_what_is_proposed_after_it():
-    world = settled()
+    world = started()
     leader = world.leader(0)
     waiting = world.propose(0, "on its way")
     world.services[leader].stop()
@@ -112,7 +112,7 @@
 
 
 def test_a_log_that_does_not_answer_in_time_leaves_the_outcome_unknown():
-    world = settled()
+    world = started()
     world.faults.order_fault(FaultKind.HANG, None)
     results = world.propose(0, "first")
     world.run(world.settings.commit_seconds + 0.1)
@@ -127,7 +127,7 @@
     "trouble", [Trouble.LOSE_ANSWER, Trouble.LOSE_CALL, Trouble.REFUSE]
 )
 def test_appends_without_an_answer_are_written_once(trouble):
-    world = settled()
+    world = started()
     leader = world.leader(0)
     world.log.trouble = trouble
     results = world.propose(0, "first")
@@ -142,7 +142,7 @@
 
 
 def test_a_defect_in_a_command_refuses_it_and_the_partition_goes_on():
-    world = settled()
+    world = started()
     with captured() as messages:
         results = world.propose(0, "raise")
         world.run(0.1)
@@ -155,8 +155,8 @@
     assert world.texts(0) == ["next"]
 
 
-def test_a_leader_that_wakes_up_says_nothing_old_and_writes_nothing():
-    world = settled()
+def test_a_resumed_leader_serves_no_stale_state_and_writes_nothing():
+    world = started()
     world.commit(0, "first")
     former = world.leader(0)
     world.fabric.pause(former)
@@ -174,7 +174,7 @@
 
 
 def test_a_leader_that_cannot_reach_the_log_stops_answering_in_time():
-    world = settled()
+    world = started()
     leader = world.leader(0)
     world.faults.order_fault(FaultKind.DOWN, None)
     world.run(world.settings.lease_seconds)
@@ -186,24 +186,24 @@
 
 
 def test_a_planned_stop_hands_over_without_waiting_for_a_lease():
-    world = settled()
+    world = started()
     world.commit(0, "first")
     former = world.leader(0)
-    under_way = world.propose(0, "under way")
+    in_flight = world.propose(0, "under way")
     world.run(0.001)
     waiting = world.propose(0, "waiting")
     done = []
     world.services[former].hand_over().addCallback(done.append)
     world.run(0.8)
     assert done
-    assert under_way == [Ok(Noted(2))]
+    assert in_flight == [Ok(Noted(2))]
     assert waiting == [Ok(Noted(3))]
     assert world.leader(0) != former
     assert world.texts(0) == ["first", "under way", "waiting"]
 
 
-def test_a_partition_that_is_dealt_anew_moves_with_its_state():
-    world = settled()
+def test_a_reassigned_partition_keeps_its_state():
+    world = started()
     for partition in ALL:
         world.commit(partition, f"{partition}")
     before = [world.leader(partition) for partition in ALL]
@@ -214,8 +214,8 @@
         assert world.texts(partition) == [f"{partition}"]
 
 
-def test_too_much_that_waits_is_refused_before_it_is_written():
-    world = settled()
+def test_too_many_pending_commands_are_refused_before_they_are_written():
+    world = started()
     world.faults.order_fault(FaultKind.HANG, None)
     for number in range(MAX_PENDING_COMMANDS):
         world.propose(0, f"{number}")
@@ -226,15 +226,15 @@
 # Snapshots
 
 
-def aged(world: World) -> None:
-    """Let time pass until every partition has written a snapshot."""
+def run_until_snapshots(world: World) -> None:
+    """Run until every partition has written a snapshot."""
     world.run(world.settings.snapshot_seconds + 10.0)
 
 
 def test_a_snapshot_takes_the_place_of_the_records_before_it():
-    world = settled(snapshot_seconds=20.0)
+    world = started(snapshot_seconds=20.0)
     world.commit(0, *"abc")
-    aged(world)
+    run_until_snapshots(world)
     world.commit(0, "d")
     assert world.journal(0).first >= 3
     world.crash(world.leader(0))
@@ -242,8 +242,8 @@
     assert world.texts(0) == ["a", "b", "c", "d"]
 
 
-def test_much_that_was_written_is_followed_by_a_snapshot():
-    world = settled()
+def test_a_snapshot_follows_many_bytes_of_commands():
+    world = started()
     texts = [f"{number}" + "x" * 60_000 for number in range(20)]
     world.commit(0, *texts)
     world.run(10.0)
@@ -254,7 +254,7 @@
 
 
 def test_commands_on_their_way_while_a_snapshot_is_taken_are_not_lost():
-    world = settled()
+    world = started()
     world.commit(0, "a")
     led = world.services[world.leader(0)]._assigned.get(0)
     results = [world.propose(0, text) for text in "bc"]
@@ -269,7 +269,7 @@
 
 
 def append(world: World, partition: int, record) -> None:
-    """Write a record as the present leader would have, then lose that leader."""
+    """Write a record as the current leader, then crash it."""
     leader = world.leader(partition)
     led = world.services[leader]._assigned.get(partition)
     assignment = led.assignment
@@ -280,8 +280,8 @@
     world.crash(leader)
 
 
-def test_a_torn_snapshot_is_passed_over():
-    world = settled()
+def test_an_incomplete_snapshot_is_ignored():
+    world = started()
     world.commit(0, "a")
     append(world, 0, SnapshotPart(1, 0, 2, 0.0, b"[]"))
     world.run(TAKEOVER_SECONDS)
@@ -291,8 +291,8 @@
     assert world.texts(0) == ["a", "b"]
 
 
-def test_a_snapshot_that_lacks_records_is_not_believed():
-    world = settled()
+def test_a_snapshot_that_lacks_records_is_not_used():
+    world = started()
     world.commit(0, *"abc")
     [part] = snapshot_parts(b'["a"]', 1, 0.0)
     append(world, 0, part)
@@ -305,7 +305,7 @@
 
 
 def test_a_journal_that_lost_its_beginning_is_not_led():
-    world = settled()
+    world = started()
     world.commit(0, *"abc")
     world.journal(0).drop_before(1)
     for name in world.names:
@@ -318,9 +318,9 @@
 
 
 def test_the_age_of_the_last_snapshot_outlives_its_leader():
-    world = settled(snapshot_seconds=60.0)
+    world = started(snapshot_seconds=60.0)
     world.commit(0, "a")
-    aged(world)
+    run_until_snapshots(world)
     first = len(world.journal(0).records)
     world.crash(world.leader(0))
     world.run(30.0)
@@ -330,8 +330,8 @@
 
 
 def test_an_empty_partition_writes_nothing():
-    world = settled(snapshot_seconds=20.0)
-    aged(world)
+    world = started(snapshot_seconds=20.0)
+    run_until_snapshots(world)
     assert all(world.journal(partition).end == 0 for partition in ALL)
 
 
--- a/tests/unit/partitions/world.py
+++ b/tests/unit/partitions/world.py
@@ -1,4 +1,4 @@
-"""A region of daemons with partitions only, over the memory transport."""
+"""A region of daemons that run only partitions, on the memory transport."""
 
 from random import Random
 
@@ -28,7 +28,7 @@
     PartitionNumber,
     ZoneName,
 )
-from tests.unit.partitions.counting import Note, Notes
+from tests.unit.partitions.notes import Note, Notes
 
 PARTITIONS = 4
 TOPIC_PARTITIONS = 2
@@ -38,7 +38,7 @@
 
 
 class World:
-    """Daemons that start, crash, sleep and leave, and their log service."""
+    """Daemons that start, crash, pause and leave, and their log service."""
 
     def __init__(self, daemons: int = 3, seed: int = 1, **settings) -> None:
         self.clock = Clock()
@@ -51,34 +51,34 @@
         self.services: dict[DaemonName, PartitionService] = {}
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.starts = 0
-        self.epochs: dict[tuple[int, int], DaemonName] = {}
+        self.epoch_leaders: dict[tuple[int, int], DaemonName] = {}
         for name in self.names:
             self.start(name)
 
     def start(self, name: DaemonName) -> None:
-        """Start a daemon's process, perhaps again."""
+        """Start or restart a daemon's process."""
         self.starts += 1
         member = Member(name, Incarnation(self.starts))
-        place = self.fabric.join(member, ZoneName("z"))
-        way = MemoryWay(place.clock, LATENCY_SECONDS, TIMEOUT_SECONDS)
-        journal = MemoryJournal(way, self.log, self.faults)
+        node = self.fabric.join(member, ZoneName("z"))
+        connection = MemoryWay(node.clock, LATENCY_SECONDS, TIMEOUT_SECONDS)
+        journal = MemoryJournal(connection, self.log, self.faults)
         random = Random(self.starts)
         service = PartitionService(
             local_member=member,
-            peer_address=place.address,
+            peer_address=node.address,
             partitioning=self.partitioning,
             directory=OwnerDirectory(
                 journal,
-                place.clock,
+                node.clock,
                 random,
-                place.network,
+                node.network,
                 GROUP,
                 partitioning=self.partitioning,
             ),
             lease_seconds=self.settings.lease_seconds,
             dependencies=partition_dependencies(
                 journal,
-                place.clock,
+                node.clock,
                 random,
                 self.settings,
                 command_types=(Note,),
@@ -91,7 +91,7 @@
 
     def _led(self, name: DaemonName, partition: int, epoch: int | None) -> None:
         if epoch is not None:
-            leader = self.epochs.setdefault((partition, epoch), name)
+            leader = self.epoch_leaders.setdefault((partition, epoch), name)
             assert leader == name, f"{leader} and {name} led in epoch {epoch}"
 
     def crash(self, name: DaemonName, *, silent: bool = False) -> None:
@@ -101,7 +101,7 @@
         run_for(self.clock, seconds)
 
     def leaders(self, partition: int) -> list[DaemonName]:
-        """Give the daemons that say they lead a partition, sleeping ones left out."""
+        """Return the running daemons that claim to lead a partition."""
         return [
             name
             for name, service in self.services.items()
@@ -115,7 +115,7 @@
         return leaders[0]
 
     def propose(self, partition: int, text: str, by: DaemonName | None = None):
-        """Propose; gives the list in which the result appears."""
+        """Propose a command; returns a list to which the result is appended."""
         service = self.services[by or self.leader(partition)]
         results = []
         command = Note(self.clock.seconds(), text)
@@ -123,7 +123,7 @@
         return results
 
     def commit(self, partition: int, *texts: str) -> None:
-        """Propose one after the other; each must be done."""
+        """Propose commands one after another; each must succeed."""
         for text in texts:
             results = self.propose(partition, text)
             self.run(0.1)
@@ -134,20 +134,20 @@
         return list(service.state(PartitionNumber(partition)).texts)
 
     def journal(self, partition: int):
-        """Give the log's partition that holds a partition's journal."""
-        place = self.partitioning.log_partition(partition)
-        return self.log.partition(place.topic, place.number)
+        """Return the log partition that stores a partition's journal."""
+        log_partition = self.partitioning.log_partition(partition)
+        return self.log.partition(log_partition.topic, log_partition.number)
 
-    def drop_what_a_snapshot_holds(self, partition: int) -> int:
-        """Drop every record that the newest whole snapshot makes needless."""
-        found = self.journal(partition)
+    def drop_snapshotted_records(self, partition: int) -> int:
+        """Drop all records that the latest complete snapshot replaces."""
+        partition_log = self.journal(partition)
         covered = 0
         parts = 0
-        for data in found.records:
+        for data in partition_log.records:
             record = decode_record(data)
             is_part = isinstance(record, SnapshotPart) and record.number in (0, parts)
             parts = record.number + 1 if is_part else 0
             if is_part and parts == record.count:
                 covered = record.covers_to
-        found.drop_before(covered)
+        partition_log.drop_before(covered)
         return covered
