Name HTTP responses, failures and drains in the usual terms

WholeAnswer is CompleteResponse, NoAnswer is NoResponse, AnswerFailure is ResponseFailure, AnswerListener is ResponseListener with is_response, head_received, data_received and completed; is_answer_to is is_response_to. Exchange.answer is respond, on_gone is on_disconnect, own_address is local_address, MOST_IDLE is MAX_IDLE. Of a drain, Drained is DrainableServer, under_way is requests_in_flight, and the times are accept_seconds and max_seconds.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -25,7 +25,7 @@
 )
 from deploy.soak.tenants import SoakTenant, Tenants
 from notcharch.calls.event_stream import EventCutter, data_lines
-from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
 
 CONNECT_SECONDS = 1.0
@@ -38,7 +38,7 @@
 
 
 class Answer:
-    """Hears one answer for the oracle; an `AnswerListener`."""
+    """Hears one answer for the oracle; a `ResponseListener`."""
 
     def __init__(self, reactor: Any, asked: Asked) -> None:
         """Wait for an answer."""
@@ -48,11 +48,11 @@
         self.retry_after = RETRY_SECONDS
         self.done: Deferred[None] = Deferred()
 
-    def is_answer(self, head: ResponseHead) -> bool:
+    def is_response(self, head: ResponseHead) -> bool:
         """Take every answer: one of another request is a finding."""
         return True
 
-    def head_came(self, head: ResponseHead) -> None:
+    def head_received(self, head: ResponseHead) -> None:
         """Note the status and whose answer it is."""
         self._asked.status = head.status
         self._asked.answered_id = (head.get(REQUEST_ID) or b"").decode()
@@ -60,7 +60,7 @@
         if told is not None:
             self.retry_after = float(told)
 
-    def data_came(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         """Note events or the body."""
         if not self._asked.is_stream or self._asked.status != OK:
             self._asked.body += data
@@ -69,12 +69,12 @@
         for line in data_lines(whole).splitlines():
             self._asked.events.append(line)
 
-    def ended(self) -> None:
+    def completed(self) -> None:
         """Note that the answer is whole."""
         self._asked.is_whole = True
         self._over()
 
-    def failed(self, failure: AnswerFailure) -> None:
+    def failed(self, failure: ResponseFailure) -> None:
         """Note that the answer broke off."""
         self._over()
 
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -176,10 +176,10 @@
             exchange.abort()
             return
         if expected and expected != self.id:
-            exchange.answer(421, [(b"X-Notcharch-Instance-Id", self.id.encode())])
+            exchange.respond(421, [(b"X-Notcharch-Instance-Id", self.id.encode())])
             return
         if self.fault is EngineFault.SHED and self._is_struck():
-            exchange.answer(503, [(b"X-Notcharch-Not-Executed", b"1")])
+            exchange.respond(503, [(b"X-Notcharch-Not-Executed", b"1")])
             return
         if self.is_struck_by(EngineFault.FORGET_IDLE):
             exchange.abort()
@@ -241,7 +241,7 @@
         after = head.get(b"last-event-id")
         self._next = 0 if after is None else int(after) + 1
         self._timer: IDelayedCall | None = None
-        exchange.on_gone = self._gone
+        exchange.on_disconnect = self._gone
 
     def start(self) -> None:
         """Run it."""
@@ -275,7 +275,7 @@
             self.cut()
         elif engine.is_struck_by(EngineFault.ERRORS):
             engine.ended(self)
-            self._exchange.answer(500, self._headers, b"error")
+            self._exchange.respond(500, self._headers, b"error")
         elif self._path.startswith((PLAIN_PATH, "/kept/")):
             headers = [*self._headers, (b"content-type", b"text/event-stream")]
             self._exchange.start(200, headers)
@@ -283,7 +283,7 @@
         else:
             engine.ended(self)
             body = answer_of(self.request, self._exchange.body)
-            self._exchange.answer(200, self._headers, body)
+            self._exchange.respond(200, self._headers, body)
 
     def _event(self) -> None:
         engine = self._engine
--- a/deploy/soak/readiness.py
+++ b/deploy/soak/readiness.py
@@ -7,7 +7,7 @@
 
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.settings import HOST, HOST_NAME
-from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.messages import RequestHead, ResponseHead
 
 ASK_SECONDS = 1.0
@@ -44,7 +44,7 @@
 
 
 class Question:
-    """One question to one daemon; an `AnswerListener`."""
+    """One question to one daemon; a `ResponseListener`."""
 
     def __init__(self, reactor: Any, daemon: SoakDaemon, hear: Any) -> None:
         """Tell `hear` once."""
@@ -78,22 +78,22 @@
         if self._connection is not None:
             self._connection.close()
 
-    def is_answer(self, head: ResponseHead) -> bool:
+    def is_response(self, head: ResponseHead) -> bool:
         """Take every answer."""
         return True
 
-    def head_came(self, head: ResponseHead) -> None:
+    def head_received(self, head: ResponseHead) -> None:
         """Note the status."""
         self._status = head.status
 
-    def data_came(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         """Pass over the body."""
 
-    def ended(self) -> None:
+    def completed(self) -> None:
         """Tell what was answered."""
         self._tell()
 
-    def failed(self, failure: AnswerFailure) -> None:
+    def failed(self, failure: ResponseFailure) -> None:
         """Tell of a miss."""
         self._status = 0
         self._tell()
--- a/deploy/soak/store_server.py
+++ b/deploy/soak/store_server.py
@@ -97,7 +97,7 @@
         query = Query(exchange.head.target)
         route = self._routes.get(query.path)
         if route is None:
-            exchange.answer(404, [])
+            exchange.respond(404, [])
         else:
             route(exchange, query)
 
@@ -199,7 +199,7 @@
 ) -> None:
     """Answer a call; one without an outcome is never answered."""
     if not isinstance(result, Err):
-        exchange.answer(OK, [], body(result.ok_value))
+        exchange.respond(OK, [], body(result.ok_value))
         return
     problem = result.err_value
     if problem.fault is LogFault.UNKNOWN:
@@ -207,4 +207,4 @@
         return
     why = "seq" if problem.fault is LogFault.OUT_OF_ORDER else problem.fault.value
     said = {"why": why, "first": problem.offset, "end": problem.offset}
-    exchange.answer(STATUS_OF_FAULT[problem.fault], [], msgspec.json.encode(said))
+    exchange.respond(STATUS_OF_FAULT[problem.fault], [], msgspec.json.encode(said))
--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_life.py
@@ -94,7 +94,7 @@
         clock = self._services.clock
         left = max(self._deadline - clock.seconds(), 0.0)
         self._timer = clock.callLater(left, self._expire)
-        self._reply.on_gone(self._caller_left)
+        self._reply.on_disconnect(self._caller_left)
         self._services.admission.ask(self.call, self._route, self)
 
     # Admission
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -16,7 +16,7 @@
     Route,
 )
 from notcharch.calls.overdue import OverdueWatch
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.answer_waits import RouteWaits
 
@@ -148,11 +148,11 @@
         self._leave()
         self._listener.run_was_withdrawn()
 
-    def is_answer(self, head: ResponseHead) -> bool:
+    def is_response(self, head: ResponseHead) -> bool:
         """Tell whether an answer is to this call."""
-        return self._services.dialect.is_answer_to(self._call, head)
+        return self._services.dialect.is_response_to(self._call, head)
 
-    def head_came(self, head: ResponseHead) -> None:
+    def head_received(self, head: ResponseHead) -> None:
         """Relay a stream that succeeds; keep other answers until they are whole."""
         self._head = head
         self._services.pool.heard(self.engine.id)
@@ -163,7 +163,7 @@
             self._is_relayed = True
             self._listener.run_began(head)
 
-    def data_came(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         """Relay events, or keep the bytes."""
         if not self._is_relayed:
             self._pieces.append(data)
@@ -181,7 +181,7 @@
         self._event_at = now
         self._services.pool.heard(self.engine.id, gap)
 
-    def ended(self) -> None:
+    def completed(self) -> None:
         """Hear that the answer is whole."""
         head = self._head
         assert head is not None
@@ -197,9 +197,9 @@
         self._leave()
         self._listener.run_ended(head, b"".join(self._pieces))
 
-    def failed(self, failure: AnswerFailure) -> None:
+    def failed(self, failure: ResponseFailure) -> None:
         """Hear that the answer broke off."""
-        if failure is not AnswerFailure.GARBLED:
+        if failure is not ResponseFailure.GARBLED:
             self._engine_failed()
         self._leave()
         self._listener.run_failed(failure.value)
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -7,7 +7,7 @@
 from twisted.python.failure import Failure
 
 from notcharch.calls.interface import Engine
-from notcharch.http.client import AnswerListener, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseListener
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead
 from notcharch.http.reactor import TimedReactor
@@ -20,11 +20,11 @@
 """So long an idle connection is used if the engine doesn't say how long it keeps it."""
 KEEP_MARGIN_SECONDS = 1.0
 """An engine tells whole seconds, so its connection may close up to one sooner."""
-MOST_IDLE = 8
+MAX_IDLE = 8
 """Idle connections kept to one engine: a daemon has few calls at one engine at a time."""
 
 
-class SendListener(AnswerListener, Protocol):
+class SendListener(ResponseListener, Protocol):
     """What hears a request's answer, or that it could not be sent."""
 
     def unreachable(self) -> None:
@@ -55,10 +55,10 @@
 class EngineSender:
     """Connections to engines, kept for more requests."""
 
-    def __init__(self, reactor: TimedReactor, own_address: str) -> None:
+    def __init__(self, reactor: TimedReactor, local_address: str) -> None:
         """Connect from a machine's own address."""
         self._reactor = reactor
-        self._bind = (own_address, 0) if own_address else None
+        self._bind = (local_address, 0) if local_address else None
         self._idle: dict[str, IdleConnections] = {}
         self._factory = Factory.forProtocol(ClientConnection)
         self._factory.noisy = False
@@ -109,7 +109,7 @@
             seconds = max(told - KEEP_MARGIN_SECONDS, told / 2)
         idle = self._idle.get(engine_id)
         if idle is None:
-            idle = self._idle[engine_id] = IdleConnections(self._reactor, MOST_IDLE)
+            idle = self._idle[engine_id] = IdleConnections(self._reactor, MAX_IDLE)
         idle.keep(connection, seconds)
 
     def forget(self, engine_id: str) -> None:
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -106,7 +106,7 @@
 class SentAnswer(Protocol):
     """Reads what the head of an engine's answer says."""
 
-    def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
+    def is_response_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
         """Tell whether a head answers this call, not an earlier one."""
 
     def was_not_run(self, head: ResponseHead) -> bool:
--- a/notcharch/calls/reply.py
+++ b/notcharch/calls/reply.py
@@ -10,7 +10,7 @@
 class Reply(Protocol):
     """One caller's answer."""
 
-    def on_gone(self, callback: Callable[[], None]) -> None:
+    def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call back if the caller leaves before the end."""
 
     def begin(self, head: ResponseHead) -> None:
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -12,11 +12,11 @@
 
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
 
-SURPLUS_ANSWERS = 3
+MAX_SURPLUS_RESPONSES = 3
 """So many answers to other requests are passed over before a connection is given up."""
 
 
-class AnswerFailure(Enum):
+class ResponseFailure(Enum):
     """Why an answer didn't come to its end."""
 
     CLOSED = "connection closed"
@@ -25,22 +25,22 @@
     ABANDONED = "abandoned by this side"
 
 
-class AnswerListener(Interface):
+class ResponseListener(Interface):
     """What hears the answer of one request."""
 
-    def is_answer(self, head: ResponseHead) -> bool:
+    def is_response(self, head: ResponseHead) -> bool:
         """Tell whether a head answers this request, not an earlier one."""
 
-    def head_came(self, head: ResponseHead) -> None:
+    def head_received(self, head: ResponseHead) -> None:
         """Hear the head of the answer."""
 
-    def data_came(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         """Hear a piece of the body."""
 
-    def ended(self) -> None:
+    def completed(self) -> None:
         """Hear that the body is whole."""
 
-    def failed(self, failure: AnswerFailure) -> None:
+    def failed(self, failure: ResponseFailure) -> None:
         """Hear that no more will come, and why."""
 
 
@@ -52,10 +52,10 @@
     def __init__(self) -> None:
         """Wait to be connected."""
         self._http = h11.Connection(h11.CLIENT)
-        self._listener: AnswerListener | None = None
+        self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
         self._is_surplus = False
-        self._surplus_left = SURPLUS_ANSWERS
+        self._surplus_left = MAX_SURPLUS_RESPONSES
         self._is_lost = False
         self.is_reusable = False
         """Whether another request may be sent."""
@@ -70,7 +70,7 @@
         self.transport.setTcpNoDelay(True)
         self.is_reusable = True
 
-    def send(self, head: RequestHead, body: bytes, listener: AnswerListener) -> None:
+    def send(self, head: RequestHead, body: bytes, listener: ResponseListener) -> None:
         """Send a whole request; `listener` hears the answer."""
         self._listener = listener
         self.is_reusable = False
@@ -81,7 +81,7 @@
             method=head.method, target=head.target, headers=headers
         )
         self._is_surplus = False
-        self._surplus_left = SURPLUS_ANSWERS
+        self._surplus_left = MAX_SURPLUS_RESPONSES
         parts = [self._http.send(self._request) or b""]
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
@@ -102,7 +102,7 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
-                self._fail(AnswerFailure.GARBLED)
+                self._fail(ResponseFailure.GARBLED)
                 return
             if isinstance(event, h11.ConnectionClosed | type):
                 return
@@ -115,13 +115,13 @@
             head = ResponseHead(
                 event.status_code, event.headers.raw_items(), event.reason
             )
-            self._is_surplus = not listener.is_answer(head)
+            self._is_surplus = not listener.is_response(head)
             if not self._is_surplus:
                 self._read_keep_alive(head)
-                listener.head_came(head)
+                listener.head_received(head)
         elif isinstance(event, h11.Data):
             if not self._is_surplus:
-                listener.data_came(bytes(event.data))
+                listener.data_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if self._is_surplus:
                 self._pass_over()
@@ -142,17 +142,17 @@
         self._surplus_left -= 1
         rest, is_closed = self._http.trailing_data
         if self._surplus_left <= 0 or is_closed or self._request is None:
-            self._fail(AnswerFailure.GARBLED)
+            self._fail(ResponseFailure.GARBLED)
             return
         if self._http.their_state is not h11.DONE:
-            self._fail(AnswerFailure.CLOSED)
+            self._fail(ResponseFailure.CLOSED)
             return
         self._http = _awaiting_answer(self._request)
         if rest:  # nothing would mean the end of the connection
             self._http.receive_data(rest)
         self._is_surplus = False
 
-    def _end(self, listener: AnswerListener) -> None:
+    def _end(self, listener: ResponseListener) -> None:
         self._listener = None
         self.served += 1
         has_rest = bool(self._http.trailing_data[0])
@@ -162,9 +162,9 @@
             self.is_reusable = not self._is_lost
         else:
             self.close()
-        listener.ended()
+        listener.completed()
 
-    def _fail(self, failure: AnswerFailure) -> None:
+    def _fail(self, failure: ResponseFailure) -> None:
         listener = self._listener
         self._listener = None
         self.close()
@@ -193,13 +193,13 @@
 
     def _lost_midway(self, is_clean: bool) -> None:
         if not is_clean:
-            self._fail(AnswerFailure.RESET)
+            self._fail(ResponseFailure.RESET)
             return
         # An answer without a length ends with its connection.
         self._http.receive_data(b"")
         self._pump()
         if self._listener is not None:
-            self._fail(AnswerFailure.CLOSED)
+            self._fail(ResponseFailure.CLOSED)
 
 
 def _awaiting_answer(request: h11.Request) -> h11.Connection:
--- a/notcharch/http/drain.py
+++ b/notcharch/http/drain.py
@@ -12,10 +12,10 @@
 request has been counted as ended."""
 
 
-class Drained(Protocol):
+class DrainableServer(Protocol):
     """What is stopped."""
 
-    def under_way(self) -> int:
+    def requests_in_flight(self) -> int:
         """Give how many requests are being read or answered."""
 
     def stop_accepting(self) -> None:
@@ -24,23 +24,25 @@
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
 
-    def stopped(self, under_way: int, seconds: float) -> None:
+    def stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Hear that the drain is over, with so many requests cut."""
 
 
 class DrainTimes(msgspec.Struct, frozen=True):
     """Seconds after the stop was asked for."""
 
-    accept: float
+    accept_seconds: float
     """New connections come until the callers' side has seen that we leave."""
-    most: float
+    max_seconds: float
     """Then what still runs is cut."""
 
 
 class Drain:
     """One planned stop."""
 
-    def __init__(self, clock: IReactorTime, server: Drained, times: DrainTimes) -> None:
+    def __init__(
+        self, clock: IReactorTime, server: DrainableServer, times: DrainTimes
+    ) -> None:
         """Prepare; `begin` starts it."""
         self._clock = clock
         self._server = server
@@ -51,7 +53,7 @@
     def begin(self) -> None:
         """Go on accepting for a while, then finish."""
         self._began = self._clock.seconds()
-        self._clock.callLater(self._times.accept, self._accepted_enough)
+        self._clock.callLater(self._times.accept_seconds, self._accepted_enough)
 
     def _accepted_enough(self) -> None:
         # Callers may keep coming as long as we listen, when too few others are ready.
@@ -61,9 +63,9 @@
     def _check(self) -> None:
         self._server.close_idle()
         passed = self._clock.seconds() - self._began
-        under_way = self._server.under_way()
-        self._idle_checks = 0 if under_way else self._idle_checks + 1
-        if self._idle_checks < IDLE_CHECKS and passed < self._times.most:
+        requests_in_flight = self._server.requests_in_flight()
+        self._idle_checks = 0 if requests_in_flight else self._idle_checks + 1
+        if self._idle_checks < IDLE_CHECKS and passed < self._times.max_seconds:
             self._clock.callLater(CHECK_SECONDS, self._check)
             return
-        self._server.stopped(under_way, passed)
+        self._server.stopped(requests_in_flight, passed)
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.http.reactor import TimedReactor
@@ -21,25 +21,25 @@
 packets are sent again after a second."""
 IDLE_SECONDS = 10.0
 """An idle connection is used for so long; held reads keep most of them busy."""
-MOST_IDLE = 16
+MAX_IDLE = 16
 """Idle connections kept: more than calls are under way at a time on a calm day."""
 
 
-class WholeAnswer(msgspec.Struct, frozen=True):
+class CompleteResponse(msgspec.Struct, frozen=True):
     """A response that came whole."""
 
     head: ResponseHead
     body: bytes
 
 
-class NoAnswer(Enum):
+class NoResponse(Enum):
     """Why there is no answer."""
 
     NOT_SENT = "not sent"
     SENT = "sent, and no whole answer came"
 
 
-Outcome = Result[WholeAnswer, NoAnswer]
+Outcome = Result[CompleteResponse, NoResponse]
 
 
 class PendingRequest:
@@ -57,36 +57,36 @@
         self._pieces: list[bytes] = []
         self.is_over = False
 
-    def is_answer(self, head: ResponseHead) -> bool:
+    def is_response(self, head: ResponseHead) -> bool:
         """Each answer is to the request under way."""
         return True
 
-    def head_came(self, head: ResponseHead) -> None:
+    def head_received(self, head: ResponseHead) -> None:
         """Keep the head."""
         self._response = head
 
-    def data_came(self, data: bytes) -> None:
+    def data_received(self, data: bytes) -> None:
         """Keep a piece."""
         self._pieces.append(data)
 
-    def ended(self) -> None:
+    def completed(self) -> None:
         """Give the whole answer."""
         assert self._response is not None
         if self.connection is not None:
             self._requester.keep(self.connection)
-        self.over(Ok(WholeAnswer(self._response, b"".join(self._pieces))))
+        self.over(Ok(CompleteResponse(self._response, b"".join(self._pieces))))
 
-    def failed(self, failure: AnswerFailure) -> None:
+    def failed(self, failure: ResponseFailure) -> None:
         """Say that it was sent and not answered."""
-        self.over(Err(NoAnswer.SENT))
+        self.over(Err(NoResponse.SENT))
 
     def expire(self) -> None:
         """Give the request up: its connection says nothing any more."""
         if self.connection is not None:
             self.connection.abandon()
-            self.over(Err(NoAnswer.SENT))
+            self.over(Err(NoResponse.SENT))
         else:
-            self.over(Err(NoAnswer.NOT_SENT))
+            self.over(Err(NoResponse.NOT_SENT))
 
     def over(self, outcome: Outcome) -> None:
         """Give the outcome, once."""
@@ -102,12 +102,12 @@
     """Sends whole requests to one server."""
 
     def __init__(
-        self, reactor: TimedReactor, host: str, port: int, own_address: str = ""
+        self, reactor: TimedReactor, host: str, port: int, local_address: str = ""
     ) -> None:
         """Connect when needed, from a machine's own address."""
         self._reactor = reactor
-        self._idle = IdleConnections(reactor, MOST_IDLE)
-        self._bind = (own_address, 0) if own_address else None
+        self._idle = IdleConnections(reactor, MAX_IDLE)
+        self._bind = (local_address, 0) if local_address else None
         self._address = ("", 0)
         self.set_address(host, port)
         self._factory = Factory.forProtocol(ClientConnection)
@@ -150,7 +150,7 @@
             self._send(connection, pending)
 
     def _refused(self, _failure: Failure, pending: PendingRequest) -> None:
-        pending.over(Err(NoAnswer.NOT_SENT))
+        pending.over(Err(NoResponse.NOT_SENT))
 
     def _send(self, connection: ClientConnection, pending: PendingRequest) -> None:
         pending.connection = connection
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -49,12 +49,12 @@
         self.body = b""
         self.arrived = 0.0
         """Clock seconds at which the head was read."""
-        self.on_gone: Callable[[], None] | None = None
+        self.on_disconnect: Callable[[], None] | None = None
         """Called once if the client leaves before the answer's end."""
         self.is_started = False
         self.is_over = False
 
-    def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
         if self.is_over:
             return
@@ -270,8 +270,8 @@
         if exchange is None or exchange.is_over:
             return
         exchange.is_over = True
-        if exchange.on_gone is not None:
-            exchange.on_gone()
+        if exchange.on_disconnect is not None:
+            exchange.on_disconnect()
 
 
 class ServerFactory(Factory):
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -146,7 +146,7 @@
             headers.append((b"X-Notcharch-Tenant", call.tenant.name.encode()))
         return RequestHead(call.head.method, call.head.target, headers)
 
-    def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
+    def is_response_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
         """Tell whether an answer carries the call's id, or none."""
         id = head.get(REQUEST_ID)
         return id is None or id == call.id.encode()
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -42,9 +42,9 @@
         self._exchange = exchange
         self._id = call_id
 
-    def on_gone(self, callback: Callable[[], None]) -> None:
+    def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call back if the caller leaves before the end."""
-        self._exchange.on_gone = callback
+        self._exchange.on_disconnect = callback
 
     def begin(self, head: ResponseHead) -> None:
         """Pass on the head of a stream, in chunks."""
@@ -60,7 +60,7 @@
 
     def whole(self, head: ResponseHead, body: bytes) -> None:
         """Pass on an engine's whole answer."""
-        self._exchange.answer(head.status, answer_headers(head), body)
+        self._exchange.respond(head.status, answer_headers(head), body)
 
     def refuse(self, refusal: Refusal) -> None:
         """Give an answer of our own."""
@@ -71,7 +71,7 @@
             seconds = f"{refusal.retry_after_seconds:.3f}"
             headers.append((b"Retry-After", seconds.encode()))
         body = msgspec.json.encode({"error": refusal.reason})
-        self._exchange.answer(refusal.status, headers, body)
+        self._exchange.respond(refusal.status, headers, body)
 
     def abort(self) -> None:
         """Cut the connection."""
--- a/notcharch/platform/probes.py
+++ b/notcharch/platform/probes.py
@@ -43,7 +43,7 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Say 200 when ready, else 503."""
-        exchange.answer(READY if self._process.is_ready else NOT_READY, [])
+        exchange.respond(READY if self._process.is_ready else NOT_READY, [])
 
 
 class MetricsHandler(ProbeHandler):
@@ -52,4 +52,4 @@
     def handle(self, exchange: Exchange) -> None:
         """Give all metrics as they are now."""
         kind = (b"content-type", CONTENT_TYPE_LATEST.encode())
-        exchange.answer(READY, [kind], generate_latest(REGISTRY))
+        exchange.respond(READY, [kind], generate_latest(REGISTRY))
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -281,14 +281,14 @@
         self._accounts.leave()
         grace = self._settings.grace_seconds
         times = DrainTimes(
-            accept=min(KEEP_LISTENING_SECONDS, grace * KEEP_LISTENING_SHARE),
-            most=grace - STOP_MARGIN_SECONDS,
+            accept_seconds=min(KEEP_LISTENING_SECONDS, grace * KEEP_LISTENING_SHARE),
+            max_seconds=grace - STOP_MARGIN_SECONDS,
         )
         Drain(self._reactor, self, times).begin()
 
     # What the drain asks for
 
-    def under_way(self) -> int:
+    def requests_in_flight(self) -> int:
         """Give how many requests are being read or answered."""
         return self._ingress.in_flight
 
@@ -301,8 +301,12 @@
         """Close callers' connections on which nothing is under way."""
         self._factory.close_idle()
 
-    def stopped(self, under_way: int, seconds: float) -> None:
+    def stopped(self, requests_in_flight: int, seconds: float) -> None:
         """End the process."""
-        emit(ProcessStopped(self._settings.machine, under_way, round(seconds, 3)))
+        emit(
+            ProcessStopped(
+                self._settings.machine, requests_in_flight, round(seconds, 3)
+            )
+        )
         self._output.flush()
         self._reactor.stop()
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.http.patience import Patience
-from notcharch.http.requester import NoAnswer, Outcome, Requester, WholeAnswer
+from notcharch.http.requester import CompleteResponse, NoResponse, Outcome, Requester
 from notcharch.journal.interface import (
     Appended,
     GroupName,
@@ -103,7 +103,7 @@
     return tuple(records)
 
 
-def problem_of(answer: WholeAnswer) -> LogProblem:
+def problem_of(answer: CompleteResponse) -> LogProblem:
     """Translate a refusal of the store."""
     status = answer.head.status
     if status in REFUSED:
@@ -150,7 +150,7 @@
 
         def read(outcome: Outcome) -> Result[Translated, LogProblem]:
             if isinstance(outcome, Err):
-                is_unsent = outcome.err_value is NoAnswer.NOT_SENT
+                is_unsent = outcome.err_value is NoResponse.NOT_SENT
                 if patience is not None and not is_unsent:
                     patience.lost()
                 fault = LogFault.NOT_DONE if is_unsent else LogFault.UNKNOWN
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -3,14 +3,14 @@
 import pytest
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.scheduling.answer_waits import LEAST_LIMIT_SECONDS
 from notcharch.scheduling.engine_health import LEAST_SILENCE_SECONDS
 from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
 TWO = b"id: 2\ndata: b\n\n"
-FAILURES = tuple(AnswerFailure)
+FAILURES = tuple(ResponseFailure)
 
 
 def test_a_whole_answer_is_passed_on():
@@ -46,14 +46,14 @@
     world = World()
     silent = world.sent[0]
     world.clock.advance(LEAST_SILENCE_SECONDS + 0.01)
-    silent.listener.failed(AnswerFailure.RESET)
+    silent.listener.failed(ResponseFailure.RESET)
     assert world.sender.forgotten == [silent.engine.id]
 
 
 def test_those_of_an_engine_that_reset_one_connection_are_kept():
     world = World()
     world.clock.advance(LEAST_SILENCE_SECONDS - 0.01)
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     assert world.sender.forgotten == []
 
 
@@ -63,8 +63,8 @@
     sent.begin()
     for _ in range(3):
         world.clock.advance(0.1)
-        sent.listener.data_came(b"id: 1\ndata: a\n\nid: 2\ndata")
-        sent.listener.data_came(b": b\n\n")
+        sent.listener.data_received(b"id: 1\ndata: a\n\nid: 2\ndata")
+        sent.listener.data_received(b": b\n\n")
     health = world.pool._states[sent.engine.id].health
     assert health.has_pace(world.clock.seconds())
     assert 0.0 < health.pace_seconds <= 0.1
@@ -112,7 +112,7 @@
 def test_a_stream_that_has_begun_is_not_overdue():
     world = World(is_stream=True, usual_answers=50)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE)
+    world.sent[0].listener.data_received(ONE)
     world.clock.advance(OVERDUE_SECONDS)
     assert not world.sent[0].is_abandoned
 
@@ -186,32 +186,32 @@
     world = stream()
     world.sent[0].begin()
     for byte in ONE[:-1]:
-        world.sent[0].listener.data_came(bytes((byte,)))
+        world.sent[0].listener.data_received(bytes((byte,)))
     assert world.reply.data == b""
-    world.sent[0].listener.data_came(ONE[-1:] + TWO)
+    world.sent[0].listener.data_received(ONE[-1:] + TWO)
     assert world.reply.data == ONE + TWO
-    world.sent[0].listener.ended()
+    world.sent[0].listener.completed()
     assert world.reply.end == "finished"
 
 
 def test_a_broken_stream_does_not_look_whole():
     world = stream()
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE + TWO[:5])
-    world.sent[0].listener.failed(AnswerFailure.CLOSED)
+    world.sent[0].listener.data_received(ONE + TWO[:5])
+    world.sent[0].listener.failed(ResponseFailure.CLOSED)
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
 
 def test_a_resumable_stream_goes_on_after_its_last_whole_event():
     world = stream(is_resumable=True, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE + TWO[:5])
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(ONE + TWO[:5])
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     assert world.sent[1].header(b"after") == b"1"
     assert world.sent[1].engine.id != world.sent[0].engine.id
     world.sent[1].begin()
-    world.sent[1].listener.data_came(TWO)
-    world.sent[1].listener.ended()
+    world.sent[1].listener.data_received(TWO)
+    world.sent[1].listener.completed()
     assert (world.reply.end, world.reply.data) == ("finished", ONE + TWO)
     assert world.reply.head.get(b"seal") == world.sent[0].engine.id.encode()
 
@@ -219,8 +219,8 @@
 def test_a_stream_that_cannot_be_resumed_is_not():
     world = stream(is_resumable=False, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE)
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     assert len(world.sent) == 1
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
@@ -229,8 +229,8 @@
 def test_a_stream_without_a_whole_event_ends_in_an_answer_not_in_a_cut(part):
     world = stream(is_resumable=False, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(part)
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(part)
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     assert (world.reply.end, world.reply.head) == ("refused", None)
     assert world.reply.refusal == MAY_HAVE_RUN
 
@@ -247,12 +247,12 @@
 def test_a_stream_that_runs_anew_before_its_first_event_has_one_head():
     world = stream(is_resumable=True, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE[:5])
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(ONE[:5])
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     assert world.sent[1].header(b"after") is None
     world.sent[1].begin()
-    world.sent[1].listener.data_came(ONE)
-    world.sent[1].listener.ended()
+    world.sent[1].listener.data_received(ONE)
+    world.sent[1].listener.completed()
     assert (world.reply.end, world.reply.data) == ("finished", ONE)
     assert world.reply.head.get(b"seal") == world.sent[1].engine.id.encode()
 
@@ -260,7 +260,7 @@
 def test_a_stream_without_events_is_whole_all_the_same():
     world = stream()
     world.sent[0].begin()
-    world.sent[0].listener.ended()
+    world.sent[0].listener.completed()
     assert (world.reply.end, world.reply.data) == ("finished", b"")
     assert world.reply.head is not None
 
@@ -268,8 +268,8 @@
 def test_a_resumed_run_that_fails_does_not_spoil_the_stream():
     world = stream(is_resumable=True, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE)
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     world.sent[1].answer(500, b"an error page")
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
@@ -277,19 +277,19 @@
 def test_a_resumed_run_without_a_seal_does_not_reach_the_caller():
     world = stream(is_resumable=True, most_engines=2)
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE)
-    world.sent[0].listener.failed(AnswerFailure.RESET)
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.failed(ResponseFailure.RESET)
     world.sent[1].begin(seal=False)
-    world.sent[1].listener.data_came(TWO)
-    world.sent[1].listener.ended()
+    world.sent[1].listener.data_received(TWO)
+    world.sent[1].listener.completed()
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
 
 def test_a_stream_without_a_seal_never_begins():
     world = stream()
     world.sent[0].begin(seal=False)
-    world.sent[0].listener.data_came(ONE)
-    world.sent[0].listener.ended()
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.completed()
     assert world.reply.refusal == MAY_HAVE_RUN
     assert world.reply.data == b""
 
@@ -340,8 +340,8 @@
     world, admission = held()
     admission.admit()
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE + TWO)
-    world.sent[0].listener.ended()
+    world.sent[0].listener.data_received(ONE + TWO)
+    world.sent[0].listener.completed()
     assert admission.heard == [f"completed {ONE + TWO!r} 2"]
     assert (world.reply.end, world.reply.data) == ("", ONE + TWO)
     admission.then.durable()
@@ -352,8 +352,8 @@
     world, admission = held()
     admission.admit()
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE)
-    world.sent[0].listener.ended()
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.completed()
     world.clock.advance(2.1)
     assert world.reply.end == "aborted"
     admission.then.durable()
@@ -363,7 +363,7 @@
 @pytest.mark.parametrize(
     ("act", "expected"),
     [
-        (lambda sent: sent.listener.failed(AnswerFailure.RESET), "broke off after 0"),
+        (lambda sent: sent.listener.failed(ResponseFailure.RESET), "broke off after 0"),
         (lambda sent: sent.answer(500), "broke off after 0"),
     ],
 )
@@ -385,7 +385,7 @@
     world, admission = held()
     admission.admit()
     world.sent[0].begin()
-    world.sent[0].listener.data_came(ONE + TWO)
+    world.sent[0].listener.data_received(ONE + TWO)
     world.reply.gone()
     assert admission.heard == ["broke off after 2"]
 
@@ -434,9 +434,9 @@
     sent.begin()
     world.clock.advance(0.1)
     for _ in range(4):
-        sent.listener.data_came(b"id: 1\ndata: a\n\n")
+        sent.listener.data_received(b"id: 1\ndata: a\n\n")
         world.clock.advance(0.05)
-    sent.listener.ended()
+    sent.listener.completed()
     state = world.pool._states["a"]
     assert world.pool._service(SERVICE).usual_events == 4.0
     assert state.run_seconds == pytest.approx(0.1 + 3 * 0.05)
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -44,7 +44,7 @@
             headers.append((b"after", call.last_event_id))
         return RequestHead(call.head.method, call.head.target, headers)
 
-    def is_answer_to(self, call, head):
+    def is_response_to(self, call, head):
         return True
 
     def was_not_run(self, head):
@@ -72,18 +72,18 @@
 
     def answer(self, status: int, body: bytes = b"", *, seal: bool = True) -> None:
         headers = [(b"seal", b"x")] if seal else []
-        self.listener.head_came(ResponseHead(status, headers))
+        self.listener.head_received(ResponseHead(status, headers))
         if body:
-            self.listener.data_came(body)
-        self.listener.ended()
+            self.listener.data_received(body)
+        self.listener.completed()
 
     def refuse(self, status: int = 503) -> None:
-        self.listener.head_came(ResponseHead(status, [(b"not-run", b"1")]))
-        self.listener.ended()
+        self.listener.head_received(ResponseHead(status, [(b"not-run", b"1")]))
+        self.listener.completed()
 
     def begin(self, seal: bool = True) -> None:
         headers = [(b"seal", self.engine.id.encode())] if seal else []
-        self.listener.head_came(ResponseHead(200, headers))
+        self.listener.head_received(ResponseHead(200, headers))
 
 
 class Sender:
@@ -115,7 +115,7 @@
         self.refusal: Refusal | None = None
         self.gone = None
 
-    def on_gone(self, callback):
+    def on_disconnect(self, callback):
         self.gone = callback
 
     def begin(self, head):
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -9,7 +9,7 @@
 from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.eligibility import EngineEligibility
 from notcharch.events import accounts, calls, journal, process
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead
 from notcharch.journal.keyed_follower import join_keyed
 from notcharch.journal.recovery_signal import RecoverySignal
@@ -28,8 +28,8 @@
         refused = CallWorld(engines=())
         broken = CallWorld(is_stream=True)
         broken.sent[0].begin()
-        broken.sent[0].listener.data_came(b"id: 1\ndata: a\n\n")
-        broken.sent[0].listener.failed(AnswerFailure.RESET)
+        broken.sent[0].listener.data_received(b"id: 1\ndata: a\n\n")
+        broken.sent[0].listener.failed(ResponseFailure.RESET)
         CallWorld().reply.gone()
         again = CallWorld()
         again.sent[0].refuse()
@@ -95,7 +95,7 @@
         self.status = 0
         self.headers = []
 
-    def answer(self, status, headers, body=b""):
+    def respond(self, status, headers, body=b""):
         self.status = status
         self.headers = headers
 
--- a/tests/unit/http/pipe.py
+++ b/tests/unit/http/pipe.py
@@ -30,7 +30,7 @@
 
     def __init__(self) -> None:
         self.exchanges = []
-        self.under_way = 0
+        self.in_flight = 0
         self.closing = False
         self.server_limits = ServerLimits(
             header_bytes=400, body_bytes=100, header_seconds=2.0, idle_seconds=10.0
@@ -43,7 +43,7 @@
         return self.closing
 
     def count(self, change):
-        self.under_way += change
+        self.in_flight += change
 
     def handle(self, exchange):
         self.exchanges.append(exchange)
@@ -81,17 +81,17 @@
         self.is_whole = False
         self.failure = None
 
-    def is_answer(self, head):
+    def is_response(self, head):
         id = head.get(b"id")
         return id is None or id == self.name
 
-    def head_came(self, head):
+    def head_received(self, head):
         self.head = head
 
-    def data_came(self, data):
+    def data_received(self, data):
         self.data += data
 
-    def ended(self):
+    def completed(self):
         self.is_whole = True
 
     def failed(self, failure):
--- a/tests/unit/http/test_client.py
+++ b/tests/unit/http/test_client.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead
 from tests.unit.http.pipe import ClientSide, Listener
 
@@ -49,7 +49,7 @@
     side.answer(UNFRAMED)
     side.reset()
     assert not listener.is_whole
-    assert listener.failure is AnswerFailure.RESET
+    assert listener.failure is ResponseFailure.RESET
 
 
 @pytest.mark.parametrize("answer", [OK, CHUNKED])
@@ -66,7 +66,7 @@
 def test_bytes_that_are_no_answer_are_told_as_such():
     side, listener = sent()
     side.answer(b"\x00\x01rubbish\r\n\r\n")
-    assert listener.failure is AnswerFailure.GARBLED
+    assert listener.failure is ResponseFailure.GARBLED
     assert not side.connection.is_reusable
 
 
@@ -88,7 +88,7 @@
     side, listener = sent()
     for _ in range(5):
         side.answer(OTHER)
-    assert listener.failure is AnswerFailure.GARBLED
+    assert listener.failure is ResponseFailure.GARBLED
 
 
 def test_surplus_bytes_end_the_connection():
--- a/tests/unit/http/test_drain.py
+++ b/tests/unit/http/test_drain.py
@@ -4,7 +4,7 @@
 
 from notcharch.http.drain import Drain, DrainTimes
 
-TIMES = DrainTimes(accept=2.6, most=7.3)
+TIMES = DrainTimes(accept_seconds=2.6, max_seconds=7.3)
 
 
 class Server:
@@ -17,7 +17,7 @@
         self.ended: tuple[int, float] | None = None
         Drain(self.clock, self, TIMES).begin()
 
-    def under_way(self):
+    def requests_in_flight(self):
         return self.requests
 
     def stop_accepting(self):
@@ -26,8 +26,8 @@
     def close_idle(self):
         pass
 
-    def stopped(self, under_way, seconds):
-        self.ended = (under_way, round(seconds, 1))
+    def stopped(self, requests_in_flight, seconds):
+        self.ended = (requests_in_flight, round(seconds, 1))
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.05)):
@@ -74,6 +74,6 @@
     server.requests = 1
     server.run(7.6)
     assert server.ended is not None
-    under_way, seconds = server.ended
-    assert under_way == 1
+    requests_in_flight, seconds = server.ended
+    assert requests_in_flight == 1
     assert 7.3 <= seconds <= 7.5
--- a/tests/unit/http/test_server.py
+++ b/tests/unit/http/test_server.py
@@ -33,10 +33,10 @@
     side = ServerSide()
     side.send(GET + POST)
     assert len(side.handler.exchanges) == 1
-    side.handler.exchanges[0].answer(200, [], b"one")
+    side.handler.exchanges[0].respond(200, [], b"one")
     side.clock.advance(0)
     assert len(side.handler.exchanges) == 2
-    side.handler.exchanges[1].answer(404, [], b"two")
+    side.handler.exchanges[1].respond(404, [], b"two")
     written = side.take()
     assert written.index(b"one") < written.index(b"two")
     assert not side.transport.is_closed
@@ -51,7 +51,7 @@
     assert b"5\r\nevent\r\n" in side.take()
     exchange.finish()
     assert side.take() == b"0\r\n\r\n"
-    assert side.handler.under_way == 0
+    assert side.handler.in_flight == 0
 
 
 def test_an_aborted_answer_cannot_look_whole():
@@ -69,20 +69,20 @@
     side = ServerSide()
     side.send(GET)
     heard = []
-    side.handler.exchanges[0].on_gone = lambda: heard.append(1)
+    side.handler.exchanges[0].on_disconnect = lambda: heard.append(1)
     side.client_leaves()
-    side.handler.exchanges[0].answer(200, [], b"late")
+    side.handler.exchanges[0].respond(200, [], b"late")
     assert heard == [1]
-    assert side.handler.under_way == 0
+    assert side.handler.in_flight == 0
 
 
 def test_a_client_that_leaves_before_its_body_is_read_has_sent_no_request():
     side = ServerSide()
     side.send(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nhalf")
-    assert side.handler.under_way == 1
+    assert side.handler.in_flight == 1
     side.client_leaves()
     assert side.handler.exchanges == []
-    assert side.handler.under_way == 0
+    assert side.handler.in_flight == 0
 
 
 @pytest.mark.parametrize(
@@ -107,7 +107,7 @@
 def test_an_idle_connection_is_closed_at_its_time():
     side = ServerSide()
     side.send(GET)
-    side.handler.exchanges[0].answer(200, [], b"")
+    side.handler.exchanges[0].respond(200, [], b"")
     side.clock.advance(9.9)
     assert not side.transport.is_closed
     side.clock.advance(5.0)
@@ -132,7 +132,7 @@
     side = ServerSide()
     side.send(GET)
     side.handler.closing = True
-    side.handler.exchanges[0].answer(200, [], b"x")
+    side.handler.exchanges[0].respond(200, [], b"x")
     assert b"connection: close" in side.take().lower()
     assert side.transport.is_closed
 
@@ -142,7 +142,7 @@
     side.send(GET)
     side.connection.close_if_idle()
     assert not side.transport.is_closed
-    side.handler.exchanges[0].answer(200, [], b"")
+    side.handler.exchanges[0].respond(200, [], b"")
     side.connection.close_if_idle()
     assert side.transport.is_closed
 
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -104,8 +104,8 @@
     call = read(FULL)
     own = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b2")])
     other = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b3")])
-    assert DIALECT.is_answer_to(call, own)
-    assert not DIALECT.is_answer_to(call, other)
+    assert DIALECT.is_response_to(call, own)
+    assert not DIALECT.is_response_to(call, other)
 
 
 def test_headers_of_the_engines_connection_stay_behind():
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from notcharch.http.messages import ResponseHead
-from notcharch.http.requester import NoAnswer, WholeAnswer
+from notcharch.http.requester import CompleteResponse, NoResponse
 from notcharch.journal.interface import (
     Appended,
     GroupName,
@@ -45,7 +45,7 @@
 
 
 def answered(status: int, body: bytes = b"{}"):
-    return Requester(Ok(WholeAnswer(ResponseHead(status, []), body)))
+    return Requester(Ok(CompleteResponse(ResponseHead(status, []), body)))
 
 
 def result_of(deferred):
@@ -86,8 +86,8 @@
         (answered(507), LogFault.FULL),
         (answered(400), LogFault.REJECTED),
         (answered(200, b"no json"), LogFault.REJECTED),
-        (Requester(Err(NoAnswer.SENT)), LogFault.UNKNOWN),
-        (Requester(Err(NoAnswer.NOT_SENT)), LogFault.NOT_DONE),
+        (Requester(Err(NoResponse.SENT)), LogFault.UNKNOWN),
+        (Requester(Err(NoResponse.NOT_SENT)), LogFault.NOT_DONE),
     ],
 )
 def test_each_refusal_has_its_fault(requester, fault):
@@ -135,7 +135,7 @@
 
 
 def test_a_heartbeat_that_is_not_answered_is_waited_for_longer():
-    requester = Requester(Err(NoAnswer.SENT))
+    requester = Requester(Err(NoResponse.SENT))
     store = PlatformStore(requester, Clock())
     waits = []
     for _ in range(3):
@@ -143,7 +143,7 @@
         waits.append(requester.seconds)
     assert waits == [LEAST_JOIN_SECONDS, MOST_JOIN_SECONDS, MOST_JOIN_SECONDS]
     assert 2 * MOST_JOIN_SECONDS <= CALL_SECONDS
-    requester.outcome = Err(NoAnswer.NOT_SENT)
+    requester.outcome = Err(NoResponse.NOT_SENT)
     store.join(GroupName("g", ("t",)), "m", 1.2, 0)
     assert requester.seconds == MOST_JOIN_SECONDS
 
--- a/tests/unit/soak/test_engine_faults.py
+++ b/tests/unit/soak/test_engine_faults.py
@@ -22,11 +22,11 @@
     def __init__(self) -> None:
         headers = [(b"x-notcharch-request-id", b"r")]
         self.head = RequestHead(b"POST", b"/write/x", headers)
-        self.on_gone = None
+        self.on_disconnect = None
         self.status = 0
         self.is_aborted = False
 
-    def answer(self, status, headers, body=b""):
+    def respond(self, status, headers, body=b""):
         self.status = status
 
     def abort(self):
