--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.http.patience import Patience
+from notcharch.http.adaptive_timeout import AdaptiveTimeout
 from notcharch.http.requester import CompleteResponse, NoResponse, Outcome, Requester
 from notcharch.journal.interface import (
     Appended,
@@ -129,8 +129,8 @@
         """Speak to the store by a requester."""
         self._requester = requester
         self._clock = clock
-        self._appends = Patience(LEAST_APPEND_SECONDS, CALL_SECONDS)
-        self._joins = Patience(LEAST_JOIN_SECONDS, MOST_JOIN_SECONDS)
+        self._appends = AdaptiveTimeout(LEAST_APPEND_SECONDS, CALL_SECONDS)
+        self._joins = AdaptiveTimeout(LEAST_JOIN_SECONDS, MOST_JOIN_SECONDS)
 
     def _call(
         self,
@@ -141,22 +141,22 @@
         *,
         translate: Callable[[bytes], Translated],
         seconds: float = CALL_SECONDS,
-        patience: Patience | None = None,
+        adaptive_timeout: AdaptiveTimeout | None = None,
     ) -> "Deferred[Result[Translated, LogProblem]]":
         target = f"{path}?{urlencode(query)}" if query else path
         began = self._clock.seconds()
-        wait = seconds if patience is None else patience.seconds
+        wait = seconds if adaptive_timeout is None else adaptive_timeout.seconds
         sent = self._requester.request(method, target.encode(), body, wait)
 
         def read(outcome: Outcome) -> Result[Translated, LogProblem]:
             if isinstance(outcome, Err):
                 is_unsent = outcome.err_value is NoResponse.NOT_SENT
-                if patience is not None and not is_unsent:
-                    patience.lost()
+                if adaptive_timeout is not None and not is_unsent:
+                    adaptive_timeout.timed_out()
                 fault = LogFault.NOT_DONE if is_unsent else LogFault.UNKNOWN
                 return Err(LogProblem(fault))
-            if patience is not None:
-                patience.answered(self._clock.seconds() - began)
+            if adaptive_timeout is not None:
+                adaptive_timeout.response_received(self._clock.seconds() - began)
             answer = outcome.ok_value
             if answer.head.status != OK:
                 return Err(problem_of(answer))
@@ -191,7 +191,7 @@
             query,
             pack(records),
             translate=read,
-            patience=self._appends,
+            adaptive_timeout=self._appends,
         )
 
     def read(
@@ -260,7 +260,7 @@
             return Membership(said.generation, dealt)
 
         return self._call(
-            b"POST", "/log-join", {}, body, translate=read, patience=self._joins
+            b"POST", "/log-join", {}, body, translate=read, adaptive_timeout=self._joins
         )
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
