--- a/notcharch/calls/call_life.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -44,7 +44,7 @@
     OVER = "over"
 
 
-class CallLife:
+class CallLifecycle:
     """One call on its way; hears its admission, its attempts and its caller."""
 
     def __init__(
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from notcharch.calls.call_life import CallLife
+from notcharch.calls.call_lifecycle import CallLifecycle
 from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
@@ -148,4 +148,4 @@
         known = router.table.services.get(service)
         if known is not None:
             call.tokens_per_event = known.tokens_per_event
-        CallLife(self._services, call, route, service, reply).start()
+        CallLifecycle(self._services, call, route, service, reply).start()
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.task import Clock
 
-from notcharch.calls.call_life import CallLife
+from notcharch.calls.call_lifecycle import CallLifecycle
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
@@ -184,8 +184,10 @@
             admission=self.admission,
             waits=self.waits,
         )
-        self.life = CallLife(services, self.call, self.route, SERVICE, self.reply)
-        self.life.start()
+        self.lifecycle = CallLifecycle(
+            services, self.call, self.route, SERVICE, self.reply
+        )
+        self.lifecycle.start()
 
     @property
     def sent(self) -> list[Sent]:
