Name the ports of admission in the terms of callers and engines

is_awaited is is_caller_waiting, wants_admission is awaits_admission, Admission.ask is request with a listener, and of a ticket home is cached_engine, runs_at is engine_started and broke_off is interrupted. Completion.lost is not_durable.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -51,7 +51,7 @@
         self._unanswered: set[str] = set()
         """The questions that nobody decided at once."""
         self._engine = ""
-        self.home = ""
+        self.cached_engine = ""
         """The engine at which the program ran last, as its owner said."""
 
     # The question
@@ -79,7 +79,7 @@
 
     def whole_body(self, answer: TurnAdmitted) -> bytes | None:
         """Give the body with the turns before it; None if a turn is missing here."""
-        self.home = answer.home
+        self.cached_engine = answer.home
         body = self.call.body
         if not self._route.keeps_turns or not self.previous_turn:
             return body
@@ -121,7 +121,7 @@
 
     # The ticket
 
-    def runs_at(self, engine_id: str) -> None:
+    def engine_started(self, engine_id: str) -> None:
         """Remember which engine has the prefix."""
         self._engine = engine_id
 
@@ -129,7 +129,7 @@
         """Give the reserved tokens back."""
         self._settle(0)
 
-    def broke_off(self, events: int) -> None:
+    def interrupted(self, events: int) -> None:
         """Charge what the caller was given."""
         self._settle(events)
 
@@ -169,7 +169,7 @@
             events * call.tokens_per_event,
             self._engine,
         )
-        while then.is_awaited:
+        while then.is_caller_waiting:
             answer = yield self._owners.ask(self.partition, message)
             if isinstance(answer, TurnIsKept):
                 turn = Turn(self.previous_turn, call.body, data)
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -44,7 +44,9 @@
         self._suspicions = suspicions
         self._cache = TurnCache(CACHE_BYTES)
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, answer: AdmissionListener
+    ) -> None:
         """Admit a call, or refuse it, through `answer`."""
         is_accounted = call.budget_tokens is not None or route.keeps_turns
         if not (route.is_stream and call.program and is_accounted):
@@ -60,7 +62,7 @@
         decision = yield ask_until_decided(
             self._owners.clock,
             account.call,
-            lambda: answer.wants_admission,
+            lambda: answer.awaits_admission,
             lambda: self._ask_once(account),
         )
         if isinstance(decision, Refusal):
--- a/notcharch/accounts/limited_admission.py
+++ b/notcharch/accounts/limited_admission.py
@@ -46,14 +46,16 @@
         self._owners = owners
         self._shapes = shapes
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, answer: AdmissionListener
+    ) -> None:
         """Admit a call, or refuse it, through `answer`."""
         if call.tenant is None or call.tenant.limit is None:
-            self._accounts.ask(call, route, answer)
+            self._accounts.request(call, route, answer)
             return
         most_wait = most_wait_seconds(call) if self._shapes else 0.0
         question = LimitQuestion(self._owners, call, route, answer, most_wait)
-        self._accounts.ask(call, route, question)
+        self._accounts.request(call, route, question)
 
 
 class LimitQuestion:
@@ -82,9 +84,9 @@
         )
 
     @property
-    def wants_admission(self) -> bool:
+    def awaits_admission(self) -> bool:
         """Whether the caller is still there and waits."""
-        return self._answer.wants_admission
+        return self._answer.awaits_admission
 
     def refused(self, refusal: Refusal) -> None:
         """Pass the account's refusal on."""
@@ -101,7 +103,7 @@
         reply = yield ask_until_decided(
             self._owners.clock,
             self._call,
-            lambda: self._answer.wants_admission,
+            lambda: self._answer.awaits_admission,
             self._verdict,
         )
         if isinstance(reply, CallAdmitted):
@@ -126,7 +128,7 @@
         return deferLater(self._owners.clock, seconds, lambda: None)
 
     def _admit(self, ticket: Ticket, body: bytes) -> None:
-        if self._answer.wants_admission:
+        if self._answer.awaits_admission:
             self._answer.admitted(ticket, body)
         else:
             ticket.never_ran()
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -67,10 +67,12 @@
                 group = self._groups[region] = self._make(region)
                 group.start()
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, answer: AdmissionListener
+    ) -> None:
         """Admit a call, or refuse it, through `answer`."""
         if call.regions is None:
-            self._anywhere.ask(call, route, answer)
+            self._anywhere.request(call, route, answer)
             return
         known = self._regions & call.regions
         if not known:
@@ -84,7 +86,7 @@
             # This daemon stops, and joins no group any more.
             answer.refused(STATE_UNSURE)
         else:
-            group.admission.ask(call, route, answer)
+            group.admission.request(call, route, answer)
 
     def leave(self) -> None:
         """Leave all groups."""
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -95,17 +95,17 @@
         left = max(self._deadline - clock.seconds(), 0.0)
         self._timer = clock.callLater(left, self._expire)
         self._reply.on_disconnect(self._caller_left)
-        self._services.admission.ask(self.call, self._route, self)
+        self._services.admission.request(self.call, self._route, self)
 
     # Admission
 
     @property
-    def wants_admission(self) -> bool:
+    def awaits_admission(self) -> bool:
         """Whether the caller is still there and waits."""
         return self._phase is Phase.ADMISSION
 
     @property
-    def is_awaited(self) -> bool:
+    def is_caller_waiting(self) -> bool:
         """Whether the caller waits for the end."""
         return self._phase is Phase.SETTLING
 
@@ -128,8 +128,8 @@
     # Runs
 
     @property
-    def _kept_home(self) -> str:
-        return self._ticket.home if self._ticket is not None else ""
+    def _cached_engine(self) -> str:
+        return self._ticket.cached_engine if self._ticket is not None else ""
 
     def _dispatch(self) -> None:
         left = self._deadline - self._services.clock.seconds()
@@ -140,7 +140,7 @@
             self._service,
             home_key_of(self._route, self.call),
             self._tried,
-            self._kept_home,
+            self._cached_engine,
             self.call.regions,
         )
         if engine is None or len(self._tried) >= MOST_SENDS:
@@ -173,7 +173,7 @@
     def run_began(self, head: ResponseHead) -> None:
         """Keep the head of the caller's stream, unless an earlier run gave it."""
         if self._ticket is not None and self._run is not None:
-            self._ticket.runs_at(self._run.engine.id)
+            self._ticket.engine_started(self._run.engine.id)
         if not self._is_relaying:
             self._unshown_head = head
 
@@ -285,14 +285,14 @@
         self._log.served(self._status)
         self._reply.finish()
 
-    def lost(self) -> None:
+    def not_durable(self) -> None:
         """Break the stream off: its outcome could not be made durable."""
         if self._phase is Phase.SETTLING:
             self._break_off(NOT_DURABLE)
 
     def _finish_answer(self, head: ResponseHead, body: bytes) -> None:
         if self._ticket is not None:
-            self._ticket.broke_off(0)
+            self._ticket.interrupted(0)
         self._over()
         self._log.served(head.status)
         self._reply.whole(head, body)
@@ -319,7 +319,7 @@
         if self._ticket is None or self._phase is Phase.SETTLING:
             return
         if self._log.runs or self._run is not None:
-            self._ticket.broke_off(self._cutter.events)
+            self._ticket.interrupted(self._cutter.events)
         else:
             self._ticket.never_ran()
 
@@ -336,7 +336,7 @@
         if self._phase is Phase.ADMISSION:
             self._refuse(NO_ENGINE)
         elif self._phase is Phase.SETTLING:
-            self.lost()
+            self.not_durable()
         elif self._phase is Phase.AT_ENGINE:
             self._refuse(TIMED_OUT)
 
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -128,15 +128,17 @@
 class Admission(Protocol):
     """Decides whether a call may run, and learns what came of it."""
 
-    def ask(self, call: OpaqueCall, route: Route, answer: "AdmissionListener") -> None:
-        """Admit a call, or refuse it, through `answer`."""
+    def request(
+        self, call: OpaqueCall, route: Route, listener: "AdmissionListener"
+    ) -> None:
+        """Admit a call, or refuse it, through `listener`."""
 
 
 class AdmissionListener(Protocol):
     """Hears the outcome of an admission."""
 
     @property
-    def wants_admission(self) -> bool:
+    def awaits_admission(self) -> bool:
         """Whether the caller is still there and waits."""
 
     def admitted(self, ticket: "Ticket", body: bytes) -> None:
@@ -150,16 +152,16 @@
     """An admitted call's account."""
 
     @property
-    def home(self) -> str:
+    def cached_engine(self) -> str:
         """The engine that has the program's prefix, as far as is known; or nothing."""
 
-    def runs_at(self, engine_id: str) -> None:
+    def engine_started(self, engine_id: str) -> None:
         """Hear which engine runs the call."""
 
     def never_ran(self) -> None:
         """Hear that no engine ran the call."""
 
-    def broke_off(self, events: int) -> None:
+    def interrupted(self, events: int) -> None:
         """Hear that a run ended early, after so many events for the caller."""
 
     def completed(self, output: bytes, events: int, then: "Completion") -> None:
@@ -170,13 +172,13 @@
     """Hears when the outcome of a call is durable."""
 
     @property
-    def is_awaited(self) -> bool:
+    def is_caller_waiting(self) -> bool:
         """Whether anybody waits for the outcome."""
 
     def durable(self) -> None:
         """Hear that the end may be shown to the caller."""
 
-    def lost(self) -> None:
+    def not_durable(self) -> None:
         """Hear that the end must not be shown: it is not durable in time."""
 
 
--- a/notcharch/calls/open_admission.py
+++ b/notcharch/calls/open_admission.py
@@ -11,15 +11,15 @@
 class NoAccount:
     """The ticket of a call that nobody accounts for."""
 
-    home = ""
+    cached_engine = ""
 
-    def runs_at(self, engine_id: str) -> None:
+    def engine_started(self, engine_id: str) -> None:
         """Remember nothing."""
 
     def never_ran(self) -> None:
         """Nothing to give back."""
 
-    def broke_off(self, events: int) -> None:
+    def interrupted(self, events: int) -> None:
         """Nothing to charge."""
 
     def completed(self, output: bytes, events: int, then: Completion) -> None:
@@ -33,6 +33,8 @@
 class OpenAdmission:
     """Lets every call in with its own body."""
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, listener: AdmissionListener
+    ) -> None:
         """Admit the call."""
-        answer.admitted(NO_ACCOUNT, call.body)
+        listener.admitted(NO_ACCOUNT, call.body)
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -72,16 +72,16 @@
         if listener.is_durable:
             text = running.expected_body + data_lines(output)
             self.kept[running.call.id] = text
-        listener.is_awaited = False
+        listener.is_caller_waiting = False
 
     @rule(running=consumes(calls), events=st.integers(0, MOST // EVENT_TOKENS))
     def break_off(self, running, events):
         self.check(running)
         if running.listener.ticket is None:
-            running.listener.wants_admission = False
+            running.listener.awaits_admission = False
             return
         self.given[running.call.program] += events * EVENT_TOKENS
-        running.listener.ticket.broke_off(events)
+        running.listener.ticket.interrupted(events)
 
     @rule(running=consumes(calls))
     def lose_silently(self, running):
@@ -89,7 +89,7 @@
         self.check(running)
         if running.listener.ticket is not None:
             self.given[running.call.program] += MOST
-        running.listener.wants_admission = False
+        running.listener.awaits_admission = False
 
     def check(self, running):
         listener = running.listener
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -39,7 +39,7 @@
         listener = world.decided(call, at(turn))
         if listener.refusal is not None:
             return spent, listener.refusal
-        listener.ticket.broke_off(most // EVENT_TOKENS)
+        listener.ticket.interrupted(most // EVENT_TOKENS)
         spent += most
     raise AssertionError("never refused")
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -46,7 +46,7 @@
     for _ in range(8):
         listener = world.decided(world.call(budget=1000, most=100), at=0)
         assert listener.refusal is None
-        listener.ticket.broke_off(10)
+        listener.ticket.interrupted(10)
     for name in world.names:
         world.crash(name, silent=silent)
     for name in world.names:
@@ -123,12 +123,12 @@
     world = World()
     for _ in range(3):
         listener = world.decided(world.call(budget=1000, most=100))
-        listener.ticket.broke_off(1)
+        listener.ticket.interrupted(1)
     running = world.decided(world.call(budget=1000, most=100), at=2)
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
-    running.ticket.broke_off(2)
+    running.ticket.interrupted(2)
     world.run(0.2)
     spent, _ = spend(world, "p", 1000, 100, at=lambda turn: 2)
     assert spent == 900  # 30 + 20 + 900 fit, 100 more would not
@@ -152,28 +152,28 @@
 def test_a_long_program_goes_on_while_the_log_cannot_be_written():
     world = World()
     first = world.decided(world.call(budget=6000, most=100))
-    first.ticket.broke_off(3)
+    first.ticket.interrupted(3)
     world.run(0.1)
     world.log.trouble = Trouble.REFUSE
     for _ in range(15):
         listener = world.decided(world.call(budget=6000, most=100))
         assert listener.refusal is None
-        listener.ticket.broke_off(10)
+        listener.ticket.interrupted(10)
         world.run(0.1)
 
 
 def test_an_owner_knows_where_a_program_ran_last():
     world = World()
     first = world.decided(world.call(), at=0)
-    assert first.ticket.home == ""
-    first.ticket.runs_at("i-7")
-    first.ticket.broke_off(1)
+    assert first.ticket.cached_engine == ""
+    first.ticket.engine_started("i-7")
+    first.ticket.interrupted(1)
     world.run(0.1)
-    assert world.decided(world.call(), at=1).ticket.home == "i-7"
+    assert world.decided(world.call(), at=1).ticket.cached_engine == "i-7"
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
-    assert world.decided(world.call(), at=2).ticket.home == "i-7"
+    assert world.decided(world.call(), at=2).ticket.cached_engine == "i-7"
 
 
 def test_a_fault_of_the_program_in_a_takeover_does_not_end_it(monkeypatch):
--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -155,7 +155,7 @@
         world.start(name)
     world.run(3.0)  # its successor counts half of the budget as used
     listener = world.decided(world.call(budget=1000, most=100))
-    listener.ticket.broke_off(10)
+    listener.ticket.interrupted(10)
     world.run(0.1)
     world.services[world.owner("p")].leave()
     world.run(3.0)
@@ -170,7 +170,7 @@
     for _ in range(5):
         listener = world.decided(world.call(budget=budget, most=most))
         assert listener.refusal is None
-        listener.ticket.broke_off(1)
+        listener.ticket.interrupted(1)
         spent += EVENT_TOKENS
         world.run(0.1)
         for name in world.names:
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -176,7 +176,7 @@
     at = survivors(world)(0)
     listener = world.ask(call, at)
     world.run(0.3)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(3.0)
     assert listener.ticket is None
     again = world.decided(world.call("p", budget=100, most=100, tenant="t"), at)
@@ -214,6 +214,6 @@
     admitted(world, 80)
     listener = world.ask(world.call("p0", budget=None, tenant="t"))
     world.run(0.02)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(2.0)
     assert not listener.is_decided
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -53,8 +53,8 @@
         self.body = None
         self.refusal: Refusal | None = None
         self.is_durable = False
-        self.wants_admission = True
-        self.is_awaited = True
+        self.awaits_admission = True
+        self.is_caller_waiting = True
 
     @property
     def is_decided(self) -> bool:
@@ -70,7 +70,7 @@
     def durable(self) -> None:
         self.is_durable = True
 
-    def lost(self) -> None:
+    def not_durable(self) -> None:
         raise AssertionError("nobody says so here")
 
 
@@ -209,7 +209,7 @@
         listener = Listener()
         self.asked.append(listener)
         admission = self.services[self.names[at]].admission
-        admission.ask(call, route(keeps_turns=keeps_turns), listener)
+        admission.request(call, route(keeps_turns=keeps_turns), listener)
         return listener
 
     def decided(
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -301,14 +301,14 @@
         self.heard: list[str] = []
         self.then = None
         self.listener = None
-        self.home = ""
+        self.cached_engine = ""
         self.engines: list[str] = []
 
-    def runs_at(self, engine_id):
+    def engine_started(self, engine_id):
         self.engines.append(engine_id)
 
-    def ask(self, call, route, answer):
-        self.listener = answer
+    def request(self, call, route, admission_listener):
+        self.listener = admission_listener
 
     def admit(self):
         self.listener.admitted(self, b"whole body")
@@ -316,7 +316,7 @@
     def never_ran(self):
         self.heard.append("never ran")
 
-    def broke_off(self, events):
+    def interrupted(self, events):
         self.heard.append(f"broke off after {events}")
 
     def completed(self, output, events, then):
@@ -401,15 +401,15 @@
 
 def test_a_caller_who_left_is_not_waited_for():
     world, admission = held()
-    assert admission.listener.wants_admission
+    assert admission.listener.awaits_admission
     world.reply.gone()
-    assert not admission.listener.wants_admission
+    assert not admission.listener.awaits_admission
 
 
 def test_a_program_goes_where_its_prefix_is():
     for home in "abc":
         world, admission = held()
-        admission.home = home
+        admission.cached_engine = home
         admission.admit()
         assert world.sent[0].engine.id == home
         world.sent[0].begin()
@@ -418,7 +418,7 @@
 
 def test_a_program_whose_home_refuses_it_has_another():
     world, admission = held()
-    admission.home = "b"
+    admission.cached_engine = "b"
     admission.admit()
     world.sent[0].refuse()
     world.sent[1].begin()
--- a/tests/unit/calls/test_early_ends.py
+++ b/tests/unit/calls/test_early_ends.py
@@ -54,7 +54,7 @@
 class NeverDecides:
     """An admission that nobody answers."""
 
-    def ask(self, call, route, answer):
+    def request(self, call, route, listener):
         pass
 
 
