Rename most_ fields of calls and routes to max_

Route.most_engines is max_engines, OpaqueCall.most_tokens is max_tokens, and Engine.is_leaving is is_draining, the state that engines' entries name.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -63,7 +63,7 @@
             self.partition,
             self.program,
             self.call_id,
-            call.most_tokens,
+            call.max_tokens,
             call.budget_tokens,
             self._route.keep_seconds,
             previous=self.previous_turn if self._route.keeps_turns else "",
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -248,7 +248,7 @@
     def _may_run_times(self, runs: int) -> bool:
         route = self._route
         is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
-        return is_safe and runs <= route.most_engines
+        return is_safe and runs <= route.max_engines
 
     def _failed_run(self, cause: str) -> None:
         self._unshown_head = None
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -161,7 +161,7 @@
         if is_new_entry:
             state.warmth.told(engine.cold_seconds, now)
         state.engine = engine
-        if not engine.is_leaving:
+        if not engine.is_draining:
             state.left_at = None
         elif state.left_at is None:
             state.left_at = now
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -29,7 +29,7 @@
     is_resumable: bool = False
     """Whether a stream may be taken up after an event at another engine."""
     is_sticky: bool = False
-    most_engines: int = 1
+    max_engines: int = 1
     """On so many engines one call may run."""
     timeout_seconds: float = 30.0
     objective_seconds: float = 1.0
@@ -65,7 +65,7 @@
     port: int
     zone: str
     slots: int = 1
-    is_leaving: bool = False
+    is_draining: bool = False
     cold_seconds: float = 0.0
     """For so long it was still cold when its entry was written."""
 
@@ -83,7 +83,7 @@
     program: str = ""
     session: str = ""
     affinity: str = ""
-    most_tokens: int = 0
+    max_tokens: int = 0
     """Tokens that this call may generate."""
     budget_tokens: int | None = None
     """Tokens that all calls of the program together may generate."""
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -19,7 +19,7 @@
     not.
     """
 
-    is_leaving: bool
+    is_draining: bool
     is_cold: bool
 
 
@@ -35,7 +35,7 @@
     def listed(self, engines: Mapping[str, Engine], gone: Collection[str]) -> None:
         """Hear the list, and which engines are forgotten since the last one."""
         states = {
-            id: ListedState(engine.is_leaving, engine.cold_seconds > 0)
+            id: ListedState(engine.is_draining, engine.cold_seconds > 0)
             for id, engine in engines.items()
         }
         if states == self._states:
@@ -44,7 +44,7 @@
         emit(
             EnginesChanged(
                 engines=len(states),
-                leaving=sum(state.is_leaving for state in states.values()),
+                leaving=sum(state.is_draining for state in states.values()),
                 cold=sum(state.is_cold for state in states.values()),
                 added=sorted(states.keys() - self._states.keys()),
                 gone=sorted(gone),
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -140,7 +140,7 @@
         is_stream=is_stream,
         is_resumable=entry.resumable,
         is_sticky=entry.sticky_sessions,
-        most_engines=entry.retry_attempts,
+        max_engines=entry.retry_attempts,
         timeout_seconds=entry.timeout_ms / 1000,
         objective_seconds=entry.target_latency_ms / 1000,
         priority=entry.priority,
@@ -195,6 +195,6 @@
         port=int(port),
         zone=entry.zone,
         slots=max(entry.slots, 1),
-        is_leaving=entry.state == DRAINING,
+        is_draining=entry.state == DRAINING,
         cold_seconds=max(entry.cold_remaining_ms, 0.0) / 1000,
     )
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -75,7 +75,7 @@
             program=_name(values.get(PROGRAM, b"")),
             session=_name(values.get(SESSION, b"")),
             affinity=_affinity(values.get(b"cookie", b"").decode("latin-1")),
-            most_tokens=_most_tokens(values.get(USAGE)),
+            max_tokens=_most_tokens(values.get(USAGE)),
             budget_tokens=_integer(values.get(BUDGET)),
             previous_turn=_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -194,7 +194,7 @@
             arrived=self.clock.seconds(),
             wait_seconds=wait_seconds,
             program=program,
-            most_tokens=most,
+            max_tokens=most,
             budget_tokens=budget,
             tokens_per_event=EVENT_TOKENS,
             previous_turn=previous,
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -74,7 +74,7 @@
 
 
 def test_an_overdue_call_that_may_be_repeated_goes_to_another_engine():
-    world = World(is_repeatable=True, most_engines=2, usual_answers=50)
+    world = World(is_repeatable=True, max_engines=2, usual_answers=50)
     world.clock.advance(LEAST_LIMIT_SECONDS - 0.01)
     assert len(world.sent) == 1
     world.clock.advance(0.02)
@@ -86,7 +86,7 @@
 
 
 def test_an_overdue_call_that_has_no_run_left_is_waited_for():
-    world = World(is_repeatable=True, most_engines=1, usual_answers=50)
+    world = World(is_repeatable=True, max_engines=1, usual_answers=50)
     world.clock.advance(OVERDUE_SECONDS)
     assert not world.sent[0].is_abandoned
     world.sent[0].answer(200, b"late")
@@ -133,7 +133,7 @@
 
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_call_that_may_have_run_is_not_sent_again(failure):
-    world = World(most_engines=3)
+    world = World(max_engines=3)
     world.sent[0].listener.failed(failure)
     assert len(world.sent) == 1
     assert world.reply.refusal == MAY_HAVE_RUN
@@ -141,7 +141,7 @@
 
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_repeatable_call_runs_on_as_many_engines_as_its_route_allows(failure):
-    world = World(is_repeatable=True, most_engines=2)
+    world = World(is_repeatable=True, max_engines=2)
     world.sent[0].listener.failed(failure)
     world.sent[1].listener.failed(failure)
     assert len(world.sent) == 2
@@ -203,7 +203,7 @@
 
 
 def test_a_resumable_stream_goes_on_after_its_last_whole_event():
-    world = stream(is_resumable=True, most_engines=2)
+    world = stream(is_resumable=True, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE + TWO[:5])
     world.sent[0].listener.failed(ResponseFailure.RESET)
@@ -217,7 +217,7 @@
 
 
 def test_a_stream_that_cannot_be_resumed_is_not():
-    world = stream(is_resumable=False, most_engines=2)
+    world = stream(is_resumable=False, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE)
     world.sent[0].listener.failed(ResponseFailure.RESET)
@@ -227,7 +227,7 @@
 
 @pytest.mark.parametrize("part", [b"", ONE[:5]])
 def test_a_stream_without_a_whole_event_ends_in_an_answer_not_in_a_cut(part):
-    world = stream(is_resumable=False, most_engines=2)
+    world = stream(is_resumable=False, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(part)
     world.sent[0].listener.failed(ResponseFailure.RESET)
@@ -237,7 +237,7 @@
 
 def test_a_stream_whose_first_event_is_overdue_ends_in_an_answer_not_in_a_cut():
     """An engine may send the head long before the first event."""
-    world = stream(is_resumable=False, most_engines=1, usual_answers=10)
+    world = stream(is_resumable=False, max_engines=1, usual_answers=10)
     world.sent[0].begin()
     world.clock.advance(1.0)
     assert world.sent[0].is_abandoned
@@ -245,7 +245,7 @@
 
 
 def test_a_stream_that_runs_anew_before_its_first_event_has_one_head():
-    world = stream(is_resumable=True, most_engines=2)
+    world = stream(is_resumable=True, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE[:5])
     world.sent[0].listener.failed(ResponseFailure.RESET)
@@ -266,7 +266,7 @@
 
 
 def test_a_resumed_run_that_fails_does_not_spoil_the_stream():
-    world = stream(is_resumable=True, most_engines=2)
+    world = stream(is_resumable=True, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE)
     world.sent[0].listener.failed(ResponseFailure.RESET)
@@ -275,7 +275,7 @@
 
 
 def test_a_resumed_run_without_a_seal_does_not_reach_the_caller():
-    world = stream(is_resumable=True, most_engines=2)
+    world = stream(is_resumable=True, max_engines=2)
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE)
     world.sent[0].listener.failed(ResponseFailure.RESET)
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -295,7 +295,7 @@
 
 
 def leaving(name: str) -> Engine:
-    return Engine(name, SERVICE, "h", 1, "z", 1, is_leaving=True)
+    return Engine(name, SERVICE, "h", 1, "z", 1, is_draining=True)
 
 
 def test_leaving_and_tried_engines_get_no_call():
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -46,7 +46,7 @@
     route = table().routes[0]
     assert route.shares == (ServiceShare("s", 1.0),)
     assert (route.is_stream, route.is_repeatable, route.keeps_turns) == (1, 0, 1)
-    assert (route.timeout_seconds, route.most_engines) == (3.0, 2)
+    assert (route.timeout_seconds, route.max_engines) == (3.0, 2)
 
 
 @pytest.mark.parametrize(
@@ -88,7 +88,7 @@
     }
     engine = engine_of("i-1", msgspec.json.encode(entry))
     assert (engine.id, engine.host, engine.port) == ("i-1", "10.128.0.9", 8080)
-    assert (engine.slots, engine.is_leaving) == (12, True)
+    assert (engine.slots, engine.is_draining) == (12, True)
 
 
 def test_what_cannot_be_read_is_an_error():
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -32,7 +32,7 @@
     call = read(FULL)
     assert (call.id, call.program, call.session) == ("e5b2", "3fa81c", "77d20b")
     assert (call.wait_seconds, call.program_seconds_left) == (3.0, 5.2)
-    assert (call.most_tokens, call.budget_tokens) == (575, 4600)
+    assert (call.max_tokens, call.budget_tokens) == (575, 4600)
     assert (call.previous_turn, call.affinity) == ("9c41", "17")
     assert call.last_event_id == b"12"
 
