Name refusals and stored turns in the usual terms

KEYS_UNSURE is KEYS_STALE, STATE_UNSURE is STATE_UNKNOWN, come_back_after is with_retry_after in the module retry_after; Route.keeps_turns is stores_turns and Route.keep_seconds is retention_seconds.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -65,8 +65,8 @@
             self.call_id,
             call.max_tokens,
             call.budget_tokens,
-            self._route.keep_seconds,
-            previous=self.previous_turn if self._route.keeps_turns else "",
+            self._route.retention_seconds,
+            previous=self.previous_turn if self._route.stores_turns else "",
             known=self._known_turn(),
             suspicions=suspicions,
         )
@@ -81,7 +81,7 @@
         """Give the body with the turns before it; None if a turn is missing here."""
         self.cached_engine = answer.home
         body = self.call.body
-        if not self._route.keeps_turns or not self.previous_turn:
+        if not self._route.stores_turns or not self.previous_turn:
             return body
         if answer.text:
             known = Turn(answer.after, answer.text, b"")
@@ -146,7 +146,7 @@
 
     def completed(self, output: bytes, events: int, then: Completion) -> None:
         """Charge the call; keep the turn if the route does, before its end is shown."""
-        if not self._route.keeps_turns:
+        if not self._route.stores_turns:
             self._settle(events)
             then.durable()
             return
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -48,7 +48,7 @@
         self, call: OpaqueCall, route: Route, answer: AdmissionListener
     ) -> None:
         """Admit a call, or refuse it, through `answer`."""
-        is_accounted = call.budget_tokens is not None or route.keeps_turns
+        is_accounted = call.budget_tokens is not None or route.stores_turns
         if not (route.is_stream and call.program and is_accounted):
             answer.admitted(NO_ACCOUNT, call.body)
             return
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -8,8 +8,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.messages import NotOwner
-from notcharch.calls.interface import STATE_UNSURE, OpaqueCall, Refusal
-from notcharch.calls.return_times import come_back_after
+from notcharch.calls.interface import STATE_UNKNOWN, OpaqueCall, Refusal
+from notcharch.calls.retry_after import with_retry_after
 from notcharch.errors import Problem
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partitioning import Partitioning
@@ -57,7 +57,7 @@
     def unsure(self, call: OpaqueCall) -> Refusal:
         """Give the refusal of a call that no owner decided in time."""
         now = self.clock.seconds()
-        return come_back_after(STATE_UNSURE, self.service_silence(), call, now)
+        return with_retry_after(STATE_UNKNOWN, self.service_silence(), call, now)
 
     def tell(self, partition: int, message: Message) -> None:
         """Send a notice to a partition's owner, if one is known."""
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -12,7 +12,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.calls.eligibility import Cause, NoEngine
 from notcharch.calls.interface import (
-    STATE_UNSURE,
+    STATE_UNKNOWN,
     Admission,
     AdmissionListener,
     OpaqueCall,
@@ -84,7 +84,7 @@
         group = self._groups.get(region)
         if group is None:
             # This daemon stops, and joins no group any more.
-            answer.refused(STATE_UNSURE)
+            answer.refused(STATE_UNKNOWN)
         else:
             group.admission.request(call, route, answer)
 
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -190,7 +190,7 @@
         if whole:
             self._show_head()
             self._log.gave(self._cutter.events)
-            if self._route.keeps_turns:
+            if self._route.stores_turns:
                 self._output.append(whole)
             self._reply.write(whole)
         return bool(whole)
--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -6,13 +6,13 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import (
-    KEYS_UNSURE,
+    KEYS_STALE,
     NOT_IDENTIFIED,
     OpaqueCall,
     Refusal,
     Route,
 )
-from notcharch.calls.return_times import come_back_after
+from notcharch.calls.retry_after import with_retry_after
 from notcharch.calls.routing import RouteTable
 from notcharch.events.calls import CallerNotIdentified
 from notcharch.events.event import emit
@@ -74,4 +74,4 @@
         emit(CallerNotIdentified(call.id, route.name, fault.value, table.version, told))
         if fault is not IdentityFault.NO_FRESH_TABLE:
             return NOT_IDENTIFIED
-        return come_back_after(KEYS_UNSURE, age or 0.0, call, now)
+        return with_retry_after(KEYS_STALE, age or 0.0, call, now)
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -35,11 +35,11 @@
     objective_seconds: float = 1.0
     priority: int = 0
     """0 is the most urgent."""
-    keeps_turns: bool = False
+    stores_turns: bool = False
     """Whether a call brings only its new input and names the turn before it."""
     is_public: bool = False
     """Whether calls need no key, also where the table has tenants."""
-    keep_seconds: float = 60.0
+    retention_seconds: float = 60.0
     """For so long a turn is kept and a program's budget remembered."""
     regions: frozenset[str] | None = None
     """Where its calls may be served and kept; None: anywhere."""
@@ -195,12 +195,12 @@
 UNKNOWN_TURN = Refusal(404, "no such turn")
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
 NO_ENGINE = Refusal(503, "no engine can take it", 0.1)
-STATE_UNSURE = Refusal(503, "the program's state is not known yet", 0.2)
+STATE_UNKNOWN = Refusal(503, "the program's state is not known yet", 0.2)
 BUDGET_SPENT = Refusal(402, "the program's budget is spent")
 TIMED_OUT = Refusal(504, "timed out")
 MAY_HAVE_RUN = Refusal(502, "no whole answer; it may have run")
 NOT_IDENTIFIED = Refusal(401, "no valid key")
-KEYS_UNSURE = Refusal(503, "the newest keys are not known yet", 0.5)
+KEYS_STALE = Refusal(503, "the newest keys are not known yet", 0.5)
 """Peers and the store are asked again each 0.25 s, so most daemons know within 0.5 s."""
 TOO_MANY_REQUESTS = 429
 OVER_LIMIT_REASON = "over the tenant's limit"
--- a/notcharch/calls/refusals.py
+++ b/notcharch/calls/refusals.py
@@ -4,7 +4,7 @@
 
 from notcharch.calls.eligibility import Cause, NoEngine
 from notcharch.calls.interface import NO_ENGINE, OpaqueCall, Refusal
-from notcharch.calls.return_times import come_back_after
+from notcharch.calls.retry_after import with_retry_after
 
 NO_REGION_SECONDS = 1.0
 """Engines come to a region by a start, which takes seconds. Chosen, not measured."""
@@ -21,4 +21,4 @@
         seconds = NO_REGION_SECONDS
     if seconds is None:
         return refusal
-    return come_back_after(refusal, seconds, call, now)
+    return with_retry_after(refusal, seconds, call, now)
--- a/notcharch/calls/return_times.py
+++ b/notcharch/calls/retry_after.py
@@ -9,7 +9,7 @@
 A little less leaves the way to us."""
 
 
-def come_back_after(
+def with_retry_after(
     refusal: Refusal, estimate_seconds: float, call: OpaqueCall, now: float
 ) -> Refusal:
     """Give a refusal that tells when it is expected to help to come back.
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -144,8 +144,8 @@
         timeout_seconds=entry.timeout_ms / 1000,
         objective_seconds=entry.target_latency_ms / 1000,
         priority=entry.priority,
-        keeps_turns=entry.retains_transcripts,
-        keep_seconds=entry.retention_s,
+        stores_turns=entry.retains_transcripts,
+        retention_seconds=entry.retention_s,
         is_public=entry.public,
         regions=regions_of(entry.allowed_regions),
     )
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -55,7 +55,7 @@
         call = self.world.call(
             program, budget=BUDGETS[program], most=MOST, previous=previous, body=b"in;"
         )
-        listener = self.world.ask(call, daemon, keeps_turns=True)
+        listener = self.world.ask(call, daemon, stores_turns=True)
         return Running(call, listener, text + b"in;", bool(previous))
 
     @rule(running=consumes(calls), events=st.integers(1, MOST // EVENT_TOKENS))
@@ -112,7 +112,7 @@
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
-            listener = self.world.decided(call, keeps_turns=True)
+            listener = self.world.decided(call, stores_turns=True)
             assert listener.body == self.kept[turn] + b"x"
             listener.ticket.never_ran()
 
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -5,7 +5,7 @@
     BoundRaised,
     decode,
 )
-from notcharch.calls.interface import STATE_UNSURE, Refusal
+from notcharch.calls.interface import STATE_UNKNOWN, Refusal
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
 EVENT = b"id: 1\ndata: hello\n\n"
@@ -52,5 +52,5 @@
     """Check that nobody decided, and that a later time to come back is told, if any."""
     assert refusal is not None
     told = (refusal.status, refusal.reason)
-    assert told == (STATE_UNSURE.status, STATE_UNSURE.reason)
-    assert refusal.retry_after_seconds >= STATE_UNSURE.retry_after_seconds
+    assert told == (STATE_UNKNOWN.status, STATE_UNKNOWN.reason)
+    assert refusal.retry_after_seconds >= STATE_UNKNOWN.retry_after_seconds
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -7,7 +7,7 @@
 from notcharch.accounts.records import (
     BoundRaised,
 )
-from notcharch.calls.interface import BUDGET_SPENT, STATE_UNSURE
+from notcharch.calls.interface import BUDGET_SPENT, STATE_UNKNOWN
 from notcharch.events import journal
 from tests.unit.accounts.steps import (
     EVENT,
@@ -82,7 +82,7 @@
     world = World()
     world.log.trouble = Trouble.LOSE_ANSWER
     call = world.call(budget=1000, most=600, wait_seconds=20.0)
-    listener = world.ask(call, keeps_turns=True)
+    listener = world.ask(call, stores_turns=True)
     world.run(0.3)
     world.log.trouble = Trouble.NONE
     world.run(3.0)
@@ -99,7 +99,7 @@
     world.run(0.6)
     started = world.clock.seconds()
     after = world.decided(
-        world.call(previous=call.id, body=b"b"), at=1, keeps_turns=True
+        world.call(previous=call.id, body=b"b"), at=1, stores_turns=True
     )
     assert after.body == b"a" + b"hello\n" + b"b"
     assert world.clock.seconds() - started < 0.5
@@ -249,7 +249,7 @@
     world = World()
     world.log.trouble = Trouble.REFUSE
     given_up = world.decided(world.call("p", budget=900, most=700, wait_seconds=0.5))
-    assert given_up.refusal == STATE_UNSURE
+    assert given_up.refusal == STATE_UNKNOWN
     world.log.trouble = Trouble.NONE
     world.run(3.0)
     again = world.decided(world.call("p", budget=900, most=700))
--- a/tests/unit/accounts/test_kept_turns.py
+++ b/tests/unit/accounts/test_kept_turns.py
@@ -47,16 +47,16 @@
     for name in world.names:
         world.start(name)
     world.run(3.0)
-    again = world.decided(world.call(previous=first.id, body=b"b"), keeps_turns=True)
+    again = world.decided(world.call(previous=first.id, body=b"b"), stores_turns=True)
     assert again.body == b"a" + b"hello\n" + b"b"
 
 
 def test_an_unknown_turn_is_refused_only_when_that_is_certain():
     world = World()
-    sure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    sure = world.decided(world.call(previous="nobody"), stores_turns=True)
     assert sure.refusal == UNKNOWN_TURN
     world.log.trouble = Trouble.LOSE_CALL
-    unsure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    unsure = world.decided(world.call(previous="nobody"), stores_turns=True)
     assert_unsure(unsure.refusal)
 
 
@@ -68,7 +68,7 @@
     world.run(3.0)
     world.kept(call, EVENT, at=1)
     world.fabric.resume(owner_names[0])
-    after = world.ask(world.call(previous=call.id, body=b"b"), at=0, keeps_turns=True)
+    after = world.ask(world.call(previous=call.id, body=b"b"), at=0, stores_turns=True)
     world.run(2.0)
     assert after.refusal != UNKNOWN_TURN
     assert after.body == b"a" + b"hello\n" + b"b"
@@ -76,7 +76,7 @@
 
 def test_the_end_of_a_kept_turn_waits_for_the_journal():
     world = World()
-    listener = world.decided(world.call(), keeps_turns=True)
+    listener = world.decided(world.call(), stores_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(1.0)
@@ -108,7 +108,7 @@
     world.run(0.2)
     for program in ("two", "three", "four", "five"):
         call = world.call(program, previous=first.id, body=b"c")
-        listener = world.decided(call, at=1, keeps_turns=True)
+        listener = world.decided(call, at=1, stores_turns=True)
         assert listener.refusal != UNKNOWN_TURN
 
 
@@ -116,7 +116,7 @@
     world = World()
     claims = epochs(world)
     for number in range(5):
-        world.decided(world.call(previous=f"nobody {number}"), keeps_turns=True)
+        world.decided(world.call(previous=f"nobody {number}"), stores_turns=True)
         assert world.kept(world.call(body=b"a"), EVENT).is_durable
     world.run(1.0)
     assert epochs(world) == claims
@@ -148,7 +148,7 @@
         world.start(name)
     world.run(3.0)
     after = world.decided(
-        world.call(budget=1000, previous=previous, body=b"x"), keeps_turns=True
+        world.call(budget=1000, previous=previous, body=b"x"), stores_turns=True
     )
     assert after.body == expected + b"x"
 
@@ -172,7 +172,7 @@
 def test_a_turn_that_is_kept_again_while_it_is_being_written_is_written_once():
     world = World()
     call = world.call(wait_seconds=20.0)
-    listener = world.decided(call, keeps_turns=True)
+    listener = world.decided(call, stores_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(4.0)
--- a/tests/unit/accounts/test_resident_accounts.py
+++ b/tests/unit/accounts/test_resident_accounts.py
@@ -63,7 +63,7 @@
     assert world.kept(first, EVENT, at).is_durable
     second = world.call("p", previous=first.id, regions=regions, body=b"more")
     again = (at + 2) % 6
-    assert world.decided(second, again, keeps_turns=True).body == b"inhello\nmore"
+    assert world.decided(second, again, stores_turns=True).body == b"inhello\nmore"
     assert received
     assert {world.region_of(name) for name in received} <= regions
 
@@ -73,7 +73,7 @@
     first = world.call("p", regions=BOTH)
     world.kept(first, EVENT, at=0)
     second = world.call("p", previous=first.id, regions=BOTH, body=b"more")
-    assert world.decided(second, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.decided(second, 1, stores_turns=True).body == b"inhello\nmore"
 
 
 def test_a_program_has_one_budget_in_all_regions():
@@ -93,13 +93,13 @@
         world.crash(name, silent=True)
     world.run(2.0)
     second = world.call("p", previous=first.id, regions=NORTH)
-    assert_unsure(world.decided(second, 1, keeps_turns=True).refusal)
+    assert_unsure(world.decided(second, 1, stores_turns=True).refusal)
     for name in world.names[::2]:
         world.start(name)
         world.services[name].use_regions(REGIONS)
     world.run(4.0)
     third = world.call("p", previous=first.id, regions=NORTH, body=b"more")
-    assert world.decided(third, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.decided(third, 1, stores_turns=True).body == b"inhello\nmore"
 
 
 def test_a_call_without_a_region_that_exists_is_refused_at_once():
@@ -119,17 +119,17 @@
     first = world.call("p", regions=before)
     world.kept(first, EVENT)
     second = world.call("p", previous=first.id, regions=after, body=b"more")
-    assert world.decided(second, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.decided(second, 1, stores_turns=True).body == b"inhello\nmore"
 
 
 def test_a_turn_is_unknown_only_when_every_region_is_certain():
     world = world_of_two()
     call = world.call("p", previous="never", regions=NORTH)
-    assert world.decided(call, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.decided(call, stores_turns=True).refusal == UNKNOWN_TURN
     for name in world.names[1::2]:
         world.crash(name, silent=True)
     call = world.call("p", previous="never", regions=NORTH)
-    assert_unsure(world.decided(call, keeps_turns=True).refusal)
+    assert_unsure(world.decided(call, stores_turns=True).refusal)
 
 
 def test_programs_are_spread_over_their_regions():
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -87,7 +87,7 @@
     admitted(world, 30)
     for _ in range(12):
         listener = world.decided(
-            world.call("p", budget=100, most=100, tenant="t"), keeps_turns=False
+            world.call("p", budget=100, most=100, tenant="t"), stores_turns=False
         )
         if listener.ticket is not None:
             break
@@ -105,9 +105,9 @@
     listener = world.decided(world.call("p", budget=100, most=100, tenant="u"))
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
-    assert world.decided(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.decided(stolen, stores_turns=True).refusal == UNKNOWN_TURN
     own = world.call("q", previous=first.id, tenant="t", body=b"more")
-    assert world.decided(own, keeps_turns=True).body == b"in" + b"x\n" * 10 + b"more"
+    assert world.decided(own, stores_turns=True).body == b"in" + b"x\n" * 10 + b"more"
 
 
 @pytest.mark.parametrize("silent", [False, True])
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -33,7 +33,7 @@
 TOLERANCE = Tolerance(window_seconds=5.0, over_share=0.1, calls=20.0)
 
 
-def route(*, keeps_turns: bool = False) -> Route:
+def route(*, stores_turns: bool = False) -> Route:
     return Route(
         name="r",
         host="h",
@@ -41,7 +41,7 @@
         shares=(ServiceShare("s", 1.0),),
         is_repeatable=False,
         is_stream=True,
-        keeps_turns=keeps_turns,
+        stores_turns=stores_turns,
     )
 
 
@@ -203,20 +203,20 @@
         )
 
     def ask(
-        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+        self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
         """Ask for admission at a daemon; the answer comes as time passes."""
         listener = Listener()
         self.asked.append(listener)
         admission = self.services[self.names[at]].admission
-        admission.request(call, route(keeps_turns=keeps_turns), listener)
+        admission.request(call, route(stores_turns=stores_turns), listener)
         return listener
 
     def decided(
-        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+        self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
         """Ask, and let time pass until there is an answer."""
-        listener = self.ask(call, at, keeps_turns=keeps_turns)
+        listener = self.ask(call, at, stores_turns=stores_turns)
         for _ in range(400):
             if listener.is_decided:
                 break
@@ -225,7 +225,7 @@
 
     def kept(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
         """Run a kept turn to its end."""
-        listener = self.decided(call, at, keeps_turns=True)
+        listener = self.decided(call, at, stores_turns=True)
         assert listener.ticket is not None, listener.refusal
         listener.ticket.completed(output, output.count(b"\n\n"), listener)
         for _ in range(300):
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -326,7 +326,7 @@
 
 def held(**changes):
     admission = HoldingAdmission()
-    return stream(admission=admission, keeps_turns=True, **changes), admission
+    return stream(admission=admission, stores_turns=True, **changes), admission
 
 
 def test_an_admitted_call_runs_with_the_body_of_its_admission():
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -4,7 +4,7 @@
 from twisted.internet.task import Clock
 
 from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.interface import KEYS_UNSURE, NOT_IDENTIFIED, OpaqueCall
+from notcharch.calls.interface import KEYS_STALE, NOT_IDENTIFIED, OpaqueCall
 from notcharch.calls.routing import RouteTable
 from notcharch.events import calls, tenants
 from notcharch.http.messages import RequestHead
@@ -65,7 +65,7 @@
 def test_a_table_that_is_not_fresh_says_when_to_come_back(age, seconds):
     checked = Checked(age)
     refusal = checked.refusal(b"k1")
-    assert (refusal.status, refusal.reason) == (503, KEYS_UNSURE.reason)
+    assert (refusal.status, refusal.reason) == (503, KEYS_STALE.reason)
     assert refusal.retry_after_seconds == pytest.approx(seconds)
     assert checked.call.tenant is None
 
--- a/tests/unit/calls/test_return_times.py
+++ b/tests/unit/calls/test_retry_after.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from notcharch.calls.interface import KEYS_UNSURE, STATE_UNSURE, OpaqueCall
-from notcharch.calls.return_times import HONOURED_SHARE, come_back_after
+from notcharch.calls.interface import KEYS_STALE, STATE_UNKNOWN, OpaqueCall
+from notcharch.calls.retry_after import HONOURED_SHARE, with_retry_after
 from notcharch.http.messages import RequestHead
 
 NOW = 100.0
@@ -28,11 +28,11 @@
 def test_the_estimate_counts_within_what_the_caller_honours(
     estimate, wait, waited, expected
 ):
-    told = come_back_after(STATE_UNSURE, estimate, call(wait, waited), NOW)
+    told = with_retry_after(STATE_UNKNOWN, estimate, call(wait, waited), NOW)
     assert told.retry_after_seconds == pytest.approx(expected)
-    assert (told.status, told.reason) == (STATE_UNSURE.status, STATE_UNSURE.reason)
+    assert (told.status, told.reason) == (STATE_UNKNOWN.status, STATE_UNKNOWN.reason)
 
 
 def test_no_refusal_tells_less_than_its_own_time():
-    told = come_back_after(KEYS_UNSURE, 0.01, call(3.0), NOW)
-    assert told.retry_after_seconds == KEYS_UNSURE.retry_after_seconds
+    told = with_retry_after(KEYS_STALE, 0.01, call(3.0), NOW)
+    assert told.retry_after_seconds == KEYS_STALE.retry_after_seconds
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -47,7 +47,7 @@
         world = AccountsWorld()
         for _ in range(2):
             world.decided(world.call(budget=100, most=100))
-        world.decided(world.call(previous="nobody"), keeps_turns=True)
+        world.decided(world.call(previous="nobody"), stores_turns=True)
         first = world.call("one", body=b"a")
         world.kept(first, b"data: x\n\n")
         for program in ("two", "three", "four", "five"):
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -45,7 +45,7 @@
 def test_a_route_is_translated():
     route = table().routes[0]
     assert route.shares == (ServiceShare("s", 1.0),)
-    assert (route.is_stream, route.is_repeatable, route.keeps_turns) == (1, 0, 1)
+    assert (route.is_stream, route.is_repeatable, route.stores_turns) == (1, 0, 1)
     assert (route.timeout_seconds, route.max_engines) == (3.0, 2)
 
 
