Rename the engine pool's callbacks, last resorts and event framing

EnginePool.began, ended, heard, began_answer, stream_ended, failed and was_full are call_started, call_ended, response_received, first_event_received, stream_completed, engine_failed and engine_full; leaving_seconds is last_resort_seconds. take_limits is set_cold_limits, take_drains is update_drains, tell_drains is report_drains, EventCutter is EventFramer, and CallerCheck.is_sure and tell are can_check_keys and report_change.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -24,7 +24,7 @@
     WRITE_PATH,
 )
 from deploy.soak.tenants import SoakTenant, Tenants
-from notcharch.calls.event_stream import EventCutter, data_lines
+from notcharch.calls.event_stream import EventFramer, data_lines
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
 
@@ -44,7 +44,7 @@
         """Wait for an answer."""
         self._reactor = reactor
         self._asked = asked
-        self._cutter = EventCutter()
+        self._framer = EventFramer()
         self.retry_after = RETRY_SECONDS
         self.done: Deferred[None] = Deferred()
 
@@ -65,7 +65,7 @@
         if not self._asked.is_stream or self._asked.status != OK:
             self._asked.body += data
             return
-        whole = self._cutter.take(data)
+        whole = self._framer.feed(data)
         for line in data_lines(whole).splitlines():
             self._asked.events.append(line)
 
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -6,7 +6,7 @@
 
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
-from notcharch.calls.event_stream import EventCutter
+from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
@@ -70,7 +70,7 @@
         self._tried: set[str] = set()
         self._status = 0
         """That of the last whole answer."""
-        self._cutter = EventCutter()
+        self._framer = EventFramer()
         self._is_relaying = False
         """Whether the caller has the head of a stream."""
         self._unshown_head: ResponseHead | None = None
@@ -186,10 +186,10 @@
 
     def run_gave(self, data: bytes) -> bool:
         """Relay whole events; tell whether there were any."""
-        whole = self._cutter.take(data)
+        whole = self._framer.feed(data)
         if whole:
             self._show_head()
-            self._log.gave(self._cutter.events)
+            self._log.gave(self._framer.events)
             if self._route.stores_turns:
                 self._output.append(whole)
             self._reply.write(whole)
@@ -260,9 +260,9 @@
         self._send_again(cause)
 
     def _resume_after_last_event(self) -> None:
-        self._cutter.drop_rest()
-        if self._cutter.last_id is not None:
-            self.call.last_event_id = self._cutter.last_id
+        self._framer.discard_remainder()
+        if self._framer.last_id is not None:
+            self.call.last_event_id = self._framer.last_id
 
     # The end
 
@@ -270,15 +270,15 @@
         """Make the outcome durable, then show the end."""
         self._phase = Phase.SETTLING
         assert self._ticket is not None
-        output = b"".join(self._output) + self._cutter.rest()
-        self._ticket.completed(output, self._cutter.events, self)
+        output = b"".join(self._output) + self._framer.remainder()
+        self._ticket.completed(output, self._framer.events, self)
 
     def durable(self) -> None:
         """Show the end of the stream."""
         if self._phase is not Phase.SETTLING:
             return
         self._show_head()
-        rest = self._cutter.rest()
+        rest = self._framer.remainder()
         if rest:
             self._reply.write(rest)
         self._over()
@@ -319,7 +319,7 @@
         if self._ticket is None or self._phase is Phase.SETTLING:
             return
         if self._log.runs or self._run is not None:
-            self._ticket.interrupted(self._cutter.events)
+            self._ticket.interrupted(self._framer.events)
         else:
             self._ticket.never_ran()
 
--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -28,21 +28,21 @@
         """`freshness` tells when keys may be judged."""
         self._clock = clock
         self._freshness = freshness
-        self._was_sure = True
+        self._could_check_keys = True
         """Whether keys could be judged when that was told last."""
 
-    def is_sure(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
+    def can_check_keys(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
         """Tell whether keys can be judged now, and for some seconds more, if need be."""
         if table.keys is None:
             return True
         return self._freshness.is_fresh(self._clock.seconds(), ahead_seconds)
 
-    def tell(self, is_sure: bool) -> None:
+    def report_change(self, can_check_keys: bool) -> None:
         """Tell once that no key can be judged any more, and once that keys can again."""
-        if is_sure != self._was_sure:
-            self._was_sure = is_sure
+        if can_check_keys != self._could_check_keys:
+            self._could_check_keys = can_check_keys
             age = self._freshness.age(self._clock.seconds())
-            emit(KeysUnsure(is_sure, self._freshness.version, age))
+            emit(KeysUnsure(can_check_keys, self._freshness.version, age))
 
     def refusal(
         self,
@@ -54,7 +54,7 @@
         """Set the tenant of a call; give the answer to one that has none but needs one."""
         if table.keys is None or route.is_public:
             return None
-        identity = identify(presented, table.keys, is_fresh=self.is_sure(table))
+        identity = identify(presented, table.keys, is_fresh=self.can_check_keys(table))
         if isinstance(identity, Err):
             return self._refuse(call, identity.err_value, route, table)
         call.tenant = identity.ok_value
@@ -70,8 +70,12 @@
         """
         now = self._clock.seconds()
         age = self._freshness.age(now)
-        told = None if age is None else round(age, 3)
-        emit(CallerNotIdentified(call.id, route.name, fault.value, table.version, told))
+        rounded_age = None if age is None else round(age, 3)
+        emit(
+            CallerNotIdentified(
+                call.id, route.name, fault.value, table.version, rounded_age
+            )
+        )
         if fault is not IdentityFault.NO_FRESH_TABLE:
             return NOT_IDENTIFIED
         return with_retry_after(KEYS_STALE, age or 0.0, call, now)
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -87,12 +87,12 @@
 
     # What operators and engines tell
 
-    def take_limits(self, limits: Mapping[str, ColdLimit]) -> None:
+    def set_cold_limits(self, limits: Mapping[str, ColdLimit]) -> None:
         """Take what cold engines of each service bear."""
         self._limits = dict(limits)
         self._cold.forget_parts()
 
-    def take_drains(
+    def update_drains(
         self, newer: DrainedZones, states: Iterable[EngineStanding], now: float
     ) -> DrainChange | None:
         """Take a set of drained zones; None if it is older than the one known.
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -101,7 +101,7 @@
         """Send the call with a body."""
         services = self._services
         head = services.dialect.request(self._call, self.engine, milliseconds_left)
-        services.pool.began(self.engine.id)
+        services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
         self._overdue.sent()
         self._sending = services.sender.send(self.engine, head, body, self)
@@ -114,17 +114,17 @@
 
     def _leave(self) -> None:
         self._overdue.stop()
-        self._services.pool.ended(self.engine.id)
+        self._services.pool.call_ended(self.engine.id)
 
     def _engine_failed(self) -> None:
         """Pass the engine over; where it is silent, so are its other connections."""
-        is_silent = self._services.pool.failed(self.engine.id)
+        is_silent = self._services.pool.engine_failed(self.engine.id)
         if is_silent:
             self._services.sender.forget(self.engine.id)
 
     def _is_overdue(self) -> None:
         """Pass the engine over; give the run up where that helps."""
-        self._services.pool.failed(self.engine.id)
+        self._services.pool.engine_failed(self.engine.id)
         gives_up = self._listener.may_give_up() and self._overdue.take_retry()
         self._log.overdue(self._overdue.limit_seconds, is_given_up=gives_up)
         if gives_up:
@@ -155,7 +155,7 @@
     def head_received(self, head: ResponseHead) -> None:
         """Relay a stream that succeeds; keep other answers until they are whole."""
         self._head = head
-        self._services.pool.heard(self.engine.id)
+        self._services.pool.response_received(self.engine.id)
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
             self._overdue.answered()
             return
@@ -176,10 +176,12 @@
         self._events += 1
         if self._event_at is None:
             self._overdue.answered()
-            self._services.pool.began_answer(self.engine.id, now - self._sent_at)
+            self._services.pool.first_event_received(
+                self.engine.id, now - self._sent_at
+            )
         gap = None if self._event_at is None else now - self._event_at
         self._event_at = now
-        self._services.pool.heard(self.engine.id, gap)
+        self._services.pool.response_received(self.engine.id, gap)
 
     def completed(self) -> None:
         """Hear that the answer is whole."""
@@ -188,12 +190,12 @@
         assert self._sending is not None
         self._services.sender.keep(self.engine.id, self._sending)
         if self._services.dialect.was_not_run(head):
-            self._services.pool.was_full(self.engine.id)
+            self._services.pool.engine_full(self.engine.id)
             self._leave()
             self._listener.run_was_refused(head)
             return
         if self._is_relayed:
-            self._services.pool.stream_ended(self.engine.id, self._events)
+            self._services.pool.stream_completed(self.engine.id, self._events)
         self._leave()
         self._listener.run_ended(head, b"".join(self._pieces))
 
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -28,7 +28,7 @@
 )
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones
 
-LEAVING_SECONDS = 1.0
+LAST_RESORT_SECONDS = 1.0
 """So long an engine that leaves, or is not listed any more, is still a last resort.
 
 It serves for longer. After an outage of the store, engines that live are missing from
@@ -39,7 +39,7 @@
 class PoolPolicy(msgspec.Struct, frozen=True):
     """How the engines of a pool are chosen, and for how long those that leave may be."""
 
-    leaving_seconds: float = LEAVING_SECONDS
+    last_resort_seconds: float = LAST_RESORT_SECONDS
     entry_seconds: float = 0.0
     """An engine's entry may have been written so long before it is read first."""
     routing: RoutingPolicy = RoutingPolicy()
@@ -56,7 +56,7 @@
         self.warmth = Warmth()
         self.in_flight = 0
         """Our own calls there."""
-        self.left_at: float | None = None
+        self.last_resort_since: float | None = None
         """Clock seconds at which it was first seen to leave, or was not listed."""
 
     @property
@@ -162,16 +162,16 @@
             state.warmth.told(engine.cold_seconds, now)
         state.engine = engine
         if not engine.is_draining:
-            state.left_at = None
-        elif state.left_at is None:
-            state.left_at = now
+            state.last_resort_since = None
+        elif state.last_resort_since is None:
+            state.last_resort_since = now
         return state
 
     def _is_last_resort(self, state: EngineState, now: float) -> bool:
         """Note when an engine vanished; tell whether that is only a moment ago."""
-        if state.left_at is None:
-            state.left_at = now
-        return now - state.left_at < self._policy.leaving_seconds
+        if state.last_resort_since is None:
+            state.last_resort_since = now
+        return now - state.last_resort_since < self._policy.last_resort_seconds
 
     def count(self, service: str) -> int:
         """Give how many engines of a service take work."""
@@ -180,7 +180,7 @@
     def drain_zones(self, newer: DrainedZones) -> DrainChange | None:
         """Take which zones are drained; None if that is older than what is known."""
         now = self._clock.seconds()
-        return self.eligibility.take_drains(newer, self._states.values(), now)
+        return self.eligibility.update_drains(newer, self._states.values(), now)
 
     def takes_calls(self, engine_id: str) -> bool:
         """Tell whether an engine that was chosen may still get its call."""
@@ -245,19 +245,19 @@
         """Give the engines that stay; if most have just left, those as well."""
         listed = self._by_service.get(service, [])
         states = self.eligibility.allowed(listed, regions)
-        staying = [state for state in states if state.left_at is None]
+        staying = [state for state in states if state.last_resort_since is None]
         if 2 * len(staying) > len(states):
             return staying
         return staying + [
             state
             for state in states
-            if state.left_at is not None
-            and now - state.left_at < self._policy.leaving_seconds
+            if state.last_resort_since is not None
+            and now - state.last_resort_since < self._policy.last_resort_seconds
         ]
 
     # What calls saw
 
-    def began(self, engine_id: str) -> None:
+    def call_started(self, engine_id: str) -> None:
         """Count a call that is sent to an engine."""
         state = self._states.get(engine_id)
         if state is not None:
@@ -268,14 +268,16 @@
             if state.warmth.is_cold(now):
                 COLD_SENDS.inc()
 
-    def ended(self, engine_id: str) -> None:
+    def call_ended(self, engine_id: str) -> None:
         """Count a call that is over."""
         state = self._states.get(engine_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
             state.health.over()
 
-    def heard(self, engine_id: str, event_gap_seconds: float | None = None) -> None:
+    def response_received(
+        self, engine_id: str, event_gap_seconds: float | None = None
+    ) -> None:
         """Note a part of an answer, and how long after the event before it came."""
         state = self._states.get(engine_id)
         if state is None:
@@ -285,19 +287,19 @@
         if event_gap_seconds is not None:
             state.health.paced(event_gap_seconds, now)
 
-    def began_answer(self, engine_id: str, seconds: float) -> None:
+    def first_event_received(self, engine_id: str, seconds: float) -> None:
         """Note how long after a call's sending its first event came."""
         state = self._states.get(engine_id)
         if state is not None:
             state.health.began_answer(seconds)
 
-    def stream_ended(self, engine_id: str, events: int) -> None:
+    def stream_completed(self, engine_id: str, events: int) -> None:
         """Note how many events a whole stream had."""
         state = self._states.get(engine_id)
         if state is not None:
             self._service(state.engine.service).run_ended(events)
 
-    def failed(self, engine_id: str) -> bool:
+    def engine_failed(self, engine_id: str) -> bool:
         """Pass over an engine that could not be spoken to; tell whether it is silent.
 
         Its idle connections are of no use then.
@@ -310,7 +312,7 @@
         self._suspicions.suspect(engine_id, state.health.failed(now))
         return is_silent
 
-    def was_full(self, engine_id: str) -> None:
+    def engine_full(self, engine_id: str) -> None:
         """Pass over an engine for a moment that took no more."""
         state = self._states.get(engine_id)
         if state is not None:
--- a/notcharch/calls/event_stream.py
+++ b/notcharch/calls/event_stream.py
@@ -4,7 +4,7 @@
 ID_FIELD = b"id:"
 
 
-class EventCutter:
+class EventFramer:
     """Holds back the bytes of an event until the event is whole.
 
     An engine may break off within an event, and the events of another run may follow
@@ -13,22 +13,22 @@
 
     def __init__(self) -> None:
         """Begin before the first event."""
-        self._rest = b""
+        self._remainder = b""
         self.events = 0
         """How many whole events were given out."""
         self.last_id: bytes | None = None
         """The id of the last whole event that had one."""
 
-    def take(self, data: bytes) -> bytes:
+    def feed(self, data: bytes) -> bytes:
         """Take bytes; give those of events that are whole now."""
-        held = self._rest + data
+        held = self._remainder + data
         end = held.rfind(EVENT_END)
         if end < 0:
-            self._rest = held
+            self._remainder = held
             return b""
         end += len(EVENT_END)
         whole = held[:end]
-        self._rest = held[end:]
+        self._remainder = held[end:]
         self.events += whole.count(EVENT_END)
         self._read_id(whole)
         return whole
@@ -39,13 +39,13 @@
                 self.last_id = line[len(ID_FIELD) :].strip()
                 return
 
-    def rest(self) -> bytes:
+    def remainder(self) -> bytes:
         """Give what follows the last whole event."""
-        return self._rest
+        return self._remainder
 
-    def drop_rest(self) -> None:
+    def discard_remainder(self) -> None:
         """Forget a broken event: another run follows."""
-        self._rest = b""
+        self._remainder = b""
 
 
 def data_lines(output: bytes) -> bytes:
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -30,9 +30,9 @@
         """Begin with an empty list."""
         self._clock = clock
         self._states: dict[str, ListedState] = {}
-        self._told_at = clock.seconds()
+        self._reported_at = clock.seconds()
 
-    def listed(self, engines: Mapping[str, Engine], gone: Collection[str]) -> None:
+    def listed(self, engines: Mapping[str, Engine], removed: Collection[str]) -> None:
         """Hear the list, and which engines are forgotten since the last one."""
         states = {
             id: ListedState(engine.is_draining, engine.cold_seconds > 0)
@@ -47,14 +47,14 @@
                 leaving=sum(state.is_draining for state in states.values()),
                 cold=sum(state.is_cold for state in states.values()),
                 added=sorted(states.keys() - self._states.keys()),
-                gone=sorted(gone),
-                seconds_since_last=round(now - self._told_at, 3),
+                gone=sorted(removed),
+                seconds_since_last=round(now - self._reported_at, 3),
             )
         )
-        self._states, self._told_at = states, now
+        self._states, self._reported_at = states, now
 
 
-def tell_drains(
+def report_drains(
     newer: DrainedZones, change: DrainChange | None, *, is_from_peer: bool = False
 ) -> None:
     """Tell that a set of drained zones was taken; `change` is None if it was too old."""
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -26,7 +26,7 @@
     leaving = max(drain_seconds - LEARNING_SECONDS, 0.0)
     has_last_resort = Mechanism.LAST_RESORT in mechanisms
     return PoolPolicy(
-        leaving_seconds=leaving if has_last_resort else 0.0,
+        last_resort_seconds=leaving if has_last_resort else 0.0,
         entry_seconds=entry_seconds,
         routing=RoutingPolicy(
             uses_kept_homes=Mechanism.KEPT_HOMES in mechanisms,
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from notcharch.calls.list_log import tell_drains
+from notcharch.calls.list_log import report_drains
 from notcharch.daemon.ports import DaemonPorts
 from notcharch.daemon.state_access import (
     COMMAND_TYPES,
@@ -151,7 +151,7 @@
         zones = frozenset(str(zone) for zone in self.table.drained_zones())
         drained = DrainedZones(zones, self.table.version)
         change = self.directory.drain_zones(drained, self.ports.clock.seconds())
-        tell_drains(drained, change)
+        report_drains(drained, change)
 
     def _carry_table_version(self, version: int) -> None:
         self.membership.set_digest(TABLE_DIGEST, version)
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -110,7 +110,7 @@
     def judges_keys(self, ahead_seconds: float = 0.0) -> bool:
         """Tell whether keys can be judged now, and for some seconds more, if need be."""
         router = self.router
-        return router is None or self._check.is_sure(router.table, ahead_seconds)
+        return router is None or self._check.can_check_keys(router.table, ahead_seconds)
 
     def handle(self, exchange: Exchange) -> None:
         """Begin the life of a call."""
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -246,7 +246,7 @@
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
             emit(ReadinessChanged(self._settings.machine, self.is_ready, self._cause()))
-        self._check.tell(self._ingress.judges_keys())
+        self._check.report_change(self._ingress.judges_keys())
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -9,7 +9,7 @@
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import Engine
-from notcharch.calls.list_log import EngineListLog, tell_drains
+from notcharch.calls.list_log import EngineListLog, report_drains
 from notcharch.calls.routing import Router
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, TableInForce
@@ -166,7 +166,7 @@
 
     def _take_drained(self, newer: DrainedZones, *, is_from_peer: bool = False) -> None:
         change = self._pool.drain_zones(newer)
-        tell_drains(newer, change, is_from_peer=is_from_peer)
+        report_drains(newer, change, is_from_peer=is_from_peer)
 
     def _quick_share(self) -> float:
         """Give the share of our reads of the table that are not held."""
@@ -192,7 +192,7 @@
             self._ingress.router = Router(table)
             self.table_text = value
             self._freshness.put_in_force(table.version)
-            self._pool.eligibility.take_limits(
+            self._pool.eligibility.set_cold_limits(
                 {name: service.cold for name, service in table.services.items()}
             )
             self._use_regions(table.resident_regions())
--- a/tests/stateful/cold/cold_machine.py
+++ b/tests/stateful/cold/cold_machine.py
@@ -44,7 +44,7 @@
         self._began = world.clock.seconds()
         self._view = tuple(sorted(world.lives))
         eligibility = EngineEligibility({}, ColdPolicy(TOLERANCE), self)
-        eligibility.take_limits({SERVICE: LIMIT})
+        eligibility.set_cold_limits({SERVICE: LIMIT})
         policy = PoolPolicy(entry_seconds=HEARTBEAT_SECONDS)
         self.pool = EnginePool(
             world.clock, Nearness("x"), Random(1), policy, eligibility=eligibility
@@ -120,8 +120,8 @@
         chosen = life.pool.choose(SERVICE, "", ())
         if chosen is None:
             return
-        life.pool.began(chosen.id)
-        life.pool.ended(chosen.id)
+        life.pool.call_started(chosen.id)
+        life.pool.call_ended(chosen.id)
         delay = self.random.uniform(0.0, MOST_CONNECT_SECONDS)
         self.clock.callLater(delay, self.arrive, chosen.id)
 
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -44,7 +44,7 @@
         self.eligibility = EngineEligibility()
 
     def drain_zones(self, newer):
-        return self.eligibility.take_drains(newer, (), 0.0)
+        return self.eligibility.update_drains(newer, (), 0.0)
 
     def replace(self, engines):
         return []
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -429,7 +429,7 @@
 def test_how_long_a_run_takes_is_learned_of_each_engine():
     world = World(is_stream=True, engines=("a",))
     for _ in range(3):
-        world.pool.began_answer("a", 0.1)
+        world.pool.first_event_received("a", 0.1)
     sent = world.sent[0]
     sent.begin()
     world.clock.advance(0.1)
@@ -444,5 +444,5 @@
 
 def test_the_speed_of_an_engine_that_answered_little_is_not_known():
     world = World(engines=("a",))
-    world.pool.began_answer("a", 0.1)
+    world.pool.first_event_received("a", 0.1)
     assert world.pool._states["a"].run_seconds is None
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -49,7 +49,7 @@
 def test_without_tenants_nothing_is_asked():
     checked = Checked(None, has_tenants=False)
     assert checked.refusal() is None
-    assert checked.check.is_sure(checked.table)
+    assert checked.check.can_check_keys(checked.table)
 
 
 @pytest.mark.parametrize("presented", [(), (b"unknown",), (b"k1", b"k1")])
@@ -74,6 +74,6 @@
     checked = Checked(6.0)
     with captured() as messages:
         for is_sure in (True, False, False, True, True):
-            checked.check.tell(is_sure)
+            checked.check.report_change(is_sure)
     told = of(messages, tenants.KeysUnsure)
     assert [message["is_sure"] for message in told] == [False, True]
--- a/tests/unit/calls/test_eligibility.py
+++ b/tests/unit/calls/test_eligibility.py
@@ -34,12 +34,12 @@
         eligibility = EngineEligibility(
             REGIONS, ColdPolicy(ColdTolerance(1.5, 5.0)), view
         )
-        eligibility.take_limits({SERVICE: LIMIT})
+        eligibility.set_cold_limits({SERVICE: LIMIT})
         self.pool = EnginePool(
             self.clock,
             Nearness("x"),
             Random(1),
-            PoolPolicy(leaving_seconds=0.0),
+            PoolPolicy(last_resort_seconds=0.0),
             eligibility=eligibility,
         )
         self.engines = [engine(f"e-{zone}", zone) for zone in zones]
@@ -105,7 +105,7 @@
 
 def test_engines_that_are_never_cold_come_back_at_once():
     world = World()
-    world.pool.eligibility.take_limits({})
+    world.pool.eligibility.set_cold_limits({})
     world.drain("x")
     world.drain()
     assert "e-x" in world.chosen()
@@ -125,7 +125,7 @@
     world = World("x")
     world.turn_cold("e-x")
     assert world.chosen() == {"e-x"}
-    world.pool.began("e-x")
+    world.pool.call_started("e-x")
     assert world.chosen() == set()
     none = world.pool.why_none(SERVICE)
     assert none.cause is Cause.COLD
@@ -171,7 +171,7 @@
     for _ in range(12):
         busy = world.pool.choose(SERVICE, "", (), "", allowed)
         if busy is not None:
-            world.pool.began(busy.id)
+            world.pool.call_started(busy.id)
     seen = {state.id for state in world.pool._states.values() if state.in_flight}
     assert seen == chosen
     home = world.pool.choose(SERVICE, "p", (), "e-z", allowed)
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -7,11 +7,11 @@
 from twisted.internet.task import Clock
 
 from notcharch.calls.engines import (
-    LEAVING_SECONDS,
+    LAST_RESORT_SECONDS,
     EnginePool,
     PoolPolicy,
 )
-from notcharch.calls.event_stream import EventCutter, data_lines
+from notcharch.calls.event_stream import EventFramer, data_lines
 from notcharch.calls.interface import Engine, OpaqueCall, Route, ServiceShare
 from notcharch.calls.routing import Router, RouteTable, service_of
 from notcharch.http.messages import RequestHead, end_to_end
@@ -92,9 +92,9 @@
 def test_a_kept_home_is_left_only_when_it_is_much_busier():
     made = pool(engine("near"), engine("far", zone="y"))
     for _ in range(KEPT_HOME_SLACK_CALLS):
-        made.began("far")
+        made.call_started("far")
     assert made.choose(SERVICE, "program", (), "far").id == "far"
-    made.began("far")
+    made.call_started("far")
     assert made.choose(SERVICE, "program", (), "far").id == "near"
     assert made.choose(SERVICE, "program", ("far",), "far").id == "near"
     assert made.choose(SERVICE, "program", (), "gone").id == "near"
@@ -108,7 +108,7 @@
 def test_a_busy_zone_hands_calls_to_others():
     made = pool(engine("near"), engine("far", zone="y"))
     for _ in range(HOME_SLACK_CALLS + 1):
-        made.began("near")
+        made.call_started("near")
     assert made.choose(SERVICE, "program", ()).id == "far"
 
 
@@ -122,14 +122,14 @@
     made = pool(*[engine(name) for name in "ab"])
     home = made.choose(SERVICE, "p", ()).id
     for _ in range(HOME_SLACK_CALLS + 1):
-        made.began(home)
+        made.call_started(home)
     assert made.choose(SERVICE, "p", ()).id != home
 
 
 def test_calls_without_a_home_go_to_the_least_busy_engine_of_the_own_zone():
     made = pool(engine("near"), engine("far", zone="y"))
     assert made.choose(SERVICE, "", ()).id == "near"
-    made.began("near")
+    made.call_started("near")
     assert made.choose(SERVICE, "", ()).id == "far"
 
 
@@ -137,7 +137,7 @@
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([engine("a"), engine("b")])
-    made.failed("a")
+    made.engine_failed("a")
     assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"b"}
     clock.advance(1.1)
     assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
@@ -148,26 +148,26 @@
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([engine("a"), engine("b")])
     for seconds in (1.0, 2.0, 4.0, 4.0):
-        made.failed("a")
+        made.engine_failed("a")
         clock.advance(seconds - 0.01)
         assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"b"}
         clock.advance(0.02)
         assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
-    made.began("a")
-    made.heard("a")
-    made.ended("a")
-    made.failed("a")
+    made.call_started("a")
+    made.response_received("a")
+    made.call_ended("a")
+    made.engine_failed("a")
     clock.advance(1.01)
     assert {made.choose(SERVICE, "", ()).id for _ in range(20)} == {"a", "b"}
 
 
 def served(made: EnginePool, clock: Clock, name: str, *gaps: float) -> None:
     """Let an engine serve a call whose events come after these pauses."""
-    made.began(name)
+    made.call_started(name)
     for gap in gaps:
         clock.advance(gap)
-        made.heard(name, gap)
-    made.ended(name)
+        made.response_received(name, gap)
+    made.call_ended(name)
 
 
 def test_an_engine_that_is_silent_for_longer_than_usual_is_passed_over():
@@ -177,12 +177,12 @@
     for _ in range(5):
         served(made, clock, "a", 0.3, 0.05)
         served(made, clock, "b", 0.3, 0.05)
-    made.began("a")
+    made.call_started("a")
     clock.advance(0.3 * SILENCE_FACTOR - 0.02)
     assert made.choose(SERVICE, "p", (), "a").id == "a"
     clock.advance(0.04)
     assert made.choose(SERVICE, "p", (), "a").id == "b"
-    made.heard("a")  # it is not silent any more
+    made.response_received("a")  # it is not silent any more
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
@@ -190,8 +190,8 @@
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([engine("a"), engine("b")])
-    made.began("a")
-    made.began("b")
+    made.call_started("a")
+    made.call_started("b")
     clock.advance(5.0)
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
@@ -203,7 +203,7 @@
     served(made, clock, "a", 0.1)
     clock.advance(20.0)
     assert made.choose(SERVICE, "p", (), "a").id == "a"
-    made.began("a")
+    made.call_started("a")
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
@@ -263,7 +263,7 @@
 
 def test_own_failures_are_told_and_what_is_told_only_gets_shorter():
     made, clock, suspicions = suspecting()
-    made.failed("b")
+    made.engine_failed("b")
     assert suspicions.tell(clock.seconds()) == (Suspicion("b", 1.0),)
     clock.advance(0.4)
     assert suspicions.tell(clock.seconds()) == (Suspicion("b", 0.6),)
@@ -290,7 +290,7 @@
 
 def test_a_failed_engine_is_better_than_none():
     made = pool(engine("a"))
-    made.failed("a")
+    made.engine_failed("a")
     assert made.choose(SERVICE, "", ()).id == "a"
 
 
@@ -325,14 +325,14 @@
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([leaving("a")])
     assert made.choose(SERVICE, "p", ()).id == "a"
-    clock.advance(LEAVING_SECONDS + 0.01)
+    clock.advance(LAST_RESORT_SECONDS + 0.01)
     made.replace([leaving("a")])
     assert made.choose(SERVICE, "p", ()) is None
 
 
 def test_engines_that_leave_get_nothing_where_leaving_is_quick():
     made = EnginePool(
-        Clock(), Nearness("z"), Random(1), PoolPolicy(leaving_seconds=0.0)
+        Clock(), Nearness("z"), Random(1), PoolPolicy(last_resort_seconds=0.0)
     )
     made.replace([leaving("a")])
     assert made.choose(SERVICE, "p", ()) is None
@@ -361,13 +361,13 @@
 def test_events_are_cut_at_their_ends_in_any_pieces():
     text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
     for size in range(1, 9):
-        cutter = EventCutter()
+        framer = EventFramer()
         given = b"".join(
-            cutter.take(text[at : at + size]) for at in range(0, len(text), size)
+            framer.feed(text[at : at + size]) for at in range(0, len(text), size)
         )
         assert given == text[: text.rindex(b"id: 3")]
-        assert (cutter.events, cutter.last_id) == (2, b"2")
-        assert cutter.rest() == b"id: 3\nda"
+        assert (framer.events, framer.last_id) == (2, b"2")
+        assert framer.remainder() == b"id: 3\nda"
 
 
 def test_the_data_of_events_is_taken_line_by_line():
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -78,7 +78,7 @@
         return []
 
     def drain_zones(self, newer):
-        return self.eligibility.take_drains(newer, (), 0.0)
+        return self.eligibility.update_drains(newer, (), 0.0)
 
     def forget(self, engine_id):
         self.forgotten.append(engine_id)
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 
 from emulator.services.partitioned_log import PartitionedLog, Trouble
-from notcharch.calls.engines import LEAVING_SECONDS, EnginePool
+from notcharch.calls.engines import LAST_RESORT_SECONDS, EnginePool
 from notcharch.journal.keyed_follower import join_keyed
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.store import CALL_SECONDS
@@ -126,7 +126,7 @@
     world.log.trouble = Trouble.NONE
     world.run(1.5)
     world.write("b")
-    world.run(LEAVING_SECONDS + 0.6)
+    world.run(LAST_RESORT_SECONDS + 0.6)
     assert world.takes_calls("b")
     assert not world.takes_calls("a")
 
@@ -143,7 +143,7 @@
     world.write("b", state="draining")
     world.run(1.0)
     world.log.trouble = Trouble.REFUSE
-    world.run(LEAVING_SECONDS)
+    world.run(LAST_RESORT_SECONDS)
     assert not world.takes_calls("b")
     world.lapse("b")
     world.log.trouble = Trouble.NONE
@@ -242,7 +242,7 @@
 
 def test_a_cold_engine_is_cold_for_as_long_as_its_newest_entry_says():
     world = World()
-    world.tables._pool.eligibility.take_limits({SERVICE: ColdLimit(3.0, 25.0)})
+    world.tables._pool.eligibility.set_cold_limits({SERVICE: ColdLimit(3.0, 25.0)})
     world.write("a", cold_remaining_ms=3000)
     world.run(0.6)
     assert not world.takes_calls("a")
--- a/tests/unit/settings/test_mechanisms.py
+++ b/tests/unit/settings/test_mechanisms.py
@@ -62,7 +62,7 @@
 def test_silence(without, is_left):
     clock = Clock()
     made = pool(without, clock)
-    made.began("a")
+    made.call_started("a")
     clock.advance(5.0)
     assert (made.choose(SERVICE, "p", (), "a").id != "a") is is_left
 
@@ -72,10 +72,10 @@
     clock = Clock()
     made = pool(without, clock)
     for name, gap in (("a", 0.2), ("b", 0.02), ("far", 0.02)):
-        made.began(name)
+        made.call_started(name)
         clock.advance(gap)
-        made.heard(name, gap)
-        made.ended(name)
+        made.response_received(name, gap)
+        made.call_ended(name)
     assert (made.choose(SERVICE, "p", (), "a").id != "a") is is_left
 
 
