Rename the choice of engines to affinity keys and cached engines

home_key is affinity_key, a kept home is cached_engine, EngineStanding is EngineStatus, open is accepting, NobodyElse is NoPeers, and engines whose entries are doubted are suspected.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -18,7 +18,7 @@
 )
 from notcharch.calls.refusals import refusal_without_engine
 from notcharch.calls.reply import Reply
-from notcharch.calls.routing import home_key_of
+from notcharch.calls.routing import affinity_key_of
 from notcharch.http.messages import ResponseHead
 
 LEAST_SECONDS = 0.02
@@ -138,7 +138,7 @@
             return
         engine = self._services.pool.choose(
             self._service,
-            home_key_of(self._route, self.call),
+            affinity_key_of(self._route, self.call),
             self._tried,
             self._cached_engine,
             self.call.regions,
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -24,7 +24,7 @@
 NEVER_COLD = ColdLimit()
 
 
-class EngineStanding(Protocol):
+class EngineStatus(Protocol):
     """An engine as the pool keeps it."""
 
     @property
@@ -36,7 +36,7 @@
         """How long it is cold."""
 
 
-Standing = TypeVar("Standing", bound=EngineStanding)
+Status = TypeVar("Status", bound=EngineStatus)
 
 
 class Cause(enum.Enum):
@@ -56,7 +56,7 @@
     """Until that is expected to change; None if nothing is known of it."""
 
 
-class NobodyElse:
+class NoPeers:
     """The view of a daemon that doesn't know who else there is."""
 
     own = ""
@@ -81,7 +81,7 @@
     ) -> None:
         """`region_of` gives the region of each zone; `daemons` share cold engines."""
         self._region_of = region_of or {}
-        self._cold = ColdEngines(cold or ColdPolicy(), daemons or NobodyElse())
+        self._cold = ColdEngines(cold or ColdPolicy(), daemons or NoPeers())
         self._limits: dict[str, ColdLimit] = {}
         self.drains = ZoneDrains()
 
@@ -93,7 +93,7 @@
         self._cold.forget_parts()
 
     def update_drains(
-        self, newer: DrainedZones, states: Iterable[EngineStanding], now: float
+        self, newer: DrainedZones, states: Iterable[EngineStatus], now: float
     ) -> DrainChange | None:
         """Take a set of drained zones; None if it is older than the one known.
 
@@ -129,8 +129,8 @@
         return not self.drains.is_drained(engine.zone)
 
     def allowed(
-        self, states: Sequence[Standing], regions: frozenset[str] | None
-    ) -> Sequence[Standing]:
+        self, states: Sequence[Status], regions: frozenset[str] | None
+    ) -> Sequence[Status]:
         """Leave out the engines of drained zones and of other regions."""
         if regions is None and not self.drains.current.zones:
             return states
@@ -141,9 +141,9 @@
             and allows_zone(regions, state.engine.zone, self._region_of)
         ]
 
-    def open(
-        self, service: str, states: Sequence[Standing], now: float
-    ) -> Sequence[Standing]:
+    def accepting(
+        self, service: str, states: Sequence[Status], now: float
+    ) -> Sequence[Status]:
         """Leave out cold engines, but where too few are warm those that we may feed."""
         if not self._limit(service).is_any:
             return states
@@ -151,9 +151,9 @@
         if len(warm) == len(states) or len(warm) >= WARM_SHARE * len(states):
             return warm
         cold = (state for state in states if state.warmth.is_cold(now))
-        return warm + [state for state in cold if self._room_in(state, now) == 0.0]
+        return warm + [state for state in cold if self._capacity_in(state, now) == 0.0]
 
-    def _room_in(self, state: EngineStanding, now: float) -> float | None:
+    def _capacity_in(self, state: EngineStatus, now: float) -> float | None:
         engine = state.engine
         return self._cold.room_in(
             engine.id,
@@ -166,7 +166,7 @@
 
     def why_none(
         self,
-        listed: Sequence[EngineStanding],
+        listed: Sequence[EngineStatus],
         regions: frozenset[str] | None,
         now: float,
     ) -> NoEngine:
@@ -185,11 +185,11 @@
             zones = {state.engine.zone for state in resident}
             return NoEngine(Cause.DRAINED, self.drains.seconds(zones, now))
         if all(state.warmth.is_cold(now) for state in staying):
-            return NoEngine(Cause.COLD, min(self._open_in(s, now) for s in staying))
+            return NoEngine(Cause.COLD, min(self._accepts_in(s, now) for s in staying))
         return NoEngine(Cause.NONE_LISTED)
 
-    def _open_in(self, state: EngineStanding, now: float) -> float:
+    def _accepts_in(self, state: EngineStatus, now: float) -> float:
         """Give the seconds until a cold engine takes a call of ours."""
         warm_in = state.warmth.cold_until - now
-        room_in = self._room_in(state, now)
-        return warm_in if room_in is None else min(warm_in, room_in)
+        capacity_in = self._capacity_in(state, now)
+        return warm_in if capacity_in is None else min(warm_in, capacity_in)
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -124,7 +124,7 @@
             if id not in listed and self._is_last_resort(state, now):
                 states[id] = state
         if is_first_list:
-            self._doubt_entries(states.values(), now)
+            self._suspect_entries(states.values(), now)
         forgotten = [id for id in self._states if id not in states]
         for id in forgotten:
             self.eligibility.forget(id)
@@ -137,7 +137,7 @@
             self._service(service).begin([state.health for state in members])
         return forgotten
 
-    def _doubt_entries(self, states: Iterable[EngineState], now: float) -> None:
+    def _suspect_entries(self, states: Iterable[EngineState], now: float) -> None:
         """Count engines as perhaps cold that may have turned so since they wrote.
 
         A daemon that has just started doesn't know which zones were given back lately.
@@ -192,14 +192,14 @@
     def choose(
         self,
         service: str,
-        home_key: str,
+        affinity_key: str,
         tried: Collection[str],
-        home: str = "",
+        cached_engine: str = "",
         regions: frozenset[str] | None = None,
     ) -> Engine | None:
         """Give the engine for a call; None if no untried one takes work.
 
-        `home_key` names what the calls share whose prefix an engine may keep; `home`
+        `affinity_key` names what the calls share whose prefix an engine may keep; `cached_engine`
         is the engine that has the prefix already, if one is known to; `regions` are
         those in which the call may be served, None if all.
         """
@@ -209,15 +209,19 @@
             for state in self._candidates(service, now, regions)
             if state.engine.id not in tried
         ]
-        states = self.eligibility.open(service, untried, now)
+        states = self.eligibility.accepting(service, untried, now)
         if not states:
             return None
-        slow_pace = self._service(service).slow_pace_seconds(now)
+        slow_event_seconds = self._service(service).slow_pace_seconds(now)
         sound = [
-            state for state in states if not state.health.is_suspect(now, slow_pace)
+            state
+            for state in states
+            if not state.health.is_suspect(now, slow_event_seconds)
         ]
         options = self._unsuspected(sound or states, now)
-        return self._routing.choose(options, CallRouting(home_key, home)).engine
+        return self._routing.choose(
+            options, CallRouting(affinity_key, cached_engine)
+        ).engine
 
     def why_none(self, service: str, regions: frozenset[str] | None = None) -> NoEngine:
         """Say why no engine of a service takes a call, and for how long."""
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -73,7 +73,7 @@
     return route.shares[-1].service
 
 
-def home_key_of(route: Route, call: OpaqueCall) -> str:
+def affinity_key_of(route: Route, call: OpaqueCall) -> str:
     """Give what calls share whose prefix, or object, one engine should keep."""
     if call.program:
         return call.program if route.is_stream else ""
--- a/tests/stateful/cold/test_cold_machine.py
+++ b/tests/stateful/cold/test_cold_machine.py
@@ -78,12 +78,12 @@
 
 
 def a_new_life_believes_old_entries(monkeypatch):
-    monkeypatch.setattr(EnginePool, "_doubt_entries", lambda *_: None)
+    monkeypatch.setattr(EnginePool, "_suspect_entries", lambda *_: None)
 
 
 def cold_engines_are_like_warm_ones(monkeypatch):
     monkeypatch.setattr(
-        EngineEligibility, "open", lambda self, service, states, now: states
+        EngineEligibility, "accepting", lambda self, service, states, now: states
     )
 
 
