--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -295,7 +295,7 @@
             self._ticket.interrupted(0)
         self._over()
         self._log.served(head.status)
-        self._reply.whole(head, body)
+        self._reply.respond(head, body)
 
     def _refuse(self, refusal: Refusal) -> None:
         """End without an engine's answer."""
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -173,7 +173,7 @@
 
 def test_the_engine_of_a_caller_who_left_is_cut_off():
     world = World()
-    world.reply.gone()
+    world.reply.disconnect()
     assert world.sent[0].is_abandoned
     assert world.reply.end == ""
 
@@ -386,7 +386,7 @@
     admission.admit()
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE + TWO)
-    world.reply.gone()
+    world.reply.disconnect()
     assert admission.heard == ["broke off after 2"]
 
 
@@ -402,7 +402,7 @@
 def test_a_caller_who_left_is_not_waited_for():
     world, admission = held()
     assert admission.listener.awaits_admission
-    world.reply.gone()
+    world.reply.disconnect()
     assert not admission.listener.awaits_admission
 
 
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -113,10 +113,10 @@
         self.data = b""
         self.end = ""
         self.refusal: Refusal | None = None
-        self.gone = None
+        self.disconnect = None
 
     def on_disconnect(self, callback):
-        self.gone = callback
+        self.disconnect = callback
 
     def begin(self, head):
         assert self.head is None
@@ -128,7 +128,7 @@
     def finish(self):
         self._over("finished")
 
-    def whole(self, head, body):
+    def respond(self, head, body):
         self.head = head
         self.data = body
         self._over("whole")
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -30,7 +30,7 @@
         broken.sent[0].begin()
         broken.sent[0].listener.data_received(b"id: 1\ndata: a\n\n")
         broken.sent[0].listener.failed(ResponseFailure.RESET)
-        CallWorld().reply.gone()
+        CallWorld().reply.disconnect()
         again = CallWorld()
         again.sent[0].refuse()
     assert refused.reply.end == "refused"
