Rename the callbacks of runs, senders and the call log

RunListener has run_started, run_data_received, run_cancelled, run_rejected, run_completed and should_abandon; Reply.respond is send_response. LEAST_ and MOST_ are MIN_ and MAX_, left is seconds_left or remaining, whole events are complete events, a withdrawn send is cancelled, kept connections are released and reused, and a call is retried, interrupted or ended.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -21,14 +21,14 @@
 from notcharch.calls.routing import affinity_key_of
 from notcharch.http.messages import ResponseHead
 
-LEAST_SECONDS = 0.02
+MIN_SEND_SECONDS = 0.02
 """With less time left a call isn't sent any more."""
-MOST_SENDS = 4
+MAX_SENDS = 4
 """A call is offered to so many engines, counting those that refused it."""
 SERVER_ERRORS = 500
 
 UNREACHABLE = "unreachable"
-WITHDRAWN = "its engine takes no calls any more"
+DRAINED = "its engine takes no calls any more"
 NOT_RUN = "not run"
 NOT_GENUINE = "a success without a seal"
 SERVER_ERROR = "an error of the engine"
@@ -40,7 +40,7 @@
 
     ADMISSION = "admission"
     AT_ENGINE = "at engine"
-    SETTLING = "settling"
+    COMPLETING = "settling"
     OVER = "over"
 
 
@@ -73,7 +73,7 @@
         self._framer = EventFramer()
         self._is_relaying = False
         """Whether the caller has the head of a stream."""
-        self._unshown_head: ResponseHead | None = None
+        self._pending_head: ResponseHead | None = None
         """That of a stream that has no whole event yet.
 
         It is shown with the first event: until then a run that fails, or is given up,
@@ -92,9 +92,9 @@
     def start(self) -> None:
         """Ask for admission."""
         clock = self._services.clock
-        left = max(self._deadline - clock.seconds(), 0.0)
-        self._timer = clock.callLater(left, self._expire)
-        self._reply.on_disconnect(self._caller_left)
+        seconds_left = max(self._deadline - clock.seconds(), 0.0)
+        self._timer = clock.callLater(seconds_left, self._expire)
+        self._reply.on_disconnect(self._caller_disconnected)
         self._services.admission.request(self.call, self._route, self)
 
     # Admission
@@ -107,7 +107,7 @@
     @property
     def is_caller_waiting(self) -> bool:
         """Whether the caller waits for the end."""
-        return self._phase is Phase.SETTLING
+        return self._phase is Phase.COMPLETING
 
     def admitted(self, ticket: Ticket, body: bytes) -> None:
         """Go on to an engine."""
@@ -132,8 +132,8 @@
         return self._ticket.cached_engine if self._ticket is not None else ""
 
     def _dispatch(self) -> None:
-        left = self._deadline - self._services.clock.seconds()
-        if left < LEAST_SECONDS:
+        seconds_left = self._deadline - self._services.clock.seconds()
+        if seconds_left < MIN_SEND_SECONDS:
             self._refuse(TIMED_OUT if self._log.runs else NO_ENGINE)
             return
         engine = self._services.pool.choose(
@@ -143,25 +143,25 @@
             self._cached_engine,
             self.call.regions,
         )
-        if engine is None or len(self._tried) >= MOST_SENDS:
-            self._give_up()
+        if engine is None or len(self._tried) >= MAX_SENDS:
+            self._end_without_engine()
             return
         self._tried.add(engine.id)
         self._log.engines.append(engine.id)
         self._run = EngineRun(
             self._services, self.call, self._route, engine, self, log=self._log
         )
-        self._run.send(self._body, int(left * 1000))
+        self._run.send(self._body, int(seconds_left * 1000))
 
-    def _send_again(self, cause: str) -> None:
+    def _retry(self, cause: str) -> None:
         self._cause = cause
-        self._log.sent_again(cause)
+        self._log.retried(cause)
         self._dispatch()
 
-    def _give_up(self) -> None:
+    def _end_without_engine(self) -> None:
         """No engine is left to try."""
         if self._is_relaying:
-            self._break_off(self._cause)
+            self._interrupt(self._cause)
         elif self._log.runs:
             self._refuse(MAY_HAVE_RUN)
         else:
@@ -170,94 +170,94 @@
             now = services.clock.seconds()
             self._refuse(refusal_without_engine(none, self.call, now))
 
-    def run_began(self, head: ResponseHead) -> None:
+    def run_started(self, head: ResponseHead) -> None:
         """Keep the head of the caller's stream, unless an earlier run gave it."""
         if self._ticket is not None and self._run is not None:
             self._ticket.engine_started(self._run.engine.id)
         if not self._is_relaying:
-            self._unshown_head = head
+            self._pending_head = head
 
-    def _show_head(self) -> None:
+    def _relay_head(self) -> None:
         """Begin the caller's stream, if it has not begun."""
-        head, self._unshown_head = self._unshown_head, None
+        head, self._pending_head = self._pending_head, None
         if head is not None:
             self._is_relaying = True
             self._reply.begin(head)
 
-    def run_gave(self, data: bytes) -> bool:
+    def run_data_received(self, data: bytes) -> bool:
         """Relay whole events; tell whether there were any."""
-        whole = self._framer.feed(data)
-        if whole:
-            self._show_head()
-            self._log.gave(self._framer.events)
+        complete_events = self._framer.feed(data)
+        if complete_events:
+            self._relay_head()
+            self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
-                self._output.append(whole)
-            self._reply.write(whole)
-        return bool(whole)
+                self._output.append(complete_events)
+            self._reply.write(complete_events)
+        return bool(complete_events)
 
     def run_unreachable(self) -> None:
         """Try another engine: nothing was sent."""
         self._run = None
-        self._send_again(UNREACHABLE)
+        self._retry(UNREACHABLE)
 
-    def run_was_withdrawn(self) -> None:
+    def run_cancelled(self) -> None:
         """Choose anew: the engine was drained before anything was sent."""
         self._run = None
-        self._send_again(WITHDRAWN)
+        self._retry(DRAINED)
 
-    def run_was_refused(self, head: ResponseHead) -> None:
+    def run_rejected(self, head: ResponseHead) -> None:
         """Try another engine: this one did not run the call."""
         self._run = None
-        self._send_again(f"{NOT_RUN}: {head.status}")
+        self._retry(f"{NOT_RUN}: {head.status}")
 
-    def run_ended(self, head: ResponseHead, body: bytes) -> None:
+    def run_completed(self, head: ResponseHead, body: bytes) -> None:
         """Decide what becomes of a whole answer."""
         self._run = None
         self._log.runs += 1
         self._status = head.status
         is_success = head.status < CLIENT_ERRORS
         if is_success and not self._services.dialect.is_genuine(head):
-            self._failed_run(NOT_GENUINE)
-        elif is_success and (self._is_relaying or self._unshown_head is not None):
-            self._settle_stream()
+            self._retry_or_end(NOT_GENUINE)
+        elif is_success and (self._is_relaying or self._pending_head is not None):
+            self._complete_stream()
         elif self._is_relaying:
-            self._failed_run(f"{SERVER_ERROR}: {head.status}")
+            self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
         elif head.status >= SERVER_ERRORS and self._may_run_again():
-            self._send_again(f"{SERVER_ERROR}: {head.status}")
+            self._retry(f"{SERVER_ERROR}: {head.status}")
         else:
-            self._finish_answer(head, body)
+            self._relay_response(head, body)
 
     def run_failed(self, cause: str) -> None:
         """Run again if the route allows it; the call may have run."""
         self._run = None
         self._log.runs += 1
-        self._failed_run(cause)
+        self._retry_or_end(cause)
 
-    def may_give_up(self) -> bool:
+    def should_abandon(self) -> bool:
         """Tell whether to give up an overdue answer.
 
         A call with a run left is tried again. A stream that may run once is given up
         for its caller to ask anew while there is time. Others are waited for.
         """
-        return self._route.is_stream or self._may_run_times(self._log.runs + 2)
+        return self._route.is_stream or self._allows_runs(self._log.runs + 2)
 
     def _may_run_again(self) -> bool:
         """Tell whether another run is allowed, after those that may have been."""
-        return self._may_run_times(self._log.runs + 1)
+        return self._allows_runs(self._log.runs + 1)
 
-    def _may_run_times(self, runs: int) -> bool:
+    def _allows_runs(self, runs: int) -> bool:
         route = self._route
         is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
         return is_safe and runs <= route.max_engines
 
-    def _failed_run(self, cause: str) -> None:
-        self._unshown_head = None
+    def _retry_or_end(self, cause: str) -> None:
+        self._pending_head = None
         if not self._may_run_again():
             self._cause = cause
-            self._give_up()
+            self._end_without_engine()
             return
         self._resume_after_last_event()
-        self._send_again(cause)
+        self._retry(cause)
 
     def _resume_after_last_event(self) -> None:
         self._framer.discard_remainder()
@@ -266,64 +266,64 @@
 
     # The end
 
-    def _settle_stream(self) -> None:
+    def _complete_stream(self) -> None:
         """Make the outcome durable, then show the end."""
-        self._phase = Phase.SETTLING
+        self._phase = Phase.COMPLETING
         assert self._ticket is not None
         output = b"".join(self._output) + self._framer.remainder()
         self._ticket.completed(output, self._framer.events, self)
 
     def durable(self) -> None:
         """Show the end of the stream."""
-        if self._phase is not Phase.SETTLING:
+        if self._phase is not Phase.COMPLETING:
             return
-        self._show_head()
-        rest = self._framer.remainder()
-        if rest:
-            self._reply.write(rest)
-        self._over()
+        self._relay_head()
+        remainder = self._framer.remainder()
+        if remainder:
+            self._reply.write(remainder)
+        self._end()
         self._log.served(self._status)
         self._reply.finish()
 
     def not_durable(self) -> None:
         """Break the stream off: its outcome could not be made durable."""
-        if self._phase is Phase.SETTLING:
-            self._break_off(NOT_DURABLE)
+        if self._phase is Phase.COMPLETING:
+            self._interrupt(NOT_DURABLE)
 
-    def _finish_answer(self, head: ResponseHead, body: bytes) -> None:
+    def _relay_response(self, head: ResponseHead, body: bytes) -> None:
         if self._ticket is not None:
             self._ticket.interrupted(0)
-        self._over()
+        self._end()
         self._log.served(head.status)
-        self._reply.respond(head, body)
+        self._reply.send_response(head, body)
 
     def _refuse(self, refusal: Refusal) -> None:
         """End without an engine's answer."""
         if self._is_relaying:
-            self._break_off(refusal.reason)
+            self._interrupt(refusal.reason)
             return
-        self._tell_ticket()
-        known = self._services.pool.count(self._service)
-        self._log.refused(refusal, self._phase.value, known)
-        self._over()
+        self._close_ticket()
+        engines_known = self._services.pool.count(self._service)
+        self._log.refused(refusal, self._phase.value, engines_known)
+        self._end()
         self._reply.refuse(refusal)
 
-    def _break_off(self, cause: str) -> None:
-        self._tell_ticket()
-        self._log.broken_off(self._phase.value, cause)
-        self._over()
+    def _interrupt(self, cause: str) -> None:
+        self._close_ticket()
+        self._log.interrupted(self._phase.value, cause)
+        self._end()
         self._reply.abort()
 
-    def _tell_ticket(self) -> None:
+    def _close_ticket(self) -> None:
         """Say what is known of the runs of a call that has no whole answer."""
-        if self._ticket is None or self._phase is Phase.SETTLING:
+        if self._ticket is None or self._phase is Phase.COMPLETING:
             return
         if self._log.runs or self._run is not None:
             self._ticket.interrupted(self._framer.events)
         else:
             self._ticket.never_ran()
 
-    def _over(self) -> None:
+    def _end(self) -> None:
         self._phase = Phase.OVER
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -335,15 +335,15 @@
         """Say at once that the time of the call is over."""
         if self._phase is Phase.ADMISSION:
             self._refuse(NO_ENGINE)
-        elif self._phase is Phase.SETTLING:
+        elif self._phase is Phase.COMPLETING:
             self.not_durable()
         elif self._phase is Phase.AT_ENGINE:
             self._refuse(TIMED_OUT)
 
-    def _caller_left(self) -> None:
+    def _caller_disconnected(self) -> None:
         """Stop the engine's work for a caller who is gone."""
         if self._phase is Phase.OVER:
             return
-        self._tell_ticket()
-        self._log.caller_left(self._phase.value)
-        self._over()
+        self._close_ticket()
+        self._log.caller_disconnected(self._phase.value)
+        self._end()
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -6,9 +6,9 @@
 from notcharch.calls.metrics import (
     ADMISSION_SECONDS,
     CALLS,
+    COMPLETE_RESPONSE_SECONDS,
     FIRST_EVENT_SECONDS,
-    SENT_AGAIN,
-    WHOLE_SECONDS,
+    RETRIES,
 )
 from notcharch.events.calls import (
     AnswerOverdue,
@@ -44,7 +44,7 @@
         return round(self._clock.seconds() - self._call.arrived, 4)
 
     @property
-    def _left(self) -> float:
+    def _seconds_left(self) -> float:
         return round(self.deadline - self._clock.seconds(), 4)
 
     @property
@@ -56,13 +56,13 @@
         self.admission_seconds = self._seconds
         ADMISSION_SECONDS.observe(self.admission_seconds)
 
-    def gave(self, events: int) -> None:
+    def events_relayed(self, events: int) -> None:
         """Note how many events the caller was given."""
         if not self.events:
             FIRST_EVENT_SECONDS.observe(self._seconds)
         self.events = events
 
-    def overdue(self, limit_seconds: float, *, is_given_up: bool) -> None:
+    def overdue(self, limit_seconds: float, *, is_abandoned: bool) -> None:
         """Tell that the present run's first answer is overdue."""
         call = self._call
         emit(
@@ -73,14 +73,14 @@
                 engine=self._engine,
                 waited_seconds=self._seconds,
                 limit_seconds=round(limit_seconds, 3),
-                is_given_up=is_given_up,
+                is_given_up=is_abandoned,
             )
         )
 
     def served(self, status: int) -> None:
         """Tell that the caller has an engine's whole answer."""
         CALLS.labels("served", "").inc()
-        WHOLE_SECONDS.observe(self._seconds)
+        COMPLETE_RESPONSE_SECONDS.observe(self._seconds)
         emit(
             CallServed(
                 request=self._call.id,
@@ -113,13 +113,13 @@
                 runs=self.runs,
                 engines_known=engines_known,
                 seconds=self._seconds,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def sent_again(self, cause: str) -> None:
+    def retried(self, cause: str) -> None:
         """Tell why another engine is looked for."""
-        SENT_AGAIN.inc()
+        RETRIES.inc()
         emit(
             CallSentAgain(
                 request=self._call.id,
@@ -128,11 +128,11 @@
                 cause=cause,
                 runs=self.runs,
                 events=self.events,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def broken_off(self, phase: str, cause: str) -> None:
+    def interrupted(self, phase: str, cause: str) -> None:
         """Tell of a stream that was cut."""
         CALLS.labels("broken off", phase).inc()
         emit(
@@ -146,11 +146,11 @@
                 runs=self.runs,
                 events=self.events,
                 seconds=self._seconds,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def caller_left(self, phase: str) -> None:
+    def caller_disconnected(self, phase: str) -> None:
         """Tell that nobody waits any more."""
         CALLS.labels("caller left", phase).inc()
         emit(
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -17,7 +17,7 @@
 from notcharch.scheduling.residence import allows_zone
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones, ZoneDrains
 
-WARM_SHARE = 2 / 3
+MIN_WARM_SHARE = 2 / 3
 """While so many of the engines that may serve a call are warm, cold ones wait until they
 are: with a third of the engines gone, the others have a half more work, and their slots
 are 40% full on a calm day."""
@@ -148,7 +148,7 @@
         if not self._limit(service).is_any:
             return states
         warm = [state for state in states if not state.warmth.is_cold(now)]
-        if len(warm) == len(states) or len(warm) >= WARM_SHARE * len(states):
+        if len(warm) == len(states) or len(warm) >= MIN_WARM_SHARE * len(states):
             return warm
         cold = (state for state in states if state.warmth.is_cold(now))
         return warm + [state for state in cold if self._capacity_in(state, now) == 0.0]
@@ -180,12 +180,14 @@
         ]
         if not resident:
             return NoEngine(Cause.NO_REGION)
-        staying = [state for state in resident if self.takes_calls(state.engine)]
-        if not staying:
+        undrained = [state for state in resident if self.takes_calls(state.engine)]
+        if not undrained:
             zones = {state.engine.zone for state in resident}
             return NoEngine(Cause.DRAINED, self.drains.seconds(zones, now))
-        if all(state.warmth.is_cold(now) for state in staying):
-            return NoEngine(Cause.COLD, min(self._accepts_in(s, now) for s in staying))
+        if all(state.warmth.is_cold(now) for state in undrained):
+            return NoEngine(
+                Cause.COLD, min(self._accepts_in(s, now) for s in undrained)
+            )
         return NoEngine(Cause.NONE_LISTED)
 
     def _accepts_in(self, state: EngineStatus, now: float) -> float:
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -38,28 +38,28 @@
 class RunListener(Protocol):
     """What hears of a run. After each method but the first two the run is over."""
 
-    def run_began(self, head: ResponseHead) -> None:
+    def run_started(self, head: ResponseHead) -> None:
         """Hear the head of a stream that succeeds so far."""
 
-    def run_gave(self, data: bytes) -> bool:
+    def run_data_received(self, data: bytes) -> bool:
         """Take bytes of such a stream; tell whether an event became whole."""
 
     def run_unreachable(self) -> None:
         """Hear that no connection was made: nothing was sent."""
 
-    def run_was_withdrawn(self) -> None:
+    def run_cancelled(self) -> None:
         """Hear that the engine must get no call any more: nothing was sent."""
 
-    def run_was_refused(self, head: ResponseHead) -> None:
+    def run_rejected(self, head: ResponseHead) -> None:
         """Hear that the engine certainly did not run the call."""
 
-    def run_ended(self, head: ResponseHead, body: bytes) -> None:
+    def run_completed(self, head: ResponseHead, body: bytes) -> None:
         """Hear a whole answer; `body` is that of an answer that is no stream."""
 
     def run_failed(self, cause: str) -> None:
         """Hear that the answer broke off, or was given up; it may have run."""
 
-    def may_give_up(self) -> bool:
+    def should_abandon(self) -> bool:
         """Tell whether it helps to give up an answer that is overdue."""
 
 
@@ -85,10 +85,10 @@
         self._log = log
         self._sending: Sending | None = None
         self._head: ResponseHead | None = None
-        self._pieces: list[bytes] = []
-        self._is_relayed = False
+        self._chunks: list[bytes] = []
+        self._is_relaying = False
         """Whether the events go to the caller."""
-        self._event_at: float | None = None
+        self._last_event_at: float | None = None
         """When the last event came, clock seconds."""
         self._sent_at = 0.0
         self._events = 0
@@ -97,10 +97,10 @@
             services.clock, services.waits, route.name, self._is_overdue
         )
 
-    def send(self, body: bytes, milliseconds_left: int) -> None:
+    def send(self, body: bytes, remaining_ms: int) -> None:
         """Send the call with a body."""
         services = self._services
-        head = services.dialect.request(self._call, self.engine, milliseconds_left)
+        head = services.dialect.request(self._call, self.engine, remaining_ms)
         services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
         self._overdue.sent()
@@ -110,9 +110,9 @@
         """End the run: the engine sees its connection cut."""
         if self._sending is not None:
             self._sending.abandon()
-        self._leave()
+        self._finish()
 
-    def _leave(self) -> None:
+    def _finish(self) -> None:
         self._overdue.stop()
         self._services.pool.call_ended(self.engine.id)
 
@@ -120,14 +120,14 @@
         """Pass the engine over; where it is silent, so are its other connections."""
         is_silent = self._services.pool.engine_failed(self.engine.id)
         if is_silent:
-            self._services.sender.forget(self.engine.id)
+            self._services.sender.close_idle(self.engine.id)
 
     def _is_overdue(self) -> None:
         """Pass the engine over; give the run up where that helps."""
         self._services.pool.engine_failed(self.engine.id)
-        gives_up = self._listener.may_give_up() and self._overdue.take_retry()
-        self._log.overdue(self._overdue.limit_seconds, is_given_up=gives_up)
-        if gives_up:
+        abandons = self._listener.should_abandon() and self._overdue.take_retry()
+        self._log.overdue(self._overdue.limit_seconds, is_abandoned=abandons)
+        if abandons:
             self.abandon()
             self._listener.run_failed(OVERDUE)
 
@@ -136,17 +136,17 @@
     def unreachable(self) -> None:
         """Hear that no connection was made."""
         self._engine_failed()
-        self._leave()
+        self._finish()
         self._listener.run_unreachable()
 
     def may_send(self) -> bool:
         """Tell whether the engine may still get the call, now that it is connected."""
         return self._services.pool.takes_calls(self.engine.id)
 
-    def withdrawn(self) -> None:
+    def cancelled(self) -> None:
         """Hear that the call was not sent because it may not be any more."""
-        self._leave()
-        self._listener.run_was_withdrawn()
+        self._finish()
+        self._listener.run_cancelled()
 
     def is_response(self, head: ResponseHead) -> bool:
         """Tell whether an answer is to this call."""
@@ -157,30 +157,30 @@
         self._head = head
         self._services.pool.response_received(self.engine.id)
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
-            self._overdue.answered()
+            self._overdue.first_response_received()
             return
         if self._services.dialect.is_genuine(head):
-            self._is_relayed = True
-            self._listener.run_began(head)
+            self._is_relaying = True
+            self._listener.run_started(head)
 
     def data_received(self, data: bytes) -> None:
         """Relay events, or keep the bytes."""
-        if not self._is_relayed:
-            self._pieces.append(data)
-        elif self._listener.run_gave(data):
-            self._note_pace()
+        if not self._is_relaying:
+            self._chunks.append(data)
+        elif self._listener.run_data_received(data):
+            self._record_event()
 
-    def _note_pace(self) -> None:
+    def _record_event(self) -> None:
         """Tell how long after the one before an event came."""
         now = self._services.clock.seconds()
         self._events += 1
-        if self._event_at is None:
-            self._overdue.answered()
+        if self._last_event_at is None:
+            self._overdue.first_response_received()
             self._services.pool.first_event_received(
                 self.engine.id, now - self._sent_at
             )
-        gap = None if self._event_at is None else now - self._event_at
-        self._event_at = now
+        gap = None if self._last_event_at is None else now - self._last_event_at
+        self._last_event_at = now
         self._services.pool.response_received(self.engine.id, gap)
 
     def completed(self) -> None:
@@ -188,20 +188,20 @@
         head = self._head
         assert head is not None
         assert self._sending is not None
-        self._services.sender.keep(self.engine.id, self._sending)
+        self._services.sender.release(self.engine.id, self._sending)
         if self._services.dialect.was_not_run(head):
             self._services.pool.engine_full(self.engine.id)
-            self._leave()
-            self._listener.run_was_refused(head)
+            self._finish()
+            self._listener.run_rejected(head)
             return
-        if self._is_relayed:
+        if self._is_relaying:
             self._services.pool.stream_completed(self.engine.id, self._events)
-        self._leave()
-        self._listener.run_ended(head, b"".join(self._pieces))
+        self._finish()
+        self._listener.run_completed(head, b"".join(self._chunks))
 
     def failed(self, failure: ResponseFailure) -> None:
         """Hear that the answer broke off."""
         if failure is not ResponseFailure.GARBLED:
             self._engine_failed()
-        self._leave()
+        self._finish()
         self._listener.run_failed(failure.value)
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -11,14 +11,14 @@
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead
 from notcharch.http.reactor import TimedReactor
-from notcharch.http.sockets import detect_silence
+from notcharch.http.sockets import detect_dead_peer
 
 CONNECT_SECONDS = 0.3
 """A connection takes one way and back, some 3 ms between zones; a full queue of an engine
 answers only after seconds. Chosen between the two."""
-UNTOLD_KEEP_SECONDS = 4.0
+DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 """So long an idle connection is used if the engine doesn't say how long it keeps it."""
-KEEP_MARGIN_SECONDS = 1.0
+KEEP_ALIVE_MARGIN_SECONDS = 1.0
 """An engine tells whole seconds, so its connection may close up to one sooner."""
 MAX_IDLE = 8
 """Idle connections kept to one engine: a daemon has few calls at one engine at a time."""
@@ -33,7 +33,7 @@
     def may_send(self) -> bool:
         """Tell whether the request may still be sent, once a connection is up."""
 
-    def withdrawn(self) -> None:
+    def cancelled(self) -> None:
         """Hear that it was not sent because it may not be any more."""
 
 
@@ -69,10 +69,10 @@
         """Send a request; `listener` hears its answer."""
         sending = Sending()
         idle = self._idle.get(engine.id)
-        kept = idle.take() if idle is not None else None
-        if kept is not None:
-            sending.connection = kept
-            kept.send(head, body, listener)
+        reused = idle.take() if idle is not None else None
+        if reused is not None:
+            sending.connection = reused
+            reused.send(head, body, listener)
             return sending
         endpoint = TCP4ClientEndpoint(
             self._reactor, engine.host, engine.port, CONNECT_SECONDS, self._bind
@@ -84,9 +84,9 @@
                 return
             if not listener.may_send():
                 connection.abandon()
-                listener.withdrawn()
+                listener.cancelled()
                 return
-            detect_silence(connection.transport)
+            detect_dead_peer(connection.transport)
             sending.connection = connection
             connection.send(head, body, listener)
 
@@ -98,21 +98,23 @@
         connecting.addCallbacks(connected, failed)
         return sending
 
-    def keep(self, engine_id: str, sending: Sending) -> None:
+    def release(self, engine_id: str, sending: Sending) -> None:
         """Keep the connection of an answered request for the next one."""
         connection = sending.connection
         if connection is None:
             return
-        told = connection.keep_alive_seconds
-        seconds = UNTOLD_KEEP_SECONDS
-        if told is not None:
-            seconds = max(told - KEEP_MARGIN_SECONDS, told / 2)
+        advertised_seconds = connection.keep_alive_seconds
+        seconds = DEFAULT_KEEP_ALIVE_SECONDS
+        if advertised_seconds is not None:
+            seconds = max(
+                advertised_seconds - KEEP_ALIVE_MARGIN_SECONDS, advertised_seconds / 2
+            )
         idle = self._idle.get(engine_id)
         if idle is None:
             idle = self._idle[engine_id] = IdleConnections(self._reactor, MAX_IDLE)
         idle.keep(connection, seconds)
 
-    def forget(self, engine_id: str) -> None:
+    def close_idle(self, engine_id: str) -> None:
         """Close the idle connections to an engine that is gone."""
         idle = self._idle.pop(engine_id, None)
         if idle is not None:
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -117,7 +117,7 @@
         is_first_list = not self._states
         listed = {engine.id: engine for engine in engines}
         states = {
-            id: self._listed(self._states.get(id), engine, now)
+            id: self._update_state(self._states.get(id), engine, now)
             for id, engine in listed.items()
         }
         for id, state in self._states.items():
@@ -151,7 +151,7 @@
             known = self._services[name] = ServiceHealth(self._policy.health)
         return known
 
-    def _listed(
+    def _update_state(
         self, state: EngineState | None, engine: Engine, now: float
     ) -> EngineState:
         """Take an engine's entry."""
@@ -213,12 +213,12 @@
         if not states:
             return None
         slow_event_seconds = self._service(service).slow_pace_seconds(now)
-        sound = [
+        healthy = [
             state
             for state in states
             if not state.health.is_suspect(now, slow_event_seconds)
         ]
-        options = self._unsuspected(sound or states, now)
+        options = self._without_suspected(healthy or states, now)
         return self._routing.choose(
             options, CallRouting(affinity_key, cached_engine)
         ).engine
@@ -228,15 +228,15 @@
         listed = self._by_service.get(service, [])
         return self.eligibility.why_none(listed, regions, self._clock.seconds())
 
-    def _unsuspected(
+    def _without_suspected(
         self, states: Sequence[EngineState], now: float
     ) -> Sequence[EngineState]:
         """Leave out the engines that peers suspect, unless they are too many."""
         if not self._suspicions.has_any:
             return states
-        left = [state for state in states if not self._is_suspected(state, now)]
-        too_many = len(states) - len(left) > MOST_PART * len(states)
-        return states if too_many else left
+        trusted = [state for state in states if not self._is_suspected(state, now)]
+        too_many = len(states) - len(trusted) > MOST_PART * len(states)
+        return states if too_many else trusted
 
     def _is_suspected(self, state: EngineState, now: float) -> bool:
         if state.health.was_heard(now, OWN_ANSWER_SECONDS):
@@ -249,10 +249,10 @@
         """Give the engines that stay; if most have just left, those as well."""
         listed = self._by_service.get(service, [])
         states = self.eligibility.allowed(listed, regions)
-        staying = [state for state in states if state.last_resort_since is None]
-        if 2 * len(staying) > len(states):
-            return staying
-        return staying + [
+        active = [state for state in states if state.last_resort_since is None]
+        if 2 * len(active) > len(states):
+            return active
+        return active + [
             state
             for state in states
             if state.last_resort_since is not None
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -90,7 +90,7 @@
     tokens_per_event: int = 1
     previous_turn: str = ""
     last_event_id: bytes | None = None
-    program_seconds_left: float | None = None
+    program_remaining_seconds: float | None = None
     tenant: Tenant | None = None
     """Whose call it is, by its key; None where no key is needed."""
 
@@ -103,7 +103,7 @@
         return self.tenant.name if self.tenant is not None else ""
 
 
-class SentAnswer(Protocol):
+class ResponseDialect(Protocol):
     """Reads what the head of an engine's answer says."""
 
     def is_response_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
@@ -116,11 +116,11 @@
         """Tell whether the engine vouches for a successful answer."""
 
 
-class EngineDialect(SentAnswer, Protocol):
+class EngineDialect(ResponseDialect, Protocol):
     """How calls are put to engines."""
 
     def request(
-        self, call: OpaqueCall, engine: Engine, milliseconds_left: int
+        self, call: OpaqueCall, engine: Engine, remaining_ms: int
     ) -> RequestHead:
         """Give the head to send for a call."""
 
--- a/notcharch/calls/metrics.py
+++ b/notcharch/calls/metrics.py
@@ -5,7 +5,7 @@
 LATENCY_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 CALLS = Counter("notcharch_opaque_calls", "Ended calls", ["outcome", "reason"])
-SENT_AGAIN = Counter("notcharch_opaque_sends_again", "Sends after a failed one")
+RETRIES = Counter("notcharch_opaque_sends_again", "Sends after a failed one")
 ADMISSION_SECONDS = Histogram(
     "notcharch_opaque_admission_seconds",
     "From a call's head to its admission",
@@ -16,7 +16,7 @@
     "From a call's head to its first event",
     buckets=LATENCY_SECONDS,
 )
-WHOLE_SECONDS = Histogram(
+COMPLETE_RESPONSE_SECONDS = Histogram(
     "notcharch_opaque_whole_seconds",
     "From a call's head to the end of its answer",
     buckets=LATENCY_SECONDS,
--- a/notcharch/calls/overdue.py
+++ b/notcharch/calls/overdue.py
@@ -36,7 +36,7 @@
             self.limit_seconds = limit
             self._timer = self._clock.callLater(limit, self._overdue)
 
-    def answered(self) -> None:
+    def first_response_received(self) -> None:
         """Learn from the first answer of a run; later ones say nothing."""
         if self._sent_at is not None:
             waited = self._clock.seconds() - self._sent_at
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -9,7 +9,7 @@
 from notcharch.scheduling.engine_routing import RoutingPolicy
 from notcharch.settings.mechanisms import Mechanism
 
-LEARNING_SECONDS = 1.0
+PROPAGATION_SECONDS = 1.0
 """Until a daemon has certainly read that an engine leaves."""
 
 
@@ -23,10 +23,10 @@
     `drain_seconds`: an engine gets no calls so long after it was told to leave;
     `entry_seconds`: it writes its entry as often.
     """
-    leaving = max(drain_seconds - LEARNING_SECONDS, 0.0)
+    window_seconds = max(drain_seconds - PROPAGATION_SECONDS, 0.0)
     has_last_resort = Mechanism.LAST_RESORT in mechanisms
     return PoolPolicy(
-        last_resort_seconds=leaving if has_last_resort else 0.0,
+        last_resort_seconds=window_seconds if has_last_resort else 0.0,
         entry_seconds=entry_seconds,
         routing=RoutingPolicy(
             uses_kept_homes=Mechanism.KEPT_HOMES in mechanisms,
--- a/notcharch/calls/reply.py
+++ b/notcharch/calls/reply.py
@@ -22,7 +22,7 @@
     def finish(self) -> None:
         """End a stream that is whole."""
 
-    def respond(self, head: ResponseHead, body: bytes) -> None:
+    def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Pass on an engine's whole answer."""
 
     def refuse(self, refusal: Refusal) -> None:
--- a/notcharch/calls/retry_after.py
+++ b/notcharch/calls/retry_after.py
@@ -18,9 +18,9 @@
     tries up in vain, and one that is told a time beyond what it honours gives up. So the
     estimate counts, within what the caller honours and no less than the refusal tells.
     """
-    seconds = estimate_seconds
+    delay = estimate_seconds
     if call.wait_seconds is not None:
-        left = max(call.arrived + call.wait_seconds - now, 0.0)
-        seconds = min(seconds, left * HONOURED_SHARE)
-    least = refusal.retry_after_seconds or 0.0
-    return msgspec.structs.replace(refusal, retry_after_seconds=max(seconds, least))
+        remaining = max(call.arrived + call.wait_seconds - now, 0.0)
+        delay = min(delay, remaining * HONOURED_SHARE)
+    min_seconds = refusal.retry_after_seconds or 0.0
+    return msgspec.structs.replace(refusal, retry_after_seconds=max(delay, min_seconds))
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -14,7 +14,7 @@
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.http.reactor import TimedReactor
-from notcharch.http.sockets import detect_silence
+from notcharch.http.sockets import detect_dead_peer
 
 CONNECT_SECONDS = 1.0
 """A connection that the server's machine doesn't answer for so long won't be made: its
@@ -143,7 +143,7 @@
         return pending.result
 
     def _connected(self, connection: ClientConnection, pending: PendingRequest) -> None:
-        detect_silence(connection.transport)
+        detect_dead_peer(connection.transport)
         if pending.is_over:
             self.keep(connection)
         else:
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -13,7 +13,7 @@
 """Probes without an answer that end a connection: three seconds in all."""
 
 
-def detect_silence(transport: Any) -> None:
+def detect_dead_peer(transport: Any) -> None:
     """End a TCP connection within some seconds of its peer's machine going dark."""
     handle = transport.getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -79,7 +79,7 @@
             budget_tokens=_integer(values.get(BUDGET)),
             previous_turn=_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
-            program_seconds_left=_seconds(values.get(FINISH)),
+            program_remaining_seconds=_seconds(values.get(FINISH)),
         )
     except ValueError:
         return None
@@ -134,11 +134,11 @@
     """How the platform's engines are spoken to."""
 
     def request(
-        self, call: OpaqueCall, engine: Engine, milliseconds_left: int
+        self, call: OpaqueCall, engine: Engine, remaining_ms: int
     ) -> RequestHead:
         """Give the head that an engine gets."""
         headers = end_to_end(call.head.headers, SET_HERE)
-        headers.append((b"X-Notcharch-Deadline-Ms", str(milliseconds_left).encode()))
+        headers.append((b"X-Notcharch-Deadline-Ms", str(remaining_ms).encode()))
         headers.append((b"X-Notcharch-Expect-Instance", engine.id.encode()))
         if call.last_event_id is not None:
             headers.append((b"Last-Event-Id", call.last_event_id))
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -58,7 +58,7 @@
         """End the stream."""
         self._exchange.finish()
 
-    def respond(self, head: ResponseHead, body: bytes) -> None:
+    def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Pass on an engine's whole answer."""
         self._exchange.respond(head.status, answer_headers(head), body)
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -207,7 +207,7 @@
         }
         gone = self._pool.replace(engines.values())
         for engine_id in gone:
-            self._sender.forget(engine_id)
+            self._sender.close_idle(engine_id)
         self._has_engines = True
         self._log.listed(engines, gone)
 
--- a/tests/unit/calls/test_early_ends.py
+++ b/tests/unit/calls/test_early_ends.py
@@ -36,7 +36,7 @@
     assert chosen.may_send()
     drained(world, "z")
     assert not chosen.may_send()
-    chosen.withdrawn()
+    chosen.cancelled()
     assert world.sent[1].engine.id == "b"
     world.sent[1].answer(200, b"done")
     assert (world.reply.end, world.in_flight) == ("whole", 0)
@@ -45,7 +45,7 @@
 def test_a_withdrawn_call_costs_its_engine_nothing():
     world = World(engines=("a",))
     drained(world, "z")
-    world.sent[0].listener.withdrawn()
+    world.sent[0].listener.cancelled()
     drains = world.pool.eligibility.drains
     drains.take(DrainedZones(frozenset(), 2), world.clock.seconds())
     assert world.pool.choose(SERVICE, "", ()).id == "a"
--- a/tests/unit/calls/test_eligibility.py
+++ b/tests/unit/calls/test_eligibility.py
@@ -6,7 +6,12 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.calls.eligibility import WARM_SHARE, Cause, EngineEligibility, NoEngine
+from notcharch.calls.eligibility import (
+    MIN_WARM_SHARE,
+    Cause,
+    EngineEligibility,
+    NoEngine,
+)
 from notcharch.calls.engines import EnginePool, PoolPolicy
 from notcharch.scheduling.cold_engines import (
     PACE_SECONDS,
@@ -114,7 +119,7 @@
 def test_warm_engines_come_first_while_they_are_enough():
     world = World("xyz")
     world.turn_cold("e-x")
-    assert WARM_SHARE <= 2 / 3
+    assert MIN_WARM_SHARE <= 2 / 3
     assert world.chosen(home="e-x") == {"e-y", "e-z"}
     world.turn_cold("e-x", "e-y")
     for name in ("e-x", "e-y", "e-z"):
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -37,9 +37,9 @@
 class Dialect:
     """Heads with an id, a seal for genuine ones, and `not-run`."""
 
-    def request(self, call, engine, milliseconds_left):
+    def request(self, call, engine, remaining_ms):
         headers = [(b"engine", engine.id.encode())]
-        headers.append((b"left", str(milliseconds_left).encode()))
+        headers.append((b"left", str(remaining_ms).encode()))
         if call.last_event_id is not None:
             headers.append((b"after", call.last_event_id))
         return RequestHead(call.head.method, call.head.target, headers)
@@ -98,10 +98,10 @@
         self.sent.append(sent)
         return sent
 
-    def keep(self, engine_id, sending):
+    def release(self, engine_id, sending):
         pass
 
-    def forget(self, engine_id):
+    def close_idle(self, engine_id):
         self.forgotten.append(engine_id)
 
 
@@ -128,7 +128,7 @@
     def finish(self):
         self._over("finished")
 
-    def respond(self, head, body):
+    def send_response(self, head, body):
         self.head = head
         self.data = body
         self._over("whole")
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -31,7 +31,7 @@
 def test_a_whole_head_is_read():
     call = read(FULL)
     assert (call.id, call.program, call.session) == ("e5b2", "3fa81c", "77d20b")
-    assert (call.wait_seconds, call.program_seconds_left) == (3.0, 5.2)
+    assert (call.wait_seconds, call.program_remaining_seconds) == (3.0, 5.2)
     assert (call.max_tokens, call.budget_tokens) == (575, 4600)
     assert (call.previous_turn, call.affinity) == ("9c41", "17")
     assert call.last_event_id == b"12"
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -45,7 +45,7 @@
     def __init__(self) -> None:
         self.forgotten: list[str] = []
 
-    def forget(self, engine_id: str) -> None:
+    def close_idle(self, engine_id: str) -> None:
         self.forgotten.append(engine_id)
 
 
