--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -55,15 +55,15 @@
         self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
         self._is_surplus = False
-        self._surplus_left = MAX_SURPLUS_RESPONSES
-        self._is_lost = False
+        self._surplus_remaining = MAX_SURPLUS_RESPONSES
+        self._is_disconnected = False
         self.is_reusable = False
         """Whether another request may be sent."""
         self.served = 0
         """How many requests had an answer here."""
         self.keep_alive_seconds: float | None = None
         """How long the server keeps an idle connection, if it said."""
-        self.on_lost: Callable[[ClientConnection], None] | None = None
+        self.on_disconnect: Callable[[ClientConnection], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Send small requests at once."""
@@ -81,7 +81,7 @@
             method=head.method, target=head.target, headers=headers
         )
         self._is_surplus = False
-        self._surplus_left = MAX_SURPLUS_RESPONSES
+        self._surplus_remaining = MAX_SURPLUS_RESPONSES
         parts = [self._http.send(self._request) or b""]
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
@@ -95,9 +95,9 @@
             self.close()
             return
         self._http.receive_data(data)
-        self._pump()
+        self._read_events()
 
-    def _pump(self) -> None:
+    def _read_events(self) -> None:
         while self._listener is not None:
             try:
                 event = self._http.next_event()
@@ -106,9 +106,9 @@
                 return
             if isinstance(event, h11.ConnectionClosed | type):
                 return
-            self._take(event)
+            self._handle_event(event)
 
-    def _take(self, event: h11.Event) -> None:
+    def _handle_event(self, event: h11.Event) -> None:
         listener = self._listener
         assert listener is not None
         if isinstance(event, h11.Response):
@@ -124,9 +124,9 @@
                 listener.data_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if self._is_surplus:
-                self._pass_over()
+                self._skip_surplus_response()
             else:
-                self._end(listener)
+                self._complete(listener)
 
     def _read_keep_alive(self, head: ResponseHead) -> None:
         value = head.get(b"keep-alive")
@@ -137,29 +137,29 @@
             if name.lower() == b"timeout" and number.strip().isdigit():
                 self.keep_alive_seconds = float(number)
 
-    def _pass_over(self) -> None:
+    def _skip_surplus_response(self) -> None:
         """Go on after an answer to an earlier request, as if it had not come."""
-        self._surplus_left -= 1
-        rest, is_closed = self._http.trailing_data
-        if self._surplus_left <= 0 or is_closed or self._request is None:
+        self._surplus_remaining -= 1
+        surplus_data, is_closed = self._http.trailing_data
+        if self._surplus_remaining <= 0 or is_closed or self._request is None:
             self._fail(ResponseFailure.GARBLED)
             return
         if self._http.their_state is not h11.DONE:
             self._fail(ResponseFailure.CLOSED)
             return
-        self._http = _awaiting_answer(self._request)
-        if rest:  # nothing would mean the end of the connection
-            self._http.receive_data(rest)
+        self._http = _awaiting_response(self._request)
+        if surplus_data:  # nothing would mean the end of the connection
+            self._http.receive_data(surplus_data)
         self._is_surplus = False
 
-    def _end(self, listener: ResponseListener) -> None:
+    def _complete(self, listener: ResponseListener) -> None:
         self._listener = None
         self.served += 1
-        has_rest = bool(self._http.trailing_data[0])
-        is_done = self._http.their_state is h11.DONE
-        if is_done and self._http.our_state is h11.DONE and not has_rest:
+        has_trailing_data = bool(self._http.trailing_data[0])
+        is_received = self._http.their_state is h11.DONE
+        if is_received and self._http.our_state is h11.DONE and not has_trailing_data:
             self._http.start_next_cycle()
-            self.is_reusable = not self._is_lost
+            self.is_reusable = not self._is_disconnected
         else:
             self.close()
         listener.completed()
@@ -179,30 +179,30 @@
     def close(self) -> None:
         """Use this connection no more."""
         self.is_reusable = False
-        if not self._is_lost:
+        if not self._is_disconnected:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Tell the request under way how its answer ended."""
-        self._is_lost = True
+        self._is_disconnected = True
         self.is_reusable = False
         if self._listener is not None:
-            self._lost_midway(reason.check(ConnectionDone) is not None)
-        if self.on_lost is not None:
-            self.on_lost(self)
+            self._disconnected_in_flight(reason.check(ConnectionDone) is not None)
+        if self.on_disconnect is not None:
+            self.on_disconnect(self)
 
-    def _lost_midway(self, is_clean: bool) -> None:
+    def _disconnected_in_flight(self, is_clean: bool) -> None:
         if not is_clean:
             self._fail(ResponseFailure.RESET)
             return
         # An answer without a length ends with its connection.
         self._http.receive_data(b"")
-        self._pump()
+        self._read_events()
         if self._listener is not None:
             self._fail(ResponseFailure.CLOSED)
 
 
-def _awaiting_answer(request: h11.Request) -> h11.Connection:
+def _awaiting_response(request: h11.Request) -> h11.Connection:
     """Give a protocol state in which a request was sent whole."""
     connection = h11.Connection(h11.CLIENT)
     length = int(dict(request.headers).get(b"content-length", b"0"))
--- a/notcharch/http/drain.py
+++ b/notcharch/http/drain.py
@@ -53,19 +53,19 @@
     def begin(self) -> None:
         """Go on accepting for a while, then finish."""
         self._began = self._clock.seconds()
-        self._clock.callLater(self._times.accept_seconds, self._accepted_enough)
+        self._clock.callLater(self._times.accept_seconds, self._stop_accepting)
 
-    def _accepted_enough(self) -> None:
+    def _stop_accepting(self) -> None:
         # Callers may keep coming as long as we listen, when too few others are ready.
         self._server.stop_accepting()
         self._check()
 
     def _check(self) -> None:
         self._server.close_idle()
-        passed = self._clock.seconds() - self._began
+        elapsed = self._clock.seconds() - self._began
         requests_in_flight = self._server.requests_in_flight()
         self._idle_checks = 0 if requests_in_flight else self._idle_checks + 1
-        if self._idle_checks < IDLE_CHECKS and passed < self._times.max_seconds:
+        if self._idle_checks < IDLE_CHECKS and elapsed < self._times.max_seconds:
             self._clock.callLater(CHECK_SECONDS, self._check)
             return
-        self._server.stopped(requests_in_flight, passed)
+        self._server.stopped(requests_in_flight, elapsed)
--- a/notcharch/http/idle_connections.py
+++ b/notcharch/http/idle_connections.py
@@ -12,42 +12,42 @@
     """A connection, used until the given clock seconds."""
 
     connection: ClientConnection
-    until: float
+    expires_at: float
 
 
 class IdleConnections:
     """The idle connections to one server; the one used last is used first."""
 
-    def __init__(self, clock: IReactorTime, most: int) -> None:
+    def __init__(self, clock: IReactorTime, max_idle: int) -> None:
         """Keep up to so many."""
         self._clock = clock
-        self._most = most
+        self._max_idle = max_idle
         self._idle: deque[IdleConnection] = deque()
 
     def take(self) -> ClientConnection | None:
         """Give a connection that may still be used, if there is one."""
         now = self._clock.seconds()
         while self._idle:
-            kept = self._idle.pop()
-            if kept.connection.is_reusable and now < kept.until:
-                return kept.connection
-            kept.connection.close()
+            idle = self._idle.pop()
+            if idle.connection.is_reusable and now < idle.expires_at:
+                return idle.connection
+            idle.connection.close()
         return None
 
     def keep(self, connection: ClientConnection, seconds: float) -> None:
         """Keep a connection for so long, if it may serve again."""
         if not connection.is_reusable:
             return
-        self._drop_old()
+        self._close_expired()
         self._idle.append(IdleConnection(connection, self._clock.seconds() + seconds))
-        if len(self._idle) > self._most:
+        if len(self._idle) > self._max_idle:
             self._idle.popleft().connection.close()
 
-    def _drop_old(self) -> None:
+    def _close_expired(self) -> None:
         now = self._clock.seconds()
         while self._idle:
             oldest = self._idle[0]
-            if oldest.connection.is_reusable and now < oldest.until:
+            if oldest.connection.is_reusable and now < oldest.expires_at:
                 return
             self._idle.popleft().connection.close()
 
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -16,10 +16,10 @@
 from notcharch.http.reactor import TimedReactor
 from notcharch.http.sockets import detect_dead_peer
 
-CONNECT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 """A connection that the server's machine doesn't answer for so long won't be made: its
 packets are sent again after a second."""
-IDLE_SECONDS = 10.0
+IDLE_TIMEOUT_SECONDS = 10.0
 """An idle connection is used for so long; held reads keep most of them busy."""
 MAX_IDLE = 16
 """Idle connections kept: more than calls are under way at a time on a calm day."""
@@ -54,8 +54,8 @@
         self.connection: ClientConnection | None = None
         self.timer: IDelayedCall | None = None
         self._response: ResponseHead | None = None
-        self._pieces: list[bytes] = []
-        self.is_over = False
+        self._chunks: list[bytes] = []
+        self.is_finished = False
 
     def is_response(self, head: ResponseHead) -> bool:
         """Each answer is to the request under way."""
@@ -67,32 +67,32 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep a piece."""
-        self._pieces.append(data)
+        self._chunks.append(data)
 
     def completed(self) -> None:
         """Give the whole answer."""
         assert self._response is not None
         if self.connection is not None:
-            self._requester.keep(self.connection)
-        self.over(Ok(CompleteResponse(self._response, b"".join(self._pieces))))
+            self._requester.release(self.connection)
+        self.finish(Ok(CompleteResponse(self._response, b"".join(self._chunks))))
 
     def failed(self, failure: ResponseFailure) -> None:
         """Say that it was sent and not answered."""
-        self.over(Err(NoResponse.SENT))
+        self.finish(Err(NoResponse.SENT))
 
-    def expire(self) -> None:
+    def time_out(self) -> None:
         """Give the request up: its connection says nothing any more."""
         if self.connection is not None:
             self.connection.abandon()
-            self.over(Err(NoResponse.SENT))
+            self.finish(Err(NoResponse.SENT))
         else:
-            self.over(Err(NoResponse.NOT_SENT))
+            self.finish(Err(NoResponse.NOT_SENT))
 
-    def over(self, outcome: Outcome) -> None:
+    def finish(self, outcome: Outcome) -> None:
         """Give the outcome, once."""
-        if self.is_over:
+        if self.is_finished:
             return
-        self.is_over = True
+        self.is_finished = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.result.callback(outcome)
@@ -119,7 +119,7 @@
             return
         self._address = (host, port)
         self._endpoint = TCP4ClientEndpoint(
-            self._reactor, host, port, CONNECT_SECONDS, self._bind
+            self._reactor, host, port, CONNECT_TIMEOUT_SECONDS, self._bind
         )
         self._host = f"{host}:{port}".encode()
         self._idle.close_all()
@@ -131,31 +131,31 @@
         pending = PendingRequest(
             self, RequestHead(method, target, [(b"Host", self._host)]), body
         )
-        pending.timer = self._reactor.callLater(seconds, pending.expire)
-        kept = self._idle.take()
-        if kept is not None:
-            self._send(kept, pending)
+        pending.timer = self._reactor.callLater(seconds, pending.time_out)
+        idle = self._idle.take()
+        if idle is not None:
+            self._send(idle, pending)
         else:
             connecting = self._endpoint.connect(self._factory)
             connecting.addCallbacks(
-                self._connected, self._refused, (pending,), {}, (pending,), {}
+                self._connected, self._connect_failed, (pending,), {}, (pending,), {}
             )
         return pending.result
 
     def _connected(self, connection: ClientConnection, pending: PendingRequest) -> None:
         detect_dead_peer(connection.transport)
-        if pending.is_over:
-            self.keep(connection)
+        if pending.is_finished:
+            self.release(connection)
         else:
             self._send(connection, pending)
 
-    def _refused(self, _failure: Failure, pending: PendingRequest) -> None:
-        pending.over(Err(NoResponse.NOT_SENT))
+    def _connect_failed(self, _failure: Failure, pending: PendingRequest) -> None:
+        pending.finish(Err(NoResponse.NOT_SENT))
 
     def _send(self, connection: ClientConnection, pending: PendingRequest) -> None:
         pending.connection = connection
         connection.send(pending.head, pending.body, pending)
 
-    def keep(self, connection: ClientConnection) -> None:
+    def release(self, connection: ClientConnection) -> None:
         """Keep a connection for the next request."""
-        self._idle.keep(connection, IDLE_SECONDS)
+        self._idle.keep(connection, IDLE_TIMEOUT_SECONDS)
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -105,33 +105,33 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._is_answering = False
-        self._is_gone = False
+        self._is_disconnected = False
         self._timer: IDelayedCall | None = None
-        self._rests_since = 0.0
+        self._idle_since = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Send small answers at once and watch for idleness."""
         self.transport.setTcpNoDelay(True)
-        self._rests_since = self._clock.seconds()
-        self._watch(self._limits.idle_seconds)
+        self._idle_since = self._clock.seconds()
+        self._schedule_check(self._limits.idle_seconds)
 
-    def _watch(self, seconds: float) -> None:
-        self._timer = self._clock.callLater(seconds, self._look)
+    def _schedule_check(self, seconds: float) -> None:
+        self._timer = self._clock.callLater(seconds, self._close_if_expired)
 
-    def _look(self) -> None:
+    def _close_if_expired(self) -> None:
         """Close a connection that rested, or sent a head, for too long."""
         self._timer = None
-        if self._is_gone:
+        if self._is_disconnected:
             return
         if self._exchange is not None:
-            self._watch(self._limits.idle_seconds)
+            self._schedule_check(self._limits.idle_seconds)
             return
         is_partial = bool(self._http.trailing_data[0])
         limits = self._limits
         allowed = limits.header_seconds if is_partial else limits.idle_seconds
-        left = self._rests_since + allowed - self._clock.seconds()
-        if left > 0:
-            self._watch(left)
+        remaining = self._idle_since + allowed - self._clock.seconds()
+        if remaining > 0:
+            self._schedule_check(remaining)
             return
         self.transport.loseConnection()
 
@@ -142,23 +142,23 @@
 
     def close_if_idle(self) -> None:
         """Close a connection on which nothing is under way."""
-        if not self._is_gone and self.is_idle:
+        if not self._is_disconnected and self.is_idle:
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Take bytes of requests."""
         if self._exchange is None and not self._http.trailing_data[0]:
-            self._rests_since = self._clock.seconds()
+            self._idle_since = self._clock.seconds()
             if self._timer is not None and self._timer.active():
                 self._timer.reset(
                     min(self._limits.header_seconds, self._limits.idle_seconds)
                 )
         self._http.receive_data(data)
-        self._pump()
+        self._read_events()
 
-    def _pump(self) -> None:
+    def _read_events(self) -> None:
         """Read events until a request is whole or bytes are missing."""
-        while not self._is_answering and not self._is_gone:
+        while not self._is_answering and not self._is_disconnected:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -166,14 +166,16 @@
                 return
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[])
-                    self.send(go_on)
+                    continue_response = h11.InformationalResponse(
+                        status_code=100, headers=[]
+                    )
+                    self.send(continue_response)
                 return
             if isinstance(event, h11.ConnectionClosed | type):
                 return
-            self._take(event)
+            self._handle_event(event)
 
-    def _take(self, event: h11.Event) -> None:
+    def _handle_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
             self._begin(event)
         elif isinstance(event, h11.Data):
@@ -183,7 +185,7 @@
                 return
             self._body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._complete()
+            self._dispatch()
 
     def _begin(self, event: h11.Request) -> None:
         headers = event.headers.raw_items()
@@ -194,7 +196,7 @@
         self._body_bytes = 0
         self._handler.count(1)
 
-    def _complete(self) -> None:
+    def _dispatch(self) -> None:
         exchange = self._exchange
         if exchange is None:
             return
@@ -210,7 +212,7 @@
             return
         self.send_head(status, [(b"content-length", b"0"), (b"connection", b"close")])
         self.send(h11.EndOfMessage())
-        self._forget_exchange()
+        self._clear_exchange()
         self._is_answering = True
         self.transport.loseConnection()
 
@@ -222,7 +224,7 @@
 
     def send(self, event: h11.Event) -> None:
         """Send a part of an answer."""
-        if self._is_gone:
+        if self._is_disconnected:
             return
         data = self._http.send(event)
         if data:
@@ -233,40 +235,40 @@
         self.send(h11.EndOfMessage())
         if self._exchange is not None:
             self._exchange.is_over = True
-        self._forget_exchange()
+        self._clear_exchange()
         self._is_answering = False
-        if self._is_gone:
+        if self._is_disconnected:
             return
         if self._http.our_state is h11.MUST_CLOSE:
             self._is_answering = True
             self.transport.loseConnection()
             return
         self._limits = self._handler.limits()
-        self._rests_since = self._clock.seconds()
+        self._idle_since = self._clock.seconds()
         self._http.start_next_cycle()
         # A handler that answers at once must not recurse for each request that waits.
         if self._http.trailing_data[0]:
-            self._clock.callLater(0, self._pump)
+            self._clock.callLater(0, self._read_events)
 
-    def _forget_exchange(self) -> None:
+    def _clear_exchange(self) -> None:
         if self._exchange is not None:
             self._exchange = None
             self._handler.count(-1)
 
     def abort(self) -> None:
         """Cut the connection, so that no answer on it looks whole."""
-        self._forget_exchange()
+        self._clear_exchange()
         self._is_answering = True
-        if not self._is_gone:
+        if not self._is_disconnected:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Tell the request under way that its client left."""
-        self._is_gone = True
+        self._is_disconnected = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         exchange = self._exchange
-        self._forget_exchange()
+        self._clear_exchange()
         if exchange is None or exchange.is_over:
             return
         exchange.is_over = True
