Reword the HTTP connections: requests, responses, timeouts, keepalive

Answers are responses, what is under way is in flight, whole is complete, cut and broken off are aborted, and listeners handle events instead of hearing them.

--- a/notcharch/http/adaptive_timeout.py
+++ b/notcharch/http/adaptive_timeout.py
@@ -22,7 +22,7 @@
         """The timeout for the next request."""
 
     def response_received(self, seconds: float) -> None:
-        """Adapt the timeout to a measured response time."""
+        """Adapt the timeout to an observed response time."""
         self._set_timeout(RESPONSE_TIME_FACTOR * seconds)
 
     def timed_out(self) -> None:
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -1,4 +1,4 @@
-"""The client side of one HTTP/1.1 connection: one request at a time, and its answer."""
+"""The client side of HTTP/1.1 connections, without pipelining."""
 
 from collections.abc import Callable
 from enum import Enum
@@ -12,12 +12,12 @@
 
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
 
-MAX_SURPLUS_RESPONSES = 3
-"""So many answers to other requests are passed over before a connection is given up."""
+SURPLUS_RESPONSE_LIMIT = 3
+"""Responses to other requests after which the current request fails."""
 
 
 class ResponseFailure(Enum):
-    """Why an answer didn't come to its end."""
+    """Why no complete response was received."""
 
     CLOSED = "connection closed"
     RESET = "connection reset"
@@ -26,52 +26,52 @@
 
 
 class ResponseListener(Interface):
-    """What hears the answer of one request."""
+    """Callbacks for the response to one request."""
 
     def is_response(self, head: ResponseHead) -> bool:
-        """Tell whether a head answers this request, not an earlier one."""
+        """Return whether a head is of this request's response, not of an earlier one's."""
 
     def head_received(self, head: ResponseHead) -> None:
-        """Hear the head of the answer."""
+        """Handle the head of the response."""
 
     def data_received(self, data: bytes) -> None:
-        """Hear a piece of the body."""
+        """Handle a chunk of the body."""
 
     def completed(self) -> None:
-        """Hear that the body is whole."""
+        """Handle the end of a complete body."""
 
     def failed(self, failure: ResponseFailure) -> None:
-        """Hear that no more will come, and why."""
+        """Handle the failure of an incomplete response."""
 
 
 class ClientConnection(Protocol):
-    """A connection to a server, used for one request after another."""
+    """A reusable connection to a server."""
 
     transport: ITCPTransport
 
     def __init__(self) -> None:
-        """Wait to be connected."""
+        """Start disconnected."""
         self._http = h11.Connection(h11.CLIENT)
         self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
         self._is_surplus = False
-        self._surplus_remaining = MAX_SURPLUS_RESPONSES
+        self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
         self._is_disconnected = False
         self.is_reusable = False
-        """Whether another request may be sent."""
+        """True while the connection can take another request."""
         self.served = 0
-        """How many requests had an answer here."""
+        """Number of requests with a complete response on this connection."""
         self.keep_alive_seconds: float | None = None
-        """How long the server keeps an idle connection, if it said."""
+        """The idle timeout that the server advertises in `Keep-Alive`, if any."""
         self.on_disconnect: Callable[[ClientConnection], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        """Send small requests at once."""
+        """Disable Nagle's algorithm, so that small requests are sent immediately."""
         self.transport.setTcpNoDelay(True)
         self.is_reusable = True
 
     def send(self, head: RequestHead, body: bytes, listener: ResponseListener) -> None:
-        """Send a whole request; `listener` hears the answer."""
+        """Send a complete request; `listener` is called with the response."""
         self._listener = listener
         self.is_reusable = False
         headers: Headers = list(head.headers)
@@ -81,7 +81,7 @@
             method=head.method, target=head.target, headers=headers
         )
         self._is_surplus = False
-        self._surplus_remaining = MAX_SURPLUS_RESPONSES
+        self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
         parts = [self._http.send(self._request) or b""]
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
@@ -89,9 +89,9 @@
         self.transport.write(b"".join(parts))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
-        """Take bytes of answers."""
+        """Parse received bytes."""
         if self._listener is None:
-            # Nobody asked for these bytes, so none that follow can be trusted.
+            # Unsolicited bytes: whatever follows could not be matched to a request.
             self.close()
             return
         self._http.receive_data(data)
@@ -138,7 +138,7 @@
                 self.keep_alive_seconds = float(number)
 
     def _skip_surplus_response(self) -> None:
-        """Go on after an answer to an earlier request, as if it had not come."""
+        """Reset the parser after a response to an earlier request."""
         self._surplus_remaining -= 1
         surplus_data, is_closed = self._http.trailing_data
         if self._surplus_remaining <= 0 or is_closed or self._request is None:
@@ -148,7 +148,7 @@
             self._fail(ResponseFailure.CLOSED)
             return
         self._http = _awaiting_response(self._request)
-        if surplus_data:  # nothing would mean the end of the connection
+        if surplus_data:  # empty data would signal the end of the connection
             self._http.receive_data(surplus_data)
         self._is_surplus = False
 
@@ -172,18 +172,18 @@
             listener.failed(failure)
 
     def abandon(self) -> None:
-        """Stop the request under way; the server sees its connection cut."""
+        """Abort the request in flight by closing its connection."""
         self._listener = None
         self.close()
 
     def close(self) -> None:
-        """Use this connection no more."""
+        """Close the connection immediately."""
         self.is_reusable = False
         if not self._is_disconnected:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell the request under way how its answer ended."""
+        """Complete or fail the request in flight."""
         self._is_disconnected = True
         self.is_reusable = False
         if self._listener is not None:
@@ -195,7 +195,7 @@
         if not is_clean:
             self._fail(ResponseFailure.RESET)
             return
-        # An answer without a length ends with its connection.
+        # A response without a length ends with its connection (RFC 9112, 6.3).
         self._http.receive_data(b"")
         self._read_events()
         if self._listener is not None:
@@ -203,7 +203,7 @@
 
 
 def _awaiting_response(request: h11.Request) -> h11.Connection:
-    """Give a protocol state in which a request was sent whole."""
+    """Return an h11 connection in the state after the complete request was sent."""
     connection = h11.Connection(h11.CLIENT)
     length = int(dict(request.headers).get(b"content-length", b"0"))
     connection.send(request)
--- a/notcharch/http/drain.py
+++ b/notcharch/http/drain.py
@@ -1,4 +1,4 @@
-"""The planned stop of a server: what is under way ends, nothing new begins for long."""
+"""Graceful shutdown of a server: it stops accepting and finishes requests in flight."""
 
 from typing import Protocol
 
@@ -6,44 +6,44 @@
 from twisted.internet.interfaces import IReactorTime
 
 CHECK_SECONDS = 0.1
-"""Between two looks whether anything is under way: a stop lasts seconds."""
+"""Interval between two checks for requests in flight."""
 IDLE_CHECKS = 2
-"""So often in a row nothing must be under way: the last answer's bytes leave after the
-request has been counted as ended."""
+"""Consecutive checks without requests in flight that end the drain: the last response may
+still be in the send buffer when its request is counted as finished."""
 
 
 class DrainableServer(Protocol):
-    """What is stopped."""
+    """A server that can be drained."""
 
     def requests_in_flight(self) -> int:
-        """Give how many requests are being read or answered."""
+        """Return the number of requests being read or processed."""
 
     def stop_accepting(self) -> None:
-        """Take no new connections."""
+        """Stop accepting connections."""
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections without a request in flight."""
 
     def stopped(self, requests_in_flight: int, seconds: float) -> None:
-        """Hear that the drain is over, with so many requests cut."""
+        """Handle the end of the drain; the requests still in flight are aborted."""
 
 
 class DrainTimes(msgspec.Struct, frozen=True):
-    """Seconds after the stop was asked for."""
+    """Times of a drain, in seconds since its start."""
 
     accept_seconds: float
-    """New connections come until the callers' side has seen that we leave."""
+    """When to stop accepting: by then load balancers no longer route to this server."""
     max_seconds: float
-    """Then what still runs is cut."""
+    """When to abort the requests that are still in flight."""
 
 
 class Drain:
-    """One planned stop."""
+    """One graceful shutdown."""
 
     def __init__(
         self, clock: IReactorTime, server: DrainableServer, times: DrainTimes
     ) -> None:
-        """Prepare; `begin` starts it."""
+        """Prepare a drain of a server, which `begin` starts."""
         self._clock = clock
         self._server = server
         self._times = times
@@ -51,12 +51,12 @@
         self._idle_checks = 0
 
     def begin(self) -> None:
-        """Go on accepting for a while, then finish."""
+        """Start the drain; the server accepts connections for a while longer."""
         self._began = self._clock.seconds()
         self._clock.callLater(self._times.accept_seconds, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
-        # Callers may keep coming as long as we listen, when too few others are ready.
+        # With too few ready servers, clients would connect for as long as this one listens.
         self._server.stop_accepting()
         self._check()
 
--- a/notcharch/http/idle_connections.py
+++ b/notcharch/http/idle_connections.py
@@ -1,4 +1,4 @@
-"""Connections that wait for their next request."""
+"""A pool of idle keep-alive connections."""
 
 from collections import deque
 
@@ -9,23 +9,23 @@
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
-    """A connection, used until the given clock seconds."""
+    """An idle connection, which expires at the given clock seconds."""
 
     connection: ClientConnection
     expires_at: float
 
 
 class IdleConnections:
-    """The idle connections to one server; the one used last is used first."""
+    """The idle connections to one server; the most recently used one is reused first."""
 
     def __init__(self, clock: IReactorTime, max_idle: int) -> None:
-        """Keep up to so many."""
+        """Keep at most `max_idle` connections."""
         self._clock = clock
         self._max_idle = max_idle
         self._idle: deque[IdleConnection] = deque()
 
     def take(self) -> ClientConnection | None:
-        """Give a connection that may still be used, if there is one."""
+        """Remove and return a reusable connection, if there is one."""
         now = self._clock.seconds()
         while self._idle:
             idle = self._idle.pop()
@@ -35,7 +35,7 @@
         return None
 
     def keep(self, connection: ClientConnection, seconds: float) -> None:
-        """Keep a connection for so long, if it may serve again."""
+        """Keep a connection for the given time, if it is reusable."""
         if not connection.is_reusable:
             return
         self._close_expired()
@@ -52,6 +52,6 @@
             self._idle.popleft().connection.close()
 
     def close_all(self) -> None:
-        """Close them."""
+        """Close all idle connections."""
         while self._idle:
             self._idle.pop().connection.close()
--- a/notcharch/http/messages.py
+++ b/notcharch/http/messages.py
@@ -1,11 +1,11 @@
-"""Heads of HTTP messages and the header lists that both sides share."""
+"""Heads of HTTP messages, and helpers for their headers."""
 
 from collections.abc import Iterable
 
 import msgspec
 
 Headers = list[tuple[bytes, bytes]]
-"""Header names as they were sent, with their values, in order."""
+"""Header names in their original case, with their values, in order."""
 
 CONNECTION_HEADERS = frozenset(
     (
@@ -22,36 +22,36 @@
         b"upgrade",
     )
 )
-"""Lower-case names of headers that concern one connection only (RFC 9110, 7.6.1)."""
+"""Lower-case names of hop-by-hop headers (RFC 9110, 7.6.1)."""
 
 
 class RequestHead(msgspec.Struct, frozen=True):
-    """The first part of a request."""
+    """The request line and headers of a request."""
 
     method: bytes
     target: bytes
-    """Path and query, as sent."""
+    """Path and query, unchanged."""
     headers: Headers
 
     def get(self, name: bytes) -> bytes | None:
-        """Give the value of a header by its lower-case name."""
+        """Return the first value of the header with a lower-case name."""
         return header_value(self.headers, name)
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """The first part of a response."""
+    """The status line and headers of a response."""
 
     status: int
     headers: Headers
     reason: bytes = b""
 
     def get(self, name: bytes) -> bytes | None:
-        """Give the value of a header by its lower-case name."""
+        """Return the first value of the header with a lower-case name."""
         return header_value(self.headers, name)
 
 
 def header_value(headers: Headers, name: bytes) -> bytes | None:
-    """Give the first value of a header by its lower-case name."""
+    """Return the first value of the header with a lower-case name."""
     for key, value in headers:
         if key.lower() == name:
             return value
@@ -59,7 +59,7 @@
 
 
 def end_to_end(headers: Headers, dropped: Iterable[bytes] = ()) -> Headers:
-    """Give the headers that pass through, without those named in lower case."""
+    """Return the end-to-end headers, without the `dropped` lower-case names."""
     named = header_value(headers, b"connection") or b""
     local = {token.strip().lower() for token in named.split(b",")}
     local |= CONNECTION_HEADERS
--- a/notcharch/http/reactor.py
+++ b/notcharch/http/reactor.py
@@ -1,7 +1,7 @@
-"""The reactor as this package uses it: TCP and time in one."""
+"""The combination of reactor interfaces that this package needs."""
 
 from twisted.internet.interfaces import IReactorTCP, IReactorTime
 
 
 class TimedReactor(IReactorTCP, IReactorTime):
-    """A reactor with connections and timers."""
+    """A reactor with TCP connections and timers."""
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -1,4 +1,4 @@
-"""Whole requests to one server over kept connections, each with a time limit."""
+"""Requests with a timeout to one server, over persistent connections."""
 
 from enum import Enum
 
@@ -17,23 +17,22 @@
 from notcharch.http.sockets import detect_dead_peer
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-"""A connection that the server's machine doesn't answer for so long won't be made: its
-packets are sent again after a second."""
+"""Timeout of the TCP handshake: the initial retransmission timeout of a SYN."""
 IDLE_TIMEOUT_SECONDS = 10.0
-"""An idle connection is used for so long; held reads keep most of them busy."""
+"""Idle connections are closed after this time."""
 MAX_IDLE = 16
-"""Idle connections kept: more than calls are under way at a time on a calm day."""
+"""Idle connections kept to the server: more than its usual concurrent requests."""
 
 
 class CompleteResponse(msgspec.Struct, frozen=True):
-    """A response that came whole."""
+    """A response that was received completely."""
 
     head: ResponseHead
     body: bytes
 
 
 class NoResponse(Enum):
-    """Why there is no answer."""
+    """Why there is no complete response."""
 
     NOT_SENT = "not sent"
     SENT = "sent, and no whole answer came"
@@ -43,10 +42,10 @@
 
 
 class PendingRequest:
-    """One request on its way."""
+    """One request in flight."""
 
     def __init__(self, requester: "Requester", head: RequestHead, body: bytes) -> None:
-        """Keep what is to be sent."""
+        """Hold a request until a connection is available."""
         self._requester = requester
         self.head = head
         self.body = body
@@ -58,30 +57,30 @@
         self.is_finished = False
 
     def is_response(self, head: ResponseHead) -> bool:
-        """Each answer is to the request under way."""
+        """Accept each response: a connection has one request in flight."""
         return True
 
     def head_received(self, head: ResponseHead) -> None:
-        """Keep the head."""
+        """Buffer the head."""
         self._response = head
 
     def data_received(self, data: bytes) -> None:
-        """Keep a piece."""
+        """Buffer a chunk of the body."""
         self._chunks.append(data)
 
     def completed(self) -> None:
-        """Give the whole answer."""
+        """Succeed with the complete response."""
         assert self._response is not None
         if self.connection is not None:
             self._requester.release(self.connection)
         self.finish(Ok(CompleteResponse(self._response, b"".join(self._chunks))))
 
     def failed(self, failure: ResponseFailure) -> None:
-        """Say that it was sent and not answered."""
+        """Fail: the request was sent, but there is no complete response."""
         self.finish(Err(NoResponse.SENT))
 
     def time_out(self) -> None:
-        """Give the request up: its connection says nothing any more."""
+        """Fail at the timeout, and close the connection of the request."""
         if self.connection is not None:
             self.connection.abandon()
             self.finish(Err(NoResponse.SENT))
@@ -89,7 +88,7 @@
             self.finish(Err(NoResponse.NOT_SENT))
 
     def finish(self, outcome: Outcome) -> None:
-        """Give the outcome, once."""
+        """Set the outcome, unless it is already set."""
         if self.is_finished:
             return
         self.is_finished = True
@@ -99,12 +98,12 @@
 
 
 class Requester:
-    """Sends whole requests to one server."""
+    """Sends requests to one server."""
 
     def __init__(
         self, reactor: TimedReactor, host: str, port: int, local_address: str = ""
     ) -> None:
-        """Connect when needed, from a machine's own address."""
+        """Connect on demand, from a local address if one is given."""
         self._reactor = reactor
         self._idle = IdleConnections(reactor, MAX_IDLE)
         self._bind = (local_address, 0) if local_address else None
@@ -114,7 +113,7 @@
         self._factory.noisy = False
 
     def set_address(self, host: str, port: int) -> None:
-        """Speak to a server at this address from now on."""
+        """Send the next requests to this address."""
         if (host, port) == self._address:
             return
         self._address = (host, port)
@@ -127,7 +126,7 @@
     def request(
         self, method: bytes, target: bytes, body: bytes, seconds: float
     ) -> "Deferred[Outcome]":
-        """Send a request; the result is there after `seconds` at the latest."""
+        """Send a request with a timeout of `seconds`."""
         pending = PendingRequest(
             self, RequestHead(method, target, [(b"Host", self._host)]), body
         )
@@ -157,5 +156,5 @@
         connection.send(pending.head, pending.body, pending)
 
     def release(self, connection: ClientConnection) -> None:
-        """Keep a connection for the next request."""
+        """Return a connection to the idle ones."""
         self._idle.keep(connection, IDLE_TIMEOUT_SECONDS)
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -1,4 +1,4 @@
-"""The server side of one HTTP/1.1 connection: requests in turn, answers in order."""
+"""The server side of HTTP/1.1 connections; pipelined requests are served in order."""
 
 from collections.abc import Callable
 from typing import Protocol as Interface
@@ -15,7 +15,7 @@
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
-    """What a client may send, and how long it may take or rest."""
+    """Size limits of requests, and timeouts of connections."""
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
@@ -24,38 +24,38 @@
 
 
 class RequestHandler(Interface):
-    """What answers requests."""
+    """Serves requests."""
 
     def limits(self) -> ServerLimits:
-        """Give the limits in force."""
+        """Return the current limits."""
 
     def is_closing(self) -> bool:
-        """Tell whether answers should end their connections."""
+        """Return whether responses should close their connections."""
 
     def handle(self, exchange: "Exchange") -> None:
-        """Take a request that was read whole."""
+        """Process a complete request."""
 
     def count(self, change: int) -> None:
-        """Hear that a request was begun (1) or answered (-1)."""
+        """Count a request that starts (1) or has ended (-1)."""
 
 
 class Exchange:
-    """One request that was read whole, and its answer."""
+    """One request and its response."""
 
     def __init__(self, connection: "ServerConnection", head: RequestHead) -> None:
-        """Keep the head; the body follows."""
+        """Start with the head; the body follows."""
         self._connection = connection
         self.head = head
         self.body = b""
         self.arrived = 0.0
         """Clock seconds at which the head was read."""
         self.on_disconnect: Callable[[], None] | None = None
-        """Called once if the client leaves before the answer's end."""
+        """Called once if the client disconnects before the response is complete."""
         self.is_started = False
         self.is_over = False
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         if self.is_over:
             return
         length = (b"content-length", str(len(body)).encode())
@@ -65,36 +65,36 @@
         self.finish()
 
     def start(self, status: int, headers: Headers) -> None:
-        """Send the head; without a length among `headers` the body goes in chunks."""
+        """Send the head; without a content length the body is sent chunked."""
         if self.is_over:
             return
         self.is_started = True
         self._connection.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
+        """Send a part of the body."""
         if not self.is_over:
             self._connection.send(h11.Data(data=data))
 
     def finish(self) -> None:
-        """End the body; the connection may serve again."""
+        """End the body; the connection can then be reused."""
         if not self.is_over:
             self._connection.end_exchange()
 
     def abort(self) -> None:
-        """Break the answer off, so that it can't look whole."""
+        """Abort the connection, so that the response is recognisably incomplete."""
         if not self.is_over:
             self.is_over = True
             self._connection.abort()
 
 
 class ServerConnection(Protocol):
-    """A client's connection."""
+    """A connection from a client."""
 
     transport: ITCPTransport
 
     def __init__(self, handler: RequestHandler, clock: IReactorTime) -> None:
-        """Wait for the first request."""
+        """Start idle."""
         self._handler = handler
         self._clock = clock
         self._limits = handler.limits()
@@ -104,13 +104,13 @@
         self._exchange: Exchange | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._is_answering = False
+        self._is_responding = False
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
         self._idle_since = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        """Send small answers at once and watch for idleness."""
+        """Disable Nagle's algorithm and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
         self._idle_since = self._clock.seconds()
         self._schedule_check(self._limits.idle_seconds)
@@ -119,7 +119,7 @@
         self._timer = self._clock.callLater(seconds, self._close_if_expired)
 
     def _close_if_expired(self) -> None:
-        """Close a connection that rested, or sent a head, for too long."""
+        """Close the connection after its idle timeout, or its timeout for a head."""
         self._timer = None
         if self._is_disconnected:
             return
@@ -137,16 +137,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
+        """Whether no request is being read or processed."""
         return self._exchange is None and not self._http.trailing_data[0]
 
     def close_if_idle(self) -> None:
-        """Close a connection on which nothing is under way."""
+        """Close the connection if it has no request in flight."""
         if not self._is_disconnected and self.is_idle:
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
-        """Take bytes of requests."""
+        """Parse received bytes."""
         if self._exchange is None and not self._http.trailing_data[0]:
             self._idle_since = self._clock.seconds()
             if self._timer is not None and self._timer.active():
@@ -157,8 +157,8 @@
         self._read_events()
 
     def _read_events(self) -> None:
-        """Read events until a request is whole or bytes are missing."""
-        while not self._is_answering and not self._is_disconnected:
+        """Handle events until a request is complete or needs more bytes."""
+        while not self._is_responding and not self._is_disconnected:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -202,28 +202,28 @@
             return
         exchange.body = b"".join(self._body)
         self._body = []
-        self._is_answering = True
+        self._is_responding = True
         self._handler.handle(exchange)
 
     def _refuse(self, status: int) -> None:
-        """Answer what can't be read, and close."""
+        """Send an error response and close the connection."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
             return
         self.send_head(status, [(b"content-length", b"0"), (b"connection", b"close")])
         self.send(h11.EndOfMessage())
         self._clear_exchange()
-        self._is_answering = True
+        self._is_responding = True
         self.transport.loseConnection()
 
     def send_head(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer."""
+        """Send the head of a response."""
         if self._handler.is_closing():
             headers = [*headers, (b"connection", b"close")]
         self.send(h11.Response(status_code=status, headers=headers))
 
     def send(self, event: h11.Event) -> None:
-        """Send a part of an answer."""
+        """Send one protocol event."""
         if self._is_disconnected:
             return
         data = self._http.send(event)
@@ -231,22 +231,22 @@
             self.transport.write(data)
 
     def end_exchange(self) -> None:
-        """End an answer; read the next request or close."""
+        """Complete the response, then read the next request or close."""
         self.send(h11.EndOfMessage())
         if self._exchange is not None:
             self._exchange.is_over = True
         self._clear_exchange()
-        self._is_answering = False
+        self._is_responding = False
         if self._is_disconnected:
             return
         if self._http.our_state is h11.MUST_CLOSE:
-            self._is_answering = True
+            self._is_responding = True
             self.transport.loseConnection()
             return
         self._limits = self._handler.limits()
         self._idle_since = self._clock.seconds()
         self._http.start_next_cycle()
-        # A handler that answers at once must not recurse for each request that waits.
+        # Synchronous handlers must not recurse once per pipelined request.
         if self._http.trailing_data[0]:
             self._clock.callLater(0, self._read_events)
 
@@ -256,14 +256,14 @@
             self._handler.count(-1)
 
     def abort(self) -> None:
-        """Cut the connection, so that no answer on it looks whole."""
+        """Abort the connection, so that a response on it is recognisably incomplete."""
         self._clear_exchange()
-        self._is_answering = True
+        self._is_responding = True
         if not self._is_disconnected:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell the request under way that its client left."""
+        """Notify the request in flight that its client disconnected."""
         self._is_disconnected = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -277,30 +277,30 @@
 
 
 class ServerFactory(Factory):
-    """Makes a connection object for each client, and knows those that are open."""
+    """Creates connections, and tracks those that are open."""
 
     noisy = False
 
     def __init__(self, handler: RequestHandler, clock: IReactorTime) -> None:
-        """Serve requests by a handler."""
+        """Pass requests to a handler."""
         self._handler = handler
         self._clock = clock
         self._open: set[ServerConnection] = set()
 
     def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
-        """Make the object of a new connection."""
+        """Create a tracked connection."""
         connection = TrackedConnection(self._handler, self._clock, self._open)
         self._open.add(connection)
         return connection
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
+        """Close the connections without a request in flight."""
         for connection in tuple(self._open):
             connection.close_if_idle()
 
 
 class TrackedConnection(ServerConnection):
-    """A connection that its factory counts until it is lost."""
+    """A connection that is in its factory's set while it is open."""
 
     def __init__(
         self,
@@ -308,11 +308,11 @@
         clock: IReactorTime,
         open_connections: set[ServerConnection],
     ) -> None:
-        """Belong to a set while open."""
+        """Create a connection that removes itself from `open_connections`."""
         super().__init__(handler, clock)
         self._open_connections = open_connections
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Leave the set."""
+        """Remove the connection from the set of open ones."""
         self._open_connections.discard(self)
         super().connectionLost(reason)
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -1,20 +1,20 @@
-"""Socket options that find out silent peers."""
+"""Socket options that detect unreachable peers."""
 
 import socket
 from typing import Any
 
 USER_TIMEOUT_MILLISECONDS = 2000
-"""A connection ends if sent bytes aren't acknowledged for so long."""
+"""A connection is closed if sent data stays unacknowledged for this time."""
 KEEPALIVE_IDLE_SECONDS = 1
-"""Seconds without a byte before the first probe."""
+"""Idle time before the first keepalive probe."""
 KEEPALIVE_INTERVAL_SECONDS = 1
-"""Seconds between two probes; the kernel takes whole ones."""
+"""Interval between two probes, in whole seconds as the kernel requires."""
 KEEPALIVE_PROBES = 2
-"""Probes without an answer that end a connection: three seconds in all."""
+"""Unacknowledged probes that close a connection, after three seconds in total."""
 
 
 def detect_dead_peer(transport: Any) -> None:
-    """End a TCP connection within some seconds of its peer's machine going dark."""
+    """Close a TCP connection within seconds of its peer becoming unreachable."""
     handle = transport.getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
