--- a/notcharch/calls/__init__.py
+++ b/notcharch/calls/__init__.py
@@ -1,5 +1,5 @@
-"""The life of one opaque call: routed, admitted, sent to an engine, relayed, finished.
+"""The lifecycle of opaque calls: routing, admission, dispatch to an engine, and relay.
 
-The callers' and the engines' dialects are adapters; nothing here knows the names of
-headers, fields or paths.
+The protocols of callers and engines are adapters: this package knows no names of headers,
+fields or paths.
 """
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -1,4 +1,4 @@
-"""The life of one call: admission, choice of an engine, attempts, relay, end."""
+"""The lifecycle of one call: admission, choice of an engine, runs, relay, completion."""
 
 import enum
 
@@ -22,21 +22,21 @@
 from notcharch.http.messages import ResponseHead
 
 MIN_SEND_SECONDS = 0.02
-"""With less time left a call isn't sent any more."""
+"""A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
-"""A call is offered to so many engines, counting those that refused it."""
+"""Maximum number of engines that one call is sent to, including those that reject it."""
 SERVER_ERRORS = 500
 
 UNREACHABLE = "unreachable"
-DRAINED = "its engine takes no calls any more"
+DRAINED = "the engine was drained before the call was sent"
 NOT_RUN = "not run"
-NOT_GENUINE = "a success without a seal"
-SERVER_ERROR = "an error of the engine"
-NOT_DURABLE = "the end was not durable in time"
+NOT_GENUINE = "unauthenticated success response"
+SERVER_ERROR = "engine error"
+NOT_DURABLE = "the outcome was not durable before the deadline"
 
 
 class Phase(enum.Enum):
-    """How far a call is."""
+    """The phase of a call."""
 
     ADMISSION = "admission"
     AT_ENGINE = "at engine"
@@ -45,7 +45,7 @@
 
 
 class CallLifecycle:
-    """One call on its way; hears its admission, its attempts and its caller."""
+    """One call; the listener of its admission, its runs and its caller."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
         service: str,
         reply: Reply,
     ) -> None:
-        """Take a call that has a route."""
+        """Prepare a call, which `start` submits to admission."""
         self._services = services
         self.call = call
         self._route = route
@@ -66,23 +66,23 @@
         self._ticket: Ticket | None = None
         self._timer: IDelayedCall | None = None
         self._run: EngineRun | None = None
-        """The run under way."""
+        """The run in flight."""
         self._tried: set[str] = set()
         self._status = 0
-        """That of the last whole answer."""
+        """Status of the last complete response."""
         self._framer = EventFramer()
         self._is_relaying = False
-        """Whether the caller has the head of a stream."""
+        """True once the head of a stream was relayed to the caller."""
         self._pending_head: ResponseHead | None = None
-        """That of a stream that has no whole event yet.
+        """Head of a stream that has no complete event yet.
 
-        It is shown with the first event: until then a run that fails, or is given up,
-        ends in an answer of our own and not in a cut connection.
+        It is relayed with the first event: until then the call can still end in an error
+        response instead of an aborted connection.
         """
         self._cause = ""
-        """Why the last engine did not serve the call."""
+        """Why the last run failed."""
         self._output: list[bytes] = []
-        """The stream so far, if the turn is to be kept."""
+        """The relayed events, if the turn is to be stored."""
         self._log = CallLog(services.clock, call, route)
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
@@ -90,7 +90,7 @@
         self._deadline = self._log.deadline = call.arrived + wait
 
     def start(self) -> None:
-        """Ask for admission."""
+        """Request admission."""
         clock = self._services.clock
         seconds_left = max(self._deadline - clock.seconds(), 0.0)
         self._timer = clock.callLater(seconds_left, self._expire)
@@ -101,16 +101,16 @@
 
     @property
     def awaits_admission(self) -> bool:
-        """Whether the caller is still there and waits."""
+        """True while the caller is connected and waits for admission."""
         return self._phase is Phase.ADMISSION
 
     @property
     def is_caller_waiting(self) -> bool:
-        """Whether the caller waits for the end."""
+        """True while the caller waits for the outcome to be durable."""
         return self._phase is Phase.COMPLETING
 
     def admitted(self, ticket: Ticket, body: bytes) -> None:
-        """Go on to an engine."""
+        """Dispatch the call to an engine."""
         if self._phase is Phase.OVER:
             ticket.never_ran()
             return
@@ -121,7 +121,7 @@
         self._dispatch()
 
     def refused(self, refusal: Refusal) -> None:
-        """End with an answer of our own."""
+        """Respond to the caller with a refusal."""
         if self._phase is not Phase.OVER:
             self._refuse(refusal)
 
@@ -159,7 +159,7 @@
         self._dispatch()
 
     def _end_without_engine(self) -> None:
-        """No engine is left to try."""
+        """End the call: no engine is left to try."""
         if self._is_relaying:
             self._interrupt(self._cause)
         elif self._log.runs:
@@ -171,21 +171,21 @@
             self._refuse(refusal_without_engine(none, self.call, now))
 
     def run_started(self, head: ResponseHead) -> None:
-        """Keep the head of the caller's stream, unless an earlier run gave it."""
+        """Hold the head of the stream, unless an earlier run's head was relayed."""
         if self._ticket is not None and self._run is not None:
             self._ticket.engine_started(self._run.engine.id)
         if not self._is_relaying:
             self._pending_head = head
 
     def _relay_head(self) -> None:
-        """Begin the caller's stream, if it has not begun."""
+        """Relay the head of the stream, unless that is done."""
         head, self._pending_head = self._pending_head, None
         if head is not None:
             self._is_relaying = True
             self._reply.begin(head)
 
     def run_data_received(self, data: bytes) -> bool:
-        """Relay whole events; tell whether there were any."""
+        """Relay complete events; return whether there were any."""
         complete_events = self._framer.feed(data)
         if complete_events:
             self._relay_head()
@@ -196,12 +196,12 @@
         return bool(complete_events)
 
     def run_unreachable(self) -> None:
-        """Try another engine: nothing was sent."""
+        """Try another engine: the call was not sent."""
         self._run = None
         self._retry(UNREACHABLE)
 
     def run_cancelled(self) -> None:
-        """Choose anew: the engine was drained before anything was sent."""
+        """Try another engine: this one was drained before the call was sent."""
         self._run = None
         self._retry(DRAINED)
 
@@ -211,7 +211,7 @@
         self._retry(f"{NOT_RUN}: {head.status}")
 
     def run_completed(self, head: ResponseHead, body: bytes) -> None:
-        """Decide what becomes of a whole answer."""
+        """Relay a complete response, or retry the call."""
         self._run = None
         self._log.runs += 1
         self._status = head.status
@@ -228,21 +228,21 @@
             self._relay_response(head, body)
 
     def run_failed(self, cause: str) -> None:
-        """Run again if the route allows it; the call may have run."""
+        """Retry if the route allows it: the call may have run."""
         self._run = None
         self._log.runs += 1
         self._retry_or_end(cause)
 
     def should_abandon(self) -> bool:
-        """Tell whether to give up an overdue answer.
+        """Return whether to abandon a run whose response is overdue.
 
-        A call with a run left is tried again. A stream that may run once is given up
-        for its caller to ask anew while there is time. Others are waited for.
+        A call that may run again is retried. A stream that may run once only ends, so
+        that its caller can retry before the deadline. Other calls keep waiting.
         """
         return self._route.is_stream or self._allows_runs(self._log.runs + 2)
 
     def _may_run_again(self) -> bool:
-        """Tell whether another run is allowed, after those that may have been."""
+        """Return whether another run is allowed after those that may have happened."""
         return self._allows_runs(self._log.runs + 1)
 
     def _allows_runs(self, runs: int) -> bool:
@@ -267,14 +267,14 @@
     # The end
 
     def _complete_stream(self) -> None:
-        """Make the outcome durable, then show the end."""
+        """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
         assert self._ticket is not None
         output = b"".join(self._output) + self._framer.remainder()
         self._ticket.completed(output, self._framer.events, self)
 
     def durable(self) -> None:
-        """Show the end of the stream."""
+        """Relay the end of the stream."""
         if self._phase is not Phase.COMPLETING:
             return
         self._relay_head()
@@ -286,7 +286,7 @@
         self._reply.finish()
 
     def not_durable(self) -> None:
-        """Break the stream off: its outcome could not be made durable."""
+        """Abort the stream: its outcome is not durable."""
         if self._phase is Phase.COMPLETING:
             self._interrupt(NOT_DURABLE)
 
@@ -298,7 +298,7 @@
         self._reply.send_response(head, body)
 
     def _refuse(self, refusal: Refusal) -> None:
-        """End without an engine's answer."""
+        """End the call with an error response, or abort a stream that has started."""
         if self._is_relaying:
             self._interrupt(refusal.reason)
             return
@@ -315,7 +315,7 @@
         self._reply.abort()
 
     def _close_ticket(self) -> None:
-        """Say what is known of the runs of a call that has no whole answer."""
+        """Report the runs of a call without a complete response to its ticket."""
         if self._ticket is None or self._phase is Phase.COMPLETING:
             return
         if self._log.runs or self._run is not None:
@@ -332,7 +332,7 @@
             self._run = None
 
     def _expire(self) -> None:
-        """Say at once that the time of the call is over."""
+        """End the call at its deadline."""
         if self._phase is Phase.ADMISSION:
             self._refuse(NO_ENGINE)
         elif self._phase is Phase.COMPLETING:
@@ -341,7 +341,7 @@
             self._refuse(TIMED_OUT)
 
     def _caller_disconnected(self) -> None:
-        """Stop the engine's work for a caller who is gone."""
+        """Cancel the run of a caller that has disconnected."""
         if self._phase is Phase.OVER:
             return
         self._close_ticket()
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -1,4 +1,4 @@
-"""The log lines of one call: each decision with what it was made from."""
+"""Log events of one call: each decision with its inputs."""
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -22,22 +22,22 @@
 
 
 class CallLog:
-    """Writes the lines of one call, and counts what they tell."""
+    """Logs the events of one call and updates its metrics."""
 
     def __init__(self, clock: IReactorTime, call: OpaqueCall, route: Route) -> None:
-        """Begin when the call begins."""
+        """Start at the arrival of a call."""
         self._clock = clock
         self._call = call
         self._route = route
         self.deadline = 0.0
-        """Clock seconds."""
+        """Deadline of the call, clock seconds."""
         self.admission_seconds = 0.0
         self.engines: list[str] = []
-        """The engines that it was sent to, in order."""
+        """Engines that the call was sent to, in order."""
         self.runs = 0
-        """So many engines may have run it."""
+        """Number of engines that may have run the call."""
         self.events = 0
-        """Whole events that the caller was given."""
+        """Number of complete events relayed to the caller."""
 
     @property
     def _seconds(self) -> float:
@@ -52,18 +52,18 @@
         return self.engines[-1] if self.engines else ""
 
     def admitted(self) -> None:
-        """Note how long the admission took."""
+        """Record the duration of the admission."""
         self.admission_seconds = self._seconds
         ADMISSION_SECONDS.observe(self.admission_seconds)
 
     def events_relayed(self, events: int) -> None:
-        """Note how many events the caller was given."""
+        """Record the number of events relayed so far."""
         if not self.events:
             FIRST_EVENT_SECONDS.observe(self._seconds)
         self.events = events
 
     def overdue(self, limit_seconds: float, *, is_abandoned: bool) -> None:
-        """Tell that the present run's first answer is overdue."""
+        """Log that the current run's first response is overdue."""
         call = self._call
         emit(
             AnswerOverdue(
@@ -78,7 +78,7 @@
         )
 
     def served(self, status: int) -> None:
-        """Tell that the caller has an engine's whole answer."""
+        """Log that an engine's complete response was relayed."""
         CALLS.labels("served", "").inc()
         COMPLETE_RESPONSE_SECONDS.observe(self._seconds)
         emit(
@@ -97,7 +97,7 @@
         )
 
     def refused(self, refusal: Refusal, phase: str, engines_known: int) -> None:
-        """Tell of an answer of our own."""
+        """Log a refusal."""
         CALLS.labels("refused", refusal.reason).inc()
         emit(
             CallRefused(
@@ -118,7 +118,7 @@
         )
 
     def retried(self, cause: str) -> None:
-        """Tell why another engine is looked for."""
+        """Log a retry and its cause."""
         RETRIES.inc()
         emit(
             CallSentAgain(
@@ -133,7 +133,7 @@
         )
 
     def interrupted(self, phase: str, cause: str) -> None:
-        """Tell of a stream that was cut."""
+        """Log an aborted stream."""
         CALLS.labels("broken off", phase).inc()
         emit(
             CallBrokenOff(
@@ -151,7 +151,7 @@
         )
 
     def caller_disconnected(self, phase: str) -> None:
-        """Tell that nobody waits any more."""
+        """Log that the caller disconnected."""
         CALLS.labels("caller left", phase).inc()
         emit(
             CallerLeft(
--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -1,4 +1,4 @@
-"""Whose call it is, before anything else is done about it."""
+"""Authentication of callers by their keys, before a call is admitted."""
 
 from collections.abc import Sequence
 
@@ -22,23 +22,26 @@
 
 
 class CallerCheck:
-    """Finds the tenant of a call, as far as keys can be judged now."""
+    """Finds the tenant of a call, if the table of keys is fresh enough."""
 
     def __init__(self, clock: IReactorTime, freshness: TableFreshness) -> None:
-        """`freshness` tells when keys may be judged."""
+        """`freshness` tracks whether the table is current enough to check keys."""
         self._clock = clock
         self._freshness = freshness
         self._could_check_keys = True
-        """Whether keys could be judged when that was told last."""
+        """The state that was logged last."""
 
     def can_check_keys(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
-        """Tell whether keys can be judged now, and for some seconds more, if need be."""
+        """Return whether the table is fresh enough to check keys.
+
+        It also has to be in `ahead_seconds`.
+        """
         if table.keys is None:
             return True
         return self._freshness.is_fresh(self._clock.seconds(), ahead_seconds)
 
     def report_change(self, can_check_keys: bool) -> None:
-        """Tell once that no key can be judged any more, and once that keys can again."""
+        """Log each change between being able and unable to check keys."""
         if can_check_keys != self._could_check_keys:
             self._could_check_keys = can_check_keys
             age = self._freshness.age(self._clock.seconds())
@@ -51,7 +54,7 @@
         route: Route,
         table: RouteTable,
     ) -> Refusal | None:
-        """Set the tenant of a call; give the answer to one that has none but needs one."""
+        """Set the tenant of a call, or return a refusal if its key is invalid."""
         if table.keys is None or route.is_public:
             return None
         identity = identify(presented, table.keys, is_fresh=self.can_check_keys(table))
@@ -63,10 +66,10 @@
     def _refuse(
         self, call: OpaqueCall, fault: IdentityFault, route: Route, table: RouteTable
     ) -> Refusal:
-        """Tell why, and when to come back.
+        """Log the cause, and return the refusal.
 
-        While the newest keys are not known, the outage is expected to last for as long as
-        it has lasted.
+        While the newest keys are not known, the outage is expected to last as long as it
+        has lasted so far.
         """
         now = self._clock.seconds()
         age = self._freshness.age(now)
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -1,4 +1,4 @@
-"""Which engines may get a call at all: zones, regions of residence, cold engines."""
+"""Eligibility of engines: drained zones, residency regions, cold engines."""
 
 import enum
 from collections.abc import Iterable, Mapping, Sequence
@@ -18,29 +18,28 @@
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones, ZoneDrains
 
 MIN_WARM_SHARE = 2 / 3
-"""While so many of the engines that may serve a call are warm, cold ones wait until they
-are: with a third of the engines gone, the others have a half more work, and their slots
-are 40% full on a calm day."""
+"""Share of warm engines at which cold ones get no calls: without a third of the engines
+the others have 50% more load."""
 NEVER_COLD = ColdLimit()
 
 
 class EngineStatus(Protocol):
-    """An engine as the pool keeps it."""
+    """What the pool knows of an engine."""
 
     @property
     def engine(self) -> Engine:
-        """Its entry."""
+        """The entry of the engine."""
 
     @property
     def warmth(self) -> Warmth:
-        """How long it is cold."""
+        """The warm-up state of the engine."""
 
 
 Status = TypeVar("Status", bound=EngineStatus)
 
 
 class Cause(enum.Enum):
-    """Why no engine may get a call."""
+    """Why no engine is available."""
 
     NONE_LISTED = "no engine can take it"
     DRAINED = "the zones of its engines are drained"
@@ -49,29 +48,29 @@
 
 
 class NoEngine(msgspec.Struct, frozen=True):
-    """No engine may get a call now."""
+    """No engine is available."""
 
     cause: Cause
     seconds: float | None = None
-    """Until that is expected to change; None if nothing is known of it."""
+    """Expected duration of this; None if unknown."""
 
 
 class NoPeers:
-    """The view of a daemon that doesn't know who else there is."""
+    """The view of a daemon that knows no peers."""
 
     own = ""
 
     def members(self) -> Sequence[str]:
-        """Give nobody."""
+        """Return no members."""
         return ()
 
     def known_seconds(self) -> float:
-        """Say that nobody is known."""
+        """Return zero: no view of the peers is known."""
         return 0.0
 
 
 class EngineEligibility:
-    """Drained zones, regions and cold engines, as they bind every choice of an engine."""
+    """Filters engines by drained zones, residency regions and warm-up."""
 
     def __init__(
         self,
@@ -79,26 +78,26 @@
         cold: ColdPolicy | None = None,
         daemons: DaemonView | None = None,
     ) -> None:
-        """`region_of` gives the region of each zone; `daemons` share cold engines."""
+        """`region_of` maps zones to regions; `daemons` share the load limits of cold engines."""
         self._region_of = region_of or {}
         self._cold = ColdEngines(cold or ColdPolicy(), daemons or NoPeers())
         self._limits: dict[str, ColdLimit] = {}
         self.drains = ZoneDrains()
 
-    # What operators and engines tell
+    # Updates
 
     def set_cold_limits(self, limits: Mapping[str, ColdLimit]) -> None:
-        """Take what cold engines of each service bear."""
+        """Set the load limits of cold engines by service."""
         self._limits = dict(limits)
         self._cold.forget_parts()
 
     def update_drains(
         self, newer: DrainedZones, states: Iterable[EngineStatus], now: float
     ) -> DrainChange | None:
-        """Take a set of drained zones; None if it is older than the one known.
+        """Update the drained zones; return None if `newer` is stale.
 
-        Engines of a zone that is given back may have turned cold before their entries
-        say so.
+        The engines of a zone whose drain is cancelled count as cold, which their entries
+        may not yet show.
         """
         change = self.drains.take(newer, now)
         if change is None:
@@ -112,26 +111,26 @@
     def _limit(self, service: str) -> ColdLimit:
         return self._limits.get(service, NEVER_COLD)
 
-    # What our own calls do
+    # Calls of this daemon
 
     def sent(self, engine: Engine, now: float) -> None:
-        """Note a call to an engine."""
+        """Count a call that is sent to an engine."""
         self._cold.sent(engine.id, self._limit(engine.service), now)
 
     def forget(self, engine_id: str) -> None:
-        """Forget an engine that is gone."""
+        """Remove the state of an engine."""
         self._cold.forget(engine_id)
 
     # The choice
 
     def takes_calls(self, engine: Engine) -> bool:
-        """Tell whether an engine may get calls, whatever else is known of it."""
+        """Return whether the zone of an engine is not drained."""
         return not self.drains.is_drained(engine.zone)
 
     def allowed(
         self, states: Sequence[Status], regions: frozenset[str] | None
     ) -> Sequence[Status]:
-        """Leave out the engines of drained zones and of other regions."""
+        """Return the engines outside of drained zones, and in the given regions."""
         if regions is None and not self.drains.current.zones:
             return states
         return [
@@ -144,7 +143,7 @@
     def accepting(
         self, service: str, states: Sequence[Status], now: float
     ) -> Sequence[Status]:
-        """Leave out cold engines, but where too few are warm those that we may feed."""
+        """Return the warm engines; if they are too few, also cold ones with capacity."""
         if not self._limit(service).is_any:
             return states
         warm = [state for state in states if not state.warmth.is_cold(now)]
@@ -162,7 +161,7 @@
             is_doubted=state.warmth.is_only_doubted(now),
         )
 
-    # Why there is none
+    # Unavailability
 
     def why_none(
         self,
@@ -170,7 +169,7 @@
         regions: frozenset[str] | None,
         now: float,
     ) -> NoEngine:
-        """Say why none of a service's engines may get a call, and for how long."""
+        """Return why none of a service's engines is available, and for how long."""
         if not listed:
             return NoEngine(Cause.NONE_LISTED)
         resident = [
@@ -191,7 +190,7 @@
         return NoEngine(Cause.NONE_LISTED)
 
     def _accepts_in(self, state: EngineStatus, now: float) -> float:
-        """Give the seconds until a cold engine takes a call of ours."""
+        """Return the seconds until a cold engine accepts a call of this daemon."""
         warm_in = state.warmth.cold_until - now
         capacity_in = self._capacity_in(state, now)
         return warm_in if capacity_in is None else min(warm_in, capacity_in)
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,4 +1,4 @@
-"""One run of a call at one engine: sent, watched, and told of to the call."""
+"""One run of a call at one engine."""
 
 from typing import Protocol
 
@@ -21,11 +21,11 @@
 from notcharch.scheduling.answer_waits import RouteWaits
 
 CLIENT_ERRORS = 400
-OVERDUE = "its first answer was overdue"
+OVERDUE = "the first response was overdue"
 
 
 class CallServices(msgspec.Struct, frozen=True):
-    """What the life of a call works with."""
+    """Collaborators of the call lifecycle."""
 
     clock: IReactorTime
     pool: EnginePool
@@ -36,35 +36,35 @@
 
 
 class RunListener(Protocol):
-    """What hears of a run. After each method but the first two the run is over."""
+    """Callbacks for a run. It has ended after each of them but the first two."""
 
     def run_started(self, head: ResponseHead) -> None:
-        """Hear the head of a stream that succeeds so far."""
+        """Handle the head of a successful stream."""
 
     def run_data_received(self, data: bytes) -> bool:
-        """Take bytes of such a stream; tell whether an event became whole."""
+        """Handle data of the stream; return whether it completed an event."""
 
     def run_unreachable(self) -> None:
-        """Hear that no connection was made: nothing was sent."""
+        """Handle a failed connection attempt: the call was not sent."""
 
     def run_cancelled(self) -> None:
-        """Hear that the engine must get no call any more: nothing was sent."""
+        """Handle that the engine was drained before the call was sent."""
 
     def run_rejected(self, head: ResponseHead) -> None:
-        """Hear that the engine certainly did not run the call."""
+        """Handle a rejection: the engine certainly did not run the call."""
 
     def run_completed(self, head: ResponseHead, body: bytes) -> None:
-        """Hear a whole answer; `body` is that of an answer that is no stream."""
+        """Handle a complete response; `body` is empty if it was relayed as a stream."""
 
     def run_failed(self, cause: str) -> None:
-        """Hear that the answer broke off, or was given up; it may have run."""
+        """Handle an incomplete or abandoned response; the call may have run."""
 
     def should_abandon(self) -> bool:
-        """Tell whether it helps to give up an answer that is overdue."""
+        """Return whether to abandon the run when its response is overdue."""
 
 
 class EngineRun:
-    """One run; hears what its engine answers."""
+    """One run; the listener of the engine's response."""
 
     def __init__(
         self,
@@ -76,7 +76,7 @@
         *,
         log: CallLog,
     ) -> None:
-        """Prepare to run a call at an engine."""
+        """Prepare a run, which `send` starts."""
         self._services = services
         self._call = call
         self._route = route
@@ -87,18 +87,18 @@
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._is_relaying = False
-        """Whether the events go to the caller."""
+        """True if the events are relayed to the caller."""
         self._last_event_at: float | None = None
-        """When the last event came, clock seconds."""
+        """Clock seconds at which the last event was received."""
         self._sent_at = 0.0
         self._events = 0
-        """Times at which events came: several that come at once count as one."""
+        """Number of reads that completed an event; several events in one read count once."""
         self._overdue = OverdueWatch(
             services.clock, services.waits, route.name, self._is_overdue
         )
 
     def send(self, body: bytes, remaining_ms: int) -> None:
-        """Send the call with a body."""
+        """Send the call with a body to the engine."""
         services = self._services
         head = services.dialect.request(self._call, self.engine, remaining_ms)
         services.pool.call_started(self.engine.id)
@@ -107,7 +107,7 @@
         self._sending = services.sender.send(self.engine, head, body, self)
 
     def abandon(self) -> None:
-        """End the run: the engine sees its connection cut."""
+        """Abort the run by closing its connection."""
         if self._sending is not None:
             self._sending.abandon()
         self._finish()
@@ -117,13 +117,13 @@
         self._services.pool.call_ended(self.engine.id)
 
     def _engine_failed(self) -> None:
-        """Pass the engine over; where it is silent, so are its other connections."""
+        """Report a failure; if the engine is silent, close its idle connections too."""
         is_silent = self._services.pool.engine_failed(self.engine.id)
         if is_silent:
             self._services.sender.close_idle(self.engine.id)
 
     def _is_overdue(self) -> None:
-        """Pass the engine over; give the run up where that helps."""
+        """Report an overdue response; abandon the run if that helps."""
         self._services.pool.engine_failed(self.engine.id)
         abandons = self._listener.should_abandon() and self._overdue.take_retry()
         self._log.overdue(self._overdue.limit_seconds, is_abandoned=abandons)
@@ -131,29 +131,29 @@
             self.abandon()
             self._listener.run_failed(OVERDUE)
 
-    # What the engine answers
+    # Response of the engine
 
     def unreachable(self) -> None:
-        """Hear that no connection was made."""
+        """Handle a failed connection attempt."""
         self._engine_failed()
         self._finish()
         self._listener.run_unreachable()
 
     def may_send(self) -> bool:
-        """Tell whether the engine may still get the call, now that it is connected."""
+        """Return whether the engine may still get the call, once it is connected."""
         return self._services.pool.takes_calls(self.engine.id)
 
     def cancelled(self) -> None:
-        """Hear that the call was not sent because it may not be any more."""
+        """Handle that the call was not sent, because the engine was drained."""
         self._finish()
         self._listener.run_cancelled()
 
     def is_response(self, head: ResponseHead) -> bool:
-        """Tell whether an answer is to this call."""
+        """Return whether a response belongs to this call."""
         return self._services.dialect.is_response_to(self._call, head)
 
     def head_received(self, head: ResponseHead) -> None:
-        """Relay a stream that succeeds; keep other answers until they are whole."""
+        """Relay a successful stream; buffer any other response."""
         self._head = head
         self._services.pool.response_received(self.engine.id)
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
@@ -164,14 +164,14 @@
             self._listener.run_started(head)
 
     def data_received(self, data: bytes) -> None:
-        """Relay events, or keep the bytes."""
+        """Relay or buffer the data."""
         if not self._is_relaying:
             self._chunks.append(data)
         elif self._listener.run_data_received(data):
             self._record_event()
 
     def _record_event(self) -> None:
-        """Tell how long after the one before an event came."""
+        """Report the time since the call was sent, or since the previous event."""
         now = self._services.clock.seconds()
         self._events += 1
         if self._last_event_at is None:
@@ -184,7 +184,7 @@
         self._services.pool.response_received(self.engine.id, gap)
 
     def completed(self) -> None:
-        """Hear that the answer is whole."""
+        """Handle a complete response."""
         head = self._head
         assert head is not None
         assert self._sending is not None
@@ -200,7 +200,7 @@
         self._listener.run_completed(head, b"".join(self._chunks))
 
     def failed(self, failure: ResponseFailure) -> None:
-        """Hear that the answer broke off."""
+        """Handle an incomplete response."""
         if failure is not ResponseFailure.GARBLED:
             self._engine_failed()
         self._finish()
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -1,4 +1,4 @@
-"""Sends calls over kept connections to engines."""
+"""Sends calls to engines over persistent connections."""
 
 from typing import Protocol
 
@@ -14,49 +14,49 @@
 from notcharch.http.sockets import detect_dead_peer
 
 CONNECT_SECONDS = 0.3
-"""A connection takes one way and back, some 3 ms between zones; a full queue of an engine
-answers only after seconds. Chosen between the two."""
+"""Timeout of the TCP handshake: far above a round trip between zones, and below the
+retransmission of a SYN that a full accept queue dropped."""
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
-"""So long an idle connection is used if the engine doesn't say how long it keeps it."""
+"""Idle timeout of a connection for which the engine advertises none."""
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
-"""An engine tells whole seconds, so its connection may close up to one sooner."""
+"""Engines advertise whole seconds, so they may close a connection up to one earlier."""
 MAX_IDLE = 8
-"""Idle connections kept to one engine: a daemon has few calls at one engine at a time."""
+"""Idle connections per engine: a daemon has few concurrent calls at one engine."""
 
 
 class SendListener(ResponseListener, Protocol):
-    """What hears a request's answer, or that it could not be sent."""
+    """Callbacks for the response to a request, or for a request that was not sent."""
 
     def unreachable(self) -> None:
-        """Hear that no connection was made: the request was not sent."""
+        """Handle a failed connection attempt: the request was not sent."""
 
     def may_send(self) -> bool:
-        """Tell whether the request may still be sent, once a connection is up."""
+        """Return whether the request may still be sent, once a connection is open."""
 
     def cancelled(self) -> None:
-        """Hear that it was not sent because it may not be any more."""
+        """Handle that the request was not sent because `may_send` was false."""
 
 
 class Sending:
-    """One request on its way to an engine."""
+    """One request to an engine."""
 
     def __init__(self) -> None:
-        """Begin without a connection."""
+        """Start without a connection."""
         self.connection: ClientConnection | None = None
         self.is_abandoned = False
 
     def abandon(self) -> None:
-        """Give it up: the engine sees its connection cut."""
+        """Abort the request by closing its connection."""
         self.is_abandoned = True
         if self.connection is not None:
             self.connection.abandon()
 
 
 class EngineSender:
-    """Connections to engines, kept for more requests."""
+    """Sends requests to engines, and pools their idle connections."""
 
     def __init__(self, reactor: TimedReactor, local_address: str) -> None:
-        """Connect from a machine's own address."""
+        """Connect from a local address, if one is given."""
         self._reactor = reactor
         self._bind = (local_address, 0) if local_address else None
         self._idle: dict[str, IdleConnections] = {}
@@ -66,7 +66,7 @@
     def send(
         self, engine: Engine, head: RequestHead, body: bytes, listener: SendListener
     ) -> Sending:
-        """Send a request; `listener` hears its answer."""
+        """Send a request; `listener` is called with its response."""
         sending = Sending()
         idle = self._idle.get(engine.id)
         reused = idle.take() if idle is not None else None
@@ -99,7 +99,7 @@
         return sending
 
     def release(self, engine_id: str, sending: Sending) -> None:
-        """Keep the connection of an answered request for the next one."""
+        """Return the connection of a completed request to the pool."""
         connection = sending.connection
         if connection is None:
             return
@@ -115,7 +115,7 @@
         idle.keep(connection, seconds)
 
     def close_idle(self, engine_id: str) -> None:
-        """Close the idle connections to an engine that is gone."""
+        """Close the idle connections to an engine."""
         idle = self._idle.pop(engine_id, None)
         if idle is not None:
             idle.close_all()
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -1,4 +1,4 @@
-"""The engines that calls can be sent to, as they are listed and as calls saw them."""
+"""The pool of engines: their entries, their health, and the choice among them."""
 
 from collections.abc import Collection, Iterable, Sequence
 from random import Random
@@ -29,19 +29,19 @@
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones
 
 LAST_RESORT_SECONDS = 1.0
-"""So long an engine that leaves, or is not listed any more, is still a last resort.
+"""How long a draining or unlisted engine can be chosen if few others are left.
 
-It serves for longer. After an outage of the store, engines that live are missing from
-the list until their next heartbeats.
+Engines serve calls for longer than that. After an outage of the store, live engines are
+missing from the list until their next heartbeat.
 """
 
 
 class PoolPolicy(msgspec.Struct, frozen=True):
-    """How the engines of a pool are chosen, and for how long those that leave may be."""
+    """Policy for the choice of an engine."""
 
     last_resort_seconds: float = LAST_RESORT_SECONDS
     entry_seconds: float = 0.0
-    """An engine's entry may have been written so long before it is read first."""
+    """Maximum age of an engine's entry when it is first read."""
     routing: RoutingPolicy = RoutingPolicy()
     health: HealthPolicy = HealthPolicy()
 
@@ -50,38 +50,38 @@
     """What this daemon knows of one engine."""
 
     def __init__(self, engine: Engine, health: EngineHealth) -> None:
-        """Begin with no calls."""
+        """Start without calls."""
         self.engine = engine
         self.health = health
         self.warmth = Warmth()
         self.in_flight = 0
-        """Our own calls there."""
+        """Calls of this daemon in flight at the engine."""
         self.last_resort_since: float | None = None
-        """Clock seconds at which it was first seen to leave, or was not listed."""
+        """Clock seconds since which it is draining or unlisted."""
 
     @property
     def id(self) -> str:
-        """Give the engine's name."""
+        """Return the engine's id."""
         return self.engine.id
 
     @property
     def zone(self) -> str:
-        """Tell where it is."""
+        """Return the engine's zone."""
         return self.engine.zone
 
     @property
     def slots(self) -> int:
-        """Give how many calls it runs at a time."""
+        """Return the number of calls that it runs concurrently."""
         return self.engine.slots
 
     @property
     def run_seconds(self) -> float | None:
-        """Give how long a call takes there, if that is known."""
+        """Return the usual duration of a call, if known."""
         return self.health.run_seconds
 
 
 class EnginePool:
-    """The engines of all services, with our own calls to each."""
+    """The engines of all services, with this daemon's calls to each."""
 
     def __init__(
         self,
@@ -93,12 +93,10 @@
         *,
         eligibility: EngineEligibility | None = None,
     ) -> None:
-        """Begin with no engines, seen from a place.
+        """Start without engines.
 
-        Those that leave are a last resort for a while.
-
-        `suspicions` has what peers tell of engines; `eligibility` leaves out engines that
-        must not get a call.
+        `place` ranks them by distance; `suspicions` has the engines that peers suspect;
+        `eligibility` leaves out engines that must not get a call.
         """
         self.eligibility = eligibility or EngineEligibility()
         self._suspicions = suspicions or SharedSuspicions()
@@ -109,10 +107,10 @@
         self._by_service: dict[str, list[EngineState]] = {}
         self._services: dict[str, ServiceHealth] = {}
 
-    # The list
+    # Entries
 
     def replace(self, engines: Iterable[Engine]) -> list[str]:
-        """Take a new list of engines; give the ids of those that are forgotten."""
+        """Replace the list of engines; return the ids of those that were removed."""
         now = self._clock.seconds()
         is_first_list = not self._states
         listed = {engine.id: engine for engine in engines}
@@ -138,9 +136,9 @@
         return forgotten
 
     def _suspect_entries(self, states: Iterable[EngineState], now: float) -> None:
-        """Count engines as perhaps cold that may have turned so since they wrote.
+        """Suspect engines of being cold if they may have become so since their entry.
 
-        A daemon that has just started doesn't know which zones were given back lately.
+        A daemon that has just started does not know which drains were recently cancelled.
         """
         for state in states:
             state.warmth.doubt(now + self._policy.entry_seconds)
@@ -154,7 +152,7 @@
     def _update_state(
         self, state: EngineState | None, engine: Engine, now: float
     ) -> EngineState:
-        """Take an engine's entry."""
+        """Create or update the state of an engine from its entry."""
         is_new_entry = state is None or engine is not state.engine
         if state is None:
             state = EngineState(engine, EngineHealth(self._service(engine.service)))
@@ -168,26 +166,26 @@
         return state
 
     def _is_last_resort(self, state: EngineState, now: float) -> bool:
-        """Note when an engine vanished; tell whether that is only a moment ago."""
+        """Record when an engine was unlisted; return whether that is recent."""
         if state.last_resort_since is None:
             state.last_resort_since = now
         return now - state.last_resort_since < self._policy.last_resort_seconds
 
     def count(self, service: str) -> int:
-        """Give how many engines of a service take work."""
+        """Return the number of candidate engines of a service."""
         return len(self._candidates(service, self._clock.seconds()))
 
     def drain_zones(self, newer: DrainedZones) -> DrainChange | None:
-        """Take which zones are drained; None if that is older than what is known."""
+        """Update the drained zones; return None if `newer` is stale."""
         now = self._clock.seconds()
         return self.eligibility.update_drains(newer, self._states.values(), now)
 
     def takes_calls(self, engine_id: str) -> bool:
-        """Tell whether an engine that was chosen may still get its call."""
+        """Return whether an engine may still get a call that it was selected for."""
         state = self._states.get(engine_id)
         return state is None or self.eligibility.takes_calls(state.engine)
 
-    # The choice
+    # Choice
 
     def choose(
         self,
@@ -197,11 +195,11 @@
         cached_engine: str = "",
         regions: frozenset[str] | None = None,
     ) -> Engine | None:
-        """Give the engine for a call; None if no untried one takes work.
+        """Return the engine for a call, or None if no untried one accepts it.
 
-        `affinity_key` names what the calls share whose prefix an engine may keep; `cached_engine`
-        is the engine that has the prefix already, if one is known to; `regions` are
-        those in which the call may be served, None if all.
+        Calls with the same `affinity_key` share a prefix that an engine may cache;
+        `cached_engine` has the prefix in its cache, if that is known; `regions` are those
+        in which the call may be served, or None for all.
         """
         now = self._clock.seconds()
         untried = [
@@ -224,14 +222,14 @@
         ).engine
 
     def why_none(self, service: str, regions: frozenset[str] | None = None) -> NoEngine:
-        """Say why no engine of a service takes a call, and for how long."""
+        """Return why no engine of a service is available, and for how long."""
         listed = self._by_service.get(service, [])
         return self.eligibility.why_none(listed, regions, self._clock.seconds())
 
     def _without_suspected(
         self, states: Sequence[EngineState], now: float
     ) -> Sequence[EngineState]:
-        """Leave out the engines that peers suspect, unless they are too many."""
+        """Return the engines that no peer suspects, unless too many are suspected."""
         if not self._suspicions.has_any:
             return states
         trusted = [state for state in states if not self._is_suspected(state, now)]
@@ -246,7 +244,7 @@
     def _candidates(
         self, service: str, now: float, regions: frozenset[str] | None = None
     ) -> list[EngineState]:
-        """Give the engines that stay; if most have just left, those as well."""
+        """Return the active engines; if half or more are not, also the last resorts."""
         listed = self._by_service.get(service, [])
         states = self.eligibility.allowed(listed, regions)
         active = [state for state in states if state.last_resort_since is None]
@@ -259,7 +257,7 @@
             and now - state.last_resort_since < self._policy.last_resort_seconds
         ]
 
-    # What calls saw
+    # Observations of calls
 
     def call_started(self, engine_id: str) -> None:
         """Count a call that is sent to an engine."""
@@ -273,7 +271,7 @@
                 COLD_SENDS.inc()
 
     def call_ended(self, engine_id: str) -> None:
-        """Count a call that is over."""
+        """Count a call that has ended."""
         state = self._states.get(engine_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
@@ -282,7 +280,7 @@
     def response_received(
         self, engine_id: str, event_gap_seconds: float | None = None
     ) -> None:
-        """Note a part of an answer, and how long after the event before it came."""
+        """Record a part of a response, and the time since the previous event."""
         state = self._states.get(engine_id)
         if state is None:
             return
@@ -292,21 +290,21 @@
             state.health.paced(event_gap_seconds, now)
 
     def first_event_received(self, engine_id: str, seconds: float) -> None:
-        """Note how long after a call's sending its first event came."""
+        """Record the time from sending a call to its first event."""
         state = self._states.get(engine_id)
         if state is not None:
             state.health.began_answer(seconds)
 
     def stream_completed(self, engine_id: str, events: int) -> None:
-        """Note how many events a whole stream had."""
+        """Record the number of events of a complete stream."""
         state = self._states.get(engine_id)
         if state is not None:
             self._service(state.engine.service).run_ended(events)
 
     def engine_failed(self, engine_id: str) -> bool:
-        """Pass over an engine that could not be spoken to; tell whether it is silent.
+        """Record a failure of an engine; return whether it is silent.
 
-        Its idle connections are of no use then.
+        The idle connections to a silent engine are useless.
         """
         state = self._states.get(engine_id)
         if state is None:
@@ -317,7 +315,7 @@
         return is_silent
 
     def engine_full(self, engine_id: str) -> None:
-        """Pass over an engine for a moment that took no more."""
+        """Avoid an engine briefly that rejected a call at capacity."""
         state = self._states.get(engine_id)
         if state is not None:
             state.health.was_full(self._clock.seconds())
--- a/notcharch/calls/event_stream.py
+++ b/notcharch/calls/event_stream.py
@@ -1,55 +1,55 @@
-"""Whole events of a stream, cut out of the bytes as they come."""
+"""Framing of server-sent events in a byte stream."""
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 
 
 class EventFramer:
-    """Holds back the bytes of an event until the event is whole.
+    """Buffers the bytes of an event until the event is complete.
 
-    An engine may break off within an event, and the events of another run may follow
-    only after a whole one.
+    A stream may be interrupted within an event, and can be resumed at another engine only
+    after a complete one.
     """
 
     def __init__(self) -> None:
-        """Begin before the first event."""
+        """Start before the first event."""
         self._remainder = b""
         self.events = 0
-        """How many whole events were given out."""
+        """Number of complete events so far."""
         self.last_id: bytes | None = None
-        """The id of the last whole event that had one."""
+        """Id of the last complete event that had one."""
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes; give those of events that are whole now."""
-        held = self._remainder + data
-        end = held.rfind(EVENT_END)
+        """Add bytes; return those of the events that are now complete."""
+        buffered = self._remainder + data
+        end = buffered.rfind(EVENT_END)
         if end < 0:
-            self._remainder = held
+            self._remainder = buffered
             return b""
         end += len(EVENT_END)
-        whole = held[:end]
-        self._remainder = held[end:]
-        self.events += whole.count(EVENT_END)
-        self._read_id(whole)
-        return whole
-
-    def _read_id(self, whole: bytes) -> None:
-        for line in reversed(whole.split(b"\n")):
+        complete = buffered[:end]
+        self._remainder = buffered[end:]
+        self.events += complete.count(EVENT_END)
+        self._read_id(complete)
+        return complete
+
+    def _read_id(self, complete: bytes) -> None:
+        for line in reversed(complete.split(b"\n")):
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip()
                 return
 
     def remainder(self) -> bytes:
-        """Give what follows the last whole event."""
+        """Return the bytes after the last complete event."""
         return self._remainder
 
     def discard_remainder(self) -> None:
-        """Forget a broken event: another run follows."""
+        """Discard an incomplete event before another run."""
         self._remainder = b""
 
 
 def data_lines(output: bytes) -> bytes:
-    """Give the data of each event of a stream, each followed by a line feed."""
+    """Return the data of all events of a stream, each followed by a line feed."""
     parts: list[bytes] = []
     for event in output.split(EVENT_END):
         lines = [
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -1,4 +1,4 @@
-"""Typed calls, routes and engines, and the ports that adapters implement."""
+"""Calls, routes, engines, and the ports that adapters implement."""
 
 from typing import Protocol
 
@@ -10,50 +10,50 @@
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
-    """A service that gets a part of a route's calls."""
+    """A service and its share of a route's calls."""
 
     service: str
     weight: float
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Which service serves a path of a host, and how its calls may be treated."""
+    """The services for a path prefix of a host, and the policy for its calls."""
 
     name: str
     host: str
     path_prefix: str
     shares: tuple[ServiceShare, ...]
     is_repeatable: bool
-    """Whether a call may run more than once."""
+    """A call may run more than once."""
     is_stream: bool = False
     is_resumable: bool = False
-    """Whether a stream may be taken up after an event at another engine."""
+    """A stream may be resumed at another engine after its last event."""
     is_sticky: bool = False
     max_engines: int = 1
-    """On so many engines one call may run."""
+    """Maximum number of engines on which one call may run."""
     timeout_seconds: float = 30.0
     objective_seconds: float = 1.0
     priority: int = 0
-    """0 is the most urgent."""
+    """Priority of its calls; 0 is the highest."""
     stores_turns: bool = False
-    """Whether a call brings only its new input and names the turn before it."""
+    """A call has only its new input, and refers to the stored turn before it."""
     is_public: bool = False
-    """Whether calls need no key, also where the table has tenants."""
+    """Calls need no key, even if the table has tenants."""
     retention_seconds: float = 60.0
-    """For so long a turn is kept and a program's budget remembered."""
+    """How long a turn and a program's budget are stored."""
     regions: frozenset[str] | None = None
-    """Where its calls may be served and kept; None: anywhere."""
+    """Regions in which its calls may be served and stored; None means all."""
 
 
 class Service(msgspec.Struct, frozen=True):
-    """What is known of all engines of a service."""
+    """Properties that all engines of a service share."""
 
     name: str
     connection_limit: int = 100
     tokens_per_event: int = 1
     """Tokens in each event of a stream."""
     cold: ColdLimit = ColdLimit()
-    """What its engines bear for some seconds after their start."""
+    """Load limit of an engine for some seconds after its start."""
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -67,11 +67,11 @@
     slots: int = 1
     is_draining: bool = False
     cold_seconds: float = 0.0
-    """For so long it was still cold when its entry was written."""
+    """Remaining warm-up time when the entry was written."""
 
 
 class OpaqueCall(msgspec.Struct):
-    """One try of a caller: bytes to pass on, and what decides about them."""
+    """One attempt of a caller: the bytes to relay, and the fields used to route them."""
 
     id: str
     head: RequestHead
@@ -79,116 +79,119 @@
     arrived: float
     """Clock seconds at which the head was read."""
     wait_seconds: float | None = None
-    """How long the caller waits."""
+    """The timeout that the caller requests, if any."""
     program: str = ""
     session: str = ""
     affinity: str = ""
     max_tokens: int = 0
-    """Tokens that this call may generate."""
+    """Maximum number of tokens that this call may generate."""
     budget_tokens: int | None = None
-    """Tokens that all calls of the program together may generate."""
+    """Token budget of all calls of the program."""
     tokens_per_event: int = 1
     previous_turn: str = ""
     last_event_id: bytes | None = None
     program_remaining_seconds: float | None = None
     tenant: Tenant | None = None
-    """Whose call it is, by its key; None where no key is needed."""
+    """The tenant of the call's key; None if no key is needed."""
 
     regions: frozenset[str] | None = None
-    """Where it may be served and kept, by its route and its tenant; None: anywhere."""
+    """Regions in which it may be served and stored; None means all.
+
+    Both its route and its tenant restrict them.
+    """
 
     @property
     def tenant_name(self) -> str:
-        """The name of its tenant; empty where there is none."""
+        """The name of its tenant; empty if there is none."""
         return self.tenant.name if self.tenant is not None else ""
 
 
 class ResponseDialect(Protocol):
-    """Reads what the head of an engine's answer says."""
+    """Interprets the head of an engine's response."""
 
     def is_response_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
-        """Tell whether a head answers this call, not an earlier one."""
+        """Return whether a response belongs to this call, not to an earlier one."""
 
     def was_not_run(self, head: ResponseHead) -> bool:
-        """Tell whether the engine certainly did not and will not run the call."""
+        """Return whether the engine certainly did not and will not run the call."""
 
     def is_genuine(self, head: ResponseHead) -> bool:
-        """Tell whether the engine vouches for a successful answer."""
+        """Return whether a successful response is authenticated as the engine's."""
 
 
 class EngineDialect(ResponseDialect, Protocol):
-    """How calls are put to engines."""
+    """Translates calls to requests for engines, and interprets the responses."""
 
     def request(
         self, call: OpaqueCall, engine: Engine, remaining_ms: int
     ) -> RequestHead:
-        """Give the head to send for a call."""
+        """Return the head of the request for a call."""
 
 
 class Admission(Protocol):
-    """Decides whether a call may run, and learns what came of it."""
+    """Decides whether a call may run, and accounts for its result."""
 
     def request(
         self, call: OpaqueCall, route: Route, listener: "AdmissionListener"
     ) -> None:
-        """Admit a call, or refuse it, through `listener`."""
+        """Decide on a call, and notify `listener`."""
 
 
 class AdmissionListener(Protocol):
-    """Hears the outcome of an admission."""
+    """Callbacks for the decision of an admission."""
 
     @property
     def awaits_admission(self) -> bool:
-        """Whether the caller is still there and waits."""
+        """True while the caller is connected and waits for the decision."""
 
     def admitted(self, ticket: "Ticket", body: bytes) -> None:
-        """Go on with a body; `ticket` hears what came of the call."""
+        """Dispatch the call with a body, and report its result to `ticket`."""
 
     def refused(self, refusal: "Refusal") -> None:
-        """Give the caller a final answer."""
+        """Respond to the caller with a refusal."""
 
 
 class Ticket(Protocol):
-    """An admitted call's account."""
+    """Accounts for an admitted call."""
 
     @property
     def cached_engine(self) -> str:
-        """The engine that has the program's prefix, as far as is known; or nothing."""
+        """The engine with the program's prefix in its cache; empty if none is known."""
 
     def engine_started(self, engine_id: str) -> None:
-        """Hear which engine runs the call."""
+        """Record the engine that runs the call."""
 
     def never_ran(self) -> None:
-        """Hear that no engine ran the call."""
+        """Release the reservation: no engine ran the call."""
 
     def interrupted(self, events: int) -> None:
-        """Hear that a run ended early, after so many events for the caller."""
+        """Charge for an incomplete run, of which `events` were relayed."""
 
     def completed(self, output: bytes, events: int, then: "Completion") -> None:
-        """Hear the whole output; `then` is told when the end may be shown."""
+        """Charge for and store the complete output; `then` is notified of the outcome."""
 
 
 class Completion(Protocol):
-    """Hears when the outcome of a call is durable."""
+    """Callbacks for whether the outcome of a call is durable."""
 
     @property
     def is_caller_waiting(self) -> bool:
-        """Whether anybody waits for the outcome."""
+        """True while the caller waits for the outcome."""
 
     def durable(self) -> None:
-        """Hear that the end may be shown to the caller."""
+        """Relay the end to the caller."""
 
     def not_durable(self) -> None:
-        """Hear that the end must not be shown: it is not durable in time."""
+        """Abort: the outcome was not durable before the deadline."""
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """A final answer of our own."""
+    """An error response that does not come from an engine."""
 
     status: int
     reason: str
     retry_after_seconds: float | None = None
-    """When the caller may come back; None says nothing about it."""
+    """Delay before a retry; None if the response gives none."""
 
 
 NO_ROUTE = Refusal(404, "no route")
@@ -201,7 +204,7 @@
 MAY_HAVE_RUN = Refusal(502, "no whole answer; it may have run")
 NOT_IDENTIFIED = Refusal(401, "no valid key")
 KEYS_STALE = Refusal(503, "the newest keys are not known yet", 0.5)
-"""Peers and the store are asked again each 0.25 s, so most daemons know within 0.5 s."""
+"""Peers and the store are polled every 0.25 s, so most daemons are current within 0.5 s."""
 TOO_MANY_REQUESTS = 429
 OVER_LIMIT_REASON = "over the tenant's limit"
 MALFORMED = Refusal(400, "a header can't be read")
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -1,4 +1,4 @@
-"""The log lines and figures of the list of engines and of the drained zones."""
+"""Log events and metrics of the list of engines and of the drained zones."""
 
 from collections.abc import Collection, Mapping
 
@@ -13,10 +13,9 @@
 
 
 class ListedState(msgspec.Struct, frozen=True):
-    """What of an engine's entry is worth a line when it changes.
+    """The part of an engine's entry whose changes are logged.
 
-    A cold engine writes anew with each heartbeat for how much longer it is cold; that is
-    not.
+    The remaining warm-up time is left out, since it changes with each heartbeat.
     """
 
     is_draining: bool
@@ -24,16 +23,16 @@
 
 
 class EngineListLog:
-    """Writes a line when the list has other engines, or other states of them."""
+    """Logs changes of the listed engines and of their states."""
 
     def __init__(self, clock: IReactorTime) -> None:
-        """Begin with an empty list."""
+        """Start with an empty list."""
         self._clock = clock
         self._states: dict[str, ListedState] = {}
         self._reported_at = clock.seconds()
 
     def listed(self, engines: Mapping[str, Engine], removed: Collection[str]) -> None:
-        """Hear the list, and which engines are forgotten since the last one."""
+        """Compare a list with the previous one; `removed` are the removed engines."""
         states = {
             id: ListedState(engine.is_draining, engine.cold_seconds > 0)
             for id, engine in engines.items()
@@ -57,7 +56,7 @@
 def report_drains(
     newer: DrainedZones, change: DrainChange | None, *, is_from_peer: bool = False
 ) -> None:
-    """Tell that a set of drained zones was taken; `change` is None if it was too old."""
+    """Log new drained zones; `change` is None if the update was stale."""
     if change is None:
         return
     DRAINS_POSITION.set(newer.position)
--- a/notcharch/calls/metrics.py
+++ b/notcharch/calls/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and histograms of opaque calls."""
+"""Metrics of opaque calls."""
 
 from prometheus_client import Counter, Gauge, Histogram
 
--- a/notcharch/calls/open_admission.py
+++ b/notcharch/calls/open_admission.py
@@ -1,4 +1,4 @@
-"""Admission of calls that need no account: everything is let in."""
+"""Admission of calls that need no accounting."""
 
 from notcharch.calls.interface import (
     AdmissionListener,
@@ -9,21 +9,21 @@
 
 
 class NoAccount:
-    """The ticket of a call that nobody accounts for."""
+    """The ticket of a call without accounting."""
 
     cached_engine = ""
 
     def engine_started(self, engine_id: str) -> None:
-        """Remember nothing."""
+        """Ignore the engine."""
 
     def never_ran(self) -> None:
-        """Nothing to give back."""
+        """Ignore the outcome: nothing is reserved."""
 
     def interrupted(self, events: int) -> None:
-        """Nothing to charge."""
+        """Ignore the outcome: nothing is charged."""
 
     def completed(self, output: bytes, events: int, then: Completion) -> None:
-        """Show the end at once."""
+        """Relay the end immediately: nothing is stored."""
         then.durable()
 
 
@@ -31,10 +31,10 @@
 
 
 class OpenAdmission:
-    """Lets every call in with its own body."""
+    """Admits every call with its unchanged body."""
 
     def request(
         self, call: OpaqueCall, route: Route, listener: AdmissionListener
     ) -> None:
-        """Admit the call."""
+        """Admit the call immediately."""
         listener.admitted(NO_ACCOUNT, call.body)
--- a/notcharch/calls/overdue.py
+++ b/notcharch/calls/overdue.py
@@ -1,4 +1,4 @@
-"""Watches whether the first answer to one sent call is overdue."""
+"""Detection of overdue first responses."""
 
 from collections.abc import Callable
 
@@ -8,7 +8,7 @@
 
 
 class OverdueWatch:
-    """The wait for the first answer of one run after another of a call."""
+    """The timer for the first response of each run of a call."""
 
     def __init__(
         self,
@@ -17,18 +17,18 @@
         route: str,
         overdue: Callable[[], None],
     ) -> None:
-        """Compare with other calls of a route; `overdue` is called once a run."""
+        """Use the limit of a route; `overdue` is called at most once per run."""
         self._clock = clock
         self._waits = waits
         self._route = route
         self._overdue = overdue
         self._sent_at: float | None = None
         self.limit_seconds = 0.0
-        """After so long the present run's first answer is overdue."""
+        """Time after which the first response of the current run is overdue."""
         self._timer: IDelayedCall | None = None
 
     def sent(self) -> None:
-        """Begin to wait."""
+        """Start the timer for a run."""
         self.stop()
         self._sent_at = self._clock.seconds()
         limit = self._waits.limit_seconds(self._route)
@@ -37,18 +37,18 @@
             self._timer = self._clock.callLater(limit, self._overdue)
 
     def first_response_received(self) -> None:
-        """Learn from the first answer of a run; later ones say nothing."""
+        """Record the waiting time of the first response of a run; ignore later ones."""
         if self._sent_at is not None:
             waited = self._clock.seconds() - self._sent_at
             self._waits.of(self._route).answered(waited)
         self.stop()
 
     def take_retry(self) -> bool:
-        """Ask for a retry out of the route's budget."""
+        """Take a retry from the route's budget; return whether one was left."""
         return self._waits.of(self._route).take_retry()
 
     def stop(self) -> None:
-        """Wait no more."""
+        """Cancel the timer."""
         self._sent_at = None
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -1,4 +1,4 @@
-"""The policies of the call path, by the mechanisms that are switched on."""
+"""Policies of the call path, by the enabled mechanisms."""
 
 from collections.abc import Collection
 
@@ -10,7 +10,7 @@
 from notcharch.settings.mechanisms import Mechanism
 
 PROPAGATION_SECONDS = 1.0
-"""Until a daemon has certainly read that an engine leaves."""
+"""Time until every daemon has read that an engine is draining."""
 
 
 def pool_policy(
@@ -18,10 +18,10 @@
     drain_seconds: float,
     entry_seconds: float = 0.0,
 ) -> PoolPolicy:
-    """Give how engines are chosen.
+    """Return the policy for the choice of an engine.
 
-    `drain_seconds`: an engine gets no calls so long after it was told to leave;
-    `entry_seconds`: it writes its entry as often.
+    An engine must get no calls `drain_seconds` after the start of its drain, and writes
+    its entry every `entry_seconds`.
     """
     window_seconds = max(drain_seconds - PROPAGATION_SECONDS, 0.0)
     has_last_resort = Mechanism.LAST_RESORT in mechanisms
@@ -42,12 +42,12 @@
 
 
 def wait_policy(mechanisms: Collection[Mechanism]) -> WaitPolicy:
-    """Give whether overdue calls are looked after."""
+    """Return the policy for overdue responses."""
     return WaitPolicy(watches_overdue=Mechanism.OVERDUE in mechanisms)
 
 
 def cold_policy(
     mechanisms: Collection[Mechanism], tolerance: ColdTolerance
 ) -> ColdPolicy:
-    """Give what cold engines get."""
+    """Return the policy for the load of cold engines."""
     return ColdPolicy(tolerance, feeds=Mechanism.COLD_FEEDING in mechanisms)
--- a/notcharch/calls/refusals.py
+++ b/notcharch/calls/refusals.py
@@ -1,4 +1,4 @@
-"""The refusals of calls that no engine may get, with the time to come back. Pure."""
+"""Refusals of calls for which no engine is available."""
 
 import msgspec
 
@@ -7,13 +7,13 @@
 from notcharch.calls.retry_after import with_retry_after
 
 NO_REGION_SECONDS = 1.0
-"""Engines come to a region by a start, which takes seconds. Chosen, not measured."""
+"""Retry delay for a region without engines: starting one takes seconds."""
 
 
 def refusal_without_engine(none: NoEngine, call: OpaqueCall, now: float) -> Refusal:
-    """Give the answer to a call that has not run and that no engine may get.
+    """Return the refusal of a call that has not run and has no available engine.
 
-    A drain that has lasted for some seconds is expected to last as long again.
+    A drain is expected to last as long as it has lasted so far.
     """
     refusal = msgspec.structs.replace(NO_ENGINE, reason=none.cause.value)
     seconds = none.seconds
--- a/notcharch/calls/reply.py
+++ b/notcharch/calls/reply.py
@@ -1,4 +1,4 @@
-"""The way of an answer back to a caller, as the callers' dialect writes it."""
+"""The port for responses to callers."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -8,25 +8,25 @@
 
 
 class Reply(Protocol):
-    """One caller's answer."""
+    """The response to one caller."""
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
-        """Call back if the caller leaves before the end."""
+        """Set the callback for a caller that disconnects before the end."""
 
     def begin(self, head: ResponseHead) -> None:
-        """Pass on the head of a stream."""
+        """Relay the head of a stream."""
 
     def write(self, data: bytes) -> None:
-        """Pass on whole events of a stream."""
+        """Relay complete events of a stream."""
 
     def finish(self) -> None:
-        """End a stream that is whole."""
+        """End a complete stream."""
 
     def send_response(self, head: ResponseHead, body: bytes) -> None:
-        """Pass on an engine's whole answer."""
+        """Relay an engine's complete response."""
 
     def refuse(self, refusal: Refusal) -> None:
-        """Give an answer of our own."""
+        """Send an error response."""
 
     def abort(self) -> None:
-        """Break off, so that the answer can't look whole."""
+        """Abort, so that the response is recognisably incomplete."""
--- a/notcharch/calls/retry_after.py
+++ b/notcharch/calls/retry_after.py
@@ -1,22 +1,22 @@
-"""When a caller that is refused is told to come back. Pure."""
+"""Estimated retry delays of refusals (`Retry-After`)."""
 
 import msgspec
 
 from notcharch.calls.interface import OpaqueCall, Refusal
 
 HONOURED_SHARE = 0.32
-"""Callers wait for as long as they are told, up to a third of the time that they have left.
-A little less leaves the way to us."""
+"""Callers honour a delay of up to a third of the time before their deadline; the rest of
+that third is for the round trip."""
 
 
 def with_retry_after(
     refusal: Refusal, estimate_seconds: float, call: OpaqueCall, now: float
 ) -> Refusal:
-    """Give a refusal that tells when it is expected to help to come back.
+    """Return a refusal with the estimated delay until a retry can succeed.
 
-    In an outage that has lasted for some seconds a caller that returns sooner uses its
-    tries up in vain, and one that is told a time beyond what it honours gives up. So the
-    estimate counts, within what the caller honours and no less than the refusal tells.
+    A shorter delay would use up the caller's attempts during an outage, and a caller that
+    gets a longer one than it honours does not retry. So the estimate is bounded by what
+    the caller honours, and by the refusal's minimum.
     """
     delay = estimate_seconds
     if call.wait_seconds is not None:
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -1,4 +1,4 @@
-"""Finds the route and the service of a call in the table in force."""
+"""Lookup of the route and the service of a call in the current table."""
 
 import msgspec
 import xxhash
@@ -11,17 +11,17 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True):
-    """One version of the routes, services and limits, complete."""
+    """One version of the routes, services and limits."""
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ServerLimits
     keys: TenantKeys | None = None
-    """Who holds which key; None: no tenants, and no call needs a key."""
+    """The keys of tenants; None if there are no tenants, and calls need no key."""
 
     def resident_regions(self) -> frozenset[str]:
-        """Give all regions in which a route, or a tenant, has its calls reside."""
+        """Return all residency regions of routes and tenants."""
         found = {region for route in self.routes for region in route.regions or ()}
         if self.keys is not None:
             found |= self.keys.resident_regions()
@@ -32,14 +32,14 @@
     """The routes of one table version, indexed by host."""
 
     def __init__(self, table: RouteTable) -> None:
-        """Index the routes; the longest prefix comes first."""
+        """Index the routes by host and path prefix."""
         self.table = table
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in table.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
-        """Give the route with the longest prefix of the path, if any."""
+        """Return the route with the longest prefix of the path, if any."""
         name = host.lower()
         routes = self._by_host.get(name) or self._by_host.get(name.partition(":")[0])
         if routes is None:
@@ -57,7 +57,7 @@
 
 
 def service_of(route: Route, call: OpaqueCall) -> str:
-    """Give the service whose share of a route's calls holds this one.
+    """Return the service for a call, by the weights of the route's shares.
 
     Calls of one program, or about one object, stay with one service.
     """
@@ -74,7 +74,7 @@
 
 
 def affinity_key_of(route: Route, call: OpaqueCall) -> str:
-    """Give what calls share whose prefix, or object, one engine should keep."""
+    """Return the key of calls that should run at the same engine for its cache."""
     if call.program:
         return call.program if route.is_stream else ""
     return call.affinity if route.is_sticky else ""
