Reword the tests of calls and HTTP connections

Docstrings say which failure the tests guard against; answers are responses, whole is complete, a caller or client that leaves disconnects, told and heard are logged and recorded, and homes are preferred or cached engines. Test names that could not be understood alone are replaced.

--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -1,4 +1,4 @@
-"""What becomes of a call, for each thing that its engines and its caller may do."""
+"""Outcomes of a call for the behaviours of its engines and its caller."""
 
 import pytest
 
@@ -15,14 +15,14 @@
 
 def test_a_whole_answer_is_passed_on():
     world = World()
-    world.sent[0].answer(200, b"done")
+    world.sent[0].respond(200, b"done")
     assert (world.reply.end, world.reply.data) == ("whole", b"done")
     assert world.in_flight == 0
 
 
-def test_a_failure_of_the_engine_is_its_own():
+def test_an_error_response_of_the_engine_is_passed_on():
     world = World()
-    world.sent[0].answer(500, b"sorry")
+    world.sent[0].respond(500, b"sorry")
     assert world.reply.head.status == 500
 
 
@@ -38,7 +38,7 @@
 def test_an_unreachable_engine_costs_no_run():
     world = World()
     world.sent[0].listener.unreachable()
-    world.sent[1].answer(200, b"done")
+    world.sent[1].respond(200, b"done")
     assert world.reply.end == "whole"
 
 
@@ -47,17 +47,17 @@
     silent = world.sent[0]
     world.clock.advance(LEAST_SILENCE_SECONDS + 0.01)
     silent.listener.failed(ResponseFailure.RESET)
-    assert world.sender.forgotten == [silent.engine.id]
+    assert world.sender.closed_idle == [silent.engine.id]
 
 
-def test_those_of_an_engine_that_reset_one_connection_are_kept():
+def test_the_idle_connections_of_an_engine_that_reset_one_are_kept():
     world = World()
     world.clock.advance(LEAST_SILENCE_SECONDS - 0.01)
     world.sent[0].listener.failed(ResponseFailure.RESET)
-    assert world.sender.forgotten == []
+    assert world.sender.closed_idle == []
 
 
-def test_the_pace_of_a_stream_is_learned_from_its_whole_events():
+def test_the_event_interval_of_a_stream_is_learned_from_its_complete_events():
     world = World(is_stream=True)
     sent = world.sent[0]
     sent.begin()
@@ -81,7 +81,7 @@
     first, second = world.sent
     assert first.is_abandoned
     assert second.engine.id != first.engine.id
-    second.answer(200, b"done")
+    second.respond(200, b"done")
     assert world.reply.data == b"done"
 
 
@@ -89,7 +89,7 @@
     world = World(is_repeatable=True, max_engines=1, usual_answers=50)
     world.clock.advance(OVERDUE_SECONDS)
     assert not world.sent[0].is_abandoned
-    world.sent[0].answer(200, b"late")
+    world.sent[0].respond(200, b"late")
     assert world.reply.data == b"late"
 
 
@@ -148,9 +148,9 @@
     assert world.reply.refusal == MAY_HAVE_RUN
 
 
-def test_a_success_that_nobody_vouches_for_is_none():
+def test_a_success_without_a_seal_is_not_passed_on():
     world = World()
-    world.sent[0].answer(200, b"forged", seal=False)
+    world.sent[0].respond(200, b"forged", seal=False)
     assert world.reply.refusal == MAY_HAVE_RUN
 
 
@@ -164,7 +164,7 @@
     assert world.in_flight == 0
 
 
-def test_a_later_engine_gets_what_is_left():
+def test_a_later_engine_gets_the_remaining_time():
     world = World()
     world.clock.advance(0.5)
     world.sent[0].refuse()
@@ -270,7 +270,7 @@
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE)
     world.sent[0].listener.failed(ResponseFailure.RESET)
-    world.sent[1].answer(500, b"an error page")
+    world.sent[1].respond(500, b"an error page")
     assert (world.reply.end, world.reply.data) == ("aborted", ONE)
 
 
@@ -294,11 +294,11 @@
     assert world.reply.data == b""
 
 
-class HoldingAdmission:
-    """Admits when told, with a ticket that keeps what it hears."""
+class ManualAdmission:
+    """Admits on `admit`, and is the ticket that records the reports."""
 
     def __init__(self) -> None:
-        self.heard: list[str] = []
+        self.reports: list[str] = []
         self.then = None
         self.listener = None
         self.cached_engine = ""
@@ -314,42 +314,42 @@
         self.listener.admitted(self, b"whole body")
 
     def never_ran(self):
-        self.heard.append("never ran")
+        self.reports.append("never ran")
 
     def interrupted(self, events):
-        self.heard.append(f"broke off after {events}")
+        self.reports.append(f"interrupted after {events}")
 
     def completed(self, output, events, then):
-        self.heard.append(f"completed {output!r} {events}")
+        self.reports.append(f"completed {output!r} {events}")
         self.then = then
 
 
-def held(**changes):
-    admission = HoldingAdmission()
+def manually_admitted(**changes):
+    admission = ManualAdmission()
     return stream(admission=admission, stores_turns=True, **changes), admission
 
 
 def test_an_admitted_call_runs_with_the_body_of_its_admission():
-    world, admission = held()
+    world, admission = manually_admitted()
     assert world.sent == []
     admission.admit()
     assert world.sent[0].body == b"whole body"
 
 
 def test_the_end_waits_until_it_is_durable():
-    world, admission = held()
+    world, admission = manually_admitted()
     admission.admit()
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE + TWO)
     world.sent[0].listener.completed()
-    assert admission.heard == [f"completed {ONE + TWO!r} 2"]
+    assert admission.reports == [f"completed {ONE + TWO!r} 2"]
     assert (world.reply.end, world.reply.data) == ("", ONE + TWO)
     admission.then.durable()
     assert world.reply.end == "finished"
 
 
 def test_an_end_that_is_not_durable_in_time_is_not_shown():
-    world, admission = held()
+    world, admission = manually_admitted()
     admission.admit()
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE)
@@ -363,61 +363,64 @@
 @pytest.mark.parametrize(
     ("act", "expected"),
     [
-        (lambda sent: sent.listener.failed(ResponseFailure.RESET), "broke off after 0"),
-        (lambda sent: sent.answer(500), "broke off after 0"),
+        (
+            lambda sent: sent.listener.failed(ResponseFailure.RESET),
+            "interrupted after 0",
+        ),
+        (lambda sent: sent.respond(500), "interrupted after 0"),
     ],
 )
-def test_what_was_given_is_charged(act, expected):
-    world, admission = held()
+def test_the_events_of_a_failed_run_are_charged(act, expected):
+    world, admission = manually_admitted()
     admission.admit()
     act(world.sent[0])
-    assert admission.heard == [expected]
+    assert admission.reports == [expected]
 
 
-def test_what_never_ran_is_not_charged():
-    world, admission = held(engines=("a",))
+def test_a_call_that_never_ran_is_not_charged():
+    world, admission = manually_admitted(engines=("a",))
     admission.admit()
     world.sent[0].refuse()
-    assert admission.heard == ["never ran"]
+    assert admission.reports == ["never ran"]
 
 
 def test_a_caller_who_leaves_midway_is_charged_for_what_it_got():
-    world, admission = held()
+    world, admission = manually_admitted()
     admission.admit()
     world.sent[0].begin()
     world.sent[0].listener.data_received(ONE + TWO)
     world.reply.disconnect()
-    assert admission.heard == ["broke off after 2"]
+    assert admission.reports == ["interrupted after 2"]
 
 
 def test_an_admission_that_comes_too_late_is_given_back():
-    world, admission = held()
+    world, admission = manually_admitted()
     world.clock.advance(2.1)
     assert world.reply.refusal == NO_ENGINE
     admission.admit()
-    assert admission.heard == ["never ran"]
+    assert admission.reports == ["never ran"]
     assert world.sent == []
 
 
 def test_a_caller_who_left_is_not_waited_for():
-    world, admission = held()
+    world, admission = manually_admitted()
     assert admission.listener.awaits_admission
     world.reply.disconnect()
     assert not admission.listener.awaits_admission
 
 
 def test_a_program_goes_where_its_prefix_is():
-    for home in "abc":
-        world, admission = held()
-        admission.cached_engine = home
+    for cached_engine in "abc":
+        world, admission = manually_admitted()
+        admission.cached_engine = cached_engine
         admission.admit()
-        assert world.sent[0].engine.id == home
+        assert world.sent[0].engine.id == cached_engine
         world.sent[0].begin()
-        assert admission.engines == [home]
+        assert admission.engines == [cached_engine]
 
 
-def test_a_program_whose_home_refuses_it_has_another():
-    world, admission = held()
+def test_a_program_whose_cached_engine_rejects_it_runs_at_another():
+    world, admission = manually_admitted()
     admission.cached_engine = "b"
     admission.admit()
     world.sent[0].refuse()
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -1,4 +1,4 @@
-"""What is said to a caller whose tenant isn't found, and what is told of it."""
+"""Refusals of callers without a valid key, and their log events."""
 
 import pytest
 from twisted.internet.task import Clock
@@ -20,15 +20,15 @@
 
 
 class Checked:
-    """A table with one key, last proved some seconds ago."""
+    """A check against a table with one key, which was confirmed some time ago."""
 
-    def __init__(self, proof_age: float | None, *, has_tenants: bool = True) -> None:
+    def __init__(self, table_age: float | None, *, has_tenants: bool = True) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         freshness = TableFreshness(5.0)
         freshness.put_in_force(7)
-        if proof_age is not None:
-            freshness.prove(7, 100.0 - proof_age)
+        if table_age is not None:
+            freshness.prove(7, 100.0 - table_age)
         keys = keys_of([(HULE, ["k1"])]) if has_tenants else None
         self.table = RouteTable(7, (), {}, ServerLimits(), keys)
         self.check = CallerCheck(self.clock, freshness)
@@ -57,8 +57,8 @@
     checked = Checked(1.0)
     with captured() as messages:
         assert checked.refusal(*presented) == NOT_IDENTIFIED
-    told = of(messages, calls.CallerNotIdentified)[0]
-    assert (told["table_version"], told["proof_age_seconds"]) == (7, 1.0)
+    logged = of(messages, calls.CallerNotIdentified)[0]
+    assert (logged["table_version"], logged["proof_age_seconds"]) == (7, 1.0)
 
 
 @pytest.mark.parametrize(("age", "seconds"), [(None, 0.5), (5.5, WAIT_SECONDS * 0.32)])
@@ -75,5 +75,5 @@
     with captured() as messages:
         for is_sure in (True, False, False, True, True):
             checked.check.report_change(is_sure)
-    told = of(messages, tenants.KeysUnsure)
-    assert [message["is_sure"] for message in told] == [False, True]
+    logged = of(messages, tenants.KeysUnsure)
+    assert [message["is_sure"] for message in logged] == [False, True]
--- a/tests/unit/calls/test_early_ends.py
+++ b/tests/unit/calls/test_early_ends.py
@@ -1,4 +1,4 @@
-"""Calls that end without their engine's answer: drains, late admissions, time that is over."""
+"""Calls that end without a response: drains, late admissions, deadlines."""
 
 import pytest
 
@@ -38,7 +38,7 @@
     assert not chosen.may_send()
     chosen.cancelled()
     assert world.sent[1].engine.id == "b"
-    world.sent[1].answer(200, b"done")
+    world.sent[1].respond(200, b"done")
     assert (world.reply.end, world.in_flight) == ("whole", 0)
 
 
@@ -52,7 +52,7 @@
 
 
 class NeverDecides:
-    """An admission that nobody answers."""
+    """An admission that makes no decision."""
 
     def request(self, call, route, listener):
         pass
@@ -65,7 +65,7 @@
     assert world.sent == []
 
 
-def test_a_call_whose_time_ends_at_an_engine_is_told_nothing_of_its_run():
+def test_a_call_whose_time_ends_at_an_engine_times_out():
     world = World(wait_seconds=2.0)
     world.clock.advance(2.0)
     assert (world.reply.end, world.reply.refusal) == ("refused", TIMED_OUT)
--- a/tests/unit/calls/test_eligibility.py
+++ b/tests/unit/calls/test_eligibility.py
@@ -1,4 +1,4 @@
-"""Engines that must not get a call: drained zones, other regions, cold ones."""
+"""Engines that must not get a call: drained zones, other regions, cold engines."""
 
 from random import Random
 
@@ -30,7 +30,7 @@
 
 
 class World:
-    """Engines of three zones, and a daemon that feeds cold ones."""
+    """Engines of three zones, and a daemon with a share of the calls to cold ones."""
 
     def __init__(self, zones: str = "xyz", daemons: int = 21) -> None:
         self.clock = Clock()
@@ -62,10 +62,14 @@
         ]
         self.pool.replace(self.engines)
 
-    def chosen(self, home: str = "", regions=None, tried=()) -> set[str]:
+    def chosen(self, cached_engine: str = "", regions=None, tried=()) -> set[str]:
         found = {
             self.pool.choose(
-                SERVICE, f"p{number}" if home else "", tried, home, regions
+                SERVICE,
+                f"p{number}" if cached_engine else "",
+                tried,
+                cached_engine,
+                regions,
             )
             for number in range(40)
         }
@@ -74,13 +78,13 @@
 
 def test_a_drained_zone_gets_nothing_and_a_program_moves_once():
     world = World()
-    assert world.chosen(home="e-x") == {"e-x"}
+    assert world.chosen(cached_engine="e-x") == {"e-x"}
     world.drain("x")
-    assert "e-x" not in world.chosen(home="e-x")
+    assert "e-x" not in world.chosen(cached_engine="e-x")
     assert "e-x" not in world.chosen()
-    assert world.chosen(home="e-y") == {"e-y"}
+    assert world.chosen(cached_engine="e-y") == {"e-y"}
     world.drain()
-    assert world.chosen(home="e-y") == {"e-y"}
+    assert world.chosen(cached_engine="e-y") == {"e-y"}
 
 
 def test_the_last_resort_is_not_a_drained_zone():
@@ -120,10 +124,10 @@
     world = World("xyz")
     world.turn_cold("e-x")
     assert MIN_WARM_SHARE <= 2 / 3
-    assert world.chosen(home="e-x") == {"e-y", "e-z"}
+    assert world.chosen(cached_engine="e-x") == {"e-y", "e-z"}
     world.turn_cold("e-x", "e-y")
     for name in ("e-x", "e-y", "e-z"):
-        assert world.chosen(home=name) == {name}
+        assert world.chosen(cached_engine=name) == {name}
 
 
 def test_a_cold_engine_gets_our_part_and_no_more():
@@ -174,13 +178,13 @@
     world = World()
     allowed = None if regions is None else frozenset(regions)
     for _ in range(12):
-        busy = world.pool.choose(SERVICE, "", (), "", allowed)
-        if busy is not None:
-            world.pool.call_started(busy.id)
-    seen = {state.id for state in world.pool._states.values() if state.in_flight}
-    assert seen == chosen
-    home = world.pool.choose(SERVICE, "p", (), "e-z", allowed)
-    assert home is None or home.id in chosen
+        selected = world.pool.choose(SERVICE, "", (), "", allowed)
+        if selected is not None:
+            world.pool.call_started(selected.id)
+    serving = {state.id for state in world.pool._states.values() if state.in_flight}
+    assert serving == chosen
+    affine = world.pool.choose(SERVICE, "p", (), "e-z", allowed)
+    assert affine is None or affine.id in chosen
 
 
 def test_no_engine_in_the_regions_is_told_apart_from_a_drain():
--- a/tests/unit/calls/test_retry_after.py
+++ b/tests/unit/calls/test_retry_after.py
@@ -1,4 +1,4 @@
-"""When a refused caller is told to come back."""
+"""The retry delay of refusals, bounded by what callers honour."""
 
 import pytest
 
@@ -28,11 +28,14 @@
 def test_the_estimate_counts_within_what_the_caller_honours(
     estimate, wait, waited, expected
 ):
-    told = with_retry_after(STATE_UNKNOWN, estimate, call(wait, waited), NOW)
-    assert told.retry_after_seconds == pytest.approx(expected)
-    assert (told.status, told.reason) == (STATE_UNKNOWN.status, STATE_UNKNOWN.reason)
+    refusal = with_retry_after(STATE_UNKNOWN, estimate, call(wait, waited), NOW)
+    assert refusal.retry_after_seconds == pytest.approx(expected)
+    assert (refusal.status, refusal.reason) == (
+        STATE_UNKNOWN.status,
+        STATE_UNKNOWN.reason,
+    )
 
 
 def test_no_refusal_tells_less_than_its_own_time():
-    told = with_retry_after(KEYS_STALE, 0.01, call(3.0), NOW)
-    assert told.retry_after_seconds == KEYS_STALE.retry_after_seconds
+    refusal = with_retry_after(KEYS_STALE, 0.01, call(3.0), NOW)
+    assert refusal.retry_after_seconds == KEYS_STALE.retry_after_seconds
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -1,4 +1,4 @@
-"""Routes, shares, engines and the choice among them."""
+"""Lookup of routes and services, and the choice among engines."""
 
 from collections import Counter
 from random import Random
@@ -82,11 +82,11 @@
 def test_all_daemons_of_a_zone_give_a_program_the_same_home():
     engines = [engine(name, zone="xy"[place % 2]) for place, name in enumerate("abcd")]
     for zone in "xy":
-        homes = {
+        preferred = {
             pool(*engines, zone=zone).choose(SERVICE, "program", ()) for _ in range(3)
         }
-        assert len(homes) == 1
-        assert homes.pop().zone == zone
+        assert len(preferred) == 1
+        assert preferred.pop().zone == zone
 
 
 def test_a_kept_home_is_left_only_when_it_is_much_busier():
@@ -120,10 +120,10 @@
 
 def test_a_home_that_is_much_busier_than_others_is_left():
     made = pool(*[engine(name) for name in "ab"])
-    home = made.choose(SERVICE, "p", ()).id
+    preferred_engine = made.choose(SERVICE, "p", ()).id
     for _ in range(HOME_SLACK_CALLS + 1):
-        made.call_started(home)
-    assert made.choose(SERVICE, "p", ()).id != home
+        made.call_started(preferred_engine)
+    assert made.choose(SERVICE, "p", ()).id != preferred_engine
 
 
 def test_calls_without_a_home_go_to_the_least_busy_engine_of_the_own_zone():
@@ -162,7 +162,7 @@
 
 
 def served(made: EnginePool, clock: Clock, name: str, *gaps: float) -> None:
-    """Let an engine serve a call whose events come after these pauses."""
+    """Let an engine serve a call with these intervals between events."""
     made.call_started(name)
     for gap in gaps:
         clock.advance(gap)
@@ -182,7 +182,7 @@
     assert made.choose(SERVICE, "p", (), "a").id == "a"
     clock.advance(0.04)
     assert made.choose(SERVICE, "p", (), "a").id == "b"
-    made.response_received("a")  # it is not silent any more
+    made.response_received("a")  # no longer silent
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
@@ -196,7 +196,7 @@
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
-def test_an_engine_that_owes_nothing_is_not_silent():
+def test_an_engine_without_calls_in_flight_is_not_silent():
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([engine("a"), engine("b")])
@@ -294,24 +294,24 @@
     assert made.choose(SERVICE, "", ()).id == "a"
 
 
-def leaving(name: str) -> Engine:
+def draining(name: str) -> Engine:
     return Engine(name, SERVICE, "h", 1, "z", 1, is_draining=True)
 
 
 def test_leaving_and_tried_engines_get_no_call():
-    made = pool(leaving("a"), engine("b"), engine("c"))
+    made = pool(draining("a"), engine("b"), engine("c"))
     assert made.choose(SERVICE, "p", ("b",)).id == "c"
     assert made.choose(SERVICE, "p", ("b", "c")) is None
 
 
 def test_engines_that_all_vanish_at_once_are_a_last_resort_for_a_moment():
-    """The list is empty after an outage of the store, while all engines live."""
+    """After an outage of the store the list is empty although all engines live."""
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
     made.replace([engine("a"), engine("b"), engine("c")])
-    home = made.choose(SERVICE, "p", ()).id
+    preferred_engine = made.choose(SERVICE, "p", ()).id
     assert made.replace([]) == []
-    assert made.choose(SERVICE, "p", ()).id == home
+    assert made.choose(SERVICE, "p", ()).id == preferred_engine
     clock.advance(0.7)
     made.replace([engine("a")])
     assert made.choose(SERVICE, "p", ("a",)) is not None
@@ -323,10 +323,10 @@
 def test_the_last_engines_that_leave_get_calls_for_a_moment_only():
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
-    made.replace([leaving("a")])
+    made.replace([draining("a")])
     assert made.choose(SERVICE, "p", ()).id == "a"
     clock.advance(LAST_RESORT_SECONDS + 0.01)
-    made.replace([leaving("a")])
+    made.replace([draining("a")])
     assert made.choose(SERVICE, "p", ()) is None
 
 
@@ -334,7 +334,7 @@
     made = EnginePool(
         Clock(), Nearness("z"), Random(1), PoolPolicy(last_resort_seconds=0.0)
     )
-    made.replace([leaving("a")])
+    made.replace([draining("a")])
     assert made.choose(SERVICE, "p", ()) is None
 
 
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -1,4 +1,4 @@
-"""A call path whose engines answer by hand, on a virtual clock."""
+"""A call path on a virtual clock, with engines that tests control."""
 
 from random import Random
 
@@ -21,7 +21,7 @@
 
 SERVICE = "s"
 USUAL_SECONDS = 0.1
-"""How long first answers took before, where there were any."""
+"""Waiting time of earlier first responses."""
 
 
 def engine(name: str, zone: str = "z", slots: int = 4) -> Engine:
@@ -35,7 +35,7 @@
 
 
 class Dialect:
-    """Heads with an id, a seal for genuine ones, and `not-run`."""
+    """Heads with `seal` if they are authentic, and `not-run` for rejections."""
 
     def request(self, call, engine, remaining_ms):
         headers = [(b"engine", engine.id.encode())]
@@ -55,7 +55,7 @@
 
 
 class Sent:
-    """One request at an engine."""
+    """One request to an engine, with controls for its response."""
 
     def __init__(self, engine, head, body, listener) -> None:
         self.engine = engine
@@ -70,7 +70,7 @@
     def header(self, name: bytes):
         return self.head.get(name)
 
-    def answer(self, status: int, body: bytes = b"", *, seal: bool = True) -> None:
+    def respond(self, status: int, body: bytes = b"", *, seal: bool = True) -> None:
         headers = [(b"seal", b"x")] if seal else []
         self.listener.head_received(ResponseHead(status, headers))
         if body:
@@ -87,11 +87,11 @@
 
 
 class Sender:
-    """Keeps what is sent."""
+    """Records the requests to engines."""
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
-        self.forgotten: list[str] = []
+        self.closed_idle: list[str] = []
 
     def send(self, engine, head, body, listener):
         sent = Sent(engine, head, body, listener)
@@ -102,11 +102,11 @@
         pass
 
     def close_idle(self, engine_id):
-        self.forgotten.append(engine_id)
+        self.closed_idle.append(engine_id)
 
 
 class Reply:
-    """What the caller saw."""
+    """Records the response to the caller."""
 
     def __init__(self) -> None:
         self.head = None
@@ -146,7 +146,7 @@
 
 
 class World:
-    """One call, some engines."""
+    """One call and some engines."""
 
     def __init__(self, engines=("a", "b", "c"), **changes) -> None:
         self.clock = Clock()
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -24,7 +24,7 @@
 
 def test_the_ends_of_calls():
     with captured() as messages:
-        CallWorld().sent[0].answer(200, b"done")
+        CallWorld().sent[0].respond(200, b"done")
         refused = CallWorld(engines=())
         broken = CallWorld(is_stream=True)
         broken.sent[0].begin()
--- a/tests/unit/http/pipe.py
+++ b/tests/unit/http/pipe.py
@@ -1,4 +1,4 @@
-"""Transports in memory for the HTTP connections."""
+"""In-memory transports for HTTP connections."""
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
@@ -10,7 +10,7 @@
 
 
 class TcpTransport(StringTransport):
-    """A transport that keeps what is written, and how it was closed."""
+    """A transport that records written data and how it was closed."""
 
     is_aborted = False
 
@@ -26,7 +26,7 @@
 
 
 class Handler:
-    """Keeps the requests that a server connection hands over."""
+    """Records the requests of a server connection."""
 
     def __init__(self) -> None:
         self.exchanges = []
@@ -50,7 +50,7 @@
 
 
 class ServerSide:
-    """A server connection with a client's bytes."""
+    """A server connection and the client end of its transport."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -67,18 +67,18 @@
         self.transport.clear()
         return written
 
-    def client_leaves(self) -> None:
+    def client_disconnects(self) -> None:
         self.connection.connectionLost(Failure(ConnectionDone()))
 
 
 class Listener:
-    """Hears one answer."""
+    """Records one response."""
 
     def __init__(self, name: bytes = b"1") -> None:
         self.name = name
         self.head = None
         self.data = b""
-        self.is_whole = False
+        self.is_complete = False
         self.failure = None
 
     def is_response(self, head):
@@ -92,21 +92,21 @@
         self.data += data
 
     def completed(self):
-        self.is_whole = True
+        self.is_complete = True
 
     def failed(self, failure):
         self.failure = failure
 
 
 class ClientSide:
-    """A client connection with a server's bytes."""
+    """A client connection and the server end of its transport."""
 
     def __init__(self) -> None:
         self.connection = ClientConnection()
         self.transport = TcpTransport()
         self.connection.makeConnection(self.transport)
 
-    def answer(self, data: bytes) -> None:
+    def respond(self, data: bytes) -> None:
         self.connection.dataReceived(data)
 
     def closed(self) -> None:
--- a/tests/unit/http/test_client.py
+++ b/tests/unit/http/test_client.py
@@ -1,4 +1,4 @@
-"""Answers of servers that are whole, cut, garbled, late or somebody else's."""
+"""Responses that are complete, truncated, malformed, late or for another request."""
 
 import pytest
 
@@ -28,80 +28,80 @@
     assert written.endswith(b"\r\n\r\nbody")
 
 
-@pytest.mark.parametrize("answer", [OK, CHUNKED])
-def test_a_whole_answer_leaves_the_connection_for_more(answer):
+@pytest.mark.parametrize("response", [OK, CHUNKED])
+def test_a_whole_answer_leaves_the_connection_for_more(response):
     side, listener = sent()
-    side.answer(answer)
-    assert (listener.data, listener.is_whole) == (b"hi", True)
+    side.respond(response)
+    assert (listener.data, listener.is_complete) == (b"hi", True)
     assert side.connection.is_reusable
 
 
 def test_an_answer_without_a_length_is_whole_at_a_clean_close():
     side, listener = sent()
-    side.answer(UNFRAMED)
-    assert not listener.is_whole
+    side.respond(UNFRAMED)
+    assert not listener.is_complete
     side.closed()
-    assert listener.is_whole
+    assert listener.is_complete
 
 
 def test_an_answer_without_a_length_is_not_whole_after_a_reset():
     side, listener = sent()
-    side.answer(UNFRAMED)
+    side.respond(UNFRAMED)
     side.reset()
-    assert not listener.is_whole
+    assert not listener.is_complete
     assert listener.failure is ResponseFailure.RESET
 
 
-@pytest.mark.parametrize("answer", [OK, CHUNKED])
+@pytest.mark.parametrize("response", [OK, CHUNKED])
 @pytest.mark.parametrize("is_clean", [True, False])
-def test_a_cut_answer_is_never_whole(answer, is_clean):
-    for end in range(len(answer)):
+def test_a_cut_answer_is_never_whole(response, is_clean):
+    for end in range(len(response)):
         side, listener = sent()
-        side.answer(answer[:end])
+        side.respond(response[:end])
         (side.closed if is_clean else side.reset)()
-        assert not listener.is_whole
+        assert not listener.is_complete
         assert listener.failure is not None
 
 
 def test_bytes_that_are_no_answer_are_told_as_such():
     side, listener = sent()
-    side.answer(b"\x00\x01rubbish\r\n\r\n")
+    side.respond(b"\x00\x01rubbish\r\n\r\n")
     assert listener.failure is ResponseFailure.GARBLED
     assert not side.connection.is_reusable
 
 
 def test_an_answer_to_an_earlier_request_is_passed_over():
     side, listener = sent()
-    side.answer(OTHER)
+    side.respond(OTHER)
     assert listener.head is None
-    side.answer(OK)
-    assert (listener.data, listener.is_whole) == (b"hi", True)
+    side.respond(OK)
+    assert (listener.data, listener.is_complete) == (b"hi", True)
 
 
 def test_an_earlier_answer_in_one_piece_with_ours_is_passed_over():
     side, listener = sent(b"")
-    side.answer(OTHER + OK)
-    assert (listener.data, listener.is_whole) == (b"hi", True)
+    side.respond(OTHER + OK)
+    assert (listener.data, listener.is_complete) == (b"hi", True)
 
 
 def test_answers_of_others_do_not_go_on_for_ever():
     side, listener = sent()
     for _ in range(5):
-        side.answer(OTHER)
+        side.respond(OTHER)
     assert listener.failure is ResponseFailure.GARBLED
 
 
 def test_surplus_bytes_end_the_connection():
     side, listener = sent()
-    side.answer(OK + b"more")
-    assert listener.is_whole
+    side.respond(OK + b"more")
+    assert listener.is_complete
     assert not side.connection.is_reusable
 
 
 def test_bytes_that_nobody_asked_for_end_the_connection():
     side, _ = sent()
-    side.answer(OK)
-    side.answer(OTHER)
+    side.respond(OK)
+    side.respond(OTHER)
     assert not side.connection.is_reusable
     assert side.transport.is_closed
 
@@ -109,14 +109,14 @@
 def test_a_server_that_closes_is_not_used_again():
     side, listener = sent()
     closing = OK.replace(b"id: 1", b"id: 1\r\nConnection: close")
-    side.answer(closing)
-    assert listener.is_whole
+    side.respond(closing)
+    assert listener.is_complete
     assert not side.connection.is_reusable
 
 
 def test_how_long_a_server_keeps_connections_is_read():
     side, _ = sent()
-    side.answer(OK.replace(b"id: 1", b"id: 1\r\nKeep-Alive: timeout=7, max=3"))
+    side.respond(OK.replace(b"id: 1", b"id: 1\r\nKeep-Alive: timeout=7, max=3"))
     assert side.connection.keep_alive_seconds == 7.0
 
 
@@ -124,12 +124,12 @@
     side, listener = sent()
     side.connection.abandon()
     assert side.transport.is_aborted
-    side.answer(OK)
+    side.respond(OK)
     assert listener.head is None
 
 
 def test_an_early_answer_does_not_cut_the_body_off():
     side, listener = sent(b"x" * 100_000)
-    side.answer(OK)
-    assert listener.is_whole
+    side.respond(OK)
+    assert listener.is_complete
     assert side.transport.value().endswith(b"x" * 100_000)
--- a/tests/unit/http/test_drain.py
+++ b/tests/unit/http/test_drain.py
@@ -1,4 +1,4 @@
-"""A planned stop: when new callers are refused, and when the process ends."""
+"""Graceful shutdown: when it stops accepting, and when it ends."""
 
 from twisted.internet.task import Clock
 
@@ -8,7 +8,7 @@
 
 
 class Server:
-    """Counts what it is asked for."""
+    """A server that records the calls of its drain."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -45,7 +45,7 @@
 
 
 def test_callers_that_keep_coming_are_refused_although_work_is_under_way():
-    """When too few daemons are ready, the platform sends callers to all of them."""
+    """With too few ready daemons, the platform routes callers to all of them."""
     server = Server()
     server.requests = 5
     server.run(3.0)
@@ -64,7 +64,7 @@
     assert server.ended is None
     server.requests = 0
     server.run(0.05)
-    assert server.ended is None  # the last bytes are still to leave
+    assert server.ended is None  # the last response may still be in the send buffer
     server.run(0.2)
     assert server.ended is not None
 
--- a/tests/unit/http/test_server.py
+++ b/tests/unit/http/test_server.py
@@ -1,4 +1,4 @@
-"""Requests that arrive in every manner, and answers that leave in order."""
+"""Parsing of requests, order of responses, limits and timeouts of connections."""
 
 import pytest
 
@@ -68,11 +68,11 @@
 def test_a_client_that_leaves_is_told_of_once():
     side = ServerSide()
     side.send(GET)
-    heard = []
-    side.handler.exchanges[0].on_disconnect = lambda: heard.append(1)
-    side.client_leaves()
+    disconnects = []
+    side.handler.exchanges[0].on_disconnect = lambda: disconnects.append(1)
+    side.client_disconnects()
     side.handler.exchanges[0].respond(200, [], b"late")
-    assert heard == [1]
+    assert disconnects == [1]
     assert side.handler.in_flight == 0
 
 
@@ -80,7 +80,7 @@
     side = ServerSide()
     side.send(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nhalf")
     assert side.handler.in_flight == 1
-    side.client_leaves()
+    side.client_disconnects()
     assert side.handler.exchanges == []
     assert side.handler.in_flight == 0
 
