--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -12,7 +12,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.calls.eligibility import Cause, NoEngine
 from notcharch.calls.interface import (
-    STATE_UNSURE,
+    STATE_UNKNOWN,
     Admission,
     AdmissionListener,
     OpaqueCall,
@@ -67,10 +67,12 @@
                 group = self._groups[region] = self._make(region)
                 group.start()
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, answer: AdmissionListener
+    ) -> None:
         """Admit a call, or refuse it, through `answer`."""
         if call.regions is None:
-            self._anywhere.ask(call, route, answer)
+            self._anywhere.request(call, route, answer)
             return
         known = self._regions & call.regions
         if not known:
@@ -82,9 +84,9 @@
         group = self._groups.get(region)
         if group is None:
             # This daemon stops, and joins no group any more.
-            answer.refused(STATE_UNSURE)
+            answer.refused(STATE_UNKNOWN)
         else:
-            group.admission.ask(call, route, answer)
+            group.admission.request(call, route, answer)
 
     def leave(self) -> None:
         """Leave all groups."""
--- /dev/null
+++ b/notcharch/calls/call_lifecycle.py
@@ -0,0 +1,349 @@
+"""The lifecycle of one call: admission, choice of an engine, runs, relay, completion."""
+
+import enum
+
+from twisted.internet.interfaces import IDelayedCall
+
+from notcharch.calls.call_log import CallLog
+from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
+from notcharch.calls.event_stream import EventFramer
+from notcharch.calls.interface import (
+    MAY_HAVE_RUN,
+    NO_ENGINE,
+    TIMED_OUT,
+    OpaqueCall,
+    Refusal,
+    Route,
+    Ticket,
+)
+from notcharch.calls.refusals import refusal_without_engine
+from notcharch.calls.reply import Reply
+from notcharch.calls.routing import affinity_key_of
+from notcharch.http.messages import ResponseHead
+
+MIN_SEND_SECONDS = 0.02
+"""A call with less time before its deadline is not sent."""
+MAX_SENDS = 4
+"""Maximum number of engines that one call is sent to, including those that reject it."""
+SERVER_ERRORS = 500
+
+UNREACHABLE = "unreachable"
+DRAINED = "the engine was drained before the call was sent"
+NOT_RUN = "not run"
+NOT_GENUINE = "unauthenticated success response"
+SERVER_ERROR = "engine error"
+NOT_DURABLE = "the outcome was not durable before the deadline"
+
+
+class Phase(enum.Enum):
+    """The phase of a call."""
+
+    ADMISSION = "admission"
+    AT_ENGINE = "at engine"
+    COMPLETING = "settling"
+    OVER = "over"
+
+
+class CallLifecycle:
+    """One call; the listener of its admission, its runs and its caller."""
+
+    def __init__(
+        self,
+        services: CallServices,
+        call: OpaqueCall,
+        route: Route,
+        service: str,
+        reply: Reply,
+    ) -> None:
+        """Prepare a call, which `start` submits to admission."""
+        self._services = services
+        self.call = call
+        self._route = route
+        self._service = service
+        self._reply = reply
+        self._phase = Phase.ADMISSION
+        self._body = call.body
+        self._ticket: Ticket | None = None
+        self._timer: IDelayedCall | None = None
+        self._run: EngineRun | None = None
+        """The run in flight."""
+        self._tried: set[str] = set()
+        self._status = 0
+        """Status of the last complete response."""
+        self._framer = EventFramer()
+        self._is_relaying = False
+        """True once the head of a stream was relayed to the caller."""
+        self._pending_head: ResponseHead | None = None
+        """Head of a stream that has no complete event yet.
+
+        It is relayed with the first event: until then the call can still end in an error
+        response instead of an aborted connection.
+        """
+        self._cause = ""
+        """Why the last run failed."""
+        self._output: list[bytes] = []
+        """The relayed events, if the turn is to be stored."""
+        self._log = CallLog(services.clock, call, route)
+        wait = route.timeout_seconds
+        if call.wait_seconds is not None:
+            wait = min(wait, call.wait_seconds)
+        self._deadline = self._log.deadline = call.arrived + wait
+
+    def start(self) -> None:
+        """Request admission."""
+        clock = self._services.clock
+        seconds_left = max(self._deadline - clock.seconds(), 0.0)
+        self._timer = clock.callLater(seconds_left, self._expire)
+        self._reply.on_disconnect(self._caller_disconnected)
+        self._services.admission.request(self.call, self._route, self)
+
+    # Admission
+
+    @property
+    def awaits_admission(self) -> bool:
+        """True while the caller is connected and waits for admission."""
+        return self._phase is Phase.ADMISSION
+
+    @property
+    def is_caller_waiting(self) -> bool:
+        """True while the caller waits for the outcome to be durable."""
+        return self._phase is Phase.COMPLETING
+
+    def admitted(self, ticket: Ticket, body: bytes) -> None:
+        """Dispatch the call to an engine."""
+        if self._phase is Phase.OVER:
+            ticket.never_ran()
+            return
+        self._ticket = ticket
+        self._body = body
+        self._phase = Phase.AT_ENGINE
+        self._log.admitted()
+        self._dispatch()
+
+    def refused(self, refusal: Refusal) -> None:
+        """Respond to the caller with a refusal."""
+        if self._phase is not Phase.OVER:
+            self._refuse(refusal)
+
+    # Runs
+
+    @property
+    def _cached_engine(self) -> str:
+        return self._ticket.cached_engine if self._ticket is not None else ""
+
+    def _dispatch(self) -> None:
+        seconds_left = self._deadline - self._services.clock.seconds()
+        if seconds_left < MIN_SEND_SECONDS:
+            self._refuse(TIMED_OUT if self._log.runs else NO_ENGINE)
+            return
+        engine = self._services.pool.choose(
+            self._service,
+            affinity_key_of(self._route, self.call),
+            self._tried,
+            self._cached_engine,
+            self.call.regions,
+        )
+        if engine is None or len(self._tried) >= MAX_SENDS:
+            self._end_without_engine()
+            return
+        self._tried.add(engine.id)
+        self._log.engines.append(engine.id)
+        self._run = EngineRun(
+            self._services, self.call, self._route, engine, self, log=self._log
+        )
+        self._run.send(self._body, int(seconds_left * 1000))
+
+    def _retry(self, cause: str) -> None:
+        self._cause = cause
+        self._log.retried(cause)
+        self._dispatch()
+
+    def _end_without_engine(self) -> None:
+        """End the call: no engine is left to try."""
+        if self._is_relaying:
+            self._interrupt(self._cause)
+        elif self._log.runs:
+            self._refuse(MAY_HAVE_RUN)
+        else:
+            services = self._services
+            none = services.pool.why_none(self._service, self.call.regions)
+            now = services.clock.seconds()
+            self._refuse(refusal_without_engine(none, self.call, now))
+
+    def run_started(self, head: ResponseHead) -> None:
+        """Hold the head of the stream, unless an earlier run's head was relayed."""
+        if self._ticket is not None and self._run is not None:
+            self._ticket.engine_started(self._run.engine.id)
+        if not self._is_relaying:
+            self._pending_head = head
+
+    def _relay_head(self) -> None:
+        """Relay the head of the stream, unless that is done."""
+        head, self._pending_head = self._pending_head, None
+        if head is not None:
+            self._is_relaying = True
+            self._reply.begin(head)
+
+    def run_data_received(self, data: bytes) -> bool:
+        """Relay complete events; return whether there were any."""
+        complete_events = self._framer.feed(data)
+        if complete_events:
+            self._relay_head()
+            self._log.events_relayed(self._framer.events)
+            if self._route.stores_turns:
+                self._output.append(complete_events)
+            self._reply.write(complete_events)
+        return bool(complete_events)
+
+    def run_unreachable(self) -> None:
+        """Try another engine: the call was not sent."""
+        self._run = None
+        self._retry(UNREACHABLE)
+
+    def run_cancelled(self) -> None:
+        """Try another engine: this one was drained before the call was sent."""
+        self._run = None
+        self._retry(DRAINED)
+
+    def run_rejected(self, head: ResponseHead) -> None:
+        """Try another engine: this one did not run the call."""
+        self._run = None
+        self._retry(f"{NOT_RUN}: {head.status}")
+
+    def run_completed(self, head: ResponseHead, body: bytes) -> None:
+        """Relay a complete response, or retry the call."""
+        self._run = None
+        self._log.runs += 1
+        self._status = head.status
+        is_success = head.status < CLIENT_ERRORS
+        if is_success and not self._services.dialect.is_genuine(head):
+            self._retry_or_end(NOT_GENUINE)
+        elif is_success and (self._is_relaying or self._pending_head is not None):
+            self._complete_stream()
+        elif self._is_relaying:
+            self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
+        elif head.status >= SERVER_ERRORS and self._may_run_again():
+            self._retry(f"{SERVER_ERROR}: {head.status}")
+        else:
+            self._relay_response(head, body)
+
+    def run_failed(self, cause: str) -> None:
+        """Retry if the route allows it: the call may have run."""
+        self._run = None
+        self._log.runs += 1
+        self._retry_or_end(cause)
+
+    def should_abandon(self) -> bool:
+        """Return whether to abandon a run whose response is overdue.
+
+        A call that may run again is retried. A stream that may run once only ends, so
+        that its caller can retry before the deadline. Other calls keep waiting.
+        """
+        return self._route.is_stream or self._allows_runs(self._log.runs + 2)
+
+    def _may_run_again(self) -> bool:
+        """Return whether another run is allowed after those that may have happened."""
+        return self._allows_runs(self._log.runs + 1)
+
+    def _allows_runs(self, runs: int) -> bool:
+        route = self._route
+        is_safe = route.is_repeatable or (route.is_stream and route.is_resumable)
+        return is_safe and runs <= route.max_engines
+
+    def _retry_or_end(self, cause: str) -> None:
+        self._pending_head = None
+        if not self._may_run_again():
+            self._cause = cause
+            self._end_without_engine()
+            return
+        self._resume_after_last_event()
+        self._retry(cause)
+
+    def _resume_after_last_event(self) -> None:
+        self._framer.discard_remainder()
+        if self._framer.last_id is not None:
+            self.call.last_event_id = self._framer.last_id
+
+    # The end
+
+    def _complete_stream(self) -> None:
+        """Make the outcome durable; the end of the stream is relayed afterwards."""
+        self._phase = Phase.COMPLETING
+        assert self._ticket is not None
+        output = b"".join(self._output) + self._framer.remainder()
+        self._ticket.completed(output, self._framer.events, self)
+
+    def durable(self) -> None:
+        """Relay the end of the stream."""
+        if self._phase is not Phase.COMPLETING:
+            return
+        self._relay_head()
+        remainder = self._framer.remainder()
+        if remainder:
+            self._reply.write(remainder)
+        self._end()
+        self._log.served(self._status)
+        self._reply.finish()
+
+    def not_durable(self) -> None:
+        """Abort the stream: its outcome is not durable."""
+        if self._phase is Phase.COMPLETING:
+            self._interrupt(NOT_DURABLE)
+
+    def _relay_response(self, head: ResponseHead, body: bytes) -> None:
+        if self._ticket is not None:
+            self._ticket.interrupted(0)
+        self._end()
+        self._log.served(head.status)
+        self._reply.send_response(head, body)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """End the call with an error response, or abort a stream that has started."""
+        if self._is_relaying:
+            self._interrupt(refusal.reason)
+            return
+        self._close_ticket()
+        engines_known = self._services.pool.count(self._service)
+        self._log.refused(refusal, self._phase.value, engines_known)
+        self._end()
+        self._reply.refuse(refusal)
+
+    def _interrupt(self, cause: str) -> None:
+        self._close_ticket()
+        self._log.interrupted(self._phase.value, cause)
+        self._end()
+        self._reply.abort()
+
+    def _close_ticket(self) -> None:
+        """Report the runs of a call without a complete response to its ticket."""
+        if self._ticket is None or self._phase is Phase.COMPLETING:
+            return
+        if self._log.runs or self._run is not None:
+            self._ticket.interrupted(self._framer.events)
+        else:
+            self._ticket.never_ran()
+
+    def _end(self) -> None:
+        self._phase = Phase.OVER
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._run is not None:
+            self._run.abandon()
+            self._run = None
+
+    def _expire(self) -> None:
+        """End the call at its deadline."""
+        if self._phase is Phase.ADMISSION:
+            self._refuse(NO_ENGINE)
+        elif self._phase is Phase.COMPLETING:
+            self.not_durable()
+        elif self._phase is Phase.AT_ENGINE:
+            self._refuse(TIMED_OUT)
+
+    def _caller_disconnected(self) -> None:
+        """Cancel the run of a caller that has disconnected."""
+        if self._phase is Phase.OVER:
+            return
+        self._close_ticket()
+        self._log.caller_disconnected(self._phase.value)
+        self._end()
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from notcharch.calls.call_life import CallLife
+from notcharch.calls.call_lifecycle import CallLifecycle
 from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
@@ -42,9 +42,9 @@
         self._exchange = exchange
         self._id = call_id
 
-    def on_gone(self, callback: Callable[[], None]) -> None:
+    def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call back if the caller leaves before the end."""
-        self._exchange.on_gone = callback
+        self._exchange.on_disconnect = callback
 
     def begin(self, head: ResponseHead) -> None:
         """Pass on the head of a stream, in chunks."""
@@ -58,9 +58,9 @@
         """End the stream."""
         self._exchange.finish()
 
-    def whole(self, head: ResponseHead, body: bytes) -> None:
+    def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Pass on an engine's whole answer."""
-        self._exchange.answer(head.status, answer_headers(head), body)
+        self._exchange.respond(head.status, answer_headers(head), body)
 
     def refuse(self, refusal: Refusal) -> None:
         """Give an answer of our own."""
@@ -71,7 +71,7 @@
             seconds = f"{refusal.retry_after_seconds:.3f}"
             headers.append((b"Retry-After", seconds.encode()))
         body = msgspec.json.encode({"error": refusal.reason})
-        self._exchange.answer(refusal.status, headers, body)
+        self._exchange.respond(refusal.status, headers, body)
 
     def abort(self) -> None:
         """Cut the connection."""
@@ -110,7 +110,7 @@
     def judges_keys(self, ahead_seconds: float = 0.0) -> bool:
         """Tell whether keys can be judged now, and for some seconds more, if need be."""
         router = self.router
-        return router is None or self._check.is_sure(router.table, ahead_seconds)
+        return router is None or self._check.can_check_keys(router.table, ahead_seconds)
 
     def handle(self, exchange: Exchange) -> None:
         """Begin the life of a call."""
@@ -148,4 +148,4 @@
         known = router.table.services.get(service)
         if known is not None:
             call.tokens_per_event = known.tokens_per_event
-        CallLife(self._services, call, route, service, reply).start()
+        CallLifecycle(self._services, call, route, service, reply).start()
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -55,7 +55,7 @@
         call = self.world.call(
             program, budget=BUDGETS[program], most=MOST, previous=previous, body=b"in;"
         )
-        listener = self.world.ask(call, daemon, keeps_turns=True)
+        listener = self.world.ask(call, daemon, stores_turns=True)
         return Running(call, listener, text + b"in;", bool(previous))
 
     @rule(running=consumes(calls), events=st.integers(1, MOST // EVENT_TOKENS))
@@ -72,16 +72,16 @@
         if listener.is_durable:
             text = running.expected_body + data_lines(output)
             self.kept[running.call.id] = text
-        listener.is_awaited = False
+        listener.is_caller_waiting = False
 
     @rule(running=consumes(calls), events=st.integers(0, MOST // EVENT_TOKENS))
     def break_off(self, running, events):
         self.check(running)
         if running.listener.ticket is None:
-            running.listener.wants_admission = False
+            running.listener.awaits_admission = False
             return
         self.given[running.call.program] += events * EVENT_TOKENS
-        running.listener.ticket.broke_off(events)
+        running.listener.ticket.interrupted(events)
 
     @rule(running=consumes(calls))
     def lose_silently(self, running):
@@ -89,7 +89,7 @@
         self.check(running)
         if running.listener.ticket is not None:
             self.given[running.call.program] += MOST
-        running.listener.wants_admission = False
+        running.listener.awaits_admission = False
 
     def check(self, running):
         listener = running.listener
@@ -112,7 +112,7 @@
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
-            listener = self.world.decided(call, keeps_turns=True)
+            listener = self.world.decided(call, stores_turns=True)
             assert listener.body == self.kept[turn] + b"x"
             listener.ticket.never_ran()
 
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -1,10 +1,10 @@
-"""What is said to a caller whose tenant isn't found, and what is told of it."""
+"""Refusals of callers without a valid key, and their log events."""
 
 import pytest
 from twisted.internet.task import Clock
 
 from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.interface import KEYS_UNSURE, NOT_IDENTIFIED, OpaqueCall
+from notcharch.calls.interface import KEYS_STALE, NOT_IDENTIFIED, OpaqueCall
 from notcharch.calls.routing import RouteTable
 from notcharch.events import calls, tenants
 from notcharch.http.messages import RequestHead
@@ -20,15 +20,15 @@
 
 
 class Checked:
-    """A table with one key, last proved some seconds ago."""
+    """A check against a table with one key, which was confirmed some time ago."""
 
-    def __init__(self, proof_age: float | None, *, has_tenants: bool = True) -> None:
+    def __init__(self, table_age: float | None, *, has_tenants: bool = True) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         freshness = TableFreshness(5.0)
         freshness.put_in_force(7)
-        if proof_age is not None:
-            freshness.prove(7, 100.0 - proof_age)
+        if table_age is not None:
+            freshness.prove(7, 100.0 - table_age)
         keys = keys_of([(HULE, ["k1"])]) if has_tenants else None
         self.table = RouteTable(7, (), {}, ServerLimits(), keys)
         self.check = CallerCheck(self.clock, freshness)
@@ -49,7 +49,7 @@
 def test_without_tenants_nothing_is_asked():
     checked = Checked(None, has_tenants=False)
     assert checked.refusal() is None
-    assert checked.check.is_sure(checked.table)
+    assert checked.check.can_check_keys(checked.table)
 
 
 @pytest.mark.parametrize("presented", [(), (b"unknown",), (b"k1", b"k1")])
@@ -57,15 +57,15 @@
     checked = Checked(1.0)
     with captured() as messages:
         assert checked.refusal(*presented) == NOT_IDENTIFIED
-    told = of(messages, calls.CallerNotIdentified)[0]
-    assert (told["table_version"], told["proof_age_seconds"]) == (7, 1.0)
+    logged = of(messages, calls.CallerNotIdentified)[0]
+    assert (logged["table_version"], logged["proof_age_seconds"]) == (7, 1.0)
 
 
 @pytest.mark.parametrize(("age", "seconds"), [(None, 0.5), (5.5, WAIT_SECONDS * 0.32)])
 def test_a_table_that_is_not_fresh_says_when_to_come_back(age, seconds):
     checked = Checked(age)
     refusal = checked.refusal(b"k1")
-    assert (refusal.status, refusal.reason) == (503, KEYS_UNSURE.reason)
+    assert (refusal.status, refusal.reason) == (503, KEYS_STALE.reason)
     assert refusal.retry_after_seconds == pytest.approx(seconds)
     assert checked.call.tenant is None
 
@@ -74,6 +74,6 @@
     checked = Checked(6.0)
     with captured() as messages:
         for is_sure in (True, False, False, True, True):
-            checked.check.tell(is_sure)
-    told = of(messages, tenants.KeysUnsure)
-    assert [message["is_sure"] for message in told] == [False, True]
+            checked.check.report_change(is_sure)
+    logged = of(messages, tenants.KeysUnsure)
+    assert [message["is_sure"] for message in logged] == [False, True]
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -31,8 +31,8 @@
 def test_a_whole_head_is_read():
     call = read(FULL)
     assert (call.id, call.program, call.session) == ("e5b2", "3fa81c", "77d20b")
-    assert (call.wait_seconds, call.program_seconds_left) == (3.0, 5.2)
-    assert (call.most_tokens, call.budget_tokens) == (575, 4600)
+    assert (call.wait_seconds, call.program_remaining_seconds) == (3.0, 5.2)
+    assert (call.max_tokens, call.budget_tokens) == (575, 4600)
     assert (call.previous_turn, call.affinity) == ("9c41", "17")
     assert call.last_event_id == b"12"
 
@@ -104,8 +104,8 @@
     call = read(FULL)
     own = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b2")])
     other = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b3")])
-    assert DIALECT.is_answer_to(call, own)
-    assert not DIALECT.is_answer_to(call, other)
+    assert DIALECT.is_response_to(call, own)
+    assert not DIALECT.is_response_to(call, other)
 
 
 def test_headers_of_the_engines_connection_stay_behind():
