--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -62,7 +62,7 @@
         if self._life.look() is not LifeState.DRAINING:
             return
         self._life.cancel_drain()
-        self._core.membership.announce_staying()
+        self._core.membership.cancel_leaving()
         self._core.gateway.resume()
 
     async def run(self) -> None:
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -89,7 +89,7 @@
         self._swim.knowledge.set_leaving(True, self._clock.seconds())
         self._note_change()
 
-    def announce_staying(self) -> None:
+    def cancel_leaving(self) -> None:
         """Take back `announce_leaving`."""
         self._swim.knowledge.set_leaving(False, self._clock.seconds())
         self._note_change()
--- a/notcharch/membership/swim.py
+++ b/notcharch/membership/swim.py
@@ -45,7 +45,7 @@
 CONTEST_SECONDS = 5.0
 """A member that is held dead here and alive elsewhere is asked so often at most."""
 
-ALONE_SECONDS = 5.0
+BOOTSTRAP_TIMEOUT_SECONDS = 5.0
 """A process without any answer for so long after its start acts as if alone."""
 
 
@@ -161,7 +161,10 @@
         is alone, whatever the machine list says: the list may lag, and the others
         may just be starting as well.
         """
-        return self._comparison.has_exchanged or now - self._started_at >= ALONE_SECONDS
+        return (
+            self._comparison.has_exchanged
+            or now - self._started_at >= BOOTSTRAP_TIMEOUT_SECONDS
+        )
 
     def finish_exchange(self) -> None:
         """Note that the records of another member were taken in."""
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from notcharch.membership.swim import ALONE_SECONDS
+from notcharch.membership.swim import BOOTSTRAP_TIMEOUT_SECONDS
 from tests.unit.engines.region import Region
 from tests.virtual_region.membership import MembershipRegion, daemon_name
 
@@ -22,7 +22,7 @@
     region.restart(victim)
     fresh = region.services[victim]
     assert not fresh.knows_region()
-    region.run(ALONE_SECONDS / 2)
+    region.run(BOOTSTRAP_TIMEOUT_SECONDS / 2)
     assert fresh.knows_region()
     assert len(fresh.live_members()) == 6
 
@@ -38,7 +38,7 @@
     region = MembershipRegion(count)
     for number in range(1, count):
         region.crash(daemon_name(number))
-    region.run(ALONE_SECONDS + 2)
+    region.run(BOOTSTRAP_TIMEOUT_SECONDS + 2)
     assert region.services[daemon_name(0)].knows_region()
 
 
@@ -68,5 +68,5 @@
 @pytest.mark.parametrize("count", [2, 3, 5])
 def test_daemons_that_start_together_know_their_region_soon(count):
     region = MembershipRegion(count)
-    region.run(ALONE_SECONDS / 2)
+    region.run(BOOTSTRAP_TIMEOUT_SECONDS / 2)
     assert all(service.knows_region() for service in region.services.values())
