Rename the public members of PlatformTables and the minimum lease setting

own_proof_seconds becomes confirmation_age_seconds, table_text raw_table, take_table apply_table, peer_told_drained apply_peer_drained_zones, drained drained_zones, are_known are_loaded, _quick_share _immediate_read_share; the callbacks are named _on_...; StoreSettings.least_lease_seconds becomes min_lease_seconds.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -111,7 +111,7 @@
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
-                least_lease_seconds=settings.store.least_lease_seconds,
+                least_lease_seconds=settings.store.min_lease_seconds,
                 retention_seconds=settings.store.retention_seconds,
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
@@ -173,11 +173,11 @@
             self._network,
             self._freshness,
             peers=self._accounts.directory.peers,
-            ask_at_age=self._tables.own_proof_seconds,
-            table=lambda: self._tables.table_text,
-            take=self._tables.take_table,
-            drained=lambda: self._tables.drained,
-            take_drained=self._tables.peer_told_drained,
+            ask_at_age=self._tables.confirmation_age_seconds,
+            table=lambda: self._tables.raw_table,
+            take=self._tables.apply_table,
+            drained=lambda: self._tables.drained_zones,
+            take_drained=self._tables.apply_peer_drained_zones,
         )
         routine = (CallServed, CallerNotIdentified, LimitReached)
         self._output = LogOutput(
@@ -194,7 +194,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        is_able = self._tables.are_known and self._ingress.judges_keys(READY_SECONDS)
+        is_able = self._tables.are_loaded and self._ingress.judges_keys(READY_SECONDS)
         return is_able and not self._is_stopping
 
     def start(self) -> None:
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -34,7 +34,7 @@
     record_bytes: int
     call_bytes: int
     retention_seconds: float
-    least_lease_seconds: float
+    min_lease_seconds: float
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
@@ -136,7 +136,7 @@
         record_bytes=int(fields.number("platform.record_bytes", 262144)),
         call_bytes=int(fields.number("platform.call_bytes", 2097152)),
         retention_seconds=fields.number("platform.retention_s", 300),
-        least_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
+        min_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
     )
     settings = ProcessSettings(
         machine=fields.text("node_name"),
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -89,7 +89,7 @@
         """
         wait_seconds = held_read_seconds(contact_seconds)
         table_seconds = table_read_seconds(wait_seconds, revoke_seconds)
-        self.own_proof_seconds = own_proof_seconds(
+        self.confirmation_age_seconds = own_proof_seconds(
             table_seconds, CONFIGURATION_PAUSE_SECONDS
         )
         """How old a proof grows while the store answers all reads of the table."""
@@ -99,7 +99,7 @@
         self._table_seconds = table_seconds
         self._read_version = -1
         """That of the table that the store gave last; negative if it can't be read."""
-        self.table_text = b""
+        self.raw_table = b""
         """The table in force as the operator wrote it."""
         self._clock = clock
         self._ingress = ingress
@@ -114,10 +114,10 @@
             random,
             CONFIGURATION_TOPIC,
             pace=Pace(table_seconds, CONFIGURATION_PAUSE_SECONDS),
-            changed=self._configuration_changed,
+            changed=self._on_configuration_changed,
             recovery=recovery,
-            proved=self._configuration_proved,
-            quick_share=self._quick_share,
+            proved=self._on_configuration_confirmed,
+            quick_share=self._immediate_read_share,
         )
         self._followers = (
             self._configuration,
@@ -129,19 +129,19 @@
                 pace=Pace(
                     wait_seconds, ENGINES_PAUSE_SECONDS, ENGINES_PAGE_PAUSE_SECONDS
                 ),
-                changed=self._engines_changed,
+                changed=self._on_engines_changed,
                 recovery=recovery,
             ),
         )
 
     @property
-    def are_known(self) -> bool:
+    def are_loaded(self) -> bool:
         """Whether there is a table, a list of engines, and what zones are drained."""
         has_table = self._ingress.router is not None
         return has_table and self._has_engines and self._drains.are_known
 
     @property
-    def drained(self) -> DrainedZones:
+    def drained_zones(self) -> DrainedZones:
         """Give the zones that are known to be drained."""
         return self._drains.current
 
@@ -154,30 +154,32 @@
         for follower in self._followers:
             follower.start()
 
-    def _configuration_changed(self, values: dict[str, bytes]) -> None:
+    def _on_configuration_changed(self, values: dict[str, bytes]) -> None:
         value = values.get(CONFIGURATION_KEY)
-        self._read_version = -1 if value is None else self.take_table(value)
+        self._read_version = -1 if value is None else self.apply_table(value)
         zones = drained_zones_of(values)
-        self._take_drained(DrainedZones(zones, self._configuration.position))
+        self._apply_drained_zones(DrainedZones(zones, self._configuration.position))
 
-    def peer_told_drained(self, newer: DrainedZones) -> None:
+    def apply_peer_drained_zones(self, newer: DrainedZones) -> None:
         """Take the drained zones that a peer knows, if it has read as far as we."""
-        self._take_drained(newer, is_from_peer=True)
+        self._apply_drained_zones(newer, is_from_peer=True)
 
-    def _take_drained(self, newer: DrainedZones, *, is_from_peer: bool = False) -> None:
+    def _apply_drained_zones(
+        self, newer: DrainedZones, *, is_from_peer: bool = False
+    ) -> None:
         change = self._pool.drain_zones(newer)
         tell_drains(newer, change, is_from_peer=is_from_peer)
 
-    def _quick_share(self) -> float:
+    def _immediate_read_share(self) -> float:
         """Give the share of our reads of the table that are not held."""
         if not self._freshness.is_required:
             return 0.0
         return quick_share(self._table_seconds, self._daemons())
 
-    def _configuration_proved(self, at: float) -> None:
+    def _on_configuration_confirmed(self, at: float) -> None:
         self._freshness.prove(self._read_version, at)
 
-    def take_table(self, value: bytes) -> int:
+    def apply_table(self, value: bytes) -> int:
         """Put a table in force if it is newer; give its version, -1 if unreadable."""
         try:
             table = table_of(value)
@@ -190,7 +192,7 @@
             if table.keys is not None and current is not None and current.table.keys:
                 table.keys.succeed(current.table.keys)
             self._ingress.router = Router(table)
-            self.table_text = value
+            self.raw_table = value
             self._freshness.put_in_force(table.version)
             self._pool.eligibility.take_limits(
                 {name: service.cold for name, service in table.services.items()}
@@ -199,7 +201,7 @@
             emit(TableInForce(table.version, former, len(table.routes)))
         return table.version
 
-    def _engines_changed(self, values: dict[str, bytes]) -> None:
+    def _on_engines_changed(self, values: dict[str, bytes]) -> None:
         read = {id: self._read(id, value) for id, value in values.items()}
         self._entries = read
         engines = {
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -102,9 +102,9 @@
             joined.network,
             self.freshness,
             peers=lambda: world.names,
-            ask_at_age=self.tables.own_proof_seconds,
-            table=lambda: self.tables.table_text,
-            take=self.tables.take_table,
+            ask_at_age=self.tables.confirmation_age_seconds,
+            table=lambda: self.tables.raw_table,
+            take=self.tables.apply_table,
         )
         self.tables.start()
         self.vouching.start()
--- a/tests/stateful/tenants/test_revocation_machine.py
+++ b/tests/stateful/tenants/test_revocation_machine.py
@@ -191,7 +191,7 @@
     def proved(self, at):
         self._freshness.prove(self._read_version, self._clock.seconds())
 
-    monkeypatch.setattr(PlatformTables, "_configuration_proved", proved)
+    monkeypatch.setattr(PlatformTables, "_on_configuration_confirmed", proved)
 
 
 def peers_words_do_not_age(monkeypatch):
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -152,7 +152,7 @@
         assert of(messages, calls.RequestWithoutRoute)[0]["table_version"] == -1
         world.configure(7)
         world.put("keyed.servers", "i-1", ENGINE)
-        assert world.tables.are_known
+        assert world.tables.are_loaded
         assert world.status(b"/other/x") == 404
         world.put("keyed.servers", "i-2", b"{broken")
         world.log.trouble = Trouble.REFUSE
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -24,7 +24,7 @@
     assert settings.front == Address("10.1.0.38", 8149)
     assert settings.peer_ports == (7380, 7395)
     assert settings.store.partitions == 12
-    assert settings.store.least_lease_seconds == 1.0
+    assert settings.store.min_lease_seconds == 1.0
     assert settings.grace_seconds == 8.0
 
 
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -90,7 +90,7 @@
 
     @property
     def drained(self) -> set[str]:
-        return set(self.tables.drained.zones)
+        return set(self.tables.drained_zones.zones)
 
     def lapse(self, name: str) -> None:
         self._append(name, b"")
@@ -154,7 +154,7 @@
 
 def test_without_a_table_a_daemon_is_not_ready():
     world = World()
-    assert not world.tables.are_known
+    assert not world.tables.are_loaded
     assert world.log.partition(CONFIGURATION_TOPIC, 0).records == []
 
 
@@ -170,10 +170,10 @@
 def test_some_reads_of_the_table_are_not_held_so_that_a_proof_is_fresh(daemons, least):
     """All daemons together make a few such reads a second, however many they are."""
     world = World(freshness=TableFreshness(5.0), daemons=daemons)
-    share = world.tables._quick_share()
+    share = world.tables._immediate_read_share()
     assert share >= least
     assert share * max(daemons, 1) <= 5.0 * 5.0
-    assert World(daemons=daemons).tables._quick_share() == 0.0
+    assert World(daemons=daemons).tables._immediate_read_share() == 0.0
 
 
 @pytest.mark.parametrize("contact_seconds", [3.0, 4.0, 5.0, 20.0])
@@ -214,20 +214,22 @@
         freshness=TableFreshness(None),
     )
     restarted._has_engines = True
-    assert not restarted.are_known
-    restarted.peer_told_drained(DrainedZones(frozenset({"z-1"}), 4))
-    assert restarted.are_known
-    assert restarted.drained.zones == {"z-1"}
+    assert not restarted.are_loaded
+    restarted.apply_peer_drained_zones(DrainedZones(frozenset({"z-1"}), 4))
+    assert restarted.are_loaded
+    assert restarted.drained_zones.zones == {"z-1"}
 
 
 def test_what_a_peer_read_earlier_changes_nothing():
     world = World()
     world.operator_writes("evacuate/z-1", b"{}")
     world.run(0.5)
-    world.tables.peer_told_drained(DrainedZones(frozenset(), 0))
+    world.tables.apply_peer_drained_zones(DrainedZones(frozenset(), 0))
     assert world.drained == {"z-1"}
-    position = world.tables.drained.position
-    world.tables.peer_told_drained(DrainedZones(frozenset({"z-2"}), position + 1))
+    position = world.tables.drained_zones.position
+    world.tables.apply_peer_drained_zones(
+        DrainedZones(frozenset({"z-2"}), position + 1)
+    )
     assert world.drained == {"z-2"}
 
 
@@ -236,7 +238,7 @@
     world = World()
     world.operator_writes("evacuate/z-1", b"{}")
     world.run(0.5)
-    world.tables._take_drained(DrainedZones(frozenset(), 0))
+    world.tables._apply_drained_zones(DrainedZones(frozenset(), 0))
     assert world.drained == {"z-1"}
 
 
