Name the membership internals after SWIM's terms

Knowledge becomes MembershipState (module membership_state), HeardDigests ReceivedDigests, DigestHeard DigestChanged; own becomes local_record, the hash view view_hash; asker becomes requester; burying becomes expiring suspicions, contested claims conflicting ones, questions to a suspected member scheduled probes, gone machines removed ones. Docstrings are reworded in the same terms.

--- a/notcharch/membership/__init__.py
+++ b/notcharch/membership/__init__.py
@@ -1,1 +1,1 @@
-"""SWIM membership of the daemons of one region."""
+"""SWIM membership protocol among the daemons of one region."""
--- a/notcharch/membership/datagrams.py
+++ b/notcharch/membership/datagrams.py
@@ -1,7 +1,7 @@
-"""The datagrams of membership, as JSON arrays.
+"""Datagrams of the membership protocol, encoded as JSON arrays.
 
-Every datagram carries its sender's own record, a hash of its view, its digests
-and a bounded number of records that are being spread.
+Every datagram carries the sender's record, a hash of its membership view, its
+digests and a bounded number of gossiped records.
 """
 
 import msgspec
@@ -13,14 +13,14 @@
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
-    """A small number of another subsystem, such as a table version."""
+    """An integer published by another subsystem, such as a table version."""
 
     key: str
     value: int
 
 
 class Header(msgspec.Struct, frozen=True, array_like=True):
-    """What every datagram carries; `view` hashes the sender's living members."""
+    """The fields common to all datagrams; `view` hashes the sender's live members."""
 
     region: RegionName
     receiver: DaemonName
@@ -31,14 +31,14 @@
 
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
-    """The base of datagrams; whoever begins a probe chooses its number."""
+    """Base of all datagrams; the initiator of a probe chooses its number."""
 
     header: Header
     probe: int
 
 
 class ProbeDatagram(Datagram, frozen=True, tag="probe"):
-    """Asks the receiver to acknowledge."""
+    """Requests an acknowledgement from the receiver."""
 
 
 class AckDatagram(Datagram, frozen=True, tag="ack"):
@@ -46,14 +46,14 @@
 
 
 class RelayDatagram(Datagram, frozen=True, tag="relay"):
-    """Asks the receiver to probe another daemon for the sender."""
+    """Requests an indirect probe: the receiver probes `target` for the sender."""
 
     target: DaemonName
     target_address: str
 
 
 class RelayAckDatagram(Datagram, frozen=True, tag="relay_ack"):
-    """Tells the asker that the relayed probe was acknowledged."""
+    """Reports to the requester that the target acknowledged an indirect probe."""
 
 
 AnyDatagram = ProbeDatagram | AckDatagram | RelayDatagram | RelayAckDatagram
@@ -63,12 +63,12 @@
 
 
 def encode(datagram: AnyDatagram) -> bytes:
-    """Encode a datagram."""
+    """Encode a datagram as JSON."""
     return _encoder.encode(datagram)
 
 
 def decode(payload: bytes) -> Result[AnyDatagram, str]:
-    """Decode a datagram; the Err says why it cannot be read."""
+    """Decode a datagram; an Err holds the reason why it is malformed."""
     try:
         return Ok(_decoder.decode(payload))
     except DECODING_ERRORS as error:
--- a/notcharch/membership/effects.py
+++ b/notcharch/membership/effects.py
@@ -1,4 +1,4 @@
-"""What the failure detector asks its service to do."""
+"""Effects returned by the failure detector for its service to carry out."""
 
 import msgspec
 
@@ -15,7 +15,7 @@
 
 
 class ExchangeWith(msgspec.Struct, frozen=True):
-    """Exchange all records with a member over its peer connection."""
+    """Exchange the full set of records with a member over its peer connection."""
 
     daemon: DaemonName
 
@@ -27,8 +27,8 @@
     after: MemberRecord
 
 
-class DigestHeard(msgspec.Struct, frozen=True):
-    """A member's digest has a new value."""
+class DigestChanged(msgspec.Struct, frozen=True):
+    """A member published a new value of a digest."""
 
     member: Member
     key: str
@@ -36,20 +36,20 @@
 
 
 class SelfRefuted(msgspec.Struct, frozen=True):
-    """This process contradicted a claim that it is suspected or dead."""
+    """This process refuted a claim that it is suspected or dead."""
 
     refutations: int
 
 
 class Superseded(msgspec.Struct, frozen=True):
-    """A later process has this daemon's name."""
+    """A newer process uses this daemon's name."""
 
-    own: Member
+    local: Member
     other: Member
 
 
 class Stalled(msgspec.Struct, frozen=True):
-    """This process did not run for so many seconds."""
+    """This process did not run for `seconds`."""
 
     seconds: float
 
@@ -58,7 +58,7 @@
     SendDatagram
     | ExchangeWith
     | RecordChanged
-    | DigestHeard
+    | DigestChanged
     | SelfRefuted
     | Superseded
     | Stalled
--- a/notcharch/membership/gossip.py
+++ b/notcharch/membership/gossip.py
@@ -1,4 +1,4 @@
-"""Records that are being spread, each a bounded number of times."""
+"""Queue of records to gossip, each a bounded number of times."""
 
 import math
 
@@ -6,28 +6,28 @@
 from notcharch.wire.messages.membership import MemberRecord
 
 SPREAD_FACTOR = 3
-"""A record is sent so many times the logarithm of the number of members."""
+"""A record is sent `SPREAD_FACTOR * log2(members + 1)` times."""
 
 
 class GossipQueue:
-    """The latest record of each daemon that others may not have heard."""
+    """The latest record of each daemon that other members may not have received."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Start with an empty queue."""
         self._records: dict[DaemonName, MemberRecord] = {}
         self._sent: dict[DaemonName, int] = {}
 
     def __len__(self) -> int:
-        """Count the records that are still being spread."""
+        """Return the number of records still to be sent."""
         return len(self._records)
 
     def add(self, record: MemberRecord) -> None:
-        """Spread a record, in place of an earlier one of the same daemon."""
+        """Queue a record; it replaces an earlier record of the same daemon."""
         self._records[record.member.daemon] = record
         self._sent[record.member.daemon] = 0
 
     def take(self, count: int, member_count: int) -> tuple[MemberRecord, ...]:
-        """Give up to `count` records for one datagram, the least sent first."""
+        """Return up to `count` records for one datagram, the least often sent first."""
         chosen = sorted(self._sent, key=self._sent.__getitem__)[:count]
         records = tuple(self._records[daemon] for daemon in chosen)
         limit = SPREAD_FACTOR * math.ceil(math.log2(member_count + 1))
--- a/notcharch/membership/log.py
+++ b/notcharch/membership/log.py
@@ -1,4 +1,4 @@
-"""Writes the log events of what the failure detector found."""
+"""Emits the log events for the effects of the failure detector."""
 
 from notcharch.events.event import emit
 from notcharch.events.membership import (
@@ -18,23 +18,23 @@
     Stalled,
     Superseded,
 )
-from notcharch.membership.records import is_living
+from notcharch.membership.records import is_live
 from notcharch.wire.messages.membership import MemberRecord, MemberStatus
 
 
 def log_effect(effect: SelfRefuted | Stalled | Superseded) -> None:
-    """Log what the detector found out about this process."""
+    """Log an effect that concerns this process."""
     if isinstance(effect, SelfRefuted):
         emit(SuspicionRefuted(effect.refutations))
     elif isinstance(effect, Stalled):
         emit(ProcessStalled(effect.seconds))
     else:
-        own, other = effect.own, effect.other
-        emit(ProcessSuperseded(own.daemon, own.incarnation, other.incarnation))
+        local, other = effect.local, effect.other
+        emit(ProcessSuperseded(local.daemon, local.incarnation, other.incarnation))
 
 
 def log_change(change: RecordChanged) -> None:
-    """Log what became of another process."""
+    """Log the new status of another process."""
     daemon, incarnation = change.after.member.daemon, change.after.member.incarnation
     status = change.after.status
     if status is MemberStatus.SUSPECT:
@@ -51,7 +51,7 @@
     daemon, incarnation = after.member.daemon, after.member.incarnation
     if before is None or before.member != after.member:
         emit(MemberJoined(daemon, incarnation, after.zone))
-    elif not is_living(before):
+    elif not is_live(before):
         emit(MemberRestored(daemon, incarnation))
     if after.leaving and (before is None or not before.leaving):
         emit(MemberLeaving(daemon, incarnation))
--- a/notcharch/membership/members.py
+++ b/notcharch/membership/members.py
@@ -1,46 +1,46 @@
-"""The records of the other daemons, merged from all claims about them."""
+"""Table of the records of the other daemons, merged from all claims about them."""
 
-from notcharch.membership.records import hash_of, is_living, supersedes
+from notcharch.membership.records import is_live, record_hash, supersedes
 from notcharch.values.identifiers import DaemonName
 from notcharch.wire.messages.membership import MemberRecord
 
 DEAD_RETENTION_SECONDS = 3600.0
-"""How long the record of a dead process is kept against late claims."""
+"""How long the record of a dead process is kept to recognize late claims about it."""
 
 
 class MemberTable:
-    """The best record of each other daemon, and a hash over the living ones."""
+    """The newest record of each other daemon, and a hash of the live ones."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Start with an empty table."""
         self._records: dict[DaemonName, MemberRecord] = {}
         self._changed_at: dict[DaemonName, float] = {}
-        self._view = 0
+        self._view_hash = 0
 
     @property
-    def view(self) -> int:
-        """The hash of the living members; equal views have equal hashes."""
-        return self._view
+    def view_hash(self) -> int:
+        """The hash of the live members; equal views have equal hashes."""
+        return self._view_hash
 
     def get(self, daemon: DaemonName) -> MemberRecord | None:
-        """Give the record of a daemon."""
+        """Return the record of a daemon, or None if it is unknown."""
         return self._records.get(daemon)
 
     def records(self) -> tuple[MemberRecord, ...]:
-        """Give all records, dead ones included."""
+        """Return all records, including those of dead processes."""
         return tuple(self._records.values())
 
-    def living(self) -> tuple[MemberRecord, ...]:
-        """Give the records of processes that count as alive."""
-        return tuple(r for r in self._records.values() if is_living(r))
+    def live(self) -> tuple[MemberRecord, ...]:
+        """Return the records of alive and suspected processes."""
+        return tuple(r for r in self._records.values() if is_live(r))
 
     def merge(self, record: MemberRecord, now: float) -> bool:
-        """Take in a claim; tells whether it changed anything.
+        """Merge a claim; return whether it changed anything.
 
-        The death of a process that was never known alive is not kept.
+        A claim that an unknown process is dead is not stored.
         """
         old = self._records.get(record.member.daemon)
-        if old is None and not is_living(record):
+        if old is None and not is_live(record):
             return False
         if old is not None and not supersedes(record, old):
             return False
@@ -48,17 +48,17 @@
         self._changed_at[record.member.daemon] = now
         return True
 
-    def drop_old_dead(self, now: float) -> None:
-        """Forget processes that have been dead for long."""
+    def purge_dead(self, now: float) -> None:
+        """Remove the records of processes that died `DEAD_RETENTION_SECONDS` ago."""
         for daemon, record in list(self._records.items()):
             age = now - self._changed_at[daemon]
-            if not is_living(record) and age > DEAD_RETENTION_SECONDS:
+            if not is_live(record) and age > DEAD_RETENTION_SECONDS:
                 del self._records[daemon]
                 del self._changed_at[daemon]
 
     def _replace(self, old: MemberRecord | None, new: MemberRecord) -> None:
-        if old is not None and is_living(old):
-            self._view ^= hash_of(old)
-        if is_living(new):
-            self._view ^= hash_of(new)
+        if old is not None and is_live(old):
+            self._view_hash ^= record_hash(old)
+        if is_live(new):
+            self._view_hash ^= record_hash(new)
         self._records[new.member.daemon] = new
--- a/notcharch/membership/probe_order.py
+++ b/notcharch/membership/probe_order.py
@@ -1,4 +1,4 @@
-"""The order in which members are probed: each once in every round, shuffled."""
+"""Shuffled round-robin order in which members are probed."""
 
 from collections.abc import Iterable
 from random import Random
@@ -7,16 +7,16 @@
 
 
 class ProbeOrder:
-    """A shuffled round of the members; new ones enter at a random place."""
+    """A shuffled round of the members; new ones enter at a random position."""
 
     def __init__(self, random: Random) -> None:
-        """Begin with an empty round."""
+        """Start with an empty round."""
         self._random = random
         self._round: list[DaemonName] = []
 
-    def next(self, living: Iterable[DaemonName]) -> DaemonName | None:
-        """Give the next member to probe, or None when there is no other."""
-        present = set(living)
+    def next(self, live: Iterable[DaemonName]) -> DaemonName | None:
+        """Return the next member to probe, or None if there is no other member."""
+        present = set(live)
         while self._round:
             daemon = self._round.pop()
             if daemon in present:
@@ -26,7 +26,7 @@
         return self._round.pop() if self._round else None
 
     def add(self, daemon: DaemonName) -> None:
-        """Enter a member that came into the running round."""
+        """Insert a new member into the current round."""
         if daemon not in self._round:
-            place = self._random.randint(0, len(self._round))
-            self._round.insert(place, daemon)
+            position = self._random.randint(0, len(self._round))
+            self._round.insert(position, daemon)
--- a/notcharch/membership/service.py
+++ b/notcharch/membership/service.py
@@ -1,7 +1,7 @@
-"""Membership of one daemon: runs the failure detector on a datagram port.
+"""Membership service of one daemon: runs the failure detector on a datagram port.
 
-The `MembershipView` of the rest of the system. It tells the peer network the
-addresses of living members and which peers are gone, and carries digests.
+Implements `MembershipView` for the rest of the system, keeps the peer network's
+addresses current and distributes digests.
 """
 
 from collections.abc import Callable
@@ -15,7 +15,7 @@
 from notcharch.events.membership import DatagramNotUnderstood, MembersExchanged
 from notcharch.membership.datagrams import decode, encode
 from notcharch.membership.effects import (
-    DigestHeard,
+    DigestChanged,
     Effect,
     ExchangeWith,
     RecordChanged,
@@ -24,7 +24,7 @@
 )
 from notcharch.membership.log import log_change, log_effect
 from notcharch.membership.machine_states import MachineStates
-from notcharch.membership.records import is_living
+from notcharch.membership.records import is_live
 from notcharch.membership.swim import Swim
 from notcharch.placement.interface import LiveMember
 from notcharch.values.identifiers import DaemonName, Member
@@ -38,14 +38,14 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-EXCHANGE_SECONDS = 2.0
-"""Time-out of one exchange of all records."""
+EXCHANGE_TIMEOUT_SECONDS = 2.0
+"""Timeout of one exchange of all records."""
 
 DigestListener = Callable[[Member, str, int], None]
 
 
 class MembershipService:
-    """The thin service around `Swim` and the machine list."""
+    """Connects `Swim` and the machine list to the network and the clock."""
 
     def __init__(
         self,
@@ -70,72 +70,72 @@
         network.on_request(ExchangeMembers, self._exchange)
 
     def start(self) -> None:
-        """Begin to probe."""
+        """Start probing."""
         self._running = True
         self._swim.start(self._clock.seconds())
         self._schedule()
 
     def stop(self) -> None:
-        """Tell some members that this process stops, and fall silent."""
+        """Announce to some members that this process leaves, and stop probing."""
         if not self._running:
             return
-        self._carry_out(self._swim.leave())
+        self._apply_effects(self._swim.leave())
         self._running = False
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
     def announce_leaving(self) -> None:
-        """Tell the others that this daemon is going to stop: give it nothing new."""
-        self._swim.knowledge.set_leaving(True, self._clock.seconds())
-        self._note_change()
+        """Announce that this daemon will stop, so that it gets no new work."""
+        self._swim.state.set_leaving(True, self._clock.seconds())
+        self._refresh_live_members()
 
     def cancel_leaving(self) -> None:
-        """Take back `announce_leaving`."""
-        self._swim.knowledge.set_leaving(False, self._clock.seconds())
-        self._note_change()
+        """Withdraw the announcement of `announce_leaving`."""
+        self._swim.state.set_leaving(False, self._clock.seconds())
+        self._refresh_live_members()
 
     def apply_machines(self, changes: MachineChanges) -> None:
-        """Take in changes of the machine list; see `MachineListFollower`."""
+        """Apply changes of the machine list; see `MachineListFollower`."""
         self._machines.apply(changes)
         self._swim.set_seeds(self._machines.seeds())
-        for daemon in self._machines.gone():
-            record = self._swim.knowledge.record_of(daemon)
-            if record is not None and self._machines.is_gone(record):
-                self._carry_out(self._swim.suspect(daemon, self._clock.seconds()))
-        self._note_change()
+        for daemon in self._machines.removed():
+            record = self._swim.state.record_of(daemon)
+            if record is not None and self._machines.is_removed(record):
+                self._apply_effects(self._swim.suspect(daemon, self._clock.seconds()))
+        self._refresh_live_members()
         self._schedule()
 
     def live_members(self) -> tuple[LiveMember, ...]:
-        """Give every live member, this one included, sorted by name."""
+        """Return every live member, including this one, sorted by name."""
         if self._live is None:
-            records = self._swim.knowledge.records()
-            members = (self._live_member(r) for r in records if is_living(r))
+            records = self._swim.state.records()
+            members = (self._live_member(r) for r in records if is_live(r))
             self._live = tuple(sorted(members, key=lambda live: live.member))
         return self._live
 
     def knows_region(self) -> bool:
-        """Tell whether the view is more than what a fresh process begins with."""
+        """Return whether the view is more than the initial one of a new process."""
         return self._swim.knows_region(self._clock.seconds())
 
     def is_certainly_dead(self, member: Member) -> bool:
-        """Tell whether the process is surely gone.
+        """Return whether the process has certainly ended.
 
-        It is when a newer process of the daemon was seen, when it said itself
-        that it stops, or when it answers no probe and the machine list says that
-        its machine is gone. Of a daemon that nobody in the region knows any more
-        (all have restarted since), the machine list alone tells.
+        That is so if a newer process of the daemon is known, if the process
+        announced that it left, or if it is dead by its probes and its machine is
+        listed as gone. For a daemon unknown to the region, as after a restart of
+        all others, the machine list alone decides.
         """
-        own = self._swim.knowledge.own
-        record = self._swim.knowledge.record_of(member.daemon)
-        if member.daemon == own.member.daemon:
-            record = own
+        local_record = self._swim.state.local_record
+        record = self._swim.state.record_of(member.daemon)
+        if member.daemon == local_record.member.daemon:
+            record = local_record
         if record is None:
             is_unknown = self.knows_region()
-            return is_unknown and self._machines.has_no_more(member.daemon)
+            return is_unknown and self._machines.is_absent(member.daemon)
         if record.member.incarnation != member.incarnation:
             return record.member.incarnation > member.incarnation
         if record.status is MemberStatus.DEAD:
-            return self._machines.is_gone(record)
+            return self._machines.is_removed(record)
         return record.status is MemberStatus.LEFT
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -143,15 +143,15 @@
         self._change_listeners.append(listener)
 
     def set_digest(self, key: str, value: int) -> None:
-        """Carry a small number to the other members, with every datagram."""
+        """Distribute a digest to the other members with every datagram."""
         self._swim.set_digest(key, value)
 
     def on_digest(self, listener: DigestListener) -> None:
-        """Call `listener(member, key, value)` when a member's digest changed."""
+        """Call `listener(member, key, value)` after a member's digest changed."""
         self._digest_listeners.append(listener)
 
     def on_superseded(self, listener: Callable[[], None]) -> None:
-        """Call `listener` when a later process has this daemon's name: stop."""
+        """Call `listener` when a newer process uses this daemon's name."""
         self._superseded_listeners.append(listener)
 
     def _live_member(self, record: MemberRecord) -> LiveMember:
@@ -160,7 +160,7 @@
 
     def _run(self) -> None:
         if self._running:
-            self._carry_out(self._swim.run(self._clock.seconds()))
+            self._apply_effects(self._swim.run(self._clock.seconds()))
             self._schedule()
 
     def _schedule(self) -> None:
@@ -179,70 +179,70 @@
             emit(DatagramNotUnderstood(source, decoded.err_value))
             return
         now = self._clock.seconds()
-        self._carry_out(self._swim.receive(decoded.ok_value, source, now))
+        self._apply_effects(self._swim.receive(decoded.ok_value, source, now))
         self._schedule()
 
     async def _exchange(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, ExchangeMembers)
         self._merge_all(message.records)
-        return MemberRecords(self._swim.knowledge.records())
+        return MemberRecords(self._swim.state.records())
 
     def _merge_all(self, records: tuple[MemberRecord, ...]) -> None:
-        self._carry_out(self._swim.merge_all(records, self._clock.seconds()))
+        self._apply_effects(self._swim.merge_all(records, self._clock.seconds()))
         self._schedule()
 
-    def _carry_out(self, effects: list[Effect]) -> None:
+    def _apply_effects(self, effects: list[Effect]) -> None:
         changed = False
         for effect in effects:
             if isinstance(effect, SendDatagram):
                 self._datagrams.send(effect.address, encode(effect.datagram))
             elif isinstance(effect, ExchangeWith):
                 self._begin_exchange(effect.daemon)
-            elif isinstance(effect, DigestHeard):
-                self._tell_digest(effect)
+            elif isinstance(effect, DigestChanged):
+                self._notify_digest(effect)
             elif isinstance(effect, RecordChanged):
-                self._follow(effect)
+                self._on_record_changed(effect)
                 changed = True
             else:
                 log_effect(effect)
                 if isinstance(effect, Superseded):
-                    self._tell_superseded()
+                    self._notify_superseded()
         if changed:
-            self._note_change()
+            self._refresh_live_members()
 
     def _begin_exchange(self, daemon: DaemonName) -> None:
-        question = ExchangeMembers(self._swim.knowledge.records())
-        asked = self._network.request(daemon, question, EXCHANGE_SECONDS)
-        asked.addCallback(self._finish_exchange, daemon)
+        message = ExchangeMembers(self._swim.state.records())
+        exchange = self._network.request(daemon, message, EXCHANGE_TIMEOUT_SECONDS)
+        exchange.addCallback(self._finish_exchange, daemon)
 
     def _finish_exchange(
         self, reply: Result[Message, Problem], daemon: DaemonName
     ) -> None:
         if isinstance(reply, Err):
             return
-        answer = reply.ok_value
-        assert isinstance(answer, MemberRecords)
+        response = reply.ok_value
+        assert isinstance(response, MemberRecords)
         self._swim.finish_exchange()
-        self._merge_all(answer.records)
-        emit(MembersExchanged(daemon, len(answer.records)))
+        self._merge_all(response.records)
+        emit(MembersExchanged(daemon, len(response.records)))
 
-    def _tell_digest(self, heard: DigestHeard) -> None:
+    def _notify_digest(self, change: DigestChanged) -> None:
         for listener in self._digest_listeners:
-            listener(heard.member, heard.key, heard.value)
+            listener(change.member, change.key, change.value)
 
-    def _tell_superseded(self) -> None:
+    def _notify_superseded(self) -> None:
         for listener in self._superseded_listeners:
             listener()
 
-    def _follow(self, change: RecordChanged) -> None:
+    def _on_record_changed(self, change: RecordChanged) -> None:
         record = change.after
-        if is_living(record):
+        if is_live(record):
             self._network.set_address(record.member.daemon, record.address)
         else:
             self._network.forget(record.member.daemon)
         log_change(change)
 
-    def _note_change(self) -> None:
+    def _refresh_live_members(self) -> None:
         before = self._live
         self._live = None
         if self.live_members() != before:
--- a/notcharch/membership/suspicions.py
+++ b/notcharch/membership/suspicions.py
@@ -1,64 +1,66 @@
-"""Running suspicions: when to ask the suspected itself, and when it is dead."""
+"""Active suspicions: when to probe a suspected member, and when it counts as dead."""
 
 import msgspec
 
 from notcharch.values.identifiers import Member
 
-QUESTIONS = 3
-"""How often a suspected member is asked itself, evenly over its time."""
+PROBES_PER_SUSPICION = 3
+"""Direct probes of a suspected member, spread evenly over the suspicion timeout."""
 
 
 class Suspicion(msgspec.Struct):
-    """The times of the questions that are still to be asked, and of the death."""
+    """The times of the remaining probes, and when the member is declared dead."""
 
-    questions: list[float]
+    probe_times: list[float]
     deadline: float
 
     @property
     def next_time(self) -> float:
-        """Give when there is something to do."""
-        return self.questions[0] if self.questions else self.deadline
+        """The time of the next probe, or the deadline after the last one."""
+        return self.probe_times[0] if self.probe_times else self.deadline
 
 
 class Suspicions:
-    """The members that are suspected by this process, for whatever reason."""
+    """The members that this process suspects, by its own or others' claims."""
 
     def __init__(self, suspicion_seconds: float) -> None:
-        """Begin with none."""
+        """Start without suspicions."""
         self._seconds = suspicion_seconds
         self._running: dict[Member, Suspicion] = {}
 
     def start(self, member: Member, now: float) -> None:
-        """Start (again) the time in which the member may refute."""
-        part = self._seconds / (QUESTIONS + 1)
-        questions = [now + part * (number + 1) for number in range(QUESTIONS)]
-        self._running[member] = Suspicion(questions, now + self._seconds)
+        """Start or restart the timeout within which the member may refute."""
+        interval = self._seconds / (PROBES_PER_SUSPICION + 1)
+        probe_times = [
+            now + interval * (number + 1) for number in range(PROBES_PER_SUSPICION)
+        ]
+        self._running[member] = Suspicion(probe_times, now + self._seconds)
 
     def stop(self, member: Member) -> None:
         """End a suspicion, if there is one."""
         self._running.pop(member, None)
 
-    def due(self, now: float) -> list[Member]:
-        """Give and remove the members whose time is up."""
+    def take_expired(self, now: float) -> list[Member]:
+        """Remove and return the members whose suspicion timed out."""
         members = [m for m, running in self._running.items() if running.deadline <= now]
         for member in members:
             del self._running[member]
         return members
 
-    def to_ask(self, now: float) -> list[Member]:
-        """Give the members that must be asked now, each once a question."""
+    def take_due_probes(self, now: float) -> list[Member]:
+        """Return the members to probe now, each once per scheduled probe."""
         members = []
         for member, running in self._running.items():
-            if running.questions and running.questions[0] <= now:
-                running.questions.pop(0)
+            if running.probe_times and running.probe_times[0] <= now:
+                running.probe_times.pop(0)
                 members.append(member)
         return members
 
     def restart(self, now: float) -> None:
-        """Give every suspected member its whole time again."""
+        """Restart the timeout of every suspicion."""
         for member in tuple(self._running):
             self.start(member, now)
 
     def next_time(self) -> float | None:
-        """Give the earliest time at which there is something to do, or None."""
+        """Return the earliest time of a probe or deadline, or None."""
         return min((s.next_time for s in self._running.values()), default=None)
--- a/notcharch/membership/view_comparison.py
+++ b/notcharch/membership/view_comparison.py
@@ -1,38 +1,40 @@
-"""When the hash of another's view is reason to exchange all records with it."""
+"""Decides when a differing view hash of a peer calls for a full exchange of records."""
 
-EXCHANGE_SECONDS = 3.0
-"""A view that for so long agreed with no other one is exchanged whole."""
+ISOLATED_DIVERGENCE_SECONDS = 3.0
+"""A full exchange is due when the view matched no peer's for this long."""
 
-EXCHANGE_QUIET_SECONDS = 5.0
-"""Views that differ though nothing changed for so long are exchanged whole, also
-when each agrees with a part of the others."""
+QUIET_DIVERGENCE_SECONDS = 5.0
+"""A full exchange is due when views differ although nothing changed for this long.
 
-JOIN_RETRY_SECONDS = 0.5
-"""A process that has not exchanged yet asks so often at most."""
+This covers a split where each view matches those of some other members.
+"""
+
+JOIN_RETRY_INTERVAL_SECONDS = 0.5
+"""Minimum interval between requests before the first exchange."""
 
 
 class ViewComparison:
-    """Compares this process's view with those that it hears, over time."""
+    """Compares the local view hash with those of received datagrams, over time."""
 
     def __init__(self) -> None:
-        """Begin before the first exchange."""
+        """Start without an exchange."""
         self.has_exchanged = False
         self._differs_since: float | None = None
-        self._asked_at = float("-inf")
+        self._requested_at = float("-inf")
 
     def finish_exchange(self) -> None:
-        """Note that the records of another member were taken in."""
+        """Record that the records of another member were merged."""
         self.has_exchanged = True
 
     def is_exchange_due(
-        self, own: int, other: int, changed_at: float, now: float
+        self, local_hash: int, peer_hash: int, changed_at: float, now: float
     ) -> bool:
-        """Compare two hashes; a True is given once, and counts as asked.
+        """Compare two view hashes; True counts as a request and is not repeated at once.
 
-        `changed_at` is when this process's own view last changed.
+        `changed_at` is when the local view last changed.
         """
-        if other == own:
-            # Both know the same members, as after an exchange.
+        if peer_hash == local_hash:
+            # Equal views are as good as a completed exchange.
             self.has_exchanged = True
             self._differs_since = None
             return False
@@ -40,15 +42,16 @@
             self._differs_since = now
         is_due = self._is_due(self._differs_since, changed_at, now)
         if is_due:
-            self._asked_at = now
+            self._requested_at = now
             self._differs_since = now
         return is_due
 
     def _is_due(self, differs_since: float, changed_at: float, now: float) -> bool:
-        since_asked = now - self._asked_at
+        since_request = now - self._requested_at
         if not self.has_exchanged:
-            return since_asked >= JOIN_RETRY_SECONDS
-        quiet = min(now - changed_at, since_asked)
+            return since_request >= JOIN_RETRY_INTERVAL_SECONDS
+        quiet = min(now - changed_at, since_request)
         return (
-            now - differs_since >= EXCHANGE_SECONDS or quiet >= EXCHANGE_QUIET_SECONDS
+            now - differs_since >= ISOLATED_DIVERGENCE_SECONDS
+            or quiet >= QUIET_DIVERGENCE_SECONDS
         )
--- a/tests/unit/membership/test_swim.py
+++ b/tests/unit/membership/test_swim.py
@@ -15,7 +15,7 @@
     encode,
 )
 from notcharch.membership.effects import (
-    DigestHeard,
+    DigestChanged,
     ExchangeWith,
     RecordChanged,
     SelfRefuted,
@@ -25,12 +25,12 @@
 )
 from notcharch.membership.gossip import SPREAD_FACTOR, GossipQueue
 from notcharch.membership.headers import GOSSIP_PER_DATAGRAM, HeaderWriter
-from notcharch.membership.knowledge import Knowledge
+from notcharch.membership.membership_state import MembershipState
 from notcharch.membership.probe import ProbeActions, new_probe
 from notcharch.membership.probe_order import ProbeOrder
 from notcharch.membership.records import supersedes
-from notcharch.membership.suspicions import QUESTIONS
-from notcharch.membership.swim import CONTEST_SECONDS, Swim
+from notcharch.membership.suspicions import PROBES_PER_SUSPICION
+from notcharch.membership.swim import CONFLICT_PROBE_INTERVAL_SECONDS, Swim
 from notcharch.settings.schema import MembershipSection
 from notcharch.values.identifiers import (
     DaemonName,
@@ -84,7 +84,7 @@
         return self.swim.receive(datagram, source, self.now)
 
     def status_of(self, name: str) -> MemberStatus:
-        return self.swim.knowledge.record_of(DaemonName(name)).status
+        return self.swim.state.record_of(DaemonName(name)).status
 
     def sent(self, effects, datagram_type):
         return [
@@ -198,7 +198,7 @@
 def test_datagrams_for_others_are_ignored(changes):
     detector = Detector()
     assert detector.hear(ProbeDatagram(header(record(), **changes), 5)) == []
-    assert detector.swim.knowledge.living_others() == ()
+    assert detector.swim.state.other_live_records() == ()
 
 
 @pytest.mark.parametrize("status", [SUSPECT, DEAD])
@@ -258,7 +258,7 @@
             for sent in detector.sent(detector.run_due(), ProbeDatagram)
             if sent.address == "gamma:1"
         ]
-    assert len(asked) >= QUESTIONS
+    assert len(asked) >= PROBES_PER_SUSPICION
     assert all(claim in datagram.header.gossip for datagram in asked)
 
 
@@ -273,7 +273,7 @@
 
     assert asked() == ["gamma:1"]
     assert asked() == []
-    detector.now += CONTEST_SECONDS
+    detector.now += CONFLICT_PROBE_INTERVAL_SECONDS
     assert asked() == ["gamma:1"]
     assert detector.status_of("gamma") is DEAD
 
@@ -298,7 +298,7 @@
     def told(value, sender):
         digests = (Digest("table", value),)
         effects = detector.hear(ProbeDatagram(header(sender, digests=digests), 1))
-        return [effect.value for effect in effects if isinstance(effect, DigestHeard)]
+        return [effect.value for effect in effects if isinstance(effect, DigestChanged)]
 
     assert told(5, record()) == [5]
     assert told(5, record()) == []
@@ -314,7 +314,7 @@
     detector.now += 6.0
     assert ExchangeWith(DaemonName("beta")) in detector.hear(different)
     assert ExchangeWith(DaemonName("beta")) not in detector.hear(different)
-    same = ProbeDatagram(header(record(), view=detector.swim.knowledge.view), 1)
+    same = ProbeDatagram(header(record(), view=detector.swim.state.view_hash), 1)
     detector.now += 6.0
     assert ExchangeWith(DaemonName("beta")) not in detector.hear(same)
 
@@ -342,14 +342,14 @@
 
 def test_the_largest_datagram_is_not_fragmented():
     long_name = "region-with-a-long-name-daemon-0123456789"
-    knowledge = Knowledge(record(long_name, incarnation=1_760_000_000_000), 4.0)
-    headers = HeaderWriter(RegionName("region-with-a-long-name"), knowledge)
+    state = MembershipState(record(long_name, incarnation=1_760_000_000_000), 4.0)
+    headers = HeaderWriter(RegionName("region-with-a-long-name"), state)
     for key in ("table", "limits", "placement"):
         headers.set_digest(key, 10**15)
     for n in range(100):
         claim = record(f"{long_name}{n}", DEAD, 99, 1_760_000_000_000)
-        knowledge.merge(record(f"{long_name}{n}", incarnation=1), 0.0)
-        knowledge.merge(claim, 0.0)
+        state.merge(record(f"{long_name}{n}", incarnation=1), 0.0)
+        state.merge(claim, 0.0)
     written = headers.write(DaemonName(f"{long_name}99"))
     assert len(written.gossip) == GOSSIP_PER_DATAGRAM + 1
     datagram = RelayDatagram(
