Reword the membership tests

Test names, docstrings and locals use the terms of the package: probes, acknowledgements, suspicions, timeouts, reports.

--- a/notcharch/membership/gossip.py
+++ b/notcharch/membership/gossip.py
@@ -6,7 +6,7 @@
 from notcharch.wire.messages.membership import MemberRecord
 
 SPREAD_FACTOR = 3
-"""A record is sent `SPREAD_FACTOR * log2(members + 1)` times."""
+"""A record is sent this many times `ceil(log2(members + 1))`."""
 
 
 class GossipQueue:
--- a/tests/unit/membership/test_region.py
+++ b/tests/unit/membership/test_region.py
@@ -1,4 +1,4 @@
-"""Membership of whole regions on the memory fabric, under faults."""
+"""Tests of the membership of complete regions on the memory fabric, under faults."""
 
 import pytest
 
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize(("count", "loss"), [(12, 0.1), (40, 0.2)])
-def test_loss_kills_nobody(count, loss):
+def test_packet_loss_causes_no_false_deaths(count, loss):
     region = MembershipRegion(count)
     region.run(15)
     assert region.differing() == []
@@ -59,7 +59,7 @@
 
 
 @pytest.mark.parametrize("cut_seconds", [7, 9, 12, 60])
-def test_the_end_of_a_cut_makes_no_side_doubt_its_own(cut_seconds):
+def test_healing_a_partition_causes_no_false_deaths_within_a_side(cut_seconds):
     region = MembershipRegion(30)
     region.run(15)
     inside = set(region.fabric.names_in(ZONES[0]))
@@ -74,7 +74,7 @@
     assert region.differing() == []
 
 
-def test_gone_machine_is_certainly_dead_once_it_answers_no_more():
+def test_gone_machine_is_certainly_dead_once_it_stops_responding():
     region = MembershipRegion(6)
     region.run(10)
     victim = daemon_name(2)
@@ -93,50 +93,50 @@
 def test_a_planned_stop_is_known_at_once_and_certain():
     region = MembershipRegion(9)
     region.run(10)
-    leaver = daemon_name(3)
-    member = region.fabric.daemon(leaver).member
+    leaving_daemon = daemon_name(3)
+    member = region.fabric.daemon(leaving_daemon).member
     watcher = region.services[daemon_name(0)]
-    region.services[leaver].announce_leaving()
+    region.services[leaving_daemon].announce_leaving()
     region.run(5)
     leaving = {e.member.daemon for e in watcher.live_members() if e.leaving}
-    assert leaving == {leaver}
-    region.services[leaver].stop()
-    region.crash(leaver)
+    assert leaving == {leaving_daemon}
+    region.services[leaving_daemon].stop()
+    region.crash(leaving_daemon)
     region.run(3)
     assert region.differing() == []
     assert watcher.is_certainly_dead(member)
 
 
-def test_the_list_marks_leaving_members_and_takes_it_back():
+def test_the_list_marks_and_unmarks_leaving_members():
     region = MembershipRegion(3)
     region.run(5)
     watcher = region.services[daemon_name(0)]
-    told = []
-    watcher.on_change(lambda: told.append(watcher.live_members()))
+    notified = []
+    watcher.on_change(lambda: notified.append(watcher.live_members()))
     region.list_machine(daemon_name(1), MachineState.LEAVING)
-    assert [entry.leaving for entry in told[-1]] == [False, True, False]
+    assert [entry.leaving for entry in notified[-1]] == [False, True, False]
     region.list_machine(daemon_name(1), MachineState.LIVE)
-    assert [entry.leaving for entry in told[-1]] == [False, False, False]
-    assert len(told) == 2
+    assert [entry.leaving for entry in notified[-1]] == [False, False, False]
+    assert len(notified) == 2
 
 
 def test_digests_reach_every_member():
     region = MembershipRegion(20)
     region.run(10)
-    heard = {name: {} for name in region.services}
+    received = {name: {} for name in region.services}
     for name, service in region.services.items():
         service.on_digest(
-            lambda member, key, value, name=name: heard[name].update(
+            lambda member, key, value, name=name: received[name].update(
                 {(member.daemon, key): value}
             )
         )
     region.services[daemon_name(7)].set_digest("table", 42)
     region.run(45)
     for name in set(region.services) - {daemon_name(7)}:
-        assert heard[name] == {(daemon_name(7), "table"): 42}
+        assert received[name] == {(daemon_name(7), "table"): 42}
 
 
-def test_garbage_on_the_port_harms_nothing():
+def test_malformed_datagrams_are_ignored():
     region = MembershipRegion(3)
     region.run(5)
     stranger = region.fabric.daemon(daemon_name(2))
@@ -152,19 +152,19 @@
     region.crash(daemon_name(1))
     region._incarnations -= 1000
     outdated = region.restart(daemon_name(1))
-    told = []
-    outdated.on_superseded(lambda: told.append(True))
+    notified = []
+    outdated.on_superseded(lambda: notified.append(True))
     region.run(10)
-    assert told == [True]
+    assert notified == [True]
 
 
 def test_a_daemon_that_no_running_process_ever_knew_is_dead_if_it_is_not_listed():
-    """All have restarted, and a machine of before is gone for good."""
+    """Covers a machine that was removed before any running process started."""
     region = MembershipRegion(6)
     region.run(10)
-    gone = daemon_name(5)
-    member = region.fabric.daemon(gone).member
-    region.list_machine(gone, MachineState.GONE)
+    removed = daemon_name(5)
+    member = region.fabric.daemon(removed).member
+    region.list_machine(removed, MachineState.GONE)
     for number in range(6):
         region.crash(daemon_name(number))
     for number in range(5):
--- a/tests/unit/membership/test_swim.py
+++ b/tests/unit/membership/test_swim.py
@@ -1,4 +1,4 @@
-"""The failure detector and its parts, without a network."""
+"""Tests of the failure detector and its parts, without a network."""
 
 from random import Random
 
@@ -57,7 +57,7 @@
     return MemberRecord(member, ZoneName("z"), f"{name}:1", refutations, status)
 
 
-OWN = record("alpha")
+LOCAL_RECORD = record("alpha")
 
 
 def header(sender: MemberRecord, gossip=(), digests=(), view=0, **changes) -> Header:
@@ -67,10 +67,10 @@
 
 
 class Detector:
-    """A `Swim` that knows some members, and collects its effects."""
+    """A `Swim` with the given members, driven on a manual clock."""
 
     def __init__(self, *names: str) -> None:
-        self.swim = Swim(REGION, OWN, SETTINGS, Random(1))
+        self.swim = Swim(REGION, LOCAL_RECORD, SETTINGS, Random(1))
         self.swim.finish_exchange()
         self.swim.start(0.0)
         self.now = 0.0
@@ -80,7 +80,7 @@
         self.now = max(self.now, self.swim.next_due())
         return self.swim.run(self.now)
 
-    def hear(self, datagram, source="beta:1"):
+    def deliver(self, datagram, source="beta:1"):
         return self.swim.receive(datagram, source, self.now)
 
     def status_of(self, name: str) -> MemberStatus:
@@ -99,7 +99,7 @@
             self.run_due()
 
     def probe(self):
-        """Run until a probe goes out; give its effect."""
+        """Run until a probe is sent; return its effect."""
         while True:
             sent = self.sent(self.run_due(), ProbeDatagram)
             if sent:
@@ -125,7 +125,7 @@
         (record(refutations=5), record(status=LEFT), False),
     ],
 )
-def test_which_claim_holds(new, old, wins):
+def test_precedence_of_claims(new, old, wins):
     assert supersedes(new, old) is wins
 
 
@@ -139,7 +139,7 @@
         (["acknowledge", "acknowledge", "end_period"], []),
     ],
 )
-def test_the_life_of_a_probe(inputs, expected):
+def test_the_transitions_of_a_probe(inputs, expected):
     done = []
     actions = ProbeActions(lambda: done.append("relays"), lambda: done.append("failed"))
     probe = new_probe(actions)
@@ -148,7 +148,7 @@
     assert done == expected
 
 
-def test_a_silent_member_is_suspected_and_dies_when_its_time_is_up():
+def test_a_silent_member_is_suspected_and_dead_after_the_suspicion_timeout():
     detector = Detector("beta")
     detector.probe()
     suspected_at = None
@@ -159,7 +159,7 @@
     assert detector.now == pytest.approx(suspected_at + SETTINGS.suspicion_seconds)
 
 
-def test_an_answer_through_a_relay_saves_the_member():
+def test_an_acknowledgement_through_a_relay_prevents_suspicion():
     detector = Detector("beta", "gamma", "delta")
     probe = detector.probe()
     relays = detector.sent(detector.run_due(), RelayDatagram)
@@ -167,26 +167,26 @@
     target = relays[0].datagram.target
     assert target == probe.datagram.header.receiver
     relay = relays[0].datagram.header.receiver
-    answer = RelayAckDatagram(header(record(relay)), relays[0].datagram.probe)
-    detector.hear(answer, f"{relay}:1")
+    relay_ack = RelayAckDatagram(header(record(relay)), relays[0].datagram.probe)
+    detector.deliver(relay_ack, f"{relay}:1")
     detector.run_due()
     assert detector.status_of(target) is ALIVE
 
 
-def test_a_relay_passes_the_answer_on_once():
+def test_a_relay_forwards_the_acknowledgement_once():
     detector = Detector("beta", "gamma")
-    ask = RelayDatagram(header(record("beta")), 77, DaemonName("gamma"), "gamma:1")
-    (probe,) = detector.sent(detector.hear(ask), ProbeDatagram)
+    request = RelayDatagram(header(record("beta")), 77, DaemonName("gamma"), "gamma:1")
+    (probe,) = detector.sent(detector.deliver(request), ProbeDatagram)
     assert probe.address == "gamma:1"
     ack = AckDatagram(header(record("gamma")), probe.datagram.probe)
-    (answer,) = detector.sent(detector.hear(ack), RelayAckDatagram)
-    assert (answer.address, answer.datagram.probe) == ("beta:1", 77)
-    assert detector.sent(detector.hear(ack), RelayAckDatagram) == []
+    (relay_ack,) = detector.sent(detector.deliver(ack), RelayAckDatagram)
+    assert (relay_ack.address, relay_ack.datagram.probe) == ("beta:1", 77)
+    assert detector.sent(detector.deliver(ack), RelayAckDatagram) == []
 
 
-def test_a_probe_is_acknowledged_where_it_came_from():
+def test_a_probe_is_acknowledged_to_its_source_address():
     detector = Detector()
-    effects = detector.hear(ProbeDatagram(header(record()), 5), "10.0.0.9:4")
+    effects = detector.deliver(ProbeDatagram(header(record()), 5), "10.0.0.9:4")
     (ack,) = detector.sent(effects, AckDatagram)
     assert (ack.address, ack.datagram.probe) == ("10.0.0.9:4", 5)
     assert RecordChanged(None, record()) in effects
@@ -197,7 +197,7 @@
 )
 def test_datagrams_for_others_are_ignored(changes):
     detector = Detector()
-    assert detector.hear(ProbeDatagram(header(record(), **changes), 5)) == []
+    assert detector.deliver(ProbeDatagram(header(record(), **changes), 5)) == []
     assert detector.swim.state.other_live_records() == ()
 
 
@@ -205,7 +205,7 @@
 def test_a_claim_about_this_process_is_refuted(status):
     detector = Detector("beta")
     claim = record("alpha", status, refutations=3)
-    effects = detector.hear(ProbeDatagram(header(record(), (claim,)), 1))
+    effects = detector.deliver(ProbeDatagram(header(record(), (claim,)), 1))
     assert SelfRefuted(4) in effects
     (ack,) = detector.sent(effects, AckDatagram)
     assert ack.datagram.header.sender == record("alpha", refutations=4)
@@ -214,71 +214,71 @@
 def test_an_outdated_claim_about_this_process_is_not_refuted():
     detector = Detector("beta")
     claim = record("alpha", DEAD, incarnation=9)
-    effects = detector.hear(ProbeDatagram(header(record(), (claim,)), 1))
+    effects = detector.deliver(ProbeDatagram(header(record(), (claim,)), 1))
     assert not any(isinstance(effect, SelfRefuted) for effect in effects)
 
 
-def test_a_later_process_of_the_same_name_is_told_once():
+def test_a_later_process_of_the_same_name_is_reported_once():
     detector = Detector("beta")
     other = record("alpha", incarnation=11)
-    effects = detector.hear(ProbeDatagram(header(record(), (other,)), 1))
-    assert Superseded(OWN.member, other.member) in effects
-    assert detector.hear(ProbeDatagram(header(record(), (other,)), 2)) != effects
+    effects = detector.deliver(ProbeDatagram(header(record(), (other,)), 1))
+    assert Superseded(LOCAL_RECORD.member, other.member) in effects
+    assert detector.deliver(ProbeDatagram(header(record(), (other,)), 2)) != effects
 
 
-def test_a_sender_that_is_held_dead_is_told_so():
+def test_a_sender_recorded_as_dead_is_notified():
     detector = Detector("beta")
     detector.run_until_dead("beta")
-    effects = detector.hear(ProbeDatagram(header(record()), 1))
+    effects = detector.deliver(ProbeDatagram(header(record()), 1))
     (ack,) = detector.sent(effects, AckDatagram)
     assert record(status=DEAD) in ack.datagram.header.gossip
-    detector.hear(ProbeDatagram(header(record(refutations=1)), 2))
+    detector.deliver(ProbeDatagram(header(record(refutations=1)), 2))
     assert detector.status_of("beta") is ALIVE
 
 
-def test_the_word_of_another_buries_nobody_that_may_still_answer():
+def test_a_received_death_claim_only_suspects_a_live_member():
     detector = Detector("beta", "gamma")
     claim = record("gamma", DEAD, refutations=2)
-    detector.hear(ProbeDatagram(header(record(), (claim,)), 1))
+    detector.deliver(ProbeDatagram(header(record(), (claim,)), 1))
     assert detector.status_of("gamma") is SUSPECT
-    detector.hear(ProbeDatagram(header(record("gamma", refutations=3)), 1))
+    detector.deliver(ProbeDatagram(header(record("gamma", refutations=3)), 1))
     assert detector.status_of("gamma") is ALIVE
-    detector.hear(ProbeDatagram(header(record(), (record("gamma", LEFT),)), 1))
+    detector.deliver(ProbeDatagram(header(record(), (record("gamma", LEFT),)), 1))
     assert detector.status_of("gamma") is LEFT
 
 
-def test_a_suspected_member_is_asked_itself_before_it_is_buried():
+def test_a_suspected_member_is_probed_directly_before_it_is_declared_dead():
     detector = Detector("beta", "gamma")
     claim = record("gamma", SUSPECT)
-    detector.hear(ProbeDatagram(header(record(), (claim,)), 1))
-    asked = []
+    detector.deliver(ProbeDatagram(header(record(), (claim,)), 1))
+    probes = []
     while detector.status_of("gamma") is SUSPECT:
-        asked += [
+        probes += [
             sent.datagram
             for sent in detector.sent(detector.run_due(), ProbeDatagram)
             if sent.address == "gamma:1"
         ]
-    assert len(asked) >= PROBES_PER_SUSPICION
-    assert all(claim in datagram.header.gossip for datagram in asked)
+    assert len(probes) >= PROBES_PER_SUSPICION
+    assert all(claim in datagram.header.gossip for datagram in probes)
 
 
-def test_a_member_that_others_hear_is_asked_itself_but_not_again_and_again():
+def test_a_dead_member_that_is_alive_elsewhere_is_probed_at_a_limited_rate():
     detector = Detector("beta", "gamma")
     detector.run_until_dead("gamma")
     alive = ProbeDatagram(header(record(), (record("gamma"),)), 1)
 
-    def asked():
-        sent = detector.sent(detector.hear(alive), ProbeDatagram)
+    def probed_addresses():
+        sent = detector.sent(detector.deliver(alive), ProbeDatagram)
         return [effect.address for effect in sent]
 
-    assert asked() == ["gamma:1"]
-    assert asked() == []
+    assert probed_addresses() == ["gamma:1"]
+    assert probed_addresses() == []
     detector.now += CONFLICT_PROBE_INTERVAL_SECONDS
-    assert asked() == ["gamma:1"]
+    assert probed_addresses() == ["gamma:1"]
     assert detector.status_of("gamma") is DEAD
 
 
-def test_a_process_that_stalled_buries_nobody_on_waking():
+def test_a_process_that_stalled_declares_nobody_dead_on_resuming():
     detector = Detector("beta", "gamma")
     detector.probe()
     while SUSPECT not in (detector.status_of("beta"), detector.status_of("gamma")):
@@ -292,31 +292,31 @@
     assert DEAD not in {detector.status_of("beta"), detector.status_of("gamma")}
 
 
-def test_digests_are_told_when_they_change_and_only_of_current_processes():
+def test_digests_are_reported_when_they_change_and_only_of_current_processes():
     detector = Detector("beta")
 
-    def told(value, sender):
+    def reported(value, sender):
         digests = (Digest("table", value),)
-        effects = detector.hear(ProbeDatagram(header(sender, digests=digests), 1))
+        effects = detector.deliver(ProbeDatagram(header(sender, digests=digests), 1))
         return [effect.value for effect in effects if isinstance(effect, DigestChanged)]
 
-    assert told(5, record()) == [5]
-    assert told(5, record()) == []
-    assert told(6, record()) == [6]
-    assert told(7, record(incarnation=9)) == []
-    assert told(6, record(incarnation=11)) == [6]
+    assert reported(5, record()) == [5]
+    assert reported(5, record()) == []
+    assert reported(6, record()) == [6]
+    assert reported(7, record(incarnation=9)) == []
+    assert reported(6, record(incarnation=11)) == [6]
 
 
 def test_views_that_stay_different_are_exchanged_but_not_at_once():
     detector = Detector("beta")
     different = ProbeDatagram(header(record(), view=12345), 1)
-    assert ExchangeWith(DaemonName("beta")) not in detector.hear(different)
+    assert ExchangeWith(DaemonName("beta")) not in detector.deliver(different)
     detector.now += 6.0
-    assert ExchangeWith(DaemonName("beta")) in detector.hear(different)
-    assert ExchangeWith(DaemonName("beta")) not in detector.hear(different)
+    assert ExchangeWith(DaemonName("beta")) in detector.deliver(different)
+    assert ExchangeWith(DaemonName("beta")) not in detector.deliver(different)
     same = ProbeDatagram(header(record(), view=detector.swim.state.view_hash), 1)
     detector.now += 6.0
-    assert ExchangeWith(DaemonName("beta")) not in detector.hear(same)
+    assert ExchangeWith(DaemonName("beta")) not in detector.deliver(same)
 
 
 def test_every_member_is_probed_once_in_a_round():
@@ -326,8 +326,8 @@
         assert sorted(order.next(living) for _ in living) == sorted(living)
     assert order.next([]) is None
     order.add(DaemonName("new"))
-    seen = [order.next([*living, DaemonName("new")]) for _ in range(21)]
-    assert "new" in seen
+    probed = [order.next([*living, DaemonName("new")]) for _ in range(21)]
+    assert "new" in probed
 
 
 def test_gossip_is_bounded_and_the_newest_claim_replaces_the_older():
@@ -364,5 +364,5 @@
     "payload",
     [b"", b"{}", b"[]", b'["probe"]', b'["future",1]', b"\xff\xfe", b"[" * 999],
 )
-def test_bad_datagrams_are_findings(payload):
+def test_malformed_datagrams_are_errors(payload):
     assert decode(payload).is_err()
