Reword the adapter's configuration decoding

table_of becomes decode_table, engine_of decode_engine, route_of to_route, regions_of to_regions, drained_zones_of parse_drained_zones; the decoders are named ..._DECODER and DRAINING is DRAINING_STATE.

--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration and the engines' entries, as the product's types."""
+"""Decodes the operator's configuration and the engines' entries."""
 
 from collections.abc import Iterable
 
@@ -13,20 +13,20 @@
 
 REPEATABLE = "idempotent"
 STREAM = "streaming"
-DRAINING = "draining"
+DRAINING_STATE = "draining"
 DRAINED_ZONE_PREFIX = "evacuate/"
-"""Before a zone's name, in the keys of drained zones."""
+"""Prefix of the keys of drained zones, followed by the zone's name."""
 
 
 class SplitEntry(msgspec.Struct):
-    """One part of a split route."""
+    """One service of a split route, with its weight."""
 
     service: str
     weight: float
 
 
 class RouteEntry(msgspec.Struct):
-    """A route as the operator writes it."""
+    """A route of the operator's configuration."""
 
     name: str
     host: str
@@ -47,25 +47,25 @@
 
 
 class EngineEntry(msgspec.Struct):
-    """What all engines of a service are."""
+    """Properties shared by all engines of a service."""
 
     tokens_per_event: int = 1
 
 
 class ServiceEntry(msgspec.Struct):
-    """A service as the operator writes it."""
+    """A service of the operator's configuration."""
 
     name: str
     connection_limit: int = 100
     engine: EngineEntry | None = None
     cold_start_s: float = 0.0
-    """For so long an engine is slow after its start; 0: never."""
+    """How long an engine is cold after its start; 0 for never."""
     cold_per_s: float = 0.0
-    """Calls a second that it bears meanwhile, from all daemons together."""
+    """Calls per second that a cold engine can take, from all daemons together."""
 
 
 class LimitsEntry(msgspec.Struct):
-    """What clients may send."""
+    """Limits on clients' requests and connections."""
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
@@ -74,19 +74,19 @@
 
 
 class TenantEntry(msgspec.Struct):
-    """A tenant as the operator writes it."""
+    """A tenant of the operator's configuration."""
 
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     rate_per_s: float = 0.0
-    """Calls a second over all daemons; 0 means no limit."""
+    """Calls per second over all daemons; 0 for no limit."""
     burst: float = 0.0
     allowed_regions: list[str] | None = None
 
 
 class ConfigurationEntry(msgspec.Struct):
-    """The whole configuration."""
+    """The operator's configuration."""
 
     version: int
     routes: list[RouteEntry]
@@ -96,7 +96,7 @@
 
 
 class ServerEntry(msgspec.Struct):
-    """An engine's own entry in the store."""
+    """An engine's entry in the store."""
 
     service: str
     address: str
@@ -104,20 +104,20 @@
     slots: int = 1
     state: str = "ready"
     cold_remaining_ms: float = 0.0
-    """For so long it is still slow after its start, as it was when it wrote this."""
+    """Remaining time for which the engine is cold, at the time of writing."""
 
 
-CONFIGURATION = msgspec.json.Decoder(ConfigurationEntry)
-SERVER = msgspec.json.Decoder(ServerEntry)
+CONFIGURATION_DECODER = msgspec.json.Decoder(ConfigurationEntry)
+SERVER_DECODER = msgspec.json.Decoder(ServerEntry)
 
 
-def regions_of(names: list[str] | None) -> frozenset[str] | None:
-    """Translate regions of residence; an empty list names none, as if left out."""
+def to_regions(names: list[str] | None) -> frozenset[str] | None:
+    """Convert the allowed regions; an empty list is the same as none."""
     return frozenset(names) if names else None
 
 
-def drained_zones_of(keys: Iterable[str]) -> frozenset[str]:
-    """Give the zones that are drained, from the keys of the operator's topic."""
+def parse_drained_zones(keys: Iterable[str]) -> frozenset[str]:
+    """Return the drained zones from the keys of the operator's topic."""
     return frozenset(
         key.removeprefix(DRAINED_ZONE_PREFIX)
         for key in keys
@@ -125,8 +125,8 @@
     )
 
 
-def route_of(entry: RouteEntry) -> Route:
-    """Translate a route."""
+def to_route(entry: RouteEntry) -> Route:
+    """Convert a route's entry to a `Route`."""
     shares = tuple(
         ServiceShare(part.service, part.weight) for part in entry.traffic_split
     )
@@ -147,21 +147,21 @@
         keeps_turns=entry.retains_transcripts,
         keep_seconds=entry.retention_s,
         is_public=entry.public,
-        regions=regions_of(entry.allowed_regions),
+        regions=to_regions(entry.allowed_regions),
     )
 
 
 def tenant_of(entry: TenantEntry) -> Tenant:
-    """Translate a tenant, without its keys."""
+    """Convert a tenant's entry to a `Tenant`, without its keys."""
     is_limited = entry.rate_per_s > 0
     limit = RateLimit(entry.rate_per_s, entry.burst) if is_limited else None
-    regions = regions_of(entry.allowed_regions)
+    regions = to_regions(entry.allowed_regions)
     return Tenant(entry.name, entry.priority, limit, regions)
 
 
-def table_of(value: bytes) -> RouteTable:
-    """Translate the configuration; `msgspec.ValidationError` if it can't be read."""
-    entry = CONFIGURATION.decode(value)
+def decode_table(value: bytes) -> RouteTable:
+    """Decode the configuration; raises `msgspec.DecodeError` if it is invalid."""
+    entry = CONFIGURATION_DECODER.decode(value)
     services = {
         service.name: Service(
             service.name,
@@ -177,16 +177,16 @@
         entry.limits.header_timeout_ms / 1000,
         entry.limits.idle_timeout_ms / 1000,
     )
-    routes = tuple(route_of(route) for route in entry.routes)
+    routes = tuple(to_route(route) for route in entry.routes)
     keys = None
     if entry.tenants is not None:
         keys = keys_of((tenant_of(tenant), tenant.api_keys) for tenant in entry.tenants)
     return RouteTable(entry.version, routes, services, limits, keys)
 
 
-def engine_of(id: str, value: bytes) -> Engine:
-    """Translate an engine's entry; `msgspec.ValidationError` if it can't be read."""
-    entry = SERVER.decode(value)
+def decode_engine(id: str, value: bytes) -> Engine:
+    """Decode an engine's entry; raises `DecodeError` or `ValueError` if it is invalid."""
+    entry = SERVER_DECODER.decode(value)
     host, _, port = entry.address.rpartition(":")
     return Engine(
         id=id,
@@ -195,6 +195,6 @@
         port=int(port),
         zone=entry.zone,
         slots=max(entry.slots, 1),
-        is_leaving=entry.state == DRAINING,
+        is_leaving=entry.state == DRAINING_STATE,
         cold_seconds=max(entry.cold_remaining_ms, 0.0) / 1000,
     )
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -16,9 +16,9 @@
 from notcharch.journal.keyed_follower import KeyedFollower, Pace
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.configuration import (
-    drained_zones_of,
-    engine_of,
-    table_of,
+    decode_engine,
+    decode_table,
+    parse_drained_zones,
 )
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.store import CALL_SECONDS, PlatformStore
@@ -157,7 +157,7 @@
     def _on_configuration_changed(self, values: dict[str, bytes]) -> None:
         value = values.get(CONFIGURATION_KEY)
         self._read_version = -1 if value is None else self.apply_table(value)
-        zones = drained_zones_of(values)
+        zones = parse_drained_zones(values)
         self._apply_drained_zones(DrainedZones(zones, self._configuration.position))
 
     def apply_peer_drained_zones(self, newer: DrainedZones) -> None:
@@ -182,7 +182,7 @@
     def apply_table(self, value: bytes) -> int:
         """Put a table in force if it is newer; give its version, -1 if unreadable."""
         try:
-            table = table_of(value)
+            table = decode_table(value)
         except msgspec.DecodeError as error:
             emit(DependencyLost(CONFIGURATION_TOPIC, f"unreadable: {error}"))
             return -1
@@ -219,7 +219,7 @@
         if known is not None and known.value == value:
             return known
         try:
-            return ReadEntry(value, engine_of(id, value))
+            return ReadEntry(value, decode_engine(id, value))
         except (msgspec.DecodeError, ValueError) as error:
             emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"unreadable: {error}"))
             return ReadEntry(value, None)
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -4,7 +4,11 @@
 import pytest
 
 from notcharch.calls.interface import ServiceShare
-from notcharch.platform.configuration import drained_zones_of, engine_of, table_of
+from notcharch.platform.configuration import (
+    decode_engine,
+    decode_table,
+    parse_drained_zones,
+)
 from notcharch.scheduling.cold_engines import ColdLimit
 
 ROUTE = {
@@ -39,7 +43,7 @@
 
 def table(**changes):
     entry = {"version": 7, "routes": [ROUTE | changes], "services": [SERVICE]}
-    return table_of(msgspec.json.encode(entry | {"limits": LIMITS}))
+    return decode_table(msgspec.json.encode(entry | {"limits": LIMITS}))
 
 
 def test_a_route_is_translated():
@@ -86,20 +90,20 @@
         "state": "draining",
         "call_sequence": 4,
     }
-    engine = engine_of("i-1", msgspec.json.encode(entry))
+    engine = decode_engine("i-1", msgspec.json.encode(entry))
     assert (engine.id, engine.host, engine.port) == ("i-1", "10.128.0.9", 8080)
     assert (engine.slots, engine.is_leaving) == (12, True)
 
 
 def test_what_cannot_be_read_is_an_error():
     with pytest.raises(msgspec.DecodeError):
-        table_of(b'{"version": "x"}')
+        decode_table(b'{"version": "x"}')
 
 
 def test_a_service_tells_how_long_its_engines_are_cold_and_what_they_bear():
     cold = {"cold_start_s": 3.0, "cold_per_s": 25.0}
     entry = {"version": 7, "routes": [ROUTE], "services": [SERVICE | cold]}
-    read = table_of(msgspec.json.encode(entry | {"limits": LIMITS}))
+    read = decode_table(msgspec.json.encode(entry | {"limits": LIMITS}))
     assert read.services["s"].cold == ColdLimit(3.0, 25.0)
     assert not table().services["s"].cold.is_any
 
@@ -112,17 +116,17 @@
     tenants = [{"name": "t", "api_keys": ["k"], "allowed_regions": told}]
     entry = {"version": 7, "routes": [ROUTE | {"allowed_regions": told}]}
     entry |= {"services": [SERVICE], "limits": LIMITS, "tenants": tenants}
-    read = table_of(msgspec.json.encode(entry))
+    read = decode_table(msgspec.json.encode(entry))
     assert read.routes[0].regions == regions
     assert read.keys.tenant("t").regions == regions
 
 
 def test_drained_zones_are_keys_of_the_operator():
     keys = ["config", "evacuate/z-1", "evacuate/z-2", "other/evacuate/z-3"]
-    assert drained_zones_of(keys) == {"z-1", "z-2"}
+    assert parse_drained_zones(keys) == {"z-1", "z-2"}
 
 
 @pytest.mark.parametrize(("told", "seconds"), [(1500, 1.5), (0, 0.0), (-3, 0.0)])
 def test_an_entry_tells_how_long_its_engine_is_cold(told, seconds):
     entry = {"service": "s", "address": "10.0.0.1:80", "cold_remaining_ms": told}
-    assert engine_of("i", msgspec.json.encode(entry)).cold_seconds == seconds
+    assert decode_engine("i", msgspec.json.encode(entry)).cold_seconds == seconds
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -10,7 +10,7 @@
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.calls.routing import Router
 from notcharch.http.server import ServerFactory
-from notcharch.platform.configuration import table_of
+from notcharch.platform.configuration import decode_table
 from notcharch.platform.headers import PlatformEngines
 from notcharch.platform.ingress import Ingress
 from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
@@ -57,7 +57,7 @@
             waits=RouteWaits(WaitPolicy()),
         )
         ingress = Ingress(services, CallerCheck(clock, TableFreshness(None)))
-        ingress.router = Router(table_of(msgspec.json.encode(TABLE | changes)))
+        ingress.router = Router(decode_table(msgspec.json.encode(TABLE | changes)))
         self.connection = ServerFactory(ingress, clock).buildProtocol(None)
         self.transport = StringTransport()
         self.transport.setTcpNoDelay = lambda _: None
