Reword the adapter's settings, command line and probe handlers

entry_seconds becomes heartbeat_seconds, findings of the settings file errors, UNREADABLE_SETTINGS INVALID_SETTINGS_STATUS, settings_signalled and stop_signalled on_reload_signal and on_stop_signal, Probed ReadinessSource.

--- a/notcharch/platform/__init__.py
+++ b/notcharch/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The adapter to the users' platform: translation only, no decision and no state.
+"""Adapter to the users' platform: pure translation, without decisions or state.
 
-The only package, with deploy/, that knows the platform's names.
+Only this package and deploy/ use the platform's names.
 """
--- a/notcharch/platform/command.py
+++ b/notcharch/platform/command.py
@@ -1,4 +1,4 @@
-"""The command line of a daemon on the platform."""
+"""Command line of a daemon on the platform."""
 
 import argparse
 import signal
@@ -17,16 +17,16 @@
     mechanisms_without,
 )
 
-UNREADABLE_SETTINGS = 2
-"""The exit status after findings in the settings file."""
+INVALID_SETTINGS_STATUS = 2
+"""Exit status for errors in the settings file."""
 
 
 def read_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
-    """Read the command line."""
+    """Parse the command line."""
     parser = argparse.ArgumentParser(prog="notcharch.platform", description=__doc__)
-    parser.add_argument("--metrics-port", type=int, help="show figures at this port")
+    parser.add_argument("--metrics-port", type=int, help="serve metrics on this port")
     parser.add_argument(
-        "--check", action="store_true", help="check the settings file and end"
+        "--check", action="store_true", help="check the settings file and exit"
     )
     parser.add_argument(
         "--without",
@@ -34,37 +34,37 @@
         default=ALL_MECHANISMS,
         dest="mechanisms",
         metavar="NAME,...",
-        help="mechanisms to switch off (to measure their worth): "
+        help="mechanisms to disable, to measure their effect: "
         + ", ".join(mechanism.value for mechanism in Mechanism),
     )
     return parser.parse_args(arguments)
 
 
 def main() -> int:
-    """Run a daemon until it is told to stop."""
+    """Run a daemon until it receives a stop signal."""
     arguments = read_arguments()
     loaded = load_settings()
     if isinstance(loaded, Err):
-        for finding in loaded.err_value:
-            sys.stderr.write(f"{finding}\n")
-        return UNREADABLE_SETTINGS
+        for error in loaded.err_value:
+            sys.stderr.write(f"{error}\n")
+        return INVALID_SETTINGS_STATUS
     if arguments.check:
         return 0
     reactor: Any = default_reactor
-    # Twisted's own clock is the time of day, which may jump.
+    # Twisted's default clock is the wall clock, which may jump.
     reactor.seconds = time.monotonic
     process = Process(
         loaded.ok_value, reactor, arguments.metrics_port, arguments.mechanisms
     )
 
-    def later(act: Any) -> Any:
-        return lambda *_: reactor.callFromThread(act)
+    def in_reactor(callback: Any) -> Any:
+        return lambda *_: reactor.callFromThread(callback)
 
-    def running() -> None:
-        signal.signal(signal.SIGTERM, later(process.stop_signalled))
-        signal.signal(signal.SIGHUP, later(process.settings_signalled))
+    def install_signal_handlers() -> None:
+        signal.signal(signal.SIGTERM, in_reactor(process.on_stop_signal))
+        signal.signal(signal.SIGHUP, in_reactor(process.on_reload_signal))
 
     reactor.callWhenRunning(process.start)
-    reactor.callWhenRunning(running)
+    reactor.callWhenRunning(install_signal_handlers)
     reactor.run(installSignalHandlers=True)
     return 0
--- a/notcharch/platform/probes.py
+++ b/notcharch/platform/probes.py
@@ -1,4 +1,4 @@
-"""What the platform asks a daemon besides calls: readiness, and its figures."""
+"""HTTP handlers for the platform's readiness probes and metrics scrapes."""
 
 from typing import Protocol
 
@@ -11,45 +11,45 @@
 NOT_READY = 503
 
 
-class Probed(Protocol):
-    """What knows whether it is ready."""
+class ReadinessSource(Protocol):
+    """Reports whether the daemon is ready."""
 
     @property
     def is_ready(self) -> bool:
-        """Whether new connections should come here."""
+        """Whether the daemon accepts new connections."""
 
 
 class ProbeHandler:
-    """Answers short questions."""
+    """Base of the handlers of probes, with default limits."""
 
     def limits(self) -> ServerLimits:
-        """Give the usual limits."""
+        """Return the default limits."""
         return ServerLimits()
 
     def is_closing(self) -> bool:
-        """Keep connections."""
+        """Keep connections open."""
         return False
 
     def count(self, change: int) -> None:
-        """Count nothing: probes are not work."""
+        """Ignore the count: probes don't delay a stop."""
 
 
 class ReadinessHandler(ProbeHandler):
-    """Tells whether this daemon takes new connections."""
+    """Responds to readiness probes."""
 
-    def __init__(self, process: Probed) -> None:
-        """Ask a process."""
+    def __init__(self, process: ReadinessSource) -> None:
+        """Report the readiness of `process`."""
         self._process = process
 
     def handle(self, exchange: Exchange) -> None:
-        """Say 200 when ready, else 503."""
+        """Respond with 200 when ready, else 503."""
         exchange.answer(READY if self._process.is_ready else NOT_READY, [])
 
 
 class MetricsHandler(ProbeHandler):
-    """Shows the figures of this daemon as Prometheus' text."""
+    """Serves the metrics of this daemon in Prometheus' text format."""
 
     def handle(self, exchange: Exchange) -> None:
-        """Give all metrics as they are now."""
+        """Respond with the current values of all metrics."""
         kind = (b"content-type", CONTENT_TYPE_LATEST.encode())
         exchange.answer(READY, [kind], generate_latest(REGISTRY))
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -130,7 +130,7 @@
             reactor,
             Nearness(settings.zone, settings.regions),
             random,
-            pool_policy(mechanisms, settings.drain_seconds, settings.entry_seconds),
+            pool_policy(mechanisms, settings.drain_seconds, settings.heartbeat_seconds),
             suspicions,
             eligibility=EngineEligibility(
                 settings.regions,
@@ -257,7 +257,7 @@
             return "the tables are known"
         return "stopping" if self._is_stopping else "the newest keys are not known"
 
-    def settings_signalled(self) -> None:
+    def on_reload_signal(self) -> None:
         """Read the settings again; the store's address may be another one."""
         loaded = load_settings()
         if isinstance(loaded, Err):
@@ -271,7 +271,7 @@
         address = settings.store.address
         self._requester.set_address(address.host, address.port)
 
-    def stop_signalled(self) -> None:
+    def on_stop_signal(self) -> None:
         """Drain: take no new connections soon, finish what is under way, end."""
         if self._is_stopping:
             return
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -1,4 +1,4 @@
-"""Reads the platform's settings file into typed settings."""
+"""Parses the platform's settings file into typed settings."""
 
 import os
 from collections.abc import Mapping
@@ -20,12 +20,12 @@
     port: int
 
     def text(self) -> str:
-        """Give `host:port`."""
+        """Return `host:port`."""
         return f"{self.host}:{self.port}"
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
-    """Where the store is and what it takes."""
+    """The store's address and limits."""
 
     address: Address
     writes_per_second: float
@@ -50,60 +50,62 @@
     grace_seconds: float
     drain_seconds: float
     contact_seconds: float
-    """So long after a disturbance a daemon has to keep all bounds again."""
+    """Time after a disturbance within which a daemon must meet all bounds again."""
     tolerance: Tolerance = Tolerance()
     """How far tenants' limits may be exceeded."""
     revoke_seconds: float | None = None
-    """A removed key stops working at all daemons within this time, whatever fails; None:
-    only at daemons in contact, with the rest of the table."""
+    """Time within which a removed key stops working at all daemons, whatever fails.
+
+    None: a removed key stops working with the next table that a daemon receives.
+    """
     cold_tolerance: ColdTolerance = ColdTolerance()
     """How far the rate of cold engines may be exceeded."""
-    entry_seconds: float = 1.2
-    """Between two looks of an engine at its own entry in the store."""
+    heartbeat_seconds: float = 1.2
+    """Interval at which an engine rewrites its entry in the store."""
     regions: Mapping[str, str] = {}
     """The region of each zone."""
 
 
 class Fields:
-    """Lines of the form a.b=value, and what was found wrong with them."""
+    """Fields of the form `a.b=value`, and the errors found in them."""
 
     def __init__(self, text: str) -> None:
-        """Read the lines."""
+        """Parse the lines of `text`."""
         self.values: dict[str, str] = {}
-        self.findings: list[str] = []
+        self.errors: list[str] = []
         for line in text.splitlines():
             key, has_value, value = line.partition("=")
             if has_value:
                 self.values[key.strip()] = value.strip()
 
     def text(self, key: str, default: str | None = None) -> str:
-        """Give a value as it is."""
+        """Return a value as text; a missing one is an error."""
         value = self.values.get(key) or default
         if value is None:
-            self.findings.append(f"{key}: missing")
+            self.errors.append(f"{key}: missing")
             return ""
         return value
 
     def number(self, key: str, default: float | None = None) -> float:
-        """Give a value as a number."""
+        """Return a value as a number."""
         value = self.text(key, None if default is None else str(default))
         try:
             return float(value)
         except ValueError:
-            self.findings.append(f"{key}: {value!r} is not a number")
+            self.errors.append(f"{key}: {value!r} is not a number")
             return 0.0
 
     def address(self, key: str) -> Address:
-        """Give a value of the form HOST:PORT."""
+        """Return a value of the form HOST:PORT."""
         value = self.text(key)
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
-            self.findings.append(f"{key}: {value!r} is not HOST:PORT")
+            self.errors.append(f"{key}: {value!r} is not HOST:PORT")
             return Address("", 0)
         return Address(host, int(port))
 
     def table(self, prefix: str) -> dict[str, str]:
-        """Give the values of all fields below a prefix, by the rest of their keys."""
+        """Return the values of all fields with a prefix, by the rest of their keys."""
         return {
             key.removeprefix(prefix): value
             for key, value in self.values.items()
@@ -111,22 +113,22 @@
         }
 
     def range(self, key: str) -> tuple[int, int]:
-        """Give a value of the form FIRST,LAST."""
+        """Return a value of the form FIRST,LAST."""
         first, _, last = self.text(key).partition(",")
         if not first.isdigit() or not last.isdigit():
-            self.findings.append(f"{key}: not FIRST,LAST")
+            self.errors.append(f"{key}: not of the form FIRST,LAST")
             return (0, 0)
         return (int(first), int(last))
 
 
 def _revoke_seconds(fields: Fields) -> float | None:
-    """Give the bound on removed keys, if there is one."""
+    """Return the time bound for removed keys, if there is one."""
     is_strict = fields.text("bounds.strict_revocation", "false") == "true"
     return fields.number("bounds.revoke_ms") / 1000 if is_strict else None
 
 
 def read_settings(text: str) -> Result[ProcessSettings, list[str]]:
-    """Give the settings of a file's text, or everything that is wrong with it."""
+    """Parse the settings file's text; an Err lists every error in it."""
     fields = Fields(text)
     store = StoreSettings(
         address=fields.address("platform.address"),
@@ -159,14 +161,14 @@
             fields.number("bounds.cold_over", 1),
             fields.number("bounds.cold_slack", 0),
         ),
-        entry_seconds=fields.number("heartbeat_interval_ms", 1200) / 1000,
+        heartbeat_seconds=fields.number("heartbeat_interval_ms", 1200) / 1000,
         regions=fields.table("zones."),
     )
-    return Err(fields.findings) if fields.findings else Ok(settings)
+    return Err(fields.errors) if fields.errors else Ok(settings)
 
 
 def load_settings() -> Result[ProcessSettings, list[str]]:
-    """Read the file that the environment names."""
+    """Read the settings file named by the environment variable."""
     path = os.environ.get(FILE_VARIABLE)
     if not path:
         return Err([f"{FILE_VARIABLE}: not set"])
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -32,8 +32,8 @@
     broken = TEXT.replace("10.1.0.38:8149", "nowhere").replace("platform.parts=12", "")
     broken = broken.replace("bounds.grace_period_s=8", "bounds.grace_period_s=soon")
     broken = broken.replace("zone=hall-a", "")
-    findings = read_settings(broken).err_value
-    assert [finding.partition(":")[0] for finding in findings] == [
+    errors = read_settings(broken).err_value
+    assert [error.partition(":")[0] for error in errors] == [
         "zone",
         "listen_addresses.front",
         "bounds.grace_period_s",
