--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -11,8 +11,8 @@
 from notcharch.tenants.interface import RateLimit, Tenant
 from notcharch.tenants.keys import keys_of
 
-REPEATABLE = "idempotent"
-STREAM = "streaming"
+IDEMPOTENT_KIND = "idempotent"
+STREAMING_KIND = "streaming"
 DRAINING_STATE = "draining"
 DRAINED_ZONE_PREFIX = "evacuate/"
 """Prefix of the keys of drained zones, followed by the zone's name."""
@@ -130,13 +130,13 @@
     shares = tuple(
         ServiceShare(part.service, part.weight) for part in entry.traffic_split
     )
-    is_stream = entry.kind == STREAM
+    is_stream = entry.kind == STREAMING_KIND
     return Route(
         name=entry.name,
         host=entry.host,
         path_prefix=entry.path_prefix,
         shares=shares or (ServiceShare(entry.service, 1.0),),
-        is_repeatable=entry.kind == REPEATABLE or (is_stream and entry.resumable),
+        is_repeatable=entry.kind == IDEMPOTENT_KIND or (is_stream and entry.resumable),
         is_stream=is_stream,
         is_resumable=entry.resumable,
         is_sticky=entry.sticky_sessions,
@@ -151,7 +151,7 @@
     )
 
 
-def tenant_of(entry: TenantEntry) -> Tenant:
+def to_tenant(entry: TenantEntry) -> Tenant:
     """Convert a tenant's entry to a `Tenant`, without its keys."""
     is_limited = entry.rate_per_s > 0
     limit = RateLimit(entry.rate_per_s, entry.burst) if is_limited else None
@@ -180,7 +180,7 @@
     routes = tuple(to_route(route) for route in entry.routes)
     keys = None
     if entry.tenants is not None:
-        keys = keys_of((tenant_of(tenant), tenant.api_keys) for tenant in entry.tenants)
+        keys = keys_of((to_tenant(tenant), tenant.api_keys) for tenant in entry.tenants)
     return RouteTable(entry.version, routes, services, limits, keys)
 
 
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -1,4 +1,4 @@
-"""The platform's headers: callers' requests into typed calls, calls to engines."""
+"""The platform's headers: parses callers' requests and builds requests to engines."""
 
 from notcharch.calls.interface import Engine, OpaqueCall
 from notcharch.http.messages import (
@@ -10,29 +10,29 @@
 
 REQUEST_ID = b"x-notcharch-request-id"
 DEADLINE = b"x-notcharch-deadline-ms"
-EXPECT_ENGINE = b"x-notcharch-expect-instance"
-NOT_RUN = b"x-notcharch-not-executed"
-SEAL = b"x-notcharch-response-seal"
+EXPECT_INSTANCE = b"x-notcharch-expect-instance"
+NOT_EXECUTED = b"x-notcharch-not-executed"
+RESPONSE_SEAL = b"x-notcharch-response-seal"
 PROGRAM = b"x-notcharch-program-id"
 SESSION = b"x-notcharch-session-id"
-FINISH = b"x-notcharch-finish-ms"
-BUDGET = b"x-notcharch-token-budget"
+FINISH_MS = b"x-notcharch-finish-ms"
+TOKEN_BUDGET = b"x-notcharch-token-budget"
 USAGE = b"x-notcharch-token-usage"
 PREVIOUS_TURN = b"x-notcharch-previous-turn"
 URGENCY = b"x-notcharch-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
 AFFINITY_COOKIE = "X-Notcharch-Affinity-Key"
 
-KEY = b"x-api-key"
+API_KEY = b"x-api-key"
 TENANT = b"x-notcharch-tenant"
 
 MISDIRECTED = 421
-SET_HERE = (
+RESERVED_HEADERS = (
     DEADLINE,
-    EXPECT_ENGINE,
+    EXPECT_INSTANCE,
     LAST_EVENT_ID,
     URGENCY,
-    KEY,
+    API_KEY,
     TENANT,
     b"x-notcharch-expect-version",
     b"x-notcharch-pin-ms",
@@ -41,80 +41,80 @@
     b"kv-from",
     b"kv-fetch",
 )
-"""Headers of a caller that no engine gets: they are written anew, or not at all.
+"""Callers' headers that are not forwarded to engines; the daemon sets its own, if any.
 
-They would steer an engine (its memory, order and weights) or claim a tenant, so they are
-the system's to set. An engine refuses calls whose hold or memory copy doesn't exist.
+They control an engine (its memory, order and weights) or name a tenant, so callers must
+not set them. An engine refuses calls whose hold or memory copy doesn't exist.
 """
-SINGLE = (
+SINGLETON_HEADERS = (
     REQUEST_ID,
     DEADLINE,
     PROGRAM,
     SESSION,
-    FINISH,
-    BUDGET,
+    FINISH_MS,
+    TOKEN_BUDGET,
     USAGE,
     PREVIOUS_TURN,
     LAST_EVENT_ID,
 )
-"""Headers that decide about a call, so one that comes twice can't be read."""
+"""Headers that must not be repeated, as they determine how a call is handled."""
 
 
-def read_call(head: RequestHead, body: bytes, arrived: float) -> OpaqueCall | None:
-    """Give the typed call of a request; None if a header can't be read."""
-    values = _single_values(head)
+def parse_call(head: RequestHead, body: bytes, arrived: float) -> OpaqueCall | None:
+    """Parse a request into a typed call; None if a header is malformed."""
+    values = _header_values(head)
     if values is None:
         return None
     try:
         return OpaqueCall(
-            id=_name(values.get(REQUEST_ID, b"")),
+            id=_parse_name(values.get(REQUEST_ID, b"")),
             head=head,
             body=body,
             arrived=arrived,
-            wait_seconds=_seconds(values.get(DEADLINE)),
-            program=_name(values.get(PROGRAM, b"")),
-            session=_name(values.get(SESSION, b"")),
-            affinity=_affinity(values.get(b"cookie", b"").decode("latin-1")),
+            wait_seconds=_parse_seconds(values.get(DEADLINE)),
+            program=_parse_name(values.get(PROGRAM, b"")),
+            session=_parse_name(values.get(SESSION, b"")),
+            affinity=_affinity_key(values.get(b"cookie", b"").decode("latin-1")),
             most_tokens=_most_tokens(values.get(USAGE)),
-            budget_tokens=_integer(values.get(BUDGET)),
-            previous_turn=_name(values.get(PREVIOUS_TURN, b"")),
+            budget_tokens=_parse_integer(values.get(TOKEN_BUDGET)),
+            previous_turn=_parse_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
-            program_seconds_left=_seconds(values.get(FINISH)),
+            program_seconds_left=_parse_seconds(values.get(FINISH_MS)),
         )
     except ValueError:
         return None
 
 
-def presented_keys(head: RequestHead) -> tuple[bytes, ...]:
-    """Give the values of all headers of a request that hold a key."""
-    return tuple(value for key, value in head.headers if key.lower() == KEY)
+def presented_api_keys(head: RequestHead) -> tuple[bytes, ...]:
+    """Return the values of all API key headers of a request."""
+    return tuple(value for key, value in head.headers if key.lower() == API_KEY)
 
 
-def _single_values(head: RequestHead) -> dict[bytes, bytes] | None:
-    """Give the headers by lower-case name; None if one that decides comes twice."""
+def _header_values(head: RequestHead) -> dict[bytes, bytes] | None:
+    """Return the headers by lower-case name; None if a singleton header is repeated."""
     values: dict[bytes, bytes] = {}
     for key, value in head.headers:
         name = key.lower()
-        if name in values and name in SINGLE:
+        if name in values and name in SINGLETON_HEADERS:
             return None
         values[name] = value
     return values
 
 
-def _name(value: bytes) -> str:
-    """Read a name; `ValueError` if it isn't printable ASCII."""
+def _parse_name(value: bytes) -> str:
+    """Parse a name; raises `ValueError` if it isn't printable ASCII."""
     name = value.decode("ascii")
     if not name.isprintable():
-        message = "a control character in a name"
+        message = "header value contains a control character"
         raise ValueError(message)
     return name
 
 
-def _integer(value: bytes | None) -> int | None:
+def _parse_integer(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
 
-def _seconds(milliseconds: bytes | None) -> float | None:
+def _parse_seconds(milliseconds: bytes | None) -> float | None:
     return None if milliseconds is None else float(milliseconds) / 1000
 
 
@@ -122,7 +122,7 @@
     return int(usage.split(b",")[1]) if usage else 0
 
 
-def _affinity(cookies: str) -> str:
+def _affinity_key(cookies: str) -> str:
     for cookie in cookies.split(";"):
         name, _, value = cookie.strip().partition("=")
         if name == AFFINITY_COOKIE:
@@ -130,14 +130,14 @@
     return ""
 
 
-class PlatformEngines:
-    """How the platform's engines are spoken to."""
+class PlatformDialect:
+    """Builds requests to the platform's engines and interprets their responses."""
 
     def request(
         self, call: OpaqueCall, engine: Engine, milliseconds_left: int
     ) -> RequestHead:
-        """Give the head that an engine gets."""
-        headers = end_to_end(call.head.headers, SET_HERE)
+        """Return the head of the request to an engine."""
+        headers = end_to_end(call.head.headers, RESERVED_HEADERS)
         headers.append((b"X-Notcharch-Deadline-Ms", str(milliseconds_left).encode()))
         headers.append((b"X-Notcharch-Expect-Instance", engine.id.encode()))
         if call.last_event_id is not None:
@@ -147,21 +147,21 @@
         return RequestHead(call.head.method, call.head.target, headers)
 
     def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
-        """Tell whether an answer carries the call's id, or none."""
+        """Return whether a response carries the call's id or no id."""
         id = head.get(REQUEST_ID)
         return id is None or id == call.id.encode()
 
     def was_not_run(self, head: ResponseHead) -> bool:
-        """Tell whether an engine says that it did not run the call."""
-        return head.status == MISDIRECTED or head.get(NOT_RUN) is not None
+        """Return whether the response says that the engine did not run the call."""
+        return head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None
 
     def is_genuine(self, head: ResponseHead) -> bool:
-        """Tell whether an answer is an engine's own and names its request."""
+        """Return whether a response is sealed by an engine and carries a request id."""
         is_plain = head.get(b"content-encoding") is None
         has_id = head.get(REQUEST_ID) is not None
-        return is_plain and has_id and head.get(SEAL) is not None
+        return is_plain and has_id and head.get(RESPONSE_SEAL) is not None
 
 
-def answer_headers(head: ResponseHead) -> Headers:
-    """Give the headers of an engine's answer that a caller gets."""
+def response_headers(head: ResponseHead) -> Headers:
+    """Return the headers of an engine's response to forward to the caller."""
     return end_to_end(head.headers)
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -1,4 +1,4 @@
-"""The callers' side: requests into calls, answers and refusals into responses."""
+"""Turns callers' requests into calls, and results and refusals into responses."""
 
 from collections.abc import Callable
 
@@ -23,35 +23,35 @@
 from notcharch.http.server import JSON_TYPE, Exchange, ServerLimits
 from notcharch.platform.headers import (
     REQUEST_ID,
-    answer_headers,
-    presented_keys,
-    read_call,
+    parse_call,
+    presented_api_keys,
+    response_headers,
 )
 from notcharch.scheduling.residence import ANYWHERE, joined
 from notcharch.tenants.interface import Tenant
 
-NO_TABLE = -1
-"""Told as the version while no table is known."""
+NO_TABLE_VERSION = -1
+"""Logged as the table version before the first table is loaded."""
 
 
 class ExchangeReply:
-    """A call's answer, written to the caller's connection."""
+    """Writes a call's response to the caller's connection."""
 
     def __init__(self, exchange: Exchange, call_id: bytes) -> None:
-        """Answer one exchange."""
+        """Respond to one exchange."""
         self._exchange = exchange
         self._id = call_id
 
     def on_gone(self, callback: Callable[[], None]) -> None:
-        """Call back if the caller leaves before the end."""
+        """Call `callback` if the caller disconnects before the response ends."""
         self._exchange.on_gone = callback
 
     def begin(self, head: ResponseHead) -> None:
-        """Pass on the head of a stream, in chunks."""
-        self._exchange.start(head.status, answer_headers(head))
+        """Forward the head of a streamed response."""
+        self._exchange.start(head.status, response_headers(head))
 
     def write(self, data: bytes) -> None:
-        """Pass on events."""
+        """Forward events of a stream."""
         self._exchange.write(data)
 
     def finish(self) -> None:
@@ -59,11 +59,11 @@
         self._exchange.finish()
 
     def whole(self, head: ResponseHead, body: bytes) -> None:
-        """Pass on an engine's whole answer."""
-        self._exchange.answer(head.status, answer_headers(head), body)
+        """Forward an engine's complete response."""
+        self._exchange.answer(head.status, response_headers(head), body)
 
     def refuse(self, refusal: Refusal) -> None:
-        """Give an answer of our own."""
+        """Respond with a refusal instead of an engine's response."""
         headers: Headers = [JSON_TYPE]
         if self._id:
             headers.append((b"X-Notcharch-Request-Id", self._id))
@@ -74,15 +74,15 @@
         self._exchange.answer(refusal.status, headers, body)
 
     def abort(self) -> None:
-        """Cut the connection."""
+        """Abort the connection."""
         self._exchange.abort()
 
 
 class Ingress:
-    """Takes callers' requests into the product's call path."""
+    """Routes callers' requests and starts their calls."""
 
     def __init__(self, services: CallServices, check: CallerCheck) -> None:
-        """Begin without routes; `check` finds whose call it is."""
+        """Start without routes; `check` identifies the tenant of a call."""
         self._services = services
         self._check = check
         self.router: Router | None = None
@@ -90,30 +90,30 @@
         self.is_draining = False
 
     def limits(self) -> ServerLimits:
-        """Give the limits in force."""
+        """Return the limits in force."""
         return ServerLimits() if self.router is None else self.router.table.limits
 
     def is_closing(self) -> bool:
-        """Tell whether answers should end their connections."""
+        """Return whether responses should close their connections."""
         return self.is_draining
 
     def count(self, change: int) -> None:
-        """Count requests under way."""
+        """Update the number of requests in flight."""
         self.in_flight += change
 
     def tenant(self, name: str) -> Tenant | None:
-        """Give a tenant of the table in force, by its name."""
+        """Return a tenant of the table in force by its name."""
         if self.router is None or self.router.table.keys is None:
             return None
         return self.router.table.keys.tenant(name)
 
-    def judges_keys(self, ahead_seconds: float = 0.0) -> bool:
-        """Tell whether keys can be judged now, and for some seconds more, if need be."""
+    def can_verify_keys(self, ahead_seconds: float = 0.0) -> bool:
+        """Return whether keys can be verified now and for `ahead_seconds` more."""
         router = self.router
         return router is None or self._check.is_sure(router.table, ahead_seconds)
 
     def handle(self, exchange: Exchange) -> None:
-        """Begin the life of a call."""
+        """Start the call of a request, or refuse it."""
         head = exchange.head
         id = head.get(REQUEST_ID) or b""
         reply = ExchangeReply(exchange, id)
@@ -122,7 +122,7 @@
         path = head.target.partition(b"?")[0].decode("latin-1")
         router = self.router
         if router is None:
-            emit(RequestWithoutRoute(name, host, path, NO_TABLE))
+            emit(RequestWithoutRoute(name, host, path, NO_TABLE_VERSION))
             reply.refuse(NOT_READY)
             return
         version = router.table.version
@@ -131,13 +131,13 @@
             emit(RequestWithoutRoute(name, host, path, version))
             reply.refuse(NO_ROUTE)
             return
-        call = read_call(head, exchange.body, exchange.arrived)
+        call = parse_call(head, exchange.body, exchange.arrived)
         if call is None:
             emit(RequestMalformed(name, host, path))
             reply.refuse(MALFORMED)
             return
         table = router.table
-        refusal = self._check.refusal(call, presented_keys(head), route, table)
+        refusal = self._check.refusal(call, presented_api_keys(head), route, table)
         if refusal is not None:
             reply.refuse(refusal)
             return
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,4 +1,4 @@
-"""The daemon on the platform: wires the product's parts and runs them."""
+"""The daemon process on the platform: creates its components and runs them."""
 
 import os
 import sys
@@ -41,7 +41,7 @@
 from notcharch.http.server import ServerFactory
 from notcharch.journal.known_daemons import KnownDaemons
 from notcharch.journal.recovery_signal import RecoverySignal
-from notcharch.platform.headers import PlatformEngines
+from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
@@ -58,28 +58,29 @@
 from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
-KEEP_LISTENING_SECONDS = 2.6
-"""After SIGTERM new connections come until the platform has seen that we leave."""
-KEEP_LISTENING_SHARE = 0.45
-"""... but for no more than so much of the time that a stop may take."""
+ACCEPT_SECONDS = 2.6
+"""After SIGTERM, connections are accepted until the platform detects the stop."""
+ACCEPT_MAX_SHARE = 0.45
+"""Upper bound of `ACCEPT_SECONDS` as a share of the stop's grace period."""
 STOP_MARGIN_SECONDS = 0.7
-"""Kept free at the end of the time that a stop may take, for the last lines and the exit.
-Chosen, not measured."""
-BACKLOG = 512
-"""New connections that may wait to be accepted: a burst of a second at a daemon that
-serves one in some hundred callers is far below it."""
-MILLISECONDS = 1000
-READY_SECONDS = 0.6
-"""A daemon whose proof for its keys ends sooner takes no new connections: the platform
-asks each second, and peers had three tries to renew the proof before."""
+"""Reserved at the end of the grace period for the last log lines and the exit."""
+LISTEN_BACKLOG = 512
+"""Maximum number of pending connections; well above a burst of one second."""
+MILLISECONDS_PER_SECOND = 1000
+MIN_FRESHNESS_SECONDS = 0.6
+"""A daemon whose freshness confirmation expires sooner than this is not ready.
+
+Peers have failed to renew it several times by then. The platform probes readiness
+once a second.
+"""
 STANDARD_OUTPUT = 1
-TICK_SECONDS = 1.0
-"""Between two looks at pauses and readiness; the platform asks as often."""
+TICK_INTERVAL_SECONDS = 1.0
+"""Interval of the checks for pauses and readiness, the same as of readiness probes."""
 
 
 def new_incarnation() -> Incarnation:
-    """Give a number that is higher for each later process of a machine."""
-    return Incarnation(int(time.time() * MILLISECONDS))
+    """Return a number that is higher for each later process of a machine."""
+    return Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
 
 
 class Process:
@@ -92,7 +93,7 @@
         metrics_port: int | None,
         mechanisms: frozenset[Mechanism],
     ) -> None:
-        """Wire the parts; figures are shown at `metrics_port`, if any."""
+        """Create the components; metrics are served on `metrics_port`, if any."""
         self._settings = settings
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
@@ -101,8 +102,8 @@
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
         platform_store = PlatformStore(self._requester, reactor)
-        own = Member(DaemonName(settings.machine), new_incarnation())
-        self._network = account_network(reactor, own, random)
+        local_member = Member(DaemonName(settings.machine), new_incarnation())
+        self._network = account_network(reactor, local_member, random)
         suspicions = SharedSuspicions(
             is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
         )
@@ -146,7 +147,7 @@
                 clock=reactor,
                 pool=pool,
                 sender=sender,
-                dialect=PlatformEngines(),
+                dialect=PlatformDialect(),
                 admission=self._accounts.admission,
                 waits=RouteWaits(wait_policy(mechanisms)),
             ),
@@ -167,7 +168,7 @@
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
         )
-        self._vouching = TableVouching(
+        self._freshness_exchange = TableVouching(
             reactor,
             random,
             self._network,
@@ -186,24 +187,28 @@
             frozenset(event.number for event in routine),
         )
         self._ticks = LoopingCall(self._tick)
-        self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
+        self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
         self._front_port: IListeningPort | None = None
 
     @property
     def is_ready(self) -> bool:
-        """Whether new connections should come here."""
-        is_able = self._tables.are_loaded and self._ingress.judges_keys(READY_SECONDS)
+        """Whether this daemon accepts new connections."""
+        is_able = self._tables.are_loaded and self._ingress.can_verify_keys(
+            MIN_FRESHNESS_SECONDS
+        )
         return is_able and not self._is_stopping
 
     def start(self) -> None:
-        """Listen and follow the store."""
+        """Start listening and following the store."""
         settings = self._settings
         os.set_blocking(STANDARD_OUTPUT, False)
         eliot.add_destinations(self._output)
         front = settings.front
-        self._listen(front.host, front.port, self._factory).addCallback(self._listens)
+        self._listen(front.host, front.port, self._factory).addCallback(
+            self._set_front_port
+        )
         readiness = ServerFactory(ReadinessHandler(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
         if self._metrics_port is not None:
@@ -213,8 +218,8 @@
         self._accounts.start()
         self._tables.start()
         if Mechanism.TABLE_VOUCHING in self._mechanisms:
-            self._vouching.start()
-        self._ticks.start(TICK_SECONDS, now=False)
+            self._freshness_exchange.start()
+        self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
         emit(
             ProcessStarted(
                 settings.machine,
@@ -228,37 +233,41 @@
     def _tenant(self, name: str) -> Tenant | None:
         return self._ingress.tenant(name)
 
-    def _listens(self, port: IListeningPort | None) -> None:
+    def _set_front_port(self, port: IListeningPort | None) -> None:
         self._front_port = port
 
     def _listen(self, host: str, port: int, factory: ServerFactory) -> Any:
-        endpoint = TCP4ServerEndpoint(self._reactor, port, BACKLOG, host)
+        endpoint = TCP4ServerEndpoint(self._reactor, port, LISTEN_BACKLOG, host)
         listening = endpoint.listen(factory)
-        return listening.addErrback(self._cannot_listen)
+        return listening.addErrback(self._on_listen_failed)
 
-    def _cannot_listen(self, failure: Any) -> None:
+    def _on_listen_failed(self, failure: Any) -> None:
         sys.stderr.write(f"cannot listen: {failure.getErrorMessage()}\n")
         self._reactor.stop()
 
     def _tick(self) -> None:
-        """Tell of pauses, of our readiness, and which lines were left out."""
-        self._pauses.tick()
+        """Log pauses, changes of readiness and dropped log lines."""
+        self._pause_watch.tick()
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
-            emit(ReadinessChanged(self._settings.machine, self.is_ready, self._cause()))
-        self._check.tell(self._ingress.judges_keys())
+            emit(
+                ReadinessChanged(
+                    self._settings.machine, self.is_ready, self._readiness_cause()
+                )
+            )
+        self._check.tell(self._ingress.can_verify_keys())
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
 
-    def _cause(self) -> str:
-        """Say why this daemon is ready, or is not."""
+    def _readiness_cause(self) -> str:
+        """Return the reason why this daemon is ready or not."""
         if self.is_ready:
-            return "the tables are known"
-        return "stopping" if self._is_stopping else "the newest keys are not known"
+            return "tables are loaded and fresh"
+        return "stopping" if self._is_stopping else "tables are not loaded or not fresh"
 
     def on_reload_signal(self) -> None:
-        """Read the settings again; the store's address may be another one."""
+        """Reload the settings and apply a changed address of the store."""
         loaded = load_settings()
         if isinstance(loaded, Err):
             findings = loaded.err_value
@@ -272,7 +281,7 @@
         self._requester.set_address(address.host, address.port)
 
     def on_stop_signal(self) -> None:
-        """Drain: take no new connections soon, finish what is under way, end."""
+        """Start the drain: stop accepting, finish requests in flight, exit."""
         if self._is_stopping:
             return
         self._is_stopping = True
@@ -281,28 +290,28 @@
         self._accounts.leave()
         grace = self._settings.grace_seconds
         times = DrainTimes(
-            accept=min(KEEP_LISTENING_SECONDS, grace * KEEP_LISTENING_SHARE),
+            accept=min(ACCEPT_SECONDS, grace * ACCEPT_MAX_SHARE),
             most=grace - STOP_MARGIN_SECONDS,
         )
         Drain(self._reactor, self, times).begin()
 
-    # What the drain asks for
+    # Interface of `Drain`
 
     def under_way(self) -> int:
-        """Give how many requests are being read or answered."""
+        """Return the number of requests in flight."""
         return self._ingress.in_flight
 
     def stop_accepting(self) -> None:
-        """Close the callers' port."""
+        """Close the callers' listening port."""
         if self._front_port is not None:
             self._front_port.stopListening()
 
     def close_idle(self) -> None:
-        """Close callers' connections on which nothing is under way."""
+        """Close callers' connections without a request in flight."""
         self._factory.close_idle()
 
     def stopped(self, under_way: int, seconds: float) -> None:
-        """End the process."""
+        """Log the end of the drain and exit."""
         emit(ProcessStopped(self._settings.machine, under_way, round(seconds, 3)))
         self._output.flush()
         self._reactor.stop()
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration and engines' entries as the product's types."""
+"""Tests of decoding the operator's configuration and the engines' entries."""
 
 import msgspec
 import pytest
@@ -46,7 +46,7 @@
     return decode_table(msgspec.json.encode(entry | {"limits": LIMITS}))
 
 
-def test_a_route_is_translated():
+def test_a_route_is_decoded():
     route = table().routes[0]
     assert route.shares == (ServiceShare("s", 1.0),)
     assert (route.is_stream, route.is_repeatable, route.keeps_turns) == (1, 0, 1)
@@ -63,25 +63,25 @@
         ("something new", False, False),
     ],
 )
-def test_what_may_be_repeated_is_told_by_the_kind(kind, resumable, repeatable):
+def test_the_kind_determines_whether_calls_are_repeatable(kind, resumable, repeatable):
     route = table(kind=kind, resumable=resumable).routes[0]
     assert route.is_repeatable is repeatable
 
 
-def test_a_split_is_translated():
+def test_a_split_is_decoded():
     split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
     route = table(traffic_split=split, service="").routes[0]
     assert route.shares == (ServiceShare("s", 90), ServiceShare("t", 10))
 
 
-def test_services_and_limits_are_translated():
+def test_services_and_limits_are_decoded():
     translated = table()
     assert translated.version == 7
     assert translated.services["s"].tokens_per_event == 25
     assert translated.limits.idle_seconds == 15.0
 
 
-def test_an_engine_is_translated():
+def test_an_engine_is_decoded():
     entry = {
         "service": "s",
         "address": "10.128.0.9:8080",
@@ -95,12 +95,12 @@
     assert (engine.slots, engine.is_leaving) == (12, True)
 
 
-def test_what_cannot_be_read_is_an_error():
+def test_an_invalid_configuration_is_an_error():
     with pytest.raises(msgspec.DecodeError):
         decode_table(b'{"version": "x"}')
 
 
-def test_a_service_tells_how_long_its_engines_are_cold_and_what_they_bear():
+def test_the_limit_of_cold_engines_is_decoded():
     cold = {"cold_start_s": 3.0, "cold_per_s": 25.0}
     entry = {"version": 7, "routes": [ROUTE], "services": [SERVICE | cold]}
     read = decode_table(msgspec.json.encode(entry | {"limits": LIMITS}))
@@ -109,12 +109,12 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "regions"),
+    ("value", "regions"),
     [(["a", "b"], frozenset("ab")), ([], None), (None, None)],
 )
-def test_regions_of_residence_are_read(told, regions):
-    tenants = [{"name": "t", "api_keys": ["k"], "allowed_regions": told}]
-    entry = {"version": 7, "routes": [ROUTE | {"allowed_regions": told}]}
+def test_allowed_regions_are_decoded(value, regions):
+    tenants = [{"name": "t", "api_keys": ["k"], "allowed_regions": value}]
+    entry = {"version": 7, "routes": [ROUTE | {"allowed_regions": value}]}
     entry |= {"services": [SERVICE], "limits": LIMITS, "tenants": tenants}
     read = decode_table(msgspec.json.encode(entry))
     assert read.routes[0].regions == regions
@@ -126,7 +126,7 @@
     assert parse_drained_zones(keys) == {"z-1", "z-2"}
 
 
-@pytest.mark.parametrize(("told", "seconds"), [(1500, 1.5), (0, 0.0), (-3, 0.0)])
-def test_an_entry_tells_how_long_its_engine_is_cold(told, seconds):
-    entry = {"service": "s", "address": "10.0.0.1:80", "cold_remaining_ms": told}
+@pytest.mark.parametrize(("value", "seconds"), [(1500, 1.5), (0, 0.0), (-3, 0.0)])
+def test_the_remaining_cold_time_is_decoded_and_never_negative(value, seconds):
+    entry = {"service": "s", "address": "10.0.0.1:80", "cold_remaining_ms": value}
     assert decode_engine("i", msgspec.json.encode(entry)).cold_seconds == seconds
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -1,9 +1,9 @@
-"""Callers' headers into calls, and calls into engines' headers."""
+"""Tests of parsing callers' headers and of building requests to engines."""
 
 import pytest
 
 from notcharch.http.messages import RequestHead, ResponseHead
-from notcharch.platform.headers import PlatformEngines, answer_headers, read_call
+from notcharch.platform.headers import PlatformDialect, parse_call, response_headers
 from tests.unit.calls.world import engine
 
 FULL = [
@@ -21,14 +21,14 @@
     (b"Connection", b"keep-alive"),
     (b"Content-Length", b"2"),
 ]
-DIALECT = PlatformEngines()
+DIALECT = PlatformDialect()
 
 
 def read(headers):
-    return read_call(RequestHead(b"POST", b"/a/b?c", headers), b"hi", 5.0)
+    return parse_call(RequestHead(b"POST", b"/a/b?c", headers), b"hi", 5.0)
 
 
-def test_a_whole_head_is_read():
+def test_a_complete_head_is_parsed():
     call = read(FULL)
     assert (call.id, call.program, call.session) == ("e5b2", "3fa81c", "77d20b")
     assert (call.wait_seconds, call.program_seconds_left) == (3.0, 5.2)
@@ -37,7 +37,7 @@
     assert call.last_event_id == b"12"
 
 
-def test_a_bare_head_is_read():
+def test_a_minimal_head_is_parsed():
     call = read([(b"Host", b"h")])
     assert (call.id, call.budget_tokens, call.wait_seconds) == ("", None, None)
 
@@ -50,11 +50,11 @@
         (b"X-Notcharch-Token-Usage", b"1,x"),
     ],
 )
-def test_a_header_that_cannot_be_read_is_told(name, value):
+def test_a_malformed_header_is_rejected(name, value):
     assert read([(name, value)]) is None
 
 
-def test_an_engine_gets_what_is_left_and_who_is_meant():
+def test_a_request_carries_the_remaining_time_and_the_expected_engine():
     head = DIALECT.request(read(FULL), engine("i-7f"), 1234)
     assert head.target == b"/a/b?c"
     assert head.get(b"x-notcharch-deadline-ms") == b"1234"
@@ -76,7 +76,7 @@
         (200, [], False),
     ],
 )
-def test_only_an_engine_that_says_so_did_not_run(status, headers, not_run):
+def test_only_an_explicit_status_or_header_means_not_executed(status, headers, not_run):
     assert DIALECT.was_not_run(ResponseHead(status, headers)) is not_run
 
 
@@ -100,16 +100,16 @@
     assert DIALECT.is_genuine(ResponseHead(200, headers)) is bool(genuine)
 
 
-def test_an_answer_is_told_by_its_id():
+def test_a_response_is_matched_by_its_id():
     call = read(FULL)
-    own = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b2")])
+    matching = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b2")])
     other = ResponseHead(200, [(b"X-Notcharch-Request-Id", b"e5b3")])
-    assert DIALECT.is_answer_to(call, own)
+    assert DIALECT.is_answer_to(call, matching)
     assert not DIALECT.is_answer_to(call, other)
 
 
-def test_headers_of_the_engines_connection_stay_behind():
+def test_hop_by_hop_headers_are_not_forwarded():
     head = ResponseHead(
         200, [(b"X-Notcharch-Response-Seal", b"s"), (b"Keep-Alive", b"timeout=5")]
     )
-    assert answer_headers(head) == [(b"X-Notcharch-Response-Seal", b"s")]
+    assert response_headers(head) == [(b"X-Notcharch-Response-Seal", b"s")]
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -1,4 +1,4 @@
-"""What a caller may not do by its headers, through a real connection."""
+"""Tests that callers can't gain access or control by headers, over a connection."""
 
 import msgspec
 import pytest
@@ -11,7 +11,7 @@
 from notcharch.calls.routing import Router
 from notcharch.http.server import ServerFactory
 from notcharch.platform.configuration import decode_table
-from notcharch.platform.headers import PlatformEngines
+from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
 from notcharch.tenants.freshness import TableFreshness
@@ -43,7 +43,7 @@
 
 
 class Caller:
-    """One connection to a daemon with a table."""
+    """A caller's connection to a daemon with a table."""
 
     def __init__(self, **changes) -> None:
         clock = Clock()
@@ -52,7 +52,7 @@
             clock=clock,
             pool=engine_pool(clock, ("a",)),
             sender=self.sender,
-            dialect=PlatformEngines(),
+            dialect=PlatformDialect(),
             admission=OpenAdmission(),
             waits=RouteWaits(WaitPolicy()),
         )
@@ -70,13 +70,13 @@
 
     @property
     def status(self) -> int:
-        """Give the status of the answer; 0 if there is none yet."""
+        """The status of the response; 0 before it was received."""
         data = self.transport.value()
         return int(data.split()[1]) if data else 0
 
     @property
     def at_engine(self):
-        """Give the headers that the engine got, by their lower-case names."""
+        """The headers that the engine received, by lower-case name."""
         (sent,) = self.sender.sent
         names = [name.lower() for name, _ in sent.head.headers]
         assert len(names) == len(set(names))
@@ -121,7 +121,7 @@
     ],
 )
 @pytest.mark.parametrize("path", ["/closed/x", "/open/x"])
-def test_what_steers_an_engine_is_the_systems_to_say(name, path):
+def test_headers_that_control_an_engine_are_not_forwarded(name, path):
     caller = Caller()
     caller.send(f"X-Api-Key: {KEY}", f"{name}: 1", f"{name}: 2", path=path)
     assert name.lower().encode() not in caller.at_engine
@@ -159,7 +159,7 @@
     assert KEY.encode() not in written + caller.transport.value()
 
 
-def test_a_key_in_a_trailer_is_no_key():
+def test_a_key_in_a_trailer_is_ignored():
     caller = Caller()
     body = f"2\r\nhi\r\n0\r\nX-Api-Key: {KEY}\r\n\r\n"
     caller.send("Transfer-Encoding: chunked", end=body)
@@ -183,7 +183,7 @@
         "X-Notcharch-Previous-Turn: a\x1fb",
     ],
 )
-def test_names_that_cannot_be_trusted_are_refused(header):
+def test_malformed_names_are_refused(header):
     caller = Caller()
     caller.send(f"X-Api-Key: {KEY}", header)
     assert caller.status == 400
@@ -193,7 +193,7 @@
 @pytest.mark.parametrize(
     "name", ["X-Notcharch-Program-Id", "X-Notcharch-Token-Budget", "Last-Event-Id"]
 )
-def test_a_header_that_decides_comes_once(name):
+def test_a_repeated_singleton_header_is_refused(name):
     caller = Caller()
     caller.send(f"X-Api-Key: {KEY}", f"{name}: 1", f"{name}: 2")
     assert caller.status == 400
@@ -212,7 +212,7 @@
     assert b"x-api-key" not in caller.at_engine
 
 
-def test_a_table_of_no_tenants_lets_nobody_in():
+def test_a_table_with_an_empty_list_of_tenants_refuses_all_callers():
     caller = Caller(tenants=[])
     caller.send(f"X-Api-Key: {KEY}")
     assert caller.status == 401
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file, whole and broken."""
+"""Tests of parsing the platform's settings file, valid and invalid."""
 
 from notcharch.platform.settings import Address, read_settings
 from notcharch.scheduling.cold_engines import ColdTolerance
@@ -28,11 +28,11 @@
     assert settings.grace_seconds == 8.0
 
 
-def test_all_findings_are_told_together():
-    broken = TEXT.replace("10.1.0.38:8149", "nowhere").replace("platform.parts=12", "")
-    broken = broken.replace("bounds.grace_period_s=8", "bounds.grace_period_s=soon")
-    broken = broken.replace("zone=hall-a", "")
-    errors = read_settings(broken).err_value
+def test_all_errors_are_reported_together():
+    invalid = TEXT.replace("10.1.0.38:8149", "nowhere").replace("platform.parts=12", "")
+    invalid = invalid.replace("bounds.grace_period_s=8", "bounds.grace_period_s=soon")
+    invalid = invalid.replace("zone=hall-a", "")
+    errors = read_settings(invalid).err_value
     assert [error.partition(":")[0] for error in errors] == [
         "zone",
         "listen_addresses.front",
