--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -75,7 +75,7 @@
             program=_parse_name(values.get(PROGRAM, b"")),
             session=_parse_name(values.get(SESSION, b"")),
             affinity=_affinity_key(values.get(b"cookie", b"").decode("latin-1")),
-            most_tokens=_most_tokens(values.get(USAGE)),
+            most_tokens=_max_tokens(values.get(USAGE)),
             budget_tokens=_parse_integer(values.get(TOKEN_BUDGET)),
             previous_turn=_parse_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
@@ -118,7 +118,7 @@
     return None if milliseconds is None else float(milliseconds) / 1000
 
 
-def _most_tokens(usage: bytes | None) -> int:
+def _max_tokens(usage: bytes | None) -> int:
     return int(usage.split(b",")[1]) if usage else 0
 
 
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -145,7 +145,7 @@
             route.regions, call.tenant.regions if call.tenant is not None else ANYWHERE
         )
         service = service_of(route, call)
-        known = router.table.services.get(service)
-        if known is not None:
-            call.tokens_per_event = known.tokens_per_event
+        service_settings = router.table.services.get(service)
+        if service_settings is not None:
+            call.tokens_per_event = service_settings.tokens_per_event
         CallLife(self._services, call, route, service, reply).start()
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -58,10 +58,10 @@
 from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
-ACCEPT_SECONDS = 2.6
+STOP_ACCEPT_SECONDS = 2.6
 """After SIGTERM, connections are accepted until the platform detects the stop."""
-ACCEPT_MAX_SHARE = 0.45
-"""Upper bound of `ACCEPT_SECONDS` as a share of the stop's grace period."""
+STOP_ACCEPT_MAX_SHARE = 0.45
+"""Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
 STOP_MARGIN_SECONDS = 0.7
 """Reserved at the end of the grace period for the last log lines and the exit."""
 LISTEN_BACKLOG = 512
@@ -75,7 +75,7 @@
 """
 STANDARD_OUTPUT = 1
 TICK_INTERVAL_SECONDS = 1.0
-"""Interval of the checks for pauses and readiness, the same as of readiness probes."""
+"""Interval of the checks for pauses and readiness; readiness probes are as frequent."""
 
 
 def new_incarnation() -> Incarnation:
@@ -195,10 +195,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether this daemon accepts new connections."""
-        is_able = self._tables.are_loaded and self._ingress.can_verify_keys(
+        can_serve = self._tables.are_loaded and self._ingress.can_verify_keys(
             MIN_FRESHNESS_SECONDS
         )
-        return is_able and not self._is_stopping
+        return can_serve and not self._is_stopping
 
     def start(self) -> None:
         """Start listening and following the store."""
@@ -270,8 +270,8 @@
         """Reload the settings and apply a changed address of the store."""
         loaded = load_settings()
         if isinstance(loaded, Err):
-            findings = loaded.err_value
-            emit(SettingsRead(self._settings.machine, findings, is_changed=False))
+            errors = loaded.err_value
+            emit(SettingsRead(self._settings.machine, errors, is_changed=False))
             return
         settings = loaded.ok_value
         is_changed = settings != self._settings
@@ -290,12 +290,12 @@
         self._accounts.leave()
         grace = self._settings.grace_seconds
         times = DrainTimes(
-            accept=min(ACCEPT_SECONDS, grace * ACCEPT_MAX_SHARE),
+            accept=min(STOP_ACCEPT_SECONDS, grace * STOP_ACCEPT_MAX_SHARE),
             most=grace - STOP_MARGIN_SECONDS,
         )
         Drain(self._reactor, self, times).begin()
 
-    # Interface of `Drain`
+    # Called by `Drain`
 
     def under_way(self) -> int:
         """Return the number of requests in flight."""
