--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,4 +1,4 @@
-"""The daemon on the platform: wires the product's parts and runs them."""
+"""The daemon process on the platform: creates its components and runs them."""
 
 import os
 import sys
@@ -41,7 +41,7 @@
 from notcharch.http.server import ServerFactory
 from notcharch.journal.known_daemons import KnownDaemons
 from notcharch.journal.recovery_signal import RecoverySignal
-from notcharch.platform.headers import PlatformEngines
+from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
@@ -58,28 +58,29 @@
 from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
-KEEP_LISTENING_SECONDS = 2.6
-"""After SIGTERM new connections come until the platform has seen that we leave."""
-KEEP_LISTENING_SHARE = 0.45
-"""... but for no more than so much of the time that a stop may take."""
+STOP_ACCEPT_SECONDS = 2.6
+"""After SIGTERM, connections are accepted until the platform detects the stop."""
+STOP_ACCEPT_MAX_SHARE = 0.45
+"""Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
 STOP_MARGIN_SECONDS = 0.7
-"""Kept free at the end of the time that a stop may take, for the last lines and the exit.
-Chosen, not measured."""
-BACKLOG = 512
-"""New connections that may wait to be accepted: a burst of a second at a daemon that
-serves one in some hundred callers is far below it."""
-MILLISECONDS = 1000
-READY_SECONDS = 0.6
-"""A daemon whose proof for its keys ends sooner takes no new connections: the platform
-asks each second, and peers had three tries to renew the proof before."""
+"""Reserved at the end of the grace period for the last log lines and the exit."""
+LISTEN_BACKLOG = 512
+"""Maximum number of pending connections; well above a burst of one second."""
+MILLISECONDS_PER_SECOND = 1000
+MIN_FRESHNESS_SECONDS = 0.6
+"""A daemon whose freshness confirmation expires sooner than this is not ready.
+
+Peers have failed to renew it several times by then. The platform probes readiness
+once a second.
+"""
 STANDARD_OUTPUT = 1
-TICK_SECONDS = 1.0
-"""Between two looks at pauses and readiness; the platform asks as often."""
+TICK_INTERVAL_SECONDS = 1.0
+"""Interval of the checks for pauses and readiness; readiness probes are as frequent."""
 
 
 def new_incarnation() -> Incarnation:
-    """Give a number that is higher for each later process of a machine."""
-    return Incarnation(int(time.time() * MILLISECONDS))
+    """Return a number that is higher for each later process of a machine."""
+    return Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
 
 
 class Process:
@@ -92,7 +93,7 @@
         metrics_port: int | None,
         mechanisms: frozenset[Mechanism],
     ) -> None:
-        """Wire the parts; figures are shown at `metrics_port`, if any."""
+        """Create the components; metrics are served on `metrics_port`, if any."""
         self._settings = settings
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
@@ -101,8 +102,8 @@
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
         platform_store = PlatformStore(self._requester, reactor)
-        own = Member(DaemonName(settings.machine), new_incarnation())
-        self._network = account_network(reactor, own, random)
+        local_member = Member(DaemonName(settings.machine), new_incarnation())
+        self._network = account_network(reactor, local_member, random)
         suspicions = SharedSuspicions(
             is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
         )
@@ -111,7 +112,7 @@
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
-                least_lease_seconds=settings.store.least_lease_seconds,
+                least_lease_seconds=settings.store.min_lease_seconds,
                 retention_seconds=settings.store.retention_seconds,
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
@@ -130,7 +131,7 @@
             reactor,
             Nearness(settings.zone, settings.regions),
             random,
-            pool_policy(mechanisms, settings.drain_seconds, settings.entry_seconds),
+            pool_policy(mechanisms, settings.drain_seconds, settings.heartbeat_seconds),
             suspicions,
             eligibility=EngineEligibility(
                 settings.regions,
@@ -146,7 +147,7 @@
                 clock=reactor,
                 pool=pool,
                 sender=sender,
-                dialect=PlatformEngines(),
+                dialect=PlatformDialect(),
                 admission=self._accounts.admission,
                 waits=RouteWaits(wait_policy(mechanisms)),
             ),
@@ -167,17 +168,17 @@
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
         )
-        self._vouching = TableVouching(
+        self._freshness_exchange = TableVouching(
             reactor,
             random,
             self._network,
             self._freshness,
             peers=self._accounts.directory.peers,
-            ask_at_age=self._tables.own_proof_seconds,
-            table=lambda: self._tables.table_text,
-            take=self._tables.take_table,
-            drained=lambda: self._tables.drained,
-            take_drained=self._tables.peer_told_drained,
+            ask_at_age=self._tables.confirmation_age_seconds,
+            table=lambda: self._tables.raw_table,
+            take=self._tables.apply_table,
+            drained=lambda: self._tables.drained_zones,
+            take_drained=self._tables.apply_peer_drained_zones,
         )
         routine = (CallServed, CallerNotIdentified, LimitReached)
         self._output = LogOutput(
@@ -186,24 +187,28 @@
             frozenset(event.number for event in routine),
         )
         self._ticks = LoopingCall(self._tick)
-        self._pauses = PauseWatch(reactor, settings.machine, TICK_SECONDS)
+        self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
         self._front_port: IListeningPort | None = None
 
     @property
     def is_ready(self) -> bool:
-        """Whether new connections should come here."""
-        is_able = self._tables.are_known and self._ingress.judges_keys(READY_SECONDS)
-        return is_able and not self._is_stopping
+        """Whether this daemon accepts new connections."""
+        can_serve = self._tables.are_loaded and self._ingress.can_verify_keys(
+            MIN_FRESHNESS_SECONDS
+        )
+        return can_serve and not self._is_stopping
 
     def start(self) -> None:
-        """Listen and follow the store."""
+        """Start listening and following the store."""
         settings = self._settings
         os.set_blocking(STANDARD_OUTPUT, False)
         eliot.add_destinations(self._output)
         front = settings.front
-        self._listen(front.host, front.port, self._factory).addCallback(self._listens)
+        self._listen(front.host, front.port, self._factory).addCallback(
+            self._set_front_port
+        )
         readiness = ServerFactory(ReadinessHandler(self), self._reactor)
         self._listen(settings.readiness.host, settings.readiness.port, readiness)
         if self._metrics_port is not None:
@@ -213,8 +218,8 @@
         self._accounts.start()
         self._tables.start()
         if Mechanism.TABLE_VOUCHING in self._mechanisms:
-            self._vouching.start()
-        self._ticks.start(TICK_SECONDS, now=False)
+            self._freshness_exchange.start()
+        self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
         emit(
             ProcessStarted(
                 settings.machine,
@@ -228,41 +233,45 @@
     def _tenant(self, name: str) -> Tenant | None:
         return self._ingress.tenant(name)
 
-    def _listens(self, port: IListeningPort | None) -> None:
+    def _set_front_port(self, port: IListeningPort | None) -> None:
         self._front_port = port
 
     def _listen(self, host: str, port: int, factory: ServerFactory) -> Any:
-        endpoint = TCP4ServerEndpoint(self._reactor, port, BACKLOG, host)
+        endpoint = TCP4ServerEndpoint(self._reactor, port, LISTEN_BACKLOG, host)
         listening = endpoint.listen(factory)
-        return listening.addErrback(self._cannot_listen)
+        return listening.addErrback(self._on_listen_failed)
 
-    def _cannot_listen(self, failure: Any) -> None:
+    def _on_listen_failed(self, failure: Any) -> None:
         sys.stderr.write(f"cannot listen: {failure.getErrorMessage()}\n")
         self._reactor.stop()
 
     def _tick(self) -> None:
-        """Tell of pauses, of our readiness, and which lines were left out."""
-        self._pauses.tick()
+        """Log pauses, changes of readiness and dropped log lines."""
+        self._pause_watch.tick()
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
-            emit(ReadinessChanged(self._settings.machine, self.is_ready, self._cause()))
-        self._check.report_change(self._ingress.judges_keys())
+            emit(
+                ReadinessChanged(
+                    self._settings.machine, self.is_ready, self._readiness_cause()
+                )
+            )
+        self._check.report_change(self._ingress.can_verify_keys())
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
 
-    def _cause(self) -> str:
-        """Say why this daemon is ready, or is not."""
+    def _readiness_cause(self) -> str:
+        """Return the reason why this daemon is ready or not."""
         if self.is_ready:
-            return "the tables are known"
-        return "stopping" if self._is_stopping else "the newest keys are not known"
+            return "tables are loaded and fresh"
+        return "stopping" if self._is_stopping else "tables are not loaded or not fresh"
 
-    def settings_signalled(self) -> None:
-        """Read the settings again; the store's address may be another one."""
+    def on_reload_signal(self) -> None:
+        """Reload the settings and apply a changed address of the store."""
         loaded = load_settings()
         if isinstance(loaded, Err):
-            findings = loaded.err_value
-            emit(SettingsRead(self._settings.machine, findings, is_changed=False))
+            errors = loaded.err_value
+            emit(SettingsRead(self._settings.machine, errors, is_changed=False))
             return
         settings = loaded.ok_value
         is_changed = settings != self._settings
@@ -271,8 +280,8 @@
         address = settings.store.address
         self._requester.set_address(address.host, address.port)
 
-    def stop_signalled(self) -> None:
-        """Drain: take no new connections soon, finish what is under way, end."""
+    def on_stop_signal(self) -> None:
+        """Start the drain: stop accepting, finish requests in flight, exit."""
         if self._is_stopping:
             return
         self._is_stopping = True
@@ -281,28 +290,28 @@
         self._accounts.leave()
         grace = self._settings.grace_seconds
         times = DrainTimes(
-            accept_seconds=min(KEEP_LISTENING_SECONDS, grace * KEEP_LISTENING_SHARE),
+            accept_seconds=min(STOP_ACCEPT_SECONDS, grace * STOP_ACCEPT_MAX_SHARE),
             max_seconds=grace - STOP_MARGIN_SECONDS,
         )
         Drain(self._reactor, self, times).begin()
 
-    # What the drain asks for
+    # Called by `Drain`
 
     def requests_in_flight(self) -> int:
-        """Give how many requests are being read or answered."""
+        """Return the number of requests in flight."""
         return self._ingress.in_flight
 
     def stop_accepting(self) -> None:
-        """Close the callers' port."""
+        """Close the callers' listening port."""
         if self._front_port is not None:
             self._front_port.stopListening()
 
     def close_idle(self) -> None:
-        """Close callers' connections on which nothing is under way."""
+        """Close callers' connections without a request in flight."""
         self._factory.close_idle()
 
     def stopped(self, requests_in_flight: int, seconds: float) -> None:
-        """End the process."""
+        """Log the end of the drain and exit."""
         emit(
             ProcessStopped(
                 self._settings.machine, requests_in_flight, round(seconds, 3)
