Name the sharing of cold engines in usual terms

Warmth becomes WarmupState (told, doubt: record_report, suspect_cold), ColdEngines becomes ColdEngineLimiter. The daemons that feed an engine are its senders: Feeding, feeding_of and is_feeder become SenderQuota, sender_quota and is_sender; a daemon's part is its quota.

--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -8,11 +8,11 @@
 
 from notcharch.calls.interface import Engine
 from notcharch.scheduling.cold_engines import (
-    ColdEngines,
+    ColdEngineLimiter,
     ColdLimit,
     ColdPolicy,
     DaemonView,
-    Warmth,
+    WarmupState,
 )
 from notcharch.scheduling.residence import allows_zone
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones, ZoneDrains
@@ -32,7 +32,7 @@
         """Its entry."""
 
     @property
-    def warmth(self) -> Warmth:
+    def warmth(self) -> WarmupState:
         """How long it is cold."""
 
 
@@ -59,7 +59,7 @@
 class NobodyElse:
     """The view of a daemon that doesn't know who else there is."""
 
-    own = ""
+    local_daemon = ""
 
     def members(self) -> Sequence[str]:
         """Give nobody."""
@@ -81,7 +81,7 @@
     ) -> None:
         """`region_of` gives the region of each zone; `daemons` share cold engines."""
         self._region_of = region_of or {}
-        self._cold = ColdEngines(cold or ColdPolicy(), daemons or NobodyElse())
+        self._cold = ColdEngineLimiter(cold or ColdPolicy(), daemons or NobodyElse())
         self._limits: dict[str, ColdLimit] = {}
         self.drains = ZoneDrains()
 
@@ -90,7 +90,7 @@
     def take_limits(self, limits: Mapping[str, ColdLimit]) -> None:
         """Take what cold engines of each service bear."""
         self._limits = dict(limits)
-        self._cold.forget_parts()
+        self._cold.reset_quotas()
 
     def take_drains(
         self, newer: DrainedZones, states: Iterable[EngineStanding], now: float
@@ -155,11 +155,11 @@
 
     def _room_in(self, state: EngineStanding, now: float) -> float | None:
         engine = state.engine
-        return self._cold.room_in(
+        return self._cold.seconds_until_send(
             engine.id,
             self._limit(engine.service),
             now,
-            is_doubted=state.warmth.is_only_doubted(now),
+            is_only_suspected=state.warmth.is_only_suspected_cold(now),
         )
 
     # Why there is none
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -9,7 +9,7 @@
 from notcharch.calls.eligibility import EngineEligibility, NoEngine
 from notcharch.calls.interface import Engine
 from notcharch.calls.metrics import COLD_ENGINES, COLD_SENDS
-from notcharch.scheduling.cold_engines import Warmth
+from notcharch.scheduling.cold_engines import WarmupState
 from notcharch.scheduling.engine_health import (
     EngineHealth,
     HealthPolicy,
@@ -53,7 +53,7 @@
         """Begin with no calls."""
         self.engine = engine
         self.health = health
-        self.warmth = Warmth()
+        self.warmth = WarmupState()
         self.in_flight = 0
         """Our own calls there."""
         self.left_at: float | None = None
@@ -143,7 +143,7 @@
         A daemon that has just started doesn't know which zones were given back lately.
         """
         for state in states:
-            state.warmth.doubt(now + self._policy.entry_seconds)
+            state.warmth.suspect_cold(now + self._policy.entry_seconds)
 
     def _service(self, name: str) -> ServiceHealth:
         known = self._services.get(name)
@@ -159,7 +159,7 @@
         if state is None:
             state = EngineState(engine, EngineHealth(self._service(engine.service)))
         if is_new_entry:
-            state.warmth.told(engine.cold_seconds, now)
+            state.warmth.record_report(engine.cold_seconds, now)
         state.engine = engine
         if not engine.is_leaving:
             state.left_at = None
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -50,4 +50,4 @@
     mechanisms: Collection[Mechanism], tolerance: ColdTolerance
 ) -> ColdPolicy:
     """Give what cold engines get."""
-    return ColdPolicy(tolerance, feeds=Mechanism.COLD_FEEDING in mechanisms)
+    return ColdPolicy(tolerance, sends_to_cold=Mechanism.COLD_FEEDING in mechanisms)
--- a/notcharch/journal/known_daemons.py
+++ b/notcharch/journal/known_daemons.py
@@ -10,7 +10,7 @@
 
     def __init__(self, own: str, directory: OwnerDirectory) -> None:
         """Look at a directory of owners."""
-        self.own = own
+        self.local_daemon = own
         self._directory = directory
 
     def members(self) -> Sequence[str]:
--- a/tests/stateful/cold/cold_machine.py
+++ b/tests/stateful/cold/cold_machine.py
@@ -39,7 +39,7 @@
     """One process of a daemon: what it sees, and its choices."""
 
     def __init__(self, world: "ColdMachine", name: str) -> None:
-        self.own = name
+        self.local_daemon = name
         self._world = world
         self._began = world.clock.seconds()
         self._view = tuple(sorted(world.lives))
--- a/tests/stateful/cold/test_cold_machine.py
+++ b/tests/stateful/cold/test_cold_machine.py
@@ -6,7 +6,11 @@
 from notcharch.calls.eligibility import EngineEligibility
 from notcharch.calls.engines import EnginePool
 from notcharch.scheduling import cold_engines
-from notcharch.scheduling.cold_engines import ColdEngines, Feeding, Warmth
+from notcharch.scheduling.cold_engines import (
+    ColdEngineLimiter,
+    SenderQuota,
+    WarmupState,
+)
 from tests.stateful.cold.cold_machine import ColdMachine, Life
 from tests.stateful.runs import RUN, assert_caught
 
@@ -58,23 +62,23 @@
 
 
 def everybody_feeds(monkeypatch):
-    monkeypatch.setattr(cold_engines, "is_feeder", lambda *_: True)
+    monkeypatch.setattr(cold_engines, "is_sender", lambda *_: True)
 
 
 def feeders_send_what_one_view_allows(monkeypatch):
-    monkeypatch.setattr(cold_engines, "feeding_of", lambda *_: Feeding(12, 2))
+    monkeypatch.setattr(cold_engines, "sender_quota", lambda *_: SenderQuota(12, 2))
 
 
 def nothing_is_paced(monkeypatch):
-    monkeypatch.setattr(ColdEngines, "sent", lambda *_: None)
+    monkeypatch.setattr(ColdEngineLimiter, "sent", lambda *_: None)
 
 
 def entries_are_not_believed(monkeypatch):
-    monkeypatch.setattr(Warmth, "told", lambda *_: None)
+    monkeypatch.setattr(WarmupState, "record_report", lambda *_: None)
 
 
 def a_zone_returns_warm(monkeypatch):
-    monkeypatch.setattr(Warmth, "assume_cold", lambda *_: None)
+    monkeypatch.setattr(WarmupState, "assume_cold", lambda *_: None)
 
 
 def a_new_life_believes_old_entries(monkeypatch):
--- a/tests/unit/calls/test_eligibility.py
+++ b/tests/unit/calls/test_eligibility.py
@@ -9,7 +9,7 @@
 from notcharch.calls.eligibility import WARM_SHARE, Cause, EngineEligibility, NoEngine
 from notcharch.calls.engines import EnginePool, PoolPolicy
 from notcharch.scheduling.cold_engines import (
-    PACE_SECONDS,
+    RATE_WINDOW_SECONDS,
     ColdLimit,
     ColdPolicy,
     ColdTolerance,
@@ -129,8 +129,8 @@
     assert world.chosen() == set()
     none = world.pool.why_none(SERVICE)
     assert none.cause is Cause.COLD
-    assert none.seconds == pytest.approx(PACE_SECONDS)
-    world.clock.advance(PACE_SECONDS)
+    assert none.seconds == pytest.approx(RATE_WINDOW_SECONDS)
+    world.clock.advance(RATE_WINDOW_SECONDS)
     assert world.chosen() == {"e-x"}
 
 
