Speak of event intervals and responses in the health of engines

pace becomes event interval (watches_event_interval, slow_interval_seconds, record_event_interval, INTERVAL_EXPIRY_SECONDS), heard becomes received, was_heard responded_within, began_answer record_first_event, over finished, was_full refused, silence_ended record_silence, run_ended record_stream_length and usual mean; LEAST_ and MOST_ become MIN_ and MAX_.

--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -134,7 +134,7 @@
             self._by_service.setdefault(state.engine.service, []).append(state)
         COLD_ENGINES.set(sum(s.warmth.is_cold(now) for s in states.values()))
         for service, members in self._by_service.items():
-            self._service(service).begin([state.health for state in members])
+            self._service(service).compare([state.health for state in members])
         return forgotten
 
     def _doubt_entries(self, states: Iterable[EngineState], now: float) -> None:
@@ -212,7 +212,7 @@
         states = self.eligibility.open(service, untried, now)
         if not states:
             return None
-        slow_pace = self._service(service).slow_pace_seconds(now)
+        slow_pace = self._service(service).slow_interval_seconds(now)
         sound = [
             state for state in states if not state.health.is_suspect(now, slow_pace)
         ]
@@ -235,7 +235,7 @@
         return states if too_many else left
 
     def _is_suspected(self, state: EngineState, now: float) -> bool:
-        if state.health.was_heard(now, OWN_ANSWER_SECONDS):
+        if state.health.responded_within(now, OWN_ANSWER_SECONDS):
             return False
         return self._suspicions.is_suspected(state.id, now)
 
@@ -273,7 +273,7 @@
         state = self._states.get(engine_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
-            state.health.over()
+            state.health.finished()
 
     def heard(self, engine_id: str, event_gap_seconds: float | None = None) -> None:
         """Note a part of an answer, and how long after the event before it came."""
@@ -281,21 +281,21 @@
         if state is None:
             return
         now = self._clock.seconds()
-        state.health.heard(now)
+        state.health.received(now)
         if event_gap_seconds is not None:
-            state.health.paced(event_gap_seconds, now)
+            state.health.record_event_interval(event_gap_seconds, now)
 
     def began_answer(self, engine_id: str, seconds: float) -> None:
         """Note how long after a call's sending its first event came."""
         state = self._states.get(engine_id)
         if state is not None:
-            state.health.began_answer(seconds)
+            state.health.record_first_event(seconds)
 
     def stream_ended(self, engine_id: str, events: int) -> None:
         """Note how many events a whole stream had."""
         state = self._states.get(engine_id)
         if state is not None:
-            self._service(state.engine.service).run_ended(events)
+            self._service(state.engine.service).record_stream_length(events)
 
     def failed(self, engine_id: str) -> bool:
         """Pass over an engine that could not be spoken to; tell whether it is silent.
@@ -314,4 +314,4 @@
         """Pass over an engine for a moment that took no more."""
         state = self._states.get(engine_id)
         if state is not None:
-            state.health.was_full(self._clock.seconds())
+            state.health.refused(self._clock.seconds())
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -36,7 +36,7 @@
         ),
         health=HealthPolicy(
             watches_silence=Mechanism.SILENCE in mechanisms,
-            watches_pace=Mechanism.PACE in mechanisms,
+            watches_event_interval=Mechanism.PACE in mechanisms,
         ),
     )
 
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -5,7 +5,7 @@
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import AnswerFailure
 from notcharch.scheduling.answer_waits import LEAST_LIMIT_SECONDS
-from notcharch.scheduling.engine_health import LEAST_SILENCE_SECONDS
+from notcharch.scheduling.engine_health import MIN_SILENCE_SECONDS
 from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -45,14 +45,14 @@
 def test_the_idle_connections_of_an_engine_that_fell_silent_are_dropped():
     world = World()
     silent = world.sent[0]
-    world.clock.advance(LEAST_SILENCE_SECONDS + 0.01)
+    world.clock.advance(MIN_SILENCE_SECONDS + 0.01)
     silent.listener.failed(AnswerFailure.RESET)
     assert world.sender.forgotten == [silent.engine.id]
 
 
 def test_those_of_an_engine_that_reset_one_connection_are_kept():
     world = World()
-    world.clock.advance(LEAST_SILENCE_SECONDS - 0.01)
+    world.clock.advance(MIN_SILENCE_SECONDS - 0.01)
     world.sent[0].listener.failed(AnswerFailure.RESET)
     assert world.sender.forgotten == []
 
@@ -66,8 +66,8 @@
         sent.listener.data_came(b"id: 1\ndata: a\n\nid: 2\ndata")
         sent.listener.data_came(b": b\n\n")
     health = world.pool._states[sent.engine.id].health
-    assert health.has_pace(world.clock.seconds())
-    assert 0.0 < health.pace_seconds <= 0.1
+    assert health.has_event_interval(world.clock.seconds())
+    assert 0.0 < health.event_interval_seconds <= 0.1
 
 
 OVERDUE_SECONDS = LEAST_LIMIT_SECONDS + 0.01
@@ -438,7 +438,7 @@
         world.clock.advance(0.05)
     sent.listener.ended()
     state = world.pool._states["a"]
-    assert world.pool._service(SERVICE).usual_events == 4.0
+    assert world.pool._service(SERVICE).mean_events == 4.0
     assert state.run_seconds == pytest.approx(0.1 + 3 * 0.05)
 
 
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -16,7 +16,7 @@
 from notcharch.calls.routing import Router, RouteTable, service_of
 from notcharch.http.messages import RequestHead, end_to_end
 from notcharch.http.server import ServerLimits
-from notcharch.scheduling.engine_health import PACE_KEEP_SECONDS, SILENCE_FACTOR
+from notcharch.scheduling.engine_health import INTERVAL_EXPIRY_SECONDS, SILENCE_FACTOR
 from notcharch.scheduling.engine_routing import (
     HOME_SLACK_CALLS,
     KEPT_HOME_SLACK_CALLS,
@@ -217,7 +217,7 @@
         served(made, clock, "a", 0.08, 0.08)
     assert made.choose(SERVICE, "p", (), "a").id != "a"
     assert made.choose(SERVICE, "p", (), "b").id == "b"
-    clock.advance(PACE_KEEP_SECONDS)
+    clock.advance(INTERVAL_EXPIRY_SECONDS)
     assert made.choose(SERVICE, "p", (), "a").id == "a"
 
 
