Speak of affinity and cached engines in the routing of calls

A home engine is the one that an affinity key selects, a kept home the engine that caches the program's prefix, quick engines are fast ones: home_key, hashes_homes, uses_kept_homes, kept_home, prefers_quick and quick_ones become affinity_key, hashes_affinity, prefers_cached_engine, cached_engine, prefers_fast and fast_engines, with their constants.

--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -29,10 +29,10 @@
         leaving_seconds=leaving if has_last_resort else 0.0,
         entry_seconds=entry_seconds,
         routing=RoutingPolicy(
-            uses_kept_homes=Mechanism.KEPT_HOMES in mechanisms,
-            hashes_homes=Mechanism.HASHED_HOMES in mechanisms,
+            prefers_cached_engine=Mechanism.KEPT_HOMES in mechanisms,
+            hashes_affinity=Mechanism.HASHED_HOMES in mechanisms,
             prefers_zone=Mechanism.ZONES in mechanisms,
-            prefers_quick=Mechanism.QUICK_HOMES in mechanisms,
+            prefers_fast=Mechanism.QUICK_HOMES in mechanisms,
         ),
         health=HealthPolicy(
             watches_silence=Mechanism.SILENCE in mechanisms,
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -18,8 +18,8 @@
 from notcharch.http.server import ServerLimits
 from notcharch.scheduling.engine_health import INTERVAL_EXPIRY_SECONDS, SILENCE_FACTOR
 from notcharch.scheduling.engine_routing import (
-    HOME_SLACK_CALLS,
-    KEPT_HOME_SLACK_CALLS,
+    AFFINITY_SLACK_CALLS,
+    CACHED_ENGINE_SLACK_CALLS,
 )
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import (
@@ -91,7 +91,7 @@
 
 def test_a_kept_home_is_left_only_when_it_is_much_busier():
     made = pool(engine("near"), engine("far", zone="y"))
-    for _ in range(KEPT_HOME_SLACK_CALLS):
+    for _ in range(CACHED_ENGINE_SLACK_CALLS):
         made.began("far")
     assert made.choose(SERVICE, "program", (), "far").id == "far"
     made.began("far")
@@ -107,7 +107,7 @@
 
 def test_a_busy_zone_hands_calls_to_others():
     made = pool(engine("near"), engine("far", zone="y"))
-    for _ in range(HOME_SLACK_CALLS + 1):
+    for _ in range(AFFINITY_SLACK_CALLS + 1):
         made.began("near")
     assert made.choose(SERVICE, "program", ()).id == "far"
 
@@ -121,7 +121,7 @@
 def test_a_home_that_is_much_busier_than_others_is_left():
     made = pool(*[engine(name) for name in "ab"])
     home = made.choose(SERVICE, "p", ()).id
-    for _ in range(HOME_SLACK_CALLS + 1):
+    for _ in range(AFFINITY_SLACK_CALLS + 1):
         made.began(home)
     assert made.choose(SERVICE, "p", ()).id != home
 
--- a/tests/unit/scheduling/test_engine_routing.py
+++ b/tests/unit/scheduling/test_engine_routing.py
@@ -7,11 +7,11 @@
 import pytest
 
 from notcharch.scheduling.engine_routing import (
-    HOME_SLACK_CALLS,
+    AFFINITY_SLACK_CALLS,
     CallRouting,
     EngineRouting,
     RoutingPolicy,
-    quick_ones,
+    fast_engines,
 )
 from notcharch.scheduling.nearness import Distance, Nearness
 
@@ -45,7 +45,7 @@
     ],
 )
 def test_engines_that_are_slower_than_others_begin_no_programs(seconds, quick):
-    found = {option.id for option in quick_ones(options(*seconds))}
+    found = {option.id for option in fast_engines(options(*seconds))}
     assert found == {f"e{place}" for place in quick}
 
 
@@ -63,7 +63,7 @@
 
 
 def test_without_the_preference_all_engines_begin_programs():
-    policy = RoutingPolicy(prefers_quick=False)
+    policy = RoutingPolicy(prefers_fast=False)
     assert len(homes(policy, options(0.2, 0.2, 0.21, 0.2, 0.27, 0.28))) == 6
 
 
@@ -102,7 +102,7 @@
     zone, region, far = (Option(name, zone=name) for name in "zyx")
     busy = msgspec.structs.replace
     assert set(homes(RoutingPolicy(), [zone, region, far])) == {"z"}
-    over = HOME_SLACK_CALLS + 1
+    over = AFFINITY_SLACK_CALLS + 1
     zone = busy(zone, in_flight=over)
     assert set(homes(RoutingPolicy(), [zone, region, far])) == {"y"}
     region = busy(region, in_flight=over)
