Call the free cache memory of an engine its headroom

Room, MemoryRoom and memory_room become Headroom, MemoryHeadroom and memory_headroom; needs_room, count_for_room, for_new and room_busy_part become needs_headroom, count_awaiting_headroom, allowed_new_programs and busy_part_threshold.

--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -13,8 +13,8 @@
 from notcharch.engines.waiting_calls import WaitingCall, WaitingCalls
 from notcharch.errors import Problem
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
-from notcharch.scheduling.memory_room import MemoryRoom
+from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
+from notcharch.scheduling.memory_headroom import MemoryHeadroom
 from notcharch.scheduling.waits import expected_wait_seconds, retry_after_seconds
 from notcharch.values.chat import TokenUsage
 from notcharch.values.identifiers import EngineName, Epoch, GrantId, Member
@@ -80,7 +80,7 @@
         """Whether operators drain the engine."""
         self._queue_limit = queue_limit
         self._waiting = WaitingCalls(order_policy)
-        self._room = MemoryRoom(order_policy)
+        self._room = MemoryHeadroom(order_policy)
         self._grants = GrantTable()
         self._grant_number = 0
         self._withdrawn: dict[CallKey, float] = {}
@@ -137,7 +137,7 @@
         """
         busy_part = len(self._grants) / self.load.slots
         cost = busy_part * self.load.mean_hold_seconds / 2
-        if self._room.for_new(busy_part) is not Room.FOR_ALL:
+        if self._room.allowed_new_programs(busy_part) is not Headroom.FOR_ALL:
             cost += self.load.mean_hold_seconds
         return self.expected_wait(len(self._waiting)) + cost
 
@@ -165,7 +165,7 @@
         answers: list[CallAnswer] = []
         while self._may_grant(now):
             busy_part = len(self._grants) / self.load.slots
-            waiting = self._waiting.grant(self._room.for_new(busy_part))
+            waiting = self._waiting.grant(self._room.allowed_new_programs(busy_part))
             if waiting is None:
                 break
             answers.append(CallAnswer(waiting.call.key, self._grant(waiting, now)))
@@ -274,7 +274,8 @@
             begun=request.begun,
             cost_tokens=uncached + request.max_tokens,
             enqueued_at=now,
-            needs_room=not request.begun and not self._room.is_small(request.service),
+            needs_headroom=not request.begun
+            and not self._room.is_small(request.service),
         )
 
     def _may_grant(self, now: float) -> bool:
--- a/notcharch/engines/waiting_calls.py
+++ b/notcharch/engines/waiting_calls.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
+from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
 from notcharch.scheduling.fair_queue import FairQueue
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.engines import EnqueueCall
@@ -71,7 +71,7 @@
         """Take the calls of one process out."""
         return self._remove(lambda waiting: waiting.request.gateway == gateway)
 
-    def grant(self, room: Room) -> WaitingCall | None:
+    def grant(self, room: Headroom) -> WaitingCall | None:
         """Take out the call that goes next, and charge its service."""
         call = self._queue.grant(room)
         return None if call is None else self._calls.pop(call.key)
--- a/notcharch/scheduling/calls.py
+++ b/notcharch/scheduling/calls.py
@@ -21,8 +21,8 @@
     attempt: AttemptNumber
 
 
-class Room(enum.Enum):
-    """For which calls that need room there is some."""
+class Headroom(enum.Enum):
+    """For which calls that need headroom there is some."""
 
     FOR_ALL = "all"
     FOR_SERVICES_BEHIND = "services behind"
@@ -36,7 +36,7 @@
 
     `cost_tokens` is charged to the service's share when the call is granted:
     the uncached part of the prompt and the expected answer. A call that
-    `needs_room` begins a program whose history needs free memory.
+    `needs_headroom` begins a program whose history needs free memory.
     """
 
     key: CallKey
@@ -47,7 +47,7 @@
     begun: bool
     cost_tokens: int
     enqueued_at: float
-    needs_room: bool = False
+    needs_headroom: bool = False
 
 
 class OrderPolicy(msgspec.Struct, frozen=True):
@@ -75,12 +75,12 @@
     free_memory_part_behind: float = 0.08
     """The same for services that have had less than their share."""
 
-    room_busy_part: float = 0.25
+    busy_part_threshold: float = 0.25
     """An engine with a smaller part of its slots in use is not busy."""
 
     small_program_part: float = 1 / 64
     """Programs of a service whose prompts are of at most this part of the memory
-    on average need no room."""
+    on average need no headroom."""
 
     def delay_seconds(self, attained_tokens: int, begun: bool) -> float:
         """Give how much later than it came a call is placed."""
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -7,13 +7,13 @@
 decides who gets how much. Within a lane: `OrderPolicy.delay_seconds`.
 
 Every operation takes O(log n) of the calls and of the services that wait; a grant
-without room looks at each service that has nothing else waiting.
+without headroom looks at each service that has nothing else waiting.
 """
 
 import msgspec
 from sortedcontainers import SortedList
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
+from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
 from notcharch.values.identifiers import ServiceName
 
 LEAST_LANES_TO_CLEAN = 32
@@ -51,12 +51,12 @@
         self.priority = 0
         self.places: SortedList[_Place] = SortedList()
         self.ready: SortedList[_Place] = SortedList()
-        """The places of calls that go without room, too."""
+        """The places of calls that go without headroom, too."""
 
-    def add(self, place: _Place, *, needs_room: bool) -> None:
+    def add(self, place: _Place, *, needs_headroom: bool) -> None:
         """Add a call's place."""
         self.places.add(place)
-        if not needs_room:
+        if not needs_headroom:
             self.ready.add(place)
 
     def remove(self, place: _Place) -> None:
@@ -106,7 +106,7 @@
         lane.share = call.share
         lane.priority = call.priority
         place = self._place_of(call)
-        lane.add(place, needs_room=call.needs_room)
+        lane.add(place, needs_headroom=call.needs_headroom)
         self._waiting[call.key] = _Waiting(call, place)
         self._list(lane)
 
@@ -121,16 +121,16 @@
         self._list(lane)
         return waiting.call
 
-    def grant(self, room: Room = Room.FOR_ALL) -> QueuedCall | None:
+    def grant(self, headroom: Headroom = Headroom.FOR_ALL) -> QueuedCall | None:
         """Take out the next call and charge its cost; None when there is none.
 
-        Calls that need room and have none are passed over and keep their places.
+        Calls that need headroom and have none are passed over and keep their places.
         """
-        lane = self._next_lane(room)
+        lane = self._next_lane(headroom)
         if lane is None:
             return None
         self._unlist(lane)
-        place = self._places_of(lane, room)[0]
+        place = self._places_of(lane, headroom)[0]
         lane.remove(place)
         call = self._waiting.pop(place.key).call
         self._virtual_time = max(self._virtual_time, lane.virtual_time)
@@ -167,8 +167,8 @@
         by_share = (same_service + 1) * other_share / call.share
         return same_service + min(by_share, of_others)
 
-    def count_for_room(self) -> int:
-        """Count the waiting calls that need room."""
+    def count_awaiting_headroom(self) -> int:
+        """Count the waiting calls that need headroom."""
         lanes = self._lanes.values()
         return sum(len(lane.places) - len(lane.ready) for lane in lanes)
 
@@ -177,17 +177,17 @@
         delay = self._policy.delay_seconds(call.attained_tokens, call.begun)
         return _Place(call.enqueued_at + delay, self._arrivals, call.key)
 
-    def _places_of(self, lane: _Lane, room: Room) -> "SortedList[_Place]":
+    def _places_of(self, lane: _Lane, headroom: Headroom) -> "SortedList[_Place]":
         """Give the places of a lane that may be granted now."""
-        if room is Room.FOR_SERVICES_BEHIND:
+        if headroom is Headroom.FOR_SERVICES_BEHIND:
             behind = lane.virtual_time < self._virtual_time
             return lane.places if behind else lane.ready
-        return lane.places if room is Room.FOR_ALL else lane.ready
+        return lane.places if headroom is Headroom.FOR_ALL else lane.ready
 
-    def _next_lane(self, room: Room) -> _Lane | None:
+    def _next_lane(self, headroom: Headroom) -> _Lane | None:
         heads: list[_Lane] = []
         for priority in sorted(self._levels):
-            first = self._first(self._levels[priority], room)
+            first = self._first(self._levels[priority], headroom)
             if first is not None:
                 heads.append(first)
         if not heads:
@@ -198,12 +198,14 @@
                 return head
         return None
 
-    def _first(self, level: "SortedList[_LanePlace]", room: Room) -> _Lane | None:
+    def _first(
+        self, level: "SortedList[_LanePlace]", headroom: Headroom
+    ) -> _Lane | None:
         """Give the level's lane that is furthest behind and has a call to grant."""
-        if room is Room.FOR_ALL:
+        if headroom is Headroom.FOR_ALL:
             return self._lanes[level[0].service]
         lanes = (self._lanes[place.service] for place in level)
-        return next((lane for lane in lanes if self._places_of(lane, room)), None)
+        return next((lane for lane in lanes if self._places_of(lane, headroom)), None)
 
     def _list(self, lane: _Lane) -> None:
         if lane.places:
--- a/notcharch/scheduling/memory_room.py
+++ b/notcharch/scheduling/memory_headroom.py
@@ -1,4 +1,4 @@
-"""Whether an engine has room for the history of one more program. Pure.
+"""Whether an engine has headroom for the history of one more program. Pure.
 
 A program that has begun comes back for its history. When every block is in use, a
 new program's history displaces one that will be computed again, which takes engine
@@ -9,7 +9,7 @@
 
 from typing import Protocol
 
-from notcharch.scheduling.calls import OrderPolicy, Room
+from notcharch.scheduling.calls import Headroom, OrderPolicy
 from notcharch.values.identifiers import ServiceName
 
 MEAN_WEIGHT = 0.05
@@ -31,11 +31,11 @@
         """Tokens in a block."""
 
 
-class MemoryRoom:
+class MemoryHeadroom:
     """The free memory of one engine, in tokens."""
 
     def __init__(self, policy: OrderPolicy) -> None:
-        """Know nothing: there is room until a report says otherwise."""
+        """Know nothing: there is headroom until a report says otherwise."""
         self._policy = policy
         self._total = 0
         self._free = 0
@@ -62,12 +62,12 @@
         mean = self._mean_prompts.get(service, 0.0)
         return mean <= self._total * self._policy.small_program_part
 
-    def for_new(self, busy_part: float) -> Room:
+    def allowed_new_programs(self, busy_part: float) -> Headroom:
         """Tell which new programs may begin while so much of the engine is busy."""
-        if self._total == 0 or busy_part < self._policy.room_busy_part:
-            return Room.FOR_ALL
+        if self._total == 0 or busy_part < self._policy.busy_part_threshold:
+            return Headroom.FOR_ALL
         if self._free >= self._total * self._policy.free_memory_part:
-            return Room.FOR_ALL
+            return Headroom.FOR_ALL
         if self._free >= self._total * self._policy.free_memory_part_behind:
-            return Room.FOR_SERVICES_BEHIND
-        return Room.FOR_NONE
+            return Headroom.FOR_SERVICES_BEHIND
+        return Headroom.FOR_NONE
--- a/tests/stateful/engines/queue_oracle.py
+++ b/tests/stateful/engines/queue_oracle.py
@@ -2,7 +2,7 @@
 
 from fractions import Fraction
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
+from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
 
 
 class QueueOracle:
@@ -34,13 +34,13 @@
     def of_service(self, service: str) -> list[QueuedCall]:
         return [call for call in self.calls if call.service == service]
 
-    def has_room(self, call: QueuedCall, room: Room) -> bool:
-        if not call.needs_room or room is Room.FOR_ALL:
+    def has_room(self, call: QueuedCall, room: Headroom) -> bool:
+        if not call.needs_headroom or room is Headroom.FOR_ALL:
             return True
         behind = self.virtual_times[call.service] < self.virtual_time
-        return behind and room is Room.FOR_SERVICES_BEHIND
+        return behind and room is Headroom.FOR_SERVICES_BEHIND
 
-    def grant(self, room: Room = Room.FOR_ALL) -> QueuedCall | None:
+    def grant(self, room: Headroom = Headroom.FOR_ALL) -> QueuedCall | None:
         eligible = [call for call in self.calls if self.has_room(call, room)]
         if not eligible:
             return None
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from notcharch.scheduling.calls import CallKey, OrderPolicy, QueuedCall, Room
+from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
 from notcharch.scheduling.fair_queue import FairQueue, _Lane
 from tests.stateful.engines.queue_oracle import QueueOracle
 
@@ -57,7 +57,7 @@
             begun=begun,
             cost_tokens=cost,
             enqueued_at=self.now,
-            needs_room=large,
+            needs_headroom=large,
         )
         self.known.append(call)
         self.queue.enqueue(call)
@@ -77,7 +77,7 @@
         self.queue.enqueue(call)
         self.oracle.enqueue(call)
 
-    @rule(room=st.sampled_from(Room))
+    @rule(room=st.sampled_from(Headroom))
     def grant(self, room):
         expected = self.oracle.grant(room)
         assert self.queue.grant(room) == expected
@@ -110,7 +110,7 @@
         assert ahead == list(range(len(self.oracle.calls)))
 
     def teardown(self):
-        for room in (Room.FOR_NONE, Room.FOR_SERVICES_BEHIND):
+        for room in (Headroom.FOR_NONE, Headroom.FOR_SERVICES_BEHIND):
             while (expected := self.oracle.grant(room)) is not None:
                 assert self.queue.grant(room) == expected
             assert self.queue.grant(room) is None
@@ -213,8 +213,8 @@
     original = FairQueue._places_of
 
     def places(self, lane, room):
-        behind = room is Room.FOR_SERVICES_BEHIND
-        return original(self, lane, Room.FOR_ALL if behind else room)
+        behind = room is Headroom.FOR_SERVICES_BEHIND
+        return original(self, lane, Headroom.FOR_ALL if behind else room)
 
     monkeypatch.setattr(FairQueue, "_places_of", places)
 
@@ -223,7 +223,7 @@
     original = FairQueue._first
 
     def first(self, level, room):
-        lane = original(self, level, Room.FOR_ALL)
+        lane = original(self, level, Headroom.FOR_ALL)
         return lane if lane is not None and self._places_of(lane, room) else None
 
     monkeypatch.setattr(FairQueue, "_first", first)
--- a/tests/unit/engines/test_quoted_wait.py
+++ b/tests/unit/engines/test_quoted_wait.py
@@ -12,7 +12,7 @@
 SLOTS = 8
 TOTAL_BLOCKS = 1000
 POLICY = OrderPolicy(
-    free_memory_part=0.3, free_memory_part_behind=0.1, room_busy_part=0.25
+    free_memory_part=0.3, free_memory_part_behind=0.1, busy_part_threshold=0.25
 )
 
 
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -213,10 +213,10 @@
 def test_where_an_engine_is_only_doubted_all_daemons_share_the_whole_bound():
     members = names(69)
     views = [View(name, members) for name in members]
-    rooms = [
+    delays = [
         ColdEngineLimiter(ColdPolicy(TOLERANCE), view).seconds_until_send(
             "e", LIMIT, 10.0, is_only_suspected=True
         )
         for view in views
     ]
-    assert sum(room is not None for room in rooms) == BOUND
+    assert sum(delay is not None for delay in delays) == BOUND
--- a/tests/unit/scheduling/test_memory_room.py
+++ b/tests/unit/scheduling/test_memory_headroom.py
@@ -1,16 +1,16 @@
-"""When an engine has room for a new program's history."""
+"""When an engine has headroom for a new program's history."""
 
 import pytest
 
 from notcharch.clients.ports import EngineLoad, MachineState
-from notcharch.scheduling.calls import OrderPolicy, Room
-from notcharch.scheduling.memory_room import MemoryRoom
+from notcharch.scheduling.calls import Headroom, OrderPolicy
+from notcharch.scheduling.memory_headroom import MemoryHeadroom
 from notcharch.values.identifiers import ServiceName
 
 POLICY = OrderPolicy(
     free_memory_part=0.2,
     free_memory_part_behind=0.1,
-    room_busy_part=0.25,
+    busy_part_threshold=0.25,
     small_program_part=1 / 64,
 )
 CHAIN = ServiceName("chain")
@@ -32,8 +32,8 @@
     )
 
 
-def room(free_blocks: int, total_blocks: int = 1000) -> MemoryRoom:
-    built = MemoryRoom(POLICY)
+def headroom(free_blocks: int, total_blocks: int = 1000) -> MemoryHeadroom:
+    built = MemoryHeadroom(POLICY)
     built.learn_report(report(free_blocks, total_blocks))
     return built
 
@@ -41,36 +41,36 @@
 @pytest.mark.parametrize(
     ("free_blocks", "busy_part", "expected"),
     [
-        (200, 1.0, Room.FOR_ALL),
-        (199, 1.0, Room.FOR_SERVICES_BEHIND),
-        (100, 1.0, Room.FOR_SERVICES_BEHIND),
-        (99, 1.0, Room.FOR_NONE),
-        (0, 0.25, Room.FOR_NONE),
-        (0, 0.24, Room.FOR_ALL),
-        (1000, 1.0, Room.FOR_ALL),
+        (200, 1.0, Headroom.FOR_ALL),
+        (199, 1.0, Headroom.FOR_SERVICES_BEHIND),
+        (100, 1.0, Headroom.FOR_SERVICES_BEHIND),
+        (99, 1.0, Headroom.FOR_NONE),
+        (0, 0.25, Headroom.FOR_NONE),
+        (0, 0.24, Headroom.FOR_ALL),
+        (1000, 1.0, Headroom.FOR_ALL),
     ],
 )
 def test_a_busy_engine_needs_free_memory(free_blocks, busy_part, expected):
-    assert room(free_blocks).for_new(busy_part) is expected
+    assert headroom(free_blocks).allowed_new_programs(busy_part) is expected
 
 
 def test_an_engine_that_is_unknown_or_has_no_cache_has_room():
-    assert MemoryRoom(POLICY).for_new(1.0) is Room.FOR_ALL
-    assert room(0, total_blocks=0).for_new(1.0) is Room.FOR_ALL
+    assert MemoryHeadroom(POLICY).allowed_new_programs(1.0) is Headroom.FOR_ALL
+    assert headroom(0, total_blocks=0).allowed_new_programs(1.0) is Headroom.FOR_ALL
 
 
 def test_grants_since_the_report_take_memory_until_the_next_report():
-    limited = room(210)
+    limited = headroom(210)
     limited.note_grant(CHAIN, 6000, 640)
-    assert limited.for_new(1.0) is Room.FOR_ALL
+    assert limited.allowed_new_programs(1.0) is Headroom.FOR_ALL
     limited.note_grant(CHAIN, 6000, 1)
-    assert limited.for_new(1.0) is not Room.FOR_ALL
+    assert limited.allowed_new_programs(1.0) is not Headroom.FOR_ALL
     limited.learn_report(report(210))
-    assert limited.for_new(1.0) is Room.FOR_ALL
+    assert limited.allowed_new_programs(1.0) is Headroom.FOR_ALL
 
 
 def test_a_service_is_small_by_its_prompts_so_far():
-    limited = room(0)
+    limited = headroom(0)
     assert limited.is_small(CHAIN)
     limited.note_grant(CHAIN, 1000, 1000)
     assert limited.is_small(CHAIN)
