Name what daemons share about suspected engines and drained zones

SharedSuspicions.tell and take become to_send and merge, MOST_TOLD, MOST_SECONDS, LEAST_TOLD_SECONDS, MOST_PART and OWN_ANSWER_SECONDS MAX_SUSPICIONS_PER_MESSAGE, MAX_SUSPICION_SECONDS, MIN_SHARED_SECONDS, MAX_SUSPECTED_SHARE and LOCAL_RESPONSE_SECONDS. A drain that is given back is cancelled: DrainChange has cancelled and has_changes; ZoneDrains.take becomes update. ColdLimit.is_any becomes is_enabled. The field given_back of the event ZonesDrained stays.

--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -86,11 +86,11 @@
         self, account: Account
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
         clock = self._owners.clock
-        told = self._suspicions.tell(clock.seconds())
+        told = self._suspicions.to_send(clock.seconds())
         message = account.admit_message(told)
         answer = yield self._owners.ask(account.partition, message)
         if isinstance(answer, TurnAdmitted):
-            self._suspicions.take(answer.suspicions, clock.seconds())
+            self._suspicions.merge(answer.suspicions, clock.seconds())
             return account.whole_body(answer)
         if not isinstance(answer, TurnRefused):
             return None
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -142,9 +142,9 @@
         self, owned: OwnedPartition, ask: AdmitTurn
     ) -> Generator["Deferred[Any]", Any, Message]:
         """Admit a call, and share with the asker which engines are suspected."""
-        self._suspicions.take(ask.suspicions, self._clock.seconds())
+        self._suspicions.merge(ask.suspicions, self._clock.seconds())
         answer: Message = yield owned.admit(ask)
-        told = self._suspicions.tell(self._clock.seconds())
+        told = self._suspicions.to_send(self._clock.seconds())
         if told and isinstance(answer, TurnAdmitted):
             return msgspec.structs.replace(answer, suspicions=told)
         return answer
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -100,11 +100,11 @@
         Engines of a zone that is given back may have turned cold before their entries
         say so.
         """
-        change = self.drains.take(newer, now)
+        change = self.drains.update(newer, now)
         if change is None:
             return None
         for state in states:
-            if state.engine.zone in change.given_back:
+            if state.engine.zone in change.cancelled:
                 limit = self._limit(state.engine.service)
                 state.warmth.assume_cold(now + limit.seconds)
         return change
@@ -145,7 +145,7 @@
         self, service: str, states: Sequence[Standing], now: float
     ) -> Sequence[Standing]:
         """Leave out cold engines, but where too few are warm those that we may feed."""
-        if not self._limit(service).is_any:
+        if not self._limit(service).is_enabled:
             return states
         warm = [state for state in states if not state.warmth.is_cold(now)]
         if len(warm) == len(states) or len(warm) >= WARM_SHARE * len(states):
@@ -183,7 +183,9 @@
         staying = [state for state in resident if self.takes_calls(state.engine)]
         if not staying:
             zones = {state.engine.zone for state in resident}
-            return NoEngine(Cause.DRAINED, self.drains.seconds(zones, now))
+            return NoEngine(
+                Cause.DRAINED, self.drains.longest_drain_seconds(zones, now)
+            )
         if all(state.warmth.is_cold(now) for state in staying):
             return NoEngine(Cause.COLD, min(self._open_in(s, now) for s in staying))
         return NoEngine(Cause.NONE_LISTED)
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -22,8 +22,8 @@
 )
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import (
-    MOST_PART,
-    OWN_ANSWER_SECONDS,
+    LOCAL_RESPONSE_SECONDS,
+    MAX_SUSPECTED_SHARE,
     SharedSuspicions,
 )
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones
@@ -231,11 +231,11 @@
         if not self._suspicions.has_any:
             return states
         left = [state for state in states if not self._is_suspected(state, now)]
-        too_many = len(states) - len(left) > MOST_PART * len(states)
+        too_many = len(states) - len(left) > MAX_SUSPECTED_SHARE * len(states)
         return states if too_many else left
 
     def _is_suspected(self, state: EngineState, now: float) -> bool:
-        if state.health.responded_within(now, OWN_ANSWER_SECONDS):
+        if state.health.responded_within(now, LOCAL_RESPONSE_SECONDS):
             return False
         return self._suspicions.is_suspected(state.id, now)
 
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -62,11 +62,11 @@
         return
     DRAINS_POSITION.set(newer.position)
     DRAINED_ZONES.set(len(newer.zones))
-    if change.is_any:
+    if change.has_changes:
         emit(
             ZonesDrained(
                 drained=sorted(change.drained),
-                given_back=sorted(change.given_back),
+                given_back=sorted(change.cancelled),
                 in_force=sorted(newer.zones),
                 position=newer.position,
                 is_from_peer=is_from_peer,
--- a/notcharch/placement/engine_directory.py
+++ b/notcharch/placement/engine_directory.py
@@ -42,8 +42,8 @@
 
     def drain_zones(self, drained: DrainedZones, now: float) -> DrainChange | None:
         """Give the engines of some zones no new work; None if the set is an old one."""
-        change = self._drains.take(drained, now)
-        if change is not None and change.is_any:
+        change = self._drains.update(drained, now)
+        if change is not None and change.has_changes:
             self._update()
         return change
 
--- a/notcharch/scheduling/cold_engines.py
+++ b/notcharch/scheduling/cold_engines.py
@@ -36,7 +36,7 @@
     calls_per_second: float = 0.0
 
     @property
-    def is_any(self) -> bool:
+    def is_enabled(self) -> bool:
         """Whether engines of the service are ever cold."""
         return self.seconds > 0.0 and self.calls_per_second > 0.0
 
@@ -166,7 +166,7 @@
 
     def sent(self, engine: str, limit: ColdLimit, now: float) -> None:
         """Note a call to an engine, cold or not: it may turn cold within the second."""
-        if not limit.is_any:
+        if not limit.is_enabled:
             return
         times = self._sent.setdefault(engine, deque())
         times.append(now)
--- a/notcharch/scheduling/shared_suspicions.py
+++ b/notcharch/scheduling/shared_suspicions.py
@@ -8,15 +8,15 @@
 
 import msgspec
 
-MOST_TOLD = 4
+MAX_SUSPICIONS_PER_MESSAGE = 4
 """So many engines are told of at a time."""
-MOST_SECONDS = 4.0
+MAX_SUSPICION_SECONDS = 4.0
 """What a peer tells is believed for no longer."""
-OWN_ANSWER_SECONDS = 1.0
+LOCAL_RESPONSE_SECONDS = 1.0
 """Own answers of an engine that are this young count for more than what peers tell."""
-LEAST_TOLD_SECONDS = 0.1
+MIN_SHARED_SECONDS = 0.1
 """A suspicion that ends sooner isn't told."""
-MOST_PART = 1 / 3
+MAX_SUSPECTED_SHARE = 1 / 3
 """When peers suspect more of the engines than this, something else is wrong."""
 
 
@@ -41,20 +41,20 @@
         if self._is_shared:
             self._until[engine] = max(until, self._until.get(engine, 0.0))
 
-    def take(self, told: tuple[Suspicion, ...], now: float) -> None:
+    def merge(self, received: tuple[Suspicion, ...], now: float) -> None:
         """Take what a peer tells."""
-        for suspicion in told:
-            seconds = min(suspicion.seconds, MOST_SECONDS)
+        for suspicion in received:
+            seconds = min(suspicion.seconds, MAX_SUSPICION_SECONDS)
             self.suspect(suspicion.engine, now + seconds)
 
-    def tell(self, now: float) -> tuple[Suspicion, ...]:
+    def to_send(self, now: float) -> tuple[Suspicion, ...]:
         """Give what to tell a peer: the longest suspicions."""
         self._forget(now)
         longest = sorted(self._until.items(), key=lambda item: item[1], reverse=True)
         return tuple(
             Suspicion(engine, round(until - now, 2))
-            for engine, until in longest[:MOST_TOLD]
-            if until - now >= LEAST_TOLD_SECONDS
+            for engine, until in longest[:MAX_SUSPICIONS_PER_MESSAGE]
+            if until - now >= MIN_SHARED_SECONDS
         )
 
     def _forget(self, now: float) -> None:
--- a/notcharch/scheduling/zone_drains.py
+++ b/notcharch/scheduling/zone_drains.py
@@ -24,12 +24,12 @@
     """What a newer set changes."""
 
     drained: frozenset[str]
-    given_back: frozenset[str]
+    cancelled: frozenset[str]
 
     @property
-    def is_any(self) -> bool:
+    def has_changes(self) -> bool:
         """Whether the newer set differs at all."""
-        return bool(self.drained or self.given_back)
+        return bool(self.drained or self.cancelled)
 
 
 class ZoneDrains:
@@ -46,7 +46,7 @@
         """Whether any set was read."""
         return self.current.position > UNKNOWN_POSITION
 
-    def take(self, newer: DrainedZones, now: float) -> DrainChange | None:
+    def update(self, newer: DrainedZones, now: float) -> DrainChange | None:
         """Take a set; None if it is older than the one that is known.
 
         An old one comes from a log that was compacted and answers behind its newest
@@ -59,7 +59,7 @@
         change = DrainChange(newer.zones - former, former - newer.zones)
         for zone in change.drained:
             self._since[zone] = now
-        for zone in change.given_back:
+        for zone in change.cancelled:
             self._since.pop(zone, None)
         return change
 
@@ -67,7 +67,7 @@
         """Tell whether the engines of a zone get no new call."""
         return zone in self.current.zones
 
-    def seconds(self, zones: Iterable[str], now: float) -> float:
+    def longest_drain_seconds(self, zones: Iterable[str], now: float) -> float:
         """Give for how long the longest drained of some zones has been; 0 if none is."""
         known = (now - self._since[zone] for zone in zones if zone in self._since)
         return max(known, default=0.0)
--- a/tests/unit/calls/test_early_ends.py
+++ b/tests/unit/calls/test_early_ends.py
@@ -47,7 +47,7 @@
     drained(world, "z")
     world.sent[0].listener.withdrawn()
     drains = world.pool.eligibility.drains
-    drains.take(DrainedZones(frozenset(), 2), world.clock.seconds())
+    drains.update(DrainedZones(frozenset(), 2), world.clock.seconds())
     assert world.pool.choose(SERVICE, "", ()).id == "a"
 
 
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -23,9 +23,9 @@
 )
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import (
-    MOST_SECONDS,
-    MOST_TOLD,
-    OWN_ANSWER_SECONDS,
+    LOCAL_RESPONSE_SECONDS,
+    MAX_SUSPICION_SECONDS,
+    MAX_SUSPICIONS_PER_MESSAGE,
     SharedSuspicions,
     Suspicion,
 )
@@ -237,7 +237,7 @@
     suspicions = SharedSuspicions()
     made = EnginePool(clock, Nearness("z"), Random(1), suspicions=suspicions)
     made.replace([engine(name) for name in "abcdef"])
-    suspicions.take(tuple(Suspicion(name, 2.0) for name in names), clock.seconds())
+    suspicions.merge(tuple(Suspicion(name, 2.0) for name in names), clock.seconds())
     return made, clock, suspicions
 
 
@@ -252,7 +252,7 @@
     made, clock, _ = suspecting("a")
     served(made, clock, "a", 0.05)
     assert made.choose(SERVICE, "p", (), "a").id == "a"
-    clock.advance(OWN_ANSWER_SECONDS)
+    clock.advance(LOCAL_RESPONSE_SECONDS)
     assert made.choose(SERVICE, "p", (), "a").id != "a"
 
 
@@ -264,27 +264,27 @@
 def test_own_failures_are_told_and_what_is_told_only_gets_shorter():
     made, clock, suspicions = suspecting()
     made.failed("b")
-    assert suspicions.tell(clock.seconds()) == (Suspicion("b", 1.0),)
+    assert suspicions.to_send(clock.seconds()) == (Suspicion("b", 1.0),)
     clock.advance(0.4)
-    assert suspicions.tell(clock.seconds()) == (Suspicion("b", 0.6),)
+    assert suspicions.to_send(clock.seconds()) == (Suspicion("b", 0.6),)
     clock.advance(0.6)
-    assert suspicions.tell(clock.seconds()) == ()
+    assert suspicions.to_send(clock.seconds()) == ()
     assert not suspicions.has_any
 
 
 def test_little_is_told_and_nothing_is_believed_for_long():
     now = 5.0
     board = SharedSuspicions()
-    board.take(tuple(Suspicion(f"e{n}", 100.0 + n) for n in range(20)), now)
-    assert len(board.tell(now)) == MOST_TOLD
-    assert not board.is_suspected("e1", now + MOST_SECONDS)
+    board.merge(tuple(Suspicion(f"e{n}", 100.0 + n) for n in range(20)), now)
+    assert len(board.to_send(now)) == MAX_SUSPICIONS_PER_MESSAGE
+    assert not board.is_suspected("e1", now + MAX_SUSPICION_SECONDS)
 
 
 def test_without_sharing_nothing_is_told_or_believed():
     board = SharedSuspicions(is_shared=False)
     board.suspect("a", 10.0)
-    board.take((Suspicion("b", 2.0),), 0.0)
-    assert board.tell(0.0) == ()
+    board.merge((Suspicion("b", 2.0),), 0.0)
+    assert board.to_send(0.0) == ()
     assert not board.has_any
 
 
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -101,7 +101,7 @@
     entry = {"version": 7, "routes": [ROUTE], "services": [SERVICE | cold]}
     read = table_of(msgspec.json.encode(entry | {"limits": LIMITS}))
     assert read.services["s"].cold == ColdLimit(3.0, 25.0)
-    assert not table().services["s"].cold.is_any
+    assert not table().services["s"].cold.is_enabled
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/scheduling/test_zone_drains.py
+++ b/tests/unit/scheduling/test_zone_drains.py
@@ -16,7 +16,7 @@
 
 
 @pytest.mark.parametrize(
-    ("newer", "drained", "given_back"),
+    ("newer", "drained", "cancelled"),
     [
         (zones(5, "a"), "", ""),
         (zones(6, "a"), "", ""),
@@ -25,28 +25,28 @@
         (zones(6, "b"), "b", "a"),
     ],
 )
-def test_a_newer_set_tells_what_it_changes(newer, drained, given_back):
+def test_a_newer_set_tells_what_it_changes(newer, drained, cancelled):
     drains = ZoneDrains()
-    drains.take(zones(5, "a"), 0.0)
-    change = drains.take(newer, 1.0)
-    assert change == DrainChange(frozenset(drained), frozenset(given_back))
-    assert change.is_any is bool(drained or given_back)
+    drains.update(zones(5, "a"), 0.0)
+    change = drains.update(newer, 1.0)
+    assert change == DrainChange(frozenset(drained), frozenset(cancelled))
+    assert change.has_changes is bool(drained or cancelled)
     assert drains.current == newer
 
 
 def test_an_older_set_is_not_taken():
     drains = ZoneDrains()
-    drains.take(zones(5, "a"), 0.0)
-    assert drains.take(zones(4), 1.0) is None
+    drains.update(zones(5, "a"), 0.0)
+    assert drains.update(zones(4), 1.0) is None
     assert drains.is_drained("a")
 
 
 def test_a_drain_lasts_from_when_it_was_seen_first():
     drains = ZoneDrains()
-    drains.take(zones(1, "a"), 10.0)
-    drains.take(zones(2, "a", "b"), 14.0)
-    assert drains.seconds(("a", "b"), 15.0) == 5.0
-    assert drains.seconds(("b", "c"), 15.0) == 1.0
-    drains.take(zones(3, "b"), 16.0)
-    assert drains.seconds(("a",), 17.0) == 0.0
-    assert drains.seconds((), 17.0) == 0.0
+    drains.update(zones(1, "a"), 10.0)
+    drains.update(zones(2, "a", "b"), 14.0)
+    assert drains.longest_drain_seconds(("a", "b"), 15.0) == 5.0
+    assert drains.longest_drain_seconds(("b", "c"), 15.0) == 1.0
+    drains.update(zones(3, "b"), 16.0)
+    assert drains.longest_drain_seconds(("a",), 17.0) == 0.0
+    assert drains.longest_drain_seconds((), 17.0) == 0.0
--- a/tests/unit/tenants/test_vouching.py
+++ b/tests/unit/tenants/test_vouching.py
@@ -35,7 +35,7 @@
             table=lambda: str(self.freshness.version).encode(),
             take=self.take,
             drained=lambda: self.drains.current,
-            take_drained=lambda newer: self.drains.take(newer, 0.0),
+            take_drained=lambda newer: self.drains.update(newer, 0.0),
         )
         self.vouching.start()
 
@@ -143,7 +143,7 @@
     world = World()
     world.asker.reads(3)
     world.served.reads(3)
-    world.served.drains.take(DrainedZones(frozenset({"z-1"}), 9), 0.0)
+    world.served.drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
     world.run(ASK_AT_AGE + 4 * LOOK_SECONDS, reader=world.served)
     assert world.asker.drains.current == DrainedZones(frozenset({"z-1"}), 9)
 
@@ -152,6 +152,6 @@
     world = World()
     world.asker.reads(3)
     for name in NAMES[1:]:
-        world.daemons[name].drains.take(DrainedZones(frozenset({"z-1"}), 9), 0.0)
+        world.daemons[name].drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
     world.run(ASK_AT_AGE + 4 * LOOK_SECONDS)
     assert world.asker.drains.is_drained("z-1")
