Speak of first response times where overdue calls are detected

AnswerWaits, RouteWaits and WaitPolicy become FirstResponseTimes, RouteResponseTimes and OverduePolicy in first_response_times; answered becomes record, watches_overdue detects_overdue; LEAST_, MOST_ and ANSWERS in constants become MIN_, MAX_ and RESPONSES.

--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -18,7 +18,7 @@
 from notcharch.calls.overdue import OverdueWatch
 from notcharch.http.client import AnswerFailure
 from notcharch.http.messages import ResponseHead
-from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.first_response_times import RouteResponseTimes
 
 CLIENT_ERRORS = 400
 OVERDUE = "its first answer was overdue"
@@ -32,7 +32,7 @@
     sender: EngineSender
     dialect: EngineDialect
     admission: Admission
-    waits: RouteWaits
+    waits: RouteResponseTimes
 
 
 class RunListener(Protocol):
--- a/notcharch/calls/overdue.py
+++ b/notcharch/calls/overdue.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.first_response_times import RouteResponseTimes
 
 
 class OverdueWatch:
@@ -13,7 +13,7 @@
     def __init__(
         self,
         clock: IReactorTime,
-        waits: RouteWaits,
+        waits: RouteResponseTimes,
         route: str,
         overdue: Callable[[], None],
     ) -> None:
@@ -40,7 +40,7 @@
         """Learn from the first answer of a run; later ones say nothing."""
         if self._sent_at is not None:
             waited = self._clock.seconds() - self._sent_at
-            self._waits.of(self._route).answered(waited)
+            self._waits.of(self._route).record(waited)
         self.stop()
 
     def take_retry(self) -> bool:
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -3,10 +3,10 @@
 from collections.abc import Collection
 
 from notcharch.calls.engines import PoolPolicy
-from notcharch.scheduling.answer_waits import WaitPolicy
 from notcharch.scheduling.cold_engines import ColdPolicy, ColdTolerance
 from notcharch.scheduling.engine_health import HealthPolicy
 from notcharch.scheduling.engine_routing import RoutingPolicy
+from notcharch.scheduling.first_response_times import OverduePolicy
 from notcharch.settings.mechanisms import Mechanism
 
 LEARNING_SECONDS = 1.0
@@ -41,9 +41,9 @@
     )
 
 
-def wait_policy(mechanisms: Collection[Mechanism]) -> WaitPolicy:
+def wait_policy(mechanisms: Collection[Mechanism]) -> OverduePolicy:
     """Give whether overdue calls are looked after."""
-    return WaitPolicy(watches_overdue=Mechanism.OVERDUE in mechanisms)
+    return OverduePolicy(detects_overdue=Mechanism.OVERDUE in mechanisms)
 
 
 def cold_policy(
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -47,7 +47,7 @@
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables
-from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import (
@@ -148,7 +148,7 @@
                 sender=sender,
                 dialect=PlatformEngines(),
                 admission=self._accounts.admission,
-                waits=RouteWaits(wait_policy(mechanisms)),
+                waits=RouteResponseTimes(wait_policy(mechanisms)),
             ),
             self._check,
         )
--- a/tests/unit/calls/test_call_life.py
+++ b/tests/unit/calls/test_call_life.py
@@ -4,8 +4,8 @@
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import AnswerFailure
-from notcharch.scheduling.answer_waits import LEAST_LIMIT_SECONDS
 from notcharch.scheduling.engine_health import MIN_SILENCE_SECONDS
+from notcharch.scheduling.first_response_times import MIN_LIMIT_SECONDS
 from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -70,12 +70,12 @@
     assert 0.0 < health.event_interval_seconds <= 0.1
 
 
-OVERDUE_SECONDS = LEAST_LIMIT_SECONDS + 0.01
+OVERDUE_SECONDS = MIN_LIMIT_SECONDS + 0.01
 
 
 def test_an_overdue_call_that_may_be_repeated_goes_to_another_engine():
     world = World(is_repeatable=True, most_engines=2, usual_answers=50)
-    world.clock.advance(LEAST_LIMIT_SECONDS - 0.01)
+    world.clock.advance(MIN_LIMIT_SECONDS - 0.01)
     assert len(world.sent) == 1
     world.clock.advance(0.02)
     first, second = world.sent
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -16,7 +16,7 @@
 )
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.http.messages import RequestHead, ResponseHead
-from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
+from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 
 SERVICE = "s"
@@ -154,9 +154,9 @@
         self.pool = engine_pool(self.clock, engines)
         self.sender = Sender()
         self.reply = Reply()
-        self.waits = RouteWaits(WaitPolicy())
+        self.waits = RouteResponseTimes(OverduePolicy())
         for _ in range(changes.pop("usual_answers", 0)):
-            self.waits.of("r").answered(USUAL_SECONDS)
+            self.waits.of("r").record(USUAL_SECONDS)
         self.admission = changes.pop("admission", None) or OpenAdmission()
         settings = {
             "name": "r",
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -13,7 +13,7 @@
 from notcharch.platform.configuration import table_of
 from notcharch.platform.headers import PlatformEngines
 from notcharch.platform.ingress import Ingress
-from notcharch.scheduling.answer_waits import RouteWaits, WaitPolicy
+from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.tenants.freshness import TableFreshness
 from tests.unit.calls.world import Sender, engine_pool
 from tests.unit.events.capture import captured
@@ -54,7 +54,7 @@
             sender=self.sender,
             dialect=PlatformEngines(),
             admission=OpenAdmission(),
-            waits=RouteWaits(WaitPolicy()),
+            waits=RouteResponseTimes(OverduePolicy()),
         )
         ingress = Ingress(services, CallerCheck(clock, TableFreshness(None)))
         ingress.router = Router(table_of(msgspec.json.encode(TABLE | changes)))
--- a/tests/unit/settings/test_mechanisms.py
+++ b/tests/unit/settings/test_mechanisms.py
@@ -8,7 +8,7 @@
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.policies import pool_policy, wait_policy
 from notcharch.platform.command import read_arguments
-from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 from notcharch.settings.mechanisms import (
     ALL_MECHANISMS,
@@ -90,7 +90,7 @@
 
 @pytest.mark.parametrize(("without", "has_limit"), [("", True), ("overdue", False)])
 def test_overdue(without, has_limit):
-    waits = RouteWaits(wait_policy(mechanisms_without(without)))
+    waits = RouteResponseTimes(wait_policy(mechanisms_without(without)))
     for _ in range(20):
-        waits.of("r").answered(0.1)
+        waits.of("r").record(0.1)
     assert (waits.limit_seconds("r") is not None) is has_limit
