Name requests, occupancy and states in the choice of engines and its parts

AskForGrant, AskForQuotes and NoEngineLeft become RequestGrant, RequestQuotes and NoEngineAvailable, GREATEST_ASKS and GREATEST_STEPS MAX_GRANT_REQUESTS and MAX_STEPS. MeanHold becomes MeanOccupancy, hold_seconds occupancy_seconds, FairQueue.settle correct_charge, and the breaker's life is its state machine.

--- a/notcharch/engines/call_placement.py
+++ b/notcharch/engines/call_placement.py
@@ -9,10 +9,10 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.scheduling.engine_choice import EngineOption
 from notcharch.scheduling.engine_chooser import (
-    AskForGrant,
-    AskForQuotes,
     EngineChooser,
-    NoEngineLeft,
+    NoEngineAvailable,
+    RequestGrant,
+    RequestQuotes,
 )
 from notcharch.scheduling.engine_pool import EnginePool
 from notcharch.table.interface import ServiceRow
@@ -122,18 +122,18 @@
             engines = pool.without(self._call.avoid)
             step = self._chooser.next_step(engines)
             match step:
-                case AskForGrant():
+                case RequestGrant():
                     granted = await self._ask(step)
                     if granted is not None:
                         await self._move(step, granted)
                         return Ok(granted)
-                case AskForQuotes():
+                case RequestQuotes():
                     await self._quote(step.engines)
-                case NoEngineLeft():
+                case NoEngineAvailable():
                     if not await self._pause(step):
                         return Err(_final_problem(step))
 
-    async def _move(self, step: AskForGrant, granted: CallGranted) -> None:
+    async def _move(self, step: RequestGrant, granted: CallGranted) -> None:
         if not step.move_prefix:
             return
         try:
@@ -142,7 +142,7 @@
             self._tools.give_back(granted, None, engine_failed=False)
             raise
 
-    async def _ask(self, step: AskForGrant) -> CallGranted | None:
+    async def _ask(self, step: RequestGrant) -> CallGranted | None:
         left = max(0.0, self._give_up_at - self._tools.seconds())
         request = self._enqueue_request(step, left)
         try:
@@ -206,7 +206,7 @@
                 )
             )
 
-    async def _pause(self, step: NoEngineLeft) -> bool:
+    async def _pause(self, step: NoEngineAvailable) -> bool:
         """Wait a moment if engines may become usable; False to give up now."""
         if step.retry_after is not None:
             return False
@@ -223,7 +223,7 @@
     def _may_pause(self) -> bool:
         return self._pauses < GREATEST_PAUSES and self._tools.may_retry()
 
-    def _enqueue_request(self, step: AskForGrant, left: float) -> EnqueueCall:
+    def _enqueue_request(self, step: RequestGrant, left: float) -> EnqueueCall:
         admitted, row = self._call.admitted, self._call.row
         prefix = admitted.prefix
         held = prefix is not None and prefix.engine == step.engine
@@ -247,7 +247,7 @@
         )
 
 
-def _final_problem(step: NoEngineLeft) -> Problem:
+def _final_problem(step: NoEngineAvailable) -> Problem:
     if step.retry_after is not None:
         return Problem.of(
             ProblemCode.OVERLOADED,
--- a/notcharch/engines/engine_load.py
+++ b/notcharch/engines/engine_load.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from notcharch.clients.ports import EngineLoad, MachineState
-from notcharch.scheduling.waits import MeanHold, SlotLoad
+from notcharch.scheduling.waits import MeanOccupancy, SlotLoad
 
 REPORT_LAG_SECONDS = 5.0
 RUNS_KEPT_SECONDS = 60.0
@@ -47,7 +47,7 @@
         self._counts: deque[_GrantCount] = deque()
         self._foreign = 0
         self._runs: deque[_RunCount] = deque()
-        self._hold = MeanHold()
+        self._hold = MeanOccupancy()
 
     @property
     def report(self) -> EngineLoad | None:
--- a/notcharch/engines/waiting_calls.py
+++ b/notcharch/engines/waiting_calls.py
@@ -78,7 +78,7 @@
 
     def settle(self, call: QueuedCall, used_tokens: int) -> None:
         """Correct the charge of a granted call."""
-        self._queue.settle(call, used_tokens)
+        self._queue.correct_charge(call, used_tokens)
 
     def calls_ahead(self, call: QueuedCall) -> float:
         """Estimate how many calls go before this one, waiting or not."""
--- a/notcharch/scheduling/breaker.py
+++ b/notcharch/scheduling/breaker.py
@@ -18,7 +18,7 @@
     longest_pause_seconds: float = 60.0
 
 
-class _Life(Protocol):
+class _BreakerMachine(Protocol):
     """The inputs of the breaker's machine."""
 
     def trip(self) -> None:
@@ -46,47 +46,47 @@
     probe_running = False
 
 
-_builder = TypeMachineBuilder(_Life, _Core)
+_builder = TypeMachineBuilder(_BreakerMachine, _Core)
 _closed = _builder.state("closed")
 _open = _builder.state("open")
 _half_open = _builder.state("half_open")
 
 for _state, _input, _target in (
-    (_closed, _Life.trip, _open),
-    (_closed, _Life.pause_over, _closed),
-    (_closed, _Life.probe_succeeded, _closed),
-    (_closed, _Life.probe_failed, _closed),
-    (_open, _Life.trip, _open),
-    (_open, _Life.pause_over, _half_open),
-    (_open, _Life.probe_succeeded, _open),
-    (_open, _Life.probe_failed, _open),
-    (_half_open, _Life.trip, _open),
-    (_half_open, _Life.pause_over, _half_open),
-    (_half_open, _Life.probe_succeeded, _closed),
-    (_half_open, _Life.probe_failed, _open),
+    (_closed, _BreakerMachine.trip, _open),
+    (_closed, _BreakerMachine.pause_over, _closed),
+    (_closed, _BreakerMachine.probe_succeeded, _closed),
+    (_closed, _BreakerMachine.probe_failed, _closed),
+    (_open, _BreakerMachine.trip, _open),
+    (_open, _BreakerMachine.pause_over, _half_open),
+    (_open, _BreakerMachine.probe_succeeded, _open),
+    (_open, _BreakerMachine.probe_failed, _open),
+    (_half_open, _BreakerMachine.trip, _open),
+    (_half_open, _BreakerMachine.pause_over, _half_open),
+    (_half_open, _BreakerMachine.probe_succeeded, _closed),
+    (_half_open, _BreakerMachine.probe_failed, _open),
 ):
     _state.upon(_input).to(_target).returns(None)
 
 
-@_closed.upon(_Life.permits).loop()
-def _closed_permits(life: _Life, core: _Core) -> bool:
+@_closed.upon(_BreakerMachine.permits).loop()
+def _closed_permits(machine: _BreakerMachine, core: _Core) -> bool:
     return True
 
 
-@_open.upon(_Life.permits).loop()
-def _open_permits(life: _Life, core: _Core) -> bool:
+@_open.upon(_BreakerMachine.permits).loop()
+def _open_permits(machine: _BreakerMachine, core: _Core) -> bool:
     return False
 
 
-@_half_open.upon(_Life.permits).loop()
-def _half_open_permits(life: _Life, core: _Core) -> bool:
+@_half_open.upon(_BreakerMachine.permits).loop()
+def _half_open_permits(machine: _BreakerMachine, core: _Core) -> bool:
     return not core.probe_running
 
 
-for _state, _answer in ((_closed, False), (_open, False), (_half_open, True)):
-    _state.upon(_Life.probing).loop().returns(_answer)
+for _state, _result in ((_closed, False), (_open, False), (_half_open, True)):
+    _state.upon(_BreakerMachine.probing).loop().returns(_result)
 
-_machine = _builder.build()
+_build_machine = _builder.build()
 
 
 class CircuitBreaker:
@@ -99,7 +99,7 @@
         """Start closed."""
         self._policy = policy
         self._core = _Core()
-        self._life = _machine(self._core)
+        self._machine = _build_machine(self._core)
         self._closed = True
         self._failures = 0
         self._pause_seconds = policy.first_pause_seconds
@@ -110,8 +110,8 @@
         if self._closed:
             return True
         if now >= self._open_until:
-            self._life.pause_over()
-        return self._life.permits()
+            self._machine.pause_over()
+        return self._machine.permits()
 
     def permits_again_at(self) -> float:
         """Give the time at which an open breaker permits the next try."""
@@ -119,24 +119,24 @@
 
     def started(self) -> None:
         """Note that a permitted try began; half-open permits only one."""
-        if not self._closed and self._life.probing():
+        if not self._closed and self._machine.probing():
             self._core.probe_running = True
 
     def succeeded(self) -> None:
         """Note a success."""
         self._failures = 0
-        if not self._closed and self._life.probing():
+        if not self._closed and self._machine.probing():
             self._core.probe_running = False
-            self._life.probe_succeeded()
+            self._machine.probe_succeeded()
             self._closed = True
             self._pause_seconds = self._policy.first_pause_seconds
 
     def failed(self, now: float) -> None:
         """Note a failure."""
         self._failures += 1
-        if self._life.probing():
+        if self._machine.probing():
             self._core.probe_running = False
-            self._life.probe_failed()
+            self._machine.probe_failed()
             self._pause_seconds = min(
                 2 * self._pause_seconds, self._policy.longest_pause_seconds
             )
@@ -144,7 +144,7 @@
         elif self._failures >= self._policy.failures_to_open:
             self._failures = 0
             self._closed = False
-            self._life.trip()
+            self._machine.trip()
             self._open_until = now + self._pause_seconds
 
     def abandoned(self) -> None:
--- a/notcharch/scheduling/engine_chooser.py
+++ b/notcharch/scheduling/engine_chooser.py
@@ -20,10 +20,10 @@
 from notcharch.values.identifiers import EngineName
 
 SAMPLED_ENGINES = 2
-GREATEST_ASKS = 5
+MAX_GRANT_REQUESTS = 5
 """Grants asked for before the last one is waited for without a limit."""
 
-GREATEST_STEPS = 16
+MAX_STEPS = 16
 """Questions of both kinds for one call before it is answered with a problem."""
 
 NO_LIMIT_SECONDS = 1e9
@@ -33,7 +33,7 @@
 """How much worse than the quote a wait may be before the call goes elsewhere."""
 
 
-class AskForGrant(msgspec.Struct, frozen=True):
+class RequestGrant(msgspec.Struct, frozen=True):
     """Queue at this engine unless the wait exceeds `defer_above_seconds`."""
 
     engine: EngineName
@@ -42,19 +42,19 @@
     """Whether the prefix is to be moved there from its holder first."""
 
 
-class AskForQuotes(msgspec.Struct, frozen=True):
+class RequestQuotes(msgspec.Struct, frozen=True):
     """Ask these engines what the call would wait."""
 
     engines: tuple[EngineName, ...]
 
 
-class NoEngineLeft(msgspec.Struct, frozen=True):
+class NoEngineAvailable(msgspec.Struct, frozen=True):
     """Every engine was unusable; `retry_after` is the least that one named."""
 
     retry_after: float | None
 
 
-ChoiceStep = AskForGrant | AskForQuotes | NoEngineLeft
+ChoiceStep = RequestGrant | RequestQuotes | NoEngineAvailable
 
 
 class EngineChooser:
@@ -83,24 +83,26 @@
         self._retry_after: float | None = None
         self._holder_first = holder is not None
         self._sample_due = True
-        self._asks = 0
+        self._grant_requests = 0
         self._steps = 0
 
     def next_step(self, engines: EnginePool) -> ChoiceStep:
         """Give what to do next, of the engines that may get new work now."""
         self._steps += 1
-        if self._steps > GREATEST_STEPS:
-            return NoEngineLeft(self._retry_after)
+        if self._steps > MAX_STEPS:
+            return NoEngineAvailable(self._retry_after)
         if self._holder_first:
             self._holder_first = False
             if self._holder is not None and self._holder in engines:
-                return self._ask(self._holder, self._holder_limit())
+                return self._request_grant(self._holder, self._holder_limit())
         if self._sample_due:
             self._sample_due = False
-            sampled = engines.sample(SAMPLED_ENGINES, self._is_settled, self._chance)
+            sampled = engines.sample(
+                SAMPLED_ENGINES, self._needs_no_quote, self._chance
+            )
             if sampled:
-                return AskForQuotes(sampled)
-        return self._ask_cheapest(engines)
+                return RequestQuotes(sampled)
+        return self._request_cheapest(engines)
 
     def learn_quote(self, option: EngineOption) -> None:
         """Take a quote in."""
@@ -123,8 +125,10 @@
         self._overloaded.add(engine)
         self._sample_due = True
         if retry_after is not None:
-            least = self._retry_after if self._retry_after is not None else retry_after
-            self._retry_after = min(least, retry_after)
+            shortest = (
+                self._retry_after if self._retry_after is not None else retry_after
+            )
+            self._retry_after = min(shortest, retry_after)
 
     def learn_unusable(self, engine: EngineName) -> None:
         """Take in that the engine or its steward cannot be used now."""
@@ -137,32 +141,32 @@
         self._options.clear()
         self._sample_due = True
 
-    def _may_ask(self, engine: EngineName) -> bool:
+    def _is_usable(self, engine: EngineName) -> bool:
         return engine not in self._unusable and engine not in self._overloaded
 
-    def _is_settled(self, engine: EngineName) -> bool:
+    def _needs_no_quote(self, engine: EngineName) -> bool:
         """Tell whether nothing new can be learnt by asking the engine."""
-        return engine in self._options or not self._may_ask(engine)
+        return engine in self._options or not self._is_usable(engine)
 
     def _holder_limit(self) -> float:
         return defer_above_seconds(
             self._cached_tokens, self._prefill_rate, self._policy
         )
 
-    def _ask(
+    def _request_grant(
         self, engine: EngineName, limit: float, kind: ChoiceKind = ChoiceKind.STAY
-    ) -> AskForGrant:
-        self._asks += 1
-        if self._asks >= GREATEST_ASKS:
+    ) -> RequestGrant:
+        self._grant_requests += 1
+        if self._grant_requests >= MAX_GRANT_REQUESTS:
             limit = NO_LIMIT_SECONDS
         move = kind is ChoiceKind.MOVE
-        return AskForGrant(engine, min(limit, NO_LIMIT_SECONDS), move)
+        return RequestGrant(engine, min(limit, NO_LIMIT_SECONDS), move)
 
-    def _ask_cheapest(self, engines: EnginePool) -> ChoiceStep:
+    def _request_cheapest(self, engines: EnginePool) -> ChoiceStep:
         known = [
             option
             for engine, option in sorted(self._options.items())
-            if engine in engines and self._may_ask(engine)
+            if engine in engines and self._is_usable(engine)
         ]
         choice = choose_engine(
             known,
@@ -172,8 +176,8 @@
             policy=self._policy,
         )
         if choice is None:
-            return NoEngineLeft(self._retry_after)
-        spare = choice.runner_up_seconds - choice.cost_seconds
+            return NoEngineAvailable(self._retry_after)
+        margin = choice.runner_up_seconds - choice.cost_seconds
         quoted = self._options[choice.engine].expected_wait_seconds
-        limit = quoted + spare + DEFER_SLACK_SECONDS
-        return self._ask(choice.engine, limit, choice.kind)
+        limit = quoted + margin + DEFER_SLACK_SECONDS
+        return self._request_grant(choice.engine, limit, choice.kind)
--- a/notcharch/scheduling/engine_pool.py
+++ b/notcharch/scheduling/engine_pool.py
@@ -39,8 +39,8 @@
             drawn = self._draw(count, excluded, chance)
             if len(drawn) == count:
                 return drawn
-        left = [engine for engine in self._names if not excluded(engine)]
-        return tuple(chance.sample(left, min(count, len(left))))
+        eligible = [engine for engine in self._names if not excluded(engine)]
+        return tuple(chance.sample(eligible, min(count, len(eligible))))
 
     def _draw(
         self,
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -16,7 +16,7 @@
 from notcharch.scheduling.calls import CallKey, Headroom, OrderPolicy, QueuedCall
 from notcharch.values.identifiers import ServiceName
 
-LEAST_LANES_TO_CLEAN = 32
+MIN_LANES_TO_CLEAN = 32
 
 
 class _Place(msgspec.Struct, frozen=True, order=True):
@@ -81,7 +81,7 @@
         self._lanes: dict[ServiceName, _Lane] = {}
         self._levels: dict[int, SortedList[_LanePlace]] = {}
         self._share_sum = 0.0
-        self._lanes_to_clean = LEAST_LANES_TO_CLEAN
+        self._lanes_to_clean = MIN_LANES_TO_CLEAN
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -139,7 +139,7 @@
         self._forget_idle_lanes()
         return call
 
-    def settle(self, call: QueuedCall, used_tokens: int) -> None:
+    def correct_charge(self, call: QueuedCall, used_tokens: int) -> None:
         """Replace a granted call's charge by what it really used."""
         lane = self._lanes.get(call.service)
         if lane is None:
@@ -192,9 +192,11 @@
                 heads.append(first)
         if not heads:
             return None
-        least = min([head.virtual_time for head in heads])
+        furthest_behind = min([head.virtual_time for head in heads])
         for head in heads:
-            if (head.virtual_time - least) * head.share <= self._policy.lead_tokens:
+            if (
+                head.virtual_time - furthest_behind
+            ) * head.share <= self._policy.lead_tokens:
                 return head
         return None
 
@@ -236,4 +238,4 @@
             for service, lane in self._lanes.items()
             if lane.places or lane.virtual_time > self._virtual_time
         }
-        self._lanes_to_clean = max(2 * len(self._lanes), LEAST_LANES_TO_CLEAN)
+        self._lanes_to_clean = max(2 * len(self._lanes), MIN_LANES_TO_CLEAN)
--- a/notcharch/scheduling/waits.py
+++ b/notcharch/scheduling/waits.py
@@ -14,7 +14,7 @@
 
     slots: int
     busy: int
-    hold_seconds: float
+    occupancy_seconds: float
 
 
 def expected_wait_seconds(load: SlotLoad, calls_ahead: float) -> float:
@@ -24,22 +24,22 @@
     """
     if load.slots <= 0:
         return float("inf")
-    before_mine = calls_ahead + 1 + load.busy - load.slots
-    return max(0.0, before_mine) * load.hold_seconds / load.slots
+    calls_before = calls_ahead + 1 + load.busy - load.slots
+    return max(0.0, calls_before) * load.occupancy_seconds / load.slots
 
 
-def retry_after_seconds(expected_wait: float, give_up_seconds: float) -> float | None:
+def retry_after_seconds(expected_wait: float, max_wait_seconds: float) -> float | None:
     """Give when to come back if the wait is not worth it, else None.
 
     The answer is the time after which the queue, if nothing else came, would
     be short enough.
     """
-    if expected_wait <= give_up_seconds:
+    if expected_wait <= max_wait_seconds:
         return None
-    return max(SHORTEST_RETRY_SECONDS, expected_wait - give_up_seconds)
+    return max(SHORTEST_RETRY_SECONDS, expected_wait - max_wait_seconds)
 
 
-class MeanHold:
+class MeanOccupancy:
     """The smoothed time for which calls keep their slots, in seconds."""
 
     WEIGHT = 0.1
@@ -48,12 +48,12 @@
         """Know nothing yet."""
         self._mean: float | None = None
 
-    def learn(self, held_seconds: float) -> None:
+    def learn(self, seconds: float) -> None:
         """Take one finished call into the mean."""
         if self._mean is None:
-            self._mean = held_seconds
+            self._mean = seconds
         else:
-            self._mean += self.WEIGHT * (held_seconds - self._mean)
+            self._mean += self.WEIGHT * (seconds - self._mean)
 
     def value(self, default_seconds: float) -> float:
         """Give the mean, or the default before anything was learnt."""
--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -12,7 +12,7 @@
 
 from notcharch.errors import Problem, ProblemCode
 from notcharch.scheduling.waits import (
-    MeanHold,
+    MeanOccupancy,
     SlotLoad,
     expected_wait_seconds,
     retry_after_seconds,
@@ -100,7 +100,7 @@
         self._failures = 0
         self._lapse_told = False
         self._demand = PeakDemand()
-        self._hold = MeanHold()
+        self._hold = MeanOccupancy()
 
     @property
     def running(self) -> int:
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -88,7 +88,7 @@
     @rule(used=st.sampled_from([0, 32, 2048]))
     def settle(self, used):
         call = self.granted.pop()
-        self.queue.settle(call, used)
+        self.queue.correct_charge(call, used)
         self.oracle.settle(call, used)
 
     @rule(seconds=st.sampled_from([0.0, 0.5, 3.0, 20.0]))
@@ -197,7 +197,7 @@
 
 
 def never_settle(monkeypatch):
-    monkeypatch.setattr(FairQueue, "settle", lambda self, call, used: None)
+    monkeypatch.setattr(FairQueue, "correct_charge", lambda self, call, used: None)
 
 
 def lose_a_cancel(monkeypatch):
--- a/tests/unit/scheduling/test_engine_choice.py
+++ b/tests/unit/scheduling/test_engine_choice.py
@@ -12,12 +12,12 @@
     choose_engine,
 )
 from notcharch.scheduling.engine_chooser import (
-    GREATEST_STEPS,
+    MAX_STEPS,
     NO_LIMIT_SECONDS,
-    AskForGrant,
-    AskForQuotes,
     EngineChooser,
-    NoEngineLeft,
+    NoEngineAvailable,
+    RequestGrant,
+    RequestQuotes,
 )
 from notcharch.scheduling.engine_pool import EnginePool
 
@@ -122,12 +122,12 @@
 
 def test_the_holder_is_asked_before_any_quote():
     step = chooser("b", 800).next_step(ALL)
-    assert step == AskForGrant("b", 0.8)
+    assert step == RequestGrant("b", 0.8)
 
 
 def test_a_holder_that_is_not_usable_is_skipped():
     step = chooser("z", 800).next_step(ALL)
-    assert isinstance(step, AskForQuotes)
+    assert isinstance(step, RequestQuotes)
 
 
 def test_a_deferring_holder_competes_with_two_others():
@@ -148,9 +148,9 @@
     choice.learn_unusable("a")
     assert choice.next_step(TWO).engine == "b"
     choice.learn_unusable("b")
-    assert choice.next_step(TWO) == NoEngineLeft(None)
+    assert choice.next_step(TWO) == NoEngineAvailable(None)
     choice.forget_unusable()
-    assert isinstance(choice.next_step(TWO), AskForQuotes)
+    assert isinstance(choice.next_step(TWO), RequestQuotes)
 
 
 def test_when_all_are_overloaded_the_earliest_return_is_told():
@@ -158,9 +158,9 @@
     choice.next_step(TWO)
     choice.learn_overloaded("a", 9.0)
     choice.learn_overloaded("b", 4.0)
-    assert choice.next_step(TWO) == NoEngineLeft(4.0)
+    assert choice.next_step(TWO) == NoEngineAvailable(4.0)
     choice.forget_unusable()
-    assert choice.next_step(TWO) == NoEngineLeft(4.0)
+    assert choice.next_step(TWO) == NoEngineAvailable(4.0)
 
 
 def test_a_call_that_everyone_defers_is_waited_for_in_the_end():
@@ -168,7 +168,7 @@
     limits = []
     while len(limits) < 5:
         step = choice.next_step(EnginePool(["a"]))
-        if isinstance(step, AskForGrant):
+        if isinstance(step, RequestGrant):
             limits.append(step.defer_above_seconds)
             choice.learn_deferred("a", 10.0 * len(limits))
     assert limits[-1] == NO_LIMIT_SECONDS
@@ -178,8 +178,8 @@
     choice = chooser()
     engines = EnginePool(f"e{number}" for number in range(1000))
     steps = []
-    while not steps or not isinstance(steps[-1], NoEngineLeft):
+    while not steps or not isinstance(steps[-1], NoEngineAvailable):
         steps.append(choice.next_step(engines))
         for engine in getattr(steps[-1], "engines", ()):
             choice.learn_unusable(engine)
-    assert len(steps) == GREATEST_STEPS + 1
+    assert len(steps) == MAX_STEPS + 1
--- a/tests/unit/scheduling/test_waits_and_retries.py
+++ b/tests/unit/scheduling/test_waits_and_retries.py
@@ -7,7 +7,7 @@
 from notcharch.scheduling.breaker import BreakerPolicy, CircuitBreaker
 from notcharch.scheduling.retry import RetryBudget, RetryPolicy
 from notcharch.scheduling.waits import (
-    MeanHold,
+    MeanOccupancy,
     SlotLoad,
     expected_wait_seconds,
     retry_after_seconds,
@@ -42,13 +42,13 @@
 
 
 def test_the_mean_hold_follows_what_is_learnt():
-    hold = MeanHold()
-    assert hold.value(7.0) == 7.0
-    hold.learn(1.0)
-    assert hold.value(7.0) == 1.0
+    mean = MeanOccupancy()
+    assert mean.value(7.0) == 7.0
+    mean.learn(1.0)
+    assert mean.value(7.0) == 1.0
     for _ in range(100):
-        hold.learn(3.0)
-    assert hold.value(7.0) == pytest.approx(3.0, rel=0.01)
+        mean.learn(3.0)
+    assert mean.value(7.0) == pytest.approx(3.0, rel=0.01)
 
 
 def test_delays_grow_are_jittered_and_bounded():
