Name the ownership and the handover of tenants' limits

Standing becomes LimitOwnership, HandedOver LimitHandover, replay_handed_over, replay_taken and are_handed_over replay_handover, replay_levels_taken and has_handover; an owner that has taken over starts; MOST_LAPSED_SECONDS becomes MAX_LAPSED_SECONDS. The field standing of the event LimitReached stays.

--- a/notcharch/accounts/limited_tenants.py
+++ b/notcharch/accounts/limited_tenants.py
@@ -18,8 +18,8 @@
 from notcharch.tenants.limit import OverLimit
 from notcharch.tenants.partition_limits import (
     HELD_LEASE,
-    HandedOver,
     Lease,
+    LimitHandover,
     PartitionLimits,
     Tolerance,
 )
@@ -55,15 +55,15 @@
     def replay(self, record: AnyRecord) -> None:
         """Take a record of an earlier owner, if it is about limits."""
         if isinstance(record, LimitsHandedOver):
-            left = HandedOver(record.uses, record.decided_seconds)
-            self._limits.replay_handed_over(left)
+            left = LimitHandover(record.uses, record.decided_seconds)
+            self._limits.replay_handover(left)
         elif isinstance(record, LimitsTaken):
-            self._limits.replay_taken()
+            self._limits.replay_levels_taken()
 
     def taken_over(self) -> LimitsTaken | None:
         """Begin to decide; give the record to write before `take_levels`, if any."""
-        self._limits.taken_over(self._clock.seconds())
-        return LimitsTaken() if self._limits.are_handed_over else None
+        self._limits.start(self._clock.seconds())
+        return LimitsTaken() if self._limits.has_handover else None
 
     def take_levels(self) -> None:
         """Go on from what the former owner left: the record is durable."""
@@ -102,7 +102,7 @@
         return CallAdmitted(round(verdict.wait_seconds, 4))
 
     def _log(self, ask: AdmitCall, limit: RateLimit, verdict: OverLimit) -> None:
-        standing = self._limits.standing(self._clock.seconds(), self._limiting.lease())
+        standing = self._limits.ownership(self._clock.seconds(), self._limiting.lease())
         emit(
             LimitReached(
                 request=ask.call,
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -10,7 +10,7 @@
   in as much before, and the rate alone afterwards, as one owner would have.
 - The former owner may be alive and cut off. Once its lease has run out, which is before
   anybody succeeds it, it gives out half of the rate, and nothing after
-  `MOST_LAPSED_SECONDS`. So long after it took over, a successor gives out the other half,
+  `MAX_LAPSED_SECONDS`. So long after it took over, a successor gives out the other half,
   and a little of what the limit tolerates. So does an owner whose lease is renewed after
   it had run out: another one may have decided meanwhile.
 
@@ -35,7 +35,7 @@
 from notcharch.tenants.recent_calls import RecentCalls
 from notcharch.tenants.tenant_use import TenantUse
 
-MOST_LAPSED_SECONDS = 4.0
+MAX_LAPSED_SECONDS = 4.0
 """An owner that the log service doesn't confirm decides for so long. It bears short
 outages of the log service, in which nobody can succeed it either."""
 LAPSED_SHARE = 0.5
@@ -73,7 +73,7 @@
     @property
     def successor_share(self) -> float:
         """Share of the rate that a successor may give out beside its predecessor."""
-        tolerated = self.over_share * self.window_seconds / MOST_LAPSED_SECONDS
+        tolerated = self.over_share * self.window_seconds / MAX_LAPSED_SECONDS
         return min(1.0, 1.0 - LAPSED_SHARE + TOLERATED_RATE_SHARE * tolerated)
 
 
@@ -84,14 +84,14 @@
     """Since it ran out without having been renewed; 0 while it holds."""
     held_since: float = -math.inf
     """Clock seconds at which it was last renewed after it had run out."""
-    left_seconds: float = math.inf
+    remaining_seconds: float = math.inf
     """Until it runs out, unless it is renewed."""
 
 
 HELD_LEASE = Lease()
 
 
-class HandedOver(msgspec.Struct, frozen=True):
+class LimitHandover(msgspec.Struct, frozen=True):
     """What an owner leaves to its successor in a planned move."""
 
     uses: dict[str, TenantUse]
@@ -100,7 +100,7 @@
     """For so long it, and those that handed over to it, had decided."""
 
 
-class Standing(enum.Enum):
+class LimitOwnership(enum.Enum):
     """How sure an owner is that it alone decides."""
 
     ALONE = "alone"
@@ -117,38 +117,38 @@
         self._tolerance = tolerance
         self._sizes = sizes
         self._limits: dict[str, TenantLimit] = {}
-        self._began = 0.0
+        self._started_at = 0.0
         """When this owner, or the first of those that handed over to it, began to decide
         without knowing what was let in before; clock seconds."""
-        self._handed_over: HandedOver | None = None
+        self._handover: LimitHandover | None = None
         """What the former owner left; None if it left nothing, or that is taken."""
 
     # Changes of owner
 
-    def replay_handed_over(self, left: HandedOver) -> None:
+    def replay_handover(self, handover: LimitHandover) -> None:
         """Hear that an owner handed over."""
-        self._handed_over = left
+        self._handover = handover
 
-    def replay_taken(self) -> None:
+    def replay_levels_taken(self) -> None:
         """Hear that an owner went on from the levels that were handed over."""
-        self._handed_over = None
+        self._handover = None
 
-    def taken_over(self, now: float) -> None:
+    def start(self, now: float) -> None:
         """Begin to decide."""
-        self._began = now
+        self._started_at = now
 
     @property
-    def are_handed_over(self) -> bool:
+    def has_handover(self) -> bool:
         """Whether there are levels to take, by a record."""
-        return self._handed_over is not None
+        return self._handover is not None
 
     def take_levels(self, now: float) -> None:
         """Go on from the levels that were handed over: their record is durable."""
-        left, self._handed_over = self._handed_over, None
-        if left is None:
+        handover, self._handover = self._handover, None
+        if handover is None:
             return
-        self._began -= left.decided_seconds
-        for tenant, use in left.uses.items():
+        self._started_at -= handover.decided_seconds
+        for tenant, use in handover.uses.items():
             limit = self._limits[tenant] = self._new_limit(use.level, now)
             limit.recent.take(use.recent, now)
 
@@ -156,7 +156,7 @@
         recent = RecentCalls(self._tolerance.window_seconds)
         return TenantLimit(level, now, self._sizes, recent)
 
-    def hand_over(self, now: float) -> HandedOver | None:
+    def hand_over(self, now: float) -> LimitHandover | None:
         """Give what a successor goes on from; None if there is nothing worth a record."""
         if not self._limits:
             return None
@@ -164,17 +164,17 @@
             name: TenantUse(round(limit.level, 2), limit.recent.by_age(now))
             for name, limit in self._limits.items()
         }
-        return HandedOver(uses, round(now - self._began, 2))
+        return LimitHandover(uses, round(now - self._started_at, 2))
 
-    def standing(self, now: float, lease: Lease) -> Standing:
+    def ownership(self, now: float, lease: Lease) -> LimitOwnership:
         """Tell how sure this owner may be that it alone decides."""
-        if lease.lapsed_seconds > MOST_LAPSED_SECONDS:
-            return Standing.NONE
+        if lease.lapsed_seconds > MAX_LAPSED_SECONDS:
+            return LimitOwnership.NONE
         if lease.lapsed_seconds > 0.0:
-            return Standing.LAPSED
-        if now - max(self._began, lease.held_since) < MOST_LAPSED_SECONDS:
-            return Standing.SUCCESSOR
-        return Standing.ALONE
+            return LimitOwnership.LAPSED
+        if now - max(self._started_at, lease.held_since) < MAX_LAPSED_SECONDS:
+            return LimitOwnership.SUCCESSOR
+        return LimitOwnership.ALONE
 
     # Calls
 
@@ -193,16 +193,16 @@
 
         No call is promised a moment at which somebody else may decide.
         """
-        standing = self.standing(now, lease)
-        if standing is Standing.NONE or self.are_handed_over:
+        ownership = self.ownership(now, lease)
+        if ownership is LimitOwnership.NONE or self.has_handover:
             return None
-        supply = self._supply(limit, standing)
+        supply = self._supply(limit, ownership)
         bucket = self._limits.get(tenant)
         if bucket is None:
-            level = self._first_level(supply, now)
+            level = self._initial_level(supply, now)
             bucket = self._limits[tenant] = self._new_limit(level, now)
-        knows_all = now - self._began >= LEARNING_SECONDS
-        most_wait = min(most_wait_seconds, lease.left_seconds)
+        knows_all = now - self._started_at >= LEARNING_SECONDS
+        most_wait = min(most_wait_seconds, lease.remaining_seconds)
         return bucket.decide(
             program,
             kind,
@@ -212,18 +212,18 @@
             most_wait_seconds=most_wait,
         )
 
-    def _supply(self, limit: RateLimit, standing: Standing) -> Supply:
+    def _supply(self, limit: RateLimit, ownership: LimitOwnership) -> Supply:
         tolerance = self._tolerance
         window, calls = tolerance.window_seconds, tolerance.burst_calls
-        if standing is Standing.ALONE:
+        if ownership is LimitOwnership.ALONE:
             return supply_of(limit, window, calls)
         share = LAPSED_SHARE
-        if standing is Standing.SUCCESSOR:
+        if ownership is LimitOwnership.SUCCESSOR:
             share = tolerance.successor_share
         return shared_supply_of(limit, window, calls, share)
 
-    def _first_level(self, supply: Supply, now: float) -> float:
+    def _initial_level(self, supply: Supply, now: float) -> float:
         """Give the level of a tenant that asks for the first time here."""
-        since = now - self._began
+        since = now - self._started_at
         level = self._tolerance.start_calls + since * supply.rate
         return min(supply.capacity, level)
--- a/tests/stateful/tenants/test_limits_machine.py
+++ b/tests/stateful/tenants/test_limits_machine.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from notcharch.tenants.limit import GRANTED, TenantLimit
-from notcharch.tenants.partition_limits import PartitionLimits, Standing
+from notcharch.tenants.partition_limits import LimitOwnership, PartitionLimits
 from tests.stateful.runs import RUN, assert_caught
 from tests.stateful.tenants.limits_machine import LimitsMachine
 from tests.unit.accounts import test_tenant_limits
@@ -21,16 +21,16 @@
 
 def a_successor_begins_with_a_full_bucket(monkeypatch):
     monkeypatch.setattr(
-        PartitionLimits, "_first_level", lambda self, supply, now: supply.capacity
+        PartitionLimits, "_initial_level", lambda self, supply, now: supply.capacity
     )
 
 
 def an_owner_never_doubts_itself(monkeypatch):
-    monkeypatch.setattr(PartitionLimits, "standing", lambda *_: Standing.ALONE)
+    monkeypatch.setattr(PartitionLimits, "ownership", lambda *_: LimitOwnership.ALONE)
 
 
 def levels_are_not_handed_over(monkeypatch):
-    monkeypatch.setattr(PartitionLimits, "replay_handed_over", lambda *_: None)
+    monkeypatch.setattr(PartitionLimits, "replay_handover", lambda *_: None)
 
 
 BREAKS = [
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -13,7 +13,7 @@
 from notcharch.events import tenants as tenant_events
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import RateLimit, Tenant
-from notcharch.tenants.partition_limits import MOST_LAPSED_SECONDS
+from notcharch.tenants.partition_limits import MAX_LAPSED_SECONDS
 from tests.unit.accounts.steps import assert_unsure
 from tests.unit.accounts.world import TOLERANCE, World
 from tests.unit.events.capture import captured, of
@@ -154,7 +154,7 @@
     world.log.trouble = Trouble.REFUSE
     world.run(2.0)
     assert admitted(world, 10) == 10
-    world.run(MOST_LAPSED_SECONDS + 1.0)
+    world.run(MAX_LAPSED_SECONDS + 1.0)
     listener = world.decided(world.call("q", budget=None, tenant="t"))
     assert_unsure(listener.refusal)
     world.log.trouble = Trouble.NONE
--- a/tests/unit/tenants/test_partition_limits.py
+++ b/tests/unit/tenants/test_partition_limits.py
@@ -7,10 +7,10 @@
 from notcharch.tenants.partition_limits import (
     HELD_LEASE,
     LAPSED_SHARE,
-    MOST_LAPSED_SECONDS,
+    MAX_LAPSED_SECONDS,
     Lease,
+    LimitOwnership,
     PartitionLimits,
-    Standing,
     Tolerance,
 )
 from notcharch.tenants.program_sizes import ProgramSizes
@@ -32,7 +32,7 @@
 
     def __init__(self, limit: RateLimit, began: float, lapses_at: float = 1e9) -> None:
         self.limits = PartitionLimits(TOLERANCE, ProgramSizes())
-        self.limits.taken_over(began)
+        self.limits.start(began)
         self.limit = limit
         self.lapses_at = lapses_at
         self.held_since = -1e9
@@ -49,7 +49,7 @@
         return self.limits.decide("t", self.limit, "", "k", now, lease=lease)
 
 
-def most_in_a_window(given: list[tuple[float, int]]) -> int:
+def max_in_a_window(given: list[tuple[float, int]]) -> int:
     window = TOLERANCE.window_seconds
     return max(
         sum(calls for at, calls in given if begin <= at < begin + window)
@@ -76,7 +76,7 @@
         if now >= 10.0 + succeeds_after:
             calls += successor.give_all(now)
         given.append((now, calls))
-    assert most_in_a_window(given) <= allowed(limit)
+    assert max_in_a_window(given) <= allowed(limit)
     last = sum(calls for at, calls in given if at >= 25.0)
     assert last >= limit.per_second * 5.0 * 0.94 - 1
 
@@ -94,7 +94,7 @@
         )
         for step in range(400)
     ]
-    assert most_in_a_window(given) <= allowed(limit)
+    assert max_in_a_window(given) <= allowed(limit)
 
 
 @pytest.mark.parametrize("limit", LIMITS)
@@ -104,44 +104,44 @@
 
 
 @pytest.mark.parametrize(
-    ("now", "lapsed_seconds", "standing"),
+    ("now", "lapsed_seconds", "ownership"),
     [
-        (10.0, 0.0, Standing.SUCCESSOR),
-        (10.0 + MOST_LAPSED_SECONDS - 0.1, 0.0, Standing.SUCCESSOR),
-        (10.0 + MOST_LAPSED_SECONDS, 0.0, Standing.ALONE),
-        (20.0, 0.1, Standing.LAPSED),
-        (20.0, MOST_LAPSED_SECONDS, Standing.LAPSED),
-        (20.0, MOST_LAPSED_SECONDS + 0.1, Standing.NONE),
-        (10.0, 1e9, Standing.NONE),
+        (10.0, 0.0, LimitOwnership.SUCCESSOR),
+        (10.0 + MAX_LAPSED_SECONDS - 0.1, 0.0, LimitOwnership.SUCCESSOR),
+        (10.0 + MAX_LAPSED_SECONDS, 0.0, LimitOwnership.ALONE),
+        (20.0, 0.1, LimitOwnership.LAPSED),
+        (20.0, MAX_LAPSED_SECONDS, LimitOwnership.LAPSED),
+        (20.0, MAX_LAPSED_SECONDS + 0.1, LimitOwnership.NONE),
+        (10.0, 1e9, LimitOwnership.NONE),
     ],
 )
-def test_how_sure_an_owner_is(now, lapsed_seconds, standing):
+def test_how_sure_an_owner_is(now, lapsed_seconds, ownership):
     limits = PartitionLimits(TOLERANCE, ProgramSizes())
-    limits.taken_over(10.0)
-    assert limits.standing(now, Lease(lapsed_seconds)) is standing
+    limits.start(10.0)
+    assert limits.ownership(now, Lease(lapsed_seconds)) is ownership
 
 
 def test_an_owner_whose_lease_ran_out_long_ago_doesnt_decide():
     owner = Owner(LIMITS[1], began=-100.0, lapses_at=10.0)
-    assert owner.ask(10.0 + MOST_LAPSED_SECONDS + 0.1) is None
+    assert owner.ask(10.0 + MAX_LAPSED_SECONDS + 0.1) is None
 
 
 def test_levels_handed_over_are_used_once():
     former = Owner(LIMITS[2], began=-100.0)
     former.give_all(10.0)
-    left = former.limits.hand_over(10.0)
-    assert left is not None
+    handover = former.limits.hand_over(10.0)
+    assert handover is not None
     heir = Owner(LIMITS[2], began=10.0)
-    heir.limits.replay_handed_over(left)
-    assert heir.limits.are_handed_over
+    heir.limits.replay_handover(handover)
+    assert heir.limits.has_handover
     heir.limits.take_levels(10.0)
-    assert not heir.limits.are_handed_over
+    assert not heir.limits.has_handover
     assert heir.give_all(10.0) == 0
-    assert heir.limits.standing(10.0, HELD_LEASE) is Standing.ALONE
+    assert heir.limits.ownership(10.0, HELD_LEASE) is LimitOwnership.ALONE
     late = Owner(LIMITS[2], began=10.0)
-    late.limits.replay_handed_over(left)
-    late.limits.replay_taken()
-    assert not late.limits.are_handed_over
+    late.limits.replay_handover(handover)
+    late.limits.replay_levels_taken()
+    assert not late.limits.has_handover
 
 
 def test_an_owner_that_nobody_asked_leaves_no_record():
@@ -152,7 +152,7 @@
     parts = TOLERANCE.burst_calls + TOLERANCE.start_calls
     assert parts < TOLERANCE.calls
     extra = TOLERANCE.successor_share + LAPSED_SHARE - 1.0
-    within = extra * MOST_LAPSED_SECONDS
+    within = extra * MAX_LAPSED_SECONDS
     assert within < TOLERANCE.over_share * TOLERANCE.window_seconds
     assert Tolerance().successor_share == 1.0 - LAPSED_SHARE
 
@@ -162,7 +162,7 @@
     former = Owner(LIMITS[2], began=-100.0)
     former.give_all(10.0)
     heir = Owner(LIMITS[2], began=10.0)
-    heir.limits.replay_handed_over(former.limits.hand_over(10.0))
+    heir.limits.replay_handover(former.limits.hand_over(10.0))
     assert heir.ask(10.5) is None
     heir.limits.take_levels(10.6)
     assert heir.ask(11.0) == GRANTED
@@ -183,4 +183,4 @@
         if 10.0 <= now < 13.0:
             calls += other.give_all(now)
         given.append((now, calls))
-    assert most_in_a_window(given) <= allowed(limit)
+    assert max_in_a_window(given) <= allowed(limit)
