Name supplies, keys and running programs of tenants' limits

supply_of and shared_supply_of become exclusive_supply and shared_supply, a program's pace its calls_per_second, ProgramUse RunningProgram, saw record, UNKNOWN_SIZE DEFAULT_SIZE; room_in becomes seconds_until_at_most, begins is_new_program, knows_all knows_all_programs, most_wait_seconds of the decision max_wait_seconds (the message's field stays); keys_of becomes index_keys, succeed inherit_removed and LONGEST_KEY MAX_KEY_BYTES.

--- a/notcharch/accounts/limited_tenants.py
+++ b/notcharch/accounts/limited_tenants.py
@@ -92,7 +92,7 @@
             ask.route,
             self._clock.seconds(),
             lease=self._limiting.lease(),
-            most_wait_seconds=ask.most_wait_seconds,
+            max_wait_seconds=ask.most_wait_seconds,
         )
         if verdict is None:
             return NOT_OWNER  # another owner may decide by now
@@ -109,7 +109,7 @@
                 tenant=ask.tenant,
                 program=ask.program,
                 route=ask.route,
-                begins_program=verdict.begins,
+                begins_program=verdict.is_new_program,
                 calls_left=round(verdict.level, 2),
                 calls_per_second=limit.per_second,
                 burst_calls=limit.burst,
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -9,7 +9,7 @@
 from notcharch.http.server import ServerLimits
 from notcharch.scheduling.cold_engines import ColdLimit
 from notcharch.tenants.interface import RateLimit, Tenant
-from notcharch.tenants.keys import keys_of
+from notcharch.tenants.keys import index_keys
 
 REPEATABLE = "idempotent"
 STREAM = "streaming"
@@ -180,7 +180,9 @@
     routes = tuple(route_of(route) for route in entry.routes)
     keys = None
     if entry.tenants is not None:
-        keys = keys_of((tenant_of(tenant), tenant.api_keys) for tenant in entry.tenants)
+        keys = index_keys(
+            (tenant_of(tenant), tenant.api_keys) for tenant in entry.tenants
+        )
     return RouteTable(entry.version, routes, services, limits, keys)
 
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -188,7 +188,7 @@
         former = current.table.version if current is not None else -1
         if table.version > former:
             if table.keys is not None and current is not None and current.table.keys:
-                table.keys.succeed(current.table.keys)
+                table.keys.inherit_removed(current.table.keys)
             self._ingress.router = Router(table)
             self.table_text = value
             self._freshness.put_in_force(table.version)
--- a/notcharch/tenants/identity.py
+++ b/notcharch/tenants/identity.py
@@ -12,7 +12,7 @@
 from notcharch.tenants.interface import Tenant
 from notcharch.tenants.keys import TenantKeys
 
-LONGEST_KEY = 1024
+MAX_KEY_BYTES = 1024
 """Bytes. Keys seen so far have 20; a longer one than this isn't looked up."""
 
 
@@ -38,7 +38,7 @@
     key = presented[0].strip()
     if not key:
         return Err(IdentityFault.NO_KEY)
-    if len(key) > LONGEST_KEY or not key.isascii():
+    if len(key) > MAX_KEY_BYTES or not key.isascii():
         return Err(IdentityFault.UNREADABLE_KEY)
     return Ok(key.decode("ascii"))
 
--- a/notcharch/tenants/keys.py
+++ b/notcharch/tenants/keys.py
@@ -4,7 +4,7 @@
 
 from notcharch.tenants.interface import Tenant
 
-MOST_REMEMBERED = 4096
+MAX_REMOVED_KEYS = 4096
 """So many removed keys are remembered, newest first, to tell them from unknown ones in
 the log. At 100 bytes each they take 0.4 MB at most."""
 
@@ -37,14 +37,14 @@
         """Tell whether an earlier version, seen by this process, had the key."""
         return key in self._removed
 
-    def succeed(self, former: "TenantKeys") -> None:
+    def inherit_removed(self, former: "TenantKeys") -> None:
         """Remember which keys an earlier version had and this one has not."""
         removed = [*former._removed, *former._holders]
-        kept = [key for key in removed if key not in self._holders]
-        self._removed = dict.fromkeys(kept[-MOST_REMEMBERED:])
+        absent = [key for key in removed if key not in self._holders]
+        self._removed = dict.fromkeys(absent[-MAX_REMOVED_KEYS:])
 
 
-def keys_of(tenants: Iterable[tuple[Tenant, Iterable[str]]]) -> TenantKeys:
+def index_keys(tenants: Iterable[tuple[Tenant, Iterable[str]]]) -> TenantKeys:
     """Index tenants and their keys; the first holder of a key has it."""
     holders: dict[str, Tenant] = {}
     for tenant, keys in tenants:
--- a/notcharch/tenants/limit.py
+++ b/notcharch/tenants/limit.py
@@ -24,9 +24,9 @@
 ACTIVE_SECONDS = 2.0
 """A program that asked for nothing for so long counts no more among those under way: most
 are over by then, and its next calls are let in first all the same."""
-LEAST_RETRY_SECONDS = 0.1
+MIN_RETRY_SECONDS = 0.1
 """Sooner than this a caller's next try would still meet the same moment."""
-MOST_RETRY_SECONDS = 5.0
+MAX_RETRY_SECONDS = 5.0
 """When room comes later than this, it isn't known well enough to say when."""
 
 
@@ -41,7 +41,7 @@
     """Calls that may be let in within a window."""
 
 
-class ProgramUse(msgspec.Struct):
+class RunningProgram(msgspec.Struct):
     """A program under way."""
 
     kind: str
@@ -62,7 +62,7 @@
     """The call must not run; there may be room in some seconds."""
 
     retry_after_seconds: float
-    begins: bool
+    is_new_program: bool
     """Whether it would have begun a program."""
     level: float
     """Calls that could have been let in."""
@@ -85,8 +85,8 @@
         self._rate = math.inf
         """That of the last look."""
         self._sizes = sizes
-        self._programs: dict[str, ProgramUse] = {}
-        self._promised_to = 0.0
+        self._programs: dict[str, RunningProgram] = {}
+        self._promised_until = 0.0
         """Clock seconds up to which room is promised to refused callers."""
 
     def fill(self, supply: Supply, now: float) -> None:
@@ -103,97 +103,105 @@
         supply: Supply,
         now: float,
         *,
-        knows_all: bool,
-        most_wait_seconds: float = 0.0,
+        knows_all_programs: bool,
+        max_wait_seconds: float = 0.0,
     ) -> Verdict:
         """Let a call in, now or after a wait, or refuse it with the time to come back.
 
-        `knows_all`: whether programs that aren't known here have not begun yet; for a
+        `knows_all_programs`: whether programs that aren't known here have not begun yet; for a
         while after a change of owner they may have.
         """
         self.fill(supply, now)
         self._forget_ended(now)
-        use = self._programs.get(program) if program else None
-        begins = bool(program) and use is None and knows_all
-        missing = self._missing(kind, supply, now) if begins else 0.0
-        wait = math.inf if missing > 0.0 else self._room_in(supply, now)
-        missing = max(missing, 1.0 - self._left(supply, now))
-        if wait > most_wait_seconds:
-            if use is not None:
-                use.last = now
-                use.was_refused = True
-            needed = self._sizes.of(kind).calls if begins else 1.0
-            retry_after = self._retry_after(missing, needed, supply, now)
-            return OverLimit(retry_after, begins, self._left(supply, now))
+        running = self._programs.get(program) if program else None
+        is_new_program = bool(program) and running is None and knows_all_programs
+        shortfall = self._shortfall(kind, supply, now) if is_new_program else 0.0
+        wait = math.inf if shortfall > 0.0 else self._wait_seconds(supply, now)
+        shortfall = max(shortfall, 1.0 - self._available_calls(supply, now))
+        if wait > max_wait_seconds:
+            if running is not None:
+                running.last = now
+                running.was_refused = True
+            needed = self._sizes.of(kind).calls if is_new_program else 1.0
+            retry_after = self._retry_after(shortfall, needed, supply, now)
+            return OverLimit(
+                retry_after, is_new_program, self._available_calls(supply, now)
+            )
         self.level -= 1.0
         self.recent.add(now + wait)
         if program:
-            self._note(program, kind, now)
+            self._record_call(program, kind, now)
         return Granted(wait) if wait > 0.0 else GRANTED
 
-    def _room_in(self, supply: Supply, now: float) -> float:
+    def _wait_seconds(self, supply: Supply, now: float) -> float:
         """Give the seconds until one more call may be let in."""
         short = max(1.0 - self.level, 0.0)
         if short and supply.rate <= 0.0:
             return math.inf
         filled_in = short / supply.rate if short else 0.0
-        return max(filled_in, self.recent.room_in(supply.window_calls - 1.0, now))
+        return max(
+            filled_in, self.recent.seconds_until_at_most(supply.window_calls - 1.0, now)
+        )
 
     def _retry_after(
-        self, missing: float, needed: float, supply: Supply, now: float
+        self, shortfall: float, needed: float, supply: Supply, now: float
     ) -> float:
         """Give the time until there is room, after those that were refused before.
 
         Callers that came back all at once would be refused again, but for the first.
         """
         if supply.rate <= 0.0:
-            return MOST_RETRY_SECONDS
-        room_at = now + missing / supply.rate
-        promised_at = self._promised_to + needed / supply.rate
-        seconds = max(room_at, promised_at) - now
-        seconds = min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
-        self._promised_to = now + seconds
+            return MAX_RETRY_SECONDS
+        available_at = now + shortfall / supply.rate
+        promised_at = self._promised_until + needed / supply.rate
+        seconds = max(available_at, promised_at) - now
+        seconds = min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
+        self._promised_until = now + seconds
         return seconds
 
-    def _left(self, supply: Supply, now: float) -> float:
+    def _available_calls(self, supply: Supply, now: float) -> float:
         """Give how many calls may be let in at once."""
         return min(self.level, supply.window_calls - self.recent.count(now))
 
-    def _note(self, program: str, kind: str, now: float) -> None:
-        use = self._programs.setdefault(program, ProgramUse(kind, now, now))
-        use.last = now
-        use.calls += 1
+    def _record_call(self, program: str, kind: str, now: float) -> None:
+        running = self._programs.setdefault(program, RunningProgram(kind, now, now))
+        running.last = now
+        running.calls += 1
 
-    def _missing(self, kind: str, supply: Supply, now: float) -> float:
+    def _shortfall(self, kind: str, supply: Supply, now: float) -> float:
         """Give how many calls too few there will be while another program runs.
 
         One program alone may always begin, however large it is.
         """
         active = [
-            use.kind
-            for use in self._programs.values()
-            if now - use.last < ACTIVE_SECONDS
+            running.kind
+            for running in self._programs.values()
+            if now - running.last < ACTIVE_SECONDS
         ]
         if not active:
             return 0.0
         size = self._sizes.of(kind)
-        pace = size.pace + sum(self._sizes.of(other).pace for other in active)
-        return (pace - supply.rate) * size.seconds - self._left(supply, now)
+        calls_per_second = size.calls_per_second + sum(
+            self._sizes.of(other).calls_per_second for other in active
+        )
+        return (calls_per_second - supply.rate) * size.seconds - self._available_calls(
+            supply, now
+        )
 
     def _forget_ended(self, now: float) -> None:
         ended = [
-            (name, use)
-            for name, use in self._programs.items()
-            if now - use.last > IDLE_SECONDS
+            (name, running)
+            for name, running in self._programs.items()
+            if now - running.last > IDLE_SECONDS
         ]
-        for name, use in ended:
+        for name, running in ended:
             del self._programs[name]
-            if not use.was_refused:
-                size = ProgramSize(float(use.calls), use.last - use.began)
-                self._sizes.saw(use.kind, size)
+            if not running.was_refused:
+                size = ProgramSize(float(running.calls), running.last - running.began)
+                self._sizes.record(running.kind, size)
 
 
-def supply_of(
+def exclusive_supply(
     limit: RateLimit, window_seconds: float, tolerated_calls: float
 ) -> Supply:
     """Give what an owner that alone decides may give out by a limit."""
@@ -202,9 +210,9 @@
     return Supply(rate, capacity, limit.per_second * window_seconds + capacity)
 
 
-def shared_supply_of(
+def shared_supply(
     limit: RateLimit, window_seconds: float, tolerated_calls: float, rate_share: float
 ) -> Supply:
     """Give what an owner may give out while another one may decide as well."""
-    whole = supply_of(limit, window_seconds, tolerated_calls)
-    return msgspec.structs.replace(whole, rate=limit.per_second * rate_share)
+    exclusive = exclusive_supply(limit, window_seconds, tolerated_calls)
+    return msgspec.structs.replace(exclusive, rate=limit.per_second * rate_share)
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -28,8 +28,8 @@
     Supply,
     TenantLimit,
     Verdict,
-    shared_supply_of,
-    supply_of,
+    exclusive_supply,
+    shared_supply,
 )
 from notcharch.tenants.program_sizes import ProgramSizes
 from notcharch.tenants.recent_calls import RecentCalls
@@ -150,7 +150,7 @@
         self._started_at -= handover.decided_seconds
         for tenant, use in handover.uses.items():
             limit = self._limits[tenant] = self._new_limit(use.level, now)
-            limit.recent.take(use.recent, now)
+            limit.recent.restore(use.recent, now)
 
     def _new_limit(self, level: float, now: float) -> TenantLimit:
         recent = RecentCalls(self._tolerance.window_seconds)
@@ -187,7 +187,7 @@
         now: float,
         *,
         lease: Lease,
-        most_wait_seconds: float = 0.0,
+        max_wait_seconds: float = 0.0,
     ) -> Verdict | None:
         """Let a call in, or refuse it; None if this owner must not decide.
 
@@ -201,26 +201,26 @@
         if bucket is None:
             level = self._initial_level(supply, now)
             bucket = self._limits[tenant] = self._new_limit(level, now)
-        knows_all = now - self._started_at >= LEARNING_SECONDS
-        most_wait = min(most_wait_seconds, lease.remaining_seconds)
+        knows_all_programs = now - self._started_at >= LEARNING_SECONDS
+        max_wait = min(max_wait_seconds, lease.remaining_seconds)
         return bucket.decide(
             program,
             kind,
             supply,
             now,
-            knows_all=knows_all,
-            most_wait_seconds=most_wait,
+            knows_all_programs=knows_all_programs,
+            max_wait_seconds=max_wait,
         )
 
     def _supply(self, limit: RateLimit, ownership: LimitOwnership) -> Supply:
         tolerance = self._tolerance
         window, calls = tolerance.window_seconds, tolerance.burst_calls
         if ownership is LimitOwnership.ALONE:
-            return supply_of(limit, window, calls)
+            return exclusive_supply(limit, window, calls)
         share = LAPSED_SHARE
         if ownership is LimitOwnership.SUCCESSOR:
             share = tolerance.successor_share
-        return shared_supply_of(limit, window, calls, share)
+        return shared_supply(limit, window, calls, share)
 
     def _initial_level(self, supply: Supply, now: float) -> float:
         """Give the level of a tenant that asks for the first time here."""
--- a/notcharch/tenants/program_sizes.py
+++ b/notcharch/tenants/program_sizes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-LEAST_WEIGHT = 0.05
+MIN_WEIGHT = 0.05
 """Of the newest program in the running mean, once there are twenty; before that it is the
 plain mean, in which the first guess counts as one program."""
 
@@ -14,15 +14,15 @@
     seconds: float
 
     @property
-    def pace(self) -> float:
+    def calls_per_second(self) -> float:
         """Calls a second while it runs."""
         return self.calls / self.seconds
 
 
-UNKNOWN_SIZE = ProgramSize(8.0, 4.0)
+DEFAULT_SIZE = ProgramSize(8.0, 4.0)
 """Taken of a kind that nobody has seen the end of: between the programs of three and of
 eleven turns, each with tools, that users run."""
-LEAST_SECONDS = 1.0
+MIN_PROGRAM_SECONDS = 1.0
 """A program of one call lasts no time; its call comes within this."""
 
 
@@ -32,18 +32,18 @@
     def __init__(self) -> None:
         """Begin without any."""
         self._sizes: dict[str, ProgramSize] = {}
-        self._seen: dict[str, int] = {}
+        self._counts: dict[str, int] = {}
 
     def of(self, kind: str) -> ProgramSize:
         """Give the mean size of a kind."""
-        return self._sizes.get(kind, UNKNOWN_SIZE)
+        return self._sizes.get(kind, DEFAULT_SIZE)
 
-    def saw(self, kind: str, size: ProgramSize) -> None:
+    def record(self, kind: str, size: ProgramSize) -> None:
         """Take a program that ended without having been refused anything."""
         mean = self.of(kind)
-        seen = self._seen[kind] = self._seen.get(kind, 1) + 1
-        weight = max(LEAST_WEIGHT, 1.0 / seen)
-        seconds = max(size.seconds, LEAST_SECONDS)
+        count = self._counts[kind] = self._counts.get(kind, 1) + 1
+        weight = max(MIN_WEIGHT, 1.0 / count)
+        seconds = max(size.seconds, MIN_PROGRAM_SECONDS)
         self._sizes[kind] = ProgramSize(
             mean.calls + weight * (size.calls - mean.calls),
             mean.seconds + weight * (seconds - mean.seconds),
--- a/notcharch/tenants/recent_calls.py
+++ b/notcharch/tenants/recent_calls.py
@@ -35,7 +35,7 @@
             self._calls -= self._slots.popleft().calls
         return self._calls
 
-    def room_in(self, most_calls: float, now: float) -> float:
+    def seconds_until_at_most(self, max_calls: float, now: float) -> float:
         """Give the seconds until the window holds at most so many calls.
 
         Calls that were promised a later moment count from now on.
@@ -43,11 +43,11 @@
         calls = self.count(now)
         seconds = 0.0
         for slot in self._slots:
-            if calls <= most_calls:
+            if calls <= max_calls:
                 break
             calls -= slot.calls
             seconds = (slot.number + SLOTS + 1) * self._slot_seconds - now
-        return seconds if calls <= most_calls else math.inf
+        return seconds if calls <= max_calls else math.inf
 
     def add(self, at: float, calls: float = 1.0) -> None:
         """Count calls that are let in at some moment, no earlier than those before."""
@@ -68,7 +68,7 @@
             ages[max(present - slot.number, 0)] += slot.calls
         return ages
 
-    def take(self, ages: list[float], now: float) -> None:
+    def restore(self, ages: list[float], now: float) -> None:
         """Go on from what another counted; time may have passed since, none is assumed."""
         present = self._number(now)
         for age in range(min(len(ages), SLOTS + 1) - 1, -1, -1):
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -11,7 +11,7 @@
 from notcharch.http.server import ServerLimits
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.keys import keys_of
+from notcharch.tenants.keys import index_keys
 from tests.unit.calls.world import World
 from tests.unit.events.capture import captured, of
 
@@ -29,7 +29,7 @@
         freshness.put_in_force(7)
         if proof_age is not None:
             freshness.prove(7, 100.0 - proof_age)
-        keys = keys_of([(HULE, ["k1"])]) if has_tenants else None
+        keys = index_keys([(HULE, ["k1"])]) if has_tenants else None
         self.table = RouteTable(7, (), {}, ServerLimits(), keys)
         self.check = CallerCheck(self.clock, freshness)
         self.route = World().route
--- a/tests/unit/tenants/test_identity.py
+++ b/tests/unit/tenants/test_identity.py
@@ -3,9 +3,9 @@
 import pytest
 from result import Err, Ok
 
-from notcharch.tenants.identity import LONGEST_KEY, IdentityFault, identify
+from notcharch.tenants.identity import MAX_KEY_BYTES, IdentityFault, identify
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.keys import MOST_REMEMBERED, keys_of
+from notcharch.tenants.keys import MAX_REMOVED_KEYS, index_keys
 from notcharch.tenants.scope import scoped_name
 
 HULE = Tenant("hule", priority=1)
@@ -13,7 +13,7 @@
 
 
 def keys():
-    return keys_of([(HULE, ["k1", "k2"]), (VUPA, ["k3"])])
+    return index_keys([(HULE, ["k1", "k2"]), (VUPA, ["k3"])])
 
 
 @pytest.mark.parametrize(
@@ -35,7 +35,7 @@
         ([b"K1"], IdentityFault.UNKNOWN_KEY),
         ([b"hule"], IdentityFault.UNKNOWN_KEY),
         ([b"k1\xc3\xa9"], IdentityFault.UNREADABLE_KEY),
-        ([b"k" * (LONGEST_KEY + 1)], IdentityFault.UNREADABLE_KEY),
+        ([b"k" * (MAX_KEY_BYTES + 1)], IdentityFault.UNREADABLE_KEY),
     ],
 )
 def test_anything_else_names_nobody(presented, fault):
@@ -49,23 +49,25 @@
 
 
 def test_a_removed_key_is_told_from_an_unknown_one():
-    newer = keys_of([(HULE, ["k2"]), (VUPA, ["k3"])])
-    newer.succeed(keys())
+    newer = index_keys([(HULE, ["k2"]), (VUPA, ["k3"])])
+    newer.inherit_removed(keys())
     removed = identify([b"k1"], newer, is_fresh=True)
     assert removed == Err(IdentityFault.REMOVED_KEY)
-    newest = keys_of([(HULE, ["k1"])])
-    newest.succeed(newer)
+    newest = index_keys([(HULE, ["k1"])])
+    newest.inherit_removed(newer)
     assert identify([b"k1"], newest, is_fresh=True) == Ok(HULE)
     assert newest.was_removed("k3")
     assert not newest.was_removed("k1")
 
 
 def test_few_removed_keys_are_remembered():
-    former = keys_of([(HULE, [f"k{number}" for number in range(MOST_REMEMBERED + 5)])])
-    newer = keys_of([])
-    newer.succeed(former)
+    former = index_keys(
+        [(HULE, [f"k{number}" for number in range(MAX_REMOVED_KEYS + 5)])]
+    )
+    newer = index_keys([])
+    newer.inherit_removed(former)
     assert not newer.was_removed("k0")
-    assert newer.was_removed(f"k{MOST_REMEMBERED + 4}")
+    assert newer.was_removed(f"k{MAX_REMOVED_KEYS + 4}")
 
 
 def test_no_text_of_a_table_shows_a_key():
--- a/tests/unit/tenants/test_limit.py
+++ b/tests/unit/tenants/test_limit.py
@@ -6,15 +6,15 @@
 from notcharch.tenants.limit import (
     GRANTED,
     IDLE_SECONDS,
-    LEAST_RETRY_SECONDS,
-    MOST_RETRY_SECONDS,
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
     OverLimit,
     Supply,
     TenantLimit,
-    shared_supply_of,
-    supply_of,
+    exclusive_supply,
+    shared_supply,
 )
-from notcharch.tenants.program_sizes import UNKNOWN_SIZE, ProgramSize, ProgramSizes
+from notcharch.tenants.program_sizes import DEFAULT_SIZE, ProgramSize, ProgramSizes
 from notcharch.tenants.recent_calls import RecentCalls
 
 SUPPLY = Supply(rate=10.0, capacity=10.0, window_calls=1000.0)
@@ -29,12 +29,14 @@
         self.supply = supply
         self.now = 0.0
 
-    def ask(self, program: str = "", *, knows_all: bool = True, kind: str = "k"):
+    def ask(
+        self, program: str = "", *, knows_all_programs: bool = True, kind: str = "k"
+    ):
         return self.limit.decide(
-            program, kind, self.supply, self.now, knows_all=knows_all
+            program, kind, self.supply, self.now, knows_all_programs=knows_all_programs
         )
 
-    def waits(self, most: float, calls: int = 10, program: str = "") -> list[float]:
+    def waits(self, max_wait: float, calls: int = 10, program: str = "") -> list[float]:
         """Ask for calls that may wait; give the waits of those that are let in."""
         verdicts = [
             self.limit.decide(
@@ -42,8 +44,8 @@
                 "k",
                 self.supply,
                 self.now,
-                knows_all=True,
-                most_wait_seconds=most,
+                knows_all_programs=True,
+                max_wait_seconds=max_wait,
             )
             for _ in range(calls)
         ]
@@ -73,14 +75,14 @@
 
 def test_refused_callers_are_told_times_one_after_another():
     tenant = Tenant(level=0.0)
-    told = [tenant.ask().retry_after_seconds for _ in range(5)]
-    assert told == pytest.approx([0.1, 0.2, 0.3, 0.4, 0.5])
+    delays = [tenant.ask().retry_after_seconds for _ in range(5)]
+    assert delays == pytest.approx([0.1, 0.2, 0.3, 0.4, 0.5])
     tenant.now = 0.35
     assert tenant.granted(3) == 3
 
 
 @pytest.mark.parametrize(
-    ("rate", "seconds"), [(1000.0, LEAST_RETRY_SECONDS), (0.01, MOST_RETRY_SECONDS)]
+    ("rate", "seconds"), [(1000.0, MIN_RETRY_SECONDS), (0.01, MAX_RETRY_SECONDS)]
 )
 def test_the_time_to_come_back_is_bounded(rate, seconds):
     tenant = Tenant(level=0.0, supply=Supply(rate, 10.0, 1000.0))
@@ -89,26 +91,28 @@
 
 def test_a_program_begins_only_if_those_under_way_fit_with_it():
     tenant = Tenant()
-    paces = tenant.supply.rate + tenant.supply.capacity / UNKNOWN_SIZE.seconds
-    fitting = paces / UNKNOWN_SIZE.pace
+    rates = tenant.supply.rate + tenant.supply.capacity / DEFAULT_SIZE.seconds
+    fitting = rates / DEFAULT_SIZE.calls_per_second
     begun = [tenant.ask(f"p{number}") == GRANTED for number in range(20)]
     assert sum(begun) == pytest.approx(fitting, abs=1.5)
     assert begun == sorted(begun, reverse=True)
     refused = tenant.ask("another")
-    assert refused.begins
+    assert refused.is_new_program
     assert tenant.ask("p0") == GRANTED
 
 
 def test_a_program_alone_may_begin_however_large_its_kind_is():
     tenant = Tenant(level=1.0, supply=Supply(0.5, 2.0, 1000.0))
     assert tenant.ask("p") == GRANTED
-    assert tenant.ask("q").begins
+    assert tenant.ask("q").is_new_program
 
 
 def test_programs_that_may_have_begun_at_a_former_owner_are_taken_as_under_way():
     tenant = Tenant()
-    assert all(tenant.ask(f"p{n}", knows_all=False) == GRANTED for n in range(10))
-    assert not tenant.ask("p10", knows_all=False).begins
+    assert all(
+        tenant.ask(f"p{n}", knows_all_programs=False) == GRANTED for n in range(10)
+    )
+    assert not tenant.ask("p10", knows_all_programs=False).is_new_program
 
 
 def test_a_program_that_ended_makes_room_and_teaches_its_size():
@@ -119,7 +123,7 @@
             assert tenant.ask(f"p{step // 4}", kind="taught") == GRANTED
     size = tenant.sizes.of("taught")
     assert size.calls == pytest.approx(8.0, abs=0.1)
-    assert size.seconds < UNKNOWN_SIZE.seconds
+    assert size.seconds < DEFAULT_SIZE.seconds
     tenant.now += IDLE_SECONDS + 0.1
     assert tenant.ask("later") == GRANTED
     assert tenant.limit._programs.keys() == {"later"}
@@ -131,16 +135,16 @@
     assert isinstance(tenant.ask("p", kind="cut"), OverLimit)
     tenant.now = IDLE_SECONDS + 1.0
     tenant.ask("q")
-    assert tenant.sizes.of("cut") == UNKNOWN_SIZE
+    assert tenant.sizes.of("cut") == DEFAULT_SIZE
 
 
 def test_sizes_move_towards_what_is_seen():
     sizes = ProgramSizes()
     for _ in range(90):
-        sizes.saw("k", ProgramSize(24.0, 12.0))
+        sizes.record("k", ProgramSize(24.0, 12.0))
     assert sizes.of("k").calls == pytest.approx(24.0, rel=0.05)
     assert sizes.of("k").seconds == pytest.approx(12.0, rel=0.05)
-    assert sizes.of("other") == UNKNOWN_SIZE
+    assert sizes.of("other") == DEFAULT_SIZE
 
 
 def test_time_between_two_rates_counts_at_the_lower_one():
@@ -156,17 +160,17 @@
 
 @pytest.mark.parametrize("limit", [RateLimit(5.0, 7.0), RateLimit(40.0, 0.0)])
 def test_a_window_gets_what_the_limit_lets_in_within_it(limit):
-    supply = supply_of(limit, 5.0, 8.0)
+    supply = exclusive_supply(limit, 5.0, 8.0)
     within = limit.per_second * 5.0 + limit.burst + 8.0
     assert supply.window_calls == pytest.approx(within)
     assert supply.capacity == limit.burst + 8.0
     assert supply.rate * 5.0 == pytest.approx(within - 8.0)
-    half = shared_supply_of(limit, 5.0, 8.0, 0.5)
+    half = shared_supply(limit, 5.0, 8.0, 0.5)
     assert half == Supply(limit.per_second / 2, supply.capacity, supply.window_calls)
 
 
 def test_a_bucket_holds_one_call_at_least():
-    assert supply_of(RateLimit(0.5, 0.0), 5.0, 0.0).capacity == 1.0
+    assert exclusive_supply(RateLimit(0.5, 0.0), 5.0, 0.0).capacity == 1.0
 
 
 def test_a_window_that_is_full_refuses_though_the_bucket_is_not_empty():
@@ -203,7 +207,7 @@
 
 def test_a_program_that_would_be_one_too_many_is_not_begun_after_a_wait():
     tenant = Tenant(level=10.0)
-    tenant.sizes.saw("k", ProgramSize(60.0, 4.0))
+    tenant.sizes.record("k", ProgramSize(60.0, 4.0))
     assert tenant.ask("p") == GRANTED
     assert tenant.waits(0.5, 1, "q") == []
 
--- a/tests/unit/tenants/test_recent_calls.py
+++ b/tests/unit/tenants/test_recent_calls.py
@@ -29,7 +29,7 @@
     for at in (100.0, 102.0, 104.0):
         first.add(at)
     second = RecentCalls(WINDOW)
-    second.take(first.by_age(104.0), 900.0)
+    second.restore(first.by_age(104.0), 900.0)
     assert second.count(900.0) == 3
     assert second.count(902.0) >= first.count(106.0)
     assert second.count(900.0 + WINDOW + 1.0) == 0
