Speak of confirmed freshness where daemons exchange tables

TableVouching in vouching becomes TableFreshnessExchange in freshness_exchange, proof_reads freshness_reads, TableFreshness.prove confirm; ask_at_age becomes request_at_age, take and take_drained apply_table and apply_drained, own_proof_seconds max_confirmation_age, table_read_seconds table_long_poll_seconds and quick_share immediate_read_share. The messages AskTable and TableSeen and the event PeerVouched stay.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -54,8 +54,8 @@
     Mechanism,
 )
 from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 KEEP_LISTENING_SECONDS = 2.6
@@ -167,17 +167,17 @@
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
         )
-        self._vouching = TableVouching(
+        self._vouching = TableFreshnessExchange(
             reactor,
             random,
             self._network,
             self._freshness,
             peers=self._accounts.directory.peers,
-            ask_at_age=self._tables.own_proof_seconds,
+            request_at_age=self._tables.own_proof_seconds,
             table=lambda: self._tables.table_text,
-            take=self._tables.take_table,
+            apply_table=self._tables.take_table,
             drained=lambda: self._tables.drained,
-            take_drained=self._tables.peer_told_drained,
+            apply_drained=self._tables.peer_told_drained,
         )
         routine = (CallServed, CallerNotIdentified, LimitReached)
         self._output = LogOutput(
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -24,10 +24,10 @@
 from notcharch.platform.store import CALL_SECONDS, PlatformStore
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
 from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.proof_reads import (
-    own_proof_seconds,
-    quick_share,
-    table_read_seconds,
+from notcharch.tenants.freshness_reads import (
+    immediate_read_share,
+    max_confirmation_age,
+    table_long_poll_seconds,
 )
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -88,8 +88,8 @@
         regions a table has anything reside.
         """
         wait_seconds = held_read_seconds(contact_seconds)
-        table_seconds = table_read_seconds(wait_seconds, revoke_seconds)
-        self.own_proof_seconds = own_proof_seconds(
+        table_seconds = table_long_poll_seconds(wait_seconds, revoke_seconds)
+        self.own_proof_seconds = max_confirmation_age(
             table_seconds, CONFIGURATION_PAUSE_SECONDS
         )
         """How old a proof grows while the store answers all reads of the table."""
@@ -172,10 +172,10 @@
         """Give the share of our reads of the table that are not held."""
         if not self._freshness.is_required:
             return 0.0
-        return quick_share(self._table_seconds, self._daemons())
+        return immediate_read_share(self._table_seconds, self._daemons())
 
     def _configuration_proved(self, at: float) -> None:
-        self._freshness.prove(self._read_version, at)
+        self._freshness.confirm(self._read_version, at)
 
     def take_table(self, value: bytes) -> int:
         """Put a table in force if it is newer; give its version, -1 if unreadable."""
--- a/notcharch/tenants/freshness.py
+++ b/notcharch/tenants/freshness.py
@@ -27,7 +27,7 @@
         self._bound = bound_seconds
         self.version = -1
         """Of the table in force; negative before the first."""
-        self._proved_at: float | None = None
+        self._confirmed_at: float | None = None
 
     @property
     def is_required(self) -> bool:
@@ -38,18 +38,18 @@
         """Hear of a newer table: nothing is proved for it yet."""
         if version > self.version:
             self.version = version
-            self._proved_at = None
+            self._confirmed_at = None
 
-    def prove(self, version: int, at: float) -> None:
+    def confirm(self, version: int, at: float) -> None:
         """Hear that a version was the newest at an instant."""
         if version != self.version:
             return
-        if self._proved_at is None or at > self._proved_at:
-            self._proved_at = at
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
 
     def age(self, now: float) -> float | None:
         """Give the seconds since the table was certainly the newest; None if never."""
-        return None if self._proved_at is None else now - self._proved_at
+        return None if self._confirmed_at is None else now - self._confirmed_at
 
     def is_fresh(self, now: float, ahead_seconds: float = 0.0) -> bool:
         """Tell whether keys may be judged now, and for some seconds more."""
--- a/notcharch/tenants/vouching.py
+++ b/notcharch/tenants/freshness_exchange.py
@@ -23,16 +23,16 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-LOOK_SECONDS = 0.25
+CHECK_INTERVAL_SECONDS = 0.25
 """Between two looks at the age of the proof, and so between two questions. A proof lasts
 some seconds, so several peers are tried before it runs out."""
-ANSWER_SECONDS = 0.5
+RESPONSE_TIMEOUT_SECONDS = 0.5
 """A peer that doesn't answer in this time is given up."""
 
 Reply = Result[Message, Problem]
 
 
-class TableVouching:
+class TableFreshnessExchange:
     """Asks peers about the table when the log service is silent, and answers them."""
 
     def __init__(
@@ -43,69 +43,73 @@
         freshness: TableFreshness,
         *,
         peers: Callable[[], Sequence[DaemonName]],
-        ask_at_age: float,
+        request_at_age: float,
         table: Callable[[], bytes],
-        take: Callable[[bytes], int],
+        apply_table: Callable[[bytes], int],
         drained: Callable[[], DrainedZones] = DrainedZones,
-        take_drained: Callable[[DrainedZones], None] = lambda _: None,
+        apply_drained: Callable[[DrainedZones], None] = lambda _: None,
     ) -> None:
         """Register the handler of questions.
 
-        `ask_at_age`: seconds; reads of our own keep the proof younger. `table` gives the
-        table in force as it was written; `take` puts a newer one in force. `drained`
-        gives the zones that are known to be drained; `take_drained` hears a peer's.
+        `request_at_age`: seconds; reads of our own keep the proof younger. `table` gives the
+        table in force as it was written; `apply_table` puts a newer one in force. `drained`
+        gives the zones that are known to be drained; `apply_drained` hears a peer's.
         """
         self._clock = clock
         self._random = random
         self._network = network
         self._freshness = freshness
         self._peers = peers
-        self._ask_at_age = ask_at_age
+        self._request_at_age = request_at_age
         self._table = table
-        self._take = take
+        self._apply_table = apply_table
         self._drained = drained
-        self._take_drained = take_drained
-        self._is_asking = False
-        self._looks = LoopingCall(self._look)
-        self._looks.clock = clock
-        network.on_request(AskTable, self._tell)
+        self._apply_drained = apply_drained
+        self._is_requesting = False
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = clock
+        network.on_request(AskTable, self._reply)
 
     def start(self) -> None:
         """Begin to look at the age of the proof."""
         if self._freshness.is_required:
-            self._looks.start(LOOK_SECONDS, now=False)
+            self._checks.start(CHECK_INTERVAL_SECONDS, now=False)
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         age = self._freshness.age(self._clock.seconds())
-        is_young = age is not None and age < self._ask_at_age
-        if is_young or self._is_asking:
+        is_recent = age is not None and age < self._request_at_age
+        if is_recent or self._is_requesting:
             return
-        own = self._network.own_member.daemon
-        peers = [peer for peer in self._peers() if peer != own]
+        local = self._network.own_member.daemon
+        peers = [peer for peer in self._peers() if peer != local]
         if peers:
-            self._ask(self._random.choice(peers))
+            self._send_request(self._random.choice(peers))
 
-    def _ask(self, peer: DaemonName) -> None:
-        self._is_asking = True
-        asked_at = self._clock.seconds()
-        question = AskTable(self._freshness.version)
-        asking = self._network.request(peer, question, ANSWER_SECONDS)
-        asking.addCallback(self._answered, peer, asked_at)
+    def _send_request(self, peer: DaemonName) -> None:
+        self._is_requesting = True
+        sent_at = self._clock.seconds()
+        message = AskTable(self._freshness.version)
+        pending = self._network.request(peer, message, RESPONSE_TIMEOUT_SECONDS)
+        pending.addCallback(self._on_reply, peer, sent_at)
 
-    def _answered(self, reply: Reply, peer: DaemonName, asked_at: float) -> None:
-        self._is_asking = False
+    def _on_reply(self, reply: Reply, peer: DaemonName, sent_at: float) -> None:
+        self._is_requesting = False
         if not isinstance(reply, Ok) or not isinstance(reply.ok_value, TableSeen):
             return
-        seen = reply.ok_value
-        if seen.version > self._freshness.version and seen.table:
-            self._take(seen.table)
-        self._take_drained(seen.drained)
-        if seen.version == self._freshness.version >= 0:
-            proved_at = asked_at - max(seen.age_seconds, 0.0)
-            self._freshness.prove(seen.version, proved_at)
-            emit(PeerVouched(str(peer), seen.version, round(seen.age_seconds, 3)))
+        peer_table = reply.ok_value
+        if peer_table.version > self._freshness.version and peer_table.table:
+            self._apply_table(peer_table.table)
+        self._apply_drained(peer_table.drained)
+        if peer_table.version == self._freshness.version >= 0:
+            confirmed_at = sent_at - max(peer_table.age_seconds, 0.0)
+            self._freshness.confirm(peer_table.version, confirmed_at)
+            emit(
+                PeerVouched(
+                    str(peer), peer_table.version, round(peer_table.age_seconds, 3)
+                )
+            )
 
-    async def _tell(self, sender: Member, message: Message) -> Message:
+    async def _reply(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, AskTable)
         freshness = self._freshness
         age = freshness.age(self._clock.seconds())
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -19,8 +19,8 @@
     PlatformTables,
 )
 from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from notcharch.tenants.identity import identify
-from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 from tests.unit.accounts.log_of_one import LogOfOne
 
@@ -96,18 +96,18 @@
             freshness=self.freshness,
             revoke_seconds=REVOKE_SECONDS,
         )
-        self.vouching = TableVouching(
+        self.exchange = TableFreshnessExchange(
             joined.clock,
             Random(number),
             joined.network,
             self.freshness,
             peers=lambda: world.names,
-            ask_at_age=self.tables.own_proof_seconds,
+            request_at_age=self.tables.own_proof_seconds,
             table=lambda: self.tables.table_text,
-            take=self.tables.take_table,
+            apply_table=self.tables.take_table,
         )
         self.tables.start()
-        self.vouching.start()
+        self.exchange.start()
 
     def lets_in(self, key: str) -> bool:
         """Judge a key now, as for a request whose head was just read."""
--- a/tests/stateful/tenants/test_revocation_machine.py
+++ b/tests/stateful/tenants/test_revocation_machine.py
@@ -11,7 +11,7 @@
 from emulator.services.partitioned_log import Trouble
 from notcharch.platform.tables import PlatformTables
 from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.vouching import TableVouching
+from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from tests.stateful.runs import RUN, assert_caught
 from tests.stateful.tenants.revocation_world import (
     CONTACT_SECONDS,
@@ -188,28 +188,28 @@
 
 
 def a_proof_counts_from_its_answer(monkeypatch):
-    def proved(self, at):
-        self._freshness.prove(self._read_version, self._clock.seconds())
+    def confirmed(self, at):
+        self._freshness.confirm(self._read_version, self._clock.seconds())
 
-    monkeypatch.setattr(PlatformTables, "_configuration_proved", proved)
+    monkeypatch.setattr(PlatformTables, "_configuration_proved", confirmed)
 
 
 def peers_words_do_not_age(monkeypatch):
     def answered(self, reply, peer, asked_at):
-        self._is_asking = False
+        self._is_requesting = False
         if isinstance(reply, Ok):
-            self._freshness.prove(reply.ok_value.version, asked_at)
+            self._freshness.confirm(reply.ok_value.version, asked_at)
 
-    monkeypatch.setattr(TableVouching, "_answered", answered)
+    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", answered)
 
 
 def a_proof_of_another_version_counts(monkeypatch):
     def answered(self, reply, peer, asked_at):
-        self._is_asking = False
+        self._is_requesting = False
         if isinstance(reply, Ok):
-            self._freshness.prove(self._freshness.version, asked_at)
+            self._freshness.confirm(self._freshness.version, asked_at)
 
-    monkeypatch.setattr(TableVouching, "_answered", answered)
+    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", answered)
 
 
 BREAKS = [
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -28,7 +28,7 @@
         freshness = TableFreshness(5.0)
         freshness.put_in_force(7)
         if proof_age is not None:
-            freshness.prove(7, 100.0 - proof_age)
+            freshness.confirm(7, 100.0 - proof_age)
         keys = index_keys([(HULE, ["k1"])]) if has_tenants else None
         self.table = RouteTable(7, (), {}, ServerLimits(), keys)
         self.check = CallerCheck(self.clock, freshness)
--- a/tests/unit/tenants/test_freshness.py
+++ b/tests/unit/tenants/test_freshness.py
@@ -7,10 +7,10 @@
 BOUND = 5.0
 
 
-def proved(version: int = 3, at: float = 10.0) -> TableFreshness:
+def confirmed(version: int = 3, at: float = 10.0) -> TableFreshness:
     freshness = TableFreshness(BOUND)
     freshness.put_in_force(version)
-    freshness.prove(version, at)
+    freshness.confirm(version, at)
     return freshness
 
 
@@ -27,34 +27,34 @@
 )
 def test_a_proof_lasts_for_the_bound_less_a_margin(now, is_fresh):
     assert pytest.approx(4.9) == BOUND - CLOCK_MARGIN_SECONDS
-    assert proved().is_fresh(now) is is_fresh
+    assert confirmed().is_fresh(now) is is_fresh
 
 
 def test_a_later_proof_of_an_earlier_instant_takes_nothing_back():
-    freshness = proved(at=10.0)
-    freshness.prove(3, 8.0)
+    freshness = confirmed(at=10.0)
+    freshness.confirm(3, 8.0)
     assert freshness.age(11.0) == pytest.approx(1.0)
 
 
 @pytest.mark.parametrize("version", [2, 4, -1])
 def test_a_proof_of_another_version_says_nothing_of_this_one(version):
-    freshness = proved(at=10.0)
-    freshness.prove(version, 14.0)
+    freshness = confirmed(at=10.0)
+    freshness.confirm(version, 14.0)
     assert freshness.age(15.0) == pytest.approx(5.0)
 
 
 def test_a_newer_table_needs_a_proof_of_its_own():
-    freshness = proved(at=10.0)
+    freshness = confirmed(at=10.0)
     freshness.put_in_force(4)
     assert not freshness.is_fresh(10.0)
     freshness.put_in_force(3)
-    freshness.prove(3, 11.0)
+    freshness.confirm(3, 11.0)
     assert not freshness.is_fresh(11.0)
 
 
 def test_what_ends_soon_is_known_before():
-    assert proved().is_fresh(13.0, ahead_seconds=1.5)
-    assert not proved().is_fresh(13.5, ahead_seconds=1.5)
+    assert confirmed().is_fresh(13.0, ahead_seconds=1.5)
+    assert not confirmed().is_fresh(13.5, ahead_seconds=1.5)
 
 
 def test_without_a_bound_no_proof_is_needed():
--- a/tests/unit/tenants/test_vouching.py
+++ b/tests/unit/tenants/test_freshness_exchange.py
@@ -9,11 +9,14 @@
 from notcharch.accounts.messages import account_codec
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
 from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.vouching import LOOK_SECONDS, TableVouching
+from notcharch.tenants.freshness_exchange import (
+    CHECK_INTERVAL_SECONDS,
+    TableFreshnessExchange,
+)
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 
 BOUND = 5.0
-ASK_AT_AGE = 2.4
+REQUEST_AT_AGE = 2.4
 NAMES = tuple(DaemonName(name) for name in ("asker", "served", "other"))
 
 
@@ -25,19 +28,19 @@
         self.clock = joined.clock
         self.freshness = TableFreshness(BOUND)
         self.drains = ZoneDrains()
-        self.vouching = TableVouching(
+        self.exchange = TableFreshnessExchange(
             joined.clock,
             Random(1),
             joined.network,
             self.freshness,
             peers=lambda: world.peers,
-            ask_at_age=ASK_AT_AGE,
+            request_at_age=REQUEST_AT_AGE,
             table=lambda: str(self.freshness.version).encode(),
-            take=self.take,
+            apply_table=self.take,
             drained=lambda: self.drains.current,
-            take_drained=lambda newer: self.drains.update(newer, 0.0),
+            apply_drained=lambda newer: self.drains.update(newer, 0.0),
         )
-        self.vouching.start()
+        self.exchange.start()
 
     def take(self, text: bytes) -> int:
         self.freshness.put_in_force(int(text))
@@ -45,7 +48,7 @@
 
     def reads(self, version: int, age: float = 0.0) -> None:
         self.freshness.put_in_force(version)
-        self.freshness.prove(version, self.clock.seconds() - age)
+        self.freshness.confirm(version, self.clock.seconds() - age)
 
     @property
     def is_fresh(self) -> bool:
@@ -93,7 +96,7 @@
     world = World()
     world.asker.reads(3)
     world.served.reads(4)
-    world.run(ASK_AT_AGE + 4 * LOOK_SECONDS, reader=world.served)
+    world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS, reader=world.served)
     assert world.asker.freshness.version == 4
     assert world.asker.is_fresh
 
@@ -134,7 +137,7 @@
     world = World()
     world.asker.reads(3)
     world.served.reads(3)
-    world.served.freshness.prove(3, world.clock.seconds() + 50.0)
+    world.served.freshness.confirm(3, world.clock.seconds() + 50.0)
     world.run(20.0, reader=world.asker)
     assert world.asker.freshness.age(world.clock.seconds()) == pytest.approx(0.0)
 
@@ -144,7 +147,7 @@
     world.asker.reads(3)
     world.served.reads(3)
     world.served.drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
-    world.run(ASK_AT_AGE + 4 * LOOK_SECONDS, reader=world.served)
+    world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS, reader=world.served)
     assert world.asker.drains.current == DrainedZones(frozenset({"z-1"}), 9)
 
 
@@ -153,5 +156,5 @@
     world.asker.reads(3)
     for name in NAMES[1:]:
         world.daemons[name].drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
-    world.run(ASK_AT_AGE + 4 * LOOK_SECONDS)
+    world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS)
     assert world.asker.drains.is_drained("z-1")
