--- a/notcharch/scheduling/breaker.py
+++ b/notcharch/scheduling/breaker.py
@@ -1,7 +1,7 @@
-"""A circuit breaker: after repeated failures nothing is tried for a while.
+"""A circuit breaker: stops attempts for a while after repeated failures.
 
-closed → (failures in a row) → open → (pause over) → half-open, in which one
-try decides: a success closes the breaker, a failure opens it for twice as long.
+closed → (consecutive failures) → open → (pause elapsed) → half-open, in which one probe
+is allowed: its success closes the breaker, its failure opens it for twice as long.
 """
 
 from typing import Protocol
@@ -11,7 +11,7 @@
 
 
 class BreakerPolicy(msgspec.Struct, frozen=True):
-    """When to open, and for how many seconds."""
+    """When to open the breaker, and for how many seconds."""
 
     failures_to_open: int = 5
     first_pause_seconds: float = 2.0
@@ -19,29 +19,29 @@
 
 
 class _BreakerMachine(Protocol):
-    """The inputs of the breaker's machine."""
+    """The inputs of the breaker's state machine."""
 
     def trip(self) -> None:
-        """Note too many failures in a row."""
+        """Handle too many consecutive failures."""
 
     def pause_over(self) -> None:
-        """Note that the pause after opening has passed."""
+        """Handle the end of the pause after opening."""
 
     def probe_succeeded(self) -> None:
-        """Note that the one try worked."""
+        """Handle the success of the probe."""
 
     def probe_failed(self) -> None:
-        """Note that the one try failed."""
+        """Handle the failure of the probe."""
 
     def permits(self) -> bool:
-        """Tell whether something may be tried now."""
+        """Return whether an attempt is allowed now."""
 
     def probing(self) -> bool:
-        """Tell whether the next outcome decides."""
+        """Return whether the next outcome is that of the probe."""
 
 
 class _Core:
-    """What the machine keeps: whether the one probe is under way."""
+    """The data of the state machine: whether the probe is running."""
 
     probe_running = False
 
@@ -90,9 +90,10 @@
 
 
 class CircuitBreaker:
-    """Counts failures and keeps the times around the machine.
+    """Counts failures and keeps the timers of the state machine.
 
-    While the breaker is closed the machine is not asked: this is on every call's way.
+    While the breaker is closed the state machine isn't consulted, because every call
+    passes here.
     """
 
     def __init__(self, policy: BreakerPolicy) -> None:
@@ -106,7 +107,7 @@
         self._open_until = 0.0
 
     def permits(self, now: float) -> bool:
-        """Tell whether something may be tried now; changes nothing but the time."""
+        """Return whether an attempt is allowed now."""
         if self._closed:
             return True
         if now >= self._open_until:
@@ -114,16 +115,16 @@
         return self._machine.permits()
 
     def permits_again_at(self) -> float:
-        """Give the time at which an open breaker permits the next try."""
+        """Return the time at which an open breaker allows the next attempt."""
         return self._open_until
 
     def started(self) -> None:
-        """Note that a permitted try began; half-open permits only one."""
+        """Record that an allowed attempt started; half-open allows only one."""
         if not self._closed and self._machine.probing():
             self._core.probe_running = True
 
     def succeeded(self) -> None:
-        """Note a success."""
+        """Record a success."""
         self._failures = 0
         if not self._closed and self._machine.probing():
             self._core.probe_running = False
@@ -132,7 +133,7 @@
             self._pause_seconds = self._policy.first_pause_seconds
 
     def failed(self, now: float) -> None:
-        """Note a failure."""
+        """Record a failure."""
         self._failures += 1
         if self._machine.probing():
             self._core.probe_running = False
@@ -148,5 +149,5 @@
             self._open_until = now + self._pause_seconds
 
     def abandoned(self) -> None:
-        """Note that a try ended without saying anything about the other side."""
+        """Record an attempt that ended without a result for the other side."""
         self._core.probe_running = False
--- a/notcharch/scheduling/cold_engines.py
+++ b/notcharch/scheduling/cold_engines.py
@@ -1,9 +1,10 @@
-"""How many calls a cold engine gets, from all daemons together. Pure.
+"""Limits the calls that all daemons together send to a cold engine. Pure.
 
-An engine that has just started, or has been emptied, is cold for some seconds, and bears
-only so many calls a second from all daemons. Daemons don't ask each other: of all daemons
-a few *feed* a cold engine, the same ones at every daemon that knows the same members, and
-each sends it no more than its part. See docs/design/cold-engines.md for the ways weighed.
+An engine that has just started, or was emptied, is cold for some seconds and can take
+only a limited rate of calls. Daemons share this limit without coordination: rendezvous
+hashing selects a few senders for each cold engine, the same ones at every daemon with
+the same view of the members, and each sender has a quota. docs/design/cold-engines.md
+compares the alternatives.
 """
 
 import math
@@ -15,22 +16,21 @@
 import xxhash
 
 CONCURRENT_VIEWS = 2.0
-"""While the group of daemons changes, two views of who they are may be in use. The bound is
-divided by this, so the feeders of both together keep it."""
+"""Number of member views that may be in use while the members change. The limit is
+divided by it, so that the senders of both views together stay within the limit."""
 SUSPECTED_COLD_VIEWS = 1.0
-"""Where a daemon that has just started only doubts that an engine is warm, the whole bound
-is divided among all daemons. With half of it, 20 to 28 calls were refused in the second
-after the restart of all 69 daemons of a played day; an engine is rarely cold just then."""
+"""The same for an engine that a recently started daemon only suspects to be cold, which
+it rarely is: a smaller quota would refuse calls after a restart of all daemons."""
 RATE_WINDOW_SECONDS = 1.3
-"""A second, in which the bound counts, and the 0.3 s by which a call may leave later than it
-was chosen, because its connection has to come up."""
+"""One second, for which the limit is defined, and 0.3 s for connecting after the
+choice."""
 STABLE_VIEW_SECONDS = 1.3
-"""A daemon that has known its peers for less may know too few of them: it sends one call
-where its part would be more."""
+"""A daemon that has known its peers for less time may not know all of them, and limits
+its quota to one call."""
 
 
 class ColdLimit(msgspec.Struct, frozen=True):
-    """How long engines of a service are cold after a start, and what they bear then."""
+    """How long engines of a service stay cold, and the rate of calls they take then."""
 
     seconds: float = 0.0
     calls_per_second: float = 0.0
@@ -42,41 +42,41 @@
 
 
 class ColdTolerance(msgspec.Struct, frozen=True):
-    """How far the rate of cold engines may be exceeded in one second."""
+    """How far the rate of a cold engine may be exceeded in one second."""
 
     factor: float = 1.0
     calls: float = 0.0
 
 
 class ColdPolicy(msgspec.Struct, frozen=True):
-    """What feeding goes by."""
+    """How calls to cold engines are limited."""
 
     tolerance: ColdTolerance = ColdTolerance()
     sends_to_cold: bool = True
-    """Whether cold engines get any call at all."""
+    """Whether cold engines receive any calls."""
 
 
 class DaemonView(Protocol):
-    """What this daemon knows of the daemons that may send calls."""
+    """The members as this daemon knows them."""
 
     @property
     def local_daemon(self) -> str:
-        """Our own name."""
+        """The name of this daemon."""
 
     def members(self) -> Sequence[str]:
-        """Give the names of all daemons, as far as is known."""
+        """Return the names of all known daemons."""
 
     def known_seconds(self) -> float:
-        """Give for how long any members have been known; 0 if none are."""
+        """Return for how many seconds any members have been known; 0 if none are."""
 
 
 class SenderQuota(msgspec.Struct, frozen=True):
     """How the calls to one cold engine are divided."""
 
     senders: int
-    """So many daemons send it calls."""
+    """The number of daemons that send calls to it."""
     calls: int
-    """Each so many within `RATE_WINDOW_SECONDS`."""
+    """The number of calls that each sends within `RATE_WINDOW_SECONDS`."""
 
 
 def sender_quota(
@@ -85,7 +85,7 @@
     daemons: int,
     views: float = CONCURRENT_VIEWS,
 ) -> SenderQuota:
-    """Divide what a cold engine bears in a second among some daemons."""
+    """Divide the limit of a cold engine among a number of daemons."""
     bound = limit.calls_per_second * tolerance.factor + tolerance.calls
     budget = math.floor(bound / views)
     if daemons <= 0 or budget <= 0:
@@ -96,9 +96,9 @@
 
 
 def is_sender(local: str, engine: str, members: Collection[str], senders: int) -> bool:
-    """Tell whether we are among the first daemons by a hash with an engine.
+    """Return whether the local daemon is among the first by its hash with an engine.
 
-    A daemon that is no member yet, having just started, counts itself in.
+    A daemon that isn't a member yet, because it has just started, counts itself.
     """
     if senders <= 0:
         return False
@@ -112,33 +112,33 @@
 
 
 class WarmupState:
-    """How long one engine is cold, as far as is known."""
+    """Until when one engine is cold."""
 
     def __init__(self) -> None:
-        """Begin warm."""
+        """Start warm."""
         self._reported_until = 0.0
         self._assumed_until = 0.0
         self._suspected_until = 0.0
 
     def record_report(self, cold_seconds: float, read_at: float) -> None:
-        """Take the newest word of the engine itself: it was written before it was read."""
+        """Record the engine's own report, which was written before it was read."""
         self._reported_until = read_at + cold_seconds
 
     def assume_cold(self, until: float) -> None:
-        """Count the engine as cold up to some clock seconds, whatever it said before."""
+        """Treat the engine as cold until a clock time, regardless of its reports."""
         self._assumed_until = max(self._assumed_until, until)
 
     def suspect_cold(self, until: float) -> None:
-        """Count the engine as perhaps cold: its entry is older than we know."""
+        """Treat the engine as possibly cold, because its entry may be outdated."""
         self._suspected_until = max(self._suspected_until, until)
 
     @property
     def cold_until(self) -> float:
-        """Give the clock seconds from which on it is certainly warm."""
+        """Return the clock time at which the engine is certainly warm."""
         return max(self._reported_until, self._assumed_until, self._suspected_until)
 
     def is_only_suspected_cold(self, now: float) -> bool:
-        """Tell whether nothing says that it is cold, but that its entry may be old."""
+        """Return whether it counts as cold only because its entry may be outdated."""
         return (
             max(self._reported_until, self._assumed_until)
             <= now
@@ -146,26 +146,26 @@
         )
 
     def is_cold(self, now: float) -> bool:
-        """Tell whether it may be cold."""
+        """Return whether the engine may be cold."""
         return now < self.cold_until
 
 
 class ColdEngineLimiter:
-    """Paces our own calls to cold engines."""
+    """Limits the local daemon's calls to cold engines."""
 
     def __init__(self, policy: ColdPolicy, view: DaemonView) -> None:
-        """`view` tells which daemons share the bounds with us."""
+        """`view` provides the daemons that share the limits."""
         self._policy = policy
         self._view = view
         self._sent: dict[str, deque[float]] = {}
-        """When each engine got its last calls from here, clock seconds."""
+        """Clock times of the last local calls to each engine."""
         self._quotas: dict[tuple[str, float], int] = {}
-        """Our part of each engine's calls, by the views that the bound is divided for."""
+        """Local quota by engine and by the number of views that divide the limit."""
         self._quota_members: Sequence[str] = ()
-        """The members by whom the parts were worked out."""
+        """The members for which the quotas were computed."""
 
     def sent(self, engine: str, limit: ColdLimit, now: float) -> None:
-        """Note a call to an engine, cold or not: it may turn cold within the second."""
+        """Record a call, also to a warm engine: it may turn cold within the second."""
         if not limit.is_enabled:
             return
         times = self._sent.setdefault(engine, deque())
@@ -174,13 +174,13 @@
             times.popleft()
 
     def forget(self, engine: str) -> None:
-        """Forget an engine that is gone."""
+        """Drop an engine that was removed."""
         self._sent.pop(engine, None)
         for key in [key for key in self._quotas if key[0] == engine]:
             del self._quotas[key]
 
     def reset_quotas(self) -> None:
-        """Work our parts out anew: what cold engines bear has changed."""
+        """Recompute the quotas after a change of the limits."""
         self._quotas = {}
 
     def seconds_until_send(
@@ -191,9 +191,10 @@
         *,
         is_only_suspected: bool = False,
     ) -> float | None:
-        """Give the seconds until we may send a cold engine a call; None: not we.
+        """Return the seconds until a call may be sent, None if this is no sender.
 
-        `is_only_suspected`: nothing says that the engine is cold, but its entry may be old.
+        `is_only_suspected`: the engine counts as cold only because its entry may be
+        outdated.
         """
         calls = self._local_quota(
             engine,
@@ -210,7 +211,7 @@
         return times[-calls] + RATE_WINDOW_SECONDS - now
 
     def _local_quota(self, engine: str, limit: ColdLimit, views: float) -> int:
-        """Give how many calls within `RATE_WINDOW_SECONDS` are ours to send."""
+        """Return how many calls may be sent within `RATE_WINDOW_SECONDS`."""
         view = self._view
         members = view.members()
         if not self._policy.sends_to_cold or not members:
@@ -225,7 +226,7 @@
         return quota if view.known_seconds() >= STABLE_VIEW_SECONDS else min(quota, 1)
 
     def _compute_quota(self, engine: str, limit: ColdLimit, views: float) -> int:
-        """Work out our part: a hash a member, so only once for each change of these."""
+        """Compute the local quota, with one hash for each member."""
         members = self._view.members()
         quota = sender_quota(limit, self._policy.tolerance, len(members), views)
         if is_sender(self._view.local_daemon, engine, members, quota.senders):
--- a/notcharch/scheduling/engine_choice.py
+++ b/notcharch/scheduling/engine_choice.py
@@ -1,7 +1,7 @@
-"""Which engine a call goes to: stay with the prefix, refill or move it.
+"""Which engine a call goes to: stay with the prefix, refill it or move it.
 
-All costs are seconds until the first token could come: the expected wait for a
-slot and the time to have the prompt in the engine's cache.
+All costs are the expected seconds until the first token: the wait for a slot, and the
+time to get the prompt into the engine's cache.
 """
 
 import enum
@@ -13,10 +13,10 @@
 
 
 class ChoiceKind(enum.Enum):
-    """What is to be done with the program's prefix."""
+    """What happens to the program's prefix."""
 
     STAY = "stay"
-    """The engine holds it, or there is none."""
+    """The engine holds it, or there is no prefix."""
 
     REFILL = "refill"
     """Another engine computes it again."""
@@ -26,7 +26,7 @@
 
 
 class EngineOption(msgspec.Struct, frozen=True):
-    """What one engine offers. Seconds, tokens, and tokens per second."""
+    """One engine's quote. Seconds, tokens, and tokens per second."""
 
     engine: EngineName
     expected_wait_seconds: float
@@ -35,7 +35,7 @@
 
 
 class EngineChoice(msgspec.Struct, frozen=True):
-    """The chosen engine, its cost in seconds, and the second best cost."""
+    """The chosen engine, its cost in seconds, and the second lowest cost."""
 
     engine: EngineName
     kind: ChoiceKind
@@ -46,25 +46,25 @@
 class ChoicePolicy(msgspec.Struct, frozen=True):
     """Rates that the engines do not report.
 
-    `move_tokens_per_second` of 0 says that prefixes are never moved.
+    With a `move_tokens_per_second` of 0 prefixes are never moved.
     """
 
     default_prefill_tokens_per_second: float = 4000.0
     move_tokens_per_second: float = 0.0
     move_overhead_seconds: float = 0.05
     defer_floor_seconds: float = 0.05
-    """A shorter wait than this never sends a call elsewhere."""
+    """A shorter wait never sends a call to another engine."""
 
 
 def refill_seconds(tokens: int, prefill_tokens_per_second: float) -> float:
-    """Give the time to compute that many prompt tokens."""
+    """Return the time to compute a number of prompt tokens."""
     return max(0, tokens) / max(prefill_tokens_per_second, 1.0)
 
 
 def defer_above_seconds(
     prefix_tokens: int, prefill_tokens_per_second: float, policy: ChoicePolicy
 ) -> float:
-    """Give the wait at the prefix's holder above which others are worth asking."""
+    """Return the wait at the prefix's holder that makes other engines worth a quote."""
     refill = refill_seconds(prefix_tokens, prefill_tokens_per_second)
     return max(policy.defer_floor_seconds, refill)
 
@@ -77,9 +77,9 @@
     held_tokens: int,
     policy: ChoicePolicy,
 ) -> EngineChoice | None:
-    """Choose the cheapest option; on equal cost the earlier one. None if none.
+    """Return the cheapest option, the first one of equals; None without options.
 
-    `held_tokens` is what `holder` holds of the prompt, whether or not it is among
+    `held_tokens` is what `holder` has cached of the prompt, whether or not it is among
     the options.
     """
     held = held_tokens if holder is not None else 0
--- a/notcharch/scheduling/engine_chooser.py
+++ b/notcharch/scheduling/engine_chooser.py
@@ -1,8 +1,8 @@
-"""The choice of an engine for one call, step by step as answers come in. Pure.
+"""Chooses an engine for one call, step by step as replies arrive. Pure.
 
-The holder of the program's prefix is asked first. When it defers, or there is
-none, two sampled engines are asked for quotes and the cheapest known one is
-asked for a grant, with the runner-up's cost as the limit of its wait.
+The holder of the program's prefix is tried first. If it defers the call, or there is no
+holder, two sampled engines are asked for quotes. The cheapest known engine receives the
+grant request, with the runner-up's cost as the limit of its wait.
 """
 
 import random
@@ -21,16 +21,16 @@
 
 SAMPLED_ENGINES = 2
 MAX_GRANT_REQUESTS = 5
-"""Grants asked for before the last one is waited for without a limit."""
+"""The last of this number of grant requests has no limit on the wait."""
 
 MAX_STEPS = 16
-"""Questions of both kinds for one call before it is answered with a problem."""
+"""Maximum number of requests of both kinds before the call fails."""
 
 NO_LIMIT_SECONDS = 1e9
-"""Stands for no limit; infinity has no form in JSON."""
+"""Represents no limit, because JSON has no infinity."""
 
 DEFER_SLACK_SECONDS = 0.25
-"""How much worse than the quote a wait may be before the call goes elsewhere."""
+"""How much longer than quoted a wait may be before the call is deferred."""
 
 
 class RequestGrant(msgspec.Struct, frozen=True):
@@ -39,17 +39,17 @@
     engine: EngineName
     defer_above_seconds: float
     move_prefix: bool = False
-    """Whether the prefix is to be moved there from its holder first."""
+    """Whether the prefix is first moved there from its holder."""
 
 
 class RequestQuotes(msgspec.Struct, frozen=True):
-    """Ask these engines what the call would wait."""
+    """Request the expected wait of the call from these engines."""
 
     engines: tuple[EngineName, ...]
 
 
 class NoEngineAvailable(msgspec.Struct, frozen=True):
-    """Every engine was unusable; `retry_after` is the least that one named."""
+    """No engine is usable; `retry_after` is the shortest time that one reported."""
 
     retry_after: float | None
 
@@ -58,7 +58,7 @@
 
 
 class EngineChooser:
-    """What is known of the engines for one call."""
+    """The state of the choice for one call."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         policy: ChoicePolicy,
         chance: random.Random,
     ) -> None:
-        """Begin with a prefix's holder, if there is one, and no quotes."""
+        """Start with the holder of the prefix, if there is one, and without quotes."""
         self._prompt_tokens = prompt_tokens
         self._cached_tokens = cached_tokens
         self._holder = holder
@@ -87,7 +87,7 @@
         self._steps = 0
 
     def next_step(self, engines: EnginePool) -> ChoiceStep:
-        """Give what to do next, of the engines that may get new work now."""
+        """Return the next step, given the engines that accept new work."""
         self._steps += 1
         if self._steps > MAX_STEPS:
             return NoEngineAvailable(self._retry_after)
@@ -105,12 +105,12 @@
         return self._request_cheapest(engines)
 
     def learn_quote(self, option: EngineOption) -> None:
-        """Take a quote in."""
+        """Record a quote."""
         self._options[option.engine] = option
         self._prefill_rate = option.prefill_tokens_per_second
 
     def learn_deferred(self, engine: EngineName, expected_wait: float) -> None:
-        """Take in that an engine's wait was above the limit."""
+        """Record that an engine's wait exceeded the limit."""
         known = self._options.get(engine)
         if known is None:
             cached = self._cached_tokens if engine == self._holder else 0
@@ -121,7 +121,7 @@
         self._sample_due = True
 
     def learn_overloaded(self, engine: EngineName, retry_after: float | None) -> None:
-        """Take in that the call would wait longer there than it may."""
+        """Record that the wait at an engine exceeds the maximum wait of the call."""
         self._overloaded.add(engine)
         self._sample_due = True
         if retry_after is not None:
@@ -131,12 +131,12 @@
             self._retry_after = min(shortest, retry_after)
 
     def learn_unusable(self, engine: EngineName) -> None:
-        """Take in that the engine or its steward cannot be used now."""
+        """Record that an engine or its steward cannot be used now."""
         self._unusable.add(engine)
         self._sample_due = True
 
     def forget_unusable(self) -> None:
-        """Give engines another chance, after a pause; overloaded ones not."""
+        """Retry unusable engines after a pause, but not overloaded ones."""
         self._unusable.clear()
         self._options.clear()
         self._sample_due = True
@@ -145,7 +145,7 @@
         return engine not in self._unusable and engine not in self._overloaded
 
     def _needs_no_quote(self, engine: EngineName) -> bool:
-        """Tell whether nothing new can be learnt by asking the engine."""
+        """Return whether a quote of the engine would add no information."""
         return engine in self._options or not self._is_usable(engine)
 
     def _holder_limit(self) -> float:
--- a/notcharch/scheduling/engine_pool.py
+++ b/notcharch/scheduling/engine_pool.py
@@ -1,4 +1,4 @@
-"""The engines of a pool that may get new work, for samples in constant time."""
+"""The engines that accept new work, sampled in constant time."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -6,11 +6,11 @@
 from notcharch.values.identifiers import EngineName
 
 DRAWS = 8
-"""Random draws before all engines are looked at: enough unless most are excluded."""
+"""Number of random draws before all engines are examined."""
 
 
 class EnginePool:
-    """A fixed set of engines; a changed directory means a new pool."""
+    """A fixed set of engines; a change of the directory makes a new pool."""
 
     def __init__(self, engines: Iterable[EngineName]) -> None:
         """Keep the engines in their order."""
@@ -24,7 +24,7 @@
         return len(self._names)
 
     def without(self, avoided: frozenset[EngineName]) -> "EnginePool":
-        """Give the other engines; all of them when there are no others."""
+        """Return the pool without some engines; the same pool if none would be left."""
         others = tuple(name for name in self._names if name not in avoided)
         return EnginePool(others) if avoided and others else self
 
@@ -34,7 +34,7 @@
         excluded: Callable[[EngineName], bool],
         chance: random.Random,
     ) -> tuple[EngineName, ...]:
-        """Draw `count` different engines that are not excluded, or all there are."""
+        """Return up to `count` different random engines that aren't excluded."""
         if len(self._names) > 2 * DRAWS:
             drawn = self._draw(count, excluded, chance)
             if len(drawn) == count:
