--- a/notcharch/scheduling/__init__.py
+++ b/notcharch/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Pure policy: queue order, engine choice, refusal, retention. No I/O, no clock."""
+"""Pure policies: queue order, engine choice, refusal, retention. No I/O, no clock."""
--- a/notcharch/scheduling/breaker.py
+++ b/notcharch/scheduling/breaker.py
@@ -149,5 +149,5 @@
             self._open_until = now + self._pause_seconds
 
     def abandoned(self) -> None:
-        """Record an attempt that ended without a result for the other side."""
+        """Record an attempt that ended without a success or failure."""
         self._core.probe_running = False
--- a/notcharch/scheduling/calls.py
+++ b/notcharch/scheduling/calls.py
@@ -73,7 +73,7 @@
     engine."""
 
     free_memory_part_behind: float = 0.08
-    """The same for services that have received less than their share."""
+    """Part of the memory for services that have received less than their share."""
 
     busy_part_threshold: float = 0.25
     """An engine is busy when at least this part of its slots is in use."""
--- a/notcharch/scheduling/cold_engines.py
+++ b/notcharch/scheduling/cold_engines.py
@@ -19,8 +19,9 @@
 """Number of member views that may be in use while the members change. The limit is
 divided by it, so that the senders of both views together stay within the limit."""
 SUSPECTED_COLD_VIEWS = 1.0
-"""The same for an engine that a recently started daemon only suspects to be cold, which
-it rarely is: a smaller quota would refuse calls after a restart of all daemons."""
+"""Divides the limit of an engine that a recently started daemon only suspects to be
+cold, which it rarely is: a smaller quota would refuse calls after a restart of all
+daemons."""
 RATE_WINDOW_SECONDS = 1.3
 """One second, for which the limit is defined, and 0.3 s for connecting after the
 choice."""
@@ -53,7 +54,7 @@
 
     tolerance: ColdTolerance = ColdTolerance()
     sends_to_cold: bool = True
-    """Whether cold engines receive any calls."""
+    """If false, cold engines receive no calls."""
 
 
 class DaemonView(Protocol):
--- a/notcharch/scheduling/engine_chooser.py
+++ b/notcharch/scheduling/engine_chooser.py
@@ -39,7 +39,7 @@
     engine: EngineName
     defer_above_seconds: float
     move_prefix: bool = False
-    """Whether the prefix is first moved there from its holder."""
+    """If true, the prefix is first moved there from its holder."""
 
 
 class RequestQuotes(msgspec.Struct, frozen=True):
--- a/notcharch/scheduling/engine_health.py
+++ b/notcharch/scheduling/engine_health.py
@@ -114,7 +114,7 @@
         """Start of the current silence, while calls are outstanding."""
         self._avoid_until = 0.0
         self._failures = 0
-        """Consecutive failures."""
+        """The number of consecutive failures."""
         self._received_at: float | None = None
         self.event_interval_seconds = 0.0
         """Mean interval between two events of a call, for the comparison with other
@@ -187,7 +187,7 @@
         self._avoid_until = max(self._avoid_until, now + FULL_SECONDS)
 
     def has_event_interval(self, now: float) -> bool:
-        """Return whether the event interval was measured recently."""
+        """Return whether the event interval is recent."""
         return (
             self._interval_at is not None
             and now - self._interval_at < INTERVAL_EXPIRY_SECONDS
--- a/notcharch/scheduling/engine_routing.py
+++ b/notcharch/scheduling/engine_routing.py
@@ -1,4 +1,4 @@
-"""Which engine of a service a call goes to: its home, or the least busy one. Pure."""
+"""Which engine a call goes to: by affinity, or to the least loaded one. Pure."""
 
 import math
 from collections.abc import Sequence
@@ -11,91 +11,94 @@
 from notcharch.scheduling.nearness import Distance, Nearness
 
 AFFINITY_SLACK_CALLS = 3
-"""A home engine is kept until it has so many more of our calls than the least busy."""
+"""An affinity engine is used until it has this many more local calls than the least
+loaded engine."""
 CACHED_ENGINE_SLACK_CALLS = 8
-"""The engine that has a program's prefix is left only when it is this much busier: to
-read a long prefix anew costs more than some waiting."""
+"""This is larger for the engine that caches the program's prefix, because recomputing a
+long prefix costs more than a short wait."""
 
 FAST_FACTOR = 1.15
-"""Engines are quick where a call takes no longer than so many times what it takes at the
-quickest quarter: between what chance makes of equal ones and the 1.3 times by which
-engines of one service are known to differ."""
+"""An engine is fast if calls take at most this multiple of their duration at the
+fastest quartile. The factor is above random variation and below the real differences
+within a service."""
 MIN_FAST_SHARE = 0.5
-"""Of the engines, so many begin programs at least: the quickest would be overrun."""
+"""Minimum share of the engines that start programs, so that the fastest aren't
+overloaded."""
 MIN_KNOWN_ENGINES = 3
-"""With fewer engines whose speed is known, none is called slow."""
+"""With fewer engines of known speed, none is considered slow."""
 
 OTHER_REGION_PENALTY = 1.0
-"""An engine of another region counts as if our own calls filled it once more: the way there
-and back takes some 60 ms, as long as a usual call of a tool works."""
+"""Load that is added to an engine of another region, as a share of its slots: the round
+trip takes about as long as a short call."""
 
 
 class RoutingPolicy(msgspec.Struct, frozen=True):
-    """What the choice goes by."""
+    """The criteria for choosing an engine."""
 
     affinity_slack_calls: int = AFFINITY_SLACK_CALLS
     cached_engine_slack_calls: int = CACHED_ENGINE_SLACK_CALLS
     prefers_cached_engine: bool = True
-    """Whether calls go where their program ran last."""
+    """Prefer the engine that last ran the call's program."""
     hashes_affinity: bool = True
-    """Whether calls with one key go to one engine."""
+    """Send calls with the same affinity key to the same engine."""
     prefers_zone: bool = True
-    """Whether engines of the own zone come first, then those of the own region."""
+    """Prefer engines of the local zone, then those of the local region."""
     prefers_fast: bool = True
-    """Whether programs begin at engines that are not slower than others."""
+    """Start new programs on engines that aren't slow."""
 
 
 class RoutingOption(Protocol):
-    """An engine that takes calls."""
+    """An engine that accepts calls."""
 
     @property
     def id(self) -> str:
-        """Its name."""
+        """The engine's identifier."""
 
     @property
     def zone(self) -> str:
-        """Where it is."""
+        """The engine's zone."""
 
     @property
     def slots(self) -> int:
-        """How many calls it runs at a time."""
+        """The number of calls that the engine runs concurrently."""
 
     @property
     def in_flight(self) -> int:
-        """How many of our calls are there."""
+        """The number of local calls in flight there."""
 
     @property
     def run_seconds(self) -> float | None:
-        """How long a call takes there; None if that isn't known."""
+        """The expected duration of a call, None if unknown."""
 
 
 Option = TypeVar("Option", bound=RoutingOption)
 
 
 class CallRouting(msgspec.Struct, frozen=True):
-    """What a call brings to the choice."""
+    """The routing inputs of one call."""
 
     affinity_key: str = ""
-    """What the calls share whose prefix an engine may keep; empty: nothing."""
+    """Shared by calls with a common prefix that an engine may cache; empty for none."""
     cached_engine: str = ""
-    """The engine that has the prefix already, if one is known to."""
+    """The engine known to cache the prefix; empty for none."""
 
 
 class EngineRouting:
-    """Chooses among engines, seen from one zone."""
+    """Chooses among engines, as seen from one zone."""
 
     def __init__(
         self, policy: RoutingPolicy, nearness: Nearness, random: Random
     ) -> None:
-        """Choose by a policy; `random` breaks ties."""
+        """`random` breaks ties."""
         self._policy = policy
         self._nearness = nearness
         self._random = random
 
     def choose(self, options: Sequence[Option], call: CallRouting) -> Option:
-        """Give the engine for a call; there must be one.
+        """Return the engine for a call; `options` must not be empty.
 
-        All daemons of a zone give one key the same home, in their own zone if they can.
+        All daemons of a zone choose the same engine for an affinity key, if possible
+        one in their own zone.
         """
         min_load = min(option.in_flight / option.slots for option in options)
         cached = self._cached_engine(options, call, min_load)
@@ -103,7 +106,7 @@
             return cached
         if call.affinity_key and self._policy.hashes_affinity:
             return self._affine_engine(options, call.affinity_key, min_load)
-        return self._least_loaded(options)
+        return self._lowest_load(options)
 
     def _cached_engine(
         self, options: Sequence[Option], call: CallRouting, min_load: float
@@ -121,7 +124,7 @@
     def _affine_engine(
         self, options: Sequence[Option], key: str, min_load: float
     ) -> Option:
-        """Prefer the first of the engines' hashes with the key that isn't too busy."""
+        """Return the nearest fast engine with capacity whose hash is lowest."""
         slack = self._policy.affinity_slack_calls
         free = [
             option
@@ -140,11 +143,11 @@
         return self._nearness.distance(option.zone)
 
     def _nearest(self, options: Sequence[Option]) -> Sequence[Option]:
-        """Give those of the own zone; if there are none, of the region; else all."""
+        """Return the engines of the local zone, else of the local region, else all."""
         nearest = min(self._distance(option) for option in options)
         return [option for option in options if self._distance(option) is nearest]
 
-    def _least_loaded(self, options: Sequence[Option]) -> Option:
+    def _lowest_load(self, options: Sequence[Option]) -> Option:
         return min(
             options,
             key=lambda option: (
@@ -155,15 +158,15 @@
         )
 
     def _load(self, option: RoutingOption) -> float:
-        """Give the share of an engine that our own calls take; more where it is far."""
+        """Return the load by local calls, increased for engines of other regions."""
         is_far = self._distance(option) is Distance.OTHER_REGION
         return option.in_flight / option.slots + is_far * OTHER_REGION_PENALTY
 
 
 def fast_engines(options: Sequence[Option]) -> Sequence[Option]:
-    """Leave out the engines at which calls take longer than at others.
+    """Leave out engines where calls take longer than at others.
 
-    One whose speed isn't known yet counts as quick, so that it becomes known.
+    An engine of unknown speed counts as fast, so that its speed becomes known.
     """
     known = sorted(
         option.run_seconds for option in options if option.run_seconds is not None
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -1,13 +1,13 @@
-"""The queue of one engine: which waiting call is granted next.
+"""The queue of one engine, which orders the waiting calls.
 
-Between services: start-time fair queueing. Each service with waiting calls is a
-lane with a virtual time, in tokens divided by share; the lane that is furthest
-behind goes first. A lane of higher priority may run ahead of its share by
-`OrderPolicy.lead_tokens`, no further, so priority decides who waits and share
-decides who gets how much. Within a lane: `OrderPolicy.delay_seconds`.
+Services are ordered by start-time fair queueing. Each service with waiting calls is a
+lane with a virtual time, in tokens divided by its share; the lane with the lowest
+virtual time goes first. A lane of higher priority may run ahead of its share by at most
+`OrderPolicy.lead_tokens`, so the priority affects the waiting time, and the share the
+throughput. Within a lane calls are ordered by `OrderPolicy.delay_seconds`.
 
-Every operation takes O(log n) of the calls and of the services that wait; a grant
-without headroom looks at each service that has nothing else waiting.
+Every operation takes O(log n) of the waiting calls and services; a grant without
+headroom examines each service that has only calls that need it.
 """
 
 import msgspec
@@ -20,7 +20,7 @@
 
 
 class _Place(msgspec.Struct, frozen=True, order=True):
-    """Where a call stands in its lane; `arrival` breaks ties."""
+    """The position of a call in its lane; `arrival` breaks ties."""
 
     order_seconds: float
     arrival: int
@@ -28,14 +28,14 @@
 
 
 class _LanePlace(msgspec.Struct, frozen=True, order=True):
-    """Where a lane stands among the lanes of its priority."""
+    """The position of a lane among the lanes of its priority."""
 
     virtual_time: float
     service: ServiceName
 
 
 class _Waiting(msgspec.Struct, frozen=True):
-    """A waiting call and its place."""
+    """A waiting call and its position."""
 
     call: QueuedCall
     place: _Place
@@ -51,16 +51,16 @@
         self.priority = 0
         self.places: SortedList[_Place] = SortedList()
         self.ready: SortedList[_Place] = SortedList()
-        """The places of calls that go without headroom, too."""
+        """Calls that need no headroom."""
 
     def add(self, place: _Place, *, needs_headroom: bool) -> None:
-        """Add a call's place."""
+        """Add a call's position."""
         self.places.add(place)
         if not needs_headroom:
             self.ready.add(place)
 
     def remove(self, place: _Place) -> None:
-        """Take a call's place out."""
+        """Remove a call's position."""
         self.places.remove(place)
         self.ready.discard(place)
 
@@ -70,7 +70,7 @@
 
 
 class FairQueue:
-    """Orders the waiting calls of one engine. Pure; time is an argument."""
+    """Orders the waiting calls of one engine. Pure; the time is an argument."""
 
     def __init__(self, policy: OrderPolicy) -> None:
         """Start empty."""
@@ -90,11 +90,11 @@
         return key in self._waiting
 
     def waiting(self) -> tuple[QueuedCall, ...]:
-        """Give every waiting call, in no particular order."""
+        """Return all waiting calls in no particular order."""
         return tuple(waiting.call for waiting in self._waiting.values())
 
     def enqueue(self, call: QueuedCall) -> None:
-        """Add a call; its service's share and priority become the call's."""
+        """Add a call, whose share and priority become those of its service."""
         self.cancel(call.key)
         lane = self._lanes.get(call.service)
         if lane is None:
@@ -111,7 +111,7 @@
         self._list(lane)
 
     def cancel(self, key: CallKey) -> QueuedCall | None:
-        """Take a call out without charging its service; None if not waiting."""
+        """Remove a call without charging its service; None if it isn't waiting."""
         waiting = self._waiting.pop(key, None)
         if waiting is None:
             return None
@@ -122,9 +122,9 @@
         return waiting.call
 
     def grant(self, headroom: Headroom = Headroom.FOR_ALL) -> QueuedCall | None:
-        """Take out the next call and charge its cost; None when there is none.
+        """Remove the next call and charge its cost; None if no call can be granted.
 
-        Calls that need headroom and have none are passed over and keep their places.
+        Calls that need missing headroom are skipped and keep their positions.
         """
         lane = self._next_lane(headroom)
         if lane is None:
@@ -140,7 +140,7 @@
         return call
 
     def correct_charge(self, call: QueuedCall, used_tokens: int) -> None:
-        """Replace a granted call's charge by what it really used."""
+        """Replace the charge of a granted call by its actual usage."""
         lane = self._lanes.get(call.service)
         if lane is None:
             return
@@ -149,9 +149,10 @@
         self._list(lane)
 
     def calls_ahead(self, call: QueuedCall) -> float:
-        """Estimate how many calls are granted before this one, waiting or not.
+        """Estimate how many calls are granted before a call, queued or not.
 
-        Exact within the service; across services it goes by the shares.
+        The estimate is exact within the service, and based on the shares across
+        services.
         """
         waiting = self._waiting.get(call.key)
         place = waiting.place if waiting else self._place_of(call)
@@ -178,7 +179,7 @@
         return _Place(call.enqueued_at + delay, self._arrivals, call.key)
 
     def _places_of(self, lane: _Lane, headroom: Headroom) -> "SortedList[_Place]":
-        """Give the places of a lane that may be granted now."""
+        """Return the positions of a lane that may be granted now."""
         if headroom is Headroom.FOR_SERVICES_BEHIND:
             behind = lane.virtual_time < self._virtual_time
             return lane.places if behind else lane.ready
@@ -203,7 +204,7 @@
     def _first(
         self, level: "SortedList[_LanePlace]", headroom: Headroom
     ) -> _Lane | None:
-        """Give the level's lane that is furthest behind and has a call to grant."""
+        """Return the level's lane with the lowest virtual time and a call to grant."""
         if headroom is Headroom.FOR_ALL:
             return self._lanes[level[0].service]
         lanes = (self._lanes[place.service] for place in level)
@@ -227,9 +228,9 @@
             self._share_sum = 0.0
 
     def _forget_idle_lanes(self) -> None:
-        """Drop lanes that would start again at the queue's virtual time anyway.
+        """Remove idle lanes that would restart at the queue's virtual time.
 
-        Looked for only when the lanes have doubled, so that it costs O(1) a grant.
+        Runs only when the number of lanes has doubled, so it costs O(1) per grant.
         """
         if len(self._lanes) < self._lanes_to_clean:
             return
--- a/notcharch/scheduling/residence.py
+++ b/notcharch/scheduling/residence.py
@@ -1,17 +1,17 @@
-"""In which regions a call may be served. Pure."""
+"""The regions in which a call may be served. Pure."""
 
 from collections.abc import Mapping
 
 ANYWHERE: frozenset[str] | None = None
-"""No residence: any region serves."""
+"""No residence: any region may serve the call."""
 
 
 def joined(
     route: frozenset[str] | None, tenant: frozenset[str] | None
 ) -> frozenset[str] | None:
-    """Give the regions that both a route and a tenant allow; None: any.
+    """Return the regions that both a route and a tenant allow; None for any.
 
-    The result may be empty: then no region may serve the call.
+    If the result is empty, no region may serve the call.
     """
     if route is None:
         return tenant
@@ -23,8 +23,8 @@
 def allows_zone(
     regions: frozenset[str] | None, zone: str, region_of: Mapping[str, str]
 ) -> bool:
-    """Tell whether a call may be served in a zone.
+    """Return whether a call may be served in a zone.
 
-    A zone whose region isn't known is in none of the regions.
+    A zone of unknown region is in none of the regions.
     """
     return regions is None or region_of.get(zone) in regions
--- a/notcharch/scheduling/retention.py
+++ b/notcharch/scheduling/retention.py
@@ -1,9 +1,9 @@
 """What to do with a program's cached prefix while the program pauses.
 
-Keeping it costs others memory, dropping it costs a refill when the program
-comes back, exporting it costs two transfers. All costs are expected seconds of
-engine time. Pauses are taken as exponential around the service's mean, which
-needs nothing but that mean.
+Keeping the prefix takes memory from others, dropping it costs a refill when the program
+returns, and exporting it costs two transfers. All costs are expected seconds of engine
+time. Pauses are assumed to be exponentially distributed, so only the service's mean is
+needed.
 """
 
 import enum
@@ -23,8 +23,8 @@
 class PausedPrefix(msgspec.Struct, frozen=True):
     """A prefix of `tokens` whose program may return after a pause.
 
-    `return_probability` is the part of such pauses after which another call
-    came; `mean_pause_seconds` is the mean of those.
+    `return_probability` is the part of such pauses that end with another call;
+    `mean_pause_seconds` is the mean length of those.
     """
 
     tokens: int
@@ -36,33 +36,33 @@
     """How scarce an engine's prefix memory is.
 
     `residence_seconds` is how long an unused prefix stays before it is evicted
-    (evictable tokens / tokens filled per second; infinite without pressure).
-    `reuse_probability` is the part of cached tokens that serve a later prompt.
+    (evictable tokens / tokens filled per second; infinite without memory pressure).
+    `reuse_probability` is the part of the cached tokens that a later prompt reuses.
     """
 
     residence_seconds: float
     reuse_probability: float
     prefill_tokens_per_second: float
     transfer_tokens_per_second: float
-    """Rate of an export, and of an import; 0 when the engine does neither."""
+    """Rate of exports and imports; 0 if the engine supports neither."""
 
 
 class RetentionCosts(msgspec.Struct, frozen=True):
-    """The expected cost of each way, in seconds of engine time."""
+    """The expected cost of each option, in seconds of engine time."""
 
     keep: float
     export: float
     drop: float
 
     def cheapest(self) -> Retention:
-        """Give the cheapest way; keeping on equal cost, then dropping."""
+        """Return the cheapest option; on equal cost keep, then drop."""
         if self.keep <= min(self.drop, self.export):
             return Retention.KEEP
         return Retention.DROP if self.drop <= self.export else Retention.EXPORT
 
 
 def retention_costs(prefix: PausedPrefix, memory: EngineMemory) -> RetentionCosts:
-    """Give the expected costs of keeping, exporting and dropping."""
+    """Return the expected costs of keeping, exporting and dropping the prefix."""
     refill = prefix.tokens / memory.prefill_tokens_per_second
     drop = prefix.return_probability * refill
     survives = _returns_within(prefix, memory.residence_seconds)
@@ -72,12 +72,12 @@
 
 
 def decide_retention(prefix: PausedPrefix, memory: EngineMemory) -> Retention:
-    """Give the cheapest way."""
+    """Return the cheapest option."""
     return retention_costs(prefix, memory).cheapest()
 
 
 def _returns_within(prefix: PausedPrefix, seconds: float) -> float:
-    """Give the probability that a pause which ends does so within the time."""
+    """Return the probability that a pause that ends does so within the time."""
     if prefix.mean_pause_seconds <= 0 or math.isinf(seconds):
         return 1.0
     return 1 - math.exp(-seconds / prefix.mean_pause_seconds)
@@ -86,10 +86,10 @@
 def _displacement_seconds(
     prefix: PausedPrefix, memory: EngineMemory, refill: float
 ) -> float:
-    """Give the refills of others that the kept memory causes.
+    """Return the expected refills of other programs caused by keeping the prefix.
 
-    A prefix that stays for a whole residence time displaces as many tokens of
-    others as it has; programs that do not return stay for all of it.
+    A prefix that stays for the whole residence time evicts as many tokens of others as
+    it has; prefixes of programs that don't return stay that long.
     """
     if math.isinf(memory.residence_seconds):
         return 0.0
--- a/notcharch/scheduling/retry.py
+++ b/notcharch/scheduling/retry.py
@@ -1,4 +1,4 @@
-"""Delays between tries, and a budget that keeps retries from multiplying load."""
+"""Delays between attempts, and a budget that keeps retries from multiplying load."""
 
 import random
 
@@ -6,13 +6,13 @@
 
 
 class RetryPolicy(msgspec.Struct, frozen=True):
-    """Exponential delays with full jitter, in seconds."""
+    """Exponential delays with jitter, in seconds."""
 
     first_seconds: float = 0.05
     longest_seconds: float = 5.0
 
     def delay_seconds(self, failures: int, chance: random.Random) -> float:
-        """Draw the delay after `failures` failures (from 1)."""
+        """Return a random delay after `failures` failures (from 1)."""
         bound = min(
             self.longest_seconds, self.first_seconds * 2.0 ** min(failures - 1, 32)
         )
@@ -20,9 +20,9 @@
 
 
 class RetryBudget:
-    """Allows retries as a fraction of first tries, so that they never pile up.
+    """Limits retries to a fraction of first attempts.
 
-    Each first try earns `fraction` of a retry; at most `greatest` are saved.
+    Each first attempt earns `fraction` of a retry; at most `greatest` are saved.
     """
 
     def __init__(self, fraction: float = 0.2, greatest: float = 10.0) -> None:
@@ -32,11 +32,11 @@
         self._saved = greatest
 
     def tried(self) -> None:
-        """Note a first try."""
+        """Record a first attempt."""
         self._saved = min(self._greatest, self._saved + self._fraction)
 
     def take_retry(self) -> bool:
-        """Take one retry out of the budget; False when there is none."""
+        """Spend one retry; return whether the budget had one."""
         if self._saved < 1:
             return False
         self._saved -= 1
--- a/notcharch/scheduling/shared_suspicions.py
+++ b/notcharch/scheduling/shared_suspicions.py
@@ -1,54 +1,54 @@
-"""Which engines daemons suspect together. Pure.
+"""Suspected engines, shared between daemons. Pure.
 
-One daemon of many sees few answers of each engine. So what it suspects rides on messages
-that it sends to its peers in any case, a few engines at a time, each with the time for
-which it is still suspected. That time only shrinks on the way, so what nobody sees again
-is forgotten everywhere.
+With many daemons, each one sees only a few responses of an engine. So daemons attach a
+few suspected engines to messages that they send to peers anyway, each with the
+remaining seconds of its suspicion. The time is never extended on the way, so a
+suspicion that no daemon renews expires everywhere.
 """
 
 import msgspec
 
 MAX_SUSPICIONS_PER_MESSAGE = 4
-"""So many engines are told of at a time."""
+"""Maximum number of engines in a message."""
 MAX_SUSPICION_SECONDS = 4.0
-"""What a peer tells is believed for no longer."""
+"""Upper bound of a suspicion that a peer reports."""
 LOCAL_RESPONSE_SECONDS = 1.0
-"""Own answers of an engine that are this young count for more than what peers tell."""
+"""A local response at most this old overrides what peers report."""
 MIN_SHARED_SECONDS = 0.1
-"""A suspicion that ends sooner isn't told."""
+"""A suspicion that ends sooner isn't sent."""
 MAX_SUSPECTED_SHARE = 1 / 3
-"""When peers suspect more of the engines than this, something else is wrong."""
+"""Suspicions of peers are ignored when they cover a larger share of the engines."""
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """An engine that is suspected for some seconds more."""
+    """An engine that is suspected for a number of seconds."""
 
     engine: str
     seconds: float
 
 
 class SharedSuspicions:
-    """What this daemon and its peers suspect."""
+    """The engines that this daemon and its peers suspect."""
 
     def __init__(self, *, is_shared: bool = True) -> None:
-        """Begin without suspicion; without sharing it neither tells nor believes."""
+        """Start without suspicions; unless `is_shared`, none are sent or accepted."""
         self._is_shared = is_shared
         self._until: dict[str, float] = {}
         """Clock seconds at which the suspicion of an engine ends."""
 
     def suspect(self, engine: str, until: float) -> None:
-        """Take our own suspicion, up to some clock seconds."""
+        """Record a local suspicion, until a clock time."""
         if self._is_shared:
             self._until[engine] = max(until, self._until.get(engine, 0.0))
 
     def merge(self, received: tuple[Suspicion, ...], now: float) -> None:
-        """Take what a peer tells."""
+        """Record the suspicions that a peer sent."""
         for suspicion in received:
             seconds = min(suspicion.seconds, MAX_SUSPICION_SECONDS)
             self.suspect(suspicion.engine, now + seconds)
 
     def to_send(self, now: float) -> tuple[Suspicion, ...]:
-        """Give what to tell a peer: the longest suspicions."""
+        """Return the suspicions to send to a peer: those that end last."""
         self._forget(now)
         longest = sorted(self._until.items(), key=lambda item: item[1], reverse=True)
         return tuple(
@@ -62,10 +62,10 @@
             del self._until[engine]
 
     def is_suspected(self, engine: str, now: float) -> bool:
-        """Tell whether anybody suspects an engine."""
+        """Return whether this daemon or a peer suspects an engine."""
         return self._until.get(engine, 0.0) > now
 
     @property
     def has_any(self) -> bool:
-        """Tell whether there is any suspicion at all."""
+        """Return whether there are any suspicions."""
         return bool(self._until)
--- a/notcharch/scheduling/waits.py
+++ b/notcharch/scheduling/waits.py
@@ -1,15 +1,15 @@
-"""Expected waits, and refusal before a wait that is not worth it."""
+"""Expected waits, and early refusal of calls that would wait too long."""
 
 import msgspec
 
 SHORTEST_RETRY_SECONDS = 1.0
-"""A refused caller is never told to come back sooner than this."""
+"""Lower bound of the retry time given to a refused caller."""
 
 
 class SlotLoad(msgspec.Struct, frozen=True):
-    """How busy an engine is. `busy` counts slots in use or waited for inside it.
+    """The load of an engine. `busy` counts slots in use and calls queued in the engine.
 
-    `hold_seconds` is the mean time for which a call keeps its slot.
+    `occupancy_seconds` is the mean time for which a call occupies its slot.
     """
 
     slots: int
@@ -18,9 +18,10 @@
 
 
 def expected_wait_seconds(load: SlotLoad, calls_ahead: float) -> float:
-    """Give the expected time to a grant behind `calls_ahead` waiting calls.
+    """Return the expected time to a grant behind `calls_ahead` waiting calls.
 
-    With all slots busy one comes free every `hold_seconds / slots` on average.
+    When all slots are busy, one becomes free every `occupancy_seconds / slots` on
+    average.
     """
     if load.slots <= 0:
         return float("inf")
@@ -29,10 +30,9 @@
 
 
 def retry_after_seconds(expected_wait: float, max_wait_seconds: float) -> float | None:
-    """Give when to come back if the wait is not worth it, else None.
+    """Return when to retry if the expected wait is too long, else None.
 
-    The answer is the time after which the queue, if nothing else came, would
-    be short enough.
+    That is the time after which the queue would be short enough if no calls arrived.
     """
     if expected_wait <= max_wait_seconds:
         return None
@@ -40,21 +40,21 @@
 
 
 class MeanOccupancy:
-    """The smoothed time for which calls keep their slots, in seconds."""
+    """The running mean of the time for which calls occupy their slots, in seconds."""
 
     WEIGHT = 0.1
 
     def __init__(self) -> None:
-        """Know nothing yet."""
+        """Start without samples."""
         self._mean: float | None = None
 
     def learn(self, seconds: float) -> None:
-        """Take one finished call into the mean."""
+        """Add one finished call to the mean."""
         if self._mean is None:
             self._mean = seconds
         else:
             self._mean += self.WEIGHT * (seconds - self._mean)
 
     def value(self, default_seconds: float) -> float:
-        """Give the mean, or the default before anything was learnt."""
+        """Return the mean, or the default before any sample."""
         return default_seconds if self._mean is None else self._mean
--- a/notcharch/scheduling/zone_drains.py
+++ b/notcharch/scheduling/zone_drains.py
@@ -1,8 +1,8 @@
-"""Which zones are drained: their engines get no new call. Pure.
+"""The drained zones, whose engines receive no new calls. Pure.
 
-A set of drained zones is read from a log, or told by a peer that read it. It is named by
-the position in the log up to which it was read, so of two sets the one with the higher
-position is the newer, wherever they came from.
+A set of drained zones is read from a log, or received from a peer that read it. Its
+version is the log position up to which it was read, so the set with the higher position
+is the newer one, regardless of its source.
 """
 
 from collections.abc import Iterable
@@ -13,33 +13,33 @@
 
 
 class DrainedZones(msgspec.Struct, frozen=True):
-    """The zones that were drained when the log had been read up to a position."""
+    """The zones that were drained at a position of the log."""
 
     zones: frozenset[str] = frozenset()
     position: int = UNKNOWN_POSITION
-    """Negative: nothing was read yet."""
+    """Negative before anything was read."""
 
 
 class DrainChange(msgspec.Struct, frozen=True):
-    """What a newer set changes."""
+    """The difference that a newer set makes."""
 
     drained: frozenset[str]
     cancelled: frozenset[str]
 
     @property
     def has_changes(self) -> bool:
-        """Whether the newer set differs at all."""
+        """Whether the newer set differs."""
         return bool(self.drained or self.cancelled)
 
 
 class ZoneDrains:
-    """The newest set of drained zones that is known."""
+    """The newest known set of drained zones."""
 
     def __init__(self) -> None:
-        """Begin without a set."""
+        """Start without a set."""
         self.current = DrainedZones()
         self._since: dict[str, float] = {}
-        """Since when each zone is known to be drained, clock seconds."""
+        """Clock time at which each drained zone was first seen."""
 
     @property
     def are_known(self) -> bool:
@@ -47,10 +47,10 @@
         return self.current.position > UNKNOWN_POSITION
 
     def update(self, newer: DrainedZones, now: float) -> DrainChange | None:
-        """Take a set; None if it is older than the one that is known.
+        """Apply a set; return None if it is older than the current one.
 
-        An old one comes from a log that was compacted and answers behind its newest
-        records, or from a peer.
+        An older set comes from a peer, or from a log that was compacted and returns old
+        records.
         """
         if newer.position < self.current.position:
             return None
@@ -64,10 +64,10 @@
         return change
 
     def is_drained(self, zone: str) -> bool:
-        """Tell whether the engines of a zone get no new call."""
+        """Return whether the engines of a zone receive no new calls."""
         return zone in self.current.zones
 
     def longest_drain_seconds(self, zones: Iterable[str], now: float) -> float:
-        """Give for how long the longest drained of some zones has been; 0 if none is."""
+        """Return how long the longest drained of some zones has been; 0 if none is."""
         known = (now - self._since[zone] for zone in zones if zone in self._since)
         return max(known, default=0.0)
--- a/notcharch/tenants/__init__.py
+++ b/notcharch/tenants/__init__.py
@@ -1,1 +1,1 @@
-"""Who a caller is, by its API key, and how much its tenant may ask for."""
+"""Identifies a caller's tenant by its API key, and limits the tenant's calls."""
--- a/notcharch/tenants/freshness_exchange.py
+++ b/notcharch/tenants/freshness_exchange.py
@@ -1,9 +1,9 @@
-"""Daemons vouch for the table in force to peers that the log service turns away.
+"""Exchanges the freshness of the active table between daemons.
 
-A daemon whose own reads are answered asks nobody. Once its proof grows older than reads
-let it grow, it asks one peer at a time, so a daemon that is refused, or cut from the log
-service alone, goes on serving, and learns of keys that are taken away meanwhile. It asks a
-constant number of peers a second, however many there are.
+A daemon that the log service refuses, or that has lost only the connection to it, keeps
+serving on the confirmations of its peers, and learns of revoked keys from them. It
+sends requests only when its confirmation is older than successful reads allow, and to a
+single peer, so the rate of requests is independent of the number of daemons.
 """
 
 from collections.abc import Callable, Sequence
@@ -24,16 +24,16 @@
 from notcharch.wire.peers import PeerNetwork
 
 CHECK_INTERVAL_SECONDS = 0.25
-"""Between two looks at the age of the proof, and so between two questions. A proof lasts
-some seconds, so several peers are tried before it runs out."""
+"""Interval between checks of the confirmation's age, and so between requests. It allows
+several peers to be tried before the confirmation expires."""
 RESPONSE_TIMEOUT_SECONDS = 0.5
-"""A peer that doesn't answer in this time is given up."""
+"""Timeout of a request to a peer."""
 
 Reply = Result[Message, Problem]
 
 
 class TableFreshnessExchange:
-    """Asks peers about the table when the log service is silent, and answers them."""
+    """Requests the table's freshness from peers, and answers their requests."""
 
     def __init__(
         self,
@@ -49,11 +49,12 @@
         drained: Callable[[], DrainedZones] = DrainedZones,
         apply_drained: Callable[[DrainedZones], None] = lambda _: None,
     ) -> None:
-        """Register the handler of questions.
+        """Register the request handler.
 
-        `request_at_age`: seconds; reads of our own keep the proof younger. `table` gives the
-        table in force as it was written; `apply_table` puts a newer one in force. `drained`
-        gives the zones that are known to be drained; `apply_drained` hears a peer's.
+        Requests are sent when the confirmation is older than `request_at_age` seconds,
+        which local reads normally prevent. `table` returns the active table as it was
+        published; `apply_table` activates a newer one. `drained` returns the known
+        drained zones; `apply_drained` receives those of a peer.
         """
         self._clock = clock
         self._random = random
@@ -71,7 +72,7 @@
         network.on_request(AskTable, self._reply)
 
     def start(self) -> None:
-        """Begin to look at the age of the proof."""
+        """Start the periodic check of the confirmation's age."""
         if self._freshness.is_required:
             self._checks.start(CHECK_INTERVAL_SECONDS, now=False)
 
--- a/notcharch/tenants/freshness_reads.py
+++ b/notcharch/tenants/freshness_reads.py
@@ -1,26 +1,27 @@
-"""How a daemon reads the table so that its proof for it stays young. Pure."""
+"""The timing of a daemon's reads of the table, which keeps it confirmed. Pure."""
 
 LONG_POLL_PARTS = 5
-"""A read of the table is held for one part in so many of the time in which a removed key
-must stop working: proofs are then two parts old at most, and three are left to bear an
-outage. Of 5 s that is 1 s, one call a second and daemon."""
+"""A long poll of the table lasts at most one of this number of parts of the time in
+which a revoked key must stop working: confirmations are then up to two parts old,
+which leaves three for an outage."""
 IMMEDIATE_READS_PER_SECOND = 5.0
-"""Of all daemons together, so many reads of the table are not held. A held read proves for
-the time when it was sent; so in an outage that strikes all, the freshest proof would be a
-second old, and daemons would stop judging keys a second sooner. Daemons pass the freshest
-proof on."""
+"""Rate of reads, over all daemons, that return immediately instead of long polling. A
+long poll confirms the table for the time at which it was sent, so in a common outage
+the freshest confirmation would be older without these reads. Daemons exchange the
+freshest one."""
 RESPONSE_MARGIN_SECONDS = 0.3
-"""An answer of the log service may take so long before peers are asked for their proof."""
+"""How long a response of the log service may take before peers are requested."""
 
 
 def table_long_poll_seconds(
     long_poll_seconds: float, revoke_seconds: float | None
 ) -> float:
-    """Give how long the log service may hold a read of the table.
+    """Return the duration of a long poll of the table.
 
-    `long_poll_seconds` is the usual time. A held read proves that the table was the newest when
-    it was sent, and the next proof comes when the next read returns. So a proof grows as
-    old as two reads take, and must then have most of `revoke_seconds` left.
+    `long_poll_seconds` is the usual duration. A long poll confirms the table for the
+    time at which it was sent, and the next confirmation arrives with the next response.
+    So a confirmation becomes as old as two long polls, when most of `revoke_seconds`
+    must remain.
     """
     if revoke_seconds is None:
         return long_poll_seconds
@@ -28,11 +29,11 @@
 
 
 def max_confirmation_age(read_seconds: float, pause_seconds: float) -> float:
-    """Give how old a proof grows while all reads of the table are answered."""
+    """Return the maximum age of a confirmation while all reads succeed."""
     return 2 * read_seconds + pause_seconds + RESPONSE_MARGIN_SECONDS
 
 
 def immediate_read_share(read_seconds: float, daemons: int) -> float:
-    """Give the share of one daemon's reads of the table that are not held."""
+    """Return the share of a daemon's reads that return immediately."""
     reads_per_second = IMMEDIATE_READS_PER_SECOND / max(daemons, 1)
     return min(1.0, reads_per_second * read_seconds)
--- a/notcharch/tenants/identity.py
+++ b/notcharch/tenants/identity.py
@@ -1,7 +1,7 @@
-"""Whose call it is: from the keys that a request carries to a tenant. Pure.
+"""Identifies the tenant of a request by its API key. Pure.
 
-A request is judged once, when its head has been read. Nothing else that the caller says
-about itself counts.
+The key is checked once, when the head of the request has been read. Other claims of the
+caller about its identity are ignored.
 """
 
 import enum
@@ -13,11 +13,11 @@
 from notcharch.tenants.keys import TenantKeys
 
 MAX_KEY_BYTES = 1024
-"""Bytes. Keys seen so far have 20; a longer one than this isn't looked up."""
+"""A longer key is rejected without a lookup."""
 
 
 class IdentityFault(enum.Enum):
-    """Why a request has no tenant."""
+    """Why no tenant was identified."""
 
     NO_KEY = "no key"
     SEVERAL_KEYS = "several keys"
@@ -25,12 +25,12 @@
     UNKNOWN_KEY = "unknown key"
     REMOVED_KEY = "the key was taken away"
     NO_FRESH_TABLE = "the newest keys are not known"
-    """Keys may have been added or taken away since the table was last known to be the
-    newest: nothing certain can be said of any key."""
+    """Keys may have been added or revoked since the table was last confirmed, so no key
+    can be accepted or rejected."""
 
 
 def read_key(presented: Sequence[bytes]) -> Result[str, IdentityFault]:
-    """Give the one key of a request, from all headers that may hold one."""
+    """Return the key of a request, from all headers that may hold one."""
     if not presented:
         return Err(IdentityFault.NO_KEY)
     if len(presented) > 1:
@@ -46,9 +46,9 @@
 def identify(
     presented: Sequence[bytes], keys: TenantKeys, *, is_fresh: bool
 ) -> Result[Tenant, IdentityFault]:
-    """Give the tenant whose key a request carries.
+    """Return the tenant that holds the key of a request.
 
-    `is_fresh` tells whether `keys` were the newest recently enough for a verdict.
+    `is_fresh`: whether `keys` were confirmed recently enough.
     """
     read = read_key(presented)
     if isinstance(read, Err):
--- a/notcharch/tenants/interface.py
+++ b/notcharch/tenants/interface.py
@@ -1,23 +1,23 @@
-"""A tenant as the table describes it."""
+"""The description of a tenant in the table."""
 
 import msgspec
 
 
 class RateLimit(msgspec.Struct, frozen=True):
-    """How many calls a tenant may make over all daemons together."""
+    """The maximum rate of a tenant's calls over all daemons together."""
 
     per_second: float
     burst: float
-    """So many calls may come at once on top of the rate."""
+    """Number of calls beyond the rate that may come at once."""
 
 
 class Tenant(msgspec.Struct, frozen=True):
-    """A tenant. Its keys are not here, so that no log line can show one."""
+    """A tenant, without its keys, so that they can't appear in log lines."""
 
     name: str
     priority: int | None = None
-    """Goes before the priority of the route; 0 is the most urgent."""
+    """Overrides the priority of the route; 0 is the most urgent."""
     limit: RateLimit | None = None
-    """None: it may ask for as much as it likes."""
+    """None for an unlimited tenant."""
     regions: frozenset[str] | None = None
-    """Where its calls may be served and kept; None: anywhere."""
+    """Where its calls may be served and stored; None: anywhere."""
--- a/notcharch/tenants/limit.py
+++ b/notcharch/tenants/limit.py
@@ -1,14 +1,13 @@
-"""One tenant's calls against its rate limit, as the one owner of its limit counts them. Pure.
+"""Applies the rate limit of one tenant at the owner of the limit. Pure.
 
-A call is let in if a token bucket has a call left, and if the window before it holds fewer
-calls than the limit lets in within one. The bucket fills faster than the limit's rate, by
-the burst in each window, so what a tenant may send within a window it may send at any
-pace; the bucket keeps it from sending all of it at once.
+A call is admitted if a token bucket has a call available, and if the sliding window
+holds fewer calls than the limit allows. The bucket refills faster than the limit's
+rate, by the burst in each window, so that the window's calls may come at any rate; the
+bucket only prevents them from coming all at once.
 
-Only the order of calls is ours to choose. A program whose first calls were let in and whose
-last ones are refused has cost everything and is worth nothing. So a program begins only if
-it and the programs under way are expected to ask for no more calls a second than there
-are; calls of programs under way take whatever is there.
+A program that is refused after its first calls has wasted their cost. So a new program
+is admitted only if it and the running programs are expected to stay within the rate,
+while calls of running programs use any available capacity.
 """
 
 import math
@@ -20,32 +19,32 @@
 from notcharch.tenants.recent_calls import RecentCalls
 
 IDLE_SECONDS = 4.0
-"""A program that asked for nothing for so long is over. Its pauses for tools are shorter."""
+"""A program without calls for this time has ended; pauses for tools are shorter."""
 ACTIVE_SECONDS = 2.0
-"""A program that asked for nothing for so long counts no more among those under way: most
-are over by then, and its next calls are let in first all the same."""
+"""A program without calls for this time isn't expected to use capacity: it has most
+likely ended, and if not, its next calls still take precedence."""
 MIN_RETRY_SECONDS = 0.1
-"""Sooner than this a caller's next try would still meet the same moment."""
+"""Lower bound of the retry time given to a refused caller."""
 MAX_RETRY_SECONDS = 5.0
-"""When room comes later than this, it isn't known well enough to say when."""
+"""Upper bound of the retry time, because later capacity can't be predicted."""
 
 
 class Supply(msgspec.Struct, frozen=True):
-    """What the owner of a limit may give out at present."""
+    """What the owner of a limit may currently admit."""
 
     rate: float
-    """Calls a second."""
+    """Admitted calls per second."""
     capacity: float
-    """Calls that the bucket holds at most."""
+    """Maximum number of calls in the bucket."""
     window_calls: float
-    """Calls that may be let in within a window."""
+    """Maximum number of calls in a window."""
 
 
 class RunningProgram(msgspec.Struct):
-    """A program under way."""
+    """A program that has made calls and hasn't ended."""
 
     kind: str
-    """The route of its first call: programs of a kind ask for about as many calls."""
+    """The route of its first call; programs of a kind make similar numbers of calls."""
     began: float
     last: float
     calls: int = 0
@@ -53,19 +52,19 @@
 
 
 class Granted(msgspec.Struct, frozen=True):
-    """The call may run, after a wait."""
+    """The call may run after a wait."""
 
     wait_seconds: float = 0.0
 
 
 class OverLimit(msgspec.Struct, frozen=True):
-    """The call must not run; there may be room in some seconds."""
+    """The call must not run; capacity is expected after `retry_after_seconds`."""
 
     retry_after_seconds: float
     is_new_program: bool
-    """Whether it would have begun a program."""
+    """True if the call would have started a program."""
     level: float
-    """Calls that could have been let in."""
+    """Number of calls that were available."""
 
 
 Verdict = Granted | OverLimit
@@ -73,24 +72,24 @@
 
 
 class TenantLimit:
-    """The bucket of one tenant, and its programs under way."""
+    """The token bucket of one tenant, and its running programs."""
 
     def __init__(
         self, level: float, now: float, sizes: ProgramSizes, recent: RecentCalls
     ) -> None:
-        """Begin with so many calls in the bucket; `recent` counts those let in."""
+        """Start with a bucket level; `recent` counts the admitted calls."""
         self.level = level
         self.recent = recent
         self._filled_at = now
         self._rate = math.inf
-        """That of the last look."""
+        """Rate at the last refill."""
         self._sizes = sizes
         self._programs: dict[str, RunningProgram] = {}
         self._promised_until = 0.0
-        """Clock seconds up to which room is promised to refused callers."""
+        """Clock time up to which capacity is promised to refused callers."""
 
     def fill(self, supply: Supply, now: float) -> None:
-        """Add what has come since the last look, at the lower of the two rates."""
+        """Refill the bucket since the last refill, at the lower of the two rates."""
         gained = (now - self._filled_at) * min(self._rate, supply.rate)
         self._rate = supply.rate
         self.level = min(supply.capacity, self.level + max(gained, 0.0))
@@ -106,10 +105,10 @@
         knows_all_programs: bool,
         max_wait_seconds: float = 0.0,
     ) -> Verdict:
-        """Let a call in, now or after a wait, or refuse it with the time to come back.
+        """Admit a call, now or after a wait, or refuse it with a retry time.
 
-        `knows_all_programs`: whether programs that aren't known here have not begun yet; for a
-        while after a change of owner they may have.
+        `knows_all_programs`: whether an unknown program is certainly new. For a while
+        after a change of owner it may have been started at the former owner.
         """
         self.fill(supply, now)
         self._forget_ended(now)
@@ -134,7 +133,7 @@
         return Granted(wait) if wait > 0.0 else GRANTED
 
     def _wait_seconds(self, supply: Supply, now: float) -> float:
-        """Give the seconds until one more call may be let in."""
+        """Return the seconds until one more call may be admitted."""
         short = max(1.0 - self.level, 0.0)
         if short and supply.rate <= 0.0:
             return math.inf
@@ -146,9 +145,10 @@
     def _retry_after(
         self, shortfall: float, needed: float, supply: Supply, now: float
     ) -> float:
-        """Give the time until there is room, after those that were refused before.
+        """Return the time until capacity is available after earlier refused callers.
 
-        Callers that came back all at once would be refused again, but for the first.
+        If all refused callers returned at once, all but the first would be refused
+        again.
         """
         if supply.rate <= 0.0:
             return MAX_RETRY_SECONDS
@@ -160,7 +160,7 @@
         return seconds
 
     def _available_calls(self, supply: Supply, now: float) -> float:
-        """Give how many calls may be let in at once."""
+        """Return how many calls may be admitted at once."""
         return min(self.level, supply.window_calls - self.recent.count(now))
 
     def _record_call(self, program: str, kind: str, now: float) -> None:
@@ -169,9 +169,9 @@
         running.calls += 1
 
     def _shortfall(self, kind: str, supply: Supply, now: float) -> float:
-        """Give how many calls too few there will be while another program runs.
+        """Return how many calls would be missing if one more program ran.
 
-        One program alone may always begin, however large it is.
+        A program may always start if no other is running, however large it is.
         """
         active = [
             running.kind
@@ -204,7 +204,7 @@
 def exclusive_supply(
     limit: RateLimit, window_seconds: float, tolerated_calls: float
 ) -> Supply:
-    """Give what an owner that alone decides may give out by a limit."""
+    """Return the supply of a limit for an owner that decides alone."""
     capacity = max(limit.burst + tolerated_calls, 1.0)
     rate = limit.per_second + limit.burst / window_seconds
     return Supply(rate, capacity, limit.per_second * window_seconds + capacity)
@@ -213,6 +213,6 @@
 def shared_supply(
     limit: RateLimit, window_seconds: float, tolerated_calls: float, rate_share: float
 ) -> Supply:
-    """Give what an owner may give out while another one may decide as well."""
+    """Return the supply of a limit while another owner may decide as well."""
     exclusive = exclusive_supply(limit, window_seconds, tolerated_calls)
     return msgspec.structs.replace(exclusive, rate=limit.per_second * rate_share)
--- a/notcharch/tenants/messages.py
+++ b/notcharch/tenants/messages.py
@@ -1,24 +1,24 @@
-"""What daemons ask each other about the table in force."""
+"""Messages between daemons about the freshness of the active table."""
 
 from notcharch.scheduling.zone_drains import DrainedZones
 from notcharch.wire.messages.base import Message
 
 
 class AskTable(Message, frozen=True):
-    """Ask which table a peer knows to be the newest. Reply: `TableSeen`."""
+    """Requests the newest table that a peer knows. Reply: `TableSeen`."""
 
     version: int
-    """That of the asker; negative if it has none."""
+    """The requester's version; negative if it has none."""
 
 
 class TableSeen(Message, frozen=True):
-    """The answering daemon's table, and how sure it is of it."""
+    """The table of the responding daemon, and the age of its confirmation."""
 
     version: int
-    """Negative if it has none that it can vouch for."""
+    """Negative if the daemon has no confirmed table."""
     age_seconds: float = 0.0
-    """How long before this answer the table was certainly the newest."""
+    """Age of the confirmation when this response was sent."""
     table: bytes = b""
-    """The table as its publisher wrote it, if it is newer than the asker's."""
+    """The table as it was published, if it is newer than the requester's."""
     drained: DrainedZones = DrainedZones()
-    """The zones that it knows to be drained, by the position at which it read them."""
+    """The known drained zones, with the log position at which they were read."""
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -1,21 +1,22 @@
-"""The rate limits of the tenants of one partition, through changes of owner. Pure.
-
-One daemon owns a partition and decides every call of its tenants from memory. What it has
-let in dies with it, so its successor must not let in what would come on top of it:
-
-- In a planned move the owner hands the levels of its buckets over by the journal, and
-  stops deciding first. The successor decides nothing until a record says that the levels
-  are taken, and goes on from them: nobody else begins from them again.
-- Otherwise a successor begins with nearly empty buckets. A bucket that held its all lets
-  in as much before, and the rate alone afterwards, as one owner would have.
-- The former owner may be alive and cut off. Once its lease has run out, which is before
-  anybody succeeds it, it gives out half of the rate, and nothing after
-  `MAX_LAPSED_SECONDS`. So long after it took over, a successor gives out the other half,
-  and a little of what the limit tolerates. So does an owner whose lease is renewed after
-  it had run out: another one may have decided meanwhile.
-
-Two owners in a row that were cut off within that time, and a third, may give out half a
-rate more than the limit between them for the rest of it.
+"""The rate limits of one partition's tenants, across changes of its owner. Pure.
+
+One daemon owns a partition and decides every call of its tenants from memory. This
+state is lost with the daemon, and a successor must not exceed the limits in addition to
+what the former owner admitted:
+
+- In a planned move the owner stops deciding and then hands over its bucket levels in
+  the journal. The successor continues from them, but only after a record states that
+  the levels are taken, so that no other owner can start from them again.
+- Otherwise the successor starts with nearly empty buckets. Together with a full bucket
+  of the former owner, this admits what a single owner would have admitted.
+- The former owner may be running, but disconnected. After its lease has expired, which
+  is before a successor starts, it admits half of the rate, and nothing after
+  `MAX_LAPSED_SECONDS`. For the same time after its start, a successor admits the other
+  half, plus a part of the tolerance. So does an owner whose lease was renewed after it
+  had expired, because another owner may have decided meanwhile.
+
+If two successive owners are disconnected within that time, they and a third one may
+together exceed the limit by half of the rate until that time has passed.
 """
 
 import enum
@@ -36,20 +37,20 @@
 from notcharch.tenants.tenant_use import TenantUse
 
 MAX_LAPSED_SECONDS = 4.0
-"""An owner that the log service doesn't confirm decides for so long. It bears short
-outages of the log service, in which nobody can succeed it either."""
+"""How long an owner decides after its lease has expired. This bridges short outages of
+the log service, during which no successor can start either."""
 LAPSED_SHARE = 0.5
-"""Of the rate, while another owner may have the other half. Tenants ask for two thirds of
-their limits on average, so a full bucket lasts for the four seconds."""
+"""Share of the rate while another owner may use the other half. Tenants use less than
+their limits on average, so a full bucket makes up for the difference."""
 LEARNING_SECONDS = 3.0
-"""After a change of owner, a program that isn't known here may be under way."""
+"""How long after a change of owner an unknown program may be running already."""
 TOLERATED_BURST_SHARE = 0.55
-"""Of the tolerated calls, in the bucket. Small tenants live by it: one program asks for
-more calls a second than their rates."""
+"""Share of the tolerated calls that the bucket may hold in addition to the burst.
+Tenants with a low rate need it, because one program can exceed that rate."""
 TOLERATED_START_SHARE = 0.25
-"""Of the tolerated calls, with which a successor begins that knows no levels."""
+"""Share of the tolerated calls with which a successor without known levels starts."""
 TOLERATED_RATE_SHARE = 0.8
-"""Of the tolerated rate, which a successor gives out beyond its half."""
+"""Share of the tolerated rate that a successor admits in addition to its half."""
 
 
 class Tolerance(msgspec.Struct, frozen=True):
@@ -57,51 +58,51 @@
 
     window_seconds: float = 5.0
     over_share: float = 0.0
-    """Of what the limit lets in within a window."""
+    """Share of the calls that the limit allows in a window."""
     calls: float = 0.0
 
     @property
     def burst_calls(self) -> float:
-        """Calls that a bucket may hold beyond its burst."""
+        """Number of calls that a bucket may hold beyond the burst."""
         return self.calls * TOLERATED_BURST_SHARE
 
     @property
     def start_calls(self) -> float:
-        """Calls with which a successor may begin."""
+        """Number of calls with which a successor may start."""
         return self.calls * TOLERATED_START_SHARE
 
     @property
     def successor_share(self) -> float:
-        """Share of the rate that a successor may give out beside its predecessor."""
+        """Share of the rate for a successor while its predecessor may decide."""
         tolerated = self.over_share * self.window_seconds / MAX_LAPSED_SECONDS
         return min(1.0, 1.0 - LAPSED_SHARE + TOLERATED_RATE_SHARE * tolerated)
 
 
 class Lease(msgspec.Struct, frozen=True):
-    """What a daemon knows of its lease on its partitions."""
+    """The state of a daemon's lease on its partitions."""
 
     lapsed_seconds: float = 0.0
-    """Since it ran out without having been renewed; 0 while it holds."""
+    """Seconds since it expired without renewal; 0 while it is valid."""
     held_since: float = -math.inf
-    """Clock seconds at which it was last renewed after it had run out."""
+    """Clock time of the last renewal after it had expired."""
     remaining_seconds: float = math.inf
-    """Until it runs out, unless it is renewed."""
+    """Seconds until it expires, unless it is renewed."""
 
 
 HELD_LEASE = Lease()
 
 
 class LimitHandover(msgspec.Struct, frozen=True):
-    """What an owner leaves to its successor in a planned move."""
+    """What an owner hands over to its successor in a planned move."""
 
     uses: dict[str, TenantUse]
-    """Of each tenant that asked for any call."""
+    """By tenant, for those that made calls."""
     decided_seconds: float
-    """For so long it, and those that handed over to it, had decided."""
+    """How long this owner, and those that handed over to it, had decided."""
 
 
 class LimitOwnership(enum.Enum):
-    """How sure an owner is that it alone decides."""
+    """Whether other owners may decide at the same time."""
 
     ALONE = "alone"
     SUCCESSOR = "the former owner may decide as well"
@@ -110,40 +111,40 @@
 
 
 class PartitionLimits:
-    """The buckets of one partition's tenants."""
+    """The token buckets of one partition's tenants."""
 
     def __init__(self, tolerance: Tolerance, sizes: ProgramSizes) -> None:
-        """Begin without tenants, and without a say."""
+        """Start without tenants, and without deciding."""
         self._tolerance = tolerance
         self._sizes = sizes
         self._limits: dict[str, TenantLimit] = {}
         self._started_at = 0.0
-        """When this owner, or the first of those that handed over to it, began to decide
-        without knowing what was let in before; clock seconds."""
+        """Clock time at which this owner, or the first in its chain of handovers,
+        started to decide without knowing the calls admitted before."""
         self._handover: LimitHandover | None = None
-        """What the former owner left; None if it left nothing, or that is taken."""
+        """The former owner's handover; None if there is none, or it was taken."""
 
     # Changes of owner
 
     def replay_handover(self, handover: LimitHandover) -> None:
-        """Hear that an owner handed over."""
+        """Replay the record of a handover."""
         self._handover = handover
 
     def replay_levels_taken(self) -> None:
-        """Hear that an owner went on from the levels that were handed over."""
+        """Replay the record that an owner took the levels of a handover."""
         self._handover = None
 
     def start(self, now: float) -> None:
-        """Begin to decide."""
+        """Start to decide."""
         self._started_at = now
 
     @property
     def has_handover(self) -> bool:
-        """Whether there are levels to take, by a record."""
+        """Whether there is a recorded handover whose levels aren't taken."""
         return self._handover is not None
 
     def take_levels(self, now: float) -> None:
-        """Go on from the levels that were handed over: their record is durable."""
+        """Continue from the handover's levels, after their record is durable."""
         handover, self._handover = self._handover, None
         if handover is None:
             return
@@ -157,7 +158,7 @@
         return TenantLimit(level, now, self._sizes, recent)
 
     def hand_over(self, now: float) -> LimitHandover | None:
-        """Give what a successor goes on from; None if there is nothing worth a record."""
+        """Return the handover for a successor, None if no tenant made calls."""
         if not self._limits:
             return None
         uses = {
@@ -167,7 +168,7 @@
         return LimitHandover(uses, round(now - self._started_at, 2))
 
     def ownership(self, now: float, lease: Lease) -> LimitOwnership:
-        """Tell how sure this owner may be that it alone decides."""
+        """Return whether other owners may decide at the same time."""
         if lease.lapsed_seconds > MAX_LAPSED_SECONDS:
             return LimitOwnership.NONE
         if lease.lapsed_seconds > 0.0:
@@ -189,9 +190,9 @@
         lease: Lease,
         max_wait_seconds: float = 0.0,
     ) -> Verdict | None:
-        """Let a call in, or refuse it; None if this owner must not decide.
+        """Admit or refuse a call; None if this owner must not decide.
 
-        No call is promised a moment at which somebody else may decide.
+        No call is promised a time at which another owner may decide.
         """
         ownership = self.ownership(now, lease)
         if ownership is LimitOwnership.NONE or self.has_handover:
@@ -223,7 +224,7 @@
         return shared_supply(limit, window, calls, share)
 
     def _initial_level(self, supply: Supply, now: float) -> float:
-        """Give the level of a tenant that asks for the first time here."""
+        """Return the initial bucket level of a tenant."""
         since = now - self._started_at
         level = self._tolerance.start_calls + since * supply.rate
         return min(supply.capacity, level)
--- a/notcharch/tenants/recent_calls.py
+++ b/notcharch/tenants/recent_calls.py
@@ -1,4 +1,4 @@
-"""How many calls were let in within the last window, counted in slots. Pure."""
+"""Counts the calls admitted within a sliding window, by time slots. Pure."""
 
 import math
 from collections import deque
@@ -6,21 +6,21 @@
 import msgspec
 
 SLOTS = 20
-"""In a window. A call counts for a twentieth of a window longer than it has to, at most."""
+"""Number of slots in a window. A call is counted at most one slot too long."""
 
 
 class Slot(msgspec.Struct):
-    """The calls of one slot of time."""
+    """The calls of one time slot."""
 
     number: int
     calls: float
 
 
 class RecentCalls:
-    """A sliding count."""
+    """A sliding window counter."""
 
     def __init__(self, window_seconds: float) -> None:
-        """Count nothing yet."""
+        """Start at zero."""
         self._slot_seconds = window_seconds / SLOTS
         self._slots: deque[Slot] = deque()
         self._calls = 0.0
@@ -29,16 +29,16 @@
         return int(now // self._slot_seconds)
 
     def count(self, now: float) -> float:
-        """Give how many calls were let in within the window before now."""
+        """Return the number of calls admitted within the last window."""
         oldest = self._number(now) - SLOTS
         while self._slots and self._slots[0].number < oldest:
             self._calls -= self._slots.popleft().calls
         return self._calls
 
     def seconds_until_at_most(self, max_calls: float, now: float) -> float:
-        """Give the seconds until the window holds at most so many calls.
+        """Return the seconds until the window holds at most `max_calls`.
 
-        Calls that were promised a later moment count from now on.
+        Calls that are admitted for a later time count from now on.
         """
         calls = self.count(now)
         seconds = 0.0
@@ -50,7 +50,7 @@
         return seconds if calls <= max_calls else math.inf
 
     def add(self, at: float, calls: float = 1.0) -> None:
-        """Count calls that are let in at some moment, no earlier than those before."""
+        """Count calls that are admitted at a time; earlier times aren't accepted."""
         number = self._number(at)
         if self._slots and self._slots[-1].number > number:
             number = self._slots[-1].number
@@ -60,7 +60,7 @@
         self._calls += calls
 
     def by_age(self, now: float) -> list[float]:
-        """Give the calls of each slot by its age, the present one first."""
+        """Return the calls of each slot by age, the current slot first."""
         self.count(now)
         present = self._number(now)
         ages = [0.0] * (SLOTS + 1)
@@ -69,7 +69,7 @@
         return ages
 
     def restore(self, ages: list[float], now: float) -> None:
-        """Go on from what another counted; time may have passed since, none is assumed."""
+        """Continue from another owner's counts, as if no time had passed since."""
         present = self._number(now)
         for age in range(min(len(ages), SLOTS + 1) - 1, -1, -1):
             if ages[age]:
--- a/notcharch/tenants/scope.py
+++ b/notcharch/tenants/scope.py
@@ -1,14 +1,14 @@
-"""Names that callers choose, kept apart by tenant.
+"""Scopes names chosen by callers to their tenant.
 
-Two tenants may call a program, a call or a turn alike. Under scoped names they are two:
-neither spends the other's budget nor reads its history.
+Two tenants may choose the same name for a program, call or turn. Scoped names keep them
+apart, so that no tenant uses the budget of another or reads its history.
 """
 
 SEPARATOR = "\x1f"
-"""Unit separator. Names with control characters are refused when a head is read, so no
-caller can write another tenant's scoped name."""
+"""Unit separator. Request heads with control characters in names are rejected, so
+callers can't forge scoped names."""
 
 
 def scoped_name(tenant: str, name: str) -> str:
-    """Give a name within a tenant; without a tenant, or a name, the name itself."""
+    """Return a name scoped to a tenant; unchanged if either is empty."""
     return f"{tenant}{SEPARATOR}{name}" if tenant and name else name
--- a/notcharch/tenants/tenant_use.py
+++ b/notcharch/tenants/tenant_use.py
@@ -1,4 +1,4 @@
-"""What a tenant has used of its limit, as one owner tells the next."""
+"""The used part of a tenant's limit, passed from an owner to its successor."""
 
 import msgspec
 
@@ -7,6 +7,7 @@
     """The state of one tenant's limit."""
 
     level: float
-    """Calls left in its bucket."""
+    """Calls available in its bucket."""
     recent: list[float]
-    """Calls let in within the last window, by slots of `recent_calls`, newest first."""
+    """Calls admitted within the last window, by slots of `recent_calls`, newest
+    first."""
