--- a/tests/stateful/cold/cold_machine.py
+++ b/tests/stateful/cold/cold_machine.py
@@ -1,7 +1,7 @@
-"""Daemons that share cold engines while they crash, sleep, are cut off and join.
+"""Daemons share cold engines while they crash, hang, are disconnected and join.
 
-The oracle counts the calls that arrive at each engine, and knows since when it is cold. It
-knows nothing of who feeds whom.
+The oracle counts the calls that arrive at each engine and knows since when it is cold.
+It doesn't know which daemons may send to it.
 """
 
 from random import Random
@@ -21,28 +21,29 @@
 SERVICE = "s"
 LIMIT = ColdLimit(3.0, 4.0)
 TOLERANCE = ColdTolerance(1.5, 2.0)
-MOST_IN_A_SECOND = 8
-"""4 a second x 1.5 + 2."""
+MAX_CALLS_PER_SECOND = 8
+"""4 calls per second times 1.5, plus 2."""
 ZONES = ("x", "y")
 STEP_SECONDS = 0.1
-MOST_CONNECT_SECONDS = 0.3
+MAX_CONNECT_SECONDS = 0.3
 HEARTBEAT_SECONDS = 1.0
-"""Between two entries of an engine, and so until a daemon hears that one turned cold."""
-LEAST_START_SECONDS = 0.7
-"""A process imports its libraries before it serves anybody."""
+"""Interval between two entries of an engine, and so the delay until a daemon knows that
+it turned cold."""
+MIN_START_SECONDS = 0.7
+"""Time to import the libraries before a process serves calls."""
 
 daemon_numbers = st.integers(0, 11)
 engine_numbers = st.integers(0, 3)
 
 
-class Life:
-    """One process of a daemon: what it sees, and its choices."""
+class DaemonProcess:
+    """One process of a daemon: its view and its choices."""
 
     def __init__(self, world: "ColdMachine", name: str) -> None:
         self.local_daemon = name
         self._world = world
         self._began = world.clock.seconds()
-        self._view = tuple(sorted(world.lives))
+        self._view = tuple(sorted(world.processes))
         eligibility = EngineEligibility({}, ColdPolicy(TOLERANCE), self)
         eligibility.take_limits({SERVICE: LIMIT})
         policy = PoolPolicy(entry_seconds=HEARTBEAT_SECONDS)
@@ -60,17 +61,17 @@
         return self._world.clock.seconds() - self._began
 
     def look(self) -> None:
-        """Read the members, the engines' entries and the drains, unless cut off."""
+        """Read the members, entries and drains, unless disconnected or suspended."""
         if self.is_cut or self.is_asleep:
             return
         world = self._world
-        self._view = tuple(sorted(world.lives))
+        self._view = tuple(sorted(world.processes))
         self.pool.replace(world.entries.values())
         self.pool.drain_zones(world.drained)
 
 
 class ColdMachine(RuleBasedStateMachine):
-    """Twelve daemons, four engines of two zones."""
+    """Twelve daemons, and four engines in two zones."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -84,11 +85,11 @@
         self.sent = 0
         for number in range(4):
             self.begin_engine(number, cold=False)
-        self.lives: dict[str, Life] = {}
+        self.processes: dict[str, DaemonProcess] = {}
         for number in range(12):
-            self.lives[f"d{number}"] = Life(self, f"d{number}")
-        for life in self.lives.values():
-            life.look()
+            self.processes[f"d{number}"] = DaemonProcess(self, f"d{number}")
+        for process in self.processes.values():
+            process.look()
         self.run(2.0)
 
     def begin_engine(self, number: int, *, cold: bool) -> None:
@@ -106,23 +107,23 @@
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_SECONDS)):
             self.clock.advance(STEP_SECONDS)
-            for life in self.lives.values():
-                life.look()
+            for process in self.processes.values():
+                process.look()
 
-    def call(self, life: Life) -> None:
-        """Let a daemon choose, send once the connection is up, and end at once.
+    def call(self, process: DaemonProcess) -> None:
+        """Choose an engine, send the call after a connection delay, and end it at once.
 
-        What a daemon sends that is cut off from the entries is left out: it can't know
-        which engines turn cold.
+        Calls of daemons that are disconnected from the entries are left out: they can't
+        know which engines turn cold.
         """
-        if life.is_asleep or life.is_cut:
+        if process.is_asleep or process.is_cut:
             return
-        chosen = life.pool.choose(SERVICE, "", ())
+        chosen = process.pool.choose(SERVICE, "", ())
         if chosen is None:
             return
-        life.pool.began(chosen.id)
-        life.pool.ended(chosen.id)
-        delay = self.random.uniform(0.0, MOST_CONNECT_SECONDS)
+        process.pool.began(chosen.id)
+        process.pool.ended(chosen.id)
+        delay = self.random.uniform(0.0, MAX_CONNECT_SECONDS)
         self.clock.callLater(delay, self.arrive, chosen.id)
 
     def arrive(self, engine: str) -> None:
@@ -140,8 +141,8 @@
     @rule(rounds=st.integers(1, 3))
     def a_crowd_comes(self, rounds):
         for _ in range(rounds):
-            for life in tuple(self.lives.values()):
-                self.call(life)
+            for process in tuple(self.processes.values()):
+                self.call(process)
             self.run(STEP_SECONDS)
 
     @rule(numbers=st.sets(engine_numbers, min_size=1))
@@ -159,47 +160,47 @@
         for name, engine in self.entries.items():
             if engine.zone == zone:
                 self.cold_until[name] = now + LIMIT.seconds
-                self.clock.callLater(HEARTBEAT_SECONDS, self.write_anew, name)
+                self.clock.callLater(HEARTBEAT_SECONDS, self.rewrite_entry, name)
 
-    def write_anew(self, name: str) -> None:
+    def rewrite_entry(self, name: str) -> None:
         engine = self.entries.get(name)
         if engine is not None:
-            left = max(self.cold_until[name] - self.clock.seconds(), 0.0)
-            self.entries[name] = msgspec.structs.replace(engine, cold_seconds=left)
+            remaining = max(self.cold_until[name] - self.clock.seconds(), 0.0)
+            self.entries[name] = msgspec.structs.replace(engine, cold_seconds=remaining)
 
     @rule(number=daemon_numbers)
     def a_daemon_restarts(self, number):
         self.restart([number])
 
     def restart(self, numbers) -> None:
-        """Start daemons anew; the system's programs take longer than this to start."""
+        """Restart daemons, in less time than real processes need."""
         for number in numbers:
-            self.lives.pop(f"d{number}", None)
-        self.run(LEAST_START_SECONDS)
+            self.processes.pop(f"d{number}", None)
+        self.run(MIN_START_SECONDS)
         for number in numbers:
-            self.lives[f"d{number}"] = Life(self, f"d{number}")
-        for life in self.lives.values():
-            life.look()
+            self.processes[f"d{number}"] = DaemonProcess(self, f"d{number}")
+        for process in self.processes.values():
+            process.look()
 
     @rule(numbers=st.sets(daemon_numbers, max_size=6))
     def daemons_die(self, numbers):
         for number in numbers:
-            if len(self.lives) > 2:
-                self.lives.pop(f"d{number}", None)
+            if len(self.processes) > 2:
+                self.processes.pop(f"d{number}", None)
 
     @rule(number=daemon_numbers, is_cut=st.booleans())
     def a_daemon_is_cut_off(self, number, is_cut):
-        life = self.lives.get(f"d{number}")
-        if life is not None:
-            life.is_cut = is_cut
-            life.look()
+        process = self.processes.get(f"d{number}")
+        if process is not None:
+            process.is_cut = is_cut
+            process.look()
 
     @rule(number=daemon_numbers, is_asleep=st.booleans())
     def a_daemon_sleeps(self, number, is_asleep):
-        life = self.lives.get(f"d{number}")
-        if life is not None:
-            life.is_asleep = is_asleep
-            life.look()
+        process = self.processes.get(f"d{number}")
+        if process is not None:
+            process.is_asleep = is_asleep
+            process.look()
 
     @invariant()
     def no_cold_engine_gets_more_than_it_bears(self):
@@ -212,16 +213,16 @@
             while times[first] <= at - 1.0:
                 first += 1
             count = last - first + 1
-            assert count <= MOST_IN_A_SECOND, (engine, count)
+            assert count <= MAX_CALLS_PER_SECOND, (engine, count)
 
     def teardown(self):
-        """In the end the engines are warm and everybody sends again."""
-        for life in self.lives.values():
-            life.is_cut = life.is_asleep = False
-            life.look()
+        """When all engines are warm, every daemon sends again."""
+        for process in self.processes.values():
+            process.is_cut = process.is_asleep = False
+            process.look()
         self.run(LIMIT.seconds + HEARTBEAT_SECONDS + 0.5)
         before = self.sent
-        for life in self.lives.values():
-            self.call(life)
-        self.run(MOST_CONNECT_SECONDS + STEP_SECONDS)
-        assert self.sent - before == len(self.lives)
+        for process in self.processes.values():
+            self.call(process)
+        self.run(MAX_CONNECT_SECONDS + STEP_SECONDS)
+        assert self.sent - before == len(self.processes)
--- a/tests/stateful/cold/test_cold_machine.py
+++ b/tests/stateful/cold/test_cold_machine.py
@@ -1,4 +1,4 @@
-"""Random lives of daemons that share cold engines, and breaks that are caught."""
+"""Random schedules of faults against shared cold engines, and breaks they catch."""
 
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
@@ -11,7 +11,7 @@
     SenderQuota,
     WarmupState,
 )
-from tests.stateful.cold.cold_machine import ColdMachine, Life
+from tests.stateful.cold.cold_machine import ColdMachine, DaemonProcess
 from tests.stateful.runs import RUN, assert_caught
 
 
@@ -20,7 +20,7 @@
 
 
 def engines_start():
-    """Start all engines at once; a crowd finds them cold."""
+    """Start all engines at once, so that a burst of calls finds them cold."""
     machine = ColdMachine()
     machine.engines_start_cold({0, 1, 2, 3})
     machine.run(0.2)
@@ -29,7 +29,7 @@
 
 
 def zone_returns():
-    """Give a zone back cold while the other one starts anew."""
+    """Cancel the drain of a zone with cold engines while the other zone restarts."""
     machine = ColdMachine()
     machine.a_zone_is_drained_and_given_back_cold("x")
     machine.engines_start_cold({1, 3})
@@ -39,7 +39,7 @@
 
 
 def restarts():
-    """Restart all daemons just after a zone was given back cold."""
+    """Restart all daemons just after the drain of a zone with cold engines ended."""
     machine = ColdMachine()
     machine.a_zone_is_drained_and_given_back_cold("x")
     machine.restart(range(12))
@@ -61,19 +61,19 @@
     scenario()
 
 
-def everybody_feeds(monkeypatch):
+def all_daemons_send(monkeypatch):
     monkeypatch.setattr(cold_engines, "is_sender", lambda *_: True)
 
 
-def feeders_send_what_one_view_allows(monkeypatch):
+def senders_divide_by_one_view(monkeypatch):
     monkeypatch.setattr(cold_engines, "sender_quota", lambda *_: SenderQuota(12, 2))
 
 
-def nothing_is_paced(monkeypatch):
+def calls_are_not_counted(monkeypatch):
     monkeypatch.setattr(ColdEngineLimiter, "sent", lambda *_: None)
 
 
-def entries_are_not_believed(monkeypatch):
+def entries_are_ignored(monkeypatch):
     monkeypatch.setattr(WarmupState, "record_report", lambda *_: None)
 
 
@@ -81,7 +81,7 @@
     monkeypatch.setattr(WarmupState, "assume_cold", lambda *_: None)
 
 
-def a_new_life_believes_old_entries(monkeypatch):
+def a_restarted_daemon_trusts_old_entries(monkeypatch):
     monkeypatch.setattr(EnginePool, "_doubt_entries", lambda *_: None)
 
 
@@ -93,19 +93,19 @@
 
 def drains_are_not_read(monkeypatch):
     def look(self):
-        self._view = tuple(sorted(self._world.lives))
+        self._view = tuple(sorted(self._world.processes))
         self.pool.replace(self._world.entries.values())
 
-    monkeypatch.setattr(Life, "look", look)
+    monkeypatch.setattr(DaemonProcess, "look", look)
 
 
 BREAKS = (
-    (everybody_feeds, engines_start),
-    (feeders_send_what_one_view_allows, engines_start),
-    (nothing_is_paced, engines_start),
-    (entries_are_not_believed, engines_start),
+    (all_daemons_send, engines_start),
+    (senders_divide_by_one_view, engines_start),
+    (calls_are_not_counted, engines_start),
+    (entries_are_ignored, engines_start),
     (a_zone_returns_warm, zone_returns),
-    (a_new_life_believes_old_entries, restarts),
+    (a_restarted_daemon_trusts_old_entries, restarts),
     (cold_engines_are_like_warm_ones, engines_start),
     (drains_are_not_read, zone_returns),
 )
--- a/tests/stateful/tenants/limits_machine.py
+++ b/tests/stateful/tenants/limits_machine.py
@@ -1,6 +1,7 @@
-"""Tenants' calls over daemons that crash, sleep, leave and return.
+"""Limited tenants on daemons that crash, are suspended, leave and return.
 
-The oracle knows when each call was let in, and the limits. It says nothing of order.
+The oracle knows the limits and when each call was admitted, but not in which order
+calls should be admitted.
 """
 
 import msgspec
@@ -17,15 +18,15 @@
 LOOK_SECONDS = 0.1
 
 
-class Asked(msgspec.Struct):
-    """A call that waits for a verdict."""
+class PendingCall(msgspec.Struct):
+    """A call that waits for a decision."""
 
     tenant: str
     listener: object
 
 
 class LimitsMachine(RefusedDaemons):
-    """Callers of two tenants; each call is noted when it is let in."""
+    """Calls of two tenants; records when each one is admitted."""
 
     group = GROUP
 
@@ -35,10 +36,10 @@
         for name, limit in LIMITS.items():
             self.world.tenants[name] = Tenant(name, limit=limit)
         self.world.run(5.0)
-        self.waiting: list[Asked] = []
-        self.let_in: dict[str, list[float]] = {name: [] for name in TENANTS}
+        self.waiting: list[PendingCall] = []
+        self.admitted: dict[str, list[float]] = {name: [] for name in TENANTS}
         self.losses: list[float] = []
-        """When an owner may have been lost without handing over."""
+        """Times at which an owner may have stopped without a handover."""
 
     def leave(self, name):
         self.world.services[name].leave()
@@ -47,21 +48,21 @@
         self.losses.append(self.world.clock.seconds())
 
     def look(self):
-        """Note the calls that were let in since the last look."""
+        """Record the calls admitted since the last check."""
         now = self.world.clock.seconds()
-        for asked in tuple(self.waiting):
-            if not asked.listener.is_decided:
+        for pending in tuple(self.waiting):
+            if not pending.listener.is_decided:
                 continue
-            self.waiting.remove(asked)
-            if asked.listener.ticket is not None:
-                self.let_in[asked.tenant].append(now)
+            self.waiting.remove(pending)
+            if pending.listener.ticket is not None:
+                self.admitted[pending.tenant].append(now)
         for name in TENANTS:
             self.check(name, now)
 
     def check(self, tenant, now):
         limit = LIMITS[tenant]
         window = TOLERANCE.window_seconds
-        recent = sum(at > now - window for at in self.let_in[tenant])
+        recent = sum(at > now - window for at in self.admitted[tenant])
         allowed = limit.per_second * window + limit.burst
         allowed = allowed * (1 + TOLERANCE.over_share) + TOLERANCE.calls
         assert recent <= allowed, f"{tenant}: {recent} of {allowed} in {window} s"
@@ -83,7 +84,7 @@
                 f"p{number % programs}", budget=None, tenant=tenant, wait_seconds=2.0
             )
             listener = self.world.ask(call, daemon)
-            self.waiting.append(Asked(tenant, listener))
+            self.waiting.append(PendingCall(tenant, listener))
         self.look()
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.5, 5.0]))
@@ -103,10 +104,10 @@
 
     @rule()
     def all_is_well_again(self):
-        """Once everything works, a tenant gets what its limit allows, and no more."""
+        """Without faults, a tenant gets what its limit allows."""
         self.heal()
         self.run(10.0)
-        before = len(self.let_in["large"])
+        before = len(self.admitted["large"])
         self.ask("large", 0, 30, 1)
         self.run(1.0)
-        assert len(self.let_in["large"]) - before == 30
+        assert len(self.admitted["large"]) - before == 30
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -1,4 +1,4 @@
-"""Daemons that judge keys while a log service refuses some of them, on a virtual clock."""
+"""Daemons that check keys while the log service refuses some of them."""
 
 from random import Random
 
@@ -32,13 +32,13 @@
 
 
 class Ingress:
-    """Has the routes in force."""
+    """Holds the active routes."""
 
     router = None
 
 
 class NoEngines:
-    """Takes the list of engines, and what binds their choice."""
+    """A pool without engines."""
 
     def __init__(self) -> None:
         self.eligibility = EngineEligibility()
@@ -53,8 +53,8 @@
         pass
 
 
-class AnswersWait:
-    """A log service whose answers wait in the socket of a process that sleeps."""
+class DelayedResponses:
+    """A log service whose responses wait in the socket of a suspended process."""
 
     def __init__(self, log, clock) -> None:
         self._log = log
@@ -76,7 +76,7 @@
 
 
 class Daemon:
-    """One process's table, proof and peers."""
+    """The table, freshness and peer network of one process."""
 
     def __init__(self, world: "RevocationWorld", name: DaemonName, number: int) -> None:
         joined = world.fabric.join(Member(name, Incarnation(number)), ZoneName("z"))
@@ -85,7 +85,7 @@
         self.ingress = Ingress()
         engines = NoEngines()
         self.tables = PlatformTables(
-            AnswersWait(world.logs[name], joined.clock),
+            DelayedResponses(world.logs[name], joined.clock),
             joined.clock,
             Random(number),
             self.ingress,
@@ -109,8 +109,8 @@
         self.tables.start()
         self.exchange.start()
 
-    def lets_in(self, key: str) -> bool:
-        """Judge a key now, as for a request whose head was just read."""
+    def accepts(self, key: str) -> bool:
+        """Check a key now, as for a request whose head was just read."""
         router = self.ingress.router
         if router is None or router.table.keys is None:
             return False
@@ -120,7 +120,7 @@
 
 
 class RevocationWorld:
-    """Some daemons, and an operator whom the log service always serves."""
+    """Several daemons on a virtual clock, and an operator that is never refused."""
 
     def __init__(self, daemons: int = 3) -> None:
         self.clock = Clock()
@@ -146,7 +146,7 @@
         self.fabric.crash(name, silent=silent)
 
     def publish(self, keys) -> None:
-        """Put a table in force; the log service acknowledges it now."""
+        """Publish a table, which the log service acknowledges at once."""
         self.version += 1
         table = {
             "version": self.version,
--- a/tests/stateful/tenants/test_limits_machine.py
+++ b/tests/stateful/tenants/test_limits_machine.py
@@ -1,4 +1,4 @@
-"""Random lives of tenants' limits; the same ones at each run."""
+"""Random schedules of faults against tenants' limits, the same ones in each run."""
 
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
@@ -25,7 +25,7 @@
     )
 
 
-def an_owner_never_doubts_itself(monkeypatch):
+def an_owner_always_decides_alone(monkeypatch):
     monkeypatch.setattr(PartitionLimits, "ownership", lambda *_: LimitOwnership.ALONE)
 
 
@@ -42,7 +42,7 @@
         ),
     ),
     (
-        an_owner_never_doubts_itself,
+        an_owner_always_decides_alone,
         test_tenant_limits.test_an_owner_that_the_log_service_refuses_shares_the_rate_with_its_successor,
     ),
     (
--- a/tests/stateful/tenants/test_revocation_machine.py
+++ b/tests/stateful/tenants/test_revocation_machine.py
@@ -1,4 +1,4 @@
-"""No key works longer than the bound after its removal was acknowledged, at any daemon.
+"""No daemon accepts a key later than the bound after its acknowledged removal.
 
 The oracle knows only when each removal was acknowledged.
 """
@@ -26,7 +26,7 @@
 
 
 class RevocationMachine(RuleBasedStateMachine):
-    """An operator, daemons in trouble, and callers with every key."""
+    """An operator, faulty daemons, and callers with every key."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -48,7 +48,7 @@
         for number in set(range(DAEMONS)) - self.asleep:
             for key, removed_at in self.removed_at.items():
                 if now - removed_at > REVOKE_SECONDS:
-                    assert not self.daemon(number).lets_in(key), (number, key)
+                    assert not self.daemon(number).accepts(key), (number, key)
 
     @rule(key=st.sampled_from(KEYS))
     def remove(self, key):
@@ -113,7 +113,7 @@
 
     @rule()
     def all_is_well_again(self):
-        """Once everything works, each key that is held is let in everywhere."""
+        """Without faults, each valid key is accepted everywhere."""
         self.world.log.trouble = Trouble.NONE
         self.world.fabric.heal()
         for number in range(DAEMONS):
@@ -122,7 +122,7 @@
         self.run(6.0)
         for number in range(DAEMONS):
             for key in KEYS:
-                assert self.daemon(number).lets_in(key) is (key in self.keys)
+                assert self.daemon(number).accepts(key) is (key in self.keys)
 
 
 def test_no_removed_key_works_for_longer_than_the_bound():
@@ -130,7 +130,7 @@
 
 
 def a_refused_daemon_meets_a_revocation(seconds: float = 12.0) -> RevocationMachine:
-    """Refuse one daemon, remove a key; check all the while."""
+    """Refuse one daemon and remove a key, checking all keys meanwhile."""
     machine = RevocationMachine()
     machine.refuse(0, is_refused=True)
     machine.run(1.0)
@@ -141,8 +141,8 @@
 
 def test_a_refused_daemon_learns_of_a_removal_and_goes_on():
     machine = a_refused_daemon_meets_a_revocation()
-    assert machine.daemon(0).lets_in("k1")
-    assert not machine.daemon(0).lets_in("k0")
+    assert machine.daemon(0).accepts("k1")
+    assert not machine.daemon(0).accepts("k0")
 
 
 def test_a_daemon_without_store_and_peers_stops_judging_keys():
@@ -151,7 +151,7 @@
     machine.cut({(0, 1), (0, 2)}, one_way=False)
     machine.remove("k0")
     machine.run(CONTACT_SECONDS + REVOKE_SECONDS)
-    assert not machine.daemon(0).lets_in("k1")
+    assert not machine.daemon(0).accepts("k1")
 
 
 def test_a_daemon_that_slept_through_a_removal_doesnt_let_the_key_in():
@@ -180,49 +180,49 @@
     machine.run(1.0)
     machine.remove("k0")
     machine.run(12.0)
-    assert not machine.daemon(0).lets_in("k1")
+    assert not machine.daemon(0).accepts("k1")
 
 
-def proofs_never_age(monkeypatch):
+def confirmations_never_age(monkeypatch):
     monkeypatch.setattr(TableFreshness, "age", lambda *_: 0.0)
 
 
-def a_proof_counts_from_its_answer(monkeypatch):
+def a_confirmation_counts_from_its_response(monkeypatch):
     def confirmed(self, at):
         self._freshness.confirm(self._read_version, self._clock.seconds())
 
     monkeypatch.setattr(PlatformTables, "_configuration_proved", confirmed)
 
 
-def peers_words_do_not_age(monkeypatch):
-    def answered(self, reply, peer, asked_at):
+def peers_confirmations_do_not_age(monkeypatch):
+    def on_reply(self, reply, peer, sent_at):
         self._is_requesting = False
         if isinstance(reply, Ok):
-            self._freshness.confirm(reply.ok_value.version, asked_at)
+            self._freshness.confirm(reply.ok_value.version, sent_at)
 
-    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", answered)
+    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", on_reply)
 
 
-def a_proof_of_another_version_counts(monkeypatch):
-    def answered(self, reply, peer, asked_at):
+def a_confirmation_of_another_version_counts(monkeypatch):
+    def on_reply(self, reply, peer, sent_at):
         self._is_requesting = False
         if isinstance(reply, Ok):
-            self._freshness.confirm(self._freshness.version, asked_at)
+            self._freshness.confirm(self._freshness.version, sent_at)
 
-    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", answered)
+    monkeypatch.setattr(TableFreshnessExchange, "_on_reply", on_reply)
 
 
 BREAKS = [
-    (proofs_never_age, test_a_daemon_without_store_and_peers_stops_judging_keys),
+    (confirmations_never_age, test_a_daemon_without_store_and_peers_stops_judging_keys),
     (
-        a_proof_counts_from_its_answer,
+        a_confirmation_counts_from_its_response,
         test_answers_that_waited_while_a_daemon_slept_prove_nothing_late,
     ),
     (
-        peers_words_do_not_age,
+        peers_confirmations_do_not_age,
         test_daemons_that_are_all_refused_do_not_keep_each_other_going,
     ),
-    (a_proof_of_another_version_counts, a_refused_daemon_meets_a_revocation),
+    (a_confirmation_of_another_version_counts, a_refused_daemon_meets_a_revocation),
 ]
 
 
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -1,4 +1,4 @@
-"""Who feeds a cold engine, and how much."""
+"""Which daemons send calls to a cold engine, and how many."""
 
 from collections import Counter
 
@@ -22,11 +22,11 @@
 LIMIT = ColdLimit(3.0, 25.0)
 TOLERANCE = ColdTolerance(1.5, 5.0)
 BOUND = 42
-"""25 a second x 1.5 + 5, whole calls."""
+"""25 calls per second times 1.5, plus 5, rounded down."""
 
 
 class View:
-    """A daemon's view of its peers, by hand."""
+    """A fake view of the members."""
 
     def __init__(
         self, local_daemon: str, members: tuple[str, ...], seconds: float = 9.0
@@ -57,23 +57,23 @@
         (300, SenderQuota(21, 1)),
     ],
 )
-def test_the_feeders_of_two_views_together_keep_the_bound(daemons, quota):
+def test_the_senders_of_two_views_together_keep_the_limit(daemons, quota):
     assert sender_quota(LIMIT, TOLERANCE, daemons) == quota
     assert CONCURRENT_VIEWS * quota.senders * quota.calls <= BOUND
 
 
-def test_an_engine_that_bears_nothing_is_fed_by_nobody():
+def test_no_daemon_sends_to_an_engine_without_a_rate():
     assert sender_quota(ColdLimit(3.0, 0.0), ColdTolerance(), 5) == SenderQuota(0, 0)
     assert sender_quota(ColdLimit(3.0, 1.0), ColdTolerance(), 5) == SenderQuota(0, 0)
 
 
-def test_all_daemons_name_the_same_feeders():
+def test_all_daemons_compute_the_same_senders():
     members = names(69)
     senders = [name for name in members if is_sender(name, "e", members, 21)]
     assert len(senders) == 21
 
 
-def test_one_member_more_changes_one_feeder_at_most():
+def test_one_member_more_changes_at_most_one_sender():
     before, after = names(68), names(69)
     for engine in "abcdefgh":
         was = {name for name in before if is_sender(name, engine, before, 21)}
@@ -81,8 +81,8 @@
         assert len(was - now) <= 1
 
 
-def test_each_daemon_feeds_some_engine():
-    """23 cold engines and 69 daemons: each feeds seven on average, and none nothing."""
+def test_each_daemon_sends_to_some_engine():
+    """With 23 cold engines and 69 daemons each daemon sends to seven on average."""
     members = names(69)
     counts = Counter(
         name
@@ -95,7 +95,7 @@
 
 
 def test_a_daemon_that_has_just_started_counts_itself_in():
-    """One feeder more at most, until the others know it."""
+    """It adds at most one sender until the other daemons know it."""
     members = names(69)
     engines_fed = [
         f"i-{n}" for n in range(50) if is_sender("new", f"i-{n}", members, 21)
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.parametrize(("members", "calls"), [(1, 21), (4, 5), (21, 1)])
-def test_a_feeder_has_room_for_its_part_in_each_second(members, calls):
+def test_a_sender_may_use_its_quota_in_each_second(members, calls):
     cold = engines(members)
     for _ in range(calls):
         assert cold.seconds_until_send("e", LIMIT, 10.0) == 0.0
@@ -134,7 +134,7 @@
     ("seconds", "members", "calls"),
     [(STABLE_VIEW_SECONDS - 0.01, 4, 1), (STABLE_VIEW_SECONDS, 4, 5), (0.0, 21, 1)],
 )
-def test_a_daemon_that_may_know_too_few_others_sends_one_call(seconds, members, calls):
+def test_a_daemon_that_may_not_know_all_members_sends_one_call(seconds, members, calls):
     cold = engines(members, seconds)
     for _ in range(calls):
         assert cold.seconds_until_send("e", LIMIT, 10.0) == 0.0
@@ -144,7 +144,7 @@
     )
 
 
-def test_parts_are_worked_out_anew_when_the_members_or_the_limit_change():
+def test_quotas_are_recomputed_when_the_members_or_the_limit_change():
     view = View("d000", names(69))
     cold = ColdEngineLimiter(ColdPolicy(TOLERANCE), view)
     fed = [
@@ -174,12 +174,12 @@
     assert ranks["rank"] <= 69
 
 
-def test_without_members_and_without_feeding_nothing_is_fed():
+def test_without_members_or_sending_no_call_is_sent():
     assert engines(0).seconds_until_send("e", LIMIT, 10.0) is None
     assert engines(sends_to_cold=False).seconds_until_send("e", LIMIT, 10.0) is None
 
 
-def test_the_newest_word_of_an_engine_counts():
+def test_the_newest_report_of_an_engine_counts():
     warmth = WarmupState()
     assert not warmth.is_cold(0.0)
     warmth.record_report(3.0, 10.0)
@@ -188,7 +188,7 @@
     assert not warmth.is_cold(11.0)
 
 
-def test_what_is_assumed_outlasts_what_was_said_before():
+def test_an_assumption_outlasts_earlier_reports():
     warmth = WarmupState()
     warmth.assume_cold(13.0)
     warmth.record_report(0.0, 11.0)
@@ -198,7 +198,7 @@
     assert warmth.cold_until == 16.0
 
 
-def test_a_doubt_ends_when_the_engine_is_told_cold_or_given_back():
+def test_a_suspicion_ends_when_the_engine_reports_cold_or_expires():
     warmth = WarmupState()
     warmth.suspect_cold(11.2)
     assert warmth.is_only_suspected_cold(10.0)
@@ -210,7 +210,7 @@
     assert not warmth.is_cold(11.2)
 
 
-def test_where_an_engine_is_only_doubted_all_daemons_share_the_whole_bound():
+def test_a_suspected_engine_gets_the_full_limit_of_all_daemons():
     members = names(69)
     views = [View(name, members) for name in members]
     delays = [
--- a/tests/unit/scheduling/test_engine_choice.py
+++ b/tests/unit/scheduling/test_engine_choice.py
@@ -1,4 +1,4 @@
-"""The cost of staying, refilling and moving; the steps of a choice."""
+"""The cost of staying, refilling and moving, and the steps of a choice."""
 
 import random
 from collections import Counter
@@ -24,8 +24,8 @@
 MOVING = ChoicePolicy(move_tokens_per_second=10_000.0, move_overhead_seconds=0.1)
 STAYING = ChoicePolicy()
 
-# wait and cached tokens of the holder, wait of the other, policy, what is chosen;
-# prompts have 10,000 tokens and engines compute 1,000 a second.
+# Wait and cached tokens of the holder, wait of the other engine, policy, choice.
+# Prompts have 10,000 tokens and engines compute 1,000 tokens per second.
 COSTS = {
     "stay while the wait is short": (1.0, 9000, 0.0, STAYING, ("a", ChoiceKind.STAY)),
     "stay while refilling costs more": (
@@ -153,7 +153,7 @@
     assert isinstance(choice.next_step(TWO), RequestQuotes)
 
 
-def test_when_all_are_overloaded_the_earliest_return_is_told():
+def test_when_all_are_overloaded_the_earliest_retry_time_is_returned():
     choice = chooser()
     choice.next_step(TWO)
     choice.learn_overloaded("a", 9.0)
--- a/tests/unit/scheduling/test_first_response_times.py
+++ b/tests/unit/scheduling/test_first_response_times.py
@@ -1,4 +1,4 @@
-"""When first answers are overdue, and how many calls may be given up for it."""
+"""When first responses are overdue, and how many overdue calls may be abandoned."""
 
 import pytest
 
@@ -12,7 +12,7 @@
 )
 
 
-def waits(*seconds: float) -> FirstResponseTimes:
+def response_times(*seconds: float) -> FirstResponseTimes:
     made = FirstResponseTimes()
     for waited in seconds:
         made.record(waited)
@@ -28,27 +28,27 @@
         ([0.1] * 50 + [1.0] * 20, 1.3, 5.0),
     ],
 )
-def test_the_limit_follows_the_answers(seconds, minimum, maximum):
-    assert minimum <= waits(*seconds).limit_seconds <= maximum
+def test_the_limit_follows_the_response_times(seconds, minimum, maximum):
+    assert minimum <= response_times(*seconds).limit_seconds <= maximum
 
 
-def test_without_answers_there_is_no_limit():
-    assert waits(*[0.1] * (MIN_RESPONSES - 1)).limit_seconds is None
+def test_without_responses_there_is_no_limit():
+    assert response_times(*[0.1] * (MIN_RESPONSES - 1)).limit_seconds is None
 
 
-def test_retries_are_a_part_of_the_answers():
-    made = waits(*[0.1] * 1000)
-    taken = 0
+def test_retries_are_a_fraction_of_the_responses():
+    made = response_times(*[0.1] * 1000)
+    retries = 0
     while made.take_retry():
-        taken += 1
-    assert taken == MAX_RETRY_BUDGET
+        retries += 1
+    assert retries == MAX_RETRY_BUDGET
     for _ in range(5):
         made.record(0.1)
     assert made.take_retry()
     assert not made.take_retry()
 
 
-def test_it_can_be_switched_off():
+def test_detection_can_be_disabled():
     routes = RouteResponseTimes(OverduePolicy(detects_overdue=False))
     for _ in range(20):
         routes.of("r").record(0.1)
--- a/tests/unit/scheduling/test_memory_headroom.py
+++ b/tests/unit/scheduling/test_memory_headroom.py
@@ -1,4 +1,4 @@
-"""When an engine has headroom for a new program's history."""
+"""When an engine has headroom for the history of a new program."""
 
 import pytest
 
--- a/tests/unit/scheduling/test_retention.py
+++ b/tests/unit/scheduling/test_retention.py
@@ -1,4 +1,4 @@
-"""Keep, export or drop over a pause, as a table of situations."""
+"""Whether a prefix is kept, exported or dropped during a pause."""
 
 import math
 
--- a/tests/unit/scheduling/test_waits_and_retries.py
+++ b/tests/unit/scheduling/test_waits_and_retries.py
@@ -13,7 +13,7 @@
     retry_after_seconds,
 )
 
-# slots, busy, calls ahead, expected wait; a call holds its slot for 2 s.
+# Slots, busy slots, calls ahead, expected wait; a call occupies its slot for 2 s.
 WAITS = {
     "a free slot": (4, 3, 0, 0.0),
     "all busy, nobody waits": (4, 4, 0, 0.5),
@@ -41,7 +41,7 @@
     assert retry_after_seconds(wait, give_up) == retry_after
 
 
-def test_the_mean_hold_follows_what_is_learnt():
+def test_the_mean_occupancy_follows_the_samples():
     mean = MeanOccupancy()
     assert mean.value(7.0) == 7.0
     mean.learn(1.0)
@@ -77,7 +77,7 @@
     failures_to_open=2, first_pause_seconds=1.0, longest_pause_seconds=3.0
 )
 
-# Steps are (operation, time); then whether something may be tried at a time.
+# Steps as (operation, time), then a time and whether an attempt is allowed then.
 BREAKER = {
     "one failure": ([("fail", 0)], 0.0, True),
     "a success in between": ([("fail", 0), ("succeed", 0), ("fail", 0)], 0.0, True),
--- a/tests/unit/scheduling/test_zone_drains.py
+++ b/tests/unit/scheduling/test_zone_drains.py
@@ -1,4 +1,4 @@
-"""Which zones are drained, by sets that come in any order."""
+"""Drained zones when their sets arrive in any order."""
 
 import pytest
 
--- a/tests/unit/tenants/test_freshness.py
+++ b/tests/unit/tenants/test_freshness.py
@@ -1,4 +1,4 @@
-"""How long a proof that the table is the newest lasts."""
+"""How long a table stays fresh after a confirmation."""
 
 import pytest
 
@@ -14,7 +14,7 @@
     return freshness
 
 
-def test_nothing_is_fresh_before_the_first_proof():
+def test_nothing_is_fresh_before_the_first_confirmation():
     freshness = TableFreshness(BOUND)
     assert not freshness.is_fresh(0.0)
     freshness.put_in_force(3)
@@ -25,25 +25,25 @@
     ("now", "is_fresh"),
     [(10.0, True), (14.9, True), (14.91, False), (15.0, False), (100.0, False)],
 )
-def test_a_proof_lasts_for_the_bound_less_a_margin(now, is_fresh):
+def test_a_confirmation_lasts_for_the_bound_less_a_margin(now, is_fresh):
     assert pytest.approx(4.9) == BOUND - CLOCK_MARGIN_SECONDS
     assert confirmed().is_fresh(now) is is_fresh
 
 
-def test_a_later_proof_of_an_earlier_instant_takes_nothing_back():
+def test_a_late_confirmation_of_an_earlier_time_changes_nothing():
     freshness = confirmed(at=10.0)
     freshness.confirm(3, 8.0)
     assert freshness.age(11.0) == pytest.approx(1.0)
 
 
 @pytest.mark.parametrize("version", [2, 4, -1])
-def test_a_proof_of_another_version_says_nothing_of_this_one(version):
+def test_a_confirmation_of_another_version_is_ignored(version):
     freshness = confirmed(at=10.0)
     freshness.confirm(version, 14.0)
     assert freshness.age(15.0) == pytest.approx(5.0)
 
 
-def test_a_newer_table_needs_a_proof_of_its_own():
+def test_a_newer_table_needs_a_new_confirmation():
     freshness = confirmed(at=10.0)
     freshness.put_in_force(4)
     assert not freshness.is_fresh(10.0)
@@ -52,10 +52,10 @@
     assert not freshness.is_fresh(11.0)
 
 
-def test_what_ends_soon_is_known_before():
+def test_an_expiry_is_known_ahead():
     assert confirmed().is_fresh(13.0, ahead_seconds=1.5)
     assert not confirmed().is_fresh(13.5, ahead_seconds=1.5)
 
 
-def test_without_a_bound_no_proof_is_needed():
+def test_without_a_bound_no_confirmation_is_needed():
     assert TableFreshness(None).is_fresh(1e9)
--- a/tests/unit/tenants/test_freshness_exchange.py
+++ b/tests/unit/tenants/test_freshness_exchange.py
@@ -1,4 +1,4 @@
-"""Daemons that vouch for the table in force while the log service refuses some."""
+"""Daemons confirm each other's tables while the log service refuses some of them."""
 
 from random import Random
 
@@ -21,7 +21,7 @@
 
 
 class Daemon:
-    """A table and its proof at one daemon; the table's text names its version."""
+    """The table of one daemon and its freshness; the table's text is its version."""
 
     def __init__(self, world: "World", name: DaemonName) -> None:
         joined = world.fabric.join(Member(name, Incarnation(1)), ZoneName("z"))
@@ -56,7 +56,7 @@
 
 
 class World:
-    """Some daemons; only those told to read have a proof of their own."""
+    """Several daemons, of which only the reader uses the log service."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -66,7 +66,7 @@
             self.clock, Random(1), encode=True, codec=account_codec()
         )
         self.daemons = {name: Daemon(self, name) for name in NAMES}
-        self.asker = self.daemons[NAMES[0]]
+        self.requester = self.daemons[NAMES[0]]
         self.served = self.daemons[NAMES[1]]
 
     def run(self, seconds: float, reader: Daemon | None = None) -> None:
@@ -76,47 +76,47 @@
                 reader.reads(reader.freshness.version)
 
 
-def test_a_daemon_that_is_refused_goes_on_by_its_peers_word():
+def test_a_refused_daemon_continues_on_its_peers_confirmations():
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.served.reads(3)
     world.run(20.0, reader=world.served)
-    assert world.asker.is_fresh
+    assert world.requester.is_fresh
 
 
-def test_alone_its_proof_runs_out():
+def test_without_peers_the_confirmation_expires():
     world = World()
     world.peers = [NAMES[0]]
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.run(BOUND + 1.0)
-    assert not world.asker.is_fresh
+    assert not world.requester.is_fresh
 
 
 def test_a_newer_table_comes_from_a_peer_and_the_older_one_is_dropped():
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.served.reads(4)
     world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS, reader=world.served)
-    assert world.asker.freshness.version == 4
-    assert world.asker.is_fresh
+    assert world.requester.freshness.version == 4
+    assert world.requester.is_fresh
 
 
-def test_a_peer_that_is_behind_proves_nothing():
+def test_a_peer_with_an_older_table_confirms_nothing():
     world = World()
-    world.asker.reads(4)
+    world.requester.reads(4)
     world.served.reads(3)
     world.run(BOUND + 1.0, reader=world.served)
-    assert world.asker.freshness.version == 4
-    assert not world.asker.is_fresh
+    assert world.requester.freshness.version == 4
+    assert not world.requester.is_fresh
 
 
-def test_a_word_that_was_long_on_its_way_counts_from_the_question():
-    """A proof may not grow younger by being passed on, nor by waiting in a socket."""
+def test_a_delayed_response_counts_from_the_request():
+    """Neither forwarding a confirmation nor a delayed response may make it younger."""
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.served.reads(3, age=1.0)
     world.run(20.0)
-    assert not world.asker.is_fresh
+    assert not world.requester.is_fresh
     ages = [
         daemon.freshness.age(world.clock.seconds()) for daemon in world.daemons.values()
     ]
@@ -124,37 +124,37 @@
 
 
 @pytest.mark.parametrize("seconds", [0.6, 3.0, 6.0])
-def test_a_daemon_that_slept_finds_its_proof_older(seconds):
+def test_a_confirmation_ages_while_a_daemon_is_suspended(seconds):
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.fabric.pause(NAMES[0])
     world.run(seconds)
     world.fabric.resume(NAMES[0])
-    assert world.asker.is_fresh is (seconds < BOUND)
+    assert world.requester.is_fresh is (seconds < BOUND)
 
 
-def test_a_daemon_whose_reads_are_answered_keeps_its_own_proof():
+def test_a_daemon_with_successful_reads_keeps_its_confirmation():
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.served.reads(3)
     world.served.freshness.confirm(3, world.clock.seconds() + 50.0)
-    world.run(20.0, reader=world.asker)
-    assert world.asker.freshness.age(world.clock.seconds()) == pytest.approx(0.0)
+    world.run(20.0, reader=world.requester)
+    assert world.requester.freshness.age(world.clock.seconds()) == pytest.approx(0.0)
 
 
-def test_drained_zones_are_passed_on_with_the_proof():
+def test_drained_zones_are_sent_with_the_confirmation():
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     world.served.reads(3)
     world.served.drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
     world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS, reader=world.served)
-    assert world.asker.drains.current == DrainedZones(frozenset({"z-1"}), 9)
+    assert world.requester.drains.current == DrainedZones(frozenset({"z-1"}), 9)
 
 
-def test_a_peer_that_cannot_vouch_for_the_table_still_tells_its_drains():
+def test_a_peer_without_a_confirmed_table_still_sends_its_drains():
     world = World()
-    world.asker.reads(3)
+    world.requester.reads(3)
     for name in NAMES[1:]:
         world.daemons[name].drains.update(DrainedZones(frozenset({"z-1"}), 9), 0.0)
     world.run(REQUEST_AT_AGE + 4 * CHECK_INTERVAL_SECONDS)
-    assert world.asker.drains.is_drained("z-1")
+    assert world.requester.drains.is_drained("z-1")
--- a/tests/unit/tenants/test_identity.py
+++ b/tests/unit/tenants/test_identity.py
@@ -1,4 +1,4 @@
-"""From the keys of a request to its tenant."""
+"""Finding the tenant of a request by its key."""
 
 import pytest
 from result import Err, Ok
@@ -75,7 +75,7 @@
     assert "k1" not in f"{held!r} {held} {HULE!r}"
 
 
-def test_names_of_tenants_that_call_alike_are_two():
+def test_equal_names_of_two_tenants_are_distinct():
     assert scoped_name("a", "p") != scoped_name("b", "p")
     assert scoped_name("", "p") == "p"
     assert scoped_name("a", "") == ""
--- a/tests/unit/tenants/test_partition_limits.py
+++ b/tests/unit/tenants/test_partition_limits.py
@@ -1,4 +1,4 @@
-"""What an owner of limits may give out before, while and after others do. Pure."""
+"""What owners of limits may admit before, during and after a change of owner."""
 
 import pytest
 
@@ -28,7 +28,7 @@
 
 
 class Owner:
-    """One owner whose lease ran out at some time."""
+    """An owner whose lease expires at some time."""
 
     def __init__(self, limit: RateLimit, began: float, lapses_at: float = 1e9) -> None:
         self.limits = PartitionLimits(TOLERANCE, ProgramSizes())
@@ -37,8 +37,8 @@
         self.lapses_at = lapses_at
         self.held_since = -1e9
 
-    def give_all(self, now: float) -> int:
-        """Give how many calls are let in when there is no end of them."""
+    def admit_all(self, now: float) -> int:
+        """Return the number of calls admitted under unlimited demand."""
         calls = 0
         while self.ask(now) == GRANTED:
             calls += 1
@@ -49,11 +49,11 @@
         return self.limits.decide("t", self.limit, "", "k", now, lease=lease)
 
 
-def max_in_a_window(given: list[tuple[float, int]]) -> int:
+def max_in_a_window(admitted: list[tuple[float, int]]) -> int:
     window = TOLERANCE.window_seconds
     return max(
-        sum(calls for at, calls in given if begin <= at < begin + window)
-        for begin, _ in given
+        sum(calls for at, calls in admitted if begin <= at < begin + window)
+        for begin, _ in admitted
     )
 
 
@@ -69,15 +69,15 @@
 ):
     former = Owner(limit, began=-100.0, lapses_at=10.0)
     successor = Owner(limit, began=10.0 + succeeds_after)
-    given: list[tuple[float, int]] = []
+    admitted: list[tuple[float, int]] = []
     for step in range(round(30.0 / STEP_SECONDS)):
         now = step * STEP_SECONDS
-        calls = former.give_all(now)
+        calls = former.admit_all(now)
         if now >= 10.0 + succeeds_after:
-            calls += successor.give_all(now)
-        given.append((now, calls))
-    assert max_in_a_window(given) <= allowed(limit)
-    last = sum(calls for at, calls in given if at >= 25.0)
+            calls += successor.admit_all(now)
+        admitted.append((now, calls))
+    assert max_in_a_window(admitted) <= allowed(limit)
+    last = sum(calls for at, calls in admitted if at >= 25.0)
     assert last >= limit.per_second * 5.0 * 0.94 - 1
 
 
@@ -85,22 +85,22 @@
 def test_an_owner_that_died_and_its_successor_stay_within_the_limit(limit):
     former = Owner(limit, began=-100.0)
     successor = Owner(limit, began=3.0)
-    given = [
+    admitted = [
         (
             step * STEP_SECONDS,
-            (former if step * STEP_SECONDS < 3.0 else successor).give_all(
+            (former if step * STEP_SECONDS < 3.0 else successor).admit_all(
                 step * STEP_SECONDS
             ),
         )
         for step in range(400)
     ]
-    assert max_in_a_window(given) <= allowed(limit)
+    assert max_in_a_window(admitted) <= allowed(limit)
 
 
 @pytest.mark.parametrize("limit", LIMITS)
 def test_a_successor_begins_with_little(limit):
     successor = Owner(limit, began=10.0)
-    assert successor.give_all(10.0) <= TOLERANCE.start_calls
+    assert successor.admit_all(10.0) <= TOLERANCE.start_calls
 
 
 @pytest.mark.parametrize(
@@ -128,27 +128,27 @@
 
 def test_levels_handed_over_are_used_once():
     former = Owner(LIMITS[2], began=-100.0)
-    former.give_all(10.0)
+    former.admit_all(10.0)
     handover = former.limits.hand_over(10.0)
     assert handover is not None
-    heir = Owner(LIMITS[2], began=10.0)
-    heir.limits.replay_handover(handover)
-    assert heir.limits.has_handover
-    heir.limits.take_levels(10.0)
-    assert not heir.limits.has_handover
-    assert heir.give_all(10.0) == 0
-    assert heir.limits.ownership(10.0, HELD_LEASE) is LimitOwnership.ALONE
+    successor = Owner(LIMITS[2], began=10.0)
+    successor.limits.replay_handover(handover)
+    assert successor.limits.has_handover
+    successor.limits.take_levels(10.0)
+    assert not successor.limits.has_handover
+    assert successor.admit_all(10.0) == 0
+    assert successor.limits.ownership(10.0, HELD_LEASE) is LimitOwnership.ALONE
     late = Owner(LIMITS[2], began=10.0)
     late.limits.replay_handover(handover)
     late.limits.replay_levels_taken()
     assert not late.limits.has_handover
 
 
-def test_an_owner_that_nobody_asked_leaves_no_record():
+def test_an_owner_without_calls_hands_nothing_over():
     assert Owner(LIMITS[2], began=0.0).limits.hand_over(5.0) is None
 
 
-def test_what_is_tolerated_is_not_given_out_twice():
+def test_the_tolerance_is_not_used_twice():
     parts = TOLERANCE.burst_calls + TOLERANCE.start_calls
     assert parts < TOLERANCE.calls
     extra = TOLERANCE.successor_share + LAPSED_SHARE - 1.0
@@ -158,29 +158,29 @@
 
 
 def test_nothing_is_decided_until_the_record_that_takes_the_levels_is_durable():
-    """Whoever succeeds an owner that dies before it begins from the same levels."""
+    """Otherwise the next successor would start from the same levels again."""
     former = Owner(LIMITS[2], began=-100.0)
-    former.give_all(10.0)
-    heir = Owner(LIMITS[2], began=10.0)
-    heir.limits.replay_handover(former.limits.hand_over(10.0))
-    assert heir.ask(10.5) is None
-    heir.limits.take_levels(10.6)
-    assert heir.ask(11.0) == GRANTED
+    former.admit_all(10.0)
+    successor = Owner(LIMITS[2], began=10.0)
+    successor.limits.replay_handover(former.limits.hand_over(10.0))
+    assert successor.ask(10.5) is None
+    successor.limits.take_levels(10.6)
+    assert successor.ask(11.0) == GRANTED
 
 
 @pytest.mark.parametrize("limit", LIMITS)
 def test_an_owner_whose_lease_had_run_out_begins_like_a_successor(limit):
-    """While it had lapsed another owner may have decided."""
+    """Another owner may have decided while the lease had expired."""
     owner = Owner(limit, began=-100.0, lapses_at=10.0)
     other = Owner(limit, began=10.0)
-    given: list[tuple[float, int]] = []
+    admitted: list[tuple[float, int]] = []
     for step in range(round(30.0 / STEP_SECONDS)):
         now = step * STEP_SECONDS
         if now >= 13.0:
             owner.lapses_at = 1e9
             owner.held_since = 13.0
-        calls = owner.give_all(now)
+        calls = owner.admit_all(now)
         if 10.0 <= now < 13.0:
-            calls += other.give_all(now)
-        given.append((now, calls))
-    assert max_in_a_window(given) <= allowed(limit)
+            calls += other.admit_all(now)
+        admitted.append((now, calls))
+    assert max_in_a_window(admitted) <= allowed(limit)
--- a/tests/unit/tenants/test_recent_calls.py
+++ b/tests/unit/tenants/test_recent_calls.py
@@ -1,4 +1,4 @@
-"""The count of calls within a sliding window."""
+"""Counting calls in a sliding window."""
 
 import pytest
 from hypothesis import given, settings
@@ -24,7 +24,7 @@
         assert within <= recent.count(now) <= longer
 
 
-def test_what_another_counted_is_no_younger_here():
+def test_restored_counts_are_not_younger():
     first = RecentCalls(WINDOW)
     for at in (100.0, 102.0, 104.0):
         first.add(at)
