--- a/notcharch/scheduling/engine_health.py
+++ b/notcharch/scheduling/engine_health.py
@@ -21,7 +21,7 @@
 """How long an engine is avoided after a failure; doubled by each further failure."""
 MAX_SUSPECT_SECONDS = 4.0
 """Maximum time for which a failed engine is avoided."""
-FULL_SECONDS = 0.25
+AVOID_FULL_SECONDS = 0.25
 """How long an engine is avoided after it refused a call because it was full."""
 MIN_SILENCE_SECONDS = 0.3
 """A shorter silence is never suspicious."""
@@ -73,8 +73,8 @@
 
     def record_silence(self, seconds: float) -> None:
         """Record how long an engine with outstanding calls was silent."""
-        faded = self._longest_silence * SILENCE_MEMORY
-        self._longest_silence = max(seconds, faded + seconds * (1 - SILENCE_MEMORY))
+        decayed = self._longest_silence * SILENCE_MEMORY
+        self._longest_silence = max(seconds, decayed + seconds * (1 - SILENCE_MEMORY))
 
     def record_stream_length(self, events: int) -> None:
         """Record the number of events of a stream."""
@@ -108,7 +108,7 @@
     def __init__(self, service: ServiceHealth) -> None:
         """Start healthy."""
         self._service = service
-        self._owed = 0
+        self._outstanding = 0
         """Outstanding calls that wait for a response or the rest of one."""
         self._silent_since = 0.0
         """Start of the current silence, while calls are outstanding."""
@@ -129,9 +129,9 @@
 
     def sent(self, now: float) -> None:
         """Record that a call was sent."""
-        if not self._owed:
+        if not self._outstanding:
             self._silent_since = now
-        self._owed += 1
+        self._outstanding += 1
 
     def received(self, now: float) -> None:
         """Record that a part of a response arrived."""
@@ -167,7 +167,7 @@
 
     def finished(self) -> None:
         """Record that a call ended, with any outcome."""
-        self._owed = max(self._owed - 1, 0)
+        self._outstanding = max(self._outstanding - 1, 0)
 
     def failed(self, now: float) -> float:
         """Avoid the engine after a failed connection; return until when."""
@@ -184,7 +184,7 @@
 
     def refused(self, now: float) -> None:
         """Avoid the engine briefly because it refused a call."""
-        self._avoid_until = max(self._avoid_until, now + FULL_SECONDS)
+        self._avoid_until = max(self._avoid_until, now + AVOID_FULL_SECONDS)
 
     def has_event_interval(self, now: float) -> bool:
         """Return whether the event interval is recent."""
@@ -196,7 +196,7 @@
     def is_silent(self, now: float) -> bool:
         """Return whether calls are outstanding and the silence is too long."""
         max_silence = self._service.max_silence_seconds
-        return bool(self._owed) and now - self._silent_since > max_silence
+        return bool(self._outstanding) and now - self._silent_since > max_silence
 
     def is_suspect(self, now: float, slow_interval_seconds: float | None) -> bool:
         """Return whether other engines should be preferred."""
--- a/notcharch/scheduling/engine_routing.py
+++ b/notcharch/scheduling/engine_routing.py
@@ -11,11 +11,11 @@
 from notcharch.scheduling.nearness import Distance, Nearness
 
 AFFINITY_SLACK_CALLS = 3
-"""An affinity engine is used until it has this many more local calls than the least
-loaded engine."""
+"""How many more local calls an affinity engine may have than the least loaded
+engine."""
 CACHED_ENGINE_SLACK_CALLS = 8
-"""This is larger for the engine that caches the program's prefix, because recomputing a
-long prefix costs more than a short wait."""
+"""How many more local calls the engine that caches the program's prefix may have;
+larger, because recomputing a long prefix costs more than a short wait."""
 
 FAST_FACTOR = 1.15
 """An engine is fast if calls take at most this multiple of their duration at the
--- a/notcharch/scheduling/fair_queue.py
+++ b/notcharch/scheduling/fair_queue.py
@@ -193,10 +193,10 @@
                 heads.append(first)
         if not heads:
             return None
-        furthest_behind = min([head.virtual_time for head in heads])
+        lowest_virtual_time = min([head.virtual_time for head in heads])
         for head in heads:
             if (
-                head.virtual_time - furthest_behind
+                head.virtual_time - lowest_virtual_time
             ) * head.share <= self._policy.lead_tokens:
                 return head
         return None
--- a/notcharch/tenants/freshness_reads.py
+++ b/notcharch/tenants/freshness_reads.py
@@ -1,8 +1,8 @@
 """The timing of a daemon's reads of the table, which keeps it confirmed. Pure."""
 
 LONG_POLL_PARTS = 5
-"""A long poll of the table lasts at most one of this number of parts of the time in
-which a revoked key must stop working: confirmations are then up to two parts old,
+"""A long poll of the table lasts at most the time in which a revoked key must stop
+working, divided by this number. Confirmations become at most two such parts old,
 which leaves three for an outage."""
 IMMEDIATE_READS_PER_SECOND = 5.0
 """Rate of reads, over all daemons, that return immediately instead of long polling. A
@@ -10,7 +10,7 @@
 the freshest confirmation would be older without these reads. Daemons exchange the
 freshest one."""
 RESPONSE_MARGIN_SECONDS = 0.3
-"""How long a response of the log service may take before peers are requested."""
+"""How long a response of the log service may take before a peer is asked."""
 
 
 def table_long_poll_seconds(
--- a/notcharch/tenants/recent_calls.py
+++ b/notcharch/tenants/recent_calls.py
@@ -50,7 +50,7 @@
         return seconds if calls <= max_calls else math.inf
 
     def add(self, at: float, calls: float = 1.0) -> None:
-        """Count calls that are admitted at a time; earlier times aren't accepted."""
+        """Count calls admitted at a time, or in the newest slot if that is later."""
         number = self._number(at)
         if self._slots and self._slots[-1].number > number:
             number = self._slots[-1].number
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -147,12 +147,12 @@
 def test_quotas_are_recomputed_when_the_members_or_the_limit_change():
     view = View("d000", names(69))
     cold = ColdEngineLimiter(ColdPolicy(TOLERANCE), view)
-    fed = [
+    reachable = [
         f"i-{n}"
         for n in range(60)
         if cold.seconds_until_send(f"i-{n}", LIMIT, 10.0) == 0.0
     ]
-    assert 0 < len(fed) < 60
+    assert 0 < len(reachable) < 60
     view._members = names(4)
     assert all(cold.seconds_until_send(f"i-{n}", LIMIT, 10.0) == 0.0 for n in range(60))
     nothing = ColdLimit(3.0, 0.0)
--- a/tests/unit/tenants/test_partition_limits.py
+++ b/tests/unit/tenants/test_partition_limits.py
@@ -40,11 +40,11 @@
     def admit_all(self, now: float) -> int:
         """Return the number of calls admitted under unlimited demand."""
         calls = 0
-        while self.ask(now) == GRANTED:
+        while self.request(now) == GRANTED:
             calls += 1
         return calls
 
-    def ask(self, now: float):
+    def request(self, now: float):
         lease = Lease(max(now - self.lapses_at, 0.0), self.held_since)
         return self.limits.decide("t", self.limit, "", "k", now, lease=lease)
 
@@ -123,7 +123,7 @@
 
 def test_an_owner_whose_lease_ran_out_long_ago_doesnt_decide():
     owner = Owner(LIMITS[1], began=-100.0, lapses_at=10.0)
-    assert owner.ask(10.0 + MAX_LAPSED_SECONDS + 0.1) is None
+    assert owner.request(10.0 + MAX_LAPSED_SECONDS + 0.1) is None
 
 
 def test_levels_handed_over_are_used_once():
@@ -163,9 +163,9 @@
     former.admit_all(10.0)
     successor = Owner(LIMITS[2], began=10.0)
     successor.limits.replay_handover(former.limits.hand_over(10.0))
-    assert successor.ask(10.5) is None
+    assert successor.request(10.5) is None
     successor.limits.take_levels(10.6)
-    assert successor.ask(11.0) == GRANTED
+    assert successor.request(11.0) == GRANTED
 
 
 @pytest.mark.parametrize("limit", LIMITS)
