--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -8,11 +8,11 @@
 
 from notcharch.calls.interface import Engine
 from notcharch.scheduling.cold_engines import (
-    ColdEngines,
+    ColdEngineLimiter,
     ColdLimit,
     ColdPolicy,
     DaemonView,
-    Warmth,
+    WarmupState,
 )
 from notcharch.scheduling.residence import allows_zone
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones, ZoneDrains
@@ -31,7 +31,7 @@
         """The entry of the engine."""
 
     @property
-    def warmth(self) -> Warmth:
+    def warmth(self) -> WarmupState:
         """The warm-up state of the engine."""
 
 
@@ -58,7 +58,7 @@
 class NoPeers:
     """The view of a daemon that knows no peers."""
 
-    own = ""
+    local_daemon = ""
 
     def members(self) -> Sequence[str]:
         """Return no members."""
@@ -80,7 +80,7 @@
     ) -> None:
         """`region_of` maps zones to regions; `daemons` share the load limits of cold engines."""
         self._region_of = region_of or {}
-        self._cold = ColdEngines(cold or ColdPolicy(), daemons or NoPeers())
+        self._cold = ColdEngineLimiter(cold or ColdPolicy(), daemons or NoPeers())
         self._limits: dict[str, ColdLimit] = {}
         self.drains = ZoneDrains()
 
@@ -89,7 +89,7 @@
     def set_cold_limits(self, limits: Mapping[str, ColdLimit]) -> None:
         """Set the load limits of cold engines by service."""
         self._limits = dict(limits)
-        self._cold.forget_parts()
+        self._cold.reset_quotas()
 
     def update_drains(
         self, newer: DrainedZones, states: Iterable[EngineStatus], now: float
@@ -99,11 +99,11 @@
         The engines of a zone whose drain is cancelled count as cold, which their entries
         may not yet show.
         """
-        change = self.drains.take(newer, now)
+        change = self.drains.update(newer, now)
         if change is None:
             return None
         for state in states:
-            if state.engine.zone in change.given_back:
+            if state.engine.zone in change.cancelled:
                 limit = self._limit(state.engine.service)
                 state.warmth.assume_cold(now + limit.seconds)
         return change
@@ -144,7 +144,7 @@
         self, service: str, states: Sequence[Status], now: float
     ) -> Sequence[Status]:
         """Return the warm engines; if they are too few, also cold ones with capacity."""
-        if not self._limit(service).is_any:
+        if not self._limit(service).is_enabled:
             return states
         warm = [state for state in states if not state.warmth.is_cold(now)]
         if len(warm) == len(states) or len(warm) >= MIN_WARM_SHARE * len(states):
@@ -154,11 +154,11 @@
 
     def _capacity_in(self, state: EngineStatus, now: float) -> float | None:
         engine = state.engine
-        return self._cold.room_in(
+        return self._cold.seconds_until_send(
             engine.id,
             self._limit(engine.service),
             now,
-            is_doubted=state.warmth.is_only_doubted(now),
+            is_only_suspected=state.warmth.is_only_suspected_cold(now),
         )
 
     # Unavailability
@@ -182,7 +182,9 @@
         undrained = [state for state in resident if self.takes_calls(state.engine)]
         if not undrained:
             zones = {state.engine.zone for state in resident}
-            return NoEngine(Cause.DRAINED, self.drains.seconds(zones, now))
+            return NoEngine(
+                Cause.DRAINED, self.drains.longest_drain_seconds(zones, now)
+            )
         if all(state.warmth.is_cold(now) for state in undrained):
             return NoEngine(
                 Cause.COLD, min(self._accepts_in(s, now) for s in undrained)
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -24,10 +24,10 @@
 from notcharch.platform.store import REQUEST_TIMEOUT_SECONDS, PlatformStore
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
 from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.proof_reads import (
-    own_proof_seconds,
-    quick_share,
-    table_read_seconds,
+from notcharch.tenants.freshness_reads import (
+    immediate_read_share,
+    max_confirmation_age,
+    table_long_poll_seconds,
 )
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -88,8 +88,8 @@
         daemons; `use_regions` is called with the regions to which a table restricts data.
         """
         poll_seconds = long_poll_seconds(contact_seconds)
-        table_seconds = table_read_seconds(poll_seconds, revoke_seconds)
-        self.confirmation_age_seconds = own_proof_seconds(
+        table_seconds = table_long_poll_seconds(poll_seconds, revoke_seconds)
+        self.confirmation_age_seconds = max_confirmation_age(
             table_seconds, CONFIGURATION_READ_INTERVAL_SECONDS
         )
         """Maximum age of the freshness confirmation while all reads of the table succeed."""
@@ -176,10 +176,10 @@
         """Return the share of reads of the table that don't use long polling."""
         if not self._freshness.is_required:
             return 0.0
-        return quick_share(self._table_seconds, self._daemons())
+        return immediate_read_share(self._table_seconds, self._daemons())
 
     def _on_configuration_confirmed(self, at: float) -> None:
-        self._freshness.prove(self._read_version, at)
+        self._freshness.confirm(self._read_version, at)
 
     def apply_table(self, value: bytes) -> int:
         """Apply a table if it is newer; return its version, or -1 if it is invalid."""
@@ -192,7 +192,7 @@
         previous_version = current.table.version if current is not None else -1
         if table.version > previous_version:
             if table.keys is not None and current is not None and current.table.keys:
-                table.keys.succeed(current.table.keys)
+                table.keys.inherit_removed(current.table.keys)
             self._ingress.router = Router(table)
             self.raw_table = value
             self._freshness.put_in_force(table.version)
--- a/notcharch/tenants/partition_limits.py
+++ b/notcharch/tenants/partition_limits.py
@@ -1,21 +1,22 @@
-"""The rate limits of the tenants of one partition, through changes of owner. Pure.
-
-One daemon owns a partition and decides every call of its tenants from memory. What it has
-let in dies with it, so its successor must not let in what would come on top of it:
-
-- In a planned move the owner hands the levels of its buckets over by the journal, and
-  stops deciding first. The successor decides nothing until a record says that the levels
-  are taken, and goes on from them: nobody else begins from them again.
-- Otherwise a successor begins with nearly empty buckets. A bucket that held its all lets
-  in as much before, and the rate alone afterwards, as one owner would have.
-- The former owner may be alive and cut off. Once its lease has run out, which is before
-  anybody succeeds it, it gives out half of the rate, and nothing after
-  `MOST_LAPSED_SECONDS`. So long after it took over, a successor gives out the other half,
-  and a little of what the limit tolerates. So does an owner whose lease is renewed after
-  it had run out: another one may have decided meanwhile.
-
-Two owners in a row that were cut off within that time, and a third, may give out half a
-rate more than the limit between them for the rest of it.
+"""The rate limits of one partition's tenants, across changes of its owner. Pure.
+
+One daemon owns a partition and decides every call of its tenants from memory. This
+state is lost with the daemon, and a successor must not exceed the limits in addition to
+what the former owner admitted:
+
+- In a planned move the owner stops deciding and then hands over its bucket levels in
+  the journal. The successor continues from them, but only after a record states that
+  the levels are taken, so that no other owner can start from them again.
+- Otherwise the successor starts with nearly empty buckets. Together with a full bucket
+  of the former owner, this admits what a single owner would have admitted.
+- The former owner may be running, but disconnected. After its lease has expired, which
+  is before a successor starts, it admits half of the rate, and nothing after
+  `MAX_LAPSED_SECONDS`. For the same time after its start, a successor admits the other
+  half, plus a part of the tolerance. So does an owner whose lease was renewed after it
+  had expired, because another owner may have decided meanwhile.
+
+If two successive owners are disconnected within that time, they and a third one may
+together exceed the limit by half of the rate until that time has passed.
 """
 
 import enum
@@ -28,28 +29,28 @@
     Supply,
     TenantLimit,
     Verdict,
-    shared_supply_of,
-    supply_of,
+    exclusive_supply,
+    shared_supply,
 )
 from notcharch.tenants.program_sizes import ProgramSizes
 from notcharch.tenants.recent_calls import RecentCalls
 from notcharch.tenants.tenant_use import TenantUse
 
-MOST_LAPSED_SECONDS = 4.0
-"""An owner that the log service doesn't confirm decides for so long. It bears short
-outages of the log service, in which nobody can succeed it either."""
+MAX_LAPSED_SECONDS = 4.0
+"""How long an owner decides after its lease has expired. This bridges short outages of
+the log service, during which no successor can start either."""
 LAPSED_SHARE = 0.5
-"""Of the rate, while another owner may have the other half. Tenants ask for two thirds of
-their limits on average, so a full bucket lasts for the four seconds."""
+"""Share of the rate while another owner may use the other half. Tenants use less than
+their limits on average, so a full bucket makes up for the difference."""
 LEARNING_SECONDS = 3.0
-"""After a change of owner, a program that isn't known here may be under way."""
+"""How long after a change of owner an unknown program may be running already."""
 TOLERATED_BURST_SHARE = 0.55
-"""Of the tolerated calls, in the bucket. Small tenants live by it: one program asks for
-more calls a second than their rates."""
+"""Share of the tolerated calls that the bucket may hold in addition to the burst.
+Tenants with a low rate need it, because one program can exceed that rate."""
 TOLERATED_START_SHARE = 0.25
-"""Of the tolerated calls, with which a successor begins that knows no levels."""
+"""Share of the tolerated calls with which a successor without known levels starts."""
 TOLERATED_RATE_SHARE = 0.8
-"""Of the tolerated rate, which a successor gives out beyond its half."""
+"""Share of the tolerated rate that a successor admits in addition to its half."""
 
 
 class Tolerance(msgspec.Struct, frozen=True):
@@ -57,51 +58,51 @@
 
     window_seconds: float = 5.0
     over_share: float = 0.0
-    """Of what the limit lets in within a window."""
+    """Share of the calls that the limit allows in a window."""
     calls: float = 0.0
 
     @property
     def burst_calls(self) -> float:
-        """Calls that a bucket may hold beyond its burst."""
+        """Number of calls that a bucket may hold beyond the burst."""
         return self.calls * TOLERATED_BURST_SHARE
 
     @property
     def start_calls(self) -> float:
-        """Calls with which a successor may begin."""
+        """Number of calls with which a successor may start."""
         return self.calls * TOLERATED_START_SHARE
 
     @property
     def successor_share(self) -> float:
-        """Share of the rate that a successor may give out beside its predecessor."""
-        tolerated = self.over_share * self.window_seconds / MOST_LAPSED_SECONDS
+        """Share of the rate for a successor while its predecessor may decide."""
+        tolerated = self.over_share * self.window_seconds / MAX_LAPSED_SECONDS
         return min(1.0, 1.0 - LAPSED_SHARE + TOLERATED_RATE_SHARE * tolerated)
 
 
 class Lease(msgspec.Struct, frozen=True):
-    """What a daemon knows of its lease on its partitions."""
+    """The state of a daemon's lease on its partitions."""
 
     lapsed_seconds: float = 0.0
-    """Since it ran out without having been renewed; 0 while it holds."""
+    """Seconds since it expired without renewal; 0 while it is valid."""
     held_since: float = -math.inf
-    """Clock seconds at which it was last renewed after it had run out."""
-    left_seconds: float = math.inf
-    """Until it runs out, unless it is renewed."""
+    """Clock time of the last renewal after it had expired."""
+    remaining_seconds: float = math.inf
+    """Seconds until it expires, unless it is renewed."""
 
 
 HELD_LEASE = Lease()
 
 
-class HandedOver(msgspec.Struct, frozen=True):
-    """What an owner leaves to its successor in a planned move."""
+class LimitHandover(msgspec.Struct, frozen=True):
+    """What an owner hands over to its successor in a planned move."""
 
     uses: dict[str, TenantUse]
-    """Of each tenant that asked for any call."""
+    """By tenant, for those that made calls."""
     decided_seconds: float
-    """For so long it, and those that handed over to it, had decided."""
+    """How long this owner, and those that handed over to it, had decided."""
 
 
-class Standing(enum.Enum):
-    """How sure an owner is that it alone decides."""
+class LimitOwnership(enum.Enum):
+    """Whether other owners may decide at the same time."""
 
     ALONE = "alone"
     SUCCESSOR = "the former owner may decide as well"
@@ -110,71 +111,71 @@
 
 
 class PartitionLimits:
-    """The buckets of one partition's tenants."""
+    """The token buckets of one partition's tenants."""
 
     def __init__(self, tolerance: Tolerance, sizes: ProgramSizes) -> None:
-        """Begin without tenants, and without a say."""
+        """Start without tenants, and without deciding."""
         self._tolerance = tolerance
         self._sizes = sizes
         self._limits: dict[str, TenantLimit] = {}
-        self._began = 0.0
-        """When this owner, or the first of those that handed over to it, began to decide
-        without knowing what was let in before; clock seconds."""
-        self._handed_over: HandedOver | None = None
-        """What the former owner left; None if it left nothing, or that is taken."""
+        self._started_at = 0.0
+        """Clock time at which this owner, or the first in its chain of handovers,
+        started to decide without knowing the calls admitted before."""
+        self._handover: LimitHandover | None = None
+        """The former owner's handover; None if there is none, or it was taken."""
 
     # Changes of owner
 
-    def replay_handed_over(self, left: HandedOver) -> None:
-        """Hear that an owner handed over."""
-        self._handed_over = left
+    def replay_handover(self, handover: LimitHandover) -> None:
+        """Replay the record of a handover."""
+        self._handover = handover
 
-    def replay_taken(self) -> None:
-        """Hear that an owner went on from the levels that were handed over."""
-        self._handed_over = None
+    def replay_levels_taken(self) -> None:
+        """Replay the record that an owner took the levels of a handover."""
+        self._handover = None
 
-    def taken_over(self, now: float) -> None:
-        """Begin to decide."""
-        self._began = now
+    def start(self, now: float) -> None:
+        """Start to decide."""
+        self._started_at = now
 
     @property
-    def are_handed_over(self) -> bool:
-        """Whether there are levels to take, by a record."""
-        return self._handed_over is not None
+    def has_handover(self) -> bool:
+        """Whether there is a recorded handover whose levels aren't taken."""
+        return self._handover is not None
 
     def take_levels(self, now: float) -> None:
-        """Go on from the levels that were handed over: their record is durable."""
-        left, self._handed_over = self._handed_over, None
-        if left is None:
+        """Continue from the handover's levels, after their record is durable."""
+        handover, self._handover = self._handover, None
+        if handover is None:
             return
-        self._began -= left.decided_seconds
-        for tenant, use in left.uses.items():
+        self._started_at -= handover.decided_seconds
+        for tenant, use in handover.uses.items():
             limit = self._limits[tenant] = self._new_limit(use.level, now)
-            limit.recent.take(use.recent, now)
+            limit.recent.restore(use.recent, now)
 
     def _new_limit(self, level: float, now: float) -> TenantLimit:
         recent = RecentCalls(self._tolerance.window_seconds)
         return TenantLimit(level, now, self._sizes, recent)
 
-    def hand_over(self, now: float) -> HandedOver | None:
-        """Give what a successor goes on from; None if there is nothing worth a record."""
+    def hand_over(self, now: float) -> LimitHandover | None:
+        """Return the handover for a successor, None if no tenant made calls."""
         if not self._limits:
             return None
         uses = {
             name: TenantUse(round(limit.level, 2), limit.recent.by_age(now))
             for name, limit in self._limits.items()
         }
-        return HandedOver(uses, round(now - self._began, 2))
+        return LimitHandover(uses, round(now - self._started_at, 2))
 
-    def standing(self, now: float, lease: Lease) -> Standing:
-        """Tell how sure this owner may be that it alone decides."""
-        if lease.lapsed_seconds > MOST_LAPSED_SECONDS:
-            return Standing.NONE
+    def ownership(self, now: float, lease: Lease) -> LimitOwnership:
+        """Return whether other owners may decide at the same time."""
+        if lease.lapsed_seconds > MAX_LAPSED_SECONDS:
+            return LimitOwnership.NONE
         if lease.lapsed_seconds > 0.0:
-            return Standing.LAPSED
-        if now - max(self._began, lease.held_since) < MOST_LAPSED_SECONDS:
-            return Standing.SUCCESSOR
-        return Standing.ALONE
+            return LimitOwnership.LAPSED
+        if now - max(self._started_at, lease.held_since) < MAX_LAPSED_SECONDS:
+            return LimitOwnership.SUCCESSOR
+        return LimitOwnership.ALONE
 
     # Calls
 
@@ -187,43 +188,43 @@
         now: float,
         *,
         lease: Lease,
-        most_wait_seconds: float = 0.0,
+        max_wait_seconds: float = 0.0,
     ) -> Verdict | None:
-        """Let a call in, or refuse it; None if this owner must not decide.
+        """Admit or refuse a call; None if this owner must not decide.
 
-        No call is promised a moment at which somebody else may decide.
+        No call is promised a time at which another owner may decide.
         """
-        standing = self.standing(now, lease)
-        if standing is Standing.NONE or self.are_handed_over:
+        ownership = self.ownership(now, lease)
+        if ownership is LimitOwnership.NONE or self.has_handover:
             return None
-        supply = self._supply(limit, standing)
+        supply = self._supply(limit, ownership)
         bucket = self._limits.get(tenant)
         if bucket is None:
-            level = self._first_level(supply, now)
+            level = self._initial_level(supply, now)
             bucket = self._limits[tenant] = self._new_limit(level, now)
-        knows_all = now - self._began >= LEARNING_SECONDS
-        most_wait = min(most_wait_seconds, lease.left_seconds)
+        knows_all_programs = now - self._started_at >= LEARNING_SECONDS
+        max_wait = min(max_wait_seconds, lease.remaining_seconds)
         return bucket.decide(
             program,
             kind,
             supply,
             now,
-            knows_all=knows_all,
-            most_wait_seconds=most_wait,
+            knows_all_programs=knows_all_programs,
+            max_wait_seconds=max_wait,
         )
 
-    def _supply(self, limit: RateLimit, standing: Standing) -> Supply:
+    def _supply(self, limit: RateLimit, ownership: LimitOwnership) -> Supply:
         tolerance = self._tolerance
         window, calls = tolerance.window_seconds, tolerance.burst_calls
-        if standing is Standing.ALONE:
-            return supply_of(limit, window, calls)
+        if ownership is LimitOwnership.ALONE:
+            return exclusive_supply(limit, window, calls)
         share = LAPSED_SHARE
-        if standing is Standing.SUCCESSOR:
+        if ownership is LimitOwnership.SUCCESSOR:
             share = tolerance.successor_share
-        return shared_supply_of(limit, window, calls, share)
+        return shared_supply(limit, window, calls, share)
 
-    def _first_level(self, supply: Supply, now: float) -> float:
-        """Give the level of a tenant that asks for the first time here."""
-        since = now - self._began
+    def _initial_level(self, supply: Supply, now: float) -> float:
+        """Return the initial bucket level of a tenant."""
+        since = now - self._started_at
         level = self._tolerance.start_calls + since * supply.rate
         return min(supply.capacity, level)
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -11,7 +11,7 @@
 from notcharch.http.server import ServerLimits
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.keys import keys_of
+from notcharch.tenants.keys import index_keys
 from tests.unit.calls.world import World
 from tests.unit.events.capture import captured, of
 
@@ -28,8 +28,8 @@
         freshness = TableFreshness(5.0)
         freshness.put_in_force(7)
         if table_age is not None:
-            freshness.prove(7, 100.0 - table_age)
-        keys = keys_of([(HULE, ["k1"])]) if has_tenants else None
+            freshness.confirm(7, 100.0 - table_age)
+        keys = index_keys([(HULE, ["k1"])]) if has_tenants else None
         self.table = RouteTable(7, (), {}, ServerLimits(), keys)
         self.check = CallerCheck(self.clock, freshness)
         self.route = World().route
