--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -1,11 +1,11 @@
 """Outcomes of a call for the behaviours of its engines and its caller."""
 
 import pytest
-from notcharch.scheduling.answer_waits import MIN_LIMIT_SECONDS
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import ResponseFailure
 from notcharch.scheduling.engine_health import MIN_SILENCE_SECONDS
+from notcharch.scheduling.first_response_times import MIN_LIMIT_SECONDS
 from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
