--- a/tests/stateful/cold/test_cold_machine.py
+++ b/tests/stateful/cold/test_cold_machine.py
@@ -82,7 +82,7 @@
 
 
 def a_restarted_daemon_trusts_old_entries(monkeypatch):
-    monkeypatch.setattr(EnginePool, "_doubt_entries", lambda *_: None)
+    monkeypatch.setattr(EnginePool, "_suspect_entries", lambda *_: None)
 
 
 def cold_engines_are_like_warm_ones(monkeypatch):
--- a/tests/stateful/tenants/test_revocation_machine.py
+++ b/tests/stateful/tenants/test_revocation_machine.py
@@ -191,7 +191,7 @@
     def confirmed(self, at):
         self._freshness.confirm(self._read_version, self._clock.seconds())
 
-    monkeypatch.setattr(PlatformTables, "_configuration_proved", confirmed)
+    monkeypatch.setattr(PlatformTables, "_on_configuration_confirmed", confirmed)
 
 
 def peers_confirmations_do_not_age(monkeypatch):
