--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -38,7 +38,7 @@
 
     address: str
     """`host:port` at which peers reach this daemon."""
-    least_lease_seconds: float
+    min_lease_seconds: float
     retention_seconds: float
     """So long the log service keeps records."""
     tolerance: Tolerance
@@ -115,7 +115,7 @@
             services.clock,
             GroupName(part.name, part.partitioning.topics),
             OwnerName(own.daemon, settings.address).text(),
-            least_lease_seconds=settings.least_lease_seconds,
+            least_lease_seconds=settings.min_lease_seconds,
             dealt=self._owned.dealt,
             recovered=services.recovery.recovered if has_signal else lambda: None,
         )
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -58,7 +58,7 @@
     """`host:port` at which peers reach this daemon."""
     partitions: int
     """Of each topic."""
-    least_lease_seconds: float
+    min_lease_seconds: float
     retention_seconds: float
     """So long the log service keeps records."""
     topics: int = TOPICS
@@ -97,7 +97,7 @@
         self._shared = SharedNetwork(network)
         self._group_settings = GroupSettings(
             settings.address,
-            settings.least_lease_seconds,
+            settings.min_lease_seconds,
             settings.retention_seconds,
             settings.tolerance,
             settings.mechanisms,
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -111,7 +111,7 @@
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
-                least_lease_seconds=settings.store.least_lease_seconds,
+                min_lease_seconds=settings.store.least_lease_seconds,
                 retention_seconds=settings.store.retention_seconds,
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
