--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -13,7 +13,7 @@
 from tests.stateful.daemon_fates import DAEMONS, RefusedDaemons, daemons
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
-MOST = 100
+MAX_CALL_TOKENS = 100
 BUDGETS = {"p": 500, "q": 500, "short": 150}
 """The share that programs begin by doesn't cover one call of the short one."""
 PROGRAMS = tuple(BUDGETS)
@@ -53,12 +53,18 @@
             previous = sorted(self.kept)[pick % len(self.kept)]
             text = self.kept[previous]
         call = self.world.call(
-            program, budget=BUDGETS[program], most=MOST, previous=previous, body=b"in;"
+            program,
+            budget=BUDGETS[program],
+            max_tokens=MAX_CALL_TOKENS,
+            previous=previous,
+            body=b"in;",
         )
-        listener = self.world.ask(call, daemon, keeps_turns=True)
+        listener = self.world.request_admission(call, daemon, keeps_turns=True)
         return Running(call, listener, text + b"in;", bool(previous))
 
-    @rule(running=consumes(calls), events=st.integers(1, MOST // EVENT_TOKENS))
+    @rule(
+        running=consumes(calls), events=st.integers(1, MAX_CALL_TOKENS // EVENT_TOKENS)
+    )
     def end_whole(self, running, events):
         """Let the engine's answer come whole; its end is shown once durable."""
         self.check(running)
@@ -74,7 +80,9 @@
             self.kept[running.call.id] = text
         listener.is_awaited = False
 
-    @rule(running=consumes(calls), events=st.integers(0, MOST // EVENT_TOKENS))
+    @rule(
+        running=consumes(calls), events=st.integers(0, MAX_CALL_TOKENS // EVENT_TOKENS)
+    )
     def break_off(self, running, events):
         self.check(running)
         if running.listener.ticket is None:
@@ -88,7 +96,7 @@
         """Let the gateway die with a call under way, after giving all it may."""
         self.check(running)
         if running.listener.ticket is not None:
-            self.given[running.call.program] += MOST
+            self.given[running.call.program] += MAX_CALL_TOKENS
         running.listener.wants_admission = False
 
     def check(self, running):
@@ -112,10 +120,12 @@
         self.world.run(8.0)
         for turn in sorted(self.kept)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
-            listener = self.world.decided(call, keeps_turns=True)
+            listener = self.world.wait_for_decision(call, keeps_turns=True)
             assert listener.body == self.kept[turn] + b"x"
             listener.ticket.never_ran()
 
     def teardown(self):
         for program, given in self.given.items():
-            assert given <= BUDGETS[program] + MOST, f"{program} was given {given}"
+            assert given <= BUDGETS[program] + MAX_CALL_TOKENS, (
+                f"{program} was given {given}"
+            )
--- a/tests/stateful/tenants/limits_machine.py
+++ b/tests/stateful/tenants/limits_machine.py
@@ -82,7 +82,7 @@
             call = self.world.call(
                 f"p{number % programs}", budget=None, tenant=tenant, wait_seconds=2.0
             )
-            listener = self.world.ask(call, daemon)
+            listener = self.world.request_admission(call, daemon)
             self.waiting.append(Asked(tenant, listener))
         self.look()
 
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -22,7 +22,7 @@
 from notcharch.tenants.identity import identify
 from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from tests.unit.accounts.log_of_one import LogOfOne
+from tests.unit.accounts.refusable_log import RefusableLog
 
 REVOKE_SECONDS = 5.0
 CONTACT_SECONDS = 4.0
@@ -129,7 +129,7 @@
             self.clock, Random(1), encode=True, codec=account_codec()
         )
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
-        self.logs = {name: LogOfOne(self.log, self.clock) for name in self.names}
+        self.logs = {name: RefusableLog(self.log, self.clock) for name in self.names}
         self.version = 0
         self.starts = 0
         self.daemons: dict[DaemonName, Daemon] = {}
--- a/tests/unit/accounts/log_of_one.py
+++ b/tests/unit/accounts/refusable_log.py
@@ -7,7 +7,7 @@
 from notcharch.journal.interface import LogFault, LogProblem
 
 
-class LogOfOne:
+class RefusableLog:
     """What one daemon sees of a log service."""
 
     def __init__(self, log, clock) -> None:
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -31,16 +31,16 @@
     return next(name for name in names if of_program(name) == of_program(program))
 
 
-def spend(world: World, program: str, budget: int, most: int, at=lambda turn: 0):
+def spend(world: World, program: str, budget: int, max_tokens: int, at=lambda turn: 0):
     """Run turns that generate all they may until the program is refused."""
     spent = 0
     for turn in range(40):
-        call = world.call(program, budget=budget, most=most)
-        listener = world.decided(call, at(turn))
+        call = world.call(program, budget=budget, max_tokens=max_tokens)
+        listener = world.wait_for_decision(call, at(turn))
         if listener.refusal is not None:
             return spent, listener.refusal
-        listener.ticket.broke_off(most // EVENT_TOKENS)
-        spent += most
+        listener.ticket.broke_off(max_tokens // EVENT_TOKENS)
+        spent += max_tokens
     raise AssertionError("never refused")
 
 
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -27,14 +27,17 @@
 
 def test_calls_under_way_count_at_their_most():
     world = World()
-    listeners = [world.decided(world.call(budget=250, most=100)) for _ in range(3)]
+    listeners = [
+        world.wait_for_decision(world.call(budget=250, max_tokens=100))
+        for _ in range(3)
+    ]
     assert [listener.refusal for listener in listeners] == [None, None, BUDGET_SPENT]
 
 
 def test_a_call_that_never_ran_costs_nothing():
     world = World()
     for _ in range(5):
-        listener = world.decided(world.call(budget=100, most=100))
+        listener = world.wait_for_decision(world.call(budget=100, max_tokens=100))
         assert listener.refusal is None
         listener.ticket.never_ran()
         world.run(0.1)
@@ -44,7 +47,9 @@
 def test_a_successor_counts_what_the_owner_had_let_in(silent):
     world = World()
     for _ in range(8):
-        listener = world.decided(world.call(budget=1000, most=100), at=0)
+        listener = world.wait_for_decision(
+            world.call(budget=1000, max_tokens=100), at=0
+        )
         assert listener.refusal is None
         listener.ticket.broke_off(10)
     for name in world.names:
@@ -73,7 +78,10 @@
 
 def test_a_bound_on_its_way_lets_all_calls_in_that_wait_for_it():
     world = World()
-    listeners = [world.ask(world.call(budget=1000, most=100)) for _ in range(6)]
+    listeners = [
+        world.request_admission(world.call(budget=1000, max_tokens=100))
+        for _ in range(6)
+    ]
     world.run(0.5)
     assert all(listener.ticket is not None for listener in listeners)
 
@@ -81,8 +89,8 @@
 def test_an_append_whose_answer_is_lost_is_written_once():
     world = World()
     world.log.trouble = Trouble.LOSE_ANSWER
-    call = world.call(budget=1000, most=600, wait_seconds=20.0)
-    listener = world.ask(call, keeps_turns=True)
+    call = world.call(budget=1000, max_tokens=600, wait_seconds=20.0)
+    listener = world.request_admission(call, keeps_turns=True)
     world.run(0.3)
     world.log.trouble = Trouble.NONE
     world.run(3.0)
@@ -94,11 +102,11 @@
 def test_a_planned_stop_hands_partitions_over_without_a_wait():
     world = World()
     call = world.call(body=b"a")
-    world.kept(call, EVENT)
+    world.store_turn(call, EVENT)
     world.services[world.names[0]].leave()
     world.run(0.6)
     started = world.clock.seconds()
-    after = world.decided(
+    after = world.wait_for_decision(
         world.call(previous=call.id, body=b"b"), at=1, keeps_turns=True
     )
     assert after.body == b"a" + b"hello\n" + b"b"
@@ -107,7 +115,7 @@
 
 def test_calls_without_a_budget_are_let_in_at_once():
     world = World()
-    listener = world.ask(world.call(budget=None))
+    listener = world.request_admission(world.call(budget=None))
     assert listener.ticket is not None
 
 
@@ -122,9 +130,9 @@
 def test_a_planned_stop_hands_budgets_over_to_the_token():
     world = World()
     for _ in range(3):
-        listener = world.decided(world.call(budget=1000, most=100))
+        listener = world.wait_for_decision(world.call(budget=1000, max_tokens=100))
         listener.ticket.broke_off(1)
-    running = world.decided(world.call(budget=1000, most=100), at=2)
+    running = world.wait_for_decision(world.call(budget=1000, max_tokens=100), at=2)
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
@@ -136,27 +144,27 @@
 
 def test_a_program_that_lost_its_owner_may_finish_its_turn():
     world = World()
-    listener = world.decided(world.call(budget=150, most=100))
+    listener = world.wait_for_decision(world.call(budget=150, max_tokens=100))
     assert listener.ticket is not None
     for name in world.names:
         world.crash(name)
     for name in world.names:
         world.start(name)
     world.run(3.0)
-    again = world.decided(world.call(budget=150, most=100))
+    again = world.wait_for_decision(world.call(budget=150, max_tokens=100))
     assert again.refusal is None
-    third = world.decided(world.call(budget=150, most=100))
+    third = world.wait_for_decision(world.call(budget=150, max_tokens=100))
     assert third.refusal == BUDGET_SPENT
 
 
 def test_a_long_program_goes_on_while_the_log_cannot_be_written():
     world = World()
-    first = world.decided(world.call(budget=6000, most=100))
+    first = world.wait_for_decision(world.call(budget=6000, max_tokens=100))
     first.ticket.broke_off(3)
     world.run(0.1)
     world.log.trouble = Trouble.REFUSE
     for _ in range(15):
-        listener = world.decided(world.call(budget=6000, most=100))
+        listener = world.wait_for_decision(world.call(budget=6000, max_tokens=100))
         assert listener.refusal is None
         listener.ticket.broke_off(10)
         world.run(0.1)
@@ -164,16 +172,16 @@
 
 def test_an_owner_knows_where_a_program_ran_last():
     world = World()
-    first = world.decided(world.call(), at=0)
+    first = world.wait_for_decision(world.call(), at=0)
     assert first.ticket.home == ""
     first.ticket.runs_at("i-7")
     first.ticket.broke_off(1)
     world.run(0.1)
-    assert world.decided(world.call(), at=1).ticket.home == "i-7"
+    assert world.wait_for_decision(world.call(), at=1).ticket.home == "i-7"
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
-    assert world.decided(world.call(), at=2).ticket.home == "i-7"
+    assert world.wait_for_decision(world.call(), at=2).ticket.home == "i-7"
 
 
 def test_a_fault_of_the_program_in_a_takeover_does_not_end_it(monkeypatch):
@@ -187,7 +195,7 @@
         original(self, record, now)
 
     world = World()
-    assert world.decided(world.call()).ticket is not None
+    assert world.wait_for_decision(world.call()).ticket is not None
     monkeypatch.setattr(Ledger, "replay", replay)
     for name in world.names:
         world.crash(name)
@@ -196,7 +204,7 @@
         world.run(2.0)
     assert faults
     assert of(messages, journal.TakeoverFailed)
-    assert world.decided(world.call()).ticket is not None
+    assert world.wait_for_decision(world.call()).ticket is not None
 
 
 @pytest.mark.parametrize("silent", [False, True])
@@ -204,12 +212,12 @@
     world = World()
     refused, lost = world.names[0], world.names[1]
     program = world.program_of(lost)
-    assert world.decided(world.call(program)).refusal is None
+    assert world.wait_for_decision(world.call(program)).refusal is None
     world.refuse(refused)
     world.crash(lost, silent=silent)
     world.run(2.0)
     assert world.owner(program) == world.names[2]
-    listener = world.decided(world.call(program, wait_seconds=1.0), at=0)
+    listener = world.wait_for_decision(world.call(program, wait_seconds=1.0), at=0)
     assert listener.refusal is None
 
 
@@ -220,8 +228,8 @@
     world.refuse(refused)
     world.run(2.0)
     assert world.owner(program) != refused
-    call = world.call(program, budget=1000, most=600)  # more than it may let in
-    assert world.decided(call, at=0).refusal is None
+    call = world.call(program, budget=1000, max_tokens=600)  # more than it may let in
+    assert world.wait_for_decision(call, at=0).refusal is None
 
 
 def test_suspicions_about_engines_ride_on_admissions():
@@ -230,14 +238,14 @@
     program = world.program_of(owner)
     now = world.clock.seconds()
     world.suspicions[first].suspect("bad", now + 3.0)
-    assert world.decided(world.call(program), at=0).refusal is None
+    assert world.wait_for_decision(world.call(program), at=0).refusal is None
     assert world.suspicions[owner].is_suspected("bad", world.clock.seconds())
     assert not world.suspicions[third].is_suspected("bad", world.clock.seconds())
-    assert world.decided(world.call(program), at=2).refusal is None
+    assert world.wait_for_decision(world.call(program), at=2).refusal is None
     assert world.suspicions[third].is_suspected("bad", world.clock.seconds())
     world.run(3.0)
     for _ in range(6):  # nobody sees it again, so it is forgotten everywhere
-        assert world.decided(world.call(program), at=2).refusal is None
+        assert world.wait_for_decision(world.call(program), at=2).refusal is None
     assert not any(
         board.is_suspected("bad", world.clock.seconds())
         for board in world.suspicions.values()
@@ -248,9 +256,11 @@
     """Its caller's next try is not refused for tokens that nobody will generate."""
     world = World()
     world.log.trouble = Trouble.REFUSE
-    given_up = world.decided(world.call("p", budget=900, most=700, wait_seconds=0.5))
+    given_up = world.wait_for_decision(
+        world.call("p", budget=900, max_tokens=700, wait_seconds=0.5)
+    )
     assert given_up.refusal == STATE_UNSURE
     world.log.trouble = Trouble.NONE
     world.run(3.0)
-    again = world.decided(world.call("p", budget=900, most=700))
+    again = world.wait_for_decision(world.call("p", budget=900, max_tokens=700))
     assert again.refusal is None
--- a/tests/unit/accounts/test_kept_turns.py
+++ b/tests/unit/accounts/test_kept_turns.py
@@ -21,7 +21,7 @@
     for turn in range(6):
         text = f"input {turn};".encode()
         call = world.call(previous=previous, body=text)
-        listener = world.kept(call, EVENT * (turn + 1), at=turn % 3)
+        listener = world.store_turn(call, EVENT * (turn + 1), at=turn % 3)
         assert listener.is_durable
         assert listener.body == expected + text
         expected += text + b"hello\n" * (turn + 1)
@@ -31,32 +31,34 @@
 def test_a_branch_goes_on_from_an_earlier_turn():
     world = World()
     first = world.call(body=b"a")
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     second = world.call(previous=first.id, body=b"b")
-    world.kept(second, EVENT)
-    branch = world.kept(world.call(previous=first.id, body=b"c"), EVENT, at=1)
+    world.store_turn(second, EVENT)
+    branch = world.store_turn(world.call(previous=first.id, body=b"c"), EVENT, at=1)
     assert branch.body == b"a" + b"hello\n" + b"c"
 
 
 def test_kept_turns_outlive_all_daemons():
     world = World()
     first = world.call(body=b"a")
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     for name in world.names:
         world.crash(name)
     for name in world.names:
         world.start(name)
     world.run(3.0)
-    again = world.decided(world.call(previous=first.id, body=b"b"), keeps_turns=True)
+    again = world.wait_for_decision(
+        world.call(previous=first.id, body=b"b"), keeps_turns=True
+    )
     assert again.body == b"a" + b"hello\n" + b"b"
 
 
 def test_an_unknown_turn_is_refused_only_when_that_is_certain():
     world = World()
-    sure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    sure = world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
     assert sure.refusal == UNKNOWN_TURN
     world.log.trouble = Trouble.LOSE_CALL
-    unsure = world.decided(world.call(previous="nobody"), keeps_turns=True)
+    unsure = world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
     assert_unsure(unsure.refusal)
 
 
@@ -66,9 +68,11 @@
     owner_names = list(world.names)
     world.fabric.pause(owner_names[0])
     world.run(3.0)
-    world.kept(call, EVENT, at=1)
+    world.store_turn(call, EVENT, at=1)
     world.fabric.resume(owner_names[0])
-    after = world.ask(world.call(previous=call.id, body=b"b"), at=0, keeps_turns=True)
+    after = world.request_admission(
+        world.call(previous=call.id, body=b"b"), at=0, keeps_turns=True
+    )
     world.run(2.0)
     assert after.refusal != UNKNOWN_TURN
     assert after.body == b"a" + b"hello\n" + b"b"
@@ -76,7 +80,7 @@
 
 def test_the_end_of_a_kept_turn_waits_for_the_journal():
     world = World()
-    listener = world.decided(world.call(), keeps_turns=True)
+    listener = world.wait_for_decision(world.call(), keeps_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(1.0)
@@ -89,26 +93,26 @@
 def test_a_new_program_goes_on_from_a_turn_of_another():
     world = World()
     first = world.call("one", body=b"a")
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     second = world.call("one", previous=first.id, body=b"b")
-    world.kept(second, EVENT)
+    world.store_turn(second, EVENT)
     for program in ("two", "three", "four"):
         call = world.call(program, previous=second.id, body=b"c")
-        listener = world.kept(call, EVENT, at=2)
+        listener = world.store_turn(call, EVENT, at=2)
         assert listener.body == b"ahello\nbhello\nc"
         after = world.call(program, previous=call.id, body=b"d")
-        assert world.kept(after, EVENT, at=1).body == b"ahello\nbhello\nchello\nd"
+        assert world.store_turn(after, EVENT, at=1).body == b"ahello\nbhello\nchello\nd"
 
 
 def test_a_turn_is_not_denied_while_one_owner_is_missing():
     world = World()
     first = world.call("one", body=b"a")
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     world.fabric.pause(world.names[0])
     world.run(0.2)
     for program in ("two", "three", "four", "five"):
         call = world.call(program, previous=first.id, body=b"c")
-        listener = world.decided(call, at=1, keeps_turns=True)
+        listener = world.wait_for_decision(call, at=1, keeps_turns=True)
         assert listener.refusal != UNKNOWN_TURN
 
 
@@ -116,8 +120,10 @@
     world = World()
     claims = epochs(world)
     for number in range(5):
-        world.decided(world.call(previous=f"nobody {number}"), keeps_turns=True)
-        assert world.kept(world.call(body=b"a"), EVENT).is_durable
+        world.wait_for_decision(
+            world.call(previous=f"nobody {number}"), keeps_turns=True
+        )
+        assert world.store_turn(world.call(body=b"a"), EVENT).is_durable
     world.run(1.0)
     assert epochs(world) == claims
     spent, _ = spend(world, "q", 600, 100)
@@ -130,7 +136,7 @@
     previous, expected = "", b""
     for turn in range(9):
         call = world.call(budget=1000, previous=previous, body=f"{turn};".encode())
-        assert world.kept(call, EVENT).is_durable
+        assert world.store_turn(call, EVENT).is_durable
         expected += call.body + b"hello\n"
         previous = call.id
         ends = [partition.end for partition in world.partitions]
@@ -147,7 +153,7 @@
     for name in world.names:
         world.start(name)
     world.run(3.0)
-    after = world.decided(
+    after = world.wait_for_decision(
         world.call(budget=1000, previous=previous, body=b"x"), keeps_turns=True
     )
     assert after.body == expected + b"x"
@@ -156,7 +162,7 @@
 def test_what_nobody_may_ask_for_is_forgotten():
     world = World()
     call = world.call(body=b"a")
-    world.kept(call, EVENT)
+    world.store_turn(call, EVENT)
     for _ in range(20):
         world.run(10.0)
     owned = [
@@ -172,7 +178,7 @@
 def test_a_turn_that_is_kept_again_while_it_is_being_written_is_written_once():
     world = World()
     call = world.call(wait_seconds=20.0)
-    listener = world.decided(call, keeps_turns=True)
+    listener = world.wait_for_decision(call, keeps_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(4.0)
--- a/tests/unit/accounts/test_resident_accounts.py
+++ b/tests/unit/accounts/test_resident_accounts.py
@@ -42,7 +42,7 @@
 def test_without_residence_no_region_has_a_group():
     world = World(daemons=2, regions=REGIONS)
     assert world.services[world.names[0]].regional_groups == {}
-    assert world.decided(world.call("p")).ticket is not None
+    assert world.wait_for_decision(world.call("p")).ticket is not None
 
 
 @pytest.mark.parametrize("regions", [NORTH, SOUTH, BOTH])
@@ -60,10 +60,13 @@
 
     monkeypatch.setattr(GroupNetwork, "request", seen)
     first = world.call("p", regions=regions)
-    assert world.kept(first, EVENT, at).is_durable
+    assert world.store_turn(first, EVENT, at).is_durable
     second = world.call("p", previous=first.id, regions=regions, body=b"more")
     again = (at + 2) % 6
-    assert world.decided(second, again, keeps_turns=True).body == b"inhello\nmore"
+    assert (
+        world.wait_for_decision(second, again, keeps_turns=True).body
+        == b"inhello\nmore"
+    )
     assert received
     assert {world.region_of(name) for name in received} <= regions
 
@@ -71,9 +74,9 @@
 def test_a_program_is_found_whichever_region_it_enters_by():
     world = world_of_two()
     first = world.call("p", regions=BOTH)
-    world.kept(first, EVENT, at=0)
+    world.store_turn(first, EVENT, at=0)
     second = world.call("p", previous=first.id, regions=BOTH, body=b"more")
-    assert world.decided(second, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.wait_for_decision(second, 1, keeps_turns=True).body == b"inhello\nmore"
 
 
 def test_a_program_has_one_budget_in_all_regions():
@@ -88,26 +91,26 @@
 def test_turns_outlive_all_daemons_of_a_region():
     world = world_of_two()
     first = world.call("p", regions=NORTH)
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     for name in world.names[::2]:
         world.crash(name, silent=True)
     world.run(2.0)
     second = world.call("p", previous=first.id, regions=NORTH)
-    assert_unsure(world.decided(second, 1, keeps_turns=True).refusal)
+    assert_unsure(world.wait_for_decision(second, 1, keeps_turns=True).refusal)
     for name in world.names[::2]:
         world.start(name)
         world.services[name].use_regions(REGIONS)
     world.run(4.0)
     third = world.call("p", previous=first.id, regions=NORTH, body=b"more")
-    assert world.decided(third, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.wait_for_decision(third, 1, keeps_turns=True).body == b"inhello\nmore"
 
 
 def test_a_call_without_a_region_that_exists_is_refused_at_once():
     world = world_of_two()
-    listener = world.ask(world.call("p", regions=frozenset({"east"})))
+    listener = world.request_admission(world.call("p", regions=frozenset({"east"})))
     assert listener.refusal.status == 503
     assert listener.refusal.reason == Cause.NO_REGION.value
-    listener = world.ask(world.call("p", regions=frozenset()))
+    listener = world.request_admission(world.call("p", regions=frozenset()))
     assert listener.refusal.reason == Cause.NO_REGION.value
 
 
@@ -117,19 +120,19 @@
 def test_a_turn_is_found_after_the_table_changed_its_regions(before, after):
     world = world_of_two()
     first = world.call("p", regions=before)
-    world.kept(first, EVENT)
+    world.store_turn(first, EVENT)
     second = world.call("p", previous=first.id, regions=after, body=b"more")
-    assert world.decided(second, 1, keeps_turns=True).body == b"inhello\nmore"
+    assert world.wait_for_decision(second, 1, keeps_turns=True).body == b"inhello\nmore"
 
 
 def test_a_turn_is_unknown_only_when_every_region_is_certain():
     world = world_of_two()
     call = world.call("p", previous="never", regions=NORTH)
-    assert world.decided(call, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.wait_for_decision(call, keeps_turns=True).refusal == UNKNOWN_TURN
     for name in world.names[1::2]:
         world.crash(name, silent=True)
     call = world.call("p", previous="never", regions=NORTH)
-    assert_unsure(world.decided(call, keeps_turns=True).refusal)
+    assert_unsure(world.wait_for_decision(call, keeps_turns=True).refusal)
 
 
 def test_programs_are_spread_over_their_regions():
@@ -141,5 +144,5 @@
 def test_a_daemon_that_stops_takes_no_resident_call_to_other_regions():
     world = World(daemons=2, regions=REGIONS)
     world.services[world.names[0]].leave()
-    listener = world.decided(world.call("p", regions=NORTH))
+    listener = world.wait_for_decision(world.call("p", regions=NORTH))
     assert_unsure(listener.refusal)
--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -27,10 +27,10 @@
 def test_nothing_is_let_in_that_is_not_in_the_journal():
     world = World()
     world.log.trouble = Trouble.REFUSE
-    most = 1000 * STEP_PERMILLE // 1000
-    within = world.decided(world.call(budget=1000, most=most))
+    max_tokens = 1000 * STEP_PERMILLE // 1000
+    within = world.wait_for_decision(world.call(budget=1000, max_tokens=max_tokens))
     assert within.ticket is not None  # the starting allowance is in the journal
-    listener = world.decided(world.call(budget=1000, most=1))
+    listener = world.wait_for_decision(world.call(budget=1000, max_tokens=1))
     assert_unsure(listener.refusal)
     assert world.clock.seconds() < 3.0
 
@@ -48,13 +48,15 @@
 def test_a_short_program_begins_while_the_log_takes_nothing():
     """Its first call may generate more than the share that programs begin by."""
     world = World()
-    budget, most = 900, 588
-    assert most > budget * STEP_PERMILLE // 1000
-    assert world.decided(world.call("former", budget=budget, most=most)).ticket
+    budget, max_tokens = 900, 588
+    assert max_tokens > budget * STEP_PERMILLE // 1000
+    assert world.wait_for_decision(
+        world.call("former", budget=budget, max_tokens=max_tokens)
+    ).ticket
     world.run(0.5)
     world.log.trouble = Trouble.REFUSE
-    call = world.call(neighbour(world, "former"), budget=budget, most=most)
-    assert world.decided(call).ticket is not None
+    call = world.call(neighbour(world, "former"), budget=budget, max_tokens=max_tokens)
+    assert world.wait_for_decision(call).ticket is not None
 
 
 def test_large_calls_elsewhere_allow_no_more_than_the_limit():
@@ -78,17 +80,17 @@
     successors, budget
 ):
     world = World()
-    most = 100
-    former = world.call(neighbour(world, "p"), budget=1000, most=most)
-    assert world.decided(former).ticket
+    max_tokens = 100
+    former = world.call(neighbour(world, "p"), budget=1000, max_tokens=max_tokens)
+    assert world.wait_for_decision(former).ticket
     world.run(0.5)
     spent = 0
     for _ in range(successors + 1):
         world.log.trouble = Trouble.REFUSE
-        while world.decided(
-            world.call(budget=budget, most=most, wait_seconds=0.2)
+        while world.wait_for_decision(
+            world.call(budget=budget, max_tokens=max_tokens, wait_seconds=0.2)
         ).ticket:
-            spent += most
+            spent += max_tokens
         world.log.trouble = Trouble.NONE
         for name in world.names:
             world.crash(name, silent=True)
@@ -96,17 +98,20 @@
             world.start(name)
         world.run(3.0)
     assert bounds_in(world) == set()
-    more, refusal = spend(world, "p", budget, most)
+    more, refusal = spend(world, "p", budget, max_tokens)
     assert refusal == BUDGET_SPENT
-    assert spent >= most
-    assert spent + more <= budget + most
+    assert spent >= max_tokens
+    assert spent + more <= budget + max_tokens
 
 
 def test_a_planned_stop_leaves_no_doubt_about_programs_without_a_record():
     world = World()
     spent = 0
     for _ in range(3):
-        assert world.decided(world.call(budget=1000, most=100)).refusal is None
+        assert (
+            world.wait_for_decision(world.call(budget=1000, max_tokens=100)).refusal
+            is None
+        )
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(3.0)
@@ -132,29 +137,29 @@
 def test_an_owner_that_is_cut_from_the_log_stops_letting_programs_begin():
     world = World()
     world.log.trouble = Trouble.REFUSE
-    assert world.decided(world.call("early")).refusal is None
+    assert world.wait_for_decision(world.call("early")).refusal is None
     world.run(LIFE_SECONDS)
-    assert_unsure(world.decided(world.call("late")).refusal)
-    assert_unsure(world.decided(world.call("early")).refusal)
+    assert_unsure(world.wait_for_decision(world.call("late")).refusal)
+    assert_unsure(world.wait_for_decision(world.call("early")).refusal)
 
 
 def test_the_allowance_is_renewed_before_it_ends():
     world = World()
     world.run(LIFE_SECONDS + RENEW_SECONDS)
     world.log.trouble = Trouble.REFUSE
-    assert world.decided(world.call()).refusal is None
+    assert world.wait_for_decision(world.call()).refusal is None
 
 
 def test_a_planned_stop_hands_over_what_a_doubted_program_may_still_use():
     world = World()
-    call = world.call(budget=1000, most=100)
-    assert world.decided(call).refusal is None
+    call = world.call(budget=1000, max_tokens=100)
+    assert world.wait_for_decision(call).refusal is None
     for name in world.names:
         world.crash(name, silent=True)
     for name in world.names:
         world.start(name)
     world.run(3.0)  # its successor counts half of the budget as used
-    listener = world.decided(world.call(budget=1000, most=100))
+    listener = world.wait_for_decision(world.call(budget=1000, max_tokens=100))
     listener.ticket.broke_off(10)
     world.run(0.1)
     world.services[world.owner("p")].leave()
@@ -165,10 +170,12 @@
 
 def test_losing_its_owner_again_and_again_costs_a_long_program_little_more():
     world = World()
-    budget, most = 4000, 100
+    budget, max_tokens = 4000, 100
     spent = 0
     for _ in range(5):
-        listener = world.decided(world.call(budget=budget, most=most))
+        listener = world.wait_for_decision(
+            world.call(budget=budget, max_tokens=max_tokens)
+        )
         assert listener.refusal is None
         listener.ticket.broke_off(1)
         spent += EVENT_TOKENS
@@ -178,10 +185,10 @@
         for name in world.names:
             world.start(name)
         world.run(3.0)
-    more, refusal = spend(world, "p", budget, most)
+    more, refusal = spend(world, "p", budget, max_tokens)
     assert refusal == BUDGET_SPENT
     assert budget // 6 <= more
-    assert spent + more <= budget + most
+    assert spent + more <= budget + max_tokens
 
 
 def test_a_record_of_an_earlier_version_allows_no_first_call():
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -44,15 +44,19 @@
     Calls that were asked before and waited for room count as well.
     """
     for n in range(calls):
-        world.ask(world.call(f"p{n % programs}", budget=None, tenant="t"), at(n))
+        world.request_admission(
+            world.call(f"p{n % programs}", budget=None, tenant="t"), at(n)
+        )
     world.run(0.3)
     return let_in(world)
 
 
 def let_in(world: World) -> int:
     """Give how many calls were let in since the last look."""
-    since = [listener for listener in world.asked if listener.ticket is not None]
-    world.asked = [listener for listener in world.asked if listener.ticket is None]
+    since = [listener for listener in world.listeners if listener.ticket is not None]
+    world.listeners = [
+        listener for listener in world.listeners if listener.ticket is None
+    ]
     return len(since)
 
 
@@ -66,7 +70,7 @@
     world = world_with(SMALL)
     with captured() as messages:
         admitted(world, 30)
-        listener = world.decided(world.call("q", budget=None, tenant="t"))
+        listener = world.wait_for_decision(world.call("q", budget=None, tenant="t"))
     assert listener.refusal.status == 429
     assert listener.refusal.reason == OVER_LIMIT_REASON
     assert listener.refusal.retry_after_seconds > 0
@@ -86,8 +90,8 @@
     world = world_with(SMALL)
     admitted(world, 30)
     for _ in range(12):
-        listener = world.decided(
-            world.call("p", budget=100, most=100, tenant="t"), keeps_turns=False
+        listener = world.wait_for_decision(
+            world.call("p", budget=100, max_tokens=100, tenant="t"), keeps_turns=False
         )
         if listener.ticket is not None:
             break
@@ -100,14 +104,19 @@
     world = World()
     for name in ("t", "u"):
         world.tenants[name] = Tenant(name)
-    first = world.call("p", budget=100, most=100, tenant="t")
-    world.kept(first, b"data: x\n\n" * 10)
-    listener = world.decided(world.call("p", budget=100, most=100, tenant="u"))
+    first = world.call("p", budget=100, max_tokens=100, tenant="t")
+    world.store_turn(first, b"data: x\n\n" * 10)
+    listener = world.wait_for_decision(
+        world.call("p", budget=100, max_tokens=100, tenant="u")
+    )
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
-    assert world.decided(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.wait_for_decision(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
     own = world.call("q", previous=first.id, tenant="t", body=b"more")
-    assert world.decided(own, keeps_turns=True).body == b"in" + b"x\n" * 10 + b"more"
+    assert (
+        world.wait_for_decision(own, keeps_turns=True).body
+        == b"in" + b"x\n" * 10 + b"more"
+    )
 
 
 @pytest.mark.parametrize("silent", [False, True])
@@ -155,7 +164,7 @@
     world.run(2.0)
     assert admitted(world, 10) == 10
     world.run(MOST_LAPSED_SECONDS + 1.0)
-    listener = world.decided(world.call("q", budget=None, tenant="t"))
+    listener = world.wait_for_decision(world.call("q", budget=None, tenant="t"))
     assert_unsure(listener.refusal)
     world.log.trouble = Trouble.NONE
     world.run(3.0)
@@ -172,14 +181,16 @@
 def test_a_caller_that_left_while_its_limit_was_asked_leaves_nothing_reserved():
     world = world_with()
     world.crash(world.limiter("t"), silent=True)
-    call = world.call("p", budget=100, most=100, tenant="t")
+    call = world.call("p", budget=100, max_tokens=100, tenant="t")
     at = survivors(world)(0)
-    listener = world.ask(call, at)
+    listener = world.request_admission(call, at)
     world.run(0.3)
     listener.wants_admission = False
     world.run(3.0)
     assert listener.ticket is None
-    again = world.decided(world.call("p", budget=100, most=100, tenant="t"), at)
+    again = world.wait_for_decision(
+        world.call("p", budget=100, max_tokens=100, tenant="t"), at
+    )
     assert again.ticket is not None
 
 
@@ -187,7 +198,7 @@
     world = world_with()
     before = admitted(world, 80)
     asked_at = world.clock.seconds()
-    listener = world.decided(world.call("p0", budget=None, tenant="t"))
+    listener = world.wait_for_decision(world.call("p0", budget=None, tenant="t"))
     assert listener.ticket is not None
     waited = world.clock.seconds() - asked_at
     assert 0.0 < waited <= MOST_ROOM_WAIT_SECONDS + 0.1
@@ -197,8 +208,8 @@
 def test_without_shaping_it_is_refused_at_once():
     world = world_with(mechanisms=ALL_MECHANISMS - {Mechanism.LIMIT_SHAPING})
     for number in range(80):
-        world.ask(world.call("p0", budget=None, tenant="t"), number % 3)
-    listener = world.decided(world.call("p0", budget=None, tenant="t"))
+        world.request_admission(world.call("p0", budget=None, tenant="t"), number % 3)
+    listener = world.wait_for_decision(world.call("p0", budget=None, tenant="t"))
     assert listener.refusal.status == 429
 
 
@@ -212,7 +223,7 @@
 def test_a_caller_that_leaves_while_its_call_waits_for_room_runs_nothing():
     world = world_with()
     admitted(world, 80)
-    listener = world.ask(world.call("p0", budget=None, tenant="t"))
+    listener = world.request_admission(world.call("p0", budget=None, tenant="t"))
     world.run(0.02)
     listener.wants_admission = False
     world.run(2.0)
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -22,7 +22,7 @@
 from notcharch.tenants.interface import Tenant
 from notcharch.tenants.partition_limits import Tolerance
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from tests.unit.accounts.log_of_one import LogOfOne
+from tests.unit.accounts.refusable_log import RefusableLog
 
 LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
 """The partitions of accounts: two topics of two."""
@@ -87,7 +87,7 @@
         """Daemons take turns in the regions, if there are any."""
         self.mechanisms = mechanisms
         self.regions = regions
-        self.asked: list[Listener] = []
+        self.listeners: list[Listener] = []
         self.tenants: dict[str, Tenant] = {}
         """The tenants of the table in force, at all daemons."""
         self.clock = Clock()
@@ -100,7 +100,7 @@
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.services: dict[DaemonName, AccountsService] = {}
         self.suspicions = {name: SharedSuspicions() for name in self.names}
-        self.logs = {name: LogOfOne(self.log, self.clock) for name in self.names}
+        self.logs = {name: RefusableLog(self.log, self.clock) for name in self.names}
         self.incarnations = dict.fromkeys(self.names, 0)
         self._calls = 0
         for name in self.names:
@@ -179,7 +179,7 @@
         program: str = "p",
         *,
         budget: int | None = 1000,
-        most: int = 100,
+        max_tokens: int = 100,
         previous: str = "",
         body: bytes = b"in",
         wait_seconds: float = 3.0,
@@ -194,7 +194,7 @@
             arrived=self.clock.seconds(),
             wait_seconds=wait_seconds,
             program=program,
-            most_tokens=most,
+            most_tokens=max_tokens,
             budget_tokens=budget,
             tokens_per_event=EVENT_TOKENS,
             previous_turn=previous,
@@ -202,30 +202,30 @@
             regions=regions,
         )
 
-    def ask(
+    def request_admission(
         self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
     ) -> Listener:
         """Ask for admission at a daemon; the answer comes as time passes."""
         listener = Listener()
-        self.asked.append(listener)
+        self.listeners.append(listener)
         admission = self.services[self.names[at]].admission
         admission.ask(call, route(keeps_turns=keeps_turns), listener)
         return listener
 
-    def decided(
+    def wait_for_decision(
         self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
     ) -> Listener:
         """Ask, and let time pass until there is an answer."""
-        listener = self.ask(call, at, keeps_turns=keeps_turns)
+        listener = self.request_admission(call, at, keeps_turns=keeps_turns)
         for _ in range(400):
             if listener.is_decided:
                 break
             self.run(STEP_SECONDS)
         return listener
 
-    def kept(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
+    def store_turn(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
         """Run a kept turn to its end."""
-        listener = self.decided(call, at, keeps_turns=True)
+        listener = self.wait_for_decision(call, at, keeps_turns=True)
         assert listener.ticket is not None, listener.refusal
         listener.ticket.completed(output, output.count(b"\n\n"), listener)
         for _ in range(300):
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -46,15 +46,15 @@
     with captured() as messages:
         world = AccountsWorld()
         for _ in range(2):
-            world.decided(world.call(budget=100, most=100))
-        world.decided(world.call(previous="nobody"), keeps_turns=True)
+            world.wait_for_decision(world.call(budget=100, max_tokens=100))
+        world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
         first = world.call("one", body=b"a")
-        world.kept(first, b"data: x\n\n")
+        world.store_turn(first, b"data: x\n\n")
         for program in ("two", "three", "four", "five"):
-            world.kept(world.call(program, previous=first.id), b"data: x\n\n")
+            world.store_turn(world.call(program, previous=first.id), b"data: x\n\n")
         world.services[world.names[0]].leave()
         world.log.trouble = Trouble.REFUSE
-        world.decided(world.call("new"))
+        world.wait_for_decision(world.call("new"))
     assert of(messages, accounts.PartitionTakenOver)
     assert of(messages, accounts.PartitionGivenUp)
     assert of(messages, journal.OwnersChanged)
