Reword the placement package in the terms of the field

The assignment speaks of stewards and of members that joined, the follower of the machine list of polls and their results.

--- a/notcharch/placement/__init__.py
+++ b/notcharch/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Who is responsible for what: partitions, stewards, limiters, and the way to them."""
+"""Placement: which daemon is responsible for a partition or engine, and routing to it."""
--- a/notcharch/placement/assignment.py
+++ b/notcharch/placement/assignment.py
@@ -1,11 +1,11 @@
-"""The present assignment of engines to daemons, from membership.
+"""Assigns each engine to the daemon that is its steward, from the membership view.
 
-Leaving daemons get nothing while there are others; what they hold moves away.
+A leaving daemon is assigned engines only if no other daemon is live.
 
-Choices are kept while the membership changes around them. A member that was not
-chosen for an engine can go without moving it, and one that comes can only displace
-the chosen one, so that the winner among the chosen and the newcomers is the winner
-among all. Only engines of lost members are ranked anew.
+Assignments are cached across membership changes. Removing a member that is not the
+steward of an engine does not move the engine, and a member that joins can only replace
+the steward, so comparing the steward with the members that joined is enough. Engines of
+removed members are ranked against all members on the next lookup.
 """
 
 from notcharch.placement.interface import LiveMember, MembershipView
@@ -14,49 +14,51 @@
 
 
 class Assignment:
-    """Stewards of engines by rendezvous hashing."""
+    """Maps engines to stewards by rendezvous hashing."""
 
     def __init__(self, view: MembershipView) -> None:
-        """Follow the changes of `view`."""
+        """Subscribe to the changes of `view`."""
         self._view = view
-        self._chosen: dict[EngineName, DaemonName] = {}
-        self._staying: dict[DaemonName, LiveMember] = {}
+        self._stewards: dict[EngineName, DaemonName] = {}
+        self._active: dict[DaemonName, LiveMember] = {}
         self._leaving: list[LiveMember] = []
-        self._read()
-        view.on_change(self._follow)
+        self._refresh_members()
+        view.on_change(self._on_view_change)
 
     def steward_of(self, engine: EngineName) -> DaemonName | None:
-        """Give the daemon of an engine; None when no daemon is known."""
-        chosen = self._chosen.get(engine)
-        if chosen is not None:
-            return chosen
-        candidates = list(self._staying.values()) or self._leaving
-        chosen = winner(_key(engine), candidates)
-        if chosen is not None:
-            self._chosen[engine] = chosen
-        return chosen
-
-    def _read(self) -> None:
+        """Return the steward of an engine, or None if no daemon is known."""
+        steward = self._stewards.get(engine)
+        if steward is not None:
+            return steward
+        candidates = list(self._active.values()) or self._leaving
+        steward = winner(_key(engine), candidates)
+        if steward is not None:
+            self._stewards[engine] = steward
+        return steward
+
+    def _refresh_members(self) -> None:
         members = self._view.live_members()
-        staying = (member for member in members if not member.leaving)
-        self._staying = {member.member.daemon: member for member in staying}
+        active = (member for member in members if not member.leaving)
+        self._active = {member.member.daemon: member for member in active}
         self._leaving = [member for member in members if member.leaving]
 
-    def _follow(self) -> None:
-        """Keep each choice that the change cannot move; adjust or drop the others."""
-        before = self._staying
-        self._read()
-        if not before or not self._staying:
-            self._chosen.clear()  # leaving members are among the chosen
+    def _on_view_change(self) -> None:
+        """Update the cached stewards that the change can affect."""
+        previous_active = self._active
+        self._refresh_members()
+        if not previous_active or not self._active:
+            self._stewards.clear()  # cached stewards may be leaving members
             return
-        come = [self._staying[name] for name in self._staying.keys() - before.keys()]
-        for engine, chosen in tuple(self._chosen.items()):
-            holder = self._staying.get(chosen)
-            best = None if holder is None else winner(_key(engine), [holder, *come])
+        joined = [
+            self._active[name] for name in self._active.keys() - previous_active.keys()
+        ]
+        for engine, steward in tuple(self._stewards.items()):
+            current = self._active.get(steward)
+            best = None if current is None else winner(_key(engine), [current, *joined])
             if best is None:
-                del self._chosen[engine]
+                del self._stewards[engine]
             else:
-                self._chosen[engine] = best
+                self._stewards[engine] = best
 
 
 def _key(engine: EngineName) -> str:
--- a/notcharch/placement/engine_directory.py
+++ b/notcharch/placement/engine_directory.py
@@ -1,4 +1,4 @@
-"""The engines of the region, from the machine list and the drained zones."""
+"""Directory of the region's engines, from the machine list and the drained zones."""
 
 from collections.abc import Callable
 
@@ -15,20 +15,20 @@
 
 
 class MachineEngineDirectory:
-    """The `EngineDirectory` of one daemon; fed by `MachineListFollower`."""
+    """The daemon's `EngineDirectory`; `MachineListFollower` provides the changes."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Start with an empty directory."""
         self._listed: dict[str, Machine] = {}
-        """As the machine list has them."""
+        """Engines with their state in the machine list."""
         self._engines: dict[str, Machine] = {}
-        """With those of drained zones as leaving."""
+        """The same engines, with live ones in drained zones marked as leaving."""
         self._drains = ZoneDrains()
         self._pools: dict[PoolName, tuple[Machine, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def apply(self, changes: MachineChanges) -> None:
-        """Take in changes of the machine list; a full one replaces everything."""
+        """Apply changes of the machine list; a full list replaces all entries."""
         engines = {} if changes.full else dict(self._listed)
         for machine in changes.machines:
             if machine.kind is MachineKind.DAEMON:
@@ -41,14 +41,17 @@
         self._update()
 
     def drain_zones(self, drained: DrainedZones, now: float) -> DrainChange | None:
-        """Give the engines of some zones no new work; None if the set is an old one."""
+        """Set the drained zones, whose engines get no new work.
+
+        Returns None if the set is older than the one in effect.
+        """
         change = self._drains.take(drained, now)
         if change is not None and change.is_any:
             self._update()
         return change
 
     def _update(self) -> None:
-        """Tell of engines that differ; those of drained zones leave."""
+        """Recompute the engines' states and notify listeners if any changed."""
         engines = {
             name: self._as_drained(machine) for name, machine in self._listed.items()
         }
@@ -62,19 +65,19 @@
         return msgspec.structs.replace(machine, state=MachineState.LEAVING)
 
     def engines_of(self, pool: PoolName) -> tuple[Machine, ...]:
-        """Give the pool's engines that may get new work, sorted by name."""
+        """Return the pool's engines that may get new work, sorted by name."""
         return self._pools.get(pool, ())
 
     def engine(self, name: EngineName) -> Machine | None:
-        """Give an engine's entry, leaving ones included."""
+        """Return the engine's entry, even if it is leaving, or None."""
         return self._engines.get(name)
 
     def all_engines(self) -> tuple[Machine, ...]:
-        """Give every engine of the region that is not gone, sorted by name."""
+        """Return all engines that have not been removed, sorted by name."""
         return tuple(self._engines.values())
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after the directory changed."""
+        """Register `listener`, called after each change of the directory."""
         self._listeners.append(listener)
 
     def _replace(self, engines: dict[str, Machine]) -> None:
--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -1,4 +1,4 @@
-"""What the rest of the system sees of membership and placement."""
+"""Interfaces of membership and placement for the rest of the system."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -22,7 +22,10 @@
 
 
 class LiveMember(msgspec.Struct, frozen=True):
-    """A daemon that is believed alive; `address` is its peer `host:port`."""
+    """A daemon that the failure detector reports as alive.
+
+    `address` is the `host:port` for peer connections.
+    """
 
     member: Member
     zone: ZoneName
@@ -31,60 +34,60 @@
 
 
 class MembershipView(Protocol):
-    """The daemons of the region as this one believes them to be."""
+    """This daemon's view of the daemons in the region."""
 
     def live_members(self) -> tuple[LiveMember, ...]:
-        """Give every live member, this one included, sorted by name."""
+        """Return all live members including this one, sorted by name."""
 
     def is_certainly_dead(self, member: Member) -> bool:
-        """Tell whether the process is surely gone.
+        """Return whether the process has certainly stopped.
 
-        That is so when a newer incarnation was seen, or when the machine list says
-        that its machine is gone.
+        True if a newer incarnation was seen or the machine list reports its machine
+        as removed.
         """
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after the view changed."""
+        """Register `listener`, called after each change of the view."""
 
 
 class EngineDirectory(Protocol):
     """The engines of the region, from the machine list."""
 
     def engines_of(self, pool: PoolName) -> tuple[Machine, ...]:
-        """Give the pool's engines that may get new work, sorted by name."""
+        """Return the pool's engines that may get new work, sorted by name."""
 
     def engine(self, name: EngineName) -> Machine | None:
-        """Give an engine's entry, leaving ones included."""
+        """Return the engine's entry, even if it is leaving, or None."""
 
     def all_engines(self) -> tuple[Machine, ...]:
-        """Give every engine of the region that is not gone."""
+        """Return all engines of the region that have not been removed."""
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after the directory changed."""
+        """Register `listener`, called after each change of the directory."""
 
 
 class PartitionOwners(Protocol):
-    """Who leads which partition, as the log service last said."""
+    """The owners of partitions, as last reported by the log service."""
 
     def owner(self, partition: int) -> OwnerName | None:
-        """Give a partition's owner, as far as it is known."""
+        """Return the partition's owner, or None if it is not known."""
 
     def doubt(self) -> None:
-        """Ask again soon: an owner didn't answer as one."""
+        """Refresh soon, because an owner may have changed."""
 
 
 class Router(Protocol):
-    """Finds the daemon that is responsible, and retries while `ran` stays `no`."""
+    """Routes requests to the responsible daemon; retries while nothing was run."""
 
     def to_partition(
         self, partition: PartitionNumber, message: Message, timeout_seconds: float
     ) -> "Deferred[Result[Message, Problem]]":
-        """Send to the partition's leader, following NOT_LEADER hints."""
+        """Send a request to the partition's leader, following NOT_LEADER hints."""
 
     def to_steward(
         self, engine: EngineName, message: Message, timeout_seconds: float
     ) -> "Deferred[Result[Message, Problem]]":
-        """Send to the engine's steward, following NOT_STEWARD hints."""
+        """Send a request to the engine's steward, following NOT_STEWARD hints."""
 
     def steward_of(self, engine: EngineName) -> DaemonName | None:
-        """Give the daemon that should steward the engine, by rendezvous hashing."""
+        """Return the engine's steward by rendezvous hashing, or None."""
--- a/notcharch/placement/machine_list_follower.py
+++ b/notcharch/placement/machine_list_follower.py
@@ -1,8 +1,8 @@
-"""Follows the platform's machine list, and gives its changes to listeners.
+"""Polls the platform's machine list and passes its changes to listeners.
 
-A poll starts each `poll_seconds` also while earlier ones await their answers, so
-that lost answers do not make the list older; answers may come in any order. A
-list that is down or silent changes nothing.
+A poll starts every `poll_seconds` even while earlier polls are in flight, so that lost
+responses do not delay updates. Responses may arrive in any order. While the machine list
+is unreachable, the last known state remains in use.
 """
 
 from collections.abc import Callable
@@ -21,17 +21,17 @@
 from notcharch.values.identifiers import RegionName
 
 MAX_OPEN_POLLS = 4
-"""Beyond it the second oldest poll is given up for a new one. The oldest stays, so
-that a slow list is followed as well as one that lost answers."""
+"""Maximum number of polls in flight. Beyond it the second oldest poll is cancelled. The
+oldest is left to complete, because a slow service may still respond to it."""
 
 Outcome = Any
-"""A result, or a failure of the port."""
+"""A `Result`, or a `Failure` raised by the port."""
 
 MachineListener = Callable[[MachineChanges], None]
 
 
 class MachineListFollower:
-    """Polls the list of one region for what changed since the last answer."""
+    """Polls the machine list of one region for changes since the last version."""
 
     def __init__(
         self,
@@ -40,32 +40,32 @@
         region: RegionName,
         poll_seconds: float,
     ) -> None:
-        """Begin stopped, knowing nothing of the list."""
+        """Create a stopped follower without a version."""
         self._port = port
         self._region = region
         self._poll_seconds = poll_seconds
         self._version: int | None = None
         self._open_polls: list[Deferred[Result[MachineChanges, Problem]]] = []
-        self._failing = False
+        self._is_failing = False
         self._listeners: list[MachineListener] = []
         self._loop = LoopingCall(self._poll)
         self._loop.clock = clock
 
     @property
     def version(self) -> int | None:
-        """The version of the list that was taken in; None before the first."""
+        """The version of the list last applied, or None before the first response."""
         return self._version
 
     def on_changes(self, listener: MachineListener) -> None:
-        """Give every change from now on to `listener`, the first one complete."""
+        """Register `listener`; the first changes passed to it are the full list."""
         self._listeners.append(listener)
 
     def start(self) -> None:
-        """Poll now and then regularly."""
+        """Poll immediately, then every `poll_seconds`."""
         self._loop.start(self._poll_seconds, now=True)
 
     def stop(self) -> None:
-        """Poll no more; answers that still come are ignored."""
+        """Stop polling and ignore the responses to polls in flight."""
         if self._loop.running:
             self._loop.stop()
 
@@ -73,44 +73,48 @@
         if len(self._open_polls) >= MAX_OPEN_POLLS:
             self._open_polls[1].cancel()
         after = self._version
-        answered = self._port.changes(self._region, after)
-        self._open_polls.append(answered)
-        answered.addBoth(self._close, answered)
-        answered.addCallbacks(self._take, self._fail, callbackArgs=(after,))
-
-    def _close(self, outcome: Outcome, poll: "Deferred[Outcome]") -> Outcome:
+        poll = self._port.changes(self._region, after)
+        self._open_polls.append(poll)
+        poll.addBoth(self._remove_poll, poll)
+        poll.addCallbacks(
+            self._apply_response, self._handle_error, callbackArgs=(after,)
+        )
+
+    def _remove_poll(self, outcome: Outcome, poll: "Deferred[Outcome]") -> Outcome:
         self._open_polls.remove(poll)
         return outcome
 
-    def _fail(self, failure: Failure) -> None:
+    def _handle_error(self, failure: Failure) -> None:
         self._note_failure(repr(failure.value))
 
-    def _take(self, answer: Result[MachineChanges, Problem], after: int | None) -> None:
+    def _apply_response(
+        self, result: Result[MachineChanges, Problem], after: int | None
+    ) -> None:
         if not self._loop.running:
             return
-        if isinstance(answer, Err):
-            self._note_failure(answer.err_value.message)
+        if isinstance(result, Err):
+            self._note_failure(result.err_value.message)
             return
         self._note_success()
-        changes = answer.ok_value
-        if self._is_news(changes, after):
+        changes = result.ok_value
+        if self._is_newer(changes, after):
             self._version = changes.version
             for listener in self._listeners:
                 listener(changes)
 
-    def _is_news(self, changes: MachineChanges, after: int | None) -> bool:
+    def _is_newer(self, changes: MachineChanges, after: int | None) -> bool:
         if self._version is None or changes.version > self._version:
             return True
-        # The list has begun again from a lower version: it was asked for what
-        # follows ours and gave everything instead.
+        # The service restarted with a lower version: it returned the full list for a
+        # request for the changes since the current version.
         return changes.full and after == self._version != changes.version
 
     def _note_failure(self, reason: str) -> None:
-        if not self._failing:
+        if not self._is_failing:
             emit(MachineListLost(reason))
-        self._failing = True
+        self._is_failing = True
 
     def _note_success(self) -> None:
-        if self._failing:
+        if self._is_failing:
             emit(MachineListRestored())
-        self._failing = False
+        self._is_failing = False
--- a/notcharch/placement/partitions.py
+++ b/notcharch/placement/partitions.py
@@ -1,4 +1,4 @@
-"""Program ids and the partitions that keys hash to."""
+"""Program ids, and the mapping of programs, services and engines to partitions."""
 
 import secrets
 
@@ -16,12 +16,12 @@
 
 
 def new_program_id(region: RegionName, partition: PartitionNumber) -> ProgramId:
-    """Draw a fresh program id in a partition of a region."""
+    """Generate a random program id in a partition of a region."""
     return ProgramId(f"{region}-{partition:x}-{secrets.token_hex(RANDOM_BYTES)}")
 
 
 def partition_of_program(program: ProgramId) -> PartitionNumber | None:
-    """Read the partition out of a program id; None if it is not one."""
+    """Parse the partition of a program id; None if the id is malformed."""
     parts = program.rsplit("-", 2)
     if len(parts) != 3:
         return None
@@ -32,12 +32,12 @@
 
 
 def partition_of_service(service: ServiceName, count: int) -> PartitionNumber:
-    """Give the partition whose leader limits a service."""
+    """Return the partition whose leader limits a service."""
     return _partition_of_key(f"service/{service}", count)
 
 
 def partition_of_engine(engine: EngineName, count: int) -> PartitionNumber:
-    """Give the partition that records the steward epochs of an engine."""
+    """Return the partition that records the steward epochs of an engine."""
     return _partition_of_key(f"engine/{engine}", count)
 
 
--- a/notcharch/placement/rendezvous.py
+++ b/notcharch/placement/rendezvous.py
@@ -1,7 +1,7 @@
-"""Rendezvous hashing: who is responsible for a key, with minimal movement.
+"""Rendezvous (highest random weight) hashing of keys to daemons.
 
-Every daemon gets a score for every key; the highest score wins. When a daemon
-comes or goes, only the keys that it wins or won move.
+The daemon with the highest score for a key is responsible for it. When a daemon joins or
+is removed, only the keys for which it has the highest score move.
 """
 
 from collections.abc import Iterable
@@ -13,11 +13,11 @@
 
 
 def score(key: str, daemon: DaemonName) -> int:
-    """Give the weight of a daemon for a key; equal on all daemons."""
+    """Return the score of a daemon for a key; every daemon computes the same."""
     return xxhash.xxh64_intdigest(f"{key}\x00{daemon}".encode())
 
 
 def winner(key: str, members: Iterable[LiveMember]) -> DaemonName | None:
-    """Give the daemon with the highest score for a key; None without members."""
+    """Return the daemon with the highest score for a key; None without members."""
     daemons = [member.member.daemon for member in members]
     return max(daemons, key=lambda name: (score(key, name), name), default=None)
--- a/notcharch/placement/router.py
+++ b/notcharch/placement/router.py
@@ -1,4 +1,4 @@
-"""Finds the daemon that is responsible, by assignment and what was learnt before."""
+"""Routes requests to the responsible daemon by assignment and by earlier responses."""
 
 from collections.abc import Iterable
 from random import Random
@@ -11,15 +11,15 @@
 from notcharch.errors import Problem
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.interface import PartitionOwners
-from notcharch.placement.search import Search
+from notcharch.placement.routed_request import RoutedRequest
 from notcharch.values.identifiers import DaemonName, EngineName, PartitionNumber
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.engines import EnqueueCall, QuoteEngine
 from notcharch.wire.peers import PeerNetwork
 
-CHOOSING_MESSAGES = (EnqueueCall, QuoteEngine)
-CHOOSING_PATIENCE_SECONDS = 0.15
-"""How long a call looks for an engine's steward: there are other engines."""
+ENGINE_CHOICE_MESSAGES = (EnqueueCall, QuoteEngine)
+ENGINE_CHOICE_TIMEOUT_SECONDS = 0.15
+"""Maximum search for one engine's steward: the caller can choose another engine."""
 
 Key = TypeVar("Key", PartitionNumber, EngineName)
 
@@ -35,7 +35,7 @@
         clock: IReactorTime,
         random: Random,
     ) -> None:
-        """Look for leaders by `owners` first, and for stewards by `assignment`."""
+        """Look up leaders in `owners` and stewards in `assignment`."""
         self._network = network
         self._assignment = assignment
         self._owners = owners
@@ -47,62 +47,62 @@
     def to_partition(
         self, partition: PartitionNumber, message: Message, timeout_seconds: float
     ) -> "Deferred[Result[Message, Problem]]":
-        """Send to the partition's leader, following NOT_LEADER hints."""
+        """Send a request to the partition's leader, following NOT_LEADER hints."""
 
         def targets() -> list[DaemonName]:
             owner = self._owners.owner(partition)
             if owner is None:
                 self._owners.doubt()
             known = () if owner is None else (owner.daemon,)
-            return _first_then(self._leaders.get(partition), known)
+            return _learned_first(self._leaders.get(partition), known)
 
         def learn(daemon: DaemonName | None) -> None:
             if daemon is None:
                 self._owners.doubt()
             _learn(self._leaders, partition, daemon)
 
-        search = Search(self._network, self._clock, self._random, targets, learn)
-        return Deferred.fromCoroutine(search.run(message, timeout_seconds))
+        routed = RoutedRequest(self._network, self._clock, self._random, targets, learn)
+        return Deferred.fromCoroutine(routed.run(message, timeout_seconds))
 
     def to_steward(
         self, engine: EngineName, message: Message, timeout_seconds: float
     ) -> "Deferred[Result[Message, Problem]]":
-        """Send to the engine's steward, following NOT_STEWARD hints."""
+        """Send a request to the engine's steward, following NOT_STEWARD hints."""
 
         def targets() -> list[DaemonName]:
             steward = self._assignment.steward_of(engine)
             assigned = () if steward is None else (steward,)
-            return _first_then(self._stewards.get(engine), assigned)
+            return _learned_first(self._stewards.get(engine), assigned)
 
         def learn(daemon: DaemonName | None) -> None:
             _learn(self._stewards, engine, daemon)
 
-        is_choosing = isinstance(message, CHOOSING_MESSAGES)
-        patience = CHOOSING_PATIENCE_SECONDS if is_choosing else None
-        search = Search(
+        is_engine_choice = isinstance(message, ENGINE_CHOICE_MESSAGES)
+        redirect_timeout = ENGINE_CHOICE_TIMEOUT_SECONDS if is_engine_choice else None
+        routed = RoutedRequest(
             self._network,
             self._clock,
             self._random,
             targets,
             learn,
-            patience_seconds=patience,
+            redirect_timeout_seconds=redirect_timeout,
         )
-        return Deferred.fromCoroutine(search.run(message, timeout_seconds))
+        return Deferred.fromCoroutine(routed.run(message, timeout_seconds))
 
     def steward_of(self, engine: EngineName) -> DaemonName | None:
-        """Give the daemon that should steward the engine."""
+        """Return the engine's steward by rendezvous hashing, or None."""
         return self._assignment.steward_of(engine)
 
 
-def _first_then(
-    learnt: DaemonName | None, assigned: Iterable[DaemonName]
+def _learned_first(
+    learned: DaemonName | None, assigned: Iterable[DaemonName]
 ) -> list[DaemonName]:
-    others = [daemon for daemon in assigned if daemon != learnt]
-    return others if learnt is None else [learnt, *others]
+    others = [daemon for daemon in assigned if daemon != learned]
+    return others if learned is None else [learned, *others]
 
 
-def _learn(learnt: dict[Key, DaemonName], key: Key, daemon: DaemonName | None) -> None:
+def _learn(learned: dict[Key, DaemonName], key: Key, daemon: DaemonName | None) -> None:
     if daemon is None:
-        learnt.pop(key, None)
+        learned.pop(key, None)
     else:
-        learnt[key] = daemon
+        learned[key] = daemon
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -10,7 +10,7 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.journal.owner_names import OwnerName
 from notcharch.placement.assignment import Assignment
-from notcharch.placement.router import CHOOSING_PATIENCE_SECONDS, PlacementRouter
+from notcharch.placement.router import ENGINE_CHOICE_TIMEOUT_SECONDS, PlacementRouter
 from notcharch.values.identifiers import EngineName, PartitionNumber, ProgramId
 from notcharch.wire.messages.engines import Acknowledged, ListEngines, QuoteEngine
 from tests.unit.placement.fakes import FakeNetwork, FakeView, live
@@ -200,6 +200,6 @@
     assert reply.err_value.is_code(code)
     assert reply.err_value.retry_after is not None
     assert len(routing.network.asked) > 1
-    assert seconds <= CHOOSING_PATIENCE_SECONDS + 0.1
+    assert seconds <= ENGINE_CHOICE_TIMEOUT_SECONDS + 0.1
     other = routing.router.to_steward(ENGINE, ListEngines(), 10.0)
     assert routing.wait(other)[1] > 9.0
