--- a/tests/unit/placement/fakes.py
+++ b/tests/unit/placement/fakes.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the network, the view and the machine list."""
+"""Fakes of the peer network, the membership view and the machine list."""
 
 from twisted.internet.defer import Deferred
 
@@ -22,7 +22,7 @@
 
 
 class FakeView:
-    """A membership view that the test sets."""
+    """A membership view whose members the test sets."""
 
     def __init__(self, members=()) -> None:
         self.members = tuple(members)
@@ -45,33 +45,33 @@
 
 
 class FakeNetwork:
-    """Answers by a function of destination and message; keeps what was asked."""
+    """Replies by a function of destination and message; records each request."""
 
-    def __init__(self, answer, clock) -> None:
-        self.answer = answer
+    def __init__(self, respond, clock) -> None:
+        self.respond = respond
         self.clock = clock
-        self.asked = []
-        self.time_outs = []
+        self.destinations = []
+        self.timeouts = []
 
     def request(self, destination, message, timeout_seconds):
-        self.asked.append(destination)
-        self.time_outs.append(timeout_seconds)
+        self.destinations.append(destination)
+        self.timeouts.append(timeout_seconds)
         reply = Deferred()
-        self.clock.callLater(0.001, reply.callback, self.answer(destination, message))
+        self.clock.callLater(0.001, reply.callback, self.respond(destination, message))
         return reply
 
 
 class FakeMachineList:
-    """A machine list whose answers the test gives."""
+    """A machine list whose responses the test sends."""
 
     def __init__(self) -> None:
         self.polls = []
 
     def changes(self, region, after):
         assert region == REGION
-        answer = Deferred()
-        self.polls.append((after, answer))
-        return answer
+        response = Deferred()
+        self.polls.append((after, response))
+        return response
 
 
 def engine(
--- a/tests/unit/placement/test_rendezvous.py
+++ b/tests/unit/placement/test_rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing, and the assignment of engines that is kept over changes."""
+"""Tests of rendezvous hashing and of assignments cached across membership changes."""
 
 from collections import Counter
 
@@ -35,17 +35,17 @@
 def test_a_lost_member_moves_only_what_it_held(present, key, data):
     name = f"engine/{key}"
     before = winner(name, present)
-    lost = data.draw(st.sampled_from(present))
-    after = winner(name, [member for member in present if member != lost])
-    assert (after == before) == (lost.member.daemon != before)
+    removed = data.draw(st.sampled_from(present))
+    after = winner(name, [member for member in present if member != removed])
+    assert (after == before) == (removed.member.daemon != before)
 
 
 def test_movement_and_balance_in_a_region():
     keys = [f"engine/{n}" for n in range(3072)]
     before = {key: winner(key, REGION_OF_75) for key in keys}
     after = {key: winner(key, REGION_OF_75[1:]) for key in keys}
-    lost = REGION_OF_75[0].member.daemon
-    assert [key for key in keys if before[key] == lost] == [
+    removed = REGION_OF_75[0].member.daemon
+    assert [key for key in keys if before[key] == removed] == [
         key for key in keys if before[key] != after[key]
     ]
     load = Counter(before.values())
@@ -65,7 +65,7 @@
 
 @st.composite
 def views(draw):
-    """Let daemons come, go, leave and return."""
+    """Draw membership views in which daemons join, leave, are removed and return."""
     return [
         [
             live(f"daemon-{n}", f"zone-{n % 4}", draw(st.integers(0, 5)) == 0)
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -1,4 +1,4 @@
-"""The router, against scripted daemons."""
+"""Tests of the router with scripted daemons."""
 
 from random import Random
 
@@ -26,7 +26,7 @@
 
 
 class Owners:
-    """Names one owner of every partition; counts how often it is doubted."""
+    """Returns one owner for every partition; counts the calls of `doubt`."""
 
     def __init__(self, name: str | None) -> None:
         self.name = name
@@ -41,30 +41,30 @@
 
 
 class Routing:
-    """A router whose daemons answer by `answers`: name to reply or function."""
+    """A router whose daemons reply by `replies`: a reply or a function for each name."""
 
-    def __init__(self, answers, members=MEMBERS) -> None:
+    def __init__(self, replies, members=MEMBERS) -> None:
         self.clock = Clock()
-        self.answers = answers
-        self.network = FakeNetwork(self._answer, self.clock)
+        self.replies = replies
+        self.network = FakeNetwork(self._reply, self.clock)
         self.view = FakeView(members)
         self.owners = Owners("a")
         self.router = PlacementRouter(
             self.network, Assignment(self.view), self.owners, self.clock, Random(3)
         )
 
-    def _answer(self, destination, message):
+    def _reply(self, destination, message):
         del message
-        answer = self.answers[destination]
-        return answer() if callable(answer) else answer
+        reply = self.replies[destination]
+        return reply() if callable(reply) else reply
 
-    def ask(self, timeout: float = 10.0):
-        """Give the reply and the seconds that it took."""
+    def request(self, timeout: float = 10.0):
+        """Return the reply and the seconds that it took."""
         return self.wait(self.router.to_partition(PARTITION, ListEngines(), timeout))
 
-    def wait(self, asked):
+    def wait(self, pending):
         replies = []
-        asked.addCallback(lambda reply: replies.append((reply, self.clock.seconds())))
+        pending.addCallback(lambda reply: replies.append((reply, self.clock.seconds())))
         start = self.clock.seconds()
         run_for(self.clock, 30.0)
         ((reply, end),) = replies
@@ -77,20 +77,20 @@
 def test_the_hint_is_followed_and_remembered():
     hinted = refused(ProblemCode.NOT_LEADER, hint="elsewhere")
     routing = Routing({"a": hinted, "b": hinted, "c": hinted, "elsewhere": DONE})
-    reply, _ = routing.ask()
+    reply, _ = routing.request()
     assert reply == DONE
-    assert len(routing.network.asked) == 2
-    routing.network.asked.clear()
-    routing.ask()
-    assert routing.network.asked == ["elsewhere"]
+    assert len(routing.network.destinations) == 2
+    routing.network.destinations.clear()
+    routing.request()
+    assert routing.network.destinations == ["elsewhere"]
 
 
 def test_without_a_hint_the_owner_is_doubted_and_asked_again():
     routing = Routing({"a": NOT_LEADER})
-    reply, seconds = routing.ask(timeout=1.0)
-    assert set(routing.network.asked) == {"a"}
-    assert len(routing.network.asked) > 1
-    assert routing.owners.doubts >= len(routing.network.asked)
+    reply, seconds = routing.request(timeout=1.0)
+    assert set(routing.network.destinations) == {"a"}
+    assert len(routing.network.destinations) > 1
+    assert routing.owners.doubts >= len(routing.network.destinations)
     assert reply.err_value.is_code(ProblemCode.NOT_LEADER)
     assert reply.err_value.ran is Ran.NO
     assert reply.err_value.retry_after is not None
@@ -100,27 +100,27 @@
 def test_a_partition_that_moved_is_found_once_the_owners_are_known():
     leader = ["a"]
 
-    def answer(name):
+    def reply_of(name):
         return lambda: DONE if leader[0] == name else NOT_LEADER
 
-    routing = Routing({name: answer(name) for name in "abc"})
+    routing = Routing({name: reply_of(name) for name in "abc"})
     for name in "abcab":
         leader[0] = name
         routing.owners.name = name
-        assert routing.ask()[0] == DONE
-    assert set(routing.network.asked) == {"a", "b", "c"}
+        assert routing.request()[0] == DONE
+    assert set(routing.network.destinations) == {"a", "b", "c"}
 
 
 def test_daemons_that_name_each_other_do_not_make_a_loop():
-    circle = {
+    replies = {
         name: refused(ProblemCode.NOT_LEADER, hint=hint)
         for name, hint in (("a", "b"), ("b", "c"), ("c", "a"))
     }
-    routing = Routing(circle)
-    reply, seconds = routing.ask(timeout=3.0)
+    routing = Routing(replies)
+    reply, seconds = routing.request(timeout=3.0)
     assert reply.err_value.is_code(ProblemCode.NOT_LEADER)
     assert seconds <= 3.0
-    assert len(routing.network.asked) < 60
+    assert len(routing.network.destinations) < 60
 
 
 @pytest.mark.parametrize(
@@ -137,41 +137,41 @@
 )
 def test_a_final_answer_is_given_at_once_and_nothing_is_asked_again(final):
     routing = Routing({"a": final, "b": final, "c": final})
-    reply, seconds = routing.ask(timeout=25.0)
+    reply, seconds = routing.request(timeout=25.0)
     assert reply == final
     assert seconds < 0.01
-    assert len(routing.network.asked) == 1
+    assert len(routing.network.destinations) == 1
 
 
 @pytest.mark.parametrize("code", [ProblemCode.UNAVAILABLE, ProblemCode.DRAINING])
 def test_the_successor_of_an_unreachable_or_draining_daemon_is_found(code):
     routing = Routing({"a": refused(code), "b": DONE})
-    asked = routing.router.to_partition(PARTITION, ListEngines(), 5.0)
+    pending = routing.router.to_partition(PARTITION, ListEngines(), 5.0)
     routing.clock.advance(0.01)
     assert routing.owners.doubts == 1
     routing.owners.name = "b"
-    reply, seconds = routing.wait(asked)
+    reply, seconds = routing.wait(pending)
     assert reply == DONE
     assert seconds < 0.1
 
 
 def test_a_try_never_outlives_the_deadline():
     routing = Routing(dict.fromkeys("abc", NOT_LEADER))
-    routing.ask(timeout=2.0)
-    assert max(routing.network.time_outs) <= 2.0
-    assert routing.network.time_outs == sorted(routing.network.time_outs, reverse=True)
+    routing.request(timeout=2.0)
+    assert max(routing.network.timeouts) <= 2.0
+    assert routing.network.timeouts == sorted(routing.network.timeouts, reverse=True)
 
 
 def test_without_time_for_another_try_the_answer_is_not_held_back():
     routing = Routing(dict.fromkeys("abc", NOT_LEADER))
-    _, seconds = routing.ask(timeout=0.02)
+    _, seconds = routing.request(timeout=0.02)
     assert seconds < 0.01
 
 
 def test_nobody_is_known():
     routing = Routing({}, members=[])
     routing.owners.name = None
-    reply, seconds = routing.ask(timeout=1.0)
+    reply, seconds = routing.request(timeout=1.0)
     assert routing.owners.doubts > 0
     assert reply.err_value.is_code(ProblemCode.UNAVAILABLE)
     assert reply.err_value.ran is Ran.NO
@@ -184,10 +184,10 @@
     others = {m.member.daemon for m in MEMBERS} - {steward}
     actual = sorted(others)[0]
     hinted = refused(ProblemCode.NOT_STEWARD, hint=actual)
-    routing.answers = {steward: hinted, actual: DONE}
+    routing.replies = {steward: hinted, actual: DONE}
     reply, _ = routing.wait(routing.router.to_steward(ENGINE, ListEngines(), 5.0))
     assert reply == DONE
-    assert routing.network.asked == [steward, actual]
+    assert routing.network.destinations == [steward, actual]
     routing.view.change(m for m in MEMBERS if m.member.daemon != steward)
     assert routing.router.steward_of(ENGINE) in others
 
@@ -199,7 +199,7 @@
     reply, seconds = routing.wait(routing.router.to_steward(ENGINE, question, 10.0))
     assert reply.err_value.is_code(code)
     assert reply.err_value.retry_after is not None
-    assert len(routing.network.asked) > 1
+    assert len(routing.network.destinations) > 1
     assert seconds <= ENGINE_CHOICE_TIMEOUT_SECONDS + 0.1
     other = routing.router.to_steward(ENGINE, ListEngines(), 10.0)
     assert routing.wait(other)[1] > 9.0
