Reword stored turns and coalesced writes

SharedWrites becomes CoalescedWrites (module coalesced_writes), KeptTurns StoredTurns, its keep, use, forget_before and written_anew become store, touch, evict_unused_since and on_rewritten, TurnCache.remember add_newest, most_bytes max_bytes. 'Anew' becomes 'again', 'give' 'return'.

--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/account.py
@@ -85,7 +85,7 @@
             return body
         if answer.text:
             known = Turn(answer.after, answer.text, b"")
-            self._cache.remember(self.program, self.previous_turn, known)
+            self._cache.add_newest(self.program, self.previous_turn, known)
         chain = self._cache.transcript(self.previous_turn)
         return None if chain is None else chain.text + body
 
@@ -173,7 +173,7 @@
             answer = yield self._owners.ask(self.partition, message)
             if isinstance(answer, TurnIsKept):
                 turn = Turn(self.previous_turn, call.body, data)
-                self._cache.remember(self.program, self.call_id, turn)
+                self._cache.add_newest(self.program, self.call_id, turn)
                 then.durable()
                 return
             self.log_unanswered("keeping a turn")
--- a/notcharch/accounts/allowance_keeper.py
+++ b/notcharch/accounts/allowance_keeper.py
@@ -6,9 +6,9 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.ledger import Ledger
 from notcharch.accounts.records import encode
-from notcharch.accounts.shared_writes import SharedWrites
 from notcharch.journal.writer import Outcome
 
 ALLOWANCE = "allowance"
@@ -33,7 +33,7 @@
         self._wall = wall
         self._write = write
         self._is_on = is_on
-        self._writes = SharedWrites()
+        self._writes = CoalescedWrites()
 
     def renew(self) -> "Deferred[bool]":
         """Journal that programs may begin without a record; from then on they do."""
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -19,7 +19,7 @@
     TurnKept,
 )
 from notcharch.accounts.starting_allowance import StartingAllowance
-from notcharch.accounts.turns import KeptTurns, Turn
+from notcharch.accounts.turns import StoredTurns, Turn
 
 AHEAD_CALLS = 2
 """A bound is raised for so many calls at once."""
@@ -92,7 +92,7 @@
     def __init__(self) -> None:
         """Begin empty."""
         self._programs: dict[str, Program] = {}
-        self.turns = KeptTurns()
+        self.turns = StoredTurns()
         """The kept turns of all programs: a later program may go on from one."""
         self.allowance = StartingAllowance()
         self.keep_seconds = DEFAULT_KEEP_SECONDS
@@ -262,7 +262,7 @@
     def keep(self, record: TurnKept, now: float) -> None:
         """Keep a turn that is in the journal."""
         turn = Turn(record.previous, record.input, record.output)
-        self.turns.keep(record.turn, turn, record.written_at, now)
+        self.turns.store(record.turn, turn, record.written_at, now)
 
     # Age
 
@@ -286,7 +286,7 @@
     def forget_old(self, now: float) -> None:
         """Forget programs and turns that nobody may ask for any more."""
         limit = now - 2 * self.keep_seconds
-        self.turns.forget_before(limit)
+        self.turns.evict_unused_since(limit)
         for name, program in tuple(self._programs.items()):
             if program.touched < limit and not program.reserved:
                 del self._programs[name]
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.allowance_keeper import AllowanceKeeper
+from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.limited_tenants import NOT_OWNER, LimitedTenants, Limiting
 from notcharch.accounts.messages import (
@@ -32,7 +33,6 @@
     decode,
     encode,
 )
-from notcharch.accounts.shared_writes import SharedWrites
 from notcharch.accounts.turns import Transcript
 from notcharch.events.accounts import (
     BudgetRefused,
@@ -89,9 +89,9 @@
         self._allowance = AllowanceKeeper(
             self._ledger, clock, self._wall_seconds, self._write, is_on=allows_starting
         )
-        self._raising = SharedWrites()
+        self._raising = CoalescedWrites()
         """Bounds that are being written, by their programs."""
-        self._keeping = SharedWrites()
+        self._keeping = CoalescedWrites()
         """Turns that are being written, by their ids."""
 
     @inlineCallbacks
@@ -205,7 +205,7 @@
         transcript: Transcript | None = Transcript("", b"")
         if ask.previous:
             transcript = self._ledger.turns.transcript(ask.previous, ask.known)
-            self._ledger.turns.use(ask.previous, self._clock.seconds())
+            self._ledger.turns.touch(ask.previous, self._clock.seconds())
             if transcript is None:
                 is_certain = yield self._is_still_owner()
                 return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
@@ -293,7 +293,7 @@
         if not (yield self._until_serving()):
             return NOT_OWNER
         found = self._ledger.turns.transcript(ask.turn)
-        self._ledger.turns.use(ask.turn, self._clock.seconds())
+        self._ledger.turns.touch(ask.turn, self._clock.seconds())
         if found is not None:
             return TurnFound(found.text)
         if not ask.must_be_certain:
@@ -354,4 +354,4 @@
         if isinstance(record, BoundRaised):
             self._ledger.bound_is_durable(record)
         elif isinstance(record, TurnKept) and record.turn in self._ledger.turns:
-            self._ledger.turns.written_anew(record.turn, record.written_at)
+            self._ledger.turns.on_rewritten(record.turn, record.written_at)
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -1,4 +1,4 @@
-"""Kept turns and the chains that they form."""
+"""Stored conversation turns and the chains that they form."""
 
 from collections import OrderedDict
 
@@ -6,51 +6,53 @@
 
 
 class Turn(msgspec.Struct, frozen=True):
-    """A kept turn, or the text of several that follow each other."""
+    """A stored turn, or the combined text of several consecutive turns."""
 
     previous: str
-    """The turn that it goes on from; empty for the first."""
+    """Id of the preceding turn; empty for the first."""
     input: bytes
     output: bytes
-    """The data of each of its events, each followed by a line feed."""
+    """Data of the output events, each followed by a line feed."""
 
     @property
     def size_bytes(self) -> int:
-        """Give the length of its texts."""
+        """Return the total length of input and output."""
         return len(self.input) + len(self.output)
 
 
 class Transcript(msgspec.Struct, frozen=True):
-    """The inputs and outputs of a chain of turns, oldest first."""
+    """Inputs and outputs of a chain of turns, oldest first."""
 
     after: str
-    """The turn that it follows, which the asker has; empty for the whole chain."""
+    """Id of the turn before the text, which the requester has; empty if the text begins
+    with the first turn."""
     text: bytes
 
 
 class TurnStore:
-    """Turns by their ids."""
+    """Turns by id."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Create an empty store."""
         self._turns: dict[str, Turn] = {}
 
     def __contains__(self, turn: str) -> bool:
-        """Tell whether a turn is kept."""
+        """Return whether a turn is stored."""
         return turn in self._turns
 
     def add(self, name: str, turn: Turn) -> None:
-        """Keep a turn."""
+        """Store a turn."""
         self._turns[name] = turn
 
     def get(self, name: str) -> Turn | None:
-        """Give a turn."""
+        """Return a turn, or None if it is not stored."""
         return self._turns.get(name)
 
     def transcript(self, last: str, known: str = "") -> Transcript | None:
-        """Give the chain up to a turn, from after `known` if that is part of it.
+        """Return the chain that ends with turn `last`.
 
-        None if the turn, or one before it, is not kept.
+        It starts after turn `known` if the chain includes that turn. None if `last` or a
+        preceding turn is not stored.
         """
         parts: list[bytes] = []
         name = last
@@ -62,78 +64,78 @@
             parts.append(turn.input)
             name = turn.previous
         if name and name not in self:
-            return None  # what the asker has is not part of what is kept here
+            return None  # the requester's turn `known` is not stored here
         return Transcript(name, b"".join(reversed(parts)))
 
 
-class KeptTurns(TurnStore):
-    """Turns with the times at which they were used, and written to the journal."""
+class StoredTurns(TurnStore):
+    """Turns with the times of their last use and of their journal records."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Create an empty store."""
         super().__init__()
         self._used_at: dict[str, float] = {}
         self._written_at: dict[str, int] = {}
 
-    def keep(self, name: str, turn: Turn, written_at: int, now: float) -> None:
-        """Keep a turn that is in the journal; its chain counts as used."""
+    def store(self, name: str, turn: Turn, written_at: int, now: float) -> None:
+        """Store a turn that is in the journal, and mark its chain as used."""
         self.add(name, turn)
         self._written_at[name] = written_at
-        self.use(name, now)
+        self.touch(name, now)
 
-    def use(self, last: str, now: float) -> None:
-        """Note that a chain is used: it is kept as long as its last turn."""
+    def touch(self, last: str, now: float) -> None:
+        """Mark a chain as used, so that it is retained as long as its last turn."""
         name = last
         while name in self._turns and self._used_at.get(name) != now:
             self._used_at[name] = now
             name = self._turns[name].previous
 
-    def forget_before(self, limit: float) -> None:
-        """Forget turns that were not used since some clock seconds."""
-        old = [name for name, used in self._used_at.items() if used < limit]
-        for name in old:
+    def evict_unused_since(self, limit: float) -> None:
+        """Remove turns last used before `limit`, in clock seconds."""
+        expired = [name for name, used in self._used_at.items() if used < limit]
+        for name in expired:
             del self._turns[name], self._used_at[name], self._written_at[name]
 
-    def written_anew(self, name: str, written_at: int) -> None:
-        """Note a newer record of a turn."""
+    def on_rewritten(self, name: str, written_at: int) -> None:
+        """Update the write time of a turn whose record was written again."""
         self._written_at[name] = written_at
 
     def written_before(self, limit: int) -> list[str]:
-        """Give the turns whose record is older than some seconds since 1970."""
+        """Return the turns whose record was written before `limit`, a Unix time."""
         return [name for name, at in self._written_at.items() if at < limit]
 
 
 class TurnCache(TurnStore):
-    """The turns used last, up to a size; and the newest turn of each program."""
+    """A size-bounded LRU cache of turns, with the newest turn of each program."""
 
-    def __init__(self, most_bytes: int) -> None:
-        """Hold up to so many bytes."""
+    def __init__(self, max_bytes: int) -> None:
+        """Cache at most `max_bytes` of turns."""
         super().__init__()
         self._recent: OrderedDict[str, Turn] = OrderedDict()
         self._turns = self._recent
-        self._most_bytes = most_bytes
+        self._max_bytes = max_bytes
         self._bytes = 0
         self._newest: OrderedDict[str, str] = OrderedDict()
 
     def add(self, name: str, turn: Turn) -> None:
-        """Keep a turn, and forget those that were not used for longest."""
-        former = self._recent.pop(name, None)
-        if former is not None:
-            self._bytes -= former.size_bytes
+        """Add a turn and evict the least recently used ones beyond the size limit."""
+        replaced = self._recent.pop(name, None)
+        if replaced is not None:
+            self._bytes -= replaced.size_bytes
         self._recent[name] = turn
         self._bytes += turn.size_bytes
-        while self._bytes > self._most_bytes:
+        while self._bytes > self._max_bytes:
             _, oldest = self._recent.popitem(last=False)
             self._bytes -= oldest.size_bytes
 
     def get(self, name: str) -> Turn | None:
-        """Give a turn, which counts as used."""
+        """Return a turn, or None, and mark it as used."""
         if name in self._recent:
             self._recent.move_to_end(name)
         return super().get(name)
 
-    def remember(self, program: str, name: str, turn: Turn) -> None:
-        """Keep a turn as the newest of its program."""
+    def add_newest(self, program: str, name: str, turn: Turn) -> None:
+        """Add a turn as the newest of its program."""
         self.add(name, turn)
         self._newest.pop(program, None)
         self._newest[program] = name
@@ -141,7 +143,7 @@
             self._newest.popitem(last=False)
 
     def newest(self, program: str) -> str:
-        """Give the newest turn of a program whose whole chain is here, or nothing."""
+        """Return the program's newest turn if its complete chain is cached, else empty."""
         name = self._newest.get(program, "")
-        whole = self.transcript(name) if name else None
-        return name if whole is not None else ""
+        chain = self.transcript(name) if name else None
+        return name if chain is not None else ""
--- a/tests/unit/accounts/test_shared_writes.py
+++ b/tests/unit/accounts/test_coalesced_writes.py
@@ -1,13 +1,13 @@
-"""Writes that several callers share."""
+"""Tests of coalesced writes."""
 
 import pytest
 from twisted.internet.defer import Deferred
 
-from notcharch.accounts.shared_writes import SharedWrites
+from notcharch.accounts.coalesced_writes import CoalescedWrites
 
 
 class Write:
-    """A write that is done, or fails, by hand."""
+    """A write that the test completes or fails."""
 
     def __init__(self) -> None:
         self.starts = 0
@@ -18,37 +18,37 @@
         return self.done
 
 
-def asked(writes: SharedWrites, write: Write, count: int) -> list[object]:
-    found: list[object] = []
+def request_writes(writes: CoalescedWrites, write: Write, count: int) -> list[object]:
+    results: list[object] = []
     for _ in range(count):
-        writes.write("key", write.start).addBoth(found.append)
-    return found
+        writes.write("key", write.start).addBoth(results.append)
+    return results
 
 
 @pytest.mark.parametrize("is_done", [True, False])
 def test_callers_that_ask_meanwhile_share_one_write(is_done):
     write = Write()
-    found = asked(SharedWrites(), write, 3)
-    assert found == []
+    results = request_writes(CoalescedWrites(), write, 3)
+    assert results == []
     write.done.callback(is_done)
-    assert (found, write.starts) == ([is_done] * 3, 1)
+    assert (results, write.starts) == ([is_done] * 3, 1)
 
 
 def test_the_next_caller_starts_anew():
-    writes = SharedWrites()
+    writes = CoalescedWrites()
     for _ in range(2):
         write = Write()
-        asked(writes, write, 1)
+        request_writes(writes, write, 1)
         write.done.callback(True)
         assert write.starts == 1
 
 
 def test_a_fault_of_the_write_leaves_nobody_waiting():
-    writes, write = SharedWrites(), Write()
-    found = asked(writes, write, 3)
+    writes, write = CoalescedWrites(), Write()
+    results = request_writes(writes, write, 3)
     write.done.errback(RuntimeError("a defect"))
-    assert found[:2] == [False, False]
-    assert found[2].check(RuntimeError)
+    assert results[:2] == [False, False]
+    assert results[2].check(RuntimeError)
     again = Write()
-    asked(writes, again, 1)
+    request_writes(writes, again, 1)
     assert again.starts == 1
