Reword the ledger and the starting allowance

AllowanceKeeper becomes AllowanceRenewer (module allowance_renewal). In the ledger, AHEAD_CALLS and AHEAD_SHARE become PREALLOCATED_CALLS and PREALLOCATED_BUDGET_DIVISOR, FORGOTTEN_RESERVATION_SECONDS becomes RESERVATION_TIMEOUT_SECONDS, most max_tokens, held reservation, home (of a program) preferred_engine, is_doubted (of a program) may_be_overcounted, settle complete_call, keep store_turn, aging expiring_records, accounts handover_records and _within _check_budget. In the allowance, MOST_PERMILLE, LIFE_SECONDS and RENEW_SECONDS become MAX_PERMILLE, VALIDITY_SECONDS and RENEWAL_AGE_SECONDS, former inherited, own current, taken_over on_takeover and given on_durable. Notes on how a value was found are gone.

--- a/notcharch/accounts/allowance_keeper.py
+++ b/notcharch/accounts/allowance_renewal.py
@@ -1,4 +1,4 @@
-"""Keeps the starting allowance of an owned partition in the journal."""
+"""Writes and renews the starting allowance of an owned partition."""
 
 from collections.abc import Callable, Generator
 from typing import Any
@@ -11,50 +11,54 @@
 from notcharch.accounts.records import encode
 from notcharch.journal.writer import Outcome
 
-ALLOWANCE = "allowance"
-"""What the one write under way is about."""
+WRITE_KEY = "allowance"
+"""Key under which writes of the allowance are coalesced."""
 
 
-class AllowanceKeeper:
-    """Writes an owner's allowance when it takes a partition over, and anew when it is old."""
+class AllowanceRenewer:
+    """Writes an owner's allowance after a takeover and renews it before it expires."""
 
     def __init__(
         self,
         ledger: Ledger,
         clock: IReactorTime,
-        wall: Callable[[], int],
+        wall_clock: Callable[[], int],
         write: Callable[[bytes], "Deferred[Outcome]"],
         *,
-        is_on: bool,
+        is_enabled: bool,
     ) -> None:
-        """`wall` gives seconds since 1970, roughly; `write` appends a record."""
+        """`wall_clock` returns the approximate Unix time; `write` appends a record."""
         self._ledger = ledger
         self._clock = clock
-        self._wall = wall
+        self._wall_clock = wall_clock
         self._write = write
-        self._is_on = is_on
+        self._is_enabled = is_enabled
         self._writes = CoalescedWrites()
 
     def renew(self) -> "Deferred[bool]":
-        """Journal that programs may begin without a record; from then on they do."""
-        return self._writes.write(ALLOWANCE, self._write_allowance)
+        """Write the allowance; it is in force once the record is durable."""
+        return self._writes.write(WRITE_KEY, self._write_allowance)
 
     def renew_if_due(self) -> None:
-        """Write the allowance anew if it is old, or too small for the calls seen."""
-        if self._is_on and self._ledger.allowance.is_due(self._clock.seconds()):
+        """Write the allowance again if it is too old, or too small for the calls seen."""
+        if self._is_enabled and self._ledger.allowance.is_renewal_due(
+            self._clock.seconds()
+        ):
             self.renew()
 
     @inlineCallbacks
     def _write_allowance(self) -> Generator["Deferred[Any]", Any, bool]:
-        asked_at = self._clock.seconds()
+        requested_at = self._clock.seconds()
         allowance = self._ledger.allowance
         record = None
-        if self._is_on:
-            record = allowance.record(asked_at, self._wall(), self._ledger.keep_seconds)
+        if self._is_enabled:
+            record = allowance.record(
+                requested_at, self._wall_clock(), self._ledger.keep_seconds
+            )
         if record is None:
             return False
         outcome = yield self._write(encode(record))
         if outcome is not Outcome.DURABLE:
             return False
-        allowance.given(record, asked_at)
+        allowance.on_durable(record, requested_at)
         return True
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -1,10 +1,10 @@
-"""The accounts of one partition: a pure state that an owner keeps.
+"""The in-memory accounts of one partition, without I/O.
 
-Of each program the ledger knows a *bound*: so many tokens are journalled as generated.
-Calls are admitted within it from memory; it is raised, in the journal first, when it
-doesn't suffice. Whoever takes the partition over counts the whole bound as used, so
-whatever the former owner admitted within it is paid for already. A program that the
-journal doesn't know begins within the partition's starting allowance.
+Each program has a *bound*: the number of tokens that the journal already counts as
+generated. Calls within the bound are admitted from memory. To exceed it, the owner first
+writes a higher bound. The next owner counts the complete bound as used, which covers all
+calls that the previous owner admitted. A program without a record starts within the
+partition's starting allowance.
 """
 
 import enum
@@ -21,253 +21,266 @@
 from notcharch.accounts.starting_allowance import StartingAllowance
 from notcharch.accounts.turns import StoredTurns, Turn
 
-AHEAD_CALLS = 2
-"""A bound is raised for so many calls at once."""
+PREALLOCATED_CALLS = 2
+"""Number of calls that each raise of a bound covers."""
 
-AHEAD_SHARE = 3
-"""Or for one part in so many of the budget, if that is more.
+PREALLOCATED_BUDGET_DIVISOR = 3
+"""A raise covers at least the budget divided by this.
 
-Programs of many calls use a quarter of their budgets, so they can bear that a crash
-charges this much, and go on for long while the log can't be written. A program that was
-charged so once has no more to spare, so its bound is raised for some calls only.
+A large step lets a program continue while the log rejects appends. A crash of the owner
+charges the complete step, so a program that was charged once gets only
+`PREALLOCATED_CALLS`.
 """
 
 DEFAULT_KEEP_SECONDS = 60.0
-"""Until a route has told its own: what the platform keeps a route's turns for by default."""
+"""Retention until a route's own is known: the platform's default for routes."""
 
-FORGOTTEN_RESERVATION_SECONDS = 12.0
-"""A call that nobody settled in this time is charged at its most."""
+RESERVATION_TIMEOUT_SECONDS = 12.0
+"""A call without a usage report after this time is charged its maximum."""
 
 
 class Verdict(enum.Enum):
-    """What a ledger says of a call."""
+    """The decision of a ledger about a call."""
 
     ADMITTED = "admitted"
     NEEDS_BOUND = "needs a higher bound"
     SPENT = "spent"
     GIVEN_UP = "given up"
-    """Its daemon has ended the call already; nobody waits for an answer."""
+    """The call ended before its admission; no caller waits for the reply."""
 
 
 class Reservation(msgspec.Struct):
-    """A call under way."""
+    """Tokens reserved for a call in flight."""
 
     tokens: int
     since: float
-    """Clock seconds."""
+    """Time of the admission in clock seconds."""
 
 
 class Program:
     """The account of one program."""
 
     def __init__(self) -> None:
-        """Begin with nothing used."""
+        """Start with no tokens used."""
         self.bound = 0
-        """Tokens journalled as generated."""
-        self.allowed = 0
-        """Tokens that a successor counts without a record of this program."""
-        self.has_begun = False
-        """Whether the journal, or the starting allowance, was looked at for it."""
+        """Tokens that the journal counts as generated."""
+        self.allowance_tokens = 0
+        """Tokens that the next owner counts as used if the program has no record."""
+        self.is_initialized = False
+        """Whether a record or the starting allowance was applied to the program."""
         self.used = 0
-        self.is_doubted = False
-        """Whether `used` counts tokens that may not have been generated."""
+        self.may_be_overcounted = False
+        """Whether `used` may include tokens that were not generated."""
         self.reserved: dict[str, Reservation] = {}
-        self.given_up: set[str] = set()
-        """Calls that ended before they were admitted here."""
-        self.touched = 0.0
-        self.home = ""
-        """The engine at which it ran last; lost with its owner, which costs little."""
+        self.abandoned: set[str] = set()
+        """Calls that ended before their admission here."""
+        self.last_used_at = 0.0
+        self.preferred_engine = ""
+        """The engine that ran the program's last call; not restored after a crash."""
         self.written_at = 0
-        """When its newest record was written, seconds since 1970."""
+        """Unix time of the program's newest record."""
 
     @property
     def committed(self) -> int:
-        """Tokens that are used, or that calls under way may use."""
-        return self.used + sum(held.tokens for held in self.reserved.values())
+        """Tokens that are used, or reserved by calls in flight."""
+        return self.used + sum(
+            reservation.tokens for reservation in self.reserved.values()
+        )
 
 
 class Ledger:
-    """The programs of one partition."""
+    """The accounts of the programs of one partition."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Create an empty ledger."""
         self._programs: dict[str, Program] = {}
         self.turns = StoredTurns()
-        """The kept turns of all programs: a later program may go on from one."""
+        """Turns of all programs; a program may continue from another program's turn."""
         self.allowance = StartingAllowance()
         self.keep_seconds = DEFAULT_KEEP_SECONDS
-        """The longest time that a route keeps turns and budgets."""
+        """Longest retention of turns and budgets among the routes seen."""
 
     def program(self, name: str, now: float) -> Program:
-        """Give a program's account, which is begun if it is new."""
+        """Return a program's account, creating it if necessary."""
         program = self._programs.get(name)
         if program is None:
             program = self._programs[name] = Program()
-        program.touched = now
+        program.last_used_at = now
         return program
 
     def __len__(self) -> int:
-        """Give the number of programs."""
+        """Return the number of programs."""
         return len(self._programs)
 
-    # What the journal says
+    # Journal records
 
     def replay(self, record: AnyRecord, now: float) -> None:
-        """Take a record of an earlier owner, or of this one before its restart."""
+        """Apply a record written by an earlier owner."""
         if isinstance(record, TurnKept):
-            self.keep(record, now)
+            self.store_turn(record, now)
         elif isinstance(record, AccountHandedOver):
-            self._take_account(record, now)
+            self._replay_account(record, now)
         elif isinstance(record, AllowanceGiven):
             self.allowance.replay(record)
         elif isinstance(record, BoundRaised):
-            self._take_bound(record, now)
+            self._replay_bound(record, now)
 
-    def _take_bound(self, record: BoundRaised, now: float) -> None:
+    def _replay_bound(self, record: BoundRaised, now: float) -> None:
         program = self.program(record.program, now)
-        program.has_begun = True
-        program.is_doubted = True
+        program.is_initialized = True
+        program.may_be_overcounted = True
         program.reserved.clear()
         program.bound = max(program.bound, record.bound_tokens)
         program.used = program.bound
         program.written_at = record.written_at
 
-    def _take_account(self, record: AccountHandedOver, now: float) -> None:
+    def _replay_account(self, record: AccountHandedOver, now: float) -> None:
         program = self.program(record.program, now)
-        program.has_begun = True
+        program.is_initialized = True
         program.used = record.used_tokens
-        program.is_doubted = record.is_doubted
+        program.may_be_overcounted = record.is_doubted
         program.reserved = {
-            call: Reservation(most, now) for call, most in record.under_way.items()
+            call: Reservation(max_tokens, now)
+            for call, max_tokens in record.under_way.items()
         }
-        program.home = record.home
+        program.preferred_engine = record.home
         program.bound = program.committed
         program.written_at = record.written_at
 
-    def accounts(self, written_at: int) -> list[AnyRecord]:
-        """Give what a successor needs to go on without further doubt.
+    def handover_records(self, written_at: int) -> list[AnyRecord]:
+        """Return the records from which the next owner continues with exact usage.
 
-        Last comes the end of the starting allowance: who used it has a record by then.
+        The withdrawal of the starting allowance comes last, when every program that used
+        it has a record.
         """
         records: list[AnyRecord] = []
         for name, program in self._programs.items():
-            if program.bound or program.allowed:
-                records.append(self._account(name, program, written_at))
-        withdrawn = self.allowance.withdrawn()
-        if withdrawn is not None:
-            records.append(withdrawn)
+            if program.bound or program.allowance_tokens:
+                records.append(self._account_record(name, program, written_at))
+        withdrawal_record = self.allowance.withdrawal_record()
+        if withdrawal_record is not None:
+            records.append(withdrawal_record)
         return records
 
-    def _account(
+    def _account_record(
         self, name: str, program: Program, written_at: int
     ) -> AccountHandedOver:
-        under_way = {call: held.tokens for call, held in program.reserved.items()}
+        in_flight = {
+            call: reservation.tokens for call, reservation in program.reserved.items()
+        }
         return AccountHandedOver(
             name,
             program.used,
-            under_way,
+            in_flight,
             written_at,
-            program.home,
-            program.is_doubted,
+            program.preferred_engine,
+            program.may_be_overcounted,
         )
 
     # Budgets
 
     def admit(
-        self, name: str, call: str, most: int, budget: int | None, now: float
+        self, name: str, call: str, max_tokens: int, budget: int | None, now: float
     ) -> Verdict:
         """Reserve a call's tokens within the durable bound.
 
-        Nothing is reserved for NEEDS_BOUND: raise the bound and ask again.
+        NEEDS_BOUND reserves nothing: the caller raises the bound and calls again.
         """
         program = self.program(name, now)
-        if call in program.given_up:
+        if call in program.abandoned:
             return Verdict.GIVEN_UP
         if call in program.reserved:
             return Verdict.ADMITTED
-        self._charge_forgotten(program, now)
+        self._charge_timed_out(program, now)
         if budget is not None:
-            self.allowance.saw_call(most)
-            self._begin(program, budget, now)
-            verdict = self._within(program, most, budget, now)
+            self.allowance.observe_call(max_tokens)
+            self._initialize(program, budget, now)
+            verdict = self._check_budget(program, max_tokens, budget, now)
             if verdict is not Verdict.ADMITTED:
                 return verdict
-        program.reserved[call] = Reservation(most, now)
+        program.reserved[call] = Reservation(max_tokens, now)
         return Verdict.ADMITTED
 
-    def _begin(self, program: Program, budget: int, now: float) -> None:
-        """Count what a program without a record may have used before; allow it more."""
-        if program.has_begun:
+    def _initialize(self, program: Program, budget: int, now: float) -> None:
+        """Apply the inherited and the current allowance to a program without a record."""
+        if program.is_initialized:
             return
-        program.has_begun = True
-        former = self.allowance.former(now, self.keep_seconds).tokens(budget)
-        program.used += former
-        program.is_doubted = former > 0
-        program.allowed = self.allowance.own.tokens(budget)
-
-    def _within(self, program: Program, most: int, budget: int, now: float) -> Verdict:
+        program.is_initialized = True
+        inherited = self.allowance.inherited(now, self.keep_seconds).tokens(budget)
+        program.used += inherited
+        program.may_be_overcounted = inherited > 0
+        program.allowance_tokens = self.allowance.current.tokens(budget)
+
+    def _check_budget(
+        self, program: Program, max_tokens: int, budget: int, now: float
+    ) -> Verdict:
         """Compare a call with its program's budget, then with its durable bound.
 
-        A budget may be exceeded by one call at most. That is left to programs of
-        which more is counted as used than may have been.
+        Only a program whose usage may be overcounted may exceed its budget, by at most
+        one call.
         """
-        allowed = budget + most if program.is_doubted else budget
-        after = program.committed + most
-        if after > allowed:
+        allowed = budget + max_tokens if program.may_be_overcounted else budget
+        total = program.committed + max_tokens
+        if total > allowed:
             return Verdict.SPENT
-        starting = program.allowed if self.allowance.is_in_force(now) else 0
+        starting = program.allowance_tokens if self.allowance.is_in_force(now) else 0
         bound = max(program.bound, starting)
-        return Verdict.NEEDS_BOUND if after > bound else Verdict.ADMITTED
+        return Verdict.NEEDS_BOUND if total > bound else Verdict.ADMITTED
 
-    def _charge_forgotten(self, program: Program, now: float) -> None:
-        for call, held in tuple(program.reserved.items()):
-            if now - held.since > FORGOTTEN_RESERVATION_SECONDS:
+    def _charge_timed_out(self, program: Program, now: float) -> None:
+        for call, reservation in tuple(program.reserved.items()):
+            if now - reservation.since > RESERVATION_TIMEOUT_SECONDS:
                 del program.reserved[call]
-                program.used += held.tokens
+                program.used += reservation.tokens
 
     def raised_bound(
-        self, name: str, most: int, budget: int, now: float, *, written_at: int
+        self, name: str, max_tokens: int, budget: int, now: float, *, written_at: int
     ) -> BoundRaised:
-        """Give the record of a bound that lets a call in, and some after it."""
+        """Return the record of a bound that covers this call and some later ones."""
         program = self.program(name, now)
-        needed = program.committed + most
-        share = 0 if program.is_doubted else budget // AHEAD_SHARE
-        ahead = max(AHEAD_CALLS * most, share) - most
-        bound = max(needed, min(needed + ahead, budget), program.allowed)
+        needed = program.committed + max_tokens
+        budget_share = (
+            0 if program.may_be_overcounted else budget // PREALLOCATED_BUDGET_DIVISOR
+        )
+        preallocated = max(PREALLOCATED_CALLS * max_tokens, budget_share) - max_tokens
+        bound = max(
+            needed, min(needed + preallocated, budget), program.allowance_tokens
+        )
         return BoundRaised(name, bound, written_at)
 
-    def bound_is_durable(self, record: BoundRaised) -> None:
-        """Hear that a bound is in the journal."""
+    def on_bound_durable(self, record: BoundRaised) -> None:
+        """Apply a bound whose record is now durable."""
         program = self._programs.get(record.program)
         if program is None:
             return
         program.bound = max(program.bound, record.bound_tokens)
         program.written_at = record.written_at
 
-    def settle(
+    def complete_call(
         self, name: str, call: str, tokens: int, now: float, *, engine: str
     ) -> None:
-        """End a call that generated so many tokens for its caller at an engine.
+        """Charge the tokens that a call generated, and release its reservation.
 
-        Its question may still wait here for the journal; it reserves nothing later.
+        If the call's admission still waits for the journal, the call is marked as
+        abandoned and reserves nothing.
         """
         program = self.program(name, now)
-        program.home = engine or program.home
+        program.preferred_engine = engine or program.preferred_engine
         if program.reserved.pop(call, None) is None:
-            program.given_up.add(call)
+            program.abandoned.add(call)
             return
-        program.touched = now
+        program.last_used_at = now
         program.used += tokens
 
-    def keep(self, record: TurnKept, now: float) -> None:
-        """Keep a turn that is in the journal."""
+    def store_turn(self, record: TurnKept, now: float) -> None:
+        """Store a turn that is in the journal."""
         turn = Turn(record.previous, record.input, record.output)
         self.turns.store(record.turn, turn, record.written_at, now)
 
-    # Age
+    # Expiry
 
-    def aging(self, limit: int, written_at: int) -> list[AnyRecord]:
-        """Give anew the records older than `limit`: the log will drop them."""
+    def expiring_records(self, limit: int, written_at: int) -> list[AnyRecord]:
+        """Return new records for those older than `limit`, before the log drops them."""
         records: list[AnyRecord] = [
             BoundRaised(name, program.bound, written_at)
             for name, program in self._programs.items()
@@ -283,10 +296,10 @@
                 )
         return records
 
-    def forget_old(self, now: float) -> None:
-        """Forget programs and turns that nobody may ask for any more."""
+    def evict_expired(self, now: float) -> None:
+        """Remove programs and turns whose retention has ended."""
         limit = now - 2 * self.keep_seconds
         self.turns.evict_unused_since(limit)
         for name, program in tuple(self._programs.items()):
-            if program.touched < limit and not program.reserved:
+            if program.last_used_at < limit and not program.reserved:
                 del self._programs[name]
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.accounts.allowance_keeper import AllowanceKeeper
+from notcharch.accounts.allowance_renewal import AllowanceRenewer
 from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.limited_tenants import NOT_OWNER, LimitedTenants, Limiting
@@ -86,8 +86,12 @@
         self.is_serving = False
         self._began = clock.seconds()
         self._waiting: list[Deferred[None]] = []
-        self._allowance = AllowanceKeeper(
-            self._ledger, clock, self._wall_seconds, self._write, is_on=allows_starting
+        self._allowance = AllowanceRenewer(
+            self._ledger,
+            clock,
+            self._wall_seconds,
+            self._write,
+            is_enabled=allows_starting,
         )
         self._raising = CoalescedWrites()
         """Bounds that are being written, by their programs."""
@@ -101,7 +105,7 @@
         if is_read:
             self.is_serving = True
             wall = self._wall_seconds()
-            self._ledger.allowance.taken_over(self._clock.seconds(), wall)
+            self._ledger.allowance.on_takeover(self._clock.seconds(), wall)
             limits_taken = self._tenants.taken_over()
             self._log_taken_over()
             self._wake()
@@ -171,7 +175,7 @@
             OWNED_PARTITIONS.dec()
             written = [
                 self._write(encode(account))
-                for account in self._ledger.accounts(self._wall_seconds())
+                for account in self._ledger.handover_records(self._wall_seconds())
             ]
             limits = self._tenants.hand_over()
             if limits is not None:
@@ -224,7 +228,7 @@
             self._log_spent(ask)
             return TurnRefused(is_spent=True)
         assert transcript is not None
-        home = self._ledger.program(ask.program, self._clock.seconds()).home
+        home = self._ledger.program(ask.program, self._clock.seconds()).preferred_engine
         return TurnAdmitted(home, transcript.after, transcript.text)
 
     @inlineCallbacks
@@ -270,7 +274,7 @@
         outcome = yield self._write(encode(record))
         if outcome is not Outcome.DURABLE:
             return False
-        self._ledger.bound_is_durable(record)
+        self._ledger.on_bound_durable(record)
         return True
 
     def _write(self, data: bytes) -> "Deferred[Outcome]":
@@ -304,7 +308,7 @@
     def settle(self, told: SettleCall) -> None:
         """Take the tokens of a call that ended."""
         now = self._clock.seconds()
-        self._ledger.settle(
+        self._ledger.complete_call(
             told.program, told.call, told.tokens, now, engine=told.engine
         )
 
@@ -318,7 +322,9 @@
             if not is_kept:
                 return NOT_OWNER
         now = self._clock.seconds()
-        self._ledger.settle(ask.program, ask.call, ask.tokens, now, engine=ask.engine)
+        self._ledger.complete_call(
+            ask.program, ask.call, ask.tokens, now, engine=ask.engine
+        )
         return TurnIsKept()
 
     @inlineCallbacks
@@ -334,7 +340,7 @@
         outcome = yield self._write(encode(record))
         if outcome is not Outcome.DURABLE:
             return False
-        self._ledger.keep(record, self._clock.seconds())
+        self._ledger.store_turn(record, self._clock.seconds())
         return True
 
     def tidy(self, retention_seconds: float) -> None:
@@ -342,16 +348,18 @@
         if not self.is_serving:
             return
         now = self._clock.seconds()
-        self._ledger.forget_old(now)
+        self._ledger.evict_expired(now)
         self._allowance.renew_if_due()
         wall = self._wall_seconds()
-        for record in self._ledger.aging(int(wall - retention_seconds / 2), wall):
+        for record in self._ledger.expiring_records(
+            int(wall - retention_seconds / 2), wall
+        ):
             self._write(encode(record)).addCallback(self._written_anew, record)
 
     def _written_anew(self, outcome: Outcome, record: AnyRecord) -> None:
         if outcome is not Outcome.DURABLE:
             return
         if isinstance(record, BoundRaised):
-            self._ledger.bound_is_durable(record)
+            self._ledger.on_bound_durable(record)
         elif isinstance(record, TurnKept) and record.turn in self._ledger.turns:
             self._ledger.turns.on_rewritten(record.turn, record.written_at)
--- a/notcharch/accounts/starting_allowance.py
+++ b/notcharch/accounts/starting_allowance.py
@@ -1,18 +1,16 @@
-"""What programs that the journal doesn't know may have used: an owner's starting allowance.
+"""The starting allowance: what programs without a journal record may use.
 
-An owner journals once, before it serves by it, that each program unknown to the journal
-may use up to a share of its own budget. So programs begin without an append, also while
-the log takes none. A successor counts that share as used for each program that it
-doesn't know. Its own share comes on top of it, up to a limit; beyond that, programs
-begin with an append each.
+An owner writes one record that permits every program without a record of its own to use a
+share of its budget. Such programs start without an append, even while the log rejects
+appends. The next owner counts that share as used for every program without a record, and
+adds its own share up to `MAX_PERMILLE`. Beyond that, each program needs its own record.
 
-A program of one or two calls has a budget of which the share doesn't cover the most that
-one call may generate. So an owner journals as well how large a call it has seen: within
-the limit, each program may begin with one such call.
+For a program with a small budget the share may not cover one call. The record therefore
+includes the size of the largest call seen, and each program may start with one call of
+that size within the limit.
 
-The allowance ends unless it is renewed, so that an owner that was cut off, or slept,
-doesn't use it for ever; and a successor's doubt ends with the last program that may have
-begun by it. Pure.
+The allowance expires unless it is renewed, so that a partitioned or paused owner stops
+using it, and so that a later owner eventually stops counting it. The module does no I/O.
 """
 
 import msgspec
@@ -20,34 +18,29 @@
 from notcharch.accounts.records import AllowanceGiven
 
 STEP_PERMILLE = 500
-"""What an owner allows on top of its predecessors, in thousandths of a budget."""
-MOST_PERMILLE = 667
-"""No more than so much is allowed in all.
-
-On two quiet days programs used 0.06 to 0.28 of their budgets. With 500 nine in ten need
-no record of their own, and none would be refused after its successor counted so much;
-with 667 one in a hundred would be.
-"""
-LIFE_SECONDS = 120.0
-"""An owner uses an allowance for so long after it asked for its record."""
-RENEW_SECONDS = 60.0
-"""A record that is so old is written anew."""
+"""Added by each owner to the inherited allowance, in thousandths of a budget."""
+MAX_PERMILLE = 667
+"""Upper bound of the total, since a program whose owner fails is charged this share."""
+VALIDITY_SECONDS = 120.0
+"""How long an owner uses an allowance, counted from the request to write its record."""
+RENEWAL_AGE_SECONDS = 60.0
+"""Age at which the record is written again."""
 PERMILLE = 1000
 
 
 class Allowance(msgspec.Struct, frozen=True):
-    """What each program may use that the journal doesn't know."""
+    """What each program without a record may use."""
 
     permille: int = 0
-    """Thousandths of its budget."""
+    """Thousandths of the program's budget."""
     call_tokens: int = 0
-    """Or one call of so many tokens, if that is more, within the limit."""
+    """Size of a call that is permitted even if larger, up to `MAX_PERMILLE`."""
 
     def tokens(self, budget: int) -> int:
-        """Give the tokens that a program with a budget may use."""
+        """Return the tokens that a program with this budget may use."""
         if not self.permille:
             return 0
-        one_call = min(self.call_tokens, share_of(budget, MOST_PERMILLE))
+        one_call = min(self.call_tokens, share_of(budget, MAX_PERMILLE))
         return max(share_of(budget, self.permille), one_call)
 
 
@@ -55,89 +48,89 @@
 
 
 class StartingAllowance:
-    """The allowance of one owner of a partition, and those before it."""
+    """The allowances of a partition's current owner and of its predecessors."""
 
     def __init__(self) -> None:
-        """Begin without any."""
-        self._former = NO_ALLOWANCE
-        self._former_written_at = 0
-        """Seconds since 1970 of the record."""
-        self._former_ends = 0.0
-        """Clock seconds at which earlier owners let no program begin any more."""
-        self._own = NO_ALLOWANCE
-        self._own_ends = 0.0
+        """Start without an allowance."""
+        self._inherited = NO_ALLOWANCE
+        self._inherited_written_at = 0
+        """Unix time of the inherited record."""
+        self._inherited_expires_at = 0.0
+        """Clock seconds after which no earlier owner starts programs by its allowance."""
+        self._current = NO_ALLOWANCE
+        self._current_expires_at = 0.0
         self._largest_call = 0
-        """The most tokens of any call that this owner was asked for."""
-        self._is_asked = False
-        """Whether a record of this owner may be in the journal."""
+        """Largest token maximum of the calls requested from this owner."""
+        self._may_be_recorded = False
+        """Whether the journal may have a record written by this owner."""
 
     def replay(self, record: AllowanceGiven) -> None:
-        """Take the record of an earlier owner; the last one counts."""
-        self._former = Allowance(record.permille, record.call_tokens)
-        self._former_written_at = record.written_at
+        """Apply the record of an earlier owner; it replaces the previous one."""
+        self._inherited = Allowance(record.permille, record.call_tokens)
+        self._inherited_written_at = record.written_at
 
-    def taken_over(self, now: float, wall: int) -> None:
-        """Work out until when the doubt about earlier owners lasts."""
-        age = wall - self._former_written_at
-        self._former_ends = now + LIFE_SECONDS - age
+    def on_takeover(self, now: float, wall_time: int) -> None:
+        """Compute when the inherited allowance expires."""
+        age = wall_time - self._inherited_written_at
+        self._inherited_expires_at = now + VALIDITY_SECONDS - age
 
-    def saw_call(self, tokens: int) -> None:
-        """Learn the most that a call may generate."""
+    def observe_call(self, tokens: int) -> None:
+        """Record the maximum number of tokens that a call may generate."""
         self._largest_call = max(self._largest_call, tokens)
 
     def record(
-        self, now: float, wall: int, keep_seconds: float
+        self, now: float, wall_time: int, keep_seconds: float
     ) -> AllowanceGiven | None:
-        """Give the record to write before programs begin by it; None if no more may."""
-        permille = self._own.permille
+        """Return the record to write before use; None if the limit is reached."""
+        permille = self._current.permille
         if not permille:
-            former = self.former(now, keep_seconds).permille
-            permille = min(former + STEP_PERMILLE, MOST_PERMILLE)
-            if permille <= former:
+            inherited = self.inherited(now, keep_seconds).permille
+            permille = min(inherited + STEP_PERMILLE, MAX_PERMILLE)
+            if permille <= inherited:
                 return None
-        self._is_asked = True
-        call_tokens = max(self._former.call_tokens, self._largest_call)
-        return AllowanceGiven(permille, wall, call_tokens)
-
-    def given(self, record: AllowanceGiven, asked_at: float) -> None:
-        """Hear that a record, asked for at some clock seconds, is in the journal."""
-        self._own = Allowance(record.permille, record.call_tokens)
-        self._own_ends = asked_at + LIFE_SECONDS
-
-    def withdrawn(self) -> AllowanceGiven | None:
-        """Give the record that leaves what earlier owners gave, if it is not the last."""
-        if not self._is_asked:
+        self._may_be_recorded = True
+        call_tokens = max(self._inherited.call_tokens, self._largest_call)
+        return AllowanceGiven(permille, wall_time, call_tokens)
+
+    def on_durable(self, record: AllowanceGiven, requested_at: float) -> None:
+        """Use a record that is now durable; `requested_at` is in clock seconds."""
+        self._current = Allowance(record.permille, record.call_tokens)
+        self._current_expires_at = requested_at + VALIDITY_SECONDS
+
+    def withdrawal_record(self) -> AllowanceGiven | None:
+        """Return the record that restores the inherited allowance, if one is needed."""
+        if not self._may_be_recorded:
             return None
-        former = self._former
+        inherited = self._inherited
         return AllowanceGiven(
-            former.permille, self._former_written_at, former.call_tokens
+            inherited.permille, self._inherited_written_at, inherited.call_tokens
         )
 
-    def is_due(self, now: float) -> bool:
-        """Tell whether the record should be written anew, as it is old or too small."""
-        if self._own.permille and self._largest_call > self._own.call_tokens:
+    def is_renewal_due(self, now: float) -> bool:
+        """Return whether the record is too old, or too small for the calls seen."""
+        if self._current.permille and self._largest_call > self._current.call_tokens:
             return True
-        return now > self._own_ends - LIFE_SECONDS + RENEW_SECONDS
+        return now > self._current_expires_at - VALIDITY_SECONDS + RENEWAL_AGE_SECONDS
 
     def is_in_force(self, now: float) -> bool:
-        """Tell whether programs may begin by this owner's allowance."""
-        return now < self._own_ends
+        """Return whether programs may start by this owner's allowance."""
+        return now < self._current_expires_at
 
-    def former(self, now: float, keep_seconds: float) -> Allowance:
-        """Give what a program that is first seen now may have used before.
+    def inherited(self, now: float, keep_seconds: float) -> Allowance:
+        """Return what a program first seen now may have used with earlier owners.
 
-        One that began by an earlier allowance is remembered for `keep_seconds` after
-        its last call, by daemons whose clocks differ.
+        A program is retained for `keep_seconds` after its last call; twice that time
+        allows for clock differences between daemons.
         """
-        is_over = now >= self._former_ends + 2 * keep_seconds
-        return NO_ALLOWANCE if is_over else self._former
+        is_over = now >= self._inherited_expires_at + 2 * keep_seconds
+        return NO_ALLOWANCE if is_over else self._inherited
 
     @property
-    def own(self) -> Allowance:
-        """What programs may use in all, as far as it is in the journal."""
-        return self._own
+    def current(self) -> Allowance:
+        """The total that programs may use, as of the last durable record."""
+        return self._current
 
 
 def share_of(budget: int, permille: int) -> int:
-    """Give so many thousandths of a budget of tokens."""
+    """Return the given thousandths of a token budget, rounded down."""
     return budget * permille // PERMILLE
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -47,25 +47,25 @@
 
 
 def a_successor_ignores_allowances(monkeypatch):
-    monkeypatch.setattr(StartingAllowance, "former", lambda *_: NO_ALLOWANCE)
+    monkeypatch.setattr(StartingAllowance, "inherited", lambda *_: NO_ALLOWANCE)
 
 
 def a_successor_ignores_the_first_calls_that_were_allowed(monkeypatch):
     def replay(self, record):
-        self._former = Allowance(record.permille)
-        self._former_written_at = record.written_at
+        self._inherited = Allowance(record.permille)
+        self._inherited_written_at = record.written_at
 
     monkeypatch.setattr(StartingAllowance, "replay", replay)
 
 
 def allowances_add_up_without_end(monkeypatch):
-    monkeypatch.setattr(starting_allowance, "MOST_PERMILLE", 5000)
+    monkeypatch.setattr(starting_allowance, "MAX_PERMILLE", 5000)
     monkeypatch.setattr(StartingAllowance, "replay", count_only_the_last_step)
 
 
 def count_only_the_last_step(self, record):
-    self._former = Allowance(STEP_PERMILLE, record.call_tokens)
-    self._former_written_at = record.written_at
+    self._inherited = Allowance(STEP_PERMILLE, record.call_tokens)
+    self._inherited_written_at = record.written_at
 
 
 def an_allowance_never_ends(monkeypatch):
@@ -76,14 +76,14 @@
     original = Ledger.admit
 
     def admit(self, name, *call):
-        self.program(name, now=0.0).given_up.clear()
+        self.program(name, now=0.0).abandoned.clear()
         return original(self, name, *call)
 
     monkeypatch.setattr(Ledger, "admit", admit)
 
 
 def budgets_are_not_compared(monkeypatch):
-    monkeypatch.setattr(Ledger, "_within", lambda *_: Verdict.ADMITTED)
+    monkeypatch.setattr(Ledger, "_check_budget", lambda *_: Verdict.ADMITTED)
 
 
 def turns_are_shown_before_they_are_written(monkeypatch):
--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -7,11 +7,11 @@
 from notcharch.accounts.ledger import DEFAULT_KEEP_SECONDS, Ledger, Verdict
 from notcharch.accounts.records import AllowanceGiven, decode
 from notcharch.accounts.starting_allowance import (
-    LIFE_SECONDS,
-    MOST_PERMILLE,
+    MAX_PERMILLE,
     NO_ALLOWANCE,
-    RENEW_SECONDS,
+    RENEWAL_AGE_SECONDS,
     STEP_PERMILLE,
+    VALIDITY_SECONDS,
     Allowance,
 )
 from notcharch.calls.interface import BUDGET_SPENT
@@ -37,11 +37,11 @@
 
 def test_no_program_begins_before_the_allowance_is_in_the_journal():
     ledger = Ledger()
-    ledger.allowance.taken_over(0.0, 1000)
+    ledger.allowance.on_takeover(0.0, 1000)
     record = ledger.allowance.record(0.0, 1000, 60.0)
     assert record is not None
     assert ledger.admit("p", "c1", 100, 1000, 0.1) is Verdict.NEEDS_BOUND
-    ledger.allowance.given(record, 0.0)
+    ledger.allowance.on_durable(record, 0.0)
     assert ledger.admit("q", "c2", 100, 1000, 0.2) is Verdict.ADMITTED
 
 
@@ -61,7 +61,7 @@
 
 def test_large_calls_elsewhere_allow_no_more_than_the_limit():
     allowance = Allowance(STEP_PERMILLE, call_tokens=1_000_000)
-    assert allowance.tokens(900) == 900 * MOST_PERMILLE // 1000
+    assert allowance.tokens(900) == 900 * MAX_PERMILLE // 1000
     assert NO_ALLOWANCE.tokens(900) == 0
     assert Allowance(0, call_tokens=100).tokens(900) == 0
 
@@ -69,7 +69,7 @@
 def test_a_successor_counts_the_first_call_of_a_short_program():
     ledger = Ledger()
     ledger.replay(AllowanceGiven(STEP_PERMILLE, 1000, call_tokens=588), 0.0)
-    ledger.allowance.taken_over(0.0, 1000)
+    ledger.allowance.on_takeover(0.0, 1000)
     assert ledger.admit("p", "c1", 100, 900, 0.1) is Verdict.NEEDS_BOUND
     assert ledger.program("p", 0.1).used == 588
 
@@ -126,7 +126,7 @@
     world = World()
     for name in world.names:
         world.crash(name, silent=True)
-    world.run(LIFE_SECONDS + 2 * DEFAULT_KEEP_SECONDS)
+    world.run(VALIDITY_SECONDS + 2 * DEFAULT_KEEP_SECONDS)
     for name in world.names:
         world.start(name)
     world.run(3.0)
@@ -138,14 +138,14 @@
     world = World()
     world.log.trouble = Trouble.REFUSE
     assert world.wait_for_decision(world.call("early")).refusal is None
-    world.run(LIFE_SECONDS)
+    world.run(VALIDITY_SECONDS)
     assert_unsure(world.wait_for_decision(world.call("late")).refusal)
     assert_unsure(world.wait_for_decision(world.call("early")).refusal)
 
 
 def test_the_allowance_is_renewed_before_it_ends():
     world = World()
-    world.run(LIFE_SECONDS + RENEW_SECONDS)
+    world.run(VALIDITY_SECONDS + RENEWAL_AGE_SECONDS)
     world.log.trouble = Trouble.REFUSE
     assert world.wait_for_decision(world.call()).refusal is None
 
