Reword the owner side of the accounts

Limiting becomes LimitContext, allows_starting uses_starting_allowance, the messages' parameter ask request, told notice, standing (local) ownership, lost on_fenced, dealt on_assignment, give_up_all release_all, tidy clean_up, settle complete_call, keep store_turn, find find_turn and wall wall_clock. The logged causes of a released partition read 'fenced by a higher epoch' and 'assigned to another daemon'.

--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.admission import AccountAdmission
-from notcharch.accounts.limited_tenants import Limiting
+from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.owned_partitions import OwnedPartitions
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.journal.group import GroupMember
@@ -100,13 +100,13 @@
             retention_seconds=settings.retention_seconds,
             recovery=services.recovery,
             suspicions=services.suspicions,
-            limiting=Limiting(
+            limit_context=LimitContext(
                 tenant=services.tenant,
                 tolerance=settings.tolerance,
                 lease=self._lease,
             ),
-            allows_starting=Mechanism.STARTING_ALLOWANCE in mechanisms,
-            wall=services.wall,
+            uses_starting_allowance=Mechanism.STARTING_ALLOWANCE in mechanisms,
+            wall_clock=services.wall,
         )
         has_signal = Mechanism.RECOVERY_SIGNAL in mechanisms
         own = network.own_member
@@ -116,7 +116,7 @@
             GroupName(part.name, part.partitioning.topics),
             OwnerName(own.daemon, settings.address).text(),
             least_lease_seconds=settings.min_lease_seconds,
-            dealt=self._owned.dealt,
+            dealt=self._owned.on_assignment,
             recovered=services.recovery.recovered if has_signal else lambda: None,
         )
         self.owners = OwnerRequests(
@@ -146,4 +146,4 @@
         """Own nothing any more; go on as a client of the owners."""
         if self._part.is_member:
             self._member.stop()
-            self._owned.give_up_all().addBoth(lambda _: self._member.leave())
+            self._owned.release_all().addBoth(lambda _: self._member.leave())
--- a/notcharch/accounts/limited_tenants.py
+++ b/notcharch/accounts/limited_tenants.py
@@ -1,4 +1,4 @@
-"""The tenants whose limits one partition's owner counts: its answers, records and lines."""
+"""Enforces tenants' rate limits for one partition: decisions, records and log events."""
 
 from collections.abc import Callable
 
@@ -29,92 +29,96 @@
 NOT_OWNER = NotOwner()
 
 
-class Limiting(msgspec.Struct, frozen=True):
-    """What owners of tenants' limits work with."""
+class LimitContext(msgspec.Struct, frozen=True):
+    """Dependencies and settings for enforcing tenants' limits."""
 
     tenant: Callable[[str], Tenant | None] = lambda _: None
-    """Gives a tenant of the table in force by its name."""
+    """Returns a tenant of the table in force by its name."""
     tolerance: Tolerance = Tolerance()
     sizes: ProgramSizes = msgspec.field(default_factory=ProgramSizes)
     lease: Callable[[], Lease] = lambda: HELD_LEASE
-    """Gives what this daemon knows of its lease on its partitions."""
+    """Returns the state of this daemon's lease on its partitions."""
 
 
 class LimitedTenants:
-    """Decides about the calls of limited tenants for one partition."""
+    """Admits or refuses the calls of rate-limited tenants in one partition."""
 
-    def __init__(self, limiting: Limiting, clock: IReactorTime, partition: int) -> None:
-        """Begin without tenants."""
-        self._limiting = limiting
+    def __init__(
+        self, limit_context: LimitContext, clock: IReactorTime, partition: int
+    ) -> None:
+        """Start without tenants."""
+        self._limit_context = limit_context
         self._clock = clock
         self._partition = partition
-        self._limits = PartitionLimits(limiting.tolerance, limiting.sizes)
+        self._limits = PartitionLimits(limit_context.tolerance, limit_context.sizes)
 
-    # Changes of owner
+    # Ownership changes
 
     def replay(self, record: AnyRecord) -> None:
-        """Take a record of an earlier owner, if it is about limits."""
+        """Apply a record of an earlier owner, if it is about limits."""
         if isinstance(record, LimitsHandedOver):
-            left = HandedOver(record.uses, record.decided_seconds)
-            self._limits.replay_handed_over(left)
+            handover = HandedOver(record.uses, record.decided_seconds)
+            self._limits.replay_handed_over(handover)
         elif isinstance(record, LimitsTaken):
             self._limits.replay_taken()
 
-    def taken_over(self) -> LimitsTaken | None:
-        """Begin to decide; give the record to write before `take_levels`, if any."""
+    def on_takeover(self) -> LimitsTaken | None:
+        """Start deciding; return the record to write before `restore_levels`, if any."""
         self._limits.taken_over(self._clock.seconds())
         return LimitsTaken() if self._limits.are_handed_over else None
 
-    def take_levels(self) -> None:
-        """Go on from what the former owner left: the record is durable."""
+    def restore_levels(self) -> None:
+        """Restore the levels handed over by the previous owner, once the record is durable."""
         self._limits.take_levels(self._clock.seconds())
 
     def hand_over(self) -> LimitsHandedOver | None:
-        """Give the record that a successor goes on from, if there is anything to say."""
-        left = self._limits.hand_over(self._clock.seconds())
-        if left is None:
+        """Return the record from which the next owner continues, if there is any state."""
+        handover = self._limits.hand_over(self._clock.seconds())
+        if handover is None:
             return None
-        return LimitsHandedOver(left.uses, left.decided_seconds)
+        return LimitsHandedOver(handover.uses, handover.decided_seconds)
 
     # Calls
 
-    def decide(self, ask: AdmitCall) -> Message:
-        """Let a call in, or refuse it."""
-        tenant = self._limiting.tenant(ask.tenant)
+    def decide(self, request: AdmitCall) -> Message:
+        """Admit or refuse a call."""
+        tenant = self._limit_context.tenant(request.tenant)
         if tenant is None:
-            return NOT_OWNER  # our table is older than the asker's
+            return NOT_OWNER  # this daemon's table is older than the requester's
         if tenant.limit is None:
             return CallAdmitted()
         verdict = self._limits.decide(
-            ask.tenant,
+            request.tenant,
             tenant.limit,
-            ask.program,
-            ask.route,
+            request.program,
+            request.route,
             self._clock.seconds(),
-            lease=self._limiting.lease(),
-            most_wait_seconds=ask.most_wait_seconds,
+            lease=self._limit_context.lease(),
+            most_wait_seconds=request.most_wait_seconds,
         )
         if verdict is None:
-            return NOT_OWNER  # another owner may decide by now
+            return NOT_OWNER  # another daemon may be the owner by now
         if isinstance(verdict, OverLimit):
-            self._log(ask, tenant.limit, verdict)
+            self._log(request, tenant.limit, verdict)
             return CallOverLimit(round(verdict.retry_after_seconds, 3))
         return CallAdmitted(round(verdict.wait_seconds, 4))
 
-    def _log(self, ask: AdmitCall, limit: RateLimit, verdict: OverLimit) -> None:
-        standing = self._limits.standing(self._clock.seconds(), self._limiting.lease())
+    def _log(self, message: AdmitCall, limit: RateLimit, verdict: OverLimit) -> None:
+        ownership = self._limits.standing(
+            self._clock.seconds(), self._limit_context.lease()
+        )
         emit(
             LimitReached(
-                request=ask.call,
-                tenant=ask.tenant,
-                program=ask.program,
-                route=ask.route,
+                request=message.call,
+                tenant=message.tenant,
+                program=message.program,
+                route=message.route,
                 begins_program=verdict.begins,
                 calls_left=round(verdict.level, 2),
                 calls_per_second=limit.per_second,
                 burst_calls=limit.burst,
                 retry_after_seconds=round(verdict.retry_after_seconds, 3),
                 partition=self._partition,
-                standing=standing.value,
+                standing=ownership.value,
             )
         )
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -1,4 +1,4 @@
-"""The partitions that this daemon was dealt, and the answers that it gives for them."""
+"""Serves requests for the account partitions that are assigned to this daemon."""
 
 import time
 from collections.abc import Callable, Generator
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
-from notcharch.accounts.limited_tenants import Limiting
+from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.messages import (
     AdmitCall,
     AdmitTurn,
@@ -33,15 +33,14 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-TIDY_EACH_SECONDS = 10.0
-"""Between two looks for what is too old: a sixth of the usual time for which it is kept."""
+CLEANUP_INTERVAL_SECONDS = 10.0
+"""Interval of removing expired state, a sixth of the default retention."""
 
-
-Asked = TypeVar("Asked", bound=PartitionMessage)
+RequestT = TypeVar("RequestT", bound=PartitionMessage)
 
 
 class OwnedPartitions:
-    """Takes partitions over and gives them up as the group deals them."""
+    """Takes over and releases partitions as the group assigns them."""
 
     def __init__(
         self,
@@ -56,101 +55,101 @@
         retention_seconds: float,
         recovery: RecoverySignal,
         suspicions: SharedSuspicions,
-        allows_starting: bool = True,
-        limiting: Limiting | None = None,
-        wall: Callable[[], float] = time.time,
+        uses_starting_allowance: bool = True,
+        limit_context: LimitContext | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        """Answer peers through `network`; refer those that ask wrongly."""
-        self._wall = wall
+        """Serve peers through `network`; refer them to the owner of other partitions."""
+        self._wall_clock = wall_clock
         self._service = service
         self._clock = clock
         self._random = random
-        self._dealt: DealtPartitions[OwnedPartition] = DealtPartitions(
+        self._partitions: DealtPartitions[OwnedPartition] = DealtPartitions(
             network.own_member,
             partitioning,
             directory,
             heartbeat=heartbeat,
-            make=self._make,
+            make=self._create,
         )
         self._retention_seconds = retention_seconds
         self._recovery = recovery
-        self._allows_starting = allows_starting
-        self._limiting = limiting
+        self._uses_starting_allowance = uses_starting_allowance
+        self._limit_context = limit_context
         self._suspicions = suspicions
-        self._tidying = LoopingCall(self._tidy)
-        self._tidying.clock = clock
+        self._cleanup = LoopingCall(self._clean_up)
+        self._cleanup.clock = clock
         self._network = network
-        self._answer(AdmitTurn, self._admit)
-        self._answer(KeepTurn, OwnedPartition.keep)
-        self._answer(FindTurn, OwnedPartition.find)
-        self._answer(AdmitCall, OwnedPartition.admit_call)
-        network.on_notice(SettleCall, self._settle)
+        self._serve(AdmitTurn, self._admit_turn)
+        self._serve(KeepTurn, OwnedPartition.store_turn)
+        self._serve(FindTurn, OwnedPartition.find_turn)
+        self._serve(AdmitCall, OwnedPartition.admit_call)
+        network.on_notice(SettleCall, self._complete_call)
 
     def start(self) -> None:
-        """Begin to forget what is old, and to write anew what still counts."""
-        self._tidying.start(TIDY_EACH_SECONDS, now=False)
+        """Start removing expired state and rewriting records before the log drops them."""
+        self._cleanup.start(CLEANUP_INTERVAL_SECONDS, now=False)
 
-    def dealt(self, membership: Membership) -> None:
-        """Take over what is new, give up what is gone."""
-        self._dealt.dealt(membership)
+    def on_assignment(self, membership: Membership) -> None:
+        """Take over partitions that were added, and release those that were removed."""
+        self._partitions.dealt(membership)
 
-    def _make(self, place: PartitionPlace) -> OwnedPartition:
+    def _create(self, place: PartitionPlace) -> OwnedPartition:
         return OwnedPartition(
             self._service,
             self._clock,
             self._random,
             place,
-            lost=self._dealt.lost,
+            on_fenced=self._partitions.lost,
             recovery=self._recovery,
-            allows_starting=self._allows_starting,
-            limiting=self._limiting,
-            wall=self._wall,
+            uses_starting_allowance=self._uses_starting_allowance,
+            limit_context=self._limit_context,
+            wall_clock=self._wall_clock,
         )
 
-    def give_up_all(self) -> "Deferred[Any]":
-        """Stop owning anything; fires when all accounts are handed over."""
-        if self._tidying.running:
-            self._tidying.stop()
-        return self._dealt.give_up_all()
+    def release_all(self) -> "Deferred[Any]":
+        """Release all partitions; fires when all accounts are handed over."""
+        if self._cleanup.running:
+            self._cleanup.stop()
+        return self._partitions.give_up_all()
 
-    def _tidy(self) -> None:
-        for owned in self._dealt.all():
-            owned.tidy(self._retention_seconds)
+    def _clean_up(self) -> None:
+        for owned in self._partitions.all():
+            owned.clean_up(self._retention_seconds)
 
-    def _referral(self, partition: int) -> NotOwner:
-        owner = self._dealt.other_owner(partition)
+    def _not_owner(self, partition: int) -> NotOwner:
+        owner = self._partitions.other_owner(partition)
         return NotOwner("" if owner is None else owner.text())
 
-    def _answer(
+    def _serve(
         self,
-        kind: type[Asked],
-        answer: Callable[[OwnedPartition, Asked], "Deferred[Message]"],
+        kind: type[RequestT],
+        handler: Callable[[OwnedPartition, RequestT], "Deferred[Message]"],
     ) -> None:
-        """Answer questions of a kind for the partitions that are owned here."""
+        """Register a handler of a request type for the partitions owned here."""
 
         async def handle(sender: Member, message: Message) -> Message:
-            ask = cast(Asked, message)
-            owned = self._dealt.get(ask.partition)
+            request = cast(RequestT, message)
+            owned = self._partitions.get(request.partition)
             if owned is None:
-                return self._referral(ask.partition)
-            return await answer(owned, ask)
+                return self._not_owner(request.partition)
+            return await handler(owned, request)
 
         self._network.on_request(kind, handle)
 
     @inlineCallbacks
-    def _admit(
-        self, owned: OwnedPartition, ask: AdmitTurn
+    def _admit_turn(
+        self, owned: OwnedPartition, request: AdmitTurn
     ) -> Generator["Deferred[Any]", Any, Message]:
-        """Admit a call, and share with the asker which engines are suspected."""
-        self._suspicions.take(ask.suspicions, self._clock.seconds())
-        answer: Message = yield owned.admit(ask)
-        told = self._suspicions.tell(self._clock.seconds())
-        if told and isinstance(answer, TurnAdmitted):
-            return msgspec.structs.replace(answer, suspicions=told)
-        return answer
-
-    def _settle(self, sender: Member, message: Message) -> None:
-        told = cast(SettleCall, message)
-        owned = self._dealt.get(told.partition)
+        """Admit a call, and exchange engine suspicions with the requester."""
+        self._suspicions.take(request.suspicions, self._clock.seconds())
+        reply: Message = yield owned.admit(request)
+        suspected = self._suspicions.tell(self._clock.seconds())
+        if suspected and isinstance(reply, TurnAdmitted):
+            return msgspec.structs.replace(reply, suspicions=suspected)
+        return reply
+
+    def _complete_call(self, sender: Member, message: Message) -> None:
+        notice = cast(SettleCall, message)
+        owned = self._partitions.get(notice.partition)
         if owned is not None:
-            owned.settle(told)
+            owned.complete_call(notice)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -1,4 +1,4 @@
-"""One partition as its owner keeps it: claimed, replayed, served until it is lost."""
+"""One owned partition: takeover, replay of the journal, service and handover."""
 
 import time
 from collections.abc import Callable, Generator
@@ -11,7 +11,7 @@
 from notcharch.accounts.allowance_renewal import AllowanceRenewer
 from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.ledger import Ledger, Verdict
-from notcharch.accounts.limited_tenants import NOT_OWNER, LimitedTenants, Limiting
+from notcharch.accounts.limited_tenants import NOT_OWNER, LimitContext, LimitedTenants
 from notcharch.accounts.messages import (
     AdmitCall,
     AdmitTurn,
@@ -46,8 +46,8 @@
 from notcharch.journal.writer import Outcome
 from notcharch.wire.messages.base import Message
 
-FENCED = "a higher epoch writes it"
-DEALT_AWAY = "dealt to another daemon"
+FENCED = "fenced by a higher epoch"
+REASSIGNED = "assigned to another daemon"
 
 
 class OwnedPartition:
@@ -60,18 +60,20 @@
         random: Random,
         place: PartitionPlace,
         *,
-        lost: Callable[["OwnedPartition"], None],
+        on_fenced: Callable[["OwnedPartition"], None],
         recovery: RecoverySignal,
-        allows_starting: bool = True,
-        limiting: Limiting | None = None,
-        wall: Callable[[], float] = time.time,
+        uses_starting_allowance: bool = True,
+        limit_context: LimitContext | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        """Prepare to take a partition over."""
-        self._tenants = LimitedTenants(limiting or Limiting(), clock, place.number)
+        """Prepare the takeover; `on_fenced` is called if a higher epoch fences it."""
+        self._limited_tenants = LimitedTenants(
+            limit_context or LimitContext(), clock, place.number
+        )
         self._clock = clock
         self.place = place
-        self._lost = lost
-        self._wall = wall
+        self._on_fenced = on_fenced
+        self._wall_clock = wall_clock
         self._ledger = Ledger()
         self._journal = PartitionJournal(
             service,
@@ -79,195 +81,201 @@
             random,
             place,
             target=self,
-            lost=self._was_lost,
+            lost=self._handle_fenced,
             recovery=recovery,
         )
         self._writer = self._journal.writer
         self.is_serving = False
-        self._began = clock.seconds()
-        self._waiting: list[Deferred[None]] = []
+        self._takeover_started_at = clock.seconds()
+        self._waiters: list[Deferred[None]] = []
         self._allowance = AllowanceRenewer(
             self._ledger,
             clock,
             self._wall_seconds,
             self._write,
-            is_enabled=allows_starting,
+            is_enabled=uses_starting_allowance,
         )
-        self._raising = CoalescedWrites()
-        """Bounds that are being written, by their programs."""
-        self._keeping = CoalescedWrites()
-        """Turns that are being written, by their ids."""
+        self._bound_writes = CoalescedWrites()
+        """Writes of bounds in flight, by program."""
+        self._turn_writes = CoalescedWrites()
+        """Writes of turns in flight, by turn id."""
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
-        """Fence the former owner and read what it wrote."""
+        """Fence the previous owner, replay the journal and start serving."""
         is_read = yield self._journal.take_over()
         if is_read:
             self.is_serving = True
-            wall = self._wall_seconds()
-            self._ledger.allowance.on_takeover(self._clock.seconds(), wall)
-            limits_taken = self._tenants.taken_over()
-            self._log_taken_over()
-            self._wake()
+            wall_time = self._wall_seconds()
+            self._ledger.allowance.on_takeover(self._clock.seconds(), wall_time)
+            limits_record = self._limited_tenants.on_takeover()
+            self._log_takeover()
+            self._resume_waiters()
             yield self._allowance.renew()
-            if limits_taken is not None:
-                yield self._take_limits(limits_taken)
+            if limits_record is not None:
+                yield self._restore_limits(limits_record)
 
     @inlineCallbacks
-    def _take_limits(
+    def _restore_limits(
         self, record: LimitsTaken
     ) -> Generator["Deferred[Any]", Any, None]:
-        """Journal that we go on from what the former owner left of tenants' limits."""
+        """Record that this owner continues from the limits handed over, then use them."""
         outcome = yield self._write(encode(record))
         if outcome is Outcome.DURABLE:
-            self._tenants.take_levels()
+            self._limited_tenants.restore_levels()
 
     def _wall_seconds(self) -> int:
-        """Give seconds since 1970, by a clock that may be some seconds off."""
-        return int(self._wall())
+        """Return the Unix time, by a clock that may be off by some seconds."""
+        return int(self._wall_clock())
 
-    def _log_taken_over(self) -> None:
+    def _log_takeover(self) -> None:
         OWNED_PARTITIONS.inc()
-        TAKEOVER_SECONDS.observe(self._clock.seconds() - self._began)
+        TAKEOVER_SECONDS.observe(self._clock.seconds() - self._takeover_started_at)
         emit(
             PartitionTakenOver(
                 partition=self.place.number,
                 epoch=self.place.epoch,
                 records=self._journal.records,
                 programs=len(self._ledger),
-                seconds=round(self._clock.seconds() - self._began, 4),
+                seconds=round(self._clock.seconds() - self._takeover_started_at, 4),
             )
         )
 
-    def _log_given_up(self, cause: str) -> None:
+    def _log_release(self, cause: str) -> None:
         if self.is_serving:
             OWNED_PARTITIONS.dec()
         self.is_serving = False
         emit(PartitionGivenUp(self.place.number, self.place.epoch, cause))
 
-    def _wake(self) -> None:
-        waiting, self._waiting = self._waiting, []
-        for deferred in waiting:
+    def _resume_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for deferred in waiters:
             deferred.callback(None)
 
-    # What the journal replays
+    # Journal replay
 
     def skipped_to(self, offset: int) -> None:
-        """Go on without what is too old to count."""
+        """Ignore records that were too old to be replayed."""
 
     def replayed(self, offset: int, record: bytes) -> None:
-        """Take a record of an earlier owner."""
+        """Apply a record of an earlier owner."""
         known = decode(record)
         if known is not None:
             self._ledger.replay(known, self._clock.seconds())
-            self._tenants.replay(known)
+            self._limited_tenants.replay(known)
 
-    def _was_lost(self) -> None:
-        self._log_given_up(FENCED)
-        self._wake()
-        self._lost(self)
+    def _handle_fenced(self) -> None:
+        self._log_release(FENCED)
+        self._resume_waiters()
+        self._on_fenced(self)
 
     @inlineCallbacks
     def hand_over(self) -> Generator["Deferred[Any]", Any, None]:
-        """Write what is known of all accounts, then give the partition up."""
+        """Write the state of all accounts, then release the partition."""
         if self.is_serving:
             self.is_serving = False
             OWNED_PARTITIONS.dec()
             written = [
-                self._write(encode(account))
-                for account in self._ledger.handover_records(self._wall_seconds())
+                self._write(encode(record))
+                for record in self._ledger.handover_records(self._wall_seconds())
             ]
-            limits = self._tenants.hand_over()
+            limits = self._limited_tenants.hand_over()
             if limits is not None:
                 written.append(self._write(encode(limits)))
             yield gatherResults(written)
         self.close()
 
     def close(self) -> None:
-        """Give the partition up."""
-        self._log_given_up(DEALT_AWAY)
+        """Release the partition."""
+        self._log_release(REASSIGNED)
         self._writer.close()
-        self._wake()
+        self._resume_waiters()
 
     @inlineCallbacks
-    def _until_serving(self) -> Generator["Deferred[Any]", Any, bool]:
+    def _wait_until_serving(self) -> Generator["Deferred[Any]", Any, bool]:
         if not self.is_serving and self._writer.is_open:
-            waiting: Deferred[None] = Deferred()
-            self._waiting.append(waiting)
-            yield waiting
+            waiter: Deferred[None] = Deferred()
+            self._waiters.append(waiter)
+            yield waiter
         return self.is_serving
 
-    # What other daemons ask
+    # Requests of other daemons
 
     @inlineCallbacks
-    def admit(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, Message]:
-        """Admit a call of a program, or refuse it."""
+    def admit(self, request: AdmitTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Admit or refuse a call of a program."""
         ledger = self._ledger
-        ledger.keep_seconds = max(ledger.keep_seconds, ask.keep_seconds)
-        if not (yield self._until_serving()):
+        ledger.keep_seconds = max(ledger.keep_seconds, request.keep_seconds)
+        if not (yield self._wait_until_serving()):
             return NOT_OWNER
         transcript: Transcript | None = Transcript("", b"")
-        if ask.previous:
-            transcript = self._ledger.turns.transcript(ask.previous, ask.known)
-            self._ledger.turns.touch(ask.previous, self._clock.seconds())
+        if request.previous:
+            transcript = self._ledger.turns.transcript(request.previous, request.known)
+            self._ledger.turns.touch(request.previous, self._clock.seconds())
             if transcript is None:
                 is_certain = yield self._is_still_owner()
                 return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
-        verdict = self._verdict(ask)
+        verdict = self._verdict(request)
         while verdict is Verdict.NEEDS_BOUND:
-            is_raised = yield self._raising.write(
-                ask.program, lambda: self._write_bound(ask)
+            is_raised = yield self._bound_writes.write(
+                request.program, lambda: self._write_bound(request)
             )
             if not is_raised or not self.is_serving:
-                return NOT_OWNER  # what is reserved now, no successor would know
-            verdict = self._verdict(ask)
-        self._allowance.renew_if_due()  # not before: the call's own bound is urgent
+                return (
+                    NOT_OWNER  # the next owner would not count a reservation made now
+                )
+            verdict = self._verdict(request)
+        self._allowance.renew_if_due()  # last, as the caller waits for the bound
         if verdict is Verdict.GIVEN_UP:
-            return NOT_OWNER  # nobody waits for an answer
+            return NOT_OWNER  # no caller waits for the reply
         if verdict is Verdict.SPENT:
-            self._log_spent(ask)
+            self._log_budget_refusal(request)
             return TurnRefused(is_spent=True)
         assert transcript is not None
-        home = self._ledger.program(ask.program, self._clock.seconds()).preferred_engine
-        return TurnAdmitted(home, transcript.after, transcript.text)
+        preferred_engine = self._ledger.program(
+            request.program, self._clock.seconds()
+        ).preferred_engine
+        return TurnAdmitted(preferred_engine, transcript.after, transcript.text)
 
     @inlineCallbacks
-    def admit_call(self, ask: AdmitCall) -> Generator["Deferred[Any]", Any, Message]:
-        """Decide whether a tenant's limit has room for a call."""
-        is_serving = yield self._until_serving()
-        return self._tenants.decide(ask) if is_serving else NOT_OWNER
-
-    def _log_spent(self, ask: AdmitTurn) -> None:
-        program = self._ledger.program(ask.program, self._clock.seconds())
+    def admit_call(
+        self, request: AdmitCall
+    ) -> Generator["Deferred[Any]", Any, Message]:
+        """Decide whether a tenant's limit has capacity for a call."""
+        is_serving = yield self._wait_until_serving()
+        return self._limited_tenants.decide(request) if is_serving else NOT_OWNER
+
+    def _log_budget_refusal(self, message: AdmitTurn) -> None:
+        program = self._ledger.program(message.program, self._clock.seconds())
         emit(
             BudgetRefused(
-                request=ask.call,
-                program=ask.program,
+                request=message.call,
+                program=message.program,
                 partition=self.place.number,
                 epoch=self.place.epoch,
-                budget_tokens=ask.budget_tokens or 0,
+                budget_tokens=message.budget_tokens or 0,
                 used_tokens=program.used,
                 under_way_tokens=program.committed - program.used,
-                most_tokens=ask.most_tokens,
+                most_tokens=message.most_tokens,
             )
         )
 
-    def _verdict(self, ask: AdmitTurn) -> Verdict:
+    def _verdict(self, request: AdmitTurn) -> Verdict:
         return self._ledger.admit(
-            ask.program,
-            ask.call,
-            ask.most_tokens,
-            ask.budget_tokens,
+            request.program,
+            request.call,
+            request.most_tokens,
+            request.budget_tokens,
             self._clock.seconds(),
         )
 
     @inlineCallbacks
-    def _write_bound(self, ask: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
-        assert ask.budget_tokens is not None
+    def _write_bound(self, request: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
+        assert request.budget_tokens is not None
         record = self._ledger.raised_bound(
-            ask.program,
-            ask.most_tokens,
-            ask.budget_tokens,
+            request.program,
+            request.most_tokens,
+            request.budget_tokens,
             self._clock.seconds(),
             written_at=self._wall_seconds(),
         )
@@ -284,57 +292,60 @@
 
     @inlineCallbacks
     def _is_still_owner(self) -> Generator["Deferred[Any]", Any, bool]:
-        """Make sure that nobody else wrote what is not known here.
+        """Confirm that no other owner wrote records that are not replayed here.
 
-        A read at our own end of the log proves it, or an append under our epoch.
+        An append under this owner's epoch confirms it, or a read at the end of the log
+        as this owner knows it.
         """
         outcome = yield self._writer.confirm()
         return outcome is Outcome.DURABLE
 
     @inlineCallbacks
-    def find(self, ask: FindTurn) -> Generator["Deferred[Any]", Any, Message]:
-        """Look for a turn, of whichever program."""
-        if not (yield self._until_serving()):
+    def find_turn(self, request: FindTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Look up a turn of any program."""
+        if not (yield self._wait_until_serving()):
             return NOT_OWNER
-        found = self._ledger.turns.transcript(ask.turn)
-        self._ledger.turns.touch(ask.turn, self._clock.seconds())
+        found = self._ledger.turns.transcript(request.turn)
+        self._ledger.turns.touch(request.turn, self._clock.seconds())
         if found is not None:
             return TurnFound(found.text)
-        if not ask.must_be_certain:
+        if not request.must_be_certain:
             return TurnMissing()
         is_certain = yield self._is_still_owner()
         return TurnMissing() if is_certain else NOT_OWNER
 
-    def settle(self, told: SettleCall) -> None:
-        """Take the tokens of a call that ended."""
+    def complete_call(self, notice: SettleCall) -> None:
+        """Charge the tokens of a completed call."""
         now = self._clock.seconds()
         self._ledger.complete_call(
-            told.program, told.call, told.tokens, now, engine=told.engine
+            notice.program, notice.call, notice.tokens, now, engine=notice.engine
         )
 
     @inlineCallbacks
-    def keep(self, ask: KeepTurn) -> Generator["Deferred[Any]", Any, Message]:
-        """Make a turn durable."""
-        if not (yield self._until_serving()):
+    def store_turn(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, Message]:
+        """Store a turn durably."""
+        if not (yield self._wait_until_serving()):
             return NOT_OWNER
-        if ask.call not in self._ledger.turns:
-            is_kept = yield self._keeping.write(ask.call, lambda: self._write_turn(ask))
-            if not is_kept:
+        if request.call not in self._ledger.turns:
+            is_stored = yield self._turn_writes.write(
+                request.call, lambda: self._write_turn(request)
+            )
+            if not is_stored:
                 return NOT_OWNER
         now = self._clock.seconds()
         self._ledger.complete_call(
-            ask.program, ask.call, ask.tokens, now, engine=ask.engine
+            request.program, request.call, request.tokens, now, engine=request.engine
         )
         return TurnIsKept()
 
     @inlineCallbacks
-    def _write_turn(self, ask: KeepTurn) -> Generator["Deferred[Any]", Any, bool]:
+    def _write_turn(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, bool]:
         record = TurnKept(
-            ask.program,
-            ask.call,
-            ask.previous,
-            ask.input,
-            ask.output,
+            request.program,
+            request.call,
+            request.previous,
+            request.input,
+            request.output,
             self._wall_seconds(),
         )
         outcome = yield self._write(encode(record))
@@ -343,20 +354,20 @@
         self._ledger.store_turn(record, self._clock.seconds())
         return True
 
-    def tidy(self, retention_seconds: float) -> None:
-        """Forget what nobody may ask for; write anew what the log would drop."""
+    def clean_up(self, retention_seconds: float) -> None:
+        """Remove expired state, and rewrite records before the log drops them."""
         if not self.is_serving:
             return
         now = self._clock.seconds()
         self._ledger.evict_expired(now)
         self._allowance.renew_if_due()
-        wall = self._wall_seconds()
+        wall_time = self._wall_seconds()
         for record in self._ledger.expiring_records(
-            int(wall - retention_seconds / 2), wall
+            int(wall_time - retention_seconds / 2), wall_time
         ):
-            self._write(encode(record)).addCallback(self._written_anew, record)
+            self._write(encode(record)).addCallback(self._on_rewritten, record)
 
-    def _written_anew(self, outcome: Outcome, record: AnyRecord) -> None:
+    def _on_rewritten(self, outcome: Outcome, record: AnyRecord) -> None:
         if outcome is not Outcome.DURABLE:
             return
         if isinstance(record, BoundRaised):
--- a/tests/unit/accounts/test_kept_turns.py
+++ b/tests/unit/accounts/test_kept_turns.py
@@ -168,7 +168,7 @@
     owned = [
         partition
         for service in world.services.values()
-        for partition in service._anywhere._owned._dealt.all()
+        for partition in service._anywhere._owned._partitions.all()
     ]
     assert len(owned) == 4
     assert all(call.id not in partition._ledger.turns for partition in owned)
