Reword the requester side, the groups and the service of the accounts

'The one who asks' is the requester, 'room' is capacity. The question logged with OwnerUnanswered while a turn is stored reads 'storing a turn'.

--- a/notcharch/accounts/__init__.py
+++ b/notcharch/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""The accounts of programs: token budgets and kept turns, on a partitioned journal."""
+"""Accounts of programs: token budgets and stored turns, on a partitioned journal."""
--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -1,4 +1,4 @@
-"""One group of daemons that keep accounts: its members, partitions, owners, admission."""
+"""One group of daemons that own account partitions, and the admission by their owners."""
 
 import time
 from collections.abc import Callable, Sequence
@@ -24,76 +24,76 @@
 from notcharch.wire.peers import PeerNetwork
 
 
-class GroupPart(msgspec.Struct, frozen=True):
-    """Which group it is, and this daemon's part in it."""
+class GroupRole(msgspec.Struct, frozen=True):
+    """A group, and this daemon's role in it."""
 
     name: str
     partitioning: Partitioning
     is_member: bool = True
-    """Whether this daemon owns partitions; otherwise it only asks their owners."""
+    """Whether this daemon owns partitions; if not, it only sends requests to owners."""
 
 
 class GroupSettings(msgspec.Struct, frozen=True):
-    """What all groups of this daemon have in common."""
+    """Settings shared by all groups of this daemon."""
 
     address: str
     """`host:port` at which peers reach this daemon."""
     min_lease_seconds: float
     retention_seconds: float
-    """So long the log service keeps records."""
+    """Retention of records in the log service."""
     tolerance: Tolerance
     """How far the limits of tenants may be exceeded."""
     mechanisms: frozenset[Mechanism]
 
 
 class GroupServices(msgspec.Struct, frozen=True):
-    """What the groups of this daemon work with."""
+    """Dependencies shared by all groups of this daemon."""
 
     log: LogService
     clock: IReactorTime
     random: Random
     suspicions: SharedSuspicions
-    """About engines; shared with peers."""
+    """Suspicions about engines, shared with peers."""
     recovery: RecoverySignal
-    """Hears from the heartbeats when the log service is back."""
+    """Notified by heartbeats when the log service responds again."""
     tenant: Callable[[str], Tenant | None]
-    """Gives a tenant of the table in force."""
-    wall: Callable[[], float] = time.time
+    """Returns a tenant of the table in force."""
+    wall_clock: Callable[[], float] = time.time
 
 
 class AccountGroup:
-    """This daemon's part in one group."""
+    """This daemon's member, owned partitions and owner requests of one group."""
 
     def __init__(
         self,
-        part: GroupPart,
+        role: GroupRole,
         settings: GroupSettings,
         services: GroupServices,
         network: PeerNetwork,
         *,
-        elsewhere: Callable[[], Sequence[OwnerRequests]] = tuple,
+        other_groups: Callable[[], Sequence[OwnerRequests]] = tuple,
     ) -> None:
-        """Wire the parts; nothing is spoken before `start`.
+        """Create the components; `start` begins communication.
 
-        `elsewhere` gives the owners of other groups, which may keep a turn that a program
-        of this one goes on from.
+        `other_groups` returns the owners of other groups, which may store a turn from
+        which a program of this group continues.
         """
         mechanisms = settings.mechanisms
-        self._part = part
+        self._role = role
         self.directory = OwnerDirectory(
             services.log,
             services.clock,
             services.random,
             network,
-            part.name,
-            partitioning=part.partitioning,
+            role.name,
+            partitioning=role.partitioning,
             asks_peers=Mechanism.PEER_VIEWS in mechanisms,
         )
-        self._owned = OwnedPartitions(
+        self._owned_partitions = OwnedPartitions(
             services.log,
             services.clock,
             services.random,
-            part.partitioning,
+            role.partitioning,
             network,
             directory=self.directory,
             heartbeat=self._heartbeat,
@@ -106,27 +106,29 @@
                 lease=self._lease,
             ),
             uses_starting_allowance=Mechanism.STARTING_ALLOWANCE in mechanisms,
-            wall_clock=services.wall,
+            wall_clock=services.wall_clock,
         )
         has_signal = Mechanism.RECOVERY_SIGNAL in mechanisms
-        own = network.own_member
+        local_member = network.own_member
         self._member = GroupMember(
             services.log,
             services.clock,
-            GroupName(part.name, part.partitioning.topics),
-            OwnerName(own.daemon, settings.address).text(),
+            GroupName(role.name, role.partitioning.topics),
+            OwnerName(local_member.daemon, settings.address).text(),
             least_lease_seconds=settings.min_lease_seconds,
-            dealt=self._owned.on_assignment,
+            dealt=self._owned_partitions.on_assignment,
             recovered=services.recovery.recovered if has_signal else lambda: None,
         )
         self.owners = OwnerRequests(
             services.clock,
             network,
             self.directory,
-            part.partitioning,
+            role.partitioning,
             lambda: self._member.silent_seconds,
         )
-        self.admission = AccountAdmission(self.owners, services.suspicions, elsewhere)
+        self.admission = AccountAdmission(
+            self.owners, services.suspicions, other_groups
+        )
 
     def _lease(self) -> Lease:
         member = self._member
@@ -136,14 +138,14 @@
         self._member.heartbeat()
 
     def start(self) -> None:
-        """Join the group, if this daemon is a member, and follow the owners."""
-        if self._part.is_member:
-            self._owned.start()
+        """Join the group if this daemon is a member, and start tracking the owners."""
+        if self._role.is_member:
+            self._owned_partitions.start()
             self._member.start()
         self.directory.start()
 
     def leave(self) -> None:
-        """Own nothing any more; go on as a client of the owners."""
-        if self._part.is_member:
+        """Release all partitions; continue to send requests to other owners."""
+        if self._role.is_member:
             self._member.stop()
-            self._owned.release_all().addBoth(lambda _: self._member.leave())
+            self._owned_partitions.release_all().addBoth(lambda _: self._member.leave())
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -5,11 +5,11 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from notcharch.accounts.account import Account
-from notcharch.accounts.asking import ask_until_decided
-from notcharch.accounts.foreign_turns import Adoption, adopt
+from notcharch.accounts.call_account import CallAccount
 from notcharch.accounts.messages import TurnAdmitted, TurnRefused
 from notcharch.accounts.owner_requests import OwnerRequests
+from notcharch.accounts.request_retry import request_until_decided
+from notcharch.accounts.turn_adoption import Adoption, adopt_turn
 from notcharch.accounts.turns import TurnCache
 from notcharch.calls.interface import (
     BUDGET_SPENT,
@@ -22,81 +22,83 @@
 from notcharch.calls.open_admission import NO_ACCOUNT
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 
-CACHE_BYTES = 8 * 1024 * 1024
-"""Kept turns that a daemon remembers; a turn has 0.3 to 2.6 KB after its first."""
+TURN_CACHE_BYTES = 8 * 1024 * 1024
+"""Size of the cache of turns; most turns are a few kilobytes."""
 
 
 class AccountAdmission:
-    """Lets calls of programs in as their accounts allow, and all others."""
+    """Admits calls of programs by their accounts, and all other calls."""
 
     def __init__(
         self,
         owners: OwnerRequests,
         suspicions: SharedSuspicions,
-        elsewhere: Callable[[], Sequence[OwnerRequests]] = tuple,
+        other_groups: Callable[[], Sequence[OwnerRequests]] = tuple,
     ) -> None:
-        """Ask the owners of partitions; share with them which engines are suspected.
+        """Request decisions from `owners`, exchanging `suspicions` of engines with them.
 
-        `elsewhere` gives the owners of other groups, which may keep a turn.
+        `other_groups` returns the owners of other groups, which may store a turn.
         """
         self._owners = owners
-        self._elsewhere = elsewhere
+        self._other_groups = other_groups
         self._suspicions = suspicions
-        self._cache = TurnCache(CACHE_BYTES)
+        self._cache = TurnCache(TURN_CACHE_BYTES)
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
-        """Admit a call, or refuse it, through `answer`."""
+    def ask(self, call: OpaqueCall, route: Route, listener: AdmissionListener) -> None:
+        """Admit or refuse a call through `listener`."""
         is_accounted = call.budget_tokens is not None or route.keeps_turns
         if not (route.is_stream and call.program and is_accounted):
-            answer.admitted(NO_ACCOUNT, call.body)
+            listener.admitted(NO_ACCOUNT, call.body)
             return
-        self._ask_owner(Account(self._owners, self._cache, call, route), answer)
+        self._request_admission(
+            CallAccount(self._owners, self._cache, call, route), listener
+        )
 
     @inlineCallbacks
-    def _ask_owner(
-        self, account: Account, answer: AdmissionListener
+    def _request_admission(
+        self, account: CallAccount, listener: AdmissionListener
     ) -> Generator["Deferred[Any]", Any, None]:
-        """Ask until an owner decides, the caller leaves, or too much time passed."""
-        decision = yield ask_until_decided(
+        """Retry until an owner decides, the caller disconnects, or the wait is too long."""
+        decision = yield request_until_decided(
             self._owners.clock,
             account.call,
-            lambda: answer.wants_admission,
-            lambda: self._ask_once(account),
+            lambda: listener.wants_admission,
+            lambda: self._request_once(account),
         )
         if isinstance(decision, Refusal):
-            answer.refused(decision)
+            listener.refused(decision)
         elif decision is not None:
-            answer.admitted(account, decision)
+            listener.admitted(account, decision)
         else:
             account.never_ran()
-            answer.refused(self._owners.unsure(account.call))
+            listener.refused(self._owners.undecided_refusal(account.call))
 
     @inlineCallbacks
-    def _ask_once(
-        self, account: Account
+    def _request_once(
+        self, account: CallAccount
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
-        """Give the body to run with, a refusal, or None if nobody knows yet."""
-        decision: Refusal | bytes | None = yield self._decision(account)
+        """Return the complete body, a refusal, or None if no owner decided."""
+        decision: Refusal | bytes | None = yield self._request_decision(account)
         if decision is None:
             account.log_unanswered("admission")
         return decision
 
     @inlineCallbacks
-    def _decision(
-        self, account: Account
+    def _request_decision(
+        self, account: CallAccount
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
         clock = self._owners.clock
-        told = self._suspicions.tell(clock.seconds())
-        message = account.admit_message(told)
-        answer = yield self._owners.ask(account.partition, message)
-        if isinstance(answer, TurnAdmitted):
-            self._suspicions.take(answer.suspicions, clock.seconds())
-            return account.whole_body(answer)
-        if not isinstance(answer, TurnRefused):
+        suspected = self._suspicions.tell(clock.seconds())
+        message = account.admit_message(suspected)
+        reply = yield self._owners.send_request(account.partition, message)
+        if isinstance(reply, TurnAdmitted):
+            self._suspicions.take(reply.suspicions, clock.seconds())
+            return account.complete_body(reply)
+        if not isinstance(reply, TurnRefused):
             return None
-        if answer.is_spent:
+        if reply.is_spent:
             return BUDGET_SPENT
-        adoption = yield adopt(self._owners, self._elsewhere(), account)
+        adoption = yield adopt_turn(self._owners, self._other_groups(), account)
         if adoption is not Adoption.UNSURE:
             account.log_adoption(is_found=adoption is Adoption.ADOPTED)
         return UNKNOWN_TURN if adoption is Adoption.NO_SUCH_TURN else None
--- a/notcharch/accounts/account.py
+++ b/notcharch/accounts/call_account.py
@@ -1,4 +1,4 @@
-"""One call's part of its program's account: its question, and its ticket."""
+"""One call's admission request and usage report to the owner of its program's account."""
 
 from collections.abc import Generator
 from typing import Any
@@ -23,21 +23,20 @@
 from notcharch.scheduling.shared_suspicions import Suspicion
 from notcharch.tenants.scope import scoped_name
 
-KEEP_AGAIN_SECONDS = 0.06
-"""Before an owner is asked again to keep a turn; a takeover is over in 8 to 31 ms once the
-partition is dealt (docs/design/platform.md)."""
+STORE_RETRY_SECONDS = 0.06
+"""Delay before storing a turn is retried; longer than the usual takeover."""
 
 
-class Account:
-    """What one call asks and tells the owner of its program's account.
+class CallAccount:
+    """The account of a call's program, as seen by the call; a `Ticket` once admitted.
 
-    `program`, `call_id` and `previous_turn` are names within its tenant.
+    `program`, `call_id` and `previous_turn` are prefixed with the tenant.
     """
 
     def __init__(
         self, owners: OwnerRequests, cache: TurnCache, call: OpaqueCall, route: Route
     ) -> None:
-        """Find the partition of the call's program."""
+        """Look up the partition of the call's program."""
         self._owners = owners
         self._cache = cache
         self.call = call
@@ -47,17 +46,17 @@
         self.call_id = scoped_name(tenant, call.id)
         self.previous_turn = scoped_name(tenant, call.previous_turn)
         self.partition = owners.partitioning.of_program(self.program)
-        self._is_over = False
+        self._is_completed = False
         self._unanswered: set[str] = set()
-        """The questions that nobody decided at once."""
+        """Operations already logged as unanswered."""
         self._engine = ""
         self.home = ""
-        """The engine at which the program ran last, as its owner said."""
+        """The engine that ran the program's last call, as reported by the owner."""
 
-    # The question
+    # Admission
 
     def admit_message(self, suspicions: tuple[Suspicion, ...] = ()) -> AdmitTurn:
-        """Give the question whether the call may run; tell of suspected engines."""
+        """Return the admission request, with the engines that this daemon suspects."""
         call = self.call
         return AdmitTurn(
             self.partition,
@@ -77,25 +76,25 @@
             return previous
         return self._cache.newest(self.program)
 
-    def whole_body(self, answer: TurnAdmitted) -> bytes | None:
-        """Give the body with the turns before it; None if a turn is missing here."""
-        self.home = answer.home
+    def complete_body(self, response: TurnAdmitted) -> bytes | None:
+        """Return the body after the text of earlier turns; None if one is missing."""
+        self.home = response.home
         body = self.call.body
         if not self._route.keeps_turns or not self.previous_turn:
             return body
-        if answer.text:
-            known = Turn(answer.after, answer.text, b"")
+        if response.text:
+            known = Turn(response.after, response.text, b"")
             self._cache.add_newest(self.program, self.previous_turn, known)
         chain = self._cache.transcript(self.previous_turn)
         return None if chain is None else chain.text + body
 
-    # The log
+    # Log events
 
-    def log_unanswered(self, question: str) -> None:
-        """Tell once that no owner decided yet."""
-        if question in self._unanswered:
+    def log_unanswered(self, operation: str) -> None:
+        """Log once per operation that no owner has decided yet."""
+        if operation in self._unanswered:
             return
-        self._unanswered.add(question)
+        self._unanswered.add(operation)
         UNANSWERED.inc()
         directory = self._owners.directory
         owner = directory.owner(self.partition)
@@ -109,53 +108,56 @@
                 waited_seconds=round(
                     self._owners.clock.seconds() - self.call.arrived, 3
                 ),
-                question=question,
+                question=operation,
             )
         )
 
     def log_adoption(self, *, is_found: bool) -> None:
-        """Tell what came of a search for a turn in all partitions."""
+        """Log the result of a search for a turn in all partitions."""
         call = self.call
         event = TurnAdopted if is_found else TurnDenied
         emit(event(call.id, call.program, call.previous_turn))
 
-    # The ticket
+    # `Ticket`
 
     def runs_at(self, engine_id: str) -> None:
-        """Remember which engine has the prefix."""
+        """Record the engine, which has the program's prefix cache."""
         self._engine = engine_id
 
     def never_ran(self) -> None:
-        """Give the reserved tokens back."""
-        self._settle(0)
+        """Release the reserved tokens."""
+        self._report_usage(0)
 
     def broke_off(self, events: int) -> None:
-        """Charge what the caller was given."""
-        self._settle(events)
+        """Charge the events that the caller received."""
+        self._report_usage(events)
 
-    def _settle(self, events: int) -> None:
-        if self._is_over:
+    def _report_usage(self, events: int) -> None:
+        if self._is_completed:
             return
-        self._is_over = True
+        self._is_completed = True
         call = self.call
         tokens = events * call.tokens_per_event
-        told = SettleCall(
+        notice = SettleCall(
             self.partition, self.program, self.call_id, tokens, self._engine
         )
-        self._owners.tell(self.partition, told)
+        self._owners.send_notice(self.partition, notice)
 
-    def completed(self, output: bytes, events: int, then: Completion) -> None:
-        """Charge the call; keep the turn if the route does, before its end is shown."""
+    def completed(self, output: bytes, events: int, completion: Completion) -> None:
+        """Charge the call, and store its turn if the route keeps turns.
+
+        `completion` is notified once the turn is durable.
+        """
         if not self._route.keeps_turns:
-            self._settle(events)
-            then.durable()
+            self._report_usage(events)
+            completion.durable()
             return
-        self._is_over = True
-        self._keep(output, events, then)
+        self._is_completed = True
+        self._store_turn(output, events, completion)
 
     @inlineCallbacks
-    def _keep(
-        self, output: bytes, events: int, then: Completion
+    def _store_turn(
+        self, output: bytes, events: int, completion: Completion
     ) -> Generator["Deferred[Any]", Any, None]:
         call = self.call
         data = data_lines(output)
@@ -169,12 +171,12 @@
             events * call.tokens_per_event,
             self._engine,
         )
-        while then.is_awaited:
-            answer = yield self._owners.ask(self.partition, message)
-            if isinstance(answer, TurnIsKept):
+        while completion.is_awaited:
+            response = yield self._owners.send_request(self.partition, message)
+            if isinstance(response, TurnIsKept):
                 turn = Turn(self.previous_turn, call.body, data)
                 self._cache.add_newest(self.program, self.call_id, turn)
-                then.durable()
+                completion.durable()
                 return
-            self.log_unanswered("keeping a turn")
-            yield deferLater(self._owners.clock, KEEP_AGAIN_SECONDS, lambda: None)
+            self.log_unanswered("storing a turn")
+            yield deferLater(self._owners.clock, STORE_RETRY_SECONDS, lambda: None)
--- a/notcharch/accounts/group_network.py
+++ b/notcharch/accounts/group_network.py
@@ -1,7 +1,7 @@
-"""One network between daemons, shared by several groups of partitions.
+"""Shares one peer network among several groups of partitions.
 
-Each group registers its handlers as if it had the network alone. A message finds its group
-by the number of its partition, or by the group's name.
+Each group registers handlers as if it were the only user of the network. Messages are
+dispatched to a group by partition number or by group name.
 """
 
 import math
@@ -18,59 +18,59 @@
 
 
 class SharedNetwork:
-    """Deals messages out to the groups that this daemon takes part in."""
+    """Dispatches messages to this daemon's groups."""
 
     def __init__(self, network: PeerNetwork) -> None:
-        """Share a network."""
+        """Share `network` among groups."""
         self._network = network
         self._groups: list[GroupNetwork] = []
-        self._requests: set[type[Message]] = set()
-        self._notices: set[type[Message]] = set()
+        self._request_types: set[type[Message]] = set()
+        self._notice_types: set[type[Message]] = set()
 
     def of_group(self, name: str, partitioning: Partitioning) -> "GroupNetwork":
-        """Give the network as a group sees it."""
+        """Create the view of the network for one group."""
         group = GroupNetwork(self._network, self, name, partitioning)
         self._groups.append(group)
         return group
 
-    def wants_request(self, kind: type[Message]) -> None:
-        """Hear requests of a kind, for whichever group."""
-        if kind not in self._requests:
-            self._requests.add(kind)
-            self._network.on_request(kind, self._answer)
+    def register_request(self, kind: type[Message]) -> None:
+        """Register the dispatcher for a request type, if it is not registered yet."""
+        if kind not in self._request_types:
+            self._request_types.add(kind)
+            self._network.on_request(kind, self._handle_request)
 
-    def wants_notice(self, kind: type[Message]) -> None:
-        """Hear notices of a kind, for whichever group."""
-        if kind not in self._notices:
-            self._notices.add(kind)
-            self._network.on_notice(kind, self._take)
+    def register_notice(self, kind: type[Message]) -> None:
+        """Register the dispatcher for a notice type, if it is not registered yet."""
+        if kind not in self._notice_types:
+            self._notice_types.add(kind)
+            self._network.on_notice(kind, self._handle_notice)
 
     def _group_of(self, message: Message) -> "GroupNetwork | None":
-        return next((group for group in self._groups if group.has(message)), None)
+        return next((group for group in self._groups if group.accepts(message)), None)
 
-    async def _answer(self, sender: Member, message: Message) -> Message:
+    async def _handle_request(self, sender: Member, message: Message) -> Message:
         group = self._group_of(message)
-        handler = None if group is None else group.requests.get(type(message))
+        handler = None if group is None else group.request_handlers.get(type(message))
         if handler is None:
-            return _unknown(message)
+            return _unknown_group_reply(message)
         return await handler(sender, message)
 
-    def _take(self, sender: Member, message: Message) -> None:
+    def _handle_notice(self, sender: Member, message: Message) -> None:
         group = self._group_of(message)
-        handler = None if group is None else group.notices.get(type(message))
+        handler = None if group is None else group.notice_handlers.get(type(message))
         if handler is not None:
             handler(sender, message)
 
 
-def _unknown(message: Message) -> Message:
-    """Answer for a group that this daemon takes no part in."""
+def _unknown_group_reply(message: Message) -> Message:
+    """Return the reply for a group that this daemon does not participate in."""
     if isinstance(message, AskOwners):
         return OwnersSeen(math.inf, {})
     return NotOwner()
 
 
 class GroupNetwork:
-    """The network as one group sees it; a `PeerNetwork`."""
+    """One group's view of the network; implements `PeerNetwork`."""
 
     def __init__(
         self,
@@ -79,33 +79,33 @@
         name: str,
         partitioning: Partitioning,
     ) -> None:
-        """Carry the messages of the partitions of a group."""
+        """Use `network` for the messages of a group's partitions."""
         self._network = network
         self._shared = shared
         self._name = name
         self._partitioning = partitioning
-        self.requests: dict[type[Message], RequestHandler] = {}
-        self.notices: dict[type[Message], NoticeHandler] = {}
+        self.request_handlers: dict[type[Message], RequestHandler] = {}
+        self.notice_handlers: dict[type[Message], NoticeHandler] = {}
 
-    def has(self, message: Message) -> bool:
-        """Tell whether a message is for this group."""
+    def accepts(self, message: Message) -> bool:
+        """Return whether a message is for this group."""
         if isinstance(message, PartitionMessage):
             return message.partition in self._partitioning.numbers
         return isinstance(message, AskOwners) and message.group == self._name
 
     @property
     def own_member(self) -> Member:
-        """This process."""
+        """The member of this process."""
         return self._network.own_member
 
     def request(
         self, destination: DaemonName, message: Message, timeout_seconds: float
     ) -> "Deferred[Reply]":
-        """Send a request and give its reply."""
-        asking: Deferred[Any] = self._network.request(
+        """Send a request; the result fires with its reply."""
+        reply: Deferred[Any] = self._network.request(
             destination, message, timeout_seconds
         )
-        return asking
+        return reply
 
     def notify(self, destination: DaemonName, message: Message) -> None:
         """Send a one-way message."""
@@ -113,18 +113,18 @@
 
     def on_request(self, message_type: type[Message], handler: RequestHandler) -> None:
         """Register this group's handler of a request type."""
-        self.requests[message_type] = handler
-        self._shared.wants_request(message_type)
+        self.request_handlers[message_type] = handler
+        self._shared.register_request(message_type)
 
     def on_notice(self, message_type: type[Message], handler: NoticeHandler) -> None:
         """Register this group's handler of a notice type."""
-        self.notices[message_type] = handler
-        self._shared.wants_notice(message_type)
+        self.notice_handlers[message_type] = handler
+        self._shared.register_notice(message_type)
 
     def set_address(self, daemon: DaemonName, address: str) -> None:
-        """Learn or change a peer's `host:port`."""
+        """Set the `host:port` of a peer."""
         self._network.set_address(daemon, address)
 
     def forget(self, daemon: DaemonName) -> None:
-        """Drop a peer that is gone."""
+        """Close the connection to a removed peer, and discard its address."""
         self._network.forget(daemon)
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -1,4 +1,4 @@
-"""What daemons ask the owner of a program's partition."""
+"""Messages between daemons and the owners of account partitions."""
 
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.scheduling.shared_suspicions import Suspicion
@@ -8,13 +8,13 @@
 
 
 class PartitionMessage(Message, frozen=True):
-    """The base of what the owner of a partition is asked and told."""
+    """Base class of messages to the owner of a partition."""
 
     partition: int
 
 
 class AdmitTurn(PartitionMessage, frozen=True):
-    """Ask to run a call of a program. Reply: `TurnAdmitted` or `TurnRefused`."""
+    """Request to run a call of a program. Reply: `TurnAdmitted` or `TurnRefused`."""
 
     program: str
     call: str
@@ -22,20 +22,20 @@
     budget_tokens: int | None
     keep_seconds: float
     previous: str = ""
-    """The turn that it goes on from; its chain is asked for."""
+    """The turn from which the call continues, and whose chain is requested."""
     known: str = ""
-    """The newest turn of the program whose chain the asker has."""
+    """The newest turn of the program whose chain the requester has."""
     suspicions: tuple[Suspicion, ...] = ()
-    """Engines that the asker suspects."""
+    """Engines that the requester suspects."""
 
 
 class TurnAdmitted(Message, frozen=True):
     """The call may run."""
 
     home: str = ""
-    """The engine at which the program ran last."""
+    """The engine that ran the program's last call."""
     after: str = ""
-    """`text` follows the chain of this turn, which the asker has."""
+    """`text` follows the chain of this turn, which the requester has."""
     text: bytes = b""
     """Inputs and outputs of the turns before the call, oldest first."""
     suspicions: tuple[Suspicion, ...] = ()
@@ -43,43 +43,43 @@
 
 
 class TurnRefused(Message, frozen=True):
-    """The call must not run, and never will by this request."""
+    """The call must not run; the refusal is final."""
 
     is_spent: bool
-    """True: the budget is spent; false: the turn is certainly not kept here."""
+    """True: the budget is spent; false: this partition does not store the turn."""
 
 
 class FindTurn(PartitionMessage, frozen=True):
-    """Ask for a turn of any program. Reply: `TurnFound`, `TurnMissing`."""
+    """Request for a turn of any program. Reply: `TurnFound` or `TurnMissing`."""
 
     turn: str
     must_be_certain: bool
-    """Whether the owner has to make sure that nobody else wrote the turn."""
+    """Whether the owner must confirm that no other owner wrote the turn."""
 
 
 class TurnFound(Message, frozen=True):
-    """The turn is kept here."""
+    """The turn is stored in this partition."""
 
     text: bytes
-    """Its whole chain: inputs and outputs, oldest first."""
+    """The complete chain of the turn: inputs and outputs, oldest first."""
 
 
 class TurnMissing(Message, frozen=True):
-    """The turn is not kept in this partition, for certain if that was asked for."""
+    """The turn is not stored in this partition; confirmed if `must_be_certain` was set."""
 
 
 class SettleCall(PartitionMessage, frozen=True):
-    """Tell how many tokens a call generated for its caller."""
+    """Report of the tokens that a call generated for its caller."""
 
     program: str
     call: str
     tokens: int
     engine: str = ""
-    """Where it ran, if it did."""
+    """The engine that ran the call; empty if it did not run."""
 
 
 class KeepTurn(PartitionMessage, frozen=True):
-    """Keep a turn that ended whole. Reply: `TurnIsKept`, when it is durable."""
+    """Request to store a completed turn. Reply: `TurnIsKept`, once it is durable."""
 
     program: str
     call: str
@@ -95,7 +95,7 @@
 
 
 class AdmitCall(PartitionMessage, frozen=True):
-    """Ask whether a tenant's limit has room for a call.
+    """Request to admit a call within its tenant's limit.
 
     Reply: `CallAdmitted` or `CallOverLimit`.
     """
@@ -105,27 +105,27 @@
     program: str
     route: str
     most_wait_seconds: float = 0.0
-    """So long the call may wait for room."""
+    """How long the call may be delayed until the limit has capacity."""
 
 
 class CallAdmitted(Message, frozen=True):
-    """The limit has room; the call counts against it from now on."""
+    """The limit admits the call and counts it."""
 
     wait_seconds: float = 0.0
-    """The room is there after so long: the call must not run sooner."""
+    """Delay before the call may run."""
 
 
 class CallOverLimit(Message, frozen=True):
-    """The limit has no room for the call."""
+    """The call exceeds the limit."""
 
     retry_after_seconds: float
 
 
 class NotOwner(Message, frozen=True):
-    """This daemon doesn't own the partition (yet, or any more): ask again."""
+    """This daemon does not own the partition, or not yet; the request may be retried."""
 
     owner: str = ""
-    """The text of the member that owns it as far as is known here."""
+    """The owner as known by this daemon, in the text form of `OwnerName`."""
 
 
 ACCOUNT_MESSAGES: tuple[type[Message], ...] = (
@@ -151,5 +151,5 @@
 
 
 def account_codec() -> MessageCodec:
-    """Give the codec of the messages about accounts."""
+    """Return the codec of the account messages."""
     return MessageCodec(ACCOUNT_MESSAGES)
--- a/notcharch/accounts/metrics.py
+++ b/notcharch/accounts/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and histograms of programs' accounts."""
+"""Prometheus metrics of the accounts of programs."""
 
 from prometheus_client import Counter, Gauge, Histogram
 
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -1,4 +1,4 @@
-"""Requests to the owners of partitions, as far as they are known."""
+"""Sends requests to the known owners of partitions."""
 
 from collections.abc import Callable
 
@@ -16,34 +16,34 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-ASK_SECONDS = 0.5
-"""An owner that doesn't answer in this time is asked again, or its successor is."""
+REQUEST_TIMEOUT_SECONDS = 0.5
+"""Timeout of one request, after which it is retried at the owner known then."""
 
 Reply = Result[Message, Problem]
 
 
 class OwnerRequests(msgspec.Struct, frozen=True):
-    """Asks owners, and learns from answers who they are."""
+    """Sends requests to owners, and updates the owner directory from their replies."""
 
     clock: IReactorTime
     network: PeerNetwork
     directory: OwnerDirectory
     partitioning: Partitioning
     service_silence: Callable[[], float] = lambda: 0.0
-    """Seconds for which the log service has not answered this daemon; 0 if it does."""
+    """Seconds since the log service stopped responding to this daemon; 0 if it responds."""
 
-    def ask(self, partition: int, message: Message) -> "Deferred[Message | None]":
-        """Send a request to a partition's owner; None if it didn't answer as one."""
+    def send_request(self, partition: int, message: Message) -> "Deferred[Message | None]":
+        """Send a request to a partition's owner; None without a reply of an owner."""
         owner = self.directory.owner(partition)
         if owner is None:
             self.directory.doubt()
-            nobody: Deferred[Message | None] = Deferred()
-            nobody.callback(None)
-            return nobody
-        asking = self.network.request(owner.daemon, message, ASK_SECONDS)
-        return asking.addCallback(self._look, partition)
+            unanswered: Deferred[Message | None] = Deferred()
+            unanswered.callback(None)
+            return unanswered
+        reply = self.network.request(owner.daemon, message, REQUEST_TIMEOUT_SECONDS)
+        return reply.addCallback(self._check_reply, partition)
 
-    def _look(self, reply: Reply, partition: int) -> Message | None:
+    def _check_reply(self, reply: Reply, partition: int) -> Message | None:
         if isinstance(reply, Err):
             self.directory.doubt()
             return None
@@ -54,12 +54,12 @@
             return None
         return message
 
-    def unsure(self, call: OpaqueCall) -> Refusal:
-        """Give the refusal of a call that no owner decided in time."""
+    def undecided_refusal(self, call: OpaqueCall) -> Refusal:
+        """Return the refusal of a call that no owner decided in time."""
         now = self.clock.seconds()
         return come_back_after(STATE_UNSURE, self.service_silence(), call, now)
 
-    def tell(self, partition: int, message: Message) -> None:
+    def send_notice(self, partition: int, message: Message) -> None:
         """Send a notice to a partition's owner, if one is known."""
         owner = self.directory.owner(partition)
         if owner is not None:
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -1,4 +1,4 @@
-"""What is written to the journal of a partition of programs."""
+"""Records in the journal of an account partition."""
 
 import msgspec
 
@@ -6,71 +6,71 @@
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
-    """The base of the journal's records."""
+    """Base class of journal records."""
 
 
 class BoundRaised(Record, frozen=True, tag="bound"):
-    """A program's calls may generate so many tokens in all.
+    """Sets the number of tokens that a program's calls may generate in total.
 
-    Written before they may; whoever reads it counts them all as generated.
+    Written before calls use the bound; the next owner counts it as used completely.
     """
 
     program: str
     bound_tokens: int
     written_at: int = 0
-    """Seconds since 1970, roughly: the log drops records by their age."""
+    """Approximate Unix time; the log drops records by age."""
 
 
 class TurnKept(Record, frozen=True, tag="turn"):
-    """A turn ended whole; written before its caller sees the end."""
+    """A completed turn, written before the caller receives the end of the output."""
 
     program: str
     turn: str
     previous: str
-    """The turn that it goes on from; empty for the first."""
+    """Id of the preceding turn; empty for the first."""
     input: bytes
     output: bytes
-    """The data of each of its events, each followed by a line feed."""
+    """Data of the output events, each followed by a line feed."""
     written_at: int = 0
 
 
 class AccountHandedOver(Record, frozen=True, tag="account"):
-    """What an owner knew of a program when it gave the partition up in order."""
+    """The account of a program at a planned handover of the partition."""
 
     program: str
     used_tokens: int
     under_way: dict[str, int]
-    """The most of each call that still runs."""
+    """Maximum tokens of each call in flight, by call id."""
     written_at: int = 0
     home: str = ""
-    """The engine at which it ran last."""
+    """The engine that ran the program's last call."""
     is_doubted: bool = False
-    """Whether `used_tokens` counts tokens that may not have been generated."""
+    """Whether `used_tokens` may include tokens that were not generated."""
 
 
 class AllowanceGiven(Record, frozen=True, tag="allowance"):
-    """Programs without a record may use so much of their budgets; the last one counts.
+    """The allowance of programs without a record; a later record replaces it.
 
-    Written before the first of them begins; see `starting_allowance`.
+    Written before programs start by it; see `starting_allowance`.
     """
 
     permille: int
-    """Thousandths of a budget, with what earlier owners allowed."""
+    """Thousandths of a budget, including the allowance of earlier owners."""
     written_at: int = 0
     call_tokens: int = 0
-    """One call of so many tokens may be used instead, if that is more."""
+    """Size of a call that is permitted instead if it is larger."""
 
 
 class LimitsHandedOver(Record, frozen=True, tag="limits"):
-    """What each tenant had used of its limit when an owner stopped, in order."""
+    """Each tenant's use of its limit at a planned handover of the partition."""
 
     uses: dict[str, TenantUse]
     decided_seconds: float
-    """For so long it, and those that handed over to it, had decided."""
+    """Time for which this owner and those that handed over to it had decided."""
 
 
 class LimitsTaken(Record, frozen=True, tag="limits-taken"):
-    """An owner goes on from the levels handed over; they must not be used again."""
+    """The owner uses the limits handed over; no later owner may use them again."""
 
 
 AnyRecord = (
@@ -87,12 +87,12 @@
 
 
 def encode(record: AnyRecord) -> bytes:
-    """Write a record."""
+    """Encode a record."""
     return _ENCODER.encode(record)
 
 
 def decode(data: bytes) -> AnyRecord | None:
-    """Read a record; None if it is of a kind not known here."""
+    """Decode a record; None if its kind is unknown."""
     try:
         return _DECODER.decode(data)
     except msgspec.MsgspecError:
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -1,7 +1,7 @@
-"""Accounts of programs that may be kept in some regions only, each in one of them.
+"""Accounts of programs that are restricted to some regions; each is stored in one region.
 
-A region's accounts belong to a group of the daemons there. Which region it is follows from
-what every call of a program brings, so any daemon finds it without asking.
+A region's accounts are owned by a group of its daemons. The region is computed from the
+program and its permitted regions, which every call includes, so no lookup is needed.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -23,7 +23,7 @@
 
 
 def account_region(program: str, regions: Iterable[str]) -> str:
-    """Give the region of a program's account: the first by a hash with the program."""
+    """Return the region of a program's account, chosen by a hash of both."""
     return min(
         regions,
         key=lambda region: xxhash.xxh64_intdigest(f"{region}|{program}".encode()),
@@ -31,63 +31,66 @@
 
 
 class ResidentAccounts:
-    """Lets calls in by the accounts of their regions; an `Admission`."""
+    """Admits calls by the accounts of their regions; implements `Admission`."""
 
     def __init__(
         self,
-        anywhere: Admission,
+        default_admission: Admission,
         regions: Iterable[str],
-        make: Callable[[str], AccountGroup],
+        create_group: Callable[[str], AccountGroup],
         now: Callable[[], float],
     ) -> None:
-        """`anywhere` has the accounts without residence; `make` wires a region's group."""
-        self._anywhere = anywhere
+        """`default_admission` decides about calls without residence restrictions.
+
+        `create_group` creates the group of a region.
+        """
+        self._default_admission = default_admission
         self._regions = frozenset(regions)
-        self._make = make
+        self._create_group = create_group
         self._now = now
         self._groups: dict[str, AccountGroup] = {}
-        self._is_left = False
+        self._has_left = False
 
     @property
     def groups(self) -> Mapping[str, AccountGroup]:
-        """Give the groups in use, by their regions."""
+        """The groups in use, by region."""
         return self._groups
 
     def owners(self) -> tuple[OwnerRequests, ...]:
-        """Give the owners of all groups in use."""
+        """Return the owner requests of all groups in use."""
         return tuple(group.owners for group in self._groups.values())
 
-    def use(self, regions: Iterable[str]) -> None:
-        """Take part in the groups of regions that the table names.
+    def join_groups(self, regions: Iterable[str]) -> None:
+        """Start the groups of regions that are not in use yet.
 
-        A group that is in use stays: it keeps turns that programs may go on from.
+        Groups in use are not stopped, because programs may continue from their turns.
         """
         for region in sorted(self._regions.intersection(regions)):
-            if region not in self._groups and not self._is_left:
-                group = self._groups[region] = self._make(region)
+            if region not in self._groups and not self._has_left:
+                group = self._groups[region] = self._create_group(region)
                 group.start()
 
-    def ask(self, call: OpaqueCall, route: Route, answer: AdmissionListener) -> None:
-        """Admit a call, or refuse it, through `answer`."""
+    def ask(self, call: OpaqueCall, route: Route, listener: AdmissionListener) -> None:
+        """Admit or refuse a call through `listener`."""
         if call.regions is None:
-            self._anywhere.ask(call, route, answer)
+            self._default_admission.ask(call, route, listener)
             return
         known = self._regions & call.regions
         if not known:
-            none = NoEngine(Cause.NO_REGION)
-            answer.refused(refusal_without_engine(none, call, self._now()))
+            no_engine = NoEngine(Cause.NO_REGION)
+            listener.refused(refusal_without_engine(no_engine, call, self._now()))
             return
-        self.use(known)
+        self.join_groups(known)
         region = account_region(scoped_name(call.tenant_name, call.program), known)
         group = self._groups.get(region)
         if group is None:
-            # This daemon stops, and joins no group any more.
-            answer.refused(STATE_UNSURE)
+            # This daemon is stopping and no longer joins groups.
+            listener.refused(STATE_UNSURE)
         else:
-            group.admission.ask(call, route, answer)
+            group.admission.ask(call, route, listener)
 
     def leave(self) -> None:
         """Leave all groups."""
-        self._is_left = True
+        self._has_left = True
         for group in self._groups.values():
             group.leave()
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -1,4 +1,4 @@
-"""Wires the accounts of programs: a group of all daemons, and one a region in use."""
+"""Assembles the accounts of programs: one group of all daemons and one per region in use."""
 
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -9,7 +9,7 @@
 
 from notcharch.accounts.account_group import (
     AccountGroup,
-    GroupPart,
+    GroupRole,
     GroupServices,
     GroupSettings,
 )
@@ -33,14 +33,12 @@
 
 TOPIC = "accounts"
 TOPICS = 4
-"""A topic of the present platform has 12 partitions. With four, the owners of a region
-of some hundred daemons are many enough, and a small region pays nothing for it.
-"""
+"""Number of topics; with 12 partitions each, they spread over several dozen owners."""
 REGION_TOPICS = 1
-"""Of each region with residence: a region has a part of the daemons and of the programs."""
+"""Topics of a regional group, which serves a part of the programs."""
 GROUP = "account-owners"
-REGION_SPAN = 100_000
-"""Between the first partition numbers of two groups; no group has as many partitions."""
+PARTITION_NUMBER_STRIDE = 100_000
+"""Distance between the first partition numbers of groups; no group has more partitions."""
 REGION = RegionName("accounts")
 LIMITS = ConnectionLimits(
     connect_seconds=0.5,
@@ -52,33 +50,33 @@
 
 
 class AccountSettings(msgspec.Struct, frozen=True):
-    """Where this daemon listens for peers, and how programs are spread."""
+    """Settings of this daemon's accounts service."""
 
     address: str
     """`host:port` at which peers reach this daemon."""
     partitions: int
-    """Of each topic."""
+    """Number of partitions per topic."""
     min_lease_seconds: float
     retention_seconds: float
-    """So long the log service keeps records."""
+    """Retention of records in the log service."""
     topics: int = TOPICS
     tolerance: Tolerance = Tolerance()
     """How far the limits of tenants may be exceeded."""
     mechanisms: frozenset[Mechanism] = ALL_MECHANISMS
-    """What is switched on."""
+    """Enabled mechanisms."""
     region: str = ""
-    """Where this daemon is."""
+    """Region of this daemon."""
     regions: tuple[str, ...] = ()
-    """All regions."""
+    """Names of all regions."""
 
 
 class AccountsService:
-    """This daemon's part in keeping the accounts of programs."""
+    """Runs this daemon's share of the accounts of programs."""
 
     def __init__(
         self,
         settings: AccountSettings,
-        service: LogService,
+        log: LogService,
         clock: IReactorTime,
         network: PeerNetwork,
         random: Random,
@@ -86,15 +84,16 @@
         suspicions: SharedSuspicions | None = None,
         recovery: RecoverySignal | None = None,
         tenant: Callable[[str], Tenant | None] = lambda _: None,
-        wall: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        """Wire the parts; nothing is spoken before `start`.
+        """Create the components; `start` begins communication.
 
-        `suspicions` about engines are shared with peers; `recovery` hears from the
-        heartbeats when the log service is back; `tenant` gives one of the table in force.
+        `suspicions` about engines are shared with peers. Heartbeats report to `recovery`
+        when the log service responds again. `tenant` returns a tenant of the table in
+        force.
         """
         self._settings = settings
-        self._shared = SharedNetwork(network)
+        self._shared_network = SharedNetwork(network)
         self._group_settings = GroupSettings(
             settings.address,
             settings.min_lease_seconds,
@@ -103,82 +102,87 @@
             settings.mechanisms,
         )
         self._services = GroupServices(
-            service,
+            log,
             clock,
             random,
             suspicions or SharedSuspicions(),
             recovery or RecoverySignal(clock),
             tenant,
-            wall,
+            wall_clock,
         )
         partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
-        self._anywhere = self._wire(GroupPart(GROUP, partitioning))
-        self.directory = self._anywhere.directory
-        self._resident = ResidentAccounts(
-            self._anywhere.admission, settings.regions, self._make, clock.seconds
+        self._default_group = self._create_group(GroupRole(GROUP, partitioning))
+        self.directory = self._default_group.directory
+        self._regional_accounts = ResidentAccounts(
+            self._default_group.admission,
+            settings.regions,
+            self._create_regional_group,
+            clock.seconds,
         )
         self.admission = LimitedAdmission(
-            self._resident,
-            self._anywhere.owners,
+            self._regional_accounts,
+            self._default_group.owners,
             shapes=Mechanism.LIMIT_SHAPING in settings.mechanisms,
         )
 
-    def _wire(self, part: GroupPart) -> AccountGroup:
-        network = self._shared.of_group(part.name, part.partitioning)
+    def _create_group(self, role: GroupRole) -> AccountGroup:
+        network = self._shared_network.of_group(role.name, role.partitioning)
         group = AccountGroup(
-            part,
+            role,
             self._group_settings,
             self._services,
             network,
-            elsewhere=lambda: tuple(
+            other_groups=lambda: tuple(
                 owners for owners in self._all_owners() if owners is not group.owners
             ),
         )
         return group
 
     def _all_owners(self) -> tuple[OwnerRequests, ...]:
-        return (self._anywhere.owners, *self._resident.owners())
+        return (self._default_group.owners, *self._regional_accounts.owners())
 
-    def _make(self, region: str) -> AccountGroup:
-        """Wire the group of a region; the daemons there are its members."""
+    def _create_regional_group(self, region: str) -> AccountGroup:
+        """Create the group of a region, whose members are the region's daemons."""
         settings = self._settings
-        place = sorted(settings.regions).index(region) + 1
+        position = sorted(settings.regions).index(region) + 1
         partitioning = spread_over(
             f"{TOPIC}-{region}",
             REGION_TOPICS,
             settings.partitions,
-            first=place * REGION_SPAN,
+            first=position * PARTITION_NUMBER_STRIDE,
         )
         is_member = region == settings.region
-        return self._wire(GroupPart(f"{GROUP}-{region}", partitioning, is_member))
+        return self._create_group(
+            GroupRole(f"{GROUP}-{region}", partitioning, is_member)
+        )
 
     def use_regions(self, regions: Iterable[str]) -> None:
-        """Hear in which regions the table in force has anything reside."""
-        self._resident.use(regions)
+        """Start the groups of the regions that the table in force uses for residence."""
+        self._regional_accounts.join_groups(regions)
 
     @property
     def regional_groups(self) -> Mapping[str, AccountGroup]:
-        """Give the groups of regions that are in use."""
-        return self._resident.groups
+        """The groups of the regions in use."""
+        return self._regional_accounts.groups
 
     def start(self) -> None:
-        """Join the group and follow the owners."""
-        self._anywhere.start()
+        """Join the group of all daemons and start tracking the owners."""
+        self._default_group.start()
 
     def leave(self) -> None:
-        """Own nothing any more; go on as a client of the owners."""
-        self._anywhere.leave()
-        self._resident.leave()
+        """Release all partitions; continue to send requests to other owners."""
+        self._default_group.leave()
+        self._regional_accounts.leave()
 
 
 def account_network(
-    reactor: TimedReactor, own: Member, random: Random
+    reactor: TimedReactor, local_member: Member, random: Random
 ) -> TcpPeerNetwork:
-    """Give the network between the daemons that keep accounts."""
+    """Create the peer network between the daemons that own accounts."""
     return TcpPeerNetwork(
         reactor,
         reactor,
-        own=own,
+        own=local_member,
         region=REGION,
         codec=account_codec(),
         random=random,
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import succeed
 
 from notcharch.accounts import starting_allowance
-from notcharch.accounts.account import Account
+from notcharch.accounts.call_account import CallAccount
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.partition import OwnedPartition
 from notcharch.accounts.starting_allowance import (
@@ -17,7 +17,11 @@
 from notcharch.journal.writer import Outcome, PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
 from tests.stateful.runs import RUN, assert_caught
-from tests.unit.accounts import test_accounts, test_kept_turns, test_starting_allowance
+from tests.unit.accounts import (
+    test_accounts,
+    test_starting_allowance,
+    test_stored_turns,
+)
 
 
 def test_budgets_and_kept_turns_hold():
@@ -90,7 +94,7 @@
     def keep(self, output, events, then):
         then.durable()
 
-    monkeypatch.setattr(Account, "_keep", keep)
+    monkeypatch.setattr(CallAccount, "_store_turn", keep)
 
 
 BREAKS = [
@@ -135,11 +139,11 @@
     (budgets_are_not_compared, test_accounts.test_a_budget_holds_over_all_daemons),
     (
         unknown_turns_are_denied_in_doubt,
-        test_kept_turns.test_an_unknown_turn_is_refused_only_when_that_is_certain,
+        test_stored_turns.test_an_unknown_turn_is_refused_only_when_that_is_certain,
     ),
     (
         turns_are_shown_before_they_are_written,
-        test_kept_turns.test_the_end_of_a_kept_turn_waits_for_the_journal,
+        test_stored_turns.test_the_end_of_a_kept_turn_waits_for_the_journal,
     ),
 ]
 
--- a/tests/unit/accounts/test_kept_turns.py
+++ b/tests/unit/accounts/test_stored_turns.py
@@ -58,8 +58,10 @@
     sure = world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
     assert sure.refusal == UNKNOWN_TURN
     world.log.trouble = Trouble.LOSE_CALL
-    unsure = world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
-    assert_unsure(unsure.refusal)
+    undecided_refusal = world.wait_for_decision(
+        world.call(previous="nobody"), keeps_turns=True
+    )
+    assert_unsure(undecided_refusal.refusal)
 
 
 def test_a_sleeper_does_not_deny_a_turn_that_its_successor_kept():
@@ -168,7 +170,7 @@
     owned = [
         partition
         for service in world.services.values()
-        for partition in service._anywhere._owned._partitions.all()
+        for partition in service._default_group._owned_partitions._partitions.all()
     ]
     assert len(owned) == 4
     assert all(call.id not in partition._ledger.turns for partition in owned)
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -4,9 +4,9 @@
 
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.limited_admission import (
-    MOST_ROOM_WAIT_SECONDS,
-    MOST_ROOM_WAIT_SHARE,
-    most_wait_seconds,
+    MAX_CAPACITY_WAIT_SECONDS,
+    MAX_CAPACITY_WAIT_SHARE,
+    max_wait_seconds,
     over_limit,
 )
 from notcharch.calls.interface import OVER_LIMIT_REASON, UNKNOWN_TURN
@@ -201,7 +201,7 @@
     listener = world.wait_for_decision(world.call("p0", budget=None, tenant="t"))
     assert listener.ticket is not None
     waited = world.clock.seconds() - asked_at
-    assert 0.0 < waited <= MOST_ROOM_WAIT_SECONDS + 0.1
+    assert 0.0 < waited <= MAX_CAPACITY_WAIT_SECONDS + 0.1
     assert before >= LARGE.burst
 
 
@@ -215,9 +215,9 @@
 
 def test_a_caller_that_has_little_time_waits_for_little_of_it():
     call = World().call("p", budget=None, wait_seconds=1.2)
-    assert most_wait_seconds(call) == pytest.approx(1.2 * MOST_ROOM_WAIT_SHARE)
+    assert max_wait_seconds(call) == pytest.approx(1.2 * MAX_CAPACITY_WAIT_SHARE)
     call.wait_seconds = None
-    assert most_wait_seconds(call) == MOST_ROOM_WAIT_SECONDS
+    assert max_wait_seconds(call) == MAX_CAPACITY_WAIT_SECONDS
 
 
 def test_a_caller_that_leaves_while_its_call_waits_for_room_runs_nothing():
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -134,7 +134,7 @@
             Random(self.incarnations[name]),
             suspicions=self.suspicions[name],
             tenant=self.tenants.get,
-            wall=lambda: self.clock.seconds() + 1e9,
+            wall_clock=lambda: self.clock.seconds() + 1e9,
         )
         self.services[name] = service
         service.start()
