--- a/notcharch/accounts/group_network.py
+++ b/notcharch/accounts/group_network.py
@@ -126,5 +126,5 @@
         self._network.set_address(daemon, address)
 
     def forget(self, daemon: DaemonName) -> None:
-        """Close the connection to a removed peer, and discard its address."""
+        """Remove a disconnected peer; its requests in flight fail."""
         self._network.forget(daemon)
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -32,7 +32,9 @@
     service_silence: Callable[[], float] = lambda: 0.0
     """Seconds since the log service stopped responding to this daemon; 0 if it responds."""
 
-    def send_request(self, partition: int, message: Message) -> "Deferred[Message | None]":
+    def send_request(
+        self, partition: int, message: Message
+    ) -> "Deferred[Message | None]":
         """Send a request to a partition's owner; None without a reply of an owner."""
         owner = self.directory.owner(partition)
         if owner is None:
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -33,7 +33,7 @@
 
 TOPIC = "accounts"
 TOPICS = 4
-"""Number of topics; with 12 partitions each, they spread over several dozen owners."""
+"""Number of topics; at 12 partitions each, enough owners for some hundred daemons."""
 REGION_TOPICS = 1
 """Topics of a regional group, which serves a part of the programs."""
 GROUP = "account-owners"
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -1,6 +1,6 @@
-"""Programs over daemons that crash, sleep, leave and return, on a failing log service.
+"""State machine of programs' accounts, with failing daemons and a failing log service.
 
-The oracle is small: what callers were given, and what they were told is kept.
+The model holds the tokens that callers received and the turns reported as durable.
 """
 
 import msgspec
@@ -15,12 +15,12 @@
 
 MAX_CALL_TOKENS = 100
 BUDGETS = {"p": 500, "q": 500, "short": 150}
-"""The share that programs begin by doesn't cover one call of the short one."""
+"""The starting share of the budget does not cover one call of program `short`."""
 PROGRAMS = tuple(BUDGETS)
 
 
 class Running(msgspec.Struct):
-    """A call that was admitted, or waits to be."""
+    """A call that was admitted or waits for its admission."""
 
     call: object
     listener: object
@@ -38,7 +38,7 @@
         super().__init__()
         self.world = World(DAEMONS)
         self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
-        self.kept: dict[str, bytes] = {}
+        self.durable_turns: dict[str, bytes] = {}
 
     @rule(
         target=calls,
@@ -49,9 +49,9 @@
     )
     def ask(self, program, daemon, goes_on, pick):
         previous, text = "", b""
-        if goes_on and self.kept:
-            previous = sorted(self.kept)[pick % len(self.kept)]
-            text = self.kept[previous]
+        if goes_on and self.durable_turns:
+            previous = sorted(self.durable_turns)[pick % len(self.durable_turns)]
+            text = self.durable_turns[previous]
         call = self.world.call(
             program,
             budget=BUDGETS[program],
@@ -66,7 +66,7 @@
         running=consumes(calls), events=st.integers(1, MAX_CALL_TOKENS // EVENT_TOKENS)
     )
     def end_whole(self, running, events):
-        """Let the engine's answer come whole; its end is shown once durable."""
+        """Complete the engine's response; the turn counts once it is durable."""
         self.check(running)
         listener = running.listener
         if listener.ticket is None:
@@ -77,7 +77,7 @@
         self.world.run(0.3)
         if listener.is_durable:
             text = running.expected_body + data_lines(output)
-            self.kept[running.call.id] = text
+            self.durable_turns[running.call.id] = text
         listener.is_awaited = False
 
     @rule(
@@ -93,7 +93,7 @@
 
     @rule(running=consumes(calls))
     def lose_silently(self, running):
-        """Let the gateway die with a call under way, after giving all it may."""
+        """Crash the gateway with a call in flight, after the maximum of its tokens."""
         self.check(running)
         if running.listener.ticket is not None:
             self.given[running.call.program] += MAX_CALL_TOKENS
@@ -115,13 +115,13 @@
 
     @rule()
     def all_is_well_again(self):
-        """Once everything works, a kept turn is found and a call is decided."""
+        """Check that after recovery stored turns are found and calls are decided."""
         self.heal()
         self.world.run(8.0)
-        for turn in sorted(self.kept)[-2:]:
+        for turn in sorted(self.durable_turns)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
             listener = self.world.wait_for_decision(call, keeps_turns=True)
-            assert listener.body == self.kept[turn] + b"x"
+            assert listener.body == self.durable_turns[turn] + b"x"
             listener.ticket.never_ran()
 
     def teardown(self):
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -1,4 +1,4 @@
-"""Random lives of programs' accounts; the same ones at each run."""
+"""Random histories of programs' accounts with a fixed seed, and deliberate faults."""
 
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
--- a/tests/unit/accounts/refusable_log.py
+++ b/tests/unit/accounts/refusable_log.py
@@ -1,4 +1,4 @@
-"""A log service that turns one daemon away while it serves the others."""
+"""A log service that can refuse the requests of a single daemon."""
 
 from result import Err
 from twisted.internet.defer import Deferred
@@ -8,7 +8,7 @@
 
 
 class RefusableLog:
-    """What one daemon sees of a log service."""
+    """One daemon's view of a log service; fails all requests while `is_refused`."""
 
     def __init__(self, log, clock) -> None:
         self._log = log
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -1,4 +1,4 @@
-"""What several tests of accounts do and look at."""
+"""Steps and assertions shared by the tests of accounts."""
 
 from notcharch.accounts.records import (
     AnyRecord,
@@ -12,8 +12,8 @@
 
 
 def records_in(world: World) -> list[AnyRecord]:
-    found = [decode(data) for part in world.partitions for data in part.records]
-    return [record for record in found if record is not None]
+    decoded = [decode(data) for part in world.partitions for data in part.records]
+    return [record for record in decoded if record is not None]
 
 
 def bounds_in(world: World) -> set[str]:
@@ -24,15 +24,15 @@
     }
 
 
-def neighbour(world: World, program: str) -> str:
-    """Give another program of the same partition."""
+def same_partition_program(world: World, program: str) -> str:
+    """Return another program of the same partition."""
     names = (f"{program}{number}" for number in range(100))
     of_program = world.partitioning.of_program
     return next(name for name in names if of_program(name) == of_program(program))
 
 
 def spend(world: World, program: str, budget: int, max_tokens: int, at=lambda turn: 0):
-    """Run turns that generate all they may until the program is refused."""
+    """Run calls that generate their maximum until the program's budget is refused."""
     spent = 0
     for turn in range(40):
         call = world.call(program, budget=budget, max_tokens=max_tokens)
@@ -49,8 +49,8 @@
 
 
 def assert_unsure(refusal: Refusal | None) -> None:
-    """Check that nobody decided, and that a later time to come back is told, if any."""
+    """Check that a call was refused without a decision, with a time for the retry."""
     assert refusal is not None
-    told = (refusal.status, refusal.reason)
-    assert told == (STATE_UNSURE.status, STATE_UNSURE.reason)
+    reported = (refusal.status, refusal.reason)
+    assert reported == (STATE_UNSURE.status, STATE_UNSURE.reason)
     assert refusal.retry_after_seconds >= STATE_UNSURE.retry_after_seconds
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -1,4 +1,4 @@
-"""Accounts of programs over daemons that crash and a log service that fails."""
+"""Tests of programs' accounts with crashing daemons and a failing log service."""
 
 import pytest
 
@@ -228,7 +228,7 @@
     world.refuse(refused)
     world.run(2.0)
     assert world.owner(program) != refused
-    call = world.call(program, budget=1000, max_tokens=600)  # more than it may let in
+    call = world.call(program, budget=1000, max_tokens=600)  # needs a higher bound
     assert world.wait_for_decision(call, at=0).refusal is None
 
 
@@ -244,7 +244,7 @@
     assert world.wait_for_decision(world.call(program), at=2).refusal is None
     assert world.suspicions[third].is_suspected("bad", world.clock.seconds())
     world.run(3.0)
-    for _ in range(6):  # nobody sees it again, so it is forgotten everywhere
+    for _ in range(6):  # without a new observation the suspicion expires at all daemons
         assert world.wait_for_decision(world.call(program), at=2).refusal is None
     assert not any(
         board.is_suspected("bad", world.clock.seconds())
@@ -253,7 +253,7 @@
 
 
 def test_a_call_that_was_given_up_before_its_admission_reserves_nothing():
-    """Its caller's next try is not refused for tokens that nobody will generate."""
+    """The caller's retry is not refused because of the tokens of the abandoned call."""
     world = World()
     world.log.trouble = Trouble.REFUSE
     given_up = world.wait_for_decision(
--- a/tests/unit/accounts/test_resident_accounts.py
+++ b/tests/unit/accounts/test_resident_accounts.py
@@ -1,4 +1,4 @@
-"""Accounts and turns of programs that may be kept in some regions only."""
+"""Tests of accounts and turns of programs that are restricted to some regions."""
 
 import pytest
 
@@ -18,7 +18,7 @@
 
 
 def world_of_two() -> World:
-    """Give six daemons, every other one in the south; the table has residence."""
+    """Return six daemons in alternating regions; the table has residence."""
     world = World(daemons=6, regions=REGIONS)
     for service in world.services.values():
         service.use_regions(REGIONS)
@@ -27,7 +27,7 @@
 
 
 def owners_of(world: World, region: str) -> set[str]:
-    """Give the regions of the daemons that own a region's accounts."""
+    """Return the regions of the daemons that own a region's accounts."""
     rows = world.log.groups.owners(f"account-owners-{region}")
     daemons = {read_owner(row.member).daemon for row in rows}
     return {world.region_of(name) for name in daemons}
@@ -48,17 +48,17 @@
 @pytest.mark.parametrize("regions", [NORTH, SOUTH, BOTH])
 @pytest.mark.parametrize("at", [0, 1])
 def test_a_kept_turn_is_sent_to_machines_of_its_regions_only(regions, at, monkeypatch):
-    """The daemon that the caller itself called has it in any case."""
+    """The daemon that received the call has the turn regardless of its region."""
     world = world_of_two()
     received: list[DaemonName] = []
     request = GroupNetwork.request
 
-    def seen(self, destination, message, timeout_seconds):
+    def record_request(self, destination, message, timeout_seconds):
         if isinstance(message, KeepTurn):
             received.append(destination)
         return request(self, destination, message, timeout_seconds)
 
-    monkeypatch.setattr(GroupNetwork, "request", seen)
+    monkeypatch.setattr(GroupNetwork, "request", record_request)
     first = world.call("p", regions=regions)
     assert world.store_turn(first, EVENT, at).is_durable
     second = world.call("p", previous=first.id, regions=regions, body=b"more")
--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -1,4 +1,4 @@
-"""How programs begin without a record of their own, and what successors count."""
+"""Tests of programs that start without a record, and of the next owner's accounting."""
 
 import msgspec
 import pytest
@@ -18,7 +18,7 @@
 from tests.unit.accounts.steps import (
     assert_unsure,
     bounds_in,
-    neighbour,
+    same_partition_program,
     spend,
 )
 from tests.unit.accounts.world import EVENT_TOKENS, World
@@ -46,7 +46,7 @@
 
 
 def test_a_short_program_begins_while_the_log_takes_nothing():
-    """Its first call may generate more than the share that programs begin by."""
+    """The first call may generate more than the permitted share of the budget."""
     world = World()
     budget, max_tokens = 900, 588
     assert max_tokens > budget * STEP_PERMILLE // 1000
@@ -55,7 +55,9 @@
     ).ticket
     world.run(0.5)
     world.log.trouble = Trouble.REFUSE
-    call = world.call(neighbour(world, "former"), budget=budget, max_tokens=max_tokens)
+    call = world.call(
+        same_partition_program(world, "former"), budget=budget, max_tokens=max_tokens
+    )
     assert world.wait_for_decision(call).ticket is not None
 
 
@@ -81,7 +83,9 @@
 ):
     world = World()
     max_tokens = 100
-    former = world.call(neighbour(world, "p"), budget=1000, max_tokens=max_tokens)
+    former = world.call(
+        same_partition_program(world, "p"), budget=1000, max_tokens=max_tokens
+    )
     assert world.wait_for_decision(former).ticket
     world.run(0.5)
     spent = 0
@@ -158,7 +162,7 @@
         world.crash(name, silent=True)
     for name in world.names:
         world.start(name)
-    world.run(3.0)  # its successor counts half of the budget as used
+    world.run(3.0)  # the next owner counts half of the budget as used
     listener = world.wait_for_decision(world.call(budget=1000, max_tokens=100))
     listener.ticket.broke_off(10)
     world.run(0.1)
@@ -192,6 +196,6 @@
 
 
 def test_a_record_of_an_earlier_version_allows_no_first_call():
-    """It has the share and its time only."""
+    """Such a record has no `call_tokens`."""
     earlier = msgspec.msgpack.encode(["allowance", STEP_PERMILLE, 1000])
     assert decode(earlier) == AllowanceGiven(STEP_PERMILLE, 1000, call_tokens=0)
--- a/tests/unit/accounts/test_stored_turns.py
+++ b/tests/unit/accounts/test_stored_turns.py
@@ -1,4 +1,4 @@
-"""Turns that are kept: rebuilt anywhere, denied only when that is certain."""
+"""Tests of stored turns, which any daemon can rebuild and only confirmed absence denies."""
 
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.records import (
@@ -133,7 +133,7 @@
 
 
 def test_what_still_counts_outlives_the_retention_of_the_log():
-    """A program of many minutes: the log drops its oldest records meanwhile."""
+    """The log drops the oldest records while the program still runs."""
     world = World()
     previous, expected = "", b""
     for turn in range(9):
@@ -145,7 +145,7 @@
         for _ in range(5):
             world.run(10.0)
         world.ends = [*getattr(world, "ends", []), ends]
-        if turn >= 6:  # what was written 300 seconds ago is gone
+        if turn >= 6:  # the log drops records written 300 seconds ago
             for partition, end in zip(
                 world.partitions, world.ends[turn - 6], strict=True
             ):
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -1,4 +1,4 @@
-"""Tenants' limits over all daemons, through changes of the owner that counts."""
+"""Tests of tenants' limits over all daemons and through changes of the owner."""
 
 import pytest
 
@@ -31,28 +31,28 @@
     return world
 
 
-def most_in(limit: RateLimit, seconds: float = 5.0) -> float:
-    """Give how many calls the rule allows within a window."""
+def max_calls(limit: RateLimit, seconds: float = 5.0) -> float:
+    """Return how many calls the limit and its tolerance permit within a window."""
     return (limit.per_second * seconds + limit.burst) * 1.1 + TOLERANCE.calls
 
 
 def admitted(
     world: World, calls: int, *, at=lambda number: number % 3, programs: int = 1
 ) -> int:
-    """Ask for calls of so many programs at once; give how many were let in.
+    """Send calls of `programs` programs at once; return how many were admitted.
 
-    Calls that were asked before and waited for room count as well.
+    Earlier calls that were delayed until the limit had capacity count as well.
     """
     for n in range(calls):
         world.request_admission(
             world.call(f"p{n % programs}", budget=None, tenant="t"), at(n)
         )
     world.run(0.3)
-    return let_in(world)
+    return newly_admitted(world)
 
 
-def let_in(world: World) -> int:
-    """Give how many calls were let in since the last look."""
+def newly_admitted(world: World) -> int:
+    """Return how many calls were admitted since the last check."""
     since = [listener for listener in world.listeners if listener.ticket is not None]
     world.listeners = [
         listener for listener in world.listeners if listener.ticket is None
@@ -63,7 +63,7 @@
 def test_a_limit_holds_over_all_daemons():
     world = world_with()
     total = sum(admitted(world, 100) for _ in range(10))
-    assert LARGE.burst + 3.0 * 40.0 <= total <= most_in(LARGE, 3.0)
+    assert LARGE.burst + 3.0 * 40.0 <= total <= max_calls(LARGE, 3.0)
 
 
 def test_what_is_refused_is_told_at_once_with_the_time_to_come_back():
@@ -75,8 +75,8 @@
     assert listener.refusal.reason == OVER_LIMIT_REASON
     assert listener.refusal.retry_after_seconds > 0
     assert listener.refusal == over_limit(listener.refusal.retry_after_seconds)
-    told = of(messages, tenant_events.LimitReached)[0]
-    assert (told["tenant"], told["calls_per_second"]) == ("t", 1.0)
+    event = of(messages, tenant_events.LimitReached)[0]
+    assert (event["tenant"], event["calls_per_second"]) == ("t", 1.0)
 
 
 def test_a_tenant_without_a_limit_is_asked_nothing():
@@ -112,9 +112,9 @@
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
     assert world.wait_for_decision(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
-    own = world.call("q", previous=first.id, tenant="t", body=b"more")
+    own_call = world.call("q", previous=first.id, tenant="t", body=b"more")
     assert (
-        world.wait_for_decision(own, keeps_turns=True).body
+        world.wait_for_decision(own_call, keeps_turns=True).body
         == b"in" + b"x\n" * 10 + b"more"
     )
 
@@ -123,9 +123,9 @@
 def test_an_owner_that_dies_leaves_no_second_burst(silent):
     world = world_with()
     before = admitted(world, 200)
-    world.crash(world.limiter("t"), silent=silent)
+    world.crash(world.limit_owner("t"), silent=silent)
     after = sum(admitted(world, 100, at=survivors(world)) for _ in range(14))
-    assert before + after <= most_in(LARGE)
+    assert before + after <= max_calls(LARGE)
 
 
 def survivors(world: World):
@@ -136,26 +136,26 @@
 def test_a_planned_move_goes_on_where_the_owner_stopped():
     world = world_with()
     before = admitted(world, 40)
-    world.services[world.limiter("t")].leave()
+    world.services[world.limit_owner("t")].leave()
     world.run(0.6)
     after = sum(admitted(world, 100) for _ in range(10))
-    assert before + after <= most_in(LARGE, 4.0)
+    assert before + after <= max_calls(LARGE, 4.0)
     assert before + after >= LARGE.burst + 40.0 * 3.0
     world.run(2.0)
-    let_in(world)
+    newly_admitted(world)
     assert admitted(world, 10) == 10
 
 
 def test_an_owner_that_the_log_service_refuses_shares_the_rate_with_its_successor():
     world = world_with()
-    owner = world.limiter("t")
+    owner = world.limit_owner("t")
     world.refuse(owner)
     at_owner = world.names.index(owner)
     total = 0
     for _ in range(16):
         total += admitted(world, 60, at=lambda _: at_owner)
         total += admitted(world, 60, at=lambda n: (at_owner + 1 + n % 2) % 3)
-    assert total <= most_in(LARGE, 9.6)
+    assert total <= max_calls(LARGE, 9.6)
 
 
 def test_an_owner_that_nobody_confirms_decides_for_a_while_then_says_so():
@@ -180,7 +180,7 @@
 
 def test_a_caller_that_left_while_its_limit_was_asked_leaves_nothing_reserved():
     world = world_with()
-    world.crash(world.limiter("t"), silent=True)
+    world.crash(world.limit_owner("t"), silent=True)
     call = world.call("p", budget=100, max_tokens=100, tenant="t")
     at = survivors(world)(0)
     listener = world.request_admission(call, at)
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -1,4 +1,4 @@
-"""Some daemons that keep accounts, on one virtual clock with one log service."""
+"""Daemons that own accounts, with a virtual clock and one shared log service."""
 
 from random import Random
 
@@ -25,7 +25,7 @@
 from tests.unit.accounts.refusable_log import RefusableLog
 
 LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
-"""The partitions of accounts: two topics of two."""
+"""The partitions of accounts: two topics with two partitions each."""
 TOPICS, PARTITIONS = 2, 2
 RETENTION_SECONDS = 300.0
 STEP_SECONDS = 0.02
@@ -46,7 +46,7 @@
 
 
 class Listener:
-    """What a caller's side hears of one call."""
+    """Records the admission and the completion of one call."""
 
     def __init__(self) -> None:
         self.ticket = None
@@ -71,11 +71,11 @@
         self.is_durable = True
 
     def lost(self) -> None:
-        raise AssertionError("nobody says so here")
+        raise AssertionError("unexpected notification")
 
 
 class World:
-    """Daemons that start, crash and come back."""
+    """Daemons that start, crash and restart."""
 
     def __init__(
         self,
@@ -84,7 +84,7 @@
         mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
         regions: tuple[str, ...] = (),
     ) -> None:
-        """Daemons take turns in the regions, if there are any."""
+        """Assign the daemons to the regions in turn, if there are any."""
         self.mechanisms = mechanisms
         self.regions = regions
         self.listeners: list[Listener] = []
@@ -109,7 +109,7 @@
 
     @property
     def partitions(self):
-        """Give the log's partitions of accounts."""
+        """The log's partitions of accounts."""
         return [self.log.partition(topic, part) for topic, part in LOGS]
 
     def start(self, name: DaemonName) -> None:
@@ -140,30 +140,30 @@
         service.start()
 
     def region_of(self, name: DaemonName) -> str:
-        """Give where a daemon is."""
-        place = self.names.index(name)
-        return self.regions[place % len(self.regions)] if self.regions else ""
+        """Return the region of a daemon."""
+        position = self.names.index(name)
+        return self.regions[position % len(self.regions)] if self.regions else ""
 
     def refuse(self, name: DaemonName, *, is_refused: bool = True) -> None:
-        """Let the log service turn a daemon away."""
+        """Let the log service refuse the requests of a daemon."""
         self.logs[name].is_refused = is_refused
 
     def owner(self, program: str) -> DaemonName:
-        """Give the daemon that the group deals a program's partition to."""
+        """Return the daemon to which the group assigned a program's partition."""
         place = self.partitioning.place(self.partitioning.of_program(program))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
         return read_owner(member).daemon
 
-    def limiter(self, tenant: str) -> DaemonName:
-        """Give the daemon that the group deals the count of a tenant's calls to."""
+    def limit_owner(self, tenant: str) -> DaemonName:
+        """Return the daemon to which the group assigned a tenant's limit."""
         place = self.partitioning.place(self.partitioning.of_tenant(tenant))
         owners = self.log.groups.owners(GROUP)
         member = next(row.member for row in owners if row.partition == place)
         return read_owner(member).daemon
 
     def program_of(self, name: DaemonName) -> str:
-        """Give a program whose partition a daemon owns."""
+        """Return a program whose partition the daemon owns."""
         names = (f"p{number}" for number in range(100))
         return next(program for program in names if self.owner(program) == name)
 
@@ -205,7 +205,7 @@
     def request_admission(
         self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
     ) -> Listener:
-        """Ask for admission at a daemon; the answer comes as time passes."""
+        """Request admission at a daemon; the decision arrives as the clock advances."""
         listener = Listener()
         self.listeners.append(listener)
         admission = self.services[self.names[at]].admission
@@ -215,7 +215,7 @@
     def wait_for_decision(
         self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
     ) -> Listener:
-        """Ask, and let time pass until there is an answer."""
+        """Request admission, and advance the clock until it is decided."""
         listener = self.request_admission(call, at, keeps_turns=keeps_turns)
         for _ in range(400):
             if listener.is_decided:
@@ -224,7 +224,7 @@
         return listener
 
     def store_turn(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
-        """Run a kept turn to its end."""
+        """Run a call to its end, and advance the clock until its turn is durable."""
         listener = self.wait_for_decision(call, at, keeps_turns=True)
         assert listener.ticket is not None, listener.refusal
         listener.ticket.completed(output, output.count(b"\n\n"), listener)
--- a/tests/unit/placement/test_rendezvous.py
+++ b/tests/unit/placement/test_rendezvous.py
@@ -35,9 +35,9 @@
 def test_a_lost_member_moves_only_what_it_held(present, key, data):
     name = f"engine/{key}"
     before = winner(name, present)
-    removed = data.draw(st.sampled_from(present))
-    after = winner(name, [member for member in present if member != removed])
-    assert (after == before) == (removed.member.daemon != before)
+    lost = data.draw(st.sampled_from(present))
+    after = winner(name, [member for member in present if member != lost])
+    assert (after == before) == (lost.member.daemon != before)
 
 
 def test_movement_and_balance_in_a_region():
