Name the log of the owned partitions log, and reword leftovers

service (the log service) becomes log, _verdict _reserve, HINTS_PER_ROUND MAX_HINTS_PER_ROUND and lost (a crashed daemon in a test) crashed.

--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        service: LogService,
+        log: LogService,
         clock: IReactorTime,
         random: Random,
         partitioning: Partitioning,
@@ -61,7 +61,7 @@
     ) -> None:
         """Serve peers through `network`; refer them to the owner of other partitions."""
         self._wall_clock = wall_clock
-        self._service = service
+        self._log = log
         self._clock = clock
         self._random = random
         self._partitions: DealtPartitions[OwnedPartition] = DealtPartitions(
@@ -95,7 +95,7 @@
 
     def _create(self, place: PartitionPlace) -> OwnedPartition:
         return OwnedPartition(
-            self._service,
+            self._log,
             self._clock,
             self._random,
             place,
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -35,7 +35,7 @@
     def send_request(
         self, partition: int, message: Message
     ) -> "Deferred[Message | None]":
-        """Send a request to a partition's owner; None without a reply of an owner."""
+        """Send a request to a partition's owner; fires with None if no owner replies."""
         owner = self.directory.owner(partition)
         if owner is None:
             self.directory.doubt()
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        service: LogService,
+        log: LogService,
         clock: IReactorTime,
         random: Random,
         place: PartitionPlace,
@@ -76,7 +76,7 @@
         self._wall_clock = wall_clock
         self._ledger = Ledger()
         self._journal = PartitionJournal(
-            service,
+            log,
             clock,
             random,
             place,
@@ -155,7 +155,7 @@
     # Journal replay
 
     def skipped_to(self, offset: int) -> None:
-        """Ignore records that were too old to be replayed."""
+        """Ignore the skipped records, which have expired."""
 
     def replayed(self, offset: int, record: bytes) -> None:
         """Apply a record of an earlier owner."""
@@ -215,16 +215,15 @@
             if transcript is None:
                 is_certain = yield self._is_still_owner()
                 return TurnRefused(is_spent=False) if is_certain else NOT_OWNER
-        verdict = self._verdict(request)
+        verdict = self._reserve(request)
         while verdict is Verdict.NEEDS_BOUND:
             is_raised = yield self._bound_writes.write(
                 request.program, lambda: self._write_bound(request)
             )
             if not is_raised or not self.is_serving:
-                return (
-                    NOT_OWNER  # the next owner would not count a reservation made now
-                )
-            verdict = self._verdict(request)
+                # The next owner would not know of a reservation made now.
+                return NOT_OWNER
+            verdict = self._reserve(request)
         self._allowance.renew_if_due()  # last, as the caller waits for the bound
         if verdict is Verdict.GIVEN_UP:
             return NOT_OWNER  # no caller waits for the reply
@@ -260,7 +259,7 @@
             )
         )
 
-    def _verdict(self, request: AdmitTurn) -> Verdict:
+    def _reserve(self, request: AdmitTurn) -> Verdict:
         return self._ledger.admit(
             request.program,
             request.call,
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -16,7 +16,7 @@
 
     @property
     def size_bytes(self) -> int:
-        """Return the total length of input and output."""
+        """Total length of input and output."""
         return len(self.input) + len(self.output)
 
 
--- a/notcharch/placement/routed_request.py
+++ b/notcharch/placement/routed_request.py
@@ -20,7 +20,7 @@
 
 FIRST_DELAY_SECONDS = 0.05
 MAX_DELAY_SECONDS = 0.5
-HINTS_PER_ROUND = 3
+MAX_HINTS_PER_ROUND = 3
 """Maximum hints followed before a delay, because two daemons may name each other."""
 
 MIN_ATTEMPT_SECONDS = 0.01
@@ -102,7 +102,7 @@
                 return reply
             hint = _hint_of(reply.err_value)
             self._learn(hint)
-            if hint is not None and hints < HINTS_PER_ROUND:
+            if hint is not None and hints < MAX_HINTS_PER_ROUND:
                 hints += 1
                 pending.insert(0, hint)
         return reply
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -210,11 +210,11 @@
 @pytest.mark.parametrize("silent", [False, True])
 def test_a_daemon_that_the_log_refuses_learns_of_a_new_owner_from_its_peers(silent):
     world = World()
-    refused, lost = world.names[0], world.names[1]
-    program = world.program_of(lost)
+    refused, crashed = world.names[0], world.names[1]
+    program = world.program_of(crashed)
     assert world.wait_for_decision(world.call(program)).refusal is None
     world.refuse(refused)
-    world.crash(lost, silent=silent)
+    world.crash(crashed, silent=silent)
     world.run(2.0)
     assert world.owner(program) == world.names[2]
     listener = world.wait_for_decision(world.call(program, wait_seconds=1.0), at=0)
