--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -67,10 +67,10 @@
         self.allowance_tokens = 0
         """Tokens that the next owner counts as used if the program has no record."""
         self.is_initialized = False
-        """Whether a record or the starting allowance was applied to the program."""
+        """True once a record or the starting allowance has been applied."""
         self.used = 0
         self.may_be_overcounted = False
-        """Whether `used` may include tokens that were not generated."""
+        """True if `used` may include tokens that were not generated."""
         self.reserved: dict[str, Reservation] = {}
         self.abandoned: set[str] = set()
         """Calls that ended before their admission here."""
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -45,7 +45,7 @@
     home: str = ""
     """The engine that ran the program's last call."""
     is_doubted: bool = False
-    """Whether `used_tokens` may include tokens that were not generated."""
+    """True if `used_tokens` may include tokens that were not generated."""
 
 
 class AllowanceGiven(Record, frozen=True, tag="allowance"):
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -63,7 +63,6 @@
     tolerance: Tolerance = Tolerance()
     """How far the limits of tenants may be exceeded."""
     mechanisms: frozenset[Mechanism] = ALL_MECHANISMS
-    """Enabled mechanisms."""
     region: str = ""
     """Region of this daemon."""
     regions: tuple[str, ...] = ()
--- a/notcharch/placement/engine_directory.py
+++ b/notcharch/placement/engine_directory.py
@@ -22,7 +22,7 @@
         self._listed: dict[str, Machine] = {}
         """Engines with their state in the machine list."""
         self._engines: dict[str, Machine] = {}
-        """The same engines, with live ones in drained zones marked as leaving."""
+        """Engines by name, with live ones in drained zones marked as leaving."""
         self._drains = ZoneDrains()
         self._pools: dict[PoolName, tuple[Machine, ...]] = {}
         self._listeners: list[Callable[[], None]] = []
