--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -87,7 +87,7 @@
             network,
             role.name,
             partitioning=role.partitioning,
-            asks_peers=Mechanism.PEER_VIEWS in mechanisms,
+            requests_peer_views=Mechanism.PEER_VIEWS in mechanisms,
         )
         self._owned_partitions = OwnedPartitions(
             services.log,
@@ -114,17 +114,17 @@
             services.log,
             services.clock,
             GroupName(role.name, role.partitioning.topics),
-            OwnerName(local_member.daemon, settings.address).text(),
-            least_lease_seconds=settings.min_lease_seconds,
-            dealt=self._owned_partitions.on_assignment,
-            recovered=services.recovery.recovered if has_signal else lambda: None,
+            OwnerName(local_member.daemon, settings.address).member_id(),
+            min_lease_seconds=settings.min_lease_seconds,
+            on_assignment=self._owned_partitions.on_assignment,
+            on_recovery=services.recovery.recovered if has_signal else lambda: None,
         )
         self.owners = OwnerRequests(
             services.clock,
             network,
             self.directory,
             role.partitioning,
-            lambda: self._member.silent_seconds,
+            lambda: self._member.unanswered_seconds,
         )
         self.admission = AccountAdmission(
             self.owners, services.suspicions, other_groups
@@ -132,7 +132,9 @@
 
     def _lease(self) -> Lease:
         member = self._member
-        return Lease(member.lapsed_seconds, member.held_since, member.left_seconds)
+        return Lease(
+            member.expired_seconds, member.lease_held_since, member.remaining_seconds
+        )
 
     def _heartbeat(self) -> None:
         self._member.heartbeat()
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -44,9 +44,11 @@
         self._suspicions = suspicions
         self._cache = TurnCache(TURN_CACHE_BYTES)
 
-    def ask(self, call: OpaqueCall, route: Route, listener: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, listener: AdmissionListener
+    ) -> None:
         """Admit or refuse a call through `listener`."""
-        is_accounted = call.budget_tokens is not None or route.keeps_turns
+        is_accounted = call.budget_tokens is not None or route.stores_turns
         if not (route.is_stream and call.program and is_accounted):
             listener.admitted(NO_ACCOUNT, call.body)
             return
@@ -62,7 +64,7 @@
         decision = yield request_until_decided(
             self._owners.clock,
             account.call,
-            lambda: listener.wants_admission,
+            lambda: listener.awaits_admission,
             lambda: self._request_once(account),
         )
         if isinstance(decision, Refusal):
--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -50,7 +50,7 @@
         self._unanswered: set[str] = set()
         """Operations already logged as unanswered."""
         self._engine = ""
-        self.home = ""
+        self.cached_engine = ""
         """The engine that ran the program's last call, as reported by the owner."""
 
     # Admission
@@ -62,10 +62,10 @@
             self.partition,
             self.program,
             self.call_id,
-            call.most_tokens,
+            call.max_tokens,
             call.budget_tokens,
-            self._route.keep_seconds,
-            previous=self.previous_turn if self._route.keeps_turns else "",
+            self._route.retention_seconds,
+            previous=self.previous_turn if self._route.stores_turns else "",
             known=self._known_turn(),
             suspicions=suspicions,
         )
@@ -78,9 +78,9 @@
 
     def complete_body(self, response: TurnAdmitted) -> bytes | None:
         """Return the body after the text of earlier turns; None if one is missing."""
-        self.home = response.home
+        self.cached_engine = response.home
         body = self.call.body
-        if not self._route.keeps_turns or not self.previous_turn:
+        if not self._route.stores_turns or not self.previous_turn:
             return body
         if response.text:
             known = Turn(response.after, response.text, b"")
@@ -103,7 +103,7 @@
                 request=self.call.id,
                 program=self.call.program,
                 partition=self.partition,
-                owner=owner.text() if owner is not None else "",
+                owner=owner.member_id() if owner is not None else "",
                 view_age_seconds=round(directory.age_seconds, 3),
                 waited_seconds=round(
                     self._owners.clock.seconds() - self.call.arrived, 3
@@ -120,7 +120,7 @@
 
     # `Ticket`
 
-    def runs_at(self, engine_id: str) -> None:
+    def engine_started(self, engine_id: str) -> None:
         """Record the engine, which has the program's prefix cache."""
         self._engine = engine_id
 
@@ -128,7 +128,7 @@
         """Release the reserved tokens."""
         self._report_usage(0)
 
-    def broke_off(self, events: int) -> None:
+    def interrupted(self, events: int) -> None:
         """Charge the events that the caller received."""
         self._report_usage(events)
 
@@ -148,7 +148,7 @@
 
         `completion` is notified once the turn is durable.
         """
-        if not self._route.keeps_turns:
+        if not self._route.stores_turns:
             self._report_usage(events)
             completion.durable()
             return
@@ -171,7 +171,7 @@
             events * call.tokens_per_event,
             self._engine,
         )
-        while completion.is_awaited:
+        while completion.is_caller_waiting:
             response = yield self._owners.send_request(self.partition, message)
             if isinstance(response, TurnIsKept):
                 turn = Turn(self.previous_turn, call.body, data)
--- a/notcharch/accounts/limited_admission.py
+++ b/notcharch/accounts/limited_admission.py
@@ -46,14 +46,16 @@
         self._owners = owners
         self._shapes = shapes
 
-    def ask(self, call: OpaqueCall, route: Route, listener: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, listener: AdmissionListener
+    ) -> None:
         """Admit or refuse a call through `listener`."""
         if call.tenant is None or call.tenant.limit is None:
-            self._accounts.ask(call, route, listener)
+            self._accounts.request(call, route, listener)
             return
         max_wait = max_wait_seconds(call) if self._shapes else 0.0
-        request = LimitRequest(self._owners, call, route, listener, max_wait)
-        self._accounts.ask(call, route, request)
+        limit_request = LimitRequest(self._owners, call, route, listener, max_wait)
+        self._accounts.request(call, route, limit_request)
 
 
 class LimitRequest:
@@ -82,9 +84,9 @@
         )
 
     @property
-    def wants_admission(self) -> bool:
+    def awaits_admission(self) -> bool:
         """Whether the caller is still connected and waits."""
-        return self._listener.wants_admission
+        return self._listener.awaits_admission
 
     def refused(self, refusal: Refusal) -> None:
         """Forward the account's refusal."""
@@ -101,7 +103,7 @@
         reply = yield request_until_decided(
             self._owners.clock,
             self._call,
-            lambda: self._listener.wants_admission,
+            lambda: self._listener.awaits_admission,
             self._request_once,
         )
         if isinstance(reply, CallAdmitted):
@@ -126,7 +128,7 @@
         return deferLater(self._owners.clock, seconds, lambda: None)
 
     def _admit(self, ticket: Ticket, body: bytes) -> None:
-        if self._listener.wants_admission:
+        if self._listener.awaits_admission:
             self._listener.admitted(ticket, body)
         else:
             ticket.never_ran()
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -22,10 +22,10 @@
     TurnAdmitted,
 )
 from notcharch.accounts.partition import OwnedPartition
-from notcharch.journal.dealt_partitions import DealtPartitions
+from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.interface import LogService, Membership
 from notcharch.journal.owner_directory import OwnerDirectory
-from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment
 from notcharch.journal.partitioning import Partitioning
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
@@ -64,12 +64,12 @@
         self._log = log
         self._clock = clock
         self._random = random
-        self._partitions: DealtPartitions[OwnedPartition] = DealtPartitions(
+        self._partitions: AssignedPartitions[OwnedPartition] = AssignedPartitions(
             network.own_member,
             partitioning,
             directory,
             heartbeat=heartbeat,
-            make=self._create,
+            create=self._create,
         )
         self._retention_seconds = retention_seconds
         self._recovery = recovery
@@ -91,15 +91,15 @@
 
     def on_assignment(self, membership: Membership) -> None:
         """Take over partitions that were added, and release those that were removed."""
-        self._partitions.dealt(membership)
+        self._partitions.on_assignment(membership)
 
-    def _create(self, place: PartitionPlace) -> OwnedPartition:
+    def _create(self, assignment: PartitionAssignment) -> OwnedPartition:
         return OwnedPartition(
             self._log,
             self._clock,
             self._random,
-            place,
-            on_fenced=self._partitions.lost,
+            assignment,
+            on_fenced=self._partitions.on_fenced,
             recovery=self._recovery,
             uses_starting_allowance=self._uses_starting_allowance,
             limit_context=self._limit_context,
@@ -110,7 +110,7 @@
         """Release all partitions; fires when all accounts are handed over."""
         if self._cleanup.running:
             self._cleanup.stop()
-        return self._partitions.give_up_all()
+        return self._partitions.release_all()
 
     def _clean_up(self) -> None:
         for owned in self._partitions.all():
@@ -118,7 +118,7 @@
 
     def _not_owner(self, partition: int) -> NotOwner:
         owner = self._partitions.other_owner(partition)
-        return NotOwner("" if owner is None else owner.text())
+        return NotOwner("" if owner is None else owner.member_id())
 
     def _serve(
         self,
--- a/notcharch/accounts/owner_requests.py
+++ b/notcharch/accounts/owner_requests.py
@@ -8,8 +8,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.messages import NotOwner
-from notcharch.calls.interface import STATE_UNSURE, OpaqueCall, Refusal
-from notcharch.calls.return_times import come_back_after
+from notcharch.calls.interface import STATE_UNKNOWN, OpaqueCall, Refusal
+from notcharch.calls.retry_after import with_retry_after
 from notcharch.errors import Problem
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.partitioning import Partitioning
@@ -38,7 +38,7 @@
         """Send a request to a partition's owner; fires with None if no owner replies."""
         owner = self.directory.owner(partition)
         if owner is None:
-            self.directory.doubt()
+            self.directory.suspect_stale()
             unanswered: Deferred[Message | None] = Deferred()
             unanswered.callback(None)
             return unanswered
@@ -47,19 +47,19 @@
 
     def _check_reply(self, reply: Reply, partition: int) -> Message | None:
         if isinstance(reply, Err):
-            self.directory.doubt()
+            self.directory.suspect_stale()
             return None
         message = reply.ok_value
         if isinstance(message, NotOwner):
-            self.directory.doubt()
-            self.directory.hinted(partition, message.owner)
+            self.directory.suspect_stale()
+            self.directory.apply_hint(partition, message.owner)
             return None
         return message
 
     def undecided_refusal(self, call: OpaqueCall) -> Refusal:
         """Return the refusal of a call that no owner decided in time."""
         now = self.clock.seconds()
-        return come_back_after(STATE_UNSURE, self.service_silence(), call, now)
+        return with_retry_after(STATE_UNKNOWN, self.service_silence(), call, now)
 
     def send_notice(self, partition: int, message: Message) -> None:
         """Send a notice to a partition's owner, if one is known."""
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -41,7 +41,7 @@
 )
 from notcharch.events.event import emit
 from notcharch.journal.interface import LogService
-from notcharch.journal.partition_journal import PartitionJournal, PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import Outcome
 from notcharch.wire.messages.base import Message
@@ -58,7 +58,7 @@
         log: LogService,
         clock: IReactorTime,
         random: Random,
-        place: PartitionPlace,
+        assignment: PartitionAssignment,
         *,
         on_fenced: Callable[["OwnedPartition"], None],
         recovery: RecoverySignal,
@@ -68,10 +68,10 @@
     ) -> None:
         """Prepare the takeover; `on_fenced` is called if a higher epoch fences it."""
         self._limited_tenants = LimitedTenants(
-            limit_context or LimitContext(), clock, place.number
+            limit_context or LimitContext(), clock, assignment.number
         )
         self._clock = clock
-        self.place = place
+        self.assignment = assignment
         self._on_fenced = on_fenced
         self._wall_clock = wall_clock
         self._ledger = Ledger()
@@ -79,9 +79,9 @@
             log,
             clock,
             random,
-            place,
+            assignment,
             target=self,
-            lost=self._handle_fenced,
+            on_fenced=self._handle_fenced,
             recovery=recovery,
         )
         self._writer = self._journal.writer
@@ -133,8 +133,8 @@
         TAKEOVER_SECONDS.observe(self._clock.seconds() - self._takeover_started_at)
         emit(
             PartitionTakenOver(
-                partition=self.place.number,
-                epoch=self.place.epoch,
+                partition=self.assignment.number,
+                epoch=self.assignment.epoch,
                 records=self._journal.records,
                 programs=len(self._ledger),
                 seconds=round(self._clock.seconds() - self._takeover_started_at, 4),
@@ -145,7 +145,7 @@
         if self.is_serving:
             OWNED_PARTITIONS.dec()
         self.is_serving = False
-        emit(PartitionGivenUp(self.place.number, self.place.epoch, cause))
+        emit(PartitionGivenUp(self.assignment.number, self.assignment.epoch, cause))
 
     def _resume_waiters(self) -> None:
         waiters, self._waiters = self._waiters, []
@@ -154,10 +154,10 @@
 
     # Journal replay
 
-    def skipped_to(self, offset: int) -> None:
+    def skip_to(self, offset: int) -> None:
         """Ignore the skipped records, which have expired."""
 
-    def replayed(self, offset: int, record: bytes) -> None:
+    def replay_record(self, offset: int, record: bytes) -> None:
         """Apply a record of an earlier owner."""
         known = decode(record)
         if known is not None:
@@ -250,8 +250,8 @@
             BudgetRefused(
                 request=message.call,
                 program=message.program,
-                partition=self.place.number,
-                epoch=self.place.epoch,
+                partition=self.assignment.number,
+                epoch=self.assignment.epoch,
                 budget_tokens=message.budget_tokens or 0,
                 used_tokens=program.used,
                 under_way_tokens=program.committed - program.used,
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -12,7 +12,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.calls.eligibility import Cause, NoEngine
 from notcharch.calls.interface import (
-    STATE_UNSURE,
+    STATE_UNKNOWN,
     Admission,
     AdmissionListener,
     OpaqueCall,
@@ -70,10 +70,12 @@
                 group = self._groups[region] = self._create_group(region)
                 group.start()
 
-    def ask(self, call: OpaqueCall, route: Route, listener: AdmissionListener) -> None:
+    def request(
+        self, call: OpaqueCall, route: Route, listener: AdmissionListener
+    ) -> None:
         """Admit or refuse a call through `listener`."""
         if call.regions is None:
-            self._default_admission.ask(call, route, listener)
+            self._default_admission.request(call, route, listener)
             return
         known = self._regions & call.regions
         if not known:
@@ -85,9 +87,9 @@
         group = self._groups.get(region)
         if group is None:
             # This daemon is stopping and no longer joins groups.
-            listener.refused(STATE_UNSURE)
+            listener.refused(STATE_UNKNOWN)
         else:
-            group.admission.ask(call, route, listener)
+            group.admission.request(call, route, listener)
 
     def leave(self) -> None:
         """Leave all groups."""
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -20,7 +20,7 @@
 from notcharch.accounts.resident_accounts import ResidentAccounts
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.interface import LogService
-from notcharch.journal.partitioning import spread_over
+from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
@@ -109,7 +109,9 @@
             tenant,
             wall_clock,
         )
-        partitioning = spread_over(TOPIC, settings.topics, settings.partitions)
+        partitioning = partitioning_for_topics(
+            TOPIC, settings.topics, settings.partitions
+        )
         self._default_group = self._create_group(GroupRole(GROUP, partitioning))
         self.directory = self._default_group.directory
         self._regional_accounts = ResidentAccounts(
@@ -144,7 +146,7 @@
         """Create the group of a region, whose members are the region's daemons."""
         settings = self._settings
         position = sorted(settings.regions).index(region) + 1
-        partitioning = spread_over(
+        partitioning = partitioning_for_topics(
             f"{TOPIC}-{region}",
             REGION_TOPICS,
             settings.partitions,
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -1,4 +1,4 @@
-"""The log lines of one call: each decision with what it was made from."""
+"""Log events of one call: each decision with its inputs."""
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -6,9 +6,9 @@
 from notcharch.calls.metrics import (
     ADMISSION_SECONDS,
     CALLS,
+    COMPLETE_RESPONSE_SECONDS,
     FIRST_EVENT_SECONDS,
-    SENT_AGAIN,
-    WHOLE_SECONDS,
+    RETRIES,
 )
 from notcharch.events.calls import (
     AnswerOverdue,
@@ -22,29 +22,29 @@
 
 
 class CallLog:
-    """Writes the lines of one call, and counts what they tell."""
+    """Logs the events of one call and updates its metrics."""
 
     def __init__(self, clock: IReactorTime, call: OpaqueCall, route: Route) -> None:
-        """Begin when the call begins."""
+        """Start at the arrival of a call."""
         self._clock = clock
         self._call = call
         self._route = route
         self.deadline = 0.0
-        """Clock seconds."""
+        """Deadline of the call, clock seconds."""
         self.admission_seconds = 0.0
         self.engines: list[str] = []
-        """The engines that it was sent to, in order."""
+        """Engines that the call was sent to, in order."""
         self.runs = 0
-        """So many engines may have run it."""
+        """Number of engines that may have run the call."""
         self.events = 0
-        """Whole events that the caller was given."""
+        """Number of complete events relayed to the caller."""
 
     @property
     def _seconds(self) -> float:
         return round(self._clock.seconds() - self._call.arrived, 4)
 
     @property
-    def _left(self) -> float:
+    def _seconds_left(self) -> float:
         return round(self.deadline - self._clock.seconds(), 4)
 
     @property
@@ -52,18 +52,18 @@
         return self.engines[-1] if self.engines else ""
 
     def admitted(self) -> None:
-        """Note how long the admission took."""
+        """Record the duration of the admission."""
         self.admission_seconds = self._seconds
         ADMISSION_SECONDS.observe(self.admission_seconds)
 
-    def gave(self, events: int) -> None:
-        """Note how many events the caller was given."""
+    def events_relayed(self, events: int) -> None:
+        """Record the number of events relayed so far."""
         if not self.events:
             FIRST_EVENT_SECONDS.observe(self._seconds)
         self.events = events
 
-    def overdue(self, limit_seconds: float, *, is_given_up: bool) -> None:
-        """Tell that the present run's first answer is overdue."""
+    def overdue(self, limit_seconds: float, *, is_abandoned: bool) -> None:
+        """Log that the current run's first response is overdue."""
         call = self._call
         emit(
             AnswerOverdue(
@@ -73,14 +73,14 @@
                 engine=self._engine,
                 waited_seconds=self._seconds,
                 limit_seconds=round(limit_seconds, 3),
-                is_given_up=is_given_up,
+                is_given_up=is_abandoned,
             )
         )
 
     def served(self, status: int) -> None:
-        """Tell that the caller has an engine's whole answer."""
+        """Log that an engine's complete response was relayed."""
         CALLS.labels("served", "").inc()
-        WHOLE_SECONDS.observe(self._seconds)
+        COMPLETE_RESPONSE_SECONDS.observe(self._seconds)
         emit(
             CallServed(
                 request=self._call.id,
@@ -97,7 +97,7 @@
         )
 
     def refused(self, refusal: Refusal, phase: str, engines_known: int) -> None:
-        """Tell of an answer of our own."""
+        """Log a refusal."""
         CALLS.labels("refused", refusal.reason).inc()
         emit(
             CallRefused(
@@ -113,13 +113,13 @@
                 runs=self.runs,
                 engines_known=engines_known,
                 seconds=self._seconds,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def sent_again(self, cause: str) -> None:
-        """Tell why another engine is looked for."""
-        SENT_AGAIN.inc()
+    def retried(self, cause: str) -> None:
+        """Log a retry and its cause."""
+        RETRIES.inc()
         emit(
             CallSentAgain(
                 request=self._call.id,
@@ -128,12 +128,12 @@
                 cause=cause,
                 runs=self.runs,
                 events=self.events,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def broken_off(self, phase: str, cause: str) -> None:
-        """Tell of a stream that was cut."""
+    def interrupted(self, phase: str, cause: str) -> None:
+        """Log an aborted stream."""
         CALLS.labels("broken off", phase).inc()
         emit(
             CallBrokenOff(
@@ -146,12 +146,12 @@
                 runs=self.runs,
                 events=self.events,
                 seconds=self._seconds,
-                seconds_left=self._left,
+                seconds_left=self._seconds_left,
             )
         )
 
-    def caller_left(self, phase: str) -> None:
-        """Tell that nobody waits any more."""
+    def caller_disconnected(self, phase: str) -> None:
+        """Log that the caller disconnected."""
         CALLS.labels("caller left", phase).inc()
         emit(
             CallerLeft(
--- a/notcharch/http/idle_connections.py
+++ b/notcharch/http/idle_connections.py
@@ -1,4 +1,4 @@
-"""Connections that wait for their next request."""
+"""A pool of idle keep-alive connections."""
 
 from collections import deque
 
@@ -9,49 +9,49 @@
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
-    """A connection, used until the given clock seconds."""
+    """An idle connection, which expires at the given clock seconds."""
 
     connection: ClientConnection
-    until: float
+    expires_at: float
 
 
 class IdleConnections:
-    """The idle connections to one server; the one used last is used first."""
+    """The idle connections to one server; the most recently used one is reused first."""
 
-    def __init__(self, clock: IReactorTime, most: int) -> None:
-        """Keep up to so many."""
+    def __init__(self, clock: IReactorTime, max_idle: int) -> None:
+        """Keep at most `max_idle` connections."""
         self._clock = clock
-        self._most = most
+        self._max_idle = max_idle
         self._idle: deque[IdleConnection] = deque()
 
     def take(self) -> ClientConnection | None:
-        """Give a connection that may still be used, if there is one."""
+        """Remove and return a reusable connection, if there is one."""
         now = self._clock.seconds()
         while self._idle:
-            kept = self._idle.pop()
-            if kept.connection.is_reusable and now < kept.until:
-                return kept.connection
-            kept.connection.close()
+            idle = self._idle.pop()
+            if idle.connection.is_reusable and now < idle.expires_at:
+                return idle.connection
+            idle.connection.close()
         return None
 
     def keep(self, connection: ClientConnection, seconds: float) -> None:
-        """Keep a connection for so long, if it may serve again."""
+        """Keep a connection for the given time, if it is reusable."""
         if not connection.is_reusable:
             return
-        self._drop_old()
+        self._close_expired()
         self._idle.append(IdleConnection(connection, self._clock.seconds() + seconds))
-        if len(self._idle) > self._most:
+        if len(self._idle) > self._max_idle:
             self._idle.popleft().connection.close()
 
-    def _drop_old(self) -> None:
+    def _close_expired(self) -> None:
         now = self._clock.seconds()
         while self._idle:
             oldest = self._idle[0]
-            if oldest.connection.is_reusable and now < oldest.until:
+            if oldest.connection.is_reusable and now < oldest.expires_at:
                 return
             self._idle.popleft().connection.close()
 
     def close_all(self) -> None:
-        """Close them."""
+        """Close all idle connections."""
         while self._idle:
             self._idle.pop().connection.close()
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -1,23 +1,27 @@
-"""Socket options that find out silent peers."""
+"""Socket options that detect unreachable peers."""
 
 import socket
 from typing import Any
 
-UNACKED_MILLISECONDS = 2000
-"""A connection ends if sent bytes aren't acknowledged for so long."""
-PROBE_AFTER_SECONDS = 1
-"""Seconds without a byte before the first probe."""
-PROBE_EACH_SECONDS = 1
-"""Seconds between two probes; the kernel takes whole ones."""
-PROBES = 2
-"""Probes without an answer that end a connection: three seconds in all."""
+USER_TIMEOUT_MILLISECONDS = 2000
+"""A connection is closed if sent data stays unacknowledged for this time."""
+KEEPALIVE_IDLE_SECONDS = 1
+"""Idle time before the first keepalive probe."""
+KEEPALIVE_INTERVAL_SECONDS = 1
+"""Interval between two probes, in whole seconds as the kernel requires."""
+KEEPALIVE_PROBES = 2
+"""Unacknowledged probes that close a connection, after three seconds in total."""
 
 
-def detect_silence(transport: Any) -> None:
-    """End a TCP connection within some seconds of its peer's machine going dark."""
+def detect_dead_peer(transport: Any) -> None:
+    """Close a TCP connection within seconds of its peer becoming unreachable."""
     handle = transport.getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EACH_SECONDS)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MILLISECONDS)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    handle.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    )
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    handle.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS
+    )
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -1,4 +1,4 @@
-"""This daemon's membership in the group that deals partitions out."""
+"""This daemon's membership in the group that assigns partitions."""
 
 import math
 from collections.abc import Callable, Generator
@@ -17,18 +17,20 @@
 )
 
 HEARTBEAT_SECONDS = 0.35
-"""A third of the lease, so two heartbeats in a row may be lost."""
-QUICK_SECONDS = 0.1
-"""Between heartbeats while the group changes, or after one that had no answer."""
-QUICK_HEARTBEATS = 5
-"""So many heartbeats follow quickly when the group has changed: more may be dealt."""
+"""Under a third of the lease, so that two consecutive heartbeats may fail."""
+FAST_HEARTBEAT_SECONDS = 0.1
+"""Interval after a change of the group or a heartbeat without a response."""
+FAST_HEARTBEATS = 5
+"""Number of heartbeats at the short interval after a new generation."""
 LEASE_SECONDS = 1.2
-"""So long the partitions of a dead daemon stay unserved. The platform takes 1 s at least;
-a fifth more for a heartbeat that comes late."""
+"""How long the partitions of a failed daemon stay unserved.
+
+The platform's minimum is 1 s; the rest allows for a late heartbeat.
+"""
 
 
 class GroupMember:
-    """Stays in a group by heartbeats, and tells which partitions it was dealt."""
+    """Renews a group membership by heartbeats and reports the assigned partitions."""
 
     def __init__(
         self,
@@ -37,71 +39,71 @@
         name: GroupName,
         member: str,
         *,
-        least_lease_seconds: float,
-        dealt: Callable[[Membership], None],
-        recovered: Callable[[], None] = lambda: None,
+        min_lease_seconds: float,
+        on_assignment: Callable[[Membership], None],
+        on_recovery: Callable[[], None] = lambda: None,
     ) -> None:
-        """Call `dealt` after each heartbeat that was answered.
+        """Call `on_assignment` after each successful heartbeat.
 
-        `recovered` is called before it when the heartbeat before had no answer.
+        `on_recovery` is called before it if the previous heartbeat failed.
         """
         self._service = service
         self._clock = clock
         self._name = name
         self._member = member
-        self._lease_seconds = max(LEASE_SECONDS, least_lease_seconds)
-        self._dealt = dealt
-        self._recovered = recovered
+        self._lease_seconds = max(LEASE_SECONDS, min_lease_seconds)
+        self._on_assignment = on_assignment
+        self._on_recovery = on_recovery
         self._has_failed = False
-        """Whether the last heartbeat was refused or not answered."""
+        """Whether the last heartbeat was refused or timed out."""
         self._generation = 0
         self._is_member = False
         self._is_joining = False
         self._confirmed_at: float | None = None
-        """When the last heartbeat that was answered was sent."""
-        self.held_since = -math.inf
-        """When the lease was last renewed after it had run out, clock seconds."""
-        self._quick_left = 0
+        """Send time of the last successful heartbeat, in clock seconds."""
+        self.lease_held_since = -math.inf
+        """When the lease was last acquired after an expiry, in clock seconds."""
+        self._fast_heartbeats_left = 0
         self._next: IDelayedCall | None = None
 
     def start(self) -> None:
-        """Join, and stay."""
+        """Join the group and start sending heartbeats."""
         self._is_member = True
         self.heartbeat()
 
     @property
     def is_lease_valid(self) -> bool:
-        """Whether nobody else can have been dealt what was dealt to this member."""
+        """Whether no other member can own the partitions assigned to this one."""
         if self._confirmed_at is None:
             return False
         return self._clock.seconds() - self._confirmed_at < self._lease_seconds
 
     @property
-    def left_seconds(self) -> float:
-        """Seconds until the lease runs out, if the service doesn't renew it; or 0."""
+    def remaining_seconds(self) -> float:
+        """Seconds until the lease expires unless renewed; 0 if it has expired."""
         if self._confirmed_at is None:
             return 0.0
-        held = self._clock.seconds() - self._confirmed_at
-        return max(self._lease_seconds - held, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(self._lease_seconds - elapsed, 0.0)
 
     @property
-    def lapsed_seconds(self) -> float:
-        """Seconds since the lease ran out, if the service didn't renew it; or 0."""
+    def expired_seconds(self) -> float:
+        """Seconds since the lease expired; 0 if it is valid, infinite if never held."""
         if self._confirmed_at is None:
             return math.inf
-        held = self._clock.seconds() - self._confirmed_at
-        return max(held - self._lease_seconds, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(elapsed - self._lease_seconds, 0.0)
 
     @property
-    def silent_seconds(self) -> float:
-        """Seconds for which heartbeats have not been answered as they should; or 0."""
+    def unanswered_seconds(self) -> float:
+        """Seconds by which a response to the heartbeats is overdue; 0 if none is."""
         if self._confirmed_at is None:
             return 0.0
-        held = self._clock.seconds() - self._confirmed_at
-        return max(held - 2 * HEARTBEAT_SECONDS, 0.0)
+        elapsed = self._clock.seconds() - self._confirmed_at
+        return max(elapsed - 2 * HEARTBEAT_SECONDS, 0.0)
 
     def heartbeat(self) -> None:
-        """Join now, not at the next time."""
+        """Send a heartbeat now instead of at the next scheduled time."""
         if self._next is not None and self._next.active():
             self._next.cancel()
         if self._is_member and not self._is_joining:
@@ -111,47 +113,49 @@
     def _join(self) -> Generator["Deferred[Any]", Any, None]:
         self._is_joining = True
         sent_at = self._clock.seconds()
-        answer: Result[Membership, LogProblem] = yield self._service.join(
+        response: Result[Membership, LogProblem] = yield self._service.join(
             self._name, self._member, self._lease_seconds, self._generation
         )
         self._is_joining = False
         if not self._is_member:
             return
-        # Before anything else, so that no fault keeps the next heartbeat away.
+        # Schedule the next heartbeat first, so that no exception below prevents it.
         if self._next is None or not self._next.active():
-            self._next = self._clock.callLater(self._pause(answer), self.heartbeat)
-        had_failed, self._has_failed = self._has_failed, isinstance(answer, Err)
-        if not isinstance(answer, Err):
-            if self.lapsed_seconds > 0.0:
-                self.held_since = self._clock.seconds()
+            self._next = self._clock.callLater(
+                self._next_delay(response), self.heartbeat
+            )
+        had_failed, self._has_failed = self._has_failed, isinstance(response, Err)
+        if not isinstance(response, Err):
+            if self.expired_seconds > 0.0:
+                self.lease_held_since = self._clock.seconds()
             self._confirmed_at = sent_at
             if had_failed:
-                self._recovered()
-            self._dealt(answer.ok_value)
+                self._on_recovery()
+            self._on_assignment(response.ok_value)
 
-    def _pause(self, answer: Result[Membership, LogProblem]) -> float:
-        """Give the time to the next heartbeat; note the group's generation.
+    def _next_delay(self, response: Result[Membership, LogProblem]) -> float:
+        """Return the delay until the next heartbeat; store the group's generation.
 
-        One whose answer was lost has spent much of the lease already.
+        A heartbeat that timed out has used up much of the lease: repeat it soon.
         """
-        if isinstance(answer, Err):
-            is_lost = answer.err_value.fault is LogFault.UNKNOWN
-            return QUICK_SECONDS if is_lost else HEARTBEAT_SECONDS
-        if answer.ok_value.generation != self._generation:
-            self._quick_left = QUICK_HEARTBEATS
-        self._generation = answer.ok_value.generation
-        if self._quick_left <= 0:
+        if isinstance(response, Err):
+            is_timed_out = response.err_value.fault is LogFault.UNKNOWN
+            return FAST_HEARTBEAT_SECONDS if is_timed_out else HEARTBEAT_SECONDS
+        if response.ok_value.generation != self._generation:
+            self._fast_heartbeats_left = FAST_HEARTBEATS
+        self._generation = response.ok_value.generation
+        if self._fast_heartbeats_left <= 0:
             return HEARTBEAT_SECONDS
-        self._quick_left -= 1
-        return QUICK_SECONDS
+        self._fast_heartbeats_left -= 1
+        return FAST_HEARTBEAT_SECONDS
 
     def stop(self) -> None:
-        """Send no more heartbeats."""
+        """Stop sending heartbeats."""
         self._is_member = False
         if self._next is not None and self._next.active():
             self._next.cancel()
 
     def leave(self) -> None:
-        """Give all partitions up at once."""
+        """Leave the group, which releases all partitions immediately."""
         self.stop()
         self._service.leave(self._name.group, self._member)
--- a/notcharch/placement/interface.py
+++ b/notcharch/placement/interface.py
@@ -72,7 +72,7 @@
     def owner(self, partition: int) -> OwnerName | None:
         """Return the partition's owner, or None if it is not known."""
 
-    def doubt(self) -> None:
+    def suspect_stale(self) -> None:
         """Refresh soon, because an owner may have changed."""
 
 
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -75,11 +75,11 @@
             program=_name(values.get(PROGRAM, b"")),
             session=_name(values.get(SESSION, b"")),
             affinity=_affinity(values.get(b"cookie", b"").decode("latin-1")),
-            most_tokens=_most_tokens(values.get(USAGE)),
+            max_tokens=_most_tokens(values.get(USAGE)),
             budget_tokens=_integer(values.get(BUDGET)),
             previous_turn=_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
-            program_seconds_left=_seconds(values.get(FINISH)),
+            program_remaining_seconds=_seconds(values.get(FINISH)),
         )
     except ValueError:
         return None
@@ -134,11 +134,11 @@
     """How the platform's engines are spoken to."""
 
     def request(
-        self, call: OpaqueCall, engine: Engine, milliseconds_left: int
+        self, call: OpaqueCall, engine: Engine, remaining_ms: int
     ) -> RequestHead:
         """Give the head that an engine gets."""
         headers = end_to_end(call.head.headers, SET_HERE)
-        headers.append((b"X-Notcharch-Deadline-Ms", str(milliseconds_left).encode()))
+        headers.append((b"X-Notcharch-Deadline-Ms", str(remaining_ms).encode()))
         headers.append((b"X-Notcharch-Expect-Instance", engine.id.encode()))
         if call.last_event_id is not None:
             headers.append((b"Last-Event-Id", call.last_event_id))
@@ -146,7 +146,7 @@
             headers.append((b"X-Notcharch-Tenant", call.tenant.name.encode()))
         return RequestHead(call.head.method, call.head.target, headers)
 
-    def is_answer_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
+    def is_response_to(self, call: OpaqueCall, head: ResponseHead) -> bool:
         """Tell whether an answer carries the call's id, or none."""
         id = head.get(REQUEST_ID)
         return id is None or id == call.id.encode()
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -9,11 +9,11 @@
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import Engine
-from notcharch.calls.list_log import EngineListLog, tell_drains
+from notcharch.calls.list_log import EngineListLog, report_drains
 from notcharch.calls.routing import Router
 from notcharch.events.event import emit
 from notcharch.events.process import DependencyLost, TableInForce
-from notcharch.journal.keyed_follower import KeyedFollower, Pace
+from notcharch.journal.keyed_follower import KeyedFollower, PollTiming
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.configuration import (
     drained_zones_of,
@@ -113,11 +113,11 @@
             clock,
             random,
             CONFIGURATION_TOPIC,
-            pace=Pace(table_seconds, CONFIGURATION_PAUSE_SECONDS),
-            changed=self._configuration_changed,
+            timing=PollTiming(table_seconds, CONFIGURATION_PAUSE_SECONDS),
+            on_change=self._configuration_changed,
             recovery=recovery,
-            proved=self._configuration_proved,
-            quick_share=self._quick_share,
+            on_confirmed=self._configuration_proved,
+            immediate_share=self._quick_share,
         )
         self._followers = (
             self._configuration,
@@ -126,10 +126,10 @@
                 clock,
                 random,
                 ENGINES_TOPIC,
-                pace=Pace(
+                timing=PollTiming(
                     wait_seconds, ENGINES_PAUSE_SECONDS, ENGINES_PAGE_PAUSE_SECONDS
                 ),
-                changed=self._engines_changed,
+                on_change=self._engines_changed,
                 recovery=recovery,
             ),
         )
@@ -166,7 +166,7 @@
 
     def _take_drained(self, newer: DrainedZones, *, is_from_peer: bool = False) -> None:
         change = self._pool.drain_zones(newer)
-        tell_drains(newer, change, is_from_peer=is_from_peer)
+        report_drains(newer, change, is_from_peer=is_from_peer)
 
     def _quick_share(self) -> float:
         """Give the share of our reads of the table that are not held."""
@@ -192,7 +192,7 @@
             self._ingress.router = Router(table)
             self.table_text = value
             self._freshness.put_in_force(table.version)
-            self._pool.eligibility.take_limits(
+            self._pool.eligibility.set_cold_limits(
                 {name: service.cold for name, service in table.services.items()}
             )
             self._use_regions(table.resident_regions())
@@ -207,7 +207,7 @@
         }
         gone = self._pool.replace(engines.values())
         for engine_id in gone:
-            self._sender.forget(engine_id)
+            self._sender.close_idle(engine_id)
         self._has_engines = True
         self._log.listed(engines, gone)
 
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -55,11 +55,11 @@
         call = self.world.call(
             program,
             budget=BUDGETS[program],
-            max_tokens=MAX_CALL_TOKENS,
+            token_limit=MAX_CALL_TOKENS,
             previous=previous,
             body=b"in;",
         )
-        listener = self.world.request_admission(call, daemon, keeps_turns=True)
+        listener = self.world.request_admission(call, daemon, stores_turns=True)
         return Running(call, listener, text + b"in;", bool(previous))
 
     @rule(
@@ -78,7 +78,7 @@
         if listener.is_durable:
             text = running.expected_body + data_lines(output)
             self.durable_turns[running.call.id] = text
-        listener.is_awaited = False
+        listener.is_caller_waiting = False
 
     @rule(
         running=consumes(calls), events=st.integers(0, MAX_CALL_TOKENS // EVENT_TOKENS)
@@ -86,10 +86,10 @@
     def break_off(self, running, events):
         self.check(running)
         if running.listener.ticket is None:
-            running.listener.wants_admission = False
+            running.listener.awaits_admission = False
             return
         self.given[running.call.program] += events * EVENT_TOKENS
-        running.listener.ticket.broke_off(events)
+        running.listener.ticket.interrupted(events)
 
     @rule(running=consumes(calls))
     def lose_silently(self, running):
@@ -97,7 +97,7 @@
         self.check(running)
         if running.listener.ticket is not None:
             self.given[running.call.program] += MAX_CALL_TOKENS
-        running.listener.wants_admission = False
+        running.listener.awaits_admission = False
 
     def check(self, running):
         listener = running.listener
@@ -120,7 +120,7 @@
         self.world.run(8.0)
         for turn in sorted(self.durable_turns)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
-            listener = self.world.wait_for_decision(call, keeps_turns=True)
+            listener = self.world.wait_for_decision(call, stores_turns=True)
             assert listener.body == self.durable_turns[turn] + b"x"
             listener.ticket.never_ran()
 
--- a/tests/unit/accounts/steps.py
+++ b/tests/unit/accounts/steps.py
@@ -5,7 +5,7 @@
     BoundRaised,
     decode,
 )
-from notcharch.calls.interface import STATE_UNSURE, Refusal
+from notcharch.calls.interface import STATE_UNKNOWN, Refusal
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
 EVENT = b"id: 1\ndata: hello\n\n"
@@ -31,16 +31,16 @@
     return next(name for name in names if of_program(name) == of_program(program))
 
 
-def spend(world: World, program: str, budget: int, max_tokens: int, at=lambda turn: 0):
+def spend(world: World, program: str, budget: int, token_limit: int, at=lambda turn: 0):
     """Run calls that generate their maximum until the program's budget is refused."""
     spent = 0
     for turn in range(40):
-        call = world.call(program, budget=budget, max_tokens=max_tokens)
+        call = world.call(program, budget=budget, token_limit=token_limit)
         listener = world.wait_for_decision(call, at(turn))
         if listener.refusal is not None:
             return spent, listener.refusal
-        listener.ticket.broke_off(max_tokens // EVENT_TOKENS)
-        spent += max_tokens
+        listener.ticket.interrupted(token_limit // EVENT_TOKENS)
+        spent += token_limit
     raise AssertionError("never refused")
 
 
@@ -52,5 +52,5 @@
     """Check that a call was refused without a decision, with a time for the retry."""
     assert refusal is not None
     reported = (refusal.status, refusal.reason)
-    assert reported == (STATE_UNSURE.status, STATE_UNSURE.reason)
-    assert refusal.retry_after_seconds >= STATE_UNSURE.retry_after_seconds
+    assert reported == (STATE_UNKNOWN.status, STATE_UNKNOWN.reason)
+    assert refusal.retry_after_seconds >= STATE_UNKNOWN.retry_after_seconds
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -7,7 +7,7 @@
 from notcharch.accounts.records import (
     BoundRaised,
 )
-from notcharch.calls.interface import BUDGET_SPENT, STATE_UNSURE
+from notcharch.calls.interface import BUDGET_SPENT, STATE_UNKNOWN
 from notcharch.events import journal
 from tests.unit.accounts.steps import (
     EVENT,
@@ -28,7 +28,7 @@
 def test_calls_under_way_count_at_their_most():
     world = World()
     listeners = [
-        world.wait_for_decision(world.call(budget=250, max_tokens=100))
+        world.wait_for_decision(world.call(budget=250, token_limit=100))
         for _ in range(3)
     ]
     assert [listener.refusal for listener in listeners] == [None, None, BUDGET_SPENT]
@@ -37,7 +37,7 @@
 def test_a_call_that_never_ran_costs_nothing():
     world = World()
     for _ in range(5):
-        listener = world.wait_for_decision(world.call(budget=100, max_tokens=100))
+        listener = world.wait_for_decision(world.call(budget=100, token_limit=100))
         assert listener.refusal is None
         listener.ticket.never_ran()
         world.run(0.1)
@@ -48,10 +48,10 @@
     world = World()
     for _ in range(8):
         listener = world.wait_for_decision(
-            world.call(budget=1000, max_tokens=100), at=0
+            world.call(budget=1000, token_limit=100), at=0
         )
         assert listener.refusal is None
-        listener.ticket.broke_off(10)
+        listener.ticket.interrupted(10)
     for name in world.names:
         world.crash(name, silent=silent)
     for name in world.names:
@@ -79,7 +79,7 @@
 def test_a_bound_on_its_way_lets_all_calls_in_that_wait_for_it():
     world = World()
     listeners = [
-        world.request_admission(world.call(budget=1000, max_tokens=100))
+        world.request_admission(world.call(budget=1000, token_limit=100))
         for _ in range(6)
     ]
     world.run(0.5)
@@ -89,8 +89,8 @@
 def test_an_append_whose_answer_is_lost_is_written_once():
     world = World()
     world.log.trouble = Trouble.LOSE_ANSWER
-    call = world.call(budget=1000, max_tokens=600, wait_seconds=20.0)
-    listener = world.request_admission(call, keeps_turns=True)
+    call = world.call(budget=1000, token_limit=600, wait_seconds=20.0)
+    listener = world.request_admission(call, stores_turns=True)
     world.run(0.3)
     world.log.trouble = Trouble.NONE
     world.run(3.0)
@@ -107,7 +107,7 @@
     world.run(0.6)
     started = world.clock.seconds()
     after = world.wait_for_decision(
-        world.call(previous=call.id, body=b"b"), at=1, keeps_turns=True
+        world.call(previous=call.id, body=b"b"), at=1, stores_turns=True
     )
     assert after.body == b"a" + b"hello\n" + b"b"
     assert world.clock.seconds() - started < 0.5
@@ -130,13 +130,13 @@
 def test_a_planned_stop_hands_budgets_over_to_the_token():
     world = World()
     for _ in range(3):
-        listener = world.wait_for_decision(world.call(budget=1000, max_tokens=100))
-        listener.ticket.broke_off(1)
-    running = world.wait_for_decision(world.call(budget=1000, max_tokens=100), at=2)
+        listener = world.wait_for_decision(world.call(budget=1000, token_limit=100))
+        listener.ticket.interrupted(1)
+    running = world.wait_for_decision(world.call(budget=1000, token_limit=100), at=2)
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
-    running.ticket.broke_off(2)
+    running.ticket.interrupted(2)
     world.run(0.2)
     spent, _ = spend(world, "p", 1000, 100, at=lambda turn: 2)
     assert spent == 900  # 30 + 20 + 900 fit, 100 more would not
@@ -144,44 +144,44 @@
 
 def test_a_program_that_lost_its_owner_may_finish_its_turn():
     world = World()
-    listener = world.wait_for_decision(world.call(budget=150, max_tokens=100))
+    listener = world.wait_for_decision(world.call(budget=150, token_limit=100))
     assert listener.ticket is not None
     for name in world.names:
         world.crash(name)
     for name in world.names:
         world.start(name)
     world.run(3.0)
-    again = world.wait_for_decision(world.call(budget=150, max_tokens=100))
+    again = world.wait_for_decision(world.call(budget=150, token_limit=100))
     assert again.refusal is None
-    third = world.wait_for_decision(world.call(budget=150, max_tokens=100))
+    third = world.wait_for_decision(world.call(budget=150, token_limit=100))
     assert third.refusal == BUDGET_SPENT
 
 
 def test_a_long_program_goes_on_while_the_log_cannot_be_written():
     world = World()
-    first = world.wait_for_decision(world.call(budget=6000, max_tokens=100))
-    first.ticket.broke_off(3)
+    first = world.wait_for_decision(world.call(budget=6000, token_limit=100))
+    first.ticket.interrupted(3)
     world.run(0.1)
     world.log.trouble = Trouble.REFUSE
     for _ in range(15):
-        listener = world.wait_for_decision(world.call(budget=6000, max_tokens=100))
+        listener = world.wait_for_decision(world.call(budget=6000, token_limit=100))
         assert listener.refusal is None
-        listener.ticket.broke_off(10)
+        listener.ticket.interrupted(10)
         world.run(0.1)
 
 
 def test_an_owner_knows_where_a_program_ran_last():
     world = World()
     first = world.wait_for_decision(world.call(), at=0)
-    assert first.ticket.home == ""
-    first.ticket.runs_at("i-7")
-    first.ticket.broke_off(1)
+    assert first.ticket.cached_engine == ""
+    first.ticket.engine_started("i-7")
+    first.ticket.interrupted(1)
     world.run(0.1)
-    assert world.wait_for_decision(world.call(), at=1).ticket.home == "i-7"
+    assert world.wait_for_decision(world.call(), at=1).ticket.cached_engine == "i-7"
     for name in world.names[:2]:
         world.services[name].leave()
     world.run(1.0)
-    assert world.wait_for_decision(world.call(), at=2).ticket.home == "i-7"
+    assert world.wait_for_decision(world.call(), at=2).ticket.cached_engine == "i-7"
 
 
 def test_a_fault_of_the_program_in_a_takeover_does_not_end_it(monkeypatch):
@@ -228,7 +228,7 @@
     world.refuse(refused)
     world.run(2.0)
     assert world.owner(program) != refused
-    call = world.call(program, budget=1000, max_tokens=600)  # needs a higher bound
+    call = world.call(program, budget=1000, token_limit=600)  # needs a higher bound
     assert world.wait_for_decision(call, at=0).refusal is None
 
 
@@ -257,10 +257,10 @@
     world = World()
     world.log.trouble = Trouble.REFUSE
     given_up = world.wait_for_decision(
-        world.call("p", budget=900, max_tokens=700, wait_seconds=0.5)
+        world.call("p", budget=900, token_limit=700, wait_seconds=0.5)
     )
-    assert given_up.refusal == STATE_UNSURE
+    assert given_up.refusal == STATE_UNKNOWN
     world.log.trouble = Trouble.NONE
     world.run(3.0)
-    again = world.wait_for_decision(world.call("p", budget=900, max_tokens=700))
+    again = world.wait_for_decision(world.call("p", budget=900, token_limit=700))
     assert again.refusal is None
--- a/tests/unit/accounts/test_starting_allowance.py
+++ b/tests/unit/accounts/test_starting_allowance.py
@@ -27,10 +27,10 @@
 def test_nothing_is_let_in_that_is_not_in_the_journal():
     world = World()
     world.log.trouble = Trouble.REFUSE
-    max_tokens = 1000 * STEP_PERMILLE // 1000
-    within = world.wait_for_decision(world.call(budget=1000, max_tokens=max_tokens))
+    token_limit = 1000 * STEP_PERMILLE // 1000
+    within = world.wait_for_decision(world.call(budget=1000, token_limit=token_limit))
     assert within.ticket is not None  # the starting allowance is in the journal
-    listener = world.wait_for_decision(world.call(budget=1000, max_tokens=1))
+    listener = world.wait_for_decision(world.call(budget=1000, token_limit=1))
     assert_unsure(listener.refusal)
     assert world.clock.seconds() < 3.0
 
@@ -48,15 +48,15 @@
 def test_a_short_program_begins_while_the_log_takes_nothing():
     """The first call may generate more than the permitted share of the budget."""
     world = World()
-    budget, max_tokens = 900, 588
-    assert max_tokens > budget * STEP_PERMILLE // 1000
+    budget, token_limit = 900, 588
+    assert token_limit > budget * STEP_PERMILLE // 1000
     assert world.wait_for_decision(
-        world.call("former", budget=budget, max_tokens=max_tokens)
+        world.call("former", budget=budget, token_limit=token_limit)
     ).ticket
     world.run(0.5)
     world.log.trouble = Trouble.REFUSE
     call = world.call(
-        same_partition_program(world, "former"), budget=budget, max_tokens=max_tokens
+        same_partition_program(world, "former"), budget=budget, token_limit=token_limit
     )
     assert world.wait_for_decision(call).ticket is not None
 
@@ -82,9 +82,9 @@
     successors, budget
 ):
     world = World()
-    max_tokens = 100
+    token_limit = 100
     former = world.call(
-        same_partition_program(world, "p"), budget=1000, max_tokens=max_tokens
+        same_partition_program(world, "p"), budget=1000, token_limit=token_limit
     )
     assert world.wait_for_decision(former).ticket
     world.run(0.5)
@@ -92,9 +92,9 @@
     for _ in range(successors + 1):
         world.log.trouble = Trouble.REFUSE
         while world.wait_for_decision(
-            world.call(budget=budget, max_tokens=max_tokens, wait_seconds=0.2)
+            world.call(budget=budget, token_limit=token_limit, wait_seconds=0.2)
         ).ticket:
-            spent += max_tokens
+            spent += token_limit
         world.log.trouble = Trouble.NONE
         for name in world.names:
             world.crash(name, silent=True)
@@ -102,10 +102,10 @@
             world.start(name)
         world.run(3.0)
     assert bounds_in(world) == set()
-    more, refusal = spend(world, "p", budget, max_tokens)
+    more, refusal = spend(world, "p", budget, token_limit)
     assert refusal == BUDGET_SPENT
-    assert spent >= max_tokens
-    assert spent + more <= budget + max_tokens
+    assert spent >= token_limit
+    assert spent + more <= budget + token_limit
 
 
 def test_a_planned_stop_leaves_no_doubt_about_programs_without_a_record():
@@ -113,7 +113,7 @@
     spent = 0
     for _ in range(3):
         assert (
-            world.wait_for_decision(world.call(budget=1000, max_tokens=100)).refusal
+            world.wait_for_decision(world.call(budget=1000, token_limit=100)).refusal
             is None
         )
     for name in world.names[:2]:
@@ -156,15 +156,15 @@
 
 def test_a_planned_stop_hands_over_what_a_doubted_program_may_still_use():
     world = World()
-    call = world.call(budget=1000, max_tokens=100)
+    call = world.call(budget=1000, token_limit=100)
     assert world.wait_for_decision(call).refusal is None
     for name in world.names:
         world.crash(name, silent=True)
     for name in world.names:
         world.start(name)
     world.run(3.0)  # the next owner counts half of the budget as used
-    listener = world.wait_for_decision(world.call(budget=1000, max_tokens=100))
-    listener.ticket.broke_off(10)
+    listener = world.wait_for_decision(world.call(budget=1000, token_limit=100))
+    listener.ticket.interrupted(10)
     world.run(0.1)
     world.services[world.owner("p")].leave()
     world.run(3.0)
@@ -174,14 +174,14 @@
 
 def test_losing_its_owner_again_and_again_costs_a_long_program_little_more():
     world = World()
-    budget, max_tokens = 4000, 100
+    budget, token_limit = 4000, 100
     spent = 0
     for _ in range(5):
         listener = world.wait_for_decision(
-            world.call(budget=budget, max_tokens=max_tokens)
+            world.call(budget=budget, token_limit=token_limit)
         )
         assert listener.refusal is None
-        listener.ticket.broke_off(1)
+        listener.ticket.interrupted(1)
         spent += EVENT_TOKENS
         world.run(0.1)
         for name in world.names:
@@ -189,10 +189,10 @@
         for name in world.names:
             world.start(name)
         world.run(3.0)
-    more, refusal = spend(world, "p", budget, max_tokens)
+    more, refusal = spend(world, "p", budget, token_limit)
     assert refusal == BUDGET_SPENT
     assert budget // 6 <= more
-    assert spent + more <= budget + max_tokens
+    assert spent + more <= budget + token_limit
 
 
 def test_a_record_of_an_earlier_version_allows_no_first_call():
--- a/tests/unit/accounts/test_stored_turns.py
+++ b/tests/unit/accounts/test_stored_turns.py
@@ -48,18 +48,18 @@
         world.start(name)
     world.run(3.0)
     again = world.wait_for_decision(
-        world.call(previous=first.id, body=b"b"), keeps_turns=True
+        world.call(previous=first.id, body=b"b"), stores_turns=True
     )
     assert again.body == b"a" + b"hello\n" + b"b"
 
 
 def test_an_unknown_turn_is_refused_only_when_that_is_certain():
     world = World()
-    sure = world.wait_for_decision(world.call(previous="nobody"), keeps_turns=True)
+    sure = world.wait_for_decision(world.call(previous="nobody"), stores_turns=True)
     assert sure.refusal == UNKNOWN_TURN
     world.log.trouble = Trouble.LOSE_CALL
     undecided_refusal = world.wait_for_decision(
-        world.call(previous="nobody"), keeps_turns=True
+        world.call(previous="nobody"), stores_turns=True
     )
     assert_unsure(undecided_refusal.refusal)
 
@@ -73,7 +73,7 @@
     world.store_turn(call, EVENT, at=1)
     world.fabric.resume(owner_names[0])
     after = world.request_admission(
-        world.call(previous=call.id, body=b"b"), at=0, keeps_turns=True
+        world.call(previous=call.id, body=b"b"), at=0, stores_turns=True
     )
     world.run(2.0)
     assert after.refusal != UNKNOWN_TURN
@@ -82,7 +82,7 @@
 
 def test_the_end_of_a_kept_turn_waits_for_the_journal():
     world = World()
-    listener = world.wait_for_decision(world.call(), keeps_turns=True)
+    listener = world.wait_for_decision(world.call(), stores_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(1.0)
@@ -114,7 +114,7 @@
     world.run(0.2)
     for program in ("two", "three", "four", "five"):
         call = world.call(program, previous=first.id, body=b"c")
-        listener = world.wait_for_decision(call, at=1, keeps_turns=True)
+        listener = world.wait_for_decision(call, at=1, stores_turns=True)
         assert listener.refusal != UNKNOWN_TURN
 
 
@@ -123,7 +123,7 @@
     claims = epochs(world)
     for number in range(5):
         world.wait_for_decision(
-            world.call(previous=f"nobody {number}"), keeps_turns=True
+            world.call(previous=f"nobody {number}"), stores_turns=True
         )
         assert world.store_turn(world.call(body=b"a"), EVENT).is_durable
     world.run(1.0)
@@ -156,7 +156,7 @@
         world.start(name)
     world.run(3.0)
     after = world.wait_for_decision(
-        world.call(budget=1000, previous=previous, body=b"x"), keeps_turns=True
+        world.call(budget=1000, previous=previous, body=b"x"), stores_turns=True
     )
     assert after.body == expected + b"x"
 
@@ -180,7 +180,7 @@
 def test_a_turn_that_is_kept_again_while_it_is_being_written_is_written_once():
     world = World()
     call = world.call(wait_seconds=20.0)
-    listener = world.wait_for_decision(call, keeps_turns=True)
+    listener = world.wait_for_decision(call, stores_turns=True)
     world.log.trouble = Trouble.REFUSE
     listener.ticket.completed(EVENT, 1, listener)
     world.run(4.0)
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -91,7 +91,7 @@
     admitted(world, 30)
     for _ in range(12):
         listener = world.wait_for_decision(
-            world.call("p", budget=100, max_tokens=100, tenant="t"), keeps_turns=False
+            world.call("p", budget=100, token_limit=100, tenant="t"), stores_turns=False
         )
         if listener.ticket is not None:
             break
@@ -104,17 +104,17 @@
     world = World()
     for name in ("t", "u"):
         world.tenants[name] = Tenant(name)
-    first = world.call("p", budget=100, max_tokens=100, tenant="t")
+    first = world.call("p", budget=100, token_limit=100, tenant="t")
     world.store_turn(first, b"data: x\n\n" * 10)
     listener = world.wait_for_decision(
-        world.call("p", budget=100, max_tokens=100, tenant="u")
+        world.call("p", budget=100, token_limit=100, tenant="u")
     )
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
-    assert world.wait_for_decision(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.wait_for_decision(stolen, stores_turns=True).refusal == UNKNOWN_TURN
     own_call = world.call("q", previous=first.id, tenant="t", body=b"more")
     assert (
-        world.wait_for_decision(own_call, keeps_turns=True).body
+        world.wait_for_decision(own_call, stores_turns=True).body
         == b"in" + b"x\n" * 10 + b"more"
     )
 
@@ -181,15 +181,15 @@
 def test_a_caller_that_left_while_its_limit_was_asked_leaves_nothing_reserved():
     world = world_with()
     world.crash(world.limit_owner("t"), silent=True)
-    call = world.call("p", budget=100, max_tokens=100, tenant="t")
+    call = world.call("p", budget=100, token_limit=100, tenant="t")
     at = survivors(world)(0)
     listener = world.request_admission(call, at)
     world.run(0.3)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(3.0)
     assert listener.ticket is None
     again = world.wait_for_decision(
-        world.call("p", budget=100, max_tokens=100, tenant="t"), at
+        world.call("p", budget=100, token_limit=100, tenant="t"), at
     )
     assert again.ticket is not None
 
@@ -225,6 +225,6 @@
     admitted(world, 80)
     listener = world.request_admission(world.call("p0", budget=None, tenant="t"))
     world.run(0.02)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(2.0)
     assert not listener.is_decided
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -15,8 +15,8 @@
 )
 from notcharch.calls.interface import OpaqueCall, Refusal, Route, ServiceShare
 from notcharch.http.messages import RequestHead
-from notcharch.journal.owner_names import read_owner
-from notcharch.journal.partitioning import spread_over
+from notcharch.journal.owner_names import parse_owner_name
+from notcharch.journal.partitioning import partitioning_for_topics
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import Tenant
@@ -33,7 +33,7 @@
 TOLERANCE = Tolerance(window_seconds=5.0, over_share=0.1, calls=20.0)
 
 
-def route(*, keeps_turns: bool = False) -> Route:
+def route(*, stores_turns: bool = False) -> Route:
     return Route(
         name="r",
         host="h",
@@ -41,7 +41,7 @@
         shares=(ServiceShare("s", 1.0),),
         is_repeatable=False,
         is_stream=True,
-        keeps_turns=keeps_turns,
+        stores_turns=stores_turns,
     )
 
 
@@ -53,8 +53,8 @@
         self.body = None
         self.refusal: Refusal | None = None
         self.is_durable = False
-        self.wants_admission = True
-        self.is_awaited = True
+        self.awaits_admission = True
+        self.is_caller_waiting = True
 
     @property
     def is_decided(self) -> bool:
@@ -70,7 +70,7 @@
     def durable(self) -> None:
         self.is_durable = True
 
-    def lost(self) -> None:
+    def not_durable(self) -> None:
         raise AssertionError("unexpected notification")
 
 
@@ -93,7 +93,7 @@
         self.clock = Clock()
         self.random = Random(seed)
         self.log = PartitionedLog(self.clock, self.random, PARTITIONS)
-        self.partitioning = spread_over(TOPIC, TOPICS, PARTITIONS)
+        self.partitioning = partitioning_for_topics(TOPIC, TOPICS, PARTITIONS)
         self.fabric = MemoryFabric(
             self.clock, Random(seed), encode=True, codec=account_codec()
         )
@@ -150,17 +150,21 @@
 
     def owner(self, program: str) -> DaemonName:
         """Return the daemon to which the group assigned a program's partition."""
-        place = self.partitioning.place(self.partitioning.of_program(program))
+        log_partition = self.partitioning.log_partition(
+            self.partitioning.of_program(program)
+        )
         owners = self.log.groups.owners(GROUP)
-        member = next(row.member for row in owners if row.partition == place)
-        return read_owner(member).daemon
+        member = next(row.member for row in owners if row.partition == log_partition)
+        return parse_owner_name(member).daemon
 
     def limit_owner(self, tenant: str) -> DaemonName:
         """Return the daemon to which the group assigned a tenant's limit."""
-        place = self.partitioning.place(self.partitioning.of_tenant(tenant))
+        log_partition = self.partitioning.log_partition(
+            self.partitioning.of_tenant(tenant)
+        )
         owners = self.log.groups.owners(GROUP)
-        member = next(row.member for row in owners if row.partition == place)
-        return read_owner(member).daemon
+        member = next(row.member for row in owners if row.partition == log_partition)
+        return parse_owner_name(member).daemon
 
     def program_of(self, name: DaemonName) -> str:
         """Return a program whose partition the daemon owns."""
@@ -179,7 +183,7 @@
         program: str = "p",
         *,
         budget: int | None = 1000,
-        max_tokens: int = 100,
+        token_limit: int = 100,
         previous: str = "",
         body: bytes = b"in",
         wait_seconds: float = 3.0,
@@ -194,7 +198,7 @@
             arrived=self.clock.seconds(),
             wait_seconds=wait_seconds,
             program=program,
-            most_tokens=max_tokens,
+            max_tokens=token_limit,
             budget_tokens=budget,
             tokens_per_event=EVENT_TOKENS,
             previous_turn=previous,
@@ -203,20 +207,20 @@
         )
 
     def request_admission(
-        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+        self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
         """Request admission at a daemon; the decision arrives as the clock advances."""
         listener = Listener()
         self.listeners.append(listener)
         admission = self.services[self.names[at]].admission
-        admission.ask(call, route(keeps_turns=keeps_turns), listener)
+        admission.request(call, route(stores_turns=stores_turns), listener)
         return listener
 
     def wait_for_decision(
-        self, call: OpaqueCall, at: int = 0, *, keeps_turns: bool = False
+        self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
         """Request admission, and advance the clock until it is decided."""
-        listener = self.request_admission(call, at, keeps_turns=keeps_turns)
+        listener = self.request_admission(call, at, stores_turns=stores_turns)
         for _ in range(400):
             if listener.is_decided:
                 break
@@ -225,7 +229,7 @@
 
     def store_turn(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
         """Run a call to its end, and advance the clock until its turn is durable."""
-        listener = self.wait_for_decision(call, at, keeps_turns=True)
+        listener = self.wait_for_decision(call, at, stores_turns=True)
         assert listener.ticket is not None, listener.refusal
         listener.ticket.completed(output, output.count(b"\n\n"), listener)
         for _ in range(300):
--- a/tests/unit/calls/test_eligibility.py
+++ b/tests/unit/calls/test_eligibility.py
@@ -1,4 +1,4 @@
-"""Engines that must not get a call: drained zones, other regions, cold ones."""
+"""Engines that must not get a call: drained zones, other regions, cold engines."""
 
 from random import Random
 
@@ -6,7 +6,12 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.calls.eligibility import WARM_SHARE, Cause, EngineEligibility, NoEngine
+from notcharch.calls.eligibility import (
+    MIN_WARM_SHARE,
+    Cause,
+    EngineEligibility,
+    NoEngine,
+)
 from notcharch.calls.engines import EnginePool, PoolPolicy
 from notcharch.scheduling.cold_engines import (
     PACE_SECONDS,
@@ -25,7 +30,7 @@
 
 
 class World:
-    """Engines of three zones, and a daemon that feeds cold ones."""
+    """Engines of three zones, and a daemon with a share of the calls to cold ones."""
 
     def __init__(self, zones: str = "xyz", daemons: int = 21) -> None:
         self.clock = Clock()
@@ -34,12 +39,12 @@
         eligibility = EngineEligibility(
             REGIONS, ColdPolicy(ColdTolerance(1.5, 5.0)), view
         )
-        eligibility.take_limits({SERVICE: LIMIT})
+        eligibility.set_cold_limits({SERVICE: LIMIT})
         self.pool = EnginePool(
             self.clock,
             Nearness("x"),
             Random(1),
-            PoolPolicy(leaving_seconds=0.0),
+            PoolPolicy(last_resort_seconds=0.0),
             eligibility=eligibility,
         )
         self.engines = [engine(f"e-{zone}", zone) for zone in zones]
@@ -57,10 +62,14 @@
         ]
         self.pool.replace(self.engines)
 
-    def chosen(self, home: str = "", regions=None, tried=()) -> set[str]:
+    def chosen(self, cached_engine: str = "", regions=None, tried=()) -> set[str]:
         found = {
             self.pool.choose(
-                SERVICE, f"p{number}" if home else "", tried, home, regions
+                SERVICE,
+                f"p{number}" if cached_engine else "",
+                tried,
+                cached_engine,
+                regions,
             )
             for number in range(40)
         }
@@ -69,13 +78,13 @@
 
 def test_a_drained_zone_gets_nothing_and_a_program_moves_once():
     world = World()
-    assert world.chosen(home="e-x") == {"e-x"}
+    assert world.chosen(cached_engine="e-x") == {"e-x"}
     world.drain("x")
-    assert "e-x" not in world.chosen(home="e-x")
+    assert "e-x" not in world.chosen(cached_engine="e-x")
     assert "e-x" not in world.chosen()
-    assert world.chosen(home="e-y") == {"e-y"}
+    assert world.chosen(cached_engine="e-y") == {"e-y"}
     world.drain()
-    assert world.chosen(home="e-y") == {"e-y"}
+    assert world.chosen(cached_engine="e-y") == {"e-y"}
 
 
 def test_the_last_resort_is_not_a_drained_zone():
@@ -105,7 +114,7 @@
 
 def test_engines_that_are_never_cold_come_back_at_once():
     world = World()
-    world.pool.eligibility.take_limits({})
+    world.pool.eligibility.set_cold_limits({})
     world.drain("x")
     world.drain()
     assert "e-x" in world.chosen()
@@ -114,18 +123,18 @@
 def test_warm_engines_come_first_while_they_are_enough():
     world = World("xyz")
     world.turn_cold("e-x")
-    assert WARM_SHARE <= 2 / 3
-    assert world.chosen(home="e-x") == {"e-y", "e-z"}
+    assert MIN_WARM_SHARE <= 2 / 3
+    assert world.chosen(cached_engine="e-x") == {"e-y", "e-z"}
     world.turn_cold("e-x", "e-y")
     for name in ("e-x", "e-y", "e-z"):
-        assert world.chosen(home=name) == {name}
+        assert world.chosen(cached_engine=name) == {name}
 
 
 def test_a_cold_engine_gets_our_part_and_no_more():
     world = World("x")
     world.turn_cold("e-x")
     assert world.chosen() == {"e-x"}
-    world.pool.began("e-x")
+    world.pool.call_started("e-x")
     assert world.chosen() == set()
     none = world.pool.why_none(SERVICE)
     assert none.cause is Cause.COLD
@@ -169,13 +178,13 @@
     world = World()
     allowed = None if regions is None else frozenset(regions)
     for _ in range(12):
-        busy = world.pool.choose(SERVICE, "", (), "", allowed)
-        if busy is not None:
-            world.pool.began(busy.id)
-    seen = {state.id for state in world.pool._states.values() if state.in_flight}
-    assert seen == chosen
-    home = world.pool.choose(SERVICE, "p", (), "e-z", allowed)
-    assert home is None or home.id in chosen
+        selected = world.pool.choose(SERVICE, "", (), "", allowed)
+        if selected is not None:
+            world.pool.call_started(selected.id)
+    serving = {state.id for state in world.pool._states.values() if state.in_flight}
+    assert serving == chosen
+    affine = world.pool.choose(SERVICE, "p", (), "e-z", allowed)
+    assert affine is None or affine.id in chosen
 
 
 def test_no_engine_in_the_regions_is_told_apart_from_a_drain():
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -1,10 +1,10 @@
-"""A call path whose engines answer by hand, on a virtual clock."""
+"""A call path on a virtual clock, with engines that tests control."""
 
 from random import Random
 
 from twisted.internet.task import Clock
 
-from notcharch.calls.call_life import CallLife
+from notcharch.calls.call_lifecycle import CallLifecycle
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
@@ -21,7 +21,7 @@
 
 SERVICE = "s"
 USUAL_SECONDS = 0.1
-"""How long first answers took before, where there were any."""
+"""Waiting time of earlier first responses."""
 
 
 def engine(name: str, zone: str = "z", slots: int = 4) -> Engine:
@@ -35,16 +35,16 @@
 
 
 class Dialect:
-    """Heads with an id, a seal for genuine ones, and `not-run`."""
+    """Heads with `seal` if they are authentic, and `not-run` for rejections."""
 
-    def request(self, call, engine, milliseconds_left):
+    def request(self, call, engine, remaining_ms):
         headers = [(b"engine", engine.id.encode())]
-        headers.append((b"left", str(milliseconds_left).encode()))
+        headers.append((b"left", str(remaining_ms).encode()))
         if call.last_event_id is not None:
             headers.append((b"after", call.last_event_id))
         return RequestHead(call.head.method, call.head.target, headers)
 
-    def is_answer_to(self, call, head):
+    def is_response_to(self, call, head):
         return True
 
     def was_not_run(self, head):
@@ -55,7 +55,7 @@
 
 
 class Sent:
-    """One request at an engine."""
+    """One request to an engine, with controls for its response."""
 
     def __init__(self, engine, head, body, listener) -> None:
         self.engine = engine
@@ -70,53 +70,53 @@
     def header(self, name: bytes):
         return self.head.get(name)
 
-    def answer(self, status: int, body: bytes = b"", *, seal: bool = True) -> None:
+    def respond(self, status: int, body: bytes = b"", *, seal: bool = True) -> None:
         headers = [(b"seal", b"x")] if seal else []
-        self.listener.head_came(ResponseHead(status, headers))
+        self.listener.head_received(ResponseHead(status, headers))
         if body:
-            self.listener.data_came(body)
-        self.listener.ended()
+            self.listener.data_received(body)
+        self.listener.completed()
 
     def refuse(self, status: int = 503) -> None:
-        self.listener.head_came(ResponseHead(status, [(b"not-run", b"1")]))
-        self.listener.ended()
+        self.listener.head_received(ResponseHead(status, [(b"not-run", b"1")]))
+        self.listener.completed()
 
     def begin(self, seal: bool = True) -> None:
         headers = [(b"seal", self.engine.id.encode())] if seal else []
-        self.listener.head_came(ResponseHead(200, headers))
+        self.listener.head_received(ResponseHead(200, headers))
 
 
 class Sender:
-    """Keeps what is sent."""
+    """Records the requests to engines."""
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
-        self.forgotten: list[str] = []
+        self.closed_idle: list[str] = []
 
     def send(self, engine, head, body, listener):
         sent = Sent(engine, head, body, listener)
         self.sent.append(sent)
         return sent
 
-    def keep(self, engine_id, sending):
+    def release(self, engine_id, sending):
         pass
 
-    def forget(self, engine_id):
-        self.forgotten.append(engine_id)
+    def close_idle(self, engine_id):
+        self.closed_idle.append(engine_id)
 
 
 class Reply:
-    """What the caller saw."""
+    """Records the response to the caller."""
 
     def __init__(self) -> None:
         self.head = None
         self.data = b""
         self.end = ""
         self.refusal: Refusal | None = None
-        self.gone = None
+        self.disconnect = None
 
-    def on_gone(self, callback):
-        self.gone = callback
+    def on_disconnect(self, callback):
+        self.disconnect = callback
 
     def begin(self, head):
         assert self.head is None
@@ -128,7 +128,7 @@
     def finish(self):
         self._over("finished")
 
-    def whole(self, head, body):
+    def send_response(self, head, body):
         self.head = head
         self.data = body
         self._over("whole")
@@ -146,7 +146,7 @@
 
 
 class World:
-    """One call, some engines."""
+    """One call and some engines."""
 
     def __init__(self, engines=("a", "b", "c"), **changes) -> None:
         self.clock = Clock()
@@ -184,8 +184,10 @@
             admission=self.admission,
             waits=self.waits,
         )
-        self.life = CallLife(services, self.call, self.route, SERVICE, self.reply)
-        self.life.start()
+        self.lifecycle = CallLifecycle(
+            services, self.call, self.route, SERVICE, self.reply
+        )
+        self.lifecycle.start()
 
     @property
     def sent(self) -> list[Sent]:
--- a/tests/unit/http/test_drain.py
+++ b/tests/unit/http/test_drain.py
@@ -1,14 +1,14 @@
-"""A planned stop: when new callers are refused, and when the process ends."""
+"""Graceful shutdown: when it stops accepting, and when it ends."""
 
 from twisted.internet.task import Clock
 
 from notcharch.http.drain import Drain, DrainTimes
 
-TIMES = DrainTimes(accept=2.6, most=7.3)
+TIMES = DrainTimes(accept_seconds=2.6, max_seconds=7.3)
 
 
 class Server:
-    """Counts what it is asked for."""
+    """A server that records the calls of its drain."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -17,7 +17,7 @@
         self.ended: tuple[int, float] | None = None
         Drain(self.clock, self, TIMES).begin()
 
-    def under_way(self):
+    def requests_in_flight(self):
         return self.requests
 
     def stop_accepting(self):
@@ -26,8 +26,8 @@
     def close_idle(self):
         pass
 
-    def stopped(self, under_way, seconds):
-        self.ended = (under_way, round(seconds, 1))
+    def stopped(self, requests_in_flight, seconds):
+        self.ended = (requests_in_flight, round(seconds, 1))
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.05)):
@@ -45,7 +45,7 @@
 
 
 def test_callers_that_keep_coming_are_refused_although_work_is_under_way():
-    """When too few daemons are ready, the platform sends callers to all of them."""
+    """With too few ready daemons, the platform routes callers to all of them."""
     server = Server()
     server.requests = 5
     server.run(3.0)
@@ -64,7 +64,7 @@
     assert server.ended is None
     server.requests = 0
     server.run(0.05)
-    assert server.ended is None  # the last bytes are still to leave
+    assert server.ended is None  # the last response may still be in the send buffer
     server.run(0.2)
     assert server.ended is not None
 
@@ -74,6 +74,6 @@
     server.requests = 1
     server.run(7.6)
     assert server.ended is not None
-    under_way, seconds = server.ended
-    assert under_way == 1
+    requests_in_flight, seconds = server.ended
+    assert requests_in_flight == 1
     assert 7.3 <= seconds <= 7.5
--- a/tests/unit/placement/test_router.py
+++ b/tests/unit/placement/test_router.py
@@ -26,18 +26,18 @@
 
 
 class Owners:
-    """Returns one owner for every partition; counts the calls of `doubt`."""
+    """Returns one owner for every partition; counts `suspect_stale` calls."""
 
     def __init__(self, name: str | None) -> None:
         self.name = name
-        self.doubts = 0
+        self.stale_reports = 0
 
     def owner(self, partition):
         del partition
         return None if self.name is None else OwnerName(self.name, f"{self.name}:1")
 
-    def doubt(self):
-        self.doubts += 1
+    def suspect_stale(self):
+        self.stale_reports += 1
 
 
 class Routing:
@@ -90,7 +90,7 @@
     reply, seconds = routing.request(timeout=1.0)
     assert set(routing.network.destinations) == {"a"}
     assert len(routing.network.destinations) > 1
-    assert routing.owners.doubts >= len(routing.network.destinations)
+    assert routing.owners.stale_reports >= len(routing.network.destinations)
     assert reply.err_value.is_code(ProblemCode.NOT_LEADER)
     assert reply.err_value.ran is Ran.NO
     assert reply.err_value.retry_after is not None
@@ -148,7 +148,7 @@
     routing = Routing({"a": refused(code), "b": DONE})
     pending = routing.router.to_partition(PARTITION, ListEngines(), 5.0)
     routing.clock.advance(0.01)
-    assert routing.owners.doubts == 1
+    assert routing.owners.stale_reports == 1
     routing.owners.name = "b"
     reply, seconds = routing.wait(pending)
     assert reply == DONE
@@ -172,7 +172,7 @@
     routing = Routing({}, members=[])
     routing.owners.name = None
     reply, seconds = routing.request(timeout=1.0)
-    assert routing.owners.doubts > 0
+    assert routing.owners.stale_reports > 0
     assert reply.err_value.is_code(ProblemCode.UNAVAILABLE)
     assert reply.err_value.ran is Ran.NO
     assert seconds <= 1.0
