--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -144,7 +144,7 @@
         self._owners.send_notice(self.partition, notice)
 
     def completed(self, output: bytes, events: int, completion: Completion) -> None:
-        """Charge the call, and store its turn if the route keeps turns.
+        """Charge the call, and store its turn if the route stores turns.
 
         `completion` is notified once the turn is durable.
         """
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -75,7 +75,7 @@
         self.abandoned: set[str] = set()
         """Calls that ended before their admission here."""
         self.last_used_at = 0.0
-        self.preferred_engine = ""
+        self.cached_engine = ""
         """The engine that ran the program's last call; not restored after a crash."""
         self.written_at = 0
         """Unix time of the program's newest record."""
@@ -143,7 +143,7 @@
             call: Reservation(max_tokens, now)
             for call, max_tokens in record.under_way.items()
         }
-        program.preferred_engine = record.home
+        program.cached_engine = record.home
         program.bound = program.committed
         program.written_at = record.written_at
 
@@ -173,7 +173,7 @@
             program.used,
             in_flight,
             written_at,
-            program.preferred_engine,
+            program.cached_engine,
             program.may_be_overcounted,
         )
 
@@ -265,7 +265,7 @@
         abandoned and reserves nothing.
         """
         program = self.program(name, now)
-        program.preferred_engine = engine or program.preferred_engine
+        program.cached_engine = engine or program.cached_engine
         if program.reserved.pop(call, None) is None:
             program.abandoned.add(call)
             return
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -231,10 +231,10 @@
             self._log_budget_refusal(request)
             return TurnRefused(is_spent=True)
         assert transcript is not None
-        preferred_engine = self._ledger.program(
+        cached_engine = self._ledger.program(
             request.program, self._clock.seconds()
-        ).preferred_engine
-        return TurnAdmitted(preferred_engine, transcript.after, transcript.text)
+        ).cached_engine
+        return TurnAdmitted(cached_engine, transcript.after, transcript.text)
 
     @inlineCallbacks
     def admit_call(
