--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -1,4 +1,4 @@
-"""Some daemons that keep accounts, on one virtual clock with one log service."""
+"""Daemons that own accounts, with a virtual clock and one shared log service."""
 
 from random import Random
 
@@ -22,10 +22,10 @@
 from notcharch.tenants.interface import Tenant
 from notcharch.tenants.partition_limits import Tolerance
 from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
-from tests.unit.accounts.log_of_one import LogOfOne
+from tests.unit.accounts.refusable_log import RefusableLog
 
 LOGS = tuple((f"accounts-{topic}", part) for topic in (0, 1) for part in (0, 1))
-"""The partitions of accounts: two topics of two."""
+"""The partitions of accounts: two topics with two partitions each."""
 TOPICS, PARTITIONS = 2, 2
 RETENTION_SECONDS = 300.0
 STEP_SECONDS = 0.02
@@ -46,7 +46,7 @@
 
 
 class Listener:
-    """What a caller's side hears of one call."""
+    """Records the admission and the completion of one call."""
 
     def __init__(self) -> None:
         self.ticket = None
@@ -71,11 +71,11 @@
         self.is_durable = True
 
     def not_durable(self) -> None:
-        raise AssertionError("nobody says so here")
+        raise AssertionError("unexpected notification")
 
 
 class World:
-    """Daemons that start, crash and come back."""
+    """Daemons that start, crash and restart."""
 
     def __init__(
         self,
@@ -84,10 +84,10 @@
         mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
         regions: tuple[str, ...] = (),
     ) -> None:
-        """Daemons take turns in the regions, if there are any."""
+        """Assign the daemons to the regions in turn, if there are any."""
         self.mechanisms = mechanisms
         self.regions = regions
-        self.asked: list[Listener] = []
+        self.listeners: list[Listener] = []
         self.tenants: dict[str, Tenant] = {}
         """The tenants of the table in force, at all daemons."""
         self.clock = Clock()
@@ -100,7 +100,7 @@
         self.names = [DaemonName(f"d{number}") for number in range(daemons)]
         self.services: dict[DaemonName, AccountsService] = {}
         self.suspicions = {name: SharedSuspicions() for name in self.names}
-        self.logs = {name: LogOfOne(self.log, self.clock) for name in self.names}
+        self.logs = {name: RefusableLog(self.log, self.clock) for name in self.names}
         self.incarnations = dict.fromkeys(self.names, 0)
         self._calls = 0
         for name in self.names:
@@ -109,7 +109,7 @@
 
     @property
     def partitions(self):
-        """Give the log's partitions of accounts."""
+        """The log's partitions of accounts."""
         return [self.log.partition(topic, part) for topic, part in LOGS]
 
     def start(self, name: DaemonName) -> None:
@@ -134,36 +134,40 @@
             Random(self.incarnations[name]),
             suspicions=self.suspicions[name],
             tenant=self.tenants.get,
-            wall=lambda: self.clock.seconds() + 1e9,
+            wall_clock=lambda: self.clock.seconds() + 1e9,
         )
         self.services[name] = service
         service.start()
 
     def region_of(self, name: DaemonName) -> str:
-        """Give where a daemon is."""
-        place = self.names.index(name)
-        return self.regions[place % len(self.regions)] if self.regions else ""
+        """Return the region of a daemon."""
+        position = self.names.index(name)
+        return self.regions[position % len(self.regions)] if self.regions else ""
 
     def refuse(self, name: DaemonName, *, is_refused: bool = True) -> None:
-        """Let the log service turn a daemon away."""
+        """Let the log service refuse the requests of a daemon."""
         self.logs[name].is_refused = is_refused
 
     def owner(self, program: str) -> DaemonName:
-        """Give the daemon that the group deals a program's partition to."""
-        place = self.partitioning.log_partition(self.partitioning.of_program(program))
+        """Return the daemon to which the group assigned a program's partition."""
+        log_partition = self.partitioning.log_partition(
+            self.partitioning.of_program(program)
+        )
         owners = self.log.groups.owners(GROUP)
-        member = next(row.member for row in owners if row.partition == place)
+        member = next(row.member for row in owners if row.partition == log_partition)
         return parse_owner_name(member).daemon
 
-    def limiter(self, tenant: str) -> DaemonName:
-        """Give the daemon that the group deals the count of a tenant's calls to."""
-        place = self.partitioning.log_partition(self.partitioning.of_tenant(tenant))
+    def limit_owner(self, tenant: str) -> DaemonName:
+        """Return the daemon to which the group assigned a tenant's limit."""
+        log_partition = self.partitioning.log_partition(
+            self.partitioning.of_tenant(tenant)
+        )
         owners = self.log.groups.owners(GROUP)
-        member = next(row.member for row in owners if row.partition == place)
+        member = next(row.member for row in owners if row.partition == log_partition)
         return parse_owner_name(member).daemon
 
     def program_of(self, name: DaemonName) -> str:
-        """Give a program whose partition a daemon owns."""
+        """Return a program whose partition the daemon owns."""
         names = (f"p{number}" for number in range(100))
         return next(program for program in names if self.owner(program) == name)
 
@@ -179,7 +183,7 @@
         program: str = "p",
         *,
         budget: int | None = 1000,
-        most: int = 100,
+        token_limit: int = 100,
         previous: str = "",
         body: bytes = b"in",
         wait_seconds: float = 3.0,
@@ -194,7 +198,7 @@
             arrived=self.clock.seconds(),
             wait_seconds=wait_seconds,
             program=program,
-            max_tokens=most,
+            max_tokens=token_limit,
             budget_tokens=budget,
             tokens_per_event=EVENT_TOKENS,
             previous_turn=previous,
@@ -202,30 +206,30 @@
             regions=regions,
         )
 
-    def ask(
+    def request_admission(
         self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
-        """Ask for admission at a daemon; the answer comes as time passes."""
+        """Request admission at a daemon; the decision arrives as the clock advances."""
         listener = Listener()
-        self.asked.append(listener)
+        self.listeners.append(listener)
         admission = self.services[self.names[at]].admission
         admission.request(call, route(stores_turns=stores_turns), listener)
         return listener
 
-    def decided(
+    def wait_for_decision(
         self, call: OpaqueCall, at: int = 0, *, stores_turns: bool = False
     ) -> Listener:
-        """Ask, and let time pass until there is an answer."""
-        listener = self.ask(call, at, stores_turns=stores_turns)
+        """Request admission, and advance the clock until it is decided."""
+        listener = self.request_admission(call, at, stores_turns=stores_turns)
         for _ in range(400):
             if listener.is_decided:
                 break
             self.run(STEP_SECONDS)
         return listener
 
-    def kept(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
-        """Run a kept turn to its end."""
-        listener = self.decided(call, at, stores_turns=True)
+    def store_turn(self, call: OpaqueCall, output: bytes, at: int = 0) -> Listener:
+        """Run a call to its end, and advance the clock until its turn is durable."""
+        listener = self.wait_for_decision(call, at, stores_turns=True)
         assert listener.ticket is not None, listener.refusal
         listener.ticket.completed(output, output.count(b"\n\n"), listener)
         for _ in range(300):
