--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -1,4 +1,4 @@
-"""Whose call it is, before anything else is done about it."""
+"""Authentication of callers by their keys, before a call is admitted."""
 
 from collections.abc import Sequence
 
@@ -6,13 +6,13 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import (
-    KEYS_UNSURE,
+    KEYS_STALE,
     NOT_IDENTIFIED,
     OpaqueCall,
     Refusal,
     Route,
 )
-from notcharch.calls.return_times import come_back_after
+from notcharch.calls.retry_after import with_retry_after
 from notcharch.calls.routing import RouteTable
 from notcharch.events.calls import CallerNotIdentified
 from notcharch.events.event import emit
@@ -22,27 +22,30 @@
 
 
 class CallerCheck:
-    """Finds the tenant of a call, as far as keys can be judged now."""
+    """Finds the tenant of a call, if the table of keys is fresh enough."""
 
     def __init__(self, clock: IReactorTime, freshness: TableFreshness) -> None:
-        """`freshness` tells when keys may be judged."""
+        """`freshness` tracks whether the table is current enough to check keys."""
         self._clock = clock
         self._freshness = freshness
-        self._was_sure = True
-        """Whether keys could be judged when that was told last."""
+        self._could_check_keys = True
+        """The state that was logged last."""
 
-    def is_sure(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
-        """Tell whether keys can be judged now, and for some seconds more, if need be."""
+    def can_check_keys(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
+        """Return whether the table is fresh enough to check keys.
+
+        It also has to be in `ahead_seconds`.
+        """
         if table.keys is None:
             return True
         return self._freshness.is_fresh(self._clock.seconds(), ahead_seconds)
 
-    def tell(self, is_sure: bool) -> None:
-        """Tell once that no key can be judged any more, and once that keys can again."""
-        if is_sure != self._was_sure:
-            self._was_sure = is_sure
+    def report_change(self, can_check_keys: bool) -> None:
+        """Log each change between being able and unable to check keys."""
+        if can_check_keys != self._could_check_keys:
+            self._could_check_keys = can_check_keys
             age = self._freshness.age(self._clock.seconds())
-            emit(KeysUnsure(is_sure, self._freshness.version, age))
+            emit(KeysUnsure(can_check_keys, self._freshness.version, age))
 
     def refusal(
         self,
@@ -51,10 +54,10 @@
         route: Route,
         table: RouteTable,
     ) -> Refusal | None:
-        """Set the tenant of a call; give the answer to one that has none but needs one."""
+        """Set the tenant of a call, or return a refusal if its key is invalid."""
         if table.keys is None or route.is_public:
             return None
-        identity = identify(presented, table.keys, is_fresh=self.is_sure(table))
+        identity = identify(presented, table.keys, is_fresh=self.can_check_keys(table))
         if isinstance(identity, Err):
             return self._refuse(call, identity.err_value, route, table)
         call.tenant = identity.ok_value
@@ -63,15 +66,19 @@
     def _refuse(
         self, call: OpaqueCall, fault: IdentityFault, route: Route, table: RouteTable
     ) -> Refusal:
-        """Tell why, and when to come back.
+        """Log the cause, and return the refusal.
 
-        While the newest keys are not known, the outage is expected to last for as long as
-        it has lasted.
+        While the newest keys are not known, the outage is expected to last as long as it
+        has lasted so far.
         """
         now = self._clock.seconds()
         age = self._freshness.age(now)
-        told = None if age is None else round(age, 3)
-        emit(CallerNotIdentified(call.id, route.name, fault.value, table.version, told))
+        rounded_age = None if age is None else round(age, 3)
+        emit(
+            CallerNotIdentified(
+                call.id, route.name, fault.value, table.version, rounded_age
+            )
+        )
         if fault is not IdentityFault.NO_FRESH_TABLE:
             return NOT_IDENTIFIED
-        return come_back_after(KEYS_UNSURE, age or 0.0, call, now)
+        return with_retry_after(KEYS_STALE, age or 0.0, call, now)
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,4 +1,4 @@
-"""One run of a call at one engine: sent, watched, and told of to the call."""
+"""One run of a call at one engine."""
 
 from typing import Protocol
 
@@ -16,16 +16,16 @@
     Route,
 )
 from notcharch.calls.overdue import OverdueWatch
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.first_response_times import RouteResponseTimes
 
 CLIENT_ERRORS = 400
-OVERDUE = "its first answer was overdue"
+OVERDUE = "the first response was overdue"
 
 
 class CallServices(msgspec.Struct, frozen=True):
-    """What the life of a call works with."""
+    """Collaborators of the call lifecycle."""
 
     clock: IReactorTime
     pool: EnginePool
@@ -36,35 +36,35 @@
 
 
 class RunListener(Protocol):
-    """What hears of a run. After each method but the first two the run is over."""
+    """Callbacks for a run. It has ended after each of them but the first two."""
 
-    def run_began(self, head: ResponseHead) -> None:
-        """Hear the head of a stream that succeeds so far."""
+    def run_started(self, head: ResponseHead) -> None:
+        """Handle the head of a successful stream."""
 
-    def run_gave(self, data: bytes) -> bool:
-        """Take bytes of such a stream; tell whether an event became whole."""
+    def run_data_received(self, data: bytes) -> bool:
+        """Handle data of the stream; return whether it completed an event."""
 
     def run_unreachable(self) -> None:
-        """Hear that no connection was made: nothing was sent."""
+        """Handle a failed connection attempt: the call was not sent."""
 
-    def run_was_withdrawn(self) -> None:
-        """Hear that the engine must get no call any more: nothing was sent."""
+    def run_cancelled(self) -> None:
+        """Handle that the engine was drained before the call was sent."""
 
-    def run_was_refused(self, head: ResponseHead) -> None:
-        """Hear that the engine certainly did not run the call."""
+    def run_rejected(self, head: ResponseHead) -> None:
+        """Handle a rejection: the engine certainly did not run the call."""
 
-    def run_ended(self, head: ResponseHead, body: bytes) -> None:
-        """Hear a whole answer; `body` is that of an answer that is no stream."""
+    def run_completed(self, head: ResponseHead, body: bytes) -> None:
+        """Handle a complete response; `body` is empty if it was relayed as a stream."""
 
     def run_failed(self, cause: str) -> None:
-        """Hear that the answer broke off, or was given up; it may have run."""
+        """Handle an incomplete or abandoned response; the call may have run."""
 
-    def may_give_up(self) -> bool:
-        """Tell whether it helps to give up an answer that is overdue."""
+    def should_abandon(self) -> bool:
+        """Return whether to abandon the run when its response is overdue."""
 
 
 class EngineRun:
-    """One run; hears what its engine answers."""
+    """One run; the listener of the engine's response."""
 
     def __init__(
         self,
@@ -76,7 +76,7 @@
         *,
         log: CallLog,
     ) -> None:
-        """Prepare to run a call at an engine."""
+        """Prepare a run, which `send` starts."""
         self._services = services
         self._call = call
         self._route = route
@@ -85,121 +85,123 @@
         self._log = log
         self._sending: Sending | None = None
         self._head: ResponseHead | None = None
-        self._pieces: list[bytes] = []
-        self._is_relayed = False
-        """Whether the events go to the caller."""
-        self._event_at: float | None = None
-        """When the last event came, clock seconds."""
+        self._chunks: list[bytes] = []
+        self._is_relaying = False
+        """True if the events are relayed to the caller."""
+        self._last_event_at: float | None = None
+        """Clock seconds at which the last event was received."""
         self._sent_at = 0.0
         self._events = 0
-        """Times at which events came: several that come at once count as one."""
+        """Number of reads that completed an event; several events in one read count once."""
         self._overdue = OverdueWatch(
             services.clock, services.waits, route.name, self._is_overdue
         )
 
-    def send(self, body: bytes, milliseconds_left: int) -> None:
-        """Send the call with a body."""
+    def send(self, body: bytes, remaining_ms: int) -> None:
+        """Send the call with a body to the engine."""
         services = self._services
-        head = services.dialect.request(self._call, self.engine, milliseconds_left)
-        services.pool.began(self.engine.id)
+        head = services.dialect.request(self._call, self.engine, remaining_ms)
+        services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
         self._overdue.sent()
         self._sending = services.sender.send(self.engine, head, body, self)
 
     def abandon(self) -> None:
-        """End the run: the engine sees its connection cut."""
+        """Abort the run by closing its connection."""
         if self._sending is not None:
             self._sending.abandon()
-        self._leave()
+        self._finish()
 
-    def _leave(self) -> None:
+    def _finish(self) -> None:
         self._overdue.stop()
-        self._services.pool.ended(self.engine.id)
+        self._services.pool.call_ended(self.engine.id)
 
     def _engine_failed(self) -> None:
-        """Pass the engine over; where it is silent, so are its other connections."""
-        is_silent = self._services.pool.failed(self.engine.id)
+        """Report a failure; if the engine is silent, close its idle connections too."""
+        is_silent = self._services.pool.engine_failed(self.engine.id)
         if is_silent:
-            self._services.sender.forget(self.engine.id)
+            self._services.sender.close_idle(self.engine.id)
 
     def _is_overdue(self) -> None:
-        """Pass the engine over; give the run up where that helps."""
-        self._services.pool.failed(self.engine.id)
-        gives_up = self._listener.may_give_up() and self._overdue.take_retry()
-        self._log.overdue(self._overdue.limit_seconds, is_given_up=gives_up)
-        if gives_up:
+        """Report an overdue response; abandon the run if that helps."""
+        self._services.pool.engine_failed(self.engine.id)
+        abandons = self._listener.should_abandon() and self._overdue.take_retry()
+        self._log.overdue(self._overdue.limit_seconds, is_abandoned=abandons)
+        if abandons:
             self.abandon()
             self._listener.run_failed(OVERDUE)
 
-    # What the engine answers
+    # Response of the engine
 
     def unreachable(self) -> None:
-        """Hear that no connection was made."""
+        """Handle a failed connection attempt."""
         self._engine_failed()
-        self._leave()
+        self._finish()
         self._listener.run_unreachable()
 
     def may_send(self) -> bool:
-        """Tell whether the engine may still get the call, now that it is connected."""
+        """Return whether the engine may still get the call, once it is connected."""
         return self._services.pool.takes_calls(self.engine.id)
 
-    def withdrawn(self) -> None:
-        """Hear that the call was not sent because it may not be any more."""
-        self._leave()
-        self._listener.run_was_withdrawn()
+    def cancelled(self) -> None:
+        """Handle that the call was not sent, because the engine was drained."""
+        self._finish()
+        self._listener.run_cancelled()
 
-    def is_answer(self, head: ResponseHead) -> bool:
-        """Tell whether an answer is to this call."""
-        return self._services.dialect.is_answer_to(self._call, head)
+    def is_response(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to this call."""
+        return self._services.dialect.is_response_to(self._call, head)
 
-    def head_came(self, head: ResponseHead) -> None:
-        """Relay a stream that succeeds; keep other answers until they are whole."""
+    def head_received(self, head: ResponseHead) -> None:
+        """Relay a successful stream; buffer any other response."""
         self._head = head
-        self._services.pool.heard(self.engine.id)
+        self._services.pool.response_received(self.engine.id)
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
-            self._overdue.answered()
+            self._overdue.first_response_received()
             return
         if self._services.dialect.is_genuine(head):
-            self._is_relayed = True
-            self._listener.run_began(head)
-
-    def data_came(self, data: bytes) -> None:
-        """Relay events, or keep the bytes."""
-        if not self._is_relayed:
-            self._pieces.append(data)
-        elif self._listener.run_gave(data):
-            self._note_pace()
-
-    def _note_pace(self) -> None:
-        """Tell how long after the one before an event came."""
+            self._is_relaying = True
+            self._listener.run_started(head)
+
+    def data_received(self, data: bytes) -> None:
+        """Relay or buffer the data."""
+        if not self._is_relaying:
+            self._chunks.append(data)
+        elif self._listener.run_data_received(data):
+            self._record_event()
+
+    def _record_event(self) -> None:
+        """Report the time since the call was sent, or since the previous event."""
         now = self._services.clock.seconds()
         self._events += 1
-        if self._event_at is None:
-            self._overdue.answered()
-            self._services.pool.began_answer(self.engine.id, now - self._sent_at)
-        gap = None if self._event_at is None else now - self._event_at
-        self._event_at = now
-        self._services.pool.heard(self.engine.id, gap)
-
-    def ended(self) -> None:
-        """Hear that the answer is whole."""
+        if self._last_event_at is None:
+            self._overdue.first_response_received()
+            self._services.pool.first_event_received(
+                self.engine.id, now - self._sent_at
+            )
+        gap = None if self._last_event_at is None else now - self._last_event_at
+        self._last_event_at = now
+        self._services.pool.response_received(self.engine.id, gap)
+
+    def completed(self) -> None:
+        """Handle a complete response."""
         head = self._head
         assert head is not None
         assert self._sending is not None
-        self._services.sender.keep(self.engine.id, self._sending)
+        self._services.sender.release(self.engine.id, self._sending)
         if self._services.dialect.was_not_run(head):
-            self._services.pool.was_full(self.engine.id)
-            self._leave()
-            self._listener.run_was_refused(head)
+            self._services.pool.engine_full(self.engine.id)
+            self._finish()
+            self._listener.run_rejected(head)
             return
-        if self._is_relayed:
-            self._services.pool.stream_ended(self.engine.id, self._events)
-        self._leave()
-        self._listener.run_ended(head, b"".join(self._pieces))
-
-    def failed(self, failure: AnswerFailure) -> None:
-        """Hear that the answer broke off."""
-        if failure is not AnswerFailure.GARBLED:
+        if self._is_relaying:
+            self._services.pool.stream_completed(self.engine.id, self._events)
+        self._finish()
+        self._listener.run_completed(head, b"".join(self._chunks))
+
+    def failed(self, failure: ResponseFailure) -> None:
+        """Handle an incomplete response."""
+        if failure is not ResponseFailure.GARBLED:
             self._engine_failed()
-        self._leave()
+        self._finish()
         self._listener.run_failed(failure.value)
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -1,4 +1,4 @@
-"""Sends calls over kept connections to engines."""
+"""Sends calls to engines over persistent connections."""
 
 from typing import Protocol
 
@@ -7,58 +7,58 @@
 from twisted.python.failure import Failure
 
 from notcharch.calls.interface import Engine
-from notcharch.http.client import AnswerListener, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseListener
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead
 from notcharch.http.reactor import TimedReactor
-from notcharch.http.sockets import detect_silence
+from notcharch.http.sockets import detect_dead_peer
 
 CONNECT_SECONDS = 0.3
-"""A connection takes one way and back, some 3 ms between zones; a full queue of an engine
-answers only after seconds. Chosen between the two."""
-UNTOLD_KEEP_SECONDS = 4.0
-"""So long an idle connection is used if the engine doesn't say how long it keeps it."""
-KEEP_MARGIN_SECONDS = 1.0
-"""An engine tells whole seconds, so its connection may close up to one sooner."""
-MOST_IDLE = 8
-"""Idle connections kept to one engine: a daemon has few calls at one engine at a time."""
+"""Timeout of the TCP handshake: far above a round trip between zones, and below the
+retransmission of a SYN that a full accept queue dropped."""
+DEFAULT_KEEP_ALIVE_SECONDS = 4.0
+"""Idle timeout of a connection for which the engine advertises none."""
+KEEP_ALIVE_MARGIN_SECONDS = 1.0
+"""Engines advertise whole seconds, so they may close a connection up to one earlier."""
+MAX_IDLE = 8
+"""Idle connections per engine: a daemon has few concurrent calls at one engine."""
 
 
-class SendListener(AnswerListener, Protocol):
-    """What hears a request's answer, or that it could not be sent."""
+class SendListener(ResponseListener, Protocol):
+    """Callbacks for the response to a request, or for a request that was not sent."""
 
     def unreachable(self) -> None:
-        """Hear that no connection was made: the request was not sent."""
+        """Handle a failed connection attempt: the request was not sent."""
 
     def may_send(self) -> bool:
-        """Tell whether the request may still be sent, once a connection is up."""
+        """Return whether the request may still be sent, once a connection is open."""
 
-    def withdrawn(self) -> None:
-        """Hear that it was not sent because it may not be any more."""
+    def cancelled(self) -> None:
+        """Handle that the request was not sent because `may_send` was false."""
 
 
 class Sending:
-    """One request on its way to an engine."""
+    """One request to an engine."""
 
     def __init__(self) -> None:
-        """Begin without a connection."""
+        """Start without a connection."""
         self.connection: ClientConnection | None = None
         self.is_abandoned = False
 
     def abandon(self) -> None:
-        """Give it up: the engine sees its connection cut."""
+        """Abort the request by closing its connection."""
         self.is_abandoned = True
         if self.connection is not None:
             self.connection.abandon()
 
 
 class EngineSender:
-    """Connections to engines, kept for more requests."""
+    """Sends requests to engines, and pools their idle connections."""
 
-    def __init__(self, reactor: TimedReactor, own_address: str) -> None:
-        """Connect from a machine's own address."""
+    def __init__(self, reactor: TimedReactor, local_address: str) -> None:
+        """Connect from a local address, if one is given."""
         self._reactor = reactor
-        self._bind = (own_address, 0) if own_address else None
+        self._bind = (local_address, 0) if local_address else None
         self._idle: dict[str, IdleConnections] = {}
         self._factory = Factory.forProtocol(ClientConnection)
         self._factory.noisy = False
@@ -66,13 +66,13 @@
     def send(
         self, engine: Engine, head: RequestHead, body: bytes, listener: SendListener
     ) -> Sending:
-        """Send a request; `listener` hears its answer."""
+        """Send a request; `listener` is called with its response."""
         sending = Sending()
         idle = self._idle.get(engine.id)
-        kept = idle.take() if idle is not None else None
-        if kept is not None:
-            sending.connection = kept
-            kept.send(head, body, listener)
+        reused = idle.take() if idle is not None else None
+        if reused is not None:
+            sending.connection = reused
+            reused.send(head, body, listener)
             return sending
         endpoint = TCP4ClientEndpoint(
             self._reactor, engine.host, engine.port, CONNECT_SECONDS, self._bind
@@ -84,9 +84,9 @@
                 return
             if not listener.may_send():
                 connection.abandon()
-                listener.withdrawn()
+                listener.cancelled()
                 return
-            detect_silence(connection.transport)
+            detect_dead_peer(connection.transport)
             sending.connection = connection
             connection.send(head, body, listener)
 
@@ -98,22 +98,24 @@
         connecting.addCallbacks(connected, failed)
         return sending
 
-    def keep(self, engine_id: str, sending: Sending) -> None:
-        """Keep the connection of an answered request for the next one."""
+    def release(self, engine_id: str, sending: Sending) -> None:
+        """Return the connection of a completed request to the pool."""
         connection = sending.connection
         if connection is None:
             return
-        told = connection.keep_alive_seconds
-        seconds = UNTOLD_KEEP_SECONDS
-        if told is not None:
-            seconds = max(told - KEEP_MARGIN_SECONDS, told / 2)
+        advertised_seconds = connection.keep_alive_seconds
+        seconds = DEFAULT_KEEP_ALIVE_SECONDS
+        if advertised_seconds is not None:
+            seconds = max(
+                advertised_seconds - KEEP_ALIVE_MARGIN_SECONDS, advertised_seconds / 2
+            )
         idle = self._idle.get(engine_id)
         if idle is None:
-            idle = self._idle[engine_id] = IdleConnections(self._reactor, MOST_IDLE)
+            idle = self._idle[engine_id] = IdleConnections(self._reactor, MAX_IDLE)
         idle.keep(connection, seconds)
 
-    def forget(self, engine_id: str) -> None:
-        """Close the idle connections to an engine that is gone."""
+    def close_idle(self, engine_id: str) -> None:
+        """Close the idle connections to an engine."""
         idle = self._idle.pop(engine_id, None)
         if idle is not None:
             idle.close_all()
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -1,4 +1,4 @@
-"""The log lines and figures of the list of engines and of the drained zones."""
+"""Log events and metrics of the list of engines and of the drained zones."""
 
 from collections.abc import Collection, Mapping
 
@@ -13,29 +13,28 @@
 
 
 class ListedState(msgspec.Struct, frozen=True):
-    """What of an engine's entry is worth a line when it changes.
+    """The part of an engine's entry whose changes are logged.
 
-    A cold engine writes anew with each heartbeat for how much longer it is cold; that is
-    not.
+    The remaining warm-up time is left out, since it changes with each heartbeat.
     """
 
-    is_leaving: bool
+    is_draining: bool
     is_cold: bool
 
 
 class EngineListLog:
-    """Writes a line when the list has other engines, or other states of them."""
+    """Logs changes of the listed engines and of their states."""
 
     def __init__(self, clock: IReactorTime) -> None:
-        """Begin with an empty list."""
+        """Start with an empty list."""
         self._clock = clock
         self._states: dict[str, ListedState] = {}
-        self._told_at = clock.seconds()
+        self._reported_at = clock.seconds()
 
-    def listed(self, engines: Mapping[str, Engine], gone: Collection[str]) -> None:
-        """Hear the list, and which engines are forgotten since the last one."""
+    def listed(self, engines: Mapping[str, Engine], removed: Collection[str]) -> None:
+        """Compare a list with the previous one; `removed` are the removed engines."""
         states = {
-            id: ListedState(engine.is_leaving, engine.cold_seconds > 0)
+            id: ListedState(engine.is_draining, engine.cold_seconds > 0)
             for id, engine in engines.items()
         }
         if states == self._states:
@@ -44,20 +43,20 @@
         emit(
             EnginesChanged(
                 engines=len(states),
-                leaving=sum(state.is_leaving for state in states.values()),
+                leaving=sum(state.is_draining for state in states.values()),
                 cold=sum(state.is_cold for state in states.values()),
                 added=sorted(states.keys() - self._states.keys()),
-                gone=sorted(gone),
-                seconds_since_last=round(now - self._told_at, 3),
+                gone=sorted(removed),
+                seconds_since_last=round(now - self._reported_at, 3),
             )
         )
-        self._states, self._told_at = states, now
+        self._states, self._reported_at = states, now
 
 
-def tell_drains(
+def report_drains(
     newer: DrainedZones, change: DrainChange | None, *, is_from_peer: bool = False
 ) -> None:
-    """Tell that a set of drained zones was taken; `change` is None if it was too old."""
+    """Log new drained zones; `change` is None if the update was stale."""
     if change is None:
         return
     DRAINS_POSITION.set(newer.position)
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -1,4 +1,4 @@
-"""The policies of the call path, by the mechanisms that are switched on."""
+"""Policies of the call path, by the enabled mechanisms."""
 
 from collections.abc import Collection
 
@@ -9,8 +9,8 @@
 from notcharch.scheduling.first_response_times import OverduePolicy
 from notcharch.settings.mechanisms import Mechanism
 
-LEARNING_SECONDS = 1.0
-"""Until a daemon has certainly read that an engine leaves."""
+PROPAGATION_SECONDS = 1.0
+"""Time until every daemon has read that an engine is draining."""
 
 
 def pool_policy(
@@ -18,15 +18,15 @@
     drain_seconds: float,
     entry_seconds: float = 0.0,
 ) -> PoolPolicy:
-    """Give how engines are chosen.
+    """Return the policy for the choice of an engine.
 
-    `drain_seconds`: an engine gets no calls so long after it was told to leave;
-    `entry_seconds`: it writes its entry as often.
+    An engine must get no calls `drain_seconds` after the start of its drain, and writes
+    its entry every `entry_seconds`.
     """
-    leaving = max(drain_seconds - LEARNING_SECONDS, 0.0)
+    window_seconds = max(drain_seconds - PROPAGATION_SECONDS, 0.0)
     has_last_resort = Mechanism.LAST_RESORT in mechanisms
     return PoolPolicy(
-        leaving_seconds=leaving if has_last_resort else 0.0,
+        last_resort_seconds=window_seconds if has_last_resort else 0.0,
         entry_seconds=entry_seconds,
         routing=RoutingPolicy(
             prefers_cached_engine=Mechanism.KEPT_HOMES in mechanisms,
@@ -42,12 +42,12 @@
 
 
 def wait_policy(mechanisms: Collection[Mechanism]) -> OverduePolicy:
-    """Give whether overdue calls are looked after."""
+    """Return the policy for overdue responses."""
     return OverduePolicy(detects_overdue=Mechanism.OVERDUE in mechanisms)
 
 
 def cold_policy(
     mechanisms: Collection[Mechanism], tolerance: ColdTolerance
 ) -> ColdPolicy:
-    """Give what cold engines get."""
+    """Return the policy for the load of cold engines."""
     return ColdPolicy(tolerance, sends_to_cold=Mechanism.COLD_FEEDING in mechanisms)
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from notcharch.calls.list_log import tell_drains
+from notcharch.calls.list_log import report_drains
 from notcharch.daemon.ports import DaemonPorts
 from notcharch.daemon.state_access import (
     COMMAND_TYPES,
@@ -19,14 +19,14 @@
 from notcharch.engines.steward_service import StewardService
 from notcharch.gateway.resource import Gateway
 from notcharch.journal.owner_directory import OwnerDirectory
-from notcharch.journal.partitioning import spread_to
+from notcharch.journal.partitioning import partitioning_for_count
 from notcharch.membership.service import MembershipService
 from notcharch.membership.swim import Swim
 from notcharch.partitions.service import (
     GROUP,
     TOPIC,
     PartitionService,
-    partition_tools,
+    partition_dependencies,
 )
 from notcharch.placement.assignment import Assignment
 from notcharch.placement.engine_directory import MachineEngineDirectory
@@ -106,7 +106,7 @@
         )
         self.assignment = Assignment(self.membership)
         section = settings.partitions
-        self.partitioning = spread_to(
+        self.partitioning = partitioning_for_count(
             TOPIC, section.partition_count, section.topic_partitions
         )
         self.owners = OwnerDirectory(
@@ -151,7 +151,7 @@
         zones = frozenset(str(zone) for zone in self.table.drained_zones())
         drained = DrainedZones(zones, self.table.version)
         change = self.directory.drain_zones(drained, self.ports.clock.seconds())
-        tell_drains(drained, change)
+        report_drains(drained, change)
 
     def _carry_table_version(self, version: int) -> None:
         self.membership.set_digest(TABLE_DIGEST, version)
@@ -163,12 +163,12 @@
     def _build_partitions(self) -> None:
         settings, ports = self.settings, self.ports
         self.partitions = PartitionService(
-            own=self.own_member,
+            local_member=self.own_member,
             peer_address=ports.peer_address,
             partitioning=self.partitioning,
             directory=self.owners,
             lease_seconds=settings.partitions.lease_seconds,
-            tools=partition_tools(
+            dependencies=partition_dependencies(
                 ports.journal,
                 ports.clock,
                 ports.chance,
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -1,4 +1,4 @@
-"""The client side of one HTTP/1.1 connection: one request at a time, and its answer."""
+"""The client side of HTTP/1.1 connections, without pipelining."""
 
 from collections.abc import Callable
 from enum import Enum
@@ -12,12 +12,12 @@
 
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
 
-SURPLUS_ANSWERS = 3
-"""So many answers to other requests are passed over before a connection is given up."""
+SURPLUS_RESPONSE_LIMIT = 3
+"""Responses to other requests after which the current request fails."""
 
 
-class AnswerFailure(Enum):
-    """Why an answer didn't come to its end."""
+class ResponseFailure(Enum):
+    """Why no complete response was received."""
 
     CLOSED = "connection closed"
     RESET = "connection reset"
@@ -25,53 +25,53 @@
     ABANDONED = "abandoned by this side"
 
 
-class AnswerListener(Interface):
-    """What hears the answer of one request."""
+class ResponseListener(Interface):
+    """Callbacks for the response to one request."""
 
-    def is_answer(self, head: ResponseHead) -> bool:
-        """Tell whether a head answers this request, not an earlier one."""
+    def is_response(self, head: ResponseHead) -> bool:
+        """Return whether a head is of this request's response, not of an earlier one's."""
 
-    def head_came(self, head: ResponseHead) -> None:
-        """Hear the head of the answer."""
+    def head_received(self, head: ResponseHead) -> None:
+        """Handle the head of the response."""
 
-    def data_came(self, data: bytes) -> None:
-        """Hear a piece of the body."""
+    def data_received(self, data: bytes) -> None:
+        """Handle a chunk of the body."""
 
-    def ended(self) -> None:
-        """Hear that the body is whole."""
+    def completed(self) -> None:
+        """Handle the end of a complete body."""
 
-    def failed(self, failure: AnswerFailure) -> None:
-        """Hear that no more will come, and why."""
+    def failed(self, failure: ResponseFailure) -> None:
+        """Handle the failure of an incomplete response."""
 
 
 class ClientConnection(Protocol):
-    """A connection to a server, used for one request after another."""
+    """A reusable connection to a server."""
 
     transport: ITCPTransport
 
     def __init__(self) -> None:
-        """Wait to be connected."""
+        """Start disconnected."""
         self._http = h11.Connection(h11.CLIENT)
-        self._listener: AnswerListener | None = None
+        self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
         self._is_surplus = False
-        self._surplus_left = SURPLUS_ANSWERS
-        self._is_lost = False
+        self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
+        self._is_disconnected = False
         self.is_reusable = False
-        """Whether another request may be sent."""
+        """True while the connection can take another request."""
         self.served = 0
-        """How many requests had an answer here."""
+        """Number of requests with a complete response on this connection."""
         self.keep_alive_seconds: float | None = None
-        """How long the server keeps an idle connection, if it said."""
-        self.on_lost: Callable[[ClientConnection], None] | None = None
+        """The idle timeout that the server advertises in `Keep-Alive`, if any."""
+        self.on_disconnect: Callable[[ClientConnection], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        """Send small requests at once."""
+        """Disable Nagle's algorithm, so that small requests are sent immediately."""
         self.transport.setTcpNoDelay(True)
         self.is_reusable = True
 
-    def send(self, head: RequestHead, body: bytes, listener: AnswerListener) -> None:
-        """Send a whole request; `listener` hears the answer."""
+    def send(self, head: RequestHead, body: bytes, listener: ResponseListener) -> None:
+        """Send a complete request; `listener` is called with the response."""
         self._listener = listener
         self.is_reusable = False
         headers: Headers = list(head.headers)
@@ -81,7 +81,7 @@
             method=head.method, target=head.target, headers=headers
         )
         self._is_surplus = False
-        self._surplus_left = SURPLUS_ANSWERS
+        self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
         parts = [self._http.send(self._request) or b""]
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
@@ -89,44 +89,44 @@
         self.transport.write(b"".join(parts))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
-        """Take bytes of answers."""
+        """Parse received bytes."""
         if self._listener is None:
-            # Nobody asked for these bytes, so none that follow can be trusted.
+            # Unsolicited bytes: whatever follows could not be matched to a request.
             self.close()
             return
         self._http.receive_data(data)
-        self._pump()
+        self._read_events()
 
-    def _pump(self) -> None:
+    def _read_events(self) -> None:
         while self._listener is not None:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
-                self._fail(AnswerFailure.GARBLED)
+                self._fail(ResponseFailure.GARBLED)
                 return
             if isinstance(event, h11.ConnectionClosed | type):
                 return
-            self._take(event)
+            self._handle_event(event)
 
-    def _take(self, event: h11.Event) -> None:
+    def _handle_event(self, event: h11.Event) -> None:
         listener = self._listener
         assert listener is not None
         if isinstance(event, h11.Response):
             head = ResponseHead(
                 event.status_code, event.headers.raw_items(), event.reason
             )
-            self._is_surplus = not listener.is_answer(head)
+            self._is_surplus = not listener.is_response(head)
             if not self._is_surplus:
                 self._read_keep_alive(head)
-                listener.head_came(head)
+                listener.head_received(head)
         elif isinstance(event, h11.Data):
             if not self._is_surplus:
-                listener.data_came(bytes(event.data))
+                listener.data_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if self._is_surplus:
-                self._pass_over()
+                self._skip_surplus_response()
             else:
-                self._end(listener)
+                self._complete(listener)
 
     def _read_keep_alive(self, head: ResponseHead) -> None:
         value = head.get(b"keep-alive")
@@ -137,34 +137,34 @@
             if name.lower() == b"timeout" and number.strip().isdigit():
                 self.keep_alive_seconds = float(number)
 
-    def _pass_over(self) -> None:
-        """Go on after an answer to an earlier request, as if it had not come."""
-        self._surplus_left -= 1
-        rest, is_closed = self._http.trailing_data
-        if self._surplus_left <= 0 or is_closed or self._request is None:
-            self._fail(AnswerFailure.GARBLED)
+    def _skip_surplus_response(self) -> None:
+        """Reset the parser after a response to an earlier request."""
+        self._surplus_remaining -= 1
+        surplus_data, is_closed = self._http.trailing_data
+        if self._surplus_remaining <= 0 or is_closed or self._request is None:
+            self._fail(ResponseFailure.GARBLED)
             return
         if self._http.their_state is not h11.DONE:
-            self._fail(AnswerFailure.CLOSED)
+            self._fail(ResponseFailure.CLOSED)
             return
-        self._http = _awaiting_answer(self._request)
-        if rest:  # nothing would mean the end of the connection
-            self._http.receive_data(rest)
+        self._http = _awaiting_response(self._request)
+        if surplus_data:  # empty data would signal the end of the connection
+            self._http.receive_data(surplus_data)
         self._is_surplus = False
 
-    def _end(self, listener: AnswerListener) -> None:
+    def _complete(self, listener: ResponseListener) -> None:
         self._listener = None
         self.served += 1
-        has_rest = bool(self._http.trailing_data[0])
-        is_done = self._http.their_state is h11.DONE
-        if is_done and self._http.our_state is h11.DONE and not has_rest:
+        has_trailing_data = bool(self._http.trailing_data[0])
+        is_received = self._http.their_state is h11.DONE
+        if is_received and self._http.our_state is h11.DONE and not has_trailing_data:
             self._http.start_next_cycle()
-            self.is_reusable = not self._is_lost
+            self.is_reusable = not self._is_disconnected
         else:
             self.close()
-        listener.ended()
+        listener.completed()
 
-    def _fail(self, failure: AnswerFailure) -> None:
+    def _fail(self, failure: ResponseFailure) -> None:
         listener = self._listener
         self._listener = None
         self.close()
@@ -172,38 +172,38 @@
             listener.failed(failure)
 
     def abandon(self) -> None:
-        """Stop the request under way; the server sees its connection cut."""
+        """Abort the request in flight by closing its connection."""
         self._listener = None
         self.close()
 
     def close(self) -> None:
-        """Use this connection no more."""
+        """Close the connection immediately."""
         self.is_reusable = False
-        if not self._is_lost:
+        if not self._is_disconnected:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell the request under way how its answer ended."""
-        self._is_lost = True
+        """Complete or fail the request in flight."""
+        self._is_disconnected = True
         self.is_reusable = False
         if self._listener is not None:
-            self._lost_midway(reason.check(ConnectionDone) is not None)
-        if self.on_lost is not None:
-            self.on_lost(self)
+            self._disconnected_in_flight(reason.check(ConnectionDone) is not None)
+        if self.on_disconnect is not None:
+            self.on_disconnect(self)
 
-    def _lost_midway(self, is_clean: bool) -> None:
+    def _disconnected_in_flight(self, is_clean: bool) -> None:
         if not is_clean:
-            self._fail(AnswerFailure.RESET)
+            self._fail(ResponseFailure.RESET)
             return
-        # An answer without a length ends with its connection.
+        # A response without a length ends with its connection (RFC 9112, 6.3).
         self._http.receive_data(b"")
-        self._pump()
+        self._read_events()
         if self._listener is not None:
-            self._fail(AnswerFailure.CLOSED)
+            self._fail(ResponseFailure.CLOSED)
 
 
-def _awaiting_answer(request: h11.Request) -> h11.Connection:
-    """Give a protocol state in which a request was sent whole."""
+def _awaiting_response(request: h11.Request) -> h11.Connection:
+    """Return an h11 connection in the state after the complete request was sent."""
     connection = h11.Connection(h11.CLIENT)
     length = int(dict(request.headers).get(b"content-length", b"0"))
     connection.send(request)
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -1,4 +1,4 @@
-"""Whole requests to one server over kept connections, each with a time limit."""
+"""Requests with a timeout to one server, over persistent connections."""
 
 from enum import Enum
 
@@ -10,43 +10,42 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from notcharch.http.client import AnswerFailure, ClientConnection
+from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.http.reactor import TimedReactor
-from notcharch.http.sockets import detect_silence
+from notcharch.http.sockets import detect_dead_peer
 
-CONNECT_SECONDS = 1.0
-"""A connection that the server's machine doesn't answer for so long won't be made: its
-packets are sent again after a second."""
-IDLE_SECONDS = 10.0
-"""An idle connection is used for so long; held reads keep most of them busy."""
-MOST_IDLE = 16
-"""Idle connections kept: more than calls are under way at a time on a calm day."""
+CONNECT_TIMEOUT_SECONDS = 1.0
+"""Timeout of the TCP handshake: the initial retransmission timeout of a SYN."""
+IDLE_TIMEOUT_SECONDS = 10.0
+"""Idle connections are closed after this time."""
+MAX_IDLE = 16
+"""Idle connections kept to the server: more than its usual concurrent requests."""
 
 
-class WholeAnswer(msgspec.Struct, frozen=True):
-    """A response that came whole."""
+class CompleteResponse(msgspec.Struct, frozen=True):
+    """A response that was received completely."""
 
     head: ResponseHead
     body: bytes
 
 
-class NoAnswer(Enum):
-    """Why there is no answer."""
+class NoResponse(Enum):
+    """Why there is no complete response."""
 
     NOT_SENT = "not sent"
     SENT = "sent, and no whole answer came"
 
 
-Outcome = Result[WholeAnswer, NoAnswer]
+Outcome = Result[CompleteResponse, NoResponse]
 
 
 class PendingRequest:
-    """One request on its way."""
+    """One request in flight."""
 
     def __init__(self, requester: "Requester", head: RequestHead, body: bytes) -> None:
-        """Keep what is to be sent."""
+        """Hold a request until a connection is available."""
         self._requester = requester
         self.head = head
         self.body = body
@@ -54,72 +53,72 @@
         self.connection: ClientConnection | None = None
         self.timer: IDelayedCall | None = None
         self._response: ResponseHead | None = None
-        self._pieces: list[bytes] = []
-        self.is_over = False
+        self._chunks: list[bytes] = []
+        self.is_finished = False
 
-    def is_answer(self, head: ResponseHead) -> bool:
-        """Each answer is to the request under way."""
+    def is_response(self, head: ResponseHead) -> bool:
+        """Accept each response: a connection has one request in flight."""
         return True
 
-    def head_came(self, head: ResponseHead) -> None:
-        """Keep the head."""
+    def head_received(self, head: ResponseHead) -> None:
+        """Buffer the head."""
         self._response = head
 
-    def data_came(self, data: bytes) -> None:
-        """Keep a piece."""
-        self._pieces.append(data)
+    def data_received(self, data: bytes) -> None:
+        """Buffer a chunk of the body."""
+        self._chunks.append(data)
 
-    def ended(self) -> None:
-        """Give the whole answer."""
+    def completed(self) -> None:
+        """Succeed with the complete response."""
         assert self._response is not None
         if self.connection is not None:
-            self._requester.keep(self.connection)
-        self.over(Ok(WholeAnswer(self._response, b"".join(self._pieces))))
+            self._requester.release(self.connection)
+        self.finish(Ok(CompleteResponse(self._response, b"".join(self._chunks))))
 
-    def failed(self, failure: AnswerFailure) -> None:
-        """Say that it was sent and not answered."""
-        self.over(Err(NoAnswer.SENT))
+    def failed(self, failure: ResponseFailure) -> None:
+        """Fail: the request was sent, but there is no complete response."""
+        self.finish(Err(NoResponse.SENT))
 
-    def expire(self) -> None:
-        """Give the request up: its connection says nothing any more."""
+    def time_out(self) -> None:
+        """Fail at the timeout, and close the connection of the request."""
         if self.connection is not None:
             self.connection.abandon()
-            self.over(Err(NoAnswer.SENT))
+            self.finish(Err(NoResponse.SENT))
         else:
-            self.over(Err(NoAnswer.NOT_SENT))
+            self.finish(Err(NoResponse.NOT_SENT))
 
-    def over(self, outcome: Outcome) -> None:
-        """Give the outcome, once."""
-        if self.is_over:
+    def finish(self, outcome: Outcome) -> None:
+        """Set the outcome, unless it is already set."""
+        if self.is_finished:
             return
-        self.is_over = True
+        self.is_finished = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.result.callback(outcome)
 
 
 class Requester:
-    """Sends whole requests to one server."""
+    """Sends requests to one server."""
 
     def __init__(
-        self, reactor: TimedReactor, host: str, port: int, own_address: str = ""
+        self, reactor: TimedReactor, host: str, port: int, local_address: str = ""
     ) -> None:
-        """Connect when needed, from a machine's own address."""
+        """Connect on demand, from a local address if one is given."""
         self._reactor = reactor
-        self._idle = IdleConnections(reactor, MOST_IDLE)
-        self._bind = (own_address, 0) if own_address else None
+        self._idle = IdleConnections(reactor, MAX_IDLE)
+        self._bind = (local_address, 0) if local_address else None
         self._address = ("", 0)
         self.set_address(host, port)
         self._factory = Factory.forProtocol(ClientConnection)
         self._factory.noisy = False
 
     def set_address(self, host: str, port: int) -> None:
-        """Speak to a server at this address from now on."""
+        """Send the next requests to this address."""
         if (host, port) == self._address:
             return
         self._address = (host, port)
         self._endpoint = TCP4ClientEndpoint(
-            self._reactor, host, port, CONNECT_SECONDS, self._bind
+            self._reactor, host, port, CONNECT_TIMEOUT_SECONDS, self._bind
         )
         self._host = f"{host}:{port}".encode()
         self._idle.close_all()
@@ -127,35 +126,35 @@
     def request(
         self, method: bytes, target: bytes, body: bytes, seconds: float
     ) -> "Deferred[Outcome]":
-        """Send a request; the result is there after `seconds` at the latest."""
+        """Send a request with a timeout of `seconds`."""
         pending = PendingRequest(
             self, RequestHead(method, target, [(b"Host", self._host)]), body
         )
-        pending.timer = self._reactor.callLater(seconds, pending.expire)
-        kept = self._idle.take()
-        if kept is not None:
-            self._send(kept, pending)
+        pending.timer = self._reactor.callLater(seconds, pending.time_out)
+        idle = self._idle.take()
+        if idle is not None:
+            self._send(idle, pending)
         else:
             connecting = self._endpoint.connect(self._factory)
             connecting.addCallbacks(
-                self._connected, self._refused, (pending,), {}, (pending,), {}
+                self._connected, self._connect_failed, (pending,), {}, (pending,), {}
             )
         return pending.result
 
     def _connected(self, connection: ClientConnection, pending: PendingRequest) -> None:
-        detect_silence(connection.transport)
-        if pending.is_over:
-            self.keep(connection)
+        detect_dead_peer(connection.transport)
+        if pending.is_finished:
+            self.release(connection)
         else:
             self._send(connection, pending)
 
-    def _refused(self, _failure: Failure, pending: PendingRequest) -> None:
-        pending.over(Err(NoAnswer.NOT_SENT))
+    def _connect_failed(self, _failure: Failure, pending: PendingRequest) -> None:
+        pending.finish(Err(NoResponse.NOT_SENT))
 
     def _send(self, connection: ClientConnection, pending: PendingRequest) -> None:
         pending.connection = connection
         connection.send(pending.head, pending.body, pending)
 
-    def keep(self, connection: ClientConnection) -> None:
-        """Keep a connection for the next request."""
-        self._idle.keep(connection, IDLE_SECONDS)
+    def release(self, connection: ClientConnection) -> None:
+        """Return a connection to the idle ones."""
+        self._idle.keep(connection, IDLE_TIMEOUT_SECONDS)
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -12,12 +12,12 @@
 from notcharch.errors import Problem, ProblemCode
 from notcharch.events.event import emit
 from notcharch.events.partitions import ListenerFailed
-from notcharch.journal.dealt_partitions import DealtPartitions
+from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.group import GroupMember
 from notcharch.journal.interface import GroupName, LogService
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.owner_names import OwnerName
-from notcharch.journal.partition_journal import PartitionPlace
+from notcharch.journal.partition_journal import PartitionAssignment
 from notcharch.journal.partitioning import Partitioning
 from notcharch.partitions.interface import (
     Command,
@@ -28,7 +28,7 @@
 from notcharch.partitions.led_partition import (
     RETRY_SECONDS,
     LedPartition,
-    PartitionTools,
+    PartitionDependencies,
     ProposalResult,
 )
 from notcharch.partitions.records import CommandCodec
@@ -37,135 +37,138 @@
 
 TOPIC = "partitions"
 GROUP = "partition-leaders"
-TIDY_SECONDS = 5.0
+SNAPSHOT_CHECK_SECONDS = 5.0
 
 
 class PartitionStatus(msgspec.Struct, frozen=True):
-    """A led partition; positions count records of its journal."""
+    """Status of a led partition; positions are offsets in its journal."""
 
     partition: PartitionNumber
     epoch: Epoch
     end: int
     snapshot_covers_to: int
     waiting: int
-    """Commands that are not durable yet."""
+    """Number of commands that aren't durable yet."""
 
 
 class PartitionService:
-    """Leads the partitions that the log service's group deals to this daemon."""
+    """Leads the partitions that the log service's group assigns to this daemon."""
 
     def __init__(
         self,
         *,
-        own: Member,
+        local_member: Member,
         peer_address: str,
         partitioning: Partitioning,
         directory: OwnerDirectory,
         lease_seconds: float,
-        tools: PartitionTools,
+        dependencies: PartitionDependencies,
     ) -> None:
-        """Wire the parts; nothing is spoken before `start`."""
-        self._tools = tools
+        """Create the components; no request is sent before `start`."""
+        self._dependencies = dependencies
         self._directory = directory
         self._is_stopped = False
         self._listeners: list[LeadershipListener] = []
-        self._dealt: DealtPartitions[LedPartition] = DealtPartitions(
-            own,
+        self._assigned: AssignedPartitions[LedPartition] = AssignedPartitions(
+            local_member,
             partitioning,
             directory,
             heartbeat=self._heartbeat,
-            make=self._make,
+            create=self._create,
         )
         self._group = GroupMember(
-            tools.service,
-            tools.clock,
+            dependencies.service,
+            dependencies.clock,
             GroupName(GROUP, partitioning.topics),
-            OwnerName(own.daemon, peer_address).text(),
-            least_lease_seconds=lease_seconds,
-            dealt=self._dealt.dealt,
+            OwnerName(local_member.daemon, peer_address).member_id(),
+            min_lease_seconds=lease_seconds,
+            on_assignment=self._assigned.on_assignment,
         )
-        self._tidying = LoopingCall(self._tidy)
-        self._tidying.clock = tools.clock
+        self._snapshot_check = LoopingCall(self._write_due_snapshots)
+        self._snapshot_check.clock = dependencies.clock
 
-    def _make(self, place: PartitionPlace) -> LedPartition:
+    def _create(self, assignment: PartitionAssignment) -> LedPartition:
         return LedPartition(
-            self._tools, place, lost=self._dealt.lost, leads=self._leads
+            self._dependencies,
+            assignment,
+            on_fenced=self._assigned.on_fenced,
+            on_leading=self._on_leading,
         )
 
     def _heartbeat(self) -> None:
         self._group.heartbeat()
 
     def start(self) -> None:
-        """Join the group, and follow who leads what."""
-        self._tidying.start(TIDY_SECONDS, now=False)
+        """Join the group and follow the leaders of all partitions."""
+        self._snapshot_check.start(SNAPSHOT_CHECK_SECONDS, now=False)
         self._directory.start()
         self._group.start()
 
     def stop(self) -> None:
-        """Stop at once; see `hand_over` for a planned stop."""
+        """Stop immediately; see `hand_over` for a planned stop."""
         self._is_stopped = True
-        if self._tidying.running:
-            self._tidying.stop()
+        if self._snapshot_check.running:
+            self._snapshot_check.stop()
         self._group.stop()
         self._directory.stop()
-        for partition in self._dealt.all():
+        for partition in self._assigned.all():
             partition.close()
 
     def hand_over(self) -> "Deferred[None]":
-        """Lead nothing any more; fires when the group has been told."""
+        """Hand over all partitions; fires after the group is left."""
         self._group.stop()
-        handed_over = self._dealt.give_up_all()
+        handed_over = self._assigned.release_all()
         return handed_over.addBoth(lambda _: self._group.leave())
 
-    def _tidy(self) -> None:
-        for partition in self._dealt.all():
-            partition.tidy()
+    def _write_due_snapshots(self) -> None:
+        for partition in self._assigned.all():
+            partition.snapshot_if_due()
 
-    # Who leads
+    # Leadership
 
     def led_partitions(self) -> tuple[PartitionNumber, ...]:
-        """Give the partitions that this daemon certainly leads now."""
+        """Return the partitions that this daemon leads under a valid lease."""
         if not self._group.is_lease_valid:
             return ()
-        return tuple(p.number for p in self._dealt.all() if p.is_leading)
+        return tuple(p.number for p in self._assigned.all() if p.is_leading)
 
     def leader_epoch(self, partition: PartitionNumber) -> Epoch | None:
-        """Give the epoch in which this daemon leads the partition, or None."""
+        """Return the epoch in which this daemon leads the partition, or None."""
         led = self._led(partition)
         return None if led is None else led.epoch
 
     def _led(self, partition: PartitionNumber) -> LedPartition | None:
-        """Give a partition that nobody else can lead now, since our lease is valid."""
-        led = self._dealt.get(partition)
+        """Return a partition that this daemon leads under a valid lease, or None."""
+        led = self._assigned.get(partition)
         if led is None or not led.is_leading or not self._group.is_lease_valid:
             return None
         return led
 
     def leader_hint(self, partition: PartitionNumber) -> DaemonName | None:
-        """Give the other daemon that seems to lead the partition, if any."""
-        owner = self._dealt.other_owner(partition)
+        """Return the other daemon that probably leads the partition, or None."""
+        owner = self._assigned.other_owner(partition)
         return None if owner is None else owner.daemon
 
     def state(self, partition: PartitionNumber) -> StateMachine | None:
-        """Give the applied state of a partition that is led here, or None."""
+        """Return the applied state of a partition that this daemon leads, or None."""
         led = self._led(partition)
         return None if led is None else led.state
 
     def status(self) -> tuple[PartitionStatus, ...]:
-        """Describe the partitions that are led here."""
+        """Return the status of the partitions that this daemon leads."""
         return tuple(
             PartitionStatus(
                 led.number, led.epoch, led.end, led.snapshot_covers_to, led.waiting
             )
-            for led in self._dealt.all()
+            for led in self._assigned.all()
             if led.is_leading
         )
 
     def on_leadership(self, listener: LeadershipListener) -> None:
-        """Call `listener` when this daemon begins (epoch) or ends (None) leading."""
+        """Call `listener` when this daemon starts (epoch) or stops (None) leading."""
         self._listeners.append(listener)
 
-    def _leads(self, led: LedPartition, is_leading: bool) -> None:
+    def _on_leading(self, led: LedPartition, is_leading: bool) -> None:
         epoch = led.epoch if is_leading else None
         for listener in self._listeners:
             try:
@@ -179,7 +182,7 @@
         self, partition: PartitionNumber, command: Command
     ) -> "Deferred[Result[CommandResult, Problem]]":
         """Journal a command; see `PartitionHost.propose`."""
-        led = self._dealt.get(partition)
+        led = self._assigned.get(partition)
         if led is None or not led.is_leading or self._is_stopped:
             return succeed(self._not_leader(partition))
         return led.propose(command)
@@ -194,7 +197,7 @@
         return Err(problem)
 
 
-def partition_tools(
+def partition_dependencies(
     service: LogService,
     clock: IReactorTime,
     random: Random,
@@ -202,9 +205,9 @@
     *,
     command_types: tuple[type[Command], ...],
     new_state: Callable[[PartitionNumber], StateMachine],
-) -> PartitionTools:
-    """Gather what every partition of a daemon works with."""
-    return PartitionTools(
+) -> PartitionDependencies:
+    """Build the dependencies of a daemon's partitions from its settings."""
+    return PartitionDependencies(
         service=service,
         clock=clock,
         random=random,
--- a/tests/stateful/cold/cold_machine.py
+++ b/tests/stateful/cold/cold_machine.py
@@ -45,7 +45,7 @@
         self._began = world.clock.seconds()
         self._view = tuple(sorted(world.processes))
         eligibility = EngineEligibility({}, ColdPolicy(TOLERANCE), self)
-        eligibility.take_limits({SERVICE: LIMIT})
+        eligibility.set_cold_limits({SERVICE: LIMIT})
         policy = PoolPolicy(entry_seconds=HEARTBEAT_SECONDS)
         self.pool = EnginePool(
             world.clock, Nearness("x"), Random(1), policy, eligibility=eligibility
@@ -121,8 +121,8 @@
         chosen = process.pool.choose(SERVICE, "", ())
         if chosen is None:
             return
-        process.pool.began(chosen.id)
-        process.pool.ended(chosen.id)
+        process.pool.call_started(chosen.id)
+        process.pool.call_ended(chosen.id)
         delay = self.random.uniform(0.0, MAX_CONNECT_SECONDS)
         self.clock.callLater(delay, self.arrive, chosen.id)
 
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -44,7 +44,7 @@
         self.eligibility = EngineEligibility()
 
     def drain_zones(self, newer):
-        return self.eligibility.take_drains(newer, (), 0.0)
+        return self.eligibility.update_drains(newer, (), 0.0)
 
     def replace(self, engines):
         return []
@@ -102,9 +102,9 @@
             joined.network,
             self.freshness,
             peers=lambda: world.names,
-            request_at_age=self.tables.own_proof_seconds,
-            table=lambda: self.tables.table_text,
-            apply_table=self.tables.take_table,
+            request_at_age=self.tables.confirmation_age_seconds,
+            table=lambda: self.tables.raw_table,
+            activate_table=self.tables.apply_table,
         )
         self.tables.start()
         self.exchange.start()
