--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -176,7 +176,7 @@
             peers=self._accounts.directory.peers,
             request_at_age=self._tables.confirmation_age_seconds,
             table=lambda: self._tables.raw_table,
-            apply_table=self._tables.apply_table,
+            activate_table=self._tables.apply_table,
             drained=lambda: self._tables.drained_zones,
             apply_drained=self._tables.apply_peer_drained_zones,
         )
