--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -264,7 +264,7 @@
         if self._framer.last_id is not None:
             self.call.last_event_id = self._framer.last_id
 
-    # The end
+    # Completion
 
     def _complete_stream(self) -> None:
         """Make the outcome durable; the end of the stream is relayed afterwards."""
--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -32,10 +32,7 @@
         """The state that was logged last."""
 
     def can_check_keys(self, table: RouteTable, ahead_seconds: float = 0.0) -> bool:
-        """Return whether the table is fresh enough to check keys.
-
-        It also has to be in `ahead_seconds`.
-        """
+        """Return whether keys can be checked, now and for `ahead_seconds` more."""
         if table.keys is None:
             return True
         return self._freshness.is_fresh(self._clock.seconds(), ahead_seconds)
--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -18,8 +18,8 @@
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones, ZoneDrains
 
 MIN_WARM_SHARE = 2 / 3
-"""Share of warm engines at which cold ones get no calls: without a third of the engines
-the others have 50% more load."""
+"""Cold engines get no calls while at least this share is warm: without a third of the
+engines, the others have 50% more load."""
 NEVER_COLD = ColdLimit()
 
 
@@ -121,7 +121,7 @@
         """Remove the state of an engine."""
         self._cold.forget(engine_id)
 
-    # The choice
+    # Choice
 
     def takes_calls(self, engine: Engine) -> bool:
         """Return whether the zone of an engine is not drained."""
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -6,7 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.call_log import CallLog
-from notcharch.calls.engine_sender import EngineSender, Sending
+from notcharch.calls.engine_sender import EngineRequest, EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
     Admission,
@@ -83,7 +83,7 @@
         self.engine = engine
         self._listener = listener
         self._log = log
-        self._sending: Sending | None = None
+        self._request: EngineRequest | None = None
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._is_relaying = False
@@ -94,7 +94,7 @@
         self._events = 0
         """Number of reads that completed an event; several events in one read count once."""
         self._overdue = OverdueWatch(
-            services.clock, services.waits, route.name, self._is_overdue
+            services.clock, services.waits, route.name, self._on_overdue
         )
 
     def send(self, body: bytes, remaining_ms: int) -> None:
@@ -104,12 +104,12 @@
         services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
         self._overdue.sent()
-        self._sending = services.sender.send(self.engine, head, body, self)
+        self._request = services.sender.send(self.engine, head, body, self)
 
     def abandon(self) -> None:
         """Abort the run by closing its connection."""
-        if self._sending is not None:
-            self._sending.abandon()
+        if self._request is not None:
+            self._request.abandon()
         self._finish()
 
     def _finish(self) -> None:
@@ -122,7 +122,7 @@
         if is_silent:
             self._services.sender.close_idle(self.engine.id)
 
-    def _is_overdue(self) -> None:
+    def _on_overdue(self) -> None:
         """Report an overdue response; abandon the run if that helps."""
         self._services.pool.engine_failed(self.engine.id)
         abandons = self._listener.should_abandon() and self._overdue.take_retry()
@@ -187,8 +187,8 @@
         """Handle a complete response."""
         head = self._head
         assert head is not None
-        assert self._sending is not None
-        self._services.sender.release(self.engine.id, self._sending)
+        assert self._request is not None
+        self._services.sender.release(self.engine.id, self._request)
         if self._services.dialect.was_not_run(head):
             self._services.pool.engine_full(self.engine.id)
             self._finish()
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -13,7 +13,7 @@
 from notcharch.http.reactor import TimedReactor
 from notcharch.http.sockets import detect_dead_peer
 
-CONNECT_SECONDS = 0.3
+CONNECT_TIMEOUT_SECONDS = 0.3
 """Timeout of the TCP handshake: far above a round trip between zones, and below the
 retransmission of a SYN that a full accept queue dropped."""
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
@@ -37,7 +37,7 @@
         """Handle that the request was not sent because `may_send` was false."""
 
 
-class Sending:
+class EngineRequest:
     """One request to an engine."""
 
     def __init__(self) -> None:
@@ -65,21 +65,21 @@
 
     def send(
         self, engine: Engine, head: RequestHead, body: bytes, listener: SendListener
-    ) -> Sending:
+    ) -> EngineRequest:
         """Send a request; `listener` is called with its response."""
-        sending = Sending()
+        request = EngineRequest()
         idle = self._idle.get(engine.id)
         reused = idle.take() if idle is not None else None
         if reused is not None:
-            sending.connection = reused
+            request.connection = reused
             reused.send(head, body, listener)
-            return sending
+            return request
         endpoint = TCP4ClientEndpoint(
-            self._reactor, engine.host, engine.port, CONNECT_SECONDS, self._bind
+            self._reactor, engine.host, engine.port, CONNECT_TIMEOUT_SECONDS, self._bind
         )
 
         def connected(connection: ClientConnection) -> None:
-            if sending.is_abandoned:
+            if request.is_abandoned:
                 connection.abandon()
                 return
             if not listener.may_send():
@@ -87,20 +87,20 @@
                 listener.cancelled()
                 return
             detect_dead_peer(connection.transport)
-            sending.connection = connection
+            request.connection = connection
             connection.send(head, body, listener)
 
         def failed(_failure: Failure) -> None:
-            if not sending.is_abandoned:
+            if not request.is_abandoned:
                 listener.unreachable()
 
         connecting = endpoint.connect(self._factory)
         connecting.addCallbacks(connected, failed)
-        return sending
+        return request
 
-    def release(self, engine_id: str, sending: Sending) -> None:
+    def release(self, engine_id: str, request: EngineRequest) -> None:
         """Return the connection of a completed request to the pool."""
-        connection = sending.connection
+        connection = request.connection
         if connection is None:
             return
         advertised_seconds = connection.keep_alive_seconds
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -98,7 +98,7 @@
         self.sent.append(sent)
         return sent
 
-    def release(self, engine_id, sending):
+    def release(self, engine_id, request):
         pass
 
     def close_idle(self, engine_id):
