--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -57,7 +57,7 @@
     ) -> None:
         """Start with an empty view.
 
-        With `requests_peer_views`, peers are asked for their view while the log service
+        With `requests_peer_views`, a peer's view is requested while the log service
         fails. The network must then support the messages of `owner_messages`.
         """
         self._random = random
--- a/notcharch/journal/recovery_signal.py
+++ b/notcharch/journal/recovery_signal.py
@@ -26,12 +26,11 @@
         """Start with an available service."""
         self._clock = clock
         self._waiting: list[Deferred[None]] = []
-        self.count = 0
-        """Number of recoveries."""
+        self.recovery_count = 0
 
     def recovered(self) -> None:
         """End all waits: the service is available again."""
-        self.count += 1
+        self.recovery_count += 1
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
             deferred.callback(None)
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -181,7 +181,7 @@
             self._sequence += 1
         producer = Producer(self._topic, self._epoch, self._sequence)
         delay = RETRY_SECONDS
-        recoveries = self._recovery.count
+        recoveries = self._recovery.recovery_count
         began = self._clock.seconds()
         may_be_written = False
         while self.is_open:
@@ -198,8 +198,8 @@
             if fault in FENCING_FAULTS:
                 self._close_fenced()
                 break
-            if self._recovery.count != recoveries:
-                recoveries = self._recovery.count
+            if self._recovery.recovery_count != recoveries:
+                recoveries = self._recovery.recovery_count
                 delay = RETRY_SECONDS
             yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH_FACTOR, MAX_RETRY_SECONDS)
