--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -87,7 +87,7 @@
     admitted(world, 30)
     for _ in range(12):
         listener = world.decided(
-            world.call("p", budget=100, most=100, tenant="t"), keeps_turns=False
+            world.call("p", budget=100, most=100, tenant="t"), stores_turns=False
         )
         if listener.ticket is not None:
             break
@@ -105,9 +105,9 @@
     listener = world.decided(world.call("p", budget=100, most=100, tenant="u"))
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
-    assert world.decided(stolen, keeps_turns=True).refusal == UNKNOWN_TURN
+    assert world.decided(stolen, stores_turns=True).refusal == UNKNOWN_TURN
     own = world.call("q", previous=first.id, tenant="t", body=b"more")
-    assert world.decided(own, keeps_turns=True).body == b"in" + b"x\n" * 10 + b"more"
+    assert world.decided(own, stores_turns=True).body == b"in" + b"x\n" * 10 + b"more"
 
 
 @pytest.mark.parametrize("silent", [False, True])
@@ -176,7 +176,7 @@
     at = survivors(world)(0)
     listener = world.ask(call, at)
     world.run(0.3)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(3.0)
     assert listener.ticket is None
     again = world.decided(world.call("p", budget=100, most=100, tenant="t"), at)
@@ -214,6 +214,6 @@
     admitted(world, 80)
     listener = world.ask(world.call("p0", budget=None, tenant="t"))
     world.run(0.02)
-    listener.wants_admission = False
+    listener.awaits_admission = False
     world.run(2.0)
     assert not listener.is_decided
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -9,7 +9,7 @@
 from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.eligibility import EngineEligibility
 from notcharch.events import accounts, calls, journal, process
-from notcharch.http.client import AnswerFailure
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead
 from notcharch.journal.keyed_follower import join_keyed
 from notcharch.journal.recovery_signal import RecoverySignal
@@ -24,13 +24,13 @@
 
 def test_the_ends_of_calls():
     with captured() as messages:
-        CallWorld().sent[0].answer(200, b"done")
+        CallWorld().sent[0].respond(200, b"done")
         refused = CallWorld(engines=())
         broken = CallWorld(is_stream=True)
         broken.sent[0].begin()
-        broken.sent[0].listener.data_came(b"id: 1\ndata: a\n\n")
-        broken.sent[0].listener.failed(AnswerFailure.RESET)
-        CallWorld().reply.gone()
+        broken.sent[0].listener.data_received(b"id: 1\ndata: a\n\n")
+        broken.sent[0].listener.failed(ResponseFailure.RESET)
+        CallWorld().reply.disconnect()
         again = CallWorld()
         again.sent[0].refuse()
     assert refused.reply.end == "refused"
@@ -47,7 +47,7 @@
         world = AccountsWorld()
         for _ in range(2):
             world.decided(world.call(budget=100, most=100))
-        world.decided(world.call(previous="nobody"), keeps_turns=True)
+        world.decided(world.call(previous="nobody"), stores_turns=True)
         first = world.call("one", body=b"a")
         world.kept(first, b"data: x\n\n")
         for program in ("two", "three", "four", "five"):
@@ -78,7 +78,7 @@
         return []
 
     def drain_zones(self, newer):
-        return self.eligibility.take_drains(newer, (), 0.0)
+        return self.eligibility.update_drains(newer, (), 0.0)
 
     def forget(self, engine_id):
         self.forgotten.append(engine_id)
@@ -95,7 +95,7 @@
         self.status = 0
         self.headers = []
 
-    def answer(self, status, headers, body=b""):
+    def respond(self, status, headers, body=b""):
         self.status = status
         self.headers = headers
 
@@ -152,7 +152,7 @@
         assert of(messages, calls.RequestWithoutRoute)[0]["table_version"] == -1
         world.configure(7)
         world.put("keyed.servers", "i-1", ENGINE)
-        assert world.tables.are_known
+        assert world.tables.are_loaded
         assert world.status(b"/other/x") == 404
         world.put("keyed.servers", "i-2", b"{broken")
         world.log.trouble = Trouble.REFUSE
