Rename the public names of the gateway and the operators' interface

The module call_order and its class CallOrder become call_spec and CallSpec, of_the_whole_call becomes scope_ran_to_call, the module order_routes and its class OrderRoutes become operation_routes and OperationRoutes. All uses follow, those in the command line and the tests too.

--- a/notcharch/admin/order_routes.py
+++ b/notcharch/admin/operation_routes.py
@@ -63,7 +63,7 @@
     program: ProgramId
 
 
-class OrderRoutes:
+class OperationRoutes:
     """The routes that change something other than the table."""
 
     def __init__(
--- a/notcharch/admin/resource.py
+++ b/notcharch/admin/resource.py
@@ -5,7 +5,7 @@
 
 from notcharch.admin.authentication import OperatorKeys
 from notcharch.admin.in_force import InForceWait
-from notcharch.admin.order_routes import OrderRoutes
+from notcharch.admin.operation_routes import OperationRoutes
 from notcharch.admin.region_routes import RegionRoutes
 from notcharch.admin.routes import Routes
 from notcharch.admin.scatter import Scatter
@@ -38,7 +38,7 @@
         wait = InForceWait(clock=clock, scatter=scatter)
         table = TableRoutes(replica=replica, publisher=publisher, wait=wait)
         region = RegionRoutes(scatter=scatter, table=replica, engines=engines)
-        orders = OrderRoutes(
+        orders = OperationRoutes(
             network=network, router=router, table=replica, table_routes=table
         )
         table.add_to(self._routes)
--- a/notcharch/cli/operations_actions.py
+++ b/notcharch/cli/operations_actions.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from notcharch.admin.order_routes import DrainAnswer, DrainBody
+from notcharch.admin.operation_routes import DrainAnswer, DrainBody
 from notcharch.admin.region_routes import (
     DaemonsAnswer,
     EnginesAnswer,
--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -10,10 +10,10 @@
 from notcharch.errors.problem import ProblemError
 from notcharch.events.event import emit
 from notcharch.events.gateway import CallerStalled
-from notcharch.gateway.call_order import CallName, CallOrder
 from notcharch.gateway.call_runs import CallRuns, Outcome, RunningCall
+from notcharch.gateway.call_spec import CallName, CallSpec
 from notcharch.gateway.call_tools import CallTools
-from notcharch.gateway.leader_client import for_caller, of_the_whole_call
+from notcharch.gateway.leader_client import for_caller, scope_ran_to_call
 from notcharch.gateway.openai import (
     AnswerSource,
     completion_body,
@@ -129,7 +129,7 @@
             timeout_seconds=wait_seconds + NETWORK_MARGIN_SECONDS,
         )
         if isinstance(reply, Err):
-            raise ProblemError(for_caller(of_the_whole_call(reply.err_value)))
+            raise ProblemError(for_caller(scope_ran_to_call(reply.err_value)))
         match reply.ok_value:
             case CallAnswered(_, answer):
                 return Ok(answer)
@@ -137,9 +137,7 @@
                 return Err(problem)
         return None
 
-    def _join_or_start(
-        self, order: CallOrder, relay: StreamRelay | None
-    ) -> RunningCall:
+    def _join_or_start(self, order: CallSpec, relay: StreamRelay | None) -> RunningCall:
         joined = self._runs.join(order)
         if joined is None:
             return self._runs.start(order, relay)
@@ -165,15 +163,15 @@
     async def _source(self, call: CallName) -> AnswerSource:
         service = await self._services.service_of(call.tenant, call.program)
         if isinstance(service, Err):
-            raise ProblemError(for_caller(of_the_whole_call(service.err_value)))
+            raise ProblemError(for_caller(scope_ran_to_call(service.err_value)))
         now = int(self._tools.clock.seconds())
         return AnswerSource(call.program, call.sequence, service.ok_value, now)
 
-    def _order(self, call: CallName, source: AnswerSource, body: CallBody) -> CallOrder:
+    def _order(self, call: CallName, source: AnswerSource, body: CallBody) -> CallSpec:
         row = self._tools.table.row(source.service)
         bound = 1 if row is None else row.max_answer_tokens
         asked = bound if body.max_tokens is None else body.max_tokens
-        return CallOrder(
+        return CallSpec(
             program=call.program,
             tenant=call.tenant,
             sequence=call.sequence,
--- a/notcharch/gateway/call_run.py
+++ b/notcharch/gateway/call_run.py
@@ -9,13 +9,13 @@
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.gateway.call_life import CallLife, CallLifeCore, CallLifeMachine
-from notcharch.gateway.call_order import CallOrder
 from notcharch.gateway.call_outcome import (
     MOST_ATTEMPTS,
     may_repeat,
     problem_of_lost_stream,
 )
 from notcharch.gateway.call_parameters import parameter_tokens
+from notcharch.gateway.call_spec import CallSpec
 from notcharch.gateway.call_steps import (
     Admit,
     AwaitOther,
@@ -32,7 +32,7 @@
 from notcharch.gateway.engine_attempt import EngineAttempt
 from notcharch.gateway.leader_client import (
     for_caller,
-    of_the_whole_call,
+    scope_ran_to_call,
     unexpected,
 )
 from notcharch.gateway.outcome_delivery import OutcomeDelivery
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        order: CallOrder,
+        order: CallSpec,
         tools: CallTools,
         delivery: OutcomeDelivery,
         sink: StreamSink | None,
@@ -140,7 +140,7 @@
             timeout_seconds=ADMISSION_SECONDS,
         )
         if isinstance(reply, Err):
-            return self._life.refused(of_the_whole_call(reply.err_value))
+            return self._life.refused(scope_ran_to_call(reply.err_value))
         match reply.ok_value:
             case CallAdmitted() as admitted:
                 self._attempt = EngineAttempt(order, admitted, self._tools, self._sink)
--- a/notcharch/gateway/call_runs.py
+++ b/notcharch/gateway/call_runs.py
@@ -8,8 +8,8 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
 from notcharch.events.gateway import CallEnded, CallRunFailed
-from notcharch.gateway.call_order import CallOrder
 from notcharch.gateway.call_run import CallRun
+from notcharch.gateway.call_spec import CallSpec
 from notcharch.gateway.call_tools import CallTools
 from notcharch.gateway.leader_client import not_found
 from notcharch.gateway.outcome_delivery import OutcomeDelivery
@@ -31,7 +31,7 @@
 class RunningCall:
     """A run under way and those who wait for its outcome."""
 
-    def __init__(self, order: CallOrder) -> None:
+    def __init__(self, order: CallSpec) -> None:
         """Begin without waiters."""
         self.order = order
         self._waiters: list[Deferred[Outcome]] = []
@@ -75,7 +75,7 @@
             return None
         return running
 
-    def join(self, order: CallOrder) -> Result[RunningCall, Problem] | None:
+    def join(self, order: CallSpec) -> Result[RunningCall, Problem] | None:
         """Give the run of the same call; None when none is under way here."""
         running = self._running.get(CallKey(order.program, order.sequence))
         if running is None:
@@ -86,7 +86,7 @@
             return Err(_other_body(order.sequence))
         return Ok(running)
 
-    def start(self, order: CallOrder, sink: StreamSink | None) -> RunningCall:
+    def start(self, order: CallSpec, sink: StreamSink | None) -> RunningCall:
         """Start a run; it goes on whether or not anyone waits for it."""
         running = RunningCall(order)
         key = CallKey(order.program, order.sequence)
@@ -119,7 +119,7 @@
             await running.outcome()
         await self._delivery.when_none()
 
-    def _record(self, order: CallOrder, outcome: Outcome, seconds: float) -> None:
+    def _record(self, order: CallSpec, outcome: Outcome, seconds: float) -> None:
         metrics = self._tools.metrics
         if isinstance(outcome, Err):
             problem = outcome.err_value
@@ -138,7 +138,7 @@
         metrics.relayed_tokens.inc(usage.completion_tokens)
 
 
-def _crashed(order: CallOrder, error: str) -> Outcome:
+def _crashed(order: CallSpec, error: str) -> Outcome:
     emit(CallRunFailed(order.program, order.sequence, error))
     problem = Problem.of(
         ProblemCode.INTERNAL, "the call ended by an internal error", ran=Ran.UNKNOWN
--- a/notcharch/gateway/call_order.py
+++ b/notcharch/gateway/call_spec.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class CallOrder:
+class CallSpec:
     """One call; `messages` are only the new ones, `max_tokens` is bounded."""
 
     program: ProgramId
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -11,8 +11,8 @@
 
 from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.gateway.call_order import CallOrder
 from notcharch.gateway.call_outcome import is_fault_of_engine
+from notcharch.gateway.call_spec import CallSpec
 from notcharch.gateway.call_tools import CallTools, Slot
 from notcharch.gateway.leader_client import expect
 from notcharch.gateway.stream_relay import StreamSink
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        order: CallOrder,
+        order: CallSpec,
         admitted: CallAdmitted,
         tools: CallTools,
         sink: StreamSink | None,
--- a/notcharch/gateway/leader_client.py
+++ b/notcharch/gateway/leader_client.py
@@ -101,7 +101,7 @@
     )
 
 
-def of_the_whole_call(problem: Problem) -> Problem:
+def scope_ran_to_call(problem: Problem) -> Problem:
     """Say `ran` of the call, not of this request alone.
 
     Another gateway may have run the same call for an earlier request, and only
--- a/notcharch/gateway/openai_requests.py
+++ b/notcharch/gateway/openai_requests.py
@@ -12,9 +12,9 @@
 
 from notcharch.errors import Finding, Problem, ProblemCode
 from notcharch.errors.problem import ProblemError
-from notcharch.gateway.call_order import CallName
 from notcharch.gateway.call_requests import CallRequests
 from notcharch.gateway.call_runs import Outcome
+from notcharch.gateway.call_spec import CallName
 from notcharch.gateway.conversation import (
     RepeatedCall,
     is_same_message,
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -19,9 +19,9 @@
 from notcharch.events.event import emit
 from notcharch.events.gateway import GatewayDrained, GatewayDraining
 from notcharch.gateway.authentication import tenant_of
-from notcharch.gateway.call_order import CallName
 from notcharch.gateway.call_requests import CallRequests
 from notcharch.gateway.call_runs import CallRuns
+from notcharch.gateway.call_spec import CallName
 from notcharch.gateway.call_tools import CallTools, Placer, SlotSource
 from notcharch.gateway.http_errors import (
     GatewayLeaf,
--- a/tests/stateful/region/test_breaks.py
+++ b/tests/stateful/region/test_breaks.py
@@ -36,7 +36,7 @@
 
 def trusts_its_own_request(monkeypatch):
     for module in (call_run, call_requests):
-        monkeypatch.setattr(module, "of_the_whole_call", lambda problem: problem)
+        monkeypatch.setattr(module, "scope_ran_to_call", lambda problem: problem)
 
 
 def releases_nothing(monkeypatch):
--- a/tests/virtual_region/caller.py
+++ b/tests/virtual_region/caller.py
@@ -8,8 +8,8 @@
 
 from notcharch.daemon.core import DaemonCore
 from notcharch.errors import Problem
-from notcharch.gateway.call_order import CallOrder
 from notcharch.gateway.call_parameters import NO_PARAMETERS
+from notcharch.gateway.call_spec import CallSpec
 from notcharch.gateway.validation import NewProgram
 from notcharch.values.chat import Answer, ChatMessage
 from notcharch.values.identifiers import (
@@ -47,7 +47,7 @@
         repeatable: bool = True,
     ) -> "Deferred[Result[Answer, Problem]]":
         """Run a call or join it, as `POST …/calls` does."""
-        order = CallOrder(
+        spec = CallSpec(
             program=program,
             tenant=self._tenant,
             sequence=CallSequence(sequence),
@@ -58,10 +58,10 @@
             digest=digest_of(messages, max_tokens, repeatable),
         )
         runs = core.gateway.runs
-        joined = runs.join(order)
+        joined = runs.join(spec)
         if isinstance(joined, Err):
             return _fired(joined)
-        running = joined.ok_value if isinstance(joined, Ok) else runs.start(order, None)
+        running = joined.ok_value if isinstance(joined, Ok) else runs.start(spec, None)
         return running.outcome()
 
     def end(
