Reword the run of a call at the gateway: lifecycle, attempt, stream relay

Slots are acquired (AcquireSlot), the last steps are ReturnAnswer and ReturnProblem. The end that the relay held back is buffered (is_end_buffered, write_buffered_end), a caller that is gone is disconnected, an order is a spec. LeaderClient.ask becomes request; when_none becomes when_all_delivered and when_all_finished. The answer requests are fetch_answer and send_stored_answer.

Messages: a missing row, an expired concurrency lease, an internal error of a call and a repeated call with a different body are reworded; no test matches their text.

--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -1,4 +1,4 @@
-"""Requests about calls: run or join one, and fetch a late answer."""
+"""HTTP requests for calls: run or join a call, or fetch its answer later."""
 
 from collections.abc import Callable
 
@@ -36,14 +36,14 @@
 
 PENDING_RETRY_SECONDS = 1.0
 NETWORK_MARGIN_SECONDS = 2.0
-WAIT_SECONDS = 5.0
-"""Length of one wait at the leader, so that a stop of this daemon is noticed."""
+LEADER_WAIT_SECONDS = 5.0
+"""Limit of one wait at the leader; between waits the gateway checks for a drain."""
 
 AWAIT_TRIES = 2
 
 
 class CallRequests:
-    """Answers the HTTP requests about calls."""
+    """Handles the HTTP requests for calls."""
 
     def __init__(
         self,
@@ -52,7 +52,7 @@
         services: ProgramServices,
         section: GatewaySection,
     ) -> None:
-        """Run calls in `runs`."""
+        """Run calls through `runs`."""
         self._tools = tools
         self._runs = runs
         self._services = services
@@ -66,63 +66,67 @@
         body: CallBody,
         on_outcome: Callable[[Outcome], None] | None = None,
     ) -> bytes | None:
-        """Run a call or join it; None when the response is already written.
+        """Run a call or join it; returns None if the response is already written.
 
-        `on_outcome` is called at the end of the run, even if the caller is gone.
+        `on_outcome` is called at the end of the run, even if the caller disconnected.
         """
         source = await self._source(call)
-        order = self._order(call, source, body)
+        spec = self._build_spec(call, source, body)
         name_call(request, call.program, call.sequence)
         relay = self._relay(request, call.program) if body.stream else None
-        running = self._join_or_start(order, relay)
+        running = self._join_or_start(spec, relay)
         if on_outcome is not None:
             running.outcome().addCallback(on_outcome)
         outcome = await running.outcome()
         return _respond(request, relay, source, outcome)
 
-    async def answer(self, request: IRequest, call: CallName) -> bytes:
-        """Give the answer of a call; 202 when it is not there after a while."""
+    async def fetch_answer(self, request: IRequest, call: CallName) -> bytes:
+        """Return the answer of a call, or 202 if there is none by the deadline."""
         source = await self._source(call)
         name_call(request, call.program, call.sequence)
-        give_up_at = self._tools.clock.seconds() + self._section.answer_wait_seconds
+        deadline = self._tools.clock.seconds() + self._section.answer_wait_seconds
         while True:
-            left = give_up_at - self._tools.clock.seconds()
-            wait_seconds = 0.0 if self._stops_waiting else min(left, WAIT_SECONDS)
+            remaining_seconds = deadline - self._tools.clock.seconds()
+            wait_seconds = (
+                0.0
+                if self._stops_waiting
+                else min(remaining_seconds, LEADER_WAIT_SECONDS)
+            )
             outcome = await self._await(call, max(0.0, wait_seconds))
             if outcome is not None:
-                return _whole_response(request, source, outcome)
-            if self._stops_waiting or self._tools.clock.seconds() >= give_up_at:
+                return _complete_response(request, source, outcome)
+            if self._stops_waiting or self._tools.clock.seconds() >= deadline:
                 return _pending_response(request, call)
 
     async def stored_answer(self, call: CallName) -> Answer | None:
-        """Give the answer of a finished call, None if it has none."""
+        """Return the answer of a finished call; None if it has none."""
         outcome = await self._await(call, 0.0)
         return outcome.ok_value if isinstance(outcome, Ok) else None
 
-    async def give(
+    async def send_stored_answer(
         self,
         request: Request,
         call: CallName,
         body: CallBody,
         answer: Answer,
     ) -> bytes | None:
-        """Give a stored answer in the form that the caller asked for."""
+        """Send a stored answer, streamed or complete as the caller requested."""
         source = await self._source(call)
         name_call(request, call.program, call.sequence)
         relay = self._relay(request, call.program) if body.stream else None
         return _respond(request, relay, source, Ok(answer))
 
     def stop_waiting(self) -> None:
-        """Answer those who wait for late answers soon: the daemon is stopping."""
+        """End the waits for answers soon, because the daemon is draining."""
         self._stops_waiting = True
 
-    def wait_again(self) -> None:
-        """Wait for late answers as before: the daemon goes on."""
+    def resume_waiting(self) -> None:
+        """Wait for answers again after the drain was cancelled."""
         self._stops_waiting = False
 
     async def _await(self, call: CallName, wait_seconds: float) -> Outcome | None:
         message = AwaitAnswer(call.program, call.tenant, call.sequence, wait_seconds)
-        reply = await self._tools.leader.ask(
+        reply = await self._tools.leader.request(
             call.program,
             message,
             tries=AWAIT_TRIES,
@@ -137,10 +141,10 @@
                 return Err(problem)
         return None
 
-    def _join_or_start(self, order: CallSpec, relay: StreamRelay | None) -> RunningCall:
-        joined = self._runs.join(order)
+    def _join_or_start(self, spec: CallSpec, relay: StreamRelay | None) -> RunningCall:
+        joined = self._runs.join(spec)
         if joined is None:
-            return self._runs.start(order, relay)
+            return self._runs.start(spec, relay)
         if isinstance(joined, Err):
             raise ProblemError(joined.err_value)
         return joined.ok_value
@@ -148,16 +152,16 @@
     def _relay(self, request: Request, program: ProgramId) -> StreamRelay:
         seconds = self._section.idle_seconds
 
-        def stalled() -> None:
+        def on_stalled() -> None:
             self._tools.metrics.stalled_callers.inc()
             emit(CallerStalled(program, seconds))
 
-        relay = StreamRelay(request, self._tools.clock, seconds, stalled)
+        relay = StreamRelay(request, self._tools.clock, seconds, on_stalled)
 
-        def gone(failure: Failure) -> None:
-            relay.caller_gone()
+        def on_disconnect(failure: Failure) -> None:
+            relay.caller_disconnected()
 
-        request.notifyFinish().addErrback(gone)
+        request.notifyFinish().addErrback(on_disconnect)
         return relay
 
     async def _source(self, call: CallName) -> AnswerSource:
@@ -167,16 +171,18 @@
         now = int(self._tools.clock.seconds())
         return AnswerSource(call.program, call.sequence, service.ok_value, now)
 
-    def _order(self, call: CallName, source: AnswerSource, body: CallBody) -> CallSpec:
+    def _build_spec(
+        self, call: CallName, source: AnswerSource, body: CallBody
+    ) -> CallSpec:
         row = self._tools.table.row(source.service)
         bound = 1 if row is None else row.max_answer_tokens
-        asked = bound if body.max_tokens is None else body.max_tokens
+        requested = bound if body.max_tokens is None else body.max_tokens
         return CallSpec(
             program=call.program,
             tenant=call.tenant,
             sequence=call.sequence,
             messages=body.messages,
-            max_tokens=min(asked, bound),
+            max_tokens=min(requested, bound),
             parameters=body.parameters,
             repeatable=body.repeatable,
             digest=body.digest,
@@ -190,26 +196,28 @@
     outcome: Outcome,
 ) -> bytes | None:
     if relay is None:
-        return _whole_response(request, source, outcome)
-    _end_of_stream(relay, source, outcome)
+        return _complete_response(request, source, outcome)
+    _finish_stream(relay, source, outcome)
     return None
 
 
-def _whole_response(request: IRequest, source: AnswerSource, outcome: Outcome) -> bytes:
+def _complete_response(
+    request: IRequest, source: AnswerSource, outcome: Outcome
+) -> bytes:
     if isinstance(outcome, Err):
         raise ProblemError(outcome.err_value)
     body = completion_body(source, outcome.ok_value)
     return raw_json_response(request, 200, body)
 
 
-def _end_of_stream(relay: StreamRelay, source: AnswerSource, outcome: Outcome) -> None:
-    """Write the end of a streamed response, as far as its caller still reads."""
+def _finish_stream(relay: StreamRelay, source: AnswerSource, outcome: Outcome) -> None:
+    """Write the end of a streamed response, unless its caller disconnected."""
     if isinstance(outcome, Err):
-        if not relay.has_begun:
+        if not relay.has_started:
             raise ProblemError(outcome.err_value)
         relay.write(error_event(outcome.err_value))
-    elif relay.holds_end:
-        relay.release_end()
+    elif relay.is_end_buffered:
+        relay.write_buffered_end()
     else:
         relay.write(completion_events(source, outcome.ok_value))
     relay.finish()
--- a/notcharch/gateway/call_runs.py
+++ b/notcharch/gateway/call_runs.py
@@ -1,4 +1,4 @@
-"""The calls that this gateway is running, found by program and sequence."""
+"""Calls in flight at this gateway, by program and sequence number."""
 
 import attrs
 from result import Err, Ok, Result
@@ -22,31 +22,31 @@
 
 @attrs.frozen
 class CallKey:
-    """Names a call of a program."""
+    """Identifies a call of a program."""
 
     program: ProgramId
     sequence: CallSequence
 
 
 class RunningCall:
-    """A run under way and those who wait for its outcome."""
+    """A run in flight and the waiters for its outcome."""
 
-    def __init__(self, order: CallSpec) -> None:
-        """Begin without waiters."""
-        self.order = order
+    def __init__(self, spec: CallSpec) -> None:
+        """Start without waiters."""
+        self.spec = spec
         self._waiters: list[Deferred[Outcome]] = []
         self._outcome: Outcome | None = None
 
     def outcome(self) -> "Deferred[Outcome]":
-        """Give the outcome as soon as it is there; may be asked by many."""
+        """Return a Deferred of the outcome; each caller gets a separate one."""
         if self._outcome is not None:
             return succeed(self._outcome)
         waiter: Deferred[Outcome] = Deferred(self._waiters.remove)
         self._waiters.append(waiter)
         return waiter
 
-    def end(self, outcome: Outcome) -> None:
-        """Give the outcome to everyone who waits."""
+    def complete(self, outcome: Outcome) -> None:
+        """Pass the outcome to all waiters."""
         self._outcome = outcome
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
@@ -54,7 +54,7 @@
 
 
 class CallRuns:
-    """Starts runs, and joins those that are under way."""
+    """Starts runs and joins those in flight."""
 
     def __init__(self, tools: CallTools) -> None:
         """Run calls with `tools`."""
@@ -63,70 +63,72 @@
         self._running: dict[CallKey, RunningCall] = {}
 
     def __len__(self) -> int:
-        """Count the runs under way."""
+        """Return the number of runs in flight."""
         return len(self._running)
 
     def find(
         self, program: ProgramId, sequence: CallSequence, tenant: TenantName
     ) -> RunningCall | None:
-        """Give a tenant's run under way, if it is here."""
+        """Return a tenant's run in flight at this gateway, if any."""
         running = self._running.get(CallKey(program, sequence))
-        if running is None or running.order.tenant != tenant:
+        if running is None or running.spec.tenant != tenant:
             return None
         return running
 
-    def join(self, order: CallSpec) -> Result[RunningCall, Problem] | None:
-        """Give the run of the same call; None when none is under way here."""
-        running = self._running.get(CallKey(order.program, order.sequence))
+    def join(self, spec: CallSpec) -> Result[RunningCall, Problem] | None:
+        """Return the run of the same call; None if none is in flight here."""
+        running = self._running.get(CallKey(spec.program, spec.sequence))
         if running is None:
             return None
-        if running.order.tenant != order.tenant:
+        if running.spec.tenant != spec.tenant:
             return Err(not_found())
-        if running.order.digest != order.digest:
-            return Err(_other_body(order.sequence))
+        if running.spec.digest != spec.digest:
+            return Err(_body_mismatch(spec.sequence))
         return Ok(running)
 
-    def start(self, order: CallSpec, sink: StreamSink | None) -> RunningCall:
-        """Start a run; it goes on whether or not anyone waits for it."""
-        running = RunningCall(order)
-        key = CallKey(order.program, order.sequence)
+    def start(self, spec: CallSpec, sink: StreamSink | None) -> RunningCall:
+        """Start a run, which continues even if nobody waits for it."""
+        running = RunningCall(spec)
+        key = CallKey(spec.program, spec.sequence)
         self._running[key] = running
         metrics = self._tools.metrics
         metrics.running.inc()
         self._tools.retry_budget.tried()
         started_at = self._tools.clock.seconds()
 
-        def ended(outcome: Outcome) -> None:
+        def on_finished(outcome: Outcome) -> None:
             del self._running[key]
             metrics.running.dec()
-            self._record(order, outcome, self._tools.clock.seconds() - started_at)
-            running.end(outcome)
+            self._record_outcome(
+                spec, outcome, self._tools.clock.seconds() - started_at
+            )
+            running.complete(outcome)
 
-        run = CallRun(order, self._tools, self._delivery, sink)
+        run = CallRun(spec, self._tools, self._delivery, sink)
         finished = Deferred.fromCoroutine(run.run())
 
-        def crashed(failure: Failure) -> Outcome:
-            return _crashed(order, repr(failure.value))
+        def on_error(failure: Failure) -> Outcome:
+            return _internal_error(spec, repr(failure.value))
 
-        finished.addErrback(crashed)
-        finished.addCallback(ended)
+        finished.addErrback(on_error)
+        finished.addCallback(on_finished)
         return running
 
     async def when_idle(self) -> None:
-        """Return when no run is under way and no outcome is to be delivered."""
+        """Return when no run is in flight and no outcome is left to deliver."""
         while self._running:
             running = next(iter(self._running.values()))
             await running.outcome()
-        await self._delivery.when_none()
+        await self._delivery.when_all_delivered()
 
-    def _record(self, order: CallSpec, outcome: Outcome, seconds: float) -> None:
+    def _record_outcome(self, spec: CallSpec, outcome: Outcome, seconds: float) -> None:
         metrics = self._tools.metrics
         if isinstance(outcome, Err):
             problem = outcome.err_value
             metrics.calls.labels(problem.code).inc()
             emit(
                 CallEnded(
-                    order.program, order.sequence, problem.code, problem.ran, seconds
+                    spec.program, spec.sequence, problem.code, problem.ran, seconds
                 )
             )
             return
@@ -138,14 +140,14 @@
         metrics.relayed_tokens.inc(usage.completion_tokens)
 
 
-def _crashed(order: CallSpec, error: str) -> Outcome:
-    emit(CallRunFailed(order.program, order.sequence, error))
+def _internal_error(spec: CallSpec, error: str) -> Outcome:
+    emit(CallRunFailed(spec.program, spec.sequence, error))
     problem = Problem.of(
-        ProblemCode.INTERNAL, "the call ended by an internal error", ran=Ran.UNKNOWN
+        ProblemCode.INTERNAL, "the call failed with an internal error", ran=Ran.UNKNOWN
     )
     return Err(problem)
 
 
-def _other_body(sequence: CallSequence) -> Problem:
-    message = f"call {sequence} was already sent with another body"
+def _body_mismatch(sequence: CallSequence) -> Problem:
+    message = f"call {sequence} was already sent with a different body"
     return Problem.of(ProblemCode.SEQUENCE_CONFLICT, message)
--- a/notcharch/gateway/call_spec.py
+++ b/notcharch/gateway/call_spec.py
@@ -1,4 +1,4 @@
-"""What a caller asks for: one call of a program."""
+"""The call that a request specifies."""
 
 import attrs
 
@@ -8,7 +8,7 @@
 
 @attrs.frozen
 class CallName:
-    """Names a call of a tenant's program."""
+    """Identifies a call of a tenant's program."""
 
     tenant: TenantName
     program: ProgramId
@@ -17,7 +17,7 @@
 
 @attrs.frozen(kw_only=True)
 class CallSpec:
-    """One call; `messages` are only the new ones, `max_tokens` is bounded."""
+    """One call; `messages` has the new ones only, `max_tokens` is bounded."""
 
     program: ProgramId
     tenant: TenantName
--- a/notcharch/gateway/call_steps.py
+++ b/notcharch/gateway/call_steps.py
@@ -1,4 +1,4 @@
-"""What the life of a call asks its runner to do next; see `call_life`."""
+"""Steps that the state machine of a call requests; see `call_lifecycle`."""
 
 import msgspec
 
@@ -8,23 +8,23 @@
 
 
 class Step(msgspec.Struct, frozen=True):
-    """The base of all steps."""
+    """Base class of all steps."""
 
 
 class Admit(Step, frozen=True):
-    """Ask the program's leader to admit the call."""
+    """Request the admission of the call from the leader of its program."""
 
 
-class AwaitOther(Step, frozen=True):
-    """Wait for the answer that another gateway is producing, then admit again."""
+class AwaitOtherGateway(Step, frozen=True):
+    """Wait for the outcome of another gateway's attempt, then request admission."""
 
 
-class TakeSlot(Step, frozen=True):
-    """Take one of the service's concurrency slots."""
+class AcquireSlot(Step, frozen=True):
+    """Acquire one of the service's concurrency slots."""
 
 
 class Place(Step, frozen=True):
-    """Get a grant of an engine that is not in `avoid`, and record the dispatch."""
+    """Obtain a grant on an engine that is not in `avoid` and record the dispatch."""
 
     avoid: frozenset[EngineName]
 
@@ -34,24 +34,24 @@
 
 
 class CommitAnswer(Step, frozen=True):
-    """Have the answer journalled before the caller sees the end."""
+    """Store the answer in the journal before the caller sees the end."""
 
     answer: Answer
 
 
 class CommitFailure(Step, frozen=True):
-    """Have the attempt's end stored; a certain `ran: no` undoes the admission."""
+    """Store the failure of the attempt; `ran: no` also reverts the admission."""
 
     problem: Problem
 
 
-class GiveAnswer(Step, frozen=True):
-    """The end: give every waiting caller the answer."""
+class ReturnAnswer(Step, frozen=True):
+    """Final step: return the answer to every waiting caller."""
 
     answer: Answer
 
 
-class GiveProblem(Step, frozen=True):
-    """The end: give every waiting caller the problem."""
+class ReturnProblem(Step, frozen=True):
+    """Final step: return the problem to every waiting caller."""
 
     problem: Problem
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -1,7 +1,6 @@
-"""One attempt at an admitted call: its slot, its engine, its stream.
+"""One attempt to run an admitted call: its slot, its engine grant and its stream.
 
-The attempt holds a slot and a grant only while it needs them, and gives both
-back however it ends.
+The attempt releases the slot and the grant on every path.
 """
 
 import attrs
@@ -11,7 +10,7 @@
 
 from notcharch.clients.ports import EngineRequest, StreamEnd
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.gateway.call_outcome import is_fault_of_engine
+from notcharch.gateway.call_outcome import is_engine_failure
 from notcharch.gateway.call_spec import CallSpec
 from notcharch.gateway.call_tools import CallTools, Slot
 from notcharch.gateway.leader_client import expect
@@ -27,46 +26,46 @@
 )
 
 DISPATCH_TRIES = 3
-LAPSED_RETRY_SECONDS = 1.0
+LEASE_EXPIRED_RETRY_SECONDS = 1.0
 
 
 @attrs.frozen
 class EarlyDispatch:
-    """A dispatch that is being recorded before the engine is granted."""
+    """A dispatch whose record was requested before the engine is granted."""
 
     engine: EngineName
     recorded: "Deferred[Result[DispatchRecorded, Problem]]"
 
 
 class EngineAttempt:
-    """Runs an admitted call on one engine; used once, method by method."""
+    """Runs an admitted call on one engine; each method is called once, in order."""
 
     def __init__(
         self,
-        order: CallSpec,
+        spec: CallSpec,
         admitted: CallAdmitted,
         tools: CallTools,
         sink: StreamSink | None,
     ) -> None:
-        """Run `order` as `admitted`; bytes go to `sink`, if there is one."""
+        """Run `spec` as `admitted`; bytes go to `sink`, if any."""
         self.admitted = admitted
         self.was_opened = False
-        """Whether an engine may have got the request."""
+        """Whether an engine may have received the request."""
 
-        self._order = order
+        self._spec = spec
         self._tools = tools
         self._sink = sink
         self._slot: Slot | None = None
         self._grant: CallGranted | None = None
         self._epoch: Epoch = admitted.epoch
-        self._give_up_at = 0.0
+        self._deadline = 0.0
 
-    async def take_slot(self) -> Result[None, Problem]:
-        """Take one of the service's concurrency slots."""
+    async def acquire_slot(self) -> Result[None, Problem]:
+        """Acquire one of the service's concurrency slots."""
         row = self._row()
         if row is None:
             return Err(_no_row())
-        self._give_up_at = self._tools.clock.seconds() + row.max_wait_seconds
+        self._deadline = self._tools.clock.seconds() + row.max_wait_seconds
         slot = await self._tools.slots.acquire(
             row.service, row.priority, row.max_wait_seconds
         )
@@ -76,29 +75,29 @@
         return Ok(None)
 
     async def place(self, avoid: frozenset[EngineName]) -> Result[EngineName, Problem]:
-        """Get the grant of an engine, and have the dispatch recorded."""
+        """Obtain the grant of an engine and record the dispatch."""
         row = self._row()
         if row is None:
             return Err(_no_row())
         admitted = _without_prefix_on(self.admitted, avoid)
         early = self._dispatch_early(admitted)
-        left = max(0.0, self._give_up_at - self._tools.clock.seconds())
+        remaining_seconds = max(0.0, self._deadline - self._tools.clock.seconds())
         granted = await self._tools.placer.place(
-            admitted, row, self._order.max_tokens, left, avoid
+            admitted, row, self._spec.max_tokens, remaining_seconds, avoid
         )
         if isinstance(granted, Err):
             return Err(granted.err_value)
         self._grant = granted.ok_value
-        recorded = await self._dispatched(granted.ok_value.engine, early)
+        recorded = await self._confirm_dispatch(granted.ok_value.engine, early)
         if isinstance(recorded, Err):
             return Err(recorded.err_value)
         if self._slot is None or not self._slot.may_start():
-            return Err(_lease_lapsed())
+            return Err(_lease_expired())
         self._epoch = recorded.ok_value.epoch
         return Ok(granted.ok_value.engine)
 
     async def stream(self) -> Result[StreamEnd, Problem]:
-        """Run the call on the granted engine; the end gives slot and grant back."""
+        """Run the call on the granted engine, then release slot and grant."""
         grant, row = self._grant, self._row()
         if grant is None or row is None:
             return Err(_no_row())
@@ -117,12 +116,12 @@
         if isinstance(result, Ok):
             self.release(result.ok_value.usage, engine_failed=False)
         else:
-            is_fault = is_fault_of_engine(result.err_value)
+            is_fault = is_engine_failure(result.err_value)
             self.release(None, engine_failed=is_fault)
         return result
 
     def release(self, usage: TokenUsage | None, *, engine_failed: bool) -> None:
-        """Give back the grant and the slot, whichever are held."""
+        """Release the grant and the slot, if held."""
         grant, self._grant = self._grant, None
         if grant is not None:
             self._tools.placer.give_back(grant, usage, engine_failed)
@@ -131,31 +130,35 @@
             slot.release()
 
     def _dispatch_early(self, admitted: CallAdmitted) -> EarlyDispatch | None:
-        """Record the expected engine while the call is still being placed.
+        """Record the dispatch to the engine with the prefix while placement runs.
 
-        Not for an unrepeatable call: were this daemon to die meanwhile, nobody
-        could tell any more that it certainly did not run.
+        Only for repeatable calls: if this daemon crashed after the record, the
+        leader could not tell whether the call ran.
         """
-        if admitted.prefix is None or not self._order.repeatable:
+        if admitted.prefix is None or not self._spec.repeatable:
             return None
         engine = admitted.prefix.engine
-        return EarlyDispatch(engine, Deferred.fromCoroutine(self._dispatch(engine)))
+        return EarlyDispatch(
+            engine, Deferred.fromCoroutine(self._record_dispatch(engine))
+        )
 
-    async def _dispatched(
+    async def _confirm_dispatch(
         self, engine: EngineName, early: EarlyDispatch | None
     ) -> Result[DispatchRecorded, Problem]:
         if early is not None:
             recorded = await early.recorded
             if early.engine == engine and isinstance(recorded, Ok):
                 return recorded
-        return await self._dispatch(engine)
+        return await self._record_dispatch(engine)
 
-    async def _dispatch(self, engine: EngineName) -> Result[DispatchRecorded, Problem]:
+    async def _record_dispatch(
+        self, engine: EngineName
+    ) -> Result[DispatchRecorded, Problem]:
         admitted = self.admitted
         message = DispatchCall(
             admitted.program, admitted.sequence, admitted.attempt, engine
         )
-        reply = await self._tools.leader.ask(
+        reply = await self._tools.leader.request(
             admitted.program, message, tries=DISPATCH_TRIES
         )
         return expect(reply, DispatchRecorded)
@@ -169,9 +172,9 @@
             program=admitted.program,
             epoch=self._epoch,
             priority=row.priority,
-            messages=admitted.history + self._order.messages,
-            max_tokens=self._order.max_tokens,
-            parameters=self._order.parameters,
+            messages=admitted.history + self._spec.messages,
+            max_tokens=self._spec.max_tokens,
+            parameters=self._spec.parameters,
         )
 
     def _row(self) -> ServiceRow | None:
@@ -179,26 +182,26 @@
 
 
 def _discard(data: bytes) -> None:
-    """Take bytes that no caller waits for."""
+    """Discard the bytes of a stream without a caller."""
 
 
 def _no_row() -> Problem:
-    message = "the service has no row in the table any more"
+    message = "the service is no longer in the table"
     return Problem.of(ProblemCode.NOT_FOUND, message, ran=Ran.NO)
 
 
-def _lease_lapsed() -> Problem:
+def _lease_expired() -> Problem:
     return Problem.of(
         ProblemCode.CONCURRENCY_EXHAUSTED,
-        "the lease of the service's concurrency lapsed while the call waited",
-        retry_after=LAPSED_RETRY_SECONDS,
+        "the concurrency lease of the service expired while the call waited",
+        retry_after=LEASE_EXPIRED_RETRY_SECONDS,
     )
 
 
 def _without_prefix_on(
     admitted: CallAdmitted, avoid: frozenset[EngineName]
 ) -> CallAdmitted:
-    """Hide a prefix that lies on an engine which has just failed."""
+    """Drop the cached prefix if it is on an engine in `avoid`."""
     prefix = admitted.prefix
     if prefix is None or prefix.engine not in avoid:
         return admitted
--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -67,7 +67,7 @@
         self._open += 1
         request.notifyFinish().addBoth(self._ended, request)
 
-    def when_none(self) -> "Deferred[None]":
+    def when_all_finished(self) -> "Deferred[None]":
         """Give a Deferred that fires when no request is open."""
         if not self._open:
             return succeed(None)
--- a/notcharch/gateway/leader_client.py
+++ b/notcharch/gateway/leader_client.py
@@ -59,7 +59,7 @@
             return Err(not_found())
         return Ok(partition)
 
-    async def ask(
+    async def request(
         self,
         program: ProgramId,
         message: Message,
--- a/notcharch/gateway/openai_requests.py
+++ b/notcharch/gateway/openai_requests.py
@@ -124,7 +124,7 @@
         if answer is None or not is_same_message(answer.message, expected):
             message = f"call {call.sequence} has another answer than this conversation"
             raise ProblemError(Problem.of(ProblemCode.SEQUENCE_CONFLICT, message))
-        return await self._calls.give(request, call, body, answer)
+        return await self._calls.send_stored_answer(request, call, body, answer)
 
 
 def _findings_of_lone_call(body: CallBody, key: str | None) -> list[Finding]:
--- a/notcharch/gateway/outcome_delivery.py
+++ b/notcharch/gateway/outcome_delivery.py
@@ -28,7 +28,7 @@
         self._pending = 0
         self._waiters: list[Deferred[None]] = []
 
-    def when_none(self) -> "Deferred[None]":
+    def when_all_delivered(self) -> "Deferred[None]":
         """Fire when no delivery is under way, also none that goes on unwaited."""
         if not self._pending:
             return succeed(None)
@@ -60,7 +60,7 @@
         failures = 0
         try:
             while True:
-                reply = await self._leader.ask(outcome.program, outcome)
+                reply = await self._leader.request(outcome.program, outcome)
                 if isinstance(reply, Ok) or not is_transient(reply.err_value):
                     return expect(reply, FinishRecorded)
                 failures += 1
--- a/notcharch/gateway/program_requests.py
+++ b/notcharch/gateway/program_requests.py
@@ -59,7 +59,7 @@
             return Err(partition.err_value)
         program = self._name(tenant, new, idempotency_key, partition.ok_value)
         message = CreateProgram(program, new.service, tenant, new.parent)
-        reply = await self._leader.ask(program, message, tries=TRIES)
+        reply = await self._leader.request(program, message, tries=TRIES)
         created = expect(reply, ProgramCreated)
         if isinstance(created, Err):
             return Err(for_caller(created.err_value))
@@ -71,7 +71,7 @@
     ) -> Result[ProgramDescription, Problem]:
         """Read a program's state."""
         message = DescribeProgram(program, tenant)
-        reply = await self._leader.ask(program, message, tries=TRIES)
+        reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, ProgramDescription).map_err(for_caller)
 
     async def end(
@@ -79,7 +79,7 @@
     ) -> Result[ProgramEnded, Problem]:
         """End a program and its children; harmless when repeated."""
         message = EndProgram(program, tenant)
-        reply = await self._leader.ask(program, message, tries=TRIES)
+        reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, ProgramEnded).map_err(for_caller)
 
     async def history(
@@ -87,7 +87,7 @@
     ) -> Result[HistoryPage, Problem]:
         """Read a page of committed history."""
         message = ReadHistory(program, tenant, start, limit)
-        reply = await self._leader.ask(program, message, tries=TRIES)
+        reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, HistoryPage).map_err(for_caller)
 
     def _partition_of_new(
--- a/notcharch/gateway/program_services.py
+++ b/notcharch/gateway/program_services.py
@@ -46,7 +46,7 @@
             return Ok(service)
         message = DescribeProgram(program, tenant)
         reply = expect(
-            await self._leader.ask(program, message, tries=DESCRIBE_TRIES),
+            await self._leader.request(program, message, tries=DESCRIBE_TRIES),
             ProgramDescription,
         )
         if isinstance(reply, Err):
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -161,12 +161,12 @@
 
     async def _wait_until_idle(self) -> None:
         await self._runs.when_idle()
-        await self._open_requests.when_none()
+        await self._open_requests.when_all_finished()
 
     def resume(self) -> None:
         """Take new calls again after a drain that was taken back."""
         self._is_draining = False
-        self._calls.wait_again()
+        self._calls.resume_waiting()
 
     @app.route("/programs", methods=["POST"])
     async def create_program(self, request: IRequest) -> bytes:
@@ -231,7 +231,7 @@
         tenant = self._tenant(request)
         number: CallSequence = value_of(read_sequence(sequence, "path.sequence"))
         call = CallName(tenant, ProgramId(program), number)
-        return await self._calls.answer(request, call)
+        return await self._calls.fetch_answer(request, call)
 
     @app.route("/chat/completions", methods=["POST"])
     async def complete_chat(self, request: Request) -> bytes | None:
--- a/notcharch/gateway/stream_relay.py
+++ b/notcharch/gateway/stream_relay.py
@@ -1,11 +1,11 @@
-"""Carries an engine's stream to one caller, as bytes.
+"""Relays the stream of an engine to one caller as bytes.
 
-The path of a token is `StreamRelay.on_bytes`: one search and one write to the
-connection. Nothing is decoded, logged or deferred for each token.
+`StreamRelay.on_bytes` is the hot path: it does one search and one write per token and
+decodes, logs or defers nothing.
 
-The end of the stream (the chunk with `finish_reason`, what follows it, and
-`[DONE]`) is held back until the answer is in the journal, so a caller that
-has seen the end can rely on the history.
+The end of the stream (the chunk with `finish_reason`, all after it and `[DONE]`) is
+buffered until the answer is in the journal, so a caller that received the end finds
+the answer in the history.
 """
 
 import re
@@ -24,29 +24,29 @@
 EVENT_END = b"\n\n"
 CONTENT_TYPE = b"text/event-stream"
 
-PLAIN_EVENT_END = b'"finish_reason":null}]}\n\n'
-"""How a piece ends whose last event is not the end of an answer."""
+NON_FINAL_EVENT_END = b'"finish_reason":null}]}\n\n'
+"""Last bytes of data whose last event does not end the answer."""
 
 LAST_EVENT = b"data: [DONE]\n\n"
-END_BEGINS = re.compile(rb'"(?:finish_reason"\s*:\s*"|error"\s*:)')
-"""The beginning of the end. A quotation mark inside a JSON text is escaped, so
-no content of a message can look like this."""
+END_START = re.compile(rb'"(?:finish_reason"\s*:\s*"|error"\s*:)')
+"""Matches inside the first event of the end. Quotation marks in JSON strings are
+escaped, so the content of a message never matches."""
 
 
 class StreamSink(Protocol):
-    """Takes the bytes of the attempts of one call."""
+    """Receives the bytes of all attempts of one call."""
 
     def on_bytes(self, data: bytes) -> None:
-        """Take whole server-sent events."""
+        """Process complete server-sent events."""
 
     def attach(self, stream: EngineStream) -> None:
-        """Learn the stream to pause while the caller reads slowly."""
+        """Set the stream to pause while the caller reads slowly."""
 
     def detach(self) -> None:
-        """Forget the stream, which has ended."""
+        """Clear the stream, which has ended."""
 
-    def stream_lost(self, problem: Problem) -> None:
-        """Learn that the attempt is lost; what follows is a new answer."""
+    def stream_failed(self, problem: Problem) -> None:
+        """Handle a failed attempt; later bytes belong to another answer."""
 
 
 @implementer(IPushProducer)
@@ -62,8 +62,8 @@
     ) -> None:
         """Write to `request`.
 
-        A caller that takes nothing for `stall_seconds` is cut off, after a call
-        of `on_stalled`.
+        If the caller reads nothing for `stall_seconds`, `on_stalled` is called and
+        the connection is aborted.
         """
         self._on_stalled = on_stalled
         self._request = request
@@ -71,77 +71,77 @@
         self._stall_seconds = stall_seconds
         self._stall_timer: IDelayedCall | None = None
         self._stream: EngineStream | None = None
-        self._held: list[bytes] | None = None
+        self._buffered_end: list[bytes] | None = None
         self._is_paused = False
         self._is_closed = False
         self._send: Callable[[bytes], None] | None = None
-        """Writes to the connection; None while nothing may be passed on."""
-        self.has_begun = False
+        """Writes directly to the connection; None disables the fast path."""
+        self.has_started = False
 
     @property
     def is_closed(self) -> bool:
-        """Tell whether nothing more can be written to the caller."""
+        """Return whether the response is closed for writing."""
         return self._is_closed
 
     @property
-    def holds_end(self) -> bool:
-        """Tell whether the end of the engine's own stream is held back."""
-        return self._held is not None
+    def is_end_buffered(self) -> bool:
+        """Return whether the end of the engine's stream is buffered."""
+        return self._buffered_end is not None
 
     def on_bytes(self, data: bytes) -> None:
-        """Pass events on, up to the one that begins the end."""
-        if self._send is not None and data.endswith(PLAIN_EVENT_END):
+        """Relay the events before the end of the answer."""
+        if self._send is not None and data.endswith(NON_FINAL_EVENT_END):
             self._send(b"%x\r\n%b\r\n" % (len(data), data))
         else:
-            self._take(data)
+            self._relay_or_buffer(data)
 
-    def _take(self, data: bytes) -> None:
-        """Take the first events, the end, and whatever looks unusual."""
+    def _relay_or_buffer(self, data: bytes) -> None:
+        """Handle all data that the fast path does not."""
         if self._is_closed:
             return
-        if self._held is not None:
-            self._held.append(data)
+        if self._buffered_end is not None:
+            self._buffered_end.append(data)
             return
-        start = _start_of_end(data)
+        start = _final_event_offset(data)
         if start > 0:
             self._write(data[:start])
         if start < len(data):
-            self._held = [data[start:]]
+            self._buffered_end = [data[start:]]
             self._send = None
 
     def attach(self, stream: EngineStream) -> None:
-        """Pause and resume this stream from now on."""
+        """Set the stream that back-pressure pauses and resumes."""
         self._stream = stream
         if self._is_paused and not self._is_closed:
             stream.pause()
 
     def detach(self) -> None:
-        """Forget the stream."""
+        """Clear the stream."""
         self._stream = None
 
-    def stream_lost(self, problem: Problem) -> None:
-        """Tell the caller that its stream broke, unless it has seen nothing yet.
+    def stream_failed(self, problem: Problem) -> None:
+        """Send the caller an error event, unless its response has not started.
 
-        Two different answers are never spliced: the caller fetches the one that
-        is stored.
+        The answer of a later attempt is never appended to the partial one; the caller
+        fetches it instead.
         """
-        self._held = None
+        self._buffered_end = None
         self._stream = None
         self._send = None
-        if self.has_begun and not self._is_closed:
+        if self.has_started and not self._is_closed:
             self._write(error_event(problem))
             self.finish()
 
-    def release_end(self) -> None:
-        """Write the end that was held back; the answer is stored."""
-        if self._is_closed or self._held is None:
+    def write_buffered_end(self) -> None:
+        """Write the buffered end, once the answer is stored."""
+        if self._is_closed or self._buffered_end is None:
             return
-        data = b"".join(self._held)
-        self._held = None
+        data = b"".join(self._buffered_end)
+        self._buffered_end = None
         self._write(data)
 
     def write(self, data: bytes) -> None:
-        """Write events of this system's own."""
+        """Write events that did not come from the engine."""
         if not self._is_closed:
             self._write(data)
 
@@ -150,26 +150,28 @@
         if self._is_closed:
             return
         self._close()
-        if self.has_begun:
+        if self.has_started:
             self._request.unregisterProducer()
         self._request.finish()
 
-    def caller_gone(self) -> None:
-        """Stop writing; the run goes on at full speed for whoever asks later."""
+    def caller_disconnected(self) -> None:
+        """Stop writing; the run continues without back-pressure."""
         if not self._is_closed:
             self._close()
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Stop reading from the engine: the caller reads more slowly."""
+        """Pause the engine's stream, because the caller reads more slowly."""
         if self._is_closed or self._is_paused:
             return
         self._is_paused = True
-        self._stall_timer = self._clock.callLater(self._stall_seconds, self._cut_off)
+        self._stall_timer = self._clock.callLater(
+            self._stall_seconds, self._abort_stalled
+        )
         if self._stream is not None:
             self._stream.pause()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Read from the engine again."""
+        """Resume the engine's stream."""
         if not self._is_paused:
             return
         self._is_paused = False
@@ -178,28 +180,28 @@
             self._stream.resume()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Learn that the connection is lost."""
-        self.caller_gone()
+        """Stop writing after the connection was closed."""
+        self.caller_disconnected()
 
     def _write(self, data: bytes) -> None:
-        if not self.has_begun:
-            self._begin()
+        if not self.has_started:
+            self._start_response()
         self._request.write(data)
 
-    def _begin(self) -> None:
-        self.has_begun = True
+    def _start_response(self) -> None:
+        self.has_started = True
         self._request.setHeader(b"content-type", CONTENT_TYPE)
         self._request.setHeader(b"cache-control", b"no-store")
         self._request.registerProducer(self, True)
         self._request.write(b"")
         if self._request.chunked:
-            # Framed by hand: two calls less for each token.
+            # Chunks are framed here to save two calls per token.
             self._send = eager_write(self._request.channel.transport)
 
     def _close(self) -> None:
         self._is_closed = True
         self._send = None
-        self._held = None
+        self._buffered_end = None
         self._cancel_timer()
         if self._is_paused and self._stream is not None:
             self._stream.resume()
@@ -211,16 +213,16 @@
             self._stall_timer.cancel()
         self._stall_timer = None
 
-    def _cut_off(self) -> None:
+    def _abort_stalled(self) -> None:
         self._stall_timer = None
         self._close()
         self._on_stalled()
         self._request.channel.forceAbortClient()
 
 
-def _start_of_end(data: bytes) -> int:
-    """Give where the event that begins the end starts; the length if none does."""
-    match = END_BEGINS.search(data)
+def _final_event_offset(data: bytes) -> int:
+    """Return the offset of the first event of the end; the length if there is none."""
+    match = END_START.search(data)
     if match is not None:
         before = data.rfind(EVENT_END, 0, match.start())
         return 0 if before < 0 else before + len(EVENT_END)
--- a/tests/stateful/gateway/test_gateway_machine.py
+++ b/tests/stateful/gateway/test_gateway_machine.py
@@ -105,7 +105,7 @@
             self.fail(data.draw(st.sampled_from(self.open_streams())), ran)
 
     def fail(self, stream, ran):
-        ran = Ran.YES if stream.has_begun else ran
+        ran = Ran.YES if stream.has_started else ran
         self.failed_streams[stream.request.request_id] = ran
         stream.fail(Problem.of(ProblemCode.ENGINE_FAILED, "gone", ran=ran))
 
@@ -126,7 +126,7 @@
         caller = data.draw(st.sampled_from(self.callers))
         if not caller.is_lost and not caller.is_judged:
             caller.is_lost = True
-            caller.connection.lose()
+            caller.connection.disconnect()
 
     @rule(message=st.sampled_from(MESSAGES), fault=st.sampled_from(FAULTS))
     def message_is_lost(self, message, fault):
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -200,7 +200,7 @@
         self.request = request
         self.finished = Deferred()
         self.paused = False
-        self.has_begun = False
+        self.has_started = False
         self._on_bytes = on_bytes
         self._number = 0
         self._texts = []
@@ -215,7 +215,7 @@
         raise AssertionError("a run is never cancelled for its caller")
 
     def token(self, text):
-        self.has_begun = True
+        self.has_started = True
         self._texts.append(text)
         self._event({"content": text}, None)
 
@@ -308,7 +308,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
 
-    def lose(self):
+    def disconnect(self):
         from twisted.internet.error import ConnectionLost
         from twisted.python.failure import Failure
 
--- a/tests/unit/gateway/test_call_faults.py
+++ b/tests/unit/gateway/test_call_faults.py
@@ -4,7 +4,7 @@
 import pytest
 
 from notcharch.errors import Problem, ProblemCode, Ran
-from notcharch.gateway.call_outcome import worse_of
+from notcharch.gateway.call_outcome import with_worst_ran
 from notcharch.wire.messages.programs import (
     AdmitCall,
     AwaitAnswer,
@@ -352,5 +352,5 @@
 @pytest.mark.parametrize(("earlier", "ran", "said"), WORSE)
 def test_ran_covers_every_attempt(earlier, ran, said):
     before = None if earlier is None else engine_failed(earlier)
-    problem = worse_of(before, msgspec.structs.replace(overloaded(), ran=ran))
+    problem = with_worst_ran(before, msgspec.structs.replace(overloaded(), ran=ran))
     assert problem == msgspec.structs.replace(overloaded(), ran=said)
--- a/tests/unit/gateway/test_call_path.py
+++ b/tests/unit/gateway/test_call_path.py
@@ -92,7 +92,7 @@
     program = harness.program()
     caller = harness.call(program, stream=True)
     harness.stream.token("one")
-    caller.lose()
+    caller.disconnect()
     waiting = harness.begin("GET", f"/v1/programs/{program}/calls/1")
     harness.stream.token(" two")
     harness.stream.end()
--- a/tests/unit/gateway/test_openai_clients.py
+++ b/tests/unit/gateway/test_openai_clients.py
@@ -153,7 +153,7 @@
     caller = lone_call(harness)
     program = harness.stream.request.program
     assert harness.router.count(EndProgram) == 0
-    caller.lose()
+    caller.disconnect()
     harness.stream.answer("one")
     assert harness.ask("GET", f"/v1/programs/{program}").json["ended"]
     stored = harness.ask("GET", f"/v1/programs/{program}/calls/1")
--- a/tests/unit/gateway/test_stream_relay.py
+++ b/tests/unit/gateway/test_stream_relay.py
@@ -86,8 +86,8 @@
     for piece in pieces:
         harness.relay.on_bytes(piece)
     assert harness.request.body == passed_on
-    assert harness.relay.holds_end == bool(held)
-    harness.relay.release_end()
+    assert harness.relay.is_end_buffered == bool(held)
+    harness.relay.write_buffered_end()
     assert harness.request.body == passed_on + held
 
 
@@ -131,7 +131,7 @@
     assert (harness.request.was_aborted, harness.stalls) == (True, [1])
     assert not harness.stream.paused
     harness.relay.on_bytes(TWO)
-    harness.relay.release_end()
+    harness.relay.write_buffered_end()
     harness.relay.finish()
     assert (harness.request.body, harness.request.is_finished) == (ONE, False)
 
@@ -144,7 +144,7 @@
     later = FakeStream("", None, harness.relay.on_bytes)
     harness.relay.attach(later)
     assert later.paused
-    harness.relay.caller_gone()
+    harness.relay.caller_disconnected()
     assert not later.paused
     assert not harness.clock.getDelayedCalls()
 
@@ -154,9 +154,9 @@
     harness = RelayHarness()
     for piece in pieces:
         harness.relay.on_bytes(piece)
-    harness.relay.stream_lost(Problem.of(ProblemCode.ENGINE_FAILED, "x", ran=Ran.YES))
+    harness.relay.stream_failed(Problem.of(ProblemCode.ENGINE_FAILED, "x", ran=Ran.YES))
     assert (harness.request.body, harness.request.is_finished) == (b"", False)
-    assert not harness.relay.holds_end
+    assert not harness.relay.is_end_buffered
     harness.relay.on_bytes(TWO)
     assert harness.request.body == TWO
 
