--- a/notcharch/gateway/__init__.py
+++ b/notcharch/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The callers' HTTP interface; it decides nothing."""
+"""The HTTP interface for callers; all decisions are made by lower layers."""
--- a/notcharch/gateway/authentication.py
+++ b/notcharch/gateway/authentication.py
@@ -1,4 +1,4 @@
-"""Whose request it is: the tenant of a caller's key."""
+"""Authenticates callers: finds the tenant of an API key."""
 
 from result import Err, Ok, Result
 from twisted.web.iweb import IRequest
@@ -9,14 +9,14 @@
 from notcharch.values.identifiers import TenantName
 
 SCHEME = "bearer"
-LONGEST_KEY = 1024
+MAX_KEY_LENGTH = 1024
 
 
 def tenant_of(request: IRequest, table: TableView) -> Result[TenantName, Problem]:
-    """Give the tenant whose key the `Authorization: Bearer KEY` header holds.
+    """Return the tenant of the key in the `Authorization: Bearer KEY` header.
 
-    Before the first publication has arrived no key is known, so the caller is
-    told to come back rather than that its key is wrong.
+    Without a table no key can be checked, so the result is UNAVAILABLE instead of
+    UNAUTHENTICATED until the first publication has arrived.
     """
     key = _bearer_key(request)
     if key is None:
@@ -26,9 +26,9 @@
     if tenant is not None:
         return Ok(tenant)
     if table.version == 0:
-        message = "this daemon has no table yet"
+        message = "this daemon has not received a table yet"
         return Err(Problem.of(ProblemCode.UNAVAILABLE, message, retry_after=1.0))
-    return Err(Problem.of(ProblemCode.UNAUTHENTICATED, "the key is not known"))
+    return Err(Problem.of(ProblemCode.UNAUTHENTICATED, "the key is unknown"))
 
 
 def _bearer_key(request: IRequest) -> str | None:
@@ -37,6 +37,6 @@
         return None
     scheme, _, key = header.partition(" ")
     key = key.strip()
-    if scheme.lower() != SCHEME or not 1 <= len(key) <= LONGEST_KEY:
+    if scheme.lower() != SCHEME or not 1 <= len(key) <= MAX_KEY_LENGTH:
         return None
     return key
--- a/notcharch/gateway/call_requests.py
+++ b/notcharch/gateway/call_requests.py
@@ -24,8 +24,8 @@
 from notcharch.gateway.responses import (
     PendingBody,
     json_response,
-    name_call,
     raw_json_response,
+    set_call_headers,
 )
 from notcharch.gateway.stream_relay import StreamRelay
 from notcharch.gateway.validation import CallBody
@@ -72,7 +72,7 @@
         """
         source = await self._source(call)
         spec = self._build_spec(call, source, body)
-        name_call(request, call.program, call.sequence)
+        set_call_headers(request, call.program, call.sequence)
         relay = self._relay(request, call.program) if body.stream else None
         running = self._join_or_start(spec, relay)
         if on_outcome is not None:
@@ -83,7 +83,7 @@
     async def fetch_answer(self, request: IRequest, call: CallName) -> bytes:
         """Return the answer of a call, or 202 if there is none by the deadline."""
         source = await self._source(call)
-        name_call(request, call.program, call.sequence)
+        set_call_headers(request, call.program, call.sequence)
         deadline = self._tools.clock.seconds() + self._section.answer_wait_seconds
         while True:
             remaining_seconds = deadline - self._tools.clock.seconds()
@@ -112,7 +112,7 @@
     ) -> bytes | None:
         """Send a stored answer, streamed or complete as the caller requested."""
         source = await self._source(call)
-        name_call(request, call.program, call.sequence)
+        set_call_headers(request, call.program, call.sequence)
         relay = self._relay(request, call.program) if body.stream else None
         return _respond(request, relay, source, Ok(answer))
 
--- a/notcharch/gateway/call_runs.py
+++ b/notcharch/gateway/call_runs.py
@@ -149,5 +149,5 @@
 
 
 def _body_mismatch(sequence: CallSequence) -> Problem:
-    message = f"call {sequence} was already sent with a different body"
+    message = f"call {sequence} was already sent with another body"
     return Problem.of(ProblemCode.SEQUENCE_CONFLICT, message)
--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -1,4 +1,4 @@
-"""What a call's run needs from the rest of the daemon."""
+"""Interfaces that a call run uses from the rest of the daemon."""
 
 from collections.abc import Awaitable
 from typing import Protocol
@@ -24,19 +24,19 @@
     """One unit of a service's concurrency."""
 
     def may_start(self) -> bool:
-        """Tell whether its lease still holds; asked just before a run."""
+        """Return whether the lease of the slot is still valid; checked before a run."""
 
     def release(self) -> None:
-        """Give it back; harmless when repeated."""
+        """Release the slot; idempotent."""
 
 
 class SlotSource(Protocol):
-    """Gives slots of this daemon's allotments; see `notcharch.services`."""
+    """Provides slots of this daemon's allotments; see `notcharch.services`."""
 
     def acquire(
         self, service: ServiceName, priority: int, give_up_seconds: float
     ) -> Awaitable[Result[Slot, Problem]]:
-        """Wait for a slot, the more urgent first; a refusal says when to return."""
+        """Wait for a slot, by priority; a refusal has a `retry_after`."""
 
 
 class Placer(Protocol):
@@ -50,17 +50,17 @@
         give_up_seconds: float | None = None,
         avoid: frozenset[EngineName] = frozenset(),
     ) -> Awaitable[Result[CallGranted, Problem]]:
-        """Give a grant on some engine, or OVERLOADED or NO_ENGINE at once."""
+        """Return a grant of an engine, or OVERLOADED or NO_ENGINE without waiting."""
 
     def give_back(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
-        """Give a grant back when its stream ended."""
+        """Release a grant after its stream ended."""
 
 
 @attrs.frozen(kw_only=True)
 class CallTools:
-    """The collaborators of every run of one gateway."""
+    """Dependencies shared by all runs of a gateway."""
 
     leader: LeaderClient
     slots: SlotSource
--- a/notcharch/gateway/conversation.py
+++ b/notcharch/gateway/conversation.py
@@ -1,7 +1,7 @@
-"""Finds what is new in a conversation that a client sends whole each time.
+"""Finds the new messages of a conversation that a client resends in each call.
 
-An ordinary OpenAI client resends everything. What is known must agree with the
-program's history message by message, so that nothing is mixed or forgotten.
+OpenAI clients send the complete conversation. Its known part must match the history of
+the program message by message.
 """
 
 import msgspec
@@ -15,15 +15,15 @@
 
 
 class NewMessages(msgspec.Struct, frozen=True):
-    """The messages after the known history; the next call consists of them."""
+    """The messages after the known history, which form the next call."""
 
     messages: tuple[ChatMessage, ...]
 
 
 class RepeatedCall(msgspec.Struct, frozen=True):
-    """The conversation ends where an earlier call was answered.
+    """The conversation ends before the answer of an earlier call.
 
-    `answer` is that answer; `later_answers` counts the answers after it.
+    `later_answers` is the number of answers after that `answer`.
     """
 
     answer: ChatMessage
@@ -33,11 +33,11 @@
 def split_conversation(
     sent: tuple[ChatMessage, ...], history: tuple[ChatMessage, ...]
 ) -> Result[NewMessages | RepeatedCall, Problem]:
-    """Compare a conversation with the whole history of its program."""
+    """Compare a conversation with the complete history of its program."""
     findings = [
         Finding(f"messages[{index}]", "differs from the program's history")
-        for index, (mine, known) in enumerate(zip(sent, history, strict=False))
-        if not is_same_message(mine, known)
+        for index, (received, known) in enumerate(zip(sent, history, strict=False))
+        if not is_same_message(received, known)
     ]
     if findings:
         return Err(bad_request(findings[:1]))
@@ -45,20 +45,20 @@
         return _new_messages(sent, len(history))
     rest = history[len(sent) :]
     if rest and rest[0].role == ANSWER_ROLE and sent[-1].role != ANSWER_ROLE:
-        later = sum(message.role == ANSWER_ROLE for message in rest[1:])
-        return Ok(RepeatedCall(rest[0], later))
-    finding = Finding("messages", "hold nothing new after the program's history")
+        later_answers = sum(message.role == ANSWER_ROLE for message in rest[1:])
+        return Ok(RepeatedCall(rest[0], later_answers))
+    finding = Finding("messages", "contain nothing new after the program's history")
     return Err(bad_request([finding]))
 
 
-def is_same_message(mine: ChatMessage, known: ChatMessage) -> bool:
-    """Compare by meaning: clients write JSON and empty contents in other ways."""
+def is_same_message(received: ChatMessage, known: ChatMessage) -> bool:
+    """Compare messages, ignoring the formatting of JSON and of empty contents."""
     return (
-        mine.role == known.role
-        and (mine.content or "") == (known.content or "")
-        and mine.name == known.name
-        and mine.tool_call_id == known.tool_call_id
-        and _decoded(mine.tool_calls) == _decoded(known.tool_calls)
+        received.role == known.role
+        and (received.content or "") == (known.content or "")
+        and received.name == known.name
+        and received.tool_call_id == known.tool_call_id
+        and _decoded(received.tool_calls) == _decoded(known.tool_calls)
     )
 
 
@@ -66,7 +66,10 @@
     sent: tuple[ChatMessage, ...], known: int
 ) -> Result[NewMessages | RepeatedCall, Problem]:
     findings = [
-        Finding(f"messages[{index}]", "is an answer that the program never gave")
+        Finding(
+            f"messages[{index}]",
+            "is an assistant message that is not in the program's history",
+        )
         for index, message in enumerate(sent)
         if index >= known > 0 and message.role == ANSWER_ROLE
     ]
--- a/notcharch/gateway/http_errors.py
+++ b/notcharch/gateway/http_errors.py
@@ -1,4 +1,4 @@
-"""Every error of the HTTP interface as a problem; no page of a library's own."""
+"""Renders every error of the HTTP interface as a problem document."""
 
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -35,7 +35,7 @@
         assert isinstance(failure.value, MethodNotAllowed)
         allowed = ", ".join(sorted(failure.value.valid_methods or ()))
         request.setHeader(b"allow", allowed.encode())
-        message = f"the methods of this path are {allowed}"
+        message = f"this path supports only {allowed}"
         problem = Problem.of(ProblemCode.METHOD_NOT_ALLOWED, message)
         return render_problem(request, problem)
 
@@ -45,7 +45,7 @@
 
     @app.handle_errors(CancelledError)
     def on_cancelled(self: Any, request: IRequest, failure: Failure) -> bytes:
-        """Give nothing: the caller has gone, and nobody reads a response."""
+        """Return no body, because the caller has disconnected."""
         return b""
 
     @app.handle_errors(Exception)
@@ -54,21 +54,21 @@
 
 
 class OpenRequests:
-    """Counts the requests that have no whole response yet."""
+    """Counts the requests whose response is not complete yet."""
 
     def __init__(self, metrics: GatewayMetrics) -> None:
-        """Count responses in `metrics`, too."""
+        """Count the responses by status in `metrics`."""
         self._metrics = metrics
         self._open = 0
         self._waiters: list[Deferred[None]] = []
 
     def add(self, request: Request) -> None:
-        """Count a request until its response is written or its caller is gone."""
+        """Count a request until it is answered or its caller disconnects."""
         self._open += 1
         request.notifyFinish().addBoth(self._ended, request)
 
     def when_all_finished(self) -> "Deferred[None]":
-        """Give a Deferred that fires when no request is open."""
+        """Return a Deferred that fires when no request is open."""
         if not self._open:
             return succeed(None)
         waiter: Deferred[None] = Deferred(self._waiters.remove)
@@ -86,7 +86,7 @@
 
 
 class GatewayLeaf(Resource):
-    """Guards a klein resource against paths and headers that klein cannot read."""
+    """Wraps a klein resource; rejects paths and headers that klein cannot decode."""
 
     isLeaf = True  # noqa: N815
 
@@ -103,7 +103,7 @@
         self._is_draining = is_draining
 
     def render(self, request: Request) -> bytes | int:
-        """Serve the request, or refuse what is not text."""
+        """Serve the request, or reject it if a part of it is not valid text."""
         self._open_requests.add(request)
         if self._is_draining():
             request.setHeader(b"connection", b"close")
@@ -112,7 +112,7 @@
         if finding is not None:
             problem = Problem.of(
                 ProblemCode.BAD_REQUEST,
-                "the request line cannot be read",
+                "the request cannot be decoded as text",
                 findings=(finding,),
             )
             return render_problem(request, problem)
@@ -123,28 +123,28 @@
 Value = TypeVar("Value")
 
 
-def value_of(result: Result[Value, Problem]) -> Value:
-    """Give the value; raises the problem of an Err, which ends the request."""
+def unwrap_or_raise(result: Result[Value, Problem]) -> Value:
+    """Return the value of an Ok; raise the problem of an Err as `ProblemError`."""
     if isinstance(result, Err):
         raise ProblemError(result.err_value)
     return result.ok_value
 
 
 def render_problem(request: IRequest, problem: Problem) -> bytes:
-    """Set status, headers and length of a problem's response; gives its body."""
+    """Set status, headers and length of a problem response; return its body."""
     body = start_problem(request, problem)
     request.setHeader(b"content-length", b"%d" % len(body))
     return body
 
 
 def unknown_path(request: IRequest) -> Problem:
-    """Give the problem of a path that does not exist."""
+    """Return the problem of a path that does not exist."""
     path = request.path.decode("utf-8", "replace")
-    return Problem.of(ProblemCode.NOT_FOUND, f"there is no path {path[:200]}")
+    return Problem.of(ProblemCode.NOT_FOUND, f"unknown path {path[:200]}")
 
 
 def internal_error(request: IRequest, error: BaseException | None) -> Problem:
-    """Report an error of this program, and give what the caller may know."""
+    """Log an internal error and return its problem without details."""
     emit(
         RequestFailed(
             request.method.decode("ascii", "replace"),
@@ -152,7 +152,7 @@
             repr(error),
         )
     )
-    message = "an internal error; it has been logged"
+    message = "internal error; the details are in the log"
     return Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN)
 
 
--- a/notcharch/gateway/http_site.py
+++ b/notcharch/gateway/http_site.py
@@ -1,8 +1,8 @@
-"""The daemon's HTTP server: limits on headers, bodies and idle connections.
+"""HTTP server of the daemon, with limits on headers, bodies and idle connections.
 
-Bodies are kept in memory (daemons have no disk) and counted while they are read.
-Whatever is refused here is answered with a problem, too, and the connection is
-closed once the caller has had a moment to read it.
+Bodies are buffered in memory (daemons have no disk) and counted while they are read.
+Refusals are problem documents, too; the connection is closed after a delay in which
+the caller can read them.
 """
 
 from io import BytesIO
@@ -20,26 +20,26 @@
 from notcharch.wire.http_problem import problem_body, problem_headers
 
 LINGER_SECONDS = 2.0
-"""A refused caller may go on sending for so long; its bytes are dropped."""
+"""Lingering close: a refused caller may send for this time, data is discarded."""
 
-MOST_HEADERS = 100
+MAX_HEADERS = 100
 
 
 class LimitedRequest(Request):
-    """A request whose body is bounded while it is read."""
+    """A request whose body size is limited while it is read."""
 
     channel: "LimitedChannel"
     content: BytesIO
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Refuse a body that is announced to be too large."""
+        """Refuse a body whose Content-Length is too large."""
         self.content = BytesIO()
         limit = self.channel.section.body_bytes
         if length is not None and length > limit:
             self.channel.refuse(_body_too_large(limit))
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body, up to the limit."""
+        """Buffer a part of the body, up to the limit."""
         if self.channel.is_refused:
             return
         limit = self.channel.section.body_bytes
@@ -51,7 +51,7 @@
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
-        """Serve the request, unless it was refused while it was read."""
+        """Handle the request, unless it was refused while it was read."""
         if not self.channel.is_refused:
             super().requestReceived(  # type: ignore[no-untyped-call]
                 command, path, version
@@ -59,20 +59,20 @@
 
 
 class LimitedChannel(HTTPChannel):
-    """One caller's connection."""
+    """Connection of one caller."""
 
     transport: Any
-    maxHeaders = MOST_HEADERS  # noqa: N815
+    maxHeaders = MAX_HEADERS  # noqa: N815
     section: GatewaySection
     is_refused = False
 
     def refuse(self, problem: Problem) -> None:
-        """Answer with a problem, drop what still comes, and close."""
+        """Respond with a problem, discard further data and close the connection."""
         if self.is_refused:
             return
         self.is_refused = True
         emit(BadRequestRefused(str(self.transport.getPeer()), problem.message))
-        self.dataReceived = _drop  # type: ignore[method-assign]
+        self.dataReceived = _discard_data  # type: ignore[method-assign]
         self.clearLineBuffer()  # type: ignore[no-untyped-call]
         self.transport.write(_raw_response(problem))
         self.transport.unregisterProducer()
@@ -87,7 +87,7 @@
         )
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        """Refuse a header line that is longer than all headers may be."""
+        """Refuse a line that exceeds the limit of the whole header."""
         self._receivedHeaderSize += len(line)
         self._respondToBadRequestAndDisconnect()
 
@@ -96,12 +96,12 @@
         message = (
             f"is larger than {self.totalHeadersSize} bytes"
             if is_too_large
-            else f"is not valid HTTP/1.1, or has more than {MOST_HEADERS} fields"
+            else f"is not valid HTTP/1.1, or has more than {MAX_HEADERS} fields"
         )
         self.refuse(
             Problem.of(
                 ProblemCode.BAD_REQUEST,
-                "the request cannot be read",
+                "the request header is invalid",
                 findings=(Finding("header", message),),
             )
         )
@@ -128,10 +128,10 @@
     ) -> HTTPChannel:
         """Build the channel of a connection."""
         channel = LimitedChannel()  # type: ignore[no-untyped-call]
-        self._set_up(channel)
+        self._configure(channel)
         return channel
 
-    def _set_up(self, channel: Any) -> None:
+    def _configure(self, channel: Any) -> None:
         channel.section = self._section
         channel.totalHeadersSize = self._section.header_bytes
         channel.MAX_LENGTH = self._section.header_bytes
@@ -142,11 +142,11 @@
         channel.callLater = self.reactor.callLater
 
     def log(self, request: Any) -> None:
-        """Write no access log: events and metrics tell what matters."""
+        """Write no access log; events and metrics replace it."""
 
 
-def _drop(data: bytes) -> None:
-    """Take bytes of a refused request."""
+def _discard_data(data: bytes) -> None:
+    """Discard data of a refused request."""
 
 
 def _body_too_large(limit: int) -> Problem:
--- a/notcharch/gateway/leader_client.py
+++ b/notcharch/gateway/leader_client.py
@@ -1,7 +1,7 @@
-"""Typed requests to the leaders of programs' partitions.
+"""Typed requests to the leaders of the partitions of programs.
 
-Every request may be repeated, so one whose outcome is not known is sent again a
-few times with growing delays before its problem is given.
+All requests are idempotent: one with an unknown outcome is retried with exponential
+delays before its problem is returned.
 """
 
 import random
@@ -21,7 +21,7 @@
 from notcharch.wire.messages.base import Message
 
 REQUEST_SECONDS = 5.0
-"""Wait for one reply."""
+"""Timeout of one reply."""
 
 UNKNOWN_PROGRAM = "there is no such program"
 RETRY_AFTER_SECONDS = 1.0
@@ -30,7 +30,7 @@
 
 
 class LeaderClient:
-    """Asks leaders through the router; knows which partitions there are."""
+    """Sends requests to leaders through the router."""
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
         region: str,
         partition_count: int,
     ) -> None:
-        """Send through `router`; a program id must be of `region`."""
+        """Send through `router`; only program ids of `region` are valid."""
         self._router = router
         self._clock = clock
         self._chance = chance
@@ -50,7 +50,7 @@
         self._policy = RetryPolicy()
 
     def partition_of(self, program: ProgramId) -> Result[PartitionNumber, Problem]:
-        """Give the partition of a program; NOT_FOUND when it cannot exist here."""
+        """Return the partition of a program; NOT_FOUND if it cannot exist here."""
         partition = partition_of_program(program)
         is_of_region = program.rsplit("-", 2)[0] == self._region
         if partition is None or not is_of_region:
@@ -67,7 +67,7 @@
         tries: int = 1,
         timeout_seconds: float = REQUEST_SECONDS,
     ) -> Result[Message, Problem]:
-        """Send a request to the program's leader; repeats one without an outcome."""
+        """Send a request to the program's leader; retries on transient problems."""
         partition = self.partition_of(program)
         if isinstance(partition, Err):
             return Err(partition.err_value)
@@ -84,13 +84,13 @@
             await self.pause(failures)
 
     def pause(self, failures: int) -> "Deferred[None]":
-        """Wait before the next try, longer after more failures."""
+        """Return a Deferred that fires after the retry delay for `failures`."""
         delay = self._policy.delay_seconds(failures, self._chance)
         return deferLater(self._clock, delay, lambda: None)
 
 
 def is_transient(problem: Problem) -> bool:
-    """Tell whether the same request may have another outcome a moment later."""
+    """Return whether a retry of the same request may succeed."""
     return any(
         problem.is_code(code)
         for code in (
@@ -102,10 +102,10 @@
 
 
 def scope_ran_to_call(problem: Problem) -> Problem:
-    """Say `ran` of the call, not of this request alone.
+    """Return the problem with `ran` for the whole call instead of this request.
 
-    Another gateway may have run the same call for an earlier request, and only
-    the leader knows. Where it could not be asked, nothing is certain.
+    Another gateway may have run the same call for an earlier request. Only the leader
+    knows, so `ran` is unknown if the leader could not be reached.
     """
     if not is_transient(problem):
         return problem
@@ -113,14 +113,14 @@
 
 
 def not_found() -> Problem:
-    """Give the problem of a program that does not exist for this caller."""
+    """Return the problem of a program that does not exist for this caller."""
     return Problem.of(ProblemCode.NOT_FOUND, UNKNOWN_PROGRAM)
 
 
 def expect(
     reply: Result[Message, Problem], expected: type[MessageT]
 ) -> Result[MessageT, Problem]:
-    """Narrow a reply to the type that the request is answered with."""
+    """Narrow a reply to its expected type."""
     if isinstance(reply, Err):
         return Err(reply.err_value)
     if isinstance(reply.ok_value, expected):
@@ -129,7 +129,7 @@
 
 
 def unexpected(message: Message) -> Problem:
-    """Give the problem of a reply that does not belong to the request."""
+    """Return the problem of a reply of an unexpected type."""
     return Problem.of(
         ProblemCode.INTERNAL,
         f"unexpected reply {type(message).__name__}",
@@ -138,7 +138,7 @@
 
 
 def for_caller(problem: Problem) -> Problem:
-    """Turn problems between daemons into what a caller can use."""
+    """Replace problems that only concern daemons by UNAVAILABLE."""
     is_internal = any(
         problem.is_code(code)
         for code in (
--- a/notcharch/gateway/message_reading.py
+++ b/notcharch/gateway/message_reading.py
@@ -1,4 +1,4 @@
-"""Reads the messages of a chat-completions body into `ChatMessage`s."""
+"""Parses the messages of a chat-completions body into `ChatMessage`s."""
 
 import msgspec
 
@@ -12,14 +12,14 @@
 
 
 def read_messages(
-    value: object, most: int, findings: list[Finding]
+    value: object, max_messages: int, findings: list[Finding]
 ) -> tuple[ChatMessage, ...]:
-    """Read the `messages` field; adds a finding for each fault, with its place."""
+    """Parse the `messages` field; adds a finding with its place for each error."""
     if not isinstance(value, list):
         findings.append(Finding("messages", "must be a list of messages"))
         return ()
-    if not 1 <= len(value) <= most:
-        message = f"must hold 1 to {most} messages, not {len(value)}"
+    if not 1 <= len(value) <= max_messages:
+        message = f"must contain 1 to {max_messages} messages, not {len(value)}"
         findings.append(Finding("messages", message))
         return ()
     read = [
@@ -56,8 +56,8 @@
 def _refuse_unknown_fields(
     value: dict[str, object], place: str, findings: list[Finding]
 ) -> None:
-    for field, held in value.items():
-        if field not in MESSAGE_FIELDS and held not in EMPTY_VALUES:
+    for field, field_value in value.items():
+        if field not in MESSAGE_FIELDS and field_value not in EMPTY_VALUES:
             findings.append(Finding(f"{place}.{field[:80]}", "is not supported"))
 
 
@@ -69,11 +69,11 @@
 
 
 def _read_content(value: object, place: str, findings: list[Finding]) -> str | None:
-    """Read a text, or a list of text parts, which is joined."""
+    """Parse a string or a list of text parts, which are joined."""
     if value is None or isinstance(value, str):
         return value
     if not isinstance(value, list):
-        message = "must be a text or a list of text parts"
+        message = "must be a string or a list of text parts"
         findings.append(Finding(f"{place}.content", message))
         return None
     texts: list[str] = []
@@ -100,7 +100,7 @@
         return None
     if isinstance(value, str) and value:
         return value
-    findings.append(Finding(place, "must be a text that is not empty"))
+    findings.append(Finding(place, "must be a non-empty string"))
     return None
 
 
@@ -114,7 +114,7 @@
         findings.append(Finding(f"{place}.tool_calls", "must be a list of objects"))
         return msgspec.UNSET
     if role not in ("assistant", ""):
-        message = f"do not belong to a message of role {role}"
+        message = f"are not allowed in a message of role {role}"
         findings.append(Finding(f"{place}.tool_calls", message))
         return msgspec.UNSET
     return msgspec.Raw(msgspec.json.encode(value))
--- a/notcharch/gateway/metrics.py
+++ b/notcharch/gateway/metrics.py
@@ -1,4 +1,4 @@
-"""The gateway's metrics, registered in the daemon's own registry."""
+"""Metrics of the gateway, registered in the registry of the daemon."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
@@ -6,7 +6,7 @@
 
 
 class GatewayMetrics:
-    """Counts, durations and tokens; all updated once per call, none per token."""
+    """Counts, durations and tokens; updated once per call, never per token."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
         """Register every metric in `registry`."""
--- a/notcharch/gateway/openai.py
+++ b/notcharch/gateway/openai.py
@@ -1,4 +1,4 @@
-"""Answers in the shape of OpenAI's chat completions."""
+"""Answers in the format of OpenAI chat completions."""
 
 import msgspec
 
@@ -11,13 +11,13 @@
 
 
 class PromptTokensDetails(msgspec.Struct, frozen=True):
-    """The part of the prompt that an engine had in its cache, tokens."""
+    """Prompt tokens that were in the engine's cache."""
 
     cached_tokens: int
 
 
 class CompletionUsage(msgspec.Struct, frozen=True):
-    """Tokens of one answer."""
+    """Token usage of one answer."""
 
     prompt_tokens: int
     completion_tokens: int
@@ -42,7 +42,7 @@
 
 
 class ChatCompletion(msgspec.Struct, frozen=True):
-    """A whole answer; `program` and `sequence` are this system's own fields."""
+    """A complete answer; `program` and `sequence` are not part of the OpenAI format."""
 
     id: str
     object: str
@@ -74,13 +74,13 @@
 
 
 class ErrorChunk(msgspec.Struct, frozen=True):
-    """An error in the middle of a stream, as OpenAI clients expect it."""
+    """An error inside a stream, in the format that OpenAI clients expect."""
 
     error: HttpProblem
 
 
 class AnswerSource(msgspec.Struct, frozen=True):
-    """Whose answer it is; `created` is in seconds since 1970."""
+    """Identifies the call of an answer; `created` is in seconds since 1970."""
 
     program: ProgramId
     sequence: CallSequence
@@ -89,12 +89,12 @@
 
     @property
     def completion_id(self) -> str:
-        """Give the same id for the same call at every daemon."""
+        """Return the id of the completion, which is the same at every daemon."""
         return f"chatcmpl-{self.program}-{self.sequence}"
 
 
 def completion_body(source: AnswerSource, answer: Answer) -> bytes:
-    """Give a whole answer as the JSON of a chat completion."""
+    """Return a complete answer as the JSON of a chat completion."""
     message = CompletionMessage(
         answer.message.role,
         answer.message.content,
@@ -116,7 +116,7 @@
 
 
 def completion_events(source: AnswerSource, answer: Answer) -> bytes:
-    """Give a whole answer as the events of a stream: content, end, `[DONE]`."""
+    """Return a complete answer as stream events: content, end, `[DONE]`."""
     delta = msgspec.json.encode(_delta_of(answer.message))
     content = ChunkChoice(0, msgspec.Raw(delta), None)
     end = ChunkChoice(0, msgspec.Raw(b"{}"), answer.finish_reason.value)
@@ -128,12 +128,12 @@
 
 
 def error_event(problem: Problem) -> bytes:
-    """Give a problem as an event in the middle of a stream."""
+    """Return a problem as a stream event."""
     return _event(msgspec.json.encode(ErrorChunk(http_problem(problem))))
 
 
 def usage_of(usage: TokenUsage) -> CompletionUsage:
-    """Give usage in OpenAI's shape."""
+    """Return token usage in the OpenAI format."""
     return CompletionUsage(
         usage.prompt_tokens,
         usage.completion_tokens,
@@ -145,12 +145,12 @@
 def _delta_of(message: ChatMessage) -> CompletionMessage:
     calls = message.tool_calls
     if calls is not msgspec.UNSET:
-        calls = _numbered(calls)
+        calls = _with_indexes(calls)
     return CompletionMessage(message.role, message.content, calls)
 
 
-def _numbered(tool_calls: msgspec.Raw) -> msgspec.Raw:
-    """Give each tool call its index, which a chunk has and an answer has not."""
+def _with_indexes(tool_calls: msgspec.Raw) -> msgspec.Raw:
+    """Add the index that chunks, unlike complete answers, have for each tool call."""
     calls = msgspec.json.decode(tool_calls, type=list[dict[str, msgspec.Raw]])
     numbered = [{"index": index, **call} for index, call in enumerate(calls)]
     return msgspec.Raw(msgspec.json.encode(numbered))
--- a/notcharch/gateway/openai_requests.py
+++ b/notcharch/gateway/openai_requests.py
@@ -1,8 +1,8 @@
-"""`POST /v1/chat/completions`: calls of ordinary OpenAI clients.
+"""`POST /v1/chat/completions`: calls of OpenAI clients.
 
-With a program's header the client sends the whole conversation each time; the
-known part is checked against the history and stripped. Without one, the call is
-a program of its own, of the service that `model` names.
+With the program header, the client sends the complete conversation in each call; the
+known part is checked against the history and removed. Without the header, each call is
+a new program of the service that `model` names.
 """
 
 import msgspec
@@ -20,7 +20,7 @@
     is_same_message,
     split_conversation,
 )
-from notcharch.gateway.http_errors import value_of
+from notcharch.gateway.http_errors import unwrap_or_raise
 from notcharch.gateway.program_requests import ProgramRequests
 from notcharch.gateway.validation import CallBody, NewProgram, bad_request
 from notcharch.values.chat import ChatMessage
@@ -36,29 +36,29 @@
 
 
 class OpenAiRequests:
-    """Turns whole conversations into calls of programs."""
+    """Converts complete conversations into calls of programs."""
 
     def __init__(
-        self, programs: ProgramRequests, calls: CallRequests, most_new_messages: int
+        self, programs: ProgramRequests, calls: CallRequests, max_new_messages: int
     ) -> None:
-        """Create programs with `programs`, run calls with `calls`."""
+        """Create programs through `programs` and run calls through `calls`."""
         self._programs = programs
         self._calls = calls
-        self._most_new_messages = most_new_messages
+        self._max_new_messages = max_new_messages
 
-    async def run_alone(
+    async def run_standalone(
         self, request: Request, tenant: TenantName, body: CallBody, key: str | None
     ) -> bytes | None:
-        """Run a call as a program of its own, which ends with its answer."""
-        findings = _findings_of_lone_call(body, key)
+        """Run a call as a new program, which ends with the answer."""
+        findings = _findings_of_standalone_call(body, key)
         if findings:
             raise ProblemError(bad_request(findings))
         self._check_count(body.messages)
         new = NewProgram(ServiceName(body.model or ""), None)
-        name = value_of(await self._programs.create(tenant, new, key))
+        name = unwrap_or_raise(await self._programs.create(tenant, new, key))
 
         def end_program(outcome: Outcome) -> None:
-            # With a key, a refused call may be tried again in the same program.
+            # With a key, a refused call can be retried in the same program.
             if key is None or isinstance(outcome, Ok):
                 Deferred.fromCoroutine(self._programs.end(tenant, name))
 
@@ -74,31 +74,31 @@
         sequence: CallSequence | None,
         body: CallBody,
     ) -> bytes | None:
-        """Run the next call of a program, or give the answer of a repeated one."""
+        """Run the next call of a program, or return the answer of a repeated one."""
         if sequence is None and not body.repeatable:
             message = "is needed for a call that must not run twice"
             finding = Finding("header.X-Notcharch-Sequence", message)
             raise ProblemError(bad_request([finding]))
-        state = value_of(await self._programs.describe(tenant, program))
-        history = await self._history(tenant, program)
-        part = value_of(split_conversation(body.messages, history))
+        state = unwrap_or_raise(await self._programs.describe(tenant, program))
+        history = await self._read_full_history(tenant, program)
+        part = unwrap_or_raise(split_conversation(body.messages, history))
         if isinstance(part, RepeatedCall):
             derived = CallSequence(state.next_sequence - 1 - part.later_answers)
             answered = derived if sequence is None else sequence
             call = CallName(tenant, program, answered)
-            return await self._repeated(request, call, body, part.answer)
+            return await self._send_repeated_answer(request, call, body, part.answer)
         self._check_count(part.messages)
         new_body = msgspec.structs.replace(body, messages=part.messages)
         number = state.next_sequence if sequence is None else sequence
         call = CallName(tenant, program, number)
         return await self._calls.run(request, call, new_body)
 
-    async def _history(
+    async def _read_full_history(
         self, tenant: TenantName, program: ProgramId
     ) -> tuple[ChatMessage, ...]:
         messages: list[ChatMessage] = []
         while True:
-            page = value_of(
+            page = unwrap_or_raise(
                 await self._programs.history(
                     tenant, program, len(messages), HISTORY_PAGE
                 )
@@ -108,12 +108,14 @@
                 return tuple(messages)
 
     def _check_count(self, messages: tuple[ChatMessage, ...]) -> None:
-        most = self._most_new_messages
-        if len(messages) > most:
-            message = f"hold {len(messages)} new messages, {most} are allowed"
+        max_messages = self._max_new_messages
+        if len(messages) > max_messages:
+            message = (
+                f"contain {len(messages)} new messages, the limit is {max_messages}"
+            )
             raise ProblemError(bad_request([Finding("messages", message)]))
 
-    async def _repeated(
+    async def _send_repeated_answer(
         self,
         request: Request,
         call: CallName,
@@ -122,12 +124,14 @@
     ) -> bytes | None:
         answer = await self._calls.stored_answer(call)
         if answer is None or not is_same_message(answer.message, expected):
-            message = f"call {call.sequence} has another answer than this conversation"
+            message = (
+                f"the answer of call {call.sequence} differs from this conversation"
+            )
             raise ProblemError(Problem.of(ProblemCode.SEQUENCE_CONFLICT, message))
         return await self._calls.send_stored_answer(request, call, body, answer)
 
 
-def _findings_of_lone_call(body: CallBody, key: str | None) -> list[Finding]:
+def _findings_of_standalone_call(body: CallBody, key: str | None) -> list[Finding]:
     findings: list[Finding] = []
     if body.model is None:
         message = "must name the service, or send the header X-Notcharch-Program"
--- a/notcharch/gateway/outcome_delivery.py
+++ b/notcharch/gateway/outcome_delivery.py
@@ -1,7 +1,7 @@
-"""Has the end of an attempt stored, however long the leader cannot be reached.
+"""Stores the outcomes of attempts, with retries while the leader is unreachable.
 
-The caller is not kept waiting for that: after a bound it gets its answer or
-refusal, while the delivery goes on. Delivering twice is harmless.
+A caller waits for a bounded time only; the delivery then continues in the background.
+Delivery is idempotent.
 """
 
 from result import Err, Ok, Result
@@ -13,7 +13,7 @@
 from notcharch.wire.messages.programs import FinishCall, FinishRecorded
 
 DELIVERY_SECONDS = 600.0
-"""A leader that was not reached for so long has given the attempt up itself."""
+"""Delivery stops after this time; the leader has abandoned the attempt by then."""
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -29,7 +29,7 @@
         self._waiters: list[Deferred[None]] = []
 
     def when_all_delivered(self) -> "Deferred[None]":
-        """Fire when no delivery is under way, also none that goes on unwaited."""
+        """Return a Deferred that fires when no delivery is in flight."""
         if not self._pending:
             return succeed(None)
         waiter: Deferred[None] = Deferred(self._waiters.remove)
@@ -39,7 +39,7 @@
     def deliver(
         self, outcome: FinishCall, wait_seconds: float
     ) -> "Deferred[Result[FinishRecorded, Problem]]":
-        """Store an outcome; gives UNAVAILABLE after `wait_seconds`, and goes on."""
+        """Store an outcome; UNAVAILABLE after `wait_seconds`, but retries go on."""
         waiting: Deferred[Result[FinishRecorded, Problem]] = Deferred()
         timer = self._clock.callLater(
             wait_seconds, lambda: waiting.callback(Err(_not_stored()))
@@ -82,7 +82,7 @@
 def _not_stored() -> Problem:
     return Problem.of(
         ProblemCode.UNAVAILABLE,
-        "the program's journal could not be written in time",
+        "the outcome could not be written to the journal before the deadline",
         ran=Ran.YES,
         retry_after=RETRY_AFTER_SECONDS,
     )
--- a/notcharch/gateway/program_requests.py
+++ b/notcharch/gateway/program_requests.py
@@ -1,4 +1,4 @@
-"""Requests about whole programs: create, read, end, history."""
+"""Requests for programs: create, describe, end, read history."""
 
 import hashlib
 import random
@@ -32,7 +32,7 @@
 
 
 class ProgramRequests:
-    """Creates, reads and ends programs through their leaders."""
+    """Creates, reads and ends programs through the leaders of their partitions."""
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
         region: RegionName,
         partition_count: int,
     ) -> None:
-        """Draw partitions of `region` with `chance`."""
+        """Choose partitions in `region` at random with `chance`."""
         self._leader = leader
         self._services = services
         self._chance = chance
@@ -53,7 +53,7 @@
     async def create(
         self, tenant: TenantName, new: NewProgram, idempotency_key: str | None
     ) -> Result[ProgramId, Problem]:
-        """Begin a program; the same key and body always name the same one."""
+        """Create a program; the same key and body always return the same one."""
         partition = self._partition_of_new(tenant, new, idempotency_key)
         if isinstance(partition, Err):
             return Err(partition.err_value)
@@ -63,13 +63,13 @@
         created = expect(reply, ProgramCreated)
         if isinstance(created, Err):
             return Err(for_caller(created.err_value))
-        self._services.remember(tenant, program, new.service)
+        self._services.store(tenant, program, new.service)
         return Ok(program)
 
     async def describe(
         self, tenant: TenantName, program: ProgramId
     ) -> Result[ProgramDescription, Problem]:
-        """Read a program's state."""
+        """Return the state of a program."""
         message = DescribeProgram(program, tenant)
         reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, ProgramDescription).map_err(for_caller)
@@ -77,7 +77,7 @@
     async def end(
         self, tenant: TenantName, program: ProgramId
     ) -> Result[ProgramEnded, Problem]:
-        """End a program and its children; harmless when repeated."""
+        """End a program and its children; idempotent."""
         message = EndProgram(program, tenant)
         reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, ProgramEnded).map_err(for_caller)
@@ -85,7 +85,7 @@
     async def history(
         self, tenant: TenantName, program: ProgramId, start: int, limit: int
     ) -> Result[HistoryPage, Problem]:
-        """Read a page of committed history."""
+        """Return a page of the committed history."""
         message = ReadHistory(program, tenant, start, limit)
         reply = await self._leader.request(program, message, tries=TRIES)
         return expect(reply, HistoryPage).map_err(for_caller)
--- a/notcharch/gateway/program_services.py
+++ b/notcharch/gateway/program_services.py
@@ -1,6 +1,6 @@
-"""Remembers which service a program belongs to, so that leaders are asked once.
+"""Caches the service of each program, which saves requests to leaders.
 
-A program never changes its service, so what is remembered stays true.
+A program never changes its service, so entries need no invalidation.
 """
 
 from collections import OrderedDict
@@ -12,34 +12,34 @@
 from notcharch.values.identifiers import ProgramId, ServiceName, TenantName
 from notcharch.wire.messages.programs import DescribeProgram, ProgramDescription
 
-MOST_PROGRAMS = 10_000
+MAX_PROGRAMS = 10_000
 DESCRIBE_TRIES = 3
 
 
 class ProgramServices:
-    """A bounded memory of programs' services, the least recently used go first."""
+    """LRU cache of the services of programs."""
 
-    def __init__(self, leader: LeaderClient, most: int = MOST_PROGRAMS) -> None:
-        """Ask `leader` for programs that are not remembered."""
+    def __init__(self, leader: LeaderClient, max_programs: int = MAX_PROGRAMS) -> None:
+        """Request missing entries from `leader`."""
         self._leader = leader
-        self._most = most
+        self._max_programs = max_programs
         self._services: OrderedDict[tuple[TenantName, ProgramId], ServiceName] = (
             OrderedDict()
         )
 
-    def remember(
+    def store(
         self, tenant: TenantName, program: ProgramId, service: ServiceName
     ) -> None:
-        """Remember the service of a tenant's program."""
+        """Store the service of a tenant's program."""
         self._services[(tenant, program)] = service
         self._services.move_to_end((tenant, program))
-        if len(self._services) > self._most:
+        if len(self._services) > self._max_programs:
             self._services.popitem(last=False)
 
     async def service_of(
         self, tenant: TenantName, program: ProgramId
     ) -> Result[ServiceName, Problem]:
-        """Give the service; NOT_FOUND for another tenant's program."""
+        """Return the service; NOT_FOUND for the program of another tenant."""
         service = self._services.get((tenant, program))
         if service is not None:
             self._services.move_to_end((tenant, program))
@@ -51,5 +51,5 @@
         )
         if isinstance(reply, Err):
             return Err(reply.err_value)
-        self.remember(tenant, program, reply.ok_value.service)
+        self.store(tenant, program, reply.ok_value.service)
         return Ok(reply.ok_value.service)
--- a/notcharch/gateway/request_parts.py
+++ b/notcharch/gateway/request_parts.py
@@ -1,13 +1,13 @@
-"""Parts of an HTTP request as text."""
+"""Headers and body of an HTTP request."""
 
 from twisted.web.iweb import IRequest
 
 
 def header_text(request: IRequest, name: bytes) -> str | None:
-    """Give a header's value; None when there is none.
+    """Return the value of a header; None if it is absent.
 
-    Values are UTF-8 by convention; what is not is read as Latin-1, so that no
-    value is lost and no two become the same by a replacement.
+    Values that are not UTF-8 are decoded as Latin-1, so that distinct values stay
+    distinct.
     """
     value: bytes | None = request.getHeader(name)
     if value is None:
@@ -19,6 +19,6 @@
 
 
 def body_bytes(request: IRequest) -> bytes:
-    """Give the whole body, which was bounded while it was read."""
+    """Return the complete body, whose size was limited while it was read."""
     content: bytes = request.content.read()
     return content
--- a/notcharch/gateway/resource.py
+++ b/notcharch/gateway/resource.py
@@ -1,6 +1,6 @@
-"""The callers' HTTP interface; the daemon mounts it at `/v1`.
+"""The HTTP interface for callers; the daemon mounts it at `/v1`.
 
-The resource parses, asks and renders. Who runs what and when is decided below it.
+The resource parses requests and renders responses; lower layers run the calls.
 """
 
 import random
@@ -27,7 +27,7 @@
     GatewayLeaf,
     OpenRequests,
     add_error_handlers,
-    value_of,
+    unwrap_or_raise,
 )
 from notcharch.gateway.leader_client import LeaderClient
 from notcharch.gateway.metrics import GatewayMetrics
@@ -65,17 +65,17 @@
 )
 
 DRAIN_RETRY_SECONDS = 1.0
-LONGEST_IDEMPOTENCY_KEY = 255
+MAX_IDEMPOTENCY_KEY_LENGTH = 255
 HISTORY_LIMITS = (1, 1000)
 HISTORY_DEFAULT = 100
-MOST_CONVERSATION_MESSAGES = 100_000
-"""The body's size is the real bound of a conversation that is sent whole."""
+MAX_CONVERSATION_MESSAGES = 100_000
+"""Complete conversations are bounded by the size of the body instead."""
 
-MOST_START = 2**53 - 1
+MAX_HISTORY_START = 2**53 - 1
 
 
 class Gateway:
-    """The callers' interface of one daemon."""
+    """The interface for callers of one daemon."""
 
     app = Klein()
 
@@ -95,10 +95,10 @@
         section: GatewaySection,
         registry: CollectorRegistry,
     ) -> None:
-        """Take the collaborators; `resource()` is what is mounted.
+        """Create a gateway; mount its `resource()`.
 
-        `placer` is the `engines.dispatcher.Dispatcher`, `slots` the holder of
-        `services`; `clock` gives seconds since 1970.
+        `placer` is the `engines.dispatcher.Dispatcher`, `slots` the slot holder of
+        `services`; `clock` returns seconds since 1970.
         """
         leader = LeaderClient(
             router, clock, chance, region=region, partition_count=partition_count
@@ -115,7 +115,7 @@
             metrics=GatewayMetrics(registry),
         )
         self._table = table
-        self._most_messages = section.messages_per_call
+        self._max_messages = section.messages_per_call
         self._runs = CallRuns(tools)
         self._programs = ProgramRequests(
             leader, services, chance, region=region, partition_count=partition_count
@@ -128,35 +128,35 @@
         self._is_draining = False
 
     def resource(self) -> Resource:
-        """Give the resource to mount."""
+        """Return the resource to mount."""
         return GatewayLeaf(
             self.app.resource(), self._open_requests, lambda: self._is_draining
         )
 
     @property
     def runs(self) -> CallRuns:
-        """The calls under way, for callers in the same process."""
+        """The calls in flight, for callers in the same process."""
         return self._runs
 
     @property
     def programs(self) -> ProgramRequests:
-        """The requests about programs, for callers in the same process."""
+        """The program requests, for callers in the same process."""
         return self._programs
 
     @property
     def running_calls(self) -> int:
-        """Count the calls under way."""
+        """Return the number of calls in flight."""
         return len(self._runs)
 
     def drain(self) -> "Deferred[None]":
-        """Refuse new calls from now on; fires when the running ones have ended."""
+        """Refuse new calls; the Deferred fires when the calls in flight have ended."""
         self._is_draining = True
         self._calls.stop_waiting()
         emit(GatewayDraining(len(self._runs)))
         return self.when_idle().addCallback(lambda _: emit(GatewayDrained()))
 
     def when_idle(self) -> "Deferred[None]":
-        """Fire when no call runs and no response is under way."""
+        """Return a Deferred that fires when no call or response is in flight."""
         return Deferred.fromCoroutine(self._wait_until_idle())
 
     async def _wait_until_idle(self) -> None:
@@ -164,18 +164,18 @@
         await self._open_requests.when_all_finished()
 
     def resume(self) -> None:
-        """Take new calls again after a drain that was taken back."""
+        """Accept new calls again after a cancelled drain."""
         self._is_draining = False
         self._calls.resume_waiting()
 
     @app.route("/programs", methods=["POST"])
     async def create_program(self, request: IRequest) -> bytes:
-        """Begin a program."""
+        """Create a program."""
         tenant = self._tenant(request)
         self._refuse_while_draining()
         key = _idempotency_key(request)
-        new = value_of(read_new_program(body_bytes(request)))
-        program = value_of(await self._programs.create(tenant, new, key))
+        new = unwrap_or_raise(read_new_program(body_bytes(request)))
+        program = unwrap_or_raise(await self._programs.create(tenant, new, key))
         request.setHeader(b"location", b"/v1/programs/" + program.encode())
         return json_response(
             request, 201, ProgramBody(program, new.service, new.parent)
@@ -185,7 +185,9 @@
     async def read_program(self, request: IRequest, program: str) -> bytes:
         """Read a program's state."""
         tenant = self._tenant(request)
-        found = value_of(await self._programs.describe(tenant, ProgramId(program)))
+        found = unwrap_or_raise(
+            await self._programs.describe(tenant, ProgramId(program))
+        )
         return json_response(request, 200, program_state(found))
 
     @app.route("/programs/<program>", methods=["DELETE"])
@@ -193,7 +195,7 @@
         """End a program and its children."""
         tenant = self._tenant(request)
         name = ProgramId(program)
-        value_of(await self._programs.end(tenant, name))
+        unwrap_or_raise(await self._programs.end(tenant, name))
         return json_response(request, 200, EndedBody(name, ended=True))
 
     @app.route("/programs/<program>/history", methods=["GET"])
@@ -201,14 +203,16 @@
         """Read a page of history."""
         tenant = self._tenant(request)
         findings: list[Finding] = []
-        start = read_query_integer(request.args, "start", (0, MOST_START), 0, findings)
+        start = read_query_integer(
+            request.args, "start", (0, MAX_HISTORY_START), 0, findings
+        )
         limit = read_query_integer(
             request.args, "limit", HISTORY_LIMITS, HISTORY_DEFAULT, findings
         )
         if findings:
             raise ProblemError(bad_request(findings))
         name = ProgramId(program)
-        page = value_of(await self._programs.history(tenant, name, start, limit))
+        page = unwrap_or_raise(await self._programs.history(tenant, name, start, limit))
         return json_response(request, 200, history_body(name, page))
 
     @app.route("/programs/<program>/calls", methods=["POST"])
@@ -216,7 +220,7 @@
         """Run a call, or join the one that is running."""
         tenant = self._tenant(request)
         self._refuse_while_draining(Ran.UNKNOWN)
-        body = self._call_body(request, self._most_messages)
+        body = self._call_body(request, self._max_messages)
         findings = findings_of_numbered_call(body)
         if findings or body.sequence is None:
             raise ProblemError(bad_request(findings))
@@ -227,18 +231,18 @@
     async def read_call_answer(
         self, request: IRequest, program: str, sequence: str
     ) -> bytes:
-        """Give a call's answer, waiting for it a bounded time."""
+        """Return the answer of a call; waits for it for a bounded time."""
         tenant = self._tenant(request)
-        number: CallSequence = value_of(read_sequence(sequence, "path.sequence"))
+        number: CallSequence = unwrap_or_raise(read_sequence(sequence, "path.sequence"))
         call = CallName(tenant, ProgramId(program), number)
         return await self._calls.fetch_answer(request, call)
 
     @app.route("/chat/completions", methods=["POST"])
     async def complete_chat(self, request: Request) -> bytes | None:
-        """Run a call of an ordinary OpenAI client."""
+        """Run a call of an OpenAI client."""
         tenant = self._tenant(request)
         self._refuse_while_draining(Ran.UNKNOWN)
-        body = self._call_body(request, MOST_CONVERSATION_MESSAGES)
+        body = self._call_body(request, MAX_CONVERSATION_MESSAGES)
         sequence = _sequence_header(request) or body.sequence
         if body.sequence not in (None, sequence):
             message = "differs from the header X-Notcharch-Sequence"
@@ -246,24 +250,24 @@
         program = header_text(request, PROGRAM_HEADER)
         if program is None:
             key = _idempotency_key(request)
-            return await self._openai.run_alone(request, tenant, body, key)
+            return await self._openai.run_standalone(request, tenant, body, key)
         return await self._openai.run_conversation(
             request, tenant, ProgramId(program), sequence, body
         )
 
     def _tenant(self, request: IRequest) -> TenantName:
-        return value_of(tenant_of(request, self._table))
+        return unwrap_or_raise(tenant_of(request, self._table))
 
-    def _call_body(self, request: IRequest, most_messages: int) -> CallBody:
-        return value_of(read_call(body_bytes(request), most_messages))
+    def _call_body(self, request: IRequest, max_messages: int) -> CallBody:
+        return unwrap_or_raise(read_call(body_bytes(request), max_messages))
 
     def _refuse_while_draining(self, ran: Ran = Ran.NO) -> None:
-        """Refuse; a call may have run for an earlier request, elsewhere."""
+        """Refuse requests; `ran` is unknown if the call may have run elsewhere."""
         if self._is_draining:
             raise ProblemError(
                 Problem.of(
                     ProblemCode.DRAINING,
-                    "this daemon is stopping; ask another one",
+                    "this daemon is draining; retry at another daemon",
                     ran=ran,
                     retry_after=DRAIN_RETRY_SECONDS,
                 )
@@ -277,14 +281,14 @@
     text = header_text(request, SEQUENCE_HEADER)
     if text is None:
         return None
-    return value_of(read_sequence(text, "header.X-Notcharch-Sequence"))
+    return unwrap_or_raise(read_sequence(text, "header.X-Notcharch-Sequence"))
 
 
 def _idempotency_key(request: IRequest) -> str | None:
     key = header_text(request, b"idempotency-key")
     if key is None:
         return None
-    if not 1 <= len(key) <= LONGEST_IDEMPOTENCY_KEY:
-        message = f"must have 1 to {LONGEST_IDEMPOTENCY_KEY} characters"
+    if not 1 <= len(key) <= MAX_IDEMPOTENCY_KEY_LENGTH:
+        message = f"must have 1 to {MAX_IDEMPOTENCY_KEY_LENGTH} characters"
         raise ProblemError(bad_request([Finding("header.Idempotency-Key", message)]))
     return key
--- a/notcharch/gateway/responses.py
+++ b/notcharch/gateway/responses.py
@@ -13,7 +13,7 @@
 
 
 class ProgramBody(msgspec.Struct, frozen=True):
-    """A program that was created or is known by its id."""
+    """A program that was created."""
 
     program: ProgramId
     service: ServiceName
@@ -21,7 +21,7 @@
 
 
 class ProgramStateBody(msgspec.Struct, frozen=True):
-    """A program's state; tokens, and seconds since 1970."""
+    """State of a program; budgets in tokens, `started_at` in seconds since 1970."""
 
     program: ProgramId
     service: ServiceName
@@ -52,7 +52,7 @@
 
 
 class PendingBody(msgspec.Struct, frozen=True):
-    """A call that has no outcome yet; ask again after `retry_after` seconds."""
+    """A call without an outcome yet; retry after `retry_after` seconds."""
 
     program: ProgramId
     sequence: CallSequence
@@ -61,26 +61,28 @@
 
 
 def json_response(request: IRequest, status: int, body: msgspec.Struct) -> bytes:
-    """Set the status and content type, and give the body's bytes."""
+    """Set status and content type; return the body as JSON."""
     return raw_json_response(request, status, msgspec.json.encode(body))
 
 
 def raw_json_response(request: IRequest, status: int, body: bytes) -> bytes:
-    """Set the status, type and length of a body that is JSON already."""
+    """Set status, content type and length of a body that is JSON already."""
     request.setResponseCode(status)
     request.setHeader(b"content-type", JSON)
     request.setHeader(b"content-length", b"%d" % len(body))
     return body
 
 
-def name_call(request: IRequest, program: ProgramId, sequence: CallSequence) -> None:
-    """Tell the caller in the headers which call this is."""
+def set_call_headers(
+    request: IRequest, program: ProgramId, sequence: CallSequence
+) -> None:
+    """Set the response headers that identify the call."""
     request.setHeader(PROGRAM_HEADER, program.encode())
     request.setHeader(SEQUENCE_HEADER, b"%d" % sequence)
 
 
 def program_state(description: ProgramDescription) -> ProgramStateBody:
-    """Give what a caller may know of its program."""
+    """Return the fields of a program that its caller may see."""
     return ProgramStateBody(
         program=description.program,
         service=description.service,
@@ -96,5 +98,5 @@
 
 
 def history_body(program: ProgramId, page: HistoryPage) -> HistoryBody:
-    """Give a page of history."""
+    """Return a page of history."""
     return HistoryBody(program, page.start, page.total, page.messages)
--- a/notcharch/gateway/validation.py
+++ b/notcharch/gateway/validation.py
@@ -1,8 +1,4 @@
-"""Reads request bodies; collects every finding instead of stopping at the first.
-
-Nothing here touches the network: bytes come in, a typed request or a problem
-with all its findings comes out.
-"""
+"""Parses request bodies into typed requests, or a problem with all findings."""
 
 import hashlib
 from collections.abc import Callable, Mapping
@@ -17,9 +13,9 @@
 from notcharch.values.chat import ChatMessage
 from notcharch.values.identifiers import CallSequence, ProgramId, ServiceName
 
-MOST_ANSWER_TOKENS = 2**31 - 1
-MOST_SEQUENCE = 2**53 - 1
-LONGEST_NAME = 200
+MAX_ANSWER_TOKENS = 2**31 - 1
+MAX_SEQUENCE = 2**53 - 1
+MAX_NAME_LENGTH = 200
 
 PROGRAM_FIELDS = frozenset({"service", "parent"})
 CALL_FIELDS = frozenset(
@@ -36,21 +32,21 @@
     }
 )
 IGNORED_FIELDS = frozenset({"user", "metadata", "store", "service_tier"})
-"""OpenAI fields that have no influence on the answer."""
+"""OpenAI fields that have no effect on the answer."""
 
 
 class NewProgram(msgspec.Struct, frozen=True):
-    """The body that begins a program."""
+    """A validated body of `POST /v1/programs`."""
 
     service: ServiceName
     parent: ProgramId | None
 
 
 class CallBody(msgspec.Struct, frozen=True):
-    """A checked chat-completions body.
+    """A validated chat-completions body.
 
-    `sequence` is None when the body names none; `max_tokens` is None when the
-    row's bound applies. `digest` recognises a repeat of the same call.
+    `sequence` is None if the body has none; `max_tokens` is None if the limit of the
+    row applies. `digest` identifies repeats of the same call.
     """
 
     messages: tuple[ChatMessage, ...]
@@ -63,7 +59,7 @@
 
     @property
     def digest(self) -> str:
-        """Give the hex SHA-256 of everything that influences the answer."""
+        """Return the hex SHA-256 of all fields that affect the answer."""
         return body_digest(
             self.messages, self.max_tokens, self.repeatable, self.parameters
         )
@@ -75,13 +71,13 @@
     repeatable: bool,
     parameters: bytes,
 ) -> str:
-    """Give the digest by which the leader recognises a repeated call."""
+    """Return the digest by which the leader recognises a repeated call."""
     encoded = msgspec.json.encode((messages, max_tokens, repeatable, parameters))
     return hashlib.sha256(encoded).hexdigest()
 
 
 def read_new_program(body: bytes) -> Result[NewProgram, Problem]:
-    """Read the body of `POST /v1/programs`."""
+    """Parse the body of `POST /v1/programs`."""
     findings: list[Finding] = []
     fields = _read_object(body, findings)
     reader = FieldReader(fields, findings)
@@ -100,16 +96,16 @@
     )
 
 
-def read_call(body: bytes, most_messages: int) -> Result[CallBody, Problem]:
-    """Read a chat-completions body with notcharch's own fields."""
+def read_call(body: bytes, max_messages: int) -> Result[CallBody, Problem]:
+    """Parse a chat-completions body, including the fields added by notcharch."""
     findings: list[Finding] = []
     fields = _read_object(body, findings)
     if fields is None:
         return Err(bad_request(findings))
     reader = FieldReader(fields, findings)
     reader.refuse_unknown(CALL_FIELDS | IGNORED_FIELDS | PARAMETERS.keys())
-    messages = read_messages(fields.get("messages"), most_messages, findings)
-    sequence = reader.integer("sequence", 1, MOST_SEQUENCE)
+    messages = read_messages(fields.get("messages"), max_messages, findings)
+    sequence = reader.integer("sequence", 1, MAX_SEQUENCE)
     max_tokens = _read_max_tokens(reader, findings)
     reader.integer("n", 1, 1)
     call = CallBody(
@@ -127,10 +123,10 @@
 
 
 def findings_of_numbered_call(body: CallBody) -> list[Finding]:
-    """Check what only a call with a number of its own must hold to.
+    """Return the findings that apply only to calls with a sequence number.
 
-    Answers come from the system: a caller may bring some along only at the
-    beginning, as examples.
+    Assistant messages come from engines; a caller may send them only in the first
+    call, as examples.
     """
     if body.sequence is None:
         return [Finding("sequence", "is missing")]
@@ -144,10 +140,10 @@
 
 
 def read_sequence(text: str, place: str) -> Result[CallSequence, Problem]:
-    """Read a call's number out of a path or header."""
+    """Parse a sequence number from a path or header."""
     is_number = text.isascii() and text.isdigit() and len(text) <= 16
-    if not is_number or not 1 <= int(text) <= MOST_SEQUENCE:
-        finding = Finding(place, f"must be a whole number from 1, not {text[:40]!r}")
+    if not is_number or not 1 <= int(text) <= MAX_SEQUENCE:
+        finding = Finding(place, f"must be an integer from 1, not {text[:40]!r}")
         return Err(bad_request([finding]))
     return Ok(CallSequence(int(text)))
 
@@ -159,7 +155,7 @@
     default: int,
     findings: list[Finding],
 ) -> int:
-    """Read an integer out of the query, within its bounds."""
+    """Parse an integer of the query, within its bounds."""
     values = args.get(name.encode())
     if not values:
         return default
@@ -167,14 +163,14 @@
     low, high = bounds
     is_number = text.isascii() and text.isdigit() and len(text) <= 16
     if not is_number or not low <= int(text) <= high:
-        message = f"must be a whole number from {low} to {high}"
+        message = f"must be an integer from {low} to {high}"
         findings.append(Finding(f"query.{name}", message))
         return default
     return int(text)
 
 
 def bad_request(findings: list[Finding]) -> Problem:
-    """Give the problem that reports all findings together."""
+    """Return the problem that reports all findings."""
     return Problem.of(
         ProblemCode.BAD_REQUEST,
         f"the request has {len(findings)} finding(s)",
@@ -186,12 +182,12 @@
 
 
 class FieldReader:
-    """Reads fields of a JSON object; adds a finding for each that is wrong."""
+    """Reads fields of a JSON object; adds a finding for each invalid one."""
 
     def __init__(
         self, fields: Mapping[str, object] | None, findings: list[Finding]
     ) -> None:
-        """Read from `fields`; an absent or null field gives its default."""
+        """Read from `fields`; an absent or null field has its default value."""
         self._fields = fields or {}
         self._findings = findings
 
@@ -202,14 +198,14 @@
                 self._findings.append(Finding(name[:80], "is not supported"))
 
     def integer(self, name: str, low: int, high: int) -> int | None:
-        """Read an integer from `low` to `high`; None when absent."""
+        """Read an integer from `low` to `high`; None if absent."""
 
         def check(value: object) -> int | None:
             if isinstance(value, bool) or not isinstance(value, int):
                 return None
             return value if low <= value <= high else None
 
-        return self._read(name, check, f"must be a whole number from {low} to {high}")
+        return self._read(name, check, f"must be an integer from {low} to {high}")
 
     def boolean(self, name: str, *, default: bool) -> bool:
         """Read true or false."""
@@ -221,14 +217,14 @@
         return default if value is None else value
 
     def text(self, name: str) -> str | None:
-        """Read a name of 1 to `LONGEST_NAME` characters; None when absent."""
+        """Read a string of 1 to `MAX_NAME_LENGTH` characters; None if absent."""
 
         def check(value: object) -> str | None:
-            is_name = isinstance(value, str) and 1 <= len(value) <= LONGEST_NAME
+            is_name = isinstance(value, str) and 1 <= len(value) <= MAX_NAME_LENGTH
             return value if is_name and isinstance(value, str) else None
 
         return self._read(
-            name, check, f"must be a text of 1 to {LONGEST_NAME} characters"
+            name, check, f"must be a string of 1 to {MAX_NAME_LENGTH} characters"
         )
 
     def _read(
@@ -247,7 +243,7 @@
     try:
         value = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        findings.append(Finding("body", f"is not JSON in UTF-8: {error}"))
+        findings.append(Finding("body", f"is not valid UTF-8 JSON: {error}"))
         return None
     if not isinstance(value, dict):
         findings.append(Finding("body", "must be a JSON object"))
@@ -256,8 +252,8 @@
 
 
 def _read_max_tokens(reader: FieldReader, findings: list[Finding]) -> int | None:
-    old = reader.integer("max_tokens", 1, MOST_ANSWER_TOKENS)
-    new = reader.integer("max_completion_tokens", 1, MOST_ANSWER_TOKENS)
+    old = reader.integer("max_tokens", 1, MAX_ANSWER_TOKENS)
+    new = reader.integer("max_completion_tokens", 1, MAX_ANSWER_TOKENS)
     if old is not None and new is not None and old != new:
         message = "differs from max_completion_tokens"
         findings.append(Finding("max_tokens", message))
