Reword the tests of the gateway

is_whole becomes is_complete, answer_lost reply_dropped, HeldReply DelayedReply, the harness's ask fetch, a lost message a failed one. Assertions and cases are unchanged. The random examples of the state machine differ, because Hypothesis derives them from the text of its class.

--- a/tests/stateful/gateway/test_gateway_machine.py
+++ b/tests/stateful/gateway/test_gateway_machine.py
@@ -1,4 +1,4 @@
-"""Random calls, losses and failures against a small oracle of what may be said."""
+"""Random calls, failed messages and failed engines, checked against an oracle."""
 
 import itertools
 from contextlib import contextmanager
@@ -15,32 +15,32 @@
     DispatchCall,
     FinishCall,
 )
-from tests.unit.gateway.harness import GatewayHarness, answer_lost, refused
+from tests.unit.gateway.harness import GatewayHarness, refused, reply_dropped
 
-LOST = Problem.of(ProblemCode.UNAVAILABLE, "lost", ran=Ran.UNKNOWN)
+NO_REPLY = Problem.of(ProblemCode.UNAVAILABLE, "no reply", ran=Ran.UNKNOWN)
 UNSENT = Problem.of(ProblemCode.UNAVAILABLE, "not sent")
 BUSY = Problem.of(ProblemCode.OVERLOADED, "busy", retry_after=1.0)
-FAULTS = [refused(UNSENT), refused(LOST), answer_lost(LOST)]
+FAULTS = [refused(UNSENT), refused(NO_REPLY), reply_dropped(NO_REPLY)]
 MESSAGES = [AdmitCall, DispatchCall, FinishCall, AwaitAnswer]
 CALLS = st.tuples(st.integers(0, 1), st.booleans(), st.booleans())
-"""Which program, whether repeatable, whether streamed."""
+"""Program index, repeatable, streamed."""
 
 CAPACITIES = st.sampled_from(["all", "slots", "grants", "lease"])
-SETTLE_SECONDS = 900
+DRAIN_SECONDS = 900
 
 
 @attrs.define
 class Caller:
-    """One request, and what of its response was judged already."""
+    """One request, and whether its response was checked already."""
 
     connection: object
     call: tuple[str, int]
-    is_lost: bool = False
-    is_judged: bool = False
+    is_disconnected: bool = False
+    is_checked: bool = False
 
 
 class GatewayMachine(RuleBasedStateMachine):
-    """Whatever fails: at most once, one answer, an honest `ran`, nothing held."""
+    """At most one run and one answer, a correct `ran`, and everything released."""
 
     def __init__(self):
         super().__init__()
@@ -79,7 +79,7 @@
                 self.fail(self.open_streams()[-1], ran)
 
     @rule(call=CALLS, message=st.sampled_from(MESSAGES), fault=st.sampled_from(FAULTS))
-    def call_whose_message_is_lost(self, call, message, fault):
+    def call_whose_message_fails(self, call, message, fault):
         self.harness.router.faults[message] = [fault]
         self.begin_call(*call)
         if self.open_streams():
@@ -107,11 +107,11 @@
     def fail(self, stream, ran):
         ran = Ran.YES if stream.has_started else ran
         self.failed_streams[stream.request.request_id] = ran
-        stream.fail(Problem.of(ProblemCode.ENGINE_FAILED, "gone", ran=ran))
+        stream.fail(Problem.of(ProblemCode.ENGINE_FAILED, "failed", ran=ran))
 
     @contextmanager
     def without(self, where):
-        """Refuse slots or grants, or let leases lapse, for a moment."""
+        """Refuse slots or grants, or let leases expire, in the context."""
         harness = self.harness
         harness.slots.problem = BUSY if where == "slots" else None
         harness.placer.problem = BUSY if where == "grants" else None
@@ -122,14 +122,14 @@
 
     @precondition(lambda self: self.callers)
     @rule(data=st.data())
-    def caller_is_lost(self, data):
+    def caller_disconnects(self, data):
         caller = data.draw(st.sampled_from(self.callers))
-        if not caller.is_lost and not caller.is_judged:
-            caller.is_lost = True
+        if not caller.is_disconnected and not caller.is_checked:
+            caller.is_disconnected = True
             caller.connection.disconnect()
 
     @rule(message=st.sampled_from(MESSAGES), fault=st.sampled_from(FAULTS))
-    def message_is_lost(self, message, fault):
+    def message_fails(self, message, fault):
         self.harness.router.faults.setdefault(message, []).append(fault)
 
     @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, 40.0]))
@@ -142,7 +142,7 @@
             assert repeatable or len(self.runs(call)) <= 1
 
     @invariant()
-    def prompts_are_the_programs_own_history(self):
+    def prompts_equal_the_program_history(self):
         for stream in self.harness.engines.streams:
             program, sequence, _ = stream.request.request_id.split("/")
             texts = [m.content for m in stream.request.messages if m.role == "user"]
@@ -156,22 +156,22 @@
     @invariant()
     def responses_are_true(self):
         for caller in self.callers:
-            if not caller.is_lost and not caller.is_judged:
-                self.judge(caller)
+            if not caller.is_disconnected and not caller.is_checked:
+                self.check(caller)
 
-    def judge(self, caller):
+    def check(self, caller):
         if not caller.connection.transport.value():
             return
         response = caller.connection.response()
-        if not response.is_whole:
+        if not response.is_complete:
             return
-        caller.is_judged = True
+        caller.is_checked = True
         if response.status == 200:
-            self.judge_answer(caller, response)
+            self.check_answer(caller, response)
         elif response.json["ran"] == "no":
             assert not self.runs(caller.call)
 
-    def judge_answer(self, caller, response):
+    def check_answer(self, caller, response):
         if response.headers["content-type"] == "application/json":
             content = response.json["choices"][0]["message"]["content"]
         elif response.events[-1] == "[DONE]":
@@ -187,20 +187,20 @@
         for _ in range(20):
             for stream in self.open_streams():
                 stream.answer("late")
-            harness.clock.pump([1] * (SETTLE_SECONDS // 20))
+            harness.clock.pump([1] * (DRAIN_SECONDS // 20))
         assert harness.gateway.running_calls == 0
         assert (harness.slots.held, harness.placer.open_grants) == (0, {})
         for program in self.programs:
             assert self.record(program).running_call is None
         for caller in self.callers:
-            assert caller.is_lost or caller.connection.response().is_whole
+            assert caller.is_disconnected or caller.connection.response().is_complete
         self.responses_are_true()
 
     def open_streams(self):
         return [s for s in self.harness.engines.streams if not s.finished.called]
 
     def runs(self, call):
-        """Give the streams of a call that may have run."""
+        """Return the streams of a call that may have run."""
         prefix = f"{call[0]}/{call[1]}/"
         return [
             stream
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -1,4 +1,4 @@
-"""A gateway over a real program leader, with an engine that tests command."""
+"""A gateway with a real program leader and engines that the tests control."""
 
 import json
 import random
@@ -39,7 +39,7 @@
 
 
 class AllPartitions(LocalPartitions):
-    """Both partitions are led here; proposals take the fake's own way."""
+    """Leads both partitions; proposals are applied directly."""
 
     def __init__(self):
         super().__init__()
@@ -62,7 +62,7 @@
 
 
 class KeyedLeader(Leader):
-    """The leader service with all partitions and callers' keys."""
+    """The leader service with all partitions and a table with API keys."""
 
     def __init__(self):
         self.clock = Clock()
@@ -86,7 +86,7 @@
 
 
 class FaultyRouter:
-    """Sends to the leader's handlers; faults are ordered by message type."""
+    """Sends to the leader's handlers; `faults` has a queue per message type."""
 
     def __init__(self, leader: Leader):
         self._leader = leader
@@ -111,12 +111,12 @@
 
 
 def refused(problem):
-    """Order that a message does not arrive."""
+    """Return a fault: the message is not delivered and `problem` is the reply."""
     return lambda send: succeed(Err(problem))
 
 
-def answer_lost(problem):
-    """Order that a message is carried out, and its reply is lost."""
+def reply_dropped(problem):
+    """Return a fault: the message is handled, but `problem` replaces its reply."""
 
     def fault(send):
         send()
@@ -125,8 +125,8 @@
     return fault
 
 
-class HeldReply:
-    """Order that a message waits until `release`."""
+class DelayedReply:
+    """A fault that delays a message until `release`."""
 
     def __init__(self):
         self._gate = Deferred()
@@ -150,7 +150,7 @@
 
 
 class FakeSlots:
-    """Gives slots at once, or the problem that is set."""
+    """Returns a slot immediately, or `problem` if set."""
 
     def __init__(self):
         self.held = 0
@@ -165,7 +165,7 @@
 
 
 class FakePlacer:
-    """Grants engine-1, engine-2 … in turn, or the problem that is set."""
+    """Grants engine-1, engine-2 … in turn, or returns `problem` if set."""
 
     def __init__(self):
         self.problem = None
@@ -193,7 +193,7 @@
 
 
 class FakeStream:
-    """A stream whose events and end the test gives."""
+    """A stream whose events and end are produced by the test."""
 
     def __init__(self, address: str, request: EngineRequest, on_bytes):
         self.address = address
@@ -262,7 +262,7 @@
     status: int
     headers: dict[str, str]
     body: bytes
-    is_whole: bool
+    is_complete: bool
 
     @property
     def json(self):
@@ -287,7 +287,7 @@
 
 
 class Connection:
-    """One caller's connection, in memory."""
+    """Connection of one caller, in memory."""
 
     def __init__(self, site):
         self.channel = site.buildProtocol(None)
@@ -315,17 +315,17 @@
         self.channel.connectionLost(Failure(ConnectionLost()))
 
     def response(self) -> Response:
-        """Give what has come of the first response so far."""
+        """Return the part of the first response that was received so far."""
         head, _, rest = self.transport.value().partition(b"\r\n\r\n")
         first, *lines = head.decode().split("\r\n")
         pairs = [line.split(": ", 1) for line in lines]
         headers = {name.lower(): value for name, value in pairs}
         if headers.get("transfer-encoding") == "chunked":
-            body, is_whole = _unchunked(rest)
+            body, is_complete = _unchunked(rest)
         else:
             body = rest
-            is_whole = len(rest) == int(headers.get("content-length", 0))
-        return Response(int(first.split()[1]), headers, body, is_whole)
+            is_complete = len(rest) == int(headers.get("content-length", 0))
+        return Response(int(first.split()[1]), headers, body, is_complete)
 
 
 def _unchunked(data: bytes) -> tuple[bytes, bool]:
@@ -341,7 +341,7 @@
 
 
 class GatewayHarness:
-    """A gateway with its fakes; connections are in memory."""
+    """A gateway with fakes and in-memory connections."""
 
     def __init__(self, **section):
         self.leader = KeyedLeader()
@@ -375,19 +375,19 @@
         return Connection(self.site)
 
     def begin(self, method, path, body=None, **options) -> Connection:
-        """Send a request on a connection of its own."""
+        """Send a request on a new connection."""
         connection = self.connect()
         connection.request(method, path, body, **options)
         return connection
 
-    def ask(self, method, path, body=None, **options) -> Response:
-        """Send a request that is answered at once."""
+    def fetch(self, method, path, body=None, **options) -> Response:
+        """Send a request whose response is complete immediately."""
         response = self.begin(method, path, body, **options).response()
-        assert response.is_whole, response
+        assert response.is_complete, response
         return response
 
     def program(self, service="guide", **options) -> str:
-        response = self.ask("POST", "/v1/programs", {"service": service}, **options)
+        response = self.fetch("POST", "/v1/programs", {"service": service}, **options)
         assert response.status == 201, response.body
         return response.json["program"]
 
--- a/tests/unit/gateway/test_bad_requests.py
+++ b/tests/unit/gateway/test_bad_requests.py
@@ -1,4 +1,4 @@
-"""Every kind of bad input gets a problem document with its findings, never HTML."""
+"""Every kind of invalid input gets a problem document with findings, never HTML."""
 
 import json
 
@@ -33,7 +33,7 @@
     return {"sequence": 1, "messages": messages or [HELLO], **fields}
 
 
-def said(role="user", **fields):
+def chat_message(role="user", **fields):
     return {"role": role, "content": "x", **fields}
 
 
@@ -66,19 +66,22 @@
         call({"role": "robot"}, HELLO, sequence=-1, stream=1),
         ["messages[0].role", "messages[0].content", "sequence", "stream"],
     ),
-    (call(said(content=5)), ["messages[0].content"]),
-    (call(said(content=[{"type": "image_url"}])), ["messages[0].content[0]"]),
-    (call(said("tool")), ["messages[0].tool_call_id"]),
-    (call(said(**TOOL_CALL)), ["messages[0].tool_calls"]),
-    (call(said(name=7, audio={"id": 1})), ["messages[0].audio", "messages[0].name"]),
-    (call(said("assistant"), sequence=2), ["messages[0].role"]),
+    (call(chat_message(content=5)), ["messages[0].content"]),
+    (call(chat_message(content=[{"type": "image_url"}])), ["messages[0].content[0]"]),
+    (call(chat_message("tool")), ["messages[0].tool_call_id"]),
+    (call(chat_message(**TOOL_CALL)), ["messages[0].tool_calls"]),
+    (
+        call(chat_message(name=7, audio={"id": 1})),
+        ["messages[0].audio", "messages[0].name"],
+    ),
+    (call(chat_message("assistant"), sequence=2), ["messages[0].role"]),
 ]
 
 
 @pytest.mark.parametrize(("body", "places"), CALL_FINDINGS)
 def test_findings_of_a_call(harness, body, places):
     program = harness.program()
-    response = harness.ask("POST", f"{PROGRAMS}/{program}/calls", body)
+    response = harness.fetch("POST", f"{PROGRAMS}/{program}/calls", body)
     check_problem(response, 400, "bad_request", places)
     assert not harness.engines.streams
 
@@ -94,7 +97,7 @@
 
 @pytest.mark.parametrize(("body", "places"), PROGRAM_FINDINGS)
 def test_findings_of_a_program(harness, body, places):
-    response = harness.ask("POST", PROGRAMS, body)
+    response = harness.fetch("POST", PROGRAMS, body)
     check_problem(response, 400, "bad_request", places)
 
 
@@ -113,7 +116,7 @@
 
 @pytest.mark.parametrize(("body", "headers", "places"), COMPLETION_FINDINGS)
 def test_findings_of_a_completion(harness, body, headers, places):
-    response = harness.ask("POST", COMPLETIONS, body, headers=headers)
+    response = harness.fetch("POST", COMPLETIONS, body, headers=headers)
     check_problem(response, 400, "bad_request", places)
 
 
@@ -144,15 +147,15 @@
 
 @pytest.mark.parametrize(("method", "path", "status", "code"), UNKNOWN)
 def test_unknown_things(harness, method, path, status, code):
-    check_problem(harness.ask(method, path), status, code)
+    check_problem(harness.fetch(method, path), status, code)
 
 
 def test_a_wrong_method_names_the_right_ones(harness):
-    response = harness.ask("PUT", "/v1/programs")
+    response = harness.fetch("PUT", "/v1/programs")
     assert response.headers["allow"] == "POST"
 
 
-KEY_FAULTS = [
+KEY_ERRORS = [
     [],
     [("Authorization", "Basic a2V5LTE=")],
     [("Authorization", "Bearer")],
@@ -161,7 +164,7 @@
 ]
 
 
-@pytest.mark.parametrize("headers", KEY_FAULTS)
+@pytest.mark.parametrize("headers", KEY_ERRORS)
 def test_a_request_needs_a_known_key(harness, headers):
     for method, path in (
         ("POST", PROGRAMS),
@@ -171,14 +174,14 @@
         ("GET", f"{PROGRAMS}/region1-1-f/calls/1"),
     ):
         body = {"service": "guide"} if method == "POST" else None
-        response = harness.ask(method, path, body, key=None, headers=headers)
+        response = harness.fetch(method, path, body, key=None, headers=headers)
         check_problem(response, 401, "unauthenticated")
         assert response.headers["www-authenticate"] == "Bearer"
 
 
 def test_without_a_table_the_caller_is_told_to_come_back(harness):
     harness.table.version = 0
-    response = harness.ask("POST", PROGRAMS, {"service": "guide"}, key="new")
+    response = harness.fetch("POST", PROGRAMS, {"service": "guide"}, key="new")
     check_problem(response, 503, "unavailable")
     assert response.json["retry_after"] == 1.0
     assert response.headers["retry-after"] == "1"
--- a/tests/unit/gateway/test_call_faults.py
+++ b/tests/unit/gateway/test_call_faults.py
@@ -1,4 +1,4 @@
-"""What callers get when something fails, and what is left behind: nothing."""
+"""Responses when a component fails; slots, grants and budgets must be released."""
 
 import msgspec
 import pytest
@@ -13,13 +13,13 @@
     FinishCall,
 )
 from tests.unit.gateway.harness import (
+    DelayedReply,
     GatewayHarness,
-    HeldReply,
-    answer_lost,
     refused,
+    reply_dropped,
 )
 
-LOST = Problem.of(ProblemCode.UNAVAILABLE, "no reply", ran=Ran.UNKNOWN)
+NO_REPLY = Problem.of(ProblemCode.UNAVAILABLE, "no reply", ran=Ran.UNKNOWN)
 UNSENT = Problem.of(ProblemCode.UNAVAILABLE, "not sent")
 STALE = Problem.of(ProblemCode.STALE_EPOCH, "superseded", ran=Ran.UNKNOWN)
 
@@ -29,7 +29,7 @@
 
 
 def engine_failed(ran):
-    return Problem.of(ProblemCode.ENGINE_FAILED, "gone", ran=ran)
+    return Problem.of(ProblemCode.ENGINE_FAILED, "failed", ran=ran)
 
 
 @pytest.fixture
@@ -37,7 +37,7 @@
     return GatewayHarness()
 
 
-def check_nothing_is_held(harness):
+def check_all_released(harness):
     assert (harness.slots.held, harness.placer.open_grants) == (0, {})
     assert harness.gateway.running_calls == 0
     for state in harness.leader.partitions.states.values():
@@ -73,12 +73,12 @@
     )
     assert (response.json["ran"], response.json["retry_after"]) == ("no", 2.5)
     assert response.headers["retry-after"] == "3"
-    check_nothing_is_held(harness)
+    check_all_released(harness)
     getattr(harness, where).problem = None
     again = harness.call(program, **options)
     harness.stream.answer("now")
     assert again.response().status == 200
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_lapsed_lease_starts_nothing(harness):
@@ -87,27 +87,27 @@
     response = harness.call(program, repeatable=False).response()
     assert (response.status, response.json["ran"]) == (429, "no")
     assert not harness.engines.streams
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_dispatch_that_was_not_learnt_starts_nothing(harness):
     program = harness.program()
-    harness.router.faults[DispatchCall] = [answer_lost(LOST)] * 3
+    harness.router.faults[DispatchCall] = [reply_dropped(NO_REPLY)] * 3
     caller = harness.call(program, repeatable=False)
     harness.clock.pump([1] * 20)
     response = caller.response()
     assert (response.status, response.json["ran"]) == (503, "no")
     assert not harness.engines.streams
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 TRANSIENT = [
     (AdmitCall, refused(UNSENT)),
-    (AdmitCall, answer_lost(LOST)),
+    (AdmitCall, reply_dropped(NO_REPLY)),
     (DispatchCall, refused(UNSENT)),
-    (DispatchCall, answer_lost(LOST)),
+    (DispatchCall, reply_dropped(NO_REPLY)),
     (FinishCall, refused(UNSENT)),
-    (FinishCall, answer_lost(LOST)),
+    (FinishCall, reply_dropped(NO_REPLY)),
     (DescribeProgram, refused(UNSENT)),
 ]
 
@@ -124,7 +124,7 @@
     response = caller.response()
     assert (response.status, response.json["sequence"]) == (200, 1)
     assert len(harness.engines.streams) == 1
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_leader_that_cannot_be_reached_ends_the_wait(harness):
@@ -135,23 +135,23 @@
     response = caller.response()
     assert (response.status, response.json["code"]) == (503, "unavailable")
     assert response.json["retry_after"] == 1.0
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 @pytest.mark.parametrize("ran", list(Ran))
 def test_a_repeatable_call_is_repeated_elsewhere_before_any_byte(harness, ran):
     program = harness.program()
-    whole = harness.call(program, stream=True)
+    caller = harness.call(program, stream=True)
     harness.stream.fail(engine_failed(ran))
-    assert not whole.transport.value()
+    assert not caller.transport.value()
     harness.stream.answer("second")
-    response = whole.response()
+    response = caller.response()
     assert (response.content, response.events[-1]) == ("second", "[DONE]")
     names = [stream.request.request_id for stream in harness.engines.streams]
     assert names == [f"{program}/1/1", f"{program}/1/2"]
     assert [failed for _, _, failed in harness.placer.returned] == [True, False]
     assert harness.placer.avoided == [frozenset(), {"engine-1"}]
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_two_answers_are_never_spliced(harness):
@@ -160,7 +160,7 @@
     harness.stream.token("first")
     harness.stream.fail(engine_failed(Ran.YES))
     response = caller.response()
-    assert response.is_whole
+    assert response.is_complete
     assert "[DONE]" not in response.events
     assert '"error"' in response.events[-1]
     waiting = harness.begin("GET", f"/v1/programs/{program}/calls/1")
@@ -168,7 +168,7 @@
     body = waiting.response().json
     assert body["choices"][0]["message"]["content"] == "second"
     assert caller.response().content == "first"
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_attempts_are_bounded(harness):
@@ -179,7 +179,7 @@
     assert (response.status, response.json["code"]) == (502, "engine_failed")
     assert (response.json["ran"], response.json["retry_after"]) == ("unknown", 1.0)
     assert len(harness.engines.streams) == 3
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_later_refusal_does_not_hide_that_the_call_may_have_run(harness):
@@ -188,7 +188,7 @@
     harness.stream.fail(engine_failed(Ran.UNKNOWN))
     response = caller.response()
     assert (response.json["code"], response.json["ran"]) == ("overloaded", "unknown")
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 @pytest.mark.parametrize("ran", [Ran.YES, Ran.UNKNOWN])
@@ -200,13 +200,13 @@
     for response in (
         caller.response(),
         harness.call(program, repeatable=False).response(),
-        harness.ask("GET", f"/v1/programs/{program}/calls/1"),
+        harness.fetch("GET", f"/v1/programs/{program}/calls/1"),
     ):
         assert (response.status, response.json["code"]) == (409, "outcome_unknown")
         assert response.json["retry_after"] is None
         assert response.json["ran"] != "no"
     assert len(harness.engines.streams) == 1
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_an_unrepeatable_call_that_certainly_did_not_run_is_tried_again(harness):
@@ -215,7 +215,7 @@
     harness.stream.fail(engine_failed(Ran.NO))
     harness.stream.answer("once")
     assert caller.response().status == 200
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_request_that_the_engine_cannot_take_is_not_repeated(harness):
@@ -223,47 +223,47 @@
     harness.stream.fail(Problem.of(ProblemCode.BAD_REQUEST, "too long"))
     assert caller.response().status == 400
     assert harness.placer.returned == [("engine-1", None, False)]
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_stream_whose_answer_cannot_be_stored_has_no_end(harness):
     program = harness.program()
     caller = harness.call(program, stream=True)
-    harness.router.faults[FinishCall] = [refused(LOST)] * 100
+    harness.router.faults[FinishCall] = [refused(NO_REPLY)] * 100
     harness.stream.answer("one", "two")
     harness.clock.pump([1] * 29)
-    assert not caller.response().is_whole
+    assert not caller.response().is_complete
     harness.clock.pump([1] * 2)
     response = caller.response()
-    assert response.is_whole
+    assert response.is_complete
     assert "[DONE]" not in response.events
     harness.router.faults.clear()
     harness.clock.pump([1] * 10)
-    stored = harness.ask("GET", f"/v1/programs/{program}/calls/1")
+    stored = harness.fetch("GET", f"/v1/programs/{program}/calls/1")
     assert stored.json["choices"][0]["message"]["content"] == "onetwo"
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_refusal_is_given_before_it_is_undone_if_that_takes_long(harness):
     program = harness.program()
     harness.placer.problem = overloaded()
-    harness.router.faults[FinishCall] = [refused(LOST)] * 3
+    harness.router.faults[FinishCall] = [refused(NO_REPLY)] * 3
     caller = harness.call(program)
     harness.clock.advance(1)
     assert caller.response().json["ran"] == "no"
     harness.clock.pump([1] * 10)
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_superseded_attempt_gives_the_answer_that_was_stored(harness):
     program = harness.program()
     caller = harness.call(program)
-    harness.router.faults[FinishCall] = [answer_lost(STALE)]
+    harness.router.faults[FinishCall] = [reply_dropped(STALE)]
     harness.stream.answer("one")
     answer = caller.response().json["choices"][0]["message"]["content"]
     assert answer == "one"
     assert harness.router.count(AwaitAnswer) == 1
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_another_body_for_the_same_sequence_is_a_conflict(harness):
@@ -304,12 +304,12 @@
     harness.engines.open_stream = explode
     response = harness.call(program).response()
     assert (response.status, response.json["ran"]) == (500, "unknown")
-    check_nothing_is_held(harness)
+    check_all_released(harness)
 
 
 def test_a_crash_of_a_handler_is_a_problem(harness):
     harness.router.to_partition = None
-    response = harness.ask("POST", "/v1/programs", {"service": "guide"})
+    response = harness.fetch("POST", "/v1/programs", {"service": "guide"})
     assert (response.status, response.json["code"]) == (500, "internal")
 
 
@@ -317,13 +317,13 @@
     program = harness.program()
     harness.call(program)
     harness.stream.answer("one")
-    held = HeldReply()
-    harness.router.faults[DispatchCall] = [held]
+    delayed = DelayedReply()
+    harness.router.faults[DispatchCall] = [delayed]
     harness.call(program, 2, "two")
     dispatches = [m for m in harness.router.sent if isinstance(m, DispatchCall)]
     assert [m.engine for m in dispatches] == ["engine-1", "engine-1"]
     assert len(harness.engines.streams) == 1
-    held.release()
+    delayed.release()
     engines = [m.engine for m in harness.router.sent if isinstance(m, DispatchCall)]
     assert engines == ["engine-1", "engine-1", "engine-2"]
     assert len(harness.engines.streams) == 2
@@ -331,11 +331,11 @@
 
 def test_a_repeat_joins_while_the_first_request_is_still_being_dispatched(harness):
     program = harness.program()
-    held = HeldReply()
-    harness.router.faults[DispatchCall] = [held]
+    delayed = DelayedReply()
+    harness.router.faults[DispatchCall] = [delayed]
     first, second = harness.call(program), harness.call(program)
     assert harness.router.count(AdmitCall) == 1
-    held.release()
+    delayed.release()
     harness.stream.answer("one")
     assert first.response().json == second.response().json
 
@@ -349,8 +349,8 @@
 ]
 
 
-@pytest.mark.parametrize(("earlier", "ran", "said"), WORSE)
-def test_ran_covers_every_attempt(earlier, ran, said):
+@pytest.mark.parametrize(("earlier", "ran", "expected_ran"), WORSE)
+def test_ran_covers_every_attempt(earlier, ran, expected_ran):
     before = None if earlier is None else engine_failed(earlier)
     problem = with_worst_ran(before, msgspec.structs.replace(overloaded(), ran=ran))
-    assert problem == msgspec.structs.replace(overloaded(), ran=said)
+    assert problem == msgspec.structs.replace(overloaded(), ran=expected_ran)
--- a/tests/unit/gateway/test_call_path.py
+++ b/tests/unit/gateway/test_call_path.py
@@ -1,11 +1,11 @@
-"""The whole path of programs and calls over HTTP, against a real leader."""
+"""Programs and calls over HTTP, with a real leader."""
 
 import json
 
 import pytest
 
 from notcharch.wire.messages.programs import AdmitCall, DispatchCall, FinishCall
-from tests.unit.gateway.harness import GatewayHarness, HeldReply
+from tests.unit.gateway.harness import DelayedReply, GatewayHarness
 
 
 @pytest.fixture
@@ -19,7 +19,7 @@
     assert not first.transport.value()
     harness.stream.answer("gate", " one")
     response = first.response()
-    assert (response.status, response.is_whole) == (200, True)
+    assert (response.status, response.is_complete) == (200, True)
     choice = response.json["choices"][0]
     assert choice["message"] == {"role": "assistant", "content": "gate one"}
     assert choice["finish_reason"] == "stop"
@@ -33,13 +33,13 @@
     harness.stream.answer("two")
     assert second.response().json["sequence"] == 2
 
-    history = harness.ask("GET", f"/v1/programs/{program}/history?start=1&limit=2")
+    history = harness.fetch("GET", f"/v1/programs/{program}/history?start=1&limit=2")
     contents = [message["content"] for message in history.json["messages"]]
     assert (contents, history.json["total"]) == (["gate one", "again"], 4)
-    state = harness.ask("GET", f"/v1/programs/{program}")
+    state = harness.fetch("GET", f"/v1/programs/{program}")
     assert (state.json["next_sequence"], state.json["spent_tokens"]) == (3, 23)
     for _ in range(2):
-        ended = harness.ask("DELETE", f"/v1/programs/{program}")
+        ended = harness.fetch("DELETE", f"/v1/programs/{program}")
         assert ended.json == {"program": program, "ended": True}
     late = harness.call(program, 3).response()
     assert (late.status, late.json["code"]) == (409, "program_ended")
@@ -53,23 +53,23 @@
     response = caller.response()
     assert response.headers["content-type"] == "text/event-stream"
     assert (response.status, response.content) == (200, "gate")
-    held = HeldReply()
-    harness.router.faults[FinishCall] = [held]
+    delayed = DelayedReply()
+    harness.router.faults[FinishCall] = [delayed]
     harness.stream.end()
     assert len(caller.response().events) == 1
-    held.release()
+    delayed.release()
     response = caller.response()
-    assert response.is_whole
+    assert response.is_complete
     assert response.events[-1] == "[DONE]"
     assert len(response.events) == 3
 
 
 def test_the_dispatch_is_committed_before_the_stream_opens(harness):
-    held = HeldReply()
-    harness.router.faults[DispatchCall] = [held]
+    delayed = DelayedReply()
+    harness.router.faults[DispatchCall] = [delayed]
     harness.call(harness.program())
     assert not harness.engines.streams
-    held.release()
+    delayed.release()
     assert len(harness.engines.streams) == 1
 
 
@@ -83,7 +83,7 @@
     assert len({response.body for response in answers}) == 1
     assert streamed.response().content == "one"
     assert streamed.response().events[-1] == "[DONE]"
-    fetched = harness.ask("GET", f"/v1/programs/{program}/calls/1")
+    fetched = harness.fetch("GET", f"/v1/programs/{program}/calls/1")
     assert fetched.body == answers[0].body
     assert len(harness.engines.streams) == 1
 
@@ -114,12 +114,12 @@
     headers = [("Idempotency-Key", "k")]
     body = {"service": "guide"}
     names = {
-        harness.ask("POST", "/v1/programs", body, headers=headers).json["program"]
+        harness.fetch("POST", "/v1/programs", body, headers=headers).json["program"]
         for _ in range(3)
     }
     assert len(names) == 1
-    other = harness.ask("POST", "/v1/programs", body)
-    child = harness.ask(
+    other = harness.fetch("POST", "/v1/programs", body)
+    child = harness.fetch(
         "POST", "/v1/programs", {"service": "guide", "parent": other.json["program"]}
     )
     assert child.json["program"].split("-")[1] == other.json["program"].split("-")[1]
@@ -134,7 +134,7 @@
         ("GET", "/calls/1"),
     ):
         path = f"/v1/programs/{program}{end}"
-        response = harness.ask(method, path, key="key-2")
+        response = harness.fetch(method, path, key="key-2")
         assert (response.status, response.json["code"]) == (404, "not_found")
     assert harness.router.count(AdmitCall) == 0
 
@@ -145,7 +145,7 @@
     harness.call(program, temperature=0.5, tools=tools, stop=None)
     parameters = json.loads(harness.stream.request.parameters)
     assert parameters == {"temperature": 0.5, "tools": tools}
-    reserved = harness.ask("GET", f"/v1/programs/{program}").json["reserved_tokens"]
+    reserved = harness.fetch("GET", f"/v1/programs/{program}").json["reserved_tokens"]
     bound = len(json.dumps(tools, separators=(",", ":"))) + 8
     assert reserved == len("hello") + 8 + bound + 1024
     other = harness.call(program, temperature=0.6, tools=tools).response()
@@ -156,9 +156,9 @@
     program = harness.program()
     function = {"name": "look_up", "arguments": "{}"}
     calls = [{"id": str(n), "type": "function", "function": function} for n in (1, 2)]
-    whole = harness.call(program)
+    unstreamed = harness.call(program)
     harness.stream.end_with_tool_calls(calls)
-    choice = whole.response().json["choices"][0]
+    choice = unstreamed.response().json["choices"][0]
     assert choice["finish_reason"] == "tool_calls"
     message = {"role": "assistant", "content": None, "tool_calls": calls}
     assert choice["message"] == message
@@ -176,5 +176,5 @@
     prompt = harness.stream.request.messages
     assert [m.role for m in prompt] == ["user", "assistant", "tool", "tool"]
     assert json.loads(bytes(prompt[1].tool_calls)) == calls
-    history = harness.ask("GET", f"/v1/programs/{program}/history")
+    history = harness.fetch("GET", f"/v1/programs/{program}/history")
     assert history.json["messages"][1]["tool_calls"] == calls
--- a/tests/unit/gateway/test_drain.py
+++ b/tests/unit/gateway/test_drain.py
@@ -1,4 +1,4 @@
-"""A planned stop takes nothing new and cuts off nothing that runs."""
+"""A drain refuses new calls and lets the running ones end."""
 
 import pytest
 
@@ -20,12 +20,12 @@
 
 def test_new_calls_are_refused_at_once_and_running_ones_end(harness):
     program = harness.program()
-    whole = harness.call(program)
+    unstreamed = harness.call(program)
     streamed = harness.call(harness.program(), stream=True)
     first, second = harness.engines.streams
     second.token("one")
     drained = begin_drain(harness)
-    # A call may have run for an earlier request, at another daemon.
+    # Another daemon may have run the call for an earlier request.
     for path, body, ran in (
         ("/v1/programs", {"service": "guide"}, "no"),
         (f"/v1/programs/{program}/calls", {}, "unknown"),
@@ -37,9 +37,9 @@
         assert (response.json["ran"], response.json["retry_after"]) == (ran, 1.0)
         assert response.headers["connection"] == "close"
         assert connection.transport.disconnecting
-    assert harness.ask("GET", f"/v1/programs/{program}").status == 200
+    assert harness.fetch("GET", f"/v1/programs/{program}").status == 200
     first.answer("one")
-    assert whole.response().status == 200
+    assert unstreamed.response().status == 200
     assert not drained
     second.end()
     assert streamed.response().events[-1] == "[DONE]"
@@ -52,8 +52,8 @@
 
 def test_a_drain_waits_for_outcomes_that_are_not_stored_yet(harness):
     program = harness.program()
-    lost = Problem.of(ProblemCode.UNAVAILABLE, "lost", ran=Ran.UNKNOWN)
-    harness.router.faults[FinishCall] = [refused(lost)] * 4
+    no_reply = Problem.of(ProblemCode.UNAVAILABLE, "no reply", ran=Ran.UNKNOWN)
+    harness.router.faults[FinishCall] = [refused(no_reply)] * 4
     harness.placer.problem = Problem.of(ProblemCode.OVERLOADED, "x", retry_after=1.0)
     caller = harness.call(program)
     harness.clock.advance(1)
--- a/tests/unit/gateway/test_openai_clients.py
+++ b/tests/unit/gateway/test_openai_clients.py
@@ -1,4 +1,4 @@
-"""Ordinary OpenAI clients: whole conversations, and calls without a program."""
+"""OpenAI clients: complete conversations, and calls without a program."""
 
 import pytest
 
@@ -16,12 +16,12 @@
     return GatewayHarness()
 
 
-def said(role, content):
+def chat_message(role, content):
     return {"role": role, "content": content}
 
 
 class Client:
-    """Keeps a conversation and sends it whole each time."""
+    """Sends its complete conversation in each call."""
 
     def __init__(self, harness, program):
         self._harness = harness
@@ -37,7 +37,7 @@
         )
 
     def say(self, text, answer):
-        self.messages.append(said("user", text))
+        self.messages.append(chat_message("user", text))
         caller = self.begin()
         self._harness.stream.answer(answer)
         response = caller.response()
@@ -51,7 +51,7 @@
 
 
 def test_the_known_part_is_stripped(harness, client):
-    client.messages = [said("system", "be kind")]
+    client.messages = [chat_message("system", "be kind")]
     assert client.say("hello", "one").headers["x-notcharch-sequence"] == "1"
     assert client.say("again", "two").headers["x-notcharch-sequence"] == "2"
     prompt = [message.content for message in harness.stream.request.messages]
@@ -60,7 +60,7 @@
 
 @pytest.mark.parametrize("stream", [False, True])
 def test_a_repeat_of_any_answered_call_gives_its_answer(harness, client, stream):
-    client.messages = [said("user", "first"), said("user", "of two")]
+    client.messages = [chat_message("user", "first"), chat_message("user", "of two")]
     for number in range(4):
         client.say(f"text {number}", f"answer {number}")
     conversation = client.messages
@@ -79,7 +79,7 @@
 
 
 def test_a_repeat_while_it_runs_joins(harness, client):
-    client.messages = [said("user", "hello")]
+    client.messages = [chat_message("user", "hello")]
     first, second = client.begin(), client.begin()
     harness.stream.answer("one")
     assert first.response().json == second.response().json
@@ -87,16 +87,19 @@
 
 
 MISMATCHES = [
-    ([said("user", "HELLO")], "messages[0]"),
-    ([said("user", "hello"), said("assistant", "other")], "messages[1]"),
-    ([said("user", "hello"), said("assistant", "one")], "messages"),
-    ([said("user", "new")], "messages[0]"),
+    ([chat_message("user", "HELLO")], "messages[0]"),
+    (
+        [chat_message("user", "hello"), chat_message("assistant", "other")],
+        "messages[1]",
+    ),
+    ([chat_message("user", "hello"), chat_message("assistant", "one")], "messages"),
+    ([chat_message("user", "new")], "messages[0]"),
     (
         [
-            said("user", "hello"),
-            said("assistant", "one"),
-            said("assistant", "made up"),
-            said("user", "x"),
+            chat_message("user", "hello"),
+            chat_message("assistant", "one"),
+            chat_message("assistant", "made up"),
+            chat_message("user", "x"),
         ],
         "messages[2]",
     ),
@@ -122,7 +125,7 @@
 
 
 def test_an_unrepeatable_call_needs_its_number(harness, client):
-    client.messages = [said("user", "write it")]
+    client.messages = [chat_message("user", "write it")]
     response = client.begin(repeatable=False).response()
     places = [finding["place"] for finding in response.json["findings"]]
     assert places == ["header.X-Notcharch-Sequence"]
@@ -132,8 +135,8 @@
 
 
 def test_another_tenants_program_does_not_exist(harness, client):
-    client.messages = [said("user", "hello")]
-    response = harness.ask(
+    client.messages = [chat_message("user", "hello")]
+    response = harness.fetch(
         "POST",
         PATH,
         {"messages": client.messages},
@@ -143,20 +146,20 @@
     assert (response.status, response.json["code"]) == (404, "not_found")
 
 
-def lone_call(harness, **fields):
+def standalone_call(harness, **fields):
     headers = fields.pop("headers", ())
-    body = {"model": "guide", "messages": [said("user", "hello")], **fields}
+    body = {"model": "guide", "messages": [chat_message("user", "hello")], **fields}
     return harness.begin("POST", PATH, body, headers=headers)
 
 
 def test_a_call_without_a_program_is_a_program_that_ends_with_it(harness):
-    caller = lone_call(harness)
+    caller = standalone_call(harness)
     program = harness.stream.request.program
     assert harness.router.count(EndProgram) == 0
     caller.disconnect()
     harness.stream.answer("one")
-    assert harness.ask("GET", f"/v1/programs/{program}").json["ended"]
-    stored = harness.ask("GET", f"/v1/programs/{program}/calls/1")
+    assert harness.fetch("GET", f"/v1/programs/{program}").json["ended"]
+    stored = harness.fetch("GET", f"/v1/programs/{program}/calls/1")
     assert stored.json["choices"][0]["message"]["content"] == "one"
 
 
@@ -164,17 +167,19 @@
     headers = [("Idempotency-Key", "k")]
     refusal = Problem.of(ProblemCode.OVERLOADED, "x", retry_after=1.0)
     harness.placer.problem = refusal
-    assert lone_call(harness, headers=headers).response().status == 429
+    assert standalone_call(harness, headers=headers).response().status == 429
     harness.placer.problem = None
-    callers = [lone_call(harness, headers=headers, repeatable=True) for _ in range(2)]
+    callers = [
+        standalone_call(harness, headers=headers, repeatable=True) for _ in range(2)
+    ]
     harness.stream.answer("one")
-    callers.append(lone_call(harness, headers=headers))
+    callers.append(standalone_call(harness, headers=headers))
     assert len({caller.response().body for caller in callers}) == 1
     assert len(harness.engines.streams) == 1
 
 
 def test_a_call_of_another_tenants_service_is_refused(harness):
-    response = lone_call(harness, model="other").response()
+    response = standalone_call(harness, model="other").response()
     assert (response.status, response.json["code"]) == (404, "not_found")
 
 
@@ -197,6 +202,6 @@
 ]
 
 
-@pytest.mark.parametrize(("mine", "known", "same"), SAME)
-def test_messages_are_compared_by_meaning(mine, known, same):
-    assert is_same_message(mine, known) is same
+@pytest.mark.parametrize(("received", "known", "same"), SAME)
+def test_messages_are_compared_by_meaning(received, known, same):
+    assert is_same_message(received, known) is same
--- a/tests/unit/gateway/test_stream_relay.py
+++ b/tests/unit/gateway/test_stream_relay.py
@@ -1,4 +1,4 @@
-"""The relay: bytes as they come, back-pressure, the held-back end."""
+"""The stream relay: unchanged bytes, back-pressure, the buffered end."""
 
 import json
 
@@ -37,7 +37,7 @@
 
 
 class FakeRequest:
-    """The part of a twisted request, its channel and transport that is used."""
+    """Fakes the parts of a Twisted request, channel and transport that are used."""
 
     chunked = False
 
@@ -80,19 +80,19 @@
         self.relay.attach(self.stream)
 
 
-@pytest.mark.parametrize(("pieces", "passed_on", "held"), PIECES)
-def test_the_end_is_held_back_and_released(pieces, passed_on, held):
+@pytest.mark.parametrize(("pieces", "passed_on", "buffered"), PIECES)
+def test_the_end_is_held_back_and_released(pieces, passed_on, buffered):
     harness = RelayHarness()
     for piece in pieces:
         harness.relay.on_bytes(piece)
     assert harness.request.body == passed_on
-    assert harness.relay.is_end_buffered == bool(held)
+    assert harness.relay.is_end_buffered == bool(buffered)
     harness.relay.write_buffered_end()
-    assert harness.request.body == passed_on + held
+    assert harness.request.body == passed_on + buffered
 
 
-@pytest.mark.parametrize(("pieces", "passed_on", "held"), PIECES)
-def test_the_fast_path_writes_the_same_bytes(pieces, passed_on, held):
+@pytest.mark.parametrize(("pieces", "passed_on", "buffered"), PIECES)
+def test_the_fast_path_writes_the_same_bytes(pieces, passed_on, buffered):
     harness = RelayHarness()
     harness.request.chunked = True
     for piece in [ONE, *pieces]:
