--- a/notcharch/admin/__init__.py
+++ b/notcharch/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' HTTP interface."""
+"""The HTTP interface for operators."""
--- a/notcharch/admin/authentication.py
+++ b/notcharch/admin/authentication.py
@@ -1,4 +1,4 @@
-"""Operators' keys and roles; they have nothing to do with callers' keys."""
+"""Keys and roles of operators, which are independent of the keys of callers."""
 
 import enum
 import hashlib
@@ -14,56 +14,55 @@
 
 
 class Role(enum.IntEnum):
-    """What an operator may do; a higher role may do all of a lower one."""
+    """Permissions of an operator; each role includes all lower ones."""
 
     VIEWER = 1
-    """Read everything."""
+    """May use all read-only routes."""
 
     EDITOR = 2
-    """Publish the table, and with it pause services."""
+    """May also publish the table, which includes pausing services."""
 
     ADMINISTRATOR = 3
-    """Drain daemons and engines, end programs."""
+    """May also drain daemons, engines and zones, and end programs."""
 
 
 @attrs.frozen
 class Operator:
-    """Who asks."""
+    """An authenticated operator."""
 
     name: str
     role: Role
 
 
 class OperatorKeys:
-    """The operators that a daemon's settings name."""
+    """The operators in the settings of a daemon."""
 
     def __init__(self, keys: tuple[OperatorKey, ...]) -> None:
-        """Take the settings' keys: names, hex SHA-256 digests and roles."""
+        """Use the keys of the settings: names, hex SHA-256 digests and roles."""
         self._keys = keys
 
     def authenticate(
-        self, authorization: str | None, needed: Role
+        self, authorization: str | None, required_role: Role
     ) -> Result[Operator, Problem]:
-        """Judge an `Authorization: Bearer KEY` header for a role."""
-        scheme, _, text = (authorization or "").partition(" ")
-        if scheme.lower() != BEARER or not text:
+        """Check an `Authorization: Bearer KEY` header against a role."""
+        scheme, _, key_text = (authorization or "").partition(" ")
+        if scheme.lower() != BEARER or not key_text:
             message = "send an operator's key: Authorization: Bearer KEY"
             return Err(Problem.of(ProblemCode.UNAUTHENTICATED, message))
-        operator = self._operator_of(text.strip())
+        operator = self._operator_of(key_text.strip())
         if operator is None:
-            message = "this operator's key is not known"
+            message = "the operator's key is unknown"
             return Err(Problem.of(ProblemCode.UNAUTHENTICATED, message))
-        if operator.role < needed:
-            message = f"needs the role {needed.name.lower()}"
+        if operator.role < required_role:
+            message = f"needs the role {required_role.name.lower()}"
             return Err(Problem.of(ProblemCode.FORBIDDEN, message))
         return Ok(operator)
 
-    def _operator_of(self, text: str) -> Operator | None:
-        digest = hashlib.sha256(text.encode()).hexdigest()
-        found: Operator | None = None
-        # Every key is compared, each in constant time, so that the time of the
-        # answer tells nothing about the digests.
+    def _operator_of(self, key_text: str) -> Operator | None:
+        digest = hashlib.sha256(key_text.encode()).hexdigest()
+        matching_operator: Operator | None = None
+        # All keys are compared, each in constant time, to prevent timing attacks.
         for key in self._keys:
             if hmac.compare_digest(key.key_sha256, digest):
-                found = Operator(key.name, Role[key.role.upper()])
-        return found
+                matching_operator = Operator(key.name, Role[key.role.upper()])
+        return matching_operator
--- a/notcharch/admin/daemon_handlers.py
+++ b/notcharch/admin/daemon_handlers.py
@@ -1,4 +1,4 @@
-"""Answers the other daemons' questions on behalf of their operators."""
+"""Handlers of the messages by which other daemons describe or drain this one."""
 
 from collections.abc import Callable
 
@@ -20,7 +20,7 @@
 
 @attrs.frozen
 class DaemonActivity:
-    """What a daemon does now; `state` is `starting`, `live` or `draining`."""
+    """Current activity of a daemon; `state` is `starting`, `live` or `draining`."""
 
     state: str
     running_calls: int
@@ -40,7 +40,7 @@
         partitions: Callable[[], tuple[PartitionDescription, ...]],
         drain: Callable[[bool], None],
     ) -> None:
-        """Register on the network; `drain(False)` takes a drain back."""
+        """Register the handlers on the network; `drain(False)` cancels a drain."""
         self._clock = clock
         self._network = network
         self._zone = zone
@@ -50,7 +50,7 @@
         self._drain = drain
         self._started_at = clock.seconds()
         network.on_request(DescribeDaemon, self._describe)
-        network.on_request(DrainDaemon, self._take_drain)
+        network.on_request(DrainDaemon, self._handle_drain)
 
     async def _describe(self, _sender: Member, message: Message) -> Message:
         assert isinstance(message, DescribeDaemon)
@@ -68,7 +68,7 @@
             partitions=self._partitions() if message.partitions else (),
         )
 
-    async def _take_drain(self, _sender: Member, message: Message) -> Message:
+    async def _handle_drain(self, _sender: Member, message: Message) -> Message:
         assert isinstance(message, DrainDaemon)
         self._drain(message.drain)
         return DrainStarted(self._activity().running_calls)
--- a/notcharch/admin/in_force.py
+++ b/notcharch/admin/in_force.py
@@ -1,4 +1,4 @@
-"""Waits until every live daemon has a version of the table in force."""
+"""Waits until a version of the table is in force at every live daemon."""
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -11,15 +11,15 @@
     DescribeDaemon,
 )
 
-FIRST_PAUSE_SECONDS = 0.1
-LAST_PAUSE_SECONDS = 1.0
+MIN_POLL_SECONDS = 0.1
+MAX_POLL_SECONDS = 1.0
 
 
 class InForceReport(msgspec.Struct, frozen=True):
-    """How far a version has come.
+    """Rollout state of a version.
 
-    `in_force` is true when every daemon that was believed alive at the end
-    reported it. `behind` answered with an older version, `unreached` not at all.
+    `in_force` is true if every daemon that was live at the end reported the version.
+    `behind` are the daemons with an older version, `unreached` those without a reply.
     """
 
     version: TableVersion
@@ -31,22 +31,22 @@
 
 
 class InForceWait:
-    """Asks the daemons again and again, only those that did not have it yet."""
+    """Polls the daemons that have not reported the version yet."""
 
     def __init__(self, *, clock: IReactorTime, scatter: Scatter) -> None:
-        """Take how the daemons are asked."""
+        """Send the requests through `scatter`."""
         self._clock = clock
         self._scatter = scatter
 
     async def wait(self, version: TableVersion, seconds: float) -> InForceReport:
-        """Wait up to `seconds`; versions never go back, so each is asked once."""
+        """Wait up to `seconds`; versions only grow, so each daemon reports once."""
         started_at = self._clock.seconds()
         reported: set[DaemonName] = set()
-        pause = FIRST_PAUSE_SECONDS
+        poll_seconds = MIN_POLL_SECONDS
         while True:
             daemons = self._scatter.live_daemons()
             missing = tuple(name for name in daemons if name not in reported)
-            gathered = await self._scatter.ask(
+            gathered = await self._scatter.request_from(
                 missing, DescribeDaemon(), DaemonDescription
             )
             behind = tuple(
@@ -55,16 +55,18 @@
                 if reply.table_version < version
             )
             reported |= gathered.replies.keys() - set(behind)
-            waited = self._clock.seconds() - started_at
-            is_everywhere = not behind and not gathered.unreached
-            if is_everywhere or waited >= seconds:
+            elapsed = self._clock.seconds() - started_at
+            is_in_force = not behind and not gathered.unreached
+            if is_in_force or elapsed >= seconds:
                 return InForceReport(
                     version=version,
-                    in_force=is_everywhere,
+                    in_force=is_in_force,
                     daemons=len(daemons),
-                    waited_seconds=waited,
+                    waited_seconds=elapsed,
                     behind=behind,
                     unreached=gathered.unreached,
                 )
-            await deferLater(self._clock, min(pause, max(0.0, seconds - waited)))
-            pause = min(LAST_PAUSE_SECONDS, 2 * pause)
+            await deferLater(
+                self._clock, min(poll_seconds, max(0.0, seconds - elapsed))
+            )
+            poll_seconds = min(MAX_POLL_SECONDS, 2 * poll_seconds)
--- a/notcharch/admin/metrics.py
+++ b/notcharch/admin/metrics.py
@@ -1,4 +1,4 @@
-"""`/metrics` in Prometheus' text format, and the table's own metrics."""
+"""`/metrics` in the Prometheus text format, and the metrics of the table."""
 
 from collections.abc import Iterator
 
@@ -13,30 +13,30 @@
 
 
 class MetricsResource(Resource):
-    """The resource to mount at `/metrics`; it needs no key and shows no names."""
+    """Resource for `/metrics`; it needs no key and exposes no names."""
 
     isLeaf = True  # noqa: N815 - Twisted's name
 
     def __init__(self, registry: CollectorRegistry) -> None:
-        """Show the metrics of a registry."""
+        """Expose the metrics of a registry."""
         super().__init__()  # type: ignore[no-untyped-call]
         self._registry = registry
 
     def render_GET(self, request: IRequest) -> bytes:  # noqa: N802 - Twisted's name
-        """Give all metrics as they are now."""
+        """Return the current values of all metrics."""
         request.setHeader("content-type", CONTENT_TYPE_LATEST)
         return generate_latest(self._registry)
 
 
 class TableCollector(Collector):
-    """Gauges of this daemon's replica; register it on the daemon's registry."""
+    """Gauges of the table replica; register it in the registry of the daemon."""
 
     def __init__(self, replica: TableReplica) -> None:
-        """Read from a replica whenever metrics are asked for."""
+        """Read the replica on each scrape."""
         self._replica = replica
 
     def collect(self) -> Iterator[Metric]:
-        """Give the present values."""
+        """Return the current values."""
         replica = self._replica
         yield GaugeMetricFamily(
             "notcharch_table_version",
--- a/notcharch/admin/operation_routes.py
+++ b/notcharch/admin/operation_routes.py
@@ -1,4 +1,4 @@
-"""What operators order: drains, pauses of services, the end of a program."""
+"""Routes for operations: drain, pause and resume services, end programs."""
 
 import msgspec
 from result import Err, Result
@@ -36,12 +36,12 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-ORDER_SECONDS = 10.0
+OPERATION_TIMEOUT_SECONDS = 10.0
 PAUSED_CELL = "paused"
 
 
 class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A daemon, an engine or a zone; `drain: false` takes the order back."""
+    """Exactly one of daemon, engine and zone; `drain: false` cancels the drain."""
 
     daemon: DaemonName | None = None
     engine: EngineName | None = None
@@ -50,7 +50,7 @@
 
 
 class DrainAnswer(msgspec.Struct, frozen=True):
-    """The order was taken; `running_calls` are still to end (of a daemon)."""
+    """An accepted drain; for a daemon, `running_calls` have not ended yet."""
 
     name: str
     draining: bool
@@ -58,13 +58,13 @@
 
 
 class ProgramEndedAnswer(msgspec.Struct, frozen=True):
-    """The program is ended, and its children with it."""
+    """A program that was ended together with its children."""
 
     program: ProgramId
 
 
 class OperationRoutes:
-    """The routes that change something other than the table."""
+    """The routes of operations on daemons, engines, zones, services and programs."""
 
     def __init__(
         self,
@@ -74,7 +74,7 @@
         table: TableView,
         table_routes: TableRoutes,
     ) -> None:
-        """Take the ways to daemons, stewards and partitions, and the table's."""
+        """Send to daemons by `network`, to stewards and leaders by `router`."""
         self._network = network
         self._router = router
         self._table = table
@@ -93,12 +93,16 @@
         if isinstance(read, Err):
             return read
         body = read.ok_value
-        named = [
-            one for one in (body.daemon, body.engine, body.zone) if one is not None
+        targets = [
+            target
+            for target in (body.daemon, body.engine, body.zone)
+            if target is not None
         ]
-        if len(named) != 1:
-            finding = Finding("body", "needs either daemon, engine or zone")
-            return Err(bad_request("the body cannot be read", finding))
+        if len(targets) != 1:
+            finding = Finding(
+                "body", "must have exactly one of daemon, engine and zone"
+            )
+            return Err(bad_request("the body is invalid", finding))
         if body.daemon is not None:
             return await self._drain_daemon(body.daemon, body.drain)
         if body.engine is not None:
@@ -109,7 +113,7 @@
     async def _drain_zone(
         self, request: AdminRequest, zone: ZoneName, drain: bool
     ) -> Result[msgspec.Struct, Problem]:
-        """Publish a version of the table in which a zone is drained, or is not."""
+        """Publish a version of the table that drains a zone or cancels its drain."""
         change = ChangeZoneDrain(zone, drain)
         note = "drain zone" if drain else "give zone back"
         published = await self._publish(request, change, note)
@@ -118,7 +122,7 @@
     async def _publish(
         self, request: AdminRequest, change: AnyChange, note: str
     ) -> Result[msgspec.Struct, Problem]:
-        """Publish a version of the table with one change, in the operator's name."""
+        """Publish a version of the table with one change by the operator."""
         publication = PublishRequest(
             draft=ChangesDraft((change,)),
             base_version=self._table.version,
@@ -130,7 +134,9 @@
     async def _drain_daemon(
         self, daemon: DaemonName, drain: bool
     ) -> Result[msgspec.Struct, Problem]:
-        reply = await self._network.request(daemon, DrainDaemon(drain), ORDER_SECONDS)
+        reply = await self._network.request(
+            daemon, DrainDaemon(drain), OPERATION_TIMEOUT_SECONDS
+        )
         started = reply.and_then(lambda message: expect(message, DrainStarted))
         return started.map(
             lambda message: DrainAnswer(daemon, drain, message.running_calls)
@@ -139,10 +145,12 @@
     async def _drain_engine(
         self, engine: EngineName, drain: bool
     ) -> Result[msgspec.Struct, Problem]:
-        order = DrainEngine(engine, drain)
-        reply = await self._router.to_steward(engine, order, ORDER_SECONDS)
-        taken = reply.and_then(lambda message: expect(message, Acknowledged))
-        return taken.map(lambda _: DrainAnswer(engine, drain, None))
+        command = DrainEngine(engine, drain)
+        reply = await self._router.to_steward(
+            engine, command, OPERATION_TIMEOUT_SECONDS
+        )
+        acknowledged = reply.and_then(lambda message: expect(message, Acknowledged))
+        return acknowledged.map(lambda _: DrainAnswer(engine, drain, None))
 
     async def _pause(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
         return await self._set_paused(request, paused=True)
@@ -168,8 +176,8 @@
         described = await self._describe(program)
         if isinstance(described, Err):
             return described
-        order = EndProgram(program, described.ok_value.tenant)
-        reply = await self._to_leader(program, order)
+        command = EndProgram(program, described.ok_value.tenant)
+        reply = await self._to_leader(program, command)
         ended = reply.and_then(lambda message: expect(message, ProgramEnded))
         return ended.map(lambda _: ProgramEndedAnswer(program))
 
@@ -184,6 +192,8 @@
     ) -> Result[Message, Problem]:
         partition = partition_of_program(program)
         if partition is None:
-            detail = f"{program} is not a program's id"
+            detail = f"{program} is not a valid program id"
             return Err(Problem.of(ProblemCode.NOT_FOUND, detail))
-        return await self._router.to_partition(partition, message, ORDER_SECONDS)
+        return await self._router.to_partition(
+            partition, message, OPERATION_TIMEOUT_SECONDS
+        )
--- a/notcharch/admin/region_routes.py
+++ b/notcharch/admin/region_routes.py
@@ -1,7 +1,7 @@
-"""What operators see of the region: daemons, engines, services, programs, partitions.
+"""Routes that list daemons, engines, services, programs and partitions of the region.
 
-Every answer is put together from the replies of all live daemons at the moment of
-the question. It states the greatest age of a reply and who could not be reached.
+Each response is aggregated from the replies of all live daemons at the time of the
+request. It has the maximum age of the replies and the daemons that did not reply.
 """
 
 from collections.abc import Iterable
@@ -12,7 +12,7 @@
 
 from notcharch.admin.authentication import Role
 from notcharch.admin.routes import AdminRequest, Routes
-from notcharch.admin.scatter import Gathered, Scatter, Unreached
+from notcharch.admin.scatter import GatheredReplies, Scatter, Unreached
 from notcharch.errors import Problem
 from notcharch.placement.interface import EngineDirectory
 from notcharch.table.interface import ServiceRow, TableView
@@ -40,16 +40,16 @@
 )
 
 PROGRAM_LIMIT = 200
-MOST_PROGRAMS = 10_000
+MAX_PROGRAMS = 10_000
 
 Reply = TypeVar("Reply", bound=Message)
 
 
 class Survey(msgspec.Struct, frozen=True):
-    """How an answer came about.
+    """Coverage of an aggregated response.
 
-    No reply is older than `age_seconds`. `unreached` daemons are believed alive but
-    did not answer, so what they alone know is missing.
+    No reply is older than `age_seconds`. The `unreached` daemons are live in the
+    membership but did not reply; their data is missing.
     """
 
     daemons: int
@@ -58,9 +58,9 @@
 
 
 class DaemonsAnswer(msgspec.Struct, frozen=True):
-    """Every reached daemon.
+    """Every daemon that replied.
 
-    `drained_zones` get no new work by the table of the answering daemon, in `version`.
+    `drained_zones` are those of the responding daemon's table at `version`.
     """
 
     survey: Survey
@@ -70,9 +70,10 @@
 
 
 class EnginesAnswer(msgspec.Struct, frozen=True):
-    """Every engine with its steward's view; `load_age_seconds` ages the load.
+    """Every engine as its steward sees it; `load_age_seconds` is the age of the load.
 
-    `unreported` are in the machine list, but no reached daemon is their steward.
+    `unreported` engines are in the machine list, but no daemon that replied is their
+    steward.
     """
 
     survey: Survey
@@ -81,7 +82,7 @@
 
 
 class ServiceState(msgspec.Struct, frozen=True):
-    """A row in force, and the slots of its concurrency that are given out."""
+    """A row in force and the allotted slots of its concurrency."""
 
     row: ServiceRow
     allotted_slots: int
@@ -89,7 +90,7 @@
 
 
 class ServicesAnswer(msgspec.Struct, frozen=True):
-    """Every service of the table in force in the answering daemon."""
+    """Every service of the table in force at the responding daemon."""
 
     survey: Survey
     version: int
@@ -97,14 +98,14 @@
 
 
 class AllotmentsAnswer(msgspec.Struct, frozen=True):
-    """Every lease of a service's concurrency."""
+    """Every concurrency lease of all services."""
 
     survey: Survey
     allotments: tuple[AllotmentDescription, ...]
 
 
 class ProgramsAnswer(msgspec.Struct, frozen=True):
-    """Programs; `truncated` when there are more than were asked for."""
+    """Programs; `truncated` if there are more than the requested limit."""
 
     survey: Survey
     programs: tuple[ProgramDescription, ...]
@@ -112,26 +113,26 @@
 
 
 class LedPartitionEntry(msgspec.Struct, frozen=True):
-    """A partition, and the daemon that leads it."""
+    """A partition and its leader."""
 
     daemon: DaemonName
     description: PartitionDescription
 
 
 class PartitionsAnswer(msgspec.Struct, frozen=True):
-    """Every partition that is led, by its number."""
+    """Every partition with a leader, ordered by number."""
 
     survey: Survey
     partitions: tuple[LedPartitionEntry, ...]
 
 
 class RegionRoutes:
-    """The routes that read from all daemons."""
+    """The routes that aggregate replies of all daemons."""
 
     def __init__(
         self, *, scatter: Scatter, table: TableView, engines: EngineDirectory
     ) -> None:
-        """Take how daemons are asked, the table and the machine list's engines."""
+        """Request data through `scatter`; `engines` is the machine list."""
         self._scatter = scatter
         self._table = table
         self._engines = engines
@@ -146,7 +147,7 @@
         routes.add("GET", "/partitions", Role.VIEWER, self._partitions)
 
     async def _daemons(self, _request: AdminRequest) -> Result[msgspec.Struct, Problem]:
-        gathered = await self._scatter.ask_all(DescribeDaemon(), DaemonDescription)
+        gathered = await self._scatter.request_all(DescribeDaemon(), DaemonDescription)
         daemons = _by_daemon(gathered)
         drained = tuple(sorted(self._table.drained_zones()))
         version = self._table.version
@@ -155,7 +156,7 @@
     async def _list_engines(
         self, _request: AdminRequest
     ) -> Result[msgspec.Struct, Problem]:
-        gathered = await self._scatter.ask_all(ListEngines(), EngineListing)
+        gathered = await self._scatter.request_all(ListEngines(), EngineListing)
         engines = _newest_stewards(
             engine for reply in _by_daemon(gathered) for engine in reply.engines
         )
@@ -170,7 +171,7 @@
     async def _services(
         self, _request: AdminRequest
     ) -> Result[msgspec.Struct, Problem]:
-        gathered = await self._scatter.ask_all(ListAllotments(), AllotmentListing)
+        gathered = await self._scatter.request_all(ListAllotments(), AllotmentListing)
         by_service: dict[ServiceName, list[AllotmentDescription]] = {}
         for allotment in _allotments_of(gathered):
             by_service.setdefault(allotment.service, []).append(allotment)
@@ -184,29 +185,33 @@
     async def _allotments(
         self, _request: AdminRequest
     ) -> Result[msgspec.Struct, Problem]:
-        gathered = await self._scatter.ask_all(ListAllotments(), AllotmentListing)
+        gathered = await self._scatter.request_all(ListAllotments(), AllotmentListing)
         return Ok(AllotmentsAnswer(_survey(gathered), _allotments_of(gathered)))
 
     async def _programs(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
-        asked = request.number("limit", PROGRAM_LIMIT, 1, MOST_PROGRAMS)
-        if isinstance(asked, Err):
-            return asked
-        limit = int(asked.ok_value)
+        requested = request.number("limit", PROGRAM_LIMIT, 1, MAX_PROGRAMS)
+        if isinstance(requested, Err):
+            return requested
+        limit = int(requested.ok_value)
         service = request.query.get("service")
-        question = ListPrograms(limit, ServiceName(service) if service else None)
-        gathered = await self._scatter.ask_all(question, ProgramListing)
+        message = ListPrograms(limit, ServiceName(service) if service else None)
+        gathered = await self._scatter.request_all(message, ProgramListing)
         listings = _by_daemon(gathered)
         programs = [program for listing in listings for program in listing.programs]
         programs.sort(key=lambda program: program.program)
-        is_cut = len(programs) > limit or any(reply.truncated for reply in listings)
-        answer = ProgramsAnswer(_survey(gathered), tuple(programs[:limit]), is_cut)
+        is_truncated = len(programs) > limit or any(
+            reply.truncated for reply in listings
+        )
+        answer = ProgramsAnswer(
+            _survey(gathered), tuple(programs[:limit]), is_truncated
+        )
         return Ok(answer)
 
     async def _partitions(
         self, _request: AdminRequest
     ) -> Result[msgspec.Struct, Problem]:
-        question = DescribeDaemon(partitions=True)
-        gathered = await self._scatter.ask_all(question, DaemonDescription)
+        message = DescribeDaemon(partitions=True)
+        gathered = await self._scatter.request_all(message, DaemonDescription)
         entries = [
             LedPartitionEntry(daemon, description)
             for daemon, reply in gathered.replies.items()
@@ -216,17 +221,17 @@
         return Ok(PartitionsAnswer(_survey(gathered), tuple(entries)))
 
 
-def _survey(gathered: Gathered[Reply]) -> Survey:
+def _survey(gathered: GatheredReplies[Reply]) -> Survey:
     count = len(gathered.replies) + len(gathered.unreached)
     return Survey(count, gathered.age_seconds, gathered.unreached)
 
 
-def _by_daemon(gathered: Gathered[Reply]) -> tuple[Reply, ...]:
+def _by_daemon(gathered: GatheredReplies[Reply]) -> tuple[Reply, ...]:
     return tuple(gathered.replies[name] for name in sorted(gathered.replies))
 
 
 def _allotments_of(
-    gathered: Gathered[AllotmentListing],
+    gathered: GatheredReplies[AllotmentListing],
 ) -> tuple[AllotmentDescription, ...]:
     allotments = [
         allotment for reply in _by_daemon(gathered) for allotment in reply.allotments
@@ -244,7 +249,7 @@
 def _newest_stewards(
     engines: Iterable[EngineDescription],
 ) -> tuple[EngineDescription, ...]:
-    """Keep one description of each engine: that of the highest steward epoch."""
+    """Keep the description with the highest steward epoch of each engine."""
     newest: dict[EngineName, EngineDescription] = {}
     for engine in engines:
         known = newest.get(engine.engine)
--- a/notcharch/admin/resource.py
+++ b/notcharch/admin/resource.py
@@ -1,4 +1,4 @@
-"""The operators' HTTP interface of a daemon, as one resource to mount."""
+"""The HTTP interface for operators as one resource to mount."""
 
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.resource import IResource
@@ -32,19 +32,19 @@
         publisher: TablePublisher,
         operator_keys: tuple[OperatorKey, ...],
     ) -> None:
-        """Take the daemon's parts that operators see and drive."""
+        """Create all routes with the components of the daemon that they use."""
         self._routes = Routes(OperatorKeys(operator_keys))
         scatter = Scatter(clock=clock, network=network, membership=membership)
         wait = InForceWait(clock=clock, scatter=scatter)
         table = TableRoutes(replica=replica, publisher=publisher, wait=wait)
         region = RegionRoutes(scatter=scatter, table=replica, engines=engines)
-        orders = OperationRoutes(
+        operations = OperationRoutes(
             network=network, router=router, table=replica, table_routes=table
         )
         table.add_to(self._routes)
         region.add_to(self._routes)
-        orders.add_to(self._routes)
+        operations.add_to(self._routes)
 
     def resource(self) -> IResource:
-        """Give the resource to mount."""
+        """Return the resource to mount."""
         return self._routes.resource()
--- a/notcharch/admin/routes.py
+++ b/notcharch/admin/routes.py
@@ -1,7 +1,7 @@
-"""Routes of the operators' interface: authentication, bodies, answers, problems.
+"""Routing for the operators' interface: authentication, bodies, responses, problems.
 
-A handler gets an `AdminRequest` and gives a typed answer or a problem; it never
-sees the HTTP request.
+A handler receives an `AdminRequest` and returns a typed response or a problem; it has
+no access to the HTTP request.
 """
 
 import re
@@ -31,8 +31,8 @@
 from notcharch.wire.http_problem import start_problem
 
 JSON_CONTENT_TYPE = "application/json"
-MOST_BODY_BYTES = 32 * 1024 * 1024
-READING_METHOD = "GET"
+MAX_BODY_BYTES = 32 * 1024 * 1024
+READ_METHOD = "GET"
 _VALIDATION_PLACE = re.compile(r"^(?P<message>.*?)(?: - at `(?P<place>.*)`)?$", re.S)
 
 Body = TypeVar("Body", bound=msgspec.Struct)
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class AdminRequest:
-    """A request by an operator who has the route's role."""
+    """A request by an operator with the role that the route requires."""
 
     operator: Operator
     arguments: Mapping[str, str]
@@ -50,16 +50,16 @@
     body: bytes
 
     def read_body(self, body_type: type[Body]) -> Result[Body, Problem]:
-        """Decode the JSON body."""
+        """Decode the JSON body as `body_type`."""
         try:
             return Ok(msgspec.json.decode(self.body, type=body_type))
         except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
             return Err(_body_problem(str(error)))
 
     def number(
-        self, name: str, default: float, least: float, most: float
+        self, name: str, default: float, minimum: float, maximum: float
     ) -> Result[float, Problem]:
-        """Read a number of the query, from `least` to `most`."""
+        """Parse a query parameter as a number from `minimum` to `maximum`."""
         text = self.query.get(name)
         if text is None:
             return Ok(default)
@@ -67,26 +67,26 @@
             value = float(text)
         except ValueError:
             value = float("nan")
-        if least <= value <= most:
+        if minimum <= value <= maximum:
             return Ok(value)
-        finding = Finding(name, f"must be a number from {least:g} to {most:g}")
-        return Err(bad_request("a query parameter is wrong", finding))
+        finding = Finding(name, f"must be a number from {minimum:g} to {maximum:g}")
+        return Err(bad_request("a query parameter is invalid", finding))
 
 
 Handler = Callable[[AdminRequest], Awaitable[Result[msgspec.Struct, Problem]]]
 
 
 class Routes:
-    """The routes of one daemon's operators' interface."""
+    """The routes of the operators' interface of one daemon."""
 
     def __init__(self, keys: OperatorKeys) -> None:
-        """Take the keys that every route asks for."""
+        """Authenticate every request with `keys`."""
         self._keys = keys
         self._app = Klein()
-        self._app.handle_errors(HTTPException)(_unroutable)
+        self._app.handle_errors(HTTPException)(_unknown_route)
 
     def add(self, method: str, path: str, role: Role, handler: Handler) -> None:
-        """Add a route; `path` may have variable parts, `<name>`."""
+        """Add a route; `path` may have variable parts such as `<name>`."""
 
         async def answer(request: IRequest, **arguments: str) -> bytes:
             return await self._answer(request, arguments, role, handler)
@@ -95,7 +95,7 @@
         self._app.route(path, methods=[method], endpoint=endpoint)(answer)
 
     def resource(self) -> IResource:
-        """Give the resource to mount at `/admin/v1`."""
+        """Return the resource to mount at `/admin/v1`."""
         resource: IResource = self._app.resource()
         return resource
 
@@ -113,7 +113,7 @@
             emit(OperatorRefused(path, "", operator.err_value.code))
             return start_problem(request, operator.err_value)
         result = await _handle(request, arguments, operator.ok_value, handler)
-        if method != READING_METHOD:
+        if method != READ_METHOD:
             outcome = "done" if isinstance(result, Ok) else result.err_value.code
             emit(OperatorChanged(operator.ok_value.name, method, path, outcome))
         if isinstance(result, Err):
@@ -122,17 +122,17 @@
         return msgspec.json.encode(result.ok_value)
 
 
-def _unroutable(request: IRequest, failure: Failure) -> bytes:
-    """Answer a path or method that no route has."""
+def _unknown_route(request: IRequest, failure: Failure) -> bytes:
+    """Render the problem of an unknown path or method."""
     code = ProblemCode.NOT_FOUND
     if isinstance(failure.value, MethodNotAllowed):
         code = ProblemCode.METHOD_NOT_ALLOWED
-    message = "there is no such page or method in the operators' interface"
+    message = "unknown path or method in the operators' interface"
     return start_problem(request, Problem.of(code, message))
 
 
 def bad_request(message: str, *findings: Finding) -> Problem:
-    """Give a problem of the request itself."""
+    """Return a BAD_REQUEST problem with findings."""
     return Problem.of(ProblemCode.BAD_REQUEST, message, findings=findings)
 
 
@@ -142,9 +142,9 @@
     operator: Operator,
     handler: Handler,
 ) -> Result[msgspec.Struct, Problem]:
-    body = request.content.read(MOST_BODY_BYTES + 1) if request.content else b""
-    if len(body) > MOST_BODY_BYTES:
-        message = f"the body has more than {MOST_BODY_BYTES} bytes"
+    body = request.content.read(MAX_BODY_BYTES + 1) if request.content else b""
+    if len(body) > MAX_BODY_BYTES:
+        message = f"the body has more than {MAX_BODY_BYTES} bytes"
         return Err(Problem.of(ProblemCode.BODY_TOO_LARGE, message))
     query = {
         name.decode(errors="replace"): values[-1].decode(errors="replace")
@@ -159,13 +159,13 @@
     except Exception:
         eliot.write_traceback()
         emit(AdminRequestFailed(request.method.decode(), request.path.decode()))
-        message = "a fault of the program; its log has the details"
+        message = "internal error; the details are in the log"
         return Err(Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN))
 
 
 def _body_problem(text: str) -> Problem:
     match = _VALIDATION_PLACE.match(text)
     if match is None or match["place"] is None:
-        return bad_request("the body cannot be read", Finding("body", text))
+        return bad_request("the body is invalid", Finding("body", text))
     place = match["place"].removeprefix("$").removeprefix(".") or "body"
-    return bad_request("the body cannot be read", Finding(place, match["message"]))
+    return bad_request("the body is invalid", Finding(place, match["message"]))
--- a/notcharch/admin/scatter.py
+++ b/notcharch/admin/scatter.py
@@ -1,4 +1,4 @@
-"""Asks all live daemons of the region the same question at once."""
+"""Sends the same request to all live daemons of the region concurrently."""
 
 from typing import Generic, TypeVar
 
@@ -14,22 +14,22 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import PeerNetwork
 
-ASK_SECONDS = 3.0
-"""Limit of one question to one daemon."""
+REQUEST_SECONDS = 3.0
+"""Timeout of the request to one daemon."""
 
 Reply = TypeVar("Reply", bound=Message)
 
 
 class Unreached(msgspec.Struct, frozen=True):
-    """A daemon that is believed alive but did not answer, and why."""
+    """A live daemon that did not reply, and the reason."""
 
     daemon: DaemonName
     problem: str
 
 
 @attrs.frozen
-class Gathered(Generic[Reply]):
-    """Replies by daemon; none is older than `age_seconds`."""
+class GatheredReplies(Generic[Reply]):
+    """Replies by daemon, none older than `age_seconds`."""
 
     replies: dict[DaemonName, Reply]
     unreached: tuple[Unreached, ...]
@@ -37,35 +37,37 @@
 
 
 class Scatter:
-    """Questions to the live daemons, this one included."""
+    """Sends requests to the live daemons, including this one."""
 
     def __init__(
         self, *, clock: IReactorTime, network: PeerNetwork, membership: MembershipView
     ) -> None:
-        """Take the network and the view of who is alive."""
+        """Send through `network` to the live members of `membership`."""
         self._clock = clock
         self._network = network
         self._membership = membership
 
     def live_daemons(self) -> tuple[DaemonName, ...]:
-        """Give the daemons that would be asked."""
+        """Return the daemons to which requests are sent."""
         return tuple(live.member.daemon for live in self._membership.live_members())
 
-    async def ask_all(self, question: Message, reply: type[Reply]) -> Gathered[Reply]:
-        """Ask every live daemon; takes `ASK_SECONDS` at most."""
-        return await self.ask(self.live_daemons(), question, reply)
+    async def request_all(
+        self, message: Message, reply: type[Reply]
+    ) -> GatheredReplies[Reply]:
+        """Send a request to every live daemon; takes at most `REQUEST_SECONDS`."""
+        return await self.request_from(self.live_daemons(), message, reply)
 
-    async def ask(
+    async def request_from(
         self,
         daemons: tuple[DaemonName, ...],
-        question: Message,
+        request_message: Message,
         reply_type: type[Reply],
-    ) -> Gathered[Reply]:
-        """Ask some daemons."""
-        asked_at = self._clock.seconds()
+    ) -> GatheredReplies[Reply]:
+        """Send a request to some daemons."""
+        requested_at = self._clock.seconds()
         results = await gatherResults(
             [
-                self._network.request(daemon, question, ASK_SECONDS)
+                self._network.request(daemon, request_message, REQUEST_SECONDS)
                 for daemon in daemons
             ],
             consumeErrors=True,
@@ -78,8 +80,8 @@
                 unreached.append(Unreached(daemon, checked.err_value.message))
             else:
                 replies[daemon] = checked.ok_value
-        age = self._clock.seconds() - asked_at
-        return Gathered(replies, tuple(unreached), age)
+        age = self._clock.seconds() - requested_at
+        return GatheredReplies(replies, tuple(unreached), age)
 
 
 def _checked(
@@ -89,7 +91,7 @@
 
 
 def expect(message: Message, reply_type: type[Reply]) -> Result[Reply, Problem]:
-    """Take a reply of the expected type, or say that it is another one."""
+    """Return a reply of the expected type, or a problem for any other type."""
     if isinstance(message, reply_type):
         return Ok(message)
     detail = f"unexpected reply {type(message).__name__}"
--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -1,4 +1,4 @@
-"""`table`, `table/check`, `table/publish`, `table/history`, `table/rollback`."""
+"""Routes that read, check, publish and roll back the table."""
 
 import msgspec
 from result import Err, Ok, Result
@@ -27,19 +27,19 @@
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import RecordId, TableVersion
 
-PUBLISH_SECONDS = 10.0
-IN_FORCE_SECONDS = 16.0
-MOST_SECONDS = 300.0
-HISTORY_LIMIT = 50
-MOST_HISTORY = 1024
+PUBLISH_TIMEOUT_SECONDS = 10.0
+DEFAULT_IN_FORCE_SECONDS = 16.0
+MAX_IN_FORCE_SECONDS = 300.0
+DEFAULT_HISTORY_ENTRIES = 50
+MAX_HISTORY_ENTRIES = 1024
 WAIT_IN_FORCE = "in_force"
 
 
 class TableAnswer(msgspec.Struct, frozen=True):
     """A version of the table.
 
-    `source` tells from where this daemon learnt the version in force, and
-    `log_age_seconds` when it last read the log to its end.
+    `source` is where this daemon received the version in force from;
+    `log_age_seconds` is the time since it last read the log to its end.
     """
 
     version: TableVersion
@@ -52,11 +52,11 @@
 
 
 class PublishBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """`changes`, or a whole table as `rows`, edited from a version.
+    """Either `changes` or a complete table as `rows`, based on `base_version`.
 
-    Without `keys` the callers' keys stay as they are. With an `id`, the request
-    may be sent again after an unknown outcome; `first_attempt` says that this id
-    was not sent before, so that a refusal can be certain.
+    Without `keys`, the callers' keys stay unchanged. With an `id`, the request can be
+    retried after an unknown outcome; `first_attempt` states that the `id` was not sent
+    before, so that a refusal is certain.
     """
 
     base_version: TableVersion
@@ -69,24 +69,24 @@
 
 
 class CheckAnswer(msgspec.Struct, frozen=True):
-    """What a publication would change now."""
+    """The edits that a publication would make now."""
 
     version: TableVersion
     edits: tuple[AnyEdit, ...]
 
 
 class PublishAnswer(msgspec.Struct, frozen=True):
-    """A publication in the log, and how far it has come if that was asked for."""
+    """A publication in the log, and its rollout state if requested."""
 
     publication: PublicationResult
     in_force: InForceReport | None
 
 
 class RollbackBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The version whose contents are to be published anew.
+    """The version whose contents are published again.
 
-    `base_version` is the version in force that the operator saw, by default the
-    one in force here; what others publish after it is merged or a conflict.
+    `base_version` is the version in force that the operator saw, by default the one in
+    force here; later publications are merged or cause a conflict.
     """
 
     version: TableVersion
@@ -96,9 +96,9 @@
 
 
 class HistoryItem(msgspec.Struct, frozen=True):
-    """A publication; `version` is null for one that is not in force.
+    """A publication; `version` is null for one that did not come into force.
 
-    `findings` are the conflicts or broken rules of a refused one; `at` is seconds
+    `findings` are the conflicts or violated rules of a refused one; `at` is in seconds
     since 1970.
     """
 
@@ -114,7 +114,7 @@
 
 
 class HistoryAnswer(msgspec.Struct, frozen=True):
-    """Publications, newest first; older ones than `horizon` are forgotten."""
+    """Publications, newest first; those before `horizon` were deleted."""
 
     version: TableVersion
     horizon: TableVersion
@@ -127,7 +127,7 @@
     def __init__(
         self, *, replica: TableReplica, publisher: TablePublisher, wait: InForceWait
     ) -> None:
-        """Take the daemon's replica and publisher."""
+        """Read from `replica` and publish with `publisher`."""
         self._replica = replica
         self._publisher = publisher
         self._wait = wait
@@ -143,11 +143,11 @@
     async def publish(
         self, request: AdminRequest, publication: PublishRequest
     ) -> Result[msgspec.Struct, Problem]:
-        """Publish and, with `wait=in_force` in the query, wait for all daemons."""
+        """Publish; with `wait=in_force` in the query, also wait for all daemons."""
         seconds = self._wait_seconds(request)
         if isinstance(seconds, Err):
             return seconds
-        published = await self._publisher.publish(publication, PUBLISH_SECONDS)
+        published = await self._publisher.publish(publication, PUBLISH_TIMEOUT_SECONDS)
         if isinstance(published, Err):
             return published
         result = published.ok_value
@@ -158,10 +158,10 @@
 
     async def _read(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
         in_force = self._replica.version
-        asked = request.number("version", in_force, 0, 2**53)
-        if isinstance(asked, Err):
-            return asked
-        version = TableVersion(int(asked.ok_value))
+        requested = request.number("version", in_force, 0, 2**53)
+        if isinstance(requested, Err):
+            return requested
+        version = TableVersion(int(requested.ok_value))
         table = self._replica.table()
         if version != in_force:
             state = self._replica.state
@@ -205,7 +205,7 @@
         return await self.publish(request, publication)
 
     async def _history(self, request: AdminRequest) -> Result[msgspec.Struct, Problem]:
-        limit = request.number("limit", HISTORY_LIMIT, 1, MOST_HISTORY)
+        limit = request.number("limit", DEFAULT_HISTORY_ENTRIES, 1, MAX_HISTORY_ENTRIES)
         if isinstance(limit, Err):
             return limit
         state = self._replica.state
@@ -230,14 +230,16 @@
         return await self.publish(request, publication)
 
     def _wait_seconds(self, request: AdminRequest) -> Result[float, Problem]:
-        """Give the longest wait for all daemons; 0 when none was asked for."""
-        awaited = request.query.get("wait")
-        if awaited is None:
+        """Return the maximum wait for all daemons; 0 if none was requested."""
+        wait_for = request.query.get("wait")
+        if wait_for is None:
             return Ok(0.0)
-        if awaited != WAIT_IN_FORCE:
+        if wait_for != WAIT_IN_FORCE:
             finding = Finding("wait", f"must be {WAIT_IN_FORCE}")
-            return Err(bad_request("a query parameter is wrong", finding))
-        return request.number("seconds", IN_FORCE_SECONDS, 0.1, MOST_SECONDS)
+            return Err(bad_request("a query parameter is invalid", finding))
+        return request.number(
+            "seconds", DEFAULT_IN_FORCE_SECONDS, 0.1, MAX_IN_FORCE_SECONDS
+        )
 
 
 def _history_item(entry: HistoryEntry) -> HistoryItem:
@@ -255,10 +257,10 @@
 
 
 def _draft_of(body: PublishBody) -> Result[tuple[PublishBody, Draft], Problem]:
-    """Take either the changes or the whole table out of a body."""
+    """Return the draft of a body: either the changes or the complete table."""
     if body.changes is not None and body.rows is None and body.keys is None:
         return Ok((body, ChangesDraft(body.changes)))
     if body.changes is None and body.rows is not None:
         return Ok((body, WholeDraft(body.rows, body.keys)))
-    finding = Finding("body", "needs either changes or rows")
-    return Err(bad_request("the body cannot be read", finding))
+    finding = Finding("body", "must have either changes or rows")
+    return Err(bad_request("the body is invalid", finding))
--- a/tests/unit/admin/admin_client.py
+++ b/tests/unit/admin/admin_client.py
@@ -1,4 +1,4 @@
-"""A region of replicas with the operators' interface, driven over HTTP in memory."""
+"""A region of table replicas with the operators' interface over in-memory HTTP."""
 
 import hashlib
 import json
@@ -26,7 +26,7 @@
 
 
 class FakeMembership:
-    """All daemons of the region are believed alive."""
+    """Reports all daemons of the region as live."""
 
     def __init__(self, region):
         self._region = region
@@ -39,7 +39,7 @@
 
 
 class FakeRouter:
-    """Answers from a table of message types; remembers what was sent."""
+    """Replies by message type; records the sent messages."""
 
     def __init__(self):
         self.replies = {}
@@ -78,7 +78,7 @@
 
 
 class AdminRegion:
-    """`count` replicas; requests go to the first daemon's interface."""
+    """A region of `count` replicas; requests are sent to the first daemon."""
 
     def __init__(self, count=3):
         self.region = Region(count)
@@ -119,21 +119,21 @@
             drain=lambda drain: self.drained.append((name, drain)),
         )
 
-    def ask(self, method, path, body=None, role="administrator", key=None):
+    def fetch(self, method, path, body=None, role="administrator", key=None):
         headers = {"authorization": f"Bearer {key or role}"} if key or role else {}
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        requesting = self.client.request(
+        response_deferred = self.client.request(
             method,
             "http://127.0.0.1/admin/v1" + path,
             headers=headers,
             data=data if body is not None else None,
         )
-        return self.result_of(requesting.addCallback(self._read))
+        return self.result_of(response_deferred.addCallback(self._read))
 
-    def result_of(self, waiting):
-        """Carry bytes and time until a Deferred has fired."""
+    def result_of(self, pending):
+        """Deliver bytes and advance the clock until a Deferred has fired."""
         results = []
-        waiting.addBoth(results.append)
+        pending.addBoth(results.append)
         for _ in range(4000):
             self.client.flush()
             if results:
--- a/tests/unit/admin/test_commands.py
+++ b/tests/unit/admin/test_commands.py
@@ -1,4 +1,4 @@
-"""The operators' commands against the operators' interface, over HTTP in memory."""
+"""The operators' commands with the operators' interface over in-memory HTTP."""
 
 import argparse
 
@@ -29,7 +29,7 @@
 
 
 class Console:
-    """Runs command lines against a region in memory."""
+    """Runs command lines with an in-memory region."""
 
     def __init__(self, monkeypatch):
         self.admin = AdminRegion()
@@ -46,15 +46,19 @@
 
     def publish_rows(self, rows):
         body = {"base_version": 0, "rows": rows}
-        assert self.admin.ask("POST", "/table/publish", body).status == 200
+        assert self.admin.fetch("POST", "/table/publish", body).status == 200
 
     def request(self, method, url, **options):
         options.pop("timeout")
         fault = self.faults.pop(0) if self.faults else None
         if isinstance(fault, ConnectionRefusedError):
             return fail(fault)
-        requesting = self.admin.client.request(method, url, **options)
-        return requesting if fault is None else requesting.addCallback(lose(fault))
+        response_deferred = self.admin.client.request(method, url, **options)
+        return (
+            response_deferred
+            if fault is None
+            else response_deferred.addCallback(fail_with(fault))
+        )
 
     def content(self, response):
         return self.admin.client.content(response)
@@ -66,7 +70,7 @@
         return self.admin.result_of(running)
 
 
-def lose(fault):
+def fail_with(fault):
     def raise_it(_response):
         raise fault
 
--- a/tests/unit/admin/test_region_routes.py
+++ b/tests/unit/admin/test_region_routes.py
@@ -1,4 +1,4 @@
-"""Roles, region-wide answers and orders over the operators' interface."""
+"""Roles, aggregated responses and operations of the operators' interface."""
 
 import pytest
 from prometheus_client import CollectorRegistry
@@ -37,14 +37,14 @@
     return AdminRegion()
 
 
-def answer_with(admin, question, replies):
-    """Let daemon i answer a question type with replies[i]; the others refuse."""
+def reply_with(admin, message_type, replies):
+    """Make daemon i reply to a message type with replies[i]; the others refuse."""
     for index, reply in enumerate(replies):
 
         async def answer(_sender, _message, reply=reply):
             return reply
 
-        admin.region.process(index).daemon.network.on_request(question, answer)
+        admin.region.process(index).daemon.network.on_request(message_type, answer)
 
 
 def engine(name, steward, epoch):
@@ -59,7 +59,7 @@
 
 def publish_row(admin):
     body = {"base_version": 0, "rows": [ROW], "keys": []}
-    return admin.ask("POST", "/table/publish", body).body["publication"]["version"]
+    return admin.fetch("POST", "/table/publish", body).body["publication"]["version"]
 
 
 @pytest.mark.parametrize(
@@ -78,7 +78,7 @@
     ],
 )
 def test_roles_and_unknown_pages(admin, method, path, role, status):
-    answer = admin.ask(method, path, {} if method == "POST" else None, role)
+    answer = admin.fetch(method, path, {} if method == "POST" else None, role)
     assert answer.status == status
     if status != 200:
         assert answer.body["status"] == status
@@ -89,7 +89,7 @@
 
 def test_daemons_and_those_that_cannot_be_reached(admin):
     admin.region.fabric.pause("d1")
-    body = admin.ask("GET", "/daemons").body
+    body = admin.fetch("GET", "/daemons").body
     assert [daemon["member"][0] for daemon in body["daemons"]] == ["d0", "d2"]
     assert [item["daemon"] for item in body["survey"]["unreached"]] == ["d1"]
     assert body["survey"]["daemons"] == 3
@@ -97,7 +97,7 @@
 
 
 def test_engines_keep_the_newest_steward_and_name_the_unreported(admin):
-    answer_with(
+    reply_with(
         admin,
         ListEngines,
         [
@@ -109,7 +109,7 @@
         Machine(name, MachineKind.MODEL_ENGINE, "r", "z", "", MachineState.LIVE)
         for name in ("e1", "e2", "e3")
     )
-    body = admin.ask("GET", "/engines").body
+    body = admin.fetch("GET", "/engines").body
     stewards = [(item["engine"], item["steward"][0]) for item in body["engines"]]
     assert stewards == [("e1", "d1"), ("e2", "d0")]
     assert body["unreported"] == ["e3"]
@@ -123,25 +123,25 @@
         for holder, slots in (("d0", 3), ("d1", 4))
     ]
     replies = [AllotmentListing((lease,)) for lease in leases] + [AllotmentListing(())]
-    answer_with(admin, ListAllotments, replies)
-    (service,) = admin.ask("GET", "/services").body["services"]
+    reply_with(admin, ListAllotments, replies)
+    (service,) = admin.fetch("GET", "/services").body["services"]
     assert (service["row"]["share"], service["allotted_slots"]) == (1.0, 7)
-    assert len(admin.ask("GET", "/allotments").body["allotments"]) == 2
+    assert len(admin.fetch("GET", "/allotments").body["allotments"]) == 2
 
 
 def test_programs_are_cut_at_the_limit(admin):
     listing = ProgramListing((program("b"), program("a")), False)
-    answer_with(admin, ListPrograms, [listing, ProgramListing((), False)])
-    body = admin.ask("GET", "/programs?limit=1&service=guide").body
+    reply_with(admin, ListPrograms, [listing, ProgramListing((), False)])
+    body = admin.fetch("GET", "/programs?limit=1&service=guide").body
     assert ([item["program"] for item in body["programs"]], body["truncated"]) == (
         ["a"],
         True,
     )
-    assert admin.ask("GET", "/programs?limit=x").status == 400
+    assert admin.fetch("GET", "/programs?limit=x").status == 400
 
 
 def test_partitions_are_listed_with_their_daemons(admin):
-    entries = admin.ask("GET", "/partitions").body["partitions"]
+    entries = admin.fetch("GET", "/partitions").body["partitions"]
     assert [(item["daemon"], item["description"]["epoch"]) for item in entries] == [
         ("d0", 3),
         ("d1", 4),
@@ -150,46 +150,46 @@
 
 
 def test_drains_of_daemons_and_engines(admin):
-    answer = admin.ask("POST", "/drain", {"daemon": "d1"})
+    answer = admin.fetch("POST", "/drain", {"daemon": "d1"})
     assert answer.body == {"name": "d1", "draining": True, "running_calls": 2}
-    admin.ask("POST", "/drain", {"daemon": "d1", "drain": False})
+    admin.fetch("POST", "/drain", {"daemon": "d1", "drain": False})
     assert admin.drained == [("d1", True), ("d1", False)]
     admin.router.replies[DrainEngine] = Acknowledged()
-    assert admin.ask("POST", "/drain", {"engine": "e1"}).status == 200
+    assert admin.fetch("POST", "/drain", {"engine": "e1"}).status == 200
     assert admin.router.sent == [DrainEngine("e1", True)]
-    assert admin.ask("POST", "/drain", {"daemon": "d1", "engine": "e"}).status == 400
-    assert admin.ask("POST", "/drain", {"engine": "e", "zone": "z"}).status == 400
-    assert admin.ask("POST", "/drain", {}).status == 400
+    assert admin.fetch("POST", "/drain", {"daemon": "d1", "engine": "e"}).status == 400
+    assert admin.fetch("POST", "/drain", {"engine": "e", "zone": "z"}).status == 400
+    assert admin.fetch("POST", "/drain", {}).status == 400
 
 
 def test_a_drain_of_a_zone_is_a_publication(admin):
-    answer = admin.ask("POST", "/drain?wait=in_force", {"zone": "z-1"})
+    answer = admin.fetch("POST", "/drain?wait=in_force", {"zone": "z-1"})
     assert answer.body == {"name": "z-1", "draining": True, "running_calls": None}
-    shown = admin.ask("GET", "/daemons").body
+    shown = admin.fetch("GET", "/daemons").body
     assert (shown["drained_zones"], shown["version"]) == (["z-1"], 1)
     for number in range(3):
         assert admin.region.process(number).replica.drained_zones() == {"z-1"}
-    admin.ask("POST", "/drain?wait=in_force", {"zone": "z-1", "drain": False})
-    assert admin.ask("GET", "/daemons").body["drained_zones"] == []
-    assert admin.ask("POST", "/drain", {"zone": "no zone"}).status == 400
+    admin.fetch("POST", "/drain?wait=in_force", {"zone": "z-1", "drain": False})
+    assert admin.fetch("GET", "/daemons").body["drained_zones"] == []
+    assert admin.fetch("POST", "/drain", {"zone": "no zone"}).status == 400
 
 
 def test_pause_and_resume_are_publications_of_the_cell(admin):
     publish_row(admin)
-    answer = admin.ask("POST", "/services/guide/pause?wait=in_force", role="editor")
+    answer = admin.fetch("POST", "/services/guide/pause?wait=in_force", role="editor")
     assert answer.body["in_force"]["in_force"]
     assert admin.region.process(2).replica.row("guide").paused
-    admin.ask("POST", "/services/guide/resume", role="editor")
-    assert not admin.ask("GET", "/table").body["rows"][0]["paused"]
-    assert admin.ask("POST", "/services/other/pause").status == 404
+    admin.fetch("POST", "/services/guide/resume", role="editor")
+    assert not admin.fetch("GET", "/table").body["rows"][0]["paused"]
+    assert admin.fetch("POST", "/services/other/pause").status == 404
 
 
 def test_a_program_is_described_and_ended_as_its_tenant(admin):
     admin.router.replies = {DescribeProgram: program(), EndProgram: ProgramEnded()}
-    assert admin.ask("GET", f"/programs/{PROGRAM}").body["tenant"] == "studio"
-    assert admin.ask("DELETE", f"/programs/{PROGRAM}").status == 200
+    assert admin.fetch("GET", f"/programs/{PROGRAM}").body["tenant"] == "studio"
+    assert admin.fetch("DELETE", f"/programs/{PROGRAM}").status == 200
     assert admin.router.sent[-1] == EndProgram(PROGRAM, "studio")
-    assert admin.ask("GET", "/programs/nonsense").status == 404
+    assert admin.fetch("GET", "/programs/nonsense").status == 404
 
 
 def test_metrics_show_the_table(admin):
--- a/tests/unit/admin/test_table_routes.py
+++ b/tests/unit/admin/test_table_routes.py
@@ -1,4 +1,4 @@
-"""The table over the operators' interface."""
+"""The table routes of the operators' interface."""
 
 import pytest
 
@@ -14,7 +14,7 @@
 
 
 def publish(admin, body, query="", **how):
-    return admin.ask("POST", "/table/publish" + query, body, **how)
+    return admin.fetch("POST", "/table/publish" + query, body, **how)
 
 
 def first_table(admin):
@@ -31,7 +31,7 @@
 
 def test_a_first_table_is_published_and_read(admin):
     version = first_table(admin)
-    table = admin.ask("GET", "/table", role="viewer").body
+    table = admin.fetch("GET", "/table", role="viewer").body
     assert (table["version"], table["is_in_force"]) == (version, True)
     assert [row["service"] for row in table["rows"]] == ["guide"]
     assert table["keys"] == [{"tenant": "studio", "key_sha256": DIGEST}]
@@ -71,7 +71,7 @@
 
 def test_all_findings_are_reported_at_once(admin):
     rows = [{**ROW, "share": 0, "priority": 12}, {"service": "b", "cost": 1}]
-    answer = admin.ask(
+    answer = admin.fetch(
         "POST", "/table/check", {"base_version": 0, "rows": rows, "keys": []}
     )
     assert answer.status == 400
@@ -86,22 +86,22 @@
 
 def test_check_publishes_nothing(admin):
     base = first_table(admin)
-    answer = admin.ask("POST", "/table/check", set_share(2.0, base), role="viewer")
+    answer = admin.fetch("POST", "/table/check", set_share(2.0, base), role="viewer")
     assert [edit["after"] for edit in answer.body["edits"]] == [2.0]
-    assert admin.ask("GET", "/table").body["version"] == base
+    assert admin.fetch("GET", "/table").body["version"] == base
 
 
 def test_history_old_versions_and_rollback(admin):
     base = first_table(admin)
     newer = publish(admin, set_share(2.0, base)).body["publication"]["version"]
-    old = admin.ask("GET", f"/table?version={base}").body
+    old = admin.fetch("GET", f"/table?version={base}").body
     assert (old["rows"][0]["share"], old["is_in_force"]) == (1.0, False)
-    answer = admin.ask("POST", "/table/rollback", {"version": base})
+    answer = admin.fetch("POST", "/table/rollback", {"version": base})
     assert answer.body["publication"]["version"] > newer
-    assert admin.ask("GET", "/table").body["rows"][0]["share"] == 1.0
-    entries = admin.ask("GET", "/table/history?limit=2").body["entries"]
+    assert admin.fetch("GET", "/table").body["rows"][0]["share"] == 1.0
+    entries = admin.fetch("GET", "/table/history?limit=2").body["entries"]
     assert [entry["note"] for entry in entries] == [f"rollback to {base}", ""]
-    assert admin.ask("GET", "/table?version=99").status == 404
+    assert admin.fetch("GET", "/table?version=99").status == 404
 
 
 @pytest.mark.parametrize(
