--- a/notcharch/gateway/call_lifecycle.py
+++ b/notcharch/gateway/call_lifecycle.py
@@ -37,10 +37,10 @@
         """Start the state machine."""
 
     def admitted(self) -> Step:
-        """Continue after the leader admitted the call as a new attempt here."""
+        """Continue after the leader admitted a new attempt of this gateway."""
 
     def in_progress(self) -> Step:
-        """Continue while another gateway runs the call."""
+        """Continue when another gateway runs the call."""
 
     def answered(self, answer: Answer) -> Step:
         """Continue with the stored answer of the call."""
@@ -89,7 +89,7 @@
     answer: Answer | None = None
     problem: Problem | None = None
     earlier_problem: Problem | None = None
-    """Failure of the earlier attempts, with the most certain `ran` among them."""
+    """Failure of the earlier attempts, with the most severe `ran` among them."""
 
     def record_failure(self, problem: Problem) -> CommitFailure:
         """Record a failed stream; returns the step that stores its outcome."""
--- a/notcharch/gateway/call_run.py
+++ b/notcharch/gateway/call_run.py
@@ -112,7 +112,7 @@
             case AcquireSlot():
                 return await self._acquire_slot()
             case Place(avoid):
-                placed = await self._current().place(avoid)
+                placed = await self._current_attempt().place(avoid)
                 if isinstance(placed, Err):
                     return self._lifecycle.placing_refused(placed.err_value)
                 return self._lifecycle.placed(placed.ok_value)
@@ -172,25 +172,25 @@
             case CallAnswered(_, answer):
                 return self._lifecycle.answered(answer)
             case CallFailed(_, problem):
-                return self._other_failed(problem)
+                return self._other_attempt_failed(problem)
         return self._lifecycle.in_progress()
 
-    def _other_failed(self, problem: Problem) -> Step:
-        is_for_now = problem.retry_after is not None
-        if is_for_now and self._core.attempts < MAX_ATTEMPTS:
+    def _other_attempt_failed(self, problem: Problem) -> Step:
+        is_temporary = problem.retry_after is not None
+        if is_temporary and self._core.attempts < MAX_ATTEMPTS:
             return self._lifecycle.in_progress()
         return self._lifecycle.refused(problem)
 
     async def _acquire_slot(self) -> Step:
-        taken = await self._current().acquire_slot()
-        if isinstance(taken, Err):
-            return self._lifecycle.slot_refused(taken.err_value)
+        acquired = await self._current_attempt().acquire_slot()
+        if isinstance(acquired, Err):
+            return self._lifecycle.slot_refused(acquired.err_value)
         return self._lifecycle.slot_acquired()
 
     async def _stream(self) -> Step:
         elapsed = self._tools.clock.seconds() - self._started_at
         self._tools.metrics.admission_seconds.observe(elapsed)
-        result = await self._current().stream()
+        result = await self._current_attempt().stream()
         if isinstance(result, Ok):
             return self._lifecycle.stream_ended(result.ok_value)
         return self._stream_failed(result.err_value)
@@ -217,7 +217,7 @@
         return self._lifecycle.commit_failed(result.err_value)
 
     async def _commit_failure(self, problem: Problem) -> Step:
-        self._current().release(None, engine_failed=False)
+        self._current_attempt().release(None, engine_failed=False)
         result = await self._deliver(REFUSAL_COMMIT_SECONDS, problem=problem)
         if isinstance(result, Ok):
             # The `ran` of the stored problem covers the earlier attempts, too.
@@ -234,7 +234,7 @@
         answer: Answer | None = None,
         problem: Problem | None = None,
     ) -> Result[FinishRecorded, Problem]:
-        admitted = self._current().admitted
+        admitted = self._current_attempt().admitted
         outcome = FinishCall(
             program=admitted.program,
             sequence=admitted.sequence,
@@ -255,7 +255,7 @@
         delivery = self._deliver(REFUSAL_COMMIT_SECONDS, problem=problem)
         Deferred.fromCoroutine(delivery)
 
-    def _current(self) -> EngineAttempt:
+    def _current_attempt(self) -> EngineAttempt:
         if self._attempt is None:
             raise RuntimeError("the call is not admitted")
         return self._attempt
