--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -1,6 +1,6 @@
-"""Programs over daemons that crash, sleep, leave and return, on a failing log service.
+"""State machine of programs' accounts, with failing daemons and a failing log service.
 
-The oracle is small: what callers were given, and what they were told is kept.
+The model holds the tokens that callers received and the turns reported as durable.
 """
 
 import msgspec
@@ -13,14 +13,14 @@
 from tests.stateful.daemon_fates import DAEMONS, RefusedDaemons, daemons
 from tests.unit.accounts.world import EVENT_TOKENS, World
 
-MOST = 100
+MAX_CALL_TOKENS = 100
 BUDGETS = {"p": 500, "q": 500, "short": 150}
-"""The share that programs begin by doesn't cover one call of the short one."""
+"""The starting share of the budget does not cover one call of program `short`."""
 PROGRAMS = tuple(BUDGETS)
 
 
 class Running(msgspec.Struct):
-    """A call that was admitted, or waits to be."""
+    """A call that was admitted or waits for its admission."""
 
     call: object
     listener: object
@@ -38,7 +38,7 @@
         super().__init__()
         self.world = World(DAEMONS)
         self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
-        self.kept: dict[str, bytes] = {}
+        self.durable_turns: dict[str, bytes] = {}
 
     @rule(
         target=calls,
@@ -49,18 +49,24 @@
     )
     def ask(self, program, daemon, goes_on, pick):
         previous, text = "", b""
-        if goes_on and self.kept:
-            previous = sorted(self.kept)[pick % len(self.kept)]
-            text = self.kept[previous]
+        if goes_on and self.durable_turns:
+            previous = sorted(self.durable_turns)[pick % len(self.durable_turns)]
+            text = self.durable_turns[previous]
         call = self.world.call(
-            program, budget=BUDGETS[program], most=MOST, previous=previous, body=b"in;"
+            program,
+            budget=BUDGETS[program],
+            token_limit=MAX_CALL_TOKENS,
+            previous=previous,
+            body=b"in;",
         )
-        listener = self.world.ask(call, daemon, stores_turns=True)
+        listener = self.world.request_admission(call, daemon, stores_turns=True)
         return Running(call, listener, text + b"in;", bool(previous))
 
-    @rule(running=consumes(calls), events=st.integers(1, MOST // EVENT_TOKENS))
+    @rule(
+        running=consumes(calls), events=st.integers(1, MAX_CALL_TOKENS // EVENT_TOKENS)
+    )
     def end_whole(self, running, events):
-        """Let the engine's answer come whole; its end is shown once durable."""
+        """Complete the engine's response; the turn counts once it is durable."""
         self.check(running)
         listener = running.listener
         if listener.ticket is None:
@@ -71,10 +77,12 @@
         self.world.run(0.3)
         if listener.is_durable:
             text = running.expected_body + data_lines(output)
-            self.kept[running.call.id] = text
+            self.durable_turns[running.call.id] = text
         listener.is_caller_waiting = False
 
-    @rule(running=consumes(calls), events=st.integers(0, MOST // EVENT_TOKENS))
+    @rule(
+        running=consumes(calls), events=st.integers(0, MAX_CALL_TOKENS // EVENT_TOKENS)
+    )
     def break_off(self, running, events):
         self.check(running)
         if running.listener.ticket is None:
@@ -85,10 +93,10 @@
 
     @rule(running=consumes(calls))
     def lose_silently(self, running):
-        """Let the gateway die with a call under way, after giving all it may."""
+        """Crash the gateway with a call in flight, after the maximum of its tokens."""
         self.check(running)
         if running.listener.ticket is not None:
-            self.given[running.call.program] += MOST
+            self.given[running.call.program] += MAX_CALL_TOKENS
         running.listener.awaits_admission = False
 
     def check(self, running):
@@ -107,15 +115,17 @@
 
     @rule()
     def all_is_well_again(self):
-        """Once everything works, a kept turn is found and a call is decided."""
+        """Check that after recovery stored turns are found and calls are decided."""
         self.heal()
         self.world.run(8.0)
-        for turn in sorted(self.kept)[-2:]:
+        for turn in sorted(self.durable_turns)[-2:]:
             call = self.world.call("new", budget=10_000, previous=turn, body=b"x")
-            listener = self.world.decided(call, stores_turns=True)
-            assert listener.body == self.kept[turn] + b"x"
+            listener = self.world.wait_for_decision(call, stores_turns=True)
+            assert listener.body == self.durable_turns[turn] + b"x"
             listener.ticket.never_ran()
 
     def teardown(self):
         for program, given in self.given.items():
-            assert given <= BUDGETS[program] + MOST, f"{program} was given {given}"
+            assert given <= BUDGETS[program] + MAX_CALL_TOKENS, (
+                f"{program} was given {given}"
+            )
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -1,11 +1,11 @@
-"""Random lives of programs' accounts; the same ones at each run."""
+"""Random histories of programs' accounts with a fixed seed, and deliberate faults."""
 
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
 from notcharch.accounts import starting_allowance
-from notcharch.accounts.account import Account
+from notcharch.accounts.call_account import CallAccount
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.partition import OwnedPartition
 from notcharch.accounts.starting_allowance import (
@@ -17,7 +17,11 @@
 from notcharch.journal.writer import Outcome, PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
 from tests.stateful.runs import RUN, assert_caught
-from tests.unit.accounts import test_accounts, test_kept_turns, test_starting_allowance
+from tests.unit.accounts import (
+    test_accounts,
+    test_starting_allowance,
+    test_stored_turns,
+)
 
 
 def test_budgets_and_kept_turns_hold():
@@ -47,25 +51,25 @@
 
 
 def a_successor_ignores_allowances(monkeypatch):
-    monkeypatch.setattr(StartingAllowance, "former", lambda *_: NO_ALLOWANCE)
+    monkeypatch.setattr(StartingAllowance, "inherited", lambda *_: NO_ALLOWANCE)
 
 
 def a_successor_ignores_the_first_calls_that_were_allowed(monkeypatch):
     def replay(self, record):
-        self._former = Allowance(record.permille)
-        self._former_written_at = record.written_at
+        self._inherited = Allowance(record.permille)
+        self._inherited_written_at = record.written_at
 
     monkeypatch.setattr(StartingAllowance, "replay", replay)
 
 
 def allowances_add_up_without_end(monkeypatch):
-    monkeypatch.setattr(starting_allowance, "MOST_PERMILLE", 5000)
+    monkeypatch.setattr(starting_allowance, "MAX_PERMILLE", 5000)
     monkeypatch.setattr(StartingAllowance, "replay", count_only_the_last_step)
 
 
 def count_only_the_last_step(self, record):
-    self._former = Allowance(STEP_PERMILLE, record.call_tokens)
-    self._former_written_at = record.written_at
+    self._inherited = Allowance(STEP_PERMILLE, record.call_tokens)
+    self._inherited_written_at = record.written_at
 
 
 def an_allowance_never_ends(monkeypatch):
@@ -76,21 +80,21 @@
     original = Ledger.admit
 
     def admit(self, name, *call):
-        self.program(name, now=0.0).given_up.clear()
+        self.program(name, now=0.0).abandoned.clear()
         return original(self, name, *call)
 
     monkeypatch.setattr(Ledger, "admit", admit)
 
 
 def budgets_are_not_compared(monkeypatch):
-    monkeypatch.setattr(Ledger, "_within", lambda *_: Verdict.ADMITTED)
+    monkeypatch.setattr(Ledger, "_check_budget", lambda *_: Verdict.ADMITTED)
 
 
 def turns_are_shown_before_they_are_written(monkeypatch):
     def keep(self, output, events, then):
         then.durable()
 
-    monkeypatch.setattr(Account, "_keep", keep)
+    monkeypatch.setattr(CallAccount, "_store_turn", keep)
 
 
 BREAKS = [
@@ -135,11 +139,11 @@
     (budgets_are_not_compared, test_accounts.test_a_budget_holds_over_all_daemons),
     (
         unknown_turns_are_denied_in_doubt,
-        test_kept_turns.test_an_unknown_turn_is_refused_only_when_that_is_certain,
+        test_stored_turns.test_an_unknown_turn_is_refused_only_when_that_is_certain,
     ),
     (
         turns_are_shown_before_they_are_written,
-        test_kept_turns.test_the_end_of_a_kept_turn_waits_for_the_journal,
+        test_stored_turns.test_the_end_of_a_kept_turn_waits_for_the_journal,
     ),
 ]
 
--- a/tests/unit/accounts/test_tenant_limits.py
+++ b/tests/unit/accounts/test_tenant_limits.py
@@ -1,19 +1,19 @@
-"""Tenants' limits over all daemons, through changes of the owner that counts."""
+"""Tests of tenants' limits over all daemons and through changes of the owner."""
 
 import pytest
 
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.limited_admission import (
-    MOST_ROOM_WAIT_SECONDS,
-    MOST_ROOM_WAIT_SHARE,
-    most_wait_seconds,
+    MAX_CAPACITY_WAIT_SECONDS,
+    MAX_CAPACITY_WAIT_SHARE,
+    max_wait_seconds,
     over_limit,
 )
 from notcharch.calls.interface import OVER_LIMIT_REASON, UNKNOWN_TURN
 from notcharch.events import tenants as tenant_events
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import RateLimit, Tenant
-from notcharch.tenants.partition_limits import MOST_LAPSED_SECONDS
+from notcharch.tenants.partition_limits import MAX_LAPSED_SECONDS
 from tests.unit.accounts.steps import assert_unsure
 from tests.unit.accounts.world import TOLERANCE, World
 from tests.unit.events.capture import captured, of
@@ -31,48 +31,52 @@
     return world
 
 
-def most_in(limit: RateLimit, seconds: float = 5.0) -> float:
-    """Give how many calls the rule allows within a window."""
+def max_calls(limit: RateLimit, seconds: float = 5.0) -> float:
+    """Return how many calls the limit and its tolerance permit within a window."""
     return (limit.per_second * seconds + limit.burst) * 1.1 + TOLERANCE.calls
 
 
 def admitted(
     world: World, calls: int, *, at=lambda number: number % 3, programs: int = 1
 ) -> int:
-    """Ask for calls of so many programs at once; give how many were let in.
+    """Send calls of `programs` programs at once; return how many were admitted.
 
-    Calls that were asked before and waited for room count as well.
+    Earlier calls that were delayed until the limit had capacity count as well.
     """
     for n in range(calls):
-        world.ask(world.call(f"p{n % programs}", budget=None, tenant="t"), at(n))
+        world.request_admission(
+            world.call(f"p{n % programs}", budget=None, tenant="t"), at(n)
+        )
     world.run(0.3)
-    return let_in(world)
+    return newly_admitted(world)
 
 
-def let_in(world: World) -> int:
-    """Give how many calls were let in since the last look."""
-    since = [listener for listener in world.asked if listener.ticket is not None]
-    world.asked = [listener for listener in world.asked if listener.ticket is None]
+def newly_admitted(world: World) -> int:
+    """Return how many calls were admitted since the last check."""
+    since = [listener for listener in world.listeners if listener.ticket is not None]
+    world.listeners = [
+        listener for listener in world.listeners if listener.ticket is None
+    ]
     return len(since)
 
 
 def test_a_limit_holds_over_all_daemons():
     world = world_with()
     total = sum(admitted(world, 100) for _ in range(10))
-    assert LARGE.burst + 3.0 * 40.0 <= total <= most_in(LARGE, 3.0)
+    assert LARGE.burst + 3.0 * 40.0 <= total <= max_calls(LARGE, 3.0)
 
 
 def test_what_is_refused_is_told_at_once_with_the_time_to_come_back():
     world = world_with(SMALL)
     with captured() as messages:
         admitted(world, 30)
-        listener = world.decided(world.call("q", budget=None, tenant="t"))
+        listener = world.wait_for_decision(world.call("q", budget=None, tenant="t"))
     assert listener.refusal.status == 429
     assert listener.refusal.reason == OVER_LIMIT_REASON
     assert listener.refusal.retry_after_seconds > 0
     assert listener.refusal == over_limit(listener.refusal.retry_after_seconds)
-    told = of(messages, tenant_events.LimitReached)[0]
-    assert (told["tenant"], told["calls_per_second"]) == ("t", 1.0)
+    event = of(messages, tenant_events.LimitReached)[0]
+    assert (event["tenant"], event["calls_per_second"]) == ("t", 1.0)
 
 
 def test_a_tenant_without_a_limit_is_asked_nothing():
@@ -86,8 +90,8 @@
     world = world_with(SMALL)
     admitted(world, 30)
     for _ in range(12):
-        listener = world.decided(
-            world.call("p", budget=100, most=100, tenant="t"), stores_turns=False
+        listener = world.wait_for_decision(
+            world.call("p", budget=100, token_limit=100, tenant="t"), stores_turns=False
         )
         if listener.ticket is not None:
             break
@@ -100,23 +104,28 @@
     world = World()
     for name in ("t", "u"):
         world.tenants[name] = Tenant(name)
-    first = world.call("p", budget=100, most=100, tenant="t")
-    world.kept(first, b"data: x\n\n" * 10)
-    listener = world.decided(world.call("p", budget=100, most=100, tenant="u"))
+    first = world.call("p", budget=100, token_limit=100, tenant="t")
+    world.store_turn(first, b"data: x\n\n" * 10)
+    listener = world.wait_for_decision(
+        world.call("p", budget=100, token_limit=100, tenant="u")
+    )
     assert listener.refusal is None
     stolen = world.call("p", previous=first.id, tenant="u")
-    assert world.decided(stolen, stores_turns=True).refusal == UNKNOWN_TURN
-    own = world.call("q", previous=first.id, tenant="t", body=b"more")
-    assert world.decided(own, stores_turns=True).body == b"in" + b"x\n" * 10 + b"more"
+    assert world.wait_for_decision(stolen, stores_turns=True).refusal == UNKNOWN_TURN
+    own_call = world.call("q", previous=first.id, tenant="t", body=b"more")
+    assert (
+        world.wait_for_decision(own_call, stores_turns=True).body
+        == b"in" + b"x\n" * 10 + b"more"
+    )
 
 
 @pytest.mark.parametrize("silent", [False, True])
 def test_an_owner_that_dies_leaves_no_second_burst(silent):
     world = world_with()
     before = admitted(world, 200)
-    world.crash(world.limiter("t"), silent=silent)
+    world.crash(world.limit_owner("t"), silent=silent)
     after = sum(admitted(world, 100, at=survivors(world)) for _ in range(14))
-    assert before + after <= most_in(LARGE)
+    assert before + after <= max_calls(LARGE)
 
 
 def survivors(world: World):
@@ -127,26 +136,26 @@
 def test_a_planned_move_goes_on_where_the_owner_stopped():
     world = world_with()
     before = admitted(world, 40)
-    world.services[world.limiter("t")].leave()
+    world.services[world.limit_owner("t")].leave()
     world.run(0.6)
     after = sum(admitted(world, 100) for _ in range(10))
-    assert before + after <= most_in(LARGE, 4.0)
+    assert before + after <= max_calls(LARGE, 4.0)
     assert before + after >= LARGE.burst + 40.0 * 3.0
     world.run(2.0)
-    let_in(world)
+    newly_admitted(world)
     assert admitted(world, 10) == 10
 
 
 def test_an_owner_that_the_log_service_refuses_shares_the_rate_with_its_successor():
     world = world_with()
-    owner = world.limiter("t")
+    owner = world.limit_owner("t")
     world.refuse(owner)
     at_owner = world.names.index(owner)
     total = 0
     for _ in range(16):
         total += admitted(world, 60, at=lambda _: at_owner)
         total += admitted(world, 60, at=lambda n: (at_owner + 1 + n % 2) % 3)
-    assert total <= most_in(LARGE, 9.6)
+    assert total <= max_calls(LARGE, 9.6)
 
 
 def test_an_owner_that_nobody_confirms_decides_for_a_while_then_says_so():
@@ -154,8 +163,8 @@
     world.log.trouble = Trouble.REFUSE
     world.run(2.0)
     assert admitted(world, 10) == 10
-    world.run(MOST_LAPSED_SECONDS + 1.0)
-    listener = world.decided(world.call("q", budget=None, tenant="t"))
+    world.run(MAX_LAPSED_SECONDS + 1.0)
+    listener = world.wait_for_decision(world.call("q", budget=None, tenant="t"))
     assert_unsure(listener.refusal)
     world.log.trouble = Trouble.NONE
     world.run(3.0)
@@ -171,15 +180,17 @@
 
 def test_a_caller_that_left_while_its_limit_was_asked_leaves_nothing_reserved():
     world = world_with()
-    world.crash(world.limiter("t"), silent=True)
-    call = world.call("p", budget=100, most=100, tenant="t")
+    world.crash(world.limit_owner("t"), silent=True)
+    call = world.call("p", budget=100, token_limit=100, tenant="t")
     at = survivors(world)(0)
-    listener = world.ask(call, at)
+    listener = world.request_admission(call, at)
     world.run(0.3)
     listener.awaits_admission = False
     world.run(3.0)
     assert listener.ticket is None
-    again = world.decided(world.call("p", budget=100, most=100, tenant="t"), at)
+    again = world.wait_for_decision(
+        world.call("p", budget=100, token_limit=100, tenant="t"), at
+    )
     assert again.ticket is not None
 
 
@@ -187,32 +198,32 @@
     world = world_with()
     before = admitted(world, 80)
     asked_at = world.clock.seconds()
-    listener = world.decided(world.call("p0", budget=None, tenant="t"))
+    listener = world.wait_for_decision(world.call("p0", budget=None, tenant="t"))
     assert listener.ticket is not None
     waited = world.clock.seconds() - asked_at
-    assert 0.0 < waited <= MOST_ROOM_WAIT_SECONDS + 0.1
+    assert 0.0 < waited <= MAX_CAPACITY_WAIT_SECONDS + 0.1
     assert before >= LARGE.burst
 
 
 def test_without_shaping_it_is_refused_at_once():
     world = world_with(mechanisms=ALL_MECHANISMS - {Mechanism.LIMIT_SHAPING})
     for number in range(80):
-        world.ask(world.call("p0", budget=None, tenant="t"), number % 3)
-    listener = world.decided(world.call("p0", budget=None, tenant="t"))
+        world.request_admission(world.call("p0", budget=None, tenant="t"), number % 3)
+    listener = world.wait_for_decision(world.call("p0", budget=None, tenant="t"))
     assert listener.refusal.status == 429
 
 
 def test_a_caller_that_has_little_time_waits_for_little_of_it():
     call = World().call("p", budget=None, wait_seconds=1.2)
-    assert most_wait_seconds(call) == pytest.approx(1.2 * MOST_ROOM_WAIT_SHARE)
+    assert max_wait_seconds(call) == pytest.approx(1.2 * MAX_CAPACITY_WAIT_SHARE)
     call.wait_seconds = None
-    assert most_wait_seconds(call) == MOST_ROOM_WAIT_SECONDS
+    assert max_wait_seconds(call) == MAX_CAPACITY_WAIT_SECONDS
 
 
 def test_a_caller_that_leaves_while_its_call_waits_for_room_runs_nothing():
     world = world_with()
     admitted(world, 80)
-    listener = world.ask(world.call("p0", budget=None, tenant="t"))
+    listener = world.request_admission(world.call("p0", budget=None, tenant="t"))
     world.run(0.02)
     listener.awaits_admission = False
     world.run(2.0)
