--- a/notcharch/engines/call_placement.py
+++ b/notcharch/engines/call_placement.py
@@ -92,7 +92,7 @@
     def learn_rate(self, pool: PoolName, prefill_tokens_per_second: float) -> None:
         """Remember how fast a pool's engines compute prompts."""
 
-    def give_back(
+    def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
         """Give a grant back when its stream ended; retried until it arrived."""
@@ -139,7 +139,7 @@
         try:
             await self._tools.move_prefix(self._call.admitted, granted.engine)
         except CancelledError:
-            self._tools.give_back(granted, None, engine_failed=False)
+            self._tools.return_grant(granted, None, engine_failed=False)
             raise
 
     async def _ask(self, step: RequestGrant) -> CallGranted | None:
--- a/notcharch/engines/dispatcher.py
+++ b/notcharch/engines/dispatcher.py
@@ -91,7 +91,7 @@
             emit(CallPlacementFailed(admitted.program, row.pool, code))
         return outcome
 
-    def give_back(
+    def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
         """Give a grant back when its stream ended; retried until it arrived.
--- a/notcharch/engines/steward_service.py
+++ b/notcharch/engines/steward_service.py
@@ -114,7 +114,7 @@
         for engine in tuple(self._keepers):
             self._give_up(engine)
 
-    def keeps(self, engine: EngineName) -> bool:
+    def is_steward_of(self, engine: EngineName) -> bool:
         """Tell whether this daemon acts as the engine's steward."""
         return engine in self._keepers
 
--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -52,7 +52,7 @@
     ) -> Awaitable[Result[CallGranted, Problem]]:
         """Give a grant on some engine, or OVERLOADED or NO_ENGINE at once."""
 
-    def give_back(
+    def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
         """Give a grant back when its stream ended."""
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -125,7 +125,7 @@
         """Give back the grant and the slot, whichever are held."""
         grant, self._grant = self._grant, None
         if grant is not None:
-            self._tools.placer.give_back(grant, usage, engine_failed)
+            self._tools.placer.return_grant(grant, usage, engine_failed)
         slot, self._slot = self._slot, None
         if slot is not None:
             slot.release()
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -50,7 +50,7 @@
     region.run(0.5)
     assert not third.called
     assert result_of(second).unwrap().engine == "e2"
-    node.dispatcher.give_back(result_of(first).unwrap(), None, engine_failed=False)
+    node.dispatcher.return_grant(result_of(first).unwrap(), None, engine_failed=False)
     region.run(0.5)
     assert result_of(third).unwrap().engine == "e2"
 
@@ -93,7 +93,7 @@
     gone.cancel()
     region.run(0.5)
     assert region.keeper("e1").state.queued == 0
-    node.dispatcher.give_back(result_of(first).unwrap(), None, engine_failed=False)
+    node.dispatcher.return_grant(result_of(first).unwrap(), None, engine_failed=False)
     region.run(0.5)
     assert region.keeper("e1").state.granted == 0
 
--- a/tests/unit/engines/test_engine_faults.py
+++ b/tests/unit/engines/test_engine_faults.py
@@ -65,7 +65,7 @@
     node = region.nodes["d2"]
     for number in range(5):
         grant = granted(region, "d2", f"r1-0-{number}")
-        node.dispatcher.give_back(grant, None, engine_failed=True)
+        node.dispatcher.return_grant(grant, None, engine_failed=True)
         region.run(0.1)
     refused = place(node, admitted("r1-0-8"))
     region.run(1.0)
@@ -75,7 +75,7 @@
     second = place(node, admitted("r1-0-a"))
     region.run(1.5)
     assert second.result.is_err()
-    node.dispatcher.give_back(probe, None, engine_failed=False)
+    node.dispatcher.return_grant(probe, None, engine_failed=False)
     region.run(0.1)
     assert granted(region, "d2", "r1-0-b").engine == "e1"
 
@@ -171,7 +171,7 @@
     first = granted(region, "d2", "r1-0-1")
     waiting = [place(node, admitted(f"r1-0-{n}"), 20.0) for n in range(2, 6)]
     region.run(15.0)
-    node.dispatcher.give_back(first, None, engine_failed=False)
+    node.dispatcher.return_grant(first, None, engine_failed=False)
     region.run(2.0)
     # One call took 15.5 s, so the last of the queue cannot be granted in 20 s.
     refused = [w for w in waiting if w.called and w.result.is_err()]
--- a/tests/unit/engines/test_stewardship_handover.py
+++ b/tests/unit/engines/test_stewardship_handover.py
@@ -42,7 +42,7 @@
 
         def granted(result, began=began):
             waits.append(region.clock.seconds() - began)
-            node.dispatcher.give_back(result.unwrap(), None, engine_failed=False)
+            node.dispatcher.return_grant(result.unwrap(), None, engine_failed=False)
 
         placed.addCallback(granted)
         region.run(0.1)
@@ -62,8 +62,8 @@
     waits += place_often(region, 3.0)
     assert len(waits) == 60
     assert max(waits) <= LONGEST_GRANT_SECONDS
-    assert region.nodes["d2"].stewards.keeps(E1)
-    assert not region.nodes["d1"].stewards.keeps(E1)
+    assert region.nodes["d2"].stewards.is_steward_of(E1)
+    assert not region.nodes["d1"].stewards.is_steward_of(E1)
 
 
 def test_a_steward_that_was_superseded_by_mistake_resumes_when_it_is_offered():
@@ -74,7 +74,7 @@
     region.nodes["d2"].stewards.refresh()
     region.run(0.1)
     assert granting(region) == "d1"
-    assert not region.nodes["d2"].stewards.keeps(E1)
+    assert not region.nodes["d2"].stewards.is_steward_of(E1)
 
 
 def test_a_claim_that_is_recorded_after_the_engine_was_given_up_is_offered_back():
@@ -83,7 +83,7 @@
     region.nodes["d2"].stewards.refresh()  # the claim is on its way
     region.believed.clear()
     region.nodes["d2"].stewards.refresh()
-    assert not region.nodes["d2"].stewards.keeps(E1)
+    assert not region.nodes["d2"].stewards.is_steward_of(E1)
     region.run(0.1)
     assert granting(region) == "d1"
 
@@ -95,8 +95,8 @@
         node.network.on_notice(lost, lambda sender, message: None)
     region.stewards[E1] = DaemonName("d2")
     region.run(4.0)
-    assert region.nodes["d2"].stewards.keeps(E1)
-    assert not region.nodes["d1"].stewards.keeps(E1)
+    assert region.nodes["d2"].stewards.is_steward_of(E1)
+    assert not region.nodes["d1"].stewards.is_steward_of(E1)
 
 
 def test_a_call_makes_a_daemon_take_its_engine_once_it_knows_the_region():
@@ -110,4 +110,4 @@
     placed = place(fresh)
     region.run(LONGEST_GRANT_SECONDS)
     assert placed.result.is_ok()
-    assert fresh.stewards.keeps(E1)
+    assert fresh.stewards.is_steward_of(E1)
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -51,18 +51,18 @@
     fresh.stewards.refresh()
     region.run(3.0)
     assert region.partitions.states[0].snapshot() == before
-    assert steward.stewards.keeps(ENGINE)
-    assert not fresh.stewards.keeps(ENGINE)
+    assert steward.stewards.is_steward_of(ENGINE)
+    assert not fresh.stewards.is_steward_of(ENGINE)
     fresh.knows_region = True
     region.run(3.0)
-    assert fresh.stewards.keeps(ENGINE)
+    assert fresh.stewards.is_steward_of(ENGINE)
 
 
 def test_an_engine_that_is_held_stays_when_doubt_begins():
     region = Region(daemons=1, engines=1)
     region.nodes["d1"].knows_region = False
     region.run(3.0)
-    assert region.nodes["d1"].stewards.keeps(ENGINE)
+    assert region.nodes["d1"].stewards.is_steward_of(ENGINE)
 
 
 @pytest.mark.parametrize("count", [2, 3, 5])
--- a/tests/unit/gateway/harness.py
+++ b/tests/unit/gateway/harness.py
@@ -186,7 +186,7 @@
         self.open_grants[grant.grant] = grant
         return Ok(grant)
 
-    def give_back(self, grant, usage, engine_failed):
+    def return_grant(self, grant, usage, engine_failed):
         del self.open_grants[grant.grant]
         self.returned.append((grant.engine, usage, engine_failed))
         return succeed(None)
