--- a/notcharch/engines/cache_map.py
+++ b/notcharch/engines/cache_map.py
@@ -1,7 +1,7 @@
-"""Which programs' prefixes an engine holds, as far as its steward knows. Pure.
+"""A steward's view of the prefixes that its engine has cached. No I/O.
 
-Cache events come late and with gaps. After a gap, or when the engine has
-restarted, the map is doubted until it was compared with the engine's own list.
+Cache events arrive late and with gaps. After a gap or a restart of the engine
+the map is stale until it is reconciled with the engine's list.
 """
 
 import msgspec
@@ -10,68 +10,72 @@
 from notcharch.values.identifiers import ProgramId
 
 
-class CacheEventsLearnt(msgspec.Struct, frozen=True):
-    """What a page of events told: lost events, or a restarted engine."""
+class EventPageResult(msgspec.Struct, frozen=True):
+    """Gaps and restarts that a page of events revealed."""
 
-    lost_events: int
+    missed_events: int
     restarted: bool
 
 
 class CacheMap:
-    """Programs and the tokens held of each."""
+    """Cached tokens by program."""
 
     def __init__(self) -> None:
-        """Know nothing, and doubt it: the engine may hold prefixes already."""
+        """Start empty and stale: the engine may already have cached prefixes."""
         self._tokens: dict[ProgramId, int] = {}
-        self._next = 0
-        self._synchronised = False
-        self.doubtful = True
-        """Whether the map must be compared with the engine's own list."""
+        self._next_sequence = 0
+        self._has_read_page = False
+        self.is_stale = True
+        """Whether the map needs reconciliation with the engine's list."""
 
     @property
     def next_sequence(self) -> int:
-        """After which event to read on."""
-        return self._next
+        """The sequence number after which to read the next events."""
+        return self._next_sequence
 
     def __len__(self) -> int:
         return len(self._tokens)
 
     def tokens(self, program: ProgramId) -> int:
-        """Give how many tokens of a program are believed to be held."""
+        """Return the number of tokens of a program that are probably cached."""
         return self._tokens.get(program, 0)
 
     def programs(self) -> tuple[ProgramId, ...]:
-        """Give every program of which something is believed to be held."""
+        """Return every program that probably has cached tokens."""
         return tuple(self._tokens)
 
-    def learn_events(self, page: CacheEvents) -> CacheEventsLearnt:
-        """Take a page of events in, in order."""
-        if page.next < self._next:
+    def learn_events(self, page: CacheEvents) -> EventPageResult:
+        """Apply a page of events in order."""
+        if page.next < self._next_sequence:
             self._tokens.clear()
-            self._next = page.next
-            self.doubtful = True
-            return CacheEventsLearnt(0, restarted=True)
-        lost = 0
-        last = self._next
+            self._next_sequence = page.next
+            self.is_stale = True
+            return EventPageResult(0, restarted=True)
+        missed = 0
+        last = self._next_sequence
         for event in page.events:
             if event.sequence <= last:
                 continue
-            lost += event.sequence - last - 1
+            missed += event.sequence - last - 1
             last = event.sequence
             self.set_tokens(event.program, event.tokens)
-        self._next = max(page.next, last)
-        if self._synchronised and lost:
-            self.doubtful = True
-        self._synchronised = True
-        return CacheEventsLearnt(lost, restarted=False)
-
-    def reconcile(self, truth: tuple[CachedProgram, ...]) -> None:
-        """Replace the map by the engine's own list."""
-        self._tokens = {held.program: held.tokens for held in truth if held.tokens > 0}
-        self.doubtful = False
+        self._next_sequence = max(page.next, last)
+        if self._has_read_page and missed:
+            self.is_stale = True
+        self._has_read_page = True
+        return EventPageResult(missed, restarted=False)
+
+    def reconcile(self, cached_programs: tuple[CachedProgram, ...]) -> None:
+        """Replace the map by the engine's list."""
+        self._tokens = {
+            cached.program: cached.tokens
+            for cached in cached_programs
+            if cached.tokens > 0
+        }
+        self.is_stale = False
 
     def set_tokens(self, program: ProgramId, tokens: int) -> None:
-        """Learn what is held of one program; 0 forgets it."""
+        """Set the cached tokens of one program; 0 removes it."""
         if tokens > 0:
             self._tokens[program] = tokens
         else:
--- a/notcharch/engines/cache_keeper.py
+++ b/notcharch/engines/cache_tracker.py
@@ -1,4 +1,4 @@
-"""Follows one engine's cache and frees the memory of programs that ended."""
+"""Tracks one engine's cache and releases the prefixes of ended programs."""
 
 import random
 from collections.abc import Awaitable, Callable
@@ -21,17 +21,17 @@
 from notcharch.wire.messages.base import Message
 from notcharch.wire.messages.programs import CheckProgramsLive, ProgramsNotLive
 
-EVENTS_PER_READ = 1000
-RELEASES_AT_ONCE = 32
-RELEASE_SECONDS = 0.5
-PROGRAMS_PER_CHECK = 200
-REQUEST_SECONDS = 5.0
+MAX_EVENTS_PER_READ = 1000
+MAX_RELEASES_PER_BATCH = 32
+RELEASE_INTERVAL_SECONDS = 0.5
+MAX_PROGRAMS_PER_CHECK = 200
+REQUEST_TIMEOUT_SECONDS = 5.0
 SWEEPS_PER_RECONCILIATION = 6
-"""Every so many sweeps the engine's own list is read even without a gap."""
+"""Number of sweeps between reconciliations that need no gap in the events."""
 
 
-class CacheKeeper:
-    """Cache events, reconciliation, sweep and release of one engine."""
+class CacheTracker:
+    """Reads cache events, reconciles, sweeps and releases for one engine."""
 
     def __init__(
         self,
@@ -44,7 +44,7 @@
         chance: random.Random,
         settings: EnginesSection,
     ) -> None:
-        """Prepare; `start` begins to poll."""
+        """Create the tracker; `start` begins to poll."""
         self._engine = engine
         self.address = address
         self._router = router
@@ -56,11 +56,11 @@
         self._tasks = (
             self._periodic("cache", self._read_events, settings.cache_poll_seconds),
             self._periodic("sweep", self._sweep, settings.sweep_seconds),
-            self._periodic("release", self._release_due, RELEASE_SECONDS),
+            self._periodic("release", self._release_due, RELEASE_INTERVAL_SECONDS),
         )
 
     def start(self) -> None:
-        """Begin to poll."""
+        """Start polling."""
         for task in self._tasks:
             task.start()
 
@@ -70,15 +70,15 @@
             task.stop()
 
     def tokens(self, program: ProgramId) -> int:
-        """Give how many tokens of a program the engine is believed to hold."""
+        """Return the number of a program's tokens that are probably cached."""
         return self._map.tokens(program)
 
-    def note_held(self, program: ProgramId, tokens: int) -> None:
-        """Learn from a finished call what the engine now holds."""
+    def record_cached_tokens(self, program: ProgramId, tokens: int) -> None:
+        """Record the tokens that the engine has cached after a call."""
         self._map.set_tokens(program, tokens)
 
     async def release(self, release: Release) -> Problem | None:
-        """Release now; None when confirmed. Otherwise it is tried again later."""
+        """Release a prefix; None if confirmed, else it is retried in background."""
         self._releases.add(release, self._clock.seconds())
         return await self._try_release(release)
 
@@ -90,19 +90,21 @@
     async def _read_events(self) -> None:
         while True:
             outcome = await self._port.cache_events(
-                self.address, self._map.next_sequence, EVENTS_PER_READ
+                self.address, self._map.next_sequence, MAX_EVENTS_PER_READ
             )
             if outcome.is_err():
                 return
             page = outcome.unwrap()
-            learnt = self._map.learn_events(page)
-            if learnt.lost_events or learnt.restarted:
+            page_result = self._map.learn_events(page)
+            if page_result.missed_events or page_result.restarted:
                 emit(
-                    CacheEventsLost(self._engine, learnt.lost_events, learnt.restarted)
+                    CacheEventsLost(
+                        self._engine, page_result.missed_events, page_result.restarted
+                    )
                 )
-            if len(page.events) < EVENTS_PER_READ:
+            if len(page.events) < MAX_EVENTS_PER_READ:
                 break
-        if self._map.doubtful:
+        if self._map.is_stale:
             await self._reconcile()
 
     async def _reconcile(self) -> None:
@@ -111,16 +113,16 @@
             self._map.reconcile(outcome.unwrap())
 
     async def _sweep(self) -> None:
-        """Ask the leaders which cached programs are not live, and release those."""
+        """Release the cached programs that are no longer live at their leaders."""
         self._sweeps += 1
         if self._sweeps % SWEEPS_PER_RECONCILIATION == 0:
             await self._reconcile()
-        for partition, programs in self._by_partition().items():
-            for start in range(0, len(programs), PROGRAMS_PER_CHECK):
-                some = tuple(programs[start : start + PROGRAMS_PER_CHECK])
-                await self._check(partition, some)
+        for partition, programs in self._programs_by_partition().items():
+            for start in range(0, len(programs), MAX_PROGRAMS_PER_CHECK):
+                batch = tuple(programs[start : start + MAX_PROGRAMS_PER_CHECK])
+                await self._release_ended_programs(partition, batch)
 
-    def _by_partition(self) -> dict[PartitionNumber, list[ProgramId]]:
+    def _programs_by_partition(self) -> dict[PartitionNumber, list[ProgramId]]:
         grouped: dict[PartitionNumber, list[ProgramId]] = {}
         for program in self._map.programs():
             partition = partition_of_program(program)
@@ -128,24 +130,24 @@
                 grouped.setdefault(partition, []).append(program)
         return grouped
 
-    async def _check(
+    async def _release_ended_programs(
         self, partition: PartitionNumber, programs: tuple[ProgramId, ...]
     ) -> None:
         outcome: Result[Message, Problem] = await self._router.to_partition(
-            partition, CheckProgramsLive(programs), REQUEST_SECONDS
+            partition, CheckProgramsLive(programs), REQUEST_TIMEOUT_SECONDS
         )
-        answer = outcome.unwrap_or(None)
-        if not isinstance(answer, ProgramsNotLive) or not answer.programs:
+        reply = outcome.unwrap_or(None)
+        if not isinstance(reply, ProgramsNotLive) or not reply.programs:
             return
-        emit(PrefixesSwept(self._engine, len(answer.programs)))
+        emit(PrefixesSwept(self._engine, len(reply.programs)))
         now = self._clock.seconds()
-        for program in answer.programs:
-            self._releases.add(Release(program, answer.epoch), now)
+        for program in reply.programs:
+            self._releases.add(Release(program, reply.epoch), now)
         await self._release_due()
 
     async def _release_due(self) -> None:
         now = self._clock.seconds()
-        for release in self._releases.due(now, RELEASES_AT_ONCE):
+        for release in self._releases.due(now, MAX_RELEASES_PER_BATCH):
             await self._try_release(release)
 
     async def _try_release(self, release: Release) -> Problem | None:
--- a/notcharch/engines/call_placement.py
+++ b/notcharch/engines/call_placement.py
@@ -1,4 +1,4 @@
-"""The placing of one call: carries out, step by step, what its chooser says."""
+"""Places one call by executing the steps of its `EngineChooser`."""
 
 from typing import Protocol
 
@@ -29,28 +29,29 @@
 from notcharch.wire.messages.programs import CallAdmitted
 
 NETWORK_MARGIN_SECONDS = 2.0
-"""A steward answers within the give-up time; this much later it is not coming."""
+"""Time beyond the queue deadline to wait for a steward's reply."""
 
-GREATEST_PAUSES = 3
-"""How often a call waits a moment for engines to become usable again.
+MAX_PAUSES = 3
+"""Maximum pauses of a call until engines are usable again.
 
-While an engine only lacks a steward, it waits on: one comes within seconds.
+Pauses for engines that only lack a steward have no maximum: a new steward
+usually claims them within seconds.
 """
 
-MISSING_CODES = (
+NO_STEWARD_CODES = (
     ProblemCode.NOT_STEWARD,
     ProblemCode.UNAVAILABLE,
     ProblemCode.DRAINING,
 )
-"""Nobody stewards the engine now, as far as this daemon can find out."""
+"""Problems after which the engine probably has no steward at present."""
 
 NO_ENGINE_RETRY_SECONDS = 2.0
 
 
 class PlacedCall(msgspec.Struct, frozen=True):
-    """One call to place. `give_up_seconds` bounds the wait for a grant.
+    """A call to place. `give_up_seconds` bounds the wait for a grant.
 
-    Engines in `avoid` have just failed this call.
+    Engines in `avoid` have failed this call.
     """
 
     admitted: CallAdmitted
@@ -61,93 +62,93 @@
     avoid: frozenset[EngineName] = frozenset()
 
 
-class PlacementTools(Protocol):
-    """What placing a call works with: a daemon's ways to engines and their stewards."""
+class PlacementContext(Protocol):
+    """The operations on engines and stewards that placing a call needs."""
 
     def engines_of(self, pool: PoolName) -> EnginePool:
-        """Give the engines that may get new work."""
+        """Return the engines that may receive new work."""
 
     def seconds(self) -> float:
-        """Give the time."""
+        """Return the current time."""
 
     async def pause(self, failures: int) -> None:
-        """Wait for a jittered, growing time."""
+        """Wait for a jittered delay that increases with `failures`."""
 
-    def may_retry(self) -> bool:
-        """Take a retry out of this daemon's budget, if there is one."""
+    def spend_retry(self) -> bool:
+        """Take a retry from this daemon's budget; False if it is exhausted."""
 
-    async def ask_steward(
+    async def send_to_steward(
         self, engine: EngineName, message: Message, timeout_seconds: float
     ) -> Result[Message, Problem]:
         """Send a request to an engine's steward."""
 
-    async def quotes(
+    async def request_quotes(
         self, call: PlacedCall, engines: tuple[EngineName, ...]
     ) -> list[Result[Message, Problem]]:
-        """Ask several engines at once."""
+        """Request quotes from several engines concurrently."""
 
     async def move_prefix(self, admitted: CallAdmitted, target: EngineName) -> None:
-        """Move the call's prefix to another engine, if that works."""
+        """Try to move the call's prefix to another engine."""
 
     def learn_rate(self, pool: PoolName, prefill_tokens_per_second: float) -> None:
-        """Remember how fast a pool's engines compute prompts."""
+        """Record the prefill rate of a pool's engines."""
 
     def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
-        """Give a grant back when its stream ended; retried until it arrived."""
+        """Return a grant after its stream ended, with retries."""
 
     async def deliver(self, engine: EngineName, message: Message) -> None:
-        """Send to an engine's steward until it is acknowledged, within reason."""
+        """Send to an engine's steward until acknowledged, with bounded retries."""
 
 
 class CallPlacement:
-    """The placing of one call: carries out what its chooser says."""
+    """The placement of one call."""
 
     def __init__(
-        self, tools: PlacementTools, call: PlacedCall, chooser: EngineChooser
+        self, context: PlacementContext, call: PlacedCall, chooser: EngineChooser
     ) -> None:
-        """Begin now: the time to give up counts from here."""
-        self._tools = tools
+        """Start now: the deadline counts from the current time."""
+        self._context = context
         self._call = call
         self._chooser = chooser
-        self._give_up_at = tools.seconds() + call.give_up_seconds
+        self._deadline = context.seconds() + call.give_up_seconds
         self._pauses = 0
         self._lacks_steward = False
 
     async def run(self) -> Result[CallGranted, Problem]:
-        """Give the grant, or a problem with `ran: no`."""
+        """Return the grant, or a problem with `ran: no`."""
         while True:
-            pool = self._tools.engines_of(self._call.row.pool)
+            pool = self._context.engines_of(self._call.row.pool)
             engines = pool.without(self._call.avoid)
             step = self._chooser.next_step(engines)
             match step:
                 case RequestGrant():
-                    granted = await self._ask(step)
+                    granted = await self._request_grant(step)
                     if granted is not None:
-                        await self._move(step, granted)
+                        await self._move_prefix(step, granted)
                         return Ok(granted)
                 case RequestQuotes():
-                    await self._quote(step.engines)
+                    await self._request_quotes(step.engines)
                 case NoEngineAvailable():
                     if not await self._pause(step):
                         return Err(_final_problem(step))
 
-    async def _move(self, step: RequestGrant, granted: CallGranted) -> None:
+    async def _move_prefix(self, step: RequestGrant, granted: CallGranted) -> None:
         if not step.move_prefix:
             return
         try:
-            await self._tools.move_prefix(self._call.admitted, granted.engine)
+            await self._context.move_prefix(self._call.admitted, granted.engine)
         except CancelledError:
-            self._tools.return_grant(granted, None, engine_failed=False)
+            self._context.return_grant(granted, None, engine_failed=False)
             raise
 
-    async def _ask(self, step: RequestGrant) -> CallGranted | None:
-        left = max(0.0, self._give_up_at - self._tools.seconds())
-        request = self._enqueue_request(step, left)
+    async def _request_grant(self, step: RequestGrant) -> CallGranted | None:
+        remaining_seconds = max(0.0, self._deadline - self._context.seconds())
+        request = self._enqueue_request(step, remaining_seconds)
         try:
-            outcome = await self._tools.ask_steward(
-                step.engine, request, left + NETWORK_MARGIN_SECONDS
+            outcome = await self._context.send_to_steward(
+                step.engine, request, remaining_seconds + NETWORK_MARGIN_SECONDS
             )
         except CancelledError:
             self._withdraw(step.engine)
@@ -176,30 +177,30 @@
             self._withdraw(engine)
 
     def _learn_unusable(self, engine: EngineName, problem: Problem) -> None:
-        is_missing = any(problem.is_code(code) for code in MISSING_CODES)
-        self._lacks_steward = self._lacks_steward or is_missing
+        is_without_steward = any(problem.is_code(code) for code in NO_STEWARD_CODES)
+        self._lacks_steward = self._lacks_steward or is_without_steward
         self._chooser.learn_unusable(engine)
 
     def _withdraw(self, engine: EngineName) -> None:
-        """Make sure that a grant whose reply was lost is not kept."""
+        """Cancel the call at a steward that may have queued or granted it."""
         admitted = self._call.admitted
         message = CancelQueued(
             engine, admitted.program, admitted.sequence, admitted.attempt
         )
-        Deferred.fromCoroutine(self._tools.deliver(engine, message))
+        Deferred.fromCoroutine(self._context.deliver(engine, message))
 
-    async def _quote(self, engines: tuple[EngineName, ...]) -> None:
-        answers = await self._tools.quotes(self._call, engines)
-        for engine, answer in zip(engines, answers, strict=True):
-            if answer.is_err():
-                self._learn_unusable(engine, answer.unwrap_err())
+    async def _request_quotes(self, engines: tuple[EngineName, ...]) -> None:
+        outcomes = await self._context.request_quotes(self._call, engines)
+        for engine, outcome in zip(engines, outcomes, strict=True):
+            if outcome.is_err():
+                self._learn_unusable(engine, outcome.unwrap_err())
                 continue
-            quote = answer.unwrap()
+            quote = outcome.unwrap()
             if not isinstance(quote, EngineQuote) or not quote.accepting:
                 self._chooser.learn_unusable(engine)
                 continue
             rate = quote.prefill_tokens_per_second
-            self._tools.learn_rate(self._call.row.pool, rate)
+            self._context.learn_rate(self._call.row.pool, rate)
             self._chooser.learn_quote(
                 EngineOption(
                     engine, quote.expected_wait_seconds, rate, quote.cached_tokens
@@ -207,27 +208,29 @@
             )
 
     async def _pause(self, step: NoEngineAvailable) -> bool:
-        """Wait a moment if engines may become usable; False to give up now."""
+        """Pause if engines may become usable; False if the call is to fail."""
         if step.retry_after is not None:
             return False
-        if self._tools.seconds() >= self._give_up_at:
+        if self._context.seconds() >= self._deadline:
             return False
         if not self._lacks_steward and not self._may_pause():
             return False
         self._pauses += 1
         self._lacks_steward = False
-        await self._tools.pause(min(self._pauses, GREATEST_PAUSES) + 1)
+        await self._context.pause(min(self._pauses, MAX_PAUSES) + 1)
         self._chooser.forget_unusable()
         return True
 
     def _may_pause(self) -> bool:
-        return self._pauses < GREATEST_PAUSES and self._tools.may_retry()
+        return self._pauses < MAX_PAUSES and self._context.spend_retry()
 
-    def _enqueue_request(self, step: RequestGrant, left: float) -> EnqueueCall:
+    def _enqueue_request(
+        self, step: RequestGrant, remaining_seconds: float
+    ) -> EnqueueCall:
         admitted, row = self._call.admitted, self._call.row
         prefix = admitted.prefix
-        held = prefix is not None and prefix.engine == step.engine
-        held = held or step.move_prefix
+        is_cached = prefix is not None and prefix.engine == step.engine
+        is_cached = is_cached or step.move_prefix
         return EnqueueCall(
             engine=step.engine,
             program=admitted.program,
@@ -239,10 +242,10 @@
             priority=row.priority,
             attained_tokens=admitted.attained_tokens,
             prompt_tokens=admitted.prompt_tokens,
-            cached_tokens=prefix.tokens if prefix is not None and held else 0,
+            cached_tokens=prefix.tokens if prefix is not None and is_cached else 0,
             max_tokens=self._call.max_tokens,
             defer_above_seconds=step.defer_above_seconds,
-            give_up_seconds=left,
+            give_up_seconds=remaining_seconds,
             begun=admitted.sequence > 1,
         )
 
@@ -256,6 +259,6 @@
         )
     return Problem.of(
         ProblemCode.NO_ENGINE,
-        "no engine of the pool takes new work now",
+        "no engine of the pool accepts new work at present",
         retry_after=NO_ENGINE_RETRY_SECONDS,
     )
--- a/notcharch/engines/claims.py
+++ b/notcharch/engines/claims.py
@@ -1,9 +1,9 @@
-"""The replicated record of which process stewards which engine, with epochs.
+"""The replicated record of each engine's steward and epoch.
 
-A component of a partition's state machine. An engine's epoch grows with every
-change of its steward. It is never lower than the partition's own epoch times
-`CLAIMS_PER_EPOCH`, so it grows even if the partition was rebuilt without the
-latest claims.
+A component of a partition's state machine. An engine's epoch increases with
+every change of its steward. It is at least the partition's epoch times
+`CLAIMS_PER_EPOCH`, so it increases even if the partition was rebuilt without
+the latest claims.
 """
 
 from typing import ClassVar
@@ -15,7 +15,7 @@
 from notcharch.values.identifiers import EngineName, Epoch, Member
 
 CLAIMS_PER_EPOCH = 1 << 20
-"""More claims of one engine than can happen in one epoch of its partition."""
+"""Upper bound of the claims recorded in one epoch of a partition."""
 
 
 class ClaimEngine(Command, frozen=True):
@@ -33,9 +33,9 @@
 
 
 class ClaimInForce(CommandResult, frozen=True):
-    """The claim after the command; `member` is None before the first claim.
+    """The claim after a command; `member` is None before the first claim.
 
-    `former` is the process from which `member` took the engine.
+    `former` is the process that held the previous claim.
     """
 
     engine: EngineName
@@ -59,10 +59,10 @@
     def __init__(self) -> None:
         """Start without claims."""
         self._claims: dict[EngineName, ClaimInForce] = {}
-        self._greatest = Epoch(0)
+        self._max_epoch = Epoch(0)
 
     def claim(self, engine: EngineName) -> ClaimInForce | None:
-        """Give the claim in force, or None."""
+        """Return the claim in force, or None."""
         return self._claims.get(engine)
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
@@ -79,13 +79,13 @@
     def snapshot(self) -> bytes:
         """Encode the whole state."""
         claims = tuple(self._claims[engine] for engine in sorted(self._claims))
-        return msgspec.json.encode(_Snapshot(claims, self._greatest))
+        return msgspec.json.encode(_Snapshot(claims, self._max_epoch))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state."""
         decoded = msgspec.json.decode(snapshot, type=_Snapshot)
         self._claims = {claim.engine: claim for claim in decoded.claims}
-        self._greatest = decoded.greatest
+        self._max_epoch = decoded.greatest
 
     def _claim(self, command: ClaimEngine, epoch: Epoch) -> ClaimInForce:
         old = self._claims.get(command.engine)
@@ -110,9 +110,9 @@
         return claim
 
     def _next_epoch(self, epoch: Epoch) -> Epoch:
-        """Give an epoch above all earlier ones of the partition's engines."""
-        self._greatest = Epoch(max(self._greatest + 1, epoch * CLAIMS_PER_EPOCH))
-        return self._greatest
+        """Return an epoch above all earlier epochs of the partition's engines."""
+        self._max_epoch = Epoch(max(self._max_epoch + 1, epoch * CLAIMS_PER_EPOCH))
+        return self._max_epoch
 
 
 class _Snapshot(msgspec.Struct, frozen=True):
--- a/notcharch/engines/claims_service.py
+++ b/notcharch/engines/claims_service.py
@@ -1,4 +1,4 @@
-"""Answers claims of stewardship by replicating them in the engine's partition."""
+"""Handles stewardship claims by replicating them in the engine's partition."""
 
 from collections.abc import Callable
 
@@ -37,7 +37,7 @@
         clock: IReactorTime,
         claims_of: Callable[[PartitionNumber], StewardClaimsState | None],
     ) -> None:
-        """Register the handlers; `claims_of` gives a local partition's component."""
+        """Register the handlers; `claims_of` returns a local partition's claims."""
         self._partitions = partitions
         self._partition_count = partition_count
         self._clock = clock
@@ -66,7 +66,9 @@
         claim = claims.claim(message.engine)
         if claim is None:
             raise ProblemError(
-                Problem.of(ProblemCode.NOT_FOUND, "nobody claimed the engine yet")
+                Problem.of(
+                    ProblemCode.NOT_FOUND, "no daemon has claimed the engine yet"
+                )
             )
         return _reply(claim)
 
@@ -82,7 +84,7 @@
         result = await propose_or_raise(self._partitions, partition, command)
         if not isinstance(result, ClaimInForce):
             raise ProblemError(
-                Problem.of(ProblemCode.INTERNAL, "the partition answered no claim")
+                Problem.of(ProblemCode.INTERNAL, "the partition returned no claim")
             )
         return _reply(result)
 
--- a/notcharch/engines/dispatcher.py
+++ b/notcharch/engines/dispatcher.py
@@ -1,6 +1,6 @@
-"""Finds an engine for an admitted call: the gateway's side of the stewards.
+"""The gateway's client of the stewards: finds an engine for an admitted call.
 
-Nothing here touches an engine, so every problem that `place` gives says `ran: no`.
+No request reaches an engine, so every problem that `place` returns has `ran: no`.
 """
 
 import random
@@ -32,13 +32,13 @@
 )
 from notcharch.wire.messages.programs import CallAdmitted
 
-QUOTE_SECONDS = 2.0
-RETURN_TRIES = 10
-RETURN_SECONDS = 5.0
+QUOTE_TIMEOUT_SECONDS = 2.0
+MAX_RETURN_ATTEMPTS = 10
+RETURN_TIMEOUT_SECONDS = 5.0
 
 
 class Dispatcher:
-    """Places calls on engines and gives the grants back."""
+    """Places calls on engines and returns the grants."""
 
     def __init__(
         self,
@@ -51,7 +51,7 @@
         policy: ChoicePolicy | None = None,
         mover: PrefixMover | None = None,
     ) -> None:
-        """Take what is used; without a `mover` prefixes are never moved."""
+        """Create the dispatcher; without a `mover` prefixes are never moved."""
         self._router = router
         self._directory = directory
         self._own_member = own_member
@@ -73,11 +73,12 @@
         give_up_seconds: float | None = None,
         avoid: frozenset[EngineName] = frozenset(),
     ) -> Result[CallGranted, Problem]:
-        """Give a grant on some engine, or a problem with when to come back.
+        """Return a grant on some engine, or a problem with a retry time.
 
         The wait is bounded by `give_up_seconds` (default: the row's
-        `max_wait_seconds`). Engines in `avoid` are used only if there is no other. Cancelling the Deferred around this coroutine
-        withdraws the call. Problems: OVERLOADED, NO_ENGINE.
+        `max_wait_seconds`). Engines in `avoid` are used only if there is no
+        other. Cancelling the Deferred around this coroutine withdraws the
+        call. Problems: OVERLOADED, NO_ENGINE.
         """
         if give_up_seconds is None:
             give_up_seconds = row.max_wait_seconds
@@ -94,41 +95,43 @@
     def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
-        """Give a grant back when its stream ended; retried until it arrived.
+        """Return a grant after its stream ended, with retries.
 
-        `engine_failed` is False when the caller went away: only an engine's own
-        failures open its circuit breaker. The result may be ignored.
+        `engine_failed` is False if the caller disconnected: only failures of
+        the engine open its circuit breaker. The result may be ignored.
         """
         message = GrantReturned(grant.engine, grant.grant, usage, not engine_failed)
         return Deferred.fromCoroutine(self.deliver(grant.engine, message))
 
     async def deliver(self, engine: EngineName, message: Message) -> None:
-        """Send to an engine's steward until it is acknowledged, within reason.
+        """Send to an engine's steward until acknowledged, with bounded retries.
 
-        If it never is, the steward finds the lost grant by the engine's load.
+        If all attempts fail, the steward frees the grant by the engine's load.
         """
-        for failures in range(1, RETURN_TRIES + 1):
-            outcome = await self._router.to_steward(engine, message, RETURN_SECONDS)
+        for failures in range(1, MAX_RETURN_ATTEMPTS + 1):
+            outcome = await self._router.to_steward(
+                engine, message, RETURN_TIMEOUT_SECONDS
+            )
             if outcome.is_ok() or self._directory.engine(engine) is None:
                 return
             await self.pause(failures)
         emit(GrantReturnFailed(engine, type(message).__name__))
 
     async def pause(self, failures: int) -> None:
-        """Wait for a jittered, growing time."""
+        """Wait for a jittered delay that increases with `failures`."""
         delay = self._retry.delay_seconds(failures, self._chance)
         await deferLater(self._clock, delay)
 
-    def may_retry(self) -> bool:
-        """Take a retry out of this daemon's budget, if there is one."""
+    def spend_retry(self) -> bool:
+        """Take a retry from this daemon's budget; False if it is exhausted."""
         return self._budget.take_retry()
 
     def seconds(self) -> float:
-        """Give the time."""
+        """Return the current time."""
         return self._clock.seconds()
 
     def engines_of(self, pool: PoolName) -> EnginePool:
-        """Give the engines that may get new work."""
+        """Return the engines that may receive new work."""
         engines = self._pools.get(pool)
         if engines is None:
             machines = self._directory.engines_of(pool)
@@ -136,28 +139,28 @@
             self._pools[pool] = engines
         return engines
 
-    async def ask_steward(
+    async def send_to_steward(
         self, engine: EngineName, message: Message, timeout_seconds: float
     ) -> Result[Message, Problem]:
         """Send a request to an engine's steward."""
         return await self._router.to_steward(engine, message, timeout_seconds)
 
-    async def quotes(
+    async def request_quotes(
         self, call: PlacedCall, engines: tuple[EngineName, ...]
     ) -> list[Result[Message, Problem]]:
-        """Ask several engines at once."""
+        """Request quotes from several engines concurrently."""
         program = call.admitted.program
         tokens = call.admitted.prompt_tokens
-        questions = [
+        requests = [
             self._router.to_steward(
-                engine, QuoteEngine(engine, program, tokens), QUOTE_SECONDS
+                engine, QuoteEngine(engine, program, tokens), QUOTE_TIMEOUT_SECONDS
             )
             for engine in engines
         ]
-        return await gatherResults(questions, consumeErrors=True)
+        return await gatherResults(requests, consumeErrors=True)
 
     async def move_prefix(self, admitted: CallAdmitted, target: EngineName) -> None:
-        """Move the call's prefix to another engine, if that works."""
+        """Try to move the call's prefix to another engine."""
         prefix = admitted.prefix
         if self._mover is None or prefix is None:
             return
@@ -166,7 +169,7 @@
         )
 
     def learn_rate(self, pool: PoolName, prefill_tokens_per_second: float) -> None:
-        """Remember how fast a pool's engines compute prompts."""
+        """Record the prefill rate of a pool's engines."""
         self._prefill_rates[pool] = prefill_tokens_per_second
 
     def _new_chooser(self, call: PlacedCall) -> EngineChooser:
--- a/notcharch/engines/engine_keeper.py
+++ b/notcharch/engines/engine_steward.py
@@ -1,6 +1,6 @@
-"""One engine under this daemon's stewardship: polling, claiming, answering.
+"""This daemon's stewardship of one engine: polls, claims and replies.
 
-Thin: it moves messages between the network, the engine and the pure states.
+Passes messages between the network, the engine and the I/O-free state classes.
 """
 
 import random
@@ -12,11 +12,11 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.clients.ports import EnginePort, Machine, MachineState, OrderKind
-from notcharch.engines.cache_keeper import CacheKeeper
-from notcharch.engines.claim_keeper import ClaimKeeper, ClaimSurroundings
+from notcharch.engines.cache_tracker import CacheTracker
+from notcharch.engines.claim_manager import ClaimDependencies, ClaimManager
 from notcharch.engines.orders import EngineOrders
+from notcharch.engines.pending_requests import PendingRequests
 from notcharch.engines.periodic import PeriodicTask
-from notcharch.engines.queue_keeper import QueueKeeper
 from notcharch.engines.refusals import not_steward
 from notcharch.engines.steward_state import StewardState
 from notcharch.engines.stewardship import StewardshipPhase
@@ -52,20 +52,20 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-CLAIM_SECONDS = 1.0
-"""Time between tries of a claim that could not be recorded."""
+CLAIM_RETRY_INTERVAL_SECONDS = 1.0
+"""Interval of the attempts to record a claim."""
 
 GATEWAY_GRACE_SECONDS = 10.0
-"""A gateway out of the membership for so long is taken for dead."""
+"""A gateway that is absent from the membership this long counts as dead."""
 
-LOAD_SECONDS = 1.5
-"""An engine that takes longer to report its load counts as not answering."""
+LOAD_TIMEOUT_SECONDS = 1.5
+"""Timeout for reading an engine's load."""
 
 INSTANCE_BITS = 48
 
 
-class KeeperSurroundings(msgspec.Struct, frozen=True):
-    """What every keeper of a daemon uses."""
+class StewardDependencies(msgspec.Struct, frozen=True):
+    """Dependencies that the engine stewards of a daemon share."""
 
     router: Router
     membership: MembershipView
@@ -79,9 +79,9 @@
     order_policy: OrderPolicy = OrderPolicy()
     breaker_policy: BreakerPolicy = BreakerPolicy()
 
-    def claims(self) -> ClaimSurroundings:
-        """Give the part that claims need."""
-        return ClaimSurroundings(
+    def claims(self) -> ClaimDependencies:
+        """Return the dependencies of a claim manager."""
+        return ClaimDependencies(
             self.router,
             self.membership,
             self.clock,
@@ -91,55 +91,57 @@
         )
 
 
-class EngineKeeper:
-    """The stewardship of one engine by this daemon."""
+class EngineSteward:
+    """Stewards one engine."""
 
-    def __init__(self, machine: Machine, surroundings: KeeperSurroundings) -> None:
-        """Prepare; `start` begins to poll and to claim."""
-        self._around = surroundings
-        self._clock = surroundings.clock
+    def __init__(self, machine: Machine, dependencies: StewardDependencies) -> None:
+        """Create the steward; `start` begins to poll and to claim."""
+        self._dependencies = dependencies
+        self._clock = dependencies.clock
         self.machine = machine
         self.engine = EngineName(machine.name)
-        instance = f"{surroundings.chance.getrandbits(INSTANCE_BITS):x}"
+        instance = f"{dependencies.chance.getrandbits(INSTANCE_BITS):x}"
         self.state = StewardState(
             engine=self.engine,
             instance=instance,
             address=machine.address,
             slots=machine.slots,
-            queue_limit=surroundings.settings.queue_limit,
-            order_policy=surroundings.order_policy,
-            breaker_policy=surroundings.breaker_policy,
+            queue_limit=dependencies.settings.queue_limit,
+            order_policy=dependencies.order_policy,
+            breaker_policy=dependencies.breaker_policy,
         )
-        self.claims = ClaimKeeper(self.engine, surroundings.claims(), self._on_claim)
+        self.claims = ClaimManager(self.engine, dependencies.claims(), self._on_claim)
         self.stewardship = self.claims.stewardship
-        self.queue = QueueKeeper(self.state, surroundings.clock)
-        self.cache = CacheKeeper(
+        self.queue = PendingRequests(self.state, dependencies.clock)
+        self.cache = CacheTracker(
             engine=self.engine,
             address=machine.address,
-            router=surroundings.router,
-            engine_port=surroundings.engine_port,
-            clock=surroundings.clock,
-            chance=surroundings.chance,
-            settings=surroundings.settings,
+            router=dependencies.router,
+            engine_port=dependencies.engine_port,
+            clock=dependencies.clock,
+            chance=dependencies.chance,
+            settings=dependencies.settings,
         )
         self.orders = EngineOrders(
             engine=self.engine,
             stewardship=self.stewardship,
-            port=surroundings.engine_port,
-            clock=surroundings.clock,
+            port=dependencies.engine_port,
+            clock=dependencies.clock,
             instance=instance,
-            on_fenced=self.claims.look_now,
+            on_fenced=self.claims.check_now,
         )
         self._drain_ordered = False
         self._missing_since: dict[Member, float] = {}
         self._was_accepting = True
         self._load_task = self._periodic(
-            "load", self._read_load, surroundings.settings.load_poll_seconds
+            "load", self._read_load, dependencies.settings.load_poll_seconds
+        )
+        self._claim_task = self._periodic(
+            "claim", self._claim, CLAIM_RETRY_INTERVAL_SECONDS
         )
-        self._claim_task = self._periodic("claim", self._claim, CLAIM_SECONDS)
 
     def start(self) -> None:
-        """Begin to claim, to poll and to release."""
+        """Start claiming the engine and polling it."""
         self.stewardship.assign(True)
         self._set_epoch()
         self.learn_machine(self.machine)
@@ -148,72 +150,72 @@
         self.cache.start()
 
     def stop(self, problem: Problem) -> None:
-        """End the stewardship; waiting calls get `problem`."""
-        is_ended = self.stewardship.phase == StewardshipPhase.SUPERSEDED
+        """End the stewardship; waiting calls are refused with `problem`."""
+        was_superseded = self.stewardship.phase == StewardshipPhase.SUPERSEDED
         self.stewardship.assign(False)
         self._set_epoch()
         self._claim_task.stop()
         self._load_task.stop()
         self.cache.stop()
-        self.queue.answer(self.state.hand_over(problem))
+        self.queue.send_replies(self.state.refuse_all_waiting(problem))
         self.queue.stop()
-        if not is_ended:
+        if not was_superseded:
             emit(StewardshipEnded(self.engine, problem.code))
 
     def offer(self, successor: DaemonName) -> bool:
-        """Ask the daemon that hashing names now to claim the engine.
+        """Offer the engine to the daemon that hashing now assigns.
 
-        Tells whether this one serves on until then: only if it has the claim.
+        Returns whether this daemon serves until then: only if it has the claim.
         """
         if self.stewardship.phase != StewardshipPhase.HOLDING:
             return False
-        self._around.network.notify(successor, StewardshipOffered(self.engine))
-        self.claims.look_now()
+        self._dependencies.network.notify(successor, StewardshipOffered(self.engine))
+        self.claims.check_now()
         return True
 
-    def take_offer(self) -> None:
-        """Claim the engine now: who held it offers it to this daemon."""
+    def claim_offered(self) -> None:
+        """Claim the engine immediately after its steward has offered it."""
         self.claims.accept_offer()
-        self._claim_task.hurry()
+        self._claim_task.run_now()
 
-    def learn_taken(self, taken: StewardshipTaken) -> None:
-        """Take in that another process has claimed the engine."""
+    def learn_superseding_claim(self, notice: StewardshipTaken) -> None:
+        """Record that another process has claimed the engine."""
         now = self._clock.seconds()
-        self.stewardship.learn_claim(taken.member, taken.epoch, now)
+        self.stewardship.learn_claim(notice.member, notice.epoch, now)
         self._set_epoch()
 
     def learn_machine(self, machine: Machine) -> None:
-        """Take in the machine list's entry of the engine."""
+        """Record the machine list's entry of the engine."""
         self.machine = machine
         self.state.address = machine.address
         self.cache.address = machine.address
         leaving = machine.state != MachineState.LIVE
-        self._close_or_open(leaving, self.state.draining)
+        self._set_closed(leaving, self.state.draining)
 
-    def check_gateways(self) -> None:
-        """Free what dead gateways hold here."""
+    def free_dead_gateways(self) -> None:
+        """Free the calls and grants of dead gateways."""
         now = self._clock.seconds()
-        live = {live.member for live in self._around.membership.live_members()}
-        present = self.state.gateways()
+        live = {live.member for live in self._dependencies.membership.live_members()}
+        known_gateways = self.state.gateways()
         for gateway in tuple(self._missing_since):
-            if gateway in live or gateway not in present:
+            if gateway in live or gateway not in known_gateways:
                 del self._missing_since[gateway]
-        for gateway in present - live:
+        for gateway in known_gateways - live:
             since = self._missing_since.setdefault(gateway, now)
-            dead = self._around.membership.is_certainly_dead(gateway)
-            if dead or now - since >= GATEWAY_GRACE_SECONDS:
-                self.queue.answer(self.state.free_gateway(gateway, now))
+            is_dead = self._dependencies.membership.is_certainly_dead(gateway)
+            if is_dead or now - since >= GATEWAY_GRACE_SECONDS:
+                self.queue.send_replies(self.state.free_gateway(gateway, now))
                 emit(GatewayFreed(self.engine, gateway.daemon, gateway.incarnation))
 
     def refusal(self) -> Problem | None:
-        """Give why this daemon does not act as the steward, or None if it does."""
+        """Return why this daemon does not act as the steward, or None if it does."""
         if self.stewardship.phase != StewardshipPhase.SUPERSEDED:
             return None
         other = self.stewardship.superseded_by
         return not_steward(self.engine, other.daemon if other else None)
 
     def quote(self, program: ProgramId, prompt_tokens: int) -> EngineQuote:
-        """Give what a call would wait here."""
+        """Return the expected wait and the cached prefix of a call."""
         now = self._clock.seconds()
         cached = min(self.cache.tokens(program), prompt_tokens)
         return EngineQuote(
@@ -225,7 +227,7 @@
         )
 
     def describe(self) -> EngineDescription:
-        """Describe the engine for operators."""
+        """Return a description of the engine for operators."""
         now = self._clock.seconds()
         load = self.state.load
         report = load.report
@@ -240,42 +242,42 @@
             free_blocks=report.free_blocks if report else 0,
             total_blocks=report.total_blocks if report else 0,
             load_age_seconds=load.age_seconds(now) if report else -1.0,
-            steward=self._around.own_member,
+            steward=self._dependencies.own_member,
             steward_epoch=self.stewardship.epoch or Epoch(0),
         )
 
     def withdraw(self, key: CallKey) -> None:
-        """Withdraw a call whose caller is gone."""
-        self.queue.answer(self.state.withdraw(key, self._clock.seconds()))
+        """Withdraw a call whose caller disconnected."""
+        self.queue.send_replies(self.state.withdraw(key, self._clock.seconds()))
 
-    def take_back(self, returned: GrantReturned) -> None:
-        """Take a grant back, and learn what the engine now holds."""
+    def complete_grant(self, returned: GrantReturned) -> None:
+        """Free a returned grant, and record the tokens that are now cached."""
         now = self._clock.seconds()
         waiting = self.state.queued
         grant = self.state.grant(returned.grant)
         if grant is not None and returned.usage is not None and returned.succeeded:
             program = grant.call.key.program
-            self.cache.note_held(program, returned.usage.total_tokens)
-        answers = self.state.take_back(
+            self.cache.record_cached_tokens(program, returned.usage.total_tokens)
+        replies = self.state.complete_grant(
             returned.grant, returned.usage, returned.succeeded, now
         )
-        self.queue.answer(answers)
-        self._note_accepting(waiting)
+        self.queue.send_replies(replies)
+        self._report_accepting_change(waiting)
 
     def set_draining(self, draining: bool) -> None:
-        """Take in what operators want."""
-        self._close_or_open(self.state.leaving, draining)
+        """Record whether operators drain the engine."""
+        self._set_closed(self.state.leaving, draining)
 
     async def order_drain(self, drain: bool) -> Result[None, Problem]:
-        """Order the engine itself to refuse (or take) new work."""
+        """Order the engine to refuse new work, or to accept it again."""
         kind = OrderKind.DRAIN if drain else OrderKind.UNDRAIN
-        outcome = await self.orders.give(self.state.address, kind, "")
+        outcome = await self.orders.send(self.state.address, kind, "")
         if outcome.is_ok():
             self._drain_ordered = drain
         return outcome
 
     async def _order_drain_if_due(self) -> None:
-        """Order a drain once the last grant is back: it cuts nothing off then."""
+        """Order a drain after the last grant was returned, so that no run is cut."""
         if self.state.draining and not self._drain_ordered and not self.state.granted:
             await self.order_drain(True)
 
@@ -293,13 +295,13 @@
     ) -> PeriodicTask:
         return PeriodicTask(f"{name} of {self.engine}", task, seconds, self._clock)
 
-    def _close_or_open(self, leaving: bool, draining: bool) -> None:
+    def _set_closed(self, leaving: bool, draining: bool) -> None:
         now = self._clock.seconds()
         waiting = self.state.queued
-        self.queue.answer(self.state.set_closed(leaving, draining, now))
-        self._note_accepting(waiting)
+        self.queue.send_replies(self.state.set_closed(leaving, draining, now))
+        self._report_accepting_change(waiting)
 
-    def _note_accepting(self, waiting: int) -> None:
+    def _report_accepting_change(self, waiting: int) -> None:
         accepting = self.state.accepting(self._clock.seconds())
         if accepting != self._was_accepting:
             event = EngineClosed(self.engine, waiting)
@@ -307,21 +309,21 @@
         self._was_accepting = accepting
 
     async def _read_load(self) -> None:
-        port = self._around.engine_port
-        reading = port.load(self.state.address)
-        reading.addTimeout(LOAD_SECONDS, self._clock)
+        port = self._dependencies.engine_port
+        load_request = port.load(self.state.address)
+        load_request.addTimeout(LOAD_TIMEOUT_SECONDS, self._clock)
         try:
-            outcome = await reading
+            outcome = await load_request
         except DeferredTimeoutError as error:
             outcome = Err(Problem.of(ProblemCode.TIMED_OUT, str(error)))
         now = self._clock.seconds()
         waiting = self.state.queued
         if outcome.is_ok():
-            self.queue.answer(self.state.learn_load(outcome.unwrap(), now))
+            self.queue.send_replies(self.state.learn_load(outcome.unwrap(), now))
         else:
-            self.queue.answer(self.state.load_failed(now))
-        self._note_accepting(waiting)
-        self.check_gateways()
+            self.queue.send_replies(self.state.load_failed(now))
+        self._report_accepting_change(waiting)
+        self.free_dead_gateways()
 
     async def _claim(self) -> None:
         await self.claims.step()
@@ -332,15 +334,15 @@
         self.set_draining(claim.drained)
 
     def _set_epoch(self) -> None:
-        """Grant only while the claim is held; else send waiting calls on."""
-        epoch, before = self.stewardship.epoch, self.state.epoch
+        """Pass the claim's epoch to the state; redirect waiting calls if superseded."""
+        epoch, previous_epoch = self.stewardship.epoch, self.state.epoch
         self.state.set_epoch(epoch, self._clock.seconds())
-        if epoch is not None and epoch != before:
+        if epoch is not None and epoch != previous_epoch:
             emit(StewardshipBegun(self.engine, epoch))
         refusal = self.refusal()
         if refusal is not None:
-            self.queue.answer(self.state.hand_over(refusal))
-            if before is not None:
+            self.queue.send_replies(self.state.refuse_all_waiting(refusal))
+            if previous_epoch is not None:
                 emit(StewardshipEnded(self.engine, refusal.code))
         else:
-            self.queue.answer(self.state.grant_ready(self._clock.seconds()))
+            self.queue.send_replies(self.state.grant_ready(self._clock.seconds()))
--- a/notcharch/engines/orders.py
+++ b/notcharch/engines/orders.py
@@ -1,4 +1,4 @@
-"""Fenced orders of a steward to its engine."""
+"""Sends a steward's orders to its engine, fenced by the claim's epoch."""
 
 from collections.abc import Callable
 
@@ -12,12 +12,12 @@
 from notcharch.events.event import emit
 from notcharch.values.identifiers import EngineName, RequestId
 
-CONFIRMED_SECONDS = 25.0
-"""An order needs a claim that its journal confirmed within this time."""
+MAX_CONFIRMATION_AGE_SECONDS = 25.0
+"""Maximum age of the journal's last confirmation of the claim."""
 
 
 class EngineOrders:
-    """Sends orders with the epoch of a claim that was confirmed lately."""
+    """Sends orders under the epoch of a recently confirmed claim."""
 
     def __init__(
         self,
@@ -29,9 +29,9 @@
         instance: str,
         on_fenced: Callable[[], None],
     ) -> None:
-        """Call `on_fenced` when the engine has seen a later steward.
+        """Create the sender; `on_fenced` is called on a STALE_EPOCH response.
 
-        `instance` makes the ids of orders unique among all stewards' lives.
+        `instance` keeps order ids unique across steward restarts.
         """
         self._engine = engine
         self._stewardship = stewardship
@@ -41,15 +41,17 @@
         self._on_fenced = on_fenced
         self._order_number = 0
 
-    async def give(
+    async def send(
         self, address: str, kind: OrderKind, argument: str
     ) -> Result[None, Problem]:
-        """Give one order; UNAVAILABLE without a confirmed claim, or STALE_EPOCH."""
+        """Send one order; UNAVAILABLE without a confirmed claim, or STALE_EPOCH."""
         now = self._clock.seconds()
         epoch = self._stewardship.epoch
-        confirmed = self._stewardship.confirmed_within(CONFIRMED_SECONDS, now)
+        confirmed = self._stewardship.confirmed_within(
+            MAX_CONFIRMATION_AGE_SECONDS, now
+        )
         if epoch is None or not confirmed:
-            message = f"the claim on engine {self._engine} is not confirmed now"
+            message = f"the claim on engine {self._engine} was not confirmed recently"
             return Err(Problem.of(ProblemCode.UNAVAILABLE, message, retry_after=1.0))
         self._order_number += 1
         order_id = RequestId(f"{epoch}/{self._instance}/{self._order_number}")
--- a/notcharch/engines/prefix_mover.py
+++ b/notcharch/engines/prefix_mover.py
@@ -1,8 +1,7 @@
-"""Moves a program's cached prefix from one engine to another, if that is quick.
+"""Moves a program's cached prefix from one engine to another, within a timeout.
 
-A move that fails or takes too long costs only time: the target then computes the
-prefix itself. Once it has arrived, the source's copy is released, since the
-program's next call will not come there.
+If a move fails or times out, the target computes the prefix itself. After a
+successful move the source's copy is released.
 """
 
 from result import Result
@@ -17,14 +16,14 @@
 from notcharch.placement.interface import EngineDirectory
 from notcharch.values.identifiers import EngineName, Epoch, ProgramId
 
-PATIENCE = 2.0
-"""A move may take this many times its expected time, plus one second."""
+MOVE_TIMEOUT_FACTOR = 2.0
+"""Timeout as a multiple of the expected duration, plus one second."""
 
-RATE_WEIGHT = 0.2
+RATE_SMOOTHING = 0.2
 
 
 class PrefixMover:
-    """Export, import and release, with a rate learnt from earlier moves."""
+    """Exports, imports and releases prefixes; learns the transfer rate."""
 
     def __init__(
         self,
@@ -33,7 +32,7 @@
         clock: IReactorTime,
         tokens_per_second: float,
     ) -> None:
-        """Begin with an expected rate of export and import together; 0 for never."""
+        """Start with an expected rate of export plus import; 0 disables moves."""
         self._directory = directory
         self._port = engine_port
         self._clock = clock
@@ -47,28 +46,30 @@
         source: EngineName,
         target: EngineName,
     ) -> bool:
-        """Move a prefix; False if the target has to compute it."""
+        """Move a prefix; False if the target must compute it."""
         from_machine = self._directory.engine(source)
         to_machine = self._directory.engine(target)
         if from_machine is None or to_machine is None:
             return False
-        began_at = self._clock.seconds()
-        limit = 1.0 + PATIENCE * tokens / max(self.tokens_per_second, 1.0)
-        copying = Deferred.fromCoroutine(
+        started_at = self._clock.seconds()
+        timeout_seconds = 1.0 + MOVE_TIMEOUT_FACTOR * tokens / max(
+            self.tokens_per_second, 1.0
+        )
+        copy = Deferred.fromCoroutine(
             self._copy(program, from_machine.address, to_machine.address)
         )
-        copying.addTimeout(limit, self._clock)
+        copy.addTimeout(timeout_seconds, self._clock)
         try:
-            moved = await copying
+            moved_tokens = await copy
         except DeferredTimeoutError:
-            moved = 0
-        seconds = self._clock.seconds() - began_at
-        self._learn(tokens, seconds)
-        if moved == 0:
+            moved_tokens = 0
+        seconds = self._clock.seconds() - started_at
+        self._update_rate(tokens, seconds)
+        if moved_tokens == 0:
             emit(PrefixNotMoved(program, source, target, seconds))
             return False
-        emit(PrefixMoved(program, source, target, moved, seconds))
-        # Not awaited: whether the source forgets it now or by eviction matters little.
+        emit(PrefixMoved(program, source, target, moved_tokens, seconds))
+        # Not awaited: if the release fails, the source evicts the prefix later.
         self._port.release(from_machine.address, program, epoch)
         return True
 
@@ -81,7 +82,7 @@
         )
         return imported.unwrap_or(0)
 
-    def _learn(self, tokens: int, seconds: float) -> None:
-        """Let slow and failed moves make later ones less attractive."""
+    def _update_rate(self, tokens: int, seconds: float) -> None:
+        """Update the moving average, so that slow and failed moves lower it."""
         rate = tokens / max(seconds, 0.001)
-        self.tokens_per_second += RATE_WEIGHT * (rate - self.tokens_per_second)
+        self.tokens_per_second += RATE_SMOOTHING * (rate - self.tokens_per_second)
--- a/notcharch/engines/releases.py
+++ b/notcharch/engines/releases.py
@@ -1,7 +1,7 @@
-"""Releases of ended programs' memory that an engine has not confirmed yet. Pure.
+"""Releases of ended programs' memory that an engine has not confirmed yet. No I/O.
 
-Each is tried until the engine confirms it, or a newer epoch shows that the
-program lives on elsewhere, or the engine is gone.
+Each release is retried until the engine confirms it, the engine reports a
+newer epoch of the program, or the engine is removed.
 """
 
 import random
@@ -13,14 +13,14 @@
 
 
 class Release(msgspec.Struct, frozen=True):
-    """One program to release, fenced by its leader's epoch."""
+    """A program to release, fenced by its leader's epoch."""
 
     program: ProgramId
     epoch: Epoch
 
 
-class _Pending(msgspec.Struct, frozen=True):
-    """A release, how often it failed, and when it is tried next."""
+class _PendingRelease(msgspec.Struct, frozen=True):
+    """A release with its failure count and the time of its next attempt."""
 
     release: Release
     failures: int
@@ -31,10 +31,10 @@
     """The unconfirmed releases of one engine."""
 
     def __init__(self, retry: RetryPolicy, chance: random.Random) -> None:
-        """Start empty."""
+        """Start without pending releases."""
         self._retry = retry
         self._chance = chance
-        self._pending: dict[ProgramId, _Pending] = {}
+        self._pending: dict[ProgramId, _PendingRelease] = {}
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -43,32 +43,32 @@
         return program in self._pending
 
     def add(self, release: Release, now: float) -> None:
-        """Keep a release until it is confirmed; the higher epoch counts."""
+        """Add a release; per program the one with the higher epoch is kept."""
         known = self._pending.get(release.program)
         if known is None or known.release.epoch < release.epoch:
-            self._pending[release.program] = _Pending(release, 0, now)
+            self._pending[release.program] = _PendingRelease(release, 0, now)
 
     def due(self, now: float, limit: int) -> tuple[Release, ...]:
-        """Give up to `limit` releases to try now; each must be reported on."""
+        """Return at most `limit` due releases; the caller reports each outcome."""
         due = [p.release for p in self._pending.values() if p.due_at <= now]
         return tuple(due[:limit])
 
     def confirmed(self, release: Release) -> None:
-        """Note that the engine holds nothing of the program any more."""
+        """Drop a release that the engine confirmed."""
         self._drop(release)
 
     def fenced(self, release: Release) -> None:
-        """Note that the engine saw a higher epoch: the program has a newer leader."""
+        """Drop a release that the engine rejected for its stale epoch."""
         self._drop(release)
 
     def failed(self, release: Release, now: float) -> None:
-        """Note a failed try; the next one comes after a growing delay."""
+        """Schedule the next attempt after an increasing delay."""
         known = self._pending.get(release.program)
         if known is None or known.release != release:
             return
         failures = known.failures + 1
         due_at = now + self._retry.delay_seconds(failures, self._chance)
-        self._pending[release.program] = _Pending(release, failures, due_at)
+        self._pending[release.program] = _PendingRelease(release, failures, due_at)
 
     def _drop(self, release: Release) -> None:
         known = self._pending.get(release.program)
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -1,14 +1,14 @@
-"""The decisions of one engine's steward: queue, grants, refusals. Pure.
+"""One engine's queue, grants and refusals. No I/O.
 
-Every method takes the time and gives the answers that are due; the service
-beside it holds the requests open and sends the answers.
+The methods take the current time and return the replies that are due;
+`PendingRequests` keeps the requests open and sends the replies.
 """
 
 import msgspec
 
 from notcharch.clients.ports import EngineLoad
 from notcharch.engines import refusals
-from notcharch.engines.engine_load import KnownLoad
+from notcharch.engines.engine_load import LoadTracker
 from notcharch.engines.grants import Grant, GrantTable
 from notcharch.engines.waiting_calls import WaitingCall, WaitingCalls
 from notcharch.errors import Problem
@@ -21,32 +21,32 @@
 from notcharch.wire.messages.base import Message, Refusal
 from notcharch.wire.messages.engines import CallDeferred, CallGranted, EnqueueCall
 
-LEAST_SHARE = 1e-6
-WITHDRAWN_MEMORY_SECONDS = 120.0
-"""How long a withdrawal is remembered, in case its call arrives after it."""
+MIN_SHARE = 1e-6
+WITHDRAWAL_RETENTION_SECONDS = 120.0
+"""Retention of a withdrawal, in case its call arrives later."""
 
-CLAIM_SECONDS = 2.0
-"""What a claim usually takes at most; added to waits while there is none."""
+EXPECTED_CLAIM_SECONDS = 2.0
+"""Expected time until a claim is recorded; added to waits without a claim."""
 
-UNCLAIMED_SECONDS = 5.0
-"""Without a claim for so long, waiting calls are sent elsewhere."""
+MAX_UNCLAIMED_SECONDS = 5.0
+"""Time without a claim after which the engine accepts no calls."""
 
-LOST_GRANT_SECONDS = 30.0
-"""A grant this old that no report of the time can account for was lost."""
+UNACCOUNTED_GRANT_SECONDS = 30.0
+"""Age from which a grant that the engine's reports do not show is freed."""
 
 
-class CallAnswer(msgspec.Struct, frozen=True):
-    """The reply that a queued call's gateway must get now."""
+class CallReply(msgspec.Struct, frozen=True):
+    """A reply that is due to a queued call's gateway."""
 
     key: CallKey
     reply: Message
 
 
-Answers = tuple[CallAnswer, ...]
+Replies = tuple[CallReply, ...]
 
 
 def key_of(request: EnqueueCall) -> CallKey:
-    """Give the key under which a request is queued."""
+    """Return the key under which a request is queued."""
     return CallKey(request.program, request.sequence, request.attempt)
 
 
@@ -64,23 +64,23 @@
         order_policy: OrderPolicy,
         breaker_policy: BreakerPolicy,
     ) -> None:
-        """Begin without a claim: calls queue, and none is granted.
+        """Start without a claim: calls are queued, but none is granted.
 
-        `instance` makes the ids of grants unique among all stewards' lives.
+        `instance` keeps grant ids unique across steward restarts.
         """
         self.engine = engine
         self._instance = instance
         self.address = address
         self._epoch: Epoch | None = None
         self._unclaimed_since: float | None = None
-        self.load = KnownLoad(slots)
+        self.load = LoadTracker(slots)
         self.leaving = False
-        """Whether the machine list says that the engine is leaving or gone."""
+        """Whether the machine list has the engine in a state other than live."""
         self.draining = False
-        """Whether operators drain the engine."""
+        """Whether operators have ordered a drain of the engine."""
         self._queue_limit = queue_limit
         self._waiting = WaitingCalls(order_policy)
-        self._room = MemoryHeadroom(order_policy)
+        self._headroom = MemoryHeadroom(order_policy)
         self._grants = GrantTable()
         self._grant_number = 0
         self._withdrawn: dict[CallKey, float] = {}
@@ -88,11 +88,11 @@
 
     @property
     def epoch(self) -> Epoch | None:
-        """The epoch of the claim under which grants are given, if there is one."""
+        """The epoch of the claim, or None without a claim."""
         return self._epoch
 
     def set_epoch(self, epoch: Epoch | None, now: float) -> None:
-        """Take in the claim, or that there is none (any more)."""
+        """Set the epoch of the claim, or None if there is no claim."""
         if epoch is not None:
             self._unclaimed_since = None
         elif self._unclaimed_since is None:
@@ -101,23 +101,23 @@
 
     @property
     def queued(self) -> int:
-        """How many calls wait."""
+        """The number of waiting calls."""
         return len(self._waiting)
 
     @property
     def granted(self) -> int:
-        """How many grants are out."""
+        """The number of outstanding grants."""
         return len(self._grants)
 
     def grant(self, identifier: GrantId) -> Grant | None:
-        """Give a grant that is out."""
+        """Return an outstanding grant, or None."""
         return self._grants.get(identifier)
 
     def accepting(self, now: float) -> bool:
-        """Tell whether the engine may get new work."""
+        """Return whether the engine may receive new work."""
         stopped = self.leaving or self.draining or self.load.leaving
         since = self._unclaimed_since
-        unclaimed = since is not None and now - since > UNCLAIMED_SECONDS
+        unclaimed = since is not None and now - since > MAX_UNCLAIMED_SECONDS
         return (
             not (stopped or unclaimed)
             and self.load.reachable
@@ -125,57 +125,59 @@
         )
 
     def expected_wait(self, calls_ahead: float) -> float:
-        """Give the expected seconds until a grant behind so many calls."""
+        """Return the expected seconds until a grant behind `calls_ahead` calls."""
         wait = expected_wait_seconds(self.load.slot_load(), calls_ahead)
-        return wait if self._epoch is not None else wait + CLAIM_SECONDS
+        return wait if self._epoch is not None else wait + EXPECTED_CLAIM_SECONDS
 
     def quoted_wait(self) -> float:
-        """Give the expected seconds until a grant, with what a full engine costs.
+        """Return the expected seconds until a grant, plus costs of load and memory.
 
-        Among engines that would grant at once, the least busy one is the best, and
-        one that is short of memory is a bad place for any history.
+        Among engines with free slots this prefers the least loaded ones, and
+        avoids those that are short of memory.
         """
-        busy_part = len(self._grants) / self.load.slots
-        cost = busy_part * self.load.mean_hold_seconds / 2
-        if self._room.allowed_new_programs(busy_part) is not Headroom.FOR_ALL:
-            cost += self.load.mean_hold_seconds
+        utilization = len(self._grants) / self.load.slots
+        cost = utilization * self.load.mean_occupancy_seconds / 2
+        if self._headroom.allowed_new_programs(utilization) is not Headroom.FOR_ALL:
+            cost += self.load.mean_occupancy_seconds
         return self.expected_wait(len(self._waiting)) + cost
 
     def gateways(self) -> frozenset[Member]:
-        """Give every process that waits here or holds a grant."""
+        """Return every process with a waiting call or a grant."""
         return self._waiting.gateways() | self._grants.gateways()
 
-    def enqueue(self, request: EnqueueCall, now: float) -> Answers:
-        """Queue a call, or answer it at once. A repeat joins the earlier request."""
+    def enqueue(self, request: EnqueueCall, now: float) -> Replies:
+        """Queue a call or reply at once. A repeat shares the earlier reply."""
         key = key_of(request)
         grant = self._grants.of_call(key)
         if grant is not None:
-            return (CallAnswer(key, self._granted_reply(grant)),)
+            return (CallReply(key, self._granted_reply(grant)),)
         if key in self._waiting:
             return ()
         refusal = self._refusal_of(request, key, now)
         if refusal is not None:
-            return (CallAnswer(key, refusal),)
+            return (CallReply(key, refusal),)
         call = self._queued_call(request, key, now)
         self._waiting.add(WaitingCall(call, request, now + request.give_up_seconds))
         return self.grant_ready(now)
 
-    def grant_ready(self, now: float) -> Answers:
-        """Grant as many waiting calls as there are free slots."""
-        answers: list[CallAnswer] = []
+    def grant_ready(self, now: float) -> Replies:
+        """Grant waiting calls while the engine has free slots."""
+        replies: list[CallReply] = []
         while self._may_grant(now):
-            busy_part = len(self._grants) / self.load.slots
-            waiting = self._waiting.grant(self._room.allowed_new_programs(busy_part))
+            utilization = len(self._grants) / self.load.slots
+            waiting = self._waiting.grant(
+                self._headroom.allowed_new_programs(utilization)
+            )
             if waiting is None:
                 break
-            answers.append(CallAnswer(waiting.call.key, self._grant(waiting, now)))
-        return tuple(answers)
+            replies.append(CallReply(waiting.call.key, self._grant(waiting, now)))
+        return tuple(replies)
 
-    def withdraw(self, key: CallKey, now: float) -> Answers:
-        """Forget a call whose caller is gone, waiting, granted or still to come."""
+    def withdraw(self, key: CallKey, now: float) -> Replies:
+        """Drop a call, whether it is waiting, granted or not yet received."""
         self._withdrawn[key] = now
         if self._waiting.remove(key):
-            return (CallAnswer(key, Refusal(refusals.withdrawn())),)
+            return (CallReply(key, Refusal(refusals.withdrawn())),)
         grant = self._grants.of_call(key)
         if grant is None:
             return ()
@@ -184,26 +186,26 @@
         self.load.set_granted(len(self._grants), now)
         return self.grant_ready(now)
 
-    def take_back(
+    def complete_grant(
         self, identifier: GrantId, usage: TokenUsage | None, succeeded: bool, now: float
-    ) -> Answers:
-        """Take a grant back; harmless when it was taken back before."""
+    ) -> Replies:
+        """Free a returned grant; does nothing if it was already freed."""
         grant = self._grants.remove(identifier)
         if grant is None:
             return ()
         self.load.set_granted(len(self._grants), now)
-        self.load.learn_hold(now - grant.granted_at)
+        self.load.learn_occupancy(now - grant.granted_at)
         if usage is not None:
             used = usage.total_tokens - usage.cached_tokens
-            self._waiting.settle(grant.call, used)
+            self._waiting.correct_charge(grant.call, used)
         if succeeded:
             self._breaker.succeeded()
         else:
             self._breaker.failed(now)
-        return self._empty_if_closed(now) + self.grant_ready(now)
+        return self._refuse_all_if_closed(now) + self.grant_ready(now)
 
-    def free_gateway(self, gateway: Member, now: float) -> Answers:
-        """Free everything of a gateway process that died."""
+    def free_gateway(self, gateway: Member, now: float) -> Replies:
+        """Free the calls and grants of a dead gateway process."""
         keys = self._waiting.remove_of(gateway)
         for grant in self._grants.of_gateway(gateway):
             self._grants.remove(grant.grant)
@@ -211,35 +213,35 @@
         self.load.set_granted(len(self._grants), now)
         return _refuse_all(keys, refusals.withdrawn()) + self.grant_ready(now)
 
-    def learn_load(self, report: EngineLoad, now: float) -> Answers:
-        """Take a load report in."""
+    def learn_load(self, report: EngineLoad, now: float) -> Replies:
+        """Record a load report, and act on it."""
         if self.load.learn_report(report, now):
-            self._room.learn_report(report)
-        self._free_lost_grants(now)
-        answers = self._empty_if_closed(now) + self.grant_ready(now)
-        return answers + self._refuse_hopeless(now)
+            self._headroom.learn_report(report)
+        self._free_unaccounted_grants(now)
+        replies = self._refuse_all_if_closed(now) + self.grant_ready(now)
+        return replies + self._refuse_expected_to_expire(now)
 
-    def load_failed(self, now: float) -> Answers:
-        """Note that the engine did not answer a read of its load."""
+    def load_failed(self, now: float) -> Replies:
+        """Record a failed read of the engine's load."""
         self.load.read_failed()
-        return self._empty_if_closed(now)
+        return self._refuse_all_if_closed(now)
 
-    def set_closed(self, leaving: bool, draining: bool, now: float) -> Answers:
-        """Take in what the machine list and the operators say."""
+    def set_closed(self, leaving: bool, draining: bool, now: float) -> Replies:
+        """Set whether the engine is leaving or draining."""
         self.leaving = leaving
         self.draining = draining
-        return self._empty_if_closed(now) + self.grant_ready(now)
+        return self._refuse_all_if_closed(now) + self.grant_ready(now)
 
-    def hand_over(self, problem: Problem) -> Answers:
-        """Answer every waiting call with a problem, such as NOT_STEWARD."""
+    def refuse_all_waiting(self, problem: Problem) -> Replies:
+        """Refuse every waiting call with a problem, such as NOT_STEWARD."""
         return _refuse_all(self._waiting.remove_all(), problem)
 
     def next_deadline(self) -> float | None:
-        """Give the time of the next call to be given up, if any waits."""
+        """Return the earliest deadline, or None if no call waits."""
         return self._waiting.next_deadline()
 
-    def give_up(self, now: float) -> Answers:
-        """Refuse the calls whose time in the queue is over."""
+    def refuse_expired(self, now: float) -> Replies:
+        """Refuse the calls whose deadline has passed."""
         self._forget_withdrawals(now)
         return self._refuse_overloaded(self._waiting.remove_expired(now))
 
@@ -268,14 +270,14 @@
         return QueuedCall(
             key=key,
             service=request.service,
-            share=max(request.share, LEAST_SHARE),
+            share=max(request.share, MIN_SHARE),
             priority=request.priority,
             attained_tokens=max(0, request.attained_tokens),
             begun=request.begun,
             cost_tokens=uncached + request.max_tokens,
             enqueued_at=now,
             needs_headroom=not request.begun
-            and not self._room.is_small(request.service),
+            and not self._headroom.is_small(request.service),
         )
 
     def _may_grant(self, now: float) -> bool:
@@ -293,7 +295,7 @@
         self._breaker.started()
         request = waiting.request
         uncached = _uncached_tokens(request)
-        self._room.note_grant(request.service, request.prompt_tokens, uncached)
+        self._headroom.note_grant(request.service, request.prompt_tokens, uncached)
         self.load.set_granted(len(self._grants), now)
         return self._granted_reply(grant)
 
@@ -301,41 +303,41 @@
         epoch = self.epoch if self.epoch is not None else Epoch(0)
         return CallGranted(grant.grant, self.engine, self.address, epoch)
 
-    def _refuse_overloaded(self, keys: tuple[CallKey, ...]) -> Answers:
+    def _refuse_overloaded(self, keys: tuple[CallKey, ...]) -> Replies:
         if not keys:
             return ()
         wait = self.expected_wait(len(self._waiting))
         return _refuse_all(keys, refusals.overloaded(wait))
 
-    def _refuse_hopeless(self, now: float) -> Answers:
-        """Refuse at once what is now known not to be granted in time."""
-        keys = self._waiting.hopeless(self.expected_wait, now)
+    def _refuse_expected_to_expire(self, now: float) -> Replies:
+        """Refuse the calls that are not expected to be granted in time."""
+        keys = self._waiting.expected_to_expire(self.expected_wait, now)
         for key in keys:
             self._waiting.remove(key)
         return self._refuse_overloaded(keys)
 
-    def _empty_if_closed(self, now: float) -> Answers:
-        """Answer the queue at once when the engine takes no work any more."""
+    def _refuse_all_if_closed(self, now: float) -> Replies:
+        """Refuse all waiting calls if the engine accepts no work."""
         if not self._waiting or self.accepting(now):
             return ()
-        return self.hand_over(refusals.engine_closed(self.engine))
+        return self.refuse_all_waiting(refusals.engine_closed(self.engine))
 
-    def _free_lost_grants(self, now: float) -> None:
+    def _free_unaccounted_grants(self, now: float) -> None:
         """Free grants that the engine's reports cannot account for."""
-        most_running = self.load.most_running_since(now - LOST_GRANT_SECONDS)
-        if most_running is None:
+        max_running = self.load.max_running_since(now - UNACCOUNTED_GRANT_SECONDS)
+        if max_running is None:
             return
         old = [
             grant
-            for grant in self._grants.oldest()
-            if grant.granted_at < now - LOST_GRANT_SECONDS
+            for grant in self._grants.oldest_first()
+            if grant.granted_at < now - UNACCOUNTED_GRANT_SECONDS
         ]
-        for grant in old[: max(0, len(old) - most_running)]:
+        for grant in old[: max(0, len(old) - max_running)]:
             self._grants.remove(grant.grant)
         self.load.set_granted(len(self._grants), now)
 
     def _forget_withdrawals(self, now: float) -> None:
-        horizon = now - WITHDRAWN_MEMORY_SECONDS
+        horizon = now - WITHDRAWAL_RETENTION_SECONDS
         while self._withdrawn:
             key = next(iter(self._withdrawn))
             if self._withdrawn[key] > horizon:
@@ -343,8 +345,8 @@
             del self._withdrawn[key]
 
 
-def _refuse_all(keys: tuple[CallKey, ...], problem: Problem) -> Answers:
-    return tuple(CallAnswer(key, Refusal(problem)) for key in keys)
+def _refuse_all(keys: tuple[CallKey, ...], problem: Problem) -> Replies:
+    return tuple(CallReply(key, Refusal(problem)) for key in keys)
 
 
 def _uncached_tokens(request: EnqueueCall) -> int:
--- a/notcharch/engines/stewardship.py
+++ b/notcharch/engines/stewardship.py
@@ -1,8 +1,8 @@
-"""The life of one daemon's stewardship of one engine. Pure.
+"""The state machine of one daemon's stewardship of one engine. No I/O.
 
-unassigned → (hashing names this daemon) → claiming → (claim recorded) →
-holding → (another process claimed) → superseded → (it is gone) → claiming.
-A steward queues calls while it claims or holds, and grants only while it holds.
+unassigned → (hashing assigns this daemon) → claiming → (claim recorded) →
+holding → (another process claimed) → superseded → (it left) → claiming.
+A steward queues calls while claiming or holding, and grants only while holding.
 """
 
 import enum
@@ -14,7 +14,7 @@
 
 
 class StewardshipPhase(enum.Enum):
-    """Where the life stands."""
+    """The states of a stewardship."""
 
     UNASSIGNED = "unassigned"
     CLAIMING = "claiming"
@@ -22,59 +22,59 @@
     SUPERSEDED = "superseded"
 
 
-class _Life(Protocol):
+class _StewardshipMachine(Protocol):
     """The inputs of the machine."""
 
     def assign(self) -> None:
-        """Note that hashing names this daemon."""
+        """Process the assignment of the engine to this daemon."""
 
     def unassign(self) -> None:
-        """Note that hashing names another daemon."""
+        """Process the assignment of the engine to another daemon."""
 
     def claimed(self) -> None:
-        """Note that this process's claim was recorded."""
+        """Process the record of a claim by this process."""
 
     def superseded(self) -> None:
-        """Note that another process claimed the engine later."""
+        """Process a later claim by another process."""
 
     def reclaim(self) -> None:
-        """Claim again although superseded."""
+        """Claim again after being superseded."""
 
     def phase(self) -> StewardshipPhase:
-        """Give the phase."""
+        """Return the current phase."""
 
 
 class _Core:
-    """The machine keeps nothing beside its state."""
+    """The machine has no data besides its state."""
 
 
-_builder = TypeMachineBuilder(_Life, _Core)
+_builder = TypeMachineBuilder(_StewardshipMachine, _Core)
 _unassigned = _builder.state("unassigned")
 _claiming = _builder.state("claiming")
 _holding = _builder.state("holding")
 _superseded = _builder.state("superseded")
 
 for _state, _input, _target in (
-    (_unassigned, _Life.assign, _claiming),
-    (_unassigned, _Life.unassign, _unassigned),
-    (_unassigned, _Life.claimed, _unassigned),
-    (_unassigned, _Life.superseded, _unassigned),
-    (_unassigned, _Life.reclaim, _unassigned),
-    (_claiming, _Life.assign, _claiming),
-    (_claiming, _Life.unassign, _unassigned),
-    (_claiming, _Life.claimed, _holding),
-    (_claiming, _Life.superseded, _superseded),
-    (_claiming, _Life.reclaim, _claiming),
-    (_holding, _Life.assign, _holding),
-    (_holding, _Life.unassign, _unassigned),
-    (_holding, _Life.claimed, _holding),
-    (_holding, _Life.superseded, _superseded),
-    (_holding, _Life.reclaim, _holding),
-    (_superseded, _Life.assign, _superseded),
-    (_superseded, _Life.unassign, _unassigned),
-    (_superseded, _Life.claimed, _superseded),
-    (_superseded, _Life.superseded, _superseded),
-    (_superseded, _Life.reclaim, _claiming),
+    (_unassigned, _StewardshipMachine.assign, _claiming),
+    (_unassigned, _StewardshipMachine.unassign, _unassigned),
+    (_unassigned, _StewardshipMachine.claimed, _unassigned),
+    (_unassigned, _StewardshipMachine.superseded, _unassigned),
+    (_unassigned, _StewardshipMachine.reclaim, _unassigned),
+    (_claiming, _StewardshipMachine.assign, _claiming),
+    (_claiming, _StewardshipMachine.unassign, _unassigned),
+    (_claiming, _StewardshipMachine.claimed, _holding),
+    (_claiming, _StewardshipMachine.superseded, _superseded),
+    (_claiming, _StewardshipMachine.reclaim, _claiming),
+    (_holding, _StewardshipMachine.assign, _holding),
+    (_holding, _StewardshipMachine.unassign, _unassigned),
+    (_holding, _StewardshipMachine.claimed, _holding),
+    (_holding, _StewardshipMachine.superseded, _superseded),
+    (_holding, _StewardshipMachine.reclaim, _holding),
+    (_superseded, _StewardshipMachine.assign, _superseded),
+    (_superseded, _StewardshipMachine.unassign, _unassigned),
+    (_superseded, _StewardshipMachine.claimed, _superseded),
+    (_superseded, _StewardshipMachine.superseded, _superseded),
+    (_superseded, _StewardshipMachine.reclaim, _claiming),
 ):
     _state.upon(_input).to(_target).returns(None)
 
@@ -84,59 +84,61 @@
     (_holding, StewardshipPhase.HOLDING),
     (_superseded, StewardshipPhase.SUPERSEDED),
 ):
-    _state.upon(_Life.phase).loop().returns(_phase)
+    _state.upon(_StewardshipMachine.phase).loop().returns(_phase)
 
-_machine = _builder.build()
+_new_machine = _builder.build()
 
 
 class Stewardship:
     """The claim on one engine, with its epoch and who superseded it."""
 
     def __init__(self, own_member: Member) -> None:
-        """Begin unassigned."""
+        """Start unassigned."""
         self._own_member = own_member
-        self._life = _machine(_Core())
+        self._machine = _new_machine(_Core())
         self._epoch = Epoch(0)
         self._confirmed_at: float | None = None
         self.superseded_by: Member | None = None
-        """Who holds the claim instead, while superseded."""
+        """The process that holds the claim while this one is superseded."""
 
     @property
     def phase(self) -> StewardshipPhase:
-        """Where the life stands."""
-        return self._life.phase()
+        """The current phase."""
+        return self._machine.phase()
 
     @property
     def epoch(self) -> Epoch | None:
-        """The epoch of the claim while it is held, else None."""
+        """The epoch of the claim while this process holds it, else None."""
         return self._epoch if self.phase == StewardshipPhase.HOLDING else None
 
     def confirmed_within(self, seconds: float, now: float) -> bool:
-        """Tell whether the journal confirmed the claim lately: orders need that."""
+        """Return whether the journal confirmed the claim recently enough."""
         if self.phase != StewardshipPhase.HOLDING or self._confirmed_at is None:
             return False
         return now - self._confirmed_at <= seconds
 
     def assign(self, assigned: bool) -> None:
-        """Take in whether hashing names this daemon."""
+        """Record whether hashing assigns the engine to this daemon."""
         if assigned:
-            self._life.assign()
+            self._machine.assign()
         else:
-            self._life.unassign()
+            self._machine.unassign()
 
-    def learn_claim(self, member: Member | None, epoch: Epoch, asked_at: float) -> None:
-        """Take in the claim in force as it was at some time after `asked_at`."""
+    def learn_claim(
+        self, member: Member | None, epoch: Epoch, requested_at: float
+    ) -> None:
+        """Record the claim in force, as read at some time after `requested_at`."""
         if epoch < self._epoch:
             return
         if member == self._own_member:
             self._epoch = epoch
-            self._confirmed_at = asked_at
-            self._life.claimed()
+            self._confirmed_at = requested_at
+            self._machine.claimed()
         elif member is not None:
             self._epoch = epoch
             self.superseded_by = member
-            self._life.superseded()
+            self._machine.superseded()
 
     def reclaim(self) -> None:
-        """Claim again, because the process that superseded this one is gone."""
-        self._life.reclaim()
+        """Claim again after being superseded."""
+        self._machine.reclaim()
--- a/notcharch/engines/waiting_calls.py
+++ b/notcharch/engines/waiting_calls.py
@@ -1,4 +1,4 @@
-"""The requests that wait for one engine: their order and their deadlines. Pure."""
+"""The calls that wait for one engine, with their order and deadlines. No I/O."""
 
 import heapq
 from collections.abc import Callable
@@ -10,23 +10,23 @@
 from notcharch.values.identifiers import Member
 from notcharch.wire.messages.engines import EnqueueCall
 
-HOPELESS_FACTOR = 1.25
-"""A waiting call is refused early if its wait is this much above what is left:
-estimates move, and a call that was let in should not be put out by noise."""
+EXPIRY_WAIT_FACTOR = 1.25
+"""A queued call is refused early if its expected wait exceeds its remaining time
+by this factor plus `EXPIRY_MARGIN_SECONDS`, as estimates fluctuate."""
 
-HOPELESS_MARGIN_SECONDS = 1.0
+EXPIRY_MARGIN_SECONDS = 1.0
 
 
 class WaitingCall(msgspec.Struct, frozen=True):
-    """A waiting call with its request, and when it is given up."""
+    """A waiting call with its request and the deadline for its grant."""
 
     call: QueuedCall
     request: EnqueueCall
-    give_up_at: float
+    deadline: float
 
 
 class _Deadline(msgspec.Struct, frozen=True, order=True):
-    """An entry of the heap of deadlines; old entries of a key are skipped."""
+    """A heap entry; outdated entries of a key are skipped."""
 
     at: float
     key: CallKey
@@ -48,7 +48,7 @@
         return key in self._calls
 
     def gateways(self) -> frozenset[Member]:
-        """Give every process that waits."""
+        """Return every process with a waiting call."""
         return frozenset(w.request.gateway for w in self._calls.values())
 
     def add(self, waiting: WaitingCall) -> None:
@@ -56,46 +56,46 @@
         key = waiting.call.key
         self._calls[key] = waiting
         self._queue.enqueue(waiting.call)
-        heapq.heappush(self._deadlines, _Deadline(waiting.give_up_at, key))
+        heapq.heappush(self._deadlines, _Deadline(waiting.deadline, key))
 
     def remove(self, key: CallKey) -> bool:
-        """Take a call out; False if it does not wait."""
+        """Remove a call; False if it is not waiting."""
         self._queue.cancel(key)
         return self._calls.pop(key, None) is not None
 
     def remove_all(self) -> tuple[CallKey, ...]:
-        """Take every call out."""
-        return self._remove(lambda waiting: True)
+        """Remove every call."""
+        return self._remove_matching(lambda waiting: True)
 
     def remove_of(self, gateway: Member) -> tuple[CallKey, ...]:
-        """Take the calls of one process out."""
-        return self._remove(lambda waiting: waiting.request.gateway == gateway)
+        """Remove the calls of one process."""
+        return self._remove_matching(lambda waiting: waiting.request.gateway == gateway)
 
-    def grant(self, room: Headroom) -> WaitingCall | None:
-        """Take out the call that goes next, and charge its service."""
-        call = self._queue.grant(room)
+    def grant(self, headroom: Headroom) -> WaitingCall | None:
+        """Remove and return the next call, and charge its service."""
+        call = self._queue.grant(headroom)
         return None if call is None else self._calls.pop(call.key)
 
-    def settle(self, call: QueuedCall, used_tokens: int) -> None:
+    def correct_charge(self, call: QueuedCall, used_tokens: int) -> None:
         """Correct the charge of a granted call."""
         self._queue.correct_charge(call, used_tokens)
 
     def calls_ahead(self, call: QueuedCall) -> float:
-        """Estimate how many calls go before this one, waiting or not."""
+        """Estimate the number of calls ahead of this one, which need not wait yet."""
         return self._queue.calls_ahead(call)
 
     def next_deadline(self) -> float | None:
-        """Give the time of the next call to be given up, if any waits."""
+        """Return the earliest deadline, or None if no call waits."""
         while self._deadlines:
             first = self._deadlines[0]
             waiting = self._calls.get(first.key)
-            if waiting is not None and waiting.give_up_at == first.at:
+            if waiting is not None and waiting.deadline == first.at:
                 return first.at
             heapq.heappop(self._deadlines)
         return None
 
     def remove_expired(self, now: float) -> tuple[CallKey, ...]:
-        """Take out the calls whose time is over."""
+        """Remove the calls whose deadline has passed."""
         expired: list[CallKey] = []
         while (at := self.next_deadline()) is not None and at <= now:
             key = heapq.heappop(self._deadlines).key
@@ -103,32 +103,34 @@
             expired.append(key)
         return tuple(expired)
 
-    def hopeless(
+    def expected_to_expire(
         self, expected_wait: Callable[[float], float], now: float
     ) -> tuple[CallKey, ...]:
-        """Give the calls that will not be granted in time, as is known now.
+        """Return the calls that are not expected to be granted in time.
 
-        `expected_wait` gives seconds for a number of calls ahead.
+        `expected_wait` returns the seconds for a number of calls ahead.
         """
         first = self.next_deadline()
-        whole = expected_wait(len(self._calls))
-        if first is None or not _is_hopeless(whole, first - now):
+        longest_wait = expected_wait(len(self._calls))
+        if first is None or not _will_expire(longest_wait, first - now):
             return ()
         return tuple(
             key
             for key, waiting in self._calls.items()
-            if _is_hopeless(
+            if _will_expire(
                 expected_wait(self._queue.calls_ahead(waiting.call)),
-                waiting.give_up_at - now,
+                waiting.deadline - now,
             )
         )
 
-    def _remove(self, chosen: Callable[[WaitingCall], bool]) -> tuple[CallKey, ...]:
-        keys = tuple(key for key, w in self._calls.items() if chosen(w))
+    def _remove_matching(
+        self, predicate: Callable[[WaitingCall], bool]
+    ) -> tuple[CallKey, ...]:
+        keys = tuple(key for key, w in self._calls.items() if predicate(w))
         for key in keys:
             self.remove(key)
         return keys
 
 
-def _is_hopeless(wait: float, left: float) -> bool:
-    return wait > left * HOPELESS_FACTOR + HOPELESS_MARGIN_SECONDS
+def _will_expire(wait: float, remaining_seconds: float) -> bool:
+    return wait > remaining_seconds * EXPIRY_WAIT_FACTOR + EXPIRY_MARGIN_SECONDS
--- a/tests/stateful/engines/test_claims.py
+++ b/tests/stateful/engines/test_claims.py
@@ -84,8 +84,8 @@
 
 def forget_the_partitions_epoch(monkeypatch):
     def next_epoch(self, epoch):
-        self._greatest += 1
-        return self._greatest
+        self._max_epoch += 1
+        return self._max_epoch
 
     monkeypatch.setattr(StewardClaimsState, "_next_epoch", next_epoch)
 
--- a/tests/stateful/engines/test_steward_state.py
+++ b/tests/stateful/engines/test_steward_state.py
@@ -138,7 +138,7 @@
         grant = list(self.granted)[choice % len(self.granted)]
         del self.granted[grant]
         for _ in range(2 if twice else 1):
-            self.take(self.state.take_back(grant, USAGE, succeeded, self.now))
+            self.take(self.state.complete_grant(grant, USAGE, succeeded, self.now))
 
     @precondition(lambda self: self.requests)
     @rule(choice=st.integers(0, 1000))
@@ -168,13 +168,13 @@
 
     @rule()
     def move_away(self):
-        self.take(self.state.hand_over(MOVED))
+        self.take(self.state.refuse_all_waiting(MOVED))
         assert not self.waiting
 
     @rule(seconds=st.sampled_from([0.1, 1.0, 6.0]))
     def pass_time(self, seconds):
         self.now += seconds
-        self.take(self.state.give_up(self.now))
+        self.take(self.state.refuse_expired(self.now))
 
     @rule(foreign=st.integers(0, 2), failed=RARELY)
     def read_load(self, foreign, failed):
@@ -220,10 +220,10 @@
         for _ in range(70):
             self.now += 1.0
             self.report(len(self.granted))
-            self.take(self.state.give_up(self.now))
+            self.take(self.state.refuse_expired(self.now))
             for grant in tuple(self.granted):
                 del self.granted[grant]
-                self.take(self.state.take_back(grant, USAGE, True, self.now))
+                self.take(self.state.complete_grant(grant, USAGE, True, self.now))
         assert not self.waiting
         assert self.state.accepting(self.now)
 
@@ -283,9 +283,11 @@
 
 
 def drop_a_call_without_an_answer(monkeypatch):
-    original = StewardState.hand_over
+    original = StewardState.refuse_all_waiting
     monkeypatch.setattr(
-        StewardState, "hand_over", lambda self, problem: original(self, problem)[1:]
+        StewardState,
+        "refuse_all_waiting",
+        lambda self, problem: original(self, problem)[1:],
     )
 
 
@@ -324,7 +326,7 @@
 def test_a_withdrawal_is_remembered_for_a_while_only():
     machine = Steward()
     machine.state.withdraw(CallKey("p1", 1, 1), 0.0)
-    machine.state.give_up(121.0)
+    machine.state.refuse_expired(121.0)
     assert machine.state._withdrawn == {}
 
 
--- a/tests/stateful/region/test_breaks.py
+++ b/tests/stateful/region/test_breaks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from notcharch.engines.cache_keeper import CacheKeeper
+from notcharch.engines.cache_tracker import CacheTracker
 from notcharch.gateway import call_requests, call_run
 from notcharch.programs.release_service import ReleaseService
 from tests.stateful.region.machine import CUT, RegionMachine
@@ -41,7 +41,7 @@
 
 def releases_nothing(monkeypatch):
     monkeypatch.setattr(ReleaseService, "step", nothing)
-    monkeypatch.setattr(CacheKeeper, "_sweep", nothing_later)
+    monkeypatch.setattr(CacheTracker, "_sweep", nothing_later)
 
 
 BREAKS = (
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -351,9 +351,9 @@
     def run(self, seconds: float) -> None:
         run_for(self.clock, seconds)
 
-    def keeper(self, engine: str):
+    def engine_steward(self, engine: str):
         node = self.nodes[self.stewards[engine]]
-        return node.stewards._keepers[engine]
+        return node.stewards._engine_stewards[engine]
 
 
 def _machine(name: str, slots: int) -> Machine:
--- a/tests/unit/engines/test_cache_release.py
+++ b/tests/unit/engines/test_cache_release.py
@@ -112,14 +112,14 @@
 
 
 @pytest.mark.parametrize(
-    ("events", "following", "lost", "doubtful"), PAGES.values(), ids=PAGES.keys()
+    ("events", "following", "lost", "is_stale"), PAGES.values(), ids=PAGES.keys()
 )
-def test_gaps_make_the_map_doubtful(events, following, lost, doubtful):
+def test_gaps_make_the_map_is_stale(events, following, lost, is_stale):
     cache = CacheMap()
     cache.learn_events(CacheEvents((), 0))
     cache.reconcile(())
     learnt = cache.learn_events(CacheEvents(tuple(events), following))
-    assert (learnt.lost_events, cache.doubtful) == (lost, doubtful)
+    assert (learnt.missed_events, cache.is_stale) == (lost, is_stale)
     assert cache.next_sequence == following
 
 
@@ -129,7 +129,7 @@
     cache.reconcile((CachedProgram(P1, 10),))
     assert cache.learn_events(CacheEvents((), 0)).restarted
     assert cache.programs() == ()
-    assert cache.doubtful
+    assert cache.is_stale
 
 
 def test_evictions_forget_a_program():
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -92,10 +92,10 @@
     region.run(0.5)
     gone.cancel()
     region.run(0.5)
-    assert region.keeper("e1").state.queued == 0
+    assert region.engine_steward("e1").state.queued == 0
     node.dispatcher.return_grant(result_of(first).unwrap(), None, engine_failed=False)
     region.run(0.5)
-    assert region.keeper("e1").state.granted == 0
+    assert region.engine_steward("e1").state.granted == 0
 
 
 def test_without_engines_the_answer_comes_soon_and_says_when_to_come_back():
@@ -114,8 +114,8 @@
     node = region.nodes["d1"]
     granted_engine(region, node, admitted("r1-0-0", 2, "e2", 90_000, 90_000))
     region.engine("e2").store("r1-0-1", 90_000)
-    keeper = region.keeper("e2")
-    keeper.state.load.learn_hold(500.0)
+    engine_steward = region.engine_steward("e2")
+    engine_steward.state.load.learn_occupancy(500.0)
     return region
 
 
@@ -161,10 +161,10 @@
     gone = place(region.nodes["d1"], call, give_up_seconds=1000.0)
     gone.addErrback(lambda failure: "cancelled")
     region.run(1.0)
-    assert region.keeper("e1").state.granted == 1
+    assert region.engine_steward("e1").state.granted == 1
     gone.cancel()
     region.run(1.0)
-    assert region.keeper("e1").state.granted == 0
+    assert region.engine_steward("e1").state.granted == 0
 
 
 def test_a_lost_grant_reply_is_withdrawn():
@@ -176,7 +176,7 @@
     region.fabric.heal()
     region.run(8.0)
     assert result_of(placing).unwrap_err().ran == Ran.NO
-    assert region.keeper("e1").state.granted == 0
+    assert region.engine_steward("e1").state.granted == 0
 
 
 def test_an_engine_that_failed_the_call_is_avoided_while_there_is_another():
--- a/tests/unit/engines/test_engine_faults.py
+++ b/tests/unit/engines/test_engine_faults.py
@@ -48,7 +48,7 @@
     refused = place(region.nodes["d2"])
     region.run(2.0)
     assert refused.result.unwrap_err().is_code(ProblemCode.NO_ENGINE)
-    assert region.keeper("e1").state.granted == 0
+    assert region.engine_steward("e1").state.granted == 0
 
 
 def test_an_engine_that_answers_again_gets_work_again():
@@ -93,7 +93,7 @@
         if certain:
             node.view.dead.add(gone)
     region.run(1.5 if certain else 12.0)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     assert (state.granted, state.queued) == (0, 0)
 
 
@@ -107,7 +107,7 @@
     for node in region.nodes.values():
         node.view.members.append(region.nodes["d3"].member)
     region.run(20.0)
-    assert region.keeper("e1").state.granted == 1
+    assert region.engine_steward("e1").state.granted == 1
 
 
 def test_a_grant_that_no_report_accounts_for_is_freed():
@@ -116,7 +116,7 @@
     kept = granted(region, "d2", "r1-0-2")
     region.engine("e1").running = 1
     region.run(100.0)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     assert state.granted == 1
     assert state.grant(kept.grant) is not None
 
@@ -157,7 +157,7 @@
     for step in steps:
         replies.append(network.request(DaemonName("d1"), messages[step], 10.0))
         region.run(0.2)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     queued = "cancel" not in steps and steps[-1] != "return" and "return" not in steps
     assert state.queued == (1 if queued else 0)
     expected = 1
--- a/tests/unit/engines/test_stewardship.py
+++ b/tests/unit/engines/test_stewardship.py
@@ -17,8 +17,8 @@
 
 
 def epoch_of(region, node):
-    keeper = region.nodes[node].stewards._keepers.get(E1)
-    return keeper.stewardship.epoch if keeper else None
+    engine_steward = region.nodes[node].stewards._engine_stewards.get(E1)
+    return engine_steward.stewardship.epoch if engine_steward else None
 
 
 def move(region, to):
@@ -50,9 +50,9 @@
     region.fabric.cut([DaemonName("d1")], [DaemonName("d2")])
     region.partitions.leader = DaemonName("d2")
     region.run(40.0)
-    keeper = region.keeper("e1")
-    assert keeper.stewardship.epoch is not None
-    ordering = region.nodes["d1"].stewards._keepers[E1].order_drain(True)
+    engine_steward = region.engine_steward("e1")
+    assert engine_steward.stewardship.epoch is not None
+    ordering = region.nodes["d1"].stewards._engine_stewards[E1].order_drain(True)
     try:
         ordering.send(None)
     except StopIteration as stop:
@@ -78,10 +78,12 @@
 def test_a_superseded_steward_grants_nothing_and_its_orders_are_refused():
     region = Region(daemons=3, engines=1)
     region.believed[DaemonName("d1")] = {E1: DaemonName("d1")}
-    old = region.nodes["d1"].stewards._keepers[E1]
-    old.learn_taken = lambda taken: None  # the notice of the new claim is lost
+    old = region.nodes["d1"].stewards._engine_stewards[E1]
+    old.learn_superseding_claim = lambda taken: (
+        None
+    )  # the notice of the new claim is lost
     move(region, "d2")
-    region.nodes["d2"].stewards._keepers[E1].order_drain(True).send(None)
+    region.nodes["d2"].stewards._engine_stewards[E1].order_drain(True).send(None)
     assert [order.order for order in region.engine("e1").orders] == [OrderKind.DRAIN]
     stale = old.order_drain(False)
     stale.send(None)
--- a/tests/unit/engines/test_stewardship_handover.py
+++ b/tests/unit/engines/test_stewardship_handover.py
@@ -27,8 +27,8 @@
     """Give the daemon that holds the recorded claim on e1 and knows it."""
     partition = partition_of_engine(E1, PARTITIONS)
     claim = region.partitions.states[partition].claim(E1)
-    keeper = region.nodes[claim.member.daemon].stewards._keepers[E1]
-    assert keeper.state.epoch == claim.epoch
+    engine_steward = region.nodes[claim.member.daemon].stewards._engine_stewards[E1]
+    assert engine_steward.state.epoch == claim.epoch
     return claim.member.daemon
 
 
