--- a/tests/stateful/engines/queue_oracle.py
+++ b/tests/stateful/engines/queue_oracle.py
@@ -1,4 +1,4 @@
-"""A plain O(n) statement of the queue order, to compare `FairQueue` with."""
+"""A simple O(n) reference implementation of `FairQueue`."""
 
 from fractions import Fraction
 
@@ -6,7 +6,7 @@
 
 
 class QueueOracle:
-    """Every rule as a scan over all waiting calls."""
+    """Applies each rule by a scan over all waiting calls."""
 
     def __init__(self, policy: OrderPolicy) -> None:
         self.policy = policy
@@ -18,8 +18,8 @@
     def enqueue(self, call: QueuedCall) -> None:
         self.cancel(call.key)
         if not self.of_service(call.service):
-            own = self.virtual_times.get(call.service, Fraction(0))
-            self.virtual_times[call.service] = max(own, self.virtual_time)
+            service_time = self.virtual_times.get(call.service, Fraction(0))
+            self.virtual_times[call.service] = max(service_time, self.virtual_time)
         self.rows[call.service] = (call.share, call.priority)
         self.calls.append(call)
 
@@ -34,14 +34,14 @@
     def of_service(self, service: str) -> list[QueuedCall]:
         return [call for call in self.calls if call.service == service]
 
-    def has_room(self, call: QueuedCall, room: Headroom) -> bool:
-        if not call.needs_headroom or room is Headroom.FOR_ALL:
+    def has_headroom(self, call: QueuedCall, headroom: Headroom) -> bool:
+        if not call.needs_headroom or headroom is Headroom.FOR_ALL:
             return True
         behind = self.virtual_times[call.service] < self.virtual_time
-        return behind and room is Headroom.FOR_SERVICES_BEHIND
+        return behind and headroom is Headroom.FOR_SERVICES_BEHIND
 
-    def grant(self, room: Headroom = Headroom.FOR_ALL) -> QueuedCall | None:
-        eligible = [call for call in self.calls if self.has_room(call, room)]
+    def grant(self, headroom: Headroom = Headroom.FOR_ALL) -> QueuedCall | None:
+        eligible = [call for call in self.calls if self.has_headroom(call, headroom)]
         if not eligible:
             return None
         service = self.next_service(eligible)
@@ -54,20 +54,24 @@
             ),
         )
         self.calls.remove(chosen)
-        own = self.virtual_times[service]
-        self.virtual_time = max(self.virtual_time, own)
+        service_time = self.virtual_times[service]
+        self.virtual_time = max(self.virtual_time, service_time)
         share = Fraction(self.rows[service][0])
-        self.virtual_times[service] = own + Fraction(chosen.cost_tokens) / share
+        self.virtual_times[service] = (
+            service_time + Fraction(chosen.cost_tokens) / share
+        )
         return chosen
 
     def next_service(self, eligible: list[QueuedCall]) -> str:
         waiting = sorted({call.service for call in eligible})
         times = self.virtual_times
-        least = min(times[service] for service in waiting)
+        minimum = min(times[service] for service in waiting)
         for priority in sorted({self.rows[service][1] for service in waiting}):
             level = [s for s in waiting if self.rows[s][1] == priority]
             head = min(level, key=lambda service: (times[service], service))
-            ahead = (times[head] - least) * Fraction(self.rows[head][0])
+            ahead = (times[head] - minimum) * Fraction(self.rows[head][0])
             if ahead <= self.policy.lead_tokens:
                 return head
-        raise AssertionError("the service that is furthest behind is always allowed")
+        raise AssertionError(
+            "the service with the lowest virtual time is always eligible"
+        )
--- a/tests/stateful/engines/test_claims.py
+++ b/tests/stateful/engines/test_claims.py
@@ -1,4 +1,4 @@
-"""Stewards' claims: epochs that only grow, whatever the partition forgets."""
+"""Stewards' claims: epochs increase even if the partition loses its state."""
 
 import pytest
 from hypothesis import Phase, settings
@@ -24,7 +24,7 @@
 
 
 class Claims(RuleBasedStateMachine):
-    """Claims by daemons and their restarts; replicas that restore or are rebuilt."""
+    """Claims by restarting daemons, and replicas that are restored or rebuilt."""
 
     def __init__(self):
         super().__init__()
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -1,4 +1,4 @@
-"""`FairQueue` against a plain oracle, and the properties the order promises."""
+"""`FairQueue` compared with an oracle, and the properties of its order."""
 
 import random
 
@@ -19,15 +19,15 @@
 
 POLICY = OrderPolicy(lead_tokens=512)
 RUN = settings(max_examples=60, stateful_step_count=50, deadline=None, derandomize=True)
-# A break needs to be found, not to be explained: shrinking takes minutes.
+# Without the shrink phase, which takes minutes: a break only has to be found.
 FIND = settings(RUN, phases=[Phase.generate], max_examples=2000)
-# Powers of two divide exactly, so that the queue's floats equal the oracle's fractions.
+# Powers of two divide exactly, so the queue's floats equal the oracle's fractions.
 SHARES = {"a": 1.0, "b": 2.0, "c": 0.5, "d": 4.0}
 PRIORITIES = {"a": 5, "b": 5, "c": 0, "d": 9}
 
 
 class QueueComparison(RuleBasedStateMachine):
-    """The same operations on both; every grant must agree."""
+    """Applies the same operations to both; every grant must be equal."""
 
     def __init__(self):
         super().__init__()
@@ -77,10 +77,10 @@
         self.queue.enqueue(call)
         self.oracle.enqueue(call)
 
-    @rule(room=st.sampled_from(Headroom))
-    def grant(self, room):
-        expected = self.oracle.grant(room)
-        assert self.queue.grant(room) == expected
+    @rule(headroom=st.sampled_from(Headroom))
+    def grant(self, headroom):
+        expected = self.oracle.grant(headroom)
+        assert self.queue.grant(headroom) == expected
         if expected is not None:
             self.granted.append(expected)
 
@@ -110,10 +110,10 @@
         assert ahead == list(range(len(self.oracle.calls)))
 
     def teardown(self):
-        for room in (Headroom.FOR_NONE, Headroom.FOR_SERVICES_BEHIND):
-            while (expected := self.oracle.grant(room)) is not None:
-                assert self.queue.grant(room) == expected
-            assert self.queue.grant(room) is None
+        for headroom in (Headroom.FOR_NONE, Headroom.FOR_SERVICES_BEHIND):
+            while (expected := self.oracle.grant(headroom)) is not None:
+                assert self.queue.grant(headroom) == expected
+            assert self.queue.grant(headroom) is None
         while self.oracle.calls:
             assert self.queue.grant() == self.oracle.grant()
         assert self.queue.grant() is None
@@ -127,8 +127,8 @@
     monkeypatch.setattr(
         FairQueue,
         "_next_lane",
-        lambda self, room: min(
-            (lane for lane in self._lanes.values() if self._places_of(lane, room)),
+        lambda self, headroom: min(
+            (lane for lane in self._lanes.values() if self._places_of(lane, headroom)),
             key=lambda lane: (lane.virtual_time, lane.service),
             default=None,
         ),
@@ -136,8 +136,8 @@
 
 
 def let_priority_win_always(monkeypatch):
-    def first_level(self, room):
-        firsts = [self._first(self._levels[p], room) for p in sorted(self._levels)]
+    def first_level(self, headroom):
+        firsts = [self._first(self._levels[p], headroom) for p in sorted(self._levels)]
         return next((lane for lane in firsts if lane is not None), None)
 
     monkeypatch.setattr(FairQueue, "_next_lane", first_level)
@@ -206,15 +206,15 @@
 
 def grant_without_room(monkeypatch):
     original = FairQueue.grant
-    monkeypatch.setattr(FairQueue, "grant", lambda self, room=None: original(self))
+    monkeypatch.setattr(FairQueue, "grant", lambda self, headroom=None: original(self))
 
 
 def give_services_ahead_room(monkeypatch):
     original = FairQueue._places_of
 
-    def places(self, lane, room):
-        behind = room is Headroom.FOR_SERVICES_BEHIND
-        return original(self, lane, Headroom.FOR_ALL if behind else room)
+    def places(self, lane, headroom):
+        behind = headroom is Headroom.FOR_SERVICES_BEHIND
+        return original(self, lane, Headroom.FOR_ALL if behind else headroom)
 
     monkeypatch.setattr(FairQueue, "_places_of", places)
 
@@ -222,9 +222,9 @@
 def let_who_needs_room_block_its_service(monkeypatch):
     original = FairQueue._first
 
-    def first(self, level, room):
+    def first(self, level, headroom):
         lane = original(self, level, Headroom.FOR_ALL)
-        return lane if lane is not None and self._places_of(lane, room) else None
+        return lane if lane is not None and self._places_of(lane, headroom) else None
 
     monkeypatch.setattr(FairQueue, "_first", first)
 
--- a/tests/stateful/engines/test_steward_state.py
+++ b/tests/stateful/engines/test_steward_state.py
@@ -1,4 +1,4 @@
-"""One steward's decisions: every call gets one answer, and no slot is granted twice."""
+"""A steward replies to every call once and grants no slot twice."""
 
 import pytest
 from hypothesis import Phase, settings
@@ -31,11 +31,11 @@
     derandomize=True,
     phases=[Phase.generate],
 )
-# What is drawn depends on the modules that are loaded, so a break gets many tries.
+# Generated examples depend on the loaded modules, so a break gets many examples.
 FIND = settings(RUN, max_examples=2000)
 GATEWAYS = [Member("a", 1), Member("b", 1)]
 RARELY = st.sampled_from([False, False, False, False, True])
-"""Faults are rare, or hardly anything would be granted."""
+"""Faults are rare, as otherwise few calls would be granted."""
 
 MOSTLY = RARELY.map(lambda rare: not rare)
 USAGE = TokenUsage(100, 20, 50)
@@ -43,7 +43,7 @@
 
 
 class Steward(RuleBasedStateMachine):
-    """Calls, returns, withdrawals, deaths, drains and lost claims in any order."""
+    """Calls, returns, withdrawals, deaths, drains and superseded claims in any order."""
 
     def __init__(self):
         super().__init__()
@@ -62,31 +62,33 @@
         self.closed = False
         self.requests = {}
         self.waiting = {}
-        """Deadlines of the calls that have no answer yet."""
+        """Deadlines of the calls without a reply."""
         self.granted = {}
-        """Requests by grant."""
+        """Requests of the outstanding grants."""
         self.withdrawn = set()
         self.set_claim(True)
 
-    def take(self, answers):
-        """Check answers, and note what they say."""
-        for answer in answers:
-            if isinstance(answer.reply, CallGranted):
-                self.take_grant(answer)
+    def check_replies(self, replies):
+        """Check replies, and record the grants."""
+        for call_reply in replies:
+            if isinstance(call_reply.reply, CallGranted):
+                self.check_grant(call_reply)
             else:
-                assert isinstance(answer.reply, CallDeferred | Refusal)
-            self.waiting.pop(answer.key, None)
+                assert isinstance(call_reply.reply, CallDeferred | Refusal)
+            self.waiting.pop(call_reply.key, None)
 
-    def take_grant(self, answer):
-        grant = answer.reply.grant
+    def check_grant(self, call_reply):
+        grant = call_reply.reply.grant
         if grant in self.granted:
-            assert key_of(self.granted[grant]) == answer.key, "a grant given twice"
+            assert key_of(self.granted[grant]) == call_reply.key, "a grant given twice"
             return
         assert not self.closed, "a grant on a closed engine"
-        assert answer.reply.steward_epoch == self.state.epoch, "a grant without a claim"
-        assert answer.key in self.waiting, "a grant for nobody"
-        assert answer.key not in self.withdrawn, "a grant for a withdrawn call"
-        self.granted[grant] = self.requests[answer.key]
+        assert call_reply.reply.steward_epoch == self.state.epoch, (
+            "a grant without a claim"
+        )
+        assert call_reply.key in self.waiting, "a grant for nobody"
+        assert call_reply.key not in self.withdrawn, "a grant for a withdrawn call"
+        self.granted[grant] = self.requests[call_reply.key]
 
     @rule(
         gateway=st.sampled_from(GATEWAYS),
@@ -118,19 +120,19 @@
             give_up_seconds=give_up,
             begun=begun,
         )
-        self.ask(request)
+        self.send(request)
 
-    def ask(self, request):
+    def send(self, request):
         key = key_of(request)
         self.requests[key] = request
         self.waiting.setdefault(key, self.now + request.give_up_seconds)
-        self.take(self.state.enqueue(request, self.now))
+        self.check_replies(self.state.enqueue(request, self.now))
 
     @precondition(lambda self: self.requests)
     @rule(choice=st.integers(0, 1000))
     def enqueue_again(self, choice):
         requests = list(self.requests.values())
-        self.ask(requests[choice % len(requests)])
+        self.send(requests[choice % len(requests)])
 
     @precondition(lambda self: self.granted)
     @rule(choice=st.integers(0, 1000), succeeded=MOSTLY, twice=st.booleans())
@@ -138,7 +140,9 @@
         grant = list(self.granted)[choice % len(self.granted)]
         del self.granted[grant]
         for _ in range(2 if twice else 1):
-            self.take(self.state.complete_grant(grant, USAGE, succeeded, self.now))
+            self.check_replies(
+                self.state.complete_grant(grant, USAGE, succeeded, self.now)
+            )
 
     @precondition(lambda self: self.requests)
     @rule(choice=st.integers(0, 1000))
@@ -146,40 +150,40 @@
         key = list(self.requests)[choice % len(self.requests)]
         self.withdrawn.add(key)
         self.granted = {g: r for g, r in self.granted.items() if key_of(r) != key}
-        self.take(self.state.withdraw(key, self.now))
+        self.check_replies(self.state.withdraw(key, self.now))
         assert key not in self.waiting
 
     @rule(gateway=st.sampled_from(GATEWAYS))
     def gateway_dies(self, gateway):
         self.granted = {g: r for g, r in self.granted.items() if r.gateway != gateway}
-        self.take(self.state.free_gateway(gateway, self.now))
+        self.check_replies(self.state.free_gateway(gateway, self.now))
         assert all(self.requests[key].gateway != gateway for key in self.waiting)
 
     @rule(leaving=RARELY, draining=RARELY)
     def close_or_open(self, leaving, draining):
         self.closed = leaving or draining
-        self.take(self.state.set_closed(leaving, draining, self.now))
+        self.check_replies(self.state.set_closed(leaving, draining, self.now))
         assert not (self.closed and self.waiting), "a closed engine kept its queue"
 
     @rule(held=MOSTLY)
     def set_claim(self, held):
         self.state.set_epoch(Epoch(7) if held else None, self.now)
-        self.take(self.state.grant_ready(self.now))
+        self.check_replies(self.state.grant_ready(self.now))
 
     @rule()
     def move_away(self):
-        self.take(self.state.refuse_all_waiting(MOVED))
+        self.check_replies(self.state.refuse_all_waiting(MOVED))
         assert not self.waiting
 
     @rule(seconds=st.sampled_from([0.1, 1.0, 6.0]))
     def pass_time(self, seconds):
         self.now += seconds
-        self.take(self.state.refuse_expired(self.now))
+        self.check_replies(self.state.refuse_expired(self.now))
 
     @rule(foreign=st.integers(0, 2), failed=RARELY)
     def read_load(self, foreign, failed):
         if failed:
-            self.take(self.state.load_failed(self.now))
+            self.check_replies(self.state.load_failed(self.now))
         else:
             self.report(len(self.granted) + foreign)
 
@@ -198,7 +202,7 @@
             decode_seconds_per_token=0.01,
             state=MachineState.LIVE,
         )
-        self.take(self.state.learn_load(report, self.now))
+        self.check_replies(self.state.learn_load(report, self.now))
 
     @invariant()
     def no_more_grants_than_slots(self):
@@ -214,16 +218,18 @@
         assert all(deadline > self.now for deadline in self.waiting.values())
 
     def teardown(self):
-        """With the faults over, everyone who waits gets an answer."""
+        """After the faults, every waiting call gets a reply."""
         self.set_claim(True)
         self.close_or_open(False, False)
         for _ in range(70):
             self.now += 1.0
             self.report(len(self.granted))
-            self.take(self.state.refuse_expired(self.now))
+            self.check_replies(self.state.refuse_expired(self.now))
             for grant in tuple(self.granted):
                 del self.granted[grant]
-                self.take(self.state.complete_grant(grant, USAGE, True, self.now))
+                self.check_replies(
+                    self.state.complete_grant(grant, USAGE, True, self.now)
+                )
         assert not self.waiting
         assert self.state.accepting(self.now)
 
@@ -256,9 +262,9 @@
     original = StewardState.withdraw
 
     def withdraw(self, key, now):
-        answers = original(self, key, now)
+        replies = original(self, key, now)
         self._withdrawn.clear()
-        return answers
+        return replies
 
     monkeypatch.setattr(StewardState, "withdraw", withdraw)
 
@@ -331,7 +337,7 @@
 
 
 def repeat_a_waiting_call():
-    """Give what happens to a call that is sent again just before its deadline."""
+    """Return the calls still waiting after one is repeated before its deadline."""
     machine = Steward()
     machine.enqueue(GATEWAYS[0], SLOTS, 30.0, 1e9, True)
     machine.enqueue_one(GATEWAYS[0], 4.0, 1e9, True)
--- a/tests/unit/engines/calls.py
+++ b/tests/unit/engines/calls.py
@@ -16,8 +16,8 @@
     return ServiceRow(service=SERVICE, tenant="t", pool=POOL, **cells)
 
 
-def admitted(program="r1-0-aa", sequence=1, holder=None, held=0, tokens=100):
-    prefix = PrefixLocation(EngineName(holder), held) if holder else None
+def admitted(program="r1-0-aa", sequence=1, holder=None, cached=0, tokens=100):
+    prefix = PrefixLocation(EngineName(holder), cached) if holder else None
     return CallAdmitted(
         program=ProgramId(program),
         sequence=sequence,
@@ -33,7 +33,7 @@
 
 
 def place(node, call=None, give_up_seconds=60.0, avoid=frozenset(), **cells):
-    """Begin placing a call; gives the Deferred of its Result."""
+    """Start placing a call; return the Deferred of its Result."""
     coroutine = node.dispatcher.place(
         call or admitted(), row(**cells), 50, give_up_seconds, avoid
     )
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -1,4 +1,4 @@
-"""A few daemons on the memory transport, with simple engines and partitions."""
+"""Daemons on the in-memory transport, with simple engines and partitions."""
 
 import random
 
@@ -36,20 +36,20 @@
 
 
 class SimpleEngine:
-    """An engine whose load and cache the test sets."""
+    """An engine whose load and cache are set by the test."""
 
     def __init__(self, slots: int = 2) -> None:
         self.slots = slots
         self.running = 0
         self.state = MachineState.LIVE
-        self.held: dict[str, int] = {}
+        self.cached: dict[str, int] = {}
         self.seen_epochs: dict[str, int] = {}
         self.events: list[CacheEvent] = []
         self.sequence = 0
         self.down = False
         self.hangs = False
         self.orders = []
-        self.lost_answers = 0
+        self.lost_responses = 0
 
     def load(self, now: float) -> EngineLoad:
         self.sequence += 1
@@ -68,36 +68,38 @@
         )
 
     def store(self, program: str, tokens: int, publish: bool = True) -> None:
-        """Hold a prefix; without `publish` the event is lost."""
-        self.held[program] = tokens
+        """Cache a prefix; without `publish` the event is missing."""
+        self.cached[program] = tokens
         event = CacheEvent(len(self.events) + 1, CacheEventKind.STORED, program, tokens)
         self.events.append(event if publish else None)
 
 
 class SimpleEnginePort:
-    """`EnginePort` over `SimpleEngine`s by address; counts what it is asked."""
+    """`EnginePort` over `SimpleEngine`s by address; records the requests."""
 
     def __init__(self, clock) -> None:
         self.clock = clock
         self.engines: dict[str, SimpleEngine] = {}
-        self.asked: list[tuple[str, str]] = []
+        self.requests: list[tuple[str, str]] = []
 
-    def _answer(self, name, address, answer):
-        self.asked.append((name, address))
+    def _respond(self, name, address, handle):
+        self.requests.append((name, address))
         engine = self.engines.get(address)
         if engine is not None and engine.hangs:
             return Deferred()
         if engine is None or engine.down:
             problem = Problem.of(ProblemCode.ENGINE_FAILED, "down")
             return deferLater(self.clock, 0.01, lambda: Err(problem))
-        result = answer(engine)
-        if engine.lost_answers:
-            engine.lost_answers -= 1
+        result = handle(engine)
+        if engine.lost_responses:
+            engine.lost_responses -= 1
             result = Err(Problem.of(ProblemCode.TIMED_OUT, "lost", ran=Ran.UNKNOWN))
         return deferLater(self.clock, 0.001, lambda: result)
 
     def load(self, address):
-        return self._answer("load", address, lambda e: Ok(e.load(self.clock.seconds())))
+        return self._respond(
+            "load", address, lambda e: Ok(e.load(self.clock.seconds()))
+        )
 
     def cache_events(self, address, after, limit):
         def read(engine):
@@ -105,37 +107,37 @@
             last = found[-1].sequence if found else min(after, len(engine.events))
             return Ok(CacheEvents(tuple(found), last))
 
-        return self._answer("cache_events", address, read)
+        return self._respond("cache_events", address, read)
 
     def cached_programs(self, address):
         def read(engine):
-            return Ok(tuple(CachedProgram(p, t) for p, t in engine.held.items()))
+            return Ok(tuple(CachedProgram(p, t) for p, t in engine.cached.items()))
 
-        return self._answer("cached_programs", address, read)
+        return self._respond("cached_programs", address, read)
 
     def release(self, address, program, epoch):
         def free(engine):
             if epoch < engine.seen_epochs.get(program, 0):
                 return Err(Problem.of(ProblemCode.STALE_EPOCH, "stale"))
-            return Ok(1 if engine.held.pop(program, None) else 0)
+            return Ok(1 if engine.cached.pop(program, None) else 0)
 
-        return self._answer("release", address, free)
+        return self._respond("release", address, free)
 
     def export_cache(self, address, program):
         def copy(engine):
-            tokens = engine.held.get(program, 0)
+            tokens = engine.cached.get(program, 0)
             if not tokens:
                 return Err(Problem.of(ProblemCode.NOT_FOUND, "nothing held"))
             return Ok(ExportedCache(f"{program}/{tokens}", tokens))
 
-        return self._answer("export", address, copy)
+        return self._respond("export", address, copy)
 
     def import_cache(self, address, program, source, handle):
         def store(engine):
-            engine.held[program] = int(handle.split("/")[1])
-            return Ok(engine.held[program])
+            engine.cached[program] = int(handle.split("/")[1])
+            return Ok(engine.cached[program])
 
-        return self._answer("import", address, store)
+        return self._respond("import", address, store)
 
     def order(self, address, order):
         def take(engine):
@@ -144,11 +146,11 @@
             engine.orders.append(order)
             return Ok(None)
 
-        return self._answer("order", address, take)
+        return self._respond("order", address, take)
 
 
 class SimplePartitions:
-    """Every partition's state, with one leader that commits at once."""
+    """Every partition's state, with one leader that commits immediately."""
 
     def __init__(self, make_state) -> None:
         self.states = {number: make_state() for number in range(PARTITIONS)}
@@ -161,7 +163,7 @@
 
 
 class PartitionsView:
-    """`PartitionHost` of one daemon."""
+    """The `PartitionHost` of one daemon."""
 
     def __init__(self, partitions: SimplePartitions, daemon: DaemonName) -> None:
         self._partitions = partitions
@@ -232,7 +234,7 @@
 
 
 class DirectRouter:
-    """`Router` by the test's own tables; follows one hint."""
+    """`Router` that uses the test's tables and follows one hint."""
 
     def __init__(self, network, region) -> None:
         self._network = network
@@ -247,16 +249,18 @@
 
     async def _follow(self, engine, message, timeout_seconds):
         steward = self._region.stewards[engine]
-        answer = await self._network.request(steward, message, timeout_seconds)
-        if answer.is_err() and answer.unwrap_err().is_code(ProblemCode.NOT_STEWARD):
-            hint = answer.unwrap_err().hint
+        outcome = await self._network.request(steward, message, timeout_seconds)
+        if outcome.is_err() and outcome.unwrap_err().is_code(ProblemCode.NOT_STEWARD):
+            hint = outcome.unwrap_err().hint
             if hint is not None and hint != steward:
                 return await self._network.request(hint, message, timeout_seconds)
-        return answer
+        return outcome
 
     def steward_of(self, engine):
-        believed = self._region.believed.get(self._network.own_member.daemon, {})
-        return believed.get(engine, self._region.stewards.get(engine))
+        believed_stewards = self._region.believed_stewards.get(
+            self._network.own_member.daemon, {}
+        )
+        return believed_stewards.get(engine, self._region.stewards.get(engine))
 
 
 class Node:
@@ -298,11 +302,14 @@
             chance=random.Random(2),
             mover=PrefixMover(self.view, region.port, self.clock, region.move_rate),
         )
-        self.network.on_request(CheckProgramsLive, region.answer_live)
+        self.network.on_request(CheckProgramsLive, region.report_not_live)
 
 
 class Region:
-    """Daemons d1 …, engines e1 …; d1 leads everything and stewards e1 first."""
+    """Daemons d1, d2, … and engines e1, e2, …; d1 leads every partition.
+
+    Engines are assigned to the daemons in turn, e1 to d1.
+    """
 
     def __init__(
         self,
@@ -318,7 +325,7 @@
         self.partitions = SimplePartitions(StewardClaimsState)
         self.partitions.leader = DaemonName("d1")
         self.stewards: dict[EngineName, DaemonName] = {}
-        self.believed: dict[DaemonName, dict[EngineName, DaemonName]] = {}
+        self.believed_stewards: dict[DaemonName, dict[EngineName, DaemonName]] = {}
         self.live_programs: set[str] = set()
         self.live_epoch = Epoch(5)
         self.nodes: dict[str, Node] = {}
@@ -334,9 +341,9 @@
             node.stewards.start()
         self.run(2.0)
 
-    async def answer_live(self, sender, message):
-        lost = tuple(p for p in message.programs if p not in self.live_programs)
-        return ProgramsNotLive(lost, self.live_epoch)
+    async def report_not_live(self, sender, message):
+        not_live = tuple(p for p in message.programs if p not in self.live_programs)
+        return ProgramsNotLive(not_live, self.live_epoch)
 
     def engine(self, name: str) -> SimpleEngine:
         return self.port.engines[f"{name}:1"]
--- a/tests/unit/engines/test_cache_release.py
+++ b/tests/unit/engines/test_cache_release.py
@@ -1,4 +1,4 @@
-"""No memory stays held for ended programs, whatever is lost on the way."""
+"""Ended programs' memory is released despite lost messages and engine faults."""
 
 import random
 
@@ -23,9 +23,9 @@
 
 def release(region, program=P1, epoch=5):
     message = ReleasePrefix(EngineName("e1"), program, epoch)
-    asking = region.nodes["d2"].network.request(DaemonName("d1"), message, 30.0)
+    pending = region.nodes["d2"].network.request(DaemonName("d1"), message, 30.0)
     region.run(0.5)
-    return asking
+    return pending
 
 
 def region_with(program=P1, publish=True, live=()):
@@ -38,12 +38,12 @@
 def test_a_release_is_confirmed_only_after_the_engine_freed_it():
     region = region_with(live=[P1])
     assert isinstance(release(region).result.unwrap(), PrefixReleased)
-    assert region.engine("e1").held == {}
+    assert region.engine("e1").cached == {}
 
 
 FAULTS = {
     "the engine is down for a while": lambda engine: setattr(engine, "down", True),
-    "answers are lost": lambda engine: setattr(engine, "lost_answers", 2),
+    "answers are lost": lambda engine: setattr(engine, "lost_responses", 2),
 }
 
 
@@ -55,7 +55,7 @@
     assert problem.code in {ProblemCode.ENGINE_FAILED.slug, ProblemCode.TIMED_OUT.slug}
     region.engine("e1").down = False
     region.run(10.0)
-    assert region.engine("e1").held == {}
+    assert region.engine("e1").cached == {}
 
 
 def test_a_release_with_an_old_epoch_frees_nothing_and_is_not_retried():
@@ -64,22 +64,22 @@
     problem = release(region, epoch=5).result.unwrap_err()
     assert problem.is_code(ProblemCode.STALE_EPOCH)
     region.run(30.0)
-    assert region.engine("e1").held == {P1: 500}
-    assert ("release", "e1:1") not in region.port.asked[-10:]
+    assert region.engine("e1").cached == {P1: 500}
+    assert ("release", "e1:1") not in region.port.requests[-10:]
 
 
 @pytest.mark.parametrize("publish", [True, False], ids=["event seen", "event lost"])
 def test_the_sweep_frees_programs_of_which_nothing_is_known(publish):
     region = region_with(publish=publish)
     region.run(80.0)
-    assert region.engine("e1").held == {}
+    assert region.engine("e1").cached == {}
 
 
 def test_the_sweep_leaves_live_programs_alone():
     region = region_with(live=[P1])
     region.engine("e1").store(P2, 100)
     region.run(80.0)
-    assert region.engine("e1").held == {P1: 500}
+    assert region.engine("e1").cached == {P1: 500}
 
 
 def test_a_silent_leader_frees_nothing():
@@ -87,16 +87,16 @@
     region.fabric.cut([DaemonName("d1")], [DaemonName("d2")])
     region.partitions.leader = DaemonName("d2")
     region.run(30.0)
-    assert region.engine("e1").held == {P1: 500}
+    assert region.engine("e1").cached == {P1: 500}
 
 
 def test_a_quote_tells_the_prefix_that_is_believed_to_be_held():
     region = region_with(live=[P1])
     region.run(2.0)
     question = QuoteEngine(EngineName("e1"), P1, 800)
-    asking = region.nodes["d2"].network.request(DaemonName("d1"), question, 1.0)
+    pending = region.nodes["d2"].network.request(DaemonName("d1"), question, 1.0)
     region.run(0.1)
-    assert asking.result.unwrap().cached_tokens == 500
+    assert pending.result.unwrap().cached_tokens == 500
 
 
 def event(sequence, program=P1, tokens=10):
@@ -112,14 +112,14 @@
 
 
 @pytest.mark.parametrize(
-    ("events", "following", "lost", "is_stale"), PAGES.values(), ids=PAGES.keys()
+    ("events", "following", "missed", "is_stale"), PAGES.values(), ids=PAGES.keys()
 )
-def test_gaps_make_the_map_is_stale(events, following, lost, is_stale):
+def test_gaps_make_the_map_doubtful(events, following, missed, is_stale):
     cache = CacheMap()
     cache.learn_events(CacheEvents((), 0))
     cache.reconcile(())
     learnt = cache.learn_events(CacheEvents(tuple(events), following))
-    assert (learnt.missed_events, cache.is_stale) == (lost, is_stale)
+    assert (learnt.missed_events, cache.is_stale) == (missed, is_stale)
     assert cache.next_sequence == following
 
 
--- a/tests/unit/engines/test_call_placement.py
+++ b/tests/unit/engines/test_call_placement.py
@@ -1,4 +1,4 @@
-"""Placing calls: a dispatcher, two stewards, the memory transport."""
+"""Placement of calls by a dispatcher and two stewards, in-memory transport."""
 
 import pytest
 
@@ -9,7 +9,7 @@
 
 
 def result_of(deferred):
-    assert deferred.called, "no answer yet"
+    assert deferred.called, "no result yet"
     return deferred.result
 
 
@@ -27,7 +27,7 @@
 def test_the_holder_of_the_prefix_is_asked_first():
     region = Region()
     for number in range(2):
-        call = admitted(f"r1-0-{number}", sequence=2, holder="e2", held=5000)
+        call = admitted(f"r1-0-{number}", sequence=2, holder="e2", cached=5000)
         assert granted_engine(region, region.nodes["d1"], call) == "e2"
 
 
@@ -36,7 +36,7 @@
     node = region.nodes["d1"]
     for number in range(2):
         granted_engine(region, node, admitted(f"r1-0-{number}", 2, "e2", 5000))
-    # A wait of a second at e2 against 0.01 s of refilling ten tokens at e1.
+    # Waiting at e2 takes a second, refilling ten tokens at e1 takes 0.01 s.
     assert granted_engine(region, node, admitted("r1-0-9", 2, "e2", 10)) == "e1"
 
 
@@ -87,10 +87,10 @@
     node = region.nodes["d2"]
     first = place(node, admitted("r1-0-0"))
     region.run(0.5)
-    gone = place(node, admitted("r1-0-1"))
-    gone.addErrback(lambda failure: "cancelled")
+    cancelled = place(node, admitted("r1-0-1"))
+    cancelled.addErrback(lambda failure: "cancelled")
     region.run(0.5)
-    gone.cancel()
+    cancelled.cancel()
     region.run(0.5)
     assert region.engine_steward("e1").state.queued == 0
     node.dispatcher.return_grant(result_of(first).unwrap(), None, engine_failed=False)
@@ -109,7 +109,7 @@
 
 
 def region_with_a_full_holder(**options):
-    """Two engines; the one that holds 90,000 tokens of the program is busy."""
+    """Two engines; the one that has cached 90,000 tokens of the program is full."""
     region = Region(engines=2, slots=1, **options)
     node = region.nodes["d1"]
     granted_engine(region, node, admitted("r1-0-0", 2, "e2", 90_000, 90_000))
@@ -132,14 +132,14 @@
 def test_prefixes_move_when_that_is_the_cheapest(rate, broken, engine, tokens):
     region = region_with_a_full_holder(move_rate=rate)
     if broken:
-        region.engine("e2").held.clear()
+        region.engine("e2").cached.clear()
     call = admitted("r1-0-1", 2, "e2", 90_000, 90_000)
     placing = place(region.nodes["d1"], call, give_up_seconds=1000.0)
     region.run(1.0)
     assert result_of(placing).unwrap().engine == engine
-    assert region.engine("e1").held.get("r1-0-1") == tokens
+    assert region.engine("e1").cached.get("r1-0-1") == tokens
     if tokens:
-        assert "r1-0-1" not in region.engine("e2").held
+        assert "r1-0-1" not in region.engine("e2").cached
 
 
 def test_a_move_that_hangs_is_left_after_a_while():
@@ -158,11 +158,11 @@
     region = region_with_a_full_holder(move_rate=100_000.0)
     region.engine("e2").hangs = True
     call = admitted("r1-0-1", 2, "e2", 90_000, 90_000)
-    gone = place(region.nodes["d1"], call, give_up_seconds=1000.0)
-    gone.addErrback(lambda failure: "cancelled")
+    cancelled = place(region.nodes["d1"], call, give_up_seconds=1000.0)
+    cancelled.addErrback(lambda failure: "cancelled")
     region.run(1.0)
     assert region.engine_steward("e1").state.granted == 1
-    gone.cancel()
+    cancelled.cancel()
     region.run(1.0)
     assert region.engine_steward("e1").state.granted == 0
 
--- a/tests/unit/engines/test_engine_faults.py
+++ b/tests/unit/engines/test_engine_faults.py
@@ -1,4 +1,4 @@
-"""Engines and gateways that fail, leave or lie, and what the steward does."""
+"""A steward with engines and gateways that fail, leave or report wrongly."""
 
 import pytest
 
@@ -86,12 +86,12 @@
     granted(region, "d3", "r1-0-1")
     place(region.nodes["d3"], admitted("r1-0-2"))
     region.run(0.1)
-    gone = region.nodes["d3"].member
+    dead_gateway = region.nodes["d3"].member
     region.fabric.crash(DaemonName("d3"))
     for node in region.nodes.values():
-        node.view.members.remove(gone)
+        node.view.members.remove(dead_gateway)
         if certain:
-            node.view.dead.add(gone)
+            node.view.dead.add(dead_gateway)
     region.run(1.5 if certain else 12.0)
     state = region.engine_steward("e1").state
     assert (state.granted, state.queued) == (0, 0)
@@ -113,12 +113,12 @@
 def test_a_grant_that_no_report_accounts_for_is_freed():
     region = Region(daemons=2, engines=1, slots=2)
     granted(region, "d2", "r1-0-1")
-    kept = granted(region, "d2", "r1-0-2")
+    active = granted(region, "d2", "r1-0-2")
     region.engine("e1").running = 1
     region.run(100.0)
     state = region.engine_steward("e1").state
     assert state.granted == 1
-    assert state.grant(kept.grant) is not None
+    assert state.grant(active.grant) is not None
 
 
 def test_work_of_an_earlier_steward_counts_against_the_slots():
@@ -173,7 +173,7 @@
     region.run(15.0)
     node.dispatcher.return_grant(first, None, engine_failed=False)
     region.run(2.0)
-    # One call took 15.5 s, so the last of the queue cannot be granted in 20 s.
+    # After one call of 15.5 s, the last of the queue is not expected within 20 s.
     refused = [w for w in waiting if w.called and w.result.is_err()]
     assert refused
     assert all(w.result.unwrap_err().retry_after >= 1 for w in refused)
--- a/tests/unit/engines/test_quoted_wait.py
+++ b/tests/unit/engines/test_quoted_wait.py
@@ -1,4 +1,4 @@
-"""The wait that a steward quotes: among idle slots, load and memory decide."""
+"""The wait that a steward quotes, which depends on load and free memory."""
 
 import pytest
 
@@ -62,7 +62,10 @@
     ],
 )
 def test_the_better_place_quotes_less(better, worse):
-    """Each is grants out and free blocks; below a quarter of the slots memory is moot."""
+    """Pairs of outstanding grants and free blocks.
+
+    Below a quarter of the slots, memory does not count.
+    """
     assert steward(*better).quoted_wait() < steward(*worse).quoted_wait()
 
 
--- a/tests/unit/engines/test_stewardship.py
+++ b/tests/unit/engines/test_stewardship.py
@@ -1,4 +1,4 @@
-"""Claims, epochs and fencing of stewards, under lost majorities and split views."""
+"""Stewards' claims, epochs and fencing, without a majority or with split views."""
 
 from notcharch.clients.ports import OrderKind
 from notcharch.errors import ProblemCode
@@ -10,10 +10,10 @@
 E1 = EngineName("e1")
 
 
-def ask(region, node, message, to="d1"):
-    asking = region.nodes[node].network.request(DaemonName(to), message, 100.0)
+def send_request(region, node, message, to="d1"):
+    pending = region.nodes[node].network.request(DaemonName(to), message, 100.0)
     region.run(0.1)
-    return asking
+    return pending
 
 
 def epoch_of(region, node):
@@ -22,7 +22,7 @@
 
 
 def move(region, to):
-    """Let every daemon know that hashing names another steward of e1."""
+    """Assign e1 to another steward in every daemon's view."""
     region.stewards[E1] = DaemonName(to)
     region.run(3.0)
 
@@ -46,7 +46,7 @@
     granted = place(region.nodes["d2"])
     region.run(0.5)
     assert granted.result.is_ok()
-    # Looks at the claim are answered; only a silent partition makes it old.
+    # Claim checks still succeed; only a cut-off partition lets the confirmation age.
     region.fabric.cut([DaemonName("d1")], [DaemonName("d2")])
     region.partitions.leader = DaemonName("d2")
     region.run(40.0)
@@ -77,11 +77,10 @@
 
 def test_a_superseded_steward_grants_nothing_and_its_orders_are_refused():
     region = Region(daemons=3, engines=1)
-    region.believed[DaemonName("d1")] = {E1: DaemonName("d1")}
+    region.believed_stewards[DaemonName("d1")] = {E1: DaemonName("d1")}
     old = region.nodes["d1"].stewards._engine_stewards[E1]
-    old.learn_superseding_claim = lambda taken: (
-        None
-    )  # the notice of the new claim is lost
+    # The notice of the new claim is lost.
+    old.learn_superseding_claim = lambda notice: None
     move(region, "d2")
     region.nodes["d2"].stewards._engine_stewards[E1].order_drain(True).send(None)
     assert [order.order for order in region.engine("e1").orders] == [OrderKind.DRAIN]
@@ -91,16 +90,16 @@
     for _ in range(21):
         if epoch_of(region, "d1") is not None:
             region.run(0.5)
-    refused = ask(region, "d3", enqueue(gateway=Member("d3", 1)))
+    refused = send_request(region, "d3", enqueue(gateway=Member("d3", 1)))
     assert refused.result.unwrap_err().is_code(ProblemCode.NOT_STEWARD)
     assert refused.result.unwrap_err().hint == "d2"
 
 
 def test_a_claim_left_behind_by_another_daemon_is_taken_back():
     region = Region(daemons=2, engines=1)
-    region.believed[DaemonName("d2")] = {E1: DaemonName("d2")}
+    region.believed_stewards[DaemonName("d2")] = {E1: DaemonName("d2")}
     region.run(3.0)
-    del region.believed[DaemonName("d2")]
+    del region.believed_stewards[DaemonName("d2")]
     region.run(20.0)
     assert epoch_of(region, "d2") is None
     granted = place(region.nodes["d2"])
@@ -110,17 +109,17 @@
 
 def test_draining_is_remembered_by_the_next_steward():
     region = Region(daemons=2, engines=1)
-    drained = ask(region, "d2", DrainEngine(E1, drain=True))
+    drained = send_request(region, "d2", DrainEngine(E1, drain=True))
     assert drained.result.is_ok()
     region.run(2.0)
     assert [order.order for order in region.engine("e1").orders] == [OrderKind.DRAIN]
     move(region, "d2")
-    listing = ask(region, "d1", ListEngines(), to="d2").result.unwrap()
+    listing = send_request(region, "d1", ListEngines(), to="d2").result.unwrap()
     assert [engine.state for engine in listing.engines] == ["draining"]
     refused = place(region.nodes["d1"])
     region.run(2.0)
     assert refused.result.unwrap_err().is_code(ProblemCode.NO_ENGINE)
-    resumed = ask(region, "d1", DrainEngine(E1, drain=False), to="d2")
+    resumed = send_request(region, "d1", DrainEngine(E1, drain=False), to="d2")
     region.run(1.0)
     assert resumed.result.is_ok()
     granted = place(region.nodes["d1"])
--- a/tests/unit/engines/test_stewardship_handover.py
+++ b/tests/unit/engines/test_stewardship_handover.py
@@ -1,4 +1,4 @@
-"""Orderly changes of a steward: somebody grants at every moment."""
+"""Planned handovers of an engine, during which some steward always grants."""
 
 import pytest
 
@@ -9,22 +9,22 @@
 from tests.unit.engines.region import PARTITIONS, Region
 
 E1 = EngineName("e1")
-LONGEST_GRANT_SECONDS = 0.1
+MAX_GRANT_SECONDS = 0.1
 
 
-def lag(region, node, believed):
-    """Let one daemon go on believing that another one should steward e1."""
-    region.believed[DaemonName(node)] = {E1: DaemonName(believed)}
+def lag(region, node, steward):
+    """Keep one daemon's view of the steward of e1 outdated."""
+    region.believed_stewards[DaemonName(node)] = {E1: DaemonName(steward)}
 
 
-def tell_views(region):
-    """Let every daemon notice what it believes."""
+def notify_views(region):
+    """Notify every daemon's listeners of a change of its view."""
     for node in region.nodes.values():
         node.view.changed()
 
 
 def granting(region):
-    """Give the daemon that holds the recorded claim on e1 and knows it."""
+    """Return the daemon with the recorded claim on e1, which must know of it."""
     partition = partition_of_engine(E1, PARTITIONS)
     claim = region.partitions.states[partition].claim(E1)
     engine_steward = region.nodes[claim.member.daemon].stewards._engine_stewards[E1]
@@ -33,7 +33,7 @@
 
 
 def place_often(region, seconds):
-    """Place a call at each tenth of a second; gives how long each waited."""
+    """Place a call every 0.1 s; return the time that each waited."""
     waits = []
     node = region.nodes["d3"]
     for number in range(int(seconds * 10)):
@@ -55,13 +55,13 @@
     region.stewards[E1] = DaemonName("d2")
     if lagging is not None:
         lag(region, lagging, "d1")
-    tell_views(region)
+    notify_views(region)
     waits = place_often(region, 3.0)
-    region.believed.clear()
-    tell_views(region)
+    region.believed_stewards.clear()
+    notify_views(region)
     waits += place_often(region, 3.0)
     assert len(waits) == 60
-    assert max(waits) <= LONGEST_GRANT_SECONDS
+    assert max(waits) <= MAX_GRANT_SECONDS
     assert region.nodes["d2"].stewards.is_steward_of(E1)
     assert not region.nodes["d1"].stewards.is_steward_of(E1)
 
@@ -70,7 +70,7 @@
     region = Region(daemons=3, engines=1)
     lag(region, "d2", "d2")
     region.run(2.0)  # d2 claims; d1 is superseded
-    region.believed.clear()
+    region.believed_stewards.clear()
     region.nodes["d2"].stewards.refresh()
     region.run(0.1)
     assert granting(region) == "d1"
@@ -80,19 +80,19 @@
 def test_a_claim_that_is_recorded_after_the_engine_was_given_up_is_offered_back():
     region = Region(daemons=3, engines=1)
     lag(region, "d2", "d2")
-    region.nodes["d2"].stewards.refresh()  # the claim is on its way
-    region.believed.clear()
+    region.nodes["d2"].stewards.refresh()  # the claim is in flight
+    region.believed_stewards.clear()
     region.nodes["d2"].stewards.refresh()
     assert not region.nodes["d2"].stewards.is_steward_of(E1)
     region.run(0.1)
     assert granting(region) == "d1"
 
 
-@pytest.mark.parametrize("lost", [StewardshipOffered, StewardshipTaken])
-def test_lost_notices_only_delay_the_move(lost):
+@pytest.mark.parametrize("dropped", [StewardshipOffered, StewardshipTaken])
+def test_lost_notices_only_delay_the_move(dropped):
     region = Region(daemons=3, engines=1)
     for node in region.nodes.values():
-        node.network.on_notice(lost, lambda sender, message: None)
+        node.network.on_notice(dropped, lambda sender, message: None)
     region.stewards[E1] = DaemonName("d2")
     region.run(4.0)
     assert region.nodes["d2"].stewards.is_steward_of(E1)
@@ -104,10 +104,10 @@
     fresh = region.nodes["d2"]
     fresh.knows_region = False
     region.stewards[E1] = DaemonName("d2")
-    tell_views(region)
+    notify_views(region)
     region.run(0.1)
-    fresh.knows_region = True  # the next look is not due yet
+    fresh.knows_region = True  # the next refresh is not due yet
     placed = place(fresh)
-    region.run(LONGEST_GRANT_SECONDS)
+    region.run(MAX_GRANT_SECONDS)
     assert placed.result.is_ok()
     assert fresh.stewards.is_steward_of(E1)
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -47,7 +47,7 @@
     steward, fresh = region.nodes["d1"], region.nodes["d2"]
     before = region.partitions.states[0].snapshot()
     fresh.knows_region = False
-    region.believed["d2"] = {ENGINE: "d2"}
+    region.believed_stewards["d2"] = {ENGINE: "d2"}
     fresh.stewards.refresh()
     region.run(3.0)
     assert region.partitions.states[0].snapshot() == before
