--- a/notcharch/services/__init__.py
+++ b/notcharch/services/__init__.py
@@ -1,1 +1,1 @@
-"""Service limits over all daemons, as leased allotments."""
+"""Concurrency limits of services across all daemons, as leased allotments."""
--- a/notcharch/services/allotments.py
+++ b/notcharch/services/allotments.py
@@ -1,9 +1,9 @@
 """The replicated leases on services' concurrency slots.
 
-A component of a partition's state machine. A slot that may still be used by one
-daemon is never given to another: a holder's slots count as used until it has
-promised not to use them, or its lease has lapsed for as long as a call can run,
-or its process is surely dead.
+A component of a partition's state machine. A slot is never leased to a daemon
+while another may use it: a holder's slots count as used until the holder gives
+them up, or its lease has been expired for the longest duration of a call, or its
+process is confirmed dead.
 """
 
 from typing import ClassVar
@@ -19,8 +19,8 @@
 class RequestSlots(Command, frozen=True):
     """Grant, renew, shrink or return a holder's slots. Result: `SlotsRecorded`.
 
-    `concurrency` is the row's cell as the leader's table has it.
-    `lease_seconds` is what the holder counts from its sending;
+    `concurrency` is the cell of the service's row in the leader's table.
+    `lease_seconds` counts from when the holder sent the request;
     `keep_seconds` is how long the slots stay counted after the last request.
     """
 
@@ -35,14 +35,14 @@
 
 
 class DropHolder(Command, frozen=True):
-    """Free the slots of a process that is surely dead. Result: `SlotsRecorded`."""
+    """Free the slots of a process that is confirmed dead. Result: `SlotsRecorded`."""
 
     service: ServiceName
     holder: Member
 
 
 class SlotsRecorded(CommandResult, frozen=True):
-    """The holder's slots after the command; `contended` if it should get more."""
+    """The holder's slots after a command; `contended` if it wants more."""
 
     number: int
     slots: int
@@ -54,7 +54,7 @@
 
 
 class AllotmentsState:
-    """The leases of one partition's services. Pure and deterministic."""
+    """The leases of one partition's services. Deterministic, no I/O."""
 
     COMMANDS: ClassVar[tuple[type[Command], ...]] = ALLOTMENT_COMMANDS
 
@@ -65,18 +65,18 @@
         self._now = 0.0
 
     def services(self) -> tuple[ServiceName, ...]:
-        """Give the services with leases."""
+        """Return the services with leases."""
         return tuple(sorted(self._services))
 
     def leases(self, service: ServiceName) -> tuple[Lease, ...]:
-        """Give a service's leases, sorted by holder."""
+        """Return a service's leases, sorted by holder."""
         leases = self._services.get(service)
         return leases.all() if leases is not None else ()
 
     def holders_above_share(
         self, service: ServiceName, slots: int
     ) -> tuple[Member, ...]:
-        """Give the holders that count more slots than their fair part."""
+        """Return the holders with more counted slots than their fair share."""
         leases = self._services.get(service)
         return tuple(leases.above_share(slots, self._now)) if leases else ()
 
@@ -113,7 +113,7 @@
         self._now = decoded.now
 
     def _advance(self, at: float, epoch: Epoch) -> None:
-        """Take the time in; a new leader's clock says nothing about old leases."""
+        """Advance the time; a new leader's clock restarts the terms of all leases."""
         if epoch == self._epoch:
             self._now = max(self._now, at)
             return
@@ -124,10 +124,10 @@
 
     def _request(self, command: RequestSlots) -> CommandResult:
         leases = self._services.setdefault(command.service, ServiceLeases())
-        leases.free_lapsed(self._now)
+        leases.drop_expired(self._now)
         known = leases.get(command.holder)
         if known is not None and command.number <= known.number:
-            return self._repeated(command, known)
+            return self._reply_to_repeat(command, known)
         lease = self._new_lease(command, known, leases)
         leases.put(lease)
         if lease.wanted == 0 and lease.counted == 0:
@@ -135,21 +135,23 @@
         contended = lease.slots < min(lease.wanted, command.concurrency)
         return SlotsRecorded(lease.number, lease.slots, lease.lease_seconds, contended)
 
-    def _repeated(self, command: RequestSlots, known: Lease) -> CommandResult:
+    def _reply_to_repeat(self, command: RequestSlots, known: Lease) -> CommandResult:
         if command.number == known.number:
             return SlotsRecorded(
                 known.number, known.slots, known.lease_seconds, contended=False
             )
-        problem = Problem.of(ProblemCode.STALE_EPOCH, "a later request was seen")
+        problem = Problem.of(
+            ProblemCode.STALE_EPOCH, "the request is older than the latest one"
+        )
         return CommandRefused(problem)
 
     def _new_lease(
         self, command: RequestSlots, known: Lease | None, leases: ServiceLeases
     ) -> Lease:
         holder, wanted, limit = command.holder, command.wanted, command.concurrency
-        favoured = leases.fewest_favours() if known is None else known.favoured
+        favoured = leases.min_favoured() if known is None else known.favoured
         target = leases.target(holder, wanted, favoured, limit, self._now)
-        free = limit - leases.counted_of_others(holder)
+        free = limit - leases.counted_by_others(holder)
         slots = max(0, min(target, free))
         return Lease(
             holder=holder,
--- a/notcharch/services/demand.py
+++ b/notcharch/services/demand.py
@@ -1,31 +1,31 @@
-"""The recent peak of a number, so that brief lulls return nothing. Pure."""
+"""The recent peak of a demand, so that brief lulls return no slots. No I/O."""
 
 WINDOW_SECONDS = 1.0
 
 
 class PeakDemand:
-    """The peak of the present and the previous window."""
+    """The peak of the current and the previous window."""
 
     def __init__(self) -> None:
-        """Begin with no demand."""
+        """Start without demand."""
         self._window_start = 0.0
         self._peak = 0
-        self._previous = 0
+        self._previous_peak = 0
 
     def learn(self, demand: int, now: float) -> None:
-        """Take the present demand in."""
+        """Record the current demand."""
         self._advance(now)
         self._peak = max(self._peak, demand)
 
     def peak(self, demand: int, now: float) -> int:
-        """Give the peak of the last one to two windows, the present included."""
+        """Record the current demand, and return the peak of both windows."""
         self.learn(demand, now)
-        return max(self._peak, self._previous)
+        return max(self._peak, self._previous_peak)
 
     def _advance(self, now: float) -> None:
-        passed = now - self._window_start
-        if passed < WINDOW_SECONDS:
+        elapsed = now - self._window_start
+        if elapsed < WINDOW_SECONDS:
             return
-        self._previous = self._peak if passed < 2 * WINDOW_SECONDS else 0
+        self._previous_peak = self._peak if elapsed < 2 * WINDOW_SECONDS else 0
         self._peak = 0
         self._window_start = now
--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -1,8 +1,8 @@
-"""One daemon's allotment of one service's concurrency. Pure.
+"""One daemon's allotment of one service's concurrency. No I/O.
 
-Slots are used only under a lease whose time is counted from when its request
-was sent, and never more than the last request promised to stay below. When the
-lease lapses, running calls go on and nothing new starts.
+Slots are used only under a lease, whose term counts from when its request was
+sent, and never more than the `held` of the last request. After the lease expires,
+running calls continue but no new calls start.
 """
 
 from collections.abc import Callable
@@ -21,53 +21,53 @@
 from notcharch.values.identifiers import ServiceName
 
 RENEW_FRACTION = 0.6
-"""A lease is renewed when this part of it has passed: the rest is for retries."""
+"""Fraction of a lease's term after which it is renewed, to leave time for retries."""
 
-RETRY_SECONDS = 0.5
-"""Time between requests while the limiter fails or gives too little."""
+RETRY_INTERVAL_SECONDS = 0.5
+"""Interval of requests while the limiter fails or grants too few slots."""
 
-FAILURES_TO_REFUSE = 4
-"""Failed requests in a row after which waiting callers are refused."""
+REFUSE_AFTER_FAILURES = 4
+"""Consecutive failed requests after which waiting callers are refused."""
 
-DEFAULT_HOLD_SECONDS = 2.0
+DEFAULT_OCCUPANCY_SECONDS = 2.0
 UNAVAILABLE_RETRY_SECONDS = 2.0
 
 
-class GiveSlot(msgspec.Struct, frozen=True):
-    """The waiting caller with this ticket has a slot now."""
+class GrantSlot(msgspec.Struct, frozen=True):
+    """Grants a slot to the waiting caller with this ticket."""
 
     ticket: int
 
 
 class RefuseSlot(msgspec.Struct, frozen=True):
-    """The waiting caller with this ticket gets none."""
+    """Refuses the waiting caller with this ticket."""
 
     ticket: int
     problem: Problem
 
 
 class SendRequest(msgspec.Struct, frozen=True):
-    """Ask the limiter; the reply goes to `replied` or `request_failed`."""
+    """Sends a request; its outcome goes to `on_reply` or `on_request_failed`."""
 
     number: int
     wanted: int
     held: int
 
 
-HolderEffect = GiveSlot | RefuseSlot | SendRequest
+HolderEffect = GrantSlot | RefuseSlot | SendRequest
 Effects = tuple[HolderEffect, ...]
 
 
 class _Waiter(msgspec.Struct, frozen=True, order=True):
-    """A caller that waits; the lowest priority number and ticket go first."""
+    """A waiting caller, ordered by priority number, then by ticket."""
 
     priority: int
     ticket: int
-    give_up_at: float
+    deadline: float
 
 
-class _Outstanding(msgspec.Struct, frozen=True):
-    """The one request without a reply."""
+class _RequestInFlight(msgspec.Struct, frozen=True):
+    """The request in flight, of which there is at most one."""
 
     number: int
     sent_at: float
@@ -76,145 +76,149 @@
 
 
 class AllotmentHolder:
-    """Slots in use, callers that wait, and the lease of one service."""
+    """Slots in use, waiting callers and the lease of one service."""
 
     def __init__(
         self, service: ServiceName, next_request_number: Callable[[], int]
     ) -> None:
-        """Begin without a lease; request numbers grow over the whole process."""
+        """Start without a lease; request numbers increase across the process."""
         self.service = service
         self._next_request_number = next_request_number
         self._limit = 0
-        """How many calls may run under the lease; never above the last promise."""
+        """The maximum of running calls; at most the `held` of the last request."""
         self._lease_until = 0.0
         self._renew_at = 0.0
         self._running = 0
         self._waiting: SortedList[_Waiter] = SortedList()
-        self._by_ticket: dict[int, _Waiter] = {}
-        self._outstanding: _Outstanding | None = None
+        self._waiters_by_ticket: dict[int, _Waiter] = {}
+        self._in_flight: _RequestInFlight | None = None
         self._counted = 0
-        """How many slots the limiter counts for this holder, at most."""
-        self._given_less = False
-        """Whether the limiter's last reply gave less than was wanted."""
-        self._ask_at = 0.0
+        """Upper bound of the slots that the limiter counts for this holder."""
+        self._granted_less = False
+        """Whether the limiter last granted fewer slots than were wanted."""
+        self._next_request_at = 0.0
         self._failures = 0
-        self._lapse_told = False
+        self._is_expiry_reported = False
         self._demand = PeakDemand()
-        self._hold = MeanOccupancy()
+        self._occupancy = MeanOccupancy()
 
     @property
     def running(self) -> int:
-        """How many slots are in use."""
+        """The number of slots in use."""
         return self._running
 
     @property
-    def idle(self) -> bool:
-        """Whether nothing of this service is left to remember."""
-        busy = self._running or self._waiting or self._outstanding
-        return not busy and self._counted == 0
+    def is_idle(self) -> bool:
+        """Whether no slot, caller, request or counted slot remains."""
+        is_active = self._running or self._waiting or self._in_flight
+        return not is_active and self._counted == 0
 
-    def lease_valid(self, now: float) -> bool:
-        """Tell whether a call may start under the lease."""
+    def is_lease_valid(self, now: float) -> bool:
+        """Return whether a call may start under the lease."""
         return now < self._lease_until
 
-    def lapse_is_news(self, now: float) -> bool:
-        """Tell once that the lease lapsed while calls ran under it."""
-        lapsed = self._running > 0 and not self.lease_valid(now)
-        news = lapsed and not self._lapse_told
-        self._lapse_told = lapsed
-        return news
+    def report_expiry_once(self, now: float) -> bool:
+        """Return True once per expiry of the lease under running calls."""
+        is_expired = self._running > 0 and not self.is_lease_valid(now)
+        is_unreported = is_expired and not self._is_expiry_reported
+        self._is_expiry_reported = is_expired
+        return is_unreported
 
     def acquire(
-        self, ticket: int, priority: int, give_up_at: float, now: float
+        self, ticket: int, priority: int, deadline: float, now: float
     ) -> Effects:
-        """Ask for a slot; the answer may come later."""
-        waiter = _Waiter(priority, ticket, give_up_at)
+        """Request a slot, which may be granted later."""
+        waiter = _Waiter(priority, ticket, deadline)
         self._waiting.add(waiter)
-        self._by_ticket[ticket] = waiter
-        given = self._give(now)
-        refused = self._refuse_hopeless(waiter, now)
-        return given + refused + self._request_if_due(now)
+        self._waiters_by_ticket[ticket] = waiter
+        granted = self._grant_ready(now)
+        refused = self._refuse_if_too_late(waiter, now)
+        return granted + refused + self._request_if_due(now)
 
     def withdraw(self, ticket: int, now: float) -> Effects:
-        """Forget a caller that is gone before it got a slot."""
-        waiter = self._by_ticket.pop(ticket, None)
+        """Remove a caller that disconnected before it got a slot."""
+        waiter = self._waiters_by_ticket.pop(ticket, None)
         if waiter is not None:
             self._waiting.remove(waiter)
         return ()
 
-    def release(self, held_seconds: float, now: float) -> Effects:
-        """Take a slot back that was in use for so long."""
+    def release(self, occupied_seconds: float, now: float) -> Effects:
+        """Free a slot that was in use for `occupied_seconds`."""
         self._running -= 1
-        self._hold.learn(held_seconds)
-        return self._give(now) + self._request_if_due(now)
+        self._occupancy.learn(occupied_seconds)
+        return self._grant_ready(now) + self._request_if_due(now)
 
-    def replied(
+    def on_reply(
         self, number: int, slots: int, lease_seconds: float, now: float
     ) -> Effects:
-        """Take the limiter's reply in; only the last request's counts."""
-        sent = self._outstanding
-        if sent is None or sent.number != number:
+        """Apply the limiter's reply, unless it is to an earlier request."""
+        request = self._in_flight
+        if request is None or request.number != number:
             return ()
-        self._outstanding = None
+        self._in_flight = None
         self._failures = 0
         self._limit = slots
-        self._given_less = slots < sent.wanted
-        self._counted = max(slots, sent.held)
-        self._lease_until = sent.sent_at + lease_seconds
-        self._renew_at = sent.sent_at + lease_seconds * RENEW_FRACTION
-        self._ask_at = now + RETRY_SECONDS if slots <= sent.held else now
-        return self._give(now) + self._request_if_due(now)
-
-    def request_failed(self, number: int, problem: Problem, now: float) -> Effects:
-        """Note that a request had no useful reply."""
-        if self._outstanding is None or self._outstanding.number != number:
+        self._granted_less = slots < request.wanted
+        self._counted = max(slots, request.held)
+        self._lease_until = request.sent_at + lease_seconds
+        self._renew_at = request.sent_at + lease_seconds * RENEW_FRACTION
+        self._next_request_at = (
+            now + RETRY_INTERVAL_SECONDS if slots <= request.held else now
+        )
+        return self._grant_ready(now) + self._request_if_due(now)
+
+    def on_request_failed(self, number: int, problem: Problem, now: float) -> Effects:
+        """Record a failed request, and refuse callers after repeated failures."""
+        if self._in_flight is None or self._in_flight.number != number:
             return ()
-        self._outstanding = None
+        self._in_flight = None
         self._failures += 1
-        self._ask_at = now + (problem.retry_after or RETRY_SECONDS)
+        self._next_request_at = now + (problem.retry_after or RETRY_INTERVAL_SECONDS)
         final = problem.is_code(ProblemCode.NOT_FOUND)
-        if final or self._failures >= FAILURES_TO_REFUSE:
+        if final or self._failures >= REFUSE_AFTER_FAILURES:
             return self._refuse_all(problem)
         return ()
 
-    def asked_to_yield(self, now: float) -> Effects:
-        """Tell the limiter at once what is really needed: others wait."""
-        if self._counted == 0 or self._outstanding is not None:
+    def on_yield_requested(self, now: float) -> Effects:
+        """Renew immediately with the current demand, as other holders wait."""
+        if self._counted == 0 or self._in_flight is not None:
             return ()
         return self._request(now)
 
     def tick(self, now: float) -> Effects:
-        """Do what is due: refuse callers whose time is over, renew, return."""
+        """Refuse callers whose deadline has passed; renew or return slots if due."""
         refused: list[HolderEffect] = []
-        for waiter in [w for w in self._waiting if w.give_up_at <= now]:
+        for waiter in [w for w in self._waiting if w.deadline <= now]:
             self.withdraw(waiter.ticket, now)
-            refused.append(RefuseSlot(waiter.ticket, _exhausted(self._wait(0))))
-        return tuple(refused) + self._give(now) + self._request_if_due(now)
+            refused.append(
+                RefuseSlot(waiter.ticket, _exhausted(self._expected_wait(0)))
+            )
+        return tuple(refused) + self._grant_ready(now) + self._request_if_due(now)
 
     def _wanted(self, now: float) -> int:
         return self._demand.peak(self._running + len(self._waiting), now)
 
-    def _give(self, now: float) -> Effects:
-        given: list[HolderEffect] = []
+    def _grant_ready(self, now: float) -> Effects:
+        granted: list[HolderEffect] = []
         self._demand.learn(self._running + len(self._waiting), now)
         while self._waiting and self._may_start(now):
             waiter = self._waiting.pop(0)
-            del self._by_ticket[waiter.ticket]
+            del self._waiters_by_ticket[waiter.ticket]
             self._running += 1
-            given.append(GiveSlot(waiter.ticket))
-        return tuple(given)
+            granted.append(GrantSlot(waiter.ticket))
+        return tuple(granted)
 
     def _may_start(self, now: float) -> bool:
-        return self.lease_valid(now) and self._running < self._limit
+        return self.is_lease_valid(now) and self._running < self._limit
 
     def _request_if_due(self, now: float) -> Effects:
-        if self._outstanding is not None or now < self._ask_at:
+        if self._in_flight is not None or now < self._next_request_at:
             return ()
-        return self._request(now) if self._request_due(now) else ()
+        return self._request(now) if self._is_request_due(now) else ()
 
-    def _request_due(self, now: float) -> bool:
+    def _is_request_due(self, now: float) -> bool:
         wanted = self._wanted(now)
-        if self._waiting and wanted > (self._limit if self.lease_valid(now) else 0):
+        if self._waiting and wanted > (self._limit if self.is_lease_valid(now) else 0):
             return True
         if wanted == 0 or self._counted > max(self._limit, self._running):
             return self._counted > 0
@@ -222,36 +226,36 @@
 
     def _request(self, now: float) -> Effects:
         wanted = self._wanted(now)
-        if not self.lease_valid(now):
+        if not self.is_lease_valid(now):
             self._limit = 0
         self._limit = min(self._limit, wanted)
         held = max(self._limit, self._running)
         number = self._next_request_number()
-        self._outstanding = _Outstanding(number, now, wanted, held)
+        self._in_flight = _RequestInFlight(number, now, wanted, held)
         return (SendRequest(number, wanted, held),)
 
-    def _wait(self, ahead: int) -> float:
-        hold = self._hold.value(DEFAULT_HOLD_SECONDS)
-        load = SlotLoad(max(1, self._limit), self._running, hold)
+    def _expected_wait(self, ahead: int) -> float:
+        occupancy = self._occupancy.value(DEFAULT_OCCUPANCY_SECONDS)
+        load = SlotLoad(max(1, self._limit), self._running, occupancy)
         return expected_wait_seconds(load, ahead)
 
-    def _refuse_hopeless(self, waiter: _Waiter, now: float) -> Effects:
-        """Refuse at once a caller that would wait longer than it may."""
-        if waiter.ticket not in self._by_ticket or not self.lease_valid(now):
+    def _refuse_if_too_late(self, waiter: _Waiter, now: float) -> Effects:
+        """Refuse a caller that is not expected to get a slot before its deadline."""
+        if waiter.ticket not in self._waiters_by_ticket or not self.is_lease_valid(now):
             return ()
-        if self._limit == 0 or not self._given_less:
+        if self._limit == 0 or not self._granted_less:
             return ()
-        wait = self._wait(self._waiting.bisect_left(waiter))
-        retry_after = retry_after_seconds(wait, waiter.give_up_at - now)
+        wait = self._expected_wait(self._waiting.bisect_left(waiter))
+        retry_after = retry_after_seconds(wait, waiter.deadline - now)
         if retry_after is None:
             return ()
         self.withdraw(waiter.ticket, now)
         return (RefuseSlot(waiter.ticket, _exhausted(retry_after)),)
 
     def _refuse_all(self, problem: Problem) -> Effects:
-        tickets = tuple(self._by_ticket)
+        tickets = tuple(self._waiters_by_ticket)
         self._waiting.clear()
-        self._by_ticket.clear()
+        self._waiters_by_ticket.clear()
         retry_after = problem.retry_after or UNAVAILABLE_RETRY_SECONDS
         refusal = msgspec.structs.replace(problem, retry_after=retry_after)
         return tuple(RefuseSlot(ticket, refusal) for ticket in tickets)
--- a/notcharch/services/limiter_service.py
+++ b/notcharch/services/limiter_service.py
@@ -1,4 +1,4 @@
-"""Answers requests for allotments at the leader of a service's partition."""
+"""Handles allotment requests at the leader of a service's partition."""
 
 from collections.abc import Callable
 
@@ -34,11 +34,11 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-ENGINE_RESUME_SECONDS = 15.0
-"""Streams of a dead gateway have ended on the engines after this time."""
+DEAD_HOLDER_GRACE_SECONDS = 15.0
+"""Time after which engines have ended the streams of a dead gateway."""
 
-YIELD_SECONDS = 0.5
-"""Least time between two notices to the holders of one service."""
+MIN_YIELD_INTERVAL_SECONDS = 0.5
+"""Minimum interval of notices to the holders of one service."""
 
 NO_TABLE_RETRY_SECONDS = 1.0
 
@@ -46,8 +46,8 @@
 class LimiterService:
     """Handles `RequestAllotment` and `ListAllotments`.
 
-    `monotonic` gives seconds of a clock that is never set: leases must not end
-    early because an operator or a time server moved the wall clock.
+    `monotonic` returns seconds of a monotonic clock, so that adjustments of the
+    wall clock do not end leases early.
     """
 
     def __init__(
@@ -74,7 +74,7 @@
         self._settings = settings
         self._partition_count = partition_count
         self._dead_since: dict[Member, float] = {}
-        self._yield_asked_at: dict[ServiceName, float] = {}
+        self._yield_requested_at: dict[ServiceName, float] = {}
         self._limits: dict[ServiceName, int] = {}
         network.on_request(RequestAllotment, self._on_request)
         network.on_request(ListAllotments, self._on_list)
@@ -84,15 +84,15 @@
         assert isinstance(message, RequestAllotment)
         row = self._row(message.service)
         partition = partition_of_service(message.service, self._partition_count)
-        await self._drop_dead(partition, message.service)
+        await self._drop_dead_holders(partition, message.service)
         command = self._command(message, row)
         recorded = await propose_or_raise(self._partitions, partition, command)
         if not isinstance(recorded, SlotsRecorded):
             raise ProblemError(
-                Problem.of(ProblemCode.INTERNAL, "the partition answered no slots")
+                Problem.of(ProblemCode.INTERNAL, "the partition returned no slots")
             )
         if recorded.contended:
-            self._ask_to_yield(partition, message, row)
+            self._request_yield(partition, message, row)
         return AllotmentGranted(
             message.service, recorded.number, recorded.slots, recorded.lease_seconds
         )
@@ -116,29 +116,29 @@
     def _command(self, request: RequestAllotment, row: ServiceRow) -> RequestSlots:
         lease = self._settings.lease_seconds
         drift = self._settings.clock_drift
-        longest_lease = lease * (1 + drift) / (1 - drift)
-        self._limits[request.service] = _limit(row)
-        longest_call = self._settings.longest_call_seconds * (1 + drift)
+        max_lease_seconds = lease * (1 + drift) / (1 - drift)
+        self._limits[request.service] = _concurrency_limit(row)
+        max_call_seconds = self._settings.longest_call_seconds * (1 + drift)
         return RequestSlots(
-            at=self._at(),
+            at=self._command_time(),
             service=request.service,
             holder=request.holder,
             number=request.number,
             wanted=max(0, request.wanted),
             held=max(0, request.held),
-            concurrency=_limit(row),
+            concurrency=_concurrency_limit(row),
             lease_seconds=lease,
-            keep_seconds=longest_lease + longest_call,
+            keep_seconds=max_lease_seconds + max_call_seconds,
         )
 
-    def _at(self) -> float:
-        """Give seconds since 1970 as of the start, moved on by the steady clock."""
+    def _command_time(self) -> float:
+        """Return the wall-clock time at startup plus the monotonic time since."""
         return self._wall_offset + self._monotonic()
 
-    async def _drop_dead(
+    async def _drop_dead_holders(
         self, partition: PartitionNumber, service: ServiceName
     ) -> None:
-        """Free the slots of processes that died long enough ago."""
+        """Free the slots of processes that have been dead for the grace time."""
         state = self._allotments_of(partition)
         if state is None:
             return
@@ -148,8 +148,8 @@
                 self._dead_since.pop(lease.holder, None)
                 continue
             since = self._dead_since.setdefault(lease.holder, now)
-            if now - since >= ENGINE_RESUME_SECONDS:
-                command = DropHolder(self._at(), service, lease.holder)
+            if now - since >= DEAD_HOLDER_GRACE_SECONDS:
+                command = DropHolder(self._command_time(), service, lease.holder)
                 await propose_or_raise(self._partitions, partition, command)
                 holder = lease.holder
                 emit(
@@ -158,29 +158,31 @@
                     )
                 )
 
-    def _ask_to_yield(
+    def _request_yield(
         self, partition: PartitionNumber, request: RequestAllotment, row: ServiceRow
     ) -> None:
-        """Tell holders above their share that somebody waits."""
+        """Notify holders above their share that another holder waits."""
         state = self._allotments_of(partition)
         now = self._monotonic()
-        asked_at = self._yield_asked_at.get(request.service)
-        if state is None or (asked_at is not None and now - asked_at < YIELD_SECONDS):
+        requested_at = self._yield_requested_at.get(request.service)
+        if state is None or (
+            requested_at is not None and now - requested_at < MIN_YIELD_INTERVAL_SECONDS
+        ):
             return
-        self._yield_asked_at[request.service] = now
-        above = state.holders_above_share(request.service, _limit(row))
-        others = [holder for holder in above if holder != request.holder]
+        self._yield_requested_at[request.service] = now
+        exceeding = state.holders_above_share(request.service, _concurrency_limit(row))
+        others = [holder for holder in exceeding if holder != request.holder]
         for holder in others:
             self._network.notify(holder.daemon, YieldSlots(request.service))
         emit(SlotsContended(request.service, len(others)))
 
     def _on_table_change(self) -> None:
-        """Let holders renew at once when the cell of their service has changed."""
+        """Make holders renew immediately after a change of their service's limit."""
         for partition in self._partitions.led_partitions():
             state = self._allotments_of(partition)
             for service in state.services() if state is not None else ():
                 row = self._table.row(service)
-                limit = _limit(row) if row is not None else 0
+                limit = _concurrency_limit(row) if row is not None else 0
                 if state is not None and self._limits.get(service) != limit:
                     self._limits[service] = limit
                     for lease in state.leases(service):
@@ -195,19 +197,19 @@
         return AllotmentListing(tuple(descriptions))
 
     def _describe(self, state: AllotmentsState) -> list[AllotmentDescription]:
-        now = self._at()
+        now = self._command_time()
         return [
             AllotmentDescription(
                 service,
                 lease.holder,
                 lease.counted,
-                max(0.0, lease.lapses_at - now),
+                max(0.0, lease.expires_at - now),
             )
             for service in state.services()
             for lease in state.leases(service)
         ]
 
 
-def _limit(row: ServiceRow) -> int:
-    """Give how many calls of a service may run at once."""
+def _concurrency_limit(row: ServiceRow) -> int:
+    """Return the number of calls of a service that may run concurrently."""
     return 0 if row.paused else row.concurrency
--- a/notcharch/services/service_leases.py
+++ b/notcharch/services/service_leases.py
@@ -1,7 +1,7 @@
-"""The leases of one service, with the sums that most requests need. Pure.
+"""The leases of one service, with running totals. No I/O.
 
-A request is answered in O(log n) of the holders unless the service is contended,
-when the fair division looks at all of them.
+A request takes O(log n) for n holders, or O(n log n) if the service is contended,
+as the fair shares then depend on all holders.
 """
 
 import heapq
@@ -13,9 +13,9 @@
 
 
 class Lease(msgspec.Struct, frozen=True):
-    """One holder's lease. `counted` slots must not be given to others.
+    """One holder's lease. `counted` slots must not be leased to others.
 
-    `slots` is what the holder was told last. Times are the leader's clock.
+    `slots` is the number last granted. Times are by the leader's clock.
     """
 
     holder: Member
@@ -29,18 +29,18 @@
     renewed_at: float
 
     @property
-    def lapses_at(self) -> float:
-        """When the holder, by this clock, starts no new calls any more."""
+    def expires_at(self) -> float:
+        """The time, by this clock, from which the holder starts no new calls."""
         return self.renewed_at + self.lease_seconds
 
     @property
     def free_at(self) -> float:
-        """When the slots are free if nothing more is heard."""
+        """The time at which the slots are freed without a further request."""
         return self.renewed_at + self.keep_seconds
 
 
 class _Expiry(msgspec.Struct, frozen=True, order=True):
-    """An entry of the heap of expiries; old entries of a holder are skipped."""
+    """A heap entry; outdated entries of a holder are skipped."""
 
     at: float
     holder: Member
@@ -60,11 +60,11 @@
         return len(self._leases)
 
     def get(self, holder: Member) -> Lease | None:
-        """Give a holder's lease."""
+        """Return a holder's lease, or None."""
         return self._leases.get(holder)
 
     def all(self) -> tuple[Lease, ...]:
-        """Give all leases, sorted by holder."""
+        """Return all leases, sorted by holder."""
         return tuple(self._leases[holder] for holder in sorted(self._leases))
 
     def put(self, lease: Lease) -> None:
@@ -78,14 +78,14 @@
             self._rebuild_expiries()
 
     def drop(self, holder: Member) -> None:
-        """Forget a holder."""
+        """Remove a holder's lease."""
         lease = self._leases.pop(holder, None)
         if lease is not None:
             self._counted -= lease.counted
             self._wanted -= lease.wanted
 
-    def free_lapsed(self, now: float) -> None:
-        """Forget holders of which nothing was heard for their `keep_seconds`."""
+    def drop_expired(self, now: float) -> None:
+        """Remove holders without a request for their `keep_seconds`."""
         while self._expiries and self._expiries[0].at <= now:
             expiry = heapq.heappop(self._expiries)
             lease = self._leases.get(expiry.holder)
@@ -93,30 +93,30 @@
                 self.drop(expiry.holder)
 
     def restart(self, now: float) -> None:
-        """Let every lease begin again at `now`, by another leader's clock."""
+        """Restart the term of every lease at `now`, by a new leader's clock."""
         for lease in self.all():
             self.put(msgspec.structs.replace(lease, renewed_at=now))
         self._rebuild_expiries()
 
-    def counted_of_others(self, holder: Member) -> int:
-        """Give the slots that count for everyone else."""
-        own = self._leases.get(holder)
-        return self._counted - (own.counted if own else 0)
+    def counted_by_others(self, holder: Member) -> int:
+        """Return the number of slots counted for the other holders."""
+        known = self._leases.get(holder)
+        return self._counted - (known.counted if known else 0)
 
     def target(
         self, holder: Member, wanted: int, favoured: int, slots: int, now: float
     ) -> int:
-        """Give a holder's fair part of `slots` if it wants so many."""
-        own = self._leases.get(holder)
-        of_others = self._wanted - (own.wanted if own else 0)
-        if of_others + wanted <= slots:
+        """Return a holder's fair share of `slots` if it wants `wanted`."""
+        known = self._leases.get(holder)
+        wanted_by_others = self._wanted - (known.wanted if known else 0)
+        if wanted_by_others + wanted <= slots:
             return wanted
         demands = self._demands(now)
         demands[holder] = Demand(wanted, favoured)
         return fair_targets(slots, demands)[holder]
 
     def above_share(self, slots: int, now: float) -> list[Member]:
-        """Give the holders that count more slots than their fair part."""
+        """Return the holders with more counted slots than their fair share."""
         targets = fair_targets(slots, self._demands(now))
         return [
             lease.holder
@@ -124,14 +124,16 @@
             if lease.counted > targets[lease.holder]
         ]
 
-    def fewest_favours(self) -> int:
-        """Give how often the least favoured holder had a turn."""
+    def min_favoured(self) -> int:
+        """Return the lowest `favoured` count of all holders."""
         return min((lease.favoured for lease in self._leases.values()), default=0)
 
     def _demands(self, now: float) -> dict[Member, Demand]:
-        """Give what holders want; those whose lease has lapsed want nothing."""
+        """Return the holders' demands, which are zero after the lease expired."""
         return {
-            holder: Demand(lease.wanted if lease.lapses_at > now else 0, lease.favoured)
+            holder: Demand(
+                lease.wanted if lease.expires_at > now else 0, lease.favoured
+            )
             for holder, lease in self._leases.items()
         }
 
--- a/tests/stateful/services/lease_world.py
+++ b/tests/stateful/services/lease_world.py
@@ -1,4 +1,4 @@
-"""Holders and a limiter in a world of drifting clocks and unreliable messages."""
+"""Simulates holders and a limiter with clock drift and unreliable messages."""
 
 import itertools
 
@@ -9,7 +9,7 @@
 from notcharch.services.allotments import AllotmentsState, DropHolder, RequestSlots
 from notcharch.services.holder import (
     AllotmentHolder,
-    GiveSlot,
+    GrantSlot,
     RefuseSlot,
     SendRequest,
 )
@@ -21,11 +21,11 @@
 LONGEST_CALL_SECONDS = 20.0
 RESUME_SECONDS = 15.0
 DRIFT = 0.05
-LOST = Problem.of(ProblemCode.TIMED_OUT, "no reply")
+NO_REPLY = Problem.of(ProblemCode.TIMED_OUT, "no reply")
 
 
 def keep_seconds() -> float:
-    """As the limiter service computes it from the settings."""
+    """Return what the limiter service computes from the settings."""
     return LEASE_SECONDS * (1 + DRIFT) / (1 - DRIFT) + LONGEST_CALL_SECONDS * (
         1 + DRIFT
     )
@@ -33,7 +33,7 @@
 
 @attrs.define
 class Process:
-    """One daemon's holder, with its clock and what really runs for it."""
+    """One daemon's holder, its clock rate and its runs on the engines."""
 
     member: Member
     rate: float
@@ -47,7 +47,7 @@
 
 @attrs.define
 class Packet:
-    """A message on its way: a request to the limiter or a reply."""
+    """A message in flight: a request to the limiter or a reply."""
 
     process: Process
     request: SendRequest | None = None
@@ -56,7 +56,7 @@
 
 
 class LeaseWorld:
-    """True time, three daemons and one limiter whose leader changes."""
+    """True time, three daemons, and a limiter with changing leaders."""
 
     def __init__(self, rates=(0.0, DRIFT, -DRIFT)) -> None:
         self.now = 1000.0
@@ -64,13 +64,13 @@
         self.tickets = itertools.count(1)
         self.state = AllotmentsState()
         self.replica = AllotmentsState()
-        """Another replica, which restored its state at the last change of leader."""
+        """A second replica, restored from a snapshot at each change of leader."""
         self.epoch = Epoch(1)
         self.leader_rate = 0.0
         self.leader_offset = 0.0
         self.slots = SLOTS
         self.packets: list[Packet] = []
-        self.orphans: list[float] = []
+        self.orphaned_runs: list[float] = []
         """When the runs of dead processes end on the engines, in true time."""
         self.dead: dict[Member, float] = {}
         self.processes = [self._process(n, 1, r) for n, r in enumerate(rates)]
@@ -83,13 +83,13 @@
         return self.now * (1 + process.rate)
 
     def running(self) -> int:
-        """Count what really runs on the engines."""
-        return sum(len(p.runs) for p in self.processes) + len(self.orphans)
+        """Count the runs on the engines."""
+        return sum(len(p.runs) for p in self.processes) + len(self.orphaned_runs)
 
-    def carry_out(self, process: Process, effects) -> None:
+    def apply_effects(self, process: Process, effects) -> None:
         for effect in effects:
             match effect:
-                case GiveSlot():
+                case GrantSlot():
                     process.waiting.remove(effect.ticket)
                     process.runs.append(self.now)
                     assert self.running() <= SLOTS, "more runs than slots"
@@ -103,21 +103,23 @@
         ticket = next(self.tickets)
         process.waiting.add(ticket)
         now = self.clock(process)
-        self.carry_out(process, process.holder.acquire(ticket, 5, now + 60.0, now))
+        self.apply_effects(process, process.holder.acquire(ticket, 5, now + 60.0, now))
 
     def release(self, process: Process) -> None:
         process.runs.pop(0)
         effects = process.holder.release(1.0, self.clock(process))
-        self.carry_out(process, effects)
+        self.apply_effects(process, effects)
 
     def tick(self, process: Process) -> None:
-        self.carry_out(process, process.holder.tick(self.clock(process)))
+        self.apply_effects(process, process.holder.tick(self.clock(process)))
 
     def time_out(self, process: Process) -> None:
         if process.outstanding is not None:
             number, process.outstanding = process.outstanding, None
-            effects = process.holder.request_failed(number, LOST, self.clock(process))
-            self.carry_out(process, effects)
+            effects = process.holder.on_request_failed(
+                number, NO_REPLY, self.clock(process)
+            )
+            self.apply_effects(process, effects)
 
     def deliver(self, packet: Packet) -> None:
         if packet.request is not None:
@@ -147,18 +149,20 @@
         if process.outstanding == packet.number:
             process.outstanding = None
         if isinstance(reply, CommandRefused):
-            effects = process.holder.request_failed(packet.number, reply.problem, now)
+            effects = process.holder.on_request_failed(
+                packet.number, reply.problem, now
+            )
         else:
-            effects = process.holder.replied(
+            effects = process.holder.on_reply(
                 reply.number, reply.slots, reply.lease_seconds, now
             )
-        self.carry_out(process, effects)
+        self.apply_effects(process, effects)
 
     def leader_clock(self) -> float:
         return self.leader_offset + self.now * (1 + self.leader_rate)
 
     def change_leader(self, offset: float, rate: float) -> None:
-        """Let a replica with another clock go on from the replicated state."""
+        """Continue with the other replica, which has another clock."""
         assert self.replica.snapshot() == self.state.snapshot()
         self.state, self.replica = self.replica, AllotmentsState()
         self.replica.restore(self.state.snapshot())
@@ -166,17 +170,17 @@
         self.leader_offset, self.leader_rate = offset, rate
 
     def crash(self, process: Process) -> None:
-        """End the process; engines go on with its runs for a while."""
+        """End a process, whose runs continue on the engines for a limited time."""
         ends = [min(s + LONGEST_CALL_SECONDS, self.now + 10.0) for s in process.runs]
-        self.orphans += ends
+        self.orphaned_runs += ends
         self.dead[process.member] = self.now
-        place = self.processes.index(process)
-        self.processes[place] = self._process(
-            place, process.member.incarnation + 1, process.rate
+        position = self.processes.index(process)
+        self.processes[position] = self._process(
+            position, process.member.incarnation + 1, process.rate
         )
 
     def drop_dead(self) -> None:
-        """Free at the limiter what processes held that died long enough ago."""
+        """Free the slots of processes that died at least `RESUME_SECONDS` ago."""
         for member, since in self.dead.items():
             if self.now - since >= RESUME_SECONDS:
                 command = DropHolder(self.leader_clock(), SERVICE, member)
@@ -184,51 +188,51 @@
                 self.replica.apply(command, self.epoch)
 
     def pass_time(self, seconds: float) -> None:
-        """Move time on; engines end runs at the longest call's length."""
+        """Advance the time; engines end runs after `LONGEST_CALL_SECONDS`."""
         self.now += seconds
-        self.orphans = [end for end in self.orphans if end > self.now]
+        self.orphaned_runs = [end for end in self.orphaned_runs if end > self.now]
         for process in self.processes:
-            for _ in range(self._over(process)):
+            for _ in range(self._overdue_runs(process)):
                 if process.paused:
                     process.runs.pop(0)
                 else:
                     self.release(process)
 
-    def _over(self, process: Process) -> int:
+    def _overdue_runs(self, process: Process) -> int:
         limit = self.now - LONGEST_CALL_SECONDS
         return sum(1 for start in process.runs if start <= limit)
 
-    def wake(self, process: Process) -> None:
-        """Let the process go on, and see that some of its runs have ended."""
+    def resume(self, process: Process) -> None:
+        """Resume a paused process, which then releases its ended runs."""
         process.paused = False
         for _ in range(process.holder.running - len(process.runs)):
             effects = process.holder.release(1.0, self.clock(process))
-            self.carry_out(process, effects)
+            self.apply_effects(process, effects)
 
     def exchange(self, process: Process) -> None:
-        """Let one process ask and hear the answer, with nothing lost."""
+        """Deliver one process's requests and their replies without loss."""
         self.tick(process)
         for _ in range(4):
             for packet in [p for p in self.packets if p.process is process]:
                 self.packets.remove(packet)
                 self.deliver(packet)
 
-    def take(self, process: Process, count: int) -> None:
-        """Acquire slots, with nothing lost."""
+    def acquire_and_exchange(self, process: Process, count: int) -> None:
+        """Acquire slots without message loss."""
         for _ in range(count):
             self.acquire(process)
         self.exchange(process)
 
     def yield_slots(self, process: Process) -> None:
-        """Ask a holder to tell the limiter what it needs."""
+        """Ask a holder to renew with its current demand."""
         now = self.clock(process)
-        self.carry_out(process, process.holder.asked_to_yield(now))
+        self.apply_effects(process, process.holder.on_yield_requested(now))
 
-    def settle(self, seconds: float) -> None:
-        """Let everything work as it should for a while."""
+    def run_without_faults(self, seconds: float) -> None:
+        """Run all processes without faults for `seconds`."""
         for process in self.processes:
             if process.paused:
-                self.wake(process)
+                self.resume(process)
         for _ in range(round(seconds / 0.5)):
             self.pass_time(0.5)
             self.drop_dead()
--- a/tests/stateful/services/test_lease_schedules.py
+++ b/tests/stateful/services/test_lease_schedules.py
@@ -1,4 +1,4 @@
-"""Schedules that would give a slot out twice, and breaks that they must catch."""
+"""Schedules that could lease a slot twice, and breaks that they must detect."""
 
 import msgspec
 import pytest
@@ -10,7 +10,7 @@
 
 
 def request_of(world, process):
-    """Take the process's request out of the packets on their way."""
+    """Remove and return the process's request in flight."""
     (packet,) = [p for p in world.packets if p.process is process and p.request]
     world.packets.remove(packet)
     return packet
@@ -29,22 +29,22 @@
 
 def a_paused_holder_wakes_after_its_lease_went_to_another(world):
     first, second, _ = world.processes
-    world.take(first, SLOTS)
+    world.acquire_and_exchange(first, SLOTS)
     release_all(world, first)
     first.paused = True
     world.pass_time(40.0)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
     assert len(second.runs) == SLOTS
-    world.wake(first)
+    world.resume(first)
     world.acquire(first)
 
 
-def a_holder_starts_more_before_it_hears_that_it_must_shrink(world):
+def a_holder_starts_more_before_it_receives_the_reply_to_shrink(world):
     first, second, _ = world.processes
-    world.take(first, SLOTS)
+    world.acquire_and_exchange(first, SLOTS)
     world.release(first)
     world.release(first)
-    world.take(second, 1)
+    world.acquire_and_exchange(second, 1)
     world.yield_slots(first)
     world.deliver(request_of(world, first))
     shrinking = reply_to(world, first)
@@ -62,40 +62,40 @@
     world.deliver(early)
     world.deliver(reply_to(world, first))
     world.pass_time(0.6)
-    world.take(first, SLOTS - 1)
+    world.acquire_and_exchange(first, SLOTS - 1)
     assert len(first.runs) == SLOTS
     world.deliver(early)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
 
 
 def runs_outlast_the_lease_of_a_paused_holder(world):
     first, second, _ = world.processes
-    world.take(first, SLOTS)
+    world.acquire_and_exchange(first, SLOTS)
     first.paused = True
     world.pass_time(12.0)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
 
 
 def a_slow_clock_starts_runs_at_the_end_of_its_lease(world):
     _, second, slow = world.processes
     world.leader_rate = DRIFT
-    world.take(slow, SLOTS)
+    world.acquire_and_exchange(slow, SLOTS)
     release_all(world, slow)
     world.pass_time(10.4)
     world.acquire(slow)
     assert len(slow.runs) == 1
     slow.paused = True
     world.pass_time(18.0)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
 
 
 def runs_outlast_the_death_of_their_holder(world):
     first, second, _ = world.processes
-    world.take(first, SLOTS)
+    world.acquire_and_exchange(first, SLOTS)
     world.crash(first)
     world.pass_time(1.0)
     world.drop_dead()
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
 
 
 def a_reply_comes_when_its_lease_has_long_lapsed(world):
@@ -104,7 +104,7 @@
     world.deliver(request_of(world, first))
     late = reply_to(world, first)
     world.pass_time(40.0)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
     world.deliver(late)
 
 
@@ -121,20 +121,20 @@
     world.tick(first)
     world.pass_time(3.0)
     world.acquire(first)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
     world.deliver(late)
 
 
 def the_new_leaders_clock_is_far_ahead(world):
     first, second, _ = world.processes
-    world.take(first, SLOTS)
+    world.acquire_and_exchange(first, SLOTS)
     world.change_leader(500.0, 0.0)
-    world.take(second, SLOTS)
+    world.acquire_and_exchange(second, SLOTS)
 
 
 SCHEDULES = [
     a_paused_holder_wakes_after_its_lease_went_to_another,
-    a_holder_starts_more_before_it_hears_that_it_must_shrink,
+    a_holder_starts_more_before_it_receives_the_reply_to_shrink,
     an_early_request_arrives_again_much_later,
     runs_outlast_the_lease_of_a_paused_holder,
     a_slow_clock_starts_runs_at_the_end_of_its_lease,
@@ -151,19 +151,19 @@
 
 
 def count_the_lease_from_the_reply(monkeypatch):
-    original = AllotmentHolder.replied
+    original = AllotmentHolder.on_reply
 
-    def replied(self, number, slots, lease_seconds, now):
-        sent = self._outstanding
+    def on_reply(self, number, slots, lease_seconds, now):
+        sent = self._in_flight
         if sent is not None:
-            self._outstanding = msgspec.structs.replace(sent, sent_at=now)
+            self._in_flight = msgspec.structs.replace(sent, sent_at=now)
         return original(self, number, slots, lease_seconds, now)
 
-    monkeypatch.setattr(AllotmentHolder, "replied", replied)
+    monkeypatch.setattr(AllotmentHolder, "on_reply", on_reply)
 
 
 def start_after_the_lapse(monkeypatch):
-    monkeypatch.setattr(AllotmentHolder, "lease_valid", lambda self, now: True)
+    monkeypatch.setattr(AllotmentHolder, "is_lease_valid", lambda self, now: True)
 
 
 def promise_only_what_runs(monkeypatch):
@@ -177,17 +177,17 @@
 
 
 def take_any_reply(monkeypatch):
-    original = AllotmentHolder.replied
+    original = AllotmentHolder.on_reply
 
-    def replied(self, number, slots, lease_seconds, now):
-        if self._outstanding is not None:
-            number = self._outstanding.number
+    def on_reply(self, number, slots, lease_seconds, now):
+        if self._in_flight is not None:
+            number = self._in_flight.number
         return original(self, number, slots, lease_seconds, now)
 
-    monkeypatch.setattr(AllotmentHolder, "replied", replied)
+    monkeypatch.setattr(AllotmentHolder, "on_reply", on_reply)
 
 
-def free_what_was_asked_back_at_once(monkeypatch):
+def free_requested_slots_at_once(monkeypatch):
     original = AllotmentsState._new_lease
 
     def new_lease(self, command, known, leases):
@@ -222,8 +222,8 @@
 
 
 def forget_the_drift_of_clocks(monkeypatch):
-    whole = LEASE_SECONDS + lease_world.LONGEST_CALL_SECONDS
-    monkeypatch.setattr(lease_world, "keep_seconds", lambda: whole * (1 - DRIFT))
+    sum_seconds = LEASE_SECONDS + lease_world.LONGEST_CALL_SECONDS
+    monkeypatch.setattr(lease_world, "keep_seconds", lambda: sum_seconds * (1 - DRIFT))
 
 
 def free_dead_processes_at_once(monkeypatch):
@@ -235,7 +235,7 @@
     start_after_the_lapse,
     promise_only_what_runs,
     take_any_reply,
-    free_what_was_asked_back_at_once,
+    free_requested_slots_at_once,
     obey_late_requests,
     trust_a_new_leaders_clock,
     forget_running_calls_of_a_lapsed_lease,
--- a/tests/stateful/services/test_leases.py
+++ b/tests/stateful/services/test_leases.py
@@ -1,4 +1,4 @@
-"""Leases of slots: never more in use than the cell says, and given out again."""
+"""Slot leases never exceed the concurrency limit, and freed slots are reused."""
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -27,7 +27,7 @@
 
 
 class Leases(RuleBasedStateMachine):
-    """Daemons that acquire, release, pause and die; messages in any order."""
+    """Daemons acquire, release, pause and crash; messages arrive in any order."""
 
     def __init__(self):
         super().__init__()
@@ -57,7 +57,7 @@
     def pause_or_wake(self, number):
         process = self.process(number)
         if process.paused:
-            self.world.wake(process)
+            self.world.resume(process)
         else:
             process.paused = True
 
@@ -123,14 +123,14 @@
                 assert process.holder.running == len(process.runs)
 
     def teardown(self):
-        """With the faults over, a lone daemon gets every slot."""
+        """After the faults, a single daemon gets every slot."""
         world = self.world
-        world.settle(100.0)
+        world.run_without_faults(100.0)
         assert world.running() == 0
         first = world.processes[0]
         for _ in range(SLOTS):
             world.acquire(first)
-        world.settle(3.0)
+        world.run_without_faults(3.0)
         assert len(first.runs) == SLOTS
 
 
--- a/tests/unit/services/region.py
+++ b/tests/unit/services/region.py
@@ -1,4 +1,4 @@
-"""Holder and limiter services of a few daemons on the memory transport."""
+"""Holder and limiter services of several daemons on the in-memory transport."""
 
 import random
 
@@ -21,7 +21,7 @@
 
 
 class SimpleTable:
-    """`TableView` with one row that the test changes."""
+    """A `TableView` with one row, which the test changes."""
 
     def __init__(self, concurrency: int) -> None:
         self.version = 1
@@ -41,7 +41,7 @@
 
 
 class Node:
-    """One daemon's holder and limiter."""
+    """One daemon's holder and limiter services."""
 
     def __init__(self, region: "ServiceRegion", name: str) -> None:
         self.member = Member(DaemonName(name), 1)
@@ -70,16 +70,16 @@
         self.slots = []
 
     def acquire(self, count=1, give_up_seconds=30.0, service=SERVICE):
-        """Ask for slots; those that come are kept in `slots`."""
-        asked = []
+        """Request slots; granted ones are appended to `slots`."""
+        pending = []
         for _ in range(count):
             coroutine = self.holder.acquire(service, 5, give_up_seconds)
-            asking = Deferred.fromCoroutine(coroutine)
-            asking.addCallback(self._keep)
-            asked.append(asking)
-        return asked
+            acquisition = Deferred.fromCoroutine(coroutine)
+            acquisition.addCallback(self._record_slot)
+            pending.append(acquisition)
+        return pending
 
-    def _keep(self, result):
+    def _record_slot(self, result):
         if result.is_ok():
             self.slots.append(result.unwrap())
         return result
@@ -92,7 +92,7 @@
 
 
 class ServiceRegion:
-    """Daemons d1 …; d1 limits every service."""
+    """Daemons d1, d2, …; d1 is the limiter of every service."""
 
     def __init__(self, daemons: int = 3, concurrency: int = 6) -> None:
         self.clock = Clock()
@@ -112,7 +112,7 @@
         return sum(len(node.slots) for node in self.nodes.values())
 
     def counted(self) -> int:
-        """Give how many slots the limiter counts."""
+        """Return the number of slots that the limiter counts."""
         state = self.partitions.states[partition_of_service(SERVICE, PARTITIONS)]
         return sum(lease.counted for lease in state.leases(SERVICE))
 
--- a/tests/unit/services/test_allotment_services.py
+++ b/tests/unit/services/test_allotment_services.py
@@ -1,4 +1,4 @@
-"""Holder and limiter services together: fairness, limits, silence, failures."""
+"""Holder and limiter services: fairness, limits, idle traffic and failures."""
 
 import pytest
 from twisted.internet.defer import CancelledError
@@ -64,14 +64,16 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "seconds"), [(True, 1.0), (False, 19.0)], ids=["told", "by renewal"]
+    ("notified", "seconds"),
+    [(True, 1.0), (False, 19.0)],
+    ids=["notified", "by renewal"],
 )
-def test_lowering_the_cell_takes_effect_soon(told, seconds):
+def test_lowering_the_cell_takes_effect_soon(notified, seconds):
     region = ServiceRegion(concurrency=6)
     node = region.nodes["d2"]
     node.acquire(6)
     region.run(1.0)
-    if not told:
+    if not notified:
         region.table.listeners.clear()
     region.table.set(concurrency=2)
     region.run(seconds)
@@ -102,9 +104,9 @@
     region.fabric.cut([DaemonName("d1")], [DaemonName("d2")])
     region.run(31.0)
     assert not node.slots[0].may_start()
-    asked = node.acquire(1, 2.0)
+    pending = node.acquire(1, 2.0)
     region.run(3.0)
-    problem = asked[0].result.unwrap_err()
+    problem = pending[0].result.unwrap_err()
     assert problem.ran == Ran.NO
     assert problem.retry_after is not None
 
@@ -112,9 +114,9 @@
 def test_an_unreachable_limiter_is_told_after_a_few_tries():
     region = ServiceRegion()
     region.fabric.cut([DaemonName("d1")], [DaemonName("d2")])
-    asked = region.nodes["d2"].acquire(1, 600.0)
+    pending = region.nodes["d2"].acquire(1, 600.0)
     region.run(15.0)
-    problem = asked[0].result.unwrap_err()
+    problem = pending[0].result.unwrap_err()
     assert problem.code in {ProblemCode.UNAVAILABLE.slug, ProblemCode.TIMED_OUT.slug}
     assert problem.retry_after is not None
 
@@ -137,9 +139,9 @@
 
 def test_an_unknown_service_is_refused_at_once():
     region = ServiceRegion()
-    asked = region.nodes["d2"].acquire(1, service="nobody")
+    pending = region.nodes["d2"].acquire(1, service="nobody")
     region.run(0.2)
-    assert asked[0].result.unwrap_err().is_code(ProblemCode.NOT_FOUND)
+    assert pending[0].result.unwrap_err().is_code(ProblemCode.NOT_FOUND)
 
 
 def test_a_caller_that_would_wait_too_long_is_refused_at_once():
@@ -149,9 +151,9 @@
     region.run(20.0)
     node.release()
     region.run(1.0)
-    asked = node.acquire(1, 5.0)
-    assert asked[0].called
-    problem = asked[0].result.unwrap_err()
+    pending = node.acquire(1, 5.0)
+    assert pending[0].called
+    problem = pending[0].result.unwrap_err()
     assert problem.is_code(ProblemCode.CONCURRENCY_EXHAUSTED)
     assert problem.retry_after > 10.0
 
@@ -161,9 +163,9 @@
     node = region.nodes["d2"]
     node.acquire(1)
     region.run(1.0)
-    (gone,) = node.acquire(1)
-    gone.addErrback(lambda failure: failure.trap(CancelledError))
-    gone.cancel()
+    (cancelled,) = node.acquire(1)
+    cancelled.addErrback(lambda failure: failure.trap(CancelledError))
+    cancelled.cancel()
     node.release()
     region.run(1.0)
     assert node.slots == []
@@ -176,9 +178,11 @@
     region = ServiceRegion()
     region.nodes["d2"].acquire(2)
     region.run(1.0)
-    asking = region.nodes["d3"].network.request(DaemonName("d1"), ListAllotments(), 1.0)
+    pending = region.nodes["d3"].network.request(
+        DaemonName("d1"), ListAllotments(), 1.0
+    )
     region.run(0.1)
-    (allotment,) = asking.result.unwrap().allotments
+    (allotment,) = pending.result.unwrap().allotments
     assert (allotment.holder.daemon, allotment.slots) == ("d2", 2)
     assert 0 < allotment.expires_in_seconds <= 30.0
 
@@ -186,8 +190,8 @@
 def test_a_limiter_without_a_table_says_when_to_come_back():
     region = ServiceRegion()
     region.table.version = 0
-    asked = region.nodes["d2"].acquire(1, 600.0, service="unknown")
+    pending = region.nodes["d2"].acquire(1, 600.0, service="unknown")
     region.run(10.0)
-    problem = asked[0].result.unwrap_err()
+    problem = pending[0].result.unwrap_err()
     assert problem.is_code(ProblemCode.UNAVAILABLE)
     assert problem.retry_after is not None
--- a/tests/unit/services/test_shares.py
+++ b/tests/unit/services/test_shares.py
@@ -1,4 +1,4 @@
-"""Fair division of slots, as a table."""
+"""Cases of the fair division of slots."""
 
 import pytest
 
