--- a/notcharch/engines/engine_load.py
+++ b/notcharch/engines/engine_load.py
@@ -67,7 +67,7 @@
 
     @property
     def reachable(self) -> bool:
-        """Whether fewer than the maximum of successive load reads failed."""
+        """Whether the latest load reads did not fail too often in succession."""
         return self._failed_reads < UNREACHABLE_AFTER_FAILED_READS
 
     @property
--- a/notcharch/engines/stewardship.py
+++ b/notcharch/engines/stewardship.py
@@ -32,7 +32,7 @@
         """Process the assignment of the engine to another daemon."""
 
     def claimed(self) -> None:
-        """Process the record of a claim by this process."""
+        """Process a recorded claim of this process."""
 
     def superseded(self) -> None:
         """Process a later claim by another process."""
@@ -112,7 +112,7 @@
         return self._epoch if self.phase == StewardshipPhase.HOLDING else None
 
     def confirmed_within(self, seconds: float, now: float) -> bool:
-        """Return whether the journal confirmed the claim recently enough."""
+        """Return whether the journal confirmed the claim in the last `seconds`."""
         if self.phase != StewardshipPhase.HOLDING or self._confirmed_at is None:
             return False
         return now - self._confirmed_at <= seconds
--- a/tests/stateful/engines/queue_oracle.py
+++ b/tests/stateful/engines/queue_oracle.py
@@ -26,7 +26,7 @@
     def cancel(self, key: CallKey) -> None:
         self.calls = [call for call in self.calls if call.key != key]
 
-    def settle(self, call: QueuedCall, used_tokens: int) -> None:
+    def correct_charge(self, call: QueuedCall, used_tokens: int) -> None:
         share = Fraction(self.rows[call.service][0])
         difference = Fraction(used_tokens - call.cost_tokens) / share
         self.virtual_times[call.service] += difference
--- a/tests/stateful/engines/test_fair_queue.py
+++ b/tests/stateful/engines/test_fair_queue.py
@@ -89,7 +89,7 @@
     def settle(self, used):
         call = self.granted.pop()
         self.queue.correct_charge(call, used)
-        self.oracle.settle(call, used)
+        self.oracle.correct_charge(call, used)
 
     @rule(seconds=st.sampled_from([0.0, 0.5, 3.0, 20.0]))
     def pass_time(self, seconds):
--- a/tests/unit/engines/region.py
+++ b/tests/unit/engines/region.py
@@ -127,7 +127,7 @@
         def copy(engine):
             tokens = engine.cached.get(program, 0)
             if not tokens:
-                return Err(Problem.of(ProblemCode.NOT_FOUND, "nothing held"))
+                return Err(Problem.of(ProblemCode.NOT_FOUND, "nothing cached"))
             return Ok(ExportedCache(f"{program}/{tokens}", tokens))
 
         return self._respond("export", address, copy)
