--- a/notcharch/gateway/call_tools.py
+++ b/notcharch/gateway/call_tools.py
@@ -52,7 +52,7 @@
     ) -> Awaitable[Result[CallGranted, Problem]]:
         """Return a grant of an engine, or OVERLOADED or NO_ENGINE without waiting."""
 
-    def give_back(
+    def return_grant(
         self, grant: CallGranted, usage: TokenUsage | None, engine_failed: bool
     ) -> "Deferred[None]":
         """Release a grant after its stream ended."""
--- a/notcharch/gateway/engine_attempt.py
+++ b/notcharch/gateway/engine_attempt.py
@@ -124,7 +124,7 @@
         """Release the grant and the slot, if held."""
         grant, self._grant = self._grant, None
         if grant is not None:
-            self._tools.placer.give_back(grant, usage, engine_failed)
+            self._tools.placer.return_grant(grant, usage, engine_failed)
         slot, self._slot = self._slot, None
         if slot is not None:
             slot.release()
