--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -5,7 +5,7 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.partitions.interface import CommandRefused, CommandResult
 from notcharch.programs import refusals
-from notcharch.programs.budget import prompt_bound
+from notcharch.programs.budget import prompt_token_bound
 from notcharch.programs.commands import (
     AdmitAttempt,
     AttemptAdmitted,
@@ -48,7 +48,7 @@
     known = known_call(record, command, digest)
     if known is not None:
         return known
-    prompt_tokens = prompt_bound(record.context_tokens, command.messages)
+    prompt_tokens = prompt_token_bound(record.context_tokens, command.messages)
     prompt_tokens += command.parameter_tokens
     reservation = prompt_tokens + command.max_tokens
     problem = _refusal(store, record, command, reservation)
@@ -127,8 +127,8 @@
 ) -> Problem | None:
     budget = store.budget_of(record)
     call = record.call
-    returned = call.reserved_tokens if call is not None else 0
-    free = limit - budget.committed + returned
+    released = call.reserved_tokens if call is not None else 0
+    free = limit - budget.committed + released
     if reservation <= free:
         return None
     message = (
@@ -136,7 +136,7 @@
         f" of the budget of {limit}"
     )
     # Other calls of the tree may give back a part of what they hold.
-    may_fit_soon = reservation <= free + budget.reserved - returned
+    may_fit_soon = reservation <= free + budget.reserved - released
     return Problem.of(
         ProblemCode.BUDGET_EXHAUSTED,
         message,
@@ -157,7 +157,7 @@
     before = record.call
     number = 1 if before is None else before.attempt + 1
     if before is not None:
-        budget.give_back(before.reserved_tokens)
+        budget.release_reservation(before.reserved_tokens)
     budget.reserve(reservation)
     record.call = OpenCall(
         sequence=command.sequence,
@@ -174,7 +174,7 @@
     if record.started_at is None:
         record.started_at = command.at
     touch(store, record, command.at)
-    store.note_running(record)
+    store.update_running(record)
 
 
 def _admitted(
--- a/notcharch/programs/attempt_watch.py
+++ b/notcharch/programs/attempt_watch.py
@@ -13,16 +13,16 @@
 from notcharch.programs.record import CallPhase, OpenCall
 from notcharch.values.identifiers import Member
 
-WAITS_BEFORE_DISPATCH = 2
+MAX_WAITS_BEFORE_DISPATCH = 2
 """A call waits at most so many times the row's `max_wait_seconds` before its
 dispatch: once for a concurrency slot and once in an engine's queue."""
 
-DISPATCH_SLACK_SECONDS = 30.0
-REPEATABLE_SECONDS = 2.0
+DISPATCH_MARGIN_SECONDS = 30.0
+MAX_REPEATABLE_ABSENCE_SECONDS = 2.0
 """A missing gateway loses a call that may run again after so long: if the gateway
 lives, one answer is worked out in vain."""
 
-FORGET_FACTOR = 4.0
+MISSING_RETENTION_FACTOR = 4.0
 """So many times `gateway_dead_seconds` after it vanished, a member is forgotten."""
 
 
@@ -49,15 +49,17 @@
         here: this daemon may become the leader of some, and then counts from when
         it missed the gateway itself.
         """
-        forget_before = now - FORGET_FACTOR * self._limits.gateway_dead_seconds
-        kept = {
+        expiry_cutoff = (
+            now - MISSING_RETENTION_FACTOR * self._limits.gateway_dead_seconds
+        )
+        missing = {
             member: since
             for member, since in self._missing_since.items()
-            if member not in live and (member in gateways or since > forget_before)
+            if member not in live and (member in gateways or since > expiry_cutoff)
         }
         for member in (gateways | self._live) - live:
-            kept.setdefault(member, now)
-        self._missing_since = kept
+            missing.setdefault(member, now)
+        self._missing_since = missing
         self._live = set(live)
 
     @property
@@ -76,20 +78,24 @@
         if dead:
             return f"the gateway {call.gateway.daemon} was lost"
         since = self._missing_since.get(call.gateway)
-        if since is not None and now - since >= self._longest_absence(call):
+        if since is not None and now - since >= self._max_absence(call):
             return f"the gateway {call.gateway.daemon} is missing"
-        if now - call.phase_at >= self._longest(call, max_wait_seconds):
+        if now - call.phase_at >= self._max_duration(call, max_wait_seconds):
             return f"the attempt took too long after it was {call.phase.value}"
         return None
 
-    def _longest_absence(self, call: OpenCall) -> float:
+    def _max_absence(self, call: OpenCall) -> float:
         may_run_again = call.repeatable or call.phase is CallPhase.ADMITTED
         longest = self._limits.gateway_dead_seconds
-        return min(longest, REPEATABLE_SECONDS) if may_run_again else longest
+        return (
+            min(longest, MAX_REPEATABLE_ABSENCE_SECONDS) if may_run_again else longest
+        )
 
-    def _longest(self, call: OpenCall, max_wait_seconds: float) -> float:
+    def _max_duration(self, call: OpenCall, max_wait_seconds: float) -> float:
         if call.phase is CallPhase.ADMITTED:
-            return WAITS_BEFORE_DISPATCH * max_wait_seconds + DISPATCH_SLACK_SECONDS
+            return (
+                MAX_WAITS_BEFORE_DISPATCH * max_wait_seconds + DISPATCH_MARGIN_SECONDS
+            )
         return self._limits.attempt_seconds
 
 
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -8,7 +8,7 @@
 from notcharch.programs.budget import (
     MESSAGE_OVERHEAD_TOKENS,
     UnresolvedCharge,
-    context_after,
+    context_token_bound,
 )
 from notcharch.programs.commands import (
     AbandonAttempt,
@@ -113,7 +113,7 @@
     outcome = StoredAnswer.of(answer)
     turn = EncodedTurn(call.digest, call.attempt, messages, outcome, None)
     close_call(store, record, turn, count_messages(call.messages) + 1)
-    record.context_tokens = context_after(answer)
+    record.context_tokens = context_token_bound(answer)
     record.prefix = PrefixLocation(call.engines[-1], answer.usage.total_tokens)
     _after_outcome(store, record, at)
     return AttemptFinished(None, overrun_tokens)
@@ -145,21 +145,21 @@
             _resolve_charge(store, record, call.sequence, call.attempt, None)
         return AttemptFinished(call.failure)
     budget = store.budget_of(record)
-    certainly_not = problem.ran is Ran.NO or call.phase is CallPhase.ADMITTED
-    if certainly_not:
-        budget.give_back(call.reserved_tokens)
+    never_ran = problem.ran is Ran.NO or call.phase is CallPhase.ADMITTED
+    if never_ran:
+        budget.release_reservation(call.reserved_tokens)
     else:
         call.may_have_run = True
         charge = UnresolvedCharge(
             record.program, call.sequence, call.attempt, call.reserved_tokens
         )
-        budget.hold(charge)
+        budget.mark_unresolved(charge)
     call.reserved_tokens = 0
-    stored = _stored_problem(call, problem, certainly_not)
+    stored = _stored_problem(call, problem, never_ran)
     call.phase = CallPhase.FAILED
     call.phase_at = at
     call.failure = stored
-    if not certainly_not and not call.repeatable:
+    if not never_ran and not call.repeatable:
         messages = msgspec.Raw(NO_MESSAGES)
         turn = EncodedTurn(call.digest, call.attempt, messages, None, stored)
         close_call(store, record, turn, 0)
@@ -167,9 +167,9 @@
     return AttemptFinished(stored)
 
 
-def _stored_problem(call: OpenCall, problem: Problem, certainly_not: bool) -> Problem:
+def _stored_problem(call: OpenCall, problem: Problem, never_ran: bool) -> Problem:
     """Say of the whole call, not only of this attempt, whether it ran."""
-    if certainly_not:
+    if never_ran:
         ran = Ran.UNKNOWN if call.may_have_run else Ran.NO
         return msgspec.structs.replace(problem, ran=ran)
     if call.repeatable:
@@ -202,11 +202,11 @@
     record.history.append(turn, message_count)
     record.finished += 1
     record.call = None
-    store.note_running(record)
+    store.update_running(record)
 
 
 def _after_outcome(store: ProgramStore, record: ProgramRecord, at: float) -> None:
-    store.note_running(record)
+    store.update_running(record)
     touch(store, record, at)
     smallest_call = record.context_tokens + MESSAGE_OVERHEAD_TOKENS + 1
     if record.ended or store.budget_of(record).unspent < smallest_call:
--- a/notcharch/programs/budget.py
+++ b/notcharch/programs/budget.py
@@ -12,7 +12,7 @@
 MESSAGE_OVERHEAD_TOKENS = 8
 """Tokens beyond its bytes that one message may cost in a prompt."""
 
-UNRESOLVED_CHARGES_KEPT = 16
+MAX_UNRESOLVED_CHARGES = 16
 """Charges that can still be corrected; older ones stay charged for ever."""
 
 
@@ -57,7 +57,7 @@
         """Take a reservation for an attempt; the caller has checked `remaining`."""
         self.reserved += tokens
 
-    def give_back(self, tokens: int) -> None:
+    def release_reservation(self, tokens: int) -> None:
         """Return the reservation of an attempt that certainly did not run."""
         self.reserved -= tokens
 
@@ -66,12 +66,12 @@
         self.reserved -= tokens
         self.settled += usage.total_tokens
 
-    def hold(self, charge: UnresolvedCharge) -> None:
+    def mark_unresolved(self, charge: UnresolvedCharge) -> None:
         """Keep a reservation charged, since its attempt may have run."""
         self.reserved -= charge.tokens
         self.unresolved += charge.tokens
         self.charges.append(charge)
-        del self.charges[:-UNRESOLVED_CHARGES_KEPT]
+        del self.charges[:-MAX_UNRESOLVED_CHARGES]
 
     def resolve(
         self,
@@ -94,7 +94,7 @@
         return False
 
 
-def message_bound(message: ChatMessage) -> int:
+def message_token_bound(message: ChatMessage) -> int:
     """Bound the tokens of one message in a prompt by its bytes."""
     texts = (message.role, message.content, message.name, message.tool_call_id)
     size = sum(len(text.encode()) for text in texts[1:] if text is not None)
@@ -103,12 +103,12 @@
     return size + MESSAGE_OVERHEAD_TOKENS
 
 
-def prompt_bound(context_tokens: int, messages: tuple[ChatMessage, ...]) -> int:
+def prompt_token_bound(context_tokens: int, messages: tuple[ChatMessage, ...]) -> int:
     """Bound the prompt of a call by the bound of its history and its new messages."""
-    return context_tokens + sum(message_bound(message) for message in messages)
+    return context_tokens + sum(message_token_bound(message) for message in messages)
 
 
-def context_after(answer: Answer) -> int:
+def context_token_bound(answer: Answer) -> int:
     """Bound the history, once it ends with this answer.
 
     The prompt is as the engine reported it. The answer counts as whichever is
@@ -116,4 +116,6 @@
     otherwise when it comes back as a message.
     """
     generated = answer.usage.completion_tokens + MESSAGE_OVERHEAD_TOKENS
-    return answer.usage.prompt_tokens + max(generated, message_bound(answer.message))
+    return answer.usage.prompt_tokens + max(
+        generated, message_token_bound(answer.message)
+    )
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -30,7 +30,7 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord, call_digest
 from notcharch.programs.replies import admitted_reply, failure_reply, finished_reply
-from notcharch.programs.rows import open_row
+from notcharch.programs.rows import active_row
 from notcharch.table.interface import TableView
 from notcharch.values.identifiers import CallSequence, Member
 from notcharch.wire.messages.base import Message
@@ -45,10 +45,10 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-EARLY_CALLS_PER_PROGRAM = 16
+MAX_EARLY_CALLS_PER_PROGRAM = 16
 """Requests that may wait for one program before an early call is refused."""
 
-LONGEST_ANSWER_WAIT_SECONDS = 300.0
+MAX_ANSWER_WAIT_SECONDS = 300.0
 UNKNOWN_CALL_RETRY_SECONDS = 1.0
 
 
@@ -82,7 +82,7 @@
 
     async def _on_admit(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, AdmitCall)
-        record = await self._record_when_due(message)
+        record = await self._wait_for_sequence(message)
         digest = call_digest(message.body_digest, message.repeatable)
         known = known_call(record, message, digest)
         if known is None:
@@ -115,14 +115,18 @@
         turn = await self._histories.turn(record, sequence)
         return finished_reply(sequence, turn)
 
-    async def _record_when_due(self, message: AdmitCall) -> ProgramRecord:
+    async def _wait_for_sequence(self, message: AdmitCall) -> ProgramRecord:
         """Give the record once the call is not early any more, or refuse it."""
         record = await self._led.visible(message.program, message.tenant)
         deadline = self._now() + self._early_wait_seconds
         while message.sequence > record.next_sequence and not record.ended:
             seconds = deadline - self._now()
             waiting = self._changes.waiting_for(message.program)
-            if seconds <= 0 or self._changes.full or waiting >= EARLY_CALLS_PER_PROGRAM:
+            if (
+                seconds <= 0
+                or self._changes.full
+                or waiting >= MAX_EARLY_CALLS_PER_PROGRAM
+            ):
                 refusal = refusals.too_early(message.sequence, record.next_sequence)
                 raise ProblemError(refusal.problem)
             await self._changes.wait(message.program, seconds)
@@ -131,9 +135,9 @@
 
     def _admit_command(self, record: ProgramRecord, message: AdmitCall) -> AdmitAttempt:
         ran = record.ran_so_far
-        row = open_row(self._table, record.service, ran)
+        row = active_row(self._table, record.service, ran)
         root = self._led.state_of(record.program).root_of(record)
-        root_row = open_row(self._table, root.service, ran)
+        root_row = active_row(self._table, root.service, ran)
         limits = AdmissionLimits(
             root_row.budget_tokens, row.calls_per_program, row.max_age_seconds
         )
@@ -153,7 +157,7 @@
 
     async def _on_await(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, AwaitAnswer)
-        wait_seconds = min(message.wait_seconds, LONGEST_ANSWER_WAIT_SECONDS)
+        wait_seconds = min(message.wait_seconds, MAX_ANSWER_WAIT_SECONDS)
         deadline = self._now() + wait_seconds
         while True:
             record = await self._led.visible(message.program, message.tenant)
--- a/notcharch/programs/changes.py
+++ b/notcharch/programs/changes.py
@@ -10,7 +10,7 @@
 MAX_WAITERS = 20_000
 """Requests that may wait in one daemon at once."""
 
-LONGEST_SLEEP_SECONDS = 5.0
+MAX_SLEEP_SECONDS = 5.0
 
 
 class ProgramChanges:
@@ -38,41 +38,41 @@
     async def wait(self, program: ProgramId, seconds: float) -> None:
         """Return after the program's next change, or after `seconds`.
 
-        It returns after `LONGEST_SLEEP_SECONDS` in any case: a command whose
+        It returns after `MAX_SLEEP_SECONDS` in any case: a command whose
         outcome was not learnt may take effect without a notice.
         """
-        pause = min(seconds, LONGEST_SLEEP_SECONDS)
-        woken: Deferred[None] = Deferred()
-        self._waiters.setdefault(program, set()).add(woken)
+        delay = min(seconds, MAX_SLEEP_SECONDS)
+        waiter: Deferred[None] = Deferred()
+        self._waiters.setdefault(program, set()).add(waiter)
         self._count += 1
-        timeout = self._clock.callLater(pause, self._wake, program, woken)
+        timeout = self._clock.callLater(delay, self._wake, program, waiter)
         try:
-            await woken
+            await waiter
         finally:
-            self._drop(program, woken)
+            self._drop(program, waiter)
             if timeout.active():
                 timeout.cancel()
 
     def notify(self, program: ProgramId) -> None:
         """Wake everybody who waits for a program."""
-        for woken in tuple(self._waiters.get(program, ())):
-            self._wake(program, woken)
+        for waiter in tuple(self._waiters.get(program, ())):
+            self._wake(program, waiter)
 
     def notify_all(self, programs: Iterable[ProgramId]) -> None:
         """Wake everybody who waits for one of the programs."""
         for program in programs:
             self.notify(program)
 
-    def _wake(self, program: ProgramId, woken: "Deferred[None]") -> None:
-        self._drop(program, woken)
-        if not woken.called:
-            woken.callback(None)
+    def _wake(self, program: ProgramId, waiter: "Deferred[None]") -> None:
+        self._drop(program, waiter)
+        if not waiter.called:
+            waiter.callback(None)
 
-    def _drop(self, program: ProgramId, woken: "Deferred[None]") -> None:
+    def _drop(self, program: ProgramId, waiter: "Deferred[None]") -> None:
         waiters = self._waiters.get(program)
-        if waiters is None or woken not in waiters:
+        if waiters is None or waiter not in waiters:
             return
-        waiters.discard(woken)
+        waiters.discard(waiter)
         self._count -= 1
         if not waiters:
             del self._waiters[program]
--- a/notcharch/programs/history.py
+++ b/notcharch/programs/history.py
@@ -154,8 +154,8 @@
                 skip -= count
                 continue
             plain = _plain(part, pages)
-            wanted = _messages_of(plain)[skip : skip + limit - len(found)]
-            found.extend(message.message() for message in wanted)
+            selected = _messages_of(plain)[skip : skip + limit - len(found)]
+            found.extend(message.message() for message in selected)
             skip = 0
         return tuple(found)
 
--- a/notcharch/programs/history_reader.py
+++ b/notcharch/programs/history_reader.py
@@ -28,54 +28,54 @@
 
     async def fetch_all(self, record: ProgramRecord) -> dict[bytes, bytes]:
         """Give all pages of a history, by digest, for `messages`."""
-        held: dict[bytes, bytes] = {}
-        await self._fetch(record, record.history.pages, held, record.ran_so_far)
-        return held
+        fetched: dict[bytes, bytes] = {}
+        await self._fetch(record, record.history.pages, fetched, record.ran_so_far)
+        return fetched
 
     async def messages(
         self,
         record: ProgramRecord,
         start: int,
         limit: int,
-        held: dict[bytes, bytes] | None = None,
+        fetched: dict[bytes, bytes] | None = None,
     ) -> tuple[ChatMessage, ...]:
         """Give up to `limit` messages from message `start` (0-based) on.
 
-        `held` are pages that were fetched before.
+        `fetched` are pages that were fetched before.
         """
-        held = {} if held is None else held
+        fetched = {} if fetched is None else fetched
         while True:
             needed = record.history.pages_of_messages(start, limit)
-            if all(page.digest in held for page in needed):
-                return record.history.messages(start, limit, held)
-            await self._fetch(record, needed, held, record.ran_so_far)
+            if all(page.digest in fetched for page in needed):
+                return record.history.messages(start, limit, fetched)
+            await self._fetch(record, needed, fetched, record.ran_so_far)
 
     async def turn(self, record: ProgramRecord, sequence: CallSequence) -> Turn:
         """Give the turn of a finished call; a refusal says how far the call ran."""
-        held: dict[bytes, bytes] = {}
+        fetched: dict[bytes, bytes] = {}
         while True:
             page = record.history.page_of_turn(sequence)
-            if page is None or page.digest in held:
-                return record.history.turn(sequence, held)
+            if page is None or page.digest in fetched:
+                return record.history.turn(sequence, fetched)
             problem = record.history.stub(sequence).problem
             ran = Ran.YES if problem is None else problem.ran
-            await self._fetch(record, (page,), held, ran)
+            await self._fetch(record, (page,), fetched, ran)
 
     async def _fetch(
         self,
         record: ProgramRecord,
         pages: tuple[PageReference, ...],
-        held: dict[bytes, bytes],
+        fetched: dict[bytes, bytes],
         ran: Ran,
     ) -> None:
-        """Read the pages that `held` lacks, all at once, into it."""
-        missing = [page for page in pages if page.digest not in held]
+        """Read the pages that `fetched` lacks, all at once, into it."""
+        missing = [page for page in pages if page.digest not in fetched]
         reads = [Deferred.fromCoroutine(self._read(record, page)) for page in missing]
         try:
             found = await gatherResults(reads, consumeErrors=True)
         except FirstError as error:
             raise _refusal(error, ran) from error
-        held.update(
+        fetched.update(
             (page.digest, plain) for page, plain in zip(missing, found, strict=True)
         )
 
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -19,11 +19,11 @@
 from notcharch.programs.changes import ProgramChanges
 from notcharch.programs.history_reader import HistoryReader
 from notcharch.programs.led_programs import LedPrograms, ProgramsOf
+from notcharch.programs.maintenance_service import MaintenanceService
 from notcharch.programs.page_log import PageLog
 from notcharch.programs.paging_service import PagingService
 from notcharch.programs.program_handlers import ProgramHandlers
 from notcharch.programs.release_service import ReleaseService
-from notcharch.programs.upkeep_service import UpkeepService
 from notcharch.settings.schema import ProgramsSection
 from notcharch.table.interface import TableView
 from notcharch.values.identifiers import Epoch, PartitionNumber, RegionName
@@ -70,7 +70,7 @@
         calls.register(network)
         ProgramHandlers(led, self._changes, table, histories, now).register(network)
         limits = WatchLimits(settings.gateway_dead_seconds, settings.attempt_seconds)
-        self._upkeep = UpkeepService(
+        self._maintenance = MaintenanceService(
             led=led,
             changes=self._changes,
             table=table,
@@ -96,7 +96,7 @@
             self._loop.stop()
 
     def _step(self) -> None:
-        for step in (self._upkeep.step, self._releases.step, self._paging.step):
+        for step in (self._maintenance.step, self._releases.step, self._paging.step):
             try:
                 step()
             except Exception as error:
--- a/notcharch/programs/upkeep_service.py
+++ b/notcharch/programs/maintenance_service.py
@@ -23,7 +23,7 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import OpenCall, ProgramRecord
 from notcharch.programs.state import ProgramsState
-from notcharch.programs.tree import expiry_of, may_forget
+from notcharch.programs.tree import expiry_of, may_remove
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.identifiers import (
     Member,
@@ -38,7 +38,7 @@
 ABANDONS_PER_STEP = 200
 
 
-class UpkeepService:
+class MaintenanceService:
     """Proposes the ends that no request asks for."""
 
     def __init__(
@@ -66,12 +66,12 @@
 
     def step(self) -> None:
         """Give up lost attempts, and check the next programs for their end."""
-        self._abandon_lost_attempts()
+        self._abandon_orphaned_attempts()
         if self._table.version > 0:
             # Without a table, no row's cells are known yet.
             self._sweep()
 
-    def _abandon_lost_attempts(self) -> None:
+    def _abandon_orphaned_attempts(self) -> None:
         running = list(self._running_calls())
         live = {member.member for member in self._membership.live_members()}
         gateways = gateways_of(call for _, call in running)
@@ -170,8 +170,8 @@
         now = self._now()
         if expiry_of(record, check, now) is not None:
             return True
-        forgettable = may_forget(record, now, self._retention_seconds)
-        return forgettable and not state.owes_release(record.program)
+        removable = may_remove(record, now, self._retention_seconds)
+        return removable and not state.has_pending_release(record.program)
 
     async def _expire(
         self, partition: PartitionNumber, checks: tuple[ExpiryCheck, ...]
--- a/notcharch/programs/page_log.py
+++ b/notcharch/programs/page_log.py
@@ -36,8 +36,8 @@
     RegionName,
 )
 
-READ_SECONDS = 2.0
-APPEND_SECONDS = 10.0
+READ_TIMEOUT_SECONDS = 2.0
+APPEND_TIMEOUT_SECONDS = 10.0
 RETRY_SECONDS = 2.0
 CACHE_BYTES = 4 * 1024 * 1024
 
@@ -69,14 +69,14 @@
         there for nothing, and the pages are written again.
         """
         appending = self._log.append(self._stream(partition), records)
-        appending.addTimeout(APPEND_SECONDS, self._clock)
+        appending.addTimeout(APPEND_TIMEOUT_SECONDS, self._clock)
         try:
             appended = await appending
         except DeferredTimeoutError:
             return None
         return appended.ok_value if isinstance(appended, Ok) else None
 
-    def keep(self, digest: bytes, plain: bytes) -> None:
+    def cache(self, digest: bytes, plain: bytes) -> None:
         """Put a page's plain bytes into the cache."""
         self._cache.put(digest, plain)
 
@@ -92,7 +92,9 @@
         if waiters is not None:
             waiters.append(done)
         elif self._clock.seconds() < self._refuse_until:
-            raise ProblemError(_unreadable("the log service failed just before"))
+            raise ProblemError(
+                _history_unavailable("the log service failed just before")
+            )
         else:
             self._reading[page.digest] = [done]
             run_in_background(self._read_for_all(partition, program, page))
@@ -104,7 +106,7 @@
     async def _read_for_all(
         self, partition: PartitionNumber, program: ProgramId, page: PageReference
     ) -> None:
-        result: PageResult = Err(_unreadable("reading it failed"))
+        result: PageResult = Err(_history_unavailable("reading it failed"))
         try:
             result = await self._read(partition, program, page)
         finally:
@@ -117,23 +119,23 @@
         found = await self._read_record(partition, page.offset)
         if isinstance(found, Err):
             self._note_failure(found.err_value)
-            return Err(_unreadable(found.err_value.message))
+            return Err(_history_unavailable(found.err_value.message))
         self._note_success()
         name = page_record_id(program, page.first_turn, page.digest)
         try:
-            plain = _page_in(found.ok_value, name, page)
+            plain = _decode_record(found.ok_value, name, page)
         except DamagedPageError as error:
             emit(PageDamaged(partition, program, page.offset, str(error)))
             text = f"a page of the history of {program} is damaged"
             return Err(Problem.of(ProblemCode.INTERNAL, text))
-        self.keep(page.digest, plain)
+        self.cache(page.digest, plain)
         return Ok(plain)
 
     async def _read_record(
         self, partition: PartitionNumber, offset: LogOffset
     ) -> Result[LogPage, Problem]:
         reading = self._log.read(self._stream(partition), offset, 1)
-        reading.addTimeout(READ_SECONDS, self._clock)
+        reading.addTimeout(READ_TIMEOUT_SECONDS, self._clock)
         try:
             return await reading
         except DeferredTimeoutError:
@@ -180,13 +182,13 @@
             self._size_bytes -= len(dropped)
 
 
-def _page_in(found: LogPage, name: RecordId, page: PageReference) -> bytes:
+def _decode_record(found: LogPage, name: RecordId, page: PageReference) -> bytes:
     if not found.records or found.records[0].id != name:
         raise DamagedPageError("another record lies at its offset")
     return decode_page(found.records[0].data, page)
 
 
-def _unreadable(reason: str) -> Problem:
+def _history_unavailable(reason: str) -> Problem:
     """Refuse at once: the history cannot be had now, and nothing was run for it."""
     text = f"a part of the history lies in the log service: {reason}"
     return Problem.of(ProblemCode.HISTORY_UNAVAILABLE, text, retry_after=RETRY_SECONDS)
--- a/notcharch/programs/paging_plan.py
+++ b/notcharch/programs/paging_plan.py
@@ -20,20 +20,20 @@
 PAGE_BYTES = 128 * 1024
 """The plain size of a page; reading a part of a history reads whole pages."""
 
-SMALLEST_PAGE_BYTES = 1024
+MIN_PAGE_BYTES = 1024
 """Less is not worth a page: its reference and stubs take up to half of it."""
 
-BATCH_BYTES = 256 * 1024
+MAX_BATCH_BYTES = 256 * 1024
 """How much of one partition leaves by one command, which every replica checks."""
 
-LOW_WATER = 7 / 8
+LOW_WATERMARK_FRACTION = 7 / 8
 """The part of the bound to which the histories are brought down."""
 
 
 class PageOutPlan(msgspec.Struct, frozen=True):
     """What leaves next, by partition, and how many bytes the histories hold now."""
 
-    held_bytes: int
+    used_bytes: int
     programs: dict[PartitionNumber, list[ProgramRecord]]
 
 
@@ -74,35 +74,38 @@
 
 
 def plan_page_out(
-    states: Iterable[tuple[PartitionNumber, ProgramsState]], bound: int
+    states: Iterable[tuple[PartitionNumber, ProgramsState]], limit_bytes: int
 ) -> PageOutPlan:
     """Choose the idle programs whose oldest turns leave next; none below the bound."""
-    held_bytes = 0
+    used_bytes = 0
     candidates: list[_Candidate] = []
     for partition, state in states:
         for record in state.records():
             size = record.history.stored_bytes
-            held_bytes += size
-            if size >= SMALLEST_PAGE_BYTES and record.running_call is None:
+            used_bytes += size
+            if size >= MIN_PAGE_BYTES and record.running_call is None:
                 page_bytes = min(size, PAGE_BYTES)
                 candidates.append(_Candidate(partition, record, page_bytes))
-    if held_bytes <= bound:
-        return PageOutPlan(held_bytes, {})
+    if used_bytes <= limit_bytes:
+        return PageOutPlan(used_bytes, {})
     candidates.sort(key=lambda candidate: candidate.record.active_at)
-    return PageOutPlan(held_bytes, _choose(candidates, held_bytes - bound * LOW_WATER))
+    return PageOutPlan(
+        used_bytes,
+        _select(candidates, used_bytes - limit_bytes * LOW_WATERMARK_FRACTION),
+    )
 
 
-def _choose(
+def _select(
     candidates: list[_Candidate], excess: float
 ) -> dict[PartitionNumber, list[ProgramRecord]]:
-    chosen: dict[PartitionNumber, list[ProgramRecord]] = {}
+    selected: dict[PartitionNumber, list[ProgramRecord]] = {}
     sizes: dict[PartitionNumber, int] = {}
     for candidate in candidates:
         if excess <= 0:
             break
         size = sizes.get(candidate.partition, 0)
-        if size < BATCH_BYTES:
+        if size < MAX_BATCH_BYTES:
             sizes[candidate.partition] = size + candidate.page_bytes
-            chosen.setdefault(candidate.partition, []).append(candidate.record)
+            selected.setdefault(candidate.partition, []).append(candidate.record)
             excess -= candidate.page_bytes
-    return chosen
+    return selected
--- a/notcharch/programs/paging_service.py
+++ b/notcharch/programs/paging_service.py
@@ -17,11 +17,11 @@
 from notcharch.programs.record import ProgramRecord
 from notcharch.values.identifiers import LogOffset, PartitionNumber
 
-LOOK_SECONDS = 5.0
+CHECK_INTERVAL_SECONDS = 5.0
 """How often all histories are counted while they are below the bound."""
 
-PARTITIONS_AT_ONCE = 8
-DELAY_REPORT_SECONDS = 60.0
+MAX_PARTITIONS_IN_FLIGHT = 8
+DELAY_REPORT_INTERVAL_SECONDS = 60.0
 
 
 class PagingService:
@@ -32,59 +32,59 @@
         led: LedPrograms,
         pages: PageLog,
         now: Callable[[], float],
-        bound_bytes: int,
+        limit_bytes: int,
     ) -> None:
         """Take where histories are read, written and dropped."""
         self._led = led
         self._pages = pages
         self._now = now
-        self._bound_bytes = bound_bytes
-        self._busy: set[PartitionNumber] = set()
-        self._next_look = 0.0
+        self._limit_bytes = limit_bytes
+        self._in_flight: set[PartitionNumber] = set()
+        self._next_check = 0.0
         self._next_report = 0.0
 
     def step(self) -> None:
         """Count the histories if it is time, and page out what is too much."""
         now = self._now()
-        if now < self._next_look:
+        if now < self._next_check:
             return
-        self._next_look = now + LOOK_SECONDS
-        plan = plan_page_out(self._led.led_states(), self._bound_bytes)
-        if plan.held_bytes > self._bound_bytes:
-            self._next_look = now
+        self._next_check = now + CHECK_INTERVAL_SECONDS
+        plan = plan_page_out(self._led.led_states(), self._limit_bytes)
+        if plan.used_bytes > self._limit_bytes:
+            self._next_check = now
         for partition, records in plan.programs.items():
-            if len(self._busy) >= PARTITIONS_AT_ONCE:
+            if len(self._in_flight) >= MAX_PARTITIONS_IN_FLIGHT:
                 return
-            if partition not in self._busy:
-                self._busy.add(partition)
-                run_in_background(self._page_out(partition, records, plan.held_bytes))
+            if partition not in self._in_flight:
+                self._in_flight.add(partition)
+                run_in_background(self._page_out(partition, records, plan.used_bytes))
 
     async def _page_out(
         self,
         partition: PartitionNumber,
         records: list[ProgramRecord],
-        held_bytes: int,
+        used_bytes: int,
     ) -> None:
         try:
             drafts = [DraftedPage.of(record) for record in records]
             written = tuple(draft.log_record() for draft in drafts)
             offset = await self._pages.append(partition, written)
             if offset is None:
-                self._report_delay(held_bytes)
+                self._report_delay(used_bytes)
             else:
                 await self._drop(partition, drafts, offset)
         except ProblemError:
             # Not led any more, or not committed: the new leader looks itself.
             return
         finally:
-            self._busy.discard(partition)
+            self._in_flight.discard(partition)
 
-    def _report_delay(self, held_bytes: int) -> None:
+    def _report_delay(self, used_bytes: int) -> None:
         now = self._now()
-        self._next_look = now + LOOK_SECONDS
+        self._next_check = now + CHECK_INTERVAL_SECONDS
         if now >= self._next_report:
-            self._next_report = now + DELAY_REPORT_SECONDS
-            emit(PageOutDelayed(held_bytes, self._bound_bytes))
+            self._next_report = now + DELAY_REPORT_INTERVAL_SECONDS
+            emit(PageOutDelayed(used_bytes, self._limit_bytes))
 
     async def _drop(
         self, partition: PartitionNumber, drafts: list[DraftedPage], first: LogOffset
@@ -95,7 +95,7 @@
         )
         for draft in drafts:
             # A call that is being admitted finds its page here.
-            self._pages.keep(draft.digest, draft.draft.plain)
+            self._pages.cache(draft.digest, draft.draft.plain)
         result = await self._led.propose_to(partition, PageOut(self._now(), pages))
         if isinstance(result, PagesDropped):
             size = sum(len(draft.draft.plain) for draft in drafts)
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -10,7 +10,7 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.replies import description
-from notcharch.programs.rows import open_row
+from notcharch.programs.rows import active_row
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.identifiers import Epoch, Member, ProgramId
 from notcharch.wire.messages.base import Message
@@ -30,8 +30,8 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-HISTORY_PAGE_MESSAGES = 1000
-LISTING_PROGRAMS = 1000
+MAX_HISTORY_PAGE_MESSAGES = 1000
+MAX_LISTED_PROGRAMS = 1000
 
 
 class ProgramHandlers:
@@ -80,7 +80,7 @@
         return ProgramCreated(message.program)
 
     def _row_of(self, message: CreateProgram) -> ServiceRow:
-        row = open_row(self._table, message.service, Ran.NO)
+        row = active_row(self._table, message.service, Ran.NO)
         if row.tenant != message.tenant:
             text = f"there is no service {message.service}"
             raise ProblemError(Problem.of(ProblemCode.NOT_FOUND, text))
@@ -98,7 +98,7 @@
         assert isinstance(message, ReadHistory)
         record = await self._led.visible(message.program, message.tenant)
         start = max(0, message.start)
-        limit = min(max(0, message.limit), HISTORY_PAGE_MESSAGES)
+        limit = min(max(0, message.limit), MAX_HISTORY_PAGE_MESSAGES)
         page = await self._histories.messages(record, start, limit)
         return HistoryPage(page, start, record.history.message_count)
 
@@ -109,12 +109,12 @@
 
     async def _on_list(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, ListPrograms)
-        limit = min(max(0, message.limit), LISTING_PROGRAMS)
+        limit = min(max(0, message.limit), MAX_LISTED_PROGRAMS)
         found: list[ProgramDescription] = []
         for _, state in self._led.led_states():
             for program in state.programs():
                 record = state.record(program)
-                if record is None or not _is_asked(record, message):
+                if record is None or not _matches(record, message):
                     continue
                 if len(found) == limit:
                     return ProgramListing(tuple(found), truncated=True)
@@ -143,5 +143,5 @@
         return not record.ended or record.running_call is not None
 
 
-def _is_asked(record: ProgramRecord, message: ListPrograms) -> bool:
+def _matches(record: ProgramRecord, message: ListPrograms) -> bool:
     return message.service is None or record.service == message.service
--- a/notcharch/programs/release_service.py
+++ b/notcharch/programs/release_service.py
@@ -20,7 +20,7 @@
 from notcharch.wire.messages.engines import PrefixReleased, ReleasePrefix
 
 RELEASE_TIMEOUT_SECONDS = 5.0
-REPORTED_TRIES = 5
+TRIES_PER_REPORT = 5
 """A release is reported as delayed at every multiple of so many tries."""
 
 
@@ -47,34 +47,36 @@
 
     def step(self) -> None:
         """Ask for what is due, and commit what was confirmed since the last step."""
-        owed: list[ReleaseDuty] = []
+        pending: list[ReleaseDuty] = []
         for partition, state in self._led.led_states():
-            done = self._done(partition)
-            owed.extend(duty for duty in state.duties() if duty not in done)
-        self._plan.retain(owed)
-        self._drop_gone_engines(owed)
-        for duty in self._plan.due(owed, self._now()):
-            self._ask(duty)
+            done = self._confirmed_duties(partition)
+            pending.extend(duty for duty in state.duties() if duty not in done)
+        self._plan.retain(pending)
+        self._drop_removed_engines(pending)
+        for duty in self._plan.due(pending, self._now()):
+            self._request_release(duty)
         self._commit_confirmed()
 
-    def _done(self, partition: PartitionNumber) -> set[ReleaseDuty]:
+    def _confirmed_duties(self, partition: PartitionNumber) -> set[ReleaseDuty]:
         confirmed = self._confirmed.get(partition, set())
         return confirmed | self._committing.get(partition, set())
 
-    def _drop_gone_engines(self, owed: list[ReleaseDuty]) -> None:
+    def _drop_removed_engines(self, pending: list[ReleaseDuty]) -> None:
         if not self._directory.all_engines():
             # Nothing was read yet: no engine is known to be gone.
             return
-        for duty in self._plan.gone(owed, self._is_known, self._now()):
+        for duty in self._plan.duties_of_removed_engines(
+            pending, self._is_known, self._now()
+        ):
             self._note_confirmed(duty)
 
     def _is_known(self, duty: ReleaseDuty) -> bool:
         return self._directory.engine(duty.engine) is not None
 
-    def _ask(self, duty: ReleaseDuty) -> None:
+    def _request_release(self, duty: ReleaseDuty) -> None:
         epoch = self._epoch_of(duty)
         if epoch is None:
-            self._plan.answered(duty, confirmed=False, now=self._now())
+            self._plan.record_reply(duty, confirmed=False, now=self._now())
             return
         message = ReleasePrefix(duty.engine, duty.program, epoch)
         reply = self._router.to_steward(duty.engine, message, RELEASE_TIMEOUT_SECONDS)
@@ -86,10 +88,10 @@
 
     def _on_reply(self, reply: Result[Message, Problem], duty: ReleaseDuty) -> None:
         confirmed = reply.is_ok() and isinstance(reply.unwrap(), PrefixReleased)
-        tries = self._plan.answered(duty, confirmed=confirmed, now=self._now())
+        tries = self._plan.record_reply(duty, confirmed=confirmed, now=self._now())
         if confirmed:
             self._note_confirmed(duty)
-        elif tries % REPORTED_TRIES == 0:
+        elif tries % TRIES_PER_REPORT == 0:
             reason = reply.unwrap_err().message if reply.is_err() else "no release"
             emit(ReleaseDelayed(duty.program, duty.engine, tries, reason))
 
--- a/notcharch/programs/rows.py
+++ b/notcharch/programs/rows.py
@@ -12,7 +12,7 @@
 """A row may have been published a moment ago: this daemon's table may lag."""
 
 
-def open_row(table: TableView, service: ServiceName, ran: Ran) -> ServiceRow:
+def active_row(table: TableView, service: ServiceName, ran: Ran) -> ServiceRow:
     """Give a service's row; raises UNAVAILABLE, NOT_FOUND or SERVICE_PAUSED.
 
     `ran` tells whether the refused call may have run before.
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -116,7 +116,7 @@
         """Give the programs with a running attempt."""
         return tuple(self._store.running)
 
-    def owes_release(self, program: ProgramId) -> bool:
+    def has_pending_release(self, program: ProgramId) -> bool:
         """Tell whether an engine has yet to confirm a program's release."""
         return program in self._store.duties
 
--- a/notcharch/programs/store.py
+++ b/notcharch/programs/store.py
@@ -16,10 +16,10 @@
 )
 
 SNAPSHOT_FORMAT = 1
-SECOND_FORMAT = 2
+PAGED_SNAPSHOT_FORMAT = 2
 """The format with pages: a daemon that does not know them refuses it."""
 
-KNOWN_FORMATS = (SNAPSHOT_FORMAT, SECOND_FORMAT)
+SUPPORTED_FORMATS = (SNAPSHOT_FORMAT, PAGED_SNAPSHOT_FORMAT)
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -54,7 +54,7 @@
 
     def add(self, record: ProgramRecord) -> None:
         """Add a new record."""
-        _share_names(record)
+        _intern_names(record)
         self.records[record.program] = record
 
     def budget_of(self, record: ProgramRecord) -> TreeBudget:
@@ -90,7 +90,7 @@
             for engine, number in engines.items():
                 yield ReleaseDuty(program, engine, number)
 
-    def note_running(self, record: ProgramRecord) -> None:
+    def update_running(self, record: ProgramRecord) -> None:
         """Bring the index of running attempts up to date with a record."""
         if record.running_call is None:
             self.running.discard(record.program)
@@ -101,34 +101,34 @@
         """Encode records and duties in sorted order."""
         records = [self.records[program] for program in sorted(self.records)]
         duties = sorted(self.all_duties())
-        is_second = any(r.history.pages for r in records)
-        whole = StoreSnapshot(
-            SECOND_FORMAT if is_second else SNAPSHOT_FORMAT,
+        has_pages = any(r.history.pages for r in records)
+        content = StoreSnapshot(
+            PAGED_SNAPSHOT_FORMAT if has_pages else SNAPSHOT_FORMAT,
             records,
             duties,
             self.next_duty,
         )
-        return _encoder.encode(whole)
+        return _encoder.encode(content)
 
     def restore(self, snapshot: bytes) -> None:
         """Replace everything by a snapshot's content."""
-        whole = _decoder.decode(snapshot)
-        if whole.format not in KNOWN_FORMATS:
-            message = f"unknown snapshot format {whole.format}"
+        content = _decoder.decode(snapshot)
+        if content.format not in SUPPORTED_FORMATS:
+            message = f"unknown snapshot format {content.format}"
             raise ValueError(message)
         self.records = {}
-        for record in whole.records:
+        for record in content.records:
             self.add(record)
         self.duties = {}
-        for duty in whole.duties:
+        for duty in content.duties:
             self.duties.setdefault(duty.program, {})[duty.engine] = duty.number
-        self.next_duty = whole.next_duty
+        self.next_duty = content.next_duty
         self.running = {
-            record.program for record in whole.records if record.running_call
+            record.program for record in content.records if record.running_call
         }
 
 
-def _share_names(record: ProgramRecord) -> None:
+def _intern_names(record: ProgramRecord) -> None:
     # Thousands of records name the same few services, tenants and engines.
     record.service = ServiceName(sys.intern(record.service))
     record.tenant = TenantName(sys.intern(record.tenant))
--- a/notcharch/programs/tree.py
+++ b/notcharch/programs/tree.py
@@ -25,7 +25,7 @@
     """Create a program, alone or as the child of another one."""
     known = store.records.get(command.program)
     if known is not None:
-        return _begun_before(known, command)
+        return _repeat_begin(known, command)
     if command.parent is None:
         budget = TreeBudget(command.budget_tokens)
         store.add(_new_record(command, command.program, budget))
@@ -33,7 +33,7 @@
     return _begin_child(store, command)
 
 
-def _begun_before(known: ProgramRecord, command: BeginProgram) -> CommandResult:
+def _repeat_begin(known: ProgramRecord, command: BeginProgram) -> CommandResult:
     same = (
         known.service == command.service
         and known.tenant == command.tenant
@@ -118,11 +118,11 @@
     call = record.call
     if call is not None and call.phase is CallPhase.ADMITTED:
         # No dispatch was committed, and from now on none will be.
-        store.budget_of(record).give_back(call.reserved_tokens)
+        store.budget_of(record).release_reservation(call.reserved_tokens)
         call.phase = CallPhase.FAILED
         call.reserved_tokens = 0
         call.failure = ended_problem(record, _ran_so_far(call.may_have_run))
-        store.note_running(record)
+        store.update_running(record)
     release_engines(store, record)
 
 
@@ -161,7 +161,7 @@
 def expire(store: ProgramStore, command: ExpirePrograms) -> CommandResult:
     """Check programs for idleness, age and the end of their retention."""
     ended = 0
-    forgotten = 0
+    removed = 0
     for check in command.checks:
         record = store.records.get(check.program)
         if record is None:
@@ -170,12 +170,12 @@
         if reason is not None:
             _end_tree(store, record, reason, command.at)
             ended += 1
-        elif record.program not in store.duties and may_forget(
+        elif record.program not in store.duties and may_remove(
             record, command.at, command.retention_seconds
         ):
-            _forget(store, record)
-            forgotten += 1
-    return ProgramsExpired(ended, forgotten)
+            _remove(store, record)
+            removed += 1
+    return ProgramsExpired(ended, removed)
 
 
 def expiry_of(record: ProgramRecord, check: ExpiryCheck, at: float) -> EndReason | None:
@@ -190,7 +190,7 @@
     return None
 
 
-def may_forget(record: ProgramRecord, at: float, retention_seconds: float) -> bool:
+def may_remove(record: ProgramRecord, at: float, retention_seconds: float) -> bool:
     """Tell whether an ended program's answers were kept for long enough.
 
     Its release duties must be confirmed besides.
@@ -200,7 +200,7 @@
     return at - record.ended_at >= retention_seconds
 
 
-def _forget(store: ProgramStore, record: ProgramRecord) -> None:
+def _remove(store: ProgramStore, record: ProgramRecord) -> None:
     del store.records[record.program]
     if record.parent is None:
         return
--- a/tests/stateful/programs/breaks.py
+++ b/tests/stateful/programs/breaks.py
@@ -29,7 +29,7 @@
 original_release_engines = tree.release_engines
 
 
-def hold_gives_back(self, charge):
+def mark_unresolved_without_charge(self, charge):
     self.reserved -= charge.tokens
 
 
@@ -112,12 +112,12 @@
     return original_finish_problem(state, record, call, problem, at)
 
 
-def always_says_no(call, problem, certainly_not):
+def always_says_no(call, problem, never_ran):
     return msgspec.structs.replace(problem, ran=Ran.NO)
 
 
-def no_of_the_last_attempt_only(call, problem, certainly_not):
-    ran = Ran.NO if certainly_not else Ran.UNKNOWN
+def no_of_the_last_attempt_only(call, problem, never_ran):
+    ran = Ran.NO if never_ran else Ran.UNKNOWN
     return msgspec.structs.replace(problem, ran=ran)
 
 
@@ -135,7 +135,7 @@
     return answer.usage.total_tokens
 
 
-def own_budget(self, record):
+def separate_budget(self, record):
     if record.parent is None:
         return original_budget_of(self, record)
     return self.__dict__.setdefault("own", {}).setdefault(
@@ -179,8 +179,8 @@
 def unsorted_snapshot(self):
     records = list(self.records.values())
     duties = sorted(self.all_duties())
-    whole = store.StoreSnapshot(1, records[::-1], duties, self.next_duty)
-    return store._encoder.encode(whole)
+    content = store.StoreSnapshot(1, records[::-1], duties, self.next_duty)
+    return store._encoder.encode(content)
 
 
 def restore_drops_duties(self, snapshot):
@@ -242,7 +242,7 @@
 
 BREAKS = {
     "the charge of an unknown outcome is given back early": [
-        (PACKAGE + "budget.TreeBudget.hold", hold_gives_back)
+        (PACKAGE + "budget.TreeBudget.mark_unresolved", mark_unresolved_without_charge)
     ],
     "a late usage is not charged": [
         (PACKAGE + "budget.TreeBudget.resolve", resolve_settles_nothing)
@@ -254,10 +254,10 @@
         (PACKAGE + "budget.TreeBudget.reserve", admit_without_reservation)
     ],
     "the prompt's bound trusts the count of the last answer": [
-        (PACKAGE + "attempts.context_after", context_is_the_usage)
+        (PACKAGE + "attempts.context_token_bound", context_is_the_usage)
     ],
     "a child has a budget of its own": [
-        (PACKAGE + "store.ProgramStore.budget_of", own_budget)
+        (PACKAGE + "store.ProgramStore.budget_of", separate_budget)
     ],
     "the newest cell is not followed": [(PACKAGE + "admission._refusal", stale_limit)],
     "a call is admitted out of order": [
--- a/tests/stateful/programs/test_programs_in_region.py
+++ b/tests/stateful/programs/test_programs_in_region.py
@@ -76,7 +76,7 @@
 def everything_is_paged_out():
     with (
         region_settings(programs=ProgramsSection(history_bytes=0)),
-        patch("notcharch.programs.paging_plan.SMALLEST_PAGE_BYTES", 1),
+        patch("notcharch.programs.paging_plan.MIN_PAGE_BYTES", 1),
         patch("notcharch.programs.page_log.CACHE_BYTES", 0),
     ):
         yield
--- a/tests/unit/faults/test_lost_gateways.py
+++ b/tests/unit/faults/test_lost_gateways.py
@@ -3,7 +3,7 @@
 import pytest
 
 from notcharch.programs.attempt_watch import (
-    REPEATABLE_SECONDS,
+    MAX_REPEATABLE_ABSENCE_SECONDS,
     AttemptWatch,
     WatchLimits,
 )
@@ -37,7 +37,8 @@
 
 
 @pytest.mark.parametrize(
-    ("repeatable", "seconds"), [(True, REPEATABLE_SECONDS), (False, DEAD_SECONDS)]
+    ("repeatable", "seconds"),
+    [(True, MAX_REPEATABLE_ABSENCE_SECONDS), (False, DEAD_SECONDS)],
 )
 def test_a_repeatable_call_is_given_up_sooner(repeatable, seconds):
     watch = AttemptWatch(LIMITS)
