--- a/notcharch/programs/__init__.py
+++ b/notcharch/programs/__init__.py
@@ -1,1 +1,1 @@
-"""Programs: order of calls, history, budgets, at-most-once records."""
+"""Programs: ordered calls, history, token budgets and at-most-once execution."""
--- a/notcharch/programs/admission.py
+++ b/notcharch/programs/admission.py
@@ -1,4 +1,4 @@
-"""Admission: the order of a program's calls, and the reservation of their budget."""
+"""Admits calls of a program in order and reserves their token budget."""
 
 from typing import Protocol
 
@@ -24,23 +24,23 @@
 from notcharch.values.identifiers import AttemptNumber, CallSequence, Epoch, Member
 
 BUDGET_RETRY_SECONDS = 5.0
-"""When to repeat a call that other running calls of its tree left no budget for."""
+"""Retry delay for a call while running calls of the same tree reserve the budget."""
 
 
 class CallRequest(Protocol):
-    """What the command and the gateway's message have in common."""
+    """Fields shared by the admission command and the gateway's message."""
 
     @property
     def sequence(self) -> CallSequence:
-        """Which call of the program it is."""
+        """Position of the call in its program, from 1."""
 
     @property
     def gateway(self) -> Member:
-        """Who asks."""
+        """The requesting gateway."""
 
 
 def admit(store: ProgramStore, command: AdmitAttempt, epoch: Epoch) -> CommandResult:
-    """Admit an attempt at the next call, join a running one, or refuse."""
+    """Admit an attempt at the next call, join a running attempt, or refuse."""
     record = store.visible(command.program, command.tenant)
     if record is None:
         return refusals.not_found(command.program)
@@ -61,9 +61,9 @@
 def known_call(
     record: ProgramRecord, command: CallRequest, digest: bytes
 ) -> CommandResult | None:
-    """Answer for a sequence that is early, finished or running; else None.
+    """Return the result for an early, finished or running sequence; None otherwise.
 
-    It reads the record only, so that a leader may ask it before proposing.
+    Reads the record only, so a leader can check it before proposing a command.
     """
     if command.sequence > record.next_sequence:
         if record.ended:
@@ -75,7 +75,7 @@
     if call is None:
         return None
     if not call.running:
-        # A call that certainly never ran may be sent again with another body.
+        # If no attempt can have run, the call may be sent again with another body.
         changed = call.may_have_run and call.digest != digest
         return refusals.conflict(command.sequence) if changed else None
     if call.digest != digest:
@@ -97,9 +97,9 @@
 
 
 def supersedes(call: OpenCall, command: CallRequest) -> bool:
-    """Tell whether a gateway asks again because it never got its admission.
+    """Return whether a gateway repeats a request whose admission it never received.
 
-    Its earlier attempt was not dispatched, and cannot be once a newer one exists.
+    The earlier attempt was not dispatched, and cannot be once a newer one exists.
     """
     return call.phase is CallPhase.ADMITTED and call.gateway == command.gateway
 
@@ -135,7 +135,7 @@
         f"the call may use {reservation} tokens, and {max(free, 0)} are left"
         f" of the budget of {limit}"
     )
-    # Other calls of the tree may give back a part of what they hold.
+    # Other calls of the tree may release a part of their reservations.
     may_fit_soon = reservation <= free + budget.reserved - released
     return Problem.of(
         ProblemCode.BUDGET_EXHAUSTED,
--- a/notcharch/programs/attempt_watch.py
+++ b/notcharch/programs/attempt_watch.py
@@ -1,9 +1,9 @@
-"""Decides which running attempts are given up. Pure: time is an argument.
+"""Decides which running attempts to abandon. Pure: time is an argument.
 
-An attempt is given up when its gateway's process is certainly gone, when the
-gateway was missing from the membership for long (for a while, if the call may run
-again), or when it took longer than any honest gateway lets it take. Giving up is safe while the gateway still lives: its
-later dispatch is refused, and its later outcome is not stored.
+An attempt is abandoned when its gateway's process has certainly ended, when the
+gateway has been missing from the membership for too long (less for a call that may
+run again), or when the attempt exceeds its time limit. This is safe even if the
+gateway still runs: its later dispatch is refused and its outcome is not stored.
 """
 
 from collections.abc import Iterable
@@ -14,40 +14,39 @@
 from notcharch.values.identifiers import Member
 
 MAX_WAITS_BEFORE_DISPATCH = 2
-"""A call waits at most so many times the row's `max_wait_seconds` before its
-dispatch: once for a concurrency slot and once in an engine's queue."""
+"""Multiple of the row's `max_wait_seconds` that a call may wait before dispatch:
+once for a concurrency slot and once in an engine's queue."""
 
 DISPATCH_MARGIN_SECONDS = 30.0
 MAX_REPEATABLE_ABSENCE_SECONDS = 2.0
-"""A missing gateway loses a call that may run again after so long: if the gateway
-lives, one answer is worked out in vain."""
+"""Maximum absence of the gateway of a call that may run again. If the gateway still
+runs, one answer is computed twice."""
 
 MISSING_RETENTION_FACTOR = 4.0
-"""So many times `gateway_dead_seconds` after it vanished, a member is forgotten."""
+"""A missing member's entry is kept for this multiple of `gateway_dead_seconds`."""
 
 
 class WatchLimits(msgspec.Struct, frozen=True):
-    """How long an attempt may go on, seconds."""
+    """Time limits of an attempt, in seconds."""
 
     gateway_dead_seconds: float
     attempt_seconds: float
 
 
 class AttemptWatch:
-    """Remembers since when gateways are missing, and judges attempts by it."""
+    """Tracks how long gateways have been missing and checks their attempts."""
 
     def __init__(self, limits: WatchLimits) -> None:
-        """Take the limits."""
+        """Start with no missing members."""
         self._limits = limits
         self._missing_since: dict[Member, float] = {}
         self._live: set[Member] = set()
 
     def observe(self, gateways: set[Member], live: set[Member], now: float) -> None:
-        """Note which members are missing at `now`.
+        """Record which members are missing at `now`.
 
-        Those that vanish are noted even if they drive no attempt of partitions led
-        here: this daemon may become the leader of some, and then counts from when
-        it missed the gateway itself.
+        Members that drive no attempt of a partition led here are recorded as well:
+        if this daemon becomes leader, it counts from when it first missed them.
         """
         expiry_cutoff = (
             now - MISSING_RETENTION_FACTOR * self._limits.gateway_dead_seconds
@@ -64,24 +63,24 @@
 
     @property
     def missing_count(self) -> int:
-        """Count the members that are remembered as missing."""
+        """Number of members recorded as missing."""
         return len(self._missing_since)
 
     def reason_to_abandon(
         self, call: OpenCall, max_wait_seconds: float, *, dead: bool, now: float
     ) -> str | None:
-        """Say why an attempt is given up, or None to let it go on.
+        """Return why an attempt must be abandoned, or None to let it continue.
 
-        `max_wait_seconds` is the cell of the program's row; `dead` tells whether
-        the gateway's process is certainly gone.
+        `max_wait_seconds` is the cell of the program's row; `dead` is true if the
+        gateway's process has certainly ended.
         """
         if dead:
-            return f"the gateway {call.gateway.daemon} was lost"
+            return f"the process of gateway {call.gateway.daemon} ended"
         since = self._missing_since.get(call.gateway)
         if since is not None and now - since >= self._max_absence(call):
-            return f"the gateway {call.gateway.daemon} is missing"
+            return f"gateway {call.gateway.daemon} is missing from the membership"
         if now - call.phase_at >= self._max_duration(call, max_wait_seconds):
-            return f"the attempt took too long after it was {call.phase.value}"
+            return f"the attempt timed out after it was {call.phase.value}"
         return None
 
     def _max_absence(self, call: OpenCall) -> float:
@@ -100,5 +99,5 @@
 
 
 def gateways_of(calls: Iterable[OpenCall]) -> set[Member]:
-    """Give the gateways that drive the calls."""
+    """Return the gateways of the calls."""
     return {call.gateway for call in calls}
--- a/notcharch/programs/attempts.py
+++ b/notcharch/programs/attempts.py
@@ -1,4 +1,4 @@
-"""Dispatch and outcome of attempts: at most once, history and settlement."""
+"""Applies dispatches and outcomes of attempts: at-most-once, history, budget."""
 
 import msgspec
 
@@ -35,7 +35,7 @@
 def dispatch(
     store: ProgramStore, command: RecordDispatch, epoch: Epoch
 ) -> CommandResult:
-    """Record the engine of the newest attempt, before anything is sent to it."""
+    """Record the engine of the newest attempt before the call is sent to it."""
     record = store.records.get(command.program)
     if record is None:
         return refusals.not_found(command.program)
@@ -43,7 +43,7 @@
     if call is None or not call.running:
         return CommandRefused(refusals.superseded(command.sequence, Ran.NO))
     if command.engine in call.engines:
-        # A repeat, perhaps one that was delayed: the newest engine stays.
+        # A repeated or delayed dispatch must not replace the newest engine.
         return DispatchAccepted(epoch)
     if record.ended:
         return CommandRefused(ended_problem(record, Ran.NO))
@@ -108,7 +108,7 @@
     elif not _resolve_charge(store, record, call.sequence, call.attempt, answer):
         ran = Ran.UNKNOWN
         return AttemptSuperseded(refusals.superseded(call.sequence, ran))
-    # A held charge: it was given up, and nothing was admitted in its place.
+    # The attempt was running, or was abandoned and no newer one was admitted.
     messages = msgspec.Raw(call.messages)
     outcome = StoredAnswer.of(answer)
     turn = EncodedTurn(call.digest, call.attempt, messages, outcome, None)
@@ -126,7 +126,7 @@
     attempt: AttemptNumber,
     answer: Answer | None,
 ) -> bool:
-    """Correct the charge of an attempt that was given up; no answer: it never ran."""
+    """Correct the charge of an abandoned attempt; without an answer it never ran."""
     used = 0 if answer is None else answer.usage.total_tokens
     budget = store.budget_of(record)
     return budget.resolve(record.program, sequence, attempt, used)
@@ -168,7 +168,7 @@
 
 
 def _stored_problem(call: OpenCall, problem: Problem, never_ran: bool) -> Problem:
-    """Say of the whole call, not only of this attempt, whether it ran."""
+    """Return the problem with `ran` set for the whole call, not only this attempt."""
     if never_ran:
         ran = Ran.UNKNOWN if call.may_have_run else Ran.NO
         return msgspec.structs.replace(problem, ran=ran)
@@ -180,7 +180,7 @@
 
 
 def abandon(store: ProgramStore, command: AbandonAttempt) -> CommandResult:
-    """Give up the newest attempt, whose gateway will not finish it."""
+    """Abandon the newest attempt, whose gateway will not finish it."""
     record = store.records.get(command.program)
     call = None if record is None else _newest_attempt(record, command)
     if record is None or call is None or not call.running:
@@ -198,7 +198,7 @@
 def close_call(
     store: ProgramStore, record: ProgramRecord, turn: EncodedTurn, message_count: int
 ) -> None:
-    """Give the open call its final outcome."""
+    """Close the open call with its final outcome."""
     record.history.append(turn, message_count)
     record.finished += 1
     record.call = None
@@ -210,14 +210,14 @@
     touch(store, record, at)
     smallest_call = record.context_tokens + MESSAGE_OVERHEAD_TOKENS + 1
     if record.ended or store.budget_of(record).unspent < smallest_call:
-        # An exhausted program keeps its history, not the engines' memory.
+        # A program without budget keeps its history but no engine memory.
         release_engines(store, record)
 
 
 def _late_outcome(
     store: ProgramStore, record: ProgramRecord, command: FinishAttempt
 ) -> CommandResult:
-    """Settle the budget of an old attempt; its answer comes too late to be kept."""
+    """Settle the budget of a superseded attempt; its answer is not stored."""
     problem = command.problem
     if problem is None or problem.ran is Ran.NO:
         _resolve_charge(
--- a/notcharch/programs/background.py
+++ b/notcharch/programs/background.py
@@ -1,4 +1,4 @@
-"""Work that no request waits for."""
+"""Background work that no request waits for."""
 
 from collections.abc import Coroutine
 from typing import Any
@@ -11,7 +11,7 @@
 
 
 def run_in_background(work: "Coroutine[Deferred[Any], Any, None]") -> None:
-    """Run a coroutine; an exception is a defect of the program and is reported."""
+    """Run a coroutine; an exception is a bug and is reported as an event."""
     Deferred.fromCoroutine(work).addErrback(_report)
 
 
--- a/notcharch/programs/budget.py
+++ b/notcharch/programs/budget.py
@@ -1,7 +1,7 @@
-"""The token budget of a program tree, kept at its root.
+"""The token budget of a program tree, stored at its root.
 
-`settled + reserved + unresolved` never passes the limit in force at the moment of
-a reservation. Tokens are given back only for an attempt that certainly did not run.
+At each reservation, `settled + reserved + unresolved` stays within the current limit.
+A reservation is released only for an attempt that certainly did not run.
 """
 
 import msgspec
@@ -10,14 +10,14 @@
 from notcharch.values.identifiers import AttemptNumber, CallSequence, ProgramId
 
 MESSAGE_OVERHEAD_TOKENS = 8
-"""Tokens beyond its bytes that one message may cost in a prompt."""
+"""Tokens of one message in a prompt, in addition to its bytes."""
 
 MAX_UNRESOLVED_CHARGES = 16
-"""Charges that can still be corrected; older ones stay charged for ever."""
+"""Number of charges that can still be corrected; older ones are final."""
 
 
 class UnresolvedCharge(msgspec.Struct, frozen=True, array_like=True):
-    """The reservation of an attempt that may have run, with unknown usage."""
+    """The reservation of an attempt of unknown usage that may have run."""
 
     program: ProgramId
     sequence: CallSequence
@@ -26,10 +26,10 @@
 
 
 class TreeBudget(msgspec.Struct, array_like=True):
-    """What a tree may spend (`limit`, the newest cell) and has spent, in tokens.
+    """Limit (the newest cell) and use of a tree's budget, in tokens.
 
-    `settled` was reported by engines, `reserved` belongs to running attempts,
-    `unresolved` stays charged for attempts whose outcome is not known.
+    `settled` was reported by engines, `reserved` belongs to running attempts, and
+    `unresolved` is charged for attempts whose outcome is unknown.
     """
 
     limit: int
@@ -40,34 +40,34 @@
 
     @property
     def committed(self) -> int:
-        """Give all tokens that are spent, reserved or possibly spent."""
+        """Tokens that are spent, reserved or possibly spent."""
         return self.settled + self.reserved + self.unresolved
 
     @property
     def remaining(self) -> int:
-        """Give the tokens that a new reservation may take."""
+        """Tokens available for a new reservation."""
         return self.limit - self.committed
 
     @property
     def unspent(self) -> int:
-        """Give what is left if all running attempts were to use nothing."""
+        """Tokens left if all running attempts used nothing."""
         return self.limit - self.settled - self.unresolved
 
     def reserve(self, tokens: int) -> None:
-        """Take a reservation for an attempt; the caller has checked `remaining`."""
+        """Reserve tokens for an attempt; the caller has checked `remaining`."""
         self.reserved += tokens
 
     def release_reservation(self, tokens: int) -> None:
-        """Return the reservation of an attempt that certainly did not run."""
+        """Release the reservation of an attempt that certainly did not run."""
         self.reserved -= tokens
 
     def settle(self, tokens: int, usage: TokenUsage) -> None:
-        """Replace a reservation by the reported usage."""
+        """Replace a reservation with the reported usage."""
         self.reserved -= tokens
         self.settled += usage.total_tokens
 
     def mark_unresolved(self, charge: UnresolvedCharge) -> None:
-        """Keep a reservation charged, since its attempt may have run."""
+        """Charge the reservation of an attempt that may have run."""
         self.reserved -= charge.tokens
         self.unresolved += charge.tokens
         self.charges.append(charge)
@@ -80,7 +80,7 @@
         attempt: AttemptNumber,
         used_tokens: int,
     ) -> bool:
-        """Replace a held charge by what was used; False if it is not known."""
+        """Replace an unresolved charge with the usage; False if there is none."""
         for index, charge in enumerate(self.charges):
             if (charge.program, charge.sequence, charge.attempt) == (
                 program,
@@ -95,7 +95,7 @@
 
 
 def message_token_bound(message: ChatMessage) -> int:
-    """Bound the tokens of one message in a prompt by its bytes."""
+    """Return an upper bound of a message's prompt tokens, from its bytes."""
     texts = (message.role, message.content, message.name, message.tool_call_id)
     size = sum(len(text.encode()) for text in texts[1:] if text is not None)
     if not isinstance(message.tool_calls, msgspec.UnsetType):
@@ -104,16 +104,15 @@
 
 
 def prompt_token_bound(context_tokens: int, messages: tuple[ChatMessage, ...]) -> int:
-    """Bound the prompt of a call by the bound of its history and its new messages."""
+    """Return an upper bound of a call's prompt tokens."""
     return context_tokens + sum(message_token_bound(message) for message in messages)
 
 
 def context_token_bound(answer: Answer) -> int:
-    """Bound the history, once it ends with this answer.
+    """Return an upper bound of the history's tokens after this answer.
 
-    The prompt is as the engine reported it. The answer counts as whichever is
-    more, its reported tokens or its bytes: an engine may count a generated text
-    otherwise when it comes back as a message.
+    The answer counts as the larger of its reported tokens and its bytes: an engine
+    may tokenize a generated text differently when it is part of a prompt.
     """
     generated = answer.usage.completion_tokens + MESSAGE_OVERHEAD_TOKENS
     return answer.usage.prompt_tokens + max(
--- a/notcharch/programs/call_handlers.py
+++ b/notcharch/programs/call_handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of one call's life: admission, waiting, dispatch and outcome."""
+"""Request handlers for calls: admission, waiting, dispatch and outcome."""
 
 from collections.abc import Callable
 
@@ -46,14 +46,14 @@
 from notcharch.wire.peers import PeerNetwork
 
 MAX_EARLY_CALLS_PER_PROGRAM = 16
-"""Requests that may wait for one program before an early call is refused."""
+"""Number of waiting requests per program above which an early call is refused."""
 
 MAX_ANSWER_WAIT_SECONDS = 300.0
 UNKNOWN_CALL_RETRY_SECONDS = 1.0
 
 
 class CallHandlers:
-    """Answers `AdmitCall`, `AwaitAnswer`, `DispatchCall` and `FinishCall`."""
+    """Handles `AdmitCall`, `AwaitAnswer`, `DispatchCall` and `FinishCall`."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
         now: Callable[[], float],
         early_wait_seconds: float,
     ) -> None:
-        """Take what the handlers read and where they propose."""
+        """Read records through `led`, and propose commands there."""
         self._led = led
         self._changes = changes
         self._table = table
@@ -74,7 +74,7 @@
         self._early_wait_seconds = early_wait_seconds
 
     def register(self, network: PeerNetwork) -> None:
-        """Register the handlers."""
+        """Register the handlers on the network."""
         network.on_request(AdmitCall, self._on_admit)
         network.on_request(AwaitAnswer, self._on_await)
         network.on_request(DispatchCall, self._on_dispatch)
@@ -86,7 +86,7 @@
         digest = call_digest(message.body_digest, message.repeatable)
         known = known_call(record, message, digest)
         if known is None:
-            # A call whose history cannot be had is refused before it is admitted.
+            # If the history is unavailable, the call is refused before it is admitted.
             pages = await self._histories.fetch_all(record)
             command = self._admit_command(record, message)
             known = await self._led.propose(message.program, command)
@@ -116,7 +116,7 @@
         return finished_reply(sequence, turn)
 
     async def _wait_for_sequence(self, message: AdmitCall) -> ProgramRecord:
-        """Give the record once the call is not early any more, or refuse it."""
+        """Wait until the call is the next one, or refuse it."""
         record = await self._led.visible(message.program, message.tenant)
         deadline = self._now() + self._early_wait_seconds
         while message.sequence > record.next_sequence and not record.ended:
--- a/notcharch/programs/changes.py
+++ b/notcharch/programs/changes.py
@@ -1,4 +1,4 @@
-"""Waiting, bounded in number and time, for a program's state to change."""
+"""Bounded waiting for changes of a program's state."""
 
 from collections.abc import Iterable
 
@@ -8,38 +8,38 @@
 from notcharch.values.identifiers import ProgramId
 
 MAX_WAITERS = 20_000
-"""Requests that may wait in one daemon at once."""
+"""Number of requests that may wait in one daemon."""
 
 MAX_SLEEP_SECONDS = 5.0
 
 
 class ProgramChanges:
-    """Wakes those who wait for a program; they then look at the state again."""
+    """Wakes requests that wait for a program, which then read its state again."""
 
     def __init__(self, clock: IReactorTime) -> None:
-        """Take the clock that ends the waits."""
+        """Start without waiters; `clock` times out the waits."""
         self._clock = clock
         self._waiters: dict[ProgramId, set[Deferred[None]]] = {}
         self._count = 0
 
     @property
     def full(self) -> bool:
-        """Tell whether no more requests may wait."""
+        """Whether the limit of waiting requests is reached."""
         return self._count >= MAX_WAITERS
 
     def waiting_for(self, program: ProgramId) -> int:
-        """Give the number of requests that wait for a program."""
+        """Return the number of requests that wait for a program."""
         return len(self._waiters.get(program, ()))
 
     def programs(self) -> tuple[ProgramId, ...]:
-        """Give the programs that somebody waits for."""
+        """Return the programs with waiting requests."""
         return tuple(self._waiters)
 
     async def wait(self, program: ProgramId, seconds: float) -> None:
         """Return after the program's next change, or after `seconds`.
 
-        It returns after `MAX_SLEEP_SECONDS` in any case: a command whose
-        outcome was not learnt may take effect without a notice.
+        Returns after `MAX_SLEEP_SECONDS` at the latest: a command whose outcome
+        is unknown may take effect without a notification.
         """
         delay = min(seconds, MAX_SLEEP_SECONDS)
         waiter: Deferred[None] = Deferred()
@@ -54,12 +54,12 @@
                 timeout.cancel()
 
     def notify(self, program: ProgramId) -> None:
-        """Wake everybody who waits for a program."""
+        """Wake all requests that wait for a program."""
         for waiter in tuple(self._waiters.get(program, ())):
             self._wake(program, waiter)
 
     def notify_all(self, programs: Iterable[ProgramId]) -> None:
-        """Wake everybody who waits for one of the programs."""
+        """Wake all requests that wait for any of the programs."""
         for program in programs:
             self.notify(program)
 
--- a/notcharch/programs/commands.py
+++ b/notcharch/programs/commands.py
@@ -1,8 +1,8 @@
-"""The replicated commands of programs, and what applying them gives.
+"""Replicated commands of programs and their results.
 
-Sequences, attempts and token counts are integers, times are seconds since 1970,
-lengths of time are seconds. A command carries every cell of the table that it
-depends on: a replica must not read its own table, which may be of another version.
+Times are seconds since 1970, durations are seconds. A command carries every table
+cell that it depends on: replicas may have different versions of the table and must
+not read it while applying a command.
 """
 
 import msgspec
@@ -24,10 +24,10 @@
 
 
 class AdmissionLimits(msgspec.Struct, frozen=True):
-    """The cells of the table that an admission depends on.
+    """Table cells that an admission depends on.
 
-    `budget_tokens` is the cell of the tree's root's row, the others are those of
-    the program's own row.
+    `budget_tokens` comes from the row of the tree's root, the other cells from the
+    program's row.
     """
 
     budget_tokens: int
@@ -36,10 +36,10 @@
 
 
 class ReleaseDuty(msgspec.Struct, frozen=True, order=True):
-    """An engine that may hold memory of a program, until it confirms that not.
+    """Obligation to release a program's memory on an engine until it confirms.
 
-    `number` grows with each duty of the partition, so that a late confirmation of
-    an earlier one cannot confirm a newer one for the same program and engine.
+    `number` increases with each duty of the partition, so that a late confirmation
+    of an earlier duty cannot confirm a newer one for the same program and engine.
     """
 
     program: ProgramId
@@ -48,7 +48,7 @@
 
 
 class ExpiryCheck(msgspec.Struct, frozen=True):
-    """One program to look at, with the cells of its row."""
+    """A program to check for expiry, with the cells of its row."""
 
     program: ProgramId
     idle_seconds: float
@@ -56,7 +56,7 @@
 
 
 class BeginProgram(Command, frozen=True):
-    """Create a program; a repeat for the same service and parent is harmless."""
+    """Create a program; idempotent for the same service, tenant and parent."""
 
     program: ProgramId
     service: ServiceName
@@ -66,7 +66,7 @@
 
 
 class AdmitAttempt(Command, frozen=True):
-    """Reserve budget for an attempt at the program's next call, or join one."""
+    """Reserve budget for an attempt at the next call, or join a running attempt."""
 
     program: ProgramId
     tenant: TenantName
@@ -83,8 +83,8 @@
 class RecordDispatch(Command, frozen=True):
     """Record the intent to run an attempt on an engine.
 
-    A second one for another engine states that the earlier engine certainly did
-    not run the attempt: only the attempt's own gateway sends it.
+    A second command for another engine states that the earlier engine certainly
+    did not run the attempt; only the attempt's gateway sends it.
     """
 
     program: ProgramId
@@ -104,7 +104,7 @@
 
 
 class AbandonAttempt(Command, frozen=True):
-    """End an attempt whose gateway no longer drives it; `reason` is for the caller."""
+    """End an attempt whose gateway does not finish it; `reason` is for the caller."""
 
     program: ProgramId
     sequence: CallSequence
@@ -120,23 +120,23 @@
 
 
 class ExpirePrograms(Command, frozen=True):
-    """End the programs that are idle or too old; forget those ended long ago."""
+    """End programs that are idle or too old; remove ended ones after retention."""
 
     checks: tuple[ExpiryCheck, ...]
     retention_seconds: float
 
 
 class ConfirmReleases(Command, frozen=True):
-    """Drop duties whose engine confirmed the release, or is gone."""
+    """Drop duties whose engine confirmed the release or was removed."""
 
     duties: tuple[ReleaseDuty, ...]
 
 
 class WrittenPage(msgspec.Struct, frozen=True):
-    """Turns of a program, from turn `first_turn` (0-based) on, that the log has.
+    """Turns of a program, from `first_turn` (0-based), that the log service stores.
 
-    `offset` is that of their record in the partition's stream of histories;
-    `digest` is that of the turns' plain bytes.
+    `offset` is the offset of their record in the partition's history stream;
+    `digest` is the digest of their uncompressed bytes.
     """
 
     program: ProgramId
@@ -147,13 +147,13 @@
 
 
 class PageOut(Command, frozen=True):
-    """Drop turns that the log service surely has, and keep references to them."""
+    """Replace turns that the log service stores by references to them."""
 
     pages: tuple[WrittenPage, ...]
 
 
 class ReadBarrier(Command, frozen=True):
-    """Change nothing; its commit proves that the reads after it are current."""
+    """Change nothing; its commit proves that later reads are current."""
 
 
 COMMANDS: tuple[type[Command], ...] = (
@@ -168,17 +168,17 @@
     PageOut,
     ReadBarrier,
 )
-"""Every command that `ProgramsState` applies."""
+"""All commands that `ProgramsState` applies."""
 
 
 class CommandDone(CommandResult, frozen=True):
-    """The command took effect, now or when it was applied before."""
+    """The command took effect, now or in an earlier application."""
 
 
 class AttemptAdmitted(CommandResult, frozen=True):
-    """A new attempt has its reservation; `epoch` is the one it was applied in.
+    """A new attempt was admitted in `epoch` and has its reservation.
 
-    `message_count` is the length of the history that goes before the new messages.
+    `message_count` is the number of history messages before the new ones.
     """
 
     attempt: AttemptNumber
@@ -192,26 +192,26 @@
 
 
 class AttemptJoined(CommandResult, frozen=True):
-    """The same call already runs as this attempt."""
+    """The same call is already running as this attempt."""
 
     attempt: AttemptNumber
 
 
 class CallFinishedBefore(CommandResult, frozen=True):
-    """The same call has its final outcome, which can be read from the state."""
+    """The same call already has its final outcome, which the state stores."""
 
 
 class DispatchAccepted(CommandResult, frozen=True):
-    """The intent is recorded; the stream is opened under this epoch."""
+    """The dispatch is recorded; the gateway opens the stream with this epoch."""
 
     epoch: Epoch
 
 
 class AttemptFinished(CommandResult, frozen=True):
-    """The outcome is stored; `problem` is how it was stored when it is a failure.
+    """The outcome is stored; `problem` is the stored form of a failure.
 
-    `overrun_tokens` is by how much the reported usage passed the reservation, which
-    only an engine that counts otherwise than agreed can cause.
+    `overrun_tokens` is the reported usage beyond the reservation; it is above zero
+    only if an engine counts tokens differently than expected.
     """
 
     problem: Problem | None
@@ -219,19 +219,19 @@
 
 
 class AttemptSuperseded(CommandResult, frozen=True):
-    """The outcome came too late and was not stored; its usage was still settled."""
+    """The outcome was too late to be stored; its usage was settled."""
 
     problem: Problem
 
 
 class ProgramsExpired(CommandResult, frozen=True):
-    """How many programs the sweep ended and how many it forgot."""
+    """Numbers of programs that the sweep ended and removed."""
 
     ended: int
     forgotten: int
 
 
 class PagesDropped(CommandResult, frozen=True):
-    """How many of the pages were dropped; the others did not fit any more."""
+    """Number of pages dropped; the others no longer matched the history."""
 
     count: int
--- a/notcharch/programs/history.py
+++ b/notcharch/programs/history.py
@@ -1,10 +1,9 @@
-"""A program's history: its turns as compact bytes.
+"""A program's history: its turns in compact form.
 
-Recent turns lie in a plain tail; when the tail reaches `SEALED_CHUNK_BYTES` it is
-compressed into a chunk, so that each byte is compressed once. The rule depends only
-on the turns, so that all replicas hold the same chunks. The oldest turns may have
-been paged out to the log service; the history keeps references to those pages, and
-a reader brings their plain bytes along, by digest.
+Recent turns are in an uncompressed tail. When it reaches `SEALED_CHUNK_BYTES` it is
+compressed into a chunk; this depends on the turns only, so all replicas have the same
+chunks. The oldest turns may be paged out to the log service; the history then has
+references to their pages, and readers pass in the pages' plain bytes by digest.
 """
 
 import zlib
@@ -25,18 +24,18 @@
 from notcharch.values.identifiers import CallSequence, LogOffset
 
 SEALED_CHUNK_BYTES = 8 * 1024
-"""The size of the tail at which it is compressed, bytes."""
+"""Size of the tail, in bytes, at which it is compressed."""
 
 COMPRESSION_LEVEL = 1
 
 Pages = Mapping[bytes, bytes]
-"""Plain bytes of pages, by their digests."""
+"""Uncompressed bytes of pages by digest."""
 
 NO_PAGES: Pages = MappingProxyType({})
 
 
 class Chunk(msgspec.Struct, frozen=True, array_like=True):
-    """A compressed run of turns; the counts let a reader skip it."""
+    """Compressed consecutive turns; a reader can skip them by the counts."""
 
     turn_count: int
     message_count: int
@@ -44,7 +43,7 @@
 
 
 class PageDraft(msgspec.Struct, frozen=True):
-    """Turns that may be paged out: the oldest that are held, as plain bytes."""
+    """The oldest turns in memory, uncompressed, that may be paged out."""
 
     first_turn: int
     turn_count: int
@@ -52,9 +51,9 @@
 
 
 class History(msgspec.Struct, array_like=True):
-    """All turns of one program, oldest first, sequence 1 first.
+    """All turns of one program in order of their sequence.
 
-    `pages` go before the chunks, the chunks before the tail.
+    The turns of `pages` come first, then those of `chunks`, then the tail.
     """
 
     chunks: tuple[Chunk, ...] = ()
@@ -64,7 +63,7 @@
     pages: tuple[PageReference, ...] = ()
 
     def append(self, turn: EncodedTurn, message_count: int) -> None:
-        """Add a turn that adds `message_count` messages to the history."""
+        """Append a turn that adds `message_count` messages to the history."""
         self.tail += turn.framed()
         self.tail_turn_count += 1
         self.tail_message_count += message_count
@@ -81,25 +80,25 @@
 
     @property
     def message_count(self) -> int:
-        """Give the number of messages in the whole history."""
+        """Number of messages in the whole history."""
         paged = sum(page.message_count for page in self.pages)
         sealed = sum(chunk.message_count for chunk in self.chunks)
         return paged + sealed + self.tail_message_count
 
     @property
     def paged_turns(self) -> int:
-        """Give the number of turns that were paged out."""
+        """Number of turns that were paged out."""
         return sum(page.turn_count for page in self.pages)
 
     @property
     def stored_bytes(self) -> int:
-        """Give the bytes that the chunks and the tail take."""
+        """Size of the chunks and the tail, in bytes."""
         return sum(len(chunk.data) for chunk in self.chunks) + len(self.tail)
 
     def turn(self, sequence: CallSequence, pages: Pages = NO_PAGES) -> Turn:
-        """Give the turn of a finished call.
+        """Return the turn of a finished call.
 
-        LookupError if it is not finished, or if `pages` lacks its page.
+        Raises LookupError if it is not finished or if `pages` lacks its page.
         """
         index = sequence - 1
         for page in self.pages:
@@ -113,21 +112,21 @@
         return decode_nth_turn(self.tail, index)
 
     def stub(self, sequence: CallSequence) -> TurnStub:
-        """Give what a command may ask of a finished call, wherever its turn is."""
+        """Return the stub of a finished call, whether its turn is paged out or not."""
         page = self.page_of_turn(sequence)
         if page is None:
             return TurnStub.of(self.turn(sequence))
         return page.stub(sequence - 1 - page.first_turn)
 
     def page_of_turn(self, sequence: CallSequence) -> PageReference | None:
-        """Give the page of a finished call's turn; None if it is held here."""
+        """Return the page of a finished call's turn; None if it is in memory."""
         for page in self.pages:
             if sequence <= page.first_turn + page.turn_count:
                 return page
         return None
 
     def pages_of_messages(self, start: int, limit: int) -> tuple[PageReference, ...]:
-        """Give the pages that `messages` needs for the same arguments."""
+        """Return the pages that `messages` needs for these arguments."""
         end = start + limit
         needed: list[PageReference] = []
         position = 0
@@ -141,9 +140,9 @@
     def messages(
         self, start: int, limit: int, pages: Pages = NO_PAGES
     ) -> tuple[ChatMessage, ...]:
-        """Give up to `limit` messages from message `start` (0-based) on.
+        """Return up to `limit` messages from message `start` (0-based).
 
-        LookupError if `pages` lacks one of `pages_of_messages`.
+        Raises LookupError if `pages` lacks one of `pages_of_messages`.
         """
         skip = start
         found: list[ChatMessage] = []
@@ -167,9 +166,9 @@
         yield self.tail, self.tail_message_count
 
     def draft_page(self, plain_limit: int) -> PageDraft:
-        """Take whole chunks up to a plain size (at least one), then the tail.
+        """Draft a page of whole chunks, at least one, up to an uncompressed size.
 
-        The tail goes only together with every chunk. Without turns the draft is
+        The tail is included only after every chunk. Without turns the draft is
         empty.
         """
         plain = b""
@@ -188,7 +187,7 @@
     def page_out(
         self, first_turn: int, turn_count: int, offset: LogOffset, digest: bytes
     ) -> bool:
-        """Drop turns that lie in the log service; False if they are not just these."""
+        """Replace the oldest turns by a page reference; False if they do not match."""
         plain = self._oldest(turn_count)
         if first_turn != self.paged_turns or plain is None:
             return False
@@ -200,7 +199,7 @@
         return True
 
     def _oldest(self, turn_count: int) -> bytes | None:
-        """Give the oldest turns that are held, if they end where a part ends."""
+        """Return the oldest turns in memory, if they end at the end of a part."""
         plain = b""
         for chunk in self.chunks:
             if turn_count <= 0:
--- a/notcharch/programs/history_reader.py
+++ b/notcharch/programs/history_reader.py
@@ -1,7 +1,7 @@
-"""Reads histories at the leader, wherever their turns lie.
+"""Reads histories at the leader, from memory and from the log service.
 
-A read takes place at one moment, when everything it needs is here: meanwhile more
-turns may have been paged out, which are then fetched, too.
+A read takes place once all pages it needs are fetched. Turns that are paged out in
+the meantime are fetched as well.
 """
 
 import msgspec
@@ -19,15 +19,15 @@
 
 
 class HistoryReader:
-    """Messages and turns of led programs; ProblemError when a page cannot be had."""
+    """Reads messages and turns; raises ProblemError if a page is unavailable."""
 
     def __init__(self, led: LedPrograms, pages: PageLog) -> None:
-        """Read the pages through `pages`."""
+        """Read paged-out turns through `pages`."""
         self._led = led
         self._pages = pages
 
     async def fetch_all(self, record: ProgramRecord) -> dict[bytes, bytes]:
-        """Give all pages of a history, by digest, for `messages`."""
+        """Fetch all pages of a history, by digest, for `messages`."""
         fetched: dict[bytes, bytes] = {}
         await self._fetch(record, record.history.pages, fetched, record.ran_so_far)
         return fetched
@@ -39,9 +39,9 @@
         limit: int,
         fetched: dict[bytes, bytes] | None = None,
     ) -> tuple[ChatMessage, ...]:
-        """Give up to `limit` messages from message `start` (0-based) on.
+        """Return up to `limit` messages from message `start` (0-based).
 
-        `fetched` are pages that were fetched before.
+        `fetched` has the pages that were fetched before, by digest.
         """
         fetched = {} if fetched is None else fetched
         while True:
@@ -51,7 +51,7 @@
             await self._fetch(record, needed, fetched, record.ran_so_far)
 
     async def turn(self, record: ProgramRecord, sequence: CallSequence) -> Turn:
-        """Give the turn of a finished call; a refusal says how far the call ran."""
+        """Return the turn of a finished call; `ran` in a refusal is that of the call."""
         fetched: dict[bytes, bytes] = {}
         while True:
             page = record.history.page_of_turn(sequence)
@@ -68,7 +68,7 @@
         fetched: dict[bytes, bytes],
         ran: Ran,
     ) -> None:
-        """Read the pages that `fetched` lacks, all at once, into it."""
+        """Read the pages missing from `fetched` concurrently, and add them."""
         missing = [page for page in pages if page.digest not in fetched]
         reads = [Deferred.fromCoroutine(self._read(record, page)) for page in missing]
         try:
@@ -85,7 +85,7 @@
 
 
 def _refusal(error: FirstError, ran: Ran) -> BaseException:
-    """Say in a refusal whether the call that needs the page has run."""
+    """Return the error with `ran` set for the call that needs the page."""
     cause = error.subFailure.value
     if not isinstance(cause, ProblemError):
         return error
--- a/notcharch/programs/leader_service.py
+++ b/notcharch/programs/leader_service.py
@@ -1,8 +1,8 @@
-"""The service of a daemon for the partitions of programs that it leads.
+"""Serves the programs of the partitions that a daemon leads.
 
-It registers the handlers on the network and drives, once a second, what no request
-drives: lost gateways, idle and old programs, the release of engine memory, and paging. All
-of that is read from the replicated state, so that a new leader goes on with it.
+Registers the request handlers and runs the periodic work: abandoned attempts, expiry,
+release of engine memory, and paging. All of it is derived from the replicated state,
+so a new leader continues it.
 """
 
 from twisted.internet.interfaces import IReactorTime
@@ -50,8 +50,8 @@
     ) -> None:
         """Register the handlers; `start` begins the periodic work.
 
-        `programs_of` gives the `ProgramsState` of a partition replicated here, or
-        None. `clock` gives seconds since 1970.
+        `programs_of` returns the `ProgramsState` of a partition replicated here, or
+        None. `clock` counts seconds since 1970.
         """
         now = clock.seconds
         self._changes = ProgramChanges(clock)
@@ -100,7 +100,7 @@
             try:
                 step()
             except Exception as error:
-                # A defect in one step must not end the periodic work.
+                # A bug in one step must not stop the periodic work.
                 emit(SweepFailed(repr(error)))
 
     def _on_leadership(self, partition: PartitionNumber, epoch: Epoch | None) -> None:
@@ -108,5 +108,5 @@
             return
         for program in self._changes.programs():
             if partition_of_program(program) == partition:
-                # They look again, and are told to ask the new leader.
+                # The woken requests fail with NOT_LEADER and go to the new leader.
                 self._changes.notify(program)
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -1,6 +1,6 @@
 """Reads and proposals on the partitions that this daemon leads.
 
-Every refusal is raised as `ProblemError`, which the network turns into a reply.
+A refusal is raised as `ProblemError`, which the network converts to a reply.
 """
 
 from collections.abc import Callable
@@ -26,11 +26,11 @@
 )
 
 ProgramsOf = Callable[[PartitionNumber], ProgramsState | None]
-"""Gives the programs component of a partition that is replicated here."""
+"""Returns the programs of a partition, or None if it is not replicated here."""
 
 
 class LedPrograms:
-    """The programs of the led partitions, by their ids."""
+    """The programs of the led partitions."""
 
     def __init__(
         self,
@@ -38,20 +38,20 @@
         programs_of: ProgramsOf,
         now: Callable[[], float],
     ) -> None:
-        """Read through `programs_of`, change through `partitions`."""
+        """Read through `programs_of` and propose through `partitions`."""
         self._partitions = partitions
         self._programs_of = programs_of
         self._now = now
 
     def partition_of(self, program: ProgramId) -> PartitionNumber:
-        """Give the partition of a program id; NOT_FOUND if it is none."""
+        """Return the partition of a program id; NOT_FOUND if the id is invalid."""
         partition = partition_of_program(program)
         if partition is None:
             raise ProblemError(refusals.not_found(program).problem)
         return partition
 
     def state_of(self, program: ProgramId) -> ProgramsState:
-        """Give the state that holds a program; NOT_LEADER if it is not led here."""
+        """Return the state of a program's partition; NOT_LEADER if not led here."""
         partition = self.partition_of(program)
         state = self.led_state(partition)
         if state is None:
@@ -59,20 +59,20 @@
         return state
 
     def led_state(self, partition: PartitionNumber) -> ProgramsState | None:
-        """Give a partition's programs if this daemon leads it."""
+        """Return a partition's programs if this daemon leads it."""
         if self._partitions.leader_epoch(partition) is None:
             return None
         return self._programs_of(partition)
 
     def epoch_of(self, partition: PartitionNumber) -> Epoch:
-        """Give the epoch in which this daemon leads; NOT_LEADER if it does not."""
+        """Return the epoch of this daemon's leadership; NOT_LEADER if it has none."""
         epoch = self._partitions.leader_epoch(partition)
         if epoch is None:
             raise ProblemError(self._not_leader(partition))
         return epoch
 
     def _not_leader(self, partition: PartitionNumber) -> Problem:
-        """Name the leader: hashing need not name it yet after a change."""
+        """Return the problem with a hint of the leader, if it is known."""
         return Problem.of(
             ProblemCode.NOT_LEADER,
             f"this daemon does not lead partition {partition}",
@@ -80,7 +80,7 @@
         )
 
     def led_states(self) -> tuple[tuple[PartitionNumber, ProgramsState], ...]:
-        """Give all led partitions with their programs."""
+        """Return all led partitions with their programs."""
         found = []
         for partition in self._partitions.led_partitions():
             state = self.led_state(partition)
@@ -91,10 +91,10 @@
     async def visible(
         self, program: ProgramId, tenant: TenantName | None
     ) -> ProgramRecord:
-        """Give the record of a tenant's program (None: of anybody's).
+        """Return the record of a tenant's program; with None, of any tenant's.
 
-        NOT_FOUND is said only after a commit proved that this daemon still leads:
-        a deposed leader may lack a program that a newer one has created.
+        Raises NOT_FOUND only after a commit confirms that this daemon still leads:
+        a deposed leader may lack a program that a newer leader has created.
         """
         state = self.state_of(program)
         record = state.record(program)
@@ -106,7 +106,7 @@
         return record
 
     async def confirm_current(self, partition: PartitionNumber) -> None:
-        """Prove by a commit that the reads after it are current."""
+        """Confirm by a commit that later reads are current."""
         await self.propose_to(partition, ReadBarrier(self._now()))
 
     async def propose(self, program: ProgramId, command: Command) -> CommandResult:
--- a/notcharch/programs/maintenance_service.py
+++ b/notcharch/programs/maintenance_service.py
@@ -1,8 +1,7 @@
-"""Periodic work on replicated programs: lost gateways, idleness, age, retention.
+"""Periodic maintenance of programs: orphaned attempts, expiry and retention.
 
-The work of one step is bounded: it looks at `PROGRAMS_PER_STEP` programs and goes on
-where it stopped. It proposes only what the pure rules say is due; the commands check
-again when they are applied.
+Each step checks up to `PROGRAMS_PER_STEP` programs and continues where the last one
+stopped. It proposes commands for what is due; they check again when applied.
 """
 
 from collections.abc import Callable, Iterator
@@ -39,7 +38,7 @@
 
 
 class MaintenanceService:
-    """Proposes the ends that no request asks for."""
+    """Abandons orphaned attempts and expires programs of the led partitions."""
 
     def __init__(
         self,
@@ -52,7 +51,7 @@
         retention_seconds: float,
         now: Callable[[], float],
     ) -> None:
-        """Take what is read and where commands are proposed."""
+        """Start at the first program; commands are proposed through `led`."""
         self._led = led
         self._changes = changes
         self._table = table
@@ -65,10 +64,10 @@
         self._sweeping: set[PartitionNumber] = set()
 
     def step(self) -> None:
-        """Give up lost attempts, and check the next programs for their end."""
+        """Abandon orphaned attempts and check the next programs for expiry."""
         self._abandon_orphaned_attempts()
         if self._table.version > 0:
-            # Without a table, no row's cells are known yet.
+            # Without a table the limits of the rows are unknown.
             self._sweep()
 
     def _abandon_orphaned_attempts(self) -> None:
@@ -113,7 +112,7 @@
         try:
             await self._led.propose(program, command)
         except ProblemError:
-            # Finished meanwhile, or led by another daemon, which looks as well.
+            # The attempt has finished, or another daemon leads and checks it.
             return
         finally:
             self._abandoning.discard(program)
@@ -123,7 +122,7 @@
             emit(OutcomeLost(program, sequence))
 
     def _row(self, service: ServiceName) -> ServiceRow:
-        """Give a service's row; the programs of a removed row get the defaults."""
+        """Return a service's row, or one with default cells if it was removed."""
         row = self._table.row(service)
         if row is not None:
             return row
@@ -180,7 +179,7 @@
         try:
             result = await self._led.propose_to(partition, command)
         except ProblemError:
-            # Still due: this or a new leader proposes it again.
+            # Still due, so this leader or the next one proposes it again.
             return
         finally:
             self._sweeping.discard(partition)
--- a/notcharch/programs/page_log.py
+++ b/notcharch/programs/page_log.py
@@ -1,8 +1,7 @@
-"""The pages of histories in the log service: written, read back, kept for a while.
+"""Writes and reads pages of histories through the log service, with a cache.
 
-A page is read at most once at a time, whoever asks. After a read failed, pages are
-refused at once for `RETRY_SECONDS`: a call that cannot have its history is told when
-to come back and does not wait for a log service that is down.
+Concurrent reads of a page share one request. For `RETRY_SECONDS` after a failed read
+reads of uncached pages are refused with a retry delay, without a request.
 """
 
 from collections import OrderedDict
@@ -45,10 +44,10 @@
 
 
 class PageLog:
-    """Pages by reference, through the log service."""
+    """Reads and appends pages through the log service."""
 
     def __init__(self, log: LogPort, clock: IReactorTime, region: RegionName) -> None:
-        """Begin with an empty cache."""
+        """Start with an empty cache."""
         self._log = log
         self._clock = clock
         self._region = region
@@ -63,10 +62,10 @@
     async def append(
         self, partition: PartitionNumber, records: tuple[LogRecord, ...]
     ) -> LogOffset | None:
-        """Append records; the first offset, or None when it is not sure.
+        """Append records; return the first offset, or None if the outcome is unknown.
 
-        An append whose answer was lost may have taken effect: the records then lie
-        there for nothing, and the pages are written again.
+        An append without a response may have taken effect: its records then stay
+        unused, and the pages are written again.
         """
         appending = self._log.append(self._stream(partition), records)
         appending.addTimeout(APPEND_TIMEOUT_SECONDS, self._clock)
@@ -77,13 +76,13 @@
         return appended.ok_value if isinstance(appended, Ok) else None
 
     def cache(self, digest: bytes, plain: bytes) -> None:
-        """Put a page's plain bytes into the cache."""
+        """Add a page's uncompressed bytes to the cache."""
         self._cache.put(digest, plain)
 
     async def read(
         self, partition: PartitionNumber, program: ProgramId, page: PageReference
     ) -> bytes:
-        """Give a page's plain bytes; ProblemError when it cannot be had now."""
+        """Return a page's uncompressed bytes; ProblemError if it is unavailable."""
         known = self._cache.get(page.digest)
         if known is not None:
             return known
@@ -92,9 +91,7 @@
         if waiters is not None:
             waiters.append(done)
         elif self._clock.seconds() < self._refuse_until:
-            raise ProblemError(
-                _history_unavailable("the log service failed just before")
-            )
+            raise ProblemError(_history_unavailable("the log service failed recently"))
         else:
             self._reading[page.digest] = [done]
             run_in_background(self._read_for_all(partition, program, page))
@@ -106,7 +103,7 @@
     async def _read_for_all(
         self, partition: PartitionNumber, program: ProgramId, page: PageReference
     ) -> None:
-        result: PageResult = Err(_history_unavailable("reading it failed"))
+        result: PageResult = Err(_history_unavailable("the read failed"))
         try:
             result = await self._read(partition, program, page)
         finally:
@@ -139,7 +136,7 @@
         try:
             return await reading
         except DeferredTimeoutError:
-            text = "the log service did not answer"
+            text = "the log service did not respond in time"
             return Err(Problem.of(ProblemCode.TIMED_OUT, text))
 
     def _note_failure(self, problem: Problem) -> None:
@@ -156,23 +153,23 @@
 
 
 class PageCache:
-    """The pages read last, as plain bytes, up to a size."""
+    """LRU cache of uncompressed pages, limited by size."""
 
     def __init__(self, limit_bytes: int) -> None:
-        """Begin empty."""
+        """Start empty."""
         self._limit_bytes = limit_bytes
         self._size_bytes = 0
         self._pages: OrderedDict[bytes, bytes] = OrderedDict()
 
     def get(self, digest: bytes) -> bytes | None:
-        """Give a page and note that it was used."""
+        """Return a page and mark it as most recently used."""
         plain = self._pages.get(digest)
         if plain is not None:
             self._pages.move_to_end(digest)
         return plain
 
     def put(self, digest: bytes, plain: bytes) -> None:
-        """Keep a page, and drop those that were not used for longest."""
+        """Add a page and evict the least recently used ones."""
         if digest in self._pages:
             return
         self._pages[digest] = plain
@@ -184,11 +181,11 @@
 
 def _decode_record(found: LogPage, name: RecordId, page: PageReference) -> bytes:
     if not found.records or found.records[0].id != name:
-        raise DamagedPageError("another record lies at its offset")
+        raise DamagedPageError("its offset has another record")
     return decode_page(found.records[0].data, page)
 
 
 def _history_unavailable(reason: str) -> Problem:
-    """Refuse at once: the history cannot be had now, and nothing was run for it."""
-    text = f"a part of the history lies in the log service: {reason}"
+    """Return the problem of a call whose history is unavailable."""
+    text = f"a part of the history is in the log service: {reason}"
     return Problem.of(ProblemCode.HISTORY_UNAVAILABLE, text, retry_after=RETRY_SECONDS)
--- a/notcharch/programs/pages.py
+++ b/notcharch/programs/pages.py
@@ -1,7 +1,7 @@
-"""Pages: runs of a history's turns that lie in the log service.
+"""Pages: consecutive turns of a history that are stored in the log service.
 
-A replica keeps a page's reference, and a stub of each of its turns: what a command
-may still ask of a finished call. The rest is read back by the leader.
+A replica keeps a reference to the page and a stub of each of its turns, as much as
+commands need of a finished call. The leader reads the rest from the log service.
 """
 
 import hashlib
@@ -24,7 +24,7 @@
 
 
 class TurnStub(msgspec.Struct, frozen=True, array_like=True):
-    """A finished call without its texts: recognises repeats of it and its answer."""
+    """A finished call without its texts, to recognize repeats of it or its answer."""
 
     digest: bytes
     attempt: AttemptNumber
@@ -33,21 +33,21 @@
 
     @classmethod
     def of(cls, turn: Turn) -> "TurnStub":
-        """Shorten a turn."""
+        """Return the stub of a turn."""
         outcome = turn.outcome
         answer_digest = None if outcome is None else _digest_of_answer(outcome)
         return cls(turn.digest, turn.attempt, answer_digest, turn.problem)
 
     def is_answer(self, answer: Answer) -> bool:
-        """Tell whether the call was answered by exactly this answer."""
+        """Return whether this is the stored answer of the call."""
         return self.answer_digest == _digest_of_answer(StoredAnswer.of(answer))
 
 
 class PageReference(msgspec.Struct, frozen=True, array_like=True):
-    """Where `turn_count` turns from turn `first_turn` (0-based) on lie.
+    """Location of `turn_count` turns from `first_turn` (0-based).
 
-    `digest` is that of the turns as plain bytes: two builds of zlib may compress
-    them differently. `stubs` is the encoded stubs.
+    `digest` is the digest of the uncompressed turns, since builds of zlib may
+    compress them differently. `stubs` has the encoded stubs.
     """
 
     first_turn: int
@@ -58,12 +58,12 @@
     stubs: bytes
 
     def stub(self, index: int) -> TurnStub:
-        """Give the stub of the page's turn `index` (0-based)."""
+        """Return the stub of the page's turn `index` (0-based)."""
         return _stubs_decoder.decode(self.stubs)[index]
 
 
 class PageRecord(msgspec.Struct, frozen=True):
-    """A page as the log service keeps it; `data` is compressed."""
+    """A page as stored in the log service; `data` is compressed."""
 
     program: ProgramId
     first_turn: int
@@ -76,14 +76,14 @@
 
 
 def page_digest(plain: bytes) -> bytes:
-    """Give the digest by which a page is recognised when it is read back."""
+    """Return the digest that verifies a page when it is read."""
     return hashlib.blake2b(plain, digest_size=DIGEST_BYTES).digest()
 
 
 def page_of(
     plain: bytes, first_turn: int, offset: LogOffset, digest: bytes
 ) -> PageReference:
-    """Make the reference to a page from its plain bytes; deterministic."""
+    """Build the reference to a page from its uncompressed bytes; deterministic."""
     turns = list(decode_turns(plain))
     messages = sum(1 for turn in turns for _ in turn.history())
     stubs = _encoder.encode([TurnStub.of(turn) for turn in turns])
@@ -91,27 +91,27 @@
 
 
 def page_record_id(program: ProgramId, first_turn: int, digest: bytes) -> RecordId:
-    """Give a page's record id, which its repeats share."""
+    """Return the record id of a page; the same page always gets the same id."""
     return RecordId(f"page/{program}/{first_turn}/{digest.hex()}")
 
 
 def encode_page(
     program: ProgramId, first_turn: int, turn_count: int, plain: bytes
 ) -> str:
-    """Encode a page as the text that the log service keeps."""
+    """Encode a page as the text stored in the log service."""
     data = zlib.compress(plain, COMPRESSION_LEVEL)
     record = PageRecord(program, first_turn, turn_count, data)
     return msgspec.json.encode(record).decode()
 
 
 def decode_page(data: str, page: PageReference) -> bytes:
-    """Give a page's plain bytes; DamagedPageError if they are not its own."""
+    """Return a page's uncompressed bytes; DamagedPageError if they don't match."""
     try:
         plain = zlib.decompress(_record_decoder.decode(data).data)
     except (msgspec.DecodeError, zlib.error) as error:
         raise DamagedPageError(str(error)) from error
     if page_digest(plain) != page.digest:
-        raise DamagedPageError("the page has another digest")
+        raise DamagedPageError("the digest does not match")
     return plain
 
 
--- a/notcharch/programs/paging.py
+++ b/notcharch/programs/paging.py
@@ -1,4 +1,4 @@
-"""Applies `PageOut`: turns leave the memory once the log service has them."""
+"""Applies `PageOut`: drops turns from memory once the log service stores them."""
 
 from notcharch.partitions.interface import CommandResult
 from notcharch.programs.commands import PageOut, PagesDropped
@@ -6,10 +6,10 @@
 
 
 def page_out(store: ProgramStore, command: PageOut) -> CommandResult:
-    """Drop the turns of every page that is just what a history holds first.
+    """Drop the turns of each page that matches the oldest turns of its history.
 
-    Each replica compares the digest with its own turns, so that a page of other
-    turns, or one that was dropped before, changes nothing.
+    Each replica compares the digest with its turns, so a page that does not match
+    or was dropped before changes nothing.
     """
     count = 0
     for page in command.pages:
--- a/notcharch/programs/paging_plan.py
+++ b/notcharch/programs/paging_plan.py
@@ -1,8 +1,8 @@
-"""Decides which histories leave the memory. Pure.
+"""Decides which histories to page out. Pure.
 
-Only the histories of the led partitions are counted, and only above the bound does
-anything leave: the programs that were idle for longest first, down to a little
-below the bound, so that the next turns do not pass it at once.
+Only histories of the led partitions count. Above the limit, programs are paged out in
+order of their last activity, down to a low watermark, so that the next turns do not
+exceed the limit again at once.
 """
 
 from collections.abc import Iterable
@@ -18,27 +18,27 @@
 from notcharch.values.identifiers import LogOffset, PartitionNumber, ProgramId
 
 PAGE_BYTES = 128 * 1024
-"""The plain size of a page; reading a part of a history reads whole pages."""
+"""Uncompressed size of a page; reads of a history fetch whole pages."""
 
 MIN_PAGE_BYTES = 1024
-"""Less is not worth a page: its reference and stubs take up to half of it."""
+"""Smaller pages save little: the reference and stubs take up to half of this."""
 
 MAX_BATCH_BYTES = 256 * 1024
-"""How much of one partition leaves by one command, which every replica checks."""
+"""Size of the pages of one `PageOut` command, which every replica verifies."""
 
 LOW_WATERMARK_FRACTION = 7 / 8
-"""The part of the bound to which the histories are brought down."""
+"""Fraction of the limit to which the histories are reduced."""
 
 
 class PageOutPlan(msgspec.Struct, frozen=True):
-    """What leaves next, by partition, and how many bytes the histories hold now."""
+    """Programs to page out, by partition, and the memory that histories use now."""
 
     used_bytes: int
     programs: dict[PartitionNumber, list[ProgramRecord]]
 
 
 class DraftedPage(msgspec.Struct, frozen=True):
-    """A page that is to be written."""
+    """A page to be written."""
 
     program: ProgramId
     draft: PageDraft
@@ -46,12 +46,12 @@
 
     @classmethod
     def of(cls, record: ProgramRecord) -> "DraftedPage":
-        """Draft the next page of a program."""
+        """Draft a page of a program's oldest turns."""
         draft = record.history.draft_page(PAGE_BYTES)
         return cls(record.program, draft, page_digest(draft.plain))
 
     def log_record(self) -> LogRecord:
-        """Give the record that is appended for it."""
+        """Return the log record of the page."""
         draft = self.draft
         name = page_record_id(self.program, draft.first_turn, self.digest)
         data = encode_page(
@@ -60,7 +60,7 @@
         return LogRecord(name, data)
 
     def written_at(self, offset: LogOffset) -> WrittenPage:
-        """Say where it lies, once the log service surely has it."""
+        """Return the page as written at `offset`."""
         draft = self.draft
         return WrittenPage(
             self.program, draft.first_turn, draft.turn_count, offset, self.digest
@@ -76,7 +76,7 @@
 def plan_page_out(
     states: Iterable[tuple[PartitionNumber, ProgramsState]], limit_bytes: int
 ) -> PageOutPlan:
-    """Choose the idle programs whose oldest turns leave next; none below the bound."""
+    """Select idle programs to page out; none while the histories are in the limit."""
     used_bytes = 0
     candidates: list[_Candidate] = []
     for partition, state in states:
--- a/notcharch/programs/paging_service.py
+++ b/notcharch/programs/paging_service.py
@@ -1,7 +1,7 @@
-"""Brings the histories of the led partitions below their bound.
+"""Keeps the histories of the led partitions within their memory limit.
 
-Nothing leaves the memory before the log service surely has it: an append without an
-answer is not sure, and its pages are written again later.
+Turns are dropped only after the log service confirmed the append. Pages of an append
+without a response are written again later.
 """
 
 from collections.abc import Callable
@@ -18,14 +18,14 @@
 from notcharch.values.identifiers import LogOffset, PartitionNumber
 
 CHECK_INTERVAL_SECONDS = 5.0
-"""How often all histories are counted while they are below the bound."""
+"""Interval of size checks while the histories are within the limit."""
 
 MAX_PARTITIONS_IN_FLIGHT = 8
 DELAY_REPORT_INTERVAL_SECONDS = 60.0
 
 
 class PagingService:
-    """Writes pages of idle programs and drops them, while there is too much."""
+    """Pages out the histories of idle programs while the limit is exceeded."""
 
     def __init__(
         self,
@@ -34,7 +34,7 @@
         now: Callable[[], float],
         limit_bytes: int,
     ) -> None:
-        """Take where histories are read, written and dropped."""
+        """Start with nothing in flight."""
         self._led = led
         self._pages = pages
         self._now = now
@@ -44,7 +44,7 @@
         self._next_report = 0.0
 
     def step(self) -> None:
-        """Count the histories if it is time, and page out what is too much."""
+        """Check the size of the histories if due, and page out the excess."""
         now = self._now()
         if now < self._next_check:
             return
@@ -74,7 +74,7 @@
             else:
                 await self._drop(partition, drafts, offset)
         except ProblemError:
-            # Not led any more, or not committed: the new leader looks itself.
+            # No longer led here or not committed; the leader plans again.
             return
         finally:
             self._in_flight.discard(partition)
@@ -94,7 +94,7 @@
             for index, draft in enumerate(drafts)
         )
         for draft in drafts:
-            # A call that is being admitted finds its page here.
+            # Calls that are being admitted read the page from the cache.
             self._pages.cache(draft.digest, draft.draft.plain)
         result = await self._led.propose_to(partition, PageOut(self._now(), pages))
         if isinstance(result, PagesDropped):
--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of whole programs: creation, end, history, descriptions."""
+"""Request handlers for programs: creation, end, history and descriptions."""
 
 from collections.abc import Callable
 
@@ -35,7 +35,7 @@
 
 
 class ProgramHandlers:
-    """Answers `CreateProgram`, `EndProgram` and all requests that only read."""
+    """Handles `CreateProgram`, `EndProgram` and all read-only requests."""
 
     def __init__(
         self,
@@ -45,7 +45,7 @@
         histories: HistoryReader,
         now: Callable[[], float],
     ) -> None:
-        """Take what the handlers read and where they propose."""
+        """Read records through `led`, and propose commands there."""
         self._led = led
         self._changes = changes
         self._table = table
@@ -53,7 +53,7 @@
         self._now = now
 
     def register(self, network: PeerNetwork) -> None:
-        """Register the handlers."""
+        """Register the handlers on the network."""
         network.on_request(CreateProgram, self._on_create)
         network.on_request(EndProgram, self._on_end)
         network.on_request(ReadHistory, self._on_history)
@@ -66,7 +66,7 @@
         partition = self._led.partition_of(message.program)
         parent = message.parent
         if parent is not None and self._led.partition_of(parent) != partition:
-            text = "a child lies in its parent's partition"
+            text = "a child program must be in its parent's partition"
             raise ProblemError(Problem.of(ProblemCode.BAD_REQUEST, text))
         command = BeginProgram(
             self._now(),
@@ -136,7 +136,7 @@
         )
 
     def _is_live(self, program: ProgramId) -> bool:
-        """Tell whether engines may still hold memory of a program."""
+        """Return whether a program may still use engine memory."""
         record = self._led.state_of(program).record(program)
         if record is None:
             return False
--- a/notcharch/programs/record.py
+++ b/notcharch/programs/record.py
@@ -23,16 +23,16 @@
 
 
 class CallPhase(enum.Enum):
-    """Where the newest attempt at the program's open call is."""
+    """Phase of the newest attempt at the program's open call."""
 
     ADMITTED = "admitted"
-    """It has its reservation; certainly nothing ran."""
+    """The budget is reserved; nothing has run."""
 
     DISPATCHED = "dispatched"
-    """The intent to run it on an engine is recorded; it may have run."""
+    """The dispatch to an engine is recorded; it may have run."""
 
     FAILED = "failed"
-    """It is over without an answer, and the call may be tried again."""
+    """It ended without an answer; the call may be tried again."""
 
 
 class EndReason(enum.Enum):
@@ -45,11 +45,11 @@
 
 
 class OpenCall(msgspec.Struct, array_like=True):
-    """The one call of a program that is admitted and has no final outcome.
+    """The admitted call of a program that has no final outcome yet.
 
-    `messages` is the encoded new messages (see `turns`). `engines` are those that the newest
-    attempt was dispatched to, the last one being where it runs. `may_have_run`
-    tells whether any attempt so far may have reached an engine.
+    `messages` has the new messages, encoded as in `turns`. The newest attempt was
+    dispatched to `engines` and runs on the last one. `may_have_run` is true if any
+    attempt may have reached an engine.
     """
 
     sequence: CallSequence
@@ -67,15 +67,15 @@
 
     @property
     def running(self) -> bool:
-        """Tell whether a gateway may be driving the newest attempt."""
+        """Whether a gateway may still be running the newest attempt."""
         return self.phase is not CallPhase.FAILED
 
 
 class ProgramRecord(msgspec.Struct, array_like=True):
-    """One program. `budget` is there at the root of a tree only.
+    """One program. Only the root of a tree has a `budget`.
 
-    `context_tokens` bounds the history's tokens in a prompt. `engines` may hold
-    memory of the program. `finished` counts calls with a final outcome.
+    `context_tokens` is an upper bound of the history's tokens in a prompt. `engines`
+    may hold memory of the program. `finished` counts calls with a final outcome.
     """
 
     program: ProgramId
@@ -100,30 +100,30 @@
 
     @property
     def ended(self) -> bool:
-        """Tell whether the program accepts no more calls."""
+        """Whether the program has ended and refuses new calls."""
         return self.ended_at is not None
 
     @property
     def next_sequence(self) -> CallSequence:
-        """Give the sequence of the call that may be admitted."""
+        """Sequence of the call that may be admitted next."""
         return CallSequence(self.finished + 1)
 
     @property
     def running_call(self) -> OpenCall | None:
-        """Give the open call while an attempt at it may be running."""
+        """The open call while an attempt at it may be running, else None."""
         if self.call is not None and self.call.running:
             return self.call
         return None
 
     @property
     def ran_so_far(self) -> Ran:
-        """Tell whether an attempt at the next call may have run."""
+        """Whether an attempt at the next call may have run."""
         call = self.call
         may_have_run = call is not None and call.may_have_run
         return Ran.UNKNOWN if may_have_run else Ran.NO
 
 
 def call_digest(body_digest: str, repeatable: bool) -> bytes:
-    """Give the short digest by which a repeat of a call is recognised."""
+    """Return the digest that identifies a repeat of a call."""
     text = f"{int(repeatable)}{body_digest}"
     return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
--- a/notcharch/programs/release_plan.py
+++ b/notcharch/programs/release_plan.py
@@ -1,7 +1,7 @@
-"""Decides when the release of an engine's memory is asked again. Pure.
+"""Decides when to request releases of engine memory and when to retry. Pure.
 
-What is owed is replicated state; the plan only remembers, in the leader's memory,
-what was asked when. A new leader begins with an empty plan and asks at once.
+Duties are replicated state; only the leader has the plan, in memory. A new leader
+starts with an empty plan and requests every release at once.
 """
 
 from collections.abc import Callable, Iterable
@@ -13,15 +13,15 @@
 FIRST_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 30.0
 MAX_RELEASES_IN_FLIGHT = 64
-"""Releases that one daemon asks for at once."""
+"""Release requests of one daemon that may be in flight."""
 
 ENGINE_REMOVED_SECONDS = 30.0
-"""An engine missing from the directory for so long is gone with its memory. The
-directory lags: an engine may serve before this daemon has read of it."""
+"""An engine that is missing from the directory this long counts as removed. An engine
+may serve calls before it is in this daemon's directory."""
 
 
 class ReleaseProgress(msgspec.Struct):
-    """What the leader did for one duty so far; times are in seconds."""
+    """Progress of one duty; times are in seconds."""
 
     tries: int = 0
     in_flight: bool = False
@@ -30,15 +30,15 @@
 
 
 class ReleasePlan:
-    """The progress of all duties of the led partitions."""
+    """Progress of all duties of the led partitions."""
 
     def __init__(self) -> None:
-        """Begin with nothing asked."""
+        """Start with nothing in flight."""
         self._progress: dict[ReleaseDuty, ReleaseProgress] = {}
         self._in_flight = 0
 
     def retain(self, pending: Iterable[ReleaseDuty]) -> None:
-        """Forget the progress of what is not owed any more, unless it is asked now."""
+        """Drop the progress of duties that are neither pending nor in flight."""
         current = set(pending)
         self._progress = {
             duty: progress
@@ -47,7 +47,7 @@
         }
 
     def due(self, pending: Iterable[ReleaseDuty], now: float) -> list[ReleaseDuty]:
-        """Give the duties to ask for now, and note them as being asked."""
+        """Return the duties to request now, and mark them as in flight."""
         selected: list[ReleaseDuty] = []
         for duty in pending:
             if self._in_flight >= MAX_RELEASES_IN_FLIGHT:
@@ -62,7 +62,7 @@
         return selected
 
     def record_reply(self, duty: ReleaseDuty, *, confirmed: bool, now: float) -> int:
-        """Note the reply to a request; gives how often it was asked for."""
+        """Record the reply to a request; return the number of tries."""
         progress = self._progress.setdefault(duty, ReleaseProgress())
         if progress.in_flight:
             progress.in_flight = False
@@ -78,7 +78,7 @@
         known: Callable[[ReleaseDuty], bool],
         now: float,
     ) -> list[ReleaseDuty]:
-        """Give the duties whose engine has been missing for long."""
+        """Return the duties whose engine has been missing long enough to be removed."""
         found: list[ReleaseDuty] = []
         for duty in pending:
             progress = self._progress.setdefault(duty, ReleaseProgress())
--- a/notcharch/programs/release_service.py
+++ b/notcharch/programs/release_service.py
@@ -1,4 +1,4 @@
-"""Asks stewards to release the memory of ended programs until they confirm."""
+"""Requests the release of ended programs' engine memory until it is confirmed."""
 
 from collections.abc import Callable
 
@@ -21,11 +21,11 @@
 
 RELEASE_TIMEOUT_SECONDS = 5.0
 TRIES_PER_REPORT = 5
-"""A release is reported as delayed at every multiple of so many tries."""
+"""Number of tries between reports of a delayed release."""
 
 
 class ReleaseService:
-    """Carries out the release duties of the led partitions."""
+    """Carries out the release duties of the led partitions through the stewards."""
 
     def __init__(
         self,
@@ -35,7 +35,7 @@
         directory: EngineDirectory,
         now: Callable[[], float],
     ) -> None:
-        """Begin with nothing asked."""
+        """Start with nothing in flight."""
         self._led = led
         self._partitions = partitions
         self._router = router
@@ -46,7 +46,7 @@
         self._committing: dict[PartitionNumber, set[ReleaseDuty]] = {}
 
     def step(self) -> None:
-        """Ask for what is due, and commit what was confirmed since the last step."""
+        """Request due releases, and commit those confirmed since the last step."""
         pending: list[ReleaseDuty] = []
         for partition, state in self._led.led_states():
             done = self._confirmed_duties(partition)
@@ -63,7 +63,7 @@
 
     def _drop_removed_engines(self, pending: list[ReleaseDuty]) -> None:
         if not self._directory.all_engines():
-            # Nothing was read yet: no engine is known to be gone.
+            # The directory was not read yet, so no engine is known to be removed.
             return
         for duty in self._plan.duties_of_removed_engines(
             pending, self._is_known, self._now()
@@ -111,7 +111,7 @@
         try:
             await self._led.propose_to(partition, ConfirmReleases(self._now(), duties))
         except ProblemError:
-            # Still owed in the replicated state: this or a new leader asks again.
+            # Still pending in the replicated state, so it is requested again.
             pass
         finally:
             del self._committing[partition]
--- a/notcharch/programs/replies.py
+++ b/notcharch/programs/replies.py
@@ -1,4 +1,4 @@
-"""The replies to gateways, made from records and command results."""
+"""Builds replies to gateways from records and command results."""
 
 from notcharch.programs.commands import AttemptAdmitted
 from notcharch.programs.record import ProgramRecord
@@ -19,7 +19,7 @@
 def admitted_reply(
     message: AdmitCall, history: tuple[ChatMessage, ...], admitted: AttemptAdmitted
 ) -> CallAdmitted:
-    """Give a gateway everything it needs to run an attempt."""
+    """Return the reply with what a gateway needs to run an attempt."""
     return CallAdmitted(
         program=message.program,
         sequence=message.sequence,
@@ -35,9 +35,9 @@
 
 
 def failure_reply(record: ProgramRecord, sequence: CallSequence) -> CallFailed | None:
-    """Give the failure of the newest attempt at the open call, if it is over.
+    """Return the failure of the newest attempt at the open call, or None.
 
-    It is an outcome for those who wait: they may repeat the call.
+    Requests that wait for the call get this reply and may repeat the call.
     """
     call = record.call
     if call is not None and call.sequence == sequence and call.failure is not None:
@@ -46,7 +46,7 @@
 
 
 def finished_reply(sequence: CallSequence, turn: Turn) -> Message:
-    """Give the final outcome of a finished call."""
+    """Return the final outcome of a finished call."""
     answer = turn.answer
     if answer is not None:
         return CallAnswered(sequence, answer)
@@ -57,7 +57,7 @@
 
 
 def description(state: ProgramsState, record: ProgramRecord) -> ProgramDescription:
-    """Describe a program; the budget figures are those of its whole tree."""
+    """Describe a program; the token counts are those of its whole tree."""
     budget = state.budget_of(record)
     return ProgramDescription(
         program=record.program,
--- a/notcharch/programs/rows.py
+++ b/notcharch/programs/rows.py
@@ -1,4 +1,4 @@
-"""Rows of the table as the leader needs them, and the refusals where one is missing."""
+"""Reads the table row of a service, and refuses calls without an active row."""
 
 from typing import NoReturn
 
@@ -9,16 +9,16 @@
 
 PAUSED_RETRY_SECONDS = 5.0
 NO_ROW_RETRY_SECONDS = 1.0
-"""A row may have been published a moment ago: this daemon's table may lag."""
+"""This daemon's table may lag behind a row that was just published."""
 
 
 def active_row(table: TableView, service: ServiceName, ran: Ran) -> ServiceRow:
-    """Give a service's row; raises UNAVAILABLE, NOT_FOUND or SERVICE_PAUSED.
+    """Return a service's row; raise UNAVAILABLE, NOT_FOUND or SERVICE_PAUSED.
 
-    `ran` tells whether the refused call may have run before.
+    `ran` goes into the refusal: whether the call may have run before.
     """
     if table.version == 0:
-        _refuse(ProblemCode.UNAVAILABLE, "no table was read yet", ran)
+        _refuse(ProblemCode.UNAVAILABLE, "no table has been loaded yet", ran)
     row = table.row(service)
     if row is None:
         _refuse(ProblemCode.NOT_FOUND, f"the table has no row {service}", ran)
--- a/notcharch/programs/state.py
+++ b/notcharch/programs/state.py
@@ -1,6 +1,6 @@
-"""The component of programs in a partition: a pure function of its commands.
+"""The programs of a partition as a deterministic state machine.
 
-It has no clock, no randomness and no table of its own; see docs/design/programs.md.
+It uses no clock, randomness or table; see docs/design/programs.md.
 """
 
 from collections.abc import Iterator
@@ -36,7 +36,7 @@
     COMMANDS: ClassVar[tuple[type[Command], ...]] = COMMANDS
 
     def __init__(self) -> None:
-        """Begin without programs."""
+        """Start without programs."""
         self._store = ProgramStore()
 
     def apply(self, command: Command, epoch: Epoch) -> CommandResult:
@@ -71,27 +71,27 @@
         return CommandRefused(Problem.of(ProblemCode.INTERNAL, message, ran=Ran.NO))
 
     def snapshot(self) -> bytes:
-        """Encode the whole state; equal states give equal bytes."""
+        """Encode the state; equal states give equal bytes."""
         return self._store.snapshot()
 
     def restore(self, snapshot: bytes) -> None:
-        """Replace the whole state; ValueError for an unknown format."""
+        """Replace the state; raise ValueError for an unknown format."""
         self._store.restore(snapshot)
 
     def record(self, program: ProgramId) -> ProgramRecord | None:
-        """Give a program's record, to be read only."""
+        """Return a program's record, which must not be changed."""
         return self._store.records.get(program)
 
     def root_of(self, record: ProgramRecord) -> ProgramRecord:
-        """Give the record of the root of a program's tree."""
+        """Return the record of the root of a program's tree."""
         return self._store.records[record.root]
 
     def budget_of(self, record: ProgramRecord) -> TreeBudget:
-        """Give the budget of a program's tree, to be read only."""
+        """Return the budget of a program's tree, which must not be changed."""
         return self._store.budget_of(record)
 
     def tree_below(self, program: ProgramId) -> Iterator[ProgramId]:
-        """Give a program, if it is known, and everything below it in its tree."""
+        """Yield a program, if it is known, and all its descendants."""
         pending = [program]
         while pending:
             record = self._store.records.get(pending.pop())
@@ -100,26 +100,26 @@
                 pending.extend(record.children)
 
     def reserved_tokens(self) -> int:
-        """Give the tokens that running calls of all programs hold."""
+        """Return the tokens reserved by running calls of all programs."""
         budgets = (record.budget for record in self._store.records.values())
         return sum(budget.reserved for budget in budgets if budget is not None)
 
     def programs(self) -> tuple[ProgramId, ...]:
-        """Give the ids of all remembered programs."""
+        """Return the ids of all stored programs."""
         return tuple(self._store.records)
 
     def records(self) -> Iterator[ProgramRecord]:
-        """Give the records of all remembered programs, to be read only."""
+        """Return the records of all stored programs, which must not be changed."""
         return iter(self._store.records.values())
 
     def running_programs(self) -> tuple[ProgramId, ...]:
-        """Give the programs with a running attempt."""
+        """Return the programs with a running attempt."""
         return tuple(self._store.running)
 
     def has_pending_release(self, program: ProgramId) -> bool:
-        """Tell whether an engine has yet to confirm a program's release."""
+        """Return whether a release of the program is not confirmed yet."""
         return program in self._store.duties
 
     def duties(self) -> Iterator[ReleaseDuty]:
-        """Give the releases that are not confirmed."""
+        """Return the releases that are not confirmed yet."""
         return self._store.all_duties()
--- a/notcharch/programs/store.py
+++ b/notcharch/programs/store.py
@@ -1,4 +1,4 @@
-"""The records of one partition's programs, with the indexes that follow from them."""
+"""The program records of one partition, with derived indexes."""
 
 import sys
 from collections.abc import Iterator
@@ -17,13 +17,13 @@
 
 SNAPSHOT_FORMAT = 1
 PAGED_SNAPSHOT_FORMAT = 2
-"""The format with pages: a daemon that does not know them refuses it."""
+"""Used if any history has pages, so daemons without paging refuse the snapshot."""
 
 SUPPORTED_FORMATS = (SNAPSHOT_FORMAT, PAGED_SNAPSHOT_FORMAT)
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """The whole state, sorted, so that equal states give equal bytes."""
+    """The state in sorted order, so that equal states give equal bytes."""
 
     format: int
     records: list[ProgramRecord]
@@ -39,14 +39,14 @@
     """Records by id, release duties, and the programs with a running attempt."""
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Start empty."""
         self.records: dict[ProgramId, ProgramRecord] = {}
         self.duties: dict[ProgramId, dict[EngineName, int]] = {}
         self.next_duty = 1
         self.running: set[ProgramId] = set()
 
     def visible(self, program: ProgramId, tenant: TenantName) -> ProgramRecord | None:
-        """Give a program's record if it belongs to the tenant."""
+        """Return a program's record if it belongs to the tenant."""
         record = self.records.get(program)
         if record is None or record.tenant != tenant:
             return None
@@ -58,7 +58,7 @@
         self.records[record.program] = record
 
     def budget_of(self, record: ProgramRecord) -> TreeBudget:
-        """Give the budget of the program's tree; a root outlives its tree."""
+        """Return the budget of the program's tree; its root is removed last."""
         budget = self.records[record.root].budget
         if budget is None:
             message = f"{record.root} is not the root of {record.program}"
@@ -66,12 +66,12 @@
         return budget
 
     def add_duty(self, program: ProgramId, engine: EngineName) -> None:
-        """Owe a release of the program's memory on an engine, as a new duty."""
+        """Add a new duty to release the program's memory on an engine."""
         self.duties.setdefault(program, {})[engine] = self.next_duty
         self.next_duty += 1
 
     def drop_duty(self, program: ProgramId, engine: EngineName) -> None:
-        """Owe a release no longer; harmless when it is not owed."""
+        """Drop the duty for a program and engine, if there is one."""
         engines = self.duties.get(program)
         if engines is None:
             return
@@ -80,18 +80,18 @@
             del self.duties[program]
 
     def confirm_duty(self, duty: ReleaseDuty) -> None:
-        """Drop exactly this duty, not a newer one for the same engine."""
+        """Drop this duty, but not a newer one for the same engine."""
         if self.duties.get(duty.program, {}).get(duty.engine) == duty.number:
             self.drop_duty(duty.program, duty.engine)
 
     def all_duties(self) -> Iterator[ReleaseDuty]:
-        """Give every release that is owed."""
+        """Yield all duties."""
         for program, engines in self.duties.items():
             for engine, number in engines.items():
                 yield ReleaseDuty(program, engine, number)
 
     def update_running(self, record: ProgramRecord) -> None:
-        """Bring the index of running attempts up to date with a record."""
+        """Update the index of running attempts from a record."""
         if record.running_call is None:
             self.running.discard(record.program)
         else:
@@ -111,7 +111,7 @@
         return _encoder.encode(content)
 
     def restore(self, snapshot: bytes) -> None:
-        """Replace everything by a snapshot's content."""
+        """Replace the state with the content of a snapshot."""
         content = _decoder.decode(snapshot)
         if content.format not in SUPPORTED_FORMATS:
             message = f"unknown snapshot format {content.format}"
--- a/notcharch/programs/tree.py
+++ b/notcharch/programs/tree.py
@@ -1,4 +1,4 @@
-"""Creating programs and ending whole trees of them."""
+"""Creates programs, ends trees of programs, and removes expired ones."""
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.partitions.interface import CommandRefused, CommandResult
@@ -18,11 +18,11 @@
 from notcharch.values.identifiers import ProgramId
 
 MAX_TREE_PROGRAMS = 1000
-"""Programs of one tree that may be remembered at once, ended ones included."""
+"""Number of stored programs of one tree, including ended ones."""
 
 
 def begin(store: ProgramStore, command: BeginProgram) -> CommandResult:
-    """Create a program, alone or as the child of another one."""
+    """Create a program, as a root or as the child of another program."""
     known = store.records.get(command.program)
     if known is not None:
         return _repeat_begin(known, command)
@@ -78,7 +78,7 @@
 
 
 def touch(store: ProgramStore, record: ProgramRecord, at: float) -> None:
-    """Note activity of a program, which is also activity of its ancestors."""
+    """Record activity of a program and its ancestors."""
     current: ProgramRecord | None = record
     while current is not None:
         current.active_at = max(current.active_at, at)
@@ -87,7 +87,7 @@
 
 
 def stop(store: ProgramStore, command: StopProgram) -> CommandResult:
-    """End a program at its tenant's request; harmless when repeated."""
+    """End a program at its tenant's request; idempotent."""
     record = store.visible(command.program, command.tenant)
     if record is None:
         return refusals.not_found(command.program)
@@ -117,7 +117,7 @@
     record.end_reason = reason
     call = record.call
     if call is not None and call.phase is CallPhase.ADMITTED:
-        # No dispatch was committed, and from now on none will be.
+        # No dispatch was committed, and none can be after this.
         store.budget_of(record).release_reservation(call.reserved_tokens)
         call.phase = CallPhase.FAILED
         call.reserved_tokens = 0
@@ -131,16 +131,17 @@
 
 
 def ended_problem(record: ProgramRecord, ran: Ran) -> Problem:
-    """Give the problem of a call to an ended program."""
+    """Return the problem of a call to an ended program."""
     reason = record.end_reason.value if record.end_reason else ""
     message = f"program {record.program} has ended ({reason})"
     return Problem.of(ProblemCode.PROGRAM_ENDED, message, ran=ran)
 
 
 def release_engines(store: ProgramStore, record: ProgramRecord) -> None:
-    """Turn the engines of a program into duties, once no attempt is dispatched.
+    """Add release duties for a program's engines unless an attempt is dispatched.
 
-    While one is, its engine fills memory again, so the duties wait for its end.
+    The engine of a dispatched attempt allocates memory again, so the duties are
+    added when the attempt ends.
     """
     call = record.running_call
     if call is not None and call.phase is CallPhase.DISPATCHED:
@@ -179,7 +180,7 @@
 
 
 def expiry_of(record: ProgramRecord, check: ExpiryCheck, at: float) -> EndReason | None:
-    """Give the reason for which a program is due to end now, or None."""
+    """Return why a program must end now, or None."""
     if record.ended:
         return None
     if at - record.created_at >= check.max_age_seconds:
@@ -191,9 +192,9 @@
 
 
 def may_remove(record: ProgramRecord, at: float, retention_seconds: float) -> bool:
-    """Tell whether an ended program's answers were kept for long enough.
+    """Return whether the retention of an ended program has passed.
 
-    Its release duties must be confirmed besides.
+    The caller also checks that its release duties are confirmed.
     """
     if record.ended_at is None or record.children or record.running_call:
         return False
--- a/notcharch/programs/turns.py
+++ b/notcharch/programs/turns.py
@@ -1,8 +1,7 @@
-"""Finished calls as bytes: the unit of a program's history.
+"""Encoding of finished calls, the unit of a program's history.
 
-Turns are MessagePack rather than JSON, since histories are read far more often than
-written and it is read faster (docs/design/programs.md has the figures). Tool calls
-stay the raw JSON that they are, as bytes.
+Turns are encoded as MessagePack, which decodes faster than JSON: histories are read
+far more often than written (see docs/design/programs.md). Tool calls stay raw JSON.
 """
 
 from collections.abc import Iterable, Iterator
@@ -18,7 +17,7 @@
 
 
 class StoredMessage(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """A `ChatMessage` whose tool calls are plain bytes of JSON."""
+    """A `ChatMessage` with its tool calls as JSON bytes."""
 
     role: str
     content: str | None = None
@@ -28,7 +27,7 @@
 
     @classmethod
     def of(cls, message: ChatMessage) -> "StoredMessage":
-        """Turn a message into its stored form."""
+        """Convert a message to its stored form."""
         raw = message.tool_calls
         return cls(
             message.role,
@@ -39,7 +38,7 @@
         )
 
     def message(self) -> ChatMessage:
-        """Give the message back."""
+        """Convert the stored form back to a message."""
         raw = self.tool_calls
         return ChatMessage(
             self.role,
@@ -51,7 +50,7 @@
 
 
 class StoredAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """An `Answer` in few bytes."""
+    """The compact stored form of an `Answer`."""
 
     message: StoredMessage
     prompt_tokens: int
@@ -61,7 +60,7 @@
 
     @classmethod
     def of(cls, answer: Answer) -> "StoredAnswer":
-        """Turn an answer into its stored form."""
+        """Convert an answer to its stored form."""
         usage = answer.usage
         return cls(
             StoredMessage.of(answer.message),
@@ -72,7 +71,7 @@
         )
 
     def answer(self) -> Answer:
-        """Give the answer back."""
+        """Convert the stored form back to an answer."""
         usage = TokenUsage(
             self.prompt_tokens, self.completion_tokens, self.cached_tokens
         )
@@ -80,10 +79,9 @@
 
 
 class Turn(msgspec.Struct, frozen=True, array_like=True):
-    """One finished call; exactly one of `outcome` and `problem` is given.
+    """One finished call; exactly one of `outcome` and `problem` is set.
 
-    Only a turn with an answer adds to the messages of the history; another one has
-    no messages.
+    Only a turn with an answer has messages and adds them to the history.
     """
 
     digest: bytes
@@ -94,18 +92,18 @@
 
     @property
     def answer(self) -> Answer | None:
-        """Give the answer, if there is one."""
+        """The answer, or None if the call failed."""
         return None if self.outcome is None else self.outcome.answer()
 
     def history(self) -> Iterator[StoredMessage]:
-        """Give the messages that this turn adds to the history."""
+        """Return the messages that the turn adds to the history."""
         if self.outcome is None:
             return iter(())
         return chain(self.messages, (self.outcome.message,))
 
 
 class EncodedTurn(msgspec.Struct, frozen=True, array_like=True):
-    """A `Turn` whose messages are encoded already; it gives the same bytes."""
+    """A `Turn` with its messages already encoded; encodes to the same bytes."""
 
     digest: bytes
     attempt: AttemptNumber
@@ -114,7 +112,7 @@
     problem: Problem | None
 
     def framed(self) -> bytes:
-        """Encode the turn behind its length."""
+        """Encode the turn with a length prefix."""
         encoded = _encoder.encode(self)
         return len(encoded).to_bytes(LENGTH_PREFIX_BYTES, "big") + encoded
 
@@ -124,27 +122,27 @@
 _messages_decoder = msgspec.msgpack.Decoder(tuple[StoredMessage, ...])
 
 NO_MESSAGES = _encoder.encode(())
-"""The encoded messages of a turn that adds nothing to the history."""
+"""Encoded messages of a turn that adds nothing to the history."""
 
 
 def encode_messages(messages: Iterable[ChatMessage]) -> bytes:
-    """Encode the new messages of a call, as `EncodedTurn` takes them."""
+    """Encode the new messages of a call for an `EncodedTurn`."""
     return _encoder.encode([StoredMessage.of(message) for message in messages])
 
 
 def count_messages(encoded: bytes) -> int:
-    """Give the number of messages in the result of `encode_messages`."""
+    """Return the number of messages in the result of `encode_messages`."""
     return len(_messages_decoder.decode(encoded))
 
 
 def decode_turns(framed: bytes) -> Iterator[Turn]:
-    """Decode turns that lie one after another, each behind its length."""
+    """Decode consecutive turns that have length prefixes."""
     for encoded in _frames(framed):
         yield _decoder.decode(encoded)
 
 
 def decode_nth_turn(framed: bytes, index: int) -> Turn:
-    """Decode one of the turns (0-based); LookupError if there are fewer."""
+    """Decode turn `index` (0-based); raise LookupError if there are fewer."""
     for position, encoded in enumerate(_frames(framed)):
         if position == index:
             return _decoder.decode(encoded)
