--- a/notcharch/programs/history_reader.py
+++ b/notcharch/programs/history_reader.py
@@ -51,7 +51,7 @@
             await self._fetch(record, needed, fetched, record.ran_so_far)
 
     async def turn(self, record: ProgramRecord, sequence: CallSequence) -> Turn:
-        """Return the turn of a finished call; `ran` in a refusal is that of the call."""
+        """Return the turn of a finished call; a refusal has the `ran` of the call."""
         fetched: dict[bytes, bytes] = {}
         while True:
             page = record.history.page_of_turn(sequence)
--- a/notcharch/programs/led_programs.py
+++ b/notcharch/programs/led_programs.py
@@ -72,7 +72,7 @@
         return epoch
 
     def _not_leader(self, partition: PartitionNumber) -> Problem:
-        """Return the problem with a hint of the leader, if it is known."""
+        """Return the problem with the leader as a hint; hashing may not name it yet."""
         return Problem.of(
             ProblemCode.NOT_LEADER,
             f"this daemon does not lead partition {partition}",
--- a/tests/stateful/programs/breaks.py
+++ b/tests/stateful/programs/breaks.py
@@ -1,6 +1,6 @@
-"""Deliberate breaks of the programs' state; the oracle must catch every one.
+"""Deliberate bugs in the programs' state that the oracle must detect.
 
-A break is a list of (what to patch, its replacement).
+Each one is a list of (target to patch, replacement).
 """
 
 import msgspec
@@ -20,11 +20,11 @@
 
 PACKAGE = "notcharch.programs."
 
-original_known = admission.known_call
+original_known_call = admission.known_call
 original_refusal = admission._refusal
 original_dispatch = attempts.dispatch
 original_finish_problem = attempts.finish_with_problem
-original_close = attempts.close_call
+original_close_call = attempts.close_call
 original_end_tree = tree._end_tree
 original_release_engines = tree.release_engines
 
@@ -33,7 +33,7 @@
     self.reserved -= charge.tokens
 
 
-def resolve_settles_nothing(self, program, sequence, attempt, used_tokens):
+def resolve_without_usage(self, program, sequence, attempt, used_tokens):
     return original_resolve(self, program, sequence, attempt, 0)
 
 
@@ -50,13 +50,13 @@
 
 def admit_early(record, command, digest):
     early = command.sequence == record.next_sequence + 1
-    return None if early else original_known(record, command, digest)
+    return None if early else original_known_call(record, command, digest)
 
 
 def join_any_body(record, command, digest):
     call = record.call
     same = call is not None and command.sequence == call.sequence
-    return original_known(record, command, call.digest if same else digest)
+    return original_known_call(record, command, call.digest if same else digest)
 
 
 def supersede_dispatched(call, command):
@@ -94,7 +94,7 @@
     return result
 
 
-def dispatch_forgets_the_engine(state, command, epoch):
+def dispatch_without_recording_engine(state, command, epoch):
     result = original_dispatch(state, command, epoch)
     state.records[command.program].engines = ()
     return result
@@ -112,18 +112,18 @@
     return original_finish_problem(state, record, call, problem, at)
 
 
-def always_says_no(call, problem, never_ran):
+def always_report_no(call, problem, never_ran):
     return msgspec.structs.replace(problem, ran=Ran.NO)
 
 
-def no_of_the_last_attempt_only(call, problem, never_ran):
+def report_last_attempt_only(call, problem, never_ran):
     ran = Ran.NO if never_ran else Ran.UNKNOWN
     return msgspec.structs.replace(problem, ran=ran)
 
 
-def forgets_messages(state, record, turn, message_count):
+def close_without_messages(state, record, turn, message_count):
     empty = msgspec.structs.replace(turn, messages=msgspec.Raw(turns.NO_MESSAGES))
-    original_close(state, record, empty, message_count)
+    original_close_call(state, record, empty, message_count)
 
 
 def seal_drops_a_turn(self):
@@ -131,7 +131,7 @@
     self.tail_turn_count = self.tail_message_count = 0
 
 
-def context_is_the_usage(answer):
+def context_from_reported_usage(answer):
     return answer.usage.total_tokens
 
 
@@ -199,7 +199,7 @@
 
 
 class AnyDigest(bytes):
-    """Equal to every digest."""
+    """A digest that equals every other one."""
 
     def __ne__(self, other):
         return False
@@ -223,7 +223,7 @@
 
 LATE_CONFIRMATION = (PACKAGE + "store.ProgramStore.confirm_duty", confirm_any_number)
 
-# These lie deep: they are looked for among the steps that matter for them.
+# Random steps seldom reach these, so they run with the steps of ReleasesMachine.
 BREAKS_OF_RELEASES = {
     "memory is released while a call still fills it": [
         (PACKAGE + "tree.release_engines", release_while_dispatched)
@@ -232,34 +232,36 @@
         (PACKAGE + "tree.release_engines", end_without_release),
         (PACKAGE + "attempts.release_engines", end_without_release),
     ],
-    "a dispatched engine is not remembered": [
-        (PACKAGE + "attempts.dispatch", dispatch_forgets_the_engine)
+    "a dispatched engine is not recorded": [
+        (PACKAGE + "attempts.dispatch", dispatch_without_recording_engine)
     ],
-    "a new leader forgets the duties": [
+    "a new leader loses the duties": [
         (PACKAGE + "store.ProgramStore.restore", restore_drops_duties)
     ],
 }
 
 BREAKS = {
-    "the charge of an unknown outcome is given back early": [
+    "the charge of an unknown outcome is released early": [
         (PACKAGE + "budget.TreeBudget.mark_unresolved", mark_unresolved_without_charge)
     ],
     "a late usage is not charged": [
-        (PACKAGE + "budget.TreeBudget.resolve", resolve_settles_nothing)
+        (PACKAGE + "budget.TreeBudget.resolve", resolve_without_usage)
     ],
-    "a settled reservation is not given back": [
+    "a settled reservation is not released": [
         (PACKAGE + "budget.TreeBudget.settle", settle_keeps_the_reservation)
     ],
     "an admission reserves nothing": [
         (PACKAGE + "budget.TreeBudget.reserve", admit_without_reservation)
     ],
-    "the prompt's bound trusts the count of the last answer": [
-        (PACKAGE + "attempts.context_token_bound", context_is_the_usage)
+    "the prompt's bound uses the reported tokens of the last answer": [
+        (PACKAGE + "attempts.context_token_bound", context_from_reported_usage)
     ],
     "a child has a budget of its own": [
         (PACKAGE + "store.ProgramStore.budget_of", separate_budget)
     ],
-    "the newest cell is not followed": [(PACKAGE + "admission._refusal", stale_limit)],
+    "the newest budget cell is not applied": [
+        (PACKAGE + "admission._refusal", stale_limit)
+    ],
     "a call is admitted out of order": [
         (PACKAGE + "admission.known_call", admit_early)
     ],
@@ -280,20 +282,20 @@
     "the intent is not recorded": [
         (PACKAGE + "attempts.dispatch", dispatch_without_intent)
     ],
-    "a given up attempt is dispatched": [
+    "an abandoned attempt is dispatched": [
         (PACKAGE + "attempts.dispatch", dispatch_an_abandoned_attempt)
     ],
     "an unrepeatable call is tried again": [
         (PACKAGE + "attempts.finish_with_problem", retry_unrepeatable)
     ],
-    "ran: no is said of everything": [
-        (PACKAGE + "attempts._stored_problem", always_says_no)
+    "ran: no is reported for every problem": [
+        (PACKAGE + "attempts._stored_problem", always_report_no)
     ],
-    "ran speaks for the last attempt only": [
-        (PACKAGE + "attempts._stored_problem", no_of_the_last_attempt_only)
+    "ran covers the last attempt only": [
+        (PACKAGE + "attempts._stored_problem", report_last_attempt_only)
     ],
     "the history lacks the new messages": [
-        (PACKAGE + "attempts.close_call", forgets_messages)
+        (PACKAGE + "attempts.close_call", close_without_messages)
     ],
     "a sealed chunk is lost": [
         (PACKAGE + "history.History._seal_tail", seal_drops_a_turn)
@@ -304,7 +306,7 @@
     "a page miscounts its messages": [
         (PACKAGE + "history.page_of", page_without_count)
     ],
-    "a page forgets the bodies of its calls": [
+    "a page lacks the digests of its calls": [
         (PACKAGE + "pages.TurnStub.of", stub_without_digest)
     ],
     "children outlive their parent": [(PACKAGE + "tree._end_tree", end_keeps_children)],
--- a/tests/stateful/programs/machine.py
+++ b/tests/stateful/programs/machine.py
@@ -1,4 +1,4 @@
-"""Two gateways, engines and a leader that drive the programs' state at random."""
+"""State machine test: two gateways, engines and a leader drive the state at random."""
 
 import msgspec
 from hypothesis import strategies as st
@@ -29,7 +29,7 @@
 LONG_AGO = 1e6
 SMALL_PAGE_BYTES = 900
 
-# Mostly the first program and the newest attempt, so that rules meet there.
+# Mostly the first program and newest attempt, so that rules act on the same ones.
 numbers = st.sampled_from((0, 0, 0, 0, 1, 2, 3))
 command_codec = msgspec.json.Decoder(type=c.AdmitAttempt | c.FinishAttempt)
 
@@ -49,7 +49,7 @@
         self.answer_count = 0
 
     def apply(self, command):
-        # A replica gets the command over the wire, the leader has it in memory.
+        # Replicas decode the command from the wire; the leader has it in memory.
         if isinstance(command, c.AdmitAttempt | c.FinishAttempt):
             copy = command_codec.decode(msgspec.json.encode(command))
         else:
--- a/tests/stateful/programs/oracle.py
+++ b/tests/stateful/programs/oracle.py
@@ -1,8 +1,7 @@
-"""What must hold of programs, told by gateways and engines alone.
+"""Invariants of programs, checked from the view of gateways and engines.
 
-The oracle never reads the state's records: it is told every command's result and
-what engines truly did, and asserts what a caller, an operator or an engine would
-complain about.
+The oracle never reads the state's records. It gets the result of every command and
+what engines really did, and asserts what callers, operators and engines rely on.
 """
 
 from dataclasses import dataclass, field
@@ -13,7 +12,7 @@
 
 @dataclass
 class Attempt:
-    """One admission as its gateway holds it."""
+    """One admitted attempt as its gateway sees it."""
 
     program: str
     sequence: int
@@ -42,7 +41,7 @@
 
 @dataclass
 class Program:
-    """One program as its callers know it."""
+    """One program as its callers see it."""
 
     name: str
     tenant: str
@@ -60,12 +59,12 @@
 
 
 def engine_tokens(messages):
-    """Count as an engine does: 4 a message and 1 for each 4 bytes."""
+    """Count like an engine: 4 tokens per message and 1 per 4 bytes, rounded up."""
     return sum(4 + -(-len(message.content.encode()) // 4) for message in messages)
 
 
 class Oracle:
-    """All programs, attempts and engines' memory."""
+    """Expected programs, attempts and engine memory."""
 
     def __init__(self):
         self.programs: dict[str, Program] = {}
@@ -84,7 +83,7 @@
         return [a for a in self.attempts if a.call == (program, sequence)]
 
     def check_ran(self, program, sequence, problem):
-        """`ran: no` is said only when no attempt at the call may have run."""
+        """Check that `ran: no` implies that no attempt at the call may have run."""
         if problem.ran is Ran.NO:
             attempts = self.attempts_of(program, sequence)
             assert not any(attempt.may_have_run for attempt in attempts), problem
@@ -107,7 +106,7 @@
         assert self.tree_charge(program.name) + attempt.charge <= limit, "budget"
         assert message_count == len(program.history)
         truth = engine_tokens([*program.history, *attempt.messages])
-        assert truth <= prompt_tokens, "the bound of the prompt is too low"
+        assert truth <= prompt_tokens, "the bound of the prompt tokens is too low"
         program.current = attempt
         self.attempts.append(attempt)
 
@@ -131,12 +130,12 @@
     def started(self, attempt: Attempt):
         attempt.started = True
         if self.programs[attempt.program].current is not attempt:
-            # A gateway that was given up wakes; its memory is the steward's to find.
+            # The gateway's attempt was abandoned; the steward releases its memory.
             return
         self.holding.add((attempt.program, attempt.engine))
 
     def failed(self, attempt: Attempt, stored, *, certainly_not):
-        """Note that the newest attempt ended without an answer."""
+        """Record that the newest attempt ended without an answer."""
         program = self.programs[attempt.program]
         program.current = None
         if certainly_not:
@@ -149,10 +148,10 @@
             program.digests.append(attempt.digest)
 
     def answered(self, attempt: Attempt, answer: Answer, *, stored):
-        """Note an answer of a gateway; `stored` is what the state said of it."""
+        """Record an answer; `stored` is whether the state reported to store it."""
         program = self.programs[attempt.program]
         if program.current is attempt:
-            # The engine filled memory until the stream's end.
+            # The engine allocated memory until the end of the stream.
             self.holding.add((attempt.program, attempt.engine))
         self.close(attempt, answer.usage.total_tokens)
         if attempt.sequence < program.next_sequence:
@@ -168,7 +167,7 @@
             program.history.extend((*attempt.messages, answer.message))
 
     def ended(self, name):
-        """Note that a program and everything below it ended."""
+        """Record that a program and its descendants ended."""
         program = self.programs[name]
         current = program.current
         if not program.ended and current is not None and not current.dispatched:
--- a/tests/stateful/programs/test_programs_in_region.py
+++ b/tests/stateful/programs/test_programs_in_region.py
@@ -1,4 +1,4 @@
-"""Programs in a whole virtual region: kept in the journal, and paged out."""
+"""Programs in a virtual region survive restarts, from the journal and paged out."""
 
 from contextlib import contextmanager
 from unittest.mock import patch
@@ -12,10 +12,10 @@
 from tests.stateful.region.world import TENANT, RecordedRegion
 from tests.virtual_region.caller import DirectCaller
 
-LONGEST_SECONDS = 60.0
+CALL_TIMEOUT_SECONDS = 60.0
 TURNS = 4
 CHILDREN = 6
-"""An engine refuses what it ran itself, so some calls must meet another engine."""
+"""Enough that some repeated calls would reach an engine that did not run them."""
 
 
 class Caller:
@@ -30,7 +30,7 @@
     def create(self, parent):
         core = self.region.running_cores()[0]
         created = self.caller.create(core, self.service, parent)
-        return self.region.wait_for(created, LONGEST_SECONDS).unwrap()
+        return self.region.wait_for(created, CALL_TIMEOUT_SECONDS).unwrap()
 
     def call(self, program, sequence, *, repeatable=False):
         messages = (ChatMessage("user", f"call {sequence}"),)
@@ -38,13 +38,13 @@
         answered = self.caller.call(
             core, program, sequence, messages, max_tokens=8, repeatable=repeatable
         )
-        return self.region.wait_for(answered, LONGEST_SECONDS)
+        return self.region.wait_for(answered, CALL_TIMEOUT_SECONDS)
 
     def runs_of(self, program, sequence):
         return len(self.region.accepted.get((program, sequence), ()))
 
     def restart_all(self):
-        """Lose what the daemons have in memory."""
+        """Crash and restart all daemons, which lose their memory."""
         for daemon in self.region.names:
             self.region.crash(daemon)
         for daemon in self.region.names:
@@ -54,7 +54,7 @@
 
 @contextmanager
 def region_settings(**sections):
-    """Give every daemon of a region other sections of settings."""
+    """Replace sections of the settings of every daemon."""
     with patch("tests.stateful.region.world.Settings") as settings:
         settings.side_effect = lambda **given: Settings(**{**given, **sections})
         yield
@@ -92,8 +92,8 @@
     core = caller.region.running_cores()[0]
     partition = partition_of_program(caller.program)
     read = ReadHistory(caller.program, TENANT, 0, 100)
-    asked = core.router.to_partition(partition, read, LONGEST_SECONDS)
-    page = caller.region.wait_for(asked, LONGEST_SECONDS).unwrap()
+    reply = core.router.to_partition(partition, read, CALL_TIMEOUT_SECONDS)
+    page = caller.region.wait_for(reply, CALL_TIMEOUT_SECONDS).unwrap()
     texts = [message.content for message in page.messages[::2]]
     assert texts == [f"call {sequence}" for sequence in range(1, TURNS + 1)]
     paged = [
--- a/tests/stateful/programs/test_programs_state.py
+++ b/tests/stateful/programs/test_programs_state.py
@@ -1,4 +1,4 @@
-"""The programs' state against the oracle, and the breaks that it must catch."""
+"""Checks the programs' state against the oracle, and the oracle against bugs."""
 
 from contextlib import ExitStack
 from unittest.mock import patch
@@ -20,7 +20,7 @@
 )
 
 SMALL_CHUNK_BYTES = 400
-COMMON = {
+COMMON_SETTINGS = {
     "deadline": None,
     "derandomize": True,
     "database": None,
@@ -37,24 +37,26 @@
     with small_chunks():
         run_state_machine_as_test(
             machine,
-            settings=settings(max_examples=150, stateful_step_count=50, **COMMON),
+            settings=settings(
+                max_examples=150, stateful_step_count=50, **COMMON_SETTINGS
+            ),
         )
 
 
 def assert_caught(machine, patches):
-    found = settings(
+    run_settings = settings(
         max_examples=1000,
         stateful_step_count=50,
         phases=[Phase.generate],
         report_multiple_bugs=False,
-        **COMMON,
+        **COMMON_SETTINGS,
     )
     with ExitStack() as stack:
         stack.enter_context(small_chunks())
         for target, replacement in patches:
             stack.enter_context(patch(target, replacement))
         with pytest.raises(AssertionError):
-            run_state_machine_as_test(machine, settings=found)
+            run_state_machine_as_test(machine, settings=run_settings)
 
 
 @pytest.mark.parametrize("name", BREAKS)
@@ -68,7 +70,7 @@
 
 
 def confirm_an_old_release_late():
-    """Release an exhausted program, raise its budget, end it, confirm the first."""
+    """Confirm the release of an exhausted program after more calls and its end."""
     machine = ReleasesMachine()
     machine.create(0, child=False)
     call = {"number": 0, "repeatable": True, "gateway": GATEWAYS[0], "steps": 4}
@@ -82,7 +84,7 @@
 
 
 def test_a_late_confirmation_confirms_no_newer_release():
-    """The random steps seldom get here, so this order is fixed."""
+    """Runs a fixed sequence that random steps seldom reach."""
     confirm_an_old_release_late()
     with patch(*LATE_CONFIRMATION), pytest.raises(AssertionError, match="stays held"):
         confirm_an_old_release_late()
--- a/tests/unit/programs/fakes.py
+++ b/tests/unit/programs/fakes.py
@@ -1,4 +1,4 @@
-"""Test doubles for what the leader service of programs stands on."""
+"""Test doubles for the dependencies of the leader service of programs."""
 
 from collections.abc import Callable
 
@@ -37,7 +37,7 @@
 
 
 class FakeNetwork:
-    """Keeps the handlers and calls them as the network would."""
+    """Stores the handlers and calls them like the peer network."""
 
     own_member = Member("daemon-1", 1)
 
@@ -59,14 +59,14 @@
 
 
 class LocalPartitions:
-    """One partition that is applied here, with proposals to lose or refuse."""
+    """One partition applied in memory; `fault_of` picks the fault of a proposal."""
 
     def __init__(self) -> None:
         self.states = {PARTITION: ProgramsState()}
         self.epoch: Epoch | None = Epoch(1)
         self.listeners = []
         self.applied: list[Command] = []
-        self.unknown: Callable[[Command], str] = lambda command: ""
+        self.fault_of: Callable[[Command], str] = lambda command: ""
 
     def led_partitions(self):
         return () if self.epoch is None else (PARTITION,)
@@ -85,7 +85,7 @@
     ) -> "Deferred[Result[CommandResult, Problem]]":
         if self.epoch is None or partition != PARTITION:
             return succeed(Err(Problem.of(ProblemCode.NOT_LEADER, "not the leader")))
-        fault = self.unknown(command)
+        fault = self.fault_of(command)
         if fault != "lost":
             result = self.states[partition].apply(command, self.epoch)
             self.applied.append(command)
@@ -98,7 +98,7 @@
         self.listeners.append(listener)
 
     def lead(self, epoch: Epoch | None) -> None:
-        """Begin or end leading; a new epoch goes on from a snapshot."""
+        """Begin or end the leadership; the state is restored from a snapshot."""
         self.epoch = epoch
         copy = ProgramsState()
         copy.restore(self.states[PARTITION].snapshot())
@@ -108,7 +108,7 @@
 
 
 class FakeTable:
-    """Rows that a test may change."""
+    """A table whose rows a test may change."""
 
     def __init__(self):
         self.version = 1
@@ -121,7 +121,7 @@
 
 
 class FakeMembership:
-    """Live and certainly dead members."""
+    """Sets of live and of certainly dead members."""
 
     def __init__(self):
         self.live = {GATEWAY, OTHER_GATEWAY}
@@ -138,7 +138,7 @@
 
 
 class FakeRouter:
-    """Stewards that confirm or refuse releases."""
+    """Router to stewards that confirm or refuse releases."""
 
     def __init__(self):
         self.releases: list[ReleasePrefix] = []
@@ -152,7 +152,7 @@
 
 
 class FakeDirectory:
-    """The engines of the machine list."""
+    """Directory of engines that a test may change."""
 
     def __init__(self):
         self.names = {"engine-1", "engine-2"}
@@ -165,9 +165,10 @@
 
 
 class FakeLog:
-    """Streams in memory; `fault` is the next requests' fault.
+    """In-memory streams; `fault` applies to the next requests.
 
-    `down` refuses, `hangs` never answers, `lost` appends without an answer.
+    `down` refuses requests, `hangs` never responds to reads, `lost` appends without
+    a response.
     """
 
     def __init__(self):
@@ -179,25 +180,25 @@
     def append(self, stream, records):
         if self.fault == "down":
             return succeed(Err(Problem.of(ProblemCode.UNAVAILABLE, "log is down")))
-        kept = self.streams.setdefault(stream, [])
-        first = len(kept)
-        kept.extend(records)
+        stored_records = self.streams.setdefault(stream, [])
+        first = len(stored_records)
+        stored_records.extend(records)
         if self.fault == "lost":
-            lost = Problem.of(ProblemCode.UNAVAILABLE, "lost", ran=Ran.UNKNOWN)
-            return succeed(Err(lost))
+            problem = Problem.of(ProblemCode.UNAVAILABLE, "lost", ran=Ran.UNKNOWN)
+            return succeed(Err(problem))
         return succeed(Ok(first))
 
     def read(self, stream, offset, limit, wait_seconds=0.0):
         self.reads += 1
         if self.fault == "down":
             return succeed(Err(Problem.of(ProblemCode.UNAVAILABLE, "log is down")))
-        kept = self.streams.get(stream, [])
-        found = kept[offset : offset + limit]
+        stored_records = self.streams.get(stream, [])
+        found = stored_records[offset : offset + limit]
         stored = tuple(
             StoredRecord(offset + index, record.id, record.data)
             for index, record in enumerate(found)
         )
-        page = Ok(LogPage(stored, offset + len(found), len(kept)))
+        page = Ok(LogPage(stored, offset + len(found), len(stored_records)))
         if self.fault == "hangs":
             self.hanging.append((Deferred(), page))
             return self.hanging[-1][0]
@@ -216,7 +217,7 @@
 
 
 class Leader:
-    """The service with all its doubles."""
+    """The leader service with all its test doubles."""
 
     def __init__(self, **settings):
         self.clock = Clock()
@@ -243,20 +244,20 @@
         )
 
     def send(self, message):
-        """Send a request that is answered at once, and give the reply."""
+        """Send a request and return its reply, which must arrive at once."""
         replies = []
         self.network.send(message).addCallback(replies.append)
         assert replies, f"no reply yet to {message}"
         return replies[0]
 
     def begin(self, message):
-        """Send a request; the list gets its reply when there is one."""
+        """Send a request; return a list to which its reply is appended."""
         replies = []
         self.network.send(message).addCallback(replies.append)
         return replies
 
     def pass_seconds(self, seconds):
-        """Let time pass in steps of a second."""
+        """Advance the clock in steps of a second."""
         for _ in range(int(seconds)):
             self.clock.advance(1)
         self.clock.advance(seconds - int(seconds))
--- a/tests/unit/programs/test_call_path.py
+++ b/tests/unit/programs/test_call_path.py
@@ -1,4 +1,4 @@
-"""The whole path of calls through the leader service."""
+"""Calls through the leader service, from admission to outcome."""
 
 from notcharch.wire.messages.programs import (
     AdmitCall,
--- a/tests/unit/programs/test_faults.py
+++ b/tests/unit/programs/test_faults.py
@@ -1,4 +1,4 @@
-"""Fault tables of the leader service: lost gateways, leaders, proposals, releases."""
+"""Faults at the leader service: gateways, leader changes, proposals and releases."""
 
 import msgspec
 import pytest
@@ -59,17 +59,17 @@
     leader.pass_seconds(1)
 
 
-LOSSES = (
+GATEWAY_FAILURES = (
     gateway_is_certainly_dead,
     gateway_is_long_missing,
     gateway_dies_at_a_leader_change,
 )
 
 
-@pytest.mark.parametrize("lose", LOSSES)
-def test_lost_before_dispatch_certainly_did_not_run(lose):
+@pytest.mark.parametrize("fail_gateway", GATEWAY_FAILURES)
+def test_lost_before_dispatch_certainly_did_not_run(fail_gateway):
     leader = running(dispatched=False)
-    lose(leader)
+    fail_gateway(leader)
     failed = leader.send(AwaitAnswer(PROGRAM, "tenant-1", 1, 0.0))
     assert failed.problem.ran is Ran.NO
     assert failed.problem.retry_after is not None
@@ -79,10 +79,10 @@
     assert leader.send(admit(gateway=OTHER_GATEWAY)).attempt == 2
 
 
-@pytest.mark.parametrize("lose", LOSSES)
-def test_lost_after_dispatch_repeatable_runs_again(lose):
+@pytest.mark.parametrize("fail_gateway", GATEWAY_FAILURES)
+def test_lost_after_dispatch_repeatable_runs_again(fail_gateway):
     leader = running()
-    lose(leader)
+    fail_gateway(leader)
     assert (
         leader.send(AwaitAnswer(PROGRAM, "tenant-1", 1, 0.0)).problem.ran is Ran.UNKNOWN
     )
@@ -95,10 +95,10 @@
     assert stored.ran is Ran.UNKNOWN
 
 
-@pytest.mark.parametrize("lose", LOSSES)
-def test_lost_after_dispatch_unrepeatable_never_runs_again(lose):
+@pytest.mark.parametrize("fail_gateway", GATEWAY_FAILURES)
+def test_lost_after_dispatch_unrepeatable_never_runs_again(fail_gateway):
     leader = running(repeatable=False)
-    lose(leader)
+    fail_gateway(leader)
     for gateway in (GATEWAY, OTHER_GATEWAY):
         failed = leader.send(admit(repeatable=False, gateway=gateway))
         assert isinstance(failed, CallFailed)
@@ -176,9 +176,9 @@
     attempt = 1
     for name, request in REQUESTS.items():
         if name == faulty:
-            leader.partitions.unknown = lambda command: fault
+            leader.partitions.fault_of = lambda command: fault
             assert leader.send(request).ran is Ran.UNKNOWN
-            leader.partitions.unknown = lambda command: ""
+            leader.partitions.fault_of = lambda command: ""
         if name in {"dispatch", "finish"}:
             reply = leader.send(msgspec.structs.replace(request, attempt=attempt))
         else:
@@ -201,8 +201,8 @@
     leader = ended(running())
     leader.router.refusal = Problem.of(ProblemCode.UNAVAILABLE, "steward is away")
     leader.pass_seconds(20)
-    asked = len(leader.router.releases)
-    assert 3 <= asked <= 6
+    request_count = len(leader.router.releases)
+    assert 3 <= request_count <= 6
     assert list(leader.state.duties())
     leader.partitions.lead(2)
     leader.router.refusal = None
@@ -217,11 +217,11 @@
 @pytest.mark.parametrize("fault", ["lost", "applied"])
 def test_a_confirmation_of_unknown_outcome_is_made_again(fault):
     leader = ended(running())
-    leader.partitions.unknown = lambda command: (
+    leader.partitions.fault_of = lambda command: (
         fault if isinstance(command, ConfirmReleases) else ""
     )
     leader.pass_seconds(3)
-    leader.partitions.unknown = lambda command: ""
+    leader.partitions.fault_of = lambda command: ""
     leader.pass_seconds(3)
     assert not list(leader.state.duties())
 
@@ -231,7 +231,7 @@
     leader.router.refusal = Problem.of(ProblemCode.NO_ENGINE, "no such engine")
     leader.directory.names = set()
     leader.pass_seconds(60)
-    assert list(leader.state.duties()), "an empty directory was not read yet"
+    assert list(leader.state.duties()), "an empty directory counts as not read yet"
     leader.directory.names = {"engine-2"}
     leader.pass_seconds(25)
     assert list(leader.state.duties())
@@ -263,12 +263,12 @@
 
 def test_not_found_is_said_only_after_a_barrier():
     leader = created()
-    leader.partitions.unknown = lambda command: "lost"
+    leader.partitions.fault_of = lambda command: "lost"
     unknown = "region1-1-f"
     reply = leader.send(EndProgram(unknown, "tenant-1"))
     assert code_of(reply) == "unavailable"
     assert code_of(leader.send(admit(program=unknown))) == "unavailable"
     assert code_of(leader.send(CheckProgramsLive((unknown,)))) == "unavailable"
-    leader.partitions.unknown = lambda command: ""
+    leader.partitions.fault_of = lambda command: ""
     assert code_of(leader.send(admit(program=unknown))) == "not_found"
     assert isinstance(leader.partitions.applied[-1], ReadBarrier)
--- a/tests/unit/programs/test_limits.py
+++ b/tests/unit/programs/test_limits.py
@@ -1,4 +1,4 @@
-"""Refusals: tenants, cells of the row, early calls, expiry, children."""
+"""Refusals by tenant, by table cells, of early calls; expiry and child programs."""
 
 import msgspec
 import pytest
@@ -19,7 +19,7 @@
 from tests.unit.programs.test_call_path import admit, created
 from tests.unit.programs.test_faults import code_of, running, started
 
-STRANGERS = (
+REQUESTS_OF_ANOTHER_TENANT = (
     admit(tenant="tenant-2"),
     AwaitAnswer(PROGRAM, "tenant-2", 1, 5.0),
     EndProgram(PROGRAM, "tenant-2"),
@@ -31,7 +31,9 @@
 )
 
 
-@pytest.mark.parametrize("request_", STRANGERS, ids=lambda r: type(r).__name__)
+@pytest.mark.parametrize(
+    "request_", REQUESTS_OF_ANOTHER_TENANT, ids=lambda r: type(r).__name__
+)
 def test_another_tenant_finds_nothing(request_):
     problem = created().send(request_)
     assert (code_of(problem), problem.ran) == ("not_found", Ran.NO)
@@ -91,7 +93,7 @@
 def test_an_early_call_is_refused_after_a_bounded_wait():
     leader = running(early_wait_seconds=2.0)
     early = [leader.begin(admit(2, str(number))) for number in range(20)]
-    assert sum(len(replies) for replies in early) == 4, "the number is bounded"
+    assert sum(len(replies) for replies in early) == 4, "at most 16 requests may wait"
     leader.pass_seconds(2)
     for (problem,) in early:
         assert (code_of(problem), problem.ran) == ("sequence_conflict", Ran.NO)
--- a/tests/unit/programs/test_paging.py
+++ b/tests/unit/programs/test_paging.py
@@ -1,4 +1,4 @@
-"""Paging at the leader: what leaves the memory, what comes back, what is refused."""
+"""Paging of histories at the leader: page out, read back, refusals."""
 
 import random
 from unittest.mock import patch
@@ -23,13 +23,13 @@
 from tests.unit.programs.test_call_path import admit, created
 from tests.unit.programs.test_faults import code_of
 
-BOUND = 12_000
+LIMIT_BYTES = 12_000
 TURNS = 20
 STREAM = "history-region1-1"
 
 
 def text(sequence):
-    """Give a text that hardly compresses."""
+    """Return a text that hardly compresses."""
     return random.Random(sequence).randbytes(350).hex()
 
 
@@ -54,8 +54,8 @@
 
 
 def with_history(fault=""):
-    """Make an old and a young program that are together above the bound."""
-    leader = created(history_bytes=BOUND)
+    """Start a leader with two programs whose histories exceed the limit."""
+    leader = created(history_bytes=LIMIT_BYTES)
     leader.table.by_service["guide"] = msgspec.structs.replace(
         leader.table.by_service["guide"], budget_tokens=10_000_000
     )
@@ -75,8 +75,8 @@
         yield
 
 
-def forget_pages(leader):
-    """Empty the cache, as for a new leader."""
+def clear_page_cache(leader):
+    """Clear the page cache, which is empty at a new leader."""
     leader.service._paging._pages._cache._pages.clear()
 
 
@@ -84,7 +84,7 @@
     leader = with_history()
     assert history_of(leader).pages
     assert not history_of(leader, OTHER_PROGRAM).pages
-    forget_pages(leader)
+    clear_page_cache(leader)
     reads = leader.log.reads
     page = leader.send(ReadHistory(PROGRAM, "tenant-1", 0, 100))
     sequences = range(1, TURNS + 1)
@@ -127,7 +127,7 @@
     assert code_of(refused) == "history_unavailable"
     assert (refused.ran, refused.retry_after) == (Ran.NO, 2.0)
     assert leader.state.record(PROGRAM).call is None
-    # It is known to be down: the next one is refused without a question.
+    # After a failed read, the next one is refused without a request to the log.
     reads = leader.log.reads
     repeat = leader.send(call(1))
     assert (code_of(repeat), repeat.ran) == ("history_unavailable", Ran.YES)
@@ -167,7 +167,7 @@
     assert leader.state.record(PROGRAM).call is None
 
 
-def nothing_is_dropped_for_an_unsure_append(fault):
+def check_unconfirmed_append_drops_nothing(fault):
     leader = with_history(fault)
     history = history_of(leader)
     assert not history.pages
@@ -175,23 +175,23 @@
     leader.log.fault = ""
     leader.pass_seconds(6)
     assert history_of(leader).pages
-    forget_pages(leader)
+    clear_page_cache(leader)
     page = leader.send(ReadHistory(PROGRAM, "tenant-1", 0, 100))
     assert len(page.messages) == 2 * TURNS
 
 
 @pytest.mark.parametrize("fault", ["down", "lost"])
 def test_nothing_is_dropped_for_an_unsure_append(fault):
-    nothing_is_dropped_for_an_unsure_append(fault)
+    check_unconfirmed_append_drops_nothing(fault)
 
 
-async def append_is_taken_for_sure(self, partition, records):
+async def append_without_confirmation(self, partition, records):
     await self._log.append(self._stream(partition), records)
     return 0
 
 
 @pytest.mark.parametrize("fault", ["down", "lost"])
 def test_the_break_of_dropping_too_early_is_caught(fault):
-    too_early = patch.object(PageLog, "append", append_is_taken_for_sure)
-    with too_early, pytest.raises(AssertionError):
-        nothing_is_dropped_for_an_unsure_append(fault)
+    early_drop = patch.object(PageLog, "append", append_without_confirmation)
+    with early_drop, pytest.raises(AssertionError):
+        check_unconfirmed_append_drops_nothing(fault)
--- a/tests/unit/programs/test_tool_calls.py
+++ b/tests/unit/programs/test_tool_calls.py
@@ -1,4 +1,4 @@
-"""Tool calls of messages survive the wire, the commands and the history."""
+"""Tool calls are unchanged by the wire codec, commands and the history."""
 
 import msgspec
 
@@ -10,7 +10,7 @@
 from tests.unit.programs.test_call_path import admit, created
 
 TOOL_CALLS = msgspec.Raw(b'[{"id": "1", "function": {"name": "unlock"}}]')
-ASKING = ChatMessage("assistant", tool_calls=TOOL_CALLS)
+TOOL_REQUEST = ChatMessage("assistant", tool_calls=TOOL_CALLS)
 TOOL = ChatMessage("tool", "done", tool_call_id="1")
 
 
@@ -21,14 +21,14 @@
 
 def test_tool_calls_are_carried_and_kept():
     leader = created()
-    asked = over_the_wire(admit(messages=(ASKING, TOOL)))
-    assert asked.messages == (ASKING, TOOL)
-    assert leader.send(asked).prompt_tokens == len(bytes(TOOL_CALLS)) + 5 + 16
+    request = over_the_wire(admit(messages=(TOOL_REQUEST, TOOL)))
+    assert request.messages == (TOOL_REQUEST, TOOL)
+    assert leader.send(request).prompt_tokens == len(bytes(TOOL_CALLS)) + 5 + 16
     command = leader.partitions.applied[-1]
     copy = msgspec.json.decode(msgspec.json.encode(command), type=AdmitAttempt)
     assert copy == command
     leader.send(DispatchCall(PROGRAM, 1, 1, "engine-1"))
-    answer = Answer(ASKING, TokenUsage(9, 3), FinishReason.TOOL_CALLS)
+    answer = Answer(TOOL_REQUEST, TokenUsage(9, 3), FinishReason.TOOL_CALLS)
     finish = over_the_wire(FinishCall(PROGRAM, 1, 1, answer))
     assert leader.send(finish) == leader.send(finish)
-    assert leader.send(admit(2, "b")).history == (ASKING, TOOL, ASKING)
+    assert leader.send(admit(2, "b")).history == (TOOL_REQUEST, TOOL, TOOL_REQUEST)
