--- a/notcharch/programs/history_reader.py
+++ b/notcharch/programs/history_reader.py
@@ -1,7 +1,7 @@
-"""Reads histories at the leader, wherever their turns lie.
+"""Reads histories at the leader, from memory and from the log service.
 
-A read takes place at one moment, when everything it needs is here: meanwhile more
-turns may have been paged out, which are then fetched, too.
+A read takes place once all pages it needs are fetched. Turns that are paged out in
+the meantime are fetched as well.
 """
 
 import msgspec
@@ -19,63 +19,63 @@
 
 
 class HistoryReader:
-    """Messages and turns of led programs; ProblemError when a page cannot be had."""
+    """Reads messages and turns; raises ProblemError if a page is unavailable."""
 
     def __init__(self, led: LedPrograms, pages: PageLog) -> None:
-        """Read the pages through `pages`."""
+        """Read paged-out turns through `pages`."""
         self._led = led
         self._pages = pages
 
     async def fetch_all(self, record: ProgramRecord) -> dict[bytes, bytes]:
-        """Give all pages of a history, by digest, for `messages`."""
-        held: dict[bytes, bytes] = {}
-        await self._fetch(record, record.history.pages, held, record.ran_so_far)
-        return held
+        """Fetch all pages of a history, by digest, for `messages`."""
+        fetched: dict[bytes, bytes] = {}
+        await self._fetch(record, record.history.pages, fetched, record.ran_so_far)
+        return fetched
 
     async def messages(
         self,
         record: ProgramRecord,
         start: int,
         limit: int,
-        held: dict[bytes, bytes] | None = None,
+        fetched: dict[bytes, bytes] | None = None,
     ) -> tuple[ChatMessage, ...]:
-        """Give up to `limit` messages from message `start` (0-based) on.
+        """Return up to `limit` messages from message `start` (0-based).
 
-        `held` are pages that were fetched before.
+        `fetched` has the pages that were fetched before, by digest.
         """
-        held = {} if held is None else held
+        fetched = {} if fetched is None else fetched
         while True:
             needed = record.history.pages_of_messages(start, limit)
-            if all(page.digest in held for page in needed):
-                return record.history.messages(start, limit, held)
-            await self._fetch(record, needed, held, record.ran_so_far)
+            if all(page.digest in fetched for page in needed):
+                return record.history.messages(start, limit, fetched)
+            await self._fetch(record, needed, fetched, record.ran_so_far)
 
     async def turn(self, record: ProgramRecord, sequence: CallSequence) -> Turn:
-        """Give the turn of a finished call; a refusal says how far the call ran."""
-        held: dict[bytes, bytes] = {}
+        """Return the turn of a finished call; a refusal has the `ran` of the call."""
+        fetched: dict[bytes, bytes] = {}
         while True:
             page = record.history.page_of_turn(sequence)
-            if page is None or page.digest in held:
-                return record.history.turn(sequence, held)
+            if page is None or page.digest in fetched:
+                return record.history.turn(sequence, fetched)
             problem = record.history.stub(sequence).problem
             ran = Ran.YES if problem is None else problem.ran
-            await self._fetch(record, (page,), held, ran)
+            await self._fetch(record, (page,), fetched, ran)
 
     async def _fetch(
         self,
         record: ProgramRecord,
         pages: tuple[PageReference, ...],
-        held: dict[bytes, bytes],
+        fetched: dict[bytes, bytes],
         ran: Ran,
     ) -> None:
-        """Read the pages that `held` lacks, all at once, into it."""
-        missing = [page for page in pages if page.digest not in held]
+        """Read the pages missing from `fetched` concurrently, and add them."""
+        missing = [page for page in pages if page.digest not in fetched]
         reads = [Deferred.fromCoroutine(self._read(record, page)) for page in missing]
         try:
             found = await gatherResults(reads, consumeErrors=True)
         except FirstError as error:
             raise _refusal(error, ran) from error
-        held.update(
+        fetched.update(
             (page.digest, plain) for page, plain in zip(missing, found, strict=True)
         )
 
@@ -85,7 +85,7 @@
 
 
 def _refusal(error: FirstError, ran: Ran) -> BaseException:
-    """Say in a refusal whether the call that needs the page has run."""
+    """Return the error with `ran` set for the call that needs the page."""
     cause = error.subFailure.value
     if not isinstance(cause, ProblemError):
         return error
