--- a/emulator/local.py
+++ b/emulator/local.py
@@ -28,7 +28,7 @@
     PlatformSection,
     Settings,
 )
-from notcharch.table.draft import WholeDraft
+from notcharch.table.draft import TableDraft
 from notcharch.table.interface import TenantKey
 from notcharch.table.publisher import PublishRequest
 from notcharch.values.identifiers import (
@@ -190,7 +190,7 @@
         core = self.daemons[0].core
         assert core is not None
         digest = hashlib.sha256(self._api_key.encode()).hexdigest()
-        draft = WholeDraft(
+        draft = TableDraft(
             rows=STARTING_ROWS,
             keys=(TenantKey(TENANT, digest),),
         )
--- a/notcharch/admin/table_routes.py
+++ b/notcharch/admin/table_routes.py
@@ -13,7 +13,7 @@
     Draft,
     RawRow,
     RollbackDraft,
-    WholeDraft,
+    TableDraft,
 )
 from notcharch.table.edits import AnyEdit
 from notcharch.table.interface import ServiceRow, TenantKey
@@ -261,6 +261,6 @@
     if body.changes is not None and body.rows is None and body.keys is None:
         return Ok((body, ChangesDraft(body.changes)))
     if body.changes is None and body.rows is not None:
-        return Ok((body, WholeDraft(body.rows, body.keys)))
+        return Ok((body, TableDraft(body.rows, body.keys)))
     finding = Finding("body", "must have either changes or rows")
     return Err(bad_request("the body is invalid", finding))
--- a/notcharch/table/document.py
+++ b/notcharch/table/document.py
@@ -21,7 +21,7 @@
 from result import Err, Ok, Result
 
 from notcharch.errors import Finding
-from notcharch.table.draft import Findings, RawRow, WholeDraft
+from notcharch.table.draft import Findings, RawRow, TableDraft
 from notcharch.table.interface import ServiceRow, Table, TenantKey
 from notcharch.table.schema import CELL_NAMES, KEY_CELL, read_cell, row_place
 from notcharch.values.identifiers import TableVersion
@@ -42,7 +42,7 @@
     """A document as it was read: `base_version` is None when it names none."""
 
     base_version: TableVersion | None
-    draft: WholeDraft
+    draft: TableDraft
 
 
 def read_document(
@@ -78,7 +78,7 @@
     if findings:
         return Err(tuple(findings))
     base = None if version is None else TableVersion(version)
-    return Ok(TableDocument(base, WholeDraft(tuple(rows), tuple(keys))))
+    return Ok(TableDocument(base, TableDraft(tuple(rows), tuple(keys))))
 
 
 def _tables(
@@ -130,7 +130,7 @@
     ]
     if findings:
         return Err(tuple(findings))
-    return Ok(TableDocument(version, WholeDraft(tuple(rows), None)))
+    return Ok(TableDocument(version, TableDraft(tuple(rows), None)))
 
 
 def _header_findings(names: list[str]) -> list[Finding]:
--- a/notcharch/table/draft.py
+++ b/notcharch/table/draft.py
@@ -92,7 +92,7 @@
     changes: tuple[AnyChange, ...]
 
 
-class WholeDraft(msgspec.Struct, frozen=True):
+class TableDraft(msgspec.Struct, frozen=True):
     """A whole table that replaces the base version; None keeps the base's keys.
 
     Zones stay drained: a drain is no part of a document.
@@ -108,21 +108,21 @@
     target: TableVersion
 
 
-Draft = ChangesDraft | WholeDraft | RollbackDraft
+Draft = ChangesDraft | TableDraft | RollbackDraft
 
 
 def draft_edits(
-    draft: ChangesDraft | WholeDraft, base: TableContents
+    draft: ChangesDraft | TableDraft, base: TableContents
 ) -> Result[tuple[AnyEdit, ...], Findings]:
     """Check a draft and give the edits that it makes to its base."""
-    if isinstance(draft, WholeDraft):
-        wanted = read_whole(draft, base)
+    if isinstance(draft, TableDraft):
+        wanted = read_table_draft(draft, base)
         return wanted.map(lambda contents: difference(base, contents))
     return _edits_of_changes(draft, base)
 
 
-def read_whole(
-    draft: WholeDraft, base: TableContents = EMPTY_CONTENTS
+def read_table_draft(
+    draft: TableDraft, base: TableContents = EMPTY_CONTENTS
 ) -> Result[TableContents, Findings]:
     """Check a whole table's raw rows and keys."""
     rows: list[ServiceRow] = []
--- a/tests/stateful/region/world.py
+++ b/tests/stateful/region/world.py
@@ -8,7 +8,7 @@
 )
 from notcharch.clients.ports import MachineKind
 from notcharch.settings.schema import PartitionsSection, Settings
-from notcharch.table.draft import WholeDraft
+from notcharch.table.draft import TableDraft
 from tests.virtual_region.region import RegionPlan, VirtualRegion
 
 TENANT = "tenant"
@@ -69,7 +69,7 @@
         for host in self.models.engines.values():
             self._record(host.model)
         self.start_all()
-        self.publish(WholeDraft(rows=ROWS, keys=None))
+        self.publish(TableDraft(rows=ROWS, keys=None))
         self.advance(5.0)
 
     def _record(self, model):
--- a/tests/unit/table/test_document.py
+++ b/tests/unit/table/test_document.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from notcharch.table.document import DocumentFormat, read_document, write_document
-from notcharch.table.draft import read_whole
+from notcharch.table.draft import read_table_draft
 from notcharch.table.interface import ServiceRow, Table, TenantKey
 
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._-]{0,8}", fullmatch=True)
@@ -37,7 +37,7 @@
     text = write_document(table, document_format)
     document = read_document(text, document_format).unwrap()
     assert document.base_version == 7
-    contents = read_whole(document.draft).unwrap()
+    contents = read_table_draft(document.draft).unwrap()
     assert list(contents.rows.values()) == rows
     if document_format is DocumentFormat.TOML:
         assert document.draft.keys == tuple(keys)
--- a/tests/virtual_region/region.py
+++ b/tests/virtual_region/region.py
@@ -27,7 +27,7 @@
 from notcharch.daemon.ports import DaemonPorts
 from notcharch.errors.problem import ProblemError
 from notcharch.settings.schema import Settings
-from notcharch.table.draft import WholeDraft
+from notcharch.table.draft import TableDraft
 from notcharch.table.publisher import PublishRequest
 from notcharch.values.identifiers import (
     DaemonName,
@@ -120,7 +120,7 @@
             self.cores[name] for name in self.cores if self.fabric.is_running(name)
         )
 
-    def publish(self, draft: WholeDraft, base: TableVersion = NO_VERSION) -> None:
+    def publish(self, draft: TableDraft, base: TableVersion = NO_VERSION) -> None:
         """Publish a table through the first running daemon and wait for it."""
         core = self.running_cores()[0]
         request = PublishRequest(draft, base, "virtual region")
