--- a/notcharch/table/__init__.py
+++ b/notcharch/table/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' table: rows, checks, publication, merging, and its replica."""
+"""The service table: schema, validation, publication, merging and replication."""
--- a/notcharch/table/document.py
+++ b/notcharch/table/document.py
@@ -1,11 +1,11 @@
-"""Table documents: the table as a file that people edit, in TOML or CSV.
+"""Table documents: the table as an editable TOML or CSV file.
 
-TOML holds everything: `version`, the rows as `[[rows]]` and the callers' keys as
-`[[keys]]`. CSV holds the rows alone, one a line, with the cells' names in the first
-line and, above it, a line `# version = N`; publishing it keeps the keys as they are.
-A cell that is left out or empty takes its default.
+TOML contains everything: `version`, the rows as `[[rows]]` and the callers' keys as
+`[[keys]]`. CSV contains only the rows, one per line, below a header line with the cell
+names and an optional line `# version = N`; publishing it leaves the keys unchanged.
+A missing or empty cell has its default value.
 
-`version` is the version that was read and edited: the base of a publication.
+`version` is the version that was exported: the base version of a publication.
 """
 
 import csv
@@ -32,14 +32,14 @@
 
 
 class DocumentFormat(enum.Enum):
-    """The file formats, by their suffix."""
+    """File formats, by file name suffix."""
 
     TOML = ".toml"
     CSV = ".csv"
 
 
 class TableDocument(msgspec.Struct, frozen=True):
-    """A document as it was read: `base_version` is None when it names none."""
+    """A parsed document; `base_version` is None if the document has no version."""
 
     base_version: TableVersion | None
     draft: TableDraft
@@ -48,14 +48,14 @@
 def read_document(
     text: str, document_format: DocumentFormat
 ) -> Result[TableDocument, Findings]:
-    """Read a document; cells are converted, and checked when it is published."""
+    """Parse a document and convert its cells; publication validates their values."""
     if document_format is DocumentFormat.CSV:
         return _read_csv(text)
     return _read_toml(text)
 
 
 def write_document(table: Table, document_format: DocumentFormat) -> str:
-    """Write a version of the table as a document that can be edited."""
+    """Serialize a table as an editable document."""
     if document_format is DocumentFormat.CSV:
         return _write_csv(table)
     return _write_toml(table)
@@ -72,22 +72,22 @@
     ]
     version = document.get(VERSION_KEY)
     if version is not None and (type(version) is not int or version < 0):
-        findings.append(Finding(VERSION_KEY, "must be a whole number from 0"))
-    rows = _tables(document, "rows", findings)
-    keys = _read_keys(_tables(document, "keys", findings), findings)
+        findings.append(Finding(VERSION_KEY, "must be a non-negative integer"))
+    rows = _array_of_tables(document, "rows", findings)
+    keys = _read_keys(_array_of_tables(document, "keys", findings), findings)
     if findings:
         return Err(tuple(findings))
     base = None if version is None else TableVersion(version)
     return Ok(TableDocument(base, TableDraft(tuple(rows), tuple(keys))))
 
 
-def _tables(
+def _array_of_tables(
     document: Mapping[str, Any], name: str, findings: list[Finding]
 ) -> list[RawRow]:
     tables = document.get(name, [])
     if isinstance(tables, list) and all(isinstance(item, dict) for item in tables):
         return tables
-    findings.append(Finding(name, f"must be tables, [[{name}]]"))
+    findings.append(Finding(name, f"must be an array of tables, [[{name}]]"))
     return []
 
 
@@ -119,7 +119,7 @@
     except csv.Error as error:
         return Err((Finding("document", f"not valid CSV: {error}"),))
     if not table:
-        return Err((Finding("document", "needs a line with the cells' names"),))
+        return Err((Finding("document", "has no header line"),))
     names = [name.strip() for name in table[0]]
     findings = _header_findings(names)
     if findings:
@@ -140,7 +140,7 @@
         if name not in CELL_NAMES
     ]
     findings.extend(
-        Finding(f"header.{name}", "is given twice")
+        Finding(f"header.{name}", "is duplicated")
         for name in sorted({name for name in names if names.count(name) > 1})
     )
     if KEY_CELL not in names:
@@ -179,7 +179,7 @@
 
 def _toml_pairs(record: ServiceRow | TenantKey) -> Iterable[str]:
     for name, value in msgspec.structs.asdict(record).items():
-        # JSON's strings, numbers and booleans are TOML's, too.
+        # JSON strings, numbers and booleans are valid TOML.
         yield f"{name} = {json.dumps(value, ensure_ascii=False)}"
 
 
@@ -194,7 +194,7 @@
 
 
 def cell_text(value: object) -> str:
-    """Give a cell's value as people write it."""
+    """Return a cell's value as text for a CSV document."""
     if isinstance(value, bool):
         return "true" if value else "false"
     if isinstance(value, float) and value.is_integer():
--- a/notcharch/table/draft.py
+++ b/notcharch/table/draft.py
@@ -1,7 +1,7 @@
-"""What an operator asks to publish, before it becomes edits of a known base.
+"""Drafts: publications requested by operators, not yet resolved against a base.
 
-A draft is a whole table or a list of changes. Its raw cells are checked here and
-every finding is reported, with its row and cell.
+A draft is a complete table, a list of changes or a rollback. Raw cells are validated
+here; every finding is reported with its row and cell.
 """
 
 from collections.abc import Mapping
@@ -41,15 +41,15 @@
 )
 
 RawRow = dict[str, Any]
-"""A row's cells as they came: JSON, TOML or CSV values by cell name."""
+"""Unvalidated JSON, TOML or CSV values of a row, by cell name."""
 
 
 class Change(msgspec.Struct, frozen=True, tag=True, tag_field="change"):
-    """One change that an operator asks for."""
+    """One requested change."""
 
 
 class ChangeCell(Change, frozen=True, tag="set_cell"):
-    """Give a cell a new value."""
+    """Set the value of a cell."""
 
     service: ServiceName
     cell: str
@@ -57,7 +57,7 @@
 
 
 class InsertRow(Change, frozen=True, tag="add_row"):
-    """Add a row; cells that are left out take their default."""
+    """Add a row; missing cells have their default value."""
 
     row: RawRow
 
@@ -69,14 +69,14 @@
 
 
 class ChangeKey(Change, frozen=True, tag="set_key"):
-    """Give a caller's key to a tenant, or revoke it with None."""
+    """Assign a caller's key to a tenant; None revokes the key."""
 
     key_sha256: str
     tenant: TenantName | None
 
 
 class ChangeZoneDrain(Change, frozen=True, tag="drain_zone"):
-    """Drain a zone: its engines get no new work; or give it back."""
+    """Drain a zone, so that its engines get no new work, or cancel the drain."""
 
     zone: ZoneName
     drained: bool
@@ -87,15 +87,15 @@
 
 
 class ChangesDraft(msgspec.Struct, frozen=True):
-    """Changes to the base version."""
+    """A list of changes to the base version."""
 
     changes: tuple[AnyChange, ...]
 
 
 class TableDraft(msgspec.Struct, frozen=True):
-    """A whole table that replaces the base version; None keeps the base's keys.
+    """A complete table that replaces the base version; None keeps the base's keys.
 
-    Zones stay drained: a drain is no part of a document.
+    Drained zones stay drained: documents contain no drains.
     """
 
     rows: tuple[RawRow, ...]
@@ -103,7 +103,7 @@
 
 
 class RollbackDraft(msgspec.Struct, frozen=True):
-    """The contents of an older version, which replace the base version."""
+    """Replace the base version by the contents of an older version."""
 
     target: TableVersion
 
@@ -114,17 +114,17 @@
 def draft_edits(
     draft: ChangesDraft | TableDraft, base: TableContents
 ) -> Result[tuple[AnyEdit, ...], Findings]:
-    """Check a draft and give the edits that it makes to its base."""
+    """Validate a draft and return its edits relative to its base."""
     if isinstance(draft, TableDraft):
-        wanted = read_table_draft(draft, base)
-        return wanted.map(lambda contents: difference(base, contents))
+        target = read_table_draft(draft, base)
+        return target.map(lambda contents: difference(base, contents))
     return _edits_of_changes(draft, base)
 
 
 def read_table_draft(
     draft: TableDraft, base: TableContents = EMPTY_CONTENTS
 ) -> Result[TableContents, Findings]:
-    """Check a whole table's raw rows and keys."""
+    """Validate the raw rows and the keys of a complete table."""
     rows: list[ServiceRow] = []
     findings: list[Finding] = []
     for index, raw in enumerate(draft.rows):
@@ -137,8 +137,8 @@
     if findings:
         return Err(tuple(findings))
     if draft.keys is None:
-        rows_alone = TableContents.of(rows, ())
-        return Ok(TableContents(rows_alone.rows, base.keys, base.drained_zones))
+        without_keys = TableContents.of(rows, ())
+        return Ok(TableContents(without_keys.rows, base.keys, base.drained_zones))
     return Ok(TableContents.of(rows, draft.keys, base.drained_zones))
 
 
@@ -156,7 +156,7 @@
     for change in draft.changes:
         place, result = _edit_of(change, base)
         if place in places:
-            findings.append(Finding(place, "is changed twice"))
+            findings.append(Finding(place, "is changed more than once"))
         places.add(place)
         match result:
             case Ok(edit):
@@ -214,7 +214,7 @@
         return Err(read.err_value)
     row = read.ok_value
     if row.service in base.rows:
-        return Err((Finding(place, "is there already"),))
+        return Err((Finding(place, "already exists"),))
     return Ok(SetRow(row.service, None, row))
 
 
--- a/notcharch/table/edits.py
+++ b/notcharch/table/edits.py
@@ -1,7 +1,7 @@
-"""Edits: the difference between two tables, cell by cell, with both values.
+"""Edits: the differences between two tables, cell by cell.
 
-An edit holds the value it started from (`before`) and the value it sets (`after`).
-So it can be merged without the base table, shown to people, and undone.
+An edit contains the old value (`before`) and the new value (`after`), so it can be
+merged without the base table, displayed, and undone.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -20,7 +20,7 @@
 
 
 class Edit(msgspec.Struct, frozen=True, tag=True):
-    """A change of one place of the table."""
+    """A change of a cell, a row, a key or a zone drain."""
 
 
 class SetCell(Edit, frozen=True):
@@ -49,7 +49,7 @@
 
 
 class SetZoneDrain(Edit, frozen=True):
-    """Drain a zone, or give it back."""
+    """Drain a zone, or cancel its drain."""
 
     zone: ZoneName
     before: bool
@@ -61,7 +61,7 @@
 
 @attrs.frozen
 class TableContents:
-    """Rows by service and tenants by key digest, without a version."""
+    """Rows by service, tenants by key digest, and drained zones, without a version."""
 
     rows: Mapping[ServiceName, ServiceRow]
     keys: Mapping[str, TenantName]
@@ -74,7 +74,7 @@
         keys: Iterable[TenantKey],
         drained_zones: Iterable[ZoneName] = (),
     ) -> "TableContents":
-        """Index rows and keys that hold no place twice."""
+        """Index rows and keys; services and key digests must be unique."""
         return cls(
             {row.service: row for row in rows},
             {key.key_sha256: key.tenant for key in keys},
@@ -82,7 +82,7 @@
         )
 
     def table(self, version: TableVersion) -> Table:
-        """Give the sorted table of a version."""
+        """Return the table with this version, its rows and keys sorted."""
         rows = tuple(self.rows[service] for service in sorted(self.rows))
         keys = tuple(
             TenantKey(self.keys[digest], digest) for digest in sorted(self.keys)
@@ -94,17 +94,17 @@
 
 
 def inverse(edit: AnyEdit) -> AnyEdit:
-    """Give the edit that undoes an applied one."""
+    """Return the edit that undoes an applied edit."""
     return msgspec.structs.replace(edit, before=edit.after, after=edit.before)
 
 
 def weight(edit: AnyEdit) -> int:
-    """Give the number of cells that an edit holds, for bounds of memory."""
+    """Return the number of cells in an edit, to bound memory use."""
     return len(CELL_NAMES) if isinstance(edit, SetRow) else 1
 
 
 def difference(base: TableContents, target: TableContents) -> tuple[AnyEdit, ...]:
-    """Give the edits that turn `base` into `target`, in a fixed order."""
+    """Return the edits that turn `base` into `target`, in deterministic order."""
     return (
         *_row_differences(base, target),
         *_key_differences(base, target),
@@ -123,7 +123,7 @@
 
 
 def cell_differences(before: ServiceRow, after: ServiceRow) -> Iterator[SetCell]:
-    """Give the edits of the cells in which two rows of one service differ."""
+    """Return the edits between two rows of the same service."""
     for cell in CELL_NAMES:
         old: CellValue = getattr(before, cell)
         new: CellValue = getattr(after, cell)
--- a/notcharch/table/interface.py
+++ b/notcharch/table/interface.py
@@ -1,4 +1,4 @@
-"""What the rest of the system sees of the table."""
+"""Interface of the table: its rows and keys, and read access to them."""
 
 import enum
 from collections.abc import Callable
@@ -16,60 +16,60 @@
 
 
 class ServiceRow(msgspec.Struct, frozen=True):
-    """One row: a service with its weights and limits."""
+    """A service with its weights and limits."""
 
     service: ServiceName
     tenant: TenantName
     pool: PoolName
-    """The model or application whose engines serve it."""
+    """The model or application whose engines run the service's calls."""
 
     share: float = 1.0
-    """Weight against other services, above 0."""
+    """Scheduling weight relative to other services, above 0."""
 
     priority: int = 5
-    """0 (first) … 9 (last)."""
+    """0 (highest) to 9 (lowest)."""
 
     budget_tokens: int = 1_000_000
-    """Tokens that one program and its children may use together."""
+    """Token limit of a program, including its children."""
 
     concurrency: int = 16
-    """Calls of the service that may run at once, over all daemons."""
+    """Maximum number of concurrent calls of the service, over all daemons."""
 
     calls_per_program: int = 1000
     max_answer_tokens: int = 1024
-    """The bound of one answer when the call names none, and its maximum."""
+    """Default and maximum token limit of a single response."""
 
     idle_seconds: float = 3600.0
-    """A program without calls for this long is ended."""
+    """A program that has no calls for this time is ended."""
 
     max_age_seconds: float = 86400.0
-    """A program is stopped at this age."""
+    """Maximum age of a program; older programs are stopped."""
 
     max_wait_seconds: float = 60.0
-    """A call that would queue for longer is refused at once."""
+    """A call whose expected queueing time is longer is refused immediately."""
 
     paused: bool = False
 
 
 class TenantKey(msgspec.Struct, frozen=True):
-    """A caller's key, kept only as the hex SHA-256 of its text."""
+    """A caller's key, stored only as the hex SHA-256 digest of its text."""
 
     tenant: TenantName
     key_sha256: str
 
 
 class Table(msgspec.Struct, frozen=True):
-    """A whole publication in force."""
+    """A complete version of the table."""
 
     version: TableVersion
     rows: tuple[ServiceRow, ...]
     keys: tuple[TenantKey, ...]
     drained_zones: tuple[ZoneName, ...] = ()
-    """Their engines get no new work."""
+    """Zones whose engines get no new work."""
 
 
 class TableSource(enum.Enum):
-    """From where a replica learnt its version."""
+    """Where a replica received its version from."""
 
     NONE = "none"
     LOG = "log"
@@ -77,23 +77,23 @@
 
 
 class TableView(Protocol):
-    """The table in force in this daemon."""
+    """Read access to the version in force in this daemon."""
 
     @property
     def version(self) -> TableVersion:
-        """The version in force; it never goes back."""
+        """The version in force; it never decreases."""
 
     def row(self, service: ServiceName) -> ServiceRow | None:
-        """Give a service's row."""
+        """Return a service's row, or None."""
 
     def rows(self) -> tuple[ServiceRow, ...]:
-        """Give all rows, sorted by service."""
+        """Return all rows, sorted by service."""
 
     def drained_zones(self) -> frozenset[ZoneName]:
-        """Give the zones whose engines get no new work."""
+        """Return the zones whose engines get no new work."""
 
     def tenant_of_key(self, key: str) -> TenantName | None:
-        """Give the tenant that a caller's key text belongs to."""
+        """Return the tenant of a caller's key, or None."""
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after a newer version came into force."""
+        """Register a listener that is called when a newer version comes into force."""
--- a/notcharch/table/log_follower.py
+++ b/notcharch/table/log_follower.py
@@ -1,10 +1,10 @@
 """Reads the log's stream `table` for a replica, from the last checkpoint on.
 
-At the start it looks for the newest checkpoint near the end of the stream and
-replays from there; nothing of that is put in force before the end of the stream as
-it was at the start, so a restarted daemon does not go through old versions. Then it
-follows by long polls. When the log is down or slow it waits longer and longer,
-with a random part, and the version in force stays.
+At startup it searches growing ranges before the end of the stream for the newest
+checkpoint, and replays the records after it. No version comes into force until the
+replay reaches the end that the stream had at startup, so a restarted daemon does not
+expose old versions. It then follows the stream by long polling. Failed reads are retried with exponential backoff and
+jitter; the version in force stays.
 """
 
 from random import Random
@@ -32,74 +32,78 @@
 from notcharch.values.identifiers import LogOffset
 
 PAGE_RECORDS = 256
-POLL_SECONDS = 10.0
-"""How long the log holds a poll when there is nothing new."""
+LONG_POLL_SECONDS = 10.0
+"""How long the log delays its response if there are no new records."""
 
-READ_SECONDS = 10.0
-"""Limit of a read beyond the time that the log may hold it."""
+READ_TIMEOUT_SECONDS = 10.0
+"""Timeout of a read, in addition to the long poll delay."""
 
 CHECKPOINT_RECORDS = 512
-"""Records after which a publisher writes a checkpoint."""
+"""Number of records after which a publisher writes a checkpoint."""
 
 SEARCH_RECORDS = 2 * CHECKPOINT_RECORDS
-"""How far before the end the search for a checkpoint begins; it then doubles."""
+"""Initial distance from the end to search for a checkpoint; doubled if none is found."""
 
-FIRST_RETRY_SECONDS = 0.25
-LAST_RETRY_SECONDS = 4.0
+MIN_RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 4.0
 
 
-class RecordTaker(Protocol):
-    """The replica that a follower feeds."""
+class RecordConsumer(Protocol):
+    """The replica that receives the records."""
 
     @property
     def state(self) -> ReplayState:
-        """The judged state."""
+        """The state after the replayed records."""
 
-    def take_records(
+    def apply_records(
         self, records: tuple[StoredRecord, ...], *, put_in_force: bool
     ) -> None:
-        """Judge records in their order."""
+        """Replay records in log order."""
 
-    def take_state(self, state: ReplayState, source: TableSource) -> None:
-        """Take over a later state."""
+    def install_state(self, state: ReplayState, source: TableSource) -> None:
+        """Install a later state."""
 
 
 class LogFollower:
-    """One replica's reading of the stream."""
+    """Reads the stream for one replica."""
 
     def __init__(
-        self, clock: IReactorTime, log: LogPort, random: Random, taker: RecordTaker
+        self,
+        clock: IReactorTime,
+        log: LogPort,
+        random: Random,
+        consumer: RecordConsumer,
     ) -> None:
-        """Take what it reads from and whom it feeds; nothing runs before `start`."""
+        """Initialize; reading begins with `start`."""
         self._clock = clock
         self._log = log
         self._random = random
-        self._taker = taker
+        self._consumer = consumer
         self._running: Deferred[None] | None = None
         self._retry_seconds = 0.0
         self._catch_up_offset: LogOffset | None = None
-        self._read_at: float | None = None
+        self._caught_up_at: float | None = None
 
     @property
     def age_seconds(self) -> float | None:
-        """How long ago the stream was last read to its end; None if never."""
-        if self._read_at is None:
+        """Seconds since the stream was last read to its end; None if never."""
+        if self._caught_up_at is None:
             return None
-        return self._clock.seconds() - self._read_at
+        return self._clock.seconds() - self._caught_up_at
 
     @property
     def is_failing(self) -> bool:
-        """Tell whether the last read failed."""
+        """Whether the last read failed."""
         return self._retry_seconds > 0
 
     def start(self) -> None:
-        """Begin to follow."""
+        """Start following the stream."""
         if self._running is None:
             self._running = Deferred.fromCoroutine(self._run())
             self._running.addErrback(report_failure)
 
     def stop(self) -> None:
-        """Stop; a read under way is cancelled."""
+        """Stop, and cancel a read in flight."""
         if self._running is not None:
             self._running.cancel()
             self._running = None
@@ -112,33 +116,33 @@
                 await self._wait_to_retry()
 
     async def _follow(self) -> bool:
-        """Read and feed one page; False when that failed."""
-        wait_seconds = POLL_SECONDS if self._is_caught_up() else 0.0
-        next_offset = self._taker.state.next_offset
+        """Read and apply one page; return False on failure."""
+        wait_seconds = LONG_POLL_SECONDS if self._is_caught_up() else 0.0
+        next_offset = self._consumer.state.next_offset
         read = await self._read(next_offset, wait_seconds, PAGE_RECORDS)
         try:
-            return isinstance(read, Ok) and self._take_page(read.ok_value)
+            return isinstance(read, Ok) and self._apply_page(read.ok_value)
         except Exception:
-            # A fault in judging a page must not end the following for good.
+            # An error in replaying a page must not stop the follower.
             eliot.write_traceback()
             return False
 
     async def _start_from_checkpoint(self) -> bool:
-        """Take the newest checkpoint, if any; False when the log cannot be read."""
+        """Install the newest checkpoint, if any; return False if the log is unreadable."""
         read = await self._read(LogOffset(0), 0.0, 1)
         if isinstance(read, Err):
             return False
         end = read.ok_value.end_offset
         self._catch_up_offset = end
-        reach = SEARCH_RECORDS
-        while end - reach > self._taker.state.next_offset:
-            found = await self._newest_checkpoint(LogOffset(end - reach), end)
+        distance = SEARCH_RECORDS
+        while end - distance > self._consumer.state.next_offset:
+            found = await self._newest_checkpoint(LogOffset(end - distance), end)
             if isinstance(found, Err):
                 return False
             if found.ok_value is not None:
-                self._taker.take_state(found.ok_value, TableSource.LOG)
+                self._consumer.install_state(found.ok_value, TableSource.LOG)
                 return True
-            reach *= 2
+            distance *= 2
         return True
 
     async def _newest_checkpoint(
@@ -160,35 +164,37 @@
 
     def _is_caught_up(self) -> bool:
         end = self._catch_up_offset
-        return end is None or self._taker.state.next_offset >= end
+        return end is None or self._consumer.state.next_offset >= end
 
-    def _take_page(self, page: LogPage) -> bool:
-        """Feed a page; False when the stream ends before what was applied."""
-        next_offset = self._taker.state.next_offset
+    def _apply_page(self, page: LogPage) -> bool:
+        """Apply a page; return False if the stream ends before the replayed offset."""
+        next_offset = self._consumer.state.next_offset
         if page.end_offset < next_offset:
             emit(TableLogWentBack(next_offset, page.end_offset))
             return False
         self._retry_seconds = 0.0
         first_unread = page.next_offset
-        gate = min(self._catch_up_offset or page.end_offset, page.end_offset)
-        put_in_force = self._catch_up_offset is None or first_unread >= gate
-        self._taker.take_records(page.records, put_in_force=put_in_force)
+        catch_up_target = min(self._catch_up_offset or page.end_offset, page.end_offset)
+        put_in_force = self._catch_up_offset is None or first_unread >= catch_up_target
+        self._consumer.apply_records(page.records, put_in_force=put_in_force)
         if put_in_force:
             self._catch_up_offset = None
-        if self._taker.state.next_offset >= page.end_offset:
-            self._read_at = self._clock.seconds()
+        if self._consumer.state.next_offset >= page.end_offset:
+            self._caught_up_at = self._clock.seconds()
         return bool(page.records) or first_unread >= page.end_offset
 
     async def _read(
         self, offset: LogOffset, wait_seconds: float, limit: int
     ) -> Result[LogPage, Problem]:
         reading = self._log.read(STREAM, offset, limit, wait_seconds)
-        reading.addTimeout(wait_seconds + READ_SECONDS, self._clock)
+        reading.addTimeout(wait_seconds + READ_TIMEOUT_SECONDS, self._clock)
         try:
             result = await reading
         except DeferredTimeoutError:
             problem = Problem.of(
-                ProblemCode.TIMED_OUT, "the log did not answer", ran=Ran.UNKNOWN
+                ProblemCode.TIMED_OUT,
+                "the log did not respond in time",
+                ran=Ran.UNKNOWN,
             )
             result = Err(problem)
         if isinstance(result, Err) and not self._retry_seconds:
@@ -196,8 +202,8 @@
         return result
 
     async def _wait_to_retry(self) -> None:
-        longest = max(FIRST_RETRY_SECONDS, 2 * self._retry_seconds)
-        self._retry_seconds = min(LAST_RETRY_SECONDS, longest)
+        next_seconds = max(MIN_RETRY_SECONDS, 2 * self._retry_seconds)
+        self._retry_seconds = min(MAX_RETRY_SECONDS, next_seconds)
         delay = self._retry_seconds * (0.5 + self._random.random() / 2)
         await deferLater(self._clock, delay)
 
@@ -211,7 +217,11 @@
         emit(TableContentRefused(f"checkpoint {record.offset}", state.err_value))
         return None
     if state.ok_value.next_offset > record.offset:
-        emit(TableContentRefused(f"checkpoint {record.offset}", "is from the future"))
+        emit(
+            TableContentRefused(
+                f"checkpoint {record.offset}", "covers offsets after its own record"
+            )
+        )
         return None
     return state.ok_value
 
--- a/notcharch/table/merge.py
+++ b/notcharch/table/merge.py
@@ -1,7 +1,7 @@
-"""Three-way merge: edits against a base are laid over a table that has moved on.
+"""Three-way merge: applies edits of a base version to a newer version.
 
-An edit carries the base's value, so it conflicts when the place now holds neither
-that value nor the edit's own. Edits of different places always merge.
+An edit conflicts if the current value is neither the edit's `before` (the value in
+the base) nor its `after`. Edits of different places never conflict.
 """
 
 from collections.abc import Iterable
@@ -39,10 +39,10 @@
 
 @attrs.frozen
 class MergeOutcome:
-    """The merged table, or why there is none.
+    """The merged table, or the reasons for which the merge failed.
 
-    `applied` are the edits that changed something, in order; the others were in
-    force already. With `conflicts` or `findings` the contents are not to be used.
+    `applied` contains the effective edits, in order; the other edits were already
+    in force. If there are `conflicts` or `findings`, `contents` must not be used.
     """
 
     contents: TableContents
@@ -52,25 +52,25 @@
 
     @property
     def is_clean(self) -> bool:
-        """Tell whether the merge may be taken."""
+        """Whether the merge has neither conflicts nor findings."""
         return not self.conflicts and not self.findings
 
 
 def merge(current: TableContents, edits: Iterable[AnyEdit]) -> MergeOutcome:
-    """Lay edits over the current contents and check every row they touch."""
+    """Apply edits to the current contents and validate the rows and keys they change."""
     merging = _Merging(current)
     for edit in edits:
-        merging.take(edit)
+        merging.apply(edit)
     return merging.outcome()
 
 
 def conflict_finding(place: str, base: object, theirs: object, mine: object) -> Finding:
-    """Describe a conflict: the value edited, the one in force, the one wanted."""
+    """Describe a conflict by the base value, the value in force and the new value."""
     return Finding(place, f"base {base!r}, in force {theirs!r}, yours {mine!r}")
 
 
 class _Merging:
-    """The working state of one merge."""
+    """Mutable state of one merge."""
 
     def __init__(self, current: TableContents) -> None:
         self._rows = dict(current.rows)
@@ -82,20 +82,20 @@
         self._touched_rows: dict[ServiceName, None] = {}
         self._touched_keys: dict[str, None] = {}
 
-    def take(self, edit: AnyEdit) -> None:
-        """Apply one edit, or note its conflict."""
+    def apply(self, edit: AnyEdit) -> None:
+        """Apply one edit, or record its conflict."""
         match edit:
             case SetCell():
-                self._take_cell(edit)
+                self._apply_cell(edit)
             case SetRow():
-                self._take_row(edit)
+                self._apply_row(edit)
             case SetKey():
-                self._take_key(edit)
+                self._apply_key(edit)
             case SetZoneDrain():
-                self._take_drain(edit)
+                self._apply_drain(edit)
 
     def outcome(self) -> MergeOutcome:
-        """Check what was touched and give the result."""
+        """Validate the changed rows and keys, and return the result."""
         for service in self._touched_rows:
             if service in self._rows:
                 self._findings.extend(check_row(self._rows[service]))
@@ -111,7 +111,7 @@
             tuple(self._findings),
         )
 
-    def _take_cell(self, edit: SetCell) -> None:
+    def _apply_cell(self, edit: SetCell) -> None:
         place = cell_place(edit.service, edit.cell)
         row = self._rows.get(edit.service)
         if row is None:
@@ -135,7 +135,7 @@
         self._touched_rows[edit.service] = None
         self._applied.append(msgspec.structs.replace(edit, after=value))
 
-    def _take_row(self, edit: SetRow) -> None:
+    def _apply_row(self, edit: SetRow) -> None:
         current = self._rows.get(edit.service)
         if current == edit.after:
             return
@@ -149,7 +149,7 @@
         self._touched_rows[edit.service] = None
         self._applied.append(edit)
 
-    def _take_key(self, edit: SetKey) -> None:
+    def _apply_key(self, edit: SetKey) -> None:
         current = self._keys.get(edit.key_sha256)
         if current == edit.after:
             return
@@ -168,8 +168,8 @@
         self._touched_keys[edit.key_sha256] = None
         self._applied.append(edit)
 
-    def _take_drain(self, edit: SetZoneDrain) -> None:
-        """Drain a zone or give it back; there is no third state to conflict with."""
+    def _apply_drain(self, edit: SetZoneDrain) -> None:
+        """Drain a zone or cancel its drain; a state of two values cannot conflict."""
         if (edit.zone in self._drained_zones) == edit.after:
             return
         if edit.after:
@@ -180,8 +180,8 @@
         self._applied.append(edit)
 
     def _conflict_of_rows(self, edit: SetRow, current: ServiceRow | None) -> None:
-        wanted = edit.after or edit.before
-        if current is None or wanted is None:
+        edited_row = edit.after or edit.before
+        if current is None or edited_row is None:
             self._conflict(
                 row_place(edit.service),
                 _row_text(edit.before),
@@ -189,7 +189,7 @@
                 _row_text(edit.after),
             )
             return
-        for difference in cell_differences(wanted, current):
+        for difference in cell_differences(edited_row, current):
             self._conflict(
                 cell_place(edit.service, difference.cell),
                 difference.before if edit.before else NO_ROW,
--- a/notcharch/table/publication.py
+++ b/notcharch/table/publication.py
@@ -1,8 +1,8 @@
-"""The records of the log stream `table`, as JSON.
+"""JSON records of the log stream `table`.
 
-A record's id is the log's own record id. `format` names the rule by which replicas
-judge the record; a replica skips a format that it does not know. Times are seconds
-since 1970.
+A record is identified by its record id in the log. `format` is the version of the
+replay rules; replicas skip records of an unknown format. Times are Unix timestamps in
+seconds.
 """
 
 from collections.abc import Iterable
@@ -17,18 +17,18 @@
 STREAM = "table"
 RECORD_FORMAT = 1
 DRAINS_FORMAT = 2
-"""Of records whose edits drain zones or give them back. Replicas that don't know drains
-skip them, and take them over later with a state from a peer that does."""
+"""Format of records that start or cancel zone drains. Replicas that do not support
+drains skip them, and later receive their effect with the state of a peer that does."""
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
-    """The base of the stream's records."""
+    """Base class of the records."""
 
     format: int
 
 
 class PublishedEdits(Record, frozen=True, kw_only=True):
-    """A publication as the edits that it makes to its base version."""
+    """A publication as edits of its base version."""
 
     base_version: TableVersion
     author: str
@@ -38,7 +38,7 @@
 
 
 class PublishedTable(Record, frozen=True, kw_only=True):
-    """A publication as a whole table, edited from a base version."""
+    """A publication as a complete table, derived from a base version."""
 
     base_version: TableVersion
     author: str
@@ -49,10 +49,10 @@
 
 
 class Checkpoint(Record, frozen=True, kw_only=True):
-    """The replay's state before `next_offset`, so that a start need not read all.
+    """The replay state before `next_offset`, which shortens the replay at startup.
 
-    `state` is an encoded `notcharch.table.replay.ReplayState`. A replica that
-    follows the stream ignores it.
+    `state` is an encoded `notcharch.table.replay.ReplayState`. Replicas that are
+    already following the stream ignore checkpoints.
     """
 
     next_offset: LogOffset
@@ -65,18 +65,18 @@
 
 
 def format_of(edits: Iterable[AnyEdit]) -> int:
-    """Give the format of a record with some edits."""
+    """Return the record format required by the edits."""
     has_drain = any(isinstance(edit, SetZoneDrain) for edit in edits)
     return DRAINS_FORMAT if has_drain else RECORD_FORMAT
 
 
 def encode_record(record: AnyRecord) -> str:
-    """Give the text of a record."""
+    """Encode a record as JSON text."""
     return msgspec.json.encode(record).decode()
 
 
 def decode_record(data: str) -> Result[AnyRecord, str]:
-    """Read a record; an Err says why it must be skipped."""
+    """Decode a record; an Err contains the reason to skip it."""
     try:
         record = _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
@@ -84,12 +84,14 @@
     edits = record.edits if isinstance(record, PublishedEdits) else ()
     if record.format != format_of(edits):
         return Err(f"unknown format {record.format}")
-    if isinstance(record, PublishedEdits) and not all(map(_is_sound, record.edits)):
+    if isinstance(record, PublishedEdits) and not all(
+        map(_is_valid_edit, record.edits)
+    ):
         return Err("an edit of a row neither adds nor removes it")
     return Ok(record)
 
 
-def _is_sound(edit: AnyEdit) -> bool:
+def _is_valid_edit(edit: AnyEdit) -> bool:
     if not isinstance(edit, SetRow):
         return True
     row = edit.after or edit.before
--- a/notcharch/table/publisher.py
+++ b/notcharch/table/publisher.py
@@ -1,9 +1,9 @@
-"""Publishes a table: check, append to the log, read back the verdict.
+"""Publishes table changes: validates, appends to the log, reads back the verdict.
 
-The log may lose the answer of an append that took effect, and others may append in
-between. So the publisher believes only the replay: it appends until its own record
-id shows up there, and what the replay says about it is the verdict. Appending the
-same id again is harmless.
+The response of a successful append may be lost, and other publishers may append
+concurrently. The result is therefore always the verdict of the replay: the publisher
+appends until its record id appears in the replayed history. Repeated appends of the
+same id are idempotent.
 """
 
 import secrets
@@ -36,10 +36,10 @@
     format_of,
 )
 from notcharch.table.refusals import (
+    base_too_old,
     invalid,
-    refusal,
-    refused_base,
-    unfinished,
+    merge_refused,
+    no_verdict,
     unknown_base,
     unknown_version,
 )
@@ -47,24 +47,24 @@
 from notcharch.table.replica_service import TableReplica
 from notcharch.values.identifiers import LogOffset, RecordId, TableVersion
 
-APPEND_SECONDS = 5.0
-"""Limit of one append; after it the outcome counts as unknown."""
+APPEND_TIMEOUT_SECONDS = 5.0
+"""Timeout of one append, after which its outcome is unknown."""
 
-LEAST_APPEND_SECONDS = 0.5
-APPEAR_SECONDS = 2.0
-"""How long a record whose append's answer was lost may take to show up."""
+MIN_APPEND_TIMEOUT_SECONDS = 0.5
+RECORD_WAIT_SECONDS = 2.0
+"""How long to wait for a record after a failed append, before it is repeated."""
 
-BASE_SECONDS = 5.0
-"""How long to wait until this replica has the base version."""
+BASE_WAIT_SECONDS = 5.0
+"""How long to wait for this replica to reach the base version."""
 
 ID_BYTES = 16
 
 
 class PublicationResult(msgspec.Struct, frozen=True):
-    """The verdict on a publication that is in force.
+    """A successful publication.
 
-    `version` holds it; `unchanged` means that the table said all of it already and
-    no new version was made.
+    `version` contains the publication; `unchanged` means that all its values were
+    already in force, so it created no new version.
     """
 
     id: RecordId
@@ -76,11 +76,11 @@
 
 @attrs.frozen
 class PublishRequest:
-    """What to publish: a draft edited from `base_version`, by `author`.
+    """A request to publish a draft based on `base_version`.
 
-    `id` makes a repeated request recognisable; a fresh one is drawn for None. A
-    request with an id may repeat one whose record is in the log or still on its
-    way there, unless `first_attempt` says that it does not.
+    `id` makes retries idempotent; a random id is generated for None. A request with
+    an id may be a retry whose record is already in the log or still in flight,
+    unless `first_attempt` is set.
     """
 
     draft: Draft
@@ -91,19 +91,19 @@
     first_attempt: bool = False
 
     @property
-    def doubt(self) -> Ran:
-        """What may be said of a refusal that an earlier request could belie."""
+    def refusal_ran(self) -> Ran:
+        """The `ran` of a refusal; UNKNOWN if an earlier attempt may have succeeded."""
         is_first = self.first_attempt or self.id is None
         return Ran.NO if is_first else Ran.UNKNOWN
 
 
 class TablePublisher:
-    """Publishes through one daemon's replica."""
+    """Publishes changes, using this daemon's replica to read the verdicts."""
 
     def __init__(
         self, *, clock: IReactorTime, log: LogPort, replica: TableReplica
     ) -> None:
-        """Take the log and the replica, which must be following it."""
+        """Initialize; the replica must follow the same log."""
         self._clock = clock
         self._log = log
         self._replica = replica
@@ -112,37 +112,37 @@
     async def check(
         self, draft: Draft, base_version: TableVersion
     ) -> Result[tuple[AnyEdit, ...], Problem]:
-        """Tell what a publication would change, without publishing it."""
-        based = await self._edits(PublishRequest(draft, base_version, author=""))
-        if isinstance(based, Err):
-            return based
-        outcome = merge(self._replica.state.contents, based.ok_value)
+        """Return the edits that a publication would make, without publishing it."""
+        edits_result = await self._edits(PublishRequest(draft, base_version, author=""))
+        if isinstance(edits_result, Err):
+            return edits_result
+        outcome = merge(self._replica.state.contents, edits_result.ok_value)
         if not outcome.is_clean:
-            return Err(refusal(outcome.conflicts, outcome.findings))
+            return Err(merge_refused(outcome.conflicts, outcome.findings))
         return Ok(outcome.applied)
 
     async def publish(
         self, request: PublishRequest, seconds: float
     ) -> Result[PublicationResult, Problem]:
-        """Publish within `seconds`.
+        """Publish, with a timeout of `seconds`.
 
-        Errors: BAD_REQUEST with findings; TABLE_CONFLICT with each cell and its
-        values, or for a base that is too old; NOT_FOUND for a rollback to a
-        forgotten version; UNAVAILABLE. `ran: no` says that the publication is not
-        in force and will not be; with `ran: unknown` asking again with the same id
-        gives the verdict.
+        Errors: BAD_REQUEST with findings; TABLE_CONFLICT with the conflicting cells
+        and their values, or without them if the base is too old; NOT_FOUND for a
+        rollback to a version beyond the history; UNAVAILABLE. `ran: no` means that
+        the publication is not and will not be in force; after `ran: unknown`, a
+        retry with the same id returns the verdict.
         """
         if request.id is not None:
             known = self._replica.state.entry(request.id)
             if known is not None:
                 return _result(known)
-        based = await self._edits(request)
-        if isinstance(based, Err):
-            return based
-        edits = based.ok_value
-        early = self._early_answer(request, edits)
-        if early is not None:
-            return early
+        edits_result = await self._edits(request)
+        if isinstance(edits_result, Err):
+            return edits_result
+        edits = edits_result.ok_value
+        known_result = self._result_without_append(request, edits)
+        if known_result is not None:
+            return known_result
         record = request.id or RecordId(secrets.token_hex(ID_BYTES))
         publication = PublishedEdits(
             format=format_of(edits),
@@ -153,61 +153,63 @@
             note=request.note,
         )
         log_record = LogRecord(record, encode_record(publication))
-        judged = await self._append_until_judged(log_record, request.doubt, seconds)
-        if isinstance(judged, Err):
-            return judged
+        decided = await self._append_until_verdict(
+            log_record, request.refusal_ran, seconds
+        )
+        if isinstance(decided, Err):
+            return decided
         self._write_checkpoint_when_due()
-        return _result(judged.ok_value)
+        return _result(decided.ok_value)
 
     async def _edits(
         self, request: PublishRequest
     ) -> Result[tuple[AnyEdit, ...], Problem]:
-        """Check the draft against its base version, once this replica has it."""
+        """Wait for the base version, then validate the draft against it."""
         base_version = request.base_version
         has_base = await self._replica.wait_for(
-            lambda state: state.version >= base_version, BASE_SECONDS
+            lambda state: state.version >= base_version, BASE_WAIT_SECONDS
         )
         if not has_base:
-            return Err(unknown_base(base_version, request.doubt))
+            return Err(unknown_base(base_version, request.refusal_ran))
         state = self._replica.state
         base = state.contents_at(base_version)
         if base is None:
-            return Err(refused_base(base_version, request.doubt))
+            return Err(base_too_old(base_version, request.refusal_ran))
         draft = request.draft
         if isinstance(draft, RollbackDraft):
             target = state.contents_at(draft.target)
             if target is None:
-                return Err(unknown_version(draft.target, state, request.doubt))
-            # A rollback is about rows and keys: no zone gets work again by it.
-            kept = attrs.evolve(target, drained_zones=base.drained_zones)
-            return Ok(difference(base, kept))
+                return Err(unknown_version(draft.target, state, request.refusal_ran))
+            # A rollback restores rows and keys, but does not cancel drains.
+            rollback_target = attrs.evolve(target, drained_zones=base.drained_zones)
+            return Ok(difference(base, rollback_target))
         edits = draft_edits(draft, base).map_err(invalid)
         if isinstance(edits, Err):
             return edits
-        # What breaks a rule on its own base is refused whatever others publish.
+        # A draft that is invalid on its own base is refused without an append.
         findings = merge(base, edits.ok_value).findings
         return Err(invalid(findings)) if findings else edits
 
-    def _early_answer(
+    def _result_without_append(
         self, request: PublishRequest, edits: tuple[AnyEdit, ...]
     ) -> Result[PublicationResult, Problem] | None:
-        """Answer without an append, where that is certain to be the truth.
+        """Return the result if it is certain without an append, else None.
 
-        When an earlier request may have appended the record already, only the log
-        decides, unless there is nothing to publish at all.
+        If an earlier attempt may have appended the record, only the log is
+        authoritative, unless the draft contains no edits.
         """
         state = self._replica.state
         outcome = merge(state.contents, edits)
-        is_certain = request.doubt is Ran.NO
+        is_certain = request.refusal_ran is Ran.NO
         is_unchanged = outcome.is_clean and not outcome.applied
         if not edits or (is_unchanged and is_certain):
             record = request.id or RecordId("")
             return Ok(PublicationResult(record, state.version, False, True, ()))
         if outcome.is_clean or not is_certain:
             return None
-        return Err(refusal(outcome.conflicts, outcome.findings))
+        return Err(merge_refused(outcome.conflicts, outcome.findings))
 
-    async def _append_until_judged(
+    async def _append_until_verdict(
         self, record: LogRecord, ran: Ran, seconds: float
     ) -> Result[HistoryEntry, Problem]:
         deadline = self._clock.seconds() + seconds
@@ -221,18 +223,18 @@
             if problem.ran is not Ran.NO:
                 ran = Ran.UNKNOWN
             remaining = deadline - self._clock.seconds()
-            await self._wait_for_record(record.id, min(APPEAR_SECONDS, remaining))
+            await self._wait_for_record(record.id, min(RECORD_WAIT_SECONDS, remaining))
             entry = self._replica.state.entry(record.id)
             if entry is not None:
                 return Ok(entry)
             if self._clock.seconds() >= deadline:
-                return Err(unfinished(record.id, ran, problem.message))
+                return Err(no_verdict(record.id, ran, problem.message))
             emit(TableAppendRepeated(record.id, attempt, problem.code))
 
     async def _verdict_at(
         self, offset: LogOffset, record: RecordId, deadline: float
     ) -> Result[HistoryEntry, Problem]:
-        """Read back the verdict on a record that was surely appended at `offset`."""
+        """Wait for the verdict on a record that was appended at `offset`."""
         remaining = deadline - self._clock.seconds()
         await self._replica.wait_for(
             lambda state: state.next_offset > offset, max(remaining, 0.0)
@@ -240,21 +242,23 @@
         entry = self._replica.state.entry(record)
         if entry is not None:
             return Ok(entry)
-        detail = f"appended at offset {offset}, its verdict is not read yet"
-        return Err(unfinished(record, Ran.UNKNOWN, detail))
+        detail = f"appended at offset {offset}, its verdict has not been read yet"
+        return Err(no_verdict(record, Ran.UNKNOWN, detail))
 
     async def _append(
-        self, record: LogRecord, seconds: float = APPEND_SECONDS
+        self, record: LogRecord, seconds: float = APPEND_TIMEOUT_SECONDS
     ) -> Result[LogOffset, Problem]:
         appending = self._log.append(STREAM, (record,))
-        limit = max(LEAST_APPEND_SECONDS, min(APPEND_SECONDS, seconds))
+        limit = max(MIN_APPEND_TIMEOUT_SECONDS, min(APPEND_TIMEOUT_SECONDS, seconds))
         appending.addTimeout(limit, self._clock)
         try:
             return await appending
         except DeferredTimeoutError:
             return Err(
                 Problem.of(
-                    ProblemCode.TIMED_OUT, "the log did not answer", ran=Ran.UNKNOWN
+                    ProblemCode.TIMED_OUT,
+                    "the log did not respond in time",
+                    ran=Ran.UNKNOWN,
                 )
             )
 
@@ -271,7 +275,7 @@
             writing = Deferred.fromCoroutine(self._write_checkpoint(state))
             self._writing_checkpoint = writing
             writing.addErrback(report_failure)
-            writing.addCallback(self._checkpoint_ended)
+            writing.addCallback(self._on_checkpoint_done)
 
     async def _write_checkpoint(self, state: ReplayState) -> None:
         checkpoint = Checkpoint(
@@ -285,7 +289,7 @@
         if isinstance(appended, Ok):
             emit(TableCheckpointWritten(state.next_offset, len(text)))
 
-    def _checkpoint_ended(self, _result: None) -> None:
+    def _on_checkpoint_done(self, _result: None) -> None:
         self._writing_checkpoint = None
 
 
@@ -300,6 +304,6 @@
     if entry.verdict is Verdict.INVALID:
         return Err(invalid(entry.findings))
     if entry.verdict is Verdict.BASE_TOO_OLD:
-        # An earlier record of this id may be so old that it was forgotten.
-        return Err(refused_base(entry.base_version, Ran.UNKNOWN))
-    return Err(refusal(entry.findings, ()))
+        # An earlier record with this id may have been dropped from the history.
+        return Err(base_too_old(entry.base_version, Ran.UNKNOWN))
+    return Err(merge_refused(entry.findings, ()))
--- a/notcharch/table/replay.py
+++ b/notcharch/table/replay.py
@@ -1,15 +1,14 @@
-"""The deterministic rule by which every replica judges the records of the stream.
-
-`replay` takes the state before a record and the record, and gives the state after
-it. It looks at nothing else, so replicas that applied the same offsets hold the
-same table, history and verdicts. The log has neither compare-and-append nor
-deduplication; this rule supplies both:
-
-* A record is accepted when each place that it edits still holds the base's value
-  (or already the wanted one); its version is its offset + 1, so 0 stays "none".
-* A record id counts once. Ids are remembered in a bounded history; a record whose
-  base version is older than that history is refused, so a late repeat of a
-  forgotten id, whose base must be older still, cannot be accepted either.
+"""Deterministic replay of the stream's records, the same in every replica.
+
+`replay` computes the state after a record from only the record and the state before
+it, so replicas at the same offset have the same table, history and verdicts. It adds
+the compare-and-append and the deduplication that the log lacks:
+
+* A record is accepted if each value that it edits is still that of its base, or is
+  already the new one. Its version is its offset + 1; version 0 is the empty table.
+* Repeated record ids are skipped. The history of ids is bounded; a record whose base
+  version is older than the history is refused, so a late duplicate of a dropped id,
+  whose base is older still, cannot be accepted either.
 """
 
 import enum
@@ -45,23 +44,23 @@
     ZoneName,
 )
 
-HISTORY_ENTRIES = 1024
-"""Publications that are remembered, refused ones included."""
+MAX_HISTORY_ENTRIES = 1024
+"""Maximum number of publications in the history, including refused ones."""
 
-HISTORY_WEIGHT = 100_000
-"""Cells and findings that the remembered publications may hold together."""
+MAX_HISTORY_WEIGHT = 100_000
+"""Maximum number of cells and findings in the history."""
 
 
 class Verdict(enum.Enum):
-    """What became of a publication."""
+    """The result of replaying a publication."""
 
     ACCEPTED = "accepted"
     MERGED = "merged"
-    """Accepted after others had published since its base version."""
+    """Accepted, although its base version was not the newest."""
 
     CONFLICT = "conflict"
     INVALID = "invalid"
-    """Merged with the table in force it breaks a rule of the cells."""
+    """Violates the schema after the merge into the current table."""
 
     BASE_TOO_OLD = "base_too_old"
 
@@ -72,8 +71,8 @@
 class HistoryEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """A publication and its verdict.
 
-    `edits` are those that changed the table (none when refused); `findings` are the
-    conflicts or broken rules of a refused one. `at` is seconds since 1970.
+    `edits` are the effective edits (none if refused); `findings` are the conflicts or
+    schema violations of a refused publication. `at` is a Unix timestamp in seconds.
     """
 
     offset: LogOffset
@@ -88,22 +87,22 @@
 
     @property
     def is_in_force(self) -> bool:
-        """Tell whether the publication made a version."""
+        """Whether the publication created a version."""
         return self.verdict in IN_FORCE
 
     @property
     def version(self) -> TableVersion:
-        """The version that it made, if it is in force."""
+        """The version created by the publication, if it was accepted."""
         return version_at(self.offset)
 
     @property
     def weight(self) -> int:
-        """Cells and findings held, at least 1."""
+        """Number of cells and findings, plus 1 for the entry."""
         return 1 + sum(map(weight, self.edits)) + len(self.findings)
 
 
 class EncodedState(msgspec.Struct, frozen=True):
-    """The state as it travels to peers and into checkpoints."""
+    """The serialized state in snapshots for peers and in checkpoints."""
 
     next_offset: LogOffset
     version: TableVersion
@@ -117,11 +116,11 @@
 
 @attrs.frozen
 class ReplayState:
-    """Everything that judging the next record needs.
+    """The complete state of the replay.
 
-    `horizon` is the oldest base version that may still be edited from;
-    `checkpoint_offset` is where the last checkpoint was seen, `history_weight` the
-    sum of the entries' weights.
+    `horizon` is the oldest base version that publications may use,
+    `checkpoint_offset` the offset of the last checkpoint record, `history_weight`
+    the sum of the entries' weights.
     """
 
     next_offset: LogOffset = LogOffset(0)
@@ -133,14 +132,14 @@
     history_weight: int = 0
 
     def entry(self, record: RecordId) -> HistoryEntry | None:
-        """Find the remembered publication of a record id."""
+        """Return the history entry with a record id, or None."""
         for entry in reversed(self.history):
             if entry.id == record:
                 return entry
         return None
 
     def contents_at(self, version: TableVersion) -> TableContents | None:
-        """Rebuild the contents in force at an older version, while remembered."""
+        """Reconstruct the contents of a version; None if it is outside the history."""
         if version < self.horizon or version > self.version:
             return None
         undo: list[AnyEdit] = []
@@ -151,7 +150,7 @@
         return merge(self.contents, undo).contents
 
     def encode(self) -> bytes:
-        """Encode the whole state as JSON."""
+        """Encode the state as JSON."""
         table = self.contents.table(self.version)
         return msgspec.json.encode(
             EncodedState(
@@ -168,7 +167,7 @@
 
 
 class SkipReason(enum.Enum):
-    """Why a record made no history entry."""
+    """Why a record created no history entry."""
 
     BAD = "bad"
     REPEATED = "repeated"
@@ -176,8 +175,8 @@
 
 
 @attrs.frozen
-class Replayed:
-    """The state after a record, and what became of it."""
+class ReplayResult:
+    """The state after a record, with its history entry or the reason to skip it."""
 
     state: ReplayState
     entry: HistoryEntry | None
@@ -186,36 +185,38 @@
 
 
 def version_at(offset: LogOffset) -> TableVersion:
-    """Give the version that a record at an offset makes when it is accepted."""
+    """Return the version of an accepted record at an offset."""
     return TableVersion(offset + 1)
 
 
-def replay(state: ReplayState, record: StoredRecord) -> Replayed:
-    """Judge the record at `state.next_offset`."""
+def replay(state: ReplayState, record: StoredRecord) -> ReplayResult:
+    """Replay the record at `state.next_offset`."""
     if record.offset != state.next_offset:
         raise ValueError(f"offset {record.offset} after {state.next_offset}")
     state = attrs.evolve(state, next_offset=LogOffset(record.offset + 1))
     decoded = decode_record(record.data)
     if isinstance(decoded, Err):
-        return Replayed(state, None, SkipReason.BAD, decoded.err_value)
+        return ReplayResult(state, None, SkipReason.BAD, decoded.err_value)
     publication = decoded.ok_value
     if isinstance(publication, Checkpoint):
         state = attrs.evolve(state, checkpoint_offset=record.offset)
-        return Replayed(state, None, SkipReason.CHECKPOINT)
+        return ReplayResult(state, None, SkipReason.CHECKPOINT)
     if publication.base_version > record.offset:
-        return Replayed(state, None, SkipReason.BAD, "its base version is to come")
+        return ReplayResult(
+            state, None, SkipReason.BAD, "its base version does not exist yet"
+        )
     if state.entry(record.id) is not None:
-        return Replayed(state, None, SkipReason.REPEATED, record.id)
-    return _judge(state, record, publication)
+        return ReplayResult(state, None, SkipReason.REPEATED, record.id)
+    return _evaluate(state, record, publication)
 
 
 def apply_entries(
     state: ReplayState, entries: Iterable[HistoryEntry], next_offset: LogOffset
 ) -> ReplayState:
-    """Take over another replica's judgements of the records after this state.
+    """Apply history entries of another replica that are newer than this state.
 
-    Entries that this state covers already are passed over. The caller makes sure
-    that the sender's entries reach back to this state.
+    Entries that the state already contains are skipped. The caller must ensure that
+    there is no gap between the state and the first entry.
     """
     for entry in entries:
         if entry.offset < state.next_offset:
@@ -223,12 +224,12 @@
         contents = state.contents
         if entry.is_in_force:
             contents = merge(contents, entry.edits).contents
-        state = _remember(state, entry, contents)
+        state = _append_entry(state, entry, contents)
     return attrs.evolve(state, next_offset=max(state.next_offset, next_offset))
 
 
 def decode_state(data: bytes | msgspec.Raw) -> Result[ReplayState, str]:
-    """Read an encoded state; an Err says what is wrong with it."""
+    """Decode and validate a state; an Err contains the reason for a failure."""
     try:
         encoded = msgspec.json.decode(data, type=EncodedState)
     except (msgspec.DecodeError, UnicodeError) as error:
@@ -248,15 +249,15 @@
     return Ok(state)
 
 
-def _judge(
+def _evaluate(
     state: ReplayState,
     record: StoredRecord,
     publication: PublishedEdits | PublishedTable,
-) -> Replayed:
+) -> ReplayResult:
     verdict = Verdict.BASE_TOO_OLD
     outcome = MergeOutcome(state.contents, (), (), ())
     if publication.base_version >= state.horizon:
-        outcome = _merged(state, publication)
+        outcome = _merge_publication(state, publication)
         verdict = _verdict(state, publication.base_version, outcome)
     in_force = verdict in IN_FORCE
     entry = HistoryEntry(
@@ -271,10 +272,10 @@
         note=publication.note,
     )
     contents = outcome.contents if in_force else state.contents
-    return Replayed(_remember(state, entry, contents), entry)
+    return ReplayResult(_append_entry(state, entry, contents), entry)
 
 
-def _merged(
+def _merge_publication(
     state: ReplayState, publication: PublishedEdits | PublishedTable
 ) -> MergeOutcome:
     if isinstance(publication, PublishedEdits):
@@ -283,8 +284,8 @@
     base = state.contents_at(min(publication.base_version, state.version))
     if findings or base is None:
         return MergeOutcome(state.contents, (), (), findings)
-    wanted = TableContents.of(publication.rows, publication.keys, base.drained_zones)
-    return merge(state.contents, difference(base, wanted))
+    target = TableContents.of(publication.rows, publication.keys, base.drained_zones)
+    return merge(state.contents, difference(base, target))
 
 
 def _verdict(
@@ -299,7 +300,7 @@
     return Verdict.ACCEPTED
 
 
-def _remember(
+def _append_entry(
     state: ReplayState, entry: HistoryEntry, contents: TableContents
 ) -> ReplayState:
     state = attrs.evolve(
@@ -310,16 +311,16 @@
         history=(*state.history, entry),
         history_weight=state.history_weight + entry.weight,
     )
-    return _bounded(state)
+    return _trim_history(state)
 
 
-def _bounded(state: ReplayState) -> ReplayState:
-    """Forget the oldest entries beyond the bounds, always keeping the newest."""
+def _trim_history(state: ReplayState) -> ReplayState:
+    """Drop the oldest entries beyond the limits; the newest entry always stays."""
     history = state.history
     total = state.history_weight
     dropped = 0
     while dropped < len(history) - 1 and (
-        len(history) - dropped > HISTORY_ENTRIES or total > HISTORY_WEIGHT
+        len(history) - dropped > MAX_HISTORY_ENTRIES or total > MAX_HISTORY_WEIGHT
     ):
         total -= history[dropped].weight
         dropped += 1
--- a/notcharch/table/replica_service.py
+++ b/notcharch/table/replica_service.py
@@ -1,8 +1,8 @@
-"""This daemon's replica of the table: what is in force, and how it learns of more.
+"""This daemon's replica of the table, and its updates from the log and from peers.
 
-Two sources feed one replay state: the log's stream (`LogFollower`) and, when a
-member announces a newer version, that member. Both move the state forward by log
-offset only, so the version in force never goes back.
+The replay state advances by records from the log (`LogFollower`) and, if a member
+announces a newer version, by history entries or a snapshot fetched from that member.
+The version in force never decreases.
 """
 
 import hashlib
@@ -31,7 +31,7 @@
 from notcharch.table.log_follower import LogFollower, report_failure
 from notcharch.table.replay import (
     HistoryEntry,
-    Replayed,
+    ReplayResult,
     ReplayState,
     SkipReason,
     apply_entries,
@@ -51,20 +51,20 @@
 from notcharch.wire.messages.table import FetchTable, TableEntries, TableSnapshot
 from notcharch.wire.peers import PeerNetwork
 
-FETCH_SECONDS = 5.0
-"""Limit of one request to a peer."""
+FETCH_TIMEOUT_SECONDS = 5.0
+"""Timeout of a request to a peer."""
 
-WHOLE_STATE = LogOffset(-1)
-"""Asks a peer for a snapshot, after its entries did not bring what it announced."""
+SNAPSHOT_REQUEST = LogOffset(-1)
+"""Requests a snapshot, if entries did not reach the announced version."""
 
 _history_decoder = msgspec.json.Decoder(HistoryEntry)
 
 
 class TableReplica:
-    """The `TableView` of a daemon, and the source of its publisher.
+    """The `TableView` of a daemon; its publisher reads verdicts from it.
 
-    `set_digest` tells membership the version in force, to be gossiped;
-    membership calls `on_digest` with what other members gossip.
+    `set_digest` passes the version in force to the membership protocol, which
+    disseminates it to the members and calls `on_digest` with their versions.
     """
 
     def __init__(
@@ -77,11 +77,11 @@
         set_digest: Callable[[int], None],
         fetch_delay_seconds: float = 1.0,
     ) -> None:
-        """Register the handler of peers' requests; nothing runs before `start`.
+        """Register the request handler; following the log begins with `start`.
 
-        A fetch from a peer waits a random part of `fetch_delay_seconds`, in which
-        the log usually brings the same publication for less; while the log cannot
-        be read it does not wait.
+        A fetch from a peer is delayed by a random part of `fetch_delay_seconds`,
+        since the log usually delivers the same publication at a lower cost. There
+        is no delay while the log is unreadable.
         """
         self._clock = clock
         self._network = network
@@ -99,117 +99,117 @@
         self._waiters = StateWaiters(clock)
         self._fetching: Deferred[None] | None = None
         self._follower = LogFollower(clock, log, random, self)
-        network.on_request(FetchTable, self._answer_fetch)
+        network.on_request(FetchTable, self._on_fetch)
 
     def start(self) -> None:
-        """Begin to follow the log."""
+        """Start following the log."""
         self._follower.start()
 
     def stop(self) -> None:
-        """Stop following; the version in force stays readable."""
+        """Stop following the log; the version in force stays readable."""
         self._follower.stop()
         if self._fetching is not None:
             self._fetching.cancel()
 
     @property
     def version(self) -> TableVersion:
-        """The version in force; it never goes back."""
+        """The version in force; it never decreases."""
         return self._in_force.version
 
     @property
     def source(self) -> TableSource:
-        """From where the version in force was learnt."""
+        """The source of the version in force."""
         return self._source
 
     @property
     def in_force_seconds(self) -> float:
-        """How long the version has been in force here."""
+        """Seconds since the version came into force in this daemon."""
         return self._clock.seconds() - self._in_force_since
 
     @property
     def log_age_seconds(self) -> float | None:
-        """How long ago the log was last read to its end; None if never."""
+        """Seconds since the log was last read to its end; None if never."""
         return self._follower.age_seconds
 
     @property
     def state(self) -> ReplayState:
-        """The judged prefix of the log; at start it may be ahead of the force."""
+        """The replay state, which may be newer than the version in force at startup."""
         return self._state
 
     def row(self, service: ServiceName) -> ServiceRow | None:
-        """Give a service's row."""
+        """Return a service's row, or None."""
         return self._in_force.contents.rows.get(service)
 
     def rows(self) -> tuple[ServiceRow, ...]:
-        """Give all rows, sorted by service."""
+        """Return all rows, sorted by service."""
         return self.table().rows
 
     def table(self) -> Table:
-        """Give the whole table in force."""
+        """Return the table in force."""
         if self._table is None:
             self._table = self._in_force.contents.table(self._in_force.version)
         return self._table
 
     def drained_zones(self) -> frozenset[ZoneName]:
-        """Give the zones whose engines get no new work."""
+        """Return the zones whose engines get no new work."""
         return self._in_force.contents.drained_zones
 
     def tenant_of_key(self, key: str) -> TenantName | None:
-        """Give the tenant that a caller's key text belongs to."""
+        """Return the tenant of a caller's key, or None."""
         digest = hashlib.sha256(key.encode()).hexdigest()
         return self._in_force.contents.keys.get(digest)
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after a newer version came into force."""
+        """Register a listener that is called when a newer version comes into force."""
         self._listeners.append(listener)
 
     async def wait_for(self, condition: Condition, seconds: float) -> bool:
-        """Wait until the judged state meets a condition; False when it does not."""
+        """Wait for the replay state to meet a condition; return False on timeout."""
         return await self._waiters.wait(self._state, condition, seconds)
 
     def on_digest(self, member: Member, version: int) -> None:
-        """Learn that a member has a version in force; fetch it if it is newer."""
+        """Put in force, or fetch, a newer version that a member announces."""
         if version <= self.version or self._fetching is not None:
             return
         if version <= self._state.version:
-            # Judged already, and in force elsewhere: no need to reach the log's end.
+            # Already replayed, and in force elsewhere: need not catch up first.
             self._put_in_force(self._state, TableSource.PEER)
             return
         if member.daemon == self._network.own_member.daemon:
             return
         self._fetching = Deferred.fromCoroutine(self._fetch(member, version))
         self._fetching.addErrback(report_failure)
-        self._fetching.addCallback(self._fetch_ended)
+        self._fetching.addCallback(self._on_fetch_done)
 
-    def take_records(
+    def apply_records(
         self, records: tuple[StoredRecord, ...], *, put_in_force: bool
     ) -> None:
-        """Judge records read from the log; those already judged are passed over."""
+        """Replay records from the log; skip records that were already replayed."""
         state = self._state
         for record in records:
             if record.offset != state.next_offset:
                 continue
             replayed = replay(state, record)
             state = replayed.state
-            _report(record, replayed)
+            _emit_result(record, replayed)
         self._move_to(state, TableSource.LOG, put_in_force=put_in_force)
 
-    def take_state(self, state: ReplayState, source: TableSource) -> None:
-        """Take over a later state; an older one changes nothing.
+    def install_state(self, state: ReplayState, source: TableSource) -> None:
+        """Install a later state; ignore an older one.
 
-        A newer version of offsets that are judged already is possible only when the
-        log lost records; then the newer version counts, so that none is taken back.
+        A newer version at an offset that was already replayed means that the log lost
+        records. The newer version is installed, so that versions never decrease.
         """
-        own = self._state
-        is_later = state.next_offset > own.next_offset
-        is_newer = state.version > own.version
+        local = self._state
+        is_later = state.next_offset > local.next_offset
+        is_newer = state.version > local.version
         if is_newer and not is_later:
             emit(
                 TableHistoryReplaced(
-                    own.version, own.next_offset, state.version, state.next_offset
+                    local.version, local.next_offset, state.version, state.next_offset
                 )
             )
-        if is_newer or (is_later and state.version == own.version):
+        if is_newer or (is_later and state.version == local.version):
             self._move_to(state, source, put_in_force=source is TableSource.PEER)
 
     def _move_to(
@@ -235,7 +235,7 @@
             except Exception:
                 eliot.write_traceback()
 
-    async def _answer_fetch(self, _sender: Member, message: Message) -> Message:
+    async def _on_fetch(self, _sender: Member, message: Message) -> Message:
         assert isinstance(message, FetchTable)
         state = self._state
         if message.have < state.horizon:
@@ -259,17 +259,17 @@
             await deferLater(self._clock, delay)
         if announced <= self.version:
             return
-        have = WHOLE_STATE if self._needs_snapshot else self._state.next_offset
+        have = SNAPSHOT_REQUEST if self._needs_snapshot else self._state.next_offset
         reply = await self._network.request(
-            member.daemon, FetchTable(have), FETCH_SECONDS
+            member.daemon, FetchTable(have), FETCH_TIMEOUT_SECONDS
         )
         if isinstance(reply, Err):
             problem = reply.err_value
             emit(TableFetchFailed(member.daemon, announced, problem.code))
             return
-        self._take_reply(member, have, announced, reply.ok_value)
+        self._apply_reply(member, have, announced, reply.ok_value)
 
-    def _take_reply(
+    def _apply_reply(
         self, member: Member, have: LogOffset, announced: int, reply: Message
     ) -> None:
         state, detail = None, ""
@@ -283,13 +283,13 @@
         if state is None:
             emit(TableContentRefused(member.daemon, detail))
         else:
-            self.take_state(state, TableSource.PEER)
+            self.install_state(state, TableSource.PEER)
         self._needs_snapshot = announced > self.version
         if self._needs_snapshot:
             code = ProblemCode.NOT_FOUND.slug
             emit(TableFetchFailed(member.daemon, announced, code))
 
-    def _fetch_ended(self, _result: None) -> None:
+    def _on_fetch_done(self, _result: None) -> None:
         self._fetching = None
 
 
@@ -297,7 +297,7 @@
     state: ReplayState, have: LogOffset, reply: TableEntries
 ) -> tuple[ReplayState | None, str]:
     if state.next_offset < have:
-        return None, "the state went back"
+        return None, "the local state moved back during the request"
     try:
         entries = [_history_decoder.decode(raw) for raw in reply.entries]
     except (msgspec.DecodeError, UnicodeError) as error:
@@ -305,7 +305,7 @@
     return apply_entries(state, entries, reply.next_offset), ""
 
 
-def _report(record: StoredRecord, replayed: Replayed) -> None:
+def _emit_result(record: StoredRecord, replayed: ReplayResult) -> None:
     entry = replayed.entry
     if replayed.skipped in (SkipReason.BAD, SkipReason.REPEATED):
         reason = replayed.skipped.value
--- a/notcharch/table/schema.py
+++ b/notcharch/table/schema.py
@@ -1,7 +1,7 @@
-"""The rules of the table's cells and rows; every finding names its row and cell.
+"""Validation of the table's cells and rows; every finding names its row and cell.
 
-The rules are part of the replay rule (`notcharch.table.replay`): every replica must
-judge a record alike, so a change of a rule needs a new record format there.
+Validation is part of the replay (`notcharch.table.replay`), whose result must be the
+same in every replica, so a change of a rule needs a new record format.
 """
 
 import math
@@ -17,15 +17,15 @@
 from notcharch.table.interface import ServiceRow, TenantKey
 
 CellValue = bool | int | float | str
-"""What a cell may hold."""
+"""Types of cell values."""
 
 KEY_CELL = "service"
-"""The cell that names a row; it cannot be edited, only added or removed."""
+"""The cell that identifies a row; it cannot be edited."""
 
-MOST_ROWS = 50_000
-MOST_KEYS = 50_000
-MOST_TOKENS = 10**12
-MOST_SECONDS = 10 * 365 * 86_400.0
+MAX_ROWS = 50_000
+MAX_KEYS = 50_000
+MAX_TOKENS = 10**12
+MAX_DURATION_SECONDS = 10 * 365 * 86_400.0
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 POOL_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
@@ -34,7 +34,7 @@
     field.name: field.type for field in msgspec.structs.fields(ServiceRow)
 }
 CELL_NAMES: tuple[str, ...] = tuple(_CELL_TYPES)
-"""The columns of the table, the key first."""
+"""The columns of the table, starting with the row key."""
 
 _REQUIRED_CELLS = tuple(
     field.name for field in msgspec.structs.fields(ServiceRow) if field.required
@@ -43,10 +43,10 @@
 
 @attrs.frozen
 class CellRule:
-    """A condition on one cell's value, and what to say when it does not hold."""
+    """A validity condition for a cell, with the message for an invalid value."""
 
     cell: str
-    holds: Callable[[Any], bool]
+    is_valid: Callable[[Any], bool]
     message: str
 
 
@@ -54,8 +54,8 @@
     return NAME_PATTERN.fullmatch(value) is not None
 
 
-def _is_between(least: float, most: float) -> Callable[[float], bool]:
-    return lambda value: math.isfinite(value) and least <= value <= most
+def _is_between(minimum: float, maximum: float) -> Callable[[float], bool]:
+    return lambda value: math.isfinite(value) and minimum <= value <= maximum
 
 
 def _is_pool(value: str) -> bool:
@@ -71,51 +71,57 @@
     CellRule("share", lambda value: value > 0, "must be above 0"),
     CellRule("share", lambda value: not value > 1e9, "must be at most 1000000000"),
     CellRule("priority", _is_between(0, 9), "must be from 0 to 9"),
-    CellRule("budget_tokens", _is_between(1, MOST_TOKENS), "must be from 1 to 10^12"),
+    CellRule("budget_tokens", _is_between(1, MAX_TOKENS), "must be from 1 to 10^12"),
     CellRule("concurrency", _is_between(1, 10**6), "must be from 1 to 1000000"),
     CellRule("calls_per_program", _is_between(1, 10**9), "must be from 1 to 10^9"),
     CellRule("max_answer_tokens", _is_between(1, 10**9), "must be from 1 to 10^9"),
     CellRule("idle_seconds", lambda value: value > 0, "must be above 0"),
-    CellRule("idle_seconds", lambda value: not value > MOST_SECONDS, "is too long"),
+    CellRule(
+        "idle_seconds", lambda value: not value > MAX_DURATION_SECONDS, "is too long"
+    ),
     CellRule("max_age_seconds", lambda value: value > 0, "must be above 0"),
-    CellRule("max_age_seconds", lambda value: not value > MOST_SECONDS, "is too long"),
     CellRule(
-        "max_wait_seconds", _is_between(0, MOST_SECONDS), "must be 0 or more seconds"
+        "max_age_seconds", lambda value: not value > MAX_DURATION_SECONDS, "is too long"
+    ),
+    CellRule(
+        "max_wait_seconds",
+        _is_between(0, MAX_DURATION_SECONDS),
+        "must be 0 or more seconds",
     ),
 )
 
 
 def row_place(service: str) -> str:
-    """Give the place of a row in findings."""
+    """Return the place of a row, as named in findings."""
     return f"rows[{service}]"
 
 
 def cell_place(service: str, cell: str) -> str:
-    """Give the place of a cell in findings."""
+    """Return the place of a cell, as named in findings."""
     return f"rows[{service}].{cell}"
 
 
 def zone_place(zone: str) -> str:
-    """Give the place of a zone in findings."""
+    """Return the place of a zone, as named in findings."""
     return f"zones[{zone}]"
 
 
 def check_zone(zone: str) -> tuple[Finding, ...]:
-    """Give what is wrong with a zone's name."""
+    """Validate the name of a zone."""
     return () if _is_name(zone) else (Finding(zone_place(zone), _NAME_MESSAGE),)
 
 
 def key_place(digest: str) -> str:
-    """Give the place of a tenant's key in findings."""
+    """Return the place of a tenant's key, as named in findings."""
     return f"keys[{digest[:12]}]"
 
 
 def read_cell(
     cell: str, value: object, place: str, *, from_text: bool = False
 ) -> Result[CellValue, Finding]:
-    """Convert a raw value to the cell's type, without judging its range.
+    """Convert a raw value to the cell's type, without a check of its range.
 
-    With `from_text`, numbers and booleans may be given as text.
+    With `from_text`, numbers and booleans are parsed from text.
     """
     if cell not in _CELL_TYPES:
         return Err(Finding(place, "unknown cell"))
@@ -131,7 +137,7 @@
 def read_row(
     raw: Mapping[str, object], place: str
 ) -> Result[ServiceRow, tuple[Finding, ...]]:
-    """Build a row from raw cells and check it; missing cells take their default."""
+    """Build and validate a row from raw cells; missing cells have their default."""
     findings = [
         Finding(f"{place}.{cell}", "is missing")
         for cell in _REQUIRED_CELLS
@@ -153,14 +159,14 @@
 
 
 def check_row(row: ServiceRow) -> tuple[Finding, ...]:
-    """Give everything that is wrong with a typed row."""
+    """Validate a row and return all findings."""
     place = row_place(row.service)
     cells = msgspec.structs.asdict(row)
     return (*_cell_findings(cells, place), *_row_findings(row, place))
 
 
 def check_key(key: TenantKey) -> tuple[Finding, ...]:
-    """Give everything that is wrong with a tenant's key."""
+    """Validate a tenant's key and return all findings."""
     place = key_place(key.key_sha256)
     findings: list[Finding] = []
     if not DIGEST_PATTERN.fullmatch(key.key_sha256):
@@ -175,7 +181,7 @@
 def check_table(
     rows: Iterable[ServiceRow], keys: Iterable[TenantKey]
 ) -> tuple[Finding, ...]:
-    """Give everything that is wrong with a whole table, repeated rows included."""
+    """Validate a table, including duplicate rows and keys; return all findings."""
     findings: list[Finding] = []
     services: set[str] = set()
     for row in rows:
@@ -194,12 +200,12 @@
 
 
 def check_size(row_count: int, key_count: int) -> tuple[Finding, ...]:
-    """Bound the number of rows and keys."""
+    """Check the limits on the number of rows and keys."""
     findings: list[Finding] = []
-    if row_count > MOST_ROWS:
-        findings.append(Finding("rows", f"must be at most {MOST_ROWS} rows"))
-    if key_count > MOST_KEYS:
-        findings.append(Finding("keys", f"must be at most {MOST_KEYS} keys"))
+    if row_count > MAX_ROWS:
+        findings.append(Finding("rows", f"must be at most {MAX_ROWS} rows"))
+    if key_count > MAX_KEYS:
+        findings.append(Finding("keys", f"must be at most {MAX_KEYS} keys"))
     return tuple(findings)
 
 
@@ -207,7 +213,7 @@
     return [
         Finding(f"{place}.{rule.cell}", rule.message)
         for rule in _CELL_RULES
-        if rule.cell in cells and not rule.holds(cells[rule.cell])
+        if rule.cell in cells and not rule.is_valid(cells[rule.cell])
     ]
 
 
--- a/notcharch/table/state_waiters.py
+++ b/notcharch/table/state_waiters.py
@@ -1,4 +1,4 @@
-"""Waits for a condition on a replica's state, each with its own time limit."""
+"""Waiting for a condition on a replica's state, with a timeout."""
 
 from collections.abc import Callable
 
@@ -18,17 +18,17 @@
 
 
 class StateWaiters:
-    """Those who wait until the state meets their condition."""
+    """Callers that are waiting until the state meets their condition."""
 
     def __init__(self, clock: IReactorTime) -> None:
-        """Take the clock that limits the waits."""
+        """Use `clock` for the timeouts."""
         self._clock = clock
         self._waiters: list[_Waiter] = []
 
     async def wait(
         self, state: ReplayState, condition: Condition, seconds: float
     ) -> bool:
-        """Wait up to `seconds`; tells whether the condition was met."""
+        """Wait up to `seconds`; return whether the condition was met."""
         if condition(state):
             return True
         if seconds <= 0:
@@ -47,7 +47,7 @@
         return True
 
     def state_changed(self, state: ReplayState) -> None:
-        """Wake those whose condition now holds."""
+        """Resume the callers whose condition is met."""
         met = [waiter for waiter in self._waiters if waiter.condition(state)]
         for waiter in met:
             self._waiters.remove(waiter)
--- a/tests/stateful/table/faulty_log.py
+++ b/tests/stateful/table/faulty_log.py
@@ -1,4 +1,4 @@
-"""A log in memory whose ports fail to order; each daemon has a port of its own."""
+"""An in-memory log with fault injection and one port per daemon."""
 
 import enum
 
@@ -13,28 +13,28 @@
 
 
 class AppendFault(enum.Enum):
-    """What happens to the next append of a port."""
+    """The fault of the next append through a port."""
 
     REFUSED = "refused"
-    ANSWER_LOST = "answer lost"
-    LATE = "answer lost, effect late"
-    NEVER = "answer lost, no effect"
-    TWICE = "taken twice"
+    ACKNOWLEDGEMENT_LOST = "acknowledgement lost"
+    LATE = "acknowledgement lost, effect delayed"
+    NEVER = "acknowledgement lost, no effect"
+    TWICE = "appended twice"
 
 
 LATE_SECONDS = 7.0
-ANSWER_SECONDS = 0.002
+RESPONSE_DELAY_SECONDS = 0.002
 
 
 @attrs.define(eq=False)
 class _Reader:
     offset: LogOffset
     limit: int
-    answer: "Deferred[Result[LogPage, Problem]]"
+    response: "Deferred[Result[LogPage, Problem]]"
 
 
 class LogStore:
-    """The stream that all ports share."""
+    """The stream shared by all ports."""
 
     def __init__(self, clock: IReactorTime) -> None:
         self.clock = clock
@@ -48,8 +48,8 @@
             self.records.append(StoredRecord(offset, record.id, record.data))
         readers, self._readers = self._readers, []
         for reader in readers:
-            if not reader.answer.called:
-                reader.answer.callback(Ok(self.page(reader.offset, reader.limit)))
+            if not reader.response.called:
+                reader.response.callback(Ok(self.page(reader.offset, reader.limit)))
         return first
 
     def page(self, offset: LogOffset, limit: int) -> LogPage:
@@ -65,19 +65,19 @@
             return succeed(Ok(page))
         reader = _Reader(offset, limit, Deferred())
         self._readers.append(reader)
-        self.clock.callLater(wait_seconds, self._give_up, reader)
-        return reader.answer
+        self.clock.callLater(wait_seconds, self._on_poll_timeout, reader)
+        return reader.response
 
-    def _give_up(self, reader: _Reader) -> None:
+    def _on_poll_timeout(self, reader: _Reader) -> None:
         if reader in self._readers:
             self._readers.remove(reader)
-            reader.answer.callback(Ok(self.page(reader.offset, reader.limit)))
+            reader.response.callback(Ok(self.page(reader.offset, reader.limit)))
 
 
 class FaultyLogPort:
-    """One daemon's `LogPort`; its faults are set by tests.
+    """One daemon's `LogPort`, with faults set by the tests.
 
-    A log that is down refuses at once; a silent one never answers.
+    A port that is down refuses requests immediately; a silent port never responds.
     """
 
     def __init__(self, store: LogStore, clock: IReactorTime) -> None:
@@ -102,7 +102,11 @@
             first = self.store.append(records)
         if fault is AppendFault.TWICE:
             self.store.append(records)
-        if fault in (AppendFault.LATE, AppendFault.NEVER, AppendFault.ANSWER_LOST):
+        if fault in (
+            AppendFault.LATE,
+            AppendFault.NEVER,
+            AppendFault.ACKNOWLEDGEMENT_LOST,
+        ):
             return self._later(Err(_problem(Ran.UNKNOWN)))
         return self._later(Ok(first))
 
@@ -114,27 +118,31 @@
             return Deferred()
         if self.is_down:
             return self._later(Err(_problem(Ran.NO)))
-        answer = Deferred()
+        response = Deferred()
         page = self.store.read(offset, limit, wait_seconds)
-        page.addCallback(lambda found: self._answer(answer, self._cut(found)))
-        return answer
-
-    def _cut(self, page: "Result[LogPage, Problem]") -> "Result[LogPage, Problem]":
+        page.addCallback(
+            lambda found: self._respond(response, self._page_unless_down(found))
+        )
+        return response
+
+    def _page_unless_down(
+        self, page: "Result[LogPage, Problem]"
+    ) -> "Result[LogPage, Problem]":
         return Err(_problem(Ran.UNKNOWN)) if self.is_down else page
 
     def _later(self, result):
-        answer = Deferred()
-        self._answer(answer, result)
-        return answer
+        response = Deferred()
+        self._respond(response, result)
+        return response
 
-    def _answer(self, answer, result):
-        """Answer in the daemon's own time, unless it has stopped waiting."""
+    def _respond(self, response, result):
+        """Respond after a delay on the daemon's clock, unless the request timed out."""
 
         def fire():
-            if not answer.called:
-                answer.callback(result)
+            if not response.called:
+                response.callback(result)
 
-        self.clock.callLater(ANSWER_SECONDS, fire)
+        self.clock.callLater(RESPONSE_DELAY_SECONDS, fire)
 
 
 def _problem(ran: Ran) -> Problem:
--- a/tests/stateful/table/oracle.py
+++ b/tests/stateful/table/oracle.py
@@ -1,6 +1,6 @@
-"""A second, plain reading of the log: what every replica must end up with.
+"""An independent model of the replay: the table that every replica must reach.
 
-It works on the records' JSON, cell by cell, and shares no code with the package.
+It interprets the records' JSON and shares no code with the package.
 """
 
 import json
@@ -22,25 +22,25 @@
 
 
 ZONES = "(drained zones)"
-"""No service has this name: among the rows it stands for the zones that are drained."""
+"""Reserved key among the rows, for the drained zones; no service has this name."""
 
 
 class RefusedError(Exception):
-    """The record changes nothing."""
+    """The record is refused."""
 
 
 @attrs.define
 class Oracle:
-    """Reads records in order; `remembered` ids are kept of the last `memory`."""
+    """Replays records in order; `remembered` contains the last `memory` record ids."""
 
     memory: int
     rows: dict = attrs.Factory(dict)
     version: int = 0
     tables: dict = attrs.Factory(lambda: {0: {}})
-    """The rows of every accepted version."""
+    """Rows by accepted version."""
 
     verdicts: dict = attrs.Factory(dict)
-    """By author (unique for each wish of the tests): the version made, or None."""
+    """The version created by each author, or None; each publication has its own author."""
 
     remembered: list = attrs.Factory(list)
     horizon: int = 0
@@ -48,10 +48,10 @@
 
     def follow(self, records):
         for record in records[self.read :]:
-            self._take(record)
+            self._replay(record)
         self.read = len(records)
 
-    def _take(self, record):
+    def _replay(self, record):
         body = self._publication(record)
         if body is None or record.id in [known for _, known in self.remembered]:
             return
@@ -103,7 +103,7 @@
 
 
 def check_rows(rows):
-    """Refuse a whole record whose outcome breaks a rule; its steps may."""
+    """Refuse a record whose final rows are invalid; intermediate rows may be invalid."""
     for name, row in rows.items():
         if name != ZONES and row["max_answer_tokens"] > row["budget_tokens"]:
             raise RefusedError
--- a/tests/stateful/table/region.py
+++ b/tests/stateful/table/region.py
@@ -1,4 +1,4 @@
-"""A region of table replicas over the memory transport, with gossiped digests."""
+"""A region of table replicas on an in-memory network, with gossiped versions."""
 
 from collections.abc import Callable
 from random import Random
@@ -19,14 +19,14 @@
 
 @attrs.frozen
 class Change:
-    """A version that came into force, and where it was learnt."""
+    """A version that came into force, and its source."""
 
     version: int
     source: str
 
 
 class ReplicaProcess:
-    """One process of a daemon: its replica, publisher and port to the log."""
+    """A daemon process with its replica, publisher and log port."""
 
     def __init__(
         self,
@@ -53,10 +53,10 @@
         self.publisher = region.publisher_type(
             clock=self.clock, log=self.port, replica=self.replica
         )
-        self.replica.on_change(self._note_change)
+        self.replica.on_change(self._record_change)
         self.replica.start()
 
-    def _note_change(self) -> None:
+    def _record_change(self) -> None:
         source = self.replica.source.value
         self.changes.append(Change(self.replica.version, source))
 
@@ -65,7 +65,7 @@
 
 
 class Region:
-    """Daemons `d0` … on one clock and one log."""
+    """Daemons `d0`, `d1` and so on, with a common clock and log."""
 
     def __init__(
         self,
@@ -88,7 +88,7 @@
         return self.processes[self.names[index]]
 
     def restart(self, index: int, log_is_down: bool = False) -> ReplicaProcess:
-        """Replace a process by an empty one."""
+        """Replace a process by a new one without state."""
         name = self.names[index]
         incarnation = self.processes[name].daemon.member.incarnation
         process = ReplicaProcess(self, name, incarnation + 1, log_is_down)
@@ -99,7 +99,7 @@
         run_for(self.clock, seconds)
 
     def result_of(self, coroutine, seconds: float = 60.0):
-        """Run a coroutine to its end, at most for `seconds`."""
+        """Run a coroutine until it completes, for at most `seconds`."""
         results = []
         Deferred.fromCoroutine(coroutine).addBoth(results.append)
         self.run_until(lambda: bool(results), seconds)
@@ -118,21 +118,21 @@
         return {process.replica.version for process in self.processes.values()}
 
     def _gossip(self) -> None:
-        """Probe a random peer, as membership does: both datagrams carry digests."""
+        """Exchange versions with a random peer, as the membership protocol does."""
         for name in self.names:
             other = self.random.choice([peer for peer in self.names if peer != name])
-            self._send_digest(name, other, answer=True)
+            self._send_digest(name, other, is_probe=True)
         self.clock.callLater(GOSSIP_SECONDS, self._gossip)
 
     def _send_digest(
-        self, name: DaemonName, other: DaemonName, *, answer: bool
+        self, name: DaemonName, other: DaemonName, *, is_probe: bool
     ) -> None:
         process = self.processes[name]
         member, digest = process.daemon.member, process.digest
 
         def arrive() -> None:
             self.processes[other].replica.on_digest(member, digest)
-            if answer:
-                self._send_digest(other, name, answer=False)
+            if is_probe:
+                self._send_digest(other, name, is_probe=False)
 
         self.fabric.transmit((name, other), arrive)
--- a/tests/stateful/table/table_breaks.py
+++ b/tests/stateful/table/table_breaks.py
@@ -1,4 +1,4 @@
-"""Deliberate faults of the table, each of which the state machine must catch."""
+"""Deliberate bugs of the table, each of which the state machine must detect."""
 
 import attrs
 import msgspec
@@ -12,87 +12,89 @@
 from notcharch.table.replica_service import TableReplica
 
 
-def repeated_ids_count_again(monkeypatch):
-    judge = replay.replay
+def repeated_ids_are_applied_again(monkeypatch):
+    replay_record = replay.replay
 
-    def forgetful(state, record):
+    def without_history(state, record):
         known = state.history
-        judged = judge(attrs.evolve(state, history=()), record)
+        result = replay_record(attrs.evolve(state, history=()), record)
         return attrs.evolve(
-            judged,
+            result,
             state=attrs.evolve(
-                judged.state, history=(*known, *judged.state.history)[-8:]
+                result.state, history=(*known, *result.state.history)[-8:]
             ),
         )
 
-    monkeypatch.setattr(replica_service, "replay", forgetful)
+    monkeypatch.setattr(replica_service, "replay", without_history)
 
 
-def old_bases_are_taken(monkeypatch):
-    judge = replay._judge
+def bases_older_than_the_history_are_accepted(monkeypatch):
+    evaluate = replay._evaluate
 
     def without_horizon(state, record, publication):
         horizon = state.horizon
-        judged = judge(attrs.evolve(state, horizon=0), record, publication)
-        kept = max(horizon, judged.state.horizon)
-        return attrs.evolve(judged, state=attrs.evolve(judged.state, horizon=kept))
+        result = evaluate(attrs.evolve(state, horizon=0), record, publication)
+        max_horizon = max(horizon, result.state.horizon)
+        return attrs.evolve(
+            result, state=attrs.evolve(result.state, horizon=max_horizon)
+        )
 
-    monkeypatch.setattr(replay, "_judge", without_horizon)
+    monkeypatch.setattr(replay, "_evaluate", without_horizon)
 
 
 def the_last_writer_wins(monkeypatch):
-    def take_cell(self, edit):
+    def apply_cell(self, edit):
         row = self._rows.get(edit.service)
         if row is not None:
             current = getattr(row, edit.cell)
-            take(self, msgspec.structs.replace(edit, before=current))
+            apply(self, msgspec.structs.replace(edit, before=current))
 
-    take = merge._Merging._take_cell
-    monkeypatch.setattr(merge._Merging, "_take_cell", take_cell)
+    apply = merge._Merging._apply_cell
+    monkeypatch.setattr(merge._Merging, "_apply_cell", apply_cell)
 
 
-def the_append_is_taken_for_the_verdict(monkeypatch):
-    async def trusting(self, offset, record, deadline):
-        judged = await wait(self, offset, record, deadline)
-        if isinstance(judged, Ok):
+def an_append_counts_as_accepted(monkeypatch):
+    async def always_accepted(self, offset, record, deadline):
+        entry_result = await wait(self, offset, record, deadline)
+        if isinstance(entry_result, Ok):
             return Ok(
-                msgspec.structs.replace(judged.ok_value, verdict=Verdict.ACCEPTED)
+                msgspec.structs.replace(entry_result.ok_value, verdict=Verdict.ACCEPTED)
             )
-        return judged
+        return entry_result
 
     wait = TablePublisher._verdict_at
-    monkeypatch.setattr(TablePublisher, "_verdict_at", trusting)
+    monkeypatch.setattr(TablePublisher, "_verdict_at", always_accepted)
 
 
-def a_lost_answer_is_called_not_published(monkeypatch):
-    unfinished = publisher.unfinished
+def a_lost_acknowledgement_counts_as_not_published(monkeypatch):
+    no_verdict = publisher.no_verdict
 
-    def certain(record, ran, detail):
-        return unfinished(record, Ran.NO, detail)
+    def with_ran_no(record, ran, detail):
+        return no_verdict(record, Ran.NO, detail)
 
-    monkeypatch.setattr(publisher, "unfinished", certain)
+    monkeypatch.setattr(publisher, "no_verdict", with_ran_no)
 
 
 def a_fresh_id_for_each_append(monkeypatch):
     append = TablePublisher._append
 
-    async def renamed(self, record, seconds=5.0):
+    async def with_fresh_id(self, record, seconds=5.0):
         self.count = getattr(self, "count", 0) + 1
         fresh = msgspec.structs.replace(record, id=f"{record.id}-{self.count}")
         return await append(self, fresh, seconds)
 
-    monkeypatch.setattr(TablePublisher, "_append", renamed)
+    monkeypatch.setattr(TablePublisher, "_append", with_fresh_id)
 
 
-def peers_may_take_it_back(monkeypatch):
-    def take_any(self, state, source):
+def peers_may_install_older_versions(monkeypatch):
+    def install_any(self, state, source):
         self._state = state
         self._put_in_force(state, source)
 
-    monkeypatch.setattr(TableReplica, "take_state", take_any)
+    monkeypatch.setattr(TableReplica, "install_state", install_any)
 
 
-def peers_forget_the_ids(monkeypatch):
+def snapshots_lack_the_history(monkeypatch):
     encode = ReplayState.encode
 
     def without_history(self):
@@ -101,30 +103,30 @@
     monkeypatch.setattr(ReplayState, "encode", without_history)
 
 
-def peers_leave_out_the_refused(monkeypatch):
+def entries_from_peers_lack_the_refused(monkeypatch):
     apply = replay.apply_entries
 
     def only_accepted(state, entries, next_offset):
-        kept = [entry for entry in entries if entry.is_in_force]
-        return apply(state, kept, next_offset)
+        accepted = [entry for entry in entries if entry.is_in_force]
+        return apply(state, accepted, next_offset)
 
     monkeypatch.setattr(replica_service, "apply_entries", only_accepted)
 
 
-def a_start_goes_through_old_versions(monkeypatch):
-    take = TableReplica.take_records
+def a_restart_puts_old_versions_in_force(monkeypatch):
+    apply = TableReplica.apply_records
 
-    def at_once(self, records, *, put_in_force):
-        take(self, records, put_in_force=True)
+    def always_in_force(self, records, *, put_in_force):
+        apply(self, records, put_in_force=True)
 
-    monkeypatch.setattr(TableReplica, "take_records", at_once)
+    monkeypatch.setattr(TableReplica, "apply_records", always_in_force)
 
 
-def nobody_asks_a_peer(monkeypatch):
+def no_table_is_fetched_from_peers(monkeypatch):
     monkeypatch.setattr(TableReplica, "on_digest", lambda self, member, version: None)
 
 
-def the_log_is_given_up_after_a_failure(monkeypatch):
+def the_log_is_not_read_after_a_failure(monkeypatch):
     follow = LogFollower._follow
 
     async def until_a_failure(self):
@@ -137,7 +139,7 @@
     monkeypatch.setattr(LogFollower, "_follow", until_a_failure)
 
 
-def checkpoints_hold_an_older_table(monkeypatch):
+def checkpoints_contain_an_older_table(monkeypatch):
     async def write(self, state):
         older = state.contents_at(state.history[-1].base_version)
         await append(self, attrs.evolve(state, contents=older or state.contents))
@@ -146,7 +148,7 @@
     monkeypatch.setattr(TablePublisher, "_write_checkpoint", write)
 
 
-def unknown_is_called_published(monkeypatch):
+def an_unknown_outcome_is_reported_as_published(monkeypatch):
     async def publish(self, request, seconds):
         answer = await real(self, request, seconds)
         if isinstance(answer, Err) and answer.err_value.ran is Ran.UNKNOWN:
@@ -164,19 +166,19 @@
 FALSE_VERDICT = "told a version that it did not make"
 
 BREAKS = (
-    (repeated_ids_count_again, DIVERGED),
-    (old_bases_are_taken, DIVERGED),
+    (repeated_ids_are_applied_again, DIVERGED),
+    (bases_older_than_the_history_are_accepted, DIVERGED),
     (the_last_writer_wins, DIVERGED),
-    (the_append_is_taken_for_the_verdict, FALSE_VERDICT),
-    (a_lost_answer_is_called_not_published, "but it is in force"),
+    (an_append_counts_as_accepted, FALSE_VERDICT),
+    (a_lost_acknowledgement_counts_as_not_published, "but it is in force"),
     (a_fresh_id_for_each_append, "is in force twice"),
-    (peers_may_take_it_back, OLDER_AT_START),
-    (peers_forget_the_ids, DIVERGED),
-    (peers_leave_out_the_refused, DIVERGED),
-    (a_start_goes_through_old_versions, OLDER_AT_START),
-    (nobody_asks_a_peer, NOT_EVERYWHERE),
-    (the_log_is_given_up_after_a_failure, NOT_EVERYWHERE),
-    (checkpoints_hold_an_older_table, f"{DIVERGED}|{OLDER_AT_START}"),
-    (unknown_is_called_published, FALSE_VERDICT),
+    (peers_may_install_older_versions, OLDER_AT_START),
+    (snapshots_lack_the_history, DIVERGED),
+    (entries_from_peers_lack_the_refused, DIVERGED),
+    (a_restart_puts_old_versions_in_force, OLDER_AT_START),
+    (no_table_is_fetched_from_peers, NOT_EVERYWHERE),
+    (the_log_is_not_read_after_a_failure, NOT_EVERYWHERE),
+    (checkpoints_contain_an_older_table, f"{DIVERGED}|{OLDER_AT_START}"),
+    (an_unknown_outcome_is_reported_as_published, FALSE_VERDICT),
 )
-"""Each fault, and what the machine must say about it."""
+"""Each bug, and a pattern of the assertion message that must detect it."""
--- a/tests/stateful/table/test_publication_faults.py
+++ b/tests/stateful/table/test_publication_faults.py
@@ -1,4 +1,4 @@
-"""Publications through a faulty log: the operator hears the true verdict."""
+"""Publications through a faulty log: operators must receive the correct verdict."""
 
 import pytest
 from result import Err, Ok
@@ -43,11 +43,11 @@
     [
         ((), 1),
         ((AppendFault.REFUSED,), 1),
-        ((AppendFault.ANSWER_LOST,), 1),
+        ((AppendFault.ACKNOWLEDGEMENT_LOST,), 1),
         ((AppendFault.NEVER,), 1),
         ((AppendFault.LATE,), 2),
         ((AppendFault.TWICE,), 2),
-        ((AppendFault.NEVER, AppendFault.REFUSED, AppendFault.ANSWER_LOST), 1),
+        ((AppendFault.NEVER, AppendFault.REFUSED, AppendFault.ACKNOWLEDGEMENT_LOST), 1),
     ],
 )
 def test_faults_of_the_append_make_one_version(faults, records):
@@ -136,7 +136,9 @@
     region.run(16.0)
     assert region.versions() == {version}
     sent = {name for (_, name), count in region.fabric.traffic.items() if count.bytes}
-    assert "TableSnapshot" not in sent, "one cell must not travel as a whole table"
+    assert "TableSnapshot" not in sent, (
+        "a change of one cell must not transfer a snapshot"
+    )
 
 
 def test_a_silent_log_gives_an_unknown_outcome_that_can_be_asked_for_again():
@@ -166,8 +168,8 @@
     version = published(region, 0, add_row()).ok_value.version
     region.run(2.0)
     region.store.records.clear()
-    answer = published(region, 0, set_cell("share", 2.0, version))
-    assert answer.err_value.ran is Ran.UNKNOWN
+    result = published(region, 0, set_cell("share", 2.0, version))
+    assert result.err_value.ran is Ran.UNKNOWN
     region.restart(1)
     region.run(20.0)
     assert region.versions() == {version}
--- a/tests/stateful/table/test_table_machine.py
+++ b/tests/stateful/table/test_table_machine.py
@@ -1,4 +1,4 @@
-"""Operators race through a failing log; every replica must follow the plain oracle."""
+"""Concurrent publications through a faulty log; replicas must match the oracle."""
 
 import attrs
 import msgspec
@@ -66,7 +66,7 @@
 
 @attrs.frozen
 class How:
-    """Where and how an operator publishes."""
+    """The daemon, base version, fault and pause of a publication."""
 
     index: int
     back: int = 0
@@ -87,7 +87,7 @@
 
 @attrs.define(eq=False)
 class Wish:
-    """An operator's publication; `answers` are the verdicts told, by attempt."""
+    """A requested publication; `answers` contains the results by attempt."""
 
     request: PublishRequest
     attempts: int = 0
@@ -302,8 +302,8 @@
 
 @pytest.fixture(autouse=True)
 def small_bounds(monkeypatch):
-    """Make pages, histories and checkpoints so small that all of them are met."""
-    monkeypatch.setattr(replay, "HISTORY_ENTRIES", MEMORY)
+    """Lower the limits, so that tests reach paging, trimming and checkpoints."""
+    monkeypatch.setattr(replay, "MAX_HISTORY_ENTRIES", MEMORY)
     monkeypatch.setattr(log_follower, "PAGE_RECORDS", 3)
     monkeypatch.setattr(log_follower, "SEARCH_RECORDS", 6)
     monkeypatch.setattr(publisher, "CHECKPOINT_RECORDS", 4)
@@ -330,6 +330,6 @@
 )
 def test_a_deliberate_break_is_caught(break_it, finding, monkeypatch):
     break_it(monkeypatch)
-    wanted = settings_of(600, phases=(Phase.generate,))
+    break_settings = settings_of(600, phases=(Phase.generate,))
     with pytest.raises(AssertionError, match=finding):
-        run_state_machine_as_test(TableMachine, settings=wanted)
+        run_state_machine_as_test(TableMachine, settings=break_settings)
--- a/tests/unit/table/test_document.py
+++ b/tests/unit/table/test_document.py
@@ -1,4 +1,4 @@
-"""Table documents in TOML and CSV."""
+"""Reading and writing table documents in TOML and CSV."""
 
 import pytest
 from hypothesis import given, settings
--- a/tests/unit/table/test_merge.py
+++ b/tests/unit/table/test_merge.py
@@ -1,4 +1,4 @@
-"""Three-way merge: a table of what each pair of edits gives."""
+"""Three-way merge: conflicts and findings of pairs of edits."""
 
 import msgspec
 import pytest
--- a/tests/unit/table/test_replay.py
+++ b/tests/unit/table/test_replay.py
@@ -1,4 +1,4 @@
-"""The rule of replay, record by record."""
+"""Verdicts and states of the replay, record by record."""
 
 import msgspec
 import pytest
@@ -31,7 +31,7 @@
     )
 
 
-def whole_record(base, *rows):
+def table_record(base, *rows):
     return encode_record(
         PublishedTable(
             format=1, base_version=base, author="o", at=1.0, rows=rows, keys=()
@@ -54,7 +54,7 @@
 
 
 def run(*records, state=None):
-    """Replay (id, text) pairs; gives the state and what became of each."""
+    """Replay (id, text) pairs; return the state, and the verdict or skip reason of each."""
     state = state or ReplayState()
     replayed = []
     for record_id, text in records:
@@ -72,10 +72,10 @@
         (edits_record(1, share(1.5, 2.0)), Verdict.CONFLICT),
         (edits_record(1, share(1.0, 0.0)), Verdict.INVALID),
         (edits_record(9, share(1.0, 2.0)), SkipReason.BAD),
-        (whole_record(1, msgspec.structs.replace(GUIDE, priority=1)), Verdict.ACCEPTED),
-        (whole_record(0, GUIDE), Verdict.MERGED),
-        (whole_record(0), Verdict.MERGED),
-        (whole_record(1, GUIDE, GUIDE), Verdict.INVALID),
+        (table_record(1, msgspec.structs.replace(GUIDE, priority=1)), Verdict.ACCEPTED),
+        (table_record(0, GUIDE), Verdict.MERGED),
+        (table_record(0), Verdict.MERGED),
+        (table_record(1, GUIDE, GUIDE), Verdict.INVALID),
         ("{", SkipReason.BAD),
         ("[]", SkipReason.BAD),
         ('{"type": "Other"}', SkipReason.BAD),
@@ -120,7 +120,7 @@
 
 
 def test_a_repeat_of_a_forgotten_id_is_refused(monkeypatch):
-    monkeypatch.setattr(replay_module, "HISTORY_ENTRIES", 2)
+    monkeypatch.setattr(replay_module, "MAX_HISTORY_ENTRIES", 2)
     first = ("b", edits_record(1, share(1.0, 2.0)))
     back = ("c", edits_record(2, share(2.0, 1.0)))
     other = ("d", edits_record(3, SetCell("guide", "priority", 5, 1)))
@@ -131,7 +131,7 @@
 
 
 def test_the_history_is_bounded_by_its_cells_and_keeps_the_newest(monkeypatch):
-    monkeypatch.setattr(replay_module, "HISTORY_WEIGHT", 5)
+    monkeypatch.setattr(replay_module, "MAX_HISTORY_WEIGHT", 5)
     state, _ = run(("a", ADD))
     assert len(state.history) == 1
     records = [(f"r{n}", edits_record(n, share(n, n + 1))) for n in range(1, 6)]
@@ -147,7 +147,7 @@
     records += [(f"r{n}", edits_record(n, share(n, n + 1))) for n in range(1, 4)]
     records += [("x", "{")]
     records += [("end", edits_record(4, SetRow("guide", GUIDE, None)))]
-    records += [("whole", whole_record(4, GUIDE))]
+    records += [("whole", table_record(4, GUIDE))]
     state, _ = run(*records)
     shares = [state.contents_at(version).rows["guide"].share for version in range(1, 5)]
     assert shares == [1, 2, 3, 4]
@@ -183,7 +183,7 @@
 
 def test_drained_zones_survive_a_whole_table_and_an_encoded_state():
     state, verdicts = run(
-        ("a", ADD), ("b", drains_record(1, DRAIN)), ("c", whole_record(2, GUIDE))
+        ("a", ADD), ("b", drains_record(1, DRAIN)), ("c", table_record(2, GUIDE))
     )
     assert verdicts[1:] == [Verdict.ACCEPTED] * 2
     assert state.contents.drained_zones == {"z-1"}
--- a/tests/unit/table/test_schema.py
+++ b/tests/unit/table/test_schema.py
@@ -1,4 +1,4 @@
-"""The rules of cells and rows: every finding, with its place."""
+"""Validation of cells and rows: every finding, with its place."""
 
 import pytest
 from result import Err
