--- a/notcharch/engines/cache_map.py
+++ b/notcharch/engines/cache_map.py
@@ -26,7 +26,7 @@
         self._next_sequence = 0
         self._has_read_page = False
         self.is_stale = True
-        """Whether the map needs reconciliation with the engine's list."""
+        """True until the map is reconciled with the engine's list after a gap or restart."""
 
     @property
     def next_sequence(self) -> int:
--- a/notcharch/engines/steward_state.py
+++ b/notcharch/engines/steward_state.py
@@ -75,9 +75,9 @@
         self._unclaimed_since: float | None = None
         self.load = LoadTracker(slots)
         self.leaving = False
-        """Whether the machine list has the engine in a state other than live."""
+        """True if the machine list has the engine in a state other than live."""
         self.draining = False
-        """Whether operators have ordered a drain of the engine."""
+        """True if operators have ordered a drain of the engine."""
         self._queue_limit = queue_limit
         self._waiting = WaitingCalls(order_policy)
         self._headroom = MemoryHeadroom(order_policy)
--- a/notcharch/services/holder.py
+++ b/notcharch/services/holder.py
@@ -95,7 +95,7 @@
         self._counted = 0
         """Upper bound of the slots that the limiter counts for this holder."""
         self._granted_less = False
-        """Whether the limiter last granted fewer slots than were wanted."""
+        """True if the limiter last granted fewer slots than the holder wanted."""
         self._next_request_at = 0.0
         self._failures = 0
         self._is_expiry_reported = False
