Reword the daemon and rename its private names

look is now current_state, the private attribute _life is _lifecycle. In the drain: LAST_REQUESTS_SECONDS became LINGER_SECONDS, LAST_ANSWERS_SECONDS MAX_LAST_RESPONSES_SECONDS, STEWARD_SECONDS MAX_ENGINE_HANDOVER_SECONDS, HAND_OVER_SECONDS MAX_PARTITION_HANDOVER_SECONDS. In the process: CONNECT_SECONDS became CONNECT_TIMEOUT_SECONDS, LISTEN_TRIES MAX_LISTEN_ATTEMPTS. In the core: _hear_digest became _on_digest, _drain_zones _apply_drained_zones.

--- a/notcharch/daemon/__init__.py
+++ b/notcharch/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Builds, starts, drains and stops a daemon."""
+"""Construction, startup, draining and shutdown of a daemon process."""
--- a/notcharch/daemon/clock.py
+++ b/notcharch/daemon/clock.py
@@ -1,8 +1,8 @@
-"""The daemon's clock: wall time at the start, monotonic from then on.
+"""A monotonic clock anchored to the wall time at startup.
 
-Leases and time-outs must not jump when the machine's wall clock is set, while
-records want seconds since 1970. `seconds()` therefore adds the monotonic time
-that has passed to the wall time read once at construction.
+Leases and timeouts must not be affected by adjustments of the system clock, but
+records store Unix timestamps. `seconds()` therefore adds the elapsed monotonic time
+to the wall time read at construction.
 """
 
 import time
@@ -15,7 +15,7 @@
 
 @implementer(IReactorTime)
 class SteadyClock:
-    """Twisted's time interface over a reactor, with a `seconds` that never jumps."""
+    """An `IReactorTime` over a reactor whose `seconds` is monotonic."""
 
     def __init__(
         self,
@@ -23,21 +23,21 @@
         wall: Callable[[], float] = time.time,
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Read the wall clock once and follow the monotonic one."""
+        """Compute the offset between the wall clock and the monotonic clock."""
         self._reactor = reactor
         self._monotonic = monotonic
         self._offset = wall() - monotonic()
 
     def seconds(self) -> float:
-        """Give seconds since 1970, growing steadily."""
+        """Return the Unix time in seconds; it never goes backwards."""
         return self._offset + self._monotonic()
 
     def callLater(  # noqa: N802 - Twisted's name
         self, delay: float, callable: Callable[..., Any], *args: Any, **kwargs: Any
     ) -> IDelayedCall:
-        """Call back after `delay` seconds, by the reactor."""
+        """Schedule a call on the reactor after `delay` seconds."""
         return self._reactor.callLater(delay, callable, *args, **kwargs)
 
     def getDelayedCalls(self) -> "Any":  # noqa: N802 - Twisted's name
-        """Give the reactor's pending calls."""
+        """Return the reactor's pending delayed calls."""
         return self._reactor.getDelayedCalls()
--- a/notcharch/daemon/core.py
+++ b/notcharch/daemon/core.py
@@ -1,7 +1,7 @@
-"""Wires every role of a daemon over its ports; opens no socket itself.
+"""Constructs and connects the services of a daemon; opens no sockets itself.
 
-The same core runs in a daemon process, in one process with others, and in tests
-on a virtual clock with a memory transport.
+The same core runs in a daemon process, in a process shared by several daemons, and
+in tests on a virtual clock with an in-memory transport.
 """
 
 from prometheus_client import CollectorRegistry
@@ -43,16 +43,16 @@
 from notcharch.wire.messages.membership import MemberRecord
 
 TABLE_DIGEST = "table"
-"""The key under which membership carries the table's version."""
+"""The key of the table version in the digests that membership exchanges."""
 
 
 class DaemonCore:
-    """Every role of one daemon. Construction registers handlers, `start` runs them."""
+    """All services of one daemon; construction registers their message handlers."""
 
     def __init__(
         self, settings: Settings, ports: DaemonPorts, registry: CollectorRegistry
     ) -> None:
-        """Build the roles from the lowest up; each uses only what is above it."""
+        """Construct the services in dependency order."""
         self.settings = settings
         self.ports = ports
         self.region = RegionName(settings.daemon.region)
@@ -65,18 +65,18 @@
 
     @property
     def own_member(self) -> Member:
-        """This process."""
+        """The membership identity of this daemon process."""
         return self.ports.network.own_member
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether callers may come: table, machines and members are known."""
+        """Return whether the table, the machine list and the members are known."""
         has_table = self.table.version > 0
         has_machines = self.machine_list.version is not None
         return has_table and has_machines and self.membership.knows_region()
 
     def start(self) -> None:
-        """Begin every role's periodic work."""
+        """Start the periodic work of every service."""
         self.machine_list.start()
         self.membership.start()
         self.partitions.start()
@@ -86,7 +86,7 @@
         self.slots.start()
 
     def stop(self) -> None:
-        """End every role's periodic work, the reverse of `start`."""
+        """Stop the periodic work of every service, in the reverse order of `start`."""
         self.slots.stop()
         self.stewards.stop()
         self.programs.stop()
@@ -137,26 +137,26 @@
             log=ports.log,
             network=ports.network,
             random=ports.chance,
-            set_digest=self._carry_table_version,
+            set_digest=self._announce_table_version,
             fetch_delay_seconds=self.settings.table.fetch_delay_seconds,
         )
-        self.table.on_change(self._drain_zones)
-        self.membership.on_digest(self._hear_digest)
+        self.table.on_change(self._apply_drained_zones)
+        self.membership.on_digest(self._on_digest)
         self.publisher = TablePublisher(
             clock=ports.clock, log=ports.log, replica=self.table
         )
 
-    def _drain_zones(self) -> None:
-        """Hear that a newer table is in force: it says which zones are drained."""
+    def _apply_drained_zones(self) -> None:
+        """Apply the drained zones of a table that has come into force."""
         zones = frozenset(str(zone) for zone in self.table.drained_zones())
         drained = DrainedZones(zones, self.table.version)
         change = self.directory.drain_zones(drained, self.ports.clock.seconds())
         report_drains(drained, change)
 
-    def _carry_table_version(self, version: int) -> None:
+    def _announce_table_version(self, version: int) -> None:
         self.membership.set_digest(TABLE_DIGEST, version)
 
-    def _hear_digest(self, member: Member, key: str, value: int) -> None:
+    def _on_digest(self, member: Member, key: str, value: int) -> None:
         if key == TABLE_DIGEST:
             self.table.on_digest(member, value)
 
--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -1,8 +1,8 @@
-"""The planned stop: nothing new, let calls end, hand over, and only then stop.
+"""Graceful drain and shutdown of a daemon.
 
-Connections that callers keep open may bring requests until the very end. So the
-daemon first stops listening, answers for a last while whatever still comes, and
-closes only when no response is under way.
+Callers may send requests on open connections until these are closed. The daemon
+therefore stops listening first, keeps serving open connections for a short period,
+and closes them only when no response is in flight.
 """
 
 from collections.abc import Callable
@@ -17,89 +17,91 @@
 from notcharch.events.daemon import DaemonDraining, DaemonStopped, DrainTimedOut
 from notcharch.events.event import emit
 
-LAST_REQUESTS_SECONDS = 1.0
-"""Time between the last new connection and the end, for requests under way."""
+LINGER_SECONDS = 1.0
+"""Time for which open connections are served after the daemon stopped listening."""
 
-LAST_ANSWERS_SECONDS = 5.0
-"""Longest wait for responses to requests that came in the last while."""
+MAX_LAST_RESPONSES_SECONDS = 5.0
+"""Maximum wait for responses to requests received while lingering."""
 
-STEWARD_SECONDS = 5.0
-"""Longest wait for other daemons to claim the engines that this one stewards."""
+MAX_ENGINE_HANDOVER_SECONDS = 5.0
+"""Maximum wait for other daemons to claim this daemon's engines."""
 
-HAND_OVER_SECONDS = 20.0
-"""Longest wait for this daemon's partitions to be written and given up."""
+MAX_PARTITION_HANDOVER_SECONDS = 20.0
+"""Maximum wait for this daemon's partitions to be flushed and released."""
 
 
 class Drain:
-    """Drains one daemon, by an operator's order or on the way to its stop."""
+    """Drains one daemon, on an operator's request or before it stops."""
 
     def __init__(
         self,
         core: DaemonCore,
-        life: LifeInputs,
+        lifecycle: LifeInputs,
         clock: IReactorTime,
         stop_listening: Callable[[], "Deferred[None]"],
     ) -> None:
-        """Do nothing yet; `stop_listening` is for callers' new connections."""
+        """Prepare a drain; `stop_listening` closes the port for callers' connections."""
         self._stop_listening = stop_listening
         self._core = core
-        self._life = life
+        self._lifecycle = lifecycle
         self._clock = clock
         self._idle: Deferred[None] | None = None
 
     def begin(self) -> None:
-        """Refuse new calls and tell the other daemons; running calls go on."""
-        if self._life.look() is LifeState.DRAINING:
+        """Refuse new calls and notify the other daemons; running calls continue."""
+        if self._lifecycle.current_state() is LifeState.DRAINING:
             return
-        self._life.begin_drain()
+        self._lifecycle.begin_drain()
         core = self._core
         emit(DaemonDraining(core.own_member.daemon, core.gateway.running_calls))
         core.membership.announce_leaving()
         self._idle = core.gateway.drain()
 
     def cancel(self) -> None:
-        """Take new calls again."""
-        if self._life.look() is not LifeState.DRAINING:
+        """Cancel the drain and accept new calls again."""
+        if self._lifecycle.current_state() is not LifeState.DRAINING:
             return
-        self._life.cancel_drain()
+        self._lifecycle.cancel_drain()
         self._core.membership.cancel_leaving()
         self._core.gateway.resume()
 
     async def run(self) -> None:
-        """Drain whole, in the order: calls, engines, partitions, connections."""
+        """Drain calls, engines, partitions and connections, in this order."""
         core = self._core
         started_at = self._clock.seconds()
         self.begin()
         assert self._idle is not None
-        longest = core.settings.daemon.drain_seconds
-        if not await _within(self._idle, longest, self._clock):
+        max_drain_seconds = core.settings.daemon.drain_seconds
+        if not await _within(self._idle, max_drain_seconds, self._clock):
             running = core.gateway.running_calls
             emit(DrainTimedOut(core.own_member.daemon, running))
         handed_over = core.stewards.when_handed_over()
-        await _within(handed_over, STEWARD_SECONDS, self._clock)
-        await _within(core.partitions.hand_over(), HAND_OVER_SECONDS, self._clock)
+        await _within(handed_over, MAX_ENGINE_HANDOVER_SECONDS, self._clock)
+        await _within(
+            core.partitions.hand_over(), MAX_PARTITION_HANDOVER_SECONDS, self._clock
+        )
         await self._stop_listening()
-        await deferLater(self._clock, LAST_REQUESTS_SECONDS)
-        await _within(core.gateway.when_idle(), LAST_ANSWERS_SECONDS, self._clock)
-        self._life.finish()
+        await deferLater(self._clock, LINGER_SECONDS)
+        await _within(core.gateway.when_idle(), MAX_LAST_RESPONSES_SECONDS, self._clock)
+        self._lifecycle.finish()
         seconds = self._clock.seconds() - started_at
         emit(DaemonStopped(core.own_member.daemon, seconds))
 
 
 async def _within(
-    awaited: "Deferred[Any]", seconds: float, clock: IReactorTime
+    deferred: "Deferred[Any]", seconds: float, clock: IReactorTime
 ) -> bool:
-    """Wait for a Deferred at most so long; tell whether it fired. Never cancels it."""
-    first: Deferred[bool] = Deferred()
+    """Return whether a Deferred fired within `seconds`; it is not cancelled."""
+    outcome: Deferred[bool] = Deferred()
 
-    def settle(_: Any, fired: bool) -> Any:
-        if not first.called:
-            first.callback(fired)
+    def resolve(_: Any, fired: bool) -> Any:
+        if not outcome.called:
+            outcome.callback(fired)
         return _
 
-    timer = clock.callLater(seconds, settle, None, False)
-    awaited.addBoth(settle, True)
-    fired = await first
+    timer = clock.callLater(seconds, resolve, None, False)
+    deferred.addBoth(resolve, True)
+    fired = await outcome
     if timer.active():
         timer.cancel()
     return fired
--- a/notcharch/daemon/life.py
+++ b/notcharch/daemon/life.py
@@ -1,4 +1,4 @@
-"""The life of a daemon, as a machine that does no I/O.
+"""The lifecycle of a daemon, as a state machine without I/O.
 
 ```
 starting --become_ready--> live --begin_drain--> draining --finish--> stopped
@@ -6,8 +6,8 @@
     +------------------begin_drain--------------------+
 ```
 
-Every input returns the state that the daemon is then in; an input that does not
-fit the state changes nothing.
+Every input returns the resulting state. An input that is not valid in the current
+state is ignored.
 """
 
 import enum
@@ -17,7 +17,7 @@
 
 
 class LifeState(enum.Enum):
-    """What a daemon says of itself."""
+    """The states of a daemon's lifecycle, as reported to operators."""
 
     STARTING = "starting"
     LIVE = "live"
@@ -26,26 +26,26 @@
 
 
 class LifeInputs(Protocol):
-    """What happens to a daemon."""
+    """The inputs of the state machine."""
 
     def become_ready(self) -> LifeState:
         """Record that a table is in force and the machine list was read."""
 
     def begin_drain(self) -> LifeState:
-        """Take nothing new from now on."""
+        """Stop accepting new work."""
 
     def cancel_drain(self) -> LifeState:
-        """Take new work again."""
+        """Accept new work again."""
 
     def finish(self) -> LifeState:
-        """Record that everything was handed over."""
+        """Record that engines and partitions were handed over."""
 
-    def look(self) -> LifeState:
-        """Change nothing."""
+    def current_state(self) -> LifeState:
+        """Return the current state without changing it."""
 
 
 class LifeCore:
-    """The machine keeps no data of its own."""
+    """The state machine's data, which is empty."""
 
 
 def _build() -> TypeMachineBuilder[LifeInputs, LifeCore]:
@@ -63,14 +63,14 @@
         LifeInputs.begin_drain,
         LifeInputs.cancel_drain,
         LifeInputs.finish,
-        LifeInputs.look,
+        LifeInputs.current_state,
     )
     for before, machine_state in states.items():
-        for life_input in inputs:
-            after = changes.get((before, life_input), before)
-            machine_state.upon(life_input).to(states[after]).returns(after)
+        for lifecycle_input in inputs:
+            after = changes.get((before, lifecycle_input), before)
+            machine_state.upon(lifecycle_input).to(states[after]).returns(after)
     return builder
 
 
 new_life = _build().build()
-"""Builds the machine of one daemon: `new_life(LifeCore())`."""
+"""Creates the state machine of one daemon: `new_life(LifeCore())`."""
--- a/notcharch/daemon/partition_descriptions.py
+++ b/notcharch/daemon/partition_descriptions.py
@@ -1,4 +1,4 @@
-"""Describes the partitions that a daemon leads, for the operators' interface."""
+"""Descriptions of the partitions that a daemon leads, for the operators' API."""
 
 from notcharch.daemon.state_access import StateAccess
 from notcharch.partitions.service import PartitionService, PartitionStatus
@@ -9,7 +9,7 @@
 def describe_partitions(
     partitions: PartitionService, access: StateAccess
 ) -> tuple[PartitionDescription, ...]:
-    """Give every led partition with its journal and its programs."""
+    """Return a description of every partition that this daemon leads."""
     return tuple(_describe(status, access) for status in partitions.status())
 
 
--- a/notcharch/daemon/ports.py
+++ b/notcharch/daemon/ports.py
@@ -1,7 +1,7 @@
-"""Everything outside that a daemon's roles use, gathered for construction.
+"""The external dependencies of a daemon's services.
 
-A daemon process fills it with sockets and clients; tests, simulations and hollow
-daemons fill it with memory transports and models.
+A daemon process provides sockets and clients; tests, simulations and hollow daemons
+provide in-memory transports and models.
 """
 
 import random
@@ -17,10 +17,10 @@
 
 @attrs.frozen
 class DaemonPorts:
-    """The clock, the chance, the network and the platform of one daemon.
+    """The clock, random numbers, network and platform clients of one daemon.
 
-    `clock` gives seconds since 1970 and never jumps. `peer_address` is this
-    process's own `host:port` for peers.
+    `clock` returns Unix time in seconds and is monotonic. `peer_address` is the
+    `host:port` at which peers reach this process.
     """
 
     clock: IReactorTime
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -1,4 +1,4 @@
-"""A daemon on real sockets: listening, the ready line's facts, drain and stop."""
+"""Runs a daemon on real sockets: listening, readiness, drain and shutdown."""
 
 import random
 from typing import Any
@@ -40,15 +40,15 @@
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.datagrams import UdpDatagramPort
 
-CONNECT_SECONDS = 2.0
-LISTEN_TRIES = 20
+CONNECT_TIMEOUT_SECONDS = 2.0
+MAX_LISTEN_ATTEMPTS = 20
 LISTEN_BACKLOG = 1024
-MILLISECONDS = 1000
-READY_CHECK_SECONDS = 0.05
+MILLISECONDS_PER_SECOND = 1000
+READY_CHECK_INTERVAL_SECONDS = 0.05
 
 
 class DaemonAddresses(msgspec.Struct, frozen=True):
-    """Where a daemon listens, `host:port`."""
+    """The `host:port` addresses at which a daemon listens."""
 
     http: str
     peer: str
@@ -56,7 +56,7 @@
 
 @attrs.define
 class _Sockets:
-    """What was opened, to be closed again."""
+    """The sockets and connections to close when the daemon stops."""
 
     network: TcpPeerNetwork
     datagrams: UdpDatagramPort
@@ -65,14 +65,14 @@
 
 
 class DaemonProcess:
-    """One daemon of this process; several may share a reactor."""
+    """A daemon in this process; several daemons may share a reactor."""
 
     def __init__(self, reactor: Any, settings: Settings) -> None:
-        """Prepare; nothing listens before `start`."""
+        """Prepare a daemon; sockets are opened by `start`."""
         self._reactor = reactor
         self._settings = settings
         self._clock = SteadyClock(reactor)
-        self._life = new_life(LifeCore())
+        self._lifecycle = new_life(LifeCore())
         self._registry = CollectorRegistry()
         self._stopped: Deferred[None] = Deferred()
         self._is_stopping = False
@@ -80,11 +80,11 @@
         self._sockets: _Sockets | None = None
 
     def start(self) -> DaemonAddresses:
-        """Listen and begin every role; raises CannotListenError."""
+        """Listen and start every service; raises CannotListenError."""
         network, datagrams, peer_port = self._listen_for_peers()
         host = self._settings.daemon.host
         peer_address = f"{host}:{peer_port}"
-        connections = Connections(self._reactor, CONNECT_SECONDS)
+        connections = Connections(self._reactor, CONNECT_TIMEOUT_SECONDS)
         self._sockets = _Sockets(network, datagrams, connections)
         core = DaemonCore(
             self._settings,
@@ -93,7 +93,7 @@
         )
         self.core = core
         core.membership.on_superseded(self._on_superseded)
-        self._drain = Drain(core, self._life, self._clock, self._stop_listening)
+        self._drain = Drain(core, self._lifecycle, self._clock, self._stop_listening)
         http_address = self._serve_http(core)
         core.start()
         self._check_ready()
@@ -102,11 +102,11 @@
         return addresses
 
     def state(self) -> LifeState:
-        """Give the state of the daemon's life."""
-        return self._life.look()
+        """Return the state of the daemon's lifecycle."""
+        return self._lifecycle.current_state()
 
     def stop(self) -> "Deferred[None]":
-        """Drain, hand over, stop everything; fires when all is closed."""
+        """Drain, hand over and close; fires when all sockets are closed."""
         if not self._is_stopping:
             self._is_stopping = True
             drained = Deferred.fromCoroutine(self._drain.run())
@@ -114,25 +114,25 @@
         return self.when_stopped()
 
     def when_stopped(self) -> "Deferred[None]":
-        """Give a Deferred that fires when everything is closed, for any reason."""
+        """Return a Deferred that fires when the daemon has stopped for any reason."""
         waiter: Deferred[None] = Deferred()
-        self._stopped.addBoth(_pass_on, waiter)
+        self._stopped.addBoth(_notify_waiter, waiter)
         return waiter
 
     def kill(self) -> "Deferred[Any]":
-        """Close every socket at once and hand nothing over, as a crash would."""
+        """Close all sockets immediately without handover, as in a crash."""
         self._is_stopping = True
         return self._close()
 
     def _listen_for_peers(self) -> tuple[TcpPeerNetwork, UdpDatagramPort, int]:
-        """Bind TCP and UDP to one number; a drawn number may be taken in UDP."""
+        """Bind TCP and UDP to the same port; retry if a random port is taken for UDP."""
         section = self._settings.daemon
         member = Member(
             DaemonName(section.name),
-            Incarnation(int(self._clock.seconds() * MILLISECONDS)),
+            Incarnation(int(self._clock.seconds() * MILLISECONDS_PER_SECOND)),
         )
-        tries = LISTEN_TRIES if section.peer_port == 0 else 1
-        for tries_left in reversed(range(tries)):
+        attempts = MAX_LISTEN_ATTEMPTS if section.peer_port == 0 else 1
+        for remaining_attempts in reversed(range(attempts)):
             network = TcpPeerNetwork(
                 self._reactor,
                 self._clock,
@@ -147,11 +147,11 @@
                 datagrams.listen(self._reactor, section.host, port)
             except CannotListenError:
                 network.stop()
-                if tries_left == 0:
+                if remaining_attempts == 0:
                     raise
             else:
                 return network, datagrams, port
-        raise AssertionError("unreachable: the last try returns or raises")
+        raise AssertionError("unreachable: the last attempt returns or raises")
 
     def _ports(
         self,
@@ -229,12 +229,12 @@
 
     def _check_ready(self) -> None:
         core = self.core
-        if core is None or self._life.look() is not LifeState.STARTING:
+        if core is None or self._lifecycle.current_state() is not LifeState.STARTING:
             return
         if core.is_ready:
-            self._life.become_ready()
+            self._lifecycle.become_ready()
             return
-        deferLater(self._reactor, READY_CHECK_SECONDS, self._check_ready)
+        deferLater(self._reactor, READY_CHECK_INTERVAL_SECONDS, self._check_ready)
 
     def _report_start(self, addresses: DaemonAddresses) -> None:
         assert self.core is not None
@@ -250,7 +250,7 @@
         )
 
     def _stop_listening(self) -> "Deferred[None]":
-        """Take no new connections of callers; those that are open stay."""
+        """Stop accepting callers' connections; open connections are kept."""
         port = None if self._sockets is None else self._sockets.http_port
         return succeed(None) if port is None else maybeDeferred(port.stopListening)
 
@@ -266,14 +266,14 @@
             closing.append(maybeDeferred(sockets.datagrams.close))
             closing.append(maybeDeferred(sockets.connections.close))
         closed = DeferredList(closing, consumeErrors=True)
-        closed.addBoth(lambda _: self._note_stopped())
+        closed.addBoth(lambda _: self._notify_stopped())
         return closed
 
-    def _note_stopped(self) -> None:
+    def _notify_stopped(self) -> None:
         if not self._stopped.called:
             self._stopped.callback(None)
 
 
-def _pass_on(result: Any, waiter: "Deferred[None]") -> Any:
+def _notify_waiter(result: Any, waiter: "Deferred[None]") -> Any:
     waiter.callback(None)
     return result
--- a/notcharch/daemon/state_access.py
+++ b/notcharch/daemon/state_access.py
@@ -1,4 +1,4 @@
-"""Finds the components of a led partition for the services that read them."""
+"""Access to the state components of the partitions that this daemon leads."""
 
 from typing import TypeVar
 
@@ -16,31 +16,31 @@
     *StewardClaimsState.COMMANDS,
     *AllotmentsState.COMMANDS,
 )
-"""Every command that any partition may hold."""
+"""All command types that a partition may contain."""
 
 
 def new_partition_state(partition: PartitionNumber) -> PartitionState:
-    """Make the empty state of a partition; its number does not matter."""
+    """Create the empty state of a partition, which is the same for all partitions."""
     return PartitionState((ProgramsState(), StewardClaimsState(), AllotmentsState()))
 
 
 class StateAccess:
-    """Typed access to the partitions that are led here."""
+    """Typed access to the state of partitions that this daemon leads."""
 
     def __init__(self, partitions: PartitionHost) -> None:
-        """Read through `partitions`."""
+        """Read the states from `partitions`."""
         self._partitions = partitions
 
     def programs(self, partition: PartitionNumber) -> ProgramsState | None:
-        """Give a partition's programs, or None when it is not here."""
+        """Return a partition's programs, or None if it is not led here."""
         return self._component(partition, ProgramsState)
 
     def claims(self, partition: PartitionNumber) -> StewardClaimsState | None:
-        """Give a partition's steward claims, or None when it is not here."""
+        """Return a partition's steward claims, or None if it is not led here."""
         return self._component(partition, StewardClaimsState)
 
     def allotments(self, partition: PartitionNumber) -> AllotmentsState | None:
-        """Give a partition's allotments, or None when it is not here."""
+        """Return a partition's allotments, or None if it is not led here."""
         return self._component(partition, AllotmentsState)
 
     def _component(
--- a/tests/unit/faults/test_planned_stop.py
+++ b/tests/unit/faults/test_planned_stop.py
@@ -1,8 +1,6 @@
-"""The last moments of a planned stop: requests that are still on their way.
+"""A planned stop drops no request that arrives on an open connection.
 
-A connection that was kept open may bring a request until it is closed. It is
-answered as long as possible: first nobody new can connect, then a last while
-passes, then what is still being answered ends.
+The daemon stops listening, lingers, and then waits for the responses in flight.
 """
 
 import pytest
@@ -10,9 +8,9 @@
 from twisted.internet.task import Clock
 
 from notcharch.daemon.drain import (
-    LAST_ANSWERS_SECONDS,
-    LAST_REQUESTS_SECONDS,
-    STEWARD_SECONDS,
+    LINGER_SECONDS,
+    MAX_ENGINE_HANDOVER_SECONDS,
+    MAX_LAST_RESPONSES_SECONDS,
     Drain,
 )
 from notcharch.daemon.life import LifeCore, LifeState, new_life
@@ -21,7 +19,7 @@
 
 
 class FakeCore:
-    """Everything that a drain asks of a daemon, with a note of the order."""
+    """The parts of a daemon that a drain calls; records the order of the calls."""
 
     def __init__(self):
         self.steps = []
@@ -93,19 +91,19 @@
         "hand over partitions",
         "stop listening",
     ]
-    clock.advance(LAST_REQUESTS_SECONDS / 2)
+    clock.advance(LINGER_SECONDS / 2)
     assert not stopped.called
-    assert life.look() is LifeState.DRAINING
-    clock.advance(LAST_REQUESTS_SECONDS / 2)
+    assert life.current_state() is LifeState.DRAINING
+    clock.advance(LINGER_SECONDS / 2)
     assert core.steps[-1] == "await answers"
     assert stopped.called
-    assert life.look() is LifeState.STOPPED
+    assert life.current_state() is LifeState.STOPPED
 
 
 def test_what_is_still_being_answered_is_waited_for(core, life, clock):
     core.answering = Deferred()
     stopped = begin(core, life, clock)
-    clock.advance(LAST_REQUESTS_SECONDS)
+    clock.advance(LINGER_SECONDS)
     assert not stopped.called
     core.answering.callback(None)
     assert stopped.called
@@ -115,14 +113,14 @@
     core.handing_over = Deferred()
     stopped = begin(core, life, clock)
     assert core.steps[-1] == "hand over engines"
-    clock.advance(STEWARD_SECONDS)
-    clock.advance(LAST_REQUESTS_SECONDS)
+    clock.advance(MAX_ENGINE_HANDOVER_SECONDS)
+    clock.advance(LINGER_SECONDS)
     assert stopped.called
 
 
 def test_a_request_that_never_ends_does_not_keep_the_daemon(core, life, clock):
     core.answering = Deferred()
     stopped = begin(core, life, clock)
-    clock.advance(LAST_REQUESTS_SECONDS)
-    clock.advance(LAST_ANSWERS_SECONDS)
+    clock.advance(LINGER_SECONDS)
+    clock.advance(MAX_LAST_RESPONSES_SECONDS)
     assert stopped.called
