Reword the command line and rename its private names

LOST_ANSWERS became RESPONSE_ERRORS, REQUEST_SECONDS REQUEST_TIMEOUT_SECONDS, SignalStop SignalHandler, PUBLISH_ATTEMPTS MAX_PUBLISH_ATTEMPTS, _first_base _initial_base_version, _described _describe_edit, answer response. Help texts and two error messages are reworded; options, printed results and exit statuses are unchanged.

--- a/notcharch/cli/__init__.py
+++ b/notcharch/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line."""
+"""The `notcharch` command line."""
--- a/notcharch/cli/admin_client.py
+++ b/notcharch/cli/admin_client.py
@@ -1,4 +1,4 @@
-"""Blocking requests of commands to the operators' interface of any daemon."""
+"""A client of the operators' API of a daemon, and the runner of its commands."""
 
 import argparse
 import contextlib
@@ -26,79 +26,81 @@
 from notcharch.errors import Problem, ProblemCode, Ran
 
 API_PATH = "/admin/v1"
-REQUEST_SECONDS = 60.0
+REQUEST_TIMEOUT_SECONDS = 60.0
 
-LOST_ANSWERS = (
+RESPONSE_ERRORS = (
     CancelledError,
     ConnectingCancelledError,
     ConnectionClosed,
     DeferredTimeoutError,
     ResponseFailed,
 )
-Answer = TypeVar("Answer")
+ResponseT = TypeVar("ResponseT")
 
 
 class HttpClient(Protocol):
-    """The part of treq that is used here; tests give another one."""
+    """The subset of treq that the client uses; tests can replace it."""
 
     @property
     def request(self) -> "Callable[..., Deferred[Any]]":
-        """Send a request (method, URL, options) and give its response."""
+        """Send a request (method, URL, options) and return its response."""
 
     @property
     def content(self) -> "Callable[..., Deferred[bytes]]":
-        """Give a response's whole body."""
+        """Return the complete body of a response."""
 
 
 class AdminClient:
-    """Requests to one daemon's operators' interface."""
+    """Sends requests to the operators' API of one daemon."""
 
     def __init__(
         self, server: str, key: str, http: HttpClient, clock: IReactorTime
     ) -> None:
-        """Take the daemon's `http://host:port` and an operator's key."""
+        """Create a client; `server` is `http://host:port`, `key` an operator's key."""
         self._server = server.rstrip("/")
         self._key = key
         self._http = http
         self._clock = clock
 
     async def pause(self, seconds: float) -> None:
-        """Wait before asking again."""
+        """Wait before the next request."""
         await deferLater(self._clock, seconds)
 
-    async def get(self, path: str, answer: type[Answer]) -> Result[Answer, Problem]:
-        """Read a page and decode it."""
-        return await self._ask("GET", path, None, answer)
+    async def get(
+        self, path: str, response_type: type[ResponseT]
+    ) -> Result[ResponseT, Problem]:
+        """Send a GET request and decode the response."""
+        return await self._request("GET", path, None, response_type)
 
     async def post(
-        self, path: str, body: msgspec.Struct | None, answer: type[Answer]
-    ) -> Result[Answer, Problem]:
-        """Send a body and decode the answer."""
+        self, path: str, body: msgspec.Struct | None, response_type: type[ResponseT]
+    ) -> Result[ResponseT, Problem]:
+        """Send a POST request and decode the response."""
         data = b"" if body is None else msgspec.json.encode(body)
-        return await self._ask("POST", path, data, answer)
+        return await self._request("POST", path, data, response_type)
 
-    async def _ask(
-        self, method: str, path: str, body: bytes | None, answer: type[Answer]
-    ) -> Result[Answer, Problem]:
+    async def _request(
+        self, method: str, path: str, body: bytes | None, response_type: type[ResponseT]
+    ) -> Result[ResponseT, Problem]:
         try:
             response = await self._http.request(
                 method,
                 self._server + API_PATH + path,
                 headers={"authorization": f"Bearer {self._key}"},
                 data=body,
-                timeout=REQUEST_SECONDS,
+                timeout=REQUEST_TIMEOUT_SECONDS,
             )
             content = await self._http.content(response)
         except ConnectError as error:
             return Err(self._unreachable(error, Ran.NO))
-        except LOST_ANSWERS as error:
+        except RESPONSE_ERRORS as error:
             return Err(self._unreachable(error, Ran.UNKNOWN))
         try:
             if response.code >= 400:
                 return Err(msgspec.json.decode(content, type=Problem))
-            return Ok(msgspec.json.decode(content, type=answer))
+            return Ok(msgspec.json.decode(content, type=response_type))
         except msgspec.DecodeError as error:
-            message = f"the answer (status {response.code}) cannot be read: {error}"
+            message = f"cannot decode the response (status {response.code}): {error}"
             problem = Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN)
             return Err(problem)
 
@@ -111,9 +113,9 @@
 
 
 def run_command(command: Command, arguments: argparse.Namespace) -> int:
-    """Run a command under the reactor until it has its exit status."""
+    """Run a command under the reactor and return its exit status."""
     statuses: list[int] = []
-    faults: list[Exception] = []
+    errors: list[Exception] = []
 
     def main(reactor: IReactorTime) -> "Deferred[None]":
         client = AdminClient(arguments.server, arguments.key, treq, reactor)
@@ -122,27 +124,27 @@
             try:
                 statuses.append(await command(client, arguments))
             except Exception as error:
-                faults.append(error)
+                errors.append(error)
 
         return Deferred.fromCoroutine(run())
 
     with contextlib.suppress(SystemExit):
         react(main)
-    if faults and isinstance(faults[0], BrokenPipeError):
+    if errors and isinstance(errors[0], BrokenPipeError):
         return _close_output()
-    if faults:
-        raise faults[0]
+    if errors:
+        raise errors[0]
     return statuses[0] if statuses else INTERRUPTED
 
 
 def _close_output() -> int:
-    """Write nothing more to a reader that has gone, not even at the exit."""
+    """Discard further output after a broken pipe, including the flush at exit."""
     os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     return FAILED
 
 
 def print_problem(problem: Problem) -> int:
-    """Print a problem with its findings; gives the exit status."""
+    """Print a problem with its findings and return the exit status."""
     sys.stderr.write(f"notcharch: {problem.code}: {problem.message}\n")
     print_findings(problem.findings)
     if problem.retry_after is not None:
--- a/notcharch/cli/builtin.py
+++ b/notcharch/cli/builtin.py
@@ -1,7 +1,7 @@
-"""The built-in commands: name to `module:attribute` of the `CommandSpec`.
+"""The built-in commands: maps names to the `module:attribute` of a `CommandSpec`.
 
-They are named, not imported, so that one command does not load all the others: a
-daemon would hold tens of megabytes that it never uses.
+Commands are imported lazily, since a daemon would otherwise keep tens of megabytes of
+unused modules in memory.
 """
 
 BUILT_IN_COMMANDS: dict[str, str] = {
--- a/notcharch/cli/columns.py
+++ b/notcharch/cli/columns.py
@@ -6,27 +6,27 @@
 import msgspec
 
 COLUMN_GAP = "  "
-NOTHING = "-"
+EMPTY_CELL = "-"
 
 
-def print_columns(header: Sequence[str], lines: Iterable[Sequence[object]]) -> None:
-    """Print a header and lines, each column as wide as its widest cell."""
-    table = [list(header), *([_text(cell) for cell in line] for line in lines)]
+def print_columns(header: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print a header and rows, with columns aligned to their widest cell."""
+    table = [list(header), *([_text(cell) for cell in row] for row in rows)]
     widths = [max(map(len, column)) for column in zip(*table, strict=True)]
-    for line in table:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+    for row in table:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
         sys.stdout.write(COLUMN_GAP.join(cells).rstrip() + "\n")
 
 
-def print_json(answer: msgspec.Struct) -> None:
-    """Print an answer as JSON that people can read."""
-    text = msgspec.json.format(msgspec.json.encode(answer), indent=2)
+def print_json(response: msgspec.Struct) -> None:
+    """Print a response as indented JSON."""
+    text = msgspec.json.format(msgspec.json.encode(response), indent=2)
     sys.stdout.write(text.decode() + "\n")
 
 
 def _text(cell: object) -> str:
     if cell is None or cell == "":
-        return NOTHING
+        return EMPTY_CELL
     if isinstance(cell, bool):
         return "yes" if cell else "no"
     if isinstance(cell, float):
--- a/notcharch/cli/command.py
+++ b/notcharch/cli/command.py
@@ -1,6 +1,7 @@
-"""The shape of a command; commands of other packages register as entry points.
+"""The interface of a command.
 
-The group is `notcharch.commands`; each entry point names a `CommandSpec`.
+Other packages add commands as entry points of the group `notcharch.commands`, each of
+which refers to a `CommandSpec`.
 """
 
 import argparse
@@ -11,9 +12,9 @@
 
 @attrs.frozen
 class CommandSpec:
-    """One command: its name, one-line help, arguments, and what it does.
+    """A command: its name, one-line help, arguments and implementation.
 
-    `run` returns the exit status: 0 done, 1 refused or failed, 2 bad usage or
+    `run` returns the exit status: 0 success, 1 refused or failed, 2 usage error or
     findings, 3 the system cannot be reached.
     """
 
--- a/notcharch/cli/config_command.py
+++ b/notcharch/cli/config_command.py
@@ -23,27 +23,27 @@
 
 
 def configure(parser: argparse.ArgumentParser) -> None:
-    """Add the two actions."""
+    """Add the actions `check` and `show`."""
     parser.epilog = EXAMPLES
     actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
     for name, summary in (
         (CHECK, "print every finding in the settings"),
-        (SHOW, "print the settings in force, defaults and flags included"),
+        (SHOW, "print the effective settings, including defaults and flags"),
     ):
         action = actions.add_parser(name, help=summary, description=summary)
         add_settings_argument(action)
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Check or show; exit status 2 when there are findings."""
+    """Check or show the settings; return exit status 2 if there are findings."""
     settings = settings_of(arguments)
     if isinstance(settings, Err):
         print_findings(settings.err_value)
         return BAD_USAGE
     if arguments.action == SHOW:
         encoded = msgspec.json.encode(settings.ok_value)
-        shown = msgspec.json.format(encoded, indent=2)
-        sys.stdout.write(f"{shown.decode()}\n")
+        formatted = msgspec.json.format(encoded, indent=2)
+        sys.stdout.write(f"{formatted.decode()}\n")
     else:
         sys.stdout.write("no findings\n")
     return DONE
--- a/notcharch/cli/daemon_command.py
+++ b/notcharch/cli/daemon_command.py
@@ -1,4 +1,4 @@
-"""`notcharch daemon`: one daemon and nothing else in the process."""
+"""`notcharch daemon`: runs one daemon in the process."""
 
 import argparse
 import signal
@@ -23,15 +23,15 @@
 EPILOG = """example:
   notcharch daemon --config /etc/notcharch.toml --set daemon.name=daemon-2
 
-Prints one JSON line when it listens:
+Prints one line of JSON when it is listening:
   {"ready": true, "http": "127.0.0.1:8080", "peer": "127.0.0.1:8081"}
-SIGTERM and SIGINT drain it: it takes nothing new, lets running calls end, hands
-its partitions over, and ends with status 0. A second signal ends it at once.
+SIGTERM or SIGINT drains it: it refuses new calls, waits for running calls, hands
+over its partitions and exits with status 0. A second signal stops it immediately.
 """
 
 
 class ReadyLine(msgspec.Struct, frozen=True):
-    """What is printed when the daemon listens."""
+    """The line printed when the daemon is listening."""
 
     ready: bool
     http: str
@@ -45,7 +45,7 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Run until a signal."""
+    """Run a daemon until a signal stops it."""
     settings = settings_of(arguments)
     if isinstance(settings, Err):
         print_findings(settings.err_value)
@@ -54,14 +54,14 @@
 
 
 def run_daemon(settings: Settings) -> int:
-    """Run a daemon on the global reactor; gives the exit status."""
+    """Run a daemon on the global reactor and return the exit status."""
     from twisted.internet import reactor as global_reactor
 
     reactor: Any = global_reactor
     process = DaemonProcess(reactor, settings)
-    stop = SignalStop(process, reactor)
-    signal.signal(signal.SIGTERM, stop.take_signal)
-    signal.signal(signal.SIGINT, stop.take_signal)
+    stop = SignalHandler(process, reactor)
+    signal.signal(signal.SIGTERM, stop.handle_signal)
+    signal.signal(signal.SIGINT, stop.handle_signal)
     try:
         addresses = process.start()
     except CannotListenError as error:
@@ -75,20 +75,20 @@
     return DONE
 
 
-class SignalStop:
-    """Turns a first signal into a drain and a second one into an immediate end."""
+class SignalHandler:
+    """Drains the daemon on the first signal and stops it on the second."""
 
     def __init__(self, process: DaemonProcess, reactor: Any) -> None:
-        """Wait for signals."""
+        """Create the handler of a daemon's signals."""
         self._process = process
         self._reactor = reactor
         self._is_draining = False
 
-    def take_signal(self, number: int, frame: FrameType | None) -> None:
-        """Take a signal, outside of the reactor's turn."""
-        self._reactor.callFromThread(self._begin)
+    def handle_signal(self, number: int, frame: FrameType | None) -> None:
+        """Handle a signal by scheduling the stop on the reactor."""
+        self._reactor.callFromThread(self._drain_or_stop)
 
-    def _begin(self) -> None:
+    def _drain_or_stop(self) -> None:
         if self._is_draining:
             self._reactor.stop()
             return
--- a/notcharch/cli/exit_codes.py
+++ b/notcharch/cli/exit_codes.py
@@ -1,16 +1,16 @@
-"""Exit statuses of every command; docs/operations/command-line.md explains them."""
+"""Exit statuses of all commands; see docs/operations/command-line.md."""
 
 DONE = 0
 FAILED = 1
-"""Refused or failed."""
+"""The request was refused or failed."""
 
 BAD_USAGE = 2
-"""Bad usage, or findings in what was given."""
+"""Usage error, or findings in the input."""
 
 UNREACHABLE = 3
 """The system cannot be reached."""
 
 INTERNAL_ERROR = 70
-"""A fault of the program itself; details are in the log."""
+"""Unexpected exception; details are in the log."""
 
 INTERRUPTED = 130
--- a/notcharch/cli/explain_command.py
+++ b/notcharch/cli/explain_command.py
@@ -1,4 +1,4 @@
-"""`notcharch explain`: from request ids to causes, by the logs of all daemons."""
+"""`notcharch explain`: finds the causes of failed requests in the daemons' logs."""
 
 import argparse
 import sys
@@ -21,12 +21,12 @@
     parser.add_argument("requests", help="request ids, joined by commas")
     parser.add_argument("files", nargs="+", help="logs of the daemons")
     parser.add_argument(
-        "--brief", action="store_true", help="only the cause of each request"
+        "--brief", action="store_true", help="print only the cause of each request"
     )
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Print what the logs say; 1 if a request isn't explained."""
+    """Print the explanations; return 1 if a request isn't explained."""
     try:
         lines = sorted(_read(arguments.files), key=lambda line: line.at)
     except OSError as error:
@@ -47,27 +47,27 @@
 
 
 def _text(explanation: Explanation, *, is_brief: bool) -> str:
-    mark = "explained" if explanation.is_explained else "NOT EXPLAINED"
-    cause = f"{explanation.request}: {mark}: {explanation.cause}\n"
+    verdict = "explained" if explanation.is_explained else "NOT EXPLAINED"
+    cause = f"{explanation.request}: {verdict}: {explanation.cause}\n"
     if is_brief:
         return cause
-    own = "".join(f"  {_line(line)}\n" for line in explanation.lines)
+    request_lines = "".join(f"  {_line(line)}\n" for line in explanation.lines)
     context = "".join(f"    {_line(line)}\n" for line in explanation.context)
     around = f"  around it:\n{context}" if context else ""
-    return f"{cause}{own}{around}"
+    return f"{cause}{request_lines}{around}"
 
 
 def _line(line: LogLine) -> str:
-    left_out = ("event_number", "message_type", "task_uuid", "task_level", "timestamp")
+    omitted = ("event_number", "message_type", "task_uuid", "task_level", "timestamp")
     fields = " ".join(
-        f"{key}={value}" for key, value in line.fields.items() if key not in left_out
+        f"{key}={value}" for key, value in line.fields.items() if key not in omitted
     )
     return f"{line.at:.3f} {line.machine} {line.number} {line.name} {fields}"
 
 
 COMMAND = CommandSpec(
     name="explain",
-    summary="tell why a request failed, by the daemons' logs",
+    summary="explain why a request failed, from the daemons' logs",
     configure=configure,
     run=run,
 )
--- a/notcharch/cli/main.py
+++ b/notcharch/cli/main.py
@@ -1,8 +1,8 @@
 """The entry point of the command line.
 
-Commands are the built-in ones and those of the entry-point group
-`notcharch.commands`. No command ends with a traceback: an unexpected exception
-prints one line and gives exit status 70, and its traceback goes to the log.
+Commands are built in or come from the entry-point group `notcharch.commands`. An
+unexpected exception is printed as one line with exit status 70; its traceback is
+logged.
 """
 
 import argparse
@@ -27,14 +27,14 @@
   notcharch COMMAND --help
 
 exit statuses:
-  0 done; 1 refused or failed; 2 bad usage or findings;
-  3 the system cannot be reached; 70 a fault of the program itself
+  0 success; 1 refused or failed; 2 usage error or findings;
+  3 the system cannot be reached; 70 internal error
 """
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the command that `argv` names; gives the exit status."""
-    # Before any command is loaded: libraries install a reactor when imported.
+    """Run the command that `argv` names and return its exit status."""
+    # Must precede loading commands: some libraries install a reactor on import.
     install_reactor()
     given = sys.argv[1:] if argv is None else argv
     commands = tuple(load_commands(given))
@@ -42,18 +42,18 @@
         return INTERNAL_ERROR
     parser = build_parser(commands)
     arguments = parser.parse_args(given)
-    if arguments.log is not None and not _log_to(arguments.log):
+    if arguments.log is not None and not _open_log(arguments.log):
         return BAD_USAGE
     try:
         return int(arguments.run(arguments))
     except KeyboardInterrupt:
         return INTERRUPTED
     except Exception as error:
-        return _report_fault(arguments.command, error)
+        return _report_internal_error(arguments.command, error)
 
 
 def build_parser(commands: Sequence[CommandSpec]) -> argparse.ArgumentParser:
-    """Build the parser of all commands."""
+    """Build the argument parser for the given commands."""
     parser = argparse.ArgumentParser(
         prog="notcharch",
         description="A scheduler for agent programs, between callers and engines.",
@@ -61,7 +61,7 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
-        "--log", metavar="FILE", help="write the log here; - is standard error"
+        "--log", metavar="FILE", help="write the log to FILE; - is standard error"
     )
     names = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for command in commands:
@@ -77,10 +77,10 @@
 
 
 def load_commands(argv: Sequence[str]) -> Iterator[CommandSpec]:
-    """Give the command that `argv` names; all of them when it names none.
+    """Yield the command that `argv` names, or all commands if it names none.
 
-    A command of another package that cannot be loaded is left out with a line on
-    standard error, so that it does not take the others with it.
+    A command that cannot be loaded is reported on standard error and skipped, so
+    that the other commands remain usable.
     """
     entry_points = command_entry_points()
     named = _named_command(argv)
@@ -97,9 +97,9 @@
 
 
 def command_entry_points() -> dict[str, importlib.metadata.EntryPoint]:
-    """Give where each command is; a built-in name cannot be taken by a package."""
-    others = importlib.metadata.entry_points(group=ENTRY_POINT_GROUP)
-    entry_points = {entry_point.name: entry_point for entry_point in others}
+    """Return the entry points by name; built-in commands take precedence."""
+    external = importlib.metadata.entry_points(group=ENTRY_POINT_GROUP)
+    entry_points = {entry_point.name: entry_point for entry_point in external}
     for name, reference in BUILT_IN_COMMANDS.items():
         entry_points[name] = importlib.metadata.EntryPoint(
             name, reference, ENTRY_POINT_GROUP
@@ -118,19 +118,19 @@
     return str(named.command)
 
 
-def _log_to(place: str) -> bool:
-    if place == STANDARD_ERROR:
+def _open_log(destination: str) -> bool:
+    if destination == STANDARD_ERROR:
         eliot.to_file(sys.stderr)
         return True
     try:
-        eliot.to_file(open(place, "a", encoding="utf-8"))  # noqa: SIM115 - until exit
+        eliot.to_file(open(destination, "a", encoding="utf-8"))  # noqa: SIM115 - until exit
     except OSError as error:
-        sys.stderr.write(f"notcharch: --log {place}: {error.strerror}\n")
+        sys.stderr.write(f"notcharch: --log {destination}: {error.strerror}\n")
         return False
     return True
 
 
-def _report_fault(command: str, error: Exception) -> int:
+def _report_internal_error(command: str, error: Exception) -> int:
     emit(CommandFailed(command, str(error), traceback.format_exc()))
     summary = f"{type(error).__name__}: {error}".splitlines()[0]
     sys.stderr.write(f"notcharch {command}: internal error: {summary}\n")
--- a/notcharch/cli/operations_actions.py
+++ b/notcharch/cli/operations_actions.py
@@ -1,4 +1,4 @@
-"""The actions of the operators' commands other than `table`."""
+"""Implementations of the operators' commands except `table`."""
 
 import argparse
 import sys
@@ -27,14 +27,14 @@
 
 
 async def show_status(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print the region's daemons; status 1 when one cannot be reached."""
+    """Print the region's daemons; return 1 if one cannot be reached."""
     read = await client.get("/daemons", DaemonsAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
-    status = FAILED if answer.survey.unreached else DONE
+    response = read.ok_value
+    status = FAILED if response.survey.unreached else DONE
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return status
     print_columns(
         ("DAEMON", "ZONE", "STATE", "UPTIME S", "CALLS", "TABLE", "FROM", "LOG AGE S"),
@@ -49,12 +49,12 @@
                 daemon.table_source,
                 daemon.log_age_seconds,
             )
-            for daemon in answer.daemons
+            for daemon in response.daemons
         ),
     )
-    for zone in answer.drained_zones:
-        sys.stdout.write(f"zone {zone} is drained in version {answer.version}\n")
-    _print_survey(answer.survey)
+    for zone in response.drained_zones:
+        sys.stdout.write(f"zone {zone} is drained in version {response.version}\n")
+    _print_survey(response.survey)
     return status
 
 
@@ -63,9 +63,9 @@
     read = await client.get("/services", ServicesAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
     print_columns(
         ("SERVICE", "TENANT", "POOL", "SHARE", "PRIORITY", "SLOTS", "PAUSED"),
@@ -79,22 +79,22 @@
                 f"{service.allotted_slots}/{service.row.concurrency}",
                 service.row.paused,
             )
-            for service in answer.services
+            for service in response.services
         ),
     )
-    sys.stdout.write(f"table version {answer.version}\n")
-    _print_survey(answer.survey)
+    sys.stdout.write(f"table version {response.version}\n")
+    _print_survey(response.survey)
     return DONE
 
 
 async def show_engines(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print the engines as their stewards see them."""
+    """Print the engines as reported by their stewards."""
     read = await client.get("/engines", EnginesAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
     print_columns(
         (
@@ -118,12 +118,12 @@
                 engine.load_age_seconds,
                 engine.steward.daemon,
             )
-            for engine in answer.engines
+            for engine in response.engines
         ),
     )
-    for name in answer.unreported:
+    for name in response.unreported:
         sys.stdout.write(f"no steward reports engine {name}\n")
-    _print_survey(answer.survey)
+    _print_survey(response.survey)
     return DONE
 
 
@@ -135,9 +135,9 @@
     read = await client.get(path, ProgramsAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
     print_columns(
         ("PROGRAM", "SERVICE", "TENANT", "CALLS", "SPENT", "RESERVED", "BUDGET"),
@@ -151,12 +151,12 @@
                 program.reserved_tokens,
                 program.budget_tokens,
             )
-            for program in answer.programs
+            for program in response.programs
         ),
     )
-    if answer.truncated:
+    if response.truncated:
         sys.stdout.write("there are more; see --limit\n")
-    _print_survey(answer.survey)
+    _print_survey(response.survey)
     return DONE
 
 
@@ -165,9 +165,9 @@
     read = await client.get("/partitions", PartitionsAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
     print_columns(
         (
@@ -195,15 +195,15 @@
                 item.description.reserved_tokens,
                 item.description.leases,
             )
-            for item in answer.partitions
+            for item in response.partitions
         ),
     )
-    _print_survey(answer.survey)
+    _print_survey(response.survey)
     return DONE
 
 
 async def drain(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Order a drain, or take one back."""
+    """Request a drain, or cancel one."""
     daemon = DaemonName(arguments.name) if arguments.kind == DAEMON else None
     engine = EngineName(arguments.name) if arguments.kind == ENGINE else None
     zone = ZoneName(arguments.name) if arguments.kind == ZONE else None
@@ -211,45 +211,45 @@
     ordered = await client.post("/drain?wait=in_force", body, DrainAnswer)
     if isinstance(ordered, Err):
         return print_problem(ordered.err_value)
-    answer = ordered.ok_value
+    response = ordered.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
-    state = "drains" if answer.draining else "takes new work"
-    running = answer.running_calls
+    state = "drains" if response.draining else "takes new work"
+    running = response.running_calls
     detail = "" if running is None else f"; {running} calls are running"
-    sys.stdout.write(f"{arguments.kind} {answer.name} {state}{detail}\n")
+    sys.stdout.write(f"{arguments.kind} {response.name} {state}{detail}\n")
     return DONE
 
 
 async def pause(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Pause a service everywhere."""
+    """Pause a service at all daemons."""
     return await _set_paused(client, arguments, "pause")
 
 
 async def resume(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Resume a service everywhere."""
+    """Resume a service at all daemons."""
     return await _set_paused(client, arguments, "resume")
 
 
 async def _set_paused(
-    client: AdminClient, arguments: argparse.Namespace, order: str
+    client: AdminClient, arguments: argparse.Namespace, action: str
 ) -> int:
     service = quote(arguments.service, safe="")
-    path = f"/services/{service}/{order}?wait=in_force"
+    path = f"/services/{service}/{action}?wait=in_force"
     published = await client.post(path, None, PublishAnswer)
     if isinstance(published, Err):
         return print_problem(published.err_value)
-    answer = published.ok_value
-    report = answer.in_force
-    is_everywhere = report is not None and report.in_force
+    response = published.ok_value
+    report = response.in_force
+    is_in_force = report is not None and report.in_force
     if arguments.json:
-        print_json(answer)
+        print_json(response)
     else:
-        where = "all daemons" if is_everywhere else "some daemons only"
-        version = answer.publication.version
-        sys.stdout.write(f"{order}d in version {version}, in force at {where}\n")
-    return DONE if is_everywhere else FAILED
+        where = "all daemons" if is_in_force else "some daemons only"
+        version = response.publication.version
+        sys.stdout.write(f"{action}d in version {version}, in force at {where}\n")
+    return DONE if is_in_force else FAILED
 
 
 def _print_survey(survey: Survey) -> None:
--- a/notcharch/cli/operations_command.py
+++ b/notcharch/cli/operations_command.py
@@ -1,6 +1,6 @@
 """`notcharch status|services|engines|programs|partitions|drain|pause|resume`.
 
-What the commands do is loaded only when one of them runs.
+Their implementations are imported only when a command runs.
 """
 
 import argparse
@@ -18,22 +18,22 @@
 ACTIONS_MODULE = "notcharch.cli.operations_actions"
 
 
-def _add_limit(parser: argparse.ArgumentParser) -> None:
+def _add_program_filters(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--limit", type=int, default=200, metavar="COUNT")
-    parser.add_argument("--service", help="only this service's programs")
+    parser.add_argument("--service", help="show only the programs of this service")
 
 
-def _add_drained(parser: argparse.ArgumentParser) -> None:
+def _add_drain_target(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("kind", choices=(DAEMON, ENGINE, ZONE))
     parser.add_argument("name")
-    parser.add_argument("--undo", action="store_true", help="take new work again")
+    parser.add_argument("--undo", action="store_true", help="cancel the drain")
 
 
 def _add_service(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("service")
 
 
-def _add_nothing(_parser: argparse.ArgumentParser) -> None:
+def _add_no_arguments(_parser: argparse.ArgumentParser) -> None:
     pass
 
 
@@ -42,7 +42,7 @@
     summary: str,
     action: str,
     example: str,
-    add_arguments: Callable[[argparse.ArgumentParser], None] = _add_nothing,
+    add_arguments: Callable[[argparse.ArgumentParser], None] = _add_no_arguments,
 ) -> CommandSpec:
     def configure(parser: argparse.ArgumentParser) -> None:
         parser.epilog = f"example:\n  notcharch {name} {example}\n"
@@ -68,17 +68,17 @@
     "show programs and budgets",
     "show_programs",
     "--service guide --limit 20",
-    _add_limit,
+    _add_program_filters,
 )
 PARTITIONS = _spec(
-    "partitions", "show who leads which partition", "show_partitions", "--json"
+    "partitions", "show partitions and their leaders", "show_partitions", "--json"
 )
 DRAIN = _spec(
     "drain",
-    "give a daemon or engine no new work",
+    "stop giving new work to a daemon, engine or zone",
     "drain",
     "engine model-3",
-    _add_drained,
+    _add_drain_target,
 )
 PAUSE = _spec("pause", "pause a service", "pause", "guide", _add_service)
 RESUME = _spec("resume", "resume a paused service", "resume", "guide", _add_service)
--- a/notcharch/cli/reactor.py
+++ b/notcharch/cli/reactor.py
@@ -1,8 +1,7 @@
-"""The reactor of the daemon: Twisted's epoll reactor with a shorter dispatch.
+"""Twisted's epoll reactor without a logging context for each event.
 
-Twisted wraps each read and write in a logging context that nothing here uses; for a
-daemon that relays tokens this is a seventh of its processor time
-(docs/design/relay-cost.md). Everything else is Twisted's.
+Twisted wraps each read and write in a logging context, which is not used here and takes
+a seventh of the CPU time of a daemon that relays tokens (docs/design/relay-cost.md).
 """
 
 import errno
@@ -16,10 +15,10 @@
 
 
 class ShortDispatchReactor(EPollReactor):
-    """`EPollReactor` without a logging context around each event."""
+    """An `EPollReactor` that dispatches events without a logging context."""
 
     def doPoll(self, timeout: float | None) -> None:  # noqa: N802
-        """Wait for events and handle them; `timeout` is in seconds."""
+        """Wait up to `timeout` seconds for events and dispatch them."""
         try:
             events = self._poller.poll(
                 -1 if timeout is None else timeout, len(self._selectables)
@@ -29,7 +28,7 @@
                 return
             raise
         selectables: dict[int, Any] = self._selectables
-        # Logs what a handler raises, and drops its connection.
+        # Logs exceptions of a handler and closes its connection.
         handle: Any = self._doReadOrWrite
         for descriptor, event in events:
             selectable = selectables.get(descriptor)
@@ -40,7 +39,7 @@
 
 
 def install_reactor() -> bool:
-    """Install it; False when a reactor is there already."""
+    """Install the reactor; return False if one is already installed."""
     if TWISTED_REACTOR in sys.modules:
         return False
     new_reactor: Any = ShortDispatchReactor
--- a/notcharch/cli/server_options.py
+++ b/notcharch/cli/server_options.py
@@ -1,7 +1,7 @@
-"""Options of the operators' commands, and how their actions are run.
+"""Options of the operators' commands, and the loader of their actions.
 
-Actions are loaded by name when they run: their libraries install the default
-reactor and take most of a second, which no other command should pay for.
+Actions are imported only when they run, since their libraries install the default
+reactor and take most of a second to import.
 """
 
 import argparse
@@ -14,7 +14,7 @@
 DAEMON = "daemon"
 ENGINE = "engine"
 ZONE = "zone"
-"""The kinds of what can be drained."""
+"""The kinds of drain targets."""
 
 
 def add_server_options(parser: argparse.ArgumentParser) -> None:
@@ -23,18 +23,20 @@
         "--server",
         metavar="URL",
         default=os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER),
-        help=f"any daemon; or {SERVER_VARIABLE} (default: {DEFAULT_SERVER})",
+        help=f"URL of any daemon; or {SERVER_VARIABLE} (default: {DEFAULT_SERVER})",
     )
     parser.add_argument(
         "--key",
         default=os.environ.get(KEY_VARIABLE, ""),
         help=f"an operator's key; or {KEY_VARIABLE}",
     )
-    parser.add_argument("--json", action="store_true", help="print the answer as JSON")
+    parser.add_argument(
+        "--json", action="store_true", help="print the response as JSON"
+    )
 
 
 def run_action(module: str, action: str, arguments: argparse.Namespace) -> int:
-    """Load an action and run it until it has its exit status."""
+    """Load and run an action and return its exit status."""
     from notcharch.cli.admin_client import run_command
 
     return run_command(getattr(importlib.import_module(module), action), arguments)
--- a/notcharch/cli/settings_options.py
+++ b/notcharch/cli/settings_options.py
@@ -1,7 +1,7 @@
-"""Options that give a settings file and flags over it, for every command that needs them.
+"""Command line options for the settings file and for overrides of its keys.
 
-A flag is `--set section.key=value`; the value is read as TOML, and as plain text
-where it is not TOML.
+An override is `--set section.key=value`; the value is parsed as TOML, or taken as plain
+text if it is not valid TOML.
 """
 
 import argparse
@@ -19,11 +19,11 @@
 NO_FILE = "(no settings file)"
 
 
-FILE_HELP = "settings file (TOML); without it every key has its default"
+FILE_HELP = "settings file (TOML); defaults apply if omitted"
 
 
 def add_settings_argument(parser: argparse.ArgumentParser) -> None:
-    """Add the settings file as an argument, and `--set`."""
+    """Add the settings file as a positional argument, and `--set`."""
     parser.add_argument(
         "settings_file", nargs="?", type=Path, metavar="FILE", help=FILE_HELP
     )
@@ -45,14 +45,14 @@
         action="append",
         default=[],
         metavar="SECTION.KEY=VALUE",
-        help="set one key over the file; may be repeated",
+        help="override a key of the settings file; may be repeated",
     )
 
 
 def settings_of(
     arguments: argparse.Namespace,
 ) -> Result[Settings, tuple[Finding, ...]]:
-    """Read the settings that the arguments name, or give every finding."""
+    """Load the settings that the arguments name, or return all findings."""
     findings: list[Finding] = []
     text = _read_file(arguments.settings_file, findings)
     overrides = _read_overrides(arguments.overrides, findings)
@@ -86,11 +86,11 @@
 def _read_overrides(texts: list[str], findings: list[Finding]) -> dict[str, object]:
     overrides: dict[str, object] = {}
     for text in texts:
-        place, separator, value = text.partition("=")
-        if not separator or "." not in place:
+        key, separator, value = text.partition("=")
+        if not separator or "." not in key:
             findings.append(Finding(f"--set {text}", "must be SECTION.KEY=VALUE"))
             continue
-        overrides[place] = _read_value(value)
+        overrides[key] = _read_value(value)
     return overrides
 
 
--- a/notcharch/cli/table_actions.py
+++ b/notcharch/cli/table_actions.py
@@ -1,4 +1,4 @@
-"""The actions of `notcharch table`, each an exit status out of arguments."""
+"""Implementations of the `notcharch table` actions; each returns an exit status."""
 
 import argparse
 import secrets
@@ -45,32 +45,32 @@
 TABLE_PATH = "/table"
 PUBLISH_PATH = "/table/publish"
 IN_FORCE_QUERY = "?wait=in_force"
-PUBLISH_ATTEMPTS = 4
+MAX_PUBLISH_ATTEMPTS = 4
 RETRY_SECONDS = 1.0
 ABSENT = "-"
 
 
 async def show(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print a version as a document, as columns, or as JSON."""
+    """Print a version of the table as a document, as columns or as JSON."""
     query = "" if arguments.version is None else f"?version={arguments.version}"
     read = await client.get(TABLE_PATH + query, TableAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
     elif arguments.format is not None:
-        table = Table(answer.version, answer.rows, answer.keys)
+        table = Table(response.version, response.rows, response.keys)
         document_format = DocumentFormat(f".{arguments.format}")
         sys.stdout.write(write_document(table, document_format))
     else:
-        _print_table(answer)
+        _print_table(response)
     return DONE
 
 
 async def check(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print all findings of a document, and what it would change."""
-    checked = await _checked(client, arguments)
+    """Print all findings of a document, and the number of its changes."""
+    checked = await _check_document(client, arguments)
     if isinstance(checked, Err):
         return print_problem(checked.err_value)
     if arguments.json:
@@ -82,7 +82,7 @@
     return DONE
 
 
-async def _checked(
+async def _check_document(
     client: AdminClient, arguments: argparse.Namespace
 ) -> Result[CheckAnswer, Problem]:
     body = await _body_of(client, arguments)
@@ -92,8 +92,8 @@
 
 
 async def diff(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print what a document would change in the table in force."""
-    checked = await _checked(client, arguments)
+    """Print the changes that a document makes to the table in force."""
+    checked = await _check_document(client, arguments)
     if isinstance(checked, Err):
         return print_problem(checked.err_value)
     if arguments.json:
@@ -112,11 +112,11 @@
 
 
 async def edit(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Publish one cell, edited from the version in force now."""
+    """Publish a change of one cell, based on the version in force."""
     place = cell_place(arguments.service, arguments.cell)
     value = read_cell(arguments.cell, arguments.value, place, from_text=True)
     if isinstance(value, Err):
-        return print_problem(_unreadable(value.err_value))
+        return print_problem(_bad_table(value.err_value))
     read = await client.get(TABLE_PATH, TableAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
@@ -133,14 +133,14 @@
 
 
 async def history(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Print the newest publications."""
+    """Print the most recent publications."""
     path = f"/table/history?limit={arguments.limit}"
     read = await client.get(path, HistoryAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
-    answer = read.ok_value
+    response = read.ok_value
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return DONE
     print_columns(
         ("VERSION", "AUTHOR", "VERDICT", "BASE", "CHANGES", "NOTE"),
@@ -153,14 +153,14 @@
                 len(item.edits),
                 item.note,
             )
-            for item in answer.entries
+            for item in response.entries
         ),
     )
     return DONE
 
 
 async def rollback(client: AdminClient, arguments: argparse.Namespace) -> int:
-    """Publish the contents of an older version."""
+    """Publish the contents of an earlier version."""
     read = await client.get(TABLE_PATH, TableAnswer)
     if isinstance(read, Err):
         return print_problem(read.err_value)
@@ -172,30 +172,30 @@
     )
     query = IN_FORCE_QUERY if arguments.wait else ""
     path = "/table/rollback" + query
-    return _report(arguments, await _post_repeatedly(client, path, body))
+    return _report(arguments, await _post_with_retries(client, path, body))
 
 
 def document_of(path: Path) -> Result[TableDocument, Problem]:
-    """Read a table document from a file whose suffix names its format."""
+    """Read a table document; the file suffix determines the format."""
     try:
         document_format = DocumentFormat(path.suffix.lower())
     except ValueError:
-        return Err(_unreadable(Finding(str(path), "must end in .toml or .csv")))
+        return Err(_bad_table(Finding(str(path), "must end in .toml or .csv")))
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeError) as error:
-        return Err(_unreadable(Finding(str(path), str(error))))
+        return Err(_bad_table(Finding(str(path), str(error))))
     read = read_document(text, document_format)
-    return read.map_err(lambda findings: _unreadable(*findings))
+    return read.map_err(lambda findings: _bad_table(*findings))
 
 
 async def _body_of(
     client: AdminClient, arguments: argparse.Namespace
 ) -> Result[PublishBody, Problem]:
-    """Read the document and find its base version.
+    """Read the document and determine its base version.
 
-    Without one in the flags or the document it is 0, the base of a first table;
-    the server refuses that when there is a table already.
+    Without a base version in the flags or the document it is 0, the base of the first
+    table; it is an error if a table already exists.
     """
     read = document_of(arguments.file)
     if isinstance(read, Err):
@@ -203,7 +203,7 @@
     document = read.ok_value
     base = arguments.base if arguments.base is not None else document.base_version
     if base is None:
-        base = await _first_base(client)
+        base = await _initial_base_version(client)
         if isinstance(base, Err):
             return base
         base = base.ok_value
@@ -219,8 +219,8 @@
     )
 
 
-async def _first_base(client: AdminClient) -> Result[TableVersion, Problem]:
-    """Give 0 while there is no table; a later document must name its base."""
+async def _initial_base_version(client: AdminClient) -> Result[TableVersion, Problem]:
+    """Return 0 if no table exists; otherwise a base version is required."""
     current = await client.get(TABLE_PATH, TableAnswer)
     if isinstance(current, Err):
         return current
@@ -228,29 +228,29 @@
     if version == 0:
         return Ok(version)
     message = f"names no version; the one in force is {version} (see --base)"
-    return Err(_unreadable(Finding("version", message)))
+    return Err(_bad_table(Finding("version", message)))
 
 
 async def _publish(
     client: AdminClient, arguments: argparse.Namespace, body: PublishBody
 ) -> int:
     query = IN_FORCE_QUERY if arguments.wait else ""
-    published = await _post_repeatedly(client, PUBLISH_PATH + query, body)
+    published = await _post_with_retries(client, PUBLISH_PATH + query, body)
     return _report(arguments, published)
 
 
-async def _post_repeatedly(
+async def _post_with_retries(
     client: AdminClient, path: str, body: PublishBody | RollbackBody
 ) -> Result[PublishAnswer, Problem]:
-    """Send a publication again while its verdict is unknown; its id stays."""
+    """Retry a publication with the same id while its outcome is unknown."""
     attempt = 1
     while True:
-        answer = await client.post(path, body, PublishAnswer)
-        if isinstance(answer, Ok) or attempt == PUBLISH_ATTEMPTS:
-            return answer
-        problem = answer.err_value
+        response = await client.post(path, body, PublishAnswer)
+        if isinstance(response, Ok) or attempt == MAX_PUBLISH_ATTEMPTS:
+            return response
+        problem = response.err_value
         if problem.ran is not Ran.UNKNOWN:
-            return answer
+            return response
         attempt += 1
         body = msgspec.structs.replace(body, first_attempt=False)
         await client.pause(problem.retry_after or RETRY_SECONDS)
@@ -261,21 +261,21 @@
 ) -> int:
     if isinstance(published, Err):
         return print_problem(published.err_value)
-    answer = published.ok_value
-    is_missing = answer.in_force is not None and not answer.in_force.in_force
+    response = published.ok_value
+    is_missing = response.in_force is not None and not response.in_force.in_force
     status = FAILED if is_missing else DONE
     if arguments.json:
-        print_json(answer)
+        print_json(response)
         return status
-    publication = answer.publication
+    publication = response.publication
     if publication.unchanged:
         sys.stdout.write(f"unchanged; version {publication.version} says so already\n")
     else:
         merged = ", merged with others' changes" if publication.merged else ""
         sys.stdout.write(f"published version {publication.version}{merged}\n")
         _print_edits(publication.edits)
-    if answer.in_force is not None:
-        _print_report(answer.in_force)
+    if response.in_force is not None:
+        _print_report(response.in_force)
     return status
 
 
@@ -291,15 +291,15 @@
         sys.stdout.write(f"  {unreached.daemon}: {unreached.problem}\n")
 
 
-def _print_table(answer: TableAnswer) -> None:
-    age = answer.log_age_seconds
+def _print_table(response: TableAnswer) -> None:
+    age = response.log_age_seconds
     freshness = "never" if age is None else f"{age:.1f} s ago"
     sys.stdout.write(
-        f"version {answer.version}, from {answer.source}; log read {freshness}; "
-        f"{len(answer.keys)} callers' keys\n"
+        f"version {response.version}, from {response.source}; log read {freshness}; "
+        f"{len(response.keys)} callers' keys\n"
     )
     header = [name.upper() for name in CELL_NAMES]
-    print_columns(header, map(_cells, answer.rows))
+    print_columns(header, map(_cells, response.rows))
 
 
 def _cells(row: ServiceRow) -> list[str]:
@@ -307,31 +307,37 @@
 
 
 def _print_edits(edits: tuple[AnyEdit, ...]) -> None:
-    for change in map(_described, edits):
+    for change in map(_describe_edit, edits):
         sys.stdout.write(f"  {change.place}: {change.before} -> {change.after}\n")
 
 
 @attrs.frozen
-class _Described:
+class _EditDescription:
     place: str
     before: str
     after: str
 
 
-def _described(edit: AnyEdit) -> _Described:
+def _describe_edit(edit: AnyEdit) -> _EditDescription:
     match edit:
         case SetCell():
             place = cell_place(edit.service, edit.cell)
-            return _Described(place, cell_text(edit.before), cell_text(edit.after))
+            return _EditDescription(
+                place, cell_text(edit.before), cell_text(edit.after)
+            )
         case SetRow():
             place = row_place(edit.service)
-            return _Described(place, _row_text(edit.before), _row_text(edit.after))
+            return _EditDescription(
+                place, _row_text(edit.before), _row_text(edit.after)
+            )
         case SetKey():
             place = key_place(edit.key_sha256)
-            return _Described(place, edit.before or ABSENT, edit.after or ABSENT)
+            return _EditDescription(place, edit.before or ABSENT, edit.after or ABSENT)
         case SetZoneDrain():
             place = zone_place(edit.zone)
-            return _Described(place, _drain_text(edit.before), _drain_text(edit.after))
+            return _EditDescription(
+                place, _drain_text(edit.before), _drain_text(edit.after)
+            )
 
 
 def _drain_text(is_drained: bool) -> str:
@@ -344,8 +350,8 @@
     return " ".join(f"{name}={cell_text(getattr(row, name))}" for name in CELL_NAMES)
 
 
-def _unreadable(*findings: Finding) -> Problem:
-    message = "the table breaks its rules or cannot be read"
+def _bad_table(*findings: Finding) -> Problem:
+    message = "the table is invalid or cannot be read"
     return Problem.of(ProblemCode.BAD_REQUEST, message, findings=findings)
 
 
--- a/notcharch/cli/table_command.py
+++ b/notcharch/cli/table_command.py
@@ -14,9 +14,9 @@
   notcharch table edit assistant share 2.5 --wait
   notcharch table rollback 118
 
-A document names the version it was read at. Publishing it merges with what others
-published since; a cell that they set to something else is a conflict, and nothing
-is published.
+A document names its base version. Publishing merges it with later publications; if
+one of these set a cell to a different value, the conflict is reported and nothing is
+published.
 """
 
 
@@ -25,12 +25,16 @@
     parser.epilog = EXAMPLES
     actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
     show = _action(actions, "show", "print a version of the table")
-    show.add_argument("--version", type=int, help="an older one (default: in force)")
     show.add_argument(
-        "--format", choices=("toml", "csv"), help="print a document to edit"
+        "--version", type=int, help="version to show (default: the one in force)"
+    )
+    show.add_argument(
+        "--format",
+        choices=("toml", "csv"),
+        help="print as a document that can be edited",
     )
     check = _action(actions, "check", "print every finding in a document")
-    diff = _action(actions, "diff", "print what a document would change")
+    diff = _action(actions, "diff", "print the changes that a document makes")
     publish = _action(actions, "publish", "publish a document")
     for action in (check, diff, publish):
         _add_document(action)
@@ -38,22 +42,24 @@
     edit.add_argument("service")
     edit.add_argument("cell")
     edit.add_argument("value")
-    history = _action(actions, "history", "print the newest publications")
+    history = _action(actions, "history", "print the most recent publications")
     history.add_argument("--limit", type=int, default=20, metavar="COUNT")
-    rollback = _action(actions, "rollback", "publish an older version's contents")
+    rollback = _action(
+        actions, "rollback", "publish the contents of an earlier version"
+    )
     rollback.add_argument("version", type=int)
     for action in (publish, edit):
-        action.add_argument("--note", default="", help="kept in the history")
+        action.add_argument("--note", default="", help="note stored in the history")
     for action in (publish, edit, rollback):
         action.add_argument(
             "--wait",
             action="store_true",
-            help="until all live daemons have it in force; status 1 if they have not",
+            help="wait until it is in force at all live daemons; exit status 1 if not",
         )
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Run the action, a function of the module with the same name."""
+    """Run the function of the actions module that is named like the action."""
     return run_action(ACTIONS_MODULE, arguments.action, arguments)
 
 
@@ -70,7 +76,10 @@
 def _add_document(action: argparse.ArgumentParser) -> None:
     action.add_argument("file", type=Path, help="document, .toml or .csv")
     action.add_argument(
-        "--base", type=int, metavar="VERSION", help="over the document's version"
+        "--base",
+        type=int,
+        metavar="VERSION",
+        help="base version, overrides that of the document",
     )
 
 
--- a/notcharch/cli/version_command.py
+++ b/notcharch/cli/version_command.py
@@ -20,7 +20,7 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Print the versions of the program and of the language."""
+    """Print the versions of notcharch and of Python."""
     version = importlib.metadata.version(DISTRIBUTION)
     sys.stdout.write(f"notcharch {version} (Python {platform.python_version()})\n")
     return DONE
--- a/tests/unit/cli/test_config_command.py
+++ b/tests/unit/cli/test_config_command.py
@@ -1,4 +1,4 @@
-"""`config check` and `config show`, from the command line to what is printed."""
+"""Tests of the output and exit status of `config check` and `config show`."""
 
 import json
 
--- a/tests/unit/cli/test_main.py
+++ b/tests/unit/cli/test_main.py
@@ -1,4 +1,4 @@
-"""Exit statuses, help, and that nobody sees a traceback."""
+"""Exit statuses, help and error reports; no command prints a traceback."""
 
 import argparse
 import importlib.metadata
@@ -20,7 +20,7 @@
 
 
 def status_of(*arguments: str) -> int:
-    """Give the exit status, also where argparse itself ends the program."""
+    """Return the exit status, including that of argparse."""
     try:
         return main(arguments)
     except SystemExit as end:
@@ -124,7 +124,7 @@
 
 
 def commands_of(parser: argparse.ArgumentParser):
-    """Give a parser's subparsers by name."""
+    """Yield the names and parsers of the subcommands."""
     for action in parser._actions:
         if isinstance(action, argparse._SubParsersAction):
             yield from action.choices.items()
