--- a/tests/unit/faults/test_broken_streams.py
+++ b/tests/unit/faults/test_broken_streams.py
@@ -1,7 +1,7 @@
-"""What a caller reads at the end of a stream that broke off in the middle.
+"""The last event of a stream that was interrupted.
 
-It has to be enough to go on: the time to come back if the call can still be
-answered, and the final outcome if it cannot.
+It must contain a retry time if the call can be retried, and the final outcome
+otherwise.
 """
 
 import json
@@ -13,7 +13,7 @@
 
 
 def forgotten(ran):
-    """Build what a restarted engine says; it gives no time to come back."""
+    """Build the problem of a restarted engine, which contains no retry time."""
     return Problem.of(ProblemCode.ENGINE_FAILED, "it has forgotten", ran=ran)
 
 
@@ -23,7 +23,7 @@
 
 
 def broken_stream(harness, program, ran, *, repeatable):
-    """Let a stream break after its first token; gives the caller's last event."""
+    """Interrupt a stream after its first token; return the caller's last event."""
     caller = harness.call(program, stream=True, repeatable=repeatable)
     harness.stream.token("one")
     harness.stream.fail(forgotten(ran))
--- a/tests/unit/faults/test_checks.py
+++ b/tests/unit/faults/test_checks.py
@@ -1,4 +1,4 @@
-"""Each check of the fault experiment finds what it is for, and nothing else."""
+"""Each check of the fault experiment reports its own kind of violation only."""
 
 import pytest
 
@@ -35,14 +35,14 @@
     return EmulatorSnapshot((engine,), (), 0, {}, 0, {})
 
 
-def found(facts, **truth):
-    checks = all_checks(facts, snapshot(**truth), BUDGET)
+def failed_checks(facts, **engine_state):
+    checks = all_checks(facts, snapshot(**engine_state), BUDGET)
     return {check.name for check in checks if check.count}
 
 
 ONCE = ("region1-1-a/2/1",)
 TWICE = (*ONCE, "region1-1-a/2/2")
-BREAKS = [
+VIOLATIONS = [
     ({"wrong_answers": [NAME]}, {}, "wrong answers"),
     ({"wrong_histories": ["x"]}, {}, "lost or mixed histories"),
     ({"unrepeatable": {NAME}}, {"effects": TWICE}, "unrepeatable calls that ran twice"),
@@ -73,9 +73,9 @@
 ]
 
 
-@pytest.mark.parametrize(("seen", "truth", "name"), BREAKS, ids=str)
-def test_a_break_is_found_by_its_check_only(seen, truth, name):
-    assert found(CallerFacts(**seen), **truth) == {name}
+@pytest.mark.parametrize(("observed", "engine_state", "name"), VIOLATIONS, ids=str)
+def test_a_break_is_found_by_its_check_only(observed, engine_state, name):
+    assert failed_checks(CallerFacts(**observed), **engine_state) == {name}
 
 
 def test_what_faults_may_bring_about_is_no_finding():
@@ -86,7 +86,7 @@
         spending=[SpentCall(NAME, BUDGET)],
         cut_details=["kill: d", "pause: d"],
     )
-    assert found(facts, effects=ONCE, leaving_seconds=LEAVING_SECONDS) == set()
+    assert failed_checks(facts, effects=ONCE, leaving_seconds=LEAVING_SECONDS) == set()
 
 
 STREAMS = [
@@ -97,15 +97,15 @@
 ]
 
 
-@pytest.mark.parametrize(("data", "wanted"), STREAMS)
-def test_a_stream_without_its_end_is_cut(data, wanted):
+@pytest.mark.parametrize(("data", "expected"), STREAMS)
+def test_a_stream_without_its_end_is_cut(data, expected):
     end = read_stream(data)
-    if wanted is None:
+    if expected is None:
         assert end is None
-    elif isinstance(wanted, bytes):
-        assert (end.data, end.problem) == (wanted, None)
+    elif isinstance(expected, bytes):
+        assert (end.data, end.problem) == (expected, None)
     else:
-        assert end.problem.code == wanted
+        assert end.problem.code == expected
 
 
 CUTS = [
--- a/tests/unit/faults/test_fresh_daemon.py
+++ b/tests/unit/faults/test_fresh_daemon.py
@@ -1,7 +1,7 @@
-"""A daemon that has just started takes no engines before it knows its region.
+"""A daemon claims no engines after startup until it knows the members of its region.
 
-Knowing only itself it would name itself for every engine, claim them all and give
-them up a moment later; each steward that it superseded would pause for seconds.
+Otherwise it would claim every engine and release them again, and each superseded
+steward would pause for seconds.
 """
 
 import pytest
--- a/tests/unit/faults/test_leader_hints.py
+++ b/tests/unit/faults/test_leader_hints.py
@@ -1,4 +1,4 @@
-"""A daemon that does not lead a partition names the one that does."""
+"""A daemon that does not lead a partition returns a hint to the leader."""
 
 import pytest
 from twisted.internet.defer import Deferred
@@ -17,7 +17,7 @@
 
 
 class Handlers:
-    """Keeps the handlers that a service registers."""
+    """Stores the handlers that a service registers."""
 
     def __init__(self):
         self.by_type = {}
@@ -33,39 +33,41 @@
     return region
 
 
-def not_leading(region, partition):
-    """Give the partitions of a daemon that does not lead one, and who does."""
+def follower_and_leader(region, partition):
+    """Return the partitions of a daemon that does not lead one, and its leader."""
     leader = region.leader(partition)
     other = next(name for name in region.services if name != leader)
     return region.services[other], leader
 
 
-@pytest.mark.parametrize("question", ["state_of", "epoch_of"])
-def test_a_follower_of_programs_names_the_leader(region, question):
-    partitions, leader = not_leading(region, 0)
+@pytest.mark.parametrize("method", ["state_of", "epoch_of"])
+def test_a_follower_of_programs_names_the_leader(region, method):
+    partitions, leader = follower_and_leader(region, 0)
     programs = LedPrograms(partitions, lambda partition: None, lambda: 0.0)
-    argument = PROGRAM if question == "state_of" else 0
+    argument = PROGRAM if method == "state_of" else 0
     with pytest.raises(ProblemError) as raised:
-        getattr(programs, question)(argument)
+        getattr(programs, method)(argument)
     assert raised.value.problem.is_code(ProblemCode.NOT_LEADER)
     assert raised.value.problem.hint == leader
 
 
 def test_a_follower_of_claims_names_the_leader(region):
-    partitions, leader = not_leading(region, partition_of_engine(ENGINE, PARTITIONS))
+    partitions, leader = follower_and_leader(
+        region, partition_of_engine(ENGINE, PARTITIONS)
+    )
     handlers = Handlers()
     ClaimsService(
         handlers, partitions, PARTITIONS, region.clock, lambda partition: None
     )
     read = handlers.by_type[ReadStewardship]
     failures = []
-    answer = Deferred.fromCoroutine(read(None, ReadStewardship(ENGINE)))
-    answer.addErrback(lambda failure: failures.append(failure.value.problem))
+    response = Deferred.fromCoroutine(read(None, ReadStewardship(ENGINE)))
+    response.addErrback(lambda failure: failures.append(failure.value.problem))
     [problem] = failures
     assert problem.is_code(ProblemCode.NOT_LEADER)
     assert problem.hint == leader
 
 
 def test_a_partition_that_there_is_not_has_no_leader(region):
-    partitions, _ = not_leading(region, 0)
+    partitions, _ = follower_and_leader(region, 0)
     assert partitions.leader_hint(PARTITIONS + 1) is None
--- a/tests/unit/faults/test_lost_gateways.py
+++ b/tests/unit/faults/test_lost_gateways.py
@@ -1,4 +1,4 @@
-"""How soon the calls of a gateway that vanished are given up."""
+"""The time after which calls of a disconnected gateway are abandoned."""
 
 import pytest
 
@@ -30,7 +30,7 @@
     )
 
 
-def reason(watch, now, *, repeatable=False):
+def abandon_reason(watch, now, *, repeatable=False):
     return watch.reason_to_abandon(
         call(repeatable=repeatable), 60.0, dead=False, now=now
     )
@@ -43,8 +43,8 @@
 def test_a_repeatable_call_is_given_up_sooner(repeatable, seconds):
     watch = AttemptWatch(LIMITS)
     watch.observe({GATEWAY}, {OTHER}, 0.0)
-    assert reason(watch, seconds - 0.1, repeatable=repeatable) is None
-    assert reason(watch, seconds, repeatable=repeatable) is not None
+    assert abandon_reason(watch, seconds - 0.1, repeatable=repeatable) is None
+    assert abandon_reason(watch, seconds, repeatable=repeatable) is not None
 
 
 def test_a_new_leader_counts_from_when_it_missed_the_gateway_itself():
@@ -52,8 +52,8 @@
     watch.observe(set(), {GATEWAY, OTHER}, 0.0)
     watch.observe(set(), {OTHER}, 1.0)
     watch.observe({GATEWAY}, {OTHER}, 10.0)
-    assert reason(watch, 1.0 + DEAD_SECONDS - 0.1) is None
-    assert reason(watch, 1.0 + DEAD_SECONDS) is not None
+    assert abandon_reason(watch, 1.0 + DEAD_SECONDS - 0.1) is None
+    assert abandon_reason(watch, 1.0 + DEAD_SECONDS) is not None
 
 
 def test_a_gateway_that_came_back_is_missed_anew():
@@ -62,7 +62,7 @@
     watch.observe(set(), {OTHER}, 1.0)
     watch.observe(set(), {GATEWAY, OTHER}, 2.0)
     watch.observe({GATEWAY}, {OTHER}, 12.0)
-    assert reason(watch, 12.0 + DEAD_SECONDS - 0.1) is None
+    assert abandon_reason(watch, 12.0 + DEAD_SECONDS - 0.1) is None
 
 
 def test_members_that_are_long_gone_are_forgotten():
--- a/tests/unit/faults/test_planned_stop.py
+++ b/tests/unit/faults/test_planned_stop.py
@@ -31,7 +31,7 @@
         self.daemon = DaemonSection(name="daemon-1")
         self.own_member = Member("daemon-1", 1)
         self.running_calls = 0
-        self.answering = succeed(None)
+        self.responding = succeed(None)
         self.handing_over = succeed(None)
 
     def announce_leaving(self):
@@ -42,8 +42,8 @@
         return succeed(None)
 
     def when_idle(self):
-        self.steps.append("await answers")
-        return self.answering
+        self.steps.append("await responses")
+        return self.responding
 
     def when_handed_over(self):
         self.steps.append("hand over engines")
@@ -69,21 +69,21 @@
 
 
 @pytest.fixture
-def life():
-    life = new_life(LifeCore())
-    life.become_ready()
-    return life
+def lifecycle():
+    lifecycle = new_life(LifeCore())
+    lifecycle.become_ready()
+    return lifecycle
 
 
-def begin(core, life, clock):
-    drain = Drain(core, life, clock, core.stop_listening)
+def start_drain(core, lifecycle, clock):
+    drain = Drain(core, lifecycle, clock, core.stop_listening)
     return Deferred.fromCoroutine(drain.run())
 
 
 def test_connections_are_served_for_a_while_after_nobody_new_can_connect(
-    core, life, clock
+    core, lifecycle, clock
 ):
-    stopped = begin(core, life, clock)
+    stopped = start_drain(core, lifecycle, clock)
     assert core.steps == [
         "announce",
         "refuse calls",
@@ -93,34 +93,34 @@
     ]
     clock.advance(LINGER_SECONDS / 2)
     assert not stopped.called
-    assert life.current_state() is LifeState.DRAINING
+    assert lifecycle.current_state() is LifeState.DRAINING
     clock.advance(LINGER_SECONDS / 2)
-    assert core.steps[-1] == "await answers"
+    assert core.steps[-1] == "await responses"
     assert stopped.called
-    assert life.current_state() is LifeState.STOPPED
+    assert lifecycle.current_state() is LifeState.STOPPED
 
 
-def test_what_is_still_being_answered_is_waited_for(core, life, clock):
-    core.answering = Deferred()
-    stopped = begin(core, life, clock)
+def test_what_is_still_being_answered_is_waited_for(core, lifecycle, clock):
+    core.responding = Deferred()
+    stopped = start_drain(core, lifecycle, clock)
     clock.advance(LINGER_SECONDS)
     assert not stopped.called
-    core.answering.callback(None)
+    core.responding.callback(None)
     assert stopped.called
 
 
-def test_engines_that_nobody_claims_do_not_keep_the_daemon(core, life, clock):
+def test_engines_that_nobody_claims_do_not_keep_the_daemon(core, lifecycle, clock):
     core.handing_over = Deferred()
-    stopped = begin(core, life, clock)
+    stopped = start_drain(core, lifecycle, clock)
     assert core.steps[-1] == "hand over engines"
     clock.advance(MAX_ENGINE_HANDOVER_SECONDS)
     clock.advance(LINGER_SECONDS)
     assert stopped.called
 
 
-def test_a_request_that_never_ends_does_not_keep_the_daemon(core, life, clock):
-    core.answering = Deferred()
-    stopped = begin(core, life, clock)
+def test_a_request_that_never_ends_does_not_keep_the_daemon(core, lifecycle, clock):
+    core.responding = Deferred()
+    stopped = start_drain(core, lifecycle, clock)
     clock.advance(LINGER_SECONDS)
     clock.advance(MAX_LAST_RESPONSES_SECONDS)
     assert stopped.called
--- a/tests/unit/faults/test_zone_drains.py
+++ b/tests/unit/faults/test_zone_drains.py
@@ -1,4 +1,4 @@
-"""Drains of zones in a whole region on virtual time."""
+"""Zone drains in a simulated region on virtual time."""
 
 from twisted.internet.defer import Deferred
 
@@ -21,7 +21,7 @@
 
 
 def zones_in_use(region):
-    """Give the zones of the engines that each daemon gives new work."""
+    """Return, for each daemon, the zones of the engines that receive new work."""
     return [
         {
             machine.zone
@@ -38,7 +38,7 @@
     drained = sorted(zones)[0]
     publish(region, drained, is_drained=True)
     assert region.run_until(
-        lambda: all(drained not in used for used in zones_in_use(region)),
+        lambda: all(drained not in active for active in zones_in_use(region)),
         IN_FORCE_SECONDS,
     )
     publish(region, drained, is_drained=False)
@@ -60,4 +60,4 @@
     assert region.run_until(lambda: core.table.version > 0, IN_FORCE_SECONDS)
     for _ in range(40):
         region.advance(0.1)
-        assert all(drained not in used for used in zones_in_use(region))
+        assert all(drained not in active for active in zones_in_use(region))
