--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -9,7 +9,7 @@
 from notcharch.calls.eligibility import EngineEligibility, NoEngine
 from notcharch.calls.interface import Engine
 from notcharch.calls.metrics import COLD_ENGINES, COLD_SENDS
-from notcharch.scheduling.cold_engines import Warmth
+from notcharch.scheduling.cold_engines import WarmupState
 from notcharch.scheduling.engine_health import (
     EngineHealth,
     HealthPolicy,
@@ -22,8 +22,8 @@
 )
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import (
-    MOST_PART,
-    OWN_ANSWER_SECONDS,
+    LOCAL_RESPONSE_SECONDS,
+    MAX_SUSPECTED_SHARE,
     SharedSuspicions,
 )
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones
@@ -53,7 +53,7 @@
         """Start without calls."""
         self.engine = engine
         self.health = health
-        self.warmth = Warmth()
+        self.warmth = WarmupState()
         self.in_flight = 0
         """Calls of this daemon in flight at the engine."""
         self.last_resort_since: float | None = None
@@ -132,7 +132,7 @@
             self._by_service.setdefault(state.engine.service, []).append(state)
         COLD_ENGINES.set(sum(s.warmth.is_cold(now) for s in states.values()))
         for service, members in self._by_service.items():
-            self._service(service).begin([state.health for state in members])
+            self._service(service).compare([state.health for state in members])
         return forgotten
 
     def _suspect_entries(self, states: Iterable[EngineState], now: float) -> None:
@@ -141,7 +141,7 @@
         A daemon that has just started does not know which drains were recently cancelled.
         """
         for state in states:
-            state.warmth.doubt(now + self._policy.entry_seconds)
+            state.warmth.suspect_cold(now + self._policy.entry_seconds)
 
     def _service(self, name: str) -> ServiceHealth:
         known = self._services.get(name)
@@ -157,7 +157,7 @@
         if state is None:
             state = EngineState(engine, EngineHealth(self._service(engine.service)))
         if is_new_entry:
-            state.warmth.told(engine.cold_seconds, now)
+            state.warmth.record_report(engine.cold_seconds, now)
         state.engine = engine
         if not engine.is_draining:
             state.last_resort_since = None
@@ -210,7 +210,7 @@
         states = self.eligibility.accepting(service, untried, now)
         if not states:
             return None
-        slow_event_seconds = self._service(service).slow_pace_seconds(now)
+        slow_event_seconds = self._service(service).slow_interval_seconds(now)
         healthy = [
             state
             for state in states
@@ -233,11 +233,11 @@
         if not self._suspicions.has_any:
             return states
         trusted = [state for state in states if not self._is_suspected(state, now)]
-        too_many = len(states) - len(trusted) > MOST_PART * len(states)
+        too_many = len(states) - len(trusted) > MAX_SUSPECTED_SHARE * len(states)
         return states if too_many else trusted
 
     def _is_suspected(self, state: EngineState, now: float) -> bool:
-        if state.health.was_heard(now, OWN_ANSWER_SECONDS):
+        if state.health.responded_within(now, LOCAL_RESPONSE_SECONDS):
             return False
         return self._suspicions.is_suspected(state.id, now)
 
@@ -275,7 +275,7 @@
         state = self._states.get(engine_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
-            state.health.over()
+            state.health.finished()
 
     def response_received(
         self, engine_id: str, event_gap_seconds: float | None = None
@@ -285,21 +285,21 @@
         if state is None:
             return
         now = self._clock.seconds()
-        state.health.heard(now)
+        state.health.received(now)
         if event_gap_seconds is not None:
-            state.health.paced(event_gap_seconds, now)
+            state.health.record_event_interval(event_gap_seconds, now)
 
     def first_event_received(self, engine_id: str, seconds: float) -> None:
         """Record the time from sending a call to its first event."""
         state = self._states.get(engine_id)
         if state is not None:
-            state.health.began_answer(seconds)
+            state.health.record_first_event(seconds)
 
     def stream_completed(self, engine_id: str, events: int) -> None:
         """Record the number of events of a complete stream."""
         state = self._states.get(engine_id)
         if state is not None:
-            self._service(state.engine.service).run_ended(events)
+            self._service(state.engine.service).record_stream_length(events)
 
     def engine_failed(self, engine_id: str) -> bool:
         """Record a failure of an engine; return whether it is silent.
@@ -318,4 +318,4 @@
         """Avoid an engine briefly that rejected a call at capacity."""
         state = self._states.get(engine_id)
         if state is not None:
-            state.health.was_full(self._clock.seconds())
+            state.health.refused(self._clock.seconds())
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -47,15 +47,15 @@
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables
-from notcharch.scheduling.answer_waits import RouteWaits
+from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
 from notcharch.tenants.freshness import TableFreshness
+from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from notcharch.tenants.interface import Tenant
-from notcharch.tenants.vouching import TableVouching
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 
 STOP_ACCEPT_SECONDS = 2.6
@@ -112,7 +112,7 @@
             AccountSettings(
                 address=f"{settings.host}:{settings.peer_ports[0]}",
                 partitions=settings.store.partitions,
-                least_lease_seconds=settings.store.min_lease_seconds,
+                min_lease_seconds=settings.store.min_lease_seconds,
                 retention_seconds=settings.store.retention_seconds,
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
@@ -149,7 +149,7 @@
                 sender=sender,
                 dialect=PlatformDialect(),
                 admission=self._accounts.admission,
-                waits=RouteWaits(wait_policy(mechanisms)),
+                waits=RouteResponseTimes(wait_policy(mechanisms)),
             ),
             self._check,
         )
@@ -168,17 +168,17 @@
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
         )
-        self._freshness_exchange = TableVouching(
+        self._freshness_exchange = TableFreshnessExchange(
             reactor,
             random,
             self._network,
             self._freshness,
             peers=self._accounts.directory.peers,
-            ask_at_age=self._tables.confirmation_age_seconds,
+            request_at_age=self._tables.confirmation_age_seconds,
             table=lambda: self._tables.raw_table,
-            take=self._tables.apply_table,
+            apply_table=self._tables.apply_table,
             drained=lambda: self._tables.drained_zones,
-            take_drained=self._tables.apply_peer_drained_zones,
+            apply_drained=self._tables.apply_peer_drained_zones,
         )
         routine = (CallServed, CallerNotIdentified, LimitReached)
         self._output = LogOutput(
--- a/notcharch/scheduling/engine_chooser.py
+++ b/notcharch/scheduling/engine_chooser.py
@@ -1,8 +1,8 @@
-"""The choice of an engine for one call, step by step as answers come in. Pure.
+"""Chooses an engine for one call, step by step as replies arrive. Pure.
 
-The holder of the program's prefix is asked first. When it defers, or there is
-none, two sampled engines are asked for quotes and the cheapest known one is
-asked for a grant, with the runner-up's cost as the limit of its wait.
+The holder of the program's prefix is tried first. If it defers the call, or there is no
+holder, two sampled engines are asked for quotes. The cheapest known engine receives the
+grant request, with the runner-up's cost as the limit of its wait.
 """
 
 import random
@@ -20,45 +20,45 @@
 from notcharch.values.identifiers import EngineName
 
 SAMPLED_ENGINES = 2
-GREATEST_ASKS = 5
-"""Grants asked for before the last one is waited for without a limit."""
+MAX_GRANT_REQUESTS = 5
+"""The last of this number of grant requests has no limit on the wait."""
 
-GREATEST_STEPS = 16
-"""Questions of both kinds for one call before it is answered with a problem."""
+MAX_STEPS = 16
+"""Maximum number of requests of both kinds before the call fails."""
 
 NO_LIMIT_SECONDS = 1e9
-"""Stands for no limit; infinity has no form in JSON."""
+"""Represents no limit, because JSON has no infinity."""
 
 DEFER_SLACK_SECONDS = 0.25
-"""How much worse than the quote a wait may be before the call goes elsewhere."""
+"""How much longer than quoted a wait may be before the call is deferred."""
 
 
-class AskForGrant(msgspec.Struct, frozen=True):
+class RequestGrant(msgspec.Struct, frozen=True):
     """Queue at this engine unless the wait exceeds `defer_above_seconds`."""
 
     engine: EngineName
     defer_above_seconds: float
     move_prefix: bool = False
-    """Whether the prefix is to be moved there from its holder first."""
+    """If true, the prefix is first moved there from its holder."""
 
 
-class AskForQuotes(msgspec.Struct, frozen=True):
-    """Ask these engines what the call would wait."""
+class RequestQuotes(msgspec.Struct, frozen=True):
+    """Request the expected wait of the call from these engines."""
 
     engines: tuple[EngineName, ...]
 
 
-class NoEngineLeft(msgspec.Struct, frozen=True):
-    """Every engine was unusable; `retry_after` is the least that one named."""
+class NoEngineAvailable(msgspec.Struct, frozen=True):
+    """No engine is usable; `retry_after` is the shortest time that one reported."""
 
     retry_after: float | None
 
 
-ChoiceStep = AskForGrant | AskForQuotes | NoEngineLeft
+ChoiceStep = RequestGrant | RequestQuotes | NoEngineAvailable
 
 
 class EngineChooser:
-    """What is known of the engines for one call."""
+    """The state of the choice for one call."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         policy: ChoicePolicy,
         chance: random.Random,
     ) -> None:
-        """Begin with a prefix's holder, if there is one, and no quotes."""
+        """Start with the holder of the prefix, if there is one, and without quotes."""
         self._prompt_tokens = prompt_tokens
         self._cached_tokens = cached_tokens
         self._holder = holder
@@ -83,32 +83,34 @@
         self._retry_after: float | None = None
         self._holder_first = holder is not None
         self._sample_due = True
-        self._asks = 0
+        self._grant_requests = 0
         self._steps = 0
 
     def next_step(self, engines: EnginePool) -> ChoiceStep:
-        """Give what to do next, of the engines that may get new work now."""
+        """Return the next step, given the engines that accept new work."""
         self._steps += 1
-        if self._steps > GREATEST_STEPS:
-            return NoEngineLeft(self._retry_after)
+        if self._steps > MAX_STEPS:
+            return NoEngineAvailable(self._retry_after)
         if self._holder_first:
             self._holder_first = False
             if self._holder is not None and self._holder in engines:
-                return self._ask(self._holder, self._holder_limit())
+                return self._request_grant(self._holder, self._holder_limit())
         if self._sample_due:
             self._sample_due = False
-            sampled = engines.sample(SAMPLED_ENGINES, self._is_settled, self._chance)
+            sampled = engines.sample(
+                SAMPLED_ENGINES, self._needs_no_quote, self._chance
+            )
             if sampled:
-                return AskForQuotes(sampled)
-        return self._ask_cheapest(engines)
+                return RequestQuotes(sampled)
+        return self._request_cheapest(engines)
 
     def learn_quote(self, option: EngineOption) -> None:
-        """Take a quote in."""
+        """Record a quote."""
         self._options[option.engine] = option
         self._prefill_rate = option.prefill_tokens_per_second
 
     def learn_deferred(self, engine: EngineName, expected_wait: float) -> None:
-        """Take in that an engine's wait was above the limit."""
+        """Record that an engine's wait exceeded the limit."""
         known = self._options.get(engine)
         if known is None:
             cached = self._cached_tokens if engine == self._holder else 0
@@ -119,50 +121,52 @@
         self._sample_due = True
 
     def learn_overloaded(self, engine: EngineName, retry_after: float | None) -> None:
-        """Take in that the call would wait longer there than it may."""
+        """Record that the wait at an engine exceeds the maximum wait of the call."""
         self._overloaded.add(engine)
         self._sample_due = True
         if retry_after is not None:
-            least = self._retry_after if self._retry_after is not None else retry_after
-            self._retry_after = min(least, retry_after)
+            shortest = (
+                self._retry_after if self._retry_after is not None else retry_after
+            )
+            self._retry_after = min(shortest, retry_after)
 
     def learn_unusable(self, engine: EngineName) -> None:
-        """Take in that the engine or its steward cannot be used now."""
+        """Record that an engine or its steward cannot be used now."""
         self._unusable.add(engine)
         self._sample_due = True
 
     def forget_unusable(self) -> None:
-        """Give engines another chance, after a pause; overloaded ones not."""
+        """Retry unusable engines after a pause, but not overloaded ones."""
         self._unusable.clear()
         self._options.clear()
         self._sample_due = True
 
-    def _may_ask(self, engine: EngineName) -> bool:
+    def _is_usable(self, engine: EngineName) -> bool:
         return engine not in self._unusable and engine not in self._overloaded
 
-    def _is_settled(self, engine: EngineName) -> bool:
-        """Tell whether nothing new can be learnt by asking the engine."""
-        return engine in self._options or not self._may_ask(engine)
+    def _needs_no_quote(self, engine: EngineName) -> bool:
+        """Return whether a quote of the engine would add no information."""
+        return engine in self._options or not self._is_usable(engine)
 
     def _holder_limit(self) -> float:
         return defer_above_seconds(
             self._cached_tokens, self._prefill_rate, self._policy
         )
 
-    def _ask(
+    def _request_grant(
         self, engine: EngineName, limit: float, kind: ChoiceKind = ChoiceKind.STAY
-    ) -> AskForGrant:
-        self._asks += 1
-        if self._asks >= GREATEST_ASKS:
+    ) -> RequestGrant:
+        self._grant_requests += 1
+        if self._grant_requests >= MAX_GRANT_REQUESTS:
             limit = NO_LIMIT_SECONDS
         move = kind is ChoiceKind.MOVE
-        return AskForGrant(engine, min(limit, NO_LIMIT_SECONDS), move)
+        return RequestGrant(engine, min(limit, NO_LIMIT_SECONDS), move)
 
-    def _ask_cheapest(self, engines: EnginePool) -> ChoiceStep:
+    def _request_cheapest(self, engines: EnginePool) -> ChoiceStep:
         known = [
             option
             for engine, option in sorted(self._options.items())
-            if engine in engines and self._may_ask(engine)
+            if engine in engines and self._is_usable(engine)
         ]
         choice = choose_engine(
             known,
@@ -172,8 +176,8 @@
             policy=self._policy,
         )
         if choice is None:
-            return NoEngineLeft(self._retry_after)
-        spare = choice.runner_up_seconds - choice.cost_seconds
+            return NoEngineAvailable(self._retry_after)
+        margin = choice.runner_up_seconds - choice.cost_seconds
         quoted = self._options[choice.engine].expected_wait_seconds
-        limit = quoted + spare + DEFER_SLACK_SECONDS
-        return self._ask(choice.engine, limit, choice.kind)
+        limit = quoted + margin + DEFER_SLACK_SECONDS
+        return self._request_grant(choice.engine, limit, choice.kind)
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -4,8 +4,8 @@
 
 from notcharch.calls.interface import MAY_HAVE_RUN, NO_ENGINE, TIMED_OUT
 from notcharch.http.client import ResponseFailure
-from notcharch.scheduling.answer_waits import LEAST_LIMIT_SECONDS
-from notcharch.scheduling.engine_health import LEAST_SILENCE_SECONDS
+from notcharch.scheduling.engine_health import MIN_SILENCE_SECONDS
+from notcharch.scheduling.first_response_times import MIN_LIMIT_SECONDS
 from tests.unit.calls.world import SERVICE, World
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -45,14 +45,14 @@
 def test_the_idle_connections_of_an_engine_that_fell_silent_are_dropped():
     world = World()
     silent = world.sent[0]
-    world.clock.advance(LEAST_SILENCE_SECONDS + 0.01)
+    world.clock.advance(MIN_SILENCE_SECONDS + 0.01)
     silent.listener.failed(ResponseFailure.RESET)
     assert world.sender.closed_idle == [silent.engine.id]
 
 
 def test_the_idle_connections_of_an_engine_that_reset_one_are_kept():
     world = World()
-    world.clock.advance(LEAST_SILENCE_SECONDS - 0.01)
+    world.clock.advance(MIN_SILENCE_SECONDS - 0.01)
     world.sent[0].listener.failed(ResponseFailure.RESET)
     assert world.sender.closed_idle == []
 
@@ -66,16 +66,16 @@
         sent.listener.data_received(b"id: 1\ndata: a\n\nid: 2\ndata")
         sent.listener.data_received(b": b\n\n")
     health = world.pool._states[sent.engine.id].health
-    assert health.has_pace(world.clock.seconds())
-    assert 0.0 < health.pace_seconds <= 0.1
+    assert health.has_event_interval(world.clock.seconds())
+    assert 0.0 < health.event_interval_seconds <= 0.1
 
 
-OVERDUE_SECONDS = LEAST_LIMIT_SECONDS + 0.01
+OVERDUE_SECONDS = MIN_LIMIT_SECONDS + 0.01
 
 
 def test_an_overdue_call_that_may_be_repeated_goes_to_another_engine():
     world = World(is_repeatable=True, max_engines=2, usual_answers=50)
-    world.clock.advance(LEAST_LIMIT_SECONDS - 0.01)
+    world.clock.advance(MIN_LIMIT_SECONDS - 0.01)
     assert len(world.sent) == 1
     world.clock.advance(0.02)
     first, second = world.sent
@@ -441,7 +441,7 @@
         world.clock.advance(0.05)
     sent.listener.completed()
     state = world.pool._states["a"]
-    assert world.pool._service(SERVICE).usual_events == 4.0
+    assert world.pool._service(SERVICE).mean_events == 4.0
     assert state.run_seconds == pytest.approx(0.1 + 3 * 0.05)
 
 
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -105,7 +105,7 @@
     entry = {"version": 7, "routes": [ROUTE], "services": [SERVICE | cold]}
     read = decode_table(msgspec.json.encode(entry | {"limits": LIMITS}))
     assert read.services["s"].cold == ColdLimit(3.0, 25.0)
-    assert not table().services["s"].cold.is_any
+    assert not table().services["s"].cold.is_enabled
 
 
 @pytest.mark.parametrize(
