--- a/notcharch/programs/program_handlers.py
+++ b/notcharch/programs/program_handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of whole programs: creation, end, history, descriptions."""
+"""Request handlers for programs: creation, end, history and descriptions."""
 
 from collections.abc import Callable
 
@@ -10,7 +10,7 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import ProgramRecord
 from notcharch.programs.replies import description
-from notcharch.programs.rows import open_row
+from notcharch.programs.rows import active_row
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.identifiers import Epoch, Member, ProgramId
 from notcharch.wire.messages.base import Message
@@ -30,12 +30,12 @@
 )
 from notcharch.wire.peers import PeerNetwork
 
-HISTORY_PAGE_MESSAGES = 1000
-LISTING_PROGRAMS = 1000
+MAX_HISTORY_PAGE_MESSAGES = 1000
+MAX_LISTED_PROGRAMS = 1000
 
 
 class ProgramHandlers:
-    """Answers `CreateProgram`, `EndProgram` and all requests that only read."""
+    """Handles `CreateProgram`, `EndProgram` and all read-only requests."""
 
     def __init__(
         self,
@@ -45,7 +45,7 @@
         histories: HistoryReader,
         now: Callable[[], float],
     ) -> None:
-        """Take what the handlers read and where they propose."""
+        """Read records through `led`, and propose commands there."""
         self._led = led
         self._changes = changes
         self._table = table
@@ -53,7 +53,7 @@
         self._now = now
 
     def register(self, network: PeerNetwork) -> None:
-        """Register the handlers."""
+        """Register the handlers on the network."""
         network.on_request(CreateProgram, self._on_create)
         network.on_request(EndProgram, self._on_end)
         network.on_request(ReadHistory, self._on_history)
@@ -66,7 +66,7 @@
         partition = self._led.partition_of(message.program)
         parent = message.parent
         if parent is not None and self._led.partition_of(parent) != partition:
-            text = "a child lies in its parent's partition"
+            text = "a child program must be in its parent's partition"
             raise ProblemError(Problem.of(ProblemCode.BAD_REQUEST, text))
         command = BeginProgram(
             self._now(),
@@ -80,7 +80,7 @@
         return ProgramCreated(message.program)
 
     def _row_of(self, message: CreateProgram) -> ServiceRow:
-        row = open_row(self._table, message.service, Ran.NO)
+        row = active_row(self._table, message.service, Ran.NO)
         if row.tenant != message.tenant:
             text = f"there is no service {message.service}"
             raise ProblemError(Problem.of(ProblemCode.NOT_FOUND, text))
@@ -98,7 +98,7 @@
         assert isinstance(message, ReadHistory)
         record = await self._led.visible(message.program, message.tenant)
         start = max(0, message.start)
-        limit = min(max(0, message.limit), HISTORY_PAGE_MESSAGES)
+        limit = min(max(0, message.limit), MAX_HISTORY_PAGE_MESSAGES)
         page = await self._histories.messages(record, start, limit)
         return HistoryPage(page, start, record.history.message_count)
 
@@ -109,12 +109,12 @@
 
     async def _on_list(self, sender: Member, message: Message) -> Message:
         assert isinstance(message, ListPrograms)
-        limit = min(max(0, message.limit), LISTING_PROGRAMS)
+        limit = min(max(0, message.limit), MAX_LISTED_PROGRAMS)
         found: list[ProgramDescription] = []
         for _, state in self._led.led_states():
             for program in state.programs():
                 record = state.record(program)
-                if record is None or not _is_asked(record, message):
+                if record is None or not _matches(record, message):
                     continue
                 if len(found) == limit:
                     return ProgramListing(tuple(found), truncated=True)
@@ -136,12 +136,12 @@
         )
 
     def _is_live(self, program: ProgramId) -> bool:
-        """Tell whether engines may still hold memory of a program."""
+        """Return whether a program may still use engine memory."""
         record = self._led.state_of(program).record(program)
         if record is None:
             return False
         return not record.ended or record.running_call is not None
 
 
-def _is_asked(record: ProgramRecord, message: ListPrograms) -> bool:
+def _matches(record: ProgramRecord, message: ListPrograms) -> bool:
     return message.service is None or record.service == message.service
--- a/notcharch/programs/tree.py
+++ b/notcharch/programs/tree.py
@@ -1,4 +1,4 @@
-"""Creating programs and ending whole trees of them."""
+"""Creates programs, ends trees of programs, and removes expired ones."""
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.partitions.interface import CommandRefused, CommandResult
@@ -18,14 +18,14 @@
 from notcharch.values.identifiers import ProgramId
 
 MAX_TREE_PROGRAMS = 1000
-"""Programs of one tree that may be remembered at once, ended ones included."""
+"""Number of stored programs of one tree, including ended ones."""
 
 
 def begin(store: ProgramStore, command: BeginProgram) -> CommandResult:
-    """Create a program, alone or as the child of another one."""
+    """Create a program, as a root or as the child of another program."""
     known = store.records.get(command.program)
     if known is not None:
-        return _begun_before(known, command)
+        return _repeat_begin(known, command)
     if command.parent is None:
         budget = TreeBudget(command.budget_tokens)
         store.add(_new_record(command, command.program, budget))
@@ -33,7 +33,7 @@
     return _begin_child(store, command)
 
 
-def _begun_before(known: ProgramRecord, command: BeginProgram) -> CommandResult:
+def _repeat_begin(known: ProgramRecord, command: BeginProgram) -> CommandResult:
     same = (
         known.service == command.service
         and known.tenant == command.tenant
@@ -78,7 +78,7 @@
 
 
 def touch(store: ProgramStore, record: ProgramRecord, at: float) -> None:
-    """Note activity of a program, which is also activity of its ancestors."""
+    """Record activity of a program and its ancestors."""
     current: ProgramRecord | None = record
     while current is not None:
         current.active_at = max(current.active_at, at)
@@ -87,7 +87,7 @@
 
 
 def stop(store: ProgramStore, command: StopProgram) -> CommandResult:
-    """End a program at its tenant's request; harmless when repeated."""
+    """End a program at its tenant's request; idempotent."""
     record = store.visible(command.program, command.tenant)
     if record is None:
         return refusals.not_found(command.program)
@@ -117,12 +117,12 @@
     record.end_reason = reason
     call = record.call
     if call is not None and call.phase is CallPhase.ADMITTED:
-        # No dispatch was committed, and from now on none will be.
-        store.budget_of(record).give_back(call.reserved_tokens)
+        # No dispatch was committed, and none can be after this.
+        store.budget_of(record).release_reservation(call.reserved_tokens)
         call.phase = CallPhase.FAILED
         call.reserved_tokens = 0
         call.failure = ended_problem(record, _ran_so_far(call.may_have_run))
-        store.note_running(record)
+        store.update_running(record)
     release_engines(store, record)
 
 
@@ -131,16 +131,17 @@
 
 
 def ended_problem(record: ProgramRecord, ran: Ran) -> Problem:
-    """Give the problem of a call to an ended program."""
+    """Return the problem of a call to an ended program."""
     reason = record.end_reason.value if record.end_reason else ""
     message = f"program {record.program} has ended ({reason})"
     return Problem.of(ProblemCode.PROGRAM_ENDED, message, ran=ran)
 
 
 def release_engines(store: ProgramStore, record: ProgramRecord) -> None:
-    """Turn the engines of a program into duties, once no attempt is dispatched.
+    """Add release duties for a program's engines unless an attempt is dispatched.
 
-    While one is, its engine fills memory again, so the duties wait for its end.
+    The engine of a dispatched attempt allocates memory again, so the duties are
+    added when the attempt ends.
     """
     call = record.running_call
     if call is not None and call.phase is CallPhase.DISPATCHED:
@@ -161,7 +162,7 @@
 def expire(store: ProgramStore, command: ExpirePrograms) -> CommandResult:
     """Check programs for idleness, age and the end of their retention."""
     ended = 0
-    forgotten = 0
+    removed = 0
     for check in command.checks:
         record = store.records.get(check.program)
         if record is None:
@@ -170,16 +171,16 @@
         if reason is not None:
             _end_tree(store, record, reason, command.at)
             ended += 1
-        elif record.program not in store.duties and may_forget(
+        elif record.program not in store.duties and may_remove(
             record, command.at, command.retention_seconds
         ):
-            _forget(store, record)
-            forgotten += 1
-    return ProgramsExpired(ended, forgotten)
+            _remove(store, record)
+            removed += 1
+    return ProgramsExpired(ended, removed)
 
 
 def expiry_of(record: ProgramRecord, check: ExpiryCheck, at: float) -> EndReason | None:
-    """Give the reason for which a program is due to end now, or None."""
+    """Return why a program must end now, or None."""
     if record.ended:
         return None
     if at - record.created_at >= check.max_age_seconds:
@@ -190,17 +191,17 @@
     return None
 
 
-def may_forget(record: ProgramRecord, at: float, retention_seconds: float) -> bool:
-    """Tell whether an ended program's answers were kept for long enough.
+def may_remove(record: ProgramRecord, at: float, retention_seconds: float) -> bool:
+    """Return whether the retention of an ended program has passed.
 
-    Its release duties must be confirmed besides.
+    The caller also checks that its release duties are confirmed.
     """
     if record.ended_at is None or record.children or record.running_call:
         return False
     return at - record.ended_at >= retention_seconds
 
 
-def _forget(store: ProgramStore, record: ProgramRecord) -> None:
+def _remove(store: ProgramStore, record: ProgramRecord) -> None:
     del store.records[record.program]
     if record.parent is None:
         return
--- a/tests/stateful/engines/test_claims.py
+++ b/tests/stateful/engines/test_claims.py
@@ -1,4 +1,4 @@
-"""Stewards' claims: epochs that only grow, whatever the partition forgets."""
+"""Stewards' claims: epochs increase even if the partition loses its state."""
 
 import pytest
 from hypothesis import Phase, settings
@@ -24,7 +24,7 @@
 
 
 class Claims(RuleBasedStateMachine):
-    """Claims by daemons and their restarts; replicas that restore or are rebuilt."""
+    """Claims by restarting daemons, and replicas that are restored or rebuilt."""
 
     def __init__(self):
         super().__init__()
@@ -84,8 +84,8 @@
 
 def forget_the_partitions_epoch(monkeypatch):
     def next_epoch(self, epoch):
-        self._greatest += 1
-        return self._greatest
+        self._max_epoch += 1
+        return self._max_epoch
 
     monkeypatch.setattr(StewardClaimsState, "_next_epoch", next_epoch)
 
--- a/tests/stateful/region/test_breaks.py
+++ b/tests/stateful/region/test_breaks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from notcharch.engines.cache_keeper import CacheKeeper
+from notcharch.engines.cache_tracker import CacheTracker
 from notcharch.gateway import call_requests, call_run
 from notcharch.programs.release_service import ReleaseService
 from tests.stateful.region.machine import CUT, RegionMachine
@@ -36,12 +36,12 @@
 
 def trusts_its_own_request(monkeypatch):
     for module in (call_run, call_requests):
-        monkeypatch.setattr(module, "of_the_whole_call", lambda problem: problem)
+        monkeypatch.setattr(module, "scope_ran_to_call", lambda problem: problem)
 
 
 def releases_nothing(monkeypatch):
     monkeypatch.setattr(ReleaseService, "step", nothing)
-    monkeypatch.setattr(CacheKeeper, "_sweep", nothing_later)
+    monkeypatch.setattr(CacheTracker, "_sweep", nothing_later)
 
 
 BREAKS = (
--- a/tests/unit/engines/test_engine_faults.py
+++ b/tests/unit/engines/test_engine_faults.py
@@ -1,4 +1,4 @@
-"""Engines and gateways that fail, leave or lie, and what the steward does."""
+"""A steward with engines and gateways that fail, leave or report wrongly."""
 
 import pytest
 
@@ -48,7 +48,7 @@
     refused = place(region.nodes["d2"])
     region.run(2.0)
     assert refused.result.unwrap_err().is_code(ProblemCode.NO_ENGINE)
-    assert region.keeper("e1").state.granted == 0
+    assert region.engine_steward("e1").state.granted == 0
 
 
 def test_an_engine_that_answers_again_gets_work_again():
@@ -65,7 +65,7 @@
     node = region.nodes["d2"]
     for number in range(5):
         grant = granted(region, "d2", f"r1-0-{number}")
-        node.dispatcher.give_back(grant, None, engine_failed=True)
+        node.dispatcher.return_grant(grant, None, engine_failed=True)
         region.run(0.1)
     refused = place(node, admitted("r1-0-8"))
     region.run(1.0)
@@ -75,7 +75,7 @@
     second = place(node, admitted("r1-0-a"))
     region.run(1.5)
     assert second.result.is_err()
-    node.dispatcher.give_back(probe, None, engine_failed=False)
+    node.dispatcher.return_grant(probe, None, engine_failed=False)
     region.run(0.1)
     assert granted(region, "d2", "r1-0-b").engine == "e1"
 
@@ -86,14 +86,14 @@
     granted(region, "d3", "r1-0-1")
     place(region.nodes["d3"], admitted("r1-0-2"))
     region.run(0.1)
-    gone = region.nodes["d3"].member
+    dead_gateway = region.nodes["d3"].member
     region.fabric.crash(DaemonName("d3"))
     for node in region.nodes.values():
-        node.view.members.remove(gone)
+        node.view.members.remove(dead_gateway)
         if certain:
-            node.view.dead.add(gone)
+            node.view.dead.add(dead_gateway)
     region.run(1.5 if certain else 12.0)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     assert (state.granted, state.queued) == (0, 0)
 
 
@@ -107,18 +107,18 @@
     for node in region.nodes.values():
         node.view.members.append(region.nodes["d3"].member)
     region.run(20.0)
-    assert region.keeper("e1").state.granted == 1
+    assert region.engine_steward("e1").state.granted == 1
 
 
 def test_a_grant_that_no_report_accounts_for_is_freed():
     region = Region(daemons=2, engines=1, slots=2)
     granted(region, "d2", "r1-0-1")
-    kept = granted(region, "d2", "r1-0-2")
+    active = granted(region, "d2", "r1-0-2")
     region.engine("e1").running = 1
     region.run(100.0)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     assert state.granted == 1
-    assert state.grant(kept.grant) is not None
+    assert state.grant(active.grant) is not None
 
 
 def test_work_of_an_earlier_steward_counts_against_the_slots():
@@ -157,7 +157,7 @@
     for step in steps:
         replies.append(network.request(DaemonName("d1"), messages[step], 10.0))
         region.run(0.2)
-    state = region.keeper("e1").state
+    state = region.engine_steward("e1").state
     queued = "cancel" not in steps and steps[-1] != "return" and "return" not in steps
     assert state.queued == (1 if queued else 0)
     expected = 1
@@ -171,9 +171,9 @@
     first = granted(region, "d2", "r1-0-1")
     waiting = [place(node, admitted(f"r1-0-{n}"), 20.0) for n in range(2, 6)]
     region.run(15.0)
-    node.dispatcher.give_back(first, None, engine_failed=False)
+    node.dispatcher.return_grant(first, None, engine_failed=False)
     region.run(2.0)
-    # One call took 15.5 s, so the last of the queue cannot be granted in 20 s.
+    # After one call of 15.5 s, the last of the queue is not expected within 20 s.
     refused = [w for w in waiting if w.called and w.result.is_err()]
     assert refused
     assert all(w.result.unwrap_err().retry_after >= 1 for w in refused)
--- a/tests/unit/tenants/test_freshness_exchange.py
+++ b/tests/unit/tenants/test_freshness_exchange.py
@@ -36,7 +36,7 @@
             peers=lambda: world.peers,
             request_at_age=REQUEST_AT_AGE,
             table=lambda: str(self.freshness.version).encode(),
-            apply_table=self.take,
+            activate_table=self.take,
             drained=lambda: self.drains.current,
             apply_drained=lambda newer: self.drains.update(newer, 0.0),
         )
