--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -90,11 +90,11 @@
         self, account: CallAccount
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
         clock = self._owners.clock
-        suspected = self._suspicions.tell(clock.seconds())
+        suspected = self._suspicions.to_send(clock.seconds())
         message = account.admit_message(suspected)
         reply = yield self._owners.send_request(account.partition, message)
         if isinstance(reply, TurnAdmitted):
-            self._suspicions.take(reply.suspicions, clock.seconds())
+            self._suspicions.merge(reply.suspicions, clock.seconds())
             return account.complete_body(reply)
         if not isinstance(reply, TurnRefused):
             return None
--- a/notcharch/accounts/limited_tenants.py
+++ b/notcharch/accounts/limited_tenants.py
@@ -18,8 +18,8 @@
 from notcharch.tenants.limit import OverLimit
 from notcharch.tenants.partition_limits import (
     HELD_LEASE,
-    HandedOver,
     Lease,
+    LimitHandover,
     PartitionLimits,
     Tolerance,
 )
@@ -57,15 +57,15 @@
     def replay(self, record: AnyRecord) -> None:
         """Apply a record of an earlier owner, if it is about limits."""
         if isinstance(record, LimitsHandedOver):
-            handover = HandedOver(record.uses, record.decided_seconds)
-            self._limits.replay_handed_over(handover)
+            handover = LimitHandover(record.uses, record.decided_seconds)
+            self._limits.replay_handover(handover)
         elif isinstance(record, LimitsTaken):
-            self._limits.replay_taken()
+            self._limits.replay_levels_taken()
 
     def on_takeover(self) -> LimitsTaken | None:
         """Start deciding; return the record to write before `restore_levels`, if any."""
-        self._limits.taken_over(self._clock.seconds())
-        return LimitsTaken() if self._limits.are_handed_over else None
+        self._limits.start(self._clock.seconds())
+        return LimitsTaken() if self._limits.has_handover else None
 
     def restore_levels(self) -> None:
         """Restore the levels handed over by the previous owner, once the record is durable."""
@@ -94,7 +94,7 @@
             request.route,
             self._clock.seconds(),
             lease=self._limit_context.lease(),
-            most_wait_seconds=request.most_wait_seconds,
+            max_wait_seconds=request.most_wait_seconds,
         )
         if verdict is None:
             return NOT_OWNER  # another daemon may be the owner by now
@@ -104,7 +104,7 @@
         return CallAdmitted(round(verdict.wait_seconds, 4))
 
     def _log(self, message: AdmitCall, limit: RateLimit, verdict: OverLimit) -> None:
-        ownership = self._limits.standing(
+        ownership = self._limits.ownership(
             self._clock.seconds(), self._limit_context.lease()
         )
         emit(
@@ -113,7 +113,7 @@
                 tenant=message.tenant,
                 program=message.program,
                 route=message.route,
-                begins_program=verdict.begins,
+                begins_program=verdict.is_new_program,
                 calls_left=round(verdict.level, 2),
                 calls_per_second=limit.per_second,
                 burst_calls=limit.burst,
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -141,9 +141,9 @@
         self, owned: OwnedPartition, request: AdmitTurn
     ) -> Generator["Deferred[Any]", Any, Message]:
         """Admit a call, and exchange engine suspicions with the requester."""
-        self._suspicions.take(request.suspicions, self._clock.seconds())
+        self._suspicions.merge(request.suspicions, self._clock.seconds())
         reply: Message = yield owned.admit(request)
-        suspected = self._suspicions.tell(self._clock.seconds())
+        suspected = self._suspicions.to_send(self._clock.seconds())
         if suspected and isinstance(reply, TurnAdmitted):
             return msgspec.structs.replace(reply, suspicions=suspected)
         return reply
--- a/notcharch/calls/policies.py
+++ b/notcharch/calls/policies.py
@@ -3,10 +3,10 @@
 from collections.abc import Collection
 
 from notcharch.calls.engines import PoolPolicy
-from notcharch.scheduling.answer_waits import WaitPolicy
 from notcharch.scheduling.cold_engines import ColdPolicy, ColdTolerance
 from notcharch.scheduling.engine_health import HealthPolicy
 from notcharch.scheduling.engine_routing import RoutingPolicy
+from notcharch.scheduling.first_response_times import OverduePolicy
 from notcharch.settings.mechanisms import Mechanism
 
 PROPAGATION_SECONDS = 1.0
@@ -29,25 +29,25 @@
         last_resort_seconds=window_seconds if has_last_resort else 0.0,
         entry_seconds=entry_seconds,
         routing=RoutingPolicy(
-            uses_kept_homes=Mechanism.KEPT_HOMES in mechanisms,
-            hashes_homes=Mechanism.HASHED_HOMES in mechanisms,
+            prefers_cached_engine=Mechanism.KEPT_HOMES in mechanisms,
+            hashes_affinity=Mechanism.HASHED_HOMES in mechanisms,
             prefers_zone=Mechanism.ZONES in mechanisms,
-            prefers_quick=Mechanism.QUICK_HOMES in mechanisms,
+            prefers_fast=Mechanism.QUICK_HOMES in mechanisms,
         ),
         health=HealthPolicy(
             watches_silence=Mechanism.SILENCE in mechanisms,
-            watches_pace=Mechanism.PACE in mechanisms,
+            watches_event_interval=Mechanism.PACE in mechanisms,
         ),
     )
 
 
-def wait_policy(mechanisms: Collection[Mechanism]) -> WaitPolicy:
+def wait_policy(mechanisms: Collection[Mechanism]) -> OverduePolicy:
     """Return the policy for overdue responses."""
-    return WaitPolicy(watches_overdue=Mechanism.OVERDUE in mechanisms)
+    return OverduePolicy(detects_overdue=Mechanism.OVERDUE in mechanisms)
 
 
 def cold_policy(
     mechanisms: Collection[Mechanism], tolerance: ColdTolerance
 ) -> ColdPolicy:
     """Return the policy for the load of cold engines."""
-    return ColdPolicy(tolerance, feeds=Mechanism.COLD_FEEDING in mechanisms)
+    return ColdPolicy(tolerance, sends_to_cold=Mechanism.COLD_FEEDING in mechanisms)
--- a/notcharch/placement/engine_directory.py
+++ b/notcharch/placement/engine_directory.py
@@ -45,8 +45,8 @@
 
         Returns None if the set is older than the one in effect.
         """
-        change = self._drains.take(drained, now)
-        if change is not None and change.is_any:
+        change = self._drains.update(drained, now)
+        if change is not None and change.has_changes:
             self._update()
         return change
 
