--- a/notcharch/programs/upkeep_service.py
+++ b/notcharch/programs/maintenance_service.py
@@ -1,8 +1,7 @@
-"""Periodic work on replicated programs: lost gateways, idleness, age, retention.
+"""Periodic maintenance of programs: orphaned attempts, expiry and retention.
 
-The work of one step is bounded: it looks at `PROGRAMS_PER_STEP` programs and goes on
-where it stopped. It proposes only what the pure rules say is due; the commands check
-again when they are applied.
+Each step checks up to `PROGRAMS_PER_STEP` programs and continues where the last one
+stopped. It proposes commands for what is due; they check again when applied.
 """
 
 from collections.abc import Callable, Iterator
@@ -23,7 +22,7 @@
 from notcharch.programs.led_programs import LedPrograms
 from notcharch.programs.record import OpenCall, ProgramRecord
 from notcharch.programs.state import ProgramsState
-from notcharch.programs.tree import expiry_of, may_forget
+from notcharch.programs.tree import expiry_of, may_remove
 from notcharch.table.interface import ServiceRow, TableView
 from notcharch.values.identifiers import (
     Member,
@@ -38,8 +37,8 @@
 ABANDONS_PER_STEP = 200
 
 
-class UpkeepService:
-    """Proposes the ends that no request asks for."""
+class MaintenanceService:
+    """Abandons orphaned attempts and expires programs of the led partitions."""
 
     def __init__(
         self,
@@ -52,7 +51,7 @@
         retention_seconds: float,
         now: Callable[[], float],
     ) -> None:
-        """Take what is read and where commands are proposed."""
+        """Start at the first program; commands are proposed through `led`."""
         self._led = led
         self._changes = changes
         self._table = table
@@ -65,13 +64,13 @@
         self._sweeping: set[PartitionNumber] = set()
 
     def step(self) -> None:
-        """Give up lost attempts, and check the next programs for their end."""
-        self._abandon_lost_attempts()
+        """Abandon orphaned attempts and check the next programs for expiry."""
+        self._abandon_orphaned_attempts()
         if self._table.version > 0:
-            # Without a table, no row's cells are known yet.
+            # Without a table the limits of the rows are unknown.
             self._sweep()
 
-    def _abandon_lost_attempts(self) -> None:
+    def _abandon_orphaned_attempts(self) -> None:
         running = list(self._running_calls())
         live = {member.member for member in self._membership.live_members()}
         gateways = gateways_of(call for _, call in running)
@@ -113,7 +112,7 @@
         try:
             await self._led.propose(program, command)
         except ProblemError:
-            # Finished meanwhile, or led by another daemon, which looks as well.
+            # The attempt has finished, or another daemon leads and checks it.
             return
         finally:
             self._abandoning.discard(program)
@@ -123,7 +122,7 @@
             emit(OutcomeLost(program, sequence))
 
     def _row(self, service: ServiceName) -> ServiceRow:
-        """Give a service's row; the programs of a removed row get the defaults."""
+        """Return a service's row, or one with default cells if it was removed."""
         row = self._table.row(service)
         if row is not None:
             return row
@@ -170,8 +169,8 @@
         now = self._now()
         if expiry_of(record, check, now) is not None:
             return True
-        forgettable = may_forget(record, now, self._retention_seconds)
-        return forgettable and not state.owes_release(record.program)
+        removable = may_remove(record, now, self._retention_seconds)
+        return removable and not state.has_pending_release(record.program)
 
     async def _expire(
         self, partition: PartitionNumber, checks: tuple[ExpiryCheck, ...]
@@ -180,7 +179,7 @@
         try:
             result = await self._led.propose_to(partition, command)
         except ProblemError:
-            # Still due: this or a new leader proposes it again.
+            # Still due, so this leader or the next one proposes it again.
             return
         finally:
             self._sweeping.discard(partition)
--- a/notcharch/tenants/freshness_exchange.py
+++ b/notcharch/tenants/freshness_exchange.py
@@ -45,7 +45,7 @@
         peers: Callable[[], Sequence[DaemonName]],
         request_at_age: float,
         table: Callable[[], bytes],
-        apply_table: Callable[[bytes], int],
+        activate_table: Callable[[bytes], int],
         drained: Callable[[], DrainedZones] = DrainedZones,
         apply_drained: Callable[[DrainedZones], None] = lambda _: None,
     ) -> None:
@@ -53,7 +53,7 @@
 
         Requests are sent when the confirmation is older than `request_at_age` seconds,
         which local reads normally prevent. `table` returns the active table as it was
-        published; `apply_table` activates a newer one. `drained` returns the known
+        published; `activate_table` activates a newer one. `drained` returns the known
         drained zones; `apply_drained` receives those of a peer.
         """
         self._clock = clock
@@ -63,7 +63,7 @@
         self._peers = peers
         self._request_at_age = request_at_age
         self._table = table
-        self._apply_table = apply_table
+        self._activate_table = activate_table
         self._drained = drained
         self._apply_drained = apply_drained
         self._is_requesting = False
@@ -99,7 +99,7 @@
             return
         peer_table = reply.ok_value
         if peer_table.version > self._freshness.version and peer_table.table:
-            self._apply_table(peer_table.table)
+            self._activate_table(peer_table.table)
         self._apply_drained(peer_table.drained)
         if peer_table.version == self._freshness.version >= 0:
             confirmed_at = sent_at - max(peer_table.age_seconds, 0.0)
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -104,7 +104,7 @@
             peers=lambda: world.names,
             request_at_age=self.tables.confirmation_age_seconds,
             table=lambda: self.tables.raw_table,
-            apply_table=self.tables.apply_table,
+            activate_table=self.tables.apply_table,
         )
         self.tables.start()
         self.exchange.start()
--- a/tests/unit/gateway/test_stream_relay.py
+++ b/tests/unit/gateway/test_stream_relay.py
@@ -1,4 +1,4 @@
-"""The relay: bytes as they come, back-pressure, the held-back end."""
+"""The stream relay: unchanged bytes, back-pressure, the buffered end."""
 
 import json
 
@@ -37,7 +37,7 @@
 
 
 class FakeRequest:
-    """The part of a twisted request, its channel and transport that is used."""
+    """Fakes the parts of a Twisted request, channel and transport that are used."""
 
     chunked = False
 
@@ -80,19 +80,19 @@
         self.relay.attach(self.stream)
 
 
-@pytest.mark.parametrize(("pieces", "passed_on", "held"), PIECES)
-def test_the_end_is_held_back_and_released(pieces, passed_on, held):
+@pytest.mark.parametrize(("pieces", "passed_on", "buffered"), PIECES)
+def test_the_end_is_held_back_and_released(pieces, passed_on, buffered):
     harness = RelayHarness()
     for piece in pieces:
         harness.relay.on_bytes(piece)
     assert harness.request.body == passed_on
-    assert harness.relay.holds_end == bool(held)
-    harness.relay.release_end()
-    assert harness.request.body == passed_on + held
+    assert harness.relay.is_end_buffered == bool(buffered)
+    harness.relay.write_buffered_end()
+    assert harness.request.body == passed_on + buffered
 
 
-@pytest.mark.parametrize(("pieces", "passed_on", "held"), PIECES)
-def test_the_fast_path_writes_the_same_bytes(pieces, passed_on, held):
+@pytest.mark.parametrize(("pieces", "passed_on", "buffered"), PIECES)
+def test_the_fast_path_writes_the_same_bytes(pieces, passed_on, buffered):
     harness = RelayHarness()
     harness.request.chunked = True
     for piece in [ONE, *pieces]:
@@ -131,7 +131,7 @@
     assert (harness.request.was_aborted, harness.stalls) == (True, [1])
     assert not harness.stream.paused
     harness.relay.on_bytes(TWO)
-    harness.relay.release_end()
+    harness.relay.write_buffered_end()
     harness.relay.finish()
     assert (harness.request.body, harness.request.is_finished) == (ONE, False)
 
@@ -144,7 +144,7 @@
     later = FakeStream("", None, harness.relay.on_bytes)
     harness.relay.attach(later)
     assert later.paused
-    harness.relay.caller_gone()
+    harness.relay.caller_disconnected()
     assert not later.paused
     assert not harness.clock.getDelayedCalls()
 
@@ -154,9 +154,9 @@
     harness = RelayHarness()
     for piece in pieces:
         harness.relay.on_bytes(piece)
-    harness.relay.stream_lost(Problem.of(ProblemCode.ENGINE_FAILED, "x", ran=Ran.YES))
+    harness.relay.stream_failed(Problem.of(ProblemCode.ENGINE_FAILED, "x", ran=Ran.YES))
     assert (harness.request.body, harness.request.is_finished) == (b"", False)
-    assert not harness.relay.holds_end
+    assert not harness.relay.is_end_buffered
     harness.relay.on_bytes(TWO)
     assert harness.request.body == TWO
 
