--- a/notcharch/clients/__init__.py
+++ b/notcharch/clients/__init__.py
@@ -1,1 +1,1 @@
-"""Ports to the outside systems, and the clients that implement them."""
+"""Ports to the external systems, and the clients that implement them."""
--- a/notcharch/clients/answer_collector.py
+++ b/notcharch/clients/answer_collector.py
@@ -1,8 +1,8 @@
-"""Collects a stream's events and decodes the answer from them, many at a time.
+"""Collects a stream's events and decodes the complete response in batches.
 
-Tokens are relayed as bytes. What the history needs (the content, the usage and how
-the answer ended) is decoded in batches, which costs a small part of decoding each
-token as it comes and bounds what is held undecoded.
+Tokens are relayed as bytes. The content, usage and finish reason for the history are
+decoded in batches, which is cheaper than decoding each token and bounds the
+undecoded buffer.
 """
 
 import re
@@ -18,7 +18,7 @@
 from notcharch.values.chat import FinishReason, TokenUsage
 
 BATCH_BYTES = 16 * 1024
-"""Undecoded events held for one stream, bytes."""
+"""Size at which a stream's undecoded events are decoded."""
 
 _DATA = re.compile(rb"^data: (\{.*)$", re.MULTILINE)
 
@@ -30,7 +30,7 @@
 
 
 class ChunkUsage(msgspec.Struct, frozen=True, gc=False):
-    """The usage of the last chunk, as OpenAI shapes it."""
+    """The usage of the last chunk, in OpenAI's format."""
 
     prompt_tokens: int
     completion_tokens: int
@@ -38,7 +38,7 @@
 
 
 class ChunkDelta(msgspec.Struct, frozen=True, gc=False):
-    """What one chunk adds to the answer."""
+    """The content that one chunk adds to the response."""
 
     content: str | None = None
     tool_calls: tuple[ToolCallDelta, ...] = ()
@@ -52,7 +52,7 @@
 
 
 class Chunk(msgspec.Struct, frozen=True, gc=False):
-    """One chunk of the stream; only what is read of it."""
+    """One chunk of the stream; unused fields are left out."""
 
     choices: tuple[ChunkChoice, ...] = ()
     usage: ChunkUsage | None = None
@@ -63,10 +63,10 @@
 
 
 class AnswerCollector:
-    """Holds the events of one stream in order and gives the answer at its end."""
+    """Buffers the events of one stream in order and builds the response at its end."""
 
     def __init__(self) -> None:
-        """Begin before the first event."""
+        """Start before the first event."""
         self._pending: list[bytes] = []
         self._pending_bytes = 0
         self._decoded_number = -1
@@ -78,36 +78,36 @@
         self.is_done = False
 
     def add(self, events: bytes) -> None:
-        """Take whole events as they came."""
+        """Add complete events in the order received."""
         self._pending.append(events)
         self._pending_bytes += len(events)
         if self._pending_bytes >= BATCH_BYTES:
             self._decode()
 
     def next_number(self) -> int:
-        """Give the number of the first event that is not there yet."""
+        """Return the number of the first event not yet received."""
         self._decode()
         return self._decoded_number + 1
 
     def is_over(self) -> bool:
-        """Tell whether nothing is missing: an error, the last event or the whole answer."""
+        """Return whether the stream has an error, its last event or a complete response."""
         self._decode()
-        is_whole = self._finish_reason is not None and self._usage is not None
-        return self.is_done or is_whole or self._error is not None
+        is_complete = self._finish_reason is not None and self._usage is not None
+        return self.is_done or is_complete or self._error is not None
 
     def result(self) -> Result[StreamEnd, Problem]:
-        """Give the whole answer, or what is wrong with it."""
+        """Return the complete response, or the problem with it."""
         self._decode()
         if self._error is not None:
-            return Err(_engine_failed(self._error))
+            return Err(_engine_problem(self._error))
         if self._finish_reason is None or self._usage is None:
-            return Err(_engine_failed("the stream ended without usage"))
+            return Err(_engine_problem("the stream ended without usage"))
         return Ok(
             StreamEnd(
                 "".join(self._contents),
                 self._tool_calls.merged(),
                 self._finish_reason,
-                _usage_of(self._usage),
+                _token_usage(self._usage),
             )
         )
 
@@ -127,9 +127,9 @@
             self._error = self._error or f"unreadable chunk: {error}"
             return
         for chunk in chunks:
-            self._take(chunk)
+            self._add_chunk(chunk)
 
-    def _take(self, chunk: Chunk) -> None:
+    def _add_chunk(self, chunk: Chunk) -> None:
         for choice in chunk.choices:
             if choice.delta.content:
                 self._contents.append(choice.delta.content)
@@ -143,12 +143,12 @@
             self._error = f"{chunk.error.code}: {chunk.error.message}"
 
 
-def _usage_of(usage: ChunkUsage) -> TokenUsage:
+def _token_usage(usage: ChunkUsage) -> TokenUsage:
     details = usage.prompt_tokens_details or PromptDetails()
     return TokenUsage(
         usage.prompt_tokens, usage.completion_tokens, details.cached_tokens
     )
 
 
-def _engine_failed(message: str) -> Problem:
+def _engine_problem(message: str) -> Problem:
     return Problem.of(ProblemCode.ENGINE_FAILED, message, ran=Ran.YES)
--- a/notcharch/clients/backoff.py
+++ b/notcharch/clients/backoff.py
@@ -1,4 +1,4 @@
-"""Jittered exponential delays between tries."""
+"""Jittered exponential delays between attempts."""
 
 from random import Random
 
@@ -7,7 +7,7 @@
 
 @attrs.frozen
 class BackoffPolicy:
-    """How often and how far apart to try again; delays in seconds."""
+    """The number of retries and the bounds of their delays."""
 
     first_seconds: float
     longest_seconds: float
@@ -15,16 +15,16 @@
 
 
 class Backoff:
-    """Counts the tries since the last progress."""
+    """Counts the retries since the last progress."""
 
     def __init__(self, policy: BackoffPolicy, random: Random) -> None:
-        """Begin with no try used."""
+        """Start with no retry used."""
         self._policy = policy
         self._random = random
         self._used = 0
 
     def next_delay(self) -> float | None:
-        """Give the delay before the next try, in seconds, or None to give up."""
+        """Return the delay before the next retry in seconds, or None if none is left."""
         if self._used >= self._policy.tries:
             return None
         ceiling = min(
@@ -35,5 +35,5 @@
         return self._random.uniform(ceiling / 2, ceiling)
 
     def reset(self) -> None:
-        """Forget the tries used, after progress."""
+        """Reset the retry count after progress."""
         self._used = 0
--- a/notcharch/clients/body_reader.py
+++ b/notcharch/clients/body_reader.py
@@ -1,4 +1,4 @@
-"""Reads a whole reply; cancelling closes the connection."""
+"""Reads a complete response body; cancelling closes the connection."""
 
 from typing import Any
 
@@ -8,47 +8,47 @@
 from twisted.web.client import ResponseDone
 
 LONGEST_BODY_BYTES = 32 * 1024 * 1024
-"""Longer than any reply that is asked for; a fault, and not to be kept."""
+"""A longer body is rejected and its data discarded."""
 
 
 class OverlongBodyError(Exception):
-    """A reply is longer than `LONGEST_BODY_BYTES`."""
+    """A response body is longer than `LONGEST_BODY_BYTES`."""
 
 
-class _WholeBody(Protocol):
+class _CompleteBodyProtocol(Protocol):
     def __init__(self) -> None:
-        self.whole: Deferred[bytes] = Deferred(self._close)
+        self.complete: Deferred[bytes] = Deferred(self._close)
         self._parts: list[bytes] = []
         self._size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.whole.called:
+        if self.complete.called:
             return
         self._parts.append(data)
         self._size += len(data)
         if self._size > LONGEST_BODY_BYTES:
             self._parts.clear()
-            self._close(self.whole)
-            self.whole.errback(OverlongBodyError())
+            self._close(self.complete)
+            self.complete.errback(OverlongBodyError())
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        if self.whole.called:
+        if self.complete.called:
             return
         if reason.check(ResponseDone):
-            self.whole.callback(b"".join(self._parts))
+            self.complete.callback(b"".join(self._parts))
         else:
-            self.whole.errback(reason)
+            self.complete.errback(reason)
 
-    def _close(self, _whole: "Deferred[bytes]") -> None:
+    def _close(self, _complete: "Deferred[bytes]") -> None:
         if self.transport is not None:
             self.transport.loseConnection()
 
 
-def read_whole_body(response: Any) -> "Deferred[bytes]":
-    """Give the body of a reply whose length or last chunk has arrived.
+def read_complete_body(response: Any) -> "Deferred[bytes]":
+    """Return the body of a response, once its full length or last chunk has arrived.
 
-    A body that ends with the connection only is an error: it may be cut off.
+    A body delimited only by connection close is an error: it may be truncated.
     """
-    body = _WholeBody()
+    body = _CompleteBodyProtocol()
     response.deliverBody(body)
-    return body.whole
+    return body.complete
--- a/notcharch/clients/chunk_shortcut.py
+++ b/notcharch/clients/chunk_shortcut.py
@@ -1,31 +1,30 @@
-"""A short way for whole chunks of a streamed reply, past Twisted's reply parser.
+"""A fast path for complete chunks of a streamed response, past Twisted's parser.
 
-An engine writes each token as one chunk, and nearly always one read of the socket
-gives exactly that chunk. Twisted then goes through seven calls and a state machine to
-hand it on. The shortcut hands such a read on at once, and leaves everything else
-(parts of a chunk, several chunks, the end, trailers) to Twisted's parser, whose state
-a whole chunk does not change. docs/design/relay-cost.md has the measurement.
+An engine writes each token as one chunk, and one socket read nearly always returns
+exactly that chunk. The fast path delivers such a read directly and leaves everything
+else (partial or multiple chunks, the end, trailers) to Twisted's parser, whose state
+a complete chunk does not change. See docs/design/relay-cost.md.
 
-This reads private attributes of Twisted's HTTP client. Where they are not as expected
-the shortcut is not taken, and everything works as without it; a test tells.
+It reads private attributes of Twisted's HTTP client. If they are missing, all data
+goes through Twisted's parser; a test detects this.
 """
 
 from collections.abc import Callable
 from typing import Any
 
-CHUNK_BEGINS = "CHUNK_LENGTH"
+CHUNK_START_STATE = "CHUNK_LENGTH"
 """The state of Twisted's chunk decoder between two chunks."""
 
 LINE_END = b"\r\n"
-LONGEST_SIZE_LINE = 9
+MAX_SIZE_LINE_BYTES = 9
 FRAMING_BYTES = 2 * len(LINE_END)
 
 
 class ChunkShortcut:
-    """The shortcut of one reply, from `take` to `leave`."""
+    """The fast path of one response, active from `take` to `leave`."""
 
     def __init__(self, deliver: Callable[[bytes], None]) -> None:
-        """Hand the contents of whole chunks to `deliver`."""
+        """Pass the contents of complete chunks to `deliver`."""
         self._deliver = deliver
         self._protocol: Any = None
         self._decoder: Any = None
@@ -33,7 +32,7 @@
         self.is_taken = False
 
     def take(self, body_transport: Any) -> None:
-        """Begin, given the transport of the reply's body protocol."""
+        """Install the fast path on the transport of the response's body protocol."""
         connection = getattr(body_transport, "_producer", None)
         protocol: Any = getattr(connection, "protocol", None)
         client = getattr(protocol, "_wrappedProtocol", protocol)
@@ -48,20 +47,20 @@
         self.is_taken = True
 
     def leave(self) -> None:
-        """End: the connection goes on to its next reply."""
+        """Remove the fast path before the connection's next response."""
         if self.is_taken:
             self.is_taken = False
             del self._protocol.dataReceived
 
     def _data_received(self, data: bytes) -> None:
         decoder = self._decoder
-        if decoder.state == CHUNK_BEGINS and not decoder._buffer:
-            line_end = data.find(LINE_END, 0, LONGEST_SIZE_LINE)
+        if decoder.state == CHUNK_START_STATE and not decoder._buffer:
+            line_end = data.find(LINE_END, 0, MAX_SIZE_LINE_BYTES)
             content_size = len(data) - line_end - FRAMING_BYTES
             if (
                 line_end > 0
                 and content_size > 0
-                and _number(data[:line_end]) == content_size
+                and _parse_size(data[:line_end]) == content_size
                 and data.endswith(LINE_END)
             ):
                 self._deliver(data[line_end + 2 : -2])
@@ -69,7 +68,7 @@
         self._parse(data)
 
 
-def _number(size_line: bytes) -> int:
+def _parse_size(size_line: bytes) -> int:
     try:
         return int(size_line, 16)
     except ValueError:
--- a/notcharch/clients/connections.py
+++ b/notcharch/clients/connections.py
@@ -1,6 +1,6 @@
-"""The pooled keep-alive connections to the outside systems.
+"""The pooled keep-alive connections to the external systems.
 
-Addresses are IP numbers, `host:port` or `[host]:port`, so no name is looked up.
+Addresses are numeric, `host:port` or `[host]:port`, so no DNS lookup is needed.
 """
 
 from typing import Any
@@ -12,22 +12,22 @@
 from zope.interface import implementer
 
 IDLE_CONNECTION_SECONDS = 15
-"""An idle connection is closed before the other side is likely to close it."""
+"""Shorter than the idle time-out of typical servers."""
 
 IDLE_CONNECTIONS_PER_HOST = 64
 
 
 @implementer(IAgentEndpointFactory)
 class NumericEndpointFactory:
-    """Connects to IP numbers without a resolver."""
+    """Connects to numeric IP addresses without a resolver."""
 
     def __init__(self, reactor: Any, connect_seconds: float) -> None:
-        """Keep the reactor and the time-out of a connect, in seconds."""
+        """Store the reactor and the connect time-out."""
         self._reactor = reactor
         self._connect_seconds = connect_seconds
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
-        """Give the endpoint of a URI's host and port."""
+        """Return the endpoint of a URI's host and port."""
         host = uri.host.decode("ascii")
         if ":" in host:
             return TCP6ClientEndpoint(
@@ -46,7 +46,7 @@
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_HOST
-        # A retry inside the pool would hide whether a request ran.
+        # A retry inside the pool would hide whether a request was executed.
         self._pool.retryAutomatically = False
         self.agent: IAgent = Agent.usingEndpointFactory(
             reactor,
@@ -55,5 +55,5 @@
         )
 
     def close(self) -> Any:
-        """Close idle connections; gives a Deferred that fires when they are closed."""
+        """Close idle connections; return a Deferred that fires when they are closed."""
         return self._pool.closeCachedConnections()
--- a/notcharch/clients/eager_writer.py
+++ b/notcharch/clients/eager_writer.py
@@ -1,10 +1,9 @@
-"""Writes to a TCP connection at once, when nothing waits before it.
+"""Writes directly to a TCP socket when no earlier data is buffered.
 
-Twisted's `write` puts the bytes into a buffer, asks the poller for a turn, writes in
-that turn and takes the request back: three system calls and a dispatch for each token
-beside the `send` itself. A token goes out at once here; what the socket does not take
-goes into Twisted's buffer as usual, with its back-pressure.
-docs/design/relay-cost.md has the measurement.
+Twisted's `write` buffers the bytes and registers with the poller, which costs three
+system calls and a dispatch per token beside the `send` itself. Here a token is sent
+immediately; what the socket does not accept goes into Twisted's buffer, with its
+back-pressure. See docs/design/relay-cost.md.
 """
 
 from collections.abc import Callable
@@ -14,9 +13,9 @@
 
 
 def eager_write(transport: Any) -> Callable[[bytes], None]:
-    """Give a function that writes to `transport`, eagerly where it can.
+    """Return a function that writes to `transport`, directly where possible.
 
-    Only a plain TCP connection can; for any other the function is its `write`.
+    For anything but a plain TCP connection it is the transport's `write`.
     """
     buffered_write: Callable[[bytes], None] = transport.write
     if not isinstance(transport, Connection) or getattr(transport, "TLS", False):
@@ -31,7 +30,7 @@
         try:
             sent = send(data)
         except OSError:
-            # Full, or lost, which Twisted finds out in its own turn.
+            # Full or disconnected; Twisted detects a disconnect when it writes.
             sent = 0
         if sent < len(data):
             buffered_write(data[sent:])
--- a/notcharch/clients/engine_client.py
+++ b/notcharch/clients/engine_client.py
@@ -28,13 +28,13 @@
 from notcharch.values.identifiers import Epoch, PoolName, ProgramId, RequestId
 
 RESUME_POLICY = BackoffPolicy(first_seconds=0.05, longest_seconds=2.0, tries=8)
-"""Tries without progress, within an engine's usual `resume_seconds` of 10."""
+"""Retries without progress, within an engine's default `resume_seconds` of 10."""
 
 CANCEL_POLICY = BackoffPolicy(first_seconds=0.1, longest_seconds=2.0, tries=4)
 
 
 class CompletionBody(msgspec.Struct, frozen=True):
-    """The body of a completion: OpenAI's, with the fields that fence and resume it."""
+    """The body of a completion: OpenAI's, with fields for fencing and resumption."""
 
     model: PoolName
     messages: tuple[ChatMessage, ...]
@@ -48,20 +48,20 @@
 
 
 class CachedPrograms(msgspec.Struct, frozen=True):
-    """The reply of a reconciliation."""
+    """The response to a reconciliation request."""
 
     programs: tuple[CachedProgram, ...]
 
 
 class ReleaseBody(msgspec.Struct, frozen=True):
-    """Frees a program's memory, unless a higher epoch was seen."""
+    """Frees a program's memory, unless the engine has seen a higher epoch."""
 
     program: ProgramId
     epoch: Epoch
 
 
 class ReleaseReply(msgspec.Struct, frozen=True):
-    """How many blocks were freed."""
+    """The number of blocks freed."""
 
     released_blocks: int
 
@@ -81,7 +81,7 @@
 
 
 class ImportReply(msgspec.Struct, frozen=True):
-    """How much was imported."""
+    """The number of tokens imported."""
 
     tokens: int
 
@@ -102,7 +102,7 @@
         random: Random,
         settings: PlatformSection,
     ) -> None:
-        """Take the time-out from the settings; `random` spreads tries over time."""
+        """Take the time-out from the settings; `random` adds jitter to retries."""
         self._random = random
         self._http = JsonHttp(
             agent,
@@ -119,7 +119,7 @@
     def open_stream(
         self, address: str, request: EngineRequest, on_bytes: Callable[[bytes], None]
     ) -> EngineStream:
-        """Open a stream; `on_bytes` gets the engine's server-sent events as they come."""
+        """Open a stream; `on_bytes` receives the engine's server-sent events."""
         body = CompletionBody(
             request.pool,
             request.messages,
@@ -136,7 +136,7 @@
         return stream
 
     def load(self, address: str) -> "Deferred[Result[EngineLoad, Problem]]":
-        """Read the engine's own, lagging, load report."""
+        """Read the load report of the engine, which may lag."""
         return Deferred.fromCoroutine(
             self._http.call(GET, f"http://{address}/v1/load", EngineLoad)
         )
@@ -151,13 +151,13 @@
     def cached_programs(
         self, address: str
     ) -> "Deferred[Result[tuple[CachedProgram, ...], Problem]]":
-        """Read the present truth; used rarely."""
+        """Read the programs now in the cache; used for reconciliation."""
         return Deferred.fromCoroutine(self._cached_programs(address))
 
     def release(
         self, address: str, program: ProgramId, epoch: Epoch
     ) -> "Deferred[Result[int, Problem]]":
-        """Free a program's memory; gives the number of blocks freed."""
+        """Free a program's memory; return the number of blocks freed."""
         return Deferred.fromCoroutine(self._release(address, program, epoch))
 
     def export_cache(
@@ -172,7 +172,7 @@
     def import_cache(
         self, address: str, program: ProgramId, source: str, handle: str
     ) -> "Deferred[Result[int, Problem]]":
-        """Import an exported KV cache; gives its tokens."""
+        """Import an exported KV cache; return its number of tokens."""
         return Deferred.fromCoroutine(
             self._import_cache(address, ImportBody(program, source, handle))
         )
@@ -180,7 +180,7 @@
     def order(
         self, address: str, order: EngineOrder
     ) -> "Deferred[Result[None, Problem]]":
-        """Give a fenced order."""
+        """Send a fenced order."""
         return Deferred.fromCoroutine(self._order(address, order))
 
     async def _cached_programs(
@@ -220,7 +220,7 @@
 
 
 def _with_parameters(body: CompletionBody, parameters: bytes) -> bytes:
-    """Give a body's JSON with the fields of another JSON object after its own."""
+    """Return a body's JSON with the fields of another JSON object appended."""
     encoded = msgspec.json.encode(body)
     further = parameters[1:-1]
     return encoded[:-1] + b"," + further + b"}" if further else encoded
--- a/notcharch/clients/engine_requests.py
+++ b/notcharch/clients/engine_requests.py
@@ -1,4 +1,4 @@
-"""Questions and orders about one request that runs on an engine."""
+"""Status queries and cancellation of a request that runs on an engine."""
 
 from collections.abc import Callable
 from urllib.parse import quote
@@ -22,45 +22,45 @@
 
 
 class RunState(msgspec.Struct, frozen=True):
-    """What an engine says of a request; `events` counts what it has written."""
+    """The state of a request on its engine; `events` counts the events written."""
 
     state: str
     events: int = 0
 
     @property
     def is_active(self) -> bool:
-        """Tell whether more events will come."""
+        """Return whether more events will follow."""
         return self.state in (QUEUED, RUNNING)
 
     @property
-    def is_lost(self) -> bool:
-        """Tell whether the rest of its events will never come."""
+    def is_unavailable(self) -> bool:
+        """Return whether its remaining events cannot be obtained."""
         return self.state in (CANCELLED, UNKNOWN)
 
 
 class EngineRequests:
-    """Asks for the state of requests and cancels them."""
+    """Queries the state of requests and cancels them."""
 
     def __init__(
         self, http: JsonHttp, clock: IReactorTime, new_backoff: Callable[[], Backoff]
     ) -> None:
-        """Share the client's way of sending JSON."""
+        """Use the client's JSON transport."""
         self._http = http
         self._clock = clock
         self._new_backoff = new_backoff
 
     def stream_url(self, address: str, request_id: RequestId, offset: int) -> bytes:
-        """Give the URL of the stream from an event on."""
+        """Return the URL of the stream, starting at event `offset`."""
         return f"{_url(address, request_id)}/stream?offset={offset}".encode("ascii")
 
     async def state(
         self, address: str, request_id: RequestId
     ) -> Result[RunState, Problem]:
-        """Ask whether a request runs and how far it is."""
+        """Request the state of a request and its number of events."""
         return await self._http.call(GET, _url(address, request_id), RunState)
 
     def cancel(self, address: str, request_id: RequestId) -> None:
-        """Cancel, trying again a few times; a failure is only logged."""
+        """Cancel with retries; a failure is only logged."""
         Deferred.fromCoroutine(self._cancel(address, request_id))
 
     async def _cancel(self, address: str, request_id: RequestId) -> None:
--- a/notcharch/clients/engine_stream.py
+++ b/notcharch/clients/engine_stream.py
@@ -1,8 +1,8 @@
-"""One stream from an engine: relays its events as bytes and resumes it when it breaks.
+"""One stream from an engine: relays its events as bytes and resumes it after a break.
 
-The states are in `stream_life_cycle`; this service takes the machine's steps. While an
-engine is silent, for example during a long prefill, it is asked now and then whether
-the request still runs, so that a dead connection is told from slow work.
+The states are in `stream_life_cycle`; this class performs the steps of that state
+machine. While an engine is silent, for example during a long prefill, the state of
+the request is polled to distinguish a dead connection from slow work.
 """
 
 from collections.abc import Callable
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class StreamTools:
-    """What every stream of a client shares; `silence_seconds` starts a question."""
+    """Shared by a client's streams; polls the state after `silence_seconds`."""
 
     agent: IAgent
     clock: IReactorTime
@@ -46,7 +46,7 @@
 
 
 class ResumingEngineStream:
-    """Implements `EngineStream`; `on_bytes` gets whole events, each once, and must not raise."""
+    """Implements `EngineStream`; `on_bytes` gets each event once, complete, and must not raise."""
 
     def __init__(
         self,
@@ -56,7 +56,7 @@
         request: EngineRequest,
         on_bytes: Callable[[bytes], None],
     ) -> None:
-        """Nothing is sent before `start`."""
+        """Prepare the request; `start` sends it."""
         self.finished: Deferred[Result[StreamEnd, Problem]] = Deferred()
         self._tools = tools
         self._backoff = backoff
@@ -69,13 +69,13 @@
         self._exchange = self._new_exchange()
         self._timer: IDelayedCall | None = None
         self._silence_timer: IDelayedCall | None = None
-        self._problem = self._failed("the stream did not begin", Ran.NO)
+        self._problem = self._engine_problem("the stream did not begin", Ran.NO)
         self._expected_number = 0
         self._is_position_checked = True
         self._is_paused = False
         self._was_accepted = False
         self._has_resumed = False
-        self._has_heard = False
+        self._has_received = False
 
     def start(self, url: bytes, body: bytes) -> None:
         """Send the request."""
@@ -88,15 +88,15 @@
         self._exchange.pause()
 
     def resume(self) -> None:
-        """Read again."""
+        """Resume reading."""
         self._is_paused = False
         self._exchange.resume()
 
     def cancel(self) -> None:
         """Cancel the run on the engine; `finished` fires with an Err."""
         self._exchange.abort()
-        self._problem = self._failed("cancelled", self._ran())
-        self._take(self._machine.cancelled())
+        self._problem = self._engine_problem("cancelled", self._ran())
+        self._perform(self._machine.cancelled())
 
     def _new_exchange(self) -> HttpStream:
         handlers = ExchangeHandlers(
@@ -104,61 +104,65 @@
         )
         return HttpStream(handlers)
 
-    # What the exchange tells.
+    # Handlers of the exchange.
 
     def _on_accepted(self) -> None:
         self._was_accepted = True
-        self._has_heard = True
-        self._take(self._machine.accepted())
+        self._has_received = True
+        self._perform(self._machine.accepted())
 
     def _on_data(self, data: bytes) -> None:
-        self._has_heard = True
+        self._has_received = True
         events = self._splitter.feed(data)
         if not self._is_position_checked:
-            events = self._after_position(events)
+            events = self._skip_received(events)
         if events:
             self._collector.add(events)
             self._on_bytes(events)
         elif self._splitter.is_overlong:
-            self._give_up("an event is too long")
+            self._abandon("an event is too long")
 
     def _on_refused(self, status: int, body: bytes) -> None:
         where = f"engine at {self._address}"
         problem = problem_of_reply(status, body, ProblemCode.ENGINE_FAILED, where)
         if not self._has_resumed:
             self._problem = problem
-            self._take(self._machine.refused())
+            self._perform(self._machine.refused())
         elif status == STATUS_NOT_FOUND:
-            self._problem = self._failed("it has forgotten the request", self._ran())
-            self._take(self._machine.refused())
+            self._problem = self._engine_problem(
+                "it has forgotten the request", self._ran()
+            )
+            self._perform(self._machine.refused())
         else:
-            self._break(problem.message)
+            self._handle_break(problem.message)
 
     def _on_lost(self, error: BaseException | None) -> None:
         if self._collector.is_over():
-            self._end()
+            self._complete()
         elif not self._exchange.was_sent and not self._has_resumed:
             where = f"engine at {self._address}"
             assert error is not None
             self._problem = problem_of_failure(error, ProblemCode.ENGINE_FAILED, where)
-            self._take(self._machine.refused())
+            self._perform(self._machine.refused())
         elif error is None:
-            Deferred.fromCoroutine(self._ask_why_it_ended())
+            Deferred.fromCoroutine(self._check_early_end())
         else:
-            self._break(type(error).__name__)
+            self._handle_break(type(error).__name__)
 
-    async def _ask_why_it_ended(self) -> None:
-        """Tell a run that was cancelled from a stream that ended too early."""
+    async def _check_early_end(self) -> None:
+        """Distinguish a cancelled run from a stream that ended early."""
         run = await self._tools.requests.state(self._address, self._request.request_id)
-        if isinstance(run, Ok) and run.ok_value.is_lost:
-            self._problem = self._failed(f"it is {run.ok_value.state}", self._ran())
-            self._take(self._machine.refused())
+        if isinstance(run, Ok) and run.ok_value.is_unavailable:
+            self._problem = self._engine_problem(
+                f"it is {run.ok_value.state}", self._ran()
+            )
+            self._perform(self._machine.refused())
         else:
-            self._break("the stream ended too early")
+            self._handle_break("the stream ended too early")
 
     # Breaks and resumption.
 
-    def _break(self, cause: str) -> None:
+    def _handle_break(self, cause: str) -> None:
         self._exchange.abort()
         step = self._machine.broke()
         if step is not Step.RESUME_LATER:
@@ -170,13 +174,13 @@
         emit(EngineStreamBroken(self._address, self._request.request_id, number, cause))
         delay = self._backoff.next_delay()
         if delay is None:
-            self._give_up(f"given up after: {cause}")
+            self._abandon(f"given up after: {cause}")
         else:
             self._timer = self._tools.clock.callLater(delay, self._retry)
 
     def _retry(self) -> None:
         self._timer = None
-        self._take(self._machine.retry_due())
+        self._perform(self._machine.retry_due())
 
     def _resume_stream(self) -> None:
         self._has_resumed = True
@@ -190,8 +194,8 @@
             self._exchange.pause()
         self._exchange.start(self._tools.agent, b"GET", url, b"")
 
-    def _after_position(self, events: bytes) -> bytes:
-        """Drop events that were seen before; a gap ends the stream."""
+    def _skip_received(self, events: bytes) -> bytes:
+        """Drop events already received; a gap ends the stream."""
         first = first_event_number(events)
         if first is None:
             return events
@@ -203,69 +207,69 @@
         self._is_position_checked = True
         if first == self._expected_number:
             return events
-        self._give_up("events are missing")
+        self._abandon("events are missing")
         return b""
 
-    def _give_up(self, cause: str) -> None:
+    def _abandon(self, cause: str) -> None:
         self._exchange.abort()
-        self._problem = self._failed(cause, self._ran())
-        self._take(self._machine.given_up())
+        self._problem = self._engine_problem(cause, self._ran())
+        self._perform(self._machine.given_up())
 
-    # Silence.
+    # Silence detection.
 
     def _watch_silence(self) -> None:
-        self._has_heard = False
+        self._has_received = False
         self._silence_timer = self._tools.clock.callLater(
             self._tools.silence_seconds, self._check_silence
         )
 
     def _check_silence(self) -> None:
-        was_silent = not (self._has_heard or self._is_paused or self._timer)
+        was_silent = not (self._has_received or self._is_paused or self._timer)
         self._watch_silence()
         if was_silent and self._collector.is_over():
             self._exchange.abort()
-            self._end()
+            self._complete()
         elif was_silent:
-            Deferred.fromCoroutine(self._ask_for_state(self._exchange))
+            Deferred.fromCoroutine(self._request_state(self._exchange))
 
-    async def _ask_for_state(self, exchange: HttpStream) -> None:
+    async def _request_state(self, exchange: HttpStream) -> None:
         run = await self._tools.requests.state(self._address, self._request.request_id)
         if (
             exchange is not self._exchange
             or exchange.is_over
-            or self._has_heard
+            or self._has_received
             or self.finished.called
         ):
             return
         if isinstance(run, Err):
             self._on_silence(run.err_value.message)
-        elif not self._is_on_its_way(run.ok_value):
+        elif not self._is_in_flight(run.ok_value):
             self._on_silence(f"the engine says {run.ok_value.state}")
 
-    def _is_on_its_way(self, run: RunState) -> bool:
+    def _is_in_flight(self, run: RunState) -> bool:
         return run.is_active and run.events <= self._collector.next_number()
 
     def _on_silence(self, cause: str) -> None:
         self._exchange.abort()
         if self._exchange.was_sent or self._has_resumed:
-            self._break(f"silent: {cause}")
+            self._handle_break(f"silent: {cause}")
             return
-        self._problem = self._failed("no connection in time", Ran.NO)
-        self._take(self._machine.refused())
+        self._problem = self._engine_problem("no connection in time", Ran.NO)
+        self._perform(self._machine.refused())
 
     # The result.
 
-    def _end(self) -> None:
+    def _complete(self) -> None:
         result = self._collector.result()
         if isinstance(result, Err):
             self._problem = result.err_value
-            self._take(self._machine.refused())
+            self._perform(self._machine.refused())
             return
         if not self._collector.is_done:
             self._on_bytes(LAST_EVENT)
-        self._take(self._machine.ended())
+        self._perform(self._machine.ended())
 
-    def _take(self, step: Step) -> None:
+    def _perform(self, step: Step) -> None:
         if step is Step.RESUME:
             self._resume_stream()
         elif step is Step.SUCCEED:
@@ -302,6 +306,6 @@
             return Ran.YES
         return Ran.UNKNOWN if self._exchange.was_sent or self._has_resumed else Ran.NO
 
-    def _failed(self, message: str, ran: Ran) -> Problem:
+    def _engine_problem(self, message: str, ran: Ran) -> Problem:
         text = f"engine at {self._address}: {message}"
         return Problem.of(ProblemCode.ENGINE_FAILED, text, ran=ran)
--- a/notcharch/clients/failures.py
+++ b/notcharch/clients/failures.py
@@ -1,7 +1,7 @@
-"""Turns failures of the outside into problems, with an honest `ran`.
+"""Converts failures of external systems into problems that state `ran`.
 
-`ran` is `no` in two cases only: the request was certainly not sent, or the other
-side refused it in the words of its protocol. All else is `unknown`.
+`ran` is `no` only if the request was certainly not sent or the server rejected it
+with a protocol error, and `yes` for a duplicate request; otherwise it is `unknown`.
 """
 
 import msgspec
@@ -16,7 +16,7 @@
 
 NOT_SENT = (ConnectError, ConnectingCancelledError, DNSLookupError, RequestNotSent)
 RETRY_AFTER_SECONDS = 1.0
-"""When to come back after a failure that names no time itself, seconds."""
+"""Retry delay for failures without a `retry_after`."""
 
 STALE_EPOCH = "stale_epoch"
 DUPLICATE_REQUEST = "duplicate_request"
@@ -27,7 +27,7 @@
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
-    """The inside of an error reply; docs/platform-protocols.md."""
+    """The error of an error response; see docs/platform-protocols.md."""
 
     code: str
     message: str = ""
@@ -35,7 +35,7 @@
 
 
 class ErrorReply(msgspec.Struct, frozen=True):
-    """The body of every error reply."""
+    """The body of every error response."""
 
     error: ErrorBody
 
@@ -44,7 +44,7 @@
 
 
 def problem_of_failure(error: BaseException, code: ProblemCode, where: str) -> Problem:
-    """Give the problem of an exchange that has no reply."""
+    """Return the problem of an exchange without a response."""
     ran = Ran.NO if isinstance(error, NOT_SENT) else Ran.UNKNOWN
     message = f"{where}: {type(error).__name__}"
     return Problem.of(code, message, ran=ran, retry_after=RETRY_AFTER_SECONDS)
@@ -53,7 +53,7 @@
 def problem_of_garbled_reply(
     error: msgspec.DecodeError, code: ProblemCode, where: str
 ) -> Problem:
-    """Give the problem of a reply that cannot be read."""
+    """Return the problem of a response that cannot be decoded."""
     message = f"{where}: unreadable reply: {error}"
     return Problem.of(code, message, ran=Ran.UNKNOWN, retry_after=RETRY_AFTER_SECONDS)
 
@@ -61,7 +61,7 @@
 def problem_of_reply(
     status: int, body: bytes, code: ProblemCode, where: str
 ) -> Problem:
-    """Give the problem of an error reply; `code` is for a status without its own."""
+    """Return the problem of an error response; `code` is the default code."""
     try:
         error = _ERROR_DECODER.decode(body).error
     except msgspec.DecodeError:
@@ -70,11 +70,11 @@
             code, message, ran=Ran.UNKNOWN, retry_after=RETRY_AFTER_SECONDS
         )
     message = f"{where}: {error.code}: {error.message}"
-    own_code, ran = _meaning(status, error.code, code)
-    return Problem.of(own_code, message, ran=ran, retry_after=error.retry_after)
+    problem_code, ran = _classify(status, error.code, code)
+    return Problem.of(problem_code, message, ran=ran, retry_after=error.retry_after)
 
 
-def _meaning(
+def _classify(
     status: int, error_code: str, code: ProblemCode
 ) -> tuple[ProblemCode, Ran]:
     if error_code == STALE_EPOCH:
--- a/notcharch/clients/http_stream.py
+++ b/notcharch/clients/http_stream.py
@@ -1,7 +1,6 @@
-"""One HTTP exchange whose reply is read as it comes, by Twisted's own primitives.
+"""One HTTP exchange whose response is streamed.
 
-Twisted's agent and body protocol are used directly: the path of each token goes
-through no other layer.
+It uses Twisted's agent and body protocol directly, to keep the cost per token low.
 """
 
 from collections.abc import Callable
@@ -25,61 +24,61 @@
 
 @attrs.frozen
 class ExchangeHandlers:
-    """What the owner of an exchange is told; nothing is told after `abort`."""
+    """Callbacks of an exchange; none is called after `abort`."""
 
     on_accepted: Callable[[], None]
-    """The reply has begun with status 200."""
+    """Called when the response has started with status 200."""
 
     on_data: Callable[[bytes], None]
     on_refused: Callable[[int, bytes], None]
-    """The whole reply has another status; gives it and its body."""
+    """Called with the status and body of a complete response of another status."""
 
-    on_lost: Callable[[BaseException | None], None]
-    """The exchange is over after or without a reply; None for a regular end."""
+    on_end: Callable[[BaseException | None], None]
+    """Called at the end of the exchange with its error, None for a regular end."""
 
 
 @implementer(IBodyProducer)
 class BytesBody:
-    """A request body that is there already."""
+    """A request body held in memory."""
 
     def __init__(self, body: bytes) -> None:
-        """Keep the bytes."""
+        """Store the bytes."""
         self._body = body
         self.length: int = len(body)
 
     def startProducing(self, consumer: IConsumer) -> "Deferred[None]":  # noqa: N802
-        """Write all of it."""
+        """Write the entire body."""
         consumer.write(self._body)
         return succeed(None)
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Do nothing: all is written at once."""
+        """Do nothing: the body is written in one call."""
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Do nothing: all is written at once."""
+        """Do nothing: the body is written in one call."""
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: all is written at once."""
+        """Do nothing: the body is written in one call."""
 
 
 class HttpStream:
-    """Sends one request and tells its handlers what comes back."""
+    """Sends one request and passes the response to its handlers."""
 
     def __init__(self, handlers: ExchangeHandlers) -> None:
-        """Nothing is sent before `start`."""
+        """Prepare the request; `start` sends it."""
         self._handlers = handlers
         self._request: Deferred[IResponse] | None = None
         self._body: _BodyProtocol | None = None
-        self._held_response: IResponse | None = None
+        self._undelivered_response: IResponse | None = None
         self._is_paused = False
         self.is_over = False
-        """True when no handler is called any more."""
+        """True when no handler will be called again."""
 
         self.was_sent = True
         """False once it is certain that the request was not sent."""
 
     def start(self, agent: IAgent, method: bytes, url: bytes, body: bytes) -> None:
-        """Send the request; an empty body is none."""
+        """Send the request; empty `body` means no body."""
         producer = BytesBody(body) if body else None
         self._request = agent.request(method, url, _JSON_HEADERS, producer)
         self._request.addCallbacks(self._on_head, self._on_failure)
@@ -91,20 +90,20 @@
             self._body.pause()
 
     def resume(self) -> None:
-        """Read again."""
+        """Resume reading."""
         self._is_paused = False
-        if self._held_response is not None:
-            self._deliver(self._held_response)
+        if self._undelivered_response is not None:
+            self._deliver(self._undelivered_response)
         elif self._body is not None:
             self._body.resume()
 
     def abort(self) -> None:
-        """Close the connection; no handler is called from now on."""
+        """Close the connection; no handler is called afterwards."""
         if self.is_over:
             return
         self.is_over = True
-        if self._held_response is not None:
-            self._deliver(self._held_response)
+        if self._undelivered_response is not None:
+            self._deliver(self._undelivered_response)
         elif self._body is not None:
             self._body.close()
         elif self._request is not None:
@@ -114,13 +113,13 @@
         if not self.is_over and response.code == STATUS_OK:
             self._handlers.on_accepted()
         if self._is_paused and not self.is_over:
-            # Twisted reads no more of a body that nobody takes.
-            self._held_response = response
+            # Twisted does not read a body before it is delivered.
+            self._undelivered_response = response
         else:
             self._deliver(response)
 
     def _deliver(self, response: IResponse) -> None:
-        self._held_response = None
+        self._undelivered_response = None
         self._body = _BodyProtocol(self, response.code)
         response.deliverBody(self._body)
         if self.is_over:
@@ -131,29 +130,29 @@
             self.was_sent = False
         if not self.is_over:
             self.is_over = True
-            self._handlers.on_lost(failure.value)
+            self._handlers.on_end(failure.value)
 
     def data_received(self, data: bytes) -> None:
-        """Take a piece of the body of an accepted request."""
+        """Handle a part of the body of an accepted request."""
         if not self.is_over:
             self._handlers.on_data(data)
 
     def body_ended(self, status: int, body: bytes, reason: Failure) -> None:
-        """Take the end of the body."""
+        """Handle the end of the body."""
         if self.is_over:
             return
         self.is_over = True
         is_regular = reason.check(ResponseDone) is not None
         if status == STATUS_OK:
-            self._handlers.on_lost(None if is_regular else reason.value)
+            self._handlers.on_end(None if is_regular else reason.value)
         elif is_regular:
             self._handlers.on_refused(status, body)
         else:
-            self._handlers.on_lost(reason.value)
+            self._handlers.on_end(reason.value)
 
 
 class _BodyProtocol(Protocol):
-    """Hands an accepted body on at once, and collects any other."""
+    """Streams the body of an accepted request and buffers any other."""
 
     def __init__(self, owner: HttpStream, status: int) -> None:
         self._owner = owner
--- a/notcharch/clients/journal_client.py
+++ b/notcharch/clients/journal_client.py
@@ -37,7 +37,7 @@
 Value = TypeVar("Value")
 
 LONGEST_SECONDS = 1.5
-"""An answer that takes longer is taken for lost: leases are not much longer."""
+"""Time-out of a response; leases are not much longer."""
 
 
 class JournalClient:
@@ -66,14 +66,14 @@
     def read(
         self, topic: str, partition: int, offset: int, wait_seconds: float = 0.0
     ) -> "Deferred[Result[Records, LogProblem]]":
-        """Read records from an offset, waiting for the first if need be."""
+        """Read records from an offset, waiting for the first if necessary."""
         call = Read(topic, partition, offset, wait_seconds)
         return self._send(call, Records, wait_seconds)
 
     def trim(
         self, topic: str, partition: int, before: int
     ) -> "Deferred[Result[None, LogProblem]]":
-        """Drop the records that lie before an offset."""
+        """Drop the records before an offset."""
         return self._send(Trim(topic, partition, before), type(None))
 
     def newest(
@@ -89,7 +89,7 @@
         lease_seconds: float,
         generation: int,
     ) -> "Deferred[Result[Membership, LogProblem]]":
-        """Join a group, or stay in it."""
+        """Join a group, or renew the membership."""
         call = Join(group.group, group.topics, member, lease_seconds, generation)
         return self._send(call, Membership)
 
@@ -100,7 +100,7 @@
     def owners(
         self, group: str
     ) -> "Deferred[Result[tuple[Ownership, ...], LogProblem]]":
-        """Tell who each partition is dealt to."""
+        """Return the member to which each partition is assigned."""
         return self._send(Owners(group), tuple[Ownership, ...])
 
     def _send(
@@ -126,5 +126,5 @@
 
 
 def log_problem(problem: Problem) -> LogProblem:
-    """Give the fault of a call that brought no answer."""
+    """Return the fault of a call without a response."""
     return LogProblem(LogFault.NOT_DONE if problem.ran is Ran.NO else LogFault.UNKNOWN)
--- a/notcharch/clients/journal_messages.py
+++ b/notcharch/clients/journal_messages.py
@@ -1,6 +1,6 @@
-"""The bodies by which the log service's partitions are spoken to over HTTP.
+"""The HTTP messages of the log service's partitions.
 
-Every call is a POST of one body to its path; the answer is a `Reply`.
+Every call is a POST of one body to its path; the response is a `Reply`.
 """
 
 from typing import ClassVar
@@ -11,7 +11,7 @@
 
 
 class Call(msgspec.Struct, frozen=True):
-    """The base of the bodies; each goes to a path of its own."""
+    """The base of the request bodies; `PATH` is the URL path of each."""
 
     PATH: ClassVar[str] = ""
 
@@ -27,7 +27,7 @@
 
 
 class Read(Call, frozen=True):
-    """Read records from an offset, waiting for the first if need be."""
+    """Read records from an offset, waiting for the first if necessary."""
 
     PATH: ClassVar[str] = "/v1/journal/read"
     topic: str
@@ -37,7 +37,7 @@
 
 
 class Trim(Call, frozen=True):
-    """Drop the records that lie before an offset."""
+    """Drop the records before an offset."""
 
     PATH: ClassVar[str] = "/v1/journal/trim"
     topic: str
@@ -55,7 +55,7 @@
 
 
 class Join(Call, frozen=True):
-    """Join a group, or stay in it."""
+    """Join a group, or renew the membership."""
 
     PATH: ClassVar[str] = "/v1/journal/join"
     group: str
@@ -74,14 +74,14 @@
 
 
 class Owners(Call, frozen=True):
-    """Tell who each partition is dealt to."""
+    """Return the member to which each partition is assigned."""
 
     PATH: ClassVar[str] = "/v1/journal/owners"
     group: str
 
 
 class Reply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What was done, or why nothing was."""
+    """The result of a call, or its problem."""
 
     value: msgspec.Raw = msgspec.Raw(b"null")
     problem: LogProblem | None = None
--- a/notcharch/clients/json_http.py
+++ b/notcharch/clients/json_http.py
@@ -1,7 +1,7 @@
-"""One JSON request over HTTP, with a time-out and an honest account of a failure.
+"""One JSON request over HTTP, with a time-out; failures state whether it was executed.
 
-Every client module but the engine's token stream uses this. The agent decides on
-connections (see `notcharch.clients.connections`); time comes from the clock given.
+Every client module but the engine's token stream uses this. The agent manages
+connections (see `notcharch.clients.connections`).
 """
 
 import functools
@@ -17,7 +17,7 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgent
 
-from notcharch.clients.body_reader import read_whole_body
+from notcharch.clients.body_reader import read_complete_body
 from notcharch.clients.failures import (
     problem_of_failure,
     problem_of_garbled_reply,
@@ -37,17 +37,17 @@
 
 @attrs.frozen
 class HttpReply:
-    """A whole reply: its status and its body."""
+    """The status and body of a complete response."""
 
     status: int
     body: bytes
 
 
 class JsonHttp:
-    """Sends JSON requests to one kind of outside system.
+    """Sends JSON requests to one kind of external system.
 
-    `failure_code` is the code of a failure that has no better one, and
-    `system` names the outside system in messages.
+    `failure_code` is the default code of a failure, and `system` names the external
+    system in messages.
     """
 
     def __init__(
@@ -58,7 +58,7 @@
         system: str,
         failure_code: ProblemCode,
     ) -> None:
-        """Keep the agent and the clock; nothing is sent yet."""
+        """Store the agent and the clock."""
         self._http = HTTPClient(agent)
         self._clock = clock
         self._timeout_seconds = timeout_seconds
@@ -73,11 +73,11 @@
         body: object = None,
         extra_seconds: float = 0.0,
     ) -> Result[ReplyT, Problem]:
-        """Send `body` as JSON and decode the reply as `reply_type`.
+        """Send `body` as JSON and decode the response as `reply_type`.
 
-        `extra_seconds` lengthens the time-out, for a request that waits by design.
+        `extra_seconds` extends the time-out, for long polling.
         """
-        timed_out = _Flag()
+        timed_out = _TimeoutFlag()
         exchange = Deferred.fromCoroutine(self._exchange(method, url, body))
         timer = self._clock.callLater(
             self._timeout_seconds + extra_seconds, _cancel, exchange, timed_out
@@ -89,7 +89,7 @@
         finally:
             if timer.active():
                 timer.cancel()
-        return self._read(reply, reply_type, url)
+        return self._decode_reply(reply, reply_type, url)
 
     async def _exchange(self, method: str, url: str, body: object) -> HttpReply:
         data = None if body is None else msgspec.json.encode(body)
@@ -101,13 +101,13 @@
             allow_redirects=False,
             unbuffered=True,
         )
-        return HttpReply(response.code, await read_whole_body(response))
+        return HttpReply(response.code, await read_complete_body(response))
 
     def _failure(self, error: Exception, timed_out: bool, url: str) -> Problem:
         code = ProblemCode.TIMED_OUT if timed_out else self._failure_code
         return problem_of_failure(error, code, f"{self._system} at {url}")
 
-    def _read(
+    def _decode_reply(
         self, reply: HttpReply, reply_type: type[ReplyT], url: str
     ) -> Result[ReplyT, Problem]:
         where = f"{self._system} at {url}"
@@ -121,13 +121,13 @@
             return Err(problem_of_garbled_reply(error, self._failure_code, where))
 
 
-class _Flag:
-    """Says afterwards why a Deferred was cancelled."""
+class _TimeoutFlag:
+    """Records that a Deferred was cancelled by the time-out."""
 
     is_set = False
 
 
-def _cancel(exchange: "Deferred[HttpReply]", timed_out: _Flag) -> None:
+def _cancel(exchange: "Deferred[HttpReply]", timed_out: _TimeoutFlag) -> None:
     timed_out.is_set = True
     exchange.cancel()
 
--- a/notcharch/clients/log_client.py
+++ b/notcharch/clients/log_client.py
@@ -22,7 +22,7 @@
 
 
 class AppendReply(msgspec.Struct, frozen=True):
-    """Where the records of an append went."""
+    """The offsets of the appended records."""
 
     first_offset: LogOffset
     next_offset: LogOffset
@@ -47,13 +47,13 @@
     def append(
         self, stream: str, records: tuple[LogRecord, ...]
     ) -> "Deferred[Result[LogOffset, Problem]]":
-        """Append in order; gives the first offset. `ran: unknown` if the answer was lost."""
+        """Append in order; return the first offset. `ran: unknown` without a response."""
         return Deferred.fromCoroutine(self._append(stream, records))
 
     def read(
         self, stream: str, offset: LogOffset, limit: int, wait_seconds: float = 0.0
     ) -> "Deferred[Result[LogPage, Problem]]":
-        """Read up to `limit` records from `offset`, waiting for the first if asked."""
+        """Read up to `limit` records from `offset`, waiting for the first if requested."""
         query = urlencode({"offset": offset, "limit": limit, "wait": wait_seconds})
         url = f"{self._url(stream)}?{query}"
         return Deferred.fromCoroutine(
--- a/notcharch/clients/machine_list_client.py
+++ b/notcharch/clients/machine_list_client.py
@@ -33,7 +33,7 @@
     def changes(
         self, region: RegionName, after: int | None
     ) -> "Deferred[Result[MachineChanges, Problem]]":
-        """Give what changed since version `after`, or everything for None."""
+        """Return the changes since version `after`, or the full list for None."""
         query: dict[str, str] = {"region": region}
         if after is not None:
             query["after"] = str(after)
--- a/notcharch/clients/ports.py
+++ b/notcharch/clients/ports.py
@@ -1,7 +1,7 @@
-"""Typed interfaces of the outside systems; docs/platform-protocols.md has the wire.
+"""Typed interfaces of the external systems; see docs/platform-protocols.md.
 
-A client returns `Err(Problem)` for everything that can fail outside. `ran` in the
-problem is honest: `no` only if the other side certainly did nothing.
+A client returns `Err(Problem)` for every external failure. `ran` in the problem is
+`no` only if the request certainly had no effect.
 """
 
 import enum
@@ -36,7 +36,7 @@
 
 
 class MachineState(enum.Enum):
-    """A machine's state as the list has it, seconds late."""
+    """A machine's state in the list, which lags by seconds."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -70,7 +70,7 @@
     def changes(
         self, region: RegionName, after: int | None
     ) -> "Deferred[Result[MachineChanges, Problem]]":
-        """Give what changed since version `after`, or everything for None."""
+        """Return the changes since version `after`, or the full list for None."""
 
 
 class LogRecord(msgspec.Struct, frozen=True):
@@ -89,7 +89,7 @@
 
 
 class LogPage(msgspec.Struct, frozen=True):
-    """Records from the asked offset; `end_offset` is the end of the stream."""
+    """Records from the requested offset; `end_offset` is the end of the stream."""
 
     records: tuple[StoredRecord, ...]
     next_offset: LogOffset
@@ -102,19 +102,19 @@
     def append(
         self, stream: str, records: tuple[LogRecord, ...]
     ) -> "Deferred[Result[LogOffset, Problem]]":
-        """Append in order; gives the first offset. `ran: unknown` if the answer was lost."""
+        """Append in order; return the first offset. `ran: unknown` without a response."""
 
     def read(
         self, stream: str, offset: LogOffset, limit: int, wait_seconds: float = 0.0
     ) -> "Deferred[Result[LogPage, Problem]]":
-        """Read up to `limit` records from `offset`, waiting for the first if asked."""
+        """Read up to `limit` records from `offset`, waiting for the first if requested."""
 
 
 class EngineRequest(msgspec.Struct, frozen=True):
     """One run of a call on an engine; see docs/platform-protocols.md.
 
-    `parameters` is a JSON object of OpenAI's further parameters (temperature,
-    tools, …), which are passed on as they are.
+    `parameters` is a JSON object of other OpenAI parameters (temperature,
+    tools, …), which are passed on unchanged.
     """
 
     request_id: RequestId
@@ -128,7 +128,7 @@
 
 
 class StreamEnd(msgspec.Struct, frozen=True):
-    """How a complete stream ended, with the whole content for the history."""
+    """The end of a complete stream, with the full content for the history."""
 
     content: str
     tool_calls: msgspec.Raw | None
@@ -137,23 +137,23 @@
 
 
 class EngineStream(Protocol):
-    """A running stream. Pause and resume give back-pressure to the engine."""
+    """A running stream. Pause and resume apply back-pressure to the engine."""
 
     finished: "Deferred[Result[StreamEnd, Problem]]"
-    """Fires once; an Err says how far it came in `ran`."""
+    """Fires once; `ran` of an Err states whether the request was executed."""
 
     def pause(self) -> None:
         """Stop reading from the engine."""
 
     def resume(self) -> None:
-        """Read again."""
+        """Resume reading."""
 
     def cancel(self) -> None:
         """Cancel the run on the engine; `finished` fires with an Err."""
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
-    """An engine's load as it last measured it."""
+    """An engine's load, from its latest report."""
 
     sequence: int
     measured_at: float
@@ -169,14 +169,14 @@
 
 
 class CacheEventKind(enum.Enum):
-    """What happened to a program's prefix."""
+    """A change of a program's cached prefix."""
 
     STORED = "stored"
     EVICTED = "evicted"
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """`tokens` is what the engine holds of the program after the event."""
+    """`tokens` is the program's cached tokens on the engine after the event."""
 
     sequence: int
     kind: CacheEventKind
@@ -185,14 +185,14 @@
 
 
 class CacheEvents(msgspec.Struct, frozen=True):
-    """Events after the asked sequence; gaps in `sequence` mean lost events."""
+    """Events after the requested sequence; gaps in `sequence` mean missed events."""
 
     events: tuple[CacheEvent, ...]
     next: int
 
 
 class CachedProgram(msgspec.Struct, frozen=True):
-    """What an engine truly holds of one program, in tokens."""
+    """The number of tokens of one program in an engine's cache."""
 
     program: ProgramId
     tokens: int
@@ -216,7 +216,7 @@
 
 
 class EngineOrder(msgspec.Struct, frozen=True):
-    """An order; `order_id` makes a repeat harmless, `epoch` fences stewards."""
+    """An order; `order_id` makes it idempotent, `epoch` fences stewards."""
 
     order_id: RequestId
     epoch: Epoch
@@ -230,14 +230,14 @@
     def open_stream(
         self, address: str, request: EngineRequest, on_bytes: Callable[[bytes], None]
     ) -> EngineStream:
-        """Open a stream; `on_bytes` gets the engine's server-sent events as they come.
+        """Open a stream; `on_bytes` receives the engine's server-sent events.
 
-        A stream that breaks after it began is resumed by offset before it is
-        given up, and `on_bytes` never sees an event twice.
+        A stream that breaks after it began is resumed by offset before it
+        fails, and `on_bytes` never receives an event twice.
         """
 
     def load(self, address: str) -> "Deferred[Result[EngineLoad, Problem]]":
-        """Read the engine's own, lagging, load report."""
+        """Read the load report of the engine, which may lag."""
 
     def cache_events(
         self, address: str, after: int, limit: int
@@ -247,12 +247,12 @@
     def cached_programs(
         self, address: str
     ) -> "Deferred[Result[tuple[CachedProgram, ...], Problem]]":
-        """Read the present truth; used rarely."""
+        """Read the programs now in the cache; used for reconciliation."""
 
     def release(
         self, address: str, program: ProgramId, epoch: Epoch
     ) -> "Deferred[Result[int, Problem]]":
-        """Free a program's memory; gives the number of blocks freed."""
+        """Free a program's memory; return the number of blocks freed."""
 
     def export_cache(
         self, address: str, program: ProgramId
@@ -262,12 +262,12 @@
     def import_cache(
         self, address: str, program: ProgramId, source: str, handle: str
     ) -> "Deferred[Result[int, Problem]]":
-        """Import an exported KV cache; gives its tokens."""
+        """Import an exported KV cache; return its number of tokens."""
 
     def order(
         self, address: str, order: EngineOrder
     ) -> "Deferred[Result[None, Problem]]":
-        """Give a fenced order."""
+        """Send a fenced order."""
 
 
 class WeightStorePort(Protocol):
@@ -276,7 +276,7 @@
     def start_pull(
         self, weights: str, engine: EngineName
     ) -> "Deferred[Result[RequestId, Problem]]":
-        """Begin a pull; a refusal carries `retry_after`."""
+        """Start a pull; a rejection carries `retry_after`."""
 
     def pull_fraction(self, pull: RequestId) -> "Deferred[Result[float, Problem]]":
-        """Give the part that is done, 0.0 … 1.0."""
+        """Return the completed fraction, 0.0 to 1.0."""
--- a/notcharch/clients/stream_life_cycle.py
+++ b/notcharch/clients/stream_life_cycle.py
@@ -1,7 +1,7 @@
-"""The life cycle of one engine stream, from its request to its one result.
+"""The lifecycle of one engine stream, from its request to its single result.
 
-The machine does no I/O: each input returns the step that the service must take next.
-Inputs that come too late, after the result, return `Step.NONE`.
+The state machine does no I/O: each input returns the next step of the caller.
+Inputs after the result return `Step.NONE`.
 """
 
 import enum
@@ -11,50 +11,50 @@
 
 
 class Step(enum.Enum):
-    """What the service does next."""
+    """The next step of the caller."""
 
     NONE = "none"
     RESUME_LATER = "resume_later"
-    """Wait for the next delay of the back-off, then give `retry_due`."""
+    """Wait for the next back-off delay, then send `retry_due`."""
 
     RESUME = "resume"
-    """Ask the engine for the events that are missing."""
+    """Request the missing events from the engine."""
 
     SUCCEED = "succeed"
     FAIL = "fail"
-    """Give the problem at hand as the result."""
+    """Return the current problem as the result."""
 
     CANCEL = "cancel"
-    """Tell the engine to cancel, and give the problem at hand at once."""
+    """Cancel on the engine, and return the current problem immediately."""
 
 
 class StreamInputs(Protocol):
-    """What happens to a stream."""
+    """Inputs of the stream's state machine."""
 
     def accepted(self) -> Step:
-        """Record that the engine answered and its events follow."""
+        """Handle acceptance by the engine; its events follow."""
 
     def refused(self) -> Step:
-        """Record that it certainly does not run, or that its result cannot be had."""
+        """Handle a request that does not run or whose result cannot be obtained."""
 
     def broke(self) -> Step:
-        """Record a lost or silent connection after the request may have been sent."""
+        """Handle a failed or silent connection after the request may have been sent."""
 
     def retry_due(self) -> Step:
-        """Record that the delay before the next try is over."""
+        """Handle the end of the retry delay."""
 
     def ended(self) -> Step:
-        """Record that the whole answer is there."""
+        """Handle the end of a complete response."""
 
     def given_up(self) -> Step:
-        """Record that it may run on but its answer cannot be had whole."""
+        """Handle an incomplete response to a request that may still run."""
 
     def cancelled(self) -> Step:
-        """Record that the stream is no longer wanted."""
+        """Handle cancellation by the caller."""
 
 
 class StreamCore:
-    """The machine keeps no data of its own."""
+    """The state machine has no data beyond its state."""
 
 
 def _build() -> TypeMachineBuilder[StreamInputs, StreamCore]:
@@ -93,4 +93,4 @@
 
 
 new_stream_machine = _build().build()
-"""Builds the machine of one stream: `new_stream_machine(StreamCore())`."""
+"""Builds the state machine of one stream: `new_stream_machine(StreamCore())`."""
--- a/notcharch/clients/tool_calls.py
+++ b/notcharch/clients/tool_calls.py
@@ -1,7 +1,7 @@
-"""Puts together the tool calls of a streamed answer.
+"""Merges the tool calls of a streamed response.
 
 OpenAI streams a tool call in parts: the first part of an index has its id and name,
-the later ones add to its arguments.
+later parts extend its arguments.
 """
 
 import msgspec
@@ -31,7 +31,7 @@
 
 
 class ToolCall(msgspec.Struct, frozen=True):
-    """A whole tool call, as a message of the history has it."""
+    """A complete tool call, in the format of the message history."""
 
     id: str
     type: str
@@ -46,14 +46,14 @@
 
 
 class ToolCallMerger:
-    """Collects the parts in the order of the stream."""
+    """Merges tool call parts in stream order."""
 
     def __init__(self) -> None:
-        """Begin without any tool call."""
+        """Start without any tool call."""
         self._calls: dict[int, _Parts] = {}
 
     def add(self, deltas: tuple[ToolCallDelta, ...]) -> None:
-        """Take the parts of one chunk."""
+        """Add the parts of one chunk."""
         for delta in deltas:
             parts = self._calls.setdefault(delta.index, _Parts())
             parts.id = delta.id or parts.id
@@ -63,13 +63,13 @@
                 parts.arguments.append(delta.function.arguments)
 
     def merged(self) -> msgspec.Raw | None:
-        """Give the tool calls as raw JSON, or None if there are none."""
+        """Return the tool calls as raw JSON, or None if there are none."""
         if not self._calls:
             return None
-        calls = [_whole(self._calls[index]) for index in sorted(self._calls)]
+        calls = [_build_tool_call(self._calls[index]) for index in sorted(self._calls)]
         return msgspec.Raw(msgspec.json.encode(calls))
 
 
-def _whole(parts: _Parts) -> ToolCall:
+def _build_tool_call(parts: _Parts) -> ToolCall:
     function = ToolFunction(parts.name, "".join(parts.arguments))
     return ToolCall(parts.id, parts.type, function)
--- a/notcharch/clients/weight_store_client.py
+++ b/notcharch/clients/weight_store_client.py
@@ -22,13 +22,13 @@
 
 
 class PullReply(msgspec.Struct, frozen=True):
-    """The id of a pull that has begun."""
+    """The id of a started pull."""
 
     pull: RequestId
 
 
 class PullState(msgspec.Struct, frozen=True):
-    """How far a pull is, 0.0 … 1.0."""
+    """The progress of a pull, 0.0 to 1.0."""
 
     state: str
     fraction: float
@@ -53,11 +53,11 @@
     def start_pull(
         self, weights: str, engine: EngineName
     ) -> "Deferred[Result[RequestId, Problem]]":
-        """Begin a pull; a refusal carries `retry_after`."""
+        """Start a pull; a rejection carries `retry_after`."""
         return Deferred.fromCoroutine(self._start_pull(weights, engine))
 
     def pull_fraction(self, pull: RequestId) -> "Deferred[Result[float, Problem]]":
-        """Give the part that is done, 0.0 … 1.0."""
+        """Return the completed fraction, 0.0 to 1.0."""
         return Deferred.fromCoroutine(self._pull_fraction(pull))
 
     async def _start_pull(
--- a/tests/unit/clients/test_answer_collector.py
+++ b/tests/unit/clients/test_answer_collector.py
@@ -1,4 +1,4 @@
-"""The answer is the same whenever it is decoded, and errors are never lost."""
+"""The response is independent of decoding batches, and errors are reported."""
 
 import json
 
@@ -22,8 +22,8 @@
 @pytest.mark.parametrize("tokens", [0, 1, 5, MANY])
 @pytest.mark.parametrize("at_once", [True, False])
 def test_answer_of_any_length_in_any_pieces(tokens, at_once):
-    whole = events(tokens)
-    pieces = [whole] if at_once else [part + b"\n\n" for part in whole.split(b"\n\n")]
+    text = events(tokens)
+    pieces = [text] if at_once else [part + b"\n\n" for part in text.split(b"\n\n")]
     collector = collected(*(piece for piece in pieces if piece != b"\n\n"))
     end = collector.result().unwrap()
     assert end.content == content(tokens)
--- a/tests/unit/clients/test_backoff.py
+++ b/tests/unit/clients/test_backoff.py
@@ -1,4 +1,4 @@
-"""Delays grow, stay in bounds, differ between clients, and end."""
+"""Retry delays grow, stay in bounds, are jittered, and end."""
 
 from random import Random
 
--- a/tests/unit/clients/test_chunk_shortcut.py
+++ b/tests/unit/clients/test_chunk_shortcut.py
@@ -1,4 +1,4 @@
-"""The shortcut past Twisted's reply parser is taken, and changes nothing."""
+"""The fast path past Twisted's parser is used, and delivers the same data."""
 
 import itertools
 
@@ -18,7 +18,7 @@
 
 
 class OneConnection:
-    """An agent with one connection that is open already."""
+    """An agent with one open connection."""
 
     def __init__(self):
         self.protocol = HTTP11ClientProtocol()
@@ -34,7 +34,7 @@
 
 
 class Exchange:
-    """One exchange on a connection, and what came of it."""
+    """One exchange on a connection, with its data and its end."""
 
     def __init__(self, connection: OneConnection):
         self.pieces: list[bytes] = []
--- a/tests/unit/clients/test_eager_writer.py
+++ b/tests/unit/clients/test_eager_writer.py
@@ -1,4 +1,4 @@
-"""An eager write keeps the order of bytes, whatever the socket takes."""
+"""An eager write preserves byte order, however much the socket accepts."""
 
 import pytest
 from twisted.internet.protocol import Protocol
@@ -9,7 +9,7 @@
 
 
 class Socket:
-    """Takes what the script says: a number of bytes, or an error."""
+    """Accepts the scripted number of bytes, or raises the scripted error."""
 
     def __init__(self, script):
         self.script = list(script)
@@ -30,7 +30,7 @@
 
 
 class Reactor:
-    """Counts turns that were asked for."""
+    """Records the registered writers."""
 
     def __init__(self):
         self.writers = set()
--- a/tests/unit/clients/test_server_sent_events.py
+++ b/tests/unit/clients/test_server_sent_events.py
@@ -1,4 +1,4 @@
-"""Events are cut whole wherever the bytes are cut."""
+"""Events are returned complete however the bytes are split."""
 
 import itertools
 
@@ -14,22 +14,22 @@
 )
 from tests.contract.stream_text import events
 
-WHOLE = events(4)
+ALL_EVENTS = events(4)
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.lists(st.integers(0, len(WHOLE)), max_size=8))
+@given(st.lists(st.integers(0, len(ALL_EVENTS)), max_size=8))
 def test_any_cut_gives_whole_events_as_soon_as_they_are_there(places):
     splitter = EventSplitter()
     given_out = b""
-    cuts = [0, *sorted(places), len(WHOLE)]
+    cuts = [0, *sorted(places), len(ALL_EVENTS)]
     for start, end in itertools.pairwise(cuts):
-        piece = splitter.feed(WHOLE[start:end])
+        piece = splitter.feed(ALL_EVENTS[start:end])
         assert piece == b"" or piece.endswith(b"\n\n")
         given_out += piece
-        whole_events = WHOLE[:end].rfind(b"\n\n")
-        assert len(given_out) == (whole_events + 2 if whole_events >= 0 else 0)
-    assert given_out == WHOLE
+        last_boundary = ALL_EVENTS[:end].rfind(b"\n\n")
+        assert len(given_out) == (last_boundary + 2 if last_boundary >= 0 else 0)
+    assert given_out == ALL_EVENTS
 
 
 NUMBERS = (
--- a/tests/unit/clients/test_stream_life_cycle.py
+++ b/tests/unit/clients/test_stream_life_cycle.py
@@ -1,4 +1,4 @@
-"""Every order of inputs gives one result at most, and never hangs without one."""
+"""Any order of inputs gives at most one result, and never hangs without one."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -23,7 +23,7 @@
     if results:
         assert set(taken[results[0] + 1 :]) <= {Step.NONE}
     else:
-        # It is always clear who acts next: the exchange, or the timer of one try.
+        # At most one retry timer is pending.
         waits = taken.count(Step.RESUME_LATER) - taken.count(Step.RESUME)
         assert waits in (0, 1)
 
