Log the software version of engines, the beginning of streams, and what takes one up

Cause: no event told which version began a stream, at which it went on and why, or that a request resumes a stream of an earlier attempt, so the hypotheses of the incident could not be told apart.

Change: entries' `version` and callers' `Resumes` are decoded; nothing decides by them yet. Events 2200, 2202 to 2204 have the engine's version, 2405 the versions of new engines; 2210 StreamBegan and 2211 StreamTakenUp are new. `notcharch explain` tells a stream's versions.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -107,8 +107,17 @@
         self._timer = clock.callLater(seconds_left, self._expire)
         self._reply.on_disconnect(self._caller_disconnected)
         self._reply.watch_backlog(self._caller_backlog_changed)
+        if self._is_resumption:
+            self._log.stream_taken_up(self._service)
         self._services.admission.request(self.call, self._route, self)
 
+    @property
+    def _is_resumption(self) -> bool:
+        """Whether the caller has events of the stream from an earlier attempt."""
+        call = self.call
+        has_events = call.last_event_id is not None or bool(call.first_attempt)
+        return self._route.is_stream and has_events
+
     # Admission
 
     @property
@@ -209,7 +218,7 @@
     def _send(self, selection: Selection, remaining_ms: int) -> None:
         engine = selection.engine
         self._tried.add(engine.id)
-        self._log.engines.append(engine.id)
+        self._log.sent(engine)
         self._run = EngineRun(
             self._services,
             self.call,
@@ -257,6 +266,8 @@
         complete_events = self._framer.feed(data)
         if complete_events:
             self._relay_head()
+            if not self._log.events and self._route.is_resumable:
+                self._log.stream_began(self._service)
             self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
                 self._output.append(complete_events)
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -3,7 +3,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.engine_selection import Selection
-from notcharch.calls.interface import OpaqueCall, Refusal, Route
+from notcharch.calls.interface import Engine, OpaqueCall, Refusal, Route
 from notcharch.calls.metrics import (
     ADMISSION_SECONDS,
     CALLS,
@@ -23,6 +23,8 @@
     CallSentAgain,
     CallServed,
     EngineChosen,
+    StreamBegan,
+    StreamTakenUp,
 )
 from notcharch.events.event import emit
 
@@ -40,6 +42,8 @@
         self.admission_seconds = 0.0
         self.engines: list[str] = []
         """Engines that the call was sent to, in order."""
+        self.version = ""
+        """Software version of the last of them."""
         self.runs = 0
         """Number of engines that may have run the call."""
         self.events = 0
@@ -57,6 +61,38 @@
     def _engine(self) -> str:
         return self.engines[-1] if self.engines else ""
 
+    def stream_taken_up(self, service: str) -> None:
+        """Log that the call resumes a stream of an earlier attempt."""
+        call = self._call
+        emit(
+            StreamTakenUp(
+                request=call.id,
+                program=call.program,
+                service=service,
+                first_attempt=call.first_attempt,
+                after_event=(call.last_event_id or b"").decode("latin-1"),
+            )
+        )
+
+    def sent(self, engine: Engine) -> None:
+        """Record that the call is sent to an engine."""
+        self.engines.append(engine.id)
+        self.version = engine.version
+
+    def stream_began(self, service: str) -> None:
+        """Log the first event that is relayed of a stream that may be resumed."""
+        call = self._call
+        emit(
+            StreamBegan(
+                request=call.id,
+                program=call.program,
+                service=service,
+                engine=self._engine,
+                version=self.version,
+                first_attempt=call.first_attempt or call.id,
+            )
+        )
+
     def admitted(self) -> None:
         """Record the duration of the admission."""
         self.admission_seconds = self._seconds
@@ -129,6 +165,7 @@
                 events=self.events,
                 seconds=self._seconds,
                 admission_seconds=self.admission_seconds,
+                version=self.version,
             )
         )
 
@@ -165,6 +202,7 @@
                 runs=self.runs,
                 events=self.events,
                 seconds_left=self._seconds_left,
+                version=self.version,
             )
         )
 
@@ -183,6 +221,7 @@
                 events=self.events,
                 seconds=self._seconds,
                 seconds_left=self._seconds_left,
+                version=self.version,
             )
         )
 
@@ -197,5 +236,6 @@
                 engine=self._engine,
                 events=self.events,
                 seconds=self._seconds,
+                version=self.version,
             )
         )
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -71,6 +71,8 @@
     is_draining: bool = False
     cold_seconds: float = 0.0
     """Remaining warm-up time when the entry was written."""
+    version: str = ""
+    """Version of its software, not of its weights; empty if its entry states none."""
 
 
 class OpaqueCall(msgspec.Struct):
@@ -93,6 +95,8 @@
     tokens_per_event: int = 1
     previous_turn: str = ""
     last_event_id: bytes | None = None
+    first_attempt: str = ""
+    """Id of the attempt that brought the first event of the stream that this one resumes."""
     program_remaining_seconds: float | None = None
     tenant: Tenant | None = None
     """The tenant of the call's key; None if no key is needed."""
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -20,6 +20,7 @@
 
     is_draining: bool
     is_cold: bool
+    version: str
 
 
 class EngineListLog:
@@ -34,7 +35,7 @@
     def listed(self, engines: Mapping[str, Engine], removed: Collection[str]) -> None:
         """Compare a list with the previous one; `removed` are the removed engines."""
         states = {
-            id: ListedState(engine.is_draining, engine.cold_seconds > 0)
+            id: ListedState(engine.is_draining, engine.cold_seconds > 0, engine.version)
             for id, engine in engines.items()
         }
         if states == self._states:
@@ -48,10 +49,19 @@
                 added=sorted(states.keys() - self._states.keys()),
                 gone=sorted(removed),
                 seconds_since_last=round(now - self._reported_at, 3),
+                versions=self._new_versions(states),
             )
         )
         self._states, self._reported_at = states, now
 
+    def _new_versions(self, states: Mapping[str, ListedState]) -> dict[str, str]:
+        """Return the versions of the engines whose version was not reported yet."""
+        return {
+            id: state.version
+            for id, state in states.items()
+            if id not in self._states or self._states[id].version != state.version
+        }
+
 
 def report_drains(
     newer: DrainedZones, change: DrainChange | None, *, is_from_peer: bool = False
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -21,6 +21,8 @@
     seconds: float
     """Since the request's head was read."""
     admission_seconds: float
+    version: str = ""
+    """Software version of the engine."""
 
 
 class CallRefused(Event, frozen=True):
@@ -54,6 +56,8 @@
     runs: int
     events: int
     seconds_left: float
+    version: str = ""
+    """Software version of the engine."""
 
 
 class CallBrokenOff(Event, frozen=True):
@@ -70,6 +74,8 @@
     events: int
     seconds: float
     seconds_left: float
+    version: str = ""
+    """Software version of the last engine."""
 
 
 class CallerLeft(Event, frozen=True):
@@ -82,6 +88,8 @@
     engine: str
     events: int
     seconds: float
+    version: str = ""
+    """Software version of the engine."""
 
 
 class RequestWithoutRoute(Event, frozen=True):
@@ -157,3 +165,31 @@
     """Expected seconds at the best engine."""
     urgency: int | None = None
     """The level that the engine was told: 0 is first, 9 is last."""
+
+
+class StreamBegan(Event, frozen=True):
+    """The first event of a stream that may be resumed was relayed."""
+
+    number: ClassVar[int] = 2210
+    is_routine: ClassVar[bool] = True
+    request: str
+    program: str
+    service: str
+    engine: str
+    version: str
+    """Software version of the engine."""
+    first_attempt: str
+    """The attempt of the caller that brought the stream's first event."""
+
+
+class StreamTakenUp(Event, frozen=True):
+    """A request resumes a stream that an earlier attempt of its caller began."""
+
+    number: ClassVar[int] = 2211
+    request: str
+    program: str
+    service: str
+    first_attempt: str
+    """As named by the caller; empty if it names none."""
+    after_event: str
+    """Id of the last event that the caller has."""
--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -62,6 +62,8 @@
     added: list[str]
     gone: list[str]
     seconds_since_last: float
+    versions: dict[str, str]
+    """Software versions of the engines that are new or have another version."""
 
 
 class DependencyLost(Event, frozen=True):
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -23,6 +23,8 @@
     EngineChosen,
     RequestMalformed,
     RequestWithoutRoute,
+    StreamBegan,
+    StreamTakenUp,
 )
 from notcharch.events.engine_load import LoadTrackerSilent
 from notcharch.events.http import SlowReaderCut
@@ -166,10 +168,36 @@
         f"served by {end.text('engine')} with {end.text('status')} "
         f"after {end.text('seconds')} s, {end.text('admission_seconds')} s of them "
         "before its admission"
-        f"{_choice(end.text('engine'), own)}"
+        f"{_choice(end.text('engine'), own)}{_versions(own)}"
     )
 
 
+def _versions(own: Sequence[LogLine]) -> str:
+    """Say at which software version a stream began, and at which it went on and why."""
+    texts = []
+    for line in own:
+        if line.number == StreamTakenUp.number:
+            first = line.text("first_attempt") or "an attempt that it does not name"
+            texts.append(
+                f"it resumed the stream that began as {first} after event "
+                f"{line.text('after_event')}"
+            )
+        elif line.number == StreamBegan.number:
+            texts.append(
+                f"its first event came from version {line.text('version')} "
+                f"({line.text('engine')})"
+            )
+        elif line.number == CallSentAgain.number and line.fields.get("events"):
+            texts.append(
+                f"it was sent on after {line.text('events')} events from version "
+                f"{line.text('version')} ({line.text('engine')}: {line.text('cause')})"
+            )
+    ends = [line for line in own if line.number in END_EVENTS]
+    if texts and ends and ends[-1].fields.get("version"):
+        texts.append(f"it ended at version {ends[-1].text('version')}")
+    return "".join(f"; {text}" for text in texts)
+
+
 def _choice(engine: str, own: Sequence[LogLine]) -> str:
     """Say why the engine that served a call was chosen."""
     chosen = [
@@ -328,7 +356,7 @@
 ) -> str:
     return (
         f"cut after {end.text('events')} events while {end.text('phase')}: "
-        f"{end.text('cause')}{_troubles(context)}"
+        f"{end.text('cause')}{_versions(own)}{_troubles(context)}"
     )
 
 
@@ -342,7 +370,7 @@
             )
     return (
         f"the caller left after {end.text('seconds')} s while {end.text('phase')}"
-        f"{_troubles(context)}"
+        f"{_versions(own)}{_troubles(context)}"
     )
 
 
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -105,6 +105,8 @@
     state: str = "ready"
     cold_remaining_ms: float = 0.0
     """Remaining time for which the engine is cold, at the time of writing."""
+    version: str = ""
+    """Version of the engine's software."""
 
 
 CONFIGURATION_DECODER = msgspec.json.Decoder(ConfigurationEntry)
@@ -199,4 +201,5 @@
         slots=max(entry.slots, 1),
         is_draining=entry.state == DRAINING_STATE,
         cold_seconds=max(entry.cold_remaining_ms, 0.0) / 1000,
+        version=entry.version,
     )
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -21,6 +21,7 @@
 PREVIOUS_TURN = b"x-notcharch-previous-turn"
 URGENCY = b"x-notcharch-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 AFFINITY_COOKIE = "X-Notcharch-Affinity-Key"
 
 API_KEY = b"x-api-key"
@@ -58,6 +59,7 @@
     USAGE,
     PREVIOUS_TURN,
     LAST_EVENT_ID,
+    RESUMES,
 )
 """Headers that must not be repeated, as they determine how a call is handled."""
 
@@ -82,6 +84,7 @@
             budget_tokens=_parse_integer(values.get(TOKEN_BUDGET)),
             previous_turn=_parse_name(values.get(PREVIOUS_TURN, b"")),
             last_event_id=values.get(LAST_EVENT_ID),
+            first_attempt=_parse_name(values.get(RESUMES, b"")),
             program_remaining_seconds=_parse_seconds(values.get(FINISH_MS)),
         )
     except ValueError:
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -21,6 +21,8 @@
     EngineChosen,
     RequestMalformed,
     RequestWithoutRoute,
+    StreamBegan,
+    StreamTakenUp,
 )
 from notcharch.events.engine_load import LoadTrackerSilent
 from notcharch.events.http import SlowReaderCut
@@ -316,3 +318,20 @@
         line(1.4, "a", refused(phase="at engine")),
     )
     assert "a knew the store to be down" in told.cause
+
+
+def test_the_versions_of_a_stream_that_was_sent_on_are_told():
+    told = cause(
+        line(0.1, "d1", StreamTakenUp("r", "p", "s", "r0", "4")),
+        line(0.2, "d1", StreamBegan("r", "p", "s", "e1", "v1", "r0")),
+        line(0.3, "d1", CallSentAgain("r", "p", "e1", "reset", 1, 6, 2.0, "v1")),
+        line(
+            0.4,
+            "d1",
+            CallServed("r", "p", "s", "route", "e2", 200, 2, 9, 0.4, 0.1, "v2"),
+        ),
+    )
+    assert "resumed the stream that began as r0 after event 4" in told.cause
+    assert "first event came from version v1 (e1)" in told.cause
+    assert "sent on after 6 events from version v1 (e1: reset)" in told.cause
+    assert told.cause.endswith("it ended at version v2")
