--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -24,13 +24,19 @@
 """Waiting time of earlier first responses."""
 
 
-def engine(name: str, zone: str = "z", slots: int = 4) -> Engine:
-    return Engine(name, SERVICE, "10.0.0.1", 80, zone, slots)
+VERSION = "v1"
 
 
-def engine_pool(clock: Clock, names) -> EnginePool:
+def engine(
+    name: str, zone: str = "z", slots: int = 4, version: str = VERSION
+) -> Engine:
+    return Engine(name, SERVICE, "10.0.0.1", 80, zone, slots, version=version)
+
+
+def engine_pool(clock: Clock, names, versions=()) -> EnginePool:
     pool = EnginePool(clock, Nearness("z"), Random(1))
-    pool.replace([engine(name) for name in names])
+    known = dict(versions)
+    pool.replace([engine(name, version=known.get(name, VERSION)) for name in names])
     return pool
 
 
@@ -161,7 +167,7 @@
     def __init__(self, engines=("a", "b", "c"), **changes) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
-        self.pool = engine_pool(self.clock, engines)
+        self.pool = engine_pool(self.clock, engines, changes.pop("versions", ()))
         self.sender = Sender()
         self.reply = Reply()
         self.waits = RouteResponseTimes(OverduePolicy())
@@ -178,6 +184,7 @@
             "timeout_seconds": 3.0,
         }
         wait = changes.pop("wait_seconds", 2.0)
+        resumed = changes.pop("resumed", {})
         self.route = Route(**(settings | changes))
         self.call = OpaqueCall(
             id="1",
@@ -186,6 +193,7 @@
             arrived=self.clock.seconds(),
             wait_seconds=wait,
             program="p",
+            **resumed,
         )
         services = CallServices(
             clock=self.clock,
