Resume a stream only at the software version that began it

Cause: state of one run was joined with another's, because nothing carried the version. An engine's entry was decoded without it, the choice of an engine after a break knew none, and a daemon that got an attempt with Last-Event-Id neither read Resumes nor had a way to learn what another daemon had begun.

Change: a call keeps the version with the first event that it relays, and the pool leaves out others. Origins (service, version) are held in memory by the daemon and by three peers while more than one version may serve, and asked for by who resumes a stream; while one version is certain nothing is sent. What is unknown is refused at once with the time to retry.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -8,11 +8,15 @@
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.engine_selection import Selection
+from notcharch.calls.engines import VersionRule
 from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
+    NO_ENGINE_OF_VERSION,
+    ORIGIN_UNKNOWN,
     TIMED_OUT,
+    Engine,
     OpaqueCall,
     Refusal,
     Route,
@@ -24,6 +28,8 @@
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
+from notcharch.scheduling.stream_origin import FoundOrigin, StreamName
+from notcharch.tenants.scope import scoped_name
 
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
@@ -80,6 +86,8 @@
         self._tried: set[str] = set()
         self._status = 0
         """Status of the last complete response."""
+        self._version: str | None = None
+        """The software version that began the stream; None before its first event."""
         self._framer = EventFramer()
         self._is_relaying = False
         """True once the head of a stream was relayed to the caller."""
@@ -108,8 +116,9 @@
         self._reply.on_disconnect(self._caller_disconnected)
         self._reply.watch_backlog(self._caller_backlog_changed)
         if self._is_resumption:
-            self._log.stream_taken_up(self._service)
-        self._services.admission.request(self.call, self._route, self)
+            self._find_origin()
+        else:
+            self._services.admission.request(self.call, self._route, self)
 
     @property
     def _is_resumption(self) -> bool:
@@ -118,6 +127,46 @@
         has_events = call.last_event_id is not None or bool(call.first_attempt)
         return self._route.is_stream and has_events
 
+    # Origin of the stream
+
+    def _stream(self, first_attempt: str) -> StreamName:
+        """Return the name under which the origin of the stream is recorded."""
+        call = self.call
+        scoped = scoped_name(call.tenant_name, first_attempt)
+        return StreamName(scoped, self._service, call.route_identity)
+
+    def _find_origin(self) -> None:
+        """Request admission once the version that began the stream is known."""
+        stream = self._stream(self.call.first_attempt)
+        self._services.origins.find(stream, self._origin_found)
+
+    def _origin_found(self, found: FoundOrigin) -> None:
+        if self._phase is Phase.OVER:
+            return
+        self._log.stream_taken_up(found)
+        origin = found.origin
+        services = {share.service for share in self._route.shares}
+        if origin is None or origin.service not in services:
+            self._refuse(ORIGIN_UNKNOWN)
+            return
+        self._service, self._version = origin.service, origin.version
+        self._services.admission.request(self.call, self._route, self)
+
+    def _stream_began(self, engine: Engine) -> None:
+        """Keep the stream at the version of the engine that sent its first event."""
+        if self._version is None:
+            self._version = engine.version
+        if not self._route.is_resumable:
+            return
+        self._log.stream_began(self._service)
+        if self._version:
+            stream = self._stream(self.call.first_attempt or self.call.id)
+            self._services.origins.began(stream, self._version, self._seconds_left)
+
+    @property
+    def _version_rule(self) -> VersionRule:
+        return VersionRule(self._version, self._route.is_resumable)
+
     # Admission
 
     @property
@@ -188,6 +237,7 @@
             self.call.regions,
             loads=loads,
             prompt_tokens=self.call.prompt_tokens,
+            versions=self._version_rule,
         )
         if selection is None:
             self._end_without_engine()
@@ -241,6 +291,8 @@
             self._interrupt(self._cause)
         elif self._log.runs:
             self._refuse(MAY_HAVE_RUN)
+        elif self._version is not None and not self._tried:
+            self._refuse(NO_ENGINE_OF_VERSION)
         else:
             services = self._services
             none = services.pool.why_none(self._service, self.call.regions)
@@ -266,8 +318,8 @@
         complete_events = self._framer.feed(data)
         if complete_events:
             self._relay_head()
-            if not self._log.events and self._route.is_resumable:
-                self._log.stream_began(self._service)
+            if not self._log.events and self._run is not None:
+                self._stream_began(self._run.engine)
             self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
                 self._output.append(complete_events)
@@ -337,7 +389,7 @@
 
     def _retry_or_end(self, cause: str) -> None:
         self._pending_head = None
-        if not self._may_run_again():
+        if not self._may_run_again() or self._version == "":
             self._cause = cause
             self._end_without_engine()
             return
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -27,6 +27,7 @@
     StreamTakenUp,
 )
 from notcharch.events.event import emit
+from notcharch.scheduling.stream_origin import FoundOrigin
 
 
 class CallLog:
@@ -61,16 +62,19 @@
     def _engine(self) -> str:
         return self.engines[-1] if self.engines else ""
 
-    def stream_taken_up(self, service: str) -> None:
-        """Log that the call resumes a stream of an earlier attempt."""
-        call = self._call
+    def stream_taken_up(self, found: FoundOrigin) -> None:
+        """Log that the call resumes a stream, and what is known of its origin."""
+        call, origin = self._call, found.origin
         emit(
             StreamTakenUp(
                 request=call.id,
                 program=call.program,
-                service=service,
                 first_attempt=call.first_attempt,
                 after_event=(call.last_event_id or b"").decode("latin-1"),
+                service=origin.service if origin is not None else "",
+                version=origin.version if origin is not None else "",
+                source=found.source.value,
+                seconds=self._seconds,
             )
         )
 
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -14,8 +14,10 @@
     Admission,
     Engine,
     EngineDialect,
+    NoStreamOrigins,
     OpaqueCall,
     Route,
+    StreamOrigins,
 )
 from notcharch.calls.overdue import OverdueWatch
 from notcharch.http.client import ResponseFailure
@@ -42,6 +44,7 @@
     waits: RouteResponseTimes
     urgency: CallUrgency | None = None
     """Rates the urgency of calls; None if engines are not told of it."""
+    origins: StreamOrigins = NoStreamOrigins()
 
 
 class RunListener(Protocol):
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -31,6 +31,7 @@
     MAX_SUSPECTED_SHARE,
     SharedSuspicions,
 )
+from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.scheduling.zone_drains import DrainChange, DrainedZones
 
 LAST_RESORT_SECONDS = 1.0
@@ -57,6 +58,18 @@
     health: HealthPolicy = HealthPolicy()
 
 
+class VersionRule(msgspec.Struct, frozen=True):
+    """Which software versions may get a call."""
+
+    version: str | None = None
+    """The one that began the call's stream; None if it has not begun."""
+    begins_stream: bool = False
+    """The call may begin a stream that can be resumed elsewhere."""
+
+
+ANY_VERSION = VersionRule()
+
+
 class EnginePool:
     """The engines of all services, with this daemon's calls to each."""
 
@@ -69,13 +82,16 @@
         suspicions: SharedSuspicions | None = None,
         *,
         eligibility: EngineEligibility | None = None,
+        versions: SoftwareVersions | None = None,
     ) -> None:
         """Start without engines.
 
         `place` ranks them by distance; `suspicions` has the engines that peers suspect;
-        `eligibility` leaves out engines that must not get a call.
+        `eligibility` leaves out engines that must not get a call; `versions` is updated
+        with the listed software versions.
         """
         self.eligibility = eligibility or EngineEligibility()
+        self._versions = versions or SoftwareVersions()
         self._suspicions = suspicions or SharedSuspicions()
         self._policy = policy or PoolPolicy()
         self._clock = clock
@@ -112,6 +128,9 @@
         now = self._clock.seconds()
         is_first_list = not self._states
         listed = {engine.id: engine for engine in engines}
+        self._versions.list_changed(
+            ((engine.service, engine.version) for engine in listed.values()), now
+        )
         states = {
             id: self._update_state(self._states.get(id), engine, now)
             for id, engine in listed.items()
@@ -241,17 +260,18 @@
         *,
         loads: Mapping[str, EngineLoad],
         prompt_tokens: int = 0,
+        versions: VersionRule = ANY_VERSION,
     ) -> Selection | None:
         """Select the engine for a call; None if no untried one accepts it.
 
         `regions` are those in which the call may be served, or None for all. `loads` are
         the calls of all daemons by engine; where none is known, this daemon's own calls
         decide. An engine whose load is unknown is selected only if it caches the prefix, or
-        if all engines of known load are full.
+        if all engines of known load are full. `versions` restricts the engines.
         """
         if loads:
             self._loads_at[service] = self._clock.seconds()
-        options = self._options(service, tried, regions)
+        options = self._options(service, tried, regions, versions)
         if not options:
             return None
         needs = self._needs(service, call.cached_engine, prompt_tokens)
@@ -275,13 +295,17 @@
         )
 
     def _options(
-        self, service: str, tried: Collection[str], regions: frozenset[str] | None
+        self,
+        service: str,
+        tried: Collection[str],
+        regions: frozenset[str] | None,
+        versions: VersionRule,
     ) -> Sequence[EngineState]:
         """Return the engines that a call may be sent to now."""
         now = self._clock.seconds()
         untried = [
             state
-            for state in self._candidates(service, now, regions)
+            for state in self._candidates(service, now, regions, versions)
             if state.engine.id not in tried
         ]
         states = self.eligibility.accepting(service, untried, now)
@@ -315,11 +339,27 @@
             return False
         return self._suspicions.is_suspected(state.id, now)
 
+    def _of_versions(
+        self, service: str, rule: VersionRule, now: float
+    ) -> Sequence[EngineState]:
+        """Return the engines of a service whose software version may get a call."""
+        states = self._by_service.get(service, [])
+        if rule.version is not None:
+            return [state for state in states if state.engine.version == rule.version]
+        settled = self._versions.settled(service, now) if rule.begins_stream else None
+        if settled is None:
+            return states
+        return [state for state in states if state.engine.version in settled]
+
     def _candidates(
-        self, service: str, now: float, regions: frozenset[str] | None = None
+        self,
+        service: str,
+        now: float,
+        regions: frozenset[str] | None = None,
+        versions: VersionRule = ANY_VERSION,
     ) -> list[EngineState]:
         """Return the active engines; if half or more are not, also the last resorts."""
-        listed = self._by_service.get(service, [])
+        listed = self._of_versions(service, versions, now)
         states = self.eligibility.allowed(listed, regions)
         active = [state for state in states if state.last_resort_since is None]
         if 2 * len(active) > len(states):
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -8,6 +8,7 @@
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.scheduling.cold_engines import ColdLimit
 from notcharch.scheduling.engine_load import EngineLoad
+from notcharch.scheduling.stream_origin import NOT_FOUND, FoundOrigin, StreamName
 from notcharch.scheduling.urgency import PriorityRank
 from notcharch.tenants.interface import Tenant
 
@@ -113,6 +114,9 @@
     Both its route and its tenant restrict them.
     """
 
+    route_identity: str = ""
+    """Its route with the services; empty if an attempt's id decides on the service."""
+
     @property
     def tenant_name(self) -> str:
         """The name of its tenant; empty if there is none."""
@@ -186,6 +190,30 @@
         """Ignore the end of the call."""
 
 
+class StreamOrigins(Protocol):
+    """Records which service and software version began a stream, and finds it."""
+
+    def began(self, stream: StreamName, version: str, seconds_left: float) -> None:
+        """Record a stream whose first event is relayed.
+
+        `seconds_left` is the time before the call's deadline.
+        """
+
+    def find(self, stream: StreamName, then: Callable[[FoundOrigin], None]) -> None:
+        """Find the origin of a stream; `then` is called exactly once."""
+
+
+class NoStreamOrigins:
+    """Records nothing: no stream of an earlier attempt can be resumed."""
+
+    def began(self, stream: StreamName, version: str, seconds_left: float) -> None:
+        """Ignore the stream."""
+
+    def find(self, stream: StreamName, then: Callable[[FoundOrigin], None]) -> None:
+        """Call `then` with an unknown origin."""
+        then(NOT_FOUND)
+
+
 class Admission(Protocol):
     """Decides whether a call may run, and accounts for its result."""
 
@@ -256,6 +284,10 @@
 UNKNOWN_TURN = Refusal(404, "no such turn")
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
 NO_ENGINE = Refusal(503, "no engine can take it", 0.1)
+ORIGIN_UNKNOWN = Refusal(503, "the version that began the stream is not known", 0.2)
+NO_ENGINE_OF_VERSION = Refusal(
+    503, "no engine of the version that began the stream", 0.2
+)
 STATE_UNKNOWN = Refusal(503, "the program's state is not known yet", 0.2)
 BUDGET_SPENT = Refusal(402, "the program's budget is spent")
 TIMED_OUT = Refusal(504, "timed out")
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -21,6 +21,13 @@
     keys: TenantKeys | None = None
     """The keys of tenants; None if there are no tenants, and calls need no key."""
 
+    def longest_resumable_seconds(self) -> float:
+        """Return for how long a caller may resume a stream: twice the longest timeout."""
+        return max(
+            (2 * route.timeout_seconds for route in self.routes if route.is_resumable),
+            default=0.0,
+        )
+
     def resident_regions(self) -> frozenset[str]:
         """Return all residency regions of routes and tenants."""
         found = {region for route in self.routes for region in route.regions or ()}
@@ -32,17 +39,32 @@
 class Router:
     """The routes of one table version, indexed by host."""
 
-    def __init__(self, table: RouteTable) -> None:
-        """Index the routes by host and path prefix."""
+    def __init__(
+        self, table: RouteTable, previous: "Router | None" = None, now: float = 0.0
+    ) -> None:
+        """Index the routes by host and path prefix.
+
+        `now`, in clock seconds, is when the table replaces the one of `previous`.
+        """
         self.table = table
+        self._since: dict[str, float] = {}
+        """Since when each route has its services, in clock seconds, by its identity."""
         self._by_host: dict[str, dict[str, Route]] = {}
         self._priorities: dict[str, list[int]] = {}
         """The different priorities of the routes to a service, in ascending order."""
         for route in table.routes:
+            identity = route_identity(route)
+            self._since[identity] = (
+                now if previous is None else previous.since(identity, now)
+            )
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
             for share in route.shares:
                 self._add_priority(share.service, route.priority)
 
+    def since(self, identity: str, otherwise: float) -> float:
+        """Return since when a route has its services; `otherwise` if it has others."""
+        return self._since.get(identity, otherwise)
+
     def _add_priority(self, service: str, priority: int) -> None:
         known = self._priorities.setdefault(service, [])
         if priority not in known:
@@ -89,6 +111,18 @@
     return route.shares[-1].service
 
 
+def route_identity(route: Route) -> str:
+    """Return a text that changes when a route gets other services or weights."""
+    shares = ",".join(f"{share.service}:{share.weight}" for share in route.shares)
+    return f"{route.host.lower()}{route.path_prefix} {shares}"
+
+
+def stable_identity(route: Route, call: OpaqueCall) -> str:
+    """Return the identity of a call's route; empty if an attempt's id decides."""
+    is_same_service = len(route.shares) == 1 or bool(call.program or call.affinity)
+    return route_identity(route) if is_same_service else ""
+
+
 def affinity_key_of(route: Route, call: OpaqueCall) -> str:
     """Return the key of calls that should run at the same engine for its cache."""
     if call.program:
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -188,8 +188,15 @@
     number: ClassVar[int] = 2211
     request: str
     program: str
-    service: str
     first_attempt: str
     """As named by the caller; empty if it names none."""
     after_event: str
     """Id of the last event that the caller has."""
+    service: str
+    """The service that began it; empty if it is not known, and the request is refused."""
+    version: str
+    """The software version that began it."""
+    source: str
+    """One of `notcharch.scheduling.stream_origin.OriginSource`."""
+    seconds: float
+    """Since the request's head was read."""
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -180,7 +180,8 @@
             first = line.text("first_attempt") or "an attempt that it does not name"
             texts.append(
                 f"it resumed the stream that began as {first} after event "
-                f"{line.text('after_event')}"
+                f"{line.text('after_event')}, begun at version "
+                f"{line.text('version') or 'unknown'} ({line.text('source')})"
             )
         elif line.number == StreamBegan.number:
             texts.append(
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -60,11 +60,13 @@
         on_change: Callable[[dict[str, bytes]], None],
         recovery: RecoverySignal | None = None,
         on_confirmed: Callable[[float], None] = lambda _: None,
+        on_snapshot: Callable[[], None] = lambda: None,
         immediate_share: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Call `on_change` with all keys after each change.
 
-        `on_confirmed` is called with a time, in clock seconds, at which the reported
+        `on_snapshot` is called before a snapshot is read, which shows no key that came and
+        went since the last read. `on_confirmed` is called with a time, in clock seconds, at which the reported
         keys were up to date. `immediate_share` returns the share of reads without long
         polling, which confirm a more recent time than a delayed read.
 
@@ -78,6 +80,7 @@
         self._random = random
         self._on_change = on_change
         self._on_confirmed = on_confirmed
+        self._on_snapshot = on_snapshot
         self._immediate_share = immediate_share
         self._recovery = recovery or RecoverySignal(clock)
         self._snapshot = PagedSnapshot({})
@@ -159,6 +162,7 @@
 
         Changes are then read from the end offset of the first page.
         """
+        self._on_snapshot()
         self._snapshot = PagedSnapshot(self._snapshot.values)
         self._first_page_end = -1
         requested_at = self._clock.seconds()
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -13,7 +13,7 @@
     NOT_READY,
     Refusal,
 )
-from notcharch.calls.routing import Router, service_of
+from notcharch.calls.routing import Router, service_of, stable_identity
 from notcharch.events.calls import (
     RequestMalformed,
     RequestWithoutRoute,
@@ -111,6 +111,10 @@
             return None
         return self.router.table.keys.tenant(name)
 
+    def route_age(self, identity: str, now: float) -> float:
+        """Return for how many seconds a route has had its services here."""
+        return 0.0 if self.router is None else now - self.router.since(identity, now)
+
     def can_verify_keys(self, ahead_seconds: float = 0.0) -> bool:
         """Return whether keys can be verified now and for `ahead_seconds` more."""
         router = self.router
@@ -150,6 +154,7 @@
         )
         service = service_of(route, call)
         call.priority = router.priority_rank(route, service)
+        call.route_identity = stable_identity(route, call)
         service_settings = router.table.services.get(service)
         if service_settings is not None:
             call.tokens_per_event = service_settings.tokens_per_event
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -52,13 +52,16 @@
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
 from notcharch.platform.settings import ProcessSettings, load_settings
 from notcharch.platform.store import PlatformStore
-from notcharch.platform.tables import PlatformTables
+from notcharch.platform.tables import PlatformTables, long_poll_seconds
 from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
+from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
+from notcharch.stream_origins.exchange import StreamOriginExchange
+from notcharch.stream_origins.messages import STREAM_ORIGIN_MESSAGES
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from notcharch.tenants.interface import Tenant
@@ -123,7 +126,10 @@
         platform_store = PlatformStore(self._requester, reactor)
         local_member = Member(DaemonName(settings.machine), new_incarnation())
         self._network = account_network(
-            reactor, local_member, random, other_messages=ENGINE_LOAD_MESSAGES
+            reactor,
+            local_member,
+            random,
+            other_messages=(*ENGINE_LOAD_MESSAGES, *STREAM_ORIGIN_MESSAGES),
         )
         suspicions = SharedSuspicions(
             is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
@@ -150,6 +156,14 @@
             tenant=self._tenant,
         )
         known_daemons = KnownDaemons(settings.machine, self._accounts.directory)
+        versions = SoftwareVersions(long_poll_seconds(settings.contact_seconds))
+        self._origins = StreamOriginExchange(
+            reactor,
+            self._network,
+            versions,
+            members=known_daemons.members,
+            route_age=lambda route: self._ingress.route_age(route, reactor.seconds()),
+        )
         pool = EnginePool(
             reactor,
             Nearness(settings.zone, settings.regions),
@@ -161,6 +175,7 @@
                 cold_policy(mechanisms, settings.cold_tolerance),
                 known_daemons,
             ),
+            versions=versions,
         )
         self._loads = self._load_exchange(pool, known_daemons, random)
         pool.use_exchange(self._loads)
@@ -178,6 +193,7 @@
                 admission=self._accounts.admission,
                 waits=RouteResponseTimes(wait_policy(mechanisms)),
                 urgency=call_urgency(mechanisms),
+                origins=self._origins,
             ),
             self._check,
         )
@@ -192,6 +208,7 @@
             contact_seconds=settings.contact_seconds,
             recovery=recovery,
             freshness=self._freshness,
+            versions=versions,
             revoke_seconds=settings.revoke_seconds,
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
@@ -245,6 +262,7 @@
         self._network.listen(settings.host, settings.peer_ports[0])
         self._accounts.start()
         self._tables.start()
+        self._origins.start()
         if isinstance(self._loads, EngineLoadExchange):
             self._loads.start()
         if Mechanism.TABLE_VOUCHING in self._mechanisms:
--- /dev/null
+++ b/notcharch/stream_origins/exchange.py
@@ -0,0 +1,217 @@
+"""Keeps the origins of streams at peers, and finds them there.
+
+Soft state only: nothing is stored. While a service has one software version, every daemon
+knows the origin of every stream and no message is sent.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from result import Ok, Result
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+
+from notcharch.calls.interface import StreamOrigins
+from notcharch.errors import Problem
+from notcharch.scheduling.software_versions import SoftwareVersions
+from notcharch.scheduling.stream_origin import (
+    NOT_FOUND,
+    FoundOrigin,
+    OriginSource,
+    StreamName,
+    StreamOrigin,
+)
+from notcharch.stream_origins.holders import ASKED, HOLDERS, HolderRing
+from notcharch.stream_origins.messages import (
+    AskStreamOrigin,
+    BegunStream,
+    StreamOriginSeen,
+    StreamsBegan,
+)
+from notcharch.stream_origins.metrics import FOUND, HELD, RECORDED, SEARCH_SECONDS
+from notcharch.stream_origins.records import OriginRecord, OriginRecords
+from notcharch.stream_origins.search import OriginSearch
+from notcharch.values.identifiers import DaemonName, Member
+from notcharch.wire.messages.base import Message
+from notcharch.wire.peers import PeerNetwork
+
+ASK_SECONDS = 0.15
+"""Longest search: two round trips between regions, and far less than a caller waits."""
+TICK_INTERVAL_SECONDS = 0.25
+"""A new version begins streams later than this, so those before it are recorded first."""
+
+Reply = Result[Message, Problem]
+
+
+class StreamOriginExchange(StreamOrigins):
+    """Records the origins of this daemon's streams at peers, and holds those of others."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        network: PeerNetwork,
+        versions: SoftwareVersions,
+        *,
+        members: Callable[[], Sequence[str]],
+        route_age: Callable[[str], float],
+    ) -> None:
+        """Register the handlers; `members` returns the daemons that may be holders.
+
+        `route_age` returns for how many seconds a route has had its services.
+        """
+        self._clock = clock
+        self._network = network
+        self._versions = versions
+        self._members = members
+        self._route_age = route_age
+        self._local = str(network.own_member.daemon)
+        self._ring = HolderRing(())
+        self._own = OriginRecords()
+        """Streams that began at this daemon, or continued here."""
+        self._held = OriginRecords()
+        """Streams of peers."""
+        self._ticking = LoopingCall(self._tick)
+        self._ticking.clock = clock
+        network.on_notice(StreamsBegan, self._on_notice)
+        network.on_request(AskStreamOrigin, self._reply)
+
+    def start(self) -> None:
+        """Start sharing records when they become necessary, and removing expired ones."""
+        self._ticking.start(TICK_INTERVAL_SECONDS, now=False)
+
+    # Streams of this daemon
+
+    def began(self, stream: StreamName, version: str, seconds_left: float) -> None:
+        """Remember the origin of a stream; share it where it is not certain otherwise."""
+        now = self._clock.seconds()
+        record = self._own.add(
+            stream.first_attempt,
+            StreamOrigin(stream.service, version),
+            seconds_left + self._versions.resumable_seconds,
+            now,
+            route=stream.route,
+        )
+        if self._needs_sharing(record, now):
+            self._share([(stream.first_attempt, record)], now)
+
+    def _needs_sharing(self, record: OriginRecord, now: float) -> bool:
+        """Return whether another daemon may not know the origin without the record."""
+        if record.origin is None or record.is_shared:
+            return False
+        is_stable = self._is_route_stable(record.route)
+        return not is_stable or self._versions.needs_records(record.origin.service, now)
+
+    def _is_route_stable(self, route: str) -> bool:
+        """Return whether a route's services began all streams that can be resumed."""
+        return bool(route) and self._route_age(route) >= (
+            self._versions.resumable_seconds
+        )
+
+    def _share(self, records: Iterable[tuple[str, OriginRecord]], now: float) -> None:
+        """Send records to their holders, one message to each."""
+        ring = self._current_ring()
+        by_holder: dict[str, list[BegunStream]] = {}
+        for stream, record in records:
+            if record.origin is None:
+                continue
+            begun = BegunStream(stream, record.origin, round(record.expires - now, 3))
+            for holder in ring.after(stream, HOLDERS, self._local):
+                by_holder.setdefault(holder, []).append(begun)
+            record.is_shared = True
+            RECORDED.inc()
+        for holder, streams in by_holder.items():
+            self._network.notify(DaemonName(holder), StreamsBegan(tuple(streams)))
+
+    def _current_ring(self) -> HolderRing:
+        members = self._members()
+        if members != self._ring.members:
+            self._ring = HolderRing(members)
+        return self._ring
+
+    def _tick(self) -> None:
+        """Share the records of services whose only version is not certain any more."""
+        now = self._clock.seconds()
+        self._own.purge(now)
+        self._held.purge(now)
+        HELD.set(len(self._held))
+        unshared = [
+            (stream, record)
+            for stream, record in self._own.live(now)
+            if self._needs_sharing(record, now)
+        ]
+        if unshared:
+            self._share(unshared, now)
+
+    # Streams that are resumed
+
+    def find(self, stream: StreamName, then: Callable[[FoundOrigin], None]) -> None:
+        """Find the origin of a stream; `then` is called once, within `ASK_SECONDS`."""
+        began = self._clock.seconds()
+
+        def found(result: FoundOrigin) -> None:
+            FOUND.labels(result.source.value).inc()
+            SEARCH_SECONDS.observe(self._clock.seconds() - began)
+            then(result)
+
+        known = self._find_here(stream.first_attempt, began)
+        if known is not None:
+            found(known)
+            return
+        service, certain = stream.service, NOT_FOUND
+        version = self._only_version(service, stream.route, began)
+        if version:
+            origin = StreamOrigin(service, version)
+            certain = FoundOrigin(origin, OriginSource.ONLY_VERSION)
+        asked = []
+        if not version or self._versions.was_mixed(service, began):
+            ring = self._current_ring()
+            asked = ring.after(stream.first_attempt, ASKED, self._local)
+        question = AskStreamOrigin(stream.first_attempt, service, stream.route)
+        search = OriginSearch(service, len(asked), certain, found)
+        for peer in asked:
+            self._ask(peer, question, search)
+
+    def _only_version(self, service: str, route: str, now: float) -> str:
+        """Return the version that began every stream of a route; empty if not certain."""
+        if not self._is_route_stable(route):
+            return ""
+        return self._versions.only_version(service, now)
+
+    def _find_here(self, stream: str, now: float) -> FoundOrigin | None:
+        for records, source in (
+            (self._own, OriginSource.LOCAL),
+            (self._held, OriginSource.RECORD),
+        ):
+            record = records.find(stream, now) if stream else None
+            if record is not None:
+                known = record.origin is not None
+                return FoundOrigin(record.origin, source) if known else NOT_FOUND
+        return None
+
+    def _ask(self, peer: str, question: AskStreamOrigin, search: OriginSearch) -> None:
+        pending = self._network.request(DaemonName(peer), question, ASK_SECONDS)
+
+        def on_reply(reply: Reply) -> None:
+            if isinstance(reply, Ok) and isinstance(reply.ok_value, StreamOriginSeen):
+                search.answered(reply.ok_value)
+            else:
+                search.unanswered()
+
+        pending.addCallback(on_reply)
+
+    # Streams of peers
+
+    def _on_notice(self, sender: Member, message: Message) -> None:
+        if not isinstance(message, StreamsBegan):
+            return
+        now = self._clock.seconds()
+        for begun in message.streams:
+            self._held.add(begun.stream, begun.origin, begun.keep_seconds, now)
+
+    async def _reply(self, sender: Member, message: Message) -> Message:
+        assert isinstance(message, AskStreamOrigin)
+        now = self._clock.seconds()
+        known = self._find_here(message.stream, now)
+        only = self._only_version(message.service, message.route, now)
+        if known is not None:
+            return StreamOriginSeen(known.origin, is_ambiguous=known.origin is None)
+        return StreamOriginSeen(only_version=only)
--- /dev/null
+++ b/notcharch/stream_origins/records.py
@@ -0,0 +1,79 @@
+"""Origins of streams in memory, each for a limited time. Pure."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from notcharch.scheduling.stream_origin import StreamOrigin
+
+MAX_RECORDS = 50_000
+"""Bounds the memory to some 15 MB; a daemon holds the streams of some seconds."""
+MAX_KEEP_SECONDS = 600.0
+"""Upper bound of the time that a peer or a caller can ask for."""
+
+
+class OriginRecord(msgspec.Struct):
+    """What is known of one stream."""
+
+    origin: StreamOrigin | None
+    """None if two streams of the same id began with different origins."""
+    expires: float
+    """Clock seconds."""
+    route: str = ""
+    """The route with its services when it began; see `StreamName`."""
+    is_shared: bool = False
+    """Whether peers were told of it."""
+
+
+class OriginRecords:
+    """The origins of streams by id."""
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self._records: dict[str, OriginRecord] = {}
+
+    def __len__(self) -> int:
+        """Return the number of records, including expired ones until the next purge."""
+        return len(self._records)
+
+    def add(
+        self,
+        stream: str,
+        origin: StreamOrigin,
+        keep_seconds: float,
+        now: float,
+        *,
+        route: str = "",
+    ) -> OriginRecord:
+        """Add a stream; one of the same id but of another origin makes both unknown.
+
+        Callers choose the ids, so two streams may have the same one.
+        """
+        expires = now + min(keep_seconds, MAX_KEEP_SECONDS)
+        record = self._records.pop(stream, None)
+        if record is None or record.expires <= now:
+            record = OriginRecord(origin, expires, route)
+        elif record.origin != origin:
+            record.origin = None
+        record.expires = max(record.expires, expires)
+        self._records[stream] = record
+        if len(self._records) > MAX_RECORDS:
+            del self._records[next(iter(self._records))]
+        return record
+
+    def find(self, stream: str, now: float) -> OriginRecord | None:
+        """Return the record of a stream, if there is one."""
+        record = self._records.get(stream)
+        return record if record is not None and record.expires > now else None
+
+    def purge(self, now: float) -> None:
+        """Remove expired records."""
+        expired = [id for id, record in self._records.items() if record.expires <= now]
+        for id in expired:
+            del self._records[id]
+
+    def live(self, now: float) -> Iterator[tuple[str, OriginRecord]]:
+        """Iterate over the records that have not expired."""
+        return (
+            (id, record) for id, record in self._records.items() if record.expires > now
+        )
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -322,7 +322,11 @@
 
 def test_the_versions_of_a_stream_that_was_sent_on_are_told():
     told = cause(
-        line(0.1, "d1", StreamTakenUp("r", "p", "s", "r0", "4")),
+        line(
+            0.1,
+            "d1",
+            StreamTakenUp("r", "p", "r0", "4", "s", "v1", "record of a peer", 0.01),
+        ),
         line(0.2, "d1", StreamBegan("r", "p", "s", "e1", "v1", "r0")),
         line(0.3, "d1", CallSentAgain("r", "p", "e1", "reset", 1, 6, 2.0, "v1")),
         line(
@@ -332,6 +336,7 @@
         ),
     )
     assert "resumed the stream that began as r0 after event 4" in told.cause
+    assert "begun at version v1 (record of a peer)" in told.cause
     assert "first event came from version v1 (e1)" in told.cause
     assert "sent on after 6 events from version v1 (e1: reset)" in told.cause
     assert told.cause.endswith("it ended at version v2")
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -20,7 +20,7 @@
     ("clients",),
     ("accounts",),
     ("journal",),
-    ("engine_load",),
+    ("engine_load", "stream_origins"),
     ("calls",),
     ("tenants",),
     ("scheduling",),
