Teach the soak software versions, streams that are taken up, and kept connections

Engines have versions and say when they started; some return at the other version, some restart under their id before their entry says so. Callers lose connections after the first events and take the stream up at any daemon, often on a connection kept from another request. The oracle reads the version from every event that callers got: events of two in one stream, over all its attempts, break ORDER.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -4,12 +4,14 @@
 from random import Random
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
 
 from deploy.soak.daemons import SoakDaemon
+from deploy.soak.kept_connections import KeptConnections
 from deploy.soak.oracle import OK, Asked, Oracle
 from deploy.soak.settings import (
     BUDGET_TOKENS,
@@ -35,6 +37,8 @@
 SLOW_READER_SHARE = 0.1
 """Share of the answers that their caller stops reading for a moment."""
 SLOW_READER_SECONDS = 0.5
+LOST_CONNECTION_SHARE = 0.2
+"""Share of the streams whose connection is lost at the caller's side."""
 REQUEST_ID = b"x-notcharch-request-id"
 COMING_BACK = (429, 503)
 GIVEN_UP = (400, 401, 402, 404)
@@ -49,6 +53,8 @@
         self._asked = asked
         self._framer = EventFramer()
         self.retry_after = RETRY_SECONDS
+        self.lose_connection: Callable[[], None] | None = None
+        """Called after the first events, if the connection is to be lost then."""
         self.done: Deferred[None] = Deferred()
 
     def is_response(self, head: ResponseHead) -> bool:
@@ -71,6 +77,8 @@
         whole = self._framer.feed(data)
         for line in data_lines(whole).splitlines():
             self._asked.events.append(line)
+        if self._asked.events and self.lose_connection is not None:
+            self.lose_connection()
 
     def completed(self) -> None:
         """Note that the answer is whole."""
@@ -110,6 +118,7 @@
         self._oracle = oracle
         self._ready = ready
         self._tenants = tenants
+        self._kept = KeptConnections(reactor, random)
         self._numbers = 0
         self.is_running = True
         self.under_way = 0
@@ -182,8 +191,43 @@
                 return asked
             if asked.status in GIVEN_UP:
                 return None
+            if asked.events and not is_kept:
+                whole: bool = yield self._take_up(asked, headers)
+                if whole:
+                    return asked
         return None
 
+    @inlineCallbacks
+    def _take_up(
+        self, first: Asked, headers: Headers
+    ) -> Generator["Deferred[Any]", Any, bool]:
+        """Go on with a stream that broke, at any daemon; give whether it became whole."""
+        last = len(first.events) - 1
+        for _ in range(TRIES):
+            asked = msgspec.structs.replace(
+                first,
+                id=f"u{self._new_number()}",
+                first_attempt=first.id,
+                after_event=last,
+                events=[],
+                status=0,
+                is_connected=False,
+                is_on_kept_connection=False,
+                answered_id="",
+                ended_at=0.0,
+            )
+            resumes = [
+                (b"Resumes", first.id.encode()),
+                (b"Last-Event-Id", str(last).encode()),
+            ]
+            yield self._send(asked, first.expected_body, [*headers, *resumes])
+            last += len(asked.events)
+            if asked.is_whole and asked.status == OK:
+                return True
+            if asked.status in GIVEN_UP:
+                return False
+        return False
+
     @inlineCallbacks
     def _tool(
         self, tenant: SoakTenant, program: str
@@ -212,25 +256,26 @@
     ) -> Generator["Deferred[Any]", Any, None]:
         if not self.is_running:
             return  # who was told to come back later finds that the soak is over
+        kept = self._kept.take()
         daemon = self._random.choice(self._ready())
-        asked.daemon = daemon.name
+        asked.daemon = daemon.name if kept is None else kept.daemon
+        asked.is_on_kept_connection = kept is not None
         tenant = self._tenants.named(asked.tenant)
         assert tenant is not None
         asked.key = self._tenants.key(tenant, self._reactor.seconds())
         asked.at = self._reactor.seconds()
         self._oracle.asked[asked.id] = asked
         answer = Answer(self._reactor, asked)
-        factory = Factory.forProtocol(ClientConnection)
-        factory.noisy = False
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, HOST, daemon.front, CONNECT_SECONDS
-        )
-        try:
-            connection: ClientConnection = yield endpoint.connect(factory)
-        except Exception:
-            asked.ended_at = self._reactor.seconds()
-            yield self._wait(RETRY_SECONDS)
-            return
+        connection: ClientConnection
+        if kept is not None:
+            connection = kept.connection
+        else:
+            try:
+                connection = yield self._connect(daemon)
+            except Exception:
+                asked.ended_at = self._reactor.seconds()
+                yield self._wait(RETRY_SECONDS)
+                return
         asked.is_connected = True
         asked.sent_at = self._reactor.seconds()
         head = RequestHead(
@@ -247,6 +292,9 @@
             ],
         )
         timer = self._reactor.callLater(CALL_SECONDS + 0.5, answer.give_up, connection)
+        is_first = asked.path.startswith(PLAIN_PATH) and not asked.first_attempt
+        if is_first and self._random.random() < LOST_CONNECTION_SHARE:
+            answer.lose_connection = lambda: answer.give_up(connection)
         connection.send(head, body, answer)
         if self._random.random() < SLOW_READER_SHARE:
             connection.pause_reading()
@@ -254,10 +302,22 @@
         yield answer.done
         if timer.active():
             timer.cancel()
-        connection.close()
+        if asked.is_whole:
+            self._kept.keep(asked.daemon, connection)
+        else:
+            connection.close()
         if asked.status in COMING_BACK:
             yield self._wait(answer.retry_after)
 
+    def _connect(self, daemon: SoakDaemon) -> Any:
+        """Give a Deferred of a new connection."""
+        factory = Factory.forProtocol(ClientConnection)
+        factory.noisy = False
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, HOST, daemon.front, CONNECT_SECONDS
+        )
+        return endpoint.connect(factory)
+
     def _new_number(self) -> int:
         self._numbers += 1
         return self._numbers
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -44,6 +44,10 @@
     calm_served: int
     calm_requests: int
     own_ends: int
+    resumed: int
+    """Streams that callers took up again."""
+    went_on: int
+    """Those of them that brought an event."""
     violations: list[Violation]
 
     @property
@@ -160,6 +164,7 @@
         """Check all observations."""
         served, asked = self.oracle.served_since(self._calm_at)
         all_served, _ = self.oracle.served_since(0.0)
+        went_on, resumed = self.oracle.resumed()
         return SoakReport(
             seed=self._seed,
             requests=len(self.oracle.asked),
@@ -169,6 +174,8 @@
             calm_served=served,
             calm_requests=asked,
             own_ends=sum(daemon.own_ends for daemon in self._daemons),
+            resumed=resumed,
+            went_on=went_on,
             violations=self.oracle.violations() + self._in_contact(),
         )
 
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -1,6 +1,7 @@
 """Engines in this process: each counts its runs for the oracle and obeys its faults."""
 
 import enum
+import time
 from random import Random
 from typing import Any
 
@@ -9,7 +10,7 @@
 
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Run, answer_of, event_of
-from deploy.soak.settings import HOST, MODELS, MOST_EVENTS, PLAIN_PATH
+from deploy.soak.settings import HOST, MODELS, MOST_EVENTS, PLAIN_PATH, VERSIONS
 from deploy.soak.store_server import StoreServer
 from deploy.soak.zones import COLD_SECONDS, ZONES
 from notcharch.http.messages import Headers
@@ -58,6 +59,15 @@
     state: str
     cold_remaining_ms: int
     call_sequence: int
+    version: str
+    born: int
+    """Unix milliseconds of its start."""
+
+
+class EngineReport(msgspec.Struct, frozen=True):
+    """What an engine says of itself when it is asked."""
+
+    born: int
 
 
 class SoakEngine:
@@ -87,6 +97,9 @@
         self._cold_until = 0.0
         self._is_leaving = False
         self._is_down = False
+        self.version = VERSIONS[0]
+        self._born = 0
+        self._begin_process()
         self._open: set[Running] = set()
         factory = ServerFactory(self, reactor)
         self._listening: IListeningPort = reactor.listenTCP(0, factory, interface=HOST)
@@ -99,6 +112,10 @@
         """The id of the present incarnation."""
         return f"i-{self._service}-{self._number}-{self._incarnation}"
 
+    def _begin_process(self) -> None:
+        """Note the start of a process; no two of an engine share a millisecond."""
+        self._born = max(round(time.time() * 1000), self._born + 1)
+
     # The store's list
 
     def _heartbeat(self) -> None:
@@ -113,6 +130,8 @@
                 state,
                 self._cold_milliseconds(),
                 self._beats,
+                self.version,
+                self._born,
             )
             value = msgspec.json.encode(entry)
             self._store.write_key(SERVERS_TOPIC, self.id, value)
@@ -145,10 +164,28 @@
             running.cut()
         self.link.reset_all()
 
+    def change_version(self) -> None:
+        """Have the other software from the next start on."""
+        self.version = next(v for v in VERSIONS if v != self.version)
+
+    def restart_under_its_id(self) -> None:
+        """End everything that runs, and go on at once at the other version.
+
+        The entry still tells of the process before, until the next heartbeat.
+        """
+        if self._is_down or self._is_leaving:
+            return
+        for running in tuple(self._open):
+            running.cut()
+        self.link.reset_all()
+        self.change_version()
+        self._begin_process()
+
     def start_again(self) -> None:
         """Begin another incarnation."""
         if not (self._is_down or self._is_leaving):
             return
+        self._begin_process()
         self._store.write_key(SERVERS_TOPIC, self.id, b"")
         self._incarnation += 1
         self._is_down = self._is_leaving = False
@@ -176,6 +213,9 @@
         if self._is_down:
             exchange.abort()
             return
+        if head.target == b"/report":
+            exchange.respond(200, [], msgspec.json.encode(EngineReport(self._born)))
+            return
         if expected and expected != self.id:
             exchange.respond(421, [(b"X-Notcharch-Instance-Id", self.id.encode())])
             return
@@ -219,13 +259,12 @@
         delayed: IDelayedCall = self._reactor.callLater(seconds, call)
         return delayed
 
-    def length_of(self, request: str) -> int:
+    def length_of(self, stream: str) -> int:
         """Give how many events a stream has; each engine gives as many."""
-        length = self._oracle.lengths.get(request)
+        length = self._oracle.lengths.get(stream)
         if length is None:
-            length = self._oracle.lengths[request] = self._random.randint(
-                3, MOST_EVENTS
-            )
+            length = self._random.randint(3, MOST_EVENTS)
+            self._oracle.lengths[stream] = length
         return length
 
 
@@ -238,6 +277,8 @@
         self._exchange = exchange
         head = exchange.head
         self.request = (head.get(b"x-notcharch-request-id") or b"").decode()
+        self._stream = (head.get(b"resumes") or b"").decode() or self.request
+        """The attempt that brought the stream's first event."""
         self._path = head.target.decode()
         after = head.get(b"last-event-id")
         self._next = 0 if after is None else int(after) + 1
@@ -288,11 +329,11 @@
 
     def _event(self) -> None:
         engine = self._engine
-        if self._next >= engine.length_of(self.request):
+        if self._next >= engine.length_of(self._stream):
             engine.ended(self)
             self._exchange.finish()
             return
-        data = event_of(self.request, self._next)
+        data = event_of(self.request, self._next, engine.version)
         event = b"id: %d\ndata: %b\n\n" % (self._next, data)
         if engine.is_struck_by(EngineFault.BREAK_EVENTS):
             self._exchange.write(event[: len(event) // 2])
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -65,6 +65,7 @@
             self._stop_and_start,
             self._reload,
             self._replace_engine,
+            self._upgrade_engine,
             self._configure,
             self._exchange_key,
             self._drain_zone,
@@ -81,6 +82,7 @@
             self._break_engine_link,
             self._spoil_engine,
             self._crash_engine,
+            self._restart_engine_at_other_version,
         )
         is_planned = targets.is_planned_only
         self._kinds: tuple[Callable[[], str], ...] = (
@@ -222,6 +224,23 @@
         self._later(3.0, 4.0, engine.start_again)
         return f"{engine.id} leaves"
 
+    def _upgrade_engine(self) -> str:
+        """Replace an engine by one of the other version, at another id."""
+        engine = self._engine()
+        engine.leave()
+
+        def replace() -> None:
+            engine.change_version()
+            engine.start_again()
+
+        self._later(3.0, 4.0, replace)
+        return f"{engine.id} leaves, to return at another version than {engine.version}"
+
+    def _restart_engine_at_other_version(self) -> str:
+        engine = self._engine()
+        engine.restart_under_its_id()
+        return f"{engine.id} restarts at {engine.version}"
+
     def _configure(self) -> str:
         self._targets.publish()
         return "another version of the configuration"
--- a/deploy/soak/settings.py
+++ b/deploy/soak/settings.py
@@ -7,6 +7,8 @@
 MODELS = "models"
 TOOLS = "tools"
 TOKENS_PER_EVENT = 10
+VERSIONS = ("v1", "v2")
+"""Of the software of engines."""
 MOST_EVENTS = 12
 MOST_TOKENS = MOST_EVENTS * TOKENS_PER_EVENT
 BUDGET_TOKENS = 8 * MOST_TOKENS
--- a/tests/unit/soak/test_engine_faults.py
+++ b/tests/unit/soak/test_engine_faults.py
@@ -33,6 +33,18 @@
         self.is_aborted = True
 
 
+def test_an_engine_that_restarts_under_its_id_tells_another_start_and_version(
+    monkeypatch,
+):
+    world = World(EngineFault.NONE, monkeypatch)
+    engine = world.engine
+    id, version, born = engine.id, engine.version, engine._born
+    engine.restart_under_its_id()
+    assert engine.id == id
+    assert engine.version != version
+    assert engine._born > born
+
+
 class World:
     """An engine that suffers from its fault at each request."""
 
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -90,6 +90,71 @@
     assert "ORDER" in judged(asked, KEPT_RUN)
 
 
+def streams(*attempts) -> list[str]:
+    """Judge attempts of one stream, each by the versions of its events."""
+    oracle = Oracle()
+    after = -1
+    for number, versions in enumerate(attempts):
+        asked = turn(events=0, is_whole=False)
+        asked.id = f"r{number}"
+        asked.first_attempt, asked.after_event = ("r0" if number else ""), after
+        asked.events = [
+            event_of(asked.id, after + 1 + place, version)
+            for place, version in enumerate(versions)
+        ]
+        after += len(versions)
+        oracle.asked[asked.id] = asked
+    oracle.lengths["r0"] = after + 1
+    oracle.asked[asked.id].is_whole = True
+    return [violation.rule for violation in oracle.violations()]
+
+
+@pytest.mark.parametrize(
+    ("attempts", "rules"),
+    [
+        ((("v1", "v1"),), []),
+        ((("v1", "v1"), ("v1",)), []),
+        ((("v2",), (), ("v2",)), []),
+        ((("v1", "v2"),), ["ORDER"]),
+        ((("v1",), ("v2",)), ["ORDER"]),
+        ((("v1",), (), ("v2",)), ["ORDER"]),
+    ],
+)
+def test_a_stream_of_two_versions_is_seen_in_one_answer_and_over_attempts(
+    attempts, rules
+):
+    assert streams(*attempts) == rules
+
+
+@pytest.mark.parametrize(("after", "rules"), [(0, []), (1, ["ORDER"]), (-1, ["ORDER"])])
+def test_an_attempt_that_goes_on_elsewhere_than_after_the_last_event_is_seen(
+    after, rules
+):
+    asked = turn(events=0)
+    asked.first_attempt, asked.after_event = "q", after
+    asked.events = [event_of("r", 1), event_of("r", 2)]
+    oracle = Oracle()
+    oracle.asked["r"] = asked
+    oracle.lengths["q"] = 3
+    assert [violation.rule for violation in oracle.violations()] == rules
+
+
+@pytest.mark.parametrize(
+    ("is_kept", "runs", "cut"), [(True, 0, 0), (True, 1, 1), (False, 0, 1)]
+)
+def test_only_a_request_that_met_the_close_of_a_kept_connection_may_be_unread(
+    is_kept, runs, cut
+):
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.is_connected, asked.ended_at = True, 1.0
+    asked.is_on_kept_connection = is_kept
+    oracle.asked["r"] = asked
+    if runs:
+        oracle.runs["r"].append(run())
+    assert len(oracle.cut()) == cut
+
+
 @pytest.mark.parametrize(("extra", "rules"), [(0, []), (1, ["BUDGET"])])
 def test_a_budget_may_be_exceeded_by_one_turn_at_most(extra, rules):
     oracle = Oracle()
