Refuse to resume a stored turn in another attempt

Change: such an attempt is refused at once (503, not run); its caller begins the turn anew.

Result: the test failed on the code before and passes; unit tests of calls, accounts and stream_origins pass.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -16,6 +16,7 @@
     NO_ENGINE_OF_VERSION,
     ORIGIN_UNKNOWN,
     TIMED_OUT,
+    TURN_NOT_RESUMABLE,
     OpaqueCall,
     Refusal,
     Route,
@@ -136,7 +137,14 @@
         return StreamName(scoped, self._service, call.route_identity)
 
     def _find_origin(self) -> None:
-        """Request admission once the version that began the stream is known."""
+        """Request admission once the version that began the stream is known.
+
+        A turn that is stored can't go on: the events of the earlier attempt are not known
+        here, and it would be stored without them.
+        """
+        if self._route.stores_turns:
+            self._refuse(TURN_NOT_RESUMABLE)
+            return
         stream = self._stream(self.call.first_attempt)
         self._services.origins.find(stream, self._origin_found)
 
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -312,6 +312,7 @@
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
 NO_ENGINE = Refusal(503, "no engine can take it", 0.1)
 ORIGIN_UNKNOWN = Refusal(503, "the version that began the stream is not known", 0.2)
+TURN_NOT_RESUMABLE = Refusal(503, "a stored turn begins anew in each attempt", 0.1)
 NO_ENGINE_OF_VERSION = Refusal(
     503, "no engine of the version that began the stream", 0.2
 )
--- a/tests/unit/calls/test_stream_versions.py
+++ b/tests/unit/calls/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 from notcharch.calls.interface import (
     ORIGIN_UNKNOWN,
+    TURN_NOT_RESUMABLE,
     Engine,
     NoStreamOrigins,
     ServiceShare,
@@ -107,3 +108,11 @@
     world.sent[0].listener.failed(ResponseFailure.RESET)
     assert len(world.sent) == 1
     assert world.reply.end == "aborted"
+
+
+def test_a_stored_turn_is_not_resumed_by_an_attempt_that_lacks_its_first_events():
+    """The turn would be stored without the events that the earlier attempt brought."""
+    origins = KnownOrigin(SERVICE)
+    world = resumed_world(origins, stores_turns=True)
+    assert world.sent == []
+    assert world.reply.refusal == TURN_NOT_RESUMABLE
