--- a/tests/unit/stream_origins/world.py
+++ b/tests/unit/stream_origins/world.py
@@ -63,7 +63,6 @@
         )
         self.origins.start()
         self.pool.on_restart = self.origins.engine_restarted
-        self.sender = Sender()
         self.follows_store = True
         self.is_running = True
         self._read()
@@ -88,8 +87,7 @@
     def __init__(self, daemon: Daemon, id: str, after: int, first_attempt: str) -> None:
         self.reply = Reply()
         self.events = after
-        self._sender = daemon.sender
-        self._sent_before = len(daemon.sender.sent)
+        self._sender = Sender()
         call = OpaqueCall(
             id,
             RequestHead(b"POST", b"/x", []),
@@ -104,7 +102,7 @@
         services = CallServices(
             clock=daemon.clock,
             pool=daemon.pool,
-            sender=daemon.sender,
+            sender=self._sender,
             dialect=Dialect(),
             admission=OpenAdmission(),
             waits=RouteResponseTimes(OverduePolicy()),
@@ -114,7 +112,7 @@
 
     @property
     def sent(self):
-        return self._sender.sent[self._sent_before :]
+        return self._sender.sent
 
     @property
     def version(self) -> str:
