--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -170,9 +170,9 @@
             self._version = run.version
         if not self._route.is_resumable:
             return
-        self._log.stream_began(self._service)
         begin = StreamBegin(run.engine.id, self._version, run.is_confirmed)
-        self._services.origins.began(self._name, begin, self._seconds_left)
+        if self._services.origins.began(self._name, begin, self._seconds_left):
+            self._log.stream_began(self._service)
 
     @property
     def _is_version_known(self) -> bool:
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -84,7 +84,7 @@
         self.version = engine.version
 
     def stream_began(self, service: str) -> None:
-        """Log the first event that is relayed of a stream that may be resumed."""
+        """Log the first event of a stream whose version peers may need to know."""
         call = self._call
         emit(
             StreamBegan(
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -211,8 +211,8 @@
 
     def began(
         self, stream: StreamName, begin: StreamBegin, seconds_left: float
-    ) -> None:
-        """Record a stream whose first event is relayed.
+    ) -> bool:
+        """Record a stream whose first event is relayed; return whether peers are told.
 
         `seconds_left` is the time before the call's deadline.
         """
@@ -229,8 +229,9 @@
 
     def began(
         self, stream: StreamName, begin: StreamBegin, seconds_left: float
-    ) -> None:
+    ) -> bool:
         """Ignore the stream."""
+        return False
 
     def is_doubted(self, stream: StreamName) -> bool:
         """Doubt no stream."""
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -168,7 +168,7 @@
 
 
 class StreamBegan(Event, frozen=True):
-    """The first event of a stream that may be resumed was relayed."""
+    """The first event of a stream was relayed whose version peers may need to know."""
 
     number: ClassVar[int] = 2210
     is_routine: ClassVar[bool] = True
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -84,7 +84,7 @@
 
     def began(
         self, stream: StreamName, begin: StreamBegin, seconds_left: float
-    ) -> None:
+    ) -> bool:
         """Remember the origin of a stream; share it where it is not certain otherwise."""
         now = self._clock.seconds()
         is_known = bool(begin.version)
@@ -93,8 +93,10 @@
         record = self._own.add(stream.first_attempt, origin, keep_seconds, now)
         record.route, record.began_at = stream.route, now
         record.engine = "" if begin.is_confirmed else begin.engine
-        if self._needs_sharing(record, now):
+        is_needed = self._needs_sharing(record, now)
+        if is_needed:
             self._share([(stream.first_attempt, record)], now)
+        return is_needed
 
     def _needs_sharing(self, record: OriginRecord, now: float) -> bool:
         """Return whether another daemon may not know the origin without the record."""
