--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -8,15 +8,12 @@
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.engine_selection import Selection
-from notcharch.calls.engines import VersionRule
 from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
     NO_ENGINE_OF_VERSION,
-    ORIGIN_UNKNOWN,
     TIMED_OUT,
-    TURN_NOT_RESUMABLE,
     OpaqueCall,
     Refusal,
     Route,
@@ -25,11 +22,10 @@
 from notcharch.calls.refusals import refusal_without_engine
 from notcharch.calls.reply import Reply
 from notcharch.calls.routing import affinity_key_of
+from notcharch.calls.stream_version import StreamVersion
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
-from notcharch.scheduling.stream_origin import FoundOrigin, StreamBegin, StreamName
-from notcharch.tenants.scope import scoped_name
 
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
@@ -76,7 +72,6 @@
         self._services = services
         self.call = call
         self._route = route
-        self._service = service
         self._reply = reply
         self._phase = Phase.ADMISSION
         self._body = call.body
@@ -87,8 +82,6 @@
         self._tried: set[str] = set()
         self._status = 0
         """Status of the last complete response."""
-        self._version: str | None = None
-        """The software version that began the stream; None before its first event."""
         self._framer = EventFramer()
         self._is_relaying = False
         """True once the head of a stream was relayed to the caller."""
@@ -104,6 +97,7 @@
         self._output: list[bytes] = []
         """The relayed events, if the turn is to be stored."""
         self._log = CallLog(services.clock, call, route)
+        self._stream = StreamVersion(services.origins, call, route, service, self._log)
         wait = route.timeout_seconds
         if call.wait_seconds is not None:
             wait = min(wait, call.wait_seconds)
@@ -116,74 +110,23 @@
         self._timer = clock.callLater(seconds_left, self._expire)
         self._reply.on_disconnect(self._caller_disconnected)
         self._reply.watch_backlog(self._caller_backlog_changed)
-        if self._is_resumption:
-            self._find_origin()
+        if self._stream.is_resumption:
+            self._stream.find(self._origin_found)
         else:
             self._services.admission.request(self.call, self._route, self)
 
-    @property
-    def _is_resumption(self) -> bool:
-        """Whether the caller has events of the stream from an earlier attempt."""
-        call = self.call
-        has_events = call.last_event_id is not None or bool(call.first_attempt)
-        return self._route.is_stream and has_events
-
-    # Origin of the stream
-
-    def _stream(self, first_attempt: str) -> StreamName:
-        """Return the name under which the origin of the stream is recorded."""
-        call = self.call
-        scoped = scoped_name(call.tenant_name, first_attempt)
-        return StreamName(scoped, self._service, call.route_identity)
-
-    def _find_origin(self) -> None:
-        """Request admission once the version that began the stream is known.
-
-        A turn that is stored can't go on: the events of the earlier attempt are not known
-        here, and it would be stored without them.
-        """
-        if self._route.stores_turns:
-            self._refuse(TURN_NOT_RESUMABLE)
-            return
-        stream = self._stream(self.call.first_attempt)
-        self._services.origins.find(stream, self._origin_found)
-
-    def _origin_found(self, found: FoundOrigin) -> None:
+    def _origin_found(self, refusal: Refusal | None) -> None:
+        """Request admission, unless the stream can't go on or the call ended meanwhile."""
         if self._phase is Phase.OVER:
             return
-        self._log.stream_taken_up(found)
-        origin = found.origin
-        services = {share.service for share in self._route.shares}
-        if origin is None or origin.service not in services:
-            self._refuse(ORIGIN_UNKNOWN)
+        if refusal is not None:
+            self._refuse(refusal)
             return
-        self._service, self._version = origin.service, origin.version
         self._services.admission.request(self.call, self._route, self)
 
     @property
-    def _name(self) -> StreamName:
-        return self._stream(self.call.first_attempt or self.call.id)
-
-    def _stream_began(self, run: EngineRun) -> None:
-        """Keep the stream at the version of the engine that sent its first event."""
-        if self._version is None:
-            self._version = run.version
-        if not self._route.is_resumable:
-            return
-        begin = StreamBegin(run.engine.id, self._version, run.is_confirmed)
-        if self._services.origins.began(self._name, begin, self._seconds_left):
-            self._log.stream_began(self._service)
-
-    @property
-    def _is_version_known(self) -> bool:
-        """Whether an engine of the stream's version can be told, if it has begun."""
-        if self._version is None:
-            return True
-        return bool(self._version) and not self._services.origins.is_doubted(self._name)
-
-    @property
-    def _version_rule(self) -> VersionRule:
-        return VersionRule(self._version, self._route.is_resumable)
+    def _service(self) -> str:
+        return self._stream.service
 
     # Admission
 
@@ -255,7 +198,7 @@
             self.call.regions,
             loads=loads,
             prompt_tokens=self.call.prompt_tokens,
-            versions=self._version_rule,
+            versions=self._stream.rule,
         )
         if selection is None:
             self._end_without_engine()
@@ -309,7 +252,7 @@
             self._interrupt(self._cause)
         elif self._log.runs:
             self._refuse(MAY_HAVE_RUN)
-        elif self._version is not None and not self._tried:
+        elif self._stream.version is not None and not self._tried:
             self._refuse(NO_ENGINE_OF_VERSION)
         else:
             services = self._services
@@ -337,7 +280,7 @@
         if complete_events:
             self._relay_head()
             if not self._log.events and self._run is not None:
-                self._stream_began(self._run)
+                self._stream.began(self._run, self._seconds_left)
             self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
                 self._output.append(complete_events)
@@ -412,7 +355,7 @@
 
     def _retry_or_end(self, cause: str) -> None:
         self._pending_head = None
-        if not self._may_run_again() or not self._is_version_known:
+        if not self._may_run_again() or not self._stream.allows_another_run:
             self._cause = cause
             self._end_without_engine()
             return
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -132,7 +132,9 @@
         services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
         self._overdue.sent()
-        confirms = self._route.is_resumable and services.pool.must_confirm(self.engine)
+        confirms = self._route.is_resumable and services.pool.must_confirm(
+            self.engine.id
+        )
         self.is_confirmed = self.is_confirmed or confirms
         self._request = services.sender.send(
             self.engine,
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -12,6 +12,7 @@
 from notcharch.calls.interface import Engine, LoadExchange
 from notcharch.calls.metrics import COLD_ENGINES, COLD_SENDS
 from notcharch.calls.reported_calls import ReportedCalls
+from notcharch.calls.version_filter import ANY_VERSION, VersionFilter, VersionRule
 from notcharch.scheduling.engine_health import (
     EngineHealth,
     HealthPolicy,
@@ -58,23 +59,6 @@
     health: HealthPolicy = HealthPolicy()
 
 
-RESTART_DOUBT_SECONDS = 5.0
-"""An engine that started again has written its entry, and it was read, within this time:
-three heartbeats and the interval between two reads."""
-
-
-class VersionRule(msgspec.Struct, frozen=True):
-    """Which software versions may get a call."""
-
-    version: str | None = None
-    """The one that began the call's stream; None if it has not begun."""
-    begins_stream: bool = False
-    """The call may begin a stream that can be resumed elsewhere."""
-
-
-ANY_VERSION = VersionRule()
-
-
 class EnginePool:
     """The engines of all services, with this daemon's calls to each."""
 
@@ -97,6 +81,7 @@
         """
         self.eligibility = eligibility or EngineEligibility()
         self._versions = versions or SoftwareVersions()
+        self._version_filter = VersionFilter(self._versions)
         self._suspicions = suspicions or SharedSuspicions()
         self._policy = policy or PoolPolicy()
         self._clock = clock
@@ -360,20 +345,6 @@
             return False
         return self._suspicions.is_suspected(state.id, now)
 
-    def _of_versions(
-        self, service: str, rule: VersionRule, now: float
-    ) -> Sequence[EngineState]:
-        """Return the engines of a service whose software version may get a call."""
-        states: Sequence[EngineState] = self._by_service.get(service, [])
-        if rule.version is not None or rule.begins_stream:
-            states = [state for state in states if not state.has_stale_entry]
-        if rule.version is not None:
-            return [state for state in states if state.engine.version == rule.version]
-        settled = self._versions.settled(service, now) if rule.begins_stream else None
-        if settled is None:
-            return states
-        return [state for state in states if state.engine.version in settled]
-
     def _candidates(
         self,
         service: str,
@@ -382,7 +353,8 @@
         versions: VersionRule = ANY_VERSION,
     ) -> list[EngineState]:
         """Return the active engines; if half or more are not, also the last resorts."""
-        listed = self._of_versions(service, versions, now)
+        of_service = self._by_service.get(service, [])
+        listed = self._version_filter.allowed(service, of_service, versions, now)
         states = self.eligibility.allowed(listed, regions)
         active = [state for state in states if state.last_resort_since is None]
         if 2 * len(active) > len(states):
@@ -490,19 +462,11 @@
         if state is not None:
             state.has_stale_entry = True
 
-    def must_confirm(self, engine: Engine) -> bool:
-        """Return whether an engine must be asked when it started before a stream begins.
-
-        That is so where it may start again under its id, and its version matters: another
-        one may serve too, or the engine failed and may have started again with another.
-        """
-        if engine.started_ms is None:
-            return False
+    def must_confirm(self, engine_id: str) -> bool:
+        """Return whether an engine must be asked when it started before a stream begins."""
+        state = self._states.get(engine_id)
         now = self._clock.seconds()
-        state = self._states.get(engine.id)
-        failed_at = None if state is None else state.failed_at
-        has_failed = failed_at is not None and now - failed_at < RESTART_DOUBT_SECONDS
-        return has_failed or self._versions.needs_records(engine.service, now)
+        return state is not None and self._version_filter.must_confirm(state, now)
 
     def engine_full(self, engine_id: str) -> None:
         """Avoid an engine briefly that rejected a call at capacity."""
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -10,8 +10,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
-from notcharch.calls.engines import RESTART_DOUBT_SECONDS
 from notcharch.calls.interface import StreamOrigins
+from notcharch.calls.version_filter import RESTART_DOUBT_SECONDS
 from notcharch.errors import Problem
 from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.scheduling.stream_origin import (
--- a/tests/stateful/stream_origins/test_stream_machine.py
+++ b/tests/stateful/stream_origins/test_stream_machine.py
@@ -8,8 +8,9 @@
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from notcharch.calls.call_lifecycle import CallLifecycle
 from notcharch.calls.engines import EnginePool
+from notcharch.calls.stream_version import StreamVersion
+from notcharch.calls.version_filter import VersionFilter
 from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.scheduling.stream_origin import (
     FoundOrigin,
@@ -45,17 +46,12 @@
 
 def streams_go_on_at_any_version(monkeypatch):
     monkeypatch.setattr(
-        EnginePool,
-        "_of_versions",
-        lambda pool, service, _rule, _now: pool._by_service.get(service, []),
+        VersionFilter, "allowed", lambda _filter, _service, states, _rule, _now: states
     )
 
 
 def resumed_streams_are_not_searched_for(monkeypatch):
-    def find(self):
-        self._services.admission.request(self.call, self._route, self)
-
-    monkeypatch.setattr(CallLifecycle, "_find_origin", find)
+    monkeypatch.setattr(StreamVersion, "find", lambda _stream, then: then(None))
 
 
 def an_unknown_origin_is_guessed(monkeypatch):
--- a/tests/unit/stream_origins/test_restarted_engines.py
+++ b/tests/unit/stream_origins/test_restarted_engines.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from notcharch.calls.engines import RESTART_DOUBT_SECONDS
 from notcharch.calls.interface import ORIGIN_UNKNOWN
+from notcharch.calls.version_filter import RESTART_DOUBT_SECONDS
 from notcharch.scheduling.software_versions import SETTLING_SECONDS
 from tests.unit.stream_origins.test_resumed_streams import (
     ASKING_SECONDS,
@@ -36,11 +36,10 @@
     world = steady_world()
     daemon = world.daemon(0)
     daemon.pool.engine_failed("e1")
-    engine = world.engines["e1"]
-    assert daemon.pool.must_confirm(engine)
-    assert not daemon.pool.must_confirm(world.engines["e2"])
+    assert daemon.pool.must_confirm("e1")
+    assert not daemon.pool.must_confirm("e2")
     world.run(RESTART_DOUBT_SECONDS + 0.1)
-    assert not daemon.pool.must_confirm(engine)
+    assert not daemon.pool.must_confirm("e1")
 
 
 def test_engines_whose_starts_have_ids_of_their_own_are_never_asked():
