--- a/notcharch/platform/command.py
+++ b/notcharch/platform/command.py
@@ -63,6 +63,7 @@
     def install_signal_handlers() -> None:
         signal.signal(signal.SIGTERM, in_reactor(process.on_stop_signal))
         signal.signal(signal.SIGHUP, in_reactor(process.on_reload_signal))
+        process.on_reload_signal()
 
     reactor.callWhenRunning(process.start)
     reactor.callWhenRunning(install_signal_handlers)
