--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers: programs of turns and tool calls, which retry as clients do."""
 
 from collections.abc import Callable, Generator
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -89,6 +90,11 @@
         """Note that the answer broke off."""
         self._over()
 
+    def lose(self, connection: ClientConnection) -> None:
+        """Lose the connection at the caller's side."""
+        self._asked.lost_by_caller = True
+        self.give_up(connection)
+
     def give_up(self, connection: ClientConnection) -> None:
         """Leave: nothing came in time."""
         connection.abandon()
@@ -213,6 +219,7 @@
                 status=0,
                 is_connected=False,
                 is_on_kept_connection=False,
+                lost_by_caller=False,
                 answered_id="",
                 ended_at=0.0,
             )
@@ -294,7 +301,7 @@
         timer = self._reactor.callLater(CALL_SECONDS + 0.5, answer.give_up, connection)
         is_first = asked.path.startswith(PLAIN_PATH) and not asked.first_attempt
         if is_first and self._random.random() < LOST_CONNECTION_SHARE:
-            answer.lose_connection = lambda: answer.give_up(connection)
+            answer.lose_connection = partial(answer.lose, connection)
         connection.send(head, body, answer)
         if self._random.random() < SLOW_READER_SHARE:
             connection.pause_reading()
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -64,6 +64,9 @@
     is_on_kept_connection: bool = False
     """Whether it was sent on a connection that had served another request."""
 
+    lost_by_caller: bool = False
+    """Whether its connection was lost at the caller's side, after the first events."""
+
     @property
     def stream(self) -> str:
         """The first attempt of its stream."""
@@ -288,7 +291,7 @@
             Violation("LOST", asked.id, f"cut at {asked.daemon}")
             for asked in self.asked.values()
             if asked.is_connected and asked.ended_at and not asked.is_whole
-            if not self._crossed_a_close(asked)
+            if not asked.lost_by_caller and not self._crossed_a_close(asked)
         ]
 
     def _crossed_a_close(self, asked: Asked) -> bool:
@@ -301,6 +304,10 @@
 
     def served_since(self, at: float) -> tuple[int, int]:
         """Give how many requests were answered by engines, and asked, since a time."""
-        asked = [a for a in self.asked.values() if a.at >= at and a.ended_at]
+        asked = [
+            a
+            for a in self.asked.values()
+            if a.at >= at and a.ended_at and not a.lost_by_caller
+        ]
         served = [a for a in asked if a.is_whole and a.status in AS_IT_SHOULD_BE]
         return len(served), len(asked)
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -139,6 +139,15 @@
     assert [violation.rule for violation in oracle.violations()] == rules
 
 
+def test_a_connection_that_its_caller_lost_is_not_counted_as_cut():
+    oracle = Oracle()
+    asked = turn(events=1, is_whole=False)
+    asked.is_connected, asked.ended_at, asked.lost_by_caller = True, 1.0, True
+    oracle.asked["r"] = asked
+    assert oracle.cut() == []
+    assert oracle.served_since(0.0) == (0, 0)
+
+
 @pytest.mark.parametrize(
     ("is_kept", "runs", "cut"), [(True, 0, 0), (True, 1, 1), (False, 0, 1)]
 )
