--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format pages clean
+.PHONY: demo test soak check format pages clean
 
 $(STAMP): requirements/requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -18,6 +18,10 @@
 test: $(STAMP)
 	$(PYTHON) tools/run_tests.py
 
+# Run a short soak of real processes with faults, always with the same seed.
+soak: $(STAMP)
+	$(PYTHON) -m deploy.soak --seconds 20 --seed 1
+
 # Format, lint, types, layers and pages: everything of CI but the tests.
 check: $(STAMP)
 	$(VENV)/bin/ruff format --check .
