Give the soak's daemons ports that no outgoing connection can hold

Ports came from the range of the kernel's outgoing connections, so one of those could hold the port of a daemon that was down.

Change: ports below that range, drawn at random and tried.

--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import SystemRandom
 
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.settings import (
@@ -29,12 +30,23 @@
 MILLISECONDS = 1000
 
 
+LISTENED_PORTS = range(15_000, 32_000)
+"""Below the ports that the kernel gives to outgoing connections: one of those could hold
+the port of a daemon that is down, which could then not start again."""
+
+
 def free_ports(count: int) -> list[int]:
-    """Give ports that nobody listens at now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Give ports that nobody uses now."""
+    sockets: list[socket.socket] = []
     try:
-        for opened in sockets:
-            opened.bind((HOST, 0))
+        while len(sockets) < count:
+            opened = socket.socket()
+            try:
+                opened.bind((HOST, SystemRandom().choice(LISTENED_PORTS)))
+            except OSError:
+                opened.close()
+            else:
+                sockets.append(opened)
         return [opened.getsockname()[1] for opened in sockets]
     finally:
         for opened in sockets:
