Count a version that returns late as new, and tell peers that one id named two streams

Found by reading. A version that was not listed for longer than streams are resumed kept the time at which it was first seen, so streams began there at once, though other daemons may be certain of the version that served meanwhile. And when two streams of one id began at one daemon at two versions, its peers kept the first one's.

Result: both tests failed before and pass; tests of calls, stream_origins and the state machines pass.

--- a/notcharch/scheduling/software_versions.py
+++ b/notcharch/scheduling/software_versions.py
@@ -85,16 +85,20 @@
     def _see(self, service: str, version: str, now: float) -> None:
         versions = self._services.setdefault(service, {})
         times = versions.get(version)
-        if times is None:
+        if times is None or self._is_over(times, now):
             versions[version] = VersionTimes(now, now)
         else:
             times.is_listed = True
 
+    def _is_over(self, times: VersionTimes, now: float) -> bool:
+        """Return whether no stream that a version began can be resumed any more."""
+        is_old = now - times.last_seen > self.resumable_seconds
+        return not times.is_listed and is_old
+
     def _forget(self, versions: dict[str, VersionTimes], now: float) -> None:
         """Remove the versions that began no stream that can still be resumed."""
-        oldest = now - self.resumable_seconds
         for version, times in list(versions.items()):
-            if not times.is_listed and times.last_seen < oldest:
+            if self._is_over(times, now):
                 del versions[version]
 
     def confirmed(self, at: float, now: float) -> None:
@@ -151,11 +155,10 @@
 
     def _recent(self, service: str, now: float) -> list[str]:
         """Return the versions that may have begun a stream that can be resumed."""
-        oldest = now - self.resumable_seconds
         return [
             version
             for version, times in self._services.get(service, {}).items()
-            if times.is_listed or times.last_seen >= oldest
+            if not self._is_over(times, now)
         ]
 
     def settled(self, service: str, now: float) -> frozenset[str] | None:
--- a/notcharch/stream_origins/records.py
+++ b/notcharch/stream_origins/records.py
@@ -57,6 +57,7 @@
             record = OriginRecord(origin, expires)
         elif record.origin != origin:
             record.origin = None
+            record.is_shared = False
         record.expires = max(record.expires, expires)
         self._records[stream] = record
         if len(self._records) > MAX_RECORDS:
--- a/tests/unit/scheduling/test_software_versions.py
+++ b/tests/unit/scheduling/test_software_versions.py
@@ -138,3 +138,22 @@
         reader.now += late_seconds
         settled = beginner.versions.settled(SERVICE, beginner.now)
         assert not ("v2" in settled and reader.only == "v1")
+
+
+def test_a_version_that_returns_after_a_long_time_counts_as_new():
+    """Other daemons may be certain of the other version by then."""
+    reader = Reader("v1", "v2")
+    reader.list("v2")
+    reader.follow(MIN_RESUMABLE_SECONDS + STEP)
+    assert reader.only == "v2"
+    reader.list("v1", "v2")
+    assert reader.versions.settled(SERVICE, reader.now) == {"v2"}
+
+
+def test_a_version_that_was_missing_for_a_moment_is_not_new():
+    reader = Reader("v1", "v2")
+    reader.follow(SETTLING_SECONDS)
+    reader.list("v2")
+    reader.follow(MIN_RESUMABLE_SECONDS - STEP)
+    reader.list("v1", "v2")
+    assert reader.versions.settled(SERVICE, reader.now) == {"v1", "v2"}
--- a/tests/unit/stream_origins/test_resumed_streams.py
+++ b/tests/unit/stream_origins/test_resumed_streams.py
@@ -301,3 +301,18 @@
     assert any(len(daemon.origins._held) for daemon in world.daemons.values())
     world.run(3.0 + world.daemon(0).versions.resumable_seconds + 0.5)
     assert not any(len(daemon.origins._held) for daemon in world.daemons.values())
+
+
+def test_two_streams_of_one_id_at_one_daemon_are_not_taken_for_each_other():
+    world = mixed_world()
+    daemon = world.daemon(3)
+    for version in ("v1", "v2"):
+        stream = daemon.call("a")
+        while stream.version != version:
+            stream = daemon.call("a")
+        stream.send_events(2)
+        world.run(0.1)
+    world.kill(daemon)
+    resumed = world.daemon(0).call("b", 2, "a")
+    world.run(ASKING_SECONDS)
+    assert resumed.reply.refusal == ORIGIN_UNKNOWN
