Confirm an idle list of engines by one read before a stream is resumed

Found by a test of the tables with long polls: a poll that finds no change confirms only the time at which it was sent, up to two polls ago.

Records are needed only once two polls are late.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -41,7 +41,7 @@
 
 UNREACHABLE = "unreachable"
 DRAINED = "the engine was drained before the call was sent"
-RESTARTED = "the engine started again, and its entry is of before"
+RESTARTED = "the engine started again after its entry was written"
 NOT_RUN = "not run"
 NOT_GENUINE = "unauthenticated success response"
 SERVER_ERROR = "engine error"
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
@@ -66,9 +66,9 @@
         """Call `on_change` with all keys after each change.
 
         `on_snapshot` is called before a snapshot is read, which shows no key that came and
-        went since the last read. `on_confirmed` is called with a time, in clock seconds, at which the reported
-        keys were up to date. `immediate_share` returns the share of reads without long
-        polling, which confirm a more recent time than a delayed read.
+        went since the last read. `on_confirmed` is called with a time, in clock seconds, at
+        which the reported keys were up to date. `immediate_share` returns the share of reads
+        without long polling, which confirm a more recent time than a delayed read.
 
         `recovery` ends waits when the service is available again: a read that was
         delayed or lost in an outage is repeated immediately.
@@ -108,6 +108,23 @@
         self._offset = -1
         self._clock.callLater(MAX_RETRY_SECONDS, self.start)
 
+    @inlineCallbacks
+    def confirm(self) -> Generator["Deferred[Any]", Any, None]:
+        """Read once without long polling, and report if all keys are up to date.
+
+        A long poll confirms only the time at which it was sent, some seconds ago. Changes
+        are left to the poll in flight.
+        """
+        offset, requested_at = self._offset, self._clock.seconds()
+        if offset < 0 or not self._snapshot.is_complete:
+            return
+        response: Result[Records, LogProblem] = yield self._service.read(
+            self._topic, 0, offset, 0.0
+        )
+        is_current = isinstance(response, Ok) and response.ok_value.end <= offset
+        if is_current and self._offset == offset:
+            self._on_confirmed(requested_at)
+
     def stop(self) -> None:
         """Stop after the read in flight."""
         self._is_running = False
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -8,6 +8,7 @@
 
 import eliot
 from result import Err
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
@@ -163,6 +164,7 @@
             versions,
             members=known_daemons.members,
             route_age=lambda route: self._ingress.route_age(route, reactor.seconds()),
+            confirm_list=self._confirm_engines,
         )
         pool = EnginePool(
             reactor,
@@ -293,6 +295,9 @@
             engines=lambda: self._tables.engine_services,
         )
 
+    def _confirm_engines(self) -> "Deferred[None]":
+        return self._tables.confirm_engines()
+
     def _tenant(self, name: str) -> Tenant | None:
         return self._ingress.tenant(name)
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import msgspec
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.engine_sender import EngineSender
@@ -125,24 +126,22 @@
             on_confirmed=self._on_configuration_confirmed,
             immediate_share=self._immediate_read_share,
         )
-        self._followers = (
-            self._configuration,
-            KeyedFollower(
-                store,
-                clock,
-                random,
-                ENGINES_TOPIC,
-                timing=PollTiming(
-                    poll_seconds,
-                    ENGINES_READ_INTERVAL_SECONDS,
-                    ENGINES_PAGE_INTERVAL_SECONDS,
-                ),
-                on_change=self._on_engines_changed,
-                recovery=recovery,
-                on_confirmed=self._on_engines_confirmed,
-                on_snapshot=self._versions.restarted,
+        self._engines = KeyedFollower(
+            store,
+            clock,
+            random,
+            ENGINES_TOPIC,
+            timing=PollTiming(
+                poll_seconds,
+                ENGINES_READ_INTERVAL_SECONDS,
+                ENGINES_PAGE_INTERVAL_SECONDS,
             ),
+            on_change=self._on_engines_changed,
+            recovery=recovery,
+            on_confirmed=self._on_engines_confirmed,
+            on_snapshot=self._versions.restarted,
         )
+        self._followers = (self._configuration, self._engines)
 
     @property
     def are_loaded(self) -> bool:
@@ -189,6 +188,10 @@
     def _on_configuration_confirmed(self, at: float) -> None:
         self._freshness.confirm(self._read_version, at)
 
+    def confirm_engines(self) -> "Deferred[None]":
+        """Read whether the list of engines is up to date; fires when that is known."""
+        return self._engines.confirm()
+
     def _on_engines_confirmed(self, at: float) -> None:
         self._versions.confirmed(at, self._clock.seconds())
 
--- a/notcharch/scheduling/software_versions.py
+++ b/notcharch/scheduling/software_versions.py
@@ -38,7 +38,9 @@
 
     def __init__(self, poll_seconds: float = 0.0) -> None:
         """Start without engines; `poll_seconds` is the longest poll of the list."""
-        self._max_age_seconds = SETTLING_SECONDS + poll_seconds
+        self._max_age_seconds = SETTLING_SECONDS + 2 * poll_seconds
+        """Age of the list beyond which polls have failed: a poll confirms the time at
+        which it was sent, until the next one returns."""
         self.resumable_seconds = MIN_RESUMABLE_SECONDS
         """How long after its begin a stream may be resumed."""
         self._services: dict[str, dict[str, VersionTimes]] = {}
@@ -121,6 +123,13 @@
         """Return the version that began every stream of a service; empty if not certain."""
         return self._only_version(service, now, SETTLING_SECONDS)
 
+    def may_be_certain(self, service: str, now: float) -> bool:
+        """Return whether a service has one version for all that polls have shown.
+
+        It is certain once the list is confirmed.
+        """
+        return bool(self._only_version(service, now, self._max_age_seconds))
+
     def age_seconds(self, now: float) -> float:
         """Return how long ago the list was up to date; 0 if it never was."""
         return 0.0 if self._confirmed_at is None else now - self._confirmed_at
@@ -141,7 +150,7 @@
 
         That is so while some daemon may not be certain of the service's only version.
         """
-        return not self._only_version(service, now, self._max_age_seconds)
+        return not self.may_be_certain(service, now)
 
     def _only_version(self, service: str, now: float, max_age: float) -> str:
         followed, confirmed = self._followed_since, self._confirmed_at
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from result import Ok, Result
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
@@ -23,6 +24,7 @@
     StreamOrigin,
 )
 from notcharch.stream_origins.holders import ASKED, HOLDERS, HolderRing
+from notcharch.stream_origins.list_confirmation import ListConfirmation
 from notcharch.stream_origins.messages import (
     AskStreamOrigin,
     BegunStream,
@@ -37,7 +39,10 @@
 from notcharch.wire.peers import PeerNetwork
 
 ASK_SECONDS = 0.15
-"""Longest search: two round trips between regions, and far less than a caller waits."""
+"""How long peers are waited for: two round trips between regions, and far less than a
+caller waits."""
+CONFIRM_SECONDS = 0.1
+"""How long the store is waited for, to confirm the list of engines; 4 ms are usual."""
 TICK_INTERVAL_SECONDS = 0.25
 """A new version begins streams later than this, so those before it are recorded first."""
 
@@ -55,16 +60,19 @@
         *,
         members: Callable[[], Sequence[str]],
         route_age: Callable[[str], float],
+        confirm_list: Callable[[], "Deferred[None]"],
     ) -> None:
         """Register the handlers; `members` returns the daemons that may be holders.
 
-        `route_age` returns for how many seconds a route has had its services.
+        `route_age` returns for how many seconds a route has had its services;
+        `confirm_list` asks the store whether the list of engines is up to date.
         """
         self._clock = clock
         self._network = network
         self._versions = versions
         self._members = members
         self._route_age = route_age
+        self._list = ListConfirmation(clock, confirm_list, CONFIRM_SECONDS)
         self._local = str(network.own_member.daemon)
         self._ring = HolderRing(())
         self._own = OriginRecords()
@@ -167,7 +175,10 @@
     # Streams that are resumed
 
     def find(self, stream: StreamName, then: Callable[[FoundOrigin], None]) -> None:
-        """Find the origin of a stream; `then` is called once, within `ASK_SECONDS`."""
+        """Find the origin of a stream; `then` is called once.
+
+        It takes `CONFIRM_SECONDS` and `ASK_SECONDS` at most.
+        """
         began = self._clock.seconds()
 
         def found(result: FoundOrigin) -> None:
@@ -178,14 +189,28 @@
         known = self._find_here(stream.first_attempt, began)
         if known is not None:
             found(known)
-            return
-        service, certain = stream.service, NOT_FOUND
-        version = self._only_version(service, stream.route, began)
+        elif self._needs_confirmation(stream.service, stream.route, began):
+            self._list.confirm().addCallback(lambda _: self._search(stream, found))
+        else:
+            self._search(stream, found)
+
+    def _needs_confirmation(self, service: str, route: str, now: float) -> bool:
+        """Return whether an only version is certain once the list is confirmed."""
+        if not self._is_route_stable(route) or self._versions.only_version(
+            service, now
+        ):
+            return False
+        return self._versions.may_be_certain(service, now)
+
+    def _search(self, stream: StreamName, found: Callable[[FoundOrigin], None]) -> None:
+        """Go by the only version if it is certain; otherwise ask peers."""
+        service, certain, now = stream.service, NOT_FOUND, self._clock.seconds()
+        version = self._only_version(service, stream.route, now)
         if version:
             origin = StreamOrigin(service, version)
             certain = FoundOrigin(origin, OriginSource.ONLY_VERSION)
         asked = []
-        if not version or self._versions.may_have_doubts(service, began):
+        if not version or self._versions.may_have_doubts(service, now):
             ring = self._current_ring()
             asked = ring.after(stream.first_attempt, ASKED, self._local)
         question = AskStreamOrigin(stream.first_attempt, service, stream.route)
@@ -234,7 +259,10 @@
         assert isinstance(message, AskStreamOrigin)
         now = self._clock.seconds()
         known = self._find_here(message.stream, now)
-        only = self._only_version(message.service, message.route, now)
         if known is not None:
             return StreamOriginSeen(known.origin, is_ambiguous=known.origin is None)
+        if self._needs_confirmation(message.service, message.route, now):
+            await self._list.confirm()
+            now = self._clock.seconds()
+        only = self._only_version(message.service, message.route, now)
         return StreamOriginSeen(only_version=only)
