--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -252,3 +252,52 @@
     world.put("a", b"1")
     world.run(3.0)
     assert len(confirmations) == count
+
+
+def test_one_read_without_waiting_confirms_now():
+    confirmations: list[float] = []
+    world = Following(on_confirmed=confirmations.append)
+    world.follower.start()
+    world.run(0.5)
+    confirmations.clear()
+    asked_at = world.clock.seconds()
+    world.follower.confirm()
+    world.run(0.1)
+    assert confirmations == [asked_at]
+
+
+@pytest.mark.parametrize("state", ["changed", "unavailable", "not read yet"])
+def test_one_read_confirms_nothing_that_is_not_known(state):
+    confirmations: list[float] = []
+    world = Following(on_confirmed=confirmations.append)
+    if state != "not read yet":
+        world.follower.start()
+        world.run(0.5)
+    confirmations.clear()
+    if state == "unavailable":
+        world.log.trouble = Trouble.REFUSE
+    if state == "changed":
+        world.log.put(TOPIC, 0, join_keyed("a", b"1"))
+    asked_at = world.clock.seconds()
+    world.follower.confirm()
+    world.run(0.05)
+    assert asked_at not in confirmations
+
+
+def test_a_snapshot_that_is_read_anew_is_reported():
+    snapshots: list[float] = []
+    world = Following(on_snapshot=lambda: snapshots.append(world.clock.seconds()))
+    world.put("a", b"1")
+    world.follower.start()
+    world.run(0.5)
+    assert len(snapshots) == 1
+    world.put("a", b"2")
+    world.run(0.5)
+    assert len(snapshots) == 1
+    world.log.trouble = Trouble.REFUSE
+    world.run(0.5)
+    world.log.put(TOPIC, 0, join_keyed("a", b"3"))
+    world.log.partition(TOPIC, 0).drop_before(3)
+    world.log.trouble = Trouble.NONE
+    world.run(3.0)
+    assert len(snapshots) == 2
--- a/tests/unit/platform/test_process.py
+++ b/tests/unit/platform/test_process.py
@@ -9,6 +9,7 @@
 from notcharch.platform.process import Process
 from notcharch.platform.settings import read_settings
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
+from notcharch.stream_origins.messages import AskStreamOrigin
 from tests.unit.platform.test_settings import TEXT
 
 
@@ -21,3 +22,12 @@
     kind = EngineLoadExchange if is_on else NoLoadExchange
     assert isinstance(process._loads, kind)
     assert (AskEngineLoads in process._network._handlers._requests) == is_on
+
+
+def test_origins_of_streams_are_held_for_peers_and_restarts_are_reported_to_them():
+    settings = read_settings(TEXT).ok_value
+    process = Process(settings, MemoryReactorClock(), None, ALL_MECHANISMS)
+    origins, services = process._origins, process._ingress._services
+    assert AskStreamOrigin in process._network._handlers._requests
+    assert services.origins is origins
+    assert services.pool.on_restart == origins.engine_restarted
