--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -101,6 +101,8 @@
     budget_tokens: int | None = None
     """Token budget of all calls of the program."""
     tokens_per_event: int = 1
+    tokens_by_service: dict[str, int] = {}
+    """Tokens of an event by each service of its route, if there are several."""
     previous_turn: str = ""
     last_event_id: bytes | None = None
     first_attempt: str = ""
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -71,6 +71,11 @@
             known.append(priority)
             known.sort()
 
+    def tokens_per_event(self, service: str) -> int:
+        """Return the tokens in each event of a service's streams."""
+        known = self.table.services.get(service)
+        return 1 if known is None else known.tokens_per_event
+
     def priority_rank(self, route: Route, service: str) -> PriorityRank:
         """Return the rank of a route's priority among the routes of a service."""
         known = self._priorities.get(service, [route.priority])
--- a/notcharch/calls/stream_version.py
+++ b/notcharch/calls/stream_version.py
@@ -68,6 +68,10 @@
         if origin is None or origin.service not in services:
             return ORIGIN_UNKNOWN
         self.service, self.version = origin.service, origin.version
+        call = self._call
+        call.tokens_per_event = call.tokens_by_service.get(
+            origin.service, call.tokens_per_event
+        )
         return None
 
     def _name(self, first_attempt: str) -> StreamName:
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -155,7 +155,10 @@
         service = service_of(route, call)
         call.priority = router.priority_rank(route, service)
         call.route_identity = stable_identity(route, call)
-        service_settings = router.table.services.get(service)
-        if service_settings is not None:
-            call.tokens_per_event = service_settings.tokens_per_event
+        call.tokens_per_event = router.tokens_per_event(service)
+        if len(route.shares) > 1:
+            call.tokens_by_service = {
+                share.service: router.tokens_per_event(share.service)
+                for share in route.shares
+            }
         CallLifecycle(self._services, call, route, service, reply).start()
--- a/tests/unit/calls/test_stream_versions.py
+++ b/tests/unit/calls/test_stream_versions.py
@@ -65,8 +65,10 @@
     world.pool.replace(
         [state.engine for state in world.pool._states.values()] + [other]
     )
+    world.call.tokens_by_service = {SERVICE: 10, "other": 25}
     origins.answer()
     assert [sent.engine.id for sent in world.sent] == ["x"]
+    assert world.call.tokens_per_event == 25
 
 
 def test_a_stream_of_a_service_that_its_route_has_lost_goes_on_nowhere():
