Explain why a resumed stream was refused

Cause: a refusal before the admission was told as "not admitted within 0.2 s", also where the version that began the stream is not known. Now its reason is told, with the attempt that began the stream. The test failed before; tests of explain pass.

--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -318,9 +318,13 @@
                 f"{needs}; the caller was told to retry after "
                 f"{line.text('retry_after_seconds')} s"
             )
+    resumed = [line for line in own if line.number == StreamTakenUp.number]
+    if any(not line.text("version") for line in resumed):
+        return f"{end.text('reason')}{_versions(own)}{_troubles(context)}"
     asked = [line for line in own if line.number == OwnerUnanswered.number]
     if not asked:
-        return f"not admitted within {end.text('seconds')} s{_troubles(context)}"
+        reason, seconds = end.text("reason"), end.text("seconds")
+        return f"not admitted within {seconds} s: {reason}{_troubles(context)}"
     line = asked[0]
     owner = line.text("owner").partition("|")[0] or "nobody known"
     return (
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -340,3 +340,13 @@
     assert "first event came from version v1 (e1)" in told.cause
     assert "sent on after 6 events from version v1 (e1: reset)" in told.cause
     assert told.cause.endswith("it ended at version v2")
+
+
+def test_a_stream_of_unknown_version_is_told_with_the_attempt_that_began_it():
+    reason = "the version that began the stream is not known"
+    told = cause(
+        line(0.1, "d1", StreamTakenUp("r", "p", "r0", "4", "", "", "unknown", 0.2)),
+        line(0.2, "d1", refused(reason=reason)),
+    )
+    assert told.cause.startswith(reason)
+    assert "began as r0 after event 4, begun at version unknown" in told.cause
