Let the tables confirm the versions of their pool, not a second object passed beside it

Tables and pool were each given the versions, and each made its own where none was passed, so one could have confirmed a list that the other never saw. No behaviour change in a daemon, which passed the same one to both. Two stand-ins of the pool in tests have versions now; no assertion is changed.

--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -80,8 +80,8 @@
         with the listed software versions.
         """
         self.eligibility = eligibility or EngineEligibility()
-        self._versions = versions or SoftwareVersions()
-        self._version_filter = VersionFilter(self._versions)
+        self.versions = versions or SoftwareVersions()
+        self._version_filter = VersionFilter(self.versions)
         self._suspicions = suspicions or SharedSuspicions()
         self._policy = policy or PoolPolicy()
         self._clock = clock
@@ -120,7 +120,7 @@
         now = self._clock.seconds()
         is_first_list = not self._states
         listed = {engine.id: engine for engine in engines}
-        self._versions.list_changed(
+        self.versions.list_changed(
             ((engine.service, engine.version) for engine in listed.values()),
             now,
             restartable=frozenset(
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -211,7 +211,6 @@
             contact_seconds=settings.contact_seconds,
             recovery=recovery,
             freshness=self._freshness,
-            versions=versions,
             revoke_seconds=settings.revoke_seconds,
             daemons=lambda: len(self._accounts.directory.peers()),
             use_regions=self._accounts.use_regions,
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -23,7 +23,6 @@
 )
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.store import REQUEST_TIMEOUT_SECONDS, PlatformStore
-from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.freshness_reads import (
@@ -79,15 +78,13 @@
         contact_seconds: float,
         recovery: RecoverySignal,
         freshness: TableFreshness,
-        versions: SoftwareVersions | None = None,
         revoke_seconds: float | None = None,
         daemons: Callable[[], int] = lambda: 1,
         use_regions: Callable[[frozenset[str]], None] = lambda _: None,
     ) -> None:
         """Start without a table and engines.
 
-        `recovery` signals when the store is available again; `versions` is told when the
-        list of engines is confirmed to be up to date; `freshness` is updated when
+        `recovery` signals when the store is available again; `freshness` is updated when
         the table is confirmed to be the newest; `daemons` returns the known number of
         daemons; `use_regions` is called with the regions to which a table restricts data.
         """
@@ -98,7 +95,6 @@
         )
         """Maximum age of the freshness confirmation while all reads of the table succeed."""
         self._freshness = freshness
-        self._versions = versions or SoftwareVersions()
         self._daemons = daemons
         self._use_regions = use_regions
         self._table_seconds = table_seconds
@@ -139,7 +135,7 @@
             on_change=self._on_engines_changed,
             recovery=recovery,
             on_confirmed=self._on_engines_confirmed,
-            on_snapshot=self._versions.restarted,
+            on_snapshot=pool.versions.restarted,
         )
         self._followers = (self._configuration, self._engines)
 
@@ -193,7 +189,7 @@
         return self._engines.confirm()
 
     def _on_engines_confirmed(self, at: float) -> None:
-        self._versions.confirmed(at, self._clock.seconds())
+        self._pool.versions.confirmed(at, self._clock.seconds())
 
     def apply_table(self, value: bytes) -> int:
         """Apply a table if it is newer; return its version, or -1 if it is invalid."""
@@ -208,7 +204,7 @@
             if table.keys is not None and current is not None and current.table.keys:
                 table.keys.inherit_removed(current.table.keys)
             self._ingress.router = Router(table, current, self._clock.seconds())
-            self._versions.set_resumable_seconds(table.longest_resumable_seconds())
+            self._pool.versions.set_resumable_seconds(table.longest_resumable_seconds())
             self.raw_table = value
             self._freshness.put_in_force(table.version)
             self._pool.eligibility.set_cold_limits(
--- a/tests/stateful/tenants/revocation_world.py
+++ b/tests/stateful/tenants/revocation_world.py
@@ -18,6 +18,7 @@
     CONFIGURATION_TOPIC,
     PlatformTables,
 )
+from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.freshness_exchange import TableFreshnessExchange
 from notcharch.tenants.identity import identify
@@ -42,6 +43,7 @@
 
     def __init__(self) -> None:
         self.eligibility = EngineEligibility()
+        self.versions = SoftwareVersions()
 
     def drain_zones(self, newer):
         return self.eligibility.update_drains(newer, (), 0.0)
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -15,6 +15,7 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.tables import PlatformTables
+from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.tenants.freshness import TableFreshness
 from tests.unit.accounts.world import World as AccountsWorld
 from tests.unit.calls.world import World as CallWorld
@@ -72,6 +73,7 @@
         self.listed = []
         self.forgotten = []
         self.eligibility = EngineEligibility()
+        self.versions = SoftwareVersions()
 
     def replace(self, engines):
         self.listed = list(engines)
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -78,7 +78,6 @@
             contact_seconds=CONTACT_SECONDS,
             recovery=RecoverySignal(self.clock),
             freshness=freshness or TableFreshness(None),
-            versions=self.versions,
             revoke_seconds=5.0 if freshness else None,
             daemons=lambda: daemons,
         )
