Build the identity of a route only for streams that are recorded or resumed

It was built for every request, as a field of the call; it follows from the route and the call, and only the name of a stream needs it. No other behaviour change.

--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -123,9 +123,6 @@
     Both its route and its tenant restrict them.
     """
 
-    route_identity: str = ""
-    """Its route with the services; empty if an attempt's id decides on the service."""
-
     @property
     def tenant_name(self) -> str:
         """The name of its tenant; empty if there is none."""
--- a/notcharch/calls/stream_version.py
+++ b/notcharch/calls/stream_version.py
@@ -12,6 +12,7 @@
     Route,
     StreamOrigins,
 )
+from notcharch.calls.routing import stable_identity
 from notcharch.calls.version_filter import VersionRule
 from notcharch.scheduling.stream_origin import FoundOrigin, StreamBegin, StreamName
 from notcharch.tenants.scope import scoped_name
@@ -78,7 +79,7 @@
         """Return the name under which the origin of the stream is recorded."""
         call = self._call
         scoped = scoped_name(call.tenant_name, first_attempt)
-        return StreamName(scoped, self.service, call.route_identity)
+        return StreamName(scoped, self.service, stable_identity(self._route, call))
 
     def _own_name(self) -> StreamName:
         return self._name(self._call.first_attempt or self._call.id)
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -13,7 +13,7 @@
     NOT_READY,
     Refusal,
 )
-from notcharch.calls.routing import Router, service_of, stable_identity
+from notcharch.calls.routing import Router, service_of
 from notcharch.events.calls import (
     RequestMalformed,
     RequestWithoutRoute,
@@ -154,7 +154,6 @@
         )
         service = service_of(route, call)
         call.priority = router.priority_rank(route, service)
-        call.route_identity = stable_identity(route, call)
         call.tokens_per_event = router.tokens_per_event(service)
         if len(route.shares) > 1:
             call.tokens_by_service = {
--- a/tests/unit/stream_origins/world.py
+++ b/tests/unit/stream_origins/world.py
@@ -28,7 +28,6 @@
 CHECK_SECONDS = 0.05
 """How soon a long poll returns after a change."""
 STORE_SECONDS = 0.004
-ROUTE_IDENTITY = "h/ s:1"
 ROUTE = Route(
     "r",
     "h",
@@ -141,7 +140,6 @@
             program="p",
             last_event_id=str(after).encode() if after else None,
             first_attempt=first_attempt,
-            route_identity=ROUTE_IDENTITY,
         )
         services = CallServices(
             clock=daemon.clock,
