--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -11,9 +11,8 @@
 from notcharch.calls.incarnation_check import (
     CheckResult,
     IncarnationCheck,
-    IncarnationDialect,
 )
-from notcharch.calls.interface import Engine
+from notcharch.calls.interface import Engine, IncarnationDialect
 from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ClientConnection, ResponseListener
 from notcharch.http.idle_connections import IdleConnections
--- a/notcharch/calls/incarnation_check.py
+++ b/notcharch/calls/incarnation_check.py
@@ -7,13 +7,12 @@
 
 import enum
 from collections.abc import Callable
-from typing import Protocol
 
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.calls.interface import Engine
+from notcharch.calls.interface import Engine, IncarnationDialect
 from notcharch.http.client import ClientConnection, ResponseFailure
-from notcharch.http.messages import RequestHead, ResponseHead
+from notcharch.http.messages import ResponseHead
 
 CHECK_SECONDS = 0.3
 """Longest wait for the answer, which needs no slot of the engine; as long as for a
@@ -29,19 +28,6 @@
     FAILED = "no answer"
 
 
-class IncarnationDialect(Protocol):
-    """Translates the question when an engine started."""
-
-    def incarnation_request(self) -> RequestHead:
-        """Return the head of the request."""
-
-    def is_incarnation_response(self, head: ResponseHead) -> bool:
-        """Return whether a response is not one to an earlier call."""
-
-    def started_ms(self, head: ResponseHead, body: bytes) -> int | None:
-        """Return the Unix milliseconds of the start; None if the response tells none."""
-
-
 class IncarnationCheck:
     """One check; the listener of its response."""
 
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -142,8 +142,8 @@
         """Return whether a successful response is authenticated as the engine's."""
 
 
-class EngineDialect(ResponseDialect, Protocol):
-    """Translates calls to requests for engines, and interprets the responses."""
+class IncarnationDialect(Protocol):
+    """Translates the question when an engine started."""
 
     def incarnation_request(self) -> RequestHead:
         """Return the head of the request when an engine started."""
@@ -154,6 +154,10 @@
     def started_ms(self, head: ResponseHead, body: bytes) -> int | None:
         """Return the Unix milliseconds of the start; None if the response tells none."""
 
+
+class EngineDialect(ResponseDialect, IncarnationDialect, Protocol):
+    """Translates calls to requests for engines, and interprets the responses."""
+
     def request(
         self, call: OpaqueCall, engine: Engine, remaining_ms: int
     ) -> RequestHead:
