Log how an engine's answer was framed, how it ended and at which byte

A line of a served, repeated or broken call names neither the framing of the engine's answer nor whether an event was unfinished, and a connection that closes before the end of its framing is told as "bytes that are no answer".

Change: the head of a response carries its framing (RFC 9112, 6.3); events 2200, 2202 and 2203 have `framing`, `body_bytes` and `unfinished_bytes`; `ResponseFailure.TRUNCATED` is told apart from GARBLED, and as before neither counts against an engine. `notcharch explain` says where an answer ended that may not be whole. No decision changes.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -277,6 +277,7 @@
     def run_data_received(self, data: bytes) -> bool:
         """Relay complete events; return whether there were any."""
         complete_events = self._framer.feed(data)
+        self._log.unfinished_bytes = len(self._framer.remainder())
         if complete_events:
             self._relay_head()
             if not self._log.events and self._run is not None:
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -28,6 +28,7 @@
 )
 from notcharch.events.event import emit
 from notcharch.scheduling.stream_origin import FoundOrigin
+from notcharch.values.framing import Framing
 
 
 class CallLog:
@@ -49,6 +50,12 @@
         """Number of engines that may have run the call."""
         self.events = 0
         """Number of complete events relayed to the caller."""
+        self.framing = ""
+        """How the last answer of an engine was framed; empty if there was none."""
+        self.body_bytes = 0
+        """Bytes of that answer's body that were received."""
+        self.unfinished_bytes = 0
+        """Those of them after its last complete event, if it is a stream."""
 
     @property
     def _seconds(self) -> float:
@@ -80,9 +87,16 @@
 
     def sent(self, engine: Engine) -> None:
         """Record that the call is sent to an engine."""
+        self.framing = ""
+        self.body_bytes = self.unfinished_bytes = 0
         self.engines.append(engine.id)
         self.version = engine.version
 
+    def answer_received(self, framing: Framing, body_bytes: int) -> None:
+        """Record how an engine's answer was framed, and how much of it was received."""
+        self.framing = framing.value
+        self.body_bytes = body_bytes
+
     def stream_began(self, service: str) -> None:
         """Log the first event of a stream whose version peers may need to know."""
         call = self._call
@@ -170,6 +184,9 @@
                 seconds=self._seconds,
                 admission_seconds=self.admission_seconds,
                 version=self.version,
+                framing=self.framing,
+                body_bytes=self.body_bytes,
+                unfinished_bytes=self.unfinished_bytes,
             )
         )
 
@@ -207,6 +224,9 @@
                 events=self.events,
                 seconds_left=self._seconds_left,
                 version=self.version,
+                framing=self.framing,
+                body_bytes=self.body_bytes,
+                unfinished_bytes=self.unfinished_bytes,
             )
         )
 
@@ -226,6 +246,9 @@
                 seconds=self._seconds,
                 seconds_left=self._seconds_left,
                 version=self.version,
+                framing=self.framing,
+                body_bytes=self.body_bytes,
+                unfinished_bytes=self.unfinished_bytes,
             )
         )
 
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -29,8 +29,18 @@
 """With fewer events there is no interval between two of them."""
 OVERDUE = "the first response was overdue"
 UNREAD = "the engine closed an answer that was not read in time for a slow caller"
-UNREAD_FAILURES = (ResponseFailure.CLOSED, ResponseFailure.RESET)
+UNREAD_FAILURES = (
+    ResponseFailure.CLOSED,
+    ResponseFailure.RESET,
+    ResponseFailure.TRUNCATED,
+)
 """Failures that don't count against an engine after its answer went unread."""
+HARMLESS_FAILURES = (
+    ResponseFailure.GARBLED,
+    ResponseFailure.TRUNCATED,
+    ResponseFailure.CUT,
+)
+"""Failures after which an engine is not avoided: they may concern one answer only."""
 
 
 class CallServices(msgspec.Struct, frozen=True):
@@ -106,6 +116,7 @@
         self._request: EngineRequest | None = None
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
+        self._body_bytes = 0
         self._is_relaying = False
         """True if the events are relayed to the caller."""
         self._first_event_at: float | None = None
@@ -168,6 +179,8 @@
         self._request.resume_reading()
 
     def _finish(self) -> None:
+        if self._head is not None:
+            self._log.answer_received(self._head.framing, self._body_bytes)
         self.resume_reading()
         self._overdue.stop()
         self._services.pool.call_ended(self.engine.id, self._mean_event_interval())
@@ -238,6 +251,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Relay or buffer the data."""
+        self._body_bytes += len(data)
         if not self._is_relaying:
             self._chunks.append(data)
         elif self._listener.run_data_received(data):
@@ -282,7 +296,7 @@
             self._finish()
             self._listener.run_failed(UNREAD)
             return
-        if failure not in (ResponseFailure.GARBLED, ResponseFailure.CUT):
+        if failure not in HARMLESS_FAILURES:
             self._engine_failed()
         self._finish()
         self._listener.run_failed(failure.value)
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -23,6 +23,12 @@
     admission_seconds: float
     version: str = ""
     """Software version of the engine."""
+    framing: str = ""
+    """How the last engine's answer told its end, `notcharch.values.framing.Framing`."""
+    body_bytes: int = 0
+    """Bytes of its body that were received."""
+    unfinished_bytes: int = 0
+    """Those of them after the last complete event of a stream."""
 
 
 class CallRefused(Event, frozen=True):
@@ -58,6 +64,12 @@
     seconds_left: float
     version: str = ""
     """Software version of the engine."""
+    framing: str = ""
+    """How the last engine's answer told its end, `notcharch.values.framing.Framing`."""
+    body_bytes: int = 0
+    """Bytes of its body that were received."""
+    unfinished_bytes: int = 0
+    """Those of them after the last complete event of a stream."""
 
 
 class CallBrokenOff(Event, frozen=True):
@@ -76,6 +88,12 @@
     seconds_left: float
     version: str = ""
     """Software version of the last engine."""
+    framing: str = ""
+    """How the last engine's answer told its end, `notcharch.values.framing.Framing`."""
+    body_bytes: int = 0
+    """Bytes of its body that were received."""
+    unfinished_bytes: int = 0
+    """Those of them after the last complete event of a stream."""
 
 
 class CallerLeft(Event, frozen=True):
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -46,6 +46,7 @@
 )
 from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.log_lines import LogLine
+from notcharch.values.framing import Framing
 
 PAUSE_TOLD_SECONDS = 1.5
 """A pause is told so much after its end at the latest."""
@@ -168,10 +169,22 @@
         f"served by {end.text('engine')} with {end.text('status')} "
         f"after {end.text('seconds')} s, {end.text('admission_seconds')} s of them "
         "before its admission"
-        f"{_choice(end.text('engine'), own)}{_versions(own)}"
+        f"{_choice(end.text('engine'), own)}{_versions(own)}{_answer_end(end)}"
     )
 
 
+def _answer_end(line: LogLine) -> str:
+    """Say how an engine's answer ended, if it was not whole beyond doubt."""
+    framing, body = line.text("framing"), line.text("body_bytes")
+    unfinished = line.fields.get("unfinished_bytes")
+    inside = f", {unfinished} bytes after its last whole event" if unfinished else ""
+    is_inferred = framing == Framing.CONNECTION.value
+    if not framing or not (inside or is_inferred):
+        return ""
+    told = "with its connection" if is_inferred else f"as told by its {framing}"
+    return f"; its answer ended {told} after {body} bytes{inside}"
+
+
 def _versions(own: Sequence[LogLine]) -> str:
     """Say at which software version a stream began, and at which it went on and why."""
     texts = []
@@ -191,7 +204,8 @@
         elif line.number == CallSentAgain.number and line.fields.get("events"):
             texts.append(
                 f"it was sent on after {line.text('events')} events from version "
-                f"{line.text('version')} ({line.text('engine')}: {line.text('cause')})"
+                f"{line.text('version')} ({line.text('engine')}: "
+                f"{line.text('cause')}{_answer_end(line)})"
             )
     ends = [line for line in own if line.number in END_EVENTS]
     if texts and ends and ends[-1].fields.get("version"):
@@ -344,7 +358,7 @@
 def _attempt_causes(own: Sequence[LogLine]) -> list[str]:
     """Say of each engine that did not serve the call why."""
     causes = {
-        line.text("engine"): line.text("cause")
+        line.text("engine"): f"{line.text('cause')}{_answer_end(line)}"
         for line in own
         if line.number == CallSentAgain.number
     }
@@ -361,7 +375,7 @@
 ) -> str:
     return (
         f"cut after {end.text('events')} events while {end.text('phase')}: "
-        f"{end.text('cause')}{_versions(own)}{_troubles(context)}"
+        f"{end.text('cause')}{_versions(own)}{_answer_end(end)}{_troubles(context)}"
     )
 
 
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -12,7 +12,12 @@
 from notcharch.events.event import emit
 from notcharch.events.http import SlowEngineCut
 from notcharch.http.buffered_bytes import BufferedBytes
-from notcharch.http.messages import Headers, RequestHead, ResponseHead
+from notcharch.http.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    response_framing,
+)
 from notcharch.http.metrics import READERS_CUT
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import SendBuffer
@@ -27,6 +32,7 @@
     CLOSED = "connection closed"
     RESET = "connection reset"
     GARBLED = "bytes that are no answer"
+    TRUNCATED = "closed before the end of the answer"
     ABANDONED = "abandoned by this side"
     CUT = "cut by this side, which buffered too much"
 
@@ -138,7 +144,10 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
-                self._fail(ResponseFailure.GARBLED)
+                is_closed = self._is_disconnected
+                self._fail(
+                    ResponseFailure.TRUNCATED if is_closed else ResponseFailure.GARBLED
+                )
                 return
             if isinstance(event, h11.ConnectionClosed | type):
                 return
@@ -148,9 +157,7 @@
         listener = self._listener
         assert listener is not None
         if isinstance(event, h11.Response):
-            head = ResponseHead(
-                event.status_code, event.headers.raw_items(), event.reason
-            )
+            head = self._read_head(event)
             self._is_surplus = not listener.is_response(head)
             if not self._is_surplus:
                 self._read_keep_alive(head)
@@ -164,6 +171,13 @@
             else:
                 self._complete(listener)
 
+    def _read_head(self, event: h11.Response) -> ResponseHead:
+        assert self._request is not None
+        headers = event.headers.raw_items()
+        status = event.status_code
+        framing = response_framing(self._request.method, status, headers)
+        return ResponseHead(status, headers, event.reason, framing)
+
     def _read_keep_alive(self, head: ResponseHead) -> None:
         value = head.get(b"keep-alive")
         if value is None:
--- a/notcharch/http/messages.py
+++ b/notcharch/http/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from notcharch.values.framing import Framing
+
 Headers = list[tuple[bytes, bytes]]
 """Header names in their original case, with their values, in order."""
 
@@ -44,12 +46,27 @@
     status: int
     headers: Headers
     reason: bytes = b""
+    framing: Framing = Framing.LENGTH
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of the header with a lower-case name."""
         return header_value(self.headers, name)
 
 
+BODILESS_STATUSES = (204, 304)
+
+
+def response_framing(request_method: bytes, status: int, headers: Headers) -> Framing:
+    """Return how the body of a response is framed, given the request's method."""
+    if request_method == b"HEAD" or status in BODILESS_STATUSES:
+        return Framing.LENGTH
+    if header_value(headers, b"transfer-encoding") is not None:
+        return Framing.CHUNKS
+    if header_value(headers, b"content-length") is not None:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def header_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of the header with a lower-case name."""
     for key, value in headers:
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -19,6 +19,7 @@
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
+from notcharch.values.framing import Framing
 
 SERVICE = "s"
 USUAL_SECONDS = 0.1
@@ -95,9 +96,9 @@
         self.listener.head_received(ResponseHead(status, [(b"not-run", b"1")]))
         self.listener.completed()
 
-    def begin(self, seal: bool = True) -> None:
+    def begin(self, seal: bool = True, framing: Framing = Framing.CHUNKS) -> None:
         headers = [(b"seal", self.engine.id.encode())] if seal else []
-        self.listener.head_received(ResponseHead(200, headers))
+        self.listener.head_received(ResponseHead(200, headers, framing=framing))
 
 
 class Sender:
--- a/tests/unit/events/test_decisions_are_logged.py
+++ b/tests/unit/events/test_decisions_are_logged.py
@@ -17,6 +17,7 @@
 from notcharch.platform.tables import PlatformTables
 from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.tenants.freshness import TableFreshness
+from notcharch.values.framing import Framing
 from tests.unit.accounts.world import World as AccountsWorld
 from tests.unit.calls.world import World as CallWorld
 from tests.unit.events.capture import captured, of
@@ -43,6 +44,17 @@
     assert of(messages, calls.CallSentAgain)[0]["cause"] == "not run: 503"
 
 
+def test_how_the_answer_of_an_engine_ended():
+    with captured() as messages:
+        stream = CallWorld(is_stream=True)
+        stream.sent[0].begin(framing=Framing.CONNECTION)
+        stream.sent[0].listener.data_received(b"id: 1\ndata: a\n\nid: 2")
+        stream.sent[0].listener.failed(ResponseFailure.RESET)
+    [broken] = of(messages, calls.CallBrokenOff)
+    assert broken["framing"] == "end of connection"
+    assert (broken["body_bytes"], broken["unfinished_bytes"]) == (20, 5)
+
+
 def test_what_owners_decide():
     with captured() as messages:
         world = AccountsWorld()
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -36,6 +36,7 @@
 from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.explanation import explain
 from notcharch.explain.log_lines import read_lines
+from notcharch.values.framing import Framing
 
 
 def line(at: float, machine: str, event) -> str:
@@ -342,6 +343,70 @@
     assert told.cause.endswith("it ended at version v2")
 
 
+def served(framing, body_bytes, unfinished_bytes):
+    return CallServed(
+        "r",
+        "p",
+        "s",
+        "x",
+        "i-1",
+        200,
+        1,
+        3,
+        0.5,
+        0.01,
+        framing=framing.value,
+        body_bytes=body_bytes,
+        unfinished_bytes=unfinished_bytes,
+    )
+
+
+@pytest.mark.parametrize(
+    ("event", "end"),
+    [
+        (served(Framing.CHUNKS, 90, 0), "before its admission"),
+        (
+            served(Framing.CHUNKS, 90, 7),
+            "its answer ended as told by its chunks after 90 bytes, "
+            "7 bytes after its last whole event",
+        ),
+        (
+            served(Framing.CONNECTION, 90, 0),
+            "its answer ended with its connection after 90 bytes",
+        ),
+        (
+            served(Framing.CONNECTION, 90, 7),
+            "its answer ended with its connection after 90 bytes, "
+            "7 bytes after its last whole event",
+        ),
+    ],
+)
+def test_how_an_answer_ended_that_may_not_be_whole_is_told(event, end):
+    assert cause(line(0.4, "a", event)).cause.endswith(end)
+
+
+def test_where_the_answer_of_an_engine_that_did_not_serve_ended_is_told():
+    again = CallSentAgain(
+        "r",
+        "p",
+        "i-1",
+        "closed before the end of the answer",
+        1,
+        3,
+        2.0,
+        framing="chunks",
+        body_bytes=50,
+        unfinished_bytes=9,
+    )
+    told = cause(
+        line(0.3, "a", again), line(0.4, "a", refused("at engine", 502, "it may", 1))
+    )
+    assert (
+        "i-1: closed before the end of the answer; its answer ended as told by its "
+        "chunks after 50 bytes, 9 bytes after its last whole event" in told.cause
+    )
+
+
 def test_a_stream_of_unknown_version_is_told_with_the_attempt_that_began_it():
     reason = "the version that began the stream is not known"
     told = cause(
--- a/tests/unit/http/test_client.py
+++ b/tests/unit/http/test_client.py
@@ -4,6 +4,7 @@
 
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead
+from notcharch.values.framing import Framing
 from tests.unit.http.pipe import ClientSide, Listener
 
 HEAD = RequestHead(b"POST", b"/x", [(b"Host", b"h")])
@@ -63,6 +64,35 @@
         assert listener.failure is not None
 
 
+@pytest.mark.parametrize(
+    ("method", "response", "framing"),
+    [
+        (b"POST", OK, Framing.LENGTH),
+        (b"POST", CHUNKED, Framing.CHUNKS),
+        (b"POST", UNFRAMED, Framing.CONNECTION),
+        (b"POST", b"HTTP/1.0 200 OK\r\n\r\nhi", Framing.CONNECTION),
+        (b"POST", b"HTTP/1.1 204 Empty\r\n\r\n", Framing.LENGTH),
+        (b"HEAD", b"HTTP/1.1 200 OK\r\n\r\n", Framing.LENGTH),
+    ],
+)
+def test_the_framing_of_an_answer_is_told_with_its_head(method, response, framing):
+    side, listener = ClientSide(), Listener()
+    side.connection.send(RequestHead(method, b"/x", HEAD.headers), b"", listener)
+    side.respond(response)
+    assert listener.head.framing is framing
+    assert listener.is_complete == (framing is not Framing.CONNECTION)
+
+
+@pytest.mark.parametrize("response", [OK, CHUNKED])
+@pytest.mark.parametrize("end", [0, 10, -1])
+def test_a_close_before_the_end_is_not_told_as_bytes_that_are_no_answer(response, end):
+    side, listener = sent()
+    if end:
+        side.respond(response[:end])
+    side.closed()
+    assert listener.failure is ResponseFailure.TRUNCATED
+
+
 def test_bytes_that_are_no_answer_are_told_as_such():
     side, listener = sent()
     side.respond(b"\x00\x01rubbish\r\n\r\n")
