Read events whose lines end in CRLF or CR

What callers saw: the events of an engine that ends its lines in CRLF or CR were held back until the end of the stream, as one rest without an event; they were neither counted nor could the stream be resumed after them, and a stored turn had no data. The own interface ended such a stream without an answer.

Cause: both framers look for two line feeds only. With the rule that a stream which ends inside an event is broken, such streams would all become broken ones.

Change: the framer of the platform's path finds the ends of events for all three line ends (HTML standard, 9.2.5) and relays the bytes unchanged; streams without a CR take the same path as before. The splitter of the own interface returns LF.

--- a/notcharch/calls/event_stream.py
+++ b/notcharch/calls/event_stream.py
@@ -1,7 +1,18 @@
-"""Framing of server-sent events in a byte stream."""
+"""Framing of server-sent events in a byte stream (the HTML standard, 9.2.5).
+
+Lines end in LF, CRLF or CR, and an event ends with an empty line. The bytes are relayed
+unchanged.
+"""
+
+import re
+
+from notcharch.values.line_ends import with_line_feeds
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+LINE_ENDS = b"\r\n"
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_ANY_EVENT_END = re.compile(_LINE_END + _LINE_END)
 
 
 class EventFramer:
@@ -22,19 +33,19 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of the events that are now complete."""
         buffered = self._remainder + data
-        end = buffered.rfind(EVENT_END)
-        if end < 0:
-            self._remainder = buffered
-            return b""
-        end += len(EVENT_END)
+        has_returns = b"\r" in buffered
+        end = _last_event_end(buffered) if has_returns else _last_lf_end(buffered)
         complete = buffered[:end]
         self._remainder = buffered[end:]
-        self.events += complete.count(EVENT_END)
-        self._read_id(complete)
+        if complete:
+            self.events += (
+                _count_events(complete) if has_returns else complete.count(EVENT_END)
+            )
+            self._read_id(complete)
         return complete
 
     def _read_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b"\n")):
+        for line in reversed(complete.splitlines()):
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip()
                 return
@@ -48,10 +59,32 @@
         self._remainder = b""
 
 
+def _last_lf_end(text: bytes) -> int:
+    """Return the end of the last complete event of lines that end in LF; else 0."""
+    end = text.rfind(EVENT_END)
+    return 0 if end < 0 else end + len(EVENT_END)
+
+
+def _last_event_end(text: bytes) -> int:
+    """Return the end of the last complete event; 0 if there is none.
+
+    An LF after it, which completes a CRLF, may not have been received yet.
+    """
+    end = 0
+    for match in _ANY_EVENT_END.finditer(text):
+        end = match.end()
+    return end
+
+
+def _count_events(complete: bytes) -> int:
+    blocks = _ANY_EVENT_END.split(complete)
+    return sum(bool(block.strip(LINE_ENDS)) for block in blocks)
+
+
 def data_lines(output: bytes) -> bytes:
     """Return the data of all events of a stream, each followed by a line feed."""
     parts: list[bytes] = []
-    for event in output.split(EVENT_END):
+    for event in with_line_feeds(output).split(EVENT_END):
         lines = [
             line[len(b"data:") :].removeprefix(b" ")
             for line in event.split(b"\n")
--- a/notcharch/clients/server_sent_events.py
+++ b/notcharch/clients/server_sent_events.py
@@ -1,11 +1,13 @@
 """Splits a byte stream into complete server-sent events without parsing them.
 
-An event ends with an empty line. Its number, from its `id:` line, is parsed only when
+Lines end in LF, CRLF or CR, and are returned with LF. An event ends with an empty line. Its number, from its `id:` line, is parsed only when
 a stream breaks or is resumed, never for each token.
 """
 
 import re
 
+from notcharch.values.line_ends import with_line_feeds
+
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]\n\n"
 _LATER_ID = b"\nid: "
@@ -21,6 +23,8 @@
     def __init__(self) -> None:
         """Start at an event boundary."""
         self._incomplete = b""
+        self._ends_with_return = False
+        """Whether the last byte was a CR, which an LF may follow."""
 
     @property
     def is_overlong(self) -> bool:
@@ -29,6 +33,8 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the events completed by `data`, concatenated."""
+        if data and (self._ends_with_return or b"\r" in data):
+            data = self._with_line_feeds(data)
         if self._incomplete:
             data = self._incomplete + data
         if data.endswith(EVENT_END):
@@ -42,6 +48,12 @@
         self._incomplete = data[end:]
         return data[:end]
 
+    def _with_line_feeds(self, data: bytes) -> bytes:
+        if self._ends_with_return:
+            data = data.removeprefix(b"\n")
+        self._ends_with_return = data.endswith(b"\r")
+        return with_line_feeds(data)
+
 
 def first_event_number(events: bytes) -> int | None:
     """Return the number of the first event that has one."""
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -401,6 +401,36 @@
         assert framer.remainder() == b"id: 3\nda"
 
 
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+@pytest.mark.parametrize("size", range(1, 12))
+def test_events_whose_lines_end_otherwise_are_cut_at_their_ends(line_end, size):
+    lf_text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+    text = lf_text.replace(b"\n", line_end)
+    framer = EventFramer()
+    given = b""
+    for at in range(0, len(text), size):
+        given += framer.feed(text[at : at + size])
+    assert given + framer.remainder() == text
+    assert (framer.events, framer.last_id) == (2, b"2")
+    assert framer.remainder().lstrip(b"\n") == b"id: 3" + line_end + b"da"
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_an_event_is_complete_with_its_last_byte_or_before(line_end):
+    event = b"id: 1\ndata: a\n\n".replace(b"\n", line_end)
+    framer = EventFramer()
+    pieces = [framer.feed(bytes((byte,))) for byte in event]
+    assert framer.events == 1
+    assert b"".join(pieces).rstrip() == event.rstrip()
+    assert not any(pieces[:-2])
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_the_data_of_events_is_the_same_whatever_ends_their_lines(line_end):
+    text = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n"
+    assert data_lines(text.replace(b"\n", line_end)) == b"a\nb\nc\n"
+
+
 def test_the_data_of_events_is_taken_line_by_line():
     text = b"id: 1\ndata: a\n\nx-versions: 2\nid: 2\ndata: b\ndata: c\n\n"
     assert data_lines(text) == b"a\nb\nc\n"
--- a/tests/unit/clients/test_server_sent_events.py
+++ b/tests/unit/clients/test_server_sent_events.py
@@ -32,6 +32,17 @@
     assert given_out == ALL_EVENTS
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@settings(derandomize=True, deadline=None)
+@given(places=st.lists(st.integers(0, 300), max_size=8))
+def test_events_of_any_line_end_are_returned_with_line_feeds(line_end, places):
+    text = ALL_EVENTS.replace(b"\n", line_end)
+    splitter = EventSplitter()
+    cuts = [0, *sorted(min(place, len(text)) for place in places), len(text)]
+    pieces = [splitter.feed(text[start:end]) for start, end in itertools.pairwise(cuts)]
+    assert b"".join(pieces) == ALL_EVENTS
+
+
 NUMBERS = (
     pytest.param(b"", None, None, id="nothing"),
     pytest.param(b"data: [DONE]\n\n", None, None, id="no number"),
