Take a stream that ends inside an event for broken, whatever frames it

Cause: an inferred end, taken for one that was said. The HTTP client takes a clean close for the end of an unframed answer, as RFC 9112 has it, and nobody looked at what had arrived. `CallLifecycle` relayed the unfinished event as a rest.

Change: a run whose stream of events ends inside an event has failed, also if a length or a last chunk says that it is complete. So it goes on at another engine where the route allows, and otherwise ends recognisably broken. Empty lines and complete comments after the last event don't begin one, and a body that isn't `text/event-stream` is not judged by events. Nothing but whole events is stored.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -290,6 +290,11 @@
                 self._run.pause_reading()
         return bool(complete_events)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the data of the stream so far ends inside an event."""
+        return self._framer.is_inside_event
+
     def run_unreachable(self) -> None:
         """Try another engine: the call was not sent."""
         self._run = None
@@ -374,8 +379,7 @@
         """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
         assert self._ticket is not None
-        output = b"".join(self._output) + self._framer.remainder()
-        self._ticket.completed(output, self._framer.events, self)
+        self._ticket.completed(b"".join(self._output), self._framer.events, self)
 
     def durable(self) -> None:
         """Relay the end of the stream."""
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -25,9 +25,11 @@
 from notcharch.scheduling.first_response_times import RouteResponseTimes
 
 CLIENT_ERRORS = 400
+EVENT_STREAM = b"text/event-stream"
 MIN_INTERVAL_EVENTS = 2
 """With fewer events there is no interval between two of them."""
 OVERDUE = "the first response was overdue"
+INSIDE_EVENT = "the stream ended inside an event"
 UNREAD = "the engine closed an answer that was not read in time for a slow caller"
 UNREAD_FAILURES = (
     ResponseFailure.CLOSED,
@@ -84,6 +86,10 @@
     def run_failed(self, cause: str) -> None:
         """Handle an incomplete or abandoned response; the call may have run."""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the data of the stream so far ends inside an event."""
+
     def should_abandon(self) -> bool:
         """Return whether to abandon the run when its response is overdue."""
 
@@ -282,6 +288,10 @@
             self._finish()
             self._listener.run_rejected(head)
             return
+        if self._is_inside_event(head):
+            self._finish()
+            self._listener.run_failed(INSIDE_EVENT)
+            return
         if self._is_relaying:
             self._services.pool.stream_completed(self.engine.id, self._events)
         if head.status < CLIENT_ERRORS:
@@ -290,6 +300,13 @@
         self._finish()
         self._listener.run_completed(head, b"".join(self._chunks))
 
+    def _is_inside_event(self, head: ResponseHead) -> bool:
+        """Return whether a stream of events ended inside an event, so was broken off."""
+        if not self._is_relaying or not self._listener.is_inside_event:
+            return False
+        media_type = head.get(b"content-type")
+        return media_type is None or media_type.lower().startswith(EVENT_STREAM)
+
     def failed(self, failure: ResponseFailure) -> None:
         """Handle an incomplete response."""
         if self._was_paused and failure in UNREAD_FAILURES:
--- a/notcharch/calls/event_stream.py
+++ b/notcharch/calls/event_stream.py
@@ -10,6 +10,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
 LINE_ENDS = b"\r\n"
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 _ANY_EVENT_END = re.compile(_LINE_END + _LINE_END)
@@ -54,6 +55,20 @@
         """Return the bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes after the last complete event begin another one.
+
+        Empty lines and complete comments don't.
+        """
+        remainder = self._remainder.lstrip(LINE_ENDS)
+        if not remainder:
+            return False
+        is_inside_line = remainder[-1:] not in LINE_ENDS
+        return is_inside_line or any(
+            line and not line.startswith(COMMENT) for line in remainder.splitlines()
+        )
+
     def discard_remainder(self) -> None:
         """Discard an incomplete event before another run."""
         self._remainder = b""
