Ask the engine before an end is relayed that only its connection told

What callers saw: an engine that died between two events of an unframed stream, or in an unframed plain answer, and whose connection was closed cleanly, left them with a broken answer that looks whole. So did one that broke off before its first event.

Cause: the same as inside an event: an end that was inferred, taken for one that was said. Here no byte tells.

Change: before such an end is relayed, the engine that ran a resumable stream is asked for what follows its last event, and any other one for its report. A refused or reset connection, another incarnation, or more events contradict the end: the call goes on, runs anew, or ends recognisably broken. Anything else, silence too, leaves it whole. An unframed stream without any event is broken.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -295,6 +295,11 @@
         """Whether the data of the stream so far ends inside an event."""
         return self._framer.is_inside_event
 
+    @property
+    def last_event_id(self) -> bytes | None:
+        """The id of the last event that was relayed, if it had one."""
+        return self._framer.last_id or self.call.last_event_id
+
     def run_unreachable(self) -> None:
         """Try another engine: the call was not sent."""
         self._run = None
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -9,6 +9,7 @@
     CALLS,
     CHOICES,
     COMPLETE_RESPONSE_SECONDS,
+    END_CHECKS,
     EXPECTED_SECONDS,
     FIRST_EVENT_SECONDS,
     FULL_SENDS,
@@ -16,6 +17,7 @@
     URGENCIES,
 )
 from notcharch.events.calls import (
+    AnswerEndChecked,
     AnswerOverdue,
     CallBrokenOff,
     CallerLeft,
@@ -97,6 +99,21 @@
         self.framing = framing.value
         self.body_bytes = body_bytes
 
+    def end_checked(self, question: str, verdict: str, seconds: float) -> None:
+        """Log what the engine said of an end that was inferred."""
+        END_CHECKS.labels(question, verdict).inc()
+        emit(
+            AnswerEndChecked(
+                request=self._call.id,
+                program=self._call.program,
+                engine=self._engine,
+                question=question,
+                verdict=verdict,
+                events=self.events,
+                seconds=round(seconds, 4),
+            )
+        )
+
     def stream_began(self, service: str) -> None:
         """Log the first event of a stream whose version peers may need to know."""
         call = self._call
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -7,6 +7,14 @@
 
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.call_urgency import CallUrgency
+from notcharch.calls.end_check import (
+    EndCheck,
+    EndQuestion,
+    EndVerdict,
+    ProcessQuestion,
+    ResumptionQuestion,
+    check_seconds,
+)
 from notcharch.calls.engine_selection import PromptSample
 from notcharch.calls.engine_sender import EngineRequest, EngineSender
 from notcharch.calls.engines import EnginePool
@@ -23,6 +31,7 @@
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.first_response_times import RouteResponseTimes
+from notcharch.values.framing import Framing
 
 CLIENT_ERRORS = 400
 EVENT_STREAM = b"text/event-stream"
@@ -30,6 +39,7 @@
 """With fewer events there is no interval between two of them."""
 OVERDUE = "the first response was overdue"
 INSIDE_EVENT = "the stream ended inside an event"
+BEFORE_EVENTS = "the stream ended with its connection before its first event"
 UNREAD = "the engine closed an answer that was not read in time for a slow caller"
 UNREAD_FAILURES = (
     ResponseFailure.CLOSED,
@@ -90,6 +100,10 @@
     def is_inside_event(self) -> bool:
         """Whether the data of the stream so far ends inside an event."""
 
+    @property
+    def last_event_id(self) -> bytes | None:
+        """The id of the last event that was relayed, if it had one."""
+
     def should_abandon(self) -> bool:
         """Return whether to abandon the run when its response is overdue."""
 
@@ -119,7 +133,10 @@
         self._listener = listener
         self._log = log
         self._prompt = prompt
+        self._body = b""
         self._request: EngineRequest | None = None
+        self._end_check: EndCheck | None = None
+        """The check of the answer's end in progress, if any."""
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
@@ -129,6 +146,8 @@
         self._last_event_at: float | None = None
         """Clock seconds at which the last event was received."""
         self._sent_at = 0.0
+        self._deadline = 0.0
+        """Clock seconds of the call's deadline."""
         self.version = engine.version
         """Its software version; empty if the engine did not confirm its entry."""
         self.is_confirmed = engine.started_ms is None
@@ -145,9 +164,11 @@
     def send(self, body: bytes, remaining_ms: int) -> None:
         """Send the call with a body to the engine."""
         services = self._services
+        self._body = body
         head = services.dialect.request(self._call, self.engine, remaining_ms)
         services.pool.call_started(self.engine.id)
         self._sent_at = services.clock.seconds()
+        self._deadline = self._sent_at + remaining_ms / 1000
         self._overdue.sent()
         confirms = self._route.is_resumable and services.pool.must_confirm(
             self.engine.id
@@ -163,7 +184,9 @@
 
     def abandon(self) -> None:
         """Abort the run by closing its connection."""
-        if self._request is not None:
+        if self._end_check is not None:
+            self._end_check.stop()
+        elif self._request is not None:
             self._request.abandon()
         self._finish()
 
@@ -289,9 +312,58 @@
             self._listener.run_rejected(head)
             return
         if self._is_inside_event(head):
-            self._finish()
-            self._listener.run_failed(INSIDE_EVENT)
-            return
+            self._broke_off(INSIDE_EVENT)
+        elif head.framing is not Framing.CONNECTION:
+            self._complete(head)
+        elif self._is_relaying and not self._log.events:
+            self._broke_off(BEFORE_EVENTS)
+        else:
+            self._check_end(head)
+
+    def _broke_off(self, cause: str) -> None:
+        """Handle an answer that was broken off, although its connection ended regularly."""
+        self._finish()
+        self._listener.run_failed(cause)
+
+    def _check_end(self, head: ResponseHead) -> None:
+        """Ask the engine whether an answer is whole that ended with its connection."""
+        services = self._services
+        asked_at = services.clock.seconds()
+        limit = check_seconds(self._deadline - asked_at)
+        question = self._end_question(limit)
+
+        def then(verdict: EndVerdict) -> None:
+            seconds = services.clock.seconds() - asked_at
+            self._log.end_checked(question.name, verdict.value, seconds)
+            if verdict is EndVerdict.GONE:
+                self._engine_failed()
+            if verdict.is_broken:
+                self._broke_off(verdict.value)
+            else:
+                self._complete(head)
+
+        self._end_check = EndCheck(
+            services.clock,
+            services.sender,
+            self.engine,
+            question,
+            seconds=limit,
+            then=then,
+        )
+        self._end_check.start()
+
+    def _end_question(self, seconds: float) -> EndQuestion:
+        """Return the question that shows most, among those that may be asked now."""
+        dialect, engine = self._services.dialect, self.engine
+        may_resume = self._is_relaying and self._route.is_resumable
+        if not may_resume or not self._services.pool.takes_resumptions(engine.id):
+            return ProcessQuestion(dialect, engine)
+        last_event_id = self._listener.last_event_id
+        call = msgspec.structs.replace(self._call, last_event_id=last_event_id)
+        return ResumptionQuestion(dialect, engine, call, self._body, seconds)
+
+    def _complete(self, head: ResponseHead) -> None:
+        """Report a whole answer."""
         if self._is_relaying:
             self._services.pool.stream_completed(self.engine.id, self._events)
         if head.status < CLIENT_ERRORS:
--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
@@ -59,6 +60,10 @@
         self.check: IncarnationCheck | None = None
         """The check of the engine's start in progress, if any."""
         self.is_abandoned = False
+        self.is_reused = False
+        """Whether its connection had served another request."""
+        self.is_refused = False
+        """Whether its connection was refused, so that no process listens."""
 
     def abandon(self) -> None:
         """Abort the request by closing its connection."""
@@ -111,8 +116,9 @@
             detect_dead_peer(connection.transport)
             self.use(connection)
 
-    def failed(self, _failure: Failure) -> None:
+    def failed(self, failure: Failure) -> None:
         """Handle a failed connection attempt."""
+        self._request.is_refused = failure.check(ConnectionRefusedError) is not None
         if not self._request.is_abandoned:
             self._listener.unreachable()
 
@@ -194,6 +200,7 @@
         idle = self._idle.get(engine.id)
         reused = idle.take() if idle is not None else None
         if reused is not None:
+            request.is_reused = True
             sending.use(reused)
             return request
         endpoint = TCP4ClientEndpoint(
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -208,6 +208,14 @@
         state = self._states.get(engine_id)
         return state is None or self.eligibility.takes_calls(state.engine)
 
+    def takes_resumptions(self, engine_id: str) -> bool:
+        """Return whether an engine may be asked for the rest of its own stream."""
+        state = self._states.get(engine_id)
+        if state is None or state.last_resort_since is not None:
+            return False
+        is_cold = state.warmth.is_cold(self._clock.seconds())
+        return not is_cold and self.eligibility.takes_calls(state.engine)
+
     # Figures of a service
 
     def engine_slots(self, service: str) -> int:
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -138,6 +138,9 @@
     def was_not_run(self, head: ResponseHead) -> bool:
         """Return whether the engine certainly did not and will not run the call."""
 
+    def is_misdirected(self, head: ResponseHead) -> bool:
+        """Return whether the response is of another engine than the request names."""
+
     def is_genuine(self, head: ResponseHead) -> bool:
         """Return whether a successful response is authenticated as the engine's."""
 
--- a/notcharch/calls/metrics.py
+++ b/notcharch/calls/metrics.py
@@ -33,6 +33,11 @@
     "Expected seconds of a call at its engine, where the load of all daemons is known",
     buckets=LATENCY_SECONDS,
 )
+END_CHECKS = Counter(
+    "notcharch_answer_end_checks",
+    "Answers that ended with their connection, by the engine's word on their end",
+    ["question", "verdict"],
+)
 URGENCIES = Counter("notcharch_call_urgency", "Calls sent, by urgency", ["urgency"])
 FULL_SENDS = Counter(
     "notcharch_full_engine_sends", "Calls sent to an engine known to have no free slot"
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -218,3 +218,20 @@
     """One of `notcharch.scheduling.stream_origin.OriginSource`."""
     seconds: float
     """Since the request's head was read."""
+
+
+class AnswerEndChecked(Event, frozen=True):
+    """An engine was asked whether its answer is whole, which ended with its connection."""
+
+    number: ClassVar[int] = 2212
+    is_routine: ClassVar[bool] = True
+    request: str
+    program: str
+    engine: str
+    question: str
+    """process: whether it still runs; resumption: what follows the last event."""
+    verdict: str
+    """One of `notcharch.calls.end_check.EndVerdict`."""
+    events: int
+    seconds: float
+    """Since the answer's connection ended."""
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -201,7 +201,11 @@
 
     def was_not_run(self, head: ResponseHead) -> bool:
         """Return whether the response says that the engine did not run the call."""
-        return head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None
+        return self.is_misdirected(head) or head.get(NOT_EXECUTED) is not None
+
+    def is_misdirected(self, head: ResponseHead) -> bool:
+        """Return whether the response is of another engine than the request names."""
+        return head.status == MISDIRECTED
 
     def is_genuine(self, head: ResponseHead) -> bool:
         """Return whether a response is sealed by an engine and carries a request id."""
--- a/tests/unit/calls/test_inferred_ends.py
+++ b/tests/unit/calls/test_inferred_ends.py
@@ -1,8 +1,11 @@
 """Answers whose end is only inferred from the end of their connection."""
 
+import msgspec
 import pytest
 
+from notcharch.calls.end_check import CHECK_SECONDS
 from notcharch.calls.interface import MAY_HAVE_RUN
+from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
 from notcharch.values.framing import Framing
 from tests.unit.calls.test_call_lifecycle import (
@@ -11,6 +14,7 @@
     ManualAdmission,
     stream,
 )
+from tests.unit.calls.world import World, engine
 
 
 def unframed(sent, data: bytes) -> None:
@@ -90,3 +94,215 @@
     world.sent[0].listener.data_received(b"{}")
     world.sent[0].listener.completed()
     assert (world.reply.end, world.reply.data) == ("finished", b"{}")
+
+
+RESUMABLE = {"is_resumable": True, "max_engines": 2}
+
+
+def plain(sent, data: bytes = b"body") -> None:
+    """Answer a call without a stream, unframed."""
+    headers = [(b"seal", b"x")]
+    head = ResponseHead(200, headers, framing=Framing.CONNECTION)
+    sent.listener.head_received(head)
+    sent.listener.data_received(data)
+    sent.listener.completed()
+
+
+def ended_between_events(**changes) -> World:
+    world = stream(**changes)
+    unframed(world.sent[0], ONE)
+    return world
+
+
+def test_nothing_is_asked_about_an_answer_that_tells_its_end():
+    world = stream()
+    world.sent[0].begin(framing=Framing.CHUNKS)
+    world.sent[0].listener.data_received(ONE)
+    world.sent[0].listener.completed()
+    assert (world.reply.end, len(world.sent)) == ("finished", 1)
+
+
+def test_an_unframed_stream_is_whole_once_its_engine_answers():
+    world = ended_between_events()
+    question = world.sent[1]
+    assert (question.engine, question.head.target) == (world.sent[0].engine, b"/report")
+    assert (world.reply.end, world.reply.data) == ("", ONE)
+    question.respond(200, b"{}")
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
+    assert world.in_flight == 0
+    assert world.sender.released == [world.sent[0], question]
+
+
+def test_an_unframed_plain_answer_is_whole_once_its_engine_answers():
+    world = World()
+    plain(world.sent[0])
+    assert world.reply.end == ""
+    world.sent[1].respond(400, seal=False)
+    assert (world.reply.end, world.reply.data) == ("whole", b"body")
+
+
+def test_the_engine_that_ran_an_unframed_stream_tells_what_follows_its_last_event():
+    world = ended_between_events(**RESUMABLE)
+    question = world.sent[1]
+    assert question.engine == world.sent[0].engine
+    assert (question.header(b"after"), question.body) == (b"1", b"body")
+    question.respond(200, b"")
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
+
+
+def gone(world: World) -> None:
+    world.sent[-1].is_refused = True
+    world.sent[-1].listener.unreachable()
+
+
+def cut(world: World) -> None:
+    world.sent[-1].listener.failed(ResponseFailure.RESET)
+
+
+def other(world: World) -> None:
+    world.sent[-1].refuse(421)
+
+
+def restarted(world: World) -> None:
+    world.sent[-1].respond(200, b"78")
+
+
+ENDED = [gone, cut]
+
+
+@pytest.mark.parametrize("end", ENDED)
+def test_an_unframed_stream_whose_engine_died_between_events_does_not_look_whole(end):
+    world = ended_between_events()
+    end(world)
+    assert (world.reply.end, world.reply.data) == ("aborted", ONE)
+    assert world.in_flight == 0
+
+
+@pytest.mark.parametrize("end", ENDED)
+def test_an_unframed_plain_answer_whose_engine_died_does_not_look_whole(end):
+    world = World()
+    plain(world.sent[0])
+    end(world)
+    assert world.reply.refusal == MAY_HAVE_RUN
+
+
+def test_an_unframed_plain_answer_whose_engine_died_is_repeated_where_it_may_be():
+    world = World(is_repeatable=True, max_engines=2)
+    plain(world.sent[0], b"bo")
+    gone(world)
+    world.sent[2].respond(200, b"body")
+    assert (world.reply.end, world.reply.data) == ("whole", b"body")
+
+
+@pytest.mark.parametrize("end", [*ENDED, other])
+def test_an_unframed_stream_whose_engine_died_goes_on_where_it_may(end):
+    world = ended_between_events(**RESUMABLE)
+    end(world)
+    assert world.sent[2].engine != world.sent[0].engine
+    assert world.sent[2].header(b"after") == b"1"
+    world.sent[2].begin()
+    world.sent[2].listener.data_received(TWO)
+    world.sent[2].listener.completed()
+    assert (world.reply.end, world.reply.data) == ("finished", ONE + TWO)
+
+
+def test_a_stream_that_a_living_engine_broke_off_between_events_goes_on():
+    world = ended_between_events(**RESUMABLE)
+    question = world.sent[1]
+    question.begin()
+    question.listener.data_received(TWO[:3])
+    assert question.is_abandoned
+    assert world.sent[2].header(b"after") == b"1"
+    world.sent[2].begin()
+    world.sent[2].listener.data_received(TWO)
+    world.sent[2].listener.completed()
+    assert (world.reply.end, world.reply.data) == ("finished", ONE + TWO)
+
+
+@pytest.mark.parametrize("ends_stream", [True, False])
+def test_an_engine_that_started_again_has_broken_its_answers_off(ends_stream):
+    world = World(is_stream=ends_stream)
+    run = world.sent[0].listener
+    run.engine = msgspec.structs.replace(run.engine, started_ms=77)
+    if ends_stream:
+        unframed(world.sent[0], ONE)
+    else:
+        plain(world.sent[0])
+    restarted(world)
+    assert world.reply.end == ("aborted" if ends_stream else "refused")
+
+
+def full(world: World) -> None:
+    world.sent[-1].refuse(503)
+
+
+def silent(world: World) -> None:
+    world.clock.advance(CHECK_SECONDS)
+
+
+def hard_to_reach(world: World) -> None:
+    world.sent[-1].listener.unreachable()
+
+
+def failing(world: World) -> None:
+    world.sent[-1].respond(500)
+
+
+def garbling(world: World) -> None:
+    world.sent[-1].listener.failed(ResponseFailure.GARBLED)
+
+
+@pytest.mark.parametrize("end", [full, silent, hard_to_reach, failing, garbling])
+@pytest.mark.parametrize("changes", [{}, RESUMABLE])
+def test_an_engine_that_does_not_tell_breaks_no_whole_stream(end, changes):
+    world = ended_between_events(**changes)
+    end(world)
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
+    assert world.in_flight == 0
+
+
+def test_an_idle_connection_that_is_closed_is_no_sign_of_a_dead_engine():
+    world = ended_between_events()
+    world.sent[1].is_reused = True
+    world.sent[1].listener.failed(ResponseFailure.RESET)
+    assert world.sender.closed_idle == [world.sent[0].engine.id]
+    world.sent[2].respond(200, b"{}")
+    assert world.reply.end == "finished"
+
+
+def test_an_unframed_stream_without_events_is_not_whole():
+    world = stream()
+    unframed(world.sent[0], b"")
+    assert (world.reply.end, world.reply.refusal) == ("refused", MAY_HAVE_RUN)
+
+
+def test_an_unframed_stream_without_events_runs_anew_where_it_may():
+    world = stream(**RESUMABLE)
+    unframed(world.sent[0], b"")
+    world.sent[1].begin()
+    world.sent[1].listener.data_received(ONE)
+    world.sent[1].listener.completed()
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
+
+
+def test_a_draining_engine_is_not_asked_to_run_again():
+    world = stream(**RESUMABLE)
+    ran = world.sent[0].engine
+    world.pool.replace([engine(name) for name in ("a", "b", "c") if name != ran.id])
+    unframed(world.sent[0], ONE)
+    assert world.sent[1].head.target == b"/report"
+
+
+def test_a_caller_that_leaves_during_the_check_ends_it():
+    world = ended_between_events(**RESUMABLE)
+    world.reply.disconnect()
+    assert world.sent[1].is_abandoned
+    assert world.in_flight == 0
+    world.clock.advance(CHECK_SECONDS)
+
+
+def test_a_check_leaves_time_for_the_end_of_a_whole_stream():
+    world = stream(wait_seconds=CHECK_SECONDS)
+    unframed(world.sent[0], ONE)
+    world.clock.advance(CHECK_SECONDS / 2)
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -58,9 +58,21 @@
     def was_not_run(self, head):
         return head.get(b"not-run") is not None
 
+    def is_misdirected(self, head):
+        return head.status == 421
+
     def is_genuine(self, head):
         return head.get(b"seal") is not None
 
+    def incarnation_request(self):
+        return RequestHead(b"GET", b"/report", [])
+
+    def is_incarnation_response(self, head):
+        return True
+
+    def started_ms(self, head, body):
+        return int(body) if body.isdigit() else None
+
 
 class Sent:
     """One request to an engine, with controls for its response."""
@@ -72,6 +84,8 @@
         self.listener = listener
         self.is_abandoned = False
         self.is_paused = False
+        self.is_reused = False
+        self.is_refused = False
 
     def abandon(self) -> None:
         self.is_abandoned = True
@@ -107,6 +121,7 @@
     def __init__(self) -> None:
         self.sent: list[Sent] = []
         self.closed_idle: list[str] = []
+        self.released: list[Sent] = []
 
     def send(self, engine, head, body, listener, *, confirm=None):
         sent = Sent(engine, head, body, listener)
@@ -115,7 +130,7 @@
         return sent
 
     def release(self, engine_id, request):
-        pass
+        self.released.append(request)
 
     def close_idle(self, engine_id):
         self.closed_idle.append(engine_id)
