--- a/notcharch/calls/end_check.py
+++ b/notcharch/calls/end_check.py
@@ -70,10 +70,14 @@
     body = b""
     verdict_if_cut = EndVerdict.LIVES
 
-    def __init__(self, dialect: EngineDialect, engine: Engine) -> None:
-        """Ask an engine."""
+    def __init__(
+        self, dialect: EngineDialect, known_started_ms: int | None = None
+    ) -> None:
+        """Ask an engine; `known_started_ms` is what the answer's process told before."""
         self._dialect = dialect
-        self._engine = engine
+        self._known_started_ms = known_started_ms
+        self.started_ms: int | None = None
+        """Unix milliseconds of the start of the process that answered, if it told."""
         self.head = dialect.incarnation_request()
 
     def is_response(self, head: ResponseHead) -> bool:
@@ -85,9 +89,10 @@
         return None
 
     def verdict(self, head: ResponseHead, body: bytes) -> EndVerdict:
-        """Compare the start with the engine's entry, if both are told."""
-        started, listed = self._dialect.started_ms(head, body), self._engine.started_ms
-        is_another = started is not None and listed is not None and started != listed
+        """Compare the start with the known one, if both are told."""
+        self.started_ms = self._dialect.started_ms(head, body)
+        is_known = None not in (self.started_ms, self._known_started_ms)
+        is_another = is_known and self.started_ms != self._known_started_ms
         return EndVerdict.GONE if is_another else EndVerdict.LIVES
 
 
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,5 +1,6 @@
 """One run of a call at one engine."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -8,6 +9,7 @@
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.call_urgency import CallUrgency
 from notcharch.calls.end_check import (
+    CHECK_SECONDS,
     EndCheck,
     EndQuestion,
     EndVerdict,
@@ -137,6 +139,9 @@
         self._request: EngineRequest | None = None
         self._end_check: EndCheck | None = None
         """The check of the answer's end in progress, if any."""
+        self._start_question: ProcessQuestion | None = None
+        """Asks the process that sends an unframed answer for its start, if it may tell."""
+        self._start_check: EndCheck | None = None
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
@@ -184,9 +189,7 @@
 
     def abandon(self) -> None:
         """Abort the run by closing its connection."""
-        if self._end_check is not None:
-            self._end_check.stop()
-        elif self._request is not None:
+        if self._end_check is None and self._request is not None:
             self._request.abandon()
         self._finish()
 
@@ -210,6 +213,9 @@
     def _finish(self) -> None:
         if self._head is not None:
             self._log.answer_received(self._head.framing, self._body_bytes)
+        for check in (self._start_check, self._end_check):
+            if check is not None:
+                check.stop()
         self.resume_reading()
         self._overdue.stop()
         self._services.pool.call_ended(self.engine.id, self._mean_event_interval())
@@ -271,6 +277,8 @@
         """Relay a successful stream; buffer any other response."""
         self._head = head
         self._services.pool.response_received(self.engine.id)
+        if head.framing is Framing.CONNECTION and self.engine.started_ms is not None:
+            self._ask_start()
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
             self._overdue.first_response_received()
             return
@@ -320,6 +328,33 @@
         else:
             self._check_end(head)
 
+    def _ask_start(self) -> None:
+        """Ask the process that sends an unframed answer when it started.
+
+        It may be another one than that of the engine's entry.
+        """
+        self._start_question = ProcessQuestion(self._services.dialect)
+        self._start_check = self._check(
+            self._start_question, CHECK_SECONDS, lambda _: None
+        )
+        self._start_check.start()
+
+    def _check(
+        self,
+        question: EndQuestion,
+        seconds: float,
+        then: Callable[[EndVerdict], None],
+    ) -> EndCheck:
+        services = self._services
+        return EndCheck(
+            services.clock,
+            services.sender,
+            self.engine,
+            question,
+            seconds=seconds,
+            then=then,
+        )
+
     def _broke_off(self, cause: str) -> None:
         """Handle an answer that was broken off, although its connection ended regularly."""
         self._finish()
@@ -342,14 +377,7 @@
             else:
                 self._complete(head)
 
-        self._end_check = EndCheck(
-            services.clock,
-            services.sender,
-            self.engine,
-            question,
-            seconds=limit,
-            then=then,
-        )
+        self._end_check = self._check(question, limit, then)
         self._end_check.start()
 
     def _end_question(self, seconds: float) -> EndQuestion:
@@ -357,7 +385,9 @@
         dialect, engine = self._services.dialect, self.engine
         may_resume = self._is_relaying and self._route.is_resumable
         if not may_resume or not self._services.pool.takes_resumptions(engine.id):
-            return ProcessQuestion(dialect, engine)
+            start = self._start_question
+            known_started_ms = None if start is None else start.started_ms
+            return ProcessQuestion(dialect, known_started_ms)
         last_event_id = self._listener.last_event_id
         call = msgspec.structs.replace(self._call, last_event_id=last_event_id)
         return ResumptionQuestion(dialect, engine, call, self._body, seconds)
--- a/tests/unit/calls/test_inferred_ends.py
+++ b/tests/unit/calls/test_inferred_ends.py
@@ -163,10 +163,6 @@
     world.sent[-1].refuse(421)
 
 
-def restarted(world: World) -> None:
-    world.sent[-1].respond(200, b"78")
-
-
 ENDED = [gone, cut]
 
 
@@ -219,17 +215,46 @@
     assert (world.reply.end, world.reply.data) == ("finished", ONE + TWO)
 
 
-@pytest.mark.parametrize("ends_stream", [True, False])
-def test_an_engine_that_started_again_has_broken_its_answers_off(ends_stream):
-    world = World(is_stream=ends_stream)
+def restartable(**changes) -> World:
+    world = World(**changes)
     run = world.sent[0].listener
-    run.engine = msgspec.structs.replace(run.engine, started_ms=77)
-    if ends_stream:
-        unframed(world.sent[0], ONE)
-    else:
-        plain(world.sent[0])
-    restarted(world)
-    assert world.reply.end == ("aborted" if ends_stream else "refused")
+    run.engine = msgspec.structs.replace(run.engine, started_ms=70)
+    return world
+
+
+def tell_start(sent, started_ms: int) -> None:
+    sent.respond(200, b"%d" % started_ms)
+
+
+def unframed_after_start(world: World) -> None:
+    """Answer unframed; the engine tells its start meanwhile, another one than listed."""
+    [sent] = world.sent
+    sent.begin(framing=Framing.CONNECTION)
+    sent.listener.data_received(ONE)
+    tell_start(world.sent[1], 77)
+    sent.listener.completed()
+
+
+def test_an_engine_that_started_again_has_broken_its_answers_off():
+    world = restartable(is_stream=True)
+    unframed_after_start(world)
+    tell_start(world.sent[2], 78)
+    assert (world.reply.end, world.reply.data) == ("aborted", ONE)
+
+
+def test_an_engine_that_started_again_before_its_answer_has_not_broken_it_off():
+    world = restartable(is_stream=True)
+    unframed_after_start(world)
+    tell_start(world.sent[2], 77)
+    assert (world.reply.end, world.reply.data) == ("finished", ONE)
+
+
+def test_a_start_that_was_not_told_in_time_breaks_nothing():
+    world = restartable()
+    plain(world.sent[0])
+    tell_start(world.sent[2], 77)
+    assert world.reply.end == "whole"
+    assert world.sent[1].is_abandoned
 
 
 def full(world: World) -> None:
