Don't take a cut answer of the store for a short one

What could be seen: a record whose end was missing was replayed as a shorter one; a read without its offsets gave the end 0, so a writer that asks whether somebody else wrote was told that nobody did; an append whose answer couldn't be read counted as surely not written. The store's answers may end with their connection as engines' do.

Change: `unpack` refuses a cut record and `read` a body without both offsets; whole records before a cut stay good, as the next read begins after them. A 200 that can't be read is UNKNOWN, no longer REJECTED: the store may have done what was asked. The test that expected REJECTED said that an append is surely not written whose answer is unreadable, which is wrong; it now expects UNKNOWN. Pages of `log-newest` were safe, as cut JSON can't be read; a test cuts one at each byte.

--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -93,12 +93,15 @@
 
 
 def unpack(data: bytes) -> tuple[bytes, ...]:
-    """Decode records, each prefixed with its length."""
+    """Decode records, each prefixed with its length; raises `ValueError` if one is cut."""
     records: list[bytes] = []
     at = 0
-    while at + LENGTH_BYTES <= len(data):
+    while at < len(data):
         begin = at + LENGTH_BYTES
         at = begin + int.from_bytes(data[at:begin], "big")
+        if max(begin, at) > len(data):
+            message = "a record was cut"
+            raise ValueError(message)
         records.append(data[begin:at])
     return tuple(records)
 
@@ -171,7 +174,8 @@
             try:
                 return Ok(translate(response.body))
             except (msgspec.DecodeError, ValueError):
-                return Err(LogProblem(LogFault.REJECTED))
+                # The store may have done it: only its answer can't be read.
+                return Err(LogProblem(LogFault.UNKNOWN))
 
         return sent.addCallback(read)
 
@@ -211,6 +215,9 @@
             query["wait_ms"] = int(wait_seconds * 1000)
 
         def read(body: bytes) -> Records:
+            if len(body) < 2 * OFFSET_BYTES:
+                message = "the offsets were cut"
+                raise ValueError(message)
             end = int.from_bytes(body[:OFFSET_BYTES], "big")
             return Records(offset, unpack(body[2 * OFFSET_BYTES :]), end)
 
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -65,6 +65,38 @@
     assert pack((b"ab", b"c")) == b"\0\0\0\2ab\0\0\0\1c"
 
 
+@pytest.mark.parametrize("size", range(1, 12))
+def test_a_cut_record_is_not_taken_for_a_short_one(size):
+    data = pack((b"ab", b"cdefg"))
+    if size == len(pack((b"ab",))):
+        assert unpack(data[:size]) == (b"ab",)
+        return
+    with pytest.raises(ValueError, match="cut"):
+        unpack(data[:size])
+
+
+@pytest.mark.parametrize("size", range(1, 29))
+def test_a_cut_read_gives_whole_records_or_none(size):
+    """A read without its offsets would show that nobody else wrote."""
+    offsets = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    body = offsets + pack((b"ab", b"c"))
+    store = PlatformStore(responding(200, body[:size]), Clock())
+    result = result_of(store.read("t", 0, 7))
+    if isinstance(result, Err):
+        assert result.err_value.fault is LogFault.UNKNOWN
+    else:
+        assert result.ok_value.end == 9
+        assert result.ok_value.records == (b"ab", b"c")[: len(result.ok_value.records)]
+    assert isinstance(result, Ok) == (size in (16, 22, 27, 28))
+
+
+@pytest.mark.parametrize("size", range(1, 75))
+def test_a_cut_page_of_keys_is_not_taken_for_the_last(size):
+    body = b'{"items": [{"private_key": "k", "value": "YQ==", "offset": 3}], "more": true, "end": 9}'
+    store = PlatformStore(responding(200, body[:size]), Clock())
+    assert result_of(store.newest("t", 0)).err_value.fault is LogFault.UNKNOWN
+
+
 def test_an_append_is_sent_as_the_store_expects():
     requester = responding(200, b'{"offset": 840, "end": 842}')
     assert append(requester) == Ok(Appended(840, 842))
@@ -85,7 +117,7 @@
         (responding(503), LogFault.NOT_DONE),
         (responding(507), LogFault.FULL),
         (responding(400), LogFault.REJECTED),
-        (responding(200, b"no json"), LogFault.REJECTED),
+        (responding(200, b"no json"), LogFault.UNKNOWN),
         (Requester(Err(NoResponse.SENT)), LogFault.UNKNOWN),
         (Requester(Err(NoResponse.NOT_SENT)), LogFault.NOT_DONE),
     ],
