Read a changed settings file only once it is no longer being written

What could be seen: a daemon told to reload while its settings file is written takes the part that is there: with `platform.address` cut to another port, it lost the store until the next signal, which may never come.

Cause: the end of a file is inferred, and was taken for one that was said.

The file that a daemon starts with is read once, as before.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import eliot
-from result import Err
+from result import Err, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.interfaces import IListeningPort
@@ -51,7 +51,8 @@
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
-from notcharch.platform.settings import ProcessSettings, load_settings
+from notcharch.platform.settings import ProcessSettings, read_settings_file
+from notcharch.platform.settings_reload import SettingsReload
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables, long_poll_seconds
 from notcharch.scheduling.first_response_times import RouteResponseTimes
@@ -121,6 +122,9 @@
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
+        self._reload = SettingsReload(
+            reactor, read_settings_file, self._settings_loaded
+        )
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
@@ -334,8 +338,11 @@
         return "stopping" if self._is_stopping else "tables are not loaded or not fresh"
 
     def on_reload_signal(self) -> None:
-        """Reload the settings and apply a changed address of the store."""
-        loaded = load_settings()
+        """Reload the settings, once their file is no longer being written."""
+        self._reload.start()
+
+    def _settings_loaded(self, loaded: Result[ProcessSettings, list[str]]) -> None:
+        """Apply a changed address of the store."""
         if isinstance(loaded, Err):
             errors = loaded.err_value
             emit(SettingsRead(self._settings.machine, errors, is_changed=False))
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -181,12 +181,17 @@
     return Err(fields.errors) if fields.errors else Ok(settings)
 
 
-def load_settings() -> Result[ProcessSettings, list[str]]:
-    """Read the settings file named by the environment variable."""
+def read_settings_file() -> Result[str, list[str]]:
+    """Return the text of the settings file named by the environment variable."""
     path = os.environ.get(FILE_VARIABLE)
     if not path:
         return Err([f"{FILE_VARIABLE}: not set"])
     try:
-        return read_settings(Path(path).read_text())
+        return Ok(Path(path).read_text())
     except OSError as error:
         return Err([f"{path}: {error.strerror}"])
+
+
+def load_settings() -> Result[ProcessSettings, list[str]]:
+    """Read and parse the settings file."""
+    return read_settings_file().and_then(read_settings)
