Soak: engines that answer unframed and end their answers at any byte, dead or alive

Its engines framed every answer, a broken one ended in a reset, and its links turned resets into closes and dropped what a delay held back. All its events ended in LF.

Change: engines answer with neither a length nor chunks, break answers off at any byte by a close, a half-close or a reset, and die with closes or resets, also in the middle of such answers; a third of them end lines in CRLF, a third in CR. Links pass an end on as it was and after the data before it. Callers compare every answer that looks whole with what its run made: a living engine that closes its unframed answer between two events has said its end, so those answers are allowed, and only those.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -84,6 +84,7 @@
     def completed(self) -> None:
         """Note that the answer is whole."""
         self._asked.is_whole = True
+        self._asked.ends_inside_event = self._framer.is_inside_event
         self._over()
 
     def failed(self, failure: ResponseFailure) -> None:
@@ -220,6 +221,7 @@
                 is_connected=False,
                 is_on_kept_connection=False,
                 lost_by_caller=False,
+                ends_inside_event=False,
                 answered_id="",
                 ended_at=0.0,
             )
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -10,8 +10,16 @@
 
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Run, answer_of, event_of
-from deploy.soak.settings import HOST, MODELS, MOST_EVENTS, PLAIN_PATH, VERSIONS
+from deploy.soak.settings import (
+    HOST,
+    KEPT_PATH,
+    MODELS,
+    MOST_EVENTS,
+    PLAIN_PATH,
+    VERSIONS,
+)
 from deploy.soak.store_server import StoreServer
+from deploy.soak.unframed import Break, begin_unframed, end_early
 from deploy.soak.zones import COLD_SECONDS, ZONES
 from notcharch.http.messages import Headers
 from notcharch.http.server import Exchange, ServerFactory, ServerLimits
@@ -43,8 +51,16 @@
     """Takes several times as long for everything."""
     FORGET_IDLE = "forget idle connections"
     """Resets some connections on which another request comes, without running it."""
+    UNFRAMED = "unframed"
+    """Answers with neither a length nor chunks, and breaks some answers off at any byte."""
 
 
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+"""Of the events of streams, by the number of the engine."""
+MOST_BROKEN_BYTES = 240
+"""Streams and bodies are mostly longer, so most breaks come before their ends."""
+RESTART_SECONDS = 0.1
+"""Between the end of a process and the start of the next one at its port."""
 FAULT_SHARE = 0.3
 SLOWNESS = 6.0
 
@@ -97,6 +113,7 @@
         self._cold_until = 0.0
         self._is_leaving = False
         self._is_down = False
+        self.line_end = LINE_ENDS[number % len(LINE_ENDS)]
         self.version = VERSIONS[0]
         self._born = 0
         self._begin_process()
@@ -156,30 +173,41 @@
         if self._beat is not None and self._beat.active():
             self._beat.reset(0)
 
-    def crash(self) -> None:
+    def crash(self, *, is_clean: bool = False) -> None:
         """End everything that runs; be another incarnation later."""
         self._is_down = True
         self._store.write_key(SERVERS_TOPIC, self.id, b"")
+        self._end_process(is_clean)
+
+    def _end_process(self, is_clean: bool) -> None:
+        """End all runs and connections, with closes if it `is_clean`, else with resets."""
+        self.link.is_server_down = True
+        if is_clean:
+            self.link.close_all()
+        else:
+            self.link.reset_all()
         for running in tuple(self._open):
             running.cut()
-        self.link.reset_all()
+
+    def _listen_again(self) -> None:
+        if not self._is_down:
+            self.link.is_server_down = False
 
     def change_version(self) -> None:
         """Have the other software from the next start on."""
         self.version = next(v for v in VERSIONS if v != self.version)
 
-    def restart_under_its_id(self) -> None:
+    def restart_under_its_id(self, *, is_clean: bool = False) -> None:
         """End everything that runs, and go on at once at the other version.
 
         The entry still tells of the process before, until the next heartbeat.
         """
         if self._is_down or self._is_leaving:
             return
-        for running in tuple(self._open):
-            running.cut()
-        self.link.reset_all()
+        self._end_process(is_clean)
         self.change_version()
         self._begin_process()
+        self._reactor.callLater(RESTART_SECONDS, self._listen_again)
 
     def start_again(self) -> None:
         """Begin another incarnation."""
@@ -189,6 +217,7 @@
         self._store.write_key(SERVERS_TOPIC, self.id, b"")
         self._incarnation += 1
         self._is_down = self._is_leaving = False
+        self.link.is_server_down = False
         self.turn_cold()
         if self._beat is not None and self._beat.active():
             self._beat.reset(0)
@@ -243,6 +272,15 @@
         """Remove a run."""
         self._open.discard(running)
 
+    def closed_early(self, running: "Running", made: int) -> None:
+        """Note that a run ended its unframed answer by a close, after what it had made."""
+        self._oracle.closed_early[running.request].add(made)
+
+    def draw_break(self) -> Break | None:
+        """Draw whether an unframed answer breaks off, and where."""
+        is_broken = self.fault is EngineFault.UNFRAMED and self._is_struck()
+        return Break.draw(self._random, MOST_BROKEN_BYTES) if is_broken else None
+
     def lapse(self) -> None:
         """Lose the entry in the store, until the next heartbeat."""
         self._store.write_key(SERVERS_TOPIC, self.id, b"")
@@ -283,6 +321,10 @@
         after = head.get(b"last-event-id")
         self._next = 0 if after is None else int(after) + 1
         self._timer: IDelayedCall | None = None
+        self._is_unframed = engine.fault is EngineFault.UNFRAMED
+        self._break = engine.draw_break()
+        self._sent = 0
+        """Bytes of the body that were sent."""
         exchange.on_disconnect = self._gone
 
     def start(self) -> None:
@@ -302,6 +344,10 @@
         self._engine.began(self, run)
         self._timer = self._engine.later(WORK_SECONDS, self._answer)
 
+    @property
+    def _is_stream(self) -> bool:
+        return self._path.startswith((PLAIN_PATH, KEPT_PATH))
+
     @property
     def _headers(self) -> Headers:
         return [
@@ -318,14 +364,52 @@
         elif engine.is_struck_by(EngineFault.ERRORS):
             engine.ended(self)
             self._exchange.respond(500, self._headers, b"error")
-        elif self._path.startswith((PLAIN_PATH, "/kept/")):
+        elif self._is_stream:
             headers = [*self._headers, (b"content-type", b"text/event-stream")]
-            self._exchange.start(200, headers)
+            self._begin(headers)
             self._event()
         else:
-            engine.ended(self)
-            body = answer_of(self.request, self._exchange.body)
+            self._send_body(answer_of(self.request, self._exchange.body))
+
+    def _begin(self, headers: Headers) -> None:
+        if self._is_unframed:
+            begin_unframed(self._exchange, 200, headers)
+        else:
+            self._exchange.start(200, headers)
+
+    def _send_body(self, body: bytes) -> None:
+        """Send an answer that is no stream."""
+        if not self._is_unframed:
+            self._engine.ended(self)
             self._exchange.respond(200, self._headers, body)
+            return
+        self._begin(self._headers)
+        if self._write(body):
+            self._engine.ended(self)
+            self._exchange.finish()
+
+    def _write(self, data: bytes) -> bool:
+        """Send a part of the body; return False if the answer broke off in it."""
+        broken = self._break
+        if broken is None or self._sent + len(data) <= broken.at:
+            self._exchange.write(data)
+            self._sent += len(data)
+            return True
+        part = data[: broken.at - self._sent]
+        if part:
+            self._exchange.write(part)
+        self._gone()
+        if broken.end.is_clean:
+            self._note_early_close(len(part))
+        end_early(self._exchange, broken.end)
+        return False
+
+    def _note_early_close(self, part_bytes: int) -> None:
+        """Note what was made, if a close after it looks like a regular end."""
+        if not self._is_stream:
+            self._engine.closed_early(self, self._sent + part_bytes)
+        elif not part_bytes:
+            self._engine.closed_early(self, self._next)
 
     def _event(self) -> None:
         engine = self._engine
@@ -335,11 +419,13 @@
             return
         data = event_of(self.request, self._next, engine.version)
         event = b"id: %d\ndata: %b\n\n" % (self._next, data)
+        event = event.replace(b"\n", engine.line_end)
         if engine.is_struck_by(EngineFault.BREAK_EVENTS):
             self._exchange.write(event[: len(event) // 2])
             self._timer = engine.later(0.0, self.cut)
             return
-        self._exchange.write(event)
+        if not self._write(event):
+            return
         self._next += 1
         self._timer = engine.later(EVENT_SECONDS, self._event)
 
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -31,6 +31,7 @@
     EngineFault.HANG,
     EngineFault.SLOW,
     EngineFault.FORGET_IDLE,
+    EngineFault.UNFRAMED,
 )
 
 
@@ -82,6 +83,7 @@
             self._break_engine_link,
             self._spoil_engine,
             self._crash_engine,
+            self._crash_unframed_engine,
             self._restart_engine_at_other_version,
         )
         is_planned = targets.is_planned_only
@@ -214,9 +216,26 @@
 
     def _crash_engine(self) -> str:
         engine = self._engine()
-        engine.crash()
+        is_clean = self._draw_clean()
+        engine.crash(is_clean=is_clean)
         self._later(0.5, 3.0, engine.start_again)
-        return f"crash {engine.id}"
+        return f"crash {engine.id} with {'closes' if is_clean else 'resets'}"
+
+    def _draw_clean(self) -> bool:
+        return self._random.random() < 0.5
+
+    def _crash_unframed_engine(self) -> str:
+        """Crash an engine while it answers without framing."""
+        engine = self._engine()
+        engine.fault = EngineFault.UNFRAMED
+
+        def crash() -> None:
+            engine.crash(is_clean=True)
+            engine.fault = EngineFault.NONE
+            self._later(0.5, 3.0, engine.start_again)
+
+        seconds = self._later(0.3, 1.0, crash)
+        return f"{engine.id}: unframed for {seconds:.2f} s, then a crash with closes"
 
     def _replace_engine(self) -> str:
         engine = self._engine()
@@ -238,7 +257,7 @@
 
     def _restart_engine_at_other_version(self) -> str:
         engine = self._engine()
-        engine.restart_under_its_id()
+        engine.restart_under_its_id(is_clean=self._draw_clean())
         return f"{engine.id} restarts at {engine.version}"
 
     def _configure(self) -> str:
@@ -277,10 +296,10 @@
             self._give_back(drain)
         for engine in targets.engines:
             engine.fault = EngineFault.NONE
-            engine.link.fault = LinkFault.NONE
+            _mend_if_faulty(engine.link)
             engine.start_again()
         for daemon in targets.daemons:
-            daemon.store.fault = LinkFault.NONE
+            _mend_if_faulty(daemon.store)
             daemon.resume()
             self._await_start(daemon)
 
@@ -291,6 +310,12 @@
             daemon.start()
 
 
+def _mend_if_faulty(link: LinkProxy) -> None:
+    """Mend a link; its connections may lack bytes, so they are cut."""
+    if link.fault is not LinkFault.NONE:
+        _mend(link)
+
+
 def _mend(link: LinkProxy) -> None:
     link.fault = LinkFault.NONE
     link.reset_all()
--- a/deploy/soak/link_proxy.py
+++ b/deploy/soak/link_proxy.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IListeningPort, ITCPTransport
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -73,21 +74,34 @@
         self._early = []
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """End the other end, too, unless the link is silent."""
+        """End the other end in the same way, unless the link is silent."""
         self.is_lost = True
         self._link.sides.discard(self)
-        if self._link.fault not in (LinkFault.SILENT, LinkFault.SILENT_BACK):
-            self._close_other()
+        fault = self._link.fault
+        is_clean = reason.check(ConnectionDone) is not None
+        if fault is LinkFault.DELAY:
+            self._link.later(DELAY_SECONDS, self._end_other, is_clean)
+        elif fault not in (LinkFault.SILENT, LinkFault.SILENT_BACK):
+            self._end_other(is_clean)
 
-    def _close_other(self) -> None:
-        if self.other is not None and not self.other.is_lost:
+    def _end_other(self, is_clean: bool) -> None:
+        if self.other is None or self.other.is_lost:
+            return
+        if is_clean:
             self.other.transport.loseConnection()
+        else:
+            self.other.transport.abortConnection()
 
     def reset(self) -> None:
         """Cut the connection."""
         if not self.is_lost:
             self.transport.abortConnection()
 
+    def close(self) -> None:
+        """Close the connection as the kernel does when its process ends."""
+        if not self.is_lost:
+            self.transport.loseConnection()
+
 
 class LinkProxy:
     """Listens at a port of its own for one server."""
@@ -97,6 +111,8 @@
         self._reactor = reactor
         self._server = TCP4ClientEndpoint(reactor, HOST, server_port, CONNECT_SECONDS)
         self.fault = LinkFault.NONE
+        self.is_server_down = False
+        """Whether no process listens at the server's port."""
         self.sides: set[Side] = set()
         self._listening: IListeningPort = reactor.listenTCP(
             0, NearSides(self), interface=HOST
@@ -114,7 +130,7 @@
 
     def accept(self) -> Side | None:
         """Take a new connection, and connect to the server for it."""
-        if self.fault is LinkFault.REFUSE:
+        if self.fault is LinkFault.REFUSE or self.is_server_down:
             return None
         near = Side(self, is_server=False)
         factory = Factory.forProtocol(lambda: Side(self, is_server=True))
@@ -133,6 +149,11 @@
         for side in tuple(self.sides):
             side.reset()
 
+    def close_all(self) -> None:
+        """Close every connection without a reset."""
+        for side in tuple(self.sides):
+            side.close()
+
 
 class NearSides(Factory):
     """Makes the near end of each connection to a link."""
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -77,6 +77,34 @@
     assert rule in judged(asked, *runs)
 
 
+def closed_early(asked: Asked, after: int) -> list[str]:
+    """Judge an answer whose engine lived and closed after so many events or bytes."""
+    oracle = Oracle()
+    oracle.asked["r"] = asked
+    oracle.lengths["r"] = 3
+    oracle.closed_early["r"].add(after)
+    return [violation.rule for violation in oracle.violations()]
+
+
+@pytest.mark.parametrize(
+    ("asked", "after", "rules"),
+    [
+        (turn(events=2), 2, []),
+        (turn(events=3), 2, []),
+        (turn(events=1), 2, ["ORDER"]),
+        (turn(events=2, ends_inside_event=True), 2, ["ORDER"]),
+        (tool(body=answer_of("r", BODY)[:9]), 9, []),
+        (tool(body=answer_of("r", BODY)[:8]), 9, ["MIXED"]),
+    ],
+)
+def test_an_answer_that_looks_whole_is_what_a_run_made_and_ended(asked, after, rules):
+    assert closed_early(asked, after) == rules
+
+
+def test_a_whole_answer_that_ends_inside_an_event_is_seen():
+    assert "ORDER" in judged(turn(ends_inside_event=True), KEPT_RUN)
+
+
 def test_a_run_that_nobody_asked_for_is_seen():
     oracle = Oracle()
     oracle.runs["x"] = [run()]
