--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -52,7 +52,7 @@
     FORGET_IDLE = "forget idle connections"
     """Resets some connections on which another request comes, without running it."""
     UNFRAMED = "unframed"
-    """Answers with neither a length nor chunks, and breaks some answers off at any byte."""
+    """Frames no answer, and breaks some off at any byte."""
 
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
@@ -61,6 +61,8 @@
 """Streams and bodies are mostly longer, so most breaks come before their ends."""
 RESTART_SECONDS = 0.1
 """Between the end of a process and the start of the next one at its port."""
+UNFRAMED_SHARE = 0.25
+"""Share of the answers with neither a length nor chunks, also without a fault."""
 FAULT_SHARE = 0.3
 SLOWNESS = 6.0
 
@@ -276,6 +278,11 @@
         """Note that a run ended its unframed answer by a close, after what it had made."""
         self._oracle.closed_early[running.request].add(made)
 
+    def draw_unframed(self) -> bool:
+        """Draw whether an answer ends with its connection."""
+        is_drawn = self._random.random() < UNFRAMED_SHARE
+        return is_drawn or self.fault is EngineFault.UNFRAMED
+
     def draw_break(self) -> Break | None:
         """Draw whether an unframed answer breaks off, and where."""
         is_broken = self.fault is EngineFault.UNFRAMED and self._is_struck()
@@ -321,7 +328,7 @@
         after = head.get(b"last-event-id")
         self._next = 0 if after is None else int(after) + 1
         self._timer: IDelayedCall | None = None
-        self._is_unframed = engine.fault is EngineFault.UNFRAMED
+        self._is_unframed = engine.draw_unframed()
         self._break = engine.draw_break()
         self._sent = 0
         """Bytes of the body that were sent."""
--- a/tests/unit/soak/test_engine_faults.py
+++ b/tests/unit/soak/test_engine_faults.py
@@ -50,6 +50,7 @@
 
     def __init__(self, fault: EngineFault, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(engine_server, "FAULT_SHARE", 1.1)
+        monkeypatch.setattr(engine_server, "UNFRAMED_SHARE", 0.0)
         self.reactor = MemoryReactorClock()
         self.oracle = Oracle()
         store = StoreServer(self.reactor, Random(1), 1)
