--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -84,6 +84,7 @@
             self._spoil_engine,
             self._crash_engine,
             self._crash_unframed_engine,
+            self._break_answers_off,
             self._restart_engine_at_other_version,
         )
         is_planned = targets.is_planned_only
@@ -214,6 +215,21 @@
         seconds = self._later(0.5, 4.0, end)
         return f"{engine.id}: {engine.fault.value} for {seconds:.2f} s"
 
+    def _break_answers_off(self) -> str:
+        """Let half of the engines break off answers at any byte."""
+        engines = self._targets.engines
+        struck = self._random.sample(engines, len(engines) // 2)
+        for engine in struck:
+            engine.fault = EngineFault.UNFRAMED
+
+        def end() -> None:
+            for engine in struck:
+                engine.fault = EngineFault.NONE
+
+        seconds = self._later(1.0, 4.0, end)
+        names = " ".join(engine.id for engine in struck)
+        return f"{names}: answers break off at any byte for {seconds:.2f} s"
+
     def _crash_engine(self) -> str:
         engine = self._engine()
         is_clean = self._draw_clean()
