--- a/notcharch/calls/end_check.py
+++ b/notcharch/calls/end_check.py
@@ -27,7 +27,7 @@
     """What an engine's answer says of the end."""
 
     NOTHING_FOLLOWS = "nothing follows"
-    LIVES = "its process still runs"
+    LIVES = "the engine's process still runs"
     UNKNOWN = "the engine did not tell"
     GONE = "the engine's process ended with its answer"
     MORE_FOLLOWS = "the engine has more of the answer"
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,22 +1,14 @@
 """One run of a call at one engine."""
 
-from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.calls.answer_end import AnswerEnd, ResumableCall
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.call_urgency import CallUrgency
-from notcharch.calls.end_check import (
-    CHECK_SECONDS,
-    EndCheck,
-    EndQuestion,
-    EndVerdict,
-    ProcessQuestion,
-    ResumptionQuestion,
-    check_seconds,
-)
+from notcharch.calls.end_check import EndVerdict
 from notcharch.calls.engine_selection import PromptSample
 from notcharch.calls.engine_sender import EngineRequest, EngineSender
 from notcharch.calls.engines import EnginePool
@@ -137,11 +129,9 @@
         self._prompt = prompt
         self._body = b""
         self._request: EngineRequest | None = None
-        self._end_check: EndCheck | None = None
-        """The check of the answer's end in progress, if any."""
-        self._start_question: ProcessQuestion | None = None
-        """Asks the process that sends an unframed answer for its start, if it may tell."""
-        self._start_check: EndCheck | None = None
+        self._end = AnswerEnd(
+            services.clock, services.sender, services.dialect, engine, log
+        )
         self._head: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
@@ -189,7 +179,7 @@
 
     def abandon(self) -> None:
         """Abort the run by closing its connection."""
-        if self._end_check is None and self._request is not None:
+        if self._request is not None and not self._end.is_checked:
             self._request.abandon()
         self._finish()
 
@@ -213,9 +203,7 @@
     def _finish(self) -> None:
         if self._head is not None:
             self._log.answer_received(self._head.framing, self._body_bytes)
-        for check in (self._start_check, self._end_check):
-            if check is not None:
-                check.stop()
+        self._end.stop()
         self.resume_reading()
         self._overdue.stop()
         self._services.pool.call_ended(self.engine.id, self._mean_event_interval())
@@ -277,8 +265,8 @@
         """Relay a successful stream; buffer any other response."""
         self._head = head
         self._services.pool.response_received(self.engine.id)
-        if head.framing is Framing.CONNECTION and self.engine.started_ms is not None:
-            self._ask_start()
+        if head.framing is Framing.CONNECTION:
+            self._end.begin()
         if head.status >= CLIENT_ERRORS or not self._route.is_stream:
             self._overdue.first_response_received()
             return
@@ -328,33 +316,6 @@
         else:
             self._check_end(head)
 
-    def _ask_start(self) -> None:
-        """Ask the process that sends an unframed answer when it started.
-
-        It may be another one than that of the engine's entry.
-        """
-        self._start_question = ProcessQuestion(self._services.dialect)
-        self._start_check = self._check(
-            self._start_question, CHECK_SECONDS, lambda _: None
-        )
-        self._start_check.start()
-
-    def _check(
-        self,
-        question: EndQuestion,
-        seconds: float,
-        then: Callable[[EndVerdict], None],
-    ) -> EndCheck:
-        services = self._services
-        return EndCheck(
-            services.clock,
-            services.sender,
-            self.engine,
-            question,
-            seconds=seconds,
-            then=then,
-        )
-
     def _broke_off(self, cause: str) -> None:
         """Handle an answer that was broken off, although its connection ended regularly."""
         self._finish()
@@ -362,14 +323,8 @@
 
     def _check_end(self, head: ResponseHead) -> None:
         """Ask the engine whether an answer is whole that ended with its connection."""
-        services = self._services
-        asked_at = services.clock.seconds()
-        limit = check_seconds(self._deadline - asked_at)
-        question = self._end_question(limit)
 
         def then(verdict: EndVerdict) -> None:
-            seconds = services.clock.seconds() - asked_at
-            self._log.end_checked(question.name, verdict.value, seconds)
             if verdict is EndVerdict.GONE:
                 self._engine_failed()
             if verdict.is_broken:
@@ -377,20 +332,17 @@
             else:
                 self._complete(head)
 
-        self._end_check = self._check(question, limit, then)
-        self._end_check.start()
+        self._end.check(self._resumable_call(), self._deadline, then)
 
-    def _end_question(self, seconds: float) -> EndQuestion:
-        """Return the question that shows most, among those that may be asked now."""
-        dialect, engine = self._services.dialect, self.engine
+    def _resumable_call(self) -> ResumableCall | None:
+        """Return the call as its engine may be asked to resume it; None if it may not."""
         may_resume = self._is_relaying and self._route.is_resumable
-        if not may_resume or not self._services.pool.takes_resumptions(engine.id):
-            start = self._start_question
-            known_started_ms = None if start is None else start.started_ms
-            return ProcessQuestion(dialect, known_started_ms)
-        last_event_id = self._listener.last_event_id
-        call = msgspec.structs.replace(self._call, last_event_id=last_event_id)
-        return ResumptionQuestion(dialect, engine, call, self._body, seconds)
+        if not may_resume or not self._services.pool.takes_resumptions(self.engine.id):
+            return None
+        call = msgspec.structs.replace(
+            self._call, last_event_id=self._listener.last_event_id
+        )
+        return ResumableCall(call, self._body)
 
     def _complete(self, head: ResponseHead) -> None:
         """Report a whole answer."""
