Soak: an engine that is back already doesn't change its version; an event may lack its last LF

Traced to the soak: the replacement of i-models-1-0 at another version was due after the faults had ended, when the engine was back as i-models-1-1 and listed at v1, so it changed the version of a running process. The replacement does nothing then, and a run keeps the version of its process.

Found by reading beside it: the oracle didn't know that an event in CRLF is complete without its last LF, so an answer closed there by a living engine would have been reported as ORDER. Its test failed before.

--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -21,8 +21,10 @@
 from deploy.soak.store_server import StoreServer
 from deploy.soak.unframed import Break, begin_unframed, end_early
 from deploy.soak.zones import COLD_SECONDS, ZONES
+from notcharch.calls.event_stream import EVENT_END
 from notcharch.http.messages import Headers
 from notcharch.http.server import Exchange, ServerFactory, ServerLimits
+from notcharch.values.line_ends import with_line_feeds
 
 SERVERS_TOPIC = "keyed.servers"
 EVENT_SECONDS = 0.02
@@ -169,6 +171,11 @@
         """Whether this engine bears few calls now."""
         return self.now() < self._cold_until
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has said that it leaves, and has not been replaced."""
+        return self._is_leaving
+
     def leave(self) -> None:
         """Say that this engine leaves; it goes on serving."""
         self._is_leaving = True
@@ -325,6 +332,8 @@
         self._stream = (head.get(b"resumes") or b"").decode() or self.request
         """The attempt that brought the stream's first event."""
         self._path = head.target.decode()
+        self._version = engine.version
+        """Of the process that runs it; the next process may have another one."""
         after = head.get(b"last-event-id")
         self._next = 0 if after is None else int(after) + 1
         self._timer: IDelayedCall | None = None
@@ -407,16 +416,18 @@
             self._exchange.write(part)
         self._gone()
         if broken.end.is_clean:
-            self._note_early_close(len(part))
+            self._note_early_close(part)
         end_early(self._exchange, broken.end)
         return False
 
-    def _note_early_close(self, part_bytes: int) -> None:
+    def _note_early_close(self, part: bytes) -> None:
         """Note what was made, if a close after it looks like a regular end."""
         if not self._is_stream:
-            self._engine.closed_early(self, self._sent + part_bytes)
-        elif not part_bytes:
+            self._engine.closed_early(self, self._sent + len(part))
+        elif not part:
             self._engine.closed_early(self, self._next)
+        elif with_line_feeds(part).endswith(EVENT_END):
+            self._engine.closed_early(self, self._next + 1)
 
     def _event(self) -> None:
         engine = self._engine
@@ -424,7 +435,7 @@
             engine.ended(self)
             self._exchange.finish()
             return
-        data = event_of(self.request, self._next, engine.version)
+        data = event_of(self.request, self._next, self._version)
         event = b"id: %d\ndata: %b\n\n" % (self._next, data)
         event = event.replace(b"\n", engine.line_end)
         if engine.is_struck_by(EngineFault.BREAK_EVENTS):
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -265,8 +265,9 @@
         engine.leave()
 
         def replace() -> None:
-            engine.change_version()
-            engine.start_again()
+            if engine.is_leaving:
+                engine.change_version()
+                engine.start_again()
 
         self._later(3.0, 4.0, replace)
         return f"{engine.id} leaves, to return at another version than {engine.version}"
--- a/tests/unit/soak/test_unframed.py
+++ b/tests/unit/soak/test_unframed.py
@@ -94,6 +94,16 @@
     }
 
 
+def test_an_event_without_the_last_byte_of_its_line_end_is_a_whole_one(monkeypatch):
+    """A CR ends a line, whether or not an LF follows."""
+    monkeypatch.setattr(engine_server, "LINE_ENDS", (b"\r\n",))
+    size = EVENT_BYTES + len(b"\r\r\r")
+    _, oracle = answered("/plain/x", Break(size - 1, EarlyEnd.CLOSE), monkeypatch)
+    assert oracle.closed_early["r"] == {1}
+    _, oracle = answered("/plain/x", Break(size - 2, EarlyEnd.CLOSE), monkeypatch)
+    assert not oracle.closed_early["r"]
+
+
 class Scene:
     """Both sides of one proxied connection."""
 
