Count an engine's close of a connection as a sign that it may have started again

A close in an answer did not count as a failure, so its start was not asked for, and streams began there by its old entry.

Change: a close before the end of an answer, and one of a connection at rest, make the daemon ask for the engine's start before streams begin there, where engines may restart under their ids. Other deployments decide as before: their engines tell no start. No engine is avoided for it.

--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -1,5 +1,6 @@
 """Sends calls to engines over persistent connections."""
 
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -175,6 +176,8 @@
         self._reactor = reactor
         self._bind = (local_address, 0) if local_address else None
         self._idle: dict[str, IdleConnections] = {}
+        self.on_idle_close: Callable[[str], None] = lambda _: None
+        """Called with the id of an engine that closes an idle connection."""
         self._factory = Factory.forProtocol(
             partial(ClientConnection, buffers or BufferedBytes())
         )
@@ -224,6 +227,7 @@
         idle = self._idle.get(engine_id)
         if idle is None:
             idle = self._idle[engine_id] = IdleConnections(self._reactor, MAX_IDLE)
+        connection.on_idle_close = partial(self.on_idle_close, engine_id)
         idle.keep(connection, seconds)
 
     def close_idle(self, engine_id: str) -> None:
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -464,6 +464,12 @@
         self._suspicions.suspect(engine_id, state.health.failed(now))
         return is_silent
 
+    def connection_closed(self, engine_id: str) -> None:
+        """Record that an engine closed a connection: its process may have ended."""
+        state = self._states.get(engine_id)
+        if state is not None:
+            state.failed_at = self._clock.seconds()
+
     def engine_restarted(self, engine_id: str) -> None:
         """Record that an engine's entry is of an earlier process than the one that runs."""
         state = self._states.get(engine_id)
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -80,7 +80,8 @@
         """When the server's process started, in Unix milliseconds, if it was asked."""
         self.keep_alive_seconds: float | None = None
         """The idle timeout that the server advertises in `Keep-Alive`, if any."""
-        self.on_disconnect: Callable[[ClientConnection], None] | None = None
+        self.on_idle_close: Callable[[], None] | None = None
+        """Called if the server closes the connection while it is idle."""
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Disable Nagle's algorithm, so that small requests are sent immediately."""
@@ -238,12 +239,13 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Complete or fail the request in flight."""
         self._is_disconnected = True
+        was_idle = self.is_reusable
         self.is_reusable = False
         self._out.discard()
         if self._listener is not None:
             self._disconnected_in_flight(reason.check(ConnectionDone) is not None)
-        if self.on_disconnect is not None:
-            self.on_disconnect(self)
+        if was_idle and self.on_idle_close is not None:
+            self.on_idle_close()
 
     def _disconnected_in_flight(self, is_clean: bool) -> None:
         if self._is_cut:
--- a/tests/unit/calls/test_inferred_ends.py
+++ b/tests/unit/calls/test_inferred_ends.py
@@ -245,6 +245,24 @@
     assert (world.reply.end, world.reply.data) == ("finished", ONE)
 
 
+def may_have_restarted(world: World) -> bool:
+    state = world.pool._states[world.sent[0].engine.id]
+    return state.failed_at is not None
+
+
+@pytest.mark.parametrize("is_inside_event", [True, False])
+def test_an_engine_that_closed_early_may_have_started_again(is_inside_event):
+    world = restartable(is_stream=True)
+    assert not may_have_restarted(world)
+    world.sent[0].begin(framing=Framing.CONNECTION)
+    world.sent[0].listener.data_received(ONE + TWO[:5])
+    if is_inside_event:
+        world.sent[0].listener.completed()
+    else:
+        world.sent[0].listener.failed(ResponseFailure.TRUNCATED)
+    assert may_have_restarted(world)
+
+
 def test_a_start_that_was_not_told_in_time_breaks_nothing():
     world = restartable()
     plain(world.sent[0])
--- a/tests/unit/http/test_client.py
+++ b/tests/unit/http/test_client.py
@@ -150,6 +150,18 @@
     assert side.connection.keep_alive_seconds == 7.0
 
 
+@pytest.mark.parametrize("is_ours", [True, False])
+def test_a_close_of_an_idle_connection_is_told_unless_it_is_ours(is_ours):
+    side, _ = sent()
+    told = []
+    side.connection.on_idle_close = lambda: told.append("closed")
+    side.respond(OK)
+    if is_ours:
+        side.connection.close()
+    side.closed()
+    assert told == ([] if is_ours else ["closed"])
+
+
 def test_an_abandoned_request_hears_nothing_more():
     side, listener = sent()
     side.connection.abandon()
