Name what an early end says of an engine; a resumable call is a typed message

Cause: `EnginePool.connection_closed` is also called when a framed answer ends inside an event, where no connection closed; what is recorded is that the engine may have started again. `ResumableCall` was a class with two attributes and no behaviour.

Change: `may_have_restarted`, and a frozen struct. No behaviour changes; unit tests of calls, http, platform and soak pass.

--- a/notcharch/calls/answer_end.py
+++ b/notcharch/calls/answer_end.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.call_log import CallLog
@@ -18,13 +19,12 @@
 from notcharch.calls.interface import Engine, EngineDialect, OpaqueCall
 
 
-class ResumableCall:
+class ResumableCall(msgspec.Struct, frozen=True):
     """A call whose engine may be asked for what follows the last event."""
 
-    def __init__(self, call: OpaqueCall, body: bytes) -> None:
-        """Resume `call`, which has the id of the last event, with its body."""
-        self.call = call
-        self.body = body
+    call: OpaqueCall
+    """With the id of the last event."""
+    body: bytes
 
 
 class AnswerEnd:
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -318,7 +318,7 @@
 
     def _broke_off(self, cause: str) -> None:
         """Handle an answer that was broken off, although its connection ended regularly."""
-        self._services.pool.connection_closed(self.engine.id)
+        self._services.pool.may_have_restarted(self.engine.id)
         self._finish()
         self._listener.run_failed(cause)
 
@@ -371,6 +371,6 @@
         if failure not in HARMLESS_FAILURES:
             self._engine_failed()
         elif failure is ResponseFailure.TRUNCATED:
-            self._services.pool.connection_closed(self.engine.id)
+            self._services.pool.may_have_restarted(self.engine.id)
         self._finish()
         self._listener.run_failed(failure.value)
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -464,8 +464,8 @@
         self._suspicions.suspect(engine_id, state.health.failed(now))
         return is_silent
 
-    def connection_closed(self, engine_id: str) -> None:
-        """Record that an engine closed a connection: its process may have ended."""
+    def may_have_restarted(self, engine_id: str) -> None:
+        """Record that an engine's process may have ended: it closed or broke off early."""
         state = self._states.get(engine_id)
         if state is not None:
             state.failed_at = self._clock.seconds()
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -189,7 +189,7 @@
         buffers = BufferedBytes(total_limit(settings.memory_bytes))
         BUFFERED_BYTES.set_function(lambda: buffers.total)
         sender = EngineSender(reactor, settings.host, buffers)
-        sender.on_idle_close = pool.connection_closed
+        sender.on_idle_close = pool.may_have_restarted
         self._freshness = TableFreshness(settings.revoke_seconds)
         self._check = CallerCheck(reactor, self._freshness)
         self._ingress = Ingress(
