--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -207,26 +207,28 @@
 
     def _spoil_engine(self) -> str:
         engine = self._engine()
-        engine.fault = self._random.choice(ENGINE_FAULTS)
+        fault = self._random.choice(ENGINE_FAULTS)
+        seconds = self._spoil([engine], fault, least_seconds=0.5)
+        return f"{engine.id}: {fault.value} for {seconds:.2f} s"
+
+    def _spoil(
+        self, engines: list[SoakEngine], fault: EngineFault, *, least_seconds: float
+    ) -> float:
+        """Let engines suffer from a fault for a while; give for how many seconds."""
+        for engine in engines:
+            engine.fault = fault
 
         def end() -> None:
-            engine.fault = EngineFault.NONE
+            for engine in engines:
+                engine.fault = EngineFault.NONE
 
-        seconds = self._later(0.5, 4.0, end)
-        return f"{engine.id}: {engine.fault.value} for {seconds:.2f} s"
+        return self._later(least_seconds, 4.0, end)
 
     def _break_answers_off(self) -> str:
         """Let half of the engines break off answers at any byte."""
         engines = self._targets.engines
         struck = self._random.sample(engines, len(engines) // 2)
-        for engine in struck:
-            engine.fault = EngineFault.UNFRAMED
-
-        def end() -> None:
-            for engine in struck:
-                engine.fault = EngineFault.NONE
-
-        seconds = self._later(1.0, 4.0, end)
+        seconds = self._spoil(struck, EngineFault.UNFRAMED, least_seconds=1.0)
         names = " ".join(engine.id for engine in struck)
         return f"{names}: answers break off at any byte for {seconds:.2f} s"
 
