Move the reading of a file that is being written out of the platform's adapter

Cause: `platform/settings_reload` decided when a file is settled; the adapter only translates, and nothing in that decision is the platform's.

Change: `settings/settled_file` gives the settled text, and the adapter parses it. Its tests move along with their assertions. No behaviour changes; unit tests of settings and platform, types and layers pass.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -51,8 +51,11 @@
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
-from notcharch.platform.settings import ProcessSettings, read_settings_file
-from notcharch.platform.settings_reload import SettingsReload
+from notcharch.platform.settings import (
+    ProcessSettings,
+    read_settings,
+    read_settings_file,
+)
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables, long_poll_seconds
 from notcharch.scheduling.first_response_times import RouteResponseTimes
@@ -62,6 +65,7 @@
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
+from notcharch.settings.settled_file import SettledFile
 from notcharch.stream_origins.exchange import StreamOriginExchange
 from notcharch.stream_origins.messages import STREAM_ORIGIN_MESSAGES
 from notcharch.tenants.freshness import TableFreshness
@@ -122,9 +126,7 @@
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
-        self._reload = SettingsReload(
-            reactor, read_settings_file, self._settings_loaded
-        )
+        self._reload = SettledFile(reactor, read_settings_file, self._settings_settled)
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
@@ -342,8 +344,9 @@
         """Reload the settings, once their file is no longer being written."""
         self._reload.start()
 
-    def _settings_loaded(self, loaded: Result[ProcessSettings, list[str]]) -> None:
+    def _settings_settled(self, text: Result[str, list[str]]) -> None:
         """Apply a changed address of the store."""
+        loaded = text.and_then(read_settings)
         if isinstance(loaded, Err):
             errors = loaded.err_value
             emit(SettingsRead(self._settings.machine, errors, is_changed=False))
--- a/notcharch/platform/settings_reload.py
+++ b/notcharch/settings/settled_file.py
@@ -1,4 +1,4 @@
-"""Reads a changed settings file once it is no longer being written.
+"""Reads a changed file once it is no longer being written.
 
 Nothing in the file says where it ends, so a part of it may look like a whole one: with a
 line cut short, or without its last lines.
@@ -6,29 +6,28 @@
 
 from collections.abc import Callable
 
-from result import Err, Ok, Result
+from result import Ok, Result
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from notcharch.platform.settings import ProcessSettings, read_settings
-
 SETTLE_SECONDS = 0.1
 """The file has to stay the same for this time."""
 MAX_READS = 10
 """Reads after which a file is taken as it is, also if its last line has no end."""
 
 TextRead = Result[str, list[str]]
+"""The text of a file, or why it can't be read."""
 
 
-class SettingsReload:
-    """One reload at a time; a newer one takes the place of the one under way."""
+class SettledFile:
+    """One reading at a time; a newer one takes the place of the one under way."""
 
     def __init__(
         self,
         clock: IReactorTime,
         read: Callable[[], TextRead],
-        then: Callable[[Result[ProcessSettings, list[str]]], None],
+        then: Callable[[TextRead], None],
     ) -> None:
-        """Get the text of the file by `read`; `then` gets the settings of a settled one."""
+        """Get the text of the file by `read`; `then` gets that of a settled one."""
         self._clock = clock
         self._read = read
         self._then = then
@@ -54,10 +53,8 @@
         self._reads += 1
         if self._reads < MAX_READS and not (is_same and _has_last_line(text)):
             self._wait()
-        elif isinstance(text, Err):
-            self._then(text)
         else:
-            self._then(read_settings(text.ok_value))
+            self._then(text)
 
 
 def _has_last_line(text: TextRead) -> bool:
--- a/tests/unit/platform/test_settings_reload.py
+++ b/tests/unit/settings/test_settled_file.py
@@ -5,10 +5,10 @@
 from twisted.internet.task import Clock
 
 from notcharch.platform.settings import read_settings
-from notcharch.platform.settings_reload import (
+from notcharch.settings.settled_file import (
     MAX_READS,
     SETTLE_SECONDS,
-    SettingsReload,
+    SettledFile,
 )
 from tests.unit.platform.test_settings import TEXT
 
@@ -18,9 +18,12 @@
         self.clock = Clock()
         self.file = Ok(text)
         self.loaded = []
-        self.reload = SettingsReload(self.clock, lambda: self.file, self.loaded.append)
+        self.reload = SettledFile(self.clock, lambda: self.file, self._settled)
         self.reload.start()
 
+    def _settled(self, text) -> None:
+        self.loaded.append(text.and_then(read_settings))
+
 
 def test_a_file_that_stays_the_same_is_taken():
     scene = Scene(TEXT)
