--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,6 +55,7 @@
     record.line("all daemons were killed")
     await asyncio.sleep(DOWN_SECONDS)
     for daemon in deployment.daemons:
+        daemon.note_first_start()
         daemon.start()
     record.line("all daemons were started again")
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -165,6 +165,11 @@
         lines = [f"{key}={value}\n" for key, value in fields.items()]
         self._settings.write_text("".join(lines))
 
+    def note_first_start(self) -> None:
+        """Write that the whole system has been started before."""
+        text = self._settings.read_text()
+        self._settings.write_text(text.replace("bootstrap=true", "bootstrap=false"))
+
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
         passed = {name: os.environ.get(name, "") for name in PASSED_VARIABLES}
