--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -33,10 +33,10 @@
 GRACE_SECONDS = 8.0
 MOST_SECONDS = 110.0
 """A case runs for 120 s at most."""
-SLOW_LINK_SETTINGS: Mapping[str, object] = MappingProxyType(
+HINOKUNI_SETTINGS: Mapping[str, object] = MappingProxyType(
     {
-        "limits.memory_mb": 552,
-        "limits.link_mbps": 11,
+        "limits.memory_mb": 130,
+        "limits.link_mbps": 600,
         "bounds.contact_ms": 4000,
         "bounds.acknowledge_ms": 6000,
         "bounds.drain_ms": 3000,
@@ -45,7 +45,7 @@
         "bounds.recovery_s": 15,
     }
 )
-"""Of a site whose clients may be slow to read, and whose machines differ in size."""
+"""Bounds of hinokuni-agents-grown, and limits of a machine of which it has 18."""
 USUAL_PACE = Pace()
 PASSED_VARIABLES = ("PATH", "HOME", "LANG", "JAVA_HOME")
 
