--- a/deploy/soak/store_server.py
+++ b/deploy/soak/store_server.py
@@ -34,6 +34,7 @@
     LogFault.GONE: 410,
     LogFault.FULL: 507,
     LogFault.NOT_DONE: BUSY,
+    LogFault.REJECTED: 413,
 }
 MILLISECONDS = 1000
 
--- a/emulator/memory_journal.py
+++ b/emulator/memory_journal.py
@@ -35,6 +35,7 @@
     ) -> None:
         """Share `faults` between the ports of one service."""
         self._log = log
+        self.limits = log.limits
         self._exchange = MemoryExchange(
             way, faults.transport, ProblemCode.UNAVAILABLE, "log service"
         )
--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -7,6 +7,7 @@
 
 import enum
 from collections.abc import Callable
+from itertools import accumulate, takewhile
 from random import Random
 from typing import TypeVar
 
@@ -21,6 +22,7 @@
     GroupName,
     KeyedRecord,
     LogFault,
+    LogLimits,
     LogProblem,
     Membership,
     NewestPage,
@@ -38,6 +40,8 @@
 LATE_SECONDS = 3.0
 REMEMBERED_ANSWERS = 5
 PAGE_ITEMS = 500
+READ_BYTES = 1024 * 1024
+"""A read gives records up to this size, and one at least."""
 
 
 class Trouble(enum.Enum):
@@ -109,6 +113,13 @@
         self.first += dropped
 
 
+def first_records(records: list[bytes]) -> tuple[bytes, ...]:
+    """Give what one read returns of some records."""
+    sizes = accumulate(map(len, records))
+    count = sum(1 for _ in takewhile(lambda size: size <= READ_BYTES, sizes))
+    return tuple(records[: max(count, 1)])
+
+
 class Waiting(msgspec.Struct, frozen=True):
     """A read that waits for a record."""
 
@@ -119,8 +130,17 @@
 class PartitionedLog:
     """The log service, in memory."""
 
-    def __init__(self, clock: IReactorTime, random: Random, partitions: int) -> None:
+    def __init__(
+        self,
+        clock: IReactorTime,
+        random: Random,
+        partitions: int,
+        limits: LogLimits = LogLimits(),  # noqa: B008
+    ) -> None:
         """Start with empty topics that have `partitions` partitions each."""
+        self.limits = limits
+        self.refused_bytes: list[int] = []
+        """Sizes of the appends that were larger than the limits."""
         self._clock = clock
         self._random = random
         self._partitions: dict[tuple[str, int], Partition] = {}
@@ -165,12 +185,20 @@
         """Append records, all or none."""
 
         def act() -> Result[Appended, LogProblem]:
+            if not self._fits(records):
+                self.refused_bytes.append(sum(map(len, records)))
+                return Err(LogProblem(LogFault.REJECTED))
             answer = self.partition(topic, partition).append(records, producer)
             self._wake((topic, partition))
             return answer
 
         return self._answer(act)
 
+    def _fits(self, records: tuple[bytes, ...]) -> bool:
+        largest = max(map(len, records), default=0)
+        total = sum(self.limits.call_size(len(record)) for record in records)
+        return largest <= self.limits.record_bytes and total <= self.limits.call_bytes
+
     def put(self, topic: str, partition: int, record: bytes) -> None:
         """Write a record for a caller whom the trouble doesn't concern."""
         self.partition(topic, partition).append((record,), None)
@@ -191,7 +219,7 @@
             found = self.partition(topic, partition)
             if offset < found.first:
                 return Err(LogProblem(LogFault.GONE, found.first))
-            records = tuple(found.records[offset - found.first :])
+            records = first_records(found.records[offset - found.first :])
             return Ok(Records(offset, records, found.end))
 
         if not wait_seconds or self.partition(topic, partition).end > offset:
--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -7,7 +7,7 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
-from notcharch.accounts.admission import AccountAdmission
+from notcharch.accounts.admission import MAX_BODY_BYTES, AccountAdmission
 from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.outage_refusals import OutageRefusals
 from notcharch.accounts.owned_partitions import OwnedPartitions
@@ -45,6 +45,8 @@
     tolerance: Tolerance
     """How far the limits of tenants may be exceeded."""
     mechanisms: frozenset[Mechanism]
+    max_body_bytes: int = MAX_BODY_BYTES
+    """Bound of a body together with the turns before it."""
     has_competing_callers: bool = False
     """Whether callers compete for less capacity than they need."""
 
@@ -139,7 +141,10 @@
             self._outage_refusals(services),
         )
         self.admission = AccountAdmission(
-            self.owners, services.suspicions, other_groups
+            self.owners,
+            services.suspicions,
+            other_groups,
+            max_body_bytes=settings.max_body_bytes,
         )
 
     @staticmethod
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -9,10 +9,13 @@
 from notcharch.accounts.messages import NotOwner, TurnAdmitted, TurnRefused
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.request_retry import request_until_decided
+from notcharch.accounts.transcript_reader import read_remaining_pages
 from notcharch.accounts.turn_adoption import Adoption, adopt_turn
 from notcharch.accounts.turns import TurnCache
 from notcharch.calls.interface import (
     BUDGET_SPENT,
+    HISTORY_NOT_STORABLE,
+    HISTORY_TOO_LONG,
     UNKNOWN_TURN,
     AdmissionListener,
     OpaqueCall,
@@ -22,10 +25,31 @@
 from notcharch.calls.open_admission import NO_ACCOUNT
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Bound of a body with the turns before it, where the memory limit is unknown."""
+MEMORY_SHARE = 1 / 8
+"""Share of the memory limit that a body may have: it is held some times over."""
+PARTITION_SHARE = 1 / 4
+"""Share of a partition of the log that a chain may fill, beside its copies."""
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Size of the cache of turns; after the first one, a program's turns have 0.3 to 2.6 KB."""
 
 
+def max_body_bytes(memory_bytes: int, partition_bytes: int) -> int:
+    """Return the bound of a body with the turns before it; 0 is an unknown limit."""
+    by_memory = int(memory_bytes * MEMORY_SHARE) or MAX_BODY_BYTES
+    by_partition = int(partition_bytes * PARTITION_SHARE) or MAX_BODY_BYTES
+    return min(by_memory, by_partition)
+
+
+REFUSALS = {
+    Adoption.NO_SUCH_TURN: UNKNOWN_TURN,
+    Adoption.TOO_LONG: HISTORY_TOO_LONG,
+    Adoption.NOT_STORABLE: HISTORY_NOT_STORABLE,
+}
+"""Final results of a search for the previous turn."""
+
+
 class AccountAdmission:
     """Admits calls of programs by their accounts, and all other calls."""
 
@@ -34,11 +58,15 @@
         owners: OwnerRequests,
         suspicions: SharedSuspicions,
         other_groups: Callable[[], Sequence[OwnerRequests]] = tuple,
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Request decisions from `owners`, exchanging `suspicions` of engines with them.
 
         `other_groups` returns the owners of other groups, which may store a turn.
+        `max_body_bytes` bounds the chain of turns together with the new input.
         """
+        self._max_body_bytes = max_body_bytes
         self._owners = owners
         self._other_groups = other_groups
         self._suspicions = suspicions
@@ -52,9 +80,14 @@
         if not (route.is_stream and call.program and is_accounted):
             listener.admitted(NO_ACCOUNT, call.body)
             return
-        self._request_admission(
-            CallAccount(self._owners, self._cache, call, route), listener
+        account = CallAccount(
+            self._owners,
+            self._cache,
+            call,
+            route,
+            max_body_bytes=self._max_body_bytes,
         )
+        self._request_admission(account, listener)
 
     @inlineCallbacks
     def _request_admission(
@@ -90,23 +123,55 @@
     def _request_decision(
         self, account: CallAccount
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
-        clock = self._owners.clock
-        suspected = self._suspicions.to_send(clock.seconds())
-        message = account.admit_message(suspected)
-        reply = yield self._owners.send_request(account.partition, message)
+        reply = yield self._send_admission(account)
+        if isinstance(reply, TurnRefused) and not reply.is_spent:
+            adoption: Adoption = yield adopt_turn(
+                self._owners, self._other_groups(), account
+            )
+            if adoption is Adoption.NO_SUCH_TURN and not reply.is_certain:
+                adoption = Adoption.UNSURE
+            _log_adoption(account, adoption)
+            if adoption is not Adoption.ADOPTED:
+                return REFUSALS.get(adoption)
+            reply = yield self._send_admission(account)
         if isinstance(reply, TurnAdmitted):
-            self._suspicions.merge(reply.suspicions, clock.seconds())
-            return account.complete_body(reply)
+            decision: Refusal | bytes | None = yield self._complete_body(account, reply)
+            return decision
         if isinstance(reply, NotOwner) and self._owners.outages is not None:
             account.never_ran()  # an earlier request may reserve tokens later
             return self._owners.outages.refusal(
                 account.call, reply.store_outage_seconds, is_owners_decision=True
             )
-        if not isinstance(reply, TurnRefused):
+        is_spent = isinstance(reply, TurnRefused) and reply.is_spent
+        return BUDGET_SPENT if is_spent else None
+
+    def _send_admission(self, account: CallAccount) -> "Deferred[Any]":
+        suspected = self._suspicions.to_send(self._owners.clock.seconds())
+        message = account.admit_message(suspected)
+        return self._owners.send_request(account.partition, message)
+
+    @inlineCallbacks
+    def _complete_body(
+        self, account: CallAccount, reply: TurnAdmitted
+    ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
+        """Return the body after the turns before it; None if they could not be read."""
+        self._suspicions.merge(reply.suspicions, self._owners.clock.seconds())
+        if not account.on_admitted(reply):
             return None
-        if reply.is_spent:
-            return BUDGET_SPENT
-        adoption = yield adopt_turn(self._owners, self._other_groups(), account)
-        if adoption is not Adoption.UNSURE:
-            account.log_adoption(is_found=adoption is Adoption.ADOPTED)
-        return UNKNOWN_TURN if adoption is Adoption.NO_SUCH_TURN else None
+        transcript = account.transcript
+        if account.exceeds_limit(transcript.size_bytes + reply.remaining_bytes):
+            account.never_ran()
+            account.log_history_refused(Adoption.TOO_LONG.value)
+            return HISTORY_TOO_LONG
+        is_read = yield read_remaining_pages(
+            self._owners, account.partition, transcript
+        )
+        return account.complete_body() if is_read else None
+
+
+def _log_adoption(account: CallAccount, adoption: Adoption) -> None:
+    """Log the result of a search for a turn, unless the search is to be retried."""
+    if adoption in (Adoption.ADOPTED, Adoption.NO_SUCH_TURN):
+        account.log_adoption(is_found=adoption is Adoption.ADOPTED)
+    elif adoption is not Adoption.UNSURE:
+        account.log_history_refused(adoption.value)
--- a/notcharch/accounts/allowance_renewal.py
+++ b/notcharch/accounts/allowance_renewal.py
@@ -9,7 +9,7 @@
 from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.ledger import Ledger
 from notcharch.accounts.records import encode
-from notcharch.journal.writer import Outcome
+from notcharch.journal.entries import Outcome
 
 WRITE_KEY = "allowance"
 """Key under which writes of the allowance are coalesced."""
@@ -33,7 +33,7 @@
         self._wall_clock = wall_clock
         self._write = write
         self._is_enabled = is_enabled
-        self._writes = CoalescedWrites()
+        self._writes = CoalescedWrites(on_exception=False)
 
     def renew(self) -> "Deferred[bool]":
         """Write the allowance; it is in force once the record is durable."""
--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -1,5 +1,6 @@
 """One call's admission request and usage report to the owner of its program's account."""
 
+from collections import deque
 from collections.abc import Generator
 from typing import Any
 
@@ -12,13 +13,22 @@
     SettleCall,
     TurnAdmitted,
     TurnIsKept,
+    TurnNotStorable,
 )
 from notcharch.accounts.metrics import UNANSWERED
 from notcharch.accounts.owner_requests import OwnerRequests
-from notcharch.accounts.turns import Turn, TurnCache
+from notcharch.accounts.transcript_reader import CollectedTranscript
+from notcharch.accounts.turn_parts import split_turn
+from notcharch.accounts.turns import TranscriptPage, Turn, TurnCache
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import Completion, OpaqueCall, Route
-from notcharch.events.accounts import OwnerUnanswered, TurnAdopted, TurnDenied
+from notcharch.events.accounts import (
+    HistoryTooLong,
+    OwnerUnanswered,
+    TurnAdopted,
+    TurnDenied,
+    TurnRefusedByLog,
+)
 from notcharch.events.event import emit
 from notcharch.scheduling.shared_suspicions import Suspicion
 from notcharch.tenants.scope import scoped_name
@@ -35,9 +45,18 @@
     """
 
     def __init__(
-        self, owners: OwnerRequests, cache: TurnCache, call: OpaqueCall, route: Route
+        self,
+        owners: OwnerRequests,
+        cache: TurnCache,
+        call: OpaqueCall,
+        route: Route,
+        *,
+        max_body_bytes: int,
     ) -> None:
-        """Look up the partition of the call's program."""
+        """Look up the partition of the call's program.
+
+        `max_body_bytes` bounds the chain of turns together with the new input.
+        """
         self._owners = owners
         self._cache = cache
         self.call = call
@@ -47,6 +66,10 @@
         self.call_id = scoped_name(tenant, call.id)
         self.previous_turn = scoped_name(tenant, call.previous_turn)
         self.partition = owners.partitioning.of_program(self.program)
+        self._max_body_bytes = max_body_bytes
+        chain_end = self.previous_turn if route.stores_turns else ""
+        self.transcript = CollectedTranscript(cache, self.program, chain_end)
+        """The text of the turns before the call, as far as it has arrived."""
         self._is_completed = False
         self._unanswered: set[str] = set()
         """Operations already logged as unanswered."""
@@ -66,28 +89,27 @@
             call.max_tokens,
             call.budget_tokens,
             self._route.retention_seconds,
-            previous=self.previous_turn if self._route.stores_turns else "",
-            known=self._known_turn(),
+            previous=self.transcript.turn,
+            known=self.transcript.known,
             suspicions=suspicions,
         )
 
-    def _known_turn(self) -> str:
-        previous = self.previous_turn
-        if not previous or self._cache.transcript(previous) is not None:
-            return previous
-        return self._cache.newest(self.program)
-
-    def complete_body(self, response: TurnAdmitted) -> bytes | None:
-        """Return the body after the text of earlier turns; None if one is missing."""
-        self.cached_engine = response.home
-        body = self.call.body
-        if not self._route.stores_turns or not self.previous_turn:
-            return body
-        if response.text:
-            known = Turn(response.after, response.text, b"")
-            self._cache.add_newest(self.program, self.previous_turn, known)
-        chain = self._cache.transcript(self.previous_turn)
-        return None if chain is None else chain.text + body
+    def exceeds_limit(self, chain_bytes: int) -> bool:
+        """Return whether a chain and the new input are more than a call may have."""
+        return chain_bytes + len(self.call.body) > self._max_body_bytes
+
+    def on_admitted(self, reply: TurnAdmitted) -> bool:
+        """Take the first page of the chain; False if the turns before it are unknown."""
+        self.cached_engine = reply.home
+        if not self.transcript.turn:
+            return True
+        last = reply.last or self.transcript.turn
+        page = TranscriptPage(reply.after, reply.text, last, reply.remaining_bytes)
+        return self.transcript.add(page)
+
+    def complete_body(self) -> bytes:
+        """Return the body after the text of all earlier turns."""
+        return self.transcript.followed_by(self.call.body)
 
     # Log events
 
@@ -119,6 +141,11 @@
         event = TurnAdopted if is_found else TurnDenied
         emit(event(call.id, call.program, call.previous_turn))
 
+    def log_history_refused(self, cause: str) -> None:
+        """Log that the turns before the call can't be kept or sent."""
+        call = self.call
+        emit(HistoryTooLong(call.id, call.program, call.previous_turn, cause))
+
     # `Ticket`
 
     def engine_started(self, engine_id: str) -> None:
@@ -172,12 +199,20 @@
             events * call.tokens_per_event,
             self._engine,
         )
+        parts = deque(split_turn(message))
         while completion.is_caller_waiting:
-            response = yield self._owners.send_request(self.partition, message)
-            if isinstance(response, TurnIsKept):
+            response = yield self._owners.send_request(self.partition, parts[0])
+            if isinstance(response, TurnNotStorable):
+                emit(TurnRefusedByLog(call.id, call.program, len(call.body), len(data)))
+                completion.not_durable()
+                return
+            if not isinstance(response, TurnIsKept):
+                self.log_unanswered("storing a turn")
+                yield deferLater(self._owners.clock, STORE_RETRY_SECONDS, lambda: None)
+                continue
+            parts.popleft()
+            if not parts:
                 turn = Turn(self.previous_turn, call.body, data)
                 self._cache.add_newest(self.program, self.call_id, turn)
                 completion.durable()
                 return
-            self.log_unanswered("storing a turn")
-            yield deferLater(self._owners.clock, STORE_RETRY_SECONDS, lambda: None)
--- a/notcharch/accounts/coalesced_writes.py
+++ b/notcharch/accounts/coalesced_writes.py
@@ -1,35 +1,38 @@
 """Coalesces concurrent writes of the same key into one."""
 
 from collections.abc import Callable, Generator
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+Result = TypeVar("Result")
 
-class CoalescedWrites:
+
+class CoalescedWrites(Generic[Result]):
     """The writes in flight, by key."""
 
-    def __init__(self) -> None:
-        """Start without writes in flight."""
-        self._waiters: dict[str, list[Deferred[bool]]] = {}
+    def __init__(self, on_exception: Result) -> None:
+        """Start without writes in flight; those that raise have one result."""
+        self._on_exception = on_exception
+        self._waiters: dict[str, list[Deferred[Result]]] = {}
 
     @inlineCallbacks
     def write(
-        self, key: str, start: Callable[[], "Deferred[bool]"]
-    ) -> Generator["Deferred[Any]", Any, bool]:
-        """Join the write in flight for a key, or start one; return whether it succeeded."""
+        self, key: str, start: Callable[[], "Deferred[Result]"]
+    ) -> Generator["Deferred[Any]", Any, Result]:
+        """Join the write in flight for a key, or start one; return its result."""
         waiters = self._waiters.get(key)
         if waiters is not None:
-            joined: Deferred[bool] = Deferred()
+            joined: Deferred[Result] = Deferred()
             waiters.append(joined)
-            is_done: bool = yield joined
-            return is_done
+            result: Result = yield joined
+            return result
         self._waiters[key] = []
-        is_done = False
+        result = self._on_exception
         try:
-            is_done = yield start()
+            result = yield start()
         finally:
             # In `finally`, so that an exception leaves no waiter unresolved.
             for other in self._waiters.pop(key):
-                other.callback(is_done)
-        return is_done
+                other.callback(result)
+        return result
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -37,7 +37,11 @@
     after: str = ""
     """`text` follows the chain of this turn, which the requester has."""
     text: bytes = b""
-    """Inputs and outputs of the turns before the call, oldest first."""
+    """Inputs and outputs of the turns before the call, oldest first; the first page."""
+    last: str = ""
+    """The turn with which `text` ends; empty for the requested one."""
+    remaining_bytes: int = 0
+    """Length of the text on later pages, for which the requester sends `ReadTurns`."""
     suspicions: tuple[Suspicion, ...] = ()
     """Engines that the owner suspects."""
 
@@ -47,6 +51,8 @@
 
     is_spent: bool
     """True: the budget is spent; false: this partition does not store the turn."""
+    is_certain: bool = True
+    """False if this partition may have stored the turn and lost records of it."""
 
 
 class FindTurn(PartitionMessage, frozen=True):
@@ -61,7 +67,31 @@
     """The turn is stored in this partition."""
 
     text: bytes
-    """The complete chain of the turn: inputs and outputs, oldest first."""
+    """The first page of its chain: inputs and outputs, oldest first."""
+    last: str = ""
+    """The turn with which `text` ends; empty for the requested one."""
+    remaining_bytes: int = 0
+    """Length of the text on later pages."""
+
+
+class ReadTurns(PartitionMessage, frozen=True):
+    """Request for the next page of a chain. Reply: `TurnsRead`, or `TurnMissing`."""
+
+    turn: str
+    """The last turn of the chain."""
+    known: str
+    """The turn with which the previous page ended."""
+
+
+class TurnsRead(Message, frozen=True):
+    """A page of a chain."""
+
+    after: str
+    """The turn with which the previous page ended."""
+    text: bytes
+    last: str
+    """The turn with which `text` ends."""
+    remaining_bytes: int
 
 
 class TurnMissing(Message, frozen=True):
@@ -79,7 +109,10 @@
 
 
 class KeepTurn(PartitionMessage, frozen=True):
-    """Request to store a completed turn. Reply: `TurnIsKept`, once it is durable."""
+    """Request to store a completed turn.
+
+    Reply: `TurnIsKept`, once it is durable, or `TurnNotStorable`.
+    """
 
     program: str
     call: str
@@ -88,12 +121,18 @@
     output: bytes
     tokens: int
     engine: str = ""
+    is_part: bool = False
+    """Whether it holds the first part of a larger turn, which another one completes."""
 
 
 class TurnIsKept(Message, frozen=True):
     """The turn is in the journal."""
 
 
+class TurnNotStorable(Message, frozen=True):
+    """The log service does not take the turn and never will; it is not stored."""
+
+
 class AdmitCall(PartitionMessage, frozen=True):
     """Request to admit a call within its tenant's limit.
 
@@ -139,8 +178,11 @@
     FindTurn,
     TurnFound,
     TurnMissing,
+    ReadTurns,
+    TurnsRead,
     KeepTurn,
     TurnIsKept,
+    TurnNotStorable,
     AdmitCall,
     CallAdmitted,
     CallOverLimit,
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -18,6 +18,7 @@
     KeepTurn,
     NotOwner,
     PartitionMessage,
+    ReadTurns,
     SettleCall,
     TurnAdmitted,
 )
@@ -82,6 +83,7 @@
         self._serve(AdmitTurn, self._admit_turn)
         self._serve(KeepTurn, OwnedPartition.store_turn)
         self._serve(FindTurn, OwnedPartition.find_turn)
+        self._serve(ReadTurns, OwnedPartition.read_turns)
         self._serve(AdmitCall, OwnedPartition.admit_call)
         network.on_notice(SettleCall, self._complete_call)
 
@@ -104,6 +106,7 @@
             uses_starting_allowance=self._uses_starting_allowance,
             limit_context=self._limit_context,
             wall_clock=self._wall_clock,
+            log_retention_seconds=self._retention_seconds,
         )
 
     def release_all(self) -> "Deferred[Any]":
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -82,6 +82,14 @@
     | LimitsTaken
 )
 
+
+def written_at(record: AnyRecord) -> int:
+    """Return the approximate Unix time of a record; 0 if it does not tell."""
+    return (
+        0 if isinstance(record, LimitsHandedOver | LimitsTaken) else record.written_at
+    )
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(AnyRecord)
 
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -13,6 +13,7 @@
     GroupServices,
     GroupSettings,
 )
+from notcharch.accounts.admission import MAX_BODY_BYTES
 from notcharch.accounts.group_network import SharedNetwork
 from notcharch.accounts.limited_admission import LimitedAdmission
 from notcharch.accounts.messages import account_codec
@@ -68,6 +69,8 @@
     """Region of this daemon."""
     regions: tuple[str, ...] = ()
     """Names of all regions."""
+    max_body_bytes: int = MAX_BODY_BYTES
+    """Bound of a body together with the turns before it."""
     has_competing_callers: bool = False
     """Whether callers compete for less capacity than they need."""
 
@@ -102,6 +105,7 @@
             settings.retention_seconds,
             settings.tolerance,
             settings.mechanisms,
+            settings.max_body_bytes,
             settings.has_competing_callers,
         )
         self._services = GroupServices(
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -1,9 +1,19 @@
 """Stored conversation turns and the chains that they form."""
 
+from bisect import bisect_right
 from collections import OrderedDict
+from collections.abc import Iterable
+from itertools import accumulate
 
 import msgspec
 
+PAGE_BYTES = 240 * 1024
+"""Text of a chain in one message, which takes some milliseconds between two daemons.
+
+A turn of this size fits into one record of a log service that takes 256 KiB."""
+MAX_CACHED_SHARE = 1 / 2
+"""A larger turn would evict most of the others from a cache."""
+
 
 class Turn(msgspec.Struct, frozen=True):
     """A stored turn, or the combined text of several consecutive turns."""
@@ -29,6 +39,18 @@
     text: bytes
 
 
+class TranscriptPage(msgspec.Struct, frozen=True):
+    """A part of a chain of turns, oldest first."""
+
+    after: str
+    """Id of the turn before the text; empty if the text begins with the first turn."""
+    text: bytes
+    last: str
+    """Id of the turn with which the text ends."""
+    remaining_bytes: int
+    """Length of the text that follows up to the requested turn."""
+
+
 class TurnStore:
     """Turns by id."""
 
@@ -54,18 +76,63 @@
         It starts after turn `known` if the chain includes that turn. None if `last` or a
         preceding turn is not stored.
         """
-        parts: list[bytes] = []
+        chain = self._chain(last, known)
+        if chain is None:
+            return None
+        return Transcript(chain.after, _text(chain.turns))
+
+    def page(
+        self, last: str, known: str = "", max_bytes: int = PAGE_BYTES
+    ) -> TranscriptPage | None:
+        """Return the beginning of the chain that ends with turn `last`.
+
+        Like `transcript`, but with the first turns only, up to `max_bytes` and one at least.
+        """
+        chain = self._chain(last, known)
+        if chain is None:
+            return None
+        sizes = list(accumulate(turn.size_bytes for turn in chain.turns))
+        count = max(bisect_right(sizes, max_bytes), min(1, len(sizes)))
+        is_whole = count == len(sizes)
+        return TranscriptPage(
+            chain.after,
+            _text(chain.turns[:count]),
+            last if is_whole else chain.names[count - 1],
+            0 if is_whole else sizes[-1] - sizes[count - 1],
+        )
+
+    def has_chain(self, last: str) -> bool:
+        """Return whether a turn and all preceding ones are stored."""
+        return self._chain(last, "") is not None
+
+    def _chain(self, last: str, known: str) -> "Chain | None":
+        """Return the chain that ends with turn `last`, without the turns up to `known`."""
+        names: list[str] = []
+        turns: list[Turn] = []
         name = last
         while name and name != known:
             turn = self.get(name)
             if turn is None:
                 return None
-            parts.append(turn.output)
-            parts.append(turn.input)
+            names.append(name)
+            turns.append(turn)
             name = turn.previous
         if name and name not in self:
             return None  # the requester's turn `known` is not stored here
-        return Transcript(name, b"".join(reversed(parts)))
+        return Chain(name, names[::-1], turns[::-1])
+
+
+class Chain(msgspec.Struct, frozen=True):
+    """Consecutive turns, oldest first."""
+
+    after: str
+    """Id of the turn before them; empty if they begin with the first one."""
+    names: list[str]
+    turns: list[Turn]
+
+
+def _text(turns: Iterable[Turn]) -> bytes:
+    return b"".join(part for turn in turns for part in (turn.input, turn.output))
 
 
 class StoredTurns(TurnStore):
@@ -118,10 +185,15 @@
         self._newest: OrderedDict[str, str] = OrderedDict()
 
     def add(self, name: str, turn: Turn) -> None:
-        """Add a turn and evict the least recently used ones beyond the size limit."""
+        """Add a turn and evict the least recently used ones beyond the size limit.
+
+        A turn that would take most of the cache is not added.
+        """
         replaced = self._recent.pop(name, None)
         if replaced is not None:
             self._bytes -= replaced.size_bytes
+        if turn.size_bytes > self._max_bytes * MAX_CACHED_SHARE:
+            return
         self._recent[name] = turn
         self._bytes += turn.size_bytes
         while self._bytes > self._max_bytes:
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -411,6 +411,8 @@
 
 NO_ROUTE = Refusal(404, "no route")
 UNKNOWN_TURN = Refusal(404, "no such turn")
+HISTORY_TOO_LONG = Refusal(413, "the program's history is too long")
+HISTORY_NOT_STORABLE = Refusal(413, "the program's history can't be stored")
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
 NO_ENGINE = Refusal(503, "no engine can take it", 0.1)
 ORIGIN_UNKNOWN = Refusal(503, "the version that began the stream is not known", 0.2)
--- a/notcharch/clients/journal_client.py
+++ b/notcharch/clients/journal_client.py
@@ -25,6 +25,7 @@
     Appended,
     GroupName,
     LogFault,
+    LogLimits,
     LogProblem,
     Membership,
     NewestPage,
@@ -47,6 +48,7 @@
         self, agent: IAgent, clock: IReactorTime, settings: PlatformSection
     ) -> None:
         """Take the address and the time-out from the settings."""
+        self.limits = LogLimits(settings.log_record_bytes, settings.log_call_bytes)
         self._base = f"http://{settings.log}"
         seconds = min(settings.request_seconds, LONGEST_SECONDS)
         self._http = JsonHttp(
--- a/notcharch/events/accounts.py
+++ b/notcharch/events/accounts.py
@@ -57,6 +57,35 @@
     turn: str
 
 
+class TurnRefusedByLog(Event, frozen=True):
+    """The log service does not take a turn that has run; its caller's stream is cut."""
+
+    number: ClassVar[int] = 2307
+    request: str
+    program: str
+    input_bytes: int
+    output_bytes: int
+
+
+class HistoryTooLong(Event, frozen=True):
+    """A call was refused before it ran: the turns before it can't be kept or sent."""
+
+    number: ClassVar[int] = 2308
+    request: str
+    program: str
+    turn: str
+    cause: str
+
+
+class HistoryIncomplete(Event, frozen=True):
+    """An owner can't tell whether it stored a turn: its log lost records too early."""
+
+    number: ClassVar[int] = 2309
+    partition: int
+    epoch: int
+    turn: str
+
+
 class OwnerUnanswered(Event, frozen=True):
     """An owner didn't answer as one; the call waits or is refused."""
 
--- a/notcharch/events/journal.py
+++ b/notcharch/events/journal.py
@@ -21,3 +21,15 @@
     owners: dict[str, str]
     """Daemon by partition."""
     seconds_since_last: float
+
+
+class EntryRefused(Event, frozen=True):
+    """The log service does not take an entry of a partition; it is not written again."""
+
+    number: ClassVar[int] = 2502
+    topic: str
+    partition: int
+    epoch: int
+    entry_bytes: int
+    record_bytes: int
+    """The refused record, a part of the entry; 0 if no record can hold any of it."""
--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -26,7 +26,7 @@
     FULL = "full"
     """The log service has reached its storage limit."""
     REJECTED = "rejected"
-    """The service considers the request invalid."""
+    """The request had no effect and never will, such as one that is too large."""
 
 
 class LogProblem(msgspec.Struct, frozen=True):
@@ -37,6 +37,25 @@
     """First stored offset for GONE; end of the partition for MOVED_ON."""
 
 
+class LogLimits(msgspec.Struct, frozen=True):
+    """The largest records and calls that a log service takes, in bytes."""
+
+    record_bytes: int = 256 * 1024
+    call_bytes: int = 2 * 1024 * 1024
+    """Of all records of an append, with `framing_bytes` for each."""
+    framing_bytes: int = 4
+    """Added to each record of a call."""
+
+    @property
+    def max_record_bytes(self) -> int:
+        """The largest record that fits into a call."""
+        return min(self.record_bytes, self.call_bytes - self.framing_bytes)
+
+    def call_size(self, record_size: int) -> int:
+        """Return how many bytes of a call a record uses."""
+        return record_size + self.framing_bytes
+
+
 class Appended(msgspec.Struct, frozen=True):
     """Offset of an append, and the end of the partition after it."""
 
@@ -109,6 +128,10 @@
 class LogService(Protocol):
     """The operations of a log service; they return a `Result` and never raise."""
 
+    @property
+    def limits(self) -> LogLimits:
+        """The largest records and calls that the service takes."""
+
     def append(
         self,
         topic: str,
--- a/notcharch/journal/metrics.py
+++ b/notcharch/journal/metrics.py
@@ -9,6 +9,9 @@
     buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0),
 )
 BACKLOG = Gauge("notcharch_journal_backlog", "Records that wait to be appended")
+REFUSED_ENTRIES = Counter(
+    "notcharch_journal_refused_entries", "Entries that the log service does not take"
+)
 OUTAGES = Counter("notcharch_journal_outages", "Outages of the log service, as known")
 OUTAGE_SECONDS = Counter(
     "notcharch_journal_outage_seconds", "Duration of the outages that are over"
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.journal.fragments import FragmentAssembler
 from notcharch.journal.interface import (
     LogFault,
     LogPartition,
@@ -34,13 +35,13 @@
 
 
 class ReplayTarget(Protocol):
-    """Receives the records of a journal during a replay."""
+    """Receives the entries of a journal during a replay."""
 
     def skip_to(self, offset: int) -> None:
         """Discard the state: the records before an offset are no longer stored."""
 
     def replay_record(self, offset: int, record: bytes) -> None:
-        """Apply the record at an offset."""
+        """Apply the entry whose last record has an offset."""
 
 
 class PartitionJournal:
@@ -75,6 +76,7 @@
         self.records = 0
         """Number of replayed records."""
         self._next_offset = 0
+        self._assembler = FragmentAssembler()
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, bool]:
@@ -96,7 +98,9 @@
                 continue
             found = response.ok_value
             for offset, record in enumerate(found.records, start=found.first):
-                self._target.replay_record(offset, record)
+                entry = self._assembler.add(record)
+                if entry is not None:
+                    self._target.replay_record(offset, entry)
             self.records += len(found.records)
             self._next_offset = found.first + len(found.records)
             if not found.records and found.end <= self._next_offset:
@@ -106,6 +110,7 @@
     def _handle_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
         if problem.fault is LogFault.GONE and problem.offset > self._next_offset:
             self._next_offset = problem.offset
+            self._assembler.reset()
             self._target.skip_to(problem.offset)
             return
         yield self._recovery.pause(READ_RETRY_SECONDS)
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -1,16 +1,17 @@
 """Appends records to a partition under an epoch: batched, in order, exactly once."""
 
-from collections import deque
 from collections.abc import Callable, Generator
-from enum import Enum
 from random import Random
 from typing import Any
 
-import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.events.event import emit
+from notcharch.events.journal import EntryRefused
+from notcharch.journal.entries import BatchRecord, Entry, EntryQueue, Outcome
+from notcharch.journal.fragments import FragmentSplitter
 from notcharch.journal.interface import (
     Appended,
     LogFault,
@@ -20,36 +21,29 @@
     Producer,
     Records,
 )
-from notcharch.journal.metrics import APPEND_SECONDS, APPENDS, BACKLOG
+from notcharch.journal.metrics import (
+    APPEND_SECONDS,
+    APPENDS,
+    BACKLOG,
+    REFUSED_ENTRIES,
+)
 from notcharch.journal.recovery_signal import RecoverySignal
 
-BATCH_BYTES = 256 * 1024
-"""Size at which a batch is sent; an eighth of the platform's limit per call."""
 RETRY_SECONDS = 0.05
 """Delay before the first retry of a failed append or read."""
 MAX_RETRY_SECONDS = 0.6
 """Upper bound of the delay; a recovery signal ends it earlier."""
 RETRY_GROWTH_FACTOR = 2.0
+SUSPICIOUS_FAILURES = 4
+"""Tries of an append without an outcome after which the service itself is checked."""
+VAIN_TRIES = 3
+"""Further tries, while the service answers reads, after which it refuses the append.
+
+A service may refuse a call by closing the connection; an outage fails the reads, too."""
 FENCING_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
 """Faults which show that another writer owns the partition."""
 
-
-class Outcome(Enum):
-    """Outcome of writing an entry."""
-
-    DURABLE = "durable"
-    LOST = "lost"
-    """Fenced by another writer; the entry may or may not be stored."""
-    NOT_WRITTEN = "not written"
-    """Fenced by another writer; the entry is certainly not stored."""
-
-
-class Entry(msgspec.Struct, frozen=True):
-    """A record, and the callback for its outcome."""
-
-    record: bytes
-    """Empty for an entry that only checks that this is still the sole writer."""
-    done: Callable[[Outcome], None]
+AppendResult = Result[Appended, Outcome]
 
 
 class PartitionWriter:
@@ -79,25 +73,37 @@
         self._on_fenced = on_fenced
         self._recovery = recovery or RecoverySignal(clock)
         self._sequence = 0
-        self._queue: deque[Entry] = deque()
+        limits = service.limits
+        self._splitter = FragmentSplitter(epoch, limits.max_record_bytes)
+        self._queue = EntryQueue(limits)
         self._is_writing = False
         self._idle_waiters: list[Deferred[None]] = []
         self.is_open = True
         self.end = 0
         """End of the partition after the last append of this writer."""
+        self.complete_end = 0
+        """End of the last whole entry, before the fragments of one that is not whole."""
 
     @inlineCallbacks
     def claim(self) -> Generator["Deferred[Any]", Any, bool]:
         """Fence earlier writers; False if a higher epoch has already claimed."""
-        outcome = yield self._append(())
-        return outcome is Outcome.DURABLE
+        claimed: AppendResult = yield self._append(())
+        if isinstance(claimed, Err):
+            return False
+        self.complete_end = self.end
+        return True
 
-    def write(self, record: bytes, done: Callable[[Outcome], None]) -> None:
-        """Append a record; `done` is called with its outcome."""
+    def write(self, entry: bytes, done: Callable[[Outcome], None]) -> None:
+        """Append an entry, in several records if need be; `done` gets its outcome."""
         if not self.is_open:
             done(Outcome.NOT_WRITTEN)
             return
-        self._queue.append(Entry(record, done))
+        records = self._splitter.split(entry)
+        if not records:
+            self._log_refused(len(entry), 0)
+            done(Outcome.REFUSED)
+            return
+        self._queue.add(Entry(records, done))
         BACKLOG.inc()
         if not self._is_writing:
             self._write()
@@ -113,18 +119,68 @@
         """Write the queued entries in batches, one append at a time."""
         self._is_writing = True
         while self._queue and self.is_open:
-            batch = self._next_batch()
-            records = tuple(entry.record for entry in batch if entry.record)
-            if records:
-                outcome = yield self._append(records)
-            else:
-                is_sole = yield self._is_sole_writer()
-                outcome = Outcome.DURABLE if is_sole else Outcome.LOST
-            for entry in batch:
-                entry.done(outcome)
+            batch = self._queue.next_batch()
+            BACKLOG.dec(sum(item.is_last for item in batch))
+            is_refused = yield self._write_batch(batch)
+            if is_refused:
+                # The service refuses a call as a whole: find out which record it is.
+                for item in batch:
+                    yield self._write_alone(item)
         self._is_writing = False
         self._notify_idle()
 
+    @inlineCallbacks
+    def _write_batch(
+        self, batch: list[BatchRecord]
+    ) -> Generator["Deferred[Any]", Any, bool]:
+        """Append a batch; return whether it was refused and has to be taken apart."""
+        records = tuple(item.record for item in batch if item.record)
+        if not records:
+            is_sole = yield self._is_sole_writer()
+            outcome = Outcome.DURABLE if is_sole else Outcome.LOST
+        else:
+            appended: AppendResult = yield self._append(records)
+            if not isinstance(appended, Err):
+                self._on_appended(batch, appended.ok_value)
+                return False
+            outcome = appended.err_value
+            if outcome is Outcome.REFUSED and len(batch) > 1:
+                return True
+        for item in batch:
+            self._end_entry(item, outcome)
+        return False
+
+    @inlineCallbacks
+    def _write_alone(self, item: BatchRecord) -> Generator["Deferred[Any]", Any, None]:
+        """Append one record of a refused batch, unless its entry was refused by now."""
+        if not item.entry.is_finished:
+            yield self._write_batch([item])
+
+    def _on_appended(self, batch: list[BatchRecord], appended: Appended) -> None:
+        """Report the entries that are whole with a batch."""
+        offset = appended.offset
+        for item in batch:
+            offset += bool(item.record)
+            if item.is_last:
+                self.complete_end = offset
+                item.entry.finish(Outcome.DURABLE)
+
+    def _end_entry(self, item: BatchRecord, outcome: Outcome) -> None:
+        """End an entry of a batch that was not appended, or is not known to be."""
+        is_certainly_not_whole = outcome is Outcome.LOST and not item.is_last
+        BACKLOG.dec(self._queue.remove(item.entry))
+        if outcome is Outcome.REFUSED:
+            self._log_refused(item.entry.size, len(item.record))
+        item.entry.finish(Outcome.NOT_WRITTEN if is_certainly_not_whole else outcome)
+
+    def _log_refused(self, entry_bytes: int, record_bytes: int) -> None:
+        REFUSED_ENTRIES.inc()
+        emit(
+            EntryRefused(
+                self._topic, self._partition, self._epoch, entry_bytes, record_bytes
+            )
+        )
+
     def when_idle(self) -> "Deferred[None]":
         """Return a Deferred that fires when all entries are written."""
         waiting: Deferred[None] = Deferred()
@@ -164,18 +220,8 @@
         jitter = 0.5 + self._random.random()
         return self._recovery.pause(seconds * jitter)
 
-    def _next_batch(self) -> list[Entry]:
-        batch: list[Entry] = []
-        size = 0
-        while self._queue and size < BATCH_BYTES:
-            entry = self._queue.popleft()
-            BACKLOG.dec()
-            size += len(entry.record)
-            batch.append(entry)
-        return batch
-
     @inlineCallbacks
-    def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, Outcome]:
+    def _append(self, records: tuple[bytes, ...]) -> Generator[Any, Any, AppendResult]:
         """Retry an append until its outcome is known; its sequence number stays."""
         if records:
             self._sequence += 1
@@ -183,7 +229,8 @@
         delay = RETRY_SECONDS
         recoveries = self._recovery.recovery_count
         began = self._clock.seconds()
-        may_be_written = False
+        failures = 0  # tries without an outcome: any of them may write the records
+        vain_tries = 0
         while self.is_open:
             sent = self._service.append(self._topic, self._partition, records, producer)
             response: Result[Appended, LogProblem] = yield self._recovery.guard(sent)
@@ -191,25 +238,50 @@
                 APPENDS.labels("done").inc()
                 APPEND_SECONDS.observe(self._clock.seconds() - began)
                 self.end = response.ok_value.end
-                return Outcome.DURABLE
+                return Ok(response.ok_value)
             fault = response.err_value.fault
             APPENDS.labels(fault.value).inc()
-            may_be_written = may_be_written or fault is LogFault.UNKNOWN
+            failures += fault is LogFault.UNKNOWN
             if fault in FENCING_FAULTS:
                 self._close_fenced()
                 break
+            if records and failures > SUSPICIOUS_FAILURES:
+                is_vain = yield self._fails_alone()
+                vain_tries = vain_tries + 1 if is_vain else 0
+            if records and (fault is LogFault.REJECTED or vain_tries >= VAIN_TRIES):
+                return Err(self._refused(records, may_be_written=failures > 0))
             if self._recovery.recovery_count != recoveries:
                 recoveries = self._recovery.recovery_count
                 delay = RETRY_SECONDS
             yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH_FACTOR, MAX_RETRY_SECONDS)
-        return Outcome.LOST if may_be_written else Outcome.NOT_WRITTEN
+        return Err(Outcome.LOST if failures else Outcome.NOT_WRITTEN)
+
+    @inlineCallbacks
+    def _fails_alone(self) -> Generator[Any, Any, bool]:
+        """Return whether the service answers a read although an append fails."""
+        response: Result[Records, LogProblem] = yield self._service.read(
+            self._topic, self._partition, self.end
+        )
+        return not isinstance(response, Err) and response.ok_value.end == self.end
+
+    def _refused(self, records: tuple[bytes, ...], *, may_be_written: bool) -> Outcome:
+        """Return the outcome of an append that is refused for good.
+
+        Its sequence number serves the next append. If an earlier try of the same append may
+        still take effect, the number may be used by then: a higher epoch has to claim the
+        partition, which shows by a replay what is written.
+        """
+        if not may_be_written:
+            self._sequence -= 1
+            return Outcome.REFUSED
+        self._close_fenced()
+        return Outcome.REFUSED if len(records) == 1 else Outcome.LOST
 
     def close(self) -> None:
         """Stop writing; queued entries end with NOT_WRITTEN."""
         self.is_open = False
-        waiting = tuple(self._queue)
-        self._queue.clear()
+        waiting = self._queue.clear()
         BACKLOG.dec(len(waiting))
         for entry in waiting:
-            entry.done(Outcome.NOT_WRITTEN)
+            entry.finish(Outcome.NOT_WRITTEN)
--- a/notcharch/partitions/led_partition.py
+++ b/notcharch/partitions/led_partition.py
@@ -18,9 +18,9 @@
     LeadershipTaken,
     StateUnreadable,
 )
+from notcharch.journal.entries import Outcome
 from notcharch.journal.interface import LogService
 from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
-from notcharch.journal.writer import Outcome
 from notcharch.partitions.applier import apply_record
 from notcharch.partitions.interface import Command, CommandResult, StateMachine
 from notcharch.partitions.records import (
@@ -117,8 +117,8 @@
 
     @property
     def end(self) -> int:
-        """The end of the journal after the last append of this leader."""
-        return self._journal.writer.end
+        """The end of the commands that are whole in the journal of this leader."""
+        return self._journal.writer.complete_end
 
     @inlineCallbacks
     def take_over(self) -> Generator["Deferred[Any]", Any, None]:
@@ -166,6 +166,12 @@
         if outcome is Outcome.DURABLE:
             proposal.resolve(Ok(self._apply(proposal.record)))
             return
+        if outcome is Outcome.REFUSED:
+            problem = self._problem(
+                ProblemCode.BODY_TOO_LARGE, "the log service refuses the command"
+            )
+            proposal.resolve(Err(problem))
+            return
         ran = Ran.NO if outcome is Outcome.NOT_WRITTEN else Ran.UNKNOWN
         proposal.resolve(
             Err(self._unavailable("another daemon has taken over the leadership", ran))
@@ -191,6 +197,9 @@
             retry_after=RETRY_SECONDS,
         )
 
+    def _problem(self, code: ProblemCode, reason: str) -> Problem:
+        return Problem.of(code, f"partition {self.number}: {reason}", ran=Ran.NO)
+
     # Snapshots
 
     def snapshot_if_due(self) -> None:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -13,6 +13,7 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
 
+from notcharch.accounts.admission import max_body_bytes
 from notcharch.accounts.service import (
     AccountSettings,
     AccountsService,
@@ -133,7 +134,9 @@
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
-        platform_store = PlatformStore(self._requester, reactor)
+        platform_store = PlatformStore(
+            self._requester, reactor, settings.store.log_limits
+        )
         local_member = Member(DaemonName(settings.machine), new_incarnation())
         self._network = account_network(
             reactor,
@@ -157,6 +160,9 @@
                 retention_seconds=settings.store.retention_seconds,
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
+                max_body_bytes=max_body_bytes(
+                    settings.memory_bytes, settings.store.partition_bytes
+                ),
                 region=settings.regions.get(settings.zone, ""),
                 regions=tuple(sorted(set(settings.regions.values()))),
                 has_competing_callers=settings.has_competing_callers,
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from notcharch.journal.interface import LogLimits
 from notcharch.scheduling.cold_engines import ColdTolerance
 from notcharch.tenants.partition_limits import Tolerance
 
@@ -34,10 +35,11 @@
     writes_per_second: float
     reads_per_second: float
     partitions: int
-    record_bytes: int
-    call_bytes: int
+    log_limits: LogLimits
     retention_seconds: float
     min_lease_seconds: float
+    partition_bytes: int
+    """Size beyond which a partition loses its oldest records."""
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
@@ -147,10 +149,15 @@
         writes_per_second=fields.number("platform.writes_per_s", 800),
         reads_per_second=fields.number("platform.reads_per_s", 2000),
         partitions=int(fields.number("platform.parts", 1)),
-        record_bytes=int(fields.number("platform.record_bytes", 262144)),
-        call_bytes=int(fields.number("platform.call_bytes", 2097152)),
+        log_limits=LogLimits(
+            int(fields.number("platform.record_bytes", 262144)),
+            int(fields.number("platform.call_bytes", 2097152)),
+        ),
         retention_seconds=fields.number("platform.retention_s", 300),
         min_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
+        partition_bytes=int(
+            fields.number("platform.part_mb", 200) * BYTES_PER_MEGABYTE
+        ),
     )
     settings = ProcessSettings(
         machine=fields.text("node_name"),
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -16,6 +16,7 @@
     GroupName,
     KeyedRecord,
     LogFault,
+    LogLimits,
     LogPartition,
     LogProblem,
     Membership,
@@ -42,7 +43,9 @@
 CONFLICT = 409
 PRECONDITION_FAILED = 412
 INSUFFICIENT_STORAGE = 507
-RETRYABLE_STATUSES = (429, 503)
+RETRYABLE_STATUSES = (408, 429, 503)
+"""Statuses after which nothing was done, and the same call may be answered later."""
+SERVER_ERRORS = 500
 
 
 class AppendResponse(msgspec.Struct):
@@ -122,16 +125,23 @@
     if status == CONFLICT:
         is_fenced = details.why != "seq"
         return LogProblem(LogFault.FENCED if is_fenced else LogFault.OUT_OF_ORDER)
-    return LogProblem(
-        LogFault.FULL if status == INSUFFICIENT_STORAGE else LogFault.REJECTED
-    )
+    if status == INSUFFICIENT_STORAGE:
+        return LogProblem(LogFault.FULL)
+    is_server_error = status >= SERVER_ERRORS
+    return LogProblem(LogFault.UNKNOWN if is_server_error else LogFault.REJECTED)
 
 
 class PlatformStore:
     """Implements the log service with requests to the platform's store."""
 
-    def __init__(self, requester: Requester, clock: IReactorTime) -> None:
-        """Send all requests with `requester`."""
+    def __init__(
+        self,
+        requester: Requester,
+        clock: IReactorTime,
+        limits: LogLimits = LogLimits(),  # noqa: B008
+    ) -> None:
+        """Send all requests with `requester`; `limits` are those of the settings."""
+        self.limits = limits
         self._requester = requester
         self._clock = clock
         self._appends = AdaptiveTimeout(
--- a/notcharch/settings/schema.py
+++ b/notcharch/settings/schema.py
@@ -50,6 +50,12 @@
     """Addresses of the outside systems, `host:port`."""
 
     log: Annotated[str, Meta(description="log service")] = "127.0.0.1:9000"
+    log_record_bytes: Annotated[
+        int, Meta(ge=1024, description="largest record of the log service, bytes")
+    ] = 262_144
+    log_call_bytes: Annotated[
+        int, Meta(ge=2048, description="largest append of the log service, bytes")
+    ] = 2_097_152
     machine_list: Annotated[str, Meta(description="machine list")] = "127.0.0.1:9000"
     weight_store: Annotated[str, Meta(description="weight store")] = "127.0.0.1:9000"
     request_seconds: Annotated[
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -14,7 +14,8 @@
     Allowance,
     StartingAllowance,
 )
-from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.journal.entries import Outcome
+from notcharch.journal.writer import PartitionWriter
 from tests.stateful.accounts.machine import AccountsMachine
 from tests.stateful.runs import RUN, assert_caught
 from tests.unit.accounts import (
--- a/tests/stateful/partitions/test_partitions_machine.py
+++ b/tests/stateful/partitions/test_partitions_machine.py
@@ -5,8 +5,9 @@
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
+from notcharch.journal.entries import Outcome
 from notcharch.journal.group import GroupMember
-from notcharch.journal.writer import Outcome, PartitionWriter
+from notcharch.journal.writer import PartitionWriter
 from notcharch.partitions.led_partition import LedPartition
 from notcharch.partitions.replay import Replay
 from tests.stateful.partitions.machine import PartitionsMachine
--- a/tests/unit/accounts/refusable_log.py
+++ b/tests/unit/accounts/refusable_log.py
@@ -13,6 +13,7 @@
     def __init__(self, log, clock) -> None:
         self._log = log
         self._clock = clock
+        self.limits = log.limits
         self.is_refused = False
 
     def __getattr__(self, name):
--- a/tests/unit/partitions/test_partitions.py
+++ b/tests/unit/partitions/test_partitions.py
@@ -268,6 +268,33 @@
     assert world.texts(0) == ["a", "b", "c", "d", "e"]
 
 
+def test_a_command_larger_than_a_record_of_the_log_outlives_its_leader():
+    """Guards against a partition that is blocked by a command that is refused for good."""
+    world = started()
+    large = "x" * (world.log.limits.record_bytes + 1)
+    world.commit(0, "a", large, "b")
+    assert world.log.refused_bytes == []
+    world.crash(world.leader(0))
+    world.run(TAKEOVER_SECONDS)
+    assert world.texts(0) == ["a", large, "b"]
+
+
+def test_a_snapshot_between_the_parts_of_a_command_does_not_trim_them():
+    world = started()
+    large = "x" * (4 * world.log.limits.record_bytes)
+    world.commit(0, "a")
+    led = world.services[world.leader(0)]._assigned.get(0)
+    [result] = [world.propose(0, large)]
+    world.run(0.007)
+    assert led._journal.writer.end > led.end
+    led._write_snapshot()
+    world.run(0.5)
+    assert isinstance(result[0], Ok)
+    world.crash(world.leader(0))
+    world.run(TAKEOVER_SECONDS)
+    assert world.texts(0) == ["a", large]
+
+
 def append(world: World, partition: int, record) -> None:
     """Write a record as the current leader, then crash it."""
     leader = world.leader(partition)
