--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -109,7 +109,7 @@
 
     def complete_body(self) -> bytes:
         """Return the body after the text of all earlier turns."""
-        return self.transcript.followed_by(self.call.body)
+        return self.transcript.take_with(self.call.body)
 
     # Log events
 
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -32,6 +32,11 @@
 `PREALLOCATED_CALLS`.
 """
 
+REWRITE_BYTES = 4 * 1024 * 1024
+"""Turns that are written again at once: a fifth of a second of a partition's appends."""
+REWRITE_ROUNDS_SHARE = 1 / 3
+"""Share of the rounds before the log drops a record in which it is written again."""
+
 DEFAULT_KEEP_SECONDS = 60.0
 """Retention until a route's own is known: the platform's default for routes."""
 
@@ -279,21 +284,31 @@
 
     # Expiry
 
-    def expiring_records(self, limit: int, written_at: int) -> list[AnyRecord]:
-        """Return new records for those older than `limit`, before the log drops them."""
+    def expiring_records(
+        self, limit: int, written_at: int, rounds: float = 1.0
+    ) -> list[AnyRecord]:
+        """Return new records for those older than `limit`, before the log drops them.
+
+        Many bytes of turns are spread over some of the `rounds` until then, the oldest
+        first, since other records of the partition wait behind them.
+        """
         records: list[AnyRecord] = [
             BoundRaised(name, program.bound, written_at)
             for name, program in self._programs.items()
             if program.bound and program.written_at < limit
         ]
-        for name in self.turns.written_before(limit):
-            turn = self.turns.get(name)
-            if turn is not None:
-                records.append(
-                    TurnKept(
-                        "", name, turn.previous, turn.input, turn.output, written_at
-                    )
-                )
+        due = [
+            TurnKept("", name, turn.previous, turn.input, turn.output, written_at)
+            for name, turn in self.turns.written_before(limit)
+        ]
+        share = max(1.0, rounds * REWRITE_ROUNDS_SHARE)
+        max_bytes = max(REWRITE_BYTES, sum(map(_size, due)) / share)
+        size = 0
+        for record in due:
+            if size >= max_bytes:
+                break
+            records.append(record)
+            size += _size(record)
         return records
 
     def evict_expired(self, now: float) -> None:
@@ -303,3 +318,7 @@
         for name, program in tuple(self._programs.items()):
             if program.last_used_at < limit and not program.reserved:
                 del self._programs[name]
+
+
+def _size(record: TurnKept) -> int:
+    return len(record.input) + len(record.output)
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -117,7 +117,7 @@
 
     def _clean_up(self) -> None:
         for owned in self._partitions.all():
-            owned.clean_up(self._retention_seconds)
+            owned.clean_up(self._retention_seconds, CLEANUP_INTERVAL_SECONDS)
 
     def _not_owner(self, partition: int) -> NotOwner:
         owner = self._partitions.other_owner(partition)
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -398,8 +398,11 @@
             return TurnIsKept()
         return TurnNotStorable() if outcome is Outcome.REFUSED else NOT_OWNER
 
-    def clean_up(self, retention_seconds: float) -> None:
-        """Remove expired state, and rewrite records before the log drops them."""
+    def clean_up(self, retention_seconds: float, interval_seconds: float) -> None:
+        """Remove expired state, and rewrite records before the log drops them.
+
+        This is called each `interval_seconds`.
+        """
         if not self.is_serving:
             return
         now = self._clock.seconds()
@@ -407,7 +410,9 @@
         self._allowance.renew_if_due()
         wall_time = self._wall_seconds()
         for record in self._ledger.expiring_records(
-            int(wall_time - retention_seconds / 2), wall_time
+            int(wall_time - retention_seconds / 2),
+            wall_time,
+            rounds=retention_seconds / 2 / interval_seconds,
         ):
             self._write(encode(record)).addCallback(self._on_rewritten, record)
 
--- a/notcharch/accounts/transcript_reader.py
+++ b/notcharch/accounts/transcript_reader.py
@@ -70,9 +70,11 @@
             turn = Turn(self._after, text, b"")
             self._cache.add_newest(self._program, self.turn, turn)
 
-    def followed_by(self, new_input: bytes) -> bytes:
-        """Return the complete text and a new input after it."""
-        return b"".join((*self._parts, new_input))
+    def take_with(self, new_input: bytes) -> bytes:
+        """Return the complete text with a new input after it, and discard the text."""
+        text = b"".join((*self._parts, new_input))
+        self.restart()
+        return text
 
     def text(self) -> bytes:
         """Return the complete text."""
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -167,9 +167,14 @@
         """Update the write time of a turn whose record was written again."""
         self._written_at[name] = written_at
 
-    def written_before(self, limit: int) -> list[str]:
-        """Return the turns whose record was written before `limit`, a Unix time."""
-        return [name for name, at in self._written_at.items() if at < limit]
+    def written_before(self, limit: int) -> list[tuple[str, Turn]]:
+        """Return the turns whose record was written before `limit`, a Unix time.
+
+        They are sorted by that time, and turns of a chain stay in their order.
+        """
+        due = [(at, name) for name, at in self._written_at.items() if at < limit]
+        due.sort(key=lambda item: item[0])
+        return [(name, self._turns[name]) for _, name in due]
 
 
 class TurnCache(TurnStore):
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -24,6 +24,9 @@
 """Delay before a failed read is retried; short, since a takeover waits for it, but many
 times the 4 ms in which a healthy log service responds."""
 
+REFUSED_READ_RETRY_SECONDS = 1.0
+"""Delay before a read is repeated that the log service refuses for good."""
+
 
 class PartitionAssignment(msgspec.Struct, frozen=True):
     """An assigned partition, and the epoch of its new owner."""
@@ -113,7 +116,10 @@
             self._assembler.reset()
             self._target.skip_to(problem.offset)
             return
-        yield self._recovery.pause(READ_RETRY_SECONDS)
+        is_refused = problem.fault is LogFault.REJECTED
+        yield self._recovery.pause(
+            REFUSED_READ_RETRY_SECONDS if is_refused else READ_RETRY_SECONDS
+        )
 
     def close(self) -> None:
         """Stop writing."""
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -209,6 +209,9 @@
                     return True
                 self._close_fenced()
                 return False
+            elif response.err_value.fault is LogFault.GONE:
+                self._close_fenced()  # records after the own ones were stored, and dropped
+                return False
             yield self._pause(RETRY_SECONDS)
         return False
 
--- /dev/null
+++ b/tests/unit/accounts/test_dropped_turns.py
@@ -0,0 +1,103 @@
+"""Turns whose records the log dropped: unsure while they may count, never denied then."""
+
+import pytest
+
+from notcharch.accounts.journal_history import JournalHistory
+from notcharch.calls.interface import UNKNOWN_TURN
+from tests.unit.accounts.steps import EVENT, assert_unsure
+from tests.unit.accounts.world import World
+
+OLD_SECONDS = 400.0
+
+
+def partition_of(world: World, program: str):
+    place = world.partitioning.log_partition(world.partitioning.of_program(program))
+    return world.log.partition(place.topic, place.number)
+
+
+def ask(world: World, previous: str, program: str = "p"):
+    call = world.call(program, previous=previous, body=b"x")
+    return world.wait_for_decision(call, stores_turns=True)
+
+
+def test_a_turn_whose_record_was_dropped_too_early_is_not_denied():
+    """The log drops the oldest records also for the size of a partition."""
+    world = World()
+    first = world.call(body=b"a")
+    world.store_turn(first, EVENT)
+    end = partition_of(world, "p").end
+    world.store_turn(world.call(body=b"b"), EVENT)
+    partition_of(world, "p").drop_before(end)
+    world.restart_all()
+    assert_unsure(ask(world, first.id).refusal)
+    assert_unsure(ask(world, first.id, "another").refusal)
+
+
+def test_a_chain_that_lost_its_first_turns_is_not_denied():
+    world = World()
+    first = world.call(body=b"a")
+    world.store_turn(first, EVENT)
+    end = partition_of(world, "p").end
+    second = world.call(previous=first.id, body=b"b")
+    world.store_turn(second, EVENT)
+    partition_of(world, "p").drop_before(end)
+    world.restart_all()
+    assert_unsure(ask(world, second.id).refusal)
+    assert_unsure(ask(world, second.id, "another").refusal)
+
+
+def test_a_copy_of_a_chain_that_lost_its_first_turns_serves():
+    world = World()
+    first = world.call("one", body=b"a")
+    world.store_turn(first, EVENT)
+    end = partition_of(world, "one").end
+    second = world.call("one", previous=first.id, body=b"b")
+    world.store_turn(second, EVENT)
+    assert ask(world, second.id, "two").body == b"ahello\nbhello\nx"
+    assert partition_of(world, "one") is not partition_of(world, "two")
+    partition_of(world, "one").drop_before(end)
+    world.restart_all()
+    assert ask(world, second.id, "one").body == b"ahello\nbhello\nx"
+
+
+def test_an_unknown_turn_is_denied_when_only_old_records_were_dropped():
+    world = World()
+    world.store_turn(world.call(body=b"a"), EVENT)
+    ends = [partition.end for partition in world.partitions]
+    for _ in range(int(OLD_SECONDS / 10)):
+        world.run(10.0)
+    for partition, end in zip(world.partitions, ends, strict=True):
+        partition.drop_before(end)
+    world.restart_all()
+    assert ask(world, "nobody").refusal == UNKNOWN_TURN
+
+
+@pytest.mark.parametrize(
+    ("oldest_age", "keep_seconds", "log_retention", "may_lack"),
+    [
+        (5, 60.0, 300.0, True),
+        (59, 60.0, 300.0, True),
+        (61, 60.0, 300.0, False),
+        (15, 60.0, 20.0, False),
+        (5, 60.0, 20.0, True),
+        (280, 600.0, 300.0, True),
+        (295, 600.0, 300.0, False),
+    ],
+)
+def test_a_cut_tells_what_may_be_lost(
+    oldest_age, keep_seconds, log_retention, may_lack
+):
+    history = JournalHistory(log_retention)
+    now = 1_000_000
+    history.on_record(now - 1000)
+    history.on_cut()
+    history.on_record(0)
+    history.on_record(now - oldest_age)
+    history.on_record(now)
+    assert history.may_lack(now, keep_seconds) is may_lack
+
+
+def test_a_journal_that_was_not_cut_lacks_nothing():
+    history = JournalHistory(300.0)
+    history.on_record(1_000_000)
+    assert not history.may_lack(1_000_000, 60.0)
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -4,7 +4,11 @@
 
 from notcharch.accounts.messages import KeepTurn
 from notcharch.accounts.turn_parts import split_turn
-from notcharch.calls.interface import HISTORY_NOT_STORABLE, HISTORY_TOO_LONG
+from notcharch.calls.interface import (
+    HISTORY_NOT_STORABLE,
+    HISTORY_TOO_LONG,
+    UNKNOWN_TURN,
+)
 from notcharch.journal.interface import LogLimits
 from notcharch.values.identifiers import DaemonName
 from tests.unit.accounts.steps import EVENT, same_partition_program
@@ -146,7 +150,7 @@
     world.run(2.0)
     assert not listener.is_durable
     asked = world.call("p", previous=call.id, body=b"x")
-    assert world.wait_for_decision(asked, stores_turns=True).refusal.status == 404
+    assert world.wait_for_decision(asked, stores_turns=True).refusal == UNKNOWN_TURN
 
 
 def test_parts_of_two_attempts_are_never_mixed():
