--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -14,6 +14,7 @@
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.deadly import DEADLY_TRIES, draw_deadly
 from deploy.soak.kept_connections import KeptConnections
+from deploy.soak.large_turns import LargeTurns, WholeTurn
 from deploy.soak.oracle import OK, Asked, Oracle
 from deploy.soak.settings import (
     BUDGET_TOKENS,
@@ -121,8 +122,10 @@
         ready: Callable[[], list[SoakDaemon]],
         *,
         tenants: Tenants,
+        large: LargeTurns,
     ) -> None:
         """Ask daemons at random of those that are `ready`."""
+        self._large = large
         self._reactor = reactor
         self._random = random
         self._oracle = oracle
@@ -154,10 +157,13 @@
         program = f"p{self._new_number()}"
         is_kept = self._random.random() < 0.5
         previous, chain = "", b""
+        begins_from = self._large.draw_beginning(tenant.name, self._reactor.seconds())
+        if is_kept and begins_from is not None:
+            previous, chain = begins_from.id, begins_from.chain
         for _ in range(self._random.randint(2, 6)):
             new_input = f"{program} says {self._random.random()}\n".encode()
             deadly = self._draw_deadly(is_stream=True)
-            new_input += deadly
+            new_input += deadly + self._large.draw_padding()
             turn: Asked | None = yield self._turn(
                 tenant,
                 program,
@@ -172,6 +178,8 @@
             if is_kept:
                 previous = turn.id
                 chain += new_input + b"".join(event + b"\n" for event in turn.events)
+                now = self._reactor.seconds()
+                self._large.add(WholeTurn(tenant.name, previous, chain, now))
             yield self._wait(self._random.random() * PAUSE_SECONDS)
             yield self._tool(tenant, program)
 
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -15,6 +15,7 @@
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.engine_server import SoakEngine
 from deploy.soak.faults import Faults, FaultTargets
+from deploy.soak.large_turns import LargeTurns
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Violation
 from deploy.soak.readiness import Readiness
@@ -70,7 +71,7 @@
         self._random = Random(seed)
         self._tenants = Tenants(Random(seed + 2))
         self.oracle = Oracle(self._tenants)
-        store = StoreServer(reactor, Random(seed), PARTITIONS)
+        store = self._store = StoreServer(reactor, Random(seed), PARTITIONS)
         port = reactor.listenTCP(0, ServerFactory(store, reactor), interface=HOST)
         self._operator = Operator(store, self._tenants)
         self._daemons = [
@@ -89,6 +90,7 @@
             self.oracle,
             self._readiness.ready,
             tenants=self._tenants,
+            large=LargeTurns(Random(seed + 3)),
         )
         self.faults = Faults(
             FaultTargets(
@@ -182,9 +184,18 @@
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
-            violations=self.oracle.violations() + self._in_contact(),
+            violations=(
+                self.oracle.violations() + self._in_contact() + self._refused_appends()
+            ),
         )
 
+    def _refused_appends(self) -> list[Violation]:
+        """Give the appends that were larger than what the settings say."""
+        return [
+            Violation("STORE", "", f"an append of {size} bytes")
+            for size in self._store.log.refused_bytes
+        ]
+
 
 def read_arguments(arguments: list[str] | None) -> argparse.Namespace:
     """Read the command line."""
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -23,6 +23,7 @@
     WINDOW_SECONDS,
 )
 from deploy.soak.zones import COLD_FACTOR, COLD_SLACK, REGION_OF
+from notcharch.journal.interface import LogLimits
 
 ROOT = Path(__file__).resolve().parents[2]
 MODULE = "notcharch.platform"
@@ -82,6 +83,8 @@
             "internal_port_range": f"{self._peers},{self._peers}",
             "platform.address": f"{HOST}:{self.store.port}",
             "platform.parts": PARTITIONS,
+            "platform.record_bytes": LogLimits().record_bytes,
+            "platform.call_bytes": LogLimits().call_bytes,
             # Switches on the reserve of limits and early refusals in outages.
             "contracts": "base,tenants,quota,pressure",
             "limits.memory_mb": MEMORY_MEGABYTES,
--- a/tests/unit/soak/test_callers.py
+++ b/tests/unit/soak/test_callers.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from deploy.soak.callers import Callers
+from deploy.soak.large_turns import LargeTurns
 from deploy.soak.oracle import Oracle
 from deploy.soak.tenants import Tenants
 
@@ -22,7 +23,12 @@
     reactor = MemoryReactorClock()
     oracle = Oracle()
     callers = Callers(
-        reactor, Random(1), oracle, lambda: [Daemon()], tenants=Tenants(Random(1))
+        reactor,
+        Random(1),
+        oracle,
+        lambda: [Daemon()],
+        tenants=Tenants(Random(1)),
+        large=LargeTurns(Random(1)),
     )
     callers.is_running = is_running
     tenant = callers._tenants.all[0]
