--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -19,7 +19,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.transcript_reader import CollectedTranscript
 from notcharch.accounts.turn_parts import split_turn
-from notcharch.accounts.turns import TranscriptPage, Turn, TurnCache
+from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage, Turn, TurnCache
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import Completion, OpaqueCall, Route
 from notcharch.events.accounts import (
@@ -92,6 +92,7 @@
             previous=self.transcript.turn,
             known=self.transcript.known,
             suspicions=suspicions,
+            page_bytes=PAGE_BYTES,
         )
 
     def exceeds_limit(self, chain_bytes: int) -> bool:
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -27,6 +27,9 @@
     """The newest turn of the program whose chain the requester has."""
     suspicions: tuple[Suspicion, ...] = ()
     """Engines that the requester suspects."""
+    page_bytes: int = 0
+    """How much text the requester takes at once, if it reads further pages; older builds
+    send 0 and take the whole chain."""
 
 
 class TurnAdmitted(Message, frozen=True):
@@ -61,6 +64,8 @@
     turn: str
     must_be_certain: bool
     """Whether the owner must confirm that no other owner wrote the turn."""
+    page_bytes: int = 0
+    """As in `AdmitTurn`."""
 
 
 class TurnFound(Message, frozen=True):
@@ -81,6 +86,8 @@
     """The last turn of the chain."""
     known: str
     """The turn with which the previous page ended."""
+    page_bytes: int
+    """As in `AdmitTurn`."""
 
 
 class TurnsRead(Message, frozen=True):
--- a/notcharch/accounts/owned_turns.py
+++ b/notcharch/accounts/owned_turns.py
@@ -41,11 +41,13 @@
         self._writes = CoalescedWrites(on_exception=Outcome.LOST)
         """Writes in flight, by turn id."""
 
-    def page(self, turn: str, known: str = "") -> TranscriptPage | None:
+    def page(
+        self, turn: str, known: str = "", *, max_bytes: int
+    ) -> TranscriptPage | None:
         """Return the first page after turn `known` of a chain, and mark it as used."""
         turns = self._ledger.turns
         turns.touch(turn, self._clock.seconds())
-        return turns.page(turn, known)
+        return turns.page(turn, known, max_bytes)
 
     def is_certainly_unknown(self, turn: str) -> bool:
         """Return whether no record of a turn was lost before its retention ended.
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -242,7 +242,9 @@
             return self._undecided()
         page: TranscriptPage | None = NO_TURNS
         if request.previous:
-            page = self._turns.page(request.previous, request.known)
+            page = self._turns.page(
+                request.previous, request.known, max_bytes=request.page_bytes
+            )
             if page is None:
                 reply: Message = yield self._refuse_unknown_turn(request.previous)
                 return reply
@@ -358,7 +360,7 @@
         """Look up a turn of any program."""
         if not (yield self._wait_until_serving()):
             return self._undecided()
-        found = self._turns.page(request.turn)
+        found = self._turns.page(request.turn, max_bytes=request.page_bytes)
         if found is not None:
             return TurnFound(found.text, found.last, found.remaining_bytes)
         if not request.must_be_certain:
@@ -376,7 +378,9 @@
         """Return the next page of a chain."""
         if not (yield self._wait_until_serving()):
             return self._undecided()
-        page = self._turns.page(request.turn, request.known)
+        page = self._turns.page(
+            request.turn, request.known, max_bytes=request.page_bytes
+        )
         if page is None:
             return TurnMissing()
         return TurnsRead(page.after, page.text, page.last, page.remaining_bytes)
--- a/notcharch/accounts/transcript_reader.py
+++ b/notcharch/accounts/transcript_reader.py
@@ -7,7 +7,7 @@
 
 from notcharch.accounts.messages import ReadTurns, TurnsRead
 from notcharch.accounts.owner_requests import OwnerRequests
-from notcharch.accounts.turns import TranscriptPage, Turn, TurnCache
+from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage, Turn, TurnCache
 
 
 class CollectedTranscript:
@@ -30,7 +30,7 @@
         """The turn up to which the text needs not be requested; empty for none."""
         if self._last:
             return self._last
-        if self._cache.transcript(self.turn) is not None:
+        if self._cache.has_chain(self.turn):
             return self.turn
         return self._cache.newest(self._program)
 
@@ -92,7 +92,7 @@
     while not transcript.is_complete:
         known = transcript.known
         reply = yield owners.send_request(
-            partition, ReadTurns(partition, transcript.turn, known)
+            partition, ReadTurns(partition, transcript.turn, known, PAGE_BYTES)
         )
         if not isinstance(reply, TurnsRead) or reply.after != known:
             return False
--- a/notcharch/accounts/turn_adoption.py
+++ b/notcharch/accounts/turn_adoption.py
@@ -24,7 +24,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.transcript_reader import read_remaining_pages
 from notcharch.accounts.turn_parts import split_turn
-from notcharch.accounts.turns import TranscriptPage
+from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage
 from notcharch.wire.messages.base import Message
 
 
@@ -89,7 +89,8 @@
     return gatherResults(
         [
             place.owners.send_request(
-                place.partition, FindTurn(place.partition, turn, must_be_certain)
+                place.partition,
+                FindTurn(place.partition, turn, must_be_certain, PAGE_BYTES),
             )
             for place in places
         ]
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -82,21 +82,22 @@
         return Transcript(chain.after, _text(chain.turns))
 
     def page(
-        self, last: str, known: str = "", max_bytes: int = PAGE_BYTES
+        self, last: str, known: str = "", max_bytes: int = 0
     ) -> TranscriptPage | None:
         """Return the beginning of the chain that ends with turn `last`.
 
-        Like `transcript`, but with the first turns only, up to `max_bytes` and one at least.
+        Like `transcript`, but with the first turns only, up to `max_bytes` and one at least;
+        0 bytes are no bound.
         """
         chain = self._chain(last, known)
         if chain is None:
             return None
         sizes = list(accumulate(turn.size_bytes for turn in chain.turns))
         count = max(bisect_right(sizes, max_bytes), min(1, len(sizes)))
-        is_whole = count == len(sizes)
+        is_whole = not max_bytes or count == len(sizes)
         return TranscriptPage(
             chain.after,
-            _text(chain.turns[:count]),
+            _text(chain.turns if is_whole else chain.turns[:count]),
             last if is_whole else chain.names[count - 1],
             0 if is_whole else sizes[-1] - sizes[count - 1],
         )
@@ -222,5 +223,4 @@
     def newest(self, program: str) -> str:
         """Return the program's newest turn if its complete chain is cached, else empty."""
         name = self._newest.get(program, "")
-        chain = self.transcript(name) if name else None
-        return name if chain is not None else ""
+        return name if name and self.has_chain(name) else ""
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -4,6 +4,7 @@
 
 from notcharch.accounts.messages import KeepTurn
 from notcharch.accounts.turn_parts import split_turn
+from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage, Turn, TurnStore
 from notcharch.calls.interface import (
     HISTORY_NOT_STORABLE,
     HISTORY_TOO_LONG,
@@ -214,3 +215,16 @@
     listener = world.wait_for_decision(call, stores_turns=True)
     assert listener.refusal == HISTORY_NOT_STORABLE
     assert len(world.log.refused_bytes) == 1
+
+
+def test_a_requester_that_knows_no_pages_gets_the_whole_chain():
+    """An older daemon would take a first page for all of it."""
+    store = TurnStore()
+    for number in range(5):
+        previous = f"t{number - 1}" if number else ""
+        store.add(f"t{number}", Turn(previous, b"i" * PAGE_BYTES, b"o"))
+    whole = store.page("t4")
+    assert whole == TranscriptPage("", (b"i" * PAGE_BYTES + b"o") * 5, "t4", 0)
+    first = store.page("t4", "t0", PAGE_BYTES)
+    assert (first.after, first.last) == ("t0", "t1")
+    assert first.remaining_bytes == 3 * (PAGE_BYTES + 1)
