--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -56,7 +56,7 @@
 def go_on(world: World, program: str, previous: str, at: int = 0):
     """Let a program go on from a turn, asking again as callers do."""
     for _ in range(5):
-        call = world.call(program, previous=previous, body=b"next")
+        call = world.call(program, budget=None, previous=previous, body=b"next")
         listener = world.wait_for_decision(call, at=at, stores_turns=True)
         if listener.body is not None:
             return listener
