--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -96,8 +96,9 @@
         )
 
     def exceeds_limit(self, chain_bytes: int) -> bool:
-        """Return whether a chain and the new input are more than a call may have."""
-        return chain_bytes + len(self.call.body) > self._max_body_bytes
+        """Return whether a chain and the new input are more than can be kept and sent."""
+        size = chain_bytes + len(self.call.body)
+        return self._route.stores_turns and size > self._max_body_bytes
 
     def on_admitted(self, reply: TurnAdmitted) -> bool:
         """Take the first page of the chain; False if the turns before it are unknown."""
@@ -162,11 +163,11 @@
         self._report_usage(events)
 
     def _report_usage(self, events: int) -> None:
-        if self._is_completed:
-            return
-        self._is_completed = True
-        call = self.call
-        tokens = events * call.tokens_per_event
+        if not self._is_completed:
+            self._is_completed = True
+            self._settle(events * self.call.tokens_per_event)
+
+    def _settle(self, tokens: int) -> None:
         notice = SettleCall(
             self.partition, self.program, self.call_id, tokens, self._engine
         )
@@ -205,6 +206,7 @@
             response = yield self._owners.send_request(self.partition, parts[0])
             if isinstance(response, TurnNotStorable):
                 emit(TurnRefusedByLog(call.id, call.program, len(call.body), len(data)))
+                self._settle(message.tokens)
                 completion.not_durable()
                 return
             if not isinstance(response, TurnIsKept):
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -35,7 +35,8 @@
     """Why there is no complete response."""
 
     NOT_SENT = "not sent"
-    SENT = "sent, and no whole answer came"
+    SENT = "sent, and no whole answer came in time"
+    BROKEN_OFF = "sent, and the connection ended before a whole answer"
 
 
 Outcome = Result[CompleteResponse, NoResponse]
@@ -77,7 +78,7 @@
 
     def failed(self, failure: ResponseFailure) -> None:
         """Fail: the request was sent, but there is no complete response."""
-        self.finish(Err(NoResponse.SENT))
+        self.finish(Err(NoResponse.BROKEN_OFF))
 
     def time_out(self) -> None:
         """Fail at the timeout, and close the connection of the request."""
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -11,6 +11,7 @@
 from notcharch.events.event import emit
 from notcharch.events.outages import StoreOutageKnown, StoreOutageOver
 from notcharch.journal.interface import (
+    UNCERTAIN_FAULTS,
     GroupName,
     LogFault,
     LogProblem,
@@ -33,7 +34,7 @@
 """
 
 
-OUTAGE_FAULTS = (LogFault.NOT_DONE, LogFault.UNKNOWN)
+OUTAGE_FAULTS = (LogFault.NOT_DONE, *UNCERTAIN_FAULTS)
 """Faults of heartbeats that the service did not answer, or refused for the moment."""
 
 
@@ -172,7 +173,7 @@
         A heartbeat that timed out has used up much of the lease: repeat it soon.
         """
         if isinstance(response, Err):
-            is_timed_out = response.err_value.fault is LogFault.UNKNOWN
+            is_timed_out = response.err_value.fault in UNCERTAIN_FAULTS
             return FAST_HEARTBEAT_SECONDS if is_timed_out else HEARTBEAT_SECONDS
         if response.ok_value.generation != self._generation:
             self._fast_heartbeats_left = FAST_HEARTBEATS
--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -15,6 +15,9 @@
     """The request had no effect: refused, throttled or not delivered."""
     UNKNOWN = "unknown"
     """No response: the request may have taken effect, or may take effect later."""
+    FAILED = "failed"
+    """The service closed the connection, or reported an error of its own, which may stand
+    for a refusal: the request may have taken effect."""
     FENCED = "fenced"
     """A higher epoch writes the partition."""
     OUT_OF_ORDER = "out of order"
@@ -29,6 +32,10 @@
     """The request had no effect and never will, such as one that is too large."""
 
 
+UNCERTAIN_FAULTS = (LogFault.UNKNOWN, LogFault.FAILED)
+"""Faults after which the request may have taken effect, or may take effect later."""
+
+
 class LogProblem(msgspec.Struct, frozen=True):
     """A failed request, with the offset that the service returned, if any."""
 
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -13,6 +13,7 @@
 from notcharch.journal.entries import BatchRecord, Entry, EntryQueue, Outcome
 from notcharch.journal.fragments import FragmentSplitter
 from notcharch.journal.interface import (
+    UNCERTAIN_FAULTS,
     Appended,
     LogFault,
     LogPartition,
@@ -35,9 +36,9 @@
 """Upper bound of the delay; a recovery signal ends it earlier."""
 RETRY_GROWTH_FACTOR = 2.0
 SUSPICIOUS_FAILURES = 4
-"""Tries of an append without an outcome after which the service itself is checked."""
+"""Failed tries of an append after which the service itself is checked."""
 VAIN_TRIES = 3
-"""Further tries, while the service answers reads, after which it refuses the append.
+"""Further ones, while the service answers reads, after which it refuses the append.
 
 A service may refuse a call by closing the connection; an outage fails the reads, too."""
 FENCING_FAULTS = (LogFault.FENCED, LogFault.OUT_OF_ORDER, LogFault.MOVED_ON)
@@ -121,40 +122,34 @@
         while self._queue and self.is_open:
             batch = self._queue.next_batch()
             BACKLOG.dec(sum(item.is_last for item in batch))
-            is_refused = yield self._write_batch(batch)
-            if is_refused:
-                # The service refuses a call as a whole: find out which record it is.
-                for item in batch:
-                    yield self._write_alone(item)
+            yield self._write_batch(batch)
         self._is_writing = False
         self._notify_idle()
 
     @inlineCallbacks
     def _write_batch(
         self, batch: list[BatchRecord]
-    ) -> Generator["Deferred[Any]", Any, bool]:
-        """Append a batch; return whether it was refused and has to be taken apart."""
+    ) -> Generator["Deferred[Any]", Any, None]:
+        """Append a batch; one that is refused for good is halved to find the record."""
+        batch = [item for item in batch if not item.entry.is_finished]
         records = tuple(item.record for item in batch if item.record)
-        if not records:
-            is_sole = yield self._is_sole_writer()
-            outcome = Outcome.DURABLE if is_sole else Outcome.LOST
-        else:
+        outcome = Outcome.DURABLE
+        if records:
             appended: AppendResult = yield self._append(records)
             if not isinstance(appended, Err):
                 self._on_appended(batch, appended.ok_value)
-                return False
+                return
             outcome = appended.err_value
-            if outcome is Outcome.REFUSED and len(batch) > 1:
-                return True
+        elif batch:
+            is_sole = yield self._is_sole_writer()
+            outcome = Outcome.DURABLE if is_sole else Outcome.LOST
+        if outcome is Outcome.REFUSED and len(batch) > 1:
+            middle = len(batch) // 2
+            yield self._write_batch(batch[:middle])
+            yield self._write_batch(batch[middle:])
+            return
         for item in batch:
             self._end_entry(item, outcome)
-        return False
-
-    @inlineCallbacks
-    def _write_alone(self, item: BatchRecord) -> Generator["Deferred[Any]", Any, None]:
-        """Append one record of a refused batch, unless its entry was refused by now."""
-        if not item.entry.is_finished:
-            yield self._write_batch([item])
 
     def _on_appended(self, batch: list[BatchRecord], appended: Appended) -> None:
         """Report the entries that are whole with a batch."""
@@ -232,8 +227,8 @@
         delay = RETRY_SECONDS
         recoveries = self._recovery.recovery_count
         began = self._clock.seconds()
-        failures = 0  # tries without an outcome: any of them may write the records
-        vain_tries = 0
+        may_be_written = False
+        failures = vain_tries = 0
         while self.is_open:
             sent = self._service.append(self._topic, self._partition, records, producer)
             response: Result[Appended, LogProblem] = yield self._recovery.guard(sent)
@@ -244,21 +239,22 @@
                 return Ok(response.ok_value)
             fault = response.err_value.fault
             APPENDS.labels(fault.value).inc()
-            failures += fault is LogFault.UNKNOWN
+            may_be_written = may_be_written or fault in UNCERTAIN_FAULTS
             if fault in FENCING_FAULTS:
                 self._close_fenced()
                 break
-            if records and failures > SUSPICIOUS_FAILURES:
-                is_vain = yield self._fails_alone()
-                vain_tries = vain_tries + 1 if is_vain else 0
+            failures = failures + 1 if fault is LogFault.FAILED else 0
+            is_suspicious = bool(records) and failures > SUSPICIOUS_FAILURES
+            is_vain = is_suspicious and (yield self._fails_alone())
+            vain_tries = vain_tries + 1 if is_vain else 0
             if records and (fault is LogFault.REJECTED or vain_tries >= VAIN_TRIES):
-                return Err(self._refused(records, may_be_written=failures > 0))
+                return Err(self._refused(records, may_be_written=may_be_written))
             if self._recovery.recovery_count != recoveries:
                 recoveries = self._recovery.recovery_count
                 delay = RETRY_SECONDS
             yield self._pause(delay)
             delay = min(delay * RETRY_GROWTH_FACTOR, MAX_RETRY_SECONDS)
-        return Err(Outcome.LOST if failures else Outcome.NOT_WRITTEN)
+        return Err(Outcome.LOST if may_be_written else Outcome.NOT_WRITTEN)
 
     @inlineCallbacks
     def _fails_alone(self) -> Generator[Any, Any, bool]:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -134,7 +134,7 @@
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
-        platform_store = PlatformStore(
+        platform_store = self._store = PlatformStore(
             self._requester, reactor, settings.store.log_limits
         )
         local_member = Member(DaemonName(settings.machine), new_incarnation())
@@ -377,7 +377,7 @@
         self._reload.start()
 
     def _settings_settled(self, text: Result[str, list[str]]) -> None:
-        """Apply a changed address of the store."""
+        """Apply a changed address of the store, and its limits for the next owners."""
         loaded = text.and_then(read_settings)
         if isinstance(loaded, Err):
             errors = loaded.err_value
@@ -389,6 +389,7 @@
         self._settings = settings
         address = settings.store.address
         self._requester.set_address(address.host, address.port)
+        self._store.limits = settings.store.log_limits
 
     def on_stop_signal(self) -> None:
         """Start the drain: stop accepting, finish requests in flight, exit."""
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -141,6 +141,15 @@
     return fields.number("bounds.revoke_ms") / 1000 if is_strict else None
 
 
+def _log_limits(fields: Fields) -> LogLimits:
+    """Return the limits of the store; the usual ones where none are given."""
+    usual = LogLimits()
+    return LogLimits(
+        int(fields.number("platform.record_bytes", 0)) or usual.record_bytes,
+        int(fields.number("platform.call_bytes", 0)) or usual.call_bytes,
+    )
+
+
 def read_settings(text: str) -> Result[ProcessSettings, list[str]]:
     """Parse the settings file's text; an Err lists every error in it."""
     fields = Fields(text)
@@ -149,10 +158,7 @@
         writes_per_second=fields.number("platform.writes_per_s", 800),
         reads_per_second=fields.number("platform.reads_per_s", 2000),
         partitions=int(fields.number("platform.parts", 1)),
-        log_limits=LogLimits(
-            int(fields.number("platform.record_bytes", 262144)),
-            int(fields.number("platform.call_bytes", 2097152)),
-        ),
+        log_limits=_log_limits(fields),
         retention_seconds=fields.number("platform.retention_s", 300),
         min_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
         partition_bytes=int(
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -46,6 +46,11 @@
 RETRYABLE_STATUSES = (408, 429, 503)
 """Statuses after which nothing was done, and the same call may be answered later."""
 SERVER_ERRORS = 500
+FAULT_WITHOUT_RESPONSE = {
+    NoResponse.NOT_SENT: LogFault.NOT_DONE,
+    NoResponse.SENT: LogFault.UNKNOWN,
+    NoResponse.BROKEN_OFF: LogFault.FAILED,
+}
 
 
 class AppendResponse(msgspec.Struct):
@@ -128,7 +133,7 @@
     if status == INSUFFICIENT_STORAGE:
         return LogProblem(LogFault.FULL)
     is_server_error = status >= SERVER_ERRORS
-    return LogProblem(LogFault.UNKNOWN if is_server_error else LogFault.REJECTED)
+    return LogProblem(LogFault.FAILED if is_server_error else LogFault.REJECTED)
 
 
 class PlatformStore:
@@ -174,8 +179,7 @@
                 is_unsent = outcome.err_value is NoResponse.NOT_SENT
                 if adaptive_timeout is not None and not is_unsent:
                     adaptive_timeout.timed_out()
-                fault = LogFault.NOT_DONE if is_unsent else LogFault.UNKNOWN
-                return Err(LogProblem(fault))
+                return Err(LogProblem(FAULT_WITHOUT_RESPONSE[outcome.err_value]))
             if adaptive_timeout is not None:
                 adaptive_timeout.response_received(self._clock.seconds() - started_at)
             response = outcome.ok_value
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -205,6 +205,8 @@
     assert other.is_durable
     assert listener.is_given_up
     assert len(world.log.refused_bytes) <= 2
+    world.run(0.1)
+    assert world.reserved_tokens("p") == 0
 
 
 def test_a_chain_that_the_log_refuses_all_the_same_is_refused_before_it_runs():
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -190,6 +190,14 @@
         member = next(row.member for row in owners if row.partition == log_partition)
         return parse_owner_name(member).daemon
 
+    def reserved_tokens(self, program: str) -> int:
+        """Return what the owner of a program's account has reserved for its calls."""
+        group = self.services[self.owner(program)]._default_group
+        number = self.partitioning.of_program(program)
+        owned = group._owned_partitions._partitions.get(number)
+        account = owned._ledger.program(program, self.clock.seconds())
+        return account.committed - account.used
+
     def program_of(self, name: DaemonName) -> str:
         """Return a program whose partition the daemon owns."""
         names = (f"p{number}" for number in range(100))
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -1,6 +1,14 @@
 """Tests of parsing the platform's settings file, valid and invalid."""
 
-from notcharch.platform.settings import Address, read_settings
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
+
+from notcharch.accounts.admission import max_body_bytes
+from notcharch.http.requester import Requester
+from notcharch.journal.interface import LogLimits
+from notcharch.platform.settings import BYTES_PER_MEGABYTE, Address, read_settings
+from notcharch.platform.store import PlatformStore
 from notcharch.scheduling.cold_engines import ColdTolerance
 
 TEXT = """
@@ -55,3 +63,33 @@
     settings = read_settings(competing).unwrap()
     assert settings.has_competing_callers
     assert settings.memory_bytes == 128 * 1024 * 1024
+
+
+def test_the_limits_of_the_store_are_read():
+    """Guards against limits that are read and used nowhere."""
+    told = "platform.record_bytes=65536\nplatform.call_bytes=131072\n"
+    store = read_settings(TEXT + told).unwrap().store
+    assert store.log_limits == LogLimits(65_536, 131_072)
+    requester = Requester(MemoryReactorClock(), "10.0.0.1", 1)
+    limits = PlatformStore(requester, Clock(), store.log_limits).limits
+    assert limits.max_record_bytes == 65_536
+
+
+@pytest.mark.parametrize(
+    "told", ["", "platform.record_bytes=\n", "platform.record_bytes=0\n"]
+)
+def test_limits_of_the_store_that_are_not_told_are_the_usual_ones(told):
+    assert read_settings(TEXT + told).unwrap().store.log_limits == LogLimits()
+
+
+@pytest.mark.parametrize(
+    ("memory_megabytes", "partition_megabytes", "megabytes"),
+    [(0, 200, 32), (260, 200, 32.5), (260, 40, 10), (130, 200, 16.25)],
+)
+def test_a_body_with_the_turns_before_it_is_bounded_by_memory_and_partition(
+    memory_megabytes, partition_megabytes, megabytes
+):
+    found = max_body_bytes(
+        memory_megabytes * BYTES_PER_MEGABYTE, partition_megabytes * BYTES_PER_MEGABYTE
+    )
+    assert found == megabytes * BYTES_PER_MEGABYTE
