--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -9,6 +9,7 @@
 
 from notcharch.accounts.messages import (
     AdmitTurn,
+    FindTurn,
     KeepTurn,
     SettleCall,
     TurnAdmitted,
@@ -95,6 +96,16 @@
             page_bytes=PAGE_BYTES,
         )
 
+    def find_message(self, partition: int, *, must_be_certain: bool) -> FindTurn:
+        """Return the request for the previous turn to the owner of another partition."""
+        return FindTurn(
+            partition,
+            self.previous_turn,
+            must_be_certain,
+            PAGE_BYTES,
+            self._route.retention_seconds,
+        )
+
     def exceeds_limit(self, chain_bytes: int) -> bool:
         """Return whether a chain and the new input are more than can be kept and sent."""
         size = chain_bytes + len(self.call.body)
--- a/notcharch/accounts/journal_history.py
+++ b/notcharch/accounts/journal_history.py
@@ -38,5 +38,7 @@
         if not self._is_cut or self._oldest_written_at is None:
             return False
         age = wall_time - self._oldest_written_at
-        lasting = min(keep_seconds, self._log_retention_seconds - CLOCK_ERROR_SECONDS)
-        return age < lasting
+        return age < min(
+            keep_seconds + CLOCK_ERROR_SECONDS,
+            self._log_retention_seconds - CLOCK_ERROR_SECONDS,
+        )
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -122,6 +122,7 @@
     def replay(self, record: AnyRecord, now: float) -> None:
         """Apply a record written by an earlier owner."""
         if isinstance(record, TurnKept):
+            self.keep_seconds = max(self.keep_seconds, record.keep_seconds)
             self.store_turn(record, now)
         elif isinstance(record, AccountHandedOver):
             self._replay_account(record, now)
@@ -298,7 +299,15 @@
             if program.bound and program.written_at < limit
         ]
         due = [
-            TurnKept("", name, turn.previous, turn.input, turn.output, written_at)
+            TurnKept(
+                "",
+                name,
+                turn.previous,
+                turn.input,
+                turn.output,
+                written_at,
+                self.keep_seconds,
+            )
             for name, turn in self.turns.written_before(limit)
         ]
         share = max(1.0, rounds * REWRITE_ROUNDS_SHARE)
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -66,6 +66,8 @@
     """Whether the owner must confirm that no other owner wrote the turn."""
     page_bytes: int = 0
     """As in `AdmitTurn`."""
+    keep_seconds: float = 0.0
+    """Retention of turns on the route of the call."""
 
 
 class TurnFound(Message, frozen=True):
--- a/notcharch/accounts/owned_turns.py
+++ b/notcharch/accounts/owned_turns.py
@@ -91,6 +91,7 @@
             request.input,
             request.output,
             self._wall_seconds(),
+            self._ledger.keep_seconds,
         )
         outcome: Outcome = yield self._write(encode(record))
         if outcome is Outcome.DURABLE:
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -358,6 +358,8 @@
     @inlineCallbacks
     def find_turn(self, request: FindTurn) -> Generator["Deferred[Any]", Any, Message]:
         """Look up a turn of any program."""
+        ledger = self._ledger
+        ledger.keep_seconds = max(ledger.keep_seconds, request.keep_seconds)
         if not (yield self._wait_until_serving()):
             return self._undecided()
         found = self._turns.page(request.turn, max_bytes=request.page_bytes)
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -32,6 +32,8 @@
     output: bytes
     """Data of the output events, each followed by a line feed."""
     written_at: int = 0
+    keep_seconds: float = 0.0
+    """How long turns of its owner are kept at least; 0 in records of older builds."""
 
 
 class AccountHandedOver(Record, frozen=True, tag="account"):
--- a/notcharch/accounts/turn_adoption.py
+++ b/notcharch/accounts/turn_adoption.py
@@ -14,7 +14,6 @@
 
 from notcharch.accounts.call_account import CallAccount
 from notcharch.accounts.messages import (
-    FindTurn,
     KeepTurn,
     TurnFound,
     TurnIsKept,
@@ -24,7 +23,7 @@
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.transcript_reader import read_remaining_pages
 from notcharch.accounts.turn_parts import split_turn
-from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage
+from notcharch.accounts.turns import TranscriptPage
 from notcharch.wire.messages.base import Message
 
 
@@ -63,7 +62,7 @@
     places = _other_partitions((owners, *other_groups), account.partition)
     for must_be_certain in (False, True):
         replies: list[Message | None] = yield _find(
-            places, account.previous_turn, must_be_certain=must_be_certain
+            places, account, must_be_certain=must_be_certain
         )
         for place, reply in zip(places, replies, strict=True):
             if isinstance(reply, TurnFound):
@@ -84,13 +83,13 @@
 
 
 def _find(
-    places: Sequence[Place], turn: str, *, must_be_certain: bool
+    places: Sequence[Place], account: CallAccount, *, must_be_certain: bool
 ) -> "Deferred[list[Message | None]]":
     return gatherResults(
         [
             place.owners.send_request(
                 place.partition,
-                FindTurn(place.partition, turn, must_be_certain, PAGE_BYTES),
+                account.find_message(place.partition, must_be_certain=must_be_certain),
             )
             for place in places
         ]
