--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -26,20 +26,22 @@
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
-"""Bound of a body with the turns before it, where the memory limit is unknown."""
-MEMORY_SHARE = 1 / 8
-"""Share of the memory limit that a body may have: it is held some times over."""
+"""Bound of a body with the turns before it, where no other one is given."""
+HEAD_BYTES = 32 * 1024
+"""Upper bound of the head that is sent to an engine before the body."""
 PARTITION_SHARE = 1 / 4
 """Share of a partition of the log that a chain may fill, beside its copies."""
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Size of the cache of turns; after the first one, a program's turns have 0.3 to 2.6 KB."""
 
 
-def max_body_bytes(memory_bytes: int, partition_bytes: int) -> int:
-    """Return the bound of a body with the turns before it; 0 is an unknown limit."""
-    by_memory = int(memory_bytes * MEMORY_SHARE) or MAX_BODY_BYTES
-    by_partition = int(partition_bytes * PARTITION_SHARE) or MAX_BODY_BYTES
-    return min(by_memory, by_partition)
+def max_body_bytes(buffer_bytes: int, partition_bytes: int) -> int:
+    """Return the bound of a body with the turns before it.
+
+    A larger one would be cut on its way to an engine, as all connections may buffer
+    `buffer_bytes`, or leave its partition of the log too little room.
+    """
+    return min(buffer_bytes - HEAD_BYTES, int(partition_bytes * PARTITION_SHARE))
 
 
 REFUSALS = {
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -161,7 +161,7 @@
                 mechanisms=mechanisms,
                 tolerance=settings.tolerance,
                 max_body_bytes=max_body_bytes(
-                    settings.memory_bytes, settings.store.partition_bytes
+                    total_limit(settings.memory_bytes), settings.store.partition_bytes
                 ),
                 region=settings.regions.get(settings.zone, ""),
                 regions=tuple(sorted(set(settings.regions.values()))),
--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -15,6 +15,8 @@
 PRESSURE_CONTRACT = "pressure"
 """The contract of deployments whose callers compete for capacity."""
 BYTES_PER_MEGABYTE = 1024 * 1024
+USUAL_PARTITION_MEGABYTES = 200.0
+"""Size of a partition of the store where the settings tell none."""
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -150,6 +152,11 @@
     )
 
 
+def _partition_bytes(fields: Fields) -> int:
+    megabytes = fields.number("platform.part_mb", 0) or USUAL_PARTITION_MEGABYTES
+    return int(megabytes * BYTES_PER_MEGABYTE)
+
+
 def read_settings(text: str) -> Result[ProcessSettings, list[str]]:
     """Parse the settings file's text; an Err lists every error in it."""
     fields = Fields(text)
@@ -161,9 +168,7 @@
         log_limits=_log_limits(fields),
         retention_seconds=fields.number("platform.retention_s", 300),
         min_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
-        partition_bytes=int(
-            fields.number("platform.part_mb", 200) * BYTES_PER_MEGABYTE
-        ),
+        partition_bytes=_partition_bytes(fields),
     )
     settings = ProcessSettings(
         machine=fields.text("node_name"),
