--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -162,7 +162,7 @@
 
     def _end_entry(self, item: BatchRecord, outcome: Outcome) -> None:
         """End an entry of a batch that was not appended, or is not known to be."""
-        is_certainly_not_whole = outcome is Outcome.LOST and not item.is_last
+        is_certainly_not_whole = outcome is Outcome.LOST and bool(item.entry.unwritten)
         BACKLOG.dec(self._queue.remove(item.entry))
         if outcome is Outcome.REFUSED:
             self._log_refused(item.entry.size, len(item.record))
--- a/tests/unit/journal/test_large_entries.py
+++ b/tests/unit/journal/test_large_entries.py
@@ -172,3 +172,17 @@
     world.run(6.0)
     assert world.outcomes == [Outcome.DURABLE]
     assert world.records == [b"a"]
+
+
+def test_an_entry_whose_last_part_may_be_stored_is_not_said_to_be_unwritten():
+    """Guards against a command that ran being reported as one that did not."""
+    world = Writing(SMALL_LIMITS)
+    writer = world.claimed(1)
+    world.log.trouble = Trouble.LOSE_ANSWER
+    world.write(writer, b"x" * 150)
+    world.run(0.1)
+    world.log.trouble = Trouble.NONE
+    world.claimed(2)
+    world.run(3.0)
+    assert world.replayed() == [b"x" * 150]
+    assert world.outcomes == [Outcome.LOST]
