--- a/tests/stateful/accounts/large_turns_machine.py
+++ b/tests/stateful/accounts/large_turns_machine.py
@@ -48,6 +48,7 @@
         super().__init__()
         self.world = World(DAEMONS, log_limits=LIMITS)
         self.world.fabric.codec.max_message_bytes = MESSAGE_BYTES
+        self.world.log_may_refuse = True
         self.answered: dict[str, bytes] = {}
         """The chain up to each turn that was answered whole."""
         self.answered_at: dict[str, float] = {}
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -125,6 +125,7 @@
             listener.ticket.never_ran()
 
     def teardown(self):
+        assert not any(listener.is_given_up for listener in self.world.listeners)
         for program, given in self.given.items():
             assert given <= BUDGETS[program] + MAX_CALL_TOKENS, (
                 f"{program} was given {given}"
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -194,6 +194,7 @@
 def test_a_turn_that_the_log_refuses_all_the_same_is_told_at_once():
     """Guards against callers that wait in vain for what will never be stored."""
     world = new_world(LogLimits(record_bytes=100_000, call_bytes=200_000))
+    world.log_may_refuse = True
     for name in world.names:
         world.logs[name].limits = LogLimits()
     world.restart_all()
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -53,7 +53,9 @@
 class Listener:
     """Records the admission and the completion of one call."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_be_given_up: bool = False) -> None:
+        """Fail if the turn can't be stored, unless it `may_be_given_up`."""
+        self._may_be_given_up = may_be_given_up
         self.ticket = None
         self.body = None
         self.refusal: Refusal | None = None
@@ -79,6 +81,8 @@
 
     def not_durable(self) -> None:
         self.is_given_up = True
+        if not self._may_be_given_up:
+            raise AssertionError("unexpected notification")
 
 
 class World:
@@ -103,6 +107,8 @@
         self.has_competing_callers = has_competing_callers
         self.regions = regions
         self.listeners: list[Listener] = []
+        self.log_may_refuse = False
+        """Whether turns may be given up since the log refuses them for good."""
         self.tenants: dict[str, Tenant] = {}
         """The tenants of the table in force, at all daemons."""
         self.clock = Clock()
@@ -256,7 +262,7 @@
         retention_seconds: float = 60.0,
     ) -> Listener:
         """Request admission at a daemon; the decision arrives as the clock advances."""
-        listener = Listener()
+        listener = Listener(may_be_given_up=self.log_may_refuse)
         self.listeners.append(listener)
         admission = self.services[self.names[at]].admission
         called = route(stores_turns=stores_turns, retention_seconds=retention_seconds)
