--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -163,7 +163,7 @@
         for _ in range(self._random.randint(2, 6)):
             new_input = f"{program} says {self._random.random()}\n".encode()
             deadly = self._draw_deadly(is_stream=True)
-            new_input += deadly + self._large.draw_padding()
+            new_input += self._large.draw_padding() + deadly
             turn: Asked | None = yield self._turn(
                 tenant,
                 program,
