--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -6,7 +6,12 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from notcharch.accounts.call_account import CallAccount
-from notcharch.accounts.messages import NotOwner, TurnAdmitted, TurnRefused
+from notcharch.accounts.messages import (
+    CallNotRecorded,
+    NotOwner,
+    TurnAdmitted,
+    TurnRefused,
+)
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.request_retry import request_until_decided
 from notcharch.accounts.transcript_reader import read_remaining_pages
@@ -16,6 +21,7 @@
     BUDGET_SPENT,
     HISTORY_NOT_STORABLE,
     HISTORY_TOO_LONG,
+    NOT_RECORDED,
     UNKNOWN_TURN,
     AdmissionListener,
     OpaqueCall,
@@ -144,6 +150,9 @@
             return self._owners.outages.refusal(
                 account.call, reply.store_outage_seconds, is_owners_decision=True
             )
+        if isinstance(reply, CallNotRecorded):
+            account.never_ran()
+            return NOT_RECORDED
         is_spent = isinstance(reply, TurnRefused) and reply.is_spent
         return BUDGET_SPENT if is_spent else None
 
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -58,6 +58,10 @@
     """False if this partition may have stored the turn and lost records of it."""
 
 
+class CallNotRecorded(Message, frozen=True):
+    """The log service refuses the record that the call needs; it must not run."""
+
+
 class FindTurn(PartitionMessage, frozen=True):
     """Request for a turn of any program. Reply: `TurnFound` or `TurnMissing`."""
 
@@ -183,6 +187,7 @@
     AdmitTurn,
     TurnAdmitted,
     TurnRefused,
+    CallNotRecorded,
     SettleCall,
     FindTurn,
     TurnFound,
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -17,6 +17,7 @@
 from notcharch.accounts.messages import (
     AdmitCall,
     AdmitTurn,
+    CallNotRecorded,
     FindTurn,
     KeepTurn,
     NotOwner,
@@ -108,7 +109,7 @@
             self._write,
             is_enabled=uses_starting_allowance,
         )
-        self._bound_writes = CoalescedWrites(on_exception=False)
+        self._bound_writes = CoalescedWrites(on_exception=Outcome.LOST)
         """Writes of bounds in flight, by program."""
         self._turns = OwnedTurns(
             self._ledger,
@@ -248,17 +249,9 @@
             if page is None:
                 reply: Message = yield self._refuse_unknown_turn(request.previous)
                 return reply
-        verdict = self._reserve(request)
-        while verdict is Verdict.NEEDS_BOUND:
-            if self._is_blocked:
-                return self._undecided()
-            is_raised = yield self._bound_writes.write(
-                request.program, lambda: self._write_bound(request)
-            )
-            if not is_raised or not self.is_serving:
-                # The next owner would not know of a reservation made now.
-                return NOT_OWNER
-            verdict = self._reserve(request)
+        verdict: Verdict | Message = yield self._reserve_within_bound(request)
+        if isinstance(verdict, Message):
+            return verdict
         self._allowance.renew_if_due()  # last, as the caller waits for the bound
         if verdict is Verdict.GIVEN_UP:
             return NOT_OWNER  # no caller waits for the reply
@@ -325,7 +318,32 @@
         )
 
     @inlineCallbacks
-    def _write_bound(self, request: AdmitTurn) -> Generator["Deferred[Any]", Any, bool]:
+    def _reserve_within_bound(
+        self, request: AdmitTurn
+    ) -> Generator["Deferred[Any]", Any, Verdict | Message]:
+        """Reserve a call's tokens, and raise the bound for it if need be.
+
+        A message is the reply to a call for which the bound could not be raised.
+        """
+        verdict = self._reserve(request)
+        while verdict is Verdict.NEEDS_BOUND:
+            if self._is_blocked:
+                return self._undecided()
+            outcome: Outcome = yield self._bound_writes.write(
+                request.program, lambda: self._write_bound(request)
+            )
+            if outcome is Outcome.REFUSED:
+                return CallNotRecorded()
+            if outcome is not Outcome.DURABLE or not self.is_serving:
+                # The next owner would not know of a reservation made now.
+                return NOT_OWNER
+            verdict = self._reserve(request)
+        return verdict
+
+    @inlineCallbacks
+    def _write_bound(
+        self, request: AdmitTurn
+    ) -> Generator["Deferred[Any]", Any, Outcome]:
         assert request.budget_tokens is not None
         record = self._ledger.raised_bound(
             request.program,
@@ -334,11 +352,10 @@
             self._clock.seconds(),
             written_at=self._wall_seconds(),
         )
-        outcome = yield self._write(encode(record))
-        if outcome is not Outcome.DURABLE:
-            return False
-        self._ledger.on_bound_durable(record)
-        return True
+        outcome: Outcome = yield self._write(encode(record))
+        if outcome is Outcome.DURABLE:
+            self._ledger.on_bound_durable(record)
+        return outcome
 
     def _write(self, data: bytes) -> "Deferred[Outcome]":
         done: Deferred[Outcome] = Deferred()
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -411,6 +411,7 @@
 
 NO_ROUTE = Refusal(404, "no route")
 UNKNOWN_TURN = Refusal(404, "no such turn")
+NOT_RECORDED = Refusal(503, "the program's account can't be recorded", 1.0)
 HISTORY_TOO_LONG = Refusal(413, "the program's history is too long")
 HISTORY_NOT_STORABLE = Refusal(413, "the program's history can't be stored")
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
--- a/tests/unit/accounts/test_large_records.py
+++ b/tests/unit/accounts/test_large_records.py
@@ -1,5 +1,6 @@
 """Records that grow with names, calls under way, tenants or time, over a small log."""
 
+from notcharch.calls.interface import NOT_RECORDED
 from notcharch.journal.interface import LogLimits
 from notcharch.tenants.interface import RateLimit, Tenant
 from tests.unit.accounts.steps import EVENT, spend
@@ -74,6 +75,27 @@
     assert all(listener.ticket is not None for listener in admitted)
 
 
+def test_a_call_whose_bound_the_log_refuses_is_refused_at_once():
+    """Guards against an account's record that is refused for good and sent on and on."""
+    world = World()
+    world.run(6.0)
+    world.log.limits = LogLimits(record_bytes=200, call_bytes=1_000)
+    names = (f"{LONG_NAME[:300]}{number}" for number in range(100))
+    program = next(name for name in names if same_partition(world, name, "p"))
+    call = world.call(program, budget=1_000, token_limit=700)
+    listener = world.wait_for_decision(call)
+    assert listener.refusal == NOT_RECORDED
+    assert world.clock.seconds() - call.arrived < 0.2
+    assert len(world.log.refused_bytes) == 1
+    beside = world.call("p", budget=1_000, token_limit=700)
+    assert world.wait_for_decision(beside).ticket is not None
+
+
+def same_partition(world: World, first: str, second: str) -> bool:
+    of_program = world.partitioning.of_program
+    return of_program(first) == of_program(second)
+
+
 def test_large_turns_outlive_the_retention_of_the_log():
     """Their records are written again before the log drops them, not all at once."""
     world = World()
