--- a/tests/unit/journal/test_large_entries.py
+++ b/tests/unit/journal/test_large_entries.py
@@ -67,6 +67,16 @@
     assert world.replayed() == [b"whole", b"next", LARGE[::-1]]
 
 
+def test_the_parts_of_two_writers_are_never_joined():
+    world = Writing(SMALL_LIMITS)
+    world.write(world.claimed(1), LARGE)
+    world.run(0.02)
+    world.write(world.claimed(2), LARGE[::-1])
+    world.run(1.0)
+    assert world.outcomes == [Outcome.NOT_WRITTEN, Outcome.DURABLE]
+    assert world.replayed() == [LARGE[::-1]]
+
+
 def test_an_entry_whose_first_parts_were_dropped_is_never_read():
     world = Writing(SMALL_LIMITS)
     world.write(world.claimed(1), LARGE, b"after")
