--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -139,9 +139,7 @@
             if adoption is Adoption.NO_SUCH_TURN and not reply.is_certain:
                 adoption = Adoption.UNSURE
             _log_adoption(account, adoption)
-            if adoption is not Adoption.ADOPTED:
-                return REFUSALS.get(adoption)
-            reply = yield self._send_admission(account)
+            return REFUSALS.get(adoption)  # None once it is adopted: ask again
         if isinstance(reply, TurnAdmitted):
             decision: Refusal | bytes | None = yield self._complete_body(account, reply)
             return decision
