--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -2,13 +2,10 @@
 
 from random import Random
 
-import msgspec
 import pytest
-from twisted.internet.task import Clock
 
-from emulator.services.partitioned_log import PartitionedLog, Trouble
+from emulator.services.partitioned_log import Trouble
 from notcharch.calls.engines import LAST_RESORT_SECONDS, EnginePool
-from notcharch.journal.keyed_follower import join_keyed
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.platform.store import REQUEST_TIMEOUT_SECONDS
 from notcharch.platform.tables import (
@@ -22,98 +19,15 @@
 from notcharch.scheduling.nearness import Nearness
 from notcharch.scheduling.software_versions import (
     MIN_RESUMABLE_SECONDS,
-    SoftwareVersions,
 )
 from notcharch.scheduling.zone_drains import DrainedZones
 from notcharch.tenants.freshness import TableFreshness
-
-SERVICE = "s"
-CONTACT_SECONDS = 5.0
-
-
-class Ingress:
-    """Receives the routes of a table."""
-
-    router = None
-
-
-class KnownTable:
-    """Has the routes of a table received from a peer."""
-
-    router = object()
-
-
-class Sender:
-    """Records the engines that are forgotten."""
-
-    def __init__(self) -> None:
-        self.forgotten: list[str] = []
-
-    def close_idle(self, engine_id: str) -> None:
-        self.forgotten.append(engine_id)
-
-
-class World:
-    """A daemon's tables following a store with three engines."""
-
-    def __init__(
-        self, freshness: TableFreshness | None = None, daemons: int = 1
-    ) -> None:
-        self.clock = Clock()
-        self.log = PartitionedLog(self.clock, Random(1), 1)
-        self.versions = SoftwareVersions(long_poll_seconds(CONTACT_SECONDS))
-        self.pool = EnginePool(
-            self.clock, Nearness("z"), Random(1), versions=self.versions
-        )
-        self.sender = Sender()
-        for name in "abc":
-            self.write(name)
-        self.tables = PlatformTables(
-            self.log,
-            self.clock,
-            Random(1),
-            Ingress(),
-            self.pool,
-            sender=self.sender,
-            contact_seconds=CONTACT_SECONDS,
-            recovery=RecoverySignal(self.clock),
-            freshness=freshness or TableFreshness(None),
-            revoke_seconds=5.0 if freshness else None,
-            daemons=lambda: daemons,
-        )
-        self.tables.start()
-        self.run(1.0)
-
-    def run(self, seconds: float) -> None:
-        self.clock.pump([0.01] * round(seconds / 0.01))
-
-    @property
-    def needs_records(self) -> bool:
-        return self.versions.needs_records(SERVICE, self.clock.seconds())
-
-    def write(self, name: str, state: str = "ready", **fields: int | str) -> None:
-        entry = {"service": SERVICE, "address": "10.0.0.1:80", "state": state}
-        entry["version"] = "v1"
-        entry |= fields
-        self._append(name, msgspec.json.encode(entry))
-
-    def put_operator_key(self, key: str, value: bytes) -> None:
-        self.log.put(CONFIGURATION_TOPIC, 0, join_keyed(key, value))
-
-    @property
-    def drained(self) -> set[str]:
-        return set(self.tables.drained_zones.zones)
-
-    def expire(self, name: str) -> None:
-        self._append(name, b"")
-
-    def _append(self, name: str, value: bytes) -> None:
-        self.log.put(ENGINES_TOPIC, 0, join_keyed(name, value))
-
-    def takes_calls(self, name: str) -> bool:
-        others = {"a", "b", "c"} - {name}
-        chosen = self.pool.choose(SERVICE, "", others)
-        return chosen is not None and chosen.id == name
+from tests.unit.platform.tables_world import (
+    CONTACT_SECONDS,
+    SERVICE,
+    KnownTable,
+    World,
+)
 
 
 def test_an_engine_whose_entry_expires_just_after_an_outage_gets_no_calls():
