One part of a feed that can't be read or handled costs that part alone

What callers saw: an engine's entry with a field nested 60,000 deep made every daemon's following of the engines fail and begin anew, each 0.8 s, without end (2410). No change was taken any more: calls reached engines that had said they leave (DRAIN), engines that joined got none, and after a restart no daemon was ready.

Cause: the decoder raises RecursionError, which is no msgspec error, and most decoders caught msgspec's alone.

A record without a readable key is skipped.

--- a/emulator/services/partitioned_log.py
+++ b/emulator/services/partitioned_log.py
@@ -5,6 +5,7 @@
 late), outages, history that is dropped, partitions that are dealt anew.
 """
 
+import contextlib
 import enum
 from collections.abc import Callable
 from itertools import accumulate, takewhile
@@ -261,8 +262,9 @@
             found = self.partition(topic, partition)
             newest: dict[str, KeyedRecord] = {}
             for place, record in enumerate(found.records, start=found.first):
-                key, value = split_keyed(record)
-                newest[key] = KeyedRecord(key, value, place)
+                with contextlib.suppress(ValueError):  # a key that nobody can read
+                    key, value = split_keyed(record)
+                    newest[key] = KeyedRecord(key, value, place)
             items = [item for key, item in sorted(newest.items()) if key > after]
             items = [item for item in items if item.value]
             page = tuple(items[:PAGE_ITEMS])
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from notcharch.tenants.tenant_use import TenantUse
+from notcharch.values.decoding import DECODING_ERRORS
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
@@ -102,8 +103,8 @@
 
 
 def decode(data: bytes) -> AnyRecord | None:
-    """Decode a record; None if its kind is unknown."""
+    """Decode a record; None if it can't be read."""
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
--- a/notcharch/admin/routes.py
+++ b/notcharch/admin/routes.py
@@ -28,6 +28,7 @@
     OperatorRefused,
 )
 from notcharch.events.event import emit
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.wire.http_problem import start_problem
 
 JSON_CONTENT_TYPE = "application/json"
@@ -53,7 +54,7 @@
         """Decode the JSON body as `body_type`."""
         try:
             return Ok(msgspec.json.decode(self.body, type=body_type))
-        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             return Err(_body_problem(str(error)))
 
     def number(
--- a/notcharch/cli/admin_client.py
+++ b/notcharch/cli/admin_client.py
@@ -24,6 +24,7 @@
 from notcharch.cli.exit_codes import BAD_USAGE, FAILED, INTERRUPTED, UNREACHABLE
 from notcharch.cli.settings_options import print_findings
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.values.decoding import DECODING_ERRORS
 
 API_PATH = "/admin/v1"
 REQUEST_TIMEOUT_SECONDS = 60.0
@@ -99,7 +100,7 @@
             if response.code >= 400:
                 return Err(msgspec.json.decode(content, type=Problem))
             return Ok(msgspec.json.decode(content, type=response_type))
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             message = f"cannot decode the response (status {response.code}): {error}"
             problem = Problem.of(ProblemCode.INTERNAL, message, ran=Ran.UNKNOWN)
             return Err(problem)
--- a/notcharch/clients/answer_collector.py
+++ b/notcharch/clients/answer_collector.py
@@ -16,6 +16,7 @@
 from notcharch.clients.tool_calls import ToolCallDelta, ToolCallMerger
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.values.chat import FinishReason, TokenUsage
+from notcharch.values.decoding import DECODING_ERRORS
 
 BATCH_BYTES = 16 * 1024
 """Size at which a stream's undecoded events are decoded."""
@@ -123,7 +124,7 @@
         self.is_done = self.is_done or events.endswith(LAST_EVENT)
         try:
             chunks = _CHUNK_DECODER.decode_lines(b"\n".join(_DATA.findall(events)))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             self._error = self._error or f"unreadable chunk: {error}"
             return
         for chunk in chunks:
--- a/notcharch/clients/failures.py
+++ b/notcharch/clients/failures.py
@@ -13,6 +13,7 @@
 from twisted.web.client import RequestNotSent  # type: ignore[attr-defined]
 
 from notcharch.errors import Problem, ProblemCode, Ran
+from notcharch.values.decoding import DECODING_ERRORS
 
 NOT_SENT = (ConnectError, ConnectingCancelledError, DNSLookupError, RequestNotSent)
 RETRY_AFTER_SECONDS = 1.0
@@ -51,7 +52,7 @@
 
 
 def problem_of_garbled_reply(
-    error: msgspec.DecodeError, code: ProblemCode, where: str
+    error: Exception, code: ProblemCode, where: str
 ) -> Problem:
     """Return the problem of a response that cannot be decoded."""
     message = f"{where}: unreadable reply: {error}"
@@ -64,7 +65,7 @@
     """Return the problem of an error response; `code` is the default code."""
     try:
         error = _ERROR_DECODER.decode(body).error
-    except msgspec.DecodeError:
+    except DECODING_ERRORS:
         message = f"{where}: status {status} without a readable error"
         return Problem.of(
             code, message, ran=Ran.UNKNOWN, retry_after=RETRY_AFTER_SECONDS
--- a/notcharch/clients/journal_client.py
+++ b/notcharch/clients/journal_client.py
@@ -34,6 +34,7 @@
     Records,
 )
 from notcharch.settings.schema import PlatformSection
+from notcharch.values.decoding import DECODING_ERRORS
 
 Value = TypeVar("Value")
 
@@ -123,7 +124,7 @@
             return Err(reply.problem)
         try:
             return Ok(msgspec.json.decode(reply.value, type=kind))
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             return Err(LogProblem(LogFault.UNKNOWN))
 
 
--- a/notcharch/clients/json_http.py
+++ b/notcharch/clients/json_http.py
@@ -24,6 +24,7 @@
     problem_of_reply,
 )
 from notcharch.errors import Problem, ProblemCode
+from notcharch.values.decoding import DECODING_ERRORS
 
 ReplyT = TypeVar("ReplyT")
 
@@ -117,7 +118,7 @@
             )
         try:
             return Ok(_decode(reply_type, reply.body))
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             return Err(problem_of_garbled_reply(error, self._failure_code, where))
 
 
--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -126,3 +126,14 @@
     position: int
     """In the operator's topic: the set is as of it."""
     is_from_peer: bool
+
+
+class PartSkipped(Event, frozen=True):
+    """A part of a feed can't be read or handled; all others of the feed are."""
+
+    number: ClassVar[int] = 2413
+    feed: str
+    part: str
+    """A key, an offset or a name."""
+    fault: str
+    """What can't be read; its last read values are used, if there are any."""
--- a/notcharch/explain/log_lines.py
+++ b/notcharch/explain/log_lines.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from notcharch.values.decoding import DECODING_ERRORS
+
 OBJECT_START = "{"
 
 
@@ -35,7 +37,7 @@
             continue
         try:
             fields = msgspec.json.decode(line[len(before) :].strip())
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             continue
         if isinstance(fields, dict) and "event_number" in fields:
             yield _line(before.split(), fields)
--- a/notcharch/gateway/validation.py
+++ b/notcharch/gateway/validation.py
@@ -11,6 +11,7 @@
 from notcharch.gateway.call_parameters import PARAMETERS, read_parameters
 from notcharch.gateway.message_reading import read_messages
 from notcharch.values.chat import ChatMessage
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import CallSequence, ProgramId, ServiceName
 
 MAX_ANSWER_TOKENS = 2**31 - 1
@@ -242,7 +243,7 @@
 def _read_object(body: bytes, findings: list[Finding]) -> dict[str, object] | None:
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         findings.append(Finding("body", f"is not valid UTF-8 JSON: {error}"))
         return None
     if not isinstance(value, dict):
--- a/notcharch/journal/fragments.py
+++ b/notcharch/journal/fragments.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from notcharch.values.decoding import DECODING_ERRORS
+
 MARKER = b"\xc1"
 """First byte of a fragment; neither MessagePack nor UTF-8 text begins with it."""
 OVERHEAD_BYTES = 40
@@ -104,5 +106,5 @@
 def _decode(record: bytes) -> Fragment | None:
     try:
         return _DECODER.decode(memoryview(record)[len(MARKER) :])
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.process import DependencyLost, DependencyRegained, FollowingFailed
 from notcharch.journal.interface import (
     KeyedRecord,
@@ -23,12 +24,17 @@
 )
 from notcharch.journal.paged_snapshot import PagedSnapshot
 from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.values.decoding import DECODING_ERRORS
 
 RETRY_SECONDS = 0.1
 """Delay before the first retry of a failed read."""
 MAX_RETRY_SECONDS = 0.8
 """Bounds how late changes are read after an outage."""
 RETRY_GROWTH_FACTOR = 1.6
+HANDLING = "handling"
+"""Names the handling of all values among the parts of the topic."""
+FOLLOWING = "following"
+"""Names everything else that a program does to follow the topic."""
 
 
 class PollTiming(msgspec.Struct, frozen=True):
@@ -91,6 +97,9 @@
         self._is_running = False
         self._retry_seconds = RETRY_SECONDS
         self._unavailable_since: float | None = None
+        self._faults = FeedFaults(topic)
+        self._is_report_due = False
+        """Whether the last change could not be handled."""
 
     @property
     def position(self) -> int:
@@ -104,7 +113,9 @@
 
     def _on_failure(self, failure: Failure) -> None:
         """Start again with a new snapshot after an unexpected exception."""
-        emit(FollowingFailed(self._topic, failure.getTraceback()))
+        traceback = failure.getTraceback()
+        if self._faults.is_new(FOLLOWING, traceback):
+            emit(FollowingFailed(self._topic, traceback))
         self._offset = -1
         self._clock.callLater(MAX_RETRY_SECONDS, self.start)
 
@@ -122,6 +133,7 @@
             self._topic, 0, offset, 0.0
         )
         is_current = isinstance(response, Ok) and response.ok_value.end <= offset
+        is_current = is_current and not self._is_report_due
         if is_current and self._offset == offset:
             self._on_confirmed(requested_at)
 
@@ -170,9 +182,18 @@
         is_page_due = self._clock.seconds() >= self._next_page_at
         if problem is None and is_page_due and not self._snapshot.is_complete:
             problem = yield self._read_page()
-            self._on_change(self._snapshot.values)
+            self._report_change()
+        elif problem is None and self._is_report_due:
+            self._report_change()
         return problem
 
+    def _report_change(self) -> None:
+        """Report all values; those that could not be handled are reported again."""
+        values = self._snapshot.values
+        self._is_report_due = not self._faults.isolate(
+            HANDLING, lambda: self._on_change(values)
+        )
+
     @inlineCallbacks
     def _begin_snapshot(self) -> Generator["Deferred[Any]", Any, LogProblem | None]:
         """Read all pages, or only the first one if pages are spread over time.
@@ -190,8 +211,8 @@
             if self._timing.page_pause_seconds:
                 break
         self._offset = self._first_page_end
-        self._on_change(self._snapshot.values)
-        if self._snapshot.is_complete:
+        self._report_change()
+        if self._snapshot.is_complete and not self._is_report_due:
             self._on_confirmed(requested_at)
         return None
 
@@ -224,20 +245,34 @@
             return response.err_value
         found = response.ok_value
         if found.records:
-            self._snapshot.apply_changes(
-                KeyedRecord(*split_keyed(record), offset)
-                for offset, record in enumerate(found.records, start=found.first)
-            )
+            self._snapshot.apply_changes(self._readable(found))
             self._offset = found.first + len(found.records)
-            self._on_change(self._snapshot.values)
-        if self._offset >= found.end and self._snapshot.is_complete:
+            self._report_change()
+        is_current = self._offset >= found.end and self._snapshot.is_complete
+        if is_current and not self._is_report_due:
             self._on_confirmed(requested_at)
         return None
 
+    def _readable(self, found: Records) -> list[KeyedRecord]:
+        """Return the records whose keys can be read; the others are skipped."""
+        readable: list[KeyedRecord] = []
+        for offset, record in enumerate(found.records, start=found.first):
+            try:
+                readable.append(KeyedRecord(*split_keyed(record), offset))
+            except DECODING_ERRORS as error:
+                self._faults.report(f"offset {offset}", f"{error}")
+        return readable
+
 
 def split_keyed(record: bytes) -> tuple[str, bytes]:
-    """Split a keyed record: one byte with the key's length, the key, the value."""
-    end = 1 + record[0]
+    """Split a keyed record: one byte with the key's length, the key, the value.
+
+    Raises `ValueError` for a record that is cut, or a key that is no UTF-8.
+    """
+    end = 1 + record[0] if record else 1
+    if end > len(record):
+        message = "the key was cut"
+        raise ValueError(message)
     return record[1:end].decode(), record[end:]
 
 
--- a/notcharch/membership/datagrams.py
+++ b/notcharch/membership/datagrams.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import DaemonName, RegionName
-from notcharch.wire.codec import DECODING_ERRORS
 from notcharch.wire.messages.membership import MemberRecord
 
 
--- a/notcharch/partitions/records.py
+++ b/notcharch/partitions/records.py
@@ -46,7 +46,7 @@
 
 
 def decode_record(data: bytes) -> AnyRecord:
-    """Decode a record; raises `msgspec.DecodeError` if its kind is unknown."""
+    """Decode a record; raises one of `DECODING_ERRORS` if its kind is unknown."""
     return _DECODER.decode(data)
 
 
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -165,7 +165,7 @@
 
 
 def decode_table(value: bytes) -> RouteTable:
-    """Decode the configuration; raises `msgspec.DecodeError` if it is invalid."""
+    """Decode the configuration; raises one of `DECODING_ERRORS` if it is invalid."""
     entry = CONFIGURATION_DECODER.decode(value)
     services = {
         service.name: Service(
@@ -193,7 +193,7 @@
 
 
 def decode_engine(id: str, value: bytes) -> Engine:
-    """Decode an engine's entry; raises `DecodeError` or `ValueError` if it is invalid."""
+    """Decode an engine's entry; raises one of `DECODING_ERRORS` if it is invalid."""
     entry = SERVER_DECODER.decode(value)
     host, _, port = entry.address.rpartition(":")
     return Engine(
--- a/notcharch/platform/headers.py
+++ b/notcharch/platform/headers.py
@@ -9,6 +9,7 @@
     ResponseHead,
     end_to_end,
 )
+from notcharch.values.decoding import DECODING_ERRORS
 
 REQUEST_ID = b"x-notcharch-request-id"
 DEADLINE = b"x-notcharch-deadline-ms"
@@ -197,7 +198,7 @@
             return None
         try:
             return REPORT_DECODER.decode(body).born
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             return None
 
     def instance_request(self, health_path: str) -> RequestHead:
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -25,6 +25,7 @@
     Producer,
     Records,
 )
+from notcharch.values.decoding import DECODING_ERRORS
 
 Translated = TypeVar("Translated")
 
@@ -121,7 +122,7 @@
         return LogProblem(LogFault.NOT_DONE)
     try:
         details = msgspec.json.decode(response.body, type=AppendResponse)
-    except msgspec.DecodeError:
+    except DECODING_ERRORS:
         details = AppendResponse()
     if status == GONE:
         return LogProblem(LogFault.GONE, details.first)
@@ -187,7 +188,7 @@
                 return Err(to_problem(response))
             try:
                 return Ok(translate(response.body))
-            except (msgspec.DecodeError, ValueError):
+            except DECODING_ERRORS:
                 # The store may have done it: only its answer can't be read.
                 return Err(LogProblem(LogFault.UNKNOWN))
 
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -30,6 +30,7 @@
     max_confirmation_age,
     table_long_poll_seconds,
 )
+from notcharch.values.decoding import DECODING_ERRORS
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -195,7 +196,7 @@
         """Apply a table if it is newer; return its version, or -1 if it is invalid."""
         try:
             table = decode_table(value)
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             emit(DependencyLost(CONFIGURATION_TOPIC, f"invalid: {error}"))
             return -1
         current = self._ingress.router
@@ -236,6 +237,6 @@
             return previous
         try:
             return DecodedEntry(value, decode_engine(id, value))
-        except (msgspec.DecodeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"invalid: {error}"))
             return DecodedEntry(value, None)
--- a/notcharch/programs/pages.py
+++ b/notcharch/programs/pages.py
@@ -12,6 +12,7 @@
 from notcharch.errors import Problem
 from notcharch.programs.turns import StoredAnswer, Turn, decode_turns
 from notcharch.values.chat import Answer
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import (
     AttemptNumber,
     LogOffset,
@@ -108,7 +109,7 @@
     """Return a page's uncompressed bytes; DamagedPageError if they don't match."""
     try:
         plain = zlib.decompress(_record_decoder.decode(data).data)
-    except (msgspec.DecodeError, zlib.error) as error:
+    except (*DECODING_ERRORS, zlib.error) as error:
         raise DamagedPageError(str(error)) from error
     if page_digest(plain) != page.digest:
         raise DamagedPageError("the digest does not match")
--- a/notcharch/table/publication.py
+++ b/notcharch/table/publication.py
@@ -12,6 +12,7 @@
 
 from notcharch.table.edits import AnyEdit, SetRow, SetZoneDrain
 from notcharch.table.interface import ServiceRow, TenantKey
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import LogOffset, TableVersion
 
 STREAM = "table"
@@ -79,7 +80,7 @@
     """Decode a record; an Err contains the reason to skip it."""
     try:
         record = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         return Err(f"not a record: {error}")
     edits = record.edits if isinstance(record, PublishedEdits) else ()
     if record.format != format_of(edits):
--- a/notcharch/table/replay.py
+++ b/notcharch/table/replay.py
@@ -37,6 +37,7 @@
     decode_record,
 )
 from notcharch.table.schema import check_table
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import (
     LogOffset,
     RecordId,
@@ -232,7 +233,7 @@
     """Decode and validate a state; an Err contains the reason for a failure."""
     try:
         encoded = msgspec.json.decode(data, type=EncodedState)
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except DECODING_ERRORS as error:
         return Err(str(error))
     findings = check_table(encoded.rows, encoded.keys)
     if findings:
--- a/notcharch/table/replica_service.py
+++ b/notcharch/table/replica_service.py
@@ -39,6 +39,7 @@
     replay,
 )
 from notcharch.table.state_waiters import Condition, StateWaiters
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import (
     LogOffset,
     Member,
@@ -300,7 +301,7 @@
         return None, "the local state moved back during the request"
     try:
         entries = [_history_decoder.decode(raw) for raw in reply.entries]
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except DECODING_ERRORS as error:
         return None, str(error)
     return apply_entries(state, entries, reply.next_offset), ""
 
--- a/notcharch/wire/codec.py
+++ b/notcharch/wire/codec.py
@@ -17,6 +17,7 @@
 
 import notcharch.wire.messages as messages_package
 from notcharch.errors import Problem, ProblemCode
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import DaemonName, Member, RegionName
 from notcharch.wire.messages.base import Message
 
@@ -27,10 +28,6 @@
 """The largest frame; a history of 850,000 tokens is about 4 MB."""
 
 
-DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-"""What a decoder raises for bytes of a peer, deeply nested ones included."""
-
-
 class Envelope(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
     """The base of everything that a connection carries."""
 
--- a/tests/unit/journal/test_followers.py
+++ b/tests/unit/journal/test_followers.py
@@ -301,3 +301,50 @@
     world.log.trouble = Trouble.NONE
     world.run(3.0)
     assert len(snapshots) == 2
+
+
+@pytest.mark.parametrize(
+    "record", [b"", b"\x05ab", b"\x02\xff\xfe1", b"\xff"], ids=repr
+)
+def test_a_record_without_a_readable_key_does_not_hold_up_the_others(record):
+    world = started("a")
+    with captured() as messages:
+        world.log.put(TOPIC, 0, record)
+        world.put("b", b"2")
+        world.run(0.5)
+    assert world.received[-1] == {"a": b"1", "b": b"2"}
+    skipped = of(messages, process.PartSkipped)
+    assert [line["part"] for line in skipped] == ["offset 1"]
+
+
+def test_a_change_that_cannot_be_handled_is_logged_once_and_no_snapshot_is_read_anew():
+    snapshots: list[int] = []
+    world = Following(on_snapshot=lambda: snapshots.append(1))
+    world.put("a", b"1")
+    world.follower.start()
+    world.run(0.5)
+    world.fault = True
+    with captured() as messages:
+        for number in range(5):
+            world.put("a", b"%d" % number)
+            world.run(1.0)
+    assert len(of(messages, process.PartSkipped)) == 1
+    assert not of(messages, process.FollowingFailed)
+    assert len(snapshots) == 1
+
+
+def test_no_time_is_confirmed_while_a_change_cannot_be_handled():
+    confirmed: list[float] = []
+    world = Following(on_confirmed=confirmed.append)
+    world.put("a", b"1")
+    world.follower.start()
+    world.run(0.5)
+    world.fault = True
+    world.put("a", b"2")
+    world.run(0.5)
+    known = len(confirmed)
+    world.run(3.0)
+    assert len(confirmed) == known
+    world.fault = False
+    world.run(3.0)
+    assert len(confirmed) > known
