A field of an engine's entry that can't be read costs that field alone

What callers saw: engines with a cold_remaining_ms out of range got no calls any more, since the whole entry counted as gone; a bug in one engine build would take a service away.

Cause: an entry was decoded as a whole, and any field, also an unknown one with malformed text, failed it. Ports and hosts that nobody can listen on were accepted instead.

An engine whose state can't be read may be leaving: it gets no calls while another one of its service has a readable one. In the pool, that an engine leaves is set before anything else of its change, and an exception there costs that engine.

--- a/notcharch/calls/eligibility.py
+++ b/notcharch/calls/eligibility.py
@@ -108,6 +108,10 @@
                 state.warmth.assume_cold(now + limit.seconds)
         return change
 
+    def cold_seconds(self, service: str) -> float:
+        """Return how long engines of a service are cold after their start."""
+        return self._limit(service).seconds
+
     def _limit(self, service: str) -> ColdLimit:
         return self._limits.get(service, NEVER_COLD)
 
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -1,6 +1,7 @@
 """The pool of engines: their entries, their health, and the choice among them."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from functools import partial
 from random import Random
 
 import msgspec
@@ -13,6 +14,7 @@
 from notcharch.calls.metrics import COLD_ENGINES, COLD_SENDS
 from notcharch.calls.reported_calls import ReportedCalls
 from notcharch.calls.version_filter import ANY_VERSION, VersionFilter, VersionRule
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.scheduling.engine_health import (
     EngineHealth,
     HealthPolicy,
@@ -92,6 +94,7 @@
         self._services: dict[str, ServiceHealth] = {}
         self._learning: dict[str, ServiceLearning] = {}
         self._reported = ReportedCalls()
+        self._faults = FeedFaults("engines")
         self.on_restart: Callable[[str], None] = lambda _: None
         """Called with the id of an engine that started again."""
         self._loads_at: dict[str, float] = {}
@@ -129,10 +132,18 @@
                 if engine.started_ms is not None
             ),
         )
-        states = {
-            id: self._update_state(self._states.get(id), engine, now)
-            for id, engine in listed.items()
+        served = {
+            engine.service
+            for engine in listed.values()
+            if not engine.is_draining and not engine.is_doubted
         }
+        states: dict[str, EngineState] = {}
+        for id, engine in listed.items():
+            state = states[id] = self._states.get(id) or self._new_state(engine)
+            has_others = engine.service in served
+            self._faults.isolate(
+                id, partial(self._update_state, state, engine, now, has_others)
+            )
         for id, state in self._states.items():
             if id not in listed and self._is_last_resort(state, now):
                 states[id] = state
@@ -164,29 +175,42 @@
             known = self._services[name] = ServiceHealth(self._policy.health)
         return known
 
+    def _new_state(self, engine: Engine) -> EngineState:
+        return EngineState(engine, EngineHealth(self._service(engine.service)))
+
     def _update_state(
-        self, state: EngineState | None, engine: Engine, now: float
-    ) -> EngineState:
-        """Create or update the state of an engine from its entry."""
-        is_new_entry = state is None or engine is not state.engine
-        if state is None:
-            state = EngineState(engine, EngineHealth(self._service(engine.service)))
-        if is_new_entry:
-            self._note_restart(state, engine)
-            state.warmth.record_report(engine.cold_seconds, now)
-        state.engine = engine
-        if not engine.is_draining:
+        self, state: EngineState, engine: Engine, now: float, has_others: bool
+    ) -> None:
+        """Update the state of an engine from its entry.
+
+        An engine that may be draining gets no calls if `has_others` of its service do.
+        """
+        previous, state.engine = state.engine, engine
+        if not engine.is_draining and not (engine.is_doubted and has_others):
             state.last_resort_since = None
         elif state.last_resort_since is None:
             state.last_resort_since = now
-        return state
+        is_new = engine.id not in self._states
+        if is_new or engine is not previous:
+            self._note_warmth(state, engine, now, is_new=is_new)
+            self._note_restart(state, previous)
+
+    def _note_warmth(
+        self, state: EngineState, engine: Engine, now: float, *, is_new: bool
+    ) -> None:
+        """Record the remaining warm-up time; if it can't be read, the last one holds."""
+        if engine.cold_seconds is not None:
+            state.warmth.record_report(engine.cold_seconds, now)
+        elif is_new:
+            seconds = self.eligibility.cold_seconds(engine.service)
+            state.warmth.suspect_cold(now + seconds)
 
-    def _note_restart(self, state: EngineState, engine: Engine) -> None:
+    def _note_restart(self, state: EngineState, previous: Engine) -> None:
         """Report that an engine started again under its id, as a new entry tells."""
         state.has_stale_entry = False
-        if engine.started_ms != state.engine.started_ms:
+        if state.engine.started_ms != previous.started_ms:
             state.failed_at = self._clock.seconds()
-            self.on_restart(engine.id)
+            self.on_restart(state.id)
 
     def _is_last_resort(self, state: EngineState, now: float) -> bool:
         """Record when an engine was unlisted; return whether that is recent."""
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -78,8 +78,10 @@
     zone: str
     slots: int = 1
     is_draining: bool = False
-    cold_seconds: float = 0.0
-    """Remaining warm-up time when the entry was written."""
+    is_doubted: bool = False
+    """Whether its newest state can't be read, so that it may be draining."""
+    cold_seconds: float | None = 0.0
+    """Remaining warm-up time when the entry was written; None if it can't be read."""
     version: str = ""
     """Version of its software, not of its weights; empty if its entry states none."""
     started_ms: int | None = None
--- a/notcharch/calls/list_log.py
+++ b/notcharch/calls/list_log.py
@@ -35,7 +35,9 @@
     def listed(self, engines: Mapping[str, Engine], removed: Collection[str]) -> None:
         """Compare a list with the previous one; `removed` are the removed engines."""
         states = {
-            id: ListedState(engine.is_draining, engine.cold_seconds > 0, engine.version)
+            id: ListedState(
+                engine.is_draining, bool(engine.cold_seconds), engine.version
+            )
             for id, engine in engines.items()
         }
         if states == self._states:
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -1,12 +1,16 @@
 """Decodes the operator's configuration and the engines' entries."""
 
 from collections.abc import Iterable
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from notcharch.calls.interface import Engine, Route, Service, ServiceShare
 from notcharch.calls.routing import RouteTable
 from notcharch.http.server import ServerLimits
+from notcharch.platform.settings import Address
 from notcharch.scheduling.cold_engines import ColdLimit
 from notcharch.tenants.interface import RateLimit, Tenant
 from notcharch.tenants.keys import index_keys
@@ -16,6 +20,10 @@
 DRAINING_STATE = "draining"
 DRAINED_ZONE_PREFIX = "evacuate/"
 """Prefix of the keys of drained zones, followed by the zone's name."""
+MAX_COLD_MS = 3_600_000
+"""The longest remaining cold time that is believed: engines warm up in seconds."""
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65535
 
 
 class SplitEntry(msgspec.Struct):
@@ -102,9 +110,9 @@
     service: str
     address: str
     zone: str = ""
-    slots: int = 1
+    slots: Annotated[int, Meta(le=MAX_SLOTS)] = 1
     state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Annotated[float, Meta(le=MAX_COLD_MS)] = 0.0
     """Remaining time for which the engine is cold, at the time of writing."""
     version: str = ""
     """Version of the engine's software."""
@@ -192,15 +200,29 @@
     return RouteTable(entry.version, routes, services, limits, keys)
 
 
+def parse_address(text: str) -> Address:
+    """Parse `IP:PORT`; raises `ValueError` if nobody can listen there."""
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not 0 < port <= MAX_PORT:
+        message = "no port"
+        raise ValueError(message)
+    return Address(str(IPv4Address(host)), port)
+
+
 def decode_engine(id: str, value: bytes) -> Engine:
     """Decode an engine's entry; raises one of `DECODING_ERRORS` if it is invalid."""
-    entry = SERVER_DECODER.decode(value)
-    host, _, port = entry.address.rpartition(":")
+    return to_engine(id, SERVER_DECODER.decode(value))
+
+
+def to_engine(id: str, entry: ServerEntry) -> Engine:
+    """Convert an engine's entry; raises `ValueError` for an invalid address."""
+    address = parse_address(entry.address)
     return Engine(
         id=id,
         service=entry.service,
-        host=host,
-        port=int(port),
+        host=address.host,
+        port=address.port,
         zone=entry.zone,
         slots=max(entry.slots, 1),
         is_draining=entry.state == DRAINING_STATE,
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -3,24 +3,20 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
-import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
-from notcharch.calls.interface import Engine
 from notcharch.calls.list_log import EngineListLog, report_drains
 from notcharch.calls.routing import Router
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.process import DependencyLost, TableInForce
 from notcharch.journal.keyed_follower import KeyedFollower, PollTiming
 from notcharch.journal.recovery_signal import RecoverySignal
-from notcharch.platform.configuration import (
-    decode_engine,
-    decode_table,
-    parse_drained_zones,
-)
+from notcharch.platform.configuration import decode_table, parse_drained_zones
+from notcharch.platform.engine_entries import ReadEntry, read_entry
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.store import REQUEST_TIMEOUT_SECONDS, PlatformStore
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
@@ -56,14 +52,6 @@
     return max(MIN_LONG_POLL_SECONDS, contact_seconds - REQUEST_TIMEOUT_SECONDS)
 
 
-class DecodedEntry(msgspec.Struct, frozen=True):
-    """An engine's entry as it is stored, and decoded."""
-
-    value: bytes
-    engine: Engine | None
-    """None if the entry is invalid."""
-
-
 class PlatformTables:
     """Applies each newer table, and keeps the list of engines up to date."""
 
@@ -110,7 +98,8 @@
         self._pool = pool
         self._sender = sender
         self._log = EngineListLog(clock)
-        self._entries: dict[str, DecodedEntry] = {}
+        self._entries: dict[str, ReadEntry] = {}
+        self._entry_faults = FeedFaults(ENGINES_TOPIC)
         self._has_engines = False
         self._configuration = KeyedFollower(
             store,
@@ -216,7 +205,7 @@
         return table.version
 
     def _on_engines_changed(self, values: dict[str, bytes]) -> None:
-        entries = {id: self._decode_entry(id, value) for id, value in values.items()}
+        entries = {id: self._read_entry(id, value) for id, value in values.items()}
         self._entries = entries
         engines = {
             id: entry.engine
@@ -230,13 +219,15 @@
         self._has_engines = True
         self._log.listed(engines, removed)
 
-    def _decode_entry(self, id: str, value: bytes) -> "DecodedEntry":
-        """Decode an entry, unless it is unchanged since the last read."""
+    def _read_entry(self, id: str, value: bytes) -> ReadEntry:
+        """Read an entry, unless it is unchanged since the last time."""
         previous = self._entries.get(id)
         if previous is not None and previous.value == value:
             return previous
-        try:
-            return DecodedEntry(value, decode_engine(id, value))
-        except DECODING_ERRORS as error:
-            emit(DependencyLost(f"{ENGINES_TOPIC}/{id}", f"invalid: {error}"))
-            return DecodedEntry(value, None)
+        entry = read_entry(id, value, None if previous is None else previous.entry)
+        if entry.unreadable:
+            fate = "" if entry.engine is not None else "; the engine is not listed"
+            self._entry_faults.report(id, f"{', '.join(entry.unreadable)}{fate}")
+        else:
+            self._entry_faults.clear(id)
+        return entry
