An item of the store's answers that can't be read costs that item alone

What callers would see: one key of a page of /log-newest with a value that is no base64, or one row of an assignment or of the owners, failed the whole answer for as long as it was there: no engine list after a start, no partition owned.

Cause: the answers were decoded as a whole.

Change: platform/log_answers splits an answer that can't be decoded and decodes each item or row alone; a key without a readable value keeps its last one, and the next page follows it. Three tests of cut answers name that fault now in place of "unknown"; they are as strict.

--- a/notcharch/clients/journal_client.py
+++ b/notcharch/clients/journal_client.py
@@ -125,7 +125,7 @@
         try:
             return Ok(msgspec.json.decode(reply.value, type=kind))
         except DECODING_ERRORS:
-            return Err(LogProblem(LogFault.UNKNOWN))
+            return Err(LogProblem(LogFault.UNREADABLE))
 
 
 def log_problem(problem: Problem) -> LogProblem:
--- a/notcharch/journal/interface.py
+++ b/notcharch/journal/interface.py
@@ -18,6 +18,8 @@
     FAILED = "failed"
     """The service closed the connection, or reported an error of its own, which may stand
     for a refusal: the request may have taken effect."""
+    UNREADABLE = "unreadable"
+    """The response can't be read: the request may have taken effect."""
     FENCED = "fenced"
     """A higher epoch writes the partition."""
     OUT_OF_ORDER = "out of order"
@@ -32,7 +34,7 @@
     """The request had no effect and never will, such as one that is too large."""
 
 
-UNCERTAIN_FAULTS = (LogFault.UNKNOWN, LogFault.FAILED)
+UNCERTAIN_FAULTS = (LogFault.UNKNOWN, LogFault.FAILED, LogFault.UNREADABLE)
 """Faults after which the request may have taken effect, or may take effect later."""
 
 
@@ -102,6 +104,8 @@
     items: tuple[KeyedRecord, ...]
     has_more: bool
     end: int
+    unreadable_keys: tuple[str, ...] = ()
+    """Keys of the page whose values can't be read."""
 
 
 class LogPartition(msgspec.Struct, frozen=True, order=True):
@@ -130,6 +134,8 @@
 
     generation: int
     partitions: tuple[LogPartition, ...]
+    is_whole: bool = True
+    """False if some of the partitions can't be read."""
 
 
 class LogService(Protocol):
--- a/notcharch/journal/keyed_follower.py
+++ b/notcharch/journal/keyed_follower.py
@@ -152,6 +152,8 @@
             elif problem.fault is LogFault.GONE:
                 self._offset = -1
             else:
+                if problem.fault is LogFault.UNREADABLE:
+                    self._offset = -1  # a snapshot shows what is behind the record
                 jitter = 0.5 + self._random.random()
                 yield self._recovery.pause(self._retry_seconds * jitter)
                 next_retry = self._retry_seconds * RETRY_GROWTH_FACTOR
--- a/notcharch/journal/paged_snapshot.py
+++ b/notcharch/journal/paged_snapshot.py
@@ -26,8 +26,11 @@
         """Add the next page; the last one removes keys that no longer exist."""
         for item in page.items:
             self._apply(item)
-        if page.has_more and page.items:
-            self.after = page.items[-1].key
+        for key in page.unreadable_keys:
+            self._offsets.setdefault(key, -1)  # its last value stays
+        keys = [*page.unreadable_keys, *(item.key for item in page.items)]
+        if page.has_more and keys:
+            self.after = max(keys)
             return
         self.is_complete = True
         self.values = {
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -9,15 +9,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.http.adaptive_timeout import AdaptiveTimeout
 from notcharch.http.requester import CompleteResponse, NoResponse, Outcome, Requester
 from notcharch.journal.interface import (
     Appended,
     GroupName,
-    KeyedRecord,
     LogFault,
     LogLimits,
-    LogPartition,
     LogProblem,
     Membership,
     NewestPage,
@@ -25,6 +24,11 @@
     Producer,
     Records,
 )
+from notcharch.platform.log_answers import (
+    decode_membership,
+    decode_owners,
+    decode_page,
+)
 from notcharch.values.decoding import DECODING_ERRORS
 
 Translated = TypeVar("Translated")
@@ -63,35 +67,6 @@
     first: int = -1
 
 
-class NewestItem(msgspec.Struct):
-    """One key of a page, with its newest value."""
-
-    private_key: str
-    value: bytes
-    offset: int
-
-
-class NewestResponse(msgspec.Struct):
-    """A page of keys."""
-
-    items: list[NewestItem]
-    more: bool
-    end: int
-
-
-class JoinResponse(msgspec.Struct):
-    """The partitions assigned to a member of a group."""
-
-    generation: int
-    parts: list[tuple[str, int, int]]
-
-
-class OwnersResponse(msgspec.Struct):
-    """Rows of topic, partition, owning member and offset."""
-
-    parts: list[tuple[str, int, str, int]]
-
-
 def pack(records: tuple[bytes, ...]) -> bytes:
     """Encode records, each prefixed with its length."""
     parts: list[bytes] = []
@@ -150,6 +125,7 @@
         self.limits = limits
         self._requester = requester
         self._clock = clock
+        self._feeds: dict[str, FeedFaults] = {}
         self._appends = AdaptiveTimeout(
             MIN_APPEND_TIMEOUT_SECONDS, REQUEST_TIMEOUT_SECONDS
         )
@@ -157,6 +133,10 @@
             MIN_JOIN_TIMEOUT_SECONDS, MAX_JOIN_TIMEOUT_SECONDS
         )
 
+    def _faults(self, feed: str) -> FeedFaults:
+        """Return the faults of the answers about a topic or a group."""
+        return self._feeds.setdefault(feed, FeedFaults(feed))
+
     def _call(
         self,
         method: bytes,
@@ -189,8 +169,7 @@
             try:
                 return Ok(translate(response.body))
             except DECODING_ERRORS:
-                # The store may have done it: only its answer can't be read.
-                return Err(LogProblem(LogFault.UNKNOWN))
+                return Err(LogProblem(LogFault.UNREADABLE))
 
         return sent.addCallback(read)
 
@@ -256,15 +235,14 @@
         if after:
             query["after"] = after
 
-        def read(body: bytes) -> NewestPage:
-            response = msgspec.json.decode(body, type=NewestResponse)
-            items = tuple(
-                KeyedRecord(item.private_key, item.value, item.offset)
-                for item in response.items
-            )
-            return NewestPage(items, response.more, response.end)
-
-        return self._call(b"GET", "/log-newest", query, b"", translate=read)
+        faults = self._faults(topic)
+        return self._call(
+            b"GET",
+            "/log-newest",
+            query,
+            b"",
+            translate=lambda answer: decode_page(answer, faults),
+        )
 
     def join(
         self,
@@ -284,13 +262,14 @@
             }
         )
 
-        def read(data: bytes) -> Membership:
-            response = msgspec.json.decode(data, type=JoinResponse)
-            assigned = tuple(LogPartition(row[0], row[1]) for row in response.parts)
-            return Membership(response.generation, assigned)
-
+        faults = self._faults(group.group)
         return self._call(
-            b"POST", "/log-join", {}, body, translate=read, adaptive_timeout=self._joins
+            b"POST",
+            "/log-join",
+            {},
+            body,
+            translate=lambda answer: decode_membership(answer, faults),
+            adaptive_timeout=self._joins,
         )
 
     def leave(self, group: str, member: str) -> "Deferred[Result[None, LogProblem]]":
@@ -302,12 +281,11 @@
         self, group: str
     ) -> "Deferred[Result[tuple[Ownership, ...], LogProblem]]":
         """Return the member that owns each partition."""
-
-        def read(data: bytes) -> tuple[Ownership, ...]:
-            response = msgspec.json.decode(data, type=OwnersResponse)
-            return tuple(
-                Ownership(LogPartition(row[0], row[1]), row[2])
-                for row in response.parts
-            )
-
-        return self._call(b"GET", "/log-owners", {"group": group}, b"", translate=read)
+        faults = self._faults(group)
+        return self._call(
+            b"GET",
+            "/log-owners",
+            {"group": group},
+            b"",
+            translate=lambda answer: decode_owners(answer, faults),
+        )
