--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -181,10 +181,13 @@
     def replay_record(self, offset: int, record: bytes) -> None:
         """Apply a record of an earlier owner."""
         known = decode(record)
-        if known is not None:
-            self._history.on_record(written_at(known))
-            self._ledger.replay(known, self._clock.seconds())
-            self._limited_tenants.replay(known)
+        self._history.on_record(written_at(known))
+        self._ledger.replay(known, self._clock.seconds())
+        self._limited_tenants.replay(known)
+
+    def entry_lost(self) -> None:
+        """Note that a record, perhaps of a turn, can't be read."""
+        self._history.on_unreadable(self._wall_seconds())
 
     def _handle_fenced(self) -> None:
         self._log_release(FENCED)
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from notcharch.journal.partition_journal import UnreadableEntryError
 from notcharch.tenants.tenant_use import TenantUse
 from notcharch.values.decoding import DECODING_ERRORS
 
@@ -102,9 +103,9 @@
     return _ENCODER.encode(record)
 
 
-def decode(data: bytes) -> AnyRecord | None:
-    """Decode a record; None if it can't be read."""
+def decode(data: bytes) -> AnyRecord:
+    """Decode a record; raises `UnreadableEntryError` if it can't be read."""
     try:
         return _DECODER.decode(data)
-    except DECODING_ERRORS:
-        return None
+    except DECODING_ERRORS as error:
+        raise UnreadableEntryError(str(error)) from error
--- a/notcharch/journal/assigned_partitions.py
+++ b/notcharch/journal/assigned_partitions.py
@@ -1,12 +1,15 @@
 """The partitions that the group assigns to this daemon, taken over and released."""
 
+from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Generic, Protocol, TypeVar
 
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.journal import TakeoverFailed
 from notcharch.journal.interface import Membership
 from notcharch.journal.owner_directory import OwnerDirectory
@@ -26,6 +29,10 @@
 """Added to the claim number after a fenced claim; exceeds the claims of one process."""
 
 
+MAX_FAILED_TAKEOVERS = 2
+"""Takeovers of a partition that may fail before entries are left out that fail again."""
+
+
 class AssignedPartition(Protocol):
     """An assigned partition, as its owner manages it."""
 
@@ -66,6 +73,9 @@
         self._create = create
         self._partitions: dict[int, PartitionT] = {}
         self._claims: int = local_member.incarnation
+        self._faults = FeedFaults("partitions")
+        self._failures: Counter[int] = Counter()
+        """Takeovers of each partition that an exception ended."""
 
     def get(self, number: int) -> PartitionT | None:
         """Return a partition that is owned or being taken over by this daemon."""
@@ -76,15 +86,28 @@
         return tuple(self._partitions.values())
 
     def on_assignment(self, membership: Membership) -> None:
-        """Take over newly assigned partitions and release those no longer assigned."""
+        """Take over newly assigned partitions and release those no longer assigned.
+
+        Without the whole assignment nothing is released: epochs fence a former owner.
+        """
         self._directory.on_generation(membership.generation)
         numbers = map(self._partitioning.number, membership.partitions)
         assigned = {number for number in numbers if number is not None}
         for number in tuple(self._partitions):
-            if number not in assigned:
-                self._partitions.pop(number).hand_over().addBoth(self._on_handed_over)
+            if membership.is_whole and number not in assigned:
+                self._isolate(number, self._release)
         for number in sorted(assigned - self._partitions.keys()):
-            self._take_over(number, membership.generation)
+            self._isolate(
+                number, partial(self._take_over, generation=membership.generation)
+            )
+
+    def _isolate(self, number: int, change: Callable[[int], None]) -> None:
+        """Take over or release a partition; an exception costs that partition alone."""
+        if not self._faults.isolate(f"partition {number}", lambda: change(number)):
+            self._partitions.pop(number, None)
+
+    def _release(self, number: int) -> None:
+        self._partitions.pop(number).hand_over().addBoth(self._on_handed_over)
 
     def _on_handed_over(self, _: object) -> None:
         """Send a heartbeat immediately, so that the group reassigns the partition."""
@@ -94,7 +117,10 @@
         self._claims = (self._claims + 1) % (1 << CLAIM_BITS)
         epoch = (generation << CLAIM_BITS) + self._claims
         assignment = PartitionAssignment(
-            number, self._partitioning.log_partition(number), epoch
+            number,
+            self._partitioning.log_partition(number),
+            epoch,
+            skips_failing_entries=self._failures[number] >= MAX_FAILED_TAKEOVERS,
         )
         partition = self._partitions[number] = self._create(assignment)
         partition.take_over().addErrback(self._on_takeover_failed, partition)
@@ -105,6 +131,7 @@
         emit(
             TakeoverFailed(assignment.number, assignment.epoch, failure.getTraceback())
         )
+        self._failures[assignment.number] += 1
         partition.close()
         self._drop(partition)
 
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -8,7 +8,9 @@
 from result import Err, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.journal.fragments import FragmentAssembler
 from notcharch.journal.interface import (
     LogFault,
@@ -25,7 +27,8 @@
 times the 4 ms in which a healthy log service responds."""
 
 REFUSED_READ_RETRY_SECONDS = 1.0
-"""Delay before a read is repeated that the log service refuses for good."""
+"""Delay before a read is repeated that the log service refuses for good, or whose
+answer can't be read."""
 
 
 class PartitionAssignment(msgspec.Struct, frozen=True):
@@ -35,6 +38,12 @@
     """Number among the partitions of all topics."""
     log: LogPartition
     epoch: int
+    skips_failing_entries: bool = False
+    """Whether entries are left out whose handling raises an exception."""
+
+
+class UnreadableEntryError(Exception):
+    """An entry of a journal can't be decoded."""
 
 
 class ReplayTarget(Protocol):
@@ -44,7 +53,13 @@
         """Discard the state: the records before an offset are no longer stored."""
 
     def replay_record(self, offset: int, record: bytes) -> None:
-        """Apply the entry whose last record has an offset."""
+        """Apply the entry whose last record has an offset.
+
+        Raises `UnreadableEntryError` if it can't be decoded.
+        """
+
+    def entry_lost(self) -> None:
+        """Note that an entry could not be read or applied."""
 
 
 class PartitionJournal:
@@ -66,6 +81,7 @@
         self._clock = clock
         self._recovery = recovery or RecoverySignal(clock)
         self._log_partition = assignment.log
+        self._skips_failing_entries = assignment.skips_failing_entries
         self._target = target
         self.writer = PartitionWriter(
             service,
@@ -78,6 +94,7 @@
         )
         self.records = 0
         """Number of replayed records."""
+        self._faults = FeedFaults("journal")
         self._next_offset = 0
         self._assembler = FragmentAssembler()
 
@@ -101,14 +118,33 @@
                 continue
             found = response.ok_value
             for offset, record in enumerate(found.records, start=found.first):
-                entry = self._assembler.add(record)
-                if entry is not None:
-                    self._target.replay_record(offset, entry)
+                self._replay(offset, record)
             self.records += len(found.records)
             self._next_offset = found.first + len(found.records)
             if not found.records and found.end <= self._next_offset:
                 return
 
+    def _replay(self, offset: int, record: bytes) -> None:
+        """Apply the entry that a record completes.
+
+        One that can't be read is left out. One whose handling fails ends the takeover, and is
+        left out, too, when takeovers have failed before.
+        """
+        entry = self._assembler.add(record)
+        if entry is None:
+            return
+        part = f"{self._log_partition.topic}/{self._log_partition.number} at {offset}"
+        try:
+            self._target.replay_record(offset, entry)
+        except UnreadableEntryError as error:
+            self._faults.report(part, str(error))
+            self._target.entry_lost()
+        except Exception:
+            if not self._skips_failing_entries:
+                raise
+            self._faults.report(part, Failure().getTraceback())
+            self._target.entry_lost()
+
     @inlineCallbacks
     def _handle_problem(self, problem: LogProblem) -> Generator[Any, Any, None]:
         if problem.fault is LogFault.GONE and problem.offset > self._next_offset:
@@ -116,7 +152,7 @@
             self._assembler.reset()
             self._target.skip_to(problem.offset)
             return
-        is_refused = problem.fault is LogFault.REJECTED
+        is_refused = problem.fault in (LogFault.REJECTED, LogFault.UNREADABLE)
         yield self._recovery.pause(
             REFUSED_READ_RETRY_SECONDS if is_refused else READ_RETRY_SECONDS
         )
--- a/notcharch/partitions/records.py
+++ b/notcharch/partitions/records.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from notcharch.journal.partition_journal import UnreadableEntryError
 from notcharch.partitions.interface import Command
+from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import Epoch
 
 PART_BYTES = 128 * 1024
@@ -46,8 +48,11 @@
 
 
 def decode_record(data: bytes) -> AnyRecord:
-    """Decode a record; raises one of `DECODING_ERRORS` if its kind is unknown."""
-    return _DECODER.decode(data)
+    """Decode a record; raises `UnreadableEntryError` if it can't be read."""
+    try:
+        return _DECODER.decode(data)
+    except DECODING_ERRORS as error:
+        raise UnreadableEntryError(str(error)) from error
 
 
 def snapshot_parts(
--- a/notcharch/partitions/replay.py
+++ b/notcharch/partitions/replay.py
@@ -68,6 +68,10 @@
         else:
             self._buffered.append(BufferedCommand(offset, decoded))
 
+    def entry_lost(self) -> None:
+        """Discard a snapshot of which a part can't be read."""
+        self._parts = []
+
     def _add_part(self, part: SnapshotPart) -> None:
         """Collect consecutive parts; an incomplete snapshot is discarded."""
         if part.number != len(self._parts):
--- a/tests/stateful/accounts/large_turns_machine.py
+++ b/tests/stateful/accounts/large_turns_machine.py
@@ -14,6 +14,7 @@
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import UNKNOWN_TURN
 from notcharch.journal.interface import LogLimits
+from notcharch.journal.partition_journal import UnreadableEntryError
 from tests.stateful.daemon_fates import DAEMONS, RefusedDaemons, daemons
 from tests.unit.accounts.world import World
 
@@ -172,5 +173,7 @@
 
 
 def tells_time(record: bytes) -> bool:
-    decoded = decode(record)
-    return decoded is not None and written_at(decoded) > 0
+    try:
+        return written_at(decode(record)) > 0
+    except UnreadableEntryError:  # a fragment
+        return False
