A part of the configuration that can't be read costs that part alone

What callers would see: one route, service or tenant with a value out of range, or an unknown member with malformed text, left the whole table out; a nested one stopped the following of the topic, drained zones with it. A daemon that starts beside it was never ready.

Change: platform/partial_table reads each route, service and tenant alone. A route or service is as it was last read; requests that may be for a route never read get 503, not 404. A tenant keeps no key that may have been taken away, and an absent key gets 503, not 401. Without a version, limits, or whole lists the table is not taken. Drained zones are applied first. values/struct_fields decodes fields alone, for engines' entries too.

--- a/notcharch/calls/caller_check.py
+++ b/notcharch/calls/caller_check.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import (
+    KEY_NOT_KNOWN,
     KEYS_STALE,
     NOT_IDENTIFIED,
     OpaqueCall,
@@ -20,6 +21,9 @@
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.identity import IdentityFault, identify
 
+ABSENT_KEY_FAULTS = (IdentityFault.UNKNOWN_KEY, IdentityFault.REMOVED_KEY)
+"""Faults of a key that the table doesn't have."""
+
 
 class CallerCheck:
     """Finds the tenant of a call, if the table of keys is fresh enough."""
@@ -76,6 +80,8 @@
                 call.id, route.name, fault.value, table.version, rounded_age
             )
         )
+        if fault in ABSENT_KEY_FAULTS and table.lacks_keys:
+            return KEY_NOT_KNOWN
         if fault is not IdentityFault.NO_FRESH_TABLE:
             return NOT_IDENTIFIED
         return with_retry_after(KEYS_STALE, age or 0.0, call, now)
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -412,6 +412,8 @@
 
 
 NO_ROUTE = Refusal(404, "no route")
+ROUTE_NOT_KNOWN = Refusal(503, "no known route; some routes can't be read", 1.0)
+KEY_NOT_KNOWN = Refusal(503, "no known key; some keys can't be read", 1.0)
 UNKNOWN_TURN = Refusal(404, "no such turn")
 NOT_RECORDED = Refusal(503, "the program's account can't be recorded", 1.0)
 HISTORY_TOO_LONG = Refusal(413, "the program's history is too long")
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -20,6 +20,10 @@
     limits: ServerLimits
     keys: TenantKeys | None = None
     """The keys of tenants; None if there are no tenants, and calls need no key."""
+    lacks_routes: bool = False
+    """Whether there are routes that can't be read."""
+    lacks_keys: bool = False
+    """Whether there are keys that can't be read."""
 
     def longest_resumable_seconds(self) -> float:
         """Return for how long a caller may resume a stream: twice the longest timeout."""
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -174,7 +174,11 @@
 
 def decode_table(value: bytes) -> RouteTable:
     """Decode the configuration; raises one of `DECODING_ERRORS` if it is invalid."""
-    entry = CONFIGURATION_DECODER.decode(value)
+    return to_table(CONFIGURATION_DECODER.decode(value))
+
+
+def to_table(entry: ConfigurationEntry) -> RouteTable:
+    """Convert the configuration."""
     services = {
         service.name: Service(
             service.name,
--- a/notcharch/platform/engine_entries.py
+++ b/notcharch/platform/engine_entries.py
@@ -13,12 +13,9 @@
     to_engine,
 )
 from notcharch.values.decoding import DECODING_ERRORS
-from notcharch.values.json_parts import split_object
+from notcharch.values.struct_fields import FieldReader
 
-FIELDS = msgspec.structs.fields(ServerEntry)
-FIELD_DECODERS = {
-    field.encode_name: msgspec.json.Decoder(field.type) for field in FIELDS
-}
+FIELDS = FieldReader(ServerEntry)
 ADDRESS = "address"
 STATE = "state"
 COLD = "cold_remaining_ms"
@@ -45,36 +42,33 @@
 
 
 def _read_fields(id: str, value: bytes, previous: ServerEntry | None) -> ReadEntry:
-    """Decode each field alone."""
-    parts = split_object(value)
-    found: dict[str, object] = {}
-    unreadable: list[str] = []
-    for name, decoder in FIELD_DECODERS.items():
-        text = parts.members.get(name)
-        if text is None and parts.is_whole:
-            continue
-        try:
-            found[name] = _decode_field(name, decoder, text or b"")
-        except DECODING_ERRORS:
-            unreadable.append(name)
-            if previous is not None:
-                found[name] = getattr(previous, name)
+    """Use the fields that can be read, and the last read ones for the others."""
+    fields = FIELDS.read(value)
+    found = fields.values
+    unreadable = set(fields.unreadable)
+    if not _is_address(found.get(ADDRESS)):
+        unreadable.add(ADDRESS)
+    for name in unreadable:
+        found.pop(name, None)
+        if previous is not None:
+            found[name] = getattr(previous, name)
+    names = tuple(sorted(unreadable))
     try:
-        entry = msgspec.convert(found, ServerEntry)
+        entry = FIELDS.build(found)
     except msgspec.ValidationError:  # without a service or an address
-        return ReadEntry(value, None, None, tuple(unreadable))
+        return ReadEntry(value, None, None, names)
+    engine = to_engine(id, entry)
     engine = msgspec.structs.replace(
-        to_engine(id, entry),
+        engine,
         is_doubted=STATE in unreadable,
-        cold_seconds=None if COLD in unreadable else to_engine(id, entry).cold_seconds,
+        cold_seconds=None if COLD in unreadable else engine.cold_seconds,
     )
-    return ReadEntry(value, entry, engine, tuple(unreadable))
+    return ReadEntry(value, entry, engine, names)
 
 
-def _decode_field(
-    name: str, decoder: "msgspec.json.Decoder[object]", text: bytes
-) -> object:
-    value = decoder.decode(text)
-    if name == ADDRESS:
-        parse_address(str(value))
-    return value
+def _is_address(text: str | None) -> bool:
+    try:
+        parse_address(text or "")
+    except ValueError:
+        return False
+    return True
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -11,6 +11,7 @@
     MALFORMED,
     NO_ROUTE,
     NOT_READY,
+    ROUTE_NOT_KNOWN,
     Refusal,
 )
 from notcharch.calls.routing import Router, service_of
@@ -144,7 +145,7 @@
         route = router.find(host, path)
         if route is None:
             emit(RequestWithoutRoute(name, host, path, version))
-            reply.refuse(NO_ROUTE)
+            reply.refuse(ROUTE_NOT_KNOWN if router.table.lacks_routes else NO_ROUTE)
             return
         call = parse_call(head, exchange.body, exchange.arrived)
         if call is None:
--- a/notcharch/platform/tables.py
+++ b/notcharch/platform/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
@@ -15,9 +16,15 @@
 from notcharch.events.process import DependencyLost, TableInForce
 from notcharch.journal.keyed_follower import KeyedFollower, PollTiming
 from notcharch.journal.recovery_signal import RecoverySignal
-from notcharch.platform.configuration import decode_table, parse_drained_zones
+from notcharch.platform.configuration import (
+    CONFIGURATION_DECODER,
+    ConfigurationEntry,
+    parse_drained_zones,
+    to_table,
+)
 from notcharch.platform.engine_entries import ReadEntry, read_entry
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.partial_table import read_configuration
 from notcharch.platform.store import REQUEST_TIMEOUT_SECONDS, PlatformStore
 from notcharch.scheduling.zone_drains import DrainedZones, ZoneDrains
 from notcharch.tenants.freshness import TableFreshness
@@ -98,6 +105,9 @@
         self._pool = pool
         self._sender = sender
         self._log = EngineListLog(clock)
+        self._partial_entry: ConfigurationEntry | None = None
+        """The configuration in force if parts of it can't be read: what is used of it."""
+        self._table_faults = FeedFaults(CONFIGURATION_TOPIC)
         self._entries: dict[str, ReadEntry] = {}
         self._entry_faults = FeedFaults(ENGINES_TOPIC)
         self._has_engines = False
@@ -150,10 +160,12 @@
             follower.start()
 
     def _on_configuration_changed(self, values: dict[str, bytes]) -> None:
-        value = values.get(CONFIGURATION_KEY)
-        self._read_version = -1 if value is None else self.apply_table(value)
         zones = parse_drained_zones(values)
         self._apply_drained_zones(DrainedZones(zones, self._configuration.position))
+        value = values.get(CONFIGURATION_KEY)
+        self._read_version = -1
+        if value is not None:
+            self._read_version = self.apply_table(value)
 
     def apply_peer_drained_zones(self, newer: DrainedZones) -> None:
         """Apply the drained zones of a peer, unless it has read less of the topic."""
@@ -184,10 +196,14 @@
     def apply_table(self, value: bytes) -> int:
         """Apply a table if it is newer; return its version, or -1 if it is invalid."""
         try:
-            table = decode_table(value)
+            read = read_configuration(value, self._entry_in_force, self._table_faults)
+            table = to_table(read.entry)
         except DECODING_ERRORS as error:
             emit(DependencyLost(CONFIGURATION_TOPIC, f"invalid: {error}"))
             return -1
+        table = msgspec.structs.replace(
+            table, lacks_routes=read.lacks_routes, lacks_keys=read.lacks_tenants
+        )
         current = self._ingress.router
         previous_version = current.table.version if current is not None else -1
         if table.version > previous_version:
@@ -196,6 +212,7 @@
             self._ingress.router = Router(table, current, self._clock.seconds())
             self._pool.versions.set_resumable_seconds(table.longest_resumable_seconds())
             self.raw_table = value
+            self._partial_entry = read.entry if read.is_partial else None
             self._freshness.put_in_force(table.version)
             self._pool.eligibility.set_cold_limits(
                 {name: service.cold for name, service in table.services.items()}
@@ -204,6 +221,12 @@
             emit(TableInForce(table.version, previous_version, len(table.routes)))
         return table.version
 
+    def _entry_in_force(self) -> ConfigurationEntry | None:
+        """Return the configuration in force, decoded; None before the first one."""
+        if self._partial_entry is not None or not self.raw_table:
+            return self._partial_entry
+        return CONFIGURATION_DECODER.decode(self.raw_table)
+
     def _on_engines_changed(self, values: dict[str, bytes]) -> None:
         entries = {id: self._read_entry(id, value) for id, value in values.items()}
         self._entries = entries
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -1,10 +1,16 @@
 """Refusals of callers without a valid key, and their log events."""
 
+import msgspec
 import pytest
 from twisted.internet.task import Clock
 
 from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.interface import KEYS_STALE, NOT_IDENTIFIED, OpaqueCall
+from notcharch.calls.interface import (
+    KEY_NOT_KNOWN,
+    KEYS_STALE,
+    NOT_IDENTIFIED,
+    OpaqueCall,
+)
 from notcharch.calls.routing import RouteTable
 from notcharch.events import calls, tenants
 from notcharch.http.messages import RequestHead
@@ -77,3 +83,12 @@
             checked.check.report_change(is_sure)
     logged = of(messages, tenants.KeysUnsure)
     assert [message["is_sure"] for message in logged] == [False, True]
+
+
+@pytest.mark.parametrize("presented", [(), (b"unknown",), (b"k1", b"k1")])
+def test_a_key_is_not_denied_that_may_be_one_that_cannot_be_read(presented):
+    checked = Checked(1.0)
+    checked.table = msgspec.structs.replace(checked.table, lacks_keys=True)
+    refusal = checked.refusal(*presented)
+    assert refusal == (KEY_NOT_KNOWN if presented == (b"unknown",) else NOT_IDENTIFIED)
+    assert checked.refusal(b"k1") is None
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -56,7 +56,9 @@
             admission=OpenAdmission(),
             waits=RouteResponseTimes(OverduePolicy()),
         )
-        ingress = Ingress(services, CallerCheck(clock, TableFreshness(None)))
+        self.ingress = ingress = Ingress(
+            services, CallerCheck(clock, TableFreshness(None))
+        )
         ingress.router = Router(decode_table(msgspec.json.encode(TABLE | changes)))
         self.connection = ServerFactory(ingress, clock).buildProtocol(None)
         self.transport = StringTransport()
@@ -216,3 +218,15 @@
     caller = Caller(tenants=[])
     caller.send(f"X-Api-Key: {KEY}")
     assert caller.status == 401
+
+
+@pytest.mark.parametrize(("lacks_routes", "status"), [(False, 404), (True, 503)])
+def test_a_path_is_not_denied_whose_route_may_be_one_that_cannot_be_read(
+    lacks_routes, status
+):
+    caller = Caller()
+    router = caller.ingress.router
+    table = msgspec.structs.replace(router.table, lacks_routes=lacks_routes)
+    caller.ingress.router = Router(table)
+    caller.send(path="/nowhere/x")
+    assert caller.status == status
