What is read and held of one answer is bounded; a long answer is relayed as it comes

Cause: answers that are no streams, reports, and the store's answers were collected until their end, whatever came.

Change: an answer above 256 KB is relayed as it comes, with backpressure, and can't be sent again from then on; up to there the call can be, as before. Bytes that must not be relayed (no seal, failures) are read up to 256 KB, an event up to 1 MB, reports 1 MB, the store's answers 1 MB (reads: 3 MB and two records), any answer 64 MB. All held answers together have a sixteenth of the memory; above it the one that holds most is given up. Interim responses and bodies of surplus answers are bounded, too. 2702 and notcharch_http_answers_too_long tell.

Weighed: a cap alone would cut long honest answers; relaying every answer at once would lose the second try of each call whose engine breaks off. Heads, chunk headers and trailers were bounded before (h11).

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -82,6 +82,8 @@
         self._run: EngineRun | None = None
         """The run in flight."""
         self._tried: set[str] = set()
+        self._is_body_relayed = False
+        """True once a long answer is relayed as it comes."""
         self._status = 0
         """Status of the last complete response."""
         self._framer = EventFramer()
@@ -98,6 +100,7 @@
         self._is_caller_behind = False
         self._output: list[bytes] = []
         """The relayed events, if the turn is to be stored."""
+        self._output_bytes = 0
         self._log = CallLog(services.clock, call, route)
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
@@ -304,11 +307,28 @@
             self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
                 self._output.append(complete_events)
+                self._output_bytes += len(complete_events)
             self._reply.write(complete_events)
             if self._is_caller_behind and self._run is not None:
                 self._run.pause_reading()
         return bool(complete_events)
 
+    def run_body_started(self, head: ResponseHead) -> None:
+        """Relay the head of a long answer; the call can't be sent again then."""
+        self._is_relaying = self._is_body_relayed = True
+        self._reply.begin(head)
+
+    def run_body_received(self, data: bytes) -> None:
+        """Relay data of a long answer."""
+        self._reply.write(data)
+        if self._is_caller_behind and self._run is not None:
+            self._run.pause_reading()
+
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of the stream are held to be stored, or as an unfinished event."""
+        return self._output_bytes + len(self._framer.remainder())
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the data of the stream so far ends inside an event."""
@@ -350,7 +370,9 @@
             return
         if is_success:
             self._guard.run_completed()
-        if is_success and (self._is_relaying or self._pending_head is not None):
+        if self._is_body_relayed:
+            self._complete_body()
+        elif is_success and (self._is_relaying or self._pending_head is not None):
             self._complete_stream()
         elif self._is_relaying or self._is_false_refusal(head.status):
             self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
@@ -392,7 +414,7 @@
 
     def _may_run_again(self) -> bool:
         """Return whether another run is allowed after those that may have happened."""
-        return self._allows_runs(self._log.runs + 1)
+        return not self._is_body_relayed and self._allows_runs(self._log.runs + 1)
 
     def _allows_runs(self, runs: int) -> bool:
         route = self._route
@@ -439,14 +461,23 @@
         if self._phase is Phase.COMPLETING:
             self._interrupt(NOT_DURABLE)
 
+    def _complete_body(self) -> None:
+        """End a long answer that was relayed as it came."""
+        self._end_response(self._status)
+        self._reply.finish()
+
     def _relay_response(self, head: ResponseHead, body: bytes) -> None:
+        self._end_response(head.status)
+        self._reply.send_response(head, body)
+
+    def _end_response(self, status: int) -> None:
+        """End a call with an engine's response, which is no stream."""
         if self._ticket is not None:
             self._ticket.interrupted(0)
         self._end()
-        self._log.served(head.status)
-        if head.status < CLIENT_ERRORS:
+        self._log.served(status)
+        if status < CLIENT_ERRORS:
             self._learn_duration()
-        self._reply.send_response(head, body)
 
     def _refuse(self, refusal: Refusal) -> None:
         """End the call with an error response, or abort a stream that has started."""
--- a/notcharch/calls/end_check.py
+++ b/notcharch/calls/end_check.py
@@ -12,7 +12,9 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from notcharch.calls.engine_sender import EngineRequest, SendListener
+from notcharch.calls.incarnation_check import ENGINE, MAX_REPORT_BYTES
 from notcharch.calls.interface import Engine, EngineDialect, OpaqueCall
+from notcharch.http.bounded_body import BoundedBody, report_too_long
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead, ResponseHead
 
@@ -208,7 +210,7 @@
         self._timer: IDelayedCall | None = None
         self._request: EngineRequest | None = None
         self._head: ResponseHead | None = None
-        self._chunks: list[bytes] = []
+        self._body = BoundedBody(MAX_REPORT_BYTES)
         self._is_over = False
 
     def start(self) -> None:
@@ -269,15 +271,18 @@
     def data_received(self, data: bytes) -> None:
         """End the check if data decides it."""
         assert self._head is not None
-        self._chunks.append(data)
+        is_kept = self._body.add(data)
         verdict = self._question.verdict_of_data(self._head)
         if verdict is not None:
             self._end(verdict)
+        elif not is_kept:
+            report_too_long(ENGINE, self._engine.id, MAX_REPORT_BYTES)
+            self._end(self._question.verdict_if_cut)
 
     def completed(self) -> None:
         """End the check with the verdict of the complete response."""
         assert self._head is not None
-        verdict = self._question.verdict(self._head, b"".join(self._chunks))
+        verdict = self._question.verdict(self._head, self._body.content())
         request, self._request = self._request, None
         if request is not None:
             self._sender.release(self._engine.id, request)
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -12,6 +12,8 @@
 from notcharch.calls.engine_selection import PromptSample
 from notcharch.calls.engine_sender import EngineRequest, EngineSender
 from notcharch.calls.engines import EnginePool
+from notcharch.calls.held_answer import MAX_EVENT_BYTES, HeldAnswer
+from notcharch.calls.incarnation_check import ENGINE
 from notcharch.calls.interface import (
     Admission,
     Engine,
@@ -25,6 +27,8 @@
     StreamOrigins,
 )
 from notcharch.calls.overdue import OverdueWatch
+from notcharch.http.bounded_body import report_too_long
+from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.first_response_times import RouteResponseTimes
@@ -37,6 +41,7 @@
 OVERDUE = "the first response was overdue"
 INSIDE_EVENT = "the stream ended inside an event"
 BEFORE_EVENTS = "the stream ended with its connection before its first event"
+TOO_LONG = "the answer is longer than it may be"
 UNREAD = "the engine closed an answer that was not read in time for a slow caller"
 HARMLESS_FAILURES = (
     ResponseFailure.GARBLED,
@@ -66,12 +71,14 @@
     waits: RouteResponseTimes
     urgency: CallUrgency | None = None
     """Rates the urgency of calls; None if engines are not told of it."""
+    answers: BufferedBytes = msgspec.field(default_factory=BufferedBytes)
+    """What is held of engines' answers."""
     origins: StreamOrigins = NoStreamOrigins()
     quarantine: Quarantine = NoQuarantine()
 
 
 class RunListener(Protocol):
-    """Callbacks for a run. It has ended after each of them but the first two."""
+    """Callbacks for a run. It has ended after each of them but the first four."""
 
     def run_started(self, head: ResponseHead) -> None:
         """Handle the head of a successful stream."""
@@ -79,6 +86,12 @@
     def run_data_received(self, data: bytes) -> bool:
         """Handle data of the stream; return whether it completed an event."""
 
+    def run_body_started(self, head: ResponseHead) -> None:
+        """Handle the head of a long answer, which is relayed as it comes."""
+
+    def run_body_received(self, data: bytes) -> None:
+        """Handle data of a long answer."""
+
     def run_unreachable(self) -> None:
         """Handle a failed connection attempt: the call was not sent."""
 
@@ -105,6 +118,10 @@
     def last_event_id(self) -> bytes | None:
         """The id of the last event that was relayed, if it had one."""
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of the stream are held to be stored, or as an unfinished event."""
+
     def may_ask_for_rest(self) -> bool:
         """Return whether the engine may get the request again as a question."""
 
@@ -143,10 +160,12 @@
             services.clock, services.sender, services.dialect, engine, log
         )
         self._head: ResponseHead | None = None
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._answer = HeldAnswer(services.answers, self._cut)
         self._is_relaying = False
         """True if the events are relayed to the caller."""
+        self._is_body_relayed = False
+        """True if a long answer is relayed as it comes."""
+        self._is_over = False
         self._first_event_at: float | None = None
         self._last_event_at: float | None = None
         """Clock seconds at which the last event was received."""
@@ -212,8 +231,10 @@
         self._request.resume_reading()
 
     def _finish(self) -> None:
+        self._is_over = True
+        self._answer.release()
         if self._head is not None:
-            self._log.answer_received(self._head.framing, self._body_bytes)
+            self._log.answer_received(self._head.framing, self._answer.received)
         self._end.stop()
         self.resume_reading()
         self._overdue.stop()
@@ -287,11 +308,46 @@
 
     def data_received(self, data: bytes) -> None:
         """Relay or buffer the data."""
-        self._body_bytes += len(data)
-        if not self._is_relaying:
-            self._chunks.append(data)
-        elif self._listener.run_data_received(data):
+        if not self._answer.received_bytes(len(data)):
+            self._give_up()
+        elif self._is_relaying:
+            self._event_data_received(data)
+        elif self._is_body_relayed:
+            self._listener.run_body_received(data)
+        elif not self._answer.keep(data):
+            self._relay_body()
+
+    def _event_data_received(self, data: bytes) -> None:
+        if self._listener.run_data_received(data):
             self._record_event()
+        if self._log.unfinished_bytes > MAX_EVENT_BYTES:
+            self._give_up()
+        elif not self._is_over:
+            self._answer.count_elsewhere(self._listener.held_bytes)
+
+    def _relay_body(self) -> None:
+        """Relay an answer as it comes, which is too long to be held until its end."""
+        head = self._head
+        assert head is not None
+        is_success = head.status < CLIENT_ERRORS
+        if not is_success or not self._services.dialect.is_genuine(head):
+            self._give_up()
+            return
+        self._is_body_relayed = True
+        self._listener.run_body_started(head)
+        self._listener.run_body_received(self._answer.take())
+
+    def _cut(self) -> None:
+        """Give up soon: another answer is being received at the moment."""
+        self._services.clock.callLater(0, self._give_up)
+
+    def _give_up(self) -> None:
+        """Read the answer no further."""
+        if self._is_over:
+            return
+        report_too_long(ENGINE, self.engine.id, self._answer.received)
+        self.abandon()
+        self._listener.run_failed(TOO_LONG, ProcessState.ASSUMED)
 
     def _record_event(self) -> None:
         """Report the time since the call was sent, or since the previous event."""
@@ -366,8 +422,9 @@
         if head.status < CLIENT_ERRORS:
             seconds = self._services.clock.seconds() - self.sent_at
             self._services.pool.run_completed(self.engine.id, seconds)
+        body = self._answer.take()
         self._finish()
-        self._listener.run_completed(head, b"".join(self._chunks))
+        self._listener.run_completed(head, body)
 
     def _is_inside_event(self, head: ResponseHead) -> bool:
         """Return whether a stream of events ended inside an event, so was broken off."""
--- /dev/null
+++ b/notcharch/calls/held_answer.py
@@ -0,0 +1,62 @@
+"""Bytes that a daemon holds of one engine's answer, and how much of it is read.
+
+An answer is held until it is whole, so that the call can be sent again if the engine breaks it
+off. A long one is relayed as it comes instead. All answers together hold a bounded number of
+bytes; the one that holds most is given up above it.
+"""
+
+from collections.abc import Callable
+
+from notcharch.http.buffered_bytes import BufferedBytes
+
+MAX_HELD_BYTES = 256 * 1024
+"""A longer answer is relayed as it comes; one that must not be relayed is given up."""
+MAX_EVENT_BYTES = 1024 * 1024
+"""The longest event of a stream; events hold some tokens."""
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""The longest answer; sixteen times the longest request that operators allow."""
+
+
+class HeldAnswer:
+    """What is held of one answer, counted among all answers."""
+
+    def __init__(self, held: BufferedBytes, on_cut: Callable[[], None]) -> None:
+        """`on_cut` is called if all answers hold too much and this one is to be given up."""
+        self._held = held
+        self._on_cut = on_cut
+        self._chunks: list[bytes] = []
+        self._kept = 0
+        self.received = 0
+        """Number of bytes of the answer so far."""
+
+    def received_bytes(self, count: int) -> bool:
+        """Count received bytes; return False for an answer that is longer than any may be."""
+        self.received += count
+        return self.received <= MAX_ANSWER_BYTES
+
+    def keep(self, data: bytes) -> bool:
+        """Hold bytes; return False if the answer is too long to be held."""
+        self._chunks.append(data)
+        self._kept += len(data)
+        self._held.changed(self, self._kept)
+        return self._kept <= MAX_HELD_BYTES
+
+    def count_elsewhere(self, size: int) -> None:
+        """Count bytes of the answer that its call holds."""
+        self._held.changed(self, size)
+
+    def take(self) -> bytes:
+        """Return what is held, and hold it no longer."""
+        content = b"".join(self._chunks)
+        self.release()
+        return content
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self._chunks.clear()
+        self._kept = 0
+        self._held.changed(self, 0)
+
+    def cut(self, buffered: int) -> None:
+        """Give the answer up: of all answers it holds the most bytes."""
+        self._on_cut()
--- a/notcharch/calls/incarnation_check.py
+++ b/notcharch/calls/incarnation_check.py
@@ -11,6 +11,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import Engine, IncarnationDialect
+from notcharch.http.bounded_body import BoundedBody, report_too_long
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.messages import ResponseHead
 
@@ -18,6 +19,10 @@
 """Longest wait for the answer, which needs no slot of the engine; as long as for a
 connection."""
 
+MAX_REPORT_BYTES = 1024 * 1024
+"""The longest report: some dozen bytes for each run, model and adapter of an engine."""
+ENGINE = "engine"
+
 
 class CheckResult(enum.Enum):
     """What an engine said of its start."""
@@ -44,7 +49,7 @@
         self._connection = connection
         self._then = then
         self._head: ResponseHead | None = None
-        self._chunks: list[bytes] = []
+        self._body = BoundedBody(MAX_REPORT_BYTES)
 
     def start(self, clock: IReactorTime) -> None:
         """Send the request."""
@@ -75,13 +80,16 @@
         self._head = head
 
     def data_received(self, data: bytes) -> None:
-        """Keep a part of the body."""
-        self._chunks.append(data)
+        """Keep a part of the body; a report that is too long tells nothing."""
+        if not self._body.add(data):
+            report_too_long(ENGINE, self._engine.id, MAX_REPORT_BYTES)
+            self._connection.abandon()
+            self._end(CheckResult.FAILED)
 
     def completed(self) -> None:
         """Compare the start with the engine's entry."""
         assert self._head is not None
-        started = self._dialect.started_ms(self._head, b"".join(self._chunks))
+        started = self._dialect.started_ms(self._head, self._body.content())
         if started is None:
             self._end(CheckResult.UNKNOWN)
         elif started != self._engine.started_ms:
--- a/notcharch/events/http.py
+++ b/notcharch/events/http.py
@@ -22,3 +22,14 @@
     number: ClassVar[int] = 2701
     host: str
     buffered_bytes: int
+
+
+class AnswerTooLong(Event, frozen=True):
+    """An answer was read no further: it was longer than it may be, or has no end."""
+
+    number: ClassVar[int] = 2702
+    peer: str
+    """What kind of server it is: engine or store."""
+    name: str
+    """The engine's id, or the path that was asked for."""
+    read_bytes: int
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -24,6 +24,10 @@
 
 SURPLUS_RESPONSE_LIMIT = 3
 """Responses to other requests after which the current request fails."""
+SURPLUS_BYTES_LIMIT = 1024 * 1024
+"""Bytes in the bodies of such responses after which the current request fails."""
+INTERIM_RESPONSE_LIMIT = 16
+"""Interim responses (1xx) after which the current request fails."""
 
 
 class ResponseFailure(Enum):
@@ -71,6 +75,8 @@
         self._request: h11.Request | None = None
         self._is_surplus = False
         self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
+        self._surplus_bytes = 0
+        self._interim_responses = 0
         self._is_disconnected = False
         self.is_reusable = False
         """True while the connection can take another request."""
@@ -125,6 +131,7 @@
         )
         self._is_surplus = False
         self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
+        self._surplus_bytes = self._interim_responses = 0
         parts = [self._http.send(self._request) or b""]
         if body:
             parts.append(self._http.send(h11.Data(data=body)) or b"")
@@ -164,14 +171,26 @@
                 self._read_keep_alive(head)
                 listener.head_received(head)
         elif isinstance(event, h11.Data):
-            if not self._is_surplus:
-                listener.data_received(bytes(event.data))
+            self._data_received(listener, bytes(event.data))
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > INTERIM_RESPONSE_LIMIT:
+                self._fail(ResponseFailure.GARBLED)
         elif isinstance(event, h11.EndOfMessage):
             if self._is_surplus:
                 self._skip_surplus_response()
             else:
                 self._complete(listener)
 
+    def _data_received(self, listener: ResponseListener, data: bytes) -> None:
+        """Pass data on, or count it if it belongs to an earlier request."""
+        if not self._is_surplus:
+            listener.data_received(data)
+            return
+        self._surplus_bytes += len(data)
+        if self._surplus_bytes > SURPLUS_BYTES_LIMIT:
+            self._fail(ResponseFailure.GARBLED)
+
     def _read_head(self, event: h11.Response) -> ResponseHead:
         assert self._request is not None
         headers = event.headers.raw_items()
--- a/notcharch/http/metrics.py
+++ b/notcharch/http/metrics.py
@@ -14,3 +14,8 @@
     "Connections cut because all together buffered too much",
     ["peer"],
 )
+ANSWERS_TOO_LONG = Counter(
+    "notcharch_http_answers_too_long",
+    "Answers that were read no further for their length",
+    ["peer"],
+)
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
+from notcharch.http.bounded_body import BoundedBody, report_too_long
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead, ResponseHead
@@ -20,6 +21,9 @@
 """Timeout of the TCP handshake: the initial retransmission timeout of a SYN."""
 IDLE_TIMEOUT_SECONDS = 10.0
 """Idle connections are closed after this time."""
+MAX_RESPONSE_BYTES = 1024 * 1024
+"""The longest response, unless a request allows another length."""
+STORE = "store"
 MAX_IDLE = 16
 """Idle connections kept to the server: more than its usual concurrent requests."""
 
@@ -36,6 +40,7 @@
 
     NOT_SENT = "not sent"
     SENT = "sent, and no whole answer came in time"
+    TOO_LONG = "sent, and the answer is longer than it may be"
     BROKEN_OFF = "sent, and the connection ended before a whole answer"
 
 
@@ -45,7 +50,13 @@
 class PendingRequest:
     """One request in flight."""
 
-    def __init__(self, requester: "Requester", head: RequestHead, body: bytes) -> None:
+    def __init__(
+        self,
+        requester: "Requester",
+        head: RequestHead,
+        body: bytes,
+        max_response_bytes: int,
+    ) -> None:
         """Hold a request until a connection is available."""
         self._requester = requester
         self.head = head
@@ -54,7 +65,7 @@
         self.connection: ClientConnection | None = None
         self.timer: IDelayedCall | None = None
         self._response: ResponseHead | None = None
-        self._chunks: list[bytes] = []
+        self._received = BoundedBody(max_response_bytes)
         self.is_finished = False
 
     def is_response(self, head: ResponseHead) -> bool:
@@ -66,15 +77,21 @@
         self._response = head
 
     def data_received(self, data: bytes) -> None:
-        """Buffer a chunk of the body."""
-        self._chunks.append(data)
+        """Buffer a chunk of the body; fail if the body is too long."""
+        if self._received.add(data):
+            return
+        path = self.head.target.partition(b"?")[0].decode("latin-1")
+        report_too_long(STORE, path, self._received.limit_bytes)
+        if self.connection is not None:
+            self.connection.abandon()
+        self.finish(Err(NoResponse.TOO_LONG))
 
     def completed(self) -> None:
         """Succeed with the complete response."""
         assert self._response is not None
         if self.connection is not None:
             self._requester.release(self.connection)
-        self.finish(Ok(CompleteResponse(self._response, b"".join(self._chunks))))
+        self.finish(Ok(CompleteResponse(self._response, self._received.content())))
 
     def failed(self, failure: ResponseFailure) -> None:
         """Fail: the request was sent, but there is no complete response."""
@@ -125,12 +142,16 @@
         self._idle.close_all()
 
     def request(
-        self, method: bytes, target: bytes, body: bytes, seconds: float
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        seconds: float,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> "Deferred[Outcome]":
         """Send a request with a timeout of `seconds`."""
-        pending = PendingRequest(
-            self, RequestHead(method, target, [(b"Host", self._host)]), body
-        )
+        head = RequestHead(method, target, [(b"Host", self._host)])
+        pending = PendingRequest(self, head, body, max_response_bytes)
         pending.timer = self._reactor.callLater(seconds, pending.time_out)
         idle = self._idle.take()
         if idle is not None:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -230,6 +230,7 @@
                 admission=self._accounts.admission,
                 waits=RouteResponseTimes(wait_policy(mechanisms)),
                 urgency=call_urgency(mechanisms),
+                answers=BufferedBytes(total_limit(settings.memory_bytes)),
                 origins=self._origins,
                 quarantine=self._quarantine,
             ),
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -11,7 +11,13 @@
 
 from notcharch.events.feed_faults import FeedFaults
 from notcharch.http.adaptive_timeout import AdaptiveTimeout
-from notcharch.http.requester import CompleteResponse, NoResponse, Outcome, Requester
+from notcharch.http.requester import (
+    MAX_RESPONSE_BYTES,
+    CompleteResponse,
+    NoResponse,
+    Outcome,
+    Requester,
+)
 from notcharch.journal.interface import (
     Appended,
     GroupName,
@@ -43,6 +49,11 @@
 """Allows two retries of a heartbeat before the shortest lease expires."""
 MAX_JOIN_TIMEOUT_SECONDS = 0.75
 """Bounds the delay until heartbeats detect that the store is available again."""
+MIN_READ_LIMIT_BYTES = 3 * 1024 * 1024
+"""Of an answer to a read besides its last record: a page of small records in base64, with
+their keys, is some times as long as its values."""
+ENCODED_RECORD_FACTOR = 2
+"""A record in base64 is longer by a third."""
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -54,6 +65,7 @@
 FAULT_WITHOUT_RESPONSE = {
     NoResponse.NOT_SENT: LogFault.NOT_DONE,
     NoResponse.SENT: LogFault.UNKNOWN,
+    NoResponse.TOO_LONG: LogFault.UNREADABLE,
     NoResponse.BROKEN_OFF: LogFault.FAILED,
 }
 
@@ -133,6 +145,11 @@
             MIN_JOIN_TIMEOUT_SECONDS, MAX_JOIN_TIMEOUT_SECONDS
         )
 
+    @property
+    def _max_read_bytes(self) -> int:
+        """The longest answer to a read: a megabyte of records, and one more."""
+        return MIN_READ_LIMIT_BYTES + ENCODED_RECORD_FACTOR * self.limits.record_bytes
+
     def _faults(self, feed: str) -> FeedFaults:
         """Return the faults of the answers about a topic or a group."""
         return self._feeds.setdefault(feed, FeedFaults(feed))
@@ -147,13 +164,16 @@
         translate: Callable[[bytes], Translated],
         seconds: float = REQUEST_TIMEOUT_SECONDS,
         adaptive_timeout: AdaptiveTimeout | None = None,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> "Deferred[Result[Translated, LogProblem]]":
         target = f"{path}?{urlencode(query)}" if query else path
         started_at = self._clock.seconds()
         timeout_seconds = (
             seconds if adaptive_timeout is None else adaptive_timeout.seconds
         )
-        sent = self._requester.request(method, target.encode(), body, timeout_seconds)
+        sent = self._requester.request(
+            method, target.encode(), body, timeout_seconds, max_response_bytes
+        )
 
         def read(outcome: Outcome) -> Result[Translated, LogProblem]:
             if isinstance(outcome, Err):
@@ -217,7 +237,13 @@
 
         seconds = wait_seconds + REQUEST_TIMEOUT_SECONDS
         return self._call(
-            b"GET", "/log-read", query, b"", translate=read, seconds=seconds
+            b"GET",
+            "/log-read",
+            query,
+            b"",
+            translate=read,
+            seconds=seconds,
+            max_response_bytes=self._max_read_bytes,
         )
 
     def trim(
@@ -242,6 +268,7 @@
             query,
             b"",
             translate=lambda answer: decode_page(answer, faults),
+            max_response_bytes=self._max_read_bytes,
         )
 
     def join(
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -17,6 +17,7 @@
     ServiceShare,
 )
 from notcharch.calls.open_admission import OpenAdmission
+from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
@@ -211,6 +212,7 @@
             "timeout_seconds": 3.0,
         }
         origins = changes.pop("origins", None) or NoStreamOrigins()
+        answers = changes.pop("answers", None) or BufferedBytes()
         wait = changes.pop("wait_seconds", 2.0)
         resumed = changes.pop("resumed", {})
         self.route = Route(**(settings | changes))
@@ -223,7 +225,7 @@
             program="p",
             **resumed,
         )
-        services = CallServices(
+        services = self.services = CallServices(
             clock=self.clock,
             pool=self.pool,
             sender=self.sender,
@@ -231,6 +233,7 @@
             admission=self.admission,
             waits=self.waits,
             urgency=urgency,
+            answers=answers,
             origins=origins,
         )
         self.lifecycle = CallLifecycle(
--- a/tests/unit/http/test_client.py
+++ b/tests/unit/http/test_client.py
@@ -177,3 +177,26 @@
     assert not side.transport.is_closed
     side.transport.drain()
     assert side.transport.sent.endswith(b"x" * 100_000)
+
+
+@pytest.mark.parametrize(
+    ("begin", "piece"),
+    [
+        (b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"),
+        (
+            b"HTTP/1.1 200 OK\r\nid: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"c350\r\n" + b"x" * 50_000 + b"\r\n",
+        ),
+    ],
+    ids=["interim", "surplus"],
+)
+def test_bytes_without_end_before_the_answer_are_bounded(begin, piece):
+    side, listener = sent()
+    if begin:
+        side.respond(begin)
+    pieces = 0
+    while not side.transport.is_closed and pieces < 1000:
+        side.respond(piece)
+        pieces += 1
+    assert listener.failure is ResponseFailure.GARBLED
+    assert pieces <= 30
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -36,7 +36,7 @@
         self.method = self.target = self.body = b""
         self.seconds = 0.0
 
-    def request(self, method, target, body, seconds):
+    def request(self, method, target, body, seconds, max_response_bytes):
         self.method, self.target, self.body = method, target, body
         self.seconds = seconds
         response = Deferred()
@@ -124,6 +124,7 @@
         (responding(502), LogFault.FAILED),
         (responding(200, b"no json"), LogFault.UNREADABLE),
         (Requester(Err(NoResponse.SENT)), LogFault.UNKNOWN),
+        (Requester(Err(NoResponse.TOO_LONG)), LogFault.UNREADABLE),
         (Requester(Err(NoResponse.BROKEN_OFF)), LogFault.FAILED),
         (Requester(Err(NoResponse.NOT_SENT)), LogFault.NOT_DONE),
     ],
