A daemon out of step takes up no stream of a new version at the old one

Cause: that daemon claimed the only version that it knew for 2 s after its list was last known to be up to date. The proof of the claim was that nobody begins streams at a version that is newer than 2 s, which does not hold where no other version serves.

Change: a claim needs a read of the list that was sent after the question came.

The state machine has the case as a rule now. Its deliberate fault "a new version begins streams at once" is no fault any more and is replaced by "a claim rests on a list that was read before the question", which is the former code: caught. Tests of the 2 s window now say that a list read before the question proves nothing, and that a resumption costs one read and no message.

--- a/notcharch/scheduling/software_versions.py
+++ b/notcharch/scheduling/software_versions.py
@@ -2,13 +2,12 @@
 
 A stream may be resumed only at the version that began it. While a service has had one
 version for longer than a stream can be resumed, that version began every stream, and
-nothing has to be recorded. The proof needs two rules that all daemons keep:
+nothing has to be recorded. The proof needs one rule: who is
+asked to resume a stream claims it only if its list of engines was up to date after that. The
+stream began before, at an engine that was listed before.
 
-- A daemon claims it only within `SETTLING_SECONDS` after a time at which its list of
-  engines was up to date.
-- A daemon begins no stream at a version before it has seen it for `SETTLING_SECONDS`.
-
-So no stream began at a version that a claiming daemon can't have read.
+A daemon begins no stream at a version before it has seen it for `SETTLING_SECONDS`, if
+another one serves, so that few streams begin at a version that peers can't go on at.
 """
 
 from collections.abc import Iterable, Mapping
@@ -119,9 +118,15 @@
 
     # Queries
 
-    def only_version(self, service: str, now: float) -> str:
-        """Return the version that began every stream of a service; empty if not certain."""
-        return self._only_version(service, now, SETTLING_SECONDS)
+    def only_version(self, service: str, since: float, now: float) -> str:
+        """Return the version that began every stream of a service before `since`.
+
+        Empty if that is not certain: the list must have been up to date at `since` or later.
+        """
+        confirmed = self._confirmed_at
+        if confirmed is None or confirmed < since:
+            return ""
+        return self._only_version(service, now, self._max_age_seconds)
 
     def may_be_certain(self, service: str, now: float) -> bool:
         """Return whether a service has one version for all that polls have shown.
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -195,22 +195,23 @@
         if known is not None:
             found(known)
         elif self._needs_confirmation(stream.service, stream.route, began):
-            self._list.confirm().addCallback(lambda _: self._search(stream, found))
+            confirming = self._list.confirm()
+            confirming.addCallback(lambda _: self._search(stream, began, found))
         else:
-            self._search(stream, found)
+            self._search(stream, began, found)
 
     def _needs_confirmation(self, service: str, route: str, now: float) -> bool:
         """Return whether an only version is certain once the list is confirmed."""
-        if not self._is_route_stable(route) or self._versions.only_version(
+        return self._is_route_stable(route) and self._versions.may_be_certain(
             service, now
-        ):
-            return False
-        return self._versions.may_be_certain(service, now)
+        )
 
-    def _search(self, stream: StreamName, found: Callable[[FoundOrigin], None]) -> None:
+    def _search(
+        self, stream: StreamName, asked_at: float, found: Callable[[FoundOrigin], None]
+    ) -> None:
         """Go by the only version if it is certain; otherwise ask peers."""
         service, certain, now = stream.service, NOT_FOUND, self._clock.seconds()
-        version = self._only_version(service, stream.route, now)
+        version = self._only_version(service, stream.route, asked_at)
         if version:
             origin = StreamOrigin(service, version)
             certain = FoundOrigin(origin, OriginSource.ONLY_VERSION)
@@ -223,11 +224,14 @@
         for peer in asked:
             self._ask(peer, question, search)
 
-    def _only_version(self, service: str, route: str, now: float) -> str:
-        """Return the version that began every stream of a route; empty if not certain."""
+    def _only_version(self, service: str, route: str, asked_at: float) -> str:
+        """Return the version that began every stream of a route before it was asked for.
+
+        Empty if that is not certain.
+        """
         if not self._is_route_stable(route):
             return ""
-        return self._versions.only_version(service, now)
+        return self._versions.only_version(service, asked_at, self._clock.seconds())
 
     def _find_here(self, stream: str, now: float) -> FoundOrigin | None:
         for records, source in (
@@ -268,6 +272,5 @@
             return StreamOriginSeen(known.origin, is_ambiguous=known.origin is None)
         if self._needs_confirmation(message.service, message.route, now):
             await self._list.confirm()
-            now = self._clock.seconds()
         only = self._only_version(message.service, message.route, now)
         return StreamOriginSeen(only_version=only)
--- a/tests/stateful/stream_origins/stream_machine.py
+++ b/tests/stateful/stream_origins/stream_machine.py
@@ -218,6 +218,26 @@
             self.begin(other % DAEMONS, 1)
         self._take_up_last(2, number)
 
+    @rule(number=daemon_numbers, version=versions)
+    def replacement_that_a_daemon_misses(self, number: int, version: str) -> None:
+        """Replace all entries, so that streams begin at the new ones at once.
+
+        The engines that left serve on, and the daemon that misses it has just read the list.
+        """
+        missing = self.world.daemon(number)
+        if self._usable(missing):
+            missing.confirm_list()
+            self.world.run(0.01)
+        missing.follows_store = False
+        self.world.engines.clear()
+        added = next(self.numbers)
+        self.processes[f"e{added}"] = Process(version, added)
+        self._list(f"e{added}")
+        self.world.run(0.5)
+        for other in (number + 1, number + 2):
+            self.begin(other % DAEMONS, 1)
+        self._take_up_last(2, number)
+
     def _take_up_last(self, count: int, at: int) -> None:
         """Let the callers of the last streams come to one daemon."""
         for number in range(max(len(self.streams) - count, 0), len(self.streams)):
--- a/tests/stateful/stream_origins/test_stream_machine.py
+++ b/tests/stateful/stream_origins/test_stream_machine.py
@@ -11,7 +11,7 @@
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.stream_version import StreamVersion
 from notcharch.calls.version_filter import VersionFilter
-from notcharch.scheduling.software_versions import SoftwareVersions
+from notcharch.scheduling.software_versions import SETTLING_SECONDS, SoftwareVersions
 from notcharch.scheduling.stream_origin import (
     FoundOrigin,
     OriginSource,
@@ -68,8 +68,11 @@
     monkeypatch.setattr(SoftwareVersions, "_only_version", only)
 
 
-def a_new_version_begins_streams_at_once(monkeypatch):
-    monkeypatch.setattr(SoftwareVersions, "settled", lambda *_: None)
+def a_claim_rests_on_a_list_that_was_read_before_the_question(monkeypatch):
+    def only(versions, service, since, now):
+        return versions._only_version(service, now, SETTLING_SECONDS)
+
+    monkeypatch.setattr(SoftwareVersions, "only_version", only)
 
 
 def engines_are_not_asked_for_their_starts(monkeypatch):
@@ -81,7 +84,7 @@
     resumed_streams_are_not_searched_for,
     an_unknown_origin_is_guessed,
     a_listed_version_is_certain_although_there_were_others,
-    a_new_version_begins_streams_at_once,
+    a_claim_rests_on_a_list_that_was_read_before_the_question,
 ]
 
 
--- a/tests/unit/scheduling/test_software_versions.py
+++ b/tests/unit/scheduling/test_software_versions.py
@@ -35,7 +35,8 @@
 
     @property
     def only(self) -> str:
-        return self.versions.only_version(SERVICE, self.now)
+        """The claim about streams that began before now."""
+        return self.versions.only_version(SERVICE, self.now, self.now)
 
     @property
     def needs_records(self) -> bool:
@@ -73,12 +74,12 @@
     assert not reader.versions.may_have_doubts(SERVICE, reader.now)
 
 
-def test_a_list_that_is_out_of_date_proves_nothing():
+def test_a_list_that_was_read_before_a_stream_is_taken_up_proves_nothing():
     reader = Reader("v1")
     reader.follow(MIN_RESUMABLE_SECONDS + STEP)
-    reader.now += SETTLING_SECONDS - 0.01
-    assert reader.only == "v1"
-    reader.now += 0.02
+    asked_at = reader.now
+    assert reader.versions.only_version(SERVICE, asked_at, reader.now + 0.1) == "v1"
+    reader.now += 0.01
     assert reader.only == ""
 
 
@@ -128,17 +129,18 @@
     assert reader.versions.settled(SERVICE, reader.now) is None
 
 
-def test_no_stream_began_at_a_version_that_a_certain_daemon_has_not_read():
+@pytest.mark.parametrize("listed", [("v1", "v2"), ("v2",)])
+def test_no_stream_began_at_a_version_that_a_certain_daemon_has_not_read(listed):
     """The proof by which nothing is recorded while one version serves."""
-    for late in range(60):
+    for late in range(1, 60):
         late_seconds = late * 0.05
         reader, beginner = Reader("v1"), Reader("v1")
         reader.follow(MIN_RESUMABLE_SECONDS + STEP)
         beginner.follow(MIN_RESUMABLE_SECONDS + STEP)
-        beginner.list("v1", "v2")
+        beginner.list(*listed)
         beginner.now += late_seconds
         reader.now += late_seconds
-        settled = beginner.versions.settled(SERVICE, beginner.now)
+        settled = beginner.versions.settled(SERVICE, beginner.now) or set(listed)
         assert not ("v2" in settled and reader.only == "v1")
 
 
--- a/tests/unit/stream_origins/test_resumed_streams.py
+++ b/tests/unit/stream_origins/test_resumed_streams.py
@@ -166,7 +166,9 @@
         world.daemon(number % 12).call(f"a{number}").send_events(2)
     lose(world, fault, world.daemon(3))
     stream = world.daemon(0).call("b", 2, "a3")
+    world.run(STORE_SECONDS + 0.001)
     assert stream.version == "v1"
+    assert world.store_reads == 1
     assert world.messages() == 0
     assert all(len(daemon.origins._held) == 0 for daemon in world.daemons.values())
 
@@ -247,7 +249,7 @@
     cut_off.follows_store = False
     del world.engines["e1"], world.engines["e2"]
     world.run(STEADY_SECONDS)
-    assert world.daemon(0).versions.only_version(SERVICE, world.clock.seconds())
+    assert world.daemon(0).versions.may_be_certain(SERVICE, world.clock.seconds())
     first = begin_at(cut_off, "v1")
     world.run(0.1)
     world.kill(cut_off)
