The soak's engines and store write what can't be read, and answer without end

Engines write entries with a nested, malformed or wrongly typed field; the store has records without a readable key, pages, assignments and owners with a bad part; both answer with heads or bodies without end, an engine's report too. The oracle has three new checks: runs at an engine later than drain_ms after it said that it leaves (planned soaks, where nothing excuses them), an exception in a daemon's log, and the peak of a daemon's memory above its limit.

Found while writing it: where an engine may start again under its id, an unreadable version or cold time of the new start was taken from the start before. Fields that belong to a start are kept only within it now (test_another_start_under_an_id_...).

--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -12,7 +12,7 @@
 
 from deploy.soak.callers import Callers
 from deploy.soak.configuration import Operator
-from deploy.soak.daemons import SoakDaemon
+from deploy.soak.daemons import MEMORY_MEGABYTES, SoakDaemon
 from deploy.soak.engine_server import SoakEngine
 from deploy.soak.faults import Faults, FaultTargets
 from deploy.soak.large_turns import LargeTurns
@@ -133,6 +133,7 @@
     def _watch(self) -> None:
         """Start again what ended by itself, as the platform does."""
         for daemon in self._daemons:
+            daemon.measure_memory()
             if daemon.notice_own_end():
                 daemon.start()
         if self._callers.is_running:
@@ -165,7 +166,8 @@
         """Check what daemons promise only while nothing but planned work goes on."""
         if not self._size.is_planned_only:
             return []
-        return self.oracle.cut() + self.oracle.in_drained_zones()
+        oracle = self.oracle
+        return oracle.cut() + oracle.in_drained_zones() + oracle.at_leaving_engines()
 
     def report(self) -> SoakReport:
         """Check all observations."""
@@ -185,10 +187,26 @@
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
             violations=(
-                self.oracle.violations() + self._in_contact() + self._refused_appends()
+                self.oracle.violations()
+                + self._in_contact()
+                + self._refused_appends()
+                + self._faults_of_daemons()
             ),
         )
 
+    def _faults_of_daemons(self) -> list[Violation]:
+        """Give what the daemons' logs and memory show to be wrong."""
+        found: list[Violation] = []
+        for daemon in self._daemons:
+            if daemon.peak_megabytes > MEMORY_MEGABYTES:
+                found.append(Violation("MEMORY", "", f"{daemon.peak_megabytes} MB"))
+            exceptions = daemon.logged_exceptions()
+            if exceptions:
+                found.append(
+                    Violation("EXCEPTION", daemon.name, f"{exceptions} logged")
+                )
+        return found
+
     def _refused_appends(self) -> list[Violation]:
         """Give the appends that were larger than what the settings say."""
         return [
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -29,6 +29,7 @@
 MODULE = "notcharch.platform"
 MEMORY_MEGABYTES = 128
 MILLISECONDS = 1000
+TRACEBACK = "Traceback (most recent call last)"
 
 
 LISTENED_PORTS = range(15_000, 32_000)
@@ -78,6 +79,8 @@
         """Whether it received a stop signal."""
         self.own_ends = 0
         """How often it ended by itself."""
+        self.peak_megabytes = 0
+        """The most memory that any of its processes had."""
 
     def _text(self) -> str:
         fields = {
@@ -129,6 +132,20 @@
         """Whether the process lives, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    def measure_memory(self) -> None:
+        """Note the peak of the memory of the process, if it runs."""
+        if self._process is None or not self.is_running:
+            return
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        peak = next((x for x in status.splitlines() if x.startswith("VmHWM")), None)
+        if peak is not None:
+            kilobytes = int(peak.split()[1])
+            self.peak_megabytes = max(self.peak_megabytes, kilobytes // 1024)
+
+    def logged_exceptions(self) -> int:
+        """Return how many exceptions of the program its log tells of."""
+        return self._log.read_text(errors="replace").count(TRACEBACK)
+
     def notice_own_end(self) -> bool:
         """Tell whether the process ended without being told to."""
         process = self._process
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -19,6 +19,7 @@
     PLAIN_PATH,
     VERSIONS,
 )
+from deploy.soak.spoiled import EndlessAnswer, EndlessKind, Spoil
 from deploy.soak.store_server import StoreServer
 from deploy.soak.unframed import Break, begin_unframed, end_early
 from deploy.soak.zones import COLD_SECONDS, ZONES
@@ -56,6 +57,8 @@
     """Resets some connections on which another request comes, without running it."""
     UNFRAMED = "unframed"
     """Frames no answer, and breaks some off at any byte."""
+    ENDLESS = "endless"
+    """Sends bytes that are no answer, until the caller closes; also as its report."""
 
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
@@ -122,6 +125,8 @@
         self._is_down = False
         self.line_end = LINE_ENDS[number % len(LINE_ENDS)]
         self.version = VERSIONS[0]
+        self.spoil = Spoil.NONE
+        """What is wrong with its entry."""
         self._born = 0
         self._begin_process()
         self._open: set[Running] = set()
@@ -157,8 +162,10 @@
                 self.version,
                 self._born,
             )
-            value = msgspec.json.encode(entry)
+            value = self.spoil.apply(msgspec.json.encode(entry))
             self._store.write_key(SERVERS_TOPIC, self.id, value)
+            if self._is_leaving:
+                self._oracle.left.setdefault(self.id, self.now())
         self._beat = self._reactor.callLater(HEARTBEAT_SECONDS, self._heartbeat)
 
     def _cold_milliseconds(self) -> int:
@@ -266,6 +273,10 @@
         if self._is_down:
             exchange.abort()
             return
+        if self.is_struck_by(EngineFault.ENDLESS):
+            kind = EndlessKind.draw(self._random)
+            EndlessAnswer(self._reactor, exchange, kind)
+            return
         if head.target == b"/report":
             exchange.respond(200, [], msgspec.json.encode(EngineReport(self._born)))
             return
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -9,12 +9,14 @@
 from deploy.soak.configuration import Operator
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.deadly import DaemonOutage
-from deploy.soak.engine_server import EngineFault, SoakEngine
+from deploy.soak.engine_server import SERVERS_TOPIC, EngineFault, SoakEngine
 from deploy.soak.link_proxy import LinkFault, LinkProxy
+from deploy.soak.spoiled import BAD_ENTRIES, BAD_RECORDS, Spoil
 from deploy.soak.store_server import StoreServer
 from deploy.soak.zones import ZONES, Drain, Drains
 from emulator.services.partitioned_log import Trouble
 from notcharch.accounts.service import GROUP
+from notcharch.platform.tables import CONFIGURATION_TOPIC
 
 RESTART_SECONDS = 0.5
 STORE_TROUBLES = (Trouble.REFUSE, Trouble.LOSE_ANSWER, Trouble.LOSE_CALL)
@@ -33,6 +35,7 @@
     EngineFault.SLOW,
     EngineFault.FORGET_IDLE,
     EngineFault.UNFRAMED,
+    EngineFault.ENDLESS,
 )
 
 
@@ -73,6 +76,9 @@
             self._configure,
             self._exchange_key,
             self._drain_zone,
+            self._spoil_entries,
+            self._write_bad_record,
+            self._spoil_store_answers,
         )
         unplanned = (
             self._kill_some,
@@ -89,6 +95,7 @@
             self._crash_unframed_engine,
             self._break_answers_off,
             self._restart_engine_at_other_version,
+            self._answer_without_end,
         )
         is_planned = targets.is_planned_only
         self._kinds: tuple[Callable[[], str], ...] = (
@@ -206,8 +213,52 @@
             groups.rebalance(GROUP)
         return "store deals all partitions anew"
 
+    def _write_bad_record(self) -> str:
+        """Write a record that is no key, among the entries or the operator's records."""
+        topic = self._random.choice((SERVERS_TOPIC, CONFIGURATION_TOPIC))
+        record = self._random.choice(BAD_RECORDS)
+        self._targets.store.write_bad_record(topic, record)
+        return f"{topic}: a record {record[:8]!r}"
+
+    def _spoil_store_answers(self) -> str:
+        """Add parts that can't be read to pages, assignments and owners."""
+        store = self._targets.store
+        store.has_bad_parts = True
+
+        def end() -> None:
+            store.has_bad_parts = False
+
+        seconds = self._later(1.0, 6.0, end)
+        return f"store: answers with bad parts for {seconds:.2f} s"
+
+    def _answer_without_end(self) -> str:
+        """Let the store answer without end, now and then."""
+        store = self._targets.store
+        store.is_endless = True
+
+        def end() -> None:
+            store.is_endless = False
+
+        seconds = self._later(0.5, 3.0, end)
+        return f"store: answers without end for {seconds:.2f} s"
+
     # Engines
 
+    def _spoil_entries(self) -> str:
+        """Let some engines write entries with a field that can't be read."""
+        engines = self._targets.engines
+        struck = self._random.sample(engines, self._random.randint(1, len(engines)))
+        for engine in struck:
+            engine.spoil = self._random.choice(BAD_ENTRIES)
+
+        def end() -> None:
+            for engine in struck:
+                engine.spoil = Spoil.NONE
+
+        seconds = self._later(2.0, 9.0, end)
+        names = " ".join(f"{engine.id}:{engine.spoil.name}" for engine in struck)
+        return f"entries for {seconds:.2f} s: {names}"
+
     def _engine(self) -> SoakEngine:
         return self._random.choice(self._targets.engines)
 
@@ -321,10 +372,12 @@
         """End everything that was begun."""
         targets = self._targets
         targets.store.log.trouble = Trouble.NONE
+        targets.store.has_bad_parts = targets.store.is_endless = False
         for drain in targets.drains.in_force():
             self._give_back(drain)
         for engine in targets.engines:
             engine.fault = EngineFault.NONE
+            engine.spoil = Spoil.NONE
             _mend_if_faulty(engine.link)
             engine.start_again()
         for daemon in targets.daemons:
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -8,6 +8,7 @@
 from deploy.soak.deadly import DeadlyEnds, RequestKey, Try
 from deploy.soak.settings import (
     BUDGET_TOKENS,
+    DRAIN_SECONDS,
     HOME_PATH,
     MOST_TOKENS,
     TOKENS_PER_EVENT,
@@ -141,6 +142,8 @@
         self.asked: dict[str, Asked] = {}
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.drains = Drains()
+        self.left: dict[str, float] = {}
+        """When the entry of an engine first said that it leaves, by its id."""
         self.deadly = DeadlyEnds()
         self.lengths: dict[str, int] = {}
         """How many events the engines give of a stream."""
@@ -246,6 +249,15 @@
             for engine, count in crowds(arrivals)
         ]
 
+    def at_leaving_engines(self) -> list[Violation]:
+        """Give the runs at engines that had said for too long that they leave."""
+        return [
+            Violation("DRAIN", request, f"run at {run.engine}, at {run.at:.2f}")
+            for request, runs in self.runs.items()
+            for run in runs
+            if run.at > self.left.get(run.engine, run.at) + DRAIN_SECONDS
+        ]
+
     def in_drained_zones(self) -> list[Violation]:
         """Give the runs in zones that had been drained for too long."""
         return [
--- a/deploy/soak/store_server.py
+++ b/deploy/soak/store_server.py
@@ -9,6 +9,13 @@
 from result import Err, Result
 from twisted.internet.interfaces import IReactorTime
 
+from deploy.soak.spoiled import (
+    BAD_ITEMS,
+    BAD_ROWS,
+    EndlessAnswer,
+    EndlessKind,
+    insert_part,
+)
 from emulator.services.partitioned_log import PartitionedLog
 from notcharch.http.server import Exchange, ServerLimits
 from notcharch.journal.interface import (
@@ -37,6 +44,8 @@
     LogFault.REJECTED: 413,
 }
 MILLISECONDS = 1000
+ENDLESS_SHARE = 0.3
+"""Of the answers, while there are some without end."""
 
 
 class JoinBody(msgspec.Struct, frozen=True):
@@ -72,6 +81,12 @@
     def __init__(self, clock: IReactorTime, random: Random, partitions: int) -> None:
         """Begin with an empty log."""
         self.log = PartitionedLog(clock, random, partitions)
+        self._clock = clock
+        self._random = random
+        self.has_bad_parts = False
+        """Whether pages, assignments and owners have a part that can't be read."""
+        self.is_endless = False
+        """Whether some answers are bytes without end."""
         self._routes: dict[str, Callable[[Exchange, Query], None]] = {
             "/log-append": self._append,
             "/log-read": self._read,
@@ -97,6 +112,9 @@
         """Answer one call."""
         query = Query(exchange.head.target)
         route = self._routes.get(query.path)
+        if self.is_endless and self._random.random() < ENDLESS_SHARE:
+            EndlessAnswer(self._clock, exchange, EndlessKind.draw(self._random))
+            return
         if route is None:
             exchange.respond(404, [])
         else:
@@ -106,6 +124,16 @@
         """Write a key of a keyed topic, as the operator or an engine does."""
         self.log.append(topic, 0, (join_keyed(key, value),))
 
+    def write_bad_record(self, topic: str, record: bytes) -> None:
+        """Write a record whose key nobody can read."""
+        self.log.put(topic, 0, record)
+
+    def _spoil(self, body: bytes, name: bytes, parts: tuple[bytes, ...]) -> bytes:
+        """Add a part that can't be read, if there are bad parts now."""
+        if not self.has_bad_parts:
+            return body
+        return insert_part(body, name, self._random.choice(parts))
+
     def _append(self, exchange: Exchange, query: Query) -> None:
         producer = None
         if query.text("producer"):
@@ -153,9 +181,10 @@
                 {"private_key": item.key, "value": item.value, "offset": item.offset}
                 for item in page.items
             ]
-            return msgspec.json.encode(
+            whole = msgspec.json.encode(
                 {"items": items, "more": page.has_more, "end": page.end}
             )
+            return self._spoil(whole, b"items", BAD_ITEMS)
 
         reading.addCallback(_answer, exchange, body)
 
@@ -170,9 +199,10 @@
 
         def body(membership: Membership) -> bytes:
             rows = [(p.topic, p.number, 0) for p in membership.partitions]
-            return msgspec.json.encode(
+            whole = msgspec.json.encode(
                 {"generation": membership.generation, "parts": rows}
             )
+            return self._spoil(whole, b"parts", BAD_ROWS)
 
         joined.addCallback(_answer, exchange, body)
 
@@ -187,7 +217,8 @@
                 (owner.partition.topic, owner.partition.number, owner.member, 0)
                 for owner in owners
             ]
-            return msgspec.json.encode({"parts": rows})
+            whole = msgspec.json.encode({"parts": rows})
+            return self._spoil(whole, b"parts", BAD_ROWS)
 
         owners = self.log.owners(query.text("group"))
         owners.addCallback(_answer, exchange, body)
--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -192,16 +192,17 @@
             state.last_resort_since = now
         is_new = engine.id not in self._states
         if is_new or engine is not previous:
-            self._note_warmth(state, engine, now, is_new=is_new)
+            is_start = is_new or engine.started_ms != previous.started_ms
+            self._note_warmth(state, engine, now, is_start=is_start)
             self._note_restart(state, previous)
 
     def _note_warmth(
-        self, state: EngineState, engine: Engine, now: float, *, is_new: bool
+        self, state: EngineState, engine: Engine, now: float, *, is_start: bool
     ) -> None:
         """Record the remaining warm-up time; if it can't be read, the last one holds."""
         if engine.cold_seconds is not None:
             state.warmth.record_report(engine.cold_seconds, now)
-        elif is_new:
+        elif is_start:
             seconds = self.eligibility.cold_seconds(engine.service)
             state.warmth.suspect_cold(now + seconds)
 
--- a/notcharch/platform/engine_entries.py
+++ b/notcharch/platform/engine_entries.py
@@ -19,6 +19,9 @@
 ADDRESS = "address"
 STATE = "state"
 COLD = "cold_remaining_ms"
+BORN = "born"
+HELD_BY_ID = frozenset(("service", ADDRESS, "zone"))
+"""Fields that hold also for another start of an engine under its id."""
 
 
 class ReadEntry(msgspec.Struct, frozen=True):
@@ -48,9 +51,13 @@
     unreadable = set(fields.unreadable)
     if not _is_address(found.get(ADDRESS)):
         unreadable.add(ADDRESS)
+    is_another_start = previous is not None and found.get(BORN, previous.born) != (
+        previous.born
+    )
     for name in unreadable:
         found.pop(name, None)
-        if previous is not None:
+        holds_on = name in HELD_BY_ID or not is_another_start
+        if previous is not None and holds_on:
             found[name] = getattr(previous, name)
     names = tuple(sorted(unreadable))
     try:
--- a/tests/unit/platform/test_unreadable_entries.py
+++ b/tests/unit/platform/test_unreadable_entries.py
@@ -163,6 +163,18 @@
     assert not warmth.is_cold(world.clock.seconds() + 5.0)
 
 
+def test_another_start_under_an_id_does_not_keep_the_version_of_the_one_before():
+    world = World()
+    world.pool.eligibility.set_cold_limits({"s": ColdLimit(9.0, 4.0)})
+    world.write_value("b", entry_with(born=b"5"))
+    world.run(0.5)
+    world.write_value("b", entry_with(born=b"6", version=b"7", cold_remaining_ms=b"[]"))
+    world.run(0.5)
+    state = world.pool._states["b"]
+    assert (state.engine.version, state.engine.started_ms) == ("", 6)
+    assert state.warmth.is_cold(world.clock.seconds() + 8.0)
+
+
 def test_a_new_engine_whose_cold_time_cannot_be_read_may_be_cold():
     world = World()
     world.pool.eligibility.set_cold_limits({"s": ColdLimit(9.0, 4.0)})
