An exception in one assignment or one view of the owners ends nothing else

No input is known that raises there. The new test of the heartbeats passes on the former code but for the log line.

--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.outages import StoreOutageKnown, StoreOutageOver
 from notcharch.journal.interface import (
     UNCERTAIN_FAULTS,
@@ -60,6 +61,7 @@
         """
         self._outage = outage
         self._is_outage_logged = False
+        self._faults = FeedFaults(name.group)
         self._service = service
         self._clock = clock
         self._name = name
@@ -132,7 +134,6 @@
         self._is_joining = False
         if not self._is_member:
             return
-        # Schedule the next heartbeat first, so that no exception below prevents it.
         if self._next is None or not self._next.active():
             self._next = self._clock.callLater(
                 self._next_delay(response), self.heartbeat
@@ -144,8 +145,9 @@
                 self.lease_held_since = self._clock.seconds()
             self._confirmed_at = sent_at
             if had_failed:
-                self._on_recovery()
-            self._on_assignment(response.ok_value)
+                self._faults.isolate("recovery", self._on_recovery)
+            membership = response.ok_value
+            self._faults.isolate("assignment", lambda: self._on_assignment(membership))
 
     def _report_to_outage(self, response: Result[Membership, LogProblem]) -> None:
         """Record whether the service answered, and log an outage that is known or over."""
--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -11,6 +11,7 @@
 
 from notcharch.errors import Problem
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.journal import OwnersChanged
 from notcharch.journal.interface import LogProblem, LogService, Ownership
 from notcharch.journal.metrics import OWNERS_AGE_SECONDS
@@ -84,6 +85,7 @@
         self._is_running = False
         self._has_failed = False
         """Whether the last request to the log service failed."""
+        self._faults = FeedFaults(group)
         self._requests_peer_views = requests_peer_views
         self._is_requesting_peer = False
         if requests_peer_views:
@@ -166,7 +168,10 @@
         self._has_failed = isinstance(response, Err)
         if not isinstance(response, Err):
             self._received_at = self._clock.seconds()
-            self._update_owners(self._parse_owners(response.ok_value))
+            rows = response.ok_value
+            self._faults.isolate(
+                "view", lambda: self._update_owners(self._parse_owners(rows))
+            )
 
     def _parse_owners(self, rows: tuple[Ownership, ...]) -> dict[int, OwnerName]:
         owners: dict[int, OwnerName] = {}
--- a/tests/unit/journal/test_group.py
+++ b/tests/unit/journal/test_group.py
@@ -11,6 +11,7 @@
     PartitionedLog,
     Trouble,
 )
+from notcharch.events import process
 from notcharch.journal.group import (
     FAST_HEARTBEAT_SECONDS,
     HEARTBEAT_SECONDS,
@@ -20,6 +21,7 @@
 from notcharch.journal.interface import (
     GroupName,
 )
+from tests.unit.events.capture import captured, of
 
 ALL = ["t0", "t1", "u0", "u1"]
 
@@ -134,3 +136,28 @@
     clock.pump([0.02] * 100)
     assert len(recoveries) == 1
     assert recoveries[0] <= 4.0 + HEARTBEAT_SECONDS + 0.04
+
+
+def test_an_exception_of_one_assignment_is_logged_and_ends_no_heartbeats():
+    clock = Clock()
+    log = PartitionedLog(clock, Random(1), 2)
+    assignments = []
+
+    def on_assignment(membership):
+        assignments.append(membership)
+        raise ValueError("a defect")
+
+    member = GroupMember(
+        log,
+        clock,
+        GroupName("g", ("t",)),
+        "m",
+        min_lease_seconds=1.0,
+        on_assignment=on_assignment,
+    )
+    with captured() as messages:
+        member.start()
+        clock.pump([0.1] * 30)
+    assert len(assignments) > 3
+    assert member.is_lease_valid
+    assert len(of(messages, process.PartSkipped)) == 1
