--- a/tests/unit/platform/tables_world.py
+++ b/tests/unit/platform/tables_world.py
@@ -54,8 +54,9 @@
         daemons: int = 1,
         *,
         other: "World | None" = None,
+        service=None,
     ) -> None:
-        """With `other`, follow the store of another daemon."""
+        """With `other`, follow the store of another daemon, read through `service`."""
         self.clock = Clock() if other is None else other.clock
         self.log = (
             PartitionedLog(self.clock, Random(1), 1) if other is None else other.log
@@ -68,7 +69,7 @@
         for name in "abc" if other is None else "":
             self.write(name)
         self.tables = PlatformTables(
-            self.log,
+            service or self.log,
             self.clock,
             Random(1),
             Ingress(),
