--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -5,7 +5,7 @@
 import pytest
 
 from deploy.soak.oracle import Asked, Oracle, Run, answer_of, event_of
-from deploy.soak.settings import BUDGET_TOKENS, TOKENS_PER_EVENT
+from deploy.soak.settings import BUDGET_TOKENS, DRAIN_SECONDS, TOKENS_PER_EVENT
 from deploy.soak.tenants import NEVER_HELD, REVOKE_SECONDS, WINDOW_SECONDS, Tenants
 from deploy.soak.zones import (
     EVACUATION_SECONDS,
@@ -313,3 +313,11 @@
     oracle.runs["r"] = [run(path="/home/x", zone=zone)]
     found = [violation.rule for violation in oracle.violations()]
     assert ("HOME" in found) is is_seen
+
+
+@pytest.mark.parametrize(("late", "rules"), [(-0.01, []), (0.01, ["DRAIN"])])
+def test_a_run_at_an_engine_that_said_long_ago_that_it_leaves(late, rules):
+    oracle = Oracle()
+    oracle.left["i"] = 5.0
+    oracle.runs["r"] = [run(at=5.0 + DRAIN_SECONDS + late), run(engine="j", at=99.0)]
+    assert [found.rule for found in oracle.at_leaving_engines()] == rules
