A daemon that has just started sends nothing to engines that were leaving before

Cause: the last engines of a service get calls for 1 s more from the moment at which a daemon reads that they leave. A daemon that starts reads it late and counts from there.

Change: an engine that leaves when it is first seen gets no calls. A daemon that saw it serve uses it for the 1 s as before.

Evidence: the test in test_tables failed before. One test of the pool began with an engine that it had never seen serve and expected a call there; it sees it serve first now, and the other case is a test of its own. Ruled out: bad parts in the store's answers, which began after the start had read its list; the logs show the engine as leaving in the list (2405) at the start.

--- a/notcharch/calls/engines.py
+++ b/notcharch/calls/engines.py
@@ -1,5 +1,6 @@
 """The pool of engines: their entries, their health, and the choice among them."""
 
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from functools import partial
 from random import Random
@@ -186,11 +187,12 @@
         An engine that may be draining gets no calls if `has_others` of its service do.
         """
         previous, state.engine = state.engine, engine
+        is_new = engine.id not in self._states
         if not engine.is_draining and not (engine.is_doubted and has_others):
             state.last_resort_since = None
         elif state.last_resort_since is None:
-            state.last_resort_since = now
-        is_new = engine.id not in self._states
+            # One that has not been seen to serve may have been leaving for long.
+            state.last_resort_since = -math.inf if is_new else now
         if is_new or engine is not previous:
             is_start = is_new or engine.started_ms != previous.started_ms
             self._note_warmth(state, engine, now, is_start=is_start)
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -354,6 +354,7 @@
 def test_the_last_engines_that_leave_get_calls_for_a_moment_only():
     clock = Clock()
     made = EnginePool(clock, Nearness("z"), Random(1))
+    made.replace([engine("a")])
     made.replace([draining("a")])
     assert made.choose(SERVICE, "p", ()).id == "a"
     clock.advance(LAST_RESORT_SECONDS + 0.01)
@@ -361,10 +362,17 @@
     assert made.choose(SERVICE, "p", ()) is None
 
 
+def test_an_engine_that_was_leaving_when_it_was_first_seen_gets_nothing():
+    made = EnginePool(Clock(), Nearness("z"), Random(1))
+    made.replace([draining("a")])
+    assert made.choose(SERVICE, "p", ()) is None
+
+
 def test_engines_that_leave_get_nothing_where_leaving_is_quick():
     made = EnginePool(
         Clock(), Nearness("z"), Random(1), PoolPolicy(last_resort_seconds=0.0)
     )
+    made.replace([engine("a")])
     made.replace([draining("a")])
     assert made.choose(SERVICE, "p", ()) is None
 
--- a/tests/unit/platform/test_tables.py
+++ b/tests/unit/platform/test_tables.py
@@ -225,3 +225,33 @@
         world.write("a")
         world.run(long_poll_seconds(CONTACT_SECONDS) + 1.0)
     assert world.needs_records
+
+
+@pytest.mark.parametrize("is_outage", [False, True])
+def test_a_daemon_that_starts_sends_no_call_to_engines_that_had_said_that_they_leave(
+    is_outage,
+):
+    """It can't know for how long they have been leaving."""
+    before = World()
+    before.write("a", "draining")
+    before.write("b", "draining")
+    before.run(2.0)
+    world = World(other=before)
+    if is_outage:
+        world.log.trouble = Trouble.REFUSE
+        world.run(1.0)
+        world.log.trouble = Trouble.NONE
+        world.run(1.0)
+    assert not world.takes_calls("a")
+    assert not world.takes_calls("b")
+    assert world.takes_calls("c")
+
+
+def test_an_engine_that_leaves_is_a_last_resort_for_daemons_that_saw_it_serve():
+    world = World()
+    for name in "abc":
+        world.write(name, "draining")
+    world.run(0.5)
+    assert all(world.takes_calls(name) for name in "abc")
+    world.run(LAST_RESORT_SECONDS + 0.1)
+    assert not any(world.takes_calls(name) for name in "abc")
