--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -2,9 +2,8 @@
 
 import msgspec
 
-from notcharch.journal.partition_journal import UnreadableEntryError
+from notcharch.journal.partition_journal import decode_entry
 from notcharch.tenants.tenant_use import TenantUse
-from notcharch.values.decoding import DECODING_ERRORS
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
@@ -105,7 +104,4 @@
 
 def decode(data: bytes) -> AnyRecord:
     """Decode a record; raises `UnreadableEntryError` if it can't be read."""
-    try:
-        return _DECODER.decode(data)
-    except DECODING_ERRORS as error:
-        raise UnreadableEntryError(str(error)) from error
+    return decode_entry(_DECODER, data)
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -308,9 +308,7 @@
             if self._route.stores_turns:
                 self._output.append(complete_events)
                 self._output_bytes += len(complete_events)
-            self._reply.write(complete_events)
-            if self._is_caller_behind and self._run is not None:
-                self._run.pause_reading()
+            self._relay(complete_events)
         return bool(complete_events)
 
     def run_body_started(self, head: ResponseHead) -> None:
@@ -320,6 +318,10 @@
 
     def run_body_received(self, data: bytes) -> None:
         """Relay data of a long answer."""
+        self._relay(data)
+
+    def _relay(self, data: bytes) -> None:
+        """Pass data on; read no more from the engine while the caller is behind."""
         self._reply.write(data)
         if self._is_caller_behind and self._run is not None:
             self._run.pause_reading()
--- a/notcharch/calls/end_check.py
+++ b/notcharch/calls/end_check.py
@@ -12,9 +12,9 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from notcharch.calls.engine_sender import EngineRequest, SendListener
-from notcharch.calls.incarnation_check import ENGINE, MAX_REPORT_BYTES
+from notcharch.calls.incarnation_check import MAX_REPORT_BYTES
 from notcharch.calls.interface import Engine, EngineDialect, OpaqueCall
-from notcharch.http.bounded_body import BoundedBody, report_too_long
+from notcharch.http.bounded_body import BoundedBody, ServerKind
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import RequestHead, ResponseHead
 
@@ -210,7 +210,7 @@
         self._timer: IDelayedCall | None = None
         self._request: EngineRequest | None = None
         self._head: ResponseHead | None = None
-        self._body = BoundedBody(MAX_REPORT_BYTES)
+        self._body = BoundedBody(MAX_REPORT_BYTES, ServerKind.ENGINE, engine.id)
         self._is_over = False
 
     def start(self) -> None:
@@ -276,7 +276,6 @@
         if verdict is not None:
             self._end(verdict)
         elif not is_kept:
-            report_too_long(ENGINE, self._engine.id, MAX_REPORT_BYTES)
             self._end(self._question.verdict_if_cut)
 
     def completed(self) -> None:
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -13,7 +13,6 @@
 from notcharch.calls.engine_sender import EngineRequest, EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.held_answer import MAX_EVENT_BYTES, HeldAnswer
-from notcharch.calls.incarnation_check import ENGINE
 from notcharch.calls.interface import (
     Admission,
     Engine,
@@ -27,7 +26,7 @@
     StreamOrigins,
 )
 from notcharch.calls.overdue import OverdueWatch
-from notcharch.http.bounded_body import report_too_long
+from notcharch.http.bounded_body import ServerKind, report_too_long
 from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
@@ -308,7 +307,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Relay or buffer the data."""
-        if not self._answer.received_bytes(len(data)):
+        if not self._answer.count_received(len(data)):
             self._give_up()
         elif self._is_relaying:
             self._event_data_received(data)
@@ -345,7 +344,7 @@
         """Read the answer no further."""
         if self._is_over:
             return
-        report_too_long(ENGINE, self.engine.id, self._answer.received)
+        report_too_long(ServerKind.ENGINE, self.engine.id, self._answer.received)
         self.abandon()
         self._listener.run_failed(TOO_LONG, ProcessState.ASSUMED)
 
--- a/notcharch/calls/held_answer.py
+++ b/notcharch/calls/held_answer.py
@@ -29,7 +29,7 @@
         self.received = 0
         """Number of bytes of the answer so far."""
 
-    def received_bytes(self, count: int) -> bool:
+    def count_received(self, count: int) -> bool:
         """Count received bytes; return False for an answer that is longer than any may be."""
         self.received += count
         return self.received <= MAX_ANSWER_BYTES
--- a/notcharch/calls/incarnation_check.py
+++ b/notcharch/calls/incarnation_check.py
@@ -11,7 +11,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.interface import Engine, IncarnationDialect
-from notcharch.http.bounded_body import BoundedBody, report_too_long
+from notcharch.http.bounded_body import BoundedBody, ServerKind
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.messages import ResponseHead
 
@@ -21,7 +21,6 @@
 
 MAX_REPORT_BYTES = 1024 * 1024
 """The longest report: some dozen bytes for each run, model and adapter of an engine."""
-ENGINE = "engine"
 
 
 class CheckResult(enum.Enum):
@@ -49,7 +48,7 @@
         self._connection = connection
         self._then = then
         self._head: ResponseHead | None = None
-        self._body = BoundedBody(MAX_REPORT_BYTES)
+        self._body = BoundedBody(MAX_REPORT_BYTES, ServerKind.ENGINE, engine.id)
 
     def start(self, clock: IReactorTime) -> None:
         """Send the request."""
@@ -82,7 +81,6 @@
     def data_received(self, data: bytes) -> None:
         """Keep a part of the body; a report that is too long tells nothing."""
         if not self._body.add(data):
-            report_too_long(ENGINE, self._engine.id, MAX_REPORT_BYTES)
             self._connection.abandon()
             self._end(CheckResult.FAILED)
 
--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from notcharch.http.bounded_body import BoundedBody, report_too_long
+from notcharch.http.bounded_body import BoundedBody, ServerKind
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead, ResponseHead
@@ -23,7 +23,6 @@
 """Idle connections are closed after this time."""
 MAX_RESPONSE_BYTES = 1024 * 1024
 """The longest response, unless a request allows another length."""
-STORE = "store"
 MAX_IDLE = 16
 """Idle connections kept to the server: more than its usual concurrent requests."""
 
@@ -65,7 +64,8 @@
         self.connection: ClientConnection | None = None
         self.timer: IDelayedCall | None = None
         self._response: ResponseHead | None = None
-        self._received = BoundedBody(max_response_bytes)
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        self._received = BoundedBody(max_response_bytes, ServerKind.STORE, path)
         self.is_finished = False
 
     def is_response(self, head: ResponseHead) -> bool:
@@ -80,8 +80,6 @@
         """Buffer a chunk of the body; fail if the body is too long."""
         if self._received.add(data):
             return
-        path = self.head.target.partition(b"?")[0].decode("latin-1")
-        report_too_long(STORE, path, self._received.limit_bytes)
         if self.connection is not None:
             self.connection.abandon()
         self.finish(Err(NoResponse.TOO_LONG))
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Generator
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 from result import Err, Result
@@ -21,6 +21,7 @@
 )
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import PartitionWriter
+from notcharch.values.decoding import DECODING_ERRORS
 
 READ_RETRY_SECONDS = 0.08
 """Delay before a failed read is retried; short, since a takeover waits for it, but many
@@ -46,6 +47,17 @@
     """An entry of a journal can't be decoded."""
 
 
+EntryT = TypeVar("EntryT")
+
+
+def decode_entry(decoder: "msgspec.msgpack.Decoder[EntryT]", entry: bytes) -> EntryT:
+    """Decode an entry; raises `UnreadableEntryError` if it can't be read."""
+    try:
+        return decoder.decode(entry)
+    except DECODING_ERRORS as error:
+        raise UnreadableEntryError(str(error)) from error
+
+
 class ReplayTarget(Protocol):
     """Receives the entries of a journal during a replay."""
 
--- a/notcharch/partitions/records.py
+++ b/notcharch/partitions/records.py
@@ -2,9 +2,8 @@
 
 import msgspec
 
-from notcharch.journal.partition_journal import UnreadableEntryError
+from notcharch.journal.partition_journal import decode_entry
 from notcharch.partitions.interface import Command
-from notcharch.values.decoding import DECODING_ERRORS
 from notcharch.values.identifiers import Epoch
 
 PART_BYTES = 128 * 1024
@@ -49,10 +48,7 @@
 
 def decode_record(data: bytes) -> AnyRecord:
     """Decode a record; raises `UnreadableEntryError` if it can't be read."""
-    try:
-        return _DECODER.decode(data)
-    except DECODING_ERRORS as error:
-        raise UnreadableEntryError(str(error)) from error
+    return decode_entry(_DECODER, data)
 
 
 def snapshot_parts(
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -172,11 +172,6 @@
     return Tenant(entry.name, entry.priority, limit, regions)
 
 
-def decode_table(value: bytes) -> RouteTable:
-    """Decode the configuration; raises one of `DECODING_ERRORS` if it is invalid."""
-    return to_table(CONFIGURATION_DECODER.decode(value))
-
-
 def to_table(entry: ConfigurationEntry) -> RouteTable:
     """Convert the configuration."""
     services = {
@@ -214,11 +209,6 @@
     return Address(str(IPv4Address(host)), port)
 
 
-def decode_engine(id: str, value: bytes) -> Engine:
-    """Decode an engine's entry; raises one of `DECODING_ERRORS` if it is invalid."""
-    return to_engine(id, SERVER_DECODER.decode(value))
-
-
 def to_engine(id: str, entry: ServerEntry) -> Engine:
     """Convert an engine's entry; raises `ValueError` for an invalid address."""
     address = parse_address(entry.address)
--- a/notcharch/platform/log_answers.py
+++ b/notcharch/platform/log_answers.py
@@ -14,7 +14,7 @@
     Ownership,
 )
 from notcharch.values.decoding import DECODING_ERRORS
-from notcharch.values.json_parts import split_array, split_object
+from notcharch.values.json_parts import split_object, text_member, whole_elements
 
 Decoded = TypeVar("Decoded")
 
@@ -54,7 +54,6 @@
 
 _PAGE = msgspec.json.Decoder(NewestResponse)
 _ITEM = msgspec.json.Decoder(NewestItem)
-_TEXT = msgspec.json.Decoder(str)
 _NUMBER = msgspec.json.Decoder(int)
 _FLAG = msgspec.json.Decoder(bool)
 _JOIN = msgspec.json.Decoder(JoinResponse)
@@ -75,11 +74,7 @@
 
     def elements(self, name: str) -> tuple[bytes, ...]:
         """Return the elements of a list; raises `ValueError` if the list was cut."""
-        parts = split_array(self._members.get(name, b""))
-        if not parts.is_whole:
-            message = f"{name} was cut"
-            raise ValueError(message)
-        return parts.elements
+        return whole_elements(self._members.get(name, b""), name)
 
 
 def decode_page(body: bytes, faults: FeedFaults) -> NewestPage:
@@ -101,7 +96,7 @@
         try:
             items.append(_to_record(_ITEM.decode(element)))
         except DECODING_ERRORS as error:
-            key = _key_of(element)
+            key = text_member(element, KEY)
             if key is not None:
                 unreadable.append(key)
             faults.report(key or f"item {number}", str(error))
@@ -113,13 +108,6 @@
     return KeyedRecord(item.private_key, item.value, item.offset)
 
 
-def _key_of(element: bytes) -> str | None:
-    try:
-        return _TEXT.decode(split_object(element).members.get(KEY, b""))
-    except DECODING_ERRORS:
-        return None
-
-
 def decode_membership(body: bytes, faults: FeedFaults) -> Membership:
     """Decode an assignment; raises one of `DECODING_ERRORS` if it tells nothing."""
     try:
--- a/notcharch/platform/partial_table.py
+++ b/notcharch/platform/partial_table.py
@@ -17,7 +17,7 @@
     TenantEntry,
 )
 from notcharch.values.decoding import DECODING_ERRORS
-from notcharch.values.json_parts import split_array, split_object
+from notcharch.values.json_parts import text_member, whole_elements
 from notcharch.values.struct_fields import FieldReader
 
 EntryT = TypeVar("EntryT", bound=msgspec.Struct)
@@ -25,7 +25,6 @@
 NAME = "name"
 CONFIGURATION = FieldReader(ConfigurationEntry)
 NULL = b"null"
-_TEXT = msgspec.json.Decoder(str)
 
 
 class ReadConfiguration(msgspec.Struct, frozen=True):
@@ -54,16 +53,12 @@
 
         One that can't be read is as in `previous`. Raises `ValueError` for a cut list.
         """
-        parts = split_array(text)
-        if not parts.is_whole:
-            message = f"{self._list_name} can't be read"
-            raise ValueError(message)
         found: list[EntryT] = []
         lacks_any = False
-        for number, element in enumerate(parts.elements):
+        for number, element in enumerate(whole_elements(text, self._list_name)):
             entry = self._read_element(element)
             if entry is None:
-                name = _name_of(element)
+                name = text_member(element, NAME)
                 faults.report(f"{self._list_name} {name or number}", "unreadable")
                 entry = previous.get(name or "")
             if entry is None:
@@ -121,11 +116,9 @@
     if texts.get("tenants", NULL) != NULL:
         found["tenants"], lacks_tenants = TENANTS.read(texts["tenants"], {}, faults)
     entry = CONFIGURATION.build(found)
-    return ReadConfiguration(entry, True, lacks_routes, lacks_tenants)
-
-
-def _name_of(element: bytes) -> str | None:
-    try:
-        return _TEXT.decode(split_object(element).members.get(NAME, b""))
-    except DECODING_ERRORS:
-        return None
+    return ReadConfiguration(
+        entry,
+        is_partial=True,
+        lacks_routes=lacks_routes,
+        lacks_tenants=lacks_tenants,
+    )
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -138,6 +138,7 @@
         self._requester = requester
         self._clock = clock
         self._feeds: dict[str, FeedFaults] = {}
+        """The faults of the answers about each topic or group."""
         self._appends = AdaptiveTimeout(
             MIN_APPEND_TIMEOUT_SECONDS, REQUEST_TIMEOUT_SECONDS
         )
@@ -152,7 +153,9 @@
 
     def _faults(self, feed: str) -> FeedFaults:
         """Return the faults of the answers about a topic or a group."""
-        return self._feeds.setdefault(feed, FeedFaults(feed))
+        if feed not in self._feeds:
+            self._feeds[feed] = FeedFaults(feed)
+        return self._feeds[feed]
 
     def _call(
         self,
--- a/notcharch/scheduling/software_versions.py
+++ b/notcharch/scheduling/software_versions.py
@@ -126,14 +126,14 @@
         confirmed = self._confirmed_at
         if confirmed is None or confirmed < since:
             return ""
-        return self._only_version(service, now, self._max_age_seconds)
+        return self._only_version(service, now)
 
     def may_be_certain(self, service: str, now: float) -> bool:
         """Return whether a service has one version for all that polls have shown.
 
         It is certain once the list is confirmed.
         """
-        return bool(self._only_version(service, now, self._max_age_seconds))
+        return bool(self._only_version(service, now))
 
     def age_seconds(self, now: float) -> float:
         """Return how long ago the list was up to date; 0 if it never was."""
@@ -157,12 +157,12 @@
         """
         return not self.may_be_certain(service, now)
 
-    def _only_version(self, service: str, now: float, max_age: float) -> str:
+    def _only_version(self, service: str, now: float) -> str:
         followed, confirmed = self._followed_since, self._confirmed_at
         if followed is None or confirmed is None:
             return ""
         is_followed = now - followed >= self.resumable_seconds
-        if not is_followed or now - confirmed >= max_age:
+        if not is_followed or now - confirmed >= self._max_age_seconds:
             return ""
         recent = self._recent(service, now)
         return recent[0] if len(recent) == 1 else ""
--- a/notcharch/values/json_parts.py
+++ b/notcharch/values/json_parts.py
@@ -76,7 +76,7 @@
     are_all_named = True
     for part in scanner.parts():
         member = _MEMBER.fullmatch(part)
-        name = None if member is None else _decode_name(member[1])
+        name = None if member is None else _decode_text(member[1])
         if member is not None and name is not None:
             members[name] = member[2].strip()
         elif part.strip():
@@ -91,7 +91,21 @@
     return ArrayParts(elements, scanner.is_closed)
 
 
-def _decode_name(text: bytes) -> str | None:
+def whole_elements(text: bytes, name: str) -> tuple[bytes, ...]:
+    """Return the elements of a JSON array; raises `ValueError` if it is no whole one."""
+    parts = split_array(text)
+    if not parts.is_whole:
+        message = f"{name} can't be read"
+        raise ValueError(message)
+    return parts.elements
+
+
+def text_member(text: bytes, name: str) -> str | None:
+    """Return a member of a JSON object that is a text; None if it can't be read."""
+    return _decode_text(split_object(text).members.get(name, b""))
+
+
+def _decode_text(text: bytes) -> str | None:
     try:
         return msgspec.json.decode(text, type=str)
     except DECODING_ERRORS:
--- a/tests/stateful/feeds/test_feeds_machine.py
+++ b/tests/stateful/feeds/test_feeds_machine.py
@@ -81,9 +81,6 @@
 
 
 def a_bad_item_fails_its_page(monkeypatch):
-    def decode(_body, _faults):
-        raise ValueError("a page with a bad item")
-
     def newest(self, topic, partition, after=""):
         return self._log.newest(topic, partition, after).addCallback(
             lambda result: (
@@ -95,7 +92,6 @@
             )
         )
 
-    monkeypatch.setattr(log_answers, "_decode_items", decode)
     monkeypatch.setattr(spoiling_log.SpoilingLog, "newest", newest)
 
 
--- a/tests/stateful/stream_origins/test_stream_machine.py
+++ b/tests/stateful/stream_origins/test_stream_machine.py
@@ -60,7 +60,7 @@
 
 
 def a_listed_version_is_certain_although_there_were_others(monkeypatch):
-    def only(versions, service, now, max_age):
+    def only(versions, service, now):
         known = versions._services.get(service, {})
         listed = [name for name, times in known.items() if times.is_listed]
         return listed[0] if len(listed) == 1 else ""
@@ -70,7 +70,8 @@
 
 def a_claim_rests_on_a_list_that_was_read_before_the_question(monkeypatch):
     def only(versions, service, since, now):
-        return versions._only_version(service, now, SETTLING_SECONDS)
+        is_recent = versions.age_seconds(now) < SETTLING_SECONDS
+        return versions._only_version(service, now) if is_recent else ""
 
     monkeypatch.setattr(SoftwareVersions, "only_version", only)
 
--- a/tests/unit/journal/test_group.py
+++ b/tests/unit/journal/test_group.py
@@ -114,16 +114,18 @@
     assert len(world.assigned["b"]) == 2
 
 
+def lone_member(clock: Clock, log: PartitionedLog, **callbacks) -> GroupMember:
+    group = GroupName("g", ("t",))
+    return GroupMember(log, clock, group, "m", min_lease_seconds=1.0, **callbacks)
+
+
 def test_the_first_heartbeat_after_an_outage_reports_the_recovery():
     clock = Clock()
     log = PartitionedLog(clock, Random(1), 2)
     recoveries: list[float] = []
-    member = GroupMember(
-        log,
+    member = lone_member(
         clock,
-        GroupName("g", ("t",)),
-        "m",
-        min_lease_seconds=1.0,
+        log,
         on_assignment=lambda _: None,
         on_recovery=lambda: recoveries.append(clock.seconds()),
     )
@@ -147,14 +149,7 @@
         assignments.append(membership)
         raise ValueError("a defect")
 
-    member = GroupMember(
-        log,
-        clock,
-        GroupName("g", ("t",)),
-        "m",
-        min_lease_seconds=1.0,
-        on_assignment=on_assignment,
-    )
+    member = lone_member(clock, log, on_assignment=on_assignment)
     with captured() as messages:
         member.start()
         clock.pump([0.1] * 30)
--- a/tests/unit/platform/test_configuration.py
+++ b/tests/unit/platform/test_configuration.py
@@ -4,12 +4,9 @@
 import pytest
 
 from notcharch.calls.interface import ServiceShare
-from notcharch.platform.configuration import (
-    decode_engine,
-    decode_table,
-    parse_drained_zones,
-)
+from notcharch.platform.configuration import parse_drained_zones
 from notcharch.scheduling.cold_engines import ColdLimit
+from tests.unit.platform.decoding import decode_engine, decode_table
 
 ROUTE = {
     "name": "r",
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -10,13 +10,13 @@
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.calls.routing import Router
 from notcharch.http.server import ServerFactory
-from notcharch.platform.configuration import decode_table
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
 from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.tenants.freshness import TableFreshness
 from tests.unit.calls.world import Sender, engine_pool
 from tests.unit.events.capture import captured
+from tests.unit.platform.decoding import decode_table
 
 KEY = "jvz48wuakn2ftimaj3nr"
 OTHER_KEY = "26tta828m82thhkmgjqn"
