--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -137,3 +137,53 @@
     """A key, an offset or a name."""
     fault: str
     """What can't be read; its last read values are used, if there are any."""
+
+
+class ProcessStateChanged(Event, frozen=True):
+    """The state of the process's life changed."""
+
+    number: ClassVar[int] = 2414
+    machine: str
+    state: str
+    former_state: str
+    waiting_for: list[str]
+    """What is missing until callers are served."""
+    seconds: float
+    """Time spent in the former state."""
+
+
+class PortTaken(Event, frozen=True):
+    """The process can't listen; it tries again until it can."""
+
+    number: ClassVar[int] = 2416
+    purpose: str
+    host: str
+    port: int
+    """The first port that was tried."""
+    ports: int
+    """So many were tried, with consecutive numbers."""
+    cause: str
+    failures: int
+    """Failed attempts up to now."""
+
+
+class PortOpened(Event, frozen=True):
+    """The process listens on a port."""
+
+    number: ClassVar[int] = 2417
+    purpose: str
+    host: str
+    port: int
+    failures: int
+    """Failed attempts before."""
+    seconds: float
+    """Time for which the port was missing."""
+
+
+class StartFailed(Event, frozen=True):
+    """An exception in the start: the process ends with status 1."""
+
+    number: ClassVar[int] = 2418
+    machine: str
+    error: str
+    traceback: str
--- a/notcharch/http/metrics.py
+++ b/notcharch/http/metrics.py
@@ -19,3 +19,11 @@
     "Answers that were read no further for their length",
     ["peer"],
 )
+PORTS_WAITING = Gauge(
+    "notcharch_process_ports_waiting",
+    "Whether a port of this process is not open yet because it is held",
+    ["port"],
+)
+LISTEN_FAILURES = Counter(
+    "notcharch_process_listen_failures", "Failed attempts to listen", ["port"]
+)
