The daemon waits for its ports and is never half started

Cause: Process.start listened once; a held port of callers, probes or metrics stopped the reactor with status 0, and one of the peers raised after half of the start.

Change: the ports are opened by listeners that wait. Peers' port is the first free one of internal_port_range, and the components are created when it is open, as the group's member and all that is sent to peers hold its address. The metrics port is done without. An exception in any step closes the ports, logs 2418, writes one line to stderr and sets exit_status to 1. A stop signal before the ports are open leaves the group (0.5 s at most) and ends with status 0. Readiness' body tells the state and what it waits for.

A process whose first peers' port is held, usually by the process before it that drains, has the daemon name machine:port. Under one name, peers drop the connections of the former process when the new one connects, and neither of the two can send requests to the other.

AccountsService.leave, and what it calls, return a Deferred. Construction moved from process.py to components.py (moved text, other names of attributes), ports to listeners.py.

--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -3,8 +3,10 @@
 import time
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Any
 
 import msgspec
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.admission import MAX_BODY_BYTES, AccountAdmission
@@ -170,8 +172,13 @@
             self._member.start()
         self.directory.start()
 
-    def leave(self) -> None:
-        """Release all partitions; continue to send requests to other owners."""
-        if self._role.is_member:
-            self._member.stop()
-            self._owned_partitions.release_all().addBoth(lambda _: self._member.leave())
+    def leave(self) -> "Deferred[Any]":
+        """Release all partitions; continue to send requests to other owners.
+
+        Fires when the log service has confirmed it, or didn't.
+        """
+        if not self._role.is_member:
+            return succeed(None)
+        self._member.stop()
+        released = self._owned_partitions.release_all()
+        return released.addBoth(lambda _: self._member.leave())
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import xxhash
+from twisted.internet.defer import Deferred, DeferredList
 
 from notcharch.accounts.account_group import AccountGroup
 from notcharch.accounts.owner_requests import OwnerRequests
@@ -91,8 +93,8 @@
         else:
             group.admission.request(call, route, listener)
 
-    def leave(self) -> None:
-        """Leave all groups."""
+    def leave(self) -> "Deferred[Any]":
+        """Leave all groups; fires when all are left."""
         self._has_left = True
-        for group in self._groups.values():
-            group.leave()
+        leaving = [group.leave() for group in self._groups.values()]
+        return DeferredList(leaving, consumeErrors=True)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -3,8 +3,10 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
+from typing import Any
 
 import msgspec
+from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.interfaces import IReactorTime
 
 from notcharch.accounts.account_group import (
@@ -178,10 +180,15 @@
         """Join the group of all daemons and start tracking the owners."""
         self._default_group.start()
 
-    def leave(self) -> None:
-        """Release all partitions; continue to send requests to other owners."""
-        self._default_group.leave()
-        self._regional_accounts.leave()
+    def leave(self) -> "Deferred[Any]":
+        """Release all partitions; continue to send requests to other owners.
+
+        Fires when the log service has confirmed it, or didn't.
+        """
+        return DeferredList(
+            [self._default_group.leave(), self._regional_accounts.leave()],
+            consumeErrors=True,
+        )
 
 
 def account_network(
--- a/notcharch/journal/group.py
+++ b/notcharch/journal/group.py
@@ -193,7 +193,7 @@
         if self._next is not None and self._next.active():
             self._next.cancel()
 
-    def leave(self) -> None:
+    def leave(self) -> "Deferred[Any]":
         """Leave the group, which releases all partitions immediately."""
         self.stop()
-        self._service.leave(self._name.group, self._member)
+        return self._service.leave(self._name.group, self._member)
--- a/notcharch/partitions/service.py
+++ b/notcharch/partitions/service.py
@@ -118,7 +118,10 @@
         """Hand over all partitions; fires after the group is left."""
         self._group.stop()
         handed_over = self._assigned.release_all()
-        return handed_over.addBoth(lambda _: self._group.leave())
+        return handed_over.addBoth(lambda _: self._leave_group())
+
+    def _leave_group(self) -> None:
+        self._group.leave()
 
     def _write_due_snapshots(self) -> None:
         for partition in self._assigned.all():
--- a/notcharch/platform/probes.py
+++ b/notcharch/platform/probes.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+import msgspec
 from prometheus_client import REGISTRY
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
@@ -11,6 +12,14 @@
 NOT_READY = 503
 
 
+class Readiness(msgspec.Struct, frozen=True):
+    """The body of the answer to a readiness probe; the platform reads the status alone."""
+
+    state: str
+    waiting_for: list[str]
+    """What is missing until callers are served."""
+
+
 class ReadinessSource(Protocol):
     """Reports whether the daemon is ready."""
 
@@ -18,6 +27,9 @@
     def is_ready(self) -> bool:
         """Whether the daemon accepts new connections."""
 
+    def readiness(self) -> Readiness:
+        """Return the state, and what is missing until callers are served."""
+
 
 class ProbeHandler:
     """Base of the handlers of probes, with default limits."""
@@ -43,7 +55,9 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Respond with 200 when ready, else 503."""
-        exchange.respond(READY if self._process.is_ready else NOT_READY, [])
+        status = READY if self._process.is_ready else NOT_READY
+        body = msgspec.json.encode(self._process.readiness())
+        exchange.respond(status, [(b"content-type", b"application/json")], body)
 
 
 class MetricsHandler(ProbeHandler):
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,5 +1,6 @@
-"""The daemon process on the platform: creates its components and runs them."""
+"""The daemon process on the platform: its ports, its components and its life."""
 
+import contextlib
 import os
 import sys
 import time
@@ -8,26 +9,11 @@
 
 import eliot
 from result import Err, Result
-from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.defer import succeed
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
 
-from notcharch.accounts.admission import max_body_bytes
-from notcharch.accounts.service import (
-    AccountSettings,
-    AccountsService,
-    account_network,
-)
-from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.eligibility import EngineEligibility
-from notcharch.calls.engine_run import CallServices
-from notcharch.calls.engine_sender import EngineSender
-from notcharch.calls.engines import EnginePool
-from notcharch.calls.interface import LoadExchange, NoLoadExchange
-from notcharch.calls.policies import call_urgency, cold_policy, pool_policy, wait_policy
-from notcharch.engine_load.exchange import EngineLoadExchange
-from notcharch.engine_load.messages import ENGINE_LOAD_MESSAGES
 from notcharch.events.calls import CallerNotIdentified, CallServed, EngineChosen
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
@@ -39,43 +25,28 @@
     ProcessStopping,
     ReadinessChanged,
     SettingsRead,
+    StartFailed,
 )
 from notcharch.events.tenants import LimitReached
-from notcharch.http.buffered_bytes import BufferedBytes, total_limit
 from notcharch.http.drain import Drain, DrainTimes
-from notcharch.http.metrics import BUFFERED_BYTES
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
-from notcharch.journal.known_daemons import KnownDaemons
-from notcharch.journal.recovery_signal import RecoverySignal
-from notcharch.journal.store_outage import StoreOutage
-from notcharch.platform.headers import PlatformDialect
-from notcharch.platform.ingress import Ingress
-from notcharch.platform.probes import MetricsHandler, ReadinessHandler
+from notcharch.platform.components import Components, Surroundings
+from notcharch.platform.life import BEFORE_PORTS, ENDED, LifeState
+from notcharch.platform.listeners import ProcessListeners
+from notcharch.platform.probes import MetricsHandler, Readiness, ReadinessHandler
+from notcharch.platform.reported_life import ReportedLife
 from notcharch.platform.settings import (
     ProcessSettings,
     read_settings,
     read_settings_file,
 )
 from notcharch.platform.store import PlatformStore
-from notcharch.platform.tables import PlatformTables, long_poll_seconds
-from notcharch.quarantine.examination import EngineExamination
-from notcharch.quarantine.messages import QUARANTINE_MESSAGES
-from notcharch.quarantine.service import QuarantineService
-from notcharch.scheduling.first_response_times import RouteResponseTimes
-from notcharch.scheduling.nearness import Nearness
-from notcharch.scheduling.shared_suspicions import SharedSuspicions
-from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
 from notcharch.settings.settled_file import SettledFile
-from notcharch.stream_origins.exchange import StreamOriginExchange
-from notcharch.stream_origins.messages import STREAM_ORIGIN_MESSAGES
-from notcharch.tenants.freshness import TableFreshness
-from notcharch.tenants.freshness_exchange import TableFreshnessExchange
-from notcharch.tenants.interface import Tenant
-from notcharch.values.identifiers import DaemonName, Incarnation, Member
+from notcharch.values.identifiers import Incarnation
 
 STOP_ACCEPT_SECONDS = 2.6
 """After SIGTERM, connections are accepted until the platform detects the stop."""
@@ -83,15 +54,11 @@
 """Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
 STOP_MARGIN_SECONDS = 0.7
 """Reserved at the end of the grace period for the last log lines and the exit."""
-LISTEN_BACKLOG = 512
-"""Maximum number of pending connections; well above a burst of one second."""
+EARLY_STOP_SECONDS = 0.5
+"""How long a process that never served waits for the store to confirm that it left."""
+FAILED_STATUS = 1
+"""Exit status after a defect."""
 MILLISECONDS_PER_SECOND = 1000
-MIN_FRESHNESS_SECONDS = 0.6
-"""A daemon whose freshness confirmation expires sooner than this is not ready.
-
-Peers have failed to renew it several times by then. The platform probes readiness
-once a second.
-"""
 STANDARD_OUTPUT = 1
 TICK_INTERVAL_SECONDS = 1.0
 """Interval of the checks for pauses and readiness; readiness probes are as frequent."""
@@ -102,19 +69,6 @@
     return Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
 
 
-def _outage(
-    settings: ProcessSettings, mechanisms: frozenset[Mechanism]
-) -> StoreOutage | None:
-    """Return the state of the store's outages, where calls are refused in them.
-
-    Retries that wait in an outage need the recovery signal.
-    """
-    needed = {Mechanism.OUTAGE_REFUSALS, Mechanism.RECOVERY_SIGNAL}
-    if not settings.has_competing_callers or not needed <= mechanisms:
-        return None
-    return StoreOutage()
-
-
 class Process:
     """One daemon on the platform."""
 
@@ -125,232 +79,147 @@
         metrics_port: int | None,
         mechanisms: frozenset[Mechanism],
     ) -> None:
-        """Create the components; metrics are served on `metrics_port`, if any."""
-        self._settings = settings
+        """Prepare a daemon with metrics on `metrics_port`, if any; `start` runs it."""
+        self._settings = self._start_settings = settings
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
+        self._random = Random()
         self._reload = SettledFile(reactor, read_settings_file, self._settings_settled)
-        random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
-        platform_store = self._store = PlatformStore(
-            self._requester, reactor, settings.store.log_limits
-        )
-        local_member = Member(DaemonName(settings.machine), new_incarnation())
-        self._network = account_network(
-            reactor,
-            local_member,
-            random,
-            other_messages=(
-                *ENGINE_LOAD_MESSAGES,
-                *STREAM_ORIGIN_MESSAGES,
-                *QUARANTINE_MESSAGES,
-            ),
-        )
-        suspicions = SharedSuspicions(
-            is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
-        )
-        recovery = RecoverySignal(reactor, _outage(settings, mechanisms))
-        self._accounts = AccountsService(
-            AccountSettings(
-                address=f"{settings.host}:{settings.peer_ports[0]}",
-                partitions=settings.store.partitions,
-                min_lease_seconds=settings.store.min_lease_seconds,
-                retention_seconds=settings.store.retention_seconds,
-                mechanisms=mechanisms,
-                tolerance=settings.tolerance,
-                max_body_bytes=max_body_bytes(
-                    total_limit(settings.memory_bytes), settings.store.partition_bytes
-                ),
-                region=settings.regions.get(settings.zone, ""),
-                regions=tuple(sorted(set(settings.regions.values()))),
-                has_competing_callers=settings.has_competing_callers,
-            ),
-            platform_store,
-            reactor,
-            self._network,
-            random,
-            suspicions=suspicions,
-            recovery=recovery,
-            tenant=self._tenant,
-        )
-        known_daemons = KnownDaemons(settings.machine, self._accounts.directory)
-        versions = SoftwareVersions(long_poll_seconds(settings.contact_seconds))
-        self._origins = StreamOriginExchange(
-            reactor,
-            self._network,
-            versions,
-            members=known_daemons.members,
-            route_age=lambda route: self._ingress.route_age(route, reactor.seconds()),
-            confirm_list=self._confirm_engines,
-        )
-        pool = EnginePool(
-            reactor,
-            Nearness(settings.zone, settings.regions),
-            random,
-            pool_policy(mechanisms, settings.drain_seconds, settings.heartbeat_seconds),
-            suspicions,
-            eligibility=EngineEligibility(
-                settings.regions,
-                cold_policy(mechanisms, settings.cold_tolerance),
-                known_daemons,
-            ),
-            versions=versions,
-        )
-        pool.on_restart = self._origins.engine_restarted
-        self._loads = self._load_exchange(pool, known_daemons, random)
-        pool.use_exchange(self._loads)
-        buffers = BufferedBytes(total_limit(settings.memory_bytes))
-        BUFFERED_BYTES.set_function(lambda: buffers.total)
-        sender = EngineSender(reactor, settings.host, buffers)
-        sender.on_idle_close = pool.may_have_restarted
-        self._freshness = TableFreshness(settings.revoke_seconds)
-        self._check = CallerCheck(reactor, self._freshness)
-        dialect = PlatformDialect()
-        self._quarantine = QuarantineService(
-            reactor,
-            self._network,
-            pool,
-            EngineExamination(
-                reactor,
-                sender,
-                dialect,
-                health_path=self._health_path,
-            ),
-            random,
-            members=known_daemons.members,
-        )
-        self._ingress = Ingress(
-            CallServices(
-                clock=reactor,
-                pool=pool,
-                sender=sender,
-                dialect=dialect,
-                admission=self._accounts.admission,
-                waits=RouteResponseTimes(wait_policy(mechanisms)),
-                urgency=call_urgency(mechanisms),
-                answers=BufferedBytes(total_limit(settings.memory_bytes)),
-                origins=self._origins,
-                quarantine=self._quarantine,
-            ),
-            self._check,
-        )
-        self._factory = ServerFactory(self._ingress, reactor, buffers)
-        self._tables = PlatformTables(
-            platform_store,
-            reactor,
-            random,
-            self._ingress,
-            pool,
-            sender=sender,
-            contact_seconds=settings.contact_seconds,
-            recovery=recovery,
-            freshness=self._freshness,
-            revoke_seconds=settings.revoke_seconds,
-            daemons=lambda: len(self._accounts.directory.peers()),
-            use_regions=self._accounts.use_regions,
-        )
-        self._freshness_exchange = TableFreshnessExchange(
-            reactor,
-            random,
-            self._network,
-            self._freshness,
-            peers=self._accounts.directory.peers,
-            request_at_age=self._tables.confirmation_age_seconds,
-            table=lambda: self._tables.raw_table,
-            activate_table=self._tables.apply_table,
-            drained=lambda: self._tables.drained_zones,
-            apply_drained=self._tables.apply_peer_drained_zones,
-        )
+        self._store = PlatformStore(self._requester, reactor, settings.store.log_limits)
         routine = (CallServed, CallerNotIdentified, EngineChosen, LimitReached)
         self._output = LogOutput(
             STANDARD_OUTPUT,
             reactor,
             frozenset(event.number for event in routine),
         )
+        self._life = ReportedLife(reactor, settings.machine)
+        self._listeners = ProcessListeners(
+            reactor,
+            self._random,
+            settings,
+            incarnation=new_incarnation(),
+            on_error=self._fail,
+        )
         self._ticks = LoopingCall(self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
-        self._front_port: IListeningPort | None = None
+        self._components: Components | None = None
+        self.exit_status = 0
+        """The status with which the process ends when the reactor has stopped."""
 
     @property
     def is_ready(self) -> bool:
         """Whether this daemon accepts new connections."""
-        can_serve = self._tables.are_loaded and self._ingress.can_verify_keys(
-            MIN_FRESHNESS_SECONDS
-        )
-        return can_serve and not self._is_stopping
+        return self._observe() is LifeState.SERVING
+
+    def readiness(self) -> Readiness:
+        """Return the state, and what is missing until callers are served."""
+        return Readiness(self._observe().value, self._waiting_for())
 
     def start(self) -> None:
-        """Start listening and following the store."""
-        settings = self._settings
-        os.set_blocking(STANDARD_OUTPUT, False)
+        """Open the ports; the components start when the peers' port is open."""
+        if self._life.state is not LifeState.WAITING_FOR_SETTINGS:
+            return  # a stop signal came first
+        try:
+            self._begin()
+        except Exception:
+            self._fail(Failure())
+
+    def _begin(self) -> None:
+        # The daemon does without its log if its standard output is closed.
+        with contextlib.suppress(OSError):
+            os.set_blocking(STANDARD_OUTPUT, False)
         eliot.add_destinations(self._output)
-        front = settings.front
-        self._listen(front.host, front.port, self._factory).addCallback(
-            self._set_front_port
-        )
+        self._life.settings_read(self._listeners.missing())
+        self._ticks.clock = self._reactor
+        self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
         readiness = ServerFactory(ReadinessHandler(self), self._reactor)
-        self._listen(settings.readiness.host, settings.readiness.port, readiness)
+        self._listeners.open_readiness(readiness, self._on_port_open)
         if self._metrics_port is not None:
             metrics = ServerFactory(MetricsHandler(), self._reactor)
-            self._listen(settings.host, self._metrics_port, metrics)
-        self._network.listen(settings.host, settings.peer_ports[0])
-        self._accounts.start()
-        self._tables.start()
-        self._origins.start()
-        self._quarantine.start()
-        if isinstance(self._loads, EngineLoadExchange):
-            self._loads.start()
-        if Mechanism.TABLE_VOUCHING in self._mechanisms:
-            self._freshness_exchange.start()
-        self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
+            self._listeners.open_metrics(metrics, self._metrics_port)
+        self._listeners.open_peers(self._on_peers_port_open)
+
+    def _on_peers_port_open(self) -> None:
+        """Create and start the components, which peers reach at the port's address."""
+        peers = self._listeners.peers_port
+        assert peers.network is not None
+        components = Components(
+            Surroundings(
+                settings=self._start_settings,
+                mechanisms=self._mechanisms,
+                reactor=self._reactor,
+                random=self._random,
+                store=self._store,
+                network=peers.network,
+                peers_address=peers.address,
+            )
+        )
+        self._components = components
+        self._ingress = components.ingress
+        self._accounts = components.accounts
+        self._factory = components.factory
+        components.start()
+        self._listeners.open_front(components.factory, self._on_port_open)
+        self._on_port_open()
+
+    def _on_port_open(self) -> None:
+        if not self._listeners.missing() and self._life.state in BEFORE_PORTS:
+            self._report_start()
+        self._observe()
+
+    def _report_start(self) -> None:
+        settings = self._start_settings
         emit(
             ProcessStarted(
                 settings.machine,
                 settings.zone,
                 settings.front.text(),
-                f"{settings.host}:{settings.peer_ports[0]}",
+                self._listeners.peers_port.address,
                 settings.store.address.text(),
             )
         )
 
-    def _load_exchange(
-        self, pool: EnginePool, known_daemons: KnownDaemons, random: Random
-    ) -> LoadExchange:
-        if Mechanism.SHARED_LOAD not in self._mechanisms:
-            return NoLoadExchange()
-        return EngineLoadExchange(
-            self._reactor,
-            random,
-            self._network,
-            pool,
-            members=known_daemons.members,
-            engines=lambda: self._tables.engine_services,
-        )
-
-    def _confirm_engines(self) -> "Deferred[None]":
-        return self._tables.confirm_engines()
-
-    def _health_path(self, service: str) -> str:
-        return self._ingress.health_path(service)
-
-    def _tenant(self, name: str) -> Tenant | None:
-        return self._ingress.tenant(name)
-
-    def _set_front_port(self, port: IListeningPort | None) -> None:
-        self._front_port = port
-
-    def _listen(self, host: str, port: int, factory: ServerFactory) -> Any:
-        endpoint = TCP4ServerEndpoint(self._reactor, port, LISTEN_BACKLOG, host)
-        listening = endpoint.listen(factory)
-        return listening.addErrback(self._on_listen_failed)
+    def _observe(self) -> LifeState:
+        """Update the state from what is missing, and return it."""
+        components = self._components
+        has_tables = components is not None and components.can_serve
+        self._life.observe(self._listeners.missing(), has_tables=has_tables)
+        return self._life.state
+
+    def _waiting_for(self) -> list[str]:
+        if self._life.state is LifeState.OPENING_PORTS:
+            return self._listeners.missing()
+        return ["tables"] if self._life.state is LifeState.LOADING else []
+
+    def _fail(self, failure: Failure) -> None:
+        """End the process with a status that tells a defect."""
+        if self._life.state in ENDED:
+            return
+        self.exit_status = FAILED_STATUS
+        machine, error = self._settings.machine, failure.getErrorMessage()
+        try:
+            emit(StartFailed(machine, error, failure.getTraceback()))
+            self._life.fail()
+            sys.stderr.write(f"{machine}: the start failed: {error}\n")
+            self._close()
+        finally:
+            self._reactor.stop()
+
+    def _close(self) -> None:
+        """Close all ports and write the last log lines."""
+        self._listeners.stop()
+        if self._ticks.running:
+            self._ticks.stop()
+        self._output.flush()
 
-    def _on_listen_failed(self, failure: Any) -> None:
-        sys.stderr.write(f"cannot listen: {failure.getErrorMessage()}\n")
-        self._reactor.stop()
+    @property
+    def _front_port(self) -> IListeningPort | None:
+        return self._listeners.front_port
 
     def _tick(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
@@ -362,7 +231,8 @@
                     self._settings.machine, self.is_ready, self._readiness_cause()
                 )
             )
-        self._check.report_change(self._ingress.can_verify_keys())
+        if self._components is not None:
+            self._components.report_changes()
         routine, others = self._output.take_dropped()
         if routine or others:
             emit(LinesDropped(routine, others))
@@ -371,8 +241,36 @@
         """Return the reason why this daemon is ready or not."""
         if self.is_ready:
             return "tables are loaded and fresh"
+        if self._life.state is LifeState.OPENING_PORTS:
+            return "ports are not open"
         return "stopping" if self._is_stopping else "tables are not loaded or not fresh"
 
+    def _begin_stop(self) -> bool:
+        """Record the stop; return whether there are callers to be served before it.
+
+        Before its ports were open, the platform sent no callers to this process.
+        """
+        former = self._life.state
+        self._life.begin_drain()
+        self._listeners.stop_waiting()
+        components = self._components
+        in_flight = 0 if components is None else components.ingress.in_flight
+        if former not in BEFORE_PORTS or in_flight:
+            return former not in ENDED
+        emit(ProcessStopping(self._settings.machine, 0))
+        left = succeed(None) if components is None else components.accounts.leave()
+        left.addBoth(lambda _: self._end_early())
+        self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
+        return False
+
+    def _end_early(self) -> None:
+        if self._life.state in ENDED:
+            return
+        self._life.finish()
+        emit(ProcessStopped(self._settings.machine, 0, 0.0))
+        self._close()
+        self._reactor.stop()
+
     def on_reload_signal(self) -> None:
         """Reload the settings, once their file is no longer being written."""
         self._reload.start()
@@ -397,6 +295,8 @@
         if self._is_stopping:
             return
         self._is_stopping = True
+        if not self._begin_stop():
+            return
         emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
         self._ingress.is_draining = True
         self._accounts.leave()
@@ -424,6 +324,7 @@
 
     def stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
+        self._life.finish()
         emit(
             ProcessStopped(
                 self._settings.machine, requests_in_flight, round(seconds, 3)
--- a/tests/unit/platform/test_process.py
+++ b/tests/unit/platform/test_process.py
@@ -1,33 +1,35 @@
 """How the daemon process on the platform is put together."""
 
 import pytest
-from twisted.internet.testing import MemoryReactorClock
 
 from notcharch.calls.interface import NoLoadExchange
 from notcharch.engine_load.exchange import EngineLoadExchange
 from notcharch.engine_load.messages import AskEngineLoads
-from notcharch.platform.process import Process
-from notcharch.platform.settings import read_settings
 from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.stream_origins.messages import AskStreamOrigin
-from tests.unit.platform.test_settings import TEXT
+from tests.unit.platform.ports import ProcessWorld
+
+
+def components(mechanisms):
+    """Return the components of a process with an open port for peers."""
+    world = ProcessWorld(mechanisms=mechanisms)
+    world.start().close()
+    return world.process._components
 
 
 @pytest.mark.parametrize("is_on", [True, False], ids=["on", "off"])
 def test_loads_are_exchanged_unless_switched_off(is_on):
     """Without its mechanism, a daemon must neither send nor answer its messages."""
     off = frozenset() if is_on else {Mechanism.SHARED_LOAD}
-    settings = read_settings(TEXT).ok_value
-    process = Process(settings, MemoryReactorClock(), None, ALL_MECHANISMS - off)
+    built = components(ALL_MECHANISMS - off)
     kind = EngineLoadExchange if is_on else NoLoadExchange
-    assert isinstance(process._loads, kind)
-    assert (AskEngineLoads in process._network._handlers._requests) == is_on
+    assert isinstance(built.loads, kind)
+    assert (AskEngineLoads in built.network._handlers._requests) == is_on
 
 
 def test_origins_of_streams_are_held_for_peers_and_restarts_are_reported_to_them():
-    settings = read_settings(TEXT).ok_value
-    process = Process(settings, MemoryReactorClock(), None, ALL_MECHANISMS)
-    origins, services = process._origins, process._ingress._services
-    assert AskStreamOrigin in process._network._handlers._requests
+    built = components(ALL_MECHANISMS)
+    origins, services = built.origins, built.ingress._services
+    assert AskStreamOrigin in built.network._handlers._requests
     assert services.origins is origins
     assert services.pool.on_restart == origins.engine_restarted
