--- a/tests/unit/platform/ports.py
+++ b/tests/unit/platform/ports.py
@@ -43,14 +43,21 @@
     def __init__(self, held=()) -> None:
         super().__init__()
         self.held = set(held)
+        self.has_descriptors = True
+        """Whether sockets can be created at all."""
         self.opened = {}
+        self.openings = 0
+        """How many ports were opened up to now."""
         self.stops = 0
 
     def listenTCP(self, port, factory, backlog=50, interface=""):  # noqa: N802
+        if not self.has_descriptors:
+            raise OSError(errno.EMFILE, "Too many open files")
         if port in self.held or port in self.opened:
             reason = OSError(errno.EADDRINUSE, "Address already in use")
             raise CannotListenError(interface, port, reason)
         self.opened[port] = factory
+        self.openings += 1
         return FakePort(self, port)
 
     def stop(self) -> None:
