Any settings file gives settings or findings, never an exception

Cause: ports outside 1 to 65535, reversed ranges, NaN, infinite, negative and overflowing numbers and digits such as "²" were taken or raised exceptions; a file that is not UTF-8 raised one, and a named pipe blocked the process.

Change: each field is checked and named in its finding.

--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -1,22 +1,31 @@
 """Parses the platform's settings file into typed settings."""
 
+import math
 import os
+import re
 from collections.abc import Mapping
-from pathlib import Path
 
 import msgspec
 from result import Err, Ok, Result
 
 from notcharch.journal.interface import LogLimits
+from notcharch.platform.settings_file import FILE_VARIABLE, try_read
 from notcharch.scheduling.cold_engines import ColdTolerance
 from notcharch.tenants.partition_limits import Tolerance
 
-FILE_VARIABLE = "NOTCHARCH_NODE_FILE"
 PRESSURE_CONTRACT = "pressure"
 """The contract of deployments whose callers compete for capacity."""
 BYTES_PER_MEGABYTE = 1024 * 1024
 USUAL_PARTITION_MEGABYTES = 200.0
 """Size of a partition of the store where the settings tell none."""
+MIN_PORT, MAX_PORT = 1, 65_535
+MAX_NUMBER = 1e12
+"""Larger values are rejected: sums and products of them could overflow."""
+MAX_PARTITIONS = 25_000
+"""Partitions per topic; the four topics of the accounts may have 100,000 together."""
+HOST_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63}){0,31}")
+"""An IPv4 address or a host name; longer labels make a lookup raise an exception."""
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -98,22 +107,54 @@
         return value
 
     def number(self, key: str, default: float | None = None) -> float:
-        """Return a value as a number."""
+        """Return a value as a finite number that is not negative."""
         value = self.text(key, None if default is None else str(default))
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
-            self.errors.append(f"{key}: {value!r} is not a number")
+            if value:
+                self.errors.append(f"{key}: {value!r} is not a number")
             return 0.0
+        if math.isfinite(number) and 0.0 <= number <= MAX_NUMBER:
+            return number
+        self.errors.append(f"{key}: {value!r} is not between 0 and {MAX_NUMBER:g}")
+        return 0.0
+
+    def positive_number(self, key: str, default: float | None = None) -> float:
+        """Return a value as a finite number above 0."""
+        error_count = len(self.errors)
+        number = self.number(key, default)
+        if number == 0.0 and len(self.errors) == error_count:
+            self.errors.append(f"{key}: must be above 0")
+        return number
+
+    def count(self, key: str, default: int, maximum: int) -> int:
+        """Return a value as a whole number between 1 and `maximum`."""
+        error_count = len(self.errors)
+        number = self.number(key, default)
+        if len(self.errors) > error_count:
+            return 1
+        if not number.is_integer() or not 1 <= number <= maximum:
+            self.errors.append(f"{key}: not a whole number between 1 and {maximum}")
+            return 1
+        return int(number)
+
+    def host(self, key: str) -> str:
+        """Return a value that is an IPv4 address or a host name."""
+        value = self.text(key)
+        if value and not HOST_PATTERN.fullmatch(value):
+            self.errors.append(f"{key}: {value!r} is not an address")
+        return value
 
     def address(self, key: str) -> Address:
         """Return a value of the form HOST:PORT."""
         value = self.text(key)
         host, _, port = value.rpartition(":")
-        if not host or not port.isdigit():
+        if HOST_PATTERN.fullmatch(host) and _is_port(port):
+            return Address(host, int(port))
+        if value:
             self.errors.append(f"{key}: {value!r} is not HOST:PORT")
-            return Address("", 0)
-        return Address(host, int(port))
+        return Address("", 0)
 
     def table(self, prefix: str) -> dict[str, str]:
         """Return the values of all fields with a prefix, by the rest of their keys."""
@@ -128,19 +169,26 @@
         value = self.values.get(key, "")
         return tuple(item for item in value.split(",") if item)
 
-    def range(self, key: str) -> tuple[int, int]:
-        """Return a value of the form FIRST,LAST."""
-        first, _, last = self.text(key).partition(",")
-        if not first.isdigit() or not last.isdigit():
-            self.errors.append(f"{key}: not of the form FIRST,LAST")
-            return (0, 0)
-        return (int(first), int(last))
+    def port_range(self, key: str) -> tuple[int, int]:
+        """Return a value of the form FIRST,LAST; both are ports in the range."""
+        value = self.text(key)
+        first, _, last = value.partition(",")
+        if _is_port(first) and _is_port(last) and int(first) <= int(last):
+            return (int(first), int(last))
+        if value:
+            self.errors.append(f"{key}: {value!r} is not FIRST,LAST, a range of ports")
+        return (0, 0)
+
+
+def _is_port(text: str) -> bool:
+    is_number = PORT_PATTERN.fullmatch(text) is not None
+    return is_number and MIN_PORT <= int(text) <= MAX_PORT
 
 
 def _revoke_seconds(fields: Fields) -> float | None:
     """Return the time bound for removed keys, if there is one."""
     is_strict = fields.text("bounds.strict_revocation", "false") == "true"
-    return fields.number("bounds.revoke_ms") / 1000 if is_strict else None
+    return fields.positive_number("bounds.revoke_ms") / 1000 if is_strict else None
 
 
 def _log_limits(fields: Fields) -> LogLimits:
@@ -164,7 +212,7 @@
         address=fields.address("platform.address"),
         writes_per_second=fields.number("platform.writes_per_s", 800),
         reads_per_second=fields.number("platform.reads_per_s", 2000),
-        partitions=int(fields.number("platform.parts", 1)),
+        partitions=fields.count("platform.parts", 1, MAX_PARTITIONS),
         log_limits=_log_limits(fields),
         retention_seconds=fields.number("platform.retention_s", 300),
         min_lease_seconds=fields.number("platform.ttl_min_ms", 1000) / 1000,
@@ -172,17 +220,17 @@
     )
     settings = ProcessSettings(
         machine=fields.text("node_name"),
-        host=fields.text("ip_address"),
+        host=fields.host("ip_address"),
         zone=fields.text("zone"),
         front=fields.address("listen_addresses.front"),
         readiness=fields.address("listen_addresses.readiness"),
-        peer_ports=fields.range("internal_port_range"),
+        peer_ports=fields.port_range("internal_port_range"),
         store=store,
-        grace_seconds=fields.number("bounds.grace_period_s", 8),
+        grace_seconds=fields.positive_number("bounds.grace_period_s", 8),
         drain_seconds=fields.number("bounds.drain_ms", 2000) / 1000,
         contact_seconds=fields.number("bounds.contact_ms", 3000) / 1000,
         tolerance=Tolerance(
-            fields.number("bounds.quota_window_s", 5),
+            fields.positive_number("bounds.quota_window_s", 5),
             fields.number("bounds.quota_over", 0),
             fields.number("bounds.quota_slack", 0),
         ),
@@ -199,15 +247,22 @@
     return Err(fields.errors) if fields.errors else Ok(settings)
 
 
+def settings_text(content: bytes | OSError) -> Result[str, list[str]]:
+    """Return the text of a settings file from what reading it gave."""
+    if isinstance(content, OSError):
+        return Err([f"{content.filename}: {content.strerror}"])
+    try:
+        return Ok(content.decode())
+    except UnicodeDecodeError as error:
+        return Err([f"settings file: no valid UTF-8 at byte {error.start}"])
+
+
 def read_settings_file() -> Result[str, list[str]]:
     """Return the text of the settings file named by the environment variable."""
     path = os.environ.get(FILE_VARIABLE)
     if not path:
         return Err([f"{FILE_VARIABLE}: not set"])
-    try:
-        return Ok(Path(path).read_text())
-    except OSError as error:
-        return Err([f"{path}: {error.strerror}"])
+    return settings_text(try_read(path))
 
 
 def load_settings() -> Result[ProcessSettings, list[str]]:
