A daemon waits for its settings, and signals reach it at any time

Cause: a settings file that was missing, empty or cut ended the daemon with status 2. The signal handlers were installed after the start of the process; Twisted's own ended it without a drain until then. An invalid file at a reload was read no more.

Change: the file is read before the imports and after them; if both are the same and look whole, the process starts at once. Otherwise the reactor runs and the file is read again after 0.1 s, backing off to 1 s, with event 2415 for each new list of findings. Handlers are installed before the reactor runs, with a wakeup descriptor, and the signals are ignored while the interpreter ends. A reload reads until the file is valid; 2423 names what needs a restart. An unset NOTCHARCH_NODE_FILE, wrong arguments and `--check` with findings still end with 2. `Process` gets its log output as a further argument, as it exists before the settings.

--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -137,3 +137,21 @@
     """A key, an offset or a name."""
     fault: str
     """What can't be read; its last read values are used, if there are any."""
+
+
+class SettingsAwaited(Event, frozen=True):
+    """The settings file can't be used, and is read again until it is valid."""
+
+    number: ClassVar[int] = 2415
+    findings: list[str]
+    attempts: int
+    """Readings since the process waits."""
+
+
+class SettingsNeedRestart(Event, frozen=True):
+    """The settings file was changed in what this process keeps until it ends."""
+
+    number: ClassVar[int] = 2423
+    machine: str
+    fields: list[str]
+    """Settings whose new values are not in force."""
--- a/notcharch/platform/command.py
+++ b/notcharch/platform/command.py
@@ -1,16 +1,11 @@
 """Command line of a daemon on the platform."""
 
 import argparse
-import signal
+import os
 import sys
-import time
-from typing import Any
 
-from result import Err
-from twisted.internet import reactor as default_reactor
-
-from notcharch.platform.process import Process
-from notcharch.platform.settings import load_settings
+from notcharch.platform.settings_file import FILE_VARIABLE, try_read
+from notcharch.platform.signals import end_at_stop_signals
 from notcharch.settings.mechanisms import (
     ALL_MECHANISMS,
     Mechanism,
@@ -18,13 +13,21 @@
 )
 
 INVALID_SETTINGS_STATUS = 2
-"""Exit status for errors in the settings file."""
+"""Exit status for errors that last as long as the process does."""
+MIN_PORT, MAX_PORT = 1, 65_535
+
+
+def _port(text: str) -> int:
+    port = int(text)
+    if not MIN_PORT <= port <= MAX_PORT:
+        raise ValueError(f"{port} is not between {MIN_PORT} and {MAX_PORT}")
+    return port
 
 
 def read_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
     """Parse the command line."""
     parser = argparse.ArgumentParser(prog="notcharch.platform", description=__doc__)
-    parser.add_argument("--metrics-port", type=int, help="serve metrics on this port")
+    parser.add_argument("--metrics-port", type=_port, help="serve metrics on this port")
     parser.add_argument(
         "--check", action="store_true", help="check the settings file and exit"
     )
@@ -42,30 +45,31 @@
 
 def main() -> int:
     """Run a daemon until it receives a stop signal."""
+    end_at_stop_signals()
     arguments = read_arguments()
-    loaded = load_settings()
-    if isinstance(loaded, Err):
-        for error in loaded.err_value:
-            sys.stderr.write(f"{error}\n")
+    path = os.environ.get(FILE_VARIABLE)
+    if not path:
+        sys.stderr.write(f"{FILE_VARIABLE}: not set\n")
         return INVALID_SETTINGS_STATUS
     if arguments.check:
-        return 0
-    reactor: Any = default_reactor
-    # Twisted's default clock is the wall clock, which may jump.
-    reactor.seconds = time.monotonic
-    process = Process(
-        loaded.ok_value, reactor, arguments.metrics_port, arguments.mechanisms
-    )
+        return _check()
+    # Read before the other imports, which take 0.3 s: a file that is the same after them
+    # was not being written.
+    content = try_read(path)
+    from notcharch.platform.run import run, system_reactor
+
+    return run(content, arguments.metrics_port, arguments.mechanisms, system_reactor())
+
 
-    def in_reactor(callback: Any) -> Any:
-        return lambda *_: reactor.callFromThread(callback)
+def _check() -> int:
+    """Write the findings in the settings file to stderr."""
+    from result import Err
 
-    def install_signal_handlers() -> None:
-        signal.signal(signal.SIGTERM, in_reactor(process.on_stop_signal))
-        signal.signal(signal.SIGHUP, in_reactor(process.on_reload_signal))
-        process.on_reload_signal()
+    from notcharch.platform.settings import load_settings
 
-    reactor.callWhenRunning(process.start)
-    reactor.callWhenRunning(install_signal_handlers)
-    reactor.run(installSignalHandlers=True)
-    return 0
+    loaded = load_settings()
+    if not isinstance(loaded, Err):
+        return 0
+    for finding in loaded.err_value:
+        sys.stderr.write(f"{finding}\n")
+    return INVALID_SETTINGS_STATUS
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,13 +1,10 @@
 """The daemon process on the platform: creates its components and runs them."""
 
-import os
 import sys
 import time
 from random import Random
 from typing import Any
 
-import eliot
-from result import Err, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.interfaces import IListeningPort
@@ -28,7 +25,6 @@
 from notcharch.calls.policies import call_urgency, cold_policy, pool_policy, wait_policy
 from notcharch.engine_load.exchange import EngineLoadExchange
 from notcharch.engine_load.messages import ENGINE_LOAD_MESSAGES
-from notcharch.events.calls import CallerNotIdentified, CallServed, EngineChosen
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
@@ -38,9 +34,9 @@
     ProcessStopped,
     ProcessStopping,
     ReadinessChanged,
+    SettingsNeedRestart,
     SettingsRead,
 )
-from notcharch.events.tenants import LimitReached
 from notcharch.http.buffered_bytes import BufferedBytes, total_limit
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.metrics import BUFFERED_BYTES
@@ -49,14 +45,13 @@
 from notcharch.journal.known_daemons import KnownDaemons
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.store_outage import StoreOutage
+from notcharch.platform.awaited_settings import AwaitedSettings
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.log_output import standard_output
 from notcharch.platform.probes import MetricsHandler, ReadinessHandler
-from notcharch.platform.settings import (
-    ProcessSettings,
-    read_settings,
-    read_settings_file,
-)
+from notcharch.platform.reload import applied, needing_restart
+from notcharch.platform.settings import ProcessSettings, read_settings_file
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables, long_poll_seconds
 from notcharch.quarantine.examination import EngineExamination
@@ -69,7 +64,6 @@
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
-from notcharch.settings.settled_file import SettledFile
 from notcharch.stream_origins.exchange import StreamOriginExchange
 from notcharch.stream_origins.messages import STREAM_ORIGIN_MESSAGES
 from notcharch.tenants.freshness import TableFreshness
@@ -92,7 +86,6 @@
 Peers have failed to renew it several times by then. The platform probes readiness
 once a second.
 """
-STANDARD_OUTPUT = 1
 TICK_INTERVAL_SECONDS = 1.0
 """Interval of the checks for pauses and readiness; readiness probes are as frequent."""
 
@@ -124,13 +117,21 @@
         reactor: Any,
         metrics_port: int | None,
         mechanisms: frozenset[Mechanism],
+        output: LogOutput | None = None,
     ) -> None:
-        """Create the components; metrics are served on `metrics_port`, if any."""
+        """Create the components; metrics are served on `metrics_port`, if any.
+
+        `output` is where log lines go, as far as it is known: its dropped lines are
+        counted, and it is flushed at the end.
+        """
+        self.exit_status = 0
         self._settings = settings
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
-        self._reload = SettledFile(reactor, read_settings_file, self._settings_settled)
+        self._reload = AwaitedSettings(
+            reactor, read_settings_file, self._settings_invalid, self._settings_settled
+        )
         random = Random()
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
@@ -263,12 +264,7 @@
             drained=lambda: self._tables.drained_zones,
             apply_drained=self._tables.apply_peer_drained_zones,
         )
-        routine = (CallServed, CallerNotIdentified, EngineChosen, LimitReached)
-        self._output = LogOutput(
-            STANDARD_OUTPUT,
-            reactor,
-            frozenset(event.number for event in routine),
-        )
+        self._output = output or standard_output(reactor)
         self._ticks = LoopingCall(self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
@@ -286,8 +282,6 @@
     def start(self) -> None:
         """Start listening and following the store."""
         settings = self._settings
-        os.set_blocking(STANDARD_OUTPUT, False)
-        eliot.add_destinations(self._output)
         front = settings.front
         self._listen(front.host, front.port, self._factory).addCallback(
             self._set_front_port
@@ -374,23 +368,25 @@
         return "stopping" if self._is_stopping else "tables are not loaded or not fresh"
 
     def on_reload_signal(self) -> None:
-        """Reload the settings, once their file is no longer being written."""
-        self._reload.start()
+        """Reload the settings, once their file is valid and no longer being written."""
+        if not self._is_stopping:
+            self._reload.start()
+
+    def _settings_invalid(self, findings: list[str], _attempts: int) -> None:
+        emit(SettingsRead(self._settings.machine, findings, is_changed=False))
 
-    def _settings_settled(self, text: Result[str, list[str]]) -> None:
+    def _settings_settled(self, settings: ProcessSettings) -> None:
         """Apply a changed address of the store, and its limits for the next owners."""
-        loaded = text.and_then(read_settings)
-        if isinstance(loaded, Err):
-            errors = loaded.err_value
-            emit(SettingsRead(self._settings.machine, errors, is_changed=False))
+        if self._is_stopping:
             return
-        settings = loaded.ok_value
-        is_changed = settings != self._settings
-        emit(SettingsRead(settings.machine, [], is_changed))
-        self._settings = settings
-        address = settings.store.address
-        self._requester.set_address(address.host, address.port)
-        self._store.limits = settings.store.log_limits
+        emit(SettingsRead(settings.machine, [], settings != self._settings))
+        kept = needing_restart(self._settings, settings)
+        if kept:
+            emit(SettingsNeedRestart(self._settings.machine, kept))
+        self._settings = applied(self._settings, settings)
+        store = self._settings.store
+        self._requester.set_address(store.address.host, store.address.port)
+        self._store.limits = store.log_limits
 
     def on_stop_signal(self) -> None:
         """Start the drain: stop accepting, finish requests in flight, exit."""
