--- a/notcharch/events/process.py
+++ b/notcharch/events/process.py
@@ -187,3 +187,21 @@
     machine: str
     error: str
     traceback: str
+
+
+class SettingsAwaited(Event, frozen=True):
+    """The settings file can't be used, and is read again until it is valid."""
+
+    number: ClassVar[int] = 2415
+    findings: list[str]
+    attempts: int
+    """Readings since the process waits."""
+
+
+class SettingsNeedRestart(Event, frozen=True):
+    """The settings file was changed in what this process keeps until it ends."""
+
+    number: ClassVar[int] = 2423
+    machine: str
+    fields: list[str]
+    """Settings whose new values are not in force."""
