--- a/notcharch/platform/settings.py
+++ b/notcharch/platform/settings.py
@@ -23,8 +23,15 @@
 """Larger values are rejected: sums and products of them could overflow."""
 MAX_PARTITIONS = 25_000
 """Partitions per topic; the four topics of the accounts may have 100,000 together."""
-HOST_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63}){0,31}")
-"""An IPv4 address or a host name; longer labels make a lookup raise an exception."""
+HOST_PATTERN = re.compile(
+    r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63}){0,31}\.?"
+    r"|[0-9A-Fa-f]{0,4}(:[0-9A-Fa-f]{0,4}){2,7}"
+)
+"""A host name, an IPv4 or an IPv6 address.
+
+The lookup of an empty label, or of one of more than 63 characters, raises a
+`UnicodeError`, which listeners and clients do not expect.
+"""
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
--- a/tests/unit/platform/test_any_settings.py
+++ b/tests/unit/platform/test_any_settings.py
@@ -174,3 +174,17 @@
     path.write_text(TEXT)
     monkeypatch.setenv(FILE_VARIABLE, str(path))
     assert read_settings_file() == Ok(TEXT)
+
+
+@pytest.mark.parametrize("host", ["10.1.0.38", "store", "a-b.c_d.", "::1", "fd00::1:2"])
+def test_the_usual_forms_of_hosts_are_taken(host):
+    text = f"{TEXT}ip_address={host}\nplatform.address={host}:8142\n"
+    taken = read_settings(text).ok_value
+    assert taken.host == taken.store.address.host == host
+
+
+@pytest.mark.parametrize("host", ["a..b", ".", "a" * 64, "é", "a b", "[::1]", "::.."])
+def test_a_host_whose_lookup_raises_an_exception_is_a_finding(host):
+    """Guards against an exception other than those that a listener waits for."""
+    findings = read_settings(f"{TEXT}ip_address={host}\n").err_value
+    assert [finding.partition(":")[0] for finding in findings] == ["ip_address"]
