The daemon of the own interface waits for its ports too

Cause: DaemonProcess.start raised CannotListenError after a part of it was open, and the command ended with status 1.

Change: the same listener for TCP and UDP of peers and for HTTP; start returns a Deferred, which fails after all is closed again if a step has a defect. The services start when all ports are open. A stop while it waits ends at once. The sockets of peers moved to daemon/listeners.py.

--- a/emulator/local.py
+++ b/emulator/local.py
@@ -1,6 +1,8 @@
 """Daemons and stand-ins in one process on loopback, for trying the system."""
 
+import errno
 import hashlib
+import os
 import secrets
 from typing import Any
 
@@ -8,6 +10,7 @@
 import msgspec
 from result import Err
 from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 
 from emulator.settings import (
@@ -101,7 +104,7 @@
         emulator = await start_emulator(self._reactor, self._emulator_settings())
         self.emulator = emulator
         addresses = [
-            self._start_daemon(number, emulator)
+            await self._start_daemon(number, emulator)
             for number in range(self._options.daemons)
         ]
         await self._publish_table()
@@ -151,10 +154,17 @@
             pools=(pool,),
         )
 
-    def _start_daemon(self, number: int, emulator: RunningEmulator) -> DaemonAddresses:
+    async def _start_daemon(
+        self, number: int, emulator: RunningEmulator
+    ) -> DaemonAddresses:
         daemon = DaemonProcess(self._reactor, self._daemon_settings(number, emulator))
-        addresses = daemon.start()
         self.daemons.append(daemon)
+        started = daemon.start()
+        if not started.called:
+            # A daemon waits for a held port; who tries the system is told at once.
+            held = OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
+            raise CannotListenError(HOST, self._options.http_port, held)
+        addresses = await started
         emulator.put_machine(
             Machine(
                 name=f"daemon-{number + 1}",
--- a/notcharch/cli/daemon_command.py
+++ b/notcharch/cli/daemon_command.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from result import Err
-from twisted.internet.error import CannotListenError
+from twisted.python.failure import Failure
 
 from notcharch.cli.command import CommandSpec
 from notcharch.cli.exit_codes import BAD_USAGE, DONE, FAILED
@@ -17,7 +17,7 @@
     print_findings,
     settings_of,
 )
-from notcharch.daemon.process import DaemonProcess
+from notcharch.daemon.process import DaemonAddresses, DaemonProcess
 from notcharch.settings.schema import Settings
 
 EPILOG = """example:
@@ -25,6 +25,7 @@
 
 Prints one line of JSON when it is listening:
   {"ready": true, "http": "127.0.0.1:8080", "peer": "127.0.0.1:8081"}
+A port that is held by another process is waited for (events 2416 and 2417).
 SIGTERM or SIGINT drains it: it refuses new calls, waits for running calls, hands
 over its partitions and exits with status 0. A second signal stops it immediately.
 """
@@ -62,17 +63,36 @@
     stop = SignalHandler(process, reactor)
     signal.signal(signal.SIGTERM, stop.handle_signal)
     signal.signal(signal.SIGINT, stop.handle_signal)
-    try:
-        addresses = process.start()
-    except CannotListenError as error:
-        sys.stderr.write(f"cannot listen: {error}\n")
-        return FAILED
-    ready = ReadyLine(True, addresses.http, addresses.peer)
-    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
-    sys.stdout.flush()
-    process.when_stopped().addBoth(lambda _: reactor.stop())
+    run = DaemonRun(process, reactor)
+    reactor.callWhenRunning(run.start)
     reactor.run(installSignalHandlers=False)
-    return DONE
+    return run.exit_status
+
+
+class DaemonRun:
+    """One daemon from its start to its end, and the exit status."""
+
+    def __init__(self, process: DaemonProcess, reactor: Any) -> None:
+        """Prepare the start of a daemon."""
+        self._process = process
+        self._reactor = reactor
+        self.exit_status = DONE
+
+    def start(self) -> None:
+        """Start the daemon; the reactor stops when the daemon has stopped."""
+        started = self._process.start()
+        started.addCallbacks(self._print_ready, self._report_failure)
+        self._process.when_stopped().addBoth(lambda _: self._reactor.stop())
+
+    def _print_ready(self, addresses: DaemonAddresses) -> None:
+        ready = ReadyLine(True, addresses.http, addresses.peer)
+        sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
+        sys.stdout.flush()
+
+    def _report_failure(self, failure: Failure) -> None:
+        self.exit_status = FAILED
+        sys.stderr.write(f"the start failed: {failure.getErrorMessage()}\n")
+        sys.stderr.write(failure.getTraceback())
 
 
 class SignalHandler:
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -1,14 +1,14 @@
 """Runs a daemon on real sockets: listening, readiness, drain and shutdown."""
 
 import random
+from collections.abc import Callable
 from typing import Any
 
-import attrs
 import msgspec
 from prometheus_client import CollectorRegistry
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred, succeed
-from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from notcharch.admin.daemon_handlers import DaemonActivity, DaemonHandlers
 from notcharch.admin.metrics import MetricsResource, TableCollector
@@ -21,29 +21,20 @@
 from notcharch.daemon.clock import SteadyClock
 from notcharch.daemon.core import DaemonCore
 from notcharch.daemon.drain import Drain
-from notcharch.daemon.http_tree import build_tree
+from notcharch.daemon.http_tree import Branch, build_tree
 from notcharch.daemon.life import LifeCore, LifeState, new_life
+from notcharch.daemon.listeners import PeerSockets
 from notcharch.daemon.partition_descriptions import describe_partitions
 from notcharch.daemon.ports import DaemonPorts
 from notcharch.events.daemon import DaemonStarted, DaemonSuperseded
 from notcharch.events.event import emit
 from notcharch.gateway.http_site import LimitedSite
+from notcharch.http.listener import ListenAddress, Listener, TcpPortOpener
 from notcharch.settings.schema import Settings
-from notcharch.values.identifiers import (
-    DaemonName,
-    Incarnation,
-    Member,
-    RegionName,
-    ZoneName,
-)
-from notcharch.wire.codec import default_codec
-from notcharch.wire.connections import TcpPeerNetwork
-from notcharch.wire.datagrams import UdpDatagramPort
+from notcharch.values.identifiers import ZoneName
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-MAX_LISTEN_ATTEMPTS = 20
 LISTEN_BACKLOG = 1024
-MILLISECONDS_PER_SECOND = 1000
 READY_CHECK_INTERVAL_SECONDS = 0.05
 
 
@@ -54,16 +45,6 @@
     peer: str
 
 
-@attrs.define
-class _Sockets:
-    """The sockets and connections to close when the daemon stops."""
-
-    network: TcpPeerNetwork
-    datagrams: UdpDatagramPort
-    connections: Connections
-    http_port: Any = None
-
-
 class DaemonProcess:
     """A daemon in this process; several daemons may share a reactor."""
 
@@ -77,29 +58,75 @@
         self._stopped: Deferred[None] = Deferred()
         self._is_stopping = False
         self.core: DaemonCore | None = None
-        self._sockets: _Sockets | None = None
+        self._started: Deferred[DaemonAddresses] = Deferred()
+        self._is_core_started = False
+        self._connections = Connections(reactor, CONNECT_TIMEOUT_SECONDS)
+        section = settings.daemon
+        self._peer_sockets = PeerSockets(reactor, self._clock, section)
+        self._peers = self._listener(
+            "peers", section.peer_port, self._peer_sockets, self._on_peers_open
+        )
+        self._http: Listener | None = None
+        self._http_port: TcpPortOpener | None = None
+
+    def start(self) -> "Deferred[DaemonAddresses]":
+        """Listen and start every service; ports that are held are waited for.
+
+        Fires when all run, or fails after all is closed again. It doesn't fire if the
+        daemon is stopped first.
+        """
+        if not self._is_stopping:
+            self._peers.start()
+        return self._started
 
-    def start(self) -> DaemonAddresses:
-        """Listen and start every service; raises CannotListenError."""
-        network, datagrams, peer_port = self._listen_for_peers()
+    def _listener(
+        self,
+        purpose: str,
+        port: int,
+        opener: PeerSockets | TcpPortOpener,
+        on_open: Callable[[], None],
+    ) -> Listener:
         host = self._settings.daemon.host
-        peer_address = f"{host}:{peer_port}"
-        connections = Connections(self._reactor, CONNECT_TIMEOUT_SECONDS)
-        self._sockets = _Sockets(network, datagrams, connections)
-        core = DaemonCore(
-            self._settings,
-            self._ports(network, datagrams, connections, peer_address),
-            self._registry,
+        return Listener(
+            self._clock,
+            random.Random(),
+            ListenAddress(purpose, host, (port,)),
+            opener,
+            on_open=on_open,
+            on_error=self._on_start_failed,
         )
+
+    def _on_peers_open(self) -> None:
+        core = DaemonCore(self._settings, self._ports(), self._registry)
         self.core = core
         core.membership.on_superseded(self._on_superseded)
         self._drain = Drain(core, self._lifecycle, self._clock, self._stop_listening)
-        http_address = self._serve_http(core)
-        core.start()
+        site = LimitedSite(self._http_tree(core), self._settings.gateway, self._reactor)
+        self._http_port = TcpPortOpener(self._reactor, site, LISTEN_BACKLOG)
+        self._http = self._listener(
+            "http", self._settings.daemon.http_port, self._http_port, self._on_http_open
+        )
+        self._http.start()
+
+    def _on_http_open(self) -> None:
+        assert self.core is not None
+        self._is_core_started = True
+        self.core.start()
         self._check_ready()
-        addresses = DaemonAddresses(http_address, peer_address)
+        addresses = self._addresses()
         self._report_start(addresses)
-        return addresses
+        self._started.callback(addresses)
+
+    def _addresses(self) -> DaemonAddresses:
+        assert self._http_port is not None
+        port: Any = self._http_port.port
+        host = self._settings.daemon.host
+        return DaemonAddresses(
+            f"{host}:{port.getHost().port}", f"{host}:{self._peer_sockets.port}"
+        )
+
+    def _on_start_failed(self, failure: Failure) -> None:
+        self.kill().addBoth(lambda _: self._started.errback(failure))
 
     def state(self) -> LifeState:
         """Return the state of the daemon's lifecycle."""
@@ -107,10 +134,16 @@
 
     def stop(self) -> "Deferred[None]":
         """Drain, hand over and close; fires when all sockets are closed."""
-        if not self._is_stopping:
-            self._is_stopping = True
+        if self._is_stopping:
+            return self.when_stopped()
+        self._is_stopping = True
+        if self._is_core_started:
             drained = Deferred.fromCoroutine(self._drain.run())
             drained.addBoth(lambda _: self._close())
+        else:
+            self._lifecycle.begin_drain()
+            self._lifecycle.finish()
+            self._close()
         return self.when_stopped()
 
     def when_stopped(self) -> "Deferred[None]":
@@ -124,59 +157,25 @@
         self._is_stopping = True
         return self._close()
 
-    def _listen_for_peers(self) -> tuple[TcpPeerNetwork, UdpDatagramPort, int]:
-        """Bind TCP and UDP to the same port; retry if a random port is taken for UDP."""
-        section = self._settings.daemon
-        member = Member(
-            DaemonName(section.name),
-            Incarnation(int(self._clock.seconds() * MILLISECONDS_PER_SECOND)),
-        )
-        attempts = MAX_LISTEN_ATTEMPTS if section.peer_port == 0 else 1
-        for remaining_attempts in reversed(range(attempts)):
-            network = TcpPeerNetwork(
-                self._reactor,
-                self._clock,
-                own=member,
-                region=RegionName(section.region),
-                codec=default_codec(),
-                random=random.Random(),
-            )
-            port = network.listen(section.host, section.peer_port)
-            datagrams = UdpDatagramPort()
-            try:
-                datagrams.listen(self._reactor, section.host, port)
-            except CannotListenError:
-                network.stop()
-                if remaining_attempts == 0:
-                    raise
-            else:
-                return network, datagrams, port
-        raise AssertionError("unreachable: the last attempt returns or raises")
-
-    def _ports(
-        self,
-        network: TcpPeerNetwork,
-        datagrams: UdpDatagramPort,
-        connections: Connections,
-        peer_address: str,
-    ) -> DaemonPorts:
+    def _ports(self) -> DaemonPorts:
+        sockets = self._peer_sockets
+        assert sockets.network is not None
         platform = self._settings.platform
         chance = random.Random()
-        agent = connections.agent
+        agent = self._connections.agent
         return DaemonPorts(
             clock=self._clock,
             chance=chance,
-            network=network,
-            datagrams=datagrams,
-            peer_address=peer_address,
+            network=sockets.network,
+            datagrams=sockets.datagrams,
+            peer_address=f"{self._settings.daemon.host}:{sockets.port}",
             engines=EngineClient(agent, self._clock, chance, platform),
             log=LogClient(agent, self._clock, platform),
             journal=JournalClient(agent, self._clock, platform),
             machine_list=MachineListClient(agent, self._clock, platform),
         )
 
-    def _serve_http(self, core: DaemonCore) -> str:
-        section = self._settings.daemon
+    def _http_tree(self, core: DaemonCore) -> Branch:
         self._register_handlers(core)
         admin = AdminResource(
             clock=self._clock,
@@ -189,18 +188,11 @@
             operator_keys=self._settings.operators.keys,
         )
         self._registry.register(TableCollector(core.table))
-        tree = build_tree(
+        return build_tree(
             core.gateway.resource(),
             admin.resource(),
             MetricsResource(self._registry),
         )
-        site = LimitedSite(tree, self._settings.gateway, self._reactor)
-        assert self._sockets is not None
-        port = self._reactor.listenTCP(
-            section.http_port, site, LISTEN_BACKLOG, section.host
-        )
-        self._sockets.http_port = port
-        return f"{section.host}:{port.getHost().port}"
 
     def _register_handlers(self, core: DaemonCore) -> None:
         DaemonHandlers(
@@ -251,20 +243,14 @@
 
     def _stop_listening(self) -> "Deferred[None]":
         """Stop accepting callers' connections; open connections are kept."""
-        port = None if self._sockets is None else self._sockets.http_port
-        return succeed(None) if port is None else maybeDeferred(port.stopListening)
+        return succeed(None) if self._http is None else self._http.stop()
 
     def _close(self) -> "Deferred[Any]":
-        if self.core is not None:
-            self.core.stop()
-        sockets = self._sockets
-        closing: list[Deferred[Any]] = []
-        if sockets is not None:
-            if sockets.http_port is not None:
-                closing.append(maybeDeferred(sockets.http_port.stopListening))
-            closing.append(maybeDeferred(sockets.network.stop))
-            closing.append(maybeDeferred(sockets.datagrams.close))
-            closing.append(maybeDeferred(sockets.connections.close))
+        closing = [self._peers.stop(), self._stop_listening()]
+        if self.core is not None and self._is_core_started:
+            # A core that was started in part may fail to stop.
+            closing.append(maybeDeferred(self.core.stop))
+        closing.append(maybeDeferred(self._connections.close))
         closed = DeferredList(closing, consumeErrors=True)
         closed.addBoth(lambda _: self._notify_stopped())
         return closed
--- a/notcharch/http/listener.py
+++ b/notcharch/http/listener.py
@@ -16,7 +16,6 @@
     IListeningPort,
     IReactorTime,
 )
-from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
@@ -76,8 +75,8 @@
 class TcpPortOpener:
     """Listens for TCP connections."""
 
-    def __init__(self, reactor: Any, factory: Factory, backlog: int) -> None:
-        """Give connections to `factory`; `backlog` pending ones are queued at most."""
+    def __init__(self, reactor: Any, factory: Any, backlog: int) -> None:
+        """Give connections to a protocol factory; `backlog` pending ones are queued at most."""
         self._reactor = reactor
         self._factory = factory
         self._backlog = backlog
