--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -34,6 +34,7 @@
     StoreOutageOver,
 )
 from notcharch.events.process import (
+    CallRefusedForStop,
     DependencyLost,
     DependencyRegained,
     EnginesChanged,
@@ -47,6 +48,7 @@
 from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.ended_engines import ended_engines
 from notcharch.explain.log_lines import LogLine
+from notcharch.explain.planned_stops import stop_cause
 from notcharch.values.framing import Framing
 
 PAUSE_TOLD_SECONDS = 1.5
@@ -62,6 +64,7 @@
     RequestWithoutRoute.number,
     RequestMalformed.number,
     CallerNotIdentified.number,
+    CallRefusedForStop.number,
 )
 CONTEXT_EVENTS = (
     DependencyLost.number,
@@ -153,6 +156,9 @@
     if not ends:
         return "its end was not logged: its daemon ended or lines were dropped", False
     end = ends[-1]
+    stopped = stop_cause(own)
+    if stopped and end.number != CallServed.number:
+        return f"{stopped}{_troubles(context)}", True
     told = {
         CallServed.number: _served,
         CallRefused.number: _refused,
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -28,6 +28,8 @@
 from notcharch.events.http import SlowReaderCut
 from notcharch.events.outages import RefusedInOutage, StoreOutageKnown
 from notcharch.events.process import (
+    CallCutByStop,
+    CallRefusedForStop,
     DependencyLost,
     LinesDropped,
     ProcessPaused,
@@ -442,3 +444,31 @@
     )
     assert told.cause.startswith(reason)
     assert "began as r0 after event 4, begun at version unknown" in told.cause
+
+
+REFUSED_FOR_STOP = CallRefusedForStop(
+    "r", "p", "route", "admission", "the route's calls", 7.05, 5.4, False, 0
+)
+
+
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_a_refusal_by_a_planned_stop_is_named_with_what_was_expected(is_ended):
+    """A request that was still being read has no other line."""
+    ends = [line(2.0, "m", refused(reason="the daemon is stopping"))]
+    told = cause(line(2.0, "m", REFUSED_FOR_STOP), *(ends if is_ended else []))
+    assert told.is_explained
+    assert "planned stop" in told.cause
+    assert "7.05 s expected by the route's calls, 5.4 s left" in told.cause
+    assert "it has not run" in told.cause
+
+
+def test_a_call_that_may_have_run_and_is_not_sent_again_is_not_said_not_to_have_run():
+    event = msgspec.structs.replace(REFUSED_FOR_STOP, runs=1)
+    told = cause(line(2.0, "m", event), line(2.0, "m", refused(status=502)))
+    assert "has not run" not in told.cause
+
+
+def test_a_call_that_a_planned_stop_cut_is_explained_by_it():
+    event = CallCutByStop("r", "p", "route", 7.4, True)
+    told = cause(line(7.5, "m", event), line(7.5, "m", refused(status=502)))
+    assert "cut by a planned stop: it had run for 7.4 s" in told.cause
