--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -14,6 +14,7 @@
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import LoadExchange, NoLoadExchange
+from notcharch.calls.planned_stop import PlannedStop
 from notcharch.calls.policies import call_urgency, cold_policy, pool_policy, wait_policy
 from notcharch.engine_load.exchange import EngineLoadExchange
 from notcharch.http.buffered_bytes import BufferedBytes, total_limit
@@ -24,6 +25,7 @@
 from notcharch.journal.store_outage import StoreOutage
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.planned_stop import ProcessStop
 from notcharch.platform.settings import ProcessSettings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables, long_poll_seconds
@@ -159,6 +161,7 @@
             random,
             members=known_daemons.members,
         )
+        planned_stop = PlannedStop(reactor)
         self.ingress = Ingress(
             CallServices(
                 clock=reactor,
@@ -171,10 +174,14 @@
                 answers=BufferedBytes(total_limit(settings.memory_bytes)),
                 origins=self.origins,
                 quarantine=self._quarantine,
+                stop=planned_stop,
             ),
             self._check,
         )
         self.factory = ServerFactory(self.ingress, reactor, buffers)
+        self.stop = ProcessStop(
+            reactor, settings.machine, planned_stop, self.ingress, self.factory
+        )
         self.tables = PlatformTables(
             around.store,
             reactor,
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from twisted.internet.defer import succeed
-from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
@@ -23,7 +22,6 @@
     SettingsRead,
     StartFailed,
 )
-from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
 from notcharch.platform.awaited_settings import AwaitedSettings
@@ -41,12 +39,6 @@
 )
 from notcharch.values.identifiers import Incarnation
 
-STOP_ACCEPT_SECONDS = 2.6
-"""After SIGTERM, connections are accepted until the platform detects the stop."""
-STOP_ACCEPT_MAX_SHARE = 0.45
-"""Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
-STOP_MARGIN_SECONDS = 0.7
-"""Reserved at the end of the grace period for the last log lines and the exit."""
 EARLY_STOP_SECONDS = 0.5
 """How long a process that never served waits for the store to confirm that it left."""
 FAILED_STATUS = 1
@@ -150,9 +142,6 @@
             )
         )
         self._components = components
-        self._ingress = components.ingress
-        self._accounts = components.accounts
-        self._factory = components.factory
         components.start()
         self._listeners.open_front(components.factory, self._on_port_open)
         self._on_port_open()
@@ -207,10 +196,6 @@
             self._ticks.stop()
         self._output.flush()
 
-    @property
-    def _front_port(self) -> IListeningPort | None:
-        return self._listeners.front_port
-
     def _tick(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
@@ -289,32 +274,15 @@
         self._is_stopping = True
         if not self._begin_stop():
             return
-        emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
-        self._ingress.is_draining = True
-        self._accounts.leave()
-        grace = self._settings.grace_seconds
-        times = DrainTimes(
-            accept_seconds=min(STOP_ACCEPT_SECONDS, grace * STOP_ACCEPT_MAX_SHARE),
-            max_seconds=grace - STOP_MARGIN_SECONDS,
+        components = self._components
+        assert components is not None
+        emit(ProcessStopping(self._settings.machine, components.ingress.in_flight))
+        components.accounts.leave()
+        components.stop.begin(
+            self._settings.grace_seconds, self._listeners.front_port, self._stopped
         )
-        Drain(self._reactor, self, times).begin()
-
-    # Called by `Drain`
-
-    def requests_in_flight(self) -> int:
-        """Return the number of requests in flight."""
-        return self._ingress.in_flight
-
-    def stop_accepting(self) -> None:
-        """Close the callers' listening port."""
-        if self._front_port is not None:
-            self._front_port.stopListening()
-
-    def close_idle(self) -> None:
-        """Close callers' connections without a request in flight."""
-        self._factory.close_idle()
 
-    def stopped(self, requests_in_flight: int, seconds: float) -> None:
+    def _stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
         self._life.finish()
         emit(
