--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -117,11 +117,18 @@
     return "no line names it: " + ", or ".join(reasons)
 
 
+def owner_machine(member: str) -> str:
+    """Return the machine of an owner, whose name may end in the port of its address."""
+    name, _, address = member.partition("|")
+    port = address.rpartition(":")[2]
+    return name.removesuffix(f":{port}") if port else name
+
+
 def _context(own: Sequence[LogLine], lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
     begin = own[0].at - AROUND_SECONDS
     end = own[-1].at
     machines = {line.machine for line in own}
-    machines |= {line.text("owner").partition("|")[0] for line in own}
+    machines |= {owner_machine(line.text("owner")) for line in own}
     partitions = {
         line.text("partition") for line in own if line.number == OwnerUnanswered.number
     }
--- a/notcharch/journal/owner_names.py
+++ b/notcharch/journal/owner_names.py
@@ -1,7 +1,8 @@
 """Member ids of daemons in the group of owners.
 
-A restarted process has the same member id as its predecessor, so it takes over the
-partitions without waiting for a lease to expire.
+A process that is restarted at the same address has the same member id as its predecessor,
+so it takes over the partitions without waiting for a lease to expire. One that listens on
+another port, since its predecessor still drains, is a member beside it.
 """
 
 import msgspec
--- a/notcharch/platform/listeners.py
+++ b/notcharch/platform/listeners.py
@@ -127,6 +127,11 @@
         """The callers' port, if it is open."""
         return None if self._front is None else self._front.port
 
+    def close_front(self) -> None:
+        """Accept no more callers; open connections are kept."""
+        if self._front is not None:
+            self._front.close()
+
     def open_readiness(
         self, factory: ServerFactory, on_open: Callable[[], None]
     ) -> None:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -258,6 +258,7 @@
         if former not in BEFORE_PORTS or in_flight:
             return former not in ENDED
         emit(ProcessStopping(self._settings.machine, 0))
+        self._listeners.close_front()
         left = succeed(None) if components is None else components.accounts.leave()
         left.addBoth(lambda _: self._end_early())
         self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -35,7 +35,7 @@
 )
 from notcharch.events.quarantine import AttemptNotSent, EngineEnded
 from notcharch.events.tenants import KeysUnsure, LimitReached
-from notcharch.explain.explanation import explain
+from notcharch.explain.explanation import explain, owner_machine
 from notcharch.explain.log_lines import read_lines
 from notcharch.values.framing import Framing
 
@@ -442,3 +442,17 @@
     )
     assert told.cause.startswith(reason)
     assert "began as r0 after event 4, begun at version unknown" in told.cause
+
+
+@pytest.mark.parametrize(
+    ("member", "machine"),
+    [
+        ("front-hall-d-2|10.0.0.1:7380", "front-hall-d-2"),
+        ("front-hall-d-2:7381|10.0.0.1:7381", "front-hall-d-2"),
+        ("front-hall-d-2", "front-hall-d-2"),
+        ("", ""),
+    ],
+)
+def test_the_machine_of_an_owner_at_a_later_port_is_found(member, machine):
+    """Guards against an explanation without the lines of the owner's machine."""
+    assert owner_machine(member) == machine
--- a/tests/unit/platform/test_process_start.py
+++ b/tests/unit/platform/test_process_start.py
@@ -181,6 +181,15 @@
     assert len(world.logged(ProcessStopped)) == 1
 
 
+def test_an_early_stop_takes_no_callers_while_it_leaves_the_group(new_world):
+    """Guards against a call that begins in the last half second and is cut."""
+    world = new_world([READINESS]).start()
+    assert FRONT in world.reactor.opened
+    world.process.on_stop_signal()
+    assert not world.reactor.hasStopped
+    assert FRONT not in world.reactor.opened
+
+
 def test_a_stop_before_the_start_opens_nothing(new_world):
     world = new_world()
     world.process.on_stop_signal()
