--- a/tests/unit/platform/stop_world.py
+++ b/tests/unit/platform/stop_world.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet.testing import MemoryReactorClock
 
+from notcharch.calls.engine_sender import CONNECT_TIMEOUT_SECONDS
 from notcharch.calls.routing import Router
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
@@ -25,6 +26,8 @@
 STEP_SECONDS = 0.05
 EVENT_SECONDS = 0.5
 """Interval of the events of a stream."""
+FIRST_EVENT_SECONDS = 0.05
+"""Before any first event counts as overdue."""
 HEADER_TIMEOUT_MS = 20_000
 """Longer than a stop, so that a slow head lasts until its end."""
 UNLIMITED = float("inf")
@@ -63,13 +66,19 @@
         self.id = head.get(b"x-notcharch-request-id").decode()
         _, self.route, seconds, length = head.target.decode().split("/")
         self.seconds, self.length = float(seconds), int(length)
-        self.sent_at = world.now
+        self.sent_at = 0.0
+        self.is_after_stop = False
+        """Whether the engine got it after SIGTERM."""
         self.is_over = False
-        self.waits_for_reader = False
-        reactor = world.reactor
+
+    def start(self) -> None:
+        """Begin the answer: the request has arrived."""
+        self.sent_at = self.world.now
+        self.is_after_stop = self.world.is_stopping
+        reactor = self.world.reactor
         if KINDS[self.route]["kind"] == "streaming":
             self._begin()
-            reactor.callLater(min(EVENT_SECONDS, self.seconds), self._event)
+            reactor.callLater(min(FIRST_EVENT_SECONDS, self.seconds), self._event)
         else:
             reactor.callLater(self.seconds, self._answer)
 
@@ -123,16 +132,39 @@
         """What engines have got, by request id."""
         self.is_connecting = False
         """Whether connections to engines are not open yet."""
+        self.connecting: list[EngineAnswer] = []
+        """Requests that wait for them."""
 
     def send(self, engine, head, body, listener, *, confirm=None):
-        if self.is_connecting:
-            connecting = Sent(engine, head, body, listener)
-            connecting.is_sent = False
-            return connecting
         answer = EngineAnswer(self.world, engine, head, body, listener)
-        self.got.setdefault(answer.id, []).append(answer)
+        if self.is_connecting:
+            answer.is_sent = False
+            self.connecting.append(answer)
+            self.world.reactor.callLater(CONNECT_TIMEOUT_SECONDS, self._give_up, answer)
+        else:
+            self._receive(answer)
         return answer
 
+    def connect(self) -> None:
+        """Open the connections on which requests wait, and send them."""
+        self.is_connecting = False
+        connecting, self.connecting = self.connecting, []
+        for answer in connecting:
+            if not answer.is_abandoned:
+                answer.is_sent = True
+                self._receive(answer)
+
+    def _give_up(self, answer: EngineAnswer) -> None:
+        """End an attempt to connect, as the daemon's own timeout does."""
+        if answer in self.connecting:
+            self.connecting.remove(answer)
+            if not answer.is_abandoned:
+                answer.listener.unreachable()
+
+    def _receive(self, answer: EngineAnswer) -> None:
+        self.got.setdefault(answer.id, []).append(answer)
+        answer.start()
+
     def release(self, engine_id, request):
         pass
 
@@ -279,6 +311,7 @@
         self.numbers = itertools.count(1)
         self.callers: list[Caller] = []
         self.stopped_at = 0.0
+        self.is_stopping = False
         self.ended_at: float | None = None
 
     @property
@@ -298,6 +331,7 @@
 
     def stop(self) -> None:
         self.stopped_at = self.now
+        self.is_stopping = True
         self.process.on_stop_signal()
         if self.reactor.hasStopped:
             self.ended_at = 0.0
