A stop before the reactor runs; refusals are counted by reason, durations computed once

Cause: reactor.stop raises before the reactor runs. The counter told the place of a refusal, not its reason. Change: the stop waits for the start of the reactor; durations are computed once in 0.05 s; the counter has the reason.

--- a/notcharch/calls/metrics.py
+++ b/notcharch/calls/metrics.py
@@ -44,8 +44,9 @@
 )
 STOP_REFUSALS = Counter(
     "notcharch_stop_refusals",
-    "Calls refused by a planned stop as they may not end in time, by where they were",
-    ["phase"],
+    "Calls refused by a planned stop as they may not end in time, by where they were "
+    "and by what their duration was expected",
+    ["phase", "reason"],
 )
 STOP_CUTS = Counter(
     "notcharch_stop_cuts", "Calls that ran and were cut at the end of a planned stop"
--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -9,11 +9,13 @@
 from notcharch.calls.metrics import STOP_CUTS, STOP_REFUSALS
 from notcharch.events.event import emit
 from notcharch.events.process import CallCutByStop, CallRefusedForStop
-from notcharch.scheduling.call_durations import CallDurations
+from notcharch.scheduling.call_durations import CallDurations, Durations
 from notcharch.scheduling.stop_decision import StopDecision, StopInputs, decide
 
 STOPPING = Refusal(503, "the daemon is stopping", 0.1)
 """Another daemon serves at once. Its connection is closed, so the next try goes elsewhere."""
+REFRESH_SECONDS = 0.05
+"""Many calls that wait are decided on together; durations are not computed for each."""
 AGAIN = "again"
 """The metric's phase of a call that may have run and is not sent again."""
 CUT_BY_STOP = "the daemon stopped before the call ended"
@@ -68,6 +70,13 @@
         """End the call now: refused if it has not run, else broken off."""
 
 
+class KnownDurations(msgspec.Struct, frozen=True):
+    """The durations of a route's calls at a moment; None if they were not known."""
+
+    at: float
+    durations: Durations | None
+
+
 class StopCounts(msgspec.Struct):
     """How calls ended since the start of a stop."""
 
@@ -86,6 +95,8 @@
         self._durations = CallDurations()
         self._calls: dict[StoppableCall, None] = {}
         """Calls that have not ended, in the order of their start."""
+        self._latest: dict[str, KnownDurations] = {}
+        """By route; only used during a stop."""
         self.counts = StopCounts()
 
     @property
@@ -119,20 +130,29 @@
         if self._cut_at is None:
             return None
         now = self._clock.seconds()
-        running = [
-            call.timer.seconds or 0.0
-            for call in self._calls
-            if call.timer.route == route.name
-        ]
         return decide(
             StopInputs(
                 seconds_left=self._cut_at - now,
-                durations=self._durations.of(route.name, now, running),
+                durations=self._known(route.name, now),
                 deadline_seconds=deadline - now,
                 is_repeatable=route.is_repeatable,
             )
         )
 
+    def _known(self, route: str, now: float) -> Durations | None:
+        """Return the durations of a route's calls as of a moment ago."""
+        known = self._latest.get(route)
+        if known is not None and now - known.at < REFRESH_SECONDS:
+            return known.durations
+        running = [
+            call.timer.seconds or 0.0
+            for call in self._calls
+            if call.timer.route == route
+        ]
+        durations = self._durations.of(route, now, running)
+        self._latest[route] = KnownDurations(now, durations)
+        return durations
+
     def refusal(
         self, call: OpaqueCall, route: Route, deadline: float, phase: str, runs: int
     ) -> Refusal | None:
@@ -164,7 +184,8 @@
             self.counts.cut += 1
         else:
             self.counts.refused += 1
-        STOP_REFUSALS.labels(AGAIN if runs else phase).inc()
+        reason = decision.basis.name.lower()
+        STOP_REFUSALS.labels(AGAIN if runs else phase, reason).inc()
         emit(
             CallRefusedForStop(
                 request=call.id,
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -10,6 +10,7 @@
 from result import Err, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.error import ReactorNotRunning
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
 
@@ -409,4 +410,7 @@
             )
         )
         self._output.flush()
-        self._reactor.stop()
+        try:
+            self._reactor.stop()
+        except ReactorNotRunning:
+            self._reactor.callWhenRunning(self._reactor.stop)
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from twisted.internet.error import ReactorNotRunning
 from twisted.internet.testing import MemoryReactorClock
 
 from notcharch.calls.open_admission import NO_ACCOUNT
@@ -500,6 +501,30 @@
     assert reactor.hasStopped
 
 
+class ReactorThatDoesNotRunYet(MemoryReactorClock):
+    """A reactor before its start, which can't be stopped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_started = False
+
+    def stop(self) -> None:
+        if not self.is_started:
+            raise ReactorNotRunning
+        super().stop()
+
+
+def test_a_stop_before_the_reactor_runs_ends_it_at_its_start():
+    reactor = ReactorThatDoesNotRunYet()
+    settings = read_settings(TEXT).ok_value
+    process = Process(settings, reactor, None, ALL_MECHANISMS)
+    process.on_stop_signal()
+    reactor.is_started = True
+    for hook, arguments, keywords in reactor.whenRunningHooks:
+        hook(*arguments, **keywords)
+    assert reactor.hasStopped
+
+
 def test_a_stop_before_the_first_table_ends_at_once():
     world = StopWorld()
     world.process._ingress.router = None
