The product's own drain waits for the ends of responses in send buffers

Cause: a response of the own interface counts as finished when its last byte is written; the process then ended, and what lay in a send buffer was lost (read from the code; the same class as the platform's daemon). Change: the drain closes connections without a request last, and waits up to 5 s until none is open. Tests: a connection of 200 KB that is read in two steps; the drain's own order. The fakes of Drain got the new step; slow_peer's transport tells its address, which twisted.web asks.

--- a/notcharch/daemon/drain.py
+++ b/notcharch/daemon/drain.py
@@ -23,6 +23,13 @@
 MAX_LAST_RESPONSES_SECONDS = 5.0
 """Maximum wait for responses to requests received while lingering."""
 
+MAX_LAST_BYTES_SECONDS = 5.0
+"""Maximum wait for callers to read the ends of their responses.
+
+A response counts as finished when its last byte is written, which may still be in a send
+buffer then and would be lost with the process.
+"""
+
 MAX_ENGINE_HANDOVER_SECONDS = 5.0
 """Maximum wait for other daemons to claim this daemon's engines."""
 
@@ -39,8 +46,13 @@
         lifecycle: LifeInputs,
         clock: IReactorTime,
         stop_listening: Callable[[], "Deferred[None]"],
+        close_connections: Callable[[], "Deferred[None]"],
     ) -> None:
-        """Prepare a drain; `stop_listening` closes the port for callers' connections."""
+        """Prepare a drain; `stop_listening` closes the port for callers' connections.
+
+        `close_connections` closes those without a request, and fires when none is open.
+        """
+        self._close_connections = close_connections
         self._stop_listening = stop_listening
         self._core = core
         self._lifecycle = lifecycle
@@ -83,6 +95,7 @@
         await self._stop_listening()
         await deferLater(self._clock, LINGER_SECONDS)
         await _within(core.gateway.when_idle(), MAX_LAST_RESPONSES_SECONDS, self._clock)
+        await _within(self._close_connections(), MAX_LAST_BYTES_SECONDS, self._clock)
         self._lifecycle.finish()
         seconds = self._clock.seconds() - started_at
         emit(DaemonStopped(core.own_member.daemon, seconds))
--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -78,6 +78,7 @@
         self._is_stopping = False
         self.core: DaemonCore | None = None
         self._sockets: _Sockets | None = None
+        self._site: LimitedSite | None = None
 
     def start(self) -> DaemonAddresses:
         """Listen and start every service; raises CannotListenError."""
@@ -93,7 +94,13 @@
         )
         self.core = core
         core.membership.on_superseded(self._on_superseded)
-        self._drain = Drain(core, self._lifecycle, self._clock, self._stop_listening)
+        self._drain = Drain(
+            core,
+            self._lifecycle,
+            self._clock,
+            self._stop_listening,
+            self._close_connections,
+        )
         http_address = self._serve_http(core)
         core.start()
         self._check_ready()
@@ -194,7 +201,7 @@
             admin.resource(),
             MetricsResource(self._registry),
         )
-        site = LimitedSite(tree, self._settings.gateway, self._reactor)
+        site = self._site = LimitedSite(tree, self._settings.gateway, self._reactor)
         assert self._sockets is not None
         port = self._reactor.listenTCP(
             section.http_port, site, LISTEN_BACKLOG, section.host
@@ -254,6 +261,9 @@
         port = None if self._sockets is None else self._sockets.http_port
         return succeed(None) if port is None else maybeDeferred(port.stopListening)
 
+    def _close_connections(self) -> "Deferred[None]":
+        return succeed(None) if self._site is None else self._site.close_connections()
+
     def _close(self) -> "Deferred[Any]":
         if self.core is not None:
             self.core.stop()
--- a/notcharch/gateway/http_site.py
+++ b/notcharch/gateway/http_site.py
@@ -8,7 +8,10 @@
 from io import BytesIO
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IAddress, IReactorTime
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
@@ -64,8 +67,21 @@
     transport: Any
     maxHeaders = MAX_HEADERS  # noqa: N815
     section: GatewaySection
+    site: "LimitedSite"
     is_refused = False
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Add the connection to the open ones of its site."""
+        super().connectionMade()  # type: ignore[no-untyped-call]
+        self.site.open_channels.add(self)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Remove the connection from the open ones of its site."""
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+        self.site.channel_closed(self)
+
     def refuse(self, problem: Problem) -> None:
         """Respond with a problem, discard further data and close the connection."""
         if self.is_refused:
@@ -121,6 +137,8 @@
             reactor=clock,
         )
         self._section = section
+        self.open_channels: set[LimitedChannel] = set()
+        self._closed: Deferred[None] | None = None
         self.displayTracebacks = False
 
     def buildProtocol(  # type: ignore[override]  # noqa: N802
@@ -131,6 +149,28 @@
         self._configure(channel)
         return channel
 
+    def close_connections(self) -> "Deferred[None]":
+        """Close the connections without a request; the Deferred fires when none is open.
+
+        A connection is open until its last byte has left the process.
+        """
+        closed = self._closed = self._closed or Deferred()
+        for channel in tuple(self.open_channels):
+            if not channel.requests:
+                channel.loseConnection()  # type: ignore[no-untyped-call]
+        self._fire_if_closed()
+        return closed
+
+    def channel_closed(self, channel: LimitedChannel) -> None:
+        """Remove a connection that is closed."""
+        self.open_channels.discard(channel)
+        self._fire_if_closed()
+
+    def _fire_if_closed(self) -> None:
+        closed = self._closed
+        if closed is not None and not self.open_channels and not closed.called:
+            closed.callback(None)
+
     def _configure(self, channel: Any) -> None:
         channel.section = self._section
         channel.totalHeadersSize = self._section.header_bytes
--- a/tests/stateful/region/test_rolling_restart.py
+++ b/tests/stateful/region/test_rolling_restart.py
@@ -86,7 +86,13 @@
 def restart(region, load, name):
     """Stop a daemon as SIGTERM does, and start it again a little later."""
     core = load.draining = region.cores[name]
-    drain = Drain(core, new_life(LifeCore()), region.clock, lambda: succeed(None))
+    drain = Drain(
+        core,
+        new_life(LifeCore()),
+        region.clock,
+        stop_listening=lambda: succeed(None),
+        close_connections=lambda: succeed(None),
+    )
     region.wait_for(Deferred.fromCoroutine(drain.run()), DRAIN_SECONDS)
     core.stop()
     region.crash(name)
--- a/tests/unit/faults/test_planned_stop.py
+++ b/tests/unit/faults/test_planned_stop.py
@@ -6,16 +6,20 @@
 import pytest
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
+from twisted.web.resource import Resource
 
 from notcharch.daemon.drain import (
     LINGER_SECONDS,
     MAX_ENGINE_HANDOVER_SECONDS,
+    MAX_LAST_BYTES_SECONDS,
     MAX_LAST_RESPONSES_SECONDS,
     Drain,
 )
 from notcharch.daemon.life import LifeCore, LifeState, new_life
-from notcharch.settings.schema import DaemonSection
+from notcharch.gateway.http_site import LimitedSite
+from notcharch.settings.schema import DaemonSection, GatewaySection
 from notcharch.values.identifiers import Member
+from tests.unit.http.slow_peer import SlowPeerTransport
 
 
 class FakeCore:
@@ -33,6 +37,7 @@
         self.running_calls = 0
         self.responding = succeed(None)
         self.handing_over = succeed(None)
+        self.closing = succeed(None)
 
     def announce_leaving(self):
         self.steps.append("announce")
@@ -57,6 +62,10 @@
         self.steps.append("stop listening")
         return succeed(None)
 
+    def close_connections(self):
+        self.steps.append("close connections")
+        return self.closing
+
 
 @pytest.fixture
 def core():
@@ -76,7 +85,7 @@
 
 
 def start_drain(core, lifecycle, clock):
-    drain = Drain(core, lifecycle, clock, core.stop_listening)
+    drain = Drain(core, lifecycle, clock, core.stop_listening, core.close_connections)
     return Deferred.fromCoroutine(drain.run())
 
 
@@ -95,7 +104,7 @@
     assert not stopped.called
     assert lifecycle.current_state() is LifeState.DRAINING
     clock.advance(LINGER_SECONDS / 2)
-    assert core.steps[-1] == "await responses"
+    assert core.steps[-2:] == ["await responses", "close connections"]
     assert stopped.called
     assert lifecycle.current_state() is LifeState.STOPPED
 
@@ -124,3 +133,51 @@
     clock.advance(LINGER_SECONDS)
     clock.advance(MAX_LAST_RESPONSES_SECONDS)
     assert stopped.called
+
+
+def test_the_ends_of_responses_in_send_buffers_are_waited_for(core, lifecycle, clock):
+    """A response counts as finished when its last byte is written to a buffer."""
+    core.closing = Deferred()
+    stopped = start_drain(core, lifecycle, clock)
+    clock.advance(LINGER_SECONDS)
+    assert not stopped.called
+    core.closing.callback(None)
+    assert stopped.called
+
+
+def test_a_caller_that_does_not_read_does_not_keep_the_daemon(core, lifecycle, clock):
+    core.closing = Deferred()
+    stopped = start_drain(core, lifecycle, clock)
+    clock.advance(LINGER_SECONDS)
+    clock.advance(MAX_LAST_BYTES_SECONDS)
+    assert stopped.called
+
+
+class WholeResponse(Resource):
+    """A resource whose response is written at once."""
+
+    isLeaf = True  # noqa: N815
+
+    def render(self, request) -> bytes:
+        request.setHeader(b"connection", b"close")
+        return b"x" * LENGTH
+
+
+LENGTH = 200_000
+
+
+def test_a_connection_is_open_until_its_last_byte_was_read(clock):
+    site = LimitedSite(WholeResponse(), GatewaySection(), clock)
+    transport = SlowPeerTransport()
+    idle = SlowPeerTransport()
+    for one in (transport, idle):
+        one.attach(site.buildProtocol(None))
+    transport.protocol.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    closed = site.close_connections()
+    idle.read()
+    assert idle.is_lost
+    transport.read(LENGTH // 2)
+    assert not closed.called
+    transport.read()
+    assert transport.sent.endswith(b"x" * LENGTH)
+    assert closed.called
--- a/tests/unit/http/slow_peer.py
+++ b/tests/unit/http/slow_peer.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from twisted.internet.abstract import FileDescriptor
+from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionAborted
 from twisted.python.failure import Failure
 
@@ -46,6 +47,9 @@
     def getPeer(self):  # noqa: N802
         return SimpleNamespace(host="10.0.0.9")
 
+    def getHost(self):  # noqa: N802
+        return IPv4Address("TCP", "10.0.0.1", 80)
+
     def writeSomeData(self, data):  # noqa: N802
         piece = bytes(data[: self._room])
         self._room -= len(piece)
