--- a/notcharch/daemon/process.py
+++ b/notcharch/daemon/process.py
@@ -66,6 +66,7 @@
         self._peers = self._listener(
             "peers", section.peer_port, self._peer_sockets, self._on_peers_open
         )
+        self._site: LimitedSite | None = None
         self._http: Listener | None = None
         self._http_port: TcpPortOpener | None = None
 
@@ -100,8 +101,15 @@
         core = DaemonCore(self._settings, self._ports(), self._registry)
         self.core = core
         core.membership.on_superseded(self._on_superseded)
-        self._drain = Drain(core, self._lifecycle, self._clock, self._stop_listening)
-        site = LimitedSite(self._http_tree(core), self._settings.gateway, self._reactor)
+        self._drain = Drain(
+            core,
+            self._lifecycle,
+            self._clock,
+            self._stop_listening,
+            self._close_connections,
+        )
+        tree = self._http_tree(core)
+        site = self._site = LimitedSite(tree, self._settings.gateway, self._reactor)
         self._http_port = TcpPortOpener(self._reactor, site, LISTEN_BACKLOG)
         self._http = self._listener(
             "http", self._settings.daemon.http_port, self._http_port, self._on_http_open
@@ -245,6 +253,9 @@
         """Stop accepting callers' connections; open connections are kept."""
         return succeed(None) if self._http is None else self._http.stop()
 
+    def _close_connections(self) -> "Deferred[None]":
+        return succeed(None) if self._site is None else self._site.close_connections()
+
     def _close(self) -> "Deferred[Any]":
         closing = [self._peers.stop(), self._stop_listening()]
         if self.core is not None and self._is_core_started:
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet.defer import succeed
+from twisted.internet.error import ReactorNotRunning
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
@@ -245,7 +246,14 @@
         self._life.finish()
         emit(ProcessStopped(self._settings.machine, 0, 0.0))
         self._close()
-        self._reactor.stop()
+        self._stop_reactor()
+
+    def _stop_reactor(self) -> None:
+        """Stop the reactor, or have it stop at its start."""
+        try:
+            self._reactor.stop()
+        except ReactorNotRunning:
+            self._reactor.callWhenRunning(self._reactor.stop)
 
     def on_reload_signal(self) -> None:
         """Reload the settings, once their file is valid and no longer being written."""
@@ -292,4 +300,4 @@
             )
         )
         self._output.flush()
-        self._reactor.stop()
+        self._stop_reactor()
