Slow readers and single hung calls don't have other calls refused by a stop

Cause: a duration held the time for which a caller read, and the longest of 128 calls decided on calls that must run once; one caller that doesn't read had all short calls refused. Change: the time at the engine and the reading after it are recorded apart (98 and 80 in 100); calls whose engine waited for their caller show nothing. Tests: unit/scheduling/test_stop_decision, unit/platform/test_planned_stop, stateful/stop pass.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -553,7 +553,8 @@
 
     def _served(self, status: int) -> None:
         self._log.served(status)
-        self.timer.shows_duration = status < CLIENT_ERRORS
+        if status < CLIENT_ERRORS:
+            self.timer.answer_ended()
         if self._services.stop is not None:
             self._services.stop.served()
 
@@ -602,7 +603,8 @@
             self.not_durable()
         elif self._phase is Phase.AT_ENGINE:
             may_have_run = bool(self._log.runs) or self._run is not None
-            self.timer.shows_duration = may_have_run
+            if may_have_run:
+                self.timer.answer_ended()
             self._refuse(TIMED_OUT if may_have_run else NO_ENGINE)
 
     def _caller_backlog_changed(self, is_behind: bool) -> None:
@@ -611,6 +613,7 @@
         if self._run is None:
             return
         if is_behind:
+            self.timer.is_slowed = True
             self._run.pause_reading()
         else:
             self._run.resume_reading()
--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -9,7 +9,7 @@
 from notcharch.calls.metrics import STOP_CUTS, STOP_REFUSALS
 from notcharch.events.event import emit
 from notcharch.events.process import CallCutByStop, CallRefusedForStop
-from notcharch.scheduling.call_durations import CallDurations, Durations
+from notcharch.scheduling.call_durations import CallDurations, Durations, EndedCall
 from notcharch.scheduling.stop_decision import StopDecision, StopInputs, decide
 
 STOPPING = Refusal(503, "the daemon is stopping", 0.1)
@@ -22,7 +22,7 @@
 
 
 class CallTimer:
-    """Times one call from its first send to the last byte of its answer.
+    """Times one call from its first send to the end and to the last byte of its answer.
 
     It outlives its call while a slow caller reads, so it holds nothing of it.
     """
@@ -36,8 +36,10 @@
         self.route = route
         self.sent_at: float | None = None
         """Clock seconds of the first send."""
-        self.shows_duration = False
-        """Whether the call's end tells how long calls of its route take."""
+        self.is_slowed = False
+        """Whether its engine had to wait for its caller, so that it shows nothing."""
+        self._engine_seconds: float | None = None
+        """From the first send to the end, if this tells how long calls take."""
 
     def sent(self) -> None:
         """Start at the first send."""
@@ -49,11 +51,18 @@
         """Seconds since the first send; None if there was none."""
         return None if self.sent_at is None else self._clock.seconds() - self.sent_at
 
+    def answer_ended(self) -> None:
+        """Note the end of an answer that tells how long calls of its route take."""
+        if not self.is_slowed:
+            self._engine_seconds = self.seconds
+
     def answer_sent(self) -> None:
         """End: the last byte of the answer has left the process."""
-        seconds = self.seconds
-        if self._stop is not None and seconds is not None and self.shows_duration:
-            self._stop.record(self.route, seconds)
+        whole, engine = self.seconds, self._engine_seconds
+        if self._stop is None or whole is None or engine is None:
+            return
+        now = self._clock.seconds()
+        self._stop.record(self.route, EndedCall(now, engine, whole - engine))
 
 
 class StoppableCall(Protocol):
@@ -121,9 +130,9 @@
         if self.is_stopping:
             self.counts.served += 1
 
-    def record(self, route: str, seconds: float) -> None:
+    def record(self, route: str, call: EndedCall) -> None:
         """Learn the duration of a call."""
-        self._durations.record(route, self._clock.seconds(), seconds)
+        self._durations.record(route, call)
 
     def decide(self, route: Route, deadline: float) -> StopDecision | None:
         """Decide on a call that is about to be sent; None while there is no stop."""
@@ -147,7 +156,7 @@
         running = [
             call.timer.seconds or 0.0
             for call in self._calls
-            if call.timer.route == route
+            if call.timer.route == route and not call.timer.is_slowed
         ]
         durations = self._durations.of(route, now, running)
         self._latest[route] = KnownDurations(now, durations)
--- a/notcharch/scheduling/call_durations.py
+++ b/notcharch/scheduling/call_durations.py
@@ -1,4 +1,4 @@
-"""How long the calls of each route took lately, from their first send to their last byte.
+"""How long the calls of each route took lately, and how long their callers read on.
 
 Pure: the time is an argument. A planned stop uses it to tell which calls can still end.
 """
@@ -17,6 +17,14 @@
 """With fewer calls the durations of a route are not known."""
 USUAL_SHARE = 0.95
 """Share of the calls that take no longer than the usual duration."""
+RARE_SHARE = 0.98
+"""Share of the calls that take no longer than a rare duration.
+
+Of fifty calls and more, one that took very long is left out: an engine that hung once must
+not decide on all calls of the next two minutes.
+"""
+READING_SHARE = 0.8
+"""Share of the callers that read no longer: a few slow ones tell nothing of the others."""
 MAX_ROUTES = 256
 """Routes beyond this number replace those that were used the longest ago."""
 
@@ -25,8 +33,22 @@
     """The durations of a route's latest calls."""
 
     usual_seconds: float
-    """Most calls took no longer."""
-    longest_seconds: float
+    """Most calls took no longer from their first send to the end of their answer."""
+    rare_seconds: float
+    """Nearly all calls took no longer."""
+    reading_seconds: float = 0.0
+    """After that, most callers read no longer until the last byte had left."""
+
+
+class EndedCall(msgspec.Struct, frozen=True):
+    """One call whose answer has left the process."""
+
+    ended_at: float
+    """Clock seconds."""
+    seconds: float
+    """From its first send to the end of its answer."""
+    reading_seconds: float = 0.0
+    """From then until the last byte had left the process."""
 
 
 class RouteDurations:
@@ -34,12 +56,11 @@
 
     def __init__(self) -> None:
         """Start without calls."""
-        self._calls: deque[tuple[float, float]] = deque(maxlen=MAX_CALLS)
-        """The clock seconds of the end and the duration of each."""
+        self._calls: deque[EndedCall] = deque(maxlen=MAX_CALLS)
 
-    def record(self, now: float, seconds: float) -> None:
-        """Record a call that ends now."""
-        self._calls.append((now, seconds))
+    def record(self, call: EndedCall) -> None:
+        """Record a call."""
+        self._calls.append(call)
 
     def durations(self, now: float, running: Iterable[float] = ()) -> Durations | None:
         """Return the durations, None if they are not known.
@@ -48,17 +69,21 @@
         so they count once they are older than most calls that have ended.
         """
         oldest = now - WINDOW_SECONDS
-        ended = sorted(seconds for end, seconds in self._calls if end >= oldest)
-        if len(ended) < MIN_CALLS:
+        calls = [call for call in self._calls if call.ended_at >= oldest]
+        if len(calls) < MIN_CALLS:
             return None
-        usual = _usual(ended)
-        later = [age for age in running if age > usual]
-        known = sorted([*ended, *later])
-        return Durations(_usual(known), known[-1])
+        ended = [call.seconds for call in calls]
+        usual = _quantile(ended, USUAL_SHARE)
+        known = ended + [age for age in running if age > usual]
+        return Durations(
+            _quantile(known, USUAL_SHARE),
+            _quantile(known, RARE_SHARE),
+            _quantile([call.reading_seconds for call in calls], READING_SHARE),
+        )
 
 
-def _usual(ordered: list[float]) -> float:
-    return ordered[math.ceil(len(ordered) * USUAL_SHARE) - 1]
+def _quantile(values: list[float], share: float) -> float:
+    return sorted(values)[math.ceil(len(values) * share) - 1]
 
 
 class CallDurations:
@@ -68,15 +93,15 @@
         """Start without calls."""
         self._routes: OrderedDict[str, RouteDurations] = OrderedDict()
 
-    def record(self, route: str, now: float, seconds: float) -> None:
-        """Record a call of a route that ends now."""
+    def record(self, route: str, call: EndedCall) -> None:
+        """Record a call of a route."""
         known = self._routes.get(route)
         if known is None:
             known = self._routes[route] = RouteDurations()
         self._routes.move_to_end(route)
         if len(self._routes) > MAX_ROUTES:
             self._routes.popitem(last=False)
-        known.record(now, seconds)
+        known.record(call)
 
     def of(
         self, route: str, now: float, running: Iterable[float] = ()
--- a/notcharch/scheduling/stop_decision.py
+++ b/notcharch/scheduling/stop_decision.py
@@ -50,16 +50,17 @@
 def decide(inputs: StopInputs) -> StopDecision:
     """Return whether a call has to be refused now, as it may not end in time.
 
-    One that must run at most once is expected to take as long as the longest call
+    One that must run at most once is expected to take as long as nearly all calls
     lately, since being cut loses it; one that may be repeated, as long as most calls. No
     call lasts beyond its deadline.
     """
     by_deadline = max(inputs.deadline_seconds, 0.0) + DEADLINE_MARGIN_SECONDS
     expected, basis = by_deadline, Basis.DEADLINE
     if inputs.durations is not None:
-        known = inputs.durations.longest_seconds
+        known = inputs.durations.rare_seconds
         if inputs.is_repeatable:
             known = inputs.durations.usual_seconds
+        known += inputs.durations.reading_seconds
         by_durations = known * DURATION_FACTOR + DURATION_MARGIN_SECONDS
         if by_durations < by_deadline:
             expected, basis = by_durations, Basis.DURATIONS
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -403,6 +403,23 @@
     assert_refused(world, caller, id)
 
 
+@pytest.mark.parametrize("kind", PLAIN)
+def test_callers_that_do_not_read_have_no_short_calls_refused(kind):
+    """What an engine waits for a caller tells nothing of other calls of the route."""
+    world = StopWorld()
+    for length in (200_000, 1_000_000):
+        world.caller(0.0).call(kind, SHORT_SECONDS, length=length)
+    world.learn(kind, SHORT_SECONDS)
+    world.run(20.0)
+    world.stop()
+    world.run_until(2.0)
+    caller = world.caller()
+    caller.call(kind, SHORT_SECONDS)
+    world.run(0.3)
+    assert_served(caller)
+    world.finish()
+
+
 @pytest.mark.parametrize("kind", ["stream-once", "stream-again"])
 def test_a_stream_whose_events_still_come_is_cut_last(kind):
     """What runs at an engine has until shortly before the exit."""
