--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,5 +1,6 @@
 """The daemon process on the platform: its ports, its components and its life."""
 
+import gc
 import sys
 import time
 from random import Random
@@ -300,4 +301,6 @@
             )
         )
         self._output.flush()
+        # The collections at the exit of the interpreter take most of its time.
+        self._reactor.addSystemEventTrigger("after", "shutdown", gc.freeze)
         self._stop_reactor()
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -181,8 +181,9 @@
 
 @each_kind
 @pytest.mark.parametrize("is_route_known", [True, False])
+@pytest.mark.parametrize("deadline_ms", [None, 2000])
 def test_a_body_that_is_sent_slowly_is_refused_before_it_is_too_late(
-    kind, is_route_known
+    kind, is_route_known, deadline_ms
 ):
     world = StopWorld()
     if is_route_known:
@@ -191,9 +192,10 @@
     world.run_until(1.0)
     caller = world.caller()
     body = b"b" * 4000
-    caller.send_slowly(caller.request(kind, 1.0, body=body), 20.0)
+    data = caller.request(kind, 1.0, body=body, deadline_ms=deadline_ms)
+    caller.send_slowly(data, 20.0)
     id = caller.id
-    world.run_until(7.0)
+    world.run_until(7.25)
     response = caller.response
     assert (response.status, response.is_whole) == (503, True)
     assert response.headers[b"connection"] == b"close"
@@ -403,6 +405,23 @@
     assert_refused(world, caller, id)
 
 
+@pytest.mark.parametrize("kind", PLAIN)
+def test_callers_that_do_not_read_have_no_short_calls_refused(kind):
+    """What an engine waits for a caller tells nothing of other calls of the route."""
+    world = StopWorld()
+    for length in (200_000, 1_000_000):
+        world.caller(0.0).call(kind, SHORT_SECONDS, length=length)
+    world.learn(kind, SHORT_SECONDS)
+    world.run(20.0)
+    world.stop()
+    world.run_until(2.0)
+    caller = world.caller()
+    caller.call(kind, SHORT_SECONDS)
+    world.run(0.3)
+    assert_served(caller)
+    world.finish()
+
+
 @pytest.mark.parametrize("kind", ["stream-once", "stream-again"])
 def test_a_stream_whose_events_still_come_is_cut_last(kind):
     """What runs at an engine has until shortly before the exit."""
