A planned stop answers connections that wait in its port's queue

Callers saw connections that were accepted by the kernel, brought a request and were reset without an answer: closing a listening socket resets what is in its queue, and a connection that had just been accepted counted as idle. The queue is accepted before the port is closed, in one turn of the reactor, and a new connection is not idle for 0.3 s.

--- a/notcharch/http/listener.py
+++ b/notcharch/http/listener.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 import msgspec
-from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import (
     IDelayedCall,
@@ -20,6 +20,7 @@
 
 from notcharch.events.event import emit
 from notcharch.events.process import PortOpened, PortTaken
+from notcharch.http.listening_port import close_listening_port
 from notcharch.http.metrics import LISTEN_FAILURES, PORTS_WAITING
 
 FIRST_DELAY_SECONDS = 0.1
@@ -89,7 +90,7 @@
     def close(self) -> "Deferred[Any]":
         """Stop listening; connections are kept."""
         port, self.port = self.port, None
-        return succeed(None) if port is None else maybeDeferred(port.stopListening)
+        return succeed(None) if port is None else close_listening_port(port)
 
 
 class Listener:
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -24,6 +24,8 @@
 A connection that is closed while its client still sends is reset, and the client may lose
 the response.
 """
+NEW_CONNECTION_SECONDS = 0.3
+"""A connection without a request so far is not idle for this time: its first one comes."""
 PIPELINED_BYTES = CONNECTION_BYTES
 """Bytes of later requests beyond which reading stops while one is processed."""
 
@@ -152,6 +154,9 @@
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
         self._idle_since = 0.0
+        self._opened_at = 0.0
+        self._is_new = True
+        """Whether nothing was received yet."""
         self._is_reading_paused = False
         self._is_cut = False
         self._is_discarding = False
@@ -167,7 +172,7 @@
         """Disable Nagle's algorithm and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
         self._out = SendBuffer(self.transport, self._on_buffer_change)
-        self._idle_since = self._clock.seconds()
+        self._opened_at = self._idle_since = self._clock.seconds()
         self._schedule_check(self._limits.idle_seconds)
 
     def _schedule_check(self, seconds: float) -> None:
@@ -203,7 +208,14 @@
         return not self.is_idle
 
     def close_if_idle(self) -> None:
-        """Close the connection if nothing of a request was received."""
+        """Close the connection if nothing of a request was received.
+
+        One that was just opened is kept for its first request: its client got no sign that
+        it would be closed.
+        """
+        age = self._clock.seconds() - self._opened_at
+        if self._is_new and age < NEW_CONNECTION_SECONDS:
+            return
         if not self._is_disconnected and self.is_idle and not self._is_discarding:
             self._out.lose_connection()
 
@@ -240,6 +252,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parse received bytes."""
+        self._is_new = False
         if self._is_discarding:
             return
         if self._exchange is None and not self._http.trailing_data[0]:
--- a/notcharch/platform/planned_stop.py
+++ b/notcharch/platform/planned_stop.py
@@ -7,14 +7,14 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
 
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IListeningPort, IReactorTime
 
 from notcharch.calls.planned_stop import PlannedStop
 from notcharch.events.event import emit
 from notcharch.events.process import DrainEnded
 from notcharch.http.drain import Drain, DrainTimes
+from notcharch.http.listening_port import close_listening_port
 from notcharch.http.server import ServerFactory
 from notcharch.platform.ingress import Ingress
 
@@ -32,13 +32,6 @@
 """Between the cut of running calls and the exit, for their error responses."""
 
 
-class FrontPort(Protocol):
-    """The callers' listening port."""
-
-    def stopListening(self) -> object:  # noqa: N802 - Twisted's name
-        """Close the port."""
-
-
 def stop_times(grace_seconds: float) -> DrainTimes:
     """Return the times of a stop with a grace period."""
     max_seconds = grace_seconds - EXIT_SECONDS
@@ -66,13 +59,13 @@
         self._calls = calls
         self._ingress = ingress
         self._factory = factory
-        self._front_port: FrontPort | None = None
+        self._front_port: IListeningPort | None = None
         self._finish: Callable[[int, float], None] = lambda *_: None
 
     def begin(
         self,
         grace_seconds: float,
-        front_port: FrontPort | None,
+        front_port: IListeningPort | None,
         finish: Callable[[int, float], None],
     ) -> None:
         """Start; `finish` is called with the requests in flight and the duration.
@@ -104,7 +97,7 @@
     def stop_accepting(self) -> None:
         """Close the callers' listening port."""
         if self._front_port is not None:
-            self._front_port.stopListening()
+            close_listening_port(self._front_port)
 
     def close_idle(self) -> None:
         """Close the callers' connections on which nothing of a request was received."""
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -569,3 +569,28 @@
     assert 6.9 < refused["expected_seconds"] < 7.3
     (ended,) = of(messages, DrainEnded)
     assert (ended["served"], ended["refused"], ended["cut"]) == (0, 1, 0)
+
+
+@each_kind
+def test_a_connection_opened_just_before_the_port_closes_is_answered(kind):
+    """Guards against a reset of a connection whose first request is on its way."""
+    world = StopWorld()
+    world.learn(kind, 0.1)
+    world.stop()
+    world.run_until(2.55)
+    caller = world.caller()
+    world.run_until(2.75)
+    assert not caller.is_closed
+    caller.call(kind, 0.1)
+    world.finish()
+    assert_served(caller)
+
+
+def test_a_connection_that_brings_no_request_does_not_delay_the_stop():
+    world = StopWorld()
+    world.stop()
+    world.run_until(2.55)
+    caller = world.caller()
+    world.finish()
+    assert caller.is_closed
+    assert world.ended_at < 3.1
