--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,20 +1,14 @@
 """The daemon process on the platform: its ports, its components and its life."""
 
-import contextlib
-import os
 import sys
 import time
 from random import Random
 from typing import Any
 
-import eliot
-from result import Err, Result
 from twisted.internet.defer import succeed
-from twisted.internet.interfaces import IListeningPort
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-from notcharch.events.calls import CallerNotIdentified, CallServed, EngineChosen
 from notcharch.events.event import emit
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
@@ -24,42 +18,32 @@
     ProcessStopped,
     ProcessStopping,
     ReadinessChanged,
+    SettingsNeedRestart,
     SettingsRead,
     StartFailed,
 )
-from notcharch.events.tenants import LimitReached
-from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
+from notcharch.platform.awaited_settings import AwaitedSettings
 from notcharch.platform.components import Components, Surroundings
 from notcharch.platform.life import BEFORE_PORTS, ENDED, LifeState
 from notcharch.platform.listeners import ProcessListeners
+from notcharch.platform.log_output import standard_output
 from notcharch.platform.probes import MetricsHandler, Readiness, ReadinessHandler
+from notcharch.platform.reload import applied, needing_restart
 from notcharch.platform.reported_life import ReportedLife
-from notcharch.platform.settings import (
-    ProcessSettings,
-    read_settings,
-    read_settings_file,
-)
+from notcharch.platform.settings import ProcessSettings, read_settings_file
 from notcharch.platform.store import PlatformStore
 from notcharch.settings.mechanisms import (
     Mechanism,
 )
-from notcharch.settings.settled_file import SettledFile
 from notcharch.values.identifiers import Incarnation
 
-STOP_ACCEPT_SECONDS = 2.6
-"""After SIGTERM, connections are accepted until the platform detects the stop."""
-STOP_ACCEPT_MAX_SHARE = 0.45
-"""Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
-STOP_MARGIN_SECONDS = 0.7
-"""Reserved at the end of the grace period for the last log lines and the exit."""
 EARLY_STOP_SECONDS = 0.5
 """How long a process that never served waits for the store to confirm that it left."""
 FAILED_STATUS = 1
 """Exit status after a defect."""
 MILLISECONDS_PER_SECOND = 1000
-STANDARD_OUTPUT = 1
 TICK_INTERVAL_SECONDS = 1.0
 """Interval of the checks for pauses and readiness; readiness probes are as frequent."""
 
@@ -78,23 +62,25 @@
         reactor: Any,
         metrics_port: int | None,
         mechanisms: frozenset[Mechanism],
+        output: LogOutput | None = None,
     ) -> None:
-        """Prepare a daemon with metrics on `metrics_port`, if any; `start` runs it."""
+        """Prepare a daemon with metrics on `metrics_port`, if any; `start` runs it.
+
+        `output` is where log lines go, as far as it is known: its dropped lines are
+        counted, and it is flushed at the end.
+        """
         self._settings = self._start_settings = settings
         self._mechanisms = mechanisms
         self._metrics_port = metrics_port
         self._reactor = reactor
         self._random = Random()
-        self._reload = SettledFile(reactor, read_settings_file, self._settings_settled)
+        self._reload = AwaitedSettings(
+            reactor, read_settings_file, self._settings_invalid, self._settings_settled
+        )
         store = settings.store.address
         self._requester = Requester(reactor, store.host, store.port, settings.host)
         self._store = PlatformStore(self._requester, reactor, settings.store.log_limits)
-        routine = (CallServed, CallerNotIdentified, EngineChosen, LimitReached)
-        self._output = LogOutput(
-            STANDARD_OUTPUT,
-            reactor,
-            frozenset(event.number for event in routine),
-        )
+        self._output = output or standard_output(reactor)
         self._life = ReportedLife(reactor, settings.machine)
         self._listeners = ProcessListeners(
             reactor,
@@ -130,10 +116,6 @@
             self._fail(Failure())
 
     def _begin(self) -> None:
-        # The daemon does without its log if its standard output is closed.
-        with contextlib.suppress(OSError):
-            os.set_blocking(STANDARD_OUTPUT, False)
-        eliot.add_destinations(self._output)
         self._life.settings_read(self._listeners.missing())
         self._ticks.clock = self._reactor
         self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
@@ -160,9 +142,6 @@
             )
         )
         self._components = components
-        self._ingress = components.ingress
-        self._accounts = components.accounts
-        self._factory = components.factory
         components.start()
         self._listeners.open_front(components.factory, self._on_port_open)
         self._on_port_open()
@@ -217,10 +196,6 @@
             self._ticks.stop()
         self._output.flush()
 
-    @property
-    def _front_port(self) -> IListeningPort | None:
-        return self._listeners.front_port
-
     def _tick(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
@@ -273,23 +248,25 @@
         self._reactor.stop()
 
     def on_reload_signal(self) -> None:
-        """Reload the settings, once their file is no longer being written."""
-        self._reload.start()
+        """Reload the settings, once their file is valid and no longer being written."""
+        if not self._is_stopping:
+            self._reload.start()
 
-    def _settings_settled(self, text: Result[str, list[str]]) -> None:
+    def _settings_invalid(self, findings: list[str], _attempts: int) -> None:
+        emit(SettingsRead(self._settings.machine, findings, is_changed=False))
+
+    def _settings_settled(self, settings: ProcessSettings) -> None:
         """Apply a changed address of the store, and its limits for the next owners."""
-        loaded = text.and_then(read_settings)
-        if isinstance(loaded, Err):
-            errors = loaded.err_value
-            emit(SettingsRead(self._settings.machine, errors, is_changed=False))
+        if self._is_stopping:
             return
-        settings = loaded.ok_value
-        is_changed = settings != self._settings
-        emit(SettingsRead(settings.machine, [], is_changed))
-        self._settings = settings
-        address = settings.store.address
-        self._requester.set_address(address.host, address.port)
-        self._store.limits = settings.store.log_limits
+        emit(SettingsRead(settings.machine, [], settings != self._settings))
+        kept = needing_restart(self._settings, settings)
+        if kept:
+            emit(SettingsNeedRestart(self._settings.machine, kept))
+        self._settings = applied(self._settings, settings)
+        store = self._settings.store
+        self._requester.set_address(store.address.host, store.address.port)
+        self._store.limits = store.log_limits
 
     def on_stop_signal(self) -> None:
         """Start the drain: stop accepting, finish requests in flight, exit."""
@@ -298,32 +275,15 @@
         self._is_stopping = True
         if not self._begin_stop():
             return
-        emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
-        self._ingress.is_draining = True
-        self._accounts.leave()
-        grace = self._settings.grace_seconds
-        times = DrainTimes(
-            accept_seconds=min(STOP_ACCEPT_SECONDS, grace * STOP_ACCEPT_MAX_SHARE),
-            max_seconds=grace - STOP_MARGIN_SECONDS,
+        components = self._components
+        assert components is not None
+        emit(ProcessStopping(self._settings.machine, components.ingress.in_flight))
+        components.accounts.leave()
+        components.stop.begin(
+            self._settings.grace_seconds, self._listeners.front_port, self._stopped
         )
-        Drain(self._reactor, self, times).begin()
-
-    # Called by `Drain`
-
-    def requests_in_flight(self) -> int:
-        """Return the number of requests in flight."""
-        return self._ingress.in_flight
-
-    def stop_accepting(self) -> None:
-        """Close the callers' listening port."""
-        if self._front_port is not None:
-            self._front_port.stopListening()
-
-    def close_idle(self) -> None:
-        """Close callers' connections without a request in flight."""
-        self._factory.close_idle()
 
-    def stopped(self, requests_in_flight: int, seconds: float) -> None:
+    def _stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
         self._life.finish()
         emit(
