A defect in a tick does not end the ticks

LoopingCall ends at an exception of its function, and its Deferred had no errback: readiness changes and dropped lines would not be logged any more.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
@@ -89,6 +90,7 @@
             incarnation=new_incarnation(),
             on_error=self._fail,
         )
+        self._tick_faults = FeedFaults("ticks")
         self._ticks = LoopingCall(self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
@@ -197,6 +199,10 @@
         self._output.flush()
 
     def _tick(self) -> None:
+        # A LoopingCall ends at an exception of its function.
+        self._tick_faults.isolate("tick", self._report_changes)
+
+    def _report_changes(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
         if self.is_ready != self._was_ready:
--- a/tests/unit/platform/test_process_start.py
+++ b/tests/unit/platform/test_process_start.py
@@ -305,6 +305,17 @@
     assert world.state == "loading"
 
 
+def test_a_defect_in_a_tick_does_not_end_the_ticks(new_world):
+    """Guards against a daemon that logs no change of its readiness any more."""
+    world = new_world().start()
+    with mock.patch.object(process.PauseWatch, "tick", side_effect=DEFECT):
+        world.run(3)
+    world.has_tables = True
+    world.run(2)
+    assert [one.is_ready for one in world.logged(process.ReadinessChanged)] == [True]
+    assert not world.reactor.hasStopped
+
+
 # What is told
 
 CASES = {"held": [FRONT], "free": []}
