The test of signals uses the deployed run line, and ports that no connection takes

The run line was written in the test a second time, without -S.

Tests: test_processes_and_signals passes.

--- a/tests/unit/platform/test_processes_and_signals.py
+++ b/tests/unit/platform/test_processes_and_signals.py
@@ -3,14 +3,16 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
+import sysconfig
+import tomllib
 from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
 
+from deploy.soak.daemons import free_ports
 from notcharch.events.process import (
     ProcessStarted,
     ProcessStopped,
@@ -20,22 +22,17 @@
 )
 
 ROOT = Path(__file__).resolve().parents[3]
+SYSTEM = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+RUN_WORDS = SYSTEM["roles"]["notcharch"]["run"].split(" ")[1:4]
 RUN_LINES = {
-    "the platform's": ["start.py"],
+    # Without -OO, for which the packages of the test environment are not compiled.
+    "the platform's": [word for word in RUN_WORDS if word != "-OO"],
     "as a module": ["-m", "notcharch.platform"],
 }
 RUN = pytest.mark.parametrize("run", RUN_LINES.values(), ids=RUN_LINES)
 HOST = "127.0.0.1"
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
-
-
 def settings_text() -> str:
     front, readiness, peers, store = free_ports(4)
     return (
@@ -82,7 +79,11 @@
     with subprocess.Popen(
         [sys.executable, *run],
         cwd=ROOT,
-        env=os.environ | {"NOTCHARCH_NODE_FILE": str(settings)},
+        env=os.environ
+        | {
+            "NOTCHARCH_NODE_FILE": str(settings),
+            "PYTHONPATH": f"{ROOT}{os.pathsep}{sysconfig.get_path('purelib')}",
+        },
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
