--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -489,11 +489,17 @@
     assert caller.id not in world.engines.got
 
 
-def test_a_second_signal_and_a_reload_have_no_effect():
+def test_a_second_signal_and_a_reload_have_no_effect(tmp_path, monkeypatch):
+    """A shorter grace period in a settings file that is read meanwhile changes nothing."""
+    changed = tmp_path / "node.conf"
+    changed.write_text(TEXT.replace("grace_period_s=8", "grace_period_s=1"))
+    monkeypatch.setenv("NOTCHARCH_NODE_FILE", str(changed))
     world = StopWorld()
     caller = world.caller()
     caller.call("plain-once", 4.0)
     world.stop()
+    world.run_until(1.0)
+    world.process.on_reload_signal()
     world.run_until(2.0)
     world.process.on_stop_signal()
     world.run_until(4.6)
