--- /dev/null
+++ b/notcharch/events/memory.py
@@ -0,0 +1,37 @@
+"""Events of a process's memory: 2422, and 2703 to 2709."""
+
+from typing import ClassVar
+
+from notcharch.events.event import Event
+
+
+class MemoryNearLimit(Event, frozen=True):
+    """The resident memory crossed nine tenths of the limit, or fell below it again.
+
+    A process that the platform kills for its memory has this line among its last ones.
+    """
+
+    number: ClassVar[int] = 2422
+    machine: str
+    is_near: bool
+    resident_bytes: int
+    limit_bytes: int
+    holders: dict[str, int]
+    """The largest holders, by their own estimates, in bytes."""
+
+
+class MemoryRefusals(Event, frozen=True):
+    """A kind of holder had no room for something new, or has room again.
+
+    What is refused, and what that means: docs/design/memory-budget.md.
+    """
+
+    number: ClassVar[int] = 2703
+    holder: str
+    is_refusing: bool
+    held_bytes: int
+    limit_bytes: int
+    pool_bytes: int
+    """What all holders of the pool hold."""
+    refused: int
+    """So many times since the last line of this holder."""
