Calls under way hold a bounded number of bytes; those without room are refused unrun

Cause: bodies were counted while they were read, but not while their calls ran; nor were the turns before a call, and the output of a stream while its turn is stored. Each grew with the number of calls.

Change: a call takes room for its head, body and objects when it starts, and for the turns before it before their pages are read; without room it is refused with 503 before it runs (NO_MEMORY). An output that waits to be durable counts among the answers with its copies; above their bound the largest is given up, as at its deadline. The listener of an admission gets reserve_memory.

--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -21,6 +21,7 @@
     BUDGET_SPENT,
     HISTORY_NOT_STORABLE,
     HISTORY_TOO_LONG,
+    NO_MEMORY,
     NOT_RECORDED,
     UNKNOWN_TURN,
     AdmissionListener,
@@ -54,6 +55,7 @@
     Adoption.NO_SUCH_TURN: UNKNOWN_TURN,
     Adoption.TOO_LONG: HISTORY_TOO_LONG,
     Adoption.NOT_STORABLE: HISTORY_NOT_STORABLE,
+    Adoption.NO_MEMORY: NO_MEMORY,
 }
 """Final results of a search for the previous turn."""
 
@@ -94,6 +96,7 @@
             call,
             route,
             max_body_bytes=self._max_body_bytes,
+            reserve_memory=listener.reserve_memory,
         )
         self._request_admission(account, listener)
 
@@ -168,10 +171,14 @@
         if not account.on_admitted(reply):
             return None
         transcript = account.transcript
-        if account.exceeds_limit(transcript.size_bytes + reply.remaining_bytes):
+        chain_bytes = transcript.size_bytes + reply.remaining_bytes
+        if account.exceeds_limit(chain_bytes):
             account.never_ran()
             account.log_history_refused(Adoption.TOO_LONG.value)
             return HISTORY_TOO_LONG
+        if chain_bytes and not account.reserve(chain_bytes + len(account.call.body)):
+            account.never_ran()
+            return NO_MEMORY
         is_read = yield read_remaining_pages(
             self._owners, account.partition, transcript
         )
--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -1,7 +1,7 @@
 """One call's admission request and usage report to the owner of its program's account."""
 
 from collections import deque
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import Any
 
 from twisted.internet.defer import Deferred, inlineCallbacks
@@ -53,11 +53,15 @@
         route: Route,
         *,
         max_body_bytes: int,
+        reserve_memory: Callable[[int], bool] = lambda _: True,
     ) -> None:
         """Look up the partition of the call's program.
 
-        `max_body_bytes` bounds the chain of turns together with the new input.
+        `max_body_bytes` bounds the chain of turns together with the new input;
+        `reserve_memory` holds memory for the chain, and returns whether there is room.
         """
+        self._reserve_memory = reserve_memory
+        self._reserved_bytes = 0
         self._owners = owners
         self._cache = cache
         self.call = call
@@ -111,6 +115,16 @@
         size = chain_bytes + len(self.call.body)
         return self._route.stores_turns and size > self._max_body_bytes
 
+    def reserve(self, size: int) -> bool:
+        """Hold memory for turns, in total; return whether there is room for them."""
+        missing = size - self._reserved_bytes
+        if missing <= 0:
+            return True
+        if not self._reserve_memory(missing):
+            return False
+        self._reserved_bytes = size
+        return True
+
     def on_admitted(self, reply: TurnAdmitted) -> bool:
         """Take the first page of the chain; False if the turns before it are unknown."""
         self.cached_engine = reply.home
--- a/notcharch/accounts/limited_admission.py
+++ b/notcharch/accounts/limited_admission.py
@@ -92,6 +92,10 @@
         """Forward the account's refusal."""
         self._listener.refused(refusal)
 
+    def reserve_memory(self, size: int) -> bool:
+        """Hold memory for the turns before the call, as part of the call."""
+        return self._listener.reserve_memory(size)
+
     def admitted(self, ticket: Ticket, body: bytes) -> None:
         """Request a decision from the owner of the tenant's limit."""
         self._request_decision(ticket, body)
--- a/notcharch/accounts/turn_adoption.py
+++ b/notcharch/accounts/turn_adoption.py
@@ -26,6 +26,9 @@
 from notcharch.accounts.turns import TranscriptPage
 from notcharch.wire.messages.base import Message
 
+ADOPTED_COPIES = 3
+"""Copies of a chain while it is stored again: its pages, its text, and the parts of it."""
+
 
 class Adoption(enum.Enum):
     """Result of a search."""
@@ -38,6 +41,8 @@
     """An owner did not reply; the search is to be retried."""
     TOO_LONG = "too long"
     """The chain is longer than the body of a call may be."""
+    NO_MEMORY = "no memory"
+    """There is no room for the chain and its copies now; nothing was copied."""
     NOT_STORABLE = "not storable"
     """The log service does not take the copy and never will."""
 
@@ -102,8 +107,11 @@
 ) -> Generator["Deferred[Any]", Any, Adoption]:
     """Read the chain of a turn that was found, and store it in the call's partition."""
     transcript = account.transcript
-    if account.exceeds_limit(len(found.text) + found.remaining_bytes):
+    chain_bytes = len(found.text) + found.remaining_bytes
+    if account.exceeds_limit(chain_bytes):
         return Adoption.TOO_LONG
+    if not account.reserve(chain_bytes * ADOPTED_COPIES):
+        return Adoption.NO_MEMORY
     if not transcript.is_complete:  # else an earlier attempt could not store it
         last = found.last or account.previous_turn
         transcript.restart()
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -13,6 +13,7 @@
     MAY_HAVE_RUN,
     NO_ENGINE,
     NO_ENGINE_OF_VERSION,
+    NO_MEMORY,
     TIMED_OUT,
     BrokenRun,
     OpaqueCall,
@@ -28,7 +29,14 @@
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
-
+from notcharch.values.memory_pool import HeldPart
+
+CALL_BYTES = 12 * 1024
+"""Memory of a call under way besides its head and body, with its engine's connection."""
+HEADER_BYTES = 120
+"""Memory of a header besides its text."""
+STORED_COPIES = 3
+"""Copies of an output while its turn is stored: the events, their data, and its parts."""
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
@@ -50,6 +58,14 @@
 NOT_DURABLE = "the outcome was not durable before the deadline"
 
 
+def call_bytes(call: OpaqueCall) -> int:
+    """Return how much memory a call takes from its start to its end, about."""
+    head = sum(
+        len(name) + len(value) + HEADER_BYTES for name, value in call.head.headers
+    )
+    return CALL_BYTES + head + len(call.head.target) + len(call.body)
+
+
 class Phase(enum.Enum):
     """The phase of a call."""
 
@@ -98,9 +114,9 @@
         self._cause = ""
         """Why the last run failed."""
         self._is_caller_behind = False
-        self._output: list[bytes] = []
+        self._output = bytearray()
         """The relayed events, if the turn is to be stored."""
-        self._output_bytes = 0
+        self._held = HeldPart(services.held)
         self._log = CallLog(services.clock, call, route)
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
@@ -110,7 +126,10 @@
         self._deadline = self._log.deadline = call.arrived + wait
 
     def start(self) -> None:
-        """Request admission."""
+        """Request admission, or refuse the call if there is no memory for it."""
+        if not self._held.take(call_bytes(self.call)):
+            self._refuse(NO_MEMORY)
+            return
         clock = self._services.clock
         seconds_left = max(self._deadline - clock.seconds(), 0.0)
         self._timer = clock.callLater(seconds_left, self._expire)
@@ -141,6 +160,10 @@
         """True while the caller is connected and waits for admission."""
         return self._phase is Phase.ADMISSION
 
+    def reserve_memory(self, size: int) -> bool:
+        """Hold memory for the turns before the call until the call ends."""
+        return self._held.take(size)
+
     @property
     def is_caller_waiting(self) -> bool:
         """True while the caller waits for the outcome to be durable."""
@@ -306,8 +329,7 @@
                 self._stream.began(self._run, self._seconds_left)
             self._log.events_relayed(self._framer.events)
             if self._route.stores_turns:
-                self._output.append(complete_events)
-                self._output_bytes += len(complete_events)
+                self._output += complete_events
             self._relay(complete_events)
         return bool(complete_events)
 
@@ -329,7 +351,7 @@
     @property
     def held_bytes(self) -> int:
         """How many bytes of the stream are held to be stored, or as an unfinished event."""
-        return self._output_bytes + len(self._framer.remainder())
+        return len(self._output) + len(self._framer.remainder())
 
     @property
     def is_inside_event(self) -> bool:
@@ -443,7 +465,15 @@
         """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
         assert self._ticket is not None
-        self._ticket.completed(b"".join(self._output), self._framer.events, self)
+        output = bytes(self._output)
+        self._output.clear()
+        held = len(output) * STORED_COPIES
+        self._services.answers.changed(self, held)
+        self._ticket.completed(output, self._framer.events, self)
+
+    def cut(self, buffered: int) -> None:
+        """End the call soon: of all answers, its output holds the most memory."""
+        self._services.clock.callLater(0, self.not_durable)
 
     def durable(self) -> None:
         """Relay the end of the stream."""
@@ -509,6 +539,8 @@
 
     def _end(self) -> None:
         self._phase = Phase.OVER
+        self._held.close()
+        self._services.answers.changed(self, 0)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self._run is not None:
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -32,6 +32,7 @@
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.values.framing import Framing
+from notcharch.values.memory_pool import PoolHolder, unbounded_holder
 
 CLIENT_ERRORS = 400
 EVENT_STREAM = b"text/event-stream"
@@ -72,6 +73,8 @@
     """Rates the urgency of calls; None if engines are not told of it."""
     answers: BufferedBytes = msgspec.field(default_factory=BufferedBytes)
     """What is held of engines' answers."""
+    held: PoolHolder = msgspec.field(default_factory=unbounded_holder)
+    """What calls hold besides answers."""
     origins: StreamOrigins = NoStreamOrigins()
     quarantine: Quarantine = NoQuarantine()
 
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -367,6 +367,9 @@
     def refused(self, refusal: "Refusal") -> None:
         """Respond to the caller with a refusal."""
 
+    def reserve_memory(self, size: int) -> bool:
+        """Hold memory for the turns before the call; return whether there is room."""
+
 
 class Ticket(Protocol):
     """Accounts for an admitted call."""
@@ -418,6 +421,7 @@
 NOT_RECORDED = Refusal(503, "the program's account can't be recorded", 1.0)
 HISTORY_TOO_LONG = Refusal(413, "the program's history is too long")
 HISTORY_NOT_STORABLE = Refusal(413, "the program's history can't be stored")
+NO_MEMORY = Refusal(503, "no memory for it now", 0.5)
 NOT_READY = Refusal(503, "no configuration yet", 0.3)
 NO_ENGINE = Refusal(503, "no engine can take it", 0.1)
 ORIGIN_UNKNOWN = Refusal(503, "the version that began the stream is not known", 0.2)
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -8,6 +8,7 @@
 from notcharch.calls.interface import (
     HISTORY_NOT_STORABLE,
     HISTORY_TOO_LONG,
+    NO_MEMORY,
     UNKNOWN_TURN,
 )
 from notcharch.journal.interface import LogLimits
@@ -191,6 +192,27 @@
     assert go_on(world, "one", last).body == chain + b"next"
 
 
+@pytest.mark.parametrize("is_handed_on", [False, True], ids=["own", "handed on"])
+def test_a_history_without_room_is_refused_before_it_runs(is_handed_on):
+    """A hundred programs that go on with a megabyte each took the memory of a machine."""
+    world = new_world()
+    call = world.call("p", body=b"x" * 600 * KILOBYTE)
+    world.store_turn(call, b"data: out\n\n")
+    program = "other" if is_handed_on else "p"
+    world.restart_all()
+    next_call = world.call(program, previous=call.id)
+    listener = world.request_admission(next_call, stores_turns=True)
+    listener.memory_bytes = 500 * KILOBYTE
+    world.run(2.0)
+    assert listener.refusal == NO_MEMORY
+    assert world.reserved_tokens(program) == 0
+    again = world.wait_for_decision(
+        world.call(program, previous=call.id), stores_turns=True
+    )
+    assert len(again.body) > 600 * KILOBYTE
+    assert again.reserved >= len(again.body)
+
+
 def test_a_turn_that_the_log_refuses_all_the_same_is_told_at_once():
     """Guards against callers that wait in vain for what will never be stored."""
     world = new_world(LogLimits(record_bytes=100_000, call_bytes=200_000))
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -1,5 +1,6 @@
 """Daemons that own accounts, with a virtual clock and one shared log service."""
 
+import math
 from random import Random
 
 from twisted.internet.task import Clock
@@ -60,6 +61,9 @@
         self.body = None
         self.refusal: Refusal | None = None
         self.is_durable = False
+        self.memory_bytes = math.inf
+        """Bytes of turns that the call may hold."""
+        self.reserved = 0
         self.is_given_up = False
         """Whether the completion was reported as not durable."""
         self.awaits_admission = True
@@ -76,6 +80,10 @@
     def refused(self, refusal) -> None:
         self.refusal = refusal
 
+    def reserve_memory(self, size) -> bool:
+        self.reserved += size
+        return self.reserved <= self.memory_bytes
+
     def durable(self) -> None:
         self.is_durable = True
 
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -22,6 +22,7 @@
 from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
 from notcharch.scheduling.nearness import Nearness
 from notcharch.values.framing import Framing
+from notcharch.values.memory_pool import unbounded_holder
 
 SERVICE = "s"
 USUAL_SECONDS = 0.1
@@ -213,13 +214,15 @@
         }
         origins = changes.pop("origins", None) or NoStreamOrigins()
         answers = changes.pop("answers", None) or BufferedBytes()
+        held = changes.pop("held", None) or unbounded_holder()
+        body = changes.pop("body", b"body")
         wait = changes.pop("wait_seconds", 2.0)
         resumed = changes.pop("resumed", {})
         self.route = Route(**(settings | changes))
         self.call = OpaqueCall(
             id="1",
             head=RequestHead(b"POST", b"/x", []),
-            body=b"body",
+            body=body,
             arrived=self.clock.seconds(),
             wait_seconds=wait,
             program="p",
@@ -234,6 +237,7 @@
             waits=self.waits,
             urgency=urgency,
             answers=answers,
+            held=held,
             origins=origins,
         )
         self.lifecycle = CallLifecycle(
