--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES, AccountAdmission
 from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.outage_refusals import OutageRefusals
@@ -69,6 +70,7 @@
     tenant: Callable[[str], Tenant | None]
     """Returns a tenant of the table in force."""
     wall_clock: Callable[[], float] = time.time
+    memory: AccountMemory = msgspec.field(default_factory=AccountMemory)
 
 
 class AccountGroup:
@@ -119,6 +121,7 @@
             ),
             uses_starting_allowance=Mechanism.STARTING_ALLOWANCE in mechanisms,
             wall_clock=services.wall_clock,
+            memory=services.memory,
         )
         has_signal = Mechanism.RECOVERY_SIGNAL in mechanisms
         local_member = network.own_member
@@ -145,6 +148,7 @@
             services.suspicions,
             other_groups,
             max_body_bytes=settings.max_body_bytes,
+            cache=services.memory.cache,
         )
 
     @staticmethod
--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -16,7 +16,7 @@
 from notcharch.accounts.request_retry import request_until_decided
 from notcharch.accounts.transcript_reader import read_remaining_pages
 from notcharch.accounts.turn_adoption import Adoption, adopt_turn
-from notcharch.accounts.turns import TurnCache
+from notcharch.accounts.turns import TURN_CACHE_BYTES, TurnCache
 from notcharch.calls.interface import (
     BUDGET_SPENT,
     HISTORY_NOT_STORABLE,
@@ -38,8 +38,6 @@
 """Upper bound of the head that is sent to an engine before the body."""
 PARTITION_SHARE = 1 / 4
 """Share of a partition of the log that a chain may fill, beside its copies."""
-TURN_CACHE_BYTES = 8 * 1024 * 1024
-"""Size of the cache of turns; after the first one, a program's turns have 0.3 to 2.6 KB."""
 
 
 def max_body_bytes(buffer_bytes: int, partition_bytes: int) -> int:
@@ -70,17 +68,19 @@
         other_groups: Callable[[], Sequence[OwnerRequests]] = tuple,
         *,
         max_body_bytes: int = MAX_BODY_BYTES,
+        cache: TurnCache | None = None,
     ) -> None:
         """Request decisions from `owners`, exchanging `suspicions` of engines with them.
 
         `other_groups` returns the owners of other groups, which may store a turn.
-        `max_body_bytes` bounds the chain of turns together with the new input.
+        `max_body_bytes` bounds the chain of turns together with the new input; `cache` has
+        the turns of programs that this daemon called for.
         """
         self._max_body_bytes = max_body_bytes
         self._owners = owners
         self._other_groups = other_groups
         self._suspicions = suspicions
-        self._cache = TurnCache(TURN_CACHE_BYTES)
+        self._cache = TurnCache(TURN_CACHE_BYTES) if cache is None else cache
 
     def request(
         self, call: OpaqueCall, route: Route, listener: AdmissionListener
--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -98,6 +98,7 @@
             known=self.transcript.known,
             suspicions=suspicions,
             page_bytes=PAGE_BYTES,
+            turn_bytes=max(len(call.body), 1) if self._route.stores_turns else 0,
         )
 
     def find_message(self, partition: int, *, must_be_certain: bool) -> FindTurn:
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.records import (
     AccountHandedOver,
     AllowanceGiven,
@@ -20,6 +21,7 @@
 )
 from notcharch.accounts.starting_allowance import StartingAllowance
 from notcharch.accounts.turns import StoredTurns, Turn
+from notcharch.values.memory_pool import HeldPart
 
 PREALLOCATED_CALLS = 2
 """Number of calls that each raise of a bound covers."""
@@ -37,6 +39,17 @@
 REWRITE_ROUNDS_SHARE = 1 / 3
 """Share of the rounds before the log drops a record in which it is written again."""
 
+KEEP_FACTOR = 2.0
+"""Turns are kept for so many times their retention, for callers that come too late."""
+SHORT_KEEP_FACTOR = 1.1
+"""The same while turns take much of the memory that they may; more than 1 for callers
+whose clocks differ."""
+PROGRAM_BYTES = 900
+"""Memory of a program's account besides its name, with one call under way; traced: 570 to
+640 bytes."""
+MAX_ABANDONED = 64
+"""Calls of a program whose end came before their admission; the requests for admission
+that are still on their way take half a second."""
 DEFAULT_KEEP_SECONDS = 60.0
 """Retention until a route's own is known: the platform's default for routes."""
 
@@ -77,14 +90,23 @@
         self.may_be_overcounted = False
         """True if `used` may include tokens that were not generated."""
         self.reserved: dict[str, Reservation] = {}
-        self.abandoned: set[str] = set()
-        """Calls that ended before their admission here."""
+        self.abandoned: dict[str, None] = {}
+        """Calls that ended before their admission here, oldest first."""
         self.last_used_at = 0.0
         self.cached_engine = ""
         """The engine that ran the program's last call; not restored after a crash."""
         self.written_at = 0
         """Unix time of the program's newest record."""
 
+    def abandon(self, call: str) -> None:
+        """Note that a call ended; its admission may come later.
+
+        A call that is no longer known here is charged in full after its time-out.
+        """
+        self.abandoned[call] = None
+        if len(self.abandoned) > MAX_ABANDONED:
+            del self.abandoned[next(iter(self.abandoned))]
+
     @property
     def committed(self) -> int:
         """Tokens that are used, or reserved by calls in flight."""
@@ -96,10 +118,13 @@
 class Ledger:
     """The accounts of the programs of one partition."""
 
-    def __init__(self) -> None:
-        """Create an empty ledger."""
+    def __init__(self, memory: AccountMemory | None = None) -> None:
+        """Create an empty ledger, whose memory counts in that of all accounts."""
+        memory = memory or AccountMemory()
+        self._held_programs = HeldPart(memory.accounts)
+        self._held_turns = HeldPart(memory.turns)
         self._programs: dict[str, Program] = {}
-        self.turns = StoredTurns()
+        self.turns = StoredTurns(self._held_turns)
         """Turns of all programs; a program may continue from another program's turn."""
         self.allowance = StartingAllowance()
         self.keep_seconds = DEFAULT_KEEP_SECONDS
@@ -110,9 +135,21 @@
         program = self._programs.get(name)
         if program is None:
             program = self._programs[name] = Program()
+            self._held_programs.change(PROGRAM_BYTES + len(name))
         program.last_used_at = now
         return program
 
+    def has_room_for(self, name: str) -> bool:
+        """Return whether a program has an account, or there is memory for another one."""
+        if name in self._programs:
+            return True
+        return self._held_programs.holder.has_room(PROGRAM_BYTES + len(name))
+
+    def close(self) -> None:
+        """Count no memory any more: the partition is released."""
+        self._held_programs.close()
+        self._held_turns.close()
+
     def __len__(self) -> int:
         """Return the number of programs."""
         return len(self._programs)
@@ -268,12 +305,15 @@
         """Charge the tokens that a call generated, and release its reservation.
 
         If the call's admission still waits for the journal, the call is marked as
-        abandoned and reserves nothing.
+        abandoned and reserves nothing. Nothing is charged to an unknown program, and none
+        is added while there is no memory for one.
         """
+        if not self.has_room_for(name):
+            return
         program = self.program(name, now)
         program.cached_engine = engine or program.cached_engine
         if program.reserved.pop(call, None) is None:
-            program.abandoned.add(call)
+            program.abandon(call)
             return
         program.last_used_at = now
         program.used += tokens
@@ -322,11 +362,18 @@
 
     def evict_expired(self, now: float) -> None:
         """Remove programs and turns whose retention has ended."""
+        self.evict_turns(now)
         limit = now - 2 * self.keep_seconds
-        self.turns.evict_unused_since(limit)
         for name, program in tuple(self._programs.items()):
             if program.last_used_at < limit and not program.reserved:
                 del self._programs[name]
+                self._held_programs.change(-PROGRAM_BYTES - len(name))
+
+    def evict_turns(self, now: float) -> None:
+        """Remove turns whose retention has ended; some time later unless memory is short."""
+        is_short = self.turns.is_under_pressure
+        factor = SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
+        self.turns.evict_unused_since(now - factor * self.keep_seconds)
 
 
 def _size(record: TurnKept) -> int:
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -30,6 +30,9 @@
     page_bytes: int = 0
     """How much text the requester takes at once, if it reads further pages; older builds
     send 0 and take the whole chain."""
+    turn_bytes: int = 0
+    """Memory that the turn of the call takes at least; 0 if it is not to be stored, and
+    from older builds."""
 
 
 class TurnAdmitted(Message, frozen=True):
@@ -59,7 +62,7 @@
 
 
 class CallNotRecorded(Message, frozen=True):
-    """The log service refuses the record that the call needs; it must not run."""
+    """The call must not run: its record is refused, or the owner has no memory for it."""
 
 
 class FindTurn(PartitionMessage, frozen=True):
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.messages import (
     AdmitCall,
@@ -37,6 +38,9 @@
 CLEANUP_INTERVAL_SECONDS = 10.0
 """Interval of removing expired state, a sixth of the default retention."""
 
+RELIEF_INTERVAL_SECONDS = 1.0
+"""Interval of removing expired turns while memory is short."""
+
 RequestT = TypeVar("RequestT", bound=PartitionMessage)
 
 
@@ -59,8 +63,13 @@
         uses_starting_allowance: bool = True,
         limit_context: LimitContext | None = None,
         wall_clock: Callable[[], float] = time.time,
+        memory: AccountMemory | None = None,
     ) -> None:
-        """Serve peers through `network`; refer them to the owner of other partitions."""
+        """Serve peers through `network`; refer them to the owner of other partitions.
+
+        `memory` bounds what all partitions of the process hold.
+        """
+        self._memory = memory or AccountMemory()
         self._wall_clock = wall_clock
         self._log = log
         self._clock = clock
@@ -79,6 +88,8 @@
         self._suspicions = suspicions
         self._cleanup = LoopingCall(self._clean_up)
         self._cleanup.clock = clock
+        self._relief = LoopingCall(self._relieve)
+        self._relief.clock = clock
         self._network = network
         self._serve(AdmitTurn, self._admit_turn)
         self._serve(KeepTurn, OwnedPartition.store_turn)
@@ -90,6 +101,7 @@
     def start(self) -> None:
         """Start removing expired state and rewriting records before the log drops them."""
         self._cleanup.start(CLEANUP_INTERVAL_SECONDS, now=False)
+        self._relief.start(RELIEF_INTERVAL_SECONDS, now=False)
 
     def on_assignment(self, membership: Membership) -> None:
         """Take over partitions that were added, and release those that were removed."""
@@ -107,18 +119,24 @@
             limit_context=self._limit_context,
             wall_clock=self._wall_clock,
             log_retention_seconds=self._retention_seconds,
+            memory=self._memory,
         )
 
     def release_all(self) -> "Deferred[Any]":
         """Release all partitions; fires when all accounts are handed over."""
         if self._cleanup.running:
             self._cleanup.stop()
+            self._relief.stop()
         return self._partitions.release_all()
 
     def _clean_up(self) -> None:
         for owned in self._partitions.all():
             owned.clean_up(self._retention_seconds, CLEANUP_INTERVAL_SECONDS)
 
+    def _relieve(self) -> None:
+        for owned in self._partitions.all():
+            owned.relieve()
+
     def _not_owner(self, partition: int) -> NotOwner:
         owner = self._partitions.other_owner(partition)
         return NotOwner("" if owner is None else owner.member_id())
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.allowance_renewal import AllowanceRenewer
 from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.journal_history import JournalHistory
@@ -77,8 +78,13 @@
         limit_context: LimitContext | None = None,
         wall_clock: Callable[[], float] = time.time,
         log_retention_seconds: float = math.inf,
+        memory: AccountMemory | None = None,
     ) -> None:
-        """Prepare the takeover; `on_fenced` is called if a higher epoch fences it."""
+        """Prepare the takeover; `on_fenced` is called if a higher epoch fences it.
+
+        `memory` bounds what all partitions of the process hold.
+        """
+        memory = memory or AccountMemory()
         self._history = JournalHistory(log_retention_seconds)
         self._limited_tenants = LimitedTenants(
             limit_context or LimitContext(), clock, assignment.number
@@ -87,7 +93,9 @@
         self.assignment = assignment
         self._on_fenced = on_fenced
         self._wall_clock = wall_clock
-        self._ledger = Ledger()
+        self._ledger = Ledger(memory)
+        self._rewriting = 0
+        """Records that are being written again."""
         self._journal = PartitionJournal(
             log,
             clock,
@@ -96,6 +104,7 @@
             target=self,
             on_fenced=self._handle_fenced,
             recovery=recovery,
+            held=memory.journal,
         )
         self._recovery = recovery
         self._writer = self._journal.writer
@@ -165,6 +174,7 @@
         if self.is_serving:
             OWNED_PARTITIONS.dec()
         self.is_serving = False
+        self._ledger.close()
         emit(PartitionGivenUp(self.assignment.number, self.assignment.epoch, cause))
 
     def _resume_waiters(self) -> None:
@@ -201,12 +211,12 @@
             self.is_serving = False
             OWNED_PARTITIONS.dec()
             written = [
-                self._write(encode(record))
+                self._write(encode(record), must_wait=True)
                 for record in self._ledger.handover_records(self._wall_seconds())
             ]
             limits = self._limited_tenants.hand_over()
             if limits is not None:
-                written.append(self._write(encode(limits)))
+                written.append(self._write(encode(limits), must_wait=True))
             yield gatherResults(written)
         self.close()
 
@@ -244,6 +254,8 @@
         ledger.keep_seconds = max(ledger.keep_seconds, request.keep_seconds)
         if not (yield self._wait_until_serving()):
             return self._undecided()
+        if not self._has_memory(request):
+            return CallNotRecorded()
         page: TranscriptPage | None = NO_TURNS
         if request.previous:
             page = self._turns.page(
@@ -273,6 +285,12 @@
             remaining_bytes=page.remaining_bytes,
         )
 
+    def _has_memory(self, request: AdmitTurn) -> bool:
+        """Return whether there is room for the account and the turn of a call."""
+        if not self._ledger.has_room_for(request.program):
+            return False
+        return not request.turn_bytes or self._ledger.turns.has_room(request.turn_bytes)
+
     @inlineCallbacks
     def _refuse_unknown_turn(
         self, turn: str
@@ -360,9 +378,9 @@
             self._ledger.on_bound_durable(record)
         return outcome
 
-    def _write(self, data: bytes) -> "Deferred[Outcome]":
+    def _write(self, data: bytes, *, must_wait: bool = False) -> "Deferred[Outcome]":
         done: Deferred[Outcome] = Deferred()
-        self._writer.write(data, done.callback)
+        self._writer.write(data, done.callback, must_wait=must_wait)
         return done
 
     @inlineCallbacks
@@ -434,15 +452,24 @@
         now = self._clock.seconds()
         self._ledger.evict_expired(now)
         self._allowance.renew_if_due()
+        if self._rewriting:
+            return  # in an outage each round would add the same records once more
         wall_time = self._wall_seconds()
         for record in self._ledger.expiring_records(
             int(wall_time - retention_seconds / 2),
             wall_time,
             rounds=retention_seconds / 2 / interval_seconds,
         ):
+            self._rewriting += 1
             self._write(encode(record)).addCallback(self._on_rewritten, record)
 
+    def relieve(self) -> None:
+        """Remove turns whose retention has ended, if memory is short."""
+        if self.is_serving and self._ledger.turns.is_under_pressure:
+            self._ledger.evict_turns(self._clock.seconds())
+
     def _on_rewritten(self, outcome: Outcome, record: AnyRecord) -> None:
+        self._rewriting -= 1
         if outcome is not Outcome.DURABLE:
             return
         if isinstance(record, BoundRaised):
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -13,6 +13,7 @@
     GroupServices,
     GroupSettings,
 )
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES
 from notcharch.accounts.group_network import SharedNetwork
 from notcharch.accounts.limited_admission import LimitedAdmission
@@ -90,12 +91,13 @@
         recovery: RecoverySignal | None = None,
         tenant: Callable[[str], Tenant | None] = lambda _: None,
         wall_clock: Callable[[], float] = time.time,
+        memory: AccountMemory | None = None,
     ) -> None:
         """Create the components; `start` begins communication.
 
         `suspicions` about engines are shared with peers. Heartbeats report to `recovery`
         when the log service responds again. `tenant` returns a tenant of the table in
-        force.
+        force. `memory` bounds what accounts hold in this process.
         """
         self._settings = settings
         self._shared_network = SharedNetwork(network)
@@ -116,6 +118,7 @@
             recovery or RecoverySignal(clock),
             tenant,
             wall_clock,
+            memory or AccountMemory(),
         )
         partitioning = partitioning_for_topics(
             TOPIC, settings.topics, settings.partitions
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -7,10 +7,18 @@
 
 import msgspec
 
+from notcharch.values.memory_pool import HeldPart, PoolHolder, unbounded_holder
+
 PAGE_BYTES = 240 * 1024
 """Text of a chain in one message, which takes some milliseconds between two daemons.
 
 A turn of this size fits into one record of a log service that takes 256 KiB."""
+TURN_CACHE_BYTES = 8 * 1024 * 1024
+"""Most bytes of a cache of turns; after the first one, a program's turns have 0.3 to
+2.6 KB."""
+TURN_BYTES = 500
+"""Memory of a turn besides its names and its text; traced: 270 to 340 bytes in a store,
+and 190 to 230 in a cache without its program's newest turn."""
 MAX_CACHED_SHARE = 1 / 2
 """A larger turn would evict most of the others from a cache."""
 
@@ -136,17 +144,27 @@
     return b"".join(part for turn in turns for part in (turn.input, turn.output))
 
 
+def stored_bytes(name: str, turn: Turn) -> int:
+    """Return how much memory a turn takes under a name, about."""
+    return TURN_BYTES + len(name) + len(turn.previous) + turn.size_bytes
+
+
 class StoredTurns(TurnStore):
     """Turns with the times of their last use and of their journal records."""
 
-    def __init__(self) -> None:
-        """Create an empty store."""
+    def __init__(self, held: HeldPart | None = None) -> None:
+        """Create an empty store, whose memory `held` counts."""
         super().__init__()
+        self._held = held or HeldPart(unbounded_holder())
         self._used_at: dict[str, float] = {}
         self._written_at: dict[str, int] = {}
 
     def store(self, name: str, turn: Turn, written_at: int, now: float) -> None:
         """Store a turn that is in the journal, and mark its chain as used."""
+        former = self._turns.get(name)
+        if former is not None:
+            self._held.change(-stored_bytes(name, former))
+        self._held.change(stored_bytes(name, turn))
         self.add(name, turn)
         self._written_at[name] = written_at
         self.touch(name, now)
@@ -162,8 +180,18 @@
         """Remove turns last used before `limit`, in clock seconds."""
         expired = [name for name, used in self._used_at.items() if used < limit]
         for name in expired:
+            self._held.change(-stored_bytes(name, self._turns[name]))
             del self._turns[name], self._used_at[name], self._written_at[name]
 
+    def has_room(self, size: int) -> bool:
+        """Return whether a new turn of `size` bytes may be stored."""
+        return self._held.holder.has_room(TURN_BYTES + size)
+
+    @property
+    def is_under_pressure(self) -> bool:
+        """Whether all partitions' turns take much of the memory that they may."""
+        return self._held.holder.is_under_pressure
+
     def on_rewritten(self, name: str, written_at: int) -> None:
         """Update the write time of a turn whose record was written again."""
         self._written_at[name] = written_at
@@ -181,15 +209,20 @@
 class TurnCache(TurnStore):
     """A size-bounded LRU cache of turns, with the newest turn of each program."""
 
-    def __init__(self, max_bytes: int) -> None:
-        """Cache at most `max_bytes` of turns."""
+    def __init__(self, max_bytes: int, held: PoolHolder | None = None) -> None:
+        """Cache at most `max_bytes` of turns; `held` counts them."""
         super().__init__()
         self._recent: OrderedDict[str, Turn] = OrderedDict()
         self._turns = self._recent
         self._max_bytes = max_bytes
+        self._held = held or unbounded_holder()
         self._bytes = 0
         self._newest: OrderedDict[str, str] = OrderedDict()
 
+    def _count(self, size: int) -> None:
+        self._bytes += size
+        self._held.change(size)
+
     def add(self, name: str, turn: Turn) -> None:
         """Add a turn and evict the least recently used ones beyond the size limit.
 
@@ -197,14 +230,14 @@
         """
         replaced = self._recent.pop(name, None)
         if replaced is not None:
-            self._bytes -= replaced.size_bytes
+            self._count(-stored_bytes(name, replaced))
         if turn.size_bytes > self._max_bytes * MAX_CACHED_SHARE:
             return
         self._recent[name] = turn
-        self._bytes += turn.size_bytes
-        while self._bytes > self._max_bytes:
-            _, oldest = self._recent.popitem(last=False)
-            self._bytes -= oldest.size_bytes
+        self._count(stored_bytes(name, turn))
+        while self._recent and (self._bytes > self._max_bytes or self._held.is_over):
+            oldest_name, oldest = self._recent.popitem(last=False)
+            self._count(-stored_bytes(oldest_name, oldest))
 
     def get(self, name: str) -> Turn | None:
         """Return a turn, or None, and mark it as used."""
@@ -215,10 +248,17 @@
     def add_newest(self, program: str, name: str, turn: Turn) -> None:
         """Add a turn as the newest of its program."""
         self.add(name, turn)
-        self._newest.pop(program, None)
+        self._forget_newest(program)
+        if name not in self._recent:
+            return
         self._newest[program] = name
-        if len(self._newest) > len(self._recent) + 1:
-            self._newest.popitem(last=False)
+        self._count(len(program))
+        while len(self._newest) > len(self._recent):
+            self._forget_newest(next(iter(self._newest)))
+
+    def _forget_newest(self, program: str) -> None:
+        if self._newest.pop(program, None) is not None:
+            self._count(-len(program))
 
     def newest(self, program: str) -> str:
         """Return the program's newest turn if its complete chain is cached, else empty."""
--- a/notcharch/journal/entries.py
+++ b/notcharch/journal/entries.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from notcharch.journal.interface import LogLimits
+from notcharch.values.memory_pool import HeldPart
 
 BATCH_BYTES = 256 * 1024
 """Size up to which the records of several entries are sent in one call."""
@@ -28,12 +29,19 @@
     """An entry in one or more records, and the callback for its outcome."""
 
     def __init__(
-        self, records: Sequence[bytes], done: Callable[[Outcome], None]
+        self,
+        records: Sequence[bytes],
+        done: Callable[[Outcome], None],
+        held: HeldPart | None = None,
     ) -> None:
-        """Hold its records; an empty one only checks that there is no other writer."""
+        """Hold its records; an empty one only checks that there is no other writer.
+
+        `held` counts the memory that it takes until it is finished.
+        """
         self.unwritten = deque(records)
         self.size = sum(map(len, records))
         self._done = done
+        self._held = held
         self.is_finished = False
 
     def finish(self, outcome: Outcome) -> None:
@@ -41,6 +49,8 @@
         if not self.is_finished:
             self.is_finished = True
             self.unwritten.clear()
+            if self._held is not None:
+                self._held.close()
             self._done(outcome)
 
 
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -22,6 +22,7 @@
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import PartitionWriter
 from notcharch.values.decoding import DECODING_ERRORS
+from notcharch.values.memory_pool import PoolHolder
 
 READ_RETRY_SECONDS = 0.08
 """Delay before a failed read is retried; short, since a takeover waits for it, but many
@@ -87,8 +88,12 @@
         target: ReplayTarget,
         on_fenced: Callable[[], None],
         recovery: RecoverySignal | None = None,
+        held: PoolHolder | None = None,
     ) -> None:
-        """Build the writer; `on_fenced` is called once when a higher epoch writes."""
+        """Build the writer; `on_fenced` is called once when a higher epoch writes.
+
+        `held` bounds the memory of the entries that wait to be appended.
+        """
         self._service = service
         self._clock = clock
         self._recovery = recovery or RecoverySignal(clock)
@@ -103,6 +108,7 @@
             epoch=assignment.epoch,
             on_fenced=on_fenced,
             recovery=self._recovery,
+            held=held,
         )
         self.records = 0
         """Number of replayed records."""
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -29,12 +29,15 @@
     REFUSED_ENTRIES,
 )
 from notcharch.journal.recovery_signal import RecoverySignal
+from notcharch.values.memory_pool import HeldPart, PoolHolder, unbounded_holder
 
 RETRY_SECONDS = 0.05
 """Delay before the first retry of a failed append or read."""
 MAX_RETRY_SECONDS = 0.6
 """Upper bound of the delay; a recovery signal ends it earlier."""
 RETRY_GROWTH_FACTOR = 2.0
+ENTRY_BYTES = 1024
+"""Memory of an entry that waits besides its records, with who waits for its outcome."""
 SUSPICIOUS_FAILURES = 4
 """Failed tries of an append after which the service itself is checked."""
 VAIN_TRIES = 3
@@ -60,11 +63,14 @@
         epoch: int,
         on_fenced: Callable[[], None],
         recovery: RecoverySignal | None = None,
+        held: PoolHolder | None = None,
     ) -> None:
         """Write under an epoch; `on_fenced` is called once when it is fenced.
 
-        `recovery` ends waits early when the service is available again.
+        `recovery` ends waits early when the service is available again. `held` bounds the
+        memory of the entries that wait.
         """
+        self._held = held or unbounded_holder()
         self._service = service
         self._clock = clock
         self._random = random
@@ -94,8 +100,18 @@
         self.complete_end = self.end
         return True
 
-    def write(self, entry: bytes, done: Callable[[Outcome], None]) -> None:
-        """Append an entry, in several records if need be; `done` gets its outcome."""
+    def write(
+        self,
+        entry: bytes,
+        done: Callable[[Outcome], None],
+        *,
+        must_wait: bool = False,
+    ) -> None:
+        """Append an entry, in several records if need be; `done` gets its outcome.
+
+        While too many bytes wait, as in an outage of the service, it is not written at
+        all, unless it `must_wait`.
+        """
         if not self.is_open:
             done(Outcome.NOT_WRITTEN)
             return
@@ -104,7 +120,14 @@
             self._log_refused(len(entry), 0)
             done(Outcome.REFUSED)
             return
-        self._queue.add(Entry(records, done))
+        held = HeldPart(self._held)
+        size = len(entry) + ENTRY_BYTES
+        if must_wait:
+            held.change(size)
+        elif not held.take(size):
+            done(Outcome.NOT_WRITTEN)
+            return
+        self._queue.add(Entry(records, done, held))
         BACKLOG.inc()
         if not self._is_writing:
             self._write()
--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -7,6 +7,11 @@
 import math
 from collections.abc import Callable
 
+PRESSURE_SHARE = 1 / 2
+"""Share of its bound above which a kind is under pressure."""
+POOL_PRESSURE_SHARE = 3 / 4
+"""Share of the pool above which each kind is under pressure."""
+
 
 class PoolHolder:
     """What one kind of objects holds of a pool."""
@@ -40,6 +45,13 @@
         self.held += size
         self._pool.total += size
 
+    @property
+    def is_under_pressure(self) -> bool:
+        """Whether to drop early what may be dropped, before anything is refused."""
+        is_kind_full = self.held > self.limit_bytes * PRESSURE_SHARE
+        pool = self._pool
+        return is_kind_full or pool.total > pool.limit_bytes * POOL_PRESSURE_SHARE
+
     @property
     def is_over(self) -> bool:
         """Whether this kind, or the pool, holds more than its bound."""
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -7,6 +7,7 @@
 
 from emulator.peers.fabric import MemoryFabric
 from emulator.services.partitioned_log import PartitionedLog
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.service import (
@@ -107,8 +108,14 @@
         has_competing_callers: bool = False,
         log_limits: LogLimits | None = None,
         max_body_bytes: int = MAX_BODY_BYTES,
+        memory=AccountMemory,
     ) -> None:
-        """Assign the daemons to the regions in turn, if there are any."""
+        """Assign the daemons to the regions in turn, if there are any.
+
+        `memory` returns what a daemon that starts may hold.
+        """
+        self._new_memory = memory
+        self.memories: dict[DaemonName, AccountMemory] = {}
         self.max_body_bytes = max_body_bytes
         self.refuses_in_outages = refuses_in_outages
         self.mechanisms = mechanisms
@@ -147,6 +154,7 @@
         self.incarnations[name] += 1
         member = Member(name, Incarnation(self.incarnations[name]))
         daemon = self.fabric.join(member, ZoneName("z"))
+        self.memories[name] = self._new_memory()
         service = AccountsService(
             AccountSettings(
                 f"{name}:1",
@@ -169,6 +177,7 @@
             recovery=self._recovery(name, daemon.clock),
             tenant=self.tenants.get,
             wall_clock=lambda: self.clock.seconds() + 1e9,
+            memory=self.memories[name],
         )
         self.services[name] = service
         service.start()
--- a/tests/unit/journal/test_writer.py
+++ b/tests/unit/journal/test_writer.py
@@ -11,6 +11,7 @@
 )
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.writer import RETRY_SECONDS, PartitionWriter
+from notcharch.values.memory_pool import MemoryPool
 from tests.unit.journal.writing import Writing
 
 
@@ -99,3 +100,32 @@
     world.run(2 * RETRY_SECONDS)
     assert outcomes == [Outcome.DURABLE]
     assert world.log.partition("t", 0).records == [b"record"]
+
+
+def test_entries_that_must_wait_are_written_although_there_is_no_room():
+    """What a partition's next owner needs must not be lost to a full queue."""
+    writing = Writing()
+    writing.held = MemoryPool(4000).holder("journal")
+    writer = writing.claimed(1)
+    writing.log.trouble = Trouble.REFUSE
+    writing.write(writer, b"a" * 1500, b"b" * 1500)
+    assert writing.outcomes == [Outcome.NOT_WRITTEN]
+    writer.write(b"c" * 5000, writing.outcomes.append, must_wait=True)
+    writing.run(1.0)
+    assert writing.outcomes == [Outcome.NOT_WRITTEN]
+    writing.log.trouble = Trouble.NONE
+    writing.run(2.0)
+    assert writing.outcomes == [Outcome.NOT_WRITTEN, Outcome.DURABLE, Outcome.DURABLE]
+    assert writing.held.held == 0
+
+
+def test_a_closed_writer_holds_nothing():
+    writing = Writing()
+    writing.held = MemoryPool(4000).holder("journal")
+    writer = writing.claimed(1)
+    writing.log.trouble = Trouble.REFUSE
+    writing.write(writer, b"a" * 1500)
+    writing.run(0.2)
+    writer.close()
+    writing.run(5.0)
+    assert writing.held.held == 0
--- a/tests/unit/journal/writing.py
+++ b/tests/unit/journal/writing.py
@@ -15,6 +15,7 @@
 )
 from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
 from notcharch.journal.writer import PartitionWriter
+from notcharch.values.memory_pool import PoolHolder
 
 SMALL_LIMITS = LogLimits(record_bytes=100, call_bytes=250)
 PLACE = LogPartition("t", 0)
@@ -71,6 +72,8 @@
         self.service = MisinformedLog(self.log, known or self.log.limits)
         self.outcomes: list[Outcome] = []
         self.fenced: list[int] = []
+        self.held: PoolHolder | None = None
+        """Bounds what waits at the next writers."""
 
     def writer(self, epoch: int) -> PartitionWriter:
         return PartitionWriter(
@@ -80,6 +83,7 @@
             PLACE,
             epoch=epoch,
             on_fenced=lambda: self.fenced.append(epoch),
+            held=self.held,
         )
 
     def claimed(self, epoch: int) -> PartitionWriter:
