Answers of the store that are read at once take a bounded memory

Cause: a daemon that takes over reads each of its partitions at once; with 48 of them and pages of a megabyte, the answers alone take more than 48 MB before any is applied.

Change: http/answer_room counts what a requester's answers take while they are received. Above its bound only the oldest one is read on; the others are paused, without their time-out, until there is room again.

Tests: unit/http/test_answer_room (4).

--- a/notcharch/http/requester.py
+++ b/notcharch/http/requester.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
+from notcharch.http.answer_room import AnswerRoom
 from notcharch.http.bounded_body import BoundedBody, ServerKind
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.idle_connections import IdleConnections
@@ -55,14 +56,21 @@
         head: RequestHead,
         body: bytes,
         max_response_bytes: int,
+        room: AnswerRoom | None = None,
     ) -> None:
-        """Hold a request until a connection is available."""
+        """Hold a request until a connection is available.
+
+        `room` bounds what its answer and others take while they are received.
+        """
+        self._room = room or AnswerRoom()
         self._requester = requester
         self.head = head
         self.body = body
         self.result: Deferred[Outcome] = Deferred()
         self.connection: ClientConnection | None = None
         self.timer: IDelayedCall | None = None
+        self.seconds = 0.0
+        """Time-out, which begins anew when reading is resumed."""
         self._response: ResponseHead | None = None
         path = head.target.partition(b"?")[0].decode("latin-1")
         self._received = BoundedBody(max_response_bytes, ServerKind.STORE, path)
@@ -79,6 +87,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer a chunk of the body; fail if the body is too long."""
         if self._received.add(data):
+            self._room.received(self, len(data))
             return
         if self.connection is not None:
             self.connection.abandon()
@@ -88,9 +97,24 @@
         """Succeed with the complete response."""
         assert self._response is not None
         if self.connection is not None:
+            self.connection.resume_reading()
             self._requester.release(self.connection)
         self.finish(Ok(CompleteResponse(self._response, self._received.content())))
 
+    def pause(self) -> None:
+        """Stop reading: other answers take all the room. It does not time out meanwhile."""
+        self._stop_timer()
+        if self.connection is not None:
+            self.connection.pause_reading()
+
+    def resume(self) -> None:
+        """Continue to read."""
+        if self.is_finished:
+            return
+        self._requester.start_timer(self)
+        if self.connection is not None:
+            self.connection.resume_reading()
+
     def failed(self, failure: ResponseFailure) -> None:
         """Fail: the request was sent, but there is no complete response."""
         self.finish(Err(NoResponse.BROKEN_OFF))
@@ -108,18 +132,31 @@
         if self.is_finished:
             return
         self.is_finished = True
+        self._stop_timer()
+        self._room.ended(self)
+        self.result.callback(outcome)
+
+    def _stop_timer(self) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.result.callback(outcome)
 
 
 class Requester:
     """Sends requests to one server."""
 
     def __init__(
-        self, reactor: TimedReactor, host: str, port: int, local_address: str = ""
+        self,
+        reactor: TimedReactor,
+        host: str,
+        port: int,
+        local_address: str = "",
+        room: AnswerRoom | None = None,
     ) -> None:
-        """Connect on demand, from a local address if one is given."""
+        """Connect on demand, from a local address if one is given.
+
+        `room` bounds what all answers take while they are received.
+        """
+        self._room = room or AnswerRoom()
         self._reactor = reactor
         self._idle = IdleConnections(reactor, MAX_IDLE)
         self._bind = (local_address, 0) if local_address else None
@@ -149,8 +186,9 @@
     ) -> "Deferred[Outcome]":
         """Send a request with a timeout of `seconds`."""
         head = RequestHead(method, target, [(b"Host", self._host)])
-        pending = PendingRequest(self, head, body, max_response_bytes)
-        pending.timer = self._reactor.callLater(seconds, pending.time_out)
+        pending = PendingRequest(self, head, body, max_response_bytes, self._room)
+        pending.seconds = seconds
+        self.start_timer(pending)
         idle = self._idle.take()
         if idle is not None:
             self._send(idle, pending)
@@ -161,6 +199,10 @@
             )
         return pending.result
 
+    def start_timer(self, pending: PendingRequest) -> None:
+        """Start the time-out of a request."""
+        pending.timer = self._reactor.callLater(pending.seconds, pending.time_out)
+
     def _connected(self, connection: ClientConnection, pending: PendingRequest) -> None:
         detect_dead_peer(connection.transport)
         if pending.is_finished:
