All peers together make a daemon hold a bounded number of bytes

Cause: each of 300 peers could have 64 MB waiting here, 20,000 requests under way and a frame of 32 MB that is not complete; a stranger could send a frame of 32 MB before the handshake, on any number of connections; a connection at rest held its last frame.

Change: wire/peer_memory bounds the sums: requests and notices that have no room to wait are refused unwritten, a reply is answered in short, a peer's request is refused unrun (overloaded), and of the connections with unfinished frames the one with the largest is closed (2704). Before the handshake a frame has 16 KB at most, and 1,000 connections may be at it.

--- a/notcharch/events/memory.py
+++ b/notcharch/events/memory.py
@@ -35,3 +35,14 @@
     """What all holders of the pool hold."""
     refused: int
     """So many times since the last line of this holder."""
+
+
+class PeerFrameTooLarge(Event, frozen=True):
+    """A connection with a peer was closed: all peers' unfinished frames took too much.
+
+    It had received more of a frame than the others. The peer connects anew.
+    """
+
+    number: ClassVar[int] = 2704
+    peer: str
+    received_bytes: int
--- a/notcharch/wire/connection.py
+++ b/notcharch/wire/connection.py
@@ -1,5 +1,7 @@
 """One TCP connection with a peer: handshake, framing, liveness and its closing."""
 
+from collections.abc import Callable
+from io import BytesIO
 from typing import Any, Protocol
 
 from result import Err
@@ -9,6 +11,7 @@
 from zope.interface import implementer
 
 from notcharch.events.event import emit
+from notcharch.events.memory import PeerFrameTooLarge
 from notcharch.events.wire import MessageNotUnderstood, PeerRefused, PeerTooSlow
 from notcharch.values.identifiers import DaemonName, Member, RegionName
 from notcharch.wire.codec import (
@@ -27,6 +30,10 @@
 from notcharch.wire.limits import ConnectionLimits
 from notcharch.wire.open_requests import OpenRequest
 from notcharch.wire.outgoing import OutgoingFrame, OutgoingQueue
+from notcharch.wire.peer_memory import PeerMemory
+
+HELLO_BYTES = 16 * 1024
+"""The largest frame before the handshake, when anybody may have sent it."""
 
 
 class ConnectionOwner(Protocol):
@@ -73,9 +80,14 @@
         codec: MessageCodec,
         limits: ConnectionLimits,
         dialed_peer: DaemonName | None = None,
+        memory: PeerMemory | None = None,
     ) -> None:
-        """Begin without a transport and before the handshake."""
-        self.MAX_LENGTH = codec.max_message_bytes
+        """Begin without a transport and before the handshake.
+
+        `memory` bounds what this and all other connections hold.
+        """
+        self.MAX_LENGTH = min(HELLO_BYTES, codec.max_message_bytes)
+        self._memory = memory or PeerMemory()
         self.peer: Member | None = None
         self.dialed_peer = dialed_peer
         self.awaited: dict[int, OpenRequest] = {}
@@ -90,7 +102,7 @@
         self._own = own
         self._region = region
         self._codec = codec
-        self._queue = OutgoingQueue(limits.buffer_bytes)
+        self._queue = OutgoingQueue(limits.buffer_bytes, self._memory)
         self._paused = False
         self._heard = True
         self._pinged = False
@@ -110,15 +122,26 @@
         self._flush()
         return True
 
-    def send_reply(self, envelope: ReplyEnvelope) -> None:
-        """Send a reply; a peer that reads too slowly is closed."""
-        encoded = self._codec.encode(envelope)
-        if isinstance(encoded, Err):
+    def send_reply(
+        self, envelope: ReplyEnvelope, otherwise: Callable[[], ReplyEnvelope]
+    ) -> None:
+        """Send a reply, or a short one if there is no room for it.
+
+        A peer that reads too slowly for either is closed.
+        """
+        if self._send_envelope(envelope) or self.is_closed:
             return
-        if not self.is_closed and not self.send(OutgoingFrame(encoded.ok_value)):
+        if not self._send_envelope(otherwise()):
             emit(PeerTooSlow(self._peer_name(), self._queue.size))
             self.abort("the peer reads too slowly")
 
+    def _send_envelope(self, envelope: Envelope) -> bool:
+        """Send an envelope; True also for one that can't be encoded."""
+        encoded = self._codec.encode(envelope)
+        if isinstance(encoded, Err):
+            return True
+        return self.send(OutgoingFrame(encoded.ok_value))
+
     def take_unwritten(self) -> list[OutgoingFrame]:
         """Remove what was never written and may go another way."""
         return self._queue.take_unbound()
@@ -171,9 +194,24 @@
         """Note that the connection carries bytes, and read frames."""
         self._heard = True
         super().dataReceived(data)  # type: ignore[no-untyped-call]
+        if not self.is_closed:
+            self._memory.part_received(self, self._part_bytes())
+
+    def _part_bytes(self) -> int:
+        """Return how much of an unfinished frame has arrived."""
+        is_inside = self._state == self._PARSING_PAYLOAD
+        part = self._currentPayloadSize if is_inside else 0
+        return len(self._remainingData) + part
+
+    def give_way(self) -> None:
+        """Close: of all connections this one has most of an unfinished frame."""
+        emit(PeerFrameTooLarge(self._peer_name(), self._part_bytes()))
+        self._memory.part_received(self, 0)
+        self.abort("no memory for its frame")
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take a frame."""
+        self._payload = BytesIO()  # Twisted's would hold the frame until the next one
         decoded = self._codec.decode(string)
         if isinstance(decoded, Err):
             self._refuse(decoded.err_value.message)
@@ -185,8 +223,10 @@
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Report the end to the owner."""
         self.is_closed = True
+        self._memory.part_received(self, 0)
         text = self._close_reason or (reason.getErrorMessage() if reason else "")
         self._owner.closed(self, text)
+        self._queue.close()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Let frames wait here while the transport's buffer is full."""
@@ -243,6 +283,7 @@
         if self.dialed_peer is None:
             self._say_hello(envelope.sender.daemon)
         self.peer = envelope.sender
+        self.MAX_LENGTH = self._codec.max_message_bytes
         self._owner.established(self)
 
     def _finding_in(self, envelope: AnyEnvelope) -> str | None:
@@ -278,8 +319,6 @@
         self._send_control(hello)
 
     def _send_control(self, envelope: Envelope) -> None:
-        encoded = self._codec.encode(envelope)
-        if not isinstance(encoded, Err):
-            self.send(OutgoingFrame(encoded.ok_value))
+        self._send_envelope(envelope)
 
     transport: Any
--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -26,6 +26,7 @@
 from notcharch.wire.link import PeerLink
 from notcharch.wire.messages.base import Message, Refusal
 from notcharch.wire.open_requests import OpenRequests, reply_of
+from notcharch.wire.peer_memory import PeerMemory
 from notcharch.wire.peers import NoticeHandler, RequestHandler
 
 
@@ -41,8 +42,10 @@
         self._network = network
         self._dialed_peer = dialed_peer
 
-    def buildProtocol(self, addr: object) -> PeerConnection:  # noqa: N802
-        """Make the protocol of a new connection."""
+    def buildProtocol(self, addr: object) -> PeerConnection | None:  # noqa: N802
+        """Make the protocol of a new connection; None closes it at once."""
+        if self._dialed_peer is None and not self._network.accepts_connection():
+            return None
         return self._network.new_connection(self._dialed_peer)
 
 
@@ -59,8 +62,13 @@
         codec: MessageCodec,
         random: Random,
         limits: ConnectionLimits = DEFAULT_LIMITS,
+        memory: PeerMemory | None = None,
     ) -> None:
-        """Use `reactor` for sockets and `clock` for every time-out and delay."""
+        """Use `reactor` for sockets and `clock` for every time-out and delay.
+
+        `memory` bounds what all connections hold together.
+        """
+        self._memory = memory or PeerMemory()
         self._reactor = reactor
         self._clock = clock
         self._own = own
@@ -155,6 +163,10 @@
         if link is not None:
             link.close("the peer is gone")
 
+    def accepts_connection(self) -> bool:
+        """Return whether another connection may begin its handshake."""
+        return len(self._unshaken) < MAX_UNSHAKEN
+
     def new_connection(self, dialed_peer: DaemonName | None) -> PeerConnection:
         """Make the protocol of a connection (for the factory)."""
         connection = PeerConnection(
@@ -164,6 +176,7 @@
             codec=self._codec,
             limits=self._limits,
             dialed_peer=dialed_peer,
+            memory=self._memory,
         )
         self._unshaken.add(connection)
         return connection
@@ -203,10 +216,15 @@
         sender = connection.peer
         assert sender is not None
         request_id = envelope.request_id
+        size = len(envelope.message)
         if connection.answering >= self._limits.open_answers:
             text = "too many requests of this peer are under way"
             self._reply(connection, request_id, _overloaded(text))
             return
+        if not self._memory.take_request(size):
+            text = "too many requests of all peers are under way"
+            self._reply(connection, request_id, _overloaded(text))
+            return
         connection.answering += 1
         decoded = self._codec.decode_message(envelope.message)
         if isinstance(decoded, Err):
@@ -214,7 +232,7 @@
             answering = self._handlers.refuse_unknown(sender, reason)
         else:
             answering = self._handlers.answer(sender, decoded.ok_value)
-        answering.addCallback(self._finish_answer, connection, request_id)
+        answering.addCallback(self._finish_answer, connection, request_id, size)
 
     def received_reply(
         self, connection: PeerConnection, envelope: ReplyEnvelope
@@ -244,9 +262,10 @@
             self._handlers.take_notice(sender, decoded.ok_value)
 
     def _finish_answer(
-        self, reply: Message, connection: PeerConnection, request_id: int
+        self, reply: Message, connection: PeerConnection, request_id: int, size: int
     ) -> None:
         connection.answering -= 1
+        self._memory.release_request(size)
         self._reply(connection, request_id, reply)
         connection.close_if_finished()
 
@@ -258,7 +277,16 @@
             text = f"the reply of {len(raw)} bytes is too large"
             problem = Problem.of(ProblemCode.BODY_TOO_LARGE, text, ran=Ran.UNKNOWN)
             raw = self._codec.encode_message(Refusal(problem))
-        connection.send_reply(ReplyEnvelope(request_id, raw))
+
+        def otherwise() -> ReplyEnvelope:
+            text = "too much waits to be sent to peers"
+            problem = Problem.of(
+                ProblemCode.OVERLOADED, text, ran=Ran.UNKNOWN, retry_after=1.0
+            )
+            refusal = self._codec.encode_message(Refusal(problem))
+            return ReplyEnvelope(request_id, refusal)
+
+        connection.send_reply(ReplyEnvelope(request_id, raw), otherwise)
 
     def _link(self, daemon: DaemonName) -> PeerLink:
         link = self._links.get(daemon)
@@ -270,6 +298,7 @@
                 random=self._random,
                 limits=self._limits,
                 dial=self._dial,
+                memory=self._memory,
             )
             self._links[daemon] = link
         return link
@@ -289,6 +318,8 @@
             connection.check_alive()
 
 
+MAX_UNSHAKEN = 1000
+"""Connections whose handshake is not over; they end after twice `silence_seconds`."""
 ENVELOPE_BYTES = 64
 """More than an envelope adds to its message."""
 
--- a/notcharch/wire/link.py
+++ b/notcharch/wire/link.py
@@ -27,6 +27,7 @@
     Reply,
 )
 from notcharch.wire.outgoing import OutgoingFrame, OutgoingQueue
+from notcharch.wire.peer_memory import PeerMemory
 
 Dial = Callable[[DaemonName, str], "Deferred[Any]"]
 """Connects to a peer at `host:port`; fires with the unshaken `PeerConnection`.
@@ -51,8 +52,9 @@
         random: Random,
         limits: ConnectionLimits,
         dial: Dial,
+        memory: PeerMemory | None = None,
     ) -> None:
-        """Begin without an address or connection."""
+        """Begin without an address or connection; `memory` bounds what waits."""
         self._is_lower = own < peer
         self._peer = peer
         self._clock = clock
@@ -69,7 +71,7 @@
         self._dial_failure = ""
         self._failures = 0
         self._delay: IDelayedCall | None = None
-        self._waiting = OutgoingQueue(limits.buffer_bytes)
+        self._waiting = OutgoingQueue(limits.buffer_bytes, memory)
         self._open = OpenRequests(clock)
         self._state = new_dial_state(self)
 
@@ -154,6 +156,7 @@
         self._drop_connections(reason)
         for request in self._open.all():
             request.fail_unavailable(reason)
+        self._waiting.close()
 
     def dial(self) -> None:
         """Begin to connect (an action of the dial state)."""
--- a/notcharch/wire/outgoing.py
+++ b/notcharch/wire/outgoing.py
@@ -6,6 +6,10 @@
 import msgspec
 
 from notcharch.wire.open_requests import OpenRequest
+from notcharch.wire.peer_memory import PeerMemory
+
+FRAME_BYTES = 300
+"""Memory of a frame that waits, besides its bytes; its request counts with its call."""
 
 
 class OutgoingFrame(msgspec.Struct, frozen=True):
@@ -22,12 +26,19 @@
         return self.request is None or not self.request.is_settled
 
 
+def frame_bytes(frame: OutgoingFrame) -> int:
+    """Return how much memory a frame takes while it waits."""
+    return len(frame.frame) + FRAME_BYTES
+
+
 class OutgoingQueue:
-    """A queue of frames bounded by their bytes; one frame always fits."""
+    """A queue of frames bounded by their bytes; one frame always fits its own bound."""
 
-    def __init__(self, max_bytes: int) -> None:
-        """Begin empty."""
+    def __init__(self, max_bytes: int, memory: PeerMemory | None = None) -> None:
+        """Begin empty; `memory` bounds what waits for all peers."""
         self._max_bytes = max_bytes
+        self._memory = memory or PeerMemory()
+        self._is_closed = False
         self._frames: deque[OutgoingFrame] = deque()
         self.size = 0
         """The bytes of all waiting frames."""
@@ -37,12 +48,14 @@
         return len(self._frames)
 
     def put(self, frame: OutgoingFrame) -> bool:
-        """Add a frame; False, and nothing is added, when the bound is passed."""
+        """Add a frame; False, and nothing is added, when a bound is passed."""
         size = len(frame.frame)
         if self._frames and self.size + size > self._max_bytes:
             self._drop_unwanted()
             if self._frames and self.size + size > self._max_bytes:
                 return False
+        if self._is_closed or not self._memory.take_outgoing(frame_bytes(frame)):
+            return False
         self._frames.append(frame)
         self.size += size
         return True
@@ -52,6 +65,7 @@
         while self._frames:
             frame = self._frames.popleft()
             self.size -= len(frame.frame)
+            self._memory.change_outgoing(-frame_bytes(frame))
             if frame.is_wanted:
                 return frame
         return None
@@ -69,6 +83,13 @@
     def _drop_unwanted(self) -> None:
         self._keep(frame for frame in self._frames if frame.is_wanted)
 
+    def close(self) -> None:
+        """Drop all frames, and take none any more."""
+        self._is_closed = True
+        self._keep(())
+
     def _keep(self, frames: Iterable[OutgoingFrame]) -> None:
+        former = sum(map(frame_bytes, self._frames))
         self._frames = deque(frames)
         self.size = sum(len(frame.frame) for frame in self._frames)
+        self._memory.change_outgoing(sum(map(frame_bytes, self._frames)) - former)
--- a/tests/unit/wire/worlds.py
+++ b/tests/unit/wire/worlds.py
@@ -62,6 +62,8 @@
         self.clock = Clock()
         self.reactor = LoopbackReactor(self.clock)
         self.limits = limits
+        self.memory = None
+        """Bounds of the daemons that start next."""
         self.networks: dict[DaemonName, TcpPeerNetwork] = {}
         self.addresses: dict[DaemonName, str] = {}
 
@@ -76,6 +78,7 @@
             codec=default_codec(),
             random=Random(7),
             limits=self.limits,
+            memory=self.memory,
         )
         port = network.listen("127.0.0.1", 0)
         self.networks[name] = network
