Callers' connections have a number that follows from the memory

Cause: nothing bounds them but 8,200 descriptors; one at rest takes 3.0 to 4.1 KB (measured with 1,500 real ones), so all of them 33 MB.

Change: http/connection_room counts a listener's connections. Above its bound the share that was idle for longest, at least a second, is closed; if none is idle, a new connection is answered with 503 and Retry-After, and its request is not read.

Tests: unit/http/test_connection_room (8); unit/http passes.

--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -12,6 +12,7 @@
 from notcharch.events.event import emit
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
+from notcharch.http.connection_room import ConnectionRoom, RefusedConnection
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
@@ -175,6 +176,12 @@
         """Whether no request is being read or processed."""
         return self._exchange is None and not self._http.trailing_data[0]
 
+    @property
+    def idle_since(self) -> float | None:
+        """Since when it has nothing to read, serve or send; None if it is in use."""
+        is_at_rest = self.is_idle and not self._out.buffered
+        return self._idle_since if is_at_rest else None
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request in flight."""
         if not self._is_disconnected and self.is_idle:
@@ -378,19 +385,28 @@
         handler: RequestHandler,
         clock: IReactorTime,
         buffers: BufferedBytes | None = None,
+        room: ConnectionRoom | None = None,
     ) -> None:
-        """Pass requests to a handler; `buffers` counts what the connections hold."""
+        """Pass requests to a handler; `buffers` counts what the connections hold.
+
+        `room` bounds their number.
+        """
+        self._room = room or ConnectionRoom()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
         self._open: set[ServerConnection] = set()
 
-    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
-        """Create a tracked connection."""
+    def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802
+        """Create a tracked connection, or one that is refused; None closes it at once."""
+        if not self._room.has_room(self._clock.seconds()):
+            is_answered = self._room.may_refuse()
+            return RefusedConnection(self._room, self._clock) if is_answered else None
         connection = TrackedConnection(
-            self._handler, self._clock, self._open, self._buffers
+            self._handler, self._clock, self._open, self._buffers, self._room
         )
         self._open.add(connection)
+        self._room.opened(connection)
         return connection
 
     def close_idle(self) -> None:
@@ -408,12 +424,15 @@
         clock: IReactorTime,
         open_connections: set[ServerConnection],
         buffers: BufferedBytes,
+        room: ConnectionRoom,
     ) -> None:
-        """Create a connection that removes itself from `open_connections`."""
+        """Create a connection that removes itself from `open_connections` and `room`."""
         super().__init__(handler, clock, buffers)
+        self._room = room
         self._open_connections = open_connections
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Remove the connection from the set of open ones."""
         self._open_connections.discard(self)
+        self._room.closed(self)
         super().connectionLost(reason)
--- /dev/null
+++ b/tests/unit/http/test_connection_room.py
@@ -0,0 +1,133 @@
+"""Connections of callers have a number; each takes some KB although it sends nothing.
+
+8,200 descriptors of connections at rest would take 33 MB of a machine that has 130.
+"""
+
+import pytest
+from twisted.internet.task import Clock
+
+from notcharch.http.connection_room import (
+    CONNECTION_BYTES,
+    MAX_REFUSED,
+    MIN_IDLE_SECONDS,
+    ConnectionRoom,
+    RefusedConnection,
+)
+from notcharch.http.server import ServerFactory, ServerLimits, TrackedConnection
+from notcharch.values.memory_pool import MemoryPool
+from tests.unit.http.pipe import Handler, TcpTransport
+
+MOST = 32
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Listener:
+    """A listener, and the connections that callers open."""
+
+    def __init__(self, most=MOST) -> None:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.handler = Handler()
+        self.handler.server_limits = ServerLimits()
+        self.pool = MemoryPool(most * CONNECTION_BYTES)
+        self.room = ConnectionRoom(10_000, self.pool.holder("connections"))
+        self.factory = ServerFactory(self.handler, self.clock, room=self.room)
+
+    def connect(self):
+        """Return the transport of a new connection; None if it is closed at once."""
+        protocol = self.factory.buildProtocol(None)
+        if protocol is None:
+            return None
+        transport = TcpTransport()
+        transport.protocol = protocol
+        protocol.makeConnection(transport)
+        return transport
+
+    def is_served(self, transport) -> bool:
+        return isinstance(transport.protocol, TrackedConnection)
+
+    def turn(self, transports) -> None:
+        """End the connections that were closed."""
+        for transport in transports:
+            if transport.is_closed:
+                transport.protocol.connectionLost()
+
+
+def test_above_the_bound_the_longest_idle_connections_are_closed():
+    listener = Listener()
+    transports = [listener.connect() for _ in range(MOST)]
+    transports[0].protocol.dataReceived(GET)
+    transports[1].protocol.dataReceived(b"GET / HT")
+    for number in range(2, MOST):
+        listener.clock.advance(0.01)
+        transports[number].protocol.dataReceived(GET)
+        listener.handler.exchanges[-1].respond(200, [])
+        transports[number].drain()
+    listener.clock.advance(MIN_IDLE_SECONDS)
+    assert listener.is_served(listener.connect())
+    closed = [n for n, transport in enumerate(transports) if transport.is_closed]
+    assert closed == [2, 3], "a share at once, and none that is in use"
+
+
+def test_connections_that_close_are_not_counted_and_not_closed_twice():
+    listener = Listener()
+    first = [listener.connect() for _ in range(MOST)]
+    listener.clock.advance(MIN_IDLE_SECONDS)
+    second = [listener.connect() for _ in range(MOST)]
+    assert all(listener.is_served(transport) for transport in second)
+    listener.turn(first)
+    assert sum(transport.is_closed for transport in first) == MOST
+    assert listener.pool.total == MOST * CONNECTION_BYTES
+
+
+def test_a_connection_without_room_is_told_503_and_its_request_is_not_read():
+    listener = Listener()
+    for _ in range(MOST):
+        listener.connect().protocol.dataReceived(GET)
+    refused = listener.connect()
+    assert isinstance(refused.protocol, RefusedConnection)
+    refused.protocol.dataReceived(b"POST / HTTP/1.1\r\nHost: h\r\n")
+    refused.protocol.dataReceived(b"Content-Length: 2\r\n\r\nab")
+    head, _, body = refused.value().partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nRetry-After: 0.500" in head
+    assert b"\r\nConnection: close" in head
+    assert b"Content-Length: %d" % len(body) in head
+    assert not refused.is_closed, "the rest of the request is read"
+    listener.clock.advance(1.0)
+    assert refused.is_closed
+    refused.protocol.connectionLost()
+    assert len(listener.handler.exchanges) == MOST
+    listener.clock.advance(10.0)
+
+
+def test_refused_connections_that_send_nothing_are_closed_and_have_a_number():
+    listener = Listener()
+    for _ in range(MOST):
+        listener.connect().protocol.dataReceived(GET)
+    refused = [listener.connect() for _ in range(MAX_REFUSED)]
+    assert listener.connect() is None
+    listener.clock.advance(3.1)
+    listener.turn(refused)
+    assert all(transport.is_closed for transport in refused)
+    assert listener.connect() is not None
+
+
+def test_a_connection_whose_answer_is_not_read_yet_is_not_idle():
+    listener = Listener()
+    transports = [listener.connect() for _ in range(MOST)]
+    for transport in transports:
+        transport.protocol.dataReceived(GET)
+        listener.handler.exchanges[-1].respond(200, [], b"x" * 100)
+    listener.clock.advance(MIN_IDLE_SECONDS)
+    assert isinstance(listener.connect().protocol, RefusedConnection)
+
+
+@pytest.mark.parametrize("most", [1, 2, 256])
+def test_a_number_of_connections_bounds_as_well(most):
+    listener = Listener(1000)
+    listener.factory = ServerFactory(
+        listener.handler, listener.clock, room=ConnectionRoom(most)
+    )
+    served = [listener.is_served(listener.connect()) for _ in range(most + 1)]
+    assert served == [True] * most + [False]
