Idle connections to engines, remembered faults and records of streams are bounded in bytes

Cause: 8 idle connections to each engine have no sum (96 MB at 3,000 engines); a feed remembered 1,024 faults of any length; records of streams were bounded by a number of 50,000 each, while callers choose ids of up to a head; the 20,000 records of the quarantine take 13 MB and not 6.

--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -1,5 +1,6 @@
 """Sends calls to engines over persistent connections."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -31,6 +32,10 @@
 """Engines advertise whole seconds, so they may close a connection up to one earlier."""
 MAX_IDLE = 8
 """Idle connections per engine: a daemon has few concurrent calls at one engine."""
+MAX_IDLE_TOTAL = 512
+"""Idle connections to all engines: 8 to each of 3,000 would take 96 MB."""
+IDLE_BYTES = 4 * 1024
+"""Memory of an idle connection, about that of a caller's at rest."""
 
 
 class SendListener(ResponseListener, Protocol):
@@ -175,7 +180,9 @@
         """
         self._reactor = reactor
         self._bind = (local_address, 0) if local_address else None
-        self._idle: dict[str, IdleConnections] = {}
+        self._idle: OrderedDict[str, IdleConnections] = OrderedDict()
+        """By engine; the one that a connection was released to last comes last."""
+        self._idle_count = 0
         self.on_idle_close: Callable[[str], None] = lambda _: None
         """Called with the id of an engine that closes an idle connection."""
         self._factory = Factory.forProtocol(
@@ -200,8 +207,7 @@
         request = EngineRequest()
         message = OutgoingCall(engine, head, body, listener, confirm)
         sending = Sending(self._reactor, request, message)
-        idle = self._idle.get(engine.id)
-        reused = idle.take() if idle is not None else None
+        reused = self._take_idle(engine.id)
         if reused is not None:
             request.is_reused = True
             sending.use(reused)
@@ -213,8 +219,26 @@
         connecting.addCallbacks(sending.connected, sending.failed)
         return request
 
+    def _take_idle(self, engine_id: str) -> ClientConnection | None:
+        idle = self._idle.get(engine_id)
+        if idle is None:
+            return None
+        before = len(idle)
+        connection = idle.take()
+        self._idle_count += len(idle) - before
+        return connection
+
+    @property
+    def idle_bytes(self) -> int:
+        """Memory of the idle connections, about."""
+        return self._idle_count * IDLE_BYTES
+
     def release(self, engine_id: str, request: EngineRequest) -> None:
-        """Return the connection of a completed request to the pool."""
+        """Return the connection of a completed request to the pool.
+
+        Beyond `MAX_IDLE_TOTAL`, connections to the engines that were used longest ago are
+        closed.
+        """
         connection = request.connection
         if connection is None:
             return
@@ -228,10 +252,24 @@
         if idle is None:
             idle = self._idle[engine_id] = IdleConnections(self._reactor, MAX_IDLE)
         connection.on_idle_close = partial(self.on_idle_close, engine_id)
+        self._idle.move_to_end(engine_id)
+        before = len(idle)
         idle.keep(connection, seconds)
+        self._idle_count += len(idle) - before
+        while self._idle_count > MAX_IDLE_TOTAL:
+            self._close_oldest_idle()
+
+    def _close_oldest_idle(self) -> None:
+        engine_id, idle = next(iter(self._idle.items()))
+        if idle:
+            idle.close_oldest()
+            self._idle_count -= 1
+        else:
+            del self._idle[engine_id]
 
     def close_idle(self, engine_id: str) -> None:
         """Close the idle connections to an engine."""
         idle = self._idle.pop(engine_id, None)
         if idle is not None:
+            self._idle_count -= len(idle)
             idle.close_all()
--- a/notcharch/http/idle_connections.py
+++ b/notcharch/http/idle_connections.py
@@ -51,6 +51,15 @@
                 return
             self._idle.popleft().connection.close()
 
+    def __len__(self) -> int:
+        """Return the number of connections, including expired ones."""
+        return len(self._idle)
+
+    def close_oldest(self) -> None:
+        """Close the connection that was kept for longest, if there is one."""
+        if self._idle:
+            self._idle.popleft().connection.close()
+
     def close_all(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/notcharch/quarantine/records.py
+++ b/notcharch/quarantine/records.py
@@ -11,8 +11,10 @@
 """From so many on, one attempt runs at a time."""
 KEEP_SECONDS = 120.0
 """How long a record is kept after the last end: as long as callers return to a program."""
+RECORD_BYTES = 800
+"""Memory of a record; traced: 640 bytes with three ends."""
 MAX_RECORDS = 20_000
-"""Bounds the memory to some 6 MB."""
+"""Bounds the memory to 16 MB where no other number is given."""
 
 
 class EngineEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -67,8 +69,9 @@
 class EndRecords:
     """The records by the identity of their requests."""
 
-    def __init__(self) -> None:
-        """Start without records."""
+    def __init__(self, max_records: int = MAX_RECORDS) -> None:
+        """Start without records; hold up to `max_records`, without the oldest then."""
+        self._max_records = max_records
         self._records: dict[str, RequestRecord] = {}
 
     def __len__(self) -> int:
@@ -117,7 +120,7 @@
         if former is not None:
             record.permit, record.permit_until = former.permit, former.permit_until
         self._records[identity] = record
-        if len(self._records) > MAX_RECORDS:
+        if len(self._records) > self._max_records:
             del self._records[next(iter(self._records))]
         return record
 
--- a/notcharch/quarantine/service.py
+++ b/notcharch/quarantine/service.py
@@ -16,7 +16,7 @@
 from notcharch.quarantine.gathering import Reply
 from notcharch.quarantine.messages import AskSuspects, SuspectsKnown
 from notcharch.quarantine.metrics import RECORDS
-from notcharch.quarantine.records import EndRecords
+from notcharch.quarantine.records import MAX_RECORDS, RECORD_BYTES, EndRecords
 from notcharch.values.identifiers import DaemonName
 from notcharch.wire.peers import PeerNetwork
 
@@ -37,13 +37,17 @@
         random: Random,
         *,
         members: Callable[[], Sequence[str]],
+        max_records: int = MAX_RECORDS,
     ) -> None:
-        """Register the handlers; `members` returns the daemons that may be counters."""
+        """Register the handlers; `members` returns the daemons that may be counters.
+
+        `max_records` bounds the requests that are known.
+        """
         self._clock = clock
         self._random = random
         self._network = network
         self._members = members
-        self._records = EndRecords()
+        self._records = EndRecords(max_records)
         self._role = CounterRole(clock, network, self._records)
         self._services = AttemptServices(
             clock=clock,
@@ -62,6 +66,11 @@
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = clock
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the records, about."""
+        return len(self._records) * RECORD_BYTES
+
     def start(self) -> None:
         """Start to ask peers for what they know, and to remove expired records."""
         self._ticking.start(TICK_INTERVAL_SECONDS)
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -32,7 +32,7 @@
     StreamsBegan,
 )
 from notcharch.stream_origins.metrics import FOUND, HELD, RECORDED, SEARCH_SECONDS
-from notcharch.stream_origins.records import OriginRecord, OriginRecords
+from notcharch.stream_origins.records import MAX_BYTES, OriginRecord, OriginRecords
 from notcharch.stream_origins.search import OriginSearch
 from notcharch.values.identifiers import DaemonName, Member
 from notcharch.wire.messages.base import Message
@@ -66,11 +66,13 @@
         members: Callable[[], Sequence[str]],
         route_age: Callable[[str], float],
         confirm_list: Callable[[], "Deferred[None]"],
+        max_bytes: int = 2 * MAX_BYTES,
     ) -> None:
         """Register the handlers; `members` returns the daemons that may be holders.
 
         `route_age` returns for how many seconds a route has had its services;
-        `confirm_list` asks the store whether the list of engines is up to date.
+        `confirm_list` asks the store whether the list of engines is up to date;
+        `max_bytes` bounds the memory of all records.
         """
         self._clock = clock
         self._network = network
@@ -80,15 +82,20 @@
         self._list = ListConfirmation(clock, confirm_list, CONFIRM_SECONDS)
         self._local = str(network.own_member.daemon)
         self._ring = HolderRing(())
-        self._own = OriginRecords()
+        self._own = OriginRecords(max_bytes // 2)
         """Streams that began at this daemon, or continued here."""
-        self._held = OriginRecords()
+        self._held = OriginRecords(max_bytes // 2)
         """Streams of peers."""
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = clock
         network.on_notice(StreamsBegan, self._on_notice)
         network.on_request(AskStreamOrigin, self._reply)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of all records, about."""
+        return self._own.bytes + self._held.bytes
+
     def start(self) -> None:
         """Start sharing records when they become necessary, and removing expired ones."""
         self._ticking.start(TICK_INTERVAL_SECONDS, now=False)
--- a/notcharch/stream_origins/records.py
+++ b/notcharch/stream_origins/records.py
@@ -6,8 +6,11 @@
 
 from notcharch.scheduling.stream_origin import StreamOrigin
 
-MAX_RECORDS = 50_000
-"""Bounds the memory to some 15 MB; a daemon holds the streams of some seconds."""
+RECORD_BYTES = 400
+"""Memory of a record besides its texts; traced: 330 bytes with those of a stream."""
+MAX_BYTES = 16 * 1024 * 1024
+"""Bounds the memory where no other bound is given: a daemon holds the streams of some
+seconds, and callers choose their ids."""
 MAX_KEEP_SECONDS = 600.0
 """Upper bound of the time that a peer or a caller can ask for."""
 
@@ -32,8 +35,11 @@
 class OriginRecords:
     """The origins of streams by id."""
 
-    def __init__(self) -> None:
-        """Start without records."""
+    def __init__(self, max_bytes: int = MAX_BYTES) -> None:
+        """Start without records; hold up to `max_bytes`, without the oldest then."""
+        self._max_bytes = max_bytes
+        self.bytes = 0
+        """Memory of all records, about."""
         self._records: dict[str, OriginRecord] = {}
 
     def __len__(self) -> int:
@@ -52,7 +58,7 @@
         Callers choose the ids, so two streams may have the same one.
         """
         expires = now + min(keep_seconds, MAX_KEEP_SECONDS)
-        record = self._records.pop(stream, None)
+        record = self._pop(stream)
         if record is None or record.expires <= now:
             record = OriginRecord(origin, expires)
         elif record.origin != origin:
@@ -60,8 +66,15 @@
             record.is_shared = False
         record.expires = max(record.expires, expires)
         self._records[stream] = record
-        if len(self._records) > MAX_RECORDS:
-            del self._records[next(iter(self._records))]
+        self.bytes += RECORD_BYTES + len(stream)
+        while self.bytes > self._max_bytes and len(self._records) > 1:
+            self._pop(next(iter(self._records)))
+        return record
+
+    def _pop(self, stream: str) -> OriginRecord | None:
+        record = self._records.pop(stream, None)
+        if record is not None:
+            self.bytes -= RECORD_BYTES + len(stream)
         return record
 
     def find(self, stream: str, now: float) -> OriginRecord | None:
@@ -73,7 +86,7 @@
         """Remove expired records."""
         expired = [id for id, record in self._records.items() if record.expires <= now]
         for id in expired:
-            del self._records[id]
+            self._pop(id)
 
     def live(self, now: float) -> Iterator[tuple[str, OriginRecord]]:
         """Iterate over the records that have not expired."""
--- a/tests/unit/events/test_feed_faults.py
+++ b/tests/unit/events/test_feed_faults.py
@@ -5,6 +5,7 @@
 from notcharch.events.feed_faults import MAX_REMEMBERED_PARTS, FeedFaults
 from notcharch.events.process import PartSkipped
 from tests.unit.events.capture import captured, of
+from tests.unit.http.test_small_chunks import growth
 
 FEED = "test.feed"
 
@@ -41,3 +42,30 @@
     for number in range(2 * MAX_REMEMBERED_PARTS):
         faults.report(str(number), "cut")
     assert len(faults._last) == MAX_REMEMBERED_PARTS
+
+
+def test_a_remembered_fault_takes_little_whatever_its_text():
+    """Tracebacks and names of some KB each took 40 MB over ten feeds."""
+    faults = FeedFaults(FEED)
+
+    def report() -> None:
+        for number in range(MAX_REMEMBERED_PARTS):
+            faults.is_new(f"part {number} " + "n" * 5000, f"{number}" + "t" * 5000)
+
+    report()
+    assert growth(report) < 100 * MAX_REMEMBERED_PARTS
+    assert sum(map(len, faults._last)) < 300 * MAX_REMEMBERED_PARTS
+
+
+def test_long_names_that_differ_at_their_end_are_different_parts():
+    faults = FeedFaults(FEED)
+    long = "x" * 1000
+    assert faults.is_new(f"{long}a", "slots")
+    assert faults.is_new(f"{long}b", "zone")
+    assert not faults.is_new(f"{long}a", "slots")
+    faults.clear(f"{long}a")
+    assert faults.is_new(f"{long}a", "slots")
+
+
+def test_a_fault_of_any_text_can_be_remembered():
+    assert FeedFaults(FEED).is_new("\udcff", "\udcff")
--- a/tests/unit/quarantine/test_records.py
+++ b/tests/unit/quarantine/test_records.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from notcharch.quarantine import records
 from notcharch.quarantine.records import (
     KEEP_SECONDS,
     NO_ENDS,
@@ -63,9 +62,8 @@
     assert len(known) == 0
 
 
-def test_the_oldest_record_goes_when_there_are_too_many(monkeypatch):
-    monkeypatch.setattr(records, "MAX_RECORDS", 2)
-    known = EndRecords()
+def test_the_oldest_record_goes_when_there_are_too_many():
+    known = EndRecords(2)
     for number in range(3):
         known.count(f"r{number}", end(0), sent_at=NOW, now=NOW + number)
     assert known.known("r0", NOW + 2) == NO_ENDS
