The memory of a daemon is divided: a pool for what callers and peers make grow

Cause: each buffer had a bound of its own or none, and nobody had added them up.

Accounts go at 1.1 times their retention, like turns, while memory is short.

Small edits in the files of others: process.py (a ProcessMemory, its tick, three arguments), components.py and listeners.py (arguments that are passed on).

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -40,10 +40,11 @@
 """Share of the rounds before the log drops a record in which it is written again."""
 
 KEEP_FACTOR = 2.0
-"""Turns are kept for so many times their retention, for callers that come too late."""
+"""Turns and accounts are kept for so many times their retention, for callers that come too
+late."""
 SHORT_KEEP_FACTOR = 1.1
-"""The same while turns take much of the memory that they may; more than 1 for callers
-whose clocks differ."""
+"""The same while they take much of the memory that they may; more than 1 for callers whose
+clocks differ."""
 PROGRAM_BYTES = 900
 """Memory of a program's account besides its name, with one call under way; traced: 570 to
 640 bytes."""
@@ -363,7 +364,7 @@
     def evict_expired(self, now: float) -> None:
         """Remove programs and turns whose retention has ended."""
         self.evict_turns(now)
-        limit = now - 2 * self.keep_seconds
+        limit = now - self._keep_factor(self._held_programs) * self.keep_seconds
         for name, program in tuple(self._programs.items()):
             if program.last_used_at < limit and not program.reserved:
                 del self._programs[name]
@@ -371,10 +372,14 @@
 
     def evict_turns(self, now: float) -> None:
         """Remove turns whose retention has ended; some time later unless memory is short."""
-        is_short = self.turns.is_under_pressure
-        factor = SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
+        factor = self._keep_factor(self._held_turns)
         self.turns.evict_unused_since(now - factor * self.keep_seconds)
 
+    @staticmethod
+    def _keep_factor(held: HeldPart) -> float:
+        is_short = held.holder.is_under_pressure
+        return SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
+
 
 def _size(record: TurnKept) -> int:
     return len(record.input) + len(record.output)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -34,6 +34,7 @@
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
 from notcharch.wire.messages.base import Message
+from notcharch.wire.peer_memory import PeerMemory
 from notcharch.wire.peers import PeerNetwork
 
 TOPIC = "accounts"
@@ -200,10 +201,12 @@
     random: Random,
     *,
     other_messages: tuple[type[Message], ...] = (),
+    memory: PeerMemory | None = None,
 ) -> TcpPeerNetwork:
     """Create the peer network between the daemons that own accounts.
 
-    Other services of the daemons use it too; `other_messages` are theirs.
+    Other services of the daemons use it too; `other_messages` are theirs. `memory` bounds
+    what all connections hold.
     """
     return TcpPeerNetwork(
         reactor,
@@ -213,4 +216,5 @@
         codec=account_codec(other_messages),
         random=random,
         limits=LIMITS,
+        memory=memory,
     )
--- a/notcharch/http/bounded_body.py
+++ b/notcharch/http/bounded_body.py
@@ -36,8 +36,10 @@
         return True
 
     def content(self) -> bytes:
-        """Return the bytes so far."""
-        return bytes(self._body)
+        """Return the bytes so far, and hold them no longer."""
+        body = bytes(self._body)
+        self._body.clear()
+        return body
 
 
 def report_too_long(kind: ServerKind, name: str, size: int) -> None:
--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -17,7 +17,7 @@
 CONNECTION_BYTES = 5 * 1024
 """Memory of a connection at rest; measured: 3.0 to 4.1 KB, and 5.1 KB with a part of a
 head of 1 KB."""
-DEFAULT_MAX_CONNECTIONS = 256
+DEFAULT_MAX_CONNECTIONS = 64
 """Connections of a listener without a bound of its own: probes need a few."""
 MIN_IDLE_SECONDS = 1.0
 """A connection that was idle for less time is not closed to make room."""
--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -24,6 +24,7 @@
 from notcharch.journal.store_outage import StoreOutage
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.process_memory import ProcessMemory
 from notcharch.platform.settings import ProcessSettings
 from notcharch.platform.store import PlatformStore
 from notcharch.platform.tables import PlatformTables, long_poll_seconds
@@ -73,6 +74,7 @@
     """The peers; its port is open."""
     peers_address: str
     """`host:port` at which peers reach this process."""
+    memory: ProcessMemory
 
 
 class Components:
@@ -83,7 +85,7 @@
         self._reactor = reactor = around.reactor
         self._mechanisms = mechanisms = around.mechanisms
         self.network = around.network
-        settings, random = around.settings, around.random
+        settings, random, memory = around.settings, around.random, around.memory
         suspicions = SharedSuspicions(
             is_shared=Mechanism.SHARED_SUSPICIONS in mechanisms
         )
@@ -110,6 +112,7 @@
             suspicions=suspicions,
             recovery=recovery,
             tenant=self._tenant,
+            memory=memory.accounts,
         )
         known_daemons = KnownDaemons(
             self.network.own_member.daemon, self.accounts.directory
@@ -122,6 +125,7 @@
             members=known_daemons.members,
             route_age=lambda route: self.ingress.route_age(route, reactor.seconds()),
             confirm_list=self._confirm_engines,
+            max_bytes=memory.max_origin_bytes,
         )
         pool = EnginePool(
             reactor,
@@ -158,7 +162,9 @@
             ),
             random,
             members=known_daemons.members,
+            max_records=memory.max_quarantine_records,
         )
+        answers = BufferedBytes(total_limit(settings.memory_bytes))
         self.ingress = Ingress(
             CallServices(
                 clock=reactor,
@@ -168,13 +174,19 @@
                 admission=self.accounts.admission,
                 waits=RouteResponseTimes(wait_policy(mechanisms)),
                 urgency=call_urgency(mechanisms),
-                answers=BufferedBytes(total_limit(settings.memory_bytes)),
+                answers=answers,
+                held=memory.calls,
                 origins=self.origins,
                 quarantine=self._quarantine,
             ),
             self._check,
         )
-        self.factory = ServerFactory(self.ingress, reactor, buffers)
+        self.factory = ServerFactory(self.ingress, reactor, buffers, memory.connections)
+        memory.also_measure("callers and engines", lambda: buffers.total)
+        memory.also_measure("engines' answers", lambda: answers.total)
+        memory.also_measure("idle engines", lambda: sender.idle_bytes)
+        memory.also_measure("origins", lambda: self.origins.held_bytes)
+        memory.also_measure("quarantine", lambda: self._quarantine.held_bytes)
         self.tables = PlatformTables(
             around.store,
             reactor,
--- a/notcharch/platform/listeners.py
+++ b/notcharch/platform/listeners.py
@@ -17,6 +17,7 @@
 from notcharch.stream_origins.messages import STREAM_ORIGIN_MESSAGES
 from notcharch.values.identifiers import DaemonName, Incarnation, Member
 from notcharch.wire.connections import TcpPeerNetwork
+from notcharch.wire.peer_memory import PeerMemory
 
 LISTEN_BACKLOG = 512
 """Maximum number of pending connections; well above a burst of one second."""
@@ -43,8 +44,10 @@
         random: Random,
         settings: ProcessSettings,
         incarnation: Incarnation,
+        memory: PeerMemory | None = None,
     ) -> None:
-        """Prepare a network of the daemons that own accounts."""
+        """Prepare a network of the daemons that own accounts; `memory` bounds it."""
+        self._memory = memory
         self._reactor = reactor
         self._random = random
         self._machine = settings.machine
@@ -66,6 +69,7 @@
                 *STREAM_ORIGIN_MESSAGES,
                 *QUARANTINE_MESSAGES,
             ),
+            memory=self._memory,
         )
         network.listen(host, port)
         self.network = network
@@ -88,8 +92,12 @@
         *,
         incarnation: Incarnation,
         on_error: Callable[[Failure], None],
+        peer_memory: PeerMemory | None = None,
     ) -> None:
-        """Prepare the ports; an exception that is no failure to listen is `on_error`'s."""
+        """Prepare the ports; an exception that is no failure to listen is `on_error`'s.
+
+        `peer_memory` bounds what all connections with peers hold.
+        """
         self._reactor = reactor
         self._random = random
         self._settings = settings
@@ -103,7 +111,9 @@
         self._open: set[str] = set()
         self._is_stopped = False
         self._front: TcpPortOpener | None = None
-        self.peers_port = PeersPortOpener(reactor, random, settings, incarnation)
+        self.peers_port = PeersPortOpener(
+            reactor, random, settings, incarnation, peer_memory
+        )
 
     def missing(self) -> list[str]:
         """Return the ports that are not open, of those that callers' service needs."""
--- a/notcharch/platform/memory_watch.py
+++ b/notcharch/platform/memory_watch.py
@@ -114,7 +114,7 @@
         self._machine = machine
         self._limit_bytes = limit_bytes
         self._pool = pool
-        self._others = others or {}
+        self._others = {} if others is None else others
         self._read_resident = read_resident
         self._watches = [_HolderWatch(pool, holder) for holder in pool.holders]
         self._is_near = False
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -32,6 +32,7 @@
 from notcharch.platform.listeners import ProcessListeners
 from notcharch.platform.log_output import standard_output
 from notcharch.platform.probes import MetricsHandler, Readiness, ReadinessHandler
+from notcharch.platform.process_memory import ProcessMemory
 from notcharch.platform.reload import applied, needing_restart
 from notcharch.platform.reported_life import ReportedLife
 from notcharch.platform.settings import ProcessSettings, read_settings_file
@@ -86,7 +87,14 @@
             reactor, read_settings_file, self._settings_invalid, self._settings_settled
         )
         store = settings.store.address
-        self._requester = Requester(reactor, store.host, store.port, settings.host)
+        self._memory = ProcessMemory(settings)
+        self._requester = Requester(
+            reactor,
+            store.host,
+            store.port,
+            settings.host,
+            self._memory.store_answers,
+        )
         self._store = PlatformStore(self._requester, reactor, settings.store.log_limits)
         self._output = output or standard_output(reactor)
         self._life = ReportedLife(reactor, settings.machine)
@@ -96,6 +104,7 @@
             settings,
             incarnation=new_incarnation(),
             on_error=self._fail,
+            peer_memory=self._memory.peers,
         )
         self._ticks = LoopingCall(self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
@@ -147,6 +156,7 @@
                 store=self._store,
                 network=peers.network,
                 peers_address=peers.address,
+                memory=self._memory,
             )
         )
         self._components = components
@@ -214,6 +224,7 @@
     def _tick(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
+        self._memory.tick(self._reactor.seconds())
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
             emit(
--- /dev/null
+++ b/notcharch/platform/process_memory.py
@@ -0,0 +1,86 @@
+"""The bounds of one process's memory, as its components take them."""
+
+import resource
+
+from notcharch.accounts.account_memory import AccountMemory
+from notcharch.accounts.turns import TurnCache
+from notcharch.http.answer_room import AnswerRoom
+from notcharch.http.connection_room import ConnectionRoom
+from notcharch.platform.memory_budget import (
+    ACCOUNTS_SHARE,
+    CACHE_SHARE,
+    CALLS_SHARE,
+    CONNECTIONS_SHARE,
+    JOURNAL_SHARE,
+    PEERS_SHARE,
+    STORE_SHARE,
+    TURNS_SHARE,
+    max_origin_bytes,
+    max_quarantine_records,
+    memory_budget,
+    turn_cache_bytes,
+)
+from notcharch.platform.memory_watch import MemoryWatch
+from notcharch.platform.settings import ProcessSettings
+from notcharch.values.memory_pool import MeasureBytes, MemoryPool
+from notcharch.wire.peer_memory import PeerMemory
+
+DESCRIPTORS_SHARE = 0.75
+"""Share of the open files that callers' connections may take; engines, peers and the store
+need the others."""
+
+
+def max_caller_connections(open_files: int) -> int:
+    """Return how many callers' connections leave descriptors for everything else."""
+    return max(1, int(open_files * DESCRIPTORS_SHARE))
+
+
+def open_files_limit() -> int:
+    """Return how many files this process may open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 1 << 30 if soft == resource.RLIM_INFINITY else soft
+
+
+class ProcessMemory:
+    """The pool of a process and its holders."""
+
+    def __init__(
+        self, settings: ProcessSettings, open_files: int | None = None
+    ) -> None:
+        """Divide the memory limit of the settings."""
+        self.budget = memory_budget(settings.memory_bytes, settings.store.log_limits)
+        pool_bytes = self.budget.pool_bytes
+        self.pool = pool = MemoryPool(pool_bytes)
+        self.calls = pool.holder("calls", CALLS_SHARE)
+        connections = pool.holder("connections", CONNECTIONS_SHARE)
+        files = open_files_limit() if open_files is None else open_files
+        self.connections = ConnectionRoom(max_caller_connections(files), connections)
+        self.accounts = AccountMemory(
+            accounts=pool.holder("accounts", ACCOUNTS_SHARE),
+            turns=pool.holder("turns", TURNS_SHARE),
+            journal=pool.holder("journal", JOURNAL_SHARE),
+            cache=TurnCache(
+                turn_cache_bytes(pool_bytes), pool.holder("cached turns", CACHE_SHARE)
+            ),
+        )
+        self.peers = PeerMemory(
+            pool.holder("frames for peers", PEERS_SHARE),
+            pool.holder("requests of peers", PEERS_SHARE),
+        )
+        answers = pool.holder("answers of the store", STORE_SHARE)
+        self.store_answers = AnswerRoom(answers.limit_bytes, answers)
+        limit = self.budget.limit_bytes
+        self.max_origin_bytes = max_origin_bytes(limit)
+        self.max_quarantine_records = max_quarantine_records(limit)
+        self._others: dict[str, MeasureBytes] = {}
+        self._watch = MemoryWatch(
+            settings.machine, settings.memory_bytes, pool, self._others
+        )
+
+    def also_measure(self, name: str, measure: MeasureBytes) -> None:
+        """Show what has a bound of its own beside the pool."""
+        self._others[name] = measure
+
+    def tick(self, now: float) -> None:
+        """Update the metrics, and log when memory is short."""
+        self._watch.tick(now)
--- a/notcharch/quarantine/records.py
+++ b/notcharch/quarantine/records.py
@@ -11,10 +11,10 @@
 """From so many on, one attempt runs at a time."""
 KEEP_SECONDS = 120.0
 """How long a record is kept after the last end: as long as callers return to a program."""
-RECORD_BYTES = 800
-"""Memory of a record; traced: 640 bytes with three ends."""
+RECORD_BYTES = 900
+"""Memory of a record; traced: 640 to 820 bytes with three ends."""
 MAX_RECORDS = 20_000
-"""Bounds the memory to 16 MB where no other number is given."""
+"""Bounds the memory to 18 MB where no other number is given."""
 
 
 class EngineEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -42,8 +42,9 @@
 
     def change(self, size: int) -> None:
         """Hold so many bytes more, or less, in any case."""
+        former = min(self.held, self.limit_bytes)
         self.held += size
-        self._pool.total += size
+        self._pool.total += int(min(self.held, self.limit_bytes) - former)
 
     @property
     def is_under_pressure(self) -> bool:
@@ -66,6 +67,8 @@
         """Bound what all holders take together; without a limit everything fits."""
         self.limit_bytes = limit_bytes
         self.total = 0
+        """What all hold, each up to its bound: what one kind must keep beyond its bound
+        leaves the others their room."""
         self.holders: list[PoolHolder] = []
 
     def holder(self, name: str, share: float = 1.0) -> PoolHolder:
--- a/notcharch/wire/connection.py
+++ b/notcharch/wire/connection.py
@@ -32,6 +32,8 @@
 from notcharch.wire.outgoing import OutgoingFrame, OutgoingQueue
 from notcharch.wire.peer_memory import PeerMemory
 
+TRANSPORT_BYTES = 64 * 1024
+"""A transport of Twisted is full with so many bytes, and the last frame may exceed them."""
 HELLO_BYTES = 16 * 1024
 """The largest frame before the handshake, when anybody may have sent it."""
 
@@ -104,6 +106,9 @@
         self._codec = codec
         self._queue = OutgoingQueue(limits.buffer_bytes, self._memory)
         self._paused = False
+        self._last_frame_bytes = 0
+        self._transport_bytes = 0
+        """Bytes of a full transport, as counted."""
         self._heard = True
         self._pinged = False
         self._goodbye_sent = False
@@ -224,6 +229,7 @@
         """Report the end to the owner."""
         self.is_closed = True
         self._memory.part_received(self, 0)
+        self._count_transport(0)
         text = self._close_reason or (reason.getErrorMessage() if reason else "")
         self._owner.closed(self, text)
         self._queue.close()
@@ -231,10 +237,12 @@
     def pauseProducing(self) -> None:  # noqa: N802
         """Let frames wait here while the transport's buffer is full."""
         self._paused = True
+        self._count_transport(TRANSPORT_BYTES + self._last_frame_bytes)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Write what waited."""
         self._paused = False
+        self._count_transport(0)
         self._flush()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -249,8 +257,14 @@
                 return
             if frame.request is not None:
                 self._await_reply(frame.request)
+            self._last_frame_bytes = len(frame.frame)
             self.sendString(frame.frame)  # type: ignore[no-untyped-call]
 
+    def _count_transport(self, size: int) -> None:
+        """Count what the transport holds while it is full."""
+        self._memory.change_outgoing(size - self._transport_bytes)
+        self._transport_bytes = size
+
     def _await_reply(self, request: OpenRequest) -> None:
         request.written = True
         self.awaited[request.request_id] = request
--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -318,7 +318,7 @@
             connection.check_alive()
 
 
-MAX_UNSHAKEN = 1000
+MAX_UNSHAKEN = 400
 """Connections whose handshake is not over; they end after twice `silence_seconds`."""
 ENVELOPE_BYTES = 64
 """More than an envelope adds to its message."""
--- a/tests/unit/platform/test_memory_watch.py
+++ b/tests/unit/platform/test_memory_watch.py
@@ -97,3 +97,18 @@
     part.change(5)
     assert not part.take(1)
     assert (calls.held, pool.total) == (0, 60)
+
+
+def test_a_kind_that_must_hold_more_than_its_bound_leaves_the_others_their_room():
+    """A takeover of many turns must not stop the service of a daemon."""
+    pool = MemoryPool(100)
+    calls, turns = pool.holder("calls", 0.6), pool.holder("turns", 0.8)
+    turns.change(500)
+    assert (turns.held, pool.total) == (500, 80)
+    assert calls.take(20)
+    assert not calls.take(1)
+    turns.change(-490)
+    assert pool.total == 30
+    assert calls.take(40)
+    turns.change(-10)
+    assert pool.total == 60
