Repeated calls go on after an exception, and Twisted's errors neither block nor stay

Cause: a LoopingCall ends for good at the first exception of its function, silently: one partition that can't be cleaned up ended cleaning up of all, one fault the checks of peers' connections. Twisted writes unhandled errors to stderr until somebody logs, which blocks the process once a pipe that nobody reads is full, and keeps the last 200 with their frames. An exception in a call of the store left its caller waiting for ever (a heartbeat: no partition again).

Change: events/steady_loop isolates the function of each repeated call of the platform's daemon; partitions are cleaned up each alone; events/unhandled_errors logs Twisted's errors (2705) to the process's own output; PlatformStore turns an exception into an answer that can't be read. run.py has one more line for it.

--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -2,13 +2,13 @@
 
 import time
 from collections.abc import Callable, Generator
+from functools import partial
 from random import Random
 from typing import Any, TypeVar, cast
 
 import msgspec
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import LoopingCall
 
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.limited_tenants import LimitContext
@@ -24,6 +24,8 @@
     TurnAdmitted,
 )
 from notcharch.accounts.partition import OwnedPartition
+from notcharch.events.feed_faults import FeedFaults
+from notcharch.events.steady_loop import steady_loop
 from notcharch.journal.assigned_partitions import AssignedPartitions
 from notcharch.journal.interface import LogService, Membership
 from notcharch.journal.owner_directory import OwnerDirectory
@@ -86,10 +88,9 @@
         self._uses_starting_allowance = uses_starting_allowance
         self._limit_context = limit_context
         self._suspicions = suspicions
-        self._cleanup = LoopingCall(self._clean_up)
-        self._cleanup.clock = clock
-        self._relief = LoopingCall(self._relieve)
-        self._relief.clock = clock
+        self._faults = FeedFaults("cleanup")
+        self._cleanup = steady_loop(clock, "cleanup", self._clean_up)
+        self._relief = steady_loop(clock, "relief", self._relieve)
         self._network = network
         self._serve(AdmitTurn, self._admit_turn)
         self._serve(KeepTurn, OwnedPartition.store_turn)
@@ -131,7 +132,10 @@
 
     def _clean_up(self) -> None:
         for owned in self._partitions.all():
-            owned.clean_up(self._retention_seconds, CLEANUP_INTERVAL_SECONDS)
+            clean_up = partial(
+                owned.clean_up, self._retention_seconds, CLEANUP_INTERVAL_SECONDS
+            )
+            self._faults.isolate(f"partition {owned.assignment.number}", clean_up)
 
     def _relieve(self) -> None:
         for owned in self._partitions.all():
--- a/notcharch/engine_load/exchange.py
+++ b/notcharch/engine_load/exchange.py
@@ -8,7 +8,6 @@
 
 from result import Err, Ok, Result
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
-from twisted.internet.task import LoopingCall
 
 from notcharch.calls.interface import LoadExchange
 from notcharch.engine_load.load_request import LoadRequest, Loads
@@ -36,6 +35,7 @@
     LoadTrackingRestarted,
 )
 from notcharch.events.event import emit
+from notcharch.events.steady_loop import steady_loop
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.load_trackers import (
     ExchangeMode,
@@ -90,8 +90,7 @@
         self._modes = ServiceModes(figures)
         self._flush: IDelayedCall | None = None
         self._ticks = 0
-        self._ticking = LoopingCall(self._tick)
-        self._ticking.clock = clock
+        self._ticking = steady_loop(clock, "engine loads", self._tick)
         network.on_notice(EngineCallsChanged, self._on_notice)
         network.on_request(AskEngineLoads, self._reply)
 
--- a/notcharch/events/memory.py
+++ b/notcharch/events/memory.py
@@ -1,4 +1,4 @@
-"""Events of a process's memory: 2422, and 2703 to 2709."""
+"""Events of what may end or wedge a process: 2422, and 2703 to 2709."""
 
 from typing import ClassVar
 
@@ -46,3 +46,16 @@
     number: ClassVar[int] = 2704
     peer: str
     received_bytes: int
+
+
+class UnhandledError(Event, frozen=True):
+    """A callback of the reactor raised an exception: a defect of this program.
+
+    The process goes on; what the callback had begun may not end.
+    """
+
+    number: ClassVar[int] = 2705
+    source: str
+    """The part of Twisted that caught it."""
+    error: str
+    traceback: str
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -7,7 +7,6 @@
 
 from twisted.internet.defer import succeed
 from twisted.internet.interfaces import IListeningPort
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
@@ -23,6 +22,7 @@
     SettingsRead,
     StartFailed,
 )
+from notcharch.events.steady_loop import steady_loop
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
@@ -106,7 +106,7 @@
             on_error=self._fail,
             peer_memory=self._memory.peers,
         )
-        self._ticks = LoopingCall(self._tick)
+        self._ticks = steady_loop(reactor, "process", self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
--- a/notcharch/platform/run.py
+++ b/notcharch/platform/run.py
@@ -8,6 +8,7 @@
 import eliot
 from twisted.internet import reactor as default_reactor
 
+from notcharch.events.unhandled_errors import log_unhandled_errors
 from notcharch.platform.daemon_run import DaemonRun
 from notcharch.platform.log_output import STANDARD_OUTPUT, standard_output
 from notcharch.platform.settings import settings_text
@@ -38,6 +39,7 @@
         os.set_blocking(STANDARD_OUTPUT, False)
     output = standard_output(reactor)
     eliot.add_destinations(output)
+    log_unhandled_errors()
     daemon = DaemonRun(reactor, output, metrics_port, mechanisms)
     pass_signals_to(reactor, daemon.on_stop_signal, daemon.on_reload_signal)
     reactor.callWhenRunning(daemon.start, settings_text(content))
--- a/notcharch/platform/store.py
+++ b/notcharch/platform/store.py
@@ -6,8 +6,9 @@
 
 import msgspec
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from notcharch.events.feed_faults import FeedFaults
 from notcharch.http.adaptive_timeout import AdaptiveTimeout
@@ -39,6 +40,8 @@
 
 Translated = TypeVar("Translated")
 
+EXCEPTIONS = "store calls"
+"""Names the calls of the store among the feeds whose faults are logged."""
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 REQUEST_TIMEOUT_SECONDS = 1.5
@@ -174,8 +177,13 @@
         timeout_seconds = (
             seconds if adaptive_timeout is None else adaptive_timeout.seconds
         )
-        sent = self._requester.request(
-            method, target.encode(), body, timeout_seconds, max_response_bytes
+        sent: Deferred[Any] = maybeDeferred(
+            self._requester.request,
+            method,
+            target.encode(),
+            body,
+            timeout_seconds,
+            max_response_bytes,
         )
 
         def read(outcome: Outcome) -> Result[Translated, LogProblem]:
@@ -194,7 +202,13 @@
             except DECODING_ERRORS:
                 return Err(LogProblem(LogFault.UNREADABLE))
 
-        return sent.addCallback(read)
+        sent.addCallback(read)
+        return sent.addErrback(self._on_exception, path)
+
+    def _on_exception(self, failure: Failure, path: str) -> "Result[Any, LogProblem]":
+        """Report an exception as an answer that can't be read: callers expect none."""
+        self._faults(EXCEPTIONS).report(path, failure.getTraceback())
+        return Err(LogProblem(LogFault.UNREADABLE))
 
     def append(
         self,
--- a/notcharch/quarantine/service.py
+++ b/notcharch/quarantine/service.py
@@ -5,10 +5,10 @@
 
 from result import Ok
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import LoopingCall
 
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import OpaqueCall, Quarantine
+from notcharch.events.steady_loop import steady_loop
 from notcharch.quarantine.attempt import AttemptServices, QuarantineAttempt
 from notcharch.quarantine.counter_role import CounterRole
 from notcharch.quarantine.counters import REPLY_SECONDS, Counters
@@ -63,8 +63,7 @@
         self._met: set[DaemonName] = set()
         """Peers that were ever connected."""
         self._attempts = 0
-        self._ticking = LoopingCall(self._tick)
-        self._ticking.clock = clock
+        self._ticking = steady_loop(clock, "quarantine", self._tick)
 
     @property
     def held_bytes(self) -> int:
--- a/notcharch/stream_origins/exchange.py
+++ b/notcharch/stream_origins/exchange.py
@@ -9,11 +9,11 @@
 from result import Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import LoopingCall
 
 from notcharch.calls.interface import StreamOrigins
 from notcharch.calls.version_filter import RESTART_DOUBT_SECONDS
 from notcharch.errors import Problem
+from notcharch.events.steady_loop import steady_loop
 from notcharch.scheduling.holder_ring import HolderRing
 from notcharch.scheduling.software_versions import SoftwareVersions
 from notcharch.scheduling.stream_origin import (
@@ -86,8 +86,7 @@
         """Streams that began at this daemon, or continued here."""
         self._held = OriginRecords(max_bytes // 2)
         """Streams of peers."""
-        self._ticking = LoopingCall(self._tick)
-        self._ticking.clock = clock
+        self._ticking = steady_loop(clock, "stream origins", self._tick)
         network.on_notice(StreamsBegan, self._on_notice)
         network.on_request(AskStreamOrigin, self._reply)
 
--- a/notcharch/tenants/freshness_exchange.py
+++ b/notcharch/tenants/freshness_exchange.py
@@ -11,10 +11,10 @@
 
 from result import Ok, Result
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import LoopingCall
 
 from notcharch.errors import Problem
 from notcharch.events.event import emit
+from notcharch.events.steady_loop import steady_loop
 from notcharch.events.tenants import PeerVouched
 from notcharch.scheduling.zone_drains import DrainedZones
 from notcharch.tenants.freshness import TableFreshness
@@ -67,8 +67,7 @@
         self._drained = drained
         self._apply_drained = apply_drained
         self._is_requesting = False
-        self._checks = LoopingCall(self._check)
-        self._checks.clock = clock
+        self._checks = steady_loop(clock, "freshness", self._check)
         network.on_request(AskTable, self._reply)
 
     def start(self) -> None:
--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -8,10 +8,10 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IListeningPort, IReactorTCP, IReactorTime
 from twisted.internet.protocol import ServerFactory
-from twisted.internet.task import LoopingCall
 
 from notcharch.errors import Problem, ProblemCode, Ran
 from notcharch.events.event import emit
+from notcharch.events.steady_loop import steady_loop
 from notcharch.events.wire import MessageNotUnderstood
 from notcharch.values.identifiers import DaemonName, Member, RegionName
 from notcharch.wire.codec import (
@@ -82,8 +82,7 @@
         self._unshaken: set[PeerConnection] = set()
         self._port: IListeningPort | None = None
         self._factory = PeerConnectionFactory(self)
-        self._checks = LoopingCall(self._check_alive)
-        self._checks.clock = clock
+        self._checks = steady_loop(clock, "peers", self._check_alive)
 
     @property
     def own_member(self) -> Member:
