--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -15,6 +15,7 @@
     GroupServices,
     GroupSettings,
 )
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES
 from notcharch.accounts.group_network import SharedNetwork
 from notcharch.accounts.limited_admission import LimitedAdmission
@@ -33,6 +34,7 @@
 from notcharch.wire.connections import TcpPeerNetwork
 from notcharch.wire.limits import ConnectionLimits
 from notcharch.wire.messages.base import Message
+from notcharch.wire.peer_memory import PeerMemory
 from notcharch.wire.peers import PeerNetwork
 
 TOPIC = "accounts"
@@ -92,12 +94,13 @@
         recovery: RecoverySignal | None = None,
         tenant: Callable[[str], Tenant | None] = lambda _: None,
         wall_clock: Callable[[], float] = time.time,
+        memory: AccountMemory | None = None,
     ) -> None:
         """Create the components; `start` begins communication.
 
         `suspicions` about engines are shared with peers. Heartbeats report to `recovery`
         when the log service responds again. `tenant` returns a tenant of the table in
-        force.
+        force. `memory` bounds what accounts hold in this process.
         """
         self._settings = settings
         self._shared_network = SharedNetwork(network)
@@ -118,6 +121,7 @@
             recovery or RecoverySignal(clock),
             tenant,
             wall_clock,
+            memory or AccountMemory(),
         )
         partitioning = partitioning_for_topics(
             TOPIC, settings.topics, settings.partitions
@@ -197,10 +201,12 @@
     random: Random,
     *,
     other_messages: tuple[type[Message], ...] = (),
+    memory: PeerMemory | None = None,
 ) -> TcpPeerNetwork:
     """Create the peer network between the daemons that own accounts.
 
-    Other services of the daemons use it too; `other_messages` are theirs.
+    Other services of the daemons use it too; `other_messages` are theirs. `memory` bounds
+    what all connections hold.
     """
     return TcpPeerNetwork(
         reactor,
@@ -210,4 +216,5 @@
         codec=account_codec(other_messages),
         random=random,
         limits=LIMITS,
+        memory=memory,
     )
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -12,6 +12,7 @@
 from notcharch.events.event import emit
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
+from notcharch.http.connection_room import ConnectionRoom, RefusedConnection
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
@@ -148,8 +149,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._exchange: Exchange | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        """One buffer: a chunk of some bytes would take 33 bytes more than its content."""
         self._is_responding = False
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
@@ -207,6 +208,12 @@
             return False
         return not self.is_idle
 
+    @property
+    def idle_since(self) -> float | None:
+        """Since when it has nothing to read, serve or send; None if it is in use."""
+        is_at_rest = self.is_idle and not self._out.buffered
+        return self._idle_since if is_at_rest else None
+
     def close_if_idle(self) -> None:
         """Close the connection if nothing of a request was received.
 
@@ -272,7 +279,7 @@
         if must_wait and waiting > PIPELINED_BYTES and not self._is_reading_paused:
             self._is_reading_paused = True
             self.transport.pauseProducing()
-        inbound = waiting + self._body_bytes
+        inbound = waiting + len(self._body)
         if inbound != self._inbound:
             self._inbound = inbound
             self._count_buffered()
@@ -350,11 +357,10 @@
         if isinstance(event, h11.Request):
             self._begin(event)
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.body_bytes:
+            if len(self._body) + len(event.data) > self._limits.body_bytes:
                 self._refuse(413)
                 return
-            self._body.append(bytes(event.data))
+            self._body += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -363,17 +369,15 @@
         head = RequestHead(event.method, event.target, headers)
         self._exchange = Exchange(self, head)
         self._exchange.arrived = self._clock.seconds()
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._handler.count(1)
 
     def _dispatch(self) -> None:
         exchange = self._exchange
         if exchange is None:
             return
-        exchange.body = b"".join(self._body)
-        self._body = []
-        self._body_bytes = 0
+        exchange.body = bytes(self._body)
+        self._body = bytearray()
         self._is_responding = True
         self._handler.handle(exchange)
 
@@ -427,8 +431,7 @@
             self._clock.callLater(0, self._read_next)
 
     def _clear_exchange(self) -> None:
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         if self._exchange is not None:
             self._exchange = None
             self._handler.count(-1)
@@ -469,19 +472,28 @@
         handler: RequestHandler,
         clock: IReactorTime,
         buffers: BufferedBytes | None = None,
+        room: ConnectionRoom | None = None,
     ) -> None:
-        """Pass requests to a handler; `buffers` counts what the connections hold."""
+        """Pass requests to a handler; `buffers` counts what the connections hold.
+
+        `room` bounds their number.
+        """
+        self._room = room or ConnectionRoom()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
         self._open: set[ServerConnection] = set()
 
-    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
-        """Create a tracked connection."""
+    def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802
+        """Create a tracked connection, or one that is refused; None closes it at once."""
+        if not self._room.has_room(self._clock.seconds()):
+            is_answered = self._room.may_refuse()
+            return RefusedConnection(self._room, self._clock) if is_answered else None
         connection = TrackedConnection(
-            self._handler, self._clock, self._open, self._buffers
+            self._handler, self._clock, self._open, self._buffers, self._room
         )
         self._open.add(connection)
+        self._room.opened(connection)
         return connection
 
     @property
@@ -511,12 +523,15 @@
         clock: IReactorTime,
         open_connections: set[ServerConnection],
         buffers: BufferedBytes,
+        room: ConnectionRoom,
     ) -> None:
-        """Create a connection that removes itself from `open_connections`."""
+        """Create a connection that removes itself from `open_connections` and `room`."""
         super().__init__(handler, clock, buffers)
+        self._room = room
         self._open_connections = open_connections
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Remove the connection from the set of open ones."""
         self._open_connections.discard(self)
+        self._room.closed(self)
         super().connectionLost(reason)
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -8,11 +8,9 @@
 
 from twisted.internet.defer import succeed
 from twisted.internet.error import ReactorNotRunning
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
-from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
@@ -25,6 +23,7 @@
     SettingsRead,
     StartFailed,
 )
+from notcharch.events.steady_loop import steady_loop
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
 from notcharch.platform.awaited_settings import AwaitedSettings
@@ -33,6 +32,7 @@
 from notcharch.platform.listeners import ProcessListeners
 from notcharch.platform.log_output import standard_output
 from notcharch.platform.probes import MetricsHandler, Readiness, ReadinessHandler
+from notcharch.platform.process_memory import ProcessMemory
 from notcharch.platform.reload import applied, needing_restart
 from notcharch.platform.reported_life import ReportedLife
 from notcharch.platform.settings import ProcessSettings, read_settings_file
@@ -81,7 +81,14 @@
             reactor, read_settings_file, self._settings_invalid, self._settings_settled
         )
         store = settings.store.address
-        self._requester = Requester(reactor, store.host, store.port, settings.host)
+        self._memory = ProcessMemory(settings)
+        self._requester = Requester(
+            reactor,
+            store.host,
+            store.port,
+            settings.host,
+            self._memory.store_answers,
+        )
         self._store = PlatformStore(self._requester, reactor, settings.store.log_limits)
         self._output = output or standard_output(reactor)
         self._life = ReportedLife(reactor, settings.machine)
@@ -91,9 +98,9 @@
             settings,
             incarnation=new_incarnation(),
             on_error=self._fail,
+            peer_memory=self._memory.peers,
         )
-        self._tick_faults = FeedFaults("ticks")
-        self._ticks = LoopingCall(self._tick)
+        self._ticks = steady_loop(reactor, "process", self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
@@ -121,7 +128,6 @@
 
     def _begin(self) -> None:
         self._life.settings_read(self._listeners.missing())
-        self._ticks.clock = self._reactor
         self._ticks.start(TICK_INTERVAL_SECONDS, now=False)
         readiness = ServerFactory(ReadinessHandler(self), self._reactor)
         self._listeners.open_readiness(readiness, self._on_port_open)
@@ -143,6 +149,7 @@
                 store=self._store,
                 network=peers.network,
                 peers_address=peers.address,
+                memory=self._memory,
             )
         )
         self._components = components
@@ -201,12 +208,9 @@
         self._output.flush()
 
     def _tick(self) -> None:
-        # A LoopingCall ends at an exception of its function.
-        self._tick_faults.isolate("tick", self._report_changes)
-
-    def _report_changes(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
+        self._memory.tick(self._reactor.seconds())
         if self.is_ready != self._was_ready:
             self._was_ready = self.is_ready
             emit(
--- a/tests/stateful/process/test_process_machine.py
+++ b/tests/stateful/process/test_process_machine.py
@@ -31,7 +31,13 @@
     Whether random lives reach it depends on the modules that are loaded beside them.
     """
     machine = ProcessMachine()
-    machine.first_start({FRONT}, has_tables=True, has_defect=False)
+    machine.first_start(
+        {FRONT},
+        has_tables=True,
+        has_defect=False,
+        has_descriptors=True,
+        ends_while_waiting=False,
+    )
     try:
         machine.change_descriptors(has_descriptors=False)
         machine.wait(3.0)
--- a/tests/unit/platform/test_process_start.py
+++ b/tests/unit/platform/test_process_start.py
@@ -4,13 +4,12 @@
 is never half started.
 """
 
-import errno
-import os
 from unittest import mock
 
 import msgspec
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
 
 from notcharch.accounts.service import AccountsService
 from notcharch.events.process import (
@@ -239,7 +238,7 @@
 STEPS = [
     (process, "ServerFactory"),
     (process, "ReadinessHandler"),
-    (process.LoopingCall, "start"),
+    (LoopingCall, "start"),
     (listeners, "account_network"),
     (listeners, "Listener"),
     (components, "AccountsService"),
@@ -297,14 +296,6 @@
     assert world.process.exit_status == 1
 
 
-def test_a_closed_standard_output_is_done_without(new_world):
-    world = new_world()
-    closed = OSError(errno.EBADF, "Bad file descriptor")
-    with mock.patch.object(os, "set_blocking", side_effect=closed):
-        world.start()
-    assert world.state == "loading"
-
-
 def test_a_defect_in_a_tick_does_not_end_the_ticks(new_world):
     """Guards against a daemon that logs no change of its readiness any more."""
     world = new_world().start()
--- a/tests/unit/platform/test_signals.py
+++ b/tests/unit/platform/test_signals.py
@@ -1,5 +1,6 @@
 """Signals before, while and after a daemon has settings and a process."""
 
+import errno
 import os
 import select
 import signal
@@ -335,3 +336,13 @@
     monkeypatch.setattr(run_module, "eliot", broken)
     with pytest.raises(RuntimeError):
         prepared.run()
+
+
+def test_a_closed_standard_output_is_done_without(scene, monkeypatch):
+    """Guards against a daemon that ends because nobody reads its log."""
+    prepared = scene(TEXT)
+    closed = mock.Mock(side_effect=OSError(errno.EBADF, "Bad file descriptor"))
+    monkeypatch.setattr(os, "set_blocking", closed)
+    prepared.run(TERM)
+    assert closed.called
+    assert prepared.status == 0
