A planned stop leaves an idle connection open while a request lies in its socket

The socket is asked before an idle connection is closed; what is left is a request that is on the wire. The test asks real sockets.

--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -17,6 +17,7 @@
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import SendBuffer
+from notcharch.http.sockets import has_unread_bytes
 
 JSON_TYPE = (b"content-type", b"application/json")
 LINGER_SECONDS = 1.0
@@ -223,7 +224,9 @@
         age = self._clock.seconds() - self._opened_at
         if self._is_new and age < NEW_CONNECTION_SECONDS:
             return
-        if not self._is_disconnected and self.is_idle and not self._is_discarding:
+        if self._is_disconnected or not self.is_idle or self._is_discarding:
+            return
+        if not has_unread_bytes(self.transport):
             self._out.lose_connection()
 
     def refuse_unread(
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -3,6 +3,8 @@
 import socket
 from typing import Any
 
+from twisted.internet.tcp import Connection
+
 USER_TIMEOUT_MILLISECONDS = 2000
 """A connection is closed if sent data stays unacknowledged for this time."""
 KEEPALIVE_IDLE_SECONDS = 1
@@ -25,3 +27,14 @@
     handle.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS
     )
+
+
+def has_unread_bytes(transport: object) -> bool:
+    """Return whether the peer has sent bytes that were not read yet."""
+    if not isinstance(transport, Connection) or not transport.connected:
+        return False
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return bool(transport.getHandle().recv(1, flags))
+    except OSError:
+        return False
--- a/tests/unit/http/test_listening_port.py
+++ b/tests/unit/http/test_listening_port.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from notcharch.http.listening_port import close_listening_port
+from notcharch.http.sockets import has_unread_bytes
 
 CLIENTS = 150
 
@@ -37,3 +38,20 @@
         connection.transport.abortConnection()
     for client in clients:
         client.close()
+
+
+def test_bytes_that_wait_in_the_socket_of_a_connection_are_noticed():
+    """Guards against a close of an idle connection that resets the request in its socket."""
+    factory = RecordingFactory()
+    port = reactor.listenTCP(0, factory, 512, "127.0.0.1")
+    client = socket.create_connection(("127.0.0.1", port.getHost().port))
+    close_listening_port(port)
+    [connection] = factory.accepted
+    assert not has_unread_bytes(connection.transport)
+    client.sendall(b"x")
+    assert has_unread_bytes(connection.transport)
+    connection.transport.getHandle().recv(1)
+    assert not has_unread_bytes(connection.transport)
+    client.close()
+    assert not has_unread_bytes(connection.transport)
+    connection.transport.abortConnection()
