Tests start a process with any settings that were taken, and run the whole command

Guards against settings whose values only fail in a step of the start or in the first timers, a command that reads its settings elsewhere, and a stop signal during the imports that ends with another status.

--- a/tests/unit/platform/test_any_settings.py
+++ b/tests/unit/platform/test_any_settings.py
@@ -8,14 +8,17 @@
 from result import Err, Ok
 from twisted.internet.testing import MemoryReactorClock
 
+from notcharch.events.process import ProcessStarted
 from notcharch.platform.process import Process
 from notcharch.platform.settings import (
     FILE_VARIABLE,
+    ProcessSettings,
     read_settings,
     read_settings_file,
 )
 from notcharch.platform.settings_file import MAX_FILE_BYTES, try_read
 from notcharch.settings.mechanisms import ALL_MECHANISMS
+from tests.unit.events.capture import captured, of
 from tests.unit.platform.test_settings import TEXT
 
 NUMBERS = (
@@ -69,7 +72,19 @@
         assert loaded.err_value
         assert all(loaded.err_value)
     else:
-        Process(loaded.ok_value, MemoryReactorClock(), None, ALL_MECHANISMS)
+        starts_a_process(loaded.ok_value)
+
+
+def starts_a_process(taken: ProcessSettings) -> None:
+    """Start a process with settings that were taken, and let its first timers run."""
+    reactor = MemoryReactorClock()
+    process = Process(taken, reactor, None, ALL_MECHANISMS)
+    with captured() as messages:
+        process.start()
+        reactor.pump([0.5] * 4)
+    assert process.exit_status == 0
+    assert not reactor.hasStopped
+    assert len(of(messages, ProcessStarted)) == 1
 
 
 @given(st.text())
--- a/tests/unit/platform/test_signals.py
+++ b/tests/unit/platform/test_signals.py
@@ -20,10 +20,15 @@
 )
 from notcharch.platform import daemon_run
 from notcharch.platform import run as run_module
+from notcharch.platform.command import main
 from notcharch.platform.process import Process
 from notcharch.platform.run import run
 from notcharch.platform.settings import FILE_VARIABLE
-from notcharch.platform.signals import HANDLED_SIGNALS, pass_signals_to
+from notcharch.platform.signals import (
+    HANDLED_SIGNALS,
+    end_at_stop_signals,
+    pass_signals_to,
+)
 from notcharch.settings.mechanisms import ALL_MECHANISMS
 from tests.unit.events.capture import captured, of
 from tests.unit.platform.signal_scene import KeptHandlers, SignalReactor
@@ -325,3 +330,30 @@
         assert select.select([waker], [], [], 0)[0] == []
         waker.doRead()
         waker.close()
+
+
+def test_the_command_runs_a_daemon_with_the_settings_read_before_the_imports(
+    scene, monkeypatch
+):
+    daemon = scene(TEXT)
+    reactor = SignalReactor((), [TERM, lambda: reactor.pass_seconds(LONG_SECONDS)])
+    monkeypatch.setattr(run_module, "system_reactor", lambda: reactor)
+    monkeypatch.setattr(sys, "argv", ["notcharch.platform"])
+    with KeptHandlers(), captured() as messages:
+        assert main() == 0
+    assert daemon.path.exists()
+    assert reactor.stops == 1
+    [started] = of(messages, ProcessStarted)
+    [read] = of(messages, SettingsRead)
+    assert messages.index(read) < messages.index(started)
+
+
+@STOPS
+def test_a_stop_during_the_imports_ends_it_with_status_0(monkeypatch, stop):
+    """Guards against the default actions: another status, or a traceback."""
+    statuses = []
+    monkeypatch.setattr(os, "_exit", statuses.append)
+    with KeptHandlers():
+        end_at_stop_signals()
+        stop()
+    assert statuses == [0]
