A stop signal that comes before the reactor runs opens no port

Cause: the reactor runs its start hooks before calls from signal handlers, so a daemon with settings was created, started and drained first. It now starts by a timer, which the reactor runs after them.

--- a/notcharch/platform/run.py
+++ b/notcharch/platform/run.py
@@ -37,7 +37,8 @@
     eliot.add_destinations(output)
     daemon = DaemonRun(reactor, output, metrics_port, mechanisms)
     pass_signals_to(reactor, daemon.on_stop_signal, daemon.on_reload_signal)
-    reactor.callWhenRunning(daemon.start, settings_text(content))
+    # Signals that came before the reactor runs are handled before a call by a timer.
+    reactor.callWhenRunning(reactor.callLater, 0, daemon.start, settings_text(content))
     # Twisted's handlers would stop the reactor at once.
     reactor.run(installSignalHandlers=False)
     ignore_signals()
--- a/tests/unit/platform/signal_scene.py
+++ b/tests/unit/platform/signal_scene.py
@@ -31,6 +31,9 @@
         self.running = True
         for hook, arguments, keywords in self.whenRunningHooks:
             hook(*arguments, **keywords)
+        # The order of the real reactor: calls from signals, then those of timers.
+        self.make_calls()
+        self.advance(0)
         self.make_calls()
         for step in self._steps:
             step()
--- a/tests/unit/platform/test_signals.py
+++ b/tests/unit/platform/test_signals.py
@@ -79,10 +79,12 @@
 
 
 @STOPS
+@pytest.mark.parametrize("earlier", [b"", TEXT.encode()])
 @pytest.mark.parametrize("text", [None, "", "zone=z\n", TEXT])
-def test_a_stop_before_the_reactor_runs_ends_it_at_once(scene, stop, text):
+def test_a_stop_before_the_reactor_runs_ends_it_at_once(scene, stop, text, earlier):
+    """Guards against ports that are opened, and a drain, of a stopped daemon."""
     daemon = scene(text)
-    daemon.run(daemon.wait, before_run=[stop], earlier=b"")
+    daemon.run(daemon.wait, before_run=[stop], earlier=earlier)
     assert ended_at_once(daemon)
     assert daemon.reactor.seconds() < LONG_SECONDS
     assert daemon.reactor.tcpServers == []
@@ -234,6 +236,19 @@
     assert daemon.handlers == [signal.SIG_IGN] * len(HANDLED_SIGNALS)
 
 
+def test_a_reload_signal_during_the_drain_reads_nothing(scene):
+    daemon = scene(TEXT)
+    with captured() as messages:
+        daemon.run(
+            TERM,
+            lambda: daemon.write("zone=z\n"),
+            RELOAD,
+            daemon.wait,
+            earlier=TEXT.encode(),
+        )
+    assert len(of(messages, SettingsRead)) == 1
+
+
 def changed(text, *, port="8142", zone="hall-a"):
     return text.replace("7:8142", f"7:{port}").replace("zone=hall-a", f"zone={zone}")
 
