--- a/tests/unit/platform/test_signals.py
+++ b/tests/unit/platform/test_signals.py
@@ -22,10 +22,15 @@
 )
 from notcharch.platform import daemon_run
 from notcharch.platform import run as run_module
+from notcharch.platform.command import main
 from notcharch.platform.process import Process
 from notcharch.platform.run import run
 from notcharch.platform.settings import FILE_VARIABLE
-from notcharch.platform.signals import HANDLED_SIGNALS, pass_signals_to
+from notcharch.platform.signals import (
+    HANDLED_SIGNALS,
+    end_at_stop_signals,
+    pass_signals_to,
+)
 from notcharch.settings.mechanisms import ALL_MECHANISMS
 from tests.unit.events.capture import captured, of
 from tests.unit.platform.signal_scene import KeptHandlers, SignalReactor
@@ -76,10 +81,12 @@
 
 
 @STOPS
+@pytest.mark.parametrize("earlier", [b"", TEXT.encode()])
 @pytest.mark.parametrize("text", [None, "", "zone=z\n", TEXT])
-def test_a_stop_before_the_reactor_runs_ends_it_at_once(scene, stop, text):
+def test_a_stop_before_the_reactor_runs_ends_it_at_once(scene, stop, text, earlier):
+    """Guards against ports that are opened, and a drain, of a stopped daemon."""
     daemon = scene(text)
-    daemon.run(daemon.wait, before_run=[stop], earlier=b"")
+    daemon.run(daemon.wait, before_run=[stop], earlier=earlier)
     assert ended_at_once(daemon)
     assert daemon.reactor.seconds() < LONG_SECONDS
     assert daemon.reactor.tcpServers == []
@@ -231,6 +238,19 @@
     assert daemon.handlers == [signal.SIG_IGN] * len(HANDLED_SIGNALS)
 
 
+def test_a_reload_signal_during_the_drain_reads_nothing(scene):
+    daemon = scene(TEXT)
+    with captured() as messages:
+        daemon.run(
+            TERM,
+            lambda: daemon.write("zone=z\n"),
+            RELOAD,
+            daemon.wait,
+            earlier=TEXT.encode(),
+        )
+    assert len(of(messages, SettingsRead)) == 1
+
+
 def changed(text, *, port="8142", zone="hall-a"):
     return text.replace("7:8142", f"7:{port}").replace("zone=hall-a", f"zone={zone}")
 
@@ -346,3 +366,30 @@
     prepared.run(TERM)
     assert closed.called
     assert prepared.status == 0
+
+
+def test_the_command_runs_a_daemon_with_the_settings_read_before_the_imports(
+    scene, monkeypatch
+):
+    daemon = scene(TEXT)
+    reactor = SignalReactor((), [TERM, lambda: reactor.pass_seconds(LONG_SECONDS)])
+    monkeypatch.setattr(run_module, "system_reactor", lambda: reactor)
+    monkeypatch.setattr(sys, "argv", ["notcharch.platform"])
+    with KeptHandlers(), captured() as messages:
+        assert main() == 0
+    assert daemon.path.exists()
+    assert reactor.stops == 1
+    [started] = of(messages, ProcessStarted)
+    [read] = of(messages, SettingsRead)
+    assert messages.index(read) < messages.index(started)
+
+
+@STOPS
+def test_a_stop_during_the_imports_ends_it_with_status_0(monkeypatch, stop):
+    """Guards against the default actions: another status, or a traceback."""
+    statuses = []
+    monkeypatch.setattr(os, "_exit", statuses.append)
+    with KeptHandlers():
+        end_at_stop_signals()
+        stop()
+    assert statuses == [0]
