--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -157,11 +157,11 @@
 
     # Journal records
 
-    def replay(self, record: AnyRecord, now: float) -> None:
-        """Apply a record written by an earlier owner."""
+    def replay(self, record: AnyRecord, now: float, offset: int = -1) -> None:
+        """Apply a record written by an earlier owner; it begins at an offset of the log."""
         if isinstance(record, TurnKept):
             self.keep_seconds = max(self.keep_seconds, record.keep_seconds)
-            self.store_turn(record, now)
+            self.store_turn(record, now, offset)
         elif isinstance(record, AccountHandedOver):
             self._replay_account(record, now)
         elif isinstance(record, AllowanceGiven):
@@ -319,47 +319,51 @@
         program.last_used_at = now
         program.used += tokens
 
-    def store_turn(self, record: TurnKept, now: float) -> None:
-        """Store a turn that is in the journal."""
+    def store_turn(self, record: TurnKept, now: float, offset: int = -1) -> None:
+        """Store a turn that is in the journal, with its first record at an offset."""
         turn = Turn(record.previous, record.input, record.output)
-        self.turns.store(record.turn, turn, record.written_at, now)
+        self.turns.store(record.turn, turn, record.written_at, now, offset)
 
     # Expiry
 
-    def expiring_records(
-        self, limit: int, written_at: int, rounds: float = 1.0
-    ) -> list[AnyRecord]:
-        """Return new records for those older than `limit`, before the log drops them.
-
-        Many bytes of turns are spread over some of the `rounds` until then, the oldest
-        first, since other records of the partition wait behind them.
-        """
-        records: list[AnyRecord] = [
+    def expiring_bounds(self, limit: int, written_at: int) -> list[BoundRaised]:
+        """Return new records for bounds older than `limit`, before the log drops them."""
+        return [
             BoundRaised(name, program.bound, written_at)
             for name, program in self._programs.items()
             if program.bound and program.written_at < limit
         ]
-        due = [
-            TurnKept(
-                "",
-                name,
-                turn.previous,
-                turn.input,
-                turn.output,
-                written_at,
-                self.keep_seconds,
-            )
-            for name, turn in self.turns.written_before(limit)
-        ]
+
+    def expiring_turns(self, limit: int, rounds: float = 1.0) -> list[str]:
+        """Return the turns whose records are older than `limit` and are written again now.
+
+        Many bytes of turns are spread over some of the `rounds` until the log drops them,
+        the oldest first, since other records of the partition wait behind them.
+        """
+        due = self.turns.written_before(limit)
         share = max(1.0, rounds * REWRITE_ROUNDS_SHARE)
-        max_bytes = max(REWRITE_BYTES, sum(map(_size, due)) / share)
+        due_bytes = sum(link.size_bytes for _, link in due)
+        max_bytes = max(REWRITE_BYTES, due_bytes / share)
+        names: list[str] = []
         size = 0
-        for record in due:
+        for name, link in due:
             if size >= max_bytes:
                 break
-            records.append(record)
-            size += _size(record)
-        return records
+            names.append(name)
+            size += link.size_bytes
+        return names
+
+    def turn_record(self, name: str, turn: Turn, written_at: int) -> TurnKept:
+        """Return the record of a turn that is written again."""
+        return TurnKept(
+            "",
+            name,
+            turn.previous,
+            turn.input,
+            turn.output,
+            written_at,
+            self.keep_seconds,
+        )
 
     def evict_expired(self, now: float) -> None:
         """Remove programs and turns whose retention has ended."""
@@ -379,7 +383,3 @@
     def _keep_factor(held: HeldPart) -> float:
         is_short = held.holder.is_under_pressure
         return SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
-
-
-def _size(record: TurnKept) -> int:
-    return len(record.input) + len(record.output)
--- a/notcharch/accounts/metrics.py
+++ b/notcharch/accounts/metrics.py
@@ -42,3 +42,7 @@
     "From the first refusal of a program until it began",
     buckets=(0.2, 0.5, 1.0, 2.0, 4.0, 8.0),
 )
+READ_BACK = Counter(
+    "notcharch_account_turns_read_back",
+    "Reads of turns whose texts were set aside, as memory was short",
+)
--- a/notcharch/accounts/owned_turns.py
+++ b/notcharch/accounts/owned_turns.py
@@ -1,8 +1,11 @@
 """The turns of one owned partition, as its owner stores and reads them."""
 
-from collections.abc import Callable, Generator
+import enum
+from collections.abc import Callable, Generator, Sequence
+from functools import partial
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
 
@@ -10,12 +13,33 @@
 from notcharch.accounts.journal_history import JournalHistory
 from notcharch.accounts.ledger import Ledger
 from notcharch.accounts.messages import KeepTurn
-from notcharch.accounts.records import TurnKept, encode
-from notcharch.accounts.turns import TranscriptPage
+from notcharch.accounts.metrics import READ_BACK
+from notcharch.accounts.records import TurnKept, decode, encode
+from notcharch.accounts.turns import TranscriptPage, Turn
 from notcharch.events.accounts import HistoryIncomplete
 from notcharch.events.event import emit
 from notcharch.journal.entries import Outcome
-from notcharch.journal.partition_journal import PartitionAssignment
+from notcharch.journal.entry_reader import EntryReader, NoEntry
+from notcharch.journal.partition_journal import (
+    PartitionAssignment,
+    UnreadableEntryError,
+)
+
+
+class NotNow(enum.Enum):
+    """The owner can't tell now; it may later."""
+
+    NOT_NOW = "the text of a turn can't be read from the journal"
+
+
+NOT_NOW = NotNow.NOT_NOW
+
+
+class WrittenTurn(msgspec.Struct, frozen=True):
+    """The outcome of writing a record, and the offset of its first part."""
+
+    outcome: Outcome
+    offset: int = -1
 
 
 class OwnedTurns:
@@ -29,7 +53,8 @@
         *,
         history: JournalHistory,
         wall_seconds: Callable[[], int],
-        write: Callable[[bytes], "Deferred[Outcome]"],
+        write: Callable[[bytes], "Deferred[WrittenTurn]"],
+        reader: EntryReader,
     ) -> None:
         """`write` appends a record; `wall_seconds` returns the Unix time."""
         self._ledger = ledger
@@ -38,16 +63,91 @@
         self._history = history
         self._wall_seconds = wall_seconds
         self._write = write
+        self._reader = reader
         self._writes = CoalescedWrites(on_exception=Outcome.LOST)
         """Writes in flight, by turn id."""
+        self._reads: CoalescedWrites[Turn | None] = CoalescedWrites(on_exception=None)
+        """Reads from the journal in flight, by turn id."""
 
+    @inlineCallbacks
     def page(
         self, turn: str, known: str = "", *, max_bytes: int
-    ) -> TranscriptPage | None:
-        """Return the first page after turn `known` of a chain, and mark it as used."""
+    ) -> Generator["Deferred[Any]", Any, TranscriptPage | NotNow | None]:
+        """Return the first page after turn `known` of a chain, and mark it as used.
+
+        Texts that were set aside are read from the journal. None if the chain is not
+        stored.
+        """
         turns = self._ledger.turns
         turns.touch(turn, self._clock.seconds())
-        return turns.page(turn, known, max_bytes)
+        plan = turns.plan(turn, known, max_bytes)
+        if plan is None:
+            return None
+        texts = {
+            name: text for name in plan.names if (text := turns.get(name)) is not None
+        }
+        for name in plan.names:
+            if name not in texts:
+                text = yield self._reads.write(
+                    name, partial(self._read_back, name, plan.names, texts)
+                )
+                if text is None:
+                    return NOT_NOW
+                texts[name] = text
+        return plan.page(texts[name] for name in plan.names)
+
+    @inlineCallbacks
+    def text(self, name: str) -> Generator["Deferred[Any]", Any, Turn | None]:
+        """Return a turn with its text; None if it can't be read now."""
+        stored = self._ledger.turns.get(name)
+        if stored is None:
+            stored = yield self._reads.write(
+                name, partial(self._read_back, name, (), {})
+            )
+        return stored
+
+    @inlineCallbacks
+    def _read_back(
+        self, name: str, others: Sequence[str], texts: dict[str, Turn]
+    ) -> Generator["Deferred[Any]", Any, Turn | None]:
+        """Read the text of a turn, and those of `others` that come along into `texts`."""
+        turns = self._ledger.turns
+        places = {
+            other: aside.offset
+            for other in (name, *others)
+            if other not in texts and (aside := turns.aside(other)) is not None
+        }
+        if name not in places:
+            return turns.get(name)
+        READ_BACK.inc()
+        found = yield self._reader.read(places[name], places.values())
+        if found is NoEntry.NOT_NOW:
+            return None
+        entries = {} if isinstance(found, NoEntry) else found
+        for other, offset in places.items():
+            if offset in entries:
+                text = self._decode(other, entries[offset])
+                if text is not None:
+                    texts[other] = text
+                    turns.restore(other, text)
+        if name not in texts and turns.aside(name) is not None:
+            self._lost(name)
+        return texts.get(name)
+
+    def _decode(self, name: str, entry: bytes) -> Turn | None:
+        """Return the turn of an entry, if it is the one of a name."""
+        try:
+            record = decode(entry)
+        except UnreadableEntryError:
+            return None
+        if not isinstance(record, TurnKept) or record.turn != name:
+            return None
+        return Turn(record.previous, record.input, record.output)
+
+    def _lost(self, name: str) -> None:
+        """Note that the log service has lost a turn: it can't be denied from now on."""
+        self._ledger.turns.remove(name)
+        self._history.on_unreadable(self._wall_seconds())
 
     def is_certainly_unknown(self, turn: str) -> bool:
         """Return whether no record of a turn was lost before its retention ended.
@@ -93,7 +193,7 @@
             self._wall_seconds(),
             self._ledger.keep_seconds,
         )
-        outcome: Outcome = yield self._write(encode(record))
-        if outcome is Outcome.DURABLE:
-            self._ledger.store_turn(record, self._clock.seconds())
-        return outcome
+        written: WrittenTurn = yield self._write(encode(record))
+        if written.outcome is Outcome.DURABLE:
+            self._ledger.store_turn(record, self._clock.seconds(), written.offset)
+        return written.outcome
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.allowance_renewal import AllowanceRenewer
@@ -33,9 +34,8 @@
     TurnsRead,
 )
 from notcharch.accounts.metrics import OWNED_PARTITIONS, TAKEOVER_SECONDS
-from notcharch.accounts.owned_turns import OwnedTurns
+from notcharch.accounts.owned_turns import NotNow, OwnedTurns, WrittenTurn
 from notcharch.accounts.records import (
-    AnyRecord,
     BoundRaised,
     LimitsTaken,
     TurnKept,
@@ -43,14 +43,16 @@
     encode,
     written_at,
 )
-from notcharch.accounts.turns import TranscriptPage
+from notcharch.accounts.turns import TranscriptPage, Turn
 from notcharch.events.accounts import (
     BudgetRefused,
     PartitionGivenUp,
     PartitionTakenOver,
 )
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.journal.entries import Outcome
+from notcharch.journal.entry_reader import EntryReader
 from notcharch.journal.interface import LogService
 from notcharch.journal.partition_journal import PartitionAssignment, PartitionJournal
 from notcharch.journal.recovery_signal import RecoverySignal
@@ -95,7 +97,8 @@
         self._wall_clock = wall_clock
         self._ledger = Ledger(memory)
         self._rewriting = 0
-        """Records that are being written again."""
+        """Records, and lists of turns, that are being written again."""
+        self._faults = FeedFaults("rewriting")
         self._journal = PartitionJournal(
             log,
             clock,
@@ -126,7 +129,8 @@
             assignment,
             history=self._history,
             wall_seconds=self._wall_seconds,
-            write=self._write,
+            write=self._write_turn,
+            reader=EntryReader(log, assignment.log),
         )
 
     @inlineCallbacks
@@ -192,7 +196,8 @@
         """Apply a record of an earlier owner."""
         known = decode(record)
         self._history.on_record(written_at(known))
-        self._ledger.replay(known, self._clock.seconds())
+        now = self._clock.seconds()
+        self._ledger.replay(known, now, self._journal.entry_offset)
         self._limited_tenants.replay(known)
 
     def entry_lost(self) -> None:
@@ -256,14 +261,17 @@
             return self._undecided()
         if not self._has_memory(request):
             return CallNotRecorded()
-        page: TranscriptPage | None = NO_TURNS
+        page = NO_TURNS
         if request.previous:
-            page = self._turns.page(
+            found: TranscriptPage | NotNow | None = yield self._turns.page(
                 request.previous, request.known, max_bytes=request.page_bytes
             )
-            if page is None:
+            if isinstance(found, NotNow):
+                return self._undecided()
+            if found is None:
                 reply: Message = yield self._refuse_unknown_turn(request.previous)
                 return reply
+            page = found
         verdict: Verdict | Message = yield self._reserve_within_bound(request)
         if isinstance(verdict, Message):
             return verdict
@@ -273,7 +281,6 @@
         if verdict is Verdict.SPENT:
             self._log_budget_refusal(request)
             return TurnRefused(is_spent=True)
-        assert page is not None
         cached_engine = self._ledger.program(
             request.program, self._clock.seconds()
         ).cached_engine
@@ -378,6 +385,16 @@
             self._ledger.on_bound_durable(record)
         return outcome
 
+    def _write_turn(self, data: bytes) -> "Deferred[WrittenTurn]":
+        """Append the record of a turn, and return where it is."""
+        done: Deferred[Outcome] = Deferred()
+        entry = self._writer.write(data, done.callback)
+
+        def written(outcome: Outcome) -> WrittenTurn:
+            return WrittenTurn(outcome, -1 if entry is None else entry.first_offset)
+
+        return done.addCallback(written)
+
     def _write(self, data: bytes, *, must_wait: bool = False) -> "Deferred[Outcome]":
         done: Deferred[Outcome] = Deferred()
         self._writer.write(data, done.callback, must_wait=must_wait)
@@ -400,7 +417,9 @@
         ledger.keep_seconds = max(ledger.keep_seconds, request.keep_seconds)
         if not (yield self._wait_until_serving()):
             return self._undecided()
-        found = self._turns.page(request.turn, max_bytes=request.page_bytes)
+        found = yield self._turns.page(request.turn, max_bytes=request.page_bytes)
+        if isinstance(found, NotNow):
+            return self._undecided()
         if found is not None:
             return TurnFound(found.text, found.last, found.remaining_bytes)
         if not request.must_be_certain:
@@ -418,9 +437,11 @@
         """Return the next page of a chain."""
         if not (yield self._wait_until_serving()):
             return self._undecided()
-        page = self._turns.page(
+        page = yield self._turns.page(
             request.turn, request.known, max_bytes=request.page_bytes
         )
+        if isinstance(page, NotNow):
+            return self._undecided()
         if page is None:
             return TurnMissing()
         return TurnsRead(page.after, page.text, page.last, page.remaining_bytes)
@@ -455,24 +476,46 @@
         if self._rewriting:
             return  # in an outage each round would add the same records once more
         wall_time = self._wall_seconds()
-        for record in self._ledger.expiring_records(
-            int(wall_time - retention_seconds / 2),
-            wall_time,
-            rounds=retention_seconds / 2 / interval_seconds,
-        ):
+        limit = int(wall_time - retention_seconds / 2)
+        for record in self._ledger.expiring_bounds(limit, wall_time):
             self._rewriting += 1
-            self._write(encode(record)).addCallback(self._on_rewritten, record)
-
-    def relieve(self) -> None:
-        """Remove turns whose retention has ended, if memory is short."""
-        if self.is_serving and self._ledger.turns.is_under_pressure:
-            self._ledger.evict_turns(self._clock.seconds())
+            self._write(encode(record)).addCallback(self._on_bound_rewritten, record)
+        rounds = retention_seconds / 2 / interval_seconds
+        names = self._ledger.expiring_turns(limit, rounds)
+        if names:
+            self._rewriting += 1
+            self._rewrite_turns(names).addBoth(self._on_turns_rewritten)
 
-    def _on_rewritten(self, outcome: Outcome, record: AnyRecord) -> None:
+    def _on_bound_rewritten(self, outcome: Outcome, record: BoundRaised) -> None:
         self._rewriting -= 1
-        if outcome is not Outcome.DURABLE:
-            return
-        if isinstance(record, BoundRaised):
+        if outcome is Outcome.DURABLE:
             self._ledger.on_bound_durable(record)
-        elif isinstance(record, TurnKept) and record.turn in self._ledger.turns:
-            self._ledger.turns.on_rewritten(record.turn, record.written_at)
+
+    @inlineCallbacks
+    def _rewrite_turns(self, names: list[str]) -> Generator["Deferred[Any]", Any, None]:
+        """Write turns again; texts that were set aside are read one at a time."""
+        writing: list[Deferred[None]] = []
+        for name in names:
+            text: Turn | None = yield self._turns.text(name)
+            if text is not None and self.is_serving:
+                record = self._ledger.turn_record(name, text, self._wall_seconds())
+                written = self._write_turn(encode(record))
+                writing.append(written.addCallback(self._on_turn_rewritten, record))
+        yield gatherResults(writing)
+
+    def _on_turn_rewritten(self, written: WrittenTurn, record: TurnKept) -> None:
+        turns = self._ledger.turns
+        if written.outcome is Outcome.DURABLE and record.turn in turns:
+            turns.on_rewritten(record.turn, record.written_at, written.offset)
+
+    def _on_turns_rewritten(self, result: object) -> None:
+        self._rewriting -= 1
+        if isinstance(result, Failure):
+            self._faults.report("turns", result.getTraceback())
+
+    def relieve(self) -> None:
+        """Remove turns whose retention has ended and set texts aside, if memory is short."""
+        turns = self._ledger.turns
+        if self.is_serving and turns.is_under_pressure:
+            self._ledger.evict_turns(self._clock.seconds())
+            turns.set_aside_unused()
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -4,10 +4,16 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from itertools import accumulate
+from typing import Protocol
 
 import msgspec
 
-from notcharch.values.memory_pool import HeldPart, PoolHolder, unbounded_holder
+from notcharch.values.memory_pool import (
+    PRESSURE_SHARE,
+    HeldPart,
+    PoolHolder,
+    unbounded_holder,
+)
 
 PAGE_BYTES = 240 * 1024
 """Text of a chain in one message, which takes some milliseconds between two daemons.
@@ -16,9 +22,13 @@
 TURN_CACHE_BYTES = 8 * 1024 * 1024
 """Most bytes of a cache of turns; after the first one, a program's turns have 0.3 to
 2.6 KB."""
-TURN_BYTES = 500
-"""Memory of a turn besides its names and its text; traced: 270 to 340 bytes in a store,
-and 190 to 230 in a cache without its program's newest turn."""
+TURN_BYTES = 600
+"""Memory of a turn besides its names and its text; traced: 440 bytes in a store, and 190 to
+230 in a cache without its program's newest turn."""
+FULL_SHARE = 0.9
+"""Share of the bound of all turns above which each new one sets older texts aside."""
+MIN_ASIDE_BYTES = 1024
+"""Shorter texts stay: without its text a turn takes half a kilobyte."""
 MAX_CACHED_SHARE = 1 / 2
 """A larger turn would evict most of the others from a cache."""
 
@@ -59,6 +69,32 @@
     """Length of the text that follows up to the requested turn."""
 
 
+class ChainLink(Protocol):
+    """A turn of a chain, also one whose text is not in memory."""
+
+    @property
+    def previous(self) -> str:
+        """Id of the preceding turn; empty for the first."""
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of its text."""
+
+
+class PagePlan(msgspec.Struct, frozen=True):
+    """Which turns a page holds; see `TranscriptPage`."""
+
+    after: str
+    names: list[str]
+    """The turns of the page, oldest first."""
+    last: str
+    remaining_bytes: int
+
+    def page(self, turns: Iterable[Turn]) -> TranscriptPage:
+        """Return the page with the text of its turns."""
+        return TranscriptPage(self.after, _text(turns), self.last, self.remaining_bytes)
+
+
 class TurnStore:
     """Turns by id."""
 
@@ -78,16 +114,18 @@
         """Return a turn, or None if it is not stored."""
         return self._turns.get(name)
 
+    def _link(self, name: str) -> ChainLink | None:
+        """Return a turn as a part of its chain, or None if it is not stored."""
+        return self.get(name)
+
     def transcript(self, last: str, known: str = "") -> Transcript | None:
         """Return the chain that ends with turn `last`.
 
         It starts after turn `known` if the chain includes that turn. None if `last` or a
         preceding turn is not stored.
         """
-        chain = self._chain(last, known)
-        if chain is None:
-            return None
-        return Transcript(chain.after, _text(chain.turns))
+        page = self.page(last, known)
+        return None if page is None else Transcript(page.after, page.text)
 
     def page(
         self, last: str, known: str = "", max_bytes: int = 0
@@ -95,19 +133,28 @@
         """Return the beginning of the chain that ends with turn `last`.
 
         Like `transcript`, but with the first turns only, up to `max_bytes` and one at least;
-        0 bytes are no bound.
+        0 bytes are no bound. None also if the text of a turn is not in memory.
         """
+        plan = self.plan(last, known, max_bytes)
+        if plan is None:
+            return None
+        turns = [turn for name in plan.names if (turn := self.get(name)) is not None]
+        return plan.page(turns) if len(turns) == len(plan.names) else None
+
+    def plan(self, last: str, known: str = "", max_bytes: int = 0) -> PagePlan | None:
+        """Return which turns `page` has; None if one of the chain is not stored."""
         chain = self._chain(last, known)
         if chain is None:
             return None
-        sizes = list(accumulate(turn.size_bytes for turn in chain.turns))
+        sizes = list(accumulate(link.size_bytes for link in chain.links))
         count = max(bisect_right(sizes, max_bytes), min(1, len(sizes)))
-        is_whole = not max_bytes or count == len(sizes)
-        return TranscriptPage(
+        if not max_bytes or count == len(sizes):
+            return PagePlan(chain.after, chain.names, last, 0)
+        return PagePlan(
             chain.after,
-            _text(chain.turns if is_whole else chain.turns[:count]),
-            last if is_whole else chain.names[count - 1],
-            0 if is_whole else sizes[-1] - sizes[count - 1],
+            chain.names[:count],
+            chain.names[count - 1],
+            sizes[-1] - sizes[count - 1],
         )
 
     def has_chain(self, last: str) -> bool:
@@ -117,18 +164,18 @@
     def _chain(self, last: str, known: str) -> "Chain | None":
         """Return the chain that ends with turn `last`, without the turns up to `known`."""
         names: list[str] = []
-        turns: list[Turn] = []
+        links: list[ChainLink] = []
         name = last
         while name and name != known:
-            turn = self.get(name)
-            if turn is None:
+            link = self._link(name)
+            if link is None:
                 return None
             names.append(name)
-            turns.append(turn)
-            name = turn.previous
+            links.append(link)
+            name = link.previous
         if name and name not in self:
             return None  # the requester's turn `known` is not stored here
-        return Chain(name, names[::-1], turns[::-1])
+        return Chain(name, names[::-1], links[::-1])
 
 
 class Chain(msgspec.Struct, frozen=True):
@@ -137,51 +184,142 @@
     after: str
     """Id of the turn before them; empty if they begin with the first one."""
     names: list[str]
-    turns: list[Turn]
+    links: list[ChainLink]
 
 
 def _text(turns: Iterable[Turn]) -> bytes:
     return b"".join(part for turn in turns for part in (turn.input, turn.output))
 
 
+def aside_bytes(name: str, turn: "AsideTurn") -> int:
+    """Return how much memory a turn takes under a name without its text, about."""
+    return TURN_BYTES + len(name) + len(turn.previous)
+
+
 def stored_bytes(name: str, turn: Turn) -> int:
     """Return how much memory a turn takes under a name, about."""
     return TURN_BYTES + len(name) + len(turn.previous) + turn.size_bytes
 
 
+class AsideTurn(msgspec.Struct, frozen=True):
+    """A turn whose text is in the journal alone."""
+
+    previous: str
+    size_bytes: int
+    offset: int
+    """Of its first record in the partition of the log."""
+
+
 class StoredTurns(TurnStore):
-    """Turns with the times of their last use and of their journal records."""
+    """Turns with the times of their last use and of their journal records.
+
+    While memory is short, texts that were not used for longest are set aside: they are read
+    from the journal when a call needs them.
+    """
 
     def __init__(self, held: HeldPart | None = None) -> None:
         """Create an empty store, whose memory `held` counts."""
         super().__init__()
         self._held = held or HeldPart(unbounded_holder())
+        self._by_use: OrderedDict[str, None] = OrderedDict()
+        """The texts that can be set aside, the least recently used first."""
+        self._aside: dict[str, AsideTurn] = {}
+        self._offsets: dict[str, int] = {}
+        """Where the first record of each turn is, if that is known."""
         self._used_at: dict[str, float] = {}
         self._written_at: dict[str, int] = {}
 
-    def store(self, name: str, turn: Turn, written_at: int, now: float) -> None:
-        """Store a turn that is in the journal, and mark its chain as used."""
-        former = self._turns.get(name)
-        if former is not None:
-            self._held.change(-stored_bytes(name, former))
-        self._held.change(stored_bytes(name, turn))
-        self.add(name, turn)
+    def __contains__(self, turn: str) -> bool:
+        """Return whether a turn is stored, here or in the journal."""
+        return turn in self._turns or turn in self._aside
+
+    def _link(self, name: str) -> ChainLink | None:
+        return self._turns.get(name) or self._aside.get(name)
+
+    def store(
+        self, name: str, turn: Turn, written_at: int, now: float, offset: int = -1
+    ) -> None:
+        """Store a turn that is in the journal, and mark its chain as used.
+
+        `offset` is that of its first record, negative if it is not known.
+        """
+        self.remove(name)
         self._written_at[name] = written_at
+        if offset >= 0:
+            self._offsets[name] = offset
+        self._hold(name, turn)
         self.touch(name, now)
+        self._set_aside_down_to(FULL_SHARE)
+
+    def _hold(self, name: str, turn: Turn) -> None:
+        """Hold the text of a turn in memory."""
+        self._held.change(stored_bytes(name, turn))
+        self.add(name, turn)
+        if name in self._offsets and turn.size_bytes >= MIN_ASIDE_BYTES:
+            self._by_use[name] = None
+
+    def remove(self, name: str) -> None:
+        """Remove a turn, wherever its text is."""
+        self._by_use.pop(name, None)
+        turn = self._turns.pop(name, None)
+        if turn is not None:
+            self._held.change(-stored_bytes(name, turn))
+        aside = self._aside.pop(name, None)
+        if aside is not None:
+            self._held.change(-aside_bytes(name, aside))
+        for values in (self._offsets, self._used_at, self._written_at):
+            values.pop(name, None)
 
     def touch(self, last: str, now: float) -> None:
         """Mark a chain as used, so that it is retained as long as its last turn."""
         name = last
-        while name in self._turns and self._used_at.get(name) != now:
+        while self._used_at.get(name) != now:
+            link = self._link(name)
+            if link is None:
+                return
             self._used_at[name] = now
-            name = self._turns[name].previous
+            if name in self._by_use:
+                self._by_use.move_to_end(name)
+            name = link.previous
 
     def evict_unused_since(self, limit: float) -> None:
         """Remove turns last used before `limit`, in clock seconds."""
         expired = [name for name, used in self._used_at.items() if used < limit]
         for name in expired:
-            self._held.change(-stored_bytes(name, self._turns[name]))
-            del self._turns[name], self._used_at[name], self._written_at[name]
+            self.remove(name)
+
+    # Texts that are set aside
+
+    def aside(self, name: str) -> AsideTurn | None:
+        """Return a turn whose text is in the journal alone, if it is one."""
+        return self._aside.get(name)
+
+    def restore(self, name: str, turn: Turn) -> None:
+        """Keep the text of a turn that was read from the journal, while there is room."""
+        aside = self._aside.get(name)
+        if aside is None:
+            return
+        if self._held.holder.has_room(turn.size_bytes):
+            del self._aside[name]
+            self._held.change(-aside_bytes(name, aside))
+            self._hold(name, turn)
+
+    def set_aside_unused(self) -> None:
+        """Set texts aside while all partitions' turns take much of what they may."""
+        self._set_aside_down_to(PRESSURE_SHARE)
+
+    def _set_aside_down_to(self, share: float) -> None:
+        """Set the least recently used texts aside, down to a share of the bound."""
+        holder = self._held.holder
+        while self._by_use and holder.held > holder.limit_bytes * share:
+            name, _ = self._by_use.popitem(last=False)
+            self._set_aside(name)
+
+    def _set_aside(self, name: str) -> None:
+        turn = self._turns.pop(name)
+        aside = AsideTurn(turn.previous, turn.size_bytes, self._offsets[name])
+        self._aside[name] = aside
+        self._held.change(aside_bytes(name, aside) - stored_bytes(name, turn))
 
     def has_room(self, size: int) -> bool:
         """Return whether a new turn of `size` bytes may be stored."""
@@ -192,18 +330,24 @@
         """Whether all partitions' turns take much of the memory that they may."""
         return self._held.holder.is_under_pressure
 
-    def on_rewritten(self, name: str, written_at: int) -> None:
-        """Update the write time of a turn whose record was written again."""
+    def on_rewritten(self, name: str, written_at: int, offset: int = -1) -> None:
+        """Update the record of a turn that was written again."""
         self._written_at[name] = written_at
+        if offset >= 0:
+            self._offsets[name] = offset
+            aside = self._aside.get(name)
+            if aside is not None:
+                self._aside[name] = msgspec.structs.replace(aside, offset=offset)
 
-    def written_before(self, limit: int) -> list[tuple[str, Turn]]:
+    def written_before(self, limit: int) -> list[tuple[str, ChainLink]]:
         """Return the turns whose record was written before `limit`, a Unix time.
 
         They are sorted by that time, and turns of a chain stay in their order.
         """
         due = [(at, name) for name, at in self._written_at.items() if at < limit]
         due.sort(key=lambda item: item[0])
-        return [(name, self._turns[name]) for _, name in due]
+        links = ((name, self._link(name)) for _, name in due)
+        return [(name, link) for name, link in links if link is not None]
 
 
 class TurnCache(TurnStore):
--- a/notcharch/journal/entries.py
+++ b/notcharch/journal/entries.py
@@ -42,6 +42,8 @@
         self.size = sum(map(len, records))
         self._done = done
         self._held = held
+        self.first_offset = -1
+        """Offset of its first record, once that is appended."""
         self.is_finished = False
 
     def finish(self, outcome: Outcome) -> None:
--- a/notcharch/journal/fragments.py
+++ b/notcharch/journal/fragments.py
@@ -69,11 +69,14 @@
     def __init__(self) -> None:
         """Start before the first record."""
         self._fragments: list[Fragment] = []
+        self.entry_records = 1
+        """Number of records of the entry that was returned last."""
 
     def add(self, record: bytes) -> bytes | None:
         """Return the entry that a record is or completes; None if it is not whole yet."""
         if not record.startswith(MARKER):
             self.reset()
+            self.entry_records = 1
             return record
         fragment = _decode(record)
         if fragment is None or not self._continues(fragment):
@@ -83,9 +86,15 @@
         if len(self._fragments) < fragment.count:
             return None
         entry = b"".join(part.data for part in self._fragments)
+        self.entry_records = fragment.count
         self.reset()
         return entry
 
+    @property
+    def is_inside(self) -> bool:
+        """Whether the first records of an entry came, and others are missing."""
+        return bool(self._fragments)
+
     def reset(self) -> None:
         """Discard an entry whose other fragments do not follow."""
         self._fragments = []
--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -112,6 +112,8 @@
         )
         self.records = 0
         """Number of replayed records."""
+        self.entry_offset = 0
+        """Offset of the first record of the entry that is being replayed."""
         self._faults = FeedFaults("journal")
         self._next_offset = 0
         self._assembler = FragmentAssembler()
@@ -151,6 +153,7 @@
         entry = self._assembler.add(record)
         if entry is None:
             return
+        self.entry_offset = offset - self._assembler.entry_records + 1
         part = f"{self._log_partition.topic}/{self._log_partition.number} at {offset}"
         try:
             self._target.replay_record(offset, entry)
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -106,31 +106,33 @@
         done: Callable[[Outcome], None],
         *,
         must_wait: bool = False,
-    ) -> None:
+    ) -> Entry | None:
         """Append an entry, in several records if need be; `done` gets its outcome.
 
         While too many bytes wait, as in an outage of the service, it is not written at
-        all, unless it `must_wait`.
+        all, unless it `must_wait`. Returns the entry if it waits or was appended.
         """
         if not self.is_open:
             done(Outcome.NOT_WRITTEN)
-            return
+            return None
         records = self._splitter.split(entry)
         if not records:
             self._log_refused(len(entry), 0)
             done(Outcome.REFUSED)
-            return
+            return None
         held = HeldPart(self._held)
         size = len(entry) + ENTRY_BYTES
         if must_wait:
             held.change(size)
         elif not held.take(size):
             done(Outcome.NOT_WRITTEN)
-            return
-        self._queue.add(Entry(records, done, held))
+            return None
+        waiting = Entry(records, done, held)
+        self._queue.add(waiting)
         BACKLOG.inc()
         if not self._is_writing:
             self._write()
+        return waiting
 
     def confirm(self) -> "Deferred[Outcome]":
         """Check whether this is still the writer of the highest epoch."""
@@ -178,6 +180,8 @@
         """Report the entries that are whole with a batch."""
         offset = appended.offset
         for item in batch:
+            if item.entry.first_offset < 0 <= offset:
+                item.entry.first_offset = offset
             offset += bool(item.record)
             if item.is_last:
                 self.complete_end = offset
--- a/tests/stateful/accounts/large_turns_machine.py
+++ b/tests/stateful/accounts/large_turns_machine.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, consumes, rule
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.records import decode, written_at
 from notcharch.accounts.service import GROUP
 from notcharch.calls.event_stream import data_lines
@@ -44,10 +45,12 @@
 
     calls = Bundle("calls")
     group = GROUP
+    memory = AccountMemory
+    """Returns what a daemon may hold."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = World(DAEMONS, log_limits=LIMITS)
+        self.world = World(DAEMONS, log_limits=LIMITS, memory=self.memory)
         self.world.fabric.codec.max_message_bytes = MESSAGE_BYTES
         self.world.log_may_refuse = True
         self.answered: dict[str, bytes] = {}
--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, consumes, rule
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.service import GROUP
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import UNKNOWN_TURN
@@ -33,10 +34,12 @@
 
     calls = Bundle("calls")
     group = GROUP
+    memory = AccountMemory
+    """Returns what a daemon may hold."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = World(DAEMONS)
+        self.world = World(DAEMONS, memory=self.memory)
         self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
         self.durable_turns: dict[str, bytes] = {}
 
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import succeed
 
-from notcharch.accounts import starting_allowance
+from notcharch.accounts import starting_allowance, turns
 from notcharch.accounts.call_account import CallAccount
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.partition import OwnedPartition
@@ -23,14 +23,27 @@
     test_starting_allowance,
     test_stored_turns,
 )
+from tests.unit.accounts.short_memory import without_texts
 
 
 def test_budgets_and_kept_turns_hold():
     run_state_machine_as_test(AccountsMachine, settings=RUN)
 
 
+def test_budgets_and_kept_turns_hold_while_all_texts_are_set_aside(monkeypatch):
+    """Memory is always short: each text is read from the journal for each call."""
+    monkeypatch.setattr(turns, "MIN_ASIDE_BYTES", 0)
+    run_state_machine_as_test(ShortOfMemory, settings=RUN)
+
+
+class ShortOfMemory(AccountsMachine):
+    """Daemons that hold no text."""
+
+    memory = staticmethod(without_texts)
+
+
 def bounds_are_not_written(monkeypatch):
-    def write(self, record, done):
+    def write(self, record, done, **_):
         done(Outcome.DURABLE)
 
     monkeypatch.setattr(PartitionWriter, "write", write)
@@ -43,8 +56,8 @@
 def a_successor_counts_nothing(monkeypatch):
     original = Ledger.replay
 
-    def replay(self, record, now):
-        original(self, record, now)
+    def replay(self, record, *arguments):
+        original(self, record, *arguments)
         for program in self._programs.values():
             program.used = 0
 
--- a/tests/stateful/accounts/test_large_turns_machine.py
+++ b/tests/stateful/accounts/test_large_turns_machine.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from result import Err
 
-from notcharch.accounts import call_account, turn_parts
+from notcharch.accounts import call_account, turn_parts, turns
 from notcharch.accounts.journal_history import JournalHistory
 from notcharch.accounts.turns import TurnStore
 from notcharch.journal import fragments
@@ -16,6 +16,7 @@
 from tests.stateful.accounts.large_turns_machine import LargeTurnsMachine
 from tests.stateful.runs import RUN, assert_caught
 from tests.unit.accounts import test_dropped_turns, test_large_turns
+from tests.unit.accounts.short_memory import without_texts
 from tests.unit.journal import test_large_entries
 
 
@@ -26,6 +27,21 @@
     )
 
 
+class ShortOfMemory(LargeTurnsMachine):
+    """Daemons that hold no text."""
+
+    memory = staticmethod(without_texts)
+
+
+def test_turns_are_found_whole_while_all_texts_are_set_aside(monkeypatch):
+    """Memory is always short: each text is read from the journal for each call."""
+    monkeypatch.setattr(turns, "MIN_ASIDE_BYTES", 0)
+    run_state_machine_as_test(
+        ShortOfMemory,
+        settings=settings(RUN, max_examples=100, stateful_step_count=40),
+    )
+
+
 def records_of_any_size_are_sent(monkeypatch):
     monkeypatch.setattr(FragmentSplitter, "split", lambda _, entry: (entry,))
 
--- a/tests/unit/accounts/test_account_memory.py
+++ b/tests/unit/accounts/test_account_memory.py
@@ -8,7 +8,7 @@
 import pytest
 
 from emulator.services.partitioned_log import Trouble
-from notcharch.accounts.account_memory import AccountMemory
+from notcharch.accounts import turns
 from notcharch.accounts.ledger import (
     MAX_ABANDONED,
     PROGRAM_BYTES,
@@ -18,6 +18,7 @@
 from notcharch.accounts.turns import TURN_BYTES, Turn, TurnCache
 from notcharch.calls.interface import NOT_RECORDED
 from notcharch.values.memory_pool import MemoryPool
+from tests.unit.accounts.short_memory import bounded
 from tests.unit.accounts.world import World
 
 KILOBYTE = 1024
@@ -25,19 +26,6 @@
 RETENTION_SECONDS = 60.0
 
 
-def bounded(accounts=1 << 30, turns=1 << 30, journal=1 << 30):
-    """Return a function that creates the memory of a daemon, one pool for each kind."""
-
-    def create() -> AccountMemory:
-        return AccountMemory(
-            MemoryPool(accounts).holder("accounts"),
-            MemoryPool(turns).holder("turns"),
-            MemoryPool(journal).holder("journal"),
-        )
-
-    return create
-
-
 def test_a_new_program_without_room_is_refused_and_known_ones_go_on():
     world = World(daemons=1, memory=bounded(accounts=6 * PROGRAM_BYTES))
     known = [f"p{number}" for number in range(5)]
@@ -63,6 +51,12 @@
     assert world.wait_for_decision(world.call("c")).ticket
 
 
+@pytest.fixture
+def without_aside(monkeypatch):
+    """Set no text aside."""
+    monkeypatch.setattr(turns, "MIN_ASIDE_BYTES", 1 << 30)
+
+
 def full_of_turns(world):
     """Store turns until one is refused; return the calls whose turns are stored."""
     stored = []
@@ -79,19 +73,22 @@
     raise AssertionError("never refused")
 
 
+@pytest.mark.usefixtures("without_aside")
 def test_new_turns_without_room_are_refused_and_stored_ones_are_served():
+    """Texts that are too short to be set aside fill the memory after all."""
     world = World(daemons=1, memory=bounded(turns=10 * TURN))
     stored = full_of_turns(world)
     assert 8 <= len(stored) <= 10
     world.run(RETENTION_SECONDS * 0.9)
     for call in stored:
         other = world.call(call.program, previous=call.id, body=b"")
+        # A call that stores no turn needs no room for one.
         listener = world.request_admission(other, stores_turns=False)
         world.run(0.5)
         assert listener.ticket, listener.refusal
-    # Calls that store no turn need no room.
 
 
+@pytest.mark.usefixtures("without_aside")
 def test_turns_past_their_retention_make_room_early_while_memory_is_short():
     world = World(daemons=1, memory=bounded(turns=10 * TURN))
     full_of_turns(world)
--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -188,11 +188,11 @@
     original = Ledger.replay
     faults = []
 
-    def replay(self, record, now):
+    def replay(self, record, *arguments):
         if not faults:
             faults.append(record)
             raise ValueError("a defect")
-        original(self, record, now)
+        original(self, record, *arguments)
 
     world = World()
     assert world.wait_for_decision(world.call()).ticket is not None
