The soak holds ports, signals early, delays settings, and judges every end of a process

Cause: the users saw daemons that did not start or ended by themselves. The soak could not show it: it gave daemons ports that nobody else may have, wrote settings before each start, ran daemons without the command of deploy/system.toml, and took any end after SIGTERM for a right one.

Change: faults of held ports (a listening, a bound or an outgoing socket), of a next process that starts while the former one drains, of signals within 100 ms of a start, and of settings that are missing, empty, cut or invalid at a start or reload. The daemons run with the platform's command; only its metrics port differs, as all share one address like the daemons of one machine.

New checks: an end without SIGTERM or SIGKILL whatever its status, an end with another status after them, an end by SIGHUP before the first statement (apart, as a known limit), ready within 12 s of the last cause (RECOVER), true readiness (READY), an end within the grace period (STOP).

tests/unit/soak passes.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -307,12 +307,18 @@
         if kept is not None:
             connection = kept.connection
         else:
+            leads_elsewhere = daemon.front_leads_to_the_soak
             try:
                 connection = yield self._connect(daemon)
             except Exception:
                 asked.ended_at = self._reactor.seconds()
                 yield self._wait(RETRY_SECONDS)
                 return
+            if leads_elsewhere:
+                connection.close()
+                asked.ended_at = self._reactor.seconds()
+                yield self._wait(RETRY_SECONDS)
+                return
         asked.is_connected = True
         asked.sent_at = self._reactor.seconds()
         head = RequestHead(
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -13,11 +13,14 @@
 from deploy.soak.callers import Callers
 from deploy.soak.configuration import Operator
 from deploy.soak.daemons import MEMORY_MEGABYTES, SoakDaemon
+from deploy.soak.ends import EndKind, ProcessEnd
 from deploy.soak.engine_server import SoakEngine
-from deploy.soak.faults import Faults, FaultTargets
+from deploy.soak.fault_targets import FaultTargets
+from deploy.soak.faults import Faults
 from deploy.soak.large_turns import LargeTurns
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
 from deploy.soak.readiness import Readiness
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
@@ -31,6 +34,8 @@
 RECOVERED_SHARE = 0.9
 """Of the requests in the second half of the calm."""
 LAST_ANSWERS_SECONDS = 5.0
+USUAL_PORTS_SHARE = 0.5
+"""Of the runs whose daemons get ports of the kernel's range of outgoing connections."""
 DONE, BROKEN = 0, 1
 
 
@@ -44,7 +49,16 @@
     faults: int
     calm_served: int
     calm_requests: int
-    own_ends: int
+    own_ends: list[ProcessEnd]
+    ended_before_program_ms: list[int]
+    """When a SIGHUP ended a process before its first statement, in ms since the spawn.
+
+    A known limit: nothing of the program runs by then.
+    """
+    has_usual_ports: bool
+    """Whether daemons listen at ports that outgoing connections may have."""
+    slowest_ready_seconds: float
+    """The longest time from the end of the last cause until a daemon was ready."""
     resumed: int
     """Streams that callers took up again."""
     went_on: int
@@ -59,6 +73,16 @@
         share = self.calm_served / max(self.calm_requests, 1)
         return not self.violations and not self.own_ends and share >= RECOVERED_SHARE
 
+    @property
+    def verdict(self) -> str:
+        """Return the outcome in words."""
+        if not self.is_clean:
+            return "broken"
+        if self.ended_before_program_ms:
+            count = len(self.ended_before_program_ms)
+            return f"kept, but for a known limit: {count} ends before the program"
+        return "clean"
+
 
 class Soak:
     """One soak in a folder of its own."""
@@ -74,8 +98,10 @@
         store = self._store = StoreServer(reactor, Random(seed), PARTITIONS)
         port = reactor.listenTCP(0, ServerFactory(store, reactor), interface=HOST)
         self._operator = Operator(store, self._tenants)
+        self._has_usual_ports = draw_usual_ports(seed)
+        ports = USUAL_PORTS if self._has_usual_ports else LOW_PORTS
         self._daemons = [
-            SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port))
+            SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port), ports)
             for n in range(size.daemons)
         ]
         services = [MODELS] * size.engines + [TOOLS] * size.tools
@@ -83,7 +109,7 @@
             SoakEngine(reactor, self._random, self.oracle, store, service, number=n)
             for n, service in enumerate(services)
         ]
-        self._readiness = Readiness(reactor, self._daemons)
+        self._readiness = Readiness(reactor, self._daemons, self._common_causes)
         self._callers = Callers(
             reactor,
             Random(seed + 1),
@@ -107,9 +133,13 @@
                 size.is_planned_only,
             )
         )
+        self._is_over = False
         self._ends_at = 0.0
         self._calm_at = 0.0
 
+    def _common_causes(self) -> list[str]:
+        return self.faults.store.causes()
+
     def _exchange_key(self) -> str:
         """Publish a change of keys; the store acknowledges it at once."""
         name = self._tenants.exchange(self._reactor.seconds())
@@ -134,11 +164,20 @@
         """Start again what ended by itself, as the platform does."""
         for daemon in self._daemons:
             daemon.measure_memory()
-            if daemon.notice_own_end():
-                daemon.start()
-        if self._callers.is_running:
+            for end in daemon.take_new_ends():
+                self._note_end(daemon, end)
+        self._readiness.observe()
+        if not self._is_over:
             self._reactor.callLater(WATCH_SECONDS, self._watch)
 
+    def _note_end(self, daemon: SoakDaemon, end: ProcessEnd) -> None:
+        if end.kind is not EndKind.ASKED:
+            self.faults.note(
+                f"{end.daemon} ended, {end.kind.value}, status {end.status}, "
+                f"{end.lived_ms} ms after its start"
+            )
+            daemon.start()
+
     def _next_fault(self) -> None:
         if self._reactor.seconds() >= self._ends_at:
             self.faults.end()
@@ -154,13 +193,20 @@
         self._reactor.callLater(self._size.calm_seconds / 2, self._finish)
 
     def _finish(self) -> None:
+        if not self._readiness.is_settled:
+            self._reactor.callLater(WATCH_SECONDS, self._finish)
+            return
         self._callers.is_running = False
-        self._reactor.callLater(LAST_ANSWERS_SECONDS, self._reactor.stop)
+        self._reactor.callLater(LAST_ANSWERS_SECONDS, self._end)
+
+    def _end(self) -> None:
+        self._is_over = True
+        self._reactor.stop()
 
     def stop(self) -> None:
         """End the daemons that were started here."""
         for daemon in self._daemons:
-            daemon.kill()
+            daemon.kill_all()
 
     def _in_contact(self) -> list[Violation]:
         """Check what daemons promise only while nothing but planned work goes on."""
@@ -174,6 +220,7 @@
         served, asked = self.oracle.served_since(self._calm_at)
         all_served, _ = self.oracle.served_since(0.0)
         went_on, resumed = self.oracle.resumed()
+        ends = [end for daemon in self._daemons for end in daemon.ends]
         return SoakReport(
             seed=self._seed,
             requests=len(self.oracle.asked),
@@ -182,13 +229,21 @@
             faults=len(self.faults.steps),
             calm_served=served,
             calm_requests=asked,
-            own_ends=sum(daemon.own_ends for daemon in self._daemons),
+            own_ends=[end for end in ends if end.kind is EndKind.OWN],
+            ended_before_program_ms=[
+                end.reloaded_before_program_ms or 0
+                for end in ends
+                if end.kind is EndKind.BEFORE_PROGRAM
+            ],
+            has_usual_ports=self._has_usual_ports,
+            slowest_ready_seconds=round(self._readiness.slowest, 2),
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
             violations=(
                 self.oracle.violations()
                 + self._in_contact()
+                + self._readiness.violations()
                 + self._refused_appends()
                 + self._faults_of_daemons()
             ),
@@ -200,6 +255,7 @@
         for daemon in self._daemons:
             if daemon.peak_megabytes > MEMORY_MEGABYTES:
                 found.append(Violation("MEMORY", "", f"{daemon.peak_megabytes} MB"))
+            found += [Violation("STOP", daemon.name, what) for what in daemon.overruns]
             exceptions = daemon.logged_exceptions()
             if exceptions:
                 found.append(
@@ -215,6 +271,11 @@
         ]
 
 
+def draw_usual_ports(seed: int) -> bool:
+    """Draw whether the daemons of a run get ports that outgoing connections may have."""
+    return Random(seed + 4).random() < USUAL_PORTS_SHARE
+
+
 def read_arguments(arguments: list[str] | None) -> argparse.Namespace:
     """Read the command line."""
     parser = argparse.ArgumentParser(prog="deploy.soak", description=__doc__)
@@ -249,6 +310,7 @@
             soak.stop()
         report = soak.report()
     sys.stdout.write(msgspec.json.format(msgspec.json.encode(report)).decode() + "\n")
-    if not report.is_clean:
+    if report.verdict != "clean":
         sys.stdout.write("\n".join(soak.faults.steps) + "\n")
+    sys.stdout.write(f"seed {seed}: {report.verdict}\n")
     return DONE if report.is_clean else BROKEN
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -1,14 +1,12 @@
-"""The daemons as processes: settings files, logs, signals."""
+"""The daemons: their ports, settings files, logs and processes."""
 
-import os
-import signal
-import socket
-import subprocess
-import sys
 from pathlib import Path
-from random import SystemRandom
+from random import Random
 
-from deploy.soak.link_proxy import LinkProxy
+from deploy.soak.ends import ProcessEnd
+from deploy.soak.link_proxy import LinkFault, LinkProxy
+from deploy.soak.ports import LOW_PORTS, HoldKind, PortHold, free_ports, hold_port
+from deploy.soak.process import DaemonProcess
 from deploy.soak.settings import (
     DRAIN_SECONDS,
     GRACE_SECONDS,
@@ -16,6 +14,7 @@
     PARTITIONS,
     RETENTION_SECONDS,
 )
+from deploy.soak.settings_file import SettingsFault, SettingsFile
 from deploy.soak.tenants import (
     OVER_SHARE,
     REVOKE_SECONDS,
@@ -25,60 +24,40 @@
 from deploy.soak.zones import COLD_FACTOR, COLD_SLACK, REGION_OF
 from notcharch.journal.interface import LogLimits
 
-ROOT = Path(__file__).resolve().parents[2]
-MODULE = "notcharch.platform"
 MEMORY_MEGABYTES = 128
 MILLISECONDS = 1000
+PEER_PORTS = 3
+"""Ports of the range at which a daemon may listen for its peers."""
 TRACEBACK = "Traceback (most recent call last)"
 
 
-LISTENED_PORTS = range(15_000, 32_000)
-"""Below the ports that the kernel gives to outgoing connections: one of those could hold
-the port of a daemon that is down, which could then not start again."""
-
-
-_given_ports: set[int] = set()
-"""Ports of all daemons, also of those that do not listen yet."""
-
-
-def free_ports(count: int) -> list[int]:
-    """Give ports that nobody uses now, and that were not given before."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = SystemRandom().choice(LISTENED_PORTS)
-        if port not in _given_ports and _is_free(port):
-            _given_ports.add(port)
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as opened:
-        try:
-            opened.bind((HOST, port))
-        except OSError:
-            return False
-        return True
-
-
 class SoakDaemon:
     """One daemon, and its way to the store."""
 
-    def __init__(self, name: str, folder: Path, store: LinkProxy) -> None:
+    def __init__(
+        self, name: str, folder: Path, store: LinkProxy, ports: range = LOW_PORTS
+    ) -> None:
         """Write its settings file; nothing runs yet."""
         self.name = name
         self.store = store
-        self.front, self.readiness, self._peers = free_ports(3)
-        self._settings = folder / f"{name}.conf"
+        self.front, self.readiness, self.metrics = (
+            free_ports(1, ports)[0] for _ in range(3)
+        )
+        self.peers = free_ports(PEER_PORTS, ports)
+        self.settings = SettingsFile(folder / f"{name}.conf", self._text())
         self._log = folder / f"{name}.log"
-        self._settings.write_text(self._text())
-        self._process: subprocess.Popen[bytes] | None = None
-        self.is_stopped = False
-        """Whether it was paused by a signal."""
-        self.is_stopping = False
-        """Whether it received a stop signal."""
-        self.own_ends = 0
-        """How often it ended by itself."""
+        self._process: DaemonProcess | None = None
+        self._former: list[DaemonProcess] = []
+        """Processes that still drain, although another one was started."""
+        self.holds: list[PortHold] = []
+        """Ports that the soak holds."""
+        self.ends: list[ProcessEnd] = []
+        """Of all its processes."""
+        self._new_ends: list[ProcessEnd] = []
+        self.overruns: list[str] = []
+        """Processes that lived at the end of their grace periods."""
+        self.interruptions = 0
+        """How often a process was killed, paused, told to stop, or ended."""
         self.peak_megabytes = 0
         """The most memory that any of its processes had."""
 
@@ -89,7 +68,7 @@
             "zone": "zone-a",
             "listen_addresses.front": f"{HOST}:{self.front}",
             "listen_addresses.readiness": f"{HOST}:{self.readiness}",
-            "internal_port_range": f"{self._peers},{self._peers}",
+            "internal_port_range": f"{self.peers[0]},{self.peers[-1]}",
             "platform.address": f"{HOST}:{self.store.port}",
             "platform.parts": PARTITIONS,
             "platform.record_bytes": LogLimits().record_bytes,
@@ -111,75 +90,183 @@
         }
         return "".join(f"{key}={value}\n" for key, value in fields.items())
 
+    # Its processes
+
     def start(self) -> None:
         """Start the process, if it doesn't run."""
-        if self.is_running:
-            return
-        environment = os.environ | {"NOTCHARCH_NODE_FILE": str(self._settings)}
-        with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", MODULE],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        self.is_stopped = self.is_stopping = False
+        if not self.is_running:
+            self._spawn()
+
+    def start_next(self) -> None:
+        """Start the next process while the former one still drains."""
+        if self._process is not None and self.is_stopping:
+            self._former.append(self._process)
+            self._process = None
+        self.start()
+
+    def _spawn(self) -> None:
+        self.collect_ends()
+        self._process = DaemonProcess(
+            self.name, self.metrics, self.settings.path, self._log
+        )
 
     @property
     def is_running(self) -> bool:
-        """Whether the process lives, paused or not."""
-        return self._process is not None and self._process.poll() is None
+        """Whether the newest process lives, paused or not."""
+        return self._process is not None and self._process.is_running
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the newest process was told to stop, and has not ended."""
+        return self._process is not None and self._process.is_stopping
+
+    @property
+    def process_id(self) -> int:
+        """The id of the newest process; 0 without one."""
+        return 0 if self._process is None else self._process.pid
+
+    def collect_ends(self) -> None:
+        """Note the processes that ended, and end those that outlive their grace period."""
+        processes = [*self._former, self._process]
+        for process in processes:
+            if process is None:
+                continue
+            if process.is_overdue:
+                self._end_overdue(process)
+            end = process.end()
+            if end is not None:
+                self.ends.append(end)
+                self._new_ends.append(end)
+                self._forget(process)
+                self.interruptions += 1
+
+    def take_new_ends(self) -> list[ProcessEnd]:
+        """Return the ends since the last call."""
+        self.collect_ends()
+        taken, self._new_ends = self._new_ends, []
+        return taken
+
+    def _end_overdue(self, process: DaemonProcess) -> None:
+        if process.overran:
+            self.overruns.append(f"process {process.pid} lives {GRACE_SECONDS} s later")
+        process.kill()
+
+    def _forget(self, process: DaemonProcess) -> None:
+        if process is self._process:
+            self._process = None
+        else:
+            self._former.remove(process)
 
     def measure_memory(self) -> None:
-        """Note the peak of the memory of the process, if it runs."""
-        if self._process is None or not self.is_running:
-            return
-        status = Path(f"/proc/{self._process.pid}/status").read_text()
-        peak = next((x for x in status.splitlines() if x.startswith("VmHWM")), None)
-        if peak is not None:
-            kilobytes = int(peak.split()[1])
-            self.peak_megabytes = max(self.peak_megabytes, kilobytes // 1024)
+        """Note the peaks of the memory of its processes."""
+        for process in (*self._former, self._process):
+            if process is not None:
+                peak = process.peak_megabytes()
+                self.peak_megabytes = max(self.peak_megabytes, peak)
 
     def logged_exceptions(self) -> int:
         """Return how many exceptions of the program its log tells of."""
         return self._log.read_text(errors="replace").count(TRACEBACK)
 
-    def notice_own_end(self) -> bool:
-        """Tell whether the process ended without being told to."""
-        process = self._process
-        if process is None or process.poll() is None or self.is_stopping:
-            return False
-        self.own_ends += 1
-        return True
-
-    def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None and self._process.poll() is None:
-            self._process.send_signal(number)
-
     def kill(self) -> None:
-        """End it at once."""
-        self.is_stopping = True
-        self._signal(signal.SIGKILL)
+        """End the newest process at once."""
+        self.interruptions += 1
         if self._process is not None:
-            self._process.wait()
+            self._process.kill()
+
+    def kill_all(self) -> None:
+        """End every process, and give all ports back."""
+        for process in (*self._former, self._process):
+            if process is not None:
+                process.kill()
+        self.collect_ends()
+        self.release_ports()
 
     def terminate(self) -> None:
-        """Tell it to stop."""
-        self.is_stopping = True
-        self._signal(signal.SIGTERM)
+        """Tell the newest process to stop."""
+        if self._process is not None:
+            self._process.terminate()
 
     def pause(self) -> None:
-        """Let it stand still."""
-        self.is_stopped = True
-        self._signal(signal.SIGSTOP)
+        """Let the newest process stand still."""
+        self.interruptions += 1
+        if self._process is not None:
+            self._process.pause()
 
     def resume(self) -> None:
-        """Let it go on."""
-        self.is_stopped = False
-        self._signal(signal.SIGCONT)
+        """Let all processes go on."""
+        self.interruptions += 1
+        for process in (*self._former, self._process):
+            if process is not None and process.is_paused:
+                process.resume()
 
     def reload(self) -> None:
-        """Tell it that its settings changed."""
-        self._signal(signal.SIGHUP)
+        """Tell the newest process that its settings changed."""
+        if self._process is not None:
+            self._process.reload()
+
+    # Its ports
+
+    @property
+    def all_ports(self) -> list[int]:
+        """Every port at which it may listen."""
+        return [self.front, self.readiness, self.metrics, *self.peers]
+
+    def hold(self, port: int, kind: HoldKind) -> PortHold | None:
+        """Hold one of its ports; None if it is in use."""
+        held = hold_port(port, kind)
+        if held is not None:
+            self.holds.append(held)
+        return held
+
+    def release(self, held: PortHold) -> None:
+        """Give a port back."""
+        if held in self.holds:
+            self.holds.remove(held)
+            held.release()
+
+    def release_ports(self) -> None:
+        """Give all ports back."""
+        for held in tuple(self.holds):
+            self.release(held)
+
+    @property
+    def front_is_held(self) -> bool:
+        """Whether the soak holds the port of its callers."""
+        return any(held.port == self.front for held in self.holds)
+
+    @property
+    def front_leads_to_the_soak(self) -> bool:
+        """Whether connections of callers reach a socket of the soak."""
+        return any(
+            held.port == self.front and held.takes_connections for held in self.holds
+        )
+
+    def lacks_ports(self, used: set[int]) -> bool:
+        """Return whether one of the ports that it needs is held, by the soak or in `used`.
+
+        It does without its metrics port, and with one port of its peers' range.
+        """
+        held = used | {hold.port for hold in self.holds}
+        needed = {self.front, self.readiness}
+        return bool(needed & held) or held.issuperset(self.peers)
+
+    # What may keep it from being ready
+
+    def causes(self, used_ports: set[int]) -> list[str]:
+        """Return what may keep it from being ready, apart from the store."""
+        process = self._process
+        found = {
+            "no process": process is None or not process.is_running,
+            "stopping": self.is_stopping,
+            "paused": process is not None and process.is_paused,
+            "the former process drains": bool(self._former),
+            "a port is held": self.lacks_ports(used_ports),
+            "its settings": self.settings.fault is not None,
+            "its link to the store": self.store.fault is not LinkFault.NONE,
+        }
+        return [cause for cause, is_present in found.items() if is_present]
+
+    def spoil_settings(self, fault: SettingsFault, random: Random) -> None:
+        """Leave its settings file unfinished."""
+        self.settings.spoil(fault, random)
--- /dev/null
+++ b/deploy/soak/settings_file.py
@@ -0,0 +1,82 @@
+"""The settings file of a daemon, and the ways in which it can be unfinished."""
+
+import enum
+from pathlib import Path
+from random import Random
+
+from result import Err
+
+from notcharch.platform.settings import read_settings
+
+INVALID_VALUES = {
+    "listen_addresses.front": ("127.0.0.1:", "127.0.0.1:port", ""),
+    "platform.address": ("", "127.0.0.1"),
+    "internal_port_range": ("", "first,last"),
+    "platform.parts": ("many",),
+    "bounds.grace_period_s": ("soon",),
+}
+"""Values that can't be read, by their keys."""
+
+
+class SettingsFault(enum.Enum):
+    """What is wrong with a settings file."""
+
+    MISSING = "missing"
+    EMPTY = "empty"
+    CUT_IN_LINE = "cut in a line"
+    CUT_AT_LINE = "cut at the end of a line"
+    INVALID = "invalid"
+
+
+def spoiled(text: str, fault: SettingsFault, random: Random) -> str | None:
+    """Return an unfinished text, of which settings can't be made; None for no file.
+
+    A cut that leaves valid settings can't be told from a whole file, so none is drawn.
+    """
+    if fault is SettingsFault.MISSING:
+        return None
+    if fault is SettingsFault.EMPTY:
+        return ""
+    if fault is SettingsFault.INVALID:
+        return _with_invalid_value(text, random)
+    is_in_line = fault is SettingsFault.CUT_IN_LINE
+    cuts = [
+        text[:place]
+        for place in range(1, len(text))
+        if (text[place - 1] != "\n") is is_in_line
+    ]
+    return random.choice([cut for cut in cuts if isinstance(read_settings(cut), Err)])
+
+
+def _with_invalid_value(text: str, random: Random) -> str:
+    key = random.choice(list(INVALID_VALUES))
+    value = random.choice(INVALID_VALUES[key])
+    lines = text.splitlines(keepends=True)
+    return "".join(
+        f"{key}={value}\n" if line.startswith(f"{key}=") else line for line in lines
+    )
+
+
+class SettingsFile:
+    """The file of one daemon."""
+
+    def __init__(self, path: Path, text: str) -> None:
+        """Write it whole."""
+        self.path = path
+        self.text = text
+        self.fault: SettingsFault | None = None
+        self.write_whole()
+
+    def write_whole(self) -> None:
+        """Write it as it should be."""
+        self.fault = None
+        self.path.write_text(self.text)
+
+    def spoil(self, fault: SettingsFault, random: Random) -> None:
+        """Leave it unfinished."""
+        self.fault = fault
+        text = spoiled(self.text, fault, random)
+        if text is None:
+            self.path.unlink(missing_ok=True)
+        else:
+            self.path.write_text(text)
