The soak's planned stops meet long calls, pipelined and half-sent requests and slow readers

Cause: no call of the soak took longer than 3 s, callers followed readiness and sent one request at a time, so a planned stop that cuts calls of 6 s after 7.33 s could not be seen.

Change: ten connections are used until the daemon closes them, whatever its readiness says: requests that follow at once, pipelined ones, requests sent in pieces over 2.5 s, answers read after 2 s, calls and streams of 3 to 7 s at two engines that nothing strikes. An unread request on a kept connection passes only if an answer before it told of the close, or if its first byte was sent at most 0.25 s before the close; until now any time passed. A cut says what was seen.

tests/unit/soak passes.

--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -20,9 +20,10 @@
 from deploy.soak.large_turns import LargeTurns
 from deploy.soak.link_proxy import LinkProxy
 from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.persistent_callers import PersistentCallers
 from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
 from deploy.soak.readiness import Readiness
-from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
+from deploy.soak.settings import HOST, MODELS, PARTITIONS, SLOW, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
 from deploy.soak.tenants import Tenants
 from notcharch.http.server import ServerFactory
@@ -105,6 +106,7 @@
             for n in range(size.daemons)
         ]
         services = [MODELS] * size.engines + [TOOLS] * size.tools
+        services += [SLOW] * size.slow
         engines = [
             SoakEngine(reactor, self._random, self.oracle, store, service, number=n)
             for n, service in enumerate(services)
@@ -118,12 +120,19 @@
             tenants=self._tenants,
             large=LargeTurns(Random(seed + 3)),
         )
+        self._persistent = PersistentCallers(
+            reactor,
+            Random(seed + 5),
+            self.oracle,
+            self._readiness.ready,
+            self._tenants,
+        )
         self.faults = Faults(
             FaultTargets(
                 reactor,
                 self._random,
                 self._daemons,
-                engines,
+                engines[: size.engines + size.tools],
                 store,
                 self._operator.publish,
                 self._exchange_key,
@@ -156,6 +165,7 @@
         self._ends_at = self._reactor.seconds() + self._size.seconds
         self._readiness.start()
         self._callers.start(self._size.programs)
+        self._persistent.start(self._size.persistent)
         self._callers.sends_deadly = not self._size.is_planned_only
         self._watch()
         self._next_fault()
@@ -189,6 +199,8 @@
         self._reactor.callLater(pause, self._next_fault)
 
     def _recovered(self) -> None:
+        # Their last calls take up to 7 s.
+        self._persistent.is_running = False
         self._calm_at = self._reactor.seconds()
         self._reactor.callLater(self._size.calm_seconds / 2, self._finish)
 
--- a/deploy/soak/configuration.py
+++ b/deploy/soak/configuration.py
@@ -9,10 +9,14 @@
     HOME_PATH,
     HOST_NAME,
     KEPT_PATH,
+    LONG_CALL_SECONDS,
+    LONG_PATH,
+    LONG_STREAM_PATH,
     MODELS,
     PLAIN_PATH,
     RETENTION_SECONDS,
     SAFE_PATH,
+    SLOW,
     TOKENS_PER_EVENT,
     TOOLS,
     WRITE_PATH,
@@ -26,6 +30,8 @@
 KEY = "config"
 DRAIN_KEY = "evacuate/"
 MILLISECONDS = 1000
+LONG_TIME = {"timeout_ms": LONG_CALL_SECONDS * MILLISECONDS}
+RESUMABLE = {"resumable": True}
 
 
 def configuration(version: int, tenants: Tenants) -> bytes:
@@ -35,6 +41,10 @@
         _route("kept", KEPT_PATH, "streaming", MODELS, retains_transcripts=True),
         _route("safe", SAFE_PATH, "idempotent", TOOLS),
         _route("write", WRITE_PATH, "non_idempotent", TOOLS),
+        _route("long", LONG_PATH, "non_idempotent", SLOW, **LONG_TIME),
+        _route(
+            "longstream", LONG_STREAM_PATH, "streaming", SLOW, **LONG_TIME, **RESUMABLE
+        ),
         _route("home", HOME_PATH, "idempotent", TOOLS, allowed_regions=[HOME_REGION]),
     ]
     services = [
@@ -45,6 +55,7 @@
             "cold_per_s": COLD_PER_SECOND,
         },
         {"name": TOOLS},
+        {"name": SLOW, "engine": {"tokens_per_event": TOKENS_PER_EVENT}},
     ]
     whole = {
         "version": version,
--- a/deploy/soak/ends.py
+++ b/deploy/soak/ends.py
@@ -5,9 +5,8 @@
 
 import msgspec
 
-EARLY_STOP_SECONDS = 2.0
-"""A SIGTERM that comes so soon after the start may meet its default action, as the modules
-are still being imported."""
+MOST_START_SECONDS = 12.0
+"""A SIGTERM that comes later than this after the start has to meet its handler."""
 
 
 class EndKind(enum.Enum):
@@ -31,6 +30,8 @@
     """From the spawn until the end was noticed."""
     stop_after: float | None = None
     """Seconds from the spawn to SIGTERM; None if it was not sent."""
+    stop_met_default: bool = False
+    """Whether SIGTERM met its default action, as the modules were still being imported."""
     is_killed: bool = False
     """Whether SIGKILL was sent."""
     reloaded_before_program_ms: int | None = None
@@ -45,7 +46,7 @@
             return EndKind.ASKED
         if self.stop_after is None:
             return EndKind.OWN
-        is_early = self.stop_after <= EARLY_STOP_SECONDS
+        is_early = self.stop_met_default and self.stop_after <= MOST_START_SECONDS
         is_default = is_early and self.status == -signal.SIGTERM
         return EndKind.ASKED if self.status == 0 or is_default else EndKind.OWN
 
@@ -55,9 +56,9 @@
         return met_default and self.status == -signal.SIGHUP
 
 
-def has_default_reload(process_status: str) -> bool:
-    """Return whether SIGHUP would end a process, by its /proc/PID/status."""
-    bit = 1 << (signal.SIGHUP - 1)
+def has_default_action(process_status: str, number: signal.Signals) -> bool:
+    """Return whether a signal would end a process, by its /proc/PID/status."""
+    bit = 1 << (number - 1)
     masks = [
         int(line.split()[1], 16)
         for line in process_status.splitlines()
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -14,10 +14,13 @@
 from deploy.soak.settings import (
     HOST,
     KEPT_PATH,
+    LONG_STREAM_PATH,
     MODELS,
     MOST_EVENTS,
     PLAIN_PATH,
+    SLOW,
     VERSIONS,
+    long_seconds,
 )
 from deploy.soak.spoiled import EndlessAnswer, EndlessKind, Spoil
 from deploy.soak.store_server import StoreServer
@@ -34,6 +37,8 @@
 HEARTBEAT_SECONDS = 1.2
 SLOTS = 2
 """Few enough that four daemons exchange the loads of engines."""
+SLOTS_OF_SLOW = 64
+"""Long calls wait for no slot."""
 CHUNKED: Headers = [(b"transfer-encoding", b"chunked")]
 
 
@@ -155,7 +160,7 @@
                 self._service,
                 f"{HOST}:{self.link.port}",
                 self.zone,
-                SLOTS,
+                SLOTS_OF_SLOW if self._service == SLOW else SLOTS,
                 state,
                 self._cold_milliseconds(),
                 self._beats,
@@ -366,6 +371,7 @@
         self._is_unframed = engine.draw_unframed()
         self._break = engine.draw_break()
         self._deadly = deadly_kind(exchange.body)
+        self._long_seconds = long_seconds(exchange.body)
         self._sent = 0
         """Bytes of the body that were sent."""
         exchange.on_disconnect = self._gone
@@ -385,11 +391,20 @@
             is_cold=self._engine.is_cold,
         )
         self._engine.began(self, run)
-        self._timer = self._engine.later(WORK_SECONDS, self._answer)
+        is_long_stream = self._path.startswith(LONG_STREAM_PATH)
+        work = WORK_SECONDS if is_long_stream else WORK_SECONDS + self._long_seconds
+        self._timer = self._engine.later(work, self._answer)
+
+    @property
+    def _event_seconds(self) -> float:
+        """Between two events: a long stream takes as long as its body says."""
+        if not self._long_seconds:
+            return EVENT_SECONDS
+        return self._long_seconds / self._engine.length_of(self._stream)
 
     @property
     def _is_stream(self) -> bool:
-        return self._path.startswith((PLAIN_PATH, KEPT_PATH))
+        return self._path.startswith((PLAIN_PATH, KEPT_PATH, LONG_STREAM_PATH))
 
     @property
     def _headers(self) -> Headers:
@@ -485,7 +500,7 @@
             return
         self._next += 1
         then = self._event if self._deadly is None else self._end_engine
-        self._timer = engine.later(EVENT_SECONDS, then)
+        self._timer = engine.later(self._event_seconds, then)
 
     def cut(self) -> None:
         """Break the answer off."""
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -26,6 +26,9 @@
 REFUSALS = (401, 402, 404, 408, 421, 429, 503)
 """Answers that promise that the request has not run and never will."""
 OK = 200
+CROSSING_SECONDS = 0.25
+"""A request that was sent earlier than this before the close of its connection had arrived
+at the daemon."""
 AS_IT_SHOULD_BE = (OK, 401, 402, 429)
 """Answers that show a system at work: served, or refused for the caller's key, budget or
 limit."""
@@ -47,6 +50,8 @@
     """Whose key it carries, or carried once."""
     key: str = ""
     at: float = 0.0
+    begun_at: float = 0.0
+    """When its first bytes were sent, if they were sent one after another."""
     sent_at: float = 0.0
     """When its bytes were sent."""
     daemon: str = ""
@@ -65,7 +70,8 @@
     """The last event that the caller had before."""
     is_on_kept_connection: bool = False
     """Whether it was sent on a connection that had served another request."""
-
+    close_was_told: bool = False
+    """Whether an answer before it said that its connection will be closed."""
     ends_inside_event: bool = False
     """Whether bytes of an unfinished event were its last."""
     lost_by_caller: bool = False
@@ -335,19 +341,31 @@
     def cut(self) -> list[Violation]:
         """Give the requests that a daemon took and did not answer whole."""
         return [
-            Violation("LOST", asked.id, f"cut at {asked.daemon}")
+            Violation("LOST", asked.id, self._describe_cut(asked))
             for asked in self.asked.values()
             if asked.is_connected and asked.ended_at and not asked.is_whole
             if not asked.lost_by_caller and not self._crossed_a_close(asked)
         ]
 
+    def _describe_cut(self, asked: Asked) -> str:
+        kind = "kept" if asked.is_on_kept_connection else "new"
+        seconds = asked.ended_at - asked.sent_at
+        return (
+            f"cut at {asked.daemon}, {kind} connection, status {asked.status}, "
+            f"{len(asked.events)} events, {len(self.runs.get(asked.id, ()))} runs, "
+            f"{asked.path}, {seconds:.2f} s after it was sent at {asked.sent_at:.2f}"
+        )
+
     def _crossed_a_close(self, asked: Asked) -> bool:
-        """Return whether a request met the close of a connection at rest, and ran nowhere.
+        """Return whether a request met the close of a connection, and ran nowhere.
 
-        That is allowed: nobody read it.
+        That is allowed: nobody read it. Its caller knew of the close by an answer before
+        it, or the close of a connection at rest was on its way.
         """
-        is_unread = asked.status == 0 and asked.id not in self.runs
-        return asked.is_on_kept_connection and is_unread
+        if asked.status or asked.id in self.runs or not asked.is_on_kept_connection:
+            return False
+        seconds = asked.ended_at - (asked.begun_at or asked.sent_at)
+        return asked.close_was_told or seconds <= CROSSING_SECONDS
 
     def served_since(self, at: float) -> tuple[int, int]:
         """Give how many requests were answered by engines, and asked, since a time."""
--- /dev/null
+++ b/deploy/soak/persistent_callers.py
@@ -0,0 +1,331 @@
+"""Callers that use a connection until the daemon closes it, in every manner of sending.
+
+They follow no readiness: a planned stop meets them with long calls under way, pipelined and
+half-sent requests, answers that are read slowly, and requests that follow at once.
+"""
+
+import contextlib
+import enum
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import h11
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from deploy.soak.daemons import SoakDaemon
+from deploy.soak.oracle import OK, Asked, Oracle
+from deploy.soak.settings import (
+    CALL_SECONDS,
+    HOST,
+    HOST_NAME,
+    LONG_CALL_SECONDS,
+    LONG_PATH,
+    LONG_STREAM_PATH,
+    PLAIN_PATH,
+    SAFE_PATH,
+    WRITE_PATH,
+    long_body,
+)
+from deploy.soak.tenants import SoakTenant, Tenants
+from notcharch.calls.event_stream import EventFramer, data_lines
+from notcharch.http.reactor import FlowControlledTransport
+
+CONNECT_SECONDS = 1.0
+PAUSE_SECONDS = 0.3
+"""Between two connections, and at most between two requests on one."""
+PATHS = (SAFE_PATH, WRITE_PATH, PLAIN_PATH, LONG_PATH, LONG_STREAM_PATH)
+STREAM_PATHS = (PLAIN_PATH, LONG_STREAM_PATH)
+LONG_PATHS = (LONG_PATH, LONG_STREAM_PATH)
+LEAST_LONG_SECONDS, MOST_LONG_SECONDS = 3.0, 7.0
+MOST_PIPELINED = 4
+MOST_PIECES = 8
+MOST_SENDING_SECONDS = 2.5
+MOST_READING_PAUSE_SECONDS = 2.0
+GIVE_UP_SECONDS = 3.0
+"""After the time of a request; a slowly sent or pipelined one has that time, too."""
+
+
+class Manner(enum.Enum):
+    """How a caller sends and reads."""
+
+    AT_ONCE = "at once"
+    """The next request follows each answer."""
+    PIPELINED = "pipelined"
+    """Several requests in one write."""
+    SLOWLY_SENT = "slowly sent"
+    SLOWLY_READ = "slowly read"
+
+
+class PendingAnswer:
+    """One request on a connection, and what came of its answer."""
+
+    def __init__(self, asked: Asked, headers: list[tuple[bytes, bytes]]) -> None:
+        """Make the bytes of the request."""
+        self.asked = asked
+        self._framer = EventFramer()
+        self._http = h11.Connection(h11.CLIENT)
+        length = (b"Content-Length", str(len(asked.expected_body)).encode())
+        request = h11.Request(
+            method=b"POST", target=asked.path.encode(), headers=[*headers, length]
+        )
+        self.data = b"".join(
+            self._http.send(event) or b""
+            for event in (
+                request,
+                h11.Data(data=asked.expected_body),
+                h11.EndOfMessage(),
+            )
+        )
+        self.tells_close = False
+        """Whether the answer says that its connection will be closed."""
+
+    def receive(self, data: bytes) -> bytes | None:
+        """Take bytes; return those after the answer if it is whole, else None."""
+        self._http.receive_data(data)
+        while True:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return None
+            if isinstance(event, h11.Response):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._take_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.asked.is_whole = True
+                self.asked.ends_inside_event = self._framer.is_inside_event
+                return bytes(self._http.trailing_data[0])
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+
+    def _take_head(self, head: h11.Response) -> None:
+        headers = dict(head.headers)
+        self.asked.status = head.status_code
+        self.asked.answered_id = headers.get(b"x-notcharch-request-id", b"").decode()
+        self.tells_close = b"close" in headers.get(b"connection", b"").lower()
+
+    def _take_data(self, data: bytes) -> None:
+        if not self.asked.is_stream or self.asked.status != OK:
+            self.asked.body += data
+            return
+        whole = self._framer.feed(data)
+        self.asked.events += data_lines(whole).splitlines()
+
+
+class PersistentConnection(Protocol):
+    """One connection, with the answers that are still to come, in order."""
+
+    transport: FlowControlledTransport
+
+    def __init__(self, reactor: Any, on_idle: Any, on_lost: Any) -> None:
+        """Call `on_idle` when every request has its answer, `on_lost` at the end."""
+        self._reactor = reactor
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._pending: deque[PendingAnswer] = deque()
+        self._served = 0
+        self._tells_close = False
+        self._is_paused = False
+        self.is_lost = False
+
+    def add(self, pending: PendingAnswer) -> None:
+        """Expect the answer to a request, of which nothing was sent."""
+        asked = pending.asked
+        asked.is_connected = True
+        asked.is_on_kept_connection = self._served > 0
+        asked.begun_at = asked.sent_at = self._reactor.seconds()
+        self._pending.append(pending)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if not self.is_lost:
+            self.transport.write(data)
+            for pending in self._pending:
+                pending.asked.sent_at = self._reactor.seconds()
+
+    def pause(self, seconds: float) -> None:
+        """Read nothing for a while."""
+        self._is_paused = True
+        self.transport.pauseProducing()
+        self._reactor.callLater(seconds, self._resume)
+
+    def _resume(self) -> None:
+        self._is_paused = False
+        if not self.is_lost:
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Give the bytes to the answers in their order."""
+        rest: bytes | None = data
+        while rest and self._pending:
+            try:
+                rest = self._pending[0].receive(rest)
+            except h11.RemoteProtocolError:
+                self.transport.abortConnection()
+                return
+            if rest is not None:
+                self._answered()
+        if not self._pending and not self.is_lost:
+            self._on_idle(self)
+
+    def _answered(self) -> None:
+        done = self._pending.popleft()
+        done.asked.ended_at = self._reactor.seconds()
+        self._served += 1
+        self._tells_close |= done.tells_close
+        for pending in self._pending:
+            pending.asked.is_on_kept_connection = True
+            pending.asked.close_was_told = self._tells_close
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """End the answers that did not come, or that end with the connection."""
+        self.is_lost = True
+        for pending in self._pending:
+            with contextlib.suppress(h11.RemoteProtocolError):
+                pending.receive(b"")
+            pending.asked.ended_at = self._reactor.seconds()
+        self._pending.clear()
+        self._on_lost()
+
+
+class PersistentCallers:
+    """Keeps a number of such connections in use."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        random: Random,
+        oracle: Oracle,
+        ready: Callable[[], list[SoakDaemon]],
+        tenants: Tenants,
+    ) -> None:
+        """Connect to daemons at random of those that are `ready`."""
+        self._reactor = reactor
+        self._random = random
+        self._oracle = oracle
+        self._ready = ready
+        self._tenants = tenants
+        self._numbers = 0
+        self.is_running = True
+
+    def start(self, connections: int) -> None:
+        """Open connections; another one follows each that ends."""
+        for _ in range(connections):
+            self._connect()
+
+    def _connect_later(self) -> None:
+        self._reactor.callLater(self._random.uniform(0, PAUSE_SECONDS), self._connect)
+
+    def _connect(self) -> None:
+        if not self.is_running:
+            return
+        daemon = self._random.choice(self._ready())
+        leads_elsewhere = daemon.front_leads_to_the_soak
+        manner = self._random.choice(list(Manner))
+
+        def on_idle(connection: PersistentConnection) -> None:
+            pause = self._random.choice((0.0, self._random.uniform(0, PAUSE_SECONDS)))
+            self._reactor.callLater(pause, self._ask, connection, daemon, manner)
+
+        def connected(connection: PersistentConnection) -> None:
+            if leads_elsewhere:
+                connection.transport.abortConnection()
+            else:
+                self._ask(connection, daemon, manner)
+
+        factory = Factory.forProtocol(
+            lambda: PersistentConnection(self._reactor, on_idle, self._connect_later)
+        )
+        factory.noisy = False
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, HOST, daemon.front, CONNECT_SECONDS
+        )
+        endpoint.connect(factory).addCallbacks(
+            connected, lambda _: self._connect_later()
+        )
+
+    def _ask(
+        self, connection: PersistentConnection, daemon: SoakDaemon, manner: Manner
+    ) -> None:
+        """Send the next requests; none once the soak is over."""
+        if connection.is_lost:
+            return
+        if not self.is_running:
+            connection.transport.loseConnection()
+            return
+        count = 1
+        if manner is Manner.PIPELINED:
+            count = self._random.randint(2, MOST_PIPELINED)
+        pending = [self._new_request(daemon) for _ in range(count)]
+        for one in pending:
+            connection.add(one)
+        data = b"".join(one.data for one in pending)
+        if manner is Manner.SLOWLY_SENT:
+            self._send_slowly(connection, data)
+        else:
+            connection.write(data)
+        if manner is Manner.SLOWLY_READ:
+            connection.pause(self._random.uniform(0, MOST_READING_PAUSE_SECONDS))
+        time = sum(self._time_of(one.asked) for one in pending) + GIVE_UP_SECONDS
+        self._reactor.callLater(time, self._give_up, connection, pending[-1].asked)
+
+    def _give_up(self, connection: PersistentConnection, asked: Asked) -> None:
+        """Leave a connection whose answers don't come."""
+        if not asked.ended_at and not connection.is_lost:
+            connection.transport.abortConnection()
+
+    def _send_slowly(self, connection: PersistentConnection, data: bytes) -> None:
+        """Send a request in pieces; the last one begins at the latest after some time."""
+        count = self._random.randint(2, MOST_PIECES)
+        cuts = sorted(self._random.sample(range(1, len(data)), count - 1))
+        times = sorted(
+            self._random.uniform(0, MOST_SENDING_SECONDS) for _ in range(count)
+        )
+        begins = [0, *cuts]
+        ends = [*cuts, len(data)]
+        for begin, end, at in zip(begins, ends, times, strict=True):
+            self._reactor.callLater(at, connection.write, data[begin:end])
+
+    def _time_of(self, asked: Asked) -> float:
+        is_long = asked.path.startswith(LONG_PATHS)
+        return LONG_CALL_SECONDS if is_long else CALL_SECONDS
+
+    def _new_request(self, daemon: SoakDaemon) -> PendingAnswer:
+        path = self._random.choice(PATHS)
+        self._numbers += 1
+        id = f"k{self._numbers}"
+        body = f"{id} {self._random.random()}\n".encode()
+        if path in LONG_PATHS:
+            seconds = self._random.uniform(LEAST_LONG_SECONDS, MOST_LONG_SECONDS)
+            body = long_body(seconds) + body
+        tenant = self._choose_tenant()
+        now = self._reactor.seconds()
+        asked = Asked(
+            id=id,
+            path=f"{path}x",
+            expected_body=body,
+            may_repeat=path not in (WRITE_PATH, LONG_PATH),
+            is_stream=path in STREAM_PATHS,
+            tenant=tenant.name,
+            key=self._tenants.key(tenant, now),
+            at=now,
+            daemon=daemon.name,
+        )
+        self._oracle.asked[id] = asked
+        deadline = int(self._time_of(asked) * 1000)
+        return PendingAnswer(
+            asked,
+            [
+                (b"Host", HOST_NAME.encode()),
+                (b"X-Notcharch-Request-Id", id.encode()),
+                (b"X-Notcharch-Deadline-Ms", str(deadline).encode()),
+                (b"X-Api-Key", asked.key.encode()),
+            ],
+        )
+
+    def _choose_tenant(self) -> SoakTenant:
+        unlimited = [t for t in self._tenants.all if not t.rate_per_second]
+        return self._random.choice(unlimited)
--- a/deploy/soak/process.py
+++ b/deploy/soak/process.py
@@ -10,7 +10,7 @@
 import tomllib
 from pathlib import Path
 
-from deploy.soak.ends import ProcessEnd, has_default_reload
+from deploy.soak.ends import ProcessEnd, has_default_action
 from deploy.soak.settings import GRACE_SECONDS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -60,6 +60,7 @@
                 stderr=output,
             )
         self._stopped_at: float | None = None
+        self._stop_met_default = False
         self._is_killed = False
         self._reload_before_program_ms: int | None = None
         self.is_paused = False
@@ -89,6 +90,9 @@
         except OSError:
             return ""
 
+    def _has_default_action(self, number: signal.Signals) -> bool:
+        return self.is_running and has_default_action(self._proc("status"), number)
+
     def peak_megabytes(self) -> int:
         """Return the peak of its memory; 0 if it has ended."""
         for line in self._proc("status").splitlines():
@@ -103,6 +107,7 @@
     def terminate(self) -> None:
         """Tell it to stop."""
         if self.is_running and self._stopped_at is None:
+            self._stop_met_default = self._has_default_action(signal.SIGTERM)
             self._stopped_at = self._seconds()
         self._was_paused_in_stop |= self.is_paused
         self._signal(signal.SIGTERM)
@@ -126,7 +131,7 @@
 
     def reload(self) -> None:
         """Tell it that its settings changed."""
-        if self.is_running and has_default_reload(self._proc("status")):
+        if self._has_default_action(signal.SIGHUP):
             self._reload_before_program_ms = round(self._seconds() * MILLISECONDS)
         self._signal(signal.SIGHUP)
 
@@ -152,6 +157,7 @@
             status=status,
             lived_ms=round(self._seconds() * MILLISECONDS),
             stop_after=self._stopped_at,
+            stop_met_default=self._stop_met_default,
             is_killed=self._is_killed,
             reloaded_before_program_ms=self._reload_before_program_ms,
         )
--- a/tests/unit/soak/test_ends.py
+++ b/tests/unit/soak/test_ends.py
@@ -5,10 +5,10 @@
 import pytest
 
 from deploy.soak.ends import (
-    EARLY_STOP_SECONDS,
+    MOST_START_SECONDS,
     EndKind,
     ProcessEnd,
-    has_default_reload,
+    has_default_action,
 )
 
 KILLED, HUNG_UP, TERMINATED = -signal.SIGKILL, -signal.SIGHUP, -signal.SIGTERM
@@ -25,7 +25,8 @@
         (KILLED, {"is_killed": True, "stop_after": 9.0}),
         (0, {"stop_after": 9.0}),
         (0, {"stop_after": 0.01}),
-        (TERMINATED, {"stop_after": EARLY_STOP_SECONDS}),
+        (TERMINATED, {"stop_after": 0.01, "stop_met_default": True}),
+        (TERMINATED, {"stop_after": MOST_START_SECONDS, "stop_met_default": True}),
     ],
 )
 def test_ends_that_the_soak_asked_for(status, changes):
@@ -44,7 +45,9 @@
         (1, {"is_killed": True}),
         (1, {"stop_after": 9.0}),
         (2, {"stop_after": 0.01}),
-        (TERMINATED, {"stop_after": EARLY_STOP_SECONDS + 0.1}),
+        (TERMINATED, {}),
+        (TERMINATED, {"stop_after": 0.01}),
+        (TERMINATED, {"stop_after": MOST_START_SECONDS + 1, "stop_met_default": True}),
         (HUNG_UP, {}),
         (HUNG_UP, {"stop_after": 0.01}),
     ],
@@ -70,4 +73,4 @@
     ignored, caught, is_default
 ):
     status = f"Name:\tpython3\nSigIgn:\t{ignored}\nSigCgt:\t{caught}\n"
-    assert has_default_reload(status) is is_default
+    assert has_default_action(status, signal.SIGHUP) is is_default
--- a/tests/unit/soak/test_engine_faults.py
+++ b/tests/unit/soak/test_engine_faults.py
@@ -8,7 +8,7 @@
 from deploy.soak import engine_server
 from deploy.soak.engine_server import EngineFault, SoakEngine
 from deploy.soak.oracle import Oracle
-from deploy.soak.settings import MODELS
+from deploy.soak.settings import MODELS, long_body
 from deploy.soak.store_server import StoreServer
 from deploy.soak.zones import COLD_SECONDS
 from notcharch.http.messages import RequestHead
@@ -116,3 +116,13 @@
     assert 0 < engine._cold_milliseconds() <= COLD_SECONDS * 1000
     world.reactor.pump([0.1] * 25)
     assert not engine.is_cold
+
+
+@pytest.mark.parametrize(("pumped", "status"), [(3.9, 0), (4.1, 200)])
+def test_a_long_call_takes_as_long_as_its_body_says(pumped, status, monkeypatch):
+    world = World(EngineFault.NONE, monkeypatch)
+    exchange = Exchange()
+    exchange.body = long_body(4.0)
+    world.engine.handle(exchange)
+    world.reactor.pump([0.1] * round(pumped * 10))
+    assert exchange.status == status
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from deploy.soak.oracle import Asked, Oracle, Run, answer_of, event_of
+from deploy.soak.oracle import (
+    CROSSING_SECONDS,
+    Asked,
+    Oracle,
+    Run,
+    answer_of,
+    event_of,
+)
 from deploy.soak.settings import BUDGET_TOKENS, DRAIN_SECONDS, TOKENS_PER_EVENT
 from deploy.soak.tenants import NEVER_HELD, REVOKE_SECONDS, WINDOW_SECONDS, Tenants
 from deploy.soak.zones import (
@@ -177,14 +184,21 @@
 
 
 @pytest.mark.parametrize(
-    ("is_kept", "runs", "cut"), [(True, 0, 0), (True, 1, 1), (False, 0, 1)]
+    ("is_kept", "runs", "seconds", "cut"),
+    [
+        (True, 0, CROSSING_SECONDS - 0.01, 0),
+        (True, 0, CROSSING_SECONDS + 0.01, 1),
+        (True, 1, 0.1, 1),
+        (False, 0, 0.1, 1),
+    ],
 )
 def test_only_a_request_that_met_the_close_of_a_kept_connection_may_be_unread(
-    is_kept, runs, cut
+    is_kept, runs, seconds, cut
 ):
+    """One that came earlier had arrived when the daemon closed."""
     oracle = Oracle()
     asked = tool(status=0, body=b"", is_whole=False)
-    asked.is_connected, asked.ended_at = True, 1.0
+    asked.is_connected, asked.sent_at, asked.ended_at = True, 1.0, 1.0 + seconds
     asked.is_on_kept_connection = is_kept
     oracle.asked["r"] = asked
     if runs:
@@ -192,6 +206,27 @@
     assert len(oracle.cut()) == cut
 
 
+@pytest.mark.parametrize(("is_told", "cut"), [(True, 0), (False, 1)])
+def test_a_pipelined_request_may_be_unread_after_an_answer_that_told_of_the_close(
+    is_told, cut
+):
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.is_connected, asked.sent_at, asked.ended_at = True, 1.0, 5.0
+    asked.is_on_kept_connection, asked.close_was_told = True, is_told
+    oracle.asked["r"] = asked
+    assert len(oracle.cut()) == cut
+
+
+def test_the_time_of_a_slowly_sent_request_counts_from_its_first_byte():
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.is_connected, asked.is_on_kept_connection = True, True
+    asked.begun_at, asked.sent_at, asked.ended_at = 1.0, 2.9, 3.0
+    oracle.asked["r"] = asked
+    assert len(oracle.cut()) == 1
+
+
 @pytest.mark.parametrize(("extra", "rules"), [(0, []), (1, ["BUDGET"])])
 def test_a_budget_may_be_exceeded_by_one_turn_at_most(extra, rules):
     oracle = Oracle()
--- a/tests/unit/soak/test_processes.py
+++ b/tests/unit/soak/test_processes.py
@@ -121,6 +121,7 @@
     process._began = 0.0
     process._stopped_at, process._is_killed = None, False
     process.is_paused, process._was_paused_in_stop = is_paused, False
+    process._proc = lambda name: ""
     process._seconds = lambda: 10.0
     process.terminate()
     process._seconds = lambda: 10.0 + seconds
