--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -60,6 +60,8 @@
     """Whether daemons listen at ports that outgoing connections may have."""
     slowest_ready_seconds: float
     """The longest time from the end of the last cause until a daemon was ready."""
+    longest_pause_seconds: float
+    """By how much a check of the soak came too late: its store and engines stood still."""
     resumed: int
     """Streams that callers took up again."""
     went_on: int
@@ -143,6 +145,7 @@
             )
         )
         self._is_over = False
+        self._watched_at = self._longest_pause = 0.0
         self._ends_at = 0.0
         self._calm_at = 0.0
 
@@ -172,6 +175,10 @@
 
     def _watch(self) -> None:
         """Start again what ended by itself, as the platform does."""
+        now = self._reactor.seconds()
+        late = now - self._watched_at - WATCH_SECONDS if self._watched_at else 0.0
+        self._longest_pause = max(self._longest_pause, late)
+        self._watched_at = now
         for daemon in self._daemons:
             daemon.measure_memory()
             for end in daemon.take_new_ends():
@@ -249,6 +256,7 @@
             ],
             has_usual_ports=self._has_usual_ports,
             slowest_ready_seconds=round(self._readiness.slowest, 2),
+            longest_pause_seconds=round(self._longest_pause, 2),
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
--- a/deploy/soak/readiness.py
+++ b/deploy/soak/readiness.py
@@ -70,11 +70,13 @@
         late = [v for r in self._recoveries.values() for v in r.violations]
         return late + self.untrue
 
-    def _hear(self, daemon: SoakDaemon, *, is_ready: bool) -> None:
+    def _hear(self, daemon: SoakDaemon, said: str, *, is_ready: bool) -> None:
         misses = 0 if is_ready else self._misses[daemon.name] + 1
         self._misses[daemon.name] = misses
+        recovery = self._recoveries[daemon.name]
+        recovery.last_answer = said
         if is_ready:
-            self._recoveries[daemon.name].heard_ready(self._reactor.seconds())
+            recovery.heard_ready(self._reactor.seconds())
 
     def _check_answer(self, daemon: SoakDaemon, interruptions: int) -> None:
         """Connect as a caller does, just after an answer with 200."""
@@ -123,6 +125,7 @@
         self._interruptions = daemon.interruptions
         self._is_told = False
         self._status = 0
+        self._body = b""
         self._connection: ClientConnection | None = None
 
     def ask(self) -> None:
@@ -145,7 +148,8 @@
             return
         self._is_told = True
         is_ready = self._status == READY
-        self._hear(self._daemon, is_ready=is_ready)
+        said = f"{self._status} {self._body.decode(errors='replace')}".strip()
+        self._hear(self._daemon, said, is_ready=is_ready)
         if is_ready:
             self._check(self._daemon, self._interruptions)
         if self._connection is not None:
@@ -160,7 +164,8 @@
         self._status = head.status
 
     def data_received(self, data: bytes) -> None:
-        """Pass over the body."""
+        """Keep the body: it tells the daemon's state."""
+        self._body += data
 
     def completed(self) -> None:
         """Tell what was answered."""
--- a/deploy/soak/recovery.py
+++ b/deploy/soak/recovery.py
@@ -21,6 +21,8 @@
         self._causes: list[str] = []
         self._is_waiting = True
         self._is_reported = False
+        self.last_answer = ""
+        """To the last probe; 0 stands for none."""
         self.slowest = 0.0
         """The longest time from the end of the last cause until it was ready."""
         self.violations: list[Violation] = []
@@ -35,7 +37,7 @@
         if seconds > RECOVERY_SECONDS + MEASURING_SECONDS and not self._is_reported:
             self._is_reported = True
             after = ", ".join(self._causes) or "its start"
-            what = f"not ready {seconds:.1f} s after: {after}"
+            what = f"not ready {seconds:.1f} s after: {after}; says {self.last_answer}"
             self.violations.append(Violation("RECOVER", self._daemon, what))
 
     def heard_ready(self, now: float) -> None:
