The soak judges refusals: 401 for a key in force, 429 without a limit, 402 with an unspent budget

Cause: the oracle took every 401, 402 and 429 as a sign of a system at work, so a false one would pass; and a request without an end at the end of a soak was judged by nothing.

Change: checks KEY, QUOTA and, in planned soaks, BUDGET; a request whose time is over without an end is cut.

--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -23,6 +23,7 @@
 from deploy.soak.persistent_callers import PersistentCallers
 from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
 from deploy.soak.readiness import Readiness
+from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, SLOW, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
 from deploy.soak.tenants import Tenants
@@ -50,6 +51,8 @@
     faults: int
     calm_served: int
     calm_requests: int
+    calm_unserved: dict[str, int]
+    """What came of the others in the calm."""
     own_ends: list[ProcessEnd]
     ended_before_program_ms: list[int]
     """When a SIGHUP ended a process before its first statement, in ms since the spawn.
@@ -232,7 +235,19 @@
         if not self._size.is_planned_only:
             return []
         oracle = self.oracle
-        return oracle.cut() + oracle.in_drained_zones() + oracle.at_leaving_engines()
+        return (
+            oracle.cut(self._reactor.seconds())
+            + oracle.in_drained_zones()
+            + oracle.at_leaving_engines()
+            + false_budget_refusals(oracle.asked.values(), oracle.runs, oracle.lengths)
+        )
+
+    def _false_refusals(self) -> list[Violation]:
+        return false_refusals(
+            self.oracle.asked.values(),
+            self._tenants,
+            in_contact=self._size.is_planned_only,
+        )
 
     def report(self) -> SoakReport:
         """Check all observations."""
@@ -248,6 +263,7 @@
             faults=len(self.faults.steps),
             calm_served=served,
             calm_requests=asked,
+            calm_unserved=self.oracle.unserved_since(self._calm_at),
             own_ends=[end for end in ends if end.kind is EndKind.OWN],
             ended_before_program_ms=[
                 end.reloaded_before_program_ms or 0
@@ -264,6 +280,7 @@
                 self.oracle.violations()
                 + self._in_contact()
                 + self._readiness.violations()
+                + self._false_refusals()
                 + self._refused_appends()
                 + self._faults_of_daemons()
             ),
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -8,8 +8,12 @@
 from deploy.soak.deadly import DeadlyEnds, RequestKey, Try
 from deploy.soak.settings import (
     BUDGET_TOKENS,
+    CALL_SECONDS,
     DRAIN_SECONDS,
     HOME_PATH,
+    LONG_CALL_SECONDS,
+    LONG_PATH,
+    LONG_STREAM_PATH,
     MOST_TOKENS,
     TOKENS_PER_EVENT,
     VERSIONS,
@@ -29,6 +33,8 @@
 CROSSING_SECONDS = 0.25
 """A request that was sent earlier than this before the close of its connection had arrived
 at the daemon."""
+ANSWER_SLACK_SECONDS = 1.0
+"""A request without an answer for so long beyond its time is lost."""
 AS_IT_SHOULD_BE = (OK, 401, 402, 429)
 """Answers that show a system at work: served, or refused for the caller's key, budget or
 limit."""
@@ -139,6 +145,13 @@
     )
 
 
+def _is_overdue(asked: Asked, now: float | None) -> bool:
+    """Return whether the time of a request is over."""
+    is_long = asked.path.startswith((LONG_PATH, LONG_STREAM_PATH))
+    seconds = LONG_CALL_SECONDS if is_long else CALL_SECONDS
+    return now is not None and now - asked.sent_at > seconds + ANSWER_SLACK_SECONDS
+
+
 class Oracle:
     """Collects what was seen; says at the end what was wrong."""
 
@@ -338,20 +351,24 @@
             if program and tokens > allowed
         ]
 
-    def cut(self) -> list[Violation]:
-        """Give the requests that a daemon took and did not answer whole."""
+    def cut(self, now: float | None = None) -> list[Violation]:
+        """Give the requests that a daemon took and did not answer whole.
+
+        Those without an end at `now` count when their time is over.
+        """
         return [
             Violation("LOST", asked.id, self._describe_cut(asked))
             for asked in self.asked.values()
-            if asked.is_connected and asked.ended_at and not asked.is_whole
+            if asked.is_connected and not asked.is_whole
+            if asked.ended_at or _is_overdue(asked, now)
             if not asked.lost_by_caller and not self._crossed_a_close(asked)
         ]
 
     def _describe_cut(self, asked: Asked) -> str:
         kind = "kept" if asked.is_on_kept_connection else "new"
-        seconds = asked.ended_at - asked.sent_at
+        seconds = asked.ended_at - asked.sent_at if asked.ended_at else 0.0
         return (
-            f"cut at {asked.daemon}, {kind} connection, status {asked.status}, "
+            f"{'cut' if asked.ended_at else 'never answered'} at {asked.daemon}, {kind} connection, status {asked.status}, "
             f"{len(asked.events)} events, {len(self.runs.get(asked.id, ()))} runs, "
             f"{asked.path}, {seconds:.2f} s after it was sent at {asked.sent_at:.2f}"
         )
@@ -362,11 +379,26 @@
         That is allowed: nobody read it. Its caller knew of the close by an answer before
         it, or the close of a connection at rest was on its way.
         """
-        if asked.status or asked.id in self.runs or not asked.is_on_kept_connection:
+        if asked.status or not asked.ended_at:
+            return False
+        if asked.id in self.runs or not asked.is_on_kept_connection:
             return False
         seconds = asked.ended_at - (asked.begun_at or asked.sent_at)
         return asked.close_was_told or seconds <= CROSSING_SECONDS
 
+    def unserved_since(self, at: float) -> dict[str, int]:
+        """Count the other requests since a time by what came of them."""
+        counts: dict[str, int] = defaultdict(int)
+        for a in self.asked.values():
+            if a.at < at or not a.ended_at or a.lost_by_caller:
+                continue
+            if a.is_whole and a.status in AS_IT_SHOULD_BE:
+                continue
+            reached = f"status {a.status}" if a.is_connected else "not connected"
+            whole = "" if a.is_whole or not a.is_connected else ", cut"
+            counts[f"{a.path} at {a.daemon}: {reached}{whole}"] += 1
+        return dict(counts)
+
     def served_since(self, at: float) -> tuple[int, int]:
         """Give how many requests were answered by engines, and asked, since a time."""
         asked = [
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -356,3 +356,41 @@
     oracle.left["i"] = 5.0
     oracle.runs["r"] = [run(at=5.0 + DRAIN_SECONDS + late), run(engine="j", at=99.0)]
     assert [found.rule for found in oracle.at_leaving_engines()] == rules
+
+
+@pytest.mark.parametrize(
+    ("path", "seconds", "cut"),
+    [
+        ("/write/x", 3.9, 0),
+        ("/write/x", 4.1, 1),
+        ("/long/x", 9.9, 0),
+        ("/long/x", 10.1, 1),
+    ],
+)
+def test_a_request_whose_answer_never_came_is_cut_when_its_time_is_over(
+    path, seconds, cut
+):
+    """It has no end when the soak ends, and would be judged by nothing."""
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.path, asked.is_connected, asked.sent_at = path, True, 1.0
+    oracle.asked["r"] = asked
+    assert len(oracle.cut(1.0 + seconds)) == cut
+    assert oracle.cut() == []
+
+
+def test_what_was_not_served_in_the_calm_is_counted_by_its_outcome():
+    oracle = Oracle()
+    for number, (status, is_connected, is_whole) in enumerate(
+        [(200, True, True), (503, True, True), (0, True, False), (0, False, False)]
+    ):
+        asked = tool(f"r{number}", status=status, is_whole=is_whole)
+        asked.at = asked.ended_at = 2.0
+        asked.is_connected, asked.daemon = is_connected, "d0"
+        oracle.asked[asked.id] = asked
+    assert oracle.unserved_since(1.0) == {
+        "/write/x at d0: status 503": 1,
+        "/write/x at d0: status 0, cut": 1,
+        "/write/x at d0: not connected": 1,
+    }
+    assert oracle.unserved_since(3.0) == {}
