The soak tells how long its processes waited for a processor

Change: the kernel's count of the time for which each daemon and the soak itself were able to run and waited (/proc/PID/schedstat) is sampled each 0.1 s; waits from 0.25 s on are in the report with their times.

--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -1,6 +1,7 @@
 """Runs one soak: faults for a while, calm, then the verdict."""
 
 import argparse
+import os
 import sys
 import tempfile
 from pathlib import Path
@@ -22,6 +23,7 @@
 from deploy.soak.oracle import Oracle, Violation
 from deploy.soak.persistent_callers import PersistentCallers
 from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
+from deploy.soak.processor_waits import ProcessorWait, ProcessorWaits, read_waited
 from deploy.soak.readiness import Readiness
 from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, SLOW, TOOLS, SoakSize
@@ -65,6 +67,8 @@
     """The longest time from the end of the last cause until a daemon was ready."""
     longest_pause_seconds: float
     """By how much a check of the soak came too late: its store and engines stood still."""
+    processor_waits: list[ProcessorWait]
+    """Waits for a processor: the machine had too few."""
     resumed: int
     """Streams that callers took up again."""
     went_on: int
@@ -149,6 +153,7 @@
         )
         self._is_over = False
         self._watched_at = self._longest_pause = 0.0
+        self._waits = ProcessorWaits()
         self._ends_at = 0.0
         self._calm_at = 0.0
 
@@ -182,6 +187,7 @@
         late = now - self._watched_at - WATCH_SECONDS if self._watched_at else 0.0
         self._longest_pause = max(self._longest_pause, late)
         self._watched_at = now
+        self._sample_processor_waits(now)
         for daemon in self._daemons:
             daemon.measure_memory()
             for end in daemon.take_new_ends():
@@ -190,6 +196,12 @@
         if not self._is_over:
             self._reactor.callLater(WATCH_SECONDS, self._watch)
 
+    def _sample_processor_waits(self, now: float) -> None:
+        pids = {daemon.name: daemon.process_id for daemon in self._daemons}
+        for name, pid in (pids | {"soak": os.getpid()}).items():
+            if pid:
+                self._waits.sample(name, pid, read_waited(pid), now)
+
     def _note_end(self, daemon: SoakDaemon, end: ProcessEnd) -> None:
         if end.kind is not EndKind.ASKED:
             self.faults.note(
@@ -272,6 +284,7 @@
             ],
             has_usual_ports=self._has_usual_ports,
             slowest_ready_seconds=round(self._readiness.slowest, 2),
+            processor_waits=self._waits.all,
             longest_pause_seconds=round(self._longest_pause, 2),
             resumed=resumed,
             went_on=went_on,
--- /dev/null
+++ b/deploy/soak/processor_waits.py
@@ -0,0 +1,50 @@
+"""How long processes that were able to run waited for a processor, as the kernel counts it.
+
+A call that is cut beside such a wait may be the machine's doing; one without it is not.
+"""
+
+from pathlib import Path
+
+import msgspec
+
+LEAST_SECONDS = 0.25
+"""Shorter waits are not told."""
+NANOSECONDS = 1e9
+
+
+class ProcessorWait(msgspec.Struct, frozen=True):
+    """One wait of one process."""
+
+    process: str
+    ended_at: float
+    seconds: float
+
+
+def waited_seconds(schedstat: str) -> float:
+    """Return the whole time of waiting, by the text of /proc/PID/schedstat."""
+    fields = schedstat.split()
+    return int(fields[1]) / NANOSECONDS if len(fields) > 1 else 0.0
+
+
+def read_waited(pid: int) -> float:
+    """Return the whole time for which a process waited; 0 if it has ended."""
+    try:
+        return waited_seconds(Path(f"/proc/{pid}/schedstat").read_text())
+    except OSError:
+        return 0.0
+
+
+class ProcessorWaits:
+    """The waits of all processes, from samples of what the kernel counts."""
+
+    def __init__(self) -> None:
+        """Begin without samples."""
+        self._waited: dict[int, float] = {}
+        self.all: list[ProcessorWait] = []
+
+    def sample(self, process: str, pid: int, waited: float, now: float) -> None:
+        """Note how long a process has waited since its start."""
+        seconds = waited - self._waited.get(pid, waited)
+        self._waited[pid] = waited
+        if seconds >= LEAST_SECONDS:
+            self.all.append(ProcessorWait(process, round(now, 2), round(seconds, 2)))
--- /dev/null
+++ b/tests/unit/soak/test_processor_waits.py
@@ -0,0 +1,29 @@
+"""Waits for a processor are told from what the kernel counts."""
+
+import os
+
+from deploy.soak.processor_waits import ProcessorWaits, read_waited, waited_seconds
+
+
+def test_the_kernel_counts_in_nanoseconds():
+    assert waited_seconds("100 2500000000 7\n") == 2.5
+    assert waited_seconds("") == 0.0
+    assert read_waited(os.getpid()) >= 0.0
+
+
+def test_only_long_waits_between_two_samples_are_told():
+    waits = ProcessorWaits()
+    waits.sample("d0", 1, 5.0, 10.0)
+    waits.sample("d0", 1, 5.2, 10.1)
+    assert waits.all == []
+    waits.sample("d0", 1, 7.2, 12.1)
+    assert [(w.process, w.ended_at, w.seconds) for w in waits.all] == [
+        ("d0", 12.1, 2.0)
+    ]
+
+
+def test_the_next_process_of_a_daemon_counts_from_its_first_sample():
+    waits = ProcessorWaits()
+    waits.sample("d0", 1, 5.0, 10.0)
+    waits.sample("d0", 2, 9.0, 10.1)
+    assert waits.all == []
