--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -15,7 +15,8 @@
 from deploy.soak.deadly import DEADLY_TRIES, draw_deadly
 from deploy.soak.kept_connections import KeptConnections
 from deploy.soak.large_turns import LargeTurns, WholeTurn
-from deploy.soak.oracle import OK, Asked, Oracle
+from deploy.soak.observations import OK, Asked
+from deploy.soak.oracle import Oracle
 from deploy.soak.settings import (
     BUDGET_TOKENS,
     CALL_SECONDS,
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -20,12 +20,14 @@
 from deploy.soak.faults import Faults
 from deploy.soak.large_turns import LargeTurns
 from deploy.soak.link_proxy import LinkProxy
-from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.observations import Violation
+from deploy.soak.oracle import Oracle
 from deploy.soak.persistent_callers import PersistentCallers
 from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
-from deploy.soak.processor_waits import ProcessorWait, ProcessorWaits, read_waited
+from deploy.soak.processor_waits import ProcessorWaits, read_waited
 from deploy.soak.readiness import Readiness
 from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
+from deploy.soak.report import SoakReport
 from deploy.soak.settings import HOST, MODELS, PARTITIONS, SLOW, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
 from deploy.soak.tenants import Tenants
@@ -35,65 +37,12 @@
 LEAST_PAUSE_SECONDS = 0.3
 MOST_PAUSE_SECONDS = 2.5
 WATCH_SECONDS = 0.1
-RECOVERED_SHARE = 0.9
-"""Of the requests in the second half of the calm."""
 LAST_ANSWERS_SECONDS = 5.0
 USUAL_PORTS_SHARE = 0.5
 """Of the runs whose daemons get ports of the kernel's range of outgoing connections."""
 DONE, BROKEN = 0, 1
 
 
-class SoakReport(msgspec.Struct, frozen=True):
-    """What a soak saw."""
-
-    seed: int
-    requests: int
-    served: int
-    runs: int
-    faults: int
-    calm_served: int
-    calm_requests: int
-    calm_unserved: dict[str, int]
-    """What came of the others in the calm."""
-    own_ends: list[ProcessEnd]
-    ended_before_program_ms: list[int]
-    """When a SIGHUP ended a process before its first statement, in ms since the spawn.
-
-    A known limit: nothing of the program runs by then.
-    """
-    has_usual_ports: bool
-    """Whether daemons listen at ports that outgoing connections may have."""
-    slowest_ready_seconds: float
-    """The longest time from the end of the last cause until a daemon was ready."""
-    longest_pause_seconds: float
-    """By how much a check of the soak came too late: its store and engines stood still."""
-    processor_waits: list[ProcessorWait]
-    """Waits for a processor: the machine had too few."""
-    resumed: int
-    """Streams that callers took up again."""
-    went_on: int
-    """Those of them that brought an event."""
-    ended_under: list[int]
-    """How many engines ended under each deadly request."""
-    violations: list[Violation]
-
-    @property
-    def is_clean(self) -> bool:
-        """Whether every promise held and the system recovered."""
-        share = self.calm_served / max(self.calm_requests, 1)
-        return not self.violations and not self.own_ends and share >= RECOVERED_SHARE
-
-    @property
-    def verdict(self) -> str:
-        """Return the outcome in words."""
-        if not self.is_clean:
-            return "broken"
-        if self.ended_before_program_ms:
-            count = len(self.ended_before_program_ms)
-            return f"kept, but for a known limit: {count} ends before the program"
-        return "clean"
-
-
 class Soak:
     """One soak in a folder of its own."""
 
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -10,7 +10,8 @@
 
 from deploy.soak.deadly import DeadlyKind, RequestKey, deadly_kind
 from deploy.soak.link_proxy import LinkFault, LinkProxy
-from deploy.soak.oracle import Oracle, Run, answer_of, event_of
+from deploy.soak.observations import Run, answer_of, event_of
+from deploy.soak.oracle import Oracle
 from deploy.soak.settings import (
     HOST,
     KEPT_PATH,
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -17,7 +17,8 @@
 from twisted.python.failure import Failure
 
 from deploy.soak.daemons import SoakDaemon
-from deploy.soak.oracle import OK, Asked, Oracle
+from deploy.soak.observations import OK, Asked
+from deploy.soak.oracle import Oracle
 from deploy.soak.settings import (
     CALL_SECONDS,
     HOST,
--- a/deploy/soak/readiness.py
+++ b/deploy/soak/readiness.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from deploy.soak.daemons import SoakDaemon
-from deploy.soak.oracle import Violation
+from deploy.soak.observations import Violation
 from deploy.soak.ports import ports_of_connections
 from deploy.soak.recovery import ReadyAnswer, Recovery, judge_ready_answer
 from deploy.soak.settings import HOST, HOST_NAME
--- a/deploy/soak/recovery.py
+++ b/deploy/soak/recovery.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from deploy.soak.oracle import Violation
+from deploy.soak.observations import Violation
 
 RECOVERY_SECONDS = 12.0
 """`bounds.recovery_s` of the platform."""
--- a/deploy/soak/refusal_checks.py
+++ b/deploy/soak/refusal_checks.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
-from deploy.soak.oracle import Asked, Run, Violation
+from deploy.soak.observations import Asked, Run, Violation
 from deploy.soak.settings import BUDGET_TOKENS, MOST_TOKENS, TOKENS_PER_EVENT
 from deploy.soak.tenants import LEARN_SECONDS, Tenants
 
--- a/tests/unit/soak/test_deadly.py
+++ b/tests/unit/soak/test_deadly.py
@@ -12,7 +12,8 @@
     Try,
     deadly_kind,
 )
-from deploy.soak.oracle import Asked, Oracle
+from deploy.soak.observations import Asked
+from deploy.soak.oracle import Oracle
 
 KEY = RequestKey("a", "/plain/x", b"x " + DeadlyKind.BEFORE_HEAD.value)
 OTHER = RequestKey("b", "/plain/x", KEY.body)
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -7,7 +7,8 @@
 from deploy.soak.engine_server import EVENT_SECONDS, WORK_SECONDS, SoakEngine
 from deploy.soak.fault_targets import FaultTargets
 from deploy.soak.faults import Faults
-from deploy.soak.oracle import Oracle, version_of
+from deploy.soak.observations import version_of
+from deploy.soak.oracle import Oracle
 from deploy.soak.settings import MODELS
 from deploy.soak.store_server import StoreServer
 from deploy.soak.zones import Drains
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -4,14 +4,8 @@
 
 import pytest
 
-from deploy.soak.oracle import (
-    CROSSING_SECONDS,
-    Asked,
-    Oracle,
-    Run,
-    answer_of,
-    event_of,
-)
+from deploy.soak.observations import Asked, Run, answer_of, event_of
+from deploy.soak.oracle import CROSSING_SECONDS, Oracle
 from deploy.soak.settings import BUDGET_TOKENS, DRAIN_SECONDS, TOKENS_PER_EVENT
 from deploy.soak.tenants import NEVER_HELD, REVOKE_SECONDS, WINDOW_SECONDS, Tenants
 from deploy.soak.zones import (
--- a/tests/unit/soak/test_persistent_callers.py
+++ b/tests/unit/soak/test_persistent_callers.py
@@ -5,7 +5,8 @@
 import pytest
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from deploy.soak.oracle import Asked, Oracle, answer_of
+from deploy.soak.observations import Asked, answer_of
+from deploy.soak.oracle import Oracle
 from deploy.soak.persistent_callers import (
     LONG_PATHS,
     Manner,
--- a/tests/unit/soak/test_refusal_checks.py
+++ b/tests/unit/soak/test_refusal_checks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from deploy.soak.oracle import Asked, Run
+from deploy.soak.observations import Asked, Run
 from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
 from deploy.soak.settings import BUDGET_TOKENS, MOST_EVENTS, MOST_TOKENS
 from deploy.soak.tenants import LEARN_SECONDS, NEVER_HELD, Tenants
--- a/tests/unit/soak/test_unframed.py
+++ b/tests/unit/soak/test_unframed.py
@@ -10,7 +10,8 @@
 from deploy.soak import engine_server
 from deploy.soak.engine_server import EngineFault, SoakEngine
 from deploy.soak.link_proxy import DELAY_SECONDS, LinkFault, LinkProxy, Side
-from deploy.soak.oracle import Oracle, answer_of
+from deploy.soak.observations import answer_of
+from deploy.soak.oracle import Oracle
 from deploy.soak.settings import MODELS
 from deploy.soak.store_server import StoreServer
 from deploy.soak.unframed import Break, EarlyEnd
