--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -138,7 +138,7 @@
         self._watched_at = now
         self._sample_processor_waits(now)
         for daemon in self._daemons:
-            daemon.measure_memory()
+            daemon.look()
             for end in daemon.take_new_ends():
                 self._note_end(daemon, end)
         self._readiness.observe()
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -157,11 +157,11 @@
         else:
             self._former.remove(process)
 
-    def measure_memory(self) -> None:
-        """Note the peaks of the memory of its processes."""
+    def look(self) -> None:
+        """Note what the kernel tells of its processes, and the peaks of their memory."""
         for process in (*self._former, self._process):
             if process is not None:
-                peak = process.peak_megabytes()
+                peak = process.look()
                 self.peak_megabytes = max(self.peak_megabytes, peak)
 
     def logged_exceptions(self) -> int:
--- a/deploy/soak/process.py
+++ b/deploy/soak/process.py
@@ -60,6 +60,8 @@
                 stderr=output,
             )
         self._stopped_at: float | None = None
+        self._had_program = False
+        """Whether SIGHUP was seen not to end it."""
         self._stop_met_default = False
         self._is_killed = False
         self._reload_before_program_ms: int | None = None
@@ -93,9 +95,12 @@
     def _has_default_action(self, number: signal.Signals) -> bool:
         return self.is_running and has_default_action(self._proc("status"), number)
 
-    def peak_megabytes(self) -> int:
-        """Return the peak of its memory; 0 if it has ended."""
-        for line in self._proc("status").splitlines():
+    def look(self) -> int:
+        """Look whether its program runs; return the peak of its memory in megabytes."""
+        status = self._proc("status")
+        if status and not has_default_action(status, signal.SIGHUP):
+            self._had_program = True
+        for line in status.splitlines():
             if line.startswith("VmHWM"):
                 return int(line.split()[1]) // 1024
         return 0
@@ -131,7 +136,8 @@
 
     def reload(self) -> None:
         """Tell it that its settings changed."""
-        if self._has_default_action(signal.SIGHUP):
+        is_before_program = not (self._had_program or self.is_stopping)
+        if is_before_program and self._has_default_action(signal.SIGHUP):
             self._reload_before_program_ms = round(self._seconds() * MILLISECONDS)
         self._signal(signal.SIGHUP)
 
--- a/tests/unit/soak/test_processes.py
+++ b/tests/unit/soak/test_processes.py
@@ -176,3 +176,36 @@
 def test_what_keeps_a_daemon_from_being_ready(daemon, change, cause):
     change(daemon)
     assert daemon.causes(set()) == [cause]
+
+
+DEFAULT = "SigIgn:\t0000000000001000\nSigCgt:\t0000000000000000\nVmHWM:\t2048 kB\n"
+HANDLED = DEFAULT.replace("SigCgt:\t0000000000000000", "SigCgt:\t0000000000000001")
+
+
+def started(*seen: str) -> DaemonProcess:
+    """Return a process that was looked at with each status."""
+    process = slept(0.0)
+    process._stopped_at = None
+    process._reload_before_program_ms = None
+    process._had_program = False
+    process._proc = lambda name: DEFAULT
+    for status in seen:
+        process._proc = lambda name, status=status: status
+        assert process.look() == 2
+    return process
+
+
+def test_a_reload_signal_meets_the_default_action_before_the_program():
+    process = started()
+    process.reload()
+    assert process._reload_before_program_ms == 10_000
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_at_the_exit_of_the_interpreter_it_is_no_longer_before_the_program(is_stopping):
+    """Python's finalization puts back the default action; the program had run."""
+    process = started() if is_stopping else started(DEFAULT, HANDLED, DEFAULT)
+    if is_stopping:
+        process.terminate()
+    process.reload()
+    assert process._reload_before_program_ms is None
