--- a/tests/unit/platform/test_taken_ports.py
+++ b/tests/unit/platform/test_taken_ports.py
@@ -1,9 +1,7 @@
 """A daemon whose ports are held by another process waits for them or does without."""
 
 import errno
-import os
 
-import eliot
 import pytest
 from twisted.internet.error import CannotListenError
 from twisted.internet.testing import MemoryReactorClock
@@ -39,11 +37,7 @@
 
 
 @pytest.fixture
-def start(monkeypatch):
-    monkeypatch.setattr(os, "set_blocking", lambda *_: None)
-    added = []
-    monkeypatch.setattr(eliot, "add_destinations", added.append)
-
+def start():
     def start(reactor) -> Process:
         settings = read_settings(TEXT).ok_value
         process = Process(settings, reactor, METRICS, ALL_MECHANISMS)
