Soak: settings cut in a line for up to 0.6 s may look valid

Only the missing end of the last line tells a daemon that the file is being written; until now each cut of the soak left a required field out.

--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -267,6 +267,8 @@
         }
         return [cause for cause, is_present in found.items() if is_present]
 
-    def spoil_settings(self, fault: SettingsFault, random: Random) -> None:
-        """Leave its settings file unfinished."""
-        self.settings.spoil(fault, random)
+    def spoil_settings(
+        self, fault: SettingsFault, random: Random, seconds: float
+    ) -> None:
+        """Leave its settings file unfinished for so many seconds."""
+        self.settings.spoil(fault, random, seconds)
--- a/deploy/soak/settings_file.py
+++ b/deploy/soak/settings_file.py
@@ -8,6 +8,8 @@
 
 from notcharch.platform.settings import read_settings
 
+LEAST_SECONDS, MOST_SECONDS = 0.1, 2.0
+"""How long settings are unfinished."""
 INVALID_VALUES = {
     "listen_addresses.front": ("127.0.0.1:", "127.0.0.1:port", ""),
     "platform.address": ("", "127.0.0.1"),
@@ -28,10 +30,17 @@
     INVALID = "invalid"
 
 
-def spoiled(text: str, fault: SettingsFault, random: Random) -> str | None:
-    """Return an unfinished text, of which settings can't be made; None for no file.
+SHORT_SECONDS = 0.6
+"""A daemon waits for longer than this for the end of a line that is cut."""
 
-    A cut that leaves valid settings can't be told from a whole file, so none is drawn.
+
+def spoiled(
+    text: str, fault: SettingsFault, random: Random, seconds: float = MOST_SECONDS
+) -> str | None:
+    """Return an unfinished text for so many seconds; None for no file.
+
+    A cut that leaves valid settings can't be told from a whole file, so it is drawn only
+    if it is in a line, and short.
     """
     if fault is SettingsFault.MISSING:
         return None
@@ -43,8 +52,11 @@
     cuts = [
         text[:place]
         for place in range(1, len(text))
-        if (text[place - 1] != "\n") is is_in_line
+        if ("\n" not in text[place - 1 : place + 1]) is is_in_line
+        if is_in_line or text[place - 1] == "\n"
     ]
+    if is_in_line and seconds <= SHORT_SECONDS:
+        return random.choice(cuts)
     return random.choice([cut for cut in cuts if isinstance(read_settings(cut), Err)])
 
 
@@ -72,10 +84,10 @@
         self.fault = None
         self.path.write_text(self.text)
 
-    def spoil(self, fault: SettingsFault, random: Random) -> None:
-        """Leave it unfinished."""
+    def spoil(self, fault: SettingsFault, random: Random, seconds: float) -> None:
+        """Leave it unfinished; it is to be written whole after so many seconds."""
         self.fault = fault
-        text = spoiled(self.text, fault, random)
+        text = spoiled(self.text, fault, random, seconds)
         if text is None:
             self.path.unlink(missing_ok=True)
         else:
--- a/deploy/soak/start_faults.py
+++ b/deploy/soak/start_faults.py
@@ -7,7 +7,7 @@
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.fault_targets import FaultKinds, FaultTargets, Strike
 from deploy.soak.ports import HoldKind
-from deploy.soak.settings_file import SettingsFault
+from deploy.soak.settings_file import LEAST_SECONDS, MOST_SECONDS, SettingsFault
 
 LEAST_HOLD_SECONDS, MOST_HOLD_SECONDS = 0.3, 4.0
 MOST_HEAD_START_SECONDS = 0.5
@@ -16,8 +16,6 @@
 """Between SIGTERM and the start of the next process."""
 EARLY_SECONDS = 0.1
 """Signals after a start come within this time."""
-LEAST_LATE_SECONDS, MOST_LATE_SECONDS = 0.1, 2.0
-"""How long settings are unfinished."""
 
 
 class EarlySignal(enum.Enum):
@@ -189,7 +187,6 @@
         return f"reload {daemon.name}, its settings {fault.value} for {seconds:.2f} s"
 
     def _spoil(self, daemon: SoakDaemon, fault: SettingsFault) -> float:
-        daemon.spoil_settings(fault, self._random)
-        return self._later(
-            LEAST_LATE_SECONDS, MOST_LATE_SECONDS, daemon.settings.write_whole
-        )
+        seconds = self._random.uniform(LEAST_SECONDS, MOST_SECONDS)
+        daemon.spoil_settings(fault, self._random, seconds)
+        return self._later(seconds, seconds, daemon.settings.write_whole)
--- a/tests/unit/soak/test_processes.py
+++ b/tests/unit/soak/test_processes.py
@@ -166,7 +166,7 @@
 @pytest.mark.parametrize(
     ("change", "cause"),
     [
-        (lambda d: d.spoil_settings(SettingsFault.EMPTY, None), "its settings"),
+        (lambda d: d.spoil_settings(SettingsFault.EMPTY, None, 1.0), "its settings"),
         (lambda d: setattr(d._process, "is_paused", True), "paused"),
         (lambda d: d.terminate(), "stopping"),
         (lambda d: setattr(d._process, "status", 0), "no process"),
--- a/tests/unit/soak/test_start_faults.py
+++ b/tests/unit/soak/test_start_faults.py
@@ -10,12 +10,11 @@
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.fault_targets import FaultTargets
 from deploy.soak.faults import Faults
-from deploy.soak.settings_file import SettingsFault
+from deploy.soak.settings_file import MOST_SECONDS, SettingsFault
 from deploy.soak.start_faults import (
     EARLY_SECONDS,
     LEAST_HOLD_SECONDS,
     MOST_HOLD_SECONDS,
-    MOST_LATE_SECONDS,
     EarlySignal,
     StartFaults,
 )
@@ -101,7 +100,7 @@
     def release(self, hold):
         self.released.append((hold.port, self._reactor.seconds() - hold.at))
 
-    def spoil_settings(self, fault, random):
+    def spoil_settings(self, fault, random, seconds):
         self.fault = fault
         self._note("spoil")
 
@@ -226,7 +225,7 @@
         while daemon.fault is None:
             scene.run(0.01)
         faults.add(daemon.fault)
-        scene.run(MOST_LATE_SECONDS + 0.1)
+        scene.run(MOST_SECONDS + 0.1)
         assert daemon.names()[1:] == ["spoil", "start", "write"]
         assert daemon.fault is None
     assert faults == set(SettingsFault)
@@ -236,7 +235,7 @@
     scene = Scene()
     scene.faults.reload_late_settings()
     assert scene.daemons[0].names() == ["spoil", "HUP"]
-    scene.run(MOST_LATE_SECONDS + 0.1)
+    scene.run(MOST_SECONDS + 0.1)
     assert scene.daemons[0].names() == ["spoil", "HUP", "write"]
 
 
@@ -268,7 +267,7 @@
     daemon = SoakDaemon("d0", tmp_path, Link())
     held = daemon.hold(daemon.front, start_faults.HoldKind.LISTENING)
     assert daemon.front_leads_to_the_soak
-    daemon.spoil_settings(SettingsFault.EMPTY, Random(1))
+    daemon.spoil_settings(SettingsFault.EMPTY, Random(1), 1.0)
     daemon.release_ports()
     daemon.settings.write_whole()
     assert held not in daemon.holds
