--- a/deploy/soak/observations.py
+++ b/deploy/soak/observations.py
@@ -46,6 +46,8 @@
     """The last event that the caller had before."""
     is_on_kept_connection: bool = False
     """Whether it was sent on a connection that had served another request."""
+    manner: str = "alone"
+    """How it was sent or its answer read."""
     close_was_told: bool = False
     """Whether an answer before it said that its connection will be closed."""
     ends_inside_event: bool = False
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -275,10 +275,13 @@
     def _describe_cut(self, asked: Asked) -> str:
         kind = "kept" if asked.is_on_kept_connection else "new"
         seconds = asked.ended_at - asked.sent_at if asked.ended_at else 0.0
+        sending = asked.sent_at - asked.begun_at if asked.begun_at else 0.0
+        told = ", told of the close" if asked.close_was_told else ""
         return (
             f"{'cut' if asked.ended_at else 'never answered'} at {asked.daemon}, {kind} connection, status {asked.status}, "
             f"{len(asked.events)} events, {len(self.runs.get(asked.id, ()))} runs, "
-            f"{asked.path}, {seconds:.2f} s after it was sent at {asked.sent_at:.2f}"
+            f"{asked.path}, {asked.manner}, {seconds:.2f} s after it was sent "
+            f"at {asked.sent_at:.2f} in {sending:.2f} s{told}"
         )
 
     def _crossed_a_close(self, asked: Asked) -> bool:
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -262,6 +262,7 @@
             count = self._random.randint(2, MOST_PIPELINED)
         pending = [self._new_request(daemon) for _ in range(count)]
         for one in pending:
+            one.asked.manner = manner.value
             connection.add(one)
         data = b"".join(one.data for one in pending)
         if manner is Manner.SLOWLY_SENT:
