--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -119,15 +119,15 @@
         """Start the daemons, then callers and faults."""
         for daemon in self._daemons:
             daemon.start()
+        self._readiness.start()
+        self._watch()
         self._reactor.callLater(START_SECONDS, self._begin)
 
     def _begin(self) -> None:
         self._ends_at = self._reactor.seconds() + self._size.seconds
-        self._readiness.start()
         self._callers.start(self._size.programs)
         self._persistent.start(self._size.persistent)
         self._callers.sends_deadly = not self._size.is_planned_only
-        self._watch()
         self._next_fault()
 
     def _watch(self) -> None:
