--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
 
+from deploy.soak.answers import RETRY_SECONDS, Answer
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.deadly import DEADLY_TRIES, draw_deadly
 from deploy.soak.kept_connections import KeptConnections
@@ -30,13 +31,11 @@
     WRITE_PATH,
 )
 from deploy.soak.tenants import SoakTenant, Tenants
-from notcharch.calls.event_stream import EventFramer, data_lines
-from notcharch.http.client import ClientConnection, ResponseFailure
-from notcharch.http.messages import Headers, RequestHead, ResponseHead
+from notcharch.http.client import ClientConnection
+from notcharch.http.messages import Headers, RequestHead
 
 CONNECT_SECONDS = 1.0
 TRIES = 3
-RETRY_SECONDS = 0.15
 MOST_WAIT_SECONDS = CALL_SECONDS / 3
 """Callers come back within a third of their time, whatever they are told."""
 PAUSE_SECONDS = 0.1
@@ -45,73 +44,10 @@
 SLOW_READER_SECONDS = 0.5
 LOST_CONNECTION_SHARE = 0.2
 """Share of the streams whose connection is lost at the caller's side."""
-REQUEST_ID = b"x-notcharch-request-id"
 COMING_BACK = (429, 503)
 GIVEN_UP = (400, 401, 402, 404)
 
 
-class Answer:
-    """Records one answer for the oracle; a `ResponseListener`."""
-
-    def __init__(self, reactor: Any, asked: Asked) -> None:
-        """Wait for an answer."""
-        self._reactor = reactor
-        self._asked = asked
-        self._framer = EventFramer()
-        self.retry_after = RETRY_SECONDS
-        self.lose_connection: Callable[[], None] | None = None
-        """Called after the first events, if the connection is to be lost then."""
-        self.done: Deferred[None] = Deferred()
-
-    def is_response(self, head: ResponseHead) -> bool:
-        """Take every answer: one of another request is a finding."""
-        return True
-
-    def head_received(self, head: ResponseHead) -> None:
-        """Note the status and whose answer it is."""
-        self._asked.status = head.status
-        self._asked.answered_id = (head.get(REQUEST_ID) or b"").decode()
-        told = head.get(b"retry-after")
-        if told is not None:
-            self.retry_after = float(told)
-
-    def data_received(self, data: bytes) -> None:
-        """Note events or the body."""
-        if not self._asked.is_stream or self._asked.status != OK:
-            self._asked.body += data
-            return
-        whole = self._framer.feed(data)
-        for line in data_lines(whole).splitlines():
-            self._asked.events.append(line)
-        if self._asked.events and self.lose_connection is not None:
-            self.lose_connection()
-
-    def completed(self) -> None:
-        """Note that the answer is whole."""
-        self._asked.is_whole = True
-        self._asked.ends_inside_event = self._framer.is_inside_event
-        self._over()
-
-    def failed(self, failure: ResponseFailure) -> None:
-        """Note that the answer broke off."""
-        self._over()
-
-    def lose(self, connection: ClientConnection) -> None:
-        """Lose the connection at the caller's side."""
-        self._asked.lost_by_caller = True
-        self.give_up(connection)
-
-    def give_up(self, connection: ClientConnection) -> None:
-        """Leave: nothing came in time."""
-        connection.abandon()
-        self._over()
-
-    def _over(self) -> None:
-        if not self.done.called:
-            self._asked.ended_at = self._reactor.seconds()
-            self.done.callback(None)
-
-
 class Callers:
     """Keeps a number of programs running."""
 
@@ -339,19 +275,28 @@
         is_first = asked.path.startswith(PLAIN_PATH) and not asked.first_attempt
         if is_first and self._random.random() < LOST_CONNECTION_SHARE:
             answer.lose_connection = partial(answer.lose, connection)
-        connection.send(head, body, answer)
         if self._random.random() < SLOW_READER_SHARE:
-            connection.pause_reading()
-            self._reactor.callLater(SLOW_READER_SECONDS, connection.resume_reading)
+            answer.begin_pause = partial(self._pause_reading, connection)
+        connection.send(head, body, answer)
         yield answer.done
         if timer.active():
             timer.cancel()
+        if answer.begin_pause is not None:
+            # The next request on this connection has to see when it is closed.
+            yield self._wait(SLOW_READER_SECONDS)
+        self._keep_or_close(asked, connection)
+        if asked.status in COMING_BACK:
+            yield self._wait(min(answer.retry_after, MOST_WAIT_SECONDS))
+
+    def _keep_or_close(self, asked: Asked, connection: ClientConnection) -> None:
         if asked.is_whole:
             self._kept.keep(asked.daemon, connection)
         else:
             connection.close()
-        if asked.status in COMING_BACK:
-            yield self._wait(min(answer.retry_after, MOST_WAIT_SECONDS))
+
+    def _pause_reading(self, connection: ClientConnection) -> None:
+        connection.pause_reading()
+        self._reactor.callLater(SLOW_READER_SECONDS, connection.resume_reading)
 
     def _connect(self, daemon: SoakDaemon) -> Any:
         """Give a Deferred of a new connection."""
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -129,6 +129,7 @@
         self._pending: deque[PendingAnswer] = deque()
         self._served = 0
         self._tells_close = False
+        self._pause_seconds = 0.0
         self._is_paused = False
         self.is_lost = False
 
@@ -147,19 +148,33 @@
             for pending in self._pending:
                 pending.asked.sent_at = self._reactor.seconds()
 
-    def pause(self, seconds: float) -> None:
-        """Read nothing for a while."""
+    def pause_at_answer(self, seconds: float) -> None:
+        """Read nothing for a while after the first bytes of the next answer.
+
+        Before them it would hide the moment at which the daemon closes.
+        """
+        self._pause_seconds = seconds
+
+    def _pause(self) -> None:
         self._is_paused = True
         self.transport.pauseProducing()
-        self._reactor.callLater(seconds, self._resume)
+        self._reactor.callLater(self._pause_seconds, self._resume)
+        self._pause_seconds = 0.0
 
     def _resume(self) -> None:
         self._is_paused = False
         if not self.is_lost:
             self.transport.resumeProducing()
+            self._tell_if_idle()
+
+    def _tell_if_idle(self) -> None:
+        if not (self._pending or self._is_paused or self.is_lost):
+            self._on_idle(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Give the bytes to the answers in their order."""
+        if self._pause_seconds:
+            self._pause()
         rest: bytes | None = data
         while rest and self._pending:
             try:
@@ -169,8 +184,7 @@
                 return
             if rest is not None:
                 self._answered()
-        if not self._pending and not self.is_lost:
-            self._on_idle(self)
+        self._tell_if_idle()
 
     def _answered(self) -> None:
         done = self._pending.popleft()
@@ -270,7 +284,8 @@
         else:
             connection.write(data)
         if manner is Manner.SLOWLY_READ:
-            connection.pause(self._random.uniform(0, MOST_READING_PAUSE_SECONDS))
+            seconds = self._random.uniform(0, MOST_READING_PAUSE_SECONDS)
+            connection.pause_at_answer(seconds)
         time = sum(self._time_of(one.asked) for one in pending) + GIVE_UP_SECONDS
         self._reactor.callLater(time, self._give_up, connection, pending[-1].asked)
 
