--- a/deploy/soak/daemon_faults.py
+++ b/deploy/soak/daemon_faults.py
@@ -63,12 +63,27 @@
     def stop_and_start(self) -> str:
         """Stop a daemon, and start it when it has ended."""
         [daemon] = self.some(0.0)
-        if daemon.is_stopping:
-            return f"{daemon.name} is stopping already"
+        why_not = self.why_not(daemon)
+        if why_not is not None:
+            return why_not
         self.end(daemon, is_planned=True)
         self.after_end(daemon, daemon.start)
         return f"stop {daemon.name}"
 
+    def why_not(self, daemon: SoakDaemon) -> str | None:
+        """Return why a daemon is not to be ended now; None if it may be.
+
+        Planned work leaves one daemon that is ready: with none, nobody owns the
+        partitions in which turns under way are stored.
+        """
+        if daemon.is_stopping:
+            return f"{daemon.name} is stopping already"
+        others = [other for other in self._targets.daemons if other is not daemon]
+        is_last = not any(other.is_in_service for other in others)
+        if self._targets.is_planned_only and is_last:
+            return f"{daemon.name} is the last one in service"
+        return None
+
     def end(self, daemon: SoakDaemon, *, is_planned: bool) -> None:
         """Tell a daemon to stop, or kill it."""
         if is_planned:
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -56,6 +56,8 @@
         self._new_ends: list[ProcessEnd] = []
         self.overruns: list[str] = []
         """Processes that lived at the end of their grace periods."""
+        self.is_ready = False
+        """Whether the last probe was answered with 200."""
         self.interruptions = 0
         """How often a process was killed, paused, told to stop, or ended."""
         self.peak_megabytes = 0
@@ -106,6 +108,7 @@
 
     def _spawn(self) -> None:
         self.collect_ends()
+        self.is_ready = False
         self._process = DaemonProcess(
             self.name, self.metrics, self.settings.path, self._log
         )
@@ -120,6 +123,11 @@
         """Whether the newest process was told to stop, and has not ended."""
         return self._process is not None and self._process.is_stopping
 
+    @property
+    def is_in_service(self) -> bool:
+        """Whether it serves callers, and was not told to stop."""
+        return self.is_ready and self.is_running and not self.is_stopping
+
     @property
     def process_id(self) -> int:
         """The id of the newest process; 0 without one."""
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -168,7 +168,12 @@
             self._tell_if_idle()
 
     def _tell_if_idle(self) -> None:
-        if not (self._pending or self._is_paused or self.is_lost):
+        if self._pending or self._is_paused or self.is_lost:
+            return
+        if self._tells_close:
+            # Nothing may follow on it; the daemon closes it, or this side does.
+            self.transport.loseConnection()
+        else:
             self._on_idle(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
@@ -298,13 +303,15 @@
         """Send a request in pieces; the last one begins at the latest after some time."""
         count = self._random.randint(2, MOST_PIECES)
         cuts = sorted(self._random.sample(range(1, len(data)), count - 1))
-        times = sorted(
-            self._random.uniform(0, MOST_SENDING_SECONDS) for _ in range(count)
-        )
+        later = [self._random.uniform(0, MOST_SENDING_SECONDS) for _ in cuts]
+        times = [0.0, *sorted(later)]
         begins = [0, *cuts]
         ends = [*cuts, len(data)]
         for begin, end, at in zip(begins, ends, times, strict=True):
-            self._reactor.callLater(at, connection.write, data[begin:end])
+            if at:
+                self._reactor.callLater(at, connection.write, data[begin:end])
+            else:
+                connection.write(data[begin:end])
 
     def _time_of(self, asked: Asked) -> float:
         is_long = asked.path.startswith(LONG_PATHS)
--- a/deploy/soak/readiness.py
+++ b/deploy/soak/readiness.py
@@ -71,6 +71,7 @@
         return late + self.untrue
 
     def _hear(self, daemon: SoakDaemon, said: str, *, is_ready: bool) -> None:
+        daemon.is_ready = is_ready
         misses = 0 if is_ready else self._misses[daemon.name] + 1
         self._misses[daemon.name] = misses
         recovery = self._recoveries[daemon.name]
--- a/deploy/soak/start_faults.py
+++ b/deploy/soak/start_faults.py
@@ -80,8 +80,9 @@
     def _restart_on_taken_ports(self, struck: list[SoakDaemon]) -> str:
         said = []
         for daemon in struck:
-            if daemon.is_stopping:
-                said.append(f"{daemon.name} is stopping already")
+            why_not = self._daemons.why_not(daemon)
+            if why_not is not None:
+                said.append(why_not)
                 continue
             ports = self._draw_ports(daemon)
             kind = self._random.choice(list(HoldKind))
@@ -115,8 +116,9 @@
     def start_beside_the_former(self) -> str:
         """Start the next process of a daemon while the former one drains."""
         [daemon] = self._daemons.some(0.0)
-        if daemon.is_stopping:
-            return f"{daemon.name} is stopping already"
+        why_not = self._daemons.why_not(daemon)
+        if why_not is not None:
+            return why_not
         self._daemons.end(daemon, is_planned=True)
         seconds = self._later(0.0, MOST_OVERLAP_DELAY_SECONDS, daemon.start_next)
         return f"stop {daemon.name}, and start it after {seconds:.2f} s"
@@ -126,8 +128,9 @@
     def signal_early(self) -> str:
         """Restart a daemon, and send it signals within its first moments."""
         [daemon] = self._daemons.some(0.0)
-        if daemon.is_stopping:
-            return f"{daemon.name} is stopping already"
+        why_not = self._daemons.why_not(daemon)
+        if why_not is not None:
+            return why_not
         is_planned = self._targets.is_planned_only
         series = self._random.choice(SERIES if is_planned else SERIES + PAUSED_SERIES)
         times = sorted(self._random.uniform(0.0, EARLY_SECONDS) for _ in series)
@@ -166,8 +169,9 @@
     def start_with_late_settings(self) -> str:
         """Restart a daemon whose settings are finished after its start."""
         [daemon] = self._daemons.some(0.0)
-        if daemon.is_stopping:
-            return f"{daemon.name} is stopping already"
+        why_not = self._daemons.why_not(daemon)
+        if why_not is not None:
+            return why_not
         fault = self._random.choice(list(SettingsFault))
         how = self._restart(daemon)
 
--- a/tests/unit/soak/test_persistent_callers.py
+++ b/tests/unit/soak/test_persistent_callers.py
@@ -107,6 +107,14 @@
     assert scene.oracle.cut() == []
 
 
+def test_nothing_follows_an_answer_that_tells_of_the_close():
+    """Such a request would be the caller's fault."""
+    scene = Scene(Manner.AT_ONCE)
+    scene.respond(head=b"Connection: close\r\n")
+    assert scene.idle == 0
+    assert scene.transport.disconnecting
+
+
 def test_a_close_that_no_answer_told_of_is_a_cut():
     scene = Scene(Manner.PIPELINED)
     scene.respond()
@@ -131,6 +139,7 @@
 def test_a_slowly_sent_request_arrives_whole_in_pieces(seed):
     scene = Scene(Manner.SLOWLY_SENT, seed)
     [asked] = scene.asked
+    assert scene.transport.value()
     sizes = []
     for _ in range(260):
         scene.reactor.advance(0.01)
