Soak: daemons of one machine share the range of their peers' ports; settings that are no text

A daemon that takes the next free port of its range may meet another daemon, or its own former process, at a port that was known as its own. Half of the runs have one range for all daemons now. A settings file may also hold bytes that are no UTF-8 for a while.

--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -23,7 +23,7 @@
 from deploy.soak.observations import Violation
 from deploy.soak.oracle import Oracle
 from deploy.soak.persistent_callers import PersistentCallers
-from deploy.soak.ports import LOW_PORTS, USUAL_PORTS
+from deploy.soak.ports import LOW_PORTS, USUAL_PORTS, free_ports
 from deploy.soak.processor_waits import ProcessorWaits, read_waited
 from deploy.soak.readiness import Readiness
 from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
@@ -40,6 +40,10 @@
 LAST_ANSWERS_SECONDS = 5.0
 USUAL_PORTS_SHARE = 0.5
 """Of the runs whose daemons get ports of the kernel's range of outgoing connections."""
+SHARED_RANGE_SHARE = 0.5
+"""Of the runs whose daemons have one range of ports for their peers, as on one machine."""
+PROCESSES_OF_A_DAEMON = 2
+"""One may drain while the next one starts."""
 DONE, BROKEN = 0, 1
 
 
@@ -59,8 +63,17 @@
         self._operator = Operator(store, self._tenants)
         self._has_usual_ports = draw_usual_ports(seed)
         ports = USUAL_PORTS if self._has_usual_ports else LOW_PORTS
+        peers: list[int] | None = None
+        if draw_shared_range(seed):
+            peers = free_ports(PROCESSES_OF_A_DAEMON * size.daemons, ports)
         self._daemons = [
-            SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port), ports)
+            SoakDaemon(
+                f"d{n}",
+                folder,
+                LinkProxy(reactor, port.getHost().port),
+                ports,
+                peers=peers,
+            )
             for n in range(size.daemons)
         ]
         services = [MODELS] * size.engines + [TOOLS] * size.tools
@@ -232,6 +245,7 @@
                 if end.kind is EndKind.BEFORE_PROGRAM
             ],
             has_usual_ports=self._has_usual_ports,
+            has_shared_range=draw_shared_range(self._seed),
             slowest_ready_seconds=round(self._readiness.slowest, 2),
             processor_waits=self._waits.all,
             longest_pause_seconds=round(self._longest_pause, 2),
@@ -275,6 +289,11 @@
     return Random(seed + 4).random() < USUAL_PORTS_SHARE
 
 
+def draw_shared_range(seed: int) -> bool:
+    """Draw whether the daemons of a run listen for each other in one range."""
+    return Random(seed + 6).random() < SHARED_RANGE_SHARE
+
+
 def read_arguments(arguments: list[str] | None) -> argparse.Namespace:
     """Read the command line."""
     parser = argparse.ArgumentParser(prog="deploy.soak", description=__doc__)
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -5,7 +5,14 @@
 
 from deploy.soak.ends import ProcessEnd
 from deploy.soak.link_proxy import LinkFault, LinkProxy
-from deploy.soak.ports import LOW_PORTS, HoldKind, PortHold, free_ports, hold_port
+from deploy.soak.ports import (
+    LOW_PORTS,
+    HoldKind,
+    PortHold,
+    UsedPorts,
+    free_ports,
+    hold_port,
+)
 from deploy.soak.process import DaemonProcess
 from deploy.soak.settings import (
     DRAIN_SECONDS,
@@ -35,15 +42,24 @@
     """One daemon, and its way to the store."""
 
     def __init__(
-        self, name: str, folder: Path, store: LinkProxy, ports: range = LOW_PORTS
+        self,
+        name: str,
+        folder: Path,
+        store: LinkProxy,
+        ports: range = LOW_PORTS,
+        *,
+        peers: list[int] | None = None,
     ) -> None:
-        """Write its settings file; nothing runs yet."""
+        """Write its settings file; nothing runs yet.
+
+        `peers` is a range that it shares with other daemons; without one it has its own.
+        """
         self.name = name
         self.store = store
         self.front, self.readiness, self.metrics = (
             free_ports(1, ports)[0] for _ in range(3)
         )
-        self.peers = free_ports(PEER_PORTS, ports)
+        self.peers = peers or free_ports(PEER_PORTS, ports)
         self.settings = SettingsFile(folder / f"{name}.conf", self._text())
         self._log = folder / f"{name}.log"
         self._process: DaemonProcess | None = None
@@ -250,18 +266,22 @@
             held.port == self.front and held.takes_connections for held in self.holds
         )
 
-    def lacks_ports(self, used: set[int]) -> bool:
+    def lacks_ports(self, used: UsedPorts) -> bool:
         """Return whether one of the ports that it needs is held, by the soak or in `used`.
 
-        It does without its metrics port, and with one port of its peers' range.
+        It does without its metrics port, and with one port of its peers' range, in which
+        other daemons may listen.
         """
-        held = used | {hold.port for hold in self.holds}
+        held = used.connections | {hold.port for hold in self.holds}
         needed = {self.front, self.readiness}
-        return bool(needed & held) or held.issuperset(self.peers)
+        is_range_held = bool(held & set(self.peers)) and (
+            (held | used.listeners).issuperset(self.peers)
+        )
+        return bool(needed & held) or is_range_held
 
     # What may keep it from being ready
 
-    def causes(self, used_ports: set[int]) -> list[str]:
+    def causes(self, used_ports: UsedPorts) -> list[str]:
         """Return what may keep it from being ready, apart from the store."""
         process = self._process
         found = {
--- a/deploy/soak/ports.py
+++ b/deploy/soak/ports.py
@@ -129,6 +129,16 @@
     return used - listened
 
 
-def ports_of_connections() -> set[int]:
-    """Return the ports of this machine that connections have without a listener."""
-    return used_without_listener(read_port_uses(TCP_TABLE.read_text()))
+class UsedPorts(msgspec.Struct, frozen=True):
+    """The ports of this machine that are in use."""
+
+    connections: frozenset[int] = frozenset()
+    """Of connections, without a listener."""
+    listeners: frozenset[int] = frozenset()
+
+
+def read_used_ports() -> UsedPorts:
+    """Return the ports in use now."""
+    uses = read_port_uses(TCP_TABLE.read_text())
+    listened = frozenset(use.port for use in uses if use.state == LISTEN)
+    return UsedPorts(frozenset(used_without_listener(uses)), listened)
--- a/deploy/soak/readiness.py
+++ b/deploy/soak/readiness.py
@@ -8,7 +8,7 @@
 
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.observations import Violation
-from deploy.soak.ports import ports_of_connections
+from deploy.soak.ports import read_used_ports
 from deploy.soak.recovery import ReadyAnswer, Recovery, judge_ready_answer
 from deploy.soak.settings import HOST, HOST_NAME
 from notcharch.http.client import ClientConnection, ResponseFailure
@@ -50,7 +50,7 @@
 
     def observe(self) -> None:
         """Note what may keep each daemon from being ready now."""
-        used = ports_of_connections()
+        used = read_used_ports()
         for daemon in self._daemons:
             causes = self._causes() + daemon.causes(used)
             self._recoveries[daemon.name].observe(self._reactor.seconds(), causes)
--- a/deploy/soak/settings_file.py
+++ b/deploy/soak/settings_file.py
@@ -28,6 +28,8 @@
     CUT_IN_LINE = "cut in a line"
     CUT_AT_LINE = "cut at the end of a line"
     INVALID = "invalid"
+    NO_TEXT = "no text"
+    """Bytes that are no UTF-8, as after a broken copy."""
 
 
 SHORT_SECONDS = 0.6
@@ -36,8 +38,8 @@
 
 def spoiled(
     text: str, fault: SettingsFault, random: Random, seconds: float = MOST_SECONDS
-) -> str | None:
-    """Return an unfinished text for so many seconds; None for no file.
+) -> bytes | None:
+    """Return unfinished bytes for so many seconds; None for no file.
 
     A cut that leaves valid settings can't be told from a whole file, so it is drawn only
     if it is in a line, and short.
@@ -45,9 +47,15 @@
     if fault is SettingsFault.MISSING:
         return None
     if fault is SettingsFault.EMPTY:
-        return ""
+        return b""
     if fault is SettingsFault.INVALID:
-        return _with_invalid_value(text, random)
+        return _with_invalid_value(text, random).encode()
+    if fault is SettingsFault.NO_TEXT:
+        return text.encode().replace(b"=", b"\xff", 1)
+    return _cut(text, fault, random, seconds).encode()
+
+
+def _cut(text: str, fault: SettingsFault, random: Random, seconds: float) -> str:
     is_in_line = fault is SettingsFault.CUT_IN_LINE
     cuts = [
         text[:place]
@@ -87,8 +95,8 @@
     def spoil(self, fault: SettingsFault, random: Random, seconds: float) -> None:
         """Leave it unfinished; it is to be written whole after so many seconds."""
         self.fault = fault
-        text = spoiled(self.text, fault, random, seconds)
-        if text is None:
+        content = spoiled(self.text, fault, random, seconds)
+        if content is None:
             self.path.unlink(missing_ok=True)
         else:
-            self.path.write_text(text)
+            self.path.write_bytes(content)
--- a/tests/unit/soak/test_ports.py
+++ b/tests/unit/soak/test_ports.py
@@ -5,7 +5,7 @@
 import pytest
 
 from deploy.soak import ports
-from deploy.soak.command import draw_usual_ports
+from deploy.soak.command import draw_shared_range, draw_usual_ports
 from deploy.soak.ports import (
     LOW_PORTS,
     USUAL_PORTS,
@@ -44,6 +44,11 @@
     assert len(set(given)) == len(given)
 
 
+def test_daemons_share_the_range_of_their_peers_in_a_part_of_the_runs():
+    """A daemon that takes the next port of its range may meet another one there."""
+    assert 60 < sum(draw_shared_range(seed) for seed in range(200)) < 140
+
+
 def test_the_ports_of_a_range_follow_each_other():
     drawn = free_ports(4)
     assert drawn == list(range(drawn[0], drawn[0] + 4))
--- a/tests/unit/soak/test_processes.py
+++ b/tests/unit/soak/test_processes.py
@@ -9,7 +9,7 @@
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.ends import EndKind, ProcessEnd
 from deploy.soak.link_proxy import LinkFault
-from deploy.soak.ports import HoldKind
+from deploy.soak.ports import HoldKind, UsedPorts
 from deploy.soak.process import (
     SYSTEM,
     DaemonProcess,
@@ -96,7 +96,7 @@
     daemon.terminate()
     daemon.start_next()
     assert daemon._former == [former]
-    assert "the former process drains" in daemon.causes(set())
+    assert "the former process drains" in daemon.causes(UsedPorts())
     former.status = 1
     assert [end.kind for end in daemon.take_new_ends()] == [EndKind.OWN]
     assert daemon._former == []
@@ -146,21 +146,41 @@
     assert process.is_overdue
 
 
+def connected(*ports: int) -> UsedPorts:
+    """Return ports that connections have."""
+    return UsedPorts(connections=frozenset(ports))
+
+
 def test_nothing_keeps_a_running_daemon_from_being_ready(daemon):
-    assert daemon.causes(set()) == []
+    assert daemon.causes(UsedPorts()) == []
 
 
 @pytest.mark.parametrize("name", ["front", "readiness"])
 def test_a_port_that_a_daemon_needs_keeps_it_from_being_ready(daemon, name):
     port = getattr(daemon, name)
-    assert daemon.causes({port}) == ["a port is held"]
+    assert daemon.causes(connected(port)) == ["a port is held"]
     daemon.hold(port, HoldKind.BOUND)
-    assert daemon.causes(set()) == ["a port is held"]
+    assert daemon.causes(UsedPorts()) == ["a port is held"]
 
 
 def test_a_daemon_does_without_its_metrics_port_and_with_one_port_for_its_peers(daemon):
-    assert daemon.causes({daemon.metrics, *daemon.peers[1:]}) == []
-    assert daemon.causes(set(daemon.peers)) == ["a port is held"]
+    assert daemon.causes(connected(daemon.metrics, *daemon.peers[1:])) == []
+    assert daemon.causes(connected(*daemon.peers)) == ["a port is held"]
+
+
+def test_a_daemon_is_told_of_the_range_that_it_shares(tmp_path):
+    daemon = SoakDaemon("d1", tmp_path, Link(), peers=[20_000, 20_001, 20_002])
+    assert "internal_port_range=20000,20002\n" in daemon.settings.path.read_text()
+
+
+def test_a_range_is_held_if_what_others_leave_of_it_is_held(daemon):
+    """Daemons of one machine may share it; their listeners alone leave ports enough."""
+    first, *others = daemon.peers
+    listeners = frozenset(others)
+    assert daemon.causes(UsedPorts(listeners=frozenset(daemon.peers))) == []
+    assert daemon.causes(UsedPorts(listeners=listeners)) == []
+    held = UsedPorts(frozenset({first}), listeners)
+    assert daemon.causes(held) == ["a port is held"]
 
 
 @pytest.mark.parametrize(
@@ -175,7 +195,7 @@
 )
 def test_what_keeps_a_daemon_from_being_ready(daemon, change, cause):
     change(daemon)
-    assert daemon.causes(set()) == [cause]
+    assert daemon.causes(UsedPorts()) == [cause]
 
 
 DEFAULT = "SigIgn:\t0000000000001000\nSigCgt:\t0000000000000000\nVmHWM:\t2048 kB\n"
--- a/tests/unit/soak/test_readiness.py
+++ b/tests/unit/soak/test_readiness.py
@@ -6,6 +6,7 @@
 from twisted.python.failure import Failure
 
 from deploy.soak import readiness
+from deploy.soak.ports import UsedPorts
 from deploy.soak.readiness import ASK_SECONDS, Readiness
 from deploy.soak.recovery import MEASURING_SECONDS, RECOVERY_SECONDS
 
@@ -39,7 +40,7 @@
     """One daemon whose probes are answered by hand."""
 
     def __init__(self, monkeypatch, causes=(), others=()):
-        monkeypatch.setattr(readiness, "ports_of_connections", set)
+        monkeypatch.setattr(readiness, "read_used_ports", UsedPorts)
         self.reactor = MemoryReactorClock()
         self.daemon = Daemon()
         self.readiness = Readiness(
