Soak: an overrun tells how long the process ran and waited since SIGTERM

What follows the end of one process is no longer called at the end of the next one, where it started a daemon before a later fault held its ports.

--- a/deploy/soak/daemon_faults.py
+++ b/deploy/soak/daemon_faults.py
@@ -1,6 +1,7 @@
 """Faults of daemons: they are killed, paused, stopped and told to reload."""
 
 from collections.abc import Callable
+from functools import partial
 
 from deploy.soak.daemons import SoakDaemon
 from deploy.soak.deadly import DaemonOutage
@@ -102,11 +103,17 @@
         self._targets.outages.append(DaemonOutage(daemon.name, now, loses_memory))
 
     def after_end(self, daemon: SoakDaemon, then: Callable[[], object]) -> None:
-        """Call `then` when the process of a daemon has ended."""
+        """Call `then` when the present process of a daemon has ended."""
+        self._await_end(daemon, daemon.process_id, then)
+
+    def _await_end(
+        self, daemon: SoakDaemon, process_id: int, then: Callable[[], object]
+    ) -> None:
         if not daemon.is_running:
             then()
-            return
-        self._later(AWAIT_SECONDS, AWAIT_SECONDS, lambda: self.after_end(daemon, then))
+        elif daemon.process_id == process_id:
+            again = partial(self._await_end, daemon, process_id, then)
+            self._later(AWAIT_SECONDS, AWAIT_SECONDS, again)
 
     def reload(self) -> str:
         """Tell a daemon that its settings changed."""
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -172,7 +172,7 @@
 
     def _end_overdue(self, process: DaemonProcess) -> None:
         if process.overran:
-            self.overruns.append(f"process {process.pid} lives {GRACE_SECONDS} s later")
+            self.overruns.append(process.describe_overrun())
         process.kill()
 
     def _forget(self, process: DaemonProcess) -> None:
--- a/deploy/soak/process.py
+++ b/deploy/soak/process.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from deploy.soak.ends import ProcessEnd, has_default_action
+from deploy.soak.processor_waits import read_used, read_waited
 from deploy.soak.settings import GRACE_SECONDS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -60,6 +61,8 @@
                 stderr=output,
             )
         self._stopped_at: float | None = None
+        self._at_stop = (0.0, 0.0)
+        """Processor time used, and waited for, at the time of SIGTERM."""
         self._had_program = False
         """Whether SIGHUP was seen not to end it."""
         self._stop_met_default = False
@@ -114,6 +117,7 @@
         if self.is_running and self._stopped_at is None:
             self._stop_met_default = self._has_default_action(signal.SIGTERM)
             self._stopped_at = self._seconds()
+            self._at_stop = (read_used(self.pid), read_waited(self.pid))
         self._was_paused_in_stop |= self.is_paused
         self._signal(signal.SIGTERM)
 
@@ -148,6 +152,16 @@
             return False
         return self._seconds() - self._stopped_at >= GRACE_SECONDS
 
+    def describe_overrun(self) -> str:
+        """Tell what an overdue process did since SIGTERM."""
+        used = read_used(self.pid) - self._at_stop[0]
+        waited = read_waited(self.pid) - self._at_stop[1]
+        state = self._proc("stat").rpartition(")")[2].split()[:1]
+        return (
+            f"process {self.pid} lives {GRACE_SECONDS} s later, state {state}; since "
+            f"SIGTERM it ran {used:.2f} s and waited {waited:.2f} s for a processor"
+        )
+
     @property
     def overran(self) -> bool:
         """Whether an overdue process had all of its grace period to itself."""
--- a/deploy/soak/processor_waits.py
+++ b/deploy/soak/processor_waits.py
@@ -20,20 +20,32 @@
     seconds: float
 
 
-def waited_seconds(schedstat: str) -> float:
-    """Return the whole time of waiting, by the text of /proc/PID/schedstat."""
+USED_FIELD, WAITED_FIELD = 0, 1
+
+
+def seconds_of(schedstat: str, field: int) -> float:
+    """Return a time from the text of /proc/PID/schedstat; 0 without it."""
     fields = schedstat.split()
-    return int(fields[1]) / NANOSECONDS if len(fields) > 1 else 0.0
+    return int(fields[field]) / NANOSECONDS if len(fields) > field else 0.0
 
 
-def read_waited(pid: int) -> float:
-    """Return the whole time for which a process waited; 0 if it has ended."""
+def _read(pid: int, field: int) -> float:
     try:
-        return waited_seconds(Path(f"/proc/{pid}/schedstat").read_text())
+        return seconds_of(Path(f"/proc/{pid}/schedstat").read_text(), field)
     except OSError:
         return 0.0
 
 
+def read_used(pid: int) -> float:
+    """Return the time for which a process ran; 0 if it has ended."""
+    return _read(pid, USED_FIELD)
+
+
+def read_waited(pid: int) -> float:
+    """Return the time for which a process waited for a processor; 0 if it has ended."""
+    return _read(pid, WAITED_FIELD)
+
+
 class ProcessorWaits:
     """The waits of all processes, from samples of what the kernel counts."""
 
--- a/tests/unit/soak/test_processes.py
+++ b/tests/unit/soak/test_processes.py
@@ -1,5 +1,6 @@
 """The processes of a daemon: their command, their ends, and what keeps them unready."""
 
+import os
 import signal
 import sys
 from pathlib import Path
@@ -46,6 +47,9 @@
     is_overdue = False
     overran = True
 
+    def describe_overrun(self):
+        return "lives"
+
     def __init__(self, **changes):
         self.status = None
         for name, value in changes.items():
@@ -117,6 +121,7 @@
     process = DaemonProcess.__new__(DaemonProcess)
     process._popen = Process()
     process._popen.poll = lambda: None
+    process._popen.pid = os.getpid()
     process._popen.send_signal = lambda number: None
     process._began = 0.0
     process._stopped_at, process._is_killed = None, False
@@ -136,6 +141,11 @@
     assert slept(seconds).overran
 
 
+def test_an_overrun_tells_how_long_the_process_ran_and_waited():
+    """A process that waited for a processor may be late through the machine."""
+    assert " s and waited " in slept(GRACE_SECONDS).describe_overrun()
+
+
 def test_a_paused_process_cannot_end_in_time():
     assert not slept(GRACE_SECONDS, is_paused=True).overran
 
--- a/tests/unit/soak/test_processor_waits.py
+++ b/tests/unit/soak/test_processor_waits.py
@@ -2,12 +2,21 @@
 
 import os
 
-from deploy.soak.processor_waits import ProcessorWaits, read_waited, waited_seconds
+from deploy.soak.processor_waits import (
+    USED_FIELD,
+    WAITED_FIELD,
+    ProcessorWaits,
+    read_used,
+    read_waited,
+    seconds_of,
+)
 
 
 def test_the_kernel_counts_in_nanoseconds():
-    assert waited_seconds("100 2500000000 7\n") == 2.5
-    assert waited_seconds("") == 0.0
+    assert seconds_of("1000000000 2500000000 7\n", USED_FIELD) == 1.0
+    assert seconds_of("1000000000 2500000000 7\n", WAITED_FIELD) == 2.5
+    assert seconds_of("", WAITED_FIELD) == 0.0
+    assert read_used(os.getpid()) > 0.0
     assert read_waited(os.getpid()) >= 0.0
 
 
--- a/tests/unit/soak/test_start_faults.py
+++ b/tests/unit/soak/test_start_faults.py
@@ -48,6 +48,7 @@
         self._reactor = reactor
         self._stopped_at = None
         self.is_alive = True
+        self.process_id = 1
 
     def _note(self, what):
         self.done.append((what, self._reactor.seconds()))
@@ -80,10 +81,12 @@
     def start(self):
         if not self.is_running:
             self._note("start")
+            self.process_id += 1
             self._stopped_at, self.is_alive = None, True
 
     def start_next(self):
         self._note("start next" if self.is_stopping else "start")
+        self.process_id += 1
         self._stopped_at, self.is_alive = None, True
 
     def reload(self):
@@ -268,6 +271,21 @@
         assert sum(daemon.is_in_service for daemon in scene.daemons) == 1
 
 
+def test_what_follows_the_end_of_one_process_does_not_follow_that_of_the_next():
+    """A second start would come before the ports of a later fault are held."""
+    scene = Scene()
+    [daemon] = scene.daemons
+    faults = DaemonFaults(scene.targets)
+    called = []
+    faults.end(daemon, is_planned=True)
+    faults.after_end(daemon, lambda: called.append("late"))
+    daemon.start_next()
+    scene.run(1.0)
+    daemon.kill()
+    scene.run(1.0)
+    assert called == []
+
+
 def test_other_faults_end_the_last_daemon_as_well():
     scene = Scene(count=1)
     DaemonFaults(scene.targets).stop_and_start()
