--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -9,18 +9,20 @@
 from notcharch.calls.metrics import STOP_CUTS, STOP_REFUSALS
 from notcharch.events.event import emit
 from notcharch.events.process import CallCutByStop, CallRefusedForStop
-from notcharch.scheduling.call_durations import CallDurations
+from notcharch.scheduling.call_durations import CallDurations, Durations, EndedCall
 from notcharch.scheduling.stop_decision import StopDecision, StopInputs, decide
 
 STOPPING = Refusal(503, "the daemon is stopping", 0.1)
 """Another daemon serves at once. Its connection is closed, so the next try goes elsewhere."""
+REFRESH_SECONDS = 0.05
+"""Many calls that wait are decided on together; durations are not computed for each."""
 AGAIN = "again"
 """The metric's phase of a call that may have run and is not sent again."""
 CUT_BY_STOP = "the daemon stopped before the call ended"
 
 
 class CallTimer:
-    """Times one call from its first send to the last byte of its answer.
+    """Times one call from its first send to the end and to the last byte of its answer.
 
     It outlives its call while a slow caller reads, so it holds nothing of it.
     """
@@ -34,8 +36,10 @@
         self.route = route
         self.sent_at: float | None = None
         """Clock seconds of the first send."""
-        self.shows_duration = False
-        """Whether the call's end tells how long calls of its route take."""
+        self.is_slowed = False
+        """Whether its engine had to wait for its caller, so that it shows nothing."""
+        self._engine_seconds: float | None = None
+        """From the first send to the end, if this tells how long calls take."""
 
     def sent(self) -> None:
         """Start at the first send."""
@@ -47,11 +51,18 @@
         """Seconds since the first send; None if there was none."""
         return None if self.sent_at is None else self._clock.seconds() - self.sent_at
 
+    def answer_ended(self) -> None:
+        """Note the end of an answer that tells how long calls of its route take."""
+        if not self.is_slowed:
+            self._engine_seconds = self.seconds
+
     def answer_sent(self) -> None:
         """End: the last byte of the answer has left the process."""
-        seconds = self.seconds
-        if self._stop is not None and seconds is not None and self.shows_duration:
-            self._stop.record(self.route, seconds)
+        whole, engine = self.seconds, self._engine_seconds
+        if self._stop is None or whole is None or engine is None:
+            return
+        now = self._clock.seconds()
+        self._stop.record(self.route, EndedCall(now, engine, whole - engine))
 
 
 class StoppableCall(Protocol):
@@ -68,6 +79,13 @@
         """End the call now: refused if it has not run, else broken off."""
 
 
+class KnownDurations(msgspec.Struct, frozen=True):
+    """The durations of a route's calls at a moment; None if they were not known."""
+
+    at: float
+    durations: Durations | None
+
+
 class StopCounts(msgspec.Struct):
     """How calls ended since the start of a stop."""
 
@@ -86,6 +104,8 @@
         self._durations = CallDurations()
         self._calls: dict[StoppableCall, None] = {}
         """Calls that have not ended, in the order of their start."""
+        self._latest: dict[str, KnownDurations] = {}
+        """By route; only used during a stop."""
         self.counts = StopCounts()
 
     @property
@@ -110,29 +130,38 @@
         if self.is_stopping:
             self.counts.served += 1
 
-    def record(self, route: str, seconds: float) -> None:
+    def record(self, route: str, call: EndedCall) -> None:
         """Learn the duration of a call."""
-        self._durations.record(route, self._clock.seconds(), seconds)
+        self._durations.record(route, call)
 
     def decide(self, route: Route, deadline: float) -> StopDecision | None:
         """Decide on a call that is about to be sent; None while there is no stop."""
         if self._cut_at is None:
             return None
         now = self._clock.seconds()
-        running = [
-            call.timer.seconds or 0.0
-            for call in self._calls
-            if call.timer.route == route.name
-        ]
         return decide(
             StopInputs(
                 seconds_left=self._cut_at - now,
-                durations=self._durations.of(route.name, now, running),
+                durations=self._known(route.name, now),
                 deadline_seconds=deadline - now,
                 is_repeatable=route.is_repeatable,
             )
         )
 
+    def _known(self, route: str, now: float) -> Durations | None:
+        """Return the durations of a route's calls as of a moment ago."""
+        known = self._latest.get(route)
+        if known is not None and now - known.at < REFRESH_SECONDS:
+            return known.durations
+        running = [
+            call.timer.seconds or 0.0
+            for call in self._calls
+            if call.timer.route == route and not call.timer.is_slowed
+        ]
+        durations = self._durations.of(route, now, running)
+        self._latest[route] = KnownDurations(now, durations)
+        return durations
+
     def refusal(
         self, call: OpaqueCall, route: Route, deadline: float, phase: str, runs: int
     ) -> Refusal | None:
@@ -164,7 +193,8 @@
             self.counts.cut += 1
         else:
             self.counts.refused += 1
-        STOP_REFUSALS.labels(AGAIN if runs else phase).inc()
+        reason = decision.basis.name.lower()
+        STOP_REFUSALS.labels(AGAIN if runs else phase, reason).inc()
         emit(
             CallRefusedForStop(
                 request=call.id,
--- a/tests/stateful/process/test_process_machine.py
+++ b/tests/stateful/process/test_process_machine.py
@@ -13,6 +13,7 @@
 from notcharch.platform.reported_life import ReportedLife
 from tests.stateful.process.machine import ProcessMachine
 from tests.stateful.runs import RUN, assert_caught
+from tests.unit.platform.ports import FRONT
 
 LIVES = settings(RUN, max_examples=100)
 BROKEN_LIVES = settings(
@@ -24,8 +25,28 @@
     run_state_machine_as_test(ProcessMachine, settings=LIVES)
 
 
-def random_lives():
+def scripted_life():
+    """Run a life in which sockets can't be created while a port is waited for.
+
+    Whether random lives reach it depends on the modules that are loaded beside them.
+    """
+    machine = ProcessMachine()
+    machine.first_start({FRONT}, has_tables=True, has_defect=False)
+    try:
+        machine.change_descriptors(has_descriptors=False)
+        machine.wait(3.0)
+        machine.check()
+    finally:
+        machine.teardown()
+
+
+def test_a_process_without_descriptors_waits_for_its_ports():
+    scripted_life()
+
+
+def lives():
     try:
+        scripted_life()
         run_state_machine_as_test(ProcessMachine, settings=BROKEN_LIVES)
     except AssertionError:
         raise
@@ -161,4 +182,4 @@
 
 @pytest.mark.parametrize("break_it", BREAKS)
 def test_each_deliberate_break_is_caught(break_it, monkeypatch):
-    assert_caught(break_it, random_lives, monkeypatch)
+    assert_caught(break_it, lives, monkeypatch)
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from twisted.internet.error import ReactorNotRunning
 from twisted.internet.testing import MemoryReactorClock
 
 from notcharch.calls.open_admission import NO_ACCOUNT
@@ -180,8 +181,9 @@
 
 @each_kind
 @pytest.mark.parametrize("is_route_known", [True, False])
+@pytest.mark.parametrize("deadline_ms", [None, 2000])
 def test_a_body_that_is_sent_slowly_is_refused_before_it_is_too_late(
-    kind, is_route_known
+    kind, is_route_known, deadline_ms
 ):
     world = StopWorld()
     if is_route_known:
@@ -190,9 +192,10 @@
     world.run_until(1.0)
     caller = world.caller()
     body = b"b" * 4000
-    caller.send_slowly(caller.request(kind, 1.0, body=body), 20.0)
+    data = caller.request(kind, 1.0, body=body, deadline_ms=deadline_ms)
+    caller.send_slowly(data, 20.0)
     id = caller.id
-    world.run_until(7.0)
+    world.run_until(7.25)
     response = caller.response
     assert (response.status, response.is_whole) == (503, True)
     assert response.headers[b"connection"] == b"close"
@@ -402,6 +405,23 @@
     assert_refused(world, caller, id)
 
 
+@pytest.mark.parametrize("kind", PLAIN)
+def test_callers_that_do_not_read_have_no_short_calls_refused(kind):
+    """What an engine waits for a caller tells nothing of other calls of the route."""
+    world = StopWorld()
+    for length in (200_000, 1_000_000):
+        world.caller(0.0).call(kind, SHORT_SECONDS, length=length)
+    world.learn(kind, SHORT_SECONDS)
+    world.run(20.0)
+    world.stop()
+    world.run_until(2.0)
+    caller = world.caller()
+    caller.call(kind, SHORT_SECONDS)
+    world.run(0.3)
+    assert_served(caller)
+    world.finish()
+
+
 @pytest.mark.parametrize("kind", ["stream-once", "stream-again"])
 def test_a_stream_whose_events_still_come_is_cut_last(kind):
     """What runs at an engine has until shortly before the exit."""
@@ -500,6 +520,30 @@
     assert reactor.hasStopped
 
 
+class ReactorThatDoesNotRunYet(MemoryReactorClock):
+    """A reactor before its start, which can't be stopped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_started = False
+
+    def stop(self) -> None:
+        if not self.is_started:
+            raise ReactorNotRunning
+        super().stop()
+
+
+def test_a_stop_before_the_reactor_runs_ends_it_at_its_start():
+    reactor = ReactorThatDoesNotRunYet()
+    settings = read_settings(TEXT).ok_value
+    process = Process(settings, reactor, None, ALL_MECHANISMS)
+    process.on_stop_signal()
+    reactor.is_started = True
+    for hook, arguments, keywords in reactor.whenRunningHooks:
+        hook(*arguments, **keywords)
+    assert reactor.hasStopped
+
+
 def test_a_stop_before_the_first_table_ends_at_once():
     world = StopWorld()
     world.components.ingress.router = None
