--- a/tests/stateful/process/machine.py
+++ b/tests/stateful/process/machine.py
@@ -27,6 +27,8 @@
 METRICS_SECONDS = 5.0 + STEP_SECONDS
 GRACE_SECONDS = 8.0
 EARLY_STOP_SECONDS = 0.5 + STEP_SECONDS
+LONG_SECONDS = 20.0
+"""Causes may last this long: attempts must not become rare meanwhile."""
 FRONT_DRAIN_SECONDS = 2.6
 """How long a former process keeps its front port; it keeps the others to its end."""
 
@@ -45,18 +47,26 @@
     # Starts
 
     @initialize(
-        held=st.one_of(st.just(frozenset()), some_ports, st.just(frozenset(PEERS))),
+        held=st.one_of(
+            some_ports, *map(st.just, (frozenset(), {METRICS}, frozenset(PEERS)))
+        ),
         has_tables=st.booleans(),
         has_defect=st.sampled_from([False, False, False, True]),
+        has_descriptors=st.sampled_from([True, True, True, False]),
+        ends_while_waiting=st.booleans(),
     )
-    def first_start(self, held, has_tables, has_defect):
-        self.start(held, has_defect)
+    def first_start(
+        self, held, has_tables, has_defect, has_descriptors, ends_while_waiting
+    ):
+        self.ends_while_waiting = ends_while_waiting
+        self.start(held, has_defect, has_descriptors)
         self.change_tables(has_tables)
 
-    def start(self, held, has_defect):
+    def start(self, held, has_defect, has_descriptors=True):
         if self.world is not None:
             self.world.close()
         self.world = ProcessWorld(held)
+        self.world.reactor.has_descriptors = has_descriptors
         self.has_defect = has_defect
         self.stopped_at = None
         self.openings_at_stop = 0
@@ -226,7 +236,10 @@
         if self.world is None:
             return
         try:
-            self.recovers()
+            if self.ends_while_waiting:
+                self.stops()
+            else:
+                self.recovers()
         finally:
             self.world.close()
 
@@ -235,6 +248,7 @@
 
         Ports that it does without stay held: metrics, and all of its peers' but one.
         """
+        self.wait(LONG_SECONDS)
         self.former_frees = []
         reactor = self.world.reactor
         reactor.has_descriptors = True
@@ -247,11 +261,17 @@
         reactor.held.clear()
         self.wait(METRICS_SECONDS)
         self.check()
+        self.stops()
+
+    def stops(self):
+        """Check that a stop ends the process although ports become free meanwhile."""
         if self.is_running:
             self.stop_signal()
             self.check()
+            self.world.reactor.has_descriptors = True
+            self.world.reactor.held.clear()
             self.wait(GRACE_SECONDS)
-            self.check()
+        self.check()
         assert not self.is_running
 
     def check(self):
