--- a/deploy/soak/processor_waits.py
+++ b/deploy/soak/processor_waits.py
@@ -3,17 +3,20 @@
 A call that is cut beside such a wait may be the machine's doing; one without it is not.
 """
 
+from collections import deque
 from pathlib import Path
 
 import msgspec
 
 LEAST_SECONDS = 0.25
 """Shorter waits are not told."""
+WINDOW_SECONDS = 0.5
+"""Waits within this time count together."""
 NANOSECONDS = 1e9
 
 
 class ProcessorWait(msgspec.Struct, frozen=True):
-    """One wait of one process."""
+    """The waits of one process within a moment."""
 
     process: str
     ended_at: float
@@ -51,12 +54,17 @@
 
     def __init__(self) -> None:
         """Begin without samples."""
-        self._waited: dict[int, float] = {}
+        self._samples: dict[int, deque[tuple[float, float]]] = {}
         self.all: list[ProcessorWait] = []
 
     def sample(self, process: str, pid: int, waited: float, now: float) -> None:
         """Note how long a process has waited since its start."""
-        seconds = waited - self._waited.get(pid, waited)
-        self._waited[pid] = waited
+        samples = self._samples.setdefault(pid, deque())
+        samples.append((now, waited))
+        while len(samples) > 2 and samples[1][0] <= now - WINDOW_SECONDS:
+            samples.popleft()
+        seconds = waited - samples[0][1]
         if seconds >= LEAST_SECONDS:
             self.all.append(ProcessorWait(process, round(now, 2), round(seconds, 2)))
+            samples.clear()
+            samples.append((now, waited))
--- a/tests/unit/soak/test_persistent_callers.py
+++ b/tests/unit/soak/test_persistent_callers.py
@@ -10,10 +10,9 @@
 from deploy.soak.persistent_callers import (
     LONG_PATHS,
     Manner,
-    PendingAnswer,
     PersistentCallers,
-    PersistentConnection,
 )
+from deploy.soak.persistent_connection import PendingAnswer, PersistentConnection
 from deploy.soak.settings import LONG_CALL_SECONDS, long_body, long_seconds
 from deploy.soak.tenants import Tenants
 
--- a/tests/unit/soak/test_processor_waits.py
+++ b/tests/unit/soak/test_processor_waits.py
@@ -31,6 +31,21 @@
     ]
 
 
+def test_short_waits_that_follow_each_other_count_together():
+    """A process that gets a third of its time stands still in many short waits."""
+    waits = ProcessorWaits()
+    for number in range(9):
+        waits.sample("d0", 1, 5.0 + 0.07 * number, 10.0 + 0.1 * number)
+    assert [(w.ended_at, w.seconds) for w in waits.all] == [(10.4, 0.28), (10.8, 0.28)]
+
+
+def test_short_waits_that_are_far_apart_do_not():
+    waits = ProcessorWaits()
+    for number in range(9):
+        waits.sample("d0", 1, 5.0 + 0.2 * number, 10.0 + number)
+    assert waits.all == []
+
+
 def test_the_next_process_of_a_daemon_counts_from_its_first_sample():
     waits = ProcessorWaits()
     waits.sample("d0", 1, 5.0, 10.0)
