--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -331,4 +331,4 @@
     if report.verdict != "clean":
         sys.stdout.write("\n".join(soak.faults.steps) + "\n")
     sys.stdout.write(f"seed {seed}: {report.verdict}\n")
-    return DONE if report.is_clean else BROKEN
+    return DONE if report.keeps_promises else BROKEN
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from deploy.soak.deadly import DeadlyEnds, Try
+from deploy.soak.deadly import DeadlyEnds, Try, deadly_kind
 from deploy.soak.observations import (
     OK,
     Asked,
@@ -53,6 +53,16 @@
     )
 
 
+def _counts_in_calm(asked: Asked, at: float) -> bool:
+    """Return whether a request since a time is to be served.
+
+    One under which engines end is refused, also by the tries that follow in the calm.
+    """
+    is_deadly = deadly_kind(asked.expected_body) is not None
+    is_over = asked.at >= at and asked.ended_at
+    return bool(is_over) and not asked.lost_by_caller and not is_deadly
+
+
 def _is_overdue(asked: Asked, now: float | None) -> bool:
     """Return whether the time of a request is over."""
     is_long = asked.path.startswith((LONG_PATH, LONG_STREAM_PATH))
@@ -301,7 +311,7 @@
         """Count the other requests since a time by what came of them."""
         counts: dict[str, int] = defaultdict(int)
         for a in self.asked.values():
-            if a.at < at or not a.ended_at or a.lost_by_caller:
+            if not _counts_in_calm(a, at):
                 continue
             if a.is_whole and a.status in AS_IT_SHOULD_BE:
                 continue
@@ -312,10 +322,6 @@
 
     def served_since(self, at: float) -> tuple[int, int]:
         """Give how many requests were answered by engines, and asked, since a time."""
-        asked = [
-            a
-            for a in self.asked.values()
-            if a.at >= at and a.ended_at and not a.lost_by_caller
-        ]
+        asked = [a for a in self.asked.values() if _counts_in_calm(a, at)]
         served = [a for a in asked if a.is_whole and a.status in AS_IT_SHOULD_BE]
         return len(served), len(asked)
--- a/deploy/soak/report.py
+++ b/deploy/soak/report.py
@@ -6,8 +6,9 @@
 from deploy.soak.observations import Violation
 from deploy.soak.processor_waits import ProcessorWait
 
-RECOVERED_SHARE = 0.9
-"""Of the requests in the second half of the calm."""
+RECOVERED_SHARE = 0.98
+"""Of the requests in the second half of the calm: 0.986 was the least of 30 runs, at a load
+of 22 on 8 processors, and 1 that of most."""
 
 
 class SoakReport(msgspec.Struct, frozen=True):
@@ -47,7 +48,7 @@
     violations: list[Violation]
 
     @property
-    def is_clean(self) -> bool:
+    def keeps_promises(self) -> bool:
         """Whether every promise held and the system recovered."""
         share = self.calm_served / max(self.calm_requests, 1)
         return not self.violations and not self.own_ends and share >= RECOVERED_SHARE
@@ -55,7 +56,7 @@
     @property
     def verdict(self) -> str:
         """Return the outcome in words."""
-        if not self.is_clean:
+        if not self.keeps_promises:
             return "broken"
         if self.ended_before_program_ms:
             count = len(self.ended_before_program_ms)
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -388,3 +388,17 @@
         "/write/x at d0: not connected": 1,
     }
     assert oracle.unserved_since(3.0) == {}
+
+
+@pytest.mark.parametrize(
+    ("body", "counted"), [(BODY, 1), (b"deadly before the head\n", 0)]
+)
+def test_a_request_that_ends_engines_need_not_be_served_in_the_calm(body, counted):
+    oracle = Oracle()
+    asked = tool(status=503, body=b"")
+    asked.expected_body = body
+    asked.at = asked.ended_at = 2.0
+    asked.is_connected = True
+    oracle.asked["r"] = asked
+    assert oracle.served_since(1.0) == (0, counted)
+    assert len(oracle.unserved_since(1.0)) == counted
