--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -1,6 +1,7 @@
 """Runs one soak: faults for a while, calm, then the verdict."""
 
 import argparse
+import os
 import sys
 import tempfile
 from pathlib import Path
@@ -13,13 +14,21 @@
 from deploy.soak.callers import Callers
 from deploy.soak.configuration import Operator
 from deploy.soak.daemons import MEMORY_MEGABYTES, SoakDaemon
+from deploy.soak.ends import EndKind, ProcessEnd
 from deploy.soak.engine_server import SoakEngine
-from deploy.soak.faults import Faults, FaultTargets
+from deploy.soak.fault_targets import FaultTargets
+from deploy.soak.faults import Faults
 from deploy.soak.large_turns import LargeTurns
 from deploy.soak.link_proxy import LinkProxy
-from deploy.soak.oracle import Oracle, Violation
+from deploy.soak.observations import Violation
+from deploy.soak.oracle import Oracle
+from deploy.soak.persistent_callers import PersistentCallers
+from deploy.soak.ports import LOW_PORTS, USUAL_PORTS, free_ports
+from deploy.soak.processor_waits import ProcessorWaits, read_waited
 from deploy.soak.readiness import Readiness
-from deploy.soak.settings import HOST, MODELS, PARTITIONS, TOOLS, SoakSize
+from deploy.soak.refusal_checks import false_budget_refusals, false_refusals
+from deploy.soak.report import SoakReport
+from deploy.soak.settings import HOST, MODELS, PARTITIONS, SLOW, TOOLS, SoakSize
 from deploy.soak.store_server import StoreServer
 from deploy.soak.tenants import Tenants
 from notcharch.http.server import ServerFactory
@@ -28,38 +37,17 @@
 LEAST_PAUSE_SECONDS = 0.3
 MOST_PAUSE_SECONDS = 2.5
 WATCH_SECONDS = 0.1
-RECOVERED_SHARE = 0.9
-"""Of the requests in the second half of the calm."""
 LAST_ANSWERS_SECONDS = 5.0
+USUAL_PORTS_SHARE = 0.5
+"""Of the runs whose daemons get ports of the kernel's range of outgoing connections."""
+SHARED_RANGE_SHARE = 0.5
+"""Of the runs whose daemons have one range of ports for their peers, as on one machine."""
+PROCESSES_OF_A_DAEMON = 2
+"""One may drain while the next one starts."""
+WAITS_FILE = "processor_waits.txt"
 DONE, BROKEN = 0, 1
 
 
-class SoakReport(msgspec.Struct, frozen=True):
-    """What a soak saw."""
-
-    seed: int
-    requests: int
-    served: int
-    runs: int
-    faults: int
-    calm_served: int
-    calm_requests: int
-    own_ends: int
-    resumed: int
-    """Streams that callers took up again."""
-    went_on: int
-    """Those of them that brought an event."""
-    ended_under: list[int]
-    """How many engines ended under each deadly request."""
-    violations: list[Violation]
-
-    @property
-    def is_clean(self) -> bool:
-        """Whether every promise held and the system recovered."""
-        share = self.calm_served / max(self.calm_requests, 1)
-        return not self.violations and not self.own_ends and share >= RECOVERED_SHARE
-
-
 class Soak:
     """One soak in a folder of its own."""
 
@@ -67,6 +55,7 @@
         """Build everything; nothing is asked before `start`."""
         self._reactor = reactor
         self._size = size
+        self._folder = folder
         self._seed = seed
         self._random = Random(seed)
         self._tenants = Tenants(Random(seed + 2))
@@ -74,16 +63,28 @@
         store = self._store = StoreServer(reactor, Random(seed), PARTITIONS)
         port = reactor.listenTCP(0, ServerFactory(store, reactor), interface=HOST)
         self._operator = Operator(store, self._tenants)
+        self._has_usual_ports = draw_usual_ports(seed)
+        ports = USUAL_PORTS if self._has_usual_ports else LOW_PORTS
+        peers: list[int] | None = None
+        if draw_shared_range(seed):
+            peers = free_ports(PROCESSES_OF_A_DAEMON * size.daemons, ports)
         self._daemons = [
-            SoakDaemon(f"d{n}", folder, LinkProxy(reactor, port.getHost().port))
+            SoakDaemon(
+                f"d{n}",
+                folder,
+                LinkProxy(reactor, port.getHost().port),
+                ports,
+                peers=peers,
+            )
             for n in range(size.daemons)
         ]
         services = [MODELS] * size.engines + [TOOLS] * size.tools
+        services += [SLOW] * size.slow
         engines = [
             SoakEngine(reactor, self._random, self.oracle, store, service, number=n)
             for n, service in enumerate(services)
         ]
-        self._readiness = Readiness(reactor, self._daemons)
+        self._readiness = Readiness(reactor, self._daemons, self._common_causes)
         self._callers = Callers(
             reactor,
             Random(seed + 1),
@@ -92,12 +93,19 @@
             tenants=self._tenants,
             large=LargeTurns(Random(seed + 3)),
         )
+        self._persistent = PersistentCallers(
+            reactor,
+            Random(seed + 5),
+            self.oracle,
+            self._readiness.ready,
+            self._tenants,
+        )
         self.faults = Faults(
             FaultTargets(
                 reactor,
                 self._random,
                 self._daemons,
-                engines,
+                engines[: size.engines + size.tools],
                 store,
                 self._operator.publish,
                 self._exchange_key,
@@ -107,9 +115,15 @@
                 size.is_planned_only,
             )
         )
+        self._is_over = False
+        self._watched_at = self._longest_pause = 0.0
+        self._waits = ProcessorWaits()
         self._ends_at = 0.0
         self._calm_at = 0.0
 
+    def _common_causes(self) -> list[str]:
+        return self.faults.store.causes()
+
     def _exchange_key(self) -> str:
         """Publish a change of keys; the store acknowledges it at once."""
         name = self._tenants.exchange(self._reactor.seconds())
@@ -120,25 +134,46 @@
         """Start the daemons, then callers and faults."""
         for daemon in self._daemons:
             daemon.start()
+        self._readiness.start()
+        self._watch()
         self._reactor.callLater(START_SECONDS, self._begin)
 
     def _begin(self) -> None:
         self._ends_at = self._reactor.seconds() + self._size.seconds
-        self._readiness.start()
         self._callers.start(self._size.programs)
+        self._persistent.start(self._size.persistent)
         self._callers.sends_deadly = not self._size.is_planned_only
-        self._watch()
         self._next_fault()
 
     def _watch(self) -> None:
         """Start again what ended by itself, as the platform does."""
+        now = self._reactor.seconds()
+        late = now - self._watched_at - WATCH_SECONDS if self._watched_at else 0.0
+        self._longest_pause = max(self._longest_pause, late)
+        self._watched_at = now
+        self._sample_processor_waits(now)
         for daemon in self._daemons:
-            daemon.measure_memory()
-            if daemon.notice_own_end():
-                daemon.start()
-        if self._callers.is_running:
+            daemon.look()
+            for end in daemon.take_new_ends():
+                self._note_end(daemon, end)
+        self._readiness.observe()
+        if not self._is_over:
             self._reactor.callLater(WATCH_SECONDS, self._watch)
 
+    def _sample_processor_waits(self, now: float) -> None:
+        pids = {daemon.name: daemon.process_id for daemon in self._daemons}
+        for name, pid in (pids | {"soak": os.getpid()}).items():
+            if pid:
+                self._waits.sample(name, pid, read_waited(pid), now)
+
+    def _note_end(self, daemon: SoakDaemon, end: ProcessEnd) -> None:
+        if end.kind is not EndKind.ASKED:
+            self.faults.note(
+                f"{end.daemon} ended, {end.kind.value}, status {end.status}, "
+                f"{end.lived_ms} ms after its start"
+            )
+            daemon.start()
+
     def _next_fault(self) -> None:
         if self._reactor.seconds() >= self._ends_at:
             self.faults.end()
@@ -150,30 +185,53 @@
         self._reactor.callLater(pause, self._next_fault)
 
     def _recovered(self) -> None:
+        # Their last calls take up to 7 s.
+        self._persistent.is_running = False
         self._calm_at = self._reactor.seconds()
         self._reactor.callLater(self._size.calm_seconds / 2, self._finish)
 
     def _finish(self) -> None:
+        if not self._readiness.is_settled:
+            self._reactor.callLater(WATCH_SECONDS, self._finish)
+            return
         self._callers.is_running = False
-        self._reactor.callLater(LAST_ANSWERS_SECONDS, self._reactor.stop)
+        self._reactor.callLater(LAST_ANSWERS_SECONDS, self._end)
+
+    def _end(self) -> None:
+        self._is_over = True
+        self._reactor.stop()
 
     def stop(self) -> None:
         """End the daemons that were started here."""
         for daemon in self._daemons:
-            daemon.kill()
+            daemon.kill_all()
+        (self._folder / WAITS_FILE).write_text(self._waits.text())
 
     def _in_contact(self) -> list[Violation]:
         """Check what daemons promise only while nothing but planned work goes on."""
         if not self._size.is_planned_only:
             return []
         oracle = self.oracle
-        return oracle.cut() + oracle.in_drained_zones() + oracle.at_leaving_engines()
+        return (
+            oracle.cut(self._reactor.seconds())
+            + oracle.in_drained_zones()
+            + oracle.at_leaving_engines()
+            + false_budget_refusals(oracle.asked.values(), oracle.runs, oracle.lengths)
+        )
+
+    def _false_refusals(self) -> list[Violation]:
+        return false_refusals(
+            self.oracle.asked.values(),
+            self._tenants,
+            in_contact=self._size.is_planned_only,
+        )
 
     def report(self) -> SoakReport:
         """Check all observations."""
         served, asked = self.oracle.served_since(self._calm_at)
         all_served, _ = self.oracle.served_since(0.0)
         went_on, resumed = self.oracle.resumed()
+        ends = [end for daemon in self._daemons for end in daemon.ends]
         return SoakReport(
             seed=self._seed,
             requests=len(self.oracle.asked),
@@ -182,13 +240,26 @@
             faults=len(self.faults.steps),
             calm_served=served,
             calm_requests=asked,
-            own_ends=sum(daemon.own_ends for daemon in self._daemons),
+            calm_unserved=self.oracle.unserved_since(self._calm_at),
+            own_ends=[end for end in ends if end.kind is EndKind.OWN],
+            ended_before_program_ms=[
+                end.reloaded_before_program_ms or 0
+                for end in ends
+                if end.kind is EndKind.BEFORE_PROGRAM
+            ],
+            has_usual_ports=self._has_usual_ports,
+            has_shared_range=draw_shared_range(self._seed),
+            slowest_ready_seconds=round(self._readiness.slowest, 2),
+            processor_waits=self._waits.totals(),
+            longest_pause_seconds=round(self._longest_pause, 2),
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
             violations=(
                 self.oracle.violations()
                 + self._in_contact()
+                + self._readiness.violations()
+                + self._false_refusals()
                 + self._refused_appends()
                 + self._faults_of_daemons()
             ),
@@ -200,6 +271,7 @@
         for daemon in self._daemons:
             if daemon.peak_megabytes > MEMORY_MEGABYTES:
                 found.append(Violation("MEMORY", "", f"{daemon.peak_megabytes} MB"))
+            found += [Violation("STOP", daemon.name, what) for what in daemon.overruns]
             exceptions = daemon.logged_exceptions()
             if exceptions:
                 found.append(
@@ -215,6 +287,16 @@
         ]
 
 
+def draw_usual_ports(seed: int) -> bool:
+    """Draw whether the daemons of a run get ports that outgoing connections may have."""
+    return Random(seed + 4).random() < USUAL_PORTS_SHARE
+
+
+def draw_shared_range(seed: int) -> bool:
+    """Draw whether the daemons of a run listen for each other in one range."""
+    return Random(seed + 6).random() < SHARED_RANGE_SHARE
+
+
 def read_arguments(arguments: list[str] | None) -> argparse.Namespace:
     """Read the command line."""
     parser = argparse.ArgumentParser(prog="deploy.soak", description=__doc__)
@@ -249,6 +331,7 @@
             soak.stop()
         report = soak.report()
     sys.stdout.write(msgspec.json.format(msgspec.json.encode(report)).decode() + "\n")
-    if not report.is_clean:
+    if report.verdict != "clean":
         sys.stdout.write("\n".join(soak.faults.steps) + "\n")
-    return DONE if report.is_clean else BROKEN
+    sys.stdout.write(f"seed {seed}: {report.verdict}\n")
+    return DONE if report.keeps_promises else BROKEN
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -1,18 +1,27 @@
 """What callers and engines saw, and which promises that breaks."""
 
-import hashlib
 from collections import defaultdict
 
-import msgspec
-
-from deploy.soak.deadly import DeadlyEnds, RequestKey, Try
+from deploy.soak.deadly import DeadlyEnds, Try, deadly_kind
+from deploy.soak.observations import (
+    OK,
+    Asked,
+    Run,
+    Violation,
+    answer_of,
+    event_of,
+    version_of,
+)
 from deploy.soak.settings import (
     BUDGET_TOKENS,
+    CALL_SECONDS,
     DRAIN_SECONDS,
     HOME_PATH,
+    LONG_CALL_SECONDS,
+    LONG_PATH,
+    LONG_STREAM_PATH,
     MOST_TOKENS,
     TOKENS_PER_EVENT,
-    VERSIONS,
 )
 from deploy.soak.tenants import (
     NEVER_HELD,
@@ -25,105 +34,16 @@
 
 REFUSALS = (401, 402, 404, 408, 421, 429, 503)
 """Answers that promise that the request has not run and never will."""
-OK = 200
+CROSSING_SECONDS = 0.25
+"""A request that was sent earlier than this before the close of its connection had arrived
+at the daemon."""
+ANSWER_SLACK_SECONDS = 1.0
+"""A request without an answer for so long beyond its time is lost."""
 AS_IT_SHOULD_BE = (OK, 401, 402, 429)
 """Answers that show a system at work: served, or refused for the caller's key, budget or
 limit."""
 
 
-class Asked(msgspec.Struct):
-    """One request of a caller."""
-
-    id: str
-    path: str
-    expected_body: bytes
-    """What an engine is to get."""
-    may_repeat: bool
-    """Whether it may run more than once."""
-    is_stream: bool
-    program: str = ""
-    previous: str = ""
-    tenant: str = ""
-    """Whose key it carries, or carried once."""
-    key: str = ""
-    at: float = 0.0
-    sent_at: float = 0.0
-    """When its bytes were sent."""
-    daemon: str = ""
-    is_connected: bool = False
-    """Whether a daemon took the connection."""
-    status: int = 0
-    """0 without an answer."""
-    events: list[bytes] = []
-    body: bytes = b""
-    is_whole: bool = False
-    answered_id: str = ""
-    ended_at: float = 0.0
-    first_attempt: str = ""
-    """The attempt that brought the first event of the stream that this one takes up."""
-    after_event: int = -1
-    """The last event that the caller had before."""
-    is_on_kept_connection: bool = False
-    """Whether it was sent on a connection that had served another request."""
-
-    ends_inside_event: bool = False
-    """Whether bytes of an unfinished event were its last."""
-    lost_by_caller: bool = False
-    """Whether its connection was lost at the caller's side, after the first events."""
-
-    @property
-    def stream(self) -> str:
-        """The first attempt of its stream."""
-        return self.first_attempt or self.id
-
-    @property
-    def request_key(self) -> RequestKey:
-        """What all tries of the request have in common."""
-        return RequestKey(self.tenant, self.path, self.expected_body)
-
-
-class Run(msgspec.Struct, frozen=True):
-    """One run of a request at an engine."""
-
-    engine: str
-    path: str
-    body: bytes
-    after_event: int
-    """-1 if it began at the beginning."""
-    tenant: str = ""
-    """As sent to the engine."""
-    has_key: bool = False
-    """Whether a key reached the engine."""
-    at: float = 0.0
-    zone: str = ""
-    """Where the engine is."""
-    is_cold: bool = False
-    """Whether the engine was cold."""
-
-
-class Violation(msgspec.Struct, frozen=True):
-    """A promise that was broken."""
-
-    rule: str
-    request: str
-    what: str
-
-
-def event_of(request: str, number: int, version: str = VERSIONS[0]) -> bytes:
-    """Give the data of an event of an engine's stream."""
-    return f"{request}:{number}:{version}".encode()
-
-
-def version_of(event: bytes) -> str:
-    """Give the software version of the engine that made an event."""
-    return event.rpartition(b":")[2].decode()
-
-
-def answer_of(request: str, body: bytes) -> bytes:
-    """Give the body of an engine's answer to a request without a stream."""
-    return hashlib.sha256(request.encode() + body).hexdigest().encode()
-
-
 def most_in_a_window(sent_and_run: list[tuple[float, float]]) -> int:
     """Give the most calls that were both sent and run within one window."""
     sent_and_run = sorted(sent_and_run)
@@ -133,6 +53,23 @@
     )
 
 
+def _counts_in_calm(asked: Asked, at: float) -> bool:
+    """Return whether a request since a time is to be served.
+
+    One under which engines end is refused, also by the tries that follow in the calm.
+    """
+    is_deadly = deadly_kind(asked.expected_body) is not None
+    is_over = asked.at >= at and asked.ended_at
+    return bool(is_over) and not asked.lost_by_caller and not is_deadly
+
+
+def _is_overdue(asked: Asked, now: float | None) -> bool:
+    """Return whether the time of a request is over."""
+    is_long = asked.path.startswith((LONG_PATH, LONG_STREAM_PATH))
+    seconds = LONG_CALL_SECONDS if is_long else CALL_SECONDS
+    return now is not None and now - asked.sent_at > seconds + ANSWER_SLACK_SECONDS
+
+
 class Oracle:
     """Collects what was seen; says at the end what was wrong."""
 
@@ -332,29 +269,59 @@
             if program and tokens > allowed
         ]
 
-    def cut(self) -> list[Violation]:
-        """Give the requests that a daemon took and did not answer whole."""
+    def cut(self, now: float | None = None) -> list[Violation]:
+        """Give the requests that a daemon took and did not answer whole.
+
+        Those without an end at `now` count when their time is over.
+        """
         return [
-            Violation("LOST", asked.id, f"cut at {asked.daemon}")
+            Violation("LOST", asked.id, self._describe_cut(asked))
             for asked in self.asked.values()
-            if asked.is_connected and asked.ended_at and not asked.is_whole
+            if asked.is_connected and not asked.is_whole
+            if asked.ended_at or _is_overdue(asked, now)
             if not asked.lost_by_caller and not self._crossed_a_close(asked)
         ]
 
+    def _describe_cut(self, asked: Asked) -> str:
+        kind = "kept" if asked.is_on_kept_connection else "new"
+        seconds = asked.ended_at - asked.sent_at if asked.ended_at else 0.0
+        sending = asked.sent_at - asked.begun_at if asked.begun_at else 0.0
+        told = ", told of the close" if asked.close_was_told else ""
+        return (
+            f"{'cut' if asked.ended_at else 'never answered'} at {asked.daemon}, {kind} connection, status {asked.status}, "
+            f"{len(asked.events)} events, {len(self.runs.get(asked.id, ()))} runs, "
+            f"{asked.path}, {asked.manner}, {seconds:.2f} s after it was sent "
+            f"at {asked.sent_at:.2f} in {sending:.2f} s{told}"
+        )
+
     def _crossed_a_close(self, asked: Asked) -> bool:
-        """Return whether a request met the close of a connection at rest, and ran nowhere.
+        """Return whether a request met the close of a connection, and ran nowhere.
 
-        That is allowed: nobody read it.
+        That is allowed: nobody read it. Its caller knew of the close by an answer before
+        it, or the close of a connection at rest was on its way.
         """
-        is_unread = asked.status == 0 and asked.id not in self.runs
-        return asked.is_on_kept_connection and is_unread
+        if asked.status or not asked.ended_at:
+            return False
+        if asked.id in self.runs or not asked.is_on_kept_connection:
+            return False
+        seconds = asked.ended_at - (asked.begun_at or asked.sent_at)
+        return asked.close_was_told or seconds <= CROSSING_SECONDS
+
+    def unserved_since(self, at: float) -> dict[str, int]:
+        """Count the other requests since a time by what came of them."""
+        counts: dict[str, int] = defaultdict(int)
+        for a in self.asked.values():
+            if not _counts_in_calm(a, at):
+                continue
+            if a.is_whole and a.status in AS_IT_SHOULD_BE:
+                continue
+            reached = f"status {a.status}" if a.is_connected else "not connected"
+            whole = "" if a.is_whole or not a.is_connected else ", cut"
+            counts[f"{a.path} at {a.daemon}: {reached}{whole}"] += 1
+        return dict(counts)
 
     def served_since(self, at: float) -> tuple[int, int]:
         """Give how many requests were answered by engines, and asked, since a time."""
-        asked = [
-            a
-            for a in self.asked.values()
-            if a.at >= at and a.ended_at and not a.lost_by_caller
-        ]
+        asked = [a for a in self.asked.values() if _counts_in_calm(a, at)]
         served = [a for a in asked if a.is_whole and a.status in AS_IT_SHOULD_BE]
         return len(served), len(asked)
--- a/tests/unit/soak/test_oracle.py
+++ b/tests/unit/soak/test_oracle.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from deploy.soak.oracle import Asked, Oracle, Run, answer_of, event_of
+from deploy.soak.observations import Asked, Run, answer_of, event_of
+from deploy.soak.oracle import CROSSING_SECONDS, Oracle
 from deploy.soak.settings import BUDGET_TOKENS, DRAIN_SECONDS, TOKENS_PER_EVENT
 from deploy.soak.tenants import NEVER_HELD, REVOKE_SECONDS, WINDOW_SECONDS, Tenants
 from deploy.soak.zones import (
@@ -177,14 +178,21 @@
 
 
 @pytest.mark.parametrize(
-    ("is_kept", "runs", "cut"), [(True, 0, 0), (True, 1, 1), (False, 0, 1)]
+    ("is_kept", "runs", "seconds", "cut"),
+    [
+        (True, 0, CROSSING_SECONDS - 0.01, 0),
+        (True, 0, CROSSING_SECONDS + 0.01, 1),
+        (True, 1, 0.1, 1),
+        (False, 0, 0.1, 1),
+    ],
 )
 def test_only_a_request_that_met_the_close_of_a_kept_connection_may_be_unread(
-    is_kept, runs, cut
+    is_kept, runs, seconds, cut
 ):
+    """One that came earlier had arrived when the daemon closed."""
     oracle = Oracle()
     asked = tool(status=0, body=b"", is_whole=False)
-    asked.is_connected, asked.ended_at = True, 1.0
+    asked.is_connected, asked.sent_at, asked.ended_at = True, 1.0, 1.0 + seconds
     asked.is_on_kept_connection = is_kept
     oracle.asked["r"] = asked
     if runs:
@@ -192,6 +200,27 @@
     assert len(oracle.cut()) == cut
 
 
+@pytest.mark.parametrize(("is_told", "cut"), [(True, 0), (False, 1)])
+def test_a_pipelined_request_may_be_unread_after_an_answer_that_told_of_the_close(
+    is_told, cut
+):
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.is_connected, asked.sent_at, asked.ended_at = True, 1.0, 5.0
+    asked.is_on_kept_connection, asked.close_was_told = True, is_told
+    oracle.asked["r"] = asked
+    assert len(oracle.cut()) == cut
+
+
+def test_the_time_of_a_slowly_sent_request_counts_from_its_first_byte():
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.is_connected, asked.is_on_kept_connection = True, True
+    asked.begun_at, asked.sent_at, asked.ended_at = 1.0, 2.9, 3.0
+    oracle.asked["r"] = asked
+    assert len(oracle.cut()) == 1
+
+
 @pytest.mark.parametrize(("extra", "rules"), [(0, []), (1, ["BUDGET"])])
 def test_a_budget_may_be_exceeded_by_one_turn_at_most(extra, rules):
     oracle = Oracle()
@@ -321,3 +350,55 @@
     oracle.left["i"] = 5.0
     oracle.runs["r"] = [run(at=5.0 + DRAIN_SECONDS + late), run(engine="j", at=99.0)]
     assert [found.rule for found in oracle.at_leaving_engines()] == rules
+
+
+@pytest.mark.parametrize(
+    ("path", "seconds", "cut"),
+    [
+        ("/write/x", 3.9, 0),
+        ("/write/x", 4.1, 1),
+        ("/long/x", 9.9, 0),
+        ("/long/x", 10.1, 1),
+    ],
+)
+def test_a_request_whose_answer_never_came_is_cut_when_its_time_is_over(
+    path, seconds, cut
+):
+    """It has no end when the soak ends, and would be judged by nothing."""
+    oracle = Oracle()
+    asked = tool(status=0, body=b"", is_whole=False)
+    asked.path, asked.is_connected, asked.sent_at = path, True, 1.0
+    oracle.asked["r"] = asked
+    assert len(oracle.cut(1.0 + seconds)) == cut
+    assert oracle.cut() == []
+
+
+def test_what_was_not_served_in_the_calm_is_counted_by_its_outcome():
+    oracle = Oracle()
+    for number, (status, is_connected, is_whole) in enumerate(
+        [(200, True, True), (503, True, True), (0, True, False), (0, False, False)]
+    ):
+        asked = tool(f"r{number}", status=status, is_whole=is_whole)
+        asked.at = asked.ended_at = 2.0
+        asked.is_connected, asked.daemon = is_connected, "d0"
+        oracle.asked[asked.id] = asked
+    assert oracle.unserved_since(1.0) == {
+        "/write/x at d0: status 503": 1,
+        "/write/x at d0: status 0, cut": 1,
+        "/write/x at d0: not connected": 1,
+    }
+    assert oracle.unserved_since(3.0) == {}
+
+
+@pytest.mark.parametrize(
+    ("body", "counted"), [(BODY, 1), (b"deadly before the head\n", 0)]
+)
+def test_a_request_that_ends_engines_need_not_be_served_in_the_calm(body, counted):
+    oracle = Oracle()
+    asked = tool(status=503, body=b"")
+    asked.expected_body = body
+    asked.at = asked.ended_at = 2.0
+    asked.is_connected = True
+    oracle.asked["r"] = asked
+    assert oracle.served_since(1.0) == (0, counted)
+    assert len(oracle.unserved_since(1.0)) == counted
