--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -8,6 +8,7 @@
 from notcharch.calls.interface import OpaqueCall, Refusal, Route
 from notcharch.calls.metrics import STOP_CUTS, STOP_REFUSALS
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.process import CallCutByStop, CallRefusedForStop
 from notcharch.scheduling.call_durations import CallDurations, Durations, EndedCall
 from notcharch.scheduling.stop_decision import StopDecision, StopInputs, decide
@@ -107,6 +108,7 @@
         self._latest: dict[str, KnownDurations] = {}
         """By route; only used during a stop."""
         self.counts = StopCounts()
+        self._faults = FeedFaults("calls of a stop")
 
     @property
     def is_stopping(self) -> bool:
@@ -227,9 +229,9 @@
         """Refuse the calls that wait and can no longer end in time."""
         if self.is_stopping:
             for call in tuple(self._calls):
-                call.refuse_if_late()
+                self._faults.isolate("refuse_if_late", call.refuse_if_late)
 
     def cut_all(self) -> None:
         """End every call."""
         for call in tuple(self._calls):
-            call.end_for_stop()
+            self._faults.isolate("end_for_stop", call.end_for_stop)
--- a/notcharch/http/drain.py
+++ b/notcharch/http/drain.py
@@ -1,10 +1,13 @@
 """Graceful shutdown of a server: it stops accepting and finishes requests in flight."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.events.feed_faults import FeedFaults
+
 CHECK_SECONDS = 0.1
 """Interval between two checks for requests in flight, and for those to be refused."""
 
@@ -58,6 +61,7 @@
         self._began = 0.0
         self._is_accepting = True
         self._is_cut = False
+        self._faults = FeedFaults("drain")
 
     def begin(self) -> None:
         """Start the drain; the server accepts connections for a while longer."""
@@ -67,22 +71,26 @@
     def _check(self) -> None:
         times = self._times
         elapsed = self._clock.seconds() - self._began
-        self._server.refuse_late()
+        self._step("refuse_late", self._server.refuse_late)
         if self._is_accepting and elapsed >= times.accept_seconds:
             # With too few ready servers, clients connect for as long as this one listens.
             self._is_accepting = False
-            self._server.stop_accepting()
+            self._step("stop_accepting", self._server.stop_accepting)
         if not self._is_accepting:
-            self._server.close_idle()
+            self._step("close_idle", self._server.close_idle)
         if not self._is_cut and elapsed >= times.cut_seconds:
             self._is_cut = True
-            self._server.cut()
+            self._step("cut", self._server.cut)
         is_finished = not self._is_accepting and not self._server.open_connections()
         if is_finished or elapsed >= times.max_seconds:
             self._server.stopped(elapsed)
             return
         self._clock.callLater(self._until_next(elapsed), self._check)
 
+    def _step(self, name: str, step: Callable[[], None]) -> None:
+        """Take a step; its failure must not end the drain's checks."""
+        self._faults.isolate(name, step)
+
     def _until_next(self, elapsed: float) -> float:
         """Return the seconds until the next check: the regular one, or a step's time."""
         times = self._times
--- a/notcharch/http/listener.py
+++ b/notcharch/http/listener.py
@@ -4,6 +4,7 @@
 connection. Both pass without anybody's doing.
 """
 
+import errno
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
@@ -29,6 +30,8 @@
 """A port that is free again is opened within this time."""
 REPORT_INTERVAL_SECONDS = 10.0
 """Shortest interval between two log lines about a port that is still held."""
+MAX_PORTS_AT_ONCE = 32
+"""Ports tried in one turn of the reactor: each takes 0.1 ms or more."""
 MAX_DOUBLINGS = 16
 """Bounds the exponent of the delay."""
 
@@ -43,6 +46,12 @@
     return random.uniform(ceiling / 2, ceiling)
 
 
+def is_of_one_port(error: Exception) -> bool:
+    """Return whether a failure to listen says nothing of other ports of the address."""
+    cause = error.socketError if isinstance(error, CannotListenError) else error
+    return getattr(cause, "errno", None) in (errno.EADDRINUSE, errno.EACCES)
+
+
 def is_report_due(reported_at: float | None, now: float) -> bool:
     """Return whether a failure is logged, given when the last one was."""
     return reported_at is None or now - reported_at >= REPORT_INTERVAL_SECONDS
@@ -152,17 +161,25 @@
 
     def _open_first_free(self) -> None:
         cause: Exception | None = None
-        for port in self.address.ports:
+        for port in self._candidates():
             try:
                 self._opener.open(self.address.host, port)
             except LISTEN_ERRORS as error:
                 cause = cause or error
                 self._failed.inc()
+                if not is_of_one_port(error):
+                    break
             else:
                 self._opened(port)
                 return
         self._wait(cause)
 
+    def _candidates(self) -> tuple[int, ...]:
+        """Return the ports of this attempt; a wide range takes several attempts."""
+        ports = self.address.ports
+        first = self._failures * MAX_PORTS_AT_ONCE % len(ports)
+        return ports[first : first + MAX_PORTS_AT_ONCE]
+
     def _opened(self, port: int) -> None:
         self.is_open = True
         self._waiting.set(0)
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -1,6 +1,7 @@
 """The server side of HTTP/1.1 connections; pipelined requests are served in order."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol as Interface
 
 import h11
@@ -10,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
 from notcharch.http.connection_room import ConnectionRoom, RefusedConnection
@@ -26,6 +28,7 @@
 A connection that is closed while its client still sends is reset, and the client may lose
 the response.
 """
+NOT_IMPLEMENTED = 501
 NEW_CONNECTION_SECONDS = 0.3
 """A connection without a request so far is not idle for this time: its first one comes."""
 PIPELINED_BYTES = CONNECTION_BYTES
@@ -370,6 +373,9 @@
     def _begin(self, event: h11.Request) -> None:
         headers = event.headers.raw_items()
         head = RequestHead(event.method, event.target, headers)
+        if event.method == b"CONNECT":
+            self._refuse(NOT_IMPLEMENTED)
+            return
         self._exchange = Exchange(self, head)
         self._exchange.arrived = self._clock.seconds()
         self._body = bytearray()
@@ -405,10 +411,17 @@
         """Send one protocol event."""
         if self._is_disconnected:
             return
+        if isinstance(event, h11.Data) and self._has_no_response_body:
+            return
         data = self._http.send(event)
         if data:
             self._out.write(data)
 
+    @property
+    def _has_no_response_body(self) -> bool:
+        """Whether the request is one whose response is a head alone."""
+        return self._exchange is not None and self._exchange.head.method == b"HEAD"
+
     def end_exchange(self) -> None:
         """Complete the response, then read the next request or close."""
         self.send(h11.EndOfMessage())
@@ -486,6 +499,7 @@
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
         self._open: set[ServerConnection] = set()
+        self._faults = FeedFaults("connections")
 
     def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802
         """Create a tracked connection, or one that is refused; None closes it at once."""
@@ -507,14 +521,15 @@
     def close_idle(self) -> None:
         """Close the connections on which nothing of a request was received."""
         for connection in tuple(self._open):
-            connection.close_if_idle()
+            self._faults.isolate("close_if_idle", connection.close_if_idle)
 
     def refuse_unread(
         self, refusal_of: Callable[[Exchange | None], ErrorResponse | None]
     ) -> None:
         """Refuse the requests that are being read and for which there is a response."""
         for connection in tuple(self._open):
-            connection.refuse_unread(refusal_of)
+            refuse = partial(connection.refuse_unread, refusal_of)
+            self._faults.isolate("refuse_unread", refuse)
 
 
 class TrackedConnection(ServerConnection):
--- a/notcharch/platform/daemon_run.py
+++ b/notcharch/platform/daemon_run.py
@@ -73,10 +73,12 @@
         try:
             self._process = self._new_process(settings)
         except Exception as error:
-            sys.stderr.write(f"the process can't be created: {error!r}\n")
-            traceback.print_exc()
             self._own_status = DEFECT_STATUS
-            self._stop()
+            try:
+                sys.stderr.write(f"the process can't be created: {error!r}\n")
+                traceback.print_exc()
+            finally:
+                self._stop()
             return
         self._process.start()
 
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -6,11 +6,12 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import succeed
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.error import ReactorNotRunning
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
@@ -104,6 +105,7 @@
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
+        self._stop_faults = FeedFaults("stop")
         self._components: Components | None = None
         self.exit_status = 0
         """The status with which the process ends when the reactor has stopped."""
@@ -235,20 +237,26 @@
     def _begin_stop(self) -> bool:
         """Record the stop; return whether there are callers to be served before it.
 
-        Before its ports were open, the platform sent no callers to this process.
+        Before its ports were open and a table was loaded, the platform sent no callers to
+        this process.
         """
         former = self._life.state
         self._life.begin_drain()
         self._listeners.stop_waiting()
         components = self._components
         in_flight = 0 if components is None else components.ingress.in_flight
-        if former not in BEFORE_PORTS or in_flight:
+        has_served = components is not None and components.ingress.router is not None
+        is_early = former in BEFORE_PORTS or not has_served
+        if former in ENDED or not is_early or in_flight:
             return former not in ENDED
         emit(ProcessStopping(self._settings.machine, 0))
-        self._listeners.close_front()
-        left = succeed(None) if components is None else components.accounts.leave()
-        left.addBoth(lambda _: self._end_early())
         self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
+        self._listeners.close_front()
+        if components is None:
+            self._end_early()
+        else:
+            left = maybeDeferred(components.accounts.leave)
+            left.addBoth(lambda _: self._end_early())
         return False
 
     def _end_early(self) -> None:
@@ -297,10 +305,10 @@
         components = self._components
         assert components is not None
         emit(ProcessStopping(self._settings.machine, components.ingress.in_flight))
-        components.accounts.leave()
         components.stop.begin(
             self._settings.grace_seconds, self._listeners.front_port, self._stopped
         )
+        self._stop_faults.isolate("leaving the group", components.accounts.leave)
 
     def _stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
