--- a/tests/stateful/stop/stop_machine.py
+++ b/tests/stateful/stop/stop_machine.py
@@ -107,8 +107,8 @@
         self.admission = SlowAdmission()
         self.world = StopWorld(admission=self.admission)
         self.on_connection: dict[Caller, list[Asked]] = {}
-        self.known_at: dict[str, Known] = {}
-        """What was known when an engine first got a call, or when it was refused."""
+        self.known_at: dict[EngineAnswer, Known] = {}
+        """What was known when an engine got a call."""
         self.answered_at: dict[Caller, float] = {}
         """When a connection had the first byte of a response."""
         self.is_stopped = False
@@ -244,6 +244,16 @@
             if asked.id == answer.id:
                 asked.is_broken_off = True
 
+    @precondition(lambda self: bool(self._rejectable()))
+    @rule(data=st.data())
+    def engine_rejects(self, data):
+        """Reject a call, which goes to the next engine or is refused."""
+        data.draw(st.sampled_from(self._rejectable())).reject()
+
+    def _rejectable(self) -> list[EngineAnswer]:
+        """Return the calls of which no head was answered."""
+        return [one for one in self._running() if not one.has_begun]
+
     def _running(self) -> list[EngineAnswer]:
         return [
             answer
@@ -279,9 +289,10 @@
         for caller in self.on_connection:
             if caller.transport.sent and caller not in self.answered_at:
                 self.answered_at[caller] = self.world.now
-        for id in self.world.engines.got:
-            if id not in self.known_at:
-                self.known_at[id] = self._known(self._route_of(id))
+        for answers in self.world.engines.got.values():
+            for answer in answers:
+                if answer not in self.known_at:
+                    self.known_at[answer] = self._known(answer.route)
 
     def _known(self, route: str) -> Known:
         """Return the durations of a route's calls that have ended."""
@@ -298,9 +309,6 @@
     def _all(self) -> list[Asked]:
         return [asked for all in self.on_connection.values() for asked in all]
 
-    def _route_of(self, id: str) -> str:
-        return next(asked.route for asked in self._all() if asked.id == id)
-
     def teardown(self):
         if not self.is_stopped:
             self.stop()
@@ -389,7 +397,7 @@
         """Check that an engine did not get what was known not to end before the cut."""
         left = self.world.stopped_at + CUT_SECONDS - answer.sent_at + SLACK_SECONDS
         deadline = asked.begun_at + asked.deadline_seconds - answer.sent_at
-        known = self.known_at[asked.id]
+        known = self.known_at[answer]
         if known.shortest is None:
             assert deadline <= left, "nothing was known of a call that was sent"
         elif known.count >= MIN_KNOWN:
--- a/tests/unit/platform/stop_world.py
+++ b/tests/unit/platform/stop_world.py
@@ -70,6 +70,8 @@
         self.is_after_stop = False
         """Whether the engine got it after SIGTERM."""
         self.is_over = False
+        self.has_begun = False
+        """Whether it has sent a head."""
 
     def start(self) -> None:
         """Begin the answer: the request has arrived."""
@@ -83,6 +85,7 @@
             reactor.callLater(self.seconds, self._answer)
 
     def _begin(self, framing=Framing.CHUNKS) -> None:
+        self.has_begun = True
         headers = [(b"X-Notcharch-Response-Seal", b"x")]
         headers.append((b"X-Notcharch-Request-Id", self.id.encode()))
         self.listener.head_received(ResponseHead(200, headers, framing=framing))
@@ -118,6 +121,15 @@
         self.is_over = True
         self.listener.completed()
 
+    def reject(self) -> None:
+        """Answer that the request was not run and never will be."""
+        self.is_over = self.is_abandoned = True
+        self.world.engines.forget(self)
+        self.listener.head_received(
+            ResponseHead(503, [(b"X-Notcharch-Not-Executed", b"1")])
+        )
+        self.listener.completed()
+
     def break_off(self) -> None:
         self.is_over = self.is_abandoned = True
         self.listener.failed(ResponseFailure.RESET)
@@ -161,6 +173,12 @@
             if not answer.is_abandoned:
                 answer.listener.unreachable()
 
+    def forget(self, answer: EngineAnswer) -> None:
+        """Remove a request that did not run."""
+        self.got[answer.id].remove(answer)
+        if not self.got[answer.id]:
+            del self.got[answer.id]
+
     def _receive(self, answer: EngineAnswer) -> None:
         self.got.setdefault(answer.id, []).append(answer)
         answer.start()
