--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -3,10 +3,13 @@
 import time
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Any
 
 import msgspec
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES, AccountAdmission
 from notcharch.accounts.limited_tenants import LimitContext
 from notcharch.accounts.outage_refusals import OutageRefusals
@@ -69,6 +72,7 @@
     tenant: Callable[[str], Tenant | None]
     """Returns a tenant of the table in force."""
     wall_clock: Callable[[], float] = time.time
+    memory: AccountMemory = msgspec.field(default_factory=AccountMemory)
 
 
 class AccountGroup:
@@ -119,6 +123,7 @@
             ),
             uses_starting_allowance=Mechanism.STARTING_ALLOWANCE in mechanisms,
             wall_clock=services.wall_clock,
+            memory=services.memory,
         )
         has_signal = Mechanism.RECOVERY_SIGNAL in mechanisms
         local_member = network.own_member
@@ -145,6 +150,7 @@
             services.suspicions,
             other_groups,
             max_body_bytes=settings.max_body_bytes,
+            cache=services.memory.cache,
         )
 
     @staticmethod
@@ -170,8 +176,13 @@
             self._member.start()
         self.directory.start()
 
-    def leave(self) -> None:
-        """Release all partitions; continue to send requests to other owners."""
-        if self._role.is_member:
-            self._member.stop()
-            self._owned_partitions.release_all().addBoth(lambda _: self._member.leave())
+    def leave(self) -> "Deferred[Any]":
+        """Release all partitions; continue to send requests to other owners.
+
+        Fires when the log service has confirmed it, or didn't.
+        """
+        if not self._role.is_member:
+            return succeed(None)
+        self._member.stop()
+        released = self._owned_partitions.release_all()
+        return released.addBoth(lambda _: self._member.leave())
--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -75,7 +75,7 @@
     def refuse_if_late(self) -> None:
         """Refuse the call if it is at no engine and can't end before the stop."""
 
-    def cut(self) -> None:
+    def end_for_stop(self) -> None:
         """End the call now: refused if it has not run, else broken off."""
 
 
@@ -232,4 +232,4 @@
     def cut_all(self) -> None:
         """End every call."""
         for call in tuple(self._calls):
-            call.cut()
+            call.end_for_stop()
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -12,10 +12,12 @@
 from notcharch.events.event import emit
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
+from notcharch.http.connection_room import ConnectionRoom, RefusedConnection
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import SendBuffer
+from notcharch.http.sockets import has_unread_bytes
 
 JSON_TYPE = (b"content-type", b"application/json")
 LINGER_SECONDS = 1.0
@@ -24,6 +26,8 @@
 A connection that is closed while its client still sends is reset, and the client may lose
 the response.
 """
+NEW_CONNECTION_SECONDS = 0.3
+"""A connection without a request so far is not idle for this time: its first one comes."""
 PIPELINED_BYTES = CONNECTION_BYTES
 """Bytes of later requests beyond which reading stops while one is processed."""
 
@@ -146,12 +150,15 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._exchange: Exchange | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        """One buffer: a chunk of some bytes would take 33 bytes more than its content."""
         self._is_responding = False
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
         self._idle_since = 0.0
+        self._opened_at = 0.0
+        self._is_new = True
+        """Whether nothing was received yet."""
         self._is_reading_paused = False
         self._is_cut = False
         self._is_discarding = False
@@ -167,7 +174,7 @@
         """Disable Nagle's algorithm and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
         self._out = SendBuffer(self.transport, self._on_buffer_change)
-        self._idle_since = self._clock.seconds()
+        self._opened_at = self._idle_since = self._clock.seconds()
         self._schedule_check(self._limits.idle_seconds)
 
     def _schedule_check(self, seconds: float) -> None:
@@ -202,9 +209,24 @@
             return False
         return not self.is_idle
 
+    @property
+    def idle_since(self) -> float | None:
+        """Since when it has nothing to read, serve or send; None if it is in use."""
+        is_at_rest = self.is_idle and not self._out.buffered
+        return self._idle_since if is_at_rest else None
+
     def close_if_idle(self) -> None:
-        """Close the connection if nothing of a request was received."""
-        if not self._is_disconnected and self.is_idle and not self._is_discarding:
+        """Close the connection if nothing of a request was received.
+
+        One that was just opened is kept for its first request: its client got no sign that
+        it would be closed.
+        """
+        age = self._clock.seconds() - self._opened_at
+        if self._is_new and age < NEW_CONNECTION_SECONDS:
+            return
+        if self._is_disconnected or not self.is_idle or self._is_discarding:
+            return
+        if not has_unread_bytes(self.transport):
             self._out.lose_connection()
 
     def refuse_unread(
@@ -240,6 +262,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parse received bytes."""
+        self._is_new = False
         if self._is_discarding:
             return
         if self._exchange is None and not self._http.trailing_data[0]:
@@ -259,7 +282,7 @@
         if must_wait and waiting > PIPELINED_BYTES and not self._is_reading_paused:
             self._is_reading_paused = True
             self.transport.pauseProducing()
-        inbound = waiting + self._body_bytes
+        inbound = waiting + len(self._body)
         if inbound != self._inbound:
             self._inbound = inbound
             self._count_buffered()
@@ -337,11 +360,10 @@
         if isinstance(event, h11.Request):
             self._begin(event)
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.body_bytes:
+            if len(self._body) + len(event.data) > self._limits.body_bytes:
                 self._refuse(413)
                 return
-            self._body.append(bytes(event.data))
+            self._body += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -350,17 +372,15 @@
         head = RequestHead(event.method, event.target, headers)
         self._exchange = Exchange(self, head)
         self._exchange.arrived = self._clock.seconds()
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._handler.count(1)
 
     def _dispatch(self) -> None:
         exchange = self._exchange
         if exchange is None:
             return
-        exchange.body = b"".join(self._body)
-        self._body = []
-        self._body_bytes = 0
+        exchange.body = bytes(self._body)
+        self._body = bytearray()
         self._is_responding = True
         self._handler.handle(exchange)
 
@@ -414,8 +434,7 @@
             self._clock.callLater(0, self._read_next)
 
     def _clear_exchange(self) -> None:
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         if self._exchange is not None:
             self._exchange = None
             self._handler.count(-1)
@@ -456,19 +475,28 @@
         handler: RequestHandler,
         clock: IReactorTime,
         buffers: BufferedBytes | None = None,
+        room: ConnectionRoom | None = None,
     ) -> None:
-        """Pass requests to a handler; `buffers` counts what the connections hold."""
+        """Pass requests to a handler; `buffers` counts what the connections hold.
+
+        `room` bounds their number.
+        """
+        self._room = room or ConnectionRoom()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
         self._open: set[ServerConnection] = set()
 
-    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
-        """Create a tracked connection."""
+    def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802
+        """Create a tracked connection, or one that is refused; None closes it at once."""
+        if not self._room.has_room(self._clock.seconds()):
+            is_answered = self._room.may_refuse()
+            return RefusedConnection(self._room, self._clock) if is_answered else None
         connection = TrackedConnection(
-            self._handler, self._clock, self._open, self._buffers
+            self._handler, self._clock, self._open, self._buffers, self._room
         )
         self._open.add(connection)
+        self._room.opened(connection)
         return connection
 
     @property
@@ -498,12 +526,15 @@
         clock: IReactorTime,
         open_connections: set[ServerConnection],
         buffers: BufferedBytes,
+        room: ConnectionRoom,
     ) -> None:
-        """Create a connection that removes itself from `open_connections`."""
+        """Create a connection that removes itself from `open_connections` and `room`."""
         super().__init__(handler, clock, buffers)
+        self._room = room
         self._open_connections = open_connections
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Remove the connection from the set of open ones."""
         self._open_connections.discard(self)
+        self._room.closed(self)
         super().connectionLost(reason)
--- a/tests/unit/accounts/world.py
+++ b/tests/unit/accounts/world.py
@@ -1,11 +1,13 @@
 """Daemons that own accounts, with a virtual clock and one shared log service."""
 
+import math
 from random import Random
 
 from twisted.internet.task import Clock
 
 from emulator.peers.fabric import MemoryFabric
 from emulator.services.partitioned_log import PartitionedLog
+from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.admission import MAX_BODY_BYTES
 from notcharch.accounts.messages import account_codec
 from notcharch.accounts.service import (
@@ -60,6 +62,9 @@
         self.body = None
         self.refusal: Refusal | None = None
         self.is_durable = False
+        self.memory_bytes = math.inf
+        """Bytes of turns that the call may hold."""
+        self.reserved = 0
         self.is_given_up = False
         """Whether the completion was reported as not durable."""
         self.awaits_admission = True
@@ -76,6 +81,10 @@
     def refused(self, refusal) -> None:
         self.refusal = refusal
 
+    def reserve_memory(self, size) -> bool:
+        self.reserved += size
+        return self.reserved <= self.memory_bytes
+
     def durable(self) -> None:
         self.is_durable = True
 
@@ -99,8 +108,14 @@
         has_competing_callers: bool = False,
         log_limits: LogLimits | None = None,
         max_body_bytes: int = MAX_BODY_BYTES,
+        memory=AccountMemory,
     ) -> None:
-        """Assign the daemons to the regions in turn, if there are any."""
+        """Assign the daemons to the regions in turn, if there are any.
+
+        `memory` returns what a daemon that starts may hold.
+        """
+        self._new_memory = memory
+        self.memories: dict[DaemonName, AccountMemory] = {}
         self.max_body_bytes = max_body_bytes
         self.refuses_in_outages = refuses_in_outages
         self.mechanisms = mechanisms
@@ -139,6 +154,7 @@
         self.incarnations[name] += 1
         member = Member(name, Incarnation(self.incarnations[name]))
         daemon = self.fabric.join(member, ZoneName("z"))
+        self.memories[name] = self._new_memory()
         service = AccountsService(
             AccountSettings(
                 f"{name}:1",
@@ -161,6 +177,7 @@
             recovery=self._recovery(name, daemon.clock),
             tenant=self.tenants.get,
             wall_clock=lambda: self.clock.seconds() + 1e9,
+            memory=self.memories[name],
         )
         self.services[name] = service
         service.start()
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -37,7 +37,7 @@
 )
 from notcharch.events.quarantine import AttemptNotSent, EngineEnded
 from notcharch.events.tenants import KeysUnsure, LimitReached
-from notcharch.explain.explanation import explain
+from notcharch.explain.explanation import explain, owner_machine
 from notcharch.explain.log_lines import read_lines
 from notcharch.values.framing import Framing
 
@@ -472,3 +472,17 @@
     event = CallCutByStop("r", "p", "route", 7.4, True)
     told = cause(line(7.5, "m", event), line(7.5, "m", refused(status=502)))
     assert "cut by a planned stop: it had run for 7.4 s" in told.cause
+
+
+@pytest.mark.parametrize(
+    ("member", "machine"),
+    [
+        ("front-hall-d-2|10.0.0.1:7380", "front-hall-d-2"),
+        ("front-hall-d-2:7381|10.0.0.1:7381", "front-hall-d-2"),
+        ("front-hall-d-2", "front-hall-d-2"),
+        ("", ""),
+    ],
+)
+def test_the_machine_of_an_owner_at_a_later_port_is_found(member, machine):
+    """Guards against an explanation without the lines of the owner's machine."""
+    assert owner_machine(member) == machine
--- a/tests/unit/platform/stop_world.py
+++ b/tests/unit/platform/stop_world.py
@@ -241,7 +241,7 @@
         self.world = world
         self.bytes_per_second = bytes_per_second
         self.transport = SlowPeerTransport()
-        self.connection = world.process._factory.buildProtocol(None)
+        self.connection = world.components.factory.buildProtocol(None)
         self.transport.attach(self.connection)
         self._tail: list[bytes] = []
 
@@ -317,7 +317,9 @@
         self.reactor.advance(1000.0)
         settings = read_settings(TEXT).ok_value
         self.process = Process(settings, self.reactor, None, ALL_MECHANISMS)
-        ingress = self.process._ingress
+        self.process.start()
+        self.components = self.process._components
+        ingress = self.components.ingress
         ingress.router = Router(decode_table(msgspec.json.encode(TABLE)))
         services = ingress._services
         services.pool.replace([engine("a"), engine("b")])
@@ -325,7 +327,7 @@
         msgspec.structs.force_setattr(services, "sender", self.engines)
         if admission is not None:
             msgspec.structs.force_setattr(services, "admission", admission)
-        self.port = self.process._front_port = FrontPort()
+        self.port = self.process._listeners._front.port = FrontPort()
         self.numbers = itertools.count(1)
         self.callers: list[Caller] = []
         self.stopped_at = 0.0
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -292,7 +292,7 @@
     world = StopWorld()
     if is_known:
         world.learn(kind, 2.0)
-    services = world.process._ingress._services
+    services = world.components.ingress._services
     admission = PendingAdmission()
     msgspec.structs.force_setattr(services, "admission", admission)
     caller = world.caller()
@@ -314,7 +314,7 @@
     world = StopWorld()
     world.learn(kind, 2.0)
     admission = PendingAdmission()
-    services = world.process._ingress._services
+    services = world.components.ingress._services
     msgspec.structs.force_setattr(services, "admission", admission)
     caller = world.caller()
     id = caller.call(kind, 2.0)
@@ -552,7 +552,7 @@
 
 def test_a_stop_before_the_first_table_ends_at_once():
     world = StopWorld()
-    world.process._ingress.router = None
+    world.components.ingress.router = None
     world.stop()
     world.run(0.2)
     assert not world.port.is_open
@@ -575,3 +575,28 @@
     assert 6.9 < refused["expected_seconds"] < 7.3
     (ended,) = of(messages, DrainEnded)
     assert (ended["served"], ended["refused"], ended["cut"]) == (0, 1, 0)
+
+
+@each_kind
+def test_a_connection_opened_just_before_the_port_closes_is_answered(kind):
+    """Guards against a reset of a connection whose first request is on its way."""
+    world = StopWorld()
+    world.learn(kind, 0.1)
+    world.stop()
+    world.run_until(2.55)
+    caller = world.caller()
+    world.run_until(2.75)
+    assert not caller.is_closed
+    caller.call(kind, 0.1)
+    world.finish()
+    assert_served(caller)
+
+
+def test_a_connection_that_brings_no_request_does_not_delay_the_stop():
+    world = StopWorld()
+    world.stop()
+    world.run_until(2.55)
+    caller = world.caller()
+    world.finish()
+    assert caller.is_closed
+    assert world.ended_at < 3.1
