--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -3,15 +3,15 @@
 import gc
 import sys
 import time
+from functools import partial
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import maybeDeferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ReactorNotRunning
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
-from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
@@ -25,6 +25,7 @@
     StartFailed,
 )
 from notcharch.events.steady_loop import steady_loop
+from notcharch.events.stop_steps import isolated
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
 from notcharch.platform.awaited_settings import AwaitedSettings
@@ -105,7 +106,6 @@
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
-        self._stop_faults = FeedFaults("stop")
         self._components: Components | None = None
         self.exit_status = 0
         """The status with which the process ends when the reactor has stopped."""
@@ -237,26 +237,20 @@
     def _begin_stop(self) -> bool:
         """Record the stop; return whether there are callers to be served before it.
 
-        Before its ports were open and a table was loaded, the platform sent no callers to
-        this process.
+        Before its ports were open, the platform sent no callers to this process.
         """
         former = self._life.state
         self._life.begin_drain()
         self._listeners.stop_waiting()
         components = self._components
         in_flight = 0 if components is None else components.ingress.in_flight
-        has_served = components is not None and components.ingress.router is not None
-        is_early = former in BEFORE_PORTS or not has_served
-        if former in ENDED or not is_early or in_flight:
+        if former not in BEFORE_PORTS or in_flight:
             return former not in ENDED
         emit(ProcessStopping(self._settings.machine, 0))
-        self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
         self._listeners.close_front()
-        if components is None:
-            self._end_early()
-        else:
-            left = maybeDeferred(components.accounts.leave)
-            left.addBoth(lambda _: self._end_early())
+        left = self._leave_group()
+        left.addBoth(lambda _: self._end_early())
+        self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
         return False
 
     def _end_early(self) -> None:
@@ -306,19 +300,37 @@
         assert components is not None
         emit(ProcessStopping(self._settings.machine, components.ingress.in_flight))
         components.stop.begin(
-            self._settings.grace_seconds, self._listeners.front_port, self._stopped
+            self._settings.grace_seconds,
+            self._listeners.front_port,
+            self._stopped,
+            self._leave_group(),
         )
-        self._stop_faults.isolate("leaving the group", components.accounts.leave)
+
+    def _leave_group(self) -> "Deferred[Any]":
+        """Release all partitions; a defect there must not keep the process."""
+        components = self._components
+        if components is None:
+            return succeed(None)
+        left: Deferred[Any] = Deferred()
+        if not isolated(
+            "leave the group",
+            lambda: components.accounts.leave().chainDeferred(left),
+        ):
+            left.callback(None)
+        return left
 
     def _stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
+        isolated("log the end", partial(self._log_stopped, requests_in_flight, seconds))
+        isolated("write the last lines", self._output.flush)
+        # The collections at the exit of the interpreter take most of its time.
+        self._reactor.addSystemEventTrigger("after", "shutdown", gc.freeze)
+        self._stop_reactor()
+
+    def _log_stopped(self, requests_in_flight: int, seconds: float) -> None:
         self._life.finish()
         emit(
             ProcessStopped(
                 self._settings.machine, requests_in_flight, round(seconds, 3)
             )
         )
-        self._output.flush()
-        # The collections at the exit of the interpreter take most of its time.
-        self._reactor.addSystemEventTrigger("after", "shutdown", gc.freeze)
-        self._stop_reactor()
