A takeover holds no page that is applied, and large buffers return to the system

Cause: a replay that waits for its next page held the one before it: 48 MB with 48 partitions. glibc raises the size from which buffers are mapped on their own with the first large one that is freed, so later ones leave holes among small objects.

--- a/notcharch/journal/partition_journal.py
+++ b/notcharch/journal/partition_journal.py
@@ -136,14 +136,20 @@
             if isinstance(response, Err):
                 yield self._handle_problem(response.err_value)
                 continue
-            found = response.ok_value
-            for offset, record in enumerate(found.records, start=found.first):
-                self._replay(offset, record)
-            self.records += len(found.records)
-            self._next_offset = found.first + len(found.records)
-            if not found.records and found.end <= self._next_offset:
+            is_at_end = self._replay_records(response.ok_value)
+            # Each partition would hold a page while it waits for the next one.
+            del response
+            if is_at_end:
                 return
 
+    def _replay_records(self, found: Records) -> bool:
+        """Apply what was read; return whether nothing follows."""
+        for offset, record in enumerate(found.records, start=found.first):
+            self._replay(offset, record)
+        self.records += len(found.records)
+        self._next_offset = found.first + len(found.records)
+        return not found.records and found.end <= self._next_offset
+
     def _replay(self, offset: int, record: bytes) -> None:
         """Apply the entry that a record completes.
 
--- a/notcharch/platform/run.py
+++ b/notcharch/platform/run.py
@@ -10,6 +10,7 @@
 
 from notcharch.events.unhandled_errors import log_unhandled_errors
 from notcharch.platform.daemon_run import DaemonRun
+from notcharch.platform.heap import return_large_buffers
 from notcharch.platform.log_output import STANDARD_OUTPUT, standard_output
 from notcharch.platform.settings import settings_text
 from notcharch.platform.signals import ignore_signals, pass_signals_to
@@ -37,6 +38,7 @@
     # The daemon does without its log if its standard output is closed.
     with contextlib.suppress(OSError):
         os.set_blocking(STANDARD_OUTPUT, False)
+    return_large_buffers()
     output = standard_output(reactor)
     eliot.add_destinations(output)
     log_unhandled_errors()
