--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -3,6 +3,7 @@
 import enum
 from collections.abc import Mapping
 
+import msgspec
 from twisted.internet.interfaces import IDelayedCall
 
 from notcharch.calls.call_log import CallLog
@@ -22,10 +23,12 @@
     Route,
     Ticket,
 )
+from notcharch.calls.planned_stop import CUT_BY_STOP, CallTimer
 from notcharch.calls.refusals import refusal_without_engine
 from notcharch.calls.reply import Reply
 from notcharch.calls.routing import affinity_key_of
 from notcharch.calls.stream_version import StreamVersion
+from notcharch.calls.waiting_output import WaitingOutput
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
@@ -35,8 +38,6 @@
 """Memory of a call under way besides its head and body, with its engine's connection."""
 HEADER_BYTES = 120
 """Memory of a header besides its text."""
-STORED_COPIES = 3
-"""Copies of an output while its turn is stored: the events, their data, and its parts."""
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
@@ -117,6 +118,10 @@
         self._output = bytearray()
         """The relayed events, if the turn is to be stored."""
         self._held = HeldPart(services.held)
+        self._waiting_output = WaitingOutput(
+            services.answers, services.clock, self.not_durable
+        )
+        self.timer = CallTimer(services.clock, route.name, services.stop)
         self._log = CallLog(services.clock, call, route)
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
@@ -135,6 +140,10 @@
         self._timer = clock.callLater(seconds_left, self._expire)
         self._reply.on_disconnect(self._caller_disconnected)
         self._reply.watch_backlog(self._caller_backlog_changed)
+        if self._services.stop is not None:
+            self._services.stop.started(self)
+        if self._refuse_for_stop():
+            return
         if self._stream.is_resumption:
             self._stream.find(self._origin_found)
         else:
@@ -153,6 +162,66 @@
     def _service(self) -> str:
         return self._stream.service
 
+    # The planned stop of the daemon
+
+    @property
+    def _may_have_run(self) -> bool:
+        """Whether any engine got the call and did not reject it."""
+        is_sent = self._run is not None and self._run.is_sent
+        return is_sent or bool(self._log.runs)
+
+    def _refuse_for_stop(self) -> bool:
+        """End a call that may be cut by the stop if it is sent; return whether."""
+        stop = self._services.stop
+        if stop is None:
+            return False
+        refusal = stop.refusal(
+            self.call,
+            self._route,
+            self._deadline,
+            self._phase.value,
+            self._log.runs,
+        )
+        if refusal is None:
+            return False
+        self._withdraw_unsent_run()
+        self._end_unsent(refusal)
+        return True
+
+    def _withdraw_unsent_run(self) -> None:
+        """Give up a run whose engine has got nothing of the call."""
+        if self._run is not None and not self._run.is_sent:
+            self._run.abandon()
+            self._run = None
+
+    def refuse_if_late(self) -> None:
+        """Refuse the call if it is at no engine and can't end before the stop."""
+        is_waiting = self._phase is Phase.ADMISSION or (
+            self._phase is Phase.AT_ENGINE
+            and (self._run is None or not self._run.is_sent)
+        )
+        if is_waiting:
+            self._refuse_for_stop()
+
+    def cut(self) -> None:
+        """End the call at the end of the stop; it is refused if it has not run."""
+        stop = self._services.stop
+        if stop is None or self._phase is Phase.OVER:
+            return
+        self._withdraw_unsent_run()
+        if not self._may_have_run:
+            self._refuse(
+                stop.refusal_at_end(
+                    self.call, self._route, self._deadline, self._phase.value
+                )
+            )
+            return
+        stop.log_cut(self.call, self._route, self.timer.seconds or 0.0)
+        if self._is_relaying or self._phase is Phase.COMPLETING:
+            self._interrupt(CUT_BY_STOP)
+        else:
+            self._refuse(msgspec.structs.replace(MAY_HAVE_RUN, reason=CUT_BY_STOP))
+
     # Admission
 
     @property
@@ -207,7 +276,7 @@
         return is_too_late
 
     def _dispatch(self) -> None:
-        if self._refuse_if_too_late():
+        if self._refuse_if_too_late() or self._refuse_for_stop():
             return
         if len(self._tried) >= MAX_SENDS:
             self._end_without_engine()
@@ -229,6 +298,8 @@
         """Send the call to an engine, unless it ended while the loads were requested."""
         if self._phase is not Phase.AT_ENGINE or self._refuse_if_too_late():
             return
+        if self._refuse_for_stop():
+            return
         selection = self._services.pool.select(
             self._service,
             CallRouting(affinity_key_of(self._route, self.call), self._cached_engine),
@@ -268,6 +339,7 @@
         engine = selection.engine
         self._tried.add(engine.id)
         self._log.sent(engine)
+        self.timer.sent()
         self._run = EngineRun(
             self._services,
             self.call,
@@ -467,14 +539,9 @@
         assert self._ticket is not None
         output = bytes(self._output)
         self._output.clear()
-        held = len(output) * STORED_COPIES
-        self._services.answers.changed(self, held)
+        self._waiting_output.hold(len(output))
         self._ticket.completed(output, self._framer.events, self)
 
-    def cut(self, buffered: int) -> None:
-        """End the call soon: of all answers, its output holds the most memory."""
-        self._services.clock.callLater(0, self.not_durable)
-
     def durable(self) -> None:
         """Relay the end of the stream."""
         if self._phase is not Phase.COMPLETING:
@@ -484,7 +551,7 @@
         if remainder:
             self._reply.write(remainder)
         self._end()
-        self._log.served(self._status)
+        self._served(self._status)
         self._learn_duration()
         self._reply.finish()
 
@@ -507,10 +574,17 @@
         if self._ticket is not None:
             self._ticket.interrupted(0)
         self._end()
-        self._log.served(status)
+        self._served(status)
         if status < CLIENT_ERRORS:
             self._learn_duration()
 
+    def _served(self, status: int) -> None:
+        self._log.served(status)
+        if status < CLIENT_ERRORS:
+            self.timer.answer_ended()
+        if self._services.stop is not None:
+            self._services.stop.served()
+
     def _refuse(self, refusal: Refusal) -> None:
         """End the call with an error response, or abort a stream that has started."""
         if self._is_relaying:
@@ -540,13 +614,15 @@
     def _end(self) -> None:
         self._phase = Phase.OVER
         self._held.close()
-        self._services.answers.changed(self, 0)
+        self._waiting_output.release()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self._run is not None:
             self._run.abandon()
             self._run = None
         self._guard.over()
+        if self._services.stop is not None:
+            self._services.stop.ended(self)
 
     def _expire(self) -> None:
         """End the call at its deadline."""
@@ -556,6 +632,8 @@
             self.not_durable()
         elif self._phase is Phase.AT_ENGINE:
             may_have_run = bool(self._log.runs) or self._run is not None
+            if may_have_run:
+                self.timer.answer_ended()
             self._refuse(TIMED_OUT if may_have_run else NO_ENGINE)
 
     def _caller_backlog_changed(self, is_behind: bool) -> None:
@@ -564,6 +642,7 @@
         if self._run is None:
             return
         if is_behind:
+            self.timer.is_slowed = True
             self._run.pause_reading()
         else:
             self._run.resume_reading()
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -34,6 +34,7 @@
     StoreOutageOver,
 )
 from notcharch.events.process import (
+    CallRefusedForStop,
     DependencyLost,
     DependencyRegained,
     EnginesChanged,
@@ -47,6 +48,7 @@
 from notcharch.events.tenants import KeysUnsure, LimitReached
 from notcharch.explain.ended_engines import ended_engines
 from notcharch.explain.log_lines import LogLine
+from notcharch.explain.planned_stops import stop_cause
 from notcharch.values.framing import Framing
 
 PAUSE_TOLD_SECONDS = 1.5
@@ -62,6 +64,7 @@
     RequestWithoutRoute.number,
     RequestMalformed.number,
     CallerNotIdentified.number,
+    CallRefusedForStop.number,
 )
 CONTEXT_EVENTS = (
     DependencyLost.number,
@@ -117,11 +120,18 @@
     return "no line names it: " + ", or ".join(reasons)
 
 
+def owner_machine(member: str) -> str:
+    """Return the machine of an owner, whose name may end in the port of its address."""
+    name, _, address = member.partition("|")
+    port = address.rpartition(":")[2]
+    return name.removesuffix(f":{port}") if port else name
+
+
 def _context(own: Sequence[LogLine], lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
     begin = own[0].at - AROUND_SECONDS
     end = own[-1].at
     machines = {line.machine for line in own}
-    machines |= {line.text("owner").partition("|")[0] for line in own}
+    machines |= {owner_machine(line.text("owner")) for line in own}
     partitions = {
         line.text("partition") for line in own if line.number == OwnerUnanswered.number
     }
@@ -153,6 +163,9 @@
     if not ends:
         return "its end was not logged: its daemon ended or lines were dropped", False
     end = ends[-1]
+    stopped = stop_cause(own)
+    if stopped and end.number != CallServed.number:
+        return f"{stopped}{_troubles(context)}", True
     told = {
         CallServed.number: _served,
         CallRefused.number: _refused,
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -19,10 +19,26 @@
 from notcharch.http.send_buffer import SendBuffer
 
 JSON_TYPE = (b"content-type", b"application/json")
+LINGER_SECONDS = 1.0
+"""How long a refused request is read on and discarded.
+
+A connection that is closed while its client still sends is reset, and the client may lose
+the response.
+"""
+NEW_CONNECTION_SECONDS = 0.3
+"""A connection without a request so far is not idle for this time: its first one comes."""
 PIPELINED_BYTES = CONNECTION_BYTES
 """Bytes of later requests beyond which reading stops while one is processed."""
 
 
+class ErrorResponse(msgspec.Struct, frozen=True):
+    """A response to a request that is read no further."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class ServerLimits(msgspec.Struct, frozen=True):
     """Size limits of requests, and timeouts of connections."""
 
@@ -60,6 +76,8 @@
         """Clock seconds at which the head was read."""
         self.on_disconnect: Callable[[], None] | None = None
         """Called once if the client disconnects before the response is complete."""
+        self.on_sent: Callable[[], None] | None = None
+        """Called once if the last byte of the response has left the process."""
         self._on_backlog: Callable[[bool], None] | None = None
         self.id = ""
         """The request's id in log lines; empty if it has none or is not read yet."""
@@ -137,8 +155,15 @@
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
         self._idle_since = 0.0
+        self._opened_at = 0.0
+        self._is_new = True
+        """Whether nothing was received yet."""
         self._is_reading_paused = False
         self._is_cut = False
+        self._is_discarding = False
+        """Whether the rest of a refused request is read and discarded."""
+        self._on_sent: list[Callable[[], None]] = []
+        """Callbacks of responses that have ended; not all bytes may have left the process."""
         self._inbound = 0
         """Bytes received that belong to no complete request."""
         self.is_behind = False
@@ -148,7 +173,7 @@
         """Disable Nagle's algorithm and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
         self._out = SendBuffer(self.transport, self._on_buffer_change)
-        self._idle_since = self._clock.seconds()
+        self._opened_at = self._idle_since = self._clock.seconds()
         self._schedule_check(self._limits.idle_seconds)
 
     def _schedule_check(self, seconds: float) -> None:
@@ -179,16 +204,64 @@
     @property
     def idle_since(self) -> float | None:
         """Since when it has nothing to read, serve or send; None if it is in use."""
-        is_at_rest = self.is_idle and not self._out.buffered
+        is_at_rest = self.is_idle and not self._is_discarding and not self._out.buffered
         return self._idle_since if is_at_rest else None
 
+    @property
+    def is_reading_request(self) -> bool:
+        """Whether a request was received in part and is not processed yet."""
+        if self._is_disconnected or self._is_cut or self._is_responding:
+            return False
+        return not self.is_idle
+
     def close_if_idle(self) -> None:
-        """Close the connection if it has no request in flight."""
-        if not self._is_disconnected and self.is_idle:
+        """Close the connection if nothing of a request was received.
+
+        One that was just opened is kept for its first request: its client got no sign that
+        it would be closed.
+        """
+        age = self._clock.seconds() - self._opened_at
+        if self._is_new and age < NEW_CONNECTION_SECONDS:
+            return
+        if not self._is_disconnected and self.is_idle and not self._is_discarding:
+            self._out.lose_connection()
+
+    def refuse_unread(
+        self, refusal_of: Callable[[Exchange | None], ErrorResponse | None]
+    ) -> None:
+        """Refuse the request that is being read, if `refusal_of` gives a response.
+
+        It is called with None while the head is incomplete.
+        """
+        if not self.is_reading_request:
+            return
+        response = refusal_of(self._exchange)
+        if response is None:
+            return
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.abort()
+            return
+        length = (b"content-length", str(len(response.body)).encode())
+        close = (b"connection", b"close")
+        headers = [*response.headers, length, close]
+        self.send(h11.Response(status_code=response.status, headers=headers))
+        self.send(h11.Data(data=response.body))
+        self.send(h11.EndOfMessage())
+        if self._exchange is not None:
+            self._exchange.is_over = True
+        self._clear_exchange()
+        self._is_responding = self._is_discarding = True
+        self._clock.callLater(LINGER_SECONDS, self._end_linger)
+
+    def _end_linger(self) -> None:
+        if not self._is_disconnected:
             self._out.lose_connection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parse received bytes."""
+        self._is_new = False
+        if self._is_discarding:
+            return
         if self._exchange is None and not self._http.trailing_data[0]:
             self._idle_since = self._clock.seconds()
             if self._timer is not None and self._timer.active():
@@ -221,6 +294,8 @@
         self._count_buffered()
         was_behind = self.is_behind
         self.is_behind = is_behind(was_behind, self._out.buffered)
+        if not self._out.buffered and not self._is_disconnected and not self._is_cut:
+            self._report_sent()
         if self.is_behind == was_behind or self._is_disconnected or self._is_cut:
             return
         if self.is_behind:
@@ -230,6 +305,12 @@
         if not self.is_behind:
             self._clock.callLater(0, self._read_next)
 
+    def _report_sent(self) -> None:
+        """Report the responses whose last bytes have left the process."""
+        callbacks, self._on_sent = self._on_sent, []
+        for on_sent in callbacks:
+            on_sent()
+
     def _count_buffered(self) -> None:
         if not self._is_cut and not self._is_disconnected:
             self._buffers.changed(self, self._out.buffered + self._inbound)
@@ -330,10 +411,14 @@
         self.send(h11.EndOfMessage())
         if self._exchange is not None:
             self._exchange.is_over = True
+            if self._exchange.on_sent is not None:
+                self._on_sent.append(self._exchange.on_sent)
         self._clear_exchange()
         self._is_responding = False
         if self._is_disconnected:
             return
+        if not self._out.buffered:
+            self._report_sent()
         if self._http.our_state is h11.MUST_CLOSE:
             self._is_responding = True
             self._out.lose_connection()
@@ -366,6 +451,8 @@
         self._buffers.changed(self, 0)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        if not self._is_cut:
+            self._report_sent()
         exchange = self._exchange
         self._clear_exchange()
         if exchange is None or exchange.is_over:
@@ -409,11 +496,23 @@
         self._room.opened(connection)
         return connection
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open, or have bytes that were not taken."""
+        return len(self._open)
+
     def close_idle(self) -> None:
-        """Close the connections without a request in flight."""
+        """Close the connections on which nothing of a request was received."""
         for connection in tuple(self._open):
             connection.close_if_idle()
 
+    def refuse_unread(
+        self, refusal_of: Callable[[Exchange | None], ErrorResponse | None]
+    ) -> None:
+        """Refuse the requests that are being read and for which there is a response."""
+        for connection in tuple(self._open):
+            connection.refuse_unread(refusal_of)
+
 
 class TrackedConnection(ServerConnection):
     """A connection that is in its factory's set while it is open."""
--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -14,6 +14,7 @@
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import LoadExchange, NoLoadExchange
+from notcharch.calls.planned_stop import PlannedStop
 from notcharch.calls.policies import call_urgency, cold_policy, pool_policy, wait_policy
 from notcharch.engine_load.exchange import EngineLoadExchange
 from notcharch.http.buffered_bytes import BufferedBytes, total_limit
@@ -24,6 +25,7 @@
 from notcharch.journal.store_outage import StoreOutage
 from notcharch.platform.headers import PlatformDialect
 from notcharch.platform.ingress import Ingress
+from notcharch.platform.planned_stop import ProcessStop
 from notcharch.platform.process_memory import ProcessMemory
 from notcharch.platform.settings import ProcessSettings
 from notcharch.platform.store import PlatformStore
@@ -165,6 +167,7 @@
             max_records=memory.max_quarantine_records,
         )
         answers = BufferedBytes(total_limit(settings.memory_bytes))
+        planned_stop = PlannedStop(reactor)
         self.ingress = Ingress(
             CallServices(
                 clock=reactor,
@@ -178,10 +181,14 @@
                 held=memory.calls,
                 origins=self.origins,
                 quarantine=self._quarantine,
+                stop=planned_stop,
             ),
             self._check,
         )
         self.factory = ServerFactory(self.ingress, reactor, buffers, memory.connections)
+        self.stop = ProcessStop(
+            reactor, settings.machine, planned_stop, self.ingress, self.factory
+        )
         memory.also_measure("callers and engines", lambda: buffers.total)
         memory.also_measure("engines' answers", lambda: answers.total)
         memory.also_measure("idle engines", lambda: sender.idle_bytes)
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -1,15 +1,18 @@
 """The daemon process on the platform: its ports, its components and its life."""
 
+import gc
 import sys
 import time
 from random import Random
 from typing import Any
 
 from twisted.internet.defer import succeed
-from twisted.internet.interfaces import IListeningPort
+from twisted.internet.error import ReactorNotRunning
+from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from notcharch.events.event import emit
+from notcharch.events.feed_faults import FeedFaults
 from notcharch.events.output import LogOutput
 from notcharch.events.pause_watch import PauseWatch
 from notcharch.events.process import (
@@ -22,8 +25,6 @@
     SettingsRead,
     StartFailed,
 )
-from notcharch.events.steady_loop import steady_loop
-from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
 from notcharch.platform.awaited_settings import AwaitedSettings
@@ -42,12 +43,6 @@
 )
 from notcharch.values.identifiers import Incarnation
 
-STOP_ACCEPT_SECONDS = 2.6
-"""After SIGTERM, connections are accepted until the platform detects the stop."""
-STOP_ACCEPT_MAX_SHARE = 0.45
-"""Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
-STOP_MARGIN_SECONDS = 0.7
-"""Reserved at the end of the grace period for the last log lines and the exit."""
 EARLY_STOP_SECONDS = 0.5
 """How long a process that never served waits for the store to confirm that it left."""
 FAILED_STATUS = 1
@@ -106,7 +101,8 @@
             on_error=self._fail,
             peer_memory=self._memory.peers,
         )
-        self._ticks = steady_loop(reactor, "process", self._tick)
+        self._tick_faults = FeedFaults("ticks")
+        self._ticks = LoopingCall(self._tick)
         self._pause_watch = PauseWatch(reactor, settings.machine, TICK_INTERVAL_SECONDS)
         self._was_ready = False
         self._is_stopping = False
@@ -160,9 +156,6 @@
             )
         )
         self._components = components
-        self._ingress = components.ingress
-        self._accounts = components.accounts
-        self._factory = components.factory
         components.start()
         self._listeners.open_front(components.factory, self._on_port_open)
         self._on_port_open()
@@ -217,11 +210,11 @@
             self._ticks.stop()
         self._output.flush()
 
-    @property
-    def _front_port(self) -> IListeningPort | None:
-        return self._listeners.front_port
-
     def _tick(self) -> None:
+        # A LoopingCall ends at an exception of its function.
+        self._tick_faults.isolate("tick", self._report_changes)
+
+    def _report_changes(self) -> None:
         """Log pauses, changes of readiness and dropped log lines."""
         self._pause_watch.tick()
         self._memory.tick(self._reactor.seconds())
@@ -259,6 +252,7 @@
         if former not in BEFORE_PORTS or in_flight:
             return former not in ENDED
         emit(ProcessStopping(self._settings.machine, 0))
+        self._listeners.close_front()
         left = succeed(None) if components is None else components.accounts.leave()
         left.addBoth(lambda _: self._end_early())
         self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
@@ -270,7 +264,14 @@
         self._life.finish()
         emit(ProcessStopped(self._settings.machine, 0, 0.0))
         self._close()
-        self._reactor.stop()
+        self._stop_reactor()
+
+    def _stop_reactor(self) -> None:
+        """Stop the reactor, or have it stop at its start."""
+        try:
+            self._reactor.stop()
+        except ReactorNotRunning:
+            self._reactor.callWhenRunning(self._reactor.stop)
 
     def on_reload_signal(self) -> None:
         """Reload the settings, once their file is valid and no longer being written."""
@@ -300,32 +301,15 @@
         self._is_stopping = True
         if not self._begin_stop():
             return
-        emit(ProcessStopping(self._settings.machine, self._ingress.in_flight))
-        self._ingress.is_draining = True
-        self._accounts.leave()
-        grace = self._settings.grace_seconds
-        times = DrainTimes(
-            accept_seconds=min(STOP_ACCEPT_SECONDS, grace * STOP_ACCEPT_MAX_SHARE),
-            max_seconds=grace - STOP_MARGIN_SECONDS,
+        components = self._components
+        assert components is not None
+        emit(ProcessStopping(self._settings.machine, components.ingress.in_flight))
+        components.accounts.leave()
+        components.stop.begin(
+            self._settings.grace_seconds, self._listeners.front_port, self._stopped
         )
-        Drain(self._reactor, self, times).begin()
-
-    # Called by `Drain`
-
-    def requests_in_flight(self) -> int:
-        """Return the number of requests in flight."""
-        return self._ingress.in_flight
-
-    def stop_accepting(self) -> None:
-        """Close the callers' listening port."""
-        if self._front_port is not None:
-            self._front_port.stopListening()
-
-    def close_idle(self) -> None:
-        """Close callers' connections without a request in flight."""
-        self._factory.close_idle()
 
-    def stopped(self, requests_in_flight: int, seconds: float) -> None:
+    def _stopped(self, requests_in_flight: int, seconds: float) -> None:
         """Log the end of the drain and exit."""
         self._life.finish()
         emit(
@@ -334,4 +318,6 @@
             )
         )
         self._output.flush()
-        self._reactor.stop()
+        # The collections at the exit of the interpreter take most of its time.
+        self._reactor.addSystemEventTrigger("after", "shutdown", gc.freeze)
+        self._stop_reactor()
