Connections that are refused leave descriptors for probes

Cause: connections above the bound were answered with 503 up to 256 at a time, whatever the limit of open files. In a trial with a limit of 100 files and 200 callers' connections all files were in use, and readiness was reset: the platform would take the daemon out.

Change: they take at most a twentieth of the open files; further ones are closed at once.

Tests: unit/http/test_connection_room, unit/platform/test_memory_budget.

--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -66,9 +66,14 @@
         self,
         max_connections: float = DEFAULT_MAX_CONNECTIONS,
         held: PoolHolder | None = None,
+        max_refused: int = MAX_REFUSED,
     ) -> None:
-        """Keep so many connections, and no more than `held` has room for."""
+        """Keep so many connections, and no more than `held` has room for.
+
+        Of those above, `max_refused` at a time are answered.
+        """
         self._max_connections = max_connections
+        self._max_refused = max_refused
         self._held = held or unbounded_holder()
         self._open: set[IdleConnection] = set()
         self._closing: set[IdleConnection] = set()
@@ -117,7 +122,7 @@
     def may_refuse(self) -> bool:
         """Return whether another connection may be answered with 503."""
         REFUSED.inc()
-        return self.refused < MAX_REFUSED
+        return self.refused < self._max_refused
 
 
 class RefusedConnection(Protocol):
--- a/notcharch/platform/process_memory.py
+++ b/notcharch/platform/process_memory.py
@@ -5,7 +5,7 @@
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.turns import TurnCache
 from notcharch.http.answer_room import AnswerRoom
-from notcharch.http.connection_room import ConnectionRoom
+from notcharch.http.connection_room import MAX_REFUSED, ConnectionRoom
 from notcharch.platform.memory_budget import (
     ACCOUNTS_SHARE,
     CACHE_SHARE,
@@ -26,8 +26,10 @@
 from notcharch.wire.peer_memory import PeerMemory
 
 DESCRIPTORS_SHARE = 0.75
-"""Share of the open files that callers' connections may take; engines, peers and the store
-need the others."""
+"""Share of the open files that callers' connections may take; probes, engines, peers and the
+store need the others."""
+REFUSED_DESCRIPTORS_SHARE = 0.05
+"""Share of the open files for connections that are being refused."""
 
 
 def max_caller_connections(open_files: int) -> int:
@@ -35,6 +37,11 @@
     return max(1, int(open_files * DESCRIPTORS_SHARE))
 
 
+def max_refused_connections(open_files: int) -> int:
+    """Return how many connections are answered with 503 at a time."""
+    return min(MAX_REFUSED, int(open_files * REFUSED_DESCRIPTORS_SHARE))
+
+
 def open_files_limit() -> int:
     """Return how many files this process may open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -54,7 +61,9 @@
         self.calls = pool.holder("calls", CALLS_SHARE)
         connections = pool.holder("connections", CONNECTIONS_SHARE)
         files = open_files_limit() if open_files is None else open_files
-        self.connections = ConnectionRoom(max_caller_connections(files), connections)
+        self.connections = ConnectionRoom(
+            max_caller_connections(files), connections, max_refused_connections(files)
+        )
         self.accounts = AccountMemory(
             accounts=pool.holder("accounts", ACCOUNTS_SHARE),
             turns=pool.holder("turns", TURNS_SHARE),
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -131,3 +131,12 @@
     )
     served = [listener.is_served(listener.connect()) for _ in range(most + 1)]
     assert served == [True] * most + [False]
+
+
+def test_the_number_of_refused_connections_can_be_lower():
+    """They took the descriptors that probes need: readiness was reset (a trial)."""
+    listener = Listener(1000)
+    room = ConnectionRoom(1, max_refused=2)
+    listener.factory = ServerFactory(listener.handler, listener.clock, room=room)
+    made = [listener.connect() for _ in range(5)]
+    assert [transport is not None for transport in made] == [True] * 3 + [False] * 2
--- a/tests/unit/platform/test_memory_budget.py
+++ b/tests/unit/platform/test_memory_budget.py
@@ -17,7 +17,11 @@
 from notcharch.platform.engine_entries import read_entry
 from notcharch.platform.memory_budget import memory_budget
 from notcharch.platform.process import Process
-from notcharch.platform.process_memory import ProcessMemory, max_caller_connections
+from notcharch.platform.process_memory import (
+    ProcessMemory,
+    max_caller_connections,
+    max_refused_connections,
+)
 from notcharch.platform.settings import read_settings
 from notcharch.quarantine.records import RECORD_BYTES as END_RECORD_BYTES
 from notcharch.quarantine.records import EndRecords, EngineEnd
@@ -80,6 +84,9 @@
     """Without descriptors no engine can be connected, and calls fail that were accepted."""
     assert max_caller_connections(8200) == 6150
     assert max_caller_connections(1) == 1
+    for files in (64, 100, 1024, 8200):
+        callers = max_caller_connections(files) + max_refused_connections(files)
+        assert callers <= 0.8 * files, "probes of a full daemon are answered"
 
 
 def test_the_components_of_a_process_take_its_bounds():
