--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -28,6 +28,7 @@
 from notcharch.calls.reply import Reply
 from notcharch.calls.routing import affinity_key_of
 from notcharch.calls.stream_version import StreamVersion
+from notcharch.calls.waiting_output import WaitingOutput
 from notcharch.http.messages import ResponseHead
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
@@ -37,8 +38,6 @@
 """Memory of a call under way besides its head and body, with its engine's connection."""
 HEADER_BYTES = 120
 """Memory of a header besides its text."""
-STORED_COPIES = 3
-"""Copies of an output while its turn is stored: the events, their data, and its parts."""
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
@@ -118,8 +117,11 @@
         self._is_caller_behind = False
         self._output = bytearray()
         """The relayed events, if the turn is to be stored."""
-        self.timer = CallTimer(services.clock, route.name, services.stop)
         self._held = HeldPart(services.held)
+        self._waiting_output = WaitingOutput(
+            services.answers, services.clock, self.not_durable
+        )
+        self.timer = CallTimer(services.clock, route.name, services.stop)
         self._log = CallLog(services.clock, call, route)
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
@@ -537,14 +539,9 @@
         assert self._ticket is not None
         output = bytes(self._output)
         self._output.clear()
-        held = len(output) * STORED_COPIES
-        self._services.answers.changed(self, held)
+        self._waiting_output.hold(len(output))
         self._ticket.completed(output, self._framer.events, self)
 
-    def cut(self, buffered: int) -> None:
-        """End the call soon: of all answers, its output holds the most memory."""
-        self._services.clock.callLater(0, self.not_durable)
-
     def durable(self) -> None:
         """Relay the end of the stream."""
         if self._phase is not Phase.COMPLETING:
@@ -617,7 +614,7 @@
     def _end(self) -> None:
         self._phase = Phase.OVER
         self._held.close()
-        self._services.answers.changed(self, 0)
+        self._waiting_output.release()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self._run is not None:
--- a/notcharch/http/listener.py
+++ b/notcharch/http/listener.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
@@ -177,7 +178,8 @@
     def _candidates(self) -> tuple[int, ...]:
         """Return the ports of this attempt; a wide range takes several attempts."""
         ports = self.address.ports
-        first = self._failures * MAX_PORTS_AT_ONCE % len(ports)
+        attempts = math.ceil(len(ports) / MAX_PORTS_AT_ONCE)
+        first = self._failures % attempts * MAX_PORTS_AT_ONCE
         return ports[first : first + MAX_PORTS_AT_ONCE]
 
     def _opened(self, port: int) -> None:
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -209,6 +209,12 @@
         """Whether no request is being read or processed."""
         return self._exchange is None and not self._http.trailing_data[0]
 
+    @property
+    def idle_since(self) -> float | None:
+        """Since when it has nothing to read, serve or send; None if it is in use."""
+        is_at_rest = self.is_idle and not self._is_discarding and not self._out.buffered
+        return self._idle_since if is_at_rest else None
+
     @property
     def is_reading_request(self) -> bool:
         """Whether a request was received in part and is not processed yet."""
@@ -216,12 +222,6 @@
             return False
         return not self.is_idle
 
-    @property
-    def idle_since(self) -> float | None:
-        """Since when it has nothing to read, serve or send; None if it is in use."""
-        is_at_rest = self.is_idle and not self._out.buffered
-        return self._idle_since if is_at_rest else None
-
     def close_if_idle(self) -> None:
         """Close the connection if nothing of a request was received.
 
