A full pool no longer cuts a daemon off from its peers and callers

Cause: what a takeover replays is counted without being asked for, and turns and accounts at their bounds are 1.2 times the pool. Every other kind was then refused: a frame of 20 bytes that came in two parts closed its connection, and requests of peers, connections, calls and the entry that confirms an ownership had no room, while readiness was 200.

Change: a holder may have a reserve beside the pool for its small objects. Parts of frames have a bound of their own. The share of calls is 0.65 (was 0.6), so that four bodies of 4 MiB still fit at 130 MB; the pool is 3.8 MB smaller.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -35,6 +35,10 @@
 
 CALL_BYTES = 12 * 1024
 """Memory of a call under way besides its head and body, with its engine's connection."""
+SMALL_CALL_BYTES = 32 * 1024
+"""A call of this size, with its body of up to 16 KB or so, may use the calls' reserve."""
+RESERVED_CALLS_BYTES = 1024 * 1024
+"""What small calls have beside the pool: 32 of the largest of them, or 75 with heads of 1 KB alone."""
 HEADER_BYTES = 120
 """Memory of a header besides its text."""
 STORED_COPIES = 3
@@ -119,7 +123,7 @@
         self._output = bytearray()
         """The relayed events, if the turn is to be stored."""
         self.timer = CallTimer(services.clock, route.name, services.stop)
-        self._held = HeldPart(services.held)
+        self._held = HeldPart(services.held, SMALL_CALL_BYTES)
         self._log = CallLog(services.clock, call, route)
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -19,6 +19,8 @@
 head of 1 KB."""
 DEFAULT_MAX_CONNECTIONS = 64
 """Connections of a listener without a bound of its own: probes need a few."""
+MIN_CALLERS_CONNECTIONS = 128
+"""Callers' connections that have memory beside the pool: others never cut callers off."""
 MIN_IDLE_SECONDS = 1.0
 """A connection that was idle for less time is not closed to make room."""
 CLOSED_SHARE = 1 / 16
@@ -79,7 +81,7 @@
     def opened(self, connection: IdleConnection) -> None:
         """Count a connection."""
         self._open.add(connection)
-        self._held.change(CONNECTION_BYTES)
+        self._held.change(CONNECTION_BYTES, is_small=True)
         OPEN.inc()
 
     def closed(self, connection: IdleConnection) -> None:
@@ -87,7 +89,7 @@
         if connection in self._open:
             self._open.discard(connection)
             self._closing.discard(connection)
-            self._held.change(-CONNECTION_BYTES)
+            self._held.change(-CONNECTION_BYTES, is_small=True)
             OPEN.dec()
 
     def has_room(self, now: float) -> bool:
@@ -112,7 +114,8 @@
         closing = len(self._closing)
         if len(self._open) - closing >= self._max_connections:
             return False
-        return self._held.has_room(CONNECTION_BYTES * (1 - closing))
+        more = CONNECTION_BYTES * (1 - closing)
+        return self._held.has_room(more, is_small=True)
 
     def may_refuse(self) -> bool:
         """Return whether another connection may be answered with 503."""
--- a/notcharch/journal/writer.py
+++ b/notcharch/journal/writer.py
@@ -36,6 +36,10 @@
 MAX_RETRY_SECONDS = 0.6
 """Upper bound of the delay; a recovery signal ends it earlier."""
 RETRY_GROWTH_FACTOR = 2.0
+SMALL_ENTRY_BYTES = 8 * 1024
+"""An entry of this size, such as the one that confirms the ownership, may use the reserve."""
+RESERVED_ENTRIES_BYTES = 256 * 1024
+"""What small entries have beside the pool: 32 of the largest of them."""
 ENTRY_BYTES = 1024
 """Memory of an entry that waits besides its records, with who waits for its outcome."""
 SUSPICIOUS_FAILURES = 4
@@ -120,7 +124,7 @@
             self._log_refused(len(entry), 0)
             done(Outcome.REFUSED)
             return None
-        held = HeldPart(self._held)
+        held = HeldPart(self._held, SMALL_ENTRY_BYTES)
         size = len(entry) + ENTRY_BYTES
         if must_wait:
             held.change(size)
--- a/notcharch/platform/memory_budget.py
+++ b/notcharch/platform/memory_budget.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from notcharch.accounts.turns import TURN_CACHE_BYTES
+from notcharch.calls.call_lifecycle import RESERVED_CALLS_BYTES
 from notcharch.calls.engine_sender import IDLE_BYTES, MAX_IDLE_TOTAL
 from notcharch.events.feed_faults import MAX_REMEMBERED_PARTS
 from notcharch.events.output import MOST_BYTES
@@ -17,12 +18,19 @@
     CONNECTION_BYTES,
     DEFAULT_MAX_CONNECTIONS,
     MAX_REFUSED,
+    MIN_CALLERS_CONNECTIONS,
 )
 from notcharch.journal.interface import LogLimits
+from notcharch.journal.writer import RESERVED_ENTRIES_BYTES
 from notcharch.platform.store import ENCODED_RECORD_FACTOR, MIN_READ_LIMIT_BYTES
 from notcharch.quarantine.records import MAX_RECORDS, RECORD_BYTES
 from notcharch.stream_origins.records import MAX_BYTES as MAX_ORIGIN_BYTES
 from notcharch.wire.connections import MAX_UNSHAKEN
+from notcharch.wire.peer_memory import (
+    RESERVED_FRAMES_BYTES,
+    RESERVED_PARTS_BYTES,
+    RESERVED_REQUESTS_BYTES,
+)
 
 MEGABYTE = 1024 * 1024
 ASSUMED_LIMIT_BYTES = 128 * MEGABYTE
@@ -59,7 +67,9 @@
 MIN_POOL_BYTES = 16 * MEGABYTE
 """The pool on machines that are too small for the sum; it is then above their limit."""
 
-CALLS_SHARE = 0.6
+RESERVED_CONNECTIONS_BYTES = MIN_CALLERS_CONNECTIONS * CONNECTION_BYTES
+
+CALLS_SHARE = 0.65
 """Share of the pool for calls under way: heads, bodies, the turns before them."""
 CONNECTIONS_SHARE = 0.3
 ACCOUNTS_SHARE = 0.4
@@ -67,7 +77,9 @@
 JOURNAL_SHARE = 0.25
 CACHE_SHARE = 0.15
 PEERS_SHARE = 0.25
-"""Of what waits for peers; the same of what they have sent."""
+"""Of what waits for peers; the same of their requests."""
+PARTS_SHARE = 0.25
+"""Of the unfinished frames of peers."""
 STORE_SHARE = 0.15
 """Of the store's answers that are being received."""
 
@@ -173,6 +185,7 @@
         MAX_UNSHAKEN * CONNECTION_BYTES,
         "wire/connections.MAX_UNSHAKEN",
     )
+    yield from _reserves()
     yield BudgetLine(
         "log lines", MOST_BYTES + MOST_BYTES // 2, "events/output.MOST_BYTES"
     )
@@ -184,6 +197,39 @@
     yield from _assumed_lines()
 
 
+def _reserves() -> Iterable[BudgetLine]:
+    """Return what small objects hold although the pool is full.
+
+    With stored turns and accounts at their bounds it is. A daemon that then refuses its
+    peers, its probes and all callers is cut off for as long as it has to keep them.
+    """
+    yield BudgetLine(
+        "small frames for peers, at least",
+        RESERVED_FRAMES_BYTES,
+        "wire/peer_memory.RESERVED_FRAMES_BYTES",
+    )
+    yield BudgetLine(
+        "small requests of peers, and parts of frames, at least",
+        RESERVED_REQUESTS_BYTES + RESERVED_PARTS_BYTES,
+        "wire/peer_memory.RESERVED_REQUESTS_BYTES, RESERVED_PARTS_BYTES",
+    )
+    yield BudgetLine(
+        "callers' connections, at least",
+        RESERVED_CONNECTIONS_BYTES,
+        "http/connection_room.MIN_CALLERS_CONNECTIONS",
+    )
+    yield BudgetLine(
+        "small calls, at least",
+        RESERVED_CALLS_BYTES,
+        "calls/call_lifecycle.RESERVED_CALLS_BYTES",
+    )
+    yield BudgetLine(
+        "small entries that wait for the store, at least",
+        RESERVED_ENTRIES_BYTES,
+        "journal/writer.RESERVED_ENTRIES_BYTES",
+    )
+
+
 def _assumed_lines() -> Iterable[BudgetLine]:
     """Return what grows with the fleet and the operator's table alone."""
     yield BudgetLine(
--- a/notcharch/platform/process_memory.py
+++ b/notcharch/platform/process_memory.py
@@ -4,15 +4,19 @@
 
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.turns import TurnCache
+from notcharch.calls.call_lifecycle import RESERVED_CALLS_BYTES
 from notcharch.http.answer_room import AnswerRoom
 from notcharch.http.connection_room import ConnectionRoom
+from notcharch.journal.writer import RESERVED_ENTRIES_BYTES
 from notcharch.platform.memory_budget import (
     ACCOUNTS_SHARE,
     CACHE_SHARE,
     CALLS_SHARE,
     CONNECTIONS_SHARE,
     JOURNAL_SHARE,
+    PARTS_SHARE,
     PEERS_SHARE,
+    RESERVED_CONNECTIONS_BYTES,
     STORE_SHARE,
     TURNS_SHARE,
     max_origin_bytes,
@@ -23,7 +27,12 @@
 from notcharch.platform.memory_watch import MemoryWatch
 from notcharch.platform.settings import ProcessSettings
 from notcharch.values.memory_pool import MeasureBytes, MemoryPool
-from notcharch.wire.peer_memory import PeerMemory
+from notcharch.wire.peer_memory import (
+    RESERVED_FRAMES_BYTES,
+    RESERVED_PARTS_BYTES,
+    RESERVED_REQUESTS_BYTES,
+    PeerMemory,
+)
 
 DESCRIPTORS_SHARE = 0.75
 """Share of the open files that callers' connections may take; engines, peers and the store
@@ -51,21 +60,24 @@
         self.budget = memory_budget(settings.memory_bytes, settings.store.log_limits)
         pool_bytes = self.budget.pool_bytes
         self.pool = pool = MemoryPool(pool_bytes)
-        self.calls = pool.holder("calls", CALLS_SHARE)
-        connections = pool.holder("connections", CONNECTIONS_SHARE)
+        self.calls = pool.holder("calls", CALLS_SHARE, RESERVED_CALLS_BYTES)
+        connections = pool.holder(
+            "connections", CONNECTIONS_SHARE, RESERVED_CONNECTIONS_BYTES
+        )
         files = open_files_limit() if open_files is None else open_files
         self.connections = ConnectionRoom(max_caller_connections(files), connections)
         self.accounts = AccountMemory(
             accounts=pool.holder("accounts", ACCOUNTS_SHARE),
             turns=pool.holder("turns", TURNS_SHARE),
-            journal=pool.holder("journal", JOURNAL_SHARE),
+            journal=pool.holder("journal", JOURNAL_SHARE, RESERVED_ENTRIES_BYTES),
             cache=TurnCache(
                 turn_cache_bytes(pool_bytes), pool.holder("cached turns", CACHE_SHARE)
             ),
         )
         self.peers = PeerMemory(
-            pool.holder("frames for peers", PEERS_SHARE),
-            pool.holder("requests of peers", PEERS_SHARE),
+            pool.holder("frames for peers", PEERS_SHARE, RESERVED_FRAMES_BYTES),
+            pool.holder("requests of peers", PEERS_SHARE, RESERVED_REQUESTS_BYTES),
+            pool.holder("parts of frames", PARTS_SHARE, RESERVED_PARTS_BYTES),
         )
         answers = pool.holder("answers of the store", STORE_SHARE)
         self.store_answers = AnswerRoom(answers.limit_bytes, answers)
--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -14,42 +14,71 @@
 
 
 class PoolHolder:
-    """What one kind of objects holds of a pool."""
-
-    def __init__(self, pool: "MemoryPool", name: str, limit_bytes: float) -> None:
-        """Hold nothing; `limit_bytes` bounds this kind."""
+    """What one kind of objects holds of a pool.
+
+    A kind that must never wait for the others has a reserve beside the pool for its small
+    objects: a fixed line of the budget.
+    """
+
+    def __init__(
+        self,
+        pool: "MemoryPool",
+        name: str,
+        limit_bytes: float,
+        reserved_bytes: int = 0,
+    ) -> None:
+        """Hold nothing; `limit_bytes` bounds what this kind has of the pool."""
         self._pool = pool
         self.name = name
         self.limit_bytes = limit_bytes
+        self.reserved_bytes = reserved_bytes
+        """What small objects hold without a share of the pool."""
         self.held = 0
+        self._small = 0
+        """What small objects hold."""
         self.refused = 0
         """Number of times that there was no room for something new."""
 
-    def has_room(self, size: int) -> bool:
+    @property
+    def pooled(self) -> int:
+        """What is held beyond the reserve."""
+        return self.held - min(self._small, self.reserved_bytes)
+
+    def has_room(self, size: int, *, is_small: bool = False) -> bool:
         """Return whether something new may be held; count it as refused if not."""
-        is_within = self.held + size <= self.limit_bytes
-        if is_within and self._pool.total + size <= self._pool.limit_bytes:
+        if is_small and self._small + size <= self.reserved_bytes:
+            return True
+        # What is left of the reserve counts as room for a small object.
+        left = self.reserved_bytes - self._small if is_small else 0
+        more = size - max(left, 0)
+        is_within = self.pooled + more <= self.limit_bytes
+        if is_within and self._pool.total + more <= self._pool.limit_bytes:
             return True
         self.refused += 1
         return False
 
-    def take(self, size: int) -> bool:
+    def take(self, size: int, *, is_small: bool = False) -> bool:
         """Hold something new if there is room for it; return whether it is held."""
-        if not self.has_room(size):
+        if not self.has_room(size, is_small=is_small):
             return False
-        self.change(size)
+        self.change(size, is_small=is_small)
         return True
 
-    def change(self, size: int) -> None:
-        """Hold so many bytes more, or less, in any case."""
-        former = min(self.held, self.limit_bytes)
+    def change(self, size: int, *, is_small: bool = False) -> None:
+        """Hold so many bytes more, or less, in any case.
+
+        `is_small` is the same when an object is held and when it is held no more.
+        """
+        former = min(self.pooled, self.limit_bytes)
         self.held += size
-        self._pool.total += int(min(self.held, self.limit_bytes) - former)
+        if is_small:
+            self._small += size
+        self._pool.total += int(min(self.pooled, self.limit_bytes) - former)
 
     @property
     def is_under_pressure(self) -> bool:
         """Whether to drop early what may be dropped, before anything is refused."""
-        is_kind_full = self.held > self.limit_bytes * PRESSURE_SHARE
+        is_kind_full = self.pooled > self.limit_bytes * PRESSURE_SHARE
         pool = self._pool
         return is_kind_full or pool.total > pool.limit_bytes * POOL_PRESSURE_SHARE
 
@@ -57,7 +86,7 @@
     def is_over(self) -> bool:
         """Whether this kind, or the pool, holds more than its bound."""
         is_pool_over = self._pool.total > self._pool.limit_bytes
-        return self.held > self.limit_bytes or is_pool_over
+        return self.pooled > self.limit_bytes or is_pool_over
 
 
 class MemoryPool:
@@ -71,9 +100,12 @@
         leaves the others their room."""
         self.holders: list[PoolHolder] = []
 
-    def holder(self, name: str, share: float = 1.0) -> PoolHolder:
-        """Create a holder that may take a share of the pool."""
-        holder = PoolHolder(self, name, self.limit_bytes * share)
+    def holder(
+        self, name: str, share: float = 1.0, reserved_bytes: int = 0
+    ) -> PoolHolder:
+        """Create a holder that may take a share of the pool, and a reserve beside it."""
+        limit_bytes = self.limit_bytes * share
+        holder = PoolHolder(self, name, limit_bytes, reserved_bytes)
         self.holders.append(holder)
         return holder
 
@@ -86,17 +118,23 @@
 class HeldPart:
     """What one object, such as a call or a partition, holds; none after its end."""
 
-    def __init__(self, holder: PoolHolder) -> None:
-        """Hold nothing yet."""
+    def __init__(self, holder: PoolHolder, small_bytes: int = 0) -> None:
+        """Hold nothing yet; what is taken may use the reserve up to `small_bytes`."""
         self.holder = holder
         self.size = 0
+        self._small_bytes = small_bytes
+        self._small = 0
+        """What was taken as small."""
         self._is_closed = False
 
     def take(self, size: int) -> bool:
         """Hold so many bytes more if there is room for them; return whether it is so."""
-        if self._is_closed or not self.holder.take(size):
+        is_small = self._small + size <= self._small_bytes
+        if self._is_closed or not self.holder.take(size, is_small=is_small):
             return False
         self.size += size
+        if is_small:
+            self._small += size
         return True
 
     def change(self, size: int) -> None:
@@ -109,8 +147,9 @@
         """Hold nothing any more; later changes are ignored."""
         if not self._is_closed:
             self._is_closed = True
-            self.holder.change(-self.size)
-            self.size = 0
+            self.holder.change(-self._small, is_small=True)
+            self.holder.change(self._small - self.size)
+            self.size = self._small = 0
 
 
 MeasureBytes = Callable[[], int]
--- a/notcharch/wire/connection.py
+++ b/notcharch/wire/connection.py
@@ -262,7 +262,7 @@
 
     def _count_transport(self, size: int) -> None:
         """Count what the transport holds while it is full."""
-        self._memory.change_outgoing(size - self._transport_bytes)
+        self._memory.change_transport(size - self._transport_bytes)
         self._transport_bytes = size
 
     def _await_reply(self, request: OpenRequest) -> None:
--- a/notcharch/wire/outgoing.py
+++ b/notcharch/wire/outgoing.py
@@ -1,7 +1,7 @@
 """Frames that wait to be written to a peer, in order and within a bound."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -65,7 +65,7 @@
         while self._frames:
             frame = self._frames.popleft()
             self.size -= len(frame.frame)
-            self._memory.change_outgoing(-frame_bytes(frame))
+            self._memory.release_outgoing(frame_bytes(frame))
             if frame.is_wanted:
                 return frame
         return None
@@ -77,19 +77,22 @@
             for frame in self._frames
             if frame.is_wanted and not frame.is_bound_to_connection
         ]
-        self._keep(frame for frame in self._frames if frame.is_bound_to_connection)
+        self._keep(lambda frame: frame.is_bound_to_connection)
         return unbound
 
     def _drop_unwanted(self) -> None:
-        self._keep(frame for frame in self._frames if frame.is_wanted)
+        self._keep(lambda frame: frame.is_wanted)
 
     def close(self) -> None:
         """Drop all frames, and take none any more."""
         self._is_closed = True
-        self._keep(())
-
-    def _keep(self, frames: Iterable[OutgoingFrame]) -> None:
-        former = sum(map(frame_bytes, self._frames))
-        self._frames = deque(frames)
+        self._keep(lambda frame: False)
+
+    def _keep(self, is_kept: Callable[[OutgoingFrame], bool]) -> None:
+        frames, self._frames = self._frames, deque()
+        for frame in frames:
+            if is_kept(frame):
+                self._frames.append(frame)
+            else:
+                self._memory.release_outgoing(frame_bytes(frame))
         self.size = sum(len(frame.frame) for frame in self._frames)
-        self._memory.change_outgoing(sum(map(frame_bytes, self._frames)) - former)
--- a/tests/unit/calls/test_call_memory.py
+++ b/tests/unit/calls/test_call_memory.py
@@ -4,7 +4,11 @@
 the smallest machine: only bodies that are still being read were counted.
 """
 
-from notcharch.calls.call_lifecycle import CALL_BYTES, STORED_COPIES
+from notcharch.calls.call_lifecycle import (
+    CALL_BYTES,
+    RESERVED_CALLS_BYTES,
+    STORED_COPIES,
+)
 from notcharch.calls.interface import NO_MEMORY
 from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.values.memory_pool import MemoryPool
@@ -62,6 +66,19 @@
     assert World(held=held, body=BODY).sent, "there is room again"
 
 
+def test_small_calls_run_while_others_fill_the_pool():
+    pool = MemoryPool(4 * MEGABYTE)
+    held = pool.holder("calls", 0.6, RESERVED_CALLS_BYTES)
+    pool.holder("turns", 2.0).change(8 * MEGABYTE)
+    running = [World(held=held) for _ in range(60)]
+    assert all(world.sent for world in running)
+    assert World(held=held, body=BODY).reply.refusal == NO_MEMORY
+    for world in running:
+        world.sent[0].respond(200, b"done")
+    assert held.held == 0
+    assert World(held=held).sent
+
+
 def test_a_call_that_its_caller_left_holds_nothing():
     held = MemoryPool(4 * MEGABYTE).holder("calls")
     world = World(held=held, body=BODY)
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -113,6 +113,23 @@
     assert listener.connect() is not None
 
 
+def test_some_callers_are_served_while_others_fill_the_pool():
+    """Callers were refused, busy or not, by a daemon that was shown as ready."""
+    listener = Listener()
+    pool = MemoryPool(MOST * CONNECTION_BYTES)
+    held = pool.holder("connections", 0.3, 4 * CONNECTION_BYTES)
+    room = ConnectionRoom(10_000, held)
+    listener.factory = ServerFactory(listener.handler, listener.clock, room=room)
+    pool.holder("turns", 2.0).change(2 * MOST * CONNECTION_BYTES)
+    first = [listener.connect() for _ in range(4)]
+    assert all(listener.is_served(transport) for transport in first)
+    for transport in first:
+        transport.protocol.dataReceived(GET)
+    assert not listener.is_served(listener.connect())
+    first[0].protocol.connectionLost()
+    assert listener.is_served(listener.connect())
+
+
 def test_a_connection_whose_answer_is_not_read_yet_is_not_idle():
     listener = Listener()
     transports = [listener.connect() for _ in range(MOST)]
--- a/tests/unit/platform/test_memory_budget.py
+++ b/tests/unit/platform/test_memory_budget.py
@@ -11,8 +11,11 @@
 from notcharch.accounts.ledger import PROGRAM_BYTES, Ledger
 from notcharch.accounts.records import TurnKept, decode, encode
 from notcharch.accounts.turns import TURN_BYTES
+from notcharch.calls.call_lifecycle import CALL_BYTES, SMALL_CALL_BYTES
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.list_log import EngineListLog
+from notcharch.http.connection_room import MIN_CALLERS_CONNECTIONS
+from notcharch.journal.writer import SMALL_ENTRY_BYTES
 from notcharch.platform import memory_budget as budget
 from notcharch.platform.engine_entries import read_entry
 from notcharch.platform.memory_budget import memory_budget
@@ -25,6 +28,8 @@
 from notcharch.scheduling.stream_origin import StreamOrigin
 from notcharch.settings.mechanisms import ALL_MECHANISMS
 from notcharch.stream_origins.records import OriginRecords
+from notcharch.values.memory_pool import HeldPart
+from notcharch.wire.outgoing import FRAME_BYTES
 from tests.unit.http.test_small_chunks import growth
 from tests.unit.platform.test_settings import TEXT
 
@@ -68,7 +73,7 @@
     memory = ProcessMemory(settings, open_files=8200)
     pool_bytes = memory_budget(megabytes * MEGABYTE).pool_bytes
     assert memory.pool.limit_bytes == pool_bytes
-    assert len(memory.pool.holders) == 9
+    assert len(memory.pool.holders) == 10
     assert all(holder.limit_bytes < pool_bytes for holder in memory.pool.holders)
     origins, records = memory.max_origin_bytes, memory.max_quarantine_records
     lines = {line.name: line.size for line in memory.budget.lines}
@@ -76,6 +81,61 @@
     assert lines["requests under which engines ended"] == records * END_RECORD_BYTES
 
 
+class Frames:
+    """A connection with an unfinished frame."""
+
+    gave_way = 0
+
+    def give_way(self) -> None:
+        self.gave_way += 1
+
+
+@pytest.mark.parametrize("megabytes", LIMITS)
+@pytest.mark.parametrize("is_replayed", [True, False])
+def test_what_a_daemon_needs_to_go_on_is_not_refused_for_a_full_pool(
+    megabytes, is_replayed
+):
+    """A ready daemon refused the frames and requests of its peers, connections and calls.
+
+    After a takeover, turns and accounts may be at their bounds: 1.2 times the pool.
+    """
+    settings = read_settings(f"{TEXT}\nlimits.memory_mb={megabytes}\n").ok_value
+    memory = ProcessMemory(settings, open_files=8200)
+    pool = memory.pool
+    if is_replayed:
+        for holder in (memory.accounts.turns, memory.accounts.accounts):
+            holder.change(int(holder.limit_bytes))
+        assert pool.total > 1.15 * pool.limit_bytes
+    else:
+        memory.calls.change(int(0.6 * pool.limit_bytes))
+        memory.accounts.turns.change(int(0.4 * pool.limit_bytes) + 1)
+    peers, room = memory.peers, memory.connections
+    for _ in range(300):
+        assert peers.take_outgoing(FRAME_BYTES + 1024)
+        assert peers.take_request(200)
+    parts = [Frames() for _ in range(300)]
+    for part in parts:
+        peers.part_received(part, 20)
+        peers.part_received(part, 2500)
+    assert not any(part.gave_way for part in parts)
+    for number in range(MIN_CALLERS_CONNECTIONS):
+        assert room.has_room(0.0)
+        room.opened(number)
+    calls = [HeldPart(memory.calls, SMALL_CALL_BYTES) for _ in range(75)]
+    assert all(call.take(CALL_BYTES + 1000) for call in calls)
+    entries = [HeldPart(memory.accounts.journal, SMALL_ENTRY_BYTES) for _ in range(32)]
+    assert all(entry.take(SMALL_ENTRY_BYTES) for entry in entries)
+    assert not HeldPart(memory.calls, SMALL_CALL_BYTES).take(MEGABYTE)
+
+
+def test_the_reserves_of_a_process_are_lines_of_the_budget():
+    settings = read_settings(f"{TEXT}\nlimits.memory_mb=130\n").ok_value
+    memory = ProcessMemory(settings, open_files=8200)
+    lines = [line for line in memory.budget.lines if line.name.endswith("at least")]
+    reserved = sum(holder.reserved_bytes for holder in memory.pool.holders)
+    assert sum(line.size for line in lines) == reserved > 0
+
+
 def test_callers_connections_leave_descriptors_for_everything_else():
     """Without descriptors no engine can be connected, and calls fail that were accepted."""
     assert max_caller_connections(8200) == 6150
--- a/tests/unit/wire/test_peer_memory.py
+++ b/tests/unit/wire/test_peer_memory.py
@@ -13,10 +13,16 @@
 from notcharch.values.identifiers import DaemonName, EngineName, Incarnation, Member
 from notcharch.values.memory_pool import MemoryPool
 from notcharch.wire import connections
-from notcharch.wire.codec import default_codec
+from notcharch.wire.codec import Pong, default_codec
 from notcharch.wire.connection import HELLO_BYTES
 from notcharch.wire.messages.engines import Acknowledged, DrainEngine, ListEngines
-from notcharch.wire.peer_memory import SMALL_BYTES, PeerMemory
+from notcharch.wire.peer_memory import (
+    RESERVED_FRAMES_BYTES,
+    RESERVED_PARTS_BYTES,
+    RESERVED_REQUESTS_BYTES,
+    SMALL_BYTES,
+    PeerMemory,
+)
 from tests.unit.events.capture import captured, of
 from tests.unit.wire.test_connections import acknowledge, outcome
 from tests.unit.wire.worlds import BETA, REGION, TcpWorld, has_fired, value_of
@@ -40,11 +46,11 @@
 class World:
     """One daemon with bounds, and ten peers."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory=None) -> None:
         self.tcp = TcpWorld()
         self.outgoing = MemoryPool(BOUND).holder("outgoing")
         self.incoming = MemoryPool(BOUND).holder("incoming")
-        self.tcp.memory = PeerMemory(self.outgoing, self.incoming)
+        self.tcp.memory = memory or PeerMemory(self.outgoing, self.incoming)
         self.bounded = self.tcp.start(BETA)
         self.tcp.memory = None
         self.peers = [self.tcp.start(name) for name in PEERS]
@@ -137,6 +143,33 @@
     assert world.incoming.held == 0
 
 
+def test_a_pool_that_others_filled_does_not_cut_a_daemon_off():
+    """A frame of 20 bytes closed its connection, and each request was refused."""
+    pool = MemoryPool(BOUND)
+    outgoing = pool.holder("outgoing", 0.25, RESERVED_FRAMES_BYTES)
+    incoming = pool.holder("incoming", 0.25, RESERVED_REQUESTS_BYTES)
+    parts = pool.holder("parts", 0.25, RESERVED_PARTS_BYTES)
+    world = World(PeerMemory(outgoing, incoming, parts))
+    pool.holder("turns", 2.0).change(2 * BOUND)
+    before = world.tcp.reactor.open_connections()
+    pong = default_codec().encode(Pong()).ok_value
+    frame = b"%d:%b," % (len(pong), pong)
+    for part in (frame[:-2], frame[-2:]):
+        for pump in world.tcp.reactor.pumps:
+            end = {end.peer.daemon: end for end in ends_of(pump)}[BETA]
+            end.transport.write(part)
+        world.tcp.reactor.pump()
+    assert len(before) == 10
+    assert world.tcp.reactor.open_connections() == before
+    asked = [world.bounded.request(name, DRAIN, 5.0) for name in PEERS]
+    again = [peer.request(BETA, DRAIN, 5.0) for peer in world.peers]
+    world.run(0.5)
+    assert [value_of(reply) for reply in asked + again] == [Ok(Acknowledged())] * 20
+    refused = world.bounded.request(PEERS[0], large(), 5.0)
+    assert outcome(refused) == ("unavailable", Ran.NO)
+    assert outgoing.held == incoming.held == parts.held == 0
+
+
 def test_nobody_can_send_a_large_frame_before_the_handshake():
     world = World()
     server = world.bounded.new_connection(None)
