--- a/deploy/soak/ports.py
+++ b/deploy/soak/ports.py
@@ -1,4 +1,8 @@
-"""Ports of the daemons, and sockets of the soak that hold them for a while."""
+"""Ports of the daemons, and sockets of the soak that hold them for a while.
+
+All are TCP ports: on the platform daemons use no UDP (`wire/datagrams` belongs to the
+daemons of the own interface).
+"""
 
 import enum
 import socket
