--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -252,6 +252,7 @@
             slowest_ready_seconds=round(self._readiness.slowest, 2),
             processor_waits=self._waits.totals(),
             longest_pause_seconds=round(self._longest_pause, 2),
+            peak_megabytes={d.name: d.peak_megabytes for d in self._daemons},
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
--- a/deploy/soak/report.py
+++ b/deploy/soak/report.py
@@ -40,6 +40,8 @@
     """By how much a check of the soak came too late: its store and engines stood still."""
     processor_waits: dict[str, float]
     """Seconds for which each process waited for a processor, in waits of 0.25 s or more."""
+    peak_megabytes: dict[str, int]
+    """The most memory that any process of each daemon had."""
     resumed: int
     """Streams that callers took up again."""
     went_on: int
--- a/tests/unit/soak/test_report.py
+++ b/tests/unit/soak/test_report.py
@@ -24,6 +24,7 @@
         "slowest_ready_seconds": 1.0,
         "processor_waits": {},
         "longest_pause_seconds": 0.1,
+        "peak_megabytes": {},
         "resumed": 0,
         "went_on": 0,
         "ended_under": [],
