A listener for probes refuses no connection

Cause: the readiness port keeps 64 connections. While these were open for less than 1 s, or had sent a part of a head, each further one was answered with 503: a ready daemon that anybody connected to was taken out.

Change: a listener for probes closes the oldest connection without a whole request so far for a new one, or else the one that was used longest ago. One whose request lies unread in its socket is the last to be closed. A kept connection of a probe is not closed as idle while there are such without a request.

--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -3,6 +3,9 @@
 Above the bound the connections that have been idle for longest are closed, as their idle
 time-out would do later. If none is idle, a new connection is answered with 503 and closed:
 its request is not read.
+
+A listener for probes refuses none: a probe that gets no 200 takes the daemon out. It closes
+another connection instead, at first one that has sent no whole request so far.
 """
 
 from collections import OrderedDict
@@ -45,6 +48,10 @@
 CLOSED_IDLE = Counter(
     "notcharch_http_idle_closed", "Idle connections closed to make room for others"
 )
+CLOSED_FOR_PROBES = Counter(
+    "notcharch_http_probes_closed",
+    "Connections of probes, in use or just opened, that were closed to make room",
+)
 REFUSED = Counter(
     "notcharch_http_connections_refused",
     "New connections answered with 503 or closed, as all others were in use",
@@ -61,6 +68,13 @@
     def close_if_idle(self) -> bool:
         """Close the connection if it has no request in flight; return whether it closes."""
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether its socket has bytes that were not read yet."""
+
+    def give_way(self) -> None:
+        """Close the connection at once."""
+
 
 class ConnectionRoom:
     """The connections of one listener."""
@@ -88,6 +102,9 @@
 
     def used(self, connection: IdleConnection, now: float) -> None:
         """Note the end of a response."""
+        self._to_end(connection, now)
+
+    def _to_end(self, connection: IdleConnection, now: float) -> None:
         if connection in self._open:
             self._open[connection] = now
             self._open.move_to_end(connection)
@@ -109,6 +126,9 @@
         """
         if self._is_within():
             return True
+        return self._close_longest_idle(now) or self.make_room()
+
+    def _close_longest_idle(self, now: float) -> bool:
         count = max(1, int(len(self._open) * CLOSED_SHARE))
         closed = 0
         while closed < count and self._open:
@@ -118,7 +138,7 @@
             if self._close_idle(connection, now):
                 closed += 1
             else:
-                self.used(connection, now)
+                self._to_end(connection, now)
         return closed > 0
 
     def _close_idle(self, connection: IdleConnection, now: float) -> bool:
@@ -128,23 +148,78 @@
             return False
         if not connection.close_if_idle():
             return False
-        self._open.pop(connection, None)
-        self._closing.add(connection)
+        self._told_to_close(connection)
         CLOSED_IDLE.inc()
         return True
 
+    def _told_to_close(self, connection: IdleConnection) -> None:
+        self._open.pop(connection, None)
+        self._closing.add(connection)
+
     def _is_within(self) -> bool:
         if len(self._open) >= self._max_connections:
             return False
         more = CONNECTION_BYTES * (1 - len(self._closing))
         return self._held.has_room(more, is_small=True)
 
+    def make_room(self) -> bool:
+        """Close a connection that is in use for a new one; return whether that was done."""
+        return False
+
     def may_refuse(self) -> bool:
         """Return whether another connection may be answered with 503."""
         REFUSED.inc()
         return self.refused < MAX_REFUSED
 
 
+class ProbeRoom(ConnectionRoom):
+    """The connections of a listener for probes, which refuses none."""
+
+    def __init__(self, max_connections: float = DEFAULT_MAX_CONNECTIONS) -> None:
+        """Keep so many connections."""
+        super().__init__(max_connections)
+        self._unserved: dict[IdleConnection, None] = {}
+        """Connections without a whole request so far, the oldest first."""
+
+    def opened(self, connection: IdleConnection, now: float) -> None:
+        """Count a connection."""
+        super().opened(connection, now)
+        self._unserved[connection] = None
+
+    def used(self, connection: IdleConnection, now: float) -> None:
+        """Note the end of a response."""
+        super().used(connection, now)
+        self._unserved.pop(connection, None)
+
+    def _told_to_close(self, connection: IdleConnection) -> None:
+        super()._told_to_close(connection)
+        self._unserved.pop(connection, None)
+
+    def closed(self, connection: IdleConnection) -> None:
+        """Count a connection no more."""
+        super().closed(connection)
+        self._unserved.pop(connection, None)
+
+    def _close_longest_idle(self, now: float) -> bool:
+        # A kept connection is idle from one probe to the next one.
+        return not self._unserved and super()._close_longest_idle(now)
+
+    def make_room(self) -> bool:
+        """Close the oldest connection without a whole request, or else the oldest.
+
+        One whose request lies unread in its socket is closed only if all others are such.
+        """
+        candidates = [*self._unserved, *self._open]
+        unread = (one for one in candidates if not one.has_unread_bytes)
+        chosen = next(unread, None) or next(iter(candidates), None)
+        if chosen is None:
+            return False
+        self._told_to_close(chosen)
+        chosen.give_way()
+        CLOSED_FOR_PROBES.inc()
+        return True
+
+
 class RefusedConnection(Protocol):
     """A connection that is answered with 503 once its request begins."""
 
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -12,7 +12,11 @@
 from notcharch.events.event import emit
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
-from notcharch.http.connection_room import ConnectionRoom, RefusedConnection
+from notcharch.http.connection_room import (
+    ConnectionRoom,
+    ProbeRoom,
+    RefusedConnection,
+)
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
@@ -226,11 +230,23 @@
             return False
         if self._is_disconnected or not self.is_idle or self._is_discarding:
             return False
-        if has_unread_bytes(self.transport):
+        if self.has_unread_bytes:
             return False
         self._out.lose_connection()
         return True
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether its socket has bytes that were not read yet."""
+        return has_unread_bytes(self.transport)
+
+    def give_way(self) -> None:
+        """Close the connection at once, whatever it is used for."""
+        if self._exchange is not None:
+            self._exchange.abort()
+        else:
+            self.abort()
+
     def refuse_unread(
         self, refusal_of: Callable[[Exchange | None], ErrorResponse | None]
     ) -> None:
@@ -481,9 +497,9 @@
     ) -> None:
         """Pass requests to a handler; `buffers` counts what the connections hold.
 
-        `room` bounds their number.
+        `room` bounds their number; without one they are connections of probes.
         """
-        self._room = room or ConnectionRoom()
+        self._room = room or ProbeRoom()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -12,6 +12,7 @@
 from notcharch.http import server
 from notcharch.http.connection_room import (
     CONNECTION_BYTES,
+    DEFAULT_MAX_CONNECTIONS,
     MAX_REFUSED,
     MIN_IDLE_SECONDS,
     ConnectionRoom,
@@ -176,6 +177,76 @@
     assert not listener.is_served(listener.connect())
 
 
+class ProbeListener(Listener):
+    """A listener for probes, which are answered as they come."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.handler.handle = lambda exchange: exchange.respond(200, [], b"{}")
+        self.factory = ServerFactory(self.handler, self.clock)
+
+    def probe(self):
+        transport = self.connect()
+        assert self.is_served(transport), "refused"
+        transport.protocol.dataReceived(GET)
+        assert transport.value().startswith(b"HTTP/1.1 200 ")
+        transport.drain()
+        return transport
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET / HT", GET[:-2]])
+@pytest.mark.parametrize("seconds", [0.0, 0.5, 2.0])
+def test_a_probe_is_answered_whatever_others_have_opened(sent, seconds):
+    """64 connections to the port made a ready daemon answer 503 to its probe."""
+    listener = ProbeListener()
+    others = [listener.connect() for _ in range(DEFAULT_MAX_CONNECTIONS)]
+    for transport in others:
+        if sent:
+            transport.protocol.dataReceived(sent)
+    listener.clock.advance(seconds)
+    probes = [listener.probe() for _ in range(3)]
+    assert [t.is_closed for t in others[:3]] == [True] * 3
+    assert not any(transport.is_closed for transport in probes)
+    listener.turn(others)
+    again = sum(not transport.is_closed for transport in others + probes)
+    assert again <= DEFAULT_MAX_CONNECTIONS
+
+
+def test_a_kept_connection_of_a_probe_outlives_any_number_that_send_nothing():
+    listener = ProbeListener()
+    kept = listener.probe()
+    others = []
+    for _ in range(3 * DEFAULT_MAX_CONNECTIONS):
+        others.append(listener.connect())
+        listener.clock.advance(0.02)
+        listener.turn(others)
+        others = [transport for transport in others if not transport.is_closed]
+    assert not kept.is_closed
+    assert len(others) == DEFAULT_MAX_CONNECTIONS - 1
+
+
+def test_connections_of_probes_that_read_no_answers_give_way_to_others():
+    listener = ProbeListener()
+    others = [listener.connect() for _ in range(DEFAULT_MAX_CONNECTIONS)]
+    for transport in others:
+        transport.protocol.dataReceived(GET)
+        assert transport.protocol._out.buffered
+    listener.probe()
+    assert [t.is_closed for t in others] == [True] + [False] * 63
+    listener.turn(others)
+    assert listener.handler.in_flight == 0
+
+
+def test_a_probe_whose_request_was_not_read_yet_is_not_closed_for_another(monkeypatch):
+    listener = ProbeListener()
+    first = listener.connect()
+    others = [listener.connect() for _ in range(DEFAULT_MAX_CONNECTIONS - 1)]
+    monkeypatch.setattr(server, "has_unread_bytes", lambda t: t is first)
+    listener.probe()
+    assert not first.is_closed
+    assert others[0].is_closed
+
+
 def test_some_callers_are_served_while_others_fill_the_pool():
     """Callers were refused, busy or not, by a daemon that was shown as ready."""
     listener = Listener()
