Connections that a daemon dials don't count among those before their handshake

Cause: the bound of 400 connections before their handshake counted dialled ones too. A daemon that dialled 400 peers at once closed each connection that a peer opened.

Change: accepted connections alone count.

Tests: dialled connections leave the accepted ones their number; fails without the change. unit/wire and contract/test_peer_* pass.

--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -80,6 +80,9 @@
         self._own_requests = OpenRequests(clock)
         self._links: dict[DaemonName, PeerLink] = {}
         self._unshaken: set[PeerConnection] = set()
+        """Connections of either side whose handshake is not over."""
+        self._accepted: set[PeerConnection] = set()
+        """Those of them that others have opened."""
         self._port: IListeningPort | None = None
         self._factory = PeerConnectionFactory(self)
         self._checks = steady_loop(clock, "peers", self._check_alive)
@@ -164,7 +167,7 @@
 
     def accepts_connection(self) -> bool:
         """Return whether another connection may begin its handshake."""
-        return len(self._unshaken) < MAX_UNSHAKEN
+        return len(self._accepted) < MAX_UNSHAKEN
 
     def new_connection(self, dialed_peer: DaemonName | None) -> PeerConnection:
         """Make the protocol of a connection (for the factory)."""
@@ -178,6 +181,8 @@
             memory=self._memory,
         )
         self._unshaken.add(connection)
+        if dialed_peer is None:
+            self._accepted.add(connection)
         return connection
 
     def accepts(self, member: Member) -> bool:
@@ -189,11 +194,15 @@
 
     def established(self, connection: PeerConnection) -> None:
         """Give a shaken connection to its link."""
-        self._unshaken.discard(connection)
+        self._handshake_over(connection)
         if connection.peer is not None:
             link = self._link(connection.peer.daemon)
             link.established(connection, connection.peer)
 
+    def _handshake_over(self, connection: PeerConnection) -> None:
+        self._unshaken.discard(connection)
+        self._accepted.discard(connection)
+
     def retired(self, connection: PeerConnection) -> None:
         """Tell the link of a connection that the peer will close it."""
         link = self._links.get(connection.peer.daemon) if connection.peer else None
@@ -202,7 +211,7 @@
 
     def closed(self, connection: PeerConnection, reason: str) -> None:
         """Tell the link of a connection that it ended."""
-        self._unshaken.discard(connection)
+        self._handshake_over(connection)
         peer = connection.peer.daemon if connection.peer else connection.dialed_peer
         link = None if peer is None else self._links.get(peer)
         if link is not None:
@@ -318,7 +327,9 @@
 
 
 MAX_UNSHAKEN = 400
-"""Connections whose handshake is not over; they end after twice `silence_seconds`."""
+"""Accepted connections whose handshake is not over; they end after twice
+`silence_seconds`. Dialled ones are as many as there are peers: after an outage of the
+network all are dialled at once, and those that peers dial must not be closed for them."""
 ENVELOPE_BYTES = 64
 """More than an envelope adds to its message."""
 
--- a/tests/unit/wire/test_peer_memory.py
+++ b/tests/unit/wire/test_peer_memory.py
@@ -188,6 +188,20 @@
     assert [protocol is None for protocol in made] == [False] * 3 + [True] * 2
 
 
+def test_connections_that_a_daemon_dials_do_not_count_as_strangers(monkeypatch):
+    """With 400 peers being dialled, each connection that a peer opened was closed."""
+    monkeypatch.setattr(connections, "MAX_UNSHAKEN", 3)
+    world = World()
+    for name in PEERS:
+        dialing = connections.PeerConnectionFactory(world.bounded, name)
+        assert dialing.buildProtocol(None) is not None
+    factory = connections.PeerConnectionFactory(world.bounded)
+    made = [factory.buildProtocol(None) for _ in range(4)]
+    assert [protocol is None for protocol in made] == [False] * 3 + [True]
+    world.bounded.closed(made[0], "gone")
+    assert factory.buildProtocol(None) is not None
+
+
 @pytest.mark.parametrize("size", [0, SMALL_BYTES, 30 * KILOBYTE])
 def test_a_connection_at_rest_holds_no_frame(size):
     """Twisted's buffer holds the last frame until the next one begins."""
