A planned stop waits for the connections that are being refused

Cause: a connection that is answered with 503 for want of room was not among a listener's open ones, so a stop could end before the answer had left; the caller saw a reset in place of a status that says that nothing ran.

Change: they are counted, and closed as the others are if nothing of a request came.

Tests: fails without the change. unit/http, unit/platform's planned stop and budget, and stateful/stop pass.

--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -16,6 +16,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from notcharch.http.sockets import has_unread_bytes
 from notcharch.values.memory_pool import PoolHolder, unbounded_holder
 
 CONNECTION_BYTES = 5 * 1024
@@ -27,6 +28,8 @@
 """Callers' connections that have memory beside the pool: others never cut callers off."""
 MIN_IDLE_SECONDS = 1.0
 """A connection that was idle for less time is not closed to make room."""
+NEW_CONNECTION_SECONDS = 0.3
+"""A connection without a request so far is not idle for this time: its first one comes."""
 CLOSED_SHARE = 1 / 16
 """Share of the connections that are closed at once, so that not each new one searches."""
 MAX_REFUSED = 256
@@ -91,8 +94,8 @@
         """When each was last used or found in use; the one that was so earliest is first."""
         self._closing: set[IdleConnection] = set()
         """Connections that were told to close."""
-        self.refused = 0
-        """Number of connections that are being refused."""
+        self._refused: set[RefusedConnection] = set()
+        """Connections that are being refused."""
 
     def opened(self, connection: IdleConnection, now: float) -> None:
         """Count a connection."""
@@ -166,6 +169,24 @@
         """Close a connection that is in use for a new one; return whether that was done."""
         return False
 
+    @property
+    def refused(self) -> int:
+        """Number of connections that are being refused: open, and not in use."""
+        return len(self._refused)
+
+    def refusing(self, connection: "RefusedConnection") -> None:
+        """Count a connection that is being refused."""
+        self._refused.add(connection)
+
+    def has_refused(self, connection: "RefusedConnection") -> None:
+        """Count a refused connection no more."""
+        self._refused.discard(connection)
+
+    def close_idle_refused(self) -> None:
+        """Close the refused connections on which nothing of a request was received."""
+        for connection in tuple(self._refused):
+            connection.close_if_idle()
+
     def may_refuse(self) -> bool:
         """Return whether another connection may be answered with 503."""
         REFUSED.inc()
@@ -231,10 +252,12 @@
         self._clock = clock
         self._timer: IDelayedCall | None = None
         self._is_answered = False
+        self._opened_at = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Wait for the request."""
-        self._room.refused += 1
+        self._room.refusing(self)
+        self._opened_at = self._clock.seconds()
         self._timer = self._clock.callLater(REFUSED_WAIT_SECONDS, self._close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
@@ -246,12 +269,20 @@
         if self._timer is not None:
             self._timer.reset(REFUSED_SECONDS)
 
+    def close_if_idle(self) -> None:
+        """Close the connection if nothing of a request was received, and it is not new."""
+        age = self._clock.seconds() - self._opened_at
+        if self._is_answered or age < NEW_CONNECTION_SECONDS:
+            return
+        if not has_unread_bytes(self.transport):
+            self.transport.loseConnection()
+
     def _close(self) -> None:
         self._timer = None
         self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Count no more."""
-        self._room.refused -= 1
+        self._room.has_refused(self)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -13,6 +13,7 @@
 from notcharch.events.http import SlowReaderCut
 from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
 from notcharch.http.connection_room import (
+    NEW_CONNECTION_SECONDS,
     ConnectionRoom,
     ProbeRoom,
     RefusedConnection,
@@ -30,8 +31,6 @@
 A connection that is closed while its client still sends is reset, and the client may lose
 the response.
 """
-NEW_CONNECTION_SECONDS = 0.3
-"""A connection without a request so far is not idle for this time: its first one comes."""
 PIPELINED_BYTES = CONNECTION_BYTES
 """Bytes of later requests beyond which reading stops while one is processed."""
 
@@ -519,13 +518,17 @@
 
     @property
     def open_connections(self) -> int:
-        """Number of connections that are open, or have bytes that were not taken."""
-        return len(self._open)
+        """Number of connections that are open, or have bytes that were not taken.
+
+        Those that are being refused are among them: their callers wait for a status.
+        """
+        return len(self._open) + self._room.refused
 
     def close_idle(self) -> None:
         """Close the connections on which nothing of a request was received."""
         for connection in tuple(self._open):
             connection.close_if_idle()
+        self._room.close_idle_refused()
 
     def refuse_unread(
         self, refusal_of: Callable[[Exchange | None], ErrorResponse | None]
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -264,6 +264,31 @@
     assert listener.is_served(listener.connect())
 
 
+def test_a_connection_that_is_refused_is_open_until_its_answer_has_left():
+    """A planned stop ended while such were answered: their callers saw a reset."""
+    listener = Listener()
+    busy = [listener.connect() for _ in range(MOST)]
+    for transport in busy:
+        transport.protocol.dataReceived(GET)
+    answered, silent = listener.connect(), listener.connect()
+    answered.protocol.dataReceived(GET)
+    for transport in busy:
+        transport.protocol.connectionLost()
+    assert listener.factory.open_connections == 2
+    listener.clock.advance(0.2)
+    listener.factory.close_idle()
+    assert not silent.is_closed, "its request may be on its way"
+    listener.clock.advance(0.2)
+    listener.factory.close_idle()
+    assert silent.is_closed
+    assert not answered.is_closed
+    listener.clock.advance(0.2)
+    assert answered.is_closed
+    assert listener.factory.open_connections == 2
+    listener.turn([answered, silent])
+    assert listener.factory.open_connections == 0
+
+
 def test_a_connection_whose_answer_is_not_read_yet_is_not_idle():
     listener = Listener()
     transports = [listener.connect() for _ in range(MOST)]
