--- a/deploy/soak/report.py
+++ b/deploy/soak/report.py
@@ -6,8 +6,7 @@
 from deploy.soak.observations import Violation
 
 RECOVERED_SHARE = 0.95
-"""Of the requests in the second half of the calm: 1 in most of 40 runs; 0.962 was the least,
-of a run whose processes waited for a processor during most of it."""
+"""Of the requests in the second half of the calm."""
 MANY_SECONDS = 5.0
 """A verdict tells of processes that waited for a processor for so long."""
 
