A call whose turn was copied from another partition is asked for again at once

Cause: the copy of a long chain may take all of the 1.4 s in which a call waits for a decision: 1.6 MB in 1.44 s of virtual time over a log that takes 20 KB a record. The chain was stored, and the call refused (503, unrun).

Change: after the copy the owner is asked once more, whatever time has passed; the caller's own deadline holds as before.

Tests: test_a_chain_whose_copy_takes_all_of_the_wait_is_admitted_after_it failed before.

--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -132,8 +132,13 @@
 
     @inlineCallbacks
     def _request_decision(
-        self, account: CallAccount
+        self, account: CallAccount, *, may_adopt: bool = True
     ) -> Generator["Deferred[Any]", Any, Refusal | bytes | None]:
+        """Request a decision; after a chain was copied, at once another one.
+
+        The copy may have taken all of the time in which the call may wait for a decision.
+        """
+        decision: Refusal | bytes | None
         reply = yield self._send_admission(account)
         if isinstance(reply, TurnRefused) and not reply.is_spent:
             adoption: Adoption = yield adopt_turn(
@@ -142,9 +147,12 @@
             if adoption is Adoption.NO_SUCH_TURN and not reply.is_certain:
                 adoption = Adoption.UNSURE
             _log_adoption(account, adoption)
-            return REFUSALS.get(adoption)  # None once it is adopted: ask again
+            if adoption is Adoption.ADOPTED and may_adopt:
+                decision = yield self._request_decision(account, may_adopt=False)
+                return decision
+            return REFUSALS.get(adoption)
         if isinstance(reply, TurnAdmitted):
-            decision: Refusal | bytes | None = yield self._complete_body(account, reply)
+            decision = yield self._complete_body(account, reply)
             return decision
         if isinstance(reply, NotOwner) and self._owners.outages is not None:
             account.never_ran()  # an earlier request may reserve tokens later
--- a/tests/unit/accounts/test_large_turns.py
+++ b/tests/unit/accounts/test_large_turns.py
@@ -3,6 +3,7 @@
 import pytest
 
 from notcharch.accounts.messages import KeepTurn
+from notcharch.accounts.request_retry import MAX_DECISION_WAIT_SECONDS
 from notcharch.accounts.turn_parts import split_turn
 from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage, Turn, TurnStore
 from notcharch.calls.interface import (
@@ -192,6 +193,25 @@
     assert go_on(world, "one", last).body == chain + b"next"
 
 
+def test_a_chain_whose_copy_takes_all_of_the_wait_is_admitted_after_it():
+    """The copy of 1.6 MB took 1.44 s, and the call was refused after 1.4 s."""
+    world = new_world(LogLimits(record_bytes=20_000, call_bytes=50_000))
+    previous = ""
+    for _ in range(4):
+        call = world.call(
+            "p", body=b"x" * 600 * KILOBYTE, previous=previous, wait_seconds=30.0
+        )
+        listener = world.store_turn(call, EVENT)
+        assert listener.is_durable
+        previous = call.id
+    began = world.clock.seconds()
+    listener = world.wait_for_decision(
+        world.call("other", previous=previous, wait_seconds=30.0), stores_turns=True
+    )
+    assert len(listener.body) > 4 * 600 * KILOBYTE
+    assert world.clock.seconds() - began > MAX_DECISION_WAIT_SECONDS
+
+
 @pytest.mark.parametrize("is_handed_on", [False, True], ids=["own", "handed on"])
 def test_a_history_without_room_is_refused_before_it_runs(is_handed_on):
     """A hundred programs that go on with a megabyte each took the memory of a machine."""
