--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -39,6 +39,7 @@
         self.refused = 0
         """Number of times that there was no room for something new."""
 
+<<<<<<< HEAD
     @property
     def pooled(self) -> int:
         """What is held beyond the reserve."""
@@ -53,6 +54,16 @@
         more = size - max(left, 0)
         is_within = self.pooled + more <= self.limit_bytes
         if is_within and self._pool.total + more <= self._pool.limit_bytes:
+=======
+    def fits(self, size: int) -> bool:
+        """Return whether so many bytes more are within the bounds."""
+        is_within = self.held + size <= self.limit_bytes
+        return is_within and self._pool.total + size <= self._pool.limit_bytes
+
+    def has_room(self, size: int) -> bool:
+        """Return whether something new may be held; count it as refused if not."""
+        if self.fits(size):
+>>>>>>> memory
             return True
         self.refused += 1
         return False
