A check of a planned stop passes over the running calls once, not once a route

Cause: the durations of a route ask for the ages of its running calls, and these were searched among all calls for each route anew.

Change: the ages of all routes are taken in one pass and kept, with the durations that were asked for, for 0.05 s as before.

Tests: the number of looks at a call fails without the change for 1, 20 and 40 routes; the durations of routes, of calls that show nothing, and anew after a moment pass with and without it.

--- a/notcharch/calls/planned_stop.py
+++ b/notcharch/calls/planned_stop.py
@@ -79,11 +79,15 @@
         """End the call now: refused if it has not run, else broken off."""
 
 
-class KnownDurations(msgspec.Struct, frozen=True):
-    """The durations of a route's calls at a moment; None if they were not known."""
+class KnownDurations(msgspec.Struct):
+    """What is known of all routes at a moment."""
 
     at: float
-    durations: Durations | None
+    """Clock seconds."""
+    running: dict[str, list[float]]
+    """The ages of the calls at engines, by route, but for those whose callers are slow."""
+    durations: dict[str, Durations | None] = {}
+    """By route, as far as they were asked for; None if they are not known."""
 
 
 class StopCounts(msgspec.Struct):
@@ -104,8 +108,8 @@
         self._durations = CallDurations()
         self._calls: dict[StoppableCall, None] = {}
         """Calls that have not ended, in the order of their start."""
-        self._latest: dict[str, KnownDurations] = {}
-        """By route; only used during a stop."""
+        self._latest: KnownDurations | None = None
+        """Only used during a stop."""
         self.counts = StopCounts()
 
     @property
@@ -150,17 +154,22 @@
 
     def _known(self, route: str, now: float) -> Durations | None:
         """Return the durations of a route's calls as of a moment ago."""
-        known = self._latest.get(route)
-        if known is not None and now - known.at < REFRESH_SECONDS:
-            return known.durations
-        running = [
-            call.timer.seconds or 0.0
-            for call in self._calls
-            if call.timer.route == route and not call.timer.is_slowed
-        ]
-        durations = self._durations.of(route, now, running)
-        self._latest[route] = KnownDurations(now, durations)
-        return durations
+        known = self._latest
+        if known is None or now - known.at >= REFRESH_SECONDS:
+            known = self._latest = KnownDurations(now, self._running(now))
+        if route not in known.durations:
+            running = known.running.get(route, ())
+            known.durations[route] = self._durations.of(route, now, running)
+        return known.durations[route]
+
+    def _running(self, now: float) -> dict[str, list[float]]:
+        """Return the ages of the calls at engines: one pass for the calls of all routes."""
+        ages: dict[str, list[float]] = {}
+        for call in self._calls:
+            timer = call.timer
+            if timer.sent_at is not None and not timer.is_slowed:
+                ages.setdefault(timer.route, []).append(now - timer.sent_at)
+        return ages
 
     def refusal(
         self, call: OpaqueCall, route: Route, deadline: float, phase: str, runs: int
