--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -39,31 +39,24 @@
         self.refused = 0
         """Number of times that there was no room for something new."""
 
-<<<<<<< HEAD
     @property
     def pooled(self) -> int:
         """What is held beyond the reserve."""
         return self.held - min(self._small, self.reserved_bytes)
 
-    def has_room(self, size: int, *, is_small: bool = False) -> bool:
-        """Return whether something new may be held; count it as refused if not."""
+    def fits(self, size: int, *, is_small: bool = False) -> bool:
+        """Return whether so many bytes more are within the bounds."""
         if is_small and self._small + size <= self.reserved_bytes:
             return True
         # What is left of the reserve counts as room for a small object.
         left = self.reserved_bytes - self._small if is_small else 0
         more = size - max(left, 0)
         is_within = self.pooled + more <= self.limit_bytes
-        if is_within and self._pool.total + more <= self._pool.limit_bytes:
-=======
-    def fits(self, size: int) -> bool:
-        """Return whether so many bytes more are within the bounds."""
-        is_within = self.held + size <= self.limit_bytes
-        return is_within and self._pool.total + size <= self._pool.limit_bytes
+        return is_within and self._pool.total + more <= self._pool.limit_bytes
 
-    def has_room(self, size: int) -> bool:
+    def has_room(self, size: int, *, is_small: bool = False) -> bool:
         """Return whether something new may be held; count it as refused if not."""
-        if self.fits(size):
->>>>>>> memory
+        if self.fits(size, is_small=is_small):
             return True
         self.refused += 1
         return False
