--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -198,6 +198,9 @@
         self._reactor.callLater(LAST_ANSWERS_SECONDS, self._end)
 
     def _end(self) -> None:
+        if self._persistent.are_waiting:
+            self._reactor.callLater(WATCH_SECONDS, self._end)
+            return
         self._is_over = True
         self._reactor.stop()
 
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -33,7 +33,8 @@
 CONNECT_SECONDS = 1.0
 PAUSE_SECONDS = 0.3
 """Between two connections, and at most between two requests on one."""
-PATHS = (SAFE_PATH, WRITE_PATH, PLAIN_PATH, LONG_PATH, LONG_STREAM_PATH)
+SHORT_PATHS = (SAFE_PATH, WRITE_PATH, PLAIN_PATH)
+PATHS = (*SHORT_PATHS, LONG_PATH, LONG_STREAM_PATH)
 STREAM_PATHS = (PLAIN_PATH, LONG_STREAM_PATH)
 LONG_PATHS = (LONG_PATH, LONG_STREAM_PATH)
 LEAST_LONG_SECONDS, MOST_LONG_SECONDS = 3.0, 7.0
@@ -76,6 +77,7 @@
         self._ready = ready
         self._tenants = tenants
         self._numbers = 0
+        self._asked: list[Asked] = []
         self.is_running = True
 
     def start(self, connections: int) -> None:
@@ -83,6 +85,11 @@
         for _ in range(connections):
             self._connect()
 
+    @property
+    def are_waiting(self) -> bool:
+        """Whether a request has no end yet; each has one when it is given up."""
+        return any(asked.is_connected and not asked.ended_at for asked in self._asked)
+
     def _connect_later(self) -> None:
         self._reactor.callLater(self._random.uniform(0, PAUSE_SECONDS), self._connect)
 
@@ -126,7 +133,10 @@
         count = 1
         if manner is Manner.PIPELINED:
             count = self._random.randint(2, MOST_PIPELINED)
-        pending = [self._new_request(daemon) for _ in range(count)]
+        # At most one long call, or the last answer would come after half a minute.
+        paths = [self._random.choice(SHORT_PATHS) for _ in range(count - 1)]
+        paths.insert(self._random.randrange(len(paths) + 1), self._random.choice(PATHS))
+        pending = [self._new_request(daemon, path) for path in paths]
         for one in pending:
             one.asked.manner = manner.value
             connection.add(one)
@@ -168,8 +178,7 @@
         is_long = asked.path.startswith(LONG_PATHS)
         return LONG_CALL_SECONDS if is_long else CALL_SECONDS
 
-    def _new_request(self, daemon: SoakDaemon) -> PendingAnswer:
-        path = self._random.choice(PATHS)
+    def _new_request(self, daemon: SoakDaemon, path: str) -> PendingAnswer:
         self._numbers += 1
         id = f"k{self._numbers}"
         body = f"{id} {self._random.random()}\n".encode()
@@ -190,6 +199,7 @@
             daemon=daemon.name,
         )
         self._oracle.asked[id] = asked
+        self._asked.append(asked)
         deadline = int(self._time_of(asked) * 1000)
         return PendingAnswer(
             asked,
--- a/tests/unit/soak/test_persistent_callers.py
+++ b/tests/unit/soak/test_persistent_callers.py
@@ -180,6 +180,20 @@
     assert scene.transport.is_aborted
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_at_most_one_of_several_pipelined_requests_is_long(seed):
+    asked = Scene(Manner.PIPELINED, seed).asked
+    assert sum(one.path.startswith(LONG_PATHS) for one in asked) <= 1
+
+
+def test_the_soak_waits_for_the_last_answers():
+    """The end of its daemons would cut them (t2 730003)."""
+    scene = Scene(Manner.AT_ONCE)
+    assert scene.callers.are_waiting
+    scene.respond()
+    assert not scene.callers.are_waiting
+
+
 def test_nothing_is_asked_when_the_soak_is_over():
     scene = Scene(Manner.AT_ONCE)
     scene.callers.is_running = False
