--- a/deploy/soak/refusal_checks.py
+++ b/deploy/soak/refusal_checks.py
@@ -1,4 +1,4 @@
-"""Refusals that are not true: of a key in force, a tenant without a limit, an unspent budget."""
+"""Refusals that are not true: of a valid key, an unlimited tenant, an unspent budget."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -39,7 +39,7 @@
 SMALL_CALL_BYTES = 32 * 1024
 """A call of this size, with its body of up to 16 KB or so, may use the calls' reserve."""
 RESERVED_CALLS_BYTES = 1024 * 1024
-"""What small calls have beside the pool: 32 of the largest of them, or 75 with heads of 1 KB alone."""
+"""What small calls have beside the pool: room for 32 of the largest of them."""
 HEADER_BYTES = 120
 """Memory of a header besides its text."""
 MIN_SEND_SECONDS = 0.02
--- a/notcharch/platform/planned_stop.py
+++ b/notcharch/platform/planned_stop.py
@@ -79,7 +79,9 @@
         finish: Callable[[int, float], None],
         left: "Deferred[Any]",
     ) -> None:
-        """Start; `left` fires when the partitions of this daemon are released; `finish` is called with the requests in flight and the duration.
+        """Start; `finish` is called with the requests in flight and the duration.
+
+        `left` fires when the partitions of this daemon are released.
 
         Nobody is served without an open port, or before the first table: it ends at once.
         """
