--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -251,7 +251,8 @@
                 asked.ended_at = self._reactor.seconds()
                 yield self._wait(RETRY_SECONDS)
                 return
-            if leads_elsewhere:
+            # The soak may have taken the port in the turn in which the connection was opened.
+            if leads_elsewhere or daemon.front_leads_to_the_soak:
                 connection.close()
                 asked.ended_at = self._reactor.seconds()
                 yield self._wait(RETRY_SECONDS)
--- a/deploy/soak/persistent_callers.py
+++ b/deploy/soak/persistent_callers.py
@@ -105,7 +105,8 @@
             self._reactor.callLater(pause, self._ask, connection, daemon, manner)
 
         def connected(connection: PersistentConnection) -> None:
-            if leads_elsewhere:
+            # The soak may have taken the port in the turn in which the connection was opened.
+            if leads_elsewhere or daemon.front_leads_to_the_soak:
                 connection.transport.abortConnection()
             else:
                 self._ask(connection, daemon, manner)
--- a/tests/unit/soak/test_callers.py
+++ b/tests/unit/soak/test_callers.py
@@ -60,3 +60,16 @@
     connection = factory.buildProtocol(None)
     connection.makeConnection(Transport())
     assert sum(asked.is_connected for asked in oracle.asked.values()) == count
+
+
+def test_a_connection_to_a_port_that_the_soak_takes_meanwhile_is_none_to_the_daemon(
+    monkeypatch,
+):
+    """Guards against a cut that is put down to a daemon which does not run."""
+    reactor, oracle = MemoryReactorClock(), Oracle()
+    begin(reactor, oracle, is_running=True)
+    monkeypatch.setattr(Daemon, "front_leads_to_the_soak", True)
+    factory = reactor.tcpClients[0][2]
+    connection = factory.buildProtocol(None)
+    connection.makeConnection(Transport())
+    assert not any(asked.is_connected for asked in oracle.asked.values())
