One jittered exponential delay for listeners and for calls of engines

The listener had written again the delay that clients.backoff has: half of a bound that doubles up to a longest one, drawn at random. Both call values.delays now. Behaviour is as it was: the same draws of the same bounds.

--- a/notcharch/clients/backoff.py
+++ b/notcharch/clients/backoff.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from notcharch.values.delays import jittered_delay
+
 
 @attrs.frozen
 class BackoffPolicy:
@@ -27,12 +29,13 @@
         """Return the delay before the next retry in seconds, or None if none is left."""
         if self._used >= self._policy.tries:
             return None
-        ceiling = min(
+        self._used += 1
+        return jittered_delay(
+            self._used,
+            self._policy.first_seconds,
             self._policy.longest_seconds,
-            self._policy.first_seconds * 2**self._used,
+            self._random,
         )
-        self._used += 1
-        return self._random.uniform(ceiling / 2, ceiling)
 
     def reset(self) -> None:
         """Reset the retry count after progress."""
--- a/notcharch/http/listener.py
+++ b/notcharch/http/listener.py
@@ -24,6 +24,7 @@
 from notcharch.events.process import PortOpened, PortTaken
 from notcharch.http.listening_port import close_listening_port
 from notcharch.http.metrics import LISTEN_FAILURES, PORTS_WAITING
+from notcharch.values.delays import jittered_delay
 
 FIRST_DELAY_SECONDS = 0.1
 """Upper bound of the delay after the first failure; it doubles with each one."""
@@ -33,8 +34,6 @@
 """Shortest interval between two log lines about a port that is still held."""
 MAX_PORTS_AT_ONCE = 32
 """Ports tried in one turn of the reactor: each takes 0.1 ms or more."""
-MAX_DOUBLINGS = 16
-"""Bounds the exponent of the delay."""
 
 LISTEN_ERRORS = (CannotListenError, OSError)
 """Twisted wraps failures of `bind`, not those of `socket` and `listen`."""
@@ -42,9 +41,7 @@
 
 def retry_delay(failures: int, max_seconds: float, random: Random) -> float:
     """Return the seconds to wait after so many consecutive failures (at least one)."""
-    doublings = min(failures - 1, MAX_DOUBLINGS)
-    ceiling = min(FIRST_DELAY_SECONDS * 2**doublings, max_seconds)
-    return random.uniform(ceiling / 2, ceiling)
+    return jittered_delay(failures, FIRST_DELAY_SECONDS, max_seconds, random)
 
 
 def is_of_one_port(error: Exception) -> bool:
