One piece of code fills both state machines of a life

platform/life had written again how daemon/life builds its machine: states from an enum, each input in each state, and what is not a change leaves the state as it is. values.state_machine does it for both. Behaviour is as it was.

--- a/notcharch/daemon/life.py
+++ b/notcharch/daemon/life.py
@@ -15,6 +15,8 @@
 
 from automat import TypeMachineBuilder
 
+from notcharch.values.state_machine import add_transitions
+
 
 class LifeState(enum.Enum):
     """The states of a daemon's lifecycle, as reported to operators."""
@@ -50,7 +52,6 @@
 
 def _build() -> TypeMachineBuilder[LifeInputs, LifeCore]:
     builder = TypeMachineBuilder(LifeInputs, LifeCore)
-    states = {state: builder.state(state.value) for state in LifeState}
     changes = {
         (LifeState.STARTING, LifeInputs.become_ready): LifeState.LIVE,
         (LifeState.STARTING, LifeInputs.begin_drain): LifeState.DRAINING,
@@ -65,10 +66,7 @@
         LifeInputs.finish,
         LifeInputs.current_state,
     )
-    for before, machine_state in states.items():
-        for lifecycle_input in inputs:
-            after = changes.get((before, lifecycle_input), before)
-            machine_state.upon(lifecycle_input).to(states[after]).returns(after)
+    add_transitions(builder, LifeState, inputs, changes)
     return builder
 
 
--- a/notcharch/platform/life.py
+++ b/notcharch/platform/life.py
@@ -16,6 +16,8 @@
 
 from automat import TypeMachineBuilder
 
+from notcharch.values.state_machine import add_transitions
+
 
 class LifeState(enum.Enum):
     """The states of a process's life, as reported to operators."""
@@ -78,7 +80,6 @@
 
 def _build() -> TypeMachineBuilder[LifeInputs, LifeCore]:
     builder = TypeMachineBuilder(LifeInputs, LifeCore)
-    states = {state: builder.state(state.value) for state in LifeState}
     changes = {
         (
             LifeState.WAITING_FOR_SETTINGS,
@@ -103,10 +104,7 @@
         LifeInputs.fail,
         LifeInputs.current_state,
     )
-    for before, machine_state in states.items():
-        for life_input in inputs:
-            after = changes.get((before, life_input), before)
-            machine_state.upon(life_input).to(states[after]).returns(after)
+    add_transitions(builder, LifeState, inputs, changes)
     return builder
 
 
