The ingress reads host and path of a request in one place

The refusal of a request that is still being read had copied both decodings. Behaviour is as it was.

--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -48,6 +48,16 @@
 """Stands for the route of a request whose head is incomplete or has none."""
 
 
+def requested_host(head: RequestHead) -> str:
+    """Return the host that a request names; empty if it names none."""
+    return (head.get(b"host") or b"").decode("latin-1")
+
+
+def requested_path(head: RequestHead) -> str:
+    """Return the path of a request, without its query."""
+    return head.target.partition(b"?")[0].decode("latin-1")
+
+
 def error_response(refusal: Refusal, call_id: bytes) -> ErrorResponse:
     """Return the response that tells a caller of a refusal."""
     headers: Headers = [JSON_TYPE]
@@ -153,8 +163,7 @@
         id = head.get(REQUEST_ID) or b""
         reply = ExchangeReply(exchange, id)
         name = exchange.id = id.decode("latin-1")
-        host = (head.get(b"host") or b"").decode("latin-1")
-        path = head.target.partition(b"?")[0].decode("latin-1")
+        host, path = requested_host(head), requested_path(head)
         router = self.router
         if router is None:
             emit(RequestWithoutRoute(name, host, path, NO_TABLE_VERSION))
@@ -216,9 +225,7 @@
         if exchange is None or self.router is None:
             return unknown
         head = exchange.head
-        host = (head.get(b"host") or b"").decode("latin-1")
-        path = head.target.partition(b"?")[0].decode("latin-1")
-        route = self.router.find(host, path)
+        route = self.router.find(requested_host(head), requested_path(head))
         call = parse_call(head, b"", exchange.arrived)
         if route is None or call is None:
             return unknown
