One time for leaving the group at a stop without callers

The early stop and the planned stop each had a constant of 0.5 s with the same meaning; the test follows the name, its assertions are as they were.

--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -33,6 +33,7 @@
 from notcharch.platform.life import BEFORE_PORTS, ENDED, LifeState
 from notcharch.platform.listeners import ProcessListeners
 from notcharch.platform.log_output import standard_output
+from notcharch.platform.planned_stop import MAX_LEAVE_SECONDS
 from notcharch.platform.probes import MetricsHandler, Readiness, ReadinessHandler
 from notcharch.platform.process_memory import ProcessMemory
 from notcharch.platform.reload import applied, needing_restart
@@ -44,8 +45,6 @@
 )
 from notcharch.values.identifiers import Incarnation
 
-EARLY_STOP_SECONDS = 0.5
-"""How long a process that never served waits for the store to confirm that it left."""
 FAILED_STATUS = 1
 """Exit status after a defect."""
 MILLISECONDS_PER_SECOND = 1000
@@ -250,7 +249,7 @@
         self._listeners.close_front()
         left = self._leave_group()
         left.addBoth(lambda _: self._end_early())
-        self._reactor.callLater(EARLY_STOP_SECONDS, self._end_early)
+        self._reactor.callLater(MAX_LEAVE_SECONDS, self._end_early)
         return False
 
     def _end_early(self) -> None:
--- a/tests/unit/platform/test_process_start.py
+++ b/tests/unit/platform/test_process_start.py
@@ -21,8 +21,8 @@
 from notcharch.http import server
 from notcharch.platform import components, listeners, process, tables
 from notcharch.platform.listeners import daemon_name
+from notcharch.platform.planned_stop import MAX_LEAVE_SECONDS
 from notcharch.platform.probes import ReadinessHandler
-from notcharch.platform.process import EARLY_STOP_SECONDS
 from notcharch.quarantine.service import QuarantineService
 from notcharch.stream_origins.exchange import StreamOriginExchange
 from notcharch.tenants.freshness_exchange import TableFreshnessExchange
@@ -171,7 +171,7 @@
     world = new_world(held).start()
     world.run(3)
     world.process.on_stop_signal()
-    world.run(EARLY_STOP_SECONDS + 0.1)
+    world.run(MAX_LEAVE_SECONDS + 0.1)
     assert world.reactor.hasStopped
     assert not world.reactor.opened
     assert world.process.exit_status == 0
