--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -46,8 +46,7 @@
 """The same while they take much of the memory that they may; more than 1 for callers whose
 clocks differ."""
 PROGRAM_BYTES = 900
-"""Memory of a program's account besides its name, with one call under way; traced: 570 to
-640 bytes."""
+"""Memory of a program's account besides its name, with one call under way."""
 MAX_ABANDONED = 64
 """Calls of a program whose end came before their admission; the requests for admission
 that are still on their way take half a second."""
--- a/notcharch/accounts/turns.py
+++ b/notcharch/accounts/turns.py
@@ -23,8 +23,7 @@
 """Most bytes of a cache of turns; after the first one, a program's turns have 0.3 to
 2.6 KB."""
 TURN_BYTES = 600
-"""Memory of a turn besides its names and its text; traced: 440 bytes in a store, and 190 to
-230 in a cache without its program's newest turn."""
+"""Memory of a turn besides its names and its text."""
 FULL_SHARE = 0.9
 """Share of the bound of all turns above which each new one sets older texts aside."""
 MIN_ASIDE_BYTES = 1024
--- a/notcharch/http/connection_room.py
+++ b/notcharch/http/connection_room.py
@@ -20,8 +20,7 @@
 from notcharch.values.memory_pool import PoolHolder, unbounded_holder
 
 CONNECTION_BYTES = 5 * 1024
-"""Memory of a connection at rest; measured: 3.0 to 4.1 KB, and 5.1 KB with a part of a
-head of 1 KB."""
+"""Memory of a connection at rest."""
 DEFAULT_MAX_CONNECTIONS = 64
 """Connections of a listener without a bound of its own: probes need a few."""
 MIN_CALLERS_CONNECTIONS = 128
--- a/notcharch/platform/memory_budget.py
+++ b/notcharch/platform/memory_budget.py
@@ -36,7 +36,7 @@
 ASSUMED_LIMIT_BYTES = 128 * MEGABYTE
 """The memory limit where the settings tell none: that of the smallest machine."""
 REST_BYTES = 40 * MEGABYTE
-"""A process without callers, engines and peers; measured: 39.5 to 40.9 MB."""
+"""A process without callers, engines and peers."""
 MARGIN_SHARE = 0.06
 """Share of the limit that is divided to nobody: for fragments of the heap, and for what is
 copied for a moment."""
@@ -55,11 +55,10 @@
 ASSUMED_ROUTES = 1000
 ASSUMED_TENANTS = 1000
 TABLE_ENTRY_BYTES = 1600
-"""Memory of a route or a tenant, in the table in force and the one before it; traced: 620
-to 770 bytes in one."""
+"""Memory of a route or a tenant, in the table in force and the one before it."""
 ASSUMED_ENGINES = 3000
 ENGINE_BYTES = 2 * 1024
-"""Memory of an engine's entry and what is learned of it; traced: 1,770 bytes."""
+"""Memory of an engine's entry and what is learned of it."""
 METRICS_BYTES = MEGABYTE
 """Metrics with their labels, and what is learned of routes and services."""
 ORIGINS_SHARE = 1 / 32
--- a/notcharch/platform/planned_stop.py
+++ b/notcharch/platform/planned_stop.py
@@ -27,11 +27,7 @@
 STOP_ACCEPT_MAX_SHARE = 0.45
 """Upper bound of `STOP_ACCEPT_SECONDS` as a share of the stop's grace period."""
 EXIT_SECONDS = 0.4
-"""Reserved at the end of the grace period for the last log lines and the exit.
-
-From the reactor's stop to the end of the process 0.02 to 0.08 s were measured, and 0.39 s
-once (24 runs, 8 processors with a load of 20); 0.23 to 0.44 s without `gc.freeze`.
-"""
+"""Reserved at the end of the grace period for the last log lines and the exit."""
 MAX_LEAVE_SECONDS = 0.5
 """Longest wait of a stop without callers for the release of the daemon's partitions.
 
--- a/notcharch/quarantine/records.py
+++ b/notcharch/quarantine/records.py
@@ -12,7 +12,7 @@
 KEEP_SECONDS = 120.0
 """How long a record is kept after the last end: as long as callers return to a program."""
 RECORD_BYTES = 900
-"""Memory of a record; traced: 640 to 820 bytes with three ends."""
+"""Memory of a record."""
 MAX_RECORDS = 20_000
 """Bounds the memory to 18 MB where no other number is given."""
 
--- a/notcharch/stream_origins/records.py
+++ b/notcharch/stream_origins/records.py
@@ -7,7 +7,7 @@
 from notcharch.scheduling.stream_origin import StreamOrigin
 
 RECORD_BYTES = 400
-"""Memory of a record besides its texts; traced: 330 bytes with those of a stream."""
+"""Memory of a record besides its texts."""
 MAX_BYTES = 16 * 1024 * 1024
 """Bounds the memory where no other bound is given: a daemon holds the streams of some
 seconds, and callers choose their ids."""
