--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,5 @@
-"""An entry of another writer must not bring a leaving engine back into use."""
+"""Programs with most of their budgets left go on after a final fault."""
 
-import json
 import sys
 import threading
 import time
@@ -13,131 +12,197 @@
     HAS_TROUBLE,
     CannotRunError,
     Engine,
-    EngineConnection,
-    Request,
     World,
     call,
     play,
-    response,
+    stream_handler,
 )
 
-CLIENTS = 4
-WORK_SECONDS = 0.2
-PAUSE_SECONDS = 0.02
-CALM_SECONDS = 3.0
-DRAIN_SECONDS = 2.0
-FOREIGN_AFTER_SECONDS = 3.0
-"""After the engine said that it leaves, another writer writes its entry."""
-SERVES_ON_SECONDS = 4.0
-LEAVES = "i-leaves"
-STAYS = "i-stays"
-
-
-class Arrivals:
-    """The requests that reached the engine that leaves."""
-
-    def __init__(self, world: World) -> None:
+PROGRAMS = 24
+BUDGET = 900
+MOST_TOKENS = 575
+"""Of one turn, as it says itself."""
+TOKENS_PER_EVENT = 25
+EVENTS = 4
+CALM_SECONDS = 6.0
+DARK_SECONDS = 1.0
+RECOVERY_SECONDS = 12.0
+LAST_SECONDS = 4.0
+ASK_SECONDS = 0.5
+BEGIN_SECONDS = 0.3
+FRESH = "fresh"
+
+
+class Program:
+    """A program of kept turns."""
+
+    def __init__(self, world: World, name: str) -> None:
         self._world = world
-        self._lock = threading.Lock()
-        self.count = 0
-        self.leaving_at: float | None = None
-        """When the store had taken that the engine leaves."""
-        self.late: list[tuple[str, float]] = []
-        """Those that came too late, with the seconds since then."""
-
-    def arrived(self, engine: Engine, request: Request) -> None:
-        """Note a request; health checks don't count."""
-        now = time.monotonic()
-        with self._lock:
-            self.count += engine.id == LEAVES
-            since = 0.0 if self.leaving_at is None else now - self.leaving_at
-            self._world.record.note(f"{engine.id} runs {request.id}")
-            if engine.id == LEAVES and since > DRAIN_SECONDS:
-                self.late.append((request.id, round(since, 2)))
-
-    def handle(
-        self, engine: Engine, connection: EngineConnection, request: Request
-    ) -> None:
-        """Run a request."""
-        if request.target == "/health":
-            connection.write(response(200, {"X-Notcharch-Instance-Id": engine.id}))
-            return
-        self.arrived(engine, request)
-        time.sleep(WORK_SECONDS)
+        self.name = name
+        self._attempts = 0
+        self.previous = ""
+        """Its last turn that was answered whole."""
+        self.tokens = 0
+        """Tokens that it was handed."""
+        self.tries: list[tuple[float, int]] = []
+        """When it asked after the final fault, and the answers."""
+
+    @property
+    def has_budget(self) -> bool:
+        """Whether its next turn fits into its budget, whatever it generates."""
+        return self.tokens + MOST_TOKENS <= BUDGET
+
+    def turn(self) -> int:
+        """Ask for the next turn once."""
+        self._attempts += 1
+        id = f"{self.name}-{self._attempts}"
         headers = {
-            "X-Notcharch-Request-Id": request.id,
-            "X-Notcharch-Response-Seal": f"seal-{request.id}",
+            "X-Notcharch-Request-Id": id,
+            "X-Notcharch-Deadline-Ms": "3000",
+            "X-Notcharch-Program-Id": self.name,
+            "X-Notcharch-Session-Id": f"session-{self.name}",
+            "X-Notcharch-Token-Budget": str(BUDGET),
+            "X-Notcharch-Token-Usage": f"840,{MOST_TOKENS}",
         }
-        connection.write(response(200, headers, b"done " + request.body))
-
-
-def client(number: int, world: World, is_over: threading.Event) -> None:
-    """Send writes one after the other."""
-    sequence = 0
-    while not is_over.is_set():
-        sequence += 1
-        id = f"{number:02x}{sequence:06x}"
-        headers = {"X-Notcharch-Request-Id": id, "X-Notcharch-Deadline-Ms": "2000"}
-        port = world.daemons[sequence % len(world.daemons)].front
+        if self.previous:
+            headers["X-Notcharch-Previous-Turn"] = self.previous
+        daemons = self._world.daemons
+        daemon = daemons[(self._attempts + hash(self.name)) % len(daemons)]
         try:
-            status = call(port, "POST", "/write/x", headers, body=b"entry").status
+            answer = call(daemon.front, "POST", "/kept/x", headers, body=id.encode())
+            status, body = answer.status, answer.body
         except OSError:
-            status = 0
-        world.record.note(f"client {number} gets {status} for {id}")
-        time.sleep(PAUSE_SECONDS)
+            status, body = 0, b""
+        self.tokens += TOKENS_PER_EVENT * body.count(b"\n\n")
+        after = f" after {self.previous}" if self.previous else ""
+        self._world.record.note(f"{id} gets {status}{after}: {self.tokens} tokens")
+        if status == 200:
+            self.previous = id
+        return status
+
+    def go_on(self) -> None:
+        """Make one turn that is served, with some tries."""
+        for _ in range(8):
+            if self.turn() == 200:
+                return
+            time.sleep(0.3)
+        raise CannotRunError(f"{self.name} was not served before the final fault")
+
+    def ask(self, until: float) -> None:
+        """Ask for one more turn until it is served or the time is over."""
+        while time.monotonic() < until:
+            at = time.monotonic()
+            status = self.turn()
+            self.tries.append((at, status))
+            if status == 200:
+                return
+            time.sleep(ASK_SECONDS)
+
+
+def at_once(programs: list[Program], action: str, *arguments: float) -> None:
+    """Let all programs act side by side."""
+    threads = [
+        threading.Thread(target=getattr(program, action), args=arguments)
+        for program in programs
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
-def write_foreign_entry(world: World, engine: Engine) -> None:
-    """Write the engine's entry as another writer, with a state that no page names."""
-    entry = {**engine.entry, "state": "standby", "call_sequence": 0}
-    world.record.note(f"another writer writes {LEAVES}: {entry}")
-    world.store.write_key("keyed.servers", LEAVES, json.dumps(entry).encode())
+def begin_others(world: World, until: float, served: list[float]) -> None:
+    """Begin other programs, and note when their first turns are served."""
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        at = time.monotonic()
+        if Program(world, f"{FRESH}{number}").turn() == 200:
+            served.append(at)
+        time.sleep(BEGIN_SECONDS)
+
+
+def disturb(world: World) -> None:
+    """Kill one daemon, and start it again."""
+    killed = world.daemons[0]
+    world.record.note(f"{killed.name} is killed")
+    killed.kill()
+    time.sleep(DARK_SECONDS)
+    killed.start()
+    killed.wait_until_ready()
+
+
+def final_fault(world: World) -> None:
+    """Kill all daemons, and start them again."""
+    world.record.note("final fault: all daemons are killed")
+    for daemon in world.daemons:
+        daemon.kill()
+    time.sleep(DARK_SECONDS)
+    for daemon in world.daemons:
+        daemon.start()
+    for daemon in world.daemons:
+        daemon.wait_until_ready()
+    world.record.note("all daemons are ready again")
 
 
 def case(world: World) -> bool:
-    """Return whether no request reached the leaving engine too late."""
+    """Return whether the programs that have budget left reach an engine."""
     route = {
-        "name": "write",
-        "path_prefix": "/write/",
-        "kind": "non_idempotent",
-        "timeout_ms": 2000,
+        "name": "kept",
+        "path_prefix": "/kept/",
+        "kind": "streaming",
+        "timeout_ms": 3000,
         "target_latency_ms": 200,
-        "service": "api",
+        "service": "models",
         "retry_attempts": 2,
+        "retains_transcripts": True,
+        "retention_s": 60.0,
     }
-    world.configure(1, [route], [{"name": "api", "health_path": "/health"}])
-    arrivals = Arrivals(world)
-    leaving = Engine(world.store, "api", LEAVES, arrivals.handle)
-    Engine(world.store, "api", STAYS, arrivals.handle)
-    world.start_daemons(2)
-    is_over = threading.Event()
-    clients = [
-        threading.Thread(target=client, args=(number, world, is_over))
-        for number in range(CLIENTS)
-    ]
-    for thread in clients:
-        thread.start()
+    engine = {"slots": 12, "tokens_per_event": TOKENS_PER_EVENT}
+    services = [{"name": "models", "health_path": "/health", "engine": engine}]
+    world.configure(1, [route], services)
+    for number in range(2):
+        handler = stream_handler(world.record, EVENTS, 0.01)
+        Engine(world.store, "models", f"i-model-{number}", handler, slots=12)
+    world.start_daemons(3)
     time.sleep(CALM_SECONDS)
-    if not arrivals.count:
-        raise CannotRunError("the engine was not in use before it leaves")
-    leaving.leave()
-    world.record.note(f"{LEAVES} says that it leaves")
-    arrivals.leaving_at = time.monotonic()
-    time.sleep(FOREIGN_AFTER_SECONDS)
-    if HAS_TROUBLE:
-        write_foreign_entry(world, leaving)
-    time.sleep(arrivals.leaving_at + SERVES_ON_SECONDS - time.monotonic())
-    leaving.end()
-    world.record.note(f"{LEAVES} has ended")
+    programs = [Program(world, f"program{number}") for number in range(PROGRAMS)]
+    at_once(programs, "go_on")
     time.sleep(1.0)
-    is_over.set()
-    for thread in clients:
-        thread.join()
+    if HAS_TROUBLE:
+        disturb(world)
+    time.sleep(CALM_SECONDS)
+    at_once(programs, "go_on")
+    if HAS_TROUBLE:
+        final_fault(world)
+    until = time.monotonic() + RECOVERY_SECONDS + LAST_SECONDS
+    served: list[float] = []
+    others = threading.Thread(target=begin_others, args=(world, until, served))
+    others.start()
+    at_once(programs, "ask", until)
+    others.join()
+    last = until - LAST_SECONDS
+    denied = [
+        program
+        for program in programs
+        if program.has_budget
+        and len([at for at, _ in program.tries if at >= last]) >= 5
+        and all(status != 200 for _, status in program.tries)
+    ]
+    first_turns = sum(at >= last for at in served)
+    for program in denied:
+        statuses = sorted({status for _, status in program.tries})
+        world.record.note(
+            f"{program.name} was handed {program.tokens} tokens of {BUDGET}; "
+            f"{len(program.tries)} tries after the final fault got {statuses}"
+        )
     world.record.note(
-        f"{len(arrivals.late)} requests reached {LEAVES} later than {DRAIN_SECONDS} s "
-        f"after it said that it leaves: {arrivals.late[:20]}"
+        f"{len(denied)} of {len(programs)} programs with budget left reached no engine; "
+        f"{first_turns} first turns were served in the last {LAST_SECONDS:g} s"
     )
-    return not arrivals.late
+    if not first_turns:
+        raise CannotRunError("no first turn was served")
+    return not denied
 
 
 if __name__ == "__main__":
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -502,8 +502,8 @@
 
 
 def give_up(world: World) -> None:
-    """End a case that takes too long: it shows nothing."""
-    world.record.note("the case took too long")
+    """End a case that takes too long, or is told to end: it shows nothing."""
+    world.record.note("the case was given up")
     world.close()
     os._exit(NOT_RUN)
 
@@ -515,6 +515,8 @@
     watchdog = threading.Timer(MAX_CASE_SECONDS, give_up, (world,))
     watchdog.daemon = True
     watchdog.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: give_up(world))
     try:
         status = HELD if case(world) else FAILED
     except Exception as error:  # a case that can't run shows nothing
