--- a/deploy/pages/entries.py
+++ b/deploy/pages/entries.py
@@ -17,7 +17,8 @@
 
     name: str
     amount: float
-    worth: float
+    worth: float | None = None
+    """None if the day did not start."""
 
 
 class Day(msgspec.Struct, frozen=True):
--- a/tests/unit/deploy/test_pages.py
+++ b/tests/unit/deploy/test_pages.py
@@ -62,6 +62,13 @@
     assert [entry.id for entry in read_entries("score", tmp_path)] == ["3"]
 
 
+def test_an_entry_of_days_that_did_not_start_is_read(tmp_path):
+    """The bench gives no worth to a price that it could not judge."""
+    write(tmp_path, "1", "score", days=[day("q", 0.0, prices=[["duties", 0.0, None]])])
+    (entry,) = read_entries("score", tmp_path)
+    assert entry.days[0].amount("duties") == 0.0
+
+
 def test_results_show_the_newest_days_and_all_runs(tmp_path):
     write(tmp_path, "1", "score", score=0.5)
     write(tmp_path, "2", "score")
