Memory for requests is admitted before their bodies are read

Callers saw: of 12 that sent 4 MB at once to a daemon of 260 MB, 7 or 8 had their connections reset and 1 or 2 got 502, though memory was free; of 40, 36.

Cause: all connections together could buffer a sixteenth of the memory, bodies that were read and bodies on their way to engines included, and what lay above it was cut at once, whoever held most.

Change: a request with a length takes the room of its whole call from the calls' share of the pool before its body is read, one in chunks in portions (http/request_room). Without room its connection isn't read. Small requests don't wait for large ones, which have three quarters of the share; requests that have begun come before new ones; what the others are granted leaves the upload that began to grow first the room to become whole. After a quarter of its time, or header_timeout_ms, a request without room gets 503 with Retry-After, and the rest of it is read off for 3 s at most; one that waits for 100 Continue, or meets too many that wait, is told at once. A body that does not come in the call's time gets 503, too, one that is too long 413 at its head. The call takes over what its request holds; a body on its way to an engine is not counted again until its call has ended.

A refused connection kept what it had received.

--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -28,8 +28,9 @@
 from deploy.soak.unframed import Break, begin_unframed, end_early
 from deploy.soak.zones import COLD_SECONDS, ZONES
 from notcharch.calls.event_stream import EVENT_END
+from notcharch.http.exchange import Exchange, ServerLimits
 from notcharch.http.messages import Headers
-from notcharch.http.server import Exchange, ServerFactory, ServerLimits
+from notcharch.http.server import ServerFactory
 from notcharch.values.line_ends import with_line_feeds
 
 SERVERS_TOPIC = "keyed.servers"
--- a/deploy/soak/spoiled.py
+++ b/deploy/soak/spoiled.py
@@ -4,7 +4,8 @@
 from random import Random
 from typing import Any
 
-from notcharch.http.server import Exchange
+from deploy.soak.unframed import server_connection
+from notcharch.http.exchange import Exchange
 
 NESTING = 20_000
 NESTED = b"[" * NESTING + b"]" * NESTING
@@ -71,7 +72,7 @@
         if kind is EndlessKind.BODY:
             exchange.start(200, [])
         else:
-            exchange._connection.transport.write(b"HTTP/1.1 200 OK\r\n")
+            server_connection(exchange).transport.write(b"HTTP/1.1 200 OK\r\n")
         self._write()
 
     def stop(self) -> None:
@@ -84,5 +85,7 @@
         if self._kind is EndlessKind.BODY:
             self._exchange.write(PIECE)
         else:
-            self._exchange._connection.transport.write(b"odd: " + PIECE + b"\r\n")
+            server_connection(self._exchange).transport.write(
+                b"odd: " + PIECE + b"\r\n"
+            )
         self._reactor.callLater(PIECE_SECONDS, self._write)
--- a/deploy/soak/store_server.py
+++ b/deploy/soak/store_server.py
@@ -17,7 +17,7 @@
     insert_part,
 )
 from emulator.services.partitioned_log import PartitionedLog
-from notcharch.http.server import Exchange, ServerLimits
+from notcharch.http.exchange import Exchange, ServerLimits
 from notcharch.journal.interface import (
     Appended,
     GroupName,
--- a/deploy/soak/unframed.py
+++ b/deploy/soak/unframed.py
@@ -2,11 +2,13 @@
 
 import enum
 from random import Random
+from typing import cast
 
 import msgspec
 
+from notcharch.http.exchange import Exchange
 from notcharch.http.messages import Headers
-from notcharch.http.server import Exchange
+from notcharch.http.server import ServerConnection
 
 OLD_VERSION = b"1.0"
 """To such a client an answer without a length is sent as it is, and ends by a close."""
@@ -38,15 +40,20 @@
         return cls(random.randint(0, most_bytes), random.choice(list(EarlyEnd)))
 
 
+def server_connection(exchange: Exchange) -> ServerConnection:
+    """Return the connection of an exchange."""
+    return cast("ServerConnection", exchange._connection)
+
+
 def begin_unframed(exchange: Exchange, status: int, headers: Headers) -> None:
     """Begin an answer that ends with its connection."""
-    exchange._connection._http.their_http_version = OLD_VERSION
+    server_connection(exchange)._http.their_http_version = OLD_VERSION
     exchange.start(status, headers)
 
 
 def end_early(exchange: Exchange, end: EarlyEnd) -> None:
     """End the connection of an unframed answer; what was written is sent before."""
-    connection = exchange._connection
+    connection = server_connection(exchange)
     if end is EarlyEnd.RESET:
         exchange.abort()
     elif end is EarlyEnd.CLOSE:
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -40,8 +40,6 @@
 """A call of this size, with its body of up to 16 KB or so, may use the calls' reserve."""
 RESERVED_CALLS_BYTES = 1024 * 1024
 """What small calls have beside the pool: room for 32 of the largest of them."""
-HEADER_BYTES = 120
-"""Memory of a header besides its text."""
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
@@ -65,10 +63,7 @@
 
 def call_bytes(call: OpaqueCall) -> int:
     """Return how much memory a call takes from its start to its end, about."""
-    head = sum(
-        len(name) + len(value) + HEADER_BYTES for name, value in call.head.headers
-    )
-    return CALL_BYTES + head + len(call.head.target) + len(call.body)
+    return CALL_BYTES + call.head.memory_bytes + len(call.body)
 
 
 class Phase(enum.Enum):
@@ -90,8 +85,13 @@
         route: Route,
         service: str,
         reply: Reply,
+        *,
+        held: HeldPart | None = None,
     ) -> None:
-        """Prepare a call, which `start` submits to admission."""
+        """Prepare a call, which `start` submits to admission.
+
+        `held` is what its request holds already; the call holds it until its end.
+        """
         self._services = services
         self.call = call
         self._route = route
@@ -121,7 +121,7 @@
         self._is_caller_behind = False
         self._output = bytearray()
         """The relayed events, if the turn is to be stored."""
-        self._held = HeldPart(services.held, SMALL_CALL_BYTES)
+        self._held = held or HeldPart(services.held, SMALL_CALL_BYTES)
         self._waiting_output = WaitingOutput(
             services.answers, services.clock, self.not_durable
         )
@@ -136,7 +136,8 @@
 
     def start(self) -> None:
         """Request admission, or refuse the call if there is no memory for it."""
-        if not self._held.take(call_bytes(self.call)):
+        missing = call_bytes(self.call) - self._held.size
+        if missing > 0 and not self._held.take(missing):
             self._refuse(NO_MEMORY)
             return
         clock = self._services.clock
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -242,12 +242,12 @@
 
     def _finish(self) -> None:
         self._is_over = True
-        self._answer.release()
+        self._answer.close()
         if self._head is not None:
             self._log.answer_received(self._head.framing, self._answer.received)
         self._end.stop()
         self.resume_reading()
-        self._overdue.stop()
+        self._overdue.close()
         self._services.pool.call_ended(self.engine.id, self._mean_event_interval())
 
     def _mean_event_interval(self) -> float | None:
--- a/notcharch/calls/held_answer.py
+++ b/notcharch/calls/held_answer.py
@@ -17,6 +17,10 @@
 """The longest answer; sixteen times the longest request that operators allow."""
 
 
+def _do_nothing() -> None:
+    """Stand for the end of a run that is over."""
+
+
 class HeldAnswer:
     """What is held of one answer, counted among all answers."""
 
@@ -55,6 +59,11 @@
         self._kept.clear()
         self._held.changed(self, 0)
 
+    def close(self) -> None:
+        """Hold nothing any more, and let go of the run: it is freed with its request."""
+        self.release()
+        self._on_cut = _do_nothing
+
     def cut(self, buffered: int) -> None:
         """Give the answer up: of all answers it holds the most bytes."""
         self._on_cut()
--- a/notcharch/calls/overdue.py
+++ b/notcharch/calls/overdue.py
@@ -7,6 +7,10 @@
 from notcharch.scheduling.first_response_times import RouteResponseTimes
 
 
+def _do_nothing() -> None:
+    """Stand for the end of a run that is over."""
+
+
 class OverdueWatch:
     """The timer for the first response of each run of a call."""
 
@@ -53,3 +57,8 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
+
+    def close(self) -> None:
+        """Cancel the timer, and let go of the run: it is freed with its request."""
+        self.stop()
+        self._overdue = _do_nothing
--- a/notcharch/calls/routing.py
+++ b/notcharch/calls/routing.py
@@ -4,7 +4,7 @@
 import xxhash
 
 from notcharch.calls.interface import OpaqueCall, Route, Service
-from notcharch.http.server import ServerLimits
+from notcharch.http.exchange import ServerLimits
 from notcharch.scheduling.urgency import PriorityRank
 from notcharch.tenants.keys import TenantKeys
 
--- a/notcharch/calls/waiting_output.py
+++ b/notcharch/calls/waiting_output.py
@@ -10,6 +10,10 @@
 """Copies of an output while its turn is stored: the events, their data, and its parts."""
 
 
+def _do_nothing() -> None:
+    """Stand for the end of a call that is over."""
+
+
 class WaitingOutput:
     """The output of one call, counted among all answers until its turn is durable."""
 
@@ -26,8 +30,9 @@
         self._answers.changed(self, size * STORED_COPIES)
 
     def release(self) -> None:
-        """Count nothing any more."""
+        """Count nothing any more, and let go of the call: it is freed with its body."""
         self._answers.changed(self, 0)
+        self._give_up = _do_nothing
 
     def cut(self, buffered: int) -> None:
         """Give the call up soon: of all answers, its output holds the most memory."""
--- a/notcharch/events/calls.py
+++ b/notcharch/events/calls.py
@@ -133,6 +133,21 @@
     path: str
 
 
+class RequestNotRead(Event, frozen=True):
+    """A request was read no further and refused; it has not run."""
+
+    number: ClassVar[int] = 2706
+    request: str
+    route: str
+    cause: str
+    body_bytes: int | None
+    """Length of its body; None if it comes in chunks."""
+    waited_seconds: float
+    """How long it waited for memory."""
+    seconds: float
+    """Since its head was read."""
+
+
 class CallerNotIdentified(Event, frozen=True):
     """A request has no valid key, or keys can't be judged now; it was refused.
 
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -20,12 +20,14 @@
 )
 from notcharch.http.metrics import READERS_CUT
 from notcharch.http.reactor import FlowControlledTransport
-from notcharch.http.send_buffer import SendBuffer
+from notcharch.http.send_buffer import MAX_TRANSPORT_BYTES, SendBuffer
 
 SURPLUS_RESPONSE_LIMIT = 3
 """Responses to other requests after which the current request fails."""
 SURPLUS_BYTES_LIMIT = 1024 * 1024
 """Bytes in the bodies of such responses after which the current request fails."""
+MAX_JOINED_BYTES = MAX_TRANSPORT_BYTES
+"""Longer bodies are not joined with their heads: a transport copies no more at a time."""
 INTERIM_RESPONSE_LIMIT = 16
 """Interim responses (1xx) after which the current request fails."""
 
@@ -73,6 +75,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
+        self._callers_bytes = 0
+        """Size of a body that is sent and that its sender holds in any case."""
         self._is_surplus = False
         self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
         self._surplus_bytes = 0
@@ -96,8 +100,16 @@
         self.is_reusable = True
 
     def _on_buffer_change(self, buffered: int) -> None:
+        """Count the bytes, but for a large body, which its sender holds and counts."""
         if not self._is_cut:
-            self._buffers.changed(self, buffered)
+            copied = min(buffered, self._out.in_transport)
+            self._buffers.changed(self, max(buffered - self._callers_bytes, copied))
+
+    def _hold_body(self) -> None:
+        """Count the rest of a body: its sender holds it no longer."""
+        if self._callers_bytes:
+            self._callers_bytes = 0
+            self._on_buffer_change(self._out.buffered)
 
     def cut(self, buffered: int) -> None:
         """Abort the connection: of all connections it is among those that hold most."""
@@ -132,11 +144,16 @@
         self._is_surplus = False
         self._surplus_remaining = SURPLUS_RESPONSE_LIMIT
         self._surplus_bytes = self._interim_responses = 0
-        parts = [self._http.send(self._request) or b""]
+        sent_head = self._http.send(self._request) or b""
         if body:
-            parts.append(self._http.send(h11.Data(data=body)) or b"")
-        parts.append(self._http.send(h11.EndOfMessage()) or b"")
-        self._out.write(b"".join(parts))
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= MAX_JOINED_BYTES:
+            self._out.write(sent_head + body)
+            return
+        self._callers_bytes = len(body)
+        self._out.write(sent_head)
+        self._out.write(body)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parse received bytes."""
@@ -224,6 +241,7 @@
 
     def _complete(self, listener: ResponseListener) -> None:
         self._listener = None
+        self._hold_body()
         self.resume_reading()
         self.served += 1
         has_trailing_data = bool(self._http.trailing_data[0])
--- a/notcharch/http/messages.py
+++ b/notcharch/http/messages.py
@@ -8,6 +8,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 """Header names in their original case, with their values, in order."""
+HEADER_BYTES = 120
+"""Memory of a header besides its text."""
 
 CONNECTION_HEADERS = frozenset(
     (
@@ -39,6 +41,14 @@
         """Return the first value of the header with a lower-case name."""
         return header_value(self.headers, name)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the head takes, about."""
+        headers = sum(
+            len(name) + len(value) + HEADER_BYTES for name, value in self.headers
+        )
+        return headers + len(self.target)
+
 
 class ResponseHead(msgspec.Struct, frozen=True):
     """The status line and headers of a response."""
--- a/notcharch/http/send_buffer.py
+++ b/notcharch/http/send_buffer.py
@@ -63,6 +63,11 @@
         """Number of bytes that the peer has not taken yet, as far as is known."""
         return self._queued + self._in_transport
 
+    @property
+    def in_transport(self) -> int:
+        """Number of bytes that the transport has copies of."""
+        return self._in_transport
+
     def write(self, data: bytes) -> None:
         """Send bytes after those before; nothing once the buffer is closed."""
         if self._is_closed or not data:
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol as Interface
 
 import h11
-import msgspec
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -20,124 +18,34 @@
     ProbeRoom,
     RefusedConnection,
 )
+from notcharch.http.exchange import (
+    ErrorResponse,
+    Exchange,
+    RequestHandler,
+    Uploads,
+)
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import SendBuffer
 from notcharch.http.sockets import has_unread_bytes
+from notcharch.http.upload import Upload
 
-JSON_TYPE = (b"content-type", b"application/json")
 BODILESS_STATUSES = (204, 304)
 """Statuses of responses without a body (RFC 9110, 6.4.1)."""
 LINGER_SECONDS = 1.0
-"""How long a refused request is read on and discarded.
+"""How long a request that is refused in a stop is read on and discarded.
 
 A connection that is closed while its client still sends is reset, and the client may lose
 the response.
 """
+BODY_LINGER_SECONDS = 3.0
+"""The same for a body that has no room: 4 MiB at 1.4 MB/s."""
 NOT_IMPLEMENTED = 501
 PIPELINED_BYTES = CONNECTION_BYTES
 """Bytes of later requests beyond which reading stops while one is processed."""
 
 
-class ErrorResponse(msgspec.Struct, frozen=True):
-    """A response to a request that is read no further."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class ServerLimits(msgspec.Struct, frozen=True):
-    """Size limits of requests, and timeouts of connections."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
-class RequestHandler(Interface):
-    """Serves requests."""
-
-    def limits(self) -> ServerLimits:
-        """Return the current limits."""
-
-    def is_closing(self) -> bool:
-        """Return whether responses should close their connections."""
-
-    def handle(self, exchange: "Exchange") -> None:
-        """Process a complete request."""
-
-    def count(self, change: int) -> None:
-        """Count a request that starts (1) or has ended (-1)."""
-
-
-class Exchange:
-    """One request and its response."""
-
-    def __init__(self, connection: "ServerConnection", head: RequestHead) -> None:
-        """Start with the head; the body follows."""
-        self._connection = connection
-        self.head = head
-        self.body = b""
-        self.arrived = 0.0
-        """Clock seconds at which the head was read."""
-        self.on_disconnect: Callable[[], None] | None = None
-        """Called once if the client disconnects before the response is complete."""
-        self.on_sent: Callable[[], None] | None = None
-        """Called once if the last byte of the response has left the process."""
-        self._on_backlog: Callable[[bool], None] | None = None
-        self.id = ""
-        """The request's id in log lines; empty if it has none or is not read yet."""
-        self.is_started = False
-        self.is_over = False
-
-    def watch_backlog(self, callback: Callable[[bool], None]) -> None:
-        """Call `callback` when the client falls behind (True) or has caught up (False)."""
-        self._on_backlog = callback
-        if self._connection.is_behind:
-            callback(True)
-
-    def backlog_changed(self, is_client_behind: bool) -> None:
-        """Notify the request that its client has fallen behind or caught up."""
-        if self._on_backlog is not None and not self.is_over:
-            self._on_backlog(is_client_behind)
-
-    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Send a complete response."""
-        if self.is_over:
-            return
-        length = (b"content-length", str(len(body)).encode())
-        self.start(status, [*headers, length])
-        if body:
-            self.write(body)
-        self.finish()
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send the head; without a content length the body is sent chunked."""
-        if self.is_over:
-            return
-        self.is_started = True
-        self._connection.send_head(status, headers)
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if not self.is_over:
-            self._connection.send(h11.Data(data=data))
-
-    def finish(self) -> None:
-        """End the body; the connection can then be reused."""
-        if not self.is_over:
-            self._connection.end_exchange()
-
-    def abort(self) -> None:
-        """Abort the connection, so that the response is recognisably incomplete."""
-        if not self.is_over:
-            self.is_over = True
-            self._connection.abort()
-
-
 class ServerConnection(Protocol):
     """A connection from a client."""
 
@@ -148,8 +56,10 @@
         handler: RequestHandler,
         clock: IReactorTime,
         buffers: BufferedBytes | None = None,
+        uploads: Uploads | None = None,
     ) -> None:
-        """Start idle; `buffers` counts what all connections hold."""
+        """Start idle; `buffers` counts what all connections hold but for admitted bodies."""
+        self._uploads = uploads or Uploads()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
         self._clock = clock
@@ -158,8 +68,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._exchange: Exchange | None = None
-        self._body = bytearray()
-        """One buffer: a chunk of some bytes would take 33 bytes more than its content."""
+        self._upload: Upload | None = None
+        """The request that is being read."""
         self._is_responding = False
         self._is_disconnected = False
         self._timer: IDelayedCall | None = None
@@ -173,11 +83,13 @@
         """Whether the response that is sent has a body."""
         self._is_discarding = False
         """Whether the rest of a refused request is read and discarded."""
+        self._undiscarded: int | None = None
+        """How much is left of it; None if that isn't known."""
         self._on_sent: list[Callable[[], None]] = []
         """Callbacks of responses that have ended; not all bytes may have left the process."""
         self._inbound = 0
         """Bytes received that belong to no complete request."""
-        self.is_behind = False
+        self.is_client_behind = False
         """Whether the client reads more slowly than it is sent to."""
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
@@ -268,8 +180,11 @@
         if not self.is_reading_request:
             return
         response = refusal_of(self._exchange)
-        if response is None:
-            return
+        if response is not None:
+            self._answer_unread(response, LINGER_SECONDS)
+
+    def _answer_unread(self, response: ErrorResponse, linger_seconds: float) -> None:
+        """Respond to a request that is read no further, and discard the rest of it."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
             return
@@ -280,10 +195,23 @@
         self.send(h11.Data(data=response.body))
         self.send(h11.EndOfMessage())
         if self._exchange is not None:
-            self._exchange.is_over = True
+            self._exchange.end()
+        self._undiscarded = self._unread_bytes()
         self._clear_exchange()
         self._is_responding = self._is_discarding = True
-        self._clock.callLater(LINGER_SECONDS, self._end_linger)
+        # What it has received is discarded with it.
+        self._http = h11.Connection(h11.SERVER)
+        if self._undiscarded == 0:
+            self._out.lose_connection()
+            return
+        self._resume_reading()
+        self._clock.callLater(linger_seconds, self._end_linger)
+
+    def _unread_bytes(self) -> int | None:
+        """Return how much of the body was not received yet, if its length is known."""
+        if self._upload is None:
+            return None
+        return self._upload.left(len(self._http.trailing_data[0]))
 
     def _end_linger(self) -> None:
         if not self._is_disconnected:
@@ -293,6 +221,7 @@
         """Parse received bytes."""
         self._is_new = False
         if self._is_discarding:
+            self._discard(len(data))
             return
         if self._exchange is None and not self._http.trailing_data[0]:
             self._idle_since = self._clock.seconds()
@@ -304,14 +233,29 @@
         self._read_events()
         self._update_inbound()
 
+    def _discard(self, size: int) -> None:
+        """Close the connection once a refused request is read off."""
+        if self._undiscarded is None:
+            return
+        self._undiscarded -= size
+        if self._undiscarded <= 0:
+            self._undiscarded = None
+            self._out.lose_connection()
+
     def _update_inbound(self) -> None:
-        """Count the bytes of incomplete requests, and stop reading if many wait."""
+        """Count the bytes of incomplete requests, and stop reading if many wait.
+
+        What has room is not among them.
+        """
         waiting = len(self._http.trailing_data[0])
-        must_wait = self._is_responding or self.is_behind
+        must_wait = self._is_responding or self.is_client_behind
         if must_wait and waiting > PIPELINED_BYTES and not self._is_reading_paused:
             self._is_reading_paused = True
             self.transport.pauseProducing()
-        inbound = waiting + len(self._body)
+        inbound = waiting
+        if self._upload is not None:
+            inbound += self._upload.unadmitted
+            self._upload.watch()
         if inbound != self._inbound:
             self._inbound = inbound
             self._count_buffered()
@@ -324,17 +268,17 @@
     def _on_buffer_change(self, _buffered: int) -> None:
         """Count the bytes, and notify the request if its client is behind or not."""
         self._count_buffered()
-        was_behind = self.is_behind
-        self.is_behind = is_behind(was_behind, self._out.buffered)
+        was_behind = self.is_client_behind
+        self.is_client_behind = is_behind(was_behind, self._out.buffered)
         if not self._out.buffered and not self._is_disconnected and not self._is_cut:
             self._report_sent()
-        if self.is_behind == was_behind or self._is_disconnected or self._is_cut:
+        if self.is_client_behind == was_behind or self._is_disconnected or self._is_cut:
             return
-        if self.is_behind:
+        if self.is_client_behind:
             READERS_STOPPED.inc()
         if self._exchange is not None:
-            self._exchange.backlog_changed(self.is_behind)
-        if not self.is_behind:
+            self._exchange.backlog_changed(self.is_client_behind)
+        if not self.is_client_behind:
             self._clock.callLater(0, self._read_next)
 
     def _report_sent(self) -> None:
@@ -364,7 +308,9 @@
     @property
     def _can_read(self) -> bool:
         is_open = not self._is_disconnected and not self._is_cut
-        return is_open and not self._is_responding and not self.is_behind
+        is_without_room = self._upload is not None and self._upload.is_without_room
+        must_wait = self._is_responding or self.is_client_behind or is_without_room
+        return is_open and not must_wait
 
     def _read_events(self) -> None:
         """Handle events until a request is complete or needs more bytes."""
@@ -389,10 +335,8 @@
         if isinstance(event, h11.Request):
             self._begin(event)
         elif isinstance(event, h11.Data):
-            if len(self._body) + len(event.data) > self._limits.body_bytes:
-                self._refuse(413)
-                return
-            self._body += event.data
+            if self._upload is not None:
+                self._upload.add(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -404,15 +348,37 @@
             return
         self._exchange = Exchange(self, head)
         self._exchange.arrived = self._clock.seconds()
-        self._body = bytearray()
+        self._upload = Upload(
+            self, self._exchange, self._uploads, self._limits, self._clock
+        )
         self._handler.count(1)
+        self._upload.begin()
+
+    @property
+    def is_asked_to_continue(self) -> bool:
+        """Whether the client waits for `100 Continue`."""
+        return self._http.they_are_waiting_for_100_continue
+
+    def pause_upload(self) -> None:
+        """Read no more of a request that has no room."""
+        if not self._is_reading_paused:
+            self._is_reading_paused = True
+            self.transport.pauseProducing()
+
+    def read_upload(self) -> None:
+        """Read on: the request has room."""
+        self._read_next()
+
+    def refuse_upload(self, response: ErrorResponse) -> None:
+        """Respond to a request that is read no further, and discard the rest of it."""
+        self._answer_unread(response, BODY_LINGER_SECONDS)
 
     def _dispatch(self) -> None:
-        exchange = self._exchange
-        if exchange is None:
+        exchange, upload = self._exchange, self._upload
+        if exchange is None or upload is None:
             return
-        exchange.body = bytes(self._body)
-        self._body = bytearray()
+        exchange.body = upload.take()
+        self._upload = None
         self._is_responding = True
         self._handler.handle(exchange)
 
@@ -454,7 +420,7 @@
         """Complete the response, then read the next request or close."""
         self.send(h11.EndOfMessage())
         if self._exchange is not None:
-            self._exchange.is_over = True
+            self._exchange.end()
             if self._exchange.on_sent is not None:
                 self._on_sent.append(self._exchange.on_sent)
         self._clear_exchange()
@@ -475,8 +441,11 @@
             self._clock.callLater(0, self._read_next)
 
     def _clear_exchange(self) -> None:
-        self._body = bytearray()
+        if self._upload is not None:
+            self._upload.close()
+            self._upload = None
         if self._exchange is not None:
+            self._exchange.release_memory()
             self._exchange = None
             self._handler.count(-1)
 
@@ -501,9 +470,10 @@
         self._clear_exchange()
         if exchange is None or exchange.is_over:
             return
-        exchange.is_over = True
-        if exchange.on_disconnect is not None:
-            exchange.on_disconnect()
+        on_disconnect = exchange.on_disconnect
+        exchange.end()
+        if on_disconnect is not None:
+            on_disconnect()
 
 
 class ServerFactory(Factory):
@@ -517,11 +487,14 @@
         clock: IReactorTime,
         buffers: BufferedBytes | None = None,
         room: ConnectionRoom | None = None,
+        uploads: Uploads | None = None,
     ) -> None:
         """Pass requests to a handler; `buffers` counts what the connections hold.
 
-        `room` bounds their number; without one they are connections of probes.
+        `room` bounds their number; without one they are connections of probes. `uploads`
+        bounds the memory of requests and the time in which they are read.
         """
+        self._uploads = uploads or Uploads()
         self._room = room or ProbeRoom()
         self._handler = handler
         self._buffers = buffers or BufferedBytes()
@@ -534,7 +507,12 @@
             is_answered = self._room.may_refuse()
             return RefusedConnection(self._room, self._clock) if is_answered else None
         connection = TrackedConnection(
-            self._handler, self._clock, self._open, self._buffers, self._room
+            self._handler,
+            self._clock,
+            self._open,
+            self._room,
+            buffers=self._buffers,
+            uploads=self._uploads,
         )
         self._open.add(connection)
         self._room.opened(connection, self._clock.seconds())
@@ -574,11 +552,13 @@
         handler: RequestHandler,
         clock: IReactorTime,
         open_connections: set[ServerConnection],
-        buffers: BufferedBytes,
         room: ConnectionRoom,
+        *,
+        buffers: BufferedBytes,
+        uploads: Uploads,
     ) -> None:
         """Create a connection that removes itself from `open_connections` and `room`."""
-        super().__init__(handler, clock, buffers)
+        super().__init__(handler, clock, buffers, uploads)
         self._room = room
         self._open_connections = open_connections
 
--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -18,6 +18,7 @@
 from notcharch.calls.policies import call_urgency, cold_policy, pool_policy, wait_policy
 from notcharch.engine_load.exchange import EngineLoadExchange
 from notcharch.http.buffered_bytes import BufferedBytes, total_limit
+from notcharch.http.exchange import Uploads
 from notcharch.http.metrics import BUFFERED_BYTES
 from notcharch.http.server import ServerFactory
 from notcharch.journal.known_daemons import KnownDaemons
@@ -185,7 +186,13 @@
             ),
             self._check,
         )
-        self.factory = ServerFactory(self.ingress, reactor, buffers, memory.connections)
+        self.factory = ServerFactory(
+            self.ingress,
+            reactor,
+            buffers,
+            memory.connections,
+            Uploads(memory.request_room(reactor), self.ingress),
+        )
         self.stop = ProcessStop(
             reactor, settings.machine, planned_stop, self.ingress, self.factory
         )
--- a/notcharch/platform/configuration.py
+++ b/notcharch/platform/configuration.py
@@ -9,7 +9,7 @@
 
 from notcharch.calls.interface import Engine, Route, Service, ServiceShare
 from notcharch.calls.routing import RouteTable
-from notcharch.http.server import ServerLimits
+from notcharch.http.exchange import ServerLimits
 from notcharch.platform.settings import Address
 from notcharch.scheduling.cold_engines import ColdLimit
 from notcharch.tenants.interface import RateLimit, Tenant
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -9,9 +9,12 @@
 from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
     MALFORMED,
+    NO_MEMORY,
     NO_ROUTE,
+    NOT_READ_IN_TIME,
     NOT_READY,
     ROUTE_NOT_KNOWN,
+    TOO_LARGE,
     OpaqueCall,
     Refusal,
     Route,
@@ -19,11 +22,18 @@
 from notcharch.calls.routing import Router, service_of
 from notcharch.events.calls import (
     RequestMalformed,
+    RequestNotRead,
     RequestWithoutRoute,
 )
 from notcharch.events.event import emit
+from notcharch.http.exchange import (
+    JSON_TYPE,
+    ErrorResponse,
+    Exchange,
+    ServerLimits,
+    UnreadCause,
+)
 from notcharch.http.messages import Headers, RequestHead, ResponseHead
-from notcharch.http.server import JSON_TYPE, ErrorResponse, Exchange, ServerLimits
 from notcharch.platform.headers import (
     REQUEST_ID,
     parse_call,
@@ -44,6 +54,11 @@
 
 Its head may not have been read, or its deadline be over.
 """
+UNREAD_REFUSALS = {
+    UnreadCause.NO_ROOM: NO_MEMORY,
+    UnreadCause.TOO_LATE: NOT_READ_IN_TIME,
+    UnreadCause.TOO_LARGE: TOO_LARGE,
+}
 UNKNOWN_ROUTE = Route("", "", "", (), is_repeatable=False)
 """Stands for the route of a request whose head is incomplete or has none."""
 
@@ -58,6 +73,12 @@
     return head.target.partition(b"?")[0].decode("latin-1")
 
 
+def wait_seconds(call: OpaqueCall, route: Route) -> float:
+    """Return how long a call may take from its head on."""
+    wait = route.timeout_seconds
+    return wait if call.wait_seconds is None else min(wait, call.wait_seconds)
+
+
 def error_response(refusal: Refusal, call_id: bytes) -> ErrorResponse:
     """Return the response that tells a caller of a refusal."""
     headers: Headers = [JSON_TYPE]
@@ -196,10 +217,35 @@
                 share.service: router.tokens_per_event(share.service)
                 for share in route.shares
             }
-        lifecycle = CallLifecycle(self._services, call, route, service, reply)
+        lifecycle = CallLifecycle(
+            self._services, call, route, service, reply, held=exchange.take_memory()
+        )
         exchange.on_sent = lifecycle.timer.answer_sent
         lifecycle.start()
 
+    def body_seconds(self, exchange: Exchange) -> float:
+        """Return the time within which a request has to be read, from its head on."""
+        return wait_seconds(*self._unread_call(exchange))
+
+    def unread_refusal(
+        self, exchange: Exchange, cause: UnreadCause, waited_seconds: float
+    ) -> ErrorResponse:
+        """Return the response to a request that is read no further."""
+        call, route = self._unread_call(exchange)
+        length = exchange.head.get(b"content-length")
+        seconds = self._services.clock.seconds() - exchange.arrived
+        emit(
+            RequestNotRead(
+                call.id,
+                route.name,
+                cause.value,
+                None if length is None else int(length),
+                round(waited_seconds, 3),
+                round(seconds, 3),
+            )
+        )
+        return error_response(UNREAD_REFUSALS[cause], call.id.encode())
+
     def refusal_of_unread(self, exchange: Exchange | None) -> ErrorResponse | None:
         """Return the response to a request still being read that can't end before a stop.
 
@@ -209,9 +255,7 @@
         now = self._services.clock.seconds()
         deadline = now + MIN_CALL_SECONDS
         if exchange is not None and route.name:
-            wait = route.timeout_seconds
-            if call.wait_seconds is not None:
-                wait = min(wait, call.wait_seconds)
+            wait = wait_seconds(call, route)
             deadline = max(exchange.arrived + wait, deadline)
         stop = self._services.stop
         if stop is None:
--- a/notcharch/platform/probes.py
+++ b/notcharch/platform/probes.py
@@ -6,7 +6,7 @@
 from prometheus_client import REGISTRY
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from notcharch.http.server import Exchange, ServerLimits
+from notcharch.http.exchange import Exchange, ServerLimits
 
 READY = 200
 NOT_READY = 503
--- a/notcharch/platform/process_memory.py
+++ b/notcharch/platform/process_memory.py
@@ -2,11 +2,19 @@
 
 import resource
 
+from twisted.internet.interfaces import IReactorTime
+
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.turns import TurnCache
-from notcharch.calls.call_lifecycle import RESERVED_CALLS_BYTES
+from notcharch.calls.call_lifecycle import (
+    CALL_BYTES,
+    RESERVED_CALLS_BYTES,
+    SMALL_CALL_BYTES,
+)
 from notcharch.http.answer_room import AnswerRoom
+from notcharch.http.buffered_bytes import total_limit
 from notcharch.http.connection_room import MAX_REFUSED, ConnectionRoom
+from notcharch.http.request_room import WAITING_BYTES, RequestRoom
 from notcharch.journal.writer import RESERVED_ENTRIES_BYTES
 from notcharch.platform.memory_budget import (
     ACCOUNTS_SHARE,
@@ -51,6 +59,14 @@
     return min(MAX_REFUSED, int(open_files * REFUSED_DESCRIPTORS_SHARE))
 
 
+def max_waiting_requests(memory_bytes: int) -> int:
+    """Return how many requests may wait for memory.
+
+    What was read of them fills half of what all connections may buffer.
+    """
+    return total_limit(memory_bytes) // (2 * WAITING_BYTES)
+
+
 def open_files_limit() -> int:
     """Return how many files this process may open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -98,6 +114,16 @@
             settings.machine, settings.memory_bytes, pool, self._others
         )
 
+    def request_room(self, clock: IReactorTime) -> RequestRoom:
+        """Return the room of callers' requests, which is that of their calls."""
+        return RequestRoom(
+            clock,
+            self.calls,
+            call_bytes=CALL_BYTES,
+            small_bytes=SMALL_CALL_BYTES,
+            max_waiting=max_waiting_requests(self.budget.limit_bytes),
+        )
+
     def also_measure(self, name: str, measure: MeasureBytes) -> None:
         """Show what has a bound of its own beside the pool."""
         self._others[name] = measure
--- a/notcharch/values/memory_pool.py
+++ b/notcharch/values/memory_pool.py
@@ -147,6 +147,22 @@
             self.size += size
             self.holder.change(size)
 
+    def shrink(self, size: int) -> int:
+        """Hold no more than `size`; return how much less of what was taken as large."""
+        excess = self.size - size
+        if self._is_closed or excess <= 0:
+            return 0
+        of_large = min(excess, self.size - self._small)
+        self.holder.change(-of_large)
+        self.holder.change(of_large - excess, is_small=True)
+        self._small -= excess - of_large
+        self.size = size
+        return of_large
+
+    def is_small_with(self, size: int) -> bool:
+        """Return whether so many bytes more would be taken as small."""
+        return self._small + size <= self._small_bytes
+
     def close(self) -> None:
         """Hold nothing any more; later changes are ignored."""
         if not self._is_closed:
--- /dev/null
+++ b/tests/stateful/uploads/__init__.py
@@ -0,0 +1,1 @@
+"""Random lives of the memory for uploads."""
--- a/tests/stateful/urgency/urgency_machine.py
+++ b/tests/stateful/urgency/urgency_machine.py
@@ -12,8 +12,8 @@
 from notcharch.calls.call_urgency import CallUrgency
 from notcharch.calls.interface import OpaqueCall, Route, ServiceShare
 from notcharch.calls.routing import Router, RouteTable
+from notcharch.http.exchange import ServerLimits
 from notcharch.http.messages import RequestHead
-from notcharch.http.server import ServerLimits
 
 SERVICE = "s"
 BAND = 3
--- a/tests/unit/calls/test_caller_check.py
+++ b/tests/unit/calls/test_caller_check.py
@@ -13,8 +13,8 @@
 )
 from notcharch.calls.routing import RouteTable
 from notcharch.events import calls, tenants
+from notcharch.http.exchange import ServerLimits
 from notcharch.http.messages import RequestHead
-from notcharch.http.server import ServerLimits
 from notcharch.tenants.freshness import TableFreshness
 from notcharch.tenants.interface import Tenant
 from notcharch.tenants.keys import index_keys
--- a/tests/unit/calls/test_routing_and_engines.py
+++ b/tests/unit/calls/test_routing_and_engines.py
@@ -20,8 +20,8 @@
     service_of,
     stable_identity,
 )
+from notcharch.http.exchange import ServerLimits
 from notcharch.http.messages import RequestHead, end_to_end
-from notcharch.http.server import ServerLimits
 from notcharch.scheduling.engine_health import INTERVAL_EXPIRY_SECONDS, SILENCE_FACTOR
 from notcharch.scheduling.engine_routing import (
     AFFINITY_SLACK_CALLS,
--- a/tests/unit/calls/test_shared_load.py
+++ b/tests/unit/calls/test_shared_load.py
@@ -12,7 +12,7 @@
 from notcharch.calls.policies import call_urgency, pool_policy
 from notcharch.calls.routing import Router, RouteTable
 from notcharch.events.calls import EngineChosen
-from notcharch.http.server import ServerLimits
+from notcharch.http.exchange import ServerLimits
 from notcharch.scheduling.engine_load import EngineLoad
 from notcharch.scheduling.engine_routing import CallRouting
 from notcharch.scheduling.expected_seconds import ChoiceReason
--- a/tests/unit/http/pipe.py
+++ b/tests/unit/http/pipe.py
@@ -6,7 +6,8 @@
 from twisted.python.failure import Failure
 
 from notcharch.http.client import ClientConnection
-from notcharch.http.server import ServerConnection, ServerLimits
+from notcharch.http.exchange import ServerLimits
+from notcharch.http.server import ServerConnection
 
 
 class TcpTransport(StringTransport):
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -18,7 +18,8 @@
     ConnectionRoom,
     RefusedConnection,
 )
-from notcharch.http.server import ServerFactory, ServerLimits, TrackedConnection
+from notcharch.http.exchange import ServerLimits
+from notcharch.http.server import ServerFactory, TrackedConnection
 from notcharch.values.memory_pool import MemoryPool
 from tests.unit.http.pipe import Handler, TcpTransport
 
