The soak sends bursts of large bodies to one daemon

Cause: nothing sent more at once than a daemon has memory for.

Change: 6 to 24 requests of 0.5 to 4 MB at once, every 3 to 9 s of the faults. UPLOAD is a request whose connection ended without an answer while its daemon was in service and not interrupted; in planned runs LOST counts them as well.

--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -234,11 +234,7 @@
         daemon = self._random.choice(self._ready())
         asked.daemon = daemon.name if kept is None else kept.daemon
         asked.is_on_kept_connection = kept is not None
-        tenant = self._tenants.named(asked.tenant)
-        assert tenant is not None
-        asked.key = self._tenants.key(tenant, self._reactor.seconds())
-        asked.at = self._reactor.seconds()
-        self._oracle.asked[asked.id] = asked
+        self._begin(asked)
         answer = Answer(self._reactor, asked)
         connection: ClientConnection
         if kept is not None:
@@ -259,19 +255,7 @@
                 return
         asked.is_connected = True
         asked.sent_at = self._reactor.seconds()
-        head = RequestHead(
-            b"POST",
-            asked.path.encode(),
-            [
-                (b"Host", HOST_NAME.encode()),
-                (b"X-Notcharch-Request-Id", asked.id.encode()),
-                (b"X-Notcharch-Deadline-Ms", str(int(CALL_SECONDS * 1000)).encode()),
-                (b"X-Api-Key", asked.key.encode()),
-                (b"X-Notcharch-Tenant", b"somebody-else"),
-                (b"X-Notcharch-Hold", b"none"),
-                *headers,
-            ],
-        )
+        head = _request_head(asked, headers)
         timer = self._reactor.callLater(CALL_SECONDS + 0.5, answer.give_up, connection)
         is_first = asked.path.startswith(PLAIN_PATH) and not asked.first_attempt
         if is_first and self._random.random() < LOST_CONNECTION_SHARE:
@@ -289,6 +273,40 @@
         if asked.status in COMING_BACK:
             yield self._wait(min(answer.retry_after, MOST_WAIT_SECONDS))
 
+    def _begin(self, asked: Asked) -> None:
+        """Note a request that is about to be sent, with its tenant's key."""
+        tenant = self._tenants.named(asked.tenant)
+        assert tenant is not None
+        asked.key = self._tenants.key(tenant, self._reactor.seconds())
+        asked.at = self._reactor.seconds()
+        self._oracle.asked[asked.id] = asked
+
+    @inlineCallbacks
+    def send_alone(
+        self, asked: Asked, body: bytes, daemon: SoakDaemon
+    ) -> Generator["Deferred[Any]", Any, None]:
+        """Send a request to a daemon on a connection of its own."""
+        asked.daemon = daemon.name
+        self._begin(asked)
+        leads_elsewhere = daemon.front_leads_to_the_soak
+        try:
+            connection: ClientConnection = yield self._connect(daemon)
+        except Exception:
+            asked.ended_at = self._reactor.seconds()
+            return
+        if not leads_elsewhere and not daemon.front_leads_to_the_soak:
+            asked.is_connected = True
+            asked.sent_at = self._reactor.seconds()
+            answer = Answer(self._reactor, asked)
+            timer = self._reactor.callLater(
+                CALL_SECONDS + 0.5, answer.give_up, connection
+            )
+            connection.send(_request_head(asked, []), body, answer)
+            yield answer.done
+            if timer.active():
+                timer.cancel()
+        connection.close()
+
     def _keep_or_close(self, asked: Asked, connection: ClientConnection) -> None:
         if asked.is_whole:
             self._kept.keep(asked.daemon, connection)
@@ -314,3 +332,19 @@
 
     def _wait(self, seconds: float) -> "Deferred[None]":
         return deferLater(self._reactor, seconds, lambda: None)
+
+
+def _request_head(asked: Asked, headers: Headers) -> RequestHead:
+    return RequestHead(
+        b"POST",
+        asked.path.encode(),
+        [
+            (b"Host", HOST_NAME.encode()),
+            (b"X-Notcharch-Request-Id", asked.id.encode()),
+            (b"X-Notcharch-Deadline-Ms", str(int(CALL_SECONDS * 1000)).encode()),
+            (b"X-Api-Key", asked.key.encode()),
+            (b"X-Notcharch-Tenant", b"somebody-else"),
+            (b"X-Notcharch-Hold", b"none"),
+            *headers,
+        ],
+    )
--- a/deploy/soak/command.py
+++ b/deploy/soak/command.py
@@ -11,6 +11,7 @@
 import msgspec
 from twisted.internet import reactor as default_reactor
 
+from deploy.soak.bursts import Bursts
 from deploy.soak.callers import Callers
 from deploy.soak.configuration import Operator
 from deploy.soak.daemons import MEMORY_MEGABYTES, SoakDaemon
@@ -100,6 +101,13 @@
             self._readiness.ready,
             self._tenants,
         )
+        self._bursts = Bursts(
+            reactor,
+            Random(seed + 7),
+            self._callers,
+            self._readiness.ready,
+            self._tenants,
+        )
         self.faults = Faults(
             FaultTargets(
                 reactor,
@@ -142,6 +150,7 @@
         self._ends_at = self._reactor.seconds() + self._size.seconds
         self._callers.start(self._size.programs)
         self._persistent.start(self._size.persistent)
+        self._bursts.start()
         self._callers.sends_deadly = not self._size.is_planned_only
         self._next_fault()
 
@@ -177,6 +186,7 @@
     def _next_fault(self) -> None:
         if self._reactor.seconds() >= self._ends_at:
             self.faults.end()
+            self._bursts.stop()
             self._callers.sends_deadly = False
             self._reactor.callLater(self._size.calm_seconds / 2, self._recovered)
             return
@@ -259,12 +269,14 @@
             resumed=resumed,
             went_on=went_on,
             ended_under=self.oracle.deadly.counts,
+            burst_answers=dict(self._bursts.answers),
             violations=(
                 self.oracle.violations()
                 + self._in_contact()
                 + self._readiness.violations()
                 + self._false_refusals()
                 + self._refused_appends()
+                + self._bursts.violations()
                 + self._faults_of_daemons()
             ),
         )
--- a/deploy/soak/report.py
+++ b/deploy/soak/report.py
@@ -48,6 +48,8 @@
     ended_under: list[int]
     """How many engines ended under each deadly request."""
     violations: list[Violation]
+    burst_answers: dict[str, int] = {}
+    """Requests of bursts by the status of their answer; 0 without one."""
 
     @property
     def keeps_promises(self) -> bool:
