An upload that comes too slowly to end gives its room to others

Cause: 14 senders of 10 KB/s held all room for large bodies until their deadlines, though none could end by then.

Change: once a second an upload is looked at: if others wait for room and its pace so far does not bring it to its end by its deadline, it gets the 503 that it would get there. `notcharch explain` names requests that were not read.

--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -22,6 +22,7 @@
     CallServed,
     EngineChosen,
     RequestMalformed,
+    RequestNotRead,
     RequestWithoutRoute,
     StreamBegan,
     StreamTakenUp,
@@ -63,6 +64,7 @@
     CallerLeft.number,
     RequestWithoutRoute.number,
     RequestMalformed.number,
+    RequestNotRead.number,
     CallerNotIdentified.number,
     CallRefusedForStop.number,
 )
@@ -173,6 +175,7 @@
         CallerLeft.number: _left,
         RequestWithoutRoute.number: _without_route,
         RequestMalformed.number: _malformed,
+        RequestNotRead.number: _not_read,
         CallerNotIdentified.number: _not_identified,
     }[end.number]
     return told(end, own, context), True
@@ -267,6 +270,15 @@
     return f"a header can't be read, for {end.text('host')}{end.text('path')}"
 
 
+def _not_read(end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    size = end.fields.get("body_bytes")
+    body = "in chunks" if size is None else f"of {size} bytes"
+    return (
+        f"not run: {end.text('cause')} for a body {body}, {end.text('seconds')} s after "
+        f"its head, of which it waited {end.text('waited_seconds')} s for memory"
+    )
+
+
 def _not_identified(
     end: LogLine, own: Sequence[LogLine], context: Sequence[LogLine]
 ) -> str:
--- a/notcharch/http/exchange.py
+++ b/notcharch/http/exchange.py
@@ -74,7 +74,7 @@
 
 STATUSES = {
     UnreadCause.NO_ROOM: 503,
-    UnreadCause.TOO_LATE: 408,
+    UnreadCause.TOO_LATE: 503,
     UnreadCause.TOO_LARGE: 413,
 }
 
--- a/notcharch/http/upload.py
+++ b/notcharch/http/upload.py
@@ -19,6 +19,9 @@
 """Share of its time that a request waits for room: callers give up an attempt that is not
 read after a third of their time, and another daemon may have room."""
 
+PACE_SECONDS = 1.0
+"""How often the pace of an upload is looked at."""
+
 
 class UploadConnection(Interface):
     """The connection of a request that is being read."""
@@ -60,8 +63,12 @@
         self.is_without_room = False
         """Whether it waits for room, so that its connection must not be read."""
         self._wait_began = 0.0
+        self._deadline = math.inf
+        """Clock seconds by which the body has to be whole."""
         self._waited = 0.0
         """Seconds that it waited before."""
+        self._reading_since = exchange.arrived
+        """Since when it is read without a wait, in clock seconds."""
         self._timer: IDelayedCall | None = None
         self._is_over = False
 
@@ -125,7 +132,8 @@
 
     def _room_granted(self) -> None:
         """Read on in a turn of its own: room is given while another request ends."""
-        self._waited += self._clock.seconds() - self._wait_began
+        self._reading_since = self._clock.seconds()
+        self._waited += self._reading_since - self._wait_began
         self.is_without_room = False
         self._schedule_end()
         self._clock.callLater(0, self._continue)
@@ -137,14 +145,16 @@
     def _schedule_end(self) -> None:
         """End the upload at its deadline, or its wait for room before it."""
         self._stop_timer()
+        now = self._clock.seconds()
         seconds = self._uploads.policy.body_seconds(self._exchange)
-        until = self._exchange.arrived + seconds
+        self._deadline = until = self._exchange.arrived + seconds
         if self.is_without_room:
             most = min(ROOM_WAIT_SHARE * seconds, self._limits.header_seconds)
             until = min(until, self._wait_began + most)
+        elif until < math.inf:
+            until = min(until, now + PACE_SECONDS)
         if until < math.inf:
-            left = max(until - self._clock.seconds(), 0.0)
-            self._timer = self._clock.callLater(left, self._end)
+            self._timer = self._clock.callLater(max(until - now, 0.0), self._end)
 
     def _stop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
@@ -156,8 +166,19 @@
         if self.is_without_room:
             self._uploads.room.withdraw(self._body.memory)
             self._refuse(UnreadCause.NO_ROOM)
-        else:
+        elif self._clock.seconds() >= self._deadline or self._is_hopeless():
             self._refuse(UnreadCause.TOO_LATE)
+        else:
+            self._schedule_end()
+
+    def _is_hopeless(self) -> bool:
+        """Return whether it holds room that others wait for, and comes too slowly to end."""
+        left = self.left(0)
+        if left is None or not self._uploads.room.waiting:
+            return False
+        now = self._clock.seconds()
+        seconds = now - self._reading_since
+        return self._body.received * (self._deadline - now) < left * seconds
 
     def _refuse(self, cause: UnreadCause) -> None:
         """Refuse the request; it has not run."""
--- a/tests/unit/explain/test_explanation.py
+++ b/tests/unit/explain/test_explanation.py
@@ -20,6 +20,7 @@
     CallServed,
     EngineChosen,
     RequestMalformed,
+    RequestNotRead,
     RequestWithoutRoute,
     StreamBegan,
     StreamTakenUp,
@@ -173,6 +174,11 @@
         ],
         "the daemon knew no table yet; before it: a could not reach keyed.op (unknown)",
     ),
+    (
+        [line(1, "a", RequestNotRead("r", "write", "no memory", 4_000_000, 2.0, 2.1))],
+        "not run: no memory for a body of 4000000 bytes, 2.1 s after its head, "
+        "of which it waited 2.0 s for memory",
+    ),
     (
         [line(1.0, "a", RequestMalformed("r", "h", "/p/x"))],
         "a header can't be read, for h/p/x",
