The upload scene has slow callers of any size, beside small calls

Cause: its slow callers sent 4 MB only, all at one moment, to an engine that kept 64 connections, so that failures of the engine hid those of the daemon.

--- a/tests/unit/platform/test_large_uploads.py
+++ b/tests/unit/platform/test_large_uploads.py
@@ -38,3 +38,11 @@
     assert found["large"]["200"] >= 3
     assert found["refused_and_run"] == found["repeated"] == 0
     assert found["peak_megabytes"] < megabytes
+
+
+def test_slow_uploads_and_small_calls_beside_them_are_all_served():
+    """Bodies that came at 10 KB/s were cut once all together were above the bound."""
+    found = play(0, 260, size=50_000, slow=700)
+    assert found["slow"] == {"200": 700}
+    assert set(found["small"]) == {"200"}
+    assert found["repeated"] == 0
--- a/tests/unit/platform/upload_scene.py
+++ b/tests/unit/platform/upload_scene.py
@@ -1,10 +1,11 @@
 """One real daemon on loopback sockets, and callers that send large bodies to it at once.
 
 Run as `python -m tests.unit.platform.upload_scene CALLERS BYTES MEGABYTES [SLOW]`: a process
-of its own, so that its reactor is its own. `SLOW` callers send 10 KB/s meanwhile. It prints
-what the callers saw as JSON.
+of its own, so that its reactor is its own. `SLOW` callers send bodies of that size at 10 KB/s
+and others small calls meanwhile. It prints what the callers saw as JSON.
 """
 
+import math
 import sys
 import tempfile
 from collections import Counter
@@ -22,16 +23,21 @@
 from deploy.soak.process import DaemonProcess
 from deploy.soak.settings import HOST
 from deploy.soak.store_server import StoreServer
+from notcharch.http.connection_room import ConnectionRoom
 from notcharch.http.exchange import ServerLimits
 from notcharch.http.server import ServerFactory
 from notcharch.journal.keyed_follower import join_keyed
 
 DEADLINE_SECONDS = 8.0
 WORK_SECONDS = 0.5
-"""How long an engine takes for a request that it has read."""
+"""How long an engine takes for a large request that it has read."""
+LARGE_BYTES = 1_000_000
 HEARTBEAT_SECONDS = 1.0
 READY_SECONDS = 20.0
+BACKLOG = 512
 SLOW_BYTES = 500
+SLOW_SPREAD_SECONDS = 3.0
+"""The time in which the slow callers come."""
 SLOW_INTERVAL_SECONDS = 0.05
 SMALL_INTERVAL_SECONDS = 0.05
 PARTITIONS = 4
@@ -49,7 +55,7 @@
             "retry_attempts": 1,
         }
     ],
-    "services": [{"name": "s"}],
+    "services": [{"name": "s", "connection_limit": 4000}],
     "limits": {},
 }
 
@@ -59,12 +65,14 @@
 
     def __init__(self, store: StoreServer) -> None:
         self.runs: Counter[str] = Counter()
-        port = reactor.listenTCP(0, ServerFactory(self, reactor), interface=HOST)
+        room = ConnectionRoom(math.inf)
+        factory = ServerFactory(self, reactor, room=room)
+        port = reactor.listenTCP(0, factory, BACKLOG, interface=HOST)
         entry = {
             "service": "s",
             "address": f"{HOST}:{port.getHost().port}",
             "zone": "z",
-            "slots": 64,
+            "slots": 512,
             "state": "ready",
             "version": "v1",
         }
@@ -92,7 +100,7 @@
             (b"X-Notcharch-Response-Seal", b"seal"),
         ]
         size = str(len(exchange.body)).encode()
-        seconds = WORK_SECONDS if len(exchange.body) > SLOW_BYTES else 0.0
+        seconds = WORK_SECONDS if len(exchange.body) > LARGE_BYTES else 0.0
         reactor.callLater(seconds, exchange.respond, 200, headers, size)
 
 
@@ -114,12 +122,19 @@
             % (self.id.encode(), DEADLINE_SECONDS * 1000, self.size)
         )
         if self.is_slow:
-            self._sending = LoopingCall(self.transport.write, b"x" * SLOW_BYTES)
+            self._left = self.size
+            self._sending = LoopingCall(self._send_more)
             self._sending.start(SLOW_INTERVAL_SECONDS)
         else:
             self.transport.write(b"x" * self.size)
         self._timer = reactor.callLater(DEADLINE_SECONDS + 1.0, self.end)
 
+    def _send_more(self) -> None:
+        self.transport.write(b"x" * min(SLOW_BYTES, self._left))
+        self._left -= min(SLOW_BYTES, self._left)
+        if not self._left:
+            self._sending.stop()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.received += data
         head, found, body = self.received.partition(b"\r\n\r\n")
@@ -204,14 +219,18 @@
         message = "the daemon is not ready"
         raise RuntimeError(message)
 
-    async def send(self, caller: Caller) -> None:
+    async def send(self, caller: Caller, delay: float = 0.0) -> None:
+        await deferLater(reactor, delay)
         await self.connect(self.front, caller)
         await caller.over
 
     async def play(self, callers: int, size: int, slow: int) -> dict:
         await self.wait_until_ready()
-        slow_ones = [Caller(f"slow-{n}", 4_000_000, slow=True) for n in range(slow)]
-        sending = [Deferred.fromCoroutine(self.send(one)) for one in slow_ones]
+        slow_ones = [Caller(f"slow-{n}", size, slow=True) for n in range(slow)]
+        sending = [
+            Deferred.fromCoroutine(self.send(one, SLOW_SPREAD_SECONDS * n / slow))
+            for n, one in enumerate(slow_ones)
+        ]
         large = [Caller(f"large-{n}", size, slow=False) for n in range(callers)]
         sending += [Deferred.fromCoroutine(self.send(one)) for one in large]
         small = []
