What was read of a refused request is no longer counted

Cause: a request that was refused at the end of its wait kept its count among what connections buffer, up to 64 KB each, until it closed; others could be cut for it.

Change: the count is taken back with the buffer.

--- a/notcharch/accounts/admission.py
+++ b/notcharch/accounts/admission.py
@@ -43,8 +43,8 @@
 def max_body_bytes(buffer_bytes: int, partition_bytes: int) -> int:
     """Return the bound of a body with the turns before it.
 
-    A larger one would be cut on its way to an engine, as all connections may buffer
-    `buffer_bytes`, or leave its partition of the log too little room.
+    Few bodies larger than what all connections may buffer, `buffer_bytes`, fit beside each
+    other, and a larger chain would leave its partition of the log too little room.
     """
     return min(buffer_bytes - HEAD_BYTES, int(partition_bytes * PARTITION_SHARE))
 
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -201,6 +201,7 @@
         self._is_responding = self._is_discarding = True
         # What it has received is discarded with it.
         self._http = h11.Connection(h11.SERVER)
+        self._update_inbound()
         if self._undiscarded == 0:
             self._out.lose_connection()
             return
--- a/tests/unit/http/test_uploads.py
+++ b/tests/unit/http/test_uploads.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.exchange import (
     ErrorResponse,
     ServerLimits,
@@ -57,7 +58,7 @@
     def __init__(self, daemon: "Daemon") -> None:
         self.transport = Transport()
         self.connection = ServerConnection(
-            daemon.handler, daemon.clock, None, daemon.uploads
+            daemon.handler, daemon.clock, daemon.buffers, daemon.uploads
         )
         self.connection.makeConnection(self.transport)
 
@@ -105,6 +106,7 @@
             max_waiting=max_waiting,
         )
         self.policy = Policy()
+        self.buffers = BufferedBytes()
         self.uploads = Uploads(self.room, self.policy)
 
     def caller(self) -> Caller:
@@ -157,6 +159,18 @@
     assert daemon.handler.in_flight == 2
 
 
+def test_what_was_read_of_a_refused_request_is_freed_and_not_counted():
+    daemon = Daemon()
+    daemon.full()
+    waiting = daemon.caller().begin(4_000_000)
+    waiting.send(50_000)
+    assert daemon.buffers.total == 50_000
+    daemon.clock.advance(WAIT_SECONDS)
+    assert waiting.status == 503
+    assert daemon.buffers.total <= len(waiting.transport.value())
+    assert not waiting.connection._http.trailing_data[0]
+
+
 def test_the_rest_of_a_refused_request_is_read_off_for_a_bounded_time():
     daemon = Daemon()
     daemon.full()
