--- a/notcharch/http/incoming_body.py
+++ b/notcharch/http/incoming_body.py
@@ -51,7 +51,7 @@
             return self._ask(size, 0, allowed)
         return self._ask(size, self._rest(allowed), allowed)
 
-    def add(self, data: bytes) -> RoomDecision:
+    def add(self, data: bytes | bytearray) -> RoomDecision:
         """Add bytes; ask for room for them and a portion more if they exceed it."""
         self._body += data
         if len(self._body) > self._max_bytes:
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -337,7 +337,7 @@
             self._begin(event)
         elif isinstance(event, h11.Data):
             if self._upload is not None:
-                self._upload.add(bytes(event.data))
+                self._upload.add(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
--- a/notcharch/http/upload.py
+++ b/notcharch/http/upload.py
@@ -76,7 +76,7 @@
         """Ask for room."""
         self._act_on(self._body.begin())
 
-    def add(self, data: bytes) -> None:
+    def add(self, data: bytes | bytearray) -> None:
         """Add bytes of the body."""
         self._act_on(self._body.add(data))
 
