Grants of tokens: messages and the ticket's interface

Cause: the owner's and the gateway's part of docs/design/granted-tokens.md are built separately.

Change: RaiseGrant and GrantRaised, the new fields of AdmitTurn and TurnAdmitted, and three members of Ticket. Nobody grants parts yet: behaviour is as before.

--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -176,6 +176,17 @@
 
     # `Ticket`
 
+    @property
+    def granted_events(self) -> int | None:
+        """All events: the owner is not asked for parts yet."""
+        return None
+
+    def watch_grant(self, grown: Callable[[], None]) -> None:
+        """Ignore the listener: everything is granted."""
+
+    def relayed(self, events: int, waiting: int) -> None:
+        """Ignore the events."""
+
     def engine_started(self, engine_id: str) -> None:
         """Record the engine, which has the program's prefix cache."""
         self._engine = engine_id
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -6,6 +6,9 @@
 from notcharch.wire.codec import MessageCodec
 from notcharch.wire.messages.base import Message, Refusal
 
+WHOLE_CALL = -1
+"""A grant of all that a call may generate, as from owners of older builds."""
+
 
 class PartitionMessage(Message, frozen=True):
     """Base class of messages to the owner of a partition."""
@@ -33,6 +36,8 @@
     turn_bytes: int = 0
     """Memory that the turn of the call takes at least; 0 if it is not to be stored, and
     from older builds."""
+    event_tokens: int = 0
+    """Tokens of one event; 0 from older builds, which ask for no further grant."""
 
 
 class TurnAdmitted(Message, frozen=True):
@@ -50,6 +55,33 @@
     """Length of the text on later pages, for which the requester sends `ReadTurns`."""
     suspicions: tuple[Suspicion, ...] = ()
     """Engines that the owner suspects."""
+    granted_tokens: int = WHOLE_CALL
+    """How many tokens may be relayed to the caller until more are granted."""
+
+
+class RaiseGrant(PartitionMessage, frozen=True):
+    """Request to grant more tokens to a running call.
+
+    Reply: `GrantRaised`, once a next owner would count them.
+    """
+
+    program: str
+    call: str
+    most_tokens: int
+    budget_tokens: int | None
+    event_tokens: int
+    granted_tokens: int
+    """Those granted so far."""
+    relayed_tokens: int
+    """Those that were relayed to the caller."""
+    wanted_tokens: int
+    """The least total with which the call can go on."""
+
+
+class GrantRaised(Message, frozen=True):
+    """The call may generate so many tokens in total, or until more are granted."""
+
+    granted_tokens: int
 
 
 class TurnRefused(Message, frozen=True):
@@ -198,6 +230,8 @@
     TurnRefused,
     CallNotRecorded,
     UsageDoubted,
+    RaiseGrant,
+    GrantRaised,
     SettleCall,
     FindTurn,
     TurnFound,
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -378,6 +378,16 @@
     def cached_engine(self) -> str:
         """The engine with the program's prefix in its cache; empty if none is known."""
 
+    @property
+    def granted_events(self) -> int | None:
+        """How many events of the call may be relayed until more are granted; None: all."""
+
+    def watch_grant(self, grown: Callable[[], None]) -> None:
+        """Call `grown` whenever `granted_events` has grown."""
+
+    def relayed(self, events: int, waiting: int) -> None:
+        """Note how many events were relayed in total, and how many wait for a grant."""
+
     def engine_started(self, engine_id: str) -> None:
         """Record the engine that runs the call."""
 
--- a/notcharch/calls/open_admission.py
+++ b/notcharch/calls/open_admission.py
@@ -1,5 +1,7 @@
 """Admission of calls that need no accounting."""
 
+from collections.abc import Callable
+
 from notcharch.calls.interface import (
     AdmissionListener,
     Completion,
@@ -12,6 +14,13 @@
     """The ticket of a call without accounting."""
 
     cached_engine = ""
+    granted_events: int | None = None
+
+    def watch_grant(self, grown: Callable[[], None]) -> None:
+        """Ignore the listener: everything is granted."""
+
+    def relayed(self, events: int, waiting: int) -> None:
+        """Ignore the events: none is counted."""
 
     def engine_started(self, engine_id: str) -> None:
         """Ignore the engine."""
