The relay of a stream is a module of its own

Cause: the lifecycle of a call frames, holds and relays the events of its stream itself; a gate for granted events would have to be added there.

Change: StreamRelay has the framer, the held head, the stored output and the end. Behaviour is as before.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -9,7 +9,6 @@
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.engine_selection import Selection
-from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
@@ -27,6 +26,7 @@
 from notcharch.calls.refusals import refusal_without_engine
 from notcharch.calls.reply import Reply
 from notcharch.calls.routing import affinity_key_of
+from notcharch.calls.stream_relay import StreamRelay
 from notcharch.calls.stream_version import StreamVersion
 from notcharch.calls.waiting_output import WaitingOutput
 from notcharch.http.messages import ResponseHead
@@ -107,20 +107,10 @@
         """True once a long answer is relayed as it comes."""
         self._status = 0
         """Status of the last complete response."""
-        self._framer = EventFramer()
-        self._is_relaying = False
-        """True once the head of a stream was relayed to the caller."""
-        self._pending_head: ResponseHead | None = None
-        """Head of a stream that has no complete event yet.
-
-        It is relayed with the first event: until then the call can still end in an error
-        response instead of an aborted connection.
-        """
+        self._events = StreamRelay(reply, self._relay, keeps_output=route.stores_turns)
         self._cause = ""
         """Why the last run failed."""
         self._is_caller_behind = False
-        self._output = bytearray()
-        """The relayed events, if the turn is to be stored."""
         self._held = held or HeldPart(services.held, SMALL_CALL_BYTES)
         self._waiting_output = WaitingOutput(
             services.answers, services.clock, self.not_durable
@@ -265,6 +255,11 @@
 
     # Runs
 
+    @property
+    def _is_relaying(self) -> bool:
+        """Whether the caller got the head of a stream or of a long answer."""
+        return self._events.is_begun or self._is_body_relayed
+
     @property
     def _cached_engine(self) -> str:
         return self._ticket.cached_engine if self._ticket is not None else ""
@@ -386,33 +381,22 @@
         """Hold the head of the stream, unless an earlier run's head was relayed."""
         if self._ticket is not None and self._run is not None:
             self._ticket.engine_started(self._run.engine.id)
-        if not self._is_relaying:
-            self._pending_head = head
-
-    def _relay_head(self) -> None:
-        """Relay the head of the stream, unless that is done."""
-        head, self._pending_head = self._pending_head, None
-        if head is not None:
-            self._is_relaying = True
-            self._reply.begin(head)
+        self._events.run_started(head)
 
     def run_data_received(self, data: bytes) -> bool:
         """Relay complete events; return whether there were any."""
-        complete_events = self._framer.feed(data)
-        self._log.unfinished_bytes = len(self._framer.remainder())
+        complete_events = self._events.feed(data)
+        self._log.unfinished_bytes = self._events.unfinished_bytes
         if complete_events:
-            self._relay_head()
             if not self._log.events and self._run is not None:
                 self._stream.began(self._run, self._seconds_left)
-            self._log.events_relayed(self._framer.events)
-            if self._route.stores_turns:
-                self._output += complete_events
-            self._relay(complete_events)
+            self._log.events_relayed(self._events.events)
+            self._events.relay(complete_events)
         return bool(complete_events)
 
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
-        self._is_relaying = self._is_body_relayed = True
+        self._is_body_relayed = True
         self._reply.begin(head)
 
     def run_body_received(self, data: bytes) -> None:
@@ -428,17 +412,17 @@
     @property
     def held_bytes(self) -> int:
         """How many bytes of the stream are held to be stored, or as an unfinished event."""
-        return len(self._output) + len(self._framer.remainder())
+        return self._events.held_bytes
 
     @property
     def is_inside_event(self) -> bool:
         """Whether the data of the stream so far ends inside an event."""
-        return self._framer.is_inside_event
+        return self._events.is_inside_event
 
     @property
     def last_event_id(self) -> bytes | None:
         """The id of the last event that was relayed, if it had one."""
-        return self._framer.last_id or self.call.last_event_id
+        return self._events.last_id or self.call.last_event_id
 
     def run_unreachable(self) -> None:
         """Try another engine: the call was not sent."""
@@ -473,7 +457,7 @@
             self._guard.run_completed()
         if self._is_body_relayed:
             self._complete_body()
-        elif is_success and (self._is_relaying or self._pending_head is not None):
+        elif is_success and self._events.has_head:
             self._complete_stream()
         elif self._is_relaying or self._is_false_refusal(head.status):
             self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
@@ -523,7 +507,7 @@
         return is_safe and runs <= route.max_engines
 
     def _retry_or_end(self, cause: str) -> None:
-        self._pending_head = None
+        self._events.run_failed()
         if not self._may_run_again() or not self._stream.allows_another_run:
             self._cause = cause
             self._end_without_engine()
@@ -532,9 +516,9 @@
         self._retry(cause)
 
     def _resume_after_last_event(self) -> None:
-        self._framer.discard_remainder()
-        if self._framer.last_id is not None:
-            self.call.last_event_id = self._framer.last_id
+        self._events.discard_remainder()
+        if self._events.last_id is not None:
+            self.call.last_event_id = self._events.last_id
 
     # Completion
 
@@ -542,19 +526,15 @@
         """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
         assert self._ticket is not None
-        output = bytes(self._output)
-        self._output.clear()
+        output = self._events.take_output()
         self._waiting_output.hold(len(output))
-        self._ticket.completed(output, self._framer.events, self)
+        self._ticket.completed(output, self._events.events, self)
 
     def durable(self) -> None:
         """Relay the end of the stream."""
         if self._phase is not Phase.COMPLETING:
             return
-        self._relay_head()
-        remainder = self._framer.remainder()
-        if remainder:
-            self._reply.write(remainder)
+        self._events.relay_end()
         self._end()
         self._served(self._status)
         self._learn_duration()
@@ -612,7 +592,7 @@
         if self._ticket is None or self._phase is Phase.COMPLETING:
             return
         if self._log.runs or self._run is not None:
-            self._ticket.interrupted(self._framer.events)
+            self._ticket.interrupted(self._events.events)
         else:
             self._ticket.never_ran()
 
--- /dev/null
+++ b/notcharch/calls/stream_relay.py
@@ -0,0 +1,106 @@
+"""Relays one stream to its caller: complete events only, and the head with the first."""
+
+from collections.abc import Callable
+
+from notcharch.calls.event_stream import EventFramer
+from notcharch.calls.reply import Reply
+from notcharch.http.messages import ResponseHead
+
+
+class StreamRelay:
+    """The stream of one call, from the data of its runs to the reply."""
+
+    def __init__(
+        self, reply: Reply, write: Callable[[bytes], None], *, keeps_output: bool
+    ) -> None:
+        """Pass events on by `write`; keep them for `take_output` if they are stored."""
+        self._reply = reply
+        self._write = write
+        self._keeps_output = keeps_output
+        self._framer = EventFramer()
+        self._output = bytearray()
+        self._pending_head: ResponseHead | None = None
+        """Head of a stream that has no complete event yet.
+
+        It is relayed with the first event: until then the call can still end in an error
+        response instead of an aborted connection.
+        """
+        self.is_begun = False
+        """Whether the head was relayed to the caller."""
+
+    # The runs
+
+    def run_started(self, head: ResponseHead) -> None:
+        """Hold the head of a run, unless an earlier run's head was relayed."""
+        if not self.is_begun:
+            self._pending_head = head
+
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of a run was relayed or is held."""
+        return self.is_begun or self._pending_head is not None
+
+    def feed(self, data: bytes) -> bytes:
+        """Add data of a run; return the events that are now complete."""
+        return self._framer.feed(data)
+
+    def run_failed(self) -> None:
+        """Discard the head of a run that completed no event."""
+        self._pending_head = None
+
+    def discard_remainder(self) -> None:
+        """Discard an incomplete event before another run."""
+        self._framer.discard_remainder()
+
+    @property
+    def events(self) -> int:
+        """Number of complete events so far."""
+        return self._framer.events
+
+    @property
+    def last_id(self) -> bytes | None:
+        """Id of the last complete event that had one."""
+        return self._framer.last_id
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes after the last complete event."""
+        return len(self._framer.remainder())
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the data so far ends inside an event."""
+        return self._framer.is_inside_event
+
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes are held to be stored, or as an unfinished event."""
+        return len(self._output) + self.unfinished_bytes
+
+    # The caller
+
+    def relay(self, events: bytes) -> None:
+        """Relay complete events, after the head."""
+        self._relay_head()
+        if self._keeps_output:
+            self._output += events
+        self._write(events)
+
+    def take_output(self) -> bytes:
+        """Return all events that are to be stored, and hold them no longer."""
+        output = bytes(self._output)
+        self._output.clear()
+        return output
+
+    def relay_end(self) -> None:
+        """Relay what follows the last event of a complete stream."""
+        self._relay_head()
+        remainder = self._framer.remainder()
+        if remainder:
+            self._reply.write(remainder)
+
+    def _relay_head(self) -> None:
+        head, self._pending_head = self._pending_head, None
+        if head is not None:
+            self.is_begun = True
+            self._reply.begin(head)
