--- a/notcharch/calls/event_stream.py
+++ b/notcharch/calls/event_stream.py
@@ -14,6 +14,7 @@
 LINE_ENDS = b"\r\n"
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 _ANY_EVENT_END = re.compile(_LINE_END + _LINE_END)
+_LF_EVENT_END = re.compile(EVENT_END)
 
 
 class EventFramer:
@@ -92,10 +93,32 @@
 
 
 def _count_events(complete: bytes) -> int:
+    if b"\r" not in complete:
+        return complete.count(EVENT_END)
     blocks = _ANY_EVENT_END.split(complete)
     return sum(bool(block.strip(LINE_ENDS)) for block in blocks)
 
 
+def split_events(complete: bytes) -> list[bytes]:
+    """Return complete events one by one, as many as a framer counted.
+
+    Empty lines before an event are part of it, and those after the last one of the last.
+    """
+    has_returns = b"\r" in complete
+    event_end = _ANY_EVENT_END if has_returns else _LF_EVENT_END
+    ends: list[int] = []
+    block_start = 0
+    for match in event_end.finditer(complete):
+        block = complete[block_start : match.start()]
+        if not has_returns or block.strip(LINE_ENDS):
+            ends.append(match.end())
+        block_start = match.end()
+    if not ends:
+        return []
+    ends[-1] = len(complete)
+    return [complete[start:end] for start, end in zip([0, *ends], ends, strict=False)]
+
+
 def data_lines(output: bytes) -> bytes:
     """Return the data of all events of a stream, each followed by a line feed."""
     parts: list[bytes] = []
