A call asks its owner for more tokens before its grant is used up

Cause: the events of a call that is granted in parts would wait for good.

While a turn is stored nothing more is asked for. A turn that the log refuses is charged for the events that were relayed.

--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
+from notcharch.accounts.call_grant import CallGrant
 from notcharch.accounts.messages import (
     AdmitTurn,
     FindTurn,
@@ -76,6 +77,14 @@
         self.transcript = CollectedTranscript(cache, self.program, chain_end)
         """The text of the turns before the call, as far as it has arrived."""
         self._is_completed = False
+        self._grant = CallGrant(
+            owners,
+            call,
+            self.partition,
+            program=self.program,
+            call_id=self.call_id,
+            log_unanswered=self.log_unanswered,
+        )
         self._unanswered: set[str] = set()
         """Operations already logged as unanswered."""
         self._engine = ""
@@ -99,6 +108,7 @@
             suspicions=suspicions,
             page_bytes=PAGE_BYTES,
             turn_bytes=max(len(call.body), 1) if self._route.stores_turns else 0,
+            event_tokens=call.tokens_per_event,
         )
 
     def find_message(self, partition: int, *, must_be_certain: bool) -> FindTurn:
@@ -127,8 +137,12 @@
         return True
 
     def on_admitted(self, reply: TurnAdmitted) -> bool:
-        """Take the first page of the chain; False if the turns before it are unknown."""
+        """Take the grant and the first page of the chain.
+
+        Return False if the turns before the page are unknown.
+        """
         self.cached_engine = reply.home
+        self._grant.begin(reply.granted_tokens)
         if not self.transcript.turn:
             return True
         last = reply.last or self.transcript.turn
@@ -178,18 +192,24 @@
 
     @property
     def granted_events(self) -> int | None:
-        """All events: the owner is not asked for parts yet."""
-        return None
+        """How many events the owner granted; None if it granted them all."""
+        return self._grant.events
 
     def watch_grant(self, grown: Callable[[], None]) -> None:
-        """Ignore the listener: everything is granted."""
+        """Call `grown` whenever the owner has granted more."""
+        self._grant.watch(grown)
 
     def relayed(self, events: int, waiting: int) -> None:
-        """Ignore the events."""
+        """Ask the owner for more if the grant is nearly used."""
+        self._grant.relayed(events, waiting)
 
     def engine_started(self, engine_id: str) -> None:
-        """Record the engine, which has the program's prefix cache."""
+        """Record the engine, which has the program's prefix cache.
+
+        It sends events from now on: a grant of few events is raised before they are used.
+        """
         self._engine = engine_id
+        self._grant.request_if_needed()
 
     def never_ran(self) -> None:
         """Release the reserved tokens."""
@@ -200,6 +220,7 @@
         self._report_usage(events)
 
     def _report_usage(self, events: int) -> None:
+        self._grant.close()
         if not self._is_completed:
             self._is_completed = True
             self._settle(events * self.call.tokens_per_event)
@@ -220,7 +241,13 @@
             completion.durable()
             return
         self._is_completed = True
-        self._store_turn(output, events, completion)
+        self._grant.stop_requests()
+        stored = self._store_turn(output, events, completion)
+        stored.addBoth(self._close_grant)
+
+    def _close_grant(self, result: Any) -> Any:
+        self._grant.close()
+        return result
 
     @inlineCallbacks
     def _store_turn(
@@ -243,7 +270,7 @@
             response = yield self._owners.send_request(self.partition, parts[0])
             if isinstance(response, TurnNotStorable):
                 emit(TurnRefusedByLog(call.id, call.program, len(call.body), len(data)))
-                self._settle(message.tokens)
+                self._settle((events - self._grant.waiting) * call.tokens_per_event)
                 completion.not_durable()
                 return
             if not isinstance(response, TurnIsKept):
--- a/notcharch/accounts/metrics.py
+++ b/notcharch/accounts/metrics.py
@@ -61,3 +61,8 @@
     " settled by the end of a call, given back as a history proved whole",
     ["change"],
 )
+GRANT_WAIT_SECONDS = Histogram(
+    "notcharch_account_grant_wait_seconds",
+    "Waits of streams for their next granted tokens",
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2),
+)
