Calls with a grant are freed when they end

Change: the relay and the grant let go of their listeners at the end of the call; what no owner decided is logged by an object that both the account and the grant use. The relay also reports what was relayed to the ticket, and the sizes of calls have a module of their own, so that the lifecycle does not grow.

Unit tests of calls, grants and the memory budget, linter and mypy.

--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -17,16 +17,15 @@
     TurnIsKept,
     TurnNotStorable,
 )
-from notcharch.accounts.metrics import UNANSWERED
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.transcript_reader import CollectedTranscript
 from notcharch.accounts.turn_parts import split_turn
 from notcharch.accounts.turns import PAGE_BYTES, TranscriptPage, Turn, TurnCache
+from notcharch.accounts.unanswered_log import UnansweredLog
 from notcharch.calls.event_stream import data_lines
 from notcharch.calls.interface import Completion, OpaqueCall, Route
 from notcharch.events.accounts import (
     HistoryTooLong,
-    OwnerUnanswered,
     TurnAdopted,
     TurnDenied,
     TurnRefusedByLog,
@@ -77,16 +76,15 @@
         self.transcript = CollectedTranscript(cache, self.program, chain_end)
         """The text of the turns before the call, as far as it has arrived."""
         self._is_completed = False
+        self._unanswered = UnansweredLog(owners, call, self.partition)
         self._grant = CallGrant(
             owners,
             call,
             self.partition,
             program=self.program,
             call_id=self.call_id,
-            log_unanswered=self.log_unanswered,
+            log=self._unanswered,
         )
-        self._unanswered: set[str] = set()
-        """Operations already logged as unanswered."""
         self._engine = ""
         self.cached_engine = ""
         """The engine that ran the program's last call, as reported by the owner."""
@@ -156,26 +154,8 @@
     # Log events
 
     def log_unanswered(self, operation: str) -> None:
-        """Log once per operation that no owner has decided yet."""
-        if operation in self._unanswered:
-            return
-        self._unanswered.add(operation)
-        UNANSWERED.inc()
-        directory = self._owners.directory
-        owner = directory.owner(self.partition)
-        emit(
-            OwnerUnanswered(
-                request=self.call.id,
-                program=self.call.program,
-                partition=self.partition,
-                owner=owner.member_id() if owner is not None else "",
-                view_age_seconds=round(directory.age_seconds, 3),
-                waited_seconds=round(
-                    self._owners.clock.seconds() - self.call.arrived, 3
-                ),
-                question=operation,
-            )
-        )
+        """Log once per operation that no owner has decided it yet."""
+        self._unanswered.unanswered(operation)
 
     def log_adoption(self, *, is_found: bool) -> None:
         """Log the result of a search for a turn in all partitions."""
--- a/notcharch/accounts/call_grant.py
+++ b/notcharch/accounts/call_grant.py
@@ -8,6 +8,7 @@
 from notcharch.accounts.messages import WHOLE_CALL, GrantRaised, RaiseGrant
 from notcharch.accounts.owner_requests import OwnerRequests
 from notcharch.accounts.request_retry import RETRY_INTERVAL_SECONDS
+from notcharch.accounts.unanswered_log import UnansweredLog
 from notcharch.calls.interface import OpaqueCall
 from notcharch.wire.messages.base import Message
 
@@ -35,6 +36,10 @@
     return min((events + 1) * call.tokens_per_event, call.max_tokens)
 
 
+def _do_nothing() -> None:
+    """Stand for the listener of a call that is over."""
+
+
 class CallGrant:
     """Asks the owner for more before the grant is used up, one request at a time."""
 
@@ -46,24 +51,23 @@
         *,
         program: str,
         call_id: str,
-        log_unanswered: Callable[[str], None],
+        log: UnansweredLog,
     ) -> None:
         """Start with a grant of the whole call.
 
-        `program` and `call_id` are prefixed with the tenant; `log_unanswered` logs a
-        request that no owner decided.
+        `program` and `call_id` are prefixed with the tenant.
         """
         self._owners = owners
         self._call = call
         self._partition = partition
         self._program = program
         self._call_id = call_id
-        self._log_unanswered = log_unanswered
+        self._log = log
         self._granted_tokens = WHOLE_CALL
         self._relayed = 0
         self.waiting = 0
         """Number of events that wait."""
-        self._grown: Callable[[], None] = lambda: None
+        self._grown: Callable[[], None] = _do_nothing
         self._is_request_open = False
         self._retry: IDelayedCall | None = None
         self._may_request = True
@@ -103,9 +107,10 @@
             self._retry = None
 
     def close(self) -> None:
-        """End with the call."""
+        """End with the call, and let go of its listener."""
         self.stop_requests()
         self._is_closed = True
+        self._grown = _do_nothing
         self._wait.close()
 
     def request_if_needed(self) -> None:
@@ -140,7 +145,7 @@
         if self._is_closed:
             return
         if not isinstance(reply, GrantRaised):
-            self._log_unanswered(OPERATION)
+            self._log.unanswered(OPERATION)
             self._request_later()
         elif self._raise_to(reply.granted_tokens):
             self._grown()
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IDelayedCall
 
 from notcharch.calls.call_log import CallLog
+from notcharch.calls.call_memory import SMALL_CALL_BYTES, call_bytes
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.engine_selection import Selection
 from notcharch.calls.interface import (
@@ -34,12 +35,6 @@
 from notcharch.scheduling.engine_routing import CallRouting
 from notcharch.values.memory_pool import HeldPart
 
-CALL_BYTES = 12 * 1024
-"""Memory of a call under way besides its head and body, with its engine's connection."""
-SMALL_CALL_BYTES = 32 * 1024
-"""A call of this size, with its body of up to 16 KB or so, may use the calls' reserve."""
-RESERVED_CALLS_BYTES = 1024 * 1024
-"""What small calls have beside the pool: room for 32 of the largest of them."""
 MIN_SEND_SECONDS = 0.02
 """A call with less time before its deadline is not sent."""
 MAX_SENDS = 4
@@ -62,11 +57,6 @@
 TOO_MUCH_HELD = "the events that wait for a grant take too much memory"
 
 
-def call_bytes(call: OpaqueCall) -> int:
-    """Return how much memory a call takes from its start to its end, about."""
-    return CALL_BYTES + call.head.memory_bytes + len(call.body)
-
-
 class Phase(enum.Enum):
     """The phase of a call."""
 
@@ -110,7 +100,6 @@
         """True once a long answer is relayed as it comes."""
         self._status = 0
         """Status of the last complete response."""
-        self._events = StreamRelay(reply, self._relay, keeps_output=route.stores_turns)
         self._cause = ""
         """Why the last run failed."""
         self._is_caller_behind = False
@@ -120,6 +109,13 @@
         )
         self.timer = CallTimer(services.clock, route.name, services.stop)
         self._log = CallLog(services.clock, call, route)
+        self._events = StreamRelay(
+            reply,
+            self._relay,
+            self._log,
+            self._waiting_output,
+            keeps_output=route.stores_turns,
+        )
         self._guard = services.quarantine.attempt(call)
         self._stream = StreamVersion(services.origins, call, route, service, self._log)
         wait = route.timeout_seconds
@@ -242,8 +238,7 @@
         self._body = body
         self._phase = Phase.AT_ENGINE
         self._log.admitted()
-        ticket.watch_grant(self._grant_grown)
-        self._events.grant(ticket.granted_events)
+        self._events.admit(ticket)
         if self._services.urgency is not None:
             self._services.urgency.admitted(
                 self.call, self._route, self._service, self._cached_engine
@@ -388,34 +383,12 @@
     def run_data_received(self, data: bytes) -> bool:
         """Relay complete events that are granted; return whether any were complete."""
         complete_events = self._events.feed(data)
-        self._log.unfinished_bytes = self._events.unfinished_bytes
         if complete_events:
             if not self._log.events_received and self._run is not None:
                 self._stream.began(self._run, self._seconds_left)
-            self._log.events_received = self._events.events
             self._events.relay(complete_events)
-            self._report_relayed()
         return bool(complete_events)
 
-    def _report_relayed(self) -> None:
-        """Report how many events were relayed, and count those that wait for a grant."""
-        if self._phase is Phase.OVER or self._ticket is None:
-            return
-        relayed = self._events.relayed
-        if relayed != self._log.events:
-            self._log.events_relayed(relayed)
-        self._waiting_output.hold_ungranted(self._events.waiting_bytes)
-        self._ticket.relayed(relayed, self._events.waiting)
-
-    def _grant_grown(self) -> None:
-        """Relay the events that waited for the grant, and end a stream that has ended."""
-        if self._phase is Phase.OVER or self._ticket is None:
-            return
-        self._events.grant(self._ticket.granted_events)
-        self._report_relayed()
-        if self._phase is Phase.AWAITING_GRANT and not self._events.waiting:
-            self._complete_stream()
-
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
         self._is_body_relayed = True
@@ -549,10 +522,11 @@
 
         The durable record of a turn counts all of its events.
         """
-        if self._events.waiting and not self._route.stores_turns:
-            self._phase = Phase.AWAITING_GRANT
-        else:
+        if self._route.stores_turns:
             self._complete_stream()
+        else:
+            self._phase = Phase.AWAITING_GRANT
+            self._events.when_all_granted(self._complete_stream)
 
     def _complete_stream(self) -> None:
         """Make the outcome durable; the end of the stream is relayed afterwards."""
@@ -567,7 +541,6 @@
         if self._phase is not Phase.COMPLETING:
             return
         self._events.relay_end()
-        self._report_relayed()
         self._end()
         self._served(self._status)
         self._learn_duration()
@@ -643,6 +616,7 @@
     def _end(self) -> None:
         self._phase = Phase.OVER
         self._held.close()
+        self._events.close()
         self._waiting_output.release()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/notcharch/calls/stream_relay.py
+++ b/notcharch/calls/stream_relay.py
@@ -2,25 +2,44 @@
 
 from collections.abc import Callable
 
+from notcharch.calls.call_log import CallLog
 from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.grant_gate import GrantGate
+from notcharch.calls.interface import Ticket
 from notcharch.calls.reply import Reply
+from notcharch.calls.waiting_output import WaitingOutput
 from notcharch.http.messages import ResponseHead
 
 
+def _ignore(events: bytes) -> None:
+    """Stand for the caller of a stream that is over."""
+
+
 class StreamRelay:
     """The stream of one call, from the data of its runs to the reply."""
 
     def __init__(
-        self, reply: Reply, write: Callable[[bytes], None], *, keeps_output: bool
+        self,
+        reply: Reply,
+        write: Callable[[bytes], None],
+        log: CallLog,
+        waiting_output: WaitingOutput,
+        *,
+        keeps_output: bool,
     ) -> None:
         """Pass events on by `write`; keep them for `take_output` if they are stored.
 
-        Nothing is relayed before `grant` is called.
+        Events that wait are counted in `waiting_output`. Nothing is relayed before `admit`.
         """
         self._reply = reply
         self._write = write
+        self._log = log
+        self._waiting_output = waiting_output
         self._keeps_output = keeps_output
+        self._ticket: Ticket | None = None
+        """The ticket of the call; None before its admission and after its end."""
+        self._all_granted: Callable[[], None] | None = None
+        """What waits until no event does."""
         self._framer = EventFramer()
         self._gate = GrantGate(0)
         self._output = bytearray()
@@ -33,6 +52,17 @@
         self.is_begun = False
         """Whether the head was relayed to the caller."""
 
+    def admit(self, ticket: Ticket) -> None:
+        """Relay within the grant of a ticket."""
+        self._ticket = ticket
+        ticket.watch_grant(self._grant_grown)
+        self._gate.grant(ticket.granted_events)
+
+    def close(self) -> None:
+        """Relay nothing any more, and let go of the call: it is freed with its body."""
+        self._ticket = self._all_granted = None
+        self._write = _ignore
+
     # The runs
 
     def run_started(self, head: ResponseHead) -> None:
@@ -47,7 +77,9 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add data of a run; return the events that are now complete."""
-        return self._framer.feed(data)
+        complete_events = self._framer.feed(data)
+        self._log.unfinished_bytes = self.unfinished_bytes
+        return complete_events
 
     def run_failed(self) -> None:
         """Discard the head of the run, unless an event was completed."""
@@ -90,26 +122,40 @@
         """Number of events that were relayed so far."""
         return self._gate.relayed
 
-    @property
-    def waiting(self) -> int:
-        """Number of events that wait for a grant."""
-        return self._gate.waiting
-
-    @property
-    def waiting_bytes(self) -> int:
-        """Memory of the events that wait for a grant."""
-        return self._gate.held_bytes
-
     def relay(self, events: bytes) -> None:
         """Relay those of further complete events that are granted; the others wait."""
         if self._keeps_output:
             self._output += events
-        further = self.events - self.relayed - self.waiting
-        self._relay_passed(self._gate.add(events, further))
-
-    def grant(self, events: int | None) -> None:
-        """Relay the events that waited for a grant of so many in total, or of all."""
-        self._relay_passed(self._gate.grant(events))
+        gate = self._gate
+        self._log.events_received = self.events
+        further = self.events - gate.relayed - gate.waiting
+        self._relay_passed(gate.add(events, further))
+        self._report()
+
+    def _grant_grown(self) -> None:
+        """Relay events that waited for the grant."""
+        if self._ticket is None:
+            return
+        self._relay_passed(self._gate.grant(self._ticket.granted_events))
+        self._report()
+        if self._all_granted is not None:
+            self.when_all_granted(self._all_granted)
+
+    def _report(self) -> None:
+        """Report what was relayed, and count the events that wait."""
+        gate = self._gate
+        if self._ticket is None:
+            return
+        if gate.relayed != self._log.events:
+            self._log.events_relayed(gate.relayed)
+        self._waiting_output.hold_ungranted(gate.held_bytes)
+        self._ticket.relayed(gate.relayed, gate.waiting)
+
+    def when_all_granted(self, then: Callable[[], None]) -> None:
+        """Call `then` once no event waits for a grant; not after `close`."""
+        self._all_granted = then if self._gate.waiting else None
+        if not self._gate.waiting:
+            then()
 
     def _relay_passed(self, events: bytes) -> None:
         if events:
@@ -129,6 +175,7 @@
         remainder = self._framer.remainder()
         if remainder:
             self._reply.write(remainder)
+        self._report()
 
     def _relay_head(self) -> None:
         head, self._pending_head = self._pending_head, None
--- a/notcharch/platform/memory_budget.py
+++ b/notcharch/platform/memory_budget.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from notcharch.accounts.turns import TURN_CACHE_BYTES
-from notcharch.calls.call_lifecycle import RESERVED_CALLS_BYTES
+from notcharch.calls.call_memory import RESERVED_CALLS_BYTES
 from notcharch.calls.engine_sender import IDLE_BYTES, MAX_IDLE_TOTAL
 from notcharch.events.feed_faults import MAX_REMEMBERED_PARTS
 from notcharch.events.output import MOST_BYTES
--- a/notcharch/platform/process_memory.py
+++ b/notcharch/platform/process_memory.py
@@ -6,7 +6,7 @@
 
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.turns import TurnCache
-from notcharch.calls.call_lifecycle import (
+from notcharch.calls.call_memory import (
     CALL_BYTES,
     RESERVED_CALLS_BYTES,
     SMALL_CALL_BYTES,
--- a/tests/unit/accounts/test_call_grant.py
+++ b/tests/unit/accounts/test_call_grant.py
@@ -1,5 +1,8 @@
 """What a gateway asks of the owner while a call that is granted in parts runs."""
 
+import gc
+import weakref
+
 import pytest
 
 from notcharch.accounts.call_grant import PREFETCH_EVENTS
@@ -272,3 +275,26 @@
     call.clock.advance(10.0)
     assert lines.names == ["GrantAwaited"]
     assert waits() - before == pytest.approx(0.2)
+
+
+@pytest.fixture
+def no_collector():
+    gc.disable()
+    yield
+    gc.enable()
+
+
+@pytest.mark.usefixtures("no_collector")
+@pytest.mark.parametrize("is_admitted", [True, False])
+def test_an_account_is_freed_with_its_call_and_not_by_the_collector(is_admitted):
+    """A cycle with the grant keeps the bodies of ended and of refused calls."""
+    call = GrantedCall(GRANTED)
+    if is_admitted:
+        call.relayed(6, waiting=1)
+        call.account.interrupted(6)
+        call.owner.open.clear()
+    else:
+        call.account.watch_grant(int)  # a call that is not admitted has no listener
+    ended = weakref.ref(call.account)
+    del call
+    assert ended() is None
--- a/tests/unit/calls/test_call_memory.py
+++ b/tests/unit/calls/test_call_memory.py
@@ -4,7 +4,7 @@
 the smallest machine: only bodies that are still being read were counted.
 """
 
-from notcharch.calls.call_lifecycle import CALL_BYTES, RESERVED_CALLS_BYTES
+from notcharch.calls.call_memory import CALL_BYTES, RESERVED_CALLS_BYTES
 from notcharch.calls.interface import NO_MEMORY
 from notcharch.calls.waiting_output import STORED_COPIES
 from notcharch.http.buffered_bytes import BufferedBytes
--- a/tests/unit/http/test_small_chunks.py
+++ b/tests/unit/http/test_small_chunks.py
@@ -9,7 +9,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.calls.call_lifecycle import SMALL_CALL_BYTES
+from notcharch.calls.call_memory import SMALL_CALL_BYTES
 from notcharch.calls.held_answer import HeldAnswer
 from notcharch.http.bounded_body import BoundedBody, ServerKind
 from notcharch.http.buffered_bytes import BufferedBytes
--- a/tests/unit/platform/test_memory_budget.py
+++ b/tests/unit/platform/test_memory_budget.py
@@ -11,7 +11,7 @@
 from notcharch.accounts.ledger import PROGRAM_BYTES, Ledger
 from notcharch.accounts.records import TurnKept, decode, encode
 from notcharch.accounts.turns import TURN_BYTES
-from notcharch.calls.call_lifecycle import CALL_BYTES, SMALL_CALL_BYTES
+from notcharch.calls.call_memory import CALL_BYTES, SMALL_CALL_BYTES
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.list_log import EngineListLog
 from notcharch.http.connection_room import MIN_CALLERS_CONNECTIONS
--- a/tests/unit/platform/test_unread_requests.py
+++ b/tests/unit/platform/test_unread_requests.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from notcharch.calls.call_lifecycle import CALL_BYTES, SMALL_CALL_BYTES
+from notcharch.calls.call_memory import CALL_BYTES, SMALL_CALL_BYTES
 from notcharch.events.calls import RequestNotRead
 from notcharch.http.exchange import Uploads
 from notcharch.http.request_room import WAITING_BYTES, RequestRoom
