Events beyond the grant wait at the gateway

Cause: a caller got each event at once, so a lost gateway left events relayed of which no owner knew, up to the call's maximum.

Change: the relay of a stream passes events on within the ticket's grant. The head goes with the first event that is relayed. A stream that has ended waits for its last events' grant, or for the record of its turn, which counts them. A call that is cut is charged for what was relayed. A resumed stream goes on after the last event that was received. Events that wait count among the answers that are held, and the call that holds most is given up above the bound. A call that is cut before its head was relayed ends in 502; when its turn was not stored in time or a planned stop ended it meanwhile, its connection was closed without a response. Tickets of tests have the new members.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -59,6 +59,7 @@
 NOT_GENUINE = "unauthenticated success response"
 SERVER_ERROR = "engine error"
 NOT_DURABLE = "the outcome was not durable before the deadline"
+TOO_MUCH_HELD = "the events that wait for a grant take too much memory"
 
 
 def call_bytes(call: OpaqueCall) -> int:
@@ -71,6 +72,8 @@
 
     ADMISSION = "admission"
     AT_ENGINE = "at engine"
+    AWAITING_GRANT = "waiting for a grant"
+    """The stream has ended, and its last events are not granted yet."""
     COMPLETING = "settling"
     OVER = "over"
 
@@ -113,7 +116,7 @@
         self._is_caller_behind = False
         self._held = held or HeldPart(services.held, SMALL_CALL_BYTES)
         self._waiting_output = WaitingOutput(
-            services.answers, services.clock, self.not_durable
+            services.answers, services.clock, self._give_up_output
         )
         self.timer = CallTimer(services.clock, route.name, services.stop)
         self._log = CallLog(services.clock, call, route)
@@ -212,10 +215,7 @@
             )
             return
         stop.log_cut(self.call, self._route, self.timer.seconds or 0.0)
-        if self._is_relaying or self._phase is Phase.COMPLETING:
-            self._interrupt(CUT_BY_STOP)
-        else:
-            self._refuse(msgspec.structs.replace(MAY_HAVE_RUN, reason=CUT_BY_STOP))
+        self._cut(CUT_BY_STOP)
 
     # Admission
 
@@ -242,6 +242,8 @@
         self._body = body
         self._phase = Phase.AT_ENGINE
         self._log.admitted()
+        ticket.watch_grant(self._grant_grown)
+        self._events.grant(ticket.granted_events)
         if self._services.urgency is not None:
             self._services.urgency.admitted(
                 self.call, self._route, self._service, self._cached_engine
@@ -384,16 +386,36 @@
         self._events.run_started(head)
 
     def run_data_received(self, data: bytes) -> bool:
-        """Relay complete events; return whether there were any."""
+        """Relay complete events that are granted; return whether any were complete."""
         complete_events = self._events.feed(data)
         self._log.unfinished_bytes = self._events.unfinished_bytes
         if complete_events:
-            if not self._log.events and self._run is not None:
+            if not self._log.events_received and self._run is not None:
                 self._stream.began(self._run, self._seconds_left)
-            self._log.events_relayed(self._events.events)
+            self._log.events_received = self._events.events
             self._events.relay(complete_events)
+            self._report_relayed()
         return bool(complete_events)
 
+    def _report_relayed(self) -> None:
+        """Report how many events were relayed, and count those that wait for a grant."""
+        if self._phase is Phase.OVER or self._ticket is None:
+            return
+        relayed = self._events.relayed
+        if relayed != self._log.events:
+            self._log.events_relayed(relayed)
+        self._waiting_output.hold_ungranted(self._events.waiting_bytes)
+        self._ticket.relayed(relayed, self._events.waiting)
+
+    def _grant_grown(self) -> None:
+        """Relay the events that waited for the grant, and end a stream that has ended."""
+        if self._phase is Phase.OVER or self._ticket is None:
+            return
+        self._events.grant(self._ticket.granted_events)
+        self._report_relayed()
+        if self._phase is Phase.AWAITING_GRANT and not self._events.waiting:
+            self._complete_stream()
+
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
         self._is_body_relayed = True
@@ -421,7 +443,7 @@
 
     @property
     def last_event_id(self) -> bytes | None:
-        """The id of the last event that was relayed, if it had one."""
+        """The id of the last event that was received, if it had one."""
         return self._events.last_id or self.call.last_event_id
 
     def run_unreachable(self) -> None:
@@ -458,8 +480,8 @@
         if self._is_body_relayed:
             self._complete_body()
         elif is_success and self._events.has_head:
-            self._complete_stream()
-        elif self._is_relaying or self._is_false_refusal(head.status):
+            self._stream_ended()
+        elif self._events.events or self._is_false_refusal(head.status):
             self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
         elif head.status >= SERVER_ERRORS and self._may_run_again():
             self._retry(f"{SERVER_ERROR}: {head.status}")
@@ -522,6 +544,16 @@
 
     # Completion
 
+    def _stream_ended(self) -> None:
+        """Complete the stream, once its last events are granted or stored with its turn.
+
+        The durable record of a turn counts all of its events.
+        """
+        if self._events.waiting and not self._route.stores_turns:
+            self._phase = Phase.AWAITING_GRANT
+        else:
+            self._complete_stream()
+
     def _complete_stream(self) -> None:
         """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
@@ -531,10 +563,11 @@
         self._ticket.completed(output, self._events.events, self)
 
     def durable(self) -> None:
-        """Relay the end of the stream."""
+        """Relay the end of the stream, with the events that wait for a grant."""
         if self._phase is not Phase.COMPLETING:
             return
         self._events.relay_end()
+        self._report_relayed()
         self._end()
         self._served(self._status)
         self._learn_duration()
@@ -543,7 +576,14 @@
     def not_durable(self) -> None:
         """Abort the stream: its outcome is not durable."""
         if self._phase is Phase.COMPLETING:
-            self._interrupt(NOT_DURABLE)
+            self._cut(NOT_DURABLE)
+
+    def _give_up_output(self) -> None:
+        """End a call whose output takes the most memory of all answers."""
+        if self._phase is Phase.COMPLETING:
+            self.not_durable()
+        elif self._phase is not Phase.OVER:
+            self._cut(TOO_MUCH_HELD)
 
     def _complete_body(self) -> None:
         """End a long answer that was relayed as it came."""
@@ -581,6 +621,10 @@
         self._end()
         self._reply.refuse(refusal)
 
+    def _cut(self, cause: str) -> None:
+        """End a call that may have run, before its answer is complete."""
+        self._refuse(msgspec.structs.replace(MAY_HAVE_RUN, reason=cause))
+
     def _interrupt(self, cause: str) -> None:
         self._close_ticket()
         self._log.interrupted(self._phase.value, cause)
@@ -592,7 +636,7 @@
         if self._ticket is None or self._phase is Phase.COMPLETING:
             return
         if self._log.runs or self._run is not None:
-            self._ticket.interrupted(self._events.events)
+            self._ticket.interrupted(self._events.relayed)
         else:
             self._ticket.never_ran()
 
@@ -615,6 +659,8 @@
             self._refuse(NO_ENGINE)
         elif self._phase is Phase.COMPLETING:
             self.not_durable()
+        elif self._phase is Phase.AWAITING_GRANT:
+            self._refuse(TIMED_OUT)
         elif self._phase is Phase.AT_ENGINE:
             may_have_run = bool(self._log.runs) or self._run is not None
             if may_have_run:
--- a/notcharch/calls/call_log.py
+++ b/notcharch/calls/call_log.py
@@ -52,6 +52,8 @@
         """Number of engines that may have run the call."""
         self.events = 0
         """Number of complete events relayed to the caller."""
+        self.events_received = 0
+        """Number of complete events that engines sent."""
         self.framing = ""
         """How the last answer of an engine was framed; empty if there was none."""
         self.body_bytes = 0
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -121,11 +121,14 @@
 
     @property
     def last_event_id(self) -> bytes | None:
-        """The id of the last event that was relayed, if it had one."""
+        """The id of the last event that was received, if it had one."""
 
     @property
     def held_bytes(self) -> int:
-        """How many bytes of the stream are held to be stored, or as an unfinished event."""
+        """How many bytes of the stream are held to be stored, or as an unfinished event.
+
+        Events that wait for a grant are counted by the call.
+        """
 
     def may_ask_for_rest(self) -> bool:
         """Return whether the engine may get the request again as a question."""
@@ -388,7 +391,7 @@
             self._broke_off(INSIDE_EVENT, ProcessState.DOUBTED)
         elif head.framing is not Framing.CONNECTION:
             self._complete(head)
-        elif self._is_relaying and not self._log.events:
+        elif self._is_relaying and not self._log.events_received:
             self._broke_off(BEFORE_EVENTS, ProcessState.DOUBTED)
         else:
             self._check_end(head)
--- a/notcharch/calls/stream_relay.py
+++ b/notcharch/calls/stream_relay.py
@@ -1,8 +1,9 @@
-"""Relays one stream to its caller: complete events only, and the head with the first."""
+"""Relays one stream to its caller: complete and granted events, the head with the first."""
 
 from collections.abc import Callable
 
 from notcharch.calls.event_stream import EventFramer
+from notcharch.calls.grant_gate import GrantGate
 from notcharch.calls.reply import Reply
 from notcharch.http.messages import ResponseHead
 
@@ -13,14 +14,18 @@
     def __init__(
         self, reply: Reply, write: Callable[[bytes], None], *, keeps_output: bool
     ) -> None:
-        """Pass events on by `write`; keep them for `take_output` if they are stored."""
+        """Pass events on by `write`; keep them for `take_output` if they are stored.
+
+        Nothing is relayed before `grant` is called.
+        """
         self._reply = reply
         self._write = write
         self._keeps_output = keeps_output
         self._framer = EventFramer()
+        self._gate = GrantGate(0)
         self._output = bytearray()
         self._pending_head: ResponseHead | None = None
-        """Head of a stream that has no complete event yet.
+        """Head of a stream of which no event was relayed yet.
 
         It is relayed with the first event: until then the call can still end in an error
         response instead of an aborted connection.
@@ -31,8 +36,8 @@
     # The runs
 
     def run_started(self, head: ResponseHead) -> None:
-        """Hold the head of a run, unless an earlier run's head was relayed."""
-        if not self.is_begun:
+        """Hold the head of a run, unless an earlier run completed an event."""
+        if not self.events:
             self._pending_head = head
 
     @property
@@ -45,8 +50,9 @@
         return self._framer.feed(data)
 
     def run_failed(self) -> None:
-        """Discard the head of a run that completed no event."""
-        self._pending_head = None
+        """Discard the head of the run, unless an event was completed."""
+        if not self.events:
+            self._pending_head = None
 
     def discard_remainder(self) -> None:
         """Discard an incomplete event before another run."""
@@ -54,7 +60,7 @@
 
     @property
     def events(self) -> int:
-        """Number of complete events so far."""
+        """Number of complete events that were received so far."""
         return self._framer.events
 
     @property
@@ -79,12 +85,36 @@
 
     # The caller
 
+    @property
+    def relayed(self) -> int:
+        """Number of events that were relayed so far."""
+        return self._gate.relayed
+
+    @property
+    def waiting(self) -> int:
+        """Number of events that wait for a grant."""
+        return self._gate.waiting
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Memory of the events that wait for a grant."""
+        return self._gate.held_bytes
+
     def relay(self, events: bytes) -> None:
-        """Relay complete events, after the head."""
-        self._relay_head()
+        """Relay those of further complete events that are granted; the others wait."""
         if self._keeps_output:
             self._output += events
-        self._write(events)
+        further = self.events - self.relayed - self.waiting
+        self._relay_passed(self._gate.add(events, further))
+
+    def grant(self, events: int | None) -> None:
+        """Relay the events that waited for a grant of so many in total, or of all."""
+        self._relay_passed(self._gate.grant(events))
+
+    def _relay_passed(self, events: bytes) -> None:
+        if events:
+            self._relay_head()
+            self._write(events)
 
     def take_output(self) -> bytes:
         """Return all events that are to be stored, and hold them no longer."""
@@ -93,8 +123,9 @@
         return output
 
     def relay_end(self) -> None:
-        """Relay what follows the last event of a complete stream."""
+        """Relay the events that wait, and what follows the last one."""
         self._relay_head()
+        self._relay_passed(self._gate.release())
         remainder = self._framer.remainder()
         if remainder:
             self._reply.write(remainder)
--- a/notcharch/calls/waiting_output.py
+++ b/notcharch/calls/waiting_output.py
@@ -1,4 +1,4 @@
-"""What a call holds of its output while the turn is being stored."""
+"""What a call holds of its output: events that wait for a grant, or the turn's storage."""
 
 from collections.abc import Callable
 
@@ -15,7 +15,7 @@
 
 
 class WaitingOutput:
-    """The output of one call, counted among all answers until its turn is durable."""
+    """The output of one call, counted among all answers until it is relayed."""
 
     def __init__(
         self, answers: BufferedBytes, clock: IReactorTime, give_up: Callable[[], None]
@@ -24,10 +24,22 @@
         self._answers = answers
         self._clock = clock
         self._give_up = give_up
+        self._stored_bytes = 0
+        self._ungranted_bytes = 0
 
     def hold(self, size: int) -> None:
-        """Count an output of `size` bytes."""
-        self._answers.changed(self, size * STORED_COPIES)
+        """Count an output of `size` bytes until its turn is durable."""
+        self._stored_bytes = size * STORED_COPIES
+        self._count()
+
+    def hold_ungranted(self, size: int) -> None:
+        """Count `size` bytes of events that wait for a grant."""
+        if size != self._ungranted_bytes:
+            self._ungranted_bytes = size
+            self._count()
+
+    def _count(self) -> None:
+        self._answers.changed(self, self._stored_bytes + self._ungranted_bytes)
 
     def release(self) -> None:
         """Count nothing any more, and let go of the call: it is freed with its body."""
--- a/tests/unit/calls/test_call_lifecycle.py
+++ b/tests/unit/calls/test_call_lifecycle.py
@@ -320,6 +320,13 @@
         self.listener = None
         self.cached_engine = ""
         self.engines: list[str] = []
+        self.granted_events = None
+
+    def watch_grant(self, grown):
+        pass
+
+    def relayed(self, events, waiting):
+        pass
 
     def engine_started(self, engine_id):
         self.engines.append(engine_id)
--- a/tests/unit/calls/test_call_memory.py
+++ b/tests/unit/calls/test_call_memory.py
@@ -20,6 +20,7 @@
     """An admission whose ticket never learns that a turn is durable."""
 
     cached_engine = ""
+    granted_events = None
 
     def __init__(self) -> None:
         self.output = None
@@ -30,6 +31,12 @@
         self.listener = listener
         listener.admitted(self, call.body)
 
+    def watch_grant(self, grown):
+        pass
+
+    def relayed(self, events, waiting):
+        pass
+
     def engine_started(self, engine_id):
         pass
 
--- a/tests/unit/calls/test_shared_load.py
+++ b/tests/unit/calls/test_shared_load.py
@@ -52,8 +52,15 @@
 
     def __init__(self) -> None:
         self.cached_engine = "b"
+        self.granted_events = None
         self.outcomes = []
 
+    def watch_grant(self, grown):
+        pass
+
+    def relayed(self, events, waiting):
+        pass
+
     def engine_started(self, engine_id):
         pass
 
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -17,6 +17,7 @@
     ServiceShare,
 )
 from notcharch.calls.open_admission import OpenAdmission
+from notcharch.calls.planned_stop import PlannedStop
 from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.messages import RequestHead, ResponseHead
 from notcharch.scheduling.first_response_times import OverduePolicy, RouteResponseTimes
@@ -213,6 +214,7 @@
             "is_repeatable": False,
             "timeout_seconds": 3.0,
         }
+        self.stop = PlannedStop(self.clock) if changes.pop("has_stop", False) else None
         origins = changes.pop("origins", None) or NoStreamOrigins()
         answers = changes.pop("answers", None) or BufferedBytes()
         held = changes.pop("held", None) or unbounded_holder()
@@ -240,6 +242,7 @@
             answers=answers,
             held=held,
             origins=origins,
+            stop=self.stop,
         )
         self.lifecycle = CallLifecycle(
             services, self.call, self.route, SERVICE, self.reply
--- a/tests/unit/platform/test_planned_stop.py
+++ b/tests/unit/platform/test_planned_stop.py
@@ -276,8 +276,15 @@
     """Records whether the reservation of a call was released."""
 
     cached_engine = ""
+    granted_events = None
     is_released = False
 
+    def watch_grant(self, grown) -> None:
+        pass
+
+    def relayed(self, events: int, waiting: int) -> None:
+        raise AssertionError("events of a call that did not run")
+
     def never_ran(self) -> None:
         self.is_released = True
 
