Doubted tokens are logged with their sources

Cause: 2310 tells how many tokens are doubted, not where the doubt comes from, so a refusal could not be traced to the loss behind it. Owners' lines name a request with its tenant, and explain missed them.

Change: each doubt has a source (a lost call with its gateway, a former owner's bound with its offset, the starting allowance, dropped records), few for each program. 2311 tells a doubt when it is taken, at most 20 lines a minute for each partition; 2310 names the sources; 2312 tells which gateway was taken for lost and why. `notcharch explain` prints them. No decision changes.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -29,6 +29,7 @@
 from notcharch.accounts.starting_allowance import StartingAllowance
 from notcharch.accounts.turns import StoredTurns, Turn
 from notcharch.accounts.written_record import WrittenRecord
+from notcharch.values.doubts import DoubtCause, DoubtSource
 from notcharch.values.identifiers import Member
 from notcharch.values.memory_pool import HeldPart
 
@@ -241,6 +242,7 @@
         program.doubted = self.allowance.inherited(now, self.keep_seconds).tokens(
             budget
         )
+        program.noted.add(DoubtSource(DoubtCause.ALLOWANCE, program.doubted))
         program.unproven = 0 if is_proven else max(budget - program.doubted, 0)
         program.allowance_tokens = self.allowance.current.tokens(budget)
 
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -11,6 +11,8 @@
 from notcharch.accounts.account_memory import AccountMemory
 from notcharch.accounts.allowance_renewal import AllowanceRenewer
 from notcharch.accounts.coalesced_writes import CoalescedWrites
+from notcharch.accounts.doubt_log import DoubtLog
+from notcharch.accounts.doubt_sources import bounded
 from notcharch.accounts.journal_history import JournalHistory
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.limited_tenants import NOT_OWNER, LimitContext, LimitedTenants
@@ -100,6 +102,7 @@
         self._on_fenced = on_fenced
         self._wall_clock = wall_clock
         self._ledger = Ledger(memory)
+        self._doubt_log = DoubtLog(assignment, clock.seconds)
         self._journal = PartitionJournal(
             log,
             clock,
@@ -379,6 +382,7 @@
                 under_way_tokens=program.under_way,
                 most_tokens=request.most_tokens,
                 retry_seconds=round(seconds, 3),
+                sources=bounded(program.doubt_sources()),
             )
         )
         return UsageDoubted(seconds)
@@ -401,7 +405,7 @@
     def _reserve(self, request: AdmitTurn, gateway: Member | None) -> Verdict:
         now = self._clock.seconds()
         doubt_seconds = self._history.doubt_seconds(now, self._ledger.keep_seconds)
-        return self._ledger.admit(
+        verdict = self._ledger.admit(
             request.program,
             request.call,
             request.most_tokens,
@@ -411,6 +415,9 @@
             gateway=gateway,
             is_lost=self._is_lost,
         )
+        program = self._ledger.program(request.program, now)
+        self._doubt_log.tell(request.program, program)
+        return verdict
 
     @inlineCallbacks
     def _reserve_within_bound(
--- a/notcharch/accounts/program_account.py
+++ b/notcharch/accounts/program_account.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from notcharch.accounts.doubt_sources import NotedSources
 from notcharch.accounts.records import (
     NO_DOUBT,
     AccountDoubt,
@@ -18,6 +19,7 @@
     AccountState,
     BoundRaised,
 )
+from notcharch.values.doubts import DoubtCause, DoubtSource
 from notcharch.values.identifiers import Member
 
 MAX_ABANDONED = 64
@@ -42,6 +44,11 @@
     is lost."""
 
 
+def process_name(member: Member | None) -> str:
+    """Return the name of a process for log lines; empty if it is not known."""
+    return "" if member is None else f"{member.daemon} {member.incarnation}"
+
+
 class Program:
     """The account of one program."""
 
@@ -62,6 +69,8 @@
         self.used = 0
         self.doubted = 0
         self.unproven = 0
+        self.noted = NotedSources()
+        """Where `doubted` comes from."""
         self.reserved: dict[str, Reservation] = {}
         self.abandoned: dict[str, None] = {}
         """Calls that ended before their admission here, oldest first."""
@@ -98,6 +107,19 @@
         """Whether more is counted than was certainly generated."""
         return self.committed > self.certain
 
+    def doubt_sources(self) -> tuple[DoubtSource, ...]:
+        """Return where the tokens that are not certainly used come from."""
+        calls = tuple(
+            DoubtSource(
+                DoubtCause.LOST_CALL, held.tokens, call, process_name(held.gateway)
+            )
+            for call, held in self.reserved.items()
+            if held.is_doubted
+        )
+        dropped = DoubtSource(DoubtCause.DROPPED_RECORDS, self.unproven)
+        noted = self.noted.all() if self.doubted else ()
+        return (*noted, *calls, *((dropped,) if self.unproven else ()))
+
     def limit(self, starting_tokens: int) -> int:
         """Return up to how many tokens the next owner counts, whatever it finds.
 
@@ -142,13 +164,21 @@
             if now - held.since > RESERVATION_TIMEOUT_SECONDS:
                 del self.reserved[call]
                 self.doubted += held.tokens
+                gateway = process_name(held.gateway)
+                cause = DoubtCause.LOST_CALL
+                self.noted.add(DoubtSource(cause, held.tokens, call, gateway))
             elif held.gateway is not None and is_lost(held.gateway):
-                held.is_doubted = True
+                self._doubt(held)
 
     def doubt_all_calls(self) -> None:
         """Doubt all calls in flight: an owner that knew of them was lost."""
         for reservation in self.reserved.values():
-            reservation.is_doubted = True
+            self._doubt(reservation)
+
+    def _doubt(self, held: Reservation) -> None:
+        if not held.is_doubted:
+            held.is_doubted = True
+            self.noted.is_told = False
 
     def ages(self, now: float) -> dict[str, float]:
         """Return for how long each call is in flight; doubted ones for too long."""
@@ -174,6 +204,10 @@
         self._inherit(doubt.under_way, now)
         known = self.used + self.unproven + self.under_way
         self.doubted = max(state.bound_tokens - known, 0)
+        source = DoubtSource(DoubtCause.FORMER_BOUND, self.doubted, offset=offset)
+        self.noted.replace(source)
+        if self.is_doubted:
+            self.noted.is_told = False
         self.bound = state.bound_tokens
 
     def replay_handover(
@@ -185,6 +219,8 @@
         self.doubted = record.doubted_tokens
         if record.is_doubted and not record.doubted_tokens:
             self.used, self.doubted = 0, record.used_tokens
+        source = DoubtSource(DoubtCause.HANDED_OVER, self.doubted, offset=offset)
+        self.noted.replace(source)
         self.unproven = record.unproven_tokens
         self.reserved = {
             call: Reservation(tokens, now - record.ages.get(call, 0.0))
--- a/notcharch/events/accounts.py
+++ b/notcharch/events/accounts.py
@@ -3,6 +3,7 @@
 from typing import ClassVar
 
 from notcharch.events.event import Event
+from notcharch.values.doubts import DoubtSource
 
 
 class PartitionTakenOver(Event, frozen=True):
@@ -118,3 +119,29 @@
     under_way_tokens: int
     most_tokens: int
     retry_seconds: float
+    sources: tuple[DoubtSource, ...] = ()
+    """Where the doubted and the unproven tokens come from."""
+
+
+class DoubtTaken(Event, frozen=True):
+    """An owner counts tokens of a program that were not certainly generated."""
+
+    number: ClassVar[int] = 2311
+    program: str
+    partition: int
+    epoch: int
+    tokens: int
+    sources: tuple[DoubtSource, ...]
+    omitted_lines: int
+    """Lines of further programs that were left out before this one."""
+
+
+class GatewayLost(Event, frozen=True):
+    """An owner doubts the calls of a process."""
+
+    number: ClassVar[int] = 2312
+    daemon: str
+    incarnation: int
+    cause: str
+    newest_incarnation: int | None = None
+    """The other process of the daemon that was heard."""
--- a/notcharch/explain/explanation.py
+++ b/notcharch/explain/explanation.py
@@ -6,6 +6,7 @@
 
 from notcharch.events.accounts import (
     BudgetRefused,
+    GatewayLost,
     OwnerUnanswered,
     PartitionGivenUp,
     PartitionTakenOver,
@@ -47,10 +48,12 @@
     ZonesDrained,
 )
 from notcharch.events.tenants import KeysUnsure, LimitReached
+from notcharch.explain.doubts import doubt_cause, doubt_lines
 from notcharch.explain.ended_engines import ended_engines
 from notcharch.explain.log_lines import LogLine
 from notcharch.explain.planned_stops import stop_cause
 from notcharch.values.framing import Framing
+from notcharch.values.scoping import SEPARATOR
 
 PAUSE_TOLD_SECONDS = 1.5
 """A pause is told so much after its end at the latest."""
@@ -104,7 +107,7 @@
 
 def explain(request: str, lines: Sequence[LogLine]) -> Explanation:
     """Find a request's lines, what happened around them, and the cause."""
-    own = tuple(line for line in lines if line.text("request") == request)
+    own = tuple(line for line in lines if _names(line, request))
     if not own:
         return Explanation(request, (), (), _without_lines(lines), False)
     context = _context(own, lines)
@@ -112,6 +115,12 @@
     return Explanation(request, own, context, cause, is_explained)
 
 
+def _names(line: LogLine, request: str) -> bool:
+    """Return whether a line is of a request; owners know it with its tenant."""
+    name = line.text("request")
+    return name == request or name.endswith(f"{SEPARATOR}{request}")
+
+
 def _without_lines(lines: Sequence[LogLine]) -> str:
     reasons = [
         "no daemon read it whole",
@@ -144,7 +153,7 @@
             continue
         if line.machine in machines or line.text("partition") in partitions - {""}:
             found.append(line)
-    return (*_drains(own, lines), *found)
+    return (*_drains(own, lines), *doubt_lines(own, lines), *found)
 
 
 def _drains(own: Sequence[LogLine], lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
@@ -361,6 +370,9 @@
                 f"{needs}; the caller was told to retry after "
                 f"{line.text('retry_after_seconds')} s"
             )
+    doubt = doubt_cause(own)
+    if doubt:
+        return f"{doubt}{_troubles(context)}"
     resumed = [line for line in own if line.number == StreamTakenUp.number]
     if any(not line.text("version") for line in resumed):
         return f"{end.text('reason')}{_versions(own)}{_troubles(context)}"
@@ -460,6 +472,11 @@
     return f"got no engine loads from {line.text('tracker')} ({line.text('cause')})"
 
 
+def _gateway_lost(line: LogLine) -> str:
+    process = f"{line.text('daemon')} {line.text('incarnation')}"
+    return f"took {process} for lost ({line.text('cause')})"
+
+
 TROUBLES: dict[int, Callable[[LogLine], str]] = {
     ZonesDrained.number: _zones_drained,
     DependencyLost.number: _dependency_lost,
@@ -469,6 +486,7 @@
         f"took over partition {line.text('partition')}"
     ),
     KeysUnsure.number: _keys_unsure,
+    GatewayLost.number: _gateway_lost,
     LoadTrackerSilent.number: _tracker_silent,
     ProcessPaused.number: lambda line: f"stood still for {line.text('seconds')} s",
     ProcessStarted.number: lambda _: "started",
--- a/notcharch/tenants/scope.py
+++ b/notcharch/tenants/scope.py
@@ -4,9 +4,7 @@
 apart, so that no tenant uses the budget of another or reads its history.
 """
 
-SEPARATOR = "\x1f"
-"""Unit separator. Request heads with control characters in names are rejected, so
-callers can't forge scoped names."""
+from notcharch.values.scoping import SEPARATOR
 
 
 def scoped_name(tenant: str, name: str) -> str:
