An ended call lets go of its stream's relay and its grant

Cause: the relay of a stream and the grant of a call held methods of the call, in cycles that kept the bodies of ended calls until the collector came round.

Change: both let go of the call at its end.

--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -83,7 +83,6 @@
             self.partition,
             program=self.program,
             call_id=self.call_id,
-            log_unanswered=self.log_unanswered,
         )
         self._unanswered: set[str] = set()
         """Operations already logged as unanswered."""
@@ -142,7 +141,7 @@
         Return False if the turns before the page are unknown.
         """
         self.cached_engine = reply.home
-        self._grant.begin(reply.granted_tokens)
+        self._grant.begin(reply.granted_tokens, self.log_unanswered)
         if not self.transcript.turn:
             return True
         last = reply.last or self.transcript.turn
--- a/notcharch/accounts/call_grant.py
+++ b/notcharch/accounts/call_grant.py
@@ -35,6 +35,14 @@
     return min((events + 1) * call.tokens_per_event, call.max_tokens)
 
 
+def _ignore_growth() -> None:
+    pass
+
+
+def _ignore_operation(_: str) -> None:
+    pass
+
+
 class CallGrant:
     """Asks the owner for more before the grant is used up, one request at a time."""
 
@@ -46,24 +54,22 @@
         *,
         program: str,
         call_id: str,
-        log_unanswered: Callable[[str], None],
     ) -> None:
         """Start with a grant of the whole call.
 
-        `program` and `call_id` are prefixed with the tenant; `log_unanswered` logs a
-        request that no owner decided.
+        `program` and `call_id` are prefixed with the tenant.
         """
         self._owners = owners
         self._call = call
         self._partition = partition
         self._program = program
         self._call_id = call_id
-        self._log_unanswered = log_unanswered
+        self._log_unanswered: Callable[[str], None] = _ignore_operation
         self._granted_tokens = WHOLE_CALL
         self._relayed = 0
         self.waiting = 0
         """Number of events that wait."""
-        self._grown: Callable[[], None] = lambda: None
+        self._grown: Callable[[], None] = _ignore_growth
         self._is_request_open = False
         self._retry: IDelayedCall | None = None
         self._may_request = True
@@ -75,9 +81,13 @@
         """How many events may be relayed; None if there is no limit."""
         return granted_events(self._granted_tokens, self._call)
 
-    def begin(self, granted_tokens: int) -> None:
-        """Start with the grant of the admission."""
+    def begin(self, granted_tokens: int, log_unanswered: Callable[[str], None]) -> None:
+        """Start with the grant of the admission.
+
+        `log_unanswered` logs a request that no owner decided.
+        """
         self._granted_tokens = granted_tokens
+        self._log_unanswered = log_unanswered
 
     def watch(self, grown: Callable[[], None]) -> None:
         """Call `grown` whenever `events` has grown."""
@@ -103,10 +113,12 @@
             self._retry = None
 
     def close(self) -> None:
-        """End with the call."""
+        """End with the call, and let go of it: it is freed with its body."""
         self.stop_requests()
         self._is_closed = True
         self._wait.close()
+        self._grown = _ignore_growth
+        self._log_unanswered = _ignore_operation
 
     def request_if_needed(self) -> None:
         """Ask for more if little is left, unless a request or its retry is pending."""
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -643,6 +643,7 @@
     def _end(self) -> None:
         self._phase = Phase.OVER
         self._held.close()
+        self._events.close()
         self._waiting_output.release()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/notcharch/calls/stream_relay.py
+++ b/notcharch/calls/stream_relay.py
@@ -8,6 +8,10 @@
 from notcharch.http.messages import ResponseHead
 
 
+def _discard(_: bytes) -> None:
+    pass
+
+
 class StreamRelay:
     """The stream of one call, from the data of its runs to the reply."""
 
@@ -130,6 +134,10 @@
         if remainder:
             self._reply.write(remainder)
 
+    def close(self) -> None:
+        """Relay nothing any more, and let go of the call: it is freed with its body."""
+        self._write = _discard
+
     def _relay_head(self) -> None:
         head, self._pending_head = self._pending_head, None
         if head is not None:
