--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -154,7 +154,7 @@
     # Log events
 
     def log_unanswered(self, operation: str) -> None:
-        """Log once per operation that no owner has decided it yet."""
+        """Log, once per operation, that no owner has decided it yet."""
         self._unanswered.unanswered(operation)
 
     def log_adoption(self, *, is_found: bool) -> None:
