Streams that are granted whole do without reports

Cause: each event of a stream without a limit was reported to its ticket and counted among those that wait.

Change: while everything is granted, the relay does neither.

--- a/notcharch/calls/grant_gate.py
+++ b/notcharch/calls/grant_gate.py
@@ -17,22 +17,26 @@
     def __init__(self, granted: int | None) -> None:
         """Let `granted` events pass; all of them if it is None."""
         self._granted = granted
-        self._waiting: deque[bytes] = deque()
+        self._held: deque[bytes] = deque()
+        self.waiting = 0
+        """Number of events that wait."""
         self.relayed = 0
         """Number of events that passed."""
         self.held_bytes = 0
         """Memory of the events that wait."""
 
     @property
-    def waiting(self) -> int:
-        """Number of events that wait."""
-        return len(self._waiting)
+    def is_open(self) -> bool:
+        """Whether all events are granted."""
+        return self._granted is None
 
     def add(self, data: bytes, events: int) -> bytes:
         """Add complete events; return those that pass, as the same object if all do."""
-        if not self._waiting and self._fits(events):
-            self.relayed += events
-            return data
+        if not self.waiting:
+            relayed = self.relayed + events
+            if self._granted is None or relayed <= self._granted:
+                self.relayed = relayed
+                return data
         self._hold(data)
         return self._take(self._free_events())
 
@@ -44,29 +48,28 @@
 
     def release(self) -> bytes:
         """Return all events that wait, whatever is granted."""
-        return self._take(len(self._waiting))
-
-    def _fits(self, events: int) -> bool:
-        return self._granted is None or self.relayed + events <= self._granted
+        return self._take(self.waiting)
 
     def _free_events(self) -> int:
         """Return how many of the events that wait may pass."""
         if self._granted is None:
-            return len(self._waiting)
-        return min(len(self._waiting), max(self._granted - self.relayed, 0))
+            return self.waiting
+        return min(self.waiting, max(self._granted - self.relayed, 0))
 
     def _hold(self, data: bytes) -> None:
         events = split_events(data)
         if events:
-            self._waiting.extend(events)
+            self._held.extend(events)
         else:
-            self._waiting[-1] += data
+            self._held[-1] += data
+        self.waiting = len(self._held)
         self.held_bytes += len(data) + len(events) * HELD_EVENT_BYTES
 
     def _take(self, count: int) -> bytes:
         if not count:
             return b""
-        taken = b"".join([self._waiting.popleft() for _ in range(count)])
+        taken = b"".join([self._held.popleft() for _ in range(count)])
         self.relayed += count
+        self.waiting -= count
         self.held_bytes -= len(taken) + count * HELD_EVENT_BYTES
         return taken
--- a/notcharch/calls/interface.py
+++ b/notcharch/calls/interface.py
@@ -386,7 +386,10 @@
         """Call `grown` whenever `granted_events` has grown."""
 
     def relayed(self, events: int, waiting: int) -> None:
-        """Note how many events were relayed in total, and how many wait for a grant."""
+        """Note how many events were relayed in total, and how many wait for a grant.
+
+        Not called while all events are granted.
+        """
 
     def engine_started(self, engine_id: str) -> None:
         """Record the engine that runs the call."""
--- a/notcharch/calls/stream_relay.py
+++ b/notcharch/calls/stream_relay.py
@@ -78,7 +78,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add data of a run; return the events that are now complete."""
         complete_events = self._framer.feed(data)
-        self._log.unfinished_bytes = self.unfinished_bytes
+        self._log.unfinished_bytes = len(self._framer.remainder())
         return complete_events
 
     def run_failed(self) -> None:
@@ -127,10 +127,13 @@
         if self._keeps_output:
             self._output += events
         gate = self._gate
-        self._log.events_received = self.events
-        further = self.events - gate.relayed - gate.waiting
+        received = self._log.events_received = self._framer.events
+        further = received - gate.relayed - gate.waiting
         self._relay_passed(gate.add(events, further))
-        self._report()
+        if gate.is_open:
+            self._log.events_relayed(gate.relayed)
+        else:
+            self._report()
 
     def _grant_grown(self) -> None:
         """Relay events that waited for the grant."""
@@ -159,7 +162,8 @@
 
     def _relay_passed(self, events: bytes) -> None:
         if events:
-            self._relay_head()
+            if self._pending_head is not None:
+                self._relay_head()
             self._write(events)
 
     def take_output(self) -> bytes:
