Soak: contracts, slots, event intervals and budgets are parameters of its parts

Cause: the parts of the soak fix the settings of its daemons, the size of its engines and the budget of its programs, so no other play of real daemons can use them.

Change: SoakDaemon takes its contracts, SoakEngine its slots and the seconds between two events, Oracle the tokens that a program may be given; configuration.route and oracle.is_doubted are public. The defaults are those of before.

--- a/deploy/soak/configuration.py
+++ b/deploy/soak/configuration.py
@@ -37,15 +37,15 @@
 def configuration(version: int, tenants: Tenants) -> bytes:
     """Give a version of the whole configuration."""
     routes = [
-        _route("plain", PLAIN_PATH, "streaming", MODELS, resumable=True),
-        _route("kept", KEPT_PATH, "streaming", MODELS, retains_transcripts=True),
-        _route("safe", SAFE_PATH, "idempotent", TOOLS),
-        _route("write", WRITE_PATH, "non_idempotent", TOOLS),
-        _route("long", LONG_PATH, "non_idempotent", SLOW, **LONG_TIME),
-        _route(
+        route("plain", PLAIN_PATH, "streaming", MODELS, resumable=True),
+        route("kept", KEPT_PATH, "streaming", MODELS, retains_transcripts=True),
+        route("safe", SAFE_PATH, "idempotent", TOOLS),
+        route("write", WRITE_PATH, "non_idempotent", TOOLS),
+        route("long", LONG_PATH, "non_idempotent", SLOW, **LONG_TIME),
+        route(
             "longstream", LONG_STREAM_PATH, "streaming", SLOW, **LONG_TIME, **RESUMABLE
         ),
-        _route("home", HOME_PATH, "idempotent", TOOLS, allowed_regions=[HOME_REGION]),
+        route("home", HOME_PATH, "idempotent", TOOLS, allowed_regions=[HOME_REGION]),
     ]
     services = [
         {
@@ -67,9 +67,10 @@
     return msgspec.json.encode(whole)
 
 
-def _route(
+def route(
     name: str, path: str, kind: str, service: str, **more: object
 ) -> dict[str, Any]:
+    """Give a route as the operator writes it."""
     return {
         "name": name,
         "host": HOST_NAME,
--- a/deploy/soak/daemons.py
+++ b/deploy/soak/daemons.py
@@ -33,6 +33,8 @@
 
 MEMORY_MEGABYTES = 128
 MILLISECONDS = 1000
+ALL_CONTRACTS = "base,tenants,quota,pressure"
+"""Switch on the reserve of limits and early refusals in outages."""
 PEER_PORTS = 3
 """Ports of the range at which a daemon may listen for its peers."""
 TRACEBACK = "Traceback (most recent call last)"
@@ -50,6 +52,7 @@
         *,
         peers: list[int] | None = None,
         log_retention: float = LOG_RETENTIONS[-1],
+        contracts: str = ALL_CONTRACTS,
     ) -> None:
         """Write its settings file; nothing runs yet.
 
@@ -57,6 +60,7 @@
         The store keeps records for `log_retention` seconds.
         """
         self._log_retention = log_retention
+        self._contracts = contracts
         self.name = name
         self.store = store
         self.front, self.readiness, self.metrics = (
@@ -94,8 +98,7 @@
             "platform.parts": PARTITIONS,
             "platform.record_bytes": LogLimits().record_bytes,
             "platform.call_bytes": LogLimits().call_bytes,
-            # Switches on the reserve of limits and early refusals in outages.
-            "contracts": "base,tenants,quota,pressure",
+            "contracts": self._contracts,
             "limits.memory_mb": MEMORY_MEGABYTES,
             "platform.retention_s": f"{self._log_retention:g}",
             "bounds.grace_period_s": GRACE_SECONDS,
--- a/deploy/soak/engine_server.py
+++ b/deploy/soak/engine_server.py
@@ -115,8 +115,15 @@
         service: str,
         *,
         number: int,
+        slots: int | None = None,
+        event_seconds: float = EVENT_SECONDS,
     ) -> None:
-        """Listen, behind a proxy, and be listed in the store."""
+        """Listen, behind a proxy, and be listed in the store.
+
+        Without `slots` it has those of its service; `event_seconds` lie between events.
+        """
+        self._slots = slots or (SLOTS_OF_SLOW if service == SLOW else SLOTS)
+        self.event_seconds = event_seconds
         self._reactor = reactor
         self._random = random
         self._oracle = oracle
@@ -162,7 +169,7 @@
                 self._service,
                 f"{HOST}:{self.link.port}",
                 self.zone,
-                SLOTS_OF_SLOW if self._service == SLOW else SLOTS,
+                self._slots,
                 state,
                 self._cold_milliseconds(),
                 self._beats,
@@ -401,7 +408,7 @@
     def _event_seconds(self) -> float:
         """Between two events: a long stream takes as long as its body says."""
         if not self._long_seconds:
-            return EVENT_SECONDS
+            return self._engine.event_seconds
         return self._long_seconds / self._engine.length_of(self._stream)
 
     @property
--- a/deploy/soak/oracle.py
+++ b/deploy/soak/oracle.py
@@ -64,7 +64,8 @@
     return bool(is_over) and not asked.lost_by_caller and not is_deadly
 
 
-def _is_doubted(asked: Asked) -> bool:
+def is_doubted(asked: Asked) -> bool:
+    """Return whether a request was refused for doubt about its program's budget."""
     reason = USAGE_UNKNOWN.reason.encode()
     return asked.status == USAGE_UNKNOWN.status and reason in asked.body
 
@@ -79,9 +80,18 @@
 class Oracle:
     """Collects what was seen; says at the end what was wrong."""
 
-    def __init__(self, tenants: Tenants | None = None) -> None:
-        """Begin with nothing seen; `tenants` tell which keys were in force when."""
+    def __init__(
+        self,
+        tenants: Tenants | None = None,
+        *,
+        allowed_tokens: int = BUDGET_TOKENS + MOST_TOKENS,
+    ) -> None:
+        """Begin with nothing seen; `tenants` tell which keys were in force when.
+
+        Callers of a program may get `allowed_tokens`, its budget and the most of one turn.
+        """
         self._tenants = tenants
+        self._allowed_tokens = allowed_tokens
         self.asked: dict[str, Asked] = {}
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.drains = Drains()
@@ -268,9 +278,9 @@
         spent: dict[str, int] = defaultdict(int)
         for asked in self.asked.values():
             spent[asked.program] += TOKENS_PER_EVENT * len(asked.events)
-        allowed = BUDGET_TOKENS + MOST_TOKENS
+        allowed = self._allowed_tokens
         return [
-            Violation("BUDGET", program, f"{tokens} of {BUDGET_TOKENS} tokens")
+            Violation("BUDGET", program, f"{tokens} tokens, {allowed} allowed")
             for program, tokens in spent.items()
             if program and tokens > allowed
         ]
@@ -332,7 +342,7 @@
         They carry the time to come back; an owner of their program was lost.
         """
         return sum(
-            _counts_in_calm(a, at) and a.is_whole and _is_doubted(a)
+            _counts_in_calm(a, at) and a.is_whole and is_doubted(a)
             for a in self.asked.values()
         )
 
