Owners: members tell whether they leave their group

Cause: a daemon that stops can't tell whether a member is left that takes its partitions over and doesn't stop itself.

Change: the reply about owners has a new field, is_leaving, which older builds leave out and ignore.

--- a/notcharch/journal/owner_directory.py
+++ b/notcharch/journal/owner_directory.py
@@ -1,6 +1,6 @@
 """The owners of partitions, as the log service last returned them here or to a peer."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from random import Random
 from typing import Any
 
@@ -57,9 +57,12 @@
         partitioning: Partitioning,
         requests_peer_views: bool = False,
         recovery: RecoverySignal | None = None,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         """Start with an empty view.
 
+        `is_leaving` returns what peers are told: whether this daemon takes no partitions over.
+
         `recovery` knows of outages of the log service, in which refreshes are rare.
 
         With `requests_peer_views`, a peer's view is requested while the log service
@@ -86,6 +89,7 @@
         self._has_failed = False
         """Whether the last request to the log service failed."""
         self._faults = FeedFaults(group)
+        self._is_leaving = is_leaving
         self._requests_peer_views = requests_peer_views
         self._is_requesting_peer = False
         if requests_peer_views:
@@ -219,7 +223,7 @@
 
     async def _reply_to_peer(self, sender: Member, message: Message) -> Message:
         owners = {number: owner.member_id() for number, owner in self._owners.items()}
-        return OwnersSeen(self.age_seconds, owners)
+        return OwnersSeen(self.age_seconds, owners, self._is_leaving())
 
     def _update_owners(self, owners: dict[int, OwnerName]) -> None:
         if owners and owners != self._owners:
--- a/notcharch/journal/owner_messages.py
+++ b/notcharch/journal/owner_messages.py
@@ -17,3 +17,6 @@
     """Age of the view."""
     owners: dict[int, str]
     """The member id of each partition's owner."""
+    is_leaving: bool = False
+    """Whether the replying daemon leaves the group or holds no lease, so that it takes no
+    partitions over; older builds don't tell."""
