Planned stop: partitions are kept while no daemon stays to take them

Cause: at SIGTERM each daemon handed its partitions over and left its group at once, also to daemons that stopped as well, and the last one to nobody. Calls that ended afterwards found no owner that could store their turns; new calls of the last accepted connections got 503.

Change: a daemon releases its partitions as soon as a member that it asks stays. While none does, it keeps and serves them until its own calls have ended or the last 0.9 s of the grace period begin. A daemon whose calls run although the group has no member joins it again.

--- a/notcharch/accounts/account_group.py
+++ b/notcharch/accounts/account_group.py
@@ -20,8 +20,10 @@
 from notcharch.journal.owner_directory import OwnerDirectory
 from notcharch.journal.owner_names import OwnerName
 from notcharch.journal.partitioning import Partitioning
+from notcharch.journal.planned_leave import LeaveTerms, Owners, PlannedLeave
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.renewal import RenewalSchedule
+from notcharch.journal.staying_members import MembersAsked, StayingMembers
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
 from notcharch.settings.mechanisms import Mechanism
 from notcharch.tenants.interface import Tenant
@@ -104,6 +106,13 @@
             partitioning=role.partitioning,
             requests_peer_views=Mechanism.PEER_VIEWS in mechanisms,
             recovery=services.recovery,
+            is_leaving=lambda: self._is_leaving or not self._member.is_lease_valid,
+        )
+        self._log = services.log
+        self._clock = services.clock
+        self._is_leaving = False
+        self._staying_members = StayingMembers(
+            services.random, network, self.directory, role.name
         )
         self._owned_partitions = OwnedPartitions(
             services.log,
@@ -177,13 +186,47 @@
             self._member.start()
         self.directory.start()
 
-    def leave(self) -> "Deferred[Any]":
+    def leave(self, terms: LeaveTerms | None = None) -> "Deferred[Any]":
         """Release all partitions; continue to send requests to other owners.
 
-        Fires when the log service has confirmed it, or didn't.
+        Without terms they are released at once; else while this daemon's calls need
+        owners and no other member stays, they are kept. Fires when the log service has
+        confirmed the release, or didn't.
         """
         if not self._role.is_member:
             return succeed(None)
+        self._is_leaving = True
+        if terms is None:
+            return self.release()
+        return PlannedLeave(self._clock, self._role.name, self, terms).begin()
+
+    # Called by `PlannedLeave`
+
+    @property
+    def is_lease_valid(self) -> bool:
+        """Whether no other member can own the partitions assigned to this one."""
+        return self._member.is_lease_valid
+
+    @property
+    def partition_count(self) -> int:
+        """Number of owned partitions."""
+        return self._owned_partitions.count
+
+    def release(self) -> "Deferred[Any]":
+        """Hand all partitions over, and leave the group; fires when it is done."""
         self._member.stop()
         released = self._owned_partitions.release_all()
         return released.addBoth(lambda _: self._member.leave())
+
+    def rejoin(self) -> None:
+        """Join the group again."""
+        self._owned_partitions.start()
+        self._member.start()
+
+    def ask_members(self) -> "Deferred[MembersAsked]":
+        """Ask other members whether they stay."""
+        return self._staying_members.ask()
+
+    def read_owners(self) -> "Deferred[Owners]":
+        """Read the owners of the group's partitions from the log service."""
+        return self._log.owners(self._role.name)
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -124,6 +124,11 @@
             is_lost=self._gateways.is_lost,
         )
 
+    @property
+    def count(self) -> int:
+        """Number of partitions that are owned or being taken over."""
+        return len(self._partitions.all())
+
     def release_all(self) -> "Deferred[Any]":
         """Release all partitions; fires when all accounts are handed over."""
         if self._cleanup.running:
--- a/notcharch/accounts/resident_accounts.py
+++ b/notcharch/accounts/resident_accounts.py
@@ -21,6 +21,7 @@
     Route,
 )
 from notcharch.calls.refusals import refusal_without_engine
+from notcharch.journal.planned_leave import LeaveTerms
 from notcharch.tenants.scope import scoped_name
 
 
@@ -93,8 +94,8 @@
         else:
             group.admission.request(call, route, listener)
 
-    def leave(self) -> "Deferred[Any]":
-        """Leave all groups; fires when all are left."""
+    def leave(self, terms: LeaveTerms | None = None) -> "Deferred[Any]":
+        """Leave all groups as `AccountGroup.leave` does; fires when all are left."""
         self._has_left = True
-        leaving = [group.leave() for group in self._groups.values()]
+        leaving = [group.leave(terms) for group in self._groups.values()]
         return DeferredList(leaving, consumeErrors=True)
--- a/notcharch/accounts/service.py
+++ b/notcharch/accounts/service.py
@@ -26,6 +26,7 @@
 from notcharch.http.reactor import TimedReactor
 from notcharch.journal.interface import LogService
 from notcharch.journal.partitioning import partitioning_for_topics
+from notcharch.journal.planned_leave import LeaveTerms
 from notcharch.journal.recovery_signal import RecoverySignal
 from notcharch.journal.renewal import USUAL_ABSENCE_SECONDS, renewal_schedule
 from notcharch.scheduling.shared_suspicions import SharedSuspicions
@@ -194,13 +195,14 @@
         """Join the group of all daemons and start tracking the owners."""
         self._default_group.start()
 
-    def leave(self) -> "Deferred[Any]":
+    def leave(self, terms: LeaveTerms | None = None) -> "Deferred[Any]":
         """Release all partitions; continue to send requests to other owners.
 
-        Fires when the log service has confirmed it, or didn't.
+        With terms, partitions that no other daemon takes over are kept while the calls of
+        this daemon need them, without them all are released at once. Fires when the log service has confirmed it, or didn't.
         """
         return DeferredList(
-            [self._default_group.leave(), self._regional_accounts.leave()],
+            [self._default_group.leave(terms), self._regional_accounts.leave(terms)],
             consumeErrors=True,
         )
 
--- a/notcharch/events/journal.py
+++ b/notcharch/events/journal.py
@@ -33,3 +33,32 @@
     entry_bytes: int
     record_bytes: int
     """The refused record, a part of the entry; 0 if no record can hold any of it."""
+
+
+class PartitionsKept(Event, frozen=True):
+    """A daemon that stops keeps its partitions for its calls: no member asked stays."""
+
+    number: ClassVar[int] = 2503
+    group: str
+    partitions: int
+    asked_members: int
+    """Other members that were asked, a few of those known; 0 if none is known."""
+
+
+class PartitionsReleased(Event, frozen=True):
+    """A daemon that stops hands its partitions over and leaves the group."""
+
+    number: ClassVar[int] = 2504
+    group: str
+    partitions: int
+    cause: str
+    kept_seconds: float
+    """Since the stop, or since it joined again."""
+
+
+class GroupRejoined(Event, frozen=True):
+    """A daemon that stops joined its group again: its calls run and no member was left."""
+
+    number: ClassVar[int] = 2505
+    group: str
+    seconds_since_stop: float
--- a/notcharch/journal/metrics.py
+++ b/notcharch/journal/metrics.py
@@ -16,6 +16,15 @@
 OUTAGE_SECONDS = Counter(
     "notcharch_journal_outage_seconds", "Duration of the outages that are over"
 )
+KEPT_RELEASES = Counter(
+    "notcharch_journal_stop_released_partitions",
+    "Partitions that were released in planned stops, by the cause",
+    ["cause"],
+)
+REJOINS = Counter(
+    "notcharch_journal_stop_rejoins",
+    "Groups joined again in planned stops, as calls ran and no member was left",
+)
 OWNERS_AGE_SECONDS = Gauge(
     "notcharch_journal_owners_age_seconds",
     "Age of the view of a group's owners",
--- a/notcharch/platform/planned_stop.py
+++ b/notcharch/platform/planned_stop.py
@@ -20,6 +20,7 @@
 from notcharch.http.drain import Drain, DrainTimes
 from notcharch.http.listening_port import close_listening_port
 from notcharch.http.server import ServerFactory
+from notcharch.journal.planned_leave import LeaveTerms
 from notcharch.platform.ingress import Ingress
 
 STOP_ACCEPT_SECONDS = 2.6
@@ -29,7 +30,8 @@
 EXIT_SECONDS = 0.4
 """Reserved at the end of the grace period for the last log lines and the exit."""
 MAX_LEAVE_SECONDS = 0.5
-"""Longest wait of a stop without callers for the release of the daemon's partitions.
+"""Longest wait for the release of the daemon's partitions; the end of the grace period
+reserves it.
 
 Partitions that are not released have no owner until a lease has expired.
 """
@@ -47,6 +49,11 @@
     )
 
 
+def release_seconds(times: DrainTimes) -> float:
+    """Return after which part of a stop partitions are released in any case."""
+    return max(times.max_seconds - MAX_LEAVE_SECONDS, 0.0)
+
+
 class ProcessStop:
     """Drives the stop of one process; `begin` has an effect once."""
 
@@ -66,6 +73,8 @@
         self._factory = factory
         self._front_port: IListeningPort | None = None
         self._is_leaving = False
+        self._calls_ended: Deferred[None] = Deferred()
+        """Fires when no call runs and none can come: no owner of an account is needed."""
         self._finish: Callable[[int, float], None] = lambda *_: None
 
     def begin(
@@ -73,11 +82,12 @@
         grace_seconds: float,
         front_port: IListeningPort | None,
         finish: Callable[[int, float], None],
-        left: "Deferred[Any]",
+        leave: Callable[[LeaveTerms], "Deferred[Any]"],
     ) -> None:
         """Start; `finish` is called with the requests in flight and the duration.
 
-        `left` fires when the partitions of this daemon are released.
+        `leave` begins to release the partitions of this daemon; its result fires when they
+        are released.
 
         Nobody is served without an open port, or before the first table: it ends at once.
         """
@@ -91,8 +101,8 @@
             times = DrainTimes(0.0, times.cut_seconds, times.max_seconds)
         self._calls.begin(times.cut_seconds)
         self._is_leaving = True
-        left.addBoth(lambda _: self._left())
-        self._clock.callLater(MAX_LEAVE_SECONDS, self._left)
+        terms = LeaveTerms(self._calls_ended, release_seconds(times), MAX_LEAVE_SECONDS)
+        leave(terms).addBoth(lambda _: self._left())
         Drain(self._clock, self, times).begin()
 
     def _left(self) -> None:
@@ -115,8 +125,13 @@
             close_listening_port(self._front_port)
 
     def close_idle(self) -> None:
-        """Close the callers' connections on which nothing of a request was received."""
+        """Close the callers' connections on which nothing of a request was received.
+
+        Without connections no call needs an owner of an account any more.
+        """
         self._factory.close_idle()
+        if not self._factory.open_connections and not self._calls_ended.called:
+            self._calls_ended.callback(None)
 
     def cut(self) -> None:
         """Cut the calls that run, and refuse the others."""
--- a/notcharch/platform/process.py
+++ b/notcharch/platform/process.py
@@ -29,6 +29,7 @@
 from notcharch.events.stop_steps import isolated
 from notcharch.http.requester import Requester
 from notcharch.http.server import ServerFactory
+from notcharch.journal.planned_leave import LeaveTerms
 from notcharch.platform.awaited_settings import AwaitedSettings
 from notcharch.platform.components import Components, Surroundings
 from notcharch.platform.life import BEFORE_PORTS, ENDED, LifeState
@@ -310,18 +311,21 @@
             self._settings.grace_seconds,
             self._listeners.front_port,
             self._stopped,
-            self._leave_group(),
+            self._leave_group,
         )
 
-    def _leave_group(self) -> "Deferred[Any]":
-        """Release all partitions; a defect there must not keep the process."""
+    def _leave_group(self, terms: LeaveTerms | None = None) -> "Deferred[Any]":
+        """Release all partitions, at once unless `terms` tell that calls need them.
+
+        A defect there must not keep the process.
+        """
         components = self._components
         if components is None:
             return succeed(None)
         left: Deferred[Any] = Deferred()
         if not isolated(
             "leave the group",
-            lambda: components.accounts.leave().chainDeferred(left),
+            lambda: components.accounts.leave(terms).chainDeferred(left),
         ):
             left.callback(None)
         return left
