Owners grant tokens to calls in parts

Cause: a call that is lost with its gateway and owner stayed doubted at its maximum, and the starting allowance was doubted as half of a budget or more. Two such losses refused a program for good, though a program may exceed its budget by one call.

A lost call counts what it relayed as used and the rest of its grant as doubted. Records tell grants at their end, so older builds read them and count the maximum. Bounds ahead cover half of the slack. The starting allowance is a share of the call's maximum (500, then 750 thousandths) instead of the budget: it fits programs of any budget, needs no knowledge of other calls, and an older build counts no less of it. Older records are honoured. A whole turn is stored only while the budget has room for what its former grant does not cover.

--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -10,12 +10,17 @@
 import enum
 from collections.abc import Callable
 
+import msgspec
+
 from notcharch.accounts.account_memory import AccountMemory
+from notcharch.accounts.grants import first_grant, half_of, raised_grant
+from notcharch.accounts.messages import RaiseGrant
 from notcharch.accounts.metrics import DOUBTED_TOKENS
 from notcharch.accounts.program_account import (
     RESERVATION_TIMEOUT_SECONDS,
     Program,
     Reservation,
+    grants_of,
 )
 from notcharch.accounts.records import (
     AccountHandedOver,
@@ -23,6 +28,7 @@
     AllowanceGiven,
     AnyRecord,
     BoundRaised,
+    CallGrant,
     TurnKept,
     compact,
 )
@@ -33,20 +39,9 @@
 from notcharch.values.identifiers import Member
 from notcharch.values.memory_pool import HeldPart
 
-PREALLOCATED_CALLS = 2
-"""Number of calls that each raise of a bound covers."""
-
-PREALLOCATED_BUDGET_DIVISOR = 3
-"""A raise covers at least the budget divided by this.
-
-A large step lets a program continue while the log rejects appends. The next owner doubts
-what the program did not use of it, so a program of which that happened gets no more than
-its calls need.
-"""
-
 CALLS_WITH_ROOM = 3
-"""The record of a turn lets its program run a next call only while the budget has room for
-so many: a next owner doubts that call, which a program near its end can't afford."""
+"""The record of a turn lets its program run a next call of a gateway of an older build only
+while the budget has room for so many: such a call is granted, and doubted, as a whole."""
 
 REWRITE_BYTES = 4 * 1024 * 1024
 """Turns that are written again at once: a fifth of a second of a partition's appends."""
@@ -110,6 +105,7 @@
         ends = [
             reservation.since + RESERVATION_TIMEOUT_SECONDS - now
             for reservation in program.reserved.values()
+            if not reservation.is_doubted
         ]
         return max(min(ends, default=UNKNOWN_RETRY_SECONDS), MIN_RETRY_SECONDS)
 
@@ -177,9 +173,7 @@
     def _account_record(
         self, name: str, program: Program, now: float, written_at: int
     ) -> AccountHandedOver:
-        in_flight = {
-            call: reservation.tokens for call, reservation in program.reserved.items()
-        }
+        in_flight = {call: held.tokens for call, held in program.reserved.items()}
         return AccountHandedOver(
             name,
             program.used,
@@ -190,6 +184,7 @@
             program.doubted,
             program.unproven,
             program.ages(now),
+            grants_of(program.reserved),
         )
 
     # Budgets
@@ -205,61 +200,152 @@
         is_proven: bool = True,
         gateway: Member | None = None,
         is_lost: Callable[[Member], bool] = lambda _: False,
+        event_tokens: int = 0,
+        takes_less: bool = False,
     ) -> Verdict:
-        """Reserve the tokens of a gateway's call within the durable bound.
+        """Reserve the tokens of a gateway's call, and grant a part within the durable bound.
 
-        NEEDS_BOUND reserves nothing: the caller raises the bound and calls again.
-        `is_proven` is False while records of the program may have been lost; `is_lost`
+        NEEDS_BOUND reserves nothing: the caller raises the bound and calls again, with
+        `takes_less`, which takes a smaller grant if the bound has no more. `is_proven` is False while records of the program may have been lost; `is_lost`
         returns whether a gateway is.
         """
         program = self.program(name, now)
         if call in program.abandoned:
             return Verdict.GIVEN_UP
-        if call in program.reserved:
-            program.reserved[call] = Reservation(max_tokens, now, gateway)
-            return Verdict.ADMITTED
         program.doubt_calls(now, is_lost)
-        if budget is not None:
-            self.allowance.observe_call(max_tokens)
-            program.budget = budget
-            self._initialize(program, budget, now, is_proven=is_proven)
-            verdict = self._check_budget(program, max_tokens, budget, now)
-            if verdict is not Verdict.ADMITTED:
-                return verdict
-        program.reserved[call] = Reservation(max_tokens, now, gateway)
-        return Verdict.ADMITTED
+        asked = Reservation(
+            max_tokens, now, max_tokens, event_tokens=event_tokens, gateway=gateway
+        )
+        if budget is None:
+            program.reserved[call] = asked
+            return Verdict.ADMITTED
+        program.budget = budget
+        self._initialize(program, budget, max_tokens, now, is_proven=is_proven)
+        former = program.reserved.pop(call, None)
+        verdict = self._check_budget(program, asked, former, now, takes_less=takes_less)
+        if verdict is Verdict.ADMITTED:
+            program.reserved[call] = asked
+        elif former is not None:
+            program.reserved[call] = former
+        return verdict
+
+    def granted(self, name: str, call: str) -> int:
+        """Return the tokens that a call which was let in may relay."""
+        return self._programs[name].reserved[call].granted
 
     def _initialize(
-        self, program: Program, budget: int, now: float, *, is_proven: bool
+        self,
+        program: Program,
+        budget: int,
+        max_tokens: int,
+        now: float,
+        *,
+        is_proven: bool,
     ) -> None:
         """Apply what a program without a record may have used with earlier owners."""
         if is_proven:
             DOUBTED_TOKENS.labels("given back").inc(program.unproven)
             program.unproven = 0
         if program.is_initialized:
+            self._count_larger_call(program, budget, max_tokens)
             return
         program.is_initialized = True
-        program.doubted = self.allowance.inherited(now, self.keep_seconds).tokens(
-            budget
-        )
+        program.inherited = self.allowance.inherited(now, self.keep_seconds)
+        program.first_tokens = max_tokens
+        program.doubted = program.inherited.tokens(budget, max_tokens)
         program.noted.add(DoubtSource(DoubtCause.ALLOWANCE, program.doubted))
         program.unproven = 0 if is_proven else max(budget - program.doubted, 0)
-        program.allowance_tokens = self.allowance.current.tokens(budget)
+        program.allowance_tokens = self.allowance.current.tokens(budget, max_tokens)
+
+    @staticmethod
+    def _count_larger_call(program: Program, budget: int, max_tokens: int) -> None:
+        """Count that a program may have begun with a call as large as this one."""
+        if max_tokens <= program.first_tokens:
+            return
+        tokens = program.inherited.tokens
+        more = tokens(budget, max_tokens) - tokens(budget, program.first_tokens)
+        program.first_tokens = max_tokens
+        program.doubted += more
+        program.noted.add(DoubtSource(DoubtCause.ALLOWANCE, more))
 
     def _check_budget(
-        self, program: Program, max_tokens: int, budget: int, now: float
+        self,
+        program: Program,
+        asked: Reservation,
+        former: Reservation | None,
+        now: float,
+        *,
+        takes_less: bool,
     ) -> Verdict:
-        """Compare a call with its program's budget, then with its durable bound.
+        """Compare a call with its program's budget, then its grant with the durable bound.
 
         Only a program whose usage is doubted may exceed its budget, by at most one call.
+        The grant is noted in `asked`; it is no smaller than that of the call's `former`
+        admission.
         """
-        if program.certain + max_tokens > budget:
+        if program.certain + asked.tokens > program.budget:
             return Verdict.SPENT
-        total = program.committed + max_tokens
-        if total > budget + max_tokens:
+        if program.committed > program.budget:
             return Verdict.DOUBTED
+        asked.granted = _planned_grant(program, asked, former)
+        if former is not None:
+            asked.relayed = former.relayed
+        least = former.granted if former is not None else 0
+        least = max(least, asked.event_tokens or asked.tokens)
+        room = self._durable_room(program, now)
+        if takes_less and room >= least:
+            asked.granted = min(asked.granted, room)
+        return Verdict.NEEDS_BOUND if asked.granted > room else Verdict.ADMITTED
+
+    def _durable_room(self, program: Program, now: float, besides: str = "") -> int:
+        """Return how much the durable bound has left for a call."""
         limit = program.limit(self._starting_tokens(program, now))
-        return Verdict.NEEDS_BOUND if total > limit else Verdict.ADMITTED
+        return limit - program.covered(besides)
+
+    def raise_grant(
+        self,
+        request: RaiseGrant,
+        now: float,
+        *,
+        is_proven: bool,
+        gateway: Member | None,
+        takes_less: bool,
+    ) -> Verdict:
+        """Grant more tokens to a running call, within the durable bound.
+
+        NEEDS_BOUND: the caller raises the bound and calls again, with `takes_less`, which
+        takes the least that is wanted if the bound has no more.
+        """
+        program = self.program(request.program, now)
+        if program.is_over(request.call):
+            return Verdict.GIVEN_UP
+        if request.budget_tokens is None:
+            program.reserved[request.call] = Reservation(
+                request.most_tokens, now, request.most_tokens, gateway=gateway
+            )
+            return Verdict.ADMITTED
+        program.budget = request.budget_tokens
+        most, budget = request.most_tokens, request.budget_tokens
+        self._initialize(program, budget, most, now, is_proven=is_proven)
+        held = program.take_up(
+            request.call,
+            most,
+            now,
+            grant=CallGrant(request.granted_tokens, request.relayed_tokens),
+            event_tokens=request.event_tokens,
+            gateway=gateway,
+        )
+        wanted = min(request.wanted_tokens, most)
+        if held.is_doubted or wanted > held.tokens:
+            return Verdict.DOUBTED
+        target = _planned_raise(program, request, held)
+        room = self._durable_room(program, now, request.call)
+        if takes_less and room >= wanted:
+            target = max(min(target, room), held.granted)
+        if target > room:
+            return Verdict.NEEDS_BOUND
+        held.granted = target
+        return Verdict.ADMITTED
 
     def _starting_tokens(self, program: Program, now: float) -> int:
         return program.allowance_tokens if self.allowance.is_in_force(now) else 0
@@ -269,29 +355,45 @@
         name: str,
         call: str,
         max_tokens: int,
-        budget: int,
         now: float,
         *,
         written_at: int,
+        event_tokens: int = 0,
         keeps_turns: bool = False,
     ) -> BoundRaised:
-        """Return the record of a bound that covers this call and some later ones.
+        """Return the record of a bound that covers this call's grant and some of the next.
 
         It is in flight until `on_account_written`. The records of kept turns raise the bound
         for later calls.
         """
         program = self.program(name, now)
-        needed = program.committed + max_tokens
-        bound = needed
+        begun = Reservation(max_tokens, now, max_tokens, event_tokens=event_tokens)
+        former = program.reserved.get(call)
+        begun.granted = _planned_grant(program, begun, former, call)
+        bound = program.covered(call) + begun.granted
         if not program.is_doubted and not keeps_turns:
-            budget_share = budget // PREALLOCATED_BUDGET_DIVISOR
-            preallocated = (
-                max(PREALLOCATED_CALLS * max_tokens, budget_share) - max_tokens
-            )
+            ahead = max(program.slack(max_tokens, call) - begun.granted, 0) // 2
             allowed = 0 if program.has_record else program.allowance_tokens
-            bound = max(needed, min(needed + preallocated, budget), allowed)
-        begun = {call: max_tokens}
-        return self._bound_record(name, program, bound, written_at, begun)
+            bound = max(bound, min(bound + ahead, program.budget), allowed)
+        return self._bound_record(name, program, bound, written_at, {call: begun})
+
+    def raised_bound_of_grant(
+        self, request: RaiseGrant, now: float, *, written_at: int
+    ) -> BoundRaised | None:
+        """Return the record of a bound that covers more of a running call.
+
+        None if the call has ended meanwhile.
+        """
+        program = self.program(request.program, now)
+        held = program.reserved.get(request.call)
+        if held is None:
+            return None
+        target = _planned_raise(program, request, held)
+        grown = msgspec.structs.replace(held, granted=target)
+        bound = program.covered(request.call) + target
+        return self._bound_record(
+            request.program, program, bound, written_at, {request.call: grown}
+        )
 
     def account_record(self, name: str, written_at: int) -> BoundRaised | None:
         """Return the record of a program's account as it is now, with its last bound.
@@ -301,14 +403,18 @@
         program = self._programs.get(name)
         if program is None or not program.has_record or program.is_being_written:
             return None
-        bound = program.committed
+        bound = program.covered()
         if not program.is_doubted:
             bound = max(bound, program.bound)
         return self._bound_record(name, program, bound, written_at, {})
 
     @staticmethod
     def _bound_record(
-        name: str, program: Program, bound: int, written_at: int, begun: dict[str, int]
+        name: str,
+        program: Program,
+        bound: int,
+        written_at: int,
+        begun: dict[str, Reservation],
     ) -> BoundRaised:
         program.begin_write(bound)
         state = program.state(bound, begun=begun)
@@ -327,21 +433,35 @@
     ) -> AccountState | None:
         """Return the account after a call, for the record of its turn.
 
-        It lets the program run another call of that size, unless its usage is doubted or
-        little of its budget is left. None if the call is not accounted here. The record is
-        in flight until `on_account_written`.
+        It lets the program begin another call of that size, unless its usage is doubted or
+        little of its budget is left. None if the program is not accounted here. The record
+        is in flight until `on_account_written`.
         """
         program = self._programs.get(name)
-        reservation = None if program is None else program.reserved.get(call)
-        if program is None or reservation is None or not program.is_initialized:
+        if program is None or not program.is_initialized or program.is_over(call):
             return None
-        bound = program.committed - reservation.tokens + tokens
-        has_room = bound + CALLS_WITH_ROOM * reservation.tokens <= program.budget
-        if has_room and not program.is_doubted:
-            bound += reservation.tokens
+        held = program.reserved.get(call)
+        settled = 0 if held is not None else min(tokens, program.doubted)
+        bound = program.covered(call) + tokens - settled
+        if held is not None and not program.is_doubted:
+            bound += _ahead(program, held, call, bound)
         program.begin_write(bound)
         return program.state(bound, ended=call, tokens=tokens, begun={})
 
+    def can_keep(self, name: str, call: str, tokens: int) -> bool:
+        """Return whether a turn may be answered whole.
+
+        A gateway answers with more than was granted once the turn is durable. If its owner
+        was lost, other calls may have been let in for the difference.
+        """
+        program = self._programs.get(name)
+        held = None if program is None else program.reserved.get(call)
+        if program is None or not program.budget or (held and not held.is_doubted):
+            return True
+        counted = held.granted if held is not None else min(tokens, program.doubted)
+        largest = max(program.first_tokens, tokens)
+        return program.committed - counted + tokens <= program.budget + largest
+
     def complete_call(
         self,
         name: str,
@@ -351,19 +471,20 @@
         *,
         engine: str,
         is_recorded: bool = False,
+        is_kept: bool = False,
     ) -> bool:
         """Charge the tokens that a call generated, and release its reservation.
 
         If the call's admission still waits for the journal, the call is marked as
         abandoned and reserves nothing. Nothing is charged to an unknown program, and none
         is added while there is no memory for one. `is_recorded` if the record of a former
-        owner counts the call. Return whether doubt about the program remains.
+        owner counts the call, `is_kept` if its turn was stored now. Return whether doubt about the program remains.
         """
         if not self.has_room_for(name):
             return False
         program = self.program(name, now)
         program.cached_engine = engine or program.cached_engine
-        settled = program.settle(call, tokens, is_recorded=is_recorded)
+        settled = program.settle(call, tokens, is_recorded=is_recorded, is_kept=is_kept)
         DOUBTED_TOKENS.labels("settled").inc(settled)
         return program.is_doubted
 
@@ -392,7 +513,7 @@
 
     def _counts(self, program: Program, now: float) -> bool:
         is_recent = program.last_used_at >= self._counts_since(now)
-        return bool(program.reserved) or is_recent
+        return program.is_running or is_recent
 
     def due_turns(self, offset: int, now: float, rounds: float = 1.0) -> list[str]:
         """Return the turns whose records lie before an offset, to be written again now.
@@ -442,7 +563,7 @@
         self.evict_turns(now)
         limit = now - self._keep_factor(self._held_programs) * self.keep_seconds
         for name, program in tuple(self._programs.items()):
-            if program.last_used_at < limit and not program.reserved:
+            if program.last_used_at < limit and not program.is_running:
                 del self._programs[name]
                 self._held_programs.change(-PROGRAM_BYTES - len(name))
 
@@ -455,3 +576,35 @@
     def _keep_factor(held: HeldPart) -> float:
         is_short = held.holder.is_under_pressure
         return SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
+
+
+def _planned_grant(
+    program: Program, asked: Reservation, former: Reservation | None, call: str = ""
+) -> int:
+    """Return the grant of a call that is let in, or let in again."""
+    slack = program.slack(asked.tokens, call)
+    granted = first_grant(slack, asked.event_tokens, asked.tokens)
+    return granted if former is None else max(granted, former.granted)
+
+
+def _planned_raise(program: Program, request: RaiseGrant, held: Reservation) -> int:
+    """Return the grant of a call that asks for more."""
+    target = raised_grant(
+        program.slack(request.most_tokens, request.call),
+        request.event_tokens,
+        granted=held.granted,
+        relayed=held.relayed,
+        wanted=request.wanted_tokens,
+    )
+    return min(target, held.tokens)
+
+
+def _ahead(program: Program, ended: Reservation, call: str, bound: int) -> int:
+    """Return how much the record of a turn covers for the next call of that size."""
+    if not ended.event_tokens:
+        has_room = bound + CALLS_WITH_ROOM * ended.tokens <= program.budget
+        return ended.tokens if has_room else 0
+    if bound + ended.tokens > program.budget:
+        return 0
+    slack = program.slack(ended.tokens, call)
+    return half_of(slack, ended.event_tokens) if slack >= ended.event_tokens else 0
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -20,6 +20,7 @@
     KeepTurn,
     NotOwner,
     PartitionMessage,
+    RaiseGrant,
     ReadTurns,
     SettleCall,
     TurnAdmitted,
@@ -93,6 +94,7 @@
         self._relief = steady_loop(clock, "relief", self._relieve)
         self._network = network
         network.on_request(AdmitTurn, self._admit)
+        network.on_request(RaiseGrant, self._raise_grant)
         self._serve(KeepTurn, OwnedPartition.store_turn)
         self._serve(FindTurn, OwnedPartition.find_turn)
         self._serve(ReadTurns, OwnedPartition.read_turns)
@@ -174,6 +176,11 @@
         handler = partial(self._admit_turn, gateway=sender)
         return await self._handle(sender, request, handler)
 
+    async def _raise_grant(self, sender: Member, message: Message) -> Message:
+        request = cast(RaiseGrant, message)
+        handler = partial(OwnedPartition.raise_grant, gateway=sender)
+        return await self._handle(sender, request, handler)
+
     @inlineCallbacks
     def _admit_turn(
         self, owned: OwnedPartition, request: AdmitTurn, gateway: Member
--- a/notcharch/accounts/owned_turns.py
+++ b/notcharch/accounts/owned_turns.py
@@ -162,6 +162,8 @@
         """Store a turn, or a part of one, unless it is stored; return the outcome."""
         is_recorded = self._ledger.turns.has_chain(request.call)
         if not is_recorded:
+            if not self._can_keep(request):
+                return Outcome.LOST
             outcome: Outcome = yield self._writes.write(
                 request.call, lambda: self._append(request)
             )
@@ -175,9 +177,14 @@
                 self._clock.seconds(),
                 engine=request.engine,
                 is_recorded=is_recorded,
+                is_kept=not is_recorded,
             )
         return Outcome.DURABLE
 
+    def _can_keep(self, request: KeepTurn) -> bool:
+        """Return whether the program's budget allows the whole of a turn."""
+        return self._ledger.can_keep(request.program, request.call, request.tokens)
+
     @inlineCallbacks
     def _append(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, Outcome]:
         account = None
--- a/notcharch/accounts/program_account.py
+++ b/notcharch/accounts/program_account.py
@@ -3,11 +3,12 @@
 Tokens count in four parts. *Used* ones were certainly generated. *Doubted* ones may have
 been, since a former owner let the program generate them and was lost before it recorded
 whether it did. *Unproven* ones may have been, since the log dropped records too early. A
-call in flight *reserves* its maximum. The journal's *bound* covers them all, so a next owner
-counts no less than was generated.
+call in flight *reserves* its maximum, of which a part is *granted*; a call that was lost
+counts its grant, of which the part that it *relayed* is certain. The journal's *bound* covers
+the first three and all grants, so a next owner counts no less than was generated.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -18,7 +19,9 @@
     AccountHandedOver,
     AccountState,
     BoundRaised,
+    CallGrant,
 )
+from notcharch.accounts.starting_allowance import NO_ALLOWANCE
 from notcharch.values.doubts import DoubtCause, DoubtSource
 from notcharch.values.identifiers import Member
 
@@ -27,28 +30,71 @@
 that are still on their way take half a second."""
 MAX_SETTLED = 4
 """Calls whose end is known, for reports that are repeated."""
+MAX_DOUBTED_CALLS = 8
+"""Lost calls of a program that are known one by one; their ends may still be told."""
 RESERVATION_TIMEOUT_SECONDS = 12.0
-"""A call without a usage report after this time may have generated its maximum."""
+"""A call of which nothing was heard for this time may have ended."""
 
 
 class Reservation(msgspec.Struct):
     """Tokens reserved for a call in flight."""
 
     tokens: int
+    """The call's maximum."""
     since: float
-    """Time of the admission in clock seconds."""
+    """Time of the admission, or of the last raise of the grant, in clock seconds."""
+    granted: int
+    """Tokens that its gateway may relay."""
+    relayed: int = 0
+    """Of the grant, those that were certainly relayed."""
+    event_tokens: int = 0
+    """Tokens of one event; 0 if the whole call is granted at once."""
     gateway: Member | None = None
     """The process that runs the call, if this owner admitted it."""
     is_doubted: bool = False
     """Whether the call may have ended meanwhile: a former owner admitted it, or its gateway
     is lost."""
 
+    @property
+    def unsettled(self) -> int:
+        """Tokens that stay doubted if the call is lost."""
+        return self.granted - self.relayed
+
+    @property
+    def counted(self) -> int:
+        """Tokens that count for the budget."""
+        return self.granted if self.is_doubted else self.tokens
+
+    @property
+    def certain(self) -> int:
+        """Tokens that count for the budget beyond doubt."""
+        return self.relayed if self.is_doubted else self.tokens
+
 
 def process_name(member: Member | None) -> str:
     """Return the name of a process for log lines; empty if it is not known."""
     return "" if member is None else f"{member.daemon} {member.incarnation}"
 
 
+def grants_of(calls: Mapping[str, Reservation]) -> dict[str, CallGrant]:
+    """Return the grants of calls that are granted less than their maximum."""
+    return {
+        call: CallGrant(held.granted, held.relayed)
+        for call, held in calls.items()
+        if held.granted != held.tokens or held.relayed
+    }
+
+
+def _handed_over(
+    tokens: int, since: float, grant: CallGrant | None, *, is_doubted: bool = False
+) -> Reservation:
+    """Return the reservation of a former owner's call; older builds granted it whole."""
+    grant = grant or CallGrant(tokens)
+    return Reservation(
+        tokens, since, grant.granted, grant.relayed, is_doubted=is_doubted
+    )
+
+
 class Program:
     """The account of one program."""
 
@@ -60,6 +106,10 @@
         """Offset of the program's newest record; negative if it has none."""
         self._pending: list[int] = []
         """Bounds of records in flight, any of which the next owner may find as the last."""
+        self.inherited = NO_ALLOWANCE
+        """The allowance of former owners that `doubted` includes."""
+        self.first_tokens = 0
+        """Largest maximum of a call for which `inherited` is counted."""
         self.allowance_tokens = 0
         """Tokens that the next owner counts if the program has no record."""
         self.budget = 0
@@ -87,20 +137,39 @@
     @property
     def committed(self) -> int:
         """Tokens that are or may be used, or are reserved by calls in flight."""
-        return self.used + self.doubted + self.unproven + self.under_way
-
-    @property
-    def under_way(self) -> int:
-        """Tokens that are reserved by calls in flight."""
-        return sum(held.tokens for held in self.reserved.values())
+        counted = sum(held.counted for held in self.reserved.values())
+        return self.used + self.doubted + self.unproven + counted
 
     @property
     def certain(self) -> int:
         """Tokens that are certainly used, or reserved by calls that certainly run."""
-        running = (
+        return self.used + sum(held.certain for held in self.reserved.values())
+
+    @property
+    def under_way(self) -> int:
+        """Tokens that are reserved by calls that certainly run."""
+        return sum(
             held.tokens for held in self.reserved.values() if not held.is_doubted
         )
-        return self.used + sum(running)
+
+    def covered(self, besides: str = "") -> int:
+        """Return the tokens that the journal must count, without those of a call."""
+        granted = sum(
+            held.granted for call, held in self.reserved.items() if call != besides
+        )
+        return self.used + self.doubted + self.unproven + granted
+
+    def slack(self, most_tokens: int, besides: str = "") -> int:
+        """Return how much may be granted to a call so that one call's maximum is doubted."""
+        unsettled = sum(
+            held.unsettled for call, held in self.reserved.items() if call != besides
+        )
+        return most_tokens - self.doubted - self.unproven - unsettled
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a call certainly runs."""
+        return any(not held.is_doubted for held in self.reserved.values())
 
     @property
     def is_doubted(self) -> bool:
@@ -111,7 +180,7 @@
         """Return where the tokens that are not certainly used come from."""
         calls = tuple(
             DoubtSource(
-                DoubtCause.LOST_CALL, held.tokens, call, process_name(held.gateway)
+                DoubtCause.LOST_CALL, held.unsettled, call, process_name(held.gateway)
             )
             for call, held in self.reserved.items()
             if held.is_doubted
@@ -136,11 +205,19 @@
         if len(self.abandoned) > MAX_ABANDONED:
             del self.abandoned[next(iter(self.abandoned))]
 
-    def settle(self, call: str, tokens: int, *, is_recorded: bool = False) -> int:
+    def settle(
+        self,
+        call: str,
+        tokens: int,
+        *,
+        is_recorded: bool = False,
+        is_kept: bool = False,
+    ) -> int:
         """Count what a call generated in place of its reservation.
 
-        A call that is not known was let in by a former owner, whose bound covers it, or
-        ended before its admission. `is_recorded` if a record of a former owner counts it.
+        A call that is not known was let in by a former owner, whose bound covers its grant,
+        or ended before its admission. `is_recorded` if a record of a former owner counts it,
+        `is_kept` if it certainly ran and has not been counted.
         Return how many tokens are doubted no more.
         """
         if call in self._settled:
@@ -149,26 +226,68 @@
         reservation = self.reserved.pop(call, None)
         if reservation is not None:
             self.used += tokens
-            return reservation.tokens if reservation.is_doubted else 0
+            return reservation.unsettled if reservation.is_doubted else 0
         self.abandon(call)
         if is_recorded:
             return 0
         settled = min(tokens, self.doubted)
         self.doubted -= settled
-        self.used += settled
+        self.used += tokens if is_kept else settled
         return settled
 
+    def is_over(self, call: str) -> bool:
+        """Return whether the end of a call is known."""
+        return call in self.abandoned or call in self._settled
+
+    def take_up(
+        self,
+        call: str,
+        most_tokens: int,
+        now: float,
+        *,
+        grant: CallGrant,
+        event_tokens: int,
+        gateway: Member | None,
+    ) -> Reservation:
+        """Reserve the tokens of a running call, as its gateway tells of its grant.
+
+        What a former owner granted is doubted no more. The call stays doubted if the
+        program has used too much meanwhile for what is granted.
+        """
+        held = self.reserved.pop(call, None) or Reservation(most_tokens, now, granted=0)
+        granted = max(held.granted, grant.granted)
+        self.doubted -= min(granted - held.granted, self.doubted)
+        relayed = min(max(held.relayed, grant.relayed), granted)
+        room = self.budget + most_tokens - self.committed
+        taken = Reservation(
+            min(most_tokens, max(room, granted)),
+            now,
+            granted,
+            relayed,
+            event_tokens,
+            gateway,
+            is_doubted=room < granted,
+        )
+        self.reserved[call] = taken
+        return taken
+
     def doubt_calls(self, now: float, is_lost: Callable[[Member], bool]) -> None:
         """Doubt the calls whose gateways are lost, or whose end was not told in time."""
-        for call, held in tuple(self.reserved.items()):
-            if now - held.since > RESERVATION_TIMEOUT_SECONDS:
-                del self.reserved[call]
-                self.doubted += held.tokens
-                gateway = process_name(held.gateway)
-                cause = DoubtCause.LOST_CALL
-                self.noted.add(DoubtSource(cause, held.tokens, call, gateway))
-            elif held.gateway is not None and is_lost(held.gateway):
+        for held in self.reserved.values():
+            is_late = now - held.since > RESERVATION_TIMEOUT_SECONDS
+            if is_late or (held.gateway is not None and is_lost(held.gateway)):
                 self._doubt(held)
+        doubted = [call for call, held in self.reserved.items() if held.is_doubted]
+        for call in doubted[:-MAX_DOUBTED_CALLS]:
+            self._forget(call)
+
+    def _forget(self, call: str) -> None:
+        """Count a doubted call without knowing it any more."""
+        held = self.reserved.pop(call)
+        self.used += held.relayed
+        self.doubted += held.unsettled
+        gateway = process_name(held.gateway)
+        self.noted.add(DoubtSource(DoubtCause.LOST_CALL, held.unsettled, call, gateway))
 
     def doubt_all_calls(self) -> None:
         """Doubt all calls in flight: an owner that knew of them was lost."""
@@ -201,9 +320,9 @@
         doubt = state.doubt or NO_DOUBT
         self.used = state.used_tokens
         self.unproven = doubt.unproven_tokens
-        self._inherit(doubt.under_way, now)
-        known = self.used + self.unproven + self.under_way
-        self.doubted = max(state.bound_tokens - known, 0)
+        self._inherit(doubt, now)
+        self.doubted = 0
+        self.doubted = max(state.bound_tokens - self.covered(), 0)
         source = DoubtSource(DoubtCause.FORMER_BOUND, self.doubted, offset=offset)
         self.noted.replace(source)
         if self.is_doubted:
@@ -223,36 +342,43 @@
         self.noted.replace(source)
         self.unproven = record.unproven_tokens
         self.reserved = {
-            call: Reservation(tokens, now - record.ages.get(call, 0.0))
+            call: _handed_over(
+                tokens, now - record.ages.get(call, 0.0), record.grants.get(call)
+            )
             for call, tokens in record.under_way.items()
         }
         self.cached_engine = record.home
-        self.bound = self.committed
+        self.bound = self.covered()
 
     def _replayed(self, offset: int) -> None:
         self.is_initialized = True
         self.offset = offset
 
-    def _inherit(self, under_way: dict[str, int], now: float) -> None:
+    def _inherit(self, doubt: AccountDoubt, now: float) -> None:
         self.reserved = {
-            call: Reservation(tokens, now, is_doubted=True)
-            for call, tokens in under_way.items()
+            call: _handed_over(tokens, now, doubt.grants.get(call), is_doubted=True)
+            for call, tokens in doubt.under_way.items()
         }
 
     def state(
-        self, bound: int, *, ended: str = "", tokens: int = 0, begun: dict[str, int]
+        self,
+        bound: int,
+        *,
+        ended: str = "",
+        tokens: int = 0,
+        begun: dict[str, Reservation],
     ) -> AccountState:
         """Return the account for a record.
 
         Call `ended` has generated some tokens; the calls `begun` are let in with it.
         """
-        under_way: dict[str, int] = {}
-        if self.is_doubted:  # calls that end at other daemons then settle the doubt
-            reserved = self.reserved.items()
-            under_way = {call: reservation.tokens for call, reservation in reserved}
-            under_way.update(begun)
-            under_way.pop(ended, None)
-        doubt = AccountDoubt(under_way, self.unproven)
+        calls = self.reserved | begun
+        calls.pop(ended, None)
+        is_granted_in_parts = any(held.event_tokens for held in calls.values())
+        if not self.is_doubted and not is_granted_in_parts:
+            calls = {}  # else calls that end at other daemons settle the doubt
+        under_way = {call: held.tokens for call, held in calls.items()}
+        doubt = AccountDoubt(under_way, self.unproven, grants_of(calls))
         return AccountState(
             self.used + tokens, bound, None if doubt == NO_DOUBT else doubt
         )
--- a/notcharch/accounts/records.py
+++ b/notcharch/accounts/records.py
@@ -10,6 +10,13 @@
     """Base class of journal records."""
 
 
+class CallGrant(msgspec.Struct, frozen=True, array_like=True):
+    """What a call in flight may relay, and what it has relayed, in tokens."""
+
+    granted: int
+    relayed: int = 0
+
+
 class AccountDoubt(msgspec.Struct, frozen=True, array_like=True):
     """Parts of a bound which may turn out not to have been generated."""
 
@@ -17,6 +24,8 @@
     """Maximum tokens of known calls in flight, by call id."""
     unproven_tokens: int = 0
     """Tokens that records may have shown which the log dropped too early."""
+    grants: dict[str, CallGrant] = {}
+    """Of calls in flight that are granted less than their maximum, by call id."""
 
 
 NO_DOUBT = AccountDoubt()
@@ -80,6 +89,8 @@
     """As in `AccountDoubt`."""
     ages: dict[str, float] = {}
     """Seconds since each call in flight was admitted, by call id."""
+    grants: dict[str, CallGrant] = {}
+    """As in `AccountDoubt`."""
 
 
 class AllowanceGiven(Record, frozen=True, tag="allowance"):
@@ -89,10 +100,13 @@
     """
 
     permille: int
-    """Thousandths of a budget, including the allowance of earlier owners."""
+    """Thousandths of a budget, including the allowance of earlier owners; for older builds
+    alone if there is a `call_permille`."""
     written_at: int = 0
     call_tokens: int = 0
-    """Size of a call that is permitted instead if it is larger."""
+    """Of older builds: size of a call that is permitted instead if it is larger."""
+    call_permille: int = 0
+    """Thousandths of a call's maximum, including the allowance of earlier owners."""
 
 
 class LimitsHandedOver(Record, frozen=True, tag="limits"):
--- a/notcharch/accounts/starting_allowance.py
+++ b/notcharch/accounts/starting_allowance.py
@@ -1,13 +1,13 @@
 """The starting allowance: what programs without a journal record may use.
 
 An owner writes one record that permits every program without a record of its own to use a
-share of its budget. Such programs start without an append, even while the log rejects
-appends. The next owner counts that share as used for every program without a record, and
-adds its own share up to `MAX_PERMILLE`. Beyond that, each program needs its own record.
+share of the maximum of its call. Such programs start without an append, even while the log
+rejects appends. The next owner doubts that share for every program without a record, and
+adds half of what is left up to one call, so all doubt stays below one call. From
+`MAX_CALL_PERMILLE` on, each program needs its own record.
 
-For a program with a small budget the share may not cover one call. The record therefore
-includes the size of the largest call seen, and each program may start with one call of
-that size within the limit.
+Records of older builds permit a share of the budget, or one call of the largest size seen.
+They are honoured while they count; an owner adds nothing to them.
 
 The allowance expires unless it is renewed, so that a partitioned or paused owner stops
 using it, and so that a later owner eventually stops counting it. The module does no I/O.
@@ -17,15 +17,10 @@
 
 from notcharch.accounts.records import AllowanceGiven
 
-STEP_PERMILLE = 500
-"""Added by each owner to the inherited allowance, in thousandths of a budget."""
+MAX_CALL_PERMILLE = 750
+"""Inherited shares from which on an owner gives none: a quarter of a call is left to grant."""
 MAX_PERMILLE = 667
-"""Upper bound of the total, since a program whose owner fails is charged this share.
-
-On two quiet days programs used 0.06 to 0.28 of their budgets. With 500 nine in ten need no
-record of their own, and none would be refused once its next owner has charged so much; with
-667 one in a hundred would be.
-"""
+"""Upper bound of one call in records of older builds, in thousandths of a budget."""
 VALIDITY_SECONDS = 120.0
 """How long an owner uses an allowance, counted from the request to write its record."""
 PERMILLE = 1000
@@ -35,12 +30,16 @@
     """What each program without a record may use."""
 
     permille: int = 0
-    """Thousandths of the program's budget."""
+    """Thousandths of the program's budget; counts if there is no `call_permille`."""
     call_tokens: int = 0
     """Size of a call that is permitted even if larger, up to `MAX_PERMILLE`."""
+    call_permille: int = 0
+    """Thousandths of the maximum of the program's call."""
 
-    def tokens(self, budget: int) -> int:
-        """Return the tokens that a program with this budget may use."""
+    def tokens(self, budget: int, most_tokens: int) -> int:
+        """Return the tokens that a program with this budget and call may use."""
+        if self.call_permille:
+            return share_of(most_tokens, self.call_permille)
         if not self.permille:
             return 0
         one_call = min(self.call_tokens, share_of(budget, MAX_PERMILLE))
@@ -62,14 +61,12 @@
         """Clock seconds after which no earlier owner starts programs by its allowance."""
         self._current = NO_ALLOWANCE
         self._current_expires_at = 0.0
-        self._largest_call = 0
-        """Largest token maximum of the calls requested from this owner."""
         self._may_be_recorded = False
         """Whether the journal may have a record written by this owner."""
 
     def replay(self, record: AllowanceGiven) -> None:
         """Apply the record of an earlier owner; it replaces the previous one."""
-        self._inherited = Allowance(record.permille, record.call_tokens)
+        self._inherited = _allowance_of(record)
         self._inherited_written_at = record.written_at
 
     def on_takeover(self, now: float, wall_time: int) -> None:
@@ -77,27 +74,24 @@
         age = wall_time - self._inherited_written_at
         self._inherited_expires_at = now + VALIDITY_SECONDS - age
 
-    def observe_call(self, tokens: int) -> None:
-        """Record the maximum number of tokens that a call may generate."""
-        self._largest_call = max(self._largest_call, tokens)
-
     def record(
         self, now: float, wall_time: int, keep_seconds: float
     ) -> AllowanceGiven | None:
         """Return the record to write before use; None if the limit is reached."""
-        permille = self._current.permille
+        permille = self._current.call_permille
         if not permille:
-            inherited = self.inherited(now, keep_seconds).permille
-            permille = min(inherited + STEP_PERMILLE, MAX_PERMILLE)
-            if permille <= inherited:
+            inherited = self.inherited(now, keep_seconds)
+            is_of_older_build = inherited.permille > 0 and not inherited.call_permille
+            if is_of_older_build or inherited.call_permille >= MAX_CALL_PERMILLE:
                 return None
+            left = PERMILLE - inherited.call_permille
+            permille = inherited.call_permille + left // 2
         self._may_be_recorded = True
-        call_tokens = max(self._inherited.call_tokens, self._largest_call)
-        return AllowanceGiven(permille, wall_time, call_tokens)
+        return AllowanceGiven(permille, wall_time, call_permille=permille)
 
     def on_durable(self, record: AllowanceGiven, requested_at: float) -> None:
         """Use a record that is now durable; `requested_at` is in clock seconds."""
-        self._current = Allowance(record.permille, record.call_tokens)
+        self._current = _allowance_of(record)
         self._current_expires_at = requested_at + VALIDITY_SECONDS
 
     def withdrawal_record(self) -> AllowanceGiven | None:
@@ -119,15 +113,12 @@
         """Return the record of earlier owners as it was read."""
         inherited = self._inherited
         return AllowanceGiven(
-            inherited.permille, self._inherited_written_at, inherited.call_tokens
+            inherited.permille,
+            self._inherited_written_at,
+            inherited.call_tokens,
+            inherited.call_permille,
         )
 
-    @property
-    def is_too_small(self) -> bool:
-        """Whether the record does not permit the largest of the calls seen."""
-        is_used = self._current.permille > 0
-        return is_used and self._largest_call > self._current.call_tokens
-
     def is_in_force(self, now: float) -> bool:
         """Return whether programs may start by this owner's allowance."""
         return now < self._current_expires_at
@@ -147,6 +138,10 @@
         return self._current
 
 
-def share_of(budget: int, permille: int) -> int:
-    """Return the given thousandths of a token budget, rounded down."""
-    return budget * permille // PERMILLE
+def _allowance_of(record: AllowanceGiven) -> Allowance:
+    return Allowance(record.permille, record.call_tokens, record.call_permille)
+
+
+def share_of(tokens: int, permille: int) -> int:
+    """Return the given thousandths of a number of tokens, rounded down."""
+    return tokens * permille // PERMILLE
