Owners learn the processes of gateways from their connections

Cause: an owner knew a gateway's new process by the requests that it sent. One that was back and silent was taken for its former process, so a lost call counted as running and the program's next call got 402 for up to 12 s.

Change: `PeerNetwork.connected_process` tells the process of a connected peer; `Gateways` compares it with the one that sent the call.

Measured: test_a_call_of_a_gateway_that_is_back_and_silent_is_doubted fails before and passes now; the contract test passes on the memory transport, plain and encoded, and on TCP.

--- a/emulator/peers/network.py
+++ b/emulator/peers/network.py
@@ -9,7 +9,7 @@
 
 from emulator.peers.time import MemberClock
 from notcharch.errors import Problem
-from notcharch.values.identifiers import DaemonName, Member, ZoneName
+from notcharch.values.identifiers import DaemonName, Incarnation, Member, ZoneName
 from notcharch.wire.codec import (
     Envelope,
     NoticeEnvelope,
@@ -84,6 +84,12 @@
         names = self._fabric.running_names()
         return tuple(name for name in names if name != own and self._can_write(name))
 
+    def connected_process(self, daemon: DaemonName) -> Incarnation | None:
+        """Return the process of a connected peer; None if it is not connected."""
+        if daemon not in self.connected_peers():
+            return None
+        return self._fabric.daemon(daemon).member.incarnation
+
     def on_request(self, message_type: type[Message], handler: RequestHandler) -> None:
         """Register the one handler of a request type."""
         self._handlers.on_request(message_type, handler)
--- a/notcharch/accounts/gateways.py
+++ b/notcharch/accounts/gateways.py
@@ -12,57 +12,50 @@
     """Why a process is taken for lost."""
 
     NOT_CONNECTED = "not connected"
-    OTHER_PROCESS = "another process of its daemon was heard"
+    OTHER_PROCESS = "another process of its daemon is connected"
 
 
 class Gateways:
-    """Which processes are lost, as far as this daemon knows."""
+    """Which processes are lost, as the connections of this daemon tell."""
 
     def __init__(self, network: PeerNetwork) -> None:
-        """Know of no other process."""
+        """Know of no loss."""
         self._network = network
-        self._newest: dict[DaemonName, Incarnation] = {}
         self._told: dict[DaemonName, Member] = {}
         """The process of each daemon whose loss was logged last."""
 
-    def heard(self, sender: Member) -> None:
-        """Note that a process lives; others of its daemon are lost.
+    def is_lost(self, gateway: Member) -> bool:
+        """Return whether a process is out of reach, or was followed by another one.
 
         The incarnations of a daemon need not rise.
         """
-        self._newest[sender.daemon] = sender.incarnation
-        if self._told.get(sender.daemon) == sender:
-            del self._told[sender.daemon]
-
-    def is_lost(self, gateway: Member) -> bool:
-        """Return whether a process is out of reach, or was followed by another one."""
-        cause = self._loss_cause(gateway)
-        if cause is None:
+        newest = self._newest(gateway.daemon)
+        if newest == gateway.incarnation:
+            if self._told.get(gateway.daemon) == gateway:
+                del self._told[gateway.daemon]
             return False
-        self._log_loss(gateway, cause)
+        self._log_loss(gateway, newest)
         return True
 
-    def _loss_cause(self, gateway: Member) -> LossCause | None:
-        daemon = gateway.daemon
-        if self._newest.get(daemon, gateway.incarnation) != gateway.incarnation:
-            return LossCause.OTHER_PROCESS
-        is_own = daemon == self._network.own_member.daemon
-        if is_own or daemon in self._network.connected_peers():
-            return None
-        return LossCause.NOT_CONNECTED
+    def _newest(self, daemon: DaemonName) -> Incarnation | None:
+        """Return the process of a daemon that runs, as far as this daemon knows."""
+        own = self._network.own_member
+        if daemon == own.daemon:
+            return own.incarnation
+        return self._network.connected_process(daemon)
 
-    def _log_loss(self, gateway: Member, cause: LossCause) -> None:
-        """Log a loss once, until the process is heard again."""
+    def _log_loss(self, gateway: Member, newest: Incarnation | None) -> None:
+        """Log a loss once, until the process is connected again."""
         if self._told.get(gateway.daemon) == gateway:
             return
         self._told[gateway.daemon] = gateway
-        newest = self._newest.get(gateway.daemon)
-        is_other = cause is LossCause.OTHER_PROCESS
+        is_other = newest is not None
+        cause = LossCause.OTHER_PROCESS if is_other else LossCause.NOT_CONNECTED
         emit(
             GatewayLost(
                 daemon=gateway.daemon,
                 incarnation=gateway.incarnation,
                 cause=cause.value,
-                newest_incarnation=newest if is_other else None,
+                newest_incarnation=newest,
             )
         )
--- a/notcharch/accounts/group_network.py
+++ b/notcharch/accounts/group_network.py
@@ -12,7 +12,7 @@
 from notcharch.accounts.messages import NotOwner, PartitionMessage
 from notcharch.journal.owner_messages import AskOwners, OwnersSeen
 from notcharch.journal.partitioning import Partitioning
-from notcharch.values.identifiers import DaemonName, Member
+from notcharch.values.identifiers import DaemonName, Incarnation, Member
 from notcharch.wire.messages.base import Message
 from notcharch.wire.peers import NoticeHandler, PeerNetwork, Reply, RequestHandler
 
@@ -115,6 +115,10 @@
         """Return the peers that a notice reaches without a new connection."""
         return self._network.connected_peers()
 
+    def connected_process(self, daemon: DaemonName) -> Incarnation | None:
+        """Return the process of a connected peer; None if it is not connected."""
+        return self._network.connected_process(daemon)
+
     def on_request(self, message_type: type[Message], handler: RequestHandler) -> None:
         """Register this group's handler of a request type."""
         self.request_handlers[message_type] = handler
--- a/notcharch/accounts/owned_partitions.py
+++ b/notcharch/accounts/owned_partitions.py
@@ -165,7 +165,6 @@
         handler: Callable[[OwnedPartition, RequestT], "Deferred[Message]"],
     ) -> Message:
         """Let the partition of a request handle it, if it is owned here."""
-        self._gateways.heard(sender)
         owned = self._partitions.get(request.partition)
         if owned is None:
             return self._not_owner(request.partition)
--- a/notcharch/events/accounts.py
+++ b/notcharch/events/accounts.py
@@ -144,4 +144,4 @@
     incarnation: int
     cause: str
     newest_incarnation: int | None = None
-    """The other process of the daemon that was heard."""
+    """The other process of the daemon that is connected."""
--- a/notcharch/wire/connections.py
+++ b/notcharch/wire/connections.py
@@ -13,7 +13,7 @@
 from notcharch.events.event import emit
 from notcharch.events.steady_loop import steady_loop
 from notcharch.events.wire import MessageNotUnderstood
-from notcharch.values.identifiers import DaemonName, Member, RegionName
+from notcharch.values.identifiers import DaemonName, Incarnation, Member, RegionName
 from notcharch.wire.codec import (
     MessageCodec,
     NoticeEnvelope,
@@ -146,6 +146,11 @@
         """Return the peers that a notice reaches without a new connection."""
         return tuple(name for name, link in self._links.items() if link.is_connected)
 
+    def connected_process(self, daemon: DaemonName) -> Incarnation | None:
+        """Return the process of a connected peer; None if it is not connected."""
+        link = self._links.get(daemon)
+        return None if link is None else link.connected_process
+
     def on_request(self, message_type: type[Message], handler: RequestHandler) -> None:
         """Register the one handler of a request type."""
         self._handlers.on_request(message_type, handler)
--- a/notcharch/wire/link.py
+++ b/notcharch/wire/link.py
@@ -80,6 +80,11 @@
         """Whether a connection is open."""
         return self._current is not None
 
+    @property
+    def connected_process(self) -> Incarnation | None:
+        """The peer's process, if a connection to it is open."""
+        return self._incarnation if self.is_connected else None
+
     def set_address(self, address: str) -> None:
         """Learn or change the peer's `host:port`."""
         if address != self._address:
--- a/notcharch/wire/peers.py
+++ b/notcharch/wire/peers.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from notcharch.errors import Problem
-from notcharch.values.identifiers import DaemonName, Member
+from notcharch.values.identifiers import DaemonName, Incarnation, Member
 from notcharch.wire.messages.base import Message
 
 Reply = Result[Message, Problem]
@@ -47,6 +47,9 @@
     def connected_peers(self) -> tuple[DaemonName, ...]:
         """Return the peers that a notice reaches without a new connection."""
 
+    def connected_process(self, daemon: DaemonName) -> Incarnation | None:
+        """Return the process of a connected peer; None if it is not connected."""
+
     def on_request(self, message_type: type[Message], handler: RequestHandler) -> None:
         """Register the one handler of a request type."""
 
--- a/tests/contract/test_peer_network.py
+++ b/tests/contract/test_peer_network.py
@@ -223,3 +223,20 @@
     world.clock.callLater(0.5, waiting.callback, None)
     await waiting
     return reply
+
+
+def test_the_process_of_a_connected_peer_is_known_before_it_sends_anything(world):
+    """Guards against a new process that is taken for its former one while it is silent."""
+    alpha = world.start(ALPHA)
+    world.start(BETA)
+    alpha.request(BETA, question(), 1.0)
+    world.run(1.0)
+    assert alpha.connected_process(BETA) == 1
+    world.crash(BETA)
+    world.run(1.0)
+    assert alpha.connected_process(BETA) is None
+    world.start(BETA, 2)
+    alpha.request(BETA, question(), 5.0)
+    world.run(5.0)
+    assert alpha.connected_process(BETA) == 2
+    assert alpha.connected_process(GAMMA) is None
--- a/tests/unit/accounts/test_doubted_budgets.py
+++ b/tests/unit/accounts/test_doubted_budgets.py
@@ -239,3 +239,22 @@
     )
     again = world.wait_for_decision(call, at, stores_turns=True)
     assert again.refusal != BUDGET_SPENT
+
+
+def test_a_call_of_a_gateway_that_is_back_and_silent_is_doubted():
+    """Guards against 402 for 12 s, as a new process was known by its requests alone."""
+    world = World()
+    program = KeptProgram(world, 900)
+    assert program.turn()
+    owner = world.owner("p")
+    at = next(at for at, name in enumerate(world.names) if name != owner)
+    _, listener = program.ask(at)
+    assert listener.ticket is not None
+    world.crash(world.names[at])
+    world.start(world.names[at])
+    world.run(0.5)
+    call = world.call(
+        "p", budget=900, token_limit=MOST_TOKENS, previous=program.previous
+    )
+    again = world.wait_for_decision(call, world.names.index(owner), stores_turns=True)
+    assert again.ticket is not None
