--- a/tests/unit/accounts/stop_scene.py
+++ b/tests/unit/accounts/stop_scene.py
@@ -28,10 +28,15 @@
     stored_at: float | None = None
     has_ended: bool = False
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether it was not admitted."""
+        return self.listener.refusal is not None
+
     @property
     def is_open(self) -> bool:
         """Whether its caller waits for the end."""
-        return self.stored_at is None
+        return self.stored_at is None and not self.is_refused
 
 
 class StopScene:
@@ -61,12 +66,12 @@
         self.streams.append(stream)
         return stream
 
-    def offer(self, gateway: int) -> Stream:
-        """Send a call of a new program, which its engine ends after a second."""
+    def offer(self, gateway: int, seconds: float = 1.0) -> Stream:
+        """Send a call of a new program, which its engine ends after some seconds."""
         world = self.world
-        call = world.call(f"new-{gateway}-{self.now}", wait_seconds=3.0)
+        call = world.call(f"new-{len(self.streams)}", wait_seconds=seconds + 3.0)
         listener = world.request_admission(call, gateway, stores_turns=True)
-        stream = Stream(gateway, listener, self.now + 1.0)
+        stream = Stream(gateway, listener, self.now + seconds)
         self.streams.append(stream)
         return stream
 
@@ -108,9 +113,11 @@
             self._end(name)
 
     def _advance(self, stream: Stream) -> None:
-        if not stream.has_ended and self.now >= stream.ends_at:
+        ticket = stream.listener.ticket
+        if ticket is not None and not stream.has_ended and self.now >= stream.ends_at:
             stream.has_ended = True
-            stream.listener.ticket.completed(TEXT, 1, stream.listener)
+            stream.ends_at = self.now
+            ticket.completed(TEXT, 1, stream.listener)
         if stream.is_open and stream.listener.is_durable:
             stream.stored_at = self.now
 
