Move a server's connection and the collaborators of a run to modules of their own

Change: code is moved only. http/server_connection has one connection, http/server the factory that creates and tracks them; calls/call_services and calls/run_listener have what a run works with. One test replaces a name in the module that now uses it.

Tests: unit/http, calls, soak, platform, quarantine and stream_origins pass.

--- a/deploy/soak/unframed.py
+++ b/deploy/soak/unframed.py
@@ -8,7 +8,7 @@
 
 from notcharch.http.exchange import Exchange
 from notcharch.http.messages import Headers
-from notcharch.http.server import ServerConnection
+from notcharch.http.server_connection import ServerConnection
 
 OLD_VERSION = b"1.0"
 """To such a client an answer without a length is sent as it is, and ends by a close."""
--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -7,7 +7,8 @@
 from twisted.internet.interfaces import IDelayedCall
 
 from notcharch.calls.call_log import CallLog
-from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
+from notcharch.calls.call_services import CallServices
+from notcharch.calls.engine_run import CLIENT_ERRORS, EngineRun
 from notcharch.calls.engine_selection import Selection
 from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,39 +1,26 @@
 """One run of a call at one engine."""
 
-from typing import Protocol
-
 import msgspec
-from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.answer_end import AnswerEnd, ResumableCall
 from notcharch.calls.call_log import CallLog
-from notcharch.calls.call_urgency import CallUrgency
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.end_check import EndVerdict
 from notcharch.calls.engine_selection import PromptSample
-from notcharch.calls.engine_sender import EngineRequest, EngineSender
-from notcharch.calls.engines import EnginePool
+from notcharch.calls.engine_sender import EngineRequest
 from notcharch.calls.held_answer import MAX_EVENT_BYTES, HeldAnswer
 from notcharch.calls.interface import (
-    Admission,
     Engine,
-    EngineDialect,
-    NoQuarantine,
-    NoStreamOrigins,
     OpaqueCall,
     ProcessState,
-    Quarantine,
     Route,
-    StreamOrigins,
 )
 from notcharch.calls.overdue import OverdueWatch
-from notcharch.calls.planned_stop import PlannedStop
+from notcharch.calls.run_listener import RunListener
 from notcharch.http.bounded_body import ServerKind, report_too_long
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
-from notcharch.scheduling.first_response_times import RouteResponseTimes
 from notcharch.values.framing import Framing
-from notcharch.values.memory_pool import PoolHolder, unbounded_holder
 
 CLIENT_ERRORS = 400
 EVENT_STREAM = b"text/event-stream"
@@ -61,79 +48,6 @@
 count against an engine after its answer went unread."""
 
 
-class CallServices(msgspec.Struct, frozen=True):
-    """Collaborators of the call lifecycle."""
-
-    clock: IReactorTime
-    pool: EnginePool
-    sender: EngineSender
-    dialect: EngineDialect
-    admission: Admission
-    waits: RouteResponseTimes
-    urgency: CallUrgency | None = None
-    """Rates the urgency of calls; None if engines are not told of it."""
-    answers: BufferedBytes = msgspec.field(default_factory=BufferedBytes)
-    """What is held of engines' answers."""
-    held: PoolHolder = msgspec.field(default_factory=unbounded_holder)
-    """What calls hold besides answers."""
-    origins: StreamOrigins = NoStreamOrigins()
-    quarantine: Quarantine = NoQuarantine()
-    stop: PlannedStop | None = None
-    """The planned stop of the daemon; None if calls don't take notice of it."""
-
-
-class RunListener(Protocol):
-    """Callbacks for a run. It has ended after each of them but the first four."""
-
-    def run_started(self, head: ResponseHead) -> None:
-        """Handle the head of a successful stream."""
-
-    def run_data_received(self, data: bytes) -> bool:
-        """Handle data of the stream; return whether it completed an event."""
-
-    def run_body_started(self, head: ResponseHead) -> None:
-        """Handle the head of a long answer, which is relayed as it comes."""
-
-    def run_body_received(self, data: bytes) -> None:
-        """Handle data of a long answer."""
-
-    def run_unreachable(self) -> None:
-        """Handle a failed connection attempt: the call was not sent."""
-
-    def run_cancelled(self) -> None:
-        """Handle that the engine was drained before the call was sent."""
-
-    def run_restarted(self) -> None:
-        """Handle that the call was not sent: the engine started after its entry."""
-
-    def run_rejected(self, head: ResponseHead) -> None:
-        """Handle a rejection: the engine certainly did not run the call."""
-
-    def run_completed(self, head: ResponseHead, body: bytes) -> None:
-        """Handle a complete response; `body` is empty if it was relayed as a stream."""
-
-    def run_failed(self, cause: str, process: ProcessState) -> None:
-        """Handle an incomplete or abandoned response; the call may have run."""
-
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether the data of the stream so far ends inside an event."""
-
-    @property
-    def last_event_id(self) -> bytes | None:
-        """The id of the last event that was relayed, if it had one."""
-
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes of the stream are held to be stored, or as an unfinished event."""
-
-    def may_ask_for_rest(self) -> bool:
-        """Return whether the engine may get the request again as a question."""
-
-    def should_abandon(self) -> bool:
-        """Return whether to abandon the run when its response is overdue."""
-
-
 class EngineRun:
     """One run; the listener of the engine's response."""
 
--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -8,9 +8,9 @@
 
 from notcharch.accounts.admission import max_body_bytes
 from notcharch.accounts.service import AccountSettings, AccountsService
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.caller_check import CallerCheck
 from notcharch.calls.eligibility import EngineEligibility
-from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import LoadExchange, NoLoadExchange
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from notcharch.calls.call_lifecycle import CallLifecycle
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.engine_run import CallServices
 from notcharch.calls.interface import (
     MALFORMED,
     NO_MEMORY,
--- a/tests/stateful/calls/ends_machine.py
+++ b/tests/stateful/calls/ends_machine.py
@@ -14,8 +14,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from notcharch.calls.call_lifecycle import CallLifecycle
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.end_check import CHECK_SECONDS
-from notcharch.calls.engine_run import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import Engine, OpaqueCall, Route, ServiceShare
--- a/tests/stateful/calls/refusals_machine.py
+++ b/tests/stateful/calls/refusals_machine.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from notcharch.calls.call_lifecycle import CallLifecycle
-from notcharch.calls.engine_run import CallServices
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
--- a/tests/stateful/stop/test_stop_machine.py
+++ b/tests/stateful/stop/test_stop_machine.py
@@ -13,7 +13,8 @@
 from notcharch.calls.engine_run import EngineRun
 from notcharch.calls.planned_stop import PlannedStop
 from notcharch.http.drain import DrainTimes
-from notcharch.http.server import ServerConnection, ServerFactory
+from notcharch.http.server import ServerFactory
+from notcharch.http.server_connection import ServerConnection
 from notcharch.platform import planned_stop
 from notcharch.platform.ingress import Ingress
 from notcharch.platform.planned_stop import ProcessStop
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from notcharch.calls.call_lifecycle import CallLifecycle
-from notcharch.calls.engine_run import CallServices
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
     Engine,
--- a/tests/unit/http/pipe.py
+++ b/tests/unit/http/pipe.py
@@ -7,7 +7,7 @@
 
 from notcharch.http.client import ClientConnection
 from notcharch.http.exchange import ServerLimits
-from notcharch.http.server import ServerConnection
+from notcharch.http.server_connection import ServerConnection
 
 
 class TcpTransport(StringTransport):
--- a/tests/unit/http/test_connection_room.py
+++ b/tests/unit/http/test_connection_room.py
@@ -9,7 +9,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.http import server
+from notcharch.http import server_connection
 from notcharch.http.connection_room import (
     CONNECTION_BYTES,
     DEFAULT_MAX_CONNECTIONS,
@@ -169,7 +169,7 @@
     transports = [listener.connect() for _ in range(2)]
     listener.clock.advance(MIN_IDLE_SECONDS)
     with monkeypatch.context() as patch:
-        patch.setattr(server, "has_unread_bytes", lambda transport: True)
+        patch.setattr(server_connection, "has_unread_bytes", lambda transport: True)
         assert not listener.is_served(listener.connect())
     assert not any(transport.is_closed for transport in transports)
     for transport in transports:
@@ -242,7 +242,7 @@
     listener = ProbeListener()
     first = listener.connect()
     others = [listener.connect() for _ in range(DEFAULT_MAX_CONNECTIONS - 1)]
-    monkeypatch.setattr(server, "has_unread_bytes", lambda t: t is first)
+    monkeypatch.setattr(server_connection, "has_unread_bytes", lambda t: t is first)
     listener.probe()
     assert not first.is_closed
     assert others[0].is_closed
--- a/tests/unit/http/test_slow_readers.py
+++ b/tests/unit/http/test_slow_readers.py
@@ -18,7 +18,7 @@
     TRANSPORT_BYTES,
     transport_room,
 )
-from notcharch.http.server import PIPELINED_BYTES, ServerConnection
+from notcharch.http.server_connection import PIPELINED_BYTES, ServerConnection
 from notcharch.values.memory_pool import MemoryPool
 from tests.unit.events.capture import captured
 from tests.unit.http.pipe import Handler, Listener
--- a/tests/unit/http/test_small_chunks.py
+++ b/tests/unit/http/test_small_chunks.py
@@ -17,7 +17,7 @@
 from notcharch.http.incoming_body import PORTION_BYTES
 from notcharch.http.request_room import RequestRoom
 from notcharch.http.send_buffer import SendBuffer
-from notcharch.http.server import ServerConnection
+from notcharch.http.server_connection import ServerConnection
 from notcharch.values.memory_pool import MemoryPool
 from tests.unit.http.pipe import Handler, TcpTransport
 from tests.unit.http.slow_peer import SlowPeerTransport
--- a/tests/unit/http/test_uploads.py
+++ b/tests/unit/http/test_uploads.py
@@ -13,7 +13,7 @@
 )
 from notcharch.http.incoming_body import PORTION_BYTES
 from notcharch.http.request_room import LARGE_SHARE, RETRY_SECONDS, RequestRoom
-from notcharch.http.server import BODY_LINGER_SECONDS, ServerConnection
+from notcharch.http.server_connection import BODY_LINGER_SECONDS, ServerConnection
 from notcharch.http.upload import PACE_SECONDS, ROOM_WAIT_SHARE
 from notcharch.values.memory_pool import MemoryPool
 from tests.unit.http.pipe import Handler, TcpTransport
--- a/tests/unit/platform/test_defects_in_stop.py
+++ b/tests/unit/platform/test_defects_in_stop.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from notcharch.accounts.service import AccountsService
-from notcharch.http.server import ServerConnection
+from notcharch.http.server_connection import ServerConnection
 from tests.unit.platform.ports import READINESS, ProcessWorld
 from tests.unit.platform.stop_world import GRACE_SECONDS, StopWorld
 
--- a/tests/unit/platform/test_hostile_callers.py
+++ b/tests/unit/platform/test_hostile_callers.py
@@ -5,8 +5,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.caller_check import CallerCheck
-from notcharch.calls.engine_run import CallServices
 from notcharch.calls.open_admission import OpenAdmission
 from notcharch.calls.routing import Router
 from notcharch.http.server import ServerFactory
--- a/tests/unit/quarantine/world.py
+++ b/tests/unit/quarantine/world.py
@@ -10,7 +10,7 @@
 from emulator.peers.time import run_for
 from notcharch.accounts.messages import account_codec
 from notcharch.calls.call_lifecycle import CallLifecycle
-from notcharch.calls.engine_run import CallServices
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.engine_sender import EngineSender
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import OpaqueCall, Route, ServiceShare
--- a/tests/unit/soak/test_unframed.py
+++ b/tests/unit/soak/test_unframed.py
@@ -15,7 +15,7 @@
 from deploy.soak.settings import MODELS
 from deploy.soak.store_server import StoreServer
 from deploy.soak.unframed import Break, EarlyEnd
-from notcharch.http.server import ServerConnection
+from notcharch.http.server_connection import ServerConnection
 from tests.unit.http.pipe import TcpTransport
 
 
--- a/tests/unit/stream_origins/world.py
+++ b/tests/unit/stream_origins/world.py
@@ -9,7 +9,7 @@
 from emulator.peers.time import run_for
 from notcharch.accounts.messages import account_codec
 from notcharch.calls.call_lifecycle import CallLifecycle
-from notcharch.calls.engine_run import CallServices
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import Engine, OpaqueCall, Route, ServiceShare
 from notcharch.calls.open_admission import OpenAdmission
