When memory is short, cut who has not read for longest, never who reads

Cause: what connections hold was counted when it was written, before the peer could read any of it, and above the limit those that held most were cut. A caller that had just been given an answer held most, so it was cut for others that were slow.

Change: http/peer_buffers keeps connections in the order in which they last read. Above the limit it asks their sockets: those that still take bytes neither count nor are cut. Those that sent requests without room are cut last. Tests that gave connections a BufferedBytes give them a PeerBuffers; what they assert is unchanged.

Ruled out: order by size, by age of what is held; a turn of the reactor between writing and counting (docs/design/slow-readers).

--- a/notcharch/calls/engine_sender.py
+++ b/notcharch/calls/engine_sender.py
@@ -16,10 +16,10 @@
     IncarnationCheck,
 )
 from notcharch.calls.interface import Engine, IncarnationDialect
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ClientConnection, ResponseListener
 from notcharch.http.idle_connections import IdleConnections
 from notcharch.http.messages import RequestHead
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.reactor import TimedReactor
 from notcharch.http.sockets import detect_dead_peer
 
@@ -175,7 +175,7 @@
         self,
         reactor: TimedReactor,
         local_address: str,
-        buffers: BufferedBytes | None = None,
+        buffers: PeerBuffers | None = None,
     ) -> None:
         """Connect from a local address, if one is given.
 
@@ -189,7 +189,7 @@
         self.on_idle_close: Callable[[str], None] = lambda _: None
         """Called with the id of an engine that closes an idle connection."""
         self._factory = Factory.forProtocol(
-            partial(ClientConnection, buffers or BufferedBytes())
+            partial(ClientConnection, buffers or PeerBuffers())
         )
         self._factory.noisy = False
 
--- a/notcharch/events/http.py
+++ b/notcharch/events/http.py
@@ -6,9 +6,10 @@
 
 
 class SlowReaderCut(Event, frozen=True):
-    """A caller's connection was cut: all connections together buffered too much.
+    """A caller's connection was cut: all connections together held too much.
 
-    It held more bytes than most. `request` is empty if no request was being answered.
+    It had not read for longest, or had sent most without room for it. `request` is empty if
+    no request was being answered.
     """
 
     number: ClassVar[int] = 2700
--- a/notcharch/http/buffered_bytes.py
+++ b/notcharch/http/buffered_bytes.py
@@ -1,8 +1,9 @@
-"""Bytes that connections buffer for slow peers: when to stop reading, whom to cut.
+"""Bytes that are held for slow callers, and of answers: when to stop reading, what to cut.
 
 A daemon has 128 MB on the smallest machine, and a caller that does not read costs the
 daemon whatever is written to it. Reading from the engine stops for a caller that is
-behind, so one connection holds little; the total is bounded by cutting connections.
+behind, so one connection holds little. The total is bounded (`peer_buffers`), and so is
+what is held of engines' answers, where the one that holds most gives way.
 """
 
 from collections.abc import Mapping
@@ -16,7 +17,7 @@
 RESUME_BYTES = CONNECTION_BYTES // 2
 """Bytes down to which a connection that was behind has to drain."""
 MEMORY_SHARE = 1 / 16
-"""Share of the memory limit that all connections may buffer together."""
+"""Share of the memory limit that connections may hold together, and that answers may."""
 DEFAULT_TOTAL_BYTES = 8 * 1024 * 1024
 """The total where the memory limit is unknown: that of a limit of 128 MB."""
 CUT_DOWN_SHARE = 7 / 8
@@ -24,17 +25,17 @@
 
 
 class BufferHolder(Protocol):
-    """A connection that buffers bytes."""
+    """A connection or an answer whose bytes are counted."""
 
     def cut(self, buffered: int) -> None:
-        """Abort the connection, which holds more than most; must not call back."""
+        """Hold nothing any more, or soon; must not call back."""
 
 
 Holder = TypeVar("Holder")
 
 
 def total_limit(memory_bytes: int) -> int:
-    """Return how many bytes all connections may buffer; 0 means an unknown limit."""
+    """Return how many bytes all may hold together; 0 means an unknown limit."""
     return int(memory_bytes * MEMORY_SHARE) or DEFAULT_TOTAL_BYTES
 
 
@@ -60,7 +61,7 @@
 
 
 class BufferedBytes:
-    """Counts the bytes that connections buffer, and cuts some above the limit."""
+    """Counts the bytes that answers hold, and cuts the largest above the limit."""
 
     def __init__(self, limit: int = DEFAULT_TOTAL_BYTES) -> None:
         """Allow `limit` bytes in total."""
@@ -69,7 +70,7 @@
         self.total = 0
 
     def changed(self, holder: BufferHolder, buffered: int) -> None:
-        """Set what a connection buffers now; 0 when it is closed."""
+        """Set what an answer holds now; 0 when it is over."""
         self.total += buffered - self._buffered.get(holder, 0)
         if buffered:
             self._buffered[holder] = buffered
--- a/notcharch/http/client.py
+++ b/notcharch/http/client.py
@@ -11,7 +11,6 @@
 
 from notcharch.events.event import emit
 from notcharch.events.http import SlowEngineCut
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.messages import (
     VALID_STATUSES,
     Headers,
@@ -20,8 +19,10 @@
     response_framing,
 )
 from notcharch.http.metrics import READERS_CUT
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import MAX_TRANSPORT_BYTES, SendBuffer
+from notcharch.http.sockets import takes_bytes
 
 MAJOR_VERSION = b"1."
 SURPLUS_RESPONSE_LIMIT = 3
@@ -69,9 +70,9 @@
 
     transport: FlowControlledTransport
 
-    def __init__(self, buffers: BufferedBytes | None = None) -> None:
+    def __init__(self, buffers: PeerBuffers | None = None) -> None:
         """Start disconnected; `buffers` counts what all connections hold."""
-        self._buffers = buffers or BufferedBytes()
+        self._buffers = buffers or PeerBuffers()
         self._is_reading_paused = False
         self._is_cut = False
         self._http = h11.Connection(h11.CLIENT)
@@ -113,8 +114,13 @@
             self._callers_bytes = 0
             self._on_buffer_change(self._out.buffered)
 
+    @property
+    def takes_bytes(self) -> bool:
+        """Whether its socket would take more bytes now."""
+        return takes_bytes(self.transport)
+
     def cut(self, buffered: int) -> None:
-        """Abort the connection: of all connections it is among those that hold most."""
+        """Abort the connection: all hold too much, and it has not been read for longest."""
         self._is_cut = True
         READERS_CUT.labels("engine").inc()
         emit(SlowEngineCut(self.transport.getPeer().host, buffered))
--- a/notcharch/http/server.py
+++ b/notcharch/http/server.py
@@ -8,7 +8,6 @@
 from twisted.python.failure import Failure
 
 from notcharch.events.stop_steps import isolated
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.connection_room import (
     ConnectionRoom,
     ProbeRoom,
@@ -20,6 +19,7 @@
     RequestHandler,
     Uploads,
 )
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.server_connection import ServerConnection
 
 
@@ -32,7 +32,7 @@
         self,
         handler: RequestHandler,
         clock: IReactorTime,
-        buffers: BufferedBytes | None = None,
+        buffers: PeerBuffers | None = None,
         room: ConnectionRoom | None = None,
         uploads: Uploads | None = None,
     ) -> None:
@@ -44,7 +44,7 @@
         self._uploads = uploads or Uploads()
         self._room = room or ProbeRoom()
         self._handler = handler
-        self._buffers = buffers or BufferedBytes()
+        self._buffers = buffers or PeerBuffers()
         self._clock = clock
         self._open: set[ServerConnection] = set()
 
@@ -101,7 +101,7 @@
         open_connections: set[ServerConnection],
         room: ConnectionRoom,
         *,
-        buffers: BufferedBytes,
+        buffers: PeerBuffers,
         uploads: Uploads,
     ) -> None:
         """Create a connection that removes itself from `open_connections` and `room`."""
--- a/notcharch/http/server_connection.py
+++ b/notcharch/http/server_connection.py
@@ -9,7 +9,7 @@
 
 from notcharch.events.event import emit
 from notcharch.events.http import SlowReaderCut
-from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes, is_behind
+from notcharch.http.buffered_bytes import CONNECTION_BYTES, is_behind
 from notcharch.http.connection_room import NEW_CONNECTION_SECONDS
 from notcharch.http.exchange import (
     ErrorResponse,
@@ -19,9 +19,10 @@
 )
 from notcharch.http.messages import Headers, RequestHead
 from notcharch.http.metrics import READERS_CUT, READERS_STOPPED
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.reactor import FlowControlledTransport
 from notcharch.http.send_buffer import SendBuffer
-from notcharch.http.sockets import has_unread_bytes
+from notcharch.http.sockets import has_unread_bytes, takes_bytes
 from notcharch.http.upload import Upload
 
 BODILESS_STATUSES = (204, 304)
@@ -48,13 +49,13 @@
         self,
         handler: RequestHandler,
         clock: IReactorTime,
-        buffers: BufferedBytes | None = None,
+        buffers: PeerBuffers | None = None,
         uploads: Uploads | None = None,
     ) -> None:
         """Start idle; `buffers` counts what all connections hold but for admitted bodies."""
         self._uploads = uploads or Uploads()
         self._handler = handler
-        self._buffers = buffers or BufferedBytes()
+        self._buffers = buffers or PeerBuffers()
         self._clock = clock
         self._limits = handler.limits()
         self._http = h11.Connection(
@@ -283,10 +284,15 @@
 
     def _count_buffered(self) -> None:
         if not self._is_cut and not self._is_disconnected:
-            self._buffers.changed(self, self._out.buffered + self._inbound)
+            self._buffers.changed(self, self._out.buffered, self._inbound)
+
+    @property
+    def takes_bytes(self) -> bool:
+        """Whether its socket would take more bytes now."""
+        return takes_bytes(self.transport)
 
     def cut(self, buffered: int) -> None:
-        """Abort the connection: of all connections it is among those that hold most."""
+        """Abort the connection: all hold too much, and it has not been read for longest."""
         self._is_cut = True
         READERS_CUT.labels("caller").inc()
         emit(SlowReaderCut(self._exchange.id if self._exchange else "", buffered))
--- a/notcharch/http/sockets.py
+++ b/notcharch/http/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that detect unreachable peers."""
 
+import select
 import socket
 from typing import Any
 
@@ -38,3 +39,12 @@
         return bool(transport.getHandle().recv(1, flags))
     except OSError:
         return False
+
+
+def takes_bytes(transport: object) -> bool:
+    """Return whether the socket would take more bytes for its peer now."""
+    if not isinstance(transport, Connection) or not transport.connected:
+        return False
+    poller = select.poll()
+    poller.register(transport.getHandle(), select.POLLOUT)
+    return [events for _, events in poller.poll(0)] == [select.POLLOUT]
--- a/notcharch/platform/components.py
+++ b/notcharch/platform/components.py
@@ -20,6 +20,7 @@
 from notcharch.http.buffered_bytes import BufferedBytes, total_limit
 from notcharch.http.exchange import Uploads
 from notcharch.http.metrics import BUFFERED_BYTES
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.server import ServerFactory
 from notcharch.journal.known_daemons import KnownDaemons
 from notcharch.journal.recovery_signal import RecoverySignal
@@ -148,7 +149,7 @@
         pool.on_restart = self.origins.engine_restarted
         self.loads = self._load_exchange(pool, known_daemons, random)
         pool.use_exchange(self.loads)
-        buffers = BufferedBytes(total_limit(settings.memory_bytes))
+        buffers = PeerBuffers(total_limit(settings.memory_bytes))
         BUFFERED_BYTES.set_function(lambda: buffers.total)
         sender = EngineSender(reactor, settings.host, buffers)
         sender.on_idle_close = pool.may_have_restarted
--- /dev/null
+++ b/tests/stateful/readers/__init__.py
@@ -0,0 +1,1 @@
+"""Random callers that read fast, slowly or not at all."""
--- a/tests/unit/http/test_slow_readers.py
+++ b/tests/unit/http/test_slow_readers.py
@@ -5,13 +5,13 @@
 from notcharch.http.buffered_bytes import (
     CONNECTION_BYTES,
     RESUME_BYTES,
-    BufferedBytes,
     holders_to_cut,
     is_behind,
     total_limit,
 )
 from notcharch.http.client import ClientConnection, ResponseFailure
 from notcharch.http.exchange import ServerLimits, Uploads
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.request_room import RequestRoom
 from notcharch.http.send_buffer import (
     MAX_TRANSPORT_BYTES,
@@ -145,7 +145,7 @@
 
 def test_a_thousand_slow_readers_hold_no_more_than_the_limit_beside_one_that_reads():
     limit = total_limit(128 * MEGABYTE)
-    buffers = BufferedBytes(limit)
+    buffers = PeerBuffers(limit)
     reader = Caller(buffers)
     reader.exchange.start(200, [])
     slow = []
@@ -173,7 +173,7 @@
 
 
 def test_a_cut_answer_stays_incomplete_whatever_is_written_later():
-    buffers = BufferedBytes(100_000)
+    buffers = PeerBuffers(100_000)
     caller = Caller(buffers)
     caller.exchange.id = "9c41"
     caller.exchange.start(200, [])
@@ -218,7 +218,7 @@
 
 def test_bodies_that_never_become_whole_take_no_more_than_the_limit():
     held = MemoryPool(MEGABYTE).holder("calls")
-    buffers = BufferedBytes(MEGABYTE)
+    buffers = PeerBuffers(MEGABYTE)
     uploads = Uploads(RequestRoom(Clock(), held))
     head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
     callers = [Caller(buffers, head, uploads) for _ in range(30)]
@@ -236,7 +236,7 @@
 
 
 def test_what_was_read_of_bodies_without_room_is_cut_above_the_limit():
-    buffers = BufferedBytes(MEGABYTE)
+    buffers = PeerBuffers(MEGABYTE)
     held = MemoryPool(MEGABYTE).holder("calls")
     held.change(MEGABYTE)
     uploads = Uploads(RequestRoom(Clock(), held))
@@ -253,7 +253,7 @@
 
 
 def test_a_body_has_room_from_its_head_until_its_request_ends():
-    buffers = BufferedBytes()
+    buffers = PeerBuffers()
     held = MemoryPool(MEGABYTE).holder("calls")
     uploads = Uploads(RequestRoom(Clock(), held))
     head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"
@@ -279,7 +279,7 @@
 
 
 def test_engines_that_read_no_bodies_hold_no_more_than_the_limit():
-    buffers = BufferedBytes(MEGABYTE)
+    buffers = PeerBuffers(MEGABYTE)
     engines = [EngineSide(buffers) for _ in range(30)]
     for engine in engines:
         engine.connection.send(HEAD, b"x" * 100_000, engine.listener)
@@ -293,7 +293,7 @@
 
 def test_a_large_body_that_its_call_holds_is_not_counted_again():
     """Four bodies of 4 MB at engines took all that connections may buffer at 260 MB."""
-    buffers = BufferedBytes(MEGABYTE)
+    buffers = PeerBuffers(MEGABYTE)
     body = b"x" * 4 * MEGABYTE
     engines = [EngineSide(buffers) for _ in range(4)]
     for engine in engines:
@@ -308,7 +308,7 @@
 
 def test_a_body_that_outlives_its_call_is_counted():
     """An engine may answer before it has read the body, and read the rest of it later."""
-    buffers = BufferedBytes(8 * MEGABYTE)
+    buffers = PeerBuffers(8 * MEGABYTE)
     engine = EngineSide(buffers)
     engine.connection.send(HEAD, b"x" * MEGABYTE, engine.listener)
     engine.connection.dataReceived(
--- a/tests/unit/http/test_uploads.py
+++ b/tests/unit/http/test_uploads.py
@@ -3,7 +3,6 @@
 import pytest
 from twisted.internet.task import Clock
 
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.exchange import (
     ErrorResponse,
     ServerLimits,
@@ -12,6 +11,7 @@
     UsualUploads,
 )
 from notcharch.http.incoming_body import PORTION_BYTES
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.request_room import LARGE_SHARE, RETRY_SECONDS, RequestRoom
 from notcharch.http.server_connection import BODY_LINGER_SECONDS, ServerConnection
 from notcharch.http.upload import PACE_SECONDS, ROOM_WAIT_SHARE
@@ -106,7 +106,7 @@
             max_waiting=max_waiting,
         )
         self.policy = Policy()
-        self.buffers = BufferedBytes()
+        self.buffers = PeerBuffers()
         self.uploads = Uploads(self.room, self.policy)
 
     def caller(self) -> Caller:
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -5,7 +5,8 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from notcharch.accounts.admission import max_body_bytes
-from notcharch.http.buffered_bytes import BufferedBytes, total_limit
+from notcharch.http.buffered_bytes import total_limit
+from notcharch.http.peer_buffers import PeerBuffers
 from notcharch.http.requester import Requester
 from notcharch.journal.interface import LogLimits
 from notcharch.platform.settings import (
@@ -99,7 +100,7 @@
 ):
     """Guards against a body that is cut on its way to each engine."""
     buffer_bytes = total_limit(memory_megabytes * BYTES_PER_MEGABYTE)
-    buffers = BufferedBytes(buffer_bytes)
+    buffers = PeerBuffers(buffer_bytes)
     found = max_body_bytes(buffer_bytes, partition_megabytes * BYTES_PER_MEGABYTE)
     assert found <= megabytes * BYTES_PER_MEGABYTE
     assert found >= (megabytes - 0.1) * BYTES_PER_MEGABYTE
