Read plain answers no faster than callers read, and pass their length on

Cause: an answer of up to 256 KB was read from its engine at full speed also for calls that are not sent again, so each slow caller could hold 320 KB. A longer one was chunked although its engine told its length. When held answers filled their memory, the largest was given up: its caller lost it without being slow.

Change: an answer of a call that is not sent again is relayed above 64 KB and pauses like a stream. A relayed answer keeps its length. Above the bound of held answers the largest is relayed from then on; only one without a seal, or that is no success, is given up.

--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -354,6 +354,7 @@
             self,
             log=self._log,
             prompt=selection.prompt,
+            may_send_again=self._allows_runs(self._log.runs + 2),
         )
         self._run.send(self._body, remaining_ms)
 
@@ -414,7 +415,7 @@
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
         self._is_relaying = self._is_body_relayed = True
-        self._reply.begin(head)
+        self._reply.begin(head, length=head.body_length)
 
     def run_body_received(self, data: bytes) -> None:
         """Relay data of a long answer."""
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -8,7 +8,11 @@
 from notcharch.calls.end_check import EndVerdict
 from notcharch.calls.engine_selection import PromptSample
 from notcharch.calls.engine_sender import EngineRequest
-from notcharch.calls.held_answer import MAX_EVENT_BYTES, HeldAnswer
+from notcharch.calls.held_answer import (
+    MAX_EVENT_BYTES,
+    MAX_HELD_ONCE_BYTES,
+    HeldAnswer,
+)
 from notcharch.calls.interface import (
     Engine,
     OpaqueCall,
@@ -20,6 +24,7 @@
 from notcharch.http.bounded_body import ServerKind, report_too_long
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
+from notcharch.http.metrics import ANSWERS_RELAYED_EARLY
 from notcharch.values.framing import Framing
 
 CLIENT_ERRORS = 400
@@ -61,10 +66,12 @@
         *,
         log: CallLog,
         prompt: PromptSample | None = None,
+        may_send_again: bool = True,
     ) -> None:
         """Prepare a run, which `send` starts.
 
-        `prompt` is set if the time to the first event shows how prompts are read.
+        `prompt` is set if the time to the first event shows how prompts are read. The
+        answer of a call that `may_send_again` after this run is held for longer.
         """
         self._services = services
         self._call = call
@@ -73,6 +80,7 @@
         self._listener = listener
         self._log = log
         self._prompt = prompt
+        self._may_send_again = may_send_again
         self._body = b""
         self._request: EngineRequest | None = None
         self._end = AnswerEnd(
@@ -238,9 +246,21 @@
             self._event_data_received(data)
         elif self._is_body_relayed:
             self._listener.run_body_received(data)
-        elif not self._answer.keep(data):
+        elif not self._answer.keep(data) or self._waits_for_caller():
             self._relay_body()
 
+    def _waits_for_caller(self) -> bool:
+        """Return whether the rest of an answer is read no faster than its caller reads."""
+        is_long = self._answer.kept_bytes > MAX_HELD_ONCE_BYTES
+        return is_long and not self._may_send_again and self._may_relay_body()
+
+    def _may_relay_body(self) -> bool:
+        """Return whether a plain answer may be relayed before its end."""
+        head = self._head
+        if head is None or head.status >= CLIENT_ERRORS or self._is_relaying:
+            return False
+        return self._services.dialect.is_genuine(head)
+
     def _event_data_received(self, data: bytes) -> None:
         if self._listener.run_data_received(data):
             self._record_event()
@@ -252,9 +272,7 @@
     def _relay_body(self) -> None:
         """Relay an answer as it comes, which is too long to be held until its end."""
         head = self._head
-        assert head is not None
-        is_success = head.status < CLIENT_ERRORS
-        if not is_success or not self._services.dialect.is_genuine(head):
+        if head is None or not self._may_relay_body():
             self._give_up()
             return
         self._is_body_relayed = True
@@ -262,8 +280,16 @@
         self._listener.run_body_received(self._answer.take())
 
     def _cut(self) -> None:
-        """Give up soon: another answer is being received at the moment."""
-        self._services.clock.callLater(0, self._give_up)
+        """Give way soon: another answer is being received at the moment."""
+        self._services.clock.callLater(0, self._give_way)
+
+    def _give_way(self) -> None:
+        """Relay the answer from now on, so that no more of it is held; else give it up."""
+        if self._is_over or self._is_body_relayed:
+            return
+        if self._answer.kept_bytes and self._may_relay_body():
+            ANSWERS_RELAYED_EARLY.inc()
+        self._relay_body()
 
     def _give_up(self) -> None:
         """Read the answer no further."""
--- a/notcharch/calls/held_answer.py
+++ b/notcharch/calls/held_answer.py
@@ -2,15 +2,18 @@
 
 An answer is held until it is whole, so that the call can be sent again if the engine breaks it
 off. A long one is relayed as it comes instead. All answers together hold a bounded number of
-bytes; the one that holds most is given up above it.
+bytes; above it the one that holds most is relayed as it comes, or given up if it may not be.
 """
 
 from collections.abc import Callable
 
-from notcharch.http.buffered_bytes import BufferedBytes
+from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes
 
 MAX_HELD_BYTES = 256 * 1024
 """A longer answer is relayed as it comes; one that must not be relayed is given up."""
+MAX_HELD_ONCE_BYTES = CONNECTION_BYTES
+"""The same for an answer of a call that is not sent again, as nothing is won by holding it:
+it waits for its caller as a stream does."""
 MAX_EVENT_BYTES = 1024 * 1024
 """The longest event of a stream; events hold some tokens."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -25,7 +28,7 @@
     """What is held of one answer, counted among all answers."""
 
     def __init__(self, held: BufferedBytes, on_cut: Callable[[], None]) -> None:
-        """`on_cut` is called if all answers hold too much and this one is to be given up."""
+        """`on_cut` is called if all answers hold too much and this one is to give way."""
         self._held = held
         self._on_cut = on_cut
         self._kept = bytearray()
@@ -44,12 +47,17 @@
         self._held.changed(self, len(self._kept))
         return len(self._kept) <= MAX_HELD_BYTES
 
+    @property
+    def kept_bytes(self) -> int:
+        """Number of bytes that are kept here."""
+        return len(self._kept)
+
     def count_elsewhere(self, size: int) -> None:
         """Count bytes of the answer that its call holds."""
         self._held.changed(self, size)
 
     def take(self) -> bytes:
-        """Return what is held, and hold it no longer."""
+        """Return what is kept, and hold it no longer."""
         content = bytes(self._kept)
         self.release()
         return content
@@ -65,5 +73,5 @@
         self._on_cut = _do_nothing
 
     def cut(self, buffered: int) -> None:
-        """Give the answer up: of all answers it holds the most bytes."""
+        """Let the run give way: of all answers, its answer holds the most bytes."""
         self._on_cut()
--- a/notcharch/calls/reply.py
+++ b/notcharch/calls/reply.py
@@ -16,8 +16,8 @@
     def watch_backlog(self, callback: Callable[[bool], None]) -> None:
         """Set the callback for a caller that falls behind (True) or catches up (False)."""
 
-    def begin(self, head: ResponseHead) -> None:
-        """Relay the head of a stream."""
+    def begin(self, head: ResponseHead, *, length: int | None = None) -> None:
+        """Relay the head of a stream, or of an answer of a known length in bytes."""
 
     def write(self, data: bytes) -> None:
         """Relay complete events of a stream."""
--- a/notcharch/http/messages.py
+++ b/notcharch/http/messages.py
@@ -58,6 +58,13 @@
     reason: bytes = b""
     framing: Framing = Framing.LENGTH
 
+    @property
+    def body_length(self) -> int | None:
+        """Bytes of the body as the head tells them; None if the body is framed otherwise."""
+        value = self.get(b"content-length")
+        is_told = self.framing is Framing.LENGTH and value is not None
+        return int(value) if is_told and value is not None else None
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of the header with a lower-case name."""
         return header_value(self.headers, name)
--- a/notcharch/http/metrics.py
+++ b/notcharch/http/metrics.py
@@ -19,6 +19,10 @@
     "Answers that were read no further for their length",
     ["peer"],
 )
+ANSWERS_RELAYED_EARLY = Counter(
+    "notcharch_http_answers_relayed_early",
+    "Answers relayed before their end because all together held too much",
+)
 PORTS_WAITING = Gauge(
     "notcharch_process_ports_waiting",
     "Whether a port of this process is not open yet because it is held",
--- a/notcharch/platform/ingress.py
+++ b/notcharch/platform/ingress.py
@@ -107,9 +107,12 @@
         """Call `callback` when the caller falls behind or has caught up."""
         self._exchange.watch_backlog(callback)
 
-    def begin(self, head: ResponseHead) -> None:
-        """Forward the head of a streamed response."""
-        self._exchange.start(head.status, response_headers(head))
+    def begin(self, head: ResponseHead, *, length: int | None = None) -> None:
+        """Forward the head of a streamed response, or of one whose length is known."""
+        headers = response_headers(head)
+        if length is not None:
+            headers.append((b"content-length", str(length).encode()))
+        self._exchange.start(head.status, headers)
 
     def write(self, data: bytes) -> None:
         """Forward events of a stream."""
--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -159,9 +159,10 @@
     def watch_backlog(self, callback):
         self.backlog = callback
 
-    def begin(self, head):
+    def begin(self, head, *, length=None):
         assert self.head is None
         self.head = head
+        self.length = length
 
     def write(self, data):
         self.data += data
