--- a/tests/unit/calls/world.py
+++ b/tests/unit/calls/world.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from notcharch.calls.call_lifecycle import CallLifecycle
-from notcharch.calls.engine_run import CallServices
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.engines import EnginePool
 from notcharch.calls.interface import (
     Engine,
@@ -160,9 +160,10 @@
     def watch_backlog(self, callback):
         self.backlog = callback
 
-    def begin(self, head):
+    def begin(self, head, *, length=None):
         assert self.head is None
         self.head = head
+        self.length = length
 
     def write(self, data):
         self.data += data
