The play of losses tells of its own pauses and of stops that take too long

Cause: a finding may come from the play's process standing still, which also holds the store and the engines; and a daemon that outlives its grace period was ended silently.

Change: the report has the longest delay of a check of the play; processes that live at the end of their grace periods are a violation, as in the soak.

Measured: lint and types pass; no play was run on this commit alone.

--- a/deploy/soak/losses/play.py
+++ b/deploy/soak/losses/play.py
@@ -106,6 +106,7 @@
             random=Random(seed + 5),
         )
         self._probe_rounds = 0
+        self._watched_at = self._longest_pause = 0.0
         self._is_over = False
 
     def _build_daemons(self, folder: Path) -> list[SoakDaemon]:
@@ -132,6 +133,10 @@
         self._reactor.callLater(START_SECONDS, self._begin)
 
     def _watch(self) -> None:
+        now = self._reactor.seconds()
+        late = now - self._watched_at - WATCH_SECONDS if self._watched_at else 0.0
+        self._longest_pause = max(self._longest_pause, late)
+        self._watched_at = now
         for daemon in self._daemons:
             daemon.look()
             daemon.collect_ends()
@@ -199,11 +204,18 @@
     def report(self) -> PlayReport:
         """Judge everything that was seen."""
         others = self._oracle.violations() + self._faults_of_daemons()
-        return judge(self.evidence, self._size, self._seed, others)
+        return judge(
+            self.evidence,
+            self._size,
+            self._seed,
+            longest_pause_seconds=self._longest_pause,
+            others=others,
+        )
 
     def _faults_of_daemons(self) -> list[Violation]:
         found: list[Violation] = []
         for daemon in self._daemons:
+            found += [Violation("STOP", daemon.name, what) for what in daemon.overruns]
             own = [end for end in daemon.ends if end.kind is EndKind.OWN]
             found += [
                 Violation("END", end.daemon, f"status {end.status}") for end in own
--- a/deploy/soak/losses/report.py
+++ b/deploy/soak/losses/report.py
@@ -58,6 +58,8 @@
     tries: int
     answers: dict[str, int]
     """Tries of turns by the status of their answer; 0 without one."""
+    longest_pause_seconds: float
+    """By how much a check of the play came too late: its store and engines stood still."""
     cut_at_deadline: int
     """Requests that ended without a whole answer at their deadline, which is allowed."""
     doubted: list[RefusedTry]
@@ -102,7 +104,12 @@
 
 
 def judge(
-    evidence: Evidence, size: PlaySize, seed: int, others: list[Violation]
+    evidence: Evidence,
+    size: PlaySize,
+    seed: int,
+    *,
+    longest_pause_seconds: float,
+    others: list[Violation],
 ) -> PlayReport:
     """Judge a play in every way."""
     tries = [asked for turn in evidence.turns for asked in turn.tries]
@@ -116,6 +123,7 @@
         first_turns=len(evidence.first_turns),
         tries=len(tries),
         answers=dict(answers),
+        longest_pause_seconds=round(longest_pause_seconds, 2),
         cut_at_deadline=sum(
             asked.is_connected
             and not asked.is_whole
