--- a/tests/unit/accounts/test_granted_tokens.py
+++ b/tests/unit/accounts/test_granted_tokens.py
@@ -150,3 +150,51 @@
         assert program.turn(most_tokens)
         lose_all(world)
     assert program.turn(most_tokens)
+
+
+def test_what_was_relayed_is_certain_for_the_next_owner():
+    """Guards against a whole grant in doubt where the journal tells what was relayed."""
+    world = World()
+    program = GatedProgram(world, "p", 900, MOST_TOKENS)
+    call = program.begin()
+    assert call is not None
+    assert call.relay(MOST_TOKENS - 2 * EVENT_TOKENS)
+    lose_all(world)
+    owned = account(world, "p")
+    assert owned.certain >= MOST_TOKENS // 4
+    assert owned.committed - owned.certain <= MOST_TOKENS // 2
+
+
+def test_a_call_that_is_taken_up_is_doubted_no_more():
+    """Guards against tokens that count as doubted and as reserved."""
+    world = World()
+    program = GatedProgram(world, "p", 900, MOST_TOKENS)
+    assert program.turn(TURN_TOKENS)
+    owner = world.owner("p")
+    at = next(at for at, name in enumerate(world.names) if name != owner)
+    call = program.begin(at)
+    assert call is not None
+    world.crash(owner)
+    world.run(3.0)
+    assert call.relay(MOST_TOKENS)
+    assert account(world, "p").doubted == 0
+
+
+def test_a_program_in_doubt_is_not_told_that_its_budget_is_spent():
+    """Guards against 402 where the certain use leaves room."""
+    world = World()
+    program = GatedProgram(world, "p", 900, MOST_TOKENS)
+    for _ in range(3):
+        assert GatedCall(world, "p", 900, MOST_TOKENS, event_tokens=0).admit()
+        lose_all(world)
+    reply = GatedCall(world, "p", 900, MOST_TOKENS).admit(1.0)
+    assert not isinstance(reply, TurnRefused)
+    assert program.has_room
+
+
+def account(world: World, program: str):
+    """Return the account of a program at its owner."""
+    group = world.services[world.owner(program)]._default_group
+    number = world.partitioning.of_program(program)
+    owned = group._owned_partitions._partitions.get(number)
+    return owned._ledger.program(program, world.clock.seconds())
