--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -9,7 +9,6 @@
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
 from notcharch.calls.engine_selection import Selection
-from notcharch.calls.event_stream import EventFramer
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
     NO_ENGINE,
@@ -27,6 +26,7 @@
 from notcharch.calls.refusals import refusal_without_engine
 from notcharch.calls.reply import Reply
 from notcharch.calls.routing import affinity_key_of
+from notcharch.calls.stream_relay import StreamRelay
 from notcharch.calls.stream_version import StreamVersion
 from notcharch.calls.waiting_output import WaitingOutput
 from notcharch.http.messages import ResponseHead
@@ -59,6 +59,7 @@
 NOT_GENUINE = "unauthenticated success response"
 SERVER_ERROR = "engine error"
 NOT_DURABLE = "the outcome was not durable before the deadline"
+TOO_MUCH_HELD = "the events that wait for a grant take too much memory"
 
 
 def call_bytes(call: OpaqueCall) -> int:
@@ -71,6 +72,8 @@
 
     ADMISSION = "admission"
     AT_ENGINE = "at engine"
+    AWAITING_GRANT = "waiting for a grant"
+    """The stream has ended, and its last events are not granted yet."""
     COMPLETING = "settling"
     OVER = "over"
 
@@ -107,23 +110,13 @@
         """True once a long answer is relayed as it comes."""
         self._status = 0
         """Status of the last complete response."""
-        self._framer = EventFramer()
-        self._is_relaying = False
-        """True once the head of a stream was relayed to the caller."""
-        self._pending_head: ResponseHead | None = None
-        """Head of a stream that has no complete event yet.
-
-        It is relayed with the first event: until then the call can still end in an error
-        response instead of an aborted connection.
-        """
+        self._events = StreamRelay(reply, self._relay, keeps_output=route.stores_turns)
         self._cause = ""
         """Why the last run failed."""
         self._is_caller_behind = False
-        self._output = bytearray()
-        """The relayed events, if the turn is to be stored."""
         self._held = held or HeldPart(services.held, SMALL_CALL_BYTES)
         self._waiting_output = WaitingOutput(
-            services.answers, services.clock, self.not_durable
+            services.answers, services.clock, self._give_up_output
         )
         self.timer = CallTimer(services.clock, route.name, services.stop)
         self._log = CallLog(services.clock, call, route)
@@ -222,10 +215,7 @@
             )
             return
         stop.log_cut(self.call, self._route, self.timer.seconds or 0.0)
-        if self._is_relaying or self._phase is Phase.COMPLETING:
-            self._interrupt(CUT_BY_STOP)
-        else:
-            self._refuse(msgspec.structs.replace(MAY_HAVE_RUN, reason=CUT_BY_STOP))
+        self._cut(CUT_BY_STOP)
 
     # Admission
 
@@ -252,6 +242,8 @@
         self._body = body
         self._phase = Phase.AT_ENGINE
         self._log.admitted()
+        ticket.watch_grant(self._grant_grown)
+        self._events.grant(ticket.granted_events)
         if self._services.urgency is not None:
             self._services.urgency.admitted(
                 self.call, self._route, self._service, self._cached_engine
@@ -265,6 +257,11 @@
 
     # Runs
 
+    @property
+    def _is_relaying(self) -> bool:
+        """Whether the caller got the head of a stream or of a long answer."""
+        return self._events.is_begun or self._is_body_relayed
+
     @property
     def _cached_engine(self) -> str:
         return self._ticket.cached_engine if self._ticket is not None else ""
@@ -386,33 +383,42 @@
         """Hold the head of the stream, unless an earlier run's head was relayed."""
         if self._ticket is not None and self._run is not None:
             self._ticket.engine_started(self._run.engine.id)
-        if not self._is_relaying:
-            self._pending_head = head
-
-    def _relay_head(self) -> None:
-        """Relay the head of the stream, unless that is done."""
-        head, self._pending_head = self._pending_head, None
-        if head is not None:
-            self._is_relaying = True
-            self._reply.begin(head)
+        self._events.run_started(head)
 
     def run_data_received(self, data: bytes) -> bool:
-        """Relay complete events; return whether there were any."""
-        complete_events = self._framer.feed(data)
-        self._log.unfinished_bytes = len(self._framer.remainder())
+        """Relay complete events that are granted; return whether any were complete."""
+        complete_events = self._events.feed(data)
+        self._log.unfinished_bytes = self._events.unfinished_bytes
         if complete_events:
-            self._relay_head()
-            if not self._log.events and self._run is not None:
+            if not self._log.events_received and self._run is not None:
                 self._stream.began(self._run, self._seconds_left)
-            self._log.events_relayed(self._framer.events)
-            if self._route.stores_turns:
-                self._output += complete_events
-            self._relay(complete_events)
+            self._log.events_received = self._events.events
+            self._events.relay(complete_events)
+            self._report_relayed()
         return bool(complete_events)
 
+    def _report_relayed(self) -> None:
+        """Report how many events were relayed, and count those that wait for a grant."""
+        if self._phase is Phase.OVER or self._ticket is None:
+            return
+        relayed = self._events.relayed
+        if relayed != self._log.events:
+            self._log.events_relayed(relayed)
+        self._waiting_output.hold_ungranted(self._events.waiting_bytes)
+        self._ticket.relayed(relayed, self._events.waiting)
+
+    def _grant_grown(self) -> None:
+        """Relay the events that waited for the grant, and end a stream that has ended."""
+        if self._phase is Phase.OVER or self._ticket is None:
+            return
+        self._events.grant(self._ticket.granted_events)
+        self._report_relayed()
+        if self._phase is Phase.AWAITING_GRANT and not self._events.waiting:
+            self._complete_stream()
+
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
-        self._is_relaying = self._is_body_relayed = True
+        self._is_body_relayed = True
         self._reply.begin(head)
 
     def run_body_received(self, data: bytes) -> None:
@@ -428,17 +434,17 @@
     @property
     def held_bytes(self) -> int:
         """How many bytes of the stream are held to be stored, or as an unfinished event."""
-        return len(self._output) + len(self._framer.remainder())
+        return self._events.held_bytes
 
     @property
     def is_inside_event(self) -> bool:
         """Whether the data of the stream so far ends inside an event."""
-        return self._framer.is_inside_event
+        return self._events.is_inside_event
 
     @property
     def last_event_id(self) -> bytes | None:
-        """The id of the last event that was relayed, if it had one."""
-        return self._framer.last_id or self.call.last_event_id
+        """The id of the last event that was received, if it had one."""
+        return self._events.last_id or self.call.last_event_id
 
     def run_unreachable(self) -> None:
         """Try another engine: the call was not sent."""
@@ -473,9 +479,9 @@
             self._guard.run_completed()
         if self._is_body_relayed:
             self._complete_body()
-        elif is_success and (self._is_relaying or self._pending_head is not None):
-            self._complete_stream()
-        elif self._is_relaying or self._is_false_refusal(head.status):
+        elif is_success and self._events.has_head:
+            self._stream_ended()
+        elif self._events.events or self._is_false_refusal(head.status):
             self._retry_or_end(f"{SERVER_ERROR}: {head.status}")
         elif head.status >= SERVER_ERRORS and self._may_run_again():
             self._retry(f"{SERVER_ERROR}: {head.status}")
@@ -523,7 +529,7 @@
         return is_safe and runs <= route.max_engines
 
     def _retry_or_end(self, cause: str) -> None:
-        self._pending_head = None
+        self._events.run_failed()
         if not self._may_run_again() or not self._stream.allows_another_run:
             self._cause = cause
             self._end_without_engine()
@@ -532,29 +538,36 @@
         self._retry(cause)
 
     def _resume_after_last_event(self) -> None:
-        self._framer.discard_remainder()
-        if self._framer.last_id is not None:
-            self.call.last_event_id = self._framer.last_id
+        self._events.discard_remainder()
+        if self._events.last_id is not None:
+            self.call.last_event_id = self._events.last_id
 
     # Completion
 
+    def _stream_ended(self) -> None:
+        """Complete the stream, once its last events are granted or stored with its turn.
+
+        The durable record of a turn counts all of its events.
+        """
+        if self._events.waiting and not self._route.stores_turns:
+            self._phase = Phase.AWAITING_GRANT
+        else:
+            self._complete_stream()
+
     def _complete_stream(self) -> None:
         """Make the outcome durable; the end of the stream is relayed afterwards."""
         self._phase = Phase.COMPLETING
         assert self._ticket is not None
-        output = bytes(self._output)
-        self._output.clear()
+        output = self._events.take_output()
         self._waiting_output.hold(len(output))
-        self._ticket.completed(output, self._framer.events, self)
+        self._ticket.completed(output, self._events.events, self)
 
     def durable(self) -> None:
-        """Relay the end of the stream."""
+        """Relay the end of the stream, with the events that wait for a grant."""
         if self._phase is not Phase.COMPLETING:
             return
-        self._relay_head()
-        remainder = self._framer.remainder()
-        if remainder:
-            self._reply.write(remainder)
+        self._events.relay_end()
+        self._report_relayed()
         self._end()
         self._served(self._status)
         self._learn_duration()
@@ -563,7 +576,14 @@
     def not_durable(self) -> None:
         """Abort the stream: its outcome is not durable."""
         if self._phase is Phase.COMPLETING:
-            self._interrupt(NOT_DURABLE)
+            self._cut(NOT_DURABLE)
+
+    def _give_up_output(self) -> None:
+        """End a call whose output takes the most memory of all answers."""
+        if self._phase is Phase.COMPLETING:
+            self.not_durable()
+        elif self._phase is not Phase.OVER:
+            self._cut(TOO_MUCH_HELD)
 
     def _complete_body(self) -> None:
         """End a long answer that was relayed as it came."""
@@ -601,6 +621,10 @@
         self._end()
         self._reply.refuse(refusal)
 
+    def _cut(self, cause: str) -> None:
+        """End a call that may have run, before its answer is complete."""
+        self._refuse(msgspec.structs.replace(MAY_HAVE_RUN, reason=cause))
+
     def _interrupt(self, cause: str) -> None:
         self._close_ticket()
         self._log.interrupted(self._phase.value, cause)
@@ -612,13 +636,14 @@
         if self._ticket is None or self._phase is Phase.COMPLETING:
             return
         if self._log.runs or self._run is not None:
-            self._ticket.interrupted(self._framer.events)
+            self._ticket.interrupted(self._events.relayed)
         else:
             self._ticket.never_ran()
 
     def _end(self) -> None:
         self._phase = Phase.OVER
         self._held.close()
+        self._events.close()
         self._waiting_output.release()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -635,6 +660,8 @@
             self._refuse(NO_ENGINE)
         elif self._phase is Phase.COMPLETING:
             self.not_durable()
+        elif self._phase is Phase.AWAITING_GRANT:
+            self._refuse(TIMED_OUT)
         elif self._phase is Phase.AT_ENGINE:
             may_have_run = bool(self._log.runs) or self._run is not None
             if may_have_run:
