Grants do not follow how many events wait

Cause: gateways ask for all events that wait and one more. A fast engine's call was granted them all, which takes the slack of all other calls of its program; what is lost then is doubted with more than one call.

Change: a raised grant is half of the slack beyond what was relayed, one event at least; the gateway asks again when it has relayed them.

Tests that needed a bound to be written ask without a starting allowance, since grants fit into it.

--- a/notcharch/accounts/grants.py
+++ b/notcharch/accounts/grants.py
@@ -23,8 +23,15 @@
     return min(half_of(slack, event_tokens), most_tokens)
 
 
-def raised_grant(
-    slack: int, event_tokens: int, *, granted: int, relayed: int, wanted: int
-) -> int:
-    """Return the total grant of a call that asks for more."""
-    return max(granted, wanted, relayed + half_of(slack, event_tokens))
+def raised_grant(slack: int, event_tokens: int, *, granted: int, relayed: int) -> int:
+    """Return the total grant of a call that asks for more.
+
+    It does not follow how many events wait: an engine may send faster than grants can be
+    written, and its call would then take the slack of all others.
+    """
+    return max(granted, relayed + half_of(slack, event_tokens))
+
+
+def least_grant(event_tokens: int, *, granted: int, wanted: int) -> int:
+    """Return the least total with which a call that asks for more goes on."""
+    return min(wanted, granted + max(event_tokens, 1))
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from notcharch.accounts.account_memory import AccountMemory
-from notcharch.accounts.grants import first_grant, half_of, raised_grant
+from notcharch.accounts.grants import first_grant, half_of, least_grant, raised_grant
 from notcharch.accounts.messages import RaiseGrant
 from notcharch.accounts.metrics import DOUBTED_TOKENS
 from notcharch.accounts.program_account import (
@@ -335,12 +335,12 @@
             event_tokens=request.event_tokens,
             gateway=gateway,
         )
-        wanted = min(request.wanted_tokens, most)
-        if held.is_doubted or wanted > held.tokens:
+        least = _least_raise(request, held)
+        if held.is_doubted or least > held.tokens:
             return Verdict.DOUBTED
         target = _planned_raise(program, request, held)
         room = self._durable_room(program, now, request.call)
-        if takes_less and room >= wanted:
+        if takes_less and room >= least:
             target = max(min(target, room), held.granted)
         if target > room:
             return Verdict.NEEDS_BOUND
@@ -587,6 +587,12 @@
     return granted if former is None else max(granted, former.granted)
 
 
+def _least_raise(request: RaiseGrant, held: Reservation) -> int:
+    """Return the least grant with which a call that asks for more goes on."""
+    wanted = min(request.wanted_tokens, request.most_tokens)
+    return least_grant(request.event_tokens, granted=held.granted, wanted=wanted)
+
+
 def _planned_raise(program: Program, request: RaiseGrant, held: Reservation) -> int:
     """Return the grant of a call that asks for more."""
     target = raised_grant(
@@ -594,9 +600,8 @@
         request.event_tokens,
         granted=held.granted,
         relayed=held.relayed,
-        wanted=request.wanted_tokens,
     )
-    return min(target, held.tokens)
+    return min(max(target, _least_raise(request, held)), held.tokens)
 
 
 def _ahead(program: Program, ended: Reservation, call: str, bound: int) -> int:
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -108,6 +108,7 @@
 def turns_are_shown_before_they_are_written(monkeypatch):
     def keep(self, output, events, then):
         then.durable()
+        return succeed(None)
 
     monkeypatch.setattr(CallAccount, "_store_turn", keep)
 
--- a/tests/unit/accounts/test_granted_tokens.py
+++ b/tests/unit/accounts/test_granted_tokens.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from notcharch.accounts.messages import WHOLE_CALL, TurnAdmitted, TurnRefused
+from notcharch.accounts.messages import (
+    WHOLE_CALL,
+    TurnAdmitted,
+    TurnIsKept,
+    TurnRefused,
+)
 from tests.unit.accounts.gated_calls import GatedCall, GatedProgram
 from tests.unit.accounts.steps import same_partition_program
 from tests.unit.accounts.world import EVENT_TOKENS, World
@@ -192,6 +197,20 @@
     assert program.has_room
 
 
+def test_a_turn_that_is_kept_is_certain_for_the_next_owner():
+    """Guards against a turn's tokens, some beyond the grant, that no record counts."""
+    world = World()
+    program = GatedProgram(world, "p", 900, MOST_TOKENS)
+    call = program.begin()
+    assert call is not None
+    call.relayed = MOST_TOKENS  # the events that wait are answered with the stored turn
+    assert isinstance(call.keep(), TurnIsKept)
+    lose_all(world)
+    reply = GatedCall(world, "p", 900, MOST_TOKENS).admit(1.0)
+    assert isinstance(reply, TurnRefused)
+    assert reply.is_spent
+
+
 def account(world: World, program: str):
     """Return the account of a program at its owner."""
     group = world.services[world.owner(program)]._default_group
--- a/tests/unit/accounts/test_large_records.py
+++ b/tests/unit/accounts/test_large_records.py
@@ -2,6 +2,7 @@
 
 from notcharch.calls.interface import NOT_RECORDED
 from notcharch.journal.interface import LogLimits
+from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from notcharch.tenants.interface import RateLimit, Tenant
 from tests.unit.accounts.steps import EVENT, spend
 from tests.unit.accounts.test_large_turns import go_on, text_of
@@ -77,7 +78,7 @@
 
 def test_a_call_whose_bound_the_log_refuses_is_refused_at_once():
     """Guards against an account's record that is refused for good and sent on and on."""
-    world = World()
+    world = World(mechanisms=ALL_MECHANISMS - {Mechanism.STARTING_ALLOWANCE})
     world.run(6.0)
     world.log.limits = LogLimits(record_bytes=200, call_bytes=1_000)
     names = (f"{LONG_NAME[:300]}{number}" for number in range(100))
