The state machines of accounts relay within grants

Callers get only what is granted, in steps; a call that is lost has given out its whole grant. Before, a lost call was taken to have given out its maximum, which a gateway that gates its events can't.

--- a/tests/stateful/accounts/retention_machine.py
+++ b/tests/stateful/accounts/retention_machine.py
@@ -145,8 +145,15 @@
         if listener.ticket is not None:
             assert listener.body == running.expected_body
             self.generated[program] += events * EVENT_TOKENS
+            self.relay(listener.ticket, events)
         return listener
 
+    def relay(self, ticket, events):
+        """Relay what is granted, and ask for more if events wait."""
+        granted = ticket.granted_events
+        relayed = events if granted is None else min(events, granted)
+        ticket.relayed(relayed, events - relayed)
+
     def check(self, running):
         refusal, row = running.listener.refusal, PROGRAMS[running.program]
         if running.previous and not self.may_be_denied(running.previous):
