Plans of grants and lines of refusals are modules of their own

Cause: ledger.py and partition.py had grown by the grants.

Change: the sizes of grants move to grant_plans.py, the line of a refusal for doubt to doubt_log.py. Nothing is decided differently.

--- a/notcharch/accounts/doubt_log.py
+++ b/notcharch/accounts/doubt_log.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 
 from notcharch.accounts.doubt_sources import bounded
+from notcharch.accounts.messages import AdmitTurn
+from notcharch.accounts.metrics import BUDGET_DOUBTS
 from notcharch.accounts.program_account import Program
-from notcharch.events.accounts import DoubtTaken
+from notcharch.events.accounts import BudgetDoubted, DoubtTaken
 from notcharch.events.event import emit
 from notcharch.journal.partition_journal import PartitionAssignment
 
@@ -49,3 +51,24 @@
                 omitted_lines=omitted,
             )
         )
+
+    def refused(self, request: AdmitTurn, program: Program, seconds: float) -> None:
+        """Log and count a refusal for doubt, with the time after which it may end."""
+        BUDGET_DOUBTS.inc()
+        doubted_tokens = program.committed - program.certain - program.unproven
+        emit(
+            BudgetDoubted(
+                request=request.call,
+                program=request.program,
+                partition=self._assignment.number,
+                epoch=self._assignment.epoch,
+                budget_tokens=request.budget_tokens or 0,
+                used_tokens=program.certain - program.under_way,
+                doubted_tokens=doubted_tokens,
+                unproven_tokens=program.unproven,
+                under_way_tokens=program.under_way,
+                most_tokens=request.most_tokens,
+                retry_seconds=round(seconds, 3),
+                sources=bounded(program.doubt_sources()),
+            )
+        )
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -13,7 +13,12 @@
 import msgspec
 
 from notcharch.accounts.account_memory import AccountMemory
-from notcharch.accounts.grants import first_grant, half_of, least_grant, raised_grant
+from notcharch.accounts.grant_plans import (
+    least_raise,
+    planned_grant,
+    planned_raise,
+    tokens_ahead,
+)
 from notcharch.accounts.messages import RaiseGrant
 from notcharch.accounts.metrics import DOUBTED_TOKENS
 from notcharch.accounts.program_account import (
@@ -39,10 +44,6 @@
 from notcharch.values.identifiers import Member
 from notcharch.values.memory_pool import HeldPart
 
-CALLS_WITH_ROOM = 3
-"""The record of a turn lets its program run a next call of a gateway of an older build only
-while the budget has room for so many: such a call is granted, and doubted, as a whole."""
-
 REWRITE_BYTES = 4 * 1024 * 1024
 """Turns that are written again at once: a fifth of a second of a partition's appends."""
 
@@ -287,7 +288,7 @@
             return Verdict.SPENT
         if program.committed > program.budget:
             return Verdict.DOUBTED
-        asked.granted = _planned_grant(program, asked, former)
+        asked.granted = planned_grant(program, asked, former)
         if former is not None:
             asked.relayed = former.relayed
         least = former.granted if former is not None else 0
@@ -335,10 +336,10 @@
             event_tokens=request.event_tokens,
             gateway=gateway,
         )
-        least = _least_raise(request, held)
+        least = least_raise(request, held)
         if held.is_doubted or least > held.tokens:
             return Verdict.DOUBTED
-        target = _planned_raise(program, request, held)
+        target = planned_raise(program, request, held)
         room = self._durable_room(program, now, request.call)
         if takes_less and room >= least:
             target = max(min(target, room), held.granted)
@@ -369,7 +370,7 @@
         program = self.program(name, now)
         begun = Reservation(max_tokens, now, max_tokens, event_tokens=event_tokens)
         former = program.reserved.get(call)
-        begun.granted = _planned_grant(program, begun, former, call)
+        begun.granted = planned_grant(program, begun, former, call)
         bound = program.covered(call) + begun.granted
         if not program.is_doubted and not keeps_turns:
             ahead = max(program.slack(max_tokens, call) - begun.granted, 0) // 2
@@ -388,7 +389,7 @@
         held = program.reserved.get(request.call)
         if held is None:
             return None
-        target = _planned_raise(program, request, held)
+        target = planned_raise(program, request, held)
         grown = msgspec.structs.replace(held, granted=target)
         bound = program.covered(request.call) + target
         return self._bound_record(
@@ -444,7 +445,7 @@
         settled = 0 if held is not None else min(tokens, program.doubted)
         bound = program.covered(call) + tokens - settled
         if held is not None and not program.is_doubted:
-            bound += _ahead(program, held, call, bound)
+            bound += tokens_ahead(program, held, call, bound)
         program.begin_write(bound)
         return program.state(bound, ended=call, tokens=tokens, begun={})
 
@@ -576,40 +577,3 @@
     def _keep_factor(held: HeldPart) -> float:
         is_short = held.holder.is_under_pressure
         return SHORT_KEEP_FACTOR if is_short else KEEP_FACTOR
-
-
-def _planned_grant(
-    program: Program, asked: Reservation, former: Reservation | None, call: str = ""
-) -> int:
-    """Return the grant of a call that is let in, or let in again."""
-    slack = program.slack(asked.tokens, call)
-    granted = first_grant(slack, asked.event_tokens, asked.tokens)
-    return granted if former is None else max(granted, former.granted)
-
-
-def _least_raise(request: RaiseGrant, held: Reservation) -> int:
-    """Return the least grant with which a call that asks for more goes on."""
-    wanted = min(request.wanted_tokens, request.most_tokens)
-    return least_grant(request.event_tokens, granted=held.granted, wanted=wanted)
-
-
-def _planned_raise(program: Program, request: RaiseGrant, held: Reservation) -> int:
-    """Return the grant of a call that asks for more."""
-    target = raised_grant(
-        program.slack(request.most_tokens, request.call),
-        request.event_tokens,
-        granted=held.granted,
-        relayed=held.relayed,
-    )
-    return min(max(target, _least_raise(request, held)), held.tokens)
-
-
-def _ahead(program: Program, ended: Reservation, call: str, bound: int) -> int:
-    """Return how much the record of a turn covers for the next call of that size."""
-    if not ended.event_tokens:
-        has_room = bound + CALLS_WITH_ROOM * ended.tokens <= program.budget
-        return ended.tokens if has_room else 0
-    if bound + ended.tokens > program.budget:
-        return 0
-    slack = program.slack(ended.tokens, call)
-    return half_of(slack, ended.event_tokens) if slack >= ended.event_tokens else 0
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -12,7 +12,6 @@
 from notcharch.accounts.allowance_renewal import AllowanceRenewer
 from notcharch.accounts.coalesced_writes import CoalescedWrites
 from notcharch.accounts.doubt_log import DoubtLog
-from notcharch.accounts.doubt_sources import bounded
 from notcharch.accounts.journal_history import JournalHistory
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.limited_tenants import NOT_OWNER, LimitContext, LimitedTenants
@@ -38,7 +37,6 @@
     UsageDoubted,
 )
 from notcharch.accounts.metrics import (
-    BUDGET_DOUBTS,
     DOUBTED_TOKENS,
     OWNED_PARTITIONS,
     TAKEOVER_SECONDS,
@@ -49,7 +47,6 @@
 from notcharch.accounts.turns import TranscriptPage
 from notcharch.accounts.written_record import WrittenRecord
 from notcharch.events.accounts import (
-    BudgetDoubted,
     BudgetRefused,
     PartitionGivenUp,
     PartitionTakenOver,
@@ -376,24 +373,7 @@
         seconds = self._history.doubt_seconds(now, self._ledger.keep_seconds)
         if not program.unproven:
             seconds = self._ledger.retry_seconds(request.program, now)
-        doubted_tokens = program.committed - program.certain - program.unproven
-        BUDGET_DOUBTS.inc()
-        emit(
-            BudgetDoubted(
-                request=request.call,
-                program=request.program,
-                partition=self.assignment.number,
-                epoch=self.assignment.epoch,
-                budget_tokens=request.budget_tokens or 0,
-                used_tokens=program.certain - program.under_way,
-                doubted_tokens=doubted_tokens,
-                unproven_tokens=program.unproven,
-                under_way_tokens=program.under_way,
-                most_tokens=request.most_tokens,
-                retry_seconds=round(seconds, 3),
-                sources=bounded(program.doubt_sources()),
-            )
-        )
+        self._doubt_log.refused(request, program, seconds)
         return UsageDoubted(seconds)
 
     def _log_budget_refusal(self, message: AdmitTurn) -> None:
--- a/tests/stateful/accounts/test_grants_machine.py
+++ b/tests/stateful/accounts/test_grants_machine.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
 
-from notcharch.accounts import ledger
+from notcharch.accounts import grant_plans
 from notcharch.accounts.ledger import Ledger, Verdict
 from notcharch.accounts.program_account import Program
 from tests.stateful.accounts.grants_machine import GrantsMachine
@@ -21,11 +21,11 @@
 
 
 def a_call_is_granted_as_a_whole(monkeypatch):
-    monkeypatch.setattr(ledger, "first_grant", lambda slack, event, most: most)
+    monkeypatch.setattr(grant_plans, "first_grant", lambda slack, event, most: most)
 
 
 def a_grant_takes_all_that_is_left(monkeypatch):
-    monkeypatch.setattr(ledger, "first_grant", lambda slack, event, most: slack)
+    monkeypatch.setattr(grant_plans, "first_grant", lambda slack, event, most: slack)
 
 
 def relayed_tokens_stay_doubted(monkeypatch):
--- a/tests/stateful/accounts/test_retention_machine.py
+++ b/tests/stateful/accounts/test_retention_machine.py
@@ -56,7 +56,7 @@
 
 
 def a_next_call_is_always_let_in(monkeypatch):
-    monkeypatch.setattr("notcharch.accounts.ledger.CALLS_WITH_ROOM", -100)
+    monkeypatch.setattr("notcharch.accounts.grant_plans.CALLS_WITH_ROOM", -100)
 
 
 def records_name_no_calls(monkeypatch):
