A call wants its next event, not all that wait

Cause: a gateway named all events that wait as the least that it wants, and an owner grants that whatever is doubted. A burst of an engine was granted whole; after its gateway's end the call was doubted with 430 of 570 tokens beside 290 of an earlier one, and its program got 503 for good.

Change: wanted is what the next event needs.

--- a/notcharch/accounts/call_grant.py
+++ b/notcharch/accounts/call_grant.py
@@ -31,9 +31,13 @@
     return granted_tokens // call.tokens_per_event
 
 
-def wanted_tokens(events: int, call: OpaqueCall) -> int:
-    """Return the tokens of so many events and the next one, within the call's maximum."""
-    return min((events + 1) * call.tokens_per_event, call.max_tokens)
+def wanted_tokens(relayed_events: int, call: OpaqueCall) -> int:
+    """Return the least total with which a call goes on: that of its next event.
+
+    An owner grants what is wanted even if it would be doubted beside other calls, so events
+    that wait behind the next one are left to its own rule.
+    """
+    return min((relayed_events + 1) * call.tokens_per_event, call.max_tokens)
 
 
 def _do_nothing() -> None:
@@ -137,7 +141,7 @@
             call.tokens_per_event,
             self._granted_tokens,
             self._relayed * call.tokens_per_event,
-            wanted_tokens(self._relayed + self.waiting, call),
+            wanted_tokens(self._relayed, call),
         )
 
     def _answered(self, reply: Message | None) -> None:
