--- a/notcharch/calls/call_lifecycle.py
+++ b/notcharch/calls/call_lifecycle.py
@@ -8,7 +8,8 @@
 
 from notcharch.calls.call_log import CallLog
 from notcharch.calls.call_memory import SMALL_CALL_BYTES, call_bytes
-from notcharch.calls.engine_run import CLIENT_ERRORS, CallServices, EngineRun
+from notcharch.calls.call_services import CallServices
+from notcharch.calls.engine_run import CLIENT_ERRORS, EngineRun
 from notcharch.calls.engine_selection import Selection
 from notcharch.calls.interface import (
     MAY_HAVE_RUN,
@@ -345,6 +346,7 @@
             self,
             log=self._log,
             prompt=selection.prompt,
+            may_send_again=self._allows_runs(self._log.runs + 2),
         )
         self._run.send(self._body, remaining_ms)
 
@@ -392,7 +394,7 @@
     def run_body_started(self, head: ResponseHead) -> None:
         """Relay the head of a long answer; the call can't be sent again then."""
         self._is_body_relayed = True
-        self._reply.begin(head)
+        self._reply.begin(head, length=head.body_length)
 
     def run_body_received(self, data: bytes) -> None:
         """Relay data of a long answer."""
--- a/notcharch/calls/engine_run.py
+++ b/notcharch/calls/engine_run.py
@@ -1,39 +1,31 @@
 """One run of a call at one engine."""
 
-from typing import Protocol
-
 import msgspec
-from twisted.internet.interfaces import IReactorTime
 
 from notcharch.calls.answer_end import AnswerEnd, ResumableCall
 from notcharch.calls.call_log import CallLog
-from notcharch.calls.call_urgency import CallUrgency
+from notcharch.calls.call_services import CallServices
 from notcharch.calls.end_check import EndVerdict
 from notcharch.calls.engine_selection import PromptSample
-from notcharch.calls.engine_sender import EngineRequest, EngineSender
-from notcharch.calls.engines import EnginePool
-from notcharch.calls.held_answer import MAX_EVENT_BYTES, HeldAnswer
+from notcharch.calls.engine_sender import EngineRequest
+from notcharch.calls.held_answer import (
+    MAX_EVENT_BYTES,
+    MAX_HELD_ONCE_BYTES,
+    HeldAnswer,
+)
 from notcharch.calls.interface import (
-    Admission,
     Engine,
-    EngineDialect,
-    NoQuarantine,
-    NoStreamOrigins,
     OpaqueCall,
     ProcessState,
-    Quarantine,
     Route,
-    StreamOrigins,
 )
 from notcharch.calls.overdue import OverdueWatch
-from notcharch.calls.planned_stop import PlannedStop
+from notcharch.calls.run_listener import RunListener
 from notcharch.http.bounded_body import ServerKind, report_too_long
-from notcharch.http.buffered_bytes import BufferedBytes
 from notcharch.http.client import ResponseFailure
 from notcharch.http.messages import ResponseHead
-from notcharch.scheduling.first_response_times import RouteResponseTimes
+from notcharch.http.metrics import ANSWERS_RELAYED_EARLY
 from notcharch.values.framing import Framing
-from notcharch.values.memory_pool import PoolHolder, unbounded_holder
 
 CLIENT_ERRORS = 400
 EVENT_STREAM = b"text/event-stream"
@@ -61,82 +53,6 @@
 count against an engine after its answer went unread."""
 
 
-class CallServices(msgspec.Struct, frozen=True):
-    """Collaborators of the call lifecycle."""
-
-    clock: IReactorTime
-    pool: EnginePool
-    sender: EngineSender
-    dialect: EngineDialect
-    admission: Admission
-    waits: RouteResponseTimes
-    urgency: CallUrgency | None = None
-    """Rates the urgency of calls; None if engines are not told of it."""
-    answers: BufferedBytes = msgspec.field(default_factory=BufferedBytes)
-    """What is held of engines' answers."""
-    held: PoolHolder = msgspec.field(default_factory=unbounded_holder)
-    """What calls hold besides answers."""
-    origins: StreamOrigins = NoStreamOrigins()
-    quarantine: Quarantine = NoQuarantine()
-    stop: PlannedStop | None = None
-    """The planned stop of the daemon; None if calls don't take notice of it."""
-
-
-class RunListener(Protocol):
-    """Callbacks for a run. It has ended after each of them but the first four."""
-
-    def run_started(self, head: ResponseHead) -> None:
-        """Handle the head of a successful stream."""
-
-    def run_data_received(self, data: bytes) -> bool:
-        """Handle data of the stream; return whether it completed an event."""
-
-    def run_body_started(self, head: ResponseHead) -> None:
-        """Handle the head of a long answer, which is relayed as it comes."""
-
-    def run_body_received(self, data: bytes) -> None:
-        """Handle data of a long answer."""
-
-    def run_unreachable(self) -> None:
-        """Handle a failed connection attempt: the call was not sent."""
-
-    def run_cancelled(self) -> None:
-        """Handle that the engine was drained before the call was sent."""
-
-    def run_restarted(self) -> None:
-        """Handle that the call was not sent: the engine started after its entry."""
-
-    def run_rejected(self, head: ResponseHead) -> None:
-        """Handle a rejection: the engine certainly did not run the call."""
-
-    def run_completed(self, head: ResponseHead, body: bytes) -> None:
-        """Handle a complete response; `body` is empty if it was relayed as a stream."""
-
-    def run_failed(self, cause: str, process: ProcessState) -> None:
-        """Handle an incomplete or abandoned response; the call may have run."""
-
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether the data of the stream so far ends inside an event."""
-
-    @property
-    def last_event_id(self) -> bytes | None:
-        """The id of the last event that was received, if it had one."""
-
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes of the stream are held to be stored, or as an unfinished event.
-
-        Events that wait for a grant are counted by the call.
-        """
-
-    def may_ask_for_rest(self) -> bool:
-        """Return whether the engine may get the request again as a question."""
-
-    def should_abandon(self) -> bool:
-        """Return whether to abandon the run when its response is overdue."""
-
-
 class EngineRun:
     """One run; the listener of the engine's response."""
 
@@ -150,10 +66,12 @@
         *,
         log: CallLog,
         prompt: PromptSample | None = None,
+        may_send_again: bool = True,
     ) -> None:
         """Prepare a run, which `send` starts.
 
-        `prompt` is set if the time to the first event shows how prompts are read.
+        `prompt` is set if the time to the first event shows how prompts are read. The
+        answer of a call that `may_send_again` after this run is held for longer.
         """
         self._services = services
         self._call = call
@@ -162,6 +80,7 @@
         self._listener = listener
         self._log = log
         self._prompt = prompt
+        self._may_send_again = may_send_again
         self._body = b""
         self._request: EngineRequest | None = None
         self._end = AnswerEnd(
@@ -327,9 +246,21 @@
             self._event_data_received(data)
         elif self._is_body_relayed:
             self._listener.run_body_received(data)
-        elif not self._answer.keep(data):
+        elif not self._answer.keep(data) or self._waits_for_caller():
             self._relay_body()
 
+    def _waits_for_caller(self) -> bool:
+        """Return whether the rest of an answer is read no faster than its caller reads."""
+        is_long = self._answer.kept_bytes > MAX_HELD_ONCE_BYTES
+        return is_long and not self._may_send_again and self._may_relay_body()
+
+    def _may_relay_body(self) -> bool:
+        """Return whether a plain answer may be relayed before its end."""
+        head = self._head
+        if head is None or head.status >= CLIENT_ERRORS or self._is_relaying:
+            return False
+        return self._services.dialect.is_genuine(head)
+
     def _event_data_received(self, data: bytes) -> None:
         if self._listener.run_data_received(data):
             self._record_event()
@@ -341,9 +272,7 @@
     def _relay_body(self) -> None:
         """Relay an answer as it comes, which is too long to be held until its end."""
         head = self._head
-        assert head is not None
-        is_success = head.status < CLIENT_ERRORS
-        if not is_success or not self._services.dialect.is_genuine(head):
+        if head is None or not self._may_relay_body():
             self._give_up()
             return
         self._is_body_relayed = True
@@ -351,8 +280,16 @@
         self._listener.run_body_received(self._answer.take())
 
     def _cut(self) -> None:
-        """Give up soon: another answer is being received at the moment."""
-        self._services.clock.callLater(0, self._give_up)
+        """Give way soon: another answer is being received at the moment."""
+        self._services.clock.callLater(0, self._give_way)
+
+    def _give_way(self) -> None:
+        """Relay the answer from now on, so that no more of it is held; else give it up."""
+        if self._is_over or self._is_body_relayed:
+            return
+        if self._answer.kept_bytes and self._may_relay_body():
+            ANSWERS_RELAYED_EARLY.inc()
+        self._relay_body()
 
     def _give_up(self) -> None:
         """Read the answer no further."""
