--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -222,12 +222,7 @@
             return
         self._is_completed = True
         self._grant.stop_requests()
-        stored = self._store_turn(output, events, completion)
-        stored.addBoth(self._close_grant)
-
-    def _close_grant(self, result: Any) -> Any:
-        self._grant.close()
-        return result
+        self._store_turn(output, events, completion)
 
     @inlineCallbacks
     def _store_turn(
@@ -245,6 +240,16 @@
             events * call.tokens_per_event,
             self._engine,
         )
+        try:
+            yield self._store_parts(message, events, completion)
+        finally:
+            self._grant.close()
+
+    @inlineCallbacks
+    def _store_parts(
+        self, message: KeepTurn, events: int, completion: Completion
+    ) -> Generator["Deferred[Any]", Any, None]:
+        call, data = self.call, message.output
         parts = deque(split_turn(message))
         while completion.is_caller_waiting:
             response = yield self._owners.send_request(self.partition, parts[0])
--- a/tests/stateful/accounts/test_accounts_machine.py
+++ b/tests/stateful/accounts/test_accounts_machine.py
@@ -30,6 +30,17 @@
     run_state_machine_as_test(AccountsMachine, settings=RUN)
 
 
+class OlderGateways(AccountsMachine):
+    """Gateways whose calls are granted as a whole."""
+
+    is_older = True
+
+
+def test_budgets_and_kept_turns_hold_with_gateways_of_older_builds():
+    """Guards against calls of a mixed fleet that are counted with a part of their grant."""
+    run_state_machine_as_test(OlderGateways, settings=RUN)
+
+
 def test_budgets_and_kept_turns_hold_while_all_texts_are_set_aside(monkeypatch):
     """Memory is always short: each text is read from the journal for each call."""
     monkeypatch.setattr(turns, "MIN_ASIDE_BYTES", 0)
