--- a/tests/unit/accounts/streamed_calls.py
+++ b/tests/unit/accounts/streamed_calls.py
@@ -56,6 +56,9 @@
             services, self.call, route(stores_turns=is_kept), SERVICE, self.reply
         )
         self.sent_events = 0
+        self.is_begun = False
+        self.is_complete = False
+        """Whether the engine has ended its answer."""
         self.lifecycle.start()
 
     @property
@@ -74,7 +77,8 @@
     def send(self, events: int) -> None:
         """Let the engine send events."""
         listener = self.sender.sent[0].listener
-        if not self.sent_events:
+        if not self.is_begun:
+            self.is_begun = True
             self.sender.sent[0].begin()
         data = b"".join(event(self.sent_events + number) for number in range(events))
         self.sent_events += events
@@ -83,6 +87,7 @@
 
     def complete(self) -> None:
         """Let the engine end its answer."""
+        self.is_complete = True
         self.sender.sent[0].listener.completed()
 
     def wait_for(self, is_done, seconds: float = DECISION_SECONDS) -> bool:
@@ -107,9 +112,16 @@
     """A program and the tokens that its callers were handed."""
 
     def __init__(
-        self, world: World, budget: int, most_tokens: int, *, is_kept: bool
+        self,
+        world: World,
+        budget: int,
+        most_tokens: int,
+        *,
+        is_kept: bool,
+        name: str = "p",
     ) -> None:
         self.world = world
+        self.name = name
         self.budget = budget
         self.most_tokens = most_tokens
         self.is_kept = is_kept
@@ -124,19 +136,24 @@
         """Whether what was handed out leaves enough for the next call."""
         return self.handed + self.most_tokens <= self.budget
 
+    def request(self, at: int) -> StreamedCall:
+        """Ask for one call."""
+        call = StreamedCall(
+            self.world,
+            self.name,
+            self.budget,
+            self.most_tokens,
+            at=at,
+            is_kept=self.is_kept,
+        )
+        self.calls.append(call)
+        return call
+
     def begin(self, at: int = 0) -> StreamedCall | None:
         """Let a call begin, again while it is refused for now; None if it stays refused."""
         until = self.world.clock.seconds() + DECISION_SECONDS
         while self.world.clock.seconds() < until:
-            call = StreamedCall(
-                self.world,
-                "p",
-                self.budget,
-                self.most_tokens,
-                at=at,
-                is_kept=self.is_kept,
-            )
-            self.calls.append(call)
+            call = self.request(at)
             call.wait_for(lambda call=call: call.is_decided)
             if call.is_at_engine:
                 return call
