--- a/tests/stateful/accounts/machine.py
+++ b/tests/stateful/accounts/machine.py
@@ -48,10 +48,12 @@
     group = GROUP
     memory = AccountMemory
     """Returns what a daemon may hold."""
+    is_older = False
+    """Whether the gateways' calls are granted as a whole."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = World(DAEMONS, memory=self.memory)
+        self.world = World(DAEMONS, memory=self.memory, is_older=self.is_older)
         self.given: dict[str, int] = dict.fromkeys(PROGRAMS, 0)
         self.durable_turns: dict[str, bytes] = {}
 
