Planned stop: fewer reads after a release, and a defect doesn't hold it

Cause: a daemon that had released its partitions could read the group's owners four times a second while its calls ran and all others stopped; a defect in closing idle connections kept the partitions until the end of the grace period.

Change: members are asked each 0.5 s after a release; the end of the calls is noted also if closing idle connections fails.

Tests: those of the leave, of common stops, of defects in stops and the state machine of stops pass; the test with the defect is new.

--- a/notcharch/journal/planned_leave.py
+++ b/notcharch/journal/planned_leave.py
@@ -28,7 +28,12 @@
 from notcharch.journal.staying_members import MembersAsked
 
 ASK_SECONDS = 0.25
-"""Interval of the questions whether another member stays."""
+"""Interval of the questions whether another member stays, while partitions are kept."""
+WATCH_SECONDS = 0.5
+"""Interval of the questions whether a member is left, after the release.
+
+Each may cost a read of the log service, and a turn is stored later by at most this time.
+"""
 
 Owners = Result[tuple[Ownership, ...], LogProblem]
 
@@ -108,9 +113,7 @@
         self._clock.callLater(
             self._terms.max_seconds, self._finish, ReleaseCause.TIME_UP
         )
-        self._terms.not_needed.addCallback(
-            lambda _: self._finish(ReleaseCause.NOT_NEEDED)
-        )
+        self._terms.not_needed.addBoth(lambda _: self._finish(ReleaseCause.NOT_NEEDED))
         self._ask_periodically()
         return self._over
 
@@ -124,7 +127,9 @@
             return
         if not self._is_asking and self._phase is not Phase.RELEASING:
             isolated("ask other members", self._ask)
-        self._clock.callLater(ASK_SECONDS, self._ask_periodically)
+        is_keeping = self._phase is Phase.KEEPING
+        interval = ASK_SECONDS if is_keeping else WATCH_SECONDS
+        self._clock.callLater(interval, self._ask_periodically)
 
     def _ask(self) -> None:
         self._is_asking = True
--- a/notcharch/platform/planned_stop.py
+++ b/notcharch/platform/planned_stop.py
@@ -129,7 +129,12 @@
 
         Without connections no call needs an owner of an account any more.
         """
-        self._factory.close_idle()
+        try:
+            self._factory.close_idle()
+        finally:
+            self._note_open_connections()
+
+    def _note_open_connections(self) -> None:
         if not self._factory.open_connections and not self._calls_ended.called:
             self._calls_ended.callback(None)
 
--- a/tests/unit/platform/test_release_in_stop.py
+++ b/tests/unit/platform/test_release_in_stop.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from notcharch.accounts.service import AccountsService
+from notcharch.http.server import ServerFactory
 from notcharch.platform.planned_stop import (
     EXIT_SECONDS,
     release_seconds,
@@ -91,3 +92,13 @@
     with mock.patch.object(AccountsService, "leave", side_effect=leave):
         world.stop()
     assert not leave.is_needed
+
+
+def test_a_defect_in_closing_connections_does_not_keep_the_partitions(leave):
+    """Guards against a process that waits for a release which never begins."""
+    world = StopWorld()
+    defect = RuntimeError("a defect")
+    with mock.patch.object(ServerFactory, "close_idle", side_effect=defect):
+        world.stop()
+        world.run_until(ACCEPT_SECONDS + 0.2)
+    assert not leave.is_needed
