Let engines wait earlier for slow callers while memory is short

Cause: each slow caller could hold 128 KB, whatever was free. Many that read steadily and in time filled the total, and some of them were cut.

Change: a connection is behind at a 32nd of what is free of the total, between 16 and 64 KB. An answer of a call that is not sent again is relayed above 32 KB, so after one read.

--- a/notcharch/calls/held_answer.py
+++ b/notcharch/calls/held_answer.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Callable
 
-from notcharch.http.buffered_bytes import CONNECTION_BYTES, BufferedBytes
+from notcharch.http.buffered_bytes import RESUME_BYTES, BufferedBytes
 
 MAX_HELD_BYTES = 256 * 1024
 """A longer answer is relayed as it comes; one that must not be relayed is given up."""
-MAX_HELD_ONCE_BYTES = CONNECTION_BYTES
+MAX_HELD_ONCE_BYTES = RESUME_BYTES
 """The same for an answer of a call that is not sent again, as nothing is won by holding it:
 it waits for its caller as a stream does."""
 MAX_EVENT_BYTES = 1024 * 1024
--- a/notcharch/http/buffered_bytes.py
+++ b/notcharch/http/buffered_bytes.py
@@ -16,6 +16,13 @@
 """
 RESUME_BYTES = CONNECTION_BYTES // 2
 """Bytes down to which a connection that was behind has to drain."""
+MIN_CONNECTION_BYTES = 16 * 1024
+"""The same while the memory is short: more than an event of a stream, or one small answer."""
+FREE_SHARE = 1 / 32
+"""Share of what is free of the total that one connection may hold, up to the above.
+
+Engines wait for their slow callers before connections have to be cut.
+"""
 MEMORY_SHARE = 1 / 16
 """Share of the memory limit that connections may hold together, and that answers may."""
 DEFAULT_TOTAL_BYTES = 8 * 1024 * 1024
@@ -39,11 +46,19 @@
     return int(memory_bytes * MEMORY_SHARE) or DEFAULT_TOTAL_BYTES
 
 
-def is_behind(was_behind: bool, buffered: int) -> bool:
+def connection_bytes(total: int, limit: int) -> int:
+    """Return the bytes at which a connection is behind while all hold `total`."""
+    free_share = int((limit - total) * FREE_SHARE)
+    return min(max(free_share, MIN_CONNECTION_BYTES), CONNECTION_BYTES)
+
+
+def is_behind(
+    was_behind: bool, buffered: int, most_bytes: int = CONNECTION_BYTES
+) -> bool:
     """Return whether reading for a connection must stop or remain stopped."""
     if was_behind:
-        return buffered > RESUME_BYTES
-    return buffered > CONNECTION_BYTES
+        return buffered > most_bytes * RESUME_BYTES // CONNECTION_BYTES
+    return buffered > most_bytes
 
 
 def holders_to_cut(buffered: Mapping[Holder, int], limit: int) -> list[Holder]:
--- a/notcharch/http/peer_buffers.py
+++ b/notcharch/http/peer_buffers.py
@@ -13,6 +13,7 @@
     CUT_DOWN_SHARE,
     DEFAULT_TOTAL_BYTES,
     BufferHolder,
+    connection_bytes,
 )
 
 Peer = TypeVar("Peer")
@@ -97,6 +98,11 @@
         """The peer that has not read for longest is first."""
         self.total = 0
 
+    @property
+    def connection_bytes(self) -> int:
+        """Bytes at which a connection is behind now."""
+        return connection_bytes(self.total, self._limit)
+
     def changed(self, peer: PeerConnection, unread: int, received: int = 0) -> None:
         """Set what a connection holds now; nothing when it is closed.
 
--- a/notcharch/http/server_connection.py
+++ b/notcharch/http/server_connection.py
@@ -264,7 +264,9 @@
         """Count the bytes, and notify the request if its client is behind or not."""
         self._count_buffered()
         was_behind = self.is_client_behind
-        self.is_client_behind = is_behind(was_behind, self._out.buffered)
+        self.is_client_behind = is_behind(
+            was_behind, self._out.buffered, self._buffers.connection_bytes
+        )
         if not self._out.buffered and not self._is_disconnected and not self._is_cut:
             self._report_sent()
         if self.is_client_behind == was_behind or self._is_disconnected or self._is_cut:
--- a/tests/unit/http/test_peer_buffers.py
+++ b/tests/unit/http/test_peer_buffers.py
@@ -5,7 +5,12 @@
 
 from twisted.internet import tcp
 
-from notcharch.http.buffered_bytes import CONNECTION_BYTES
+from notcharch.http.buffered_bytes import (
+    CONNECTION_BYTES,
+    MIN_CONNECTION_BYTES,
+    connection_bytes,
+    is_behind,
+)
 from notcharch.http.peer_buffers import (
     CHECK_CHANGES,
     CHECK_SHARE,
@@ -192,3 +197,32 @@
     far.close()
     assert not takes_bytes(connection)
     near.close()
+
+
+def test_engines_wait_earlier_while_memory_is_short():
+    """Guards against callers that read steadily and are cut as each may hold its bound."""
+    limit = 8 * MEGABYTE
+    assert connection_bytes(0, limit) == CONNECTION_BYTES
+    assert connection_bytes(limit * 3 // 4, limit) == CONNECTION_BYTES
+    assert connection_bytes(7 * MEGABYTE, limit) > MIN_CONNECTION_BYTES
+    assert connection_bytes(7 * MEGABYTE, limit) < CONNECTION_BYTES
+    assert connection_bytes(2 * limit, limit) == MIN_CONNECTION_BYTES
+    assert is_behind(False, MIN_CONNECTION_BYTES + 1, MIN_CONNECTION_BYTES)
+    assert is_behind(True, MIN_CONNECTION_BYTES // 2 + 1, MIN_CONNECTION_BYTES)
+    assert not is_behind(True, MIN_CONNECTION_BYTES // 2, MIN_CONNECTION_BYTES)
+
+
+def test_many_steady_slow_readers_of_long_answers_are_not_cut():
+    """Guards against slow callers that read in time and are cut as too many hold 96 KB."""
+    read_bytes = 64 * 1024
+    buffers = PeerBuffers(8 * MEGABYTE)
+    callers: list[Caller] = []
+    for _ in range(300):
+        if len(callers) < 110:
+            callers.append(Caller(buffers))
+            callers[-1].exchange.start(200, [])
+        for caller in callers:
+            if not caller.connection.is_client_behind:
+                caller.exchange.write(b"x" * read_bytes)
+            caller.transport.read(6000)
+    assert not any(caller.transport.is_aborted for caller in callers)
