Tests of bounds are asserted to the token again

Change: the calls of one event stay, with the former bound of 600; the worlds have their allowance again.

--- a/tests/unit/accounts/test_accounts.py
+++ b/tests/unit/accounts/test_accounts.py
@@ -9,7 +9,6 @@
 )
 from notcharch.calls.interface import BUDGET_SPENT, STATE_UNKNOWN
 from notcharch.events import journal
-from notcharch.settings.mechanisms import ALL_MECHANISMS, Mechanism
 from tests.unit.accounts.gated_calls import GatedCall, GatedProgram, is_undecided
 from tests.unit.accounts.steps import (
     EVENT,
@@ -20,9 +19,6 @@
 from tests.unit.accounts.world import World
 from tests.unit.events.capture import captured, of
 
-NO_ALLOWANCE = ALL_MECHANISMS - {Mechanism.STARTING_ALLOWANCE}
-"""Each program needs a record to begin."""
-
 
 def test_a_budget_holds_over_all_daemons():
     world = World()
@@ -93,7 +89,7 @@
 
 
 def test_an_append_whose_answer_is_lost_is_written_once():
-    world = World(mechanisms=NO_ALLOWANCE)
+    world = World()
     world.log.trouble = Trouble.LOSE_ANSWER
     call = world.call(budget=1000, token_limit=600, event_tokens=600, wait_seconds=20.0)
     listener = world.request_admission(call, stores_turns=True)
@@ -102,7 +98,7 @@
     world.run(3.0)
     assert listener.is_decided
     bounds = [record for record in records_in(world) if isinstance(record, BoundRaised)]
-    assert [(bound.program, bound.bound_tokens) for bound in bounds] == [("p", 300)]
+    assert [(bound.program, bound.bound_tokens) for bound in bounds] == [("p", 600)]
 
 
 def test_a_planned_stop_hands_partitions_over_without_a_wait():
@@ -264,7 +260,7 @@
 
 def test_a_call_that_was_given_up_before_its_admission_reserves_nothing():
     """The caller's retry is not refused because of the tokens of the abandoned call."""
-    world = World(mechanisms=NO_ALLOWANCE)
+    world = World()
     world.log.trouble = Trouble.REFUSE
     given_up = world.wait_for_decision(
         world.call("p", budget=900, token_limit=700, event_tokens=700, wait_seconds=0.5)
