--- a/notcharch/accounts/call_grant.py
+++ b/notcharch/accounts/call_grant.py
@@ -13,8 +13,8 @@
 from notcharch.wire.messages.base import Message
 
 PREFETCH_EVENTS = 3
-"""More is asked for while fewer granted events are left: a grant takes a write to the log,
-during which an engine sends one event or two."""
+"""More is asked for while fewer granted events are left: a raised grant waits for a write to
+the log, during which the engine sends further events."""
 OPERATION = "granting tokens"
 
 
