--- a/notcharch/accounts/call_account.py
+++ b/notcharch/accounts/call_account.py
@@ -239,6 +239,7 @@
             data,
             events * call.tokens_per_event,
             self._engine,
+            granted_tokens=self._grant.granted_tokens,
         )
         try:
             yield self._store_parts(message, events, completion)
--- a/notcharch/accounts/call_grant.py
+++ b/notcharch/accounts/call_grant.py
@@ -78,6 +78,11 @@
         self._is_closed = False
         self._wait = GrantWait(owners, call, partition)
 
+    @property
+    def granted_tokens(self) -> int:
+        """The tokens granted so far; `WHOLE_CALL` stands for the call's maximum."""
+        return self._granted_tokens
+
     @property
     def events(self) -> int | None:
         """How many events may be relayed; None if there is no limit."""
--- a/notcharch/accounts/ledger.py
+++ b/notcharch/accounts/ledger.py
@@ -19,7 +19,7 @@
     planned_raise,
     tokens_ahead,
 )
-from notcharch.accounts.messages import RaiseGrant
+from notcharch.accounts.messages import WHOLE_CALL, RaiseGrant
 from notcharch.accounts.metrics import DOUBTED_TOKENS
 from notcharch.accounts.program_account import (
     RESERVATION_TIMEOUT_SECONDS,
@@ -450,7 +450,7 @@
             )
 
     def state_after_turn(
-        self, name: str, call: str, tokens: int
+        self, name: str, call: str, tokens: int, granted: int = WHOLE_CALL
     ) -> AccountState | None:
         """Return the account after a call, for the record of its turn.
 
@@ -462,14 +462,16 @@
         if program is None or not program.is_initialized or program.is_over(call):
             return None
         held = program.reserved.get(call)
-        settled = 0 if held is not None else min(tokens, program.doubted)
+        settled = 0 if held is not None else program.unnamed_share(tokens, granted)
         bound = program.covered(call) + tokens - settled
         if held is not None and not program.is_doubted:
             bound += tokens_ahead(program, held, call, bound)
         program.begin_write(bound)
         return program.state(bound, ended=call, tokens=tokens, begun={})
 
-    def can_keep(self, name: str, call: str, tokens: int) -> bool:
+    def can_keep(
+        self, name: str, call: str, tokens: int, granted: int = WHOLE_CALL
+    ) -> bool:
         """Return whether a turn may be answered whole.
 
         A gateway answers with more than was granted once the turn is durable. If its owner
@@ -479,7 +481,8 @@
         held = None if program is None else program.reserved.get(call)
         if program is None or not program.budget or (held and not held.is_doubted):
             return True
-        counted = held.granted if held is not None else min(tokens, program.doubted)
+        unnamed = program.unnamed_share(tokens, granted)
+        counted = held.granted if held is not None else unnamed
         largest = max(program.largest_call, tokens)
         return program.committed - counted + tokens <= program.budget + largest
 
@@ -493,19 +496,23 @@
         engine: str,
         is_recorded: bool = False,
         is_kept: bool = False,
+        granted: int = WHOLE_CALL,
     ) -> bool:
         """Charge the tokens that a call generated, and release its reservation.
 
         If the call's admission still waits for the journal, the call is marked as
         abandoned and reserves nothing. Nothing is charged to an unknown program, and none
         is added while there is no memory for one. `is_recorded` if the record of a former
-        owner counts the call, `is_kept` if its turn was stored now. Return whether doubt about the program remains.
+        owner counts the call, `is_kept` if its turn was stored now. `granted` is what its
+        gateway tells of its grant. Return whether doubt about the program remains.
         """
         if not self.has_room_for(name):
             return False
         program = self.program(name, now)
         program.cached_engine = engine or program.cached_engine
-        settled = program.settle(call, tokens, is_recorded=is_recorded, is_kept=is_kept)
+        settled = program.settle(
+            call, tokens, is_recorded=is_recorded, is_kept=is_kept, granted=granted
+        )
         DOUBTED_TOKENS.labels("settled").inc(settled)
         return program.is_doubted
 
--- a/notcharch/accounts/messages.py
+++ b/notcharch/accounts/messages.py
@@ -177,6 +177,8 @@
     engine: str = ""
     is_part: bool = False
     """Whether it holds the first part of a larger turn, which another one completes."""
+    granted_tokens: int = WHOLE_CALL
+    """What owners granted to the call; older builds don't tell."""
 
 
 class TurnIsKept(Message, frozen=True):
--- a/notcharch/accounts/owned_turns.py
+++ b/notcharch/accounts/owned_turns.py
@@ -59,6 +59,9 @@
         self._reader = reader
         self._writes = CoalescedWrites(on_exception=Outcome.LOST)
         """Writes in flight, by turn id."""
+        self._storing = 0
+        """Turns, or parts of them, that are being stored and counted."""
+        self._waiters: list[Deferred[None]] = []
         self._reads: CoalescedWrites[Turn | None] = CoalescedWrites(on_exception=None)
         """Reads from the journal in flight, by turn id."""
 
@@ -157,9 +160,34 @@
         emit(HistoryIncomplete(assignment.number, assignment.epoch, turn))
         return False
 
+    def all_stored(self) -> "Deferred[None]":
+        """Return a result that fires once no turn is on its way to the journal."""
+        stored: Deferred[None] = Deferred()
+        if self._storing:
+            self._waiters.append(stored)
+        else:
+            stored.callback(None)
+        return stored
+
     @inlineCallbacks
     def store(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, Outcome]:
         """Store a turn, or a part of one, unless it is stored; return the outcome."""
+        self._storing += 1
+        try:
+            outcome: Outcome = yield self._store(request)
+        finally:
+            self._storing -= 1
+            if not self._storing:
+                self._resume_waiters()
+        return outcome
+
+    def _resume_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    @inlineCallbacks
+    def _store(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, Outcome]:
         is_recorded = self._ledger.turns.has_chain(request.call)
         if not is_recorded:
             if not self._can_keep(request):
@@ -178,19 +206,25 @@
                 engine=request.engine,
                 is_recorded=is_recorded,
                 is_kept=not is_recorded,
+                granted=request.granted_tokens,
             )
         return Outcome.DURABLE
 
     def _can_keep(self, request: KeepTurn) -> bool:
         """Return whether the program's budget allows the whole of a turn."""
-        return self._ledger.can_keep(request.program, request.call, request.tokens)
+        return self._ledger.can_keep(
+            request.program, request.call, request.tokens, request.granted_tokens
+        )
 
     @inlineCallbacks
     def _append(self, request: KeepTurn) -> Generator["Deferred[Any]", Any, Outcome]:
         account = None
         if not request.is_part:
             account = self._ledger.state_after_turn(
-                request.program, request.call, request.tokens
+                request.program,
+                request.call,
+                request.tokens,
+                request.granted_tokens,
             )
         record = TurnKept(
             request.program,
--- a/notcharch/accounts/partition.py
+++ b/notcharch/accounts/partition.py
@@ -240,6 +240,7 @@
         if self.is_serving:
             self.is_serving = False
             OWNED_PARTITIONS.dec()
+            yield self._turns.all_stored()  # a turn counts in its program's account
             with self._writer.together():
                 written = [
                     self._write(encode(record), must_wait=True)
--- a/notcharch/accounts/program_account.py
+++ b/notcharch/accounts/program_account.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from notcharch.accounts.doubt_sources import NotedSources
+from notcharch.accounts.messages import WHOLE_CALL
 from notcharch.accounts.records import (
     NO_DOUBT,
     AccountDoubt,
@@ -214,12 +215,14 @@
         *,
         is_recorded: bool = False,
         is_kept: bool = False,
+        granted: int = WHOLE_CALL,
     ) -> int:
         """Count what a call generated in place of its reservation.
 
         A call that is not known was let in by a former owner, whose bound covers its grant,
         or ended before its admission. `is_recorded` if a record of a former owner counts it,
-        `is_kept` if it certainly ran and has not been counted.
+        `is_kept` if it certainly ran and has not been counted. `granted` is what owners
+        granted to it, as its gateway tells.
         Return how many tokens are doubted no more.
         """
         if call in self._settled:
@@ -232,11 +235,16 @@
         self.abandon(call)
         if is_recorded:
             return 0
-        settled = min(tokens, self.doubted)
+        settled = self.unnamed_share(tokens, granted)
         self.doubted -= settled
         self.used += tokens if is_kept else settled
         return settled
 
+    def unnamed_share(self, tokens: int, granted: int) -> int:
+        """Return how much of the doubt is that of a call which no record names."""
+        share = tokens if granted == WHOLE_CALL else granted
+        return min(share, self.doubted)
+
     def is_over(self, call: str) -> bool:
         """Return whether the end of a call is known."""
         return call in self.abandoned or call in self._settled
