--- a/tests/stateful/accounts/grants_machine.py
+++ b/tests/stateful/accounts/grants_machine.py
@@ -100,13 +100,7 @@
 
     @rule(gone=st.sampled_from([0.0, 1.0]))
     def lose_all(self, gone):
-        for name in self.world.names:
-            self.world.crash(name)
-        self.world.run(gone)
-        for name in self.world.names:
-            self.world.start(name)
-        self.down.clear()
-        self.asleep.clear()
+        self.restart_all(gone)
 
     def leave(self, name):
         self.world.services[name].leave()
--- a/tests/stateful/daemon_fates.py
+++ b/tests/stateful/daemon_fates.py
@@ -44,6 +44,16 @@
             self.world.start(self.world.names[daemon])
             self.down.discard(daemon)
 
+    def restart_all(self, gone):
+        """Let all daemons crash at once, and start after so many seconds."""
+        for name in self.world.names:
+            self.world.crash(name)
+        self.world.run(gone)
+        for name in self.world.names:
+            self.world.start(name)
+        self.down.clear()
+        self.asleep.clear()
+
     @rule(daemon=daemons)
     def leave_and_return(self, daemon):
         if daemon not in self.down | self.asleep:
